--- /dev/null
+++ b/Libraries/LibCore/Clock.h
@@ -0,0 +1,16 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#pragma once
+
+#include <LibCore/Time.h>
+
+namespace Spurtide {
+
+/// Reads the clock that counts pauses (CLOCK_BOOTTIME).
+MonotonicTime monotonic_now();
+
+/// Milliseconds since the Unix epoch by the wall clock.
+std::int64_t unix_milliseconds();
+
+}
