--- /dev/null
+++ b/Libraries/LibDecision/CellScheduler.cpp
@@ -0,0 +1,490 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibCore/Verify.h>
+#include <LibDecision/CellScheduler.h>
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace Spurtide {
+
+namespace {
+
+    constexpr double OUTPUT_QUANTILE = 0.8;
+    constexpr double FIRST_OUTPUT_ESTIMATE = 64;
+    constexpr double RATE_SMOOTHING = 0.2;
+    constexpr Duration SHORTEST_RETRY_AFTER = milliseconds(100);
+    constexpr Duration LONGEST_RETRY_AFTER = seconds(30);
+    /// A prefill that took no measurable time says nothing about an engine's rate.
+    constexpr Duration SHORTEST_MEASURED_PREFILL = milliseconds(5);
+
+    std::size_t earliest(std::span<PlacementCandidate const> candidates)
+    {
+        auto const best = std::min_element(candidates.begin(), candidates.end(), [](auto const& a, auto const& b) { return a.ready < b.ready; });
+        return static_cast<std::size_t>(best - candidates.begin());
+    }
+
+    std::size_t most_free(std::span<PlacementCandidate const> candidates)
+    {
+        auto const best = std::max_element(candidates.begin(), candidates.end(), [](auto const& a, auto const& b) { return a.free_slots < b.free_slots; });
+        return static_cast<std::size_t>(best - candidates.begin());
+    }
+
+}
+
+std::string_view to_string(RefusalReason reason)
+{
+    constexpr std::array<std::string_view, 7> NAMES = { "unknown_model", "unknown_account", "rate_limited", "no_upstream", "cannot_meet_first_token", "queue_full", "duplicate" };
+    return NAMES.at(static_cast<std::size_t>(reason));
+}
+
+CellScheduler::CellScheduler(Options options)
+    : options(std::move(options))
+{
+    if (!this->options.policy.choose_prefill)
+        this->options.policy.choose_prefill = earliest;
+    if (!this->options.policy.choose_decode)
+        this->options.policy.choose_decode = most_free;
+}
+
+void CellScheduler::set_engines(std::span<EngineDescription const> descriptions)
+{
+    std::map<std::string, Engine, std::less<>> kept;
+    for (auto const& description : descriptions) {
+        auto const found = this->engines.find(description.name);
+        Engine engine;
+        if (found != this->engines.end())
+            engine = std::move(found->second);
+        else
+            engine.prefill_rate = description.prefill_rate;
+        engine.description = description;
+        kept.emplace(description.name, std::move(engine));
+    }
+    this->engines = std::move(kept);
+}
+
+void CellScheduler::set_accounts(std::span<AccountDescription const> descriptions, MonotonicTime now)
+{
+    std::map<std::string, Account, std::less<>> kept;
+    for (auto const& description : descriptions) {
+        auto const found = this->accounts.find(description.name);
+        bool const same_limit = found != this->accounts.end()
+            && found->second.description.requests_per_second == description.requests_per_second
+            && found->second.description.burst == description.burst;
+        // A change of weight must not refill the bucket, else frequent changes would lift the limit.
+        auto bucket = same_limit ? found->second.bucket : TokenBucket(description.requests_per_second, description.burst, now);
+        double const served = found != this->accounts.end() ? found->second.served : 0;
+        kept.emplace(description.name, Account { description, bucket, served });
+    }
+    this->accounts = std::move(kept);
+}
+
+void CellScheduler::report(std::string_view name, EngineReport const& report, MonotonicTime now)
+{
+    auto const found = this->engines.find(name);
+    if (found == this->engines.end())
+        return;
+    auto& engine = found->second;
+    engine.last_report = now;
+    engine.reported_life = report.life;
+    if (report.step_time > Duration::zero())
+        engine.step_time = report.step_time;
+    for (auto const& held : report.held) {
+        if (!this->granted.contains(held.request))
+            this->adopt(engine, held, now);
+    }
+    this->schedule(now);
+}
+
+// Work from before this keeper's term counts against the engine until its origin or the reaper ends it.
+void CellScheduler::adopt(Engine& engine, HeldWork const& held, MonotonicTime now)
+{
+    if (engine.description.role != EngineRole::Decode)
+        return;
+    Granted granted;
+    granted.ask.request = held.request;
+    granted.ask.account = held.account;
+    granted.ask.origin = held.origin;
+    granted.ask.model = engine.description.model;
+    granted.decode_engine = engine.description.name;
+    granted.phase = GrantProgress::Decoding;
+    granted.taken_up = true;
+    granted.granted_at = now;
+    granted.decode_from = now;
+    engine.slots.insert(held.request);
+    this->granted.emplace(held.request, std::move(granted));
+}
+
+void CellScheduler::set_leaving(std::string_view name, EngineReport::Life life)
+{
+    auto const found = this->engines.find(name);
+    if (found != this->engines.end())
+        found->second.hinted_life = life;
+}
+
+void CellScheduler::ask(PlacementAsk ask, MonotonicTime now)
+{
+    auto const account = this->accounts.find(ask.account);
+    if (account == this->accounts.end()) {
+        this->refuse(ask, RefusalReason::UnknownAccount, LONGEST_RETRY_AFTER);
+        return;
+    }
+    auto const same_request = [&](auto const& other) { return other.request == ask.request; };
+    if (this->granted.contains(ask.request) || std::any_of(this->waiting.begin(), this->waiting.end(), same_request)) {
+        this->refuse(ask, RefusalReason::Duplicate, SHORTEST_RETRY_AFTER);
+        return;
+    }
+    auto const serves = [&](auto const& entry) { return entry.second.description.model == ask.model; };
+    if (std::none_of(this->engines.begin(), this->engines.end(), serves)) {
+        this->refuse(ask, RefusalReason::UnknownModel, LONGEST_RETRY_AFTER);
+        return;
+    }
+    if (this->waiting.size() >= this->options.queue_limit) {
+        this->refuse(ask, RefusalReason::QueueFull, this->expected_wait(ask.model, now));
+        return;
+    }
+    // A request that is placed again after a failure was counted the first time.
+    if (ask.relayed_tokens == 0 && !account->second.bucket.try_take(1, now)) {
+        this->refuse(ask, RefusalReason::RateLimited, account->second.bucket.time_until(1, now));
+        return;
+    }
+    // An account that was idle starts level with the others and cannot save up its share.
+    double least = account->second.served;
+    bool others_wait = false;
+    for (auto const& other : this->waiting) {
+        auto const served = this->accounts.find(other.account);
+        if (served == this->accounts.end())
+            continue;
+        least = others_wait ? std::min(least, served->second.served) : served->second.served;
+        others_wait = true;
+    }
+    if (others_wait)
+        account->second.served = std::max(account->second.served, least);
+    this->waiting.push_back(std::move(ask));
+    this->schedule(now);
+}
+
+void CellScheduler::progress(std::string_view request, GrantProgress progress, MonotonicTime now)
+{
+    auto const found = this->granted.find(request);
+    if (found == this->granted.end())
+        return;
+    auto& granted = found->second;
+    granted.taken_up = true;
+    auto const engine = this->engines.find(granted.prefill_engine);
+    if (progress == GrantProgress::CacheHeld && granted.phase == GrantProgress::Prefilling && engine != this->engines.end()) {
+        auto const taken = now - granted.prefill_from;
+        if (taken >= SHORTEST_MEASURED_PREFILL) {
+            double const rate = static_cast<double>(granted.ask.prompt_tokens) / to_seconds(taken);
+            engine->second.prefill_rate += RATE_SMOOTHING * (rate - engine->second.prefill_rate);
+        }
+    }
+    if (progress == GrantProgress::Decoding && granted.phase != GrantProgress::Decoding)
+        granted.decode_from = now;
+    granted.phase = progress;
+    this->schedule(now);
+}
+
+void CellScheduler::release(std::string_view request, std::int64_t output_tokens, MonotonicTime now)
+{
+    auto const same_request = [&](auto const& ask) { return ask.request == request; };
+    this->waiting.erase(std::remove_if(this->waiting.begin(), this->waiting.end(), same_request), this->waiting.end());
+    auto const found = this->granted.find(request);
+    if (found != this->granted.end()) {
+        if (output_tokens > 0)
+            this->output_estimate(found->second.ask.model).add(static_cast<double>(output_tokens));
+        this->remove_granted(found->first);
+    }
+    this->schedule(now);
+}
+
+void CellScheduler::remove_granted(std::string const& request)
+{
+    // NOTE: The name is copied since it may live in the node that is erased.
+    auto const name = request;
+    auto const found = this->granted.find(name);
+    VERIFY(found != this->granted.end());
+    auto const engine = this->engines.find(found->second.decode_engine);
+    if (engine != this->engines.end())
+        engine->second.slots.erase(name);
+    this->granted.erase(found);
+}
+
+void CellScheduler::advance(MonotonicTime now)
+{
+    std::vector<std::string> lapsed;
+    for (auto const& [request, granted] : this->granted) {
+        if (!granted.taken_up && now - granted.granted_at > this->options.grant_lease)
+            lapsed.push_back(request);
+    }
+    for (auto const& request : lapsed)
+        this->remove_granted(request);
+    this->schedule(now);
+}
+
+std::vector<PlacementDecision> CellScheduler::take_decisions()
+{
+    return std::exchange(this->decisions, {});
+}
+
+std::optional<CellScheduler::Location> CellScheduler::locate(std::string_view request) const
+{
+    auto const found = this->granted.find(request);
+    if (found == this->granted.end())
+        return {};
+    return Location { found->second.decode_engine, found->second.ask.account };
+}
+
+bool CellScheduler::knows(std::string_view request) const
+{
+    return this->granted.find(request) != this->granted.end();
+}
+
+CellScheduler::Summary CellScheduler::summary(MonotonicTime now) const
+{
+    Summary summary;
+    summary.waiting = this->waiting.size();
+    summary.granted = this->granted.size();
+    summary.engines = this->engines.size();
+    for (auto const& [name, engine] : this->engines) {
+        if (!this->is_usable(engine, now))
+            continue;
+        ++summary.engines_heard;
+        if (engine.description.role == EngineRole::Decode)
+            summary.free_slots += std::max<std::int64_t>(0, this->usable_slots(engine) - static_cast<std::int64_t>(engine.slots.size()));
+    }
+    return summary;
+}
+
+void CellScheduler::schedule(MonotonicTime now)
+{
+    std::set<std::string> models;
+    for (auto const& ask : this->waiting)
+        models.insert(ask.model);
+    for (auto const& model : models)
+        this->schedule_model(model, now);
+}
+
+void CellScheduler::schedule_model(std::string const& model, MonotonicTime now)
+{
+    this->refuse_hopeless(model, now);
+    while (auto const index = this->next_waiting(model)) {
+        auto const placement = this->find_placement(this->waiting[*index], now);
+        if (!placement)
+            return;
+        auto ask = std::move(this->waiting[*index]);
+        this->waiting.erase(this->waiting.begin() + static_cast<std::ptrdiff_t>(*index));
+        this->grant(std::move(ask), *placement, now);
+    }
+}
+
+void CellScheduler::refuse_hopeless(std::string const& model, MonotonicTime now)
+{
+    bool const refuse_early = this->options.policy.early_refusal == SchedulerPolicy::EarlyRefusal::On;
+    auto const is_hopeless = [&](PlacementAsk const& ask) {
+        if (ask.model != model)
+            return false;
+        auto const best = this->best_first_token(ask, now);
+        // Without any engine heard of, a keeper new in office still waits for reports until the deadline.
+        auto const first_token = best && refuse_early ? *best : now;
+        if (first_token <= ask.first_token_deadline)
+            return false;
+        this->refuse(ask, best ? RefusalReason::CannotMeetFirstToken : RefusalReason::NoUpstream, this->expected_wait(model, now));
+        return true;
+    };
+    this->waiting.erase(std::remove_if(this->waiting.begin(), this->waiting.end(), is_hopeless), this->waiting.end());
+}
+
+// Priority first, then the account that had least for its weight, then the earliest deadline.
+std::optional<std::size_t> CellScheduler::next_waiting(std::string_view model) const
+{
+    std::optional<std::size_t> best;
+    auto const served = [&](PlacementAsk const& ask) {
+        auto const found = this->accounts.find(ask.account);
+        return found == this->accounts.end() ? 0.0 : found->second.served;
+    };
+    auto const goes_before = [&](PlacementAsk const& a, PlacementAsk const& b) {
+        if (a.priority != b.priority)
+            return a.priority > b.priority;
+        if (a.account != b.account && served(a) != served(b))
+            return served(a) < served(b);
+        return a.first_token_deadline < b.first_token_deadline;
+    };
+    for (std::size_t i = 0; i < this->waiting.size(); ++i) {
+        if (this->waiting[i].model != model)
+            continue;
+        if (!best || goes_before(this->waiting[i], this->waiting[*best]))
+            best = i;
+    }
+    return best;
+}
+
+bool CellScheduler::is_usable(Engine const& engine, MonotonicTime now) const
+{
+    if (!engine.last_report || now - *engine.last_report > this->options.report_validity)
+        return false;
+    return engine.reported_life == EngineReport::Life::Serving && engine.hinted_life == EngineReport::Life::Serving;
+}
+
+// An engine whose steps are slower than the target between tokens is not filled further.
+std::int64_t CellScheduler::usable_slots(Engine const& engine) const
+{
+    if (engine.step_time > this->options.token_target)
+        return std::min<std::int64_t>(engine.description.decode_slots, static_cast<std::int64_t>(engine.slots.size()));
+    return engine.description.decode_slots;
+}
+
+Duration CellScheduler::prefill_time(Engine const& engine, PlacementAsk const& ask) const
+{
+    return from_seconds(static_cast<double>(ask.prompt_tokens + ask.relayed_tokens) / engine.prefill_rate);
+}
+
+Duration CellScheduler::transfer_time(Engine const& engine, PlacementAsk const& ask) const
+{
+    double const bytes = engine.description.cache_bytes_per_token * static_cast<double>(ask.prompt_tokens + ask.relayed_tokens);
+    return from_seconds(bytes / engine.description.link_rate);
+}
+
+std::vector<PlacementCandidate> CellScheduler::prefill_candidates(PlacementAsk const& ask, MonotonicTime now) const
+{
+    std::vector<PlacementCandidate> candidates;
+    for (auto const& [name, engine] : this->engines) {
+        if (engine.description.role != EngineRole::Prefill || engine.description.model != ask.model || !this->is_usable(engine, now))
+            continue;
+        auto const start = std::max(now, engine.busy_until);
+        if (start - now > this->options.prefill_ahead)
+            continue;
+        candidates.push_back({ name, 0, start + this->prefill_time(engine, ask) });
+    }
+    return candidates;
+}
+
+std::optional<MonotonicTime> CellScheduler::best_first_token(PlacementAsk const& ask, MonotonicTime now) const
+{
+    std::optional<MonotonicTime> best;
+    for (auto const& [name, engine] : this->engines) {
+        if (engine.description.role != EngineRole::Prefill || engine.description.model != ask.model || !this->is_usable(engine, now))
+            continue;
+        auto const first = std::max(now, engine.busy_until) + this->prefill_time(engine, ask) + this->transfer_time(engine, ask) + engine.step_time;
+        best = best ? std::min(*best, first) : first;
+    }
+    return best;
+}
+
+std::optional<CellScheduler::Placement> CellScheduler::find_placement(PlacementAsk const& ask, MonotonicTime now)
+{
+    auto const candidates = this->prefill_candidates(ask, now);
+    if (candidates.empty())
+        return {};
+    auto const& chosen = candidates[this->options.policy.choose_prefill(candidates)];
+    Placement placement;
+    placement.prefill = chosen.engine;
+    placement.prefill_end = chosen.ready;
+    placement.candidates = candidates.size();
+    return this->find_decode(ask, std::move(placement), now);
+}
+
+std::optional<CellScheduler::Placement> CellScheduler::find_decode(PlacementAsk const& ask, Placement placement, MonotonicTime now) const
+{
+    std::vector<PlacementCandidate> candidates;
+    for (auto const& [name, engine] : this->engines) {
+        if (engine.description.role != EngineRole::Decode || engine.description.model != ask.model || !this->is_usable(engine, now))
+            continue;
+        auto const ready = placement.prefill_end + this->transfer_time(engine, ask);
+        auto free = this->usable_slots(engine) - static_cast<std::int64_t>(engine.slots.size());
+        if (free <= 0)
+            free += this->releases_before(engine, ready - this->options.safety_margin);
+        if (free > 0 || this->options.policy.slot_promise == SchedulerPolicy::SlotPromise::Ignored)
+            candidates.push_back({ name, free, ready });
+    }
+    if (candidates.empty())
+        return {};
+    auto const& chosen = candidates[this->options.policy.choose_decode(candidates)];
+    placement.decode = chosen.engine;
+    placement.first_token = chosen.ready;
+    placement.candidates += candidates.size();
+    return placement;
+}
+
+std::int64_t CellScheduler::releases_before(Engine const& engine, MonotonicTime when) const
+{
+    std::int64_t count = 0;
+    for (auto const& request : engine.slots) {
+        auto const found = this->granted.find(request);
+        if (found != this->granted.end() && found->second.phase == GrantProgress::Decoding && this->predicted_release(found->second) <= when)
+            ++count;
+    }
+    return count;
+}
+
+MonotonicTime CellScheduler::predicted_release(Granted const& granted) const
+{
+    auto const estimate = this->output_estimates.find(granted.ask.model);
+    double tokens = estimate == this->output_estimates.end() ? FIRST_OUTPUT_ESTIMATE : estimate->second.estimate();
+    if (granted.ask.maximum_output_tokens > 0)
+        tokens = std::min(tokens, static_cast<double>(granted.ask.maximum_output_tokens));
+    auto const engine = this->engines.find(granted.decode_engine);
+    auto const step = engine == this->engines.end() ? milliseconds(25) : engine->second.step_time;
+    return granted.decode_from + from_seconds(tokens * to_seconds(step));
+}
+
+double CellScheduler::cost_of(PlacementAsk const& ask) const
+{
+    constexpr double PREFILL_TOKENS_PER_OUTPUT_TOKEN = 40;
+    auto const estimate = this->output_estimates.find(ask.model);
+    double const output = estimate == this->output_estimates.end() ? FIRST_OUTPUT_ESTIMATE : estimate->second.estimate();
+    return static_cast<double>(ask.prompt_tokens) + PREFILL_TOKENS_PER_OUTPUT_TOKEN * output;
+}
+
+void CellScheduler::grant(PlacementAsk ask, Placement const& placement, MonotonicTime now)
+{
+    auto& prefill = this->engines.find(placement.prefill)->second;
+    Granted granted;
+    granted.prefill_engine = placement.prefill;
+    granted.decode_engine = placement.decode;
+    granted.granted_at = now;
+    granted.prefill_from = std::max(now, prefill.busy_until);
+    prefill.busy_until = placement.prefill_end;
+    this->engines.find(placement.decode)->second.slots.insert(ask.request);
+    auto const account = this->accounts.find(ask.account);
+    if (account != this->accounts.end())
+        account->second.served += this->cost_of(ask) / account->second.description.weight;
+    this->decisions.emplace_back(PlacementGrant { ask.request, placement.prefill, placement.decode, placement.first_token, placement.candidates });
+    auto const request = ask.request;
+    granted.ask = std::move(ask);
+    this->granted.emplace(request, std::move(granted));
+}
+
+void CellScheduler::refuse(PlacementAsk const& ask, RefusalReason reason, Duration retry_after)
+{
+    this->decisions.emplace_back(PlacementRefusal { ask.request, reason, std::clamp(retry_after, SHORTEST_RETRY_AFTER, LONGEST_RETRY_AFTER) });
+}
+
+// When the backlog of the model's prefill engines is worked off, as far as is known.
+Duration CellScheduler::expected_wait(std::string const& model, MonotonicTime now) const
+{
+    double rate = 0;
+    double backlog_seconds = 0;
+    for (auto const& [name, engine] : this->engines) {
+        if (engine.description.role != EngineRole::Prefill || engine.description.model != model || !this->is_usable(engine, now))
+            continue;
+        rate += engine.prefill_rate;
+        backlog_seconds = std::max(backlog_seconds, to_seconds(std::max(Duration::zero(), engine.busy_until - now)));
+    }
+    if (rate <= 0)
+        return seconds(2);
+    double tokens = 0;
+    for (auto const& ask : this->waiting) {
+        if (ask.model == model)
+            tokens += static_cast<double>(ask.prompt_tokens);
+    }
+    return from_seconds(backlog_seconds + tokens / rate);
+}
+
+QuantileEstimator& CellScheduler::output_estimate(std::string const& model)
+{
+    return this->output_estimates.try_emplace(model, OUTPUT_QUANTILE, FIRST_OUTPUT_ESTIMATE).first->second;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibDecision/CellScheduler.h
@@ -0,0 +1,278 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#pragma once
+
+#include <LibCore/Time.h>
+#include <LibDecision/QuantileEstimator.h>
+#include <LibDecision/TokenBucket.h>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace Spurtide {
+
+enum class EngineRole {
+    Prefill,
+    Decode,
+};
+
+/// An engine as the configuration names it.
+struct EngineDescription {
+    std::string name;
+    std::string model;
+    EngineRole role = EngineRole::Prefill;
+    std::int64_t decode_slots = 0;
+    /// Before anything was learned, in tokens a second.
+    double prefill_rate = 8000;
+    /// Bytes of KV cache of one prompt token, and the link's bytes a second.
+    double cache_bytes_per_token = 0;
+    double link_rate = 1;
+};
+
+/// Work that an engine says it holds.
+struct HeldWork {
+    std::string request;
+    std::string origin;
+    std::string account;
+    /// Whether a reader takes its stream now.
+    enum class Reader {
+        None,
+        Attached,
+    } reader
+        = Reader::None;
+};
+
+/// What an engine last said of itself.
+struct EngineReport {
+    enum class Life {
+        Serving,
+        Leaving,
+    } life
+        = Life::Serving;
+    Duration step_time {};
+    std::vector<HeldWork> held;
+};
+
+/// An account's share and limit.
+struct AccountDescription {
+    std::string name;
+    double weight = 1;
+    double requests_per_second = 100;
+    double burst = 100;
+};
+
+/// One request that wants a prefill and a decode slot.
+struct PlacementAsk {
+    std::string request;
+    std::string account;
+    std::string model;
+    std::string origin;
+    std::int64_t prompt_tokens = 0;
+    std::int64_t maximum_output_tokens = 0;
+    /// Tokens that were already relayed; their decode is not repeated.
+    std::int64_t relayed_tokens = 0;
+    MonotonicTime first_token_deadline;
+    /// Higher goes first.
+    std::int64_t priority = 0;
+};
+
+struct PlacementGrant {
+    std::string request;
+    std::string prefill_engine;
+    std::string decode_engine;
+    MonotonicTime predicted_first_token;
+    std::size_t candidates = 0;
+};
+
+enum class RefusalReason {
+    UnknownModel,
+    UnknownAccount,
+    RateLimited,
+    NoUpstream,
+    CannotMeetFirstToken,
+    QueueFull,
+    Duplicate,
+};
+
+std::string_view to_string(RefusalReason reason);
+
+struct PlacementRefusal {
+    std::string request;
+    RefusalReason reason;
+    /// When the caller should come back.
+    Duration retry_after {};
+};
+
+using PlacementDecision = std::variant<PlacementGrant, PlacementRefusal>;
+
+/// How far a granted request has come, as its origin says.
+enum class GrantProgress {
+    Prefilling,
+    CacheHeld,
+    Decoding,
+};
+
+/// A decode or prefill engine that could take a request.
+struct PlacementCandidate {
+    std::string_view engine;
+    std::int64_t free_slots = 0;
+    MonotonicTime ready;
+};
+
+/// The choices of the scheduler that an experiment may replace.
+struct SchedulerPolicy {
+    /// Whether a prefill waits for a decode slot that will be there.
+    enum class SlotPromise {
+        Required,
+        Ignored,
+    } slot_promise
+        = SlotPromise::Required;
+    /// Whether a request that cannot meet its first token any more is refused at once.
+    enum class EarlyRefusal {
+        On,
+        Off,
+    } early_refusal
+        = EarlyRefusal::On;
+    /// Picks one of the candidates; empty stands for the built-in choice.
+    std::function<std::size_t(std::span<PlacementCandidate const>)> choose_prefill;
+    std::function<std::size_t(std::span<PlacementCandidate const>)> choose_decode;
+};
+
+/// Schedules one cell exactly: who gets which prefill engine and which decode slot, and when.
+/// Pure: time is passed in and nothing is sent.
+class CellScheduler {
+public:
+    struct Options {
+        /// Engines that were silent for longer get nothing new.
+        Duration report_validity = milliseconds(3000);
+        /// A grant that its origin does not take up is withdrawn after this time.
+        Duration grant_lease = milliseconds(1500);
+        /// How far ahead a prefill engine is filled. Short, so that late decisions stay cheap.
+        Duration prefill_ahead = milliseconds(300);
+        /// How long a finished prefill is kept by its engine.
+        Duration cache_hold = milliseconds(900);
+        /// Part of the hold time left free for mistakes.
+        Duration safety_margin = milliseconds(100);
+        std::size_t queue_limit = 2000;
+        /// Longest time between tokens that a decode engine is filled up to.
+        Duration token_target = milliseconds(37);
+        SchedulerPolicy policy {};
+    };
+
+    explicit CellScheduler(Options options);
+
+    /// Replaces the engines; what is held at engines that stay is kept.
+    void set_engines(std::span<EngineDescription const> engines);
+    void set_accounts(std::span<AccountDescription const> accounts, MonotonicTime now);
+
+    void report(std::string_view engine, EngineReport const& report, MonotonicTime now);
+    /// A hint from elsewhere (VM list, operator's drain) that an engine is leaving. Stays until cleared.
+    void set_leaving(std::string_view engine, EngineReport::Life life);
+
+    void ask(PlacementAsk ask, MonotonicTime now);
+    void progress(std::string_view request, GrantProgress progress, MonotonicTime now);
+    /// The request ended, or its caller is gone; frees all it holds here.
+    void release(std::string_view request, std::int64_t output_tokens, MonotonicTime now);
+
+    /// Lets time pass: lapsed grants, refusals that came due, queued work that fits now.
+    void advance(MonotonicTime now);
+
+    /// Decisions since the last call, in order.
+    std::vector<PlacementDecision> take_decisions();
+
+    /// Where a request's stream lives, and whose it is.
+    struct Location {
+        std::string decode_engine;
+        std::string account;
+    };
+    std::optional<Location> locate(std::string_view request) const;
+    bool knows(std::string_view request) const;
+
+    struct Summary {
+        std::size_t waiting = 0;
+        std::size_t granted = 0;
+        std::int64_t free_slots = 0;
+        std::size_t engines_heard = 0;
+        std::size_t engines = 0;
+    };
+    Summary summary(MonotonicTime now) const;
+
+private:
+    struct Engine {
+        EngineDescription description;
+        std::optional<MonotonicTime> last_report;
+        EngineReport::Life reported_life = EngineReport::Life::Serving;
+        EngineReport::Life hinted_life = EngineReport::Life::Serving;
+        Duration step_time = milliseconds(25);
+        double prefill_rate = 8000;
+        MonotonicTime busy_until;
+        /// Requests that hold or were promised a slot here.
+        std::set<std::string, std::less<>> slots;
+    };
+
+    struct Granted {
+        PlacementAsk ask;
+        std::string prefill_engine;
+        std::string decode_engine;
+        GrantProgress phase = GrantProgress::Prefilling;
+        /// Whether the origin said that it uses the grant.
+        bool taken_up = false;
+        MonotonicTime granted_at;
+        MonotonicTime prefill_from;
+        MonotonicTime decode_from;
+    };
+
+    struct Account {
+        AccountDescription description;
+        TokenBucket bucket;
+        double served = 0;
+    };
+
+    struct Placement {
+        std::string prefill;
+        std::string decode;
+        MonotonicTime first_token;
+        MonotonicTime prefill_end;
+        std::size_t candidates = 0;
+    };
+
+    void schedule(MonotonicTime now);
+    void schedule_model(std::string const& model, MonotonicTime now);
+    void refuse_hopeless(std::string const& model, MonotonicTime now);
+    std::optional<std::size_t> next_waiting(std::string_view model) const;
+    std::optional<Placement> find_placement(PlacementAsk const& ask, MonotonicTime now);
+    std::optional<Placement> find_decode(PlacementAsk const& ask, Placement placement, MonotonicTime now) const;
+    std::vector<PlacementCandidate> prefill_candidates(PlacementAsk const& ask, MonotonicTime now) const;
+    std::optional<MonotonicTime> best_first_token(PlacementAsk const& ask, MonotonicTime now) const;
+    void grant(PlacementAsk ask, Placement const& placement, MonotonicTime now);
+    void refuse(PlacementAsk const& ask, RefusalReason reason, Duration retry_after);
+    void remove_granted(std::string const& request);
+    void adopt(Engine& engine, HeldWork const& held, MonotonicTime now);
+    bool is_usable(Engine const& engine, MonotonicTime now) const;
+    std::int64_t usable_slots(Engine const& engine) const;
+    std::int64_t releases_before(Engine const& engine, MonotonicTime when) const;
+    MonotonicTime predicted_release(Granted const& granted) const;
+    Duration prefill_time(Engine const& engine, PlacementAsk const& ask) const;
+    Duration transfer_time(Engine const& engine, PlacementAsk const& ask) const;
+    Duration expected_wait(std::string const& model, MonotonicTime now) const;
+    QuantileEstimator& output_estimate(std::string const& model);
+    double cost_of(PlacementAsk const& ask) const;
+
+    Options options;
+    std::map<std::string, Engine, std::less<>> engines;
+    std::map<std::string, Account, std::less<>> accounts;
+    std::map<std::string, QuantileEstimator, std::less<>> output_estimates;
+    std::vector<PlacementAsk> waiting;
+    std::map<std::string, Granted, std::less<>> granted;
+    std::vector<PlacementDecision> decisions;
+};
+
+}
