--- /dev/null
+++ b/Libraries/LibWire/Kernel.cpp
@@ -0,0 +1,478 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibCore/Clock.h>
+#include <LibCore/LogLine.h>
+#include <LibWire/Kernel.h>
+#include <LibWire/WireMembers.h>
+#include <array>
+#include <asio.hpp>
+#include <atomic>
+#include <future>
+#include <mutex>
+#include <random>
+#include <thread>
+#include <zmq.hpp>
+
+namespace Spurtide {
+
+namespace {
+
+    constexpr int HIGH_WATER_MARK = 20000;
+    constexpr int FIRST_RECONNECT_MILLISECONDS = 20;
+    constexpr int LONGEST_RECONNECT_MILLISECONDS = 1000;
+    constexpr Duration STOP_GRACE = seconds(1);
+    constexpr std::size_t MAXIMUM_MESSAGE_BYTES = 64UL * 1024 * 1024;
+
+    std::string message_kind(wire::Envelope const& envelope)
+    {
+        auto const* descriptor = wire::Envelope::descriptor();
+        auto const* field = descriptor->FindFieldByNumber(envelope.body_case());
+        return field ? field->name() : "none";
+    }
+
+    std::string new_incarnation(std::string const& virtual_machine)
+    {
+        std::random_device device;
+        std::array<char, 64> buffer {};
+        std::snprintf(buffer.data(), buffer.size(), ".%llx-%08x", static_cast<unsigned long long>(unix_milliseconds()), device());
+        return virtual_machine + buffer.data();
+    }
+
+    void set_common_options(zmq::socket_t& socket)
+    {
+        socket.set(zmq::sockopt::linger, 0);
+        socket.set(zmq::sockopt::sndhwm, HIGH_WATER_MARK);
+        socket.set(zmq::sockopt::rcvhwm, HIGH_WATER_MARK);
+        socket.set(zmq::sockopt::maxmsgsize, static_cast<std::int64_t>(MAXIMUM_MESSAGE_BYTES));
+        socket.set(zmq::sockopt::reconnect_ivl, FIRST_RECONNECT_MILLISECONDS);
+        socket.set(zmq::sockopt::reconnect_ivl_max, LONGEST_RECONNECT_MILLISECONDS);
+    }
+
+    /// A ZeroMQ socket watched by the kernel's event loop.
+    class WatchedSocket {
+    public:
+        using MessageHandler = std::function<void(std::vector<zmq::message_t> frames)>;
+
+        WatchedSocket(asio::io_context& loop, zmq::socket_t socket, MessageHandler on_message)
+            : socket(std::move(socket))
+            , descriptor(loop, this->socket.get(zmq::sockopt::fd))
+            , on_message(std::move(on_message))
+            , alive(std::make_shared<bool>(true))
+        {
+        }
+
+        ~WatchedSocket()
+        {
+            *this->alive = false;
+            // The descriptor belongs to the ZeroMQ socket, which closes it.
+            this->descriptor.cancel();
+            this->descriptor.release();
+        }
+
+        WatchedSocket(WatchedSocket const&) = delete;
+        WatchedSocket& operator=(WatchedSocket const&) = delete;
+
+        void watch()
+        {
+            this->descriptor.async_wait(asio::posix::stream_descriptor::wait_read, [this, alive = this->alive](asio::error_code error) {
+                if (error || !*alive)
+                    return;
+                this->drain();
+                if (*alive)
+                    this->watch();
+            });
+            // The descriptor tells only of changes, so what came before the wait is looked for here.
+            this->drain_later();
+        }
+
+        void drain_later()
+        {
+            if ((this->socket.get(zmq::sockopt::events) & ZMQ_POLLIN) == 0)
+                return;
+            asio::post(this->descriptor.get_executor(), [this, alive = this->alive] {
+                if (*alive)
+                    this->drain();
+            });
+        }
+
+        bool send(std::vector<zmq::message_t> frames)
+        {
+            bool sent = true;
+            for (std::size_t i = 0; i < frames.size() && sent; ++i) {
+                auto const more = i + 1 < frames.size() ? zmq::send_flags::sndmore : zmq::send_flags::none;
+                try {
+                    sent = this->socket.send(frames[i], more | zmq::send_flags::dontwait).has_value();
+                } catch (zmq::error_t const&) {
+                    // The peer of a reply is gone.
+                    sent = false;
+                }
+            }
+            this->drain_later();
+            return sent;
+        }
+
+        std::string last_endpoint() { return this->socket.get(zmq::sockopt::last_endpoint); }
+
+    private:
+        void drain()
+        {
+            auto const alive = this->alive;
+            while (*alive) {
+                std::vector<zmq::message_t> frames;
+                do {
+                    zmq::message_t frame;
+                    if (!this->socket.recv(frame, zmq::recv_flags::dontwait))
+                        return;
+                    frames.push_back(std::move(frame));
+                } while (frames.back().more());
+                this->on_message(std::move(frames));
+            }
+        }
+
+        zmq::socket_t socket;
+        asio::posix::stream_descriptor descriptor;
+        MessageHandler on_message;
+        std::shared_ptr<bool> alive;
+    };
+
+}
+
+std::string_view to_string(WireErrorKind kind)
+{
+    constexpr std::array<std::string_view, 5> NAMES = { "no_endpoint", "timeout", "stopped", "remote", "cannot_listen" };
+    return NAMES.at(static_cast<std::size_t>(kind));
+}
+
+wire::Envelope error_reply(wire::ErrorCode code)
+{
+    wire::Envelope reply;
+    reply.mutable_error()->set_code(code);
+    return reply;
+}
+
+class Kernel::Core {
+public:
+    explicit Core(Options options)
+        : options(std::move(options))
+        , incarnation(new_incarnation(this->options.virtual_machine))
+        , directory(this->options.virtual_machine)
+        , work(asio::make_work_guard(this->loop))
+    {
+    }
+
+    Result<Done, WireError> listen()
+    {
+        zmq::socket_t socket(this->context, zmq::socket_type::router);
+        set_common_options(socket);
+        try {
+            socket.bind(this->options.listen_endpoint);
+        } catch (zmq::error_t const&) {
+            return Failure { WireError { WireErrorKind::CannotListen } };
+        }
+        this->listener = std::make_unique<WatchedSocket>(this->loop, std::move(socket), [this](auto frames) { this->receive_request(std::move(frames)); });
+        this->listen_endpoint = this->listener->last_endpoint();
+        return Done {};
+    }
+
+    void start()
+    {
+        this->listener->watch();
+        if (!this->options.directory_endpoint.empty()) {
+            this->announce();
+            this->every(this->options.announce_interval, [this] { this->announce(); });
+        }
+        this->thread = std::thread([this] { this->loop.run(); });
+    }
+
+    void stop()
+    {
+        if (this->stopped.exchange(true))
+            return;
+        if (this->thread.joinable()) {
+            asio::post(this->loop, [this] { this->loop.stop(); });
+            this->thread.join();
+        }
+        // Callers that still wait must not wait for ever.
+        auto left = std::move(this->pending);
+        this->pending.clear();
+        for (auto& [correlation, request] : left)
+            request.callback(Failure { WireError { WireErrorKind::Stopped } });
+        this->links.clear();
+        this->listener.reset();
+    }
+
+    void every(Duration interval, std::function<void()> function)
+    {
+        auto timer = std::make_shared<asio::steady_timer>(this->loop);
+        asio::post(this->loop, [this, interval, function = std::move(function), timer] { this->arm(timer, interval, function); });
+    }
+
+    void request(std::string const& endpoint, wire::Envelope envelope, Duration timeout, ReplyCallback callback)
+    {
+        if (this->stopped) {
+            callback(Failure { WireError { WireErrorKind::Stopped } });
+            return;
+        }
+        asio::dispatch(this->loop, [this, endpoint, envelope = std::move(envelope), timeout, callback = std::move(callback)]() mutable {
+            this->send_request(endpoint, std::move(envelope), timeout, std::move(callback));
+        });
+    }
+
+    void notify(std::string const& endpoint, wire::Envelope envelope)
+    {
+        asio::dispatch(this->loop, [this, endpoint, envelope = std::move(envelope)] { this->send_on_link(endpoint, envelope); });
+    }
+
+    std::map<std::string, TrafficCount> traffic(std::map<std::string, TrafficCount> const& counts) const
+    {
+        std::scoped_lock const lock(this->traffic_mutex);
+        return counts;
+    }
+
+    Options options;
+    std::string incarnation;
+    std::string listen_endpoint;
+    ServiceDirectory directory;
+    std::map<std::string, Handler, std::less<>> handlers;
+    asio::io_context loop;
+    std::map<std::string, TrafficCount> sent;
+    std::map<std::string, TrafficCount> received;
+
+private:
+    struct Pending {
+        std::string endpoint;
+        ReplyCallback callback;
+        std::shared_ptr<asio::steady_timer> timer;
+    };
+
+    void arm(std::shared_ptr<asio::steady_timer> const& timer, Duration interval, std::function<void()> const& function)
+    {
+        timer->expires_after(interval);
+        timer->async_wait([this, timer, interval, function](asio::error_code error) {
+            if (error)
+                return;
+            function();
+            this->arm(timer, interval, function);
+        });
+    }
+
+    void count(std::map<std::string, TrafficCount>& counts, wire::Envelope const& envelope, std::size_t bytes)
+    {
+        std::scoped_lock const lock(this->traffic_mutex);
+        auto& entry = counts[message_kind(envelope)];
+        ++entry.messages;
+        entry.bytes += bytes;
+    }
+
+    WatchedSocket& link_to(std::string const& endpoint)
+    {
+        auto const found = this->links.find(endpoint);
+        if (found != this->links.end())
+            return *found->second;
+        zmq::socket_t socket(this->context, zmq::socket_type::dealer);
+        set_common_options(socket);
+        socket.connect(endpoint);
+        auto link = std::make_unique<WatchedSocket>(this->loop, std::move(socket), [this](auto frames) { this->receive_reply(frames); });
+        link->watch();
+        return *this->links.emplace(endpoint, std::move(link)).first->second;
+    }
+
+    bool send_on_link(std::string const& endpoint, wire::Envelope const& envelope)
+    {
+        auto const bytes = envelope.SerializeAsString();
+        std::vector<zmq::message_t> frames;
+        frames.emplace_back(bytes.data(), bytes.size());
+        try {
+            if (!this->link_to(endpoint).send(std::move(frames)))
+                return false;
+        } catch (zmq::error_t const&) {
+            // An endpoint that a peer announced and that is no address.
+            return false;
+        }
+        this->count(this->sent, envelope, bytes.size());
+        return true;
+    }
+
+    void send_request(std::string const& endpoint, wire::Envelope envelope, Duration timeout, ReplyCallback callback)
+    {
+        auto const correlation = ++this->last_correlation;
+        envelope.set_correlation(correlation);
+        if (!this->send_on_link(endpoint, envelope)) {
+            callback(Failure { WireError { WireErrorKind::NoEndpoint } });
+            return;
+        }
+        auto timer = std::make_shared<asio::steady_timer>(this->loop, timeout);
+        timer->async_wait([this, correlation](asio::error_code error) {
+            if (!error)
+                this->time_out(correlation);
+        });
+        this->pending.emplace(correlation, Pending { endpoint, std::move(callback), std::move(timer) });
+    }
+
+    void time_out(std::uint64_t correlation)
+    {
+        auto const found = this->pending.find(correlation);
+        if (found == this->pending.end())
+            return;
+        auto request = std::move(found->second);
+        this->pending.erase(found);
+        // Dropping the link throws away what waits in it: a late delivery would look like a fresh request.
+        this->links.erase(request.endpoint);
+        request.callback(Failure { WireError { WireErrorKind::Timeout } });
+    }
+
+    void receive_reply(std::vector<zmq::message_t> const& frames)
+    {
+        wire::Envelope envelope;
+        auto const& body = frames.back();
+        if (!envelope.ParseFromArray(body.data(), static_cast<int>(body.size()))) {
+            LogLine("wire_malformed").with("side", "reply").with("bytes", static_cast<std::int64_t>(body.size()));
+            return;
+        }
+        this->count(this->received, envelope, body.size());
+        auto const found = this->pending.find(envelope.correlation());
+        if (found == this->pending.end())
+            return;
+        auto request = std::move(found->second);
+        this->pending.erase(found);
+        request.timer->cancel();
+        if (envelope.has_error())
+            request.callback(Failure { WireError { WireErrorKind::Remote, envelope.error().code() } });
+        else
+            request.callback(std::move(envelope));
+    }
+
+    void receive_request(std::vector<zmq::message_t> frames)
+    {
+        wire::Envelope envelope;
+        auto const& body = frames.back();
+        if (frames.size() != 2 || !envelope.ParseFromArray(body.data(), static_cast<int>(body.size()))) {
+            LogLine("wire_malformed").with("side", "request").with("bytes", static_cast<std::int64_t>(body.size()));
+            return;
+        }
+        this->count(this->received, envelope, body.size());
+        auto respond = this->responder_for(frames.front().to_string(), envelope.correlation());
+        auto const handler = this->handlers.find(envelope.service());
+        if (handler == this->handlers.end())
+            respond(error_reply(wire::ERROR_CODE_UNKNOWN_SERVICE));
+        else
+            handler->second(envelope, std::move(respond));
+    }
+
+    Responder responder_for(std::string identity, std::uint64_t correlation)
+    {
+        if (correlation == 0)
+            return [](wire::Envelope const&) {};
+        return [this, identity = std::move(identity), correlation](wire::Envelope reply) {
+            reply.set_correlation(correlation);
+            asio::dispatch(this->loop, [this, identity, reply = std::move(reply)] { this->send_reply(identity, reply); });
+        };
+    }
+
+    void send_reply(std::string const& identity, wire::Envelope const& reply)
+    {
+        auto const bytes = reply.SerializeAsString();
+        std::vector<zmq::message_t> frames;
+        frames.emplace_back(identity.data(), identity.size());
+        frames.emplace_back(bytes.data(), bytes.size());
+        this->count(this->sent, reply, bytes.size());
+        this->listener->send(std::move(frames));
+    }
+
+    void announce()
+    {
+        wire::Envelope envelope;
+        envelope.set_service("directory");
+        auto* announce = envelope.mutable_announce();
+        announce->set_vm(this->options.virtual_machine);
+        announce->set_known_version(this->directory.version());
+        for (auto const& [service, handler] : this->handlers) {
+            auto* entry = announce->add_services();
+            entry->set_service(service);
+            entry->set_endpoint(this->listen_endpoint);
+            entry->set_incarnation(this->incarnation);
+        }
+        this->send_request(this->options.directory_endpoint, std::move(envelope), this->options.announce_interval, [this](WireReply const& reply) { this->take_view(reply); });
+    }
+
+    // While the directory is away, the last view stays in use.
+    void take_view(WireReply const& reply)
+    {
+        if (reply.is_error() || !reply.value().has_directory_view())
+            return;
+        auto const& view = reply.value().directory_view();
+        this->directory.note_generation(view.generation());
+        if (view.version() == this->directory.version())
+            return;
+        std::vector<MemberRecord> members;
+        for (auto const& member : view.members())
+            members.push_back(read_record(member));
+        this->directory.replace(view.version(), view.generation(), std::move(members));
+    }
+
+    zmq::context_t context { 1 };
+    asio::executor_work_guard<asio::io_context::executor_type> work;
+    std::unique_ptr<WatchedSocket> listener;
+    std::map<std::string, std::unique_ptr<WatchedSocket>> links;
+    std::map<std::uint64_t, Pending> pending;
+    std::uint64_t last_correlation = 0;
+    std::thread thread;
+    std::atomic<bool> stopped = false;
+    mutable std::mutex traffic_mutex;
+};
+
+Kernel::Kernel(std::unique_ptr<Core> core)
+    : core(std::move(core))
+{
+}
+
+Kernel::~Kernel() { this->stop(); }
+
+Result<std::unique_ptr<Kernel>, WireError> Kernel::create(Options options)
+{
+    auto core = std::make_unique<Core>(std::move(options));
+    TRY(core->listen());
+    return std::unique_ptr<Kernel>(new Kernel(std::move(core)));
+}
+
+void Kernel::host(std::string service, Handler handler) { this->core->handlers.emplace(std::move(service), std::move(handler)); }
+void Kernel::start() { this->core->start(); }
+void Kernel::stop() { this->core->stop(); }
+std::string const& Kernel::endpoint() const { return this->core->listen_endpoint; }
+std::string const& Kernel::incarnation() const { return this->core->incarnation; }
+std::string const& Kernel::virtual_machine() const { return this->core->options.virtual_machine; }
+ServiceDirectory& Kernel::directory() { return this->core->directory; }
+
+std::vector<ServiceEndpoint> Kernel::hosted_services() const
+{
+    std::vector<ServiceEndpoint> services;
+    for (auto const& [service, handler] : this->core->handlers)
+        services.push_back({ service, this->core->listen_endpoint, this->core->incarnation });
+    return services;
+}
+
+void Kernel::post(std::function<void()> function) { asio::post(this->core->loop, std::move(function)); }
+void Kernel::every(Duration interval, std::function<void()> function) { this->core->every(interval, std::move(function)); }
+
+void Kernel::request(std::string const& endpoint, wire::Envelope envelope, Duration timeout, ReplyCallback callback)
+{
+    this->core->request(endpoint, std::move(envelope), timeout, std::move(callback));
+}
+
+WireReply Kernel::call(std::string const& endpoint, wire::Envelope envelope, Duration timeout)
+{
+    auto promise = std::make_shared<std::promise<WireReply>>();
+    auto future = promise->get_future();
+    this->request(endpoint, std::move(envelope), timeout, [promise](WireReply reply) { promise->set_value(std::move(reply)); });
+    // The loop's own timer answers first; this limit only guards against a kernel that stops meanwhile.
+    if (future.wait_for(timeout + STOP_GRACE) != std::future_status::ready)
+        return Failure { WireError { WireErrorKind::Stopped } };
+    return future.get();
+}
+
+void Kernel::notify(std::string const& endpoint, wire::Envelope envelope) { this->core->notify(endpoint, std::move(envelope)); }
+std::map<std::string, TrafficCount> Kernel::sent_traffic() const { return this->core->traffic(this->core->sent); }
+std::map<std::string, TrafficCount> Kernel::received_traffic() const { return this->core->traffic(this->core->received); }
+
+}
--- /dev/null
+++ b/Libraries/LibWire/WireMembers.cpp
@@ -0,0 +1,65 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibWire/WireMembers.h>
+
+namespace Spurtide {
+
+namespace {
+
+    // A peer of a later version may send a life this one does not know; it is treated as suspect.
+    MemberLife read_life(std::int32_t value)
+    {
+        if (value < 0 || value > static_cast<std::int32_t>(MemberLife::Leaving))
+            return MemberLife::Suspect;
+        return static_cast<MemberLife>(value);
+    }
+
+}
+
+void write_record(MemberRecord const& record, wire::MemberRecord& message)
+{
+    message.set_vm(record.virtual_machine);
+    message.set_incarnation(record.incarnation);
+    message.set_heartbeat(record.heartbeat);
+    message.set_changed_at(record.changed_at);
+    message.set_life(static_cast<std::int32_t>(record.life));
+    message.set_generation(record.configuration_generation);
+    for (auto const& service : record.services) {
+        auto* entry = message.add_services();
+        entry->set_service(service.service);
+        entry->set_endpoint(service.endpoint);
+        entry->set_incarnation(service.incarnation);
+    }
+}
+
+MemberRecord read_record(wire::MemberRecord const& message)
+{
+    MemberRecord record;
+    record.virtual_machine = message.vm();
+    record.incarnation = message.incarnation();
+    record.heartbeat = message.heartbeat();
+    record.changed_at = message.changed_at();
+    record.life = read_life(message.life());
+    record.configuration_generation = message.generation();
+    for (auto const& service : message.services())
+        record.services.push_back({ service.service(), service.endpoint(), service.incarnation() });
+    return record;
+}
+
+void write_digest(MemberDigest const& digest, wire::MemberDigest& message)
+{
+    message.set_vm(digest.virtual_machine);
+    message.set_incarnation(digest.incarnation);
+    message.set_heartbeat(digest.heartbeat);
+    message.set_changed_at(digest.changed_at);
+    message.set_life(static_cast<std::int32_t>(digest.life));
+    message.set_generation(digest.configuration_generation);
+}
+
+MemberDigest read_digest(wire::MemberDigest const& message)
+{
+    return { message.vm(), message.incarnation(), message.heartbeat(), message.changed_at(), read_life(message.life()), message.generation() };
+}
+
+}
