--- a/Libraries/LibDecision/CellScheduler.cpp
+++ b/Libraries/LibDecision/CellScheduler.cpp
@@ -17,6 +17,8 @@
     constexpr Duration SHORTEST_RETRY_AFTER = milliseconds(100);
     constexpr Duration LONGEST_RETRY_AFTER = seconds(30);
     /// A prefill that took no measurable time says nothing about an engine's rate.
+    /// Longer than any report lags.
+    constexpr Duration RELEASED_NAMES_KEPT = seconds(5);
     constexpr Duration SHORTEST_MEASURED_PREFILL = milliseconds(5);
 
     std::size_t earliest(std::span<PlacementCandidate const> candidates)
@@ -91,12 +93,84 @@
     if (report.step_time > Duration::zero())
         engine.step_time = report.step_time;
     for (auto const& held : report.held) {
-        if (!this->granted.contains(held.request))
+        if (!this->granted.contains(held.request) && !this->released.contains(held.request))
             this->adopt(engine, held, now);
     }
+    this->drop_vanished(engine, report, now);
     this->schedule(now);
 }
 
+// What is known from reports alone ends when the reports do not name it any more.
+void CellScheduler::drop_vanished(Engine const& engine, EngineReport const& report, MonotonicTime now)
+{
+    std::vector<std::string> vanished;
+    for (auto const& request : engine.slots) {
+        auto const found = this->granted.find(request);
+        if (found == this->granted.end() || !found->second.adopted)
+            continue;
+        auto const is_named = [&](HeldWork const& held) { return held.request == request; };
+        if (std::none_of(report.held.begin(), report.held.end(), is_named))
+            vanished.push_back(request);
+    }
+    for (auto const& request : vanished)
+        this->remove_granted(request, now);
+}
+
+void CellScheduler::forget_origin(std::string_view origin, MonotonicTime now)
+{
+    std::erase_if(this->waiting, [&](auto const& ask) { return ask.origin == origin; });
+    std::vector<std::string> orphans;
+    for (auto const& [request, granted] : this->granted) {
+        if (granted.ask.origin == origin && !granted.adopted)
+            orphans.push_back(request);
+    }
+    for (auto const& request : orphans) {
+        this->remove_granted(request, now);
+        // Unlike after a release, the engine's next report decides whether the slot is free.
+        this->released.erase(request);
+    }
+    this->schedule(now);
+}
+
+std::set<std::string> CellScheduler::origins() const
+{
+    std::set<std::string> names;
+    for (auto const& [request, granted] : this->granted) {
+        if (!granted.adopted)
+            names.insert(granted.ask.origin);
+    }
+    for (auto const& ask : this->waiting)
+        names.insert(ask.origin);
+    return names;
+}
+
+MonotonicTime CellScheduler::busy_until(Engine const& engine, MonotonicTime now) const
+{
+    auto const time_of = [&](QueuedPrefill const& prefill) { return from_seconds(static_cast<double>(prefill.tokens) / engine.prefill_rate); };
+    auto until = now;
+    for (std::size_t i = 0; i < engine.prefills.size(); ++i) {
+        auto const& prefill = engine.prefills[i];
+        until = i == 0 ? std::max(now, prefill.started + time_of(prefill)) : until + time_of(prefill);
+    }
+    return until;
+}
+
+// The next one in the engine's queue starts when this one ends.
+void CellScheduler::end_prefill(std::string_view name, std::string_view request, MonotonicTime now)
+{
+    auto const engine = this->engines.find(name);
+    if (engine == this->engines.end())
+        return;
+    auto& prefills = engine->second.prefills;
+    auto const found = std::find_if(prefills.begin(), prefills.end(), [&](auto const& prefill) { return prefill.request == request; });
+    if (found == prefills.end())
+        return;
+    bool const was_first = found == prefills.begin();
+    prefills.erase(found);
+    if (was_first && !prefills.empty())
+        prefills.front().started = now;
+}
+
 // Work from before this keeper's term counts against the engine until its origin or the reaper ends it.
 void CellScheduler::adopt(Engine& engine, HeldWork const& held, MonotonicTime now)
 {
@@ -109,6 +183,7 @@
     granted.ask.model = engine.description.model;
     granted.decode_engine = engine.description.name;
     granted.phase = GrantProgress::Decoding;
+    granted.adopted = true;
     granted.taken_up = true;
     granted.granted_at = now;
     granted.decode_from = now;
@@ -174,11 +249,14 @@
     granted.taken_up = true;
     auto const engine = this->engines.find(granted.prefill_engine);
     if (progress == GrantProgress::CacheHeld && granted.phase == GrantProgress::Prefilling && engine != this->engines.end()) {
-        auto const taken = now - granted.prefill_from;
+        auto const& prefills = engine->second.prefills;
+        bool const is_first = !prefills.empty() && prefills.front().request == request;
+        auto const taken = is_first ? now - prefills.front().started : Duration::zero();
         if (taken >= SHORTEST_MEASURED_PREFILL) {
-            double const rate = static_cast<double>(granted.ask.prompt_tokens) / to_seconds(taken);
+            double const rate = static_cast<double>(prefills.front().tokens) / to_seconds(taken);
             engine->second.prefill_rate += RATE_SMOOTHING * (rate - engine->second.prefill_rate);
         }
+        this->end_prefill(granted.prefill_engine, request, now);
     }
     if (progress == GrantProgress::Decoding && granted.phase != GrantProgress::Decoding)
         granted.decode_from = now;
@@ -194,17 +272,19 @@
     if (found != this->granted.end()) {
         if (output_tokens > 0)
             this->output_estimate(found->second.ask.model).add(static_cast<double>(output_tokens));
-        this->remove_granted(found->first);
+        this->remove_granted(found->first, now);
     }
     this->schedule(now);
 }
 
-void CellScheduler::remove_granted(std::string const& request)
+void CellScheduler::remove_granted(std::string const& request, MonotonicTime now)
 {
     // NOTE: The name is copied since it may live in the node that is erased.
     auto const name = request;
     auto const found = this->granted.find(name);
     VERIFY(found != this->granted.end());
+    this->end_prefill(found->second.prefill_engine, name, now);
+    this->released.insert_or_assign(name, now);
     auto const engine = this->engines.find(found->second.decode_engine);
     if (engine != this->engines.end())
         engine->second.slots.erase(name);
@@ -219,7 +299,8 @@
             lapsed.push_back(request);
     }
     for (auto const& request : lapsed)
-        this->remove_granted(request);
+        this->remove_granted(request, now);
+    std::erase_if(this->released, [&](auto const& entry) { return now - entry.second > RELEASED_NAMES_KEPT; });
     this->schedule(now);
 }
 
@@ -352,7 +433,7 @@
     for (auto const& [name, engine] : this->engines) {
         if (engine.description.role != EngineRole::Prefill || engine.description.model != ask.model || !this->is_usable(engine, now))
             continue;
-        auto const start = std::max(now, engine.busy_until);
+        auto const start = this->busy_until(engine, now);
         if (start - now > this->options.prefill_ahead)
             continue;
         candidates.push_back({ name, 0, start + this->prefill_time(engine, ask) });
@@ -366,7 +447,7 @@
     for (auto const& [name, engine] : this->engines) {
         if (engine.description.role != EngineRole::Prefill || engine.description.model != ask.model || !this->is_usable(engine, now))
             continue;
-        auto const first = std::max(now, engine.busy_until) + this->prefill_time(engine, ask) + this->transfer_time(engine, ask) + engine.step_time;
+        auto const first = this->busy_until(engine, now) + this->prefill_time(engine, ask) + this->transfer_time(engine, ask) + engine.step_time;
         best = best ? std::min(*best, first) : first;
     }
     return best;
@@ -444,8 +525,7 @@
     granted.prefill_engine = placement.prefill;
     granted.decode_engine = placement.decode;
     granted.granted_at = now;
-    granted.prefill_from = std::max(now, prefill.busy_until);
-    prefill.busy_until = placement.prefill_end;
+    prefill.prefills.push_back({ ask.request, ask.prompt_tokens + ask.relayed_tokens, now });
     this->engines.find(placement.decode)->second.slots.insert(ask.request);
     auto const account = this->accounts.find(ask.account);
     if (account != this->accounts.end())
@@ -470,7 +550,7 @@
         if (engine.description.role != EngineRole::Prefill || engine.description.model != model || !this->is_usable(engine, now))
             continue;
         rate += engine.prefill_rate;
-        backlog_seconds = std::max(backlog_seconds, to_seconds(std::max(Duration::zero(), engine.busy_until - now)));
+        backlog_seconds = std::max(backlog_seconds, to_seconds(this->busy_until(engine, now) - now));
     }
     if (rate <= 0)
         return seconds(2);
--- a/Libraries/LibDecision/CellScheduler.h
+++ b/Libraries/LibDecision/CellScheduler.h
@@ -182,6 +182,11 @@
     /// The request ended, or its caller is gone; frees all it holds here.
     void release(std::string_view request, std::int64_t output_tokens, MonotonicTime now);
 
+    /// The origin's process is gone: what it was granted is free, but for what engines still report.
+    void forget_origin(std::string_view origin, MonotonicTime now);
+    /// Origins that hold a grant.
+    std::set<std::string> origins() const;
+
     /// Lets time pass: lapsed grants, refusals that came due, queued work that fits now.
     void advance(MonotonicTime now);
 
@@ -206,6 +211,12 @@
     Summary summary(MonotonicTime now) const;
 
 private:
+    struct QueuedPrefill {
+        std::string request;
+        std::int64_t tokens = 0;
+        MonotonicTime started;
+    };
+
     struct Engine {
         EngineDescription description;
         std::optional<MonotonicTime> last_report;
@@ -213,7 +224,8 @@
         EngineReport::Life hinted_life = EngineReport::Life::Serving;
         Duration step_time = milliseconds(25);
         double prefill_rate = 8000;
-        MonotonicTime busy_until;
+        /// Prefills granted and not known to be finished, in the order of their grants.
+        std::vector<QueuedPrefill> prefills;
         /// Requests that hold or were promised a slot here.
         std::set<std::string, std::less<>> slots;
     };
@@ -223,10 +235,11 @@
         std::string prefill_engine;
         std::string decode_engine;
         GrantProgress phase = GrantProgress::Prefilling;
+        /// Known from an engine's report alone, from before this keeper's term.
+        bool adopted = false;
         /// Whether the origin said that it uses the grant.
         bool taken_up = false;
         MonotonicTime granted_at;
-        MonotonicTime prefill_from;
         MonotonicTime decode_from;
     };
 
@@ -254,8 +267,11 @@
     std::optional<MonotonicTime> best_first_token(PlacementAsk const& ask, MonotonicTime now) const;
     void grant(PlacementAsk ask, Placement const& placement, MonotonicTime now);
     void refuse(PlacementAsk const& ask, RefusalReason reason, Duration retry_after);
-    void remove_granted(std::string const& request);
+    void remove_granted(std::string const& request, MonotonicTime now);
     void adopt(Engine& engine, HeldWork const& held, MonotonicTime now);
+    void drop_vanished(Engine const& engine, EngineReport const& report, MonotonicTime now);
+    void end_prefill(std::string_view engine, std::string_view request, MonotonicTime now);
+    MonotonicTime busy_until(Engine const& engine, MonotonicTime now) const;
     bool is_usable(Engine const& engine, MonotonicTime now) const;
     std::int64_t usable_slots(Engine const& engine) const;
     std::int64_t releases_before(Engine const& engine, MonotonicTime when) const;
@@ -272,6 +288,8 @@
     std::map<std::string, QuantileEstimator, std::less<>> output_estimates;
     std::vector<PlacementAsk> waiting;
     std::map<std::string, Granted, std::less<>> granted;
+    /// Requests released lately: reports lag and still name them.
+    std::map<std::string, MonotonicTime, std::less<>> released;
     std::vector<PlacementDecision> decisions;
 };
 
--- a/Services/ConfigServer/ConfigServer.cpp
+++ b/Services/ConfigServer/ConfigServer.cpp
@@ -8,6 +8,8 @@
 #include <LibWire/WireMembers.h>
 #include <Services/ConfigServer/ConfigServer.h>
 #include <algorithm>
+#include <future>
+#include <utility>
 
 namespace Spurtide {
 
@@ -17,6 +19,7 @@
     constexpr std::size_t WATCHERS = 3;
     constexpr std::size_t WORKERS = 4;
     constexpr std::size_t LONGEST_QUEUE = 1000;
+    constexpr Duration LEAVE_TIMEOUT = milliseconds(500);
     constexpr Duration PEER_FETCH_TIMEOUT = milliseconds(2000);
 
     wire::ApplyStatus status_of(ApplyErrorKind kind)
@@ -160,9 +163,20 @@
 
 ConfigServer::~ConfigServer() { this->stop(); }
 
+// Returns once a peer knows, so that the news is not lost with this process.
 void ConfigServer::leave()
 {
-    this->kernel->post([this] { this->membership->leave(); });
+    if (!this->kernel)
+        return;
+    auto told = std::make_shared<std::promise<void>>();
+    auto future = told->get_future();
+    this->kernel->post([this, told] {
+        this->membership->leave([told, is_first = std::make_shared<bool>(true)] {
+            if (std::exchange(*is_first, false))
+                told->set_value();
+        });
+    });
+    future.wait_for(LEAVE_TIMEOUT);
 }
 
 void ConfigServer::stop()
@@ -173,6 +187,7 @@
             return;
         this->stopping = true;
     }
+    this->leave();
     this->wake.notify_all();
     if (this->watcher.joinable())
         this->watcher.join();
--- a/Services/ConfigServer/ConfigServer.h
+++ b/Services/ConfigServer/ConfigServer.h
@@ -8,6 +8,7 @@
 #include <LibHttp/HttpListener.h>
 #include <LibPlatform/HttpPlatform.h>
 #include <LibService/ServerSettings.h>
+#include <LibService/ServerStartError.h>
 #include <LibWire/Kernel.h>
 #include <Services/ConfigServer/ClaimKeeper.h>
 #include <Services/ConfigServer/ConfigurationStore.h>
@@ -21,11 +22,6 @@
 
 namespace Spurtide {
 
-enum class ServerStartError {
-    CannotListenHttp,
-    CannotListenWire,
-};
-
 /// The only process of a VM that talks to the platform. Hosts the directory of services, the
 /// configuration and the claims.
 class ConfigServer {
@@ -47,14 +43,14 @@
     ConfigServer(ConfigServer const&) = delete;
     ConfigServer& operator=(ConfigServer const&) = delete;
 
+    /// Tells the peers that this VM is leaving, then stops.
     void stop();
-    /// Tells the peers that this VM is leaving.
-    void leave();
     std::string const& wire_endpoint() const { return this->kernel->endpoint(); }
     Address const& http_address() const { return this->listener->address(); }
 
 private:
     explicit ConfigServer(Options options);
+    void leave();
     void host_services();
     void handle_directory(wire::Envelope const& request, Kernel::Responder const& respond);
     void handle_config(wire::Envelope const& request, Kernel::Responder const& respond);
--- a/Services/ConfigServer/MembershipService.cpp
+++ b/Services/ConfigServer/MembershipService.cpp
@@ -40,12 +40,15 @@
     this->kernel.every(this->options.heartbeat_interval, [this] { this->beat(); });
 }
 
-void MembershipService::leave()
+void MembershipService::leave(std::function<void()> when_told)
 {
     this->table.leave(monotonic_now());
     // Everybody is told at once; gossip alone would take a few intervals.
-    for (auto const& endpoint : this->peer_endpoints())
-        this->send_heartbeat(endpoint);
+    auto const peers = this->peer_endpoints();
+    for (auto const& endpoint : peers)
+        this->send_heartbeat(endpoint, when_told);
+    if (peers.empty())
+        when_told();
 }
 
 // The services of this process, and of those of the VM that announced themselves lately.
@@ -91,13 +94,15 @@
     return endpoints;
 }
 
-void MembershipService::send_heartbeat(std::string const& endpoint)
+void MembershipService::send_heartbeat(std::string const& endpoint, std::function<void()> when_answered)
 {
     wire::Envelope envelope;
     envelope.set_service("directory");
     for (auto const& digest : this->table.next_digests())
         write_digest(digest, *envelope.mutable_heartbeat()->add_digests());
-    this->kernel.request(endpoint, std::move(envelope), HEARTBEAT_TIMEOUT, [this, endpoint](WireReply const& reply) {
+    this->kernel.request(endpoint, std::move(envelope), HEARTBEAT_TIMEOUT, [this, endpoint, when_answered = std::move(when_answered)](WireReply const& reply) {
+        if (when_answered)
+            when_answered();
         if (reply.is_error() || !reply.value().has_heartbeat_reply())
             return;
         auto const& body = reply.value().heartbeat_reply();
--- a/Services/ConfigServer/MembershipService.h
+++ b/Services/ConfigServer/MembershipService.h
@@ -29,7 +29,8 @@
     MembershipService(Options options, Kernel& kernel, std::function<std::int64_t()> generation, std::function<void(std::string const& endpoint)> on_newer_generation);
 
     void start();
-    void leave();
+    /// Tells the peers; the function runs at the first answer, or at once where there are no peers.
+    void leave(std::function<void()> when_told);
 
     void handle_announce(wire::Announce const& announce, Kernel::Responder const& respond);
     void handle_heartbeat(wire::Heartbeat const& heartbeat, Kernel::Responder const& respond);
@@ -45,7 +46,7 @@
     };
 
     void beat();
-    void send_heartbeat(std::string const& endpoint);
+    void send_heartbeat(std::string const& endpoint, std::function<void()> when_answered = {});
     void take_digests(google::protobuf::RepeatedPtrField<wire::MemberDigest> const& digests, std::string const& endpoint, std::vector<std::string>& wanted);
     void refresh_directory();
     std::vector<ServiceEndpoint> local_services();
