--- a/Libraries/LibCore/LogLine.cpp
+++ b/Libraries/LibCore/LogLine.cpp
@@ -3,7 +3,9 @@
 
 #include <LibCore/LogLine.h>
 #include <array>
+#include <chrono>
 #include <cstdio>
+#include <ctime>
 #include <glog/logging.h>
 #include <memory>
 #include <mutex>
@@ -16,6 +18,19 @@
     std::string s_process_fields;
     std::shared_ptr<LogLine::Observer const> s_observer;
 
+    std::string wall_time()
+    {
+        auto const now = std::chrono::system_clock::now();
+        auto const since_epoch = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count();
+        std::time_t const whole_seconds = since_epoch / 1000;
+        std::tm parts {};
+        gmtime_r(&whole_seconds, &parts);
+        std::array<char, 40> buffer {};
+        auto const length = std::strftime(buffer.data(), buffer.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+        std::snprintf(buffer.data() + length, buffer.size() - length, ".%03dZ", static_cast<int>(since_epoch % 1000));
+        return buffer.data();
+    }
+
     bool needs_quotes(std::string_view value)
     {
         return value.empty() || value.find_first_of(" \"=\n\r\t\\") != std::string_view::npos;
@@ -55,7 +70,7 @@
     }
     if (observer)
         (*observer)(this->text);
-    LOG(INFO) << this->text << fields;
+    LOG(INFO) << "time=" << wall_time() << ' ' << this->text << fields;
 }
 
 LogLine& LogLine::with(std::string_view key, std::string_view value)
--- a/Libraries/LibCore/ProgramOptions.cpp
+++ b/Libraries/LibCore/ProgramOptions.cpp
@@ -69,6 +69,8 @@
         { nullptr, 0, nullptr, 0 },
     } };
     FLAGS_logtostderr = true;
+    // The lines carry their own time, so that each is key=value pairs from its start.
+    FLAGS_log_prefix = false;
     google::InitGoogleLogging(arguments[0]);
     ServerOptions options;
     int code = 0;
--- /dev/null
+++ b/Services/EntryServer/PlacementClient.cpp
@@ -0,0 +1,221 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <Services/EntryServer/PlacementClient.h>
+#include <algorithm>
+
+namespace Spurtide {
+
+namespace {
+
+    /// Time for the answer to come back beside the time that the keeper may take to decide.
+    constexpr Duration ANSWER_MARGIN = milliseconds(150);
+    constexpr Duration LOCATE_TIMEOUT = milliseconds(500);
+    constexpr Duration COME_BACK_SOON = milliseconds(1000);
+    /// A request that two cells could not take is refused: more asking is load without use.
+    constexpr std::size_t MOST_KEEPERS_ASKED = 2;
+
+    ProblemKind kind_of(wire::RefusalReason reason)
+    {
+        switch (reason) {
+        case wire::REFUSAL_REASON_UNKNOWN_MODEL:
+            return ProblemKind::UnknownModel;
+        case wire::REFUSAL_REASON_UNKNOWN_ACCOUNT:
+            return ProblemKind::UnknownKey;
+        case wire::REFUSAL_REASON_RATE_LIMITED:
+            return ProblemKind::RateLimited;
+        case wire::REFUSAL_REASON_NO_UPSTREAM:
+            return ProblemKind::NoUpstream;
+        case wire::REFUSAL_REASON_DUPLICATE:
+            return ProblemKind::AlreadySubmitted;
+        default:
+            return ProblemKind::Overloaded;
+        }
+    }
+
+    wire::GrantProgress wire_progress(GrantProgress progress)
+    {
+        switch (progress) {
+        case GrantProgress::Prefilling:
+            return wire::GRANT_PROGRESS_PREFILLING;
+        case GrantProgress::CacheHeld:
+            return wire::GRANT_PROGRESS_CACHE_HELD;
+        case GrantProgress::Decoding:
+            return wire::GRANT_PROGRESS_DECODING;
+        }
+        VERIFY_NOT_REACHED();
+    }
+
+    std::string kind_of(EngineDescription const& engine)
+    {
+        return engine.model + (engine.role == EngineRole::Decode ? "/decode" : "/prefill");
+    }
+
+    bool may_spill(ProblemKind kind)
+    {
+        return kind == ProblemKind::Overloaded || kind == ProblemKind::NoUpstream;
+    }
+
+}
+
+PlacementClient::PlacementClient(Kernel& kernel, ConfigurationFollower& follower, std::string virtual_machine, std::string data_centre)
+    : kernel(kernel)
+    , follower(follower)
+    , virtual_machine(std::move(virtual_machine))
+    , data_centre(std::move(data_centre))
+{
+}
+
+std::shared_ptr<PlacementClient::Map const> PlacementClient::current_map()
+{
+    auto const configuration = this->follower.current();
+    auto const directory_version = this->kernel.directory().version();
+    std::scoped_lock const lock(this->mutex);
+    auto const generation = configuration ? configuration->generation : 0;
+    if (this->map && this->map->generation == generation && this->map->directory_version == directory_version)
+        return this->map;
+    auto next = std::make_shared<Map>();
+    next->generation = generation;
+    next->directory_version = directory_version;
+    if (configuration) {
+        std::vector<CellMember> members;
+        for (auto const& engine : configuration->engines) {
+            if (engine.data_centre == this->data_centre)
+                members.push_back({ engine.description.name, kind_of(engine.description) });
+        }
+        next->cells = CellMap::create(members, this->kernel.directory().virtual_machines_with("placement"));
+    }
+    this->map = next;
+    return next;
+}
+
+std::vector<std::string> PlacementClient::keepers_to_ask(std::string_view work)
+{
+    auto const cells = this->current_map();
+    std::vector<std::string> keepers;
+    for (std::size_t cell = 0; cell < cells->cells.cell_count(); ++cell)
+        keepers.push_back(cells->cells.keeper_of(cell));
+    std::sort(keepers.begin(), keepers.end(), [&](auto const& a, auto const& b) {
+        bool const a_is_own = a == this->virtual_machine;
+        bool const b_is_own = b == this->virtual_machine;
+        if (a_is_own != b_is_own)
+            return a_is_own;
+        return rendezvous_score(a, work) > rendezvous_score(b, work);
+    });
+    std::vector<std::string> endpoints;
+    for (auto const& keeper : keepers) {
+        if (auto endpoint = this->kernel.directory().resolve_on(keeper, "placement"))
+            endpoints.push_back(std::move(*endpoint));
+    }
+    return endpoints;
+}
+
+std::vector<std::string> PlacementClient::keepers_of(std::string_view decode_engine)
+{
+    auto const cells = this->current_map();
+    auto const cell = cells->cells.cell_of(decode_engine);
+    if (!cell)
+        return {};
+    auto endpoint = this->kernel.directory().resolve_on(cells->cells.keeper_of(*cell), "placement");
+    if (!endpoint)
+        return {};
+    return { std::move(*endpoint) };
+}
+
+Result<GrantedPlacement, Problem> PlacementClient::ask(PlacementAsk const& ask, Duration first_token_within)
+{
+    wire::Envelope envelope;
+    envelope.set_service("placement");
+    auto* message = envelope.mutable_placement_ask();
+    message->set_request(ask.request);
+    message->set_account(ask.account);
+    message->set_model(ask.model);
+    message->set_origin(ask.origin);
+    message->set_prompt_tokens(ask.prompt_tokens);
+    message->set_maximum_output_tokens(ask.maximum_output_tokens);
+    message->set_relayed_tokens(ask.relayed_tokens);
+    message->set_first_token_within_microseconds(first_token_within.count());
+    message->set_priority(static_cast<std::int32_t>(ask.priority));
+    Problem last { ProblemKind::NoUpstream, "", RequestOutcome::RefusedNotRun, COME_BACK_SOON };
+    std::size_t asked = 0;
+    for (auto const& endpoint : this->keepers_to_ask(ask.request)) {
+        if (asked++ >= MOST_KEEPERS_ASKED)
+            break;
+        auto const reply = this->kernel.call(endpoint, envelope, first_token_within + ANSWER_MARGIN);
+        if (reply.is_error()) {
+            // The keeper may have granted and the answer was lost: it is told that nobody takes it up.
+            wire::Envelope release;
+            release.set_service("placement");
+            release.mutable_release()->set_request(ask.request);
+            if (reply.error().kind == WireErrorKind::Timeout)
+                this->kernel.notify(endpoint, std::move(release));
+            continue;
+        }
+        auto granted = this->read_reply(reply.value());
+        if (!granted.is_error() || !may_spill(granted.error().kind))
+            return granted;
+        last = granted.error();
+    }
+    return Failure { last };
+}
+
+Result<GrantedPlacement, Problem> PlacementClient::read_reply(wire::Envelope const& reply) const
+{
+    if (reply.has_placement_refusal()) {
+        auto const& refusal = reply.placement_refusal();
+        return Failure { Problem { kind_of(refusal.reason()), "", RequestOutcome::RefusedNotRun, milliseconds(refusal.retry_after_milliseconds()) } };
+    }
+    GrantedPlacement granted;
+    granted.prefill_engine = reply.placement_grant().prefill_engine();
+    granted.decode_engine = reply.placement_grant().decode_engine();
+    granted.prefill_address = this->engine_address(granted.prefill_engine);
+    granted.decode_address = this->engine_address(granted.decode_engine);
+    if (granted.prefill_address.empty() || granted.decode_address.empty())
+        return Failure { Problem { ProblemKind::NoUpstream, "", RequestOutcome::RefusedNotRun, COME_BACK_SOON } };
+    return granted;
+}
+
+void PlacementClient::progress(std::string const& work, std::string const& decode_engine, GrantProgress progress)
+{
+    for (auto const& endpoint : this->keepers_of(decode_engine)) {
+        wire::Envelope envelope;
+        envelope.set_service("placement");
+        envelope.mutable_progress()->set_request(work);
+        envelope.mutable_progress()->set_progress(wire_progress(progress));
+        this->kernel.notify(endpoint, std::move(envelope));
+    }
+}
+
+void PlacementClient::release(std::string const& work, std::string const& decode_engine, std::int64_t output_tokens)
+{
+    for (auto const& endpoint : this->keepers_of(decode_engine)) {
+        wire::Envelope envelope;
+        envelope.set_service("placement");
+        envelope.mutable_release()->set_request(work);
+        envelope.mutable_release()->set_output_tokens(output_tokens);
+        this->kernel.notify(endpoint, std::move(envelope));
+    }
+}
+
+std::optional<std::string> PlacementClient::locate(std::string const& work, std::string_view account)
+{
+    for (auto const& endpoint : this->keepers_to_ask(work)) {
+        wire::Envelope envelope;
+        envelope.set_service("placement");
+        envelope.mutable_locate()->set_request(work);
+        auto const reply = this->kernel.call(endpoint, std::move(envelope), LOCATE_TIMEOUT);
+        if (reply.is_error() || !reply.value().has_located() || reply.value().located().account() != account)
+            continue;
+        return reply.value().located().decode_engine();
+    }
+    return {};
+}
+
+std::string PlacementClient::engine_address(std::string_view engine) const
+{
+    auto const configuration = this->follower.current();
+    auto const* found = configuration ? configuration->find_engine(engine) : nullptr;
+    return found ? found->address : std::string();
+}
+
+}
