--- /dev/null
+++ b/Meta/spurtide.sh
@@ -0,0 +1,42 @@
+#!/usr/bin/env bash
+# SPDX-FileCopyrightText: 2026 The Spurtide developers
+# SPDX-License-Identifier: BSD-2-Clause
+set -euo pipefail
+cd "$(dirname "$0")/.."
+
+usage() {
+    cat <<'TXT'
+Usage: Meta/spurtide.sh COMMAND
+  run       install, build, and serve the demo workload through real processes
+  test      install, build, and run all tests
+  build     install and build
+  check     formatting, linter and generated code
+TXT
+}
+
+build() {
+    bash Meta/install-dependencies.sh
+    cmake -S . -B Build -G Ninja >Build.log 2>&1 || { cat Build.log; return 1; }
+    rm -f Build.log
+    cmake --build Build
+}
+
+case "${1:-}" in
+run)
+    build
+    exec bash Meta/run.sh
+    ;;
+test)
+    build
+    exec ctest --test-dir Build --output-on-failure --parallel 4
+    ;;
+build) build ;;
+check)
+    build
+    exec bash Meta/check.sh
+    ;;
+*)
+    usage
+    exit 2
+    ;;
+esac
