--- a/Libraries/LibDecision/MembershipTable.cpp
+++ b/Libraries/LibDecision/MembershipTable.cpp
@@ -1,11 +1,12 @@
 // SPDX-FileCopyrightText: 2026 The Spurtide developers
 // SPDX-License-Identifier: BSD-2-Clause
 
-#include <LibCore/Verify.h>
 #include <LibDecision/MembershipTable.h>
 #include <algorithm>
 #include <array>
 #include <tuple>
+#include <utility>
+#include <xxhash.h>
 
 namespace Spurtide {
 
@@ -13,13 +14,29 @@
 
     MemberDigest digest_of(MemberRecord const& record)
     {
-        return { record.virtual_machine, record.incarnation, record.heartbeat, record.changed_at, record.life, record.configuration_generation };
+        return { record.virtual_machine, record.incarnation, record.version, record.life, record.configuration_generation };
     }
 
-    template<typename Left, typename Right>
-    bool is_newer(Left const& left, Right const& right)
+    /// Of two words on the same version of a VM the graver one counts.
+    int gravity(MemberLife life)
     {
-        return std::tie(left.incarnation, left.heartbeat) > std::tie(right.incarnation, right.heartbeat);
+        switch (life) {
+        case MemberLife::Alive:
+        case MemberLife::Leaving:
+            return 0;
+        case MemberLife::Suspect:
+            return 1;
+        case MemberLife::Dead:
+            return 2;
+        }
+        return 0;
+    }
+
+    bool has_cause_to_refute(MemberLife life) { return gravity(life) > 0; }
+
+    std::uint64_t round_score(std::string_view name, std::uint64_t seed)
+    {
+        return XXH3_64bits_withSeed(name.data(), name.size(), seed);
     }
 
 }
@@ -34,145 +51,203 @@
     : options(options)
     , self_name(self.virtual_machine)
 {
-    this->members.emplace(this->self_name, Member { std::move(self), {} });
+    this->members.emplace(this->self_name, Member { std::move(self), {}, options.news_transmissions });
+}
+
+void MembershipTable::note_change(Member& member, MonotonicTime now)
+{
+    member.since = now;
+    member.transmissions_left = this->options.news_transmissions;
+    ++this->current_version;
 }
 
-void MembershipTable::beat(std::span<ServiceEndpoint const> services, std::int64_t configuration_generation, MonotonicTime now)
+void MembershipTable::update_self(std::span<ServiceEndpoint const> services, std::int64_t configuration_generation)
 {
     auto& self = this->members.at(this->self_name);
-    self.heard = now;
-    ++self.record.heartbeat;
-    bool const same_services = std::equal(services.begin(), services.end(), self.record.services.begin(), self.record.services.end());
-    if (!same_services || self.record.changed_at == 0) {
-        self.record.services.assign(services.begin(), services.end());
-        self.record.changed_at = self.record.heartbeat;
-        ++this->current_version;
-    }
-    self.record.configuration_generation = configuration_generation;
+    self.record.configuration_generation = std::max(self.record.configuration_generation, configuration_generation);
+    if (std::equal(services.begin(), services.end(), self.record.services.begin(), self.record.services.end()))
+        return;
+    self.record.services.assign(services.begin(), services.end());
+    ++self.record.version;
+    this->note_change(self, self.since);
 }
 
-void MembershipTable::leave(MonotonicTime now)
+void MembershipTable::leave()
 {
     auto& self = this->members.at(this->self_name);
-    self.heard = now;
     self.record.life = MemberLife::Leaving;
-    ++self.record.heartbeat;
-    self.record.changed_at = self.record.heartbeat;
-    ++this->current_version;
+    ++self.record.version;
+    this->note_change(self, self.since);
+}
+
+std::vector<std::string> MembershipTable::next_targets(std::size_t count)
+{
+    std::vector<std::string> targets;
+    auto const is_target = [&](std::string const& name) {
+        auto const found = this->members.find(name);
+        return name != this->self_name && found != this->members.end() && found->second.record.life != MemberLife::Dead;
+    };
+    bool has_new_round = false;
+    while (targets.size() < count) {
+        if (this->round.empty()) {
+            if (std::exchange(has_new_round, true))
+                break;
+            auto const seed = round_score(this->self_name, ++this->round_number);
+            for (auto const& [name, member] : this->members)
+                this->round.push_back(name);
+            std::sort(this->round.begin(), this->round.end(), [&](auto const& a, auto const& b) { return round_score(a, seed) < round_score(b, seed); });
+        }
+        if (is_target(this->round.back()))
+            targets.push_back(this->round.back());
+        this->round.pop_back();
+    }
+    this->add_suspects(targets);
+    return targets;
 }
 
-std::vector<MemberDigest> MembershipTable::next_digests()
+// A suspect is probed each period until it refutes or is dead: waiting for its turn or for the news to
+// come around takes longer than the suspicion lasts.
+void MembershipTable::add_suspects(std::vector<std::string>& targets) const
+{
+    std::size_t added = 0;
+    for (auto const& [name, member] : this->members) {
+        if (added >= this->options.suspects_probed)
+            return;
+        if (member.record.life != MemberLife::Suspect || std::find(targets.begin(), targets.end(), name) != targets.end())
+            continue;
+        targets.push_back(name);
+        ++added;
+    }
+}
+
+std::vector<MemberDigest> MembershipTable::digests_for(std::string_view target)
 {
     std::vector<MemberDigest> digests = { digest_of(this->self()) };
-    auto const others = std::min(this->members.size() - 1, this->options.digests_per_heartbeat - 1);
-    auto position = this->members.upper_bound(this->digest_cursor);
-    while (digests.size() < others + 1) {
-        if (position == this->members.end())
-            position = this->members.begin();
-        if (position->first != this->self_name)
-            digests.push_back(digest_of(position->second.record));
-        this->digest_cursor = position->first;
-        ++position;
+    auto const told = this->members.find(target);
+    if (told != this->members.end() && has_cause_to_refute(told->second.record.life))
+        digests.push_back(digest_of(told->second.record));
+    std::vector<Member*> news;
+    for (auto& [name, member] : this->members) {
+        if (member.transmissions_left > 0 && name != this->self_name && name != target)
+            news.push_back(&member);
+    }
+    // What was told least goes first.
+    std::sort(news.begin(), news.end(), [](auto const* a, auto const* b) { return a->transmissions_left > b->transmissions_left; });
+    news.resize(std::min(news.size(), this->options.news_per_message));
+    for (auto* member : news) {
+        --member->transmissions_left;
+        digests.push_back(digest_of(member->record));
     }
     return digests;
 }
 
+// Somebody doubts this VM, or knows a newer record of it than itself: from a start with a clock ahead.
+void MembershipTable::refute(std::int64_t incarnation, std::int64_t version)
+{
+    auto& self = this->members.at(this->self_name);
+    self.record.incarnation = std::max(self.record.incarnation, incarnation);
+    self.record.version = std::max(self.record.version, version) + 1;
+    this->note_change(self, self.since);
+}
+
+// True where the full record is needed.
+bool MembershipTable::take_digest(Member& member, MemberDigest const& digest, MonotonicTime now)
+{
+    auto& record = member.record;
+    record.configuration_generation = std::max(record.configuration_generation, digest.configuration_generation);
+    auto const order = std::make_tuple(digest.incarnation, digest.version) <=> std::make_tuple(record.incarnation, record.version);
+    if (order < 0)
+        return false;
+    if (order > 0)
+        return true;
+    if (gravity(digest.life) <= gravity(record.life))
+        return false;
+    record.life = digest.life;
+    this->note_change(member, now);
+    return false;
+}
+
 std::vector<std::string> MembershipTable::merge_digests(std::span<MemberDigest const> digests, MonotonicTime now)
 {
     std::vector<std::string> wanted;
     for (auto const& digest : digests) {
-        if (digest.virtual_machine == this->self_name)
-            continue;
         auto const found = this->members.find(digest.virtual_machine);
+        if (digest.virtual_machine == this->self_name) {
+            auto const& self = found->second.record;
+            bool const is_doubted = has_cause_to_refute(digest.life) && digest.incarnation == self.incarnation && digest.version == self.version;
+            if (is_doubted || std::tie(digest.incarnation, digest.version) > std::tie(self.incarnation, self.version))
+                this->refute(digest.incarnation, digest.version);
+            continue;
+        }
         if (found == this->members.end()) {
-            // A record that was forgotten as dead must not come back by an old digest.
+            // A record that was forgotten as dead must not come back by an old word of it.
             if (digest.life != MemberLife::Dead)
                 wanted.push_back(digest.virtual_machine);
             continue;
         }
-        auto& member = found->second;
-        if (!is_newer(digest, member.record))
-            continue;
-        bool const needs_record = digest.incarnation != member.record.incarnation || digest.changed_at != member.record.changed_at;
-        if (needs_record) {
+        if (this->take_digest(found->second, digest, now))
             wanted.push_back(digest.virtual_machine);
-            continue;
-        }
-        member.record.heartbeat = digest.heartbeat;
-        member.record.configuration_generation = digest.configuration_generation;
-        member.heard = now;
     }
-    this->advance(now);
     return wanted;
 }
 
 void MembershipTable::merge_records(std::span<MemberRecord const> records, MonotonicTime now)
 {
     for (auto const& record : records) {
-        if (record.virtual_machine == this->self_name) {
-            if (is_newer(record, this->self()))
-                this->defend(now);
+        if (record.virtual_machine == this->self_name)
             continue;
-        }
         auto const found = this->members.find(record.virtual_machine);
-        if (found != this->members.end() && !is_newer(record, found->second.record))
+        if (found == this->members.end()) {
+            if (record.life == MemberLife::Dead)
+                continue;
+            auto& member = this->members.emplace(record.virtual_machine, Member { record, now, 0 }).first->second;
+            this->note_change(member, now);
             continue;
-        if (found == this->members.end() && record.life == MemberLife::Dead)
+        }
+        auto& known = found->second.record;
+        if (std::tie(record.incarnation, record.version) <= std::tie(known.incarnation, known.version))
             continue;
-        auto copy = record;
-        // Suspicion is each VM's own; only leaving is said by the VM itself.
-        if (copy.life != MemberLife::Leaving)
-            copy.life = MemberLife::Alive;
-        this->members.insert_or_assign(record.virtual_machine, Member { std::move(copy), now });
-        ++this->current_version;
+        auto const generation = std::max(known.configuration_generation, record.configuration_generation);
+        known = record;
+        known.configuration_generation = generation;
+        this->note_change(found->second, now);
     }
 }
 
-// Somebody knows a newer record of this VM than itself: an earlier start with a clock ahead.
-void MembershipTable::defend(MonotonicTime now)
-{
-    auto& self = this->members.at(this->self_name);
-    ++self.record.incarnation;
-    self.heard = now;
-    ++this->current_version;
-}
-
-std::optional<MemberRecord> MembershipTable::find(std::string_view virtual_machine) const
+void MembershipTable::note_no_answer(std::string_view virtual_machine, MonotonicTime now)
 {
     auto const found = this->members.find(virtual_machine);
-    if (found == this->members.end())
-        return {};
-    return found->second.record;
-}
-
-MemberLife MembershipTable::life_of(Member const& member, MonotonicTime now) const
-{
-    if (member.record.virtual_machine == this->self_name)
-        return member.record.life;
-    auto const silence = now - member.heard;
-    if (silence >= this->options.dead_after)
-        return MemberLife::Dead;
-    if (member.record.life == MemberLife::Leaving)
-        return MemberLife::Leaving;
-    return silence >= this->options.suspect_after ? MemberLife::Suspect : MemberLife::Alive;
+    if (found == this->members.end() || has_cause_to_refute(found->second.record.life))
+        return;
+    found->second.record.life = MemberLife::Suspect;
+    this->note_change(found->second, now);
 }
 
 void MembershipTable::advance(MonotonicTime now)
 {
     for (auto position = this->members.begin(); position != this->members.end();) {
         auto& member = position->second;
-        auto const life = this->life_of(member, now);
-        if (life != member.record.life) {
-            member.record.life = life;
-            ++this->current_version;
+        if (member.record.life == MemberLife::Suspect && now - member.since >= this->options.suspicion_timeout) {
+            member.record.life = MemberLife::Dead;
+            this->note_change(member, now);
         }
-        if (life == MemberLife::Dead && now - member.heard >= this->options.forget_after)
+        if (member.record.life == MemberLife::Dead && now - member.since >= this->options.forget_after) {
             position = this->members.erase(position);
-        else
+            ++this->current_version;
+        } else {
             ++position;
+        }
     }
 }
 
+std::optional<MemberRecord> MembershipTable::find(std::string_view virtual_machine) const
+{
+    auto const found = this->members.find(virtual_machine);
+    if (found == this->members.end())
+        return {};
+    return found->second.record;
+}
+
 std::vector<MemberRecord> MembershipTable::live_members() const
 {
     std::vector<MemberRecord> live;
--- a/Libraries/LibDecision/MembershipTable.h
+++ b/Libraries/LibDecision/MembershipTable.h
@@ -33,64 +33,72 @@
     bool operator==(ServiceEndpoint const&) const = default;
 };
 
-/// What is known of one VM of the data centre. Only the VM itself raises its version.
+/// What is known of one VM of the data centre.
 struct MemberRecord {
     std::string virtual_machine;
     /// Time of the ConfigServer's start, in milliseconds since the epoch; a later one replaces an earlier one.
     std::int64_t incarnation = 0;
-    /// Raised by the VM at each heartbeat.
-    std::int64_t heartbeat = 0;
-    /// The heartbeat at which the services last changed.
-    std::int64_t changed_at = 0;
+    /// Raised by the VM alone, when its services change, when it leaves, and to refute a suspicion.
+    std::int64_t version = 0;
     MemberLife life = MemberLife::Alive;
     std::int64_t configuration_generation = 0;
     std::vector<ServiceEndpoint> services;
 };
 
-/// The short form of a record that rides on each heartbeat.
+/// The short form of a record that rides on probes and their answers.
 struct MemberDigest {
     std::string virtual_machine;
     std::int64_t incarnation = 0;
-    std::int64_t heartbeat = 0;
-    std::int64_t changed_at = 0;
+    std::int64_t version = 0;
     MemberLife life = MemberLife::Alive;
     std::int64_t configuration_generation = 0;
 };
 
-/// The VMs of one data centre as one of them sees them. Heartbeats spread by gossip with a few
-/// peers a period, so that a VM's cost does not grow with the data centre.
+/// The VMs of one data centre as one of them sees them, in the manner of SWIM: each VM probes a few
+/// others a period, changes ride on probes and answers a limited number of times, and a suspected VM
+/// refutes by raising its version. A VM's cost does not grow with the data centre.
 class MembershipTable {
 public:
     struct Options {
-        Duration suspect_after = seconds(3);
-        Duration dead_after = seconds(8);
+        /// From the first suspicion to the declaration of death.
+        Duration suspicion_timeout = seconds(4);
         Duration forget_after = seconds(120);
-        /// Records carried on one heartbeat.
-        std::size_t digests_per_heartbeat = 8;
+        /// Changes carried on one message.
+        std::size_t news_per_message = 8;
+        /// How often one change is passed on by one VM.
+        int news_transmissions = 10;
+        /// Suspects that are probed beside the usual targets.
+        std::size_t suspects_probed = 2;
     };
 
     MembershipTable(Options options, MemberRecord self);
 
     MemberRecord const& self() const { return this->members.at(this->self_name).record; }
 
-    /// Raises this VM's own heartbeat.
-    void beat(std::span<ServiceEndpoint const> services, std::int64_t configuration_generation, MonotonicTime now);
-    void leave(MonotonicTime now);
+    /// Takes this VM's own services; a change raises its version.
+    void update_self(std::span<ServiceEndpoint const> services, std::int64_t configuration_generation);
+    void leave();
 
-    /// The digests for the next heartbeat: this VM's own and the next few in turn.
-    std::vector<MemberDigest> next_digests();
+    /// The members to probe next. Each is probed once in a round, in an order that differs by round;
+    /// suspects are probed beside them.
+    std::vector<std::string> next_targets(std::size_t count);
+
+    /// The digests for a message to a VM: this VM's own, the target's where it has cause to refute, and news.
+    std::vector<MemberDigest> digests_for(std::string_view target);
 
     /// Takes a peer's digests. Gives the VMs whose full record is wanted from that peer.
     std::vector<std::string> merge_digests(std::span<MemberDigest const> digests, MonotonicTime now);
     /// Takes full records; older ones than are known change nothing.
     void merge_records(std::span<MemberRecord const> records, MonotonicTime now);
 
-    std::optional<MemberRecord> find(std::string_view virtual_machine) const;
+    /// All tries of a probe stayed without an answer.
+    void note_no_answer(std::string_view virtual_machine, MonotonicTime now);
 
-    /// Turns silent members suspect, then dead, then forgets them.
+    /// Turns members that were suspect for too long dead, and forgets the dead.
     void advance(MonotonicTime now);
 
-    /// Records of the VMs that are not dead, with their life as seen here.
+    std::optional<MemberRecord> find(std::string_view virtual_machine) const;
+    /// Records of the VMs that are not dead.
     std::vector<MemberRecord> live_members() const;
     std::vector<MemberRecord> all_members() const;
 
@@ -100,16 +108,21 @@
 private:
     struct Member {
         MemberRecord record;
-        MonotonicTime heard;
+        /// Since when the present life holds.
+        MonotonicTime since;
+        int transmissions_left = 0;
     };
 
-    MemberLife life_of(Member const& member, MonotonicTime now) const;
-    void defend(MonotonicTime now);
+    void add_suspects(std::vector<std::string>& targets) const;
+    void note_change(Member& member, MonotonicTime now);
+    void refute(std::int64_t incarnation, std::int64_t version);
+    bool take_digest(Member& member, MemberDigest const& digest, MonotonicTime now);
 
     Options options;
     std::string self_name;
     std::map<std::string, Member, std::less<>> members;
-    std::string digest_cursor;
+    std::vector<std::string> round;
+    std::uint64_t round_number = 0;
     std::int64_t current_version = 1;
 };
 
--- a/Libraries/LibWire/WireMembers.cpp
+++ b/Libraries/LibWire/WireMembers.cpp
@@ -21,8 +21,7 @@
 {
     message.set_vm(record.virtual_machine);
     message.set_incarnation(record.incarnation);
-    message.set_heartbeat(record.heartbeat);
-    message.set_changed_at(record.changed_at);
+    message.set_version(record.version);
     message.set_life(static_cast<std::int32_t>(record.life));
     message.set_generation(record.configuration_generation);
     for (auto const& service : record.services) {
@@ -38,8 +37,7 @@
     MemberRecord record;
     record.virtual_machine = message.vm();
     record.incarnation = message.incarnation();
-    record.heartbeat = message.heartbeat();
-    record.changed_at = message.changed_at();
+    record.version = message.version();
     record.life = read_life(message.life());
     record.configuration_generation = message.generation();
     for (auto const& service : message.services())
@@ -51,15 +49,14 @@
 {
     message.set_vm(digest.virtual_machine);
     message.set_incarnation(digest.incarnation);
-    message.set_heartbeat(digest.heartbeat);
-    message.set_changed_at(digest.changed_at);
+    message.set_version(digest.version);
     message.set_life(static_cast<std::int32_t>(digest.life));
     message.set_generation(digest.configuration_generation);
 }
 
 MemberDigest read_digest(wire::MemberDigest const& message)
 {
-    return { message.vm(), message.incarnation(), message.heartbeat(), message.changed_at(), read_life(message.life()), message.generation() };
+    return { message.vm(), message.incarnation(), message.version(), read_life(message.life()), message.generation() };
 }
 
 }
--- a/Services/ConfigServer/ConfigServer.cpp
+++ b/Services/ConfigServer/ConfigServer.cpp
@@ -106,10 +106,7 @@
     }
     options.heartbeat_interval = reader.milliseconds("heartbeat_interval_milliseconds", 50, 60000, 1000);
     options.watch_interval = reader.milliseconds("watch_interval_milliseconds", 50, 60000, 1000);
-    options.membership.suspect_after = reader.milliseconds("suspect_after_milliseconds", 100, 600'000, 3000);
-    options.membership.dead_after = reader.milliseconds("dead_after_milliseconds", 200, 600'000, 8000);
-    if (options.membership.dead_after <= options.membership.suspect_after)
-        reader.fault(SettingsFaultKind::OutOfRange, "dead_after_milliseconds", "more than suspect_after_milliseconds");
+    options.membership.suspicion_timeout = reader.milliseconds("suspicion_timeout_milliseconds", 100, 600'000, 4000);
     reader.finish();
     if (!faults.empty())
         return Failure { SettingsError { std::move(faults) } };
@@ -240,7 +237,10 @@
     while (!this->stopping) {
         lock.unlock();
         if (this->is_watcher()) {
+            auto const before = this->store.generation();
             auto const refreshed = this->store.refresh();
+            if (this->store.generation() > before)
+                this->kernel->post([this] { this->membership->spread_news(); });
             bool const is_reachable = !refreshed.is_error();
             if (this->platform_reachable.exchange(is_reachable) != is_reachable)
                 LogLine("platform_reachable").with("reachable", is_reachable ? "yes" : "no");
@@ -260,8 +260,8 @@
         if (reply.is_error() || !reply.value().has_configuration_content())
             return;
         auto const& body = reply.value().configuration_content();
-        if (!body.content().empty())
-            this->store.adopt(body.generation(), body.content());
+        if (!body.content().empty() && this->store.adopt(body.generation(), body.content()))
+            this->membership->spread_news();
     });
 }
 
@@ -273,7 +273,7 @@
     case wire::Envelope::kHeartbeat:
         return this->membership->handle_heartbeat(request.heartbeat(), respond);
     case wire::Envelope::kMemberRecords:
-        return this->membership->handle_records(request.member_records());
+        return this->membership->handle_records(request.member_records(), respond);
     default:
         return respond(error_reply(wire::ERROR_CODE_UNKNOWN_MESSAGE));
     }
@@ -292,7 +292,10 @@
         return respond(std::move(reply));
     }
     case wire::Envelope::kApplyConfiguration:
-        return this->run_on_worker([this, message = request.apply_configuration(), respond] { respond(apply_reply(this->store, message)); });
+        return this->run_on_worker([this, message = request.apply_configuration(), respond] {
+            respond(apply_reply(this->store, message));
+            this->kernel->post([this] { this->membership->spread_news(); });
+        });
     case wire::Envelope::kHistory:
         return this->run_on_worker([this, respond] { respond(history_reply(this->store)); });
     case wire::Envelope::kClaim:
--- a/Services/ConfigServer/MembershipService.cpp
+++ b/Services/ConfigServer/MembershipService.cpp
@@ -12,7 +12,10 @@
 namespace {
 
     constexpr Duration LOCAL_PROCESS_SILENCE = seconds(3);
-    constexpr Duration HEARTBEAT_TIMEOUT = milliseconds(900);
+    constexpr Duration RECORDS_TIMEOUT = milliseconds(900);
+    /// Of the heartbeat interval, so that all tries of a probe fit into about one.
+    constexpr int PROBE_TIMEOUT_PERCENT = 30;
+    constexpr std::string_view DIRECTORY = "directory";
 
     MemberRecord first_record(std::string const& virtual_machine)
     {
@@ -30,7 +33,6 @@
     , generation(std::move(generation))
     , on_newer_generation(std::move(on_newer_generation))
     , table(this->options.table, first_record(this->options.virtual_machine))
-    , random(std::random_device {}())
 {
 }
 
@@ -42,12 +44,12 @@
 
 void MembershipService::leave(std::function<void()> when_told)
 {
-    this->table.leave(monotonic_now());
-    // Everybody is told at once; gossip alone would take a few intervals.
-    auto const peers = this->peer_endpoints();
-    for (auto const& endpoint : peers)
-        this->send_heartbeat(endpoint, when_told);
-    if (peers.empty())
+    this->table.leave();
+    // Everybody is told at once; the news alone would take a few intervals.
+    auto const targets = this->table.next_targets(this->table.all_members().size());
+    for (auto const& target : targets)
+        this->probe(target, this->endpoint_of(target), 1, when_told);
+    if (targets.empty())
         when_told();
 }
 
@@ -64,108 +66,149 @@
 
 void MembershipService::beat()
 {
-    auto const now = monotonic_now();
-    this->table.beat(this->local_services(), this->generation(), now);
-    this->table.advance(now);
+    this->table.update_self(this->local_services(), this->generation());
+    this->table.advance(monotonic_now());
     this->refresh_directory();
-    auto peers = this->peer_endpoints();
-    std::shuffle(peers.begin(), peers.end(), this->random);
-    peers.resize(std::min(peers.size(), this->options.fan_out));
-    for (auto const& endpoint : peers)
-        this->send_heartbeat(endpoint);
+    for (auto const& target : this->table.next_targets(this->options.probes))
+        this->probe(target, this->endpoint_of(target), this->options.probe_tries);
+    this->meet_seeds();
 }
 
-std::vector<std::string> MembershipService::peer_endpoints() const
+void MembershipService::spread_news()
+{
+    this->table.update_self(this->local_services(), this->generation());
+    for (auto const& target : this->table.next_targets(this->options.probes))
+        this->probe(target, this->endpoint_of(target), 1);
+}
+
+// A seed that is not among the members is met through its address alone.
+void MembershipService::meet_seeds()
 {
-    std::vector<std::string> endpoints;
-    for (auto const& member : this->table.live_members()) {
-        if (member.virtual_machine == this->options.virtual_machine)
-            continue;
-        for (auto const& service : member.services) {
-            if (service.service == "directory")
-                endpoints.push_back(service.endpoint);
-        }
-    }
-    // A seed that is not among the members yet is met through its address alone.
     for (auto const& seed : this->options.seeds) {
-        if (std::find(endpoints.begin(), endpoints.end(), seed) == endpoints.end() && seed != this->kernel.endpoint())
-            endpoints.push_back(seed);
+        if (seed != this->kernel.endpoint() && !this->knows_endpoint(seed))
+            this->probe("", seed, 1);
+    }
+}
+
+bool MembershipService::knows_endpoint(std::string const& endpoint) const
+{
+    for (auto const& member : this->table.live_members()) {
+        if (this->endpoint_of(member.virtual_machine) == endpoint)
+            return true;
     }
-    return endpoints;
+    return false;
+}
+
+std::string MembershipService::endpoint_of(std::string const& virtual_machine) const
+{
+    auto const member = this->table.find(virtual_machine);
+    if (!member)
+        return {};
+    auto const found = std::find_if(member->services.begin(), member->services.end(), [](auto const& service) { return service.service == DIRECTORY; });
+    return found == member->services.end() ? std::string() : found->endpoint;
 }
 
-void MembershipService::send_heartbeat(std::string const& endpoint, std::function<void()> when_answered)
+void MembershipService::probe(std::string const& virtual_machine, std::string const& endpoint, int tries_left, std::function<void()> const& when_answered)
 {
+    if (endpoint.empty())
+        return;
     wire::Envelope envelope;
-    envelope.set_service("directory");
-    for (auto const& digest : this->table.next_digests())
-        write_digest(digest, *envelope.mutable_heartbeat()->add_digests());
-    this->kernel.request(endpoint, std::move(envelope), HEARTBEAT_TIMEOUT, [this, endpoint, when_answered = std::move(when_answered)](WireReply const& reply) {
+    envelope.set_service(std::string(DIRECTORY));
+    auto* heartbeat = envelope.mutable_heartbeat();
+    heartbeat->set_vm(this->options.virtual_machine);
+    for (auto const& digest : this->table.digests_for(virtual_machine))
+        write_digest(digest, *heartbeat->add_digests());
+    if (virtual_machine.empty())
+        write_record(this->table.self(), *heartbeat->add_records());
+    auto const timeout = this->options.heartbeat_interval * PROBE_TIMEOUT_PERCENT / 100;
+    this->kernel.request(endpoint, std::move(envelope), timeout, [this, virtual_machine, endpoint, tries_left, when_answered](WireReply const& reply) {
         if (when_answered)
             when_answered();
-        if (reply.is_error() || !reply.value().has_heartbeat_reply())
+        if (!reply.is_error() && reply.value().has_heartbeat_reply())
+            return this->take_answer(reply.value().heartbeat_reply(), endpoint);
+        if (tries_left > 1)
+            return this->probe(virtual_machine, endpoint, tries_left - 1);
+        if (virtual_machine.empty() || reply.error().kind == WireErrorKind::Stopped)
             return;
-        auto const& body = reply.value().heartbeat_reply();
-        std::vector<MemberRecord> records;
-        for (auto const& record : body.records())
-            records.push_back(read_record(record));
-        this->table.merge_records(records, monotonic_now());
-        std::vector<std::string> not_used;
-        this->take_digests(body.digests(), endpoint, not_used);
-        if (body.wanted().empty())
+        LogLine("member_unanswered").with("member", virtual_machine);
+        this->table.note_no_answer(virtual_machine, monotonic_now());
+        this->refresh_directory();
+    });
+}
+
+void MembershipService::take_answer(wire::HeartbeatReply const& answer, std::string const& endpoint)
+{
+    this->take_records(answer.records());
+    auto const wanted = this->take_digests(answer.digests());
+    this->refresh_directory();
+    if (!answer.digests().empty() && answer.digests(0).generation() > this->generation())
+        this->on_newer_generation(endpoint);
+    if (wanted.empty() && answer.wanted().empty())
+        return;
+    wire::Envelope envelope;
+    envelope.set_service(std::string(DIRECTORY));
+    this->add_records({ answer.wanted().begin(), answer.wanted().end() }, *envelope.mutable_member_records()->mutable_records());
+    for (auto const& name : wanted)
+        envelope.mutable_member_records()->add_wanted(name);
+    this->kernel.request(endpoint, std::move(envelope), RECORDS_TIMEOUT, [this](WireReply const& reply) {
+        if (reply.is_error() || !reply.value().has_member_records())
             return;
-        wire::Envelope answer;
-        answer.set_service("directory");
-        for (auto const& wanted : body.wanted()) {
-            if (auto const record = this->table.find(wanted))
-                write_record(*record, *answer.mutable_member_records()->add_records());
-        }
-        this->kernel.notify(endpoint, std::move(answer));
+        this->take_records(reply.value().member_records().records());
+        this->refresh_directory();
     });
 }
 
-void MembershipService::take_digests(google::protobuf::RepeatedPtrField<wire::MemberDigest> const& digests, std::string const& endpoint, std::vector<std::string>& wanted)
+std::vector<std::string> MembershipService::take_digests(google::protobuf::RepeatedPtrField<wire::MemberDigest> const& digests)
 {
     std::vector<MemberDigest> read;
-    std::int64_t newest = 0;
-    for (auto const& digest : digests) {
+    for (auto const& digest : digests)
         read.push_back(read_digest(digest));
-        newest = std::max(newest, read.back().configuration_generation);
+    return this->table.merge_digests(read, monotonic_now());
+}
+
+void MembershipService::take_records(google::protobuf::RepeatedPtrField<wire::MemberRecord> const& records)
+{
+    std::vector<MemberRecord> read;
+    for (auto const& record : records)
+        read.push_back(read_record(record));
+    this->table.merge_records(read, monotonic_now());
+}
+
+void MembershipService::add_records(std::vector<std::string> const& names, google::protobuf::RepeatedPtrField<wire::MemberRecord>& records) const
+{
+    for (auto const& name : names) {
+        if (auto const record = this->table.find(name))
+            write_record(*record, *records.Add());
     }
-    wanted = this->table.merge_digests(read, monotonic_now());
-    if (newest > this->generation() && !endpoint.empty())
-        this->on_newer_generation(endpoint);
 }
 
 void MembershipService::handle_heartbeat(wire::Heartbeat const& heartbeat, Kernel::Responder const& respond)
 {
-    std::vector<std::string> wanted;
-    this->take_digests(heartbeat.digests(), "", wanted);
+    bool const is_new = !this->table.find(heartbeat.vm()).has_value();
+    this->take_records(heartbeat.records());
+    auto const wanted = this->take_digests(heartbeat.digests());
+    this->refresh_directory();
     wire::Envelope reply;
     auto* body = reply.mutable_heartbeat_reply();
     for (auto const& name : wanted)
         body->add_wanted(name);
-    for (auto const& digest : this->table.next_digests())
+    for (auto const& digest : this->table.digests_for(heartbeat.vm()))
         write_digest(digest, *body->add_digests());
-    // What the sender knew in an older state, or not at all as its own list shows, it is sent whole.
-    for (auto const& digest : heartbeat.digests()) {
-        auto const known = this->table.find(digest.vm());
-        if (known && (known->incarnation > digest.incarnation() || (known->incarnation == digest.incarnation() && known->changed_at > digest.changed_at())))
-            write_record(*known, *body->add_records());
+    // A VM that comes new is told of everybody, once.
+    if (is_new) {
+        for (auto const& member : this->table.live_members())
+            write_record(member, *body->add_records());
     }
-    // A sender that is new here knows nobody yet: it gets this VM's own record.
-    if (!wanted.empty())
-        write_record(this->table.self(), *body->add_records());
     respond(std::move(reply));
 }
 
-void MembershipService::handle_records(wire::MemberRecords const& records)
+void MembershipService::handle_records(wire::MemberRecords const& records, Kernel::Responder const& respond)
 {
-    std::vector<MemberRecord> read;
-    for (auto const& record : records.records())
-        read.push_back(read_record(record));
-    this->table.merge_records(read, monotonic_now());
+    this->take_records(records.records());
     this->refresh_directory();
+    wire::Envelope reply;
+    this->add_records({ records.wanted().begin(), records.wanted().end() }, *reply.mutable_member_records()->mutable_records());
+    respond(std::move(reply));
 }
 
 void MembershipService::refresh_directory()
@@ -182,7 +225,7 @@
             process.services.push_back({ service.service(), service.endpoint(), service.incarnation() });
         bool const is_new = this->processes.insert_or_assign(announce.services(0).endpoint(), process).second;
         if (is_new) {
-            this->table.beat(this->local_services(), this->generation(), monotonic_now());
+            this->spread_news();
             this->refresh_directory();
         }
     }
--- a/Services/ConfigServer/MembershipService.h
+++ b/Services/ConfigServer/MembershipService.h
@@ -7,7 +7,6 @@
 #include <LibWire/Kernel.h>
 #include <functional>
 #include <map>
-#include <random>
 #include <string>
 #include <vector>
 
@@ -22,8 +21,10 @@
         std::vector<std::string> seeds;
         Duration heartbeat_interval = seconds(1);
         MembershipTable::Options table {};
-        /// Peers that a heartbeat goes to in each interval.
-        std::size_t fan_out = 2;
+        /// Members that are probed in each interval.
+        std::size_t probes = 2;
+        /// Tries of one probe before the member is suspect.
+        int probe_tries = 3;
     };
 
     MembershipService(Options options, Kernel& kernel, std::function<std::int64_t()> generation, std::function<void(std::string const& endpoint)> on_newer_generation);
@@ -34,7 +35,10 @@
 
     void handle_announce(wire::Announce const& announce, Kernel::Responder const& respond);
     void handle_heartbeat(wire::Heartbeat const& heartbeat, Kernel::Responder const& respond);
-    void handle_records(wire::MemberRecords const& records);
+    void handle_records(wire::MemberRecords const& records, Kernel::Responder const& respond);
+
+    /// Tells a few peers at once, instead of at the next interval.
+    void spread_news();
 
     /// Members as seen now.
     std::vector<MemberRecord> members() const { return this->table.all_members(); }
@@ -46,11 +50,17 @@
     };
 
     void beat();
-    void send_heartbeat(std::string const& endpoint, std::function<void()> when_answered = {});
-    void take_digests(google::protobuf::RepeatedPtrField<wire::MemberDigest> const& digests, std::string const& endpoint, std::vector<std::string>& wanted);
+    void meet_seeds();
+    /// Probes one member; an empty name stands for a seed whose name is not known.
+    void probe(std::string const& virtual_machine, std::string const& endpoint, int tries_left, std::function<void()> const& when_answered = {});
+    void take_answer(wire::HeartbeatReply const& answer, std::string const& endpoint);
+    std::vector<std::string> take_digests(google::protobuf::RepeatedPtrField<wire::MemberDigest> const& digests);
+    void take_records(google::protobuf::RepeatedPtrField<wire::MemberRecord> const& records);
+    void add_records(std::vector<std::string> const& names, google::protobuf::RepeatedPtrField<wire::MemberRecord>& records) const;
+    std::string endpoint_of(std::string const& virtual_machine) const;
+    bool knows_endpoint(std::string const& endpoint) const;
     void refresh_directory();
     std::vector<ServiceEndpoint> local_services();
-    std::vector<std::string> peer_endpoints() const;
 
     Options options;
     Kernel& kernel;
@@ -58,7 +68,6 @@
     std::function<void(std::string const& endpoint)> on_newer_generation;
     MembershipTable table;
     std::map<std::string, LocalProcess> processes;
-    std::mt19937_64 random;
 };
 
 }
--- /dev/null
+++ b/Tests/LibDecision/TestCellScheduler.cpp
@@ -0,0 +1,312 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibDecision/CellScheduler.h>
+#include <Tests/Support/VirtualClock.h>
+#include <catch2/catch.hpp>
+
+using namespace Spurtide;
+using namespace Spurtide::Tests;
+
+namespace {
+
+/// One cell: prefill engines p0.. of 10,000 tokens/s and decode engines d0.. with a few slots.
+class Cell {
+public:
+    Cell(int prefill_engines, int decode_engines, std::int64_t slots, CellScheduler::Options options = {})
+        : scheduler(std::move(options))
+    {
+        for (int i = 0; i < prefill_engines; ++i)
+            this->engines.push_back({ "p" + std::to_string(i), "llm", EngineRole::Prefill, 0, 10'000, 0, 1 });
+        for (int i = 0; i < decode_engines; ++i)
+            this->engines.push_back({ "d" + std::to_string(i), "llm", EngineRole::Decode, slots, 10'000, 0, 1 });
+        this->scheduler.set_engines(this->engines);
+        this->scheduler.set_accounts(std::vector<AccountDescription> { { "a", 1, 1000, 1000 }, { "b", 1, 1000, 1000 }, { "limited", 1, 1, 2 } }, at_milliseconds(0));
+        this->report_all(at_milliseconds(0));
+    }
+
+    void report_all(MonotonicTime now)
+    {
+        for (auto const& engine : this->engines)
+            this->scheduler.report(engine.name, this->reports[engine.name], now);
+    }
+
+    void ask(std::string request, std::int64_t now_milliseconds, std::int64_t tokens = 1000, std::string account = "a", std::int64_t priority = 0)
+    {
+        PlacementAsk ask;
+        ask.request = std::move(request);
+        ask.account = std::move(account);
+        ask.model = "llm";
+        ask.origin = "entry-1";
+        ask.prompt_tokens = tokens;
+        ask.maximum_output_tokens = 100;
+        ask.first_token_deadline = at_milliseconds(now_milliseconds + 950);
+        ask.priority = priority;
+        this->scheduler.ask(std::move(ask), at_milliseconds(now_milliseconds));
+    }
+
+    /// "grant NAME PREFILL DECODE" and "refuse NAME REASON", since the last call.
+    std::vector<std::string> decisions()
+    {
+        std::vector<std::string> texts;
+        for (auto const& decision : this->scheduler.take_decisions()) {
+            if (auto const* grant = std::get_if<PlacementGrant>(&decision))
+                texts.push_back("grant " + grant->request + " " + grant->prefill_engine + " " + grant->decode_engine);
+            else
+                texts.push_back("refuse " + std::get<PlacementRefusal>(decision).request + " " + std::string(to_string(std::get<PlacementRefusal>(decision).reason)));
+        }
+        return texts;
+    }
+
+    void decode(std::string const& request, std::int64_t now_milliseconds)
+    {
+        this->scheduler.progress(request, GrantProgress::Prefilling, at_milliseconds(now_milliseconds));
+        this->scheduler.progress(request, GrantProgress::CacheHeld, at_milliseconds(now_milliseconds));
+        this->scheduler.progress(request, GrantProgress::Decoding, at_milliseconds(now_milliseconds));
+    }
+
+    CellScheduler scheduler;
+    std::vector<EngineDescription> engines;
+    std::map<std::string, EngineReport> reports;
+};
+
+using Texts = std::vector<std::string>;
+
+}
+
+TEST_CASE("A request gets the prefill engine that is done first and the decode engine with most free slots")
+{
+    Cell cell(2, 2, 4);
+    cell.ask("r1", 0, 2000);
+    cell.ask("r2", 0, 1000);
+    cell.ask("r3", 0, 1000);
+    CHECK(cell.decisions() == Texts { "grant r1 p0 d0", "grant r2 p1 d1", "grant r3 p1 d0" });
+}
+
+TEST_CASE("No prefill starts without a decode slot that will be there")
+{
+    Cell cell(1, 1, 1);
+    cell.ask("r1", 0, 100);
+    CHECK(cell.decisions() == Texts { "grant r1 p0 d0" });
+    cell.decode("r1", 20);
+    cell.ask("r2", 30, 100);
+    CHECK(cell.decisions().empty());
+    cell.scheduler.release("r1", 20, at_milliseconds(300));
+    CHECK(cell.decisions() == Texts { "grant r2 p0 d0" });
+}
+
+TEST_CASE("With the promise ignored the same prefill starts at once")
+{
+    CellScheduler::Options options;
+    options.policy.slot_promise = SchedulerPolicy::SlotPromise::Ignored;
+    Cell cell(1, 1, 1, options);
+    cell.ask("r1", 0, 100);
+    cell.decode("r1", 20);
+    cell.ask("r2", 30, 100);
+    CHECK(cell.decisions() == Texts { "grant r1 p0 d0", "grant r2 p0 d0" });
+}
+
+TEST_CASE("A slot that is predicted to be free in time is promised ahead")
+{
+    Cell cell(1, 1, 1);
+    for (int i = 0; i < 200; ++i) {
+        auto const name = "warm" + std::to_string(i);
+        cell.ask(name, i * 40, 10);
+        cell.decode(name, i * 40 + 1);
+        cell.scheduler.release(name, 10, at_milliseconds(i * 40 + 30));
+        cell.report_all(at_milliseconds(i * 40 + 31));
+    }
+    cell.decisions();
+    cell.ask("r1", 10'000, 100);
+    cell.decode("r1", 10'020);
+    // Ten tokens at 25 ms are over at about 10.27 s; a prefill of 700 ms ends well behind that.
+    cell.ask("r2", 10'030, 7000);
+    CHECK(cell.decisions() == Texts { "grant r1 p0 d0", "grant r2 p0 d0" });
+}
+
+TEST_CASE("What cannot meet its first token any more is refused at once, with when to come back")
+{
+    Cell cell(1, 1, 4);
+    cell.ask("hopeless", 0, 9800);
+    auto const decisions = cell.scheduler.take_decisions();
+    REQUIRE(decisions.size() == 1);
+    auto const& refusal = std::get<PlacementRefusal>(decisions.front());
+    CHECK(refusal.reason == RefusalReason::CannotMeetFirstToken);
+    CHECK(refusal.retry_after >= milliseconds(100));
+}
+
+TEST_CASE("A waiting request is refused when its time comes, not at its deadline")
+{
+    Cell cell(1, 1, 1);
+    cell.ask("r1", 0, 100);
+    cell.decode("r1", 20);
+    cell.decisions();
+    cell.ask("r2", 100, 4000);
+    cell.scheduler.advance(at_milliseconds(500));
+    CHECK(cell.decisions().empty());
+    // 400 ms of prefill and a step no longer fit before 1050 ms.
+    cell.scheduler.advance(at_milliseconds(640));
+    CHECK(cell.decisions() == Texts { "refuse r2 cannot_meet_first_token" });
+}
+
+TEST_CASE("Priority goes first, then the account that had less, then the earlier deadline")
+{
+    Cell cell(1, 1, 1);
+    cell.ask("first", 0, 100, "a");
+    cell.decode("first", 10);
+    cell.decisions();
+    cell.ask("a1", 20, 100, "a");
+    cell.ask("a2", 21, 100, "a");
+    cell.ask("b1", 22, 100, "b");
+    cell.ask("urgent", 23, 100, "a", 5);
+    Texts order;
+    std::string running = "first";
+    for (int i = 0; i < 4; ++i) {
+        cell.scheduler.release(running, 5, at_milliseconds(30 + i * 20));
+        auto const next = cell.decisions();
+        REQUIRE(next.size() == 1);
+        order.push_back(next.front());
+        running = next.front().substr(6, next.front().find(' ', 6) - 6);
+        cell.decode(running, 40 + i * 20);
+    }
+    CHECK(order == Texts { "grant urgent p0 d0", "grant b1 p0 d0", "grant a1 p0 d0", "grant a2 p0 d0" });
+}
+
+TEST_CASE("An account over its rate is refused and told when to come back")
+{
+    Cell cell(1, 1, 20);
+    for (int i = 0; i < 3; ++i)
+        cell.ask("r" + std::to_string(i), 0, 10, "limited");
+    CHECK(cell.decisions() == Texts { "grant r0 p0 d0", "grant r1 p0 d0", "refuse r2 rate_limited" });
+    cell.ask("r3", 1000, 10, "limited");
+    cell.scheduler.advance(at_milliseconds(1000));
+    CHECK(cell.decisions() == Texts { "grant r3 p0 d0" });
+}
+
+TEST_CASE("Unknown models, accounts and names in use are refused by reason")
+{
+    Cell cell(1, 1, 4);
+    cell.ask("r1", 0);
+    cell.ask("r1", 0);
+    cell.ask("r2", 0, 10, "nobody");
+    PlacementAsk other;
+    other.request = "r3";
+    other.account = "a";
+    other.model = "no-model";
+    cell.scheduler.ask(other, at_milliseconds(0));
+    CHECK(cell.decisions() == Texts { "grant r1 p0 d0", "refuse r1 duplicate", "refuse r2 unknown_account", "refuse r3 unknown_model" });
+}
+
+TEST_CASE("A leaving engine gets nothing new, whichever hint says so")
+{
+    SECTION("its own report")
+    {
+        Cell cell(1, 2, 4);
+        cell.reports["d0"].life = EngineReport::Life::Leaving;
+        cell.report_all(at_milliseconds(10));
+        cell.ask("r1", 20);
+        CHECK(cell.decisions() == Texts { "grant r1 p0 d1" });
+    }
+    SECTION("a drain or the list of machines")
+    {
+        Cell cell(1, 2, 4);
+        cell.scheduler.set_leaving("d0", EngineReport::Life::Leaving);
+        cell.ask("r1", 20);
+        CHECK(cell.decisions() == Texts { "grant r1 p0 d1" });
+        cell.scheduler.set_leaving("d0", EngineReport::Life::Serving);
+        cell.ask("r2", 21);
+        CHECK(cell.decisions() == Texts { "grant r2 p0 d0" });
+    }
+    SECTION("silence")
+    {
+        Cell cell(1, 2, 4);
+        cell.scheduler.report("p0", {}, at_milliseconds(3500));
+        cell.scheduler.report("d1", {}, at_milliseconds(3500));
+        cell.ask("r1", 3600);
+        CHECK(cell.decisions() == Texts { "grant r1 p0 d1" });
+    }
+}
+
+TEST_CASE("A new keeper grants nothing before it heard from the engines and counts what they hold")
+{
+    CellScheduler scheduler({});
+    std::vector<EngineDescription> const engines = { { "p0", "llm", EngineRole::Prefill, 0, 10'000, 0, 1 }, { "d0", "llm", EngineRole::Decode, 2, 10'000, 0, 1 } };
+    scheduler.set_engines(engines);
+    scheduler.set_accounts(std::vector<AccountDescription> { { "a", 1, 100, 100 } }, at_milliseconds(0));
+    PlacementAsk ask { "r1", "a", "llm", "entry-1", 100, 10, 0, at_milliseconds(950), 0 };
+    scheduler.ask(ask, at_milliseconds(0));
+    CHECK(scheduler.take_decisions().empty());
+    scheduler.report("p0", {}, at_milliseconds(10));
+    EngineReport busy;
+    busy.held = { { "old-1", "entry-0", "a", HeldWork::Reader::Attached }, { "old-2", "entry-0", "a", HeldWork::Reader::Attached } };
+    scheduler.report("d0", busy, at_milliseconds(20));
+    CHECK(scheduler.take_decisions().empty());
+    busy.held.pop_back();
+    scheduler.report("d0", busy, at_milliseconds(100));
+    REQUIRE(scheduler.take_decisions().size() == 1);
+    CHECK(scheduler.locate("old-1")->decode_engine == "d0");
+}
+
+TEST_CASE("A report that lags does not bring released work back")
+{
+    Cell cell(1, 1, 1);
+    cell.ask("r1", 0, 100);
+    cell.decode("r1", 10);
+    cell.scheduler.release("r1", 5, at_milliseconds(100));
+    cell.decisions();
+    cell.reports["d0"].held = { { "r1", "entry-1", "a", HeldWork::Reader::None } };
+    cell.report_all(at_milliseconds(150));
+    cell.ask("r2", 160, 100);
+    CHECK(cell.decisions() == Texts { "grant r2 p0 d0" });
+}
+
+TEST_CASE("A grant that nobody takes up is free again after its lease")
+{
+    Cell cell(1, 1, 1);
+    cell.ask("r1", 0, 100);
+    cell.decisions();
+    cell.report_all(at_milliseconds(1400));
+    cell.ask("r2", 1400, 100);
+    cell.scheduler.advance(at_milliseconds(1450));
+    CHECK(cell.decisions().empty());
+    cell.scheduler.advance(at_milliseconds(1510));
+    CHECK(cell.decisions() == Texts { "grant r2 p0 d0" });
+}
+
+TEST_CASE("What a dead origin was granted is freed, but for what an engine still holds")
+{
+    Cell cell(1, 1, 2);
+    cell.ask("r1", 0, 100);
+    cell.ask("r2", 0, 100);
+    cell.decode("r1", 10);
+    cell.decode("r2", 10);
+    cell.decisions();
+    cell.scheduler.forget_origin("entry-1", at_milliseconds(100));
+    cell.reports["d0"].held = { { "r1", "entry-1", "a", HeldWork::Reader::None } };
+    cell.report_all(at_milliseconds(110));
+    cell.ask("r3", 120, 100);
+    cell.ask("r4", 120, 100);
+    CHECK(cell.decisions() == Texts { "grant r3 p0 d0" });
+    CHECK(cell.scheduler.knows("r1"));
+    CHECK_FALSE(cell.scheduler.knows("r2"));
+}
+
+TEST_CASE("Two keepers at once promise at most what the engine then refuses: neither hands a slot to the other's request")
+{
+    Cell first(1, 1, 1);
+    Cell second(1, 1, 1);
+    first.ask("r1", 0, 100);
+    second.ask("r2", 0, 100);
+    CHECK(first.decisions() == Texts { "grant r1 p0 d0" });
+    CHECK(second.decisions() == Texts { "grant r2 p0 d0" });
+    // Both learn of the other's work from the engine's next report, and neither forgets its own.
+    EngineReport both;
+    both.held = { { "r1", "entry-1", "a", HeldWork::Reader::Attached }, { "r2", "entry-2", "a", HeldWork::Reader::Attached } };
+    first.scheduler.report("d0", both, at_milliseconds(50));
+    second.scheduler.report("d0", both, at_milliseconds(50));
+    for (auto* cell : { &first, &second }) {
+        CHECK(cell->scheduler.knows("r1"));
+        CHECK(cell->scheduler.knows("r2"));
+        CHECK(cell->scheduler.summary(at_milliseconds(50)).free_slots == 0);
+    }
+}
--- /dev/null
+++ b/Tests/LibDecision/TestHeldWorkReaper.cpp
@@ -0,0 +1,72 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibDecision/HeldWorkReaper.h>
+#include <Tests/Support/VirtualClock.h>
+#include <catch2/catch.hpp>
+
+using namespace Spurtide;
+using namespace Spurtide::Tests;
+
+namespace {
+
+HeldWork work(HeldWork::Reader reader = HeldWork::Reader::None)
+{
+    return { "r1", "entry-1", "a", reader };
+}
+
+bool alive(std::string_view) { return true; }
+bool dead(std::string_view) { return false; }
+
+}
+
+TEST_CASE("Work of a live origin is asked about and cancelled only when disowned")
+{
+    HeldWorkReaper reaper({});
+    std::vector const held = { work() };
+    CHECK(reaper.observe("d0", held, alive, at_milliseconds(0)).questions.empty());
+    auto findings = reaper.observe("d0", held, alive, at_milliseconds(1000));
+    REQUIRE(findings.questions.size() == 1);
+    CHECK(findings.questions.front().origin == "entry-1");
+    for (int second = 2; second < 100; ++second)
+        CHECK(reaper.observe("d0", held, alive, at_milliseconds(second * 1000)).cancellations.empty());
+    reaper.note_disowned("d0", "r1");
+    findings = reaper.observe("d0", held, alive, at_milliseconds(100'000));
+    REQUIRE(findings.cancellations.size() == 1);
+    CHECK(findings.cancellations.front().reason == "disowned");
+}
+
+TEST_CASE("Work of a dead origin is cancelled after the grace, and never while it is read")
+{
+    HeldWorkReaper reaper({});
+    std::vector const orphan = { work() };
+    std::vector const read = { work(HeldWork::Reader::Attached) };
+    CHECK(reaper.observe("d0", orphan, dead, at_milliseconds(0)).cancellations.empty());
+    CHECK(reaper.observe("d0", orphan, dead, at_milliseconds(3900)).cancellations.empty());
+    CHECK(reaper.observe("d0", read, dead, at_milliseconds(3950)).cancellations.empty());
+    CHECK(reaper.observe("d0", orphan, dead, at_milliseconds(4100)).cancellations.empty());
+    CHECK(reaper.observe("d0", orphan, dead, at_milliseconds(8000)).cancellations.empty());
+    CHECK(reaper.observe("d0", orphan, dead, at_milliseconds(8100)).cancellations.size() == 1);
+}
+
+TEST_CASE("An origin that wakes in time keeps its work")
+{
+    HeldWorkReaper reaper({});
+    std::vector const held = { work() };
+    reaper.observe("d0", held, dead, at_milliseconds(0));
+    reaper.observe("d0", held, alive, at_milliseconds(3000));
+    CHECK(reaper.observe("d0", held, dead, at_milliseconds(5000)).cancellations.empty());
+    CHECK(reaper.observe("d0", held, dead, at_milliseconds(8900)).cancellations.empty());
+    CHECK(reaper.observe("d0", held, dead, at_milliseconds(9000)).cancellations.size() == 1);
+}
+
+TEST_CASE("A cancel that failed is given again, and work that is gone is forgotten")
+{
+    HeldWorkReaper reaper({});
+    std::vector const held = { work() };
+    reaper.observe("d0", held, dead, at_milliseconds(0));
+    CHECK(reaper.observe("d0", held, dead, at_milliseconds(4000)).cancellations.size() == 1);
+    CHECK(reaper.observe("d0", held, dead, at_milliseconds(4250)).cancellations.size() == 1);
+    reaper.observe("d0", {}, dead, at_milliseconds(4500));
+    CHECK(reaper.observe("d0", held, dead, at_milliseconds(4750)).cancellations.empty());
+}
--- /dev/null
+++ b/Tests/LibDecision/TestMembershipTable.cpp
@@ -0,0 +1,246 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibDecision/MembershipTable.h>
+#include <Tests/Support/VirtualClock.h>
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace Spurtide;
+using namespace Spurtide::Tests;
+
+namespace {
+
+MemberRecord record(std::string name, std::int64_t incarnation = 1)
+{
+    MemberRecord result;
+    result.virtual_machine = std::move(name);
+    result.incarnation = incarnation;
+    return result;
+}
+
+std::vector<ServiceEndpoint> services(std::string const& name)
+{
+    return { { "directory", "tcp://" + name + ":1", name + ".1" }, { "placement", "tcp://" + name + ":2", name + ".2" } };
+}
+
+/// VMs that gossip in virtual time, two peers a second, with seeded loss.
+class Gossip {
+public:
+    explicit Gossip(int count, std::uint64_t seed, double loss = 0)
+        : random(seed)
+        , loss(loss)
+    {
+        for (int i = 0; i < count; ++i) {
+            this->names.push_back("vm-" + std::to_string(i));
+            this->tables.emplace_back(MembershipTable::Options {}, record(this->names.back()));
+            this->silent.push_back(false);
+        }
+    }
+
+    void run_second(MonotonicTime now)
+    {
+        for (std::size_t i = 0; i < this->tables.size(); ++i) {
+            if (this->silent[i])
+                continue;
+            this->tables[i].update_self(services(this->names[i]), 1);
+            this->tables[i].advance(now);
+            // VM 0 is everybody's seed.
+            if (i != 0 && !this->tables[i].find(this->names[0]))
+                this->exchange(i, 0, now);
+            for (auto const& target : this->tables[i].next_targets(2))
+                this->probe(i, target, now);
+        }
+    }
+
+    void run(std::int64_t from_second, std::int64_t to_second)
+    {
+        for (; from_second < to_second; ++from_second)
+            this->run_second(at_milliseconds(from_second * 1000));
+    }
+
+    bool everyone_sees(std::string const& name, MemberLife life) const
+    {
+        for (std::size_t i = 0; i < this->tables.size(); ++i) {
+            auto const seen = this->tables[i].find(name);
+            if (!this->silent[i] && this->names[i] != name && (!seen || seen->life != life))
+                return false;
+        }
+        return true;
+    }
+
+    std::vector<std::string> names;
+    std::vector<MembershipTable> tables;
+    std::vector<bool> silent;
+
+private:
+    bool is_lost()
+    {
+        return std::uniform_real_distribution<double>(0, 1)(this->random) < this->loss;
+    }
+
+    void probe(std::size_t from, std::string const& target, MonotonicTime now)
+    {
+        auto const to = static_cast<std::size_t>(std::stoi(target.substr(3)));
+        for (int tries = 0; tries < 3; ++tries) {
+            if (this->exchange(from, to, now))
+                return;
+        }
+        this->tables[from].note_no_answer(target, now);
+    }
+
+    void send(std::size_t from, std::size_t to, MonotonicTime now)
+    {
+        auto const wanted = this->tables[to].merge_digests(this->tables[from].digests_for(this->names[to]), now);
+        std::vector<MemberRecord> records;
+        for (auto const& name : wanted) {
+            if (auto found = this->tables[from].find(name))
+                records.push_back(*found);
+        }
+        this->tables[to].merge_records(records, now);
+    }
+
+    /// True where the answer came.
+    bool exchange(std::size_t from, std::size_t to, MonotonicTime now)
+    {
+        if (from == to || this->silent[to] || this->is_lost())
+            return false;
+        bool const is_new = !this->tables[to].find(this->names[from]);
+        this->send(from, to, now);
+        if (this->is_lost())
+            return false;
+        if (is_new)
+            this->tables[from].merge_records(this->tables[to].live_members(), now);
+        this->send(to, from, now);
+        return true;
+    }
+
+    std::mt19937_64 random;
+    double loss;
+};
+
+}
+
+TEST_CASE("VMs find each other, and a silent one is suspect, then dead, everywhere")
+{
+    for (int const count : { 2, 8, 13, 40, 100 }) {
+        CAPTURE(count);
+        Gossip gossip(count, 11);
+        gossip.run(0, 30);
+        for (auto const& name : gossip.names)
+            REQUIRE(gossip.everyone_sees(name, MemberLife::Alive));
+        gossip.silent[0] = true;
+        std::int64_t second = 30;
+        while (!gossip.everyone_sees("vm-0", MemberLife::Dead)) {
+            gossip.run_second(at_milliseconds(second++ * 1000));
+            REQUIRE(second - 30 <= 12);
+        }
+        CHECK(second - 30 >= 5);
+    }
+}
+
+TEST_CASE("Loss of a tenth of the messages declares nobody dead")
+{
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+        for (int const count : { 13, 40 }) {
+            Gossip gossip(count, seed, 0.1);
+            for (std::int64_t second = 0; second < 120; ++second) {
+                gossip.run_second(at_milliseconds(second * 1000));
+                for (auto const& table : gossip.tables) {
+                    for (auto const& member : table.all_members())
+                        REQUIRE(member.life != MemberLife::Dead);
+                }
+            }
+        }
+    }
+}
+
+TEST_CASE("A VM that is paused for a short time is not declared dead")
+{
+    Gossip gossip(13, 4);
+    gossip.run(0, 20);
+    gossip.silent[5] = true;
+    gossip.run(20, 23);
+    gossip.silent[5] = false;
+    for (std::int64_t second = 23; second < 40; ++second) {
+        gossip.run(second, second + 1);
+        REQUIRE_FALSE(gossip.everyone_sees("vm-5", MemberLife::Dead));
+    }
+    CHECK(gossip.everyone_sees("vm-5", MemberLife::Alive));
+}
+
+TEST_CASE("A VM that wakes after it was declared dead is alive again everywhere")
+{
+    Gossip gossip(13, 4);
+    gossip.run(0, 20);
+    gossip.silent[5] = true;
+    gossip.run(20, 40);
+    REQUIRE(gossip.everyone_sees("vm-5", MemberLife::Dead));
+    gossip.silent[5] = false;
+    gossip.run(40, 50);
+    CHECK(gossip.everyone_sees("vm-5", MemberLife::Alive));
+}
+
+TEST_CASE("The heartbeat's size does not grow with the data centre")
+{
+    for (int const count : { 13, 40, 100 }) {
+        Gossip gossip(count, 3);
+        gossip.run(0, 60);
+        CHECK(gossip.tables[0].digests_for("vm-1").size() <= 10);
+        // Where nothing changes there is no news: the own digest is all.
+        CHECK(gossip.tables[0].digests_for("vm-1").size() == 1);
+    }
+}
+
+TEST_CASE("An older record or digest changes nothing")
+{
+    MembershipTable table({}, record("vm-0"));
+    auto newer = record("vm-1", 5);
+    newer.version = 10;
+    newer.services = services("new");
+    table.merge_records(std::vector { newer }, at_milliseconds(0));
+    auto older = record("vm-1", 4);
+    older.version = 99;
+    older.services = services("old");
+    table.merge_records(std::vector { older }, at_milliseconds(1));
+    CHECK(table.find("vm-1")->services == services("new"));
+    CHECK(table.merge_digests(std::vector { MemberDigest { "vm-1", 4, 100, MemberLife::Dead, 0 } }, at_milliseconds(2)).empty());
+    CHECK(table.find("vm-1")->life == MemberLife::Alive);
+}
+
+TEST_CASE("A suspicion is refuted by the VM's own raised version alone")
+{
+    MembershipTable table({}, record("vm-0"));
+    MembershipTable other({}, record("vm-1"));
+    table.merge_records(std::vector { other.self() }, at_milliseconds(0));
+    table.note_no_answer("vm-1", at_milliseconds(0));
+    REQUIRE(table.find("vm-1")->life == MemberLife::Suspect);
+    table.merge_records(std::vector { other.self() }, at_milliseconds(10));
+    CHECK(table.find("vm-1")->life == MemberLife::Suspect);
+    other.merge_digests(table.digests_for("vm-1"), at_milliseconds(20));
+    CHECK(table.merge_digests(other.digests_for("vm-0"), at_milliseconds(30)) == std::vector<std::string> { "vm-1" });
+    table.merge_records(std::vector { other.self() }, at_milliseconds(40));
+    CHECK(table.find("vm-1")->life == MemberLife::Alive);
+    table.advance(at_milliseconds(10'000));
+    CHECK(table.find("vm-1")->life == MemberLife::Alive);
+}
+
+TEST_CASE("A VM that hears a newer record of itself outbids it")
+{
+    MembershipTable table({}, record("vm-0", 5));
+    table.merge_digests(std::vector { MemberDigest { "vm-0", 7, 1000, MemberLife::Alive, 0 } }, at_milliseconds(0));
+    CHECK(table.self().incarnation == 7);
+    CHECK(table.self().version == 1001);
+}
+
+TEST_CASE("Leaving is told by the VM itself and stays until it is gone")
+{
+    Gossip gossip(8, 5);
+    gossip.run(0, 20);
+    gossip.tables[3].leave();
+    gossip.run(20, 30);
+    CHECK(gossip.everyone_sees("vm-3", MemberLife::Leaving));
+    gossip.silent[3] = true;
+    gossip.run(30, 45);
+    CHECK(gossip.everyone_sees("vm-3", MemberLife::Dead));
+}
