--- a/Libraries/LibDecision/CellScheduler.cpp
+++ b/Libraries/LibDecision/CellScheduler.cpp
@@ -277,17 +277,16 @@
     this->schedule(now);
 }
 
-void CellScheduler::remove_granted(std::string const& request, MonotonicTime now)
+void CellScheduler::remove_granted(std::string request, MonotonicTime now)
 {
-    // NOTE: The name is copied since it may live in the node that is erased.
-    auto const name = request;
-    auto const found = this->granted.find(name);
+    // NOTE: The name is a copy since the caller's may live in the node that is erased.
+    auto const found = this->granted.find(request);
     VERIFY(found != this->granted.end());
-    this->end_prefill(found->second.prefill_engine, name, now);
-    this->released.insert_or_assign(name, now);
+    this->end_prefill(found->second.prefill_engine, request, now);
+    this->released.insert_or_assign(request, now);
     auto const engine = this->engines.find(found->second.decode_engine);
     if (engine != this->engines.end())
-        engine->second.slots.erase(name);
+        engine->second.slots.erase(request);
     this->granted.erase(found);
 }
 
--- a/Libraries/LibDecision/CellScheduler.h
+++ b/Libraries/LibDecision/CellScheduler.h
@@ -267,7 +267,7 @@
     std::optional<MonotonicTime> best_first_token(PlacementAsk const& ask, MonotonicTime now) const;
     void grant(PlacementAsk ask, Placement const& placement, MonotonicTime now);
     void refuse(PlacementAsk const& ask, RefusalReason reason, Duration retry_after);
-    void remove_granted(std::string const& request, MonotonicTime now);
+    void remove_granted(std::string request, MonotonicTime now);
     void adopt(Engine& engine, HeldWork const& held, MonotonicTime now);
     void drop_vanished(Engine const& engine, EngineReport const& report, MonotonicTime now);
     void end_prefill(std::string_view engine, std::string_view request, MonotonicTime now);
--- a/Libraries/LibDecision/HeldWorkReaper.h
+++ b/Libraries/LibDecision/HeldWorkReaper.h
@@ -10,6 +10,7 @@
 #include <span>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace Spurtide {
@@ -59,7 +60,7 @@
     struct Key {
         std::string engine;
         std::string request;
-        auto operator<=>(Key const&) const = default;
+        bool operator<(Key const& other) const { return std::tie(this->engine, this->request) < std::tie(other.engine, other.request); }
     };
 
     struct Watch {
--- a/Libraries/LibDecision/MembershipTable.cpp
+++ b/Libraries/LibDecision/MembershipTable.cpp
@@ -155,10 +155,11 @@
 {
     auto& record = member.record;
     record.configuration_generation = std::max(record.configuration_generation, digest.configuration_generation);
-    auto const order = std::make_tuple(digest.incarnation, digest.version) <=> std::make_tuple(record.incarnation, record.version);
-    if (order < 0)
+    auto const told = std::make_pair(digest.incarnation, digest.version);
+    auto const known = std::make_pair(record.incarnation, record.version);
+    if (told < known)
         return false;
-    if (order > 0)
+    if (told > known)
         return true;
     if (gravity(digest.life) <= gravity(record.life))
         return false;
--- a/Services/ConfigServer/ConfigurationStore.cpp
+++ b/Services/ConfigServer/ConfigurationStore.cpp
@@ -118,15 +118,19 @@
     if (read.is_error())
         return Failure { ApplyError { ApplyErrorKind::NotAccepted, {} } };
     auto row = read.value().row;
-    if (auto const* earlier = find_apply(row, order.apply_id))
+    auto const hash = sha256_hex(order.content);
+    if (auto const* earlier = find_apply(row, order.apply_id)) {
+        // An answer that was lost before left this VM on the generation of that time.
+        if (earlier->content_hash == hash)
+            this->adopt(earlier->generation, order.content);
         return earlier->generation;
+    }
     auto const present = row.generation();
     if (present < this->generation())
         return Failure { ApplyError { ApplyErrorKind::TableWentBack, {} } };
     if (present != order.base_generation)
         return Failure { ApplyError { ApplyErrorKind::Conflict, row.entries.empty() ? GenerationEntry {} : row.entries.front() } };
 
-    auto const hash = sha256_hex(order.content);
     // The object goes first: a generation whose object is missing could never come into force.
     if (this->objects.put(object_name(hash), order.content).is_error())
         return Failure { ApplyError { ApplyErrorKind::NotAccepted, {} } };
--- a/Services/EntryServer/CompletionRequest.cpp
+++ b/Services/EntryServer/CompletionRequest.cpp
@@ -21,7 +21,7 @@
         for (auto& message : messages) {
             auto const role = message.choice("role", Presence::Required, { "system", "developer", "user", "assistant", "tool" });
             auto const content = message.text("content", Presence::Required);
-            prompt += role + ": " + content + "\n";
+            prompt.append(role).append(": ").append(content).append("\n");
         }
         return prompt;
     }
--- a/Services/EntryServer/EntryServer.cpp
+++ b/Services/EntryServer/EntryServer.cpp
@@ -346,8 +346,10 @@
     ++this->active;
     auto const work = position->work;
     auto const first_wanted = position->offset + 1;
-    auto const provider = [this, call, engine, engine_name, work, first_wanted, gone, format](std::size_t, httplib::DataSink& sink) {
-        AnswerWriter const writer(format, work, "", unix_milliseconds() / 1000);
+    auto const* configured_engine = call.configuration->find_engine(engine_name);
+    auto const model = configured_engine ? configured_engine->description.model : std::string();
+    auto const provider = [this, call, engine, engine_name, work, first_wanted, gone, format, model](std::size_t, httplib::DataSink& sink) {
+        AnswerWriter const writer(format, std::string(request_of(work)), model, unix_milliseconds() / 1000);
         StreamRelay stream(sink, writer, call.connection);
         auto const reader = unix_milliseconds();
         this->owned.add(work);
--- a/Services/EntryServer/RequestIdentifier.cpp
+++ b/Services/EntryServer/RequestIdentifier.cpp
@@ -50,6 +50,11 @@
     return std::string(request) + "." + std::to_string(attempt);
 }
 
+std::string_view request_of(std::string_view work)
+{
+    return work.substr(0, work.rfind('.'));
+}
+
 std::string StreamPosition::to_string() const
 {
     return this->work + "/" + this->engine + "/" + std::to_string(this->offset);
--- a/Services/EntryServer/RequestIdentifier.h
+++ b/Services/EntryServer/RequestIdentifier.h
@@ -16,6 +16,9 @@
 /// One attempt at a request, as engines hold it: the id, a dot and the attempt's number.
 std::string work_name(std::string_view request, int attempt);
 
+/// The request's id in the name of one of its attempts.
+std::string_view request_of(std::string_view work);
+
 /// Where a caller stands in a stream. Written as WORK/ENGINE/OFFSET in each event's id.
 struct StreamPosition {
     std::string work;
--- a/StandIns/ServiceStandIn/ServiceStandIn.cpp
+++ b/StandIns/ServiceStandIn/ServiceStandIn.cpp
@@ -2,7 +2,6 @@
 // SPDX-License-Identifier: BSD-2-Clause
 
 #include <StandIns/ServiceStandIn/ServiceStandIn.h>
-#include <algorithm>
 #include <nlohmann/json.hpp>
 
 namespace Spurtide {
@@ -28,7 +27,7 @@
         raw->set_faults({ body.value("lose_answers", 0), body.value("refuse_calls", 0) });
     });
     server.Get("/runs", [raw = service.get()](httplib::Request const&, httplib::Response& response) {
-        response.set_content(nlohmann::json { { "most_runs", raw->most_runs() } }.dump(), "application/json");
+        response.set_content(nlohmann::json { { "total_runs", raw->total_runs() } }.dump(), "application/json");
     });
     server.Get("/.*", handler);
     server.Post("/.*", handler);
@@ -60,13 +59,13 @@
     return this->run_counts[request];
 }
 
-int ServiceStandIn::most_runs()
+int ServiceStandIn::total_runs()
 {
     std::scoped_lock const lock(this->mutex);
-    int most = 0;
+    int total = 0;
     for (auto const& [request, count] : this->run_counts)
-        most = std::max(most, count);
-    return most;
+        total += count;
+    return total;
 }
 
 void ServiceStandIn::answer(httplib::Request const& request, httplib::Response& response)
--- a/StandIns/ServiceStandIn/ServiceStandIn.h
+++ b/StandIns/ServiceStandIn/ServiceStandIn.h
@@ -43,8 +43,8 @@
     void set_faults(ServiceFaults faults);
     /// How often a request ran here.
     int runs(std::string const& request);
-    /// The highest count of any request.
-    int most_runs();
+    /// All runs of all requests.
+    int total_runs();
 
 private:
     explicit ServiceStandIn(Options options);
--- a/Tests/StandIns/TestEngineModel.cpp
+++ b/Tests/StandIns/TestEngineModel.cpp
@@ -98,7 +98,7 @@
     CHECK(engine.find_stream("r1")->phase == EngineModel::DecodePhase::Importing);
 }
 
-TEST_CASE("A known prefix shortens the prefill; its events come late and with gaps")
+TEST_CASE("A known prefix shortens the prefill and its events come late and with gaps")
 {
     auto options = plain_options();
     options.cache_event_loss = 0.3;
--- a/Tests/Support/main.cpp
+++ b/Tests/Support/main.cpp
@@ -1,5 +1,16 @@
 // SPDX-FileCopyrightText: 2026 The Spurtide developers
 // SPDX-License-Identifier: BSD-2-Clause
 
-#define CATCH_CONFIG_MAIN
+#define CATCH_CONFIG_RUNNER
 #include <catch2/catch.hpp>
+#include <csignal>
+#include <glog/logging.h>
+
+int main(int argument_count, char** arguments)
+{
+    // Tests look at log lines through their observer; on the terminal they would hide the failures.
+    FLAGS_minloglevel = google::GLOG_ERROR;
+    google::InitGoogleLogging(arguments[0]);
+    std::signal(SIGPIPE, SIG_IGN);
+    return Catch::Session().run(argument_count, arguments);
+}
