--- a/Libraries/LibConfiguration/Configuration.cpp
+++ b/Libraries/LibConfiguration/Configuration.cpp
@@ -103,7 +103,7 @@
                 service.name = reader.text("name", Presence::Required);
                 this->require_unique(names, reader, "name", service.name);
                 for (auto& server : reader.objects("servers", Presence::Required)) {
-                    service.servers.push_back({ server.text("data_centre", Presence::Required), server.text("address", Presence::Required) });
+                    service.servers.push_back({ server.text("name", Presence::Optional), server.text("data_centre", Presence::Required), server.text("address", Presence::Required) });
                     server.finish();
                 }
                 reader.finish();
--- a/Libraries/LibConfiguration/Configuration.h
+++ b/Libraries/LibConfiguration/Configuration.h
@@ -37,6 +37,8 @@
 /// A plain service and its servers.
 struct ConfiguredService {
     struct Server {
+        /// As the platform's machine list has it; empty where it is not listed.
+        std::string name;
         std::string data_centre;
         std::string address;
     };
--- a/Libraries/LibDecision/CellScheduler.cpp
+++ b/Libraries/LibDecision/CellScheduler.cpp
@@ -264,6 +264,31 @@
     this->schedule(now);
 }
 
+void CellScheduler::restore(PlacementAsk ask, std::string_view prefill_engine, std::string_view decode_engine, GrantProgress progress, MonotonicTime now)
+{
+    auto const decode = this->engines.find(decode_engine);
+    auto const known = this->granted.find(ask.request);
+    bool const is_known = known != this->granted.end() && !known->second.adopted;
+    if (decode == this->engines.end() || is_known || this->released.contains(ask.request))
+        return;
+    if (known != this->granted.end())
+        this->granted.erase(known);
+    Granted granted;
+    granted.prefill_engine = prefill_engine;
+    granted.decode_engine = decode_engine;
+    granted.phase = progress;
+    granted.taken_up = true;
+    granted.granted_at = now;
+    granted.decode_from = now;
+    decode->second.slots.insert(ask.request);
+    auto const prefill = this->engines.find(prefill_engine);
+    if (progress == GrantProgress::Prefilling && prefill != this->engines.end())
+        prefill->second.prefills.push_back({ ask.request, ask.prompt_tokens, now });
+    auto const request = ask.request;
+    granted.ask = std::move(ask);
+    this->granted.emplace(request, std::move(granted));
+}
+
 void CellScheduler::release(std::string_view request, std::int64_t output_tokens, MonotonicTime now)
 {
     auto const same_request = [&](auto const& ask) { return ask.request == request; };
--- a/Libraries/LibDecision/CellScheduler.h
+++ b/Libraries/LibDecision/CellScheduler.h
@@ -179,6 +179,8 @@
 
     void ask(PlacementAsk ask, MonotonicTime now);
     void progress(std::string_view request, GrantProgress progress, MonotonicTime now);
+    /// What an entry says it was granted by an earlier keeper. Takes the place of what a report alone said.
+    void restore(PlacementAsk ask, std::string_view prefill_engine, std::string_view decode_engine, GrantProgress progress, MonotonicTime now);
     /// The request ended, or its caller is gone; frees all it holds here.
     void release(std::string_view request, std::int64_t output_tokens, MonotonicTime now);
 
--- a/Libraries/LibWire/Kernel.cpp
+++ b/Libraries/LibWire/Kernel.cpp
@@ -11,6 +11,7 @@
 #include <future>
 #include <mutex>
 #include <random>
+#include <set>
 #include <thread>
 #include <zmq.hpp>
 
@@ -21,7 +22,9 @@
     constexpr int HIGH_WATER_MARK = 20000;
     constexpr int FIRST_RECONNECT_MILLISECONDS = 20;
     constexpr int LONGEST_RECONNECT_MILLISECONDS = 1000;
-    constexpr Duration STOP_GRACE = seconds(1);
+    /// Every process answers under this name that it is there.
+constexpr std::string_view KERNEL_SERVICE = "kernel";
+constexpr Duration STOP_GRACE = seconds(1);
     constexpr std::size_t MAXIMUM_MESSAGE_BYTES = 64UL * 1024 * 1024;
 
     std::string message_kind(wire::Envelope const& envelope)
@@ -208,14 +211,14 @@
         asio::post(this->loop, [this, interval, function = std::move(function), timer] { this->arm(timer, interval, function); });
     }
 
-    void request(std::string const& endpoint, wire::Envelope envelope, Duration timeout, ReplyCallback callback)
+    void request(std::string const& endpoint, wire::Envelope envelope, Patience patience, ReplyCallback callback)
     {
         if (this->stopped) {
             callback(Failure { WireError { WireErrorKind::Stopped } });
             return;
         }
-        asio::dispatch(this->loop, [this, endpoint, envelope = std::move(envelope), timeout, callback = std::move(callback)]() mutable {
-            this->send_request(endpoint, std::move(envelope), timeout, std::move(callback));
+        asio::dispatch(this->loop, [this, endpoint, envelope = std::move(envelope), patience, callback = std::move(callback)]() mutable {
+            this->send_request(endpoint, std::move(envelope), patience, std::move(callback));
         });
     }
 
@@ -224,6 +227,25 @@
         asio::dispatch(this->loop, [this, endpoint, envelope = std::move(envelope)] { this->send_on_link(endpoint, envelope); });
     }
 
+    void withdraw(std::string const& service)
+    {
+        asio::dispatch(this->loop, [this, service] {
+            this->withdrawn.insert(service);
+            if (!this->options.directory_endpoint.empty())
+                this->announce();
+        });
+    }
+
+    std::vector<ServiceEndpoint> announced_services() const
+    {
+        std::vector<ServiceEndpoint> services;
+        for (auto const& [service, handler] : this->handlers) {
+            if (!this->withdrawn.contains(service))
+                services.push_back({ service, this->listen_endpoint, this->incarnation });
+        }
+        return services;
+    }
+
     std::map<std::string, TrafficCount> traffic(std::map<std::string, TrafficCount> const& counts) const
     {
         std::scoped_lock const lock(this->traffic_mutex);
@@ -235,6 +257,7 @@
     std::string listen_endpoint;
     ServiceDirectory directory;
     std::map<std::string, Handler, std::less<>> handlers;
+    std::set<std::string> withdrawn;
     asio::io_context loop;
     std::map<std::string, TrafficCount> sent;
     std::map<std::string, TrafficCount> received;
@@ -244,6 +267,13 @@
         std::string endpoint;
         ReplyCallback callback;
         std::shared_ptr<asio::steady_timer> timer;
+        std::shared_ptr<asio::steady_timer> silence_timer;
+        MonotonicTime sent;
+    };
+
+    struct Link {
+        std::unique_ptr<WatchedSocket> socket;
+        MonotonicTime heard;
     };
 
     void arm(std::shared_ptr<asio::steady_timer> const& timer, Duration interval, std::function<void()> const& function)
@@ -269,13 +299,13 @@
     {
         auto const found = this->links.find(endpoint);
         if (found != this->links.end())
-            return *found->second;
+            return *found->second.socket;
         zmq::socket_t socket(this->context, zmq::socket_type::dealer);
         set_common_options(socket);
         socket.connect(endpoint);
-        auto link = std::make_unique<WatchedSocket>(this->loop, std::move(socket), [this](auto frames) { this->receive_reply(frames); });
+        auto link = std::make_unique<WatchedSocket>(this->loop, std::move(socket), [this, endpoint](auto frames) { this->receive_reply(endpoint, frames); });
         link->watch();
-        return *this->links.emplace(endpoint, std::move(link)).first->second;
+        return *this->links.emplace(endpoint, Link { std::move(link), {} }).first->second.socket;
     }
 
     bool send_on_link(std::string const& endpoint, wire::Envelope const& envelope)
@@ -294,7 +324,7 @@
         return true;
     }
 
-    void send_request(std::string const& endpoint, wire::Envelope envelope, Duration timeout, ReplyCallback callback)
+    void send_request(std::string const& endpoint, wire::Envelope envelope, Patience patience, ReplyCallback callback)
     {
         auto const correlation = ++this->last_correlation;
         envelope.set_correlation(correlation);
@@ -302,12 +332,46 @@
             callback(Failure { WireError { WireErrorKind::NoEndpoint } });
             return;
         }
-        auto timer = std::make_shared<asio::steady_timer>(this->loop, timeout);
-        timer->async_wait([this, correlation](asio::error_code error) {
+        Pending request { endpoint, std::move(callback), std::make_shared<asio::steady_timer>(this->loop, patience.timeout), nullptr, monotonic_now() };
+        request.timer->async_wait([this, correlation](asio::error_code error) {
             if (!error)
                 this->time_out(correlation);
         });
-        this->pending.emplace(correlation, Pending { endpoint, std::move(callback), std::move(timer) });
+        if (patience.silence > Duration::zero()) {
+            request.silence_timer = std::make_shared<asio::steady_timer>(this->loop);
+            this->watch_silence(correlation, request.silence_timer, patience.silence);
+        }
+        this->pending.emplace(correlation, std::move(request));
+    }
+
+    void watch_silence(std::uint64_t correlation, std::shared_ptr<asio::steady_timer> const& timer, Duration silence)
+    {
+        timer->expires_after(silence);
+        timer->async_wait([this, correlation, timer, silence](asio::error_code error) {
+            auto const found = this->pending.find(correlation);
+            if (error || found == this->pending.end())
+                return;
+            auto const link = this->links.find(found->second.endpoint);
+            if (link != this->links.end() && monotonic_now() - link->second.heard < silence)
+                return this->watch_silence(correlation, timer, silence);
+            this->ask_for_life(correlation, timer, silence);
+        });
+    }
+
+    void ask_for_life(std::uint64_t correlation, std::shared_ptr<asio::steady_timer> const& timer, Duration silence)
+    {
+        wire::Envelope ping;
+        ping.set_service(std::string(KERNEL_SERVICE));
+        ping.mutable_acknowledgement();
+        auto const endpoint = this->pending.at(correlation).endpoint;
+        this->send_request(endpoint, std::move(ping), { silence, {} }, [this, correlation, timer, silence](WireReply const& reply) {
+            if (!this->pending.contains(correlation))
+                return;
+            if (reply.is_error())
+                this->time_out(correlation);
+            else
+                this->watch_silence(correlation, timer, silence);
+        });
     }
 
     void time_out(std::uint64_t correlation)
@@ -315,15 +379,30 @@
         auto const found = this->pending.find(correlation);
         if (found == this->pending.end())
             return;
-        auto request = std::move(found->second);
-        this->pending.erase(found);
-        // Dropping the link throws away what waits in it: a late delivery would look like a fresh request.
-        this->links.erase(request.endpoint);
+        auto request = this->take_pending(found);
+        // A link that was silent all the time may hold the request still; delivered late it would look like
+        // a fresh one. Dropping the link throws it away.
+        auto const link = this->links.find(request.endpoint);
+        if (link != this->links.end() && link->second.heard < request.sent)
+            this->links.erase(link);
         request.callback(Failure { WireError { WireErrorKind::Timeout } });
     }
 
-    void receive_reply(std::vector<zmq::message_t> const& frames)
+    Pending take_pending(std::map<std::uint64_t, Pending>::iterator position)
+    {
+        auto request = std::move(position->second);
+        this->pending.erase(position);
+        request.timer->cancel();
+        if (request.silence_timer)
+            request.silence_timer->cancel();
+        return request;
+    }
+
+    void receive_reply(std::string const& endpoint, std::vector<zmq::message_t> const& frames)
     {
+        auto const link = this->links.find(endpoint);
+        if (link != this->links.end())
+            link->second.heard = monotonic_now();
         wire::Envelope envelope;
         auto const& body = frames.back();
         if (!envelope.ParseFromArray(body.data(), static_cast<int>(body.size()))) {
@@ -334,9 +413,7 @@
         auto const found = this->pending.find(envelope.correlation());
         if (found == this->pending.end())
             return;
-        auto request = std::move(found->second);
-        this->pending.erase(found);
-        request.timer->cancel();
+        auto const request = this->take_pending(found);
         if (envelope.has_error())
             request.callback(Failure { WireError { WireErrorKind::Remote, envelope.error().code() } });
         else
@@ -353,6 +430,11 @@
         }
         this->count(this->received, envelope, body.size());
         auto respond = this->responder_for(frames.front().to_string(), envelope.correlation());
+        if (envelope.service() == KERNEL_SERVICE) {
+            wire::Envelope pong;
+            pong.mutable_acknowledgement();
+            return respond(std::move(pong));
+        }
         auto const handler = this->handlers.find(envelope.service());
         if (handler == this->handlers.end())
             respond(error_reply(wire::ERROR_CODE_UNKNOWN_SERVICE));
@@ -387,13 +469,14 @@
         auto* announce = envelope.mutable_announce();
         announce->set_vm(this->options.virtual_machine);
         announce->set_known_version(this->directory.version());
-        for (auto const& [service, handler] : this->handlers) {
+        announce->set_endpoint(this->listen_endpoint);
+        for (auto const& service : this->announced_services()) {
             auto* entry = announce->add_services();
-            entry->set_service(service);
-            entry->set_endpoint(this->listen_endpoint);
-            entry->set_incarnation(this->incarnation);
+            entry->set_service(service.service);
+            entry->set_endpoint(service.endpoint);
+            entry->set_incarnation(service.incarnation);
         }
-        this->send_request(this->options.directory_endpoint, std::move(envelope), this->options.announce_interval, [this](WireReply const& reply) { this->take_view(reply); });
+        this->send_request(this->options.directory_endpoint, std::move(envelope), { this->options.announce_interval, {} }, [this](WireReply const& reply) { this->take_view(reply); });
     }
 
     // While the directory is away, the last view stays in use.
@@ -403,18 +486,19 @@
             return;
         auto const& view = reply.value().directory_view();
         this->directory.note_generation(view.generation());
+        this->directory.set_leaving_machines({ view.leaving_machines().begin(), view.leaving_machines().end() });
         if (view.version() == this->directory.version())
             return;
         std::vector<MemberRecord> members;
         for (auto const& member : view.members())
             members.push_back(read_record(member));
-        this->directory.replace(view.version(), view.generation(), std::move(members));
+        this->directory.replace(view.version(), view.generation(), std::move(members), { view.leaving_machines().begin(), view.leaving_machines().end() });
     }
 
     zmq::context_t context { 1 };
     asio::executor_work_guard<asio::io_context::executor_type> work;
     std::unique_ptr<WatchedSocket> listener;
-    std::map<std::string, std::unique_ptr<WatchedSocket>> links;
+    std::map<std::string, Link> links;
     std::map<std::uint64_t, Pending> pending;
     std::uint64_t last_correlation = 0;
     std::thread thread;
@@ -444,29 +528,23 @@
 std::string const& Kernel::virtual_machine() const { return this->core->options.virtual_machine; }
 ServiceDirectory& Kernel::directory() { return this->core->directory; }
 
-std::vector<ServiceEndpoint> Kernel::hosted_services() const
-{
-    std::vector<ServiceEndpoint> services;
-    for (auto const& [service, handler] : this->core->handlers)
-        services.push_back({ service, this->core->listen_endpoint, this->core->incarnation });
-    return services;
-}
-
+std::vector<ServiceEndpoint> Kernel::hosted_services() const { return this->core->announced_services(); }
+void Kernel::withdraw(std::string const& service) { this->core->withdraw(service); }
 void Kernel::post(std::function<void()> function) { asio::post(this->core->loop, std::move(function)); }
 void Kernel::every(Duration interval, std::function<void()> function) { this->core->every(interval, std::move(function)); }
 
-void Kernel::request(std::string const& endpoint, wire::Envelope envelope, Duration timeout, ReplyCallback callback)
+void Kernel::request(std::string const& endpoint, wire::Envelope envelope, Patience patience, ReplyCallback callback)
 {
-    this->core->request(endpoint, std::move(envelope), timeout, std::move(callback));
+    this->core->request(endpoint, std::move(envelope), patience, std::move(callback));
 }
 
-WireReply Kernel::call(std::string const& endpoint, wire::Envelope envelope, Duration timeout)
+WireReply Kernel::call(std::string const& endpoint, wire::Envelope envelope, Patience patience)
 {
     auto promise = std::make_shared<std::promise<WireReply>>();
     auto future = promise->get_future();
-    this->request(endpoint, std::move(envelope), timeout, [promise](WireReply reply) { promise->set_value(std::move(reply)); });
+    this->request(endpoint, std::move(envelope), patience, [promise](WireReply reply) { promise->set_value(std::move(reply)); });
     // The loop's own timer answers first; this limit only guards against a kernel that stops meanwhile.
-    if (future.wait_for(timeout + STOP_GRACE) != std::future_status::ready)
+    if (future.wait_for(patience.timeout + STOP_GRACE) != std::future_status::ready)
         return Failure { WireError { WireErrorKind::Stopped } };
     return future.get();
 }
--- a/Libraries/LibWire/Kernel.h
+++ b/Libraries/LibWire/Kernel.h
@@ -55,7 +55,15 @@
         std::string listen_endpoint;
         /// Where this VM's directory (its ConfigServer) listens; empty in the ConfigServer itself.
         std::string directory_endpoint;
-        Duration announce_interval = seconds(1);
+        Duration announce_interval = milliseconds(300);
+    };
+
+    /// How long a request waits.
+    struct Patience {
+        Duration timeout {};
+        /// After this much silence of the other process it is asked whether it is there at all; where it does
+        /// not say so in as much time again, the request fails. Zero never asks.
+        Duration silence {};
     };
 
     /// Sends the reply of one request; may be called later, from any thread, and at most once.
@@ -72,6 +80,8 @@
     void host(std::string service, Handler handler);
     void start();
     void stop();
+    /// Announces a service no more; its handler still answers those who did not hear of it yet.
+    void withdraw(std::string const& service);
 
     std::string const& endpoint() const;
     /// Names this start of this process; no other start has the same.
@@ -85,10 +95,19 @@
     /// Runs a function on the kernel's thread once in each interval.
     void every(Duration interval, std::function<void()> function);
 
+    void request(std::string const& endpoint, wire::Envelope envelope, Duration timeout, ReplyCallback callback)
+    {
+        this->request(endpoint, std::move(envelope), Patience { timeout, {} }, std::move(callback));
+    }
+    WireReply call(std::string const& endpoint, wire::Envelope envelope, Duration timeout)
+    {
+        return this->call(endpoint, std::move(envelope), Patience { timeout, {} });
+    }
+
     /// Sends a request; the callback runs on the kernel's thread.
-    void request(std::string const& endpoint, wire::Envelope envelope, Duration timeout, ReplyCallback callback);
+    void request(std::string const& endpoint, wire::Envelope envelope, Patience patience, ReplyCallback callback);
     /// Sends a request and waits. Not from the kernel's thread.
-    WireReply call(std::string const& endpoint, wire::Envelope envelope, Duration timeout);
+    WireReply call(std::string const& endpoint, wire::Envelope envelope, Patience patience);
     /// Sends a message that gets no reply.
     void notify(std::string const& endpoint, wire::Envelope envelope);
 
--- a/Libraries/LibWire/ServiceDirectory.cpp
+++ b/Libraries/LibWire/ServiceDirectory.cpp
@@ -28,12 +28,25 @@
 {
 }
 
-void ServiceDirectory::replace(std::int64_t version, std::int64_t configuration_generation, std::vector<MemberRecord> members)
+void ServiceDirectory::replace(std::int64_t version, std::int64_t configuration_generation, std::vector<MemberRecord> members, std::vector<std::string> leaving_machines)
 {
     std::scoped_lock const lock(this->mutex);
     this->current_version = version;
     this->current_generation = std::max(this->current_generation, configuration_generation);
     this->current_members = std::move(members);
+    this->current_leaving_machines = std::move(leaving_machines);
+}
+
+void ServiceDirectory::set_leaving_machines(std::vector<std::string> machines)
+{
+    std::scoped_lock const lock(this->mutex);
+    this->current_leaving_machines = std::move(machines);
+}
+
+std::vector<std::string> ServiceDirectory::leaving_machines() const
+{
+    std::scoped_lock const lock(this->mutex);
+    return this->current_leaving_machines;
 }
 
 void ServiceDirectory::note_generation(std::int64_t configuration_generation)
@@ -99,7 +112,7 @@
     std::scoped_lock const lock(this->mutex);
     std::vector<std::string> names;
     for (auto const& member : this->current_members) {
-        if (takes_new_work(member) && endpoint_of(member, service))
+        if (member.life == MemberLife::Alive && endpoint_of(member, service))
             names.push_back(member.virtual_machine);
     }
     return names;
--- a/Services/AdminServer/AdminServer.cpp
+++ b/Services/AdminServer/AdminServer.cpp
@@ -4,6 +4,7 @@
 #include <LibConfiguration/Configuration.h>
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
+#include <LibService/WireMetrics.h>
 #include <Services/AdminServer/AdminServer.h>
 #include <algorithm>
 #include <charconv>
@@ -99,6 +100,7 @@
     server->kernel->host("admin", [](auto const&, auto respond) { respond(error_reply(wire::ERROR_CODE_UNKNOWN_MESSAGE)); });
     server->add_routes();
     server->listener->serve_operations(server->metrics, [raw = server.get()] { return !raw->kernel->directory().resolve("config").empty(); });
+    publish_wire_metrics(*server->kernel, server->metrics);
     server->kernel->start();
     server->listener->start();
     return server;
--- a/Services/ConfigServer/ConfigServer.cpp
+++ b/Services/ConfigServer/ConfigServer.cpp
@@ -4,6 +4,7 @@
 #include <LibConfiguration/Configuration.h>
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
+#include <LibService/WireMetrics.h>
 #include <LibDecision/CellMap.h>
 #include <LibWire/WireMembers.h>
 #include <Services/ConfigServer/ConfigServer.h>
@@ -153,6 +154,7 @@
     for (std::size_t i = 0; i < WORKERS; ++i)
         this->workers.emplace_back([raw] { raw->work(); });
     this->watcher = std::thread([raw] { raw->watch(); });
+    publish_wire_metrics(*this->kernel, this->metrics);
     this->membership->start();
     this->kernel->start();
     this->listener->start();
@@ -245,12 +247,27 @@
             if (this->platform_reachable.exchange(is_reachable) != is_reachable)
                 LogLine("platform_reachable").with("reachable", is_reachable ? "yes" : "no");
         }
+        this->watch_machines();
         this->metrics.set("spurtide_configuration_generation", "Generation in force on this VM.", static_cast<double>(this->store.generation()));
         lock.lock();
         this->wake.wait_for(lock, this->options.watch_interval, [this] { return this->stopping; });
     }
 }
 
+// One read a second of each VM: 340 VMs stay well under the list's two thousand.
+void ConfigServer::watch_machines()
+{
+    auto const listed = this->platform.list();
+    if (listed.is_error())
+        return;
+    std::vector<std::string> leaving;
+    for (auto const& machine : listed.value()) {
+        if (machine.life == ListedMachine::Life::Leaving)
+            leaving.push_back(machine.name);
+    }
+    this->kernel->post([this, leaving = std::move(leaving)] { this->membership->set_leaving_machines(leaving); });
+}
+
 void ConfigServer::fetch_from_peer(std::string const& endpoint)
 {
     wire::Envelope envelope;
--- a/Services/ConfigServer/ConfigServer.h
+++ b/Services/ConfigServer/ConfigServer.h
@@ -55,6 +55,7 @@
     void handle_directory(wire::Envelope const& request, Kernel::Responder const& respond);
     void handle_config(wire::Envelope const& request, Kernel::Responder const& respond);
     void watch();
+    void watch_machines();
     bool is_watcher() const;
     void fetch_from_peer(std::string const& endpoint);
     void run_on_worker(std::function<void()> work);
--- a/Services/ConfigServer/MembershipService.cpp
+++ b/Services/ConfigServer/MembershipService.cpp
@@ -11,7 +11,8 @@
 
 namespace {
 
-    constexpr Duration LOCAL_PROCESS_SILENCE = seconds(3);
+    /// Three announcements that did not come; they cross the VM's loopback alone.
+constexpr Duration LOCAL_PROCESS_SILENCE = milliseconds(1000);
     constexpr Duration RECORDS_TIMEOUT = milliseconds(900);
     /// Of the heartbeat interval, so that all tries of a probe fit into about one.
     constexpr int PROBE_TIMEOUT_PERCENT = 30;
@@ -74,6 +75,11 @@
     this->meet_seeds();
 }
 
+void MembershipService::set_leaving_machines(std::vector<std::string> machines)
+{
+    this->leaving_machines = std::move(machines);
+}
+
 void MembershipService::spread_news()
 {
     this->table.update_self(this->local_services(), this->generation());
@@ -213,18 +219,20 @@
 
 void MembershipService::refresh_directory()
 {
-    this->kernel.directory().replace(this->table.version(), this->generation(), this->table.all_members());
+    this->kernel.directory().replace(this->table.version(), this->generation(), this->table.all_members(), this->leaving_machines);
 }
 
 void MembershipService::handle_announce(wire::Announce const& announce, Kernel::Responder const& respond)
 {
-    if (announce.vm() == this->options.virtual_machine && !announce.services().empty()) {
+    if (announce.vm() == this->options.virtual_machine && !announce.endpoint().empty()) {
         LocalProcess process;
         process.heard = monotonic_now();
         for (auto const& service : announce.services())
             process.services.push_back({ service.service(), service.endpoint(), service.incarnation() });
-        bool const is_new = this->processes.insert_or_assign(announce.services(0).endpoint(), process).second;
-        if (is_new) {
+        auto& known = this->processes[announce.endpoint()];
+        bool const has_changed = known.services != process.services;
+        known = std::move(process);
+        if (has_changed) {
             this->spread_news();
             this->refresh_directory();
         }
@@ -233,6 +241,8 @@
     auto* view = reply.mutable_directory_view();
     view->set_version(this->table.version());
     view->set_generation(this->generation());
+    for (auto const& machine : this->leaving_machines)
+        view->add_leaving_machines(machine);
     if (announce.known_version() != this->table.version()) {
         for (auto const& member : this->table.all_members())
             write_record(member, *view->add_members());
--- a/Services/ConfigServer/MembershipService.h
+++ b/Services/ConfigServer/MembershipService.h
@@ -37,6 +37,9 @@
     void handle_heartbeat(wire::Heartbeat const& heartbeat, Kernel::Responder const& respond);
     void handle_records(wire::MemberRecords const& records, Kernel::Responder const& respond);
 
+    /// Machines that the platform's list says are leaving; handed on to this VM's processes.
+    void set_leaving_machines(std::vector<std::string> machines);
+
     /// Tells a few peers at once, instead of at the next interval.
     void spread_news();
 
@@ -68,6 +71,7 @@
     std::function<void(std::string const& endpoint)> on_newer_generation;
     MembershipTable table;
     std::map<std::string, LocalProcess> processes;
+    std::vector<std::string> leaving_machines;
 };
 
 }
--- a/Services/EntryServer/EntryServer.cpp
+++ b/Services/EntryServer/EntryServer.cpp
@@ -3,6 +3,7 @@
 
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
+#include <LibService/WireMetrics.h>
 #include <LibHttp/EventStream.h>
 #include <LibUpstream/HttpEngine.h>
 #include <LibUpstream/HttpService.h>
@@ -142,6 +143,8 @@
     });
     this->add_routes();
     this->listener->serve_operations(this->metrics, [raw] { return !raw->draining && raw->follower->current() != nullptr; });
+    publish_wire_metrics(*this->kernel, this->metrics);
+    this->placement->start();
     this->follower->start();
     this->kernel->start();
     this->listener->start();
--- a/Services/EntryServer/PlacementClient.h
+++ b/Services/EntryServer/PlacementClient.h
@@ -9,6 +9,7 @@
 #include <LibService/ConfigurationFollower.h>
 #include <LibWire/Kernel.h>
 #include <Services/EntryServer/Problem.h>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -31,7 +32,11 @@
 public:
     PlacementClient(Kernel& kernel, ConfigurationFollower& follower, std::string virtual_machine, std::string data_centre);
 
-    /// The own cell's keeper first, then others. Every problem it gives is one where nothing was dispatched.
+    /// Starts to tell keepers that are new in office what this entry was granted.
+    void start();
+
+    /// The own cell's keeper first, then others; where none keeps the cell at the moment, until the time is over.
+    /// Every problem it gives is one where nothing was dispatched.
     Result<GrantedPlacement, Problem> ask(PlacementAsk const& ask, Duration first_token_within);
     void progress(std::string const& work, std::string const& decode_engine, GrantProgress progress);
     void release(std::string const& work, std::string const& decode_engine, std::int64_t output_tokens);
@@ -49,7 +54,24 @@
         CellMap cells;
     };
 
+    /// What was granted and is not released yet.
+    struct Active {
+        PlacementAsk ask;
+        std::string prefill_engine;
+        std::string decode_engine;
+        GrantProgress progress = GrantProgress::Prefilling;
+    };
+
+    struct Round {
+        std::optional<Result<GrantedPlacement, Problem>> decided;
+        bool was_refused = false;
+        Problem refusal;
+    };
+
     std::shared_ptr<Map const> current_map();
+    Round ask_round(PlacementAsk const& ask, MonotonicTime until);
+    void tell_new_keepers();
+    void note_granted(PlacementAsk const& ask, GrantedPlacement const& granted);
     std::vector<std::string> keepers_to_ask(std::string_view work);
     std::vector<std::string> keepers_of(std::string_view decode_engine);
     Result<GrantedPlacement, Problem> read_reply(wire::Envelope const& reply) const;
@@ -60,6 +82,9 @@
     std::string data_centre;
     std::mutex mutex;
     std::shared_ptr<Map const> map;
+    std::map<std::string, Active, std::less<>> active;
+    /// Used on the kernel's thread alone.
+    std::map<std::size_t, std::string> told_keepers;
 };
 
 }
--- a/Services/EntryServer/ServiceRelay.cpp
+++ b/Services/EntryServer/ServiceRelay.cpp
@@ -50,8 +50,11 @@
             return a_is_near;
         return rendezvous_score(a.address, this->order.request) > rendezvous_score(b.address, this->order.request);
     });
-    for (auto const& server : servers)
-        addresses.push_back(server.address);
+    auto const leaving = this->context.kernel.directory().leaving_machines();
+    for (auto const& server : servers) {
+        if (std::find(leaving.begin(), leaving.end(), server.name) == leaving.end())
+            addresses.push_back(server.address);
+    }
     return addresses;
 }
 
--- a/Services/PlacementServer/CellKeeper.cpp
+++ b/Services/PlacementServer/CellKeeper.cpp
@@ -6,6 +6,7 @@
 #include <Services/PlacementServer/CellKeeper.h>
 #include <algorithm>
 #include <asio/post.hpp>
+#include <utility>
 
 namespace Spurtide {
 
@@ -113,19 +114,55 @@
             kept.push_back(configured_engine->description);
             auto const found = this->engines.find(name);
             bool const is_same = found != this->engines.end() && found->second.description.address == configured_engine->address;
-            next.emplace(name, is_same ? found->second : Engine { this->options.make_engine(*configured_engine), *configured_engine });
+            next.emplace(name, is_same ? found->second : Engine { this->options.make_engine(*configured_engine), *configured_engine, false, monotonic_now() });
         }
     }
     this->engines = std::move(next);
     this->scheduler.set_engines(kept);
-    for (auto const& name : this->drained)
-        this->scheduler.set_leaving(name, EngineReport::Life::Leaving);
+    this->update_leaving();
     LogLine("cells").with("generation", this->mapped_generation).with("machines", static_cast<std::int64_t>(machines.size())).with("cells", static_cast<std::int64_t>(map.cell_count())).with("engines_kept", static_cast<std::int64_t>(kept.size()));
 }
 
+// Whichever hint says that an engine is leaving, it gets nothing new while any of them does.
+void CellKeeper::update_leaving()
+{
+    for (auto const& [name, engine] : this->engines) {
+        bool const is_listed = std::find(this->listed_leaving.begin(), this->listed_leaving.end(), name) != this->listed_leaving.end();
+        bool const is_leaving = is_listed || this->drained.contains(name);
+        this->scheduler.set_leaving(name, is_leaving ? EngineReport::Life::Leaving : EngineReport::Life::Serving);
+    }
+}
+
+void CellKeeper::hand_over()
+{
+    this->is_handing_over = true;
+    for (auto const& [request, respond] : std::exchange(this->pending_asks, {})) {
+        this->scheduler.release(request, 0, monotonic_now());
+        respond(error_reply(wire::ERROR_CODE_NOT_KEEPER));
+    }
+}
+
+void CellKeeper::take_grant_records(wire::GrantRecords const& records)
+{
+    for (auto const& record : records.records()) {
+        PlacementAsk ask;
+        ask.request = record.request();
+        ask.account = record.account();
+        ask.model = record.model();
+        ask.origin = records.origin();
+        ask.prompt_tokens = std::max<std::int64_t>(0, record.prompt_tokens());
+        this->scheduler.restore(std::move(ask), record.prefill_engine(), record.decode_engine(), read_progress(record.progress()), monotonic_now());
+    }
+}
+
 void CellKeeper::tick()
 {
     this->update_cells();
+    auto leaving = this->kernel.directory().leaving_machines();
+    if (leaving != this->listed_leaving) {
+        this->listed_leaving = std::move(leaving);
+        this->update_leaving();
+    }
     this->scheduler.advance(monotonic_now());
     this->publish_decisions();
 }
@@ -143,6 +180,8 @@
         this->pending_asks.erase(request.release().request());
         this->scheduler.release(request.release().request(), request.release().output_tokens(), now);
         return this->publish_decisions();
+    case wire::Envelope::kGrantRecords:
+        return this->take_grant_records(request.grant_records());
     case wire::Envelope::kLocate:
         return this->handle_locate(request.locate(), respond);
     case wire::Envelope::kDrain:
@@ -161,7 +200,7 @@
     if (!this->configuration)
         return respond(error_reply(wire::ERROR_CODE_NOT_READY));
     this->update_cells();
-    if (this->engines.empty())
+    if (this->engines.empty() || this->is_handing_over)
         return respond(error_reply(wire::ERROR_CODE_NOT_KEEPER));
     auto const now = monotonic_now();
     PlacementAsk ask;
@@ -239,7 +278,7 @@
         this->drained.insert(message.engine());
     else
         this->drained.erase(message.engine());
-    this->scheduler.set_leaving(message.engine(), message.leaving() ? EngineReport::Life::Leaving : EngineReport::Life::Serving);
+    this->update_leaving();
     LogLine("drain").with("engine", message.engine()).with("leaving", message.leaving() ? "yes" : "no");
 }
 
@@ -284,7 +323,10 @@
 
 void CellKeeper::take_report(std::string const& name, EngineReport const& report)
 {
-    this->scheduler.report(name, report, monotonic_now());
+    auto const found = this->engines.find(name);
+    bool const is_settled = found != this->engines.end() && monotonic_now() - found->second.kept_since >= this->options.settle_time;
+    if (is_settled)
+        this->scheduler.report(name, report, monotonic_now());
     this->publish_decisions();
     this->reap(name, report);
 }
--- a/Services/PlacementServer/CellKeeper.h
+++ b/Services/PlacementServer/CellKeeper.h
@@ -33,6 +33,8 @@
         std::size_t engine_callers = 8;
         CellScheduler::Options scheduler {};
         HeldWorkReaper::Options reaper {};
+        /// A keeper that is new to an engine waits this long for what entries were granted before.
+        Duration settle_time = milliseconds(500);
         /// An origin that is missing from the directory for this long is gone.
         Duration origin_grace = seconds(4);
         EngineFactory make_engine;
@@ -47,6 +49,8 @@
     void stop();
     void configure(std::shared_ptr<Configuration const> configuration);
     void handle(wire::Envelope const& request, Kernel::Responder const& respond);
+    /// Sends those who wait to the next keeper and takes nothing new.
+    void hand_over();
     bool is_ready() const { return this->configured; }
 
 private:
@@ -54,6 +58,7 @@
         std::shared_ptr<EnginePort> port;
         ConfiguredEngine description;
         bool is_polled = false;
+        MonotonicTime kept_since;
     };
 
     void tick();
@@ -61,6 +66,8 @@
     void handle_ask(wire::PlacementAsk const& message, Kernel::Responder const& respond);
     void handle_locate(wire::Locate const& message, Kernel::Responder const& respond);
     void handle_drain(wire::Drain const& message);
+    void take_grant_records(wire::GrantRecords const& records);
+    void update_leaving();
     void publish_decisions();
     void answer_grant(PlacementGrant const& grant);
     void answer_refusal(PlacementRefusal const& refusal);
@@ -83,6 +90,8 @@
     std::vector<std::string> mapped_machines;
     std::map<std::string, Engine> engines;
     std::set<std::string> drained;
+    std::vector<std::string> listed_leaving;
+    bool is_handing_over = false;
     std::map<std::string, Kernel::Responder, std::less<>> pending_asks;
     std::map<std::string, MonotonicTime> missing_origins;
     asio::thread_pool pool;
--- a/Services/PlacementServer/PlacementServer.cpp
+++ b/Services/PlacementServer/PlacementServer.cpp
@@ -1,11 +1,21 @@
 // SPDX-FileCopyrightText: 2026 The Spurtide developers
 // SPDX-License-Identifier: BSD-2-Clause
 
+#include <LibCore/Clock.h>
+#include <LibService/WireMetrics.h>
 #include <LibUpstream/HttpEngine.h>
 #include <Services/PlacementServer/PlacementServer.h>
+#include <thread>
 
 namespace Spurtide {
 
+namespace {
+
+constexpr Duration HAND_OVER_LIMIT = milliseconds(1500);
+constexpr Duration HAND_OVER_POLL = milliseconds(20);
+
+}
+
 Result<PlacementServer::Options, SettingsError> PlacementServer::read_options(nlohmann::json const& settings, std::string_view source)
 {
     std::vector<SettingsFault> faults;
@@ -51,6 +61,7 @@
     server->kernel->host("placement", [keeper](auto const& request, auto respond) { keeper->handle(request, respond); });
     server->listener->serve_operations(server->metrics, [keeper] { return keeper->is_ready(); });
     server->keeper->start();
+    publish_wire_metrics(*server->kernel, server->metrics);
     server->follower->start();
     server->kernel->start();
     server->listener->start();
@@ -59,8 +70,23 @@
 
 PlacementServer::~PlacementServer() { this->stop(); }
 
+void PlacementServer::hand_over()
+{
+    this->kernel->withdraw("placement");
+    this->kernel->post([keeper = this->keeper.get()] { keeper->hand_over(); });
+    // Peers that did not hear of it yet are told by this process itself that it keeps nothing.
+    auto const until = monotonic_now() + HAND_OVER_LIMIT;
+    while (monotonic_now() < until && this->kernel->directory().resolve_on(this->kernel->virtual_machine(), "placement"))
+        std::this_thread::sleep_for(HAND_OVER_POLL);
+}
+
 void PlacementServer::stop()
 {
+    if (this->stopped)
+        return;
+    this->stopped = true;
+    if (this->keeper && this->kernel)
+        this->hand_over();
     if (this->keeper)
         this->keeper->stop();
     if (this->kernel)
--- a/Services/PlacementServer/PlacementServer.h
+++ b/Services/PlacementServer/PlacementServer.h
@@ -31,13 +31,16 @@
     PlacementServer(PlacementServer const&) = delete;
     PlacementServer& operator=(PlacementServer const&) = delete;
 
+    /// Hands its cells over to the next keeper, then stops.
     void stop();
     std::string const& wire_endpoint() const { return this->kernel->endpoint(); }
     Address const& http_address() const { return this->listener->address(); }
 
 private:
     PlacementServer() = default;
+    void hand_over();
 
+    bool stopped = false;
     Metrics metrics;
     std::unique_ptr<Kernel> kernel;
     std::unique_ptr<HttpListener> listener;
--- a/Utilities/spurtide-load/main.cpp
+++ b/Utilities/spurtide-load/main.cpp
@@ -2,6 +2,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 
 #include <LibCore/ProgramOptions.h>
+#include <Utilities/spurtide-load/Experiments.h>
 #include <Utilities/spurtide-load/LoadRunner.h>
 #include <array>
 #include <atomic>
@@ -30,6 +31,8 @@
     Concurrency = 'j',
     Output = 'o',
     ShowAnswers = 'a',
+    Seeds = 'S',
+    Length = 'L',
     Help = 'h',
     Version = 'v',
 };
@@ -39,12 +42,15 @@
     std::string prompts;
     std::string output;
     std::int64_t shown_answers = 0;
+    int experiment_seeds = 10;
+    std::int64_t experiment_seconds = 40;
 };
 
 void print_help()
 {
     std::cout << "spurtide-load - load and experiments for a spurtide deployment\n\n"
-                 "Usage: spurtide-load run --targets HOST:PORT,... --prompts FILE [OPTIONS]\n\n"
+                 "Usage: spurtide-load run --targets HOST:PORT,... --prompts FILE [OPTIONS]\n"
+                 "       spurtide-load experiment NAME [--seeds N] [--length SECONDS] [--output FILE]\n\n"
                  "  -t, --targets LIST       entries, separated by commas (loopback only)\n"
                  "  -k, --key KEY            the account's bearer key (or SPURTIDE_KEY)\n"
                  "  -p, --prompts FILE       workload, one JSON object a line\n"
@@ -57,8 +63,14 @@
                  "  -j, --concurrency N      connections at once (default 64)\n"
                  "  -o, --output FILE        write the report as JSON too\n"
                  "  -a, --show-answers N     print the first answers\n"
+                 "  -S, --seeds N            experiment: seeds 1 to N (default 10)\n"
+                 "  -L, --length SECONDS     experiment: virtual seconds of each run (default 40)\n"
                  "  -h, --help               print this help\n"
                  "  -v, --version            print the version\n\n"
+                 "Experiments (one cell in virtual time):\n";
+    for (auto const& experiment : all_experiments())
+        std::cout << "  " << experiment.name << std::string(25 - experiment.name.size(), ' ') << experiment.summary << "\n";
+    std::cout << "\n"
                  "Exit codes: 0 every answer whole and nothing held, 1 not so, 2 bad usage, 3 bad workload.\n";
 }
 
@@ -127,6 +139,10 @@
         return read_integer(1, 2000, options.load.concurrency);
     case OptionCode::ShowAnswers:
         return read_integer(0, 1000, options.shown_answers);
+    case OptionCode::Seeds:
+        return read_integer(1, 1000, options.experiment_seeds);
+    case OptionCode::Length:
+        return read_integer(1, 3600, options.experiment_seconds);
     default:
         return false;
     }
@@ -139,6 +155,21 @@
     std::cout << "[" << result.kind << "] request=" << result.request << (result.code.empty() ? "" : " code=" + result.code) << "\n    " << result.text << "\n";
 }
 
+int run_experiment(std::string_view name, Options const& options)
+{
+    for (auto const& experiment : all_experiments()) {
+        if (experiment.name != name)
+            continue;
+        auto const outcome = experiment.run(options.experiment_seeds, seconds(options.experiment_seconds));
+        std::cout << experiment_table(outcome);
+        if (!options.output.empty())
+            std::ofstream(options.output) << experiment_json(outcome) << "\n";
+        return exit_with(ExitCode::Success);
+    }
+    std::cerr << "spurtide-load: there is no experiment " << name << "; try spurtide-load --help\n";
+    return exit_with(ExitCode::BadUsage);
+}
+
 int run(Options& options)
 {
     auto items = read_prompt_file(options.prompts);
@@ -169,7 +200,7 @@
 
 int main(int argument_count, char** arguments)
 {
-    std::array<option, 15> const long_options { {
+    std::array<option, 17> const long_options { {
         { "targets", required_argument, nullptr, static_cast<int>(OptionCode::Targets) },
         { "key", required_argument, nullptr, static_cast<int>(OptionCode::Key) },
         { "prompts", required_argument, nullptr, static_cast<int>(OptionCode::Prompts) },
@@ -182,6 +213,8 @@
         { "concurrency", required_argument, nullptr, static_cast<int>(OptionCode::Concurrency) },
         { "output", required_argument, nullptr, static_cast<int>(OptionCode::Output) },
         { "show-answers", required_argument, nullptr, static_cast<int>(OptionCode::ShowAnswers) },
+        { "seeds", required_argument, nullptr, static_cast<int>(OptionCode::Seeds) },
+        { "length", required_argument, nullptr, static_cast<int>(OptionCode::Length) },
         { "help", no_argument, nullptr, static_cast<int>(OptionCode::Help) },
         { "version", no_argument, nullptr, static_cast<int>(OptionCode::Version) },
         { nullptr, 0, nullptr, 0 },
@@ -194,7 +227,7 @@
     if (auto const* key = std::getenv("SPURTIDE_KEY"))
         options.load.key = key;
     int code = 0;
-    while ((code = getopt_long(argument_count, arguments, "t:k:p:n:r:s:c:m:e:j:o:a:hv", long_options.data(), nullptr)) != -1) {
+    while ((code = getopt_long(argument_count, arguments, "t:k:p:n:r:s:c:m:e:j:o:a:S:L:hv", long_options.data(), nullptr)) != -1) {
         if (static_cast<OptionCode>(code) == OptionCode::Help) {
             print_help();
             return exit_with(ExitCode::Success);
@@ -208,6 +241,8 @@
             return exit_with(ExitCode::BadUsage);
         }
     }
+    if (optind + 2 == argument_count && std::string_view(arguments[optind]) == "experiment")
+        return run_experiment(arguments[optind + 1], options);
     bool const is_run = optind + 1 == argument_count && std::string_view(arguments[optind]) == "run";
     if (!is_run || options.load.targets.empty() || options.prompts.empty()) {
         std::cerr << "spurtide-load: run, --targets and --prompts are needed; try spurtide-load --help\n";
