LibDecision: Promise only slots whose release is still ahead, and refuse what would be late

Grants were given without looking at their own predicted first token; and a request that outlived its predicted length counted as a free slot, so prefills waited for slots that did not come. Change: a grant that would be late is refused at once; predictions carry the learned lateness; an overdue request promises nothing.

--- a/Libraries/LibDecision/CellScheduler.cpp
+++ b/Libraries/LibDecision/CellScheduler.cpp
@@ -11,7 +11,10 @@
 
 namespace {
 
-    constexpr double OUTPUT_QUANTILE = 0.8;
+    constexpr double LATENESS_QUANTILE = 0.95;
+/// More than this is a fault somewhere and no matter of prediction.
+constexpr Duration LONGEST_LATENESS = milliseconds(400);
+constexpr double OUTPUT_QUANTILE = 0.8;
     constexpr double FIRST_OUTPUT_ESTIMATE = 64;
     constexpr double RATE_SMOOTHING = 0.2;
     constexpr Duration SHORTEST_RETRY_AFTER = milliseconds(100);
@@ -43,6 +46,7 @@
 
 CellScheduler::CellScheduler(Options options)
     : options(std::move(options))
+    , lateness(LATENESS_QUANTILE, 0)
 {
     if (!this->options.policy.choose_prefill)
         this->options.policy.choose_prefill = earliest;
@@ -258,8 +262,11 @@
         }
         this->end_prefill(granted.prefill_engine, request, now);
     }
-    if (progress == GrantProgress::Decoding && granted.phase != GrantProgress::Decoding)
+    if (progress == GrantProgress::Decoding && granted.phase != GrantProgress::Decoding) {
         granted.decode_from = now;
+        if (granted.predicted_first_token != MonotonicTime {})
+            this->lateness.add(std::max(0.0, to_seconds(now - granted.predicted_first_token) * 1000));
+    }
     granted.phase = progress;
     this->schedule(now);
 }
@@ -375,15 +382,33 @@
 {
     this->refuse_hopeless(model, now);
     while (auto const index = this->next_waiting(model)) {
-        auto const placement = this->find_placement(this->waiting[*index], now);
-        if (!placement)
+        if (this->schedule_one(*index, now) == ScheduleStep::MustWait)
             return;
-        auto ask = std::move(this->waiting[*index]);
-        this->waiting.erase(this->waiting.begin() + static_cast<std::ptrdiff_t>(*index));
-        this->grant(std::move(ask), *placement, now);
     }
 }
 
+CellScheduler::ScheduleStep CellScheduler::schedule_one(std::size_t index, MonotonicTime now)
+{
+    auto const placement = this->find_placement(this->waiting[index], now);
+    if (!placement)
+        return ScheduleStep::MustWait;
+    auto ask = std::move(this->waiting[index]);
+    this->waiting.erase(this->waiting.begin() + static_cast<std::ptrdiff_t>(index));
+    // The best place now is the best there will be: later only is later.
+    bool const is_late = placement->first_token + this->expected_lateness() > ask.first_token_deadline;
+    if (is_late && this->options.policy.early_refusal == SchedulerPolicy::EarlyRefusal::On) {
+        this->refuse(ask, RefusalReason::CannotMeetFirstToken, this->expected_wait(ask.model, now));
+        return ScheduleStep::Refused;
+    }
+    this->grant(std::move(ask), *placement, now);
+    return ScheduleStep::Placed;
+}
+
+Duration CellScheduler::expected_lateness() const
+{
+    return std::min(LONGEST_LATENESS, from_seconds(this->lateness.estimate() / 1000));
+}
+
 void CellScheduler::refuse_hopeless(std::string const& model, MonotonicTime now)
 {
     bool const refuse_early = this->options.policy.early_refusal == SchedulerPolicy::EarlyRefusal::On;
@@ -471,7 +496,7 @@
     for (auto const& [name, engine] : this->engines) {
         if (engine.description.role != EngineRole::Prefill || engine.description.model != ask.model || !this->is_usable(engine, now))
             continue;
-        auto const first = this->busy_until(engine, now) + this->prefill_time(engine, ask) + this->transfer_time(engine, ask) + engine.step_time;
+        auto const first = this->busy_until(engine, now) + this->prefill_time(engine, ask) + this->transfer_time(engine, ask) + engine.step_time + this->expected_lateness();
         best = best ? std::min(*best, first) : first;
     }
     return best;
@@ -499,7 +524,7 @@
         auto const ready = placement.prefill_end + this->transfer_time(engine, ask);
         auto free = this->usable_slots(engine) - static_cast<std::int64_t>(engine.slots.size());
         if (free <= 0)
-            free += this->releases_before(engine, ready - this->options.safety_margin);
+            free += this->releases_before(engine, now, ready - this->options.safety_margin);
         if (free > 0 || this->options.policy.slot_promise == SchedulerPolicy::SlotPromise::Ignored)
             candidates.push_back({ name, free, ready });
     }
@@ -507,17 +532,21 @@
         return {};
     auto const& chosen = candidates[this->options.policy.choose_decode(candidates)];
     placement.decode = chosen.engine;
-    placement.first_token = chosen.ready;
+    placement.first_token = chosen.ready + this->engines.find(chosen.engine)->second.step_time;
     placement.candidates += candidates.size();
     return placement;
 }
 
-std::int64_t CellScheduler::releases_before(Engine const& engine, MonotonicTime when) const
+std::int64_t CellScheduler::releases_before(Engine const& engine, MonotonicTime now, MonotonicTime when) const
 {
     std::int64_t count = 0;
     for (auto const& request : engine.slots) {
         auto const found = this->granted.find(request);
-        if (found != this->granted.end() && found->second.phase == GrantProgress::Decoding && this->predicted_release(found->second) <= when)
+        if (found == this->granted.end() || found->second.phase != GrantProgress::Decoding)
+            continue;
+        // A request that outlived its prediction says nothing of when it ends.
+        auto const release = this->predicted_release(found->second);
+        if (release > now && release <= when)
             ++count;
     }
     return count;
@@ -549,6 +578,7 @@
     granted.prefill_engine = placement.prefill;
     granted.decode_engine = placement.decode;
     granted.granted_at = now;
+    granted.predicted_first_token = placement.first_token;
     prefill.prefills.push_back({ ask.request, ask.prompt_tokens + ask.relayed_tokens, now });
     this->engines.find(placement.decode)->second.slots.insert(ask.request);
     auto const account = this->accounts.find(ask.account);
--- a/Libraries/LibDecision/CellScheduler.h
+++ b/Libraries/LibDecision/CellScheduler.h
@@ -242,6 +242,7 @@
         /// Whether the origin said that it uses the grant.
         bool taken_up = false;
         MonotonicTime granted_at;
+        MonotonicTime predicted_first_token;
         MonotonicTime decode_from;
     };
 
@@ -259,8 +260,16 @@
         std::size_t candidates = 0;
     };
 
+    enum class ScheduleStep {
+        Placed,
+        Refused,
+        MustWait,
+    };
+
     void schedule(MonotonicTime now);
     void schedule_model(std::string const& model, MonotonicTime now);
+    ScheduleStep schedule_one(std::size_t index, MonotonicTime now);
+    Duration expected_lateness() const;
     void refuse_hopeless(std::string const& model, MonotonicTime now);
     std::optional<std::size_t> next_waiting(std::string_view model) const;
     std::optional<Placement> find_placement(PlacementAsk const& ask, MonotonicTime now);
@@ -276,7 +285,7 @@
     MonotonicTime busy_until(Engine const& engine, MonotonicTime now) const;
     bool is_usable(Engine const& engine, MonotonicTime now) const;
     std::int64_t usable_slots(Engine const& engine) const;
-    std::int64_t releases_before(Engine const& engine, MonotonicTime when) const;
+    std::int64_t releases_before(Engine const& engine, MonotonicTime now, MonotonicTime when) const;
     MonotonicTime predicted_release(Granted const& granted) const;
     Duration prefill_time(Engine const& engine, PlacementAsk const& ask) const;
     Duration transfer_time(Engine const& engine, PlacementAsk const& ask) const;
@@ -288,6 +297,8 @@
     std::map<std::string, Engine, std::less<>> engines;
     std::map<std::string, Account, std::less<>> accounts;
     std::map<std::string, QuantileEstimator, std::less<>> output_estimates;
+    /// By how much first tokens came later than predicted, as a high quantile in milliseconds.
+    QuantileEstimator lateness;
     std::vector<PlacementAsk> waiting;
     std::map<std::string, Granted, std::less<>> granted;
     /// Requests released lately: reports lag and still name them.
--- a/Utilities/spurtide-load/CellExperiment.cpp
+++ b/Utilities/spurtide-load/CellExperiment.cpp
@@ -133,10 +133,12 @@
                 this->arrive(now);
             this->next_arrival += this->next_gap();
         }
-        auto const open_now = this->open;
-        for (auto const& name : open_now)
+        // Those that wait change by decisions alone, but for callers that go away.
+        bool const is_tick = now >= this->next_tick;
+        auto const followed = is_tick ? this->open : this->placed;
+        for (auto const& name : followed)
             this->follow(this->requests.at(name), now);
-        if (now >= this->next_tick) {
+        if (is_tick) {
             this->scheduler->advance(now);
             this->next_tick = now + TICK;
         }
@@ -186,6 +188,7 @@
 {
     ++request.attempt;
     request.phase = Phase::Waiting;
+    this->placed.erase(request.name);
     request.work = request.name + "." + std::to_string(request.attempt);
     this->request_of_work[request.work] = request.name;
     PlacementAsk ask;
@@ -215,8 +218,7 @@
         auto& request = this->requests.at(this->request_of_work.at(refusal.request));
         if (request.phase == Phase::Over)
             continue;
-        request.phase = Phase::Over;
-        this->open.erase(request.name);
+        this->close(request);
         if (request.is_counted) {
             ++(request.attempt > 1 ? this->result.failed : this->result.refused);
             ++this->result.refusals[std::string(to_string(refusal.reason))];
@@ -233,6 +235,7 @@
     request.prefill = grant.prefill_engine;
     request.decode = grant.decode_engine;
     request.phase = Phase::Prefilling;
+    this->placed.insert(request.name);
     this->scheduler->progress(request.work, GrantProgress::Prefilling, now);
     auto& engine = this->engines.find(request.prefill)->second;
     EngineModel::Prefill prefill { { request.work, "entry", request.account }, request.prompt_tokens, request.prefixes, 1, 0 };
@@ -245,8 +248,7 @@
 {
     if (now >= request.leaves && request.phase != Phase::Over) {
         this->drop_work(request, now);
-        request.phase = Phase::Over;
-        this->open.erase(request.name);
+        this->close(request);
         this->result.cancelled += request.is_counted ? 1 : 0;
         return;
     }
@@ -333,21 +335,26 @@
     this->scheduler->release(request.work, 0, now);
 }
 
+void CellExperiment::close(Request& request)
+{
+    request.phase = Phase::Over;
+    this->open.erase(request.name);
+    this->placed.erase(request.name);
+}
+
 void CellExperiment::place_again(Request& request, MonotonicTime now)
 {
     this->drop_work(request, now);
     if (request.attempt < MOST_ATTEMPTS)
         return this->ask(request, now);
-    request.phase = Phase::Over;
-    this->open.erase(request.name);
+    this->close(request);
     this->result.failed += request.is_counted ? 1 : 0;
 }
 
 void CellExperiment::finish(Request& request, MonotonicTime now)
 {
     this->scheduler->release(request.work, request.output_tokens, now);
-    request.phase = Phase::Over;
-    this->open.erase(request.name);
+    this->close(request);
     if (!request.is_counted)
         return;
     ++this->result.finished;
--- a/Utilities/spurtide-load/CellExperiment.h
+++ b/Utilities/spurtide-load/CellExperiment.h
@@ -154,6 +154,7 @@
     void follow_transfer(Request& request, MonotonicTime now);
     void follow_decode(Request& request, MonotonicTime now);
     void place_again(Request& request, MonotonicTime now);
+    void close(Request& request);
     void drop_work(Request& request, MonotonicTime now);
     void finish(Request& request, MonotonicTime now);
     void report(MonotonicTime now);
@@ -171,6 +172,8 @@
     std::unique_ptr<CellScheduler> scheduler;
     std::map<std::string, Request> requests;
     std::set<std::string> open;
+    /// Those of the open ones that were granted a place.
+    std::set<std::string> placed;
     std::map<std::string, std::string> request_of_work;
     MonotonicTime next_arrival;
     MonotonicTime next_report;
