PlacementServer: Give nothing new to an engine that did not answer an entry

Ruled out: a shorter validity, which would drop engines whose reports are merely late. Change: an entry tells the keeper; the engine is left out until its next report. Streams that are placed again go on at their offset in the experiment too, and a prefill that gave tokens counts as used.

--- a/Libraries/LibDecision/CellScheduler.cpp
+++ b/Libraries/LibDecision/CellScheduler.cpp
@@ -199,6 +199,13 @@
     this->granted.emplace(held.request, std::move(granted));
 }
 
+void CellScheduler::note_failure(std::string_view name)
+{
+    auto const found = this->engines.find(name);
+    if (found != this->engines.end())
+        found->second.last_report.reset();
+}
+
 void CellScheduler::set_leaving(std::string_view name, EngineReport::Life life)
 {
     auto const found = this->engines.find(name);
--- a/Libraries/LibDecision/CellScheduler.h
+++ b/Libraries/LibDecision/CellScheduler.h
@@ -176,6 +176,8 @@
     void set_accounts(std::span<AccountDescription const> accounts, MonotonicTime now);
 
     void report(std::string_view engine, EngineReport const& report, MonotonicTime now);
+    /// An entry could not reach the engine. It gets nothing new until it reports again.
+    void note_failure(std::string_view engine);
     /// A hint from elsewhere (VM list, operator's drain) that an engine is leaving. Stays until cleared.
     void set_leaving(std::string_view engine, EngineReport::Life life);
 
--- a/Services/EntryServer/ModelCall.cpp
+++ b/Services/EntryServer/ModelCall.cpp
@@ -118,6 +118,8 @@
 {
     LogLine("attempt_failed").with("request", this->order.request).with("attempt", this->attempt).with("phase", to_string(this->state.phase())).with("reason", to_string(error.kind)).with("prefill", this->placement.prefill_engine).with("decode", this->placement.decode_engine);
     this->context.metrics.increment("spurtide_attempts_failed_total", "Attempts at upstreams that failed.", { { "reason", std::string(to_string(error.kind)) } });
+    if (error.kind == EngineErrorKind::Unreachable || error.kind == EngineErrorKind::Lost)
+        this->context.placement.tell_failure(this->work, this->is_decode_dispatched ? this->placement.decode_engine : this->placement.prefill_engine);
     this->drop_work();
     if (this->caller_present() == ReadMore::No) {
         this->move(RequestEvent::CallerLeft);
--- a/Services/EntryServer/PlacementClient.cpp
+++ b/Services/EntryServer/PlacementClient.cpp
@@ -142,10 +142,10 @@
     return endpoints;
 }
 
-std::vector<std::string> PlacementClient::keepers_of(std::string_view decode_engine)
+std::vector<std::string> PlacementClient::keepers_of(std::string_view engine)
 {
     auto const cells = this->current_map();
-    auto const cell = cells->cells.cell_of(decode_engine);
+    auto const cell = cells->cells.cell_of(engine);
     if (!cell)
         return {};
     auto endpoint = this->kernel.directory().resolve_on(cells->cells.keeper_of(*cell), "placement");
@@ -286,6 +286,16 @@
         this->kernel.notify(endpoint, release_message(work, output_tokens));
 }
 
+void PlacementClient::tell_failure(std::string const& work, std::string const& failed_engine)
+{
+    for (auto const& endpoint : this->keepers_of(failed_engine)) {
+        // The work's own release follows when it was cancelled; this one names no request that is held.
+        auto message = release_message(work + "/failure", 0);
+        message.mutable_release()->set_failed_engine(failed_engine);
+        this->kernel.notify(endpoint, std::move(message));
+    }
+}
+
 std::optional<std::string> PlacementClient::locate(std::string const& work, std::string_view account)
 {
     for (auto const& endpoint : this->keepers_to_ask(work)) {
--- a/Services/EntryServer/PlacementClient.h
+++ b/Services/EntryServer/PlacementClient.h
@@ -40,6 +40,8 @@
     Result<GrantedPlacement, Problem> ask(PlacementAsk const& ask, Duration first_token_within);
     void progress(std::string const& work, std::string const& decode_engine, GrantProgress progress);
     void release(std::string const& work, std::string const& decode_engine, std::int64_t output_tokens);
+    /// Tells the keeper that an engine did not answer, so that nothing new goes there until it reports.
+    void tell_failure(std::string const& work, std::string const& failed_engine);
 
     /// The engine that a request's stream is on, by any keeper.
     std::optional<std::string> locate(std::string const& work, std::string_view account);
@@ -73,7 +75,7 @@
     void tell_new_keepers();
     void note_granted(PlacementAsk const& ask, GrantedPlacement const& granted);
     std::vector<std::string> keepers_to_ask(std::string_view work);
-    std::vector<std::string> keepers_of(std::string_view decode_engine);
+    std::vector<std::string> keepers_of(std::string_view engine);
     Result<GrantedPlacement, Problem> read_reply(wire::Envelope const& reply) const;
 
     Kernel& kernel;
--- a/Services/PlacementServer/CellKeeper.cpp
+++ b/Services/PlacementServer/CellKeeper.cpp
@@ -178,6 +178,10 @@
         return this->publish_decisions();
     case wire::Envelope::kRelease:
         this->pending_asks.erase(request.release().request());
+        if (!request.release().failed_engine().empty()) {
+            LogLine("engine_failure").with("engine", request.release().failed_engine()).with("request", request.release().request());
+            this->scheduler.note_failure(request.release().failed_engine());
+        }
         this->scheduler.release(request.release().request(), request.release().output_tokens(), now);
         return this->publish_decisions();
     case wire::Envelope::kGrantRecords:
--- a/Tests/LibDecision/TestCellScheduler.cpp
+++ b/Tests/LibDecision/TestCellScheduler.cpp
@@ -227,6 +227,17 @@
     }
 }
 
+TEST_CASE("An engine that did not answer an entry gets nothing new until it reports again", "[held][kill]")
+{
+    Cell cell(1, 2, 4);
+    cell.scheduler.note_failure("d0");
+    cell.ask("r1", 20);
+    CHECK(cell.decisions() == Texts { "grant r1 p0 d1" });
+    cell.report_all(at_milliseconds(30));
+    cell.ask("r2", 40);
+    CHECK(cell.decisions() == Texts { "grant r2 p0 d0" });
+}
+
 TEST_CASE("A new keeper grants nothing before it heard from the engines and counts what they hold", "[held][kill]")
 {
     CellScheduler scheduler({});
--- a/Utilities/spurtide-load/CellExperiment.cpp
+++ b/Utilities/spurtide-load/CellExperiment.cpp
@@ -197,8 +197,10 @@
     ask.model = "llm";
     ask.origin = "entry";
     ask.prompt_tokens = request.prompt_tokens;
+    ask.relayed_tokens = request.seen_tokens;
     ask.maximum_output_tokens = static_cast<std::int64_t>(LONGEST_OUTPUT_FACTOR * this->workload.mean_output_tokens);
-    ask.first_token_deadline = request.arrived + FIRST_TOKEN_TARGET;
+    // A stream that is placed again goes on at its offset; its caller waits for the next token.
+    ask.first_token_deadline = (request.seen_tokens > 0 ? now : request.arrived) + FIRST_TOKEN_TARGET;
     if (this->policy.order == CellPolicy::Order::Arrival) {
         // One account and the order of arrival as the deadline stand for a plain queue.
         ask.account = "account-0";
@@ -238,7 +240,7 @@
     this->placed.insert(request.name);
     this->scheduler->progress(request.work, GrantProgress::Prefilling, now);
     auto& engine = this->engines.find(request.prefill)->second;
-    EngineModel::Prefill prefill { { request.work, "entry", request.account }, request.prompt_tokens, request.prefixes, 1, 0 };
+    EngineModel::Prefill prefill { { request.work, "entry", request.account }, request.prompt_tokens + request.seen_tokens, request.prefixes, 1, request.seen_tokens };
     // An order to an engine that does not answer is only noticed by its silence.
     if (!engine.has_failed)
         static_cast<void>(engine.model.start_prefill(std::move(prefill), now));
@@ -280,7 +282,7 @@
     auto& decode = this->engines.find(request.decode)->second;
     if (decode.has_failed)
         return this->place_again(request, now);
-    EngineModel::Decode order { { request.work, "entry", request.account }, exported->bytes, 1, 0, request.output_tokens };
+    EngineModel::Decode order { { request.work, "entry", request.account }, exported->bytes, 1, request.seen_tokens, request.output_tokens };
     static_cast<void>(decode.model.start_decode(std::move(order), now));
     request.phase = Phase::Transferring;
 }
@@ -307,7 +309,9 @@
 {
     auto& decode = this->engines.find(request.decode)->second;
     if (decode.has_failed) {
-        this->wasted_by_failure += static_cast<double>(request.prefilled_here);
+        // A prefill that gave tokens which the caller has was used.
+        if (request.seen_tokens == 0)
+            this->wasted_by_failure += static_cast<double>(request.prefilled_here);
         return this->place_again(request, now);
     }
     auto const stream = decode.model.find_stream(request.work);
@@ -344,6 +348,11 @@
 
 void CellExperiment::place_again(Request& request, MonotonicTime now)
 {
+    // The entry tells the keeper which engine did not answer; the baselines know reports alone.
+    for (auto const& name : { request.prefill, request.decode }) {
+        if (this->engines.find(name)->second.has_failed && this->policy.hears_failures == CellPolicy::HearsFailures::Yes)
+            this->scheduler->note_failure(name);
+    }
     this->drop_work(request, now);
     if (request.attempt < MOST_ATTEMPTS)
         return this->ask(request, now);
@@ -404,6 +413,13 @@
     auto conclusion = this->result;
     conclusion.seconds = to_seconds(this->workload.length);
     for (auto const& [name, engine] : this->engines) {
+        // What a failed engine held went with it.
+        if (engine.has_failed) {
+            for (auto const& held : engine.model.held()) {
+                if (auto const exported = engine.model.find_export(held.owner.request))
+                    conclusion.wasted_tokens += static_cast<double>(exported->tokens - exported->cached_tokens);
+            }
+        }
         conclusion.prefilled_tokens += static_cast<double>(engine.model.totals().prefilled_tokens);
         conclusion.wasted_tokens += static_cast<double>(engine.model.totals().wasted_tokens);
     }
--- a/Utilities/spurtide-load/CellExperiment.h
+++ b/Utilities/spurtide-load/CellExperiment.h
@@ -67,6 +67,12 @@
         Arrival,
     } order
         = Order::SharesAndDeadlines;
+    /// Whether entries tell the keeper of engines that did not answer them.
+    enum class HearsFailures {
+        No,
+        Yes,
+    } hears_failures
+        = HearsFailures::Yes;
 };
 
 /// What one run came to. Counts are of requests that arrived after the warm-up.
--- a/Utilities/spurtide-load/Experiments.cpp
+++ b/Utilities/spurtide-load/Experiments.cpp
@@ -34,6 +34,7 @@
     policy.name = std::move(name);
     policy.choice = choice;
     policy.order = CellPolicy::Order::Arrival;
+    policy.hears_failures = CellPolicy::HearsFailures::No;
     policy.scheduler.prefill_ahead = seconds(3600);
     policy.scheduler.policy.slot_promise = SchedulerPolicy::SlotPromise::Ignored;
     policy.scheduler.policy.early_refusal = SchedulerPolicy::EarlyRefusal::Off;
@@ -188,7 +189,12 @@
     auto two = at_load(0.9);
     two.name = "2 of 9 engines fail";
     two.hardware.failing_engines = 2;
-    return run_all("faults", { none, one_in_ten, two }, with_baselines(), seeds, length);
+    auto policies = with_baselines();
+    auto deaf = spurtide_policy();
+    deaf.name = "without told failures";
+    deaf.hears_failures = CellPolicy::HearsFailures::No;
+    policies.insert(policies.begin() + 1, deaf);
+    return run_all("faults", { none, one_in_ten, two }, policies, seeds, length);
 }
 
 ExperimentOutcome run_flood(int seeds, Duration length)
