--- a/Meta/install-dependencies.sh
+++ b/Meta/install-dependencies.sh
@@ -8,7 +8,7 @@
     g++ cmake ninja-build ccache pkg-config protobuf-compiler clang-format clang-tidy
     libasio-dev libzmq3-dev cppzmq-dev libprotobuf-dev prometheus-cpp-dev libcpp-httplib-dev
     libgoogle-glog-dev catch2 nlohmann-json3-dev libxxhash-dev libssl-dev libbenchmark-dev
-    curl jq
+    curl jq gnuplot-nox
 )
 
 missing=()
--- a/Meta/spurtide.sh
+++ b/Meta/spurtide.sh
@@ -10,6 +10,8 @@
   run       install, build, and serve the demo workload through real processes
   test      install, build, and run all tests
   build     install and build
+  prove     each promise under each fault: tests, and real processes killed, frozen and stopped
+  measure   all experiments with their tables and plots, and the decision benchmark
   check     formatting, linter and generated code
 TXT
 }
@@ -35,6 +37,18 @@
     build
     exec bash Meta/check.sh
     ;;
+prove)
+    build
+    results=$(mktemp)
+    bash Meta/prove-processes.sh "$results" && processes=0 || processes=1
+    PROCESS_RESULTS=$results bash Meta/prove.sh && tests=0 || tests=1
+    rm -f "$results"
+    exit $((processes | tests))
+    ;;
+measure)
+    build
+    exec bash Meta/measure.sh
+    ;;
 *)
     usage
     exit 2
--- a/Utilities/spurtide-load/main.cpp
+++ b/Utilities/spurtide-load/main.cpp
@@ -31,6 +31,7 @@
     Concurrency = 'j',
     Output = 'o',
     ShowAnswers = 'a',
+    Check = 'C',
     Seeds = 'S',
     Length = 'L',
     Help = 'h',
@@ -42,6 +43,7 @@
     std::string prompts;
     std::string output;
     std::int64_t shown_answers = 0;
+    bool check_only = false;
     int experiment_seeds = 10;
     std::int64_t experiment_seconds = 40;
 };
@@ -63,6 +65,7 @@
                  "  -j, --concurrency N      connections at once (default 64)\n"
                  "  -o, --output FILE        write the report as JSON too\n"
                  "  -a, --show-answers N     print the first answers\n"
+                 "  -C, --check              check the options and the workload and exit\n"
                  "  -S, --seeds N            experiment: seeds 1 to N (default 10)\n"
                  "  -L, --length SECONDS     experiment: virtual seconds of each run (default 40)\n"
                  "  -h, --help               print this help\n"
@@ -139,6 +142,9 @@
         return read_integer(1, 2000, options.load.concurrency);
     case OptionCode::ShowAnswers:
         return read_integer(0, 1000, options.shown_answers);
+    case OptionCode::Check:
+        options.check_only = true;
+        return true;
     case OptionCode::Seeds:
         return read_integer(1, 1000, options.experiment_seeds);
     case OptionCode::Length:
@@ -178,6 +184,10 @@
         return exit_with(ExitCode::BadSettings);
     }
     options.load.items = items.release_value();
+    if (options.check_only) {
+        std::cout << options.prompts << ": the workload is valid, " << options.load.items.size() << " kinds of requests\n";
+        return exit_with(ExitCode::Success);
+    }
     std::atomic<std::int64_t> shown = 0;
     options.load.on_result = [&](RequestResult const& result) {
         if (shown++ < options.shown_answers)
@@ -200,7 +210,7 @@
 
 int main(int argument_count, char** arguments)
 {
-    std::array<option, 17> const long_options { {
+    std::array<option, 18> const long_options { {
         { "targets", required_argument, nullptr, static_cast<int>(OptionCode::Targets) },
         { "key", required_argument, nullptr, static_cast<int>(OptionCode::Key) },
         { "prompts", required_argument, nullptr, static_cast<int>(OptionCode::Prompts) },
@@ -213,6 +223,7 @@
         { "concurrency", required_argument, nullptr, static_cast<int>(OptionCode::Concurrency) },
         { "output", required_argument, nullptr, static_cast<int>(OptionCode::Output) },
         { "show-answers", required_argument, nullptr, static_cast<int>(OptionCode::ShowAnswers) },
+        { "check", no_argument, nullptr, static_cast<int>(OptionCode::Check) },
         { "seeds", required_argument, nullptr, static_cast<int>(OptionCode::Seeds) },
         { "length", required_argument, nullptr, static_cast<int>(OptionCode::Length) },
         { "help", no_argument, nullptr, static_cast<int>(OptionCode::Help) },
@@ -227,7 +238,7 @@
     if (auto const* key = std::getenv("SPURTIDE_KEY"))
         options.load.key = key;
     int code = 0;
-    while ((code = getopt_long(argument_count, arguments, "t:k:p:n:r:s:c:m:e:j:o:a:S:L:hv", long_options.data(), nullptr)) != -1) {
+    while ((code = getopt_long(argument_count, arguments, "t:k:p:n:r:s:c:m:e:j:o:a:CS:L:hv", long_options.data(), nullptr)) != -1) {
         if (static_cast<OptionCode>(code) == OptionCode::Help) {
             print_help();
             return exit_with(ExitCode::Success);
--- a/Utilities/spurtide/Command.h
+++ b/Utilities/spurtide/Command.h
@@ -29,6 +29,7 @@
     enum class Run {
         Real,
         Dry,
+        CheckOnly,
     } run
         = Run::Real;
     std::vector<std::string> words;
--- a/Utilities/spurtide/main.cpp
+++ b/Utilities/spurtide/main.cpp
@@ -21,6 +21,7 @@
     BaseGeneration = 'b',
     ApplyId = 'i',
     DryRun = 'n',
+    Check = 'c',
     Help = 'h',
     Version = 'v',
 };
@@ -41,6 +42,7 @@
                  "  -b, --base-generation N    apply only on this generation (default: the one in force)\n"
                  "  -i, --apply-id ID          name of the change; the same id is accepted once\n"
                  "  -n, --dry-run              with apply: show the change and do nothing\n"
+                 "  -c, --check                check the command line and exit; nothing is sent\n"
                  "  -h, --help                 print this help\n"
                  "  -v, --version              print the version\n\n"
                  "A change begins with a file of the whole desired state:\n"
@@ -83,6 +85,9 @@
     case OptionCode::ApplyId:
         options.apply_id = optarg;
         return true;
+    case OptionCode::Check:
+        options.run = CommandOptions::Run::CheckOnly;
+        return true;
     case OptionCode::DryRun:
         options.run = CommandOptions::Run::Dry;
         return true;
@@ -99,6 +104,10 @@
         std::cerr << "spurtide: no such command, or wrong number of arguments; try spurtide --help\n";
         return exit_with(ExitCode::BadUsage);
     }
+    if (options.run == CommandOptions::Run::CheckOnly) {
+        std::cout << "spurtide: the command line is valid\n";
+        return exit_with(ExitCode::Success);
+    }
     return exit_with(found->run(options));
 }
 
@@ -106,12 +115,13 @@
 
 int main(int argument_count, char** arguments)
 {
-    std::array<option, 9> const long_options { {
+    std::array<option, 10> const long_options { {
         { "admin", required_argument, nullptr, static_cast<int>(OptionCode::Admin) },
         { "key-file", required_argument, nullptr, static_cast<int>(OptionCode::KeyFile) },
         { "output", required_argument, nullptr, static_cast<int>(OptionCode::Output) },
         { "base-generation", required_argument, nullptr, static_cast<int>(OptionCode::BaseGeneration) },
         { "apply-id", required_argument, nullptr, static_cast<int>(OptionCode::ApplyId) },
+        { "check", no_argument, nullptr, static_cast<int>(OptionCode::Check) },
         { "dry-run", no_argument, nullptr, static_cast<int>(OptionCode::DryRun) },
         { "help", no_argument, nullptr, static_cast<int>(OptionCode::Help) },
         { "version", no_argument, nullptr, static_cast<int>(OptionCode::Version) },
@@ -123,7 +133,7 @@
     options.key = environment("SPURTIDE_KEY", "");
     options.admin = parse_address(environment("SPURTIDE_ADMIN", "")).value_or(options.admin);
     int code = 0;
-    while ((code = getopt_long(argument_count, arguments, "a:k:o:b:i:nhv", long_options.data(), nullptr)) != -1) {
+    while ((code = getopt_long(argument_count, arguments, "a:k:o:b:i:nchv", long_options.data(), nullptr)) != -1) {
         if (static_cast<OptionCode>(code) == OptionCode::Help) {
             print_help();
             return exit_with(ExitCode::Success);
