--- a/Meta/slopes.sh
+++ b/Meta/slopes.sh
@@ -11,7 +11,7 @@
 ACCOUNT_KEY=slopes-key
 OPERATOR_HASH=$(hash_of operator)
 trap 'stop_processes >/dev/null 2>&1 || true; rm -rf "$STATE"' EXIT
-OUT=docs/measurements/slopes.json
+OUT=${OUT:-docs/measurements/slopes.json}
 SECONDS_MEASURED=8
 
 resident_kilobytes() { awk '/^VmRSS/ { print $2 }' "/proc/$1/status"; }
@@ -103,8 +103,8 @@
 }
 
 {
-    for count in 2 4 8 13 26 40; do membership "$count"; done | jq -s '{ membership: . }'
-    for count in 50 100 200 400; do streams "$count"; done | jq -s '{ streams: . }'
+    for count in ${VM_COUNTS:-2 4 8 13 26 40}; do membership "$count"; done | jq -s '{ membership: . }'
+    for count in ${STREAM_COUNTS:-50 100 200 400}; do streams "$count"; done | jq -s '{ streams: . }'
     "$BIN/BenchmarkCellScheduler" --benchmark_format=json 2>/dev/null | jq '{ decisions: [ .benchmarks[] | { name: .name, nanoseconds: (.real_time | round), p99_microseconds: .p99_us } ] }'
 } | jq -s 'add' >"$STATE/slopes.json"
 mv "$STATE/slopes.json" "$OUT"
