--- a/Benchmarks/BenchmarkCellScheduler.cpp
+++ b/Benchmarks/BenchmarkCellScheduler.cpp
@@ -103,6 +103,7 @@
     for (int i = 0; i < state.range(0); ++i)
         members.push_back({ "engine-" + std::to_string(i), "kind-" + std::to_string(i % 10) });
     std::vector<std::string> machines;
+    machines.reserve(14);
     for (int i = 0; i < 14; ++i)
         machines.push_back("vm-" + std::to_string(i));
     for (auto _ : state)
--- a/Libraries/LibConfiguration/Configuration.h
+++ b/Libraries/LibConfiguration/Configuration.h
@@ -5,6 +5,7 @@
 
 #include <LibCore/Result.h>
 #include <LibCore/SettingsReader.h>
+#include <LibDecision/CellMap.h>
 #include <LibDecision/CellScheduler.h>
 #include <cstdint>
 #include <span>
@@ -69,6 +70,9 @@
     ConfiguredAccount const* find_account_by_key_hash(std::string_view key_hash) const;
 };
 
+/// The engines of a data centre by name and kind, from which its cells are made.
+std::vector<CellMember> cell_members(Configuration const& configuration, std::string_view data_centre);
+
 /// Reads a declarative file; names every fault at once.
 Result<Configuration, SettingsError> read_configuration(std::string_view text, std::string_view source);
 
--- a/Libraries/LibCore/LogLine.cpp
+++ b/Libraries/LibCore/LogLine.cpp
@@ -14,43 +14,43 @@
 
 namespace {
 
-    std::mutex s_mutex;
-    std::string s_process_fields;
-    std::shared_ptr<LogLine::Observer const> s_observer;
+std::mutex s_mutex;
+std::string s_process_fields;
+std::shared_ptr<LogLine::Observer const> s_observer;
 
-    std::string wall_time()
-    {
-        auto const now = std::chrono::system_clock::now();
-        auto const since_epoch = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count();
-        std::time_t const whole_seconds = since_epoch / 1000;
-        std::tm parts {};
-        gmtime_r(&whole_seconds, &parts);
-        std::array<char, 40> buffer {};
-        auto const length = std::strftime(buffer.data(), buffer.size(), "%Y-%m-%dT%H:%M:%S", &parts);
-        std::snprintf(buffer.data() + length, buffer.size() - length, ".%03dZ", static_cast<int>(since_epoch % 1000));
-        return buffer.data();
-    }
+std::string wall_time()
+{
+    auto const now = std::chrono::system_clock::now();
+    auto const since_epoch = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count();
+    std::time_t const whole_seconds = since_epoch / 1000;
+    std::tm parts {};
+    gmtime_r(&whole_seconds, &parts);
+    std::array<char, 40> buffer {};
+    auto const length = std::strftime(buffer.data(), buffer.size(), "%Y-%m-%dT%H:%M:%S", &parts);
+    std::snprintf(buffer.data() + length, buffer.size() - length, ".%03dZ", static_cast<int>(since_epoch % 1000));
+    return buffer.data();
+}
 
-    bool needs_quotes(std::string_view value)
-    {
-        return value.empty() || value.find_first_of(" \"=\n\r\t\\") != std::string_view::npos;
-    }
+bool needs_quotes(std::string_view value)
+{
+    return value.empty() || value.find_first_of(" \"=\n\r\t\\") != std::string_view::npos;
+}
 
-    void append_value(std::string& text, std::string_view value)
-    {
-        if (!needs_quotes(value)) {
-            text += value;
-            return;
-        }
-        text += '"';
-        for (char const character : value) {
-            if (character == '"' || character == '\\')
-                text += '\\';
-            // A line break in a value must not start a second log line.
-            text += (character == '\n' || character == '\r') ? ' ' : character;
-        }
-        text += '"';
+void append_value(std::string& text, std::string_view value)
+{
+    if (!needs_quotes(value)) {
+        text += value;
+        return;
+    }
+    text += '"';
+    for (char const character : value) {
+        if (character == '"' || character == '\\')
+            text += '\\';
+        // A line break in a value must not start a second log line.
+        text += (character == '\n' || character == '\r') ? ' ' : character;
     }
+    text += '"';
+}
 
 }
 
--- a/Libraries/LibCore/Metrics.cpp
+++ b/Libraries/LibCore/Metrics.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-    prometheus::Histogram::BucketBoundaries const s_seconds = { 0.001, 0.002, 0.005, 0.01, 0.02, 0.037, 0.05, 0.1, 0.2, 0.5, 0.95, 2, 5, 10, 30, 60 };
+prometheus::Histogram::BucketBoundaries const s_seconds = { 0.001, 0.002, 0.005, 0.01, 0.02, 0.037, 0.05, 0.1, 0.2, 0.5, 0.95, 2, 5, 10, 30, 60 };
 
 }
 
--- a/Libraries/LibCore/ProgramOptions.cpp
+++ b/Libraries/LibCore/ProgramOptions.cpp
@@ -12,50 +12,50 @@
 
 namespace {
 
-    enum class OptionCode : int {
-        Settings = 's',
-        Check = 'c',
-        Help = 'h',
-        Version = 'v',
-    };
-
-    struct ServerOptions {
-        std::string settings_path;
-        bool check_only = false;
-    };
-
-    void print_help(ServerProgram const& program)
-    {
-        std::cout << program.name << " - " << program.summary << "\n\n"
-                  << "Usage: " << program.name << " --settings FILE [--check]\n\n"
-                  << "  -s, --settings FILE  settings, JSON with comments (docs/operators/settings.md)\n"
-                  << "  -c, --check          check the settings and exit\n"
-                  << "  -h, --help           print this help\n"
-                  << "  -v, --version        print the version\n\n"
-                  << "Exit codes: 0 success, 1 failed, 2 bad usage, 3 bad settings.\n";
-    }
+enum class OptionCode : int {
+    Settings = 's',
+    Check = 'c',
+    Help = 'h',
+    Version = 'v',
+};
+
+struct ServerOptions {
+    std::string settings_path;
+    bool check_only = false;
+};
+
+void print_help(ServerProgram const& program)
+{
+    std::cout << program.name << " - " << program.summary << "\n\n"
+              << "Usage: " << program.name << " --settings FILE [--check]\n\n"
+              << "  -s, --settings FILE  settings, JSON with comments (docs/operators/settings.md)\n"
+              << "  -c, --check          check the settings and exit\n"
+              << "  -h, --help           print this help\n"
+              << "  -v, --version        print the version\n\n"
+              << "Exit codes: 0 success, 1 failed, 2 bad usage, 3 bad settings.\n";
+}
 
-    int exit_with(ExitCode code) { return static_cast<int>(code); }
+int exit_with(ExitCode code) { return static_cast<int>(code); }
 
-    int run_with_settings(ServerProgram const& program, ServerOptions const& options)
-    {
-        auto const settings = load_settings(options.settings_path);
-        if (settings.is_error()) {
-            std::cerr << settings.error().describe();
-            return exit_with(ExitCode::BadSettings);
-        }
-        auto const checked = program.check(settings.value(), options.settings_path);
-        if (checked.is_error()) {
-            std::cerr << checked.error().describe();
-            return exit_with(ExitCode::BadSettings);
-        }
-        if (options.check_only) {
-            std::cout << options.settings_path << ": settings are valid\n";
-            return exit_with(ExitCode::Success);
-        }
-        block_stop_signals();
-        return exit_with(program.run(settings.value(), options.settings_path));
+int run_with_settings(ServerProgram const& program, ServerOptions const& options)
+{
+    auto const settings = load_settings(options.settings_path);
+    if (settings.is_error()) {
+        std::cerr << settings.error().describe();
+        return exit_with(ExitCode::BadSettings);
+    }
+    auto const checked = program.check(settings.value(), options.settings_path);
+    if (checked.is_error()) {
+        std::cerr << checked.error().describe();
+        return exit_with(ExitCode::BadSettings);
     }
+    if (options.check_only) {
+        std::cout << options.settings_path << ": settings are valid\n";
+        return exit_with(ExitCode::Success);
+    }
+    block_stop_signals();
+    return exit_with(program.run(settings.value(), options.settings_path));
+}
 
 }
 
@@ -102,14 +102,14 @@
 
 namespace {
 
-    sigset_t stop_signals()
-    {
-        sigset_t signals;
-        sigemptyset(&signals);
-        sigaddset(&signals, SIGTERM);
-        sigaddset(&signals, SIGINT);
-        return signals;
-    }
+sigset_t stop_signals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    return signals;
+}
 
 }
 
--- a/Libraries/LibCore/SettingsReader.cpp
+++ b/Libraries/LibCore/SettingsReader.cpp
@@ -10,26 +10,26 @@
 
 namespace {
 
-    nlohmann::json const s_empty_object = nlohmann::json::object();
+nlohmann::json const s_empty_object = nlohmann::json::object();
 
-    SettingsError single_fault(SettingsFaultKind kind, std::string_view source, std::string path, std::string expected)
-    {
-        return SettingsError { { SettingsFault { kind, std::string(source), std::move(path), std::move(expected) } } };
-    }
+SettingsError single_fault(SettingsFaultKind kind, std::string_view source, std::string path, std::string expected)
+{
+    return SettingsError { { SettingsFault { kind, std::string(source), std::move(path), std::move(expected) } } };
+}
 
-    std::string line_of(std::string_view text, std::size_t byte)
-    {
-        auto const end = text.begin() + static_cast<std::ptrdiff_t>(std::min(byte, text.size()));
-        return "line " + std::to_string(1 + std::count(text.begin(), end, '\n'));
-    }
+std::string line_of(std::string_view text, std::size_t byte)
+{
+    auto const end = text.begin() + static_cast<std::ptrdiff_t>(std::min(byte, text.size()));
+    return "line " + std::to_string(1 + std::count(text.begin(), end, '\n'));
+}
 
-    template<typename Number>
-    std::string range_text(Number minimum, Number maximum)
-    {
-        std::ostringstream out;
-        out << "a value from " << minimum << " to " << maximum;
-        return out.str();
-    }
+template<typename Number>
+std::string range_text(Number minimum, Number maximum)
+{
+    std::ostringstream out;
+    out << "a value from " << minimum << " to " << maximum;
+    return out.str();
+}
 
 }
 
--- a/Libraries/LibDecision/CellMap.cpp
+++ b/Libraries/LibDecision/CellMap.cpp
@@ -10,31 +10,31 @@
 
 namespace {
 
-    std::vector<std::string> sorted(std::span<std::string const> names)
-    {
-        std::vector<std::string> copy(names.begin(), names.end());
-        std::sort(copy.begin(), copy.end());
-        copy.erase(std::unique(copy.begin(), copy.end()), copy.end());
-        return copy;
-    }
+std::vector<std::string> sorted(std::span<std::string const> names)
+{
+    std::vector<std::string> copy(names.begin(), names.end());
+    std::sort(copy.begin(), copy.end());
+    copy.erase(std::unique(copy.begin(), copy.end()), copy.end());
+    return copy;
+}
 
-    std::string cell_name(std::size_t cell) { return "cell-" + std::to_string(cell); }
+std::string cell_name(std::size_t cell) { return "cell-" + std::to_string(cell); }
 
-    /// Gives each cell to the VM with the highest score among those that keep no more cells than others.
-    std::vector<std::string> choose_keepers(std::size_t cells, std::span<std::string const> virtual_machines)
-    {
-        std::vector<std::string> free(virtual_machines.begin(), virtual_machines.end());
-        std::vector<std::string> keepers;
-        for (std::size_t cell = 0; cell < cells; ++cell) {
-            auto const name = cell_name(cell);
-            auto const best = std::max_element(free.begin(), free.end(), [&](auto const& a, auto const& b) {
-                return rendezvous_score(a, name) < rendezvous_score(b, name);
-            });
-            keepers.push_back(*best);
-            free.erase(best);
-        }
-        return keepers;
+/// Gives each cell to the VM with the highest score among those that keep no more cells than others.
+std::vector<std::string> choose_keepers(std::size_t cells, std::span<std::string const> virtual_machines)
+{
+    std::vector<std::string> free(virtual_machines.begin(), virtual_machines.end());
+    std::vector<std::string> keepers;
+    for (std::size_t cell = 0; cell < cells; ++cell) {
+        auto const name = cell_name(cell);
+        auto const best = std::max_element(free.begin(), free.end(), [&](auto const& a, auto const& b) {
+            return rendezvous_score(a, name) < rendezvous_score(b, name);
+        });
+        keepers.push_back(*best);
+        free.erase(best);
     }
+    return keepers;
+}
 
 }
 
--- a/Libraries/LibDecision/CellScheduler.cpp
+++ b/Libraries/LibDecision/CellScheduler.cpp
@@ -11,30 +11,27 @@
 
 namespace {
 
-    constexpr double LATENESS_QUANTILE = 0.95;
-/// More than this is a fault somewhere and no matter of prediction.
-constexpr Duration LONGEST_LATENESS = milliseconds(400);
-constexpr double OUTPUT_QUANTILE = 0.8;
-    constexpr double FIRST_OUTPUT_ESTIMATE = 64;
-    constexpr double RATE_SMOOTHING = 0.2;
-    constexpr Duration SHORTEST_RETRY_AFTER = milliseconds(100);
-    constexpr Duration LONGEST_RETRY_AFTER = seconds(30);
-    /// A prefill that took no measurable time says nothing about an engine's rate.
-    /// Longer than any report lags.
-    constexpr Duration RELEASED_NAMES_KEPT = seconds(5);
-    constexpr Duration SHORTEST_MEASURED_PREFILL = milliseconds(5);
-
-    std::size_t earliest(std::span<PlacementCandidate const> candidates)
-    {
-        auto const best = std::min_element(candidates.begin(), candidates.end(), [](auto const& a, auto const& b) { return a.ready < b.ready; });
-        return static_cast<std::size_t>(best - candidates.begin());
-    }
+constexpr double LATENESS_QUANTILE = 0.95;
+constexpr double RATE_SMOOTHING = 0.2;
+constexpr Duration SHORTEST_RETRY_AFTER = milliseconds(100);
+constexpr Duration LONGEST_RETRY_AFTER = seconds(30);
+/// A prefill that took no measurable time says nothing about an engine's rate.
+constexpr int MOST_DOUBLINGS = 10;
+/// Longer than any report lags.
+constexpr Duration RELEASED_NAMES_KEPT = seconds(5);
+constexpr Duration SHORTEST_MEASURED_PREFILL = milliseconds(5);
 
-    std::size_t most_free(std::span<PlacementCandidate const> candidates)
-    {
-        auto const best = std::max_element(candidates.begin(), candidates.end(), [](auto const& a, auto const& b) { return a.free_slots < b.free_slots; });
-        return static_cast<std::size_t>(best - candidates.begin());
-    }
+std::size_t earliest(std::span<PlacementCandidate const> candidates)
+{
+    auto const best = std::min_element(candidates.begin(), candidates.end(), [](auto const& a, auto const& b) { return a.ready < b.ready; });
+    return static_cast<std::size_t>(best - candidates.begin());
+}
+
+std::size_t most_free(std::span<PlacementCandidate const> candidates)
+{
+    auto const best = std::max_element(candidates.begin(), candidates.end(), [](auto const& a, auto const& b) { return a.free_slots < b.free_slots; });
+    return static_cast<std::size_t>(best - candidates.begin());
+}
 
 }
 
@@ -199,11 +196,25 @@
     this->granted.emplace(held.request, std::move(granted));
 }
 
-void CellScheduler::note_failure(std::string_view name)
+void CellScheduler::note_failure(std::string_view name, MonotonicTime now)
+{
+    auto const found = this->engines.find(name);
+    if (found == this->engines.end())
+        return;
+    auto& engine = found->second;
+    engine.last_report.reset();
+    // Many requests notice the same failure; only one after the last time out counts as another.
+    if (now < engine.left_out_until)
+        return;
+    auto const doublings = std::min(engine.failures_in_a_row++, MOST_DOUBLINGS);
+    engine.left_out_until = now + std::min(this->options.longest_leave_out, this->options.first_leave_out * (1 << doublings));
+}
+
+void CellScheduler::note_success(std::string_view name)
 {
     auto const found = this->engines.find(name);
     if (found != this->engines.end())
-        found->second.last_report.reset();
+        found->second.failures_in_a_row = 0;
 }
 
 void CellScheduler::set_leaving(std::string_view name, EngineReport::Life life)
@@ -265,6 +276,7 @@
     granted.named_at = now;
     auto const engine = this->engines.find(granted.prefill_engine);
     if (progress == GrantProgress::CacheHeld && granted.phase == GrantProgress::Prefilling && engine != this->engines.end()) {
+        this->note_success(granted.prefill_engine);
         auto const& prefills = engine->second.prefills;
         bool const is_first = !prefills.empty() && prefills.front().request == request;
         auto const taken = is_first ? now - prefills.front().started : Duration::zero();
@@ -276,6 +288,7 @@
     }
     if (progress == GrantProgress::Decoding && granted.phase != GrantProgress::Decoding) {
         granted.decode_from = now;
+        this->note_success(granted.decode_engine);
         if (granted.predicted_first_token != MonotonicTime {})
             this->lateness.add(std::max(0.0, to_seconds(now - granted.predicted_first_token) * 1000));
     }
@@ -383,257 +396,4 @@
     return summary;
 }
 
-void CellScheduler::schedule(MonotonicTime now)
-{
-    std::set<std::string> models;
-    for (auto const& ask : this->waiting)
-        models.insert(ask.model);
-    for (auto const& model : models)
-        this->schedule_model(model, now);
-}
-
-void CellScheduler::schedule_model(std::string const& model, MonotonicTime now)
-{
-    this->refuse_hopeless(model, now);
-    while (auto const index = this->next_waiting(model)) {
-        if (this->schedule_one(*index, now) == ScheduleStep::MustWait)
-            return;
-    }
-}
-
-CellScheduler::ScheduleStep CellScheduler::schedule_one(std::size_t index, MonotonicTime now)
-{
-    auto const placement = this->find_placement(this->waiting[index], now);
-    if (!placement)
-        return ScheduleStep::MustWait;
-    auto ask = std::move(this->waiting[index]);
-    this->waiting.erase(this->waiting.begin() + static_cast<std::ptrdiff_t>(index));
-    // The best place now is the best there will be: later only is later.
-    bool const is_late = placement->first_token + this->expected_lateness() > ask.first_token_deadline;
-    if (is_late && this->options.policy.early_refusal == SchedulerPolicy::EarlyRefusal::On) {
-        this->refuse(ask, RefusalReason::CannotMeetFirstToken, this->expected_wait(ask.model, now));
-        return ScheduleStep::Refused;
-    }
-    this->grant(std::move(ask), *placement, now);
-    return ScheduleStep::Placed;
-}
-
-Duration CellScheduler::expected_lateness() const
-{
-    return std::min(LONGEST_LATENESS, from_seconds(this->lateness.estimate() / 1000));
-}
-
-void CellScheduler::refuse_hopeless(std::string const& model, MonotonicTime now)
-{
-    bool const refuse_early = this->options.policy.early_refusal == SchedulerPolicy::EarlyRefusal::On;
-    auto const is_hopeless = [&](PlacementAsk const& ask) {
-        if (ask.model != model)
-            return false;
-        auto const best = this->best_first_token(ask, now);
-        // Without any engine heard of, a keeper new in office still waits for reports until the deadline.
-        auto const first_token = best && refuse_early ? *best : now;
-        if (first_token <= ask.first_token_deadline)
-            return false;
-        this->refuse(ask, best ? RefusalReason::CannotMeetFirstToken : RefusalReason::NoUpstream, this->expected_wait(model, now));
-        return true;
-    };
-    this->waiting.erase(std::remove_if(this->waiting.begin(), this->waiting.end(), is_hopeless), this->waiting.end());
-}
-
-// Priority first, then the account that had least for its weight, then the earliest deadline.
-std::optional<std::size_t> CellScheduler::next_waiting(std::string_view model) const
-{
-    std::optional<std::size_t> best;
-    auto const served = [&](PlacementAsk const& ask) {
-        auto const found = this->accounts.find(ask.account);
-        return found == this->accounts.end() ? 0.0 : found->second.served;
-    };
-    auto const goes_before = [&](PlacementAsk const& a, PlacementAsk const& b) {
-        if (a.priority != b.priority)
-            return a.priority > b.priority;
-        if (a.account != b.account && served(a) != served(b))
-            return served(a) < served(b);
-        return a.first_token_deadline < b.first_token_deadline;
-    };
-    for (std::size_t i = 0; i < this->waiting.size(); ++i) {
-        if (this->waiting[i].model != model)
-            continue;
-        if (!best || goes_before(this->waiting[i], this->waiting[*best]))
-            best = i;
-    }
-    return best;
-}
-
-bool CellScheduler::is_usable(Engine const& engine, MonotonicTime now) const
-{
-    if (!engine.last_report || now - *engine.last_report > this->options.report_validity)
-        return false;
-    return engine.reported_life == EngineReport::Life::Serving && engine.hinted_life == EngineReport::Life::Serving;
-}
-
-// An engine whose steps are slower than the target between tokens is not filled further.
-std::int64_t CellScheduler::usable_slots(Engine const& engine) const
-{
-    if (engine.step_time > this->options.token_target)
-        return std::min<std::int64_t>(engine.description.decode_slots, static_cast<std::int64_t>(engine.slots.size()));
-    return engine.description.decode_slots;
-}
-
-Duration CellScheduler::prefill_time(Engine const& engine, PlacementAsk const& ask) const
-{
-    return from_seconds(static_cast<double>(ask.prompt_tokens + ask.relayed_tokens) / engine.prefill_rate);
-}
-
-Duration CellScheduler::transfer_time(Engine const& engine, PlacementAsk const& ask) const
-{
-    double const bytes = engine.description.cache_bytes_per_token * static_cast<double>(ask.prompt_tokens + ask.relayed_tokens);
-    return from_seconds(bytes / engine.description.link_rate);
-}
-
-std::vector<PlacementCandidate> CellScheduler::prefill_candidates(PlacementAsk const& ask, MonotonicTime now) const
-{
-    std::vector<PlacementCandidate> candidates;
-    for (auto const& [name, engine] : this->engines) {
-        if (engine.description.role != EngineRole::Prefill || engine.description.model != ask.model || !this->is_usable(engine, now))
-            continue;
-        auto const start = this->busy_until(engine, now);
-        if (start - now > this->options.prefill_ahead)
-            continue;
-        candidates.push_back({ name, 0, start + this->prefill_time(engine, ask) });
-    }
-    return candidates;
-}
-
-std::optional<MonotonicTime> CellScheduler::best_first_token(PlacementAsk const& ask, MonotonicTime now) const
-{
-    std::optional<MonotonicTime> best;
-    for (auto const& [name, engine] : this->engines) {
-        if (engine.description.role != EngineRole::Prefill || engine.description.model != ask.model || !this->is_usable(engine, now))
-            continue;
-        auto const first = this->busy_until(engine, now) + this->prefill_time(engine, ask) + this->transfer_time(engine, ask) + engine.step_time + this->expected_lateness();
-        best = best ? std::min(*best, first) : first;
-    }
-    return best;
-}
-
-std::optional<CellScheduler::Placement> CellScheduler::find_placement(PlacementAsk const& ask, MonotonicTime now)
-{
-    auto const candidates = this->prefill_candidates(ask, now);
-    if (candidates.empty())
-        return {};
-    auto const& chosen = candidates[this->options.policy.choose_prefill(candidates)];
-    Placement placement;
-    placement.prefill = chosen.engine;
-    placement.prefill_end = chosen.ready;
-    placement.candidates = candidates.size();
-    return this->find_decode(ask, std::move(placement), now);
-}
-
-std::optional<CellScheduler::Placement> CellScheduler::find_decode(PlacementAsk const& ask, Placement placement, MonotonicTime now) const
-{
-    std::vector<PlacementCandidate> candidates;
-    for (auto const& [name, engine] : this->engines) {
-        if (engine.description.role != EngineRole::Decode || engine.description.model != ask.model || !this->is_usable(engine, now))
-            continue;
-        auto const ready = placement.prefill_end + this->transfer_time(engine, ask);
-        auto free = this->usable_slots(engine) - static_cast<std::int64_t>(engine.slots.size());
-        if (free <= 0)
-            free += this->releases_before(engine, now, ready - this->options.safety_margin);
-        if (free > 0 || this->options.policy.slot_promise == SchedulerPolicy::SlotPromise::Ignored)
-            candidates.push_back({ name, free, ready });
-    }
-    if (candidates.empty())
-        return {};
-    auto const& chosen = candidates[this->options.policy.choose_decode(candidates)];
-    placement.decode = chosen.engine;
-    placement.first_token = chosen.ready + this->engines.find(chosen.engine)->second.step_time;
-    placement.candidates += candidates.size();
-    return placement;
-}
-
-std::int64_t CellScheduler::releases_before(Engine const& engine, MonotonicTime now, MonotonicTime when) const
-{
-    std::int64_t count = 0;
-    for (auto const& request : engine.slots) {
-        auto const found = this->granted.find(request);
-        if (found == this->granted.end() || found->second.phase != GrantProgress::Decoding)
-            continue;
-        // A request that outlived its prediction says nothing of when it ends.
-        auto const release = this->predicted_release(found->second);
-        if (release > now && release <= when)
-            ++count;
-    }
-    return count;
-}
-
-MonotonicTime CellScheduler::predicted_release(Granted const& granted) const
-{
-    auto const estimate = this->output_estimates.find(granted.ask.model);
-    double tokens = estimate == this->output_estimates.end() ? FIRST_OUTPUT_ESTIMATE : estimate->second.estimate();
-    if (granted.ask.maximum_output_tokens > 0)
-        tokens = std::min(tokens, static_cast<double>(granted.ask.maximum_output_tokens));
-    auto const engine = this->engines.find(granted.decode_engine);
-    auto const step = engine == this->engines.end() ? milliseconds(25) : engine->second.step_time;
-    return granted.decode_from + from_seconds(tokens * to_seconds(step));
-}
-
-double CellScheduler::cost_of(PlacementAsk const& ask) const
-{
-    constexpr double PREFILL_TOKENS_PER_OUTPUT_TOKEN = 40;
-    auto const estimate = this->output_estimates.find(ask.model);
-    double const output = estimate == this->output_estimates.end() ? FIRST_OUTPUT_ESTIMATE : estimate->second.estimate();
-    return static_cast<double>(ask.prompt_tokens) + PREFILL_TOKENS_PER_OUTPUT_TOKEN * output;
-}
-
-void CellScheduler::grant(PlacementAsk ask, Placement const& placement, MonotonicTime now)
-{
-    auto& prefill = this->engines.find(placement.prefill)->second;
-    Granted granted;
-    granted.prefill_engine = placement.prefill;
-    granted.decode_engine = placement.decode;
-    granted.granted_at = now;
-    granted.named_at = now;
-    granted.predicted_first_token = placement.first_token;
-    prefill.prefills.push_back({ ask.request, ask.prompt_tokens + ask.relayed_tokens, now });
-    this->engines.find(placement.decode)->second.slots.insert(ask.request);
-    auto const account = this->accounts.find(ask.account);
-    if (account != this->accounts.end())
-        account->second.served += this->cost_of(ask) / account->second.description.weight;
-    this->decisions.emplace_back(PlacementGrant { ask.request, placement.prefill, placement.decode, placement.first_token, placement.candidates });
-    auto const request = ask.request;
-    granted.ask = std::move(ask);
-    this->granted.emplace(request, std::move(granted));
-}
-
-void CellScheduler::refuse(PlacementAsk const& ask, RefusalReason reason, Duration retry_after)
-{
-    this->decisions.emplace_back(PlacementRefusal { ask.request, reason, std::clamp(retry_after, SHORTEST_RETRY_AFTER, LONGEST_RETRY_AFTER) });
-}
-
-// When the backlog of the model's prefill engines is worked off, as far as is known.
-Duration CellScheduler::expected_wait(std::string const& model, MonotonicTime now) const
-{
-    double rate = 0;
-    double backlog_seconds = 0;
-    for (auto const& [name, engine] : this->engines) {
-        if (engine.description.role != EngineRole::Prefill || engine.description.model != model || !this->is_usable(engine, now))
-            continue;
-        rate += engine.prefill_rate;
-        backlog_seconds = std::max(backlog_seconds, to_seconds(this->busy_until(engine, now) - now));
-    }
-    if (rate <= 0)
-        return seconds(2);
-    double tokens = 0;
-    for (auto const& ask : this->waiting) {
-        if (ask.model == model)
-            tokens += static_cast<double>(ask.prompt_tokens);
-    }
-    return from_seconds(backlog_seconds + tokens / rate);
-}
-
-QuantileEstimator& CellScheduler::output_estimate(std::string const& model)
-{
-    return this->output_estimates.try_emplace(model, OUTPUT_QUANTILE, FIRST_OUTPUT_ESTIMATE).first->second;
-}
-
 }
--- a/Libraries/LibDecision/CellScheduler.h
+++ b/Libraries/LibDecision/CellScheduler.h
@@ -157,6 +157,9 @@
         Duration grant_lease = milliseconds(1500);
         /// A grant that neither its origin nor an engine's report named for so long is over: its release was lost.
         Duration vanish_after = milliseconds(3000);
+        /// Time that an engine is left out after a first failure, and the longest after many.
+        Duration first_leave_out = milliseconds(500);
+        Duration longest_leave_out = milliseconds(10'000);
         /// How far ahead a prefill engine is filled. Short, so that late decisions stay cheap.
         Duration prefill_ahead = milliseconds(300);
         /// How long a finished prefill is kept by its engine.
@@ -176,8 +179,9 @@
     void set_accounts(std::span<AccountDescription const> accounts, MonotonicTime now);
 
     void report(std::string_view engine, EngineReport const& report, MonotonicTime now);
-    /// An entry could not reach the engine. It gets nothing new until it reports again.
-    void note_failure(std::string_view engine);
+    /// An entry's attempt at the engine failed. It gets nothing new until it reports again and a time has
+    /// passed that doubles with each failure in a row; an attempt that succeeds ends that.
+    void note_failure(std::string_view engine, MonotonicTime now);
     /// A hint from elsewhere (VM list, operator's drain) that an engine is leaving. Stays until cleared.
     void set_leaving(std::string_view engine, EngineReport::Life life);
 
@@ -228,6 +232,8 @@
         std::optional<MonotonicTime> last_report;
         EngineReport::Life reported_life = EngineReport::Life::Serving;
         EngineReport::Life hinted_life = EngineReport::Life::Serving;
+        int failures_in_a_row = 0;
+        MonotonicTime left_out_until;
         Duration step_time = milliseconds(25);
         double prefill_rate = 8000;
         /// Prefills granted and not known to be finished, in the order of their grants.
@@ -287,6 +293,7 @@
     void remove_granted(std::string request, MonotonicTime now);
     void adopt(Engine& engine, HeldWork const& held, MonotonicTime now);
     void drop_vanished(Engine const& engine, EngineReport const& report, MonotonicTime now);
+    void note_success(std::string_view engine);
     void end_prefill(std::string_view engine, std::string_view request, MonotonicTime now);
     MonotonicTime busy_until(Engine const& engine, MonotonicTime now) const;
     bool is_usable(Engine const& engine, MonotonicTime now) const;
--- a/Libraries/LibDecision/MembershipTable.cpp
+++ b/Libraries/LibDecision/MembershipTable.cpp
@@ -12,32 +12,32 @@
 
 namespace {
 
-    MemberDigest digest_of(MemberRecord const& record)
-    {
-        return { record.virtual_machine, record.incarnation, record.version, record.life, record.configuration_generation };
-    }
+MemberDigest digest_of(MemberRecord const& record)
+{
+    return { record.virtual_machine, record.incarnation, record.version, record.life, record.configuration_generation };
+}
 
-    /// Of two words on the same version of a VM the graver one counts.
-    int gravity(MemberLife life)
-    {
-        switch (life) {
-        case MemberLife::Alive:
-        case MemberLife::Leaving:
-            return 0;
-        case MemberLife::Suspect:
-            return 1;
-        case MemberLife::Dead:
-            return 2;
-        }
+/// Of two words on the same version of a VM the graver one counts.
+int gravity(MemberLife life)
+{
+    switch (life) {
+    case MemberLife::Alive:
+    case MemberLife::Leaving:
         return 0;
+    case MemberLife::Suspect:
+        return 1;
+    case MemberLife::Dead:
+        return 2;
     }
+    return 0;
+}
 
-    bool has_cause_to_refute(MemberLife life) { return gravity(life) > 0; }
+bool has_cause_to_refute(MemberLife life) { return gravity(life) > 0; }
 
-    std::uint64_t round_score(std::string_view name, std::uint64_t seed)
-    {
-        return XXH3_64bits_withSeed(name.data(), name.size(), seed);
-    }
+std::uint64_t round_score(std::string_view name, std::uint64_t seed)
+{
+    return XXH3_64bits_withSeed(name.data(), name.size(), seed);
+}
 
 }
 
--- a/Libraries/LibDecision/RequestState.cpp
+++ b/Libraries/LibDecision/RequestState.cpp
@@ -9,51 +9,51 @@
 
 namespace {
 
-    struct Transition {
-        RequestPhase from;
-        RequestEvent event;
-        RequestPhase to;
-    };
+struct Transition {
+    RequestPhase from;
+    RequestEvent event;
+    RequestPhase to;
+};
 
-    using enum RequestPhase;
+using enum RequestPhase;
 
-    // A plain service call goes Admitted -> Decoding by Dispatch: it has no prefill and no transfer.
-    constexpr std::array TRANSITIONS = {
-        Transition { Received, RequestEvent::Admit, Admitted },
-        Transition { Received, RequestEvent::Refuse, Refused },
-        Transition { Received, RequestEvent::CallerLeft, Cancelled },
-        Transition { Admitted, RequestEvent::PromiseSlot, SlotPromised },
-        Transition { Admitted, RequestEvent::Dispatch, Decoding },
-        Transition { Admitted, RequestEvent::Refuse, Refused },
-        Transition { Admitted, RequestEvent::CallerLeft, Cancelled },
-        Transition { SlotPromised, RequestEvent::DispatchPrefill, Prefilling },
-        Transition { SlotPromised, RequestEvent::Refuse, Refused },
-        Transition { SlotPromised, RequestEvent::CallerLeft, Cancelled },
-        Transition { Prefilling, RequestEvent::HoldCache, CacheHeld },
-        Transition { Prefilling, RequestEvent::LoseUpstream, Admitted },
-        Transition { Prefilling, RequestEvent::CallerLeft, Cancelled },
-        Transition { Prefilling, RequestEvent::GiveUp, Failed },
-        Transition { CacheHeld, RequestEvent::StartTransfer, Transferring },
-        Transition { CacheHeld, RequestEvent::LoseUpstream, Admitted },
-        Transition { CacheHeld, RequestEvent::CallerLeft, Cancelled },
-        Transition { CacheHeld, RequestEvent::GiveUp, Failed },
-        Transition { Transferring, RequestEvent::StartDecode, Decoding },
-        Transition { Transferring, RequestEvent::LoseUpstream, Admitted },
-        Transition { Transferring, RequestEvent::CallerLeft, Cancelled },
-        Transition { Transferring, RequestEvent::GiveUp, Failed },
-        Transition { Decoding, RequestEvent::Finish, Finished },
-        Transition { Decoding, RequestEvent::LoseUpstream, Admitted },
-        Transition { Decoding, RequestEvent::CallerLeft, Cancelled },
-        Transition { Decoding, RequestEvent::GiveUp, Failed },
-        // A request that ran before and cannot be placed again is given up, never refused as not run.
-        Transition { Admitted, RequestEvent::GiveUp, Failed },
-        Transition { SlotPromised, RequestEvent::GiveUp, Failed },
-    };
+// A plain service call goes Admitted -> Decoding by Dispatch: it has no prefill and no transfer.
+constexpr std::array TRANSITIONS = {
+    Transition { Received, RequestEvent::Admit, Admitted },
+    Transition { Received, RequestEvent::Refuse, Refused },
+    Transition { Received, RequestEvent::CallerLeft, Cancelled },
+    Transition { Admitted, RequestEvent::PromiseSlot, SlotPromised },
+    Transition { Admitted, RequestEvent::Dispatch, Decoding },
+    Transition { Admitted, RequestEvent::Refuse, Refused },
+    Transition { Admitted, RequestEvent::CallerLeft, Cancelled },
+    Transition { SlotPromised, RequestEvent::DispatchPrefill, Prefilling },
+    Transition { SlotPromised, RequestEvent::Refuse, Refused },
+    Transition { SlotPromised, RequestEvent::CallerLeft, Cancelled },
+    Transition { Prefilling, RequestEvent::HoldCache, CacheHeld },
+    Transition { Prefilling, RequestEvent::LoseUpstream, Admitted },
+    Transition { Prefilling, RequestEvent::CallerLeft, Cancelled },
+    Transition { Prefilling, RequestEvent::GiveUp, Failed },
+    Transition { CacheHeld, RequestEvent::StartTransfer, Transferring },
+    Transition { CacheHeld, RequestEvent::LoseUpstream, Admitted },
+    Transition { CacheHeld, RequestEvent::CallerLeft, Cancelled },
+    Transition { CacheHeld, RequestEvent::GiveUp, Failed },
+    Transition { Transferring, RequestEvent::StartDecode, Decoding },
+    Transition { Transferring, RequestEvent::LoseUpstream, Admitted },
+    Transition { Transferring, RequestEvent::CallerLeft, Cancelled },
+    Transition { Transferring, RequestEvent::GiveUp, Failed },
+    Transition { Decoding, RequestEvent::Finish, Finished },
+    Transition { Decoding, RequestEvent::LoseUpstream, Admitted },
+    Transition { Decoding, RequestEvent::CallerLeft, Cancelled },
+    Transition { Decoding, RequestEvent::GiveUp, Failed },
+    // A request that ran before and cannot be placed again is given up, never refused as not run.
+    Transition { Admitted, RequestEvent::GiveUp, Failed },
+    Transition { SlotPromised, RequestEvent::GiveUp, Failed },
+};
 
-    bool leaves_for_upstream(RequestEvent event)
-    {
-        return event == RequestEvent::DispatchPrefill || event == RequestEvent::Dispatch;
-    }
+bool leaves_for_upstream(RequestEvent event)
+{
+    return event == RequestEvent::DispatchPrefill || event == RequestEvent::Dispatch;
+}
 
 }
 
--- a/Libraries/LibHttp/EventStream.cpp
+++ b/Libraries/LibHttp/EventStream.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-    /// An event of this many bytes without its end is no event stream of ours.
-    constexpr std::size_t LONGEST_LINE = 1024UL * 1024;
+/// An event of this many bytes without its end is no event stream of ours.
+constexpr std::size_t LONGEST_LINE = 1024UL * 1024;
 
 }
 
--- a/Libraries/LibHttp/HttpListener.cpp
+++ b/Libraries/LibHttp/HttpListener.cpp
@@ -14,45 +14,45 @@
 
 namespace {
 
-    // The library listens with a backlog of 5, which a burst of callers overflows.
-    constexpr int LISTEN_BACKLOG = 1024;
-    constexpr std::size_t KEEP_ALIVE_REQUESTS = 1000;
-    constexpr time_t KEEP_ALIVE_SECONDS = 5;
-    constexpr int HIGHEST_DESCRIPTOR = 65536;
-
-    struct Endpoint {
-        std::string host;
-        int port = 0;
-    };
-
-    std::optional<Endpoint> peer_of(int descriptor)
-    {
-        sockaddr_in address {};
-        socklen_t length = sizeof(address);
-        if (getpeername(descriptor, reinterpret_cast<sockaddr*>(&address), &length) != 0 || address.sin_family != AF_INET)
-            return {};
-        std::array<char, INET_ADDRSTRLEN> text {};
-        if (!inet_ntop(AF_INET, &address.sin_addr, text.data(), text.size()))
-            return {};
-        return Endpoint { text.data(), ntohs(address.sin_port) };
-    }
+// The library listens with a backlog of 5, which a burst of callers overflows.
+constexpr int LISTEN_BACKLOG = 1024;
+constexpr std::size_t KEEP_ALIVE_REQUESTS = 1000;
+constexpr time_t KEEP_ALIVE_SECONDS = 5;
+constexpr int HIGHEST_DESCRIPTOR = 65536;
+
+struct Endpoint {
+    std::string host;
+    int port = 0;
+};
+
+std::optional<Endpoint> peer_of(int descriptor)
+{
+    sockaddr_in address {};
+    socklen_t length = sizeof(address);
+    if (getpeername(descriptor, reinterpret_cast<sockaddr*>(&address), &length) != 0 || address.sin_family != AF_INET)
+        return {};
+    std::array<char, INET_ADDRSTRLEN> text {};
+    if (!inet_ntop(AF_INET, &address.sin_addr, text.data(), text.size()))
+        return {};
+    return Endpoint { text.data(), ntohs(address.sin_port) };
+}
 
-    std::optional<int> local_port_of(int descriptor)
-    {
-        sockaddr_in address {};
-        socklen_t length = sizeof(address);
-        if (getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &length) != 0 || address.sin_family != AF_INET)
-            return {};
-        return ntohs(address.sin_port);
-    }
+std::optional<int> local_port_of(int descriptor)
+{
+    sockaddr_in address {};
+    socklen_t length = sizeof(address);
+    if (getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &length) != 0 || address.sin_family != AF_INET)
+        return {};
+    return ntohs(address.sin_port);
+}
 
-    int highest_descriptor()
-    {
-        rlimit limit {};
-        if (getrlimit(RLIMIT_NOFILE, &limit) != 0)
-            return HIGHEST_DESCRIPTOR;
-        return static_cast<int>(std::min<rlim_t>(limit.rlim_cur, HIGHEST_DESCRIPTOR));
-    }
+int highest_descriptor()
+{
+    rlimit limit {};
+    if (getrlimit(RLIMIT_NOFILE, &limit) != 0)
+        return HIGHEST_DESCRIPTOR;
+    return static_cast<int>(std::min<rlim_t>(limit.rlim_cur, HIGHEST_DESCRIPTOR));
+}
 
 }
 
--- a/Libraries/LibPlatform/HttpPlatform.cpp
+++ b/Libraries/LibPlatform/HttpPlatform.cpp
@@ -10,44 +10,44 @@
 
 namespace {
 
-    PlatformError error_of(httplib::Error error)
-    {
-        return error == httplib::Error::Connection ? PlatformError::Unreachable : PlatformError::InDoubt;
-    }
+PlatformError error_of(httplib::Error error)
+{
+    return error == httplib::Error::Connection ? PlatformError::Unreachable : PlatformError::InDoubt;
+}
 
-    PlatformError error_of_status(int status)
-    {
-        switch (status) {
-        case 404:
-            return PlatformError::NotFound;
-        case 409:
-        case 412:
-            return PlatformError::Conflict;
-        case 503:
-            return PlatformError::Unavailable;
-        default:
-            return PlatformError::Malformed;
-        }
+PlatformError error_of_status(int status)
+{
+    switch (status) {
+    case 404:
+        return PlatformError::NotFound;
+    case 409:
+    case 412:
+        return PlatformError::Conflict;
+    case 503:
+        return PlatformError::Unavailable;
+    default:
+        return PlatformError::Malformed;
     }
+}
 
-    Result<std::int64_t, PlatformError> version_of(httplib::Response const& response)
-    {
-        auto const text = response.get_header_value("ETag");
-        std::int64_t version = 0;
-        auto const [end, error] = std::from_chars(text.data(), text.data() + text.size(), version);
-        if (error != std::errc {} || end != text.data() + text.size())
-            return Failure { PlatformError::Malformed };
-        return version;
-    }
+Result<std::int64_t, PlatformError> version_of(httplib::Response const& response)
+{
+    auto const text = response.get_header_value("ETag");
+    std::int64_t version = 0;
+    auto const [end, error] = std::from_chars(text.data(), text.data() + text.size(), version);
+    if (error != std::errc {} || end != text.data() + text.size())
+        return Failure { PlatformError::Malformed };
+    return version;
+}
 
-    Result<httplib::Response, PlatformError> checked(httplib::Result result)
-    {
-        if (!result)
-            return Failure { error_of(result.error()) };
-        if (result->status != 200)
-            return Failure { error_of_status(result->status) };
-        return std::move(*result);
-    }
+Result<httplib::Response, PlatformError> checked(httplib::Result result)
+{
+    if (!result)
+        return Failure { error_of(result.error()) };
+    if (result->status != 200)
+        return Failure { error_of_status(result->status) };
+    return std::move(*result);
+}
 
 }
 
--- a/Libraries/LibService/ConfigurationFollower.cpp
+++ b/Libraries/LibService/ConfigurationFollower.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-    constexpr Duration LOOK_INTERVAL = milliseconds(200);
-    constexpr Duration FETCH_TIMEOUT = milliseconds(2000);
+constexpr Duration LOOK_INTERVAL = milliseconds(200);
+constexpr Duration FETCH_TIMEOUT = milliseconds(2000);
 
 }
 
--- a/Libraries/LibUpstream/HttpEngine.cpp
+++ b/Libraries/LibUpstream/HttpEngine.cpp
@@ -12,195 +12,195 @@
 
 namespace {
 
-    using Json = nlohmann::json;
+using Json = nlohmann::json;
 
-    Duration retry_after_of(httplib::Response const& response)
-    {
-        auto const text = response.get_header_value("Retry-After-Milliseconds");
-        // NOTE: strtoll gives 0 for what is no number, which stands for "not said".
-        return milliseconds(std::clamp<std::int64_t>(std::strtoll(text.c_str(), nullptr, 10), 0, 60'000));
-    }
+Duration retry_after_of(httplib::Response const& response)
+{
+    auto const text = response.get_header_value("Retry-After-Milliseconds");
+    // NOTE: strtoll gives 0 for what is no number, which stands for "not said".
+    return milliseconds(std::clamp<std::int64_t>(std::strtoll(text.c_str(), nullptr, 10), 0, 60'000));
+}
 
-    EngineError error_of_status(httplib::Response const& response)
-    {
-        switch (response.status) {
-        case 404:
-            return { EngineErrorKind::UnknownWork };
-        case 409:
-            return { EngineErrorKind::Fenced };
-        case 410:
-            return { EngineErrorKind::ExportGone };
-        case 412:
-            return { EngineErrorKind::StaleEpoch };
-        case 429:
-        case 503:
-            return { EngineErrorKind::Refused, retry_after_of(response) };
-        default:
-            return { EngineErrorKind::Malformed };
-        }
+EngineError error_of_status(httplib::Response const& response)
+{
+    switch (response.status) {
+    case 404:
+        return { EngineErrorKind::UnknownWork };
+    case 409:
+        return { EngineErrorKind::Fenced };
+    case 410:
+        return { EngineErrorKind::ExportGone };
+    case 412:
+        return { EngineErrorKind::StaleEpoch };
+    case 429:
+    case 503:
+        return { EngineErrorKind::Refused, retry_after_of(response) };
+    default:
+        return { EngineErrorKind::Malformed };
     }
+}
 
-    EngineError error_of(httplib::Error error)
-    {
-        return { error == httplib::Error::Connection ? EngineErrorKind::Unreachable : EngineErrorKind::Lost };
-    }
+EngineError error_of(httplib::Error error)
+{
+    return { error == httplib::Error::Connection ? EngineErrorKind::Unreachable : EngineErrorKind::Lost };
+}
 
-    Json parse_object(std::string const& text)
-    {
-        auto document = Json::parse(text, nullptr, false);
-        return document.is_object() ? document : Json::object();
-    }
+Json parse_object(std::string const& text)
+{
+    auto document = Json::parse(text, nullptr, false);
+    return document.is_object() ? document : Json::object();
+}
 
-    std::int64_t integer_of(Json const& object, char const* key)
-    {
-        auto const found = object.find(key);
-        return found != object.end() && found->is_number_integer() ? found->get<std::int64_t>() : -1;
-    }
+std::int64_t integer_of(Json const& object, char const* key)
+{
+    auto const found = object.find(key);
+    return found != object.end() && found->is_number_integer() ? found->get<std::int64_t>() : -1;
+}
 
-    std::string text_of(Json const& object, char const* key)
-    {
-        auto const found = object.find(key);
-        return found != object.end() && found->is_string() ? found->get<std::string>() : std::string();
-    }
+std::string text_of(Json const& object, char const* key)
+{
+    auto const found = object.find(key);
+    return found != object.end() && found->is_string() ? found->get<std::string>() : std::string();
+}
 
-    Json name_fields(WorkName const& name)
-    {
-        return { { "request", name.request }, { "origin", name.origin }, { "account", name.account } };
-    }
+Json name_fields(WorkName const& name)
+{
+    return { { "request", name.request }, { "origin", name.origin }, { "account", name.account } };
+}
+
+/// What one streamed call came to.
+struct StreamCall {
+    std::string method;
+    std::string path;
+    std::string body;
+    /// Sees each event; false ends the call.
+    std::function<bool(StreamEvent const&)> on_event;
+    /// Asked whenever bytes came, comments among them.
+    std::function<bool()> on_bytes;
+};
 
-    /// What one streamed call came to.
-    struct StreamCall {
-        std::string method;
-        std::string path;
-        std::string body;
-        /// Sees each event; false ends the call.
-        std::function<bool(StreamEvent const&)> on_event;
-        /// Asked whenever bytes came, comments among them.
-        std::function<bool()> on_bytes;
+std::optional<EngineError> run_stream(Address const& address, HttpEngine::Options const& options, StreamCall const& call)
+{
+    auto client = make_http_client(address, options.silence_timeout);
+    client.set_connection_timeout(options.connect_timeout);
+    bool stopped = false;
+    int status = 0;
+    Duration retry_after {};
+    EventStreamParser parser([&](StreamEvent const& event) { return call.on_event(event); });
+    httplib::Request request;
+    request.method = call.method;
+    request.path = call.path;
+    request.body = call.body;
+    request.set_header("Content-Type", "application/json");
+    request.response_handler = [&](httplib::Response const& response) {
+        status = response.status;
+        retry_after = retry_after_of(response);
+        return true;
+    };
+    request.content_receiver = [&](char const* data, std::size_t size, std::uint64_t, std::uint64_t) {
+        if (status != 200)
+            return true;
+        stopped = !parser.feed({ data, size }) || !call.on_bytes();
+        return !stopped;
     };
+    auto const result = client.send(request);
+    if (stopped)
+        return EngineError { EngineErrorKind::Stopped };
+    if (!result)
+        return error_of(result.error());
+    if (result->status != 200)
+        return error_of_status(*result);
+    return {};
+}
 
-    std::optional<EngineError> run_stream(Address const& address, HttpEngine::Options const& options, StreamCall const& call)
+/// Reads the events of a decode stream, in order and each token once.
+class TokenStream {
+public:
+    TokenStream(TokenSink const& sink, std::int64_t first_offset)
+        : sink(sink)
+        , next_offset(first_offset)
     {
-        auto client = make_http_client(address, options.silence_timeout);
-        client.set_connection_timeout(options.connect_timeout);
-        bool stopped = false;
-        int status = 0;
-        Duration retry_after {};
-        EventStreamParser parser([&](StreamEvent const& event) { return call.on_event(event); });
-        httplib::Request request;
-        request.method = call.method;
-        request.path = call.path;
-        request.body = call.body;
-        request.set_header("Content-Type", "application/json");
-        request.response_handler = [&](httplib::Response const& response) {
-            status = response.status;
-            retry_after = retry_after_of(response);
-            return true;
-        };
-        request.content_receiver = [&](char const* data, std::size_t size, std::uint64_t, std::uint64_t) {
-            if (status != 200)
-                return true;
-            stopped = !parser.feed({ data, size }) || !call.on_bytes();
-            return !stopped;
-        };
-        auto const result = client.send(request);
-        if (stopped)
-            return EngineError { EngineErrorKind::Stopped };
-        if (!result)
-            return error_of(result.error());
-        if (result->status != 200)
-            return error_of_status(*result);
-        return {};
     }
 
-    /// Reads the events of a decode stream, in order and each token once.
-    class TokenStream {
-    public:
-        TokenStream(TokenSink const& sink, std::int64_t first_offset)
-            : sink(sink)
-            , next_offset(first_offset)
-        {
-        }
-
-        bool take(StreamEvent const& event)
-        {
-            auto const data = parse_object(event.data);
-            if (event.name == "token")
-                return this->take_token(data);
-            if (event.name == "finished") {
-                this->end = DecodeEnd { text_of(data, "reason") == "length" ? FinishReason::Length : FinishReason::Stop, integer_of(data, "output_tokens") };
-                return true;
-            }
-            if (event.name == "fenced")
-                return this->fail(EngineErrorKind::Fenced);
-            if (event.name == "export_gone")
-                return this->fail(EngineErrorKind::ExportGone);
-            if (event.name == "cancelled")
-                return this->fail(EngineErrorKind::UnknownWork);
+    bool take(StreamEvent const& event)
+    {
+        auto const data = parse_object(event.data);
+        if (event.name == "token")
+            return this->take_token(data);
+        if (event.name == "finished") {
+            this->end = DecodeEnd { text_of(data, "reason") == "length" ? FinishReason::Length : FinishReason::Stop, integer_of(data, "output_tokens") };
             return true;
         }
+        if (event.name == "fenced")
+            return this->fail(EngineErrorKind::Fenced);
+        if (event.name == "export_gone")
+            return this->fail(EngineErrorKind::ExportGone);
+        if (event.name == "cancelled")
+            return this->fail(EngineErrorKind::UnknownWork);
+        return true;
+    }
 
-        bool idle() { return this->sink(nullptr) == ReadMore::Yes; }
+    bool idle() { return this->sink(nullptr) == ReadMore::Yes; }
 
-        Result<DecodeEnd, EngineError> conclude(std::optional<EngineError> const& error) const
-        {
-            if (this->failure)
-                return Failure { *this->failure };
-            if (this->end && this->end->output_tokens == this->next_offset)
-                return *this->end;
-            if (error)
-                return Failure { *error };
-            // A stream that closed without its end, or with tokens missing, is not whole.
-            return Failure { EngineError { EngineErrorKind::Lost } };
-        }
+    Result<DecodeEnd, EngineError> conclude(std::optional<EngineError> const& error) const
+    {
+        if (this->failure)
+            return Failure { *this->failure };
+        if (this->end && this->end->output_tokens == this->next_offset)
+            return *this->end;
+        if (error)
+            return Failure { *error };
+        // A stream that closed without its end, or with tokens missing, is not whole.
+        return Failure { EngineError { EngineErrorKind::Lost } };
+    }
 
-    private:
-        bool fail(EngineErrorKind kind)
-        {
-            this->failure = EngineError { kind };
-            return false;
-        }
+private:
+    bool fail(EngineErrorKind kind)
+    {
+        this->failure = EngineError { kind };
+        return false;
+    }
 
-        bool take_token(Json const& data)
-        {
-            EngineToken const token { integer_of(data, "offset"), text_of(data, "text") };
-            // Repeated tokens are passed over; a gap would make the answer not whole.
-            if (token.offset < this->next_offset)
-                return true;
-            if (token.offset > this->next_offset)
-                return this->fail(EngineErrorKind::Malformed);
-            ++this->next_offset;
-            return this->sink(&token) == ReadMore::Yes;
-        }
+    bool take_token(Json const& data)
+    {
+        EngineToken const token { integer_of(data, "offset"), text_of(data, "text") };
+        // Repeated tokens are passed over; a gap would make the answer not whole.
+        if (token.offset < this->next_offset)
+            return true;
+        if (token.offset > this->next_offset)
+            return this->fail(EngineErrorKind::Malformed);
+        ++this->next_offset;
+        return this->sink(&token) == ReadMore::Yes;
+    }
 
-        TokenSink const& sink;
-        std::int64_t next_offset;
-        std::optional<DecodeEnd> end;
-        std::optional<EngineError> failure;
-    };
+    TokenSink const& sink;
+    std::int64_t next_offset;
+    std::optional<DecodeEnd> end;
+    std::optional<EngineError> failure;
+};
 
-    EngineReport read_report(Json const& document)
-    {
-        EngineReport report;
-        if (text_of(document, "life") == "leaving")
-            report.life = EngineReport::Life::Leaving;
-        report.step_time = Duration(std::max<std::int64_t>(0, integer_of(document, "step_microseconds")));
-        auto const held = document.find("held");
-        if (held == document.end() || !held->is_array())
-            return report;
-        for (auto const& entry : *held) {
-            if (!entry.is_object())
-                continue;
-            HeldWork work;
-            work.request = text_of(entry, "request");
-            work.origin = text_of(entry, "origin");
-            work.account = text_of(entry, "account");
-            work.reader = text_of(entry, "reader") == "attached" ? HeldWork::Reader::Attached : HeldWork::Reader::None;
-            if (!work.request.empty())
-                report.held.push_back(std::move(work));
-        }
+EngineReport read_report(Json const& document)
+{
+    EngineReport report;
+    if (text_of(document, "life") == "leaving")
+        report.life = EngineReport::Life::Leaving;
+    report.step_time = Duration(std::max<std::int64_t>(0, integer_of(document, "step_microseconds")));
+    auto const held = document.find("held");
+    if (held == document.end() || !held->is_array())
         return report;
+    for (auto const& entry : *held) {
+        if (!entry.is_object())
+            continue;
+        HeldWork work;
+        work.request = text_of(entry, "request");
+        work.origin = text_of(entry, "origin");
+        work.account = text_of(entry, "account");
+        work.reader = text_of(entry, "reader") == "attached" ? HeldWork::Reader::Attached : HeldWork::Reader::None;
+        if (!work.request.empty())
+            report.held.push_back(std::move(work));
     }
+    return report;
+}
 
 }
 
--- a/Libraries/LibUpstream/HttpService.cpp
+++ b/Libraries/LibUpstream/HttpService.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-    constexpr std::int64_t LONGEST_RETRY_AFTER_SECONDS = 600;
+constexpr std::int64_t LONGEST_RETRY_AFTER_SECONDS = 600;
 
 }
 
--- a/Libraries/LibWire/Kernel.cpp
+++ b/Libraries/LibWire/Kernel.cpp
@@ -4,6 +4,7 @@
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
 #include <LibWire/Kernel.h>
+#include <LibWire/WatchedSocket.h>
 #include <LibWire/WireMembers.h>
 #include <array>
 #include <asio.hpp>
@@ -19,125 +20,38 @@
 
 namespace {
 
-    constexpr int HIGH_WATER_MARK = 20000;
-    constexpr int FIRST_RECONNECT_MILLISECONDS = 20;
-    constexpr int LONGEST_RECONNECT_MILLISECONDS = 1000;
-    /// Every process answers under this name that it is there.
+constexpr int HIGH_WATER_MARK = 20000;
+constexpr int FIRST_RECONNECT_MILLISECONDS = 20;
+constexpr int LONGEST_RECONNECT_MILLISECONDS = 1000;
+/// Every process answers under this name that it is there.
 constexpr std::string_view KERNEL_SERVICE = "kernel";
 constexpr Duration STOP_GRACE = seconds(1);
-    constexpr std::size_t MAXIMUM_MESSAGE_BYTES = 64UL * 1024 * 1024;
+constexpr std::size_t MAXIMUM_MESSAGE_BYTES = 64UL * 1024 * 1024;
 
-    std::string message_kind(wire::Envelope const& envelope)
-    {
-        auto const* descriptor = wire::Envelope::descriptor();
-        auto const* field = descriptor->FindFieldByNumber(envelope.body_case());
-        return field ? field->name() : "none";
-    }
-
-    std::string new_incarnation(std::string const& virtual_machine)
-    {
-        std::random_device device;
-        std::array<char, 64> buffer {};
-        std::snprintf(buffer.data(), buffer.size(), ".%llx-%08x", static_cast<unsigned long long>(unix_milliseconds()), device());
-        return virtual_machine + buffer.data();
-    }
-
-    void set_common_options(zmq::socket_t& socket)
-    {
-        socket.set(zmq::sockopt::linger, 0);
-        socket.set(zmq::sockopt::sndhwm, HIGH_WATER_MARK);
-        socket.set(zmq::sockopt::rcvhwm, HIGH_WATER_MARK);
-        socket.set(zmq::sockopt::maxmsgsize, static_cast<std::int64_t>(MAXIMUM_MESSAGE_BYTES));
-        socket.set(zmq::sockopt::reconnect_ivl, FIRST_RECONNECT_MILLISECONDS);
-        socket.set(zmq::sockopt::reconnect_ivl_max, LONGEST_RECONNECT_MILLISECONDS);
-    }
-
-    /// A ZeroMQ socket watched by the kernel's event loop.
-    class WatchedSocket {
-    public:
-        using MessageHandler = std::function<void(std::vector<zmq::message_t> frames)>;
-
-        WatchedSocket(asio::io_context& loop, zmq::socket_t socket, MessageHandler on_message)
-            : socket(std::move(socket))
-            , descriptor(loop, this->socket.get(zmq::sockopt::fd))
-            , on_message(std::move(on_message))
-            , alive(std::make_shared<bool>(true))
-        {
-        }
-
-        ~WatchedSocket()
-        {
-            *this->alive = false;
-            // The descriptor belongs to the ZeroMQ socket, which closes it.
-            this->descriptor.cancel();
-            this->descriptor.release();
-        }
-
-        WatchedSocket(WatchedSocket const&) = delete;
-        WatchedSocket& operator=(WatchedSocket const&) = delete;
-
-        void watch()
-        {
-            this->descriptor.async_wait(asio::posix::stream_descriptor::wait_read, [this, alive = this->alive](asio::error_code error) {
-                if (error || !*alive)
-                    return;
-                this->drain();
-                if (*alive)
-                    this->watch();
-            });
-            // The descriptor tells only of changes, so what came before the wait is looked for here.
-            this->drain_later();
-        }
-
-        void drain_later()
-        {
-            if ((this->socket.get(zmq::sockopt::events) & ZMQ_POLLIN) == 0)
-                return;
-            asio::post(this->descriptor.get_executor(), [this, alive = this->alive] {
-                if (*alive)
-                    this->drain();
-            });
-        }
-
-        bool send(std::vector<zmq::message_t> frames)
-        {
-            bool sent = true;
-            for (std::size_t i = 0; i < frames.size() && sent; ++i) {
-                auto const more = i + 1 < frames.size() ? zmq::send_flags::sndmore : zmq::send_flags::none;
-                try {
-                    sent = this->socket.send(frames[i], more | zmq::send_flags::dontwait).has_value();
-                } catch (zmq::error_t const&) {
-                    // The peer of a reply is gone.
-                    sent = false;
-                }
-            }
-            this->drain_later();
-            return sent;
-        }
+std::string message_kind(wire::Envelope const& envelope)
+{
+    auto const* descriptor = wire::Envelope::descriptor();
+    auto const* field = descriptor->FindFieldByNumber(envelope.body_case());
+    return field ? field->name() : "none";
+}
 
-        std::string last_endpoint() { return this->socket.get(zmq::sockopt::last_endpoint); }
-
-    private:
-        void drain()
-        {
-            auto const alive = this->alive;
-            while (*alive) {
-                std::vector<zmq::message_t> frames;
-                do {
-                    zmq::message_t frame;
-                    if (!this->socket.recv(frame, zmq::recv_flags::dontwait))
-                        return;
-                    frames.push_back(std::move(frame));
-                } while (frames.back().more());
-                this->on_message(std::move(frames));
-            }
-        }
+std::string new_incarnation(std::string const& virtual_machine)
+{
+    std::random_device device;
+    std::array<char, 64> buffer {};
+    std::snprintf(buffer.data(), buffer.size(), ".%llx-%08x", static_cast<unsigned long long>(unix_milliseconds()), device());
+    return virtual_machine + buffer.data();
+}
 
-        zmq::socket_t socket;
-        asio::posix::stream_descriptor descriptor;
-        MessageHandler on_message;
-        std::shared_ptr<bool> alive;
-    };
+void set_common_options(zmq::socket_t& socket)
+{
+    socket.set(zmq::sockopt::linger, 0);
+    socket.set(zmq::sockopt::sndhwm, HIGH_WATER_MARK);
+    socket.set(zmq::sockopt::rcvhwm, HIGH_WATER_MARK);
+    socket.set(zmq::sockopt::maxmsgsize, static_cast<std::int64_t>(MAXIMUM_MESSAGE_BYTES));
+    socket.set(zmq::sockopt::reconnect_ivl, FIRST_RECONNECT_MILLISECONDS);
+    socket.set(zmq::sockopt::reconnect_ivl_max, LONGEST_RECONNECT_MILLISECONDS);
+}
 
 }
 
--- a/Libraries/LibWire/ServiceDirectory.cpp
+++ b/Libraries/LibWire/ServiceDirectory.cpp
@@ -8,18 +8,18 @@
 
 namespace {
 
-    std::optional<std::string> endpoint_of(MemberRecord const& member, std::string_view service)
-    {
-        auto const found = std::find_if(member.services.begin(), member.services.end(), [&](auto const& entry) { return entry.service == service; });
-        if (found == member.services.end())
-            return {};
-        return found->endpoint;
-    }
+std::optional<std::string> endpoint_of(MemberRecord const& member, std::string_view service)
+{
+    auto const found = std::find_if(member.services.begin(), member.services.end(), [&](auto const& entry) { return entry.service == service; });
+    if (found == member.services.end())
+        return {};
+    return found->endpoint;
+}
 
-    bool takes_new_work(MemberRecord const& member)
-    {
-        return member.life == MemberLife::Alive || member.life == MemberLife::Suspect;
-    }
+bool takes_new_work(MemberRecord const& member)
+{
+    return member.life == MemberLife::Alive || member.life == MemberLife::Suspect;
+}
 
 }
 
--- a/Libraries/LibWire/WireMembers.cpp
+++ b/Libraries/LibWire/WireMembers.cpp
@@ -7,13 +7,13 @@
 
 namespace {
 
-    // A peer of a later version may send a life this one does not know; it is treated as suspect.
-    MemberLife read_life(std::int32_t value)
-    {
-        if (value < 0 || value > static_cast<std::int32_t>(MemberLife::Leaving))
-            return MemberLife::Suspect;
-        return static_cast<MemberLife>(value);
-    }
+// A peer of a later version may send a life this one does not know; it is treated as suspect.
+MemberLife read_life(std::int32_t value)
+{
+    if (value < 0 || value > static_cast<std::int32_t>(MemberLife::Leaving))
+        return MemberLife::Suspect;
+    return static_cast<MemberLife>(value);
+}
 
 }
 
--- a/Services/AdminServer/AdminServer.cpp
+++ b/Services/AdminServer/AdminServer.cpp
@@ -4,6 +4,7 @@
 #include <LibConfiguration/Configuration.h>
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
+#include <LibService/ServerCore.h>
 #include <LibService/WireMetrics.h>
 #include <Services/AdminServer/AdminServer.h>
 #include <algorithm>
@@ -13,45 +14,45 @@
 
 namespace {
 
-    using Json = nlohmann::ordered_json;
+using Json = nlohmann::ordered_json;
 
-    constexpr std::string_view BEARER = "Bearer ";
-    constexpr Duration CONFIG_TIMEOUT = milliseconds(10'000);
-    constexpr Duration STATUS_TIMEOUT = milliseconds(1000);
+constexpr std::string_view BEARER = "Bearer ";
+constexpr Duration CONFIG_TIMEOUT = milliseconds(10'000);
+constexpr Duration STATUS_TIMEOUT = milliseconds(1000);
 
-    void answer(httplib::Response& response, int status, Json const& body)
-    {
-        response.status = status;
-        response.set_content(body.dump(-1, ' ', false, Json::error_handler_t::replace), "application/json");
-    }
+void answer(httplib::Response& response, int status, Json const& body)
+{
+    response.status = status;
+    response.set_content(body.dump(-1, ' ', false, Json::error_handler_t::replace), "application/json");
+}
 
-    void answer_error(httplib::Response& response, int status, std::string_view code, std::string_view message)
-    {
-        answer(response, status, { { "error", { { "code", code }, { "message", message } } } });
-    }
+void answer_error(httplib::Response& response, int status, std::string_view code, std::string_view message)
+{
+    answer(response, status, { { "error", { { "code", code }, { "message", message } } } });
+}
 
-    std::optional<std::int64_t> integer_parameter(httplib::Request const& request, std::string const& name)
-    {
-        auto const text = request.get_param_value(name);
-        std::int64_t value = 0;
-        auto const [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-        if (text.empty() || error != std::errc {} || end != text.data() + text.size())
-            return {};
-        return value;
-    }
+std::optional<std::int64_t> integer_parameter(httplib::Request const& request, std::string const& name)
+{
+    auto const text = request.get_param_value(name);
+    std::int64_t value = 0;
+    auto const [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    if (text.empty() || error != std::errc {} || end != text.data() + text.size())
+        return {};
+    return value;
+}
 
-    wire::Envelope config_message()
-    {
-        wire::Envelope envelope;
-        envelope.set_service("config");
-        return envelope;
-    }
+wire::Envelope config_message()
+{
+    wire::Envelope envelope;
+    envelope.set_service("config");
+    return envelope;
+}
 
-    std::string_view life_name(std::int32_t life)
-    {
-        constexpr auto LAST = static_cast<std::int32_t>(MemberLife::Leaving);
-        return life < 0 || life > LAST ? "unknown" : to_string(static_cast<MemberLife>(life));
-    }
+std::string_view life_name(std::int32_t life)
+{
+    constexpr auto LAST = static_cast<std::int32_t>(MemberLife::Leaving);
+    return life < 0 || life > LAST ? "unknown" : to_string(static_cast<MemberLife>(life));
+}
 
 }
 
@@ -88,15 +89,9 @@
 Result<std::unique_ptr<AdminServer>, ServerStartError> AdminServer::create(Options options)
 {
     std::unique_ptr<AdminServer> server(new AdminServer(std::move(options)));
-    auto const& common = server->options.server;
-    auto listener = HttpListener::create({ common.http_address, common.http_threads });
-    if (listener.is_error())
-        return Failure { ServerStartError::CannotListenHttp };
-    server->listener = listener.release_value();
-    auto kernel = Kernel::create({ common.virtual_machine, common.wire_endpoint, server->options.directory_endpoint });
-    if (kernel.is_error())
-        return Failure { ServerStartError::CannotListenWire };
-    server->kernel = kernel.release_value();
+    auto core = TRY(open_server_core(server->options.server, server->options.directory_endpoint));
+    server->listener = std::move(core.listener);
+    server->kernel = std::move(core.kernel);
     server->kernel->host("admin", [](auto const&, auto respond) { respond(error_reply(wire::ERROR_CODE_UNKNOWN_MESSAGE)); });
     server->add_routes();
     server->listener->serve_operations(server->metrics, [raw = server.get()] { return !raw->kernel->directory().resolve("config").empty(); });
--- a/Services/ConfigServer/ConfigServer.cpp
+++ b/Services/ConfigServer/ConfigServer.cpp
@@ -4,8 +4,9 @@
 #include <LibConfiguration/Configuration.h>
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
-#include <LibService/WireMetrics.h>
 #include <LibDecision/CellMap.h>
+#include <LibService/ServerCore.h>
+#include <LibService/WireMetrics.h>
 #include <LibWire/WireMembers.h>
 #include <Services/ConfigServer/ConfigServer.h>
 #include <algorithm>
@@ -16,79 +17,79 @@
 
 namespace {
 
-    /// VMs of a data centre that watch the platform; the others learn from their peers.
-    constexpr std::size_t WATCHERS = 3;
-    constexpr std::size_t WORKERS = 4;
-    constexpr std::size_t LONGEST_QUEUE = 1000;
-    constexpr Duration LEAVE_TIMEOUT = milliseconds(500);
-    constexpr Duration PEER_FETCH_TIMEOUT = milliseconds(2000);
+/// VMs of a data centre that watch the platform; the others learn from their peers.
+constexpr std::size_t WATCHERS = 3;
+constexpr std::size_t WORKERS = 4;
+constexpr std::size_t LONGEST_QUEUE = 1000;
+constexpr Duration LEAVE_TIMEOUT = milliseconds(500);
+constexpr Duration PEER_FETCH_TIMEOUT = milliseconds(2000);
 
-    wire::ApplyStatus status_of(ApplyErrorKind kind)
-    {
-        switch (kind) {
-        case ApplyErrorKind::Conflict:
-            return wire::APPLY_STATUS_CONFLICT;
-        case ApplyErrorKind::NotAccepted:
-        case ApplyErrorKind::TableWentBack:
-            return wire::APPLY_STATUS_NOT_ACCEPTED;
-        case ApplyErrorKind::InDoubt:
-            return wire::APPLY_STATUS_IN_DOUBT;
-        }
-        VERIFY_NOT_REACHED();
+wire::ApplyStatus status_of(ApplyErrorKind kind)
+{
+    switch (kind) {
+    case ApplyErrorKind::Conflict:
+        return wire::APPLY_STATUS_CONFLICT;
+    case ApplyErrorKind::NotAccepted:
+    case ApplyErrorKind::TableWentBack:
+        return wire::APPLY_STATUS_NOT_ACCEPTED;
+    case ApplyErrorKind::InDoubt:
+        return wire::APPLY_STATUS_IN_DOUBT;
     }
+    VERIFY_NOT_REACHED();
+}
 
-    wire::ClaimStatus status_of(ClaimOutcome outcome)
-    {
-        switch (outcome) {
-        case ClaimOutcome::Granted:
-            return wire::CLAIM_STATUS_GRANTED;
-        case ClaimOutcome::Taken:
-            return wire::CLAIM_STATUS_TAKEN;
-        case ClaimOutcome::InDoubt:
-            return wire::CLAIM_STATUS_IN_DOUBT;
-        }
-        VERIFY_NOT_REACHED();
+wire::ClaimStatus status_of(ClaimOutcome outcome)
+{
+    switch (outcome) {
+    case ClaimOutcome::Granted:
+        return wire::CLAIM_STATUS_GRANTED;
+    case ClaimOutcome::Taken:
+        return wire::CLAIM_STATUS_TAKEN;
+    case ClaimOutcome::InDoubt:
+        return wire::CLAIM_STATUS_IN_DOUBT;
     }
+    VERIFY_NOT_REACHED();
+}
 
-    wire::Envelope apply_reply(ConfigurationStore& store, wire::ApplyConfiguration const& message)
-    {
-        wire::Envelope reply;
-        auto* body = reply.mutable_apply_reply();
-        auto const read = read_configuration(message.content(), "configuration");
-        if (read.is_error()) {
-            body->set_status(wire::APPLY_STATUS_INVALID);
-            body->set_detail(read.error().describe());
-            return reply;
-        }
-        auto const applied = store.apply({ message.apply_id(), message.base_generation(), message.content(), message.author() }, unix_milliseconds());
-        if (applied.is_error()) {
-            body->set_status(status_of(applied.error().kind));
-            body->set_generation(applied.error().present.generation);
-            body->set_current_author(applied.error().present.author);
-            return reply;
-        }
-        body->set_status(wire::APPLY_STATUS_ACCEPTED);
-        body->set_generation(applied.value());
-        LogLine("configuration_accepted").with("generation", applied.value()).with("author", message.author()).with("apply_id", message.apply_id());
+wire::Envelope apply_reply(ConfigurationStore& store, wire::ApplyConfiguration const& message)
+{
+    wire::Envelope reply;
+    auto* body = reply.mutable_apply_reply();
+    auto const read = read_configuration(message.content(), "configuration");
+    if (read.is_error()) {
+        body->set_status(wire::APPLY_STATUS_INVALID);
+        body->set_detail(read.error().describe());
         return reply;
     }
-
-    wire::Envelope history_reply(ConfigurationStore& store)
-    {
-        auto const history = store.history();
-        if (history.is_error())
-            return error_reply(wire::ERROR_CODE_PLATFORM_UNAVAILABLE);
-        wire::Envelope reply;
-        auto* body = reply.mutable_history_reply();
-        for (auto const& entry : history.value()) {
-            auto* message = body->add_entries();
-            message->set_generation(entry.generation);
-            message->set_author(entry.author);
-            message->set_content_hash(entry.content_hash);
-            message->set_unix_milliseconds(entry.unix_milliseconds);
-        }
+    auto const applied = store.apply({ message.apply_id(), message.base_generation(), message.content(), message.author() }, unix_milliseconds());
+    if (applied.is_error()) {
+        body->set_status(status_of(applied.error().kind));
+        body->set_generation(applied.error().present.generation);
+        body->set_current_author(applied.error().present.author);
         return reply;
     }
+    body->set_status(wire::APPLY_STATUS_ACCEPTED);
+    body->set_generation(applied.value());
+    LogLine("configuration_accepted").with("generation", applied.value()).with("author", message.author()).with("apply_id", message.apply_id());
+    return reply;
+}
+
+wire::Envelope history_reply(ConfigurationStore& store)
+{
+    auto const history = store.history();
+    if (history.is_error())
+        return error_reply(wire::ERROR_CODE_PLATFORM_UNAVAILABLE);
+    wire::Envelope reply;
+    auto* body = reply.mutable_history_reply();
+    for (auto const& entry : history.value()) {
+        auto* message = body->add_entries();
+        message->set_generation(entry.generation);
+        message->set_author(entry.author);
+        message->set_content_hash(entry.content_hash);
+        message->set_unix_milliseconds(entry.unix_milliseconds);
+    }
+    return reply;
+}
 
 }
 
@@ -125,15 +126,9 @@
 Result<std::unique_ptr<ConfigServer>, ServerStartError> ConfigServer::create(Options options)
 {
     std::unique_ptr<ConfigServer> server(new ConfigServer(std::move(options)));
-    auto const& common = server->options.server;
-    auto listener = HttpListener::create({ common.http_address, common.http_threads });
-    if (listener.is_error())
-        return Failure { ServerStartError::CannotListenHttp };
-    server->listener = listener.release_value();
-    auto kernel = Kernel::create({ common.virtual_machine, common.wire_endpoint, "" });
-    if (kernel.is_error())
-        return Failure { ServerStartError::CannotListenWire };
-    server->kernel = kernel.release_value();
+    auto core = TRY(open_server_core(server->options.server, ""));
+    server->listener = std::move(core.listener);
+    server->kernel = std::move(core.kernel);
     server->host_services();
     return server;
 }
--- a/Services/ConfigServer/ConfigurationStore.cpp
+++ b/Services/ConfigServer/ConfigurationStore.cpp
@@ -11,22 +11,22 @@
 
 namespace {
 
-    using Json = nlohmann::json;
+using Json = nlohmann::json;
 
-    constexpr std::string_view ROW_KEY = "configuration/fleet";
-    /// Older entries are trimmed, so that the row stays small.
-    constexpr std::size_t HISTORY_KEPT = 50;
+constexpr std::string_view ROW_KEY = "configuration/fleet";
+/// Older entries are trimmed, so that the row stays small.
+constexpr std::size_t HISTORY_KEPT = 50;
 
-    std::string object_name(std::string_view content_hash)
-    {
-        return "configuration-" + std::string(content_hash);
-    }
+std::string object_name(std::string_view content_hash)
+{
+    return "configuration-" + std::string(content_hash);
+}
 
-    GenerationEntry const* find_apply(GenerationRow const& row, std::string_view apply_id)
-    {
-        auto const found = std::find_if(row.entries.begin(), row.entries.end(), [&](auto const& entry) { return entry.apply_id == apply_id; });
-        return found == row.entries.end() ? nullptr : &*found;
-    }
+GenerationEntry const* find_apply(GenerationRow const& row, std::string_view apply_id)
+{
+    auto const found = std::find_if(row.entries.begin(), row.entries.end(), [&](auto const& entry) { return entry.apply_id == apply_id; });
+    return found == row.entries.end() ? nullptr : &*found;
+}
 
 }
 
--- a/Services/ConfigServer/MembershipService.cpp
+++ b/Services/ConfigServer/MembershipService.cpp
@@ -11,20 +11,20 @@
 
 namespace {
 
-    /// Three announcements that did not come; they cross the VM's loopback alone.
+/// Three announcements that did not come; they cross the VM's loopback alone.
 constexpr Duration LOCAL_PROCESS_SILENCE = milliseconds(1000);
-    constexpr Duration RECORDS_TIMEOUT = milliseconds(900);
-    /// Of the heartbeat interval, so that all tries of a probe fit into about one.
-    constexpr int PROBE_TIMEOUT_PERCENT = 30;
-    constexpr std::string_view DIRECTORY = "directory";
-
-    MemberRecord first_record(std::string const& virtual_machine)
-    {
-        MemberRecord record;
-        record.virtual_machine = virtual_machine;
-        record.incarnation = unix_milliseconds();
-        return record;
-    }
+constexpr Duration RECORDS_TIMEOUT = milliseconds(900);
+/// Of the heartbeat interval, so that all tries of a probe fit into about one.
+constexpr int PROBE_TIMEOUT_PERCENT = 30;
+constexpr std::string_view DIRECTORY = "directory";
+
+MemberRecord first_record(std::string const& virtual_machine)
+{
+    MemberRecord record;
+    record.virtual_machine = virtual_machine;
+    record.incarnation = unix_milliseconds();
+    return record;
+}
 
 }
 
--- a/Services/EntryServer/AnswerWriter.cpp
+++ b/Services/EntryServer/AnswerWriter.cpp
@@ -8,33 +8,33 @@
 
 namespace {
 
-    using Json = nlohmann::ordered_json;
+using Json = nlohmann::ordered_json;
 
-    std::string dump(Json const& document)
-    {
-        return document.dump(-1, ' ', false, Json::error_handler_t::replace);
-    }
+std::string dump(Json const& document)
+{
+    return document.dump(-1, ' ', false, Json::error_handler_t::replace);
+}
 
-    std::string_view reason_name(FinishReason reason)
-    {
-        return reason == FinishReason::Length ? "length" : "stop";
-    }
+std::string_view reason_name(FinishReason reason)
+{
+    return reason == FinishReason::Length ? "length" : "stop";
+}
 
-    Json usage_fields(AnswerUsage const& usage)
-    {
-        return { { "prompt_tokens", usage.prompt_tokens }, { "completion_tokens", usage.completion_tokens }, { "total_tokens", usage.prompt_tokens + usage.completion_tokens },
-            { "prompt_tokens_details", { { "cached_tokens", usage.cached_tokens } } } };
-    }
+Json usage_fields(AnswerUsage const& usage)
+{
+    return { { "prompt_tokens", usage.prompt_tokens }, { "completion_tokens", usage.completion_tokens }, { "total_tokens", usage.prompt_tokens + usage.completion_tokens },
+        { "prompt_tokens_details", { { "cached_tokens", usage.cached_tokens } } } };
+}
 
-    Json frame(std::string_view object, std::string const& request, std::int64_t created, std::string const& model)
-    {
-        return { { "id", request }, { "object", object }, { "created", created }, { "model", model } };
-    }
+Json frame(std::string_view object, std::string const& request, std::int64_t created, std::string const& model)
+{
+    return { { "id", request }, { "object", object }, { "created", created }, { "model", model } };
+}
 
-    std::string_view chunk_object(AnswerFormat format)
-    {
-        return format == AnswerFormat::Chat ? "chat.completion.chunk" : "text_completion";
-    }
+std::string_view chunk_object(AnswerFormat format)
+{
+    return format == AnswerFormat::Chat ? "chat.completion.chunk" : "text_completion";
+}
 
 }
 
--- a/Services/EntryServer/CompletionRequest.cpp
+++ b/Services/EntryServer/CompletionRequest.cpp
@@ -7,24 +7,24 @@
 
 namespace {
 
-    constexpr std::int64_t BYTES_PER_TOKEN = 4;
-    constexpr std::int64_t MOST_OUTPUT_TOKENS = 1'000'000;
-    constexpr std::string_view SOURCE = "request";
-
-    /// Chat messages become one prompt, a role and its text a line.
-    std::string read_messages(SettingsReader& reader)
-    {
-        std::string prompt;
-        auto messages = reader.objects("messages", Presence::Required);
-        if (messages.empty())
-            reader.fault(SettingsFaultKind::OutOfRange, "messages", "at least one message");
-        for (auto& message : messages) {
-            auto const role = message.choice("role", Presence::Required, { "system", "developer", "user", "assistant", "tool" });
-            auto const content = message.text("content", Presence::Required);
-            prompt.append(role).append(": ").append(content).append("\n");
-        }
-        return prompt;
+constexpr std::int64_t BYTES_PER_TOKEN = 4;
+constexpr std::int64_t MOST_OUTPUT_TOKENS = 1'000'000;
+constexpr std::string_view SOURCE = "request";
+
+/// Chat messages become one prompt, a role and its text a line.
+std::string read_messages(SettingsReader& reader)
+{
+    std::string prompt;
+    auto messages = reader.objects("messages", Presence::Required);
+    if (messages.empty())
+        reader.fault(SettingsFaultKind::OutOfRange, "messages", "at least one message");
+    for (auto& message : messages) {
+        auto const role = message.choice("role", Presence::Required, { "system", "developer", "user", "assistant", "tool" });
+        auto const content = message.text("content", Presence::Required);
+        prompt.append(role).append(": ").append(content).append("\n");
     }
+    return prompt;
+}
 
 }
 
--- a/Services/EntryServer/EntryServer.cpp
+++ b/Services/EntryServer/EntryServer.cpp
@@ -3,8 +3,9 @@
 
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
-#include <LibService/WireMetrics.h>
 #include <LibHttp/EventStream.h>
+#include <LibService/ServerCore.h>
+#include <LibService/WireMetrics.h>
 #include <LibUpstream/HttpEngine.h>
 #include <LibUpstream/HttpService.h>
 #include <Services/EntryServer/AnswerWriter.h>
@@ -16,71 +17,71 @@
 
 namespace {
 
-    constexpr std::string_view BEARER = "Bearer ";
-    constexpr std::size_t LONGEST_IDEMPOTENCY_KEY = 200;
-    constexpr Duration SERVICE_CONNECT_TIMEOUT = milliseconds(500);
-    constexpr Duration SERVICE_ANSWER_TIMEOUT = seconds(30);
-    constexpr Duration COME_BACK_SOON = milliseconds(1000);
-    constexpr Duration DRAIN_POLL = milliseconds(20);
-    constexpr int METHOD_LENGTH = 16;
+constexpr std::string_view BEARER = "Bearer ";
+constexpr std::size_t LONGEST_IDEMPOTENCY_KEY = 200;
+constexpr Duration SERVICE_CONNECT_TIMEOUT = milliseconds(500);
+constexpr Duration SERVICE_ANSWER_TIMEOUT = seconds(30);
+constexpr Duration COME_BACK_SOON = milliseconds(1000);
+constexpr Duration DRAIN_POLL = milliseconds(20);
+constexpr int METHOD_LENGTH = 16;
+
+std::int64_t header_integer(httplib::Request const& request, std::string const& name, std::int64_t fallback)
+{
+    auto const text = request.get_header_value(name);
+    std::int64_t value = 0;
+    auto const [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
+    return error == std::errc {} && end == text.data() + text.size() && !text.empty() ? value : fallback;
+}
+
+Problem invalid_body(SettingsError const& error)
+{
+    return { ProblemKind::InvalidBody, error.describe(), RequestOutcome::RefusedNotRun, {} };
+}
+
+bool write_event(httplib::DataSink& sink, StreamEvent const& event)
+{
+    auto const text = format_event(event);
+    return sink.write(text.data(), text.size());
+}
 
-    std::int64_t header_integer(httplib::Request const& request, std::string const& name, std::int64_t fallback)
+/// Writes one stream's events to its caller.
+class StreamRelay {
+public:
+    StreamRelay(httplib::DataSink& sink, AnswerWriter const& writer, std::shared_ptr<PeerConnection const> connection)
+        : sink(sink)
+        , writer(writer)
+        , connection(std::move(connection))
     {
-        auto const text = request.get_header_value(name);
-        std::int64_t value = 0;
-        auto const [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
-        return error == std::errc {} && end == text.data() + text.size() && !text.empty() ? value : fallback;
     }
 
-    Problem invalid_body(SettingsError const& error)
+    ReadMore take(EngineToken const* token, std::string_view work, std::string_view engine)
     {
-        return { ProblemKind::InvalidBody, error.describe(), RequestOutcome::RefusedNotRun, {} };
+        if (!token)
+            return this->connection->is_gone() ? ReadMore::No : ReadMore::Yes;
+        StreamPosition const position { std::string(work), std::string(engine), token->offset };
+        this->identifier = position.to_string();
+        return write_event(this->sink, { this->identifier, {}, this->writer.chunk(token->text) }) ? ReadMore::Yes : ReadMore::No;
     }
 
-    bool write_event(httplib::DataSink& sink, StreamEvent const& event)
+    void finish(DecodeEnd const& end, AnswerUsage const* usage)
     {
-        auto const text = format_event(event);
-        return sink.write(text.data(), text.size());
+        write_event(this->sink, { {}, {}, this->writer.last_chunk(end.reason) });
+        if (usage)
+            write_event(this->sink, { {}, {}, this->writer.usage_chunk(*usage) });
+        write_event(this->sink, { {}, {}, "[DONE]" });
     }
 
-    /// Writes one stream's events to its caller.
-    class StreamRelay {
-    public:
-        StreamRelay(httplib::DataSink& sink, AnswerWriter const& writer, std::shared_ptr<PeerConnection const> connection)
-            : sink(sink)
-            , writer(writer)
-            , connection(std::move(connection))
-        {
-        }
-
-        ReadMore take(EngineToken const* token, std::string_view work, std::string_view engine)
-        {
-            if (!token)
-                return this->connection->is_gone() ? ReadMore::No : ReadMore::Yes;
-            StreamPosition const position { std::string(work), std::string(engine), token->offset };
-            this->identifier = position.to_string();
-            return write_event(this->sink, { this->identifier, {}, this->writer.chunk(token->text) }) ? ReadMore::Yes : ReadMore::No;
-        }
-
-        void finish(DecodeEnd const& end, AnswerUsage const* usage)
-        {
-            write_event(this->sink, { {}, {}, this->writer.last_chunk(end.reason) });
-            if (usage)
-                write_event(this->sink, { {}, {}, this->writer.usage_chunk(*usage) });
-            write_event(this->sink, { {}, {}, "[DONE]" });
-        }
-
-        void fail(Problem const& problem, std::string_view request)
-        {
-            write_event(this->sink, { {}, "error", problem_body(problem, request) });
-        }
+    void fail(Problem const& problem, std::string_view request)
+    {
+        write_event(this->sink, { {}, "error", problem_body(problem, request) });
+    }
 
-    private:
-        httplib::DataSink& sink;
-        AnswerWriter const& writer;
-        std::shared_ptr<PeerConnection const> connection;
-        std::string identifier;
-    };
+private:
+    httplib::DataSink& sink;
+    AnswerWriter const& writer;
+    std::shared_ptr<PeerConnection const> connection;
+    std::string identifier;
+};
 
 }
 
@@ -113,15 +114,9 @@
 Result<std::unique_ptr<EntryServer>, ServerStartError> EntryServer::create(Options options)
 {
     std::unique_ptr<EntryServer> server(new EntryServer(std::move(options)));
-    auto const& common = server->options.server;
-    auto listener = HttpListener::create({ common.http_address, common.http_threads, server->options.maximum_body_bytes });
-    if (listener.is_error())
-        return Failure { ServerStartError::CannotListenHttp };
-    server->listener = listener.release_value();
-    auto kernel = Kernel::create({ common.virtual_machine, common.wire_endpoint, server->options.directory_endpoint });
-    if (kernel.is_error())
-        return Failure { ServerStartError::CannotListenWire };
-    server->kernel = kernel.release_value();
+    auto core = TRY(open_server_core(server->options.server, server->options.directory_endpoint, server->options.maximum_body_bytes));
+    server->listener = std::move(core.listener);
+    server->kernel = std::move(core.kernel);
     server->host_services();
     return server;
 }
--- a/Services/EntryServer/ModelCall.cpp
+++ b/Services/EntryServer/ModelCall.cpp
@@ -11,8 +11,8 @@
 
 namespace {
 
-    constexpr Duration COME_BACK_AFTER_FAILURE = milliseconds(500);
-    constexpr int MOST_REATTACHES = 2;
+constexpr Duration COME_BACK_AFTER_FAILURE = milliseconds(500);
+constexpr int MOST_REATTACHES = 2;
 
 }
 
@@ -118,7 +118,9 @@
 {
     LogLine("attempt_failed").with("request", this->order.request).with("attempt", this->attempt).with("phase", to_string(this->state.phase())).with("reason", to_string(error.kind)).with("prefill", this->placement.prefill_engine).with("decode", this->placement.decode_engine);
     this->context.metrics.increment("spurtide_attempts_failed_total", "Attempts at upstreams that failed.", { { "reason", std::string(to_string(error.kind)) } });
-    if (error.kind == EngineErrorKind::Unreachable || error.kind == EngineErrorKind::Lost)
+    // An export that was gone means a transfer that did not end in time, which the decode engine is asked about.
+    bool const is_engine_failure = error.kind == EngineErrorKind::Unreachable || error.kind == EngineErrorKind::Lost || error.kind == EngineErrorKind::ExportGone;
+    if (is_engine_failure)
         this->context.placement.tell_failure(this->work, this->is_decode_dispatched ? this->placement.decode_engine : this->placement.prefill_engine);
     this->drop_work();
     if (this->caller_present() == ReadMore::No) {
--- a/Services/EntryServer/OwnedWork.cpp
+++ b/Services/EntryServer/OwnedWork.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-    constexpr Duration CHECK_INTERVAL = milliseconds(100);
-    constexpr Duration CANCEL_AGAIN_AFTER = milliseconds(500);
+constexpr Duration CHECK_INTERVAL = milliseconds(100);
+constexpr Duration CANCEL_AGAIN_AFTER = milliseconds(500);
 
 }
 
--- a/Services/EntryServer/PlacementClient.cpp
+++ b/Services/EntryServer/PlacementClient.cpp
@@ -10,54 +10,49 @@
 
 namespace {
 
-    /// Time for the answer to come back beside the time that the keeper may take to decide.
-    constexpr Duration ANSWER_MARGIN = milliseconds(150);
-    /// A keeper that says nothing for so long is asked whether it is there.
+/// Time for the answer to come back beside the time that the keeper may take to decide.
+constexpr Duration ANSWER_MARGIN = milliseconds(150);
+/// A keeper that says nothing for so long is asked whether it is there.
 constexpr Duration KEEPER_SILENCE = milliseconds(150);
 constexpr Duration LOOK_AGAIN_AFTER = milliseconds(50);
 constexpr Duration NEW_KEEPERS_INTERVAL = milliseconds(100);
 constexpr Duration LOCATE_TIMEOUT = milliseconds(500);
-    constexpr Duration COME_BACK_SOON = milliseconds(1000);
-    /// A request that two cells could not take is refused: more asking is load without use.
-    constexpr std::size_t MOST_KEEPERS_ASKED = 2;
+constexpr Duration COME_BACK_SOON = milliseconds(1000);
+/// A request that two cells could not take is refused: more asking is load without use.
+constexpr std::size_t MOST_KEEPERS_ASKED = 2;
 
-    ProblemKind kind_of(wire::RefusalReason reason)
-    {
-        switch (reason) {
-        case wire::REFUSAL_REASON_UNKNOWN_MODEL:
-            return ProblemKind::UnknownModel;
-        case wire::REFUSAL_REASON_UNKNOWN_ACCOUNT:
-            return ProblemKind::UnknownKey;
-        case wire::REFUSAL_REASON_RATE_LIMITED:
-            return ProblemKind::RateLimited;
-        case wire::REFUSAL_REASON_NO_UPSTREAM:
-            return ProblemKind::NoUpstream;
-        case wire::REFUSAL_REASON_DUPLICATE:
-            return ProblemKind::AlreadySubmitted;
-        default:
-            return ProblemKind::Overloaded;
-        }
-    }
-
-    wire::GrantProgress wire_progress(GrantProgress progress)
-    {
-        switch (progress) {
-        case GrantProgress::Prefilling:
-            return wire::GRANT_PROGRESS_PREFILLING;
-        case GrantProgress::CacheHeld:
-            return wire::GRANT_PROGRESS_CACHE_HELD;
-        case GrantProgress::Decoding:
-            return wire::GRANT_PROGRESS_DECODING;
-        }
-        VERIFY_NOT_REACHED();
+ProblemKind kind_of(wire::RefusalReason reason)
+{
+    switch (reason) {
+    case wire::REFUSAL_REASON_UNKNOWN_MODEL:
+        return ProblemKind::UnknownModel;
+    case wire::REFUSAL_REASON_UNKNOWN_ACCOUNT:
+        return ProblemKind::UnknownKey;
+    case wire::REFUSAL_REASON_RATE_LIMITED:
+        return ProblemKind::RateLimited;
+    case wire::REFUSAL_REASON_NO_UPSTREAM:
+        return ProblemKind::NoUpstream;
+    case wire::REFUSAL_REASON_DUPLICATE:
+        return ProblemKind::AlreadySubmitted;
+    default:
+        return ProblemKind::Overloaded;
     }
+}
 
-    std::string kind_of(EngineDescription const& engine)
-    {
-        return engine.model + (engine.role == EngineRole::Decode ? "/decode" : "/prefill");
+wire::GrantProgress wire_progress(GrantProgress progress)
+{
+    switch (progress) {
+    case GrantProgress::Prefilling:
+        return wire::GRANT_PROGRESS_PREFILLING;
+    case GrantProgress::CacheHeld:
+        return wire::GRANT_PROGRESS_CACHE_HELD;
+    case GrantProgress::Decoding:
+        return wire::GRANT_PROGRESS_DECODING;
     }
+    VERIFY_NOT_REACHED();
+}
 
-    wire::Envelope ask_message(PlacementAsk const& ask, Duration first_token_within)
+wire::Envelope ask_message(PlacementAsk const& ask, Duration first_token_within)
 {
     wire::Envelope envelope;
     envelope.set_service("placement");
@@ -84,9 +79,9 @@
 }
 
 bool may_spill(ProblemKind kind)
-    {
-        return kind == ProblemKind::Overloaded || kind == ProblemKind::NoUpstream;
-    }
+{
+    return kind == ProblemKind::Overloaded || kind == ProblemKind::NoUpstream;
+}
 
 }
 
@@ -109,14 +104,8 @@
     auto next = std::make_shared<Map>();
     next->generation = generation;
     next->directory_version = directory_version;
-    if (configuration) {
-        std::vector<CellMember> members;
-        for (auto const& engine : configuration->engines) {
-            if (engine.data_centre == this->data_centre)
-                members.push_back({ engine.description.name, kind_of(engine.description) });
-        }
-        next->cells = CellMap::create(members, this->kernel.directory().virtual_machines_with("placement"));
-    }
+    if (configuration)
+        next->cells = CellMap::create(cell_members(*configuration, this->data_centre), this->kernel.directory().virtual_machines_with("placement"));
     this->map = next;
     return next;
 }
--- a/Services/EntryServer/RequestIdentifier.cpp
+++ b/Services/EntryServer/RequestIdentifier.cpp
@@ -13,23 +13,23 @@
 
 namespace {
 
-    constexpr std::size_t LONGEST_POSITION = 200;
+constexpr std::size_t LONGEST_POSITION = 200;
 
-    std::uint64_t random_bits()
-    {
-        thread_local std::mt19937_64 generator = [] {
-            std::random_device device;
-            std::seed_seq seed { device(), device(), device(), device() };
-            return std::mt19937_64(seed);
-        }();
-        return generator();
-    }
+std::uint64_t random_bits()
+{
+    thread_local std::mt19937_64 generator = [] {
+        std::random_device device;
+        std::seed_seq seed { device(), device(), device(), device() };
+        return std::mt19937_64(seed);
+    }();
+    return generator();
+}
 
-    bool is_name(std::string_view text)
-    {
-        auto const is_allowed = [](char character) { return std::isalnum(static_cast<unsigned char>(character)) != 0 || character == '-' || character == '.' || character == '_'; };
-        return !text.empty() && std::all_of(text.begin(), text.end(), is_allowed);
-    }
+bool is_name(std::string_view text)
+{
+    auto const is_allowed = [](char character) { return std::isalnum(static_cast<unsigned char>(character)) != 0 || character == '-' || character == '.' || character == '_'; };
+    return !text.empty() && std::all_of(text.begin(), text.end(), is_allowed);
+}
 
 }
 
--- a/Services/EntryServer/ServiceRelay.cpp
+++ b/Services/EntryServer/ServiceRelay.cpp
@@ -11,9 +11,9 @@
 
 namespace {
 
-    constexpr Duration CLAIM_TIMEOUT = milliseconds(5000);
-    constexpr Duration COME_BACK_SOON = milliseconds(1000);
-    constexpr int SERVICE_UNAVAILABLE = 503;
+constexpr Duration CLAIM_TIMEOUT = milliseconds(5000);
+constexpr Duration COME_BACK_SOON = milliseconds(1000);
+constexpr int SERVICE_UNAVAILABLE = 503;
 
 }
 
--- a/Services/PlacementServer/CellKeeper.cpp
+++ b/Services/PlacementServer/CellKeeper.cpp
@@ -12,46 +12,41 @@
 
 namespace {
 
-    constexpr Duration TICK = milliseconds(20);
-    constexpr Duration QUESTION_TIMEOUT = milliseconds(1000);
-
-    wire::RefusalReason wire_reason(RefusalReason reason)
-    {
-        switch (reason) {
-        case RefusalReason::UnknownModel:
-            return wire::REFUSAL_REASON_UNKNOWN_MODEL;
-        case RefusalReason::UnknownAccount:
-            return wire::REFUSAL_REASON_UNKNOWN_ACCOUNT;
-        case RefusalReason::RateLimited:
-            return wire::REFUSAL_REASON_RATE_LIMITED;
-        case RefusalReason::NoUpstream:
-            return wire::REFUSAL_REASON_NO_UPSTREAM;
-        case RefusalReason::CannotMeetFirstToken:
-            return wire::REFUSAL_REASON_CANNOT_MEET_FIRST_TOKEN;
-        case RefusalReason::QueueFull:
-            return wire::REFUSAL_REASON_QUEUE_FULL;
-        case RefusalReason::Duplicate:
-            return wire::REFUSAL_REASON_DUPLICATE;
-        }
-        VERIFY_NOT_REACHED();
-    }
+constexpr Duration TICK = milliseconds(20);
+constexpr Duration QUESTION_TIMEOUT = milliseconds(1000);
 
-    GrantProgress read_progress(wire::GrantProgress progress)
-    {
-        switch (progress) {
-        case wire::GRANT_PROGRESS_CACHE_HELD:
-            return GrantProgress::CacheHeld;
-        case wire::GRANT_PROGRESS_DECODING:
-            return GrantProgress::Decoding;
-        default:
-            return GrantProgress::Prefilling;
-        }
+wire::RefusalReason wire_reason(RefusalReason reason)
+{
+    switch (reason) {
+    case RefusalReason::UnknownModel:
+        return wire::REFUSAL_REASON_UNKNOWN_MODEL;
+    case RefusalReason::UnknownAccount:
+        return wire::REFUSAL_REASON_UNKNOWN_ACCOUNT;
+    case RefusalReason::RateLimited:
+        return wire::REFUSAL_REASON_RATE_LIMITED;
+    case RefusalReason::NoUpstream:
+        return wire::REFUSAL_REASON_NO_UPSTREAM;
+    case RefusalReason::CannotMeetFirstToken:
+        return wire::REFUSAL_REASON_CANNOT_MEET_FIRST_TOKEN;
+    case RefusalReason::QueueFull:
+        return wire::REFUSAL_REASON_QUEUE_FULL;
+    case RefusalReason::Duplicate:
+        return wire::REFUSAL_REASON_DUPLICATE;
     }
+    VERIFY_NOT_REACHED();
+}
 
-    std::string kind_of(EngineDescription const& engine)
-    {
-        return engine.model + (engine.role == EngineRole::Decode ? "/decode" : "/prefill");
+GrantProgress read_progress(wire::GrantProgress progress)
+{
+    switch (progress) {
+    case wire::GRANT_PROGRESS_CACHE_HELD:
+        return GrantProgress::CacheHeld;
+    case wire::GRANT_PROGRESS_DECODING:
+        return GrantProgress::Decoding;
+    default:
+        return GrantProgress::Prefilling;
     }
+}
 
 }
 
@@ -100,12 +95,7 @@
         return;
     this->mapped_generation = this->configuration->generation;
     this->mapped_machines = machines;
-    std::vector<CellMember> members;
-    for (auto const& engine : this->configuration->engines) {
-        if (engine.data_centre == this->options.data_centre)
-            members.push_back({ engine.description.name, kind_of(engine.description) });
-    }
-    auto const map = CellMap::create(members, machines);
+    auto const map = CellMap::create(cell_members(*this->configuration, this->options.data_centre), machines);
     std::vector<EngineDescription> kept;
     std::map<std::string, Engine> next;
     for (auto const cell : map.cells_kept_by(this->options.virtual_machine)) {
@@ -180,7 +170,7 @@
         this->pending_asks.erase(request.release().request());
         if (!request.release().failed_engine().empty()) {
             LogLine("engine_failure").with("engine", request.release().failed_engine()).with("request", request.release().request());
-            this->scheduler.note_failure(request.release().failed_engine());
+            this->scheduler.note_failure(request.release().failed_engine(), now);
         }
         this->scheduler.release(request.release().request(), request.release().output_tokens(), now);
         return this->publish_decisions();
--- a/Services/PlacementServer/PlacementServer.cpp
+++ b/Services/PlacementServer/PlacementServer.cpp
@@ -2,6 +2,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 
 #include <LibCore/Clock.h>
+#include <LibService/ServerCore.h>
 #include <LibService/WireMetrics.h>
 #include <LibUpstream/HttpEngine.h>
 #include <Services/PlacementServer/PlacementServer.h>
@@ -42,14 +43,9 @@
 Result<std::unique_ptr<PlacementServer>, ServerStartError> PlacementServer::create(Options options)
 {
     std::unique_ptr<PlacementServer> server(new PlacementServer);
-    auto listener = HttpListener::create({ options.server.http_address, options.server.http_threads });
-    if (listener.is_error())
-        return Failure { ServerStartError::CannotListenHttp };
-    server->listener = listener.release_value();
-    auto kernel = Kernel::create({ options.server.virtual_machine, options.server.wire_endpoint, options.directory_endpoint });
-    if (kernel.is_error())
-        return Failure { ServerStartError::CannotListenWire };
-    server->kernel = kernel.release_value();
+    auto core = TRY(open_server_core(options.server, options.directory_endpoint));
+    server->listener = std::move(core.listener);
+    server->kernel = std::move(core.kernel);
     if (!options.keeper.make_engine) {
         options.keeper.make_engine = [](ConfiguredEngine const& engine) {
             return std::make_shared<HttpEngine>(parse_address(engine.address).value_or(Address {}), HttpEngine::Options {});
--- a/StandIns/EngineStandIn/EngineModel.cpp
+++ b/StandIns/EngineStandIn/EngineModel.cpp
@@ -10,17 +10,17 @@
 
 namespace {
 
-    constexpr std::size_t CACHE_EVENTS_KEPT = 1024;
-    constexpr Duration EXPIRED_NAMES_KEPT = seconds(30);
-    constexpr std::int64_t BYTES_PER_TOKEN = 4;
-    constexpr std::int64_t SHORTEST_PREFIX_TOKENS = 64;
-    constexpr std::int64_t SHORTEST_ANSWER = 8;
-    constexpr std::int64_t ANSWER_SPREAD = 56;
-
-    constexpr std::array<std::string_view, 24> WORDS = {
-        "the", "order", "of", "stock", "price", "table", "for", "guest", "roof", "tile", "lime", "mortar",
-        "confirm", "substitute", "delivered", "by", "noon", "seating", "note", "window", "at", "eight", "with", "total"
-    };
+constexpr std::size_t CACHE_EVENTS_KEPT = 1024;
+constexpr Duration EXPIRED_NAMES_KEPT = seconds(30);
+constexpr std::int64_t BYTES_PER_TOKEN = 4;
+constexpr std::int64_t SHORTEST_PREFIX_TOKENS = 64;
+constexpr std::int64_t SHORTEST_ANSWER = 8;
+constexpr std::int64_t ANSWER_SPREAD = 56;
+
+constexpr std::array<std::string_view, 24> WORDS = {
+    "the", "order", "of", "stock", "price", "table", "for", "guest", "roof", "tile", "lime", "mortar",
+    "confirm", "substitute", "delivered", "by", "noon", "seating", "note", "window", "at", "eight", "with", "total"
+};
 
 }
 
--- a/StandIns/EngineStandIn/EngineStandIn.cpp
+++ b/StandIns/EngineStandIn/EngineStandIn.cpp
@@ -12,92 +12,92 @@
 
 namespace {
 
-    using Json = nlohmann::json;
+using Json = nlohmann::json;
 
-    constexpr Duration KEEP_ALIVE_COMMENT = milliseconds(100);
-    constexpr Duration LONGEST_TICK = milliseconds(50);
-    constexpr Duration EXPORT_CALL_TIMEOUT = milliseconds(400);
-    constexpr std::string_view COMMENT = ": waiting\n\n";
+constexpr Duration KEEP_ALIVE_COMMENT = milliseconds(100);
+constexpr Duration LONGEST_TICK = milliseconds(50);
+constexpr Duration EXPORT_CALL_TIMEOUT = milliseconds(400);
+constexpr std::string_view COMMENT = ": waiting\n\n";
 
-    bool read_body(httplib::Request const& request, httplib::Response& response, Json& body)
-    {
-        body = Json::parse(request.body, nullptr, false);
-        if (body.is_object())
-            return true;
-        response.status = 400;
-        return false;
-    }
+bool read_body(httplib::Request const& request, httplib::Response& response, Json& body)
+{
+    body = Json::parse(request.body, nullptr, false);
+    if (body.is_object())
+        return true;
+    response.status = 400;
+    return false;
+}
 
-    std::string text_of(Json const& body, char const* key)
-    {
-        auto const found = body.find(key);
-        return found != body.end() && found->is_string() ? found->get<std::string>() : std::string();
-    }
+std::string text_of(Json const& body, char const* key)
+{
+    auto const found = body.find(key);
+    return found != body.end() && found->is_string() ? found->get<std::string>() : std::string();
+}
 
-    std::int64_t integer_of(Json const& body, char const* key)
-    {
-        auto const found = body.find(key);
-        return found != body.end() && found->is_number_integer() ? found->get<std::int64_t>() : 0;
-    }
+std::int64_t integer_of(Json const& body, char const* key)
+{
+    auto const found = body.find(key);
+    return found != body.end() && found->is_number_integer() ? found->get<std::int64_t>() : 0;
+}
 
-    EngineModel::Owner owner_of(Json const& body)
-    {
-        return { text_of(body, "request"), text_of(body, "origin"), text_of(body, "account") };
-    }
+EngineModel::Owner owner_of(Json const& body)
+{
+    return { text_of(body, "request"), text_of(body, "origin"), text_of(body, "account") };
+}
 
-    std::uint64_t content_of(std::string const& prompt)
-    {
-        return XXH3_64bits(prompt.data(), prompt.size());
-    }
+std::uint64_t content_of(std::string const& prompt)
+{
+    return XXH3_64bits(prompt.data(), prompt.size());
+}
 
-    std::string event_text(std::string name, Json const& data)
-    {
-        return format_event({ {}, std::move(name), data.dump() });
-    }
+std::string event_text(std::string name, Json const& data)
+{
+    return format_event({ {}, std::move(name), data.dump() });
+}
 
-    bool write_text(httplib::DataSink& sink, std::string_view text)
-    {
-        return sink.write(text.data(), text.size());
-    }
+bool write_text(httplib::DataSink& sink, std::string_view text)
+{
+    return sink.write(text.data(), text.size());
+}
 
-    void refuse(httplib::Response& response, int status, Duration retry_after)
-    {
-        response.status = status;
-        response.set_header("Retry-After-Milliseconds", std::to_string(to_milliseconds(retry_after)));
-    }
+void refuse(httplib::Response& response, int status, Duration retry_after)
+{
+    response.status = status;
+    response.set_header("Retry-After-Milliseconds", std::to_string(to_milliseconds(retry_after)));
+}
 
-    std::string_view kind_name(EngineModel::HeldKind kind)
-    {
-        switch (kind) {
-        case EngineModel::HeldKind::PrefillQueue:
-            return "prefill_queue";
-        case EngineModel::HeldKind::Export:
-            return "export";
-        case EngineModel::HeldKind::Slot:
-            return "slot";
-        }
-        VERIFY_NOT_REACHED();
+std::string_view kind_name(EngineModel::HeldKind kind)
+{
+    switch (kind) {
+    case EngineModel::HeldKind::PrefillQueue:
+        return "prefill_queue";
+    case EngineModel::HeldKind::Export:
+        return "export";
+    case EngineModel::HeldKind::Slot:
+        return "slot";
     }
+    VERIFY_NOT_REACHED();
+}
 
-    /// Asks the exporting engine for the description of a held cache.
-    Result<Json, int> fetch_export(Address const& exporter, std::string const& request)
-    {
-        auto client = make_http_client(exporter, EXPORT_CALL_TIMEOUT);
-        auto const result = client.Get("/v1/exports/" + request);
-        if (!result || result->status != 200)
-            return Failure { result ? result->status : 502 };
-        auto document = Json::parse(result->body, nullptr, false);
-        if (!document.is_object())
-            return Failure { 502 };
-        return document;
-    }
+/// Asks the exporting engine for the description of a held cache.
+Result<Json, int> fetch_export(Address const& exporter, std::string const& request)
+{
+    auto client = make_http_client(exporter, EXPORT_CALL_TIMEOUT);
+    auto const result = client.Get("/v1/exports/" + request);
+    if (!result || result->status != 200)
+        return Failure { result ? result->status : 502 };
+    auto document = Json::parse(result->body, nullptr, false);
+    if (!document.is_object())
+        return Failure { 502 };
+    return document;
+}
 
-    bool release_export(Address const& exporter, std::string const& request)
-    {
-        auto client = make_http_client(exporter, EXPORT_CALL_TIMEOUT);
-        auto const result = client.Delete("/v1/exports/" + request);
-        return result && result->status == 200;
-    }
+bool release_export(Address const& exporter, std::string const& request)
+{
+    auto client = make_http_client(exporter, EXPORT_CALL_TIMEOUT);
+    auto const result = client.Delete("/v1/exports/" + request);
+    return result && result->status == 200;
+}
 
 }
 
--- a/StandIns/EngineStandIn/LinkModel.cpp
+++ b/StandIns/EngineStandIn/LinkModel.cpp
@@ -8,8 +8,8 @@
 
 namespace {
 
-    /// Less than this is nothing: it is lost in rounding to microseconds.
-    constexpr double SMALLEST_REST = 0.5;
+/// Less than this is nothing: it is lost in rounding to microseconds.
+constexpr double SMALLEST_REST = 0.5;
 
 }
 
--- a/StandIns/PlatformStandIn/PlatformStandIn.cpp
+++ b/StandIns/PlatformStandIn/PlatformStandIn.cpp
@@ -9,13 +9,13 @@
 
 namespace {
 
-    using Json = nlohmann::json;
+using Json = nlohmann::json;
 
-    void lose_answer(httplib::Response& response)
-    {
-        // The connection closes before the promised bytes came, so the client sees a broken answer.
-        response.set_content_provider(64, "application/octet-stream", [](std::size_t, std::size_t, httplib::DataSink&) { return false; });
-    }
+void lose_answer(httplib::Response& response)
+{
+    // The connection closes before the promised bytes came, so the client sees a broken answer.
+    response.set_content_provider(64, "application/octet-stream", [](std::size_t, std::size_t, httplib::DataSink&) { return false; });
+}
 
 }
 
--- a/Tests/Support/Deployment.cpp
+++ b/Tests/Support/Deployment.cpp
@@ -14,31 +14,31 @@
 
 namespace {
 
-    Address const s_any_port { "127.0.0.1", 0 };
-    constexpr char const* DATA_CENTRE = "hala-brasov";
+Address const s_any_port { "127.0.0.1", 0 };
+constexpr char const* DATA_CENTRE = "hala-brasov";
 
-    ServerSettings server_settings(int number)
-    {
-        return { "vm-" + std::to_string(number), DATA_CENTRE, "tcp://127.0.0.1:0", s_any_port, 48 };
-    }
+ServerSettings server_settings(int number)
+{
+    return { "vm-" + std::to_string(number), DATA_CENTRE, "tcp://127.0.0.1:0", s_any_port, 48 };
+}
 
-    std::vector<StreamEvent> events_of(std::string const& body)
-    {
-        std::vector<StreamEvent> events;
-        EventStreamParser parser([&](StreamEvent const& event) {
-            events.push_back(event);
-            return true;
-        });
-        parser.feed(body);
-        return events;
-    }
+std::vector<StreamEvent> events_of(std::string const& body)
+{
+    std::vector<StreamEvent> events;
+    EventStreamParser parser([&](StreamEvent const& event) {
+        events.push_back(event);
+        return true;
+    });
+    parser.feed(body);
+    return events;
+}
 
-    std::string completion(std::string const& prompt, std::int64_t maximum_tokens, char const* stream)
-    {
-        nlohmann::json body = { { "model", "llm" }, { "prompt", prompt }, { "max_tokens", maximum_tokens } };
-        body["stream"] = std::string_view(stream) == "true";
-        return body.dump();
-    }
+std::string completion(std::string const& prompt, std::int64_t maximum_tokens, char const* stream)
+{
+    nlohmann::json body = { { "model", "llm" }, { "prompt", prompt }, { "max_tokens", maximum_tokens } };
+    body["stream"] = std::string_view(stream) == "true";
+    return body.dump();
+}
 
 }
 
--- a/Utilities/spurtide-load/CellExperiment.cpp
+++ b/Utilities/spurtide-load/CellExperiment.cpp
@@ -57,7 +57,7 @@
 
 CellExperiment::CellExperiment(CellWorkload workload, CellHardware hardware, CellPolicy policy, std::uint64_t seed)
     : workload(workload)
-    , hardware(std::move(hardware))
+    , hardware(hardware)
     , policy(std::move(policy))
     , random(seed)
     , choice_random(seed + 1)
@@ -78,6 +78,7 @@
     this->scheduler = std::make_unique<CellScheduler>(this->policy.scheduler);
     this->scheduler->set_engines(descriptions);
     std::vector<AccountDescription> accounts;
+    accounts.reserve(static_cast<std::size_t>(this->workload.accounts));
     for (int i = 0; i < this->workload.accounts; ++i)
         accounts.push_back({ "account-" + std::to_string(i), 1, 1e6, 1e6 });
     this->scheduler->set_accounts(accounts, START);
@@ -351,7 +352,7 @@
     // The entry tells the keeper which engine did not answer; the baselines know reports alone.
     for (auto const& name : { request.prefill, request.decode }) {
         if (this->engines.find(name)->second.has_failed && this->policy.hears_failures == CellPolicy::HearsFailures::Yes)
-            this->scheduler->note_failure(name);
+            this->scheduler->note_failure(name, now);
     }
     this->drop_work(request, now);
     if (request.attempt < MOST_ATTEMPTS)
--- a/Utilities/spurtide-load/Experiments.cpp
+++ b/Utilities/spurtide-load/Experiments.cpp
@@ -142,6 +142,7 @@
                 }));
             }
             std::vector<CellResult> results;
+            results.reserve(runs.size());
             for (auto& run : runs)
                 results.push_back(run.get());
             outcome.rows.push_back(summarise(condition, policy, results));
--- a/Utilities/spurtide-load/LoadReport.cpp
+++ b/Utilities/spurtide-load/LoadReport.cpp
@@ -12,18 +12,18 @@
 
 namespace {
 
-    constexpr double MILLISECONDS = 1000;
-    constexpr double TOKEN_GAP_SHARE = 0.95;
+constexpr double MILLISECONDS = 1000;
+constexpr double TOKEN_GAP_SHARE = 0.95;
 
-    bool is_whole(RequestResult::End end)
-    {
-        return end == RequestResult::End::AnsweredWhole || end == RequestResult::End::ResumedWhole;
-    }
+bool is_whole(RequestResult::End end)
+{
+    return end == RequestResult::End::AnsweredWhole || end == RequestResult::End::ResumedWhole;
+}
 
-    nlohmann::ordered_json quantiles_of(std::vector<double> const& values)
-    {
-        return { { "p50", quantile_of(values, 0.5) * MILLISECONDS }, { "p95", quantile_of(values, 0.95) * MILLISECONDS }, { "p99", quantile_of(values, 0.99) * MILLISECONDS } };
-    }
+nlohmann::ordered_json quantiles_of(std::vector<double> const& values)
+{
+    return { { "p50", quantile_of(values, 0.5) * MILLISECONDS }, { "p95", quantile_of(values, 0.95) * MILLISECONDS }, { "p99", quantile_of(values, 0.99) * MILLISECONDS } };
+}
 
 }
 
--- a/Utilities/spurtide-load/LoadRunner.cpp
+++ b/Utilities/spurtide-load/LoadRunner.cpp
@@ -14,142 +14,142 @@
 
 namespace {
 
-    using Json = nlohmann::json;
+using Json = nlohmann::json;
 
-    constexpr Duration READ_TIMEOUT = seconds(30);
-    constexpr Duration HELD_LIMIT = seconds(12);
-    constexpr Duration HELD_POLL = milliseconds(250);
-    /// A stream that is to be broken off is broken off after this many tokens.
-    constexpr std::int64_t TOKENS_BEFORE_BREAK = 4;
+constexpr Duration READ_TIMEOUT = seconds(30);
+constexpr Duration HELD_LIMIT = seconds(12);
+constexpr Duration HELD_POLL = milliseconds(250);
+/// A stream that is to be broken off is broken off after this many tokens.
+constexpr std::int64_t TOKENS_BEFORE_BREAK = 4;
 
-    /// Reads one stream and checks that it is whole.
-    class StreamReader {
-    public:
-        explicit StreamReader(MonotonicTime started)
-            : started(started)
-        {
-        }
-
-        /// Returns whether to read on.
-        bool take(StreamEvent const& event, std::optional<std::int64_t> stop_after)
-        {
-            if (event.name == "error") {
-                this->error = event.data;
-                return true;
-            }
-            if (event.data == "[DONE]") {
-                ++this->done;
-                return true;
-            }
-            auto const document = Json::parse(event.data, nullptr, false);
-            if (event.identifier.empty())
-                return this->take_end(document);
-            this->last_identifier = event.identifier;
-            auto const offset = std::strtoll(event.identifier.substr(event.identifier.rfind('/') + 1).c_str(), nullptr, 10);
-            if (offset != this->tokens)
-                this->is_in_order = false;
-            this->note_time();
-            ++this->tokens;
-            this->text += document.value("/choices/0/text"_json_pointer, "");
-            return !stop_after || this->tokens < *stop_after;
-        }
-
-        bool is_whole() const
-        {
-            bool const count_matches = !this->usage_tokens || *this->usage_tokens == this->tokens;
-            return this->done == 1 && this->ends == 1 && this->is_in_order && count_matches && this->error.empty();
-        }
-
-        std::string last_identifier;
-        std::string error;
-        std::string text;
-        std::int64_t tokens = 0;
-        double first_token_seconds = -1;
-        std::vector<double> gaps;
+/// Reads one stream and checks that it is whole.
+class StreamReader {
+public:
+    explicit StreamReader(MonotonicTime started)
+        : started(started)
+    {
+    }
 
-    private:
-        bool take_end(Json const& document)
-        {
-            if (document.is_object() && document.contains("usage"))
-                this->usage_tokens = document.value("/usage/completion_tokens"_json_pointer, std::int64_t { -1 });
-            else
-                ++this->ends;
+    /// Returns whether to read on.
+    bool take(StreamEvent const& event, std::optional<std::int64_t> stop_after)
+    {
+        if (event.name == "error") {
+            this->error = event.data;
             return true;
         }
-
-        void note_time()
-        {
-            auto const now = monotonic_now();
-            if (this->tokens == 0)
-                this->first_token_seconds = to_seconds(now - this->started);
-            else
-                this->gaps.push_back(to_seconds(now - this->last_token));
-            this->last_token = now;
+        if (event.data == "[DONE]") {
+            ++this->done;
+            return true;
         }
+        auto const document = Json::parse(event.data, nullptr, false);
+        if (event.identifier.empty())
+            return this->take_end(document);
+        this->last_identifier = event.identifier;
+        auto const offset = std::strtoll(event.identifier.substr(event.identifier.rfind('/') + 1).c_str(), nullptr, 10);
+        if (offset != this->tokens)
+            this->is_in_order = false;
+        this->note_time();
+        ++this->tokens;
+        this->text += document.value("/choices/0/text"_json_pointer, "");
+        return !stop_after || this->tokens < *stop_after;
+    }
 
-        MonotonicTime started;
-        MonotonicTime last_token;
-        int done = 0;
-        int ends = 0;
-        bool is_in_order = true;
-        std::optional<std::int64_t> usage_tokens;
-    };
-
-    struct StreamCall {
-        Address target;
-        std::string key;
-        std::string body;
-        std::string last_event;
-        std::optional<std::int64_t> stop_after;
-    };
+    bool is_whole() const
+    {
+        bool const count_matches = !this->usage_tokens || *this->usage_tokens == this->tokens;
+        return this->done == 1 && this->ends == 1 && this->is_in_order && count_matches && this->error.empty();
+    }
 
-    struct CallEnd {
-        int status = 0;
-        std::string error_body;
-        std::string request;
-        bool stopped = false;
-    };
+    std::string last_identifier;
+    std::string error;
+    std::string text;
+    std::int64_t tokens = 0;
+    double first_token_seconds = -1;
+    std::vector<double> gaps;
 
-    CallEnd read_stream(StreamCall const& call, StreamReader& reader)
+private:
+    bool take_end(Json const& document)
     {
-        auto client = make_http_client(call.target, READ_TIMEOUT);
-        CallEnd end;
-        EventStreamParser parser([&](StreamEvent const& event) { return reader.take(event, call.stop_after); });
-        httplib::Request request;
-        request.method = "POST";
-        request.path = "/v1/completions";
-        request.body = call.body;
-        request.set_header("Authorization", "Bearer " + call.key);
-        request.set_header("Content-Type", "application/json");
-        if (!call.last_event.empty())
-            request.set_header("Last-Event-ID", call.last_event);
-        request.response_handler = [&](httplib::Response const& response) {
-            end.status = response.status;
-            end.request = response.get_header_value("X-Request-Id");
-            return true;
-        };
-        request.content_receiver = [&](char const* data, std::size_t size, std::uint64_t, std::uint64_t) {
-            if (end.status != 200) {
-                end.error_body.append(data, size);
-                return true;
-            }
-            end.stopped = !parser.feed({ data, size });
-            return !end.stopped;
-        };
-        auto const result = client.send(request);
-        if (!result && !end.stopped)
-            end.status = 0;
-        return end;
+        if (document.is_object() && document.contains("usage"))
+            this->usage_tokens = document.value("/usage/completion_tokens"_json_pointer, std::int64_t { -1 });
+        else
+            ++this->ends;
+        return true;
     }
 
-    void take_error(RequestResult& result, std::string const& body)
+    void note_time()
     {
-        auto const document = Json::parse(body, nullptr, false);
-        auto const outcome = document.is_object() ? document.value("/error/outcome"_json_pointer, "") : "";
-        result.code = document.is_object() ? document.value("/error/code"_json_pointer, "") : "unreadable";
-        result.end = outcome == "not_run" ? RequestResult::End::Refused : RequestResult::End::Failed;
+        auto const now = monotonic_now();
+        if (this->tokens == 0)
+            this->first_token_seconds = to_seconds(now - this->started);
+        else
+            this->gaps.push_back(to_seconds(now - this->last_token));
+        this->last_token = now;
     }
 
+    MonotonicTime started;
+    MonotonicTime last_token;
+    int done = 0;
+    int ends = 0;
+    bool is_in_order = true;
+    std::optional<std::int64_t> usage_tokens;
+};
+
+struct StreamCall {
+    Address target;
+    std::string key;
+    std::string body;
+    std::string last_event;
+    std::optional<std::int64_t> stop_after;
+};
+
+struct CallEnd {
+    int status = 0;
+    std::string error_body;
+    std::string request;
+    bool stopped = false;
+};
+
+CallEnd read_stream(StreamCall const& call, StreamReader& reader)
+{
+    auto client = make_http_client(call.target, READ_TIMEOUT);
+    CallEnd end;
+    EventStreamParser parser([&](StreamEvent const& event) { return reader.take(event, call.stop_after); });
+    httplib::Request request;
+    request.method = "POST";
+    request.path = "/v1/completions";
+    request.body = call.body;
+    request.set_header("Authorization", "Bearer " + call.key);
+    request.set_header("Content-Type", "application/json");
+    if (!call.last_event.empty())
+        request.set_header("Last-Event-ID", call.last_event);
+    request.response_handler = [&](httplib::Response const& response) {
+        end.status = response.status;
+        end.request = response.get_header_value("X-Request-Id");
+        return true;
+    };
+    request.content_receiver = [&](char const* data, std::size_t size, std::uint64_t, std::uint64_t) {
+        if (end.status != 200) {
+            end.error_body.append(data, size);
+            return true;
+        }
+        end.stopped = !parser.feed({ data, size });
+        return !end.stopped;
+    };
+    auto const result = client.send(request);
+    if (!result && !end.stopped)
+        end.status = 0;
+    return end;
+}
+
+void take_error(RequestResult& result, std::string const& body)
+{
+    auto const document = Json::parse(body, nullptr, false);
+    auto const outcome = document.is_object() ? document.value("/error/outcome"_json_pointer, "") : "";
+    result.code = document.is_object() ? document.value("/error/code"_json_pointer, "") : "unreadable";
+    result.end = outcome == "not_run" ? RequestResult::End::Refused : RequestResult::End::Failed;
+}
+
 }
 
 std::vector<LoadRunner::Job> LoadRunner::plan_jobs() const
--- a/Utilities/spurtide-load/PromptFile.cpp
+++ b/Utilities/spurtide-load/PromptFile.cpp
@@ -10,32 +10,32 @@
 
 namespace {
 
-    constexpr std::int64_t MOST_DOCUMENT_LINES = 20'000;
+constexpr std::int64_t MOST_DOCUMENT_LINES = 20'000;
 
-    constexpr std::array<std::string_view, 8> GOODS = { "lime mortar", "roof tile", "clay brick", "copper cable", "mineral wool", "gypsum board", "ridge cap", "junction box" };
-    constexpr std::array<std::string_view, 6> MAKERS = { "Carpati", "Mures", "Olt", "Brasov", "Sibiu", "Apuseni" };
-    constexpr std::array<std::string_view, 4> UNITS = { "bag", "piece", "metre", "pallet" };
+constexpr std::array<std::string_view, 8> GOODS = { "lime mortar", "roof tile", "clay brick", "copper cable", "mineral wool", "gypsum board", "ridge cap", "junction box" };
+constexpr std::array<std::string_view, 6> MAKERS = { "Carpati", "Mures", "Olt", "Brasov", "Sibiu", "Apuseni" };
+constexpr std::array<std::string_view, 4> UNITS = { "bag", "piece", "metre", "pallet" };
 
-    PromptItem read_item(SettingsReader& reader)
-    {
-        PromptItem item;
-        item.kind = reader.text("kind", Presence::Required);
-        auto const service = reader.text("service", Presence::Optional);
-        if (!service.empty()) {
-            item.target = PromptItem::Target::Service;
-            item.name = service;
-            item.path = reader.text("path", Presence::Required);
-            item.body = reader.text("body", Presence::Optional);
-            item.repeat = reader.boolean("not_repeatable", false) ? PromptItem::Repeat::Forbidden : PromptItem::Repeat::Allowed;
-            return item;
-        }
-        item.name = reader.text("model", Presence::Required);
-        auto const lines = reader.integer("document_lines", Presence::Optional, 0, MOST_DOCUMENT_LINES, 0);
-        auto const seed = reader.integer("document_seed", Presence::Optional, 0, INT32_MAX, 1);
-        item.prompt = catalogue_lines(lines, static_cast<std::uint64_t>(seed)) + reader.text("prompt", Presence::Required);
-        item.maximum_output_tokens = reader.integer("max_tokens", Presence::Optional, 1, 4096, 64);
+PromptItem read_item(SettingsReader& reader)
+{
+    PromptItem item;
+    item.kind = reader.text("kind", Presence::Required);
+    auto const service = reader.text("service", Presence::Optional);
+    if (!service.empty()) {
+        item.target = PromptItem::Target::Service;
+        item.name = service;
+        item.path = reader.text("path", Presence::Required);
+        item.body = reader.text("body", Presence::Optional);
+        item.repeat = reader.boolean("not_repeatable", false) ? PromptItem::Repeat::Forbidden : PromptItem::Repeat::Allowed;
         return item;
     }
+    item.name = reader.text("model", Presence::Required);
+    auto const lines = reader.integer("document_lines", Presence::Optional, 0, MOST_DOCUMENT_LINES, 0);
+    auto const seed = reader.integer("document_seed", Presence::Optional, 0, INT32_MAX, 1);
+    item.prompt = catalogue_lines(lines, static_cast<std::uint64_t>(seed)) + reader.text("prompt", Presence::Required);
+    item.maximum_output_tokens = reader.integer("max_tokens", Presence::Optional, 1, 4096, 64);
+    return item;
+}
 
 }
 
--- a/Utilities/spurtide/LineDifference.cpp
+++ b/Utilities/spurtide/LineDifference.cpp
@@ -9,16 +9,16 @@
 
 namespace {
 
-    std::vector<std::string_view> lines_of(std::string_view text)
-    {
-        std::vector<std::string_view> lines;
-        while (!text.empty()) {
-            auto const end = std::min(text.find('\n'), text.size());
-            lines.push_back(text.substr(0, end));
-            text.remove_prefix(std::min(end + 1, text.size()));
-        }
-        return lines;
+std::vector<std::string_view> lines_of(std::string_view text)
+{
+    std::vector<std::string_view> lines;
+    while (!text.empty()) {
+        auto const end = std::min(text.find('\n'), text.size());
+        lines.push_back(text.substr(0, end));
+        text.remove_prefix(std::min(end + 1, text.size()));
     }
+    return lines;
+}
 
 }
 
