LibDecision: Try an engine that failed with one request

Cause: with transfers to one of two engines stalled 23 of 80 requests failed: each time its time out was over, a whole batch went to it for the 0.9 s until the first of them noticed. Ruled out: longer time outs, which keep a healthy engine idle. Change: one request at a time until one succeeds.

--- a/Libraries/LibDecision/CellScheduler.cpp
+++ b/Libraries/LibDecision/CellScheduler.cpp
@@ -213,8 +213,10 @@
 void CellScheduler::note_success(std::string_view name)
 {
     auto const found = this->engines.find(name);
-    if (found != this->engines.end())
-        found->second.failures_in_a_row = 0;
+    if (found == this->engines.end())
+        return;
+    found->second.failures_in_a_row = 0;
+    found->second.trial.clear();
 }
 
 void CellScheduler::set_leaving(std::string_view name, EngineReport::Life life)
--- a/Libraries/LibDecision/CellScheduler.h
+++ b/Libraries/LibDecision/CellScheduler.h
@@ -180,7 +180,7 @@
 
     void report(std::string_view engine, EngineReport const& report, MonotonicTime now);
     /// An entry's attempt at the engine failed. It gets nothing new until it reports again and a time has
-    /// passed that doubles with each failure in a row; an attempt that succeeds ends that.
+    /// passed that doubles with each failure in a row; then one request tries it, and its success ends that.
     void note_failure(std::string_view engine, MonotonicTime now);
     /// A hint from elsewhere (VM list, operator's drain) that an engine is leaving. Stays until cleared.
     void set_leaving(std::string_view engine, EngineReport::Life life);
@@ -234,6 +234,8 @@
         EngineReport::Life hinted_life = EngineReport::Life::Serving;
         int failures_in_a_row = 0;
         MonotonicTime left_out_until;
+        /// The one request that tries out an engine which failed before.
+        std::string trial;
         Duration step_time = milliseconds(25);
         double prefill_rate = 8000;
         /// Prefills granted and not known to be finished, in the order of their grants.
--- a/Libraries/LibDecision/CellSchedulerPlacement.cpp
+++ b/Libraries/LibDecision/CellSchedulerPlacement.cpp
@@ -105,6 +105,9 @@
 {
     if (!engine.last_report || now - *engine.last_report > this->options.report_validity || now < engine.left_out_until)
         return false;
+    // An engine that failed gets one request to try it, and no more until that succeeded.
+    if (engine.failures_in_a_row > 0 && this->granted.contains(engine.trial))
+        return false;
     return engine.reported_life == EngineReport::Life::Serving && engine.hinted_life == EngineReport::Life::Serving;
 }
 
@@ -232,7 +235,12 @@
     granted.named_at = now;
     granted.predicted_first_token = placement.first_token;
     prefill.prefills.push_back({ ask.request, ask.prompt_tokens + ask.relayed_tokens, now });
-    this->engines.find(placement.decode)->second.slots.insert(ask.request);
+    auto& decode = this->engines.find(placement.decode)->second;
+    decode.slots.insert(ask.request);
+    for (auto* engine : { &prefill, &decode }) {
+        if (engine->failures_in_a_row > 0)
+            engine->trial = ask.request;
+    }
     auto const account = this->accounts.find(ask.account);
     if (account != this->accounts.end())
         account->second.served += this->cost_of(ask) / account->second.description.weight;
--- a/Tests/LibDecision/TestCellScheduler.cpp
+++ b/Tests/LibDecision/TestCellScheduler.cpp
@@ -253,6 +253,7 @@
     CHECK_FALSE(is_used_at(490));
     CHECK(is_used_at(501));
     cell.scheduler.note_failure("d0", at_milliseconds(600));
+    cell.scheduler.release("r501", 0, at_milliseconds(600));
     CHECK_FALSE(is_used_at(1590));
     CHECK(is_used_at(1601));
     cell.decode("r1601", 1610);
@@ -260,6 +261,18 @@
     CHECK(is_used_at(2201));
 }
 
+TEST_CASE("An engine that failed is tried by one request before it gets more", "[held][stalled-transfer]")
+{
+    Cell cell(1, 1, 20);
+    cell.scheduler.note_failure("d0", at_milliseconds(0));
+    cell.report_all(at_milliseconds(600));
+    cell.ask("r1", 600, 10);
+    cell.ask("r2", 601, 10);
+    CHECK(cell.decisions() == Texts { "grant r1 p0 d0" });
+    cell.decode("r1", 620);
+    CHECK(cell.decisions() == Texts { "grant r2 p0 d0" });
+}
+
 TEST_CASE("A new keeper grants nothing before it heard from the engines and counts what they hold", "[held][kill]")
 {
     CellScheduler scheduler({});
