--- a/Tests/Services/TestCallers.cpp
+++ b/Tests/Services/TestCallers.cpp
@@ -135,6 +135,18 @@
     CHECK(deployment.prefill[0]->totals().prefilled_tokens == 0);
 }
 
+TEST_CASE("Past its deadline a request is given up at once and holds nothing", "[held][slow]")
+{
+    Deployment deployment;
+    auto const body = "Draft the quotation for block B, second floor, with all deliveries.";
+    auto const late = deployment.post("/v1/completions", whole_completion(body, 400), { { "Spurtide-Deadline-Milliseconds", "60" } });
+    CHECK(late.status == 504);
+    CHECK(late.json()["error"]["code"] == "deadline_passed");
+    CHECK(late.json()["error"]["outcome"] == "may_have_run");
+    CHECK(deployment.nothing_held());
+    CHECK(deployment.post("/v1/completions", whole_completion(body, 400), { { "Spurtide-Deadline-Milliseconds", "15000" } }).status == 200);
+}
+
 TEST_CASE("An engine that dies in decode is replaced and the answer goes on at the same offset", "[whole][twice][kill]")
 {
     Deployment::Options options;
