--- a/Benchmarks/BenchmarkCellScheduler.cpp
+++ b/Benchmarks/BenchmarkCellScheduler.cpp
@@ -19,12 +19,14 @@
         : scheduler({})
     {
         std::vector<EngineDescription> descriptions;
+        descriptions.reserve(static_cast<std::size_t>(engines));
         for (int i = 0; i < engines; ++i) {
             auto const role = i % 3 == 0 ? EngineRole::Prefill : EngineRole::Decode;
             descriptions.push_back({ "engine-" + std::to_string(i), "llm", role, 20, 1e6, 1000, 1e10 });
         }
         this->scheduler.set_engines(descriptions);
         std::vector<AccountDescription> all;
+        all.reserve(static_cast<std::size_t>(accounts));
         for (int i = 0; i < accounts; ++i)
             all.push_back({ "account-" + std::to_string(i), 1, 1e6, 1e6 });
         this->scheduler.set_accounts(all, this->now);
@@ -100,6 +102,7 @@
 void cell_map(benchmark::State& state)
 {
     std::vector<CellMember> members;
+    members.reserve(static_cast<std::size_t>(state.range(0)));
     for (int i = 0; i < state.range(0); ++i)
         members.push_back({ "engine-" + std::to_string(i), "kind-" + std::to_string(i % 10) });
     std::vector<std::string> machines;
