--- a/Libraries/LibCore/SettingsReader.h
+++ b/Libraries/LibCore/SettingsReader.h
@@ -47,14 +47,6 @@
     std::string describe() const;
 };
 
-/// One described setting, as the settings reference prints it.
-struct SettingsDescription {
-    std::string path;
-    std::string type;
-    std::string range;
-    std::string description;
-};
-
 /// Whether an object may leave a setting out.
 enum class Presence {
     Required,
--- a/Libraries/LibDecision/RequestState.h
+++ b/Libraries/LibDecision/RequestState.h
@@ -70,9 +70,6 @@
     /// True once anything may have left for an upstream.
     bool was_dispatched() const { return this->dispatched; }
 
-    /// A request that is not to be repeated may be sent again only before its first dispatch.
-    bool may_repeat_safely() const { return !this->dispatched; }
-
     RequestOutcome outcome() const;
 
 private:
--- a/Services/EntryServer/EntryServer.cpp
+++ b/Services/EntryServer/EntryServer.cpp
@@ -23,7 +23,6 @@
 constexpr Duration SERVICE_ANSWER_TIMEOUT = seconds(30);
 constexpr Duration COME_BACK_SOON = milliseconds(1000);
 constexpr Duration DRAIN_POLL = milliseconds(20);
-constexpr int METHOD_LENGTH = 16;
 
 std::int64_t header_integer(httplib::Request const& request, std::string const& name, std::int64_t fallback)
 {
@@ -59,8 +58,8 @@
         if (!token)
             return this->connection->is_gone() ? ReadMore::No : ReadMore::Yes;
         StreamPosition const position { std::string(work), std::string(engine), token->offset };
-        this->identifier = position.to_string();
-        return write_event(this->sink, { this->identifier, {}, this->writer.chunk(token->text) }) ? ReadMore::Yes : ReadMore::No;
+        bool const is_written = write_event(this->sink, { position.to_string(), {}, this->writer.chunk(token->text) });
+        return is_written ? ReadMore::Yes : ReadMore::No;
     }
 
     void finish(DecodeEnd const& end, AnswerUsage const* usage)
@@ -80,7 +79,6 @@
     httplib::DataSink& sink;
     AnswerWriter const& writer;
     std::shared_ptr<PeerConnection const> connection;
-    std::string identifier;
 };
 
 }
@@ -379,7 +377,7 @@
     order.request = call.request;
     order.account = call.account;
     order.service = request.matches[1];
-    order.call.method = request.method.substr(0, METHOD_LENGTH);
+    order.call.method = request.method;
     order.call.path = request.matches[2].length() > 0 ? std::string(request.matches[2]) : "/";
     order.call.content_type = request.has_header("Content-Type") ? request.get_header_value("Content-Type") : "application/json";
     order.call.body = request.body;
