--- a/Libraries/LibDecision/CellScheduler.cpp
+++ b/Libraries/LibDecision/CellScheduler.cpp
@@ -13,8 +13,6 @@
 
 constexpr double LATENESS_QUANTILE = 0.95;
 constexpr double RATE_SMOOTHING = 0.2;
-constexpr Duration SHORTEST_RETRY_AFTER = milliseconds(100);
-constexpr Duration LONGEST_RETRY_AFTER = seconds(30);
 /// A prefill that took no measurable time says nothing about an engine's rate.
 constexpr int MOST_DOUBLINGS = 10;
 /// Longer than any report lags.
--- a/Libraries/LibDecision/CellScheduler.h
+++ b/Libraries/LibDecision/CellScheduler.h
@@ -221,6 +221,10 @@
     Summary summary(MonotonicTime now) const;
 
 private:
+    /// Bounds of the time after which a refused caller is told to come back.
+    static constexpr Duration SHORTEST_RETRY_AFTER = milliseconds(100);
+    static constexpr Duration LONGEST_RETRY_AFTER = seconds(30);
+
     struct QueuedPrefill {
         std::string request;
         std::int64_t tokens = 0;
--- a/Libraries/LibDecision/CellSchedulerPlacement.cpp
+++ b/Libraries/LibDecision/CellSchedulerPlacement.cpp
@@ -12,8 +12,6 @@
 namespace {
 
 constexpr double FIRST_OUTPUT_ESTIMATE = 64;
-constexpr Duration SHORTEST_RETRY_AFTER = milliseconds(100);
-constexpr Duration LONGEST_RETRY_AFTER = seconds(30);
 /// More than this is a fault somewhere and no matter of prediction.
 constexpr Duration LONGEST_LATENESS = milliseconds(400);
 constexpr double OUTPUT_QUANTILE = 0.8;
