--- /dev/null
+++ b/Libraries/LibAsync/ConnectionPool.cpp
@@ -0,0 +1,67 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibAsync/ConnectionPool.h>
+#include <LibCore/Clock.h>
+
+namespace Spurtide {
+
+namespace {
+
+constexpr Duration RECENT = milliseconds(700);
+
+}
+
+asio::awaitable<HttpConnection::Connected> ConnectionPool::acquire(Address address, Freshness freshness)
+{
+    auto const found = this->resting.find(address.to_string());
+    while (found != this->resting.end() && !found->second.empty()) {
+        auto connection = std::move(found->second.back());
+        found->second.pop_back();
+        auto const rested = monotonic_now() - connection->idle_since;
+        auto const limit = freshness == Freshness::Recent ? std::min(RECENT, connection->idle_limit) : connection->idle_limit;
+        if (rested < limit && connection->is_quiet())
+            co_return connection;
+        connection->abort();
+    }
+    co_return co_await HttpConnection::connect(address, this->options.connect_timeout, this->options.patience);
+}
+
+void ConnectionPool::release(Address const& address, std::shared_ptr<HttpConnection> const& connection)
+{
+    connection->clear_deadline();
+    if (!connection->is_reusable()) {
+        connection->abort();
+        return;
+    }
+    connection->idle_since = monotonic_now();
+    auto& list = this->resting[address.to_string()];
+    list.push_back(connection);
+    if (list.size() > this->options.resting_limit) {
+        list.front()->abort();
+        list.pop_front();
+    }
+}
+
+void ConnectionPool::sweep(MonotonicTime now)
+{
+    for (auto position = this->resting.begin(); position != this->resting.end();) {
+        std::erase_if(position->second, [&](auto const& connection) {
+            bool const is_over = now - connection->idle_since >= connection->idle_limit;
+            if (is_over)
+                connection->abort();
+            return is_over;
+        });
+        position = position->second.empty() ? this->resting.erase(position) : std::next(position);
+    }
+}
+
+std::size_t ConnectionPool::resting_count() const
+{
+    std::size_t count = 0;
+    for (auto const& [address, list] : this->resting)
+        count += list.size();
+    return count;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibAsync/ConnectionPool.h
@@ -0,0 +1,48 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#pragma once
+
+#include <LibAsync/HttpConnection.h>
+#include <deque>
+#include <map>
+
+namespace Spurtide {
+
+/// Resting connections by address. The newest is used first, so that the rest grow old and are closed.
+class ConnectionPool {
+public:
+    struct Options {
+        Duration connect_timeout = milliseconds(300);
+        PeerPatience patience {};
+        /// Resting connections kept to one address.
+        std::size_t resting_limit = 32;
+    };
+
+    explicit ConnectionPool(Options options)
+        : options(options)
+    {
+    }
+
+    /// Whether a connection that rested may be used: its other side may be closing it just now.
+    enum class Freshness {
+        Any,
+        /// Only one that rested so briefly that the other side cannot be about to close it.
+        Recent,
+    };
+
+    asio::awaitable<HttpConnection::Connected> acquire(Address address, Freshness freshness);
+    /// Keeps the connection for others where it may be used again, else closes it.
+    void release(Address const& address, std::shared_ptr<HttpConnection> const& connection);
+    /// Closes what rested for too long. Call about once a second.
+    void sweep(MonotonicTime now);
+    void drop(Address const& address) { this->resting.erase(address.to_string()); }
+    /// Resting connections that are closed when their address is no more wanted.
+    std::size_t resting_count() const;
+
+private:
+    Options options;
+    std::map<std::string, std::deque<std::shared_ptr<HttpConnection>>> resting;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibAsync/HttpConnection.cpp
@@ -0,0 +1,213 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibAsync/HttpConnection.h>
+#include <LibCore/Clock.h>
+#include <array>
+#include <sys/socket.h>
+
+namespace Spurtide {
+
+namespace {
+
+/// All reads of the one loop go through this; what is kept is copied out at once.
+std::array<char, 64UL * 1024> s_read_buffer;
+
+/// Connections whose other side does not tell how long it keeps them rest no longer than this.
+constexpr Duration DEFAULT_IDLE_LIMIT = milliseconds(1500);
+
+}
+
+HttpConnection::HttpConnection(asio::any_io_executor const& executor)
+    : socket(executor)
+    , deadline(executor)
+{
+}
+
+asio::awaitable<HttpConnection::Connected> HttpConnection::connect(Address address, Duration timeout, PeerPatience patience)
+{
+    auto executor = co_await asio::this_coro::executor;
+    auto connection = std::make_shared<HttpConnection>(executor);
+    asio::error_code error;
+    auto const host = asio::ip::make_address(address.host, error);
+    if (error)
+        co_return Failure { HttpError::CannotConnect };
+    asio::ip::tcp::endpoint const endpoint(host, static_cast<std::uint16_t>(address.port));
+    connection->set_deadline(monotonic_now() + timeout);
+    co_await connection->socket.async_connect(endpoint, asio::redirect_error(asio::use_awaitable, error));
+    connection->clear_deadline();
+    if (error || connection->is_timed_out || !connection->socket.is_open())
+        co_return Failure { HttpError::CannotConnect };
+    connection->socket.non_blocking(true, error);
+    set_tcp_options(connection->socket, patience);
+    connection->idle_limit = DEFAULT_IDLE_LIMIT;
+    co_return connection;
+}
+
+void HttpConnection::set_deadline(MonotonicTime time)
+{
+    auto const number = ++this->deadline_number;
+    this->deadline.expires_at(time);
+    this->deadline.async_wait([weak = this->weak_from_this(), number](asio::error_code error) {
+        auto const self = weak.lock();
+        if (error || !self || self->deadline_number != number)
+            return;
+        self->is_timed_out = true;
+        self->abort();
+    });
+}
+
+void HttpConnection::clear_deadline()
+{
+    ++this->deadline_number;
+    this->deadline.cancel();
+}
+
+void HttpConnection::abort()
+{
+    this->is_aborted = true;
+    asio::error_code ignored;
+    this->socket.close(ignored);
+}
+
+HttpError HttpConnection::failure(HttpError otherwise) const
+{
+    if (this->is_timed_out)
+        return HttpError::TimedOut;
+    return this->is_aborted ? HttpError::Aborted : otherwise;
+}
+
+void HttpConnection::send(std::string head, std::shared_ptr<std::string const> body, MessageParser::ExpectedBody expected_body)
+{
+    ++this->exchanges;
+    this->parser.start(expected_body);
+    this->head_bytes = std::move(head);
+    this->body_bytes = std::move(body);
+    this->is_writing = true;
+    std::array<asio::const_buffer, 2> const buffers { asio::buffer(this->head_bytes), this->body_bytes ? asio::buffer(*this->body_bytes) : asio::const_buffer() };
+    asio::async_write(this->socket, buffers, [self = this->shared_from_this()](asio::error_code error, std::size_t) {
+        // NOTE: A failed write is told by the read, which may still find an early answer.
+        self->is_writing = false;
+        if (error)
+            self->must_close = true;
+        self->body_bytes.reset();
+    });
+}
+
+Result<Done, HttpError> HttpConnection::parse_unread()
+{
+    if (this->unread.empty() || this->parser.is_complete())
+        return Done {};
+    auto const consumed = TRY(this->parser.feed(this->unread));
+    this->unread.erase(0, consumed);
+    return Done {};
+}
+
+asio::awaitable<Result<Done, HttpError>> HttpConnection::read_more()
+{
+    if (!this->socket.is_open() || this->has_failed)
+        co_return Failure { this->failure(HttpError::Closed) };
+    asio::error_code error;
+    auto size = this->socket.read_some(asio::buffer(s_read_buffer), error);
+    if (error == asio::error::would_block || error == asio::error::try_again) {
+        co_await this->socket.async_wait(asio::ip::tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
+        if (this->is_aborted)
+            co_return Failure { this->failure(HttpError::Aborted) };
+        size = 0;
+        if (!error)
+            size = this->socket.read_some(asio::buffer(s_read_buffer), error);
+        if (error == asio::error::would_block || error == asio::error::try_again)
+            co_return Done {};
+    }
+    if (error == asio::error::eof) {
+        this->has_failed = true;
+        co_return this->parser.feed_end();
+    }
+    if (error) {
+        this->has_failed = true;
+        co_return Failure { this->failure(HttpError::Closed) };
+    }
+    this->unread.append(s_read_buffer.data(), size);
+    co_return this->parse_unread();
+}
+
+asio::awaitable<Result<HttpResponseHead, HttpError>> HttpConnection::read_head()
+{
+    while (true) {
+        auto const parsed = this->parse_unread();
+        if (parsed.is_error())
+            co_return Failure { parsed.error() };
+        while (!this->parser.has_head()) {
+            auto const read = co_await this->read_more();
+            if (read.is_error())
+                co_return Failure { read.error() };
+        }
+        if (this->parser.response_head().status / 100 != 1)
+            break;
+        this->parser.start();
+    }
+    this->note_idle_limit(this->parser.response_head());
+    co_return this->parser.response_head();
+}
+
+asio::awaitable<Result<std::string, HttpError>> HttpConnection::read_piece()
+{
+    while (this->parser.body_size() == 0 && !this->parser.is_complete()) {
+        auto const read = co_await this->read_more();
+        if (read.is_error())
+            co_return Failure { read.error() };
+    }
+    co_return this->parser.take_body();
+}
+
+asio::awaitable<Result<std::string, HttpError>> HttpConnection::read_body(std::size_t limit)
+{
+    std::string body;
+    while (true) {
+        auto piece = co_await this->read_piece();
+        if (piece.is_error())
+            co_return Failure { piece.error() };
+        if (piece.value().empty())
+            co_return body;
+        body += piece.value();
+        if (body.size() > limit)
+            co_return Failure { HttpError::BodyTooLarge };
+    }
+}
+
+void HttpConnection::expect_another_answer()
+{
+    this->parser.start();
+    this->must_close = true;
+}
+
+void HttpConnection::note_idle_limit(HttpResponseHead const& head)
+{
+    auto const field = head.headers.find("keep-alive");
+    if (!field)
+        return;
+    auto const position = field->find("timeout=");
+    if (position == std::string_view::npos)
+        return;
+    auto const text = field->substr(position + std::string_view("timeout=").size());
+    auto const number = parse_whole_number(text.substr(0, text.find_first_not_of("0123456789")));
+    // Closing well before the other side does; whole seconds may be cut off by up to one.
+    if (number)
+        this->idle_limit = std::max(Duration::zero(), seconds(*number) * 7 / 10);
+}
+
+bool HttpConnection::is_reusable() const
+{
+    return this->parser.is_complete() && this->parser.keeps_alive() && !this->must_close && !this->is_writing && !this->has_failed && !this->is_aborted && this->unread.empty() && this->socket.is_open();
+}
+
+bool HttpConnection::is_quiet()
+{
+    if (!this->socket.is_open())
+        return false;
+    char byte = 0;
+    auto const size = ::recv(this->socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibAsync/HttpConnection.h
@@ -0,0 +1,81 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#pragma once
+
+#include <LibAsync/HttpError.h>
+#include <LibAsync/HttpMessage.h>
+#include <LibAsync/MessageParser.h>
+#include <LibAsync/Signal.h>
+#include <LibAsync/TcpOptions.h>
+#include <LibCore/Result.h>
+#include <LibCore/Time.h>
+#include <LibHttp/Address.h>
+#include <asio.hpp>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace Spurtide {
+
+/// A client's connection: one request at a time, its answer read piece by piece.
+class HttpConnection : public std::enable_shared_from_this<HttpConnection> {
+public:
+    using Connected = Result<std::shared_ptr<HttpConnection>, HttpError>;
+
+    static asio::awaitable<Connected> connect(Address address, Duration timeout, PeerPatience patience);
+    explicit HttpConnection(asio::any_io_executor const& executor);
+    HttpConnection(HttpConnection const&) = delete;
+    HttpConnection& operator=(HttpConnection const&) = delete;
+
+    /// Begins to send a request. The bytes go out while the answer is awaited, since it may come early.
+    void send(std::string head, std::shared_ptr<std::string const> body, MessageParser::ExpectedBody expected_body = MessageParser::ExpectedBody::AsFramed);
+    /// Waits for the next answer's head; interim answers are passed over.
+    asio::awaitable<Result<HttpResponseHead, HttpError>> read_head();
+    /// Waits for more of the body. An empty piece stands for its whole end.
+    asio::awaitable<Result<std::string, HttpError>> read_piece();
+    /// Reads what is left of the body, up to a limit.
+    asio::awaitable<Result<std::string, HttpError>> read_body(std::size_t limit);
+    /// Goes on to another answer on this connection, after one that belongs to no request.
+    void expect_another_answer();
+
+    /// After this time the exchange ends with TimedOut.
+    void set_deadline(MonotonicTime time);
+    void clear_deadline();
+    /// Ends the exchange; what waits on it gets Aborted.
+    void abort();
+
+    BodyFraming framing() const { return this->parser.framing(); }
+    /// Whether the answer was whole and another request may follow.
+    bool is_reusable() const;
+    /// Whether a resting connection is still open and nothing came in on it.
+    bool is_quiet();
+    bool was_used_before() const { return this->exchanges > 1; }
+    /// Whether any byte of the present answer came in.
+    bool has_answer_begun() const { return this->parser.has_begun(); }
+    /// When it became idle, and how long the other side keeps it then.
+    MonotonicTime idle_since;
+    Duration idle_limit {};
+
+private:
+    asio::awaitable<Result<Done, HttpError>> read_more();
+    Result<Done, HttpError> parse_unread();
+    HttpError failure(HttpError otherwise) const;
+    void note_idle_limit(HttpResponseHead const& head);
+
+    asio::ip::tcp::socket socket;
+    asio::steady_timer deadline;
+    MessageParser parser { MessageParser::Kind::Response };
+    std::string unread;
+    std::string head_bytes;
+    std::shared_ptr<std::string const> body_bytes;
+    bool is_writing = false;
+    bool has_failed = false;
+    bool is_aborted = false;
+    bool is_timed_out = false;
+    bool must_close = false;
+    int exchanges = 0;
+    std::uint64_t deadline_number = 0;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibAsync/HttpError.h
@@ -0,0 +1,27 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#pragma once
+
+#include <string_view>
+
+namespace Spurtide {
+
+/// Why an HTTP exchange did not go on.
+enum class HttpError {
+    /// No connection came up; nothing was sent.
+    CannotConnect,
+    /// The other side closed or reset the connection.
+    Closed,
+    TimedOut,
+    /// The bytes are not HTTP.
+    Malformed,
+    HeadTooLarge,
+    BodyTooLarge,
+    /// This side gave the exchange up.
+    Aborted,
+};
+
+std::string_view to_string(HttpError error);
+
+}
--- /dev/null
+++ b/Libraries/LibAsync/HttpServer.cpp
@@ -0,0 +1,82 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibAsync/HttpServer.h>
+#include <LibAsync/ServerConnection.h>
+
+namespace Spurtide {
+
+namespace {
+
+/// After accept failed for want of descriptors or memory.
+constexpr Duration ACCEPT_PAUSE = milliseconds(20);
+
+}
+
+HttpServer::HttpServer(asio::io_context& loop, Handler handler)
+    : loop(loop)
+    , acceptor(loop)
+    , handler(std::move(handler))
+{
+}
+
+HttpServer::~HttpServer()
+{
+    for (auto* connection : this->connections)
+        connection->detach();
+}
+
+Result<std::unique_ptr<HttpServer>, ListenError> HttpServer::create(asio::io_context& loop, Address const& address, Handler handler)
+{
+    asio::error_code error;
+    auto const host = asio::ip::make_address(address.host, error);
+    if (error)
+        return Failure { ListenError::BadAddress };
+    std::unique_ptr<HttpServer> server(new HttpServer(loop, std::move(handler)));
+    asio::ip::tcp::endpoint const endpoint(host, static_cast<std::uint16_t>(address.port));
+    server->acceptor.open(endpoint.protocol(), error);
+    server->acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    server->acceptor.bind(endpoint, error);
+    if (error)
+        return Failure { ListenError::CannotBind };
+    server->acceptor.listen(asio::socket_base::max_listen_connections, error);
+    if (error)
+        return Failure { ListenError::CannotBind };
+    server->bound = { address.host, server->acceptor.local_endpoint().port() };
+    asio::co_spawn(loop, server->accept(), asio::detached);
+    return server;
+}
+
+asio::awaitable<void> HttpServer::accept()
+{
+    while (this->acceptor.is_open()) {
+        asio::error_code error;
+        asio::ip::tcp::socket socket(this->loop);
+        co_await this->acceptor.async_accept(socket, asio::redirect_error(asio::use_awaitable, error));
+        if (error == asio::error::operation_aborted)
+            break;
+        if (error) {
+            asio::steady_timer pause(this->loop, ACCEPT_PAUSE);
+            co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
+            continue;
+        }
+        auto const connection = std::make_shared<ServerConnection>(*this, std::move(socket));
+        this->connections.insert(connection.get());
+        connection->start();
+    }
+}
+
+void HttpServer::close_idle()
+{
+    auto const all = this->connections;
+    for (auto* connection : all)
+        connection->close_if_idle();
+}
+
+void HttpServer::stop_listening()
+{
+    asio::error_code ignored;
+    this->acceptor.close(ignored);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibAsync/HttpServer.h
@@ -0,0 +1,71 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#pragma once
+
+#include <LibAsync/HttpExchange.h>
+#include <LibCore/Result.h>
+#include <LibHttp/Address.h>
+#include <asio.hpp>
+#include <functional>
+#include <memory>
+#include <set>
+
+namespace Spurtide {
+
+/// What a caller may send, and how long it may take.
+struct HttpLimits {
+    std::size_t maximum_head = 16UL * 1024;
+    std::size_t maximum_body = 4UL * 1024 * 1024;
+    Duration head_timeout = seconds(3);
+    Duration body_timeout = seconds(10);
+    Duration idle_timeout = seconds(15);
+};
+
+enum class ListenError {
+    BadAddress,
+    CannotBind,
+};
+
+class ServerConnection;
+
+/// An HTTP/1.1 server on one address and one event loop. Requests of one connection are answered one
+/// after the other; while an answer is on its way the connection is watched for the caller's leaving.
+class HttpServer {
+public:
+    using Handler = std::function<asio::awaitable<void>(HttpExchange& exchange)>;
+
+    static Result<std::unique_ptr<HttpServer>, ListenError> create(asio::io_context& loop, Address const& address, Handler handler);
+    ~HttpServer();
+    HttpServer(HttpServer const&) = delete;
+    HttpServer& operator=(HttpServer const&) = delete;
+
+    Address const& address() const { return this->bound; }
+    void set_limits(HttpLimits limits) { this->current_limits = limits; }
+    HttpLimits const& limits() const { return this->current_limits; }
+
+    /// From now on each answer closes its connection.
+    void close_after_answers() { this->closing = true; }
+    /// Closes the connections that carry no request.
+    void close_idle();
+    void stop_listening();
+
+    std::size_t connection_count() const { return this->connections.size(); }
+    std::size_t exchange_count() const { return this->exchanges; }
+
+private:
+    friend class ServerConnection;
+    HttpServer(asio::io_context& loop, Handler handler);
+    asio::awaitable<void> accept();
+
+    asio::io_context& loop;
+    asio::ip::tcp::acceptor acceptor;
+    Handler handler;
+    HttpLimits current_limits;
+    Address bound;
+    bool closing = false;
+    std::size_t exchanges = 0;
+    std::set<ServerConnection*> connections;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibAsync/MessageParser.cpp
@@ -0,0 +1,156 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibAsync/MessageParser.h>
+
+namespace Spurtide {
+
+namespace {
+
+constexpr int SKIP_BODY = 1;
+constexpr int STOP = -1;
+
+}
+
+MessageParser::MessageParser(Kind kind)
+    : kind(kind)
+{
+    this->start();
+}
+
+void MessageParser::start(ExpectedBody body_expectation)
+{
+    http_parser_init(&this->parser, this->kind == Kind::Request ? HTTP_REQUEST : HTTP_RESPONSE);
+    this->parser.data = this;
+    this->expected_body = body_expectation;
+    this->target.clear();
+    this->response = {};
+    this->headers = {};
+    this->value_follows = false;
+    this->begun = false;
+    this->head_complete = false;
+    this->message_complete = false;
+    this->keep_alive = false;
+    this->head_bytes = 0;
+    this->body.clear();
+}
+
+http_parser_settings const& MessageParser::callbacks()
+{
+    static http_parser_settings const SETTINGS = [] {
+        http_parser_settings settings;
+        http_parser_settings_init(&settings);
+        settings.on_url = [](http_parser* parser, char const* bytes, std::size_t size) {
+            self(parser).target.append(bytes, size);
+            return 0;
+        };
+        settings.on_status = [](http_parser* parser, char const* bytes, std::size_t size) {
+            self(parser).response.reason.append(bytes, size);
+            return 0;
+        };
+        settings.on_header_field = [](http_parser* parser, char const* bytes, std::size_t size) { return self(parser).on_field({ bytes, size }); };
+        settings.on_header_value = [](http_parser* parser, char const* bytes, std::size_t size) { return self(parser).on_value({ bytes, size }); };
+        settings.on_headers_complete = [](http_parser* parser) { return self(parser).on_head_complete(); };
+        settings.on_body = [](http_parser* parser, char const* bytes, std::size_t size) {
+            self(parser).body.append(bytes, size);
+            return 0;
+        };
+        settings.on_message_complete = [](http_parser* parser) {
+            auto& message = self(parser);
+            message.message_complete = true;
+            message.keep_alive = http_should_keep_alive(parser) != 0;
+            // What follows belongs to another message.
+            http_parser_pause(parser, 1);
+            return 0;
+        };
+        return settings;
+    }();
+    return SETTINGS;
+}
+
+int MessageParser::on_field(std::string_view bytes)
+{
+    // Fields behind a chunked body are trailers, which nobody here uses.
+    if (this->head_complete)
+        return 0;
+    if (this->value_follows || this->headers.all().empty())
+        this->headers.add("", "");
+    this->value_follows = false;
+    this->headers.all().back().name += bytes;
+    return 0;
+}
+
+int MessageParser::on_value(std::string_view bytes)
+{
+    if (this->head_complete)
+        return 0;
+    this->value_follows = true;
+    this->headers.all().back().value += bytes;
+    return 0;
+}
+
+int MessageParser::on_head_complete()
+{
+    this->head_complete = true;
+    if (this->kind == Kind::Response) {
+        this->response.status = static_cast<int>(this->parser.status_code);
+        this->response.headers = std::move(this->headers);
+    } else if (this->headers.count("content-length") > 1 || this->headers.count("host") > 1 || this->parser.http_major != 1) {
+        return STOP;
+    }
+    return this->expected_body == ExpectedBody::None ? SKIP_BODY : 0;
+}
+
+Result<std::size_t, HttpError> MessageParser::feed(std::string_view bytes)
+{
+    if (bytes.empty())
+        return std::size_t { 0 };
+    this->begun = true;
+    bool const had_head = this->head_complete;
+    auto const consumed = http_parser_execute(&this->parser, &callbacks(), bytes.data(), bytes.size());
+    auto const error = HTTP_PARSER_ERRNO(&this->parser);
+    if (!had_head) {
+        this->head_bytes += consumed - std::min(consumed, this->body.size());
+        if (this->head_bytes > this->maximum_head || error == HPE_HEADER_OVERFLOW)
+            return Failure { HttpError::HeadTooLarge };
+    }
+    if (this->message_complete)
+        return consumed;
+    if (error != HPE_OK)
+        return Failure { HttpError::Malformed };
+    return consumed;
+}
+
+Result<Done, HttpError> MessageParser::feed_end()
+{
+    if (this->message_complete)
+        return Done {};
+    if (this->head_complete && this->framing() == BodyFraming::UntilClose) {
+        http_parser_execute(&this->parser, &callbacks(), nullptr, 0);
+        this->message_complete = true;
+        this->keep_alive = false;
+        return Done {};
+    }
+    return Failure { HttpError::Closed };
+}
+
+BodyFraming MessageParser::framing() const
+{
+    if (this->expected_body == ExpectedBody::None)
+        return BodyFraming::None;
+    if ((this->parser.flags & F_CHUNKED) != 0)
+        return BodyFraming::Chunked;
+    if ((this->parser.flags & F_CONTENTLENGTH) != 0)
+        return BodyFraming::Length;
+    auto const status = this->parser.status_code;
+    if (this->kind == Kind::Request || status / 100 == 1 || status == 204 || status == 304)
+        return BodyFraming::None;
+    return BodyFraming::UntilClose;
+}
+
+HttpRequestHead MessageParser::take_request_head()
+{
+    return { http_method_str(static_cast<http_method>(this->parser.method)), std::move(this->target), std::move(this->headers) };
+}
+
+}
--- /dev/null
+++ b/Libraries/LibAsync/MessageParser.h
@@ -0,0 +1,78 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#pragma once
+
+#include <LibAsync/HttpError.h>
+#include <LibAsync/HttpMessage.h>
+#include <LibCore/Result.h>
+#include <http_parser.h>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace Spurtide {
+
+/// Reads one HTTP/1.1 message after another from bytes as they come in; the grammar is the library's.
+class MessageParser {
+public:
+    enum class Kind {
+        Request,
+        Response,
+    };
+
+    explicit MessageParser(Kind kind);
+    MessageParser(MessageParser const&) = delete;
+    MessageParser& operator=(MessageParser const&) = delete;
+
+    /// Begins the next message. The answer to a HEAD request has no body.
+    enum class ExpectedBody {
+        AsFramed,
+        None,
+    };
+    void start(ExpectedBody expected_body = ExpectedBody::AsFramed);
+
+    /// Takes bytes and tells how many belonged to this message; stops at its end.
+    Result<std::size_t, HttpError> feed(std::string_view bytes);
+    /// The other side closed in good order. Ends a body that lasts until then; else Closed.
+    Result<Done, HttpError> feed_end();
+
+    bool has_begun() const { return this->begun; }
+    bool has_head() const { return this->head_complete; }
+    bool is_complete() const { return this->message_complete; }
+    bool keeps_alive() const { return this->keep_alive; }
+    BodyFraming framing() const;
+
+    HttpRequestHead take_request_head();
+    HttpResponseHead const& response_head() const { return this->response; }
+    /// Body bytes since the last call.
+    std::string take_body() { return std::exchange(this->body, {}); }
+    std::size_t body_size() const { return this->body.size(); }
+    std::size_t head_size() const { return this->head_bytes; }
+
+    void set_maximum_head(std::size_t bytes) { this->maximum_head = bytes; }
+
+private:
+    static http_parser_settings const& callbacks();
+    static MessageParser& self(http_parser* parser) { return *static_cast<MessageParser*>(parser->data); }
+    int on_field(std::string_view bytes);
+    int on_value(std::string_view bytes);
+    int on_head_complete();
+
+    Kind kind;
+    http_parser parser {};
+    ExpectedBody expected_body = ExpectedBody::AsFramed;
+    std::string target;
+    HttpResponseHead response;
+    HeaderFields headers;
+    bool value_follows = false;
+    bool begun = false;
+    bool head_complete = false;
+    bool message_complete = false;
+    bool keep_alive = false;
+    std::size_t head_bytes = 0;
+    std::size_t maximum_head = 16UL * 1024;
+    std::string body;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibAsync/ServerConnection.cpp
@@ -0,0 +1,306 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibAsync/ServerConnection.h>
+#include <LibAsync/TcpOptions.h>
+#include <LibCore/Clock.h>
+#include <array>
+#include <cstdio>
+
+namespace Spurtide {
+
+namespace {
+
+std::array<char, 64UL * 1024> s_read_buffer;
+
+/// A caller that sends ahead is not read further than this while its request is answered.
+constexpr std::size_t READ_AHEAD_LIMIT = 64UL * 1024;
+/// A caller that takes no bytes for so long is taken for gone.
+constexpr PeerPatience CALLER_PATIENCE { seconds(5), seconds(5) };
+/// How long the other side may take to close after this side did.
+constexpr Duration CLOSE_PATIENCE = seconds(1);
+constexpr std::string_view INTERIM_ANSWER = "HTTP/1.1 100 Continue\r\n\r\n";
+
+int status_of_timeout() { return 408; }
+
+}
+
+ServerConnection::ServerConnection(HttpServer& server, asio::ip::tcp::socket accepted)
+    : server(&server)
+    , socket(std::move(accepted))
+    , arrived(this->socket.get_executor())
+    , room(this->socket.get_executor())
+{
+}
+
+ServerConnection::~ServerConnection()
+{
+    if (this->server)
+        this->server->connections.erase(this);
+}
+
+void ServerConnection::start()
+{
+    asio::error_code ignored;
+    this->socket.non_blocking(true, ignored);
+    set_tcp_options(this->socket, CALLER_PATIENCE);
+    auto const run = [](std::shared_ptr<ServerConnection> self) -> asio::awaitable<void> { co_await self->serve(); };
+    auto const read = [](std::shared_ptr<ServerConnection> self) -> asio::awaitable<void> { co_await self->read_all(); };
+    asio::co_spawn(this->socket.get_executor(), read(this->shared_from_this()), asio::detached);
+    asio::co_spawn(this->socket.get_executor(), run(this->shared_from_this()), asio::detached);
+}
+
+void ServerConnection::note_caller_gone()
+{
+    this->is_over = true;
+    this->arrived.notify();
+    if (!this->in_exchange || this->caller_gone)
+        return;
+    this->caller_gone = true;
+    if (this->on_caller_left)
+        this->on_caller_left();
+}
+
+asio::awaitable<void> ServerConnection::read_all()
+{
+    while (!this->is_over) {
+        if (this->unread.size() >= READ_AHEAD_LIMIT) {
+            co_await this->room.wait();
+            continue;
+        }
+        asio::error_code error;
+        co_await this->socket.async_wait(asio::ip::tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
+        if (this->is_over)
+            break;
+        std::size_t size = 0;
+        if (!error)
+            size = this->socket.read_some(asio::buffer(s_read_buffer), error);
+        if (error == asio::error::would_block || error == asio::error::try_again)
+            continue;
+        if (error)
+            break;
+        this->unread.append(s_read_buffer.data(), size);
+        this->arrived.notify();
+    }
+    this->note_caller_gone();
+}
+
+asio::awaitable<ServerConnection::ReadEnd> ServerConnection::read_request()
+{
+    this->parser.start();
+    this->parser.set_maximum_head(this->server->limits().maximum_head);
+    this->current = {};
+    auto until = monotonic_now() + this->server->limits().idle_timeout;
+    bool has_head = false;
+    bool has_begun = false;
+    while (true) {
+        if (!this->unread.empty()) {
+            auto const consumed = this->parser.feed(this->unread);
+            if (consumed.is_error())
+                co_return consumed.error() == HttpError::HeadTooLarge ? ReadEnd::HeadTooLarge : ReadEnd::Malformed;
+            this->unread.erase(0, consumed.value());
+            this->room.notify();
+        }
+        if (!this->server)
+            co_return ReadEnd::Over;
+        auto const& limits = this->server->limits();
+        if (this->parser.has_begun() && !has_begun) {
+            has_begun = true;
+            until = monotonic_now() + limits.head_timeout;
+        }
+        if (this->parser.has_head() && !has_head) {
+            has_head = true;
+            until = monotonic_now() + limits.body_timeout;
+            this->current.head = this->parser.take_request_head();
+            auto const expectation = this->current.head.headers.find("expect");
+            if (expectation && !this->parser.is_complete() && equal_names(*expectation, "100-continue")) {
+                auto const sent = co_await this->send(std::string(INTERIM_ANSWER), {});
+                if (sent.is_error())
+                    co_return ReadEnd::Over;
+            }
+        }
+        this->current.body += this->parser.take_body();
+        if (this->current.body.size() > limits.maximum_body)
+            co_return ReadEnd::BodyTooLarge;
+        if (this->parser.is_complete())
+            co_return ReadEnd::Request;
+        if (this->is_over)
+            co_return ReadEnd::Over;
+        auto const end = co_await this->arrived.wait_until(until);
+        if (!this->server)
+            co_return ReadEnd::Over;
+        if (end == WaitEnd::TimedOut && this->unread.empty())
+            co_return has_begun ? ReadEnd::TookTooLong : ReadEnd::Over;
+    }
+}
+
+asio::awaitable<void> ServerConnection::serve()
+{
+    auto const keep_alive = this->shared_from_this();
+    while (this->server) {
+        auto const end = co_await this->read_request();
+        if (end == ReadEnd::Over || !this->server)
+            break;
+        if (end != ReadEnd::Request) {
+            co_await this->answer_bad_request(end);
+            break;
+        }
+        co_await this->answer_request();
+        if (this->closes || !this->answer_whole || this->is_over)
+            break;
+    }
+    co_await this->close_gently();
+}
+
+asio::awaitable<void> ServerConnection::answer_request()
+{
+    this->received = monotonic_now();
+    this->in_exchange = true;
+    this->answer_begun = false;
+    this->answer_whole = false;
+    this->closes = !this->parser.keeps_alive();
+    this->caller_gone = this->is_over;
+    ++this->server->exchanges;
+    if (!this->caller_gone)
+        co_await this->server->handler(*this);
+    this->in_exchange = false;
+    this->on_caller_left = {};
+    if (this->server)
+        --this->server->exchanges;
+    if (!this->answer_whole)
+        this->abort();
+}
+
+asio::awaitable<void> ServerConnection::answer_bad_request(ReadEnd end)
+{
+    this->closes = true;
+    HttpResponseHead head;
+    switch (end) {
+    case ReadEnd::HeadTooLarge:
+        head.status = 431;
+        break;
+    case ReadEnd::BodyTooLarge:
+        head.status = 413;
+        break;
+    case ReadEnd::TookTooLong:
+        head.status = status_of_timeout();
+        break;
+    default:
+        head.status = 400;
+        break;
+    }
+    // The outcome does not matter: the connection ends either way.
+    static_cast<void>(co_await this->respond(head, {}));
+}
+
+std::string ServerConnection::connection_field()
+{
+    if (this->server && this->server->closing)
+        this->closes = true;
+    return this->closes ? "close" : "keep-alive";
+}
+
+asio::awaitable<Result<Done, HttpError>> ServerConnection::send(std::string head, std::string_view body)
+{
+    if (!this->socket.is_open() || (this->is_over && this->in_exchange))
+        co_return Failure { HttpError::Closed };
+    std::array<asio::const_buffer, 2> const buffers { asio::buffer(head), asio::buffer(body) };
+    asio::error_code error;
+    co_await asio::async_write(this->socket, buffers, asio::redirect_error(asio::use_awaitable, error));
+    if (error) {
+        this->note_caller_gone();
+        co_return Failure { HttpError::Closed };
+    }
+    co_return Done {};
+}
+
+asio::awaitable<Result<Done, HttpError>> ServerConnection::respond(HttpResponseHead head, std::string_view body)
+{
+    head.headers.add("Content-Length", std::to_string(body.size()));
+    head.headers.add("Connection", this->connection_field());
+    this->answer_begun = true;
+    // The answer to a HEAD request tells the length and has no body.
+    auto const sent_body = this->current.head.method == "HEAD" ? std::string_view() : body;
+    auto const sent = co_await this->send(format_response_head(head), sent_body);
+    this->answer_whole = !sent.is_error();
+    co_return sent;
+}
+
+asio::awaitable<Result<Done, HttpError>> ServerConnection::begin(HttpResponseHead head, BodyFraming framing)
+{
+    this->answer_begun = true;
+    this->answer_framing = framing;
+    if (framing == BodyFraming::Chunked)
+        head.headers.add("Transfer-Encoding", "chunked");
+    if (framing == BodyFraming::UntilClose)
+        this->closes = true;
+    head.headers.add("Connection", this->connection_field());
+    co_return co_await this->send(format_response_head(head), {});
+}
+
+asio::awaitable<Result<Done, HttpError>> ServerConnection::write(std::string_view piece)
+{
+    if (piece.empty())
+        co_return Done {};
+    if (this->answer_framing != BodyFraming::Chunked) {
+        co_return co_await this->send({}, piece);
+    }
+    std::array<char, 20> size {};
+    auto const length = std::snprintf(size.data(), size.size(), "%zx\r\n", piece.size());
+    std::string chunk(size.data(), static_cast<std::size_t>(length));
+    chunk += piece;
+    chunk += "\r\n";
+    co_return co_await this->send(std::move(chunk), {});
+}
+
+asio::awaitable<Result<Done, HttpError>> ServerConnection::finish()
+{
+    Result<Done, HttpError> sent = Done {};
+    if (this->answer_framing == BodyFraming::Chunked)
+        sent = co_await this->send("0\r\n\r\n", {});
+    this->answer_whole = !sent.is_error();
+    co_return sent;
+}
+
+void ServerConnection::abort()
+{
+    this->closes = true;
+    this->is_over = true;
+    asio::error_code ignored;
+    // A reset cannot be taken for the end of an answer that lasts until the connection closes.
+    this->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    this->socket.close(ignored);
+    this->arrived.notify();
+    this->room.notify();
+}
+
+asio::awaitable<void> ServerConnection::close_gently()
+{
+    asio::error_code ignored;
+    if (this->socket.is_open() && !this->is_over) {
+        // Closing with unread bytes would reset the connection and could destroy the answer on its way.
+        this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+        auto const until = monotonic_now() + CLOSE_PATIENCE;
+        while (!this->is_over) {
+            this->unread.clear();
+            this->room.notify();
+            if (co_await this->arrived.wait_until(until) == WaitEnd::TimedOut)
+                break;
+        }
+    }
+    this->is_over = true;
+    this->room.notify();
+    this->socket.close(ignored);
+}
+
+void ServerConnection::close_if_idle()
+{
+    if (this->in_exchange || this->parser.has_begun() || !this->unread.empty())
+        return;
+    this->is_over = true;
+    asio::error_code ignored;
+    this->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    this->arrived.notify();
+}
+
+}
--- /dev/null
+++ b/Libraries/LibAsync/ServerConnection.h
@@ -0,0 +1,79 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#pragma once
+
+#include <LibAsync/HttpServer.h>
+#include <LibAsync/MessageParser.h>
+#include <LibAsync/Signal.h>
+#include <memory>
+#include <string>
+
+namespace Spurtide {
+
+/// One caller's connection. A reader runs all the time, so that a caller that leaves is noticed at once.
+class ServerConnection final
+    : public HttpExchange,
+      public std::enable_shared_from_this<ServerConnection> {
+public:
+    ServerConnection(HttpServer& server, asio::ip::tcp::socket socket);
+    ~ServerConnection() override;
+    ServerConnection(ServerConnection const&) = delete;
+    ServerConnection& operator=(ServerConnection const&) = delete;
+
+    void start();
+    void close_if_idle();
+    /// The server goes away before this connection.
+    void detach() { this->server = nullptr; }
+
+    HttpRequest const& request() const override { return this->current; }
+    MonotonicTime received_at() const override { return this->received; }
+    asio::awaitable<Result<Done, HttpError>> respond(HttpResponseHead head, std::string_view body) override;
+    asio::awaitable<Result<Done, HttpError>> begin(HttpResponseHead head, BodyFraming framing) override;
+    asio::awaitable<Result<Done, HttpError>> write(std::string_view piece) override;
+    asio::awaitable<Result<Done, HttpError>> finish() override;
+    void abort() override;
+    bool has_begun() const override { return this->answer_begun; }
+    bool is_caller_gone() const override { return this->caller_gone; }
+    void when_caller_leaves(std::function<void()> function) override { this->on_caller_left = std::move(function); }
+
+private:
+    enum class ReadEnd {
+        Request,
+        /// The connection is over, in good order or not.
+        Over,
+        Malformed,
+        HeadTooLarge,
+        BodyTooLarge,
+        TookTooLong,
+    };
+
+    asio::awaitable<void> read_all();
+    asio::awaitable<void> serve();
+    asio::awaitable<ReadEnd> read_request();
+    asio::awaitable<void> answer_request();
+    asio::awaitable<void> answer_bad_request(ReadEnd end);
+    asio::awaitable<void> close_gently();
+    asio::awaitable<Result<Done, HttpError>> send(std::string head, std::string_view body);
+    void note_caller_gone();
+    std::string connection_field();
+
+    HttpServer* server;
+    asio::ip::tcp::socket socket;
+    Signal arrived;
+    Signal room;
+    MessageParser parser { MessageParser::Kind::Request };
+    std::string unread;
+    HttpRequest current;
+    MonotonicTime received;
+    std::function<void()> on_caller_left;
+    BodyFraming answer_framing = BodyFraming::None;
+    bool in_exchange = false;
+    bool answer_begun = false;
+    bool answer_whole = false;
+    bool caller_gone = false;
+    bool is_over = false;
+    bool closes = false;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibAsync/TcpOptions.h
@@ -0,0 +1,22 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#pragma once
+
+#include <LibCore/Time.h>
+#include <asio.hpp>
+
+namespace Spurtide {
+
+/// How soon a silent peer is taken for gone.
+struct PeerPatience {
+    /// Bytes that stay unacknowledged for so long end the connection.
+    Duration unacknowledged = seconds(3);
+    /// Silence after which the peer is asked whether it is there, in whole seconds.
+    Duration idle = seconds(2);
+};
+
+/// Sends small writes at once, and notices a peer without power or behind a cut.
+void set_tcp_options(asio::ip::tcp::socket& socket, PeerPatience patience);
+
+}
--- a/Libraries/LibDecision/CellScheduler.cpp
+++ b/Libraries/LibDecision/CellScheduler.cpp
@@ -17,6 +17,8 @@
 constexpr int MOST_DOUBLINGS = 10;
 /// Longer than any report lags.
 constexpr Duration RELEASED_NAMES_KEPT = seconds(5);
+/// Fewer say too little of an engine's pace.
+constexpr std::int64_t FEWEST_MEASURED_TOKENS = 8;
 constexpr Duration SHORTEST_MEASURED_PREFILL = milliseconds(5);
 
 std::size_t earliest(std::span<PlacementCandidate const> candidates)
@@ -190,7 +192,7 @@
     granted.granted_at = now;
     granted.named_at = now;
     granted.decode_from = now;
-    engine.slots.insert(held.request);
+    this->hold_slot(engine, granted.ask);
     this->granted.emplace(held.request, std::move(granted));
 }
 
@@ -217,6 +219,38 @@
     found->second.trial.clear();
 }
 
+void CellScheduler::hold_slot(Engine& engine, PlacementAsk const& ask)
+{
+    if (engine.slots.insert(ask.request).second)
+        engine.reserved_tokens += memory_need(engine, ask);
+}
+
+void CellScheduler::free_slot(std::string_view name, PlacementAsk const& ask)
+{
+    auto const found = this->engines.find(name);
+    if (found != this->engines.end() && found->second.slots.erase(ask.request) > 0)
+        found->second.reserved_tokens -= memory_need(found->second, ask);
+}
+
+// Memory goes by whole blocks. An answer may become as long as its caller allows, and an engine that runs out
+// of memory puts a request back in the middle of its answer, so the whole of that is set aside.
+std::int64_t CellScheduler::memory_need(Engine const& engine, PlacementAsk const& ask)
+{
+    auto const tokens = ask.prompt_tokens + ask.relayed_tokens + ask.maximum_output_tokens;
+    auto const block = std::max<std::int64_t>(1, engine.description.block_tokens);
+    return (tokens + block - 1) / block * block;
+}
+
+void CellScheduler::learn_step_time(Granted const& granted, std::int64_t output_tokens, MonotonicTime now)
+{
+    auto const engine = this->engines.find(granted.decode_engine);
+    if (this->options.report_need == Options::ReportNeed::Required || granted.phase != GrantProgress::Decoding || output_tokens < FEWEST_MEASURED_TOKENS || engine == this->engines.end())
+        return;
+    auto const sample = (now - granted.decode_from) / output_tokens;
+    auto& step = engine->second.step_time;
+    step += std::chrono::duration_cast<Duration>((sample - step) * RATE_SMOOTHING);
+}
+
 void CellScheduler::set_leaving(std::string_view name, EngineReport::Life life)
 {
     auto const found = this->engines.find(name);
@@ -296,15 +330,21 @@
     this->schedule(now);
 }
 
-void CellScheduler::restore(PlacementAsk ask, std::string_view prefill_engine, std::string_view decode_engine, GrantProgress progress, MonotonicTime now)
+void CellScheduler::restore(PlacementAsk ask, std::string_view prefill_engine, std::string_view decode_engine, GrantProgress progress, Duration age, MonotonicTime now)
 {
     auto const decode = this->engines.find(decode_engine);
     auto const known = this->granted.find(ask.request);
     bool const is_known = known != this->granted.end() && !known->second.adopted;
+    if (is_known) {
+        known->second.named_at = now;
+        known->second.taken_up = true;
+    }
     if (decode == this->engines.end() || is_known || this->released.contains(ask.request))
         return;
-    if (known != this->granted.end())
+    if (known != this->granted.end()) {
+        this->free_slot(known->second.decode_engine, known->second.ask);
         this->granted.erase(known);
+    }
     Granted granted;
     granted.prefill_engine = prefill_engine;
     granted.decode_engine = decode_engine;
@@ -312,8 +352,8 @@
     granted.taken_up = true;
     granted.granted_at = now;
     granted.named_at = now;
-    granted.decode_from = now;
-    decode->second.slots.insert(ask.request);
+    granted.decode_from = now - age;
+    this->hold_slot(decode->second, ask);
     auto const prefill = this->engines.find(prefill_engine);
     if (progress == GrantProgress::Prefilling && prefill != this->engines.end())
         prefill->second.prefills.push_back({ ask.request, ask.prompt_tokens, now });
@@ -330,6 +370,7 @@
     if (found != this->granted.end()) {
         if (output_tokens > 0)
             this->output_estimate(found->second.ask.model).add(static_cast<double>(output_tokens));
+        this->learn_step_time(found->second, output_tokens, now);
         this->remove_granted(found->first, now);
     }
     this->schedule(now);
@@ -342,9 +383,7 @@
     VERIFY(found != this->granted.end());
     this->end_prefill(found->second.prefill_engine, request, now);
     this->released.insert_or_assign(request, now);
-    auto const engine = this->engines.find(found->second.decode_engine);
-    if (engine != this->engines.end())
-        engine->second.slots.erase(request);
+    this->free_slot(found->second.decode_engine, found->second.ask);
     this->granted.erase(found);
 }
 
--- a/Libraries/LibDecision/CellScheduler.h
+++ b/Libraries/LibDecision/CellScheduler.h
@@ -35,6 +35,10 @@
     /// Bytes of KV cache of one prompt token, and the link's bytes a second.
     double cache_bytes_per_token = 0;
     double link_rate = 1;
+    /// Tokens that the engine's memory holds, in blocks; 0 where only slots count.
+    std::int64_t memory_tokens = 0;
+    std::int64_t block_tokens = 16;
+    std::string data_centre {};
 };
 
 /// Work that an engine says it holds.
@@ -82,6 +86,14 @@
     MonotonicTime first_token_deadline;
     /// Higher goes first.
     std::int64_t priority = 0;
+    /// What the answer will probably have; 0 where only what was learned is known.
+    std::int64_t expected_output_tokens = 0;
+    /// A request that has no place by then is refused, so that its caller hears in time to come back.
+    std::optional<MonotonicTime> decide_by {};
+    /// Engines that failed this request before.
+    std::vector<std::string> excluded_engines {};
+    /// Where its answer will go.
+    std::string data_centre {};
 };
 
 struct PlacementGrant {
@@ -167,6 +179,14 @@
         /// Part of the hold time left free for mistakes.
         Duration safety_margin = milliseconds(100);
         std::size_t queue_limit = 2000;
+        /// Whether an engine is used only while it reports.
+        enum class ReportNeed {
+            Required,
+            None,
+        } report_need
+            = ReportNeed::Required;
+        /// Part of an engine's memory that is never promised.
+        double memory_headroom = 0.02;
         /// Longest time between tokens that a decode engine is filled up to.
         Duration token_target = milliseconds(37);
         SchedulerPolicy policy {};
@@ -188,7 +208,8 @@
     void ask(PlacementAsk ask, MonotonicTime now);
     void progress(std::string_view request, GrantProgress progress, MonotonicTime now);
     /// What an entry says it was granted by an earlier keeper. Takes the place of what a report alone said.
-    void restore(PlacementAsk ask, std::string_view prefill_engine, std::string_view decode_engine, GrantProgress progress, MonotonicTime now);
+    /// For a request that is known it only says that its grant is in use. The age is that of its progress.
+    void restore(PlacementAsk ask, std::string_view prefill_engine, std::string_view decode_engine, GrantProgress progress, Duration age, MonotonicTime now);
     /// The request ended, or its caller is gone; frees all it holds here.
     void release(std::string_view request, std::int64_t output_tokens, MonotonicTime now);
 
@@ -246,6 +267,8 @@
         std::vector<QueuedPrefill> prefills;
         /// Requests that hold or were promised a slot here.
         std::set<std::string, std::less<>> slots;
+        /// Memory that they hold or were promised.
+        std::int64_t reserved_tokens = 0;
     };
 
     struct Granted {
@@ -264,6 +287,12 @@
         MonotonicTime decode_from;
     };
 
+    /// What requests will have given back by some time.
+    struct Releases {
+        std::int64_t slots = 0;
+        std::int64_t tokens = 0;
+    };
+
     struct Account {
         AccountDescription description;
         TokenBucket bucket;
@@ -304,7 +333,15 @@
     MonotonicTime busy_until(Engine const& engine, MonotonicTime now) const;
     bool is_usable(Engine const& engine, MonotonicTime now) const;
     std::int64_t usable_slots(Engine const& engine) const;
-    std::int64_t releases_before(Engine const& engine, MonotonicTime now, MonotonicTime when) const;
+    Releases releases_before(Engine const& engine, MonotonicTime now, MonotonicTime when) const;
+    void hold_slot(Engine& engine, PlacementAsk const& ask);
+    void free_slot(std::string_view engine, PlacementAsk const& ask);
+    static std::int64_t memory_need(Engine const& engine, PlacementAsk const& ask);
+    std::int64_t usable_memory(Engine const& engine) const;
+    static bool is_excluded(PlacementAsk const& ask, std::string_view engine);
+    bool has_room(Engine const& engine, PlacementAsk const& ask, Releases const& releases) const;
+    std::optional<MonotonicTime> earliest_room(PlacementAsk const& ask, MonotonicTime now) const;
+    void learn_step_time(Granted const& granted, std::int64_t output_tokens, MonotonicTime now);
     MonotonicTime predicted_release(Granted const& granted) const;
     Duration prefill_time(Engine const& engine, PlacementAsk const& ask) const;
     Duration transfer_time(Engine const& engine, PlacementAsk const& ask) const;
--- a/Libraries/LibDecision/CellSchedulerPlacement.cpp
+++ b/Libraries/LibDecision/CellSchedulerPlacement.cpp
@@ -65,6 +65,10 @@
         if (ask.model != model)
             return false;
         auto const best = this->best_first_token(ask, now);
+        if (ask.decide_by && now >= *ask.decide_by) {
+            this->refuse(ask, best ? RefusalReason::CannotMeetFirstToken : RefusalReason::NoUpstream, this->expected_wait(model, now));
+            return true;
+        }
         // Without any engine heard of, a keeper new in office still waits for reports until the deadline.
         auto const first_token = best && refuse_early ? *best : now;
         if (first_token <= ask.first_token_deadline)
@@ -101,7 +105,10 @@
 
 bool CellScheduler::is_usable(Engine const& engine, MonotonicTime now) const
 {
-    if (!engine.last_report || now - *engine.last_report > this->options.report_validity || now < engine.left_out_until)
+    bool const is_silent = !engine.last_report || now - *engine.last_report > this->options.report_validity;
+    if (is_silent && this->options.report_need == Options::ReportNeed::Required)
+        return false;
+    if (now < engine.left_out_until)
         return false;
     // An engine that failed gets one request to try it, and no more until that succeeded.
     if (engine.failures_in_a_row > 0 && this->granted.contains(engine.trial))
@@ -132,7 +139,7 @@
 {
     std::vector<PlacementCandidate> candidates;
     for (auto const& [name, engine] : this->engines) {
-        if (engine.description.role != EngineRole::Prefill || engine.description.model != ask.model || !this->is_usable(engine, now))
+        if (engine.description.role != EngineRole::Prefill || engine.description.model != ask.model || !this->is_usable(engine, now) || is_excluded(ask, name))
             continue;
         auto const start = this->busy_until(engine, now);
         if (start - now > this->options.prefill_ahead)
@@ -146,14 +153,65 @@
 {
     std::optional<MonotonicTime> best;
     for (auto const& [name, engine] : this->engines) {
-        if (engine.description.role != EngineRole::Prefill || engine.description.model != ask.model || !this->is_usable(engine, now))
+        if (engine.description.role != EngineRole::Prefill || engine.description.model != ask.model || !this->is_usable(engine, now) || is_excluded(ask, name))
             continue;
         auto const first = this->busy_until(engine, now) + this->prefill_time(engine, ask) + this->transfer_time(engine, ask) + engine.step_time + this->expected_lateness();
         best = best ? std::min(*best, first) : first;
     }
+    auto const room = this->earliest_room(ask, now);
+    if (best && room)
+        best = std::max(*best, *room);
     return best;
 }
 
+// When a decode engine will have memory for the request, as far as predictions go. Empty where none tells.
+std::optional<MonotonicTime> CellScheduler::earliest_room(PlacementAsk const& ask, MonotonicTime now) const
+{
+    std::optional<MonotonicTime> earliest;
+    for (auto const& [name, engine] : this->engines) {
+        if (engine.description.role != EngineRole::Decode || engine.description.model != ask.model || !this->is_usable(engine, now) || is_excluded(ask, name))
+            continue;
+        if (this->has_room(engine, ask, {}))
+            return now;
+        std::vector<MonotonicTime> times;
+        for (auto const& request : engine.slots) {
+            auto const found = this->granted.find(request);
+            if (found == this->granted.end() || found->second.phase != GrantProgress::Decoding)
+                continue;
+            auto const release = this->predicted_release(found->second);
+            if (release > now && (!earliest || release < *earliest))
+                times.push_back(release);
+        }
+        std::sort(times.begin(), times.end());
+        for (auto const time : times) {
+            if (this->has_room(engine, ask, this->releases_before(engine, now, time))) {
+                earliest = time;
+                break;
+            }
+        }
+    }
+    return earliest;
+}
+
+bool CellScheduler::is_excluded(PlacementAsk const& ask, std::string_view engine)
+{
+    return std::find(ask.excluded_engines.begin(), ask.excluded_engines.end(), engine) != ask.excluded_engines.end();
+}
+
+std::int64_t CellScheduler::usable_memory(Engine const& engine) const
+{
+    return static_cast<std::int64_t>(static_cast<double>(engine.description.memory_tokens) * (1 - this->options.memory_headroom));
+}
+
+bool CellScheduler::has_room(Engine const& engine, PlacementAsk const& ask, Releases const& releases) const
+{
+    if (this->usable_slots(engine) - static_cast<std::int64_t>(engine.slots.size()) + releases.slots <= 0)
+        return false;
+    if (engine.description.memory_tokens == 0)
+        return true;
+    return engine.reserved_tokens - releases.tokens + memory_need(engine, ask) <= this->usable_memory(engine);
+}
+
 std::optional<CellScheduler::Placement> CellScheduler::find_placement(PlacementAsk const& ask, MonotonicTime now)
 {
     auto const candidates = this->prefill_candidates(ask, now);
@@ -171,13 +229,17 @@
 {
     std::vector<PlacementCandidate> candidates;
     for (auto const& [name, engine] : this->engines) {
-        if (engine.description.role != EngineRole::Decode || engine.description.model != ask.model || !this->is_usable(engine, now))
+        if (engine.description.role != EngineRole::Decode || engine.description.model != ask.model || !this->is_usable(engine, now) || is_excluded(ask, name))
             continue;
         auto const ready = placement.prefill_end + this->transfer_time(engine, ask);
-        auto free = this->usable_slots(engine) - static_cast<std::int64_t>(engine.slots.size());
-        if (free <= 0)
-            free += this->releases_before(engine, now, ready - this->options.safety_margin);
-        if (free > 0 || this->options.policy.slot_promise == SchedulerPolicy::SlotPromise::Ignored)
+        Releases releases;
+        if (!this->has_room(engine, ask, releases))
+            releases = this->releases_before(engine, now, ready - this->options.safety_margin);
+        auto const free_slots = this->usable_slots(engine) - static_cast<std::int64_t>(engine.slots.size()) + releases.slots;
+        // Engines whose memory counts are compared by that.
+        auto const free_tokens = this->usable_memory(engine) - engine.reserved_tokens + releases.tokens;
+        auto const free = engine.description.memory_tokens > 0 ? free_tokens : free_slots;
+        if (this->has_room(engine, ask, releases) || this->options.policy.slot_promise == SchedulerPolicy::SlotPromise::Ignored)
             candidates.push_back({ name, free, ready });
     }
     if (candidates.empty())
@@ -189,25 +251,29 @@
     return placement;
 }
 
-std::int64_t CellScheduler::releases_before(Engine const& engine, MonotonicTime now, MonotonicTime when) const
+CellScheduler::Releases CellScheduler::releases_before(Engine const& engine, MonotonicTime now, MonotonicTime when) const
 {
-    std::int64_t count = 0;
+    Releases releases;
     for (auto const& request : engine.slots) {
         auto const found = this->granted.find(request);
         if (found == this->granted.end() || found->second.phase != GrantProgress::Decoding)
             continue;
         // A request that outlived its prediction says nothing of when it ends.
         auto const release = this->predicted_release(found->second);
-        if (release > now && release <= when)
-            ++count;
+        if (release <= now || release > when)
+            continue;
+        ++releases.slots;
+        releases.tokens += memory_need(engine, found->second.ask);
     }
-    return count;
+    return releases;
 }
 
 MonotonicTime CellScheduler::predicted_release(Granted const& granted) const
 {
     auto const estimate = this->output_estimates.find(granted.ask.model);
     double tokens = estimate == this->output_estimates.end() ? FIRST_OUTPUT_ESTIMATE : estimate->second.estimate();
+    if (granted.ask.expected_output_tokens > 0)
+        tokens = static_cast<double>(granted.ask.expected_output_tokens);
     if (granted.ask.maximum_output_tokens > 0)
         tokens = std::min(tokens, static_cast<double>(granted.ask.maximum_output_tokens));
     auto const engine = this->engines.find(granted.decode_engine);
@@ -234,7 +300,7 @@
     granted.predicted_first_token = placement.first_token;
     prefill.prefills.push_back({ ask.request, ask.prompt_tokens + ask.relayed_tokens, now });
     auto& decode = this->engines.find(placement.decode)->second;
-    decode.slots.insert(ask.request);
+    this->hold_slot(decode, ask);
     for (auto* engine : { &prefill, &decode }) {
         if (engine->failures_in_a_row > 0)
             engine->trial = ask.request;
--- /dev/null
+++ b/Libraries/LibDecision/RouteTable.cpp
@@ -0,0 +1,66 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibCore/Verify.h>
+#include <LibDecision/RouteTable.h>
+#include <algorithm>
+#include <numeric>
+
+namespace Spurtide {
+
+std::string normal_host(std::string_view host)
+{
+    auto const colon = host.rfind(':');
+    // NOTE: An IPv6 address in brackets may hold colons and no port.
+    if (colon != std::string_view::npos && host.find(']', colon) == std::string_view::npos)
+        host = host.substr(0, colon);
+    std::string text(host);
+    std::transform(text.begin(), text.end(), text.begin(), [](char character) { return character >= 'A' && character <= 'Z' ? static_cast<char>(character - 'A' + 'a') : character; });
+    return text;
+}
+
+std::string const& Route::target_for(std::uint64_t spread) const
+{
+    VERIFY(!this->targets.empty());
+    auto const total = std::accumulate(this->targets.begin(), this->targets.end(), std::int64_t { 0 }, [](auto sum, auto const& target) { return sum + target.weight; });
+    if (total <= 0)
+        return this->targets.front().service;
+    auto left = static_cast<std::int64_t>(spread % static_cast<std::uint64_t>(total));
+    for (auto const& target : this->targets) {
+        left -= target.weight;
+        if (left < 0)
+            return target.service;
+    }
+    return this->targets.back().service;
+}
+
+RouteTable::RouteTable(RoutingConfiguration configuration)
+    : current(std::move(configuration))
+{
+    for (std::size_t i = 0; i < this->current.routes.size(); ++i)
+        this->by_host[normal_host(this->current.routes[i].host)].push_back(i);
+    for (auto& [host, indexes] : this->by_host) {
+        std::sort(indexes.begin(), indexes.end(), [&](auto a, auto b) { return this->current.routes[a].path_prefix.size() > this->current.routes[b].path_prefix.size(); });
+    }
+}
+
+Route const* RouteTable::find(std::string_view host, std::string_view target) const
+{
+    auto const found = this->by_host.find(normal_host(host));
+    if (found == this->by_host.end())
+        return nullptr;
+    auto const path = target.substr(0, target.find('?'));
+    for (auto const index : found->second) {
+        if (path.starts_with(this->current.routes[index].path_prefix))
+            return &this->current.routes[index];
+    }
+    return nullptr;
+}
+
+ServiceTraits const* RouteTable::service(std::string_view name) const
+{
+    auto const found = std::find_if(this->current.services.begin(), this->current.services.end(), [&](auto const& service) { return service.name == name; });
+    return found == this->current.services.end() ? nullptr : &*found;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibDecision/UpstreamSelector.cpp
@@ -0,0 +1,104 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibDecision/UpstreamSelector.h>
+#include <algorithm>
+
+namespace Spurtide {
+
+namespace {
+
+constexpr int MOST_DOUBLINGS = 6;
+/// Before the first answer: in the order of a short service call.
+constexpr double FIRST_MEAN_SECONDS = 0.05;
+
+}
+
+double UpstreamSelector::expected_seconds(SelectableUpstream const& upstream, Known const& known) const
+{
+    auto const mean = known.mean_seconds > 0 ? known.mean_seconds : FIRST_MEAN_SECONDS;
+    auto const queued = static_cast<double>(known.in_flight) / static_cast<double>(std::max<std::int64_t>(1, upstream.slots));
+    auto const distance = upstream.place == SelectableUpstream::Place::SameDataCentre ? 0.0 : to_seconds(this->options.distance);
+    return mean * (1 + queued) + distance;
+}
+
+std::optional<std::size_t> UpstreamSelector::choose(std::span<SelectableUpstream const> upstreams, MonotonicTime now)
+{
+    if (upstreams.empty())
+        return {};
+    std::size_t left_out = 0;
+    for (auto const& upstream : upstreams)
+        left_out += this->is_left_out(upstream.identity, now) ? 1 : 0;
+    bool const may_leave_out = left_out * 2 <= upstreams.size();
+    auto const grade = [&](std::size_t index) {
+        auto const found = this->known.find(upstreams[index].identity);
+        auto const& state = found == this->known.end() ? Known {} : found->second;
+        bool const is_out = may_leave_out && (now < state.left_out_until || (state.needs_trial && state.in_flight > 0));
+        bool const is_full = now < state.full_until;
+        return std::make_pair((is_out ? 2 : 0) + (is_full ? 1 : 0), this->expected_seconds(upstreams[index], state));
+    };
+    // Equals take turns, so that VMs that know nothing yet do not all begin with the same one.
+    std::size_t const first = static_cast<std::size_t>(this->turn++) % upstreams.size();
+    std::size_t best = first;
+    for (std::size_t step = 1; step < upstreams.size(); ++step) {
+        std::size_t const index = (first + step) % upstreams.size();
+        if (grade(index) < grade(best))
+            best = index;
+    }
+    return best;
+}
+
+void UpstreamSelector::note_sent(std::string_view identity)
+{
+    ++this->known[std::string(identity)].in_flight;
+}
+
+void UpstreamSelector::note_end(std::string_view identity, UpstreamOutcome outcome, Duration took, MonotonicTime now)
+{
+    auto const found = this->known.find(identity);
+    if (found == this->known.end())
+        return;
+    auto& state = found->second;
+    state.in_flight = std::max<std::int64_t>(0, state.in_flight - 1);
+    if (outcome == UpstreamOutcome::Full) {
+        state.full_until = now + this->options.full_pause;
+        return;
+    }
+    if (outcome == UpstreamOutcome::Good) {
+        auto const sample = to_seconds(took);
+        state.mean_seconds = state.mean_seconds > 0 ? state.mean_seconds + this->options.smoothing * (sample - state.mean_seconds) : sample;
+        state.failures_in_a_row = 0;
+        state.times_left_out = 0;
+        state.needs_trial = false;
+        return;
+    }
+    ++state.failures_in_a_row;
+    bool const was_trial = state.needs_trial && now >= state.left_out_until;
+    if (was_trial || state.failures_in_a_row >= this->options.failures_to_leave_out) {
+        auto const doublings = std::min(state.times_left_out++, MOST_DOUBLINGS);
+        state.left_out_until = now + std::min(this->options.longest_leave_out, this->options.first_leave_out * (1 << doublings));
+        state.failures_in_a_row = 0;
+        state.needs_trial = true;
+    }
+}
+
+void UpstreamSelector::retain(std::span<std::string const> identities)
+{
+    std::erase_if(this->known, [&](auto const& entry) {
+        return entry.second.in_flight == 0 && std::find(identities.begin(), identities.end(), entry.first) == identities.end();
+    });
+}
+
+std::int64_t UpstreamSelector::in_flight(std::string_view identity) const
+{
+    auto const found = this->known.find(identity);
+    return found == this->known.end() ? 0 : found->second.in_flight;
+}
+
+bool UpstreamSelector::is_left_out(std::string_view identity, MonotonicTime now) const
+{
+    auto const found = this->known.find(identity);
+    return found != this->known.end() && now < found->second.left_out_until;
+}
+
+}
--- a/Libraries/LibPlatform/PlatformError.h
+++ b/Libraries/LibPlatform/PlatformError.h
@@ -20,6 +20,8 @@
     NotFound,
     /// The answer was not of the agreed form.
     Malformed,
+    /// What changed since is no longer known; the whole has to be read again.
+    HistoryGone,
 };
 
 std::string_view to_string(PlatformError error);
--- /dev/null
+++ b/Libraries/LibRouter/CallerDialect.h
@@ -0,0 +1,31 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#pragma once
+
+#include <LibAsync/HttpMessage.h>
+#include <LibCore/Result.h>
+#include <LibRouter/CallerRequest.h>
+
+namespace Spurtide {
+
+/// The port between the router and the HTTP that callers and upstreams of a deployment speak. An
+/// implementation translates and decides nothing.
+class CallerDialect {
+public:
+    virtual ~CallerDialect() = default;
+
+    virtual Result<CallerRequest, CallerFault> read_request(HttpRequestHead const& head) const = 0;
+    /// The request as an upstream gets it: the caller's fields, but for those that the router sets itself.
+    virtual HttpRequestHead upstream_head(HttpRequest const& request, Dispatch const& dispatch) const = 0;
+    virtual AnswerFacts read_answer(HttpResponseHead const& head) const = 0;
+    /// The upstream's answer as the caller gets it, but for the fields of its connection.
+    virtual HttpResponseHead caller_head(HttpResponseHead const& head) const = 0;
+    /// An answer of the router's own; the request's identifier may be empty.
+    virtual HttpResponseHead own_head(int status, std::string const& identifier) const = 0;
+    virtual Result<HeldCache, CallerFault> read_held_cache(std::string_view body) const = 0;
+    /// Asks an engine to free a cache that nobody will take.
+    virtual HttpRequestHead free_cache_head(std::string_view engine_address, std::string_view handle) const = 0;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibRouter/CallerRequest.cpp
@@ -0,0 +1,15 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibRouter/CallerRequest.h>
+#include <array>
+
+namespace Spurtide {
+
+std::string_view to_string(CallerFault fault)
+{
+    constexpr std::array<std::string_view, 3> NAMES = { "missing_identifier", "bad_patience", "bad_prompt" };
+    return NAMES.at(static_cast<std::size_t>(fault));
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRouter/CallerRequest.h
@@ -0,0 +1,86 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#pragma once
+
+#include <LibCore/Time.h>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Spurtide {
+
+/// What a model request says of its size.
+struct PromptFacts {
+    std::string model;
+    std::int64_t prompt_tokens = 0;
+    std::int64_t maximum_output_tokens = 0;
+    /// The caller's guess of the answer's length; 0 where it made none. Right in the median, often far off.
+    std::int64_t expected_output_tokens = 0;
+};
+
+/// A caller's request as far as the router decides by it.
+struct CallerRequest {
+    /// Names one attempt of a caller; no other request has the same.
+    std::string identifier;
+    /// How long the caller waits from when it sent the request.
+    Duration patience = seconds(30);
+    /// Set for requests to models.
+    std::optional<PromptFacts> prompt;
+    /// The last event that the caller has of this stream; empty where it has none.
+    std::string last_event;
+};
+
+/// Why a request cannot be taken.
+enum class CallerFault {
+    MissingIdentifier,
+    BadPatience,
+    BadPrompt,
+};
+
+std::string_view to_string(CallerFault fault);
+
+/// Which part of a request an upstream is to do.
+enum class DispatchStage {
+    /// The whole of it.
+    Whole,
+    /// Read the prompt and keep its cache for another engine.
+    Prefill,
+    /// Take the cache from where it is kept, and answer.
+    Decode,
+};
+
+/// One send of a request to an upstream.
+struct Dispatch {
+    DispatchStage stage = DispatchStage::Whole;
+    /// What is left of the caller's patience.
+    Duration patience {};
+    /// The life of the upstream that is meant; any other does not run the request.
+    std::string expected_identity;
+    /// Where the cache is kept, for Decode.
+    std::string cache_address;
+    std::string cache_handle;
+    /// The stream goes on behind this event; empty sends what the caller sent.
+    std::string after_event;
+};
+
+/// What an upstream's answer says beside its status.
+struct AnswerFacts {
+    /// The request that it answers; empty where the answer does not tell.
+    std::string identifier;
+    /// The upstream says that it did not run the request.
+    bool is_not_executed = false;
+    /// The answer carries the upstream's signature, which callers check.
+    bool is_signed = false;
+    /// The body was changed on its way.
+    bool is_encoded = false;
+};
+
+/// A prefill's result, kept by its engine for a short time.
+struct HeldCache {
+    std::string handle;
+    std::int64_t tokens = 0;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibRouter/EngineKeeper.cpp
@@ -0,0 +1,239 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibCore/Clock.h>
+#include <LibCore/LogLine.h>
+#include <LibRouter/EngineKeeper.h>
+
+namespace Spurtide {
+
+namespace {
+
+/// While asks wait, time passes for them in these steps.
+constexpr Duration WAITING_TICK = milliseconds(20);
+constexpr Duration HOUSEKEEPING = milliseconds(500);
+/// Longer than news of a new VM takes to come around.
+constexpr Duration ORIGIN_GRACE = seconds(2);
+/// All callers of this deployment share one account.
+constexpr std::string_view ACCOUNT = "all";
+constexpr double UNLIMITED = 1e9;
+
+wire::RefusalReason wire_reason(RefusalReason reason)
+{
+    switch (reason) {
+    case RefusalReason::UnknownModel:
+        return wire::REFUSAL_REASON_UNKNOWN_MODEL;
+    case RefusalReason::UnknownAccount:
+        return wire::REFUSAL_REASON_UNKNOWN_ACCOUNT;
+    case RefusalReason::RateLimited:
+        return wire::REFUSAL_REASON_RATE_LIMITED;
+    case RefusalReason::NoUpstream:
+        return wire::REFUSAL_REASON_NO_UPSTREAM;
+    case RefusalReason::CannotMeetFirstToken:
+        return wire::REFUSAL_REASON_CANNOT_MEET_FIRST_TOKEN;
+    case RefusalReason::QueueFull:
+        return wire::REFUSAL_REASON_QUEUE_FULL;
+    case RefusalReason::Duplicate:
+        return wire::REFUSAL_REASON_DUPLICATE;
+    }
+    VERIFY_NOT_REACHED();
+}
+
+GrantProgress read_progress(wire::GrantProgress progress)
+{
+    switch (progress) {
+    case wire::GRANT_PROGRESS_CACHE_HELD:
+        return GrantProgress::CacheHeld;
+    case wire::GRANT_PROGRESS_DECODING:
+        return GrantProgress::Decoding;
+    default:
+        return GrantProgress::Prefilling;
+    }
+}
+
+PlacementAsk read_ask(wire::PlacementAsk const& message, MonotonicTime now)
+{
+    PlacementAsk ask;
+    ask.request = message.request();
+    ask.account = ACCOUNT;
+    ask.model = message.model();
+    ask.origin = message.origin();
+    ask.prompt_tokens = message.prompt_tokens();
+    ask.maximum_output_tokens = message.maximum_output_tokens();
+    ask.relayed_tokens = message.relayed_tokens();
+    ask.expected_output_tokens = message.expected_output_tokens();
+    ask.priority = message.priority();
+    ask.data_centre = message.data_centre();
+    ask.first_token_deadline = now + Duration(message.first_token_within_microseconds());
+    if (message.decide_within_microseconds() > 0)
+        ask.decide_by = now + Duration(message.decide_within_microseconds());
+    ask.excluded_engines.assign(message.excluded_engines().begin(), message.excluded_engines().end());
+    return ask;
+}
+
+}
+
+EngineKeeper::EngineKeeper(CellScheduler::Options options, Kernel& kernel, Metrics& metrics, asio::io_context& loop)
+    : scheduler(std::move(options))
+    , kernel(kernel)
+    , metrics(metrics)
+    , timer(loop)
+{
+    AccountDescription account;
+    account.name = ACCOUNT;
+    account.requests_per_second = UNLIMITED;
+    account.burst = UNLIMITED;
+    this->scheduler.set_accounts({ &account, 1 }, monotonic_now());
+}
+
+void EngineKeeper::start()
+{
+    this->kernel.every(HOUSEKEEPING, [this] {
+        auto const now = monotonic_now();
+        this->forget_gone_origins(now);
+        this->scheduler.advance(now);
+        this->flush();
+    });
+}
+
+void EngineKeeper::set_engines(RoutingConfiguration const& configuration, UpstreamList const& upstreams)
+{
+    std::vector<EngineDescription> engines;
+    std::vector<std::string> leaving;
+    for (auto const& record : upstreams.records()) {
+        auto const service = std::find_if(configuration.services.begin(), configuration.services.end(), [&](auto const& other) { return other.name == record.service; });
+        if (service == configuration.services.end() || !service->engine || !record.role)
+            continue;
+        EngineDescription engine;
+        engine.name = record.identity;
+        engine.model = record.service;
+        engine.role = *record.role;
+        engine.decode_slots = service->engine->slots;
+        engine.memory_tokens = service->engine->memory_tokens;
+        engine.cache_bytes_per_token = service->engine->cache_bytes_per_token;
+        engine.link_rate = service->engine->link_bytes_per_second;
+        engine.prefill_rate = 50'000;
+        engine.data_centre = record.data_centre;
+        engines.push_back(std::move(engine));
+        if (record.life == UpstreamRecord::Life::Leaving)
+            leaving.push_back(record.identity);
+    }
+    this->scheduler.set_engines(engines);
+    for (auto const& engine : engines) {
+        bool const is_leaving = std::find(leaving.begin(), leaving.end(), engine.name) != leaving.end();
+        this->scheduler.set_leaving(engine.name, is_leaving ? EngineReport::Life::Leaving : EngineReport::Life::Serving);
+    }
+}
+
+void EngineKeeper::handle(wire::Envelope const& request, Kernel::Responder const& respond)
+{
+    auto const now = monotonic_now();
+    switch (request.body_case()) {
+    case wire::Envelope::kPlacementAsk:
+        this->handle_ask(request.placement_ask(), respond);
+        break;
+    case wire::Envelope::kProgress:
+        this->scheduler.progress(request.progress().request(), read_progress(request.progress().progress()), now);
+        break;
+    case wire::Envelope::kRelease: {
+        auto const& release = request.release();
+        if (!release.failed_engine().empty())
+            this->scheduler.note_failure(release.failed_engine(), now);
+        this->waiting.erase(release.request());
+        this->scheduler.release(release.request(), release.output_tokens(), now);
+        break;
+    }
+    case wire::Envelope::kGrantRecords:
+        this->handle_records(request.grant_records());
+        break;
+    default:
+        respond(error_reply(wire::ERROR_CODE_UNKNOWN_MESSAGE));
+        return;
+    }
+    this->flush();
+}
+
+void EngineKeeper::handle_ask(wire::PlacementAsk const& message, Kernel::Responder const& respond)
+{
+    auto const now = monotonic_now();
+    this->waiting.insert_or_assign(message.request(), respond);
+    this->scheduler.ask(read_ask(message, now), now);
+}
+
+void EngineKeeper::handle_records(wire::GrantRecords const& message)
+{
+    auto const now = monotonic_now();
+    for (auto const& record : message.records()) {
+        PlacementAsk ask;
+        ask.request = record.request();
+        ask.account = ACCOUNT;
+        ask.model = record.model();
+        ask.origin = message.origin();
+        ask.prompt_tokens = record.prompt_tokens();
+        ask.maximum_output_tokens = record.maximum_output_tokens();
+        ask.expected_output_tokens = record.expected_output_tokens();
+        this->scheduler.restore(std::move(ask), record.prefill_engine(), record.decode_engine(), read_progress(record.progress()), Duration(record.age_microseconds()), now);
+    }
+}
+
+void EngineKeeper::flush()
+{
+    for (auto const& decision : this->scheduler.take_decisions()) {
+        wire::Envelope reply;
+        std::string request;
+        if (auto const* grant = std::get_if<PlacementGrant>(&decision)) {
+            request = grant->request;
+            reply.mutable_placement_grant()->set_prefill_engine(grant->prefill_engine);
+            reply.mutable_placement_grant()->set_decode_engine(grant->decode_engine);
+            LogLine("placed").with("request", request).with("prefill", grant->prefill_engine).with("decode", grant->decode_engine).with("candidates", static_cast<std::int64_t>(grant->candidates));
+        } else {
+            auto const& refusal = std::get<PlacementRefusal>(decision);
+            request = refusal.request;
+            reply.mutable_placement_refusal()->set_reason(wire_reason(refusal.reason));
+            reply.mutable_placement_refusal()->set_retry_after_milliseconds(to_milliseconds(refusal.retry_after));
+            auto const summary = this->scheduler.summary(monotonic_now());
+            LogLine("not_placed").with("request", request).with("reason", to_string(refusal.reason)).with("retry_after_ms", to_milliseconds(refusal.retry_after)).with("waiting", static_cast<std::int64_t>(summary.waiting)).with("granted", static_cast<std::int64_t>(summary.granted)).with("engines", static_cast<std::int64_t>(summary.engines_heard));
+        }
+        auto const responder = this->waiting.find(request);
+        if (responder == this->waiting.end())
+            continue;
+        auto const respond = std::move(responder->second);
+        this->waiting.erase(responder);
+        respond(std::move(reply));
+    }
+    if (this->waiting.empty() || this->is_timer_set)
+        return;
+    this->is_timer_set = true;
+    this->timer.expires_after(WAITING_TICK);
+    this->timer.async_wait([this](asio::error_code error) {
+        this->is_timer_set = false;
+        if (!error)
+            this->tick();
+    });
+}
+
+void EngineKeeper::tick()
+{
+    this->scheduler.advance(monotonic_now());
+    this->flush();
+}
+
+void EngineKeeper::forget_gone_origins(MonotonicTime now)
+{
+    auto const origins = this->scheduler.origins();
+    std::erase_if(this->missing_origins, [&](auto const& entry) { return !origins.contains(entry.first); });
+    for (auto const& origin : origins) {
+        if (origin == this->kernel.incarnation() || this->kernel.directory().find_incarnation(origin)) {
+            this->missing_origins.erase(origin);
+            continue;
+        }
+        auto const since = this->missing_origins.try_emplace(origin, now).first->second;
+        if (now - since < ORIGIN_GRACE)
+            continue;
+        LogLine("origin_gone").with("origin", origin);
+        this->scheduler.forget_origin(origin, now);
+        this->missing_origins.erase(origin);
+    }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRouter/Entry.cpp
@@ -0,0 +1,65 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibCore/LogLine.h>
+#include <LibRouter/Entry.h>
+#include <LibRouter/PlainFlow.h>
+#include <LibRouter/StreamFlow.h>
+
+namespace Spurtide {
+
+namespace {
+
+/// A VM that has just started has its configuration well within this.
+constexpr std::string_view NO_CONFIGURATION_RETRY_AFTER = "0.5";
+
+}
+
+asio::awaitable<void> Entry::handle(HttpExchange& exchange)
+{
+    auto const& head = exchange.request().head;
+    auto const routes = this->state.routes;
+    auto parsed = this->state.dialect.read_request(head);
+    auto const identifier = parsed.is_error() ? std::string() : parsed.value().identifier;
+    if (!routes) {
+        co_await this->answer(exchange, 503, "no_configuration", identifier);
+        co_return;
+    }
+    auto const host = head.headers.find("host");
+    if (!host) {
+        co_await this->answer(exchange, 400, "no_host", identifier);
+        co_return;
+    }
+    auto const* route = routes->find(*host, head.target);
+    if (!route) {
+        co_await this->answer(exchange, 404, "no_route", identifier);
+        co_return;
+    }
+    if (parsed.is_error()) {
+        co_await this->answer(exchange, 400, to_string(parsed.error()), identifier);
+        co_return;
+    }
+    auto request = parsed.release_value();
+    auto const has_engine = [&](RouteTarget const& target) {
+        auto const* service = routes->service(target.service);
+        return service && service->engine;
+    };
+    bool const is_for_engines = request.prompt && std::any_of(route->targets.begin(), route->targets.end(), has_engine);
+    std::shared_ptr<RequestFlow> flow;
+    if (is_for_engines)
+        flow = std::make_shared<StreamFlow>(this->state, exchange, routes, *route, std::move(request));
+    else
+        flow = std::make_shared<PlainFlow>(this->state, exchange, routes, *route, std::move(request));
+    co_await flow->run();
+}
+
+asio::awaitable<void> Entry::answer(HttpExchange& exchange, int status, std::string_view reason, std::string identifier)
+{
+    LogLine("request_rejected").with("request", identifier).with("status", status).with("reason", reason).with("target", exchange.request().head.target);
+    auto head = this->state.dialect.own_head(status, identifier);
+    if (status == 503)
+        head.headers.add("Retry-After", NO_CONFIGURATION_RETRY_AFTER);
+    static_cast<void>(co_await exchange.respond(std::move(head), {}));
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRouter/Entry.h
@@ -0,0 +1,27 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#pragma once
+
+#include <LibAsync/HttpExchange.h>
+#include <LibRouter/RouterState.h>
+
+namespace Spurtide {
+
+/// Takes callers' requests: finds the route, reads what the request says of itself, and starts its flow.
+class Entry {
+public:
+    explicit Entry(RouterState& state)
+        : state(state)
+    {
+    }
+
+    asio::awaitable<void> handle(HttpExchange& exchange);
+
+private:
+    asio::awaitable<void> answer(HttpExchange& exchange, int status, std::string_view reason, std::string identifier);
+
+    RouterState& state;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibRouter/PlacementClient.cpp
@@ -0,0 +1,230 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibCore/Clock.h>
+#include <LibCore/LogLine.h>
+#include <LibDecision/CellMap.h>
+#include <LibRouter/PlacementClient.h>
+#include <algorithm>
+
+namespace Spurtide {
+
+namespace {
+
+constexpr std::string_view PLACEMENT = "placement";
+/// The engines of a deployment of today's size are one cell.
+constexpr std::string_view CELL = "engines";
+/// A keeper and the one that follows it; after them this VM decides for itself.
+constexpr std::size_t REMOTE_TRIES = 2;
+
+wire::GrantProgress wire_progress(GrantProgress progress)
+{
+    switch (progress) {
+    case GrantProgress::Prefilling:
+        return wire::GRANT_PROGRESS_PREFILLING;
+    case GrantProgress::CacheHeld:
+        return wire::GRANT_PROGRESS_CACHE_HELD;
+    case GrantProgress::Decoding:
+        return wire::GRANT_PROGRESS_DECODING;
+    }
+    VERIFY_NOT_REACHED();
+}
+
+RefusalReason read_reason(wire::RefusalReason reason)
+{
+    switch (reason) {
+    case wire::REFUSAL_REASON_UNKNOWN_ACCOUNT:
+        return RefusalReason::UnknownAccount;
+    case wire::REFUSAL_REASON_RATE_LIMITED:
+        return RefusalReason::RateLimited;
+    case wire::REFUSAL_REASON_NO_UPSTREAM:
+        return RefusalReason::NoUpstream;
+    case wire::REFUSAL_REASON_CANNOT_MEET_FIRST_TOKEN:
+        return RefusalReason::CannotMeetFirstToken;
+    case wire::REFUSAL_REASON_QUEUE_FULL:
+        return RefusalReason::QueueFull;
+    case wire::REFUSAL_REASON_DUPLICATE:
+        return RefusalReason::Duplicate;
+    default:
+        return RefusalReason::UnknownModel;
+    }
+}
+
+wire::Envelope placement_message()
+{
+    wire::Envelope envelope;
+    envelope.set_service(std::string(PLACEMENT));
+    return envelope;
+}
+
+wire::Envelope release_message(std::string const& request, std::int64_t output_tokens, std::string const& failed_engine)
+{
+    auto envelope = placement_message();
+    envelope.mutable_release()->set_request(request);
+    envelope.mutable_release()->set_output_tokens(output_tokens);
+    envelope.mutable_release()->set_failed_engine(failed_engine);
+    return envelope;
+}
+
+}
+
+PlacementClient::PlacementClient(Options options, Kernel& kernel)
+    : options(options)
+    , kernel(kernel)
+{
+}
+
+void PlacementClient::start()
+{
+    this->kernel.every(this->options.renewal, [this] { this->renew(); });
+}
+
+std::string PlacementClient::endpoint_of(std::string const& virtual_machine) const
+{
+    if (virtual_machine == this->kernel.virtual_machine())
+        return this->kernel.endpoint();
+    return this->kernel.directory().resolve_on(virtual_machine, PLACEMENT).value_or("");
+}
+
+std::vector<std::string> PlacementClient::keepers() const
+{
+    auto names = this->kernel.directory().virtual_machines_with(PLACEMENT);
+    auto const now = monotonic_now();
+    std::erase_if(names, [&](auto const& name) {
+        auto const silent = this->silent_until.find(name);
+        return silent != this->silent_until.end() && now < silent->second;
+    });
+    std::sort(names.begin(), names.end(), [](auto const& a, auto const& b) { return rendezvous_score(CELL, a) > rendezvous_score(CELL, b); });
+    return names;
+}
+
+std::string PlacementClient::present_keeper() const
+{
+    auto const names = this->keepers();
+    return names.empty() ? this->kernel.endpoint() : this->endpoint_of(names.front());
+}
+
+wire::Envelope PlacementClient::ask_message(PlacementAsk const& ask, Duration decide_within, Duration first_token_within) const
+{
+    auto envelope = placement_message();
+    auto* message = envelope.mutable_placement_ask();
+    message->set_request(ask.request);
+    message->set_model(ask.model);
+    message->set_origin(this->kernel.incarnation());
+    message->set_prompt_tokens(ask.prompt_tokens);
+    message->set_maximum_output_tokens(ask.maximum_output_tokens);
+    message->set_relayed_tokens(ask.relayed_tokens);
+    message->set_expected_output_tokens(ask.expected_output_tokens);
+    message->set_first_token_within_microseconds(first_token_within.count());
+    message->set_decide_within_microseconds(decide_within.count());
+    message->set_priority(static_cast<std::int32_t>(ask.priority));
+    message->set_data_centre(ask.data_centre);
+    for (auto const& engine : ask.excluded_engines)
+        message->add_excluded_engines(engine);
+    return envelope;
+}
+
+asio::awaitable<std::optional<PlacementDecision>> PlacementClient::ask(PlacementAsk ask, std::shared_ptr<Ask> wait, Duration decide_within, Duration first_token_within)
+{
+    auto const begun = monotonic_now();
+    auto names = this->keepers();
+    names.resize(std::min(names.size(), REMOTE_TRIES));
+    std::erase(names, this->kernel.virtual_machine());
+    bool const is_own_first = this->present_keeper() == this->kernel.endpoint();
+    if (is_own_first)
+        names.clear();
+    names.push_back(this->kernel.virtual_machine());
+    for (auto const& name : names) {
+        auto const endpoint = this->endpoint_of(name);
+        auto const spent = std::chrono::duration_cast<Duration>(monotonic_now() - begun);
+        auto const message = this->ask_message(ask, std::max(Duration { 1 }, decide_within - spent), first_token_within - spent);
+        wait->reply.reset();
+        this->kernel.request(endpoint, message, { decide_within + this->options.answer_slack, this->options.silence }, [wait](WireReply reply) {
+            wait->reply = std::move(reply);
+            wait->signal.notify();
+        });
+        while (!wait->reply && !wait->is_given_up)
+            co_await wait->signal.wait();
+        if (wait->is_given_up || wait->reply->is_error()) {
+            // Whatever it grants, or did grant without the answer coming through, is not taken up.
+            this->kernel.notify(endpoint, release_message(ask.request, 0, ""));
+        }
+        if (wait->is_given_up)
+            co_return std::nullopt;
+        if (wait->reply->is_error()) {
+            this->silent_until[name] = monotonic_now() + this->options.suspicion;
+            LogLine("keeper_silent").with("keeper", name).with("request", ask.request).with("error", to_string(wait->reply->error().kind));
+            continue;
+        }
+        auto const& reply = wait->reply->value();
+        if (reply.has_placement_grant()) {
+            PlacementGrant grant;
+            grant.request = ask.request;
+            grant.prefill_engine = reply.placement_grant().prefill_engine();
+            grant.decode_engine = reply.placement_grant().decode_engine();
+            this->held.insert_or_assign(ask.request, Held { ask, grant, GrantProgress::Prefilling, monotonic_now() });
+            co_return PlacementDecision { grant };
+        }
+        PlacementRefusal refusal;
+        refusal.request = ask.request;
+        refusal.reason = read_reason(reply.placement_refusal().reason());
+        refusal.retry_after = milliseconds(reply.placement_refusal().retry_after_milliseconds());
+        co_return PlacementDecision { refusal };
+    }
+    co_return PlacementDecision { PlacementRefusal { ask.request, RefusalReason::NoUpstream, milliseconds(500) } };
+}
+
+void PlacementClient::send(wire::Envelope envelope)
+{
+    this->kernel.notify(this->present_keeper(), std::move(envelope));
+}
+
+void PlacementClient::progress(std::string const& request, GrantProgress progress)
+{
+    auto const found = this->held.find(request);
+    if (found == this->held.end())
+        return;
+    found->second.phase = progress;
+    found->second.since = monotonic_now();
+    auto envelope = placement_message();
+    envelope.mutable_progress()->set_request(request);
+    envelope.mutable_progress()->set_progress(wire_progress(progress));
+    this->send(std::move(envelope));
+}
+
+void PlacementClient::release(std::string const& request, std::int64_t output_tokens, std::string const& failed_engine)
+{
+    if (this->held.erase(request) == 0)
+        return;
+    this->send(release_message(request, output_tokens, failed_engine));
+}
+
+void PlacementClient::renew()
+{
+    auto const keeper = this->present_keeper();
+    if (keeper != this->last_keeper) {
+        LogLine("keeper_changed").with("keeper", keeper).with("held", static_cast<std::int64_t>(this->held.size()));
+        this->last_keeper = keeper;
+    }
+    if (this->held.empty())
+        return;
+    auto envelope = placement_message();
+    auto* records = envelope.mutable_grant_records();
+    records->set_origin(this->kernel.incarnation());
+    auto const now = monotonic_now();
+    for (auto const& [request, held] : this->held) {
+        auto* record = records->add_records();
+        record->set_request(request);
+        record->set_model(held.ask.model);
+        record->set_prefill_engine(held.grant.prefill_engine);
+        record->set_decode_engine(held.grant.decode_engine);
+        record->set_prompt_tokens(held.ask.prompt_tokens + held.ask.relayed_tokens);
+        record->set_maximum_output_tokens(held.ask.maximum_output_tokens);
+        record->set_expected_output_tokens(held.ask.expected_output_tokens);
+        record->set_progress(wire_progress(held.phase));
+        record->set_age_microseconds(std::chrono::duration_cast<Duration>(now - held.since).count());
+    }
+    this->kernel.notify(keeper, std::move(envelope));
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRouter/PlacementClient.h
@@ -0,0 +1,88 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#pragma once
+
+#include <LibAsync/Signal.h>
+#include <LibCore/Time.h>
+#include <LibDecision/CellScheduler.h>
+#include <LibWire/Kernel.h>
+#include <asio.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace Spurtide {
+
+/// Asks the keeper of the engines for places, tells it of progress and ends, and names to it what is held.
+/// Where the keeper does not answer, the next VM in the same order is asked, and at last the own one.
+class PlacementClient {
+public:
+    struct Options {
+        /// Beyond the time that the keeper may take to decide.
+        Duration answer_slack = milliseconds(120);
+        /// Silence after which the keeper's process is asked whether it is there.
+        Duration silence = milliseconds(120);
+        /// A keeper that did not answer is not asked again for so long.
+        Duration suspicion = milliseconds(1500);
+        /// How often held grants are named to the keeper.
+        Duration renewal = milliseconds(1000);
+    };
+
+    /// A wait that its request may give up.
+    class Ask {
+    public:
+        explicit Ask(asio::any_io_executor const& executor)
+            : signal(executor)
+        {
+        }
+        void give_up()
+        {
+            this->is_given_up = true;
+            this->signal.notify();
+        }
+
+    private:
+        friend class PlacementClient;
+        Signal signal;
+        std::optional<WireReply> reply;
+        bool is_given_up = false;
+    };
+
+    PlacementClient(Options options, Kernel& kernel);
+
+    void start();
+
+    /// Empty when the ask was given up. Whatever was granted then is released.
+    asio::awaitable<std::optional<PlacementDecision>> ask(PlacementAsk ask, std::shared_ptr<Ask> wait, Duration decide_within, Duration first_token_within);
+    void progress(std::string const& request, GrantProgress progress);
+    /// The request needs its grant no more.
+    void release(std::string const& request, std::int64_t output_tokens, std::string const& failed_engine);
+
+    std::size_t held_count() const { return this->held.size(); }
+
+private:
+    struct Held {
+        PlacementAsk ask;
+        PlacementGrant grant;
+        GrantProgress phase = GrantProgress::Prefilling;
+        MonotonicTime since;
+    };
+
+    /// VMs in the order in which they would keep the engines, without those that were silent lately.
+    std::vector<std::string> keepers() const;
+    std::string endpoint_of(std::string const& virtual_machine) const;
+    std::string present_keeper() const;
+    void send(wire::Envelope envelope);
+    void renew();
+    wire::Envelope ask_message(PlacementAsk const& ask, Duration decide_within, Duration first_token_within) const;
+
+    Options options;
+    Kernel& kernel;
+    std::map<std::string, Held> held;
+    std::map<std::string, MonotonicTime> silent_until;
+    std::string last_keeper;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibRouter/PlainFlow.cpp
@@ -0,0 +1,194 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibCore/Clock.h>
+#include <LibCore/LogLine.h>
+#include <LibRouter/PlainFlow.h>
+
+namespace Spurtide {
+
+namespace {
+
+/// Less time than this is not worth another send.
+constexpr Duration LEAST_TIME_FOR_SEND = milliseconds(50);
+/// Connections that do not come up cost nobody anything but time.
+constexpr int CONNECT_TRIES = 3;
+constexpr std::size_t LARGEST_ANSWER = 8UL * 1024 * 1024;
+constexpr Duration FULL_RETRY_AFTER = milliseconds(300);
+constexpr Duration NO_UPSTREAM_RETRY_AFTER = milliseconds(500);
+/// An answer to another request may come in the place of the one that is due.
+constexpr int SURPLUS_ANSWERS = 3;
+
+UpstreamOutcome outcome_of(SendEnd end)
+{
+    switch (end) {
+    case SendEnd::Success:
+    case SendEnd::OwnFailure:
+        return UpstreamOutcome::Good;
+    case SendEnd::NotExecuted:
+        return UpstreamOutcome::Full;
+    default:
+        return UpstreamOutcome::Bad;
+    }
+}
+
+}
+
+std::optional<UpstreamRecord> PlainFlow::choose()
+{
+    std::vector<UpstreamRecord> records;
+    for (auto& record : this->state.upstreams.records()) {
+        if (record.service == this->service && record.life == UpstreamRecord::Life::Serving && !this->tried.contains(record.identity))
+            records.push_back(std::move(record));
+    }
+    std::vector<SelectableUpstream> selectable;
+    for (auto const& record : records) {
+        auto const place = record.data_centre == this->state.data_centre ? SelectableUpstream::Place::SameDataCentre : SelectableUpstream::Place::Elsewhere;
+        selectable.push_back({ record.identity, record.slots, place });
+    }
+    auto const index = this->state.selector.choose(selectable, monotonic_now());
+    if (!index)
+        return {};
+    return records[*index];
+}
+
+asio::awaitable<void> PlainFlow::carry()
+{
+    Attempt last;
+    int connect_tries = 0;
+    while (true) {
+        if (this->is_stopped()) {
+            co_await this->answer_stopped();
+            co_return;
+        }
+        auto const upstream = this->choose();
+        if (!upstream) {
+            if (this->earlier == SendHistory::Earlier::MayHaveRun && this->route.kind != RouteKind::Repeatable)
+                co_await this->fail(502, "no_upstream");
+            else
+                co_await this->refuse(last.reason.empty() ? "no_upstream" : last.reason, NO_UPSTREAM_RETRY_AFTER);
+            co_return;
+        }
+        this->tried.insert(upstream->identity);
+        last = co_await this->send_to(*upstream);
+        if (this->is_stopped() && last.end != SendEnd::Success) {
+            co_await this->answer_stopped();
+            co_return;
+        }
+        SendHistory history { this->route.kind, this->earlier, SendHistory::AnotherSend::Spent };
+        if (last.end == SendEnd::NotSent)
+            history.another_send = ++connect_tries < CONNECT_TRIES ? SendHistory::AnotherSend::Allowed : SendHistory::AnotherSend::Spent;
+        else if (last.end != SendEnd::Success)
+            history.another_send = this->take_another_send(this->sends, LEAST_TIME_FOR_SEND);
+        if (last.end == SendEnd::OwnFailure || last.end == SendEnd::Lost)
+            this->earlier = SendHistory::Earlier::MayHaveRun;
+        auto const step = next_step(last.end, history);
+        LogLine("send_end").with("request", this->request.identifier).with("upstream", upstream->identity).with("end", to_string(last.end)).with("reason", last.reason).with("status", last.head.status).with("next", to_string(step));
+        switch (step) {
+        case NextStep::SendElsewhere:
+            continue;
+        case NextStep::Relay:
+            co_await this->relay(last);
+            co_return;
+        case NextStep::RefuseNotRun:
+            co_await this->refuse(last.reason, FULL_RETRY_AFTER);
+            co_return;
+        case NextStep::FailMayHaveRun:
+            co_await this->fail(502, last.reason);
+            co_return;
+        }
+    }
+}
+
+asio::awaitable<PlainFlow::Attempt> PlainFlow::send_to(UpstreamRecord upstream)
+{
+    Attempt attempt;
+    auto const address = parse_address(upstream.address);
+    if (!address) {
+        attempt.reason = "bad_address";
+        co_return attempt;
+    }
+    // A connection that the other side is just closing would leave a request in doubt that must not be repeated.
+    auto const freshness = this->route.kind == RouteKind::Repeatable ? ConnectionPool::Freshness::Any : ConnectionPool::Freshness::Recent;
+    auto const sent_at = monotonic_now();
+    this->state.selector.note_sent(upstream.identity);
+    auto acquired = co_await this->state.pool.acquire(*address, freshness);
+    if (acquired.is_error()) {
+        attempt.reason = to_string(acquired.error());
+        this->state.selector.note_end(upstream.identity, UpstreamOutcome::Bad, Duration::zero(), monotonic_now());
+        co_return attempt;
+    }
+    auto const connection = acquired.release_value();
+    // While the connection came up the upstream may have begun to leave, or the caller may have left.
+    if (this->is_stopped() || !this->state.upstreams.takes_work(upstream.identity)) {
+        this->state.pool.release(*address, connection);
+        this->state.selector.note_end(upstream.identity, UpstreamOutcome::Full, Duration::zero(), monotonic_now());
+        attempt.reason = "upstream_left";
+        co_return attempt;
+    }
+    Dispatch dispatch;
+    dispatch.patience = std::min(this->patience_left(), this->time_left());
+    dispatch.expected_identity = upstream.identity;
+    this->set_active(connection);
+    ++this->sends;
+    auto const expected_body = this->exchange.request().head.method == "HEAD" ? MessageParser::ExpectedBody::None : MessageParser::ExpectedBody::AsFramed;
+    connection->send(format_request_head(this->state.dialect.upstream_head(this->exchange.request(), dispatch)), this->body, expected_body);
+    attempt = co_await this->read_answer(connection);
+    this->set_active(nullptr);
+    auto const now = monotonic_now();
+    auto const took = std::chrono::duration_cast<Duration>(now - sent_at);
+    // What the caller or the clock cut off says nothing about the upstream.
+    auto const outcome = this->is_stopped() && attempt.end == SendEnd::Lost ? UpstreamOutcome::Full : outcome_of(attempt.end);
+    this->state.selector.note_end(upstream.identity, outcome, took, now);
+    if (attempt.end == SendEnd::Lost)
+        connection->abort();
+    this->state.pool.release(*address, connection);
+    co_return attempt;
+}
+
+asio::awaitable<PlainFlow::Attempt> PlainFlow::read_answer(std::shared_ptr<HttpConnection> connection)
+{
+    Attempt attempt;
+    attempt.end = SendEnd::Lost;
+    for (int surplus = 0; surplus <= SURPLUS_ANSWERS; ++surplus) {
+        auto head = co_await connection->read_head();
+        if (head.is_error()) {
+            attempt.reason = to_string(head.error());
+            co_return attempt;
+        }
+        attempt.head = head.release_value();
+        auto answer = co_await connection->read_body(LARGEST_ANSWER);
+        if (answer.is_error()) {
+            attempt.reason = to_string(answer.error());
+            co_return attempt;
+        }
+        attempt.body = answer.release_value();
+        auto const facts = this->state.dialect.read_answer(attempt.head);
+        if (!facts.identifier.empty() && facts.identifier != this->request.identifier) {
+            attempt.reason = "answer_of_another_request";
+            connection->expect_another_answer();
+            continue;
+        }
+        bool const is_success = attempt.head.status / 100 == 2;
+        attempt.reason = "answered";
+        if (facts.is_not_executed || attempt.head.status == 421) {
+            attempt.end = SendEnd::NotExecuted;
+            attempt.reason = attempt.head.status == 421 ? "other_identity" : "upstream_full";
+        } else if (is_success && facts.is_signed && !facts.is_encoded && !facts.identifier.empty())
+            attempt.end = SendEnd::Success;
+        else if (!is_success && facts.is_signed && !facts.is_encoded && attempt.head.status >= 300 && attempt.head.status != 429 && attempt.head.status != 503 && attempt.head.status != 408)
+            attempt.end = SendEnd::OwnFailure;
+        else
+            attempt.reason = "not_its_answer";
+        co_return attempt;
+    }
+    co_return attempt;
+}
+
+asio::awaitable<void> PlainFlow::relay(Attempt const& attempt)
+{
+    auto const result = co_await this->exchange.respond(this->state.dialect.caller_head(attempt.head), attempt.body);
+    this->log_end(result.is_error() ? "caller_left" : "answered", to_string(attempt.end), attempt.head.status);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRouter/PlainFlow.h
@@ -0,0 +1,35 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#pragma once
+
+#include <LibRouter/RequestFlow.h>
+#include <set>
+
+namespace Spurtide {
+
+/// Carries a call to a plain service.
+class PlainFlow final : public RequestFlow {
+public:
+    using RequestFlow::RequestFlow;
+
+private:
+    asio::awaitable<void> carry() override;
+
+    /// One send and what it brought.
+    struct Attempt {
+        SendEnd end = SendEnd::NotSent;
+        std::string reason;
+        HttpResponseHead head;
+        std::string body;
+    };
+
+    asio::awaitable<Attempt> send_to(UpstreamRecord upstream);
+    asio::awaitable<Attempt> read_answer(std::shared_ptr<HttpConnection> connection);
+    std::optional<UpstreamRecord> choose();
+    asio::awaitable<void> relay(Attempt const& attempt);
+
+    std::set<std::string> tried;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibRouter/RegistryFollower.cpp
@@ -0,0 +1,128 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibCore/LogLine.h>
+#include <LibRouter/RegistryFollower.h>
+#include <algorithm>
+#include <optional>
+#include <xxhash.h>
+
+namespace Spurtide {
+
+namespace {
+
+constexpr int MOST_DOUBLINGS = 4;
+
+void log_failure(std::string_view what, PlatformError error, int failures)
+{
+    // The first failure and then some tell the story; a line for each would drown it.
+    if (failures == 1 || failures % 10 == 0)
+        LogLine("registry_failed").with("what", what).with("error", to_string(error)).with("failures", failures);
+}
+
+}
+
+RegistryFollower::RegistryFollower(Options options, asio::io_context& loop, RegistryPort& registry, Hooks hooks)
+    : options(options)
+    , loop(loop)
+    , registry(registry)
+    , hooks(std::move(hooks))
+{
+}
+
+void RegistryFollower::start()
+{
+    asio::co_spawn(this->loop, this->follow_configuration(), asio::detached);
+    asio::co_spawn(this->loop, this->follow_upstreams(), asio::detached);
+}
+
+// Doubles with each failure in a row, up to a limit, and differs by VM and turn.
+asio::awaitable<void> RegistryFollower::pause(int failures)
+{
+    auto const doubled = this->options.first_pause * (1 << std::min(failures, MOST_DOUBLINGS));
+    auto const longest = std::min(this->options.longest_pause, Duration(doubled));
+    auto const seed = this->options.spread + static_cast<std::uint64_t>(failures);
+    auto const percent = 50 + static_cast<std::int64_t>(XXH3_64bits(&seed, sizeof(seed)) % 50);
+    asio::steady_timer timer(this->loop, longest * percent / 100);
+    asio::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+asio::awaitable<void> RegistryFollower::follow_configuration()
+{
+    std::optional<std::int64_t> position;
+    int failures = 0;
+    while (true) {
+        Result<ConfigurationNews, PlatformError> news = Failure { PlatformError::Unavailable };
+        if (position)
+            news = co_await this->registry.watch_configuration(*position, this->options.watch);
+        else
+            news = co_await this->registry.read_configuration();
+        if (news.is_error()) {
+            if (news.error() == PlatformError::HistoryGone) {
+                LogLine("registry_history_gone").with("what", "configuration");
+                position.reset();
+                continue;
+            }
+            log_failure("configuration", news.error(), ++failures);
+            co_await this->pause(failures);
+            continue;
+        }
+        if (failures > 0)
+            LogLine("registry_back").with("what", "configuration").with("failures", std::exchange(failures, 0));
+        bool const was_empty_read = !position && !news.value().document;
+        position = news.value().position;
+        if (news.value().document)
+            this->hooks.on_configuration(*news.value().document);
+        if (was_empty_read)
+            co_await this->pause(1);
+    }
+}
+
+asio::awaitable<void> RegistryFollower::follow_upstreams()
+{
+    std::optional<std::int64_t> position;
+    int failures = 0;
+    while (true) {
+        PlatformError error {};
+        bool has_failed = false;
+        if (position) {
+            auto const news = co_await this->registry.watch_upstreams(*position, this->options.watch);
+            has_failed = news.is_error();
+            if (has_failed)
+                error = news.error();
+            else {
+                this->hooks.on_upstreams_state(UpstreamList::RegistryState::Well);
+                position = news.value().position;
+                if (!news.value().changes.empty())
+                    this->hooks.on_upstream_news(news.value());
+            }
+        } else {
+            auto const snapshot = co_await this->registry.read_upstreams();
+            has_failed = snapshot.is_error();
+            if (has_failed)
+                error = snapshot.error();
+            else {
+                this->hooks.on_upstreams_state(UpstreamList::RegistryState::Well);
+                position = snapshot.value().position;
+                this->upstreams_read = true;
+                this->hooks.on_upstreams(snapshot.value());
+            }
+        }
+        if (!has_failed) {
+            if (failures > 0)
+                LogLine("registry_back").with("what", "upstreams").with("failures", std::exchange(failures, 0));
+            continue;
+        }
+        if (error == PlatformError::HistoryGone) {
+            LogLine("registry_history_gone").with("what", "upstreams");
+            position.reset();
+            continue;
+        }
+        log_failure("upstreams", error, ++failures);
+        this->hooks.on_upstreams_state(UpstreamList::RegistryState::Away);
+        co_await this->pause(failures);
+    }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRouter/RequestFlow.cpp
@@ -0,0 +1,138 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibCore/Clock.h>
+#include <LibCore/LogLine.h>
+#include <LibRouter/RequestFlow.h>
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <xxhash.h>
+
+namespace Spurtide {
+
+namespace {
+
+/// A caller that comes back sooner meets the same trouble.
+constexpr Duration SHORTEST_RETRY_AFTER = milliseconds(100);
+
+std::string format_seconds(Duration duration)
+{
+    std::array<char, 24> text {};
+    std::snprintf(text.data(), text.size(), "%.2f", to_seconds(duration));
+    return text.data();
+}
+
+}
+
+RequestFlow::RequestFlow(RouterState& state, HttpExchange& exchange, std::shared_ptr<RouteTable const> routes, Route const& route, CallerRequest request)
+    : state(state)
+    , exchange(exchange)
+    , routes(std::move(routes))
+    , route(route)
+    , request(std::move(request))
+    , service(route.target_for(XXH3_64bits(this->request.identifier.data(), this->request.identifier.size())))
+    , body(std::make_shared<std::string const>(exchange.request().body))
+    , until(exchange.received_at() + std::min(route.timeout, this->request.patience))
+    , limit(state.loop)
+{
+}
+
+asio::awaitable<void> RequestFlow::run()
+{
+    auto const self = this->shared_from_this();
+    std::weak_ptr<RequestFlow> const weak = self;
+    this->exchange.when_caller_leaves([weak] {
+        if (auto const flow = weak.lock())
+            flow->stop(StopReason::CallerLeft);
+    });
+    this->limit.expires_at(this->until);
+    this->limit.async_wait([weak](asio::error_code error) {
+        auto const flow = weak.lock();
+        if (!error && flow)
+            flow->stop(StopReason::OutOfTime);
+    });
+    this->state.budget_of(this->service).note_request(monotonic_now());
+    co_await this->carry();
+    this->limit.cancel();
+}
+
+void RequestFlow::stop(StopReason reason)
+{
+    if (this->is_stopped())
+        return;
+    this->stop_reason = reason;
+    if (this->active)
+        this->active->abort();
+    this->on_stop();
+}
+
+Duration RequestFlow::patience_left() const
+{
+    return std::chrono::duration_cast<Duration>(this->exchange.received_at() + this->request.patience - monotonic_now());
+}
+
+Duration RequestFlow::time_left() const
+{
+    return std::chrono::duration_cast<Duration>(this->until - monotonic_now());
+}
+
+SendHistory::AnotherSend RequestFlow::take_another_send(std::int64_t sends_so_far, Duration least_time)
+{
+    if (sends_so_far >= this->route.maximum_attempts || this->time_left() < least_time || this->is_stopped())
+        return SendHistory::AnotherSend::Spent;
+    bool const is_taken = this->state.budget_of(this->service).try_take(this->state.live_virtual_machines(), monotonic_now());
+    return is_taken ? SendHistory::AnotherSend::Allowed : SendHistory::AnotherSend::Spent;
+}
+
+asio::awaitable<void> RequestFlow::refuse(std::string_view reason, Duration retry_after)
+{
+    if (this->is_stopped() && this->stop_reason == StopReason::CallerLeft) {
+        this->log_end("caller_left", reason, 0);
+        co_return;
+    }
+    auto head = this->state.dialect.own_head(503, this->request.identifier);
+    head.headers.add("Retry-After", format_seconds(std::max(retry_after, SHORTEST_RETRY_AFTER)));
+    this->log_end("refused_not_run", reason, 503);
+    // A caller that does not take the answer is gone; there is nobody left to tell.
+    static_cast<void>(co_await this->exchange.respond(std::move(head), {}));
+}
+
+asio::awaitable<void> RequestFlow::fail(int status, std::string_view reason)
+{
+    if (this->exchange.has_begun()) {
+        this->log_end("broken_off", reason, 0);
+        this->exchange.abort();
+        co_return;
+    }
+    this->log_end("failed_may_have_run", reason, status);
+    static_cast<void>(co_await this->exchange.respond(this->state.dialect.own_head(status, this->request.identifier), {}));
+}
+
+asio::awaitable<void> RequestFlow::answer_stopped()
+{
+    if (this->stop_reason == StopReason::CallerLeft) {
+        this->log_end("caller_left", "caller_left", 0);
+        co_return;
+    }
+    if (this->earlier == SendHistory::Earlier::HasNotRun && !this->exchange.has_begun())
+        co_await this->refuse("out_of_time", SHORTEST_RETRY_AFTER);
+    else
+        co_await this->fail(504, "out_of_time");
+}
+
+void RequestFlow::log_end(std::string_view outcome, std::string_view reason, int status)
+{
+    LogLine("request_end")
+        .with("request", this->request.identifier)
+        .with("route", this->route.name)
+        .with("service", this->service)
+        .with("outcome", outcome)
+        .with("reason", reason)
+        .with("status", status)
+        .with("sends", this->sends)
+        .with("ms", to_milliseconds(std::chrono::duration_cast<Duration>(monotonic_now() - this->exchange.received_at())));
+    this->state.metrics.increment("spurtide_requests_total", "Requests by route kind and outcome", { { "outcome", std::string(outcome) }, { "kind", this->request.prompt ? "stream" : "call" } });
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRouter/RequestFlow.h
@@ -0,0 +1,73 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#pragma once
+
+#include <LibAsync/HttpExchange.h>
+#include <LibDecision/AnswerVerdict.h>
+#include <LibRouter/RouterState.h>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace Spurtide {
+
+/// Carries one request from its route to its final answer. What is common to calls and streams: the time
+/// that is left, the caller's leaving, and the answers of the router's own.
+class RequestFlow : public std::enable_shared_from_this<RequestFlow> {
+public:
+    RequestFlow(RouterState& state, HttpExchange& exchange, std::shared_ptr<RouteTable const> routes, Route const& route, CallerRequest request);
+    virtual ~RequestFlow() = default;
+    RequestFlow(RequestFlow const&) = delete;
+    RequestFlow& operator=(RequestFlow const&) = delete;
+
+    asio::awaitable<void> run();
+
+protected:
+    enum class StopReason {
+        None,
+        CallerLeft,
+        OutOfTime,
+    };
+
+    virtual asio::awaitable<void> carry() = 0;
+    /// Called once when the caller left or time is up.
+    virtual void on_stop() { }
+
+    bool is_stopped() const { return this->stop_reason != StopReason::None; }
+    /// The connection that ends when the request is stopped.
+    void set_active(std::shared_ptr<HttpConnection> connection) { this->active = std::move(connection); }
+    Duration patience_left() const;
+    Duration time_left() const;
+
+    /// Answers that the request has not run and when to come back.
+    asio::awaitable<void> refuse(std::string_view reason, Duration retry_after);
+    /// Answers that the request may have run.
+    asio::awaitable<void> fail(int status, std::string_view reason);
+    /// The final answer after the request was stopped; nothing when the caller left.
+    asio::awaitable<void> answer_stopped();
+    void log_end(std::string_view outcome, std::string_view reason, int status);
+
+    /// Whether attempts, time and the retry budget allow another send; takes it from the budget.
+    SendHistory::AnotherSend take_another_send(std::int64_t sends_so_far, Duration least_time);
+
+    RouterState& state;
+    HttpExchange& exchange;
+    std::shared_ptr<RouteTable const> routes;
+    Route const& route;
+    CallerRequest request;
+    std::string service;
+    std::shared_ptr<std::string const> body;
+    MonotonicTime until;
+    SendHistory::Earlier earlier = SendHistory::Earlier::HasNotRun;
+    int sends = 0;
+
+private:
+    void stop(StopReason reason);
+
+    StopReason stop_reason = StopReason::None;
+    std::shared_ptr<HttpConnection> active;
+    asio::steady_timer limit;
+};
+
+}
--- /dev/null
+++ b/Libraries/LibRouter/RouterState.h
@@ -0,0 +1,42 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#pragma once
+
+#include <LibAsync/ConnectionPool.h>
+#include <LibCore/Metrics.h>
+#include <LibDecision/RetryBudget.h>
+#include <LibDecision/RouteTable.h>
+#include <LibDecision/UpstreamList.h>
+#include <LibDecision/UpstreamSelector.h>
+#include <LibRouter/CallerDialect.h>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace Spurtide {
+
+class PlacementClient;
+
+/// What all requests of a VM share. Lives on the one event loop.
+struct RouterState {
+    asio::io_context& loop;
+    CallerDialect const& dialect;
+    Metrics& metrics;
+    std::string data_centre;
+    RetryBudget::Options retry_options {};
+    /// Empty before the first configuration came.
+    std::shared_ptr<RouteTable const> routes {};
+    UpstreamList upstreams { UpstreamList::Options {} };
+    UpstreamSelector selector { UpstreamSelector::Options {} };
+    ConnectionPool pool { ConnectionPool::Options {} };
+    std::map<std::string, RetryBudget> budgets {};
+    PlacementClient* placement = nullptr;
+    /// Number of VMs that share the retry budget.
+    std::function<std::size_t()> live_virtual_machines = [] { return std::size_t { 1 }; };
+
+    RetryBudget& budget_of(std::string const& service) { return this->budgets.try_emplace(service, this->retry_options).first->second; }
+};
+
+}
--- /dev/null
+++ b/Libraries/LibRouter/StreamFlow.cpp
@@ -0,0 +1,356 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibCore/Clock.h>
+#include <LibCore/LogLine.h>
+#include <LibRouter/StreamFlow.h>
+
+namespace Spurtide {
+
+namespace {
+
+/// Of the time to the first event: a caller that is refused within it can still be served in time elsewhere.
+constexpr double DECISION_SHARE = 0.22;
+/// Less is not worth a placement.
+constexpr Duration LEAST_TIME_FOR_PLACEMENT = milliseconds(200);
+/// Reading the longest prompts and the queue before them takes less.
+constexpr Duration PREFILL_PATIENCE = milliseconds(1200);
+constexpr int MOST_PLACEMENTS = 3;
+constexpr std::size_t LARGEST_PREFILL_ANSWER = 64UL * 1024;
+constexpr Duration FREE_CACHE_TIMEOUT = milliseconds(500);
+constexpr Duration LOST_ENGINE_RETRY_AFTER = milliseconds(400);
+
+}
+
+std::string EventBoundary::take(std::string_view bytes)
+{
+    this->pending += bytes;
+    auto const end = this->pending.rfind("\n\n");
+    if (end == std::string::npos)
+        return {};
+    std::string whole = this->pending.substr(0, end + 2);
+    this->pending.erase(0, end + 2);
+    for (auto position = whole.find("\n\n"); position != std::string::npos; position = whole.find("\n\n", position + 2))
+        ++this->events;
+    constexpr std::string_view ID = "id:";
+    for (auto line = whole.rfind(ID); line != std::string::npos; line = whole.rfind(ID, line - 1)) {
+        if (line == 0 || whole[line - 1] == '\n') {
+            auto const from = whole.find_first_not_of(' ', line + ID.size());
+            this->last_id = whole.substr(from, whole.find('\n', from) - from);
+            if (!this->last_id.empty() && this->last_id.back() == '\r')
+                this->last_id.pop_back();
+            break;
+        }
+        if (line == 0)
+            break;
+    }
+    return whole;
+}
+
+void StreamFlow::on_stop()
+{
+    if (this->wait)
+        this->wait->give_up();
+}
+
+asio::awaitable<std::optional<PlacementDecision>> StreamFlow::place()
+{
+    auto const& prompt = *this->request.prompt;
+    PlacementAsk ask;
+    ask.request = this->request.identifier;
+    ask.model = this->service;
+    ask.prompt_tokens = prompt.prompt_tokens;
+    ask.maximum_output_tokens = prompt.maximum_output_tokens;
+    ask.expected_output_tokens = prompt.expected_output_tokens;
+    ask.relayed_tokens = this->events.event_count();
+    ask.priority = -this->route.priority;
+    ask.excluded_engines = this->failed_engines;
+    ask.data_centre = this->state.data_centre;
+    auto const age = std::chrono::duration_cast<Duration>(monotonic_now() - this->exchange.received_at());
+    auto const decide_within = from_seconds(to_seconds(this->route.latency_target) * DECISION_SHARE) - age;
+    auto const first_token_within = this->route.latency_target - age;
+    this->wait = std::make_shared<PlacementClient::Ask>(this->state.loop.get_executor());
+    auto decision = co_await this->state.placement->ask(std::move(ask), this->wait, std::max(decide_within, milliseconds(20)), first_token_within);
+    this->wait.reset();
+    co_return decision;
+}
+
+asio::awaitable<void> StreamFlow::carry()
+{
+    while (true) {
+        auto const decision = co_await this->place();
+        if (this->is_stopped() || !decision) {
+            this->release("");
+            co_await this->answer_stopped();
+            co_return;
+        }
+        if (auto const* refusal = std::get_if<PlacementRefusal>(&*decision)) {
+            if (this->earlier == SendHistory::Earlier::MayHaveRun)
+                co_await this->fail(502, to_string(refusal->reason));
+            else
+                co_await this->refuse(to_string(refusal->reason), refusal->retry_after);
+            co_return;
+        }
+        ++this->placements;
+        auto const progress = co_await this->use(std::get<PlacementGrant>(*decision));
+        this->release(this->failed_engine);
+        if (!this->failed_engine.empty())
+            this->failed_engines.push_back(std::exchange(this->failed_engine, {}));
+        if (progress == Progress::Over)
+            co_return;
+        if (this->is_stopped()) {
+            co_await this->answer_stopped();
+            co_return;
+        }
+    }
+}
+
+void StreamFlow::release(std::string const& engine)
+{
+    this->state.placement->release(this->request.identifier, this->events.event_count(), engine);
+}
+
+asio::awaitable<StreamFlow::Progress> StreamFlow::use(PlacementGrant grant)
+{
+    auto const* prefill_engine = this->state.upstreams.find(grant.prefill_engine);
+    auto const* decode_engine = this->state.upstreams.find(grant.decode_engine);
+    if (!decode_engine || (!grant.prefill_engine.empty() && !prefill_engine)) {
+        // The keeper knows an engine that this VM has not heard of, or not any more.
+        this->failed_engines.push_back(decode_engine ? grant.prefill_engine : grant.decode_engine);
+        co_return co_await this->give_up(SendEnd::NotSent, "unknown_engine");
+    }
+    Dispatch dispatch;
+    dispatch.expected_identity = grant.decode_engine;
+    UpstreamRecord const decoder = *decode_engine;
+    if (prefill_engine) {
+        UpstreamRecord const prefiller = *prefill_engine;
+        auto cache = co_await this->prefill(prefiller);
+        if (this->is_stopped()) {
+            if (cache)
+                this->free_cache(prefiller.address, cache->handle);
+            co_return Progress::TryAgain;
+        }
+        if (!cache)
+            co_return co_await this->give_up(SendEnd::NotSent, "prefill_failed");
+        this->state.placement->progress(this->request.identifier, GrantProgress::CacheHeld);
+        dispatch.stage = DispatchStage::Decode;
+        dispatch.cache_address = prefiller.address;
+        dispatch.cache_handle = cache->handle;
+    }
+    co_return co_await this->decode(decoder, std::move(dispatch));
+}
+
+asio::awaitable<std::optional<HeldCache>> StreamFlow::prefill(UpstreamRecord engine)
+{
+    auto const address = parse_address(engine.address);
+    this->failed_engine = engine.identity;
+    if (!address)
+        co_return std::nullopt;
+    // The first prefill is no extra send; further ones are.
+    if (this->prefills++ > 0 && !this->state.budget_of(this->service).try_take(this->state.live_virtual_machines(), monotonic_now())) {
+        this->failed_engine.clear();
+        co_return std::nullopt;
+    }
+    auto acquired = co_await this->state.pool.acquire(*address, ConnectionPool::Freshness::Any);
+    if (acquired.is_error())
+        co_return std::nullopt;
+    auto const connection = acquired.release_value();
+    if (this->is_stopped() || !this->state.upstreams.takes_work(engine.identity)) {
+        this->state.pool.release(*address, connection);
+        co_return std::nullopt;
+    }
+    Dispatch dispatch;
+    dispatch.stage = DispatchStage::Prefill;
+    dispatch.expected_identity = engine.identity;
+    dispatch.patience = std::min(this->patience_left(), this->time_left());
+    dispatch.after_event = this->events.last_identifier();
+    this->set_active(connection);
+    connection->set_deadline(monotonic_now() + PREFILL_PATIENCE);
+    connection->send(format_request_head(this->state.dialect.upstream_head(this->exchange.request(), dispatch)), this->body);
+    auto head = co_await connection->read_head();
+    std::string reason = head.is_error() ? std::string(to_string(head.error())) : "status_" + std::to_string(head.value().status);
+    std::optional<HeldCache> cache;
+    if (!head.is_error()) {
+        auto answer = co_await connection->read_body(LARGEST_PREFILL_ANSWER);
+        auto const facts = this->state.dialect.read_answer(head.value());
+        bool const is_its_answer = facts.identifier.empty() || facts.identifier == this->request.identifier;
+        if (answer.is_error() || !is_its_answer) {
+            connection->abort();
+            reason = answer.is_error() ? std::string(to_string(answer.error())) : "answer_of_another_request";
+        } else if (head.value().status == 200) {
+            auto held = this->state.dialect.read_held_cache(answer.value());
+            if (held.is_error())
+                reason = "malformed";
+            else
+                cache = held.release_value();
+        }
+        // An engine that is full or has begun to leave works as it should.
+        if (facts.is_not_executed)
+            this->failed_engine.clear();
+    }
+    this->set_active(nullptr);
+    this->state.pool.release(*address, connection);
+    if (cache)
+        this->failed_engine.clear();
+    else
+        LogLine("prefill_failed").with("request", this->request.identifier).with("engine", engine.identity).with("reason", reason);
+    co_return cache;
+}
+
+asio::awaitable<StreamFlow::Progress> StreamFlow::decode(UpstreamRecord engine, Dispatch dispatch)
+{
+    auto const address = parse_address(engine.address);
+    if (!address)
+        co_return co_await this->give_up(SendEnd::NotSent, "bad_address");
+    auto const may_repeat = this->route.is_resumable ? ConnectionPool::Freshness::Any : ConnectionPool::Freshness::Recent;
+    auto acquired = co_await this->state.pool.acquire(*address, may_repeat);
+    if (acquired.is_error() || this->is_stopped() || !this->state.upstreams.takes_work(engine.identity)) {
+        if (!dispatch.cache_handle.empty())
+            this->free_cache(dispatch.cache_address, dispatch.cache_handle);
+        if (acquired.is_error()) {
+            this->failed_engine = engine.identity;
+            co_return co_await this->give_up(SendEnd::NotSent, to_string(acquired.error()));
+        }
+        this->state.pool.release(*address, acquired.value());
+        if (this->is_stopped())
+            co_return Progress::TryAgain;
+        co_return co_await this->give_up(SendEnd::NotSent, "upstream_left");
+    }
+    auto const connection = acquired.release_value();
+    dispatch.patience = std::min(this->patience_left(), this->time_left());
+    dispatch.after_event = this->events.last_identifier();
+    this->set_active(connection);
+    ++this->sends;
+    connection->send(format_request_head(this->state.dialect.upstream_head(this->exchange.request(), dispatch)), this->body);
+    auto head = co_await connection->read_head();
+    if (head.is_error()) {
+        this->set_active(nullptr);
+        connection->abort();
+        this->earlier = SendHistory::Earlier::MayHaveRun;
+        if (this->is_stopped())
+            co_return Progress::TryAgain;
+        this->failed_engine = engine.identity;
+        co_return co_await this->give_up(SendEnd::Lost, to_string(head.error()));
+    }
+    auto const facts = this->state.dialect.read_answer(head.value());
+    auto const status = head.value().status;
+    if (facts.identifier == this->request.identifier && status / 100 == 2 && facts.is_signed && !facts.is_encoded) {
+        this->state.placement->progress(this->request.identifier, GrantProgress::Decoding);
+        this->earlier = SendHistory::Earlier::MayHaveRun;
+        auto const progress = co_await this->relay(connection, head.release_value());
+        this->set_active(nullptr);
+        this->state.pool.release(*address, connection);
+        co_return progress;
+    }
+    auto answer = co_await connection->read_body(LARGEST_PREFILL_ANSWER);
+    this->set_active(nullptr);
+    if (answer.is_error())
+        connection->abort();
+    this->state.pool.release(*address, connection);
+    auto const reason = "decode_status_" + std::to_string(status);
+    if (facts.is_not_executed || status == 421) {
+        if (!dispatch.cache_handle.empty())
+            this->free_cache(dispatch.cache_address, dispatch.cache_handle);
+        if (this->is_stopped())
+            co_return Progress::TryAgain;
+        co_return co_await this->give_up(SendEnd::NotExecuted, reason);
+    }
+    this->earlier = SendHistory::Earlier::MayHaveRun;
+    if (this->is_stopped())
+        co_return Progress::TryAgain;
+    bool const is_own_failure = facts.is_signed && facts.identifier == this->request.identifier && status >= 400 && status != 429 && status != 503 && status != 408 && !answer.is_error();
+    if (is_own_failure && !this->exchange.has_begun()) {
+        auto const sent = co_await this->exchange.respond(this->state.dialect.caller_head(head.value()), answer.value());
+        this->log_end(sent.is_error() ? "caller_left" : "answered", reason, status);
+        co_return Progress::Over;
+    }
+    this->failed_engine = engine.identity;
+    co_return co_await this->give_up(SendEnd::Lost, reason);
+}
+
+asio::awaitable<StreamFlow::Progress> StreamFlow::relay(std::shared_ptr<HttpConnection> connection, HttpResponseHead head)
+{
+    while (true) {
+        auto piece = co_await connection->read_piece();
+        if (piece.is_error()) {
+            connection->abort();
+            if (this->is_stopped())
+                co_return Progress::TryAgain;
+            co_return co_await this->give_up(SendEnd::Lost, to_string(piece.error()));
+        }
+        bool const is_end = piece.value().empty();
+        auto bytes = this->events.take(piece.value());
+        // A stream that cannot go on elsewhere need not wait for the end of an event.
+        if (!this->route.is_resumable || is_end)
+            bytes += this->events.rest();
+        if (!this->exchange.has_begun()) {
+            auto const framing = connection->framing() == BodyFraming::UntilClose ? BodyFraming::UntilClose : BodyFraming::Chunked;
+            auto const begun = co_await this->exchange.begin(this->state.dialect.caller_head(head), framing);
+            if (begun.is_error())
+                co_return Progress::TryAgain;
+        }
+        auto const written = co_await this->exchange.write(bytes);
+        if (written.is_error()) {
+            connection->abort();
+            this->log_end("caller_left", "write_failed", 0);
+            co_return Progress::Over;
+        }
+        if (!is_end)
+            continue;
+        auto const finished = co_await this->exchange.finish();
+        this->log_end(finished.is_error() ? "caller_left" : "answered", "stream", head.status);
+        co_return Progress::Over;
+    }
+}
+
+// What follows a send that brought no answer.
+asio::awaitable<StreamFlow::Progress> StreamFlow::give_up(SendEnd end, std::string_view reason)
+{
+    // A stream that may go on behind its last event may be sent again, like a call that may be repeated.
+    auto const kind = this->route.is_resumable ? RouteKind::Repeatable : RouteKind::NotRepeatable;
+    SendHistory history { kind, this->earlier, SendHistory::AnotherSend::Spent };
+    bool const has_time = this->time_left() >= LEAST_TIME_FOR_PLACEMENT && this->placements < MOST_PLACEMENTS;
+    if (end == SendEnd::NotSent)
+        history.another_send = has_time ? SendHistory::AnotherSend::Allowed : SendHistory::AnotherSend::Spent;
+    else if (has_time)
+        history.another_send = this->take_another_send(this->sends, LEAST_TIME_FOR_PLACEMENT);
+    auto const step = next_step(end, history);
+    LogLine("send_end").with("request", this->request.identifier).with("end", to_string(end)).with("reason", reason).with("next", to_string(step));
+    switch (step) {
+    case NextStep::SendElsewhere:
+        co_return Progress::TryAgain;
+    case NextStep::RefuseNotRun:
+        if (this->exchange.has_begun())
+            co_await this->fail(502, reason);
+        else
+            co_await this->refuse(reason, LOST_ENGINE_RETRY_AFTER);
+        break;
+    default:
+        co_await this->fail(502, reason);
+        break;
+    }
+    co_return Progress::Over;
+}
+
+void StreamFlow::free_cache(std::string const& engine_address, std::string const& handle)
+{
+    auto const free = [](RouterState& state, std::string address_text, std::string cache) -> asio::awaitable<void> {
+        auto const address = parse_address(address_text);
+        if (!address)
+            co_return;
+        auto acquired = co_await state.pool.acquire(*address, ConnectionPool::Freshness::Any);
+        if (acquired.is_error())
+            co_return;
+        auto const connection = acquired.release_value();
+        connection->set_deadline(monotonic_now() + FREE_CACHE_TIMEOUT);
+        connection->send(format_request_head(state.dialect.free_cache_head(address_text, cache)), nullptr);
+        auto const head = co_await connection->read_head();
+        // NOTE: Where this fails the engine frees the cache itself when its hold time is over.
+        if (!head.is_error())
+            static_cast<void>(co_await connection->read_body(LARGEST_PREFILL_ANSWER));
+        state.pool.release(*address, connection);
+    };
+    asio::co_spawn(this->state.loop, free(this->state, engine_address, handle), asio::detached);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRouter/StreamFlow.h
@@ -0,0 +1,62 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#pragma once
+
+#include <LibRouter/PlacementClient.h>
+#include <LibRouter/RequestFlow.h>
+
+namespace Spurtide {
+
+/// Cuts a stream's bytes at the ends of its events, counts them and remembers the last one's id.
+class EventBoundary {
+public:
+    /// Takes bytes; gives those that end with a whole event.
+    std::string take(std::string_view bytes);
+    /// What follows the last whole event.
+    std::string rest() { return std::exchange(this->pending, {}); }
+    std::int64_t event_count() const { return this->events; }
+    std::string const& last_identifier() const { return this->last_id; }
+
+private:
+    std::string pending;
+    std::int64_t events = 0;
+    std::string last_id;
+};
+
+/// Carries a request to a model: a place is promised first, then the prompt is read by one engine and the
+/// answer made by another.
+class StreamFlow final : public RequestFlow {
+public:
+    using RequestFlow::RequestFlow;
+
+private:
+    asio::awaitable<void> carry() override;
+    void on_stop() override;
+
+    enum class Progress {
+        /// The answer is over, whole or not.
+        Over,
+        /// Another placement may be tried.
+        TryAgain,
+    };
+
+    asio::awaitable<std::optional<PlacementDecision>> place();
+    /// One placement from its grant to its end.
+    asio::awaitable<Progress> use(PlacementGrant grant);
+    asio::awaitable<std::optional<HeldCache>> prefill(UpstreamRecord engine);
+    asio::awaitable<Progress> decode(UpstreamRecord engine, Dispatch dispatch);
+    asio::awaitable<Progress> relay(std::shared_ptr<HttpConnection> connection, HttpResponseHead head);
+    asio::awaitable<Progress> give_up(SendEnd end, std::string_view reason);
+    void free_cache(std::string const& address, std::string const& handle);
+    void release(std::string const& failed_engine);
+
+    std::shared_ptr<PlacementClient::Ask> wait;
+    std::vector<std::string> failed_engines;
+    std::string failed_engine;
+    EventBoundary events;
+    int placements = 0;
+    int prefills = 0;
+};
+
+}
--- a/Libraries/LibWire/Kernel.cpp
+++ b/Libraries/LibWire/Kernel.cpp
@@ -74,6 +74,8 @@
         : options(std::move(options))
         , incarnation(new_incarnation(this->options.virtual_machine))
         , directory(this->options.virtual_machine)
+        , own_loop(this->options.loop ? nullptr : std::make_unique<asio::io_context>())
+        , loop(this->options.loop ? *this->options.loop : *this->own_loop)
         , work(asio::make_work_guard(this->loop))
     {
     }
@@ -99,7 +101,8 @@
             this->announce();
             this->every(this->options.announce_interval, [this] { this->announce(); });
         }
-        this->thread = std::thread([this] { this->loop.run(); });
+        if (this->own_loop)
+            this->thread = std::thread([this] { this->loop.run(); });
     }
 
     void stop()
@@ -138,7 +141,12 @@
 
     void notify(std::string const& endpoint, wire::Envelope envelope)
     {
-        asio::dispatch(this->loop, [this, endpoint, envelope = std::move(envelope)] { this->send_on_link(endpoint, envelope); });
+        asio::dispatch(this->loop, [this, endpoint, envelope = std::move(envelope)] {
+            if (endpoint == this->listen_endpoint)
+                this->serve_locally(envelope, [](WireReply const&) {});
+            else
+                this->send_on_link(endpoint, envelope);
+        });
     }
 
     void withdraw(std::string const& service)
@@ -172,7 +180,8 @@
     ServiceDirectory directory;
     std::map<std::string, Handler, std::less<>> handlers;
     std::set<std::string> withdrawn;
-    asio::io_context loop;
+    std::unique_ptr<asio::io_context> own_loop;
+    asio::io_context& loop;
     std::map<std::string, TrafficCount> sent;
     std::map<std::string, TrafficCount> received;
 
@@ -240,6 +249,8 @@
 
     void send_request(std::string const& endpoint, wire::Envelope envelope, Patience patience, ReplyCallback callback)
     {
+        if (endpoint == this->listen_endpoint)
+            return this->serve_locally(envelope, std::move(callback));
         auto const correlation = ++this->last_correlation;
         envelope.set_correlation(correlation);
         if (!this->send_on_link(endpoint, envelope)) {
@@ -258,6 +269,24 @@
         this->pending.emplace(correlation, std::move(request));
     }
 
+    // A service of this process is reached without the wire.
+    void serve_locally(wire::Envelope const& envelope, ReplyCallback callback)
+    {
+        auto const handler = this->handlers.find(envelope.service());
+        if (handler == this->handlers.end()) {
+            callback(Failure { WireError { WireErrorKind::NoEndpoint } });
+            return;
+        }
+        handler->second(envelope, [this, callback = std::move(callback)](wire::Envelope reply) {
+            asio::dispatch(this->loop, [reply = std::move(reply), callback]() mutable {
+                if (reply.has_error())
+                    callback(Failure { WireError { WireErrorKind::Remote, reply.error().code() } });
+                else
+                    callback(std::move(reply));
+            });
+        });
+    }
+
     void watch_silence(std::uint64_t correlation, std::shared_ptr<asio::steady_timer> const& timer, Duration silence)
     {
         timer->expires_after(silence);
--- a/Libraries/LibWire/Kernel.h
+++ b/Libraries/LibWire/Kernel.h
@@ -7,6 +7,7 @@
 #include <LibCore/Time.h>
 #include <LibWire/ServiceDirectory.h>
 #include <LibWire/Spurtide.pb.h>
+#include <asio.hpp>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -56,6 +57,9 @@
         /// Where this VM's directory (its ConfigServer) listens; empty in the ConfigServer itself.
         std::string directory_endpoint;
         Duration announce_interval = milliseconds(300);
+        /// The event loop of a process that runs all of its services on one. Without one the kernel runs
+        /// a loop and a thread of its own.
+        asio::io_context* loop = nullptr;
     };
 
     /// How long a request waits.
--- a/Services/ConfigServer/MembershipService.cpp
+++ b/Services/ConfigServer/MembershipService.cpp
@@ -126,6 +126,8 @@
         write_digest(digest, *heartbeat->add_digests());
     if (virtual_machine.empty())
         write_record(this->table.self(), *heartbeat->add_records());
+    if (this->upstreams_version)
+        heartbeat->set_upstreams_version(this->upstreams_version());
     auto const timeout = this->options.heartbeat_interval * PROBE_TIMEOUT_PERCENT / 100;
     this->kernel.request(endpoint, std::move(envelope), timeout, [this, virtual_machine, endpoint, tries_left, when_answered](WireReply const& reply) {
         if (when_answered)
@@ -149,6 +151,8 @@
     this->refresh_directory();
     if (!answer.digests().empty() && answer.digests(0).generation() > this->generation())
         this->on_newer_generation(endpoint);
+    if (this->upstreams_version && answer.upstreams_version() > this->upstreams_version())
+        this->on_newer_upstreams(endpoint);
     if (wanted.empty() && answer.wanted().empty())
         return;
     wire::Envelope envelope;
@@ -200,6 +204,12 @@
         body->add_wanted(name);
     for (auto const& digest : this->table.digests_for(heartbeat.vm()))
         write_digest(digest, *body->add_digests());
+    if (this->upstreams_version) {
+        body->set_upstreams_version(this->upstreams_version());
+        auto const endpoint = this->endpoint_of(heartbeat.vm());
+        if (heartbeat.upstreams_version() > this->upstreams_version() && !endpoint.empty())
+            this->on_newer_upstreams(endpoint);
+    }
     // A VM that comes new is told of everybody, once.
     if (is_new) {
         for (auto const& member : this->table.live_members())
--- a/Services/ConfigServer/MembershipService.h
+++ b/Services/ConfigServer/MembershipService.h
@@ -37,6 +37,13 @@
     void handle_heartbeat(wire::Heartbeat const& heartbeat, Kernel::Responder const& respond);
     void handle_records(wire::MemberRecords const& records, Kernel::Responder const& respond);
 
+    /// Makes the list of upstreams part of the news: its version here, and what to do when a peer's is newer.
+    void set_upstreams_hooks(std::function<std::int64_t()> version, std::function<void(std::string const& endpoint)> on_newer)
+    {
+        this->upstreams_version = std::move(version);
+        this->on_newer_upstreams = std::move(on_newer);
+    }
+
     /// Machines that the platform's list says are leaving; handed on to this VM's processes.
     void set_leaving_machines(std::vector<std::string> machines);
 
@@ -69,6 +76,8 @@
     Kernel& kernel;
     std::function<std::int64_t()> generation;
     std::function<void(std::string const& endpoint)> on_newer_generation;
+    std::function<std::int64_t()> upstreams_version;
+    std::function<void(std::string const& endpoint)> on_newer_upstreams;
     MembershipTable table;
     std::map<std::string, LocalProcess> processes;
     std::vector<std::string> leaving_machines;
--- /dev/null
+++ b/Services/NodeServer/Node.cpp
@@ -0,0 +1,331 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibCore/Clock.h>
+#include <LibCore/LogLine.h>
+#include <Services/NodeServer/Node.h>
+#include <array>
+#include <xxhash.h>
+
+namespace Spurtide {
+
+namespace {
+
+constexpr Duration HEARTBEAT = milliseconds(500);
+constexpr Duration FETCH_TIMEOUT = milliseconds(1000);
+/// A node that heard nobody by then takes it that it is alone.
+constexpr Duration LONGEST_START = milliseconds(1500);
+/// The balancer asks once a second and takes a VM out after two misses.
+constexpr Duration BALANCER_NOTICE = milliseconds(2500);
+constexpr Duration STOP_POLL = milliseconds(50);
+/// Left of the grace time when the rest is cut off.
+constexpr Duration STOP_MARGIN = milliseconds(400);
+
+std::string wire_endpoint(Address const& address) { return "tcp://" + address.to_string(); }
+
+std::uint64_t spread_of(std::string const& name) { return XXH3_64bits(name.data(), name.size()); }
+
+CellScheduler::Options scheduler_options()
+{
+    CellScheduler::Options options;
+    options.report_need = CellScheduler::Options::ReportNeed::None;
+    options.vanish_after = milliseconds(3500);
+    options.cache_hold = milliseconds(500);
+    // Events of several tokens come at once, so pauses of a whole answer are what counts.
+    options.token_target = milliseconds(250);
+    return options;
+}
+
+}
+
+std::string_view to_string(NodeStartError error)
+{
+    constexpr std::array<std::string_view, 3> NAMES = { "cannot_listen_for_callers", "cannot_listen_for_operations", "cannot_listen_for_peers" };
+    return NAMES.at(static_cast<std::size_t>(error));
+}
+
+Node::Node(asio::io_context& loop, NodeSettings node_settings, NodeAdapters node_adapters)
+    : loop(loop)
+    , settings(std::move(node_settings))
+    , adapters(std::move(node_adapters))
+    , state { .loop = loop, .dialect = this->adapters.dialect, .metrics = this->metrics, .data_centre = this->settings.data_centre, .retry_options = this->settings.retry }
+    , entry(this->state)
+    , started_at(monotonic_now())
+    , stop_timer(loop)
+{
+}
+
+Node::~Node() = default;
+
+Result<std::unique_ptr<Node>, NodeStartError> Node::create(asio::io_context& loop, NodeSettings settings, NodeAdapters adapters)
+{
+    std::unique_ptr<Node> node(new Node(loop, std::move(settings), std::move(adapters)));
+    TRY(node->start());
+    return node;
+}
+
+Result<Done, NodeStartError> Node::start()
+{
+    Kernel::Options options;
+    options.virtual_machine = this->settings.virtual_machine;
+    options.listen_endpoint = wire_endpoint(this->settings.wire_address);
+    options.loop = &this->loop;
+    auto created = Kernel::create(std::move(options));
+    if (created.is_error())
+        return Failure { NodeStartError::CannotListenForPeers };
+    this->kernel = created.release_value();
+
+    MembershipService::Options members;
+    members.virtual_machine = this->settings.virtual_machine;
+    for (auto const& seed : this->settings.seeds)
+        members.seeds.push_back("tcp://" + seed);
+    members.heartbeat_interval = HEARTBEAT;
+    this->membership = std::make_unique<MembershipService>(
+        members, *this->kernel, [this] { return this->state.routes ? this->state.routes->version() : 0; }, [this](auto const& endpoint) { this->fetch_configuration(endpoint); });
+    this->membership->set_upstreams_hooks([this] { return this->state.upstreams.version(); }, [this](auto const& endpoint) { this->fetch_upstreams(endpoint); });
+    this->placement = std::make_unique<PlacementClient>(PlacementClient::Options {}, *this->kernel);
+    this->keeper = std::make_unique<EngineKeeper>(scheduler_options(), *this->kernel, this->metrics, this->loop);
+    this->state.placement = this->placement.get();
+    this->state.live_virtual_machines = [this] { return std::max<std::size_t>(1, this->kernel->directory().virtual_machines_with("placement").size()); };
+    this->host_services();
+
+    auto callers_server = HttpServer::create(this->loop, this->settings.caller_address, [this](auto& exchange) { return this->entry.handle(exchange); });
+    if (callers_server.is_error())
+        return Failure { NodeStartError::CannotListenForCallers };
+    this->callers = callers_server.release_value();
+    auto operations_server = HttpServer::create(this->loop, this->settings.operations_address, [this](auto& exchange) { return this->answer_operations(exchange); });
+    if (operations_server.is_error())
+        return Failure { NodeStartError::CannotListenForOperations };
+    this->operations = operations_server.release_value();
+
+    RegistryFollower::Options follow;
+    follow.spread = spread_of(this->settings.virtual_machine);
+    this->follower = std::make_unique<RegistryFollower>(follow, this->loop, this->adapters.registry, this->hooks());
+    this->kernel->start();
+    this->membership->start();
+    this->placement->start();
+    this->keeper->start();
+    this->follower->start();
+    this->kernel->every(seconds(1), [this] { this->every_second(); });
+    return Done {};
+}
+
+void Node::host_services()
+{
+    this->kernel->host("directory", [this](wire::Envelope const& request, Kernel::Responder const& respond) {
+        if (request.has_heartbeat())
+            return this->membership->handle_heartbeat(request.heartbeat(), respond);
+        if (request.has_member_records())
+            return this->membership->handle_records(request.member_records(), respond);
+        respond(error_reply(wire::ERROR_CODE_UNKNOWN_MESSAGE));
+    });
+    this->kernel->host("config", [this](wire::Envelope const& request, Kernel::Responder const& respond) {
+        if (request.has_get_configuration())
+            return respond(this->configuration_reply(request.get_configuration().known_generation()));
+        if (request.has_get_upstreams())
+            return respond(this->upstreams_reply());
+        respond(error_reply(wire::ERROR_CODE_UNKNOWN_MESSAGE));
+    });
+    this->kernel->host("placement", [this](wire::Envelope const& request, Kernel::Responder const& respond) { this->keeper->handle(request, respond); });
+}
+
+RegistryFollower::Hooks Node::hooks()
+{
+    RegistryFollower::Hooks hooks;
+    hooks.on_configuration = [this](auto const& found) { this->adopt(found, "registry"); };
+    hooks.on_upstreams = [this](UpstreamSnapshot const& snapshot) {
+        this->state.upstreams.replace(snapshot.records, snapshot.position, monotonic_now());
+        LogLine("upstreams_read").with("count", static_cast<std::int64_t>(snapshot.records.size())).with("version", snapshot.position);
+        this->engines_changed();
+    };
+    hooks.on_upstream_news = [this](UpstreamNews const& news) {
+        for (auto const& change : news.changes) {
+            auto const state_name = !change.record ? "gone" : change.record->life == UpstreamRecord::Life::Leaving ? "leaving" : "serving";
+            LogLine("upstream_changed").with("upstream", change.identity).with("state", state_name).with("version", change.version);
+            this->state.upstreams.apply(change, monotonic_now());
+        }
+        this->engines_changed();
+    };
+    hooks.on_upstreams_state = [this](auto registry) { this->state.upstreams.note_registry(registry, monotonic_now()); };
+    return hooks;
+}
+
+void Node::adopt(ConfigurationDocument const& found, std::string_view source)
+{
+    auto decoded = this->adapters.registry.decode(found);
+    if (decoded.is_error()) {
+        LogLine("configuration_unreadable").with("source", source).with("error", to_string(decoded.error()));
+        return;
+    }
+    auto const known = this->state.routes ? this->state.routes->version() : 0;
+    if (this->state.routes && decoded.value().version <= known)
+        return;
+    auto const& limits = decoded.value().limits;
+    HttpLimits http;
+    http.maximum_head = limits.maximum_head;
+    http.maximum_body = limits.maximum_body;
+    http.head_timeout = limits.head_timeout;
+    http.idle_timeout = limits.idle_timeout;
+    this->callers->set_limits(http);
+    this->state.routes = std::make_shared<RouteTable const>(decoded.release_value());
+    this->document = found;
+    LogLine("configuration_in_force").with("version", this->state.routes->version()).with("before", known).with("source", source).with("routes", static_cast<std::int64_t>(this->state.routes->configuration().routes.size()));
+    this->engines_changed();
+    this->membership->spread_news();
+}
+
+void Node::engines_changed()
+{
+    if (this->state.routes)
+        this->keeper->set_engines(this->state.routes->configuration(), this->state.upstreams);
+    std::vector<std::string> identities;
+    for (auto const& record : this->state.upstreams.records())
+        identities.push_back(record.identity);
+    this->state.selector.retain(identities);
+}
+
+void Node::fetch_configuration(std::string const& endpoint)
+{
+    wire::Envelope envelope;
+    envelope.set_service("config");
+    envelope.mutable_get_configuration()->set_known_generation(this->state.routes ? this->state.routes->version() : 0);
+    this->kernel->request(endpoint, std::move(envelope), FETCH_TIMEOUT, [this](WireReply const& reply) {
+        if (!reply.is_error() && !reply.value().configuration_content().content().empty())
+            this->adopt({ reply.value().configuration_content().content() }, "peer");
+    });
+}
+
+void Node::fetch_upstreams(std::string const& endpoint)
+{
+    wire::Envelope envelope;
+    envelope.set_service("config");
+    envelope.mutable_get_upstreams()->set_known_version(this->state.upstreams.version());
+    this->kernel->request(endpoint, std::move(envelope), FETCH_TIMEOUT, [this](WireReply const& reply) {
+        if (!reply.is_error() && reply.value().has_upstreams_content())
+            this->take_upstreams(reply.value().upstreams_content());
+    });
+}
+
+wire::Envelope Node::configuration_reply(std::int64_t known) const
+{
+    wire::Envelope reply;
+    auto* content = reply.mutable_configuration_content();
+    if (!this->state.routes)
+        return reply;
+    content->set_generation(this->state.routes->version());
+    if (this->state.routes->version() > known)
+        content->set_content(this->document.text);
+    return reply;
+}
+
+wire::Envelope Node::upstreams_reply() const
+{
+    wire::Envelope reply;
+    auto* content = reply.mutable_upstreams_content();
+    content->set_version(this->state.upstreams.version());
+    for (auto const& record : this->state.upstreams.listed_records()) {
+        auto* entry_message = content->add_upstreams();
+        entry_message->set_identity(record.identity);
+        entry_message->set_service(record.service);
+        entry_message->set_address(record.address);
+        entry_message->set_data_centre(record.data_centre);
+        entry_message->set_slots(record.slots);
+        entry_message->set_leaving(record.life == UpstreamRecord::Life::Leaving);
+        entry_message->set_role(!record.role ? 0 : *record.role == EngineRole::Prefill ? 1 : 2);
+        entry_message->set_orders_taken(record.orders_taken);
+    }
+    return reply;
+}
+
+void Node::take_upstreams(wire::UpstreamsContent const& content)
+{
+    if (content.version() <= this->state.upstreams.version())
+        return;
+    std::vector<UpstreamRecord> records;
+    for (auto const& message : content.upstreams()) {
+        UpstreamRecord record;
+        record.identity = message.identity();
+        record.service = message.service();
+        record.address = message.address();
+        record.data_centre = message.data_centre();
+        record.slots = message.slots();
+        record.life = message.leaving() ? UpstreamRecord::Life::Leaving : UpstreamRecord::Life::Serving;
+        if (message.role() != 0)
+            record.role = message.role() == 1 ? EngineRole::Prefill : EngineRole::Decode;
+        record.orders_taken = message.orders_taken();
+        records.push_back(std::move(record));
+    }
+    LogLine("upstreams_from_peer").with("version", content.version()).with("before", this->state.upstreams.version()).with("count", static_cast<std::int64_t>(records.size()));
+    this->state.upstreams.replace(records, content.version(), monotonic_now());
+    this->engines_changed();
+}
+
+bool Node::is_ready() const
+{
+    bool const has_upstreams = this->follower->has_upstreams() || this->state.upstreams.size() > 0;
+    bool const has_peers = this->kernel->directory().virtual_machines_with("placement").size() > 1;
+    bool const has_waited = monotonic_now() - this->started_at >= LONGEST_START;
+    return !this->is_stopping && this->state.routes && has_upstreams && (has_peers || has_waited);
+}
+
+asio::awaitable<void> Node::answer_operations(HttpExchange& exchange)
+{
+    auto const& target = exchange.request().head.target;
+    HttpResponseHead head;
+    head.status = 404;
+    std::string body;
+    if (target == this->adapters.readiness_path || target == "/readyz")
+        head.status = this->is_ready() ? 200 : 503;
+    if (target == "/healthz")
+        head.status = 200;
+    if (target == "/metrics") {
+        head.status = 200;
+        head.headers.add("Content-Type", "text/plain; version=0.0.4");
+        body = this->metrics.render();
+    }
+    static_cast<void>(co_await exchange.respond(std::move(head), body));
+}
+
+void Node::every_second()
+{
+    auto const now = monotonic_now();
+    this->state.pool.sweep(now);
+    if (this->state.upstreams.advance(now)) {
+        LogLine("lapsed_upstreams_dropped").with("left", static_cast<std::int64_t>(this->state.upstreams.size()));
+        this->engines_changed();
+    }
+}
+
+void Node::stop(std::function<void()> when_done)
+{
+    if (this->is_stopping)
+        return;
+    this->is_stopping = true;
+    this->stop_began = monotonic_now();
+    this->when_stopped = std::move(when_done);
+    LogLine("stopping").with("requests", static_cast<std::int64_t>(this->callers->exchange_count())).with("connections", static_cast<std::int64_t>(this->callers->connection_count()));
+    this->callers->close_after_answers();
+    this->membership->leave([] {});
+    this->poll_stop();
+}
+
+void Node::poll_stop()
+{
+    auto const spent = monotonic_now() - this->stop_began;
+    bool const is_late = spent >= this->settings.stop_grace - STOP_MARGIN;
+    if (spent >= BALANCER_NOTICE)
+        this->callers->close_idle();
+    bool const is_idle = spent >= BALANCER_NOTICE && this->callers->exchange_count() == 0 && this->callers->connection_count() == 0;
+    if (is_idle || is_late) {
+        LogLine("stopped").with("requests_cut", static_cast<std::int64_t>(this->callers->exchange_count()));
+        this->when_stopped();
+        return;
+    }
+    this->stop_timer.expires_after(STOP_POLL);
+    this->stop_timer.async_wait([this](asio::error_code error) {
+        if (!error)
+            this->poll_stop();
+    });
+}
+
+}
--- /dev/null
+++ b/Services/NodeServer/Node.h
@@ -0,0 +1,90 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#pragma once
+
+#include <LibAsync/HttpServer.h>
+#include <LibCore/Metrics.h>
+#include <LibRouter/EngineKeeper.h>
+#include <LibRouter/Entry.h>
+#include <LibRouter/PlacementClient.h>
+#include <LibRouter/RegistryFollower.h>
+#include <LibRouter/RouterState.h>
+#include <LibWire/Kernel.h>
+#include <Services/ConfigServer/MembershipService.h>
+#include <Services/NodeServer/NodeSettings.h>
+#include <functional>
+#include <memory>
+
+namespace Spurtide {
+
+/// Why a node cannot start.
+enum class NodeStartError {
+    CannotListenForCallers,
+    CannotListenForOperations,
+    CannotListenForPeers,
+};
+
+std::string_view to_string(NodeStartError error);
+
+/// The adapters through which a node meets its deployment.
+struct NodeAdapters {
+    CallerDialect const& dialect;
+    RegistryPort& registry;
+    /// Path that is asked for readiness.
+    std::string readiness_path;
+};
+
+/// One VM's router: the entry, the keeper of the engines, the membership and the follower of the registry on
+/// one event loop.
+class Node {
+public:
+    static Result<std::unique_ptr<Node>, NodeStartError> create(asio::io_context& loop, NodeSettings settings, NodeAdapters adapters);
+    ~Node();
+    Node(Node const&) = delete;
+    Node& operator=(Node const&) = delete;
+
+    /// Leaves, lets running requests end, and calls the function when all is done or the grace time is over.
+    void stop(std::function<void()> when_done);
+    bool is_ready() const;
+    Address const& caller_address() const { return this->callers->address(); }
+    Address const& operations_address() const { return this->operations->address(); }
+
+private:
+    Node(asio::io_context& loop, NodeSettings settings, NodeAdapters adapters);
+    Result<Done, NodeStartError> start();
+    void host_services();
+    RegistryFollower::Hooks hooks();
+    void adopt(ConfigurationDocument const& document, std::string_view source);
+    void engines_changed();
+    void fetch_configuration(std::string const& endpoint);
+    void fetch_upstreams(std::string const& endpoint);
+    wire::Envelope configuration_reply(std::int64_t known) const;
+    wire::Envelope upstreams_reply() const;
+    void take_upstreams(wire::UpstreamsContent const& content);
+    asio::awaitable<void> answer_operations(HttpExchange& exchange);
+    void every_second();
+    void poll_stop();
+
+    asio::io_context& loop;
+    NodeSettings settings;
+    NodeAdapters adapters;
+    Metrics metrics;
+    RouterState state;
+    Entry entry;
+    ConfigurationDocument document;
+    std::unique_ptr<Kernel> kernel;
+    std::unique_ptr<MembershipService> membership;
+    std::unique_ptr<PlacementClient> placement;
+    std::unique_ptr<EngineKeeper> keeper;
+    std::unique_ptr<RegistryFollower> follower;
+    std::unique_ptr<HttpServer> callers;
+    std::unique_ptr<HttpServer> operations;
+    MonotonicTime started_at;
+    bool is_stopping = false;
+    MonotonicTime stop_began;
+    std::function<void()> when_stopped;
+    asio::steady_timer stop_timer;
+};
+
+}
--- /dev/null
+++ b/Services/NodeServer/NodeSettings.cpp
@@ -0,0 +1,43 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <Services/NodeServer/NodeSettings.h>
+
+namespace Spurtide {
+
+namespace {
+
+Address read_address(SettingsReader& reader, std::string_view key)
+{
+    auto const text = reader.text(key, Presence::Required);
+    auto const address = parse_address(text);
+    if (!address && !text.empty())
+        reader.fault(SettingsFaultKind::OutOfRange, key, "HOST:PORT");
+    return address.value_or(Address {});
+}
+
+}
+
+Result<NodeSettings, SettingsError> NodeSettings::read(nlohmann::json const& settings, std::string_view source)
+{
+    std::vector<SettingsFault> faults;
+    SettingsReader reader(settings, std::string(source), "", faults);
+    NodeSettings node;
+    node.virtual_machine = reader.text("vm", Presence::Required);
+    node.data_centre = reader.text("data_centre", Presence::Required);
+    node.caller_address = read_address(reader, "caller_address");
+    node.operations_address = read_address(reader, "operations_address");
+    node.wire_address = read_address(reader, "wire_address");
+    node.registry_address = read_address(reader, "registry_address");
+    node.seeds = reader.texts("seeds", Presence::Optional);
+    node.retry.ratio = reader.number("retry_ratio", Presence::Optional, 0, 10, node.retry.ratio);
+    node.retry.allowance = reader.number("retry_allowance", Presence::Optional, 0, 1e6, node.retry.allowance);
+    node.retry.window = from_seconds(reader.number("retry_window_seconds", Presence::Optional, 0.1, 3600, to_seconds(node.retry.window)));
+    node.stop_grace = from_seconds(reader.number("stop_grace_seconds", Presence::Optional, 0.5, 3600, to_seconds(node.stop_grace)));
+    reader.finish();
+    if (!faults.empty())
+        return Failure { SettingsError { std::move(faults) } };
+    return node;
+}
+
+}
--- /dev/null
+++ b/Services/NodeServer/NodeSettings.h
@@ -0,0 +1,36 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#pragma once
+
+#include <LibCore/Result.h>
+#include <LibCore/SettingsReader.h>
+#include <LibDecision/RetryBudget.h>
+#include <LibHttp/Address.h>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+namespace Spurtide {
+
+/// The checked settings of a NodeServer.
+struct NodeSettings {
+    std::string virtual_machine;
+    std::string data_centre;
+    /// Where callers connect.
+    Address caller_address;
+    /// Where readiness and metrics are asked for.
+    Address operations_address;
+    /// Where the other VMs connect.
+    Address wire_address;
+    /// Wire addresses of VMs to meet first; some may be stale.
+    std::vector<std::string> seeds;
+    Address registry_address;
+    RetryBudget::Options retry;
+    /// From the signal to stop until the platform ends the process.
+    Duration stop_grace = seconds(8);
+
+    static Result<NodeSettings, SettingsError> read(nlohmann::json const& settings, std::string_view source);
+};
+
+}
--- a/Services/PlacementServer/CellKeeper.cpp
+++ b/Services/PlacementServer/CellKeeper.cpp
@@ -141,7 +141,7 @@
         ask.model = record.model();
         ask.origin = records.origin();
         ask.prompt_tokens = std::max<std::int64_t>(0, record.prompt_tokens());
-        this->scheduler.restore(std::move(ask), record.prefill_engine(), record.decode_engine(), read_progress(record.progress()), monotonic_now());
+        this->scheduler.restore(std::move(ask), record.prefill_engine(), record.decode_engine(), read_progress(record.progress()), Duration::zero(), monotonic_now());
     }
 }
 
--- a/Tests/Exploration/World.cpp
+++ b/Tests/Exploration/World.cpp
@@ -137,7 +137,7 @@
                 ask.model = "llm";
                 ask.origin = entry.incarnation;
                 auto const progress = work.state.phase() == RequestPhase::Decoding ? GrantProgress::Decoding : GrantProgress::Prefilling;
-                this->keepers[number].scheduler->restore(ask, work.prefill, work.decode, progress, this->now);
+                this->keepers[number].scheduler->restore(ask, work.prefill, work.decode, progress, Duration::zero(), this->now);
             }
         });
     }
