LibDecision: Forecast an engine's memory by the answers that grow in it

Ruled out: prefill queue, lateness estimate (both near zero in the log). Change: expected memory over time from the callers' guesses and their spread.

--- a/Libraries/LibDecision/CellScheduler.cpp
+++ b/Libraries/LibDecision/CellScheduler.cpp
@@ -59,8 +59,11 @@
         Engine engine;
         if (found != this->engines.end())
             engine = std::move(found->second);
-        else
+        else {
             engine.prefill_rate = description.prefill_rate;
+            auto const measured = this->model_step_times.find(description.model);
+            engine.step_time = measured != this->model_step_times.end() ? measured->second : this->options.first_step_time;
+        }
         engine.description = description;
         kept.emplace(description.name, std::move(engine));
     }
@@ -192,7 +195,7 @@
     granted.granted_at = now;
     granted.named_at = now;
     granted.decode_from = now;
-    this->hold_slot(engine, granted.ask);
+    this->hold_slot(engine, held.request);
     this->granted.emplace(held.request, std::move(granted));
 }
 
@@ -219,26 +222,21 @@
     found->second.trial.clear();
 }
 
-void CellScheduler::hold_slot(Engine& engine, PlacementAsk const& ask)
+void CellScheduler::hold_slot(Engine& engine, std::string const& request)
 {
-    if (engine.slots.insert(ask.request).second)
-        engine.reserved_tokens += memory_need(engine, ask);
+    engine.slots.insert(request);
+    engine.forecast.reset();
 }
 
-void CellScheduler::free_slot(std::string_view name, PlacementAsk const& ask)
+void CellScheduler::free_slot(std::string_view name, std::string_view request)
 {
     auto const found = this->engines.find(name);
-    if (found != this->engines.end() && found->second.slots.erase(ask.request) > 0)
-        found->second.reserved_tokens -= memory_need(found->second, ask);
-}
-
-// Memory goes by whole blocks. An answer may become as long as its caller allows, and an engine that runs out
-// of memory puts a request back in the middle of its answer, so the whole of that is set aside.
-std::int64_t CellScheduler::memory_need(Engine const& engine, PlacementAsk const& ask)
-{
-    auto const tokens = ask.prompt_tokens + ask.relayed_tokens + ask.maximum_output_tokens;
-    auto const block = std::max<std::int64_t>(1, engine.description.block_tokens);
-    return (tokens + block - 1) / block * block;
+    if (found == this->engines.end())
+        return;
+    auto const slot = found->second.slots.find(request);
+    if (slot != found->second.slots.end())
+        found->second.slots.erase(slot);
+    found->second.forecast.reset();
 }
 
 void CellScheduler::learn_step_time(Granted const& granted, std::int64_t output_tokens, MonotonicTime now)
@@ -249,6 +247,7 @@
     auto const sample = (now - granted.decode_from) / output_tokens;
     auto& step = engine->second.step_time;
     step += std::chrono::duration_cast<Duration>((sample - step) * RATE_SMOOTHING);
+    this->model_step_times.insert_or_assign(engine->second.description.model, step);
 }
 
 void CellScheduler::set_leaving(std::string_view name, EngineReport::Life life)
@@ -327,6 +326,9 @@
             this->lateness.add(std::max(0.0, to_seconds(now - granted.predicted_first_token) * 1000));
     }
     granted.phase = progress;
+    auto const decode = this->engines.find(granted.decode_engine);
+    if (decode != this->engines.end())
+        decode->second.forecast.reset();
     this->schedule(now);
 }
 
@@ -342,7 +344,7 @@
     if (decode == this->engines.end() || is_known || this->released.contains(ask.request))
         return;
     if (known != this->granted.end()) {
-        this->free_slot(known->second.decode_engine, known->second.ask);
+        this->free_slot(known->second.decode_engine, ask.request);
         this->granted.erase(known);
     }
     Granted granted;
@@ -353,7 +355,7 @@
     granted.granted_at = now;
     granted.named_at = now;
     granted.decode_from = now - age;
-    this->hold_slot(decode->second, ask);
+    this->hold_slot(decode->second, ask.request);
     auto const prefill = this->engines.find(prefill_engine);
     if (progress == GrantProgress::Prefilling && prefill != this->engines.end())
         prefill->second.prefills.push_back({ ask.request, ask.prompt_tokens, now });
@@ -383,7 +385,7 @@
     VERIFY(found != this->granted.end());
     this->end_prefill(found->second.prefill_engine, request, now);
     this->released.insert_or_assign(request, now);
-    this->free_slot(found->second.decode_engine, found->second.ask);
+    this->free_slot(found->second.decode_engine, request);
     this->granted.erase(found);
 }
 
--- a/Libraries/LibDecision/CellScheduler.h
+++ b/Libraries/LibDecision/CellScheduler.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <LibCore/Time.h>
+#include <LibDecision/MemoryForecast.h>
 #include <LibDecision/QuantileEstimator.h>
 #include <LibDecision/TokenBucket.h>
 #include <cstdint>
@@ -35,9 +36,8 @@
     /// Bytes of KV cache of one prompt token, and the link's bytes a second.
     double cache_bytes_per_token = 0;
     double link_rate = 1;
-    /// Tokens that the engine's memory holds, in blocks; 0 where only slots count.
+    /// Tokens that the engine's memory holds; 0 where only slots count.
     std::int64_t memory_tokens = 0;
-    std::int64_t block_tokens = 16;
     std::string data_centre {};
 };
 
@@ -185,8 +185,12 @@
             None,
         } report_need
             = ReportNeed::Required;
-        /// Part of an engine's memory that is never promised.
-        double memory_headroom = 0.02;
+        /// Part of an engine's memory that is never promised, so that answers that turn out longer than was
+        /// expected are not put back in the middle.
+        double memory_headroom = 0.05;
+        MemoryForecast::Options forecast {};
+        /// An engine's time for one token before any was measured.
+        Duration first_step_time = milliseconds(25);
         /// Longest time between tokens that a decode engine is filled up to.
         Duration token_target = milliseconds(37);
         SchedulerPolicy policy {};
@@ -267,8 +271,9 @@
         std::vector<QueuedPrefill> prefills;
         /// Requests that hold or were promised a slot here.
         std::set<std::string, std::less<>> slots;
-        /// Memory that they hold or were promised.
-        std::int64_t reserved_tokens = 0;
+        /// What they will hold; empty when it has to be worked out anew.
+        mutable std::optional<MemoryForecast> forecast;
+        mutable MonotonicTime forecast_made;
     };
 
     struct Granted {
@@ -287,12 +292,6 @@
         MonotonicTime decode_from;
     };
 
-    /// What requests will have given back by some time.
-    struct Releases {
-        std::int64_t slots = 0;
-        std::int64_t tokens = 0;
-    };
-
     struct Account {
         AccountDescription description;
         TokenBucket bucket;
@@ -333,13 +332,16 @@
     MonotonicTime busy_until(Engine const& engine, MonotonicTime now) const;
     bool is_usable(Engine const& engine, MonotonicTime now) const;
     std::int64_t usable_slots(Engine const& engine) const;
-    Releases releases_before(Engine const& engine, MonotonicTime now, MonotonicTime when) const;
-    void hold_slot(Engine& engine, PlacementAsk const& ask);
-    void free_slot(std::string_view engine, PlacementAsk const& ask);
-    static std::int64_t memory_need(Engine const& engine, PlacementAsk const& ask);
-    std::int64_t usable_memory(Engine const& engine) const;
+    std::int64_t releases_before(Engine const& engine, MonotonicTime now, MonotonicTime when) const;
+    void hold_slot(Engine& engine, std::string const& request);
+    void free_slot(std::string_view engine, std::string_view request);
+    MemoryForecast const& forecast_of(Engine const& engine, MonotonicTime now) const;
+    MemoryForecast forecast_of(PlacementAsk const& ask, Engine const& engine) const;
+    AnswerForecast answer_forecast(PlacementAsk const& ask, double made_tokens) const;
+    double usable_memory(Engine const& engine) const;
     static bool is_excluded(PlacementAsk const& ask, std::string_view engine);
-    bool has_room(Engine const& engine, PlacementAsk const& ask, Releases const& releases) const;
+    bool has_room(Engine const& engine, PlacementAsk const& ask, MonotonicTime now, MonotonicTime when) const;
+    std::int64_t free_slots(Engine const& engine, MonotonicTime now, MonotonicTime when) const;
     std::optional<MonotonicTime> earliest_room(PlacementAsk const& ask, MonotonicTime now) const;
     void learn_step_time(Granted const& granted, std::int64_t output_tokens, MonotonicTime now);
     MonotonicTime predicted_release(Granted const& granted) const;
@@ -353,6 +355,8 @@
     std::map<std::string, Engine, std::less<>> engines;
     std::map<std::string, Account, std::less<>> accounts;
     std::map<std::string, QuantileEstimator, std::less<>> output_estimates;
+    /// Time for one token by model, as measured lately; new engines begin with it.
+    std::map<std::string, Duration, std::less<>> model_step_times;
     /// By how much first tokens came later than predicted, as a high quantile in milliseconds.
     QuantileEstimator lateness;
     std::vector<PlacementAsk> waiting;
--- a/Libraries/LibDecision/CellSchedulerPlacement.cpp
+++ b/Libraries/LibDecision/CellSchedulerPlacement.cpp
@@ -164,31 +164,19 @@
     return best;
 }
 
-// When a decode engine will have memory for the request, as far as predictions go. Empty where none tells.
+// When a decode engine will have room for the request, as far as predictions go. Empty where none tells.
 std::optional<MonotonicTime> CellScheduler::earliest_room(PlacementAsk const& ask, MonotonicTime now) const
 {
     std::optional<MonotonicTime> earliest;
     for (auto const& [name, engine] : this->engines) {
         if (engine.description.role != EngineRole::Decode || engine.description.model != ask.model || !this->is_usable(engine, now) || is_excluded(ask, name))
             continue;
-        if (this->has_room(engine, ask, {}))
+        if (this->has_room(engine, ask, now, now))
             return now;
-        std::vector<MonotonicTime> times;
-        for (auto const& request : engine.slots) {
-            auto const found = this->granted.find(request);
-            if (found == this->granted.end() || found->second.phase != GrantProgress::Decoding)
-                continue;
-            auto const release = this->predicted_release(found->second);
-            if (release > now && (!earliest || release < *earliest))
-                times.push_back(release);
-        }
-        std::sort(times.begin(), times.end());
-        for (auto const time : times) {
-            if (this->has_room(engine, ask, this->releases_before(engine, now, time))) {
-                earliest = time;
-                break;
-            }
-        }
+        if (engine.description.memory_tokens == 0)
+            continue;
+        auto const delay = this->forecast_of(engine, now).shortest_delay(this->forecast_of(ask, engine), this->usable_memory(engine));
+        earliest = earliest ? std::min(*earliest, now + delay) : now + delay;
     }
     return earliest;
 }
@@ -198,18 +186,67 @@
     return std::find(ask.excluded_engines.begin(), ask.excluded_engines.end(), engine) != ask.excluded_engines.end();
 }
 
-std::int64_t CellScheduler::usable_memory(Engine const& engine) const
+double CellScheduler::usable_memory(Engine const& engine) const
 {
-    return static_cast<std::int64_t>(static_cast<double>(engine.description.memory_tokens) * (1 - this->options.memory_headroom));
+    return static_cast<double>(engine.description.memory_tokens) * (1 - this->options.memory_headroom);
 }
 
-bool CellScheduler::has_room(Engine const& engine, PlacementAsk const& ask, Releases const& releases) const
+AnswerForecast CellScheduler::answer_forecast(PlacementAsk const& ask, double made_tokens) const
 {
-    if (this->usable_slots(engine) - static_cast<std::int64_t>(engine.slots.size()) + releases.slots <= 0)
+    auto const estimate = this->output_estimates.find(ask.model);
+    auto const learned = estimate == this->output_estimates.end() ? FIRST_OUTPUT_ESTIMATE : estimate->second.estimate();
+    AnswerForecast answer;
+    answer.prompt_tokens = static_cast<double>(ask.prompt_tokens + ask.relayed_tokens);
+    answer.made_tokens = made_tokens;
+    answer.expected_tokens = ask.expected_output_tokens > 0 ? static_cast<double>(ask.expected_output_tokens) : learned;
+    answer.maximum_tokens = ask.maximum_output_tokens > 0 ? static_cast<double>(ask.maximum_output_tokens) : 4 * learned;
+    return answer;
+}
+
+MemoryForecast CellScheduler::forecast_of(PlacementAsk const& ask, Engine const& engine) const
+{
+    MemoryForecast forecast(this->options.forecast);
+    forecast.add(this->answer_forecast(ask, 0), engine.step_time);
+    return forecast;
+}
+
+MemoryForecast const& CellScheduler::forecast_of(Engine const& engine, MonotonicTime now) const
+{
+    // Within a part of a step the forecast stays good.
+    constexpr Duration VALIDITY = MemoryForecast::STEP / 8;
+    if (engine.forecast && now - engine.forecast_made < VALIDITY)
+        return *engine.forecast;
+    MemoryForecast forecast(this->options.forecast);
+    for (auto const& request : engine.slots) {
+        auto const found = this->granted.find(request);
+        if (found == this->granted.end())
+            continue;
+        auto const& running = found->second;
+        bool const is_decoding = running.phase == GrantProgress::Decoding;
+        double const made = is_decoding ? to_seconds(now - running.decode_from) / std::max(1e-6, to_seconds(engine.step_time)) : 0;
+        auto answer = this->answer_forecast(running.ask, made);
+        // One that outlived its caller's limit by our reckoning is about to end.
+        answer.made_tokens = std::min(answer.made_tokens, answer.maximum_tokens - 1);
+        forecast.add(answer, engine.step_time);
+    }
+    engine.forecast = forecast;
+    engine.forecast_made = now;
+    return *engine.forecast;
+}
+
+std::int64_t CellScheduler::free_slots(Engine const& engine, MonotonicTime now, MonotonicTime when) const
+{
+    auto const free = this->usable_slots(engine) - static_cast<std::int64_t>(engine.slots.size());
+    return free > 0 ? free : free + this->releases_before(engine, now, when);
+}
+
+bool CellScheduler::has_room(Engine const& engine, PlacementAsk const& ask, MonotonicTime now, MonotonicTime when) const
+{
+    if (this->free_slots(engine, now, when) <= 0)
         return false;
     if (engine.description.memory_tokens == 0)
         return true;
-    return engine.reserved_tokens - releases.tokens + memory_need(engine, ask) <= this->usable_memory(engine);
+    return this->forecast_of(engine, now).has_room_for(this->forecast_of(ask, engine), std::chrono::duration_cast<Duration>(when - now), this->usable_memory(engine));
 }
 
 std::optional<CellScheduler::Placement> CellScheduler::find_placement(PlacementAsk const& ask, MonotonicTime now)
@@ -232,14 +269,10 @@
         if (engine.description.role != EngineRole::Decode || engine.description.model != ask.model || !this->is_usable(engine, now) || is_excluded(ask, name))
             continue;
         auto const ready = placement.prefill_end + this->transfer_time(engine, ask);
-        Releases releases;
-        if (!this->has_room(engine, ask, releases))
-            releases = this->releases_before(engine, now, ready - this->options.safety_margin);
-        auto const free_slots = this->usable_slots(engine) - static_cast<std::int64_t>(engine.slots.size()) + releases.slots;
+        auto const promised = ready - this->options.safety_margin;
         // Engines whose memory counts are compared by that.
-        auto const free_tokens = this->usable_memory(engine) - engine.reserved_tokens + releases.tokens;
-        auto const free = engine.description.memory_tokens > 0 ? free_tokens : free_slots;
-        if (this->has_room(engine, ask, releases) || this->options.policy.slot_promise == SchedulerPolicy::SlotPromise::Ignored)
+        auto const free = engine.description.memory_tokens > 0 ? static_cast<std::int64_t>(this->usable_memory(engine) - this->forecast_of(engine, now).peak()) : this->free_slots(engine, now, promised);
+        if (this->has_room(engine, ask, now, promised) || this->options.policy.slot_promise == SchedulerPolicy::SlotPromise::Ignored)
             candidates.push_back({ name, free, ready });
     }
     if (candidates.empty())
@@ -251,21 +284,19 @@
     return placement;
 }
 
-CellScheduler::Releases CellScheduler::releases_before(Engine const& engine, MonotonicTime now, MonotonicTime when) const
+std::int64_t CellScheduler::releases_before(Engine const& engine, MonotonicTime now, MonotonicTime when) const
 {
-    Releases releases;
+    std::int64_t count = 0;
     for (auto const& request : engine.slots) {
         auto const found = this->granted.find(request);
         if (found == this->granted.end() || found->second.phase != GrantProgress::Decoding)
             continue;
         // A request that outlived its prediction says nothing of when it ends.
         auto const release = this->predicted_release(found->second);
-        if (release <= now || release > when)
-            continue;
-        ++releases.slots;
-        releases.tokens += memory_need(engine, found->second.ask);
+        if (release > now && release <= when)
+            ++count;
     }
-    return releases;
+    return count;
 }
 
 MonotonicTime CellScheduler::predicted_release(Granted const& granted) const
@@ -300,7 +331,7 @@
     granted.predicted_first_token = placement.first_token;
     prefill.prefills.push_back({ ask.request, ask.prompt_tokens + ask.relayed_tokens, now });
     auto& decode = this->engines.find(placement.decode)->second;
-    this->hold_slot(decode, ask);
+    this->hold_slot(decode, ask.request);
     for (auto* engine : { &prefill, &decode }) {
         if (engine->failures_in_a_row > 0)
             engine->trial = ask.request;
--- /dev/null
+++ b/Libraries/LibDecision/MemoryForecast.cpp
@@ -0,0 +1,74 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibDecision/MemoryForecast.h>
+#include <algorithm>
+#include <cmath>
+
+namespace Spurtide {
+
+namespace {
+
+/// A logistic curve of this slope is within 0.01 of the normal distribution.
+constexpr double LOGISTIC_SLOPE = 1.702;
+
+double upper_tail(double length, double median, double spread)
+{
+    if (length <= 0)
+        return 1;
+    return 1 / (1 + std::exp(LOGISTIC_SLOPE * std::log(length / median) / spread));
+}
+
+}
+
+double probability_beyond(double length, AnswerForecast const& answer, double spread)
+{
+    if (length >= answer.maximum_tokens)
+        return 0;
+    if (length <= answer.made_tokens)
+        return 1;
+    auto const median = std::max(1.0, answer.expected_tokens);
+    return upper_tail(length, median, spread) / upper_tail(answer.made_tokens, median, spread);
+}
+
+void MemoryForecast::add(AnswerForecast const& answer, Duration per_token)
+{
+    auto const tokens_per_step = to_seconds(STEP) / std::max(1e-6, to_seconds(per_token));
+    for (std::size_t i = 0; i < STEPS; ++i) {
+        auto const length = answer.made_tokens + tokens_per_step * static_cast<double>(i);
+        auto const goes_on = probability_beyond(length, answer, this->options.spread);
+        if (goes_on < 0.001)
+            return;
+        this->tokens[i] += goes_on * (answer.prompt_tokens + length);
+    }
+}
+
+bool MemoryForecast::fits(MemoryForecast const& other, std::size_t delay_steps, double memory_tokens) const
+{
+    for (std::size_t i = 0; i + delay_steps < STEPS; ++i) {
+        if (this->tokens[i + delay_steps] + other.tokens[i] > memory_tokens)
+            return false;
+    }
+    return true;
+}
+
+bool MemoryForecast::has_room_for(MemoryForecast const& other, Duration delay, double memory_tokens) const
+{
+    return this->fits(other, std::min(STEPS - 1, static_cast<std::size_t>(std::max(Duration::zero(), delay) / STEP)), memory_tokens);
+}
+
+Duration MemoryForecast::shortest_delay(MemoryForecast const& other, double memory_tokens) const
+{
+    for (std::size_t delay = 0; delay < STEPS; ++delay) {
+        if (this->fits(other, delay, memory_tokens))
+            return STEP * static_cast<std::int64_t>(delay);
+    }
+    return STEP * static_cast<std::int64_t>(STEPS);
+}
+
+double MemoryForecast::peak() const
+{
+    return *std::max_element(this->tokens.begin(), this->tokens.end());
+}
+
+}
--- a/Libraries/LibDecision/RouteTable.h
+++ b/Libraries/LibDecision/RouteTable.h
@@ -59,6 +59,8 @@
     std::int64_t memory_tokens = 0;
     double cache_bytes_per_token = 0;
     double link_bytes_per_second = 1;
+    /// Tokens that one event of a stream holds, but for the last.
+    std::int64_t tokens_per_event = 1;
     /// How long an engine keeps a finished prefill for others.
     Duration cache_hold = milliseconds(500);
 };
--- a/Libraries/LibRouter/EngineKeeper.cpp
+++ b/Libraries/LibRouter/EngineKeeper.cpp
@@ -157,6 +157,7 @@
 {
     auto const now = monotonic_now();
     this->waiting.insert_or_assign(message.request(), respond);
+    LogLine("asked").with("request", message.request()).with("prompt_tokens", message.prompt_tokens()).with("maximum_output_tokens", message.maximum_output_tokens()).with("expected_output_tokens", message.expected_output_tokens()).with("first_token_within_ms", message.first_token_within_microseconds() / 1000).with("decide_within_ms", message.decide_within_microseconds() / 1000);
     this->scheduler.ask(read_ask(message, now), now);
 }
 
--- a/Libraries/LibRouter/PlainFlow.cpp
+++ b/Libraries/LibRouter/PlainFlow.cpp
@@ -71,6 +71,8 @@
         }
         this->tried.insert(upstream->identity);
         last = co_await this->send_to(*upstream);
+        if (last.end == SendEnd::NotExecuted)
+            this->note_not_executed();
         if (this->is_stopped() && last.end != SendEnd::Success) {
             co_await this->answer_stopped();
             co_return;
@@ -80,8 +82,6 @@
             history.another_send = ++connect_tries < CONNECT_TRIES ? SendHistory::AnotherSend::Allowed : SendHistory::AnotherSend::Spent;
         else if (last.end != SendEnd::Success)
             history.another_send = this->take_another_send(this->sends, LEAST_TIME_FOR_SEND);
-        if (last.end == SendEnd::OwnFailure || last.end == SendEnd::Lost)
-            this->earlier = SendHistory::Earlier::MayHaveRun;
         auto const step = next_step(last.end, history);
         LogLine("send_end").with("request", this->request.identifier).with("upstream", upstream->identity).with("end", to_string(last.end)).with("reason", last.reason).with("status", last.head.status).with("next", to_string(step));
         switch (step) {
@@ -130,7 +130,7 @@
     dispatch.patience = std::min(this->patience_left(), this->time_left());
     dispatch.expected_identity = upstream.identity;
     this->set_active(connection);
-    ++this->sends;
+    this->note_sent();
     auto const expected_body = this->exchange.request().head.method == "HEAD" ? MessageParser::ExpectedBody::None : MessageParser::ExpectedBody::AsFramed;
     connection->send(format_request_head(this->state.dialect.upstream_head(this->exchange.request(), dispatch)), this->body, expected_body);
     attempt = co_await this->read_answer(connection);
--- a/Libraries/LibRouter/RequestFlow.cpp
+++ b/Libraries/LibRouter/RequestFlow.cpp
@@ -67,6 +67,14 @@
     this->on_stop();
 }
 
+void RequestFlow::note_sent()
+{
+    ++this->sends;
+    this->before_send = std::exchange(this->earlier, SendHistory::Earlier::MayHaveRun);
+}
+
+void RequestFlow::note_not_executed() { this->earlier = this->before_send; }
+
 Duration RequestFlow::patience_left() const
 {
     return std::chrono::duration_cast<Duration>(this->exchange.received_at() + this->request.patience - monotonic_now());
--- a/Libraries/LibRouter/RequestFlow.h
+++ b/Libraries/LibRouter/RequestFlow.h
@@ -51,6 +51,11 @@
     /// Whether attempts, time and the retry budget allow another send; takes it from the budget.
     SendHistory::AnotherSend take_another_send(std::int64_t sends_so_far, Duration least_time);
 
+    /// Call when bytes of the request may leave for an upstream, and when that upstream said that it did not
+    /// run it: until then it may have run.
+    void note_sent();
+    void note_not_executed();
+
     RouterState& state;
     HttpExchange& exchange;
     std::shared_ptr<RouteTable const> routes;
@@ -66,6 +71,7 @@
     void stop(StopReason reason);
 
     StopReason stop_reason = StopReason::None;
+    SendHistory::Earlier before_send = SendHistory::Earlier::HasNotRun;
     std::shared_ptr<HttpConnection> active;
     asio::steady_timer limit;
 };
--- a/Libraries/LibRouter/StreamFlow.cpp
+++ b/Libraries/LibRouter/StreamFlow.cpp
@@ -62,7 +62,7 @@
     ask.prompt_tokens = prompt.prompt_tokens;
     ask.maximum_output_tokens = prompt.maximum_output_tokens;
     ask.expected_output_tokens = prompt.expected_output_tokens;
-    ask.relayed_tokens = this->events.event_count();
+    ask.relayed_tokens = this->relayed_tokens();
     ask.priority = -this->route.priority;
     ask.excluded_engines = this->failed_engines;
     ask.data_centre = this->state.data_centre;
@@ -105,9 +105,15 @@
     }
 }
 
+std::int64_t StreamFlow::relayed_tokens() const
+{
+    auto const* traits = this->routes->service(this->service);
+    return this->events.event_count() * (traits && traits->engine ? traits->engine->tokens_per_event : 1);
+}
+
 void StreamFlow::release(std::string const& engine)
 {
-    this->state.placement->release(this->request.identifier, this->events.event_count(), engine);
+    this->state.placement->release(this->request.identifier, this->relayed_tokens(), engine);
 }
 
 asio::awaitable<StreamFlow::Progress> StreamFlow::use(PlacementGrant grant)
@@ -220,13 +226,12 @@
     dispatch.patience = std::min(this->patience_left(), this->time_left());
     dispatch.after_event = this->events.last_identifier();
     this->set_active(connection);
-    ++this->sends;
+    this->note_sent();
     connection->send(format_request_head(this->state.dialect.upstream_head(this->exchange.request(), dispatch)), this->body);
     auto head = co_await connection->read_head();
     if (head.is_error()) {
         this->set_active(nullptr);
         connection->abort();
-        this->earlier = SendHistory::Earlier::MayHaveRun;
         if (this->is_stopped())
             co_return Progress::TryAgain;
         this->failed_engine = engine.identity;
@@ -236,7 +241,6 @@
     auto const status = head.value().status;
     if (facts.identifier == this->request.identifier && status / 100 == 2 && facts.is_signed && !facts.is_encoded) {
         this->state.placement->progress(this->request.identifier, GrantProgress::Decoding);
-        this->earlier = SendHistory::Earlier::MayHaveRun;
         auto const progress = co_await this->relay(connection, head.release_value());
         this->set_active(nullptr);
         this->state.pool.release(*address, connection);
@@ -249,13 +253,13 @@
     this->state.pool.release(*address, connection);
     auto const reason = "decode_status_" + std::to_string(status);
     if (facts.is_not_executed || status == 421) {
+        this->note_not_executed();
         if (!dispatch.cache_handle.empty())
             this->free_cache(dispatch.cache_address, dispatch.cache_handle);
         if (this->is_stopped())
             co_return Progress::TryAgain;
         co_return co_await this->give_up(SendEnd::NotExecuted, reason);
     }
-    this->earlier = SendHistory::Earlier::MayHaveRun;
     if (this->is_stopped())
         co_return Progress::TryAgain;
     bool const is_own_failure = facts.is_signed && facts.identifier == this->request.identifier && status >= 400 && status != 429 && status != 503 && status != 408 && !answer.is_error();
--- a/Libraries/LibRouter/StreamFlow.h
+++ b/Libraries/LibRouter/StreamFlow.h
@@ -50,6 +50,8 @@
     asio::awaitable<Progress> give_up(SendEnd end, std::string_view reason);
     void free_cache(std::string const& address, std::string const& handle);
     void release(std::string const& failed_engine);
+    /// Tokens of the answer that came so far.
+    std::int64_t relayed_tokens() const;
 
     std::shared_ptr<PlacementClient::Ask> wait;
     std::vector<std::string> failed_engines;
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -31,6 +31,8 @@
     options.report_need = CellScheduler::Options::ReportNeed::None;
     options.vanish_after = milliseconds(3500);
     options.cache_hold = milliseconds(500);
+    // In the order of what engines of today take; measured from the first answers on.
+    options.first_step_time = milliseconds(1);
     // Events of several tokens come at once, so pauses of a whole answer are what counts.
     options.token_target = milliseconds(250);
     return options;
