--- a/Libraries/LibRouter/PlainFlow.cpp
+++ b/Libraries/LibRouter/PlainFlow.cpp
@@ -65,8 +65,11 @@
         if (!upstream) {
             if (this->earlier == SendHistory::Earlier::MayHaveRun && this->route.kind != RouteKind::Repeatable)
                 co_await this->fail(502, "no_upstream");
-            else
-                co_await this->refuse(last.reason.empty() ? "no_upstream" : last.reason, NO_UPSTREAM_RETRY_AFTER);
+            else {
+                // NOTE: GCC 12 destroys a temporary of a conditional expression twice when it spans an await.
+                std::string const reason = last.reason.empty() ? "no_upstream" : last.reason;
+                co_await this->refuse(reason, NO_UPSTREAM_RETRY_AFTER);
+            }
             co_return;
         }
         this->tried.insert(upstream->identity);
