--- a/Libraries/LibCore/ProgramOptions.cpp
+++ b/Libraries/LibCore/ProgramOptions.cpp
@@ -53,7 +53,8 @@
         std::cout << options.settings_path << ": settings are valid\n";
         return exit_with(ExitCode::Success);
     }
-    block_stop_signals();
+    if (program.stop_signals == ServerProgram::StopSignals::WaitedFor)
+        block_stop_signals();
     return exit_with(program.run(settings.value(), options.settings_path));
 }
 
--- a/Libraries/LibCore/ProgramOptions.h
+++ b/Libraries/LibCore/ProgramOptions.h
@@ -31,6 +31,14 @@
     std::string_view summary;
     /// Checks the settings; gives every fault.
     std::function<Result<Done, SettingsError>(nlohmann::json const& settings, std::string_view source)> check;
+    /// How the program takes SIGTERM and SIGINT.
+    enum class StopSignals {
+        /// They are blocked in every thread, and one waits for them.
+        WaitedFor,
+        /// The program's event loop handles them.
+        Handled,
+    } stop_signals
+        = StopSignals::WaitedFor;
     /// Runs until SIGTERM or SIGINT.
     std::function<ExitCode(nlohmann::json const& settings, std::string_view source)> run;
 };
--- a/Services/NodeServer/NodeMain.cpp
+++ b/Services/NodeServer/NodeMain.cpp
@@ -66,6 +66,7 @@
     ServerProgram program;
     program.name = PROGRAM;
     program.summary = "routes callers' requests; one process a VM";
+    program.stop_signals = ServerProgram::StopSignals::Handled;
     program.check = [](nlohmann::json const& settings, std::string_view source) -> Result<Done, SettingsError> {
         TRY(NodeSettings::read(settings, source));
         return Done {};
