--- a/Libraries/LibRouter/PlainFlow.cpp
+++ b/Libraries/LibRouter/PlainFlow.cpp
@@ -61,7 +61,12 @@
             co_await this->answer_stopped();
             co_return;
         }
-        auto const upstream = this->choose();
+        auto upstream = this->choose();
+        if (!upstream && this->route.kind == RouteKind::Repeatable && !this->tried.empty() && connect_tries < CONNECT_TRIES) {
+            // Where there is no other, the same one may do better the next time.
+            this->tried.clear();
+            upstream = this->choose();
+        }
         if (!upstream) {
             if (this->earlier == SendHistory::Earlier::MayHaveRun && this->route.kind != RouteKind::Repeatable)
                 co_await this->fail(502, "no_upstream");
--- a/Libraries/LibRouter/RegistryFollower.cpp
+++ b/Libraries/LibRouter/RegistryFollower.cpp
@@ -36,6 +36,13 @@
     asio::co_spawn(this->loop, this->follow_upstreams(), asio::detached);
 }
 
+// After a failure the answer must come at once: a watch that waits would tell of the registry's return only
+// with its next news.
+Duration RegistryFollower::wait_after(int failures) const
+{
+    return failures > 0 ? Duration::zero() : this->options.watch;
+}
+
 // Doubles with each failure in a row, up to a limit, and differs by VM and turn.
 asio::awaitable<void> RegistryFollower::pause(int failures)
 {
@@ -55,7 +62,7 @@
     while (true) {
         Result<ConfigurationNews, PlatformError> news = Failure { PlatformError::Unavailable };
         if (position)
-            news = co_await this->registry.watch_configuration(*position, this->options.watch);
+            news = co_await this->registry.watch_configuration(*position, this->wait_after(failures));
         else
             news = co_await this->registry.read_configuration();
         if (news.is_error()) {
@@ -87,7 +94,7 @@
         PlatformError error {};
         bool has_failed = false;
         if (position) {
-            auto const news = co_await this->registry.watch_upstreams(*position, this->options.watch);
+            auto const news = co_await this->registry.watch_upstreams(*position, this->wait_after(failures));
             has_failed = news.is_error();
             if (has_failed)
                 error = news.error();
--- a/Libraries/LibRouter/RegistryFollower.h
+++ b/Libraries/LibRouter/RegistryFollower.h
@@ -39,6 +39,7 @@
     asio::awaitable<void> follow_configuration();
     asio::awaitable<void> follow_upstreams();
     asio::awaitable<void> pause(int failures);
+    Duration wait_after(int failures) const;
 
     Options options;
     asio::io_context& loop;
--- a/Libraries/LibRouter/StreamFlow.cpp
+++ b/Libraries/LibRouter/StreamFlow.cpp
@@ -278,6 +278,7 @@
         auto piece = co_await connection->read_piece();
         if (piece.is_error()) {
             connection->abort();
+            this->events.drop_broken_event();
             if (this->is_stopped())
                 co_return Progress::TryAgain;
             co_return co_await this->give_up(SendEnd::Lost, to_string(piece.error()));
--- a/Libraries/LibRouter/StreamFlow.h
+++ b/Libraries/LibRouter/StreamFlow.h
@@ -15,6 +15,8 @@
     std::string take(std::string_view bytes);
     /// What follows the last whole event.
     std::string rest() { return std::exchange(this->pending, {}); }
+    /// Forgets the beginning of an event whose stream broke off; the next stream sends the event anew.
+    void drop_broken_event() { this->pending.clear(); }
     std::int64_t event_count() const { return this->events; }
     std::string const& last_identifier() const { return this->last_id; }
 
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr Duration HEARTBEAT = milliseconds(500);
+/// An upstream that left gets nothing new within the time that its entry is kept and this.
+constexpr Duration LAPSE_CHECK = milliseconds(100);
 constexpr Duration FETCH_TIMEOUT = milliseconds(1000);
 /// A node that heard nobody by then takes it that it is alone.
 constexpr Duration LONGEST_START = milliseconds(1500);
@@ -25,9 +27,11 @@
 
 std::uint64_t spread_of(std::string const& name) { return XXH3_64bits(name.data(), name.size()); }
 
-CellScheduler::Options scheduler_options()
+CellScheduler::Options scheduler_options(NodeSettings const& settings)
 {
     CellScheduler::Options options;
+    options.memory_headroom = settings.memory_headroom;
+    options.forecast.spread = settings.length_spread;
     options.report_need = CellScheduler::Options::ReportNeed::None;
     options.vanish_after = milliseconds(3500);
     options.cache_hold = milliseconds(500);
@@ -86,7 +90,7 @@
         members, *this->kernel, [this] { return this->state.routes ? this->state.routes->version() : 0; }, [this](auto const& endpoint) { this->fetch_configuration(endpoint); });
     this->membership->set_upstreams_hooks([this] { return this->state.upstreams.version(); }, [this](auto const& endpoint) { this->fetch_upstreams(endpoint); });
     this->placement = std::make_unique<PlacementClient>(PlacementClient::Options {}, *this->kernel);
-    this->keeper = std::make_unique<EngineKeeper>(scheduler_options(), *this->kernel, this->metrics, this->loop);
+    this->keeper = std::make_unique<EngineKeeper>(scheduler_options(this->settings), *this->kernel, this->metrics, this->loop);
     this->state.placement = this->placement.get();
     this->state.live_virtual_machines = [this] { return std::max<std::size_t>(1, this->kernel->directory().virtual_machines_with("placement").size()); };
     this->host_services();
@@ -109,6 +113,7 @@
     this->keeper->start();
     this->follower->start();
     this->kernel->every(seconds(1), [this] { this->every_second(); });
+    this->kernel->every(LAPSE_CHECK, [this] { this->drop_lapsed(); });
     return Done {};
 }
 
@@ -292,6 +297,11 @@
 {
     auto const now = monotonic_now();
     this->state.pool.sweep(now);
+}
+
+void Node::drop_lapsed()
+{
+    auto const now = monotonic_now();
     if (this->state.upstreams.advance(now)) {
         LogLine("lapsed_upstreams_dropped").with("left", static_cast<std::int64_t>(this->state.upstreams.size()));
         this->engines_changed();
--- a/Services/NodeServer/Node.h
+++ b/Services/NodeServer/Node.h
@@ -64,6 +64,7 @@
     void take_upstreams(wire::UpstreamsContent const& content);
     asio::awaitable<void> answer_operations(HttpExchange& exchange);
     void every_second();
+    void drop_lapsed();
     void poll_stop();
 
     asio::io_context& loop;
--- a/Services/NodeServer/NodeSettings.h
+++ b/Services/NodeServer/NodeSettings.h
@@ -27,6 +27,10 @@
     std::vector<std::string> seeds;
     Address registry_address;
     RetryBudget::Options retry;
+    /// Part of an engine's memory that is never promised.
+    double memory_headroom = 0.05;
+    /// How far answers' lengths are from what callers expect: standard deviation of the logarithm.
+    double length_spread = 0.6;
     /// From the signal to stop until the platform ends the process.
     Duration stop_grace = seconds(8);
 
