LibRouter: Refuse what cannot end before a stopping VM does

Cause: a VM that stops is still given callers while few others of its data centre are ready; a stream taken 6 s after SIGTERM was cut by the process's end. Ruled out: idle connections (closed after 2.5 s).

--- a/Libraries/LibRouter/Entry.cpp
+++ b/Libraries/LibRouter/Entry.cpp
@@ -10,8 +10,8 @@
 
 namespace {
 
-/// A VM that has just started has its configuration well within this.
-constexpr std::string_view NO_CONFIGURATION_RETRY_AFTER = "0.5";
+/// A VM that has just started has its configuration well within this, and another answers for one that stops.
+constexpr std::string_view RETRY_AFTER_SECONDS = "0.2";
 
 }
 
@@ -40,6 +40,10 @@
         co_return;
     }
     auto request = parsed.release_value();
+    if (!this->has_time_before_stop(*route, request)) {
+        co_await this->answer(exchange, 503, "stopping", identifier);
+        co_return;
+    }
     auto const has_engine = [&](RouteTarget const& target) {
         auto const* service = routes->service(target.service);
         return service && service->engine;
@@ -53,12 +57,24 @@
     co_await flow->run();
 }
 
+// A stopping VM is still sent callers while few others of its data centre are ready. Streams of unknown length
+// are taken in the first third of the stop only; what is taken later has to end within its own time-out.
+bool Entry::has_time_before_stop(Route const& route, CallerRequest const& request) const
+{
+    auto const stop = this->state.stop_time();
+    if (!stop)
+        return true;
+    if (route.kind == RouteKind::Stream)
+        return stop->left * 3 >= stop->whole * 2;
+    return stop->left >= std::min(route.timeout, request.patience);
+}
+
 asio::awaitable<void> Entry::answer(HttpExchange& exchange, int status, std::string_view reason, std::string identifier)
 {
     LogLine("request_rejected").with("request", identifier).with("status", status).with("reason", reason).with("target", exchange.request().head.target);
     auto head = this->state.dialect.own_head(status, identifier);
     if (status == 503)
-        head.headers.add("Retry-After", NO_CONFIGURATION_RETRY_AFTER);
+        head.headers.add("Retry-After", RETRY_AFTER_SECONDS);
     static_cast<void>(co_await exchange.respond(std::move(head), {}));
 }
 
--- a/Libraries/LibRouter/RouterState.h
+++ b/Libraries/LibRouter/RouterState.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace Spurtide {
@@ -36,6 +37,13 @@
     /// Number of VMs that share the retry budget.
     std::function<std::size_t()> live_virtual_machines = [] { return std::size_t { 1 }; };
 
+    /// What is left until this process ends, and how much that was when its stop began; empty while it goes on.
+    struct StopTime {
+        Duration left {};
+        Duration whole {};
+    };
+    std::function<std::optional<StopTime>()> stop_time = [] { return std::optional<StopTime> {}; };
+
     RetryBudget& budget_of(std::string const& service) { return this->budgets.try_emplace(service, this->retry_options).first->second; }
 };
 
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -93,6 +93,12 @@
     this->keeper = std::make_unique<EngineKeeper>(scheduler_options(this->settings), *this->kernel, this->metrics, this->loop);
     this->state.placement = this->placement.get();
     this->state.live_virtual_machines = [this] { return std::max<std::size_t>(1, this->kernel->directory().virtual_machines_with("placement").size()); };
+    this->state.stop_time = [this]() -> std::optional<RouterState::StopTime> {
+        if (!this->is_stopping)
+            return {};
+        auto const whole = this->settings.stop_grace - STOP_MARGIN;
+        return RouterState::StopTime { std::chrono::duration_cast<Duration>(this->stop_began + whole - monotonic_now()), whole };
+    };
     this->host_services();
 
     auto callers_server = HttpServer::create(this->loop, this->settings.caller_address, [this](auto& exchange) { return this->entry.handle(exchange); });
