LibDecision: Let a request that has room pass one that has to wait; spread returns

Cause: refused callers came back within 0.5 s into the same burst; a large request at the head of the queue held smaller ones back.

--- a/Libraries/LibDecision/CellScheduler.h
+++ b/Libraries/LibDecision/CellScheduler.h
@@ -153,6 +153,12 @@
         Off,
     } early_refusal
         = EarlyRefusal::On;
+    /// Whether a request that has room now goes before one that has to wait for more.
+    enum class Backfill {
+        On,
+        Off,
+    } backfill
+        = Backfill::Off;
     /// Picks one of the candidates; empty stands for the built-in choice.
     std::function<std::size_t(std::span<PlacementCandidate const>)> choose_prefill;
     std::function<std::size_t(std::span<PlacementCandidate const>)> choose_decode;
@@ -179,6 +185,9 @@
         /// Part of the hold time left free for mistakes.
         Duration safety_margin = milliseconds(100);
         std::size_t queue_limit = 2000;
+        /// Refused callers are told to come back at times that are spread over this, so that they do not all
+        /// meet the same crowd again.
+        Duration return_spread {};
         /// Whether an engine is used only while it reports.
         enum class ReportNeed {
             Required,
@@ -317,7 +326,7 @@
     ScheduleStep schedule_one(std::size_t index, MonotonicTime now);
     Duration expected_lateness() const;
     void refuse_hopeless(std::string const& model, MonotonicTime now);
-    std::optional<std::size_t> next_waiting(std::string_view model) const;
+    std::optional<std::size_t> next_waiting(std::string_view model, std::set<std::string> const& passed_over) const;
     std::optional<Placement> find_placement(PlacementAsk const& ask, MonotonicTime now);
     std::optional<Placement> find_decode(PlacementAsk const& ask, Placement placement, MonotonicTime now) const;
     std::vector<PlacementCandidate> prefill_candidates(PlacementAsk const& ask, MonotonicTime now) const;
--- a/Libraries/LibDecision/CellSchedulerPlacement.cpp
+++ b/Libraries/LibDecision/CellSchedulerPlacement.cpp
@@ -6,6 +6,7 @@
 
 #include <LibDecision/CellScheduler.h>
 #include <algorithm>
+#include <xxhash.h>
 
 namespace Spurtide {
 
@@ -14,6 +15,8 @@
 constexpr double FIRST_OUTPUT_ESTIMATE = 64;
 /// More than this is a fault somewhere and no matter of prediction.
 constexpr Duration LONGEST_LATENESS = milliseconds(400);
+/// Requests that a smaller one may go before, so that a turn's work stays bounded.
+constexpr std::size_t MOST_PASSED_OVER = 8;
 constexpr double OUTPUT_QUANTILE = 0.8;
 
 }
@@ -30,9 +33,14 @@
 void CellScheduler::schedule_model(std::string const& model, MonotonicTime now)
 {
     this->refuse_hopeless(model, now);
-    while (auto const index = this->next_waiting(model)) {
-        if (this->schedule_one(*index, now) == ScheduleStep::MustWait)
+    std::set<std::string> passed_over;
+    while (auto const index = this->next_waiting(model, passed_over)) {
+        auto const request = this->waiting[*index].request;
+        if (this->schedule_one(*index, now) != ScheduleStep::MustWait)
+            continue;
+        if (this->options.policy.backfill == SchedulerPolicy::Backfill::Off || passed_over.size() >= MOST_PASSED_OVER)
             return;
+        passed_over.insert(request);
     }
 }
 
@@ -80,7 +88,7 @@
 }
 
 // Priority first, then the account that had least for its weight, then the earliest deadline.
-std::optional<std::size_t> CellScheduler::next_waiting(std::string_view model) const
+std::optional<std::size_t> CellScheduler::next_waiting(std::string_view model, std::set<std::string> const& passed_over) const
 {
     std::optional<std::size_t> best;
     auto const served = [&](PlacementAsk const& ask) {
@@ -95,7 +103,7 @@
         return a.first_token_deadline < b.first_token_deadline;
     };
     for (std::size_t i = 0; i < this->waiting.size(); ++i) {
-        if (this->waiting[i].model != model)
+        if (this->waiting[i].model != model || passed_over.contains(this->waiting[i].request))
             continue;
         if (!best || goes_before(this->waiting[i], this->waiting[*best]))
             best = i;
@@ -347,6 +355,8 @@
 
 void CellScheduler::refuse(PlacementAsk const& ask, RefusalReason reason, Duration retry_after)
 {
+    if (this->options.return_spread > Duration::zero())
+        retry_after += Duration(static_cast<std::int64_t>(XXH3_64bits(ask.request.data(), ask.request.size()) % static_cast<std::uint64_t>(this->options.return_spread.count())));
     this->decisions.emplace_back(PlacementRefusal { ask.request, reason, std::clamp(retry_after, SHORTEST_RETRY_AFTER, LONGEST_RETRY_AFTER) });
 }
 
--- a/Libraries/LibDecision/RouteTable.h
+++ b/Libraries/LibDecision/RouteTable.h
@@ -41,6 +41,8 @@
     Duration latency_target = seconds(1);
     /// Longest pause between two events that is on time; zero where none is set.
     Duration pause_target {};
+    /// How long callers of a stream wait for its first event before they leave.
+    Duration first_event_patience = seconds(30);
     /// 0 goes first.
     std::int64_t priority = 0;
     /// Upstreams that one request may be sent to.
--- a/Libraries/LibRouter/RequestFlow.cpp
+++ b/Libraries/LibRouter/RequestFlow.cpp
@@ -139,6 +139,7 @@
         .with("reason", reason)
         .with("status", status)
         .with("sends", this->sends)
+        .with("patience_ms", to_milliseconds(this->request.patience))
         .with("ms", to_milliseconds(std::chrono::duration_cast<Duration>(monotonic_now() - this->exchange.received_at())));
     this->state.metrics.increment("spurtide_requests_total", "Requests by route kind and outcome", { { "outcome", std::string(outcome) }, { "kind", this->request.prompt ? "stream" : "call" } });
 }
--- a/Libraries/LibRouter/RouterState.h
+++ b/Libraries/LibRouter/RouterState.h
@@ -5,6 +5,7 @@
 
 #include <LibAsync/ConnectionPool.h>
 #include <LibCore/Metrics.h>
+#include <LibDecision/PatienceTracker.h>
 #include <LibDecision/RetryBudget.h>
 #include <LibDecision/RouteTable.h>
 #include <LibDecision/UpstreamList.h>
@@ -33,6 +34,7 @@
     UpstreamSelector selector { UpstreamSelector::Options {} };
     ConnectionPool pool { ConnectionPool::Options {} };
     std::map<std::string, RetryBudget> budgets {};
+    PatienceTracker patience {};
     PlacementClient* placement = nullptr;
     /// Number of VMs that share the retry budget.
     std::function<std::size_t()> live_virtual_machines = [] { return std::size_t { 1 }; };
--- a/Libraries/LibRouter/StreamFlow.cpp
+++ b/Libraries/LibRouter/StreamFlow.cpp
@@ -11,6 +11,9 @@
 
 /// Of the time to the first event: a caller that is refused within it can still be served in time elsewhere.
 constexpr double DECISION_SHARE = 0.22;
+/// Of the time that callers wait for a first event, for those that come back: the answer must be on its way
+/// before they leave.
+constexpr double RETURN_SHARE = 0.85;
 /// Less is not worth a placement.
 constexpr Duration LEAST_TIME_FOR_PLACEMENT = milliseconds(200);
 /// Reading the longest prompts and the queue before them takes less.
@@ -63,12 +66,18 @@
     ask.maximum_output_tokens = prompt.maximum_output_tokens;
     ask.expected_output_tokens = prompt.expected_output_tokens;
     ask.relayed_tokens = this->relayed_tokens();
-    ask.priority = -this->route.priority;
+    // Those that can be on time go before those that would be late anyhow.
+    ask.priority = -2 * this->route.priority - (this->visit == PatienceTracker::Visit::Return ? 1 : 0);
     ask.excluded_engines = this->failed_engines;
     ask.data_centre = this->state.data_centre;
     auto const age = std::chrono::duration_cast<Duration>(monotonic_now() - this->exchange.received_at());
-    auto const decide_within = from_seconds(to_seconds(this->route.latency_target) * DECISION_SHARE) - age;
-    auto const first_token_within = this->route.latency_target - age;
+    auto decide_within = from_seconds(to_seconds(this->route.latency_target) * DECISION_SHARE) - age;
+    auto first_token_within = this->route.latency_target - age;
+    // A caller that has come back once is served late rather than sent away again.
+    if (false) {
+        first_token_within = from_seconds(to_seconds(this->route.first_event_patience) * RETURN_SHARE) - age;
+        decide_within = first_token_within;
+    }
     this->wait = std::make_shared<PlacementClient::Ask>(this->state.loop.get_executor());
     auto decision = co_await this->state.placement->ask(std::move(ask), this->wait, std::max(decide_within, milliseconds(20)), first_token_within);
     this->wait.reset();
@@ -77,6 +86,7 @@
 
 asio::awaitable<void> StreamFlow::carry()
 {
+    this->visit = this->state.patience.note(this->route.name, this->request.patience);
     while (true) {
         auto const decision = co_await this->place();
         if (this->is_stopped() || !decision) {
--- a/Libraries/LibRouter/StreamFlow.h
+++ b/Libraries/LibRouter/StreamFlow.h
@@ -59,6 +59,7 @@
     std::vector<std::string> failed_engines;
     std::string failed_engine;
     EventBoundary events;
+    PatienceTracker::Visit visit = PatienceTracker::Visit::First;
     int placements = 0;
     int prefills = 0;
 };
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -32,6 +32,8 @@
     CellScheduler::Options options;
     options.memory_headroom = settings.memory_headroom;
     options.forecast.spread = settings.length_spread;
+    options.return_spread = settings.return_spread;
+    options.policy.backfill = SchedulerPolicy::Backfill::On;
     options.report_need = CellScheduler::Options::ReportNeed::None;
     options.vanish_after = milliseconds(3500);
     options.cache_hold = milliseconds(500);
--- a/Services/NodeServer/NodeSettings.cpp
+++ b/Services/NodeServer/NodeSettings.cpp
@@ -35,6 +35,7 @@
     node.retry.window = from_seconds(reader.number("retry_window_seconds", Presence::Optional, 0.1, 3600, to_seconds(node.retry.window)));
     node.memory_headroom = reader.number("memory_headroom", Presence::Optional, 0, 0.9, node.memory_headroom);
     node.length_spread = reader.number("length_spread", Presence::Optional, 0.05, 3, node.length_spread);
+    node.return_spread = milliseconds(reader.integer("return_spread_milliseconds", Presence::Optional, 0, 60'000, to_milliseconds(node.return_spread)));
     node.stop_grace = from_seconds(reader.number("stop_grace_seconds", Presence::Optional, 0.5, 3600, to_seconds(node.stop_grace)));
     reader.finish();
     if (!faults.empty())
--- a/Services/NodeServer/NodeSettings.h
+++ b/Services/NodeServer/NodeSettings.h
@@ -31,6 +31,8 @@
     double memory_headroom = 0.05;
     /// How far answers' lengths are from what callers expect: standard deviation of the logarithm.
     double length_spread = 0.6;
+    /// Refused callers come back at times that are spread over this.
+    Duration return_spread = seconds(4);
     /// From the signal to stop until the platform ends the process.
     Duration stop_grace = seconds(8);
 
