--- a/Libraries/LibAsync/MessageParser.cpp
+++ b/Libraries/LibAsync/MessageParser.cpp
@@ -2,6 +2,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 
 #include <LibAsync/MessageParser.h>
+#include <algorithm>
 
 namespace Spurtide {
 
@@ -10,6 +11,23 @@
 constexpr int SKIP_BODY = 1;
 constexpr int STOP = -1;
 
+/// The library lets blanks in a field's name pass, and what comes behind could then read the name otherwise.
+bool is_token(std::string_view text)
+{
+    constexpr std::string_view MARKS = "!#$%&'*+-.^_`|~";
+    return !text.empty() && std::all_of(text.begin(), text.end(), [&](char character) {
+        bool const is_letter = (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z');
+        return is_letter || (character >= '0' && character <= '9') || MARKS.find(character) != std::string_view::npos;
+    });
+}
+
+bool are_well_formed(HeaderFields const& headers)
+{
+    return std::all_of(headers.all().begin(), headers.all().end(), [](auto const& field) {
+        return is_token(field.name) && field.value.find_first_of(std::string_view("\0\r\n", 3)) == std::string::npos;
+    });
+}
+
 }
 
 MessageParser::MessageParser(Kind kind)
@@ -92,6 +110,8 @@
 int MessageParser::on_head_complete()
 {
     this->head_complete = true;
+    if (!are_well_formed(this->headers))
+        return STOP;
     if (this->kind == Kind::Response) {
         this->response.status = static_cast<int>(this->parser.status_code);
         this->response.headers = std::move(this->headers);
--- a/Libraries/LibCore/ProgramOptions.h
+++ b/Libraries/LibCore/ProgramOptions.h
@@ -31,6 +31,8 @@
     std::string_view summary;
     /// Checks the settings; gives every fault.
     std::function<Result<Done, SettingsError>(nlohmann::json const& settings, std::string_view source)> check;
+    /// Runs until SIGTERM or SIGINT.
+    std::function<ExitCode(nlohmann::json const& settings, std::string_view source)> run;
     /// How the program takes SIGTERM and SIGINT.
     enum class StopSignals {
         /// They are blocked in every thread, and one waits for them.
@@ -39,8 +41,6 @@
         Handled,
     } stop_signals
         = StopSignals::WaitedFor;
-    /// Runs until SIGTERM or SIGINT.
-    std::function<ExitCode(nlohmann::json const& settings, std::string_view source)> run;
 };
 
 /// Handles --settings, --check, --help and --version, then runs the server.
--- a/Libraries/LibDecision/RetryBudget.h
+++ b/Libraries/LibDecision/RetryBudget.h
@@ -3,65 +3,34 @@
 
 #pragma once
 
-#include <LibCore/Time.h>
-#include <deque>
+#include <algorithm>
 
 namespace Spurtide {
 
-/// Bounds what is sent to a service beyond the first time of each request, over a sliding window. All VMs
-/// together share the ratio of their requests and a fixed allowance; each VM takes an even part of the latter.
+/// Limits retries to a share of the first attempts, so that a failing pool is not flooded.
 class RetryBudget {
 public:
-    struct Options {
-        /// Of the service's requests in the window.
-        double ratio = 0.2;
-        /// Extra sends of all VMs together that are allowed whatever the requests.
-        double allowance = 20;
-        Duration window = seconds(10);
-        /// Part of both that is used; the rest is for requests that other VMs counted otherwise.
-        double safety = 0.7;
-    };
-
-    explicit RetryBudget(Options options)
-        : options(options)
+    RetryBudget(double retries_per_request, double maximum)
+        : earned_per_request(retries_per_request)
+        , maximum(maximum)
+        , level(maximum)
     {
     }
 
-    void note_request(MonotonicTime now)
-    {
-        this->requests.push_back(now);
-        this->expire(now);
-    }
+    void note_request() { this->level = std::min(this->maximum, this->level + this->earned_per_request); }
 
-    /// Takes one extra send where the budget has it.
-    bool try_take(std::size_t virtual_machines, MonotonicTime now)
+    bool try_spend()
     {
-        this->expire(now);
-        if (static_cast<double>(this->extras.size()) + 1 > this->limit(virtual_machines))
+        if (this->level < 1)
             return false;
-        this->extras.push_back(now);
+        this->level -= 1;
         return true;
     }
 
-    /// What may be sent extra within one window now.
-    double limit(std::size_t virtual_machines) const
-    {
-        auto const share = this->options.allowance / static_cast<double>(virtual_machines == 0 ? 1 : virtual_machines);
-        return this->options.safety * (this->options.ratio * static_cast<double>(this->requests.size()) + share);
-    }
-
 private:
-    void expire(MonotonicTime now)
-    {
-        while (!this->requests.empty() && now - this->requests.front() > this->options.window)
-            this->requests.pop_front();
-        while (!this->extras.empty() && now - this->extras.front() > this->options.window)
-            this->extras.pop_front();
-    }
-
-    Options options;
-    std::deque<MonotonicTime> requests;
-    std::deque<MonotonicTime> extras;
+    double earned_per_request;
+    double maximum;
+    double level;
 };
 
 }
--- a/Libraries/LibRouter/RouterState.h
+++ b/Libraries/LibRouter/RouterState.h
@@ -6,7 +6,7 @@
 #include <LibAsync/ConnectionPool.h>
 #include <LibCore/Metrics.h>
 #include <LibDecision/PatienceTracker.h>
-#include <LibDecision/RetryBudget.h>
+#include <LibDecision/SharedRetryBudget.h>
 #include <LibDecision/RouteTable.h>
 #include <LibDecision/UpstreamList.h>
 #include <LibDecision/UpstreamSelector.h>
@@ -27,13 +27,13 @@
     CallerDialect const& dialect;
     Metrics& metrics;
     std::string data_centre;
-    RetryBudget::Options retry_options {};
+    SharedRetryBudget::Options retry_options {};
     /// Empty before the first configuration came.
     std::shared_ptr<RouteTable const> routes {};
     UpstreamList upstreams { UpstreamList::Options {} };
     UpstreamSelector selector { UpstreamSelector::Options {} };
     ConnectionPool pool { ConnectionPool::Options {} };
-    std::map<std::string, RetryBudget> budgets {};
+    std::map<std::string, SharedRetryBudget> budgets {};
     PatienceTracker patience {};
     PlacementClient* placement = nullptr;
     /// Number of VMs that share the retry budget.
@@ -46,7 +46,7 @@
     };
     std::function<std::optional<StopTime>()> stop_time = [] { return std::optional<StopTime> {}; };
 
-    RetryBudget& budget_of(std::string const& service) { return this->budgets.try_emplace(service, this->retry_options).first->second; }
+    SharedRetryBudget& budget_of(std::string const& service) { return this->budgets.try_emplace(service, this->retry_options).first->second; }
 };
 
 }
--- a/Services/NodeServer/NodeSettings.h
+++ b/Services/NodeServer/NodeSettings.h
@@ -5,7 +5,7 @@
 
 #include <LibCore/Result.h>
 #include <LibCore/SettingsReader.h>
-#include <LibDecision/RetryBudget.h>
+#include <LibDecision/SharedRetryBudget.h>
 #include <LibHttp/Address.h>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -26,7 +26,7 @@
     /// Wire addresses of VMs to meet first; some may be stale.
     std::vector<std::string> seeds;
     Address registry_address;
-    RetryBudget::Options retry;
+    SharedRetryBudget::Options retry;
     /// Part of an engine's memory that is never promised.
     double memory_headroom = 0.05;
     /// How far answers' lengths are from what callers expect: standard deviation of the logarithm.
--- /dev/null
+++ b/Tests/LibAsync/TestMessageParser.cpp
@@ -0,0 +1,114 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibAsync/MessageParser.h>
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace Spurtide;
+
+namespace {
+
+struct Parsed {
+    std::optional<HttpError> error;
+    bool complete = false;
+    std::string body;
+    std::size_t consumed = 0;
+    HttpRequestHead head;
+};
+
+Parsed parse_request(std::string const& bytes, std::size_t piece)
+{
+    MessageParser parser(MessageParser::Kind::Request);
+    Parsed parsed;
+    std::string unread;
+    for (std::size_t at = 0; at < bytes.size() && !parser.is_complete(); at += piece) {
+        unread += bytes.substr(at, piece);
+        auto const consumed = parser.feed(unread);
+        if (consumed.is_error()) {
+            parsed.error = consumed.error();
+            return parsed;
+        }
+        unread.erase(0, consumed.value());
+        parsed.consumed += consumed.value();
+        parsed.body += parser.take_body();
+    }
+    parsed.complete = parser.is_complete();
+    if (parser.has_head())
+        parsed.head = parser.take_request_head();
+    return parsed;
+}
+
+}
+
+TEST_CASE("Requests are read whatever the pieces they come in")
+{
+    auto const piece = GENERATE(std::size_t { 1 }, std::size_t { 2 }, std::size_t { 7 }, std::size_t { 4096 });
+    auto const chunked = parse_request("POST /a?b HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n6\r\n world\r\n0\r\nTrailer: x\r\n\r\nGET / HTTP/1.1\r\n", piece);
+    REQUIRE_FALSE(chunked.error);
+    REQUIRE(chunked.complete);
+    REQUIRE(chunked.body == "hello world");
+    REQUIRE(chunked.head.method == "POST");
+    REQUIRE(chunked.head.target == "/a?b");
+    REQUIRE(chunked.head.headers.find("hOST") == "h");
+    REQUIRE_FALSE(chunked.head.headers.contains("Trailer"));
+    auto const counted = parse_request("POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nabcdef", piece);
+    REQUIRE(counted.complete);
+    REQUIRE(counted.body == "abc");
+}
+
+TEST_CASE("What could be read in two ways is no request", "[whole]")
+{
+    auto const bytes = GENERATE(as<std::string> {},
+        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: -1\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1x\r\n\r\na",
+        "POST / HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n",
+        "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+        "POST / HTTP/1.1\r\nBad Name: h\r\n\r\n",
+        "POST / HTTP/1.1\r\nTransfer-Encoding : chunked\r\n\r\n",
+        "POST / HTTP/1.1\r\n: h\r\n\r\n",
+        "POST / HTTP/2.0\r\nHost: h\r\n\r\n",
+        "\x16\x03\x01 garbage\r\n\r\n");
+    CAPTURE(bytes);
+    REQUIRE(parse_request(bytes, 4096).error);
+    REQUIRE(parse_request(bytes, 1).error);
+}
+
+TEST_CASE("A head that grows beyond its limit is refused")
+{
+    auto const huge = "GET / HTTP/1.1\r\nX: " + std::string(20'000, 'x') + "\r\n\r\n";
+    REQUIRE(parse_request(huge, 1000).error == HttpError::HeadTooLarge);
+    REQUIRE(parse_request("POST / HTTP/1.1\r\nContent-Length: 20000\r\n\r\n" + std::string(20'000, 'x'), 50'000).complete);
+}
+
+TEST_CASE("The end of the connection ends only an answer that is framed by it", "[whole]")
+{
+    struct Case {
+        std::string bytes;
+        bool whole;
+    };
+    auto const given = GENERATE(
+        Case { "HTTP/1.1 200 OK\r\n\r\nabc", true }, Case { "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nabc", false },
+        Case { "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", false }, Case { "HTTP/1.1 200 O", false }, Case { "", false });
+    CAPTURE(given.bytes);
+    MessageParser parser(MessageParser::Kind::Response);
+    REQUIRE_FALSE(parser.feed(given.bytes).is_error());
+    REQUIRE(parser.feed_end().is_error() == !given.whole);
+}
+
+TEST_CASE("Damaged requests never crash the reader and never read beyond their bytes")
+{
+    std::string const whole = "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n";
+    std::mt19937 random(20261202);
+    for (int round = 0; round < 20'000; ++round) {
+        auto bytes = whole;
+        for (int change = 0; change < 3; ++change)
+            bytes[random() % bytes.size()] = static_cast<char>(random() % 256);
+        bytes.resize(random() % (bytes.size() + 1));
+        auto const parsed = parse_request(bytes, 1 + random() % 40);
+        REQUIRE(parsed.consumed <= bytes.size());
+    }
+}
--- /dev/null
+++ b/Tests/LibDecision/TestAnswerVerdict.cpp
@@ -0,0 +1,77 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibDecision/AnswerVerdict.h>
+#include <catch2/catch.hpp>
+
+using namespace Spurtide;
+
+namespace {
+
+constexpr std::array ENDS { SendEnd::NotSent, SendEnd::NotExecuted, SendEnd::Success, SendEnd::OwnFailure, SendEnd::Lost };
+constexpr std::array KINDS { RouteKind::Repeatable, RouteKind::NotRepeatable, RouteKind::Stream };
+constexpr std::array EARLIER { SendHistory::Earlier::HasNotRun, SendHistory::Earlier::MayHaveRun };
+constexpr std::array ANOTHER { SendHistory::AnotherSend::Allowed, SendHistory::AnotherSend::Spent };
+
+template<typename Check>
+void for_all(Check const& check)
+{
+    for (auto const end : ENDS) {
+        for (auto const kind : KINDS) {
+            for (auto const earlier : EARLIER) {
+                for (auto const another : ANOTHER)
+                    check(end, SendHistory { kind, earlier, another });
+            }
+        }
+    }
+}
+
+}
+
+TEST_CASE("What must not be repeated is never sent again once it may have run", "[at-most-once][answer-lost]")
+{
+    int sent_again = 0;
+    for_all([&](SendEnd end, SendHistory const& history) {
+        if (next_step(end, history) != NextStep::SendElsewhere)
+            return;
+        ++sent_again;
+        REQUIRE(history.another_send == SendHistory::AnotherSend::Allowed);
+        if (history.kind == RouteKind::Repeatable)
+            return;
+        REQUIRE(history.earlier == SendHistory::Earlier::HasNotRun);
+        REQUIRE((end == SendEnd::NotSent || end == SendEnd::NotExecuted));
+    });
+    REQUIRE(sent_again > 0);
+}
+
+TEST_CASE("Not run is said only of what has not run", "[not-run][answer-lost]")
+{
+    int refused = 0;
+    for_all([&](SendEnd end, SendHistory const& history) {
+        if (next_step(end, history) != NextStep::RefuseNotRun)
+            return;
+        ++refused;
+        REQUIRE((end == SendEnd::NotSent || end == SendEnd::NotExecuted));
+        if (history.kind != RouteKind::Repeatable)
+            REQUIRE(history.earlier == SendHistory::Earlier::HasNotRun);
+    });
+    REQUIRE(refused > 0);
+}
+
+TEST_CASE("A whole answer is always handed on", "[whole]")
+{
+    for_all([](SendEnd end, SendHistory const& history) {
+        if (end == SendEnd::Success)
+            REQUIRE(next_step(end, history) == NextStep::Relay);
+        else if (end != SendEnd::OwnFailure)
+            REQUIRE(next_step(end, history) != NextStep::Relay);
+    });
+}
+
+TEST_CASE("An upstream's own failure is tried again only where that is harmless")
+{
+    SendHistory const repeatable { RouteKind::Repeatable, SendHistory::Earlier::MayHaveRun, SendHistory::AnotherSend::Allowed };
+    SendHistory const once { RouteKind::NotRepeatable, SendHistory::Earlier::MayHaveRun, SendHistory::AnotherSend::Allowed };
+    REQUIRE(next_step(SendEnd::OwnFailure, repeatable) == NextStep::SendElsewhere);
+    REQUIRE(next_step(SendEnd::OwnFailure, once) == NextStep::Relay);
+}
--- /dev/null
+++ b/Tests/LibDecision/TestMemoryForecast.cpp
@@ -0,0 +1,224 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibDecision/CellScheduler.h>
+#include <LibDecision/MemoryForecast.h>
+#include <Tests/Support/VirtualClock.h>
+#include <catch2/catch.hpp>
+
+using namespace Spurtide;
+using namespace Spurtide::Tests;
+
+namespace {
+
+constexpr double SPREAD = 0.6;
+
+AnswerForecast answer(double prompt, double made, double expected, double maximum)
+{
+    return { prompt, made, expected, maximum };
+}
+
+MemoryForecast forecast_of(std::vector<AnswerForecast> const& answers)
+{
+    MemoryForecast forecast(MemoryForecast::Options { SPREAD });
+    for (auto const& one : answers)
+        forecast.add(one, milliseconds(1));
+    return forecast;
+}
+
+/// One prefill engine and decode engines that take so many tokens each.
+class MemoryCell {
+public:
+    MemoryCell(int decode_engines, std::int64_t memory_tokens, CellScheduler::Options options)
+        : scheduler(std::move(options))
+    {
+        std::vector<EngineDescription> engines;
+        EngineDescription prefill;
+        prefill.name = "p";
+        prefill.model = "llm";
+        prefill.role = EngineRole::Prefill;
+        prefill.prefill_rate = 50'000;
+        engines.push_back(prefill);
+        for (int i = 0; i < decode_engines; ++i) {
+            EngineDescription decode;
+            decode.name = "d" + std::to_string(i);
+            decode.model = "llm";
+            decode.role = EngineRole::Decode;
+            decode.decode_slots = 64;
+            decode.memory_tokens = memory_tokens;
+            engines.push_back(decode);
+        }
+        this->scheduler.set_engines(engines);
+        this->scheduler.set_accounts(std::vector<AccountDescription> { { "a", 1, 1e6, 1e6 } }, at_milliseconds(0));
+    }
+
+    static CellScheduler::Options options()
+    {
+        CellScheduler::Options made;
+        made.report_need = CellScheduler::Options::ReportNeed::None;
+        made.first_step_time = milliseconds(1);
+        made.token_target = milliseconds(250);
+        made.memory_headroom = 0;
+        made.vanish_after = seconds(60);
+        made.grant_lease = seconds(60);
+        return made;
+    }
+
+    PlacementAsk make_ask(std::string request, std::int64_t now, std::int64_t prompt, std::int64_t expected)
+    {
+        PlacementAsk ask;
+        ask.request = std::move(request);
+        ask.account = "a";
+        ask.model = "llm";
+        ask.origin = "entry";
+        ask.prompt_tokens = prompt;
+        ask.expected_output_tokens = expected;
+        ask.maximum_output_tokens = 2 * expected;
+        ask.first_token_deadline = at_milliseconds(now + 900);
+        ask.decide_by = at_milliseconds(now + 200);
+        return ask;
+    }
+
+    std::map<std::string, std::string> take()
+    {
+        std::map<std::string, std::string> made;
+        for (auto const& decision : this->scheduler.take_decisions()) {
+            if (auto const* grant = std::get_if<PlacementGrant>(&decision))
+                made[grant->request] = grant->decode_engine;
+            else
+                made[std::get<PlacementRefusal>(decision).request] = "refused";
+        }
+        return made;
+    }
+
+    CellScheduler scheduler;
+};
+
+}
+
+TEST_CASE("An answer's memory grows with it and is given back by its probable end")
+{
+    auto const forecast = forecast_of({ answer(1000, 0, 1000, 4000) });
+    REQUIRE(forecast.tokens_at(0) == Approx(1000));
+    REQUIRE(forecast.tokens_at(1) > 1000);
+    // Half of such answers are over at the median.
+    REQUIRE(forecast.tokens_at(5) == Approx(1000).margin(30));
+    REQUIRE(forecast.tokens_at(20) == 0);
+}
+
+TEST_CASE("An answer that outlived its guess is not taken for over")
+{
+    auto const expected = answer(0, 3000, 1000, 8000);
+    REQUIRE(probability_beyond(3000, expected, SPREAD) == 1);
+    REQUIRE(probability_beyond(3300, expected, SPREAD) > 0.7);
+    REQUIRE(probability_beyond(8000, expected, SPREAD) == 0);
+}
+
+TEST_CASE("What does not fit now fits after the shortest delay that is found")
+{
+    auto const running = forecast_of({ answer(5000, 2000, 2100, 2600), answer(5000, 1500, 2100, 2600) });
+    auto const next = forecast_of({ answer(6000, 0, 1000, 2000) });
+    REQUIRE_FALSE(running.has_room_for(next, Duration::zero(), 16'000));
+    auto const delay = running.shortest_delay(next, 16'000);
+    REQUIRE(delay > Duration::zero());
+    REQUIRE(delay < seconds(2));
+    REQUIRE(running.has_room_for(next, delay, 16'000));
+    // More memory than there is never fits.
+    REQUIRE(running.shortest_delay(next, 5'000) == MemoryForecast::STEP * static_cast<std::int64_t>(MemoryForecast::STEPS));
+}
+
+TEST_CASE("A prefill starts only where memory will be there", "[held]")
+{
+    MemoryCell cell(1, 20'000, MemoryCell::options());
+    cell.scheduler.ask(cell.make_ask("one", 0, 8000, 1000), at_milliseconds(0));
+    cell.scheduler.ask(cell.make_ask("two", 0, 8000, 1000), at_milliseconds(0));
+    cell.scheduler.ask(cell.make_ask("three", 0, 8000, 1000), at_milliseconds(0));
+    auto const first = cell.take();
+    REQUIRE(first.at("one") == "d0");
+    REQUIRE(first.at("two") == "d0");
+    // The answers before it may be over in time, or not.
+    REQUIRE_FALSE(first.contains("three"));
+    cell.scheduler.advance(at_milliseconds(200));
+    REQUIRE(cell.take().at("three") == "refused");
+    cell.scheduler.release("one", 0, at_milliseconds(250));
+    cell.scheduler.ask(cell.make_ask("four", 260, 8000, 1000), at_milliseconds(260));
+    REQUIRE(cell.take().at("four") == "d0");
+}
+
+TEST_CASE("A request that no engine can hold in time is refused at once")
+{
+    MemoryCell cell(1, 20'000, MemoryCell::options());
+    cell.scheduler.ask(cell.make_ask("large", 0, 30'000, 1000), at_milliseconds(0));
+    REQUIRE(cell.take().at("large") == "refused");
+}
+
+TEST_CASE("Work goes to the engine with the most memory")
+{
+    MemoryCell cell(2, 20'000, MemoryCell::options());
+    cell.scheduler.ask(cell.make_ask("one", 0, 6000, 1000), at_milliseconds(0));
+    cell.scheduler.ask(cell.make_ask("two", 0, 2000, 1000), at_milliseconds(0));
+    cell.scheduler.ask(cell.make_ask("three", 0, 1000, 1000), at_milliseconds(0));
+    auto const placed = cell.take();
+    REQUIRE(placed.at("one") != placed.at("two"));
+    REQUIRE(placed.at("three") == placed.at("two"));
+}
+
+TEST_CASE("A refused caller comes back within the spread")
+{
+    auto options = MemoryCell::options();
+    options.return_spread = seconds(4);
+    MemoryCell cell(1, 10'000, options);
+    std::set<std::int64_t> times;
+    for (int i = 0; i < 50; ++i)
+        cell.scheduler.ask(cell.make_ask("r" + std::to_string(i), 0, 9000, 500), at_milliseconds(0));
+    for (auto const& decision : cell.scheduler.take_decisions()) {
+        if (auto const* refusal = std::get_if<PlacementRefusal>(&decision)) {
+            REQUIRE(refusal->retry_after < seconds(5));
+            times.insert(to_milliseconds(refusal->retry_after));
+        }
+    }
+    REQUIRE(times.size() > 40);
+}
+
+TEST_CASE("A smaller request passes one that has to wait, where the policy says so")
+{
+    auto const backfill = GENERATE(SchedulerPolicy::Backfill::On, SchedulerPolicy::Backfill::Off);
+    auto options = MemoryCell::options();
+    options.policy.backfill = backfill;
+    MemoryCell cell(1, 20'000, options);
+    // Ends soon enough for the large one to wait for it.
+    cell.scheduler.ask(cell.make_ask("running", 0, 12'000, 400), at_milliseconds(0));
+    cell.scheduler.progress("running", GrantProgress::CacheHeld, at_milliseconds(250));
+    cell.scheduler.progress("running", GrantProgress::Decoding, at_milliseconds(260));
+    static_cast<void>(cell.take());
+    cell.scheduler.ask(cell.make_ask("large", 300, 12'000, 400), at_milliseconds(300));
+    cell.scheduler.ask(cell.make_ask("small", 300, 1000, 200), at_milliseconds(300));
+    auto const decisions = cell.take();
+    REQUIRE_FALSE(decisions.contains("large"));
+    REQUIRE(decisions.contains("small") == (backfill == SchedulerPolicy::Backfill::On));
+}
+
+TEST_CASE("A request without a place is refused when its time to decide is over")
+{
+    MemoryCell cell(1, 20'000, MemoryCell::options());
+    cell.scheduler.ask(cell.make_ask("running", 0, 12'000, 400), at_milliseconds(0));
+    cell.scheduler.progress("running", GrantProgress::Decoding, at_milliseconds(10));
+    static_cast<void>(cell.take());
+    cell.scheduler.ask(cell.make_ask("large", 20, 12'000, 400), at_milliseconds(20));
+    REQUIRE(cell.take().empty());
+    cell.scheduler.advance(at_milliseconds(219));
+    REQUIRE(cell.take().empty());
+    cell.scheduler.advance(at_milliseconds(220));
+    REQUIRE(cell.take().at("large") == "refused");
+}
+
+TEST_CASE("A keeper new in office counts what entries hold, at their age", "[held][kill]")
+{
+    MemoryCell cell(1, 20'000, MemoryCell::options());
+    cell.scheduler.restore(cell.make_ask("old", 0, 12'000, 4000), "p", "d0", GrantProgress::Decoding, seconds(1), at_milliseconds(0));
+    cell.scheduler.ask(cell.make_ask("new", 0, 12'000, 1000), at_milliseconds(0));
+    REQUIRE(cell.take().at("new") == "refused");
+    cell.scheduler.release("old", 0, at_milliseconds(10));
+    cell.scheduler.ask(cell.make_ask("newer", 20, 12'000, 1000), at_milliseconds(20));
+    REQUIRE(cell.take().at("newer") == "d0");
+}
--- /dev/null
+++ b/Tests/LibDecision/TestUpstreams.cpp
@@ -0,0 +1,179 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibDecision/PatienceTracker.h>
+#include <LibDecision/SharedRetryBudget.h>
+#include <LibDecision/UpstreamList.h>
+#include <LibDecision/UpstreamSelector.h>
+#include <Tests/Support/VirtualClock.h>
+#include <catch2/catch.hpp>
+
+using namespace Spurtide;
+using namespace Spurtide::Tests;
+
+namespace {
+
+UpstreamRecord record(std::string identity, UpstreamRecord::Life life = UpstreamRecord::Life::Serving)
+{
+    UpstreamRecord made;
+    made.identity = std::move(identity);
+    made.service = "service";
+    made.address = "127.0.0.1:1";
+    made.life = life;
+    return made;
+}
+
+std::vector<SelectableUpstream> const THREE { { "a", 6, SelectableUpstream::Place::SameDataCentre }, { "b", 6, SelectableUpstream::Place::SameDataCentre }, { "c", 6, SelectableUpstream::Place::SameDataCentre } };
+
+}
+
+TEST_CASE("An entry that ends while the registry is well is gone at once", "[leaving]")
+{
+    UpstreamList list({ milliseconds(1800) });
+    list.apply({ "a", record("a"), 1 }, at_milliseconds(0));
+    REQUIRE(list.takes_work("a"));
+    list.apply({ "a", {}, 2 }, at_milliseconds(5000));
+    REQUIRE_FALSE(list.takes_work("a"));
+    REQUIRE(list.size() == 0);
+}
+
+TEST_CASE("An upstream that leaves gets nothing new", "[leaving]")
+{
+    UpstreamList list({ milliseconds(1800) });
+    list.apply({ "a", record("a"), 1 }, at_milliseconds(0));
+    list.apply({ "a", record("a", UpstreamRecord::Life::Leaving), 2 }, at_milliseconds(10));
+    REQUIRE_FALSE(list.takes_work("a"));
+    // Late news of the time before change nothing.
+    list.apply({ "a", record("a"), 1 }, at_milliseconds(20));
+    REQUIRE_FALSE(list.takes_work("a"));
+}
+
+TEST_CASE("Entries that lapsed with the registry are kept until shortly after its return", "[leaving][platform-down]")
+{
+    UpstreamList list({ milliseconds(1800) });
+    list.apply({ "a", record("a"), 1 }, at_milliseconds(0));
+    list.apply({ "b", record("b"), 1 }, at_milliseconds(0));
+    list.apply({ "c", record("c", UpstreamRecord::Life::Leaving), 1 }, at_milliseconds(0));
+    list.note_registry(UpstreamList::RegistryState::Away, at_milliseconds(1000));
+    list.note_registry(UpstreamList::RegistryState::Well, at_milliseconds(6000));
+    list.replace({}, 9, at_milliseconds(6000));
+    REQUIRE(list.takes_work("a"));
+    REQUIRE(list.listed_records().empty());
+    // One that had said that it leaves has left.
+    REQUIRE_FALSE(list.find("c"));
+    list.apply({ "a", record("a"), 10 }, at_milliseconds(7000));
+    REQUIRE_FALSE(list.advance(at_milliseconds(7700)));
+    REQUIRE(list.advance(at_milliseconds(7800)));
+    REQUIRE(list.takes_work("a"));
+    REQUIRE_FALSE(list.takes_work("b"));
+}
+
+TEST_CASE("Entries that lapse during a second outage are not dropped by the first one's grace", "[leaving][platform-down]")
+{
+    UpstreamList list({ milliseconds(1800) });
+    list.apply({ "a", record("a"), 1 }, at_milliseconds(0));
+    list.note_registry(UpstreamList::RegistryState::Away, at_milliseconds(1000));
+    list.note_registry(UpstreamList::RegistryState::Well, at_milliseconds(2000));
+    list.note_registry(UpstreamList::RegistryState::Away, at_milliseconds(9000));
+    // Told by a peer whose registry has just come back empty.
+    list.replace({}, 5, at_milliseconds(9500));
+    REQUIRE_FALSE(list.advance(at_milliseconds(20'000)));
+    REQUIRE(list.takes_work("a"));
+    list.note_registry(UpstreamList::RegistryState::Well, at_milliseconds(21'000));
+    REQUIRE_FALSE(list.advance(at_milliseconds(22'700)));
+    REQUIRE(list.advance(at_milliseconds(22'800)));
+}
+
+TEST_CASE("A list that is older than what is known changes nothing")
+{
+    UpstreamList list({ milliseconds(1800) });
+    list.replace({ record("a") }, 7, at_milliseconds(0));
+    list.replace({}, 6, at_milliseconds(10));
+    REQUIRE(list.takes_work("a"));
+    REQUIRE(list.version() == 7);
+}
+
+TEST_CASE("Extra sends stay within the share of a VM", "[not-run]")
+{
+    SharedRetryBudget budget({ 0.2, 56, seconds(10), 1.0 });
+    for (int i = 0; i < 100; ++i)
+        budget.note_request(at_milliseconds(i));
+    // A fifth of 100 and an eighth of 56.
+    int taken = 0;
+    while (budget.try_take(8, at_milliseconds(200)))
+        ++taken;
+    REQUIRE(taken == 27);
+    REQUIRE_FALSE(budget.try_take(8, at_milliseconds(9000)));
+    // Once the requests and the extra sends left the window, the allowance is there again.
+    REQUIRE(budget.try_take(8, at_milliseconds(10'300)));
+}
+
+TEST_CASE("Upstreams that fail in a row are left out for a doubling time, and one request tries them")
+{
+    UpstreamSelector selector({ 3, milliseconds(1000), seconds(8) });
+    auto const fail = [&](std::int64_t now) {
+        selector.note_sent("a");
+        selector.note_end("a", UpstreamOutcome::Bad, Duration::zero(), at_milliseconds(now));
+    };
+    fail(0);
+    fail(1);
+    REQUIRE_FALSE(selector.is_left_out("a", at_milliseconds(2)));
+    fail(2);
+    REQUIRE(selector.is_left_out("a", at_milliseconds(900)));
+    REQUIRE_FALSE(selector.is_left_out("a", at_milliseconds(1100)));
+    // One bad trial leaves it out again, for twice as long.
+    fail(1100);
+    REQUIRE(selector.is_left_out("a", at_milliseconds(3000)));
+    REQUIRE_FALSE(selector.is_left_out("a", at_milliseconds(3200)));
+    selector.note_sent("a");
+    selector.note_end("a", UpstreamOutcome::Good, milliseconds(5), at_milliseconds(3300));
+    fail(3400);
+    REQUIRE_FALSE(selector.is_left_out("a", at_milliseconds(3401)));
+}
+
+TEST_CASE("Most of a service is never left out")
+{
+    UpstreamSelector selector({});
+    for (auto const* name : { "a", "b" }) {
+        for (int i = 0; i < 3; ++i) {
+            selector.note_sent(name);
+            selector.note_end(name, UpstreamOutcome::Bad, Duration::zero(), at_milliseconds(0));
+        }
+    }
+    std::set<std::size_t> chosen;
+    for (int i = 0; i < 30; ++i) {
+        auto const index = selector.choose(THREE, at_milliseconds(10));
+        REQUIRE(index);
+        chosen.insert(*index);
+        selector.note_sent(THREE[*index].identity);
+    }
+    REQUIRE(chosen.size() == 3);
+}
+
+TEST_CASE("The upstream with the least work is chosen, and a full one only when all are full")
+{
+    UpstreamSelector selector({});
+    selector.note_sent("a");
+    selector.note_sent("a");
+    selector.note_sent("b");
+    REQUIRE(selector.choose(THREE, at_milliseconds(0)) == 2);
+    selector.note_sent("c");
+    selector.note_end("c", UpstreamOutcome::Full, Duration::zero(), at_milliseconds(0));
+    REQUIRE(selector.choose(THREE, at_milliseconds(10)) == 1);
+    REQUIRE(selector.choose(THREE, at_milliseconds(500)) == 2);
+    REQUIRE_FALSE(selector.choose({}, at_milliseconds(0)));
+}
+
+TEST_CASE("Callers that come back are told from those that come first")
+{
+    PatienceTracker tracker;
+    using Visit = PatienceTracker::Visit;
+    REQUIRE(tracker.note("r", milliseconds(14'000)) == Visit::First);
+    REQUIRE(tracker.note("r", milliseconds(13'993)) == Visit::First);
+    REQUIRE(tracker.note("r", milliseconds(13'500)) == Visit::Return);
+    REQUIRE(tracker.note("other", milliseconds(3000)) == Visit::First);
+    // When all wait less than before, that becomes the usual.
+    for (int i = 0; i < 3000; ++i)
+        static_cast<void>(tracker.note("r", milliseconds(13'000)));
+    REQUIRE(tracker.note("r", milliseconds(13'000)) == Visit::First);
+}
