--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -283,6 +283,12 @@
     return !this->is_stopping && this->state.routes && has_upstreams && (has_peers || has_waited);
 }
 
+bool Node::knows_upstream(std::string_view identity, UpstreamRecord::Life life) const
+{
+    auto const* record = this->state.upstreams.find(identity);
+    return record && record->life == life;
+}
+
 asio::awaitable<void> Node::answer_operations(HttpExchange& exchange)
 {
     auto const& target = exchange.request().head.target;
--- a/Services/NodeServer/Node.h
+++ b/Services/NodeServer/Node.h
@@ -47,6 +47,9 @@
     /// Leaves, lets running requests end, and calls the function when all is done or the grace time is over.
     void stop(std::function<void()> when_done);
     bool is_ready() const;
+    /// 0 before the first one.
+    std::int64_t configuration_version() const { return this->state.routes ? this->state.routes->version() : 0; }
+    bool knows_upstream(std::string_view identity, UpstreamRecord::Life life) const;
     Address const& caller_address() const { return this->callers->address(); }
     Address const& operations_address() const { return this->operations->address(); }
 
--- /dev/null
+++ b/Tests/Platform/NodeUnderTest.h
@@ -0,0 +1,52 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#pragma once
+
+#include <Services/NodeServer/Node.h>
+#include <Tests/Platform/StoreStandIn.h>
+#include <Tests/Platform/UpstreamStandIn.h>
+#include <platform/PlatformDialect.h>
+#include <platform/PlatformRegistry.h>
+
+namespace Spurtide::Tests {
+
+/// What a caller got.
+struct CallerAnswer {
+    std::optional<HttpError> error;
+    HttpResponseHead head;
+    std::string body;
+};
+
+/// A node between stand-ins, all on the test's own loop and on loopback addresses with free ports.
+class NodeUnderTest {
+public:
+    NodeUnderTest();
+    ~NodeUnderTest();
+
+    /// Runs the loop until the condition holds; the time only bounds a failure.
+    bool run_until(std::function<bool()> const& condition, Duration limit = seconds(15));
+    /// Lists the upstream and waits until the node knows it.
+    void list(UpstreamStandIn const& upstream, std::string const& service, std::string const& state = "ready");
+    /// Puts the configuration of these tests, with changes, and waits until it is in force.
+    void configure(std::int64_t version, std::function<void(nlohmann::json&)> const& change = {});
+
+    HttpRequest request(std::string method, std::string target, std::string identifier);
+    /// A request to the engines, with the fields that a model request has.
+    HttpRequest model_request(std::string target, std::string identifier);
+    CallerAnswer call(HttpRequest request);
+    /// Sends bytes as they are and gives all that comes back until the other side closes.
+    std::string exchange_bytes(std::string bytes);
+    /// Begins a call that may be left before its end.
+    std::shared_ptr<HttpConnection> begin(HttpRequest request);
+
+    asio::io_context loop { 1 };
+    StoreStandIn store { loop };
+    std::unique_ptr<Node> node;
+
+private:
+    PlatformDialect dialect;
+    std::unique_ptr<PlatformRegistry> registry;
+};
+
+}
--- /dev/null
+++ b/Tests/Platform/StoreStandIn.cpp
@@ -0,0 +1,140 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibCore/Clock.h>
+#include <Tests/Platform/StoreStandIn.h>
+#include <openssl/evp.h>
+
+namespace Spurtide::Tests {
+
+namespace {
+
+std::string encode_base64(std::string const& bytes)
+{
+    std::string text((bytes.size() + 2) / 3 * 4 + 1, '\0');
+    auto const size = EVP_EncodeBlock(reinterpret_cast<unsigned char*>(text.data()), reinterpret_cast<unsigned char const*>(bytes.data()), static_cast<int>(bytes.size()));
+    text.resize(static_cast<std::size_t>(size));
+    return text;
+}
+
+std::string unescape(std::string const& text)
+{
+    std::string plain;
+    for (std::size_t i = 0; i < text.size(); ++i) {
+        if (text[i] == '%' && i + 2 < text.size()) {
+            plain += static_cast<char>(std::stoi(text.substr(i + 1, 2), nullptr, 16));
+            i += 2;
+        } else {
+            plain += text[i];
+        }
+    }
+    return plain;
+}
+
+std::map<std::string, std::string> read_query(std::string const& target)
+{
+    std::map<std::string, std::string> query;
+    auto at = target.find('?');
+    while (at != std::string::npos) {
+        auto const end = target.find('&', at + 1);
+        auto const pair = target.substr(at + 1, end == std::string::npos ? end : end - at - 1);
+        auto const equals = pair.find('=');
+        query[pair.substr(0, equals)] = equals == std::string::npos ? "" : unescape(pair.substr(equals + 1));
+        at = end;
+    }
+    return query;
+}
+
+}
+
+StoreStandIn::StoreStandIn(asio::io_context& loop)
+    : loop(loop)
+    , server(HttpServer::create(loop, { "127.0.0.1", 0 }, [this](auto& exchange) { return this->answer(exchange); }).release_value())
+{
+}
+
+void StoreStandIn::put(std::string const& table, std::string const& key, nlohmann::json const& value)
+{
+    this->tables[table][key] = Row { value.dump(), ++this->version, false };
+    this->notify();
+}
+
+void StoreStandIn::remove(std::string const& table, std::string const& key)
+{
+    this->tables[table][key] = Row { "", ++this->version, true };
+    this->notify();
+}
+
+void StoreStandIn::set_fault(Fault new_fault)
+{
+    this->fault = new_fault;
+    this->notify();
+}
+
+void StoreStandIn::notify()
+{
+    for (auto* signal : this->waiting)
+        signal->notify();
+}
+
+nlohmann::json StoreStandIn::row_json(std::string const& table, std::string const& key, Row const& row) const
+{
+    nlohmann::json json { { "table", table }, { "part", "" }, { "tls_key", key }, { "ver", row.version } };
+    if (row.removed)
+        json["removed"] = true;
+    else
+        json["value"] = encode_base64(row.value);
+    return json;
+}
+
+asio::awaitable<void> StoreStandIn::wait_for_change(std::string const& table, std::int64_t after, Duration wait)
+{
+    Signal signal(this->loop.get_executor());
+    auto const place = this->waiting.insert(this->waiting.end(), &signal);
+    auto const until = monotonic_now() + wait;
+    auto const has_news = [&] {
+        auto const& rows = this->tables[table];
+        return std::any_of(rows.begin(), rows.end(), [&](auto const& row) { return row.second.version > after; });
+    };
+    while (this->fault == Fault::None && !has_news()) {
+        auto const end = co_await signal.wait_until(until);
+        if (end == WaitEnd::TimedOut)
+            break;
+    }
+    this->waiting.erase(place);
+}
+
+asio::awaitable<void> StoreStandIn::answer(HttpExchange& exchange)
+{
+    auto const target = exchange.request().head.target;
+    auto query = read_query(target);
+    bool const is_feed = target.starts_with("/v1/rows-feed");
+    ++(is_feed ? this->feeds : this->reads);
+    if (is_feed)
+        co_await this->wait_for_change(query["table"], std::stoll(query["after"]), milliseconds(std::stoll(query["wait_ms"])));
+    HttpResponseHead head;
+    head.status = 200;
+    if (this->fault == Fault::Silent) {
+        Signal never(this->loop.get_executor());
+        static_cast<void>(co_await never.wait_until(monotonic_now() + seconds(20)));
+    }
+    if (this->fault == Fault::Busy || this->fault == Fault::TooMany)
+        head.status = this->fault == Fault::Busy ? 503 : 429;
+    if (this->fault == Fault::HistoryGone && is_feed)
+        head.status = 410;
+    nlohmann::json body { { "rows", nlohmann::json::array() }, { "ver", this->version }, { "now_ms", 1 } };
+    for (auto const& [key, row] : this->tables[query["table"]]) {
+        bool const is_wanted = is_feed ? row.version > std::stoll(query["after"]) : !row.removed && key >= query["from"];
+        if (!is_wanted)
+            continue;
+        if (!is_feed && body["rows"].size() >= this->page_size) {
+            body["more_pages"] = true;
+            break;
+        }
+        body["rows"].push_back(this->row_json(query["table"], key, row));
+    }
+    std::string const text = this->fault == Fault::Garbage ? "{\"rows\":" : body.dump();
+    static_cast<void>(co_await exchange.respond(std::move(head), text));
+}
+
+}
--- /dev/null
+++ b/Tests/Platform/StoreStandIn.h
@@ -0,0 +1,63 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#pragma once
+
+#include <LibAsync/HttpServer.h>
+#include <LibAsync/Signal.h>
+#include <list>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+
+namespace Spurtide::Tests {
+
+/// The platform's store as far as the router reads it: tables of rows, reads and feeds, with faults.
+class StoreStandIn {
+public:
+    enum class Fault {
+        None,
+        /// Answers 503 or 429.
+        Busy,
+        TooMany,
+        /// Takes calls and says nothing.
+        Silent,
+        /// Feeds answer that their history is gone.
+        HistoryGone,
+        /// Answers bytes that are no JSON.
+        Garbage,
+    };
+
+    explicit StoreStandIn(asio::io_context& loop);
+
+    Address const& address() const { return this->server->address(); }
+    void put(std::string const& table, std::string const& key, nlohmann::json const& value);
+    void remove(std::string const& table, std::string const& key);
+    void set_fault(Fault fault);
+    /// Rows on one page of a read.
+    std::size_t page_size = 500;
+    int reads = 0;
+    int feeds = 0;
+
+private:
+    struct Row {
+        std::string value;
+        std::int64_t version = 0;
+        bool removed = false;
+    };
+
+    asio::awaitable<void> answer(HttpExchange& exchange);
+    asio::awaitable<void> wait_for_change(std::string const& table, std::int64_t after, Duration wait);
+    nlohmann::json row_json(std::string const& table, std::string const& key, Row const& row) const;
+    void notify();
+
+    asio::io_context& loop;
+    std::unique_ptr<HttpServer> server;
+    std::map<std::string, std::map<std::string, Row>> tables;
+    std::int64_t version = 0;
+    Fault fault = Fault::None;
+    std::list<Signal*> waiting;
+};
+
+}
--- /dev/null
+++ b/Tests/Platform/TestNode.cpp
@@ -0,0 +1,432 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibCore/Clock.h>
+#include <LibCore/LogLine.h>
+#include <Tests/Platform/NodeUnderTest.h>
+#include <catch2/catch.hpp>
+
+using namespace Spurtide;
+using namespace Spurtide::Tests;
+
+namespace {
+
+std::string_view retry_after(CallerAnswer const& answer) { return answer.head.headers.find("Retry-After").value_or(""); }
+
+bool is_signed(CallerAnswer const& answer) { return answer.head.headers.contains("X-Spurtide-Server-Stamp"); }
+
+/// A script that answers so many requests in its own way.
+UpstreamStandIn::Script times(int count, std::function<asio::awaitable<void>(HttpExchange&)> answer)
+{
+    auto const left = std::make_shared<int>(count);
+    return [left, answer](HttpExchange& exchange) -> asio::awaitable<bool> {
+        if ((*left)-- <= 0)
+            co_return false;
+        co_await answer(exchange);
+        co_return true;
+    };
+}
+
+asio::awaitable<void> break_off(HttpExchange& exchange)
+{
+    exchange.abort();
+    co_return;
+}
+
+}
+
+TEST_CASE("Before the first configuration a request is told to come back, never that it has no route", "[not-run][config]")
+{
+    NodeUnderTest test;
+    auto const answer = test.call(test.request("GET", "/safe/x", "a"));
+    REQUIRE(answer.head.status == 503);
+    REQUIRE_FALSE(retry_after(answer).empty());
+}
+
+TEST_CASE("Each kind of call reaches its service and comes back whole", "[whole]")
+{
+    NodeUnderTest test;
+    UpstreamStandIn plain(test.loop, "i-1");
+    test.configure(1);
+    test.list(plain, "plain");
+    for (auto const* prefix : { "/safe/", "/once/" }) {
+        auto made = test.request("POST", std::string(prefix) + "x?y=1", std::string("id") + prefix);
+        made.body = "body";
+        made.head.headers.add("Content-Length", "4");
+        auto const answer = test.call(made);
+        REQUIRE(answer.head.status == 200);
+        REQUIRE(answer.body == "answer of i-1 to id" + std::string(prefix));
+        REQUIRE(answer.head.headers.find("X-Spurtide-Server-Stamp") == "stamp.i-1");
+        REQUIRE(plain.requests.back().body == "body");
+        REQUIRE(plain.requests.back().head.target == std::string(prefix) + "x?y=1");
+        auto const patience = parse_whole_number(plain.requests.back().head.headers.find("X-Spurtide-Deadline-Ms").value_or(""));
+        REQUIRE(*patience <= 3000);
+    }
+    REQUIRE(test.call(test.request("GET", "/none/", "b")).head.status == 404);
+}
+
+TEST_CASE("A stream is prefilled at one engine and made at another", "[whole]")
+{
+    NodeUnderTest test;
+    UpstreamStandIn prefill(test.loop, "i-p", "prefill");
+    UpstreamStandIn decode(test.loop, "i-d", "decode");
+    test.configure(1);
+    test.list(prefill, "engines");
+    test.list(decode, "engines");
+    auto const answer = test.call(test.model_request("/stream/x", "s1"));
+    REQUIRE(answer.head.status == 200);
+    REQUIRE(answer.body == "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\nid: 5\ndata: piece 5\n\n");
+    REQUIRE(prefill.requests.size() == 1);
+    REQUIRE(prefill.run.empty());
+    REQUIRE(decode.run == std::vector<std::string> { "s1" });
+    REQUIRE(decode.requests.front().head.headers.find("X-Spurtide-Kv-Source") == prefill.address().to_string() + "/handle-s1");
+    REQUIRE(decode.requests.front().body == "the prompt");
+}
+
+TEST_CASE("A call that may run once is never sent again once it may have run", "[at-most-once][answer-lost]")
+{
+    NodeUnderTest test;
+    UpstreamStandIn one(test.loop, "i-1");
+    UpstreamStandIn two(test.loop, "i-2");
+    one.script = times(10, break_off);
+    two.script = times(10, break_off);
+    test.configure(1);
+    test.list(one, "plain");
+    test.list(two, "plain");
+    auto const answer = test.call(test.request("POST", "/once/x", "a"));
+    REQUIRE(answer.head.status == 502);
+    REQUIRE_FALSE(is_signed(answer));
+    REQUIRE(one.requests.size() + two.requests.size() == 1);
+}
+
+TEST_CASE("A call that may be repeated goes to another upstream", "[whole][kill]")
+{
+    NodeUnderTest test;
+    UpstreamStandIn one(test.loop, "i-1");
+    UpstreamStandIn two(test.loop, "i-2");
+    test.configure(1);
+    test.list(one, "plain");
+    test.list(two, "plain");
+    auto const fault = GENERATE(0, 1, 2, 3, 4);
+    UpstreamStandIn::Script const script = times(1, [&, fault](HttpExchange& exchange) -> asio::awaitable<void> {
+        auto head = one.answer_head(exchange, 200);
+        if (fault == 0) {
+            exchange.abort();
+            co_return;
+        }
+        if (fault == 1)
+            head.status = 500;
+        if (fault == 2) {
+            head = HttpResponseHead { 503, "", {} };
+            head.headers.add("X-Spurtide-Not-Executed", "1");
+        }
+        if (fault == 3)
+            head.headers.add("Content-Encoding", "gzip");
+        if (fault == 4) {
+            // Broken off in the middle.
+            static_cast<void>(co_await exchange.begin(head, BodyFraming::Chunked));
+            static_cast<void>(co_await exchange.write("half of it"));
+            exchange.abort();
+            co_return;
+        }
+        static_cast<void>(co_await exchange.respond(head, "text"));
+    });
+    one.script = script;
+    two.script = script;
+    auto const answer = test.call(test.request("GET", "/safe/x", "a"));
+    CAPTURE(fault);
+    REQUIRE(answer.head.status == 200);
+    REQUIRE(answer.body.starts_with("answer of i-"));
+    REQUIRE(one.requests.size() + two.requests.size() == 2);
+}
+
+TEST_CASE("A refusal that says not run is passed on only where the upstream said so", "[not-run]")
+{
+    NodeUnderTest test;
+    UpstreamStandIn plain(test.loop, "i-1");
+    bool const is_marked = GENERATE(true, false);
+    plain.script = times(5, [&](HttpExchange& exchange) -> asio::awaitable<void> {
+        auto head = plain.answer_head(exchange, 503);
+        if (is_marked)
+            head.headers.add("X-Spurtide-Not-Executed", "1");
+        static_cast<void>(co_await exchange.respond(head, {}));
+    });
+    test.configure(1);
+    test.list(plain, "plain");
+    auto const answer = test.call(test.request("POST", "/once/x", "a"));
+    REQUIRE(answer.head.status == (is_marked ? 503 : 502));
+    REQUIRE(retry_after(answer).empty() != is_marked);
+    REQUIRE_FALSE(is_signed(answer));
+}
+
+TEST_CASE("An answer to another request is not handed on", "[whole]")
+{
+    NodeUnderTest test;
+    UpstreamStandIn plain(test.loop, "i-1");
+    plain.script = times(1, [&](HttpExchange& exchange) -> asio::awaitable<void> {
+        HttpResponseHead head { 200, "", {} };
+        head.headers.add("X-Spurtide-Attempt-Id", "somebody-else");
+        head.headers.add("X-Spurtide-Server-Stamp", "stamp");
+        static_cast<void>(co_await exchange.respond(head, "theirs"));
+        // The other side says nothing more, so the caller's own time ends it.
+    });
+    test.configure(1, [](auto& json) { json["routes"][1]["timeout_ms"] = 200; });
+    test.list(plain, "plain");
+    auto const answer = test.call(test.request("POST", "/once/x", "a"));
+    REQUIRE(answer.head.status == 504);
+    REQUIRE(answer.body.empty());
+}
+
+TEST_CASE("A request is answered at its route's time-out, and never as not run once it was sent", "[not-run][slow]")
+{
+    NodeUnderTest test;
+    UpstreamStandIn plain(test.loop, "i-1");
+    plain.script = times(5, [&](HttpExchange& exchange) -> asio::awaitable<void> {
+        Signal never(test.loop.get_executor());
+        exchange.when_caller_leaves([&] { never.notify(); });
+        co_await never.wait();
+        plain.abandoned.insert("left");
+        exchange.abort();
+    });
+    test.configure(1, [](auto& json) { json["routes"][0]["timeout_ms"] = 150; json["routes"][1]["timeout_ms"] = 150; });
+    test.list(plain, "plain");
+    for (auto const* target : { "/safe/x", "/once/x" }) {
+        auto const answer = test.call(test.request("GET", target, std::string("a") + target));
+        REQUIRE(answer.head.status == 504);
+        REQUIRE(retry_after(answer).empty());
+    }
+    REQUIRE(test.run_until([&] { return !plain.abandoned.empty(); }));
+}
+
+TEST_CASE("When a caller leaves, its stream ends at the engine", "[held][caller-cancel]")
+{
+    NodeUnderTest test;
+    UpstreamStandIn prefill(test.loop, "i-p", "prefill");
+    UpstreamStandIn decode(test.loop, "i-d", "decode");
+    decode.events = 100'000;
+    test.configure(1);
+    test.list(prefill, "engines");
+    test.list(decode, "engines");
+    auto const connection = test.begin(test.model_request("/stream/x", "s1"));
+    REQUIRE(test.run_until([&] { return !decode.run.empty(); }));
+    connection->abort();
+    REQUIRE(test.run_until([&] { return decode.abandoned.contains("s1"); }));
+}
+
+TEST_CASE("A cache that nobody will take is freed", "[held]")
+{
+    NodeUnderTest test;
+    UpstreamStandIn prefill(test.loop, "i-p", "prefill");
+    UpstreamStandIn decode(test.loop, "i-d", "decode");
+    decode.script = times(1, [&](HttpExchange& exchange) -> asio::awaitable<void> {
+        HttpResponseHead head { 503, "", {} };
+        head.headers.add("X-Spurtide-Not-Executed", "1");
+        static_cast<void>(co_await exchange.respond(head, {}));
+    });
+    test.configure(1);
+    test.list(prefill, "engines");
+    test.list(decode, "engines");
+    auto const answer = test.call(test.model_request("/stream/x", "s1"));
+    REQUIRE(answer.head.status == 503);
+    REQUIRE_FALSE(retry_after(answer).empty());
+    REQUIRE(test.run_until([&] { return prefill.freed == std::vector<std::string> { "handle-s1" }; }));
+}
+
+TEST_CASE("A resumable stream goes on behind its last whole event, with nothing twice", "[whole][kill]")
+{
+    NodeUnderTest test;
+    UpstreamStandIn prefill(test.loop, "i-p", "prefill");
+    UpstreamStandIn one(test.loop, "i-1", "decode");
+    UpstreamStandIn two(test.loop, "i-2", "decode");
+    auto const torn = GENERATE(as<std::string> {}, "id: 1\ndata: pie", "id: 1\ndata: piece 1\n\n", "id: 1\ndata: piece 1\n\nid: 2\nda");
+    UpstreamStandIn::Script const script = times(1, [&](HttpExchange& exchange) -> asio::awaitable<void> {
+        auto head = one.answer_head(exchange, 200);
+        static_cast<void>(co_await exchange.begin(head, BodyFraming::Chunked));
+        static_cast<void>(co_await exchange.write(torn));
+        exchange.abort();
+    });
+    one.script = script;
+    two.script = script;
+    test.configure(1);
+    for (auto const* engine : { &prefill, &one, &two })
+        test.list(*engine, "engines");
+    auto const answer = test.call(test.model_request("/resumable/x", "s1"));
+    CAPTURE(torn);
+    REQUIRE(answer.head.status == 200);
+    REQUIRE(answer.body == "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\nid: 5\ndata: piece 5\n\n");
+}
+
+TEST_CASE("A stream that cannot go on does not look whole", "[whole][kill]")
+{
+    NodeUnderTest test;
+    UpstreamStandIn prefill(test.loop, "i-p", "prefill");
+    UpstreamStandIn decode(test.loop, "i-d", "decode");
+    auto const framing = GENERATE(BodyFraming::Chunked, BodyFraming::UntilClose);
+    decode.script = times(5, [&](HttpExchange& exchange) -> asio::awaitable<void> {
+        auto head = decode.answer_head(exchange, 200);
+        static_cast<void>(co_await exchange.begin(head, framing));
+        static_cast<void>(co_await exchange.write("id: 1\ndata: piece 1\n\n"));
+        exchange.abort();
+    });
+    test.configure(1);
+    test.list(prefill, "engines");
+    test.list(decode, "engines");
+    auto const answer = test.call(test.model_request("/stream/x", "s1"));
+    REQUIRE(answer.error);
+    REQUIRE(decode.requests.size() == 1);
+}
+
+TEST_CASE("Malformed requests get a clear answer and never reach an upstream", "[whole]")
+{
+    NodeUnderTest test;
+    UpstreamStandIn plain(test.loop, "i-1");
+    test.configure(1);
+    test.list(plain, "plain");
+    struct Case {
+        std::string bytes;
+        std::string status;
+    };
+    std::string const good = "GET /safe/x HTTP/1.1\r\nHost: h.example\r\nX-Spurtide-Attempt-Id: a\r\n";
+    auto const given = GENERATE_COPY(
+        Case { "nonsense\r\n\r\n", "400" }, Case { good + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", "400" }, Case { good + "Transfer-Encoding : chunked\r\n\r\n", "400" },
+        Case { good + "X: " + std::string(8000, 'x') + "\r\n\r\n", "431" }, Case { good + "Content-Length: 200000\r\n\r\n" + std::string(150'000, 'x'), "413" },
+        Case { good + "Content-Length: 10\r\n\r\nhalf", "408" }, Case { good, "408" }, Case { "GET /safe/x HTTP/1.1\r\nHost: h.example\r\n\r\n", "400" }, Case { "GET /safe/x HTTP/1.1\r\nX-Spurtide-Attempt-Id: a\r\n\r\n", "400" });
+    // A body that stays away is waited for as long as a head.
+    auto const answer = test.exchange_bytes(given.bytes);
+    CAPTURE(given.status, given.bytes.substr(0, 200));
+    REQUIRE(answer.starts_with("HTTP/1.1 " + given.status));
+    REQUIRE(plain.requests.empty());
+}
+
+TEST_CASE("Requests that are sent ahead are answered in their order", "[whole]")
+{
+    NodeUnderTest test;
+    UpstreamStandIn plain(test.loop, "i-1");
+    test.configure(1);
+    test.list(plain, "plain");
+    std::string bytes;
+    for (auto const* name : { "a", "b", "c" })
+        bytes += "GET /safe/x HTTP/1.1\r\nHost: h.example\r\nX-Spurtide-Attempt-Id: " + std::string(name) + "\r\n\r\n";
+    auto const answers = test.exchange_bytes(bytes);
+    auto const first = answers.find("to a");
+    auto const second = answers.find("to b");
+    auto const third = answers.find("to c");
+    REQUIRE(first < second);
+    REQUIRE(second < third);
+    REQUIRE(third != std::string::npos);
+}
+
+TEST_CASE("An upstream that leaves gets no new work, and one that is gone none either", "[leaving]")
+{
+    NodeUnderTest test;
+    UpstreamStandIn one(test.loop, "i-1");
+    UpstreamStandIn two(test.loop, "i-2");
+    test.configure(1);
+    test.list(one, "plain");
+    test.list(two, "plain");
+    test.list(one, "plain", "draining");
+    for (int i = 0; i < 6; ++i)
+        REQUIRE(test.call(test.request("GET", "/safe/x", "a" + std::to_string(i))).head.status == 200);
+    REQUIRE(one.requests.empty());
+    test.store.remove("servers", "i-2");
+    REQUIRE(test.run_until([&] { return !test.node->knows_upstream("i-2", UpstreamRecord::Life::Serving); }));
+    REQUIRE(test.call(test.request("GET", "/safe/x", "b")).head.status == 503);
+}
+
+TEST_CASE("The last list and configuration stay in use while the store is away", "[platform-down][config]")
+{
+    NodeUnderTest test;
+    UpstreamStandIn plain(test.loop, "i-1");
+    test.configure(1);
+    test.list(plain, "plain");
+    auto const fault = GENERATE(StoreStandIn::Fault::Busy, StoreStandIn::Fault::TooMany, StoreStandIn::Fault::Garbage);
+    test.store.set_fault(fault);
+    REQUIRE(test.call(test.request("GET", "/safe/x", "a")).head.status == 200);
+    // The entry lapses meanwhile; the upstream lives and announces itself again.
+    auto const feeds = test.store.feeds;
+    REQUIRE(test.run_until([&] { return test.store.feeds > feeds + 4; }));
+    test.store.remove("servers", "i-1");
+    test.store.set_fault(StoreStandIn::Fault::None);
+    auto const seen = test.store.feeds;
+    REQUIRE(test.run_until([&] { return test.store.feeds > seen + 2; }));
+    REQUIRE(test.call(test.request("GET", "/safe/x", "b")).head.status == 200);
+    test.configure(2);
+}
+
+TEST_CASE("Where history is gone the whole is read again", "[platform-down][leaving]")
+{
+    NodeUnderTest test;
+    UpstreamStandIn one(test.loop, "i-1");
+    UpstreamStandIn two(test.loop, "i-2");
+    test.configure(1);
+    test.list(one, "plain");
+    auto const reads = test.store.reads;
+    test.store.set_fault(StoreStandIn::Fault::HistoryGone);
+    test.store.put("servers", two.identity, two.entry("plain"));
+    test.store.remove("servers", "i-1");
+    REQUIRE(test.run_until([&] { return test.node->knows_upstream("i-2", UpstreamRecord::Life::Serving) && !test.node->knows_upstream("i-1", UpstreamRecord::Life::Serving); }));
+    REQUIRE(test.store.reads > reads);
+}
+
+TEST_CASE("A long list is read in pages")
+{
+    NodeUnderTest test;
+    test.store.page_size = 2;
+    std::vector<std::unique_ptr<UpstreamStandIn>> upstreams;
+    for (int i = 0; i < 5; ++i) {
+        upstreams.push_back(std::make_unique<UpstreamStandIn>(test.loop, "i-" + std::to_string(i)));
+        test.store.put("servers", upstreams.back()->identity, upstreams.back()->entry("plain"));
+    }
+    REQUIRE(test.run_until([&] { return test.node->knows_upstream("i-4", UpstreamRecord::Life::Serving); }));
+}
+
+TEST_CASE("A configuration never goes back", "[config]")
+{
+    NodeUnderTest test;
+    test.configure(5);
+    test.store.put("op", "config", nlohmann::json { { "version", 4 }, { "routes", nlohmann::json::array() }, { "services", nlohmann::json::array() } });
+    test.store.put("op", "other", nlohmann::json { { "version", 9 } });
+    auto const feeds = test.store.feeds;
+    REQUIRE(test.run_until([&] { return test.store.feeds > feeds; }));
+    test.configure(6);
+    REQUIRE(test.node->configuration_version() == 6);
+}
+
+TEST_CASE("A stopping node is not ready, ends what runs and takes no stream that it could not end", "[planned-stop]")
+{
+    NodeUnderTest test;
+    UpstreamStandIn prefill(test.loop, "i-p", "prefill");
+    UpstreamStandIn decode(test.loop, "i-d", "decode");
+    decode.events = 20;
+    decode.event_pause = milliseconds(10);
+    test.configure(1);
+    test.list(prefill, "engines");
+    test.list(decode, "engines");
+    REQUIRE(test.run_until([&] { return test.node->is_ready(); }));
+    bool is_stopped = false;
+    auto const running = test.begin(test.model_request("/stream/x", "s1"));
+    REQUIRE(test.run_until([&] { return !decode.run.empty(); }));
+    test.node->stop([&] { is_stopped = true; });
+    REQUIRE_FALSE(test.node->is_ready());
+    std::string body;
+    std::optional<HttpError> error;
+    bool is_read = false;
+    auto const read = [&]() -> asio::awaitable<void> {
+        auto head = co_await running->read_head();
+        auto whole = co_await running->read_body(100'000);
+        if (whole.is_error())
+            error = whole.error();
+        else
+            body = whole.release_value();
+        is_read = true;
+    };
+    asio::co_spawn(test.loop, read(), asio::detached);
+    REQUIRE(test.run_until([&] { return is_read; }));
+    REQUIRE_FALSE(error);
+    REQUIRE(body.ends_with("piece 20\n\n"));
+    running->abort();
+    auto const early = test.call(test.model_request("/stream/x", "s2"));
+    REQUIRE(early.head.status == 200);
+    REQUIRE(early.head.headers.find("Connection") == "close");
+    REQUIRE(test.run_until([&] { return is_stopped; }));
+}
--- /dev/null
+++ b/Tests/Platform/TestPlatformDialect.cpp
@@ -0,0 +1,138 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <catch2/catch.hpp>
+#include <platform/PlatformDialect.h>
+#include <platform/PlatformDocuments.h>
+#include <random>
+
+using namespace Spurtide;
+
+namespace {
+
+HttpRequest model_request()
+{
+    HttpRequest request;
+    request.head.method = "POST";
+    request.head.target = "/a/b?c";
+    for (auto const& [name, value] : std::vector<std::pair<std::string, std::string>> { { "Host", "h.example" }, { "X-Spurtide-Attempt-Id", "id-1" }, { "X-Spurtide-Deadline-Ms", "14000" }, { "X-Spurtide-Model", "m" }, { "X-Spurtide-Token-Count", "1460,80" }, { "X-Spurtide-Prompt-Prefix", "5c:800,91:660" }, { "X-Spurtide-Length-Hint", "40" }, { "Last-Event-Id", "12" }, { "X-Own", "kept" } })
+        request.head.headers.add(name, value);
+    request.body = "prompt";
+    request.head.headers.add("Content-Length", "6");
+    return request;
+}
+
+}
+
+TEST_CASE("A caller's request is read into what the router decides by")
+{
+    PlatformDialect const dialect;
+    auto const read = dialect.read_request(model_request().head);
+    REQUIRE_FALSE(read.is_error());
+    REQUIRE(read.value().identifier == "id-1");
+    REQUIRE(read.value().patience == seconds(14));
+    REQUIRE(read.value().last_event == "12");
+    REQUIRE(read.value().prompt->prompt_tokens == 1460);
+    REQUIRE(read.value().prompt->maximum_output_tokens == 80);
+    REQUIRE(read.value().prompt->expected_output_tokens == 40);
+}
+
+TEST_CASE("What makes no sense in a caller's fields is a typed fault")
+{
+    PlatformDialect const dialect;
+    struct Case {
+        std::string name;
+        std::string value;
+        CallerFault fault;
+    };
+    auto const given = GENERATE(
+        Case { "X-Spurtide-Attempt-Id", "", CallerFault::MissingIdentifier }, Case { "X-Spurtide-Deadline-Ms", "soon", CallerFault::BadPatience }, Case { "X-Spurtide-Deadline-Ms", "-5", CallerFault::BadPatience },
+        Case { "X-Spurtide-Token-Count", "many", CallerFault::BadPrompt }, Case { "X-Spurtide-Token-Count", "10,-1", CallerFault::BadPrompt }, Case { "X-Spurtide-Token-Count", "99999999999999999999,1", CallerFault::BadPrompt });
+    auto request = model_request();
+    for (auto& field : request.head.headers.all()) {
+        if (equal_names(field.name, given.name))
+            field.value = given.value;
+    }
+    auto const read = dialect.read_request(request.head);
+    CAPTURE(given.name, given.value);
+    REQUIRE(read.is_error());
+    REQUIRE(read.error() == given.fault);
+}
+
+TEST_CASE("What only the router may set never comes from a caller", "[whole]")
+{
+    PlatformDialect const dialect;
+    auto request = model_request();
+    for (auto const* name : { "X-Spurtide-Kv-Source", "x-spurtide-kv-source", "X-SPURTIDE-SERVING-PHASE", "X-Spurtide-Expect-Instance", "X-Spurtide-Request-Urgency", "X-Spurtide-Pin-Ms", "X-Spurtide-Kv-Hold", "X-Spurtide-Kv-Backup", "Kv-Fetch", "X-Spurtide-Expect-Version", "Connection", "Transfer-Encoding", "Keep-Alive", "Expect" })
+        request.head.headers.add(name, "forged");
+    Dispatch dispatch;
+    dispatch.patience = milliseconds(1234);
+    dispatch.expected_identity = "i-1";
+    auto const head = dialect.upstream_head(request, dispatch);
+    for (auto const& field : head.headers.all())
+        REQUIRE(field.value != "forged");
+    REQUIRE(head.headers.count("X-Spurtide-Deadline-Ms") == 1);
+    REQUIRE(head.headers.find("X-Spurtide-Deadline-Ms") == "1234");
+    REQUIRE(head.headers.find("X-Spurtide-Expect-Instance") == "i-1");
+    REQUIRE(head.headers.find("X-Spurtide-Prompt-Prefix") == "5c:800,91:660");
+    REQUIRE(head.headers.find("Last-Event-Id") == "12");
+    REQUIRE(head.headers.find("X-Own") == "kept");
+    REQUIRE(head.headers.find("Content-Length") == "6");
+    REQUIRE(head.target == "/a/b?c");
+}
+
+TEST_CASE("Each stage of a request says where it stands")
+{
+    PlatformDialect const dialect;
+    Dispatch dispatch;
+    dispatch.stage = DispatchStage::Prefill;
+    REQUIRE(dialect.upstream_head(model_request(), dispatch).headers.find("X-Spurtide-Serving-Phase") == "prefill");
+    dispatch.stage = DispatchStage::Decode;
+    dispatch.cache_address = "10.1.64.9:8080";
+    dispatch.cache_handle = "3fa0";
+    dispatch.after_event = "30";
+    auto const decode = dialect.upstream_head(model_request(), dispatch);
+    REQUIRE(decode.headers.find("X-Spurtide-Kv-Source") == "10.1.64.9:8080/3fa0");
+    REQUIRE(decode.headers.count("Last-Event-Id") == 1);
+    REQUIRE(decode.headers.find("Last-Event-Id") == "30");
+    REQUIRE_FALSE(decode.headers.contains("X-Spurtide-Serving-Phase"));
+}
+
+TEST_CASE("The configuration row is read whole, with defaults for what it leaves out")
+{
+    auto const read = read_configuration_row(R"({"version":7,"routes":[{"name":"r","hostname":"h","path_prefix":"/p/","route_kind":"streaming","timeout_ms":14000,"slo_ms":900,"priority":1,"service":"s","max_attempts":2,"resumable":true,"gap_slo_ms":300},
+        {"name":"q","hostname":"h","path_prefix":"/q/","route_kind":"idempotent","split":[{"service":"a","weight":90},{"service":"b","weight":10}]}],
+        "services":[{"name":"s","max_conns":370,"engine":{"slots":64,"kv_capacity":89659,"token_kv_bytes":18432,"link_mbps":8.0,"stride":64,"kv_hold_s":0.5}}],"limits":{"max_header_bytes":100}})");
+    REQUIRE_FALSE(read.is_error());
+    auto const& configuration = read.value();
+    REQUIRE(configuration.version == 7);
+    REQUIRE(configuration.routes[0].kind == RouteKind::Stream);
+    REQUIRE(configuration.routes[0].is_resumable);
+    REQUIRE(configuration.routes[0].first_event_patience == milliseconds(3600));
+    REQUIRE(configuration.routes[1].targets.size() == 2);
+    REQUIRE(configuration.routes[1].maximum_attempts == 1);
+    REQUIRE(configuration.services[0].engine->memory_tokens == 89659);
+    REQUIRE(configuration.services[0].engine->link_bytes_per_second == 1e6);
+    REQUIRE(configuration.services[0].engine->tokens_per_event == 64);
+    REQUIRE(configuration.limits.maximum_head == 100);
+    REQUIRE(configuration.limits.idle_timeout == seconds(15));
+}
+
+TEST_CASE("Rows that make no sense are typed errors, and damaged ones never crash the reader")
+{
+    for (auto const* text : { "", "[]", "{}", "{\"version\":\"7\"}", "nonsense" })
+        REQUIRE(read_configuration_row(text).is_error());
+    REQUIRE_FALSE(read_server_row("i", "{}"));
+    REQUIRE_FALSE(read_server_row("i", "[1]"));
+    REQUIRE_FALSE(read_store_row(nlohmann::json::parse(R"({"tls_key":"k","ver":1,"value":"***"})")));
+    std::string const row = R"({"version":7,"routes":[{"name":"r","hostname":"h","path_prefix":"/p/","split":[{"service":"a","weight":1}]}],"services":[{"name":"s","engine":{"slots":64}}],"limits":{}})";
+    std::mt19937 random(20261202);
+    for (int round = 0; round < 5000; ++round) {
+        auto damaged = row;
+        for (int change = 0; change < 2; ++change)
+            damaged[random() % damaged.size()] = static_cast<char>(32 + random() % 95);
+        auto const read = read_configuration_row(damaged);
+        if (!read.is_error())
+            REQUIRE(read.value().routes.size() <= 1);
+    }
+}
--- /dev/null
+++ b/Tests/Platform/UpstreamStandIn.cpp
@@ -0,0 +1,102 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <Tests/Platform/UpstreamStandIn.h>
+
+namespace Spurtide::Tests {
+
+UpstreamStandIn::UpstreamStandIn(asio::io_context& loop, std::string identity, std::string phase)
+    : identity(std::move(identity))
+    , phase(std::move(phase))
+    , loop(loop)
+    , server(HttpServer::create(loop, { "127.0.0.1", 0 }, [this](auto& exchange) { return this->answer(exchange); }).release_value())
+{
+}
+
+nlohmann::json UpstreamStandIn::entry(std::string const& service, std::string const& state) const
+{
+    nlohmann::json json { { "service", service }, { "address", this->address().to_string() }, { "zone", "dc" }, { "version", "v1" }, { "slots", 6 }, { "state", state }, { "cold_left_ms", 0 }, { "call_seq", 0 } };
+    if (!this->phase.empty())
+        json["phase"] = this->phase;
+    return json;
+}
+
+HttpResponseHead UpstreamStandIn::answer_head(HttpExchange const& exchange, int status) const
+{
+    HttpResponseHead head;
+    head.status = status;
+    head.headers.add("X-Spurtide-Attempt-Id", exchange.request().head.headers.find("X-Spurtide-Attempt-Id").value_or(""));
+    head.headers.add("X-Spurtide-Server-Stamp", "stamp." + this->identity);
+    return head;
+}
+
+asio::awaitable<void> UpstreamStandIn::answer(HttpExchange& exchange)
+{
+    this->requests.push_back(exchange.request());
+    auto const& head = exchange.request().head;
+    std::string const request(head.headers.find("X-Spurtide-Attempt-Id").value_or(""));
+    if (this->script) {
+        bool const is_done = co_await this->script(exchange);
+        if (is_done)
+            co_return;
+    }
+    if (head.method == "DELETE") {
+        this->freed.push_back(head.target.substr(head.target.rfind('/') + 1));
+        HttpResponseHead done;
+        done.status = 200;
+        static_cast<void>(co_await exchange.respond(std::move(done), {}));
+        co_return;
+    }
+    if (head.headers.find("X-Spurtide-Expect-Instance") != this->identity) {
+        HttpResponseHead other;
+        other.status = 421;
+        static_cast<void>(co_await exchange.respond(std::move(other), {}));
+        co_return;
+    }
+    if (head.headers.find("X-Spurtide-Serving-Phase") == "prefill") {
+        co_await this->prefill(exchange, request);
+        co_return;
+    }
+    this->run.push_back(request);
+    if (this->phase == "decode") {
+        co_await this->stream(exchange, request);
+        co_return;
+    }
+    std::string const body = "answer of " + this->identity + " to " + request;
+    static_cast<void>(co_await exchange.respond(this->answer_head(exchange, 200), body));
+}
+
+asio::awaitable<void> UpstreamStandIn::prefill(HttpExchange& exchange, std::string const& request)
+{
+    auto const handle = "handle-" + request;
+    this->handles.insert(handle);
+    nlohmann::json const body { { "kv_handle", handle }, { "tokens", 100 }, { "version", 1 } };
+    auto head = this->answer_head(exchange, 200);
+    auto const text = body.dump();
+    static_cast<void>(co_await exchange.respond(std::move(head), text));
+}
+
+asio::awaitable<void> UpstreamStandIn::stream(HttpExchange& exchange, std::string const& request)
+{
+    auto head = this->answer_head(exchange, 200);
+    head.headers.add("Content-Type", "text/event-stream");
+    auto const begun = co_await exchange.begin(std::move(head), BodyFraming::Chunked);
+    bool is_gone = begun.is_error();
+    auto const after = parse_whole_number(exchange.request().head.headers.find("Last-Event-Id").value_or("0")).value_or(0);
+    for (auto i = after + 1; i <= this->events && !is_gone; ++i) {
+        asio::steady_timer timer(this->loop, this->event_pause);
+        asio::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        std::string const event = "id: " + std::to_string(i) + "\ndata: piece " + std::to_string(i) + "\n\n";
+        auto const sent = co_await exchange.write(event);
+        is_gone = sent.is_error() || exchange.is_caller_gone();
+    }
+    if (is_gone) {
+        this->abandoned.insert(request);
+        exchange.abort();
+        co_return;
+    }
+    static_cast<void>(co_await exchange.finish());
+}
+
+}
--- /dev/null
+++ b/Tests/Platform/UpstreamStandIn.h
@@ -0,0 +1,52 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#pragma once
+
+#include <LibAsync/HttpServer.h>
+#include <functional>
+#include <nlohmann/json.hpp>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace Spurtide::Tests {
+
+/// One of the platform's servers: a plain one, or an engine of a phase. What it got is kept for the tests.
+class UpstreamStandIn {
+public:
+    /// Takes the place of the usual behaviour for one request; false leaves it to that.
+    using Script = std::function<asio::awaitable<bool>(HttpExchange& exchange)>;
+
+    UpstreamStandIn(asio::io_context& loop, std::string identity, std::string phase = "");
+
+    Address const& address() const { return this->server->address(); }
+    nlohmann::json entry(std::string const& service, std::string const& state = "ready") const;
+
+    std::string identity;
+    std::string phase;
+    Script script;
+    int events = 5;
+    Duration event_pause = milliseconds(2);
+    /// Requests in the order of their coming.
+    std::vector<HttpRequest> requests;
+    /// Requests that were run, and those whose caller left before the end.
+    std::vector<std::string> run;
+    std::set<std::string> abandoned;
+    std::set<std::string> handles;
+    std::vector<std::string> freed;
+
+    /// The head of an answer to the exchange's request.
+    HttpResponseHead answer_head(HttpExchange const& exchange, int status) const;
+
+private:
+    asio::awaitable<void> answer(HttpExchange& exchange);
+    asio::awaitable<void> prefill(HttpExchange& exchange, std::string const& request);
+    asio::awaitable<void> stream(HttpExchange& exchange, std::string const& request);
+
+    asio::io_context& loop;
+    std::unique_ptr<HttpServer> server;
+};
+
+}
