LibRouter: Connect to the decode engine before the prompt is read; tell a new keeper at once

Ruled out: handles that lapse (decode took them within 10 ms of the prefill). Test: 'No prompt is read for a decode engine that is away'.

--- a/Libraries/LibAsync/ConnectionPool.cpp
+++ b/Libraries/LibAsync/ConnectionPool.cpp
@@ -34,6 +34,20 @@
         connection->abort();
         return;
     }
+    this->keep(address, connection);
+}
+
+void ConnectionPool::put_back_unused(Address const& address, std::shared_ptr<HttpConnection> const& connection)
+{
+    connection->clear_deadline();
+    if (connection->is_quiet())
+        this->keep(address, connection);
+    else
+        connection->abort();
+}
+
+void ConnectionPool::keep(Address const& address, std::shared_ptr<HttpConnection> const& connection)
+{
     connection->idle_since = monotonic_now();
     auto& list = this->resting[address.to_string()];
     list.push_back(connection);
--- a/Libraries/LibAsync/ConnectionPool.h
+++ b/Libraries/LibAsync/ConnectionPool.h
@@ -34,6 +34,8 @@
     asio::awaitable<HttpConnection::Connected> acquire(Address address, Freshness freshness);
     /// Keeps the connection for others where it may be used again, else closes it.
     void release(Address const& address, std::shared_ptr<HttpConnection> const& connection);
+    /// Keeps a connection that carried no request yet, or not since it was acquired.
+    void put_back_unused(Address const& address, std::shared_ptr<HttpConnection> const& connection);
     /// Closes what rested for too long. Call about once a second.
     void sweep(MonotonicTime now);
     void drop(Address const& address) { this->resting.erase(address.to_string()); }
@@ -41,6 +43,8 @@
     std::size_t resting_count() const;
 
 private:
+    void keep(Address const& address, std::shared_ptr<HttpConnection> const& connection);
+
     Options options;
     std::map<std::string, std::deque<std::shared_ptr<HttpConnection>>> resting;
 };
--- a/Libraries/LibRouter/PlacementClient.cpp
+++ b/Libraries/LibRouter/PlacementClient.cpp
@@ -77,6 +77,7 @@
 void PlacementClient::start()
 {
     this->kernel.every(this->options.renewal, [this] { this->renew(); });
+    this->kernel.every(this->options.keeper_check, [this] { this->follow_keeper(); });
 }
 
 std::string PlacementClient::endpoint_of(std::string const& virtual_machine) const
@@ -127,6 +128,7 @@
 asio::awaitable<std::optional<PlacementDecision>> PlacementClient::ask(PlacementAsk ask, std::shared_ptr<Ask> wait, Duration decide_within, Duration first_token_within)
 {
     auto const begun = monotonic_now();
+    this->follow_keeper();
     auto names = this->keepers();
     names.resize(std::min(names.size(), REMOTE_TRIES));
     std::erase(names, this->kernel.virtual_machine());
@@ -199,13 +201,20 @@
     this->send(release_message(request, output_tokens, failed_engine));
 }
 
+// A keeper that is new in office knows nothing; until it hears what is held it would promise memory twice.
+void PlacementClient::follow_keeper()
+{
+    auto const keeper = this->present_keeper();
+    if (keeper == this->last_keeper)
+        return;
+    LogLine("keeper_changed").with("keeper", keeper).with("held", static_cast<std::int64_t>(this->held.size()));
+    this->last_keeper = keeper;
+    this->renew();
+}
+
 void PlacementClient::renew()
 {
     auto const keeper = this->present_keeper();
-    if (keeper != this->last_keeper) {
-        LogLine("keeper_changed").with("keeper", keeper).with("held", static_cast<std::int64_t>(this->held.size()));
-        this->last_keeper = keeper;
-    }
     if (this->held.empty())
         return;
     auto envelope = placement_message();
--- a/Libraries/LibRouter/PlacementClient.h
+++ b/Libraries/LibRouter/PlacementClient.h
@@ -28,6 +28,8 @@
         Duration suspicion = milliseconds(1500);
         /// How often held grants are named to the keeper.
         Duration renewal = milliseconds(1000);
+        /// How often the keeper is looked up while nothing is asked.
+        Duration keeper_check = milliseconds(100);
     };
 
     /// A wait that its request may give up.
@@ -75,6 +77,7 @@
     std::string endpoint_of(std::string const& virtual_machine) const;
     std::string present_keeper() const;
     void send(wire::Envelope envelope);
+    void follow_keeper();
     void renew();
     wire::Envelope ask_message(PlacementAsk const& ask, Duration decide_within, Duration first_token_within) const;
 
--- a/Libraries/LibRouter/StreamFlow.cpp
+++ b/Libraries/LibRouter/StreamFlow.cpp
@@ -138,6 +138,19 @@
     Dispatch dispatch;
     dispatch.expected_identity = grant.decode_engine;
     UpstreamRecord const decoder = *decode_engine;
+    auto const decode_address = parse_address(decoder.address);
+    if (!decode_address)
+        co_return co_await this->give_up(SendEnd::NotSent, "bad_address");
+    // A prompt that is read before the decode engine turns out to be away is read for nothing.
+    auto reserved = co_await this->state.pool.acquire(*decode_address, this->freshness());
+    if (!reserved.is_error())
+        this->state.pool.put_back_unused(*decode_address, reserved.value());
+    if (this->is_stopped())
+        co_return Progress::TryAgain;
+    if (reserved.is_error()) {
+        this->failed_engine = decoder.identity;
+        co_return co_await this->give_up(SendEnd::NotSent, to_string(reserved.error()));
+    }
     if (prefill_engine) {
         UpstreamRecord const prefiller = *prefill_engine;
         auto cache = co_await this->prefill(prefiller);
@@ -156,8 +169,14 @@
     co_return co_await this->decode(decoder, std::move(dispatch));
 }
 
+ConnectionPool::Freshness StreamFlow::freshness() const
+{
+    return this->route.is_resumable ? ConnectionPool::Freshness::Any : ConnectionPool::Freshness::Recent;
+}
+
 asio::awaitable<std::optional<HeldCache>> StreamFlow::prefill(UpstreamRecord engine)
 {
+    auto const begun = monotonic_now();
     auto const address = parse_address(engine.address);
     this->failed_engine = engine.identity;
     if (!address)
@@ -206,10 +225,12 @@
     }
     this->set_active(nullptr);
     this->state.pool.release(*address, connection);
-    if (cache)
+    auto const took = to_milliseconds(std::chrono::duration_cast<Duration>(monotonic_now() - begun));
+    if (cache) {
         this->failed_engine.clear();
-    else
-        LogLine("prefill_failed").with("request", this->request.identifier).with("engine", engine.identity).with("reason", reason);
+        LogLine("prefilled").with("request", this->request.identifier).with("engine", engine.identity).with("ms", took);
+    } else
+        LogLine("prefill_failed").with("request", this->request.identifier).with("engine", engine.identity).with("reason", reason).with("ms", took);
     co_return cache;
 }
 
@@ -218,8 +239,7 @@
     auto const address = parse_address(engine.address);
     if (!address)
         co_return co_await this->give_up(SendEnd::NotSent, "bad_address");
-    auto const may_repeat = this->route.is_resumable ? ConnectionPool::Freshness::Any : ConnectionPool::Freshness::Recent;
-    auto acquired = co_await this->state.pool.acquire(*address, may_repeat);
+    auto acquired = co_await this->state.pool.acquire(*address, this->freshness());
     if (acquired.is_error() || this->is_stopped() || !this->state.upstreams.takes_work(engine.identity)) {
         if (!dispatch.cache_handle.empty())
             this->free_cache(dispatch.cache_address, dispatch.cache_handle);
--- a/Libraries/LibRouter/StreamFlow.h
+++ b/Libraries/LibRouter/StreamFlow.h
@@ -51,6 +51,7 @@
     asio::awaitable<Progress> relay(std::shared_ptr<HttpConnection> connection, HttpResponseHead head);
     asio::awaitable<Progress> give_up(SendEnd end, std::string_view reason);
     void free_cache(std::string const& address, std::string const& handle);
+    ConnectionPool::Freshness freshness() const;
     void release(std::string const& failed_engine);
     /// Tokens of the answer that came so far.
     std::int64_t relayed_tokens() const;
--- a/Tests/Platform/TestNode.cpp
+++ b/Tests/Platform/TestNode.cpp
@@ -232,6 +232,24 @@
     REQUIRE(test.run_until([&] { return prefill.freed == std::vector<std::string> { "handle-s1" }; }));
 }
 
+TEST_CASE("No prompt is read for a decode engine that is away", "[held][kill]")
+{
+    NodeUnderTest test;
+    UpstreamStandIn prefill(test.loop, "i-p", "prefill");
+    UpstreamStandIn here(test.loop, "i-2", "decode");
+    auto away = std::make_unique<UpstreamStandIn>(test.loop, "i-1", "decode");
+    test.configure(1);
+    test.list(prefill, "engines");
+    test.list(*away, "engines");
+    away.reset();
+    auto const refused = test.call(test.model_request("/stream/x", "s1"));
+    REQUIRE(refused.head.status == 503);
+    REQUIRE(prefill.requests.empty());
+    test.list(here, "engines");
+    REQUIRE(test.call(test.model_request("/stream/x", "s2")).head.status == 200);
+    REQUIRE(prefill.requests.size() == 1);
+}
+
 TEST_CASE("A resumable stream goes on behind its last whole event, with nothing twice", "[whole][kill]")
 {
     NodeUnderTest test;
