LibDecision: Let decode engines read prompts where no prefill engine is left; never leave out a whole role

Ruled out: the keeper (its list was whole), the connections (others went through). Tests: 'Where no prefill engine...', 'The engines of a role are never all left out'.

--- a/Libraries/LibDecision/CellScheduler.h
+++ b/Libraries/LibDecision/CellScheduler.h
@@ -159,6 +159,18 @@
         Off,
     } backfill
         = Backfill::Off;
+    /// Whether the engines of a role that failed least are used when all of the role are left out.
+    enum class LastResort {
+        On,
+        Off,
+    } last_resort
+        = LastResort::Off;
+    /// Whether a decode engine reads a prompt itself where no prefill engine is to be had.
+    enum class DecodePrefill {
+        On,
+        Off,
+    } decode_prefill
+        = DecodePrefill::Off;
     /// Picks one of the candidates; empty stands for the built-in choice.
     std::function<std::size_t(std::span<PlacementCandidate const>)> choose_prefill;
     std::function<std::size_t(std::span<PlacementCandidate const>)> choose_decode;
@@ -278,6 +290,8 @@
         double prefill_rate = 8000;
         /// Prefills granted and not known to be finished, in the order of their grants.
         std::vector<QueuedPrefill> prefills;
+        /// Left out like all others of its role, and used all the same since it failed least.
+        bool is_last_resort = false;
         /// Requests that hold or were promised a slot here.
         std::set<std::string, std::less<>> slots;
         /// What they will hold; empty when it has to be worked out anew.
@@ -322,6 +336,9 @@
     };
 
     void schedule(MonotonicTime now);
+    void mark_last_resorts(MonotonicTime now);
+    bool has_usable_prefill(PlacementAsk const& ask, MonotonicTime now) const;
+    Duration own_prefill_time(PlacementAsk const& ask) const;
     void schedule_model(std::string const& model, MonotonicTime now);
     ScheduleStep schedule_one(std::size_t index, MonotonicTime now);
     Duration expected_lateness() const;
--- a/Libraries/LibDecision/CellSchedulerPlacement.cpp
+++ b/Libraries/LibDecision/CellSchedulerPlacement.cpp
@@ -6,6 +6,7 @@
 
 #include <LibDecision/CellScheduler.h>
 #include <algorithm>
+#include <limits>
 #include <xxhash.h>
 
 namespace Spurtide {
@@ -23,6 +24,7 @@
 
 void CellScheduler::schedule(MonotonicTime now)
 {
+    this->mark_last_resorts(now);
     std::set<std::string> models;
     for (auto const& ask : this->waiting)
         models.insert(ask.model);
@@ -30,6 +32,50 @@
         this->schedule_model(model, now);
 }
 
+// Engines that lose single answers are left out one after the other, until none would be left. Those that
+// failed least go on: a request that one of them fails is no worse off than one that is refused.
+void CellScheduler::mark_last_resorts(MonotonicTime now)
+{
+    if (this->options.policy.last_resort == SchedulerPolicy::LastResort::Off)
+        return;
+    struct Group {
+        bool has_usable = false;
+        int least_failures = std::numeric_limits<int>::max();
+    };
+    std::map<std::pair<std::string_view, EngineRole>, Group> groups;
+    for (auto& [name, engine] : this->engines) {
+        engine.is_last_resort = false;
+        auto& group = groups[{ engine.description.model, engine.description.role }];
+        group.has_usable = group.has_usable || this->is_usable(engine, now);
+        if (engine.reported_life == EngineReport::Life::Serving && engine.hinted_life == EngineReport::Life::Serving)
+            group.least_failures = std::min(group.least_failures, engine.failures_in_a_row);
+    }
+    for (auto& [name, engine] : this->engines) {
+        auto const& group = groups[{ engine.description.model, engine.description.role }];
+        engine.is_last_resort = !group.has_usable && engine.failures_in_a_row <= group.least_failures;
+    }
+}
+
+bool CellScheduler::has_usable_prefill(PlacementAsk const& ask, MonotonicTime now) const
+{
+    return std::any_of(this->engines.begin(), this->engines.end(), [&](auto const& entry) {
+        auto const& engine = entry.second;
+        return engine.description.role == EngineRole::Prefill && engine.description.model == ask.model && this->is_usable(engine, now) && !is_excluded(ask, entry.first);
+    });
+}
+
+// A decode engine reads between the tokens of others, at half the pace of a prefill engine.
+Duration CellScheduler::own_prefill_time(PlacementAsk const& ask) const
+{
+    constexpr double PACE = 0.5;
+    double rate = 0;
+    for (auto const& [name, engine] : this->engines) {
+        if (engine.description.model == ask.model)
+            rate = std::max(rate, engine.prefill_rate);
+    }
+    return from_seconds(static_cast<double>(ask.prompt_tokens + ask.relayed_tokens) / (PACE * std::max(1.0, rate)));
+}
+
 void CellScheduler::schedule_model(std::string const& model, MonotonicTime now)
 {
     this->refuse_hopeless(model, now);
@@ -116,12 +162,15 @@
     bool const is_silent = !engine.last_report || now - *engine.last_report > this->options.report_validity;
     if (is_silent && this->options.report_need == Options::ReportNeed::Required)
         return false;
+    bool const is_serving = engine.reported_life == EngineReport::Life::Serving && engine.hinted_life == EngineReport::Life::Serving;
+    if (engine.is_last_resort)
+        return is_serving;
     if (now < engine.left_out_until)
         return false;
     // An engine that failed gets one request to try it, and no more until that succeeded.
     if (engine.failures_in_a_row > 0 && this->granted.contains(engine.trial))
         return false;
-    return engine.reported_life == EngineReport::Life::Serving && engine.hinted_life == EngineReport::Life::Serving;
+    return is_serving;
 }
 
 // An engine whose steps are slower than the target between tokens is not filled further.
@@ -166,6 +215,8 @@
         auto const first = this->busy_until(engine, now) + this->prefill_time(engine, ask) + this->transfer_time(engine, ask) + engine.step_time + this->expected_lateness();
         best = best ? std::min(*best, first) : first;
     }
+    if (!best && this->options.policy.decode_prefill == SchedulerPolicy::DecodePrefill::On)
+        best = now + this->own_prefill_time(ask);
     auto const room = this->earliest_room(ask, now);
     if (best && room)
         best = std::max(*best, *room);
@@ -260,6 +311,11 @@
 std::optional<CellScheduler::Placement> CellScheduler::find_placement(PlacementAsk const& ask, MonotonicTime now)
 {
     auto const candidates = this->prefill_candidates(ask, now);
+    if (candidates.empty() && this->options.policy.decode_prefill == SchedulerPolicy::DecodePrefill::On && !this->has_usable_prefill(ask, now)) {
+        Placement placement;
+        placement.prefill_end = now + this->own_prefill_time(ask);
+        return this->find_decode(ask, std::move(placement), now);
+    }
     if (candidates.empty())
         return {};
     auto const& chosen = candidates[this->options.policy.choose_prefill(candidates)];
@@ -330,18 +386,19 @@
 
 void CellScheduler::grant(PlacementAsk ask, Placement const& placement, MonotonicTime now)
 {
-    auto& prefill = this->engines.find(placement.prefill)->second;
+    auto const prefill = this->engines.find(placement.prefill);
     Granted granted;
     granted.prefill_engine = placement.prefill;
     granted.decode_engine = placement.decode;
     granted.granted_at = now;
     granted.named_at = now;
     granted.predicted_first_token = placement.first_token;
-    prefill.prefills.push_back({ ask.request, ask.prompt_tokens + ask.relayed_tokens, now });
+    if (prefill != this->engines.end())
+        prefill->second.prefills.push_back({ ask.request, ask.prompt_tokens + ask.relayed_tokens, now });
     auto& decode = this->engines.find(placement.decode)->second;
     this->hold_slot(decode, ask.request);
-    for (auto* engine : { &prefill, &decode }) {
-        if (engine->failures_in_a_row > 0)
+    for (auto* engine : { prefill != this->engines.end() ? &prefill->second : nullptr, &decode }) {
+        if (engine && engine->failures_in_a_row > 0)
             engine->trial = ask.request;
     }
     auto const account = this->accounts.find(ask.account);
--- a/Libraries/LibRouter/EngineKeeper.cpp
+++ b/Libraries/LibRouter/EngineKeeper.cpp
@@ -186,12 +186,14 @@
             request = grant->request;
             reply.mutable_placement_grant()->set_prefill_engine(grant->prefill_engine);
             reply.mutable_placement_grant()->set_decode_engine(grant->decode_engine);
+            this->metrics.increment("spurtide_placements_total", "Decisions of this keeper", { { "outcome", "granted" } });
             LogLine("placed").with("request", request).with("prefill", grant->prefill_engine).with("decode", grant->decode_engine).with("candidates", static_cast<std::int64_t>(grant->candidates));
         } else {
             auto const& refusal = std::get<PlacementRefusal>(decision);
             request = refusal.request;
             reply.mutable_placement_refusal()->set_reason(wire_reason(refusal.reason));
             reply.mutable_placement_refusal()->set_retry_after_milliseconds(to_milliseconds(refusal.retry_after));
+            this->metrics.increment("spurtide_placements_total", "Decisions of this keeper", { { "outcome", std::string(to_string(refusal.reason)) } });
             auto const summary = this->scheduler.summary(monotonic_now());
             LogLine("not_placed").with("request", request).with("reason", to_string(refusal.reason)).with("retry_after_ms", to_milliseconds(refusal.retry_after)).with("waiting", static_cast<std::int64_t>(summary.waiting)).with("granted", static_cast<std::int64_t>(summary.granted)).with("engines", static_cast<std::int64_t>(summary.engines_heard));
         }
--- a/Libraries/LibRouter/StreamFlow.cpp
+++ b/Libraries/LibRouter/StreamFlow.cpp
@@ -187,8 +187,10 @@
         co_return std::nullopt;
     }
     auto acquired = co_await this->state.pool.acquire(*address, ConnectionPool::Freshness::Any);
-    if (acquired.is_error())
+    if (acquired.is_error()) {
+        LogLine("prefill_failed").with("request", this->request.identifier).with("engine", engine.identity).with("reason", to_string(acquired.error()));
         co_return std::nullopt;
+    }
     auto const connection = acquired.release_value();
     if (this->is_stopped() || !this->state.upstreams.takes_work(engine.identity)) {
         this->state.pool.release(*address, connection);
--- a/StandIns/EngineStandIn/EngineModel.cpp
+++ b/StandIns/EngineStandIn/EngineModel.cpp
@@ -299,6 +299,7 @@
 std::vector<EngineModel::Held> EngineModel::held() const
 {
     std::vector<Held> all;
+    all.reserve(this->prefill_queue.size());
     for (auto const& prefill : this->prefill_queue)
         all.push_back({ prefill.owner, HeldKind::PrefillQueue });
     if (this->running)
--- a/Tests/LibDecision/TestMemoryForecast.cpp
+++ b/Tests/LibDecision/TestMemoryForecast.cpp
@@ -212,6 +212,39 @@
     REQUIRE(cell.take().at("large") == "refused");
 }
 
+TEST_CASE("Where no prefill engine is to be had a decode engine reads the prompt itself, if the policy says so", "[kill][cut]")
+{
+    auto const decode_prefill = GENERATE(SchedulerPolicy::DecodePrefill::On, SchedulerPolicy::DecodePrefill::Off);
+    auto options = MemoryCell::options();
+    options.policy.decode_prefill = decode_prefill;
+    MemoryCell cell(1, 20'000, options);
+    cell.scheduler.set_leaving("p", EngineReport::Life::Leaving);
+    cell.scheduler.ask(cell.make_ask("one", 0, 5000, 1000), at_milliseconds(0));
+    cell.scheduler.advance(at_milliseconds(250));
+    REQUIRE(cell.take().at("one") == (decode_prefill == SchedulerPolicy::DecodePrefill::On ? "d0" : "refused"));
+}
+
+TEST_CASE("The engines of a role are never all left out", "[answer-lost]")
+{
+    auto options = MemoryCell::options();
+    options.policy.last_resort = SchedulerPolicy::LastResort::On;
+    MemoryCell cell(3, 20'000, options);
+    for (auto const* engine : { "p", "d0", "d1", "d2" })
+        cell.scheduler.note_failure(engine, at_milliseconds(0));
+    cell.scheduler.note_failure("d1", at_milliseconds(600));
+    cell.scheduler.note_failure("d2", at_milliseconds(600));
+    cell.scheduler.note_failure("d0", at_milliseconds(601));
+    cell.scheduler.note_failure("p", at_milliseconds(601));
+    cell.scheduler.ask(cell.make_ask("one", 610, 5000, 1000), at_milliseconds(610));
+    REQUIRE(cell.take().contains("one"));
+    // One that is well again goes before all of them.
+    cell.scheduler.progress("one", GrantProgress::CacheHeld, at_milliseconds(700));
+    cell.scheduler.progress("one", GrantProgress::Decoding, at_milliseconds(710));
+    auto const well = cell.scheduler.locate("one")->decode_engine;
+    cell.scheduler.ask(cell.make_ask("two", 900, 1000, 500), at_milliseconds(900));
+    REQUIRE(cell.take().at("two") == well);
+}
+
 TEST_CASE("A keeper new in office counts what entries hold, at their age", "[held][kill]")
 {
     MemoryCell cell(1, 20'000, MemoryCell::options());
