LibRouter: Take out the dead branch of a trial that was not kept

A trial had switched off, by a constant, the longer wait for callers that come back; the branch and its comment, which said the opposite of what runs, stayed in. The decode engine's address is read once.

--- a/Libraries/LibRouter/StreamFlow.cpp
+++ b/Libraries/LibRouter/StreamFlow.cpp
@@ -11,9 +11,6 @@
 
 /// Of the time to the first event: a caller that is refused within it can still be served in time elsewhere.
 constexpr double DECISION_SHARE = 0.22;
-/// Of the time that callers wait for a first event, for those that come back: the answer must be on its way
-/// before they leave.
-constexpr double RETURN_SHARE = 0.85;
 /// Less is not worth a placement.
 constexpr Duration LEAST_TIME_FOR_PLACEMENT = milliseconds(200);
 /// Reading the longest prompts and the queue before them takes less.
@@ -71,13 +68,8 @@
     ask.excluded_engines = this->failed_engines;
     ask.data_centre = this->state.data_centre;
     auto const age = std::chrono::duration_cast<Duration>(monotonic_now() - this->exchange.received_at());
-    auto decide_within = from_seconds(to_seconds(this->route.latency_target) * DECISION_SHARE) - age;
-    auto first_token_within = this->route.latency_target - age;
-    // A caller that has come back once is served late rather than sent away again.
-    if (false) {
-        first_token_within = from_seconds(to_seconds(this->route.first_event_patience) * RETURN_SHARE) - age;
-        decide_within = first_token_within;
-    }
+    auto const decide_within = from_seconds(to_seconds(this->route.latency_target) * DECISION_SHARE) - age;
+    auto const first_token_within = this->route.latency_target - age;
     this->wait = std::make_shared<PlacementClient::Ask>(this->state.loop.get_executor());
     auto decision = co_await this->state.placement->ask(std::move(ask), this->wait, std::max(decide_within, milliseconds(20)), first_token_within);
     this->wait.reset();
@@ -166,7 +158,7 @@
         dispatch.cache_address = prefiller.address;
         dispatch.cache_handle = cache->handle;
     }
-    co_return co_await this->decode(decoder, std::move(dispatch));
+    co_return co_await this->decode(decoder, *decode_address, std::move(dispatch));
 }
 
 ConnectionPool::Freshness StreamFlow::freshness() const
@@ -236,12 +228,9 @@
     co_return cache;
 }
 
-asio::awaitable<StreamFlow::Progress> StreamFlow::decode(UpstreamRecord engine, Dispatch dispatch)
+asio::awaitable<StreamFlow::Progress> StreamFlow::decode(UpstreamRecord engine, Address address, Dispatch dispatch)
 {
-    auto const address = parse_address(engine.address);
-    if (!address)
-        co_return co_await this->give_up(SendEnd::NotSent, "bad_address");
-    auto acquired = co_await this->state.pool.acquire(*address, this->freshness());
+    auto acquired = co_await this->state.pool.acquire(address, this->freshness());
     if (acquired.is_error() || this->is_stopped() || !this->state.upstreams.takes_work(engine.identity)) {
         if (!dispatch.cache_handle.empty())
             this->free_cache(dispatch.cache_address, dispatch.cache_handle);
@@ -249,7 +238,7 @@
             this->failed_engine = engine.identity;
             co_return co_await this->give_up(SendEnd::NotSent, to_string(acquired.error()));
         }
-        this->state.pool.release(*address, acquired.value());
+        this->state.pool.release(address, acquired.value());
         if (this->is_stopped())
             co_return Progress::TryAgain;
         co_return co_await this->give_up(SendEnd::NotSent, "upstream_left");
@@ -275,14 +264,14 @@
         this->state.placement->progress(this->request.identifier, GrantProgress::Decoding);
         auto const progress = co_await this->relay(connection, head.release_value());
         this->set_active(nullptr);
-        this->state.pool.release(*address, connection);
+        this->state.pool.release(address, connection);
         co_return progress;
     }
     auto answer = co_await connection->read_body(LARGEST_PREFILL_ANSWER);
     this->set_active(nullptr);
     if (answer.is_error())
         connection->abort();
-    this->state.pool.release(*address, connection);
+    this->state.pool.release(address, connection);
     auto const reason = "decode_status_" + std::to_string(status);
     if (facts.is_not_executed || status == 421) {
         this->note_not_executed();
--- a/Libraries/LibRouter/StreamFlow.h
+++ b/Libraries/LibRouter/StreamFlow.h
@@ -47,7 +47,7 @@
     /// One placement from its grant to its end.
     asio::awaitable<Progress> use(PlacementGrant grant);
     asio::awaitable<std::optional<HeldCache>> prefill(UpstreamRecord engine);
-    asio::awaitable<Progress> decode(UpstreamRecord engine, Dispatch dispatch);
+    asio::awaitable<Progress> decode(UpstreamRecord engine, Address address, Dispatch dispatch);
     asio::awaitable<Progress> relay(std::shared_ptr<HttpConnection> connection, HttpResponseHead head);
     asio::awaitable<Progress> give_up(SendEnd end, std::string_view reason);
     void free_cache(std::string const& address, std::string const& handle);
