--- a/Libraries/LibAsync/ConnectionPool.cpp
+++ b/Libraries/LibAsync/ConnectionPool.cpp
@@ -70,12 +70,4 @@
     }
 }
 
-std::size_t ConnectionPool::resting_count() const
-{
-    std::size_t count = 0;
-    for (auto const& [address, list] : this->resting)
-        count += list.size();
-    return count;
-}
-
 }
--- a/Libraries/LibAsync/ConnectionPool.h
+++ b/Libraries/LibAsync/ConnectionPool.h
@@ -39,8 +39,6 @@
     /// Closes what rested for too long. Call about once a second.
     void sweep(MonotonicTime now);
     void drop(Address const& address) { this->resting.erase(address.to_string()); }
-    /// Resting connections that are closed when their address is no more wanted.
-    std::size_t resting_count() const;
 
 private:
     void keep(Address const& address, std::shared_ptr<HttpConnection> const& connection);
--- a/Libraries/LibAsync/HttpConnection.cpp
+++ b/Libraries/LibAsync/HttpConnection.cpp
@@ -79,7 +79,6 @@
 
 void HttpConnection::send(std::string head, std::shared_ptr<std::string const> body, MessageParser::ExpectedBody expected_body)
 {
-    ++this->exchanges;
     this->parser.start(expected_body);
     this->head_bytes = std::move(head);
     this->body_bytes = std::move(body);
--- a/Libraries/LibAsync/HttpConnection.h
+++ b/Libraries/LibAsync/HttpConnection.h
@@ -50,9 +50,6 @@
     bool is_reusable() const;
     /// Whether a resting connection is still open and nothing came in on it.
     bool is_quiet();
-    bool was_used_before() const { return this->exchanges > 1; }
-    /// Whether any byte of the present answer came in.
-    bool has_answer_begun() const { return this->parser.has_begun(); }
     /// When it became idle, and how long the other side keeps it then.
     MonotonicTime idle_since;
     Duration idle_limit {};
@@ -74,7 +71,6 @@
     bool is_aborted = false;
     bool is_timed_out = false;
     bool must_close = false;
-    int exchanges = 0;
     std::uint64_t deadline_number = 0;
 };
 
--- a/Libraries/LibAsync/ServerConnection.cpp
+++ b/Libraries/LibAsync/ServerConnection.cpp
@@ -21,8 +21,6 @@
 constexpr Duration CLOSE_PATIENCE = seconds(1);
 constexpr std::string_view INTERIM_ANSWER = "HTTP/1.1 100 Continue\r\n\r\n";
 
-int status_of_timeout() { return 408; }
-
 }
 
 ServerConnection::ServerConnection(HttpServer& server, asio::ip::tcp::socket accepted)
@@ -183,7 +181,7 @@
         head.status = 413;
         break;
     case ReadEnd::TookTooLong:
-        head.status = status_of_timeout();
+        head.status = 408;
         break;
     default:
         head.status = 400;
