--- a/Libraries/LibDecision/CellScheduler.h
+++ b/Libraries/LibDecision/CellScheduler.h
@@ -365,7 +365,7 @@
     MemoryForecast forecast_of(PlacementAsk const& ask, Engine const& engine) const;
     AnswerForecast answer_forecast(PlacementAsk const& ask, double made_tokens) const;
     double usable_memory(Engine const& engine) const;
-    static bool is_excluded(PlacementAsk const& ask, std::string_view engine);
+    bool may_take(Engine const& engine, EngineRole role, PlacementAsk const& ask, MonotonicTime now) const;
     bool has_room(Engine const& engine, PlacementAsk const& ask, MonotonicTime now, MonotonicTime when) const;
     std::int64_t free_slots(Engine const& engine, MonotonicTime now, MonotonicTime when) const;
     std::optional<MonotonicTime> earliest_room(PlacementAsk const& ask, MonotonicTime now) const;
--- a/Libraries/LibDecision/CellSchedulerPlacement.cpp
+++ b/Libraries/LibDecision/CellSchedulerPlacement.cpp
@@ -59,8 +59,7 @@
 bool CellScheduler::has_usable_prefill(PlacementAsk const& ask, MonotonicTime now) const
 {
     return std::any_of(this->engines.begin(), this->engines.end(), [&](auto const& entry) {
-        auto const& engine = entry.second;
-        return engine.description.role == EngineRole::Prefill && engine.description.model == ask.model && this->is_usable(engine, now) && !is_excluded(ask, entry.first);
+        return this->may_take(entry.second, EngineRole::Prefill, ask, now);
     });
 }
 
@@ -196,7 +195,7 @@
 {
     std::vector<PlacementCandidate> candidates;
     for (auto const& [name, engine] : this->engines) {
-        if (engine.description.role != EngineRole::Prefill || engine.description.model != ask.model || !this->is_usable(engine, now) || is_excluded(ask, name))
+        if (!this->may_take(engine, EngineRole::Prefill, ask, now))
             continue;
         auto const start = this->busy_until(engine, now);
         if (start - now > this->options.prefill_ahead)
@@ -210,7 +209,7 @@
 {
     std::optional<MonotonicTime> best;
     for (auto const& [name, engine] : this->engines) {
-        if (engine.description.role != EngineRole::Prefill || engine.description.model != ask.model || !this->is_usable(engine, now) || is_excluded(ask, name))
+        if (!this->may_take(engine, EngineRole::Prefill, ask, now))
             continue;
         auto const first = this->busy_until(engine, now) + this->prefill_time(engine, ask) + this->transfer_time(engine, ask) + engine.step_time + this->expected_lateness();
         best = best ? std::min(*best, first) : first;
@@ -228,7 +227,7 @@
 {
     std::optional<MonotonicTime> earliest;
     for (auto const& [name, engine] : this->engines) {
-        if (engine.description.role != EngineRole::Decode || engine.description.model != ask.model || !this->is_usable(engine, now) || is_excluded(ask, name))
+        if (!this->may_take(engine, EngineRole::Decode, ask, now))
             continue;
         if (this->has_room(engine, ask, now, now))
             return now;
@@ -240,9 +239,12 @@
     return earliest;
 }
 
-bool CellScheduler::is_excluded(PlacementAsk const& ask, std::string_view engine)
+// Whether the engine may do a part of the request now, room and queues aside.
+bool CellScheduler::may_take(Engine const& engine, EngineRole role, PlacementAsk const& ask, MonotonicTime now) const
 {
-    return std::find(ask.excluded_engines.begin(), ask.excluded_engines.end(), engine) != ask.excluded_engines.end();
+    auto const& description = engine.description;
+    bool const is_excluded = std::find(ask.excluded_engines.begin(), ask.excluded_engines.end(), description.name) != ask.excluded_engines.end();
+    return description.role == role && description.model == ask.model && this->is_usable(engine, now) && !is_excluded;
 }
 
 double CellScheduler::usable_memory(Engine const& engine) const
@@ -330,7 +332,7 @@
 {
     std::vector<PlacementCandidate> candidates;
     for (auto const& [name, engine] : this->engines) {
-        if (engine.description.role != EngineRole::Decode || engine.description.model != ask.model || !this->is_usable(engine, now) || is_excluded(ask, name))
+        if (!this->may_take(engine, EngineRole::Decode, ask, now))
             continue;
         auto const ready = placement.prefill_end + this->transfer_time(engine, ask);
         auto const promised = ready - this->options.safety_margin;
