--- a/Libraries/LibRouter/EngineKeeper.cpp
+++ b/Libraries/LibRouter/EngineKeeper.cpp
@@ -4,6 +4,7 @@
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
 #include <LibRouter/EngineKeeper.h>
+#include <LibWire/WirePlacement.h>
 
 namespace Spurtide {
 
@@ -18,39 +19,6 @@
 constexpr std::string_view ACCOUNT = "all";
 constexpr double UNLIMITED = 1e9;
 
-wire::RefusalReason wire_reason(RefusalReason reason)
-{
-    switch (reason) {
-    case RefusalReason::UnknownModel:
-        return wire::REFUSAL_REASON_UNKNOWN_MODEL;
-    case RefusalReason::UnknownAccount:
-        return wire::REFUSAL_REASON_UNKNOWN_ACCOUNT;
-    case RefusalReason::RateLimited:
-        return wire::REFUSAL_REASON_RATE_LIMITED;
-    case RefusalReason::NoUpstream:
-        return wire::REFUSAL_REASON_NO_UPSTREAM;
-    case RefusalReason::CannotMeetFirstToken:
-        return wire::REFUSAL_REASON_CANNOT_MEET_FIRST_TOKEN;
-    case RefusalReason::QueueFull:
-        return wire::REFUSAL_REASON_QUEUE_FULL;
-    case RefusalReason::Duplicate:
-        return wire::REFUSAL_REASON_DUPLICATE;
-    }
-    VERIFY_NOT_REACHED();
-}
-
-GrantProgress read_progress(wire::GrantProgress progress)
-{
-    switch (progress) {
-    case wire::GRANT_PROGRESS_CACHE_HELD:
-        return GrantProgress::CacheHeld;
-    case wire::GRANT_PROGRESS_DECODING:
-        return GrantProgress::Decoding;
-    default:
-        return GrantProgress::Prefilling;
-    }
-}
-
 PlacementAsk read_ask(wire::PlacementAsk const& message, MonotonicTime now)
 {
     PlacementAsk ask;
--- a/Libraries/LibRouter/PlacementClient.cpp
+++ b/Libraries/LibRouter/PlacementClient.cpp
@@ -5,6 +5,7 @@
 #include <LibCore/LogLine.h>
 #include <LibDecision/CellMap.h>
 #include <LibRouter/PlacementClient.h>
+#include <LibWire/WirePlacement.h>
 #include <algorithm>
 
 namespace Spurtide {
@@ -17,39 +18,6 @@
 /// A keeper and the one that follows it; after them this VM decides for itself.
 constexpr std::size_t REMOTE_TRIES = 2;
 
-wire::GrantProgress wire_progress(GrantProgress progress)
-{
-    switch (progress) {
-    case GrantProgress::Prefilling:
-        return wire::GRANT_PROGRESS_PREFILLING;
-    case GrantProgress::CacheHeld:
-        return wire::GRANT_PROGRESS_CACHE_HELD;
-    case GrantProgress::Decoding:
-        return wire::GRANT_PROGRESS_DECODING;
-    }
-    VERIFY_NOT_REACHED();
-}
-
-RefusalReason read_reason(wire::RefusalReason reason)
-{
-    switch (reason) {
-    case wire::REFUSAL_REASON_UNKNOWN_ACCOUNT:
-        return RefusalReason::UnknownAccount;
-    case wire::REFUSAL_REASON_RATE_LIMITED:
-        return RefusalReason::RateLimited;
-    case wire::REFUSAL_REASON_NO_UPSTREAM:
-        return RefusalReason::NoUpstream;
-    case wire::REFUSAL_REASON_CANNOT_MEET_FIRST_TOKEN:
-        return RefusalReason::CannotMeetFirstToken;
-    case wire::REFUSAL_REASON_QUEUE_FULL:
-        return RefusalReason::QueueFull;
-    case wire::REFUSAL_REASON_DUPLICATE:
-        return RefusalReason::Duplicate;
-    default:
-        return RefusalReason::UnknownModel;
-    }
-}
-
 wire::Envelope placement_message()
 {
     wire::Envelope envelope;
--- a/Services/EntryServer/PlacementClient.cpp
+++ b/Services/EntryServer/PlacementClient.cpp
@@ -2,6 +2,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 
 #include <LibCore/Clock.h>
+#include <LibWire/WirePlacement.h>
 #include <Services/EntryServer/PlacementClient.h>
 #include <algorithm>
 #include <thread>
@@ -39,19 +40,6 @@
     }
 }
 
-wire::GrantProgress wire_progress(GrantProgress progress)
-{
-    switch (progress) {
-    case GrantProgress::Prefilling:
-        return wire::GRANT_PROGRESS_PREFILLING;
-    case GrantProgress::CacheHeld:
-        return wire::GRANT_PROGRESS_CACHE_HELD;
-    case GrantProgress::Decoding:
-        return wire::GRANT_PROGRESS_DECODING;
-    }
-    VERIFY_NOT_REACHED();
-}
-
 wire::Envelope ask_message(PlacementAsk const& ask, Duration first_token_within)
 {
     wire::Envelope envelope;
--- a/Services/PlacementServer/CellKeeper.cpp
+++ b/Services/PlacementServer/CellKeeper.cpp
@@ -3,6 +3,7 @@
 
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
+#include <LibWire/WirePlacement.h>
 #include <Services/PlacementServer/CellKeeper.h>
 #include <algorithm>
 #include <asio/post.hpp>
@@ -15,39 +16,6 @@
 constexpr Duration TICK = milliseconds(20);
 constexpr Duration QUESTION_TIMEOUT = milliseconds(1000);
 
-wire::RefusalReason wire_reason(RefusalReason reason)
-{
-    switch (reason) {
-    case RefusalReason::UnknownModel:
-        return wire::REFUSAL_REASON_UNKNOWN_MODEL;
-    case RefusalReason::UnknownAccount:
-        return wire::REFUSAL_REASON_UNKNOWN_ACCOUNT;
-    case RefusalReason::RateLimited:
-        return wire::REFUSAL_REASON_RATE_LIMITED;
-    case RefusalReason::NoUpstream:
-        return wire::REFUSAL_REASON_NO_UPSTREAM;
-    case RefusalReason::CannotMeetFirstToken:
-        return wire::REFUSAL_REASON_CANNOT_MEET_FIRST_TOKEN;
-    case RefusalReason::QueueFull:
-        return wire::REFUSAL_REASON_QUEUE_FULL;
-    case RefusalReason::Duplicate:
-        return wire::REFUSAL_REASON_DUPLICATE;
-    }
-    VERIFY_NOT_REACHED();
-}
-
-GrantProgress read_progress(wire::GrantProgress progress)
-{
-    switch (progress) {
-    case wire::GRANT_PROGRESS_CACHE_HELD:
-        return GrantProgress::CacheHeld;
-    case wire::GRANT_PROGRESS_DECODING:
-        return GrantProgress::Decoding;
-    default:
-        return GrantProgress::Prefilling;
-    }
-}
-
 }
 
 CellKeeper::CellKeeper(Options options, Kernel& kernel, Metrics& metrics)
