EngineStandIn: Let a test end the hold time of exports by hand

The test set a hold time of 1 ms on the real clock; where the engine's answering thread ran later than that after the prefill, the export had lapsed already and the prefill itself came back as dropped. Ruled out: a fault in HttpEngine (the same error comes from the stand-in's own phase, Expired). Change: a test lets exports lapse by a call, after it saw that the prefill's result was held; the hold time of these tests is 60 s, so that a busy machine ends none of them. The stalled transfer's patience is the decode engine's own. Conclusion: the test raced with a clock; the product's code is unchanged.

--- a/StandIns/EngineStandIn/EngineModel.cpp
+++ b/StandIns/EngineStandIn/EngineModel.cpp
@@ -94,6 +94,13 @@
     std::erase_if(this->expired, [&](auto const& entry) { return now - entry.second > EXPIRED_NAMES_KEPT; });
 }
 
+void EngineModel::let_exports_lapse(MonotonicTime now)
+{
+    for (auto& [request, held] : this->exports)
+        held.expires = std::min(held.expires, now);
+    this->expire_exports(now);
+}
+
 Result<Done, EngineModel::AdmitError> EngineModel::start_decode(Decode decode, MonotonicTime now)
 {
     this->advance(now);
--- a/StandIns/EngineStandIn/EngineModel.h
+++ b/StandIns/EngineStandIn/EngineModel.h
@@ -146,6 +146,8 @@
     bool cancel(std::string_view request, MonotonicTime now);
     /// The other engine has the whole cache now.
     bool drop_export(std::string_view request);
+    /// Ends the hold time of every export there is.
+    void let_exports_lapse(MonotonicTime now);
     void stall_transfer(std::string_view request, MonotonicTime now) { this->link.stall(request, now); }
     /// An engine that is leaving takes no new work.
     void set_leaving(bool is_leaving) { this->leaving = is_leaving; }
--- a/StandIns/EngineStandIn/EngineStandIn.cpp
+++ b/StandIns/EngineStandIn/EngineStandIn.cpp
@@ -147,6 +147,13 @@
     return this->model.held();
 }
 
+void EngineStandIn::let_exports_lapse()
+{
+    std::scoped_lock const lock(this->mutex);
+    this->model.let_exports_lapse(monotonic_now());
+    this->changed.notify_all();
+}
+
 EngineModel::Totals EngineStandIn::totals()
 {
     std::scoped_lock const lock(this->mutex);
--- a/StandIns/EngineStandIn/EngineStandIn.h
+++ b/StandIns/EngineStandIn/EngineStandIn.h
@@ -55,6 +55,8 @@
 
     void set_faults(EngineFaults faults);
     std::vector<EngineModel::Held> held();
+    /// Ends the hold time of every export that is there.
+    void let_exports_lapse();
     EngineModel::Totals totals();
 
 private:
--- a/Tests/LibUpstream/TestEngineContract.cpp
+++ b/Tests/LibUpstream/TestEngineContract.cpp
@@ -18,15 +18,18 @@
 
 /// A prefill and a decode engine, and their ports.
 struct Engines {
-    explicit Engines(EngineModel::Options model = {}, EngineStandIn::Options::FenceCheck fence_check = EngineStandIn::Options::FenceCheck::On)
+    explicit Engines(EngineModel::Options prefill_model = {}, EngineStandIn::Options::FenceCheck fence_check = EngineStandIn::Options::FenceCheck::On, std::optional<EngineModel::Options> decode_model = {})
     {
+        // These tests are not about the hold time: a machine that is busy for a while must not end it.
+        prefill_model.cache_hold = seconds(60);
         EngineStandIn::Options options;
         options.address = s_any_port;
-        options.model = model;
+        options.model = prefill_model;
         options.threads = 16;
         options.report_lag = Duration::zero();
         options.fence_check = fence_check;
         this->prefill = EngineStandIn::create(options).release_value();
+        options.model = decode_model.value_or(prefill_model);
         this->decode = EngineStandIn::create(options).release_value();
         this->prefill_port = std::make_unique<HttpEngine>(this->prefill->address(), HttpEngine::Options {});
         this->decode_port = std::make_unique<HttpEngine>(this->decode->address(), HttpEngine::Options {});
@@ -159,20 +162,21 @@
 {
     SECTION("an export that was not picked up in time")
     {
-        EngineModel::Options options;
-        options.cache_hold = milliseconds(1);
-        Engines engines(options);
+        Engines engines;
         REQUIRE_FALSE(engines.run_prefill("r1").is_error());
-        REQUIRE(eventually([&] { return engines.prefill->held().empty(); }));
+        REQUIRE(engines.prefill->held().size() == 1);
+        engines.prefill->let_exports_lapse();
+        REQUIRE(engines.prefill->held().empty());
         std::string text;
         CHECK(engines.run_decode("r1", text).error().kind == EngineErrorKind::ExportGone);
         CHECK(engines.decode->held().empty());
     }
     SECTION("a transfer that stalls")
     {
-        EngineModel::Options options;
-        options.cache_hold = milliseconds(150);
-        Engines engines(options);
+        // The decode engine gives its import up; the export itself stays.
+        EngineModel::Options impatient;
+        impatient.cache_hold = milliseconds(150);
+        Engines engines({}, EngineStandIn::Options::FenceCheck::On, impatient);
         engines.decode->set_faults({ false, true, false });
         REQUIRE_FALSE(engines.run_prefill("r1").is_error());
         std::string text;
