--- a/Libraries/LibDecision/CellScheduler.cpp
+++ b/Libraries/LibDecision/CellScheduler.cpp
@@ -421,6 +421,27 @@
     return this->granted.find(request) != this->granted.end();
 }
 
+std::map<std::string, std::vector<CellScheduler::EngineState>> CellScheduler::engine_states() const
+{
+    std::map<std::string, std::vector<EngineState>> states;
+    for (auto const& [name, engine] : this->engines) {
+        bool const is_serving = engine.reported_life == EngineReport::Life::Serving && engine.hinted_life == EngineReport::Life::Serving;
+        if (!is_serving || engine.failures_in_a_row > 0)
+            continue;
+        EngineState state;
+        state.name = name;
+        state.role = engine.description.role;
+        state.data_centre = engine.description.data_centre;
+        state.work = static_cast<std::int64_t>(engine.prefills.size() + engine.slots.size());
+        state.prefill_rate = engine.prefill_rate;
+        state.step_time = engine.step_time;
+        state.memory_tokens = this->usable_memory(engine);
+        state.decode_slots = engine.description.decode_slots;
+        states[engine.description.model].push_back(std::move(state));
+    }
+    return states;
+}
+
 CellScheduler::Summary CellScheduler::summary(MonotonicTime now) const
 {
     Summary summary;
--- a/Libraries/LibDecision/CellScheduler.h
+++ b/Libraries/LibDecision/CellScheduler.h
@@ -257,6 +257,22 @@
     std::optional<Location> locate(std::string_view request) const;
     bool knows(std::string_view request) const;
 
+    /// An engine as far as roles and capacity matter.
+    struct EngineState {
+        std::string name;
+        EngineRole role = EngineRole::Prefill;
+        std::string data_centre;
+        /// Prompts in its queue and answers that it makes or was promised.
+        std::int64_t work = 0;
+        double prefill_rate = 0;
+        Duration step_time {};
+        /// Memory that answers may fill.
+        double memory_tokens = 0;
+        std::int64_t decode_slots = 0;
+    };
+    /// The engines by model, without those that are leaving or failed last.
+    std::map<std::string, std::vector<EngineState>> engine_states() const;
+
     struct Summary {
         std::size_t waiting = 0;
         std::size_t granted = 0;
--- /dev/null
+++ b/Libraries/LibDecision/RoleBalancer.cpp
@@ -0,0 +1,146 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibDecision/RoleBalancer.h>
+#include <algorithm>
+#include <cmath>
+
+namespace Spurtide {
+
+namespace {
+
+/// A pool with fewer engines for each that has to stay spares none.
+constexpr std::size_t POOL_FOR_SPARES = 5;
+constexpr Duration REFUSED_PAUSE = seconds(3);
+
+}
+
+RoleBalancer::RoleBalancer(Options options)
+    : options(options)
+{
+}
+
+void RoleBalancer::note_request(std::int64_t prompt_tokens, std::int64_t output_tokens, MonotonicTime now)
+{
+    auto const kept = this->last_request ? std::exp(-to_seconds(now - this->faded_at) / to_seconds(this->options.fading)) : 0.0;
+    this->weight = this->weight * kept + 1;
+    this->prompt_sum = this->prompt_sum * kept + static_cast<double>(prompt_tokens);
+    this->output_sum = this->output_sum * kept + static_cast<double>(output_tokens);
+    this->faded_at = now;
+    this->last_request = now;
+}
+
+double RoleBalancer::mean_prompt() const
+{
+    return (this->prompt_sum + this->options.usual_weight * this->options.usual_prompt_tokens) / (this->weight + this->options.usual_weight);
+}
+
+double RoleBalancer::mean_output() const
+{
+    return (this->output_sum + this->options.usual_weight * this->options.usual_output_tokens) / (this->weight + this->options.usual_weight);
+}
+
+std::size_t RoleBalancer::fewest_of(std::size_t engines) const
+{
+    return engines >= POOL_FOR_SPARES ? this->options.fewest : 1;
+}
+
+double RoleBalancer::busiest(std::size_t prefill, std::size_t engines, EngineCapacity const& capacity) const
+{
+    auto const output = this->mean_output();
+    auto const answer_time = output * to_seconds(capacity.step_time);
+    auto const held_tokens = this->mean_prompt() + output / 2;
+    auto const of_memory = capacity.memory_tokens > 0 ? held_tokens / capacity.memory_tokens : 0.0;
+    auto const of_slots = 1.0 / static_cast<double>(std::max<std::int64_t>(1, capacity.decode_slots));
+    auto const decode_load = std::max(of_memory, of_slots) * answer_time;
+    auto const prefill_load = this->mean_prompt() / std::max(1.0, capacity.prefill_rate);
+    return std::max(prefill_load / (this->options.prefill_use * static_cast<double>(prefill)), decode_load / static_cast<double>(engines - prefill));
+}
+
+std::size_t RoleBalancer::wanted_prefill(std::size_t engines, EngineCapacity const& capacity) const
+{
+    auto const fewest = this->fewest_of(engines);
+    auto best = fewest;
+    for (auto prefill = fewest; prefill + fewest <= engines; ++prefill) {
+        if (this->busiest(prefill, engines, capacity) < this->busiest(best, engines, capacity))
+            best = prefill;
+    }
+    return best;
+}
+
+void RoleBalancer::forget_done(std::span<RoleCandidate const> engines, MonotonicTime now)
+{
+    std::erase_if(this->changing, [&](auto const& entry) {
+        auto const found = std::find_if(engines.begin(), engines.end(), [&](auto const& engine) { return engine.name == entry.first; });
+        bool const is_done = found == engines.end() || found->role == entry.second.role;
+        return is_done || now - entry.second.since >= this->options.change_patience;
+    });
+    std::erase_if(this->left_alone_until, [&](auto const& entry) { return now >= entry.second; });
+}
+
+std::optional<RoleChange> RoleBalancer::next_change(std::span<RoleCandidate const> engines, EngineCapacity const& capacity, MonotonicTime now)
+{
+    this->forget_done(engines, now);
+    auto const total = engines.size();
+    if (total < 2)
+        return {};
+    bool const is_idle = !this->last_request || now - *this->last_request >= this->options.idle_after;
+    auto const role_of = [&](RoleCandidate const& engine) {
+        auto const begun = this->changing.find(engine.name);
+        return begun == this->changing.end() ? engine.role : begun->second.role;
+    };
+    auto const prefill = static_cast<std::size_t>(std::count_if(engines.begin(), engines.end(), [&](auto const& engine) { return role_of(engine) == EngineRole::Prefill; }));
+    auto const wanted = this->wanted_prefill(total, capacity);
+    if (wanted == prefill) {
+        this->lacking.reset();
+        return {};
+    }
+    // A role that no engine has is mended whatever it gains.
+    bool const is_role_missing = prefill == 0 || prefill == total;
+    if (!is_role_missing && this->busiest(wanted, total, capacity) > (1 - this->options.least_gain) * this->busiest(prefill, total, capacity)) {
+        this->lacking.reset();
+        return {};
+    }
+    auto const from = wanted < prefill ? EngineRole::Prefill : EngineRole::Decode;
+    auto const to = wanted < prefill ? EngineRole::Decode : EngineRole::Prefill;
+    if (!this->lacking || this->lacking->role != to)
+        this->lacking = Begun { to, now };
+    bool const is_settled = is_role_missing || now - this->lacking->since >= this->options.persistence;
+    bool const is_apart = this->changing.empty() && (!this->last_change || now - this->last_change->since >= this->options.between_changes);
+    if (!is_idle && (!is_settled || !is_apart))
+        return {};
+    bool const turns_back = this->last_change && this->last_change->role != to && now - this->last_change->since < this->options.before_turning_back;
+    if (turns_back && !is_role_missing)
+        return {};
+    std::map<std::string_view, int> in_centre;
+    for (auto const& engine : engines)
+        in_centre[engine.data_centre] += role_of(engine) == from ? 1 : 0;
+    RoleCandidate const* best = nullptr;
+    // The data centre that has most of the role gives one, so that each keeps some of both; there the idlest goes.
+    auto const goes_before = [&](RoleCandidate const& a, RoleCandidate const& b) {
+        if (in_centre[a.data_centre] != in_centre[b.data_centre])
+            return in_centre[a.data_centre] > in_centre[b.data_centre];
+        return a.work < b.work;
+    };
+    for (auto const& engine : engines) {
+        bool const may_change = engine.role == from && !this->changing.contains(engine.name) && !this->left_alone_until.contains(engine.name);
+        if (may_change && (!best || goes_before(engine, *best)))
+            best = &engine;
+    }
+    if (!best)
+        return {};
+    return RoleChange { best->name, to };
+}
+
+void RoleBalancer::note_ordered(RoleChange const& change, MonotonicTime now)
+{
+    this->changing.insert_or_assign(change.engine, Begun { change.role, now });
+    this->last_change = Begun { change.role, now };
+}
+
+void RoleBalancer::note_refused(std::string const& engine, MonotonicTime now)
+{
+    this->left_alone_until.insert_or_assign(engine, now + REFUSED_PAUSE);
+}
+
+}
--- /dev/null
+++ b/Libraries/LibDecision/RoleBalancer.h
@@ -0,0 +1,113 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#pragma once
+
+#include <LibCore/Time.h>
+#include <LibDecision/CellScheduler.h>
+#include <map>
+#include <optional>
+#include <span>
+#include <string>
+
+namespace Spurtide {
+
+/// An engine as far as its role matters.
+struct RoleCandidate {
+    std::string name;
+    EngineRole role = EngineRole::Prefill;
+    /// Prompts that it reads or answers that it makes.
+    std::int64_t work = 0;
+    std::string data_centre;
+};
+
+/// What the engines of one model can do, each.
+struct EngineCapacity {
+    /// Prompt tokens read in a second.
+    double prefill_rate = 1;
+    /// Tokens of memory that answers may fill.
+    double memory_tokens = 0;
+    std::int64_t decode_slots = 1;
+    /// Time of one token of an answer.
+    Duration step_time = milliseconds(1);
+};
+
+/// One engine is to change its role.
+struct RoleChange {
+    std::string engine;
+    EngineRole role = EngineRole::Prefill;
+};
+
+/// Divides the engines of one model between reading prompts and making answers by what the requests of late
+/// were like. Pure: time is passed in and nothing is sent.
+///
+/// A request takes prefill engines' time for its prompt, and of a decode engine a part (of the memory or of the
+/// slots, whichever is more) for as long as its answer takes. The division that leaves the busiest role
+/// least busy is aimed at, engine by engine, where it gains enough.
+class RoleBalancer {
+public:
+    struct Options {
+        /// What a request is like before any was seen; counts as much as so many requests.
+        double usual_prompt_tokens = 1000;
+        double usual_output_tokens = 1000;
+        double usual_weight = 40;
+        /// Requests fade with this time.
+        Duration fading = seconds(30);
+        /// Prefill engines are not to be used beyond this: prompts that queue make their callers wait.
+        double prefill_use = 0.8;
+        /// The busiest role has to become less busy by this part.
+        double least_gain = 0.08;
+        /// Fewest engines of each role, in a pool that has several times as many: one may always fail.
+        std::size_t fewest = 2;
+        /// While requests come, a change has to be wanted for so long (an engine that crashed may be back soon),
+        /// changes are that far apart, and longer before one is turned back.
+        Duration persistence = seconds(5);
+        Duration between_changes = seconds(2);
+        Duration before_turning_back = seconds(20);
+        /// A change that did not show by then is given up; orders that are carried out late come sooner.
+        Duration change_patience = seconds(25);
+        /// Without requests for so long, any number of engines may change at once.
+        Duration idle_after = seconds(2);
+    };
+
+    explicit RoleBalancer(Options options);
+
+    void note_request(std::int64_t prompt_tokens, std::int64_t output_tokens, MonotonicTime now);
+    /// The next change to order, if any. Engines whose change was begun count as changed.
+    std::optional<RoleChange> next_change(std::span<RoleCandidate const> engines, EngineCapacity const& capacity, MonotonicTime now);
+    /// The order for this change went out.
+    void note_ordered(RoleChange const& change, MonotonicTime now);
+    /// The order was refused; the engine is left alone for some time.
+    void note_refused(std::string const& engine, MonotonicTime now);
+    bool is_changing(std::string_view engine) const { return this->changing.contains(engine); }
+
+    /// How many of so many engines should read prompts.
+    std::size_t wanted_prefill(std::size_t engines, EngineCapacity const& capacity) const;
+
+private:
+    struct Begun {
+        EngineRole role;
+        MonotonicTime since;
+    };
+
+    void forget_done(std::span<RoleCandidate const> engines, MonotonicTime now);
+    /// How busy the busiest role is, in any unit, with so many prefill engines.
+    double busiest(std::size_t prefill, std::size_t engines, EngineCapacity const& capacity) const;
+    std::size_t fewest_of(std::size_t engines) const;
+    double mean_prompt() const;
+    double mean_output() const;
+
+    Options options;
+    double weight = 0;
+    double prompt_sum = 0;
+    double output_sum = 0;
+    MonotonicTime faded_at;
+    std::optional<MonotonicTime> last_request;
+    std::map<std::string, Begun, std::less<>> changing;
+    std::map<std::string, MonotonicTime, std::less<>> left_alone_until;
+    std::optional<Begun> last_change;
+    /// The role that has lacked engines, and since when.
+    std::optional<Begun> lacking;
+};
+
+}
--- a/Libraries/LibRouter/CallerDialect.h
+++ b/Libraries/LibRouter/CallerDialect.h
@@ -23,9 +23,13 @@
     virtual HttpResponseHead caller_head(HttpResponseHead const& head) const = 0;
     /// An answer of the router's own; the request's identifier may be empty.
     virtual HttpResponseHead own_head(int status, std::string const& identifier) const = 0;
-    virtual Result<HeldCache, CallerFault> read_held_cache(std::string_view body) const = 0;
+    virtual Result<HeldCache, UpstreamFault> read_held_cache(std::string_view body) const = 0;
     /// Asks an engine to free a cache that nobody will take.
     virtual HttpRequestHead free_cache_head(std::string_view engine_address, std::string_view handle) const = 0;
+    /// Asks an engine what it is doing.
+    virtual HttpRequestHead engine_status_head(std::string_view engine_address) const = 0;
+    virtual Result<EngineStatus, UpstreamFault> read_engine_status(std::string_view body) const = 0;
+    virtual HttpRequest role_order(std::string_view engine_address, RoleOrder const& order) const = 0;
 };
 
 }
--- a/Libraries/LibRouter/CallerRequest.h
+++ b/Libraries/LibRouter/CallerRequest.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <LibCore/Time.h>
+#include <LibDecision/CellScheduler.h>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -41,6 +42,11 @@
 
 std::string_view to_string(CallerFault fault);
 
+/// Why an upstream's answer to the router itself is of no use.
+enum class UpstreamFault {
+    MalformedBody,
+};
+
 /// Which part of a request an upstream is to do.
 enum class DispatchStage {
     /// The whole of it.
@@ -77,6 +83,27 @@
     bool is_encoded = false;
 };
 
+/// What an engine says of itself when it is asked.
+struct EngineStatus {
+    std::optional<EngineRole> role;
+    /// Orders that it took in its present life.
+    std::int64_t orders_taken = 0;
+    /// Whether it is carrying one out.
+    bool is_under_order = false;
+};
+
+/// An order to an engine to change its role.
+struct RoleOrder {
+    EngineRole role = EngineRole::Prefill;
+    std::string holder;
+    /// The holder's term; engines that check it refuse lower ones than they saw.
+    std::int64_t fencing_token = 0;
+    /// The order is void where the engine took others meanwhile.
+    std::int64_t expected_orders_taken = 0;
+    /// The life of the engine that is meant.
+    std::string expected_identity;
+};
+
 /// A prefill's result, kept by its engine for a short time.
 struct HeldCache {
     std::string handle;
--- a/Libraries/LibRouter/EngineKeeper.cpp
+++ b/Libraries/LibRouter/EngineKeeper.cpp
@@ -83,7 +83,7 @@
         engine.prefill_rate = 50'000;
         engine.data_centre = record.data_centre;
         engines.push_back(std::move(engine));
-        if (record.life == UpstreamRecord::Life::Leaving)
+        if (record.life == UpstreamRecord::Life::Leaving || this->hooks.is_changing_role(record.identity))
             leaving.push_back(record.identity);
     }
     this->scheduler.set_engines(engines);
@@ -126,7 +126,10 @@
     auto const now = monotonic_now();
     this->waiting.insert_or_assign(message.request(), respond);
     LogLine("asked").with("request", message.request()).with("prompt_tokens", message.prompt_tokens()).with("maximum_output_tokens", message.maximum_output_tokens()).with("expected_output_tokens", message.expected_output_tokens()).with("first_token_within_ms", message.first_token_within_microseconds() / 1000).with("decide_within_ms", message.decide_within_microseconds() / 1000);
-    this->scheduler.ask(read_ask(message, now), now);
+    auto ask = read_ask(message, now);
+    if (ask.relayed_tokens == 0 && ask.excluded_engines.empty())
+        this->hooks.on_first_ask(ask);
+    this->scheduler.ask(std::move(ask), now);
 }
 
 void EngineKeeper::handle_records(wire::GrantRecords const& message)
--- a/Libraries/LibRouter/EngineKeeper.h
+++ b/Libraries/LibRouter/EngineKeeper.h
@@ -26,6 +26,15 @@
 
     void handle(wire::Envelope const& request, Kernel::Responder const& respond);
 
+    struct Hooks {
+        /// A request asks for its first place.
+        std::function<void(PlacementAsk const&)> on_first_ask = [](auto const&) {};
+        /// Whether an engine is between two roles and takes nothing.
+        std::function<bool(std::string_view engine)> is_changing_role = [](auto) { return false; };
+    };
+    void set_hooks(Hooks new_hooks) { this->hooks = std::move(new_hooks); }
+    std::map<std::string, std::vector<CellScheduler::EngineState>> engine_states() const { return this->scheduler.engine_states(); }
+
 private:
     void handle_ask(wire::PlacementAsk const& message, Kernel::Responder const& respond);
     void handle_records(wire::GrantRecords const& message);
@@ -34,6 +43,7 @@
     void forget_gone_origins(MonotonicTime now);
 
     CellScheduler scheduler;
+    Hooks hooks;
     Kernel& kernel;
     Metrics& metrics;
     asio::steady_timer timer;
--- a/Libraries/LibRouter/PlacementClient.h
+++ b/Libraries/LibRouter/PlacementClient.h
@@ -62,6 +62,8 @@
     /// The request needs its grant no more.
     void release(std::string const& request, std::int64_t output_tokens, std::string const& failed_engine);
 
+    /// Whether this VM keeps the engines, as far as it knows.
+    bool is_keeper() const { return this->present_keeper() == this->kernel.endpoint(); }
     std::size_t held_count() const { return this->held.size(); }
 
 private:
--- /dev/null
+++ b/Libraries/LibRouter/RoleKeeper.cpp
@@ -0,0 +1,234 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibCore/Clock.h>
+#include <LibCore/LogLine.h>
+#include <LibRouter/RoleKeeper.h>
+#include <array>
+
+namespace Spurtide {
+
+namespace {
+
+constexpr std::string_view LEASE = "roles";
+constexpr std::size_t LARGEST_ANSWER = 64UL * 1024;
+/// An engine that took an order and does not show its new role by then is used as what it says it is.
+constexpr Duration LONGEST_CHANGE = seconds(20);
+
+std::string_view role_name(EngineRole role) { return role == EngineRole::Prefill ? "prefill" : "decode"; }
+
+}
+
+RoleKeeper::RoleKeeper(Options options, RouterState& state, LeasePort& port, std::string holder, Hooks hooks)
+    : options(options)
+    , state(state)
+    , port(port)
+    , hooks(std::move(hooks))
+    , lease(options.lease, std::move(holder))
+{
+}
+
+void RoleKeeper::start()
+{
+    asio::co_spawn(this->state.loop, this->run(), asio::detached);
+}
+
+RoleBalancer& RoleKeeper::balancer_of(std::string const& model)
+{
+    return this->balancers.try_emplace(model, this->options.balancer).first->second;
+}
+
+void RoleKeeper::note_request(std::string const& model, std::int64_t prompt_tokens, std::int64_t output_tokens)
+{
+    this->balancer_of(model).note_request(prompt_tokens, output_tokens, monotonic_now());
+}
+
+asio::awaitable<void> RoleKeeper::pause(Duration duration)
+{
+    asio::steady_timer timer(this->state.loop, duration);
+    asio::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+asio::awaitable<void> RoleKeeper::run()
+{
+    while (true) {
+        co_await this->pause(this->options.look);
+        auto const now = monotonic_now();
+        this->forget_changed(now);
+        if (!this->hooks.is_keeper()) {
+            this->keeper_since.reset();
+            continue;
+        }
+        if (!this->keeper_since)
+            this->keeper_since = now;
+        if (now - *this->keeper_since < this->options.keeper_for)
+            continue;
+        auto due = this->find_due(now);
+        if (!due)
+            continue;
+        bool const is_held = co_await this->hold_lease();
+        if (is_held)
+            co_await this->order(std::move(*due));
+    }
+}
+
+std::optional<RoleKeeper::Due> RoleKeeper::find_due(MonotonicTime now)
+{
+    for (auto const& [model, engines] : this->hooks.engine_states()) {
+        std::vector<RoleCandidate> candidates;
+        EngineCapacity capacity { 0, 0, 0, Duration::zero() };
+        for (auto const& engine : engines) {
+            candidates.push_back({ engine.name, engine.role, engine.work, engine.data_centre });
+            capacity.prefill_rate = std::max(capacity.prefill_rate, engine.prefill_rate);
+            capacity.memory_tokens = std::max(capacity.memory_tokens, engine.memory_tokens);
+            capacity.decode_slots = std::max(capacity.decode_slots, engine.decode_slots);
+            capacity.step_time = std::max(capacity.step_time, engine.step_time);
+        }
+        auto const change = this->balancer_of(model).next_change(candidates, capacity, now);
+        if (change)
+            return Due { model, *change };
+    }
+    return {};
+}
+
+asio::awaitable<bool> RoleKeeper::hold_lease()
+{
+    auto const step = this->lease.next_step(monotonic_now(), this->options.order_timeout);
+    if (step == LeaseTerm::Step::Use)
+        co_return true;
+    if (step == LeaseTerm::Step::Wait) {
+        // The row may have been given up or renewed meanwhile.
+        co_await this->pause(this->options.pause_after_failure);
+        this->lease.note_write_failed();
+        co_return false;
+    }
+    std::string const name(LEASE);
+    if (step == LeaseTerm::Step::Read) {
+        auto const row = co_await this->port.read_lease(name);
+        if (row.is_error()) {
+            LogLine("lease_unread").with("error", to_string(row.error()));
+            co_await this->pause(this->options.pause_after_failure);
+            co_return false;
+        }
+        this->lease.note_read(row.value(), monotonic_now());
+        co_return this->lease.is_held(monotonic_now() + this->options.order_timeout);
+    }
+    this->lease.note_write_sent(monotonic_now());
+    auto const written = co_await this->port.write_lease(name, this->lease.holder(), this->lease.expected_version());
+    if (written.is_error()) {
+        LogLine("lease_not_written").with("error", to_string(written.error())).with("expected_version", this->lease.expected_version());
+        this->lease.note_write_failed();
+        co_await this->pause(this->options.pause_after_failure);
+        co_return false;
+    }
+    this->lease.note_written(written.value(), monotonic_now());
+    LogLine("lease_held").with("holder", this->lease.holder()).with("fencing_token", this->lease.fencing_token());
+    co_return this->lease.is_held(monotonic_now() + this->options.order_timeout);
+}
+
+asio::awaitable<void> RoleKeeper::order(Due due)
+{
+    auto& balancer = this->balancer_of(due.model);
+    auto const* record = this->state.upstreams.find(due.change.engine);
+    auto const address = record ? parse_address(record->address) : std::nullopt;
+    if (!address) {
+        balancer.note_refused(due.change.engine, monotonic_now());
+        co_return;
+    }
+    auto const status = co_await this->ask_status(*address);
+    bool const may_order = status && !status->is_under_order && status->role != due.change.role;
+    if (!may_order) {
+        LogLine("role_not_ordered").with("engine", due.change.engine).with("role", role_name(due.change.role)).with("reason", !status ? "no_status" : status->is_under_order ? "under_order"
+                                                                                                                                                                             : "has_it");
+        balancer.note_refused(due.change.engine, monotonic_now());
+        co_return;
+    }
+    // The lease may have come near its end while the engine was asked.
+    if (!this->lease.is_held(monotonic_now() + this->options.order_timeout) || !this->hooks.is_keeper())
+        co_return;
+    RoleOrder order;
+    order.role = due.change.role;
+    order.holder = this->lease.holder();
+    order.fencing_token = this->lease.fencing_token();
+    order.expected_orders_taken = status->orders_taken;
+    order.expected_identity = due.change.engine;
+    balancer.note_ordered(due.change, monotonic_now());
+    auto const answer = co_await this->send_order(*address, order);
+    LogLine("role_ordered").with("engine", due.change.engine).with("role", role_name(due.change.role)).with("fencing_token", order.fencing_token).with("orders_taken", status->orders_taken).with("status", answer);
+    auto const now = monotonic_now();
+    constexpr int TAKEN = 202;
+    if (answer == TAKEN) {
+        this->accepted.insert_or_assign(due.change.engine, Accepted { due.change.role, now });
+        this->hooks.on_change();
+    }
+    // NOTE: An order without an answer may be carried out yet, so the balancer goes on to count it.
+}
+
+asio::awaitable<std::optional<EngineStatus>> RoleKeeper::ask_status(Address address)
+{
+    auto acquired = co_await this->state.pool.acquire(address, ConnectionPool::Freshness::Any);
+    if (acquired.is_error())
+        co_return std::nullopt;
+    auto const connection = acquired.release_value();
+    connection->set_deadline(monotonic_now() + this->options.order_timeout);
+    connection->send(format_request_head(this->state.dialect.engine_status_head(address.to_string())), nullptr);
+    auto const head = co_await connection->read_head();
+    if (head.is_error()) {
+        connection->abort();
+        co_return std::nullopt;
+    }
+    auto const body = co_await connection->read_body(LARGEST_ANSWER);
+    if (body.is_error())
+        connection->abort();
+    this->state.pool.release(address, connection);
+    if (body.is_error() || head.value().status != 200)
+        co_return std::nullopt;
+    auto const status = this->state.dialect.read_engine_status(body.value());
+    if (status.is_error())
+        co_return std::nullopt;
+    co_return status.value();
+}
+
+// The answer's status; 0 where none came.
+asio::awaitable<int> RoleKeeper::send_order(Address address, RoleOrder order)
+{
+    // An order that waits in a connection that rested for long might arrive when the lease is over.
+    auto acquired = co_await this->state.pool.acquire(address, ConnectionPool::Freshness::Recent);
+    if (acquired.is_error())
+        co_return 0;
+    auto const connection = acquired.release_value();
+    if (!this->lease.is_held(monotonic_now())) {
+        this->state.pool.release(address, connection);
+        co_return 0;
+    }
+    connection->set_deadline(monotonic_now() + this->options.order_timeout);
+    auto const request = this->state.dialect.role_order(address.to_string(), order);
+    connection->send(format_request_head(request.head), std::make_shared<std::string const>(request.body));
+    auto const head = co_await connection->read_head();
+    if (head.is_error()) {
+        connection->abort();
+        co_return 0;
+    }
+    auto const body = co_await connection->read_body(LARGEST_ANSWER);
+    if (body.is_error())
+        connection->abort();
+    this->state.pool.release(address, connection);
+    co_return head.value().status;
+}
+
+void RoleKeeper::forget_changed(MonotonicTime now)
+{
+    auto const forgotten = std::erase_if(this->accepted, [&](auto const& entry) {
+        auto const* record = this->state.upstreams.find(entry.first);
+        bool const is_over = !record || record->role == entry.second.role || now - entry.second.since >= LONGEST_CHANGE;
+        if (is_over)
+            LogLine("role_changed").with("engine", entry.first).with("role", role_name(entry.second.role)).with("outcome", !record ? "gone" : record->role == entry.second.role ? "done"
+                                                                                                                                                                                : "not_seen");
+        return is_over;
+    });
+    if (forgotten > 0)
+        this->hooks.on_change();
+}
+
+}
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -20,6 +20,8 @@
 /// The balancer asks once a second and takes a VM out after two misses.
 constexpr Duration BALANCER_NOTICE = milliseconds(2500);
 constexpr Duration STOP_POLL = milliseconds(50);
+/// A shorter lease would be over before an order is answered.
+constexpr Duration SHORTEST_LEASE = milliseconds(3000);
 /// Left of the grace time when the rest is cut off.
 constexpr Duration STOP_MARGIN = milliseconds(400);
 
@@ -117,16 +119,37 @@
     RegistryFollower::Options follow;
     follow.spread = spread_of(this->settings.virtual_machine);
     this->follower = std::make_unique<RegistryFollower>(follow, this->loop, this->adapters.registry, this->hooks());
+    if (this->settings.role_changes == NodeSettings::RoleChanges::On)
+        this->keep_roles();
     this->kernel->start();
     this->membership->start();
     this->placement->start();
     this->keeper->start();
+    if (this->roles)
+        this->roles->start();
     this->follower->start();
     this->kernel->every(seconds(1), [this] { this->every_second(); });
     this->kernel->every(LAPSE_CHECK, [this] { this->drop_lapsed(); });
     return Done {};
 }
 
+void Node::keep_roles()
+{
+    RoleKeeper::Options options;
+    options.balancer.usual_prompt_tokens = this->settings.usual_prompt_tokens;
+    options.balancer.usual_output_tokens = this->settings.usual_output_tokens;
+    options.lease.length = std::max(this->settings.lease_time, SHORTEST_LEASE);
+    RoleKeeper::Hooks hooks;
+    hooks.is_keeper = [this] { return !this->is_stopping && this->state.routes && this->placement->is_keeper(); };
+    hooks.engine_states = [this] { return this->keeper->engine_states(); };
+    hooks.on_change = [this] { this->engines_changed(); };
+    this->roles = std::make_unique<RoleKeeper>(options, this->state, this->adapters.leases, this->kernel->incarnation(), std::move(hooks));
+    EngineKeeper::Hooks keeper_hooks;
+    keeper_hooks.on_first_ask = [this](PlacementAsk const& ask) { this->roles->note_request(ask.model, ask.prompt_tokens, ask.expected_output_tokens); };
+    keeper_hooks.is_changing_role = [this](std::string_view engine) { return this->roles->is_changing(engine); };
+    this->keeper->set_hooks(std::move(keeper_hooks));
+}
+
 void Node::host_services()
 {
     this->kernel->host("directory", [this](wire::Envelope const& request, Kernel::Responder const& respond) {
--- a/Services/NodeServer/Node.h
+++ b/Services/NodeServer/Node.h
@@ -9,6 +9,7 @@
 #include <LibRouter/Entry.h>
 #include <LibRouter/PlacementClient.h>
 #include <LibRouter/RegistryFollower.h>
+#include <LibRouter/RoleKeeper.h>
 #include <LibRouter/RouterState.h>
 #include <LibWire/Kernel.h>
 #include <Services/ConfigServer/MembershipService.h>
@@ -31,6 +32,7 @@
 struct NodeAdapters {
     CallerDialect const& dialect;
     RegistryPort& registry;
+    LeasePort& leases;
     /// Path that is asked for readiness.
     std::string readiness_path;
 };
@@ -57,6 +59,7 @@
     Node(asio::io_context& loop, NodeSettings settings, NodeAdapters adapters);
     Result<Done, NodeStartError> start();
     void host_services();
+    void keep_roles();
     RegistryFollower::Hooks hooks();
     void adopt(ConfigurationDocument const& document, std::string_view source);
     void engines_changed();
@@ -81,6 +84,8 @@
     std::unique_ptr<MembershipService> membership;
     std::unique_ptr<PlacementClient> placement;
     std::unique_ptr<EngineKeeper> keeper;
+    /// Empty where engines keep the roles that they have.
+    std::unique_ptr<RoleKeeper> roles;
     std::unique_ptr<RegistryFollower> follower;
     std::unique_ptr<HttpServer> callers;
     std::unique_ptr<HttpServer> operations;
--- a/Services/NodeServer/NodeSettings.cpp
+++ b/Services/NodeServer/NodeSettings.cpp
@@ -36,6 +36,10 @@
     node.memory_headroom = reader.number("memory_headroom", Presence::Optional, 0, 0.9, node.memory_headroom);
     node.length_spread = reader.number("length_spread", Presence::Optional, 0.05, 3, node.length_spread);
     node.return_spread = milliseconds(reader.integer("return_spread_milliseconds", Presence::Optional, 0, 60'000, to_milliseconds(node.return_spread)));
+    node.role_changes = reader.choice("role_changes", Presence::Optional, { "on", "off" }, "off") == "on" ? RoleChanges::On : RoleChanges::Off;
+    node.lease_time = reader.milliseconds("lease_milliseconds", 1000, 60'000, to_milliseconds(node.lease_time));
+    node.usual_prompt_tokens = reader.number("usual_prompt_tokens", Presence::Optional, 1, 1e7, node.usual_prompt_tokens);
+    node.usual_output_tokens = reader.number("usual_output_tokens", Presence::Optional, 1, 1e7, node.usual_output_tokens);
     node.stop_grace = from_seconds(reader.number("stop_grace_seconds", Presence::Optional, 0.5, 3600, to_seconds(node.stop_grace)));
     reader.finish();
     if (!faults.empty())
--- a/Services/NodeServer/NodeSettings.h
+++ b/Services/NodeServer/NodeSettings.h
@@ -33,6 +33,17 @@
     double length_spread = 0.6;
     /// Refused callers come back at times that are spread over this.
     Duration return_spread = seconds(4);
+    /// Whether engines are ordered to change between reading prompts and making answers.
+    enum class RoleChanges {
+        Off,
+        On,
+    } role_changes
+        = RoleChanges::Off;
+    /// How long one write to the lease of those orders is good for.
+    Duration lease_time = seconds(3);
+    /// What a model request is like, until enough were seen.
+    double usual_prompt_tokens = 1000;
+    double usual_output_tokens = 1000;
     /// From the signal to stop until the platform ends the process.
     Duration stop_grace = seconds(8);
 
--- /dev/null
+++ b/Tests/LibDecision/TestLeaseTerm.cpp
@@ -0,0 +1,190 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibDecision/LeaseTerm.h>
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <random>
+#include <vector>
+
+using namespace Spurtide;
+
+namespace {
+
+using Step = LeaseTerm::Step;
+
+MonotonicTime at(std::int64_t time) { return MonotonicTime(milliseconds(time)); }
+
+constexpr Duration NEEDED = milliseconds(500);
+
+LeaseTerm make_term(std::string const& holder) { return LeaseTerm({ seconds(3), milliseconds(800) }, holder); }
+
+}
+
+TEST_CASE("A row that is not there is written at once, and the term counts from before the write", "[lapsed-lease]")
+{
+    auto term = make_term("a");
+    CHECK(term.next_step(at(0), NEEDED) == Step::Read);
+    term.note_read({}, at(10));
+    REQUIRE(term.next_step(at(10), NEEDED) == Step::Write);
+    CHECK(term.expected_version() == 0);
+    term.note_write_sent(at(10));
+    // The answer took long; the term did not begin with it.
+    term.note_written(7, at(1000));
+    CHECK(term.fencing_token() == 7);
+    CHECK(term.is_held(at(2209)));
+    CHECK_FALSE(term.is_held(at(2210)));
+    CHECK(term.next_step(at(1709), NEEDED) == Step::Use);
+    CHECK(term.next_step(at(1711), NEEDED) == Step::Write);
+    CHECK(term.expected_version() == 7);
+}
+
+TEST_CASE("Another's row is taken only after it stood unchanged for two terms by the own clock", "[lapsed-lease]")
+{
+    auto term = make_term("b");
+    term.note_read(LeaseRow { "a", 7 }, at(0));
+    CHECK(term.next_step(at(6799), NEEDED) == Step::Wait);
+    SECTION("unchanged")
+    {
+        term.note_read(LeaseRow { "a", 7 }, at(5000));
+        CHECK(term.next_step(at(6799), NEEDED) == Step::Wait);
+        CHECK(term.next_step(at(6800), NEEDED) == Step::Write);
+        CHECK(term.expected_version() == 7);
+    }
+    SECTION("renewed meanwhile")
+    {
+        term.note_read(LeaseRow { "a", 9 }, at(5000));
+        CHECK(term.next_step(at(6800), NEEDED) == Step::Wait);
+        CHECK(term.next_step(at(11'799), NEEDED) == Step::Wait);
+        CHECK(term.next_step(at(11'800), NEEDED) == Step::Write);
+    }
+}
+
+TEST_CASE("After a refused or doubtful write the row is read before anything else", "[answer-lost]")
+{
+    auto term = make_term("a");
+    term.note_read({}, at(0));
+    term.note_write_sent(at(0));
+    term.note_write_failed();
+    CHECK_FALSE(term.is_held(at(1)));
+    CHECK(term.next_step(at(1), NEEDED) == Step::Read);
+    SECTION("it took effect")
+    {
+        term.note_read(LeaseRow { "a", 3 }, at(900));
+        CHECK(term.next_step(at(900), NEEDED) == Step::Use);
+        CHECK(term.fencing_token() == 3);
+        // Counted from when it was sent, not from when it was read.
+        CHECK_FALSE(term.is_held(at(2200)));
+    }
+    SECTION("it did not")
+    {
+        term.note_read({}, at(900));
+        CHECK(term.next_step(at(900), NEEDED) == Step::Write);
+    }
+    SECTION("another was faster")
+    {
+        term.note_read(LeaseRow { "b", 3 }, at(900));
+        CHECK(term.next_step(at(900), NEEDED) == Step::Wait);
+    }
+}
+
+TEST_CASE("A read of the own row does not lengthen a term", "[lapsed-lease]")
+{
+    auto term = make_term("a");
+    term.note_read({}, at(0));
+    term.note_write_sent(at(0));
+    term.note_written(3, at(5));
+    term.note_read(LeaseRow { "a", 3 }, at(2100));
+    CHECK(term.is_held(at(2100)));
+    CHECK_FALSE(term.is_held(at(2200)));
+    CHECK(term.next_step(at(2200), NEEDED) == Step::Write);
+}
+
+// Three processes with lost answers, late writes and pauses in virtual time: orders of two holders are always at
+// least one term apart, and fencing tokens never fall.
+TEST_CASE("Holders never overlap, whatever is lost, late or paused", "[lapsed-lease][freeze][answer-lost]")
+{
+    auto const seed = GENERATE(range(1, 41));
+    CAPTURE(seed);
+    std::mt19937_64 random(static_cast<std::uint64_t>(seed));
+    auto const chance = [&](double share) { return std::uniform_real_distribution<double>(0, 1)(random) < share; };
+    auto const some = [&](std::int64_t most) { return std::uniform_int_distribution<std::int64_t>(0, most)(random); };
+
+    struct Write {
+        std::size_t process;
+        std::int64_t expected;
+        std::int64_t takes_effect;
+    };
+    struct Process {
+        LeaseTerm term;
+        std::int64_t busy_until = 0;
+    };
+    std::vector<Process> processes;
+    for (auto const* name : { "a", "b", "c" })
+        processes.push_back({ make_term(name) });
+    std::optional<LeaseRow> row;
+    std::int64_t version = 0;
+    std::vector<Write> late;
+    std::optional<std::pair<std::size_t, std::int64_t>> last_order;
+    std::int64_t last_token = 0;
+    int changes_of_holder = 0;
+    auto const apply = [&](Write const& write) -> std::optional<std::int64_t> {
+        if ((row ? row->version : 0) != write.expected)
+            return {};
+        row = LeaseRow { processes[write.process].term.holder(), ++version };
+        return version;
+    };
+    for (std::int64_t now = 0; now < 120'000; now += 20) {
+        for (auto const& write : late) {
+            if (write.takes_effect <= now)
+                apply(write);
+        }
+        std::erase_if(late, [&](auto const& write) { return write.takes_effect <= now; });
+        auto const index = static_cast<std::size_t>(some(2));
+        auto& process = processes[index];
+        if (now < process.busy_until)
+            continue;
+        if (chance(0.01)) {
+            // Paused, and unaware of it.
+            process.busy_until = now + some(12'000);
+            continue;
+        }
+        auto& term = process.term;
+        switch (term.next_step(at(now), NEEDED)) {
+        case Step::Use:
+            if (last_order && last_order->first != index) {
+                ++changes_of_holder;
+                REQUIRE(now - last_order->second >= 3000);
+            }
+            REQUIRE(term.fencing_token() >= last_token);
+            last_token = term.fencing_token();
+            last_order = { index, now };
+            break;
+        case Step::Read:
+            if (!chance(0.1))
+                term.note_read(row, at(now));
+            break;
+        case Step::Wait:
+            term.note_write_failed();
+            break;
+        case Step::Write: {
+            Write const write { index, term.expected_version(), now + some(6000) };
+            term.note_write_sent(at(now));
+            if (chance(0.15)) {
+                // Nothing came back; it may happen yet.
+                late.push_back(write);
+                term.note_write_failed();
+                break;
+            }
+            auto const written = apply(write);
+            if (!written || chance(0.2))
+                term.note_write_failed();
+            else
+                term.note_written(*written, at(now + 5));
+            break;
+        }
+        }
+    }
+    CHECK(last_order);
+    CHECK(changes_of_holder > 0);
+}
--- /dev/null
+++ b/Tests/LibDecision/TestRoleBalancer.cpp
@@ -0,0 +1,172 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibDecision/RoleBalancer.h>
+#include <catch2/catch.hpp>
+#include <vector>
+
+using namespace Spurtide;
+
+namespace {
+
+MonotonicTime at(std::int64_t time) { return MonotonicTime(milliseconds(time)); }
+
+/// Engines of the size that Temelia has.
+EngineCapacity const s_capacity { 50'000, 72'000, 64, Duration(1000) };
+
+RoleBalancer::Options usual_options()
+{
+    RoleBalancer::Options options;
+    options.usual_prompt_tokens = 5000;
+    options.usual_output_tokens = 4400;
+    return options;
+}
+
+std::vector<RoleCandidate> pool(std::size_t prefill, std::size_t decode)
+{
+    std::vector<RoleCandidate> engines;
+    for (std::size_t i = 0; i < prefill + decode; ++i)
+        engines.push_back({ "e" + std::to_string(i), i < prefill ? EngineRole::Prefill : EngineRole::Decode, 0, "dc" + std::to_string(i % 3) });
+    return engines;
+}
+
+void change(std::vector<RoleCandidate>& engines, RoleChange const& wanted)
+{
+    for (auto& engine : engines) {
+        if (engine.name == wanted.engine)
+            engine.role = wanted.role;
+    }
+}
+
+}
+
+TEST_CASE("The division leaves the busiest role least busy")
+{
+    struct Row {
+        std::size_t engines;
+        double prompt;
+        double output;
+        std::size_t prefill;
+    };
+    auto const row = GENERATE(values<Row>({
+        { 2, 5000, 4400, 1 },
+        { 4, 5000, 4400, 1 },
+        { 9, 5000, 4400, 2 },
+        { 36, 5000, 4400, 8 },
+        // Prompts alone, nearly.
+        { 9, 20'000, 40, 7 },
+        // Answers alone, nearly.
+        { 9, 50, 8000, 2 },
+    }));
+    CAPTURE(row.engines, row.prompt, row.output);
+    auto options = usual_options();
+    options.usual_prompt_tokens = row.prompt;
+    options.usual_output_tokens = row.output;
+    RoleBalancer const balancer(options);
+    CHECK(balancer.wanted_prefill(row.engines, s_capacity) == row.prefill);
+}
+
+TEST_CASE("Before requests come, all changes are begun at once and no engine is named twice")
+{
+    RoleBalancer balancer(usual_options());
+    auto const engines = pool(4, 5);
+    auto const first = balancer.next_change(engines, s_capacity, at(0));
+    REQUIRE(first);
+    CHECK(first->role == EngineRole::Decode);
+    balancer.note_ordered(*first, at(0));
+    auto const second = balancer.next_change(engines, s_capacity, at(10));
+    REQUIRE(second);
+    CHECK(second->engine != first->engine);
+    balancer.note_ordered(*second, at(10));
+    CHECK_FALSE(balancer.next_change(engines, s_capacity, at(20)));
+    CHECK(balancer.is_changing(first->engine));
+}
+
+TEST_CASE("Under load a change waits until it was wanted for some time, and changes come one by one")
+{
+    RoleBalancer balancer(usual_options());
+    auto engines = pool(4, 5);
+    std::vector<std::int64_t> ordered_at;
+    std::optional<RoleChange> begun;
+    for (std::int64_t now = 0; now < 40'000; now += 250) {
+        balancer.note_request(5000, 4400, at(now));
+        if (begun && now - ordered_at.back() == 6000)
+            change(engines, *std::exchange(begun, {}));
+        auto const next = balancer.next_change(engines, s_capacity, at(now));
+        if (!next)
+            continue;
+        REQUIRE_FALSE(begun);
+        balancer.note_ordered(*next, at(now));
+        ordered_at.push_back(now);
+        begun = next;
+    }
+    REQUIRE(ordered_at.size() == 2);
+    CHECK(ordered_at[0] >= 5000);
+    CHECK(ordered_at[1] - ordered_at[0] >= 6000);
+}
+
+TEST_CASE("An engine that is back soon turns no role")
+{
+    RoleBalancer balancer(usual_options());
+    auto const whole = pool(2, 7);
+    auto without_one = whole;
+    without_one.erase(without_one.begin());
+    for (std::int64_t now = 0; now < 30'000; now += 250) {
+        balancer.note_request(5000, 4400, at(now));
+        bool const is_away = now >= 10'000 && now < 14'500;
+        CHECK_FALSE(balancer.next_change(is_away ? without_one : whole, s_capacity, at(now)));
+    }
+}
+
+TEST_CASE("A role that no engine has is mended at once")
+{
+    RoleBalancer balancer(usual_options());
+    balancer.note_request(5000, 4400, at(0));
+    auto const none_reads = balancer.next_change(pool(0, 9), s_capacity, at(1));
+    REQUIRE(none_reads);
+    CHECK(none_reads->role == EngineRole::Prefill);
+    auto const none_answers = balancer.next_change(pool(3, 0), s_capacity, at(2));
+    REQUIRE(none_answers);
+    CHECK(none_answers->role == EngineRole::Decode);
+}
+
+TEST_CASE("Roles follow when the requests change, and do not swing back at once")
+{
+    RoleBalancer balancer(usual_options());
+    auto engines = pool(2, 7);
+    std::vector<std::pair<std::int64_t, EngineRole>> orders;
+    for (std::int64_t now = 0; now < 240'000; now += 100) {
+        // Long prompts with hardly an answer for a while, then as before.
+        bool const is_other = now >= 20'000 && now < 120'000;
+        balancer.note_request(is_other ? 20'000 : 5000, is_other ? 100 : 4400, at(now));
+        if (auto const next = balancer.next_change(engines, s_capacity, at(now))) {
+            balancer.note_ordered(*next, at(now));
+            change(engines, *next);
+            orders.emplace_back(now, next->role);
+        }
+    }
+    REQUIRE_FALSE(orders.empty());
+    CHECK(orders.front().second == EngineRole::Prefill);
+    CHECK(orders.back().second == EngineRole::Decode);
+    for (std::size_t i = 1; i < orders.size(); ++i) {
+        if (orders[i].second != orders[i - 1].second)
+            CHECK(orders[i].first - orders[i - 1].first >= 20'000);
+    }
+    CHECK(std::count_if(engines.begin(), engines.end(), [](auto const& engine) { return engine.role == EngineRole::Prefill; }) == 2);
+}
+
+TEST_CASE("A refused order leaves its engine alone for a while, and one that never shows is given up")
+{
+    RoleBalancer balancer(usual_options());
+    auto const engines = pool(4, 5);
+    auto const first = balancer.next_change(engines, s_capacity, at(0));
+    REQUIRE(first);
+    balancer.note_refused(first->engine, at(0));
+    auto const other = balancer.next_change(engines, s_capacity, at(1));
+    REQUIRE(other);
+    CHECK(other->engine != first->engine);
+    balancer.note_ordered(*other, at(1));
+    CHECK(balancer.is_changing(other->engine));
+    static_cast<void>(balancer.next_change(engines, s_capacity, at(25'001)));
+    CHECK_FALSE(balancer.is_changing(other->engine));
+}
--- a/Tests/Platform/NodeUnderTest.cpp
+++ b/Tests/Platform/NodeUnderTest.cpp
@@ -29,7 +29,7 @@
 
 }
 
-NodeUnderTest::NodeUnderTest()
+NodeUnderTest::NodeUnderTest(std::function<void(NodeSettings&)> const& change)
 {
     NodeSettings settings;
     settings.virtual_machine = "vm-1";
@@ -38,10 +38,12 @@
     settings.operations_address = { "127.0.0.1", 0 };
     settings.wire_address = { "127.0.0.1", 0 };
     settings.registry_address = this->store.address();
+    if (change)
+        change(settings);
     PlatformRegistry::Options options;
     options.address = settings.registry_address;
     this->registry = std::make_unique<PlatformRegistry>(options);
-    auto created = Node::create(this->loop, settings, { this->dialect, *this->registry, "/v1/readyz" });
+    auto created = Node::create(this->loop, settings, { this->dialect, *this->registry, *this->registry, "/v1/readyz" });
     REQUIRE_FALSE(created.is_error());
     this->node = created.release_value();
 }
--- a/Tests/Platform/NodeUnderTest.h
+++ b/Tests/Platform/NodeUnderTest.h
@@ -21,7 +21,8 @@
 /// A node between stand-ins, all on the test's own loop and on loopback addresses with free ports.
 class NodeUnderTest {
 public:
-    NodeUnderTest();
+    /// The settings may be changed before the start.
+    explicit NodeUnderTest(std::function<void(NodeSettings&)> const& change = {});
     ~NodeUnderTest();
 
     /// Runs the loop until the condition holds; the time only bounds a failure.
--- a/Tests/Platform/StoreStandIn.cpp
+++ b/Tests/Platform/StoreStandIn.cpp
@@ -17,6 +17,15 @@
     return text;
 }
 
+std::string decode_base64(std::string const& text)
+{
+    std::string bytes(text.size() / 4 * 3, '\0');
+    EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()), reinterpret_cast<unsigned char const*>(text.data()), static_cast<int>(text.size()));
+    while (!text.empty() && text.ends_with('=') && !bytes.empty() && bytes.back() == '\0')
+        bytes.pop_back();
+    return bytes;
+}
+
 std::string unescape(std::string const& text)
 {
     std::string plain;
@@ -104,9 +113,57 @@
     this->waiting.erase(place);
 }
 
+std::optional<std::string> StoreStandIn::value(std::string const& table, std::string const& key) const
+{
+    auto const rows = this->tables.find(table);
+    if (rows == this->tables.end())
+        return {};
+    auto const row = rows->second.find(key);
+    if (row == rows->second.end() || row->second.removed)
+        return {};
+    return row->second.value;
+}
+
+// All or nothing: each expected row has its version (0: it is not there), then all rows are set.
+asio::awaitable<void> StoreStandIn::write(HttpExchange& exchange)
+{
+    ++this->writes;
+    HttpResponseHead head;
+    head.status = 200;
+    if (this->fault == Fault::Busy || this->fault == Fault::TooMany)
+        head.status = this->fault == Fault::Busy ? 503 : 429;
+    auto const body = nlohmann::json::parse(exchange.request().body, nullptr, false);
+    if (!body.is_object())
+        head.status = 400;
+    for (auto const& expected : head.status == 200 ? body["expected_count"] : nlohmann::json::array()) {
+        auto const& rows = this->tables[expected["table"]];
+        auto const row = rows.find(expected["tls_key"]);
+        auto const found = row == rows.end() || row->second.removed ? 0 : row->second.version;
+        if (found != expected["ver"])
+            head.status = 412;
+    }
+    if (head.status == 200) {
+        ++this->version;
+        for (auto const& row : body["set_keys"])
+            this->tables[row["table"]][row["tls_key"]] = Row { decode_base64(row["value"]), this->version, false };
+        this->notify();
+    }
+    if (this->fault == Fault::LostWrites) {
+        exchange.abort();
+        co_return;
+    }
+    nlohmann::json const answer { { "ver", this->version }, { "now_ms", 1 } };
+    std::string const text = answer.dump();
+    static_cast<void>(co_await exchange.respond(std::move(head), text));
+}
+
 asio::awaitable<void> StoreStandIn::answer(HttpExchange& exchange)
 {
     auto const target = exchange.request().head.target;
+    if (target.starts_with("/v1/rows-tx")) {
+        co_await this->write(exchange);
+        co_return;
+    }
     auto query = read_query(target);
     bool const is_feed = target.starts_with("/v1/rows-feed");
     ++(is_feed ? this->feeds : this->reads);
--- a/Tests/Platform/StoreStandIn.h
+++ b/Tests/Platform/StoreStandIn.h
@@ -13,7 +13,8 @@
 
 namespace Spurtide::Tests {
 
-/// The platform's store as far as the router reads it: tables of rows, reads and feeds, with faults.
+/// The platform's store as far as the router uses it: tables of rows, reads, feeds and conditional writes, with
+/// faults.
 class StoreStandIn {
 public:
     enum class Fault {
@@ -27,6 +28,8 @@
         HistoryGone,
         /// Answers bytes that are no JSON.
         Garbage,
+        /// Writes take effect, and their connection ends without an answer.
+        LostWrites,
     };
 
     explicit StoreStandIn(asio::io_context& loop);
@@ -39,6 +42,9 @@
     std::size_t page_size = 500;
     int reads = 0;
     int feeds = 0;
+    int writes = 0;
+    /// A row's value as it was put or written; empty where there is none.
+    std::optional<std::string> value(std::string const& table, std::string const& key) const;
 
 private:
     struct Row {
@@ -48,6 +54,7 @@
     };
 
     asio::awaitable<void> answer(HttpExchange& exchange);
+    asio::awaitable<void> write(HttpExchange& exchange);
     asio::awaitable<void> wait_for_change(std::string const& table, std::int64_t after, Duration wait);
     nlohmann::json row_json(std::string const& table, std::string const& key, Row const& row) const;
     void notify();
--- /dev/null
+++ b/Tests/Platform/TestRoles.cpp
@@ -0,0 +1,84 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibCore/Clock.h>
+#include <Tests/Platform/NodeUnderTest.h>
+#include <catch2/catch.hpp>
+
+using namespace Spurtide;
+using namespace Spurtide::Tests;
+
+namespace {
+
+/// A node that changes roles, and four engines of which three read prompts; one is enough for what comes.
+struct RoleTest {
+    RoleTest()
+    {
+        this->test.configure(1);
+        for (auto* engine : { &this->first, &this->second, &this->third, &this->decode })
+            this->test.list(*engine, "engines");
+    }
+
+    std::size_t orders() const { return this->first.orders.size() + this->second.orders.size() + this->third.orders.size() + this->decode.orders.size(); }
+
+    NodeUnderTest test { [](NodeSettings& settings) {
+        settings.role_changes = NodeSettings::RoleChanges::On;
+        settings.usual_prompt_tokens = 1000;
+        settings.usual_output_tokens = 2000;
+    } };
+    UpstreamStandIn first { test.loop, "i-1", "prefill" };
+    UpstreamStandIn second { test.loop, "i-2", "prefill" };
+    UpstreamStandIn third { test.loop, "i-3", "prefill" };
+    UpstreamStandIn decode { test.loop, "i-4", "decode" };
+};
+
+}
+
+TEST_CASE("Engines are ordered to the roles that are needed, by one holder and after their last order", "[lapsed-lease]")
+{
+    RoleTest roles;
+    REQUIRE(roles.test.run_until([&] { return roles.orders() == 2; }));
+    CHECK(roles.decode.orders.empty());
+    CHECK(roles.test.store.value("leases", "roles"));
+    for (auto const* engine : { &roles.first, &roles.second, &roles.third }) {
+        for (auto const& order : engine->orders) {
+            CHECK(order.at("phase") == "decode");
+            CHECK(order.at("holder") == *roles.test.store.value("leases", "roles"));
+        }
+        CHECK(engine->orders.size() <= 1);
+    }
+    // An engine that changes takes nothing; the one that stays reads.
+    auto const answer = roles.test.call(roles.test.model_request("/stream/x", "s1"));
+    CHECK(answer.head.status == 200);
+    for (auto const* engine : { &roles.first, &roles.second, &roles.third })
+        CHECK(engine->handles.size() == (engine->orders.empty() ? 1 : 0));
+}
+
+TEST_CASE("Another's lease is waited out before anything is ordered", "[lapsed-lease]")
+{
+    RoleTest roles;
+    roles.test.store.put("leases", "roles", "another");
+    auto const begun = monotonic_now();
+    REQUIRE(roles.test.run_until([&] { return roles.orders() > 0; }));
+    CHECK(monotonic_now() - begun >= seconds(6));
+}
+
+TEST_CASE("A lease whose write was lost is read back, not written on", "[answer-lost]")
+{
+    RoleTest roles;
+    roles.test.store.set_fault(StoreStandIn::Fault::LostWrites);
+    REQUIRE(roles.test.run_until([&] { return roles.orders() == 2; }));
+    CHECK(roles.test.store.writes <= 2);
+}
+
+TEST_CASE("While the store is away nothing is ordered, and requests go on", "[platform-down]")
+{
+    RoleTest roles;
+    auto const fault = GENERATE(StoreStandIn::Fault::Busy, StoreStandIn::Fault::TooMany);
+    roles.test.store.set_fault(fault);
+    roles.test.run_until([&] { return roles.orders() > 0; }, milliseconds(3000));
+    CHECK(roles.orders() == 0);
+    CHECK(roles.test.call(roles.test.model_request("/stream/x", "s1")).head.status == 200);
+    roles.test.store.set_fault(StoreStandIn::Fault::None);
+    CHECK(roles.test.run_until([&] { return roles.orders() == 2; }));
+}
--- a/Tests/Platform/UpstreamStandIn.cpp
+++ b/Tests/Platform/UpstreamStandIn.cpp
@@ -47,12 +47,20 @@
         static_cast<void>(co_await exchange.respond(std::move(done), {}));
         co_return;
     }
+    if (head.method == "GET" && head.target == "/v1/report") {
+        co_await this->report(exchange);
+        co_return;
+    }
     if (head.headers.find("X-Spurtide-Expect-Instance") != this->identity) {
         HttpResponseHead other;
         other.status = 421;
         static_cast<void>(co_await exchange.respond(std::move(other), {}));
         co_return;
     }
+    if (head.method == "POST" && head.target == "/v1/order") {
+        co_await this->take_order(exchange);
+        co_return;
+    }
     if (head.headers.find("X-Spurtide-Serving-Phase") == "prefill") {
         co_await this->prefill(exchange, request);
         co_return;
@@ -66,6 +74,32 @@
     static_cast<void>(co_await exchange.respond(this->answer_head(exchange, 200), body));
 }
 
+asio::awaitable<void> UpstreamStandIn::report(HttpExchange& exchange)
+{
+    ++this->statuses_asked;
+    HttpResponseHead head;
+    head.status = 200;
+    nlohmann::json const body { { "phase", this->phase }, { "busy_slots", false }, { "call_seq", this->orders.size() } };
+    std::string const text = body.dump();
+    static_cast<void>(co_await exchange.respond(std::move(head), text));
+}
+
+// 202 where the order is of the agreed form and names the count of those before it.
+asio::awaitable<void> UpstreamStandIn::take_order(HttpExchange& exchange)
+{
+    auto const order = nlohmann::json::parse(exchange.request().body, nullptr, false);
+    HttpResponseHead head;
+    head.status = 202;
+    bool const is_whole = order.is_object() && order.value("order_kind", "") == "phase" && !order.value("holder", "").empty() && order.value("fencing_token", 0) > 0;
+    if (!is_whole)
+        head.status = 400;
+    else if (order.value("expected_count", -1) != static_cast<int>(this->orders.size()))
+        head.status = 409;
+    else
+        this->orders.push_back(order);
+    static_cast<void>(co_await exchange.respond(std::move(head), {}));
+}
+
 asio::awaitable<void> UpstreamStandIn::prefill(HttpExchange& exchange, std::string const& request)
 {
     auto const handle = "handle-" + request;
--- a/Tests/Platform/UpstreamStandIn.h
+++ b/Tests/Platform/UpstreamStandIn.h
@@ -36,12 +36,17 @@
     std::set<std::string> abandoned;
     std::set<std::string> handles;
     std::vector<std::string> freed;
+    /// Orders taken, as they came.
+    std::vector<nlohmann::json> orders;
+    int statuses_asked = 0;
 
     /// The head of an answer to the exchange's request.
     HttpResponseHead answer_head(HttpExchange const& exchange, int status) const;
 
 private:
     asio::awaitable<void> answer(HttpExchange& exchange);
+    asio::awaitable<void> take_order(HttpExchange& exchange);
+    asio::awaitable<void> report(HttpExchange& exchange);
     asio::awaitable<void> prefill(HttpExchange& exchange, std::string const& request);
     asio::awaitable<void> stream(HttpExchange& exchange, std::string const& request);
 
