LibRouter: Find upstreams out of reach by probes, keep streams in their data centre, place again what was sent

Ruled out: the deadline of the requests, the store. Change: ReachabilityTracker (pure) has upstreams probed that are silent while requests wait, leaves out what cannot be connected, and takes a data centre for cut off where several of it cannot be and none answers; probes end that. Calls and prefills that may go elsewhere are broken off. Decode engines of the entry's data centre are preferred by 0.15 of their memory. What was sent before is placed as long as its caller waits; a returning caller is refused only when it cannot be on time. Engines out of reach count with their roles and get no order.

--- a/Libraries/LibAsync/ConnectionPool.h
+++ b/Libraries/LibAsync/ConnectionPool.h
@@ -38,7 +38,9 @@
     void put_back_unused(Address const& address, std::shared_ptr<HttpConnection> const& connection);
     /// Closes what rested for too long. Call about once a second.
     void sweep(MonotonicTime now);
+    /// Closes all that rest.
     void drop(Address const& address) { this->resting.erase(address.to_string()); }
+    PeerPatience patience() const { return this->options.patience; }
 
 private:
     void keep(Address const& address, std::shared_ptr<HttpConnection> const& connection);
--- a/Libraries/LibDecision/CellScheduler.cpp
+++ b/Libraries/LibDecision/CellScheduler.cpp
@@ -426,7 +426,7 @@
     std::map<std::string, std::vector<EngineState>> states;
     for (auto const& [name, engine] : this->engines) {
         bool const is_serving = engine.reported_life == EngineReport::Life::Serving && engine.hinted_life == EngineReport::Life::Serving;
-        if (!is_serving || engine.failures_in_a_row > 0)
+        if (!is_serving)
             continue;
         EngineState state;
         state.name = name;
@@ -437,6 +437,7 @@
         state.step_time = engine.step_time;
         state.memory_tokens = this->usable_memory(engine);
         state.decode_slots = engine.description.decode_slots;
+        state.is_failing = engine.failures_in_a_row > 0;
         states[engine.description.model].push_back(std::move(state));
     }
     return states;
--- a/Libraries/LibDecision/CellScheduler.h
+++ b/Libraries/LibDecision/CellScheduler.h
@@ -210,6 +210,9 @@
         /// expected are not put back in the middle.
         double memory_headroom = 0.05;
         MemoryForecast::Options forecast {};
+        /// Part of an engine's memory by which another may be fuller and is preferred, since it is in the data
+        /// centre of the VM that asks: a cut between data centres then harms nothing that runs.
+        double home_preference = 0.15;
         /// An engine's time for one token before any was measured.
         Duration first_step_time = milliseconds(25);
         /// Longest time between tokens that a decode engine is filled up to.
@@ -269,8 +272,10 @@
         /// Memory that answers may fill.
         double memory_tokens = 0;
         std::int64_t decode_slots = 0;
+        /// Whether the last that was sent to it failed; it may be out of this VM's reach alone.
+        bool is_failing = false;
     };
-    /// The engines by model, without those that are leaving or failed last.
+    /// The engines by model, without those that are leaving.
     std::map<std::string, std::vector<EngineState>> engine_states() const;
 
     struct Summary {
--- a/Libraries/LibDecision/CellSchedulerPlacement.cpp
+++ b/Libraries/LibDecision/CellSchedulerPlacement.cpp
@@ -337,7 +337,9 @@
         auto const ready = placement.prefill_end + this->transfer_time(engine, ask);
         auto const promised = ready - this->options.safety_margin;
         // Engines whose memory counts are compared by that.
-        auto const free = engine.description.memory_tokens > 0 ? static_cast<std::int64_t>(this->usable_memory(engine) - this->forecast_of(engine, now).peak()) : this->free_slots(engine, now, promised);
+        auto free = engine.description.memory_tokens > 0 ? static_cast<std::int64_t>(this->usable_memory(engine) - this->forecast_of(engine, now).peak()) : this->free_slots(engine, now, promised);
+        if (engine.description.memory_tokens > 0 && !ask.data_centre.empty() && engine.description.data_centre == ask.data_centre)
+            free += static_cast<std::int64_t>(this->options.home_preference * static_cast<double>(engine.description.memory_tokens));
         if (this->has_room(engine, ask, now, promised) || this->options.policy.slot_promise == SchedulerPolicy::SlotPromise::Ignored)
             candidates.push_back({ name, free, ready });
     }
--- /dev/null
+++ b/Libraries/LibDecision/ReachabilityTracker.h
@@ -0,0 +1,78 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#pragma once
+
+#include <LibCore/Time.h>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Spurtide {
+
+/// An upstream and where it is.
+struct UpstreamPlace {
+    std::string identity;
+    std::string data_centre;
+};
+
+/// What one VM knows of which upstreams it can reach. An upstream that leaves requests without any answer for a
+/// while is probed by a connection; one to which no connection can be made gets no requests, and is probed until
+/// one can. Where several of another data centre cannot be reached and none of it answers, all of it counts as
+/// cut off. Pure: time is passed in, and probes are made by whoever asks for them.
+class ReachabilityTracker {
+public:
+    struct Options {
+        /// Silence, while requests wait, after which an upstream is probed. Longer than most answers take.
+        Duration silence = milliseconds(300);
+        /// Time between two probes of one upstream.
+        Duration probe_interval = milliseconds(300);
+        /// A data centre of which something answered so lately is not cut off.
+        Duration data_centre_silence = milliseconds(300);
+        /// Upstreams of a data centre that have to be out of reach before all of it counts as cut off.
+        std::size_t data_centre_failures = 2;
+        /// Upstreams of a cut data centre, beside the known ones, that are probed in each round.
+        std::size_t scouts = 1;
+    };
+
+    ReachabilityTracker(Options options, std::string own_data_centre);
+
+    void note_sent(std::string_view identity, std::string_view data_centre, MonotonicTime now);
+    /// Something came from the upstream, be it a part of an answer.
+    void note_heard(std::string_view identity, MonotonicTime now);
+    /// A request to it is over, however it ended.
+    void note_over(std::string_view identity);
+
+    void note_probe(std::string_view identity, MonotonicTime now);
+    void note_reached(std::string_view identity, std::string_view data_centre, MonotonicTime now);
+    void note_unreachable(std::string_view identity, std::string_view data_centre, MonotonicTime now);
+
+    bool is_reachable(std::string_view identity, std::string_view data_centre, MonotonicTime now) const;
+    bool is_cut_off(std::string_view data_centre, MonotonicTime now) const;
+    /// The upstreams that are to be probed now.
+    std::vector<std::string> due_probes(std::span<UpstreamPlace const> upstreams, MonotonicTime now);
+    /// Forgets upstreams that are no more listed and have nothing in flight.
+    void retain(std::set<std::string, std::less<>> const& identities);
+
+private:
+    struct Known {
+        std::string data_centre;
+        std::int64_t in_flight = 0;
+        /// When it was last heard, or when the first request after that was sent.
+        MonotonicTime waiting_since;
+        MonotonicTime last_probe;
+        bool is_unreachable = false;
+    };
+
+    Options options;
+    std::string own_data_centre;
+    std::map<std::string, Known, std::less<>> known;
+    std::map<std::string, MonotonicTime, std::less<>> heard_from;
+    std::size_t turn = 0;
+};
+
+}
--- a/Libraries/LibDecision/RoleBalancer.cpp
+++ b/Libraries/LibDecision/RoleBalancer.cpp
@@ -123,7 +123,7 @@
         return a.work < b.work;
     };
     for (auto const& engine : engines) {
-        bool const may_change = engine.role == from && !this->changing.contains(engine.name) && !this->left_alone_until.contains(engine.name);
+        bool const may_change = engine.role == from && !engine.is_failing && !this->changing.contains(engine.name) && !this->left_alone_until.contains(engine.name);
         if (may_change && (!best || goes_before(engine, *best)))
             best = &engine;
     }
--- a/Libraries/LibDecision/RoleBalancer.h
+++ b/Libraries/LibDecision/RoleBalancer.h
@@ -19,6 +19,8 @@
     /// Prompts that it reads or answers that it makes.
     std::int64_t work = 0;
     std::string data_centre;
+    /// Counts with its role, and gets no order: whoever cannot reach it does not know what it does.
+    bool is_failing = false;
 };
 
 /// What the engines of one model can do, each.
--- a/Libraries/LibRouter/PlainFlow.cpp
+++ b/Libraries/LibRouter/PlainFlow.cpp
@@ -41,12 +41,17 @@
         if (record.service == this->service && record.life == UpstreamRecord::Life::Serving && !this->tried.contains(record.identity))
             records.push_back(std::move(record));
     }
+    auto const now = monotonic_now();
+    auto const is_reachable = [&](UpstreamRecord const& record) { return this->state.reachability.is_reachable(record.identity, record.data_centre, now); };
+    // Where none can be reached, one of them may be again.
+    if (std::any_of(records.begin(), records.end(), is_reachable))
+        std::erase_if(records, [&](auto const& record) { return !is_reachable(record); });
     std::vector<SelectableUpstream> selectable;
     for (auto const& record : records) {
         auto const place = record.data_centre == this->state.data_centre ? SelectableUpstream::Place::SameDataCentre : SelectableUpstream::Place::Elsewhere;
         selectable.push_back({ record.identity, record.slots, place });
     }
-    auto const index = this->state.selector.choose(selectable, monotonic_now());
+    auto const index = this->state.selector.choose(selectable, now);
     if (!index)
         return {};
     return records[*index];
@@ -123,6 +128,7 @@
     auto acquired = co_await this->state.pool.acquire(*address, freshness);
     if (acquired.is_error()) {
         attempt.reason = to_string(acquired.error());
+        this->state.prober.note_unreachable(upstream);
         this->state.selector.note_end(upstream.identity, UpstreamOutcome::Bad, Duration::zero(), monotonic_now());
         co_return attempt;
     }
@@ -139,11 +145,20 @@
     dispatch.expected_identity = upstream.identity;
     this->set_active(connection);
     this->note_sent();
+    this->state.reachability.note_sent(upstream.identity, upstream.data_centre, monotonic_now());
+    std::optional<ReachabilityProber::Watch> watch;
+    if (this->route.kind == RouteKind::Repeatable)
+        watch.emplace(this->state.prober, upstream.identity, connection);
     auto const expected_body = this->exchange.request().head.method == "HEAD" ? MessageParser::ExpectedBody::None : MessageParser::ExpectedBody::AsFramed;
     connection->send(format_request_head(this->state.dialect.upstream_head(this->exchange.request(), dispatch)), this->body, expected_body);
     attempt = co_await this->read_answer(connection);
+    watch.reset();
     this->set_active(nullptr);
     auto const now = monotonic_now();
+    // Any answer, even another request's, shows that it is there.
+    if (attempt.head.status != 0)
+        this->state.reachability.note_heard(upstream.identity, now);
+    this->state.reachability.note_over(upstream.identity);
     auto const took = std::chrono::duration_cast<Duration>(now - sent_at);
     // What the caller or the clock cut off says nothing about the upstream.
     auto const outcome = this->is_stopped() && attempt.end == SendEnd::Lost ? UpstreamOutcome::Full : outcome_of(attempt.end);
--- a/Libraries/LibRouter/RoleKeeper.cpp
+++ b/Libraries/LibRouter/RoleKeeper.cpp
@@ -79,7 +79,7 @@
         std::vector<RoleCandidate> candidates;
         EngineCapacity capacity { 0, 0, 0, Duration::zero() };
         for (auto const& engine : engines) {
-            candidates.push_back({ engine.name, engine.role, engine.work, engine.data_centre });
+            candidates.push_back({ engine.name, engine.role, engine.work, engine.data_centre, engine.is_failing });
             capacity.prefill_rate = std::max(capacity.prefill_rate, engine.prefill_rate);
             capacity.memory_tokens = std::max(capacity.memory_tokens, engine.memory_tokens);
             capacity.decode_slots = std::max(capacity.decode_slots, engine.decode_slots);
--- a/Libraries/LibRouter/RouterState.h
+++ b/Libraries/LibRouter/RouterState.h
@@ -12,6 +12,7 @@
 #include <LibDecision/UpstreamList.h>
 #include <LibDecision/UpstreamSelector.h>
 #include <LibRouter/CallerDialect.h>
+#include <LibRouter/ReachabilityProber.h>
 #include <functional>
 #include <map>
 #include <memory>
@@ -32,8 +33,10 @@
     /// Empty before the first configuration came.
     std::shared_ptr<RouteTable const> routes {};
     UpstreamList upstreams { UpstreamList::Options {} };
+    ReachabilityTracker reachability { ReachabilityTracker::Options {}, data_centre };
     UpstreamSelector selector { UpstreamSelector::Options {} };
     ConnectionPool pool { ConnectionPool::Options {} };
+    ReachabilityProber prober { ReachabilityProber::Options {}, loop, reachability, pool, upstreams };
     std::map<std::string, SharedRetryBudget> budgets {};
     PatienceTracker patience {};
     PlacementClient* placement = nullptr;
--- a/Libraries/LibRouter/StreamFlow.cpp
+++ b/Libraries/LibRouter/StreamFlow.cpp
@@ -11,6 +11,10 @@
 
 /// Of the time to the first event: a caller that is refused within it can still be served in time elsewhere.
 constexpr double DECISION_SHARE = 0.22;
+/// A caller that was refused before hears of a second refusal only when it could not be on time any more.
+constexpr double RETURN_DECISION_SHARE = 0.85;
+/// Of the time that callers wait for an event before they leave.
+constexpr double CONTINUATION_SHARE = 0.7;
 /// Less is not worth a placement.
 constexpr Duration LEAST_TIME_FOR_PLACEMENT = milliseconds(200);
 /// Reading the longest prompts and the queue before them takes less.
@@ -66,16 +70,46 @@
     // Those that can be on time go before those that would be late anyhow.
     ask.priority = -2 * this->route.priority - (this->visit == PatienceTracker::Visit::Return ? 1 : 0);
     ask.excluded_engines = this->failed_engines;
+    this->add_unreachable(ask.excluded_engines);
     ask.data_centre = this->state.data_centre;
-    auto const age = std::chrono::duration_cast<Duration>(monotonic_now() - this->exchange.received_at());
-    auto const decide_within = from_seconds(to_seconds(this->route.latency_target) * DECISION_SHARE) - age;
-    auto const first_token_within = this->route.latency_target - age;
+    auto const within = this->time_to_place();
     this->wait = std::make_shared<PlacementClient::Ask>(this->state.loop.get_executor());
-    auto decision = co_await this->state.placement->ask(std::move(ask), this->wait, std::max(decide_within, milliseconds(20)), first_token_within);
+    auto decision = co_await this->state.placement->ask(std::move(ask), this->wait, within.to_decide, within.to_first_token);
     this->wait.reset();
     co_return decision;
 }
 
+StreamFlow::PlacementTime StreamFlow::time_to_place() const
+{
+    auto const age = std::chrono::duration_cast<Duration>(monotonic_now() - this->exchange.received_at());
+    auto const of_target = [&](double share) { return from_seconds(to_seconds(this->route.latency_target) * share); };
+    PlacementTime within;
+    if (this->placements > 0) {
+        // It was sent before: refused now it is lost, and an answer that is late, or goes on after a pause, is not.
+        auto const patience = from_seconds(to_seconds(this->route.first_event_patience) * CONTINUATION_SHARE);
+        auto const spent = this->exchange.has_begun() ? std::chrono::duration_cast<Duration>(monotonic_now() - this->last_event_at) : age;
+        within.to_first_token = patience - spent;
+        within.to_decide = within.to_first_token;
+    } else {
+        // A caller that was told to come back does not come a third time.
+        bool const is_return = this->visit == PatienceTracker::Visit::Return;
+        within.to_first_token = this->route.latency_target - age;
+        within.to_decide = of_target(is_return ? RETURN_DECISION_SHARE : DECISION_SHARE) - age;
+    }
+    within.to_decide = std::max(within.to_decide, milliseconds(20));
+    return within;
+}
+
+// The keeper may reach engines that this VM does not.
+void StreamFlow::add_unreachable(std::vector<std::string>& engines) const
+{
+    auto const now = monotonic_now();
+    for (auto const& record : this->state.upstreams.records()) {
+        if (record.service == this->service && !this->state.reachability.is_reachable(record.identity, record.data_centre, now))
+            engines.push_back(record.identity);
+    }
+}
+
 asio::awaitable<void> StreamFlow::carry()
 {
     this->visit = this->state.patience.note(this->route.name, this->request.patience);
@@ -140,6 +174,7 @@
     if (this->is_stopped())
         co_return Progress::TryAgain;
     if (reserved.is_error()) {
+        this->state.prober.note_unreachable(decoder);
         this->failed_engine = decoder.identity;
         co_return co_await this->give_up(SendEnd::NotSent, to_string(reserved.error()));
     }
@@ -180,6 +215,7 @@
     }
     auto acquired = co_await this->state.pool.acquire(*address, ConnectionPool::Freshness::Any);
     if (acquired.is_error()) {
+        this->state.prober.note_unreachable(engine);
         LogLine("prefill_failed").with("request", this->request.identifier).with("engine", engine.identity).with("reason", to_string(acquired.error()));
         co_return std::nullopt;
     }
@@ -195,6 +231,8 @@
     dispatch.after_event = this->events.last_identifier();
     this->set_active(connection);
     connection->set_deadline(monotonic_now() + PREFILL_PATIENCE);
+    this->state.reachability.note_sent(engine.identity, engine.data_centre, monotonic_now());
+    std::optional<ReachabilityProber::Watch> watch(std::in_place, this->state.prober, engine.identity, connection);
     connection->send(format_request_head(this->state.dialect.upstream_head(this->exchange.request(), dispatch)), this->body);
     auto head = co_await connection->read_head();
     std::string reason = head.is_error() ? std::string(to_string(head.error())) : "status_" + std::to_string(head.value().status);
@@ -217,7 +255,11 @@
         if (facts.is_not_executed)
             this->failed_engine.clear();
     }
+    watch.reset();
     this->set_active(nullptr);
+    if (!head.is_error())
+        this->state.reachability.note_heard(engine.identity, monotonic_now());
+    this->state.reachability.note_over(engine.identity);
     this->state.pool.release(*address, connection);
     auto const took = to_milliseconds(std::chrono::duration_cast<Duration>(monotonic_now() - begun));
     if (cache) {
@@ -229,12 +271,22 @@
 }
 
 asio::awaitable<StreamFlow::Progress> StreamFlow::decode(UpstreamRecord engine, Address address, Dispatch dispatch)
+{
+    auto const identity = engine.identity;
+    auto const progress = co_await this->send_decode(std::move(engine), std::move(address), std::move(dispatch));
+    if (std::exchange(this->is_at_decode, false))
+        this->state.reachability.note_over(identity);
+    co_return progress;
+}
+
+asio::awaitable<StreamFlow::Progress> StreamFlow::send_decode(UpstreamRecord engine, Address address, Dispatch dispatch)
 {
     auto acquired = co_await this->state.pool.acquire(address, this->freshness());
     if (acquired.is_error() || this->is_stopped() || !this->state.upstreams.takes_work(engine.identity)) {
         if (!dispatch.cache_handle.empty())
             this->free_cache(dispatch.cache_address, dispatch.cache_handle);
         if (acquired.is_error()) {
+            this->state.prober.note_unreachable(engine);
             this->failed_engine = engine.identity;
             co_return co_await this->give_up(SendEnd::NotSent, to_string(acquired.error()));
         }
@@ -248,6 +300,11 @@
     dispatch.after_event = this->events.last_identifier();
     this->set_active(connection);
     this->note_sent();
+    this->is_at_decode = true;
+    this->state.reachability.note_sent(engine.identity, engine.data_centre, monotonic_now());
+    std::optional<ReachabilityProber::Watch> watch;
+    if (this->route.is_resumable)
+        watch.emplace(this->state.prober, engine.identity, connection);
     connection->send(format_request_head(this->state.dialect.upstream_head(this->exchange.request(), dispatch)), this->body);
     auto head = co_await connection->read_head();
     if (head.is_error()) {
@@ -258,11 +315,12 @@
         this->failed_engine = engine.identity;
         co_return co_await this->give_up(SendEnd::Lost, to_string(head.error()));
     }
+    this->state.reachability.note_heard(engine.identity, monotonic_now());
     auto const facts = this->state.dialect.read_answer(head.value());
     auto const status = head.value().status;
     if (facts.identifier == this->request.identifier && status / 100 == 2 && facts.is_signed && !facts.is_encoded) {
         this->state.placement->progress(this->request.identifier, GrantProgress::Decoding);
-        auto const progress = co_await this->relay(connection, head.release_value());
+        auto const progress = co_await this->relay(engine.identity, connection, head.release_value());
         this->set_active(nullptr);
         this->state.pool.release(address, connection);
         co_return progress;
@@ -279,6 +337,8 @@
             this->free_cache(dispatch.cache_address, dispatch.cache_handle);
         if (this->is_stopped())
             co_return Progress::TryAgain;
+        // It works as it should, but this request goes elsewhere.
+        this->failed_engines.push_back(engine.identity);
         co_return co_await this->give_up(SendEnd::NotExecuted, reason);
     }
     if (this->is_stopped())
@@ -293,7 +353,7 @@
     co_return co_await this->give_up(SendEnd::Lost, reason);
 }
 
-asio::awaitable<StreamFlow::Progress> StreamFlow::relay(std::shared_ptr<HttpConnection> connection, HttpResponseHead head)
+asio::awaitable<StreamFlow::Progress> StreamFlow::relay(std::string engine, std::shared_ptr<HttpConnection> connection, HttpResponseHead head)
 {
     while (true) {
         auto piece = co_await connection->read_piece();
@@ -302,8 +362,12 @@
             this->events.drop_broken_event();
             if (this->is_stopped())
                 co_return Progress::TryAgain;
+            // One answer that broke off says little of the engine, but this request goes on elsewhere.
+            this->failed_engines.push_back(engine);
             co_return co_await this->give_up(SendEnd::Lost, to_string(piece.error()));
         }
+        this->last_event_at = monotonic_now();
+        this->state.reachability.note_heard(engine, this->last_event_at);
         bool const is_end = piece.value().empty();
         auto bytes = this->events.take(piece.value());
         // A stream that cannot go on elsewhere need not wait for the end of an event.
--- a/Libraries/LibRouter/StreamFlow.h
+++ b/Libraries/LibRouter/StreamFlow.h
@@ -43,12 +43,21 @@
         TryAgain,
     };
 
+    /// How long a placement may take from now.
+    struct PlacementTime {
+        Duration to_decide {};
+        Duration to_first_token {};
+    };
+
+    PlacementTime time_to_place() const;
     asio::awaitable<std::optional<PlacementDecision>> place();
     /// One placement from its grant to its end.
     asio::awaitable<Progress> use(PlacementGrant grant);
     asio::awaitable<std::optional<HeldCache>> prefill(UpstreamRecord engine);
     asio::awaitable<Progress> decode(UpstreamRecord engine, Address address, Dispatch dispatch);
-    asio::awaitable<Progress> relay(std::shared_ptr<HttpConnection> connection, HttpResponseHead head);
+    asio::awaitable<Progress> send_decode(UpstreamRecord engine, Address address, Dispatch dispatch);
+    asio::awaitable<Progress> relay(std::string engine, std::shared_ptr<HttpConnection> connection, HttpResponseHead head);
+    void add_unreachable(std::vector<std::string>& engines) const;
     asio::awaitable<Progress> give_up(SendEnd end, std::string_view reason);
     void free_cache(std::string const& address, std::string const& handle);
     ConnectionPool::Freshness freshness() const;
@@ -61,6 +70,9 @@
     std::string failed_engine;
     EventBoundary events;
     PatienceTracker::Visit visit = PatienceTracker::Visit::First;
+    MonotonicTime last_event_at;
+    /// Whether a decode engine was sent the request and its answer is not over.
+    bool is_at_decode = false;
     int placements = 0;
     int prefills = 0;
 };
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -223,6 +223,7 @@
     for (auto const& record : this->state.upstreams.records())
         identities.push_back(record.identity);
     this->state.selector.retain(identities);
+    this->state.reachability.retain({ identities.begin(), identities.end() });
 }
 
 void Node::fetch_configuration(std::string const& endpoint)
@@ -343,6 +344,7 @@
 void Node::drop_lapsed()
 {
     auto const now = monotonic_now();
+    this->state.prober.tick();
     if (this->state.upstreams.advance(now)) {
         LogLine("lapsed_upstreams_dropped").with("left", static_cast<std::int64_t>(this->state.upstreams.size()));
         this->engines_changed();
--- /dev/null
+++ b/Tests/LibDecision/TestReachabilityTracker.cpp
@@ -0,0 +1,94 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibDecision/ReachabilityTracker.h>
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+using namespace Spurtide;
+
+namespace {
+
+MonotonicTime at(std::int64_t time) { return MonotonicTime(milliseconds(time)); }
+
+std::vector<UpstreamPlace> const s_upstreams { { "a1", "a" }, { "a2", "a" }, { "b1", "b" }, { "b2", "b" }, { "b3", "b" } };
+
+bool contains(std::vector<std::string> const& list, std::string_view name) { return std::find(list.begin(), list.end(), name) != list.end(); }
+
+}
+
+TEST_CASE("An upstream that leaves requests without any answer is probed, one that answers is not", "[cut]")
+{
+    ReachabilityTracker tracker({}, "a");
+    tracker.note_sent("a1", "a", at(0));
+    CHECK(tracker.due_probes(s_upstreams, at(299)).empty());
+    CHECK(tracker.due_probes(s_upstreams, at(300)) == std::vector<std::string> { "a1" });
+    SECTION("once in an interval")
+    {
+        tracker.note_probe("a1", at(300));
+        CHECK(tracker.due_probes(s_upstreams, at(599)).empty());
+        CHECK(contains(tracker.due_probes(s_upstreams, at(600)), "a1"));
+    }
+    SECTION("part of an answer counts")
+    {
+        tracker.note_heard("a1", at(290));
+        CHECK(tracker.due_probes(s_upstreams, at(300)).empty());
+        CHECK(contains(tracker.due_probes(s_upstreams, at(590)), "a1"));
+    }
+    SECTION("nothing waits")
+    {
+        tracker.note_over("a1");
+        CHECK(tracker.due_probes(s_upstreams, at(10'000)).empty());
+    }
+    CHECK(tracker.is_reachable("a1", "a", at(300)));
+}
+
+TEST_CASE("What cannot be connected gets nothing until a probe comes through", "[cut][kill]")
+{
+    ReachabilityTracker tracker({}, "a");
+    tracker.note_unreachable("a1", "a", at(0));
+    CHECK_FALSE(tracker.is_reachable("a1", "a", at(1)));
+    CHECK(tracker.is_reachable("a2", "a", at(1)));
+    CHECK(tracker.due_probes(s_upstreams, at(299)).empty());
+    CHECK(tracker.due_probes(s_upstreams, at(300)) == std::vector<std::string> { "a1" });
+    tracker.note_reached("a1", "a", at(310));
+    CHECK(tracker.is_reachable("a1", "a", at(310)));
+}
+
+TEST_CASE("A data centre of which several are out of reach and none answers counts as cut off", "[cut]")
+{
+    ReachabilityTracker tracker({}, "a");
+    tracker.note_sent("b3", "b", at(0));
+    tracker.note_heard("b3", at(0));
+    tracker.note_unreachable("b1", "b", at(100));
+    CHECK(tracker.is_reachable("b3", "b", at(1000)));
+    tracker.note_unreachable("b2", "b", at(150));
+    // One of it answered just now: two upstreams are away, and not their data centre.
+    CHECK(tracker.is_reachable("b3", "b", at(299)));
+    CHECK_FALSE(tracker.is_reachable("b3", "b", at(300)));
+    CHECK(tracker.is_cut_off("b", at(300)));
+    SECTION("another of it is probed too, and tells that it is back")
+    {
+        CHECK(contains(tracker.due_probes(s_upstreams, at(460)), "b3"));
+        tracker.note_reached("b3", "b", at(470));
+        CHECK(tracker.is_reachable("b3", "b", at(480)));
+        CHECK_FALSE(tracker.is_reachable("b1", "b", at(480)));
+    }
+    SECTION("the own data centre is never cut off")
+    {
+        tracker.note_unreachable("a1", "a", at(300));
+        tracker.note_unreachable("a2", "a", at(300));
+        tracker.note_unreachable("a3", "a", at(300));
+        CHECK(tracker.is_reachable("a4", "a", at(1000)));
+    }
+}
+
+TEST_CASE("Upstreams that left are forgotten, once nothing is in flight to them")
+{
+    ReachabilityTracker tracker({}, "a");
+    tracker.note_unreachable("b1", "b", at(0));
+    tracker.note_unreachable("b2", "b", at(0));
+    tracker.retain({ "b2", "b3" });
+    CHECK(tracker.is_reachable("b1", "b", at(1000)));
+    CHECK_FALSE(tracker.is_cut_off("b", at(1000)));
+}
--- a/Tests/LibDecision/TestRoleBalancer.cpp
+++ b/Tests/LibDecision/TestRoleBalancer.cpp
@@ -170,3 +170,19 @@
     static_cast<void>(balancer.next_change(engines, s_capacity, at(25'001)));
     CHECK_FALSE(balancer.is_changing(other->engine));
 }
+
+TEST_CASE("Engines that cannot be reached count with their roles and get no order", "[cut]")
+{
+    RoleBalancer balancer(usual_options());
+    balancer.note_request(5000, 4400, at(0));
+    // Seen from a data centre that is cut off: its own engines answer, and both that read are elsewhere.
+    auto engines = pool(2, 7);
+    for (auto& engine : engines)
+        engine.is_failing = engine.data_centre != "dc2";
+    for (std::int64_t now = 0; now < 30'000; now += 250)
+        CHECK_FALSE(balancer.next_change(engines, s_capacity, at(now)));
+    auto all_failing = pool(4, 5);
+    for (auto& engine : all_failing)
+        engine.is_failing = true;
+    CHECK_FALSE(balancer.next_change(all_failing, s_capacity, at(60'000)));
+}
--- a/Tests/Platform/TestNode.cpp
+++ b/Tests/Platform/TestNode.cpp
@@ -448,3 +448,70 @@
     REQUIRE(early.head.headers.find("Connection") == "close");
     REQUIRE(test.run_until([&] { return is_stopped; }));
 }
+
+TEST_CASE("What waits in vain at an upstream out of reach goes on elsewhere, where it may", "[cut][whole]")
+{
+    NodeUnderTest test;
+    UpstreamStandIn one(test.loop, "i-1");
+    UpstreamStandIn two(test.loop, "i-2");
+    test.configure(1);
+    test.list(one, "plain");
+    // The first takes the request and is then cut off: nothing comes, and nothing connects any more.
+    one.script = [&](HttpExchange&) -> asio::awaitable<bool> {
+        one.stop_listening();
+        Signal never(test.loop.get_executor());
+        static_cast<void>(co_await never.wait_until(monotonic_now() + seconds(20)));
+        co_return true;
+    };
+    auto const waiting = test.begin(test.request("GET", "/safe/x", "a"));
+    REQUIRE(test.run_until([&] { return one.requests.size() == 1; }));
+    test.list(two, "plain");
+    REQUIRE(test.run_until([&] { return two.run == std::vector<std::string> { "a" }; }));
+    // From then on it gets nothing, without a try.
+    for (int i = 0; i < 4; ++i)
+        REQUIRE(test.call(test.request("POST", "/once/x", "b" + std::to_string(i))).head.status == 200);
+    REQUIRE(one.requests.size() == 1);
+}
+
+TEST_CASE("A stream whose engine is out of reach goes on at another as long as its caller waits", "[cut][whole]")
+{
+    NodeUnderTest test;
+    UpstreamStandIn prefill(test.loop, "i-p", "prefill");
+    UpstreamStandIn one(test.loop, "i-d1", "decode");
+    test.configure(1, [](nlohmann::json& json) {
+        // The time to the first event is long over when the stream has to go on.
+        for (auto& route : json["routes"])
+            route["slo_ms"] = 60;
+    });
+    test.list(prefill, "engines");
+    test.list(one, "engines");
+    one.events = 8;
+    one.event_pause = milliseconds(40);
+    one.script = [&](HttpExchange& exchange) -> asio::awaitable<bool> {
+        auto head = one.answer_head(exchange, 200);
+        head.headers.add("Content-Type", "text/event-stream");
+        static_cast<void>(co_await exchange.begin(std::move(head), BodyFraming::Chunked));
+        static_cast<void>(co_await exchange.write("id: 1\ndata: piece 1\n\n"));
+        asio::steady_timer timer(test.loop, milliseconds(100));
+        asio::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        exchange.abort();
+        co_return true;
+    };
+    UpstreamStandIn two(test.loop, "i-d2", "decode");
+    two.events = 3;
+    std::string received;
+    auto const connection = test.begin(test.model_request("/resumable/x", "s1"));
+    REQUIRE(test.run_until([&] { return !one.requests.empty(); }));
+    test.list(two, "engines");
+    auto const read = [&]() -> asio::awaitable<void> {
+        auto const head = co_await connection->read_head();
+        if (head.is_error())
+            co_return;
+        auto const body = co_await connection->read_body(10'000);
+        received = body.is_error() ? "broken" : body.value();
+    };
+    asio::co_spawn(test.loop, read(), asio::detached);
+    REQUIRE(test.run_until([&] { return !received.empty(); }));
+    REQUIRE(received == "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\n");
+}
--- a/Tests/Platform/UpstreamStandIn.h
+++ b/Tests/Platform/UpstreamStandIn.h
@@ -22,6 +22,8 @@
     UpstreamStandIn(asio::io_context& loop, std::string identity, std::string phase = "");
 
     Address const& address() const { return this->server->address(); }
+    /// Refuses new connections; those that are open stay.
+    void stop_listening() { this->server->stop_listening(); }
     nlohmann::json entry(std::string const& service, std::string const& state = "ready") const;
 
     std::string identity;
