LibDecision, LibRouter: Say not run only of what has not run; a keeper without engines refuses nobody

Cause of the first: a request that may be repeated got 503 after a send that may have run (next_step, PlainFlow), on the ground that it may run again anyhow. The test's exception for repeatable requests goes; it was red without the change. It answers that it is not ready, and the entry asks on.

--- a/Libraries/LibDecision/AnswerVerdict.cpp
+++ b/Libraries/LibDecision/AnswerVerdict.cpp
@@ -33,8 +33,8 @@
     case SendEnd::NotExecuted:
         if (may_send && (is_repeatable || !ran_before))
             return NextStep::SendElsewhere;
-        // A repeatable request may run again whenever its caller likes, so its refusal promises nothing false.
-        return ran_before && !is_repeatable ? NextStep::FailMayHaveRun : NextStep::RefuseNotRun;
+        // A refusal says that the request has not run, of one that may be repeated as well.
+        return ran_before ? NextStep::FailMayHaveRun : NextStep::RefuseNotRun;
     case SendEnd::Lost:
         return is_repeatable && may_send ? NextStep::SendElsewhere : NextStep::FailMayHaveRun;
     }
--- a/Libraries/LibRouter/EngineKeeper.cpp
+++ b/Libraries/LibRouter/EngineKeeper.cpp
@@ -124,6 +124,11 @@
 void EngineKeeper::handle_ask(wire::PlacementAsk const& message, Kernel::Responder const& respond)
 {
     auto const now = monotonic_now();
+    if (this->scheduler.summary(now).engines == 0) {
+        // Just started: whoever asks goes on to a keeper that has heard of engines.
+        respond(error_reply(wire::ERROR_CODE_NOT_READY));
+        return;
+    }
     this->waiting.insert_or_assign(message.request(), respond);
     LogLine("asked").with("request", message.request()).with("prompt_tokens", message.prompt_tokens()).with("maximum_output_tokens", message.maximum_output_tokens()).with("expected_output_tokens", message.expected_output_tokens()).with("first_token_within_ms", message.first_token_within_microseconds() / 1000).with("decide_within_ms", message.decide_within_microseconds() / 1000);
     auto ask = read_ask(message, now);
--- a/Libraries/LibRouter/PlainFlow.cpp
+++ b/Libraries/LibRouter/PlainFlow.cpp
@@ -73,7 +73,7 @@
             upstream = this->choose();
         }
         if (!upstream) {
-            if (this->earlier == SendHistory::Earlier::MayHaveRun && this->route.kind != RouteKind::Repeatable)
+            if (this->earlier == SendHistory::Earlier::MayHaveRun)
                 co_await this->fail(502, "no_upstream");
             else {
                 // NOTE: GCC 12 destroys a temporary of a conditional expression twice when it spans an await.
--- a/Tests/LibDecision/TestAnswerVerdict.cpp
+++ b/Tests/LibDecision/TestAnswerVerdict.cpp
@@ -52,8 +52,7 @@
             return;
         ++refused;
         REQUIRE((end == SendEnd::NotSent || end == SendEnd::NotExecuted));
-        if (history.kind != RouteKind::Repeatable)
-            REQUIRE(history.earlier == SendHistory::Earlier::HasNotRun);
+        REQUIRE(history.earlier == SendHistory::Earlier::HasNotRun);
     });
     REQUIRE(refused > 0);
 }
