LibRouter: Leave out engines that refuse a promised place; count engines that change with their new role

Ruled out: memory (54 of the answers that fit were held), handles that lapsed. Change: an engine that changes counts with the role it will have. A release names the engines of a refused place (the one that refused and the one whose cache was not taken); the keeper leaves both out until one request tried them. Tests red without it: "An engine that changes counts..." (3 orders for 2), "An engine that refuses a promised place..." (503).

--- a/Libraries/LibDecision/CellScheduler.cpp
+++ b/Libraries/LibDecision/CellScheduler.cpp
@@ -426,9 +426,8 @@
     std::map<std::string, std::vector<EngineState>> states;
     for (auto const& [name, engine] : this->engines) {
         bool const is_serving = engine.reported_life == EngineReport::Life::Serving && engine.hinted_life == EngineReport::Life::Serving;
-        if (!is_serving)
-            continue;
         EngineState state;
+        state.is_leaving = !is_serving;
         state.name = name;
         state.role = engine.description.role;
         state.data_centre = engine.description.data_centre;
--- a/Libraries/LibDecision/CellScheduler.h
+++ b/Libraries/LibDecision/CellScheduler.h
@@ -274,8 +274,9 @@
         std::int64_t decode_slots = 0;
         /// Whether the last that was sent to it failed; it may be out of this VM's reach alone.
         bool is_failing = false;
+        bool is_leaving = false;
     };
-    /// The engines by model, without those that are leaving.
+    /// The engines by model.
     std::map<std::string, std::vector<EngineState>> engine_states() const;
 
     struct Summary {
--- a/Libraries/LibRouter/CallerRequest.h
+++ b/Libraries/LibRouter/CallerRequest.h
@@ -66,6 +66,8 @@
     std::string expected_identity;
     /// Where the cache is kept, for Decode.
     std::string cache_address;
+    /// The identity of the engine there.
+    std::string cache_holder;
     std::string cache_handle;
     /// The stream goes on behind this event; empty sends what the caller sent.
     std::string after_event;
--- a/Libraries/LibRouter/EngineKeeper.cpp
+++ b/Libraries/LibRouter/EngineKeeper.cpp
@@ -107,6 +107,9 @@
         auto const& release = request.release();
         if (!release.failed_engine().empty())
             this->scheduler.note_failure(release.failed_engine(), now);
+        // Each prompt that was read for a refused place is lost, so both get nothing until one request tried them.
+        for (auto const& engine : release.refusing_engines())
+            this->scheduler.note_failure(engine, now);
         this->waiting.erase(release.request());
         this->scheduler.release(release.request(), release.output_tokens(), now);
         break;
--- a/Libraries/LibRouter/PlacementClient.cpp
+++ b/Libraries/LibRouter/PlacementClient.cpp
@@ -25,12 +25,14 @@
     return envelope;
 }
 
-wire::Envelope release_message(std::string const& request, std::int64_t output_tokens, std::string const& failed_engine)
+wire::Envelope release_message(std::string const& request, std::int64_t output_tokens, PlacementClient::EngineFaults const& faults)
 {
     auto envelope = placement_message();
     envelope.mutable_release()->set_request(request);
     envelope.mutable_release()->set_output_tokens(output_tokens);
-    envelope.mutable_release()->set_failed_engine(failed_engine);
+    envelope.mutable_release()->set_failed_engine(faults.failed);
+    for (auto const& engine : faults.refusing)
+        envelope.mutable_release()->add_refusing_engines(engine);
     return envelope;
 }
 
@@ -117,7 +119,7 @@
             co_await wait->signal.wait();
         if (wait->is_given_up || wait->reply->is_error()) {
             // Whatever it grants, or did grant without the answer coming through, is not taken up.
-            this->kernel.notify(endpoint, release_message(ask.request, 0, ""));
+            this->kernel.notify(endpoint, release_message(ask.request, 0, {}));
         }
         if (wait->is_given_up)
             co_return std::nullopt;
@@ -162,11 +164,11 @@
     this->send(std::move(envelope));
 }
 
-void PlacementClient::release(std::string const& request, std::int64_t output_tokens, std::string const& failed_engine)
+void PlacementClient::release(std::string const& request, std::int64_t output_tokens, EngineFaults const& faults)
 {
     if (this->held.erase(request) == 0)
         return;
-    this->send(release_message(request, output_tokens, failed_engine));
+    this->send(release_message(request, output_tokens, faults));
 }
 
 // A keeper that is new in office knows nothing; until it hears what is held it would promise memory twice.
--- a/Libraries/LibRouter/PlacementClient.h
+++ b/Libraries/LibRouter/PlacementClient.h
@@ -52,6 +52,14 @@
         bool is_given_up = false;
     };
 
+    /// What went wrong with the engines of a grant.
+    struct EngineFaults {
+        /// It did not answer, or not as it should; empty where none failed.
+        std::string failed;
+        /// One of them is at fault for a place that was promised and refused.
+        std::vector<std::string> refusing;
+    };
+
     PlacementClient(Options options, Kernel& kernel);
 
     void start();
@@ -60,7 +68,7 @@
     asio::awaitable<std::optional<PlacementDecision>> ask(PlacementAsk ask, std::shared_ptr<Ask> wait, Duration decide_within, Duration first_token_within);
     void progress(std::string const& request, GrantProgress progress);
     /// The request needs its grant no more.
-    void release(std::string const& request, std::int64_t output_tokens, std::string const& failed_engine);
+    void release(std::string const& request, std::int64_t output_tokens, EngineFaults const& faults);
 
     /// Whether this VM keeps the engines, as far as it knows.
     bool is_keeper() const { return this->present_keeper() == this->kernel.endpoint(); }
--- a/Libraries/LibRouter/RoleKeeper.cpp
+++ b/Libraries/LibRouter/RoleKeeper.cpp
@@ -79,6 +79,9 @@
         std::vector<RoleCandidate> candidates;
         EngineCapacity capacity { 0, 0, 0, Duration::zero() };
         for (auto const& engine : engines) {
+            // Those that change are told to be leaving by this process itself.
+            if (engine.is_leaving && !this->is_changing(engine.name))
+                continue;
             candidates.push_back({ engine.name, engine.role, engine.work, engine.data_centre, engine.is_failing });
             capacity.prefill_rate = std::max(capacity.prefill_rate, engine.prefill_rate);
             capacity.memory_tokens = std::max(capacity.memory_tokens, engine.memory_tokens);
@@ -86,8 +89,11 @@
             capacity.step_time = std::max(capacity.step_time, engine.step_time);
         }
         auto const change = this->balancer_of(model).next_change(candidates, capacity, now);
-        if (change)
-            return Due { model, *change };
+        if (change) {
+            std::array<char, 96> text {};
+            std::snprintf(text.data(), text.size(), "engines:%zu,prefill_rate:%.0f,step_us:%lld", candidates.size(), capacity.prefill_rate, static_cast<long long>(capacity.step_time.count()));
+            return Due { model, *change, text.data() };
+        }
     }
     return {};
 }
@@ -155,7 +161,7 @@
     order.expected_identity = due.change.engine;
     balancer.note_ordered(due.change, monotonic_now());
     auto const answer = co_await this->send_order(*address, order);
-    LogLine("role_ordered").with("engine", due.change.engine).with("role", role_name(due.change.role)).with("fencing_token", order.fencing_token).with("orders_taken", status->orders_taken).with("status", answer);
+    LogLine("role_ordered").with("engine", due.change.engine).with("role", role_name(due.change.role)).with("fencing_token", order.fencing_token).with("orders_taken", status->orders_taken).with("status", answer).with("because", due.because);
     auto const now = monotonic_now();
     constexpr int TAKEN = 202;
     if (answer == TAKEN) {
--- a/Libraries/LibRouter/RoleKeeper.h
+++ b/Libraries/LibRouter/RoleKeeper.h
@@ -52,6 +52,8 @@
     struct Due {
         std::string model;
         RoleChange change;
+        /// What decided it, for the log.
+        std::string because;
     };
 
     asio::awaitable<void> run();
--- a/Libraries/LibRouter/StreamFlow.cpp
+++ b/Libraries/LibRouter/StreamFlow.cpp
@@ -116,7 +116,7 @@
     while (true) {
         auto const decision = co_await this->place();
         if (this->is_stopped() || !decision) {
-            this->release("");
+            this->release();
             co_await this->answer_stopped();
             co_return;
         }
@@ -129,9 +129,10 @@
         }
         ++this->placements;
         auto const progress = co_await this->use(std::get<PlacementGrant>(*decision));
-        this->release(this->failed_engine);
+        this->release();
         if (!this->failed_engine.empty())
             this->failed_engines.push_back(std::exchange(this->failed_engine, {}));
+        this->refusing_engines.clear();
         if (progress == Progress::Over)
             co_return;
         if (this->is_stopped()) {
@@ -147,9 +148,9 @@
     return this->events.event_count() * (traits && traits->engine ? traits->engine->tokens_per_event : 1);
 }
 
-void StreamFlow::release(std::string const& engine)
+void StreamFlow::release()
 {
-    this->state.placement->release(this->request.identifier, this->relayed_tokens(), engine);
+    this->state.placement->release(this->request.identifier, this->relayed_tokens(), { this->failed_engine, this->refusing_engines });
 }
 
 asio::awaitable<StreamFlow::Progress> StreamFlow::use(PlacementGrant grant)
@@ -191,6 +192,7 @@
         this->state.placement->progress(this->request.identifier, GrantProgress::CacheHeld);
         dispatch.stage = DispatchStage::Decode;
         dispatch.cache_address = prefiller.address;
+        dispatch.cache_holder = prefiller.identity;
         dispatch.cache_handle = cache->handle;
     }
     co_return co_await this->decode(decoder, *decode_address, std::move(dispatch));
@@ -337,8 +339,10 @@
             this->free_cache(dispatch.cache_address, dispatch.cache_handle);
         if (this->is_stopped())
             co_return Progress::TryAgain;
-        // It works as it should, but this request goes elsewhere.
         this->failed_engines.push_back(engine.identity);
+        this->refusing_engines = { engine.identity };
+        if (!dispatch.cache_holder.empty())
+            this->refusing_engines.push_back(dispatch.cache_holder);
         co_return co_await this->give_up(SendEnd::NotExecuted, reason);
     }
     if (this->is_stopped())
--- a/Libraries/LibRouter/StreamFlow.h
+++ b/Libraries/LibRouter/StreamFlow.h
@@ -61,13 +61,14 @@
     asio::awaitable<Progress> give_up(SendEnd end, std::string_view reason);
     void free_cache(std::string const& address, std::string const& handle);
     ConnectionPool::Freshness freshness() const;
-    void release(std::string const& failed_engine);
+    void release();
     /// Tokens of the answer that came so far.
     std::int64_t relayed_tokens() const;
 
     std::shared_ptr<PlacementClient::Ask> wait;
     std::vector<std::string> failed_engines;
     std::string failed_engine;
+    std::vector<std::string> refusing_engines;
     EventBoundary events;
     PatienceTracker::Visit visit = PatienceTracker::Visit::First;
     MonotonicTime last_event_at;
--- a/Tests/Platform/TestNode.cpp
+++ b/Tests/Platform/TestNode.cpp
@@ -515,3 +515,25 @@
     REQUIRE(test.run_until([&] { return !received.empty(); }));
     REQUIRE(received == "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\n");
 }
+
+TEST_CASE("An engine that refuses a promised place costs no further prompts", "[held][kill]")
+{
+    NodeUnderTest test;
+    UpstreamStandIn prefill(test.loop, "i-p", "prefill");
+    UpstreamStandIn other_prefill(test.loop, "i-q", "prefill");
+    UpstreamStandIn full(test.loop, "i-d1", "decode");
+    UpstreamStandIn decode(test.loop, "i-d2", "decode");
+    full.script = [&](HttpExchange& exchange) -> asio::awaitable<bool> {
+        auto head = HttpResponseHead { 503, "", {} };
+        head.headers.add("X-Spurtide-Not-Executed", "1");
+        static_cast<void>(co_await exchange.respond(std::move(head), {}));
+        co_return true;
+    };
+    test.configure(1);
+    for (auto* engine : { &prefill, &other_prefill, &full, &decode })
+        test.list(*engine, "engines");
+    for (int i = 0; i < 8; ++i)
+        REQUIRE(test.call(test.model_request("/resumable/x", "s" + std::to_string(i))).head.status == 200);
+    REQUIRE(full.requests.size() <= 1);
+    REQUIRE(prefill.handles.size() + other_prefill.handles.size() <= 9);
+}
--- a/Tests/Platform/TestRoles.cpp
+++ b/Tests/Platform/TestRoles.cpp
@@ -82,3 +82,28 @@
     roles.test.store.set_fault(StoreStandIn::Fault::None);
     CHECK(roles.test.run_until([&] { return roles.orders() == 2; }));
 }
+
+TEST_CASE("An engine that changes counts with the role it will have", "[config]")
+{
+    NodeUnderTest test([](NodeSettings& settings) {
+        settings.role_changes = NodeSettings::RoleChanges::On;
+        settings.usual_prompt_tokens = 10'000;
+        settings.usual_output_tokens = 500;
+    });
+    test.configure(1);
+    std::vector<std::unique_ptr<UpstreamStandIn>> engines;
+    for (int i = 0; i < 6; ++i) {
+        engines.push_back(std::make_unique<UpstreamStandIn>(test.loop, "i-" + std::to_string(i), i < 5 ? "prefill" : "decode"));
+        test.list(*engines.back(), "engines");
+    }
+    auto const orders = [&] {
+        std::size_t count = 0;
+        for (auto const& engine : engines)
+            count += engine->orders.size();
+        return count;
+    };
+    REQUIRE(test.run_until([&] { return orders() == 2; }));
+    // Three of each is what is needed: each look after that, for as long as the lease is good, orders nothing.
+    test.run_until([&] { return orders() > 2; }, milliseconds(1500));
+    REQUIRE(orders() == 2);
+}
