LibDecision: Look at waiting requests less often; LibRouter: Keep engines on VMs that can carry them

Change: a request's forecast is worked out once; whether waiting requests are hopeless is looked at when they come and every 50 ms; progress that frees nothing schedules nothing; half of the forecast's powers are gone.

--- a/Benchmarks/BenchmarkCellScheduler.cpp
+++ b/Benchmarks/BenchmarkCellScheduler.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <benchmark/benchmark.h>
 #include <chrono>
+#include <deque>
 #include <vector>
 
 using namespace Spurtide;
@@ -99,6 +100,69 @@
         state.counters["p99_us"] = times[times.size() * 99 / 100];
 }
 
+/// A cell whose engines' memory binds, with more requests than fit: each turn some wait, some are refused.
+void turn_with_full_memory(benchmark::State& state)
+{
+    CellScheduler::Options options;
+    options.report_need = CellScheduler::Options::ReportNeed::None;
+    options.first_step_time = milliseconds(1);
+    options.memory_headroom = 0.2;
+    options.policy.backfill = SchedulerPolicy::Backfill::On;
+    options.policy.last_resort = SchedulerPolicy::LastResort::On;
+    options.vanish_after = seconds(60);
+    CellScheduler scheduler(options);
+    std::vector<EngineDescription> engines;
+    auto const count = static_cast<int>(state.range(0));
+    for (int i = 0; i < count; ++i) {
+        EngineDescription engine { "engine-" + std::to_string(i), "llm", i % 5 == 0 ? EngineRole::Prefill : EngineRole::Decode, 32, 50'000, 18'432, 1e11, 63'346 };
+        engines.push_back(engine);
+    }
+    scheduler.set_engines(engines);
+    MonotonicTime now(seconds(1));
+    AccountDescription const account { "all", 1, 1e9, 1e9 };
+    scheduler.set_accounts({ &account, 1 }, now);
+    std::uint64_t next = 0;
+    std::deque<std::pair<MonotonicTime, std::string>> running;
+    std::int64_t refused = 0;
+    // Two thirds more than the engines can take.
+    auto const pause = Duration(1'000'000 / (count * 5 / 2));
+    for (auto _ : state) {
+        now += pause;
+        PlacementAsk ask;
+        ask.request = "r" + std::to_string(next++);
+        ask.account = "all";
+        ask.model = "llm";
+        ask.origin = "entry";
+        ask.prompt_tokens = 2000 + static_cast<std::int64_t>(next * 7919 % 6000);
+        ask.expected_output_tokens = 1500 + static_cast<std::int64_t>(next * 104'729 % 6000);
+        ask.maximum_output_tokens = 10'880;
+        ask.first_token_deadline = now + milliseconds(900);
+        ask.decide_by = now + milliseconds(200);
+        auto const length = milliseconds(ask.expected_output_tokens);
+        scheduler.ask(std::move(ask), now);
+        for (auto const& decision : scheduler.take_decisions()) {
+            auto const* grant = std::get_if<PlacementGrant>(&decision);
+            refused += grant ? 0 : 1;
+            if (!grant)
+                continue;
+            scheduler.progress(grant->request, GrantProgress::CacheHeld, now);
+            scheduler.progress(grant->request, GrantProgress::Decoding, now);
+            running.emplace_back(now + length, grant->request);
+        }
+        std::sort(running.begin(), running.end());
+        while (!running.empty() && running.front().first <= now) {
+            scheduler.release(running.front().second, 4000, now);
+            running.pop_front();
+        }
+        if (next % 4 == 0)
+            scheduler.advance(now);
+    }
+    auto const summary = scheduler.summary(now);
+    state.counters["refused_share"] = static_cast<double>(refused) / static_cast<double>(next);
+    state.counters["waiting"] = static_cast<double>(summary.waiting);
+    state.counters["granted"] = static_cast<double>(summary.granted);
+}
+
 void cell_map(benchmark::State& state)
 {
     std::vector<CellMember> members;
@@ -116,5 +180,6 @@
 }
 
 BENCHMARK(turn_of_a_request)->Args({ 9, 10 })->Args({ 35, 10 })->Args({ 35, 2100 })->Args({ 70, 10 })->Args({ 140, 10 });
+BENCHMARK(turn_with_full_memory)->Arg(9)->Arg(36)->Arg(72);
 BENCHMARK(cell_map)->Arg(35)->Arg(460);
 BENCHMARK_MAIN();
--- a/Libraries/LibDecision/CellScheduler.cpp
+++ b/Libraries/LibDecision/CellScheduler.cpp
@@ -19,6 +19,8 @@
 constexpr Duration RELEASED_NAMES_KEPT = seconds(5);
 /// Fewer say too little of an engine's pace.
 constexpr std::int64_t FEWEST_MEASURED_TOKENS = 8;
+/// Whether waiting requests can still be on time is looked at no more often: it takes a look at each engine.
+constexpr Duration HOPELESS_CHECK = milliseconds(50);
 constexpr Duration SHORTEST_MEASURED_PREFILL = milliseconds(5);
 
 std::size_t earliest(std::span<PlacementCandidate const> candidates)
@@ -213,6 +215,12 @@
     engine.left_out_until = now + std::min(this->options.longest_leave_out, this->options.first_leave_out * (1 << doublings));
 }
 
+bool CellScheduler::is_tried_out(std::string_view name) const
+{
+    auto const found = this->engines.find(name);
+    return found != this->engines.end() && found->second.failures_in_a_row > 0;
+}
+
 void CellScheduler::note_success(std::string_view name)
 {
     auto const found = this->engines.find(name);
@@ -295,6 +303,9 @@
     }
     if (others_wait)
         account->second.served = std::max(account->second.served, least);
+    this->ask_forecasts.erase(ask.request);
+    if (this->refuse_if_hopeless(ask, now))
+        return;
     this->waiting.push_back(std::move(ask));
     this->schedule(now);
 }
@@ -307,8 +318,10 @@
     auto& granted = found->second;
     granted.taken_up = true;
     granted.named_at = now;
+    bool frees_an_engine = false;
     auto const engine = this->engines.find(granted.prefill_engine);
     if (progress == GrantProgress::CacheHeld && granted.phase == GrantProgress::Prefilling && engine != this->engines.end()) {
+        frees_an_engine = true;
         this->note_success(granted.prefill_engine);
         auto const& prefills = engine->second.prefills;
         bool const is_first = !prefills.empty() && prefills.front().request == request;
@@ -321,6 +334,7 @@
     }
     if (progress == GrantProgress::Decoding && granted.phase != GrantProgress::Decoding) {
         granted.decode_from = now;
+        frees_an_engine = frees_an_engine || this->is_tried_out(granted.decode_engine);
         this->note_success(granted.decode_engine);
         if (granted.predicted_first_token != MonotonicTime {})
             this->lateness.add(std::max(0.0, to_seconds(now - granted.predicted_first_token) * 1000));
@@ -329,7 +343,8 @@
     auto const decode = this->engines.find(granted.decode_engine);
     if (decode != this->engines.end())
         decode->second.forecast.reset();
-    this->schedule(now);
+    if (frees_an_engine)
+        this->schedule(now);
 }
 
 void CellScheduler::restore(PlacementAsk ask, std::string_view prefill_engine, std::string_view decode_engine, GrantProgress progress, Duration age, MonotonicTime now)
@@ -400,6 +415,10 @@
     for (auto const& request : lapsed)
         this->remove_granted(request, now);
     std::erase_if(this->released, [&](auto const& entry) { return now - entry.second > RELEASED_NAMES_KEPT; });
+    if (now - this->hopeless_checked >= HOPELESS_CHECK) {
+        this->hopeless_checked = now;
+        this->refuse_hopeless(now);
+    }
     this->schedule(now);
 }
 
--- a/Libraries/LibDecision/CellScheduler.h
+++ b/Libraries/LibDecision/CellScheduler.h
@@ -364,7 +364,9 @@
     void schedule_model(std::string const& model, MonotonicTime now);
     ScheduleStep schedule_one(std::size_t index, MonotonicTime now);
     Duration expected_lateness() const;
-    void refuse_hopeless(std::string const& model, MonotonicTime now);
+    bool refuse_if_hopeless(PlacementAsk const& ask, MonotonicTime now);
+    void refuse_hopeless(MonotonicTime now);
+    void refuse_overdue(std::string const& model, MonotonicTime now);
     std::optional<std::size_t> next_waiting(std::string_view model, std::set<std::string> const& passed_over) const;
     std::optional<Placement> find_placement(PlacementAsk const& ask, MonotonicTime now);
     std::optional<Placement> find_decode(PlacementAsk const& ask, Placement placement, MonotonicTime now) const;
@@ -375,6 +377,8 @@
     void remove_granted(std::string request, MonotonicTime now);
     void adopt(Engine& engine, HeldWork const& held, MonotonicTime now);
     void drop_vanished(Engine const& engine, EngineReport const& report, MonotonicTime now);
+    /// Whether one request tries the engine, after it failed.
+    bool is_tried_out(std::string_view engine) const;
     void note_success(std::string_view engine);
     void end_prefill(std::string_view engine, std::string_view request, MonotonicTime now);
     MonotonicTime busy_until(Engine const& engine, MonotonicTime now) const;
@@ -384,7 +388,8 @@
     void hold_slot(Engine& engine, std::string const& request);
     void free_slot(std::string_view engine, std::string_view request);
     MemoryForecast const& forecast_of(Engine const& engine, MonotonicTime now) const;
-    MemoryForecast forecast_of(PlacementAsk const& ask, Engine const& engine) const;
+    MemoryForecast const& forecast_of(PlacementAsk const& ask) const;
+    Duration usual_step(std::string_view model) const;
     AnswerForecast answer_forecast(PlacementAsk const& ask, double made_tokens) const;
     double usable_memory(Engine const& engine) const;
     bool may_take(Engine const& engine, EngineRole role, PlacementAsk const& ask, MonotonicTime now) const;
@@ -408,6 +413,9 @@
     /// By how much first tokens came later than predicted, as a high quantile in milliseconds.
     QuantileEstimator lateness;
     std::vector<PlacementAsk> waiting;
+    /// What waiting requests would hold, by request; filled as needed and emptied now and then.
+    mutable std::map<std::string, MemoryForecast, std::less<>> ask_forecasts;
+    MonotonicTime hopeless_checked;
     std::map<std::string, Granted, std::less<>> granted;
     /// Requests released lately: reports lag and still name them.
     std::map<std::string, MonotonicTime, std::less<>> released;
--- a/Libraries/LibDecision/CellSchedulerPlacement.cpp
+++ b/Libraries/LibDecision/CellSchedulerPlacement.cpp
@@ -19,12 +19,16 @@
 /// Requests that a smaller one may go before, so that a turn's work stays bounded.
 constexpr std::size_t MOST_PASSED_OVER = 8;
 constexpr double OUTPUT_QUANTILE = 0.8;
+/// Of requests that do not wait any more; more are dropped together.
+constexpr std::size_t MOST_FORECASTS_KEPT = 64;
 
 }
 
 void CellScheduler::schedule(MonotonicTime now)
 {
     this->mark_last_resorts(now);
+    if (this->ask_forecasts.size() > MOST_FORECASTS_KEPT + 2 * this->waiting.size())
+        this->ask_forecasts.clear();
     std::set<std::string> models;
     for (auto const& ask : this->waiting)
         models.insert(ask.model);
@@ -77,7 +81,7 @@
 
 void CellScheduler::schedule_model(std::string const& model, MonotonicTime now)
 {
-    this->refuse_hopeless(model, now);
+    this->refuse_overdue(model, now);
     std::set<std::string> passed_over;
     while (auto const index = this->next_waiting(model, passed_over)) {
         auto const request = this->waiting[*index].request;
@@ -111,25 +115,34 @@
     return std::min(LONGEST_LATENESS, from_seconds(this->lateness.estimate() / 1000));
 }
 
-void CellScheduler::refuse_hopeless(std::string const& model, MonotonicTime now)
+bool CellScheduler::refuse_if_hopeless(PlacementAsk const& ask, MonotonicTime now)
 {
-    bool const refuse_early = this->options.policy.early_refusal == SchedulerPolicy::EarlyRefusal::On;
-    auto const is_hopeless = [&](PlacementAsk const& ask) {
-        if (ask.model != model)
+    if (this->options.policy.early_refusal == SchedulerPolicy::EarlyRefusal::Off)
+        return false;
+    auto const best = this->best_first_token(ask, now);
+    // Without any engine heard of, a keeper new in office still waits for reports until the deadline.
+    if (!best || *best <= ask.first_token_deadline)
+        return false;
+    this->refuse(ask, RefusalReason::CannotMeetFirstToken, this->expected_wait(ask.model, now));
+    return true;
+}
+
+void CellScheduler::refuse_hopeless(MonotonicTime now)
+{
+    std::erase_if(this->waiting, [&](auto const& ask) { return this->refuse_if_hopeless(ask, now); });
+}
+
+// Those whose time is over, whatever engines there are.
+void CellScheduler::refuse_overdue(std::string const& model, MonotonicTime now)
+{
+    std::erase_if(this->waiting, [&](auto const& ask) {
+        bool const is_overdue = (ask.decide_by && now >= *ask.decide_by) || now > ask.first_token_deadline;
+        if (ask.model != model || !is_overdue)
             return false;
         auto const best = this->best_first_token(ask, now);
-        if (ask.decide_by && now >= *ask.decide_by) {
-            this->refuse(ask, best ? RefusalReason::CannotMeetFirstToken : RefusalReason::NoUpstream, this->expected_wait(model, now));
-            return true;
-        }
-        // Without any engine heard of, a keeper new in office still waits for reports until the deadline.
-        auto const first_token = best && refuse_early ? *best : now;
-        if (first_token <= ask.first_token_deadline)
-            return false;
         this->refuse(ask, best ? RefusalReason::CannotMeetFirstToken : RefusalReason::NoUpstream, this->expected_wait(model, now));
         return true;
-    };
-    this->waiting.erase(std::remove_if(this->waiting.begin(), this->waiting.end(), is_hopeless), this->waiting.end());
+    });
 }
 
 // Priority first, then the account that had least for its weight, then the earliest deadline.
@@ -233,7 +246,7 @@
             return now;
         if (engine.description.memory_tokens == 0)
             continue;
-        auto const delay = this->forecast_of(engine, now).shortest_delay(this->forecast_of(ask, engine), this->usable_memory(engine));
+        auto const delay = this->forecast_of(engine, now).shortest_delay(this->forecast_of(ask), this->usable_memory(engine));
         earliest = earliest ? std::min(*earliest, now + delay) : now + delay;
     }
     return earliest;
@@ -264,11 +277,28 @@
     return answer;
 }
 
-MemoryForecast CellScheduler::forecast_of(PlacementAsk const& ask, Engine const& engine) const
+Duration CellScheduler::usual_step(std::string_view model) const
+{
+    Duration sum {};
+    std::int64_t count = 0;
+    for (auto const& [name, engine] : this->engines) {
+        if (engine.description.model != model || engine.description.role != EngineRole::Decode)
+            continue;
+        sum += engine.step_time;
+        ++count;
+    }
+    return count > 0 ? sum / count : this->options.first_step_time;
+}
+
+// Each look at a waiting request compares it with all engines, so it is worked out once, for a usual one.
+MemoryForecast const& CellScheduler::forecast_of(PlacementAsk const& ask) const
 {
+    auto const found = this->ask_forecasts.find(ask.request);
+    if (found != this->ask_forecasts.end())
+        return found->second;
     MemoryForecast forecast(this->options.forecast);
-    forecast.add(this->answer_forecast(ask, 0), engine.step_time);
-    return forecast;
+    forecast.add(this->answer_forecast(ask, 0), this->usual_step(ask.model));
+    return this->ask_forecasts.emplace(ask.request, forecast).first->second;
 }
 
 MemoryForecast const& CellScheduler::forecast_of(Engine const& engine, MonotonicTime now) const
@@ -307,7 +337,7 @@
         return false;
     if (engine.description.memory_tokens == 0)
         return true;
-    return this->forecast_of(engine, now).has_room_for(this->forecast_of(ask, engine), std::chrono::duration_cast<Duration>(when - now), this->usable_memory(engine));
+    return this->forecast_of(engine, now).has_room_for(this->forecast_of(ask), std::chrono::duration_cast<Duration>(when - now), this->usable_memory(engine));
 }
 
 std::optional<CellScheduler::Placement> CellScheduler::find_placement(PlacementAsk const& ask, MonotonicTime now)
--- a/Libraries/LibDecision/MemoryForecast.cpp
+++ b/Libraries/LibDecision/MemoryForecast.cpp
@@ -34,9 +34,13 @@
 void MemoryForecast::add(AnswerForecast const& answer, Duration per_token)
 {
     auto const tokens_per_step = to_seconds(STEP) / std::max(1e-6, to_seconds(per_token));
+    auto const median = std::max(1.0, answer.expected_tokens);
+    auto const made_share = upper_tail(answer.made_tokens, median, this->options.spread);
     for (std::size_t i = 0; i < STEPS; ++i) {
         auto const length = answer.made_tokens + tokens_per_step * static_cast<double>(i);
-        auto const goes_on = probability_beyond(length, answer, this->options.spread);
+        if (length >= answer.maximum_tokens)
+            return;
+        auto const goes_on = i == 0 ? 1.0 : upper_tail(length, median, this->options.spread) / made_share;
         if (goes_on < 0.001)
             return;
         this->tokens[i] += goes_on * (answer.prompt_tokens + length);
--- a/Libraries/LibRouter/PlacementClient.cpp
+++ b/Libraries/LibRouter/PlacementClient.cpp
@@ -12,7 +12,6 @@
 
 namespace {
 
-constexpr std::string_view PLACEMENT = "placement";
 /// The engines of a deployment of today's size are one cell.
 constexpr std::string_view CELL = "engines";
 /// A keeper and the one that follows it; after them this VM decides for itself.
@@ -21,7 +20,7 @@
 wire::Envelope placement_message()
 {
     wire::Envelope envelope;
-    envelope.set_service(std::string(PLACEMENT));
+    envelope.set_service(std::string(PLACEMENT_SERVICE));
     return envelope;
 }
 
@@ -54,17 +53,23 @@
 {
     if (virtual_machine == this->kernel.virtual_machine())
         return this->kernel.endpoint();
-    return this->kernel.directory().resolve_on(virtual_machine, PLACEMENT).value_or("");
+    return this->kernel.directory().resolve_on(virtual_machine, PLACEMENT_SERVICE).value_or("");
 }
 
 std::vector<std::string> PlacementClient::keepers() const
 {
-    auto names = this->kernel.directory().virtual_machines_with(PLACEMENT);
     auto const now = monotonic_now();
-    std::erase_if(names, [&](auto const& name) {
-        auto const silent = this->silent_until.find(name);
-        return silent != this->silent_until.end() && now < silent->second;
-    });
+    auto const answering = [&](std::string_view service) {
+        auto found = this->kernel.directory().virtual_machines_with(service);
+        std::erase_if(found, [&](auto const& name) {
+            auto const silent = this->silent_until.find(name);
+            return silent != this->silent_until.end() && now < silent->second;
+        });
+        return found;
+    };
+    auto names = answering(STRONG_PLACEMENT_SERVICE);
+    if (names.empty())
+        names = answering(PLACEMENT_SERVICE);
     std::sort(names.begin(), names.end(), [](auto const& a, auto const& b) { return rendezvous_score(CELL, a) > rendezvous_score(CELL, b); });
     return names;
 }
--- a/Libraries/LibRouter/PlacementClient.h
+++ b/Libraries/LibRouter/PlacementClient.h
@@ -15,6 +15,10 @@
 
 namespace Spurtide {
 
+/// Every VM hosts the first; those that can carry the engines of all announce the second as well.
+constexpr std::string_view PLACEMENT_SERVICE = "placement";
+constexpr std::string_view STRONG_PLACEMENT_SERVICE = "placement-strong";
+
 /// Asks the keeper of the engines for places, tells it of progress and ends, and names to it what is held.
 /// Where the keeper does not answer, the next VM in the same order is asked, and at last the own one.
 class PlacementClient {
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -166,7 +166,10 @@
             return respond(this->upstreams_reply());
         respond(error_reply(wire::ERROR_CODE_UNKNOWN_MESSAGE));
     });
-    this->kernel->host("placement", [this](wire::Envelope const& request, Kernel::Responder const& respond) { this->keeper->handle(request, respond); });
+    this->kernel->host(std::string(PLACEMENT_SERVICE), [this](wire::Envelope const& request, Kernel::Responder const& respond) { this->keeper->handle(request, respond); });
+    // A mark in the directory: a VM that is to be asked before others.
+    if (this->settings.processor_share >= this->settings.keeper_processor_share)
+        this->kernel->host(std::string(STRONG_PLACEMENT_SERVICE), [](wire::Envelope const&, Kernel::Responder const& respond) { respond(error_reply(wire::ERROR_CODE_UNKNOWN_MESSAGE)); });
 }
 
 RegistryFollower::Hooks Node::hooks()
--- a/Services/NodeServer/NodeSettings.h
+++ b/Services/NodeServer/NodeSettings.h
@@ -44,6 +44,9 @@
     /// What a model request is like, until enough were seen.
     double usual_prompt_tokens = 1000;
     double usual_output_tokens = 1000;
+    /// Part of a core that this VM has. Those with less than the next keep the engines only where no other does.
+    double processor_share = 1;
+    double keeper_processor_share = 0;
     /// From the signal to stop until the platform ends the process.
     Duration stop_grace = seconds(8);
 
