--- /dev/null
+++ b/Meta/sanitize.sh
@@ -0,0 +1,18 @@
+#!/usr/bin/env bash
+# SPDX-FileCopyrightText: 2026 The Spurtide developers
+# SPDX-License-Identifier: BSD-2-Clause
+# Builds what the data path runs on with the sanitizers and runs its tests: coroutines outlive what they use easily.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+TESTS=(TestLibAsync TestLibDecision TestLibRouter TestPlatform)
+
+cmake -S . -B Build/Sanitized -G Ninja -DSPURTIDE_SANITIZE=ON -DCMAKE_BUILD_TYPE=Debug -DCMAKE_CXX_FLAGS_DEBUG="-O1 -g1" >/dev/null
+cmake --build Build/Sanitized --target "${TESTS[@]}"
+failed=0
+for test in "${TESTS[@]}"; do
+    echo "== $test"
+    # What still waits when a test ends is no leak of the program, which ends with its loop.
+    ASAN_OPTIONS=detect_leaks=0 "Build/Sanitized/bin/$test" || failed=1
+done
+[ "$failed" = 0 ] && echo "sanitize: clean"
+exit "$failed"
--- a/Meta/spurtide.sh
+++ b/Meta/spurtide.sh
@@ -12,6 +12,7 @@
   build     install and build
   prove     each promise under each fault: tests, and real processes killed, frozen and stopped
   measure   all experiments with their tables and plots, and the decision benchmark
+  sanitize  the data path's tests under the address and undefined behaviour sanitizers
   check     formatting, linter and generated code
 TXT
 }
@@ -37,6 +38,10 @@
     build
     exec bash Meta/check.sh
     ;;
+sanitize)
+    bash Meta/install-dependencies.sh
+    bash Meta/sanitize.sh
+    ;;
 prove)
     build
     results=$(mktemp)
--- a/Tests/LibRouter/TestEngineKeeper.cpp
+++ b/Tests/LibRouter/TestEngineKeeper.cpp
@@ -3,6 +3,8 @@
 
 #include <LibRouter/EngineKeeper.h>
 #include <catch2/catch.hpp>
+#include <google/protobuf/stubs/logging.h>
+#include <random>
 
 using namespace Spurtide;
 
@@ -20,6 +22,21 @@
         this->keeper = std::make_unique<EngineKeeper>(CellScheduler::Options {}, *this->kernel, this->metrics, this->loop);
     }
 
+    /// One engine of each role, of model "m".
+    void add_engines()
+    {
+        RoutingConfiguration configuration;
+        ServiceTraits service;
+        service.name = "m";
+        service.engine = EngineTraits { 8, 50'000, 1000, 1e9, 1, milliseconds(500) };
+        configuration.services.push_back(service);
+        UpstreamList upstreams { UpstreamList::Options {} };
+        UpstreamRecord prefill { "p", "m", "127.0.0.1:1", "dc", 8, UpstreamRecord::Life::Serving, EngineRole::Prefill, 0 };
+        UpstreamRecord decode { "d", "m", "127.0.0.1:2", "dc", 8, UpstreamRecord::Life::Serving, EngineRole::Decode, 0 };
+        upstreams.replace({ prefill, decode }, 1, MonotonicTime {});
+        this->keeper->set_engines(configuration, upstreams);
+    }
+
     std::optional<wire::Envelope> ask(std::string const& request)
     {
         wire::Envelope envelope;
@@ -72,3 +89,64 @@
     REQUIRE(reply);
     CHECK(reply->has_placement_refusal());
 }
+
+// Peers may run another version, or be no peers at all.
+TEST_CASE("Damaged messages of peers never crash the keeper, and it goes on to place", "[whole]")
+{
+    auto const seed = GENERATE(range(1, 9));
+    CAPTURE(seed);
+    std::mt19937_64 random(static_cast<std::uint64_t>(seed));
+    // The library tells of each text that is no UTF-8.
+    google::protobuf::LogSilencer const silencer;
+    KeeperTest test;
+    test.add_engines();
+    std::vector<std::string> corpus;
+    for (int kind = 0; kind < 4; ++kind) {
+        wire::Envelope envelope;
+        if (kind == 0) {
+            auto* ask = envelope.mutable_placement_ask();
+            ask->set_request("r");
+            ask->set_model("m");
+            ask->set_prompt_tokens(5000);
+            ask->set_maximum_output_tokens(10'000);
+            ask->set_first_token_within_microseconds(900'000);
+            ask->set_decide_within_microseconds(200'000);
+        } else if (kind == 1) {
+            envelope.mutable_progress()->set_request("r");
+            envelope.mutable_progress()->set_progress(wire::GRANT_PROGRESS_DECODING);
+        } else if (kind == 2) {
+            envelope.mutable_release()->set_request("r");
+            envelope.mutable_release()->set_output_tokens(400);
+            envelope.mutable_release()->add_refusing_engines("d");
+        } else {
+            auto* record = envelope.mutable_grant_records()->add_records();
+            record->set_request("r");
+            record->set_decode_engine("d");
+            record->set_prefill_engine("p");
+            record->set_prompt_tokens(5000);
+            record->set_age_microseconds(1000);
+        }
+        corpus.push_back(envelope.SerializeAsString());
+    }
+    for (int turn = 0; turn < 3000; ++turn) {
+        auto bytes = corpus[random() % corpus.size()];
+        auto const changes = random() % 4;
+        for (std::uint64_t i = 0; i < changes && !bytes.empty(); ++i) {
+            auto const at = random() % bytes.size();
+            if (random() % 5 == 0)
+                bytes.erase(at, 1 + random() % 4);
+            else
+                bytes[at] = static_cast<char>(random());
+        }
+        wire::Envelope envelope;
+        if (envelope.ParseFromString(bytes))
+            test.keeper->handle(envelope, [](wire::Envelope const&) {});
+    }
+    // Whatever they made of its accounts is let go in time, and nothing of it is left in the way of a new model.
+    wire::Envelope release;
+    release.mutable_release()->set_request("r");
+    test.keeper->handle(release, [](wire::Envelope const&) {});
+    auto const reply = test.ask("r-last");
+    if (reply)
+        CHECK((reply->has_placement_grant() || reply->has_placement_refusal()));
+}
--- a/Tests/Platform/StoreStandIn.cpp
+++ b/Tests/Platform/StoreStandIn.cpp
@@ -152,8 +152,12 @@
         exchange.abort();
         co_return;
     }
+    if (this->fault == Fault::Silent) {
+        Signal never(this->loop.get_executor());
+        static_cast<void>(co_await never.wait_until(monotonic_now() + seconds(20)));
+    }
     nlohmann::json const answer { { "ver", this->version }, { "now_ms", 1 } };
-    std::string const text = answer.dump();
+    std::string const text = this->fault == Fault::Garbage ? "{\"ver\":" : answer.dump();
     static_cast<void>(co_await exchange.respond(std::move(head), text));
 }
 
--- a/Tests/Platform/StoreStandIn.h
+++ b/Tests/Platform/StoreStandIn.h
@@ -38,6 +38,7 @@
     void put(std::string const& table, std::string const& key, nlohmann::json const& value);
     void remove(std::string const& table, std::string const& key);
     void set_fault(Fault fault);
+    void stop_listening() { this->server->stop_listening(); }
     /// Rows on one page of a read.
     std::size_t page_size = 500;
     int reads = 0;
--- /dev/null
+++ b/Tests/Platform/TestNodeSettings.cpp
@@ -0,0 +1,76 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <Services/NodeServer/NodeSettings.h>
+#include <catch2/catch.hpp>
+#include <random>
+
+using namespace Spurtide;
+
+namespace {
+
+constexpr std::string_view WHOLE = R"({
+    // Comments are allowed.
+    "vm": "front-1", "data_centre": "dc",
+    "caller_address": "127.0.0.1:1", "operations_address": "127.0.0.1:2", "wire_address": "127.0.0.1:3",
+    "registry_address": "127.0.0.1:4", "seeds": ["127.0.0.1:3"],
+    "memory_headroom": 0.2, "length_spread": 0.6, "role_changes": "on", "lease_milliseconds": 3000,
+    "usual_prompt_tokens": 5000, "usual_output_tokens": 4400, "processor_share": 0.25, "keeper_processor_share": 0.4,
+    "retry_ratio": 0.2, "retry_allowance": 56, "retry_window_seconds": 10, "stop_grace_seconds": 8
+})";
+
+Result<NodeSettings, SettingsError> read(std::string_view text)
+{
+    auto const json = TRY(parse_settings(text, "test"));
+    return NodeSettings::read(json, "test");
+}
+
+}
+
+TEST_CASE("A node's settings are read whole")
+{
+    auto const settings = read(WHOLE);
+    REQUIRE_FALSE(settings.is_error());
+    CHECK(settings.value().role_changes == NodeSettings::RoleChanges::On);
+    CHECK(settings.value().lease_time == seconds(3));
+    CHECK(settings.value().usual_output_tokens == 4400);
+    CHECK(settings.value().processor_share == 0.25);
+}
+
+TEST_CASE("What makes no sense in a node's settings is a fault that names its key")
+{
+    struct Row {
+        std::string from;
+        std::string to;
+        std::string key;
+    };
+    auto const row = GENERATE(values<Row>({
+        { "\"on\"", "\"maybe\"", "role_changes" },
+        { "\"lease_milliseconds\": 3000", "\"lease_milliseconds\": 1", "lease_milliseconds" },
+        { "\"usual_prompt_tokens\": 5000", "\"usual_prompt_tokens\": 0", "usual_prompt_tokens" },
+        { "\"processor_share\": 0.25", "\"processor_share\": -1", "processor_share" },
+        { "127.0.0.1:4", "nowhere", "registry_address" },
+        { "\"vm\"", "\"machine\"", "vm" },
+        { "0.6", "\"wide\"", "length_spread" },
+    }));
+    CAPTURE(row.key);
+    std::string text(WHOLE);
+    text.replace(text.find(row.from), row.from.size(), row.to);
+    auto const settings = read(text);
+    REQUIRE(settings.is_error());
+    CHECK(settings.error().describe().find(row.key) != std::string::npos);
+}
+
+TEST_CASE("Damaged settings are faults, never a crash")
+{
+    auto const seed = GENERATE(range(1, 9));
+    std::mt19937_64 random(static_cast<std::uint64_t>(seed));
+    int valid = 0;
+    for (int turn = 0; turn < 500; ++turn) {
+        std::string text(WHOLE);
+        for (std::uint64_t i = 0; i <= random() % 3; ++i)
+            text[random() % text.size()] = static_cast<char>(random());
+        valid += read(text).is_error() ? 0 : 1;
+    }
+    CHECK(valid < 500);
+}
--- /dev/null
+++ b/Tests/Platform/TestPlatformRegistry.cpp
@@ -0,0 +1,97 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <Tests/Platform/StoreStandIn.h>
+#include <catch2/catch.hpp>
+#include <platform/PlatformRegistry.h>
+
+using namespace Spurtide;
+using namespace Spurtide::Tests;
+
+namespace {
+
+/// Calls of the store's client itself, on its own.
+struct RegistryTest {
+    RegistryTest()
+    {
+        PlatformRegistry::Options options;
+        options.address = this->store.address();
+        options.answer_timeout = milliseconds(300);
+        this->registry = std::make_unique<PlatformRegistry>(options);
+    }
+
+    template<typename Value>
+    Result<Value, PlatformError> run(asio::awaitable<Result<Value, PlatformError>> call)
+    {
+        std::optional<Result<Value, PlatformError>> result;
+        auto const carry = [&]() -> asio::awaitable<void> { result.emplace(co_await std::move(call)); };
+        asio::co_spawn(this->loop, carry(), asio::detached);
+        while (!result)
+            this->loop.run_one();
+        return std::move(*result);
+    }
+
+    asio::io_context loop { 1 };
+    StoreStandIn store { loop };
+    std::unique_ptr<PlatformRegistry> registry;
+};
+
+}
+
+TEST_CASE("A lease's row is written on its version alone, and read back as it was written", "[lapsed-lease]")
+{
+    RegistryTest test;
+    auto const none = test.run(test.registry->read_lease("roles"));
+    REQUIRE_FALSE(none.is_error());
+    CHECK_FALSE(none.value());
+    auto const first = test.run(test.registry->write_lease("roles", "vm-1.7", 0));
+    REQUIRE_FALSE(first.is_error());
+    auto const row = test.run(test.registry->read_lease("roles"));
+    REQUIRE_FALSE(row.is_error());
+    REQUIRE(row.value());
+    CHECK(row.value()->holder == "vm-1.7");
+    CHECK(row.value()->version == first.value());
+    CHECK(test.run(test.registry->write_lease("roles", "vm-2.1", 0)).error() == PlatformError::Conflict);
+    CHECK(test.store.value("leases", "roles") == "vm-1.7");
+    auto const second = test.run(test.registry->write_lease("roles", "vm-2.1", first.value()));
+    REQUIRE_FALSE(second.is_error());
+    CHECK(second.value() > first.value());
+}
+
+TEST_CASE("Each fault of the store is a typed error of reads and writes", "[platform-down][answer-lost]")
+{
+    using Fault = StoreStandIn::Fault;
+    struct Row {
+        Fault fault;
+        PlatformError read;
+        PlatformError write;
+        bool is_written;
+    };
+    auto const row = GENERATE(values<Row>({
+        { Fault::Busy, PlatformError::Unavailable, PlatformError::Unavailable, false },
+        { Fault::TooMany, PlatformError::Unavailable, PlatformError::Unavailable, false },
+        { Fault::Silent, PlatformError::InDoubt, PlatformError::InDoubt, true },
+        { Fault::Garbage, PlatformError::Malformed, PlatformError::Malformed, true },
+        { Fault::LostWrites, PlatformError::NotFound, PlatformError::InDoubt, true },
+    }));
+    CAPTURE(static_cast<int>(row.fault));
+    RegistryTest test;
+    test.store.set_fault(row.fault);
+    if (row.fault != Fault::LostWrites)
+        CHECK(test.run(test.registry->read_lease("roles")).error() == row.read);
+    CHECK(test.run(test.registry->write_lease("roles", "vm-1.7", 0)).error() == row.write);
+    CHECK(test.store.value("leases", "roles").has_value() == row.is_written);
+    // What is in doubt is told by a read.
+    test.store.set_fault(Fault::None);
+    auto const after = test.run(test.registry->read_lease("roles"));
+    REQUIRE_FALSE(after.is_error());
+    CHECK(after.value().has_value() == row.is_written);
+}
+
+TEST_CASE("A store that cannot be connected is unreachable: nothing was written", "[platform-down]")
+{
+    RegistryTest test;
+    test.store.stop_listening();
+    CHECK(test.run(test.registry->read_lease("roles")).error() == PlatformError::Unreachable);
+    CHECK(test.run(test.registry->write_lease("roles", "vm-1.7", 0)).error() == PlatformError::Unreachable);
+}
