--- a/Libraries/LibDecision/LeaseTerm.h
+++ b/Libraries/LibDecision/LeaseTerm.h
@@ -61,7 +61,7 @@
 
     bool is_held(MonotonicTime now) const { return this->held_until && now < *this->held_until; }
     /// Names the term to engines: never lower than that of an earlier holder.
-    std::int64_t fencing_token() const { return this->token; }
+    std::int64_t fence() const { return this->token; }
 
 private:
     Options options;
--- a/Libraries/LibRouter/CallerRequest.h
+++ b/Libraries/LibRouter/CallerRequest.h
@@ -99,7 +99,7 @@
     EngineRole role = EngineRole::Prefill;
     std::string holder;
     /// The holder's term; engines that check it refuse lower ones than they saw.
-    std::int64_t fencing_token = 0;
+    std::int64_t fence = 0;
     /// The order is void where the engine took others meanwhile.
     std::int64_t expected_orders_taken = 0;
     /// The life of the engine that is meant.
--- a/Libraries/LibRouter/RoleKeeper.cpp
+++ b/Libraries/LibRouter/RoleKeeper.cpp
@@ -129,7 +129,7 @@
         co_return false;
     }
     this->lease.note_written(written.value(), monotonic_now());
-    LogLine("lease_held").with("holder", this->lease.holder()).with("fencing_token", this->lease.fencing_token());
+    LogLine("lease_held").with("holder", this->lease.holder()).with("fence", this->lease.fence());
     co_return this->lease.is_held(monotonic_now() + this->options.order_timeout);
 }
 
@@ -156,12 +156,12 @@
     RoleOrder order;
     order.role = due.change.role;
     order.holder = this->lease.holder();
-    order.fencing_token = this->lease.fencing_token();
+    order.fence = this->lease.fence();
     order.expected_orders_taken = status->orders_taken;
     order.expected_identity = due.change.engine;
     balancer.note_ordered(due.change, monotonic_now());
     auto const answer = co_await this->send_order(*address, order);
-    LogLine("role_ordered").with("engine", due.change.engine).with("role", role_name(due.change.role)).with("fencing_token", order.fencing_token).with("orders_taken", status->orders_taken).with("status", answer).with("because", due.because);
+    LogLine("role_ordered").with("engine", due.change.engine).with("role", role_name(due.change.role)).with("fence", order.fence).with("orders_taken", status->orders_taken).with("status", answer).with("because", due.because);
     auto const now = monotonic_now();
     constexpr int TAKEN = 202;
     if (answer == TAKEN) {
--- a/Tests/LibDecision/TestLeaseTerm.cpp
+++ b/Tests/LibDecision/TestLeaseTerm.cpp
@@ -31,7 +31,7 @@
     term.note_write_sent(at(10));
     // The answer took long; the term did not begin with it.
     term.note_written(7, at(1000));
-    CHECK(term.fencing_token() == 7);
+    CHECK(term.fence() == 7);
     CHECK(term.is_held(at(2209)));
     CHECK_FALSE(term.is_held(at(2210)));
     CHECK(term.next_step(at(1709), NEEDED) == Step::Use);
@@ -72,7 +72,7 @@
     {
         term.note_read(LeaseRow { "a", 3 }, at(900));
         CHECK(term.next_step(at(900), NEEDED) == Step::Use);
-        CHECK(term.fencing_token() == 3);
+        CHECK(term.fence() == 3);
         // Counted from when it was sent, not from when it was read.
         CHECK_FALSE(term.is_held(at(2200)));
     }
@@ -156,8 +156,8 @@
                 ++changes_of_holder;
                 REQUIRE(now - last_order->second >= 3000);
             }
-            REQUIRE(term.fencing_token() >= last_token);
-            last_token = term.fencing_token();
+            REQUIRE(term.fence() >= last_token);
+            last_token = term.fence();
             last_order = { index, now };
             break;
         case Step::Read:
