LibDecision: Divide no pool that still grows; let a pool without prefill engines wait

Ruled out: the store, the lease. Change: a pool has to be the same for 1.4 s, a heartbeat of the engines and a margin; without prefill engines a change waits as any other does. The test that asked for it at once is replaced by one that asks for the wait, and at once where nothing answers. Test red before: "A pool that still grows is not divided".

--- a/Libraries/LibDecision/RoleBalancer.cpp
+++ b/Libraries/LibDecision/RoleBalancer.cpp
@@ -78,11 +78,23 @@
     std::erase_if(this->left_alone_until, [&](auto const& entry) { return now >= entry.second; });
 }
 
+bool RoleBalancer::has_settled(std::span<RoleCandidate const> engines, MonotonicTime now)
+{
+    std::set<std::string, std::less<>> names;
+    for (auto const& engine : engines)
+        names.insert(engine.name);
+    if (names != this->pool) {
+        this->pool = std::move(names);
+        this->pool_since = now;
+    }
+    return now - this->pool_since >= this->options.pool_settled_after;
+}
+
 std::optional<RoleChange> RoleBalancer::next_change(std::span<RoleCandidate const> engines, EngineCapacity const& capacity, MonotonicTime now)
 {
     this->forget_done(engines, now);
     auto const total = engines.size();
-    if (total < 2)
+    if (!this->has_settled(engines, now) || total < 2)
         return {};
     bool const is_idle = !this->last_request || now - *this->last_request >= this->options.idle_after;
     auto const role_of = [&](RoleCandidate const& engine) {
@@ -105,7 +117,9 @@
     auto const to = wanted < prefill ? EngineRole::Decode : EngineRole::Prefill;
     if (!this->lacking || this->lacking->role != to)
         this->lacking = Begun { to, now };
-    bool const is_settled = is_role_missing || now - this->lacking->since >= this->options.persistence;
+    // Without decode engines nothing is answered; without prefill engines decode engines read for themselves.
+    bool const is_urgent = prefill == total;
+    bool const is_settled = is_urgent || now - this->lacking->since >= this->options.persistence;
     bool const is_apart = this->changing.empty() && (!this->last_change || now - this->last_change->since >= this->options.between_changes);
     if (!is_idle && (!is_settled || !is_apart))
         return {};
--- a/Libraries/LibDecision/RoleBalancer.h
+++ b/Libraries/LibDecision/RoleBalancer.h
@@ -7,6 +7,7 @@
 #include <LibDecision/CellScheduler.h>
 #include <map>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 
@@ -68,6 +69,9 @@
         Duration before_turning_back = seconds(20);
         /// A change that did not show by then is given up; orders that are carried out late come sooner.
         Duration change_patience = seconds(25);
+        /// Engines that come up enter the list one by one, within a heartbeat of theirs. Until the pool was the same
+        /// for so long it may be a part of what there will be.
+        Duration pool_settled_after = milliseconds(1400);
         /// Without requests for so long, any number of engines may change at once.
         Duration idle_after = seconds(2);
     };
@@ -92,6 +96,7 @@
         MonotonicTime since;
     };
 
+    bool has_settled(std::span<RoleCandidate const> engines, MonotonicTime now);
     void forget_done(std::span<RoleCandidate const> engines, MonotonicTime now);
     /// How busy the busiest role is, in any unit, with so many prefill engines.
     double busiest(std::size_t prefill, std::size_t engines, EngineCapacity const& capacity) const;
@@ -108,6 +113,8 @@
     std::map<std::string, Begun, std::less<>> changing;
     std::map<std::string, MonotonicTime, std::less<>> left_alone_until;
     std::optional<Begun> last_change;
+    std::set<std::string, std::less<>> pool;
+    MonotonicTime pool_since;
     /// The role that has lacked engines, and since when.
     std::optional<Begun> lacking;
 };
--- a/Tests/LibDecision/TestRoleBalancer.cpp
+++ b/Tests/LibDecision/TestRoleBalancer.cpp
@@ -30,6 +30,13 @@
     return engines;
 }
 
+/// Lets the balancer see the pool for long enough; gives the time after that.
+std::int64_t settle(RoleBalancer& balancer, std::vector<RoleCandidate> const& engines, std::int64_t from)
+{
+    static_cast<void>(balancer.next_change(engines, s_capacity, at(from)));
+    return from + 1400;
+}
+
 void change(std::vector<RoleCandidate>& engines, RoleChange const& wanted)
 {
     for (auto& engine : engines) {
@@ -66,19 +73,38 @@
     CHECK(balancer.wanted_prefill(row.engines, s_capacity) == row.prefill);
 }
 
+TEST_CASE("A pool that still grows is not divided", "[config]")
+{
+    // A deployment's start: engines enter the list one by one, those that answer first.
+    RoleBalancer balancer(usual_options());
+    auto const whole = pool(4, 5);
+    std::vector<RoleCandidate> listed;
+    std::int64_t now = 0;
+    for (std::size_t i = whole.size(); i-- > 0; now += 350) {
+        listed.push_back(whole[i]);
+        CHECK_FALSE(balancer.next_change(listed, s_capacity, at(now)));
+    }
+    auto const last = now - 350;
+    CHECK_FALSE(balancer.next_change(listed, s_capacity, at(last + 1399)));
+    auto const change_of_all = balancer.next_change(listed, s_capacity, at(last + 1400));
+    REQUIRE(change_of_all);
+    CHECK(change_of_all->role == EngineRole::Decode);
+}
+
 TEST_CASE("Before requests come, all changes are begun at once and no engine is named twice")
 {
     RoleBalancer balancer(usual_options());
     auto const engines = pool(4, 5);
-    auto const first = balancer.next_change(engines, s_capacity, at(0));
+    auto const now = settle(balancer, engines, 0);
+    auto const first = balancer.next_change(engines, s_capacity, at(now));
     REQUIRE(first);
     CHECK(first->role == EngineRole::Decode);
-    balancer.note_ordered(*first, at(0));
-    auto const second = balancer.next_change(engines, s_capacity, at(10));
+    balancer.note_ordered(*first, at(now));
+    auto const second = balancer.next_change(engines, s_capacity, at(now + 10));
     REQUIRE(second);
     CHECK(second->engine != first->engine);
-    balancer.note_ordered(*second, at(10));
-    CHECK_FALSE(balancer.next_change(engines, s_capacity, at(20)));
+    balancer.note_ordered(*second, at(now + 10));
+    CHECK_FALSE(balancer.next_change(engines, s_capacity, at(now + 20)));
     CHECK(balancer.is_changing(first->engine));
 }
 
@@ -118,16 +144,25 @@
     }
 }
 
-TEST_CASE("A role that no engine has is mended at once")
+TEST_CASE("Without engines that answer, one is made at once; without engines that read, after some time")
 {
     RoleBalancer balancer(usual_options());
-    balancer.note_request(5000, 4400, at(0));
-    auto const none_reads = balancer.next_change(pool(0, 9), s_capacity, at(1));
-    REQUIRE(none_reads);
-    CHECK(none_reads->role == EngineRole::Prefill);
-    auto const none_answers = balancer.next_change(pool(3, 0), s_capacity, at(2));
+    auto const now_settled = settle(balancer, pool(3, 0), 0);
+    balancer.note_request(5000, 4400, at(now_settled));
+    auto const none_answers = balancer.next_change(pool(3, 0), s_capacity, at(now_settled));
     REQUIRE(none_answers);
     CHECK(none_answers->role == EngineRole::Decode);
+
+    // Those that read are behind a cut; decode engines read for themselves until it heals.
+    RoleBalancer other(usual_options());
+    for (std::int64_t now = 0; now < 6400; now += 200) {
+        other.note_request(5000, 4400, at(now));
+        CHECK_FALSE(other.next_change(pool(0, 6), s_capacity, at(now)));
+    }
+    other.note_request(5000, 4400, at(6400));
+    auto const none_reads = other.next_change(pool(0, 6), s_capacity, at(6400));
+    REQUIRE(none_reads);
+    CHECK(none_reads->role == EngineRole::Prefill);
 }
 
 TEST_CASE("Roles follow when the requests change, and do not swing back at once")
@@ -159,15 +194,16 @@
 {
     RoleBalancer balancer(usual_options());
     auto const engines = pool(4, 5);
-    auto const first = balancer.next_change(engines, s_capacity, at(0));
+    auto const now = settle(balancer, engines, 0);
+    auto const first = balancer.next_change(engines, s_capacity, at(now));
     REQUIRE(first);
-    balancer.note_refused(first->engine, at(0));
-    auto const other = balancer.next_change(engines, s_capacity, at(1));
+    balancer.note_refused(first->engine, at(now));
+    auto const other = balancer.next_change(engines, s_capacity, at(now + 1));
     REQUIRE(other);
     CHECK(other->engine != first->engine);
-    balancer.note_ordered(*other, at(1));
+    balancer.note_ordered(*other, at(now + 1));
     CHECK(balancer.is_changing(other->engine));
-    static_cast<void>(balancer.next_change(engines, s_capacity, at(25'001)));
+    static_cast<void>(balancer.next_change(engines, s_capacity, at(now + 25'001)));
     CHECK_FALSE(balancer.is_changing(other->engine));
 }
 
@@ -184,5 +220,6 @@
     auto all_failing = pool(4, 5);
     for (auto& engine : all_failing)
         engine.is_failing = true;
-    CHECK_FALSE(balancer.next_change(all_failing, s_capacity, at(60'000)));
+    static_cast<void>(balancer.next_change(all_failing, s_capacity, at(60'000)));
+    CHECK_FALSE(balancer.next_change(all_failing, s_capacity, at(62'000)));
 }
