--- a/Meta/check.sh
+++ b/Meta/check.sh
@@ -33,6 +33,13 @@
 product_lines=$(git ls-files --cached --others --exclude-standard 'Libraries/*.cpp' 'Libraries/*.h' 'Services/*.cpp' 'Services/*.h' | grep -v '\.pb\.' | xargs cat | wc -l)
 [ $((platform_lines * 10)) -lt "$product_lines" ] || { echo "platform/ has $platform_lines lines, a tenth of the product's $product_lines or more"; failed=1; }
 
+echo "== names of tests"
+# CTest takes a list apart at semicolons: such a test would be run as two that are not there.
+if git grep -nE 'TEST_CASE\("[^"]*;' -- Tests; then
+    echo "a test's name may hold no semicolon"
+    failed=1
+fi
+
 echo "== clang-tidy"
 # Files that did not change since they were last found clean are passed over; their headers count too.
 mkdir -p Build/Tidy
--- a/Tests/LibDecision/TestRoleBalancer.cpp
+++ b/Tests/LibDecision/TestRoleBalancer.cpp
@@ -144,7 +144,7 @@
     }
 }
 
-TEST_CASE("Without engines that answer, one is made at once; without engines that read, after some time")
+TEST_CASE("Without engines that answer one is made at once, without engines that read after some time")
 {
     RoleBalancer balancer(usual_options());
     auto const now_settled = settle(balancer, pool(3, 0), 0);
