LibDecision: Take the balancer's one long function apart

next_change had 60 lines and two words (settled) for two things. Division, lacking role, whether a change may go out now, and which engine: a function each; behaviour and tests as they were.

--- a/Libraries/LibDecision/RoleBalancer.cpp
+++ b/Libraries/LibDecision/RoleBalancer.cpp
@@ -78,7 +78,7 @@
     std::erase_if(this->left_alone_until, [&](auto const& entry) { return now >= entry.second; });
 }
 
-bool RoleBalancer::has_settled(std::span<RoleCandidate const> engines, MonotonicTime now)
+bool RoleBalancer::is_pool_settled(std::span<RoleCandidate const> engines, MonotonicTime now)
 {
     std::set<std::string, std::less<>> names;
     for (auto const& engine : engines)
@@ -90,60 +90,88 @@
     return now - this->pool_since >= this->options.pool_settled_after;
 }
 
-std::optional<RoleChange> RoleBalancer::next_change(std::span<RoleCandidate const> engines, EngineCapacity const& capacity, MonotonicTime now)
+EngineRole RoleBalancer::role_of(RoleCandidate const& engine) const
 {
-    this->forget_done(engines, now);
-    auto const total = engines.size();
-    if (!this->has_settled(engines, now) || total < 2)
-        return {};
-    bool const is_idle = !this->last_request || now - *this->last_request >= this->options.idle_after;
-    auto const role_of = [&](RoleCandidate const& engine) {
-        auto const begun = this->changing.find(engine.name);
-        return begun == this->changing.end() ? engine.role : begun->second.role;
-    };
-    auto const prefill = static_cast<std::size_t>(std::count_if(engines.begin(), engines.end(), [&](auto const& engine) { return role_of(engine) == EngineRole::Prefill; }));
+    auto const begun = this->changing.find(engine.name);
+    return begun == this->changing.end() ? engine.role : begun->second.role;
+}
+
+RoleBalancer::Division RoleBalancer::division_of(std::span<RoleCandidate const> engines) const
+{
+    Division division;
+    for (auto const& engine : engines)
+        ++(this->role_of(engine) == EngineRole::Prefill ? division.prefill : division.decode);
+    return division;
+}
+
+// The role that should have an engine more; empty where the division is good enough.
+std::optional<EngineRole> RoleBalancer::lacking_role(Division division, EngineCapacity const& capacity) const
+{
+    auto const total = division.prefill + division.decode;
     auto const wanted = this->wanted_prefill(total, capacity);
-    if (wanted == prefill) {
-        this->lacking.reset();
+    if (wanted == division.prefill)
         return {};
-    }
-    // A role that no engine has is mended whatever it gains.
-    bool const is_role_missing = prefill == 0 || prefill == total;
-    if (!is_role_missing && this->busiest(wanted, total, capacity) > (1 - this->options.least_gain) * this->busiest(prefill, total, capacity)) {
-        this->lacking.reset();
+    bool const gains = division.misses_a_role() || this->busiest(wanted, total, capacity) <= (1 - this->options.least_gain) * this->busiest(division.prefill, total, capacity);
+    if (!gains)
         return {};
-    }
-    auto const from = wanted < prefill ? EngineRole::Prefill : EngineRole::Decode;
-    auto const to = wanted < prefill ? EngineRole::Decode : EngineRole::Prefill;
-    if (!this->lacking || this->lacking->role != to)
-        this->lacking = Begun { to, now };
+    return wanted < division.prefill ? EngineRole::Decode : EngineRole::Prefill;
+}
+
+bool RoleBalancer::may_change_now(EngineRole to, Division division, MonotonicTime now) const
+{
+    auto const since_last = this->last_change ? now - this->last_change->since : MonotonicTime::duration::max();
+    bool const turns_back = this->last_change && this->last_change->role != to && since_last < this->options.before_turning_back;
+    if (turns_back && !division.misses_a_role())
+        return false;
+    bool const is_idle = !this->last_request || now - *this->last_request >= this->options.idle_after;
+    if (is_idle)
+        return true;
     // Without decode engines nothing is answered; without prefill engines decode engines read for themselves.
-    bool const is_urgent = prefill == total;
-    bool const is_settled = is_urgent || now - this->lacking->since >= this->options.persistence;
-    bool const is_apart = this->changing.empty() && (!this->last_change || now - this->last_change->since >= this->options.between_changes);
-    if (!is_idle && (!is_settled || !is_apart))
-        return {};
-    bool const turns_back = this->last_change && this->last_change->role != to && now - this->last_change->since < this->options.before_turning_back;
-    if (turns_back && !is_role_missing)
-        return {};
+    bool const is_urgent = division.decode == 0;
+    bool const is_lasting = is_urgent || now - this->lacking->since >= this->options.persistence;
+    return is_lasting && this->changing.empty() && since_last >= this->options.between_changes;
+}
+
+// The data centre that has most of the role gives one, so that each keeps some of both; there the idlest goes.
+RoleCandidate const* RoleBalancer::engine_to_change(std::span<RoleCandidate const> engines, EngineRole from) const
+{
     std::map<std::string_view, int> in_centre;
     for (auto const& engine : engines)
-        in_centre[engine.data_centre] += role_of(engine) == from ? 1 : 0;
-    RoleCandidate const* best = nullptr;
-    // The data centre that has most of the role gives one, so that each keeps some of both; there the idlest goes.
+        in_centre[engine.data_centre] += this->role_of(engine) == from ? 1 : 0;
     auto const goes_before = [&](RoleCandidate const& a, RoleCandidate const& b) {
         if (in_centre[a.data_centre] != in_centre[b.data_centre])
             return in_centre[a.data_centre] > in_centre[b.data_centre];
         return a.work < b.work;
     };
+    RoleCandidate const* best = nullptr;
     for (auto const& engine : engines) {
         bool const may_change = engine.role == from && !engine.is_failing && !this->changing.contains(engine.name) && !this->left_alone_until.contains(engine.name);
         if (may_change && (!best || goes_before(engine, *best)))
             best = &engine;
     }
-    if (!best)
+    return best;
+}
+
+std::optional<RoleChange> RoleBalancer::next_change(std::span<RoleCandidate const> engines, EngineCapacity const& capacity, MonotonicTime now)
+{
+    this->forget_done(engines, now);
+    if (!this->is_pool_settled(engines, now) || engines.size() < 2)
+        return {};
+    auto const division = this->division_of(engines);
+    auto const to = this->lacking_role(division, capacity);
+    if (!to) {
+        this->lacking.reset();
+        return {};
+    }
+    if (!this->lacking || this->lacking->role != *to)
+        this->lacking = Begun { *to, now };
+    if (!this->may_change_now(*to, division, now))
+        return {};
+    auto const from = *to == EngineRole::Prefill ? EngineRole::Decode : EngineRole::Prefill;
+    auto const* engine = this->engine_to_change(engines, from);
+    if (!engine)
         return {};
-    return RoleChange { best->name, to };
+    return RoleChange { engine->name, *to };
 }
 
 void RoleBalancer::note_ordered(RoleChange const& change, MonotonicTime now)
--- a/Libraries/LibDecision/RoleBalancer.h
+++ b/Libraries/LibDecision/RoleBalancer.h
@@ -96,7 +96,20 @@
         MonotonicTime since;
     };
 
-    bool has_settled(std::span<RoleCandidate const> engines, MonotonicTime now);
+    /// Engines by role; those whose change was begun count as changed.
+    struct Division {
+        std::size_t prefill = 0;
+        std::size_t decode = 0;
+
+        bool misses_a_role() const { return this->prefill == 0 || this->decode == 0; }
+    };
+
+    bool is_pool_settled(std::span<RoleCandidate const> engines, MonotonicTime now);
+    EngineRole role_of(RoleCandidate const& engine) const;
+    Division division_of(std::span<RoleCandidate const> engines) const;
+    std::optional<EngineRole> lacking_role(Division division, EngineCapacity const& capacity) const;
+    bool may_change_now(EngineRole to, Division division, MonotonicTime now) const;
+    RoleCandidate const* engine_to_change(std::span<RoleCandidate const> engines, EngineRole from) const;
     void forget_done(std::span<RoleCandidate const> engines, MonotonicTime now);
     /// How busy the busiest role is, in any unit, with so many prefill engines.
     double busiest(std::size_t prefill, std::size_t engines, EngineCapacity const& capacity) const;
