LibRouter: Let one object note a request at an upstream from its send to its end

Three flows noted the send, a watch, what was heard and the end by hand, in an order of their own each; the decode flow had a wrapper and a member for the last alone. Found by reading: after a decode that was refused the watch lived on while the answer was written, with its connection back in the pool, so that a request of another caller on it could have been broken off. UpstreamUse ends before the connection goes back, in all three. The tracker counts unreachable upstreams by data centre instead of going through all known ones at each question, and its tick goes through what it knows; the list of upstreams is copied only while a data centre is cut off. TestUpstreamUse, new; the tracker's tests keep their assertions, calls apart, and have four more.

--- a/Libraries/LibDecision/ReachabilityTracker.cpp
+++ b/Libraries/LibDecision/ReachabilityTracker.cpp
@@ -20,14 +20,26 @@
         entry.waiting_since = now;
 }
 
+// The count of each data centre goes with the marks of its upstreams.
+void ReachabilityTracker::set_mark(Known& entry, Mark mark)
+{
+    if (entry.mark == mark)
+        return;
+    entry.mark = mark;
+    auto& unreachable = this->data_centres[entry.data_centre].unreachable;
+    if (mark == Mark::Unreachable)
+        ++unreachable;
+    else
+        --unreachable;
+}
+
 void ReachabilityTracker::note_heard(std::string_view identity, MonotonicTime now)
 {
     auto const found = this->known.find(identity);
     if (found == this->known.end())
         return;
     found->second.waiting_since = now;
-    found->second.is_unreachable = false;
-    this->heard_from.insert_or_assign(found->second.data_centre, now);
+    this->note_reached(identity, found->second.data_centre, now);
 }
 
 void ReachabilityTracker::note_over(std::string_view identity)
@@ -46,57 +58,69 @@
 {
     auto const found = this->known.find(identity);
     if (found != this->known.end())
-        found->second.is_unreachable = false;
-    this->heard_from.insert_or_assign(std::string(data_centre), now);
+        this->set_mark(found->second, Mark::Reachable);
+    this->data_centres[std::string(data_centre)].last_heard = now;
 }
 
 void ReachabilityTracker::note_unreachable(std::string_view identity, std::string_view data_centre, MonotonicTime now)
 {
     auto& entry = this->known[std::string(identity)];
     entry.data_centre = data_centre;
-    entry.is_unreachable = true;
     entry.last_probe = now;
+    this->set_mark(entry, Mark::Unreachable);
 }
 
 bool ReachabilityTracker::is_cut_off(std::string_view data_centre, MonotonicTime now) const
 {
     if (data_centre == this->own_data_centre)
         return false;
-    auto const heard = this->heard_from.find(data_centre);
-    if (heard != this->heard_from.end() && now - heard->second < this->options.data_centre_silence)
+    auto const found = this->data_centres.find(data_centre);
+    if (found == this->data_centres.end() || found->second.unreachable < this->options.data_centre_failures)
         return false;
-    auto const failures = std::count_if(this->known.begin(), this->known.end(), [&](auto const& entry) {
-        return entry.second.is_unreachable && entry.second.data_centre == data_centre;
-    });
-    return static_cast<std::size_t>(failures) >= this->options.data_centre_failures;
+    auto const& heard = found->second.last_heard;
+    return !heard || now - *heard >= this->options.data_centre_silence;
+}
+
+bool ReachabilityTracker::is_any_cut_off(MonotonicTime now) const
+{
+    return std::any_of(this->data_centres.begin(), this->data_centres.end(), [&](auto const& entry) { return this->is_cut_off(entry.first, now); });
 }
 
 bool ReachabilityTracker::is_reachable(std::string_view identity, std::string_view data_centre, MonotonicTime now) const
 {
     auto const found = this->known.find(identity);
-    if (found != this->known.end() && found->second.is_unreachable)
+    if (found != this->known.end() && found->second.mark == Mark::Unreachable)
         return false;
     return !this->is_cut_off(data_centre, now);
 }
 
-std::vector<std::string> ReachabilityTracker::due_probes(std::span<UpstreamPlace const> upstreams, MonotonicTime now)
+bool ReachabilityTracker::needs_probe(Known const& entry, MonotonicTime now) const
+{
+    bool const is_silent = entry.in_flight > 0 && now - entry.waiting_since >= this->options.silence;
+    return entry.mark == Mark::Unreachable || is_silent;
+}
+
+std::vector<std::string> ReachabilityTracker::due_probes(MonotonicTime now) const
 {
     std::vector<std::string> due;
+    for (auto const& [identity, entry] : this->known) {
+        if (this->needs_probe(entry, now) && !this->was_probed(entry, now))
+            due.push_back(identity);
+    }
+    return due;
+}
+
+std::vector<std::string> ReachabilityTracker::due_scouts(std::span<UpstreamPlace const> upstreams, MonotonicTime now)
+{
     std::map<std::string_view, std::vector<std::string_view>> untried;
     for (auto const& upstream : upstreams) {
         auto const found = this->known.find(upstream.identity);
-        bool const is_unreachable = found != this->known.end() && found->second.is_unreachable;
-        bool const is_silent = found != this->known.end() && found->second.in_flight > 0 && now - found->second.waiting_since >= this->options.silence;
-        bool const was_probed = found != this->known.end() && now - found->second.last_probe < this->options.probe_interval;
-        if ((is_unreachable || is_silent) && !was_probed)
-            due.push_back(upstream.identity);
-        else if (!is_unreachable && !was_probed)
+        bool const is_probed_anyhow = found != this->known.end() && (this->needs_probe(found->second, now) || this->was_probed(found->second, now));
+        if (!is_probed_anyhow && this->is_cut_off(upstream.data_centre, now))
             untried[upstream.data_centre].push_back(upstream.identity);
     }
-    // Of a data centre that counts as cut off, something has to tell when it is back.
+    std::vector<std::string> due;
     for (auto const& [data_centre, identities] : untried) {
-        if (!this->is_cut_off(data_centre, now))
-            continue;
         for (std::size_t i = 0; i < std::min(this->options.scouts, identities.size()); ++i)
             due.emplace_back(identities[this->turn++ % identities.size()]);
     }
@@ -105,7 +129,15 @@
 
 void ReachabilityTracker::retain(std::set<std::string, std::less<>> const& identities)
 {
-    std::erase_if(this->known, [&](auto const& entry) { return entry.second.in_flight == 0 && !identities.contains(entry.first); });
+    for (auto position = this->known.begin(); position != this->known.end();) {
+        auto& [identity, entry] = *position;
+        if (entry.in_flight > 0 || identities.contains(identity)) {
+            ++position;
+            continue;
+        }
+        this->set_mark(entry, Mark::Reachable);
+        position = this->known.erase(position);
+    }
 }
 
 }
--- a/Libraries/LibDecision/ReachabilityTracker.h
+++ b/Libraries/LibDecision/ReachabilityTracker.h
@@ -6,6 +6,7 @@
 #include <LibCore/Time.h>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -53,25 +54,42 @@
 
     bool is_reachable(std::string_view identity, std::string_view data_centre, MonotonicTime now) const;
     bool is_cut_off(std::string_view data_centre, MonotonicTime now) const;
-    /// The upstreams that are to be probed now.
-    std::vector<std::string> due_probes(std::span<UpstreamPlace const> upstreams, MonotonicTime now);
+    bool is_any_cut_off(MonotonicTime now) const;
+    /// The upstreams that are to be probed now since they are silent or out of reach.
+    std::vector<std::string> due_probes(MonotonicTime now) const;
+    /// Of data centres that count as cut off, others that are to be probed: something has to tell when one is back.
+    std::vector<std::string> due_scouts(std::span<UpstreamPlace const> upstreams, MonotonicTime now);
     /// Forgets upstreams that are no more listed and have nothing in flight.
     void retain(std::set<std::string, std::less<>> const& identities);
 
 private:
+    enum class Mark {
+        Reachable,
+        Unreachable,
+    };
+
     struct Known {
         std::string data_centre;
         std::int64_t in_flight = 0;
         /// When it was last heard, or when the first request after that was sent.
         MonotonicTime waiting_since;
         MonotonicTime last_probe;
-        bool is_unreachable = false;
+        Mark mark = Mark::Reachable;
     };
 
+    struct DataCentre {
+        std::optional<MonotonicTime> last_heard;
+        std::size_t unreachable = 0;
+    };
+
+    void set_mark(Known& entry, Mark mark);
+    bool needs_probe(Known const& entry, MonotonicTime now) const;
+    bool was_probed(Known const& entry, MonotonicTime now) const { return now - entry.last_probe < this->options.probe_interval; }
+
     Options options;
     std::string own_data_centre;
     std::map<std::string, Known, std::less<>> known;
-    std::map<std::string, MonotonicTime, std::less<>> heard_from;
+    std::map<std::string, DataCentre, std::less<>> data_centres;
     std::size_t turn = 0;
 };
 
--- a/Libraries/LibRouter/PlainFlow.cpp
+++ b/Libraries/LibRouter/PlainFlow.cpp
@@ -4,6 +4,7 @@
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
 #include <LibRouter/PlainFlow.h>
+#include <LibRouter/UpstreamUse.h>
 
 namespace Spurtide {
 
@@ -42,7 +43,7 @@
             records.push_back(std::move(record));
     }
     auto const now = monotonic_now();
-    auto const is_reachable = [&](UpstreamRecord const& record) { return this->state.reachability.is_reachable(record.identity, record.data_centre, now); };
+    auto const is_reachable = [&](UpstreamRecord const& record) { return this->state.reachability->is_reachable(record.identity, record.data_centre, now); };
     // Where none can be reached, one of them may be again.
     if (std::any_of(records.begin(), records.end(), is_reachable))
         std::erase_if(records, [&](auto const& record) { return !is_reachable(record); });
@@ -145,20 +146,17 @@
     dispatch.expected_identity = upstream.identity;
     this->set_active(connection);
     this->note_sent();
-    this->state.reachability.note_sent(upstream.identity, upstream.data_centre, monotonic_now());
-    std::optional<ReachabilityProber::Watch> watch;
-    if (this->route.kind == RouteKind::Repeatable)
-        watch.emplace(this->state.prober, upstream.identity, connection);
+    auto const out_of_reach = this->route.kind == RouteKind::Repeatable ? UpstreamUse::OutOfReach::BreakOff : UpstreamUse::OutOfReach::Wait;
+    std::optional<UpstreamUse> use(std::in_place, this->state.prober, upstream, connection, out_of_reach);
     auto const expected_body = this->exchange.request().head.method == "HEAD" ? MessageParser::ExpectedBody::None : MessageParser::ExpectedBody::AsFramed;
     connection->send(format_request_head(this->state.dialect.upstream_head(this->exchange.request(), dispatch)), this->body, expected_body);
     attempt = co_await this->read_answer(connection);
-    watch.reset();
-    this->set_active(nullptr);
-    auto const now = monotonic_now();
     // Any answer, even another request's, shows that it is there.
     if (attempt.head.status != 0)
-        this->state.reachability.note_heard(upstream.identity, now);
-    this->state.reachability.note_over(upstream.identity);
+        use->note_heard();
+    use.reset();
+    this->set_active(nullptr);
+    auto const now = monotonic_now();
     auto const took = std::chrono::duration_cast<Duration>(now - sent_at);
     // What the caller or the clock cut off says nothing about the upstream.
     auto const outcome = this->is_stopped() && attempt.end == SendEnd::Lost ? UpstreamOutcome::Full : outcome_of(attempt.end);
--- a/Libraries/LibRouter/ReachabilityProber.cpp
+++ b/Libraries/LibRouter/ReachabilityProber.cpp
@@ -7,37 +7,37 @@
 
 namespace Spurtide {
 
-ReachabilityProber::ReachabilityProber(Options options, asio::io_context& loop, ReachabilityTracker& tracker, ConnectionPool& pool, UpstreamList const& upstreams)
+ReachabilityProber::ReachabilityProber(Options options, asio::io_context& loop, std::shared_ptr<ReachabilityTracker> reachability, ConnectionPool& pool, UpstreamList const& upstreams)
     : options(options)
     , loop(loop)
-    , tracker(tracker)
+    , reachability(std::move(reachability))
     , pool(pool)
     , upstreams(upstreams)
 {
 }
 
-ReachabilityProber::Watch::Watch(ReachabilityProber& prober, std::string identity, std::shared_ptr<HttpConnection> const& connection)
-    : watched(prober.watched)
-    , place(this->watched->emplace(std::move(identity), connection))
-{
-}
-
-ReachabilityProber::Watch::~Watch() { this->watched->erase(this->place); }
-
 void ReachabilityProber::tick()
 {
     auto const now = monotonic_now();
+    for (auto const& identity : this->reachability->due_probes(now))
+        this->begin_probe(identity, now);
+    if (!this->reachability->is_any_cut_off(now))
+        return;
     std::vector<UpstreamPlace> places;
     for (auto const& record : this->upstreams.records())
         places.push_back({ record.identity, record.data_centre });
-    for (auto const& identity : this->tracker.due_probes(places, now)) {
-        auto const* record = this->upstreams.find(identity);
-        auto const address = record ? parse_address(record->address) : std::nullopt;
-        if (!address)
-            continue;
-        this->tracker.note_probe(identity, now);
-        asio::co_spawn(this->loop, this->probe(*record, *address), asio::detached);
-    }
+    for (auto const& identity : this->reachability->due_scouts(places, now))
+        this->begin_probe(identity, now);
+}
+
+void ReachabilityProber::begin_probe(std::string const& identity, MonotonicTime now)
+{
+    auto const* record = this->upstreams.find(identity);
+    auto const address = record ? parse_address(record->address) : std::nullopt;
+    if (!address)
+        return;
+    this->reachability->note_probe(identity, now);
+    asio::co_spawn(this->loop, this->probe(*record, *address), asio::detached);
 }
 
 asio::awaitable<void> ReachabilityProber::probe(UpstreamRecord upstream, Address address)
@@ -48,22 +48,22 @@
         co_return;
     }
     auto const now = monotonic_now();
-    if (!this->tracker.is_reachable(upstream.identity, upstream.data_centre, now))
+    if (!this->reachability->is_reachable(upstream.identity, upstream.data_centre, now))
         LogLine("upstream_reached").with("upstream", upstream.identity).with("upstream_data_centre", upstream.data_centre);
-    this->tracker.note_reached(upstream.identity, upstream.data_centre, now);
+    this->reachability->note_reached(upstream.identity, upstream.data_centre, now);
     this->pool.put_back_unused(address, connected.value());
 }
 
 void ReachabilityProber::note_unreachable(UpstreamRecord const& upstream)
 {
     auto const now = monotonic_now();
-    bool const is_news = this->tracker.is_reachable(upstream.identity, upstream.data_centre, now);
-    this->tracker.note_unreachable(upstream.identity, upstream.data_centre, now);
+    bool const is_news = this->reachability->is_reachable(upstream.identity, upstream.data_centre, now);
+    this->reachability->note_unreachable(upstream.identity, upstream.data_centre, now);
     if (is_news)
-        LogLine("upstream_unreachable").with("upstream", upstream.identity).with("upstream_data_centre", upstream.data_centre).with("cut_off", this->tracker.is_cut_off(upstream.data_centre, now) ? "yes" : "no");
+        LogLine("upstream_unreachable").with("upstream", upstream.identity).with("upstream_data_centre", upstream.data_centre).with("cut_off", this->reachability->is_cut_off(upstream.data_centre, now) ? "yes" : "no");
     if (auto const address = parse_address(upstream.address))
         this->pool.drop(*address);
-    auto const [begin, end] = this->watched->equal_range(upstream.identity);
+    auto const [begin, end] = this->watched_connections->equal_range(upstream.identity);
     for (auto position = begin; position != end; ++position) {
         if (auto const connection = position->second.lock())
             connection->abort();
--- a/Libraries/LibRouter/ReachabilityProber.h
+++ b/Libraries/LibRouter/ReachabilityProber.h
@@ -20,40 +20,29 @@
         Duration connect_timeout = milliseconds(250);
     };
 
-    ReachabilityProber(Options options, asio::io_context& loop, ReachabilityTracker& tracker, ConnectionPool& pool, UpstreamList const& upstreams);
+    ReachabilityProber(Options options, asio::io_context& loop, std::shared_ptr<ReachabilityTracker> reachability, ConnectionPool& pool, UpstreamList const& upstreams);
 
     /// Call some times a second.
     void tick();
 
+    /// Connections that are broken off when their upstream turns out to be out of reach.
     using Watched = std::multimap<std::string, std::weak_ptr<HttpConnection>>;
-
-    /// While it lives, the connection is broken off when the upstream turns out to be out of reach. For what may
-    /// then go on elsewhere.
-    class Watch {
-    public:
-        Watch(ReachabilityProber& prober, std::string identity, std::shared_ptr<HttpConnection> const& connection);
-        ~Watch();
-        Watch(Watch const&) = delete;
-        Watch& operator=(Watch const&) = delete;
-
-    private:
-        std::shared_ptr<Watched> watched;
-        Watched::iterator place;
-    };
+    std::shared_ptr<Watched> const& watched() const { return this->watched_connections; }
+    std::shared_ptr<ReachabilityTracker> const& tracker() const { return this->reachability; }
 
     /// Nothing could be connected to the upstream just now.
     void note_unreachable(UpstreamRecord const& upstream);
 
 private:
+    void begin_probe(std::string const& identity, MonotonicTime now);
     asio::awaitable<void> probe(UpstreamRecord upstream, Address address);
 
     Options options;
     asio::io_context& loop;
-    ReachabilityTracker& tracker;
+    std::shared_ptr<ReachabilityTracker> reachability;
     ConnectionPool& pool;
     UpstreamList const& upstreams;
-    /// Shared with the watches, which may outlive this at the end of the process.
-    std::shared_ptr<Watched> watched = std::make_shared<Watched>();
+    std::shared_ptr<Watched> watched_connections = std::make_shared<Watched>();
 };
 
 }
--- a/Libraries/LibRouter/RouterState.h
+++ b/Libraries/LibRouter/RouterState.h
@@ -33,7 +33,8 @@
     /// Empty before the first configuration came.
     std::shared_ptr<RouteTable const> routes {};
     UpstreamList upstreams { UpstreamList::Options {} };
-    ReachabilityTracker reachability { ReachabilityTracker::Options {}, data_centre };
+    /// Shared with the requests at upstreams.
+    std::shared_ptr<ReachabilityTracker> reachability = std::make_shared<ReachabilityTracker>(ReachabilityTracker::Options {}, data_centre);
     UpstreamSelector selector { UpstreamSelector::Options {} };
     ConnectionPool pool { ConnectionPool::Options {} };
     ReachabilityProber prober { ReachabilityProber::Options {}, loop, reachability, pool, upstreams };
--- a/Libraries/LibRouter/StreamFlow.cpp
+++ b/Libraries/LibRouter/StreamFlow.cpp
@@ -85,7 +85,7 @@
     auto const of_target = [&](double share) { return from_seconds(to_seconds(this->route.latency_target) * share); };
     PlacementTime within;
     if (this->placements > 0) {
-        // It was sent before: refused now it is lost, and an answer that is late, or goes on after a pause, is not.
+        // It was placed before: refused now it is lost, and an answer that is late, or goes on after a pause, is not.
         auto const patience = from_seconds(to_seconds(this->route.first_event_patience) * CONTINUATION_SHARE);
         auto const spent = this->exchange.has_begun() ? std::chrono::duration_cast<Duration>(monotonic_now() - this->last_event_at) : age;
         within.to_first_token = patience - spent;
@@ -105,7 +105,7 @@
 {
     auto const now = monotonic_now();
     for (auto const& record : this->state.upstreams.records()) {
-        if (record.service == this->service && !this->state.reachability.is_reachable(record.identity, record.data_centre, now))
+        if (record.service == this->service && !this->state.reachability->is_reachable(record.identity, record.data_centre, now))
             engines.push_back(record.identity);
     }
 }
@@ -233,8 +233,7 @@
     dispatch.after_event = this->events.last_identifier();
     this->set_active(connection);
     connection->set_deadline(monotonic_now() + PREFILL_PATIENCE);
-    this->state.reachability.note_sent(engine.identity, engine.data_centre, monotonic_now());
-    std::optional<ReachabilityProber::Watch> watch(std::in_place, this->state.prober, engine.identity, connection);
+    std::optional<UpstreamUse> use(std::in_place, this->state.prober, engine, connection, UpstreamUse::OutOfReach::BreakOff);
     connection->send(format_request_head(this->state.dialect.upstream_head(this->exchange.request(), dispatch)), this->body);
     auto head = co_await connection->read_head();
     std::string reason = head.is_error() ? std::string(to_string(head.error())) : "status_" + std::to_string(head.value().status);
@@ -257,11 +256,10 @@
         if (facts.is_not_executed)
             this->failed_engine.clear();
     }
-    watch.reset();
-    this->set_active(nullptr);
     if (!head.is_error())
-        this->state.reachability.note_heard(engine.identity, monotonic_now());
-    this->state.reachability.note_over(engine.identity);
+        use->note_heard();
+    use.reset();
+    this->set_active(nullptr);
     this->state.pool.release(*address, connection);
     auto const took = to_milliseconds(std::chrono::duration_cast<Duration>(monotonic_now() - begun));
     if (cache) {
@@ -273,15 +271,6 @@
 }
 
 asio::awaitable<StreamFlow::Progress> StreamFlow::decode(UpstreamRecord engine, Address address, Dispatch dispatch)
-{
-    auto const identity = engine.identity;
-    auto const progress = co_await this->send_decode(std::move(engine), std::move(address), std::move(dispatch));
-    if (std::exchange(this->is_at_decode, false))
-        this->state.reachability.note_over(identity);
-    co_return progress;
-}
-
-asio::awaitable<StreamFlow::Progress> StreamFlow::send_decode(UpstreamRecord engine, Address address, Dispatch dispatch)
 {
     auto acquired = co_await this->state.pool.acquire(address, this->freshness());
     if (acquired.is_error() || this->is_stopped() || !this->state.upstreams.takes_work(engine.identity)) {
@@ -302,14 +291,12 @@
     dispatch.after_event = this->events.last_identifier();
     this->set_active(connection);
     this->note_sent();
-    this->is_at_decode = true;
-    this->state.reachability.note_sent(engine.identity, engine.data_centre, monotonic_now());
-    std::optional<ReachabilityProber::Watch> watch;
-    if (this->route.is_resumable)
-        watch.emplace(this->state.prober, engine.identity, connection);
+    auto const out_of_reach = this->route.is_resumable ? UpstreamUse::OutOfReach::BreakOff : UpstreamUse::OutOfReach::Wait;
+    std::optional<UpstreamUse> use(std::in_place, this->state.prober, engine, connection, out_of_reach);
     connection->send(format_request_head(this->state.dialect.upstream_head(this->exchange.request(), dispatch)), this->body);
     auto head = co_await connection->read_head();
     if (head.is_error()) {
+        use.reset();
         this->set_active(nullptr);
         connection->abort();
         if (this->is_stopped())
@@ -317,17 +304,19 @@
         this->failed_engine = engine.identity;
         co_return co_await this->give_up(SendEnd::Lost, to_string(head.error()));
     }
-    this->state.reachability.note_heard(engine.identity, monotonic_now());
+    use->note_heard();
     auto const facts = this->state.dialect.read_answer(head.value());
     auto const status = head.value().status;
     if (facts.identifier == this->request.identifier && status / 100 == 2 && facts.is_signed && !facts.is_encoded) {
         this->state.placement->progress(this->request.identifier, GrantProgress::Decoding);
-        auto const progress = co_await this->relay(engine.identity, connection, head.release_value());
+        auto const progress = co_await this->relay(*use, connection, head.release_value());
+        use.reset();
         this->set_active(nullptr);
         this->state.pool.release(address, connection);
         co_return progress;
     }
     auto answer = co_await connection->read_body(LARGEST_PREFILL_ANSWER);
+    use.reset();
     this->set_active(nullptr);
     if (answer.is_error())
         connection->abort();
@@ -357,7 +346,7 @@
     co_return co_await this->give_up(SendEnd::Lost, reason);
 }
 
-asio::awaitable<StreamFlow::Progress> StreamFlow::relay(std::string engine, std::shared_ptr<HttpConnection> connection, HttpResponseHead head)
+asio::awaitable<StreamFlow::Progress> StreamFlow::relay(UpstreamUse& use, std::shared_ptr<HttpConnection> connection, HttpResponseHead head)
 {
     while (true) {
         auto piece = co_await connection->read_piece();
@@ -367,11 +356,11 @@
             if (this->is_stopped())
                 co_return Progress::TryAgain;
             // One answer that broke off says little of the engine, but this request goes on elsewhere.
-            this->failed_engines.push_back(engine);
+            this->failed_engines.push_back(use.identity());
             co_return co_await this->give_up(SendEnd::Lost, to_string(piece.error()));
         }
         this->last_event_at = monotonic_now();
-        this->state.reachability.note_heard(engine, this->last_event_at);
+        use.note_heard();
         bool const is_end = piece.value().empty();
         auto bytes = this->events.take(piece.value());
         // A stream that cannot go on elsewhere need not wait for the end of an event.
--- a/Libraries/LibRouter/StreamFlow.h
+++ b/Libraries/LibRouter/StreamFlow.h
@@ -5,6 +5,7 @@
 
 #include <LibRouter/PlacementClient.h>
 #include <LibRouter/RequestFlow.h>
+#include <LibRouter/UpstreamUse.h>
 
 namespace Spurtide {
 
@@ -55,8 +56,7 @@
     asio::awaitable<Progress> use(PlacementGrant grant);
     asio::awaitable<std::optional<HeldCache>> prefill(UpstreamRecord engine);
     asio::awaitable<Progress> decode(UpstreamRecord engine, Address address, Dispatch dispatch);
-    asio::awaitable<Progress> send_decode(UpstreamRecord engine, Address address, Dispatch dispatch);
-    asio::awaitable<Progress> relay(std::string engine, std::shared_ptr<HttpConnection> connection, HttpResponseHead head);
+    asio::awaitable<Progress> relay(UpstreamUse& use, std::shared_ptr<HttpConnection> connection, HttpResponseHead head);
     void add_unreachable(std::vector<std::string>& engines) const;
     asio::awaitable<Progress> give_up(SendEnd end, std::string_view reason);
     void free_cache(std::string const& address, std::string const& handle);
@@ -72,8 +72,6 @@
     EventBoundary events;
     PatienceTracker::Visit visit = PatienceTracker::Visit::First;
     MonotonicTime last_event_at;
-    /// Whether a decode engine was sent the request and its answer is not over.
-    bool is_at_decode = false;
     int placements = 0;
     int prefills = 0;
 };
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -226,7 +226,7 @@
     for (auto const& record : this->state.upstreams.records())
         identities.push_back(record.identity);
     this->state.selector.retain(identities);
-    this->state.reachability.retain({ identities.begin(), identities.end() });
+    this->state.reachability->retain({ identities.begin(), identities.end() });
 }
 
 void Node::fetch_configuration(std::string const& endpoint)
--- a/Tests/LibDecision/TestReachabilityTracker.cpp
+++ b/Tests/LibDecision/TestReachabilityTracker.cpp
@@ -21,24 +21,24 @@
 {
     ReachabilityTracker tracker({}, "a");
     tracker.note_sent("a1", "a", at(0));
-    CHECK(tracker.due_probes(s_upstreams, at(299)).empty());
-    CHECK(tracker.due_probes(s_upstreams, at(300)) == std::vector<std::string> { "a1" });
+    CHECK(tracker.due_probes(at(299)).empty());
+    CHECK(tracker.due_probes(at(300)) == std::vector<std::string> { "a1" });
     SECTION("once in an interval")
     {
         tracker.note_probe("a1", at(300));
-        CHECK(tracker.due_probes(s_upstreams, at(599)).empty());
-        CHECK(contains(tracker.due_probes(s_upstreams, at(600)), "a1"));
+        CHECK(tracker.due_probes(at(599)).empty());
+        CHECK(contains(tracker.due_probes(at(600)), "a1"));
     }
     SECTION("part of an answer counts")
     {
         tracker.note_heard("a1", at(290));
-        CHECK(tracker.due_probes(s_upstreams, at(300)).empty());
-        CHECK(contains(tracker.due_probes(s_upstreams, at(590)), "a1"));
+        CHECK(tracker.due_probes(at(300)).empty());
+        CHECK(contains(tracker.due_probes(at(590)), "a1"));
     }
     SECTION("nothing waits")
     {
         tracker.note_over("a1");
-        CHECK(tracker.due_probes(s_upstreams, at(10'000)).empty());
+        CHECK(tracker.due_probes(at(10'000)).empty());
     }
     CHECK(tracker.is_reachable("a1", "a", at(300)));
 }
@@ -49,8 +49,8 @@
     tracker.note_unreachable("a1", "a", at(0));
     CHECK_FALSE(tracker.is_reachable("a1", "a", at(1)));
     CHECK(tracker.is_reachable("a2", "a", at(1)));
-    CHECK(tracker.due_probes(s_upstreams, at(299)).empty());
-    CHECK(tracker.due_probes(s_upstreams, at(300)) == std::vector<std::string> { "a1" });
+    CHECK(tracker.due_probes(at(299)).empty());
+    CHECK(tracker.due_probes(at(300)) == std::vector<std::string> { "a1" });
     tracker.note_reached("a1", "a", at(310));
     CHECK(tracker.is_reachable("a1", "a", at(310)));
 }
@@ -69,7 +69,7 @@
     CHECK(tracker.is_cut_off("b", at(300)));
     SECTION("another of it is probed too, and tells that it is back")
     {
-        CHECK(contains(tracker.due_probes(s_upstreams, at(460)), "b3"));
+        CHECK(contains(tracker.due_probes(at(460)), "b3"));
         tracker.note_reached("b3", "b", at(470));
         CHECK(tracker.is_reachable("b3", "b", at(480)));
         CHECK_FALSE(tracker.is_reachable("b1", "b", at(480)));
@@ -91,4 +91,11 @@
     tracker.retain({ "b2", "b3" });
     CHECK(tracker.is_reachable("b1", "b", at(1000)));
     CHECK_FALSE(tracker.is_cut_off("b", at(1000)));
+    CHECK_FALSE(tracker.is_any_cut_off(at(1000)));
+    // The one that left counts no more: one other does not make a cut.
+    tracker.note_unreachable("b2", "b", at(1000));
+    CHECK_FALSE(tracker.is_cut_off("b", at(2000)));
+    tracker.note_unreachable("b3", "b", at(1000));
+    CHECK(tracker.is_any_cut_off(at(2000)));
+    CHECK(tracker.due_scouts(s_upstreams, at(2000)) == std::vector<std::string> { "b1" });
 }
--- /dev/null
+++ b/Tests/LibRouter/TestUpstreamUse.cpp
@@ -0,0 +1,56 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibCore/Clock.h>
+#include <LibRouter/UpstreamUse.h>
+#include <catch2/catch.hpp>
+
+using namespace Spurtide;
+
+namespace {
+
+/// What a request at an upstream is noted with, without any network.
+struct UseTest {
+    asio::io_context loop { 1 };
+    std::shared_ptr<ReachabilityTracker> tracker = std::make_shared<ReachabilityTracker>(ReachabilityTracker::Options {}, "dc");
+    ConnectionPool pool { ConnectionPool::Options {} };
+    UpstreamList upstreams { UpstreamList::Options {} };
+    ReachabilityProber prober { ReachabilityProber::Options {}, loop, tracker, pool, upstreams };
+    std::shared_ptr<HttpConnection> connection = std::make_shared<HttpConnection>(loop.get_executor());
+    UpstreamRecord upstream { "u1", "s", "127.0.0.1:1", "dc", 1, UpstreamRecord::Life::Serving, {}, 0 };
+
+    bool is_waiting() const { return !this->tracker->due_probes(monotonic_now() + seconds(1)).empty(); }
+};
+
+}
+
+TEST_CASE("A request is watched and counts as waiting from its send to its end, and no longer", "[cut]")
+{
+    UseTest test;
+    {
+        UpstreamUse const use(test.prober, test.upstream, test.connection, UpstreamUse::OutOfReach::BreakOff);
+        CHECK(use.identity() == "u1");
+        CHECK(test.prober.watched()->count("u1") == 1);
+        CHECK(test.is_waiting());
+    }
+    CHECK(test.prober.watched()->empty());
+    CHECK_FALSE(test.is_waiting());
+}
+
+TEST_CASE("What must not go on elsewhere is not broken off", "[cut][at-most-once]")
+{
+    UseTest test;
+    UpstreamUse const use(test.prober, test.upstream, test.connection, UpstreamUse::OutOfReach::Wait);
+    CHECK(test.prober.watched()->empty());
+    CHECK(test.is_waiting());
+}
+
+TEST_CASE("A request that waits may outlive what it was noted with", "[cut]")
+{
+    auto test = std::make_unique<UseTest>();
+    auto use = std::make_unique<UpstreamUse>(test->prober, test->upstream, test->connection, UpstreamUse::OutOfReach::BreakOff);
+    auto const watched = test->prober.watched();
+    test.reset();
+    use.reset();
+    CHECK(watched->empty());
+}
