LibAsync: Make calls of the router's own in one place

ConnectionPool::call does it for all, with a hook that is asked when the connection is there (an order's lease may be over by then). A connection on which nothing was sent, since the lease was over, now rests in the pool instead of being closed; the rest behaves as before.

--- a/Libraries/LibAsync/ConnectionPool.cpp
+++ b/Libraries/LibAsync/ConnectionPool.cpp
@@ -27,6 +27,35 @@
     co_return co_await HttpConnection::connect(address, this->options.connect_timeout, this->options.patience);
 }
 
+asio::awaitable<Result<ConnectionPool::Answer, HttpError>> ConnectionPool::call(Address address, HttpRequest request, Call options)
+{
+    auto acquired = co_await this->acquire(address, options.freshness);
+    if (acquired.is_error())
+        co_return Failure { acquired.error() };
+    auto const connection = acquired.release_value();
+    if (!options.may_send()) {
+        this->put_back_unused(address, connection);
+        co_return Failure { HttpError::Aborted };
+    }
+    connection->set_deadline(monotonic_now() + options.timeout);
+    auto const body = request.body.empty() ? nullptr : std::make_shared<std::string const>(std::move(request.body));
+    connection->send(format_request_head(request.head), body);
+    auto head = co_await connection->read_head();
+    if (head.is_error()) {
+        connection->abort();
+        co_return Failure { head.error() };
+    }
+    Answer answer;
+    answer.head = head.release_value();
+    auto rest = co_await connection->read_body(options.largest_body);
+    if (rest.is_error())
+        connection->abort();
+    else
+        answer.body = rest.release_value();
+    this->release(address, connection);
+    co_return answer;
+}
+
 void ConnectionPool::release(Address const& address, std::shared_ptr<HttpConnection> const& connection)
 {
     connection->clear_deadline();
--- a/Libraries/LibAsync/ConnectionPool.h
+++ b/Libraries/LibAsync/ConnectionPool.h
@@ -5,7 +5,9 @@
 
 #include <LibAsync/HttpConnection.h>
 #include <deque>
+#include <functional>
 #include <map>
+#include <optional>
 
 namespace Spurtide {
 
@@ -31,6 +33,26 @@
         Recent,
     };
 
+    /// How one call of the router's own is made.
+    struct Call {
+        Freshness freshness = Freshness::Any;
+        /// From when the connection is there until the answer is whole.
+        Duration timeout = milliseconds(500);
+        std::size_t largest_body = 64UL * 1024;
+        /// Asked when the connection is there; where it says no, nothing is sent.
+        std::function<bool()> may_send = [] { return true; };
+    };
+
+    struct Answer {
+        HttpResponseHead head;
+        /// Empty where it broke off.
+        std::optional<std::string> body;
+    };
+
+    /// Sends a request and reads its answer. Errors: those of the connection; nothing was sent after CannotConnect,
+    /// or after the Aborted that stands for what must not be sent any more.
+    asio::awaitable<Result<Answer, HttpError>> call(Address address, HttpRequest request, Call options);
+
     asio::awaitable<HttpConnection::Connected> acquire(Address address, Freshness freshness);
     /// Keeps the connection for others where it may be used again, else closes it.
     void release(Address const& address, std::shared_ptr<HttpConnection> const& connection);
--- a/Libraries/LibRouter/RoleKeeper.cpp
+++ b/Libraries/LibRouter/RoleKeeper.cpp
@@ -11,7 +11,6 @@
 namespace {
 
 constexpr std::string_view LEASE = "roles";
-constexpr std::size_t LARGEST_ANSWER = 64UL * 1024;
 /// An engine that took an order and does not show its new role by then is used as what it says it is.
 constexpr Duration LONGEST_CHANGE = seconds(20);
 
@@ -173,24 +172,13 @@
 
 asio::awaitable<std::optional<EngineStatus>> RoleKeeper::ask_status(Address address)
 {
-    auto acquired = co_await this->state.pool.acquire(address, ConnectionPool::Freshness::Any);
-    if (acquired.is_error())
+    HttpRequest request { this->state.dialect.engine_status_head(address.to_string()), {} };
+    ConnectionPool::Call options;
+    options.timeout = this->options.order_timeout;
+    auto const answer = co_await this->state.pool.call(address, std::move(request), std::move(options));
+    if (answer.is_error() || answer.value().head.status != 200 || !answer.value().body)
         co_return std::nullopt;
-    auto const connection = acquired.release_value();
-    connection->set_deadline(monotonic_now() + this->options.order_timeout);
-    connection->send(format_request_head(this->state.dialect.engine_status_head(address.to_string())), nullptr);
-    auto const head = co_await connection->read_head();
-    if (head.is_error()) {
-        connection->abort();
-        co_return std::nullopt;
-    }
-    auto const body = co_await connection->read_body(LARGEST_ANSWER);
-    if (body.is_error())
-        connection->abort();
-    this->state.pool.release(address, connection);
-    if (body.is_error() || head.value().status != 200)
-        co_return std::nullopt;
-    auto const status = this->state.dialect.read_engine_status(body.value());
+    auto const status = this->state.dialect.read_engine_status(*answer.value().body);
     if (status.is_error())
         co_return std::nullopt;
     co_return status.value();
@@ -199,28 +187,14 @@
 // The answer's status; 0 where none came.
 asio::awaitable<int> RoleKeeper::send_order(Address address, RoleOrder order)
 {
+    ConnectionPool::Call options;
     // An order that waits in a connection that rested for long might arrive when the lease is over.
-    auto acquired = co_await this->state.pool.acquire(address, ConnectionPool::Freshness::Recent);
-    if (acquired.is_error())
-        co_return 0;
-    auto const connection = acquired.release_value();
-    if (!this->lease.is_held(monotonic_now())) {
-        this->state.pool.release(address, connection);
-        co_return 0;
-    }
-    connection->set_deadline(monotonic_now() + this->options.order_timeout);
-    auto const request = this->state.dialect.role_order(address.to_string(), order);
-    connection->send(format_request_head(request.head), std::make_shared<std::string const>(request.body));
-    auto const head = co_await connection->read_head();
-    if (head.is_error()) {
-        connection->abort();
-        co_return 0;
-    }
-    auto const body = co_await connection->read_body(LARGEST_ANSWER);
-    if (body.is_error())
-        connection->abort();
-    this->state.pool.release(address, connection);
-    co_return head.value().status;
+    options.freshness = ConnectionPool::Freshness::Recent;
+    options.timeout = this->options.order_timeout;
+    options.may_send = [this] { return this->lease.is_held(monotonic_now()); };
+    auto request = this->state.dialect.role_order(address.to_string(), order);
+    auto const answer = co_await this->state.pool.call(address, std::move(request), std::move(options));
+    co_return answer.is_error() ? 0 : answer.value().head.status;
 }
 
 void RoleKeeper::forget_changed(MonotonicTime now)
--- a/Libraries/LibRouter/StreamFlow.cpp
+++ b/Libraries/LibRouter/StreamFlow.cpp
@@ -414,17 +414,12 @@
         auto const address = parse_address(address_text);
         if (!address)
             co_return;
-        auto acquired = co_await state.pool.acquire(*address, ConnectionPool::Freshness::Any);
-        if (acquired.is_error())
-            co_return;
-        auto const connection = acquired.release_value();
-        connection->set_deadline(monotonic_now() + FREE_CACHE_TIMEOUT);
-        connection->send(format_request_head(state.dialect.free_cache_head(address_text, cache)), nullptr);
-        auto const head = co_await connection->read_head();
+        HttpRequest request { state.dialect.free_cache_head(address_text, cache), {} };
+        ConnectionPool::Call options;
+        options.timeout = FREE_CACHE_TIMEOUT;
+        options.largest_body = LARGEST_PREFILL_ANSWER;
         // NOTE: Where this fails the engine frees the cache itself when its hold time is over.
-        if (!head.is_error())
-            static_cast<void>(co_await connection->read_body(LARGEST_PREFILL_ANSWER));
-        state.pool.release(*address, connection);
+        static_cast<void>(co_await state.pool.call(*address, std::move(request), std::move(options)));
     };
     asio::co_spawn(this->state.loop, free(this->state, engine_address, handle), asio::detached);
 }
