--- /dev/null
+++ b/Libraries/LibWire/WireUpstreams.cpp
@@ -0,0 +1,44 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibWire/WireUpstreams.h>
+
+namespace Spurtide {
+
+namespace {
+
+// As the message says: 0 stands for a plain service.
+constexpr std::int32_t PREFILL = 1;
+constexpr std::int32_t DECODE = 2;
+
+}
+
+void write_upstream(UpstreamRecord const& record, wire::UpstreamEntry& message)
+{
+    message.set_identity(record.identity);
+    message.set_service(record.service);
+    message.set_address(record.address);
+    message.set_data_centre(record.data_centre);
+    message.set_slots(record.slots);
+    message.set_leaving(record.life == UpstreamRecord::Life::Leaving);
+    if (record.role)
+        message.set_role(*record.role == EngineRole::Prefill ? PREFILL : DECODE);
+    message.set_orders_taken(record.orders_taken);
+}
+
+UpstreamRecord read_upstream(wire::UpstreamEntry const& message)
+{
+    UpstreamRecord record;
+    record.identity = message.identity();
+    record.service = message.service();
+    record.address = message.address();
+    record.data_centre = message.data_centre();
+    record.slots = message.slots();
+    record.life = message.leaving() ? UpstreamRecord::Life::Leaving : UpstreamRecord::Life::Serving;
+    if (message.role() != 0)
+        record.role = message.role() == PREFILL ? EngineRole::Prefill : EngineRole::Decode;
+    record.orders_taken = message.orders_taken();
+    return record;
+}
+
+}
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -3,6 +3,7 @@
 
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
+#include <LibWire/WireUpstreams.h>
 #include <Services/NodeServer/Node.h>
 #include <array>
 #include <xxhash.h>
@@ -268,18 +269,8 @@
     wire::Envelope reply;
     auto* content = reply.mutable_upstreams_content();
     content->set_version(this->state.upstreams.version());
-    for (auto const& record : this->state.upstreams.listed_records()) {
-        auto* entry_message = content->add_upstreams();
-        entry_message->set_identity(record.identity);
-        entry_message->set_service(record.service);
-        entry_message->set_address(record.address);
-        entry_message->set_data_centre(record.data_centre);
-        entry_message->set_slots(record.slots);
-        entry_message->set_leaving(record.life == UpstreamRecord::Life::Leaving);
-        entry_message->set_role(!record.role ? 0 : *record.role == EngineRole::Prefill ? 1
-                                                                                       : 2);
-        entry_message->set_orders_taken(record.orders_taken);
-    }
+    for (auto const& record : this->state.upstreams.listed_records())
+        write_upstream(record, *content->add_upstreams());
     return reply;
 }
 
@@ -288,19 +279,8 @@
     if (content.version() <= this->state.upstreams.version())
         return;
     std::vector<UpstreamRecord> records;
-    for (auto const& message : content.upstreams()) {
-        UpstreamRecord record;
-        record.identity = message.identity();
-        record.service = message.service();
-        record.address = message.address();
-        record.data_centre = message.data_centre();
-        record.slots = message.slots();
-        record.life = message.leaving() ? UpstreamRecord::Life::Leaving : UpstreamRecord::Life::Serving;
-        if (message.role() != 0)
-            record.role = message.role() == 1 ? EngineRole::Prefill : EngineRole::Decode;
-        record.orders_taken = message.orders_taken();
-        records.push_back(std::move(record));
-    }
+    for (auto const& message : content.upstreams())
+        records.push_back(read_upstream(message));
     LogLine("upstreams_from_peer").with("version", content.version()).with("before", this->state.upstreams.version()).with("count", static_cast<std::int64_t>(records.size()));
     this->state.upstreams.replace(records, content.version(), monotonic_now());
     this->engines_changed();
