--- a/Libraries/LibRouter/EngineKeeper.cpp
+++ b/Libraries/LibRouter/EngineKeeper.cpp
@@ -202,19 +202,10 @@
 
 void EngineKeeper::forget_gone_origins(MonotonicTime now)
 {
-    auto const origins = this->scheduler.origins();
-    std::erase_if(this->missing_origins, [&](auto const& entry) { return !origins.contains(entry.first); });
-    for (auto const& origin : origins) {
-        if (origin == this->kernel.incarnation() || this->kernel.directory().find_incarnation(origin)) {
-            this->missing_origins.erase(origin);
-            continue;
-        }
-        auto const since = this->missing_origins.try_emplace(origin, now).first->second;
-        if (now - since < ORIGIN_GRACE)
-            continue;
+    auto const is_live = [this](std::string const& origin) { return origin == this->kernel.incarnation() || this->kernel.directory().find_incarnation(origin); };
+    for (auto const& origin : this->missing_origins.take_gone(this->scheduler.origins(), is_live, ORIGIN_GRACE, now)) {
         LogLine("origin_gone").with("origin", origin);
         this->scheduler.forget_origin(origin, now);
-        this->missing_origins.erase(origin);
     }
 }
 
--- a/Libraries/LibRouter/EngineKeeper.h
+++ b/Libraries/LibRouter/EngineKeeper.h
@@ -5,6 +5,7 @@
 
 #include <LibCore/Metrics.h>
 #include <LibDecision/CellScheduler.h>
+#include <LibDecision/MissingOrigins.h>
 #include <LibDecision/RouteTable.h>
 #include <LibDecision/UpstreamList.h>
 #include <LibWire/Kernel.h>
@@ -49,8 +50,7 @@
     asio::steady_timer timer;
     bool is_timer_set = false;
     std::map<std::string, Kernel::Responder> waiting;
-    /// Origins that no live VM has, and since when.
-    std::map<std::string, MonotonicTime> missing_origins;
+    MissingOrigins missing_origins;
 };
 
 }
--- a/Services/PlacementServer/CellKeeper.cpp
+++ b/Services/PlacementServer/CellKeeper.cpp
@@ -336,20 +336,11 @@
 void CellKeeper::forget_dead_origins()
 {
     auto const now = monotonic_now();
-    std::map<std::string, MonotonicTime> still_missing;
-    for (auto const& origin : this->scheduler.origins()) {
-        if (this->kernel.directory().find_incarnation(origin))
-            continue;
-        auto const known = this->missing_origins.find(origin);
-        auto const since = known == this->missing_origins.end() ? now : known->second;
-        if (now - since >= this->options.origin_grace) {
-            LogLine("origin_gone").with("origin", origin);
-            this->scheduler.forget_origin(origin, now);
-        } else {
-            still_missing.emplace(origin, since);
-        }
+    auto const is_live = [this](std::string const& origin) { return this->kernel.directory().find_incarnation(origin).has_value(); };
+    for (auto const& origin : this->missing_origins.take_gone(this->scheduler.origins(), is_live, this->options.origin_grace, now)) {
+        LogLine("origin_gone").with("origin", origin);
+        this->scheduler.forget_origin(origin, now);
     }
-    this->missing_origins = std::move(still_missing);
 }
 
 }
--- a/Services/PlacementServer/CellKeeper.h
+++ b/Services/PlacementServer/CellKeeper.h
@@ -8,6 +8,7 @@
 #include <LibDecision/CellMap.h>
 #include <LibDecision/CellScheduler.h>
 #include <LibDecision/HeldWorkReaper.h>
+#include <LibDecision/MissingOrigins.h>
 #include <LibUpstream/EnginePort.h>
 #include <LibWire/Kernel.h>
 #include <asio/thread_pool.hpp>
@@ -93,7 +94,7 @@
     std::vector<std::string> listed_leaving;
     bool is_handing_over = false;
     std::map<std::string, Kernel::Responder, std::less<>> pending_asks;
-    std::map<std::string, MonotonicTime> missing_origins;
+    MissingOrigins missing_origins;
     asio::thread_pool pool;
 };
 
--- /dev/null
+++ b/Tests/LibDecision/TestMissingOrigins.cpp
@@ -0,0 +1,39 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibDecision/MissingOrigins.h>
+#include <catch2/catch.hpp>
+
+using namespace Spurtide;
+
+TEST_CASE("An origin is gone once it was missing all through the grace time", "[held][kill]")
+{
+    MissingOrigins missing;
+    std::set<std::string> live { "a" };
+    auto const gone = [&](std::set<std::string> const& origins, std::int64_t time) {
+        return missing.take_gone(
+            origins, [&](auto const& origin) { return live.contains(origin); }, seconds(2), MonotonicTime(milliseconds(time)));
+    };
+    CHECK(gone({ "a", "b" }, 0).empty());
+    CHECK(gone({ "a", "b" }, 1999).empty());
+    SECTION("it stays away")
+    {
+        CHECK(gone({ "a", "b" }, 2000) == std::vector<std::string> { "b" });
+        // Named once; if it still holds grants, its time begins anew.
+        CHECK(gone({ "a", "b" }, 2001).empty());
+    }
+    SECTION("it was only new")
+    {
+        live.insert("b");
+        CHECK(gone({ "a", "b" }, 2000).empty());
+        live.erase("b");
+        CHECK(gone({ "a", "b" }, 2500).empty());
+        CHECK(gone({ "a", "b" }, 4499).empty());
+        CHECK(gone({ "a", "b" }, 4500) == std::vector<std::string> { "b" });
+    }
+    SECTION("it holds nothing for a while")
+    {
+        CHECK(gone({ "a" }, 1999).empty());
+        CHECK(gone({ "a", "b" }, 2500).empty());
+    }
+}
