LibAsync: Read all that is there before a request is handled

A process that was held up found the request first and its caller's leaving one turn of the loop later; with a resting connection to the upstream the request had gone out by then. Test (red before): TestNode, "A request whose caller left before it was read...". Costs one more read a request.

--- a/Libraries/LibAsync/ServerConnection.cpp
+++ b/Libraries/LibAsync/ServerConnection.cpp
@@ -59,9 +59,26 @@
         this->on_caller_left();
 }
 
+// Reads all that is there. A process that was held up finds a request and its caller's leaving together; whoever
+// handles the request is to know of both.
+ServerConnection::Reading ServerConnection::read_what_is_there()
+{
+    while (this->unread.size() < READ_AHEAD_LIMIT) {
+        asio::error_code error;
+        auto const size = this->socket.read_some(asio::buffer(s_read_buffer), error);
+        if (error == asio::error::would_block || error == asio::error::try_again)
+            return Reading::GoesOn;
+        if (error)
+            return Reading::Ended;
+        this->unread.append(s_read_buffer.data(), size);
+    }
+    return Reading::GoesOn;
+}
+
 asio::awaitable<void> ServerConnection::read_all()
 {
-    while (!this->is_over) {
+    auto reading = Reading::GoesOn;
+    while (!this->is_over && reading == Reading::GoesOn) {
         if (this->unread.size() >= READ_AHEAD_LIMIT) {
             co_await this->room.wait();
             continue;
@@ -70,14 +87,7 @@
         co_await this->socket.async_wait(asio::ip::tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
         if (this->is_over)
             break;
-        std::size_t size = 0;
-        if (!error)
-            size = this->socket.read_some(asio::buffer(s_read_buffer), error);
-        if (error == asio::error::would_block || error == asio::error::try_again)
-            continue;
-        if (error)
-            break;
-        this->unread.append(s_read_buffer.data(), size);
+        reading = error ? Reading::Ended : this->read_what_is_there();
         this->arrived.notify();
     }
     this->note_caller_gone();
--- a/Libraries/LibAsync/ServerConnection.h
+++ b/Libraries/LibAsync/ServerConnection.h
@@ -48,7 +48,14 @@
         TookTooLong,
     };
 
+    enum class Reading {
+        GoesOn,
+        /// The caller closed or reset the connection.
+        Ended,
+    };
+
     asio::awaitable<void> read_all();
+    Reading read_what_is_there();
     asio::awaitable<void> serve();
     asio::awaitable<ReadEnd> read_request();
     asio::awaitable<void> answer_request();
--- a/Tests/Platform/NodeUnderTest.cpp
+++ b/Tests/Platform/NodeUnderTest.cpp
@@ -135,6 +135,16 @@
     return answer;
 }
 
+void NodeUnderTest::send_and_leave(std::string const& bytes)
+{
+    asio::io_context other;
+    asio::ip::tcp::socket socket(other);
+    auto const& address = this->node->caller_address();
+    socket.connect({ asio::ip::make_address(address.host), static_cast<std::uint16_t>(address.port) });
+    asio::write(socket, asio::buffer(bytes));
+    socket.close();
+}
+
 std::shared_ptr<HttpConnection> NodeUnderTest::begin(HttpRequest made)
 {
     std::shared_ptr<HttpConnection> connection;
--- a/Tests/Platform/NodeUnderTest.h
+++ b/Tests/Platform/NodeUnderTest.h
@@ -38,6 +38,8 @@
     CallerAnswer call(HttpRequest request);
     /// Sends bytes as they are and gives all that comes back until the other side closes.
     std::string exchange_bytes(std::string bytes);
+    /// Sends bytes and closes the connection while the loop does not run.
+    void send_and_leave(std::string const& bytes);
     /// Begins a call that may be left before its end.
     std::shared_ptr<HttpConnection> begin(HttpRequest request);
 
--- a/Tests/Platform/TestNode.cpp
+++ b/Tests/Platform/TestNode.cpp
@@ -213,6 +213,20 @@
     REQUIRE(test.run_until([&] { return decode.abandoned.contains("s1"); }));
 }
 
+TEST_CASE("A request whose caller left before it was read reaches no upstream", "[held][caller-cancel][freeze]")
+{
+    NodeUnderTest test;
+    UpstreamStandIn plain(test.loop, "i-1");
+    test.configure(1);
+    test.list(plain, "plain");
+    // Leaves a resting connection to the upstream, on which the next request goes out at once.
+    REQUIRE(test.call(test.request("GET", "/safe/y", "earlier")).head.status == 200);
+    // The loop stands still meanwhile, as in a process that was paused.
+    test.send_and_leave("GET /safe/x HTTP/1.1\r\nHost: h.example\r\nX-Spurtide-Attempt-Id: left\r\nX-Spurtide-Deadline-Ms: 3000\r\n\r\n");
+    REQUIRE(test.call(test.request("GET", "/safe/y", "stays")).head.status == 200);
+    REQUIRE(plain.run == std::vector<std::string> { "earlier", "stays" });
+}
+
 TEST_CASE("A cache that nobody will take is freed", "[held]")
 {
     NodeUnderTest test;
