LibAsync: Bound callers' connections by the process's descriptors

Nothing bounded callers' connections. Where they use up the descriptors, accepting fails for everybody, and so does connecting to upstreams, which then count as out of reach. Callers now get half of the descriptors that the platform gives (setting `descriptors`); beyond that the connection that is idle longest makes room, and where none is idle a new one is closed before anything is read of it, which callers may take as not run.

--- a/Libraries/LibAsync/HttpServer.cpp
+++ b/Libraries/LibAsync/HttpServer.cpp
@@ -3,6 +3,7 @@
 
 #include <LibAsync/HttpServer.h>
 #include <LibAsync/ServerConnection.h>
+#include <LibCore/LogLine.h>
 
 namespace Spurtide {
 
@@ -60,12 +61,29 @@
             co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
             continue;
         }
+        if (this->connections.size() >= this->most_connections && !this->make_room()) {
+            LogLine("connection_refused").with("reason", "too_many").with("connections", static_cast<std::int64_t>(this->connections.size()));
+            continue;
+        }
         auto const connection = std::make_shared<ServerConnection>(*this, std::move(socket));
         this->connections.insert(connection.get());
         connection->start();
     }
 }
 
+bool HttpServer::make_room()
+{
+    ServerConnection* longest = nullptr;
+    for (auto* connection : this->connections) {
+        if (connection->is_idle() && (!longest || connection->idle_since() < longest->idle_since()))
+            longest = connection;
+    }
+    if (!longest)
+        return false;
+    longest->close_if_idle();
+    return true;
+}
+
 void HttpServer::close_idle()
 {
     auto const all = this->connections;
--- a/Libraries/LibAsync/HttpServer.h
+++ b/Libraries/LibAsync/HttpServer.h
@@ -22,6 +22,9 @@
     Duration idle_timeout = seconds(15);
 };
 
+/// Enough for any VM of today; a process that has fewer descriptors sets less.
+constexpr std::size_t DEFAULT_MOST_CONNECTIONS = 10'000;
+
 enum class ListenError {
     BadAddress,
     CannotBind,
@@ -43,6 +46,9 @@
     Address const& address() const { return this->bound; }
     void set_limits(HttpLimits limits) { this->current_limits = limits; }
     HttpLimits const& limits() const { return this->current_limits; }
+    /// Beyond this many connections the one that is idle longest makes room for a new one; where none is idle, the new
+    /// one is closed before anything is read of it.
+    void set_most_connections(std::size_t count) { this->most_connections = count; }
 
     /// From now on each answer closes its connection.
     void close_after_answers() { this->closing = true; }
@@ -57,6 +63,7 @@
     friend class ServerConnection;
     HttpServer(asio::io_context& loop, Handler handler);
     asio::awaitable<void> accept();
+    bool make_room();
 
     asio::io_context& loop;
     asio::ip::tcp::acceptor acceptor;
@@ -65,6 +72,7 @@
     Address bound;
     bool closing = false;
     std::size_t exchanges = 0;
+    std::size_t most_connections = DEFAULT_MOST_CONNECTIONS;
     std::set<ServerConnection*> connections;
 };
 
--- a/Libraries/LibAsync/ServerConnection.cpp
+++ b/Libraries/LibAsync/ServerConnection.cpp
@@ -28,6 +28,7 @@
     , socket(std::move(accepted))
     , arrived(this->socket.get_executor())
     , room(this->socket.get_executor())
+    , resting_since(monotonic_now())
 {
 }
 
@@ -95,6 +96,7 @@
 
 asio::awaitable<ServerConnection::ReadEnd> ServerConnection::read_request()
 {
+    this->resting_since = monotonic_now();
     this->parser.start();
     this->parser.set_maximum_head(this->server->limits().maximum_head);
     this->current = {};
@@ -301,9 +303,14 @@
     this->socket.close(ignored);
 }
 
+bool ServerConnection::is_idle() const
+{
+    return !this->is_over && !this->in_exchange && !this->parser.has_begun() && this->unread.empty();
+}
+
 void ServerConnection::close_if_idle()
 {
-    if (this->in_exchange || this->parser.has_begun() || !this->unread.empty())
+    if (!this->is_idle())
         return;
     this->is_over = true;
     asio::error_code ignored;
--- a/Libraries/LibAsync/ServerConnection.h
+++ b/Libraries/LibAsync/ServerConnection.h
@@ -22,6 +22,9 @@
     ServerConnection& operator=(ServerConnection const&) = delete;
 
     void start();
+    /// Whether it is open and carries no request, not even a part of one.
+    bool is_idle() const;
+    MonotonicTime idle_since() const { return this->resting_since; }
     void close_if_idle();
     /// The server goes away before this connection.
     void detach() { this->server = nullptr; }
@@ -73,6 +76,7 @@
     std::string unread;
     HttpRequest current;
     MonotonicTime received;
+    MonotonicTime resting_since;
     std::function<void()> on_caller_left;
     BodyFraming answer_framing = BodyFraming::None;
     bool in_exchange = false;
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -23,6 +23,8 @@
 constexpr Duration STOP_POLL = milliseconds(50);
 /// A shorter lease would be over before an order is answered.
 constexpr Duration SHORTEST_LEASE = milliseconds(3000);
+/// The rest is for connections to upstreams, other VMs and the registry.
+constexpr std::int64_t CALLERS_PART_OF_DESCRIPTORS = 2;
 /// Left of the grace time when the rest is cut off.
 constexpr Duration STOP_MARGIN = milliseconds(400);
 
@@ -112,6 +114,7 @@
     if (callers_server.is_error())
         return Failure { NodeStartError::CannotListenForCallers };
     this->callers = callers_server.release_value();
+    this->callers->set_most_connections(static_cast<std::size_t>(this->settings.descriptors / CALLERS_PART_OF_DESCRIPTORS));
     auto operations_server = HttpServer::create(this->loop, this->settings.operations_address, [this](auto& exchange) { return this->answer_operations(exchange); });
     if (operations_server.is_error())
         return Failure { NodeStartError::CannotListenForOperations };
--- a/Services/NodeServer/NodeSettings.cpp
+++ b/Services/NodeServer/NodeSettings.cpp
@@ -42,6 +42,7 @@
     node.usual_output_tokens = reader.number("usual_output_tokens", Presence::Optional, 1, 1e7, node.usual_output_tokens);
     node.processor_share = reader.number("processor_share", Presence::Optional, 0.001, 1024, node.processor_share);
     node.keeper_processor_share = reader.number("keeper_processor_share", Presence::Optional, 0, 1024, node.keeper_processor_share);
+    node.descriptors = reader.integer("descriptors", Presence::Optional, 64, 10'000'000, node.descriptors);
     node.stop_grace = from_seconds(reader.number("stop_grace_seconds", Presence::Optional, 0.5, 3600, to_seconds(node.stop_grace)));
     reader.finish();
     if (!faults.empty())
--- a/Services/NodeServer/NodeSettings.h
+++ b/Services/NodeServer/NodeSettings.h
@@ -47,6 +47,9 @@
     /// Part of a core that this VM has. Those with less than the next keep the engines only where no other does.
     double processor_share = 1;
     double keeper_processor_share = 0;
+    /// File descriptors that this process may have; callers' connections take half of them at most, since each request
+    /// may need another one to an upstream.
+    std::int64_t descriptors = 20'000;
     /// From the signal to stop until the platform ends the process.
     Duration stop_grace = seconds(8);
 
--- /dev/null
+++ b/Tests/LibAsync/TestHttpServer.cpp
@@ -0,0 +1,143 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibAsync/ConnectionPool.h>
+#include <LibAsync/HttpServer.h>
+#include <LibCore/Clock.h>
+#include <catch2/catch.hpp>
+#include <netinet/tcp.h>
+#include <optional>
+
+using namespace Spurtide;
+
+namespace {
+
+/// A server that answers at once, or not before it is told to, and its callers, on one loop.
+struct ServerUnderTest {
+    ServerUnderTest()
+        : server(HttpServer::create(this->loop, { "127.0.0.1", 0 }, [this](HttpExchange& exchange) { return this->answer(exchange); }).release_value())
+    {
+    }
+    ~ServerUnderTest() { this->loop.stop(); }
+
+    asio::awaitable<void> answer(HttpExchange& exchange)
+    {
+        ++this->taken;
+        while (this->holds) {
+            asio::steady_timer pause(this->loop, milliseconds(1));
+            co_await pause.async_wait(asio::use_awaitable);
+        }
+        HttpResponseHead head;
+        head.status = 200;
+        static_cast<void>(co_await exchange.respond(std::move(head), "whole"));
+    }
+
+    std::shared_ptr<HttpConnection> connect()
+    {
+        std::optional<HttpConnection::Connected> connected;
+        auto const carry = [&]() -> asio::awaitable<void> {
+            auto made = co_await HttpConnection::connect(this->server->address(), seconds(5), {});
+            connected.emplace(std::move(made));
+        };
+        asio::co_spawn(this->loop, carry(), asio::detached);
+        REQUIRE(this->run_until([&] { return connected.has_value(); }));
+        REQUIRE_FALSE(connected->is_error());
+        return connected->release_value();
+    }
+
+    static void send(HttpConnection& connection)
+    {
+        HttpRequestHead head { "GET", "/", {} };
+        head.headers.add("Host", "h");
+        connection.send(format_request_head(head), nullptr);
+    }
+
+    /// The answer's status, or 0 where the connection ended without one.
+    int read_status(HttpConnection& connection)
+    {
+        std::optional<int> status;
+        auto const carry = [&]() -> asio::awaitable<void> {
+            auto const head = co_await connection.read_head();
+            if (!head.is_error())
+                static_cast<void>(co_await connection.read_body(100));
+            status = head.is_error() ? 0 : head.value().status;
+        };
+        asio::co_spawn(this->loop, carry(), asio::detached);
+        REQUIRE(this->run_until([&] { return status.has_value(); }));
+        return *status;
+    }
+
+    bool run_until(std::function<bool()> const& condition)
+    {
+        auto const until = monotonic_now() + seconds(15);
+        while (!condition()) {
+            if (monotonic_now() >= until)
+                return false;
+            this->loop.run_for(std::chrono::milliseconds(1));
+        }
+        return true;
+    }
+
+    asio::io_context loop { 1 };
+    bool holds = false;
+    int taken = 0;
+    std::unique_ptr<HttpServer> server;
+};
+
+}
+
+TEST_CASE("Beyond the most connections the one that is idle longest makes room", "[limits]")
+{
+    ServerUnderTest test;
+    test.server->set_most_connections(3);
+    std::vector<std::shared_ptr<HttpConnection>> connections;
+    for (int i = 0; i < 3; ++i)
+        connections.push_back(test.connect());
+    // The first one is used once more, so the second is idle longest.
+    ServerUnderTest::send(*connections[0]);
+    REQUIRE(test.read_status(*connections[0]) == 200);
+    auto const fourth = test.connect();
+    ServerUnderTest::send(*fourth);
+    REQUIRE(test.read_status(*fourth) == 200);
+    REQUIRE(test.run_until([&] { return test.server->connection_count() == 3; }));
+    CHECK_FALSE(connections[1]->is_quiet());
+    CHECK(connections[0]->is_quiet());
+    CHECK(connections[2]->is_quiet());
+}
+
+TEST_CASE("Where no connection is idle a new one is closed before anything is read of it", "[limits][not-run]")
+{
+    ServerUnderTest test;
+    test.server->set_most_connections(2);
+    test.holds = true;
+    std::vector<std::shared_ptr<HttpConnection>> connections;
+    for (int i = 0; i < 2; ++i) {
+        connections.push_back(test.connect());
+        ServerUnderTest::send(*connections.back());
+    }
+    REQUIRE(test.run_until([&] { return test.taken == 2; }));
+    auto const third = test.connect();
+    ServerUnderTest::send(*third);
+    CHECK(test.read_status(*third) == 0);
+    test.holds = false;
+    for (auto const& connection : connections)
+        CHECK(test.read_status(*connection) == 200);
+    CHECK(test.taken == 2);
+}
+
+TEST_CASE("A connection that falls silent is found out by TCP's own probes and time-out", "[cut]")
+{
+    asio::io_context loop;
+    asio::ip::tcp::socket socket(loop, asio::ip::tcp::v4());
+    set_tcp_options(socket, { milliseconds(1800), seconds(1) });
+    auto const option = [&](int level, int name) {
+        int value = 0;
+        socklen_t size = sizeof(value);
+        REQUIRE(::getsockopt(socket.native_handle(), level, name, &value, &size) == 0);
+        return value;
+    };
+    CHECK(option(SOL_SOCKET, SO_KEEPALIVE) == 1);
+    CHECK(option(IPPROTO_TCP, TCP_USER_TIMEOUT) == 1800);
+    // Silence is found out within the idle time and all probes: sooner than an upstream's leaving has to be known.
+    CHECK(option(IPPROTO_TCP, TCP_KEEPIDLE) + option(IPPROTO_TCP, TCP_KEEPCNT) * option(IPPROTO_TCP, TCP_KEEPINTVL) <= 3);
+}
