LibRouter: Let a few VMs of a data centre watch the upstreams for the others

- RegistryRelay takes the peers' news out of Node: watchers tell changes at once and each 0.4 s; a watcher that does not hear of the store says nothing.
- PeerNewsTracker (pure): what a peer knows is fetched where it did not come by itself within 0.3 s, or has no source.
- UpstreamList tells what changed since a version, with the ends; equal lists have the same version wherever read.
- News that come together are gathered for 0.2 s; the configuration's watch waits 10 s instead of 4, since peers tell.

Ruled out: longer watches of the upstreams (a silent store would be noticed late); handing the configuration on by the watchers (links of 10 Mbit/s).

--- /dev/null
+++ b/Libraries/LibDecision/PeerNewsTracker.h
@@ -0,0 +1,49 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#pragma once
+
+#include <LibCore/Time.h>
+#include <cstdint>
+#include <optional>
+
+namespace Spurtide {
+
+/// Decides when what a peer knows is fetched from it. News come from the registry to all VMs at nearly the same time;
+/// a peer that has them some milliseconds earlier is no reason to have them sent once more. Pure: time is passed in.
+class PeerNewsTracker {
+public:
+    struct Options {
+        /// How long this VM's own source may take to bring what a peer has. A fraction of the time within which news
+        /// have to be in force (2 s on today's deployments), of which hearing of them takes half a second.
+        Duration patience = milliseconds(300);
+        /// Between two fetches: a first one may still be under way.
+        Duration fetch_interval = milliseconds(250);
+    };
+
+    enum class OwnSource {
+        Well,
+        /// What a peer knows will not come by itself.
+        Away,
+    };
+
+    explicit PeerNewsTracker(Options options)
+        : options(options)
+    {
+    }
+
+    /// A peer told its version. Whether what it knows is to be fetched from it now.
+    bool should_fetch(std::int64_t peers_version, std::int64_t own_version, OwnSource source, MonotonicTime now);
+
+private:
+    struct Awaited {
+        std::int64_t version = 0;
+        MonotonicTime since;
+    };
+
+    Options options;
+    std::optional<Awaited> awaited;
+    std::optional<MonotonicTime> last_fetch;
+};
+
+}
--- a/Libraries/LibDecision/UpstreamList.cpp
+++ b/Libraries/LibDecision/UpstreamList.cpp
@@ -37,35 +37,93 @@
         found->second.kept_until = (this->registry == RegistryState::Away ? now : *this->returned_at) + this->options.lapse_grace;
 }
 
-void UpstreamList::apply(UpstreamChange const& change, MonotonicTime now)
+bool UpstreamList::is_older(UpstreamChange const& change) const
 {
     auto const found = this->entries.find(change.identity);
     if (found != this->entries.end() && found->second.version > change.version)
+        return true;
+    auto const ended = this->ends.find(change.identity);
+    return ended != this->ends.end() && ended->second > change.version;
+}
+
+void UpstreamList::remember_end(std::string const& identity, std::int64_t version)
+{
+    this->ends.insert_or_assign(identity, version);
+    if (this->ends.size() <= this->options.remembered_ends)
+        return;
+    auto const oldest = std::min_element(this->ends.begin(), this->ends.end(), [](auto const& one, auto const& other) { return one.second < other.second; });
+    this->ends_known_from = std::max(this->ends_known_from, oldest->second);
+    this->ends.erase(oldest);
+}
+
+void UpstreamList::apply(UpstreamChange const& change, MonotonicTime now)
+{
+    if (this->is_older(change))
         return;
     this->current_version = std::max(this->current_version, change.version);
-    if (change.record)
+    if (change.record) {
         this->entries.insert_or_assign(change.identity, Entry { *change.record, change.version, {} });
-    else
-        this->end(change.identity, now);
+        this->ends.erase(change.identity);
+        return;
+    }
+    this->end(change.identity, now);
+    this->remember_end(change.identity, change.version);
 }
 
-void UpstreamList::replace(std::vector<UpstreamRecord> const& records, std::int64_t version, MonotonicTime now)
+void UpstreamList::replace(std::vector<UpstreamChange> const& listed, std::int64_t position, MonotonicTime now)
 {
-    if (version < this->current_version)
+    if (position < this->current_version)
         return;
-    std::set<std::string> listed;
-    for (auto const& record : records) {
-        listed.insert(record.identity);
-        this->apply({ record.identity, record, version }, now);
+    std::set<std::string> identities;
+    for (auto const& change : listed) {
+        identities.insert(change.identity);
+        // It came back after an end that is known, since the list is as of a later position.
+        this->ends.erase(change.identity);
+        this->apply(change, now);
     }
     std::vector<std::string> missing;
     for (auto const& [identity, entry] : this->entries) {
-        if (!listed.contains(identity))
+        if (!identities.contains(identity))
             missing.push_back(identity);
     }
     for (auto const& identity : missing)
         this->end(identity, now);
-    this->current_version = version;
+    // Some may have come and gone before this list was made.
+    this->ends.clear();
+    this->ends_known_from = position;
+}
+
+UpstreamListing UpstreamList::listing_since(std::int64_t known) const
+{
+    UpstreamListing listing;
+    listing.version = this->current_version;
+    bool const knows_all_ends = known >= this->ends_known_from;
+    listing.extent = knows_all_ends ? UpstreamListing::Extent::Changes : UpstreamListing::Extent::Whole;
+    for (auto const& [identity, entry] : this->entries) {
+        if (!entry.kept_until && (!knows_all_ends || entry.version > known))
+            listing.records.push_back(entry.record);
+    }
+    if (!knows_all_ends)
+        return listing;
+    for (auto const& [identity, version] : this->ends) {
+        if (version > known)
+            listing.gone.push_back(identity);
+    }
+    return listing;
+}
+
+void UpstreamList::take(UpstreamListing const& listing, MonotonicTime now)
+{
+    std::vector<UpstreamChange> changes;
+    for (auto const& record : listing.records)
+        changes.push_back({ record.identity, record, listing.version });
+    if (listing.extent == UpstreamListing::Extent::Whole)
+        return this->replace(changes, listing.version, now);
+    for (auto const& identity : listing.gone)
+        changes.push_back({ identity, {}, listing.version });
+    for (auto const& change : changes)
+        this->apply(change, now);
+    this->current_version = std::max(this->current_version, listing.version);
 }
 
 bool UpstreamList::advance(MonotonicTime now)
--- a/Libraries/LibDecision/UpstreamList.h
+++ b/Libraries/LibDecision/UpstreamList.h
@@ -45,6 +45,19 @@
     std::int64_t version = 0;
 };
 
+/// What one VM tells another of its list: all of it, or what changed since the version that the other has.
+struct UpstreamListing {
+    enum class Extent {
+        Whole,
+        Changes,
+    } extent
+        = Extent::Whole;
+    std::int64_t version = 0;
+    std::vector<UpstreamRecord> records;
+    /// Identities of those that are gone, where it tells changes alone.
+    std::vector<std::string> gone;
+};
+
 /// The upstreams that are known, and which of them get new work. Upstreams whose entries lapsed while their
 /// registry was away are kept for a short time after its return, since those that live announce themselves
 /// again; entries that end while the registry is well are gone at once.
@@ -53,6 +66,8 @@
     struct Options {
         /// How long after the registry's return lapsed entries are kept.
         Duration lapse_grace = milliseconds(1800);
+        /// Ends that are remembered for peers that ask what changed; one that asks for older ones gets the whole.
+        std::size_t remembered_ends = 1024;
     };
 
     explicit UpstreamList(Options options)
@@ -68,11 +83,16 @@
     void note_registry(RegistryState state, MonotonicTime now);
 
     void apply(UpstreamChange const& change, MonotonicTime now);
-    /// Takes the whole list as of a version; what is not in it is gone.
-    void replace(std::vector<UpstreamRecord> const& records, std::int64_t version, MonotonicTime now);
+    /// Takes the whole list as of a position; what is not in it is gone. Entries have the versions of their last changes.
+    void replace(std::vector<UpstreamChange> const& listed, std::int64_t position, MonotonicTime now);
+    /// What a peer with that version lacks.
+    UpstreamListing listing_since(std::int64_t known) const;
+    /// Takes what a peer told; older news change nothing.
+    void take(UpstreamListing const& listing, MonotonicTime now);
     /// Lets time pass; true where a kept entry was dropped.
     bool advance(MonotonicTime now);
 
+    /// That of the newest change that is known. Equal lists may have read the registry at different positions.
     std::int64_t version() const { return this->current_version; }
     /// All that are known and not gone.
     std::vector<UpstreamRecord> records() const;
@@ -92,11 +112,16 @@
     };
 
     bool was_away_lately(MonotonicTime now) const;
+    bool is_older(UpstreamChange const& change) const;
+    void remember_end(std::string const& identity, std::int64_t version);
     void end(std::string const& identity, MonotonicTime now);
 
     Options options;
     std::map<std::string, Entry, std::less<>> entries;
     std::int64_t current_version = 0;
+    /// The version with which each of them ended. Those before the next are not all known.
+    std::map<std::string, std::int64_t, std::less<>> ends;
+    std::int64_t ends_known_from = 0;
     RegistryState registry = RegistryState::Well;
     std::optional<MonotonicTime> returned_at;
 };
--- a/Libraries/LibRouter/RegistryFollower.cpp
+++ b/Libraries/LibRouter/RegistryFollower.cpp
@@ -20,6 +20,10 @@
         LogLine("registry_failed").with("what", what).with("error", to_string(error)).with("failures", failures);
 }
 
+// After a failure the answer must come at once: a watch that waits would tell of the registry's return only
+// with its next news.
+Duration wait_after(int failures, Duration watch) { return failures > 0 ? Duration::zero() : watch; }
+
 }
 
 RegistryFollower::RegistryFollower(Options options, asio::io_context& loop, RegistryPort& registry, Hooks hooks)
@@ -36,13 +40,6 @@
     asio::co_spawn(this->loop, this->follow_upstreams(), asio::detached);
 }
 
-// After a failure the answer must come at once: a watch that waits would tell of the registry's return only
-// with its next news.
-Duration RegistryFollower::wait_after(int failures) const
-{
-    return failures > 0 ? Duration::zero() : this->options.watch;
-}
-
 // Doubles with each failure in a row, up to a limit, and differs by VM and turn.
 asio::awaitable<void> RegistryFollower::pause(int failures)
 {
@@ -50,11 +47,26 @@
     auto const longest = std::min(this->options.longest_pause, Duration(doubled));
     auto const seed = this->options.spread + static_cast<std::uint64_t>(failures);
     auto const percent = 50 + static_cast<std::int64_t>(XXH3_64bits(&seed, sizeof(seed)) % 50);
-    asio::steady_timer timer(this->loop, longest * percent / 100);
+    co_await this->sleep(longest * percent / 100);
+}
+
+asio::awaitable<void> RegistryFollower::sleep(Duration duration)
+{
+    asio::steady_timer timer(this->loop, duration);
     asio::error_code ignored;
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
+asio::awaitable<void> RegistryFollower::wait_until_it_watches()
+{
+    if (this->hooks.watches_upstreams())
+        co_return;
+    LogLine("registry_watch_left_to_others").with("version", this->hooks.upstreams_version());
+    while (!this->hooks.watches_upstreams())
+        co_await this->sleep(this->options.idle_check);
+    LogLine("registry_watch_taken_up").with("version", this->hooks.upstreams_version());
+}
+
 asio::awaitable<void> RegistryFollower::follow_configuration()
 {
     std::optional<std::int64_t> position;
@@ -62,9 +74,10 @@
     while (true) {
         Result<ConfigurationNews, PlatformError> news = Failure { PlatformError::Unavailable };
         if (position)
-            news = co_await this->registry.watch_configuration(*position, this->wait_after(failures));
+            news = co_await this->registry.watch_configuration(*position, wait_after(failures, this->options.configuration_watch));
         else
             news = co_await this->registry.read_configuration();
+        this->configuration_followed = !news.is_error();
         if (news.is_error()) {
             if (news.error() == PlatformError::HistoryGone) {
                 LogLine("registry_history_gone").with("what", "configuration");
@@ -83,6 +96,8 @@
             this->hooks.on_configuration(*news.value().document);
         if (was_empty_read)
             co_await this->pause(1);
+        else if (news.value().document)
+            co_await this->sleep(this->options.gathering);
     }
 }
 
@@ -93,15 +108,19 @@
     while (true) {
         PlatformError error {};
         bool has_failed = false;
+        bool has_news = false;
         if (position) {
-            auto const news = co_await this->registry.watch_upstreams(*position, this->wait_after(failures));
+            co_await this->wait_until_it_watches();
+            position = std::max(*position, this->hooks.upstreams_version());
+            auto const news = co_await this->registry.watch_upstreams(*position, wait_after(failures, this->options.upstreams_watch));
             has_failed = news.is_error();
             if (has_failed)
                 error = news.error();
             else {
                 this->hooks.on_upstreams_state(UpstreamList::RegistryState::Well);
                 position = news.value().position;
-                if (!news.value().changes.empty())
+                has_news = !news.value().changes.empty();
+                if (has_news)
                     this->hooks.on_upstream_news(news.value());
             }
         } else {
@@ -116,9 +135,12 @@
                 this->hooks.on_upstreams(snapshot.value());
             }
         }
+        this->upstreams_followed = !has_failed;
         if (!has_failed) {
             if (failures > 0)
                 LogLine("registry_back").with("what", "upstreams").with("failures", std::exchange(failures, 0));
+            if (has_news)
+                co_await this->sleep(this->options.gathering);
             continue;
         }
         if (error == PlatformError::HistoryGone) {
--- a/Libraries/LibRouter/RegistryFollower.h
+++ b/Libraries/LibRouter/RegistryFollower.h
@@ -13,8 +13,14 @@
 class RegistryFollower {
 public:
     struct Options {
-        /// How long one watch waits for news. Short enough to notice a registry that is silent.
-        Duration watch = seconds(4);
+        /// How long one watch of the upstreams waits for news. Short enough to notice a registry that is silent.
+        Duration upstreams_watch = seconds(4);
+        /// Of the configuration, which changes seldom, and of whose changes peers tell as well.
+        Duration configuration_watch = seconds(10);
+        /// After news, so that those which come together are told together.
+        Duration gathering = milliseconds(200);
+        /// How often a VM that does not watch looks whether it has to.
+        Duration idle_check = milliseconds(200);
         Duration first_pause = milliseconds(150);
         Duration longest_pause = milliseconds(900);
         /// Spreads the VMs' tries; any number that differs by VM.
@@ -27,6 +33,10 @@
         std::function<void(UpstreamSnapshot const&)> on_upstreams;
         std::function<void(UpstreamNews const&)> on_upstream_news;
         std::function<void(UpstreamList::RegistryState)> on_upstreams_state;
+        /// Whether this VM is to watch the upstreams; others may do it for this one.
+        std::function<bool()> watches_upstreams = [] { return true; };
+        /// Up to where others told of them.
+        std::function<std::int64_t()> upstreams_version = [] { return std::int64_t { 0 }; };
     };
 
     RegistryFollower(Options options, asio::io_context& loop, RegistryPort& registry, Hooks hooks);
@@ -34,18 +44,24 @@
     void start();
     /// Whether the upstreams were read at least once.
     bool has_upstreams() const { return this->upstreams_read; }
+    /// Whether news come from the registry just now, as far as the last call tells.
+    bool follows_configuration() const { return this->configuration_followed; }
+    bool follows_upstreams() const { return this->upstreams_followed; }
 
 private:
     asio::awaitable<void> follow_configuration();
     asio::awaitable<void> follow_upstreams();
     asio::awaitable<void> pause(int failures);
-    Duration wait_after(int failures) const;
+    asio::awaitable<void> sleep(Duration duration);
+    asio::awaitable<void> wait_until_it_watches();
 
     Options options;
     asio::io_context& loop;
     RegistryPort& registry;
     Hooks hooks;
     bool upstreams_read = false;
+    bool configuration_followed = false;
+    bool upstreams_followed = false;
 };
 
 }
--- a/Libraries/LibRouter/RegistryPort.h
+++ b/Libraries/LibRouter/RegistryPort.h
@@ -29,7 +29,8 @@
 };
 
 struct UpstreamSnapshot {
-    std::vector<UpstreamRecord> records;
+    /// Each with the version of its last change.
+    std::vector<UpstreamChange> listed;
     std::int64_t position = 0;
 };
 
--- /dev/null
+++ b/Libraries/LibRouter/RegistryRelay.cpp
@@ -0,0 +1,167 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibCore/Clock.h>
+#include <LibCore/LogLine.h>
+#include <LibRouter/RegistryRelay.h>
+#include <LibWire/WireUpstreams.h>
+
+namespace Spurtide {
+
+namespace {
+
+constexpr std::string_view CONFIGURATION_SERVICE = "config";
+constexpr Duration FETCH_TIMEOUT = milliseconds(1000);
+
+PeerNewsTracker::OwnSource source_of(bool follows)
+{
+    return follows ? PeerNewsTracker::OwnSource::Well : PeerNewsTracker::OwnSource::Away;
+}
+
+}
+
+RegistryRelay::RegistryRelay(Options options, Kernel& kernel, UpstreamList& upstreams, Hooks hooks)
+    : kernel(kernel)
+    , upstreams(upstreams)
+    , hooks(std::move(hooks))
+    , news_service("registry-news@" + options.data_centre)
+    , plan(options.plan, kernel.virtual_machine())
+{
+}
+
+void RegistryRelay::host()
+{
+    this->kernel.host(std::string(CONFIGURATION_SERVICE), [this](wire::Envelope const& request, Kernel::Responder const& respond) { this->answer(request, respond); });
+    this->kernel.host(this->news_service, [this](wire::Envelope const& message, Kernel::Responder const&) {
+        if (message.has_registry_news())
+            this->take_news(message.registry_news());
+    });
+}
+
+void RegistryRelay::start()
+{
+    this->kernel.every(this->plan.tell_interval(), [this] { this->every_interval(); });
+}
+
+void RegistryRelay::every_interval()
+{
+    this->plan.set_virtual_machines(this->kernel.directory().virtual_machines_with(this->news_service));
+    this->tell();
+}
+
+bool RegistryRelay::watches() const { return this->plan.watches(monotonic_now()); }
+
+void RegistryRelay::tell()
+{
+    // A watcher that does not hear of the registry says nothing, so that others take over.
+    if (this->plan.listeners().empty() || !this->hooks.follows_upstreams())
+        return;
+    auto const since = this->told_version;
+    auto const listing = this->upstreams.listing_since(since);
+    this->told_version = listing.version;
+    wire::Envelope envelope;
+    envelope.set_service(this->news_service);
+    auto* news = envelope.mutable_registry_news();
+    news->set_vm(this->kernel.virtual_machine());
+    auto* content = news->mutable_upstreams();
+    if (listing.extent == UpstreamListing::Extent::Changes) {
+        write_listing(listing, *content);
+        content->set_since(since);
+    } else {
+        // Whoever has less than this asks for what it lacks.
+        content->set_version(listing.version);
+        content->set_only_changes(true);
+        content->set_since(listing.version);
+    }
+    for (auto const& listener : this->plan.listeners()) {
+        if (auto const endpoint = this->kernel.directory().resolve_on(listener, this->news_service))
+            this->kernel.notify(*endpoint, envelope);
+    }
+}
+
+void RegistryRelay::take_news(wire::RegistryNews const& news)
+{
+    auto const now = monotonic_now();
+    this->plan.note_told(now);
+    if (!this->watches())
+        this->upstreams.note_registry(UpstreamList::RegistryState::Well, now);
+    auto const& content = news.upstreams();
+    if (content.version() <= this->upstreams.version())
+        return;
+    if (content.since() <= this->upstreams.version())
+        return this->take_listing(read_listing(content), news.vm());
+    if (auto const endpoint = this->kernel.directory().resolve_on(news.vm(), CONFIGURATION_SERVICE))
+        this->hear_of_upstreams(*endpoint, content.version());
+}
+
+void RegistryRelay::take_listing(UpstreamListing const& listing, std::string_view source)
+{
+    auto const before = this->upstreams.version();
+    if (listing.version <= before)
+        return;
+    LogLine("upstreams_from_peer").with("peer", source).with("version", listing.version).with("before", before).with("extent", listing.extent == UpstreamListing::Extent::Whole ? "whole" : "changes").with("count", static_cast<std::int64_t>(listing.records.size())).with("gone", static_cast<std::int64_t>(listing.gone.size()));
+    this->upstreams.take(listing, monotonic_now());
+    this->hooks.on_upstreams();
+}
+
+void RegistryRelay::hear_of_configuration(std::string const& endpoint, std::int64_t version)
+{
+    if (this->configuration_news.should_fetch(version, this->hooks.configuration_version(), source_of(this->hooks.follows_configuration()), monotonic_now()))
+        this->fetch_configuration(endpoint);
+}
+
+void RegistryRelay::hear_of_upstreams(std::string const& endpoint, std::int64_t version)
+{
+    if (this->upstreams_news.should_fetch(version, this->upstreams.version(), source_of(this->hooks.follows_upstreams()), monotonic_now()))
+        this->fetch_upstreams(endpoint);
+}
+
+void RegistryRelay::fetch_configuration(std::string const& endpoint)
+{
+    wire::Envelope envelope;
+    envelope.set_service(std::string(CONFIGURATION_SERVICE));
+    envelope.mutable_get_configuration()->set_known_generation(this->hooks.configuration_version());
+    this->kernel.request(endpoint, std::move(envelope), FETCH_TIMEOUT, [this](WireReply const& reply) {
+        if (!reply.is_error() && !reply.value().configuration_content().content().empty())
+            this->hooks.on_configuration({ reply.value().configuration_content().content() });
+    });
+}
+
+void RegistryRelay::fetch_upstreams(std::string const& endpoint)
+{
+    wire::Envelope envelope;
+    envelope.set_service(std::string(CONFIGURATION_SERVICE));
+    envelope.mutable_get_upstreams()->set_known_version(this->upstreams.version());
+    this->kernel.request(endpoint, std::move(envelope), FETCH_TIMEOUT, [this, endpoint](WireReply const& reply) {
+        if (!reply.is_error() && reply.value().has_upstreams_content())
+            this->take_listing(read_listing(reply.value().upstreams_content()), endpoint);
+    });
+}
+
+void RegistryRelay::answer(wire::Envelope const& request, Kernel::Responder const& respond)
+{
+    if (request.has_get_configuration())
+        return respond(this->configuration_reply(request.get_configuration().known_generation()));
+    if (request.has_get_upstreams())
+        return respond(this->upstreams_reply(request.get_upstreams().known_version()));
+    respond(error_reply(wire::ERROR_CODE_UNKNOWN_MESSAGE));
+}
+
+wire::Envelope RegistryRelay::configuration_reply(std::int64_t known) const
+{
+    wire::Envelope reply;
+    auto* content = reply.mutable_configuration_content();
+    content->set_generation(this->hooks.configuration_version());
+    if (this->hooks.configuration_version() > known)
+        content->set_content(this->document.text);
+    return reply;
+}
+
+wire::Envelope RegistryRelay::upstreams_reply(std::int64_t known) const
+{
+    wire::Envelope reply;
+    write_listing(this->upstreams.listing_since(known), *reply.mutable_upstreams_content());
+    return reply;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRouter/RegistryRelay.h
@@ -0,0 +1,76 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#pragma once
+
+#include <LibDecision/PeerNewsTracker.h>
+#include <LibDecision/UpstreamList.h>
+#include <LibDecision/WatchPlan.h>
+#include <LibRouter/RegistryFollower.h>
+#include <LibWire/Kernel.h>
+#include <functional>
+#include <string>
+
+namespace Spurtide {
+
+/// What the VMs tell each other of the registry's contents: any VM hands the configuration and the list of upstreams on
+/// to one that asks, and in larger data centres a few VMs watch the list and tell the others.
+class RegistryRelay {
+public:
+    struct Hooks {
+        /// A peer handed on the configuration.
+        std::function<void(ConfigurationDocument const&)> on_configuration;
+        /// The list of upstreams is another one.
+        std::function<void()> on_upstreams;
+        /// That of the configuration in force; 0 before the first.
+        std::function<std::int64_t()> configuration_version;
+        /// Whether this VM itself hears of news from the registry.
+        std::function<bool()> follows_configuration;
+        std::function<bool()> follows_upstreams;
+    };
+
+    struct Options {
+        std::string data_centre;
+        WatchPlan::Options plan {};
+    };
+
+    RegistryRelay(Options options, Kernel& kernel, UpstreamList& upstreams, Hooks hooks);
+
+    /// Makes the services of the relay known. Call before the kernel starts.
+    void host();
+    void start();
+    /// Keeps the configuration in force for peers that ask.
+    void keep(ConfigurationDocument document) { this->document = std::move(document); }
+
+    /// A peer told that it has a newer configuration, or a newer list.
+    void hear_of_configuration(std::string const& endpoint, std::int64_t version);
+    void hear_of_upstreams(std::string const& endpoint, std::int64_t version);
+
+    /// Whether this VM has to watch the upstreams itself.
+    bool watches() const;
+    /// Tells the news, where it is this VM that watches for others.
+    void tell();
+
+private:
+    void every_interval();
+    void answer(wire::Envelope const& request, Kernel::Responder const& respond);
+    void take_news(wire::RegistryNews const& news);
+    void take_listing(UpstreamListing const& listing, std::string_view source);
+    void fetch_configuration(std::string const& endpoint);
+    void fetch_upstreams(std::string const& endpoint);
+    wire::Envelope configuration_reply(std::int64_t known) const;
+    wire::Envelope upstreams_reply(std::int64_t known) const;
+
+    Kernel& kernel;
+    UpstreamList& upstreams;
+    Hooks hooks;
+    /// VMs of one data centre find each other by this name.
+    std::string news_service;
+    WatchPlan plan;
+    PeerNewsTracker configuration_news { PeerNewsTracker::Options {} };
+    PeerNewsTracker upstreams_news { PeerNewsTracker::Options {} };
+    ConfigurationDocument document;
+    std::int64_t told_version = 0;
+};
+
+}
--- a/Libraries/LibWire/WireUpstreams.cpp
+++ b/Libraries/LibWire/WireUpstreams.cpp
@@ -41,4 +41,25 @@
     return record;
 }
 
+void write_listing(UpstreamListing const& listing, wire::UpstreamsContent& message)
+{
+    message.set_version(listing.version);
+    message.set_only_changes(listing.extent == UpstreamListing::Extent::Changes);
+    for (auto const& record : listing.records)
+        write_upstream(record, *message.add_upstreams());
+    for (auto const& identity : listing.gone)
+        message.add_gone(identity);
+}
+
+UpstreamListing read_listing(wire::UpstreamsContent const& message)
+{
+    UpstreamListing listing;
+    listing.extent = message.only_changes() ? UpstreamListing::Extent::Changes : UpstreamListing::Extent::Whole;
+    listing.version = message.version();
+    for (auto const& entry : message.upstreams())
+        listing.records.push_back(read_upstream(entry));
+    listing.gone.assign(message.gone().begin(), message.gone().end());
+    return listing;
+}
+
 }
--- a/Libraries/LibWire/WireUpstreams.h
+++ b/Libraries/LibWire/WireUpstreams.h
@@ -11,5 +11,7 @@
 /// Conversions between the decision library's upstreams and their wire form.
 void write_upstream(UpstreamRecord const& record, wire::UpstreamEntry& message);
 UpstreamRecord read_upstream(wire::UpstreamEntry const& message);
+void write_listing(UpstreamListing const& listing, wire::UpstreamsContent& message);
+UpstreamListing read_listing(wire::UpstreamsContent const& message);
 
 }
--- a/Services/ConfigServer/ConfigServer.cpp
+++ b/Services/ConfigServer/ConfigServer.cpp
@@ -142,7 +142,7 @@
     membership_options.heartbeat_interval = this->options.heartbeat_interval;
     membership_options.table = this->options.membership;
     this->membership = std::make_unique<MembershipService>(
-        membership_options, *this->kernel, [raw] { return raw->store.generation(); }, [raw](auto const& endpoint) { raw->fetch_from_peer(endpoint); });
+        membership_options, *this->kernel, [raw] { return raw->store.generation(); }, [raw](auto const& endpoint, auto) { raw->fetch_from_peer(endpoint); });
     this->kernel->host("directory", [raw](auto const& request, auto respond) { raw->handle_directory(request, respond); });
     this->kernel->host("config", [raw](auto const& request, auto respond) { raw->handle_config(request, respond); });
     this->listener->serve_operations(this->metrics, [raw] { return raw->store.generation() > 0; });
--- a/Services/ConfigServer/MembershipService.cpp
+++ b/Services/ConfigServer/MembershipService.cpp
@@ -28,7 +28,7 @@
 
 }
 
-MembershipService::MembershipService(Options options, Kernel& kernel, std::function<std::int64_t()> generation, std::function<void(std::string const& endpoint)> on_newer_generation)
+MembershipService::MembershipService(Options options, Kernel& kernel, std::function<std::int64_t()> generation, std::function<void(std::string const& endpoint, std::int64_t generation)> on_newer_generation)
     : options(std::move(options))
     , kernel(kernel)
     , generation(std::move(generation))
@@ -150,9 +150,9 @@
     auto const wanted = this->take_digests(answer.digests());
     this->refresh_directory();
     if (!answer.digests().empty() && answer.digests(0).generation() > this->generation())
-        this->on_newer_generation(endpoint);
+        this->on_newer_generation(endpoint, answer.digests(0).generation());
     if (this->upstreams_version && answer.upstreams_version() > this->upstreams_version())
-        this->on_newer_upstreams(endpoint);
+        this->on_newer_upstreams(endpoint, answer.upstreams_version());
     if (wanted.empty() && answer.wanted().empty())
         return;
     wire::Envelope envelope;
@@ -208,7 +208,7 @@
         body->set_upstreams_version(this->upstreams_version());
         auto const endpoint = this->endpoint_of(heartbeat.vm());
         if (heartbeat.upstreams_version() > this->upstreams_version() && !endpoint.empty())
-            this->on_newer_upstreams(endpoint);
+            this->on_newer_upstreams(endpoint, heartbeat.upstreams_version());
     }
     // A VM that comes new is told of everybody, once.
     if (is_new) {
--- a/Services/ConfigServer/MembershipService.h
+++ b/Services/ConfigServer/MembershipService.h
@@ -27,7 +27,7 @@
         int probe_tries = 3;
     };
 
-    MembershipService(Options options, Kernel& kernel, std::function<std::int64_t()> generation, std::function<void(std::string const& endpoint)> on_newer_generation);
+    MembershipService(Options options, Kernel& kernel, std::function<std::int64_t()> generation, std::function<void(std::string const& endpoint, std::int64_t generation)> on_newer_generation);
 
     void start();
     /// Tells the peers; the function runs at the first answer, or at once where there are no peers.
@@ -38,7 +38,7 @@
     void handle_records(wire::MemberRecords const& records, Kernel::Responder const& respond);
 
     /// Makes the list of upstreams part of the news: its version here, and what to do when a peer's is newer.
-    void set_upstreams_hooks(std::function<std::int64_t()> version, std::function<void(std::string const& endpoint)> on_newer)
+    void set_upstreams_hooks(std::function<std::int64_t()> version, std::function<void(std::string const& endpoint, std::int64_t version)> on_newer)
     {
         this->upstreams_version = std::move(version);
         this->on_newer_upstreams = std::move(on_newer);
@@ -75,9 +75,9 @@
     Options options;
     Kernel& kernel;
     std::function<std::int64_t()> generation;
-    std::function<void(std::string const& endpoint)> on_newer_generation;
+    std::function<void(std::string const& endpoint, std::int64_t generation)> on_newer_generation;
     std::function<std::int64_t()> upstreams_version;
-    std::function<void(std::string const& endpoint)> on_newer_upstreams;
+    std::function<void(std::string const& endpoint, std::int64_t version)> on_newer_upstreams;
     MembershipTable table;
     std::map<std::string, LocalProcess> processes;
     std::vector<std::string> leaving_machines;
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -3,7 +3,6 @@
 
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
-#include <LibWire/WireUpstreams.h>
 #include <Services/NodeServer/Node.h>
 #include <array>
 #include <xxhash.h>
@@ -15,7 +14,6 @@
 constexpr Duration HEARTBEAT = milliseconds(500);
 /// An upstream that left gets nothing new within the time that its entry is kept and this.
 constexpr Duration LAPSE_CHECK = milliseconds(100);
-constexpr Duration FETCH_TIMEOUT = milliseconds(1000);
 /// A node that heard nobody by then takes it that it is alone.
 constexpr Duration LONGEST_START = milliseconds(1500);
 /// The balancer asks once a second and takes a VM out after two misses.
@@ -96,8 +94,9 @@
         members.seeds.push_back("tcp://" + seed);
     members.heartbeat_interval = HEARTBEAT;
     this->membership = std::make_unique<MembershipService>(
-        members, *this->kernel, [this] { return this->state.routes ? this->state.routes->version() : 0; }, [this](auto const& endpoint) { this->fetch_configuration(endpoint); });
-    this->membership->set_upstreams_hooks([this] { return this->state.upstreams.version(); }, [this](auto const& endpoint) { this->fetch_upstreams(endpoint); });
+        members, *this->kernel, [this] { return this->state.routes ? this->state.routes->version() : 0; }, [this](auto const& endpoint, auto version) { this->relay->hear_of_configuration(endpoint, version); });
+    this->membership->set_upstreams_hooks([this] { return this->state.upstreams.version(); }, [this](auto const& endpoint, auto version) { this->relay->hear_of_upstreams(endpoint, version); });
+    this->relay = std::make_unique<RegistryRelay>(RegistryRelay::Options { this->settings.data_centre }, *this->kernel, this->state.upstreams, this->relay_hooks());
     this->placement = std::make_unique<PlacementClient>(PlacementClient::Options {}, *this->kernel);
     this->keeper = std::make_unique<EngineKeeper>(scheduler_options(this->settings), *this->kernel, this->metrics, this->loop);
     this->state.placement = this->placement.get();
@@ -126,6 +125,7 @@
     if (this->settings.role_changes == NodeSettings::RoleChanges::On)
         this->keep_roles();
     this->kernel->start();
+    this->relay->start();
     this->membership->start();
     this->placement->start();
     this->keeper->start();
@@ -163,13 +163,7 @@
             return this->membership->handle_records(request.member_records(), respond);
         respond(error_reply(wire::ERROR_CODE_UNKNOWN_MESSAGE));
     });
-    this->kernel->host("config", [this](wire::Envelope const& request, Kernel::Responder const& respond) {
-        if (request.has_get_configuration())
-            return respond(this->configuration_reply(request.get_configuration().known_generation()));
-        if (request.has_get_upstreams())
-            return respond(this->upstreams_reply());
-        respond(error_reply(wire::ERROR_CODE_UNKNOWN_MESSAGE));
-    });
+    this->relay->host();
     this->kernel->host(std::string(PLACEMENT_SERVICE), [this](wire::Envelope const& request, Kernel::Responder const& respond) { this->keeper->handle(request, respond); });
     // A mark in the directory: a VM that is to be asked before others.
     if (this->settings.processor_share >= this->settings.keeper_processor_share)
@@ -181,9 +175,10 @@
     RegistryFollower::Hooks hooks;
     hooks.on_configuration = [this](auto const& found) { this->adopt(found, "registry"); };
     hooks.on_upstreams = [this](UpstreamSnapshot const& snapshot) {
-        this->state.upstreams.replace(snapshot.records, snapshot.position, monotonic_now());
-        LogLine("upstreams_read").with("count", static_cast<std::int64_t>(snapshot.records.size())).with("version", snapshot.position);
+        this->state.upstreams.replace(snapshot.listed, snapshot.position, monotonic_now());
+        LogLine("upstreams_read").with("count", static_cast<std::int64_t>(snapshot.listed.size())).with("version", this->state.upstreams.version()).with("position", snapshot.position);
         this->engines_changed();
+        this->relay->tell();
     };
     hooks.on_upstream_news = [this](UpstreamNews const& news) {
         for (auto const& change : news.changes) {
@@ -193,8 +188,22 @@
             this->state.upstreams.apply(change, monotonic_now());
         }
         this->engines_changed();
+        this->relay->tell();
     };
     hooks.on_upstreams_state = [this](auto registry) { this->state.upstreams.note_registry(registry, monotonic_now()); };
+    hooks.watches_upstreams = [this] { return this->relay->watches(); };
+    hooks.upstreams_version = [this] { return this->state.upstreams.version(); };
+    return hooks;
+}
+
+RegistryRelay::Hooks Node::relay_hooks()
+{
+    RegistryRelay::Hooks hooks;
+    hooks.on_configuration = [this](auto const& found) { this->adopt(found, "peer"); };
+    hooks.on_upstreams = [this] { this->engines_changed(); };
+    hooks.configuration_version = [this] { return this->configuration_version(); };
+    hooks.follows_configuration = [this] { return this->state.routes && this->follower->follows_configuration(); };
+    hooks.follows_upstreams = [this] { return this->follower->follows_upstreams(); };
     return hooks;
 }
 
@@ -216,7 +225,7 @@
     http.idle_timeout = limits.idle_timeout;
     this->callers->set_limits(http);
     this->state.routes = std::make_shared<RouteTable const>(decoded.release_value());
-    this->document = found;
+    this->relay->keep(found);
     LogLine("configuration_in_force").with("version", this->state.routes->version()).with("before", known).with("source", source).with("routes", static_cast<std::int64_t>(this->state.routes->configuration().routes.size()));
     this->engines_changed();
     this->membership->spread_news();
@@ -233,62 +242,6 @@
     this->state.reachability->retain({ identities.begin(), identities.end() });
 }
 
-void Node::fetch_configuration(std::string const& endpoint)
-{
-    wire::Envelope envelope;
-    envelope.set_service("config");
-    envelope.mutable_get_configuration()->set_known_generation(this->state.routes ? this->state.routes->version() : 0);
-    this->kernel->request(endpoint, std::move(envelope), FETCH_TIMEOUT, [this](WireReply const& reply) {
-        if (!reply.is_error() && !reply.value().configuration_content().content().empty())
-            this->adopt({ reply.value().configuration_content().content() }, "peer");
-    });
-}
-
-void Node::fetch_upstreams(std::string const& endpoint)
-{
-    wire::Envelope envelope;
-    envelope.set_service("config");
-    envelope.mutable_get_upstreams()->set_known_version(this->state.upstreams.version());
-    this->kernel->request(endpoint, std::move(envelope), FETCH_TIMEOUT, [this](WireReply const& reply) {
-        if (!reply.is_error() && reply.value().has_upstreams_content())
-            this->take_upstreams(reply.value().upstreams_content());
-    });
-}
-
-wire::Envelope Node::configuration_reply(std::int64_t known) const
-{
-    wire::Envelope reply;
-    auto* content = reply.mutable_configuration_content();
-    if (!this->state.routes)
-        return reply;
-    content->set_generation(this->state.routes->version());
-    if (this->state.routes->version() > known)
-        content->set_content(this->document.text);
-    return reply;
-}
-
-wire::Envelope Node::upstreams_reply() const
-{
-    wire::Envelope reply;
-    auto* content = reply.mutable_upstreams_content();
-    content->set_version(this->state.upstreams.version());
-    for (auto const& record : this->state.upstreams.listed_records())
-        write_upstream(record, *content->add_upstreams());
-    return reply;
-}
-
-void Node::take_upstreams(wire::UpstreamsContent const& content)
-{
-    if (content.version() <= this->state.upstreams.version())
-        return;
-    std::vector<UpstreamRecord> records;
-    for (auto const& message : content.upstreams())
-        records.push_back(read_upstream(message));
-    LogLine("upstreams_from_peer").with("version", content.version()).with("before", this->state.upstreams.version()).with("count", static_cast<std::int64_t>(records.size()));
-    this->state.upstreams.replace(records, content.version(), monotonic_now());
-    this->engines_changed();
-}
-
 bool Node::is_ready() const
 {
     bool const has_upstreams = this->follower->has_upstreams() || this->state.upstreams.size() > 0;
--- a/Services/NodeServer/Node.h
+++ b/Services/NodeServer/Node.h
@@ -9,6 +9,7 @@
 #include <LibRouter/Entry.h>
 #include <LibRouter/PlacementClient.h>
 #include <LibRouter/RegistryFollower.h>
+#include <LibRouter/RegistryRelay.h>
 #include <LibRouter/RoleKeeper.h>
 #include <LibRouter/RouterState.h>
 #include <LibWire/Kernel.h>
@@ -61,13 +62,9 @@
     void host_services();
     void keep_roles();
     RegistryFollower::Hooks hooks();
+    RegistryRelay::Hooks relay_hooks();
     void adopt(ConfigurationDocument const& document, std::string_view source);
     void engines_changed();
-    void fetch_configuration(std::string const& endpoint);
-    void fetch_upstreams(std::string const& endpoint);
-    wire::Envelope configuration_reply(std::int64_t known) const;
-    wire::Envelope upstreams_reply() const;
-    void take_upstreams(wire::UpstreamsContent const& content);
     asio::awaitable<void> answer_operations(HttpExchange& exchange);
     void every_second();
     void drop_lapsed();
@@ -79,9 +76,9 @@
     Metrics metrics;
     RouterState state;
     Entry entry;
-    ConfigurationDocument document;
     std::unique_ptr<Kernel> kernel;
     std::unique_ptr<MembershipService> membership;
+    std::unique_ptr<RegistryRelay> relay;
     std::unique_ptr<PlacementClient> placement;
     std::unique_ptr<EngineKeeper> keeper;
     /// Empty where engines keep the roles that they have.
--- a/Tests/LibDecision/TestUpstreams.cpp
+++ b/Tests/LibDecision/TestUpstreams.cpp
@@ -87,7 +87,7 @@
 TEST_CASE("A list that is older than what is known changes nothing")
 {
     UpstreamList list({ milliseconds(1800) });
-    list.replace({ record("a") }, 7, at_milliseconds(0));
+    list.replace({ { "a", record("a"), 7 } }, 7, at_milliseconds(0));
     list.replace({}, 6, at_milliseconds(10));
     REQUIRE(list.takes_work("a"));
     REQUIRE(list.version() == 7);
--- a/Tests/LibRouter/TestEngineKeeper.cpp
+++ b/Tests/LibRouter/TestEngineKeeper.cpp
@@ -33,7 +33,7 @@
         UpstreamList upstreams { UpstreamList::Options {} };
         UpstreamRecord prefill { "p", "m", "127.0.0.1:1", "dc", 8, UpstreamRecord::Life::Serving, EngineRole::Prefill, 0 };
         UpstreamRecord decode { "d", "m", "127.0.0.1:2", "dc", 8, UpstreamRecord::Life::Serving, EngineRole::Decode, 0 };
-        upstreams.replace({ prefill, decode }, 1, MonotonicTime {});
+        upstreams.replace({ { prefill.identity, prefill, 1 }, { decode.identity, decode, 1 } }, 1, MonotonicTime {});
         this->keeper->set_engines(configuration, upstreams);
     }
 
@@ -83,7 +83,7 @@
     record.service = "other";
     record.address = "127.0.0.1:1";
     record.role = EngineRole::Decode;
-    upstreams.replace({ record }, 1, MonotonicTime {});
+    upstreams.replace({ { record.identity, record, 1 } }, 1, MonotonicTime {});
     test.keeper->set_engines(configuration, upstreams);
     auto const reply = test.ask("r1");
     REQUIRE(reply);
--- /dev/null
+++ b/Tests/LibRouter/TestRegistryRelay.cpp
@@ -0,0 +1,164 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibCore/Clock.h>
+#include <LibRouter/RegistryRelay.h>
+#include <asio.hpp>
+#include <catch2/catch.hpp>
+
+using namespace Spurtide;
+
+namespace {
+
+/// One VM as far as the relay goes; what would come from the registry is set by the test.
+struct RelayVirtualMachine {
+    RelayVirtualMachine(asio::io_context& loop, std::string const& name)
+    {
+        Kernel::Options options;
+        options.virtual_machine = name;
+        options.listen_endpoint = "tcp://127.0.0.1:0";
+        options.loop = &loop;
+        this->kernel = Kernel::create(std::move(options)).release_value();
+        RegistryRelay::Hooks hooks;
+        hooks.on_configuration = [this](auto const& document) { this->configurations.push_back(document.text); };
+        hooks.on_upstreams = [this] { ++this->changes; };
+        hooks.configuration_version = [this] { return this->configuration; };
+        hooks.follows_configuration = [this] { return this->follows; };
+        hooks.follows_upstreams = [this] { return this->follows; };
+        RegistryRelay::Options relay_options { "dc" };
+        relay_options.plan.watchers = 1;
+        relay_options.plan.smallest_data_centre = 2;
+        this->relay = std::make_unique<RegistryRelay>(relay_options, *this->kernel, this->upstreams, std::move(hooks));
+        this->relay->host();
+        this->kernel->start();
+    }
+
+    MemberRecord member() const
+    {
+        MemberRecord record;
+        record.virtual_machine = this->kernel->virtual_machine();
+        record.services = this->kernel->hosted_services();
+        return record;
+    }
+
+    void change(std::string const& identity, std::int64_t version)
+    {
+        UpstreamRecord record;
+        record.identity = identity;
+        record.address = "127.0.0.1:1";
+        this->upstreams.apply({ identity, record, version }, monotonic_now());
+    }
+
+    std::unique_ptr<Kernel> kernel;
+    UpstreamList upstreams { UpstreamList::Options {} };
+    std::int64_t configuration = 0;
+    bool follows = true;
+    int changes = 0;
+    std::vector<std::string> configurations;
+    std::unique_ptr<RegistryRelay> relay;
+};
+
+/// Three VMs of a data centre on one loop, of which one watches.
+struct RelayTest {
+    RelayTest()
+    {
+        std::vector<MemberRecord> members;
+        for (auto const* name : { "vm-1", "vm-2", "vm-3" })
+            this->machines.push_back(std::make_unique<RelayVirtualMachine>(this->loop, name));
+        for (auto const& machine : this->machines)
+            members.push_back(machine->member());
+        for (auto const& machine : this->machines)
+            machine->kernel->directory().replace(1, 0, members, {});
+        auto const watcher_name = choose_watchers(std::vector<std::string> { "vm-1", "vm-2", "vm-3" }, 1).front();
+        for (auto const& machine : this->machines)
+            (machine->kernel->virtual_machine() == watcher_name ? this->watcher : this->listeners).push_back(machine.get());
+    }
+    ~RelayTest() { this->loop.stop(); }
+
+    void start()
+    {
+        for (auto const& machine : this->machines)
+            machine->relay->start();
+    }
+
+    bool run_until(std::function<bool()> const& condition)
+    {
+        auto const until = monotonic_now() + seconds(20);
+        while (!condition()) {
+            if (monotonic_now() >= until)
+                return false;
+            this->loop.run_for(std::chrono::milliseconds(2));
+        }
+        return true;
+    }
+
+    asio::io_context loop { 1 };
+    std::vector<std::unique_ptr<RelayVirtualMachine>> machines;
+    std::vector<RelayVirtualMachine*> watcher;
+    std::vector<RelayVirtualMachine*> listeners;
+};
+
+}
+
+TEST_CASE("What the watcher hears its listeners hear, and they stop to watch", "[leaving]")
+{
+    RelayTest test;
+    test.watcher[0]->change("a", 3);
+    test.start();
+    for (auto const* listener : test.listeners)
+        CHECK(listener->relay->watches());
+    REQUIRE(test.run_until([&] { return !test.listeners[0]->relay->watches() && !test.listeners[1]->relay->watches(); }));
+    CHECK(test.watcher[0]->relay->watches());
+    // One that had nothing asked for what it lacked.
+    for (auto const* listener : test.listeners)
+        CHECK(listener->upstreams.takes_work("a"));
+    test.watcher[0]->change("b", 5);
+    test.watcher[0]->upstreams.apply({ "a", {}, 6 }, monotonic_now());
+    test.watcher[0]->relay->tell();
+    REQUIRE(test.run_until([&] { return test.listeners[0]->upstreams.version() == 6 && test.listeners[1]->upstreams.version() == 6; }));
+    for (auto const* listener : test.listeners) {
+        CHECK(listener->upstreams.takes_work("b"));
+        CHECK_FALSE(listener->upstreams.takes_work("a"));
+        CHECK(listener->changes == 2);
+    }
+}
+
+TEST_CASE("A watcher that does not hear of the registry says nothing, and its listeners watch again", "[platform-down]")
+{
+    RelayTest test;
+    test.start();
+    REQUIRE(test.run_until([&] { return !test.listeners[0]->relay->watches(); }));
+    test.watcher[0]->follows = false;
+    REQUIRE(test.run_until([&] { return test.listeners[0]->relay->watches() && test.listeners[1]->relay->watches(); }));
+}
+
+TEST_CASE("A VM without a source of its own takes from a peer what that one has", "[platform-down][config]")
+{
+    RelayTest test;
+    auto& knows = *test.watcher[0];
+    auto& lacks = *test.listeners[0];
+    knows.change("a", 3);
+    knows.configuration = 7;
+    knows.relay->keep({ "the configuration" });
+    lacks.follows = false;
+    lacks.relay->hear_of_upstreams(knows.kernel->endpoint(), 3);
+    lacks.relay->hear_of_configuration(knows.kernel->endpoint(), 7);
+    REQUIRE(test.run_until([&] { return lacks.upstreams.takes_work("a") && !lacks.configurations.empty(); }));
+    CHECK(lacks.configurations == std::vector<std::string> { "the configuration" });
+}
+
+TEST_CASE("A VM that hears of the registry itself asks a peer only for what does not come", "[config]")
+{
+    RelayTest test;
+    auto& knows = *test.watcher[0];
+    auto& lacks = *test.listeners[0];
+    knows.change("a", 3);
+    lacks.relay->hear_of_upstreams(knows.kernel->endpoint(), 3);
+    CHECK_FALSE(lacks.kernel->sent_traffic().contains("get_upstreams"));
+    // The next heartbeats tell it once more.
+    REQUIRE(test.run_until([&] {
+        lacks.relay->hear_of_upstreams(knows.kernel->endpoint(), 3);
+        return lacks.upstreams.takes_work("a");
+    }));
+    CHECK(lacks.kernel->sent_traffic().contains("get_upstreams"));
+}
