--- a/Libraries/LibRouter/RegistryFollower.cpp
+++ b/Libraries/LibRouter/RegistryFollower.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr int MOST_DOUBLINGS = 4;
+constexpr std::string_view ANSWERED = "answered";
 
 void log_failure(std::string_view what, PlatformError error, int failures)
 {
@@ -78,6 +79,7 @@
         else
             news = co_await this->registry.read_configuration();
         this->configuration_followed = !news.is_error();
+        this->hooks.on_call("configuration", news.is_error() ? to_string(news.error()) : ANSWERED);
         if (news.is_error()) {
             if (news.error() == PlatformError::HistoryGone) {
                 LogLine("registry_history_gone").with("what", "configuration");
@@ -136,6 +138,7 @@
             }
         }
         this->upstreams_followed = !has_failed;
+        this->hooks.on_call("upstreams", has_failed ? to_string(error) : ANSWERED);
         if (!has_failed) {
             if (failures > 0)
                 LogLine("registry_back").with("what", "upstreams").with("failures", std::exchange(failures, 0));
--- a/Libraries/LibRouter/RegistryFollower.h
+++ b/Libraries/LibRouter/RegistryFollower.h
@@ -33,6 +33,8 @@
         std::function<void(UpstreamSnapshot const&)> on_upstreams;
         std::function<void(UpstreamNews const&)> on_upstream_news;
         std::function<void(UpstreamList::RegistryState)> on_upstreams_state;
+        /// A call ended: what it was for, and the name of its error, or "answered".
+        std::function<void(std::string_view what, std::string_view result)> on_call = [](auto, auto) {};
         /// Whether this VM is to watch the upstreams; others may do it for this one.
         std::function<bool()> watches_upstreams = [] { return true; };
         /// Up to where others told of them.
--- a/Libraries/LibRouter/RequestFlow.cpp
+++ b/Libraries/LibRouter/RequestFlow.cpp
@@ -131,6 +131,7 @@
 
 void RequestFlow::log_end(std::string_view outcome, std::string_view reason, int status)
 {
+    auto const took = std::chrono::duration_cast<Duration>(monotonic_now() - this->exchange.received_at());
     LogLine("request_end")
         .with("request", this->request.identifier)
         .with("route", this->route.name)
@@ -140,8 +141,10 @@
         .with("status", status)
         .with("sends", this->sends)
         .with("patience_ms", to_milliseconds(this->request.patience))
-        .with("ms", to_milliseconds(std::chrono::duration_cast<Duration>(monotonic_now() - this->exchange.received_at())));
-    this->state.metrics.increment("spurtide_requests_total", "Requests by route kind and outcome", { { "outcome", std::string(outcome) }, { "kind", this->request.prompt ? "stream" : "call" } });
+        .with("ms", to_milliseconds(took));
+    std::string const kind = this->request.prompt ? "stream" : "call";
+    this->state.metrics.increment("spurtide_requests_total", "Requests by kind, outcome and reason", { { "outcome", std::string(outcome) }, { "kind", kind }, { "reason", std::string(reason) } });
+    this->state.metrics.observe_seconds("spurtide_request_seconds", "From a request's last byte to its end", to_seconds(took), { { "outcome", std::string(outcome) }, { "kind", kind } });
 }
 
 }
--- a/Libraries/LibRouter/StreamFlow.cpp
+++ b/Libraries/LibRouter/StreamFlow.cpp
@@ -346,6 +346,15 @@
     co_return co_await this->give_up(SendEnd::Lost, reason);
 }
 
+void StreamFlow::note_event(MonotonicTime now)
+{
+    if (this->exchange.has_begun())
+        this->longest_pause = std::max(this->longest_pause, std::chrono::duration_cast<Duration>(now - this->last_event_at));
+    else
+        this->state.metrics.observe_seconds("spurtide_first_event_seconds", "From a stream's request to its first event", to_seconds(now - this->exchange.received_at()));
+    this->last_event_at = now;
+}
+
 asio::awaitable<StreamFlow::Progress> StreamFlow::relay(UpstreamUse& use, std::shared_ptr<HttpConnection> connection, HttpResponseHead head)
 {
     while (true) {
@@ -359,7 +368,7 @@
             this->failed_engines.push_back(use.identity());
             co_return co_await this->give_up(SendEnd::Lost, to_string(piece.error()));
         }
-        this->last_event_at = monotonic_now();
+        this->note_event(monotonic_now());
         use.note_heard();
         bool const is_end = piece.value().empty();
         auto bytes = this->events.take(piece.value());
@@ -382,6 +391,7 @@
             continue;
         auto const finished = co_await this->exchange.finish();
         this->log_end(finished.is_error() ? "caller_left" : "answered", "stream", head.status);
+        this->state.metrics.observe_seconds("spurtide_longest_pause_seconds", "Longest pause between events of a stream that ended whole", to_seconds(this->longest_pause));
         co_return Progress::Over;
     }
 }
--- a/Libraries/LibRouter/StreamFlow.h
+++ b/Libraries/LibRouter/StreamFlow.h
@@ -56,6 +56,7 @@
     asio::awaitable<Progress> use(PlacementGrant grant);
     asio::awaitable<std::optional<HeldCache>> prefill(UpstreamRecord engine);
     asio::awaitable<Progress> decode(UpstreamRecord engine, Address address, Dispatch dispatch);
+    void note_event(MonotonicTime now);
     asio::awaitable<Progress> relay(UpstreamUse& use, std::shared_ptr<HttpConnection> connection, HttpResponseHead head);
     void add_unreachable(std::vector<std::string>& engines) const;
     asio::awaitable<Progress> give_up(SendEnd end, std::string_view reason);
@@ -72,6 +73,7 @@
     EventBoundary events;
     PatienceTracker::Visit visit = PatienceTracker::Visit::First;
     MonotonicTime last_event_at;
+    Duration longest_pause {};
     int placements = 0;
     int prefills = 0;
 };
--- a/Libraries/LibService/WireMetrics.cpp
+++ b/Libraries/LibWire/WireMetrics.cpp
@@ -1,7 +1,7 @@
 // SPDX-FileCopyrightText: 2026 The Spurtide developers
 // SPDX-License-Identifier: BSD-2-Clause
 
-#include <LibService/WireMetrics.h>
+#include <LibWire/WireMetrics.h>
 
 namespace Spurtide {
 
@@ -18,12 +18,15 @@
 
 }
 
-void publish_wire_metrics(Kernel& kernel, Metrics& metrics)
+void publish_wire_metrics(Kernel const& kernel, Metrics& metrics)
 {
-    kernel.every(seconds(1), [&kernel, &metrics] {
-        publish(metrics, kernel.sent_traffic(), "sent");
-        publish(metrics, kernel.received_traffic(), "received");
-    });
+    publish(metrics, kernel.sent_traffic(), "sent");
+    publish(metrics, kernel.received_traffic(), "received");
+}
+
+void keep_wire_metrics_published(Kernel& kernel, Metrics& metrics)
+{
+    kernel.every(seconds(1), [&kernel, &metrics] { publish_wire_metrics(kernel, metrics); });
 }
 
 }
--- a/Libraries/LibService/WireMetrics.h
+++ b/Libraries/LibWire/WireMetrics.h
@@ -8,7 +8,9 @@
 
 namespace Spurtide {
 
-/// Copies the kernel's traffic counts into the process's metrics once a second.
-void publish_wire_metrics(Kernel& kernel, Metrics& metrics);
+/// Copies the kernel's traffic counts into the process's metrics.
+void publish_wire_metrics(Kernel const& kernel, Metrics& metrics);
+/// Does so once a second from now on.
+void keep_wire_metrics_published(Kernel& kernel, Metrics& metrics);
 
 }
--- a/Services/AdminServer/AdminServer.cpp
+++ b/Services/AdminServer/AdminServer.cpp
@@ -5,7 +5,7 @@
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
 #include <LibService/ServerCore.h>
-#include <LibService/WireMetrics.h>
+#include <LibWire/WireMetrics.h>
 #include <Services/AdminServer/AdminServer.h>
 #include <algorithm>
 #include <charconv>
@@ -95,7 +95,7 @@
     server->kernel->host("admin", [](auto const&, auto respond) { respond(error_reply(wire::ERROR_CODE_UNKNOWN_MESSAGE)); });
     server->add_routes();
     server->listener->serve_operations(server->metrics, [raw = server.get()] { return !raw->kernel->directory().resolve("config").empty(); });
-    publish_wire_metrics(*server->kernel, server->metrics);
+    keep_wire_metrics_published(*server->kernel, server->metrics);
     server->kernel->start();
     server->listener->start();
     return server;
--- a/Services/ConfigServer/ConfigServer.cpp
+++ b/Services/ConfigServer/ConfigServer.cpp
@@ -6,7 +6,7 @@
 #include <LibCore/LogLine.h>
 #include <LibDecision/CellMap.h>
 #include <LibService/ServerCore.h>
-#include <LibService/WireMetrics.h>
+#include <LibWire/WireMetrics.h>
 #include <LibWire/WireMembers.h>
 #include <Services/ConfigServer/ConfigServer.h>
 #include <algorithm>
@@ -149,7 +149,7 @@
     for (std::size_t i = 0; i < WORKERS; ++i)
         this->workers.emplace_back([raw] { raw->work(); });
     this->watcher = std::thread([raw] { raw->watch(); });
-    publish_wire_metrics(*this->kernel, this->metrics);
+    keep_wire_metrics_published(*this->kernel, this->metrics);
     this->membership->start();
     this->kernel->start();
     this->listener->start();
--- a/Services/EntryServer/EntryServer.cpp
+++ b/Services/EntryServer/EntryServer.cpp
@@ -5,7 +5,7 @@
 #include <LibCore/LogLine.h>
 #include <LibHttp/EventStream.h>
 #include <LibService/ServerCore.h>
-#include <LibService/WireMetrics.h>
+#include <LibWire/WireMetrics.h>
 #include <LibUpstream/HttpEngine.h>
 #include <LibUpstream/HttpService.h>
 #include <Services/EntryServer/AnswerWriter.h>
@@ -136,7 +136,7 @@
     });
     this->add_routes();
     this->listener->serve_operations(this->metrics, [raw] { return !raw->draining && raw->follower->current() != nullptr; });
-    publish_wire_metrics(*this->kernel, this->metrics);
+    keep_wire_metrics_published(*this->kernel, this->metrics);
     this->placement->start();
     this->follower->start();
     this->kernel->start();
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -3,7 +3,9 @@
 
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
+#include <LibWire/WireMetrics.h>
 #include <Services/NodeServer/Node.h>
+#include <Services/NodeServer/NodeMetrics.h>
 #include <array>
 #include <xxhash.h>
 
@@ -118,6 +120,7 @@
     if (operations_server.is_error())
         return Failure { NodeStartError::CannotListenForOperations };
     this->operations = operations_server.release_value();
+    this->serve_metrics();
 
     RegistryFollower::Options follow;
     follow.spread = spread_of(this->settings.virtual_machine);
@@ -191,6 +194,9 @@
         this->relay->tell();
     };
     hooks.on_upstreams_state = [this](auto registry) { this->state.upstreams.note_registry(registry, monotonic_now()); };
+    hooks.on_call = [this](auto what, auto result) {
+        this->metrics.increment("spurtide_registry_calls_total", "Calls to the registry by what they were for and how they ended", { { "what", std::string(what) }, { "result", std::string(result) } });
+    };
     hooks.watches_upstreams = [this] { return this->relay->watches(); };
     hooks.upstreams_version = [this] { return this->state.upstreams.version(); };
     return hooks;
@@ -269,11 +275,46 @@
     if (target == "/metrics") {
         head.status = 200;
         head.headers.add("Content-Type", "text/plain; version=0.0.4");
+        this->publish_metrics();
         body = this->metrics.render();
     }
     static_cast<void>(co_await exchange.respond(std::move(head), body));
 }
 
+// Requests go on without them.
+void Node::serve_metrics()
+{
+    if (!this->settings.metrics_address)
+        return;
+    auto created = HttpServer::create(this->loop, *this->settings.metrics_address, [this](auto& exchange) { return this->answer_operations(exchange); });
+    if (created.is_error())
+        LogLine("metrics_not_served").with("address", this->settings.metrics_address->to_string());
+    else
+        this->metrics_server = created.release_value();
+}
+
+void Node::publish_metrics()
+{
+    NodeFacts facts;
+    if (this->is_stopping)
+        facts.state = NodeFacts::State::Stopping;
+    else
+        facts.state = this->is_ready() ? NodeFacts::State::Ready : NodeFacts::State::NotReady;
+    facts.configuration_version = this->configuration_version();
+    facts.upstreams_version = this->state.upstreams.version();
+    facts.upstreams = this->state.upstreams.size();
+    facts.live_virtual_machines = this->state.live_virtual_machines();
+    facts.caller_connections = this->callers->connection_count();
+    facts.running_requests = this->callers->exchange_count();
+    facts.keeping = this->placement->is_keeper() ? NodeFacts::Keeping::This : NodeFacts::Keeping::Others;
+    if (!this->relay->watches())
+        facts.upstreams_source = NodeFacts::Source::Peers;
+    else if (this->follower->follows_upstreams())
+        facts.upstreams_source = NodeFacts::Source::Registry;
+    publish_node_metrics(facts, this->metrics);
+    publish_wire_metrics(*this->kernel, this->metrics);
+}
+
 void Node::every_second()
 {
     auto const now = monotonic_now();
@@ -283,6 +324,9 @@
 void Node::drop_lapsed()
 {
     auto const now = monotonic_now();
+    if (this->last_lapse_check)
+        this->metrics.observe_seconds("spurtide_loop_delay_seconds", "How late a timer of the event loop ran", to_seconds(std::max(Duration::zero(), std::chrono::duration_cast<Duration>(now - *this->last_lapse_check - LAPSE_CHECK))));
+    this->last_lapse_check = now;
     this->state.prober.tick();
     if (this->state.upstreams.advance(now)) {
         LogLine("lapsed_upstreams_dropped").with("left", static_cast<std::int64_t>(this->state.upstreams.size()));
--- a/Services/NodeServer/Node.h
+++ b/Services/NodeServer/Node.h
@@ -66,6 +66,8 @@
     void adopt(ConfigurationDocument const& document, std::string_view source);
     void engines_changed();
     asio::awaitable<void> answer_operations(HttpExchange& exchange);
+    void serve_metrics();
+    void publish_metrics();
     void every_second();
     void drop_lapsed();
     void poll_stop();
@@ -86,6 +88,9 @@
     std::unique_ptr<RegistryFollower> follower;
     std::unique_ptr<HttpServer> callers;
     std::unique_ptr<HttpServer> operations;
+    /// Empty where metrics have no address of their own, or it cannot be used.
+    std::unique_ptr<HttpServer> metrics_server;
+    std::optional<MonotonicTime> last_lapse_check;
     MonotonicTime started_at;
     bool is_stopping = false;
     MonotonicTime stop_began;
--- /dev/null
+++ b/Services/NodeServer/NodeMetrics.cpp
@@ -0,0 +1,24 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <Services/NodeServer/NodeMetrics.h>
+
+namespace Spurtide {
+
+void publish_node_metrics(NodeFacts const& facts, Metrics& metrics)
+{
+    auto const set = [&](std::string const& name, std::string const& help, auto value) { metrics.set(name, help, static_cast<double>(value)); };
+    set("spurtide_ready", "1 while this VM calls itself ready", facts.state == NodeFacts::State::Ready ? 1 : 0);
+    set("spurtide_stopping", "1 from the signal to stop", facts.state == NodeFacts::State::Stopping ? 1 : 0);
+    set("spurtide_configuration_version", "Version of the configuration in force; 0 before the first", facts.configuration_version);
+    set("spurtide_upstreams_version", "Version of the newest change of the upstreams that is known", facts.upstreams_version);
+    set("spurtide_upstreams", "Upstreams that are known", facts.upstreams);
+    set("spurtide_live_vms", "VMs that are alive, this one among them", facts.live_virtual_machines);
+    set("spurtide_caller_connections", "Open connections of callers", facts.caller_connections);
+    set("spurtide_running_requests", "Requests that were read and are not answered", facts.running_requests);
+    set("spurtide_keeps_engines", "1 while this VM takes itself for the keeper of the engines", facts.keeping == NodeFacts::Keeping::This ? 1 : 0);
+    set("spurtide_upstreams_from_registry", "1 while this VM watches the registry's list of upstreams and is answered", facts.upstreams_source == NodeFacts::Source::Registry ? 1 : 0);
+    set("spurtide_upstreams_from_peers", "1 while other VMs tell this one of the list", facts.upstreams_source == NodeFacts::Source::Peers ? 1 : 0);
+}
+
+}
--- /dev/null
+++ b/Services/NodeServer/NodeMetrics.h
@@ -0,0 +1,42 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#pragma once
+
+#include <LibCore/Metrics.h>
+#include <cstddef>
+#include <cstdint>
+
+namespace Spurtide {
+
+/// What a node believes and carries at the moment when its metrics are asked for.
+struct NodeFacts {
+    enum class State {
+        NotReady,
+        Ready,
+        Stopping,
+    } state
+        = State::NotReady;
+    std::int64_t configuration_version = 0;
+    std::int64_t upstreams_version = 0;
+    std::size_t upstreams = 0;
+    std::size_t live_virtual_machines = 0;
+    std::size_t caller_connections = 0;
+    std::size_t running_requests = 0;
+    enum class Keeping {
+        Others,
+        This,
+    } keeping
+        = Keeping::Others;
+    enum class Source {
+        Away,
+        Peers,
+        Registry,
+    } upstreams_source
+        = Source::Away;
+};
+
+/// Writes the facts into the metrics.
+void publish_node_metrics(NodeFacts const& facts, Metrics& metrics);
+
+}
--- a/Services/NodeServer/NodeSettings.cpp
+++ b/Services/NodeServer/NodeSettings.cpp
@@ -7,13 +7,18 @@
 
 namespace {
 
-Address read_address(SettingsReader& reader, std::string_view key)
+std::optional<Address> read_address(SettingsReader& reader, std::string_view key, Presence presence)
 {
-    auto const text = reader.text(key, Presence::Required);
+    auto const text = reader.text(key, presence);
     auto const address = parse_address(text);
     if (!address && !text.empty())
         reader.fault(SettingsFaultKind::OutOfRange, key, "HOST:PORT");
-    return address.value_or(Address {});
+    return address;
+}
+
+Address required_address(SettingsReader& reader, std::string_view key)
+{
+    return read_address(reader, key, Presence::Required).value_or(Address {});
 }
 
 }
@@ -25,10 +30,11 @@
     NodeSettings node;
     node.virtual_machine = reader.text("vm", Presence::Required);
     node.data_centre = reader.text("data_centre", Presence::Required);
-    node.caller_address = read_address(reader, "caller_address");
-    node.operations_address = read_address(reader, "operations_address");
-    node.wire_address = read_address(reader, "wire_address");
-    node.registry_address = read_address(reader, "registry_address");
+    node.caller_address = required_address(reader, "caller_address");
+    node.operations_address = required_address(reader, "operations_address");
+    node.metrics_address = read_address(reader, "metrics_address", Presence::Optional);
+    node.wire_address = required_address(reader, "wire_address");
+    node.registry_address = required_address(reader, "registry_address");
     node.seeds = reader.texts("seeds", Presence::Optional);
     node.retry.ratio = reader.number("retry_ratio", Presence::Optional, 0, 10, node.retry.ratio);
     node.retry.allowance = reader.number("retry_allowance", Presence::Optional, 0, 1e6, node.retry.allowance);
--- a/Services/NodeServer/NodeSettings.h
+++ b/Services/NodeServer/NodeSettings.h
@@ -21,6 +21,8 @@
     Address caller_address;
     /// Where readiness and metrics are asked for.
     Address operations_address;
+    /// Where metrics are asked for as well.
+    std::optional<Address> metrics_address;
     /// Where the other VMs connect.
     Address wire_address;
     /// Wire addresses of VMs to meet first; some may be stale.
--- a/Services/PlacementServer/PlacementServer.cpp
+++ b/Services/PlacementServer/PlacementServer.cpp
@@ -3,7 +3,7 @@
 
 #include <LibCore/Clock.h>
 #include <LibService/ServerCore.h>
-#include <LibService/WireMetrics.h>
+#include <LibWire/WireMetrics.h>
 #include <LibUpstream/HttpEngine.h>
 #include <Services/PlacementServer/PlacementServer.h>
 #include <thread>
@@ -57,7 +57,7 @@
     server->kernel->host("placement", [keeper](auto const& request, auto respond) { keeper->handle(request, respond); });
     server->listener->serve_operations(server->metrics, [keeper] { return keeper->is_ready(); });
     server->keeper->start();
-    publish_wire_metrics(*server->kernel, server->metrics);
+    keep_wire_metrics_published(*server->kernel, server->metrics);
     server->follower->start();
     server->kernel->start();
     server->listener->start();
--- a/Tests/Platform/NodeUnderTest.cpp
+++ b/Tests/Platform/NodeUnderTest.cpp
@@ -102,12 +102,14 @@
     return made;
 }
 
-CallerAnswer NodeUnderTest::call(HttpRequest made)
+CallerAnswer NodeUnderTest::call(HttpRequest made) { return this->call(this->node->caller_address(), std::move(made)); }
+
+CallerAnswer NodeUnderTest::call(Address address, HttpRequest made)
 {
     CallerAnswer answer;
     bool is_done = false;
     auto const carry = [&]() -> asio::awaitable<void> {
-        auto connected = co_await HttpConnection::connect(this->node->caller_address(), seconds(1), {});
+        auto connected = co_await HttpConnection::connect(address, seconds(1), {});
         if (connected.is_error()) {
             answer.error = connected.error();
             is_done = true;
--- a/Tests/Platform/NodeUnderTest.h
+++ b/Tests/Platform/NodeUnderTest.h
@@ -36,6 +36,7 @@
     /// A request to the engines, with the fields that a model request has.
     HttpRequest model_request(std::string target, std::string identifier);
     CallerAnswer call(HttpRequest request);
+    CallerAnswer call(Address address, HttpRequest request);
     /// Sends bytes as they are and gives all that comes back until the other side closes.
     std::string exchange_bytes(std::string bytes);
     /// Sends bytes and closes the connection while the loop does not run.
--- a/Tests/Platform/TestNode.cpp
+++ b/Tests/Platform/TestNode.cpp
@@ -551,3 +551,48 @@
     REQUIRE(full.requests.size() <= 1);
     REQUIRE(prefill.handles.size() + other_prefill.handles.size() <= 9);
 }
+
+TEST_CASE("A node tells what it believes and how its requests ended")
+{
+    NodeUnderTest test;
+    UpstreamStandIn plain(test.loop, "i-1");
+    UpstreamStandIn prefill(test.loop, "i-p", "prefill");
+    UpstreamStandIn decode(test.loop, "i-d", "decode");
+    test.configure(7);
+    test.list(plain, "plain");
+    test.list(prefill, "engines");
+    test.list(decode, "engines");
+    REQUIRE(test.call(test.request("GET", "/safe/x", "a")).head.status == 200);
+    REQUIRE(test.call(test.model_request("/stream/x", "s")).head.status == 200);
+    auto const metrics = test.call(test.node->operations_address(), test.request("GET", "/metrics", "m"));
+    REQUIRE(metrics.head.status == 200);
+    CAPTURE(metrics.body);
+    for (auto const* line : {
+             "spurtide_configuration_version 7\n",
+             "spurtide_upstreams 3\n",
+             "spurtide_upstreams_from_registry 1\n",
+             "spurtide_upstreams_from_peers 0\n",
+             "spurtide_keeps_engines 1\n",
+             "spurtide_running_requests 0\n",
+             "spurtide_requests_total{kind=\"call\",outcome=\"answered\",reason=\"success\"} 1\n",
+             "spurtide_requests_total{kind=\"stream\",outcome=\"answered\",reason=\"stream\"} 1\n",
+             "spurtide_request_seconds_count{kind=\"call\",outcome=\"answered\"} 1\n",
+             "spurtide_first_event_seconds_count 1\n",
+             "spurtide_longest_pause_seconds_count 1\n",
+             "spurtide_placements_total{outcome=\"granted\"} 1\n",
+         })
+        CHECK(metrics.body.find(line) != std::string::npos);
+    CHECK(metrics.body.find("spurtide_registry_calls_total{result=\"answered\",what=\"upstreams\"}") != std::string::npos);
+    CHECK(metrics.body.find("spurtide_loop_delay_seconds_bucket") != std::string::npos);
+}
+
+TEST_CASE("A node that cannot serve metrics at their address serves requests")
+{
+    asio::io_context other;
+    asio::ip::tcp::acceptor const taken(other, { asio::ip::make_address("127.0.0.1"), 0 });
+    NodeUnderTest test([&](NodeSettings& settings) { settings.metrics_address = Address { "127.0.0.1", taken.local_endpoint().port() }; });
+    UpstreamStandIn plain(test.loop, "i-1");
+    test.configure(1);
+    test.list(plain, "plain");
+    REQUIRE(test.call(test.request("GET", "/safe/x", "a")).head.status == 200);
+}
--- a/Tests/Platform/TestNodeSettings.cpp
+++ b/Tests/Platform/TestNodeSettings.cpp
@@ -16,7 +16,7 @@
     "registry_address": "127.0.0.1:4", "seeds": ["127.0.0.1:3"],
     "memory_headroom": 0.2, "length_spread": 0.6, "role_changes": "on", "lease_milliseconds": 3000,
     "usual_prompt_tokens": 5000, "usual_output_tokens": 4400, "processor_share": 0.25, "keeper_processor_share": 0.4,
-    "retry_ratio": 0.2, "retry_allowance": 56, "retry_window_seconds": 10, "stop_grace_seconds": 8, "descriptors": 4100
+    "retry_ratio": 0.2, "retry_allowance": 56, "retry_window_seconds": 10, "stop_grace_seconds": 8, "descriptors": 4100, "metrics_address": "127.0.0.1:5"
 })";
 
 Result<NodeSettings, SettingsError> read(std::string_view text)
@@ -51,6 +51,7 @@
         { "\"usual_prompt_tokens\": 5000", "\"usual_prompt_tokens\": 0", "usual_prompt_tokens" },
         { "\"processor_share\": 0.25", "\"processor_share\": -1", "processor_share" },
         { "\"descriptors\": 4100", "\"descriptors\": 3", "descriptors" },
+        { "\"127.0.0.1:5\"", "\"5\"", "metrics_address" },
         { "127.0.0.1:4", "nowhere", "registry_address" },
         { "\"vm\"", "\"machine\"", "vm" },
         { "0.6", "\"wide\"", "length_spread" },
