LibRouter: Drop asks that came while the keeper stood still

Its process then read 16 asks of that time and placed them, though whoever asked had given up after 0.24 s and gone on to the next keeper: engine memory promised to nobody, on the VM that all ask again from then on. The kernel drops the asker's link, but the bytes had arrived. PauseDetector (pure) tells a process that it stood still; asks of others that are read in the 0.1 s after it are dropped, this VM's own are not.

Ruled out: an age on the ask (no common clock).

--- a/Libraries/LibRouter/EngineKeeper.cpp
+++ b/Libraries/LibRouter/EngineKeeper.cpp
@@ -57,7 +57,7 @@
 void EngineKeeper::start()
 {
     this->kernel.every(HOUSEKEEPING, [this] {
-        auto const now = monotonic_now();
+        auto const now = this->begin_turn();
         this->forget_gone_origins(now);
         this->scheduler.advance(now);
         this->flush();
@@ -93,9 +93,16 @@
     }
 }
 
+MonotonicTime EngineKeeper::begin_turn()
+{
+    auto const now = this->hooks.clock();
+    this->pauses.note_turn(now);
+    return now;
+}
+
 void EngineKeeper::handle(wire::Envelope const& request, Kernel::Responder const& respond)
 {
-    auto const now = monotonic_now();
+    auto const now = this->begin_turn();
     switch (request.body_case()) {
     case wire::Envelope::kPlacementAsk:
         this->handle_ask(request.placement_ask(), respond);
@@ -126,7 +133,12 @@
 
 void EngineKeeper::handle_ask(wire::PlacementAsk const& message, Kernel::Responder const& respond)
 {
-    auto const now = monotonic_now();
+    auto const now = this->hooks.clock();
+    // Whoever asked while this process stood still has asked another keeper; a place here would be held for nobody.
+    if (this->pauses.is_catching_up(now) && message.origin() != this->kernel.incarnation()) {
+        LogLine("stale_ask_dropped").with("request", message.request()).with("origin", message.origin());
+        return;
+    }
     if (this->scheduler.summary(now).engines == 0) {
         // Just started: whoever asks goes on to a keeper that has heard of engines.
         respond(error_reply(wire::ERROR_CODE_NOT_READY));
@@ -142,7 +154,7 @@
 
 void EngineKeeper::handle_records(wire::GrantRecords const& message)
 {
-    auto const now = monotonic_now();
+    auto const now = this->hooks.clock();
     for (auto const& record : message.records()) {
         PlacementAsk ask;
         ask.request = record.request();
@@ -173,7 +185,7 @@
             reply.mutable_placement_refusal()->set_reason(wire_reason(refusal.reason));
             reply.mutable_placement_refusal()->set_retry_after_milliseconds(to_milliseconds(refusal.retry_after));
             this->metrics.increment("spurtide_placements_total", "Decisions of this keeper", { { "outcome", std::string(to_string(refusal.reason)) } });
-            auto const summary = this->scheduler.summary(monotonic_now());
+            auto const summary = this->scheduler.summary(this->hooks.clock());
             LogLine("not_placed").with("request", request).with("reason", to_string(refusal.reason)).with("retry_after_ms", to_milliseconds(refusal.retry_after)).with("waiting", static_cast<std::int64_t>(summary.waiting)).with("granted", static_cast<std::int64_t>(summary.granted)).with("engines", static_cast<std::int64_t>(summary.engines_heard));
         }
         auto const responder = this->waiting.find(request);
@@ -196,7 +208,7 @@
 
 void EngineKeeper::tick()
 {
-    this->scheduler.advance(monotonic_now());
+    this->scheduler.advance(this->begin_turn());
     this->flush();
 }
 
--- a/Libraries/LibRouter/EngineKeeper.h
+++ b/Libraries/LibRouter/EngineKeeper.h
@@ -3,9 +3,11 @@
 
 #pragma once
 
+#include <LibCore/Clock.h>
 #include <LibCore/Metrics.h>
 #include <LibDecision/CellScheduler.h>
 #include <LibDecision/MissingOrigins.h>
+#include <LibDecision/PauseDetector.h>
 #include <LibDecision/RouteTable.h>
 #include <LibDecision/UpstreamList.h>
 #include <LibWire/Kernel.h>
@@ -32,6 +34,7 @@
         std::function<void(PlacementAsk const&)> on_first_ask = [](auto const&) {};
         /// Whether an engine is between two roles and takes nothing.
         std::function<bool(std::string_view engine)> is_changing_role = [](auto) { return false; };
+        std::function<MonotonicTime()> clock = monotonic_now;
     };
     void set_hooks(Hooks new_hooks) { this->hooks = std::move(new_hooks); }
     std::map<std::string, std::vector<CellScheduler::EngineState>> engine_states() const { return this->scheduler.engine_states(); }
@@ -39,6 +42,7 @@
 private:
     void handle_ask(wire::PlacementAsk const& message, Kernel::Responder const& respond);
     void handle_records(wire::GrantRecords const& message);
+    MonotonicTime begin_turn();
     void flush();
     void tick();
     void forget_gone_origins(MonotonicTime now);
@@ -51,6 +55,7 @@
     bool is_timer_set = false;
     std::map<std::string, Kernel::Responder> waiting;
     MissingOrigins missing_origins;
+    PauseDetector pauses { PauseDetector::Options {} };
 };
 
 }
--- a/Tests/LibRouter/TestEngineKeeper.cpp
+++ b/Tests/LibRouter/TestEngineKeeper.cpp
@@ -12,14 +12,14 @@
 
 /// A keeper on a loop of its own, that is asked without the wire.
 struct KeeperTest {
-    KeeperTest()
+    explicit KeeperTest(CellScheduler::Options scheduler_options = {})
     {
         Kernel::Options options;
         options.virtual_machine = "vm-1";
         options.listen_endpoint = "tcp://127.0.0.1:0";
         options.loop = &this->loop;
         this->kernel = Kernel::create(std::move(options)).release_value();
-        this->keeper = std::make_unique<EngineKeeper>(CellScheduler::Options {}, *this->kernel, this->metrics, this->loop);
+        this->keeper = std::make_unique<EngineKeeper>(std::move(scheduler_options), *this->kernel, this->metrics, this->loop);
     }
 
     /// One engine of each role, of model "m".
@@ -37,13 +37,13 @@
         this->keeper->set_engines(configuration, upstreams);
     }
 
-    std::optional<wire::Envelope> ask(std::string const& request)
+    std::optional<wire::Envelope> ask(std::string const& request, std::string const& origin = "vm-2.1")
     {
         wire::Envelope envelope;
         auto* message = envelope.mutable_placement_ask();
         message->set_request(request);
         message->set_model("m");
-        message->set_origin("vm-2.1");
+        message->set_origin(origin);
         message->set_prompt_tokens(100);
         message->set_maximum_output_tokens(100);
         message->set_first_token_within_microseconds(900'000);
@@ -90,6 +90,31 @@
     CHECK(reply->has_placement_refusal());
 }
 
+TEST_CASE("A keeper that stood still holds no place for those who asked meanwhile", "[freeze][held]")
+{
+    CellScheduler::Options options;
+    options.report_need = CellScheduler::Options::ReportNeed::None;
+    KeeperTest test(options);
+    // From here on time passes by the test alone.
+    auto now = monotonic_now();
+    EngineKeeper::Hooks hooks;
+    hooks.clock = [&] { return now; };
+    test.keeper->set_hooks(std::move(hooks));
+    test.add_engines();
+    REQUIRE(test.ask("before"));
+    now += seconds(7);
+    CHECK_FALSE(test.ask("stale-1"));
+    now += milliseconds(20);
+    CHECK_FALSE(test.ask("stale-2"));
+    CHECK(test.keeper->engine_states().at("m").size() == 2);
+    // This VM's own entry asks after the pause.
+    CHECK(test.ask("own", test.kernel->incarnation()));
+    now += milliseconds(100);
+    auto const reply = test.ask("after");
+    REQUIRE(reply);
+    CHECK(reply->has_placement_grant());
+}
+
 // Peers may run another version, or be no peers at all.
 TEST_CASE("Damaged messages of peers never crash the keeper, and it goes on to place", "[whole]")
 {
