LibRouter: Take no engine for failed whose caller left during the prefill

Streams that were being made were right already.

Test: TestNode "A caller that leaves while its prompt is read..." (red before).

--- a/Libraries/LibRouter/StreamFlow.cpp
+++ b/Libraries/LibRouter/StreamFlow.cpp
@@ -261,6 +261,9 @@
     use.reset();
     this->set_active(nullptr);
     this->state.pool.release(*address, connection);
+    // What the caller or the clock cut off says nothing of the engine.
+    if (this->is_stopped())
+        this->failed_engine.clear();
     auto const took = to_milliseconds(std::chrono::duration_cast<Duration>(monotonic_now() - begun));
     if (cache) {
         this->failed_engine.clear();
--- a/Tests/Platform/TestNode.cpp
+++ b/Tests/Platform/TestNode.cpp
@@ -227,6 +227,35 @@
     REQUIRE(plain.run == std::vector<std::string> { "earlier", "stays" });
 }
 
+TEST_CASE("A caller that leaves while its prompt is read says nothing of the engine", "[caller-cancel]")
+{
+    NodeUnderTest test;
+    UpstreamStandIn one(test.loop, "i-p1", "prefill");
+    UpstreamStandIn two(test.loop, "i-p2", "prefill");
+    UpstreamStandIn decode(test.loop, "i-d", "decode");
+    bool has_left = false;
+    auto const held_up = times(1, [&](HttpExchange& exchange) -> asio::awaitable<void> {
+        while (!exchange.is_caller_gone()) {
+            asio::steady_timer pause(test.loop, milliseconds(1));
+            co_await pause.async_wait(asio::use_awaitable);
+        }
+        has_left = true;
+    });
+    one.script = held_up;
+    two.script = held_up;
+    test.configure(1);
+    for (auto const* engine : { &one, &two, &decode })
+        test.list(*engine, "engines");
+    auto const connection = test.begin(test.model_request("/stream/x", "left"));
+    REQUIRE(test.run_until([&] { return one.requests.size() + two.requests.size() == 1; }));
+    auto const& chosen = one.requests.empty() ? two : one;
+    connection->abort();
+    REQUIRE(test.run_until([&] { return has_left; }));
+    // With nothing else under way the same engine is the best one again, unless it counts as failed.
+    REQUIRE(test.call(test.model_request("/stream/x", "stays")).head.status == 200);
+    REQUIRE(chosen.handles == std::set<std::string> { "handle-stays" });
+}
+
 TEST_CASE("A cache that nobody will take is freed", "[held]")
 {
     NodeUnderTest test;
