--- a/Libraries/LibDecision/UpstreamList.cpp
+++ b/Libraries/LibDecision/UpstreamList.cpp
@@ -115,6 +115,7 @@
 void UpstreamList::take(UpstreamListing const& listing, MonotonicTime now)
 {
     std::vector<UpstreamChange> changes;
+    changes.reserve(listing.records.size() + listing.gone.size());
     for (auto const& record : listing.records)
         changes.push_back({ record.identity, record, listing.version });
     if (listing.extent == UpstreamListing::Extent::Whole)
--- a/Services/ConfigServer/ConfigServer.cpp
+++ b/Services/ConfigServer/ConfigServer.cpp
@@ -6,8 +6,8 @@
 #include <LibCore/LogLine.h>
 #include <LibDecision/CellMap.h>
 #include <LibService/ServerCore.h>
-#include <LibWire/WireMetrics.h>
 #include <LibWire/WireMembers.h>
+#include <LibWire/WireMetrics.h>
 #include <Services/ConfigServer/ConfigServer.h>
 #include <algorithm>
 #include <future>
--- a/Services/EntryServer/EntryServer.cpp
+++ b/Services/EntryServer/EntryServer.cpp
@@ -5,9 +5,9 @@
 #include <LibCore/LogLine.h>
 #include <LibHttp/EventStream.h>
 #include <LibService/ServerCore.h>
-#include <LibWire/WireMetrics.h>
 #include <LibUpstream/HttpEngine.h>
 #include <LibUpstream/HttpService.h>
+#include <LibWire/WireMetrics.h>
 #include <Services/EntryServer/AnswerWriter.h>
 #include <Services/EntryServer/EntryServer.h>
 #include <Services/EntryServer/ServiceRelay.h>
--- a/Services/NodeServer/NodeSettings.cpp
+++ b/Services/NodeServer/NodeSettings.cpp
@@ -10,7 +10,7 @@
 std::optional<Address> read_address(SettingsReader& reader, std::string_view key, Presence presence)
 {
     auto const text = reader.text(key, presence);
-    auto const address = parse_address(text);
+    auto address = parse_address(text);
     if (!address && !text.empty())
         reader.fault(SettingsFaultKind::OutOfRange, key, "HOST:PORT");
     return address;
--- a/Services/PlacementServer/PlacementServer.cpp
+++ b/Services/PlacementServer/PlacementServer.cpp
@@ -3,8 +3,8 @@
 
 #include <LibCore/Clock.h>
 #include <LibService/ServerCore.h>
-#include <LibWire/WireMetrics.h>
 #include <LibUpstream/HttpEngine.h>
+#include <LibWire/WireMetrics.h>
 #include <Services/PlacementServer/PlacementServer.h>
 #include <thread>
 
