LibDecision: Take out a listing that only a test called

UpstreamList::listed_records has had no caller since peers are told changes; the test asks listing_since(0), which leaves out the entries that lapsed and are kept in the same way.

--- a/Libraries/LibDecision/UpstreamList.cpp
+++ b/Libraries/LibDecision/UpstreamList.cpp
@@ -144,16 +144,6 @@
     return records;
 }
 
-std::vector<UpstreamRecord> UpstreamList::listed_records() const
-{
-    std::vector<UpstreamRecord> records;
-    for (auto const& [identity, entry] : this->entries) {
-        if (!entry.kept_until)
-            records.push_back(entry.record);
-    }
-    return records;
-}
-
 UpstreamRecord const* UpstreamList::find(std::string_view identity) const
 {
     auto const found = this->entries.find(identity);
--- a/Libraries/LibDecision/UpstreamList.h
+++ b/Libraries/LibDecision/UpstreamList.h
@@ -96,8 +96,6 @@
     std::int64_t version() const { return this->current_version; }
     /// All that are known and not gone.
     std::vector<UpstreamRecord> records() const;
-    /// Those that the registry lists, without the lapsed ones that are kept.
-    std::vector<UpstreamRecord> listed_records() const;
     /// Whether the upstream of that identity may get new work.
     bool takes_work(std::string_view identity) const;
     UpstreamRecord const* find(std::string_view identity) const;
--- a/Tests/LibDecision/TestUpstreams.cpp
+++ b/Tests/LibDecision/TestUpstreams.cpp
@@ -58,7 +58,7 @@
     list.note_registry(UpstreamList::RegistryState::Well, at_milliseconds(6000));
     list.replace({}, 9, at_milliseconds(6000));
     REQUIRE(list.takes_work("a"));
-    REQUIRE(list.listed_records().empty());
+    REQUIRE(list.listing_since(0).records.empty());
     // One that had said that it leaves has left.
     REQUIRE_FALSE(list.find("c"));
     list.apply({ "a", record("a"), 10 }, at_milliseconds(7000));
