LibDecision: Take the version of a whole list that has no entries

Found by reading the change: since equal lists have the version of their newest change, a whole list told by a peer raised the version through its entries alone. One without entries left it as it was, and the VM would have asked for the same list at each heartbeat. Test: TestRegistryNews "A whole list without entries..." (red before).

--- a/Libraries/LibDecision/UpstreamList.cpp
+++ b/Libraries/LibDecision/UpstreamList.cpp
@@ -118,12 +118,14 @@
     changes.reserve(listing.records.size() + listing.gone.size());
     for (auto const& record : listing.records)
         changes.push_back({ record.identity, record, listing.version });
-    if (listing.extent == UpstreamListing::Extent::Whole)
-        return this->replace(changes, listing.version, now);
     for (auto const& identity : listing.gone)
         changes.push_back({ identity, {}, listing.version });
-    for (auto const& change : changes)
-        this->apply(change, now);
+    if (listing.extent == UpstreamListing::Extent::Whole)
+        this->replace(changes, listing.version, now);
+    else {
+        for (auto const& change : changes)
+            this->apply(change, now);
+    }
     this->current_version = std::max(this->current_version, listing.version);
 }
 
--- a/Tests/LibDecision/TestRegistryNews.cpp
+++ b/Tests/LibDecision/TestRegistryNews.cpp
@@ -81,6 +81,16 @@
     CHECK(one.version() == 3);
 }
 
+TEST_CASE("A whole list without entries is taken like any other", "[leaving]")
+{
+    // Otherwise it would be asked for again at each heartbeat.
+    UpstreamList list({});
+    list.apply({ "a", record("a"), 3 }, at_milliseconds(0));
+    list.take({ UpstreamListing::Extent::Whole, 8, {}, {} }, at_milliseconds(1));
+    CHECK_FALSE(list.takes_work("a"));
+    CHECK(list.version() == 8);
+}
+
 TEST_CASE("News that come late bring nobody back", "[leaving]")
 {
     UpstreamList list({});
