LibRouter: Call an engine failed only where it failed

The prefill took its engine for failed from the start and took that back in four places; the caller's leaving while the connection came up was none of them. It is now said where the failure is found, so a caller that left then says nothing of the engine either (the same fault as before, not shown by a test of its own: on loopback connections come up at once). TestNode's cases of prefills pass as before.

--- a/Libraries/LibRouter/StreamFlow.cpp
+++ b/Libraries/LibRouter/StreamFlow.cpp
@@ -207,16 +207,16 @@
 {
     auto const begun = monotonic_now();
     auto const address = parse_address(engine.address);
-    this->failed_engine = engine.identity;
-    if (!address)
+    if (!address) {
+        this->failed_engine = engine.identity;
         co_return std::nullopt;
+    }
     // The first prefill is no extra send; further ones are.
-    if (this->prefills++ > 0 && !this->state.budget_of(this->service).try_take(this->state.live_virtual_machines(), monotonic_now())) {
-        this->failed_engine.clear();
+    if (this->prefills++ > 0 && !this->state.budget_of(this->service).try_take(this->state.live_virtual_machines(), monotonic_now()))
         co_return std::nullopt;
-    }
     auto acquired = co_await this->state.pool.acquire(*address, ConnectionPool::Freshness::Any);
     if (acquired.is_error()) {
+        this->failed_engine = engine.identity;
         this->state.prober.note_unreachable(engine);
         LogLine("prefill_failed").with("request", this->request.identifier).with("engine", engine.identity).with("reason", to_string(acquired.error()));
         co_return std::nullopt;
@@ -224,6 +224,8 @@
     auto const connection = acquired.release_value();
     if (this->is_stopped() || !this->state.upstreams.takes_work(engine.identity)) {
         this->state.pool.release(*address, connection);
+        if (!this->is_stopped())
+            this->failed_engine = engine.identity;
         co_return std::nullopt;
     }
     Dispatch dispatch;
@@ -238,6 +240,7 @@
     auto head = co_await connection->read_head();
     std::string reason = head.is_error() ? std::string(to_string(head.error())) : "status_" + std::to_string(head.value().status);
     std::optional<HeldCache> cache;
+    bool works_as_it_should = false;
     if (!head.is_error()) {
         auto answer = co_await connection->read_body(LARGEST_PREFILL_ANSWER);
         auto const facts = this->state.dialect.read_answer(head.value());
@@ -253,8 +256,7 @@
                 cache = held.release_value();
         }
         // An engine that is full or has begun to leave works as it should.
-        if (facts.is_not_executed)
-            this->failed_engine.clear();
+        works_as_it_should = facts.is_not_executed;
     }
     if (!head.is_error())
         use->note_heard();
@@ -262,13 +264,12 @@
     this->set_active(nullptr);
     this->state.pool.release(*address, connection);
     // What the caller or the clock cut off says nothing of the engine.
-    if (this->is_stopped())
-        this->failed_engine.clear();
+    if (!cache && !works_as_it_should && !this->is_stopped())
+        this->failed_engine = engine.identity;
     auto const took = to_milliseconds(std::chrono::duration_cast<Duration>(monotonic_now() - begun));
-    if (cache) {
-        this->failed_engine.clear();
+    if (cache)
         LogLine("prefilled").with("request", this->request.identifier).with("engine", engine.identity).with("ms", took);
-    } else
+    else
         LogLine("prefill_failed").with("request", this->request.identifier).with("engine", engine.identity).with("reason", reason).with("ms", took);
     co_return cache;
 }
