LibDecision: Let decode engines read prompts that would be read too late

Two faults of the accounts went with it: results come 47 ms after the reading, and the keeper took that for reading time (a queue of prompts looked half as long again); rate and latency are told apart now (PrefillPace).

A prompt goes past the prefill engines where they would have it read too late, or at the last moment to decide, to a decode engine that reads nothing else, where no pause of its answers gets longer than allowed, and where there is memory for what these hold longer meanwhile.

--- a/Libraries/LibDecision/CellScheduler.cpp
+++ b/Libraries/LibDecision/CellScheduler.cpp
@@ -13,6 +13,14 @@
 
 constexpr double LATENESS_QUANTILE = 0.95;
 constexpr double RATE_SMOOTHING = 0.2;
+/// Bounds of an engine's slowness: one sample that a lost packet or a paused VM spoiled is not believed.
+constexpr double FASTEST = 0.5;
+constexpr double SLOWEST = 20;
+/// Of a prefill engine's pace, as the engines' protocol says.
+constexpr double OWN_PREFILL_PACE = 0.5;
+/// Before it was measured: pieces of a few hundred tokens, each followed by a step of the answers.
+constexpr double FIRST_STRETCH = 1.3;
+constexpr double LONGEST_STRETCH = 4;
 /// A prefill that took no measurable time says nothing about an engine's rate.
 constexpr int MOST_DOUBLINGS = 10;
 /// Longer than any report lags.
@@ -62,7 +70,7 @@
         if (found != this->engines.end())
             engine = std::move(found->second);
         else {
-            engine.prefill_rate = description.prefill_rate;
+            this->paces.try_emplace(description.model, description.prefill_rate);
             auto const measured = this->model_step_times.find(description.model);
             engine.step_time = measured != this->model_step_times.end() ? measured->second : this->options.first_step_time;
         }
@@ -155,7 +163,7 @@
 
 MonotonicTime CellScheduler::busy_until(Engine const& engine, MonotonicTime now) const
 {
-    auto const time_of = [&](QueuedPrefill const& prefill) { return from_seconds(static_cast<double>(prefill.tokens) / engine.prefill_rate); };
+    auto const time_of = [&](QueuedPrefill const& prefill) { return this->reading_time(engine, prefill.tokens); };
     auto until = now;
     for (std::size_t i = 0; i < engine.prefills.size(); ++i) {
         auto const& prefill = engine.prefills[i];
@@ -164,7 +172,47 @@
     return until;
 }
 
-// The next one in the engine's queue starts when this one ends.
+PrefillPace const& CellScheduler::pace_of(Engine const& engine) const
+{
+    auto const found = this->paces.find(engine.description.model);
+    VERIFY(found != this->paces.end());
+    return found->second;
+}
+
+// A decode engine reads between the tokens of others, at half the pace of a prefill engine and somewhat less.
+Duration CellScheduler::reading_time(Engine const& engine, std::int64_t tokens) const
+{
+    auto const usual = to_seconds(this->pace_of(engine).reading_time(tokens));
+    if (engine.description.role == EngineRole::Prefill)
+        return from_seconds(usual * engine.slowness);
+    auto const stretch = this->own_prefill_stretch.find(engine.description.model);
+    return from_seconds(usual / OWN_PREFILL_PACE * (stretch == this->own_prefill_stretch.end() ? FIRST_STRETCH : stretch->second));
+}
+
+// Only a prompt that waited for none tells the latency of results.
+void CellScheduler::learn_pace(Engine& engine, QueuedPrefill const& prefill, MonotonicTime now)
+{
+    auto const taken = std::chrono::duration_cast<Duration>(now - prefill.started);
+    if (taken < SHORTEST_MEASURED_PREFILL)
+        return;
+    auto& pace = this->paces.find(engine.description.model)->second;
+    if (engine.description.role == EngineRole::Decode) {
+        auto& stretch = this->own_prefill_stretch.try_emplace(engine.description.model, FIRST_STRETCH).first->second;
+        auto const reading = to_seconds(pace.reading_time(prefill.tokens)) / OWN_PREFILL_PACE;
+        stretch += RATE_SMOOTHING * (to_seconds(taken - pace.latency()) / reading - stretch);
+        stretch = std::clamp(stretch, 1.0, LONGEST_STRETCH);
+        return;
+    }
+    if (!prefill.has_queued)
+        pace.note(prefill.tokens, taken);
+    if (!pace.is_known())
+        return;
+    auto const usual = to_seconds(pace.reading_time(prefill.tokens) + pace.latency());
+    engine.slowness += RATE_SMOOTHING * (to_seconds(taken) / usual - engine.slowness);
+    engine.slowness = std::clamp(engine.slowness, FASTEST, SLOWEST);
+}
+
+// The engine began with the next one in its queue while the result of this one was on its way.
 void CellScheduler::end_prefill(std::string_view name, std::string_view request, MonotonicTime now)
 {
     auto const engine = this->engines.find(name);
@@ -177,7 +225,7 @@
     bool const was_first = found == prefills.begin();
     prefills.erase(found);
     if (was_first && !prefills.empty())
-        prefills.front().started = now;
+        prefills.front().started = std::max(prefills.front().started, now - this->pace_of(engine->second).latency());
 }
 
 // Work from before this keeper's term counts against the engine until its origin or the reaper ends it.
@@ -325,16 +373,14 @@
         this->note_success(granted.prefill_engine);
         auto const& prefills = engine->second.prefills;
         bool const is_first = !prefills.empty() && prefills.front().request == request;
-        auto const taken = is_first ? now - prefills.front().started : Duration::zero();
-        if (taken >= SHORTEST_MEASURED_PREFILL) {
-            double const rate = static_cast<double>(prefills.front().tokens) / to_seconds(taken);
-            engine->second.prefill_rate += RATE_SMOOTHING * (rate - engine->second.prefill_rate);
-        }
+        if (is_first)
+            this->learn_pace(engine->second, prefills.front(), now);
         this->end_prefill(granted.prefill_engine, request, now);
     }
     if (progress == GrantProgress::Decoding && granted.phase != GrantProgress::Decoding) {
         granted.decode_from = now;
-        frees_an_engine = frees_an_engine || this->is_tried_out(granted.decode_engine);
+        frees_an_engine = frees_an_engine || this->is_tried_out(granted.decode_engine) || granted.prefill_engine.empty();
+        this->end_own_prefill(granted, now);
         this->note_success(granted.decode_engine);
         if (granted.predicted_first_token != MonotonicTime {})
             this->lateness.add(std::max(0.0, to_seconds(now - granted.predicted_first_token) * 1000));
@@ -347,6 +393,18 @@
         this->schedule(now);
 }
 
+// An answer has begun, so its engine has read the prompt.
+void CellScheduler::end_own_prefill(Granted const& granted, MonotonicTime now)
+{
+    auto const engine = this->engines.find(granted.decode_engine);
+    if (!granted.prefill_engine.empty() || engine == this->engines.end())
+        return;
+    auto const& prefills = engine->second.prefills;
+    if (!prefills.empty() && prefills.front().request == granted.ask.request)
+        this->learn_pace(engine->second, prefills.front(), now);
+    this->end_prefill(granted.decode_engine, granted.ask.request, now);
+}
+
 void CellScheduler::restore(PlacementAsk ask, std::string_view prefill_engine, std::string_view decode_engine, GrantProgress progress, Duration age, MonotonicTime now)
 {
     auto const decode = this->engines.find(decode_engine);
@@ -371,9 +429,9 @@
     granted.named_at = now;
     granted.decode_from = now - age;
     this->hold_slot(decode->second, ask.request);
-    auto const prefill = this->engines.find(prefill_engine);
+    auto const prefill = this->engines.find(prefill_engine.empty() ? decode_engine : prefill_engine);
     if (progress == GrantProgress::Prefilling && prefill != this->engines.end())
-        prefill->second.prefills.push_back({ ask.request, ask.prompt_tokens, now });
+        prefill->second.prefills.push_back({ ask.request, ask.prompt_tokens, now, true });
     auto const request = ask.request;
     granted.ask = std::move(ask);
     this->granted.emplace(request, std::move(granted));
@@ -398,7 +456,7 @@
     // NOTE: The name is a copy since the caller's may live in the node that is erased.
     auto const found = this->granted.find(request);
     VERIFY(found != this->granted.end());
-    this->end_prefill(found->second.prefill_engine, request, now);
+    this->end_prefill(found->second.prefill_engine.empty() ? found->second.decode_engine : found->second.prefill_engine, request, now);
     this->released.insert_or_assign(request, now);
     this->free_slot(found->second.decode_engine, request);
     this->granted.erase(found);
@@ -451,7 +509,7 @@
         state.role = engine.description.role;
         state.data_centre = engine.description.data_centre;
         state.work = static_cast<std::int64_t>(engine.prefills.size() + engine.slots.size());
-        state.prefill_rate = engine.prefill_rate;
+        state.prefill_rate = this->pace_of(engine).rate() / engine.slowness;
         state.step_time = engine.step_time;
         state.memory_tokens = this->usable_memory(engine);
         state.decode_slots = engine.description.decode_slots;
--- a/Libraries/LibDecision/CellScheduler.h
+++ b/Libraries/LibDecision/CellScheduler.h
@@ -5,6 +5,7 @@
 
 #include <LibCore/Time.h>
 #include <LibDecision/MemoryForecast.h>
+#include <LibDecision/PrefillPace.h>
 #include <LibDecision/QuantileEstimator.h>
 #include <LibDecision/TokenBucket.h>
 #include <cstdint>
@@ -39,6 +40,8 @@
     /// Tokens that the engine's memory holds; 0 where only slots count.
     std::int64_t memory_tokens = 0;
     std::string data_centre {};
+    /// Tokens of an answer that come together.
+    std::int64_t tokens_per_event = 1;
 };
 
 /// Work that an engine says it holds.
@@ -94,6 +97,8 @@
     std::vector<std::string> excluded_engines {};
     /// Where its answer will go.
     std::string data_centre {};
+    /// Longest pause between two events that is on time; zero where none is set.
+    Duration longest_pause {};
 };
 
 struct PlacementGrant {
@@ -165,10 +170,12 @@
         Off,
     } last_resort
         = LastResort::Off;
-    /// Whether a decode engine reads a prompt itself where no prefill engine is to be had.
+    /// Whether a decode engine reads a prompt itself: where no prefill engine is to be had, or also where none would
+    /// have it read in time.
     enum class DecodePrefill {
-        On,
         Off,
+        WithoutPrefillEngines,
+        Overflow,
     } decode_prefill
         = DecodePrefill::Off;
     /// Picks one of the candidates; empty stands for the built-in choice.
@@ -297,6 +304,8 @@
         std::string request;
         std::int64_t tokens = 0;
         MonotonicTime started;
+        /// Whether another prompt was before it.
+        bool has_queued = false;
     };
 
     struct Engine {
@@ -309,8 +318,10 @@
         /// The one request that tries out an engine which failed before.
         std::string trial;
         Duration step_time = milliseconds(25);
-        double prefill_rate = 8000;
-        /// Prefills granted and not known to be finished, in the order of their grants.
+        /// What prefills take here against what engines of the model usually take.
+        double slowness = 1;
+        /// Prefills granted and not known to be finished, in the order of their grants. At a decode engine those that
+        /// it reads itself.
         std::vector<QueuedPrefill> prefills;
         /// Left out like all others of its role, and used all the same since it failed least.
         bool is_last_resort = false;
@@ -360,16 +371,29 @@
     void schedule(MonotonicTime now);
     void mark_last_resorts(MonotonicTime now);
     bool has_usable_prefill(PlacementAsk const& ask, MonotonicTime now) const;
-    Duration own_prefill_time(PlacementAsk const& ask) const;
+    /// Why a decode engine would read a prompt itself.
+    enum class OwnPrefillNeed {
+        NoPrefillEngine,
+        Overflow,
+    };
+    std::optional<Placement> find_own_prefill(PlacementAsk const& ask, OwnPrefillNeed need, MonotonicTime now) const;
+    bool may_read_itself(Engine const& engine, PlacementAsk const& ask, MonotonicTime now) const;
+    bool is_overflow_due(PlacementAsk const& ask, MonotonicTime now) const;
+    std::optional<MonotonicTime> best_split(PlacementAsk const& ask, MonotonicTime now) const;
+    std::optional<MonotonicTime> best_own_prefill(PlacementAsk const& ask, MonotonicTime now) const;
+    bool is_on_time(Placement const& placement, PlacementAsk const& ask) const;
     void schedule_model(std::string const& model, MonotonicTime now);
     ScheduleStep schedule_one(std::size_t index, MonotonicTime now);
     Duration expected_lateness() const;
+    bool goes_before(PlacementAsk const& a, PlacementAsk const& b) const;
+    Duration wait_behind_others(PlacementAsk const& ask, MonotonicTime now) const;
     bool refuse_if_hopeless(PlacementAsk const& ask, MonotonicTime now);
     void refuse_hopeless(MonotonicTime now);
     void refuse_overdue(std::string const& model, MonotonicTime now);
     std::optional<std::size_t> next_waiting(std::string_view model, std::set<std::string> const& passed_over) const;
     std::optional<Placement> find_placement(PlacementAsk const& ask, MonotonicTime now);
     std::optional<Placement> find_decode(PlacementAsk const& ask, Placement placement, MonotonicTime now) const;
+    std::int64_t comparable_room(Engine const& engine, PlacementAsk const& ask, MonotonicTime now, MonotonicTime when) const;
     std::vector<PlacementCandidate> prefill_candidates(PlacementAsk const& ask, MonotonicTime now) const;
     std::optional<MonotonicTime> best_first_token(PlacementAsk const& ask, MonotonicTime now) const;
     void grant(PlacementAsk ask, Placement const& placement, MonotonicTime now);
@@ -381,7 +405,12 @@
     bool is_tried_out(std::string_view engine) const;
     void note_success(std::string_view engine);
     void end_prefill(std::string_view engine, std::string_view request, MonotonicTime now);
+    /// When the engine begins with a prompt that is sent to it now.
     MonotonicTime busy_until(Engine const& engine, MonotonicTime now) const;
+    PrefillPace const& pace_of(Engine const& engine) const;
+    void end_own_prefill(Granted const& granted, MonotonicTime now);
+    void learn_pace(Engine& engine, QueuedPrefill const& prefill, MonotonicTime now);
+    Duration reading_time(Engine const& engine, std::int64_t tokens) const;
     bool is_usable(Engine const& engine, MonotonicTime now) const;
     std::int64_t usable_slots(Engine const& engine) const;
     std::int64_t releases_before(Engine const& engine, MonotonicTime now, MonotonicTime when) const;
@@ -408,6 +437,11 @@
     std::map<std::string, Engine, std::less<>> engines;
     std::map<std::string, Account, std::less<>> accounts;
     std::map<std::string, QuantileEstimator, std::less<>> output_estimates;
+    /// By model.
+    std::map<std::string, PrefillPace, std::less<>> paces;
+    /// What a decode engine's reading takes against the pace that engines have for it; the steps of the answers that
+    /// it makes meanwhile come on top. By model.
+    std::map<std::string, double, std::less<>> own_prefill_stretch;
     /// Time for one token by model, as measured lately; new engines begin with it.
     std::map<std::string, Duration, std::less<>> model_step_times;
     /// By how much first tokens came later than predicted, as a high quantile in milliseconds.
--- a/Libraries/LibDecision/CellSchedulerPlacement.cpp
+++ b/Libraries/LibDecision/CellSchedulerPlacement.cpp
@@ -19,6 +19,15 @@
 /// Requests that a smaller one may go before, so that a turn's work stays bounded.
 constexpr std::size_t MOST_PASSED_OVER = 8;
 constexpr double OUTPUT_QUANTILE = 0.8;
+/// A prompt whose reading time stands for an engine's rate.
+constexpr std::int64_t RATE_SAMPLE = 1000;
+/// Tokens of a prompt that a decode engine reads at most between two tokens of the others. A quarter of a prefill
+/// engine's piece, which has 1,024 to 2,048 with engines of today.
+constexpr std::int64_t LONGEST_OWN_PIECE = 512;
+/// Part of the longest pause that a reading may fill; the network takes some.
+constexpr double PAUSE_SHARE = 0.95;
+/// Before its time to be decided ends, a request is looked at once more at least: two ticks of a keeper.
+constexpr Duration LAST_MOMENT = milliseconds(40);
 /// Of requests that do not wait any more; more are dropped together.
 constexpr std::size_t MOST_FORECASTS_KEPT = 64;
 
@@ -67,16 +76,61 @@
     });
 }
 
-// A decode engine reads between the tokens of others, at half the pace of a prefill engine.
-Duration CellScheduler::own_prefill_time(PlacementAsk const& ask) const
+// While a decode engine reads a prompt, the answers that it makes get no token but one between two pieces. What
+// that costs them is a pause; where it is longer than they may have, each of them is late for the sake of one.
+bool CellScheduler::may_read_itself(Engine const& engine, PlacementAsk const& ask, MonotonicTime now) const
 {
-    constexpr double PACE = 0.5;
-    double rate = 0;
+    if (!engine.prefills.empty())
+        return false;
+    auto const tokens = ask.prompt_tokens + ask.relayed_tokens;
+    auto const in_one_event = std::min(tokens, engine.description.tokens_per_event * LONGEST_OWN_PIECE);
+    auto const pause = this->reading_time(engine, in_one_event) + engine.step_time * engine.description.tokens_per_event;
+    bool const spoils_others = ask.longest_pause > Duration::zero() && !engine.slots.empty() && to_seconds(pause) > PAUSE_SHARE * to_seconds(ask.longest_pause);
+    if (spoils_others)
+        return false;
+    // The answers that it makes hold their memory longer by the time of the reading, as if it took more than one.
+    auto const answer_time = this->answer_forecast(ask, 0).expected_tokens * to_seconds(engine.step_time);
+    auto const others = static_cast<double>(engine.slots.size()) * to_seconds(this->reading_time(engine, tokens)) / std::max(to_seconds(engine.step_time), answer_time);
+    return engine.description.memory_tokens == 0 || this->forecast_of(engine, now).has_room_for(this->forecast_of(ask), Duration::zero(), this->usable_memory(engine), 1 + others);
+}
+
+std::optional<CellScheduler::Placement> CellScheduler::find_own_prefill(PlacementAsk const& ask, OwnPrefillNeed need, MonotonicTime now) const
+{
+    std::vector<PlacementCandidate> candidates;
     for (auto const& [name, engine] : this->engines) {
-        if (engine.description.model == ask.model)
-            rate = std::max(rate, engine.prefill_rate);
+        if (!this->may_take(engine, EngineRole::Decode, ask, now))
+            continue;
+        if (need == OwnPrefillNeed::Overflow && !this->may_read_itself(engine, ask, now))
+            continue;
+        auto const ready = this->busy_until(engine, now) + this->prefill_time(engine, ask);
+        if (this->has_room(engine, ask, now, ready - this->options.safety_margin))
+            candidates.push_back({ name, this->comparable_room(engine, ask, now, ready), ready });
     }
-    return from_seconds(static_cast<double>(ask.prompt_tokens + ask.relayed_tokens) / (PACE * std::max(1.0, rate)));
+    if (candidates.empty())
+        return {};
+    auto const& chosen = candidates[this->options.policy.choose_decode(candidates)];
+    Placement placement;
+    placement.decode = chosen.engine;
+    placement.prefill_end = chosen.ready;
+    placement.first_token = chosen.ready + this->engines.find(chosen.engine)->second.step_time;
+    placement.candidates = candidates.size();
+    return placement;
+}
+
+// A prompt goes past the prefill engines where they would have it read too late, or at the last moment to decide.
+bool CellScheduler::is_overflow_due(PlacementAsk const& ask, MonotonicTime now) const
+{
+    if (this->options.policy.decode_prefill != SchedulerPolicy::DecodePrefill::Overflow)
+        return false;
+    if (ask.decide_by && *ask.decide_by - now <= LAST_MOMENT)
+        return true;
+    auto const split = this->best_split(ask, now);
+    return !split || *split > ask.first_token_deadline;
+}
+
+bool CellScheduler::is_on_time(Placement const& placement, PlacementAsk const& ask) const
+{
+    return placement.first_token + this->expected_lateness() <= ask.first_token_deadline;
 }
 
 void CellScheduler::schedule_model(std::string const& model, MonotonicTime now)
@@ -95,14 +149,19 @@
 
 CellScheduler::ScheduleStep CellScheduler::schedule_one(std::size_t index, MonotonicTime now)
 {
-    auto const placement = this->find_placement(this->waiting[index], now);
+    auto placement = this->find_placement(this->waiting[index], now);
+    bool const is_split_on_time = placement && this->is_on_time(*placement, this->waiting[index]);
+    if (!is_split_on_time && this->is_overflow_due(this->waiting[index], now)) {
+        auto const own = this->find_own_prefill(this->waiting[index], OwnPrefillNeed::Overflow, now);
+        if (own && this->is_on_time(*own, this->waiting[index]))
+            placement = own;
+    }
     if (!placement)
         return ScheduleStep::MustWait;
     auto ask = std::move(this->waiting[index]);
     this->waiting.erase(this->waiting.begin() + static_cast<std::ptrdiff_t>(index));
     // The best place now is the best there will be: later only is later.
-    bool const is_late = placement->first_token + this->expected_lateness() > ask.first_token_deadline;
-    if (is_late && this->options.policy.early_refusal == SchedulerPolicy::EarlyRefusal::On) {
+    if (!this->is_on_time(*placement, ask) && this->options.policy.early_refusal == SchedulerPolicy::EarlyRefusal::On) {
         this->refuse(ask, RefusalReason::CannotMeetFirstToken, this->expected_wait(ask.model, now));
         return ScheduleStep::Refused;
     }
@@ -195,7 +254,7 @@
 
 Duration CellScheduler::prefill_time(Engine const& engine, PlacementAsk const& ask) const
 {
-    return from_seconds(static_cast<double>(ask.prompt_tokens + ask.relayed_tokens) / engine.prefill_rate);
+    return this->reading_time(engine, ask.prompt_tokens + ask.relayed_tokens) + this->pace_of(engine).latency();
 }
 
 Duration CellScheduler::transfer_time(Engine const& engine, PlacementAsk const& ask) const
@@ -218,7 +277,7 @@
     return candidates;
 }
 
-std::optional<MonotonicTime> CellScheduler::best_first_token(PlacementAsk const& ask, MonotonicTime now) const
+std::optional<MonotonicTime> CellScheduler::best_split(PlacementAsk const& ask, MonotonicTime now) const
 {
     std::optional<MonotonicTime> best;
     for (auto const& [name, engine] : this->engines) {
@@ -227,8 +286,31 @@
         auto const first = this->busy_until(engine, now) + this->prefill_time(engine, ask) + this->transfer_time(engine, ask) + engine.step_time + this->expected_lateness();
         best = best ? std::min(*best, first) : first;
     }
-    if (!best && this->options.policy.decode_prefill == SchedulerPolicy::DecodePrefill::On)
-        best = now + this->own_prefill_time(ask);
+    return best;
+}
+
+std::optional<MonotonicTime> CellScheduler::best_own_prefill(PlacementAsk const& ask, MonotonicTime now) const
+{
+    std::optional<MonotonicTime> best;
+    for (auto const& [name, engine] : this->engines) {
+        if (!this->may_take(engine, EngineRole::Decode, ask, now))
+            continue;
+        auto const first = this->busy_until(engine, now) + this->prefill_time(engine, ask);
+        best = best ? std::min(*best, first) : first;
+    }
+    return best;
+}
+
+std::optional<MonotonicTime> CellScheduler::best_first_token(PlacementAsk const& ask, MonotonicTime now) const
+{
+    auto best = this->best_split(ask, now);
+    auto const& own = this->options.policy.decode_prefill;
+    bool const may_read_itself = own == SchedulerPolicy::DecodePrefill::Overflow || (own == SchedulerPolicy::DecodePrefill::WithoutPrefillEngines && !best);
+    if (may_read_itself && (!best || *best > ask.first_token_deadline)) {
+        auto const first = this->best_own_prefill(ask, now);
+        if (first)
+            best = best ? std::min(*best, *first) : *first;
+    }
     auto const room = this->earliest_room(ask, now);
     if (best && room)
         best = std::max(*best, *room);
@@ -343,11 +425,8 @@
 std::optional<CellScheduler::Placement> CellScheduler::find_placement(PlacementAsk const& ask, MonotonicTime now)
 {
     auto const candidates = this->prefill_candidates(ask, now);
-    if (candidates.empty() && this->options.policy.decode_prefill == SchedulerPolicy::DecodePrefill::On && !this->has_usable_prefill(ask, now)) {
-        Placement placement;
-        placement.prefill_end = now + this->own_prefill_time(ask);
-        return this->find_decode(ask, std::move(placement), now);
-    }
+    if (candidates.empty() && this->options.policy.decode_prefill != SchedulerPolicy::DecodePrefill::Off && !this->has_usable_prefill(ask, now))
+        return this->find_own_prefill(ask, OwnPrefillNeed::NoPrefillEngine, now);
     if (candidates.empty())
         return {};
     auto const& chosen = candidates[this->options.policy.choose_prefill(candidates)];
@@ -358,6 +437,16 @@
     return this->find_decode(ask, std::move(placement), now);
 }
 
+// Engines whose memory counts are compared by that, and those of the asking VM's data centre are preferred.
+std::int64_t CellScheduler::comparable_room(Engine const& engine, PlacementAsk const& ask, MonotonicTime now, MonotonicTime when) const
+{
+    auto const memory = static_cast<double>(engine.description.memory_tokens);
+    if (memory == 0)
+        return this->free_slots(engine, now, when);
+    bool const is_home = !ask.data_centre.empty() && engine.description.data_centre == ask.data_centre;
+    return static_cast<std::int64_t>(this->usable_memory(engine) - this->forecast_of(engine, now).peak() + (is_home ? this->options.home_preference * memory : 0));
+}
+
 std::optional<CellScheduler::Placement> CellScheduler::find_decode(PlacementAsk const& ask, Placement placement, MonotonicTime now) const
 {
     std::vector<PlacementCandidate> candidates;
@@ -366,10 +455,7 @@
             continue;
         auto const ready = placement.prefill_end + this->transfer_time(engine, ask);
         auto const promised = ready - this->options.safety_margin;
-        // Engines whose memory counts are compared by that.
-        auto free = engine.description.memory_tokens > 0 ? static_cast<std::int64_t>(this->usable_memory(engine) - this->forecast_of(engine, now).peak()) : this->free_slots(engine, now, promised);
-        if (engine.description.memory_tokens > 0 && !ask.data_centre.empty() && engine.description.data_centre == ask.data_centre)
-            free += static_cast<std::int64_t>(this->options.home_preference * static_cast<double>(engine.description.memory_tokens));
+        auto const free = this->comparable_room(engine, ask, now, promised);
         if (this->has_room(engine, ask, now, promised) || this->options.policy.slot_promise == SchedulerPolicy::SlotPromise::Ignored)
             candidates.push_back({ name, free, ready });
     }
@@ -427,9 +513,9 @@
     granted.granted_at = now;
     granted.named_at = now;
     granted.predicted_first_token = placement.first_token;
-    if (prefill != this->engines.end())
-        prefill->second.prefills.push_back({ ask.request, ask.prompt_tokens + ask.relayed_tokens, now });
     auto& decode = this->engines.find(placement.decode)->second;
+    auto& reader = prefill != this->engines.end() ? prefill->second : decode;
+    reader.prefills.push_back({ ask.request, ask.prompt_tokens + ask.relayed_tokens, now, !reader.prefills.empty() });
     this->hold_slot(decode, ask.request);
     for (auto* engine : { prefill != this->engines.end() ? &prefill->second : nullptr, &decode }) {
         if (engine && engine->failures_in_a_row > 0)
@@ -459,7 +545,7 @@
     for (auto const& [name, engine] : this->engines) {
         if (engine.description.role != EngineRole::Prefill || engine.description.model != model || !this->is_usable(engine, now))
             continue;
-        rate += engine.prefill_rate;
+        rate += this->pace_of(engine).rate() / engine.slowness;
         backlog_seconds = std::max(backlog_seconds, to_seconds(this->busy_until(engine, now) - now));
     }
     if (rate <= 0)
--- a/Libraries/LibDecision/MemoryForecast.cpp
+++ b/Libraries/LibDecision/MemoryForecast.cpp
@@ -47,24 +47,24 @@
     }
 }
 
-bool MemoryForecast::fits(MemoryForecast const& other, std::size_t delay_steps, double memory_tokens) const
+bool MemoryForecast::fits(MemoryForecast const& other, std::size_t delay_steps, double memory_tokens, double times) const
 {
     for (std::size_t i = 0; i + delay_steps < STEPS; ++i) {
-        if (this->tokens[i + delay_steps] + other.tokens[i] > memory_tokens)
+        if (this->tokens[i + delay_steps] + times * other.tokens[i] > memory_tokens)
             return false;
     }
     return true;
 }
 
-bool MemoryForecast::has_room_for(MemoryForecast const& other, Duration delay, double memory_tokens) const
+bool MemoryForecast::has_room_for(MemoryForecast const& other, Duration delay, double memory_tokens, double times) const
 {
-    return this->fits(other, std::min(STEPS - 1, static_cast<std::size_t>(std::max(Duration::zero(), delay) / STEP)), memory_tokens);
+    return this->fits(other, std::min(STEPS - 1, static_cast<std::size_t>(std::max(Duration::zero(), delay) / STEP)), memory_tokens, times);
 }
 
 Duration MemoryForecast::shortest_delay(MemoryForecast const& other, double memory_tokens) const
 {
     for (std::size_t delay = 0; delay < STEPS; ++delay) {
-        if (this->fits(other, delay, memory_tokens))
+        if (this->fits(other, delay, memory_tokens, 1))
             return STEP * static_cast<std::int64_t>(delay);
     }
     return STEP * static_cast<std::int64_t>(STEPS);
--- a/Libraries/LibDecision/MemoryForecast.h
+++ b/Libraries/LibDecision/MemoryForecast.h
@@ -42,8 +42,8 @@
 
     /// Adds an answer that is made at the given pace.
     void add(AnswerForecast const& answer, Duration per_token);
-    /// Whether another forecast, begun after a delay, fits beside this one into so much memory.
-    bool has_room_for(MemoryForecast const& other, Duration delay, double memory_tokens) const;
+    /// Whether another forecast, begun after a delay, fits so many times beside this one into so much memory.
+    bool has_room_for(MemoryForecast const& other, Duration delay, double memory_tokens, double times = 1) const;
     /// The shortest delay after which it fits; the horizon's end where none is seen.
     Duration shortest_delay(MemoryForecast const& other, double memory_tokens) const;
     double tokens_at(std::size_t step) const { return this->tokens.at(step); }
@@ -51,7 +51,7 @@
     double peak() const;
 
 private:
-    bool fits(MemoryForecast const& other, std::size_t delay_steps, double memory_tokens) const;
+    bool fits(MemoryForecast const& other, std::size_t delay_steps, double memory_tokens, double times) const;
 
     Options options {};
     std::array<double, STEPS> tokens {};
--- a/Libraries/LibRouter/EngineKeeper.cpp
+++ b/Libraries/LibRouter/EngineKeeper.cpp
@@ -32,6 +32,7 @@
     ask.expected_output_tokens = message.expected_output_tokens();
     ask.priority = message.priority();
     ask.data_centre = message.data_centre();
+    ask.longest_pause = Duration(message.longest_pause_microseconds());
     ask.first_token_deadline = now + Duration(message.first_token_within_microseconds());
     if (message.decide_within_microseconds() > 0)
         ask.decide_by = now + Duration(message.decide_within_microseconds());
@@ -81,6 +82,7 @@
         engine.cache_bytes_per_token = service->engine->cache_bytes_per_token;
         engine.link_rate = service->engine->link_bytes_per_second;
         engine.prefill_rate = 50'000;
+        engine.tokens_per_event = service->engine->tokens_per_event;
         engine.data_centre = record.data_centre;
         engines.push_back(std::move(engine));
         if (record.life == UpstreamRecord::Life::Leaving || this->hooks.is_changing_role(record.identity))
--- a/Libraries/LibRouter/PlacementClient.cpp
+++ b/Libraries/LibRouter/PlacementClient.cpp
@@ -95,6 +95,7 @@
     message->set_decide_within_microseconds(decide_within.count());
     message->set_priority(static_cast<std::int32_t>(ask.priority));
     message->set_data_centre(ask.data_centre);
+    message->set_longest_pause_microseconds(ask.longest_pause.count());
     for (auto const& engine : ask.excluded_engines)
         message->add_excluded_engines(engine);
     return envelope;
--- a/Libraries/LibRouter/StreamFlow.cpp
+++ b/Libraries/LibRouter/StreamFlow.cpp
@@ -79,6 +79,7 @@
     ask.excluded_engines = this->failed_engines;
     this->add_unreachable(ask.excluded_engines);
     ask.data_centre = this->state.data_centre;
+    ask.longest_pause = this->route.pause_target;
     auto const within = this->time_to_place();
     this->wait = std::make_shared<PlacementClient::Ask>(this->state.loop.get_executor());
     auto decision = co_await this->state.placement->ask(std::move(ask), this->wait, within.to_decide, within.to_first_token);
@@ -359,8 +360,10 @@
 {
     if (this->exchange.has_begun())
         this->longest_pause = std::max(this->longest_pause, std::chrono::duration_cast<Duration>(now - this->last_event_at));
-    else
-        this->state.metrics.observe_seconds("spurtide_first_event_seconds", "From a stream's request to its first event", to_seconds(now - this->exchange.received_at()));
+    else {
+        this->first_event_after = std::chrono::duration_cast<Duration>(now - this->exchange.received_at());
+        this->state.metrics.observe_seconds("spurtide_first_event_seconds", "From a stream's request to its first event", to_seconds(*this->first_event_after));
+    }
     this->last_event_at = now;
 }
 
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -38,7 +38,7 @@
     options.memory_headroom = settings.memory_headroom;
     options.forecast.spread = settings.length_spread;
     options.return_spread = settings.return_spread;
-    options.policy.decode_prefill = SchedulerPolicy::DecodePrefill::On;
+    options.policy.decode_prefill = SchedulerPolicy::DecodePrefill::Overflow;
     options.policy.last_resort = SchedulerPolicy::LastResort::On;
     options.policy.backfill = SchedulerPolicy::Backfill::On;
     options.report_need = CellScheduler::Options::ReportNeed::None;
--- a/Tests/LibDecision/TestMemoryForecast.cpp
+++ b/Tests/LibDecision/TestMemoryForecast.cpp
@@ -214,14 +214,14 @@
 
 TEST_CASE("Where no prefill engine is to be had a decode engine reads the prompt itself, if the policy says so", "[kill][cut]")
 {
-    auto const decode_prefill = GENERATE(SchedulerPolicy::DecodePrefill::On, SchedulerPolicy::DecodePrefill::Off);
+    auto const decode_prefill = GENERATE(SchedulerPolicy::DecodePrefill::WithoutPrefillEngines, SchedulerPolicy::DecodePrefill::Off);
     auto options = MemoryCell::options();
     options.policy.decode_prefill = decode_prefill;
     MemoryCell cell(1, 20'000, options);
     cell.scheduler.set_leaving("p", EngineReport::Life::Leaving);
     cell.scheduler.ask(cell.make_ask("one", 0, 5000, 1000), at_milliseconds(0));
     cell.scheduler.advance(at_milliseconds(250));
-    REQUIRE(cell.take().at("one") == (decode_prefill == SchedulerPolicy::DecodePrefill::On ? "d0" : "refused"));
+    REQUIRE(cell.take().at("one") == (decode_prefill == SchedulerPolicy::DecodePrefill::WithoutPrefillEngines ? "d0" : "refused"));
 }
 
 TEST_CASE("The engines of a role are never all left out", "[answer-lost]")
