LibRouter, LibDecision: Let callers that came back wait for a late answer

Cause: 1.5 s without any VM bring 38 streams back in one moment; they are late whatever is done, and 22 of them were refused since no place gave a first event within 900 ms. A caller that was refused before does not come a third time, so it waits as long as it waits for an event; behind callers that can be on time. What has more before it than can be read in time is refused at once.

--- a/Libraries/LibDecision/CellSchedulerPlacement.cpp
+++ b/Libraries/LibDecision/CellSchedulerPlacement.cpp
@@ -180,15 +180,47 @@
         return false;
     auto const best = this->best_first_token(ask, now);
     // Without any engine heard of, a keeper new in office still waits for reports until the deadline.
-    if (!best || *best <= ask.first_token_deadline)
+    if (!best || *best + this->wait_behind_others(ask, now) <= ask.first_token_deadline)
         return false;
     this->refuse(ask, RefusalReason::CannotMeetFirstToken, this->expected_wait(ask.model, now));
     return true;
 }
 
+// The time that the engines of the model take to read what goes before this request. Of equals those go first that
+// wait already.
+Duration CellScheduler::wait_behind_others(PlacementAsk const& ask, MonotonicTime now) const
+{
+    double tokens = 0;
+    bool is_before = true;
+    for (auto const& other : this->waiting) {
+        if (other.request == ask.request) {
+            is_before = false;
+            continue;
+        }
+        bool const goes_first = this->goes_before(other, ask) || (is_before && !this->goes_before(ask, other));
+        if (other.model == ask.model && goes_first)
+            tokens += static_cast<double>(other.prompt_tokens + other.relayed_tokens);
+    }
+    if (tokens == 0)
+        return {};
+    double rate = 0;
+    for (auto const& [name, engine] : this->engines) {
+        bool const reads = engine.description.role == EngineRole::Prefill || this->options.policy.decode_prefill == SchedulerPolicy::DecodePrefill::Overflow;
+        if (reads && this->may_take(engine, engine.description.role, ask, now))
+            rate += 1 / std::max(1e-9, to_seconds(this->reading_time(engine, RATE_SAMPLE)));
+    }
+    return rate > 0 ? from_seconds(tokens / (rate * static_cast<double>(RATE_SAMPLE))) : Duration::zero();
+}
+
 void CellScheduler::refuse_hopeless(MonotonicTime now)
 {
-    std::erase_if(this->waiting, [&](auto const& ask) { return this->refuse_if_hopeless(ask, now); });
+    // One by one: what is refused does not stand before others any more.
+    for (std::size_t i = 0; i < this->waiting.size();) {
+        if (this->refuse_if_hopeless(this->waiting[i], now))
+            this->waiting.erase(this->waiting.begin() + static_cast<std::ptrdiff_t>(i));
+        else
+            ++i;
+    }
 }
 
 // Those whose time is over, whatever engines there are.
@@ -205,24 +237,26 @@
 }
 
 // Priority first, then the account that had least for its weight, then the earliest deadline.
-std::optional<std::size_t> CellScheduler::next_waiting(std::string_view model, std::set<std::string> const& passed_over) const
+bool CellScheduler::goes_before(PlacementAsk const& a, PlacementAsk const& b) const
 {
-    std::optional<std::size_t> best;
     auto const served = [&](PlacementAsk const& ask) {
         auto const found = this->accounts.find(ask.account);
         return found == this->accounts.end() ? 0.0 : found->second.served;
     };
-    auto const goes_before = [&](PlacementAsk const& a, PlacementAsk const& b) {
-        if (a.priority != b.priority)
-            return a.priority > b.priority;
-        if (a.account != b.account && served(a) != served(b))
-            return served(a) < served(b);
-        return a.first_token_deadline < b.first_token_deadline;
-    };
+    if (a.priority != b.priority)
+        return a.priority > b.priority;
+    if (a.account != b.account && served(a) != served(b))
+        return served(a) < served(b);
+    return a.first_token_deadline < b.first_token_deadline;
+}
+
+std::optional<std::size_t> CellScheduler::next_waiting(std::string_view model, std::set<std::string> const& passed_over) const
+{
+    std::optional<std::size_t> best;
     for (std::size_t i = 0; i < this->waiting.size(); ++i) {
         if (this->waiting[i].model != model || passed_over.contains(this->waiting[i].request))
             continue;
-        if (!best || goes_before(this->waiting[i], this->waiting[*best]))
+        if (!best || this->goes_before(this->waiting[i], this->waiting[*best]))
             best = i;
     }
     return best;
--- a/Libraries/LibRouter/StreamFlow.cpp
+++ b/Libraries/LibRouter/StreamFlow.cpp
@@ -11,8 +11,6 @@
 
 /// Of the time to the first event: a caller that is refused within it can still be served in time elsewhere.
 constexpr double DECISION_SHARE = 0.22;
-/// A caller that was refused before hears of a second refusal only when it could not be on time any more.
-constexpr double RETURN_DECISION_SHARE = 0.85;
 /// Of the time that callers wait for an event before they leave.
 constexpr double CONTINUATION_SHARE = 0.7;
 /// Less is not worth a placement.
@@ -92,8 +90,9 @@
     auto const age = std::chrono::duration_cast<Duration>(monotonic_now() - this->exchange.received_at());
     auto const of_target = [&](double share) { return from_seconds(to_seconds(this->route.latency_target) * share); };
     PlacementTime within;
-    if (this->placements > 0) {
-        // It was placed before: refused now it is lost, and an answer that is late, or goes on after a pause, is not.
+    if (this->placements > 0 || this->visit == PatienceTracker::Visit::Return) {
+        // It was placed or told to come back before: refused now it is lost, and an answer that is late, or goes on
+        // after a pause, is not.
         auto const patience = from_seconds(to_seconds(this->route.first_event_patience) * CONTINUATION_SHARE);
         auto const spent = this->exchange.has_begun() ? std::chrono::duration_cast<Duration>(monotonic_now() - this->last_event_at) : age;
         within.to_first_token = patience - spent;
