LibRouter: Leave an engine that refuses to read a prompt for another

Cause: after a restart no VM knows which engine is under order. Such a prefill engine refuses at once, so it seems idlest and was chosen again: three placements within 5 ms, then a refusal. Ruled out: the order itself (it was right by what its keeper knew). It counts as refusing now, as a decode engine that refuses does. TestNode 'An engine that refuses to read prompts...' was red before.

--- a/Libraries/LibRouter/StreamFlow.cpp
+++ b/Libraries/LibRouter/StreamFlow.cpp
@@ -269,8 +269,14 @@
     this->set_active(nullptr);
     this->state.pool.release(*address, connection);
     // What the caller or the clock cut off says nothing of the engine.
-    if (!cache && !works_as_it_should && !this->is_stopped())
-        this->failed_engine = engine.identity;
+    if (!cache && !this->is_stopped()) {
+        if (works_as_it_should) {
+            // It is full, leaves or changes its role, and being idle it would be chosen again and again.
+            this->failed_engines.push_back(engine.identity);
+            this->refusing_engines = { engine.identity };
+        } else
+            this->failed_engine = engine.identity;
+    }
     auto const took = to_milliseconds(std::chrono::duration_cast<Duration>(monotonic_now() - begun));
     if (cache)
         LogLine("prefilled").with("request", this->request.identifier).with("engine", engine.identity).with("ms", took);
--- a/Tests/Platform/TestNode.cpp
+++ b/Tests/Platform/TestNode.cpp
@@ -581,6 +581,28 @@
     REQUIRE(prefill.handles.size() + other_prefill.handles.size() <= 9);
 }
 
+// The pattern: after a restart no VM knows which engine is under order; it refuses prompts at once, so that it always
+// seems to be the idlest of its role.
+TEST_CASE("An engine that refuses to read prompts is left for another", "[held][kill]")
+{
+    NodeUnderTest test;
+    UpstreamStandIn refusing(test.loop, "i-a", "prefill");
+    UpstreamStandIn prefill(test.loop, "i-p", "prefill");
+    UpstreamStandIn decode(test.loop, "i-d", "decode");
+    refusing.script = [&](HttpExchange& exchange) -> asio::awaitable<bool> {
+        auto head = HttpResponseHead { 503, "", {} };
+        head.headers.add("X-Spurtide-Not-Executed", "1");
+        static_cast<void>(co_await exchange.respond(std::move(head), {}));
+        co_return true;
+    };
+    test.configure(1);
+    for (auto* engine : { &refusing, &prefill, &decode })
+        test.list(*engine, "engines");
+    for (int i = 0; i < 8; ++i)
+        REQUIRE(test.call(test.model_request("/resumable/x", "s" + std::to_string(i))).head.status == 200);
+    REQUIRE(refusing.requests.size() <= 1);
+}
+
 TEST_CASE("A node tells what it believes and how its requests ended")
 {
     NodeUnderTest test;
