LibDecision: Keep memory free for what is not known of answers

What can go wrong is that answers turn out longer and steps faster than reckoned; prompts are known.

--- a/Libraries/LibDecision/MemoryForecast.cpp
+++ b/Libraries/LibDecision/MemoryForecast.cpp
@@ -43,14 +43,20 @@
         auto const goes_on = i == 0 ? 1.0 : upper_tail(length, median, this->options.spread) / made_share;
         if (goes_on < 0.001)
             return;
-        this->tokens[i] += goes_on * (answer.prompt_tokens + length);
+        auto const held = answer.prompt_tokens + length;
+        this->tokens[i] += goes_on * held;
+        this->answer_tokens[i] += goes_on * length;
+        this->variance[i] += goes_on * (1 - goes_on) * held * held;
     }
 }
 
 bool MemoryForecast::fits(MemoryForecast const& other, std::size_t delay_steps, double memory_tokens, double times) const
 {
     for (std::size_t i = 0; i + delay_steps < STEPS; ++i) {
-        if (this->tokens[i + delay_steps] + times * other.tokens[i] > memory_tokens)
+        auto const expected = this->tokens[i + delay_steps] + times * other.tokens[i];
+        auto const deviation = std::sqrt(this->variance[i + delay_steps] + times * other.variance[i]);
+        auto const error = this->options.pace_error * (this->answer_tokens[i + delay_steps] + times * other.answer_tokens[i]);
+        if (expected + error + this->options.deviations * deviation > memory_tokens)
             return false;
     }
     return true;
--- a/Libraries/LibDecision/MemoryForecast.h
+++ b/Libraries/LibDecision/MemoryForecast.h
@@ -32,6 +32,12 @@
     struct Options {
         /// Standard deviation of the logarithm of a length against what was expected.
         double spread = 0.6;
+        /// Standard deviations of the sum that have to fit beside what is expected, so that answers which turn out
+        /// longer are not put back in the middle. Little where prompts are most of the memory, since those are
+        /// known; much where answers are.
+        double deviations = 0;
+        /// Part by which the tokens made so far may be more than reckoned from the pace.
+        double pace_error = 0;
     };
 
     MemoryForecast() = default;
@@ -55,6 +61,9 @@
 
     Options options {};
     std::array<double, STEPS> tokens {};
+    std::array<double, STEPS> variance {};
+    /// The part of it that the answers' own tokens are.
+    std::array<double, STEPS> answer_tokens {};
 };
 
 /// The probability that an answer that has come so far goes on beyond a length.
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -25,6 +25,9 @@
 constexpr Duration SHORTEST_LEASE = milliseconds(3000);
 /// The rest is for connections to upstreams, other VMs and the registry.
 constexpr std::int64_t CALLERS_PART_OF_DESCRIPTORS = 2;
+/// Steps get longer as engines fill up, by some 15 % from half to full batches of today's engines, and are measured as
+/// means of whole answers.
+constexpr double PACE_ERROR = 0.2;
 /// Left of the grace time when the rest is cut off.
 constexpr Duration STOP_MARGIN = milliseconds(400);
 
@@ -37,6 +40,8 @@
     CellScheduler::Options options;
     options.memory_headroom = settings.memory_headroom;
     options.forecast.spread = settings.length_spread;
+    options.forecast.deviations = settings.memory_deviations;
+    options.forecast.pace_error = PACE_ERROR;
     options.return_spread = settings.return_spread;
     options.policy.decode_prefill = SchedulerPolicy::DecodePrefill::Overflow;
     options.policy.last_resort = SchedulerPolicy::LastResort::On;
--- a/Tests/LibDecision/TestMemoryForecast.cpp
+++ b/Tests/LibDecision/TestMemoryForecast.cpp
@@ -114,6 +114,34 @@
     REQUIRE(probability_beyond(8000, expected, SPREAD) == 0);
 }
 
+// The same memory, filled to the same part with answers to long prompts and with long answers: only of the latter it
+// is not known how much they will hold, so less is promised.
+TEST_CASE("What is not known of answers keeps memory free, what is known does not")
+{
+    auto const room_for = [](double prompt, double made, double expected) {
+        MemoryForecast forecast({ SPREAD, 1, 0.2 });
+        for (int i = 0; i < 10; ++i)
+            forecast.add(answer(prompt, made, expected, 4 * expected), milliseconds(1));
+        MemoryForecast next({ SPREAD, 1, 0.2 });
+        next.add(answer(prompt, 0, expected, 4 * expected), milliseconds(1));
+        double memory = 0;
+        while (!forecast.has_room_for(next, Duration::zero(), memory))
+            memory += 100;
+        // Against what is expected alone.
+        MemoryForecast expected_alone({ SPREAD, 0, 0 });
+        for (int i = 0; i < 10; ++i)
+            expected_alone.add(answer(prompt, made, expected, 4 * expected), milliseconds(1));
+        double expected_memory = 0;
+        while (!expected_alone.has_room_for(next, Duration::zero(), expected_memory))
+            expected_memory += 100;
+        return memory / expected_memory;
+    };
+    auto const long_prompts = room_for(4000, 100, 300);
+    auto const long_answers = room_for(1000, 2000, 4000);
+    CHECK(long_prompts < 1.05);
+    CHECK(long_answers > 1.2);
+}
+
 TEST_CASE("What does not fit now fits after the shortest delay that is found")
 {
     auto const running = forecast_of({ answer(5000, 2000, 2100, 2600), answer(5000, 1500, 2100, 2600) });
