LibRouter, LibDecision: Send a request where its prompt is in memory

Engines keep what they read. The engine reads what the answer had.

Ruled out: going on at the engine whose answer broke off just now: most such breaks are crashes and cuts (7 of 11), and the route's two sends are spent where it is bad; 'A stream whose engine is out of reach...' failed with it, rightly.

--- a/Libraries/LibDecision/CellScheduler.cpp
+++ b/Libraries/LibDecision/CellScheduler.cpp
@@ -25,6 +25,8 @@
 constexpr int MOST_DOUBLINGS = 10;
 /// Longer than any report lags.
 constexpr Duration RELEASED_NAMES_KEPT = seconds(5);
+/// An answer and the time until its caller comes back for the rest; by then others' prompts took the memory.
+constexpr Duration CACHED_PROMPTS_KEPT = seconds(20);
 /// Fewer say too little of an engine's pace.
 constexpr std::int64_t FEWEST_MEASURED_TOKENS = 8;
 /// Whether waiting requests can still be on time is looked at no more often: it takes a look at each engine.
@@ -197,6 +199,8 @@
         return;
     auto& pace = this->paces.find(engine.description.model)->second;
     if (engine.description.role == EngineRole::Decode) {
+        if (prefill.has_queued)
+            return;
         auto& stretch = this->own_prefill_stretch.try_emplace(engine.description.model, FIRST_STRETCH).first->second;
         auto const reading = to_seconds(pace.reading_time(prefill.tokens)) / OWN_PREFILL_PACE;
         stretch += RATE_SMOOTHING * (to_seconds(taken - pace.latency()) / reading - stretch);
@@ -379,6 +383,8 @@
     }
     if (progress == GrantProgress::Decoding && granted.phase != GrantProgress::Decoding) {
         granted.decode_from = now;
+        if (!granted.ask.own_part.empty())
+            this->cached.insert_or_assign(granted.ask.own_part, CachedPrompt { granted.decode_engine, now });
         frees_an_engine = frees_an_engine || this->is_tried_out(granted.decode_engine) || granted.prefill_engine.empty();
         this->end_own_prefill(granted, now);
         this->note_success(granted.decode_engine);
@@ -437,6 +443,12 @@
     this->granted.emplace(request, std::move(granted));
 }
 
+void CellScheduler::note_cached(std::string_view engine, std::span<std::string const> own_parts, MonotonicTime now)
+{
+    for (auto const& part : own_parts)
+        this->cached.insert_or_assign(part, CachedPrompt { std::string(engine), now });
+}
+
 void CellScheduler::release(std::string_view request, std::int64_t output_tokens, MonotonicTime now)
 {
     auto const same_request = [&](auto const& ask) { return ask.request == request; };
@@ -472,6 +484,7 @@
     }
     for (auto const& request : lapsed)
         this->remove_granted(request, now);
+    std::erase_if(this->cached, [&](auto const& entry) { return now - entry.second.since > CACHED_PROMPTS_KEPT; });
     std::erase_if(this->released, [&](auto const& entry) { return now - entry.second > RELEASED_NAMES_KEPT; });
     if (now - this->hopeless_checked >= HOPELESS_CHECK) {
         this->hopeless_checked = now;
--- a/Libraries/LibDecision/CellScheduler.h
+++ b/Libraries/LibDecision/CellScheduler.h
@@ -99,6 +99,8 @@
     std::string data_centre {};
     /// Longest pause between two events that is on time; zero where none is set.
     Duration longest_pause {};
+    /// The part of the prompt that no other session has; empty where it is not known.
+    std::string own_part {};
 };
 
 struct PlacementGrant {
@@ -245,6 +247,8 @@
     /// What an entry says it was granted by an earlier keeper. Takes the place of what a report alone said.
     /// For a request that is known it only says that its grant is in use. The age is that of its progress.
     void restore(PlacementAsk ask, std::string_view prefill_engine, std::string_view decode_engine, GrantProgress progress, Duration age, MonotonicTime now);
+    /// The engine has the prompts with these parts in its memory, and may keep them for some time.
+    void note_cached(std::string_view engine, std::span<std::string const> own_parts, MonotonicTime now);
     /// The request ended, or its caller is gone; frees all it holds here.
     void release(std::string_view request, std::int64_t output_tokens, MonotonicTime now);
 
@@ -361,6 +365,8 @@
         std::string decode;
         MonotonicTime first_token;
         MonotonicTime prefill_end;
+        /// What is to be read of the prompt and of what was relayed.
+        std::int64_t tokens = 0;
         std::size_t candidates = 0;
     };
 
@@ -378,6 +384,7 @@
         NoPrefillEngine,
         Overflow,
     };
+    std::optional<Placement> find_cached(PlacementAsk const& ask, MonotonicTime now) const;
     std::optional<Placement> find_own_prefill(PlacementAsk const& ask, OwnPrefillNeed need, MonotonicTime now) const;
     bool may_read_itself(Engine const& engine, PlacementAsk const& ask, MonotonicTime now) const;
     bool is_overflow_due(PlacementAsk const& ask, MonotonicTime now) const;
@@ -455,6 +462,12 @@
     std::map<std::string, Granted, std::less<>> granted;
     /// Requests released lately: reports lag and still name them.
     std::map<std::string, MonotonicTime, std::less<>> released;
+    /// Where a prompt was read last, by its own part.
+    struct CachedPrompt {
+        std::string engine;
+        MonotonicTime since;
+    };
+    std::map<std::string, CachedPrompt, std::less<>> cached;
     std::vector<PlacementDecision> decisions;
 };
 
--- a/Libraries/LibDecision/CellSchedulerPlacement.cpp
+++ b/Libraries/LibDecision/CellSchedulerPlacement.cpp
@@ -94,6 +94,28 @@
     return engine.description.memory_tokens == 0 || this->forecast_of(engine, now).has_room_for(this->forecast_of(ask), Duration::zero(), this->usable_memory(engine), 1 + others);
 }
 
+// An engine that read this prompt before, for an answer that broke off or in the same session, still has it: it reads
+// no more than what the answer had so far.
+std::optional<CellScheduler::Placement> CellScheduler::find_cached(PlacementAsk const& ask, MonotonicTime now) const
+{
+    auto const known = ask.own_part.empty() ? this->cached.end() : this->cached.find(ask.own_part);
+    if (known == this->cached.end() || this->options.policy.decode_prefill == SchedulerPolicy::DecodePrefill::Off)
+        return {};
+    auto const found = this->engines.find(known->second.engine);
+    if (found == this->engines.end() || !this->may_take(found->second, EngineRole::Decode, ask, now))
+        return {};
+    auto const& engine = found->second;
+    Placement placement;
+    placement.decode = found->first;
+    placement.tokens = std::max(ask.relayed_tokens, LONGEST_OWN_PIECE);
+    placement.prefill_end = this->busy_until(engine, now) + this->reading_time(engine, placement.tokens) + this->pace_of(engine).latency();
+    placement.first_token = placement.prefill_end + engine.step_time;
+    placement.candidates = 1;
+    if (!this->has_room(engine, ask, now, placement.prefill_end))
+        return {};
+    return placement;
+}
+
 std::optional<CellScheduler::Placement> CellScheduler::find_own_prefill(PlacementAsk const& ask, OwnPrefillNeed need, MonotonicTime now) const
 {
     std::vector<PlacementCandidate> candidates;
@@ -112,6 +134,7 @@
     Placement placement;
     placement.decode = chosen.engine;
     placement.prefill_end = chosen.ready;
+    placement.tokens = ask.prompt_tokens + ask.relayed_tokens;
     placement.first_token = chosen.ready + this->engines.find(chosen.engine)->second.step_time;
     placement.candidates = candidates.size();
     return placement;
@@ -149,7 +172,9 @@
 
 CellScheduler::ScheduleStep CellScheduler::schedule_one(std::size_t index, MonotonicTime now)
 {
-    auto placement = this->find_placement(this->waiting[index], now);
+    auto placement = this->find_cached(this->waiting[index], now);
+    if (!placement || !this->is_on_time(*placement, this->waiting[index]))
+        placement = this->find_placement(this->waiting[index], now);
     bool const is_split_on_time = placement && this->is_on_time(*placement, this->waiting[index]);
     if (!is_split_on_time && this->is_overflow_due(this->waiting[index], now)) {
         auto const own = this->find_own_prefill(this->waiting[index], OwnPrefillNeed::Overflow, now);
@@ -466,6 +491,7 @@
     auto const& chosen = candidates[this->options.policy.choose_prefill(candidates)];
     Placement placement;
     placement.prefill = chosen.engine;
+    placement.tokens = ask.prompt_tokens + ask.relayed_tokens;
     placement.prefill_end = chosen.ready;
     placement.candidates = candidates.size();
     return this->find_decode(ask, std::move(placement), now);
@@ -549,7 +575,9 @@
     granted.predicted_first_token = placement.first_token;
     auto& decode = this->engines.find(placement.decode)->second;
     auto& reader = prefill != this->engines.end() ? prefill->second : decode;
-    reader.prefills.push_back({ ask.request, ask.prompt_tokens + ask.relayed_tokens, now, !reader.prefills.empty() });
+    // What is read of a cached prompt says nothing of the pace.
+    bool const is_cached = placement.tokens < ask.prompt_tokens + ask.relayed_tokens;
+    reader.prefills.push_back({ ask.request, placement.tokens, now, is_cached || !reader.prefills.empty() });
     this->hold_slot(decode, ask.request);
     for (auto* engine : { prefill != this->engines.end() ? &prefill->second : nullptr, &decode }) {
         if (engine && engine->failures_in_a_row > 0)
--- /dev/null
+++ b/Libraries/LibRouter/CacheReader.cpp
@@ -0,0 +1,82 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibCore/Clock.h>
+#include <LibCore/LogLine.h>
+#include <LibRouter/CacheReader.h>
+#include <set>
+
+namespace Spurtide {
+
+namespace {
+
+/// Names of some thousand parts.
+constexpr std::size_t LARGEST_LIST = 1024UL * 1024;
+
+}
+
+CacheReader::CacheReader(Options options, RouterState& state, Hooks hooks)
+    : options(options)
+    , state(state)
+    , hooks(std::move(hooks))
+{
+}
+
+void CacheReader::start()
+{
+    asio::co_spawn(this->state.loop, this->run(), asio::detached);
+}
+
+asio::awaitable<void> CacheReader::run()
+{
+    std::optional<MonotonicTime> keeper_since;
+    std::set<std::string> asked;
+    asio::steady_timer timer(this->state.loop);
+    while (true) {
+        timer.expires_after(this->options.look);
+        asio::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        auto const now = monotonic_now();
+        if (!this->hooks.is_keeper()) {
+            keeper_since.reset();
+            asked.clear();
+            continue;
+        }
+        if (!keeper_since)
+            keeper_since = now;
+        if (now - *keeper_since < this->options.keeper_for)
+            continue;
+        // They enter the list one by one.
+        auto const records = this->state.upstreams.records();
+        for (auto const& record : records) {
+            bool const is_decoding = record.role == EngineRole::Decode && record.life == UpstreamRecord::Life::Serving;
+            if (is_decoding && asked.insert(record.identity).second)
+                co_await this->read(record);
+        }
+    }
+}
+
+asio::awaitable<void> CacheReader::read(UpstreamRecord engine)
+{
+    auto const address = parse_address(engine.address);
+    if (!address)
+        co_return;
+    HttpRequest request { this->state.dialect.cached_prompts_head(engine.address), {} };
+    ConnectionPool::Call options;
+    options.timeout = this->options.timeout;
+    options.largest_body = LARGEST_LIST;
+    auto const answer = co_await this->state.pool.call(*address, std::move(request), std::move(options));
+    if (answer.is_error() || answer.value().head.status != 200 || !answer.value().body) {
+        LogLine("cached_prompts_unread").with("engine", engine.identity).with("reason", answer.is_error() ? to_string(answer.error()) : "status_or_body");
+        co_return;
+    }
+    auto const parts = this->state.dialect.read_cached_prompts(*answer.value().body);
+    if (parts.is_error()) {
+        LogLine("cached_prompts_unread").with("engine", engine.identity).with("reason", "malformed");
+        co_return;
+    }
+    LogLine("cached_prompts_read").with("engine", engine.identity).with("count", static_cast<std::int64_t>(parts.value().size()));
+    this->hooks.on_cached(engine.identity, parts.value());
+}
+
+}
--- a/Libraries/LibRouter/CallerDialect.h
+++ b/Libraries/LibRouter/CallerDialect.h
@@ -29,6 +29,9 @@
     /// Asks an engine what it is doing.
     virtual HttpRequestHead engine_status_head(std::string_view engine_address) const = 0;
     virtual Result<EngineStatus, UpstreamFault> read_engine_status(std::string_view body) const = 0;
+    /// Asks an engine for the parts of prompts that it has in memory.
+    virtual HttpRequestHead cached_prompts_head(std::string_view engine_address) const = 0;
+    virtual Result<std::vector<std::string>, UpstreamFault> read_cached_prompts(std::string_view body) const = 0;
     virtual HttpRequest role_order(std::string_view engine_address, RoleOrder const& order) const = 0;
 };
 
--- a/Libraries/LibRouter/CallerRequest.h
+++ b/Libraries/LibRouter/CallerRequest.h
@@ -19,6 +19,8 @@
     std::int64_t maximum_output_tokens = 0;
     /// The caller's guess of the answer's length; 0 where it made none. Right in the median, often far off.
     std::int64_t expected_output_tokens = 0;
+    /// Names the part of the prompt that no other session has; empty where the caller names none.
+    std::string own_part {};
 };
 
 /// A caller's request as far as the router decides by it.
--- a/Libraries/LibRouter/EngineKeeper.cpp
+++ b/Libraries/LibRouter/EngineKeeper.cpp
@@ -33,6 +33,7 @@
     ask.priority = message.priority();
     ask.data_centre = message.data_centre();
     ask.longest_pause = Duration(message.longest_pause_microseconds());
+    ask.own_part = message.own_part();
     ask.first_token_deadline = now + Duration(message.first_token_within_microseconds());
     if (message.decide_within_microseconds() > 0)
         ask.decide_by = now + Duration(message.decide_within_microseconds());
@@ -166,6 +167,7 @@
         ask.prompt_tokens = record.prompt_tokens();
         ask.maximum_output_tokens = record.maximum_output_tokens();
         ask.expected_output_tokens = record.expected_output_tokens();
+        ask.own_part = record.own_part();
         this->scheduler.restore(std::move(ask), record.prefill_engine(), record.decode_engine(), read_progress(record.progress()), Duration(record.age_microseconds()), now);
     }
 }
--- a/Libraries/LibRouter/EngineKeeper.h
+++ b/Libraries/LibRouter/EngineKeeper.h
@@ -27,6 +27,8 @@
     /// Takes the engines from the configuration and the list of upstreams.
     void set_engines(RoutingConfiguration const& configuration, UpstreamList const& upstreams);
 
+    /// The engine has the prompts with these parts in memory.
+    void note_cached(std::string_view engine, std::span<std::string const> own_parts) { this->scheduler.note_cached(engine, own_parts, this->hooks.clock()); }
     void handle(wire::Envelope const& request, Kernel::Responder const& respond);
 
     struct Hooks {
--- a/Libraries/LibRouter/PlacementClient.cpp
+++ b/Libraries/LibRouter/PlacementClient.cpp
@@ -96,6 +96,7 @@
     message->set_priority(static_cast<std::int32_t>(ask.priority));
     message->set_data_centre(ask.data_centre);
     message->set_longest_pause_microseconds(ask.longest_pause.count());
+    message->set_own_part(ask.own_part);
     for (auto const& engine : ask.excluded_engines)
         message->add_excluded_engines(engine);
     return envelope;
@@ -206,6 +207,7 @@
         record->set_prompt_tokens(held.ask.prompt_tokens + held.ask.relayed_tokens);
         record->set_maximum_output_tokens(held.ask.maximum_output_tokens);
         record->set_expected_output_tokens(held.ask.expected_output_tokens);
+        record->set_own_part(held.ask.own_part);
         record->set_progress(wire_progress(held.phase));
         record->set_age_microseconds(std::chrono::duration_cast<Duration>(now - held.since).count());
     }
--- a/Libraries/LibRouter/StreamFlow.cpp
+++ b/Libraries/LibRouter/StreamFlow.cpp
@@ -78,6 +78,7 @@
     this->add_unreachable(ask.excluded_engines);
     ask.data_centre = this->state.data_centre;
     ask.longest_pause = this->route.pause_target;
+    ask.own_part = prompt.own_part;
     auto const within = this->time_to_place();
     this->wait = std::make_shared<PlacementClient::Ask>(this->state.loop.get_executor());
     auto decision = co_await this->state.placement->ask(std::move(ask), this->wait, within.to_decide, within.to_first_token);
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -106,6 +106,10 @@
     this->relay = std::make_unique<RegistryRelay>(RegistryRelay::Options { this->settings.data_centre }, *this->kernel, this->state.upstreams, this->relay_hooks());
     this->placement = std::make_unique<PlacementClient>(PlacementClient::Options {}, *this->kernel);
     this->keeper = std::make_unique<EngineKeeper>(scheduler_options(this->settings), *this->kernel, this->metrics, this->loop);
+    CacheReader::Hooks cache_hooks;
+    cache_hooks.is_keeper = [this] { return this->state.routes && this->placement->is_keeper(); };
+    cache_hooks.on_cached = [this](auto engine, auto own_parts) { this->keeper->note_cached(engine, own_parts); };
+    this->cache_reader = std::make_unique<CacheReader>(CacheReader::Options {}, this->state, std::move(cache_hooks));
     this->state.placement = this->placement.get();
     this->state.live_virtual_machines = [this] { return std::max<std::size_t>(1, this->kernel->directory().virtual_machines_with("placement").size()); };
     this->state.stop_time = [this]() -> std::optional<StopTime> {
@@ -139,6 +143,7 @@
     this->keeper->start();
     if (this->roles)
         this->roles->start();
+    this->cache_reader->start();
     this->follower->start();
     this->kernel->every(seconds(1), [this] { this->every_second(); });
     this->kernel->every(LAPSE_CHECK, [this] { this->drop_lapsed(); });
--- a/Services/NodeServer/Node.h
+++ b/Services/NodeServer/Node.h
@@ -5,6 +5,7 @@
 
 #include <LibAsync/HttpServer.h>
 #include <LibCore/Metrics.h>
+#include <LibRouter/CacheReader.h>
 #include <LibRouter/EngineKeeper.h>
 #include <LibRouter/Entry.h>
 #include <LibRouter/PlacementClient.h>
@@ -85,6 +86,7 @@
     std::unique_ptr<EngineKeeper> keeper;
     /// Empty where engines keep the roles that they have.
     std::unique_ptr<RoleKeeper> roles;
+    std::unique_ptr<CacheReader> cache_reader;
     std::unique_ptr<RegistryFollower> follower;
     std::unique_ptr<HttpServer> callers;
     std::unique_ptr<HttpServer> operations;
--- a/Tests/LibDecision/TestOwnPrefill.cpp
+++ b/Tests/LibDecision/TestOwnPrefill.cpp
@@ -206,3 +206,59 @@
     REQUIRE(fresh != order.end());
     CHECK(fresh - order.begin() <= 4);
 }
+
+TEST_CASE("A prompt that an engine has in memory is not read again", "[cached]")
+{
+    Pool pool(SchedulerPolicy::DecodePrefill::Overflow);
+    auto const ask = [&](std::string request, std::int64_t now, std::string part) {
+        auto made = pool.make_ask(std::move(request), now, 3000);
+        made.own_part = std::move(part);
+        return made;
+    };
+    pool.scheduler.ask(ask("first", 0, "s1"), at_milliseconds(0));
+    auto const where = pool.take().at("first");
+    REQUIRE(where.starts_with("p0>"));
+    pool.run("first", 95);
+    // Its caller comes back after the answer broke off, with a crowd before the prefill engine.
+    pool.scheduler.release("first", 100, at_milliseconds(500));
+    burst(pool, 16, 3000);
+    pool.scheduler.ask(ask("again", 600, "s1"), at_milliseconds(600));
+    CHECK(pool.take().at("again") == "itself" + where.substr(2));
+
+    SECTION("An engine that leaves is passed over")
+    {
+        pool.scheduler.set_leaving(where.substr(3), EngineReport::Life::Leaving);
+        pool.scheduler.ask(ask("third", 4000, "s1"), at_milliseconds(4000));
+        CHECK(pool.take()["third"] != "itself" + where.substr(2));
+    }
+    SECTION("So is one that failed the request")
+    {
+        auto made = ask("third", 4000, "s1");
+        made.excluded_engines = { where.substr(3) };
+        pool.scheduler.ask(std::move(made), at_milliseconds(4000));
+        CHECK(pool.take()["third"] != "itself" + where.substr(2));
+    }
+    SECTION("What was read long ago has given way")
+    {
+        for (int i = 0; i < 16; ++i)
+            pool.scheduler.release("r" + std::to_string(i), 0, at_milliseconds(5000));
+        pool.scheduler.advance(at_milliseconds(30'000));
+        pool.scheduler.ask(ask("third", 30'000, "s1"), at_milliseconds(30'000));
+        CHECK(pool.take()["third"].starts_with("p0>"));
+    }
+}
+
+TEST_CASE("A keeper that is new in office takes the engines' word for what they have", "[cached][kill]")
+{
+    Pool pool(SchedulerPolicy::DecodePrefill::Overflow);
+    pool.scheduler.note_cached("d1", std::vector<std::string> { "shared", "s7" }, at_milliseconds(0));
+    auto made = pool.make_ask("back", 10, 3000);
+    made.own_part = "s7";
+    pool.scheduler.ask(std::move(made), at_milliseconds(10));
+    auto other = pool.make_ask("other", 10, 3000);
+    other.own_part = "s8";
+    pool.scheduler.ask(std::move(other), at_milliseconds(10));
+    auto const decisions = pool.take();
+    CHECK(decisions.at("back") == "itself>d1");
+    CHECK(decisions.at("other").starts_with("p0>"));
+}
--- a/Tests/Platform/NodeUnderTest.cpp
+++ b/Tests/Platform/NodeUnderTest.cpp
@@ -96,7 +96,8 @@
     auto made = this->request("POST", std::move(target), std::move(identifier));
     made.head.headers.add("X-Spurtide-Model", "m");
     made.head.headers.add("X-Spurtide-Token-Count", "1000,50");
-    made.head.headers.add("X-Spurtide-Prompt-Prefix", "aa:200,bb:800");
+    // Each request is a session of its own.
+    made.head.headers.add("X-Spurtide-Prompt-Prefix", "aa:200,own-" + std::string(made.head.headers.find("X-Spurtide-Attempt-Id").value_or("")) + ":800");
     made.body = "the prompt";
     made.head.headers.add("Content-Length", std::to_string(made.body.size()));
     return made;
--- a/Tests/Platform/TestNode.cpp
+++ b/Tests/Platform/TestNode.cpp
@@ -317,6 +317,49 @@
     REQUIRE(answer.body == "id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\nid: 3\ndata: piece 3\n\nid: 4\ndata: piece 4\n\nid: 5\ndata: piece 5\n\n");
 }
 
+// The pattern: a VM dies, and the callers of its streams come back to others.
+TEST_CASE("A caller that comes back goes on where its prompt is, and the prompt is read once", "[whole][kill]")
+{
+    NodeUnderTest test;
+    UpstreamStandIn prefill(test.loop, "i-p", "prefill");
+    UpstreamStandIn one(test.loop, "i-1", "decode");
+    UpstreamStandIn two(test.loop, "i-2", "decode");
+    test.configure(1);
+    for (auto const* engine : { &prefill, &one, &two })
+        test.list(*engine, "engines");
+    REQUIRE(test.call(test.model_request("/resumable/x", "s1")).head.status == 200);
+    auto& first = one.run.empty() ? two : one;
+    auto again = test.model_request("/resumable/x", "s1");
+    again.head.headers.add("Last-Event-Id", "3");
+    auto const answer = test.call(std::move(again));
+    REQUIRE(answer.head.status == 200);
+    REQUIRE(answer.body == "id: 4\ndata: piece 4\n\nid: 5\ndata: piece 5\n\n");
+    CHECK(first.run == std::vector<std::string> { "s1", "s1" });
+    CHECK(prefill.handles.size() == 1);
+    CHECK_FALSE(first.requests.back().head.headers.find("X-Spurtide-Kv-Source"));
+}
+
+// The pattern: all VMs die at once, and their callers come back together to VMs that know of nothing.
+TEST_CASE("A keeper that is new in office sends callers where their prompts are", "[kill]")
+{
+    NodeUnderTest test;
+    UpstreamStandIn prefill(test.loop, "i-p", "prefill");
+    UpstreamStandIn one(test.loop, "i-1", "decode");
+    UpstreamStandIn two(test.loop, "i-2", "decode");
+    two.cached = { "aa", "own-s1" };
+    test.configure(1);
+    for (auto const* engine : { &prefill, &one, &two })
+        test.list(*engine, "engines");
+    REQUIRE(test.run_until([&] { return one.cached_asked > 0 && two.cached_asked > 0; }));
+    REQUIRE(test.call(test.model_request("/resumable/x", "s1")).head.status == 200);
+    CHECK(two.run == std::vector<std::string> { "s1" });
+    CHECK(prefill.handles.empty());
+    // Of another session only the shared part is there.
+    REQUIRE(test.call(test.model_request("/resumable/x", "s2")).head.status == 200);
+    CHECK(prefill.handles.size() == 1);
+    CHECK(one.cached_asked == 1);
+}
+
 TEST_CASE("A stream that cannot go on does not look whole", "[whole][kill]")
 {
     NodeUnderTest test;
--- a/Tests/Platform/TestPlatformDialect.cpp
+++ b/Tests/Platform/TestPlatformDialect.cpp
@@ -98,6 +98,27 @@
     REQUIRE_FALSE(decode.headers.contains("X-Spurtide-Serving-Phase"));
 }
 
+TEST_CASE("The own part of a prompt is its last one, and an engine's list of parts is read whole or not at all")
+{
+    PlatformDialect const dialect;
+    HttpRequestHead head { "POST", "/x", {} };
+    head.headers.add("X-Spurtide-Attempt-Id", "a");
+    head.headers.add("X-Spurtide-Token-Count", "1460,80");
+    head.headers.add("X-Spurtide-Prompt-Prefix", "5c1e07a2:800,91bd3f06:410,e4402b7d:250");
+    auto const request = dialect.read_request(head);
+    REQUIRE_FALSE(request.is_error());
+    CHECK(request.value().prompt->own_part == "e4402b7d");
+
+    auto const parts = dialect.read_cached_prompts(R"({"epoch":"e","next_token":4,"held":[["","5c1e07a2",800,"m"],["","e4402b7d",250,"m"]]})");
+    REQUIRE_FALSE(parts.is_error());
+    CHECK(parts.value() == std::vector<std::string> { "5c1e07a2", "e4402b7d" });
+    auto const bad = GENERATE("", "[]", "{}", R"({"held":1})", R"({"held":[1]})", R"({"held":[["",1]]})", R"({"held":[[""]]})");
+    CAPTURE(bad);
+    auto const fault = dialect.read_cached_prompts(bad);
+    REQUIRE(fault.is_error());
+    CHECK(fault.error() == UpstreamFault::MalformedBody);
+}
+
 TEST_CASE("The configuration row is read whole, with defaults for what it leaves out")
 {
     auto const read = read_configuration_row(R"({"version":7,"routes":[{"name":"r","hostname":"h","path_prefix":"/p/","route_kind":"streaming","timeout_ms":14000,"slo_ms":900,"priority":1,"service":"s","max_attempts":2,"resumable":true,"gap_slo_ms":300},
--- a/Tests/Platform/UpstreamStandIn.cpp
+++ b/Tests/Platform/UpstreamStandIn.cpp
@@ -32,6 +32,10 @@
 
 asio::awaitable<void> UpstreamStandIn::answer(HttpExchange& exchange)
 {
+    if (exchange.request().head.target == "/v1/kv-list") {
+        co_await this->list_cached(exchange);
+        co_return;
+    }
     this->requests.push_back(exchange.request());
     auto const& head = exchange.request().head;
     std::string const request(head.headers.find("X-Spurtide-Attempt-Id").value_or(""));
@@ -74,6 +78,19 @@
     static_cast<void>(co_await exchange.respond(this->answer_head(exchange, 200), body));
 }
 
+asio::awaitable<void> UpstreamStandIn::list_cached(HttpExchange& exchange)
+{
+    ++this->cached_asked;
+    HttpResponseHead head;
+    head.status = 200;
+    nlohmann::json held = nlohmann::json::array();
+    for (auto const& part : this->cached)
+        held.push_back({ "", part, 800, "m" });
+    nlohmann::json const body { { "epoch", "e" }, { "next_token", 0 }, { "held", held } };
+    std::string const text = body.dump();
+    static_cast<void>(co_await exchange.respond(std::move(head), text));
+}
+
 asio::awaitable<void> UpstreamStandIn::report(HttpExchange& exchange)
 {
     ++this->statuses_asked;
--- a/Tests/Platform/UpstreamStandIn.h
+++ b/Tests/Platform/UpstreamStandIn.h
@@ -41,6 +41,9 @@
     /// Orders taken, as they came.
     std::vector<nlohmann::json> orders;
     int statuses_asked = 0;
+    /// Parts of prompts that it says it has in memory, and how often it was asked for them.
+    std::vector<std::string> cached;
+    int cached_asked = 0;
 
     /// The head of an answer to the exchange's request.
     HttpResponseHead answer_head(HttpExchange const& exchange, int status) const;
@@ -49,6 +52,7 @@
     asio::awaitable<void> answer(HttpExchange& exchange);
     asio::awaitable<void> take_order(HttpExchange& exchange);
     asio::awaitable<void> report(HttpExchange& exchange);
+    asio::awaitable<void> list_cached(HttpExchange& exchange);
     asio::awaitable<void> prefill(HttpExchange& exchange, std::string const& request);
     asio::awaitable<void> stream(HttpExchange& exchange, std::string const& request);
 
