--- a/Libraries/LibDecision/RoleBalancer.h
+++ b/Libraries/LibDecision/RoleBalancer.h
@@ -60,8 +60,9 @@
 class RoleBalancer {
 public:
     struct Options {
-        /// Part of the engines that read prompts while nothing is known. With decode engines that read half as fast
-        /// a pool of nine loses at most a third to the best division at any lengths (see the tests' grid).
+        /// Part of the engines that read prompts while nothing is known. Since decode engines read half as fast, a pool
+        /// of nine serves at least 0.68 of what the best division serves, and one of 90 at least 0.60, worked out with
+        /// throughput() over all ratios of reading to answering.
         double start_share = 0.2;
         /// Requests of late that tell what requests are like.
         double fewest_requests = 30;
