--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -25,8 +25,8 @@
 constexpr Duration SHORTEST_LEASE = milliseconds(3000);
 /// The rest is for connections to upstreams, other VMs and the registry.
 constexpr std::int64_t CALLERS_PART_OF_DESCRIPTORS = 2;
-/// Steps get longer as engines fill up, by some 15 % from half to full batches of today's engines, and are measured as
-/// means of whole answers.
+/// Steps get longer as engines fill up, and are measured as means of whole answers: with 5.09 ms and 0.0303 ms a request
+/// a full batch of 64 takes 16 % longer than a half one, worked out and rounded up.
 constexpr double PACE_ERROR = 0.2;
 /// Left of the grace time when the rest is cut off.
 constexpr Duration STOP_MARGIN = milliseconds(400);
