--- a/Libraries/LibDecision/CellScheduler.cpp
+++ b/Libraries/LibDecision/CellScheduler.cpp
@@ -435,7 +435,7 @@
     granted.named_at = now;
     granted.decode_from = now - age;
     this->hold_slot(decode->second, ask.request);
-    auto const prefill = this->engines.find(prefill_engine.empty() ? decode_engine : prefill_engine);
+    auto const prefill = this->engines.find(granted.reader());
     if (progress == GrantProgress::Prefilling && prefill != this->engines.end())
         prefill->second.prefills.push_back({ ask.request, ask.prompt_tokens, now, true });
     auto const request = ask.request;
@@ -468,7 +468,7 @@
     // NOTE: The name is a copy since the caller's may live in the node that is erased.
     auto const found = this->granted.find(request);
     VERIFY(found != this->granted.end());
-    this->end_prefill(found->second.prefill_engine.empty() ? found->second.decode_engine : found->second.prefill_engine, request, now);
+    this->end_prefill(found->second.reader(), request, now);
     this->released.insert_or_assign(request, now);
     this->free_slot(found->second.decode_engine, request);
     this->granted.erase(found);
--- a/Libraries/LibDecision/CellScheduler.h
+++ b/Libraries/LibDecision/CellScheduler.h
@@ -352,6 +352,9 @@
         MonotonicTime named_at;
         MonotonicTime predicted_first_token;
         MonotonicTime decode_from;
+
+        /// The engine that reads the prompt: where no prefill engine does, the one that answers.
+        std::string const& reader() const { return this->prefill_engine.empty() ? this->decode_engine : this->prefill_engine; }
     };
 
     struct Account {
