LibRouter: Let the VMs that watch the registry tell the configuration too

Cause: each VM watched the configuration itself. At 295 VMs a version is 295 reads of the store, and while the store turns some VMs away or is gone each VM asks twice a second for each of two watches.

Change: whoever watches the upstreams watches the configuration as well and tells its version; each VM asks its own one of three watchers for the document, once and compressed (zlib). VMs of a data centre stand in one order: where the watchers say nothing the next six take over after 0.9 s, all others after 1.8 s with tries that they share, and whoever hears of the registry tells all others. While the registry is away one of the two loops tries.

Ruled out: reading the document from the store after a peer told the version (one read a VM and version stays); handing it on as it is (100 KB and more on links of 10 to 20 Mbit/s); all VMs taking over at once (two thirds of them would tell the rest each 0.4 s).

--- a/Libraries/LibDecision/PeerNewsTracker.cpp
+++ b/Libraries/LibDecision/PeerNewsTracker.cpp
@@ -13,7 +13,9 @@
         return false;
     if (!this->awaited)
         this->awaited = Awaited { peers_version, now };
-    bool const may_come_by_itself = source == OwnSource::Well && now - this->awaited->since < this->options.patience;
+    auto const waited = now - this->awaited->since;
+    bool const may_come_by_itself = (source == OwnSource::Well && waited < this->options.patience)
+        || (source == OwnSource::Watchers && waited < this->options.patience_with_watchers);
     bool const is_under_way = this->last_fetch && now - *this->last_fetch < this->options.fetch_interval;
     if (may_come_by_itself || is_under_way)
         return false;
--- a/Libraries/LibDecision/PeerNewsTracker.h
+++ b/Libraries/LibDecision/PeerNewsTracker.h
@@ -17,12 +17,16 @@
         /// How long this VM's own source may take to bring what a peer has. A fraction of the time within which news
         /// have to be in force (2 s on today's deployments), of which hearing of them takes half a second.
         Duration patience = milliseconds(300);
+        /// How long the peers that watch for this VM may take: a round of their messages and an answer.
+        Duration patience_with_watchers = milliseconds(600);
         /// Between two fetches: a first one may still be under way.
         Duration fetch_interval = milliseconds(250);
     };
 
     enum class OwnSource {
         Well,
+        /// Others watch for this VM; what one of them knows is asked of that one.
+        Watchers,
         /// What a peer knows will not come by itself.
         Away,
     };
--- a/Libraries/LibDecision/WatchPlan.h
+++ b/Libraries/LibDecision/WatchPlan.h
@@ -17,21 +17,30 @@
 /// while their lists differ, some more or fewer watch.
 std::vector<std::string> choose_watchers(std::span<std::string const> virtual_machines, std::size_t count);
 
-/// Whether one VM has to watch the registry itself. One that is no watcher does so until the watchers told it news
-/// regularly, and as soon as they don't. Pure: time is passed in.
+/// Whether one VM has to watch the registry itself. The VMs of a data centre stand in an order that all agree on: the
+/// first ones watch and tell the others. Where these say nothing, since the registry turned them away or they are gone,
+/// the next few take over at once and all others somewhat later, and whoever then hears of the registry tells
+/// the others. So a registry that is away is asked by a few VMs often and by the others seldom, and one that serves some
+/// VMs and refuses others is known to all of them. Pure: time is passed in.
 class WatchPlan {
 public:
     struct Options {
         /// Watchers of a data centre: two may fail at once, and the third bridges the time until others take over.
         std::size_t watchers = 3;
+        /// The next in the order: where a third of the VMs is refused, one in 27 groups of three is, and one in 700 of six.
+        std::size_t first_stand_ins = 6;
         /// Smaller data centres have no use for telling: all of their VMs watch.
         std::size_t smallest_data_centre = 6;
         /// Watchers tell at least this often.
         Duration tell_interval = milliseconds(400);
         /// Two messages that did not come, from any watcher.
         Duration silence = milliseconds(900);
+        /// For those behind the first stand-ins, which take up to half of it to hear of the registry and tell.
+        Duration longer_silence = milliseconds(1800);
         /// Told regularly for so long, a VM stops to watch.
         Duration settling = milliseconds(1500);
+        /// Tries that the VMs of a data centre which are no watchers make together while the registry is away.
+        double stand_in_tries_per_second = 12;
     };
 
     enum class Part {
@@ -43,24 +52,46 @@
 
     /// Takes the live VMs of the data centre, this one among them.
     void set_virtual_machines(std::vector<std::string> virtual_machines);
-    /// A watcher told its news.
-    void note_told(MonotonicTime now);
+    /// A VM told its news.
+    void note_told(std::string_view teller, MonotonicTime now);
+    enum class Company {
+        Others,
+        /// None of the other VMs can be reached just now, so none tells.
+        None,
+    };
+    void set_company(Company company) { this->present_company = company; }
 
     Part part() const { return this->own_part; }
     /// Whether this VM watches the registry itself.
     bool watches(MonotonicTime now) const;
-    /// The VMs that this watcher tells; none where all watch.
+    /// Whether another VM told news lately, be it one that this VM does not rely on.
+    bool is_told(MonotonicTime now) const;
+    /// The VMs that this one tells when it watches and hears of the registry: all others, since any of them may be
+    /// refused by the registry. None where all watch.
     std::vector<std::string> const& listeners() const { return this->told; }
+    /// The watcher that this VM asks for what is long, so that each of them is asked by as many; empty where all watch.
+    std::string const& own_watcher() const { return this->preferred_watcher; }
+    /// The longest pause between two tries while the registry is away.
+    Duration longest_pause(Duration usual) const;
     Duration tell_interval() const { return this->options.tell_interval; }
 
 private:
+    Duration silence_borne() const;
+
     Options options;
     std::string own_virtual_machine;
     Part own_part = Part::Watcher;
+    Company present_company = Company::Others;
     std::vector<std::string> virtual_machines;
+    /// The same in the order in which they watch.
+    std::vector<std::string> order;
+    std::size_t own_rank = 0;
     std::vector<std::string> told;
+    std::string preferred_watcher;
     std::optional<MonotonicTime> told_since;
+    /// By one that this VM relies on, and by any.
     std::optional<MonotonicTime> last_told;
+    std::optional<MonotonicTime> last_heard;
 };
 
 }
--- a/Libraries/LibRouter/RegistryFollower.cpp
+++ b/Libraries/LibRouter/RegistryFollower.cpp
@@ -41,14 +41,16 @@
     asio::co_spawn(this->loop, this->follow_upstreams(), asio::detached);
 }
 
-// Doubles with each failure in a row, up to a limit, and differs by VM and turn.
+// Doubles with each failure in a row, up to a limit, and differs by VM and turn. VMs that stand in for others share
+// their tries from the first one on.
 asio::awaitable<void> RegistryFollower::pause(int failures)
 {
     auto const doubled = this->options.first_pause * (1 << std::min(failures, MOST_DOUBLINGS));
-    auto const longest = std::min(this->options.longest_pause, Duration(doubled));
+    auto const usual = std::min(this->options.longest_pause, Duration(doubled));
+    auto const shared = to_seconds(this->hooks.longest_pause(this->options.longest_pause)) / to_seconds(this->options.longest_pause);
     auto const seed = this->options.spread + static_cast<std::uint64_t>(failures);
     auto const percent = 50 + static_cast<std::int64_t>(XXH3_64bits(&seed, sizeof(seed)) % 50);
-    co_await this->sleep(longest * percent / 100);
+    co_await this->sleep(from_seconds(to_seconds(usual) * shared * static_cast<double>(percent) / 100));
 }
 
 asio::awaitable<void> RegistryFollower::sleep(Duration duration)
@@ -58,14 +60,20 @@
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
-asio::awaitable<void> RegistryFollower::wait_until_it_watches()
+asio::awaitable<void> RegistryFollower::wait_until_it_watches(std::string_view what)
 {
-    if (this->hooks.watches_upstreams())
+    if (this->hooks.watches())
         co_return;
-    LogLine("registry_watch_left_to_others").with("version", this->hooks.upstreams_version());
-    while (!this->hooks.watches_upstreams())
+    LogLine("registry_watch_left_to_others").with("what", what);
+    while (!this->hooks.watches())
+        co_await this->sleep(this->options.idle_check);
+    LogLine("registry_watch_taken_up").with("what", what);
+}
+
+asio::awaitable<void> RegistryFollower::wait_until_upstreams_are_heard()
+{
+    while (!this->upstreams_followed)
         co_await this->sleep(this->options.idle_check);
-    LogLine("registry_watch_taken_up").with("version", this->hooks.upstreams_version());
 }
 
 asio::awaitable<void> RegistryFollower::follow_configuration()
@@ -74,6 +82,8 @@
     int failures = 0;
     while (true) {
         Result<ConfigurationNews, PlatformError> news = Failure { PlatformError::Unavailable };
+        if (position)
+            co_await this->wait_until_it_watches("configuration");
         if (position)
             news = co_await this->registry.watch_configuration(*position, wait_after(failures, this->options.configuration_watch));
         else
@@ -88,6 +98,7 @@
             }
             log_failure("configuration", news.error(), ++failures);
             co_await this->pause(failures);
+            co_await this->wait_until_upstreams_are_heard();
             continue;
         }
         if (failures > 0)
@@ -112,7 +123,7 @@
         bool has_failed = false;
         bool has_news = false;
         if (position) {
-            co_await this->wait_until_it_watches();
+            co_await this->wait_until_it_watches("upstreams");
             position = std::max(*position, this->hooks.upstreams_version());
             auto const news = co_await this->registry.watch_upstreams(*position, wait_after(failures, this->options.upstreams_watch));
             has_failed = news.is_error();
--- a/Libraries/LibRouter/RegistryFollower.h
+++ b/Libraries/LibRouter/RegistryFollower.h
@@ -9,14 +9,14 @@
 namespace Spurtide {
 
 /// Follows the registry by watches, and reads the whole again where history is gone. Each of its two loops
-/// tells what is new, and whether the registry can be read.
+/// tells what is new, and whether the registry can be read. While it cannot, the loop of the upstreams alone tries.
 class RegistryFollower {
 public:
     struct Options {
         /// How long one watch of the upstreams waits for news. Short enough to notice a registry that is silent.
         Duration upstreams_watch = seconds(4);
-        /// Of the configuration, which changes seldom, and of whose changes peers tell as well.
-        Duration configuration_watch = seconds(10);
+        /// Of the configuration. As short: others rely on what this VM hears.
+        Duration configuration_watch = seconds(4);
         /// After news, so that those which come together are told together.
         Duration gathering = milliseconds(200);
         /// How often a VM that does not watch looks whether it has to.
@@ -35,8 +35,10 @@
         std::function<void(UpstreamList::RegistryState)> on_upstreams_state;
         /// A call ended: what it was for, and the name of its error, or "answered".
         std::function<void(std::string_view what, std::string_view result)> on_call = [](auto, auto) {};
-        /// Whether this VM is to watch the upstreams; others may do it for this one.
-        std::function<bool()> watches_upstreams = [] { return true; };
+        /// Whether this VM is to watch the registry; others may do it for this one.
+        std::function<bool()> watches = [] { return true; };
+        /// The longest pause between two tries, where usually it would be so long.
+        std::function<Duration(Duration usual)> longest_pause = [](Duration usual) { return usual; };
         /// Up to where others told of them.
         std::function<std::int64_t()> upstreams_version = [] { return std::int64_t { 0 }; };
     };
@@ -55,7 +57,8 @@
     asio::awaitable<void> follow_upstreams();
     asio::awaitable<void> pause(int failures);
     asio::awaitable<void> sleep(Duration duration);
-    asio::awaitable<void> wait_until_it_watches();
+    asio::awaitable<void> wait_until_it_watches(std::string_view what);
+    asio::awaitable<void> wait_until_upstreams_are_heard();
 
     Options options;
     asio::io_context& loop;
--- a/Libraries/LibRouter/RegistryRelay.h
+++ b/Libraries/LibRouter/RegistryRelay.h
@@ -14,7 +14,8 @@
 namespace Spurtide {
 
 /// What the VMs tell each other of the registry's contents: any VM hands the configuration and the list of upstreams on
-/// to one that asks, and in larger data centres a few VMs watch the list and tell the others.
+/// to one that asks, and in larger data centres a few VMs watch the registry and tell the others: changes of the list
+/// themselves, of the configuration its version, since it is long and asked for once by each VM.
 class RegistryRelay {
 public:
     struct Hooks {
@@ -27,6 +28,8 @@
         /// Whether this VM itself hears of news from the registry.
         std::function<bool()> follows_configuration;
         std::function<bool()> follows_upstreams;
+        /// Whether any other VM answered lately.
+        std::function<WatchPlan::Company()> company = [] { return WatchPlan::Company::Others; };
     };
 
     struct Options {
@@ -40,14 +43,18 @@
     void host();
     void start();
     /// Keeps the configuration in force for peers that ask.
-    void keep(ConfigurationDocument document) { this->document = std::move(document); }
+    void keep(ConfigurationDocument kept);
 
     /// A peer told that it has a newer configuration, or a newer list.
     void hear_of_configuration(std::string const& endpoint, std::int64_t version);
     void hear_of_upstreams(std::string const& endpoint, std::int64_t version);
 
-    /// Whether this VM has to watch the upstreams itself.
+    /// Whether this VM has to watch the registry itself.
     bool watches() const;
+    /// Whether another VM that hears of the registry told of it lately.
+    bool is_told() const;
+    /// The longest pause between two tries of this VM while the registry is away.
+    Duration longest_pause(Duration usual) const { return this->plan.longest_pause(usual); }
     /// Tells the news, where it is this VM that watches for others.
     void tell();
 
@@ -55,10 +62,14 @@
     void every_interval();
     void answer(wire::Envelope const& request, Kernel::Responder const& respond);
     void take_news(wire::RegistryNews const& news);
+    void take_upstreams_news(wire::RegistryNews const& news);
+    void take_configuration(wire::ConfigurationContent const& content, std::string_view source);
+    PeerNewsTracker::OwnSource configuration_source() const;
+    std::string const& compressed_document();
     void take_listing(UpstreamListing const& listing, std::string_view source);
     void fetch_configuration(std::string const& endpoint);
     void fetch_upstreams(std::string const& endpoint);
-    wire::Envelope configuration_reply(std::int64_t known) const;
+    wire::Envelope configuration_reply(std::int64_t known);
     wire::Envelope upstreams_reply(std::int64_t known) const;
 
     Kernel& kernel;
@@ -70,6 +81,8 @@
     PeerNewsTracker configuration_news { PeerNewsTracker::Options {} };
     PeerNewsTracker upstreams_news { PeerNewsTracker::Options {} };
     ConfigurationDocument document;
+    /// The same for peers; empty until one asks.
+    std::string compressed;
     std::int64_t told_version = 0;
 };
 
--- a/Meta/install-dependencies.sh
+++ b/Meta/install-dependencies.sh
@@ -7,7 +7,7 @@
 PACKAGES=(
     g++ cmake ninja-build ccache pkg-config protobuf-compiler clang-format clang-tidy-16
     libasio-dev libhttp-parser-dev libzmq3-dev cppzmq-dev libprotobuf-dev prometheus-cpp-dev libcpp-httplib-dev
-    libgoogle-glog-dev catch2 nlohmann-json3-dev libxxhash-dev libssl-dev libbenchmark-dev
+    libgoogle-glog-dev catch2 nlohmann-json3-dev libxxhash-dev libssl-dev zlib1g-dev libbenchmark-dev
     curl jq gnuplot-nox
 )
 
--- a/Services/ConfigServer/MembershipService.cpp
+++ b/Services/ConfigServer/MembershipService.cpp
@@ -13,6 +13,8 @@
 
 /// Three announcements that did not come; they cross the VM's loopback alone.
 constexpr Duration LOCAL_PROCESS_SILENCE = milliseconds(1000);
+/// Probes of two intervals that all stayed without an answer.
+constexpr int INTERVALS_ALONE = 2;
 constexpr Duration RECORDS_TIMEOUT = milliseconds(900);
 /// Of the heartbeat interval, so that all tries of a probe fit into about one.
 constexpr int PROBE_TIMEOUT_PERCENT = 30;
@@ -144,8 +146,14 @@
     });
 }
 
+bool MembershipService::has_company() const
+{
+    return this->last_heard && monotonic_now() - *this->last_heard < this->options.heartbeat_interval * INTERVALS_ALONE;
+}
+
 void MembershipService::take_answer(wire::HeartbeatReply const& answer, std::string const& endpoint)
 {
+    this->last_heard = monotonic_now();
     this->take_records(answer.records());
     auto const wanted = this->take_digests(answer.digests());
     this->refresh_directory();
@@ -194,6 +202,7 @@
 
 void MembershipService::handle_heartbeat(wire::Heartbeat const& heartbeat, Kernel::Responder const& respond)
 {
+    this->last_heard = monotonic_now();
     bool const is_new = !this->table.find(heartbeat.vm()).has_value();
     this->take_records(heartbeat.records());
     auto const wanted = this->take_digests(heartbeat.digests());
--- a/Services/ConfigServer/MembershipService.h
+++ b/Services/ConfigServer/MembershipService.h
@@ -47,6 +47,9 @@
     /// Machines that the platform's list says are leaving; handed on to this VM's processes.
     void set_leaving_machines(std::vector<std::string> machines);
 
+    /// Whether another VM was heard lately.
+    bool has_company() const;
+
     /// Tells a few peers at once, instead of at the next interval.
     void spread_news();
 
@@ -79,6 +82,7 @@
     std::function<std::int64_t()> upstreams_version;
     std::function<void(std::string const& endpoint, std::int64_t version)> on_newer_upstreams;
     MembershipTable table;
+    std::optional<MonotonicTime> last_heard;
     std::map<std::string, LocalProcess> processes;
     std::vector<std::string> leaving_machines;
 };
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -201,11 +201,16 @@
         this->engines_changed();
         this->relay->tell();
     };
-    hooks.on_upstreams_state = [this](auto registry) { this->state.upstreams.note_registry(registry, monotonic_now()); };
+    hooks.on_upstreams_state = [this](auto registry) {
+        // One that the registry turns away and others tell of it knows as much as one that leaves watching to them.
+        if (registry == UpstreamList::RegistryState::Well || !this->relay->is_told())
+            this->state.upstreams.note_registry(registry, monotonic_now());
+    };
     hooks.on_call = [this](auto what, auto result) {
         this->metrics.increment("spurtide_registry_calls_total", "Calls to the registry by what they were for and how they ended", { { "what", std::string(what) }, { "result", std::string(result) } });
     };
-    hooks.watches_upstreams = [this] { return this->relay->watches(); };
+    hooks.watches = [this] { return this->relay->watches(); };
+    hooks.longest_pause = [this](Duration usual) { return this->relay->longest_pause(usual); };
     hooks.upstreams_version = [this] { return this->state.upstreams.version(); };
     return hooks;
 }
@@ -218,6 +223,7 @@
     hooks.configuration_version = [this] { return this->configuration_version(); };
     hooks.follows_configuration = [this] { return this->state.routes && this->follower->follows_configuration(); };
     hooks.follows_upstreams = [this] { return this->follower->follows_upstreams(); };
+    hooks.company = [this] { return this->membership->has_company() ? WatchPlan::Company::Others : WatchPlan::Company::None; };
     return hooks;
 }
 
@@ -242,6 +248,7 @@
     this->relay->keep(found);
     LogLine("configuration_in_force").with("version", this->state.routes->version()).with("before", known).with("source", source).with("routes", static_cast<std::int64_t>(this->state.routes->configuration().routes.size()));
     this->engines_changed();
+    this->relay->tell();
     this->membership->spread_news();
 }
 
--- a/Tests/LibRouter/TestRegistryRelay.cpp
+++ b/Tests/LibRouter/TestRegistryRelay.cpp
@@ -20,10 +20,13 @@
         options.loop = &loop;
         this->kernel = Kernel::create(std::move(options)).release_value();
         RegistryRelay::Hooks hooks;
-        hooks.on_configuration = [this](auto const& document) { this->configurations.push_back(document.text); };
+        hooks.on_configuration = [this](auto const& document) {
+            this->configurations.push_back(document.text);
+            this->configuration = this->takes_configuration;
+        };
         hooks.on_upstreams = [this] { ++this->changes; };
         hooks.configuration_version = [this] { return this->configuration; };
-        hooks.follows_configuration = [this] { return this->follows; };
+        hooks.follows_configuration = [this] { return this->follows && this->follows_configuration; };
         hooks.follows_upstreams = [this] { return this->follows; };
         RegistryRelay::Options relay_options { "dc" };
         relay_options.plan.watchers = 1;
@@ -52,7 +55,10 @@
     std::unique_ptr<Kernel> kernel;
     UpstreamList upstreams { UpstreamList::Options {} };
     std::int64_t configuration = 0;
+    /// The version of what a peer hands on.
+    std::int64_t takes_configuration = 0;
     bool follows = true;
+    bool follows_configuration = true;
     int changes = 0;
     std::vector<std::string> configurations;
     std::unique_ptr<RegistryRelay> relay;
@@ -162,3 +168,46 @@
     }));
     CHECK(lacks.kernel->sent_traffic().contains("get_upstreams"));
 }
+
+TEST_CASE("Listeners ask their watcher for a configuration once, and for none that they have", "[config]")
+{
+    RelayTest test;
+    auto& knows = *test.watcher[0];
+    knows.configuration = 7;
+    knows.relay->keep({ "the configuration" });
+    for (auto* listener : test.listeners) {
+        listener->configuration = 5;
+        listener->takes_configuration = 7;
+    }
+    test.start();
+    REQUIRE(test.run_until([&] { return test.listeners[0]->configuration == 7 && test.listeners[1]->configuration == 7; }));
+    REQUIRE(test.run_until([&] { return !test.listeners[0]->relay->watches() && !test.listeners[1]->relay->watches(); }));
+    for (auto const* listener : test.listeners) {
+        CHECK(listener->configurations == std::vector<std::string> { "the configuration" });
+        CHECK(listener->kernel->sent_traffic().at("get_configuration").messages == 1);
+    }
+    // The next one is asked for at once, at its first message.
+    knows.configuration = 9;
+    knows.relay->keep({ "the next one" });
+    for (auto* listener : test.listeners)
+        listener->takes_configuration = 9;
+    knows.relay->tell();
+    REQUIRE(test.run_until([&] { return test.listeners[0]->configuration == 9 && test.listeners[1]->configuration == 9; }));
+    for (auto const* listener : test.listeners)
+        CHECK(listener->kernel->sent_traffic().at("get_configuration").messages == 2);
+}
+
+TEST_CASE("A watcher that follows a part of the registry alone tells nothing", "[config][platform-down]")
+{
+    RelayTest test;
+    test.watcher[0]->follows_configuration = false;
+    test.watcher[0]->change("a", 3);
+    test.watcher[0]->relay->tell();
+    test.start();
+    test.watcher[0]->follows_configuration = true;
+    REQUIRE(test.run_until([&] { return !test.listeners[0]->relay->watches(); }));
+    test.watcher[0]->follows_configuration = false;
+    auto const told = test.watcher[0]->kernel->sent_traffic().at("registry_news").messages;
+    REQUIRE(test.run_until([&] { return test.listeners[0]->relay->watches() && test.listeners[1]->relay->watches(); }));
+    CHECK(test.watcher[0]->kernel->sent_traffic().at("registry_news").messages == told);
+}
