LibRouter: Release a place also at the keeper that granted it

Cause: a release went to the VM that keeps by then.

Change: the client remembers who granted and tells that one as well where it is another.

Test: TestPlacementClient 'A place is released at the keeper that granted it...' (red before).

--- a/Libraries/LibRouter/PlacementClient.cpp
+++ b/Libraries/LibRouter/PlacementClient.cpp
@@ -141,7 +141,7 @@
             grant.request = ask.request;
             grant.prefill_engine = reply.placement_grant().prefill_engine();
             grant.decode_engine = reply.placement_grant().decode_engine();
-            this->held.insert_or_assign(ask.request, Held { ask, grant, GrantProgress::Prefilling, monotonic_now() });
+            this->held.insert_or_assign(ask.request, Held { ask, grant, endpoint, GrantProgress::Prefilling, monotonic_now() });
             co_return PlacementDecision { grant };
         }
         PlacementRefusal refusal;
@@ -173,9 +173,17 @@
 
 void PlacementClient::release(std::string const& request, std::int64_t output_tokens, EngineFaults const& faults)
 {
-    if (this->held.erase(request) == 0)
+    auto const found = this->held.find(request);
+    if (found == this->held.end())
         return;
-    this->send(release_message(request, output_tokens, faults));
+    auto const granter = std::move(found->second.keeper);
+    this->held.erase(found);
+    auto const keeper = this->present_keeper();
+    auto const message = release_message(request, output_tokens, faults);
+    this->kernel.notify(keeper, message);
+    // What it does not know to be over it would take for a duplicate when the request asks again.
+    if (granter != keeper)
+        this->kernel.notify(granter, message);
 }
 
 // A keeper that is new in office knows nothing; until it hears what is held it would promise memory twice.
--- a/Libraries/LibRouter/PlacementClient.h
+++ b/Libraries/LibRouter/PlacementClient.h
@@ -82,6 +82,8 @@
     struct Held {
         PlacementAsk ask;
         PlacementGrant grant;
+        /// Who granted it; another may keep the engines by the time of its end.
+        std::string keeper;
         GrantProgress phase = GrantProgress::Prefilling;
         MonotonicTime since;
     };
--- /dev/null
+++ b/Tests/LibRouter/TestPlacementClient.cpp
@@ -0,0 +1,148 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibCore/Clock.h>
+#include <LibRouter/PlacementClient.h>
+#include <asio.hpp>
+#include <catch2/catch.hpp>
+
+using namespace Spurtide;
+
+namespace {
+
+/// A VM that keeps engines, as far as its clients see: it grants or says nothing, and remembers what it was told.
+struct KeeperVirtualMachine {
+    KeeperVirtualMachine(asio::io_context& loop, std::string const& name)
+    {
+        Kernel::Options options;
+        options.virtual_machine = name;
+        options.listen_endpoint = "tcp://127.0.0.1:0";
+        options.loop = &loop;
+        this->kernel = Kernel::create(std::move(options)).release_value();
+        this->kernel->host(std::string(PLACEMENT_SERVICE), [this](wire::Envelope const& message, Kernel::Responder const& respond) {
+            if (message.has_release())
+                this->released.push_back(message.release().request());
+            if (!message.has_placement_ask() || !this->answers)
+                return;
+            ++this->asked;
+            wire::Envelope reply;
+            reply.mutable_placement_grant()->set_prefill_engine("reader");
+            reply.mutable_placement_grant()->set_decode_engine("maker");
+            respond(std::move(reply));
+        });
+        this->kernel->start();
+    }
+
+    MemberRecord member() const
+    {
+        MemberRecord record;
+        record.virtual_machine = this->kernel->virtual_machine();
+        record.services = this->kernel->hosted_services();
+        return record;
+    }
+
+    std::unique_ptr<Kernel> kernel;
+    bool answers = true;
+    int asked = 0;
+    std::vector<std::string> released;
+};
+
+/// A client on one of three VMs that keep engines.
+struct PlacementTest {
+    PlacementTest()
+    {
+        std::vector<MemberRecord> members;
+        for (auto const* name : { "vm-1", "vm-2", "vm-3" })
+            this->machines.push_back(std::make_unique<KeeperVirtualMachine>(this->loop, name));
+        for (auto const& machine : this->machines)
+            members.push_back(machine->member());
+        for (auto const& machine : this->machines)
+            machine->kernel->directory().replace(1, 0, members, {});
+        // The client stands on a VM that others go before.
+        for (auto const& machine : this->machines) {
+            PlacementClient const client({}, *machine->kernel);
+            if (!client.is_keeper())
+                this->own = machine.get();
+        }
+        PlacementClient::Options options;
+        options.suspicion = milliseconds(50);
+        options.silence = milliseconds(20);
+        this->client = std::make_unique<PlacementClient>(options, *this->own->kernel);
+    }
+    ~PlacementTest() { this->loop.stop(); }
+
+    std::vector<KeeperVirtualMachine*> others() const
+    {
+        std::vector<KeeperVirtualMachine*> found;
+        for (auto const& machine : this->machines) {
+            if (machine.get() != this->own)
+                found.push_back(machine.get());
+        }
+        return found;
+    }
+
+    bool run_until(std::function<bool()> const& condition)
+    {
+        auto const until = monotonic_now() + seconds(20);
+        while (!condition()) {
+            if (monotonic_now() >= until)
+                return false;
+            this->loop.run_for(std::chrono::milliseconds(2));
+        }
+        return true;
+    }
+
+    /// Whether the request got a place.
+    bool place(std::string const& request)
+    {
+        std::optional<bool> granted;
+        asio::co_spawn(this->loop, this->ask(request, granted), asio::detached);
+        return this->run_until([&] { return granted.has_value(); }) && *granted;
+    }
+
+    asio::awaitable<void> ask(std::string request, std::optional<bool>& granted)
+    {
+        PlacementAsk ask;
+        ask.request = std::move(request);
+        auto const wait = std::make_shared<PlacementClient::Ask>(this->loop.get_executor());
+        auto const decision = co_await this->client->ask(ask, wait, milliseconds(60), milliseconds(900));
+        granted = decision && std::holds_alternative<PlacementGrant>(*decision);
+    }
+
+    asio::io_context loop { 1 };
+    std::vector<std::unique_ptr<KeeperVirtualMachine>> machines;
+    KeeperVirtualMachine* own = nullptr;
+    std::unique_ptr<PlacementClient> client;
+};
+
+}
+
+TEST_CASE("A place is released at the keeper that granted it, whoever keeps by then", "[held][cut]")
+{
+    PlacementTest test;
+    for (auto* other : test.others())
+        other->answers = false;
+    REQUIRE(test.place("request-1"));
+    REQUIRE(test.own->asked == 1);
+    // The others are back, and one of them keeps.
+    REQUIRE(test.run_until([&] { return !test.client->is_keeper(); }));
+    test.own->released.clear();
+    test.client->release("request-1", 7, {});
+    REQUIRE(test.run_until([&] { return !test.own->released.empty(); }));
+    CHECK(test.own->released == std::vector<std::string> { "request-1" });
+    auto const others = test.others();
+    REQUIRE(test.run_until([&] { return std::count(others[0]->released.begin(), others[0]->released.end(), "request-1") + std::count(others[1]->released.begin(), others[1]->released.end(), "request-1") > 2; }));
+}
+
+TEST_CASE("A release goes once to a keeper that granted and still keeps", "[held]")
+{
+    PlacementTest test;
+    REQUIRE(test.place("request-1"));
+    test.client->release("request-1", 7, {});
+    REQUIRE(test.place("request-2"));
+    test.client->release("request-2", 7, {});
+    auto const others = test.others();
+    REQUIRE(test.run_until([&] { return others[0]->released.size() + others[1]->released.size() >= 2; }));
+    CHECK(others[0]->released.size() + others[1]->released.size() == 2);
+    CHECK(test.own->released.empty());
+}
