LibDecision: Let the first watcher of a data centre gather less than the others

Cause: each change of the upstreams woke three watchers of each data centre: with changes in rows some four calls a second each, most of the calls that are left once listeners read nothing.

Change: news are gathered for a part of the time within which they have to be in force (a new setting, from the deployment's bound): a tenth by the first of the order, a quarter by those that it tells. Where its watch falls silent the others' news still come in time.

Ruled out: one watcher (a watch whose answer was lost is noticed after five seconds).

Figures, virtual time, 300 VMs, a change each 200 ms for 20 s: 465 calls at most, 1,500 if each watcher read each change.

Test: TestRegistryNews 'Three hundred VMs follow...', 'upstreams that change five times a second'.

--- a/Libraries/LibDecision/WatchPlan.cpp
+++ b/Libraries/LibDecision/WatchPlan.cpp
@@ -79,6 +79,11 @@
     return this->last_heard && now - *this->last_heard < this->options.silence;
 }
 
+Duration WatchPlan::gathering(Duration news_time) const
+{
+    return from_seconds(to_seconds(news_time) * (this->own_rank == 0 ? this->options.first_gathering : this->options.other_gathering));
+}
+
 Duration WatchPlan::longest_pause(Duration usual) const
 {
     if (this->own_part == Part::Watcher || this->present_company == Company::None)
--- a/Libraries/LibDecision/WatchPlan.h
+++ b/Libraries/LibDecision/WatchPlan.h
@@ -39,6 +39,11 @@
         Duration longer_silence = milliseconds(1800);
         /// Told regularly for so long, a VM stops to watch.
         Duration settling = milliseconds(1500);
+        /// Parts of the time within which news have to be in force, for which they are gathered after each: by the first
+        /// of the order, and by those that are told by it. Where the first one's watch fell silent, the others' news
+        /// still come in time. Of three watchers each change wakes, two ask a third as often while changes come in rows.
+        double first_gathering = 0.1;
+        double other_gathering = 0.25;
         /// Tries that the VMs of a data centre which are no watchers make together while the registry is away.
         double stand_in_tries_per_second = 12;
     };
@@ -73,6 +78,8 @@
     std::string const& own_watcher() const { return this->preferred_watcher; }
     /// The longest pause between two tries while the registry is away.
     Duration longest_pause(Duration usual) const;
+    /// How long news are gathered after each, where they have to be in force within the given time.
+    Duration gathering(Duration news_time) const;
     Duration tell_interval() const { return this->options.tell_interval; }
 
 private:
--- a/Libraries/LibRouter/RegistryFollower.cpp
+++ b/Libraries/LibRouter/RegistryFollower.cpp
@@ -110,7 +110,7 @@
         if (was_empty_read)
             co_await this->pause(1);
         else if (news.value().document)
-            co_await this->sleep(this->options.gathering);
+            co_await this->sleep(this->hooks.gathering());
     }
 }
 
@@ -154,7 +154,7 @@
             if (failures > 0)
                 LogLine("registry_back").with("what", "upstreams").with("failures", std::exchange(failures, 0));
             if (has_news)
-                co_await this->sleep(this->options.gathering);
+                co_await this->sleep(this->hooks.gathering());
             continue;
         }
         if (error == PlatformError::HistoryGone) {
--- a/Libraries/LibRouter/RegistryFollower.h
+++ b/Libraries/LibRouter/RegistryFollower.h
@@ -17,8 +17,6 @@
         Duration upstreams_watch = seconds(4);
         /// Of the configuration. As short: others rely on what this VM hears.
         Duration configuration_watch = seconds(4);
-        /// After news, so that those which come together are told together.
-        Duration gathering = milliseconds(200);
         /// How often a VM that does not watch looks whether it has to.
         Duration idle_check = milliseconds(200);
         Duration first_pause = milliseconds(150);
@@ -37,6 +35,8 @@
         std::function<void(std::string_view what, std::string_view result)> on_call = [](auto, auto) {};
         /// Whether this VM is to watch the registry; others may do it for this one.
         std::function<bool()> watches = [] { return true; };
+        /// How long news are gathered after each, so that those which come together are told together.
+        std::function<Duration()> gathering = [] { return milliseconds(200); };
         /// The longest pause between two tries, where usually it would be so long.
         std::function<Duration(Duration usual)> longest_pause = [](Duration usual) { return usual; };
         /// Up to where others told of them.
--- a/Libraries/LibRouter/RegistryRelay.h
+++ b/Libraries/LibRouter/RegistryRelay.h
@@ -53,6 +53,8 @@
     bool watches() const;
     /// Whether another VM that hears of the registry told of it lately.
     bool is_told() const;
+    /// How long this VM gathers news, where they have to be in force within the given time.
+    Duration gathering(Duration news_time) const { return this->plan.gathering(news_time); }
     /// The longest pause between two tries of this VM while the registry is away.
     Duration longest_pause(Duration usual) const { return this->plan.longest_pause(usual); }
     /// Tells the news, where it is this VM that watches for others.
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -210,6 +210,7 @@
         this->metrics.increment("spurtide_registry_calls_total", "Calls to the registry by what they were for and how they ended", { { "what", std::string(what) }, { "result", std::string(result) } });
     };
     hooks.watches = [this] { return this->relay->watches(); };
+    hooks.gathering = [this] { return this->relay->gathering(this->settings.news_time); };
     hooks.longest_pause = [this](Duration usual) { return this->relay->longest_pause(usual); };
     hooks.upstreams_version = [this] { return this->state.upstreams.version(); };
     return hooks;
--- a/Services/NodeServer/NodeSettings.h
+++ b/Services/NodeServer/NodeSettings.h
@@ -45,6 +45,8 @@
         = RoleChanges::Off;
     /// How long one write to the lease of those orders is good for.
     Duration lease_time = seconds(3);
+    /// Within what time news of the registry have to be in force.
+    Duration news_time = seconds(2);
     /// Part of a core that this VM has. Those with less than the next keep the engines only where no other does.
     double processor_share = 1;
     double keeper_processor_share = 0;
--- a/Tests/LibDecision/TestRegistryNews.cpp
+++ b/Tests/LibDecision/TestRegistryNews.cpp
@@ -336,6 +336,7 @@
         bool is_followed = false;
         int failures = 0;
         std::int64_t next_try = 0;
+        std::int64_t gathers_until = 0;
         std::int64_t next_tell = 0;
     };
 
@@ -356,6 +357,7 @@
     }
 
     static constexpr std::int64_t STEP = 50;
+    static constexpr Duration NEWS_TIME = seconds(4);
     std::vector<Machine> machines;
     std::int64_t now = 0;
     std::int64_t version = 1;
@@ -382,11 +384,13 @@
             return;
         }
         bool const is_over = !machine.is_followed || this->now >= machine.next_try;
-        if (!is_over && machine.version == this->version)
+        if (this->now < machine.gathers_until || (!is_over && machine.version == this->version))
             return;
         ++this->calls;
         machine.failures = 0;
         machine.is_followed = true;
+        if (machine.version != this->version)
+            machine.gathers_until = this->now + to_milliseconds(machine.plan.gathering(NEWS_TIME));
         machine.version = this->version;
         machine.next_try = this->now + 4000;
         machine.next_tell = 0;
@@ -429,7 +433,18 @@
         }
         registry.run(registry.now + 400);
         CHECK(registry.oldest() == registry.version);
-        CHECK(registry.calls <= 20 * 15 + 2 * 15);
+        // One watcher of each data centre reads most of them, the other two a third.
+        CHECK(registry.calls <= 20 * 5 + 7 * 10 + 2 * 15);
+    }
+    SECTION("upstreams that change five times a second")
+    {
+        for (int i = 0; i < 100; ++i) {
+            ++registry.version;
+            registry.run(registry.now + 200);
+            CHECK(registry.oldest() >= registry.version - 3);
+        }
+        // If each watcher read each change it would be 1,500.
+        CHECK(registry.calls <= 5 * (50 + 2 * 20) + 15);
     }
     SECTION("calm")
     {
