LibDecision: Let a stopping VM take the streams that will end in time

Cause: a stopping VM took every stream of the first third of its stop. The balancer sends it callers for two seconds more, and of answers with a median of a few seconds a fifth or more did not end before the process did: cut, and lost to their callers.

Change: the time within which nine in ten answers end, from the pace of answers that this VM saw and what the caller expects, decides; where no answer was seen the first third counts as before. What is refused is served elsewhere at once.

Ruled out: refusing all streams (short ones end in time and need no second way); the longest possible length (takes none).

Tests: TestStopPolicy 'Of the streams that stopping VMs take few are cut...', tables of the rule and of AnswerPace. The rule's old rows stand as they were, in the new form of its second argument.

--- a/Libraries/LibRouter/Entry.cpp
+++ b/Libraries/LibRouter/Entry.cpp
@@ -41,7 +41,7 @@
     }
     auto request = parsed.release_value();
     auto const stop = this->state.stop_time();
-    if (stop && !may_begin_before_stop(route->kind, std::min(route->timeout, request.patience), *stop)) {
+    if (stop && !may_begin_before_stop(route->kind, this->expected_time(*route, request), *stop)) {
         co_await this->answer(exchange, 503, "stopping", identifier);
         co_return;
     }
@@ -58,6 +58,19 @@
     co_await flow->run();
 }
 
+ExpectedTime Entry::expected_time(Route const& route, CallerRequest const& request) const
+{
+    ExpectedTime expected;
+    expected.longest = std::min(route.timeout, request.patience);
+    if (!request.prompt || route.targets.empty())
+        return expected;
+    auto const& prompt = *request.prompt;
+    auto const answer = this->state.answer_pace.probable(route.targets.front().service, prompt.expected_output_tokens, prompt.maximum_output_tokens, this->state.length_spread);
+    if (answer)
+        expected.probable = route.latency_target + *answer;
+    return expected;
+}
+
 asio::awaitable<void> Entry::answer(HttpExchange& exchange, int status, std::string_view reason, std::string identifier)
 {
     LogLine("request_rejected").with("request", identifier).with("status", status).with("reason", reason).with("target", exchange.request().head.target);
--- a/Libraries/LibRouter/RouterState.h
+++ b/Libraries/LibRouter/RouterState.h
@@ -5,6 +5,7 @@
 
 #include <LibAsync/ConnectionPool.h>
 #include <LibCore/Metrics.h>
+#include <LibDecision/AnswerPace.h>
 #include <LibDecision/PatienceTracker.h>
 #include <LibDecision/RouteTable.h>
 #include <LibDecision/SharedRetryBudget.h>
@@ -40,6 +41,9 @@
     ReachabilityProber prober { ReachabilityProber::Options {}, loop, reachability, pool, upstreams };
     std::map<std::string, SharedRetryBudget> budgets {};
     PatienceTracker patience {};
+    AnswerPace answer_pace {};
+    /// How far answers' lengths are from what callers expect: standard deviation of the logarithm.
+    double length_spread = 0.6;
     PlacementClient* placement = nullptr;
     /// Number of VMs that share the retry budget.
     std::function<std::size_t()> live_virtual_machines = [] { return std::size_t { 1 }; };
--- a/Libraries/LibRouter/StreamFlow.cpp
+++ b/Libraries/LibRouter/StreamFlow.cpp
@@ -367,6 +367,7 @@
     if (this->exchange.has_begun())
         this->longest_pause = std::max(this->longest_pause, std::chrono::duration_cast<Duration>(now - this->last_event_at));
     else {
+        this->first_event_at = now;
         this->first_event_after = std::chrono::duration_cast<Duration>(now - this->exchange.received_at());
         this->state.metrics.observe_seconds("spurtide_first_event_seconds", "From a stream's request to its first event", to_seconds(*this->first_event_after));
     }
@@ -407,6 +408,7 @@
         }
         if (!is_end)
             continue;
+        this->state.answer_pace.note(this->service, this->relayed_tokens(), std::chrono::duration_cast<Duration>(this->last_event_at - this->first_event_at));
         auto const finished = co_await this->exchange.finish();
         this->log_end(finished.is_error() ? "caller_left" : "answered", "stream", head.status);
         this->state.metrics.observe_seconds("spurtide_longest_pause_seconds", "Longest pause between events of a stream that ended whole", to_seconds(this->longest_pause));
--- a/Libraries/LibRouter/StreamFlow.h
+++ b/Libraries/LibRouter/StreamFlow.h
@@ -74,6 +74,7 @@
     EventBoundary events;
     PatienceTracker::Visit visit = PatienceTracker::Visit::First;
     std::optional<Duration> first_event_after;
+    MonotonicTime first_event_at;
     MonotonicTime last_event_at;
     Duration longest_pause {};
     int placements = 0;
--- a/Tests/LibDecision/TestStopPolicy.cpp
+++ b/Tests/LibDecision/TestStopPolicy.cpp
@@ -1,8 +1,12 @@
 // SPDX-FileCopyrightText: 2026 The Spurtide developers
 // SPDX-License-Identifier: BSD-2-Clause
 
+#include <LibDecision/AnswerPace.h>
 #include <LibDecision/StopPolicy.h>
 #include <catch2/catch.hpp>
+#include <cmath>
+#include <random>
+#include <string>
 
 using namespace Spurtide;
 
@@ -18,5 +22,80 @@
         Case { RouteKind::Stream, 14'000, 7600, true }, Case { RouteKind::Stream, 14'000, 5100, true }, Case { RouteKind::Stream, 14'000, 5000, false }, Case { RouteKind::Stream, 14'000, 100, false },
         Case { RouteKind::NotRepeatable, 1500, 1500, true }, Case { RouteKind::NotRepeatable, 1500, 1499, false }, Case { RouteKind::Repeatable, 400, 500, true }, Case { RouteKind::Repeatable, 400, 0, false });
     CAPTURE(static_cast<int>(given.kind), given.longest, given.left);
-    REQUIRE(may_begin_before_stop(given.kind, milliseconds(given.longest), { milliseconds(given.left), milliseconds(7600) }) == given.taken);
+    REQUIRE(may_begin_before_stop(given.kind, { milliseconds(given.longest) }, { milliseconds(given.left), milliseconds(7600) }) == given.taken);
+}
+
+TEST_CASE("A stream begins on a stopping VM if nine in ten of its kind end before the VM does", "[planned-stop]")
+{
+    struct Row {
+        std::string name;
+        std::int64_t probable;
+        std::int64_t left;
+        bool taken;
+    };
+    auto const row = GENERATE(values<Row>({
+        { "a short one, late in the stop", 1500, 1600, true },
+        { "a short one, too late", 1500, 1400, false },
+        { "a long one at its begin", 8000, 7600, false },
+        { "a usual one in the first third", 5500, 5200, false },
+        { "a usual one at its begin", 5500, 7600, true },
+    }));
+    CAPTURE(row.name);
+    CHECK(may_begin_before_stop(RouteKind::Stream, { milliseconds(14'000), milliseconds(row.probable) }, { milliseconds(row.left), milliseconds(7600) }) == row.taken);
+}
+
+TEST_CASE("The time of nine in ten answers follows their pace and what is expected of them")
+{
+    AnswerPace pace;
+    CHECK_FALSE(pace.probable("engines", 1000, 4000, 0.6));
+    // Too little to tell, and times of nothing.
+    pace.note("engines", 7, seconds(1));
+    pace.note("engines", 1000, Duration::zero());
+    CHECK_FALSE(pace.probable("engines", 1000, 4000, 0.6));
+    pace.note("engines", 1000, seconds(1));
+    CHECK_FALSE(pace.probable("others", 1000, 4000, 0.6));
+    CHECK(to_milliseconds(*pace.probable("engines", 1000, 4000, 0.6)) == 2155);
+    // Never beyond the longest, which alone counts where nothing is expected.
+    CHECK(to_milliseconds(*pace.probable("engines", 3000, 4000, 0.6)) == 4000);
+    CHECK(to_milliseconds(*pace.probable("engines", 0, 4000, 0.6)) == 4000);
+    CHECK(to_milliseconds(*pace.probable("engines", 1000, 0, 0.6)) == 2155);
+    for (int i = 0; i < 40; ++i)
+        pace.note("engines", 1000, seconds(2));
+    CHECK(to_milliseconds(*pace.probable("engines", 1000, 4000, 0.6)) > 3900);
+}
+
+// Rolling restarts of most VMs of a deployment: the balancer sends each stopping one callers for two more seconds. Lengths
+// are log-normal about what callers expect; 1 ms a token, a first event within 0.5 s, a grace time of 7.6 s.
+TEST_CASE("Of the streams that stopping VMs take few are cut, and most are taken while there is time", "[planned-stop]")
+{
+    std::mt19937_64 random(7);
+    std::lognormal_distribution<double> median(std::log(3500.0), 0.5);
+    std::lognormal_distribution<double> error(0, 0.6);
+    AnswerPace pace;
+    pace.note("engines", 1000, seconds(1));
+    struct Count {
+        int taken = 0;
+        int cut = 0;
+    };
+    Count by_pace;
+    Count by_third;
+    constexpr int STREAMS = 4000;
+    for (int i = 0; i < STREAMS; ++i) {
+        auto const expected = median(random);
+        auto const ends_after = milliseconds(500 + static_cast<std::int64_t>(std::min(expected * error(random), 11'000.0)));
+        auto const left = milliseconds(7600 - i % 2000);
+        auto const count = [&](ExpectedTime time, Count& counted) {
+            if (!may_begin_before_stop(RouteKind::Stream, time, { left, milliseconds(7600) }))
+                return;
+            ++counted.taken;
+            counted.cut += ends_after > left ? 1 : 0;
+        };
+        count({ seconds(14), milliseconds(500) + *pace.probable("engines", static_cast<std::int64_t>(expected), 11'000, 0.6) }, by_pace);
+        count({ seconds(14) }, by_third);
+    }
+    CHECK(by_third.taken == STREAMS);
+    CHECK(by_third.cut > STREAMS / 5);
+    CHECK(by_pace.cut * 20 < STREAMS);
+    // Their median is near what is left; the others are served elsewhere.
+    CHECK(by_pace.taken * 4 > STREAMS);
 }
