LibDecision: Find out once that a data centre is cut off

Cause: VMs of a data centre that was cut off asked the keepers of the others in vain, two for each request with 0.24 s each, and then decided each for itself with no account of what others were granted; each sees a request in five seconds, and hundreds of suspicions come around too slowly.

Change: probes of VMs elsewhere that stay without an answer while none of them is heard tell a VM that its data centre is cut off (CutDetector). Meanwhile it asks a keeper of its own data centre, and upstreams elsewhere count as out of reach until one answers.

Ruled out: pings of the keeper by each VM (a thousand a second at 295 VMs); waiting for suspicions (six seconds were not enough).

--- a/Libraries/LibDecision/ReachabilityTracker.cpp
+++ b/Libraries/LibDecision/ReachabilityTracker.cpp
@@ -75,14 +75,27 @@
     if (data_centre == this->own_data_centre)
         return false;
     auto const found = this->data_centres.find(data_centre);
+    bool const has_answered = found != this->data_centres.end() && found->second.last_heard && this->confined_since && *found->second.last_heard >= *this->confined_since;
+    if (this->confined_since && !has_answered)
+        return true;
     if (found == this->data_centres.end() || found->second.unreachable < this->options.data_centre_failures)
         return false;
     auto const& heard = found->second.last_heard;
     return !heard || now - *heard >= this->options.data_centre_silence;
 }
 
+void ReachabilityTracker::set_confinement(Confinement confinement, MonotonicTime now)
+{
+    if (confinement == Confinement::None)
+        this->confined_since.reset();
+    else if (!this->confined_since)
+        this->confined_since = now;
+}
+
 bool ReachabilityTracker::is_any_cut_off(MonotonicTime now) const
 {
+    if (this->confined_since)
+        return true;
     return std::any_of(this->data_centres.begin(), this->data_centres.end(), [&](auto const& entry) { return this->is_cut_off(entry.first, now); });
 }
 
--- a/Libraries/LibDecision/ReachabilityTracker.h
+++ b/Libraries/LibDecision/ReachabilityTracker.h
@@ -52,6 +52,14 @@
     void note_reached(std::string_view identity, std::string_view data_centre, MonotonicTime now);
     void note_unreachable(std::string_view identity, std::string_view data_centre, MonotonicTime now);
 
+    enum class Confinement {
+        None,
+        /// No VM of another data centre answers.
+        OwnDataCentre,
+    };
+    /// What else is known of cuts. A data centre counts as cut off from then on, until something of it answers.
+    void set_confinement(Confinement confinement, MonotonicTime now);
+
     bool is_reachable(std::string_view identity, std::string_view data_centre, MonotonicTime now) const;
     bool is_cut_off(std::string_view data_centre, MonotonicTime now) const;
     bool is_any_cut_off(MonotonicTime now) const;
@@ -90,6 +98,7 @@
     std::string own_data_centre;
     std::map<std::string, Known, std::less<>> known;
     std::map<std::string, DataCentre, std::less<>> data_centres;
+    std::optional<MonotonicTime> confined_since;
     std::size_t turn = 0;
 };
 
--- a/Libraries/LibRouter/PlacementClient.cpp
+++ b/Libraries/LibRouter/PlacementClient.cpp
@@ -59,8 +59,11 @@
 std::vector<std::string> PlacementClient::keepers() const
 {
     auto const now = monotonic_now();
+    auto const confined = this->hooks.confined_to();
     auto const answering = [&](std::string_view service) {
         auto found = this->kernel.directory().virtual_machines_with(service);
+        if (confined)
+            std::erase_if(found, [&](auto const& name) { return std::find(confined->begin(), confined->end(), name) == confined->end(); });
         std::erase_if(found, [&](auto const& name) {
             auto const silent = this->silent_until.find(name);
             return silent != this->silent_until.end() && now < silent->second;
--- a/Libraries/LibRouter/PlacementClient.h
+++ b/Libraries/LibRouter/PlacementClient.h
@@ -64,7 +64,13 @@
         std::vector<std::string> refusing;
     };
 
+    struct Hooks {
+        /// While this VM's data centre is cut off from all others, the VMs in it; empty else.
+        std::function<std::optional<std::vector<std::string>>()> confined_to = [] { return std::optional<std::vector<std::string>> {}; };
+    };
+
     PlacementClient(Options options, Kernel& kernel);
+    void set_hooks(Hooks new_hooks) { this->hooks = std::move(new_hooks); }
 
     void start();
 
@@ -99,6 +105,7 @@
 
     Options options;
     Kernel& kernel;
+    Hooks hooks;
     std::map<std::string, Held> held;
     std::map<std::string, MonotonicTime> silent_until;
     std::string last_keeper;
--- a/Libraries/LibRouter/RegistryRelay.h
+++ b/Libraries/LibRouter/RegistryRelay.h
@@ -49,6 +49,9 @@
     void hear_of_configuration(std::string const& endpoint, std::int64_t version);
     void hear_of_upstreams(std::string const& endpoint, std::int64_t version);
 
+    /// The service by which the VMs of this data centre find each other.
+    std::string const& service() const { return this->news_service; }
+
     /// Whether this VM has to watch the registry itself.
     bool watches() const;
     /// Whether another VM that hears of the registry told of it lately.
--- a/Services/ConfigServer/MembershipService.cpp
+++ b/Services/ConfigServer/MembershipService.cpp
@@ -67,8 +67,22 @@
         this->probe(target, this->endpoint_of(target), 1);
 }
 
-void MembershipService::note_heard()
+bool MembershipService::is_cut_off() const { return this->cut_detector.is_cut_off(monotonic_now()); }
+
+void MembershipService::note_unanswered(std::string const& virtual_machine)
 {
+    auto const member = this->table.find(virtual_machine);
+    if (!member || !this->is_elsewhere(*member))
+        return;
+    auto const live = this->table.live_members();
+    this->cut_detector.note_unanswered(virtual_machine, static_cast<std::size_t>(std::count_if(live.begin(), live.end(), this->is_elsewhere)));
+}
+
+void MembershipService::note_heard(std::string const& virtual_machine)
+{
+    auto const member = this->table.find(virtual_machine);
+    if (member && this->is_elsewhere(*member))
+        this->cut_detector.note_heard(monotonic_now());
     auto const now = monotonic_now();
     // What it knows of the others may be as old as its solitude.
     if (this->last_heard && !this->has_company())
@@ -165,6 +179,7 @@
             when_answered();
         if (!reply.is_error() && reply.value().has_heartbeat_reply())
             return this->take_answer(reply.value().heartbeat_reply(), endpoint);
+        this->note_unanswered(virtual_machine);
         if (tries_left > 1)
             return this->probe(virtual_machine, endpoint, tries_left - 1);
         if (virtual_machine.empty() || reply.error().kind == WireErrorKind::Stopped)
@@ -183,7 +198,7 @@
 
 void MembershipService::take_answer(wire::HeartbeatReply const& answer, std::string const& endpoint)
 {
-    this->note_heard();
+    this->note_heard(answer.digests().empty() ? std::string() : answer.digests(0).vm());
     this->take_records(answer.records());
     auto const wanted = this->take_digests(answer.digests());
     this->refresh_directory();
@@ -234,7 +249,7 @@
 
 void MembershipService::handle_heartbeat(wire::Heartbeat const& heartbeat, Kernel::Responder const& respond)
 {
-    this->note_heard();
+    this->note_heard(heartbeat.vm());
     bool const is_new = !this->table.find(heartbeat.vm()).has_value();
     this->take_records(heartbeat.records());
     auto const wanted = this->take_digests(heartbeat.digests());
--- a/Services/ConfigServer/MembershipService.h
+++ b/Services/ConfigServer/MembershipService.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <LibDecision/CutDetector.h>
 #include <LibDecision/MembershipTable.h>
 #include <LibWire/Kernel.h>
 #include <functional>
@@ -60,6 +61,10 @@
 
     /// Whether another VM was heard lately.
     bool has_company() const;
+    /// Tells which VMs are of other data centres; without it none is.
+    void set_elsewhere(std::function<bool(MemberRecord const&)> is_elsewhere_of) { this->is_elsewhere = std::move(is_elsewhere_of); }
+    /// Whether this VM's data centre is cut off from all others, as far as probes tell.
+    bool is_cut_off() const;
     /// Whether this VM has met most of the others, or has waited long enough for them.
     bool is_settled() const;
 
@@ -82,7 +87,8 @@
     /// Probes one member; an empty name stands for a seed whose name is not known.
     void probe(std::string const& virtual_machine, std::string const& endpoint, int tries_left, std::function<void()> const& when_answered = {});
     void take_answer(wire::HeartbeatReply const& answer, std::string const& endpoint);
-    void note_heard();
+    void note_heard(std::string const& virtual_machine);
+    void note_unanswered(std::string const& virtual_machine);
     void answer_keys(wire::Heartbeat const& heartbeat, std::size_t most, wire::HeartbeatReply& reply) const;
     std::vector<std::string> take_digests(google::protobuf::RepeatedPtrField<wire::MemberDigest> const& digests);
     void take_records(google::protobuf::RepeatedPtrField<wire::MemberRecord> const& records);
@@ -102,6 +108,8 @@
     MonotonicTime joining_until;
     MonotonicTime last_compared;
     std::optional<MonotonicTime> last_heard;
+    std::function<bool(MemberRecord const&)> is_elsewhere = [](auto const&) { return false; };
+    CutDetector cut_detector { CutDetector::Options {} };
     std::map<std::string, LocalProcess> processes;
     std::vector<std::string> leaving_machines;
 };
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -104,7 +104,18 @@
         members, *this->kernel, [this] { return this->state.routes ? this->state.routes->version() : 0; }, [this](auto const& endpoint, auto version) { this->relay->hear_of_configuration(endpoint, version); });
     this->membership->set_upstreams_hooks([this] { return this->state.upstreams.version(); }, [this](auto const& endpoint, auto version) { this->relay->hear_of_upstreams(endpoint, version); });
     this->relay = std::make_unique<RegistryRelay>(RegistryRelay::Options { this->settings.data_centre }, *this->kernel, this->state.upstreams, this->relay_hooks());
+    this->membership->set_elsewhere([this](MemberRecord const& member) {
+        auto const is_news = [&](ServiceEndpoint const& service) { return service.service == this->relay->service(); };
+        return std::none_of(member.services.begin(), member.services.end(), is_news);
+    });
+    PlacementClient::Hooks placement_hooks;
+    placement_hooks.confined_to = [this]() -> std::optional<std::vector<std::string>> {
+        if (!this->membership->is_cut_off())
+            return {};
+        return this->kernel->directory().virtual_machines_with(this->relay->service());
+    };
     this->placement = std::make_unique<PlacementClient>(PlacementClient::Options {}, *this->kernel);
+    this->placement->set_hooks(std::move(placement_hooks));
     this->keeper = std::make_unique<EngineKeeper>(scheduler_options(this->settings), *this->kernel, this->metrics, this->loop);
     CacheReader::Hooks cache_hooks;
     cache_hooks.is_keeper = [this] { return this->state.routes && this->membership->is_settled() && this->placement->is_keeper(); };
@@ -343,6 +354,7 @@
     if (this->last_lapse_check)
         this->metrics.observe_seconds("spurtide_loop_delay_seconds", "How late a timer of the event loop ran", to_seconds(std::max(Duration::zero(), std::chrono::duration_cast<Duration>(now - *this->last_lapse_check - LAPSE_CHECK))));
     this->last_lapse_check = now;
+    this->note_cut(now);
     this->state.prober.tick();
     if (this->state.upstreams.advance(now)) {
         LogLine("lapsed_upstreams_dropped").with("left", static_cast<std::int64_t>(this->state.upstreams.size()));
@@ -350,6 +362,16 @@
     }
 }
 
+// What no other data centre answers is not found out by each request anew.
+void Node::note_cut(MonotonicTime now)
+{
+    bool const is_cut_off = this->membership->is_cut_off();
+    if (is_cut_off != this->was_cut_off)
+        LogLine(is_cut_off ? "data_centre_cut_off" : "data_centre_reached_others");
+    this->was_cut_off = is_cut_off;
+    this->state.reachability->set_confinement(is_cut_off ? ReachabilityTracker::Confinement::OwnDataCentre : ReachabilityTracker::Confinement::None, now);
+}
+
 void Node::stop(std::function<void()> when_done)
 {
     if (this->is_stopping)
--- a/Services/NodeServer/Node.h
+++ b/Services/NodeServer/Node.h
@@ -71,6 +71,7 @@
     void publish_metrics();
     void every_second();
     void drop_lapsed();
+    void note_cut(MonotonicTime now);
     void poll_stop();
 
     asio::io_context& loop;
@@ -94,6 +95,7 @@
     std::unique_ptr<HttpServer> metrics_server;
     std::optional<MonotonicTime> last_lapse_check;
     MonotonicTime started_at;
+    bool was_cut_off = false;
     bool is_stopping = false;
     MonotonicTime stop_began;
     std::function<void()> when_stopped;
--- a/Tests/LibDecision/TestReachabilityTracker.cpp
+++ b/Tests/LibDecision/TestReachabilityTracker.cpp
@@ -83,6 +83,27 @@
     }
 }
 
+TEST_CASE("While no VM of another data centre answers only upstreams of the own one are reachable, and what answers is", "[cut]")
+{
+    using Confinement = ReachabilityTracker::Confinement;
+    ReachabilityTracker tracker({}, "a");
+    tracker.note_reached("b1", "b", at(50));
+    tracker.set_confinement(Confinement::OwnDataCentre, at(100));
+    CHECK(tracker.is_reachable("a1", "a", at(100)));
+    CHECK_FALSE(tracker.is_reachable("b1", "b", at(100)));
+    CHECK_FALSE(tracker.is_reachable("c1", "c", at(100)));
+    CHECK(tracker.is_any_cut_off(at(100)));
+    // Each of the others has a scout, and one that answers tells for its data centre.
+    CHECK(tracker.due_scouts(s_upstreams, at(100)).size() >= 1);
+    tracker.note_reached("b1", "b", at(200));
+    tracker.set_confinement(Confinement::OwnDataCentre, at(250));
+    CHECK(tracker.is_reachable("b1", "b", at(300)));
+    CHECK_FALSE(tracker.is_reachable("c1", "c", at(300)));
+    tracker.set_confinement(Confinement::None, at(400));
+    CHECK(tracker.is_reachable("c1", "c", at(400)));
+    CHECK_FALSE(tracker.is_any_cut_off(at(400)));
+}
+
 TEST_CASE("Upstreams that left are forgotten, once nothing is in flight to them")
 {
     ReachabilityTracker tracker({}, "a");
--- a/Tests/LibRouter/TestPlacementClient.cpp
+++ b/Tests/LibRouter/TestPlacementClient.cpp
@@ -134,6 +134,30 @@
     REQUIRE(test.run_until([&] { return std::count(others[0]->released.begin(), others[0]->released.end(), "request-1") + std::count(others[1]->released.begin(), others[1]->released.end(), "request-1") > 2; }));
 }
 
+TEST_CASE("In a data centre that is cut off its own VMs are asked, and no other is waited for", "[cut]")
+{
+    PlacementTest test;
+    auto const others = test.others();
+    // Who would keep is elsewhere and does not answer.
+    auto* keeper = others[0];
+    auto* neighbour = others[1];
+    PlacementClient const of_other({}, *others[0]->kernel);
+    if (!of_other.is_keeper())
+        std::swap(keeper, neighbour);
+    keeper->answers = false;
+    test.client->set_hooks({ [&] { return std::vector<std::string> { test.own->kernel->virtual_machine(), neighbour->kernel->virtual_machine() }; } });
+    REQUIRE(test.place("request-1"));
+    CHECK(keeper->released.empty());
+    CHECK(neighbour->asked + test.own->asked == 1);
+    SECTION("and the others again when it is not")
+    {
+        test.client->set_hooks({});
+        keeper->answers = true;
+        REQUIRE(test.place("request-2"));
+        CHECK(keeper->asked == 1);
+    }
+}
+
 TEST_CASE("A release goes once to a keeper that granted and still keeps", "[held]")
 {
     PlacementTest test;
