--- a/Tests/LibRouter/TestPlacementClient.cpp
+++ b/Tests/LibRouter/TestPlacementClient.cpp
@@ -3,10 +3,12 @@
 
 #include <LibCore/Clock.h>
 #include <LibRouter/PlacementClient.h>
+#include <Tests/Support/LoopKernel.h>
 #include <asio.hpp>
 #include <catch2/catch.hpp>
 
 using namespace Spurtide;
+using namespace Spurtide::Tests;
 
 namespace {
 
@@ -14,11 +16,7 @@
 struct KeeperVirtualMachine {
     KeeperVirtualMachine(asio::io_context& loop, std::string const& name)
     {
-        Kernel::Options options;
-        options.virtual_machine = name;
-        options.listen_endpoint = "tcp://127.0.0.1:0";
-        options.loop = &loop;
-        this->kernel = Kernel::create(std::move(options)).release_value();
+        this->kernel = make_loop_kernel(loop, name);
         this->kernel->host(std::string(PLACEMENT_SERVICE), [this](wire::Envelope const& message, Kernel::Responder const& respond) {
             if (message.has_release())
                 this->released.push_back(message.release().request());
@@ -33,14 +31,6 @@
         this->kernel->start();
     }
 
-    MemberRecord member() const
-    {
-        MemberRecord record;
-        record.virtual_machine = this->kernel->virtual_machine();
-        record.services = this->kernel->hosted_services();
-        return record;
-    }
-
     std::unique_ptr<Kernel> kernel;
     bool answers = true;
     int asked = 0;
@@ -55,7 +45,7 @@
         for (auto const* name : { "vm-1", "vm-2", "vm-3" })
             this->machines.push_back(std::make_unique<KeeperVirtualMachine>(this->loop, name));
         for (auto const& machine : this->machines)
-            members.push_back(machine->member());
+            members.push_back(member_of(*machine->kernel));
         for (auto const& machine : this->machines)
             machine->kernel->directory().replace(1, 0, members, {});
         // The client stands on a VM that others go before.
@@ -81,16 +71,7 @@
         return found;
     }
 
-    bool run_until(std::function<bool()> const& condition)
-    {
-        auto const until = monotonic_now() + seconds(20);
-        while (!condition()) {
-            if (monotonic_now() >= until)
-                return false;
-            this->loop.run_for(std::chrono::milliseconds(2));
-        }
-        return true;
-    }
+    bool run_until(std::function<bool()> const& condition) { return run_loop_until(this->loop, condition); }
 
     /// Whether the request got a place.
     bool place(std::string const& request)
--- a/Tests/LibRouter/TestRegistryRelay.cpp
+++ b/Tests/LibRouter/TestRegistryRelay.cpp
@@ -3,10 +3,12 @@
 
 #include <LibCore/Clock.h>
 #include <LibRouter/RegistryRelay.h>
+#include <Tests/Support/LoopKernel.h>
 #include <asio.hpp>
 #include <catch2/catch.hpp>
 
 using namespace Spurtide;
+using namespace Spurtide::Tests;
 
 namespace {
 
@@ -14,11 +16,7 @@
 struct RelayVirtualMachine {
     RelayVirtualMachine(asio::io_context& loop, std::string const& name)
     {
-        Kernel::Options options;
-        options.virtual_machine = name;
-        options.listen_endpoint = "tcp://127.0.0.1:0";
-        options.loop = &loop;
-        this->kernel = Kernel::create(std::move(options)).release_value();
+        this->kernel = make_loop_kernel(loop, name);
         RegistryRelay::Hooks hooks;
         hooks.on_configuration = [this](auto const& document) {
             this->configurations.push_back(document.text);
@@ -36,14 +34,6 @@
         this->kernel->start();
     }
 
-    MemberRecord member() const
-    {
-        MemberRecord record;
-        record.virtual_machine = this->kernel->virtual_machine();
-        record.services = this->kernel->hosted_services();
-        return record;
-    }
-
     void change(std::string const& identity, std::int64_t version)
     {
         UpstreamRecord record;
@@ -72,7 +62,7 @@
         for (auto const* name : { "vm-1", "vm-2", "vm-3" })
             this->machines.push_back(std::make_unique<RelayVirtualMachine>(this->loop, name));
         for (auto const& machine : this->machines)
-            members.push_back(machine->member());
+            members.push_back(member_of(*machine->kernel));
         for (auto const& machine : this->machines)
             machine->kernel->directory().replace(1, 0, members, {});
         auto const watcher_name = choose_watchers(std::vector<std::string> { "vm-1", "vm-2", "vm-3" }, 1).front();
@@ -87,16 +77,7 @@
             machine->relay->start();
     }
 
-    bool run_until(std::function<bool()> const& condition)
-    {
-        auto const until = monotonic_now() + seconds(20);
-        while (!condition()) {
-            if (monotonic_now() >= until)
-                return false;
-            this->loop.run_for(std::chrono::milliseconds(2));
-        }
-        return true;
-    }
+    bool run_until(std::function<bool()> const& condition) { return run_loop_until(this->loop, condition); }
 
     asio::io_context loop { 1 };
     std::vector<std::unique_ptr<RelayVirtualMachine>> machines;
