--- /dev/null
+++ b/Libraries/LibAccounts/ClientAccount.cpp
@@ -0,0 +1,18 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibAccounts/ClientAccount.h>
+#include <algorithm>
+
+namespace Spurtide {
+
+double ClientAccount::cost_of(std::optional<std::int64_t> tokens) const
+{
+    if (!this->limit)
+        return 0;
+    if (this->limit->unit == AccountLimit::Unit::Requests)
+        return 1;
+    return tokens ? static_cast<double>(std::max<std::int64_t>(0, *tokens)) : this->limit->plain_call_tokens;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibAccounts/QuotaCredit.cpp
@@ -0,0 +1,106 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibAccounts/QuotaCredit.h>
+#include <algorithm>
+#include <utility>
+
+namespace Spurtide {
+
+QuotaCredit::QuotaCredit(Options options)
+    : options(options)
+    , slice_length(options.window / static_cast<std::int64_t>(SLICES - 1))
+{
+}
+
+std::int64_t QuotaCredit::slice_at(MonotonicTime now) const
+{
+    return std::chrono::duration_cast<Duration>(now.time_since_epoch()) / this->slice_length;
+}
+
+QuotaCredit::Entry& QuotaCredit::entry_of(std::string_view account, MonotonicTime now)
+{
+    auto const present = this->slice_at(now);
+    auto found = this->entries.find(account);
+    if (found == this->entries.end()) {
+        found = this->entries.emplace(std::string(account), Entry {}).first;
+        found->second.slice = present;
+    }
+    auto& entry = found->second;
+    // Slices that time has passed over begin empty.
+    auto const passed = std::min<std::int64_t>(static_cast<std::int64_t>(SLICES), present - entry.slice);
+    for (std::int64_t i = 1; i <= passed; ++i)
+        entry.used.at(static_cast<std::size_t>(entry.slice + i) % SLICES) = 0;
+    entry.slice = std::max(entry.slice, present);
+    return entry;
+}
+
+QuotaCredit::Outcome QuotaCredit::spend(std::string_view account, double cost, MonotonicTime now)
+{
+    auto& entry = this->entry_of(account, now);
+    if (now >= entry.keep_until || entry.credit < cost)
+        return Outcome::MustAsk;
+    entry.credit -= cost;
+    entry.used.at(static_cast<std::size_t>(entry.slice) % SLICES) += cost;
+    return Outcome::Spent;
+}
+
+double QuotaCredit::used_in_window(std::string_view account, MonotonicTime now) const
+{
+    auto const found = this->entries.find(account);
+    if (found == this->entries.end())
+        return 0;
+    auto const& entry = found->second;
+    auto const present = this->slice_at(now);
+    double sum = 0;
+    for (std::int64_t age = 0; age < static_cast<std::int64_t>(SLICES); ++age) {
+        auto const slice = entry.slice - age;
+        if (slice >= 0 && present - slice < static_cast<std::int64_t>(SLICES))
+            sum += entry.used.at(static_cast<std::size_t>(slice) % SLICES);
+    }
+    return sum;
+}
+
+double QuotaCredit::wanted(std::string_view account, double cost, MonotonicTime now) const
+{
+    auto const rate = this->used_in_window(account, now) / to_seconds(this->options.window);
+    return cost + rate * to_seconds(this->options.foresight);
+}
+
+void QuotaCredit::add(std::string_view account, double amount, MonotonicTime now)
+{
+    auto& entry = this->entry_of(account, now);
+    entry.credit += amount;
+    entry.keep_until = now + this->options.keep;
+}
+
+void QuotaCredit::give_back(std::string_view account, double cost, MonotonicTime now)
+{
+    auto& entry = this->entry_of(account, now);
+    auto& used = entry.used.at(static_cast<std::size_t>(entry.slice) % SLICES);
+    used = std::max(0.0, used - cost);
+    this->add(account, cost, now);
+}
+
+double QuotaCredit::take_unused(std::string_view account, MonotonicTime now)
+{
+    auto const found = this->entries.find(account);
+    if (found == this->entries.end() || now < found->second.keep_until)
+        return 0;
+    return std::exchange(found->second.credit, 0);
+}
+
+std::vector<QuotaCredit::Unused> QuotaCredit::take_all_unused(MonotonicTime now)
+{
+    std::vector<Unused> all;
+    for (auto const& [account, entry] : this->entries) {
+        auto const amount = this->take_unused(account, now);
+        if (amount > 0)
+            all.push_back({ account, amount });
+    }
+    auto const oldest = this->slice_at(now) - static_cast<std::int64_t>(SLICES);
+    std::erase_if(this->entries, [&](auto const& entry) { return entry.second.slice <= oldest && entry.second.credit <= 0; });
+    return all;
+}
+
+}
--- /dev/null
+++ b/Libraries/LibAccounts/QuotaCredit.h
@@ -0,0 +1,73 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#pragma once
+
+#include <LibCore/Time.h>
+#include <array>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace Spurtide {
+
+/// What a VM may still use of accounts' limits, and what it used lately. Pure: time is passed in.
+class QuotaCredit {
+public:
+    struct Options {
+        /// Credit that lay unused for so long goes back: longer, and it would be missing where it is needed.
+        Duration keep = milliseconds(500);
+        /// For how long the VM asks in advance, by its use in the last seconds.
+        Duration foresight = milliseconds(500);
+        /// How far back its use is told to a ledger that is new in office.
+        Duration window = seconds(8);
+    };
+
+    enum class Outcome {
+        Spent,
+        /// The credit that lies here is not enough.
+        MustAsk,
+    };
+
+    explicit QuotaCredit(Options options);
+
+    Outcome spend(std::string_view account, double cost, MonotonicTime now);
+    /// What to ask for, where the cost is not there.
+    double wanted(std::string_view account, double cost, MonotonicTime now) const;
+    void add(std::string_view account, double amount, MonotonicTime now);
+    /// A request that was counted has not run and will not.
+    void give_back(std::string_view account, double cost, MonotonicTime now);
+    /// What lay here for too long; taking it removes it.
+    double take_unused(std::string_view account, MonotonicTime now);
+    double used_in_window(std::string_view account, MonotonicTime now) const;
+
+    struct Unused {
+        std::string account;
+        double amount = 0;
+    };
+    /// What lay here for too long, of all accounts; forgets those that were idle for the window.
+    std::vector<Unused> take_all_unused(MonotonicTime now);
+
+private:
+    /// The window is kept in slices, the oldest of which counts whole.
+    static constexpr std::size_t SLICES = 9;
+
+    struct Entry {
+        double credit = 0;
+        MonotonicTime keep_until;
+        std::array<double, SLICES> used {};
+        /// Number of the newest slice.
+        std::int64_t slice = 0;
+    };
+
+    std::int64_t slice_at(MonotonicTime now) const;
+    Entry& entry_of(std::string_view account, MonotonicTime now);
+
+    Options options;
+    Duration slice_length;
+    std::map<std::string, Entry, std::less<>> entries;
+};
+
+}
