LibRouter: Take callers by their accounts' keys and hold their quotas over all VMs

Ruled out: an even share a VM (a stream costs some 8,000 tokens, an account's share of one VM of 60 is 500 to 3,700 a second, and clients stay on few VMs: nearly all would be refused below the limit); asking the keeper of the engines for all (plain calls know none, and it is one VM); each VM counting by what the others told (all admit the same free tokens between two messages). Change: each account is counted by one VM, ranked by rendezvous hashing among those that can keep things for all; requests are counted before their first byte, out of credit or with one message there and back; what has not run is given back. A VM that stands in gives a quarter, parted VMs their part. Keys are read to a digest in the adapter, looked up at entry and again right before each send, never passed on; the account is named on prefill, decode, retries and resumed runs. Faults of accounts name the field, the last good configuration stays.

--- a/Libraries/LibDecision/RouteTable.h
+++ b/Libraries/LibDecision/RouteTable.h
@@ -3,9 +3,11 @@
 
 #pragma once
 
+#include <LibAccounts/AccountBook.h>
 #include <LibCore/Time.h>
 #include <cstdint>
 #include <map>
+#include <memory>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -47,6 +49,7 @@
     std::int64_t priority = 0;
     /// Upstreams that one request may be sent to.
     std::int64_t maximum_attempts = 1;
+    RouteAccess access = RouteAccess::Accounts;
     /// Whether a stream may go on at another upstream behind the last event that came.
     bool is_resumable = false;
     std::vector<RouteTarget> targets;
@@ -89,6 +92,8 @@
     std::vector<Route> routes;
     std::vector<ServiceTraits> services;
     CallerLimits limits;
+    /// Null where callers need no account.
+    std::shared_ptr<AccountBook const> accounts;
 };
 
 /// Finds the route of a request: among those of its host, the one with the longest prefix of its path.
--- a/Libraries/LibRouter/CallerRequest.h
+++ b/Libraries/LibRouter/CallerRequest.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <LibAccounts/KeyDigest.h>
 #include <LibCore/Time.h>
 #include <LibDecision/CellScheduler.h>
 #include <cstdint>
@@ -29,6 +30,8 @@
     std::string identifier;
     /// How long the caller waits from when it sent the request.
     Duration patience = seconds(30);
+    /// Of the key that names the caller's account; empty where none came, or more than one.
+    std::optional<KeyDigest> key;
     /// Set for requests to models.
     std::optional<PromptFacts> prompt;
     /// The last event that the caller has of this stream; empty where it has none.
@@ -66,6 +69,8 @@
     Duration patience {};
     /// The life of the upstream that is meant; any other does not run the request.
     std::string expected_identity;
+    /// The caller's account; empty where it has none.
+    std::string account;
     /// Where the cache is kept, for Decode.
     std::string cache_address;
     /// The identity of the engine there.
--- a/Libraries/LibRouter/EngineKeeper.cpp
+++ b/Libraries/LibRouter/EngineKeeper.cpp
@@ -15,15 +15,14 @@
 constexpr Duration HOUSEKEEPING = milliseconds(500);
 /// Longer than news of a new VM takes to come around.
 constexpr Duration ORIGIN_GRACE = seconds(2);
-/// All callers of this deployment share one account.
-constexpr std::string_view ACCOUNT = "all";
+/// Limits of accounts are counted before a place is asked for.
 constexpr double UNLIMITED = 1e9;
 
 PlacementAsk read_ask(wire::PlacementAsk const& message, MonotonicTime now)
 {
     PlacementAsk ask;
     ask.request = message.request();
-    ask.account = ACCOUNT;
+    ask.account = message.account();
     ask.model = message.model();
     ask.origin = message.origin();
     ask.prompt_tokens = message.prompt_tokens();
@@ -49,11 +48,38 @@
     , metrics(metrics)
     , timer(loop)
 {
-    AccountDescription account;
-    account.name = ACCOUNT;
-    account.requests_per_second = UNLIMITED;
-    account.burst = UNLIMITED;
-    this->scheduler.set_accounts({ &account, 1 }, monotonic_now());
+    this->know_account({});
+}
+
+// An asking VM may have a newer configuration, with accounts that this one has not heard of.
+void EngineKeeper::know_account(std::string const& account)
+{
+    if (this->account_weights.try_emplace(account, 1).second)
+        this->share_among_accounts();
+}
+
+void EngineKeeper::set_accounts(std::span<ClientAccount const> accounts)
+{
+    std::map<std::string, double> weights { { {}, 1 } };
+    double largest = 0;
+    for (auto const& account : accounts)
+        largest = std::max(largest, account.limit ? account.limit->rate : 0);
+    // Accounts share engines that are scarce as their limits are to each other; one without counts like the largest.
+    for (auto const& account : accounts)
+        weights[account.name] = account.limit ? account.limit->rate / largest : 1;
+    if (weights == this->account_weights)
+        return;
+    this->account_weights = std::move(weights);
+    this->share_among_accounts();
+}
+
+void EngineKeeper::share_among_accounts()
+{
+    std::vector<AccountDescription> descriptions;
+    descriptions.reserve(this->account_weights.size());
+    for (auto const& [name, weight] : this->account_weights)
+        descriptions.push_back({ name, weight, UNLIMITED, UNLIMITED });
+    this->scheduler.set_accounts(descriptions, this->hooks.clock());
 }
 
 void EngineKeeper::start()
@@ -150,6 +176,7 @@
     this->waiting.insert_or_assign(message.request(), respond);
     LogLine("asked").with("request", message.request()).with("prompt_tokens", message.prompt_tokens()).with("maximum_output_tokens", message.maximum_output_tokens()).with("expected_output_tokens", message.expected_output_tokens()).with("first_token_within_ms", message.first_token_within_microseconds() / 1000).with("decide_within_ms", message.decide_within_microseconds() / 1000);
     auto ask = read_ask(message, now);
+    this->know_account(ask.account);
     if (ask.relayed_tokens == 0 && ask.excluded_engines.empty())
         this->hooks.on_first_ask(ask);
     this->scheduler.ask(std::move(ask), now);
@@ -161,7 +188,7 @@
     for (auto const& record : message.records()) {
         PlacementAsk ask;
         ask.request = record.request();
-        ask.account = ACCOUNT;
+        ask.account = record.account();
         ask.model = record.model();
         ask.origin = message.origin();
         ask.prompt_tokens = record.prompt_tokens();
--- a/Libraries/LibRouter/EngineKeeper.h
+++ b/Libraries/LibRouter/EngineKeeper.h
@@ -27,6 +27,9 @@
     /// Takes the engines from the configuration and the list of upstreams.
     void set_engines(RoutingConfiguration const& configuration, UpstreamList const& upstreams);
 
+    /// The accounts that share the engines.
+    void set_accounts(std::span<ClientAccount const> accounts);
+
     /// The engine has the prompts with these parts in memory.
     void note_cached(std::string_view engine, std::span<std::string const> own_parts) { this->scheduler.note_cached(engine, own_parts, this->hooks.clock()); }
     void handle(wire::Envelope const& request, Kernel::Responder const& respond);
@@ -44,6 +47,8 @@
 private:
     void handle_ask(wire::PlacementAsk const& message, Kernel::Responder const& respond);
     void handle_records(wire::GrantRecords const& message);
+    void know_account(std::string const& account);
+    void share_among_accounts();
     MonotonicTime begin_turn();
     void flush();
     void tick();
@@ -56,6 +61,7 @@
     asio::steady_timer timer;
     bool is_timer_set = false;
     std::map<std::string, Kernel::Responder> waiting;
+    std::map<std::string, double> account_weights;
     MissingOrigins missing_origins;
     PauseDetector pauses { PauseDetector::Options {} };
 };
--- a/Libraries/LibRouter/Entry.cpp
+++ b/Libraries/LibRouter/Entry.cpp
@@ -40,6 +40,11 @@
         co_return;
     }
     auto request = parsed.release_value();
+    auto const caller = identify_caller(routes->configuration().accounts.get(), route->access, request.key);
+    if (caller.standing == CallerIdentity::Standing::Refused) {
+        co_await this->answer(exchange, 401, request.key ? "unknown_key" : "no_key", identifier);
+        co_return;
+    }
     auto const stop = this->state.stop_time();
     if (stop && !may_begin_before_stop(route->kind, this->expected_time(*route, request), *stop)) {
         co_await this->answer(exchange, 503, "stopping", identifier);
@@ -52,9 +57,9 @@
     bool const is_for_engines = request.prompt && std::any_of(route->targets.begin(), route->targets.end(), has_engine);
     std::shared_ptr<RequestFlow> flow;
     if (is_for_engines)
-        flow = std::make_shared<StreamFlow>(this->state, exchange, routes, *route, std::move(request));
+        flow = std::make_shared<StreamFlow>(this->state, exchange, routes, *route, caller.account, std::move(request));
     else
-        flow = std::make_shared<PlainFlow>(this->state, exchange, routes, *route, std::move(request));
+        flow = std::make_shared<PlainFlow>(this->state, exchange, routes, *route, caller.account, std::move(request));
     co_await flow->run();
 }
 
--- a/Libraries/LibRouter/PlacementClient.cpp
+++ b/Libraries/LibRouter/PlacementClient.cpp
@@ -3,7 +3,6 @@
 
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
-#include <LibDecision/CellMap.h>
 #include <LibRouter/PlacementClient.h>
 #include <LibWire/WirePlacement.h>
 #include <algorithm>
@@ -40,6 +39,7 @@
 PlacementClient::PlacementClient(Options options, Kernel& kernel)
     : options(options)
     , kernel(kernel)
+    , keepers(kernel, this->options.suspicion)
 {
 }
 
@@ -49,45 +49,14 @@
     this->kernel.every(this->options.keeper_check, [this] { this->follow_keeper(); });
 }
 
-std::string PlacementClient::endpoint_of(std::string const& virtual_machine) const
-{
-    if (virtual_machine == this->kernel.virtual_machine())
-        return this->kernel.endpoint();
-    return this->kernel.directory().resolve_on(virtual_machine, PLACEMENT_SERVICE).value_or("");
-}
-
-std::vector<std::string> PlacementClient::keepers() const
-{
-    auto const now = monotonic_now();
-    auto const confined = this->hooks.confined_to();
-    auto const answering = [&](std::string_view service) {
-        auto found = this->kernel.directory().virtual_machines_with(service);
-        if (confined)
-            std::erase_if(found, [&](auto const& name) { return std::find(confined->begin(), confined->end(), name) == confined->end(); });
-        std::erase_if(found, [&](auto const& name) {
-            auto const silent = this->silent_until.find(name);
-            return silent != this->silent_until.end() && now < silent->second;
-        });
-        return found;
-    };
-    auto names = answering(STRONG_PLACEMENT_SERVICE);
-    if (names.empty())
-        names = answering(PLACEMENT_SERVICE);
-    std::sort(names.begin(), names.end(), [](auto const& a, auto const& b) { return rendezvous_score(CELL, a) > rendezvous_score(CELL, b); });
-    return names;
-}
-
-std::string PlacementClient::present_keeper() const
-{
-    auto const names = this->keepers();
-    return names.empty() ? this->kernel.endpoint() : this->endpoint_of(names.front());
-}
+std::string PlacementClient::present_keeper() const { return this->keepers.present_endpoint(CELL); }
 
 wire::Envelope PlacementClient::ask_message(PlacementAsk const& ask, Duration decide_within, Duration first_token_within) const
 {
     auto envelope = placement_message();
     auto* message = envelope.mutable_placement_ask();
     message->set_request(ask.request);
+    message->set_account(ask.account);
     message->set_model(ask.model);
     message->set_origin(this->kernel.incarnation());
     message->set_prompt_tokens(ask.prompt_tokens);
@@ -109,7 +78,7 @@
 {
     auto const begun = monotonic_now();
     this->follow_keeper();
-    auto names = this->keepers();
+    auto names = this->keepers.names(CELL);
     names.resize(std::min(names.size(), REMOTE_TRIES));
     std::erase(names, this->kernel.virtual_machine());
     bool const is_own_first = this->present_keeper() == this->kernel.endpoint();
@@ -117,7 +86,7 @@
         names.clear();
     names.push_back(this->kernel.virtual_machine());
     for (auto const& name : names) {
-        auto const endpoint = this->endpoint_of(name);
+        auto const endpoint = this->keepers.endpoint_of(name);
         auto const spent = std::chrono::duration_cast<Duration>(monotonic_now() - begun);
         auto const message = this->ask_message(ask, std::max(Duration { 1 }, decide_within - spent), first_token_within - spent);
         wait->reply.reset();
@@ -134,7 +103,7 @@
         if (wait->is_given_up)
             co_return std::nullopt;
         if (wait->reply->is_error()) {
-            this->silent_until[name] = monotonic_now() + this->options.suspicion;
+            this->keepers.note_silent(name);
             LogLine("keeper_silent").with("keeper", name).with("request", ask.request).with("error", to_string(wait->reply->error().kind));
             continue;
         }
@@ -212,6 +181,7 @@
     for (auto const& [request, held] : this->held) {
         auto* record = records->add_records();
         record->set_request(request);
+        record->set_account(held.ask.account);
         record->set_model(held.ask.model);
         record->set_prefill_engine(held.grant.prefill_engine);
         record->set_decode_engine(held.grant.decode_engine);
--- a/Libraries/LibRouter/PlacementClient.h
+++ b/Libraries/LibRouter/PlacementClient.h
@@ -6,6 +6,7 @@
 #include <LibAsync/Signal.h>
 #include <LibCore/Time.h>
 #include <LibDecision/CellScheduler.h>
+#include <LibRouter/KeeperRanking.h>
 #include <LibWire/Kernel.h>
 #include <asio.hpp>
 #include <functional>
@@ -15,10 +16,6 @@
 
 namespace Spurtide {
 
-/// Every VM hosts the first; those that can carry the engines of all announce the second as well.
-constexpr std::string_view PLACEMENT_SERVICE = "placement";
-constexpr std::string_view STRONG_PLACEMENT_SERVICE = "placement-strong";
-
 /// Asks the keeper of the engines for places, tells it of progress and ends, and names to it what is held.
 /// Where the keeper does not answer, the next VM in the same order is asked, and at last the own one.
 class PlacementClient {
@@ -65,13 +62,9 @@
         std::vector<std::string> refusing;
     };
 
-    struct Hooks {
-        /// While this VM's data centre is cut off from all others, the VMs in it; empty else.
-        std::function<std::optional<std::vector<std::string>>()> confined_to = [] { return std::optional<std::vector<std::string>> {}; };
-    };
-
     PlacementClient(Options options, Kernel& kernel);
-    void set_hooks(Hooks new_hooks) { this->hooks = std::move(new_hooks); }
+    /// The order in which VMs are asked; shared with whoever else needs a keeper.
+    KeeperRanking& ranking() { return this->keepers; }
 
     void start();
 
@@ -95,9 +88,6 @@
         MonotonicTime since;
     };
 
-    /// VMs in the order in which they would keep the engines, without those that were silent lately.
-    std::vector<std::string> keepers() const;
-    std::string endpoint_of(std::string const& virtual_machine) const;
     std::string present_keeper() const;
     void send(wire::Envelope envelope);
     void follow_keeper();
@@ -106,9 +96,8 @@
 
     Options options;
     Kernel& kernel;
-    Hooks hooks;
+    KeeperRanking keepers;
     std::map<std::string, Held> held;
-    std::map<std::string, MonotonicTime> silent_until;
     std::string last_keeper;
 };
 
--- a/Libraries/LibRouter/PlainFlow.cpp
+++ b/Libraries/LibRouter/PlainFlow.cpp
@@ -134,6 +134,7 @@
         co_return attempt;
     }
     auto const connection = acquired.release_value();
+    this->check_key();
     // While the connection came up the upstream may have begun to leave, or the caller may have left.
     if (this->is_stopped() || !this->state.upstreams.takes_work(upstream.identity)) {
         this->state.pool.release(*address, connection);
@@ -144,6 +145,7 @@
     Dispatch dispatch;
     dispatch.patience = std::min(this->patience_left(), this->time_left());
     dispatch.expected_identity = upstream.identity;
+    dispatch.account = this->account;
     this->set_active(connection);
     this->note_sent();
     auto const out_of_reach = this->route.kind == RouteKind::Repeatable ? UpstreamUse::OutOfReach::BreakOff : UpstreamUse::OutOfReach::Wait;
--- /dev/null
+++ b/Libraries/LibRouter/QuotaClient.cpp
@@ -0,0 +1,153 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibAsync/Signal.h>
+#include <LibCore/Clock.h>
+#include <LibCore/LogLine.h>
+#include <LibRouter/QuotaClient.h>
+#include <algorithm>
+#include <memory>
+
+namespace Spurtide {
+
+namespace {
+
+/// The VM that counts and the one that stands in for it.
+constexpr std::size_t MOST_ASKED = 2;
+
+wire::Envelope quota_message()
+{
+    wire::Envelope envelope;
+    envelope.set_service(std::string(QUOTA_SERVICE));
+    return envelope;
+}
+
+/// A reply on its way to the coroutine that waits for it.
+struct PendingReply {
+    explicit PendingReply(asio::any_io_executor const& executor)
+        : signal(executor)
+    {
+    }
+
+    Signal signal;
+    std::optional<WireReply> reply;
+};
+
+}
+
+QuotaClient::QuotaClient(Options options, Kernel& kernel, KeeperRanking& ranking, QuotaCounter& own_counter)
+    : options(options)
+    , kernel(kernel)
+    , ranking(ranking)
+    , own_counter(own_counter)
+    , credit(options.credit)
+{
+}
+
+void QuotaClient::start()
+{
+    this->kernel.every(this->options.return_interval, [this] { this->return_unused(); });
+}
+
+QuotaLedger::Ask QuotaClient::ask_for(std::string const& account, double cost, Duration patience)
+{
+    auto const now = monotonic_now();
+    QuotaLedger::Ask ask;
+    ask.needed = cost;
+    ask.wanted = this->credit.wanted(account, cost, now);
+    ask.returned = this->credit.take_unused(account, now);
+    ask.patience = patience;
+    return ask;
+}
+
+asio::awaitable<QuotaClient::Decision> QuotaClient::take(std::string account, double cost, Duration patience)
+{
+    if (cost <= 0 || this->credit.spend(account, cost, monotonic_now()) == QuotaCredit::Outcome::Spent)
+        co_return Decision {};
+    auto names = this->ranking.names(account);
+    names.resize(std::min(names.size(), MOST_ASKED));
+    for (auto const& name : names) {
+        std::optional<QuotaLedger::Answer> answer;
+        if (name == this->kernel.virtual_machine())
+            answer = this->own_counter.take(account, this->ask_for(account, cost, patience), QuotaCounter::Standing::Ranked);
+        else
+            answer = co_await this->ask(name, account, cost, patience);
+        if (answer)
+            co_return this->settle(account, cost, *answer);
+    }
+    auto const alone = this->own_counter.take(account, this->ask_for(account, cost, patience), QuotaCounter::Standing::Alone);
+    LogLine("quota_counted_alone").with("account", account).with("asked", static_cast<std::int64_t>(names.size()));
+    // A limit that is gone from the newest configuration binds nobody.
+    co_return alone ? this->settle(account, cost, *alone) : Decision {};
+}
+
+asio::awaitable<std::optional<QuotaLedger::Answer>> QuotaClient::ask(std::string virtual_machine, std::string account, double cost, Duration patience)
+{
+    auto const ask = this->ask_for(account, cost, patience);
+    auto envelope = quota_message();
+    auto* message = envelope.mutable_quota_ask();
+    message->set_account(account);
+    message->set_needed(ask.needed);
+    message->set_wanted(ask.wanted);
+    message->set_returned(ask.returned);
+    message->set_patience_microseconds(ask.patience.count());
+    message->set_known_counter(this->counters[account]);
+    message->set_used_lately(this->credit.used_in_window(account, monotonic_now()));
+    auto const executor = co_await asio::this_coro::executor;
+    auto const pending = std::make_shared<PendingReply>(executor);
+    this->kernel.request(this->ranking.endpoint_of(virtual_machine), std::move(envelope), { this->options.answer_time, this->options.silence }, [pending](WireReply reply) {
+        pending->reply = std::move(reply);
+        pending->signal.notify();
+    });
+    while (!pending->reply)
+        co_await pending->signal.wait();
+    if (pending->reply->is_error()) {
+        auto const& error = pending->reply->error();
+        // One that says that it is not ready is there; keepers of other things need not avoid it.
+        if (error.kind != WireErrorKind::Remote)
+            this->ranking.note_silent(virtual_machine);
+        LogLine("quota_counter_silent").with("vm", virtual_machine).with("account", account).with("error", to_string(error.kind));
+        co_return std::nullopt;
+    }
+    auto const& reply = pending->reply->value();
+    if (!reply.has_quota_answer())
+        co_return std::nullopt;
+    this->counters[account] = reply.quota_answer().counter();
+    QuotaLedger::Answer answer;
+    answer.granted = reply.quota_answer().granted();
+    answer.retry_after = Duration(reply.quota_answer().retry_after_microseconds());
+    co_return answer;
+}
+
+QuotaClient::Decision QuotaClient::settle(std::string const& account, double cost, QuotaLedger::Answer const& answer)
+{
+    auto const now = monotonic_now();
+    if (answer.granted <= 0)
+        return { Outcome::OverLimit, answer.retry_after };
+    this->credit.add(account, answer.granted, now);
+    bool const is_spent = this->credit.spend(account, cost, now) == QuotaCredit::Outcome::Spent;
+    return { is_spent ? Outcome::Counted : Outcome::OverLimit, {} };
+}
+
+void QuotaClient::give_back(std::string const& account, double cost)
+{
+    if (cost > 0)
+        this->credit.give_back(account, cost, monotonic_now());
+}
+
+void QuotaClient::return_unused()
+{
+    for (auto const& unused : this->credit.take_all_unused(monotonic_now())) {
+        auto const endpoint = this->ranking.present_endpoint(unused.account);
+        if (endpoint == this->kernel.endpoint()) {
+            this->own_counter.give_back(unused.account, unused.amount);
+            continue;
+        }
+        auto envelope = quota_message();
+        envelope.mutable_quota_return()->set_account(unused.account);
+        envelope.mutable_quota_return()->set_amount(unused.amount);
+        this->kernel.notify(endpoint, std::move(envelope));
+    }
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRouter/QuotaCounter.cpp
@@ -0,0 +1,86 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibCore/Clock.h>
+#include <LibRouter/QuotaCounter.h>
+#include <algorithm>
+
+namespace Spurtide {
+
+namespace {
+
+/// Of what the first in the ranking gives out. With it and one burst counted twice, accounts stay within a tenth over
+/// their limit for as long as VMs take to agree, about two seconds.
+constexpr double STAND_IN_PART = 0.25;
+
+}
+
+QuotaCounter::QuotaCounter(QuotaLedger::Options options, Kernel& kernel, KeeperRanking& ranking, Hooks hooks)
+    : ledger(options)
+    , kernel(kernel)
+    , ranking(ranking)
+    , hooks(std::move(hooks))
+{
+}
+
+void QuotaCounter::host()
+{
+    this->kernel.host(std::string(QUOTA_SERVICE), [this](wire::Envelope const& request, Kernel::Responder const& respond) { this->answer(request, respond); });
+}
+
+double QuotaCounter::part_of(std::string const& account, Standing standing) const
+{
+    auto const live = static_cast<double>(std::max<std::size_t>(1, this->hooks.live_virtual_machines()));
+    auto const all = live + static_cast<double>(this->hooks.lost_virtual_machines());
+    if (standing == Standing::Alone)
+        return 1 / all;
+    bool const is_first = this->hooks.is_settled() && this->ranking.is_own(account);
+    return live / all * (is_first ? 1 : STAND_IN_PART);
+}
+
+std::optional<QuotaLedger::Answer> QuotaCounter::take(std::string const& account, QuotaLedger::Ask const& ask, Standing standing)
+{
+    auto const routes = this->hooks.routes();
+    auto const* book = routes ? routes->configuration().accounts.get() : nullptr;
+    auto const* found = book ? book->find_by_name(account) : nullptr;
+    if (!found || !found->limit)
+        return {};
+    return this->ledger.take(account, *found->limit, this->part_of(account, standing), ask, monotonic_now());
+}
+
+void QuotaCounter::give_back(std::string const& account, double amount)
+{
+    this->ledger.give_back(account, amount, monotonic_now());
+}
+
+void QuotaCounter::answer(wire::Envelope const& request, Kernel::Responder const& respond)
+{
+    if (request.has_quota_return()) {
+        this->give_back(request.quota_return().account(), std::max(0.0, request.quota_return().amount()));
+        return;
+    }
+    if (!request.has_quota_ask()) {
+        respond(error_reply(wire::ERROR_CODE_UNKNOWN_MESSAGE));
+        return;
+    }
+    auto const& message = request.quota_ask();
+    QuotaLedger::Ask ask;
+    ask.needed = std::max(0.0, message.needed());
+    ask.wanted = std::max(0.0, message.wanted());
+    ask.returned = std::max(0.0, message.returned());
+    ask.patience = Duration(message.patience_microseconds());
+    if (message.known_counter() != this->kernel.incarnation())
+        ask.used_before = std::max(0.0, message.used_lately());
+    auto const taken = this->take(message.account(), ask, Standing::Ranked);
+    if (!taken) {
+        respond(error_reply(wire::ERROR_CODE_NOT_READY));
+        return;
+    }
+    wire::Envelope reply;
+    reply.mutable_quota_answer()->set_granted(taken->granted);
+    reply.mutable_quota_answer()->set_retry_after_microseconds(taken->retry_after.count());
+    reply.mutable_quota_answer()->set_counter(this->kernel.incarnation());
+    respond(std::move(reply));
+}
+
+}
--- a/Libraries/LibRouter/RegistryPort.h
+++ b/Libraries/LibRouter/RegistryPort.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace Spurtide {
@@ -28,6 +29,24 @@
     std::int64_t position = 0;
 };
 
+/// Why a configuration is not taken; the one before stays in force.
+struct ConfigurationFault {
+    enum class Kind {
+        /// Not an object of the platform's encoding.
+        NotReadable,
+        /// A field that is needed is not there.
+        Missing,
+        WrongType,
+        OutOfRange,
+        Duplicate,
+    } kind
+        = Kind::NotReadable;
+    /// The path of the field, such as /accounts/2/name in the configuration's own words; never its value.
+    std::string field;
+};
+
+std::string_view to_string(ConfigurationFault::Kind kind);
+
 struct UpstreamSnapshot {
     /// Each with the version of its last change.
     std::vector<UpstreamChange> listed;
@@ -50,7 +69,7 @@
     virtual asio::awaitable<Result<ConfigurationNews, PlatformError>> watch_configuration(std::int64_t position, Duration wait) = 0;
     virtual asio::awaitable<Result<UpstreamSnapshot, PlatformError>> read_upstreams() = 0;
     virtual asio::awaitable<Result<UpstreamNews, PlatformError>> watch_upstreams(std::int64_t position, Duration wait) = 0;
-    virtual Result<RoutingConfiguration, PlatformError> decode(ConfigurationDocument const& document) const = 0;
+    virtual Result<RoutingConfiguration, ConfigurationFault> decode(ConfigurationDocument const& document) const = 0;
 };
 
 }
--- a/Libraries/LibRouter/RequestFlow.cpp
+++ b/Libraries/LibRouter/RequestFlow.cpp
@@ -3,6 +3,7 @@
 
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
+#include <LibRouter/QuotaClient.h>
 #include <LibRouter/RequestFlow.h>
 #include <algorithm>
 #include <array>
@@ -23,17 +24,27 @@
     return text.data();
 }
 
+/// The tokens that a request names, prompt and longest answer together.
+std::optional<std::int64_t> tokens_of(CallerRequest const& request)
+{
+    if (!request.prompt)
+        return {};
+    return request.prompt->prompt_tokens + request.prompt->maximum_output_tokens;
+}
+
 }
 
-RequestFlow::RequestFlow(RouterState& state, HttpExchange& exchange, std::shared_ptr<RouteTable const> routes, Route const& route, CallerRequest request)
+RequestFlow::RequestFlow(RouterState& state, HttpExchange& exchange, std::shared_ptr<RouteTable const> routes, Route const& route, ClientAccount const* account, CallerRequest request)
     : state(state)
     , exchange(exchange)
     , routes(std::move(routes))
     , route(route)
     , request(std::move(request))
     , service(route.target_for(XXH3_64bits(this->request.identifier.data(), this->request.identifier.size())))
+    , account(account ? account->name : std::string())
     , body(std::make_shared<std::string const>(exchange.request().body))
     , until(exchange.received_at() + std::min(route.timeout, this->request.patience))
+    , cost(account ? account->cost_of(tokens_of(this->request)) : 0)
     , limit(state.loop)
 {
 }
@@ -53,10 +64,45 @@
             flow->stop(StopReason::OutOfTime);
     });
     this->state.budget_of(this->service).note_request(monotonic_now());
-    co_await this->carry();
+    bool const may_go_on = co_await this->is_within_limit();
+    if (may_go_on) {
+        if (this->is_stopped())
+            co_await this->answer_stopped();
+        else
+            co_await this->carry();
+        // What has not run costs the account nothing.
+        if (this->cost > 0 && this->earlier == SendHistory::Earlier::HasNotRun)
+            this->state.quota->give_back(this->account, this->cost);
+    }
     this->limit.cancel();
 }
 
+asio::awaitable<bool> RequestFlow::is_within_limit()
+{
+    if (this->cost <= 0)
+        co_return true;
+    auto const decision = co_await this->state.quota->take(this->account, this->cost, this->patience_left());
+    if (decision.outcome == QuotaClient::Outcome::Counted)
+        co_return true;
+    if (this->stop_reason == StopReason::CallerLeft)
+        this->log_end("caller_left", "over_limit", 0);
+    else
+        co_await this->reject(429, "over_limit", decision.retry_after);
+    co_return false;
+}
+
+void RequestFlow::check_key()
+{
+    auto const newest = this->state.routes;
+    if (newest == this->routes)
+        return;
+    auto const identity = identify_caller(newest->configuration().accounts.get(), this->route.access, this->request.key);
+    if (identity.standing == CallerIdentity::Standing::Refused)
+        this->stop(StopReason::KeyRevoked);
+    else
+        this->account = identity.account ? identity.account->name : std::string();
+}
+
 void RequestFlow::stop(StopReason reason)
 {
     if (this->is_stopped())
@@ -99,11 +145,7 @@
         this->log_end("caller_left", reason, 0);
         co_return;
     }
-    auto head = this->state.dialect.own_head(503, this->request.identifier);
-    head.headers.add("Retry-After", format_seconds(std::max(retry_after, SHORTEST_RETRY_AFTER)));
-    this->log_end("refused_not_run", reason, 503);
-    // A caller that does not take the answer is gone; there is nobody left to tell.
-    static_cast<void>(co_await this->exchange.respond(std::move(head), {}));
+    co_await this->reject(503, reason, retry_after);
 }
 
 asio::awaitable<void> RequestFlow::fail(int status, std::string_view reason)
@@ -123,12 +165,27 @@
         this->log_end("caller_left", "caller_left", 0);
         co_return;
     }
-    if (this->earlier == SendHistory::Earlier::HasNotRun && !this->exchange.has_begun())
+    bool const has_not_run = this->earlier == SendHistory::Earlier::HasNotRun && !this->exchange.has_begun();
+    if (this->stop_reason == StopReason::KeyRevoked && has_not_run)
+        co_await this->reject(401, "key_revoked", {});
+    else if (this->stop_reason == StopReason::KeyRevoked)
+        co_await this->fail(502, "key_revoked");
+    else if (has_not_run)
         co_await this->refuse("out_of_time", SHORTEST_RETRY_AFTER);
     else
         co_await this->fail(504, "out_of_time");
 }
 
+asio::awaitable<void> RequestFlow::reject(int status, std::string_view reason, std::optional<Duration> retry_after)
+{
+    auto head = this->state.dialect.own_head(status, this->request.identifier);
+    if (retry_after)
+        head.headers.add("Retry-After", format_seconds(std::max(*retry_after, SHORTEST_RETRY_AFTER)));
+    this->log_end(status == 503 ? "refused_not_run" : "rejected", reason, status);
+    // A caller that does not take the answer is gone; there is nobody left to tell.
+    static_cast<void>(co_await this->exchange.respond(std::move(head), {}));
+}
+
 void RequestFlow::log_end(std::string_view outcome, std::string_view reason, int status)
 {
     auto const took = std::chrono::duration_cast<Duration>(monotonic_now() - this->exchange.received_at());
@@ -136,6 +193,7 @@
     line.with("request", this->request.identifier)
         .with("route", this->route.name)
         .with("service", this->service)
+        .with("account", this->account)
         .with("outcome", outcome)
         .with("reason", reason)
         .with("status", status)
--- a/Libraries/LibRouter/RequestFlow.h
+++ b/Libraries/LibRouter/RequestFlow.h
@@ -17,7 +17,8 @@
 /// that is left, the caller's leaving, and the answers of the router's own.
 class RequestFlow : public std::enable_shared_from_this<RequestFlow> {
 public:
-    RequestFlow(RouterState& state, HttpExchange& exchange, std::shared_ptr<RouteTable const> routes, Route const& route, CallerRequest request);
+    /// The account is null for callers without one.
+    RequestFlow(RouterState& state, HttpExchange& exchange, std::shared_ptr<RouteTable const> routes, Route const& route, ClientAccount const* account, CallerRequest request);
     virtual ~RequestFlow() = default;
     RequestFlow(RequestFlow const&) = delete;
     RequestFlow& operator=(RequestFlow const&) = delete;
@@ -29,6 +30,8 @@
         None,
         CallerLeft,
         OutOfTime,
+        /// The caller's key is no account's any more.
+        KeyRevoked,
     };
 
     virtual asio::awaitable<void> carry() = 0;
@@ -37,6 +40,10 @@
     /// Called once when the caller left or time is up.
     virtual void on_stop() { }
 
+    /// Looks the caller's key up in the newest configuration, which may have taken it away while the request waited;
+    /// stops the request then. Call right before a send.
+    void check_key();
+
     bool is_stopped() const { return this->stop_reason != StopReason::None; }
     /// The connection that ends when the request is stopped.
     void set_active(std::shared_ptr<HttpConnection> connection) { this->active = std::move(connection); }
@@ -65,6 +72,8 @@
     Route const& route;
     CallerRequest request;
     std::string service;
+    /// Named to upstreams; empty for callers without one.
+    std::string account;
     std::shared_ptr<std::string const> body;
     MonotonicTime until;
     SendHistory::Earlier earlier = SendHistory::Earlier::HasNotRun;
@@ -72,9 +81,14 @@
 
 private:
     void stop(StopReason reason);
+    /// Counts the request against its account's limit; answers it where it is over.
+    asio::awaitable<bool> is_within_limit();
+    asio::awaitable<void> reject(int status, std::string_view reason, std::optional<Duration> retry_after);
 
     StopReason stop_reason = StopReason::None;
     SendHistory::Earlier before_send = SendHistory::Earlier::HasNotRun;
+    /// What it counts against the account's limit.
+    double cost = 0;
     std::shared_ptr<HttpConnection> active;
     asio::steady_timer limit;
 };
--- a/Libraries/LibRouter/RouterState.h
+++ b/Libraries/LibRouter/RouterState.h
@@ -23,6 +23,7 @@
 namespace Spurtide {
 
 class PlacementClient;
+class QuotaClient;
 
 /// What all requests of a VM share. Lives on the one event loop.
 struct RouterState {
@@ -45,6 +46,7 @@
     /// How far answers' lengths are from what callers expect: standard deviation of the logarithm.
     double length_spread = 0.6;
     PlacementClient* placement = nullptr;
+    QuotaClient* quota = nullptr;
     /// Number of VMs that share the retry budget.
     std::function<std::size_t()> live_virtual_machines = [] { return std::size_t { 1 }; };
 
--- a/Libraries/LibRouter/StreamFlow.cpp
+++ b/Libraries/LibRouter/StreamFlow.cpp
@@ -67,6 +67,7 @@
     auto const& prompt = *this->request.prompt;
     PlacementAsk ask;
     ask.request = this->request.identifier;
+    ask.account = this->account;
     ask.model = this->service;
     ask.prompt_tokens = prompt.prompt_tokens;
     ask.maximum_output_tokens = prompt.maximum_output_tokens;
@@ -228,6 +229,7 @@
         co_return std::nullopt;
     }
     auto const connection = acquired.release_value();
+    this->check_key();
     if (this->is_stopped() || !this->state.upstreams.takes_work(engine.identity)) {
         this->state.pool.release(*address, connection);
         if (!this->is_stopped())
@@ -237,6 +239,7 @@
     Dispatch dispatch;
     dispatch.stage = DispatchStage::Prefill;
     dispatch.expected_identity = engine.identity;
+    dispatch.account = this->account;
     dispatch.patience = std::min(this->patience_left(), this->time_left());
     dispatch.after_event = this->events.last_identifier();
     this->set_active(connection);
@@ -289,6 +292,7 @@
 asio::awaitable<StreamFlow::Progress> StreamFlow::decode(UpstreamRecord engine, Address address, Dispatch dispatch)
 {
     auto acquired = co_await this->state.pool.acquire(address, this->freshness());
+    this->check_key();
     if (acquired.is_error() || this->is_stopped() || !this->state.upstreams.takes_work(engine.identity)) {
         if (!dispatch.cache_handle.empty())
             this->free_cache(dispatch.cache_address, dispatch.cache_handle);
@@ -303,6 +307,7 @@
         co_return co_await this->give_up(SendEnd::NotSent, "upstream_left");
     }
     auto const connection = acquired.release_value();
+    dispatch.account = this->account;
     dispatch.patience = std::min(this->patience_left(), this->time_left());
     dispatch.after_event = this->events.last_identifier();
     this->set_active(connection);
--- a/Services/ConfigServer/MembershipService.cpp
+++ b/Services/ConfigServer/MembershipService.cpp
@@ -52,8 +52,9 @@
 
 bool MembershipService::is_settled() const
 {
+    // A VM that is told of no other has nobody to wait for.
     auto const now = monotonic_now();
-    if (now - this->started_at >= this->options.joining)
+    if (this->options.seeds.empty() || now - this->started_at >= this->options.joining)
         return true;
     auto const joined = this->table.last_joined();
     return joined && now - *joined >= this->options.settling;
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -112,14 +112,15 @@
         auto const is_news = [&](ServiceEndpoint const& service) { return service.service == this->relay->service(); };
         return std::none_of(member.services.begin(), member.services.end(), is_news);
     });
-    PlacementClient::Hooks placement_hooks;
-    placement_hooks.confined_to = [this]() -> std::optional<std::vector<std::string>> {
+    KeeperRanking::Hooks ranking_hooks;
+    ranking_hooks.confined_to = [this]() -> std::optional<std::vector<std::string>> {
         if (!this->membership->is_cut_off())
             return {};
         return this->kernel->directory().virtual_machines_with(this->relay->service());
     };
     this->placement = std::make_unique<PlacementClient>(PlacementClient::Options {}, *this->kernel);
-    this->placement->set_hooks(std::move(placement_hooks));
+    this->placement->ranking().set_hooks(std::move(ranking_hooks));
+    this->create_quota();
     this->keeper = std::make_unique<EngineKeeper>(scheduler_options(this->settings), *this->kernel, this->metrics, this->loop);
     CacheReader::Hooks cache_hooks;
     cache_hooks.is_keeper = [this] { return this->state.routes && this->membership->is_settled() && this->placement->is_keeper(); };
@@ -155,6 +156,7 @@
     this->relay->start();
     this->membership->start();
     this->placement->start();
+    this->quota->start();
     this->keeper->start();
     if (this->roles)
         this->roles->start();
@@ -180,6 +182,25 @@
     this->keeper->set_hooks(std::move(keeper_hooks));
 }
 
+void Node::create_quota()
+{
+    QuotaCounter::Hooks hooks;
+    hooks.routes = [this] { return this->state.routes; };
+    hooks.is_settled = [this] { return this->membership->is_settled(); };
+    hooks.live_virtual_machines = [this] { return this->state.live_virtual_machines(); };
+    hooks.lost_virtual_machines = [this] {
+        auto const members = this->membership->members();
+        return static_cast<std::size_t>(std::count_if(members.begin(), members.end(), [](auto const& member) { return member.life == MemberLife::Dead; }));
+    };
+    QuotaLedger::Options ledger;
+    ledger.window = this->settings.quota_window;
+    this->quota_counter = std::make_unique<QuotaCounter>(ledger, *this->kernel, this->placement->ranking(), std::move(hooks));
+    QuotaClient::Options client;
+    client.credit.window = this->settings.quota_window;
+    this->quota = std::make_unique<QuotaClient>(client, *this->kernel, this->placement->ranking(), *this->quota_counter);
+    this->state.quota = this->quota.get();
+}
+
 void Node::host_services()
 {
     this->kernel->host("directory", [this](wire::Envelope const& request, Kernel::Responder const& respond) {
@@ -191,6 +212,7 @@
     });
     this->relay->host();
     this->kernel->host(std::string(PLACEMENT_SERVICE), [this](wire::Envelope const& request, Kernel::Responder const& respond) { this->keeper->handle(request, respond); });
+    this->quota_counter->host();
     // A mark in the directory: a VM that is to be asked before others.
     if (this->settings.processor_share >= this->settings.keeper_processor_share)
         this->kernel->host(std::string(STRONG_PLACEMENT_SERVICE), [](wire::Envelope const&, Kernel::Responder const& respond) { respond(error_reply(wire::ERROR_CODE_UNKNOWN_MESSAGE)); });
@@ -247,7 +269,8 @@
 {
     auto decoded = this->adapters.registry.decode(found);
     if (decoded.is_error()) {
-        LogLine("configuration_unreadable").with("source", source).with("error", to_string(decoded.error()));
+        auto const& fault = decoded.error();
+        LogLine("configuration_unreadable").with("source", source).with("error", to_string(fault.kind)).with("field", fault.field);
         return;
     }
     auto const known = this->state.routes ? this->state.routes->version() : 0;
@@ -262,12 +285,21 @@
     this->callers->set_limits(http);
     this->state.routes = std::make_shared<RouteTable const>(decoded.release_value());
     this->relay->keep(found);
+    this->adopt_accounts();
     LogLine("configuration_in_force").with("version", this->state.routes->version()).with("before", known).with("source", source).with("routes", static_cast<std::int64_t>(this->state.routes->configuration().routes.size()));
     this->engines_changed();
     this->relay->tell();
     this->membership->spread_news();
 }
 
+void Node::adopt_accounts()
+{
+    auto const& book = this->state.routes->configuration().accounts;
+    this->keeper->set_accounts(book ? std::span<ClientAccount const>(book->accounts()) : std::span<ClientAccount const>());
+    if (book)
+        this->quota_counter->retain(*book);
+}
+
 void Node::engines_changed()
 {
     if (this->state.routes)
--- a/Services/NodeServer/Node.h
+++ b/Services/NodeServer/Node.h
@@ -9,6 +9,7 @@
 #include <LibRouter/EngineKeeper.h>
 #include <LibRouter/Entry.h>
 #include <LibRouter/PlacementClient.h>
+#include <LibRouter/QuotaClient.h>
 #include <LibRouter/RegistryFollower.h>
 #include <LibRouter/RegistryRelay.h>
 #include <LibRouter/RoleKeeper.h>
@@ -61,10 +62,12 @@
     Node(asio::io_context& loop, NodeSettings settings, NodeAdapters adapters);
     Result<Done, NodeStartError> start();
     void host_services();
+    void create_quota();
     void keep_roles();
     RegistryFollower::Hooks hooks();
     RegistryRelay::Hooks relay_hooks();
     void adopt(ConfigurationDocument const& document, std::string_view source);
+    void adopt_accounts();
     void engines_changed();
     asio::awaitable<void> answer_operations(HttpExchange& exchange);
     void serve_metrics();
@@ -84,6 +87,8 @@
     std::unique_ptr<MembershipService> membership;
     std::unique_ptr<RegistryRelay> relay;
     std::unique_ptr<PlacementClient> placement;
+    std::unique_ptr<QuotaCounter> quota_counter;
+    std::unique_ptr<QuotaClient> quota;
     std::unique_ptr<EngineKeeper> keeper;
     /// Empty where engines keep the roles that they have.
     std::unique_ptr<RoleKeeper> roles;
--- a/Services/NodeServer/NodeSettings.h
+++ b/Services/NodeServer/NodeSettings.h
@@ -29,6 +29,8 @@
     std::vector<std::string> seeds;
     Address registry_address;
     SharedRetryBudget::Options retry;
+    /// Sliding window over which accounts' limits are watched.
+    Duration quota_window = seconds(8);
     /// Part of an engine's memory that is never promised.
     double memory_headroom = 0.05;
     /// Standard deviations of what an engine's answers will hold that have to fit beside the expected sum.
--- a/Tests/LibRouter/TestPlacementClient.cpp
+++ b/Tests/LibRouter/TestPlacementClient.cpp
@@ -126,13 +126,13 @@
     if (!of_other.is_keeper())
         std::swap(keeper, neighbour);
     keeper->answers = false;
-    test.client->set_hooks({ [&] { return std::vector<std::string> { test.own->kernel->virtual_machine(), neighbour->kernel->virtual_machine() }; } });
+    test.client->ranking().set_hooks({ [&] { return std::vector<std::string> { test.own->kernel->virtual_machine(), neighbour->kernel->virtual_machine() }; } });
     REQUIRE(test.place("request-1"));
     CHECK(keeper->released.empty());
     CHECK(neighbour->asked + test.own->asked == 1);
     SECTION("and the others again when it is not")
     {
-        test.client->set_hooks({});
+        test.client->ranking().set_hooks({});
         keeper->answers = true;
         REQUIRE(test.place("request-2"));
         CHECK(keeper->asked == 1);
