LibDecision: Know callers that come back by their requests

Cause: PatienceTracker took a caller that waits less than the longest patience seen for one that came back. A return is held to the deadline of its first visit where that can still be met, else served late, behind all that can be on time.

--- a/Libraries/LibDecision/CellScheduler.cpp
+++ b/Libraries/LibDecision/CellScheduler.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <array>
 #include <utility>
+#include <xxhash.h>
 
 namespace Spurtide {
 
@@ -39,6 +40,11 @@
     return static_cast<std::size_t>(best - candidates.begin());
 }
 
+RequestTraits traits_of(PlacementAsk const& ask)
+{
+    return { ask.account, ask.model, ask.own_part, ask.prompt_tokens, ask.maximum_output_tokens, ask.expected_output_tokens };
+}
+
 std::size_t most_free(std::span<PlacementCandidate const> candidates)
 {
     auto const best = std::max_element(candidates.begin(), candidates.end(), [](auto const& a, auto const& b) { return a.free_slots < b.free_slots; });
@@ -321,26 +327,26 @@
 {
     auto const account = this->accounts.find(ask.account);
     if (account == this->accounts.end()) {
-        this->refuse(ask, RefusalReason::UnknownAccount, LONGEST_RETRY_AFTER);
+        this->refuse(ask, RefusalReason::UnknownAccount, LONGEST_RETRY_AFTER, now);
         return;
     }
     auto const same_request = [&](auto const& other) { return other.request == ask.request; };
     if (this->granted.contains(ask.request) || std::any_of(this->waiting.begin(), this->waiting.end(), same_request)) {
-        this->refuse(ask, RefusalReason::Duplicate, SHORTEST_RETRY_AFTER);
+        this->refuse(ask, RefusalReason::Duplicate, SHORTEST_RETRY_AFTER, now);
         return;
     }
     auto const serves = [&](auto const& entry) { return entry.second.description.model == ask.model; };
     if (std::none_of(this->engines.begin(), this->engines.end(), serves)) {
-        this->refuse(ask, RefusalReason::UnknownModel, LONGEST_RETRY_AFTER);
+        this->refuse(ask, RefusalReason::UnknownModel, LONGEST_RETRY_AFTER, now);
         return;
     }
     if (this->waiting.size() >= this->options.queue_limit) {
-        this->refuse(ask, RefusalReason::QueueFull, this->expected_wait(ask.model, now));
+        this->refuse(ask, RefusalReason::QueueFull, this->expected_wait(ask.model, now), now);
         return;
     }
     // A request that is placed again after a failure was counted the first time.
     if (ask.relayed_tokens == 0 && !account->second.bucket.try_take(1, now)) {
-        this->refuse(ask, RefusalReason::RateLimited, account->second.bucket.time_until(1, now));
+        this->refuse(ask, RefusalReason::RateLimited, account->second.bucket.time_until(1, now), now);
         return;
     }
     // An account that was idle starts level with the others and cannot save up its share.
@@ -356,12 +362,45 @@
     if (others_wait)
         account->second.served = std::max(account->second.served, least);
     this->ask_forecasts.erase(ask.request);
+    this->recognise_return(ask, now);
     if (this->refuse_if_hopeless(ask, now))
         return;
     this->waiting.push_back(std::move(ask));
     this->schedule(now);
 }
 
+void CellScheduler::refuse(PlacementAsk const& ask, RefusalReason reason, Duration retry_after, MonotonicTime now)
+{
+    if (this->options.return_spread > Duration::zero())
+        retry_after += Duration(static_cast<std::int64_t>(XXH3_64bits(ask.request.data(), ask.request.size()) % static_cast<std::uint64_t>(this->options.return_spread.count())));
+    retry_after = std::clamp(retry_after, SHORTEST_RETRY_AFTER, LONGEST_RETRY_AFTER);
+    if (ask.late_deadline && ask.relayed_tokens == 0 && now + retry_after < *ask.late_deadline)
+        this->returns.note_refused(traits_of(ask), ask.first_token_deadline, *ask.late_deadline);
+    this->decisions.emplace_back(PlacementRefusal { ask.request, reason, retry_after, ask.visit });
+}
+
+// A caller that comes back counts the time since its first visit. What it wants may be had in time yet, and else late:
+// refused again it would be lost.
+void CellScheduler::recognise_return(PlacementAsk& ask, MonotonicTime now)
+{
+    bool const is_first_placement = ask.relayed_tokens == 0 && ask.excluded_engines.empty();
+    if (!is_first_placement || ask.own_part.empty() || !ask.late_deadline)
+        return;
+    auto const deadline = this->returns.take_return(traits_of(ask), now);
+    if (!deadline)
+        return;
+    ask.visit = CallerVisit::Return;
+    auto const best = this->best_first_token(ask, now);
+    if (best && *best + this->expected_lateness() <= *deadline) {
+        ask.first_token_deadline = *deadline;
+        ask.decide_by = ask.decide_by ? std::min(*ask.decide_by, *deadline) : *deadline;
+        return;
+    }
+    ask.timeliness = PlacementAsk::Timeliness::Late;
+    ask.first_token_deadline = *ask.late_deadline;
+    ask.decide_by = ask.late_deadline;
+}
+
 void CellScheduler::progress(std::string_view request, GrantProgress progress, MonotonicTime now)
 {
     auto const found = this->granted.find(request);
@@ -485,6 +524,7 @@
     for (auto const& request : lapsed)
         this->remove_granted(request, now);
     std::erase_if(this->cached, [&](auto const& entry) { return now - entry.second.since > CACHED_PROMPTS_KEPT; });
+    this->returns.forget_before(now);
     std::erase_if(this->released, [&](auto const& entry) { return now - entry.second > RELEASED_NAMES_KEPT; });
     if (now - this->hopeless_checked >= HOPELESS_CHECK) {
         this->hopeless_checked = now;
--- a/Libraries/LibDecision/CellScheduler.h
+++ b/Libraries/LibDecision/CellScheduler.h
@@ -7,6 +7,7 @@
 #include <LibDecision/MemoryForecast.h>
 #include <LibDecision/PrefillPace.h>
 #include <LibDecision/QuantileEstimator.h>
+#include <LibDecision/ReturnBook.h>
 #include <LibDecision/TokenBucket.h>
 #include <cstdint>
 #include <functional>
@@ -76,6 +77,12 @@
     double burst = 100;
 };
 
+/// Whether a caller was refused before with the same request.
+enum class CallerVisit {
+    First,
+    Return,
+};
+
 /// One request that wants a prefill and a decode slot.
 struct PlacementAsk {
     std::string request;
@@ -101,6 +108,17 @@
     Duration longest_pause {};
     /// The part of the prompt that no other session has; empty where it is not known.
     std::string own_part {};
+    /// Until when a late first token is still of use to the caller, where a request that was refused and came back is
+    /// served late rather than not at all.
+    std::optional<MonotonicTime> late_deadline {};
+    /// Found out by the scheduler.
+    CallerVisit visit = CallerVisit::First;
+    /// Cannot be on time any more: goes behind all of its priority that can.
+    enum class Timeliness {
+        OnTime,
+        Late,
+    } timeliness
+        = Timeliness::OnTime;
 };
 
 struct PlacementGrant {
@@ -109,6 +127,7 @@
     std::string decode_engine;
     MonotonicTime predicted_first_token;
     std::size_t candidates = 0;
+    CallerVisit visit = CallerVisit::First;
 };
 
 enum class RefusalReason {
@@ -128,6 +147,7 @@
     RefusalReason reason;
     /// When the caller should come back.
     Duration retry_after {};
+    CallerVisit visit = CallerVisit::First;
 };
 
 using PlacementDecision = std::variant<PlacementGrant, PlacementRefusal>;
@@ -211,6 +231,8 @@
         /// Refused callers are told to come back at times that are spread over this, so that they do not all
         /// meet the same crowd again.
         Duration return_spread {};
+        /// Part of an engine's usable memory that answers which come late anyhow leave free for those that can be on time.
+        double late_reserve = 0;
         /// Whether an engine is used only while it reports.
         enum class ReportNeed {
             Required,
@@ -415,7 +437,8 @@
     std::vector<PlacementCandidate> prefill_candidates(PlacementAsk const& ask, MonotonicTime now) const;
     std::optional<MonotonicTime> best_first_token(PlacementAsk const& ask, MonotonicTime now) const;
     void grant(PlacementAsk ask, Placement const& placement, MonotonicTime now);
-    void refuse(PlacementAsk const& ask, RefusalReason reason, Duration retry_after);
+    void refuse(PlacementAsk const& ask, RefusalReason reason, Duration retry_after, MonotonicTime now);
+    void recognise_return(PlacementAsk& ask, MonotonicTime now);
     void remove_granted(std::string request, MonotonicTime now);
     void adopt(Engine& engine, HeldWork const& held, MonotonicTime now);
     void drop_vanished(Engine const& engine, EngineReport const& report, MonotonicTime now);
@@ -465,6 +488,7 @@
     /// By how much first tokens came later than predicted, as a high quantile in milliseconds.
     QuantileEstimator lateness;
     std::vector<PlacementAsk> waiting;
+    ReturnBook returns;
     /// What waiting requests would hold, by request; filled as needed and emptied now and then.
     mutable std::map<std::string, MemoryForecast, std::less<>> ask_forecasts;
     MonotonicTime hopeless_checked;
--- a/Libraries/LibDecision/CellSchedulerPlacement.cpp
+++ b/Libraries/LibDecision/CellSchedulerPlacement.cpp
@@ -187,7 +187,7 @@
     this->waiting.erase(this->waiting.begin() + static_cast<std::ptrdiff_t>(index));
     // The best place now is the best there will be: later only is later.
     if (!this->is_on_time(*placement, ask) && this->options.policy.early_refusal == SchedulerPolicy::EarlyRefusal::On) {
-        this->refuse(ask, RefusalReason::CannotMeetFirstToken, this->expected_wait(ask.model, now));
+        this->refuse(ask, RefusalReason::CannotMeetFirstToken, this->expected_wait(ask.model, now), now);
         return ScheduleStep::Refused;
     }
     this->grant(std::move(ask), *placement, now);
@@ -207,7 +207,7 @@
     // Without any engine heard of, a keeper new in office still waits for reports until the deadline.
     if (!best || *best + this->wait_behind_others(ask, now) <= ask.first_token_deadline)
         return false;
-    this->refuse(ask, RefusalReason::CannotMeetFirstToken, this->expected_wait(ask.model, now));
+    this->refuse(ask, RefusalReason::CannotMeetFirstToken, this->expected_wait(ask.model, now), now);
     return true;
 }
 
@@ -256,12 +256,12 @@
         if (ask.model != model || !is_overdue)
             return false;
         auto const best = this->best_first_token(ask, now);
-        this->refuse(ask, best ? RefusalReason::CannotMeetFirstToken : RefusalReason::NoUpstream, this->expected_wait(model, now));
+        this->refuse(ask, best ? RefusalReason::CannotMeetFirstToken : RefusalReason::NoUpstream, this->expected_wait(model, now), now);
         return true;
     });
 }
 
-// Priority first, then the account that had least for its weight, then the earliest deadline.
+// Priority first, then who can be on time, then the account that had least for its weight, then the earliest deadline.
 bool CellScheduler::goes_before(PlacementAsk const& a, PlacementAsk const& b) const
 {
     auto const served = [&](PlacementAsk const& ask) {
@@ -270,6 +270,8 @@
     };
     if (a.priority != b.priority)
         return a.priority > b.priority;
+    if (a.timeliness != b.timeliness)
+        return a.timeliness == PlacementAsk::Timeliness::OnTime;
     if (a.account != b.account && served(a) != served(b))
         return served(a) < served(b);
     return a.first_token_deadline < b.first_token_deadline;
@@ -479,7 +481,8 @@
         return false;
     if (engine.description.memory_tokens == 0)
         return true;
-    return this->forecast_of(engine, now).has_room_for(this->forecast_of(ask), std::chrono::duration_cast<Duration>(when - now), this->usable_memory(engine));
+    auto const reserve = ask.timeliness == PlacementAsk::Timeliness::Late ? this->options.late_reserve : 0;
+    return this->forecast_of(engine, now).has_room_for(this->forecast_of(ask), std::chrono::duration_cast<Duration>(when - now), this->usable_memory(engine) * (1 - reserve));
 }
 
 std::optional<CellScheduler::Placement> CellScheduler::find_placement(PlacementAsk const& ask, MonotonicTime now)
@@ -587,19 +590,12 @@
     auto const account = this->accounts.find(ask.account);
     if (account != this->accounts.end())
         account->second.served += this->cost_of(ask) / account->second.description.weight;
-    this->decisions.emplace_back(PlacementGrant { ask.request, placement.prefill, placement.decode, placement.first_token, placement.candidates });
+    this->decisions.emplace_back(PlacementGrant { ask.request, placement.prefill, placement.decode, placement.first_token, placement.candidates, ask.visit });
     auto const request = ask.request;
     granted.ask = std::move(ask);
     this->granted.emplace(request, std::move(granted));
 }
 
-void CellScheduler::refuse(PlacementAsk const& ask, RefusalReason reason, Duration retry_after)
-{
-    if (this->options.return_spread > Duration::zero())
-        retry_after += Duration(static_cast<std::int64_t>(XXH3_64bits(ask.request.data(), ask.request.size()) % static_cast<std::uint64_t>(this->options.return_spread.count())));
-    this->decisions.emplace_back(PlacementRefusal { ask.request, reason, std::clamp(retry_after, SHORTEST_RETRY_AFTER, LONGEST_RETRY_AFTER) });
-}
-
 // When the backlog of the model's prefill engines is worked off, as far as is known.
 Duration CellScheduler::expected_wait(std::string const& model, MonotonicTime now) const
 {
--- a/Libraries/LibRouter/EngineKeeper.cpp
+++ b/Libraries/LibRouter/EngineKeeper.cpp
@@ -18,6 +18,8 @@
 /// Limits of accounts are counted before a place is asked for.
 constexpr double UNLIMITED = 1e9;
 
+std::string_view visit_name(CallerVisit visit) { return visit == CallerVisit::Return ? "return" : "first"; }
+
 PlacementAsk read_ask(wire::PlacementAsk const& message, MonotonicTime now)
 {
     PlacementAsk ask;
@@ -36,6 +38,8 @@
     ask.first_token_deadline = now + Duration(message.first_token_within_microseconds());
     if (message.decide_within_microseconds() > 0)
         ask.decide_by = now + Duration(message.decide_within_microseconds());
+    if (message.late_within_microseconds() > 0)
+        ask.late_deadline = now + Duration(message.late_within_microseconds());
     ask.excluded_engines.assign(message.excluded_engines().begin(), message.excluded_engines().end());
     return ask;
 }
@@ -208,16 +212,18 @@
             request = grant->request;
             reply.mutable_placement_grant()->set_prefill_engine(grant->prefill_engine);
             reply.mutable_placement_grant()->set_decode_engine(grant->decode_engine);
+            reply.mutable_placement_grant()->set_is_return(grant->visit == CallerVisit::Return);
             this->metrics.increment("spurtide_placements_total", "Decisions of this keeper", { { "outcome", "granted" } });
-            LogLine("placed").with("request", request).with("prefill", grant->prefill_engine).with("decode", grant->decode_engine).with("candidates", static_cast<std::int64_t>(grant->candidates));
+            LogLine("placed").with("request", request).with("visit", visit_name(grant->visit)).with("prefill", grant->prefill_engine).with("decode", grant->decode_engine).with("candidates", static_cast<std::int64_t>(grant->candidates));
         } else {
             auto const& refusal = std::get<PlacementRefusal>(decision);
             request = refusal.request;
             reply.mutable_placement_refusal()->set_reason(wire_reason(refusal.reason));
             reply.mutable_placement_refusal()->set_retry_after_milliseconds(to_milliseconds(refusal.retry_after));
+            reply.mutable_placement_refusal()->set_is_return(refusal.visit == CallerVisit::Return);
             this->metrics.increment("spurtide_placements_total", "Decisions of this keeper", { { "outcome", std::string(to_string(refusal.reason)) } });
             auto const summary = this->scheduler.summary(this->hooks.clock());
-            LogLine("not_placed").with("request", request).with("reason", to_string(refusal.reason)).with("retry_after_ms", to_milliseconds(refusal.retry_after)).with("waiting", static_cast<std::int64_t>(summary.waiting)).with("granted", static_cast<std::int64_t>(summary.granted)).with("engines", static_cast<std::int64_t>(summary.engines_heard));
+            LogLine("not_placed").with("request", request).with("visit", visit_name(refusal.visit)).with("reason", to_string(refusal.reason)).with("retry_after_ms", to_milliseconds(refusal.retry_after)).with("waiting", static_cast<std::int64_t>(summary.waiting)).with("granted", static_cast<std::int64_t>(summary.granted)).with("engines", static_cast<std::int64_t>(summary.engines_heard));
         }
         auto const responder = this->waiting.find(request);
         if (responder == this->waiting.end())
--- a/Libraries/LibRouter/PlacementClient.cpp
+++ b/Libraries/LibRouter/PlacementClient.cpp
@@ -23,6 +23,11 @@
     return envelope;
 }
 
+CallerVisit read_visit(bool is_return) { return is_return ? CallerVisit::Return : CallerVisit::First; }
+
+/// A caller that turns out to come back is decided about later.
+Duration longest_wait(PlacementClient::AskTimes const& times) { return std::max(times.decide_within, times.late_within); }
+
 wire::Envelope release_message(std::string const& request, std::int64_t output_tokens, PlacementClient::EngineFaults const& faults)
 {
     auto envelope = placement_message();
@@ -51,7 +56,7 @@
 
 std::string PlacementClient::present_keeper() const { return this->keepers.present_endpoint(CELL); }
 
-wire::Envelope PlacementClient::ask_message(PlacementAsk const& ask, Duration decide_within, Duration first_token_within) const
+wire::Envelope PlacementClient::ask_message(PlacementAsk const& ask, AskTimes const& times, Duration spent) const
 {
     auto envelope = placement_message();
     auto* message = envelope.mutable_placement_ask();
@@ -63,8 +68,9 @@
     message->set_maximum_output_tokens(ask.maximum_output_tokens);
     message->set_relayed_tokens(ask.relayed_tokens);
     message->set_expected_output_tokens(ask.expected_output_tokens);
-    message->set_first_token_within_microseconds(first_token_within.count());
-    message->set_decide_within_microseconds(decide_within.count());
+    message->set_first_token_within_microseconds((times.first_token_within - spent).count());
+    message->set_decide_within_microseconds(std::max(Duration { 1 }, times.decide_within - spent).count());
+    message->set_late_within_microseconds(std::max(Duration::zero(), times.late_within - spent).count());
     message->set_priority(static_cast<std::int32_t>(ask.priority));
     message->set_data_centre(ask.data_centre);
     message->set_longest_pause_microseconds(ask.longest_pause.count());
@@ -74,7 +80,7 @@
     return envelope;
 }
 
-asio::awaitable<std::optional<PlacementDecision>> PlacementClient::ask(PlacementAsk ask, std::shared_ptr<Ask> wait, Duration decide_within, Duration first_token_within)
+asio::awaitable<std::optional<PlacementDecision>> PlacementClient::ask(PlacementAsk ask, std::shared_ptr<Ask> wait, AskTimes const& times)
 {
     auto const begun = monotonic_now();
     this->follow_keeper();
@@ -88,9 +94,9 @@
     for (auto const& name : names) {
         auto const endpoint = this->keepers.endpoint_of(name);
         auto const spent = std::chrono::duration_cast<Duration>(monotonic_now() - begun);
-        auto const message = this->ask_message(ask, std::max(Duration { 1 }, decide_within - spent), first_token_within - spent);
+        auto const message = this->ask_message(ask, times, spent);
         wait->reply.reset();
-        this->kernel.request(endpoint, message, { decide_within + this->options.answer_slack, this->options.silence }, [wait](WireReply reply) {
+        this->kernel.request(endpoint, message, { longest_wait(times) + this->options.answer_slack, this->options.silence }, [wait](WireReply reply) {
             wait->reply = std::move(reply);
             wait->signal.notify();
         });
@@ -113,6 +119,7 @@
             grant.request = ask.request;
             grant.prefill_engine = reply.placement_grant().prefill_engine();
             grant.decode_engine = reply.placement_grant().decode_engine();
+            grant.visit = read_visit(reply.placement_grant().is_return());
             this->held.insert_or_assign(ask.request, Held { ask, grant, endpoint, GrantProgress::Prefilling, monotonic_now() });
             co_return PlacementDecision { grant };
         }
@@ -120,9 +127,10 @@
         refusal.request = ask.request;
         refusal.reason = read_reason(reply.placement_refusal().reason());
         refusal.retry_after = milliseconds(reply.placement_refusal().retry_after_milliseconds());
+        refusal.visit = read_visit(reply.placement_refusal().is_return());
         co_return PlacementDecision { refusal };
     }
-    co_return PlacementDecision { PlacementRefusal { ask.request, RefusalReason::NoUpstream, milliseconds(500) } };
+    co_return PlacementDecision { PlacementRefusal { ask.request, RefusalReason::NoUpstream, milliseconds(500), CallerVisit::First } };
 }
 
 void PlacementClient::send(wire::Envelope envelope)
--- a/Libraries/LibRouter/PlacementClient.h
+++ b/Libraries/LibRouter/PlacementClient.h
@@ -54,6 +54,14 @@
         bool is_given_up = false;
     };
 
+    /// How long an ask may take, each from when it is made.
+    struct AskTimes {
+        Duration decide_within {};
+        Duration first_token_within {};
+        /// A late first token is of use for so long; zero where it is of none.
+        Duration late_within {};
+    };
+
     /// What went wrong with the engines of a grant.
     struct EngineFaults {
         /// It did not answer, or not as it should; empty where none failed.
@@ -69,7 +77,7 @@
     void start();
 
     /// Empty when the ask was given up. Whatever was granted then is released.
-    asio::awaitable<std::optional<PlacementDecision>> ask(PlacementAsk ask, std::shared_ptr<Ask> wait, Duration decide_within, Duration first_token_within);
+    asio::awaitable<std::optional<PlacementDecision>> ask(PlacementAsk ask, std::shared_ptr<Ask> wait, AskTimes const& times);
     void progress(std::string const& request, GrantProgress progress);
     /// The request needs its grant no more.
     void release(std::string const& request, std::int64_t output_tokens, EngineFaults const& faults);
@@ -92,7 +100,7 @@
     void send(wire::Envelope envelope);
     void follow_keeper();
     void renew();
-    wire::Envelope ask_message(PlacementAsk const& ask, Duration decide_within, Duration first_token_within) const;
+    wire::Envelope ask_message(PlacementAsk const& ask, AskTimes const& times, Duration spent) const;
 
     Options options;
     Kernel& kernel;
--- a/Libraries/LibRouter/RouterState.h
+++ b/Libraries/LibRouter/RouterState.h
@@ -6,7 +6,6 @@
 #include <LibAsync/ConnectionPool.h>
 #include <LibCore/Metrics.h>
 #include <LibDecision/AnswerPace.h>
-#include <LibDecision/PatienceTracker.h>
 #include <LibDecision/RouteTable.h>
 #include <LibDecision/SharedRetryBudget.h>
 #include <LibDecision/StopPolicy.h>
@@ -41,7 +40,6 @@
     ConnectionPool pool { ConnectionPool::Options {} };
     ReachabilityProber prober { ReachabilityProber::Options {}, loop, reachability, pool, upstreams };
     std::map<std::string, SharedRetryBudget> budgets {};
-    PatienceTracker patience {};
     AnswerPace answer_pace {};
     /// How far answers' lengths are from what callers expect: standard deviation of the logarithm.
     double length_spread = 0.6;
--- a/Libraries/LibRouter/StreamFlow.cpp
+++ b/Libraries/LibRouter/StreamFlow.cpp
@@ -57,7 +57,7 @@
 
 void StreamFlow::describe_end(LogLine& line) const
 {
-    line.with("visit", this->visit == PatienceTracker::Visit::Return ? "return" : "first").with("placements", this->placements);
+    line.with("visit", this->visit == CallerVisit::Return ? "return" : "first").with("placements", this->placements);
     if (this->first_event_after)
         line.with("first_event_ms", to_milliseconds(*this->first_event_after)).with("longest_pause_ms", to_milliseconds(this->longest_pause)).with("pause_target_ms", to_milliseconds(this->route.pause_target));
 }
@@ -73,37 +73,53 @@
     ask.maximum_output_tokens = prompt.maximum_output_tokens;
     ask.expected_output_tokens = prompt.expected_output_tokens;
     ask.relayed_tokens = this->relayed_tokens();
-    // Those that can be on time go before those that would be late anyhow.
-    ask.priority = -2 * this->route.priority - (this->visit == PatienceTracker::Visit::Return ? 1 : 0);
+    ask.priority = this->placement_priority();
     ask.excluded_engines = this->failed_engines;
     this->add_unreachable(ask.excluded_engines);
     ask.data_centre = this->state.data_centre;
     ask.longest_pause = this->route.pause_target;
     ask.own_part = prompt.own_part;
-    auto const within = this->time_to_place();
     this->wait = std::make_shared<PlacementClient::Ask>(this->state.loop.get_executor());
-    auto decision = co_await this->state.placement->ask(std::move(ask), this->wait, within.to_decide, within.to_first_token);
+    auto decision = co_await this->state.placement->ask(std::move(ask), this->wait, this->time_to_place());
     this->wait.reset();
+    if (decision)
+        this->note_visit(*decision);
     co_return decision;
 }
 
-StreamFlow::PlacementTime StreamFlow::time_to_place() const
+// An account's own rank goes before its routes'.
+std::int64_t StreamFlow::placement_priority() const
+{
+    constexpr std::int64_t LARGEST = 1000;
+    auto const* book = this->routes->configuration().accounts.get();
+    auto const* found = book ? book->find_by_name(this->account) : nullptr;
+    auto const of_account = found ? std::clamp<std::int64_t>(found->priority, 0, LARGEST) : 0;
+    return -of_account * LARGEST - std::clamp<std::int64_t>(this->route.priority, 0, LARGEST - 1);
+}
+
+void StreamFlow::note_visit(PlacementDecision const& decision)
+{
+    // What was found out at the first placement holds on for the next.
+    if (this->placements == 0)
+        this->visit = std::visit([](auto const& either) { return either.visit; }, decision);
+}
+
+PlacementClient::AskTimes StreamFlow::time_to_place() const
 {
     auto const age = std::chrono::duration_cast<Duration>(monotonic_now() - this->exchange.received_at());
-    auto const of_target = [&](double share) { return from_seconds(to_seconds(this->route.latency_target) * share); };
-    PlacementTime within;
-    if (this->placements > 0 || this->visit == PatienceTracker::Visit::Return) {
-        // It was placed or told to come back before: refused now it is lost, and an answer that is late, or goes on
-        // after a pause, is not.
-        auto const patience = from_seconds(to_seconds(this->route.first_event_patience) * CONTINUATION_SHARE);
+    auto const patience = from_seconds(to_seconds(this->route.first_event_patience) * CONTINUATION_SHARE);
+    PlacementClient::AskTimes within;
+    if (this->placements > 0) {
+        // It was placed before: refused now it is lost, and an answer that is late, or goes on after a pause, is not.
         auto const spent = this->exchange.has_begun() ? std::chrono::duration_cast<Duration>(monotonic_now() - this->last_event_at) : age;
-        within.to_first_token = patience - spent;
-        within.to_decide = within.to_first_token;
+        within.first_token_within = patience - spent;
+        within.decide_within = within.first_token_within;
     } else {
-        within.to_first_token = this->route.latency_target - age;
-        within.to_decide = of_target(DECISION_SHARE) - age;
+        within.first_token_within = this->route.latency_target - age;
+        within.decide_within = from_seconds(to_seconds(this->route.latency_target) * DECISION_SHARE) - age;
+        within.late_within = patience - age;
     }
-    within.to_decide = std::max(within.to_decide, milliseconds(20));
+    within.decide_within = std::max(within.decide_within, milliseconds(20));
     return within;
 }
 
@@ -119,7 +135,6 @@
 
 asio::awaitable<void> StreamFlow::carry()
 {
-    this->visit = this->state.patience.note(this->route.name, this->request.patience);
     while (true) {
         auto const decision = co_await this->place();
         if (this->is_stopped() || !decision) {
--- a/Libraries/LibRouter/StreamFlow.h
+++ b/Libraries/LibRouter/StreamFlow.h
@@ -45,13 +45,9 @@
         TryAgain,
     };
 
-    /// How long a placement may take from now.
-    struct PlacementTime {
-        Duration to_decide {};
-        Duration to_first_token {};
-    };
-
-    PlacementTime time_to_place() const;
+    PlacementClient::AskTimes time_to_place() const;
+    std::int64_t placement_priority() const;
+    void note_visit(PlacementDecision const& decision);
     asio::awaitable<std::optional<PlacementDecision>> place();
     /// One placement from its grant to its end.
     asio::awaitable<Progress> use(PlacementGrant grant);
@@ -72,7 +68,7 @@
     std::string failed_engine;
     std::vector<std::string> refusing_engines;
     EventBoundary events;
-    PatienceTracker::Visit visit = PatienceTracker::Visit::First;
+    CallerVisit visit = CallerVisit::First;
     std::optional<Duration> first_event_after;
     MonotonicTime first_event_at;
     MonotonicTime last_event_at;
--- a/Tests/LibDecision/TestUpstreams.cpp
+++ b/Tests/LibDecision/TestUpstreams.cpp
@@ -1,7 +1,6 @@
 // SPDX-FileCopyrightText: 2026 The Spurtide developers
 // SPDX-License-Identifier: BSD-2-Clause
 
-#include <LibDecision/PatienceTracker.h>
 #include <LibDecision/SharedRetryBudget.h>
 #include <LibDecision/UpstreamList.h>
 #include <LibDecision/UpstreamSelector.h>
@@ -163,17 +162,3 @@
     REQUIRE(selector.choose(THREE, at_milliseconds(500)) == 2);
     REQUIRE_FALSE(selector.choose({}, at_milliseconds(0)));
 }
-
-TEST_CASE("Callers that come back are told from those that come first")
-{
-    PatienceTracker tracker;
-    using Visit = PatienceTracker::Visit;
-    REQUIRE(tracker.note("r", milliseconds(14'000)) == Visit::First);
-    REQUIRE(tracker.note("r", milliseconds(13'993)) == Visit::First);
-    REQUIRE(tracker.note("r", milliseconds(13'500)) == Visit::Return);
-    REQUIRE(tracker.note("other", milliseconds(3000)) == Visit::First);
-    // When all wait less than before, that becomes the usual.
-    for (int i = 0; i < 3000; ++i)
-        static_cast<void>(tracker.note("r", milliseconds(13'000)));
-    REQUIRE(tracker.note("r", milliseconds(13'000)) == Visit::First);
-}
--- a/Tests/LibRouter/TestPlacementClient.cpp
+++ b/Tests/LibRouter/TestPlacementClient.cpp
@@ -86,7 +86,7 @@
         PlacementAsk ask;
         ask.request = std::move(request);
         auto const wait = std::make_shared<PlacementClient::Ask>(this->loop.get_executor());
-        auto const decision = co_await this->client->ask(ask, wait, milliseconds(60), milliseconds(900));
+        auto const decision = co_await this->client->ask(ask, wait, { milliseconds(60), milliseconds(900), {} });
         granted = decision && std::holds_alternative<PlacementGrant>(*decision);
     }
 
