LibAccounts: Hold accounts to their sliding window, as operators watch it

Cause: a token bucket holds one burst alone. Limits here are 29,000 tokens a second and as much burst; a stream counts some 14,000, its prompt and the longest answer. Change: QuotaLedger counts use in a sliding window. A lower limit leaves the new burst at once and the new rate; a part that changes neither frees nor binds; a ledger new in office learns the use by eighths of the window. Who is refused is told when enough has left the window behind those told before.

--- a/Libraries/LibAccounts/QuotaCredit.cpp
+++ b/Libraries/LibAccounts/QuotaCredit.cpp
@@ -3,6 +3,7 @@
 
 #include <LibAccounts/QuotaCredit.h>
 #include <algorithm>
+#include <numeric>
 #include <utility>
 
 namespace Spurtide {
@@ -45,20 +46,29 @@
     return Outcome::Spent;
 }
 
-double QuotaCredit::used_in_window(std::string_view account, MonotonicTime now) const
+std::vector<double> QuotaCredit::use_by_eighths(std::string_view account, MonotonicTime now) const
 {
     auto const found = this->entries.find(account);
     if (found == this->entries.end())
-        return 0;
+        return {};
     auto const& entry = found->second;
     auto const present = this->slice_at(now);
-    double sum = 0;
+    std::vector<double> used;
+    used.reserve(SLICES);
     for (std::int64_t age = 0; age < static_cast<std::int64_t>(SLICES); ++age) {
-        auto const slice = entry.slice - age;
-        if (slice >= 0 && present - slice < static_cast<std::int64_t>(SLICES))
-            sum += entry.used.at(static_cast<std::size_t>(slice) % SLICES);
+        auto const slice = present - age;
+        bool const is_kept = slice >= 0 && slice <= entry.slice && entry.slice - slice < static_cast<std::int64_t>(SLICES);
+        used.push_back(is_kept ? entry.used.at(static_cast<std::size_t>(slice) % SLICES) : 0);
     }
-    return sum;
+    while (!used.empty() && used.back() == 0)
+        used.pop_back();
+    return used;
+}
+
+double QuotaCredit::used_in_window(std::string_view account, MonotonicTime now) const
+{
+    auto const used = this->use_by_eighths(account, now);
+    return std::accumulate(used.begin(), used.end(), 0.0);
 }
 
 double QuotaCredit::wanted(std::string_view account, double cost, MonotonicTime now) const
--- a/Libraries/LibAccounts/QuotaCredit.h
+++ b/Libraries/LibAccounts/QuotaCredit.h
@@ -42,6 +42,8 @@
     /// What lay here for too long; taking it removes it.
     double take_unused(std::string_view account, MonotonicTime now);
     double used_in_window(std::string_view account, MonotonicTime now) const;
+    /// The same by eighths of the window, the newest first; empty where nothing was used.
+    std::vector<double> use_by_eighths(std::string_view account, MonotonicTime now) const;
 
     struct Unused {
         std::string account;
--- a/Libraries/LibAccounts/QuotaLedger.cpp
+++ b/Libraries/LibAccounts/QuotaLedger.cpp
@@ -4,92 +4,130 @@
 #include <LibAccounts/QuotaLedger.h>
 #include <LibCore/Verify.h>
 #include <algorithm>
+#include <numeric>
 
 namespace Spurtide {
 
 namespace {
 
-/// Above this part of its burst an account is far from its limit, and VMs get some in advance: that spares an ask for
-/// most requests, and what lies with VMs unused does not keep others of the account out.
+/// An account that may still use this part of its window is far from its limit, and VMs get some in advance: that
+/// spares an ask for most requests, and what lies with VMs unused does not keep others of the account out.
 constexpr double AMPLE_PART = 0.5;
-/// The burst of an account that has none, in seconds of its rate. A bucket that holds nothing would refuse everybody.
-constexpr double LEAST_BURST_SECONDS = 1;
 
-double capacity_of(AccountLimit const& limit)
+}
+
+double QuotaLedger::Entry::sum() const { return std::accumulate(this->used.begin(), this->used.end(), 0.0); }
+
+QuotaLedger::QuotaLedger(Options options)
+    : options(options)
+    , slice_length(std::max(Duration { 1 }, options.window / static_cast<std::int64_t>(SLICES - 1)))
 {
-    return limit.burst > 0 ? limit.burst : limit.rate * LEAST_BURST_SECONDS;
 }
 
-void refill(double& level, double rate, double capacity, Duration passed)
+std::int64_t QuotaLedger::slice_at(MonotonicTime now) const
 {
-    level = std::min(capacity, level + rate * std::max(0.0, to_seconds(passed)));
+    return std::chrono::duration_cast<Duration>(now.time_since_epoch()) / this->slice_length;
 }
 
+double QuotaLedger::allowance(AccountLimit const& limit) const
+{
+    return limit.rate * to_seconds(this->options.window) + limit.burst;
 }
 
-QuotaLedger::Entry& QuotaLedger::entry_of(std::string_view account, AccountLimit const& limit, double part, MonotonicTime now)
+void QuotaLedger::advance(Entry& entry, MonotonicTime now) const
+{
+    auto const present = this->slice_at(now);
+    auto const passed = std::min<std::int64_t>(static_cast<std::int64_t>(SLICES), present - entry.slice);
+    for (std::int64_t i = 1; i <= passed; ++i)
+        entry.used.at(static_cast<std::size_t>(entry.slice + i) % SLICES) = 0;
+    entry.slice = std::max(entry.slice, present);
+    while (!entry.bookings.empty() && entry.bookings.front().at <= now)
+        entry.bookings.pop_front();
+}
+
+QuotaLedger::Entry& QuotaLedger::entry_of(std::string_view account, AccountLimit const& limit, MonotonicTime now)
 {
-    VERIFY(limit.rate > 0 && part > 0);
-    auto const rate = limit.rate * part;
-    auto const capacity = capacity_of(limit) * part;
     auto found = this->entries.find(account);
     if (found == this->entries.end()) {
-        Entry entry;
-        entry.limit = limit;
-        entry.rate = rate;
-        entry.capacity = capacity;
-        entry.level = capacity;
-        entry.began = now;
-        entry.updated = now;
-        return this->entries.emplace(std::string(account), entry).first->second;
+        found = this->entries.emplace(std::string(account), Entry {}).first;
+        found->second.limit = limit;
+        found->second.slice = this->slice_at(now);
     }
     auto& entry = found->second;
-    refill(entry.level, entry.rate, entry.capacity, std::chrono::duration_cast<Duration>(now - entry.updated));
-    entry.updated = std::max(entry.updated, now);
-    // A higher limit lifts the level at once. A part that grows does not: what others gave out meanwhile was used.
-    entry.level += std::max(0.0, capacity_of(limit) - capacity_of(entry.limit)) * part;
-    entry.level = std::min(entry.level, capacity);
+    this->advance(entry, now);
+    // What was used under a higher limit was allowed: it counts no more than the new rate makes good, so that the account
+    // has the new burst at once and the new rate from then on.
+    if (this->allowance(limit) < this->allowance(entry.limit)) {
+        auto const most = limit.rate * to_seconds(this->options.window);
+        auto const used = entry.sum();
+        for (auto& slice : entry.used)
+            slice *= used > most ? most / used : 1;
+    }
     entry.limit = limit;
-    entry.rate = rate;
-    entry.capacity = capacity;
     return entry;
 }
 
-// As if this ledger had counted it: use that the rate has made good within the window costs nothing of the burst.
-void QuotaLedger::count_earlier_use(Entry& entry, double used, MonotonicTime now) const
+// All of an eighth as if used at its end, so that none leaves the window too early.
+void QuotaLedger::add_earlier_use(Entry& entry, std::vector<double> const& used, double part)
 {
-    if (used <= 0 || now - entry.began > this->options.window)
-        return;
-    auto const refilled = entry.rate * to_seconds(this->options.window);
-    auto const level_after = [&](double total) { return std::min(entry.capacity, entry.capacity + refilled - total); };
-    auto const before = level_after(entry.used_before);
-    entry.used_before += used;
-    entry.level -= before - level_after(entry.used_before);
+    for (std::size_t i = 0; i < used.size() && i * SLICES_IN_EIGHTH < SLICES; ++i) {
+        auto const age = i == 0 ? 0 : (i - 1) * SLICES_IN_EIGHTH;
+        entry.used.at(static_cast<std::size_t>(entry.slice + static_cast<std::int64_t>(SLICES - age)) % SLICES) += used[i] / part;
+    }
 }
 
-Duration QuotaLedger::book_return(Entry& entry, Ask const& ask, MonotonicTime now)
+// From the newest slice back: what was not used was given lately.
+void QuotaLedger::remove_use(Entry& entry, double amount)
 {
-    auto const missing = std::max(0.0, std::min(ask.needed, entry.capacity) - entry.level);
-    auto const free_at = now + from_seconds(missing / entry.rate);
-    auto const at = std::max(free_at, entry.booked_until);
+    for (std::size_t age = 0; age < SLICES && amount > 0; ++age) {
+        auto& slice = entry.used.at(static_cast<std::size_t>(entry.slice + static_cast<std::int64_t>(SLICES - age)) % SLICES);
+        auto const removed = std::min(slice, amount);
+        slice -= removed;
+        amount -= removed;
+    }
+}
+
+// The time when enough use has left the window for this caller and for those who were told to come before it.
+Duration QuotaLedger::book_return(Entry& entry, double needed, Duration patience, MonotonicTime now) const
+{
+    auto missing = entry.sum() + needed - this->allowance(entry.limit);
+    for (auto const& booking : entry.bookings)
+        missing += booking.amount;
+    auto at = now;
+    for (std::size_t age = SLICES; age-- > 0 && missing > 0;) {
+        auto const slice = entry.slice - static_cast<std::int64_t>(age);
+        if (slice < 0)
+            continue;
+        missing -= entry.used.at(static_cast<std::size_t>(slice) % SLICES);
+        at = MonotonicTime(this->slice_length * (slice + static_cast<std::int64_t>(SLICES)));
+    }
+    at = std::max(at, now) + from_seconds(std::max(0.0, missing) / entry.limit.rate);
+    if (!entry.bookings.empty())
+        at = std::max(at, entry.bookings.back().at);
     auto const retry_after = std::chrono::duration_cast<Duration>(at - now);
-    if (retry_after <= ask.patience)
-        entry.booked_until = at + from_seconds(ask.needed / entry.rate);
+    if (retry_after <= patience)
+        entry.bookings.push_back({ at, needed });
     return retry_after;
 }
 
 QuotaLedger::Answer QuotaLedger::take(std::string_view account, AccountLimit const& limit, double part, Ask const& ask, MonotonicTime now)
 {
-    auto& entry = this->entry_of(account, limit, part, now);
-    entry.level = std::min(entry.capacity, entry.level + ask.returned);
-    this->count_earlier_use(entry, ask.used_before, now);
-    // What is larger than the burst passes when the burst is whole, and the account pays for the rest afterwards.
-    if (entry.level < std::min(ask.needed, entry.capacity))
-        return { 0, book_return(entry, ask, now) };
-    bool const is_ample = entry.level - ask.wanted >= AMPLE_PART * entry.capacity;
-    auto const granted = is_ample ? std::max(ask.needed, ask.wanted) : ask.needed;
-    entry.level -= granted;
-    return { granted, {} };
+    VERIFY(limit.rate > 0 && part > 0);
+    auto& entry = this->entry_of(account, limit, now);
+    entry.part = part;
+    remove_use(entry, ask.returned / part);
+    add_earlier_use(entry, ask.used_before, part);
+    auto const allowed = this->allowance(limit);
+    auto const needed = ask.needed / part;
+    auto const wanted = std::max(ask.needed, ask.wanted) / part;
+    auto const used = entry.sum();
+    // What is larger than a whole window's passes alone in one.
+    if (used + std::min(needed, allowed) > allowed)
+        return { 0, this->book_return(entry, needed, ask.patience, now) };
+    bool const is_ample = used + wanted <= (1 - AMPLE_PART) * allowed;
+    auto const granted = is_ample ? wanted : needed;
+    entry.used.at(static_cast<std::size_t>(entry.slice) % SLICES) += granted;
+    return { granted * part, {} };
 }
 
 void QuotaLedger::give_back(std::string_view account, double amount, MonotonicTime now)
@@ -97,10 +135,8 @@
     auto const found = this->entries.find(account);
     if (found == this->entries.end())
         return;
-    auto& entry = found->second;
-    refill(entry.level, entry.rate, entry.capacity, std::chrono::duration_cast<Duration>(now - entry.updated));
-    entry.updated = std::max(entry.updated, now);
-    entry.level = std::min(entry.capacity, entry.level + amount);
+    this->advance(found->second, now);
+    remove_use(found->second, amount / found->second.part);
 }
 
 void QuotaLedger::retain(AccountBook const& book)
@@ -111,12 +147,13 @@
     });
 }
 
-std::optional<double> QuotaLedger::level(std::string_view account) const
+std::optional<double> QuotaLedger::free_part(std::string_view account, MonotonicTime now)
 {
     auto const found = this->entries.find(account);
     if (found == this->entries.end())
         return {};
-    return found->second.level;
+    this->advance(found->second, now);
+    return std::max(0.0, 1 - found->second.sum() / this->allowance(found->second.limit));
 }
 
 }
--- a/Libraries/LibAccounts/QuotaLedger.h
+++ b/Libraries/LibAccounts/QuotaLedger.h
@@ -5,20 +5,27 @@
 
 #include <LibAccounts/AccountBook.h>
 #include <LibCore/Time.h>
+#include <array>
+#include <deque>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace Spurtide {
 
-/// Counts accounts against their limits on the VM that does so for all others: exact token buckets, out of which VMs
-/// get what their requests need. Pure: time is passed in.
+/// Counts accounts against their limits on the VM that does so for all others, and gives out what VMs' requests need.
+/// Pure: time is passed in.
+///
+/// An account may use, in any window, its rate over the window and one burst. The window is counted as such: a token
+/// bucket, which holds the burst alone, refuses one stream in eight of small accounts that stay far below their limit,
+/// since a burst of a second's rate is two streams.
 ///
 /// Nothing of it is stored. A ledger that is new in office learns what its accounts used lately from the VMs that ask,
 /// each of which says so in its first ask; so a holder that dies gives nobody a second burst.
 class QuotaLedger {
 public:
     struct Options {
-        /// How long use before this ledger's term counts: the sliding window over which operators watch limits.
+        /// The sliding window over which operators watch limits.
         Duration window = seconds(8);
     };
 
@@ -29,8 +36,9 @@
         double wanted = 0;
         /// What the VM got earlier and did not use.
         double returned = 0;
-        /// What it used within the window, where it has not told this ledger before.
-        double used_before = 0;
+        /// What it used within the window, where it has not told this ledger before: by eighths of the window, the
+        /// newest first, which may have just begun.
+        std::vector<double> used_before {};
         /// How long the caller can wait; one who is told to come back later than that does not come.
         Duration patience {};
     };
@@ -42,41 +50,52 @@
         Duration retry_after {};
     };
 
-    explicit QuotaLedger(Options options)
-        : options(options)
-    {
-    }
+    explicit QuotaLedger(Options options);
 
-    /// Takes from an account, of whose limit this ledger may give the named part (more than 0, up to 1).
+    /// Takes from an account, of whose limit this ledger may give the named part (more than 0, up to 1). Use is kept
+    /// as if the others, who give the rest, used theirs alike: so a part that changes neither frees nor binds more.
     Answer take(std::string_view account, AccountLimit const& limit, double part, Ask const& ask, MonotonicTime now);
     /// Takes back what a VM did not use.
     void give_back(std::string_view account, double amount, MonotonicTime now);
     /// Forgets accounts that the configuration has no more.
     void retain(AccountBook const& book);
 
-    /// What the account could use at once; empty where nothing was asked for it here.
-    std::optional<double> level(std::string_view account) const;
+    /// What the account may still use now, as a part of what it may use in a window; empty where nothing was asked for
+    /// it here.
+    std::optional<double> free_part(std::string_view account, MonotonicTime now);
 
 private:
+    /// The window is kept in slices; the oldest counts whole, so at most a thirty-second of it too long.
+    static constexpr std::size_t SLICES = 33;
+    static constexpr std::size_t SLICES_IN_EIGHTH = 4;
+
+    struct Booking {
+        MonotonicTime at;
+        double amount = 0;
+    };
+
     struct Entry {
         AccountLimit limit;
-        /// In force: the limit's, times the part.
-        double rate = 0;
-        double capacity = 0;
-        double level = 0;
-        /// What VMs said that they used before this ledger counted.
-        double used_before = 0;
-        MonotonicTime began;
-        MonotonicTime updated;
-        /// Up to when the rate is spoken for by callers who were told to come back.
-        MonotonicTime booked_until;
+        double part = 1;
+        /// Number of the newest slice.
+        std::int64_t slice = 0;
+        std::array<double, SLICES> used {};
+        /// Callers who were told when to come back.
+        std::deque<Booking> bookings;
+
+        double sum() const;
     };
 
-    Entry& entry_of(std::string_view account, AccountLimit const& limit, double part, MonotonicTime now);
-    void count_earlier_use(Entry& entry, double used, MonotonicTime now) const;
-    static Duration book_return(Entry& entry, Ask const& ask, MonotonicTime now);
+    std::int64_t slice_at(MonotonicTime now) const;
+    double allowance(AccountLimit const& limit) const;
+    Entry& entry_of(std::string_view account, AccountLimit const& limit, MonotonicTime now);
+    void advance(Entry& entry, MonotonicTime now) const;
+    static void add_earlier_use(Entry& entry, std::vector<double> const& used, double part);
+    static void remove_use(Entry& entry, double amount);
+    Duration book_return(Entry& entry, double needed, Duration patience, MonotonicTime now) const;
 
     Options options;
+    Duration slice_length;
     std::map<std::string, Entry, std::less<>> entries;
 };
 
--- a/Libraries/LibRouter/QuotaClient.cpp
+++ b/Libraries/LibRouter/QuotaClient.cpp
@@ -92,7 +92,8 @@
     message->set_returned(ask.returned);
     message->set_patience_microseconds(ask.patience.count());
     message->set_known_counter(this->counters[account]);
-    message->set_used_lately(this->credit.used_in_window(account, monotonic_now()));
+    for (auto const used : this->credit.use_by_eighths(account, monotonic_now()))
+        message->add_used_lately(static_cast<float>(used));
     auto const executor = co_await asio::this_coro::executor;
     auto const pending = std::make_shared<PendingReply>(executor);
     this->kernel.request(this->ranking.endpoint_of(virtual_machine), std::move(envelope), { this->options.answer_time, this->options.silence }, [pending](WireReply reply) {
--- a/Libraries/LibRouter/QuotaCounter.cpp
+++ b/Libraries/LibRouter/QuotaCounter.cpp
@@ -2,6 +2,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 
 #include <LibCore/Clock.h>
+#include <LibCore/LogLine.h>
 #include <LibRouter/QuotaCounter.h>
 #include <algorithm>
 
@@ -45,7 +46,12 @@
     auto const* found = book ? book->find_by_name(account) : nullptr;
     if (!found || !found->limit)
         return {};
-    return this->ledger.take(account, *found->limit, this->part_of(account, standing), ask, monotonic_now());
+    auto const part = this->part_of(account, standing);
+    auto const now = monotonic_now();
+    auto const answer = this->ledger.take(account, *found->limit, part, ask, now);
+    if (answer.granted <= 0)
+        LogLine("quota_exhausted").with("account", account).with("needed", ask.needed).with("free_part", this->ledger.free_part(account, now).value_or(0)).with("rate", found->limit->rate).with("burst", found->limit->burst).with("part", part).with("version", routes->version()).with("retry_after_ms", to_milliseconds(answer.retry_after));
+    return answer;
 }
 
 void QuotaCounter::give_back(std::string const& account, double amount)
@@ -70,7 +76,7 @@
     ask.returned = std::max(0.0, message.returned());
     ask.patience = Duration(message.patience_microseconds());
     if (message.known_counter() != this->kernel.incarnation())
-        ask.used_before = std::max(0.0, message.used_lately());
+        ask.used_before.assign(message.used_lately().begin(), message.used_lately().end());
     auto const taken = this->take(message.account(), ask, Standing::Ranked);
     if (!taken) {
         respond(error_reply(wire::ERROR_CODE_NOT_READY));
