LibAccounts: Hold accounts inside their window after all VMs were killed

After the kill of all VMs the counting one gave out a quarter as one that stands in, kept as four times as much used, and counted that for a window. Change: use is kept by a ledger's part of the deployment, what one standing in may give is a bound of its own. Of VMs that started within the window all their use is assumed, so after a kill of all an account has its rate at once and its burst a window later, beside half of what operators put up with. No more than the burst and three eighths of a window's rate at once. Requests wait for the VMs to meet, up to 1.6 s, instead of being refused into the same second.

--- a/Libraries/LibAccounts/QuotaCredit.cpp
+++ b/Libraries/LibAccounts/QuotaCredit.cpp
@@ -71,17 +71,24 @@
     return std::accumulate(used.begin(), used.end(), 0.0);
 }
 
-double QuotaCredit::wanted(std::string_view account, double cost, MonotonicTime now) const
+double QuotaCredit::missing(std::string_view account, double cost, MonotonicTime now) const
 {
-    auto const rate = this->used_in_window(account, now) / to_seconds(this->options.window);
-    return cost + rate * to_seconds(this->options.foresight);
+    auto const found = this->entries.find(account);
+    bool const has_credit = found != this->entries.end() && now < found->second.keep_until;
+    return std::max(0.0, cost - (has_credit ? found->second.credit : 0));
+}
+
+double QuotaCredit::foreseen(std::string_view account, MonotonicTime now) const
+{
+    return this->used_in_window(account, now) / to_seconds(this->options.window) * to_seconds(this->options.foresight);
 }
 
 void QuotaCredit::add(std::string_view account, double amount, MonotonicTime now)
 {
     auto& entry = this->entry_of(account, now);
+    if (now >= entry.keep_until)
+        entry.keep_until = now + this->options.keep;
     entry.credit += amount;
-    entry.keep_until = now + this->options.keep;
 }
 
 void QuotaCredit::give_back(std::string_view account, double cost, MonotonicTime now)
--- a/Libraries/LibAccounts/QuotaCredit.h
+++ b/Libraries/LibAccounts/QuotaCredit.h
@@ -17,7 +17,8 @@
 class QuotaCredit {
 public:
     struct Options {
-        /// Credit that lay unused for so long goes back: longer, and it would be missing where it is needed.
+        /// What is left of credit goes back so long after its first part came: kept longer, it would be missing at the VMs
+        /// where the account's other requests come.
         Duration keep = milliseconds(500);
         /// For how long the VM asks in advance, by its use in the last seconds.
         Duration foresight = milliseconds(500);
@@ -34,8 +35,10 @@
     explicit QuotaCredit(Options options);
 
     Outcome spend(std::string_view account, double cost, MonotonicTime now);
-    /// What to ask for, where the cost is not there.
-    double wanted(std::string_view account, double cost, MonotonicTime now) const;
+    /// What of the cost is not there.
+    double missing(std::string_view account, double cost, MonotonicTime now) const;
+    /// What to ask for beside that, for what comes soon.
+    double foreseen(std::string_view account, MonotonicTime now) const;
     void add(std::string_view account, double amount, MonotonicTime now);
     /// A request that was counted has not run and will not.
     void give_back(std::string_view account, double cost, MonotonicTime now);
--- a/Libraries/LibAccounts/QuotaLedger.cpp
+++ b/Libraries/LibAccounts/QuotaLedger.cpp
@@ -13,6 +13,12 @@
 /// An account that may still use this part of its window is far from its limit, and VMs get some in advance: that
 /// spares an ask for most requests, and what lies with VMs unused does not keep others of the account out.
 constexpr double AMPLE_PART = 0.5;
+/// Of the window's rate, what may be used at once beside the burst. Small accounts' requests come unevenly: where a second's
+/// rate is two streams, that is eight at once.
+constexpr double AT_ONCE_PART = 0.375;
+/// Half of what an account that used all it might before a kill of all gets beyond a tenth over its window afterwards, in
+/// seconds of its rate: 10.5 seconds' worth where 9.9 are put up with.
+constexpr double LATE_RATE_SECONDS = 0.3;
 
 }
 
@@ -34,8 +40,33 @@
     return limit.rate * to_seconds(this->options.window) + limit.burst;
 }
 
+double QuotaLedger::reserve(AccountLimit const& limit) const
+{
+    return limit.rate * to_seconds(this->options.window) * AT_ONCE_PART + limit.burst;
+}
+
+double QuotaLedger::unknown_start(AccountLimit const& limit) const
+{
+    return std::clamp(this->options.tolerance / 2 - limit.rate * LATE_RATE_SECONDS, 0.0, this->reserve(limit));
+}
+
+QuotaLedger::Entry QuotaLedger::first_entry(AccountLimit const& limit, Share share, MonotonicTime now) const
+{
+    Entry entry;
+    entry.limit = limit;
+    entry.slice = this->slice_at(now);
+    entry.used.fill(limit.rate * to_seconds(this->options.window) * share.forgotten / static_cast<double>(SLICES));
+    entry.used.at(static_cast<std::size_t>(entry.slice) % SLICES) += limit.burst * share.forgotten;
+    entry.at_once = this->reserve(limit) * (1 - share.forgotten);
+    this->remove_use(entry, this->unknown_start(limit) * share.forgotten);
+    entry.filled = now;
+    return entry;
+}
+
 void QuotaLedger::advance(Entry& entry, MonotonicTime now) const
 {
+    entry.at_once = std::min(this->reserve(entry.limit), entry.at_once + entry.limit.rate * std::max(0.0, to_seconds(std::chrono::duration_cast<Duration>(now - entry.filled))));
+    entry.filled = std::max(entry.filled, now);
     auto const present = this->slice_at(now);
     auto const passed = std::min<std::int64_t>(static_cast<std::int64_t>(SLICES), present - entry.slice);
     for (std::int64_t i = 1; i <= passed; ++i)
@@ -45,13 +76,11 @@
         entry.bookings.pop_front();
 }
 
-QuotaLedger::Entry& QuotaLedger::entry_of(std::string_view account, AccountLimit const& limit, MonotonicTime now)
+QuotaLedger::Entry& QuotaLedger::entry_of(std::string_view account, AccountLimit const& limit, Share share, MonotonicTime now)
 {
     auto found = this->entries.find(account);
     if (found == this->entries.end()) {
-        found = this->entries.emplace(std::string(account), Entry {}).first;
-        found->second.limit = limit;
-        found->second.slice = this->slice_at(now);
+        found = this->entries.emplace(std::string(account), this->first_entry(limit, share, now)).first;
     }
     auto& entry = found->second;
     this->advance(entry, now);
@@ -63,6 +92,7 @@
         for (auto& slice : entry.used)
             slice *= used > most ? most / used : 1;
     }
+    entry.at_once = std::min(this->reserve(limit), entry.at_once + std::max(0.0, this->reserve(limit) - this->reserve(entry.limit)));
     entry.limit = limit;
     return entry;
 }
@@ -77,8 +107,9 @@
 }
 
 // From the newest slice back: what was not used was given lately.
-void QuotaLedger::remove_use(Entry& entry, double amount)
+void QuotaLedger::remove_use(Entry& entry, double amount) const
 {
+    entry.at_once = std::min(this->reserve(entry.limit), entry.at_once + amount);
     for (std::size_t age = 0; age < SLICES && amount > 0; ++age) {
         auto& slice = entry.used.at(static_cast<std::size_t>(entry.slice + static_cast<std::int64_t>(SLICES - age)) % SLICES);
         auto const removed = std::min(slice, amount);
@@ -88,11 +119,13 @@
 }
 
 // The time when enough use has left the window for this caller and for those who were told to come before it.
-Duration QuotaLedger::book_return(Entry& entry, double needed, Duration patience, MonotonicTime now) const
+Duration QuotaLedger::book_return(Entry& entry, double needed, double allowed, Duration patience, MonotonicTime now) const
 {
-    auto missing = entry.sum() + needed - this->allowance(entry.limit);
+    double booked = 0;
     for (auto const& booking : entry.bookings)
-        missing += booking.amount;
+        booked += booking.amount;
+    auto missing = entry.sum() + booked + needed - allowed;
+    auto const paced = now + from_seconds(std::max(0.0, booked + needed - entry.at_once) / entry.limit.rate);
     auto at = now;
     for (std::size_t age = SLICES; age-- > 0 && missing > 0;) {
         auto const slice = entry.slice - static_cast<std::int64_t>(age);
@@ -101,7 +134,7 @@
         missing -= entry.used.at(static_cast<std::size_t>(slice) % SLICES);
         at = MonotonicTime(this->slice_length * (slice + static_cast<std::int64_t>(SLICES)));
     }
-    at = std::max(at, now) + from_seconds(std::max(0.0, missing) / entry.limit.rate);
+    at = std::max(paced, at + from_seconds(std::max(0.0, missing) / entry.limit.rate));
     if (!entry.bookings.empty())
         at = std::max(at, entry.bookings.back().at);
     auto const retry_after = std::chrono::duration_cast<Duration>(at - now);
@@ -110,23 +143,27 @@
     return retry_after;
 }
 
-QuotaLedger::Answer QuotaLedger::take(std::string_view account, AccountLimit const& limit, double part, Ask const& ask, MonotonicTime now)
+QuotaLedger::Answer QuotaLedger::take(std::string_view account, AccountLimit const& limit, Share share, Ask const& ask, MonotonicTime now)
 {
+    auto const part = share.part;
     VERIFY(limit.rate > 0 && part > 0);
-    auto& entry = this->entry_of(account, limit, now);
+    auto& entry = this->entry_of(account, limit, share, now);
     entry.part = part;
-    remove_use(entry, ask.returned / part);
+    this->remove_use(entry, ask.returned / part);
     add_earlier_use(entry, ask.used_before, part);
-    auto const allowed = this->allowance(limit);
+    auto const allowed = this->allowance(limit) * share.most;
     auto const needed = ask.needed / part;
     auto const wanted = std::max(ask.needed, ask.wanted) / part;
     auto const used = entry.sum();
     // What is larger than a whole window's passes alone in one.
-    if (used + std::min(needed, allowed) > allowed)
-        return { 0, this->book_return(entry, needed, ask.patience, now) };
-    bool const is_ample = used + wanted <= (1 - AMPLE_PART) * allowed;
+    bool const is_within_window = used + std::min(needed, allowed) <= allowed;
+    bool const is_paced = std::min(needed, this->reserve(limit)) <= entry.at_once;
+    if (!is_within_window || !is_paced)
+        return { 0, this->book_return(entry, needed, allowed, ask.patience, now) };
+    bool const is_ample = used + wanted <= (1 - AMPLE_PART) * allowed && wanted <= AMPLE_PART * entry.at_once;
     auto const granted = is_ample ? wanted : needed;
     entry.used.at(static_cast<std::size_t>(entry.slice) % SLICES) += granted;
+    entry.at_once = std::max(0.0, entry.at_once - granted);
     return { granted * part, {} };
 }
 
@@ -136,7 +173,7 @@
     if (found == this->entries.end())
         return;
     this->advance(found->second, now);
-    remove_use(found->second, amount / found->second.part);
+    this->remove_use(found->second, amount / found->second.part);
 }
 
 void QuotaLedger::retain(AccountBook const& book)
--- a/Libraries/LibAccounts/QuotaLedger.h
+++ b/Libraries/LibAccounts/QuotaLedger.h
@@ -20,13 +20,22 @@
 /// bucket, which holds the burst alone, refuses one stream in eight of small accounts that stay far below their limit,
 /// since a burst of a second's rate is two streams.
 ///
+/// Within the window an account may not use more than its rate and three eighths of the window's rate beside the burst:
+/// one that used all of a window at once and whose VMs are then all killed, so that nobody knows, would use another.
+///
 /// Nothing of it is stored. A ledger that is new in office learns what its accounts used lately from the VMs that ask,
-/// each of which says so in its first ask; so a holder that dies gives nobody a second burst.
+/// each of which says so in its first ask; so a holder that dies gives nobody a second burst. For VMs that started within
+/// the window, and so may have lost what they knew, it assumes that they used all they might: after a kill of all an
+/// account has its rate from the first moment on, and its burst a window later.
 class QuotaLedger {
 public:
     struct Options {
         /// The sliding window over which operators watch limits.
         Duration window = seconds(8);
+        /// Units over the limit that operators put up with in a window, beside a tenth of it, for errors of counting. Half
+        /// of it, less what the rate alone may come to, is given to accounts whose use was forgotten: else the first
+        /// streams of small accounts wait half a second for their rate.
+        double tolerance = 0;
     };
 
     struct Ask {
@@ -52,9 +61,18 @@
 
     explicit QuotaLedger(Options options);
 
-    /// Takes from an account, of whose limit this ledger may give the named part (more than 0, up to 1). Use is kept
-    /// as if the others, who give the rest, used theirs alike: so a part that changes neither frees nor binds more.
-    Answer take(std::string_view account, AccountLimit const& limit, double part, Ask const& ask, MonotonicTime now);
+    /// How much of a limit this ledger may give; both are more than 0, up to 1.
+    struct Share {
+        /// Of the deployment that this ledger counts for. Use is kept as if the others used their part alike, so that a
+        /// part which changes neither frees nor binds more.
+        double part = 1;
+        /// Beyond this part of the window nothing is given, where another ledger may count as well.
+        double most = 1;
+        /// Part of the VMs that may have lost what they used.
+        double forgotten = 0;
+    };
+
+    Answer take(std::string_view account, AccountLimit const& limit, Share share, Ask const& ask, MonotonicTime now);
     /// Takes back what a VM did not use.
     void give_back(std::string_view account, double amount, MonotonicTime now);
     /// Forgets accounts that the configuration has no more.
@@ -80,6 +98,9 @@
         /// Number of the newest slice.
         std::int64_t slice = 0;
         std::array<double, SLICES> used {};
+        /// What may be used at once, filled at the rate.
+        double at_once = 0;
+        MonotonicTime filled;
         /// Callers who were told when to come back.
         std::deque<Booking> bookings;
 
@@ -88,11 +109,14 @@
 
     std::int64_t slice_at(MonotonicTime now) const;
     double allowance(AccountLimit const& limit) const;
-    Entry& entry_of(std::string_view account, AccountLimit const& limit, MonotonicTime now);
+    double reserve(AccountLimit const& limit) const;
+    double unknown_start(AccountLimit const& limit) const;
+    Entry& entry_of(std::string_view account, AccountLimit const& limit, Share share, MonotonicTime now);
+    Entry first_entry(AccountLimit const& limit, Share share, MonotonicTime now) const;
+    void remove_use(Entry& entry, double amount) const;
     void advance(Entry& entry, MonotonicTime now) const;
     static void add_earlier_use(Entry& entry, std::vector<double> const& used, double part);
-    static void remove_use(Entry& entry, double amount);
-    Duration book_return(Entry& entry, double needed, Duration patience, MonotonicTime now) const;
+    Duration book_return(Entry& entry, double needed, double allowed, Duration patience, MonotonicTime now) const;
 
     Options options;
     Duration slice_length;
--- a/Libraries/LibRouter/QuotaClient.cpp
+++ b/Libraries/LibRouter/QuotaClient.cpp
@@ -53,9 +53,9 @@
 {
     auto const now = monotonic_now();
     QuotaLedger::Ask ask;
-    ask.needed = cost;
-    ask.wanted = this->credit.wanted(account, cost, now);
     ask.returned = this->credit.take_unused(account, now);
+    ask.needed = this->credit.missing(account, cost, now);
+    ask.wanted = ask.needed + this->credit.foreseen(account, now);
     ask.patience = patience;
     return ask;
 }
@@ -64,6 +64,26 @@
 {
     if (cost <= 0 || this->credit.spend(account, cost, monotonic_now()) == QuotaCredit::Outcome::Spent)
         co_return Decision {};
+    auto const executor = co_await asio::this_coro::executor;
+    asio::steady_timer timer(executor);
+    for (int polls = 0; polls < this->options.longest_polls; ++polls) {
+        if (this->own_counter.is_settled()) {
+            auto const decision = co_await this->ask_ranked(account, cost, patience);
+            if (decision)
+                co_return *decision;
+        }
+        timer.expires_after(this->options.poll);
+        asio::error_code error;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+    }
+    auto const alone = this->own_counter.take(account, this->ask_for(account, cost, patience), QuotaCounter::Standing::Alone);
+    LogLine("quota_counted_alone").with("account", account);
+    // A limit that is gone from the newest configuration binds nobody.
+    co_return alone ? this->settle(account, cost, *alone) : Decision {};
+}
+
+asio::awaitable<std::optional<QuotaClient::Decision>> QuotaClient::ask_ranked(std::string account, double cost, Duration patience)
+{
     auto names = this->ranking.names(account);
     names.resize(std::min(names.size(), MOST_ASKED));
     for (auto const& name : names) {
@@ -75,10 +95,7 @@
         if (answer)
             co_return this->settle(account, cost, *answer);
     }
-    auto const alone = this->own_counter.take(account, this->ask_for(account, cost, patience), QuotaCounter::Standing::Alone);
-    LogLine("quota_counted_alone").with("account", account).with("asked", static_cast<std::int64_t>(names.size()));
-    // A limit that is gone from the newest configuration binds nobody.
-    co_return alone ? this->settle(account, cost, *alone) : Decision {};
+    co_return std::nullopt;
 }
 
 asio::awaitable<std::optional<QuotaLedger::Answer>> QuotaClient::ask(std::string virtual_machine, std::string account, double cost, Duration patience)
--- a/Libraries/LibRouter/QuotaClient.h
+++ b/Libraries/LibRouter/QuotaClient.h
@@ -24,6 +24,10 @@
         QuotaCredit::Options credit {};
         /// Longest wait for one VM's answer.
         Duration answer_time = milliseconds(300);
+        /// After a start, of this VM or of the one that counts, requests wait for the VMs to meet: refused, they would come
+        /// back into the same second. Polls of this many, at most, while none is ready.
+        int longest_polls = 16;
+        Duration poll = milliseconds(100);
         /// Silence after which its process is asked whether it is there.
         Duration silence = milliseconds(100);
         /// How often unused credit goes back where no ask takes it along.
@@ -50,6 +54,8 @@
     void give_back(std::string const& account, double cost);
 
 private:
+    /// Empty where none that was asked is ready.
+    asio::awaitable<std::optional<Decision>> ask_ranked(std::string account, double cost, Duration patience);
     QuotaLedger::Ask ask_for(std::string const& account, double cost, Duration patience);
     asio::awaitable<std::optional<QuotaLedger::Answer>> ask(std::string virtual_machine, std::string account, double cost, Duration patience);
     Decision settle(std::string const& account, double cost, QuotaLedger::Answer const& answer);
--- a/Libraries/LibRouter/QuotaCounter.cpp
+++ b/Libraries/LibRouter/QuotaCounter.cpp
@@ -29,14 +29,20 @@
     this->kernel.host(std::string(QUOTA_SERVICE), [this](wire::Envelope const& request, Kernel::Responder const& respond) { this->answer(request, respond); });
 }
 
-double QuotaCounter::part_of(std::string const& account, Standing standing) const
+QuotaLedger::Share QuotaCounter::share_of(std::string const& account, Standing standing) const
 {
     auto const live = static_cast<double>(std::max<std::size_t>(1, this->hooks.live_virtual_machines()));
     auto const all = live + static_cast<double>(this->hooks.lost_virtual_machines());
-    if (standing == Standing::Alone)
-        return 1 / all;
-    bool const is_first = this->hooks.is_settled() && this->ranking.is_own(account);
-    return live / all * (is_first ? 1 : STAND_IN_PART);
+    QuotaLedger::Share share;
+    share.forgotten = std::min(1.0, static_cast<double>(this->hooks.young_virtual_machines()) / live);
+    if (standing == Standing::Alone) {
+        share.most = 1 / all;
+        return share;
+    }
+    share.part = live / all;
+    if (!this->ranking.is_own(account))
+        share.most = STAND_IN_PART;
+    return share;
 }
 
 std::optional<QuotaLedger::Answer> QuotaCounter::take(std::string const& account, QuotaLedger::Ask const& ask, Standing standing)
@@ -44,13 +50,14 @@
     auto const routes = this->hooks.routes();
     auto const* book = routes ? routes->configuration().accounts.get() : nullptr;
     auto const* found = book ? book->find_by_name(account) : nullptr;
-    if (!found || !found->limit)
+    bool const is_too_early = standing == Standing::Ranked && !this->hooks.is_settled();
+    if (!found || !found->limit || is_too_early)
         return {};
-    auto const part = this->part_of(account, standing);
+    auto const share = this->share_of(account, standing);
     auto const now = monotonic_now();
-    auto const answer = this->ledger.take(account, *found->limit, part, ask, now);
+    auto const answer = this->ledger.take(account, *found->limit, share, ask, now);
     if (answer.granted <= 0)
-        LogLine("quota_exhausted").with("account", account).with("needed", ask.needed).with("free_part", this->ledger.free_part(account, now).value_or(0)).with("rate", found->limit->rate).with("burst", found->limit->burst).with("part", part).with("version", routes->version()).with("retry_after_ms", to_milliseconds(answer.retry_after));
+        LogLine("quota_exhausted").with("account", account).with("needed", ask.needed).with("free_part", this->ledger.free_part(account, now).value_or(0)).with("rate", found->limit->rate).with("burst", found->limit->burst).with("part", share.part).with("most", share.most).with("version", routes->version()).with("retry_after_ms", to_milliseconds(answer.retry_after));
     return answer;
 }
 
--- a/Libraries/LibRouter/QuotaCounter.h
+++ b/Libraries/LibRouter/QuotaCounter.h
@@ -33,6 +33,8 @@
         /// VMs that answer, this one among them, and those that were lost without leaving.
         std::function<std::size_t()> live_virtual_machines = [] { return std::size_t { 1 }; };
         std::function<std::size_t()> lost_virtual_machines = [] { return std::size_t { 0 }; };
+        /// Of those that answer, the ones that started within the window.
+        std::function<std::size_t()> young_virtual_machines = [] { return std::size_t { 0 }; };
     };
 
     enum class Standing {
@@ -48,13 +50,15 @@
     void host();
     void retain(AccountBook const& book) { this->ledger.retain(book); }
 
-    /// Empty where the configuration here has no such limit.
+    bool is_settled() const { return this->hooks.is_settled(); }
+    /// Empty where the configuration here has no such limit, or this VM has not met the others yet: it would count beside
+    /// the one that does.
     std::optional<QuotaLedger::Answer> take(std::string const& account, QuotaLedger::Ask const& ask, Standing standing);
     void give_back(std::string const& account, double amount);
 
 private:
     void answer(wire::Envelope const& request, Kernel::Responder const& respond);
-    double part_of(std::string const& account, Standing standing) const;
+    QuotaLedger::Share share_of(std::string const& account, Standing standing) const;
 
     QuotaLedger ledger;
     Kernel& kernel;
--- a/Meta/lost-requests.py
+++ b/Meta/lost-requests.py
@@ -27,6 +27,8 @@
     if outcome == "refused_not_run":
         held = int(fields["ms"]) > int(fields["target_ms"]) / 8
         return ("refused after waiting: " if held else "refused at once: ") + reason + (", came back" if fields.get("visit") == "return" else "")
+    if outcome == "rejected":
+        return "rejected: " + reason
     if outcome == "broken_off":
         return "cut: " + reason
     if outcome == "failed_may_have_run":
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -192,8 +192,16 @@
         auto const members = this->membership->members();
         return static_cast<std::size_t>(std::count_if(members.begin(), members.end(), [](auto const& member) { return member.life == MemberLife::Dead; }));
     };
+    hooks.young_virtual_machines = [this] {
+        if (this->settings.start == NodeSettings::Start::First)
+            return std::size_t { 0 };
+        auto const members = this->membership->members();
+        auto const earliest = unix_milliseconds() - to_milliseconds(this->settings.quota_window);
+        return static_cast<std::size_t>(std::count_if(members.begin(), members.end(), [&](auto const& member) { return member.life == MemberLife::Alive && member.incarnation > earliest; }));
+    };
     QuotaLedger::Options ledger;
     ledger.window = this->settings.quota_window;
+    ledger.tolerance = this->settings.quota_tolerance;
     this->quota_counter = std::make_unique<QuotaCounter>(ledger, *this->kernel, this->placement->ranking(), std::move(hooks));
     QuotaClient::Options client;
     client.credit.window = this->settings.quota_window;
--- a/Services/NodeServer/NodeSettings.cpp
+++ b/Services/NodeServer/NodeSettings.cpp
@@ -40,6 +40,8 @@
     node.retry.allowance = reader.number("retry_allowance", Presence::Optional, 0, 1e6, node.retry.allowance);
     node.retry.window = from_seconds(reader.number("retry_window_seconds", Presence::Optional, 0.1, 3600, to_seconds(node.retry.window)));
     node.quota_window = from_seconds(reader.number("quota_window_seconds", Presence::Optional, 0.5, 3600, to_seconds(node.quota_window)));
+    node.quota_tolerance = reader.number("quota_tolerance", Presence::Optional, 0, 1e12, node.quota_tolerance);
+    node.start = reader.boolean("first_start", false) ? Start::First : Start::Again;
     node.memory_headroom = reader.number("memory_headroom", Presence::Optional, 0, 0.9, node.memory_headroom);
     node.memory_deviations = reader.number("memory_deviations", Presence::Optional, 0, 10, node.memory_deviations);
     node.length_spread = reader.number("length_spread", Presence::Optional, 0.05, 3, node.length_spread);
--- a/Services/NodeServer/NodeSettings.h
+++ b/Services/NodeServer/NodeSettings.h
@@ -31,6 +31,14 @@
     SharedRetryBudget::Options retry;
     /// Sliding window over which accounts' limits are watched.
     Duration quota_window = seconds(8);
+    /// Units over an account's limit that operators put up with in a window, for errors of counting.
+    double quota_tolerance = 0;
+    /// Whether all VMs start for the first time: then none has forgotten what accounts used.
+    enum class Start {
+        First,
+        Again,
+    } start
+        = Start::Again;
     /// Part of an engine's memory that is never promised.
     double memory_headroom = 0.05;
     /// Standard deviations of what an engine's answers will hold that have to fit beside the expected sum.
--- a/Tests/Platform/NodeUnderTest.cpp
+++ b/Tests/Platform/NodeUnderTest.cpp
@@ -33,6 +33,7 @@
 {
     NodeSettings settings;
     settings.virtual_machine = "vm-1";
+    settings.start = NodeSettings::Start::First;
     settings.data_centre = "dc";
     settings.caller_address = { "127.0.0.1", 0 };
     settings.operations_address = { "127.0.0.1", 0 };
