LibRouter: Count requests that ask for quota at the same time

Cause: a request asked for what credit lacked of its cost. Change: each asks for its whole cost; what lay there goes back in its time. What has not run is given back to the account that it was counted for, also where its key is another's by then. Costs are worked out in floating point: callers may name token counts whose sum whole numbers do not hold.

--- a/Libraries/LibAccounts/ClientAccount.cpp
+++ b/Libraries/LibAccounts/ClientAccount.cpp
@@ -6,13 +6,13 @@
 
 namespace Spurtide {
 
-double ClientAccount::cost_of(std::optional<std::int64_t> tokens) const
+double ClientAccount::cost_of(std::optional<double> tokens) const
 {
     if (!this->limit)
         return 0;
     if (this->limit->unit == AccountLimit::Unit::Requests)
         return 1;
-    return tokens ? static_cast<double>(std::max<std::int64_t>(0, *tokens)) : this->limit->plain_call_tokens;
+    return tokens ? std::max(0.0, *tokens) : this->limit->plain_call_tokens;
 }
 
 }
--- a/Libraries/LibAccounts/ClientAccount.h
+++ b/Libraries/LibAccounts/ClientAccount.h
@@ -37,7 +37,7 @@
 
     /// What one request counts against the limit: 1, or the tokens that it names, prompt and longest answer together.
     /// 0 without a limit.
-    double cost_of(std::optional<std::int64_t> tokens) const;
+    double cost_of(std::optional<double> tokens) const;
 };
 
 }
--- a/Libraries/LibAccounts/QuotaCredit.cpp
+++ b/Libraries/LibAccounts/QuotaCredit.cpp
@@ -71,13 +71,6 @@
     return std::accumulate(used.begin(), used.end(), 0.0);
 }
 
-double QuotaCredit::missing(std::string_view account, double cost, MonotonicTime now) const
-{
-    auto const found = this->entries.find(account);
-    bool const has_credit = found != this->entries.end() && now < found->second.keep_until;
-    return std::max(0.0, cost - (has_credit ? found->second.credit : 0));
-}
-
 double QuotaCredit::foreseen(std::string_view account, MonotonicTime now) const
 {
     return this->used_in_window(account, now) / to_seconds(this->options.window) * to_seconds(this->options.foresight);
--- a/Libraries/LibAccounts/QuotaCredit.h
+++ b/Libraries/LibAccounts/QuotaCredit.h
@@ -35,9 +35,7 @@
     explicit QuotaCredit(Options options);
 
     Outcome spend(std::string_view account, double cost, MonotonicTime now);
-    /// What of the cost is not there.
-    double missing(std::string_view account, double cost, MonotonicTime now) const;
-    /// What to ask for beside that, for what comes soon.
+    /// What to ask for beside what a request needs, for those that come soon.
     double foreseen(std::string_view account, MonotonicTime now) const;
     void add(std::string_view account, double amount, MonotonicTime now);
     /// A request that was counted has not run and will not.
--- a/Libraries/LibRouter/QuotaClient.cpp
+++ b/Libraries/LibRouter/QuotaClient.cpp
@@ -54,8 +54,9 @@
     auto const now = monotonic_now();
     QuotaLedger::Ask ask;
     ask.returned = this->credit.take_unused(account, now);
-    ask.needed = this->credit.missing(account, cost, now);
-    ask.wanted = ask.needed + this->credit.foreseen(account, now);
+    // All of it, whatever lies here: other requests that ask meanwhile may take that.
+    ask.needed = cost;
+    ask.wanted = cost + this->credit.foreseen(account, now);
     ask.patience = patience;
     return ask;
 }
--- a/Libraries/LibRouter/RequestFlow.cpp
+++ b/Libraries/LibRouter/RequestFlow.cpp
@@ -24,12 +24,13 @@
     return text.data();
 }
 
-/// The tokens that a request names, prompt and longest answer together.
-std::optional<std::int64_t> tokens_of(CallerRequest const& request)
+/// The tokens that a request names, prompt and longest answer together. Callers may name any number, so that whole ones
+/// would not hold the sum.
+std::optional<double> tokens_of(CallerRequest const& request)
 {
     if (!request.prompt)
         return {};
-    return request.prompt->prompt_tokens + request.prompt->maximum_output_tokens;
+    return static_cast<double>(request.prompt->prompt_tokens) + static_cast<double>(request.prompt->maximum_output_tokens);
 }
 
 }
@@ -44,6 +45,7 @@
     , account(account ? account->name : std::string())
     , body(std::make_shared<std::string const>(exchange.request().body))
     , until(exchange.received_at() + std::min(route.timeout, this->request.patience))
+    , counted_account(this->account)
     , cost(account ? account->cost_of(tokens_of(this->request)) : 0)
     , limit(state.loop)
 {
@@ -72,7 +74,7 @@
             co_await this->carry();
         // What has not run costs the account nothing.
         if (this->cost > 0 && this->earlier == SendHistory::Earlier::HasNotRun)
-            this->state.quota->give_back(this->account, this->cost);
+            this->state.quota->give_back(this->counted_account, this->cost);
     }
     this->limit.cancel();
 }
--- a/Libraries/LibRouter/RequestFlow.h
+++ b/Libraries/LibRouter/RequestFlow.h
@@ -87,6 +87,8 @@
 
     StopReason stop_reason = StopReason::None;
     SendHistory::Earlier before_send = SendHistory::Earlier::HasNotRun;
+    /// Whose limit it counts against, though its key may be another account's by the time that it is sent.
+    std::string counted_account;
     /// What it counts against the account's limit.
     double cost = 0;
     std::shared_ptr<HttpConnection> active;
