--- a/Libraries/LibAccounts/QuotaLedger.cpp
+++ b/Libraries/LibAccounts/QuotaLedger.cpp
@@ -79,9 +79,8 @@
 QuotaLedger::Entry& QuotaLedger::entry_of(std::string_view account, AccountLimit const& limit, Share share, MonotonicTime now)
 {
     auto found = this->entries.find(account);
-    if (found == this->entries.end()) {
+    if (found == this->entries.end())
         found = this->entries.emplace(std::string(account), this->first_entry(limit, share, now)).first;
-    }
     auto& entry = found->second;
     this->advance(entry, now);
     // What was used under a higher limit was allowed: it counts no more than the new rate makes good, so that the account
--- a/Libraries/LibConfiguration/Configuration.cpp
+++ b/Libraries/LibConfiguration/Configuration.cpp
@@ -1,10 +1,10 @@
 // SPDX-FileCopyrightText: 2026 The Spurtide developers
 // SPDX-License-Identifier: BSD-2-Clause
 
+#include <LibAccounts/KeyDigest.h>
 #include <LibConfiguration/Configuration.h>
 #include <algorithm>
 #include <array>
-#include <openssl/evp.h>
 #include <set>
 
 namespace Spurtide {
@@ -176,18 +176,6 @@
     return ConfigurationReader(document, source).read();
 }
 
-std::string sha256_hex(std::string_view text)
-{
-    std::array<unsigned char, EVP_MAX_MD_SIZE> digest {};
-    unsigned int length = 0;
-    VERIFY(EVP_Digest(text.data(), text.size(), digest.data(), &length, EVP_sha256(), nullptr) == 1);
-    constexpr std::string_view DIGITS = "0123456789abcdef";
-    std::string hex;
-    for (unsigned int i = 0; i < length; ++i) {
-        hex += DIGITS[digest[i] >> 4U];
-        hex += DIGITS[digest[i] & 15U];
-    }
-    return hex;
-}
+std::string sha256_hex(std::string_view text) { return KeyDigest::of(text).to_hex(); }
 
 }
--- a/Libraries/LibDecision/CellScheduler.h
+++ b/Libraries/LibDecision/CellScheduler.h
@@ -231,8 +231,6 @@
         /// Refused callers are told to come back at times that are spread over this, so that they do not all
         /// meet the same crowd again.
         Duration return_spread {};
-        /// Part of an engine's usable memory that answers which come late anyhow leave free for those that can be on time.
-        double late_reserve = 0;
         /// Whether an engine is used only while it reports.
         enum class ReportNeed {
             Required,
--- a/Libraries/LibDecision/CellSchedulerPlacement.cpp
+++ b/Libraries/LibDecision/CellSchedulerPlacement.cpp
@@ -481,8 +481,7 @@
         return false;
     if (engine.description.memory_tokens == 0)
         return true;
-    auto const reserve = ask.timeliness == PlacementAsk::Timeliness::Late ? this->options.late_reserve : 0;
-    return this->forecast_of(engine, now).has_room_for(this->forecast_of(ask), std::chrono::duration_cast<Duration>(when - now), this->usable_memory(engine) * (1 - reserve));
+    return this->forecast_of(engine, now).has_room_for(this->forecast_of(ask), std::chrono::duration_cast<Duration>(when - now), this->usable_memory(engine));
 }
 
 std::optional<CellScheduler::Placement> CellScheduler::find_placement(PlacementAsk const& ask, MonotonicTime now)
--- a/Libraries/LibRouter/QuotaCounter.cpp
+++ b/Libraries/LibRouter/QuotaCounter.cpp
@@ -31,10 +31,11 @@
 
 QuotaLedger::Share QuotaCounter::share_of(std::string const& account, Standing standing) const
 {
-    auto const live = static_cast<double>(std::max<std::size_t>(1, this->hooks.live_virtual_machines()));
-    auto const all = live + static_cast<double>(this->hooks.lost_virtual_machines());
+    auto const machines = this->hooks.virtual_machines();
+    auto const live = static_cast<double>(std::max<std::size_t>(1, machines.live));
+    auto const all = live + static_cast<double>(machines.lost);
     QuotaLedger::Share share;
-    share.forgotten = std::min(1.0, static_cast<double>(this->hooks.young_virtual_machines()) / live);
+    share.forgotten = std::min(1.0, static_cast<double>(machines.young) / live);
     if (standing == Standing::Alone) {
         share.most = 1 / all;
         return share;
--- a/Libraries/LibRouter/QuotaCounter.h
+++ b/Libraries/LibRouter/QuotaCounter.h
@@ -26,15 +26,21 @@
 /// - A VM that reaches none of them counts for itself, with one VM's part.
 class QuotaCounter {
 public:
+    /// VMs as this one sees them.
+    struct VirtualMachines {
+        /// Those that answer, this one among them.
+        std::size_t live = 1;
+        /// Those that were lost without leaving.
+        std::size_t lost = 0;
+        /// Of those that answer, the ones that started within the window and may have forgotten what they used.
+        std::size_t young = 0;
+    };
+
     struct Hooks {
         std::function<std::shared_ptr<RouteTable const>()> routes;
         /// Whether this VM has met most of the others since its start.
         std::function<bool()> is_settled = [] { return true; };
-        /// VMs that answer, this one among them, and those that were lost without leaving.
-        std::function<std::size_t()> live_virtual_machines = [] { return std::size_t { 1 }; };
-        std::function<std::size_t()> lost_virtual_machines = [] { return std::size_t { 0 }; };
-        /// Of those that answer, the ones that started within the window.
-        std::function<std::size_t()> young_virtual_machines = [] { return std::size_t { 0 }; };
+        std::function<VirtualMachines()> virtual_machines = [] { return VirtualMachines {}; };
     };
 
     enum class Standing {
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -182,23 +182,25 @@
     this->keeper->set_hooks(std::move(keeper_hooks));
 }
 
+QuotaCounter::VirtualMachines Node::count_virtual_machines() const
+{
+    QuotaCounter::VirtualMachines count;
+    count.live = this->state.live_virtual_machines();
+    bool const may_have_forgotten = this->settings.start == NodeSettings::Start::Again;
+    auto const earliest = unix_milliseconds() - to_milliseconds(this->settings.quota_window);
+    for (auto const& member : this->membership->members()) {
+        count.lost += member.life == MemberLife::Dead ? 1 : 0;
+        count.young += may_have_forgotten && member.life == MemberLife::Alive && member.incarnation > earliest ? 1 : 0;
+    }
+    return count;
+}
+
 void Node::create_quota()
 {
     QuotaCounter::Hooks hooks;
     hooks.routes = [this] { return this->state.routes; };
     hooks.is_settled = [this] { return this->membership->is_settled(); };
-    hooks.live_virtual_machines = [this] { return this->state.live_virtual_machines(); };
-    hooks.lost_virtual_machines = [this] {
-        auto const members = this->membership->members();
-        return static_cast<std::size_t>(std::count_if(members.begin(), members.end(), [](auto const& member) { return member.life == MemberLife::Dead; }));
-    };
-    hooks.young_virtual_machines = [this] {
-        if (this->settings.start == NodeSettings::Start::First)
-            return std::size_t { 0 };
-        auto const members = this->membership->members();
-        auto const earliest = unix_milliseconds() - to_milliseconds(this->settings.quota_window);
-        return static_cast<std::size_t>(std::count_if(members.begin(), members.end(), [&](auto const& member) { return member.life == MemberLife::Alive && member.incarnation > earliest; }));
-    };
+    hooks.virtual_machines = [this] { return this->count_virtual_machines(); };
     QuotaLedger::Options ledger;
     ledger.window = this->settings.quota_window;
     ledger.tolerance = this->settings.quota_tolerance;
--- a/Services/NodeServer/Node.h
+++ b/Services/NodeServer/Node.h
@@ -62,6 +62,7 @@
     Node(asio::io_context& loop, NodeSettings settings, NodeAdapters adapters);
     Result<Done, NodeStartError> start();
     void host_services();
+    QuotaCounter::VirtualMachines count_virtual_machines() const;
     void create_quota();
     void keep_roles();
     RegistryFollower::Hooks hooks();
--- a/Tests/LibRouter/TestQuotaClient.cpp
+++ b/Tests/LibRouter/TestQuotaClient.cpp
@@ -32,7 +32,7 @@
         QuotaCounter::Hooks hooks;
         hooks.routes = [routes] { return routes; };
         hooks.is_settled = [this] { return this->is_settled; };
-        hooks.live_virtual_machines = [] { return std::size_t { 2 }; };
+        hooks.virtual_machines = [] { return QuotaCounter::VirtualMachines { 2, 0, 0 }; };
         this->counter = std::make_unique<QuotaCounter>(QuotaLedger::Options {}, *this->kernel, this->ranking, std::move(hooks));
         this->counter->host();
         // What the ranking goes by.
