--- a/Libraries/LibAccounts/QuotaLedger.h
+++ b/Libraries/LibAccounts/QuotaLedger.h
@@ -17,8 +17,8 @@
 /// Pure: time is passed in.
 ///
 /// An account may use, in any window, its rate over the window and one burst. The window is counted as such: a token
-/// bucket, which holds the burst alone, refuses requests of small accounts that stay far below their limit, since a burst
-/// of a second's rate may be two streams: it refused 270 requests of fifteen such accounts in half a minute with bursts.
+/// bucket, which holds the burst alone, refuses requests of small accounts that stay below their limit, since a burst of
+/// a second's rate may be two streams: of fifteen accounts it refused 270 requests in half a minute with bursts, by the log.
 ///
 /// Within the window an account may not use more than its rate and three eighths of the window's rate beside the burst:
 /// one that used all of a window at once and whose VMs are then all killed, so that nobody knows, would use another.
--- a/Libraries/LibConfiguration/Configuration.cpp
+++ b/Libraries/LibConfiguration/Configuration.cpp
@@ -4,7 +4,6 @@
 #include <LibAccounts/KeyDigest.h>
 #include <LibConfiguration/Configuration.h>
 #include <algorithm>
-#include <array>
 #include <set>
 
 namespace Spurtide {
