LibRouter: Log what is asked of the retry budget, and count sends

Cause: the record of the incident could not tell a prompt that an engine refused to read from one for which the budget had nothing left, nor what each VM's budget was. Each extra send now leaves a line with the inputs that decided it, and sends and extra sends are counted; no decision changes.

--- a/Libraries/LibDecision/SharedRetryBudget.h
+++ b/Libraries/LibDecision/SharedRetryBudget.h
@@ -43,6 +43,21 @@
         return true;
     }
 
+    /// What the budget holds now, for those who ask why a send was or was not allowed.
+    struct Level {
+        /// Requests and extra sends of this VM within the window.
+        std::size_t requests = 0;
+        std::size_t extras = 0;
+        /// Extra sends that this VM may have within the window.
+        double limit = 0;
+    };
+
+    Level level(std::size_t virtual_machines, MonotonicTime now)
+    {
+        this->expire(now);
+        return { this->requests.size(), this->extras.size(), this->limit(virtual_machines) };
+    }
+
     /// What may be sent extra within one window now.
     double limit(std::size_t virtual_machines) const
     {
--- a/Libraries/LibRouter/RequestFlow.cpp
+++ b/Libraries/LibRouter/RequestFlow.cpp
@@ -118,6 +118,7 @@
 void RequestFlow::note_sent()
 {
     ++this->sends;
+    this->state.metrics.increment("spurtide_sends_total", "Requests sent to upstreams", { { "service", this->service }, { "stage", "run" } });
     this->before_send = std::exchange(this->earlier, SendHistory::Earlier::MayHaveRun);
 }
 
@@ -137,8 +138,27 @@
 {
     if (sends_so_far >= this->route.maximum_attempts || this->time_left() < least_time || this->is_stopped())
         return SendHistory::AnotherSend::Spent;
-    bool const is_taken = this->state.budget_of(this->service).try_take(this->state.live_virtual_machines(), monotonic_now());
-    return is_taken ? SendHistory::AnotherSend::Allowed : SendHistory::AnotherSend::Spent;
+    return this->take_extra_send("another_send") ? SendHistory::AnotherSend::Allowed : SendHistory::AnotherSend::Spent;
+}
+
+bool RequestFlow::take_extra_send(std::string_view purpose)
+{
+    auto& budget = this->state.budget_of(this->service);
+    auto const virtual_machines = this->state.live_virtual_machines();
+    bool const is_taken = budget.try_take(virtual_machines, monotonic_now());
+    auto const level = budget.level(virtual_machines, monotonic_now());
+    std::string const outcome = is_taken ? "taken" : "spent";
+    LogLine("extra_send")
+        .with("request", this->request.identifier)
+        .with("service", this->service)
+        .with("purpose", purpose)
+        .with("outcome", outcome)
+        .with("requests", level.requests)
+        .with("extras", level.extras)
+        .with("limit", level.limit)
+        .with("vms", virtual_machines);
+    this->state.metrics.increment("spurtide_extra_sends_total", "Sends beyond a request's first that were asked of the retry budget", { { "service", this->service }, { "outcome", outcome } });
+    return is_taken;
 }
 
 asio::awaitable<void> RequestFlow::refuse(std::string_view reason, Duration retry_after)
--- a/Libraries/LibRouter/RequestFlow.h
+++ b/Libraries/LibRouter/RequestFlow.h
@@ -61,6 +61,9 @@
     /// Whether attempts, time and the retry budget allow another send; takes it from the budget.
     SendHistory::AnotherSend take_another_send(std::int64_t sends_so_far, Duration least_time);
 
+    /// Takes a send beyond the first from the service's retry budget, where one is left. The purpose is for the log.
+    bool take_extra_send(std::string_view purpose);
+
     /// Call when bytes of the request may leave for an upstream, and when that upstream said that it did not
     /// run it: until then it may have run.
     void note_sent();
--- a/Libraries/LibRouter/StreamFlow.cpp
+++ b/Libraries/LibRouter/StreamFlow.cpp
@@ -234,8 +234,10 @@
         co_return std::nullopt;
     }
     // The first prefill is no extra send; further ones are.
-    if (this->prefills++ > 0 && !this->state.budget_of(this->service).try_take(this->state.live_virtual_machines(), monotonic_now()))
+    if (this->prefills++ > 0 && !this->take_extra_send("prefill")) {
+        LogLine("prefill_failed").with("request", this->request.identifier).with("engine", engine.identity).with("reason", "retry_budget_spent");
         co_return std::nullopt;
+    }
     auto acquired = co_await this->state.pool.acquire(*address, ConnectionPool::Freshness::Any);
     if (acquired.is_error()) {
         this->failed_engine = engine.identity;
@@ -259,6 +261,7 @@
     dispatch.after_event = this->events.last_identifier();
     this->set_active(connection);
     connection->set_deadline(monotonic_now() + PREFILL_PATIENCE);
+    this->state.metrics.increment("spurtide_sends_total", "Requests sent to upstreams", { { "service", this->service }, { "stage", "prefill" } });
     std::optional<UpstreamUse> use(std::in_place, this->state.prober, engine, connection, UpstreamUse::OutOfReach::BreakOff);
     connection->send(format_request_head(this->state.dialect.upstream_head(this->exchange.request(), dispatch)), this->body);
     auto head = co_await connection->read_head();
--- a/Tests/Platform/TestNode.cpp
+++ b/Tests/Platform/TestNode.cpp
@@ -674,12 +674,40 @@
              "spurtide_first_event_seconds_count 1\n",
              "spurtide_longest_pause_seconds_count 1\n",
              "spurtide_placements_total{outcome=\"granted\"} 1\n",
+             "spurtide_sends_total{service=\"plain\",stage=\"run\"} 1\n",
+             "spurtide_sends_total{service=\"engines\",stage=\"prefill\"} 1\n",
+             "spurtide_sends_total{service=\"engines\",stage=\"run\"} 1\n",
          })
         CHECK(metrics.body.find(line) != std::string::npos);
     CHECK(metrics.body.find("spurtide_registry_calls_total{result=\"answered\",what=\"upstreams\"}") != std::string::npos);
     CHECK(metrics.body.find("spurtide_loop_delay_seconds_bucket") != std::string::npos);
 }
 
+TEST_CASE("Each extra send that is asked of the retry budget leaves a line with what decided it")
+{
+    std::string lines;
+    LogLine::set_observer([&](std::string_view line) { lines.append(line).append("\n"); });
+    NodeUnderTest test([](NodeSettings& settings) { settings.retry = { 0, 2, seconds(10), 0.5 }; });
+    UpstreamStandIn failing(test.loop, "i-1");
+    failing.script = [&](HttpExchange& exchange) -> asio::awaitable<bool> {
+        auto head = failing.answer_head(exchange, 500);
+        static_cast<void>(co_await exchange.respond(std::move(head), {}));
+        co_return true;
+    };
+    test.configure(1);
+    test.list(failing, "plain");
+    // A budget of one: the first call is sent twice, the second once.
+    REQUIRE(test.call(test.request("GET", "/safe/x", "a")).head.status == 500);
+    REQUIRE(test.call(test.request("GET", "/safe/x", "b")).head.status == 500);
+    REQUIRE(failing.requests.size() == 3);
+    CAPTURE(lines);
+    CHECK(lines.find("event=extra_send request=a service=plain purpose=another_send outcome=taken requests=1 extras=1 limit=1.000 vms=1") != std::string::npos);
+    CHECK(lines.find("event=extra_send request=b service=plain purpose=another_send outcome=spent requests=2 extras=1 limit=1.000 vms=1") != std::string::npos);
+    auto const metrics = test.call(test.node->operations_address(), test.request("GET", "/metrics", "m"));
+    CHECK(metrics.body.find("spurtide_extra_sends_total{outcome=\"taken\",service=\"plain\"} 1\n") != std::string::npos);
+    CHECK(metrics.body.find("spurtide_extra_sends_total{outcome=\"spent\",service=\"plain\"} 1\n") != std::string::npos);
+}
+
 TEST_CASE("A node that cannot serve metrics at their address serves requests")
 {
     asio::io_context other;
