NodeServer: Stop messages before what they report to goes

Cause: a node's kernel is destroyed last, and tells the messages that still wait that it ends; a probe of a VM that does not answer then reports to a membership service that is gone. Seen as a crash at the end of a test that lets another VM fall silent; a process that stops while a VM is lost does the same. Ruled out: the other VM's own kernel (the backtrace leads from Node::~Node to MembershipService::note_unanswered). Change: the node stops its kernel first. Test: red before (aborted), green after.

--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -79,7 +79,12 @@
 {
 }
 
-Node::~Node() = default;
+// Messages that wait for an answer are told of the end while the members that they report to are still there.
+Node::~Node()
+{
+    if (this->kernel)
+        this->kernel->stop();
+}
 
 Result<std::unique_ptr<Node>, NodeStartError> Node::create(asio::io_context& loop, NodeSettings settings, NodeAdapters adapters)
 {
@@ -321,6 +326,12 @@
     this->state.reachability->retain({ identities.begin(), identities.end() });
 }
 
+std::string Node::wire_address() const
+{
+    constexpr std::string_view SCHEME = "tcp://";
+    return this->kernel->endpoint().substr(SCHEME.size());
+}
+
 bool Node::is_ready() const
 {
     bool const has_upstreams = this->follower->has_upstreams() || this->state.upstreams.size() > 0;
--- a/Services/NodeServer/Node.h
+++ b/Services/NodeServer/Node.h
@@ -57,6 +57,8 @@
     bool knows_upstream(std::string_view identity, UpstreamRecord::Life life) const;
     Address const& caller_address() const { return this->callers->address(); }
     Address const& operations_address() const { return this->operations->address(); }
+    /// Where other VMs reach this one, as ADDRESS:PORT.
+    std::string wire_address() const;
 
 private:
     Node(asio::io_context& loop, NodeSettings settings, NodeAdapters adapters);
--- /dev/null
+++ b/Tests/Platform/PeerVirtualMachine.h
@@ -0,0 +1,63 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#pragma once
+
+#include <Services/ConfigServer/MembershipService.h>
+#include <Tests/Platform/NodeUnderTest.h>
+#include <Tests/Support/LoopKernel.h>
+#include <memory>
+#include <string>
+
+namespace Spurtide::Tests {
+
+/// Another VM beside the node, as far as membership goes. It has a loop of its own, and is silent while that is not run.
+class PeerVirtualMachine {
+public:
+    PeerVirtualMachine(NodeUnderTest& test, std::string const& name)
+        : kernel(make_loop_kernel(this->loop, name))
+    {
+        MembershipService::Options options;
+        options.virtual_machine = name;
+        options.seeds = { "tcp://" + test.node->wire_address() };
+        options.heartbeat_interval = milliseconds(500);
+        this->membership = std::make_unique<MembershipService>(
+            options, *this->kernel, [] { return 0; }, [](auto const&, auto) {});
+        this->kernel->host("directory", [this](wire::Envelope const& request, Kernel::Responder const& respond) {
+            if (request.has_heartbeat())
+                this->membership->handle_heartbeat(request.heartbeat(), respond);
+            else if (request.has_member_records())
+                this->membership->handle_records(request.member_records(), respond);
+        });
+        this->kernel->host("placement", [](wire::Envelope const&, Kernel::Responder const&) {});
+        this->kernel->start();
+        this->membership->start();
+    }
+
+    /// Runs both until the node counts this one as alive.
+    bool is_seen_by(NodeUnderTest& test)
+    {
+        return test.run_until([&] {
+            this->loop.run_for(std::chrono::milliseconds(2));
+            return counts_virtual_machines(test, 2);
+        });
+    }
+    /// Runs the node alone until it counts this one as alive no more.
+    static bool is_lost_by(NodeUnderTest& test)
+    {
+        return test.run_until([&] { return counts_virtual_machines(test, 1); });
+    }
+
+private:
+    static bool counts_virtual_machines(NodeUnderTest& test, int count)
+    {
+        auto const metrics = test.call(test.node->operations_address(), test.request("GET", "/metrics", "m"));
+        return metrics.body.find("spurtide_live_vms " + std::to_string(count) + "\n") != std::string::npos;
+    }
+
+    asio::io_context loop { 1 };
+    std::unique_ptr<Kernel> kernel;
+    std::unique_ptr<MembershipService> membership;
+};
+
+}
--- a/Tests/Platform/TestNode.cpp
+++ b/Tests/Platform/TestNode.cpp
@@ -4,6 +4,7 @@
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
 #include <Tests/Platform/NodeUnderTest.h>
+#include <Tests/Platform/PeerVirtualMachine.h>
 #include <catch2/catch.hpp>
 
 using namespace Spurtide;
@@ -708,6 +709,14 @@
     CHECK(metrics.body.find("spurtide_extra_sends_total{outcome=\"spent\",service=\"plain\"} 1\n") != std::string::npos);
 }
 
+TEST_CASE("A node ends in order while another VM leaves its probes without an answer", "[kill]")
+{
+    NodeUnderTest test;
+    PeerVirtualMachine peer(test, "vm-2");
+    REQUIRE(peer.is_seen_by(test));
+    REQUIRE(PeerVirtualMachine::is_lost_by(test));
+}
+
 TEST_CASE("A node that cannot serve metrics at their address serves requests")
 {
     asio::io_context other;
