LibDecision: Charge the retry budget by what arrives at upstreams

Cause: the budget was charged by what a request's last send had been: a run after one that failed, a prefill after the first. A first prefill that an engine refused had arrived without a charge, and the run that followed was the second arrival, without a charge as well. Change: a ledger a request. Whatever leaves is paid for by what has arrived before it; a second prefill only with the run behind it; what is not used goes back; what waits counts from when it leaves. Existing test 'Extra sends stay within the share of a VM' now passes the part, an eighth, where it passed eight VMs.

--- /dev/null
+++ b/Libraries/LibDecision/SendLedger.cpp
@@ -0,0 +1,51 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibCore/Verify.h>
+#include <LibDecision/SendLedger.h>
+#include <algorithm>
+#include <utility>
+
+namespace Spurtide {
+
+std::size_t SendLedger::unpaid(Send send) const
+{
+    // A first prefill either is taken up, and the run behind it arrives, or is refused, and arrives itself.
+    std::size_t const more = send == Send::Prefill && this->has_read_prompt ? 2 : 1;
+    auto const beyond_first = this->arrivals == 0 ? more - 1 : more;
+    return beyond_first - std::min(beyond_first, this->unused.size());
+}
+
+bool SendLedger::try_pay(Send send, double part, MonotonicTime now)
+{
+    auto const count = this->unpaid(send);
+    if (count > 0 && !this->budget.try_take(count, part, now))
+        return false;
+    this->unused.insert(this->unused.end(), count, now);
+    return true;
+}
+
+void SendLedger::note_prefill(PrefillEnd end, MonotonicTime now)
+{
+    if (end == PrefillEnd::TakenUp && !std::exchange(this->has_read_prompt, true))
+        return;
+    this->note_arrival(now);
+}
+
+void SendLedger::note_arrival(MonotonicTime now)
+{
+    if (this->arrivals++ == 0)
+        return;
+    VERIFY(!this->unused.empty());
+    this->budget.move(this->unused.back(), now);
+    this->unused.pop_back();
+}
+
+void SendLedger::give_back_unused()
+{
+    for (auto const taken_at : this->unused)
+        this->budget.give_back(taken_at);
+    this->unused.clear();
+}
+
+}
--- a/Libraries/LibDecision/SharedRetryBudget.h
+++ b/Libraries/LibDecision/SharedRetryBudget.h
@@ -4,12 +4,13 @@
 #pragma once
 
 #include <LibCore/Time.h>
+#include <cstddef>
 #include <deque>
 
 namespace Spurtide {
 
 /// Bounds what is sent to a service beyond the first time of each request, over a sliding window. All VMs
-/// together share the ratio of their requests and a fixed allowance; each VM takes an even part of the latter.
+/// together share the ratio of their requests and a fixed allowance; each VM takes a part of the latter.
 class SharedRetryBudget {
 public:
     struct Options {
@@ -27,21 +28,14 @@
     {
     }
 
-    void note_request(MonotonicTime now)
-    {
-        this->requests.push_back(now);
-        this->expire(now);
-    }
+    void note_request(MonotonicTime now);
 
-    /// Takes one extra send where the budget has it.
-    bool try_take(std::size_t virtual_machines, MonotonicTime now)
-    {
-        this->expire(now);
-        if (static_cast<double>(this->extras.size()) + 1 > this->limit(virtual_machines))
-            return false;
-        this->extras.push_back(now);
-        return true;
-    }
+    /// Takes all of so many extra sends where the budget has them, else none. The part is this VM's of the allowance.
+    bool try_take(std::size_t count, double part, MonotonicTime now);
+    /// Gives back an extra send that was not used.
+    void give_back(MonotonicTime taken_at);
+    /// An extra send that was taken earlier leaves only now, and counts within the window from now on.
+    void move(MonotonicTime taken_at, MonotonicTime now);
 
     /// What the budget holds now, for those who ask why a send was or was not allowed.
     struct Level {
@@ -52,30 +46,15 @@
         double limit = 0;
     };
 
-    Level level(std::size_t virtual_machines, MonotonicTime now)
-    {
-        this->expire(now);
-        return { this->requests.size(), this->extras.size(), this->limit(virtual_machines) };
-    }
-
-    /// What may be sent extra within one window now.
-    double limit(std::size_t virtual_machines) const
-    {
-        auto const share = this->options.allowance / static_cast<double>(virtual_machines == 0 ? 1 : virtual_machines);
-        return this->options.safety * (this->options.ratio * static_cast<double>(this->requests.size()) + share);
-    }
+    Level level(double part, MonotonicTime now);
 
 private:
-    void expire(MonotonicTime now)
-    {
-        while (!this->requests.empty() && now - this->requests.front() > this->options.window)
-            this->requests.pop_front();
-        while (!this->extras.empty() && now - this->extras.front() > this->options.window)
-            this->extras.pop_front();
-    }
+    double limit(double part) const;
+    void expire(MonotonicTime now);
 
     Options options;
     std::deque<MonotonicTime> requests;
+    // In the order of their times.
     std::deque<MonotonicTime> extras;
 };
 
--- a/Libraries/LibRouter/RequestFlow.cpp
+++ b/Libraries/LibRouter/RequestFlow.cpp
@@ -44,6 +44,7 @@
     , service(route.target_for(XXH3_64bits(this->request.identifier.data(), this->request.identifier.size())))
     , account(account ? account->name : std::string())
     , body(std::make_shared<std::string const>(exchange.request().body))
+    , ledger(state.budget_of(this->service))
     , until(exchange.received_at() + std::min(route.timeout, this->request.patience))
     , counted_account(this->account)
     , cost(account ? account->cost_of(tokens_of(this->request)) : 0)
@@ -76,6 +77,7 @@
         if (this->cost > 0 && this->earlier == SendHistory::Earlier::HasNotRun)
             this->state.quota->give_back(this->counted_account, this->cost);
     }
+    this->ledger.give_back_unused();
     this->limit.cancel();
 }
 
@@ -118,6 +120,7 @@
 void RequestFlow::note_sent()
 {
     ++this->sends;
+    this->ledger.note_run(monotonic_now());
     this->state.metrics.increment("spurtide_sends_total", "Requests sent to upstreams", { { "service", this->service }, { "stage", "run" } });
     this->before_send = std::exchange(this->earlier, SendHistory::Earlier::MayHaveRun);
 }
@@ -138,26 +141,29 @@
 {
     if (sends_so_far >= this->route.maximum_attempts || this->time_left() < least_time || this->is_stopped())
         return SendHistory::AnotherSend::Spent;
-    return this->take_extra_send("another_send") ? SendHistory::AnotherSend::Allowed : SendHistory::AnotherSend::Spent;
+    return this->try_pay(SendLedger::Send::Run) ? SendHistory::AnotherSend::Allowed : SendHistory::AnotherSend::Spent;
 }
 
-bool RequestFlow::take_extra_send(std::string_view purpose)
+bool RequestFlow::try_pay(SendLedger::Send send)
 {
-    auto& budget = this->state.budget_of(this->service);
-    auto const virtual_machines = this->state.live_virtual_machines();
-    bool const is_taken = budget.try_take(virtual_machines, monotonic_now());
-    auto const level = budget.level(virtual_machines, monotonic_now());
+    auto const count = this->ledger.unpaid(send);
+    if (count == 0)
+        return true;
+    auto const part = this->state.retry_allowance_part();
+    bool const is_taken = this->ledger.try_pay(send, part, monotonic_now());
+    auto const level = this->state.budget_of(this->service).level(part, monotonic_now());
     std::string const outcome = is_taken ? "taken" : "spent";
     LogLine("extra_send")
         .with("request", this->request.identifier)
         .with("service", this->service)
-        .with("purpose", purpose)
+        .with("for", send == SendLedger::Send::Run ? "run" : "prefill")
+        .with("count", count)
         .with("outcome", outcome)
         .with("requests", level.requests)
         .with("extras", level.extras)
         .with("limit", level.limit)
-        .with("vms", virtual_machines);
-    this->state.metrics.increment("spurtide_extra_sends_total", "Sends beyond a request's first that were asked of the retry budget", { { "service", this->service }, { "outcome", outcome } });
+        .with("part", part);
+    this->state.metrics.increment("spurtide_extra_sends_total", "Sends beyond a request's first that were asked of the retry budget", { { "service", this->service }, { "outcome", outcome } }, static_cast<double>(count));
     return is_taken;
 }
 
--- a/Libraries/LibRouter/RequestFlow.h
+++ b/Libraries/LibRouter/RequestFlow.h
@@ -6,6 +6,7 @@
 #include <LibAsync/HttpExchange.h>
 #include <LibCore/LogLine.h>
 #include <LibDecision/AnswerVerdict.h>
+#include <LibDecision/SendLedger.h>
 #include <LibRouter/RouterState.h>
 #include <functional>
 #include <memory>
@@ -61,8 +62,8 @@
     /// Whether attempts, time and the retry budget allow another send; takes it from the budget.
     SendHistory::AnotherSend take_another_send(std::int64_t sends_so_far, Duration least_time);
 
-    /// Takes a send beyond the first from the service's retry budget, where one is left. The purpose is for the log.
-    bool take_extra_send(std::string_view purpose);
+    /// Whether the service's retry budget allows the send; takes from it what the send costs.
+    bool try_pay(SendLedger::Send send);
 
     /// Call when bytes of the request may leave for an upstream, and when that upstream said that it did not
     /// run it: until then it may have run.
@@ -78,6 +79,7 @@
     /// Named to upstreams; empty for callers without one.
     std::string account;
     std::shared_ptr<std::string const> body;
+    SendLedger ledger;
     MonotonicTime until;
     SendHistory::Earlier earlier = SendHistory::Earlier::HasNotRun;
     int sends = 0;
--- a/Libraries/LibRouter/RouterState.h
+++ b/Libraries/LibRouter/RouterState.h
@@ -45,8 +45,8 @@
     double length_spread = 0.6;
     PlacementClient* placement = nullptr;
     QuotaClient* quota = nullptr;
-    /// Number of VMs that share the retry budget.
-    std::function<std::size_t()> live_virtual_machines = [] { return std::size_t { 1 }; };
+    /// This VM's part of the retry budgets' allowance, which all VMs share.
+    std::function<double()> retry_allowance_part = [] { return 1.0; };
 
     /// Empty while this process goes on.
     std::function<std::optional<StopTime>()> stop_time = [] { return std::optional<StopTime> {}; };
--- a/Libraries/LibRouter/StreamFlow.cpp
+++ b/Libraries/LibRouter/StreamFlow.cpp
@@ -202,6 +202,8 @@
         co_return co_await this->give_up(SendEnd::NotSent, to_string(reserved.error()));
     }
     if (prefill_engine) {
+        if (!this->try_pay(SendLedger::Send::Prefill))
+            co_return co_await this->give_up(SendEnd::NotSent, "retry_budget_spent", SendHistory::AnotherSend::Spent);
         UpstreamRecord const prefiller = *prefill_engine;
         auto cache = co_await this->prefill(prefiller);
         if (this->is_stopped()) {
@@ -233,11 +235,6 @@
         this->failed_engine = engine.identity;
         co_return std::nullopt;
     }
-    // The first prefill is no extra send; further ones are.
-    if (this->prefills++ > 0 && !this->take_extra_send("prefill")) {
-        LogLine("prefill_failed").with("request", this->request.identifier).with("engine", engine.identity).with("reason", "retry_budget_spent");
-        co_return std::nullopt;
-    }
     auto acquired = co_await this->state.pool.acquire(*address, ConnectionPool::Freshness::Any);
     if (acquired.is_error()) {
         this->failed_engine = engine.identity;
@@ -285,6 +282,7 @@
         // An engine that is full or has begun to leave works as it should.
         works_as_it_should = facts.is_not_executed;
     }
+    this->ledger.note_prefill(cache ? SendLedger::PrefillEnd::TakenUp : SendLedger::PrefillEnd::NotTakenUp, monotonic_now());
     if (!head.is_error())
         use->note_heard();
     use.reset();
@@ -440,16 +438,15 @@
 }
 
 // What follows a send that brought no answer.
-asio::awaitable<StreamFlow::Progress> StreamFlow::give_up(SendEnd end, std::string_view reason)
+asio::awaitable<StreamFlow::Progress> StreamFlow::give_up(SendEnd end, std::string_view reason, SendHistory::AnotherSend wanted)
 {
     // A stream that may go on behind its last event may be sent again, like a call that may be repeated.
     auto const kind = this->route.is_resumable ? RouteKind::Repeatable : RouteKind::NotRepeatable;
     SendHistory history { kind, this->earlier, SendHistory::AnotherSend::Spent };
-    bool const has_time = this->time_left() >= LEAST_TIME_FOR_PLACEMENT && this->placements < MOST_PLACEMENTS;
-    if (end == SendEnd::NotSent)
-        history.another_send = has_time ? SendHistory::AnotherSend::Allowed : SendHistory::AnotherSend::Spent;
-    else if (has_time)
-        history.another_send = this->take_another_send(this->sends, LEAST_TIME_FOR_PLACEMENT);
+    bool const may_go_on = wanted == SendHistory::AnotherSend::Allowed && this->placements < MOST_PLACEMENTS;
+    // What was not sent is no attempt, but a prefill that was refused has arrived.
+    if (may_go_on)
+        history.another_send = this->take_another_send(end == SendEnd::NotSent ? 0 : this->sends, LEAST_TIME_FOR_PLACEMENT);
     auto const step = next_step(end, history);
     LogLine("send_end").with("request", this->request.identifier).with("end", to_string(end)).with("reason", reason).with("next", to_string(step));
     if (step == NextStep::SendElsewhere)
--- a/Libraries/LibRouter/StreamFlow.h
+++ b/Libraries/LibRouter/StreamFlow.h
@@ -56,7 +56,8 @@
     void note_event(MonotonicTime now);
     asio::awaitable<Progress> relay(UpstreamUse& use, std::shared_ptr<HttpConnection> connection, HttpResponseHead head);
     void add_unreachable(std::vector<std::string>& engines) const;
-    asio::awaitable<Progress> give_up(SendEnd end, std::string_view reason);
+    /// Goes on elsewhere where that is wanted and allowed, else answers.
+    asio::awaitable<Progress> give_up(SendEnd end, std::string_view reason, SendHistory::AnotherSend wanted = SendHistory::AnotherSend::Allowed);
     void free_cache(std::string const& address, std::string const& handle);
     ConnectionPool::Freshness freshness() const;
     void release();
@@ -74,7 +75,6 @@
     MonotonicTime last_event_at;
     Duration longest_pause {};
     int placements = 0;
-    int prefills = 0;
 };
 
 }
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -132,7 +132,7 @@
     cache_hooks.on_cached = [this](auto engine, auto own_parts) { this->keeper->note_cached(engine, own_parts); };
     this->cache_reader = std::make_unique<CacheReader>(CacheReader::Options {}, this->state, std::move(cache_hooks));
     this->state.placement = this->placement.get();
-    this->state.live_virtual_machines = [this] { return std::max<std::size_t>(1, this->kernel->directory().virtual_machines_with("placement").size()); };
+    this->state.retry_allowance_part = [this] { return this->retry_allowance_part(); };
     this->state.stop_time = [this]() -> std::optional<StopTime> {
         if (!this->is_stopping)
             return {};
@@ -187,13 +187,24 @@
     this->keeper->set_hooks(std::move(keeper_hooks));
 }
 
+std::size_t Node::live_virtual_machines() const
+{
+    return std::max<std::size_t>(1, this->kernel->directory().virtual_machines_with(PLACEMENT_SERVICE).size());
+}
+
+double Node::retry_allowance_part() const
+{
+    return 1.0 / static_cast<double>(this->live_virtual_machines());
+}
+
 QuotaCounter::VirtualMachines Node::count_virtual_machines() const
 {
+    auto const members = this->membership->members();
     QuotaCounter::VirtualMachines count;
-    count.live = this->state.live_virtual_machines();
+    count.live = this->live_virtual_machines();
     bool const may_have_forgotten = this->settings.start == NodeSettings::Start::Again;
     auto const earliest = unix_milliseconds() - to_milliseconds(this->settings.quota_window);
-    for (auto const& member : this->membership->members()) {
+    for (auto const& member : members) {
         count.lost += member.life == MemberLife::Dead ? 1 : 0;
         count.young += may_have_forgotten && member.life == MemberLife::Alive && member.incarnation > earliest ? 1 : 0;
     }
@@ -387,7 +398,7 @@
     facts.configuration_version = this->configuration_version();
     facts.upstreams_version = this->state.upstreams.version();
     facts.upstreams = this->state.upstreams.size();
-    facts.live_virtual_machines = this->state.live_virtual_machines();
+    facts.live_virtual_machines = this->live_virtual_machines();
     facts.caller_connections = this->callers->connection_count();
     facts.running_requests = this->callers->exchange_count();
     facts.keeping = this->placement->is_keeper() ? NodeFacts::Keeping::This : NodeFacts::Keeping::Others;
--- a/Services/NodeServer/Node.h
+++ b/Services/NodeServer/Node.h
@@ -64,6 +64,9 @@
     Node(asio::io_context& loop, NodeSettings settings, NodeAdapters adapters);
     Result<Done, NodeStartError> start();
     void host_services();
+    std::size_t live_virtual_machines() const;
+    /// This VM's part of the retry budgets' allowance.
+    double retry_allowance_part() const;
     QuotaCounter::VirtualMachines count_virtual_machines() const;
     void create_quota();
     void keep_roles();
--- /dev/null
+++ b/Tests/LibDecision/TestSendLedger.cpp
@@ -0,0 +1,110 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibDecision/SendLedger.h>
+#include <algorithm>
+#include <array>
+#include <catch2/catch.hpp>
+#include <vector>
+
+using namespace Spurtide;
+
+namespace {
+
+MonotonicTime at_milliseconds(std::int64_t value) { return MonotonicTime {} + milliseconds(value); }
+
+SharedRetryBudget budget_of(double allowance) { return SharedRetryBudget({ .ratio = 0, .allowance = allowance, .window = seconds(10), .safety = 1 }); }
+
+std::size_t extras_in(SharedRetryBudget& budget, std::int64_t now) { return budget.level(1, at_milliseconds(now)).extras; }
+
+enum class Step {
+    PromptRead,
+    PromptRefused,
+    Run,
+};
+
+SendLedger::Send send_of(Step step) { return step == Step::Run ? SendLedger::Send::Run : SendLedger::Send::Prefill; }
+
+/// Sends one step where the budget has it; gives whether it was sent.
+bool send(SendLedger& ledger, Step step, std::int64_t now)
+{
+    if (!ledger.try_pay(send_of(step), 1, at_milliseconds(now)))
+        return false;
+    if (step == Step::Run)
+        ledger.note_run(at_milliseconds(now));
+    else
+        ledger.note_prefill(step == Step::PromptRead ? SendLedger::PrefillEnd::TakenUp : SendLedger::PrefillEnd::NotTakenUp, at_milliseconds(now));
+    return true;
+}
+
+/// What arrived beyond the first, told by the sends themselves.
+std::size_t extra_arrivals(std::vector<Step> const& sent)
+{
+    auto const prompts_read = static_cast<std::size_t>(std::count(sent.begin(), sent.end(), Step::PromptRead));
+    auto const arrivals = sent.size() - std::min<std::size_t>(1, prompts_read);
+    return arrivals - std::min<std::size_t>(1, arrivals);
+}
+
+}
+
+// Each order in which six prefills and runs can end, with each budget from nothing to more than enough.
+TEST_CASE("Whatever comes in which order, what arrives beyond the first is charged, and nothing else", "[retry-budget]")
+{
+    constexpr std::array STEPS { Step::PromptRead, Step::PromptRefused, Step::Run };
+    constexpr int LENGTH = 6;
+    constexpr int ORDERS = 729;
+    for (int order = 0; order < ORDERS; ++order) {
+        for (int allowance = 0; allowance <= 2 * LENGTH; ++allowance) {
+            auto budget = budget_of(allowance);
+            SendLedger ledger(budget);
+            std::vector<Step> sent;
+            for (int i = 0, rest = order; i < LENGTH; ++i, rest /= 3) {
+                auto const step = STEPS.at(static_cast<std::size_t>(rest % 3));
+                if (send(ledger, step, i))
+                    sent.push_back(step);
+                if (extra_arrivals(sent) > static_cast<std::size_t>(allowance) || extra_arrivals(sent) > extras_in(budget, i))
+                    FAIL("order " << order << " allowance " << allowance << " step " << i);
+            }
+            ledger.give_back_unused();
+            if (extras_in(budget, LENGTH) != extra_arrivals(sent))
+                FAIL("order " << order << " allowance " << allowance << ": " << extras_in(budget, LENGTH) << " charged, " << extra_arrivals(sent) << " arrived");
+        }
+    }
+}
+
+TEST_CASE("A prompt is read again only where the run behind it can be paid for", "[retry-budget]")
+{
+    auto budget = budget_of(1);
+    SendLedger ledger(budget);
+    REQUIRE(send(ledger, Step::PromptRead, 0));
+    REQUIRE(ledger.unpaid(SendLedger::Send::Prefill) == 1);
+    REQUIRE(send(ledger, Step::Run, 1));
+    REQUIRE(ledger.unpaid(SendLedger::Send::Prefill) == 2);
+    REQUIRE_FALSE(send(ledger, Step::PromptRead, 2));
+    REQUIRE(send(ledger, Step::Run, 3));
+}
+
+TEST_CASE("What was paid before it leaves counts within the window from when it leaves", "[retry-budget]")
+{
+    auto budget = budget_of(1);
+    SendLedger ledger(budget);
+    REQUIRE(send(ledger, Step::Run, 0));
+    REQUIRE(ledger.try_pay(SendLedger::Send::Run, 1, at_milliseconds(100)));
+    ledger.note_run(at_milliseconds(1500));
+    REQUIRE(extras_in(budget, 10'200) == 1);
+    REQUIRE(extras_in(budget, 11'600) == 0);
+}
+
+TEST_CASE("What is given back was taken by this request, and not lately by another", "[retry-budget]")
+{
+    auto budget = budget_of(2);
+    SendLedger early(budget);
+    SendLedger late(budget);
+    REQUIRE(send(early, Step::Run, 0));
+    REQUIRE(send(late, Step::Run, 0));
+    REQUIRE(early.try_pay(SendLedger::Send::Run, 1, at_milliseconds(10)));
+    REQUIRE(late.try_pay(SendLedger::Send::Run, 1, at_milliseconds(9000)));
+    REQUIRE(extras_in(budget, 10'500) == 1);
+    early.give_back_unused();
+    REQUIRE(extras_in(budget, 10'500) == 1);
+}
--- a/Tests/LibDecision/TestUpstreams.cpp
+++ b/Tests/LibDecision/TestUpstreams.cpp
@@ -99,12 +99,12 @@
         budget.note_request(at_milliseconds(i));
     // A fifth of 100 and an eighth of 56.
     int taken = 0;
-    while (budget.try_take(8, at_milliseconds(200)))
+    while (budget.try_take(1, 1.0 / 8, at_milliseconds(200)))
         ++taken;
     REQUIRE(taken == 27);
-    REQUIRE_FALSE(budget.try_take(8, at_milliseconds(9000)));
+    REQUIRE_FALSE(budget.try_take(1, 1.0 / 8, at_milliseconds(9000)));
     // Once the requests and the extra sends left the window, the allowance is there again.
-    REQUIRE(budget.try_take(8, at_milliseconds(10'300)));
+    REQUIRE(budget.try_take(1, 1.0 / 8, at_milliseconds(10'300)));
 }
 
 TEST_CASE("Upstreams that fail in a row are left out for a doubling time, and one request tries them")
--- a/Tests/Platform/TestNode.cpp
+++ b/Tests/Platform/TestNode.cpp
@@ -702,8 +702,8 @@
     REQUIRE(test.call(test.request("GET", "/safe/x", "b")).head.status == 500);
     REQUIRE(failing.requests.size() == 3);
     CAPTURE(lines);
-    CHECK(lines.find("event=extra_send request=a service=plain purpose=another_send outcome=taken requests=1 extras=1 limit=1.000 vms=1") != std::string::npos);
-    CHECK(lines.find("event=extra_send request=b service=plain purpose=another_send outcome=spent requests=2 extras=1 limit=1.000 vms=1") != std::string::npos);
+    CHECK(lines.find("event=extra_send request=a service=plain for=run count=1 outcome=taken requests=1 extras=1 limit=1.000 part=1.000") != std::string::npos);
+    CHECK(lines.find("event=extra_send request=b service=plain for=run count=1 outcome=spent requests=2 extras=1 limit=1.000 part=1.000") != std::string::npos);
     auto const metrics = test.call(test.node->operations_address(), test.request("GET", "/metrics", "m"));
     CHECK(metrics.body.find("spurtide_extra_sends_total{outcome=\"taken\",service=\"plain\"} 1\n") != std::string::npos);
     CHECK(metrics.body.find("spurtide_extra_sends_total{outcome=\"spent\",service=\"plain\"} 1\n") != std::string::npos);
