NodeServer: Hand the retry allowance out once

Cause: a VM took its part of the common allowance by the VMs in sight. VMs that were cut off from each other each took a larger part, and a process that started again had its part anew, though what it had sent before still counted. Ruled out: sends that are not charged (58 charged, 57 arrived, since the charge goes by arrivals). Change: VMs that fell silent without leaving count as well; a process that may have used its part before its start has none of the allowance, only the ratio of its own requests, for one window; nor has one that has not met the others.

--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -3,6 +3,7 @@
 
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
+#include <LibDecision/VirtualMachineCount.h>
 #include <LibWire/WireMetrics.h>
 #include <Services/NodeServer/Node.h>
 #include <Services/NodeServer/NodeMetrics.h>
@@ -194,7 +195,11 @@
 
 double Node::retry_allowance_part() const
 {
-    return 1.0 / static_cast<double>(this->live_virtual_machines());
+    // What this VM sent before its process was killed still counts, and no process remembers it.
+    bool const may_have_used_it = this->settings.start == NodeSettings::Start::Again && monotonic_now() - this->started_at < this->settings.retry.window;
+    if (may_have_used_it || !this->membership->is_settled())
+        return 0;
+    return Spurtide::count_virtual_machines(this->membership->members()).part_of_each();
 }
 
 QuotaCounter::VirtualMachines Node::count_virtual_machines() const
--- a/Services/NodeServer/Node.h
+++ b/Services/NodeServer/Node.h
@@ -65,7 +65,8 @@
     Result<Done, NodeStartError> start();
     void host_services();
     std::size_t live_virtual_machines() const;
-    /// This VM's part of the retry budgets' allowance.
+    /// This VM's part of the retry budgets' allowance; nothing while it may have used it before a start, or does not know
+    /// yet how many share it.
     double retry_allowance_part() const;
     QuotaCounter::VirtualMachines count_virtual_machines() const;
     void create_quota();
--- a/Tests/LibDecision/TestMembershipTable.cpp
+++ b/Tests/LibDecision/TestMembershipTable.cpp
@@ -2,6 +2,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 
 #include <LibDecision/MembershipTable.h>
+#include <LibDecision/VirtualMachineCount.h>
 #include <Tests/Support/VirtualClock.h>
 #include <catch2/catch.hpp>
 #include <random>
@@ -332,6 +333,20 @@
 
 // All VMs of a large deployment come back from a power cut together. A list of 350 VMs from each of three seeds to each VM
 // would be 55 MB through three links of 2.5 MB/s.
+TEST_CASE("Those who share count VMs that fell silent, and not those that left", "[retry-budget][cut][planned-stop]")
+{
+    std::vector<MemberRecord> members;
+    for (auto const life : { MemberLife::Alive, MemberLife::Alive, MemberLife::Suspect, MemberLife::Dead, MemberLife::Leaving }) {
+        members.push_back(record("vm-" + std::to_string(members.size())));
+        members.back().life = life;
+    }
+    auto const count = count_virtual_machines(members);
+    CHECK(count.live == 2);
+    CHECK(count.missing == 2);
+    CHECK(count.part_of_each() == 0.25);
+    CHECK(count_virtual_machines({}).part_of_each() == 1);
+}
+
 TEST_CASE("Hundreds of VMs that start together all know each other within a second and a half", "[kill][power]")
 {
     FleetStart fleet(350);
