NodeServer: Count suspected VMs against accounts' limits as well

Cause, the same as of the retry allowance: an account's limit is given out by the part that the VMs in sight are of all, and all left out those that are suspected. For the three seconds until they are taken for dead each side of a cut gave out the whole limit. Ruled out: the ranking of who counts (a VM that reaches nobody takes one VM's part already). Test: 'Beside a VM that fell silent' red before (8 calls served of a limit that both share), green after (4). Cost: a VM that is suspected wrongly takes its part from all limits until it answers, a sixtieth on 60 VMs.

--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -207,10 +207,11 @@
     auto const members = this->membership->members();
     QuotaCounter::VirtualMachines count;
     count.live = this->live_virtual_machines();
+    // A VM that is only suspected may be the other side of a cut, which gives out its part as well.
+    count.lost = Spurtide::count_virtual_machines(members).missing;
     bool const may_have_forgotten = this->settings.start == NodeSettings::Start::Again;
     auto const earliest = unix_milliseconds() - to_milliseconds(this->settings.quota_window);
     for (auto const& member : members) {
-        count.lost += member.life == MemberLife::Dead ? 1 : 0;
         count.young += may_have_forgotten && member.life == MemberLife::Alive && member.incarnation > earliest ? 1 : 0;
     }
     return count;
--- a/Tests/Platform/TestAccounts.cpp
+++ b/Tests/Platform/TestAccounts.cpp
@@ -3,6 +3,7 @@
 
 #include <LibCore/LogLine.h>
 #include <Tests/Platform/NodeUnderTest.h>
+#include <Tests/Platform/PeerVirtualMachine.h>
 #include <catch2/catch.hpp>
 #include <platform/PlatformDocuments.h>
 
@@ -195,6 +196,28 @@
     CHECK(test.call(with_key(test.request("POST", "/once/x", "d"), OTHER_KEY)).head.status == 200);
 }
 
+// The pattern: a data centre is cut off, and for the seconds in which each side only suspects the other both give out
+// the whole limit.
+TEST_CASE("Beside a VM that fell silent an account gets this side's part of its limit alone", "[quota][cut]")
+{
+    NodeUnderTest test;
+    UpstreamStandIn plain(test.loop, "i-1");
+    test.configure(1, [](auto& json) {
+        add_accounts(json);
+        json["tenants"][0]["rate_per_s"] = 1;
+        json["tenants"][0]["burst"] = 1650;
+    });
+    test.list(plain, "plain");
+    PeerVirtualMachine peer(test, "vm-2");
+    REQUIRE(peer.is_seen_by(test));
+    REQUIRE(PeerVirtualMachine::is_lost_by(test));
+    // 200 tokens a call: eight fit into the whole limit.
+    int served = 0;
+    for (int i = 0; i < 8; ++i)
+        served += test.call(with_key(test.request("GET", "/safe/x", "r" + std::to_string(i)), KEY)).head.status == 200 ? 1 : 0;
+    CHECK(served == 4);
+}
+
 TEST_CASE("What has not run costs an account nothing", "[quota][not-run]")
 {
     NodeUnderTest test;
