LibDecision: Keep counting a data centre that is silent as a whole

Cause, of the same class: VMs that are taken for dead are forgotten after two minutes, and with them their part of what all share. Data centres that lose each other for longer, as regions do for an hour now and then, then each gave out the whole of the accounts' limits and of the retry allowance. And VMs that had left as planned counted as lost once they fell silent, for two minutes, though the code said that they do not. Change: the dead of a data centre of which no VM answers are kept; a VM's own word that it leaves is remembered. Tests: over an hour of virtual time and over a planned leave, red with the conditions taken out, green with them. Left: a process that starts within a cut knows of the other side only what its own side tells, which is nothing of the dead.

--- a/Libraries/LibDecision/MembershipTable.cpp
+++ b/Libraries/LibDecision/MembershipTable.cpp
@@ -4,6 +4,7 @@
 #include <LibDecision/MembershipTable.h>
 #include <algorithm>
 #include <array>
+#include <set>
 #include <tuple>
 #include <unordered_set>
 #include <utility>
@@ -169,8 +170,7 @@
         return true;
     if (gravity(digest.life) <= gravity(record.life))
         return false;
-    record.life = digest.life;
-    this->note_change(member, now);
+    this->set_life(member, digest.life, now);
     return false;
 }
 
@@ -218,6 +218,7 @@
         auto const generation = std::max(known.configuration_generation, record.configuration_generation);
         known = record;
         known.configuration_generation = generation;
+        found->second.has_left = false;
         this->note_change(found->second, now);
     }
 }
@@ -271,26 +272,46 @@
     auto const found = this->members.find(virtual_machine);
     if (found == this->members.end() || has_cause_to_refute(found->second.record.life))
         return Doubt::Known;
-    found->second.record.life = MemberLife::Suspect;
-    this->note_change(found->second, now);
+    this->set_life(found->second, MemberLife::Suspect, now);
     return Doubt::New;
 }
 
-void MembershipTable::advance(MonotonicTime now)
+// A word of doubt on top of a VM's own word that it leaves says that it is gone.
+void MembershipTable::set_life(Member& member, MemberLife life, MonotonicTime now)
 {
-    for (auto position = this->members.begin(); position != this->members.end();) {
-        auto& member = position->second;
-        if (member.record.life == MemberLife::Suspect && now - member.since >= this->options.suspicion_timeout) {
-            member.record.life = MemberLife::Dead;
-            this->note_change(member, now);
-        }
-        if (member.record.life == MemberLife::Dead && now - member.since >= this->options.forget_after) {
-            position = this->members.erase(position);
-            ++this->current_version;
-        } else {
-            ++position;
-        }
+    member.has_left = member.has_left || member.record.life == MemberLife::Leaving;
+    member.record.life = life;
+    this->note_change(member, now);
+}
+
+void MembershipTable::advance(MonotonicTime now, DataCentreOf const& data_centre_of)
+{
+    std::set<std::string> answering;
+    for (auto& [name, member] : this->members) {
+        if (member.record.life == MemberLife::Suspect && now - member.since >= this->options.suspicion_timeout)
+            this->set_life(member, MemberLife::Dead, now);
+        if (member.record.life == MemberLife::Alive)
+            answering.insert(data_centre_of(member.record));
+    }
+    auto const is_forgotten = [&](auto const& entry) {
+        auto const& member = entry.second;
+        if (member.record.life != MemberLife::Dead || now - member.since < this->options.forget_after)
+            return false;
+        return member.has_left || answering.contains(data_centre_of(member.record));
+    };
+    if (std::erase_if(this->members, is_forgotten) > 0)
+        ++this->current_version;
+}
+
+VirtualMachineCount MembershipTable::count() const
+{
+    VirtualMachineCount count;
+    for (auto const& [name, member] : this->members) {
+        bool const is_silent = member.record.life == MemberLife::Suspect || member.record.life == MemberLife::Dead;
+        count.live += member.record.life == MemberLife::Alive ? 1 : 0;
+        count.missing += is_silent && !member.has_left ? 1 : 0;
     }
+    return count;
 }
 
 std::optional<MemberRecord> MembershipTable::find(std::string_view virtual_machine) const
--- a/Libraries/LibDecision/MembershipTable.h
+++ b/Libraries/LibDecision/MembershipTable.h
@@ -4,7 +4,9 @@
 #pragma once
 
 #include <LibCore/Time.h>
+#include <LibDecision/VirtualMachineCount.h>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <span>
@@ -117,8 +119,14 @@
     /// When a member was last added; empty before the first.
     std::optional<MonotonicTime> last_joined() const { return this->last_join; }
 
-    /// Turns members that were suspect for too long dead, and forgets the dead.
-    void advance(MonotonicTime now);
+    /// Names a member's data centre; the same for all where it tells nothing.
+    using DataCentreOf = std::function<std::string(MemberRecord const&)>;
+
+    /// Turns members that were suspect for too long dead, and forgets the dead. Those of a data centre of which no VM
+    /// answers stay: it may be cut off, and its VMs go on using their part of what all share, for an hour now and then.
+    /// VMs that left as planned are forgotten all the same.
+    void advance(
+        MonotonicTime now, DataCentreOf const& data_centre_of = [](auto const&) { return std::string(); });
 
     std::optional<MemberRecord> find(std::string_view virtual_machine) const;
     /// Records of the VMs that are not dead.
@@ -126,6 +134,7 @@
     /// Whether a VM that is not dead listens there with any of its services.
     bool has_endpoint(std::string_view endpoint) const;
     std::vector<MemberRecord> all_members() const;
+    VirtualMachineCount count() const;
 
     /// A number that changes whenever a service, a life or a member changed.
     std::int64_t version() const { return this->current_version; }
@@ -136,10 +145,13 @@
         /// Since when the present life holds.
         MonotonicTime since;
         int transmissions_left = 0;
+        /// It said that it leaves; what becomes of it then is no loss.
+        bool has_left = false;
     };
 
     void add_suspects(std::vector<std::string>& targets) const;
     void note_change(Member& member, MonotonicTime now);
+    void set_life(Member& member, MemberLife life, MonotonicTime now);
     void refute(std::int64_t incarnation, std::int64_t version);
     bool take_digest(Member& member, MemberDigest const& digest, MonotonicTime now);
 
--- a/Libraries/LibDecision/VirtualMachineCount.h
+++ b/Libraries/LibDecision/VirtualMachineCount.h
@@ -3,9 +3,8 @@
 
 #pragma once
 
-#include <LibDecision/MembershipTable.h>
 #include <algorithm>
-#include <span>
+#include <cstddef>
 
 namespace Spurtide {
 
@@ -20,16 +19,8 @@
 
     /// The part of each, 0 to 1.
     double part_of_each() const { return 1.0 / static_cast<double>(std::max<std::size_t>(1, this->live + this->missing)); }
-};
 
-inline VirtualMachineCount count_virtual_machines(std::span<MemberRecord const> members)
-{
-    VirtualMachineCount count;
-    for (auto const& member : members) {
-        count.live += member.life == MemberLife::Alive ? 1 : 0;
-        count.missing += member.life == MemberLife::Suspect || member.life == MemberLife::Dead ? 1 : 0;
-    }
-    return count;
-}
+    bool operator==(VirtualMachineCount const&) const = default;
+};
 
 }
--- a/Libraries/LibRouter/RegistryRelay.cpp
+++ b/Libraries/LibRouter/RegistryRelay.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr std::string_view CONFIGURATION_SERVICE = "config";
+constexpr std::string_view NEWS_SERVICE_PREFIX = "registry-news@";
 constexpr Duration FETCH_TIMEOUT = milliseconds(1000);
 /// As long as the registry's answers may be.
 constexpr std::size_t LONGEST_CONFIGURATION = 4UL * 1024 * 1024;
@@ -27,11 +28,20 @@
     : kernel(kernel)
     , upstreams(upstreams)
     , hooks(std::move(hooks))
-    , news_service("registry-news@" + options.data_centre)
+    , news_service(std::string(NEWS_SERVICE_PREFIX) + options.data_centre)
     , plan(options.plan, kernel.virtual_machine())
 {
 }
 
+std::string RegistryRelay::data_centre_of(MemberRecord const& member)
+{
+    for (auto const& service : member.services) {
+        if (service.service.starts_with(NEWS_SERVICE_PREFIX))
+            return service.service.substr(NEWS_SERVICE_PREFIX.size());
+    }
+    return {};
+}
+
 void RegistryRelay::host()
 {
     this->kernel.host(std::string(CONFIGURATION_SERVICE), [this](wire::Envelope const& request, Kernel::Responder const& respond) { this->answer(request, respond); });
--- a/Libraries/LibRouter/RegistryRelay.h
+++ b/Libraries/LibRouter/RegistryRelay.h
@@ -51,6 +51,8 @@
 
     /// The service by which the VMs of this data centre find each other.
     std::string const& service() const { return this->news_service; }
+    /// The data centre of a VM, by the services that it hosts; empty where none of them tells.
+    static std::string data_centre_of(MemberRecord const& member);
 
     /// Whether this VM has to watch the registry itself.
     bool watches() const;
--- a/Services/ConfigServer/MembershipService.cpp
+++ b/Services/ConfigServer/MembershipService.cpp
@@ -116,7 +116,7 @@
 void MembershipService::beat()
 {
     this->table.update_self(this->local_services(), this->generation());
-    this->table.advance(monotonic_now());
+    this->table.advance(monotonic_now(), this->data_centre_of);
     this->refresh_directory();
     for (auto const& target : this->table.next_targets(this->options.probes))
         this->probe(target, this->endpoint_of(target), this->options.probe_tries);
--- a/Services/ConfigServer/MembershipService.h
+++ b/Services/ConfigServer/MembershipService.h
@@ -63,6 +63,8 @@
     bool has_company() const;
     /// Tells which VMs are of other data centres; without it none is.
     void set_elsewhere(std::function<bool(MemberRecord const&)> is_elsewhere_of) { this->is_elsewhere = std::move(is_elsewhere_of); }
+    /// Tells a VM's data centre; without it all are of one.
+    void set_data_centre_of(MembershipTable::DataCentreOf tell) { this->data_centre_of = std::move(tell); }
     /// Whether this VM's data centre is cut off from all others, as far as probes tell.
     bool is_cut_off() const;
     /// Whether this VM has met most of the others, or has waited long enough for them.
@@ -73,6 +75,7 @@
 
     /// Members as seen now.
     std::vector<MemberRecord> members() const { return this->table.all_members(); }
+    VirtualMachineCount count() const { return this->table.count(); }
 
 private:
     struct LocalProcess {
@@ -108,6 +111,7 @@
     MonotonicTime joining_until;
     MonotonicTime last_compared;
     std::optional<MonotonicTime> last_heard;
+    MembershipTable::DataCentreOf data_centre_of = [](auto const&) { return std::string(); };
     std::function<bool(MemberRecord const&)> is_elsewhere = [](auto const&) { return false; };
     CutDetector cut_detector { CutDetector::Options {} };
     std::map<std::string, LocalProcess> processes;
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -3,7 +3,6 @@
 
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
-#include <LibDecision/VirtualMachineCount.h>
 #include <LibWire/WireMetrics.h>
 #include <Services/NodeServer/Node.h>
 #include <Services/NodeServer/NodeMetrics.h>
@@ -118,6 +117,7 @@
         auto const is_news = [&](ServiceEndpoint const& service) { return service.service == this->relay->service(); };
         return std::none_of(member.services.begin(), member.services.end(), is_news);
     });
+    this->membership->set_data_centre_of([](MemberRecord const& member) { return RegistryRelay::data_centre_of(member); });
     KeeperRanking::Hooks ranking_hooks;
     ranking_hooks.confined_to = [this]() -> std::optional<std::vector<std::string>> {
         if (!this->membership->is_cut_off())
@@ -199,19 +199,18 @@
     bool const may_have_used_it = this->settings.start == NodeSettings::Start::Again && monotonic_now() - this->started_at < this->settings.retry.window;
     if (may_have_used_it || !this->membership->is_settled())
         return 0;
-    return Spurtide::count_virtual_machines(this->membership->members()).part_of_each();
+    return this->membership->count().part_of_each();
 }
 
 QuotaCounter::VirtualMachines Node::count_virtual_machines() const
 {
-    auto const members = this->membership->members();
     QuotaCounter::VirtualMachines count;
     count.live = this->live_virtual_machines();
     // A VM that is only suspected may be the other side of a cut, which gives out its part as well.
-    count.lost = Spurtide::count_virtual_machines(members).missing;
+    count.lost = this->membership->count().missing;
     bool const may_have_forgotten = this->settings.start == NodeSettings::Start::Again;
     auto const earliest = unix_milliseconds() - to_milliseconds(this->settings.quota_window);
-    for (auto const& member : members) {
+    for (auto const& member : this->membership->members()) {
         count.young += may_have_forgotten && member.life == MemberLife::Alive && member.incarnation > earliest ? 1 : 0;
     }
     return count;
--- a/Tests/LibDecision/TestMembershipTable.cpp
+++ b/Tests/LibDecision/TestMembershipTable.cpp
@@ -2,7 +2,6 @@
 // SPDX-License-Identifier: BSD-2-Clause
 
 #include <LibDecision/MembershipTable.h>
-#include <LibDecision/VirtualMachineCount.h>
 #include <Tests/Support/VirtualClock.h>
 #include <catch2/catch.hpp>
 #include <random>
@@ -333,20 +332,6 @@
 
 // All VMs of a large deployment come back from a power cut together. A list of 350 VMs from each of three seeds to each VM
 // would be 55 MB through three links of 2.5 MB/s.
-TEST_CASE("Those who share count VMs that fell silent, and not those that left", "[retry-budget][cut][planned-stop]")
-{
-    std::vector<MemberRecord> members;
-    for (auto const life : { MemberLife::Alive, MemberLife::Alive, MemberLife::Suspect, MemberLife::Dead, MemberLife::Leaving }) {
-        members.push_back(record("vm-" + std::to_string(members.size())));
-        members.back().life = life;
-    }
-    auto const count = count_virtual_machines(members);
-    CHECK(count.live == 2);
-    CHECK(count.missing == 2);
-    CHECK(count.part_of_each() == 0.25);
-    CHECK(count_virtual_machines({}).part_of_each() == 1);
-}
-
 TEST_CASE("Hundreds of VMs that start together all know each other within a second and a half", "[kill][power]")
 {
     FleetStart fleet(350);
@@ -379,3 +364,92 @@
     CHECK(table.compare_keys("vm-9", {}, 0).lacking.empty());
     CHECK(table.records_of(keys).size() == 2);
 }
+
+namespace {
+
+/// The VMs "own-1" and "own-2" of one data centre and "far-1" and "far-2" of another, as "own-1" knows them.
+class TwoDataCentres {
+public:
+    TwoDataCentres()
+    {
+        std::vector<MemberRecord> const others { record("own-2"), record("far-1"), record("far-2") };
+        this->table.merge_records(others, this->now);
+    }
+
+    /// Doubts the VMs and lets the time pass.
+    void lose(std::initializer_list<char const*> names, Duration passed)
+    {
+        for (auto const* name : names)
+            this->table.note_no_answer(name, this->now);
+        this->pass(passed);
+    }
+
+    void pass(Duration passed)
+    {
+        auto const until = this->now + passed;
+        for (; this->now < until; this->now += seconds(1))
+            this->table.advance(this->now, [](MemberRecord const& member) { return member.virtual_machine.substr(0, 3); });
+    }
+
+    void tell(std::string const& name, MemberLife life, std::int64_t version)
+    {
+        auto told = record(name);
+        told.life = life;
+        told.version = version;
+        this->table.merge_records(std::array { told }, this->now);
+    }
+
+    MembershipTable table { MembershipTable::Options {}, record("own-1") };
+    MonotonicTime now {};
+};
+
+}
+
+TEST_CASE("Those who share something count VMs that fell silent, suspected or dead", "[retry-budget][quota][cut]")
+{
+    TwoDataCentres test;
+    CHECK(test.table.count() == VirtualMachineCount { 4, 0 });
+    CHECK(test.table.count().part_of_each() == 0.25);
+    test.lose({ "far-1" }, seconds(1));
+    CHECK(test.table.count() == VirtualMachineCount { 3, 1 });
+    test.pass(seconds(5));
+    REQUIRE(test.table.find("far-1")->life == MemberLife::Dead);
+    CHECK(test.table.count() == VirtualMachineCount { 3, 1 });
+    CHECK(test.table.count().part_of_each() == 0.25);
+}
+
+// The pattern: regions lose each other for an hour, and both go on.
+TEST_CASE("The VMs of a data centre that is silent as a whole count for as long as it is", "[retry-budget][quota][cut]")
+{
+    TwoDataCentres test;
+    test.lose({ "far-1", "far-2" }, seconds(3600));
+    CHECK(test.table.count() == VirtualMachineCount { 2, 2 });
+    // One is back, and what becomes of the other is known now.
+    test.tell("far-1", MemberLife::Alive, 1);
+    test.pass(seconds(2));
+    CHECK(test.table.count() == VirtualMachineCount { 3, 0 });
+}
+
+TEST_CASE("A VM that is lost in a data centre that answers is forgotten", "[kill]")
+{
+    TwoDataCentres test;
+    test.lose({ "own-2", "far-1" }, seconds(200));
+    CHECK(test.table.count() == VirtualMachineCount { 2, 0 });
+    CHECK_FALSE(test.table.find("own-2"));
+}
+
+TEST_CASE("A VM that left as planned is no loss, and one that comes back and is lost is", "[planned-stop]")
+{
+    TwoDataCentres test;
+    test.tell("far-1", MemberLife::Leaving, 1);
+    test.tell("far-2", MemberLife::Leaving, 1);
+    CHECK(test.table.count() == VirtualMachineCount { 2, 0 });
+    test.lose({ "far-1", "far-2" }, seconds(10));
+    CHECK(test.table.count() == VirtualMachineCount { 2, 0 });
+    test.tell("far-1", MemberLife::Alive, 2);
+    test.lose({ "far-1" }, seconds(10));
+    CHECK(test.table.count() == VirtualMachineCount { 2, 1 });
+    // The other's data centre is silent, but it went by its own will.
+    test.pass(seconds(3600));
+    CHECK_FALSE(test.table.find("far-2"));
+}
