LibDecision: Take an engine that started again for a new one

Cause: an engine may start again under its name; its entry tells so by another start. The keeper went on counting what the earlier process held, and sent callers that came back to prompts that were gone. Change: the start goes with the record, also between VMs; an engine whose start changed has its book anew. Test: red with the condition taken out (no place granted), green with it. Left: a VM's own marks of an upstream (left out, out of reach) stay until the next request tries it.

--- a/Libraries/LibDecision/CellScheduler.cpp
+++ b/Libraries/LibDecision/CellScheduler.cpp
@@ -74,8 +74,13 @@
     std::map<std::string, Engine, std::less<>> kept;
     for (auto const& description : descriptions) {
         auto const found = this->engines.find(description.name);
+        bool const is_known = found != this->engines.end();
+        // One that started again holds nothing of what its earlier process was given and read.
+        bool const has_restarted = is_known && found->second.description.started != description.started;
+        if (has_restarted)
+            std::erase_if(this->cached, [&](auto const& entry) { return entry.second.engine == description.name; });
         Engine engine;
-        if (found != this->engines.end())
+        if (is_known && !has_restarted)
             engine = std::move(found->second);
         else {
             this->paces.try_emplace(description.model, description.prefill_rate);
--- a/Libraries/LibDecision/CellScheduler.h
+++ b/Libraries/LibDecision/CellScheduler.h
@@ -43,6 +43,8 @@
     std::string data_centre {};
     /// Tokens of an answer that come together.
     std::int64_t tokens_per_event = 1;
+    /// Tells two starts of an engine apart; 0 where its starts have names of their own.
+    std::int64_t started = 0;
 };
 
 /// Work that an engine says it holds.
--- a/Libraries/LibDecision/UpstreamList.h
+++ b/Libraries/LibDecision/UpstreamList.h
@@ -16,7 +16,7 @@
 
 /// An upstream as it announces itself.
 struct UpstreamRecord {
-    /// Names one life of the upstream; no other has the same.
+    /// Names the upstream. It may start again under the same name, with nothing that it had before.
     std::string identity;
     std::string service;
     /// HOST:PORT.
@@ -30,8 +30,10 @@
         = Life::Serving;
     /// Set for engines.
     std::optional<EngineRole> role;
-    /// How many orders the engine took in this life.
+    /// How many orders the engine took since its start.
     std::int64_t orders_taken = 0;
+    /// Its start in milliseconds since the epoch, by its own clock; tells two starts apart. 0 where it does not tell.
+    std::int64_t started = 0;
 
     bool operator==(UpstreamRecord const&) const = default;
 };
--- a/Libraries/LibRouter/EngineKeeper.cpp
+++ b/Libraries/LibRouter/EngineKeeper.cpp
@@ -115,6 +115,7 @@
         engine.prefill_rate = 50'000;
         engine.tokens_per_event = service->engine->tokens_per_event;
         engine.data_centre = record.data_centre;
+        engine.started = record.started;
         engines.push_back(std::move(engine));
         if (record.life == UpstreamRecord::Life::Leaving || this->hooks.is_changing_role(record.identity))
             leaving.push_back(record.identity);
--- a/Libraries/LibWire/WireUpstreams.cpp
+++ b/Libraries/LibWire/WireUpstreams.cpp
@@ -24,6 +24,7 @@
     if (record.role)
         message.set_role(*record.role == EngineRole::Prefill ? PREFILL : DECODE);
     message.set_orders_taken(record.orders_taken);
+    message.set_started(record.started);
 }
 
 UpstreamRecord read_upstream(wire::UpstreamEntry const& message)
@@ -38,6 +39,7 @@
     if (message.role() != 0)
         record.role = message.role() == PREFILL ? EngineRole::Prefill : EngineRole::Decode;
     record.orders_taken = message.orders_taken();
+    record.started = message.started();
     return record;
 }
 
--- a/Tests/LibDecision/TestCellScheduler.cpp
+++ b/Tests/LibDecision/TestCellScheduler.cpp
@@ -342,6 +342,23 @@
     CHECK(scheduler.locate("old-1")->decode_engine == "d0");
 }
 
+TEST_CASE("An engine that starts again under its name has all of its places, and what ran before is no more", "[kill]")
+{
+    Cell cell(1, 1, 1);
+    cell.ask("a", 0);
+    REQUIRE(cell.decisions() == Texts { "grant a p0 d0" });
+    cell.decode("a", 100);
+    cell.engines.back().started = 2;
+    cell.scheduler.set_engines(cell.engines);
+    cell.report_all(at_milliseconds(200));
+    cell.ask("b", 200);
+    CHECK(cell.decisions() == Texts { "grant b p0 d0" });
+    // The end of the one that broke off frees nothing of the other's.
+    cell.scheduler.release("a", 10, at_milliseconds(210));
+    cell.ask("c", 220);
+    CHECK(cell.decisions().empty());
+}
+
 TEST_CASE("A report that lags does not bring released work back", "[held][slow]")
 {
     Cell cell(1, 1, 1);
--- a/Tests/LibWire/TestWireUpstreams.cpp
+++ b/Tests/LibWire/TestWireUpstreams.cpp
@@ -10,7 +10,7 @@
 {
     auto const life = GENERATE(UpstreamRecord::Life::Serving, UpstreamRecord::Life::Leaving);
     auto const role = GENERATE(std::optional<EngineRole> {}, std::optional<EngineRole> { EngineRole::Prefill }, std::optional<EngineRole> { EngineRole::Decode });
-    UpstreamRecord const record { "i-1", "engines", "127.0.0.1:80", "dc", 64, life, role, 3 };
+    UpstreamRecord const record { "i-1", "engines", "127.0.0.1:80", "dc", 64, life, role, 3, 1'767'225'600'000 };
     wire::UpstreamEntry message;
     write_upstream(record, message);
     CHECK(read_upstream(message) == record);
@@ -21,7 +21,7 @@
     UpstreamListing listing;
     listing.extent = GENERATE(UpstreamListing::Extent::Whole, UpstreamListing::Extent::Changes);
     listing.version = 9;
-    listing.records.push_back({ "i-1", "engines", "127.0.0.1:80", "dc", 64, UpstreamRecord::Life::Leaving, EngineRole::Decode, 3 });
+    listing.records.push_back({ "i-1", "engines", "127.0.0.1:80", "dc", 64, UpstreamRecord::Life::Leaving, EngineRole::Decode, 3, 0 });
     listing.gone = { "i-2", "i-3" };
     wire::UpstreamsContent message;
     write_listing(listing, message);
--- a/Tests/Platform/TestDamagedDocuments.cpp
+++ b/Tests/Platform/TestDamagedDocuments.cpp
@@ -117,6 +117,7 @@
 TEST_CASE("An entry of another writer names no upstream to use", "[bad-input][leaving]")
 {
     REQUIRE(read_server_row("i-1", entry().dump()));
+    CHECK(read_server_row("i-1", entry().dump())->started == 1'767'225'600'000);
     for (auto const* field : { "service", "address", "zone", "version", "slots", "state", "cold_left_ms", "call_seq" }) {
         CAPTURE(field);
         auto without = entry();
