--- a/Tests/Platform/TestDamagedDocuments.cpp
+++ b/Tests/Platform/TestDamagedDocuments.cpp
@@ -15,7 +15,7 @@
 
 std::string corpus(std::string const& name)
 {
-    std::ifstream file(std::string(CORPUS_FOLDER) + "/Platform/" + name + ".json");
+    std::ifstream file(std::string(CORPUS_FOLDER) + "/" + name + ".json");
     REQUIRE(file);
     std::ostringstream text;
     text << file.rdbuf();
