--- a/Tests/Platform/PeerVirtualMachine.h
+++ b/Tests/Platform/PeerVirtualMachine.h
@@ -34,6 +34,11 @@
         this->membership->start();
     }
 
+    // Probes that still wait report to the membership.
+    ~PeerVirtualMachine() { this->kernel->stop(); }
+    PeerVirtualMachine(PeerVirtualMachine const&) = delete;
+    PeerVirtualMachine& operator=(PeerVirtualMachine const&) = delete;
+
     /// Runs both until the node counts this one as alive.
     bool is_seen_by(NodeUnderTest& test)
     {
