LibRouter: Name requests by what they ask for, and say when an upstream ends under one

The lines could not tell whether requests of one size are the same one, at which engine a stream was when its answer broke off, and whether the engine ended or just closed a connection. Now request_end carries the fingerprint of method, host, path, account and body, send_end of a stream its engine, and upstream_ended says that an upstream ended under a request: the connection broke off, it was not leaving, and a new connection is refused. That connection is the only change of behaviour: it also marks the engine as out of reach at once.

--- a/Libraries/LibAsync/ConnectionPool.h
+++ b/Libraries/LibAsync/ConnectionPool.h
@@ -50,7 +50,7 @@
     };
 
     /// Sends a request and reads its answer. Errors: those of the connection; nothing was sent after CannotConnect,
-    /// or after the Aborted that stands for what must not be sent any more.
+    /// NobodyListens, or after the Aborted that stands for what must not be sent any more.
     asio::awaitable<Result<Answer, HttpError>> call(Address address, HttpRequest request, Call options);
 
     asio::awaitable<HttpConnection::Connected> acquire(Address address, Freshness freshness);
--- a/Libraries/LibAsync/HttpConnection.cpp
+++ b/Libraries/LibAsync/HttpConnection.cpp
@@ -36,6 +36,8 @@
     connection->set_deadline(monotonic_now() + timeout);
     co_await connection->socket.async_connect(endpoint, asio::redirect_error(asio::use_awaitable, error));
     connection->clear_deadline();
+    if (error == asio::error::connection_refused)
+        co_return Failure { HttpError::NobodyListens };
     if (error || connection->is_timed_out || !connection->socket.is_open())
         co_return Failure { HttpError::CannotConnect };
     connection->socket.non_blocking(true, error);
--- a/Libraries/LibAsync/HttpError.h
+++ b/Libraries/LibAsync/HttpError.h
@@ -11,6 +11,8 @@
 enum class HttpError {
     /// No connection came up; nothing was sent.
     CannotConnect,
+    /// The same, since the other side's machine says that nothing listens there: its process is gone.
+    NobodyListens,
     /// The other side closed or reset the connection.
     Closed,
     TimedOut,
--- /dev/null
+++ b/Libraries/LibDecision/RequestFingerprint.cpp
@@ -0,0 +1,64 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibDecision/RequestFingerprint.h>
+#include <algorithm>
+#include <cstdint>
+#include <openssl/sha.h>
+
+namespace Spurtide {
+
+namespace {
+
+constexpr std::string_view DIGITS = "0123456789abcdef";
+
+}
+
+RequestFingerprint RequestFingerprint::of(Parts const& parts)
+{
+    // The lengths go first: otherwise parts that are divided in another way would be the same.
+    std::string head;
+    for (auto const part : { parts.method, parts.host, parts.target, parts.account })
+        head += std::to_string(part.size()) + ':' + std::string(part);
+    std::array<unsigned char, SHA256_DIGEST_LENGTH> of_body {};
+    SHA256(reinterpret_cast<unsigned char const*>(parts.body.data()), parts.body.size(), of_body.data());
+    head.append(of_body.begin(), of_body.end());
+    std::array<unsigned char, SHA256_DIGEST_LENGTH> whole {};
+    SHA256(reinterpret_cast<unsigned char const*>(head.data()), head.size(), whole.data());
+    RequestFingerprint fingerprint;
+    std::copy_n(whole.begin(), SIZE, fingerprint.bytes.begin());
+    return fingerprint;
+}
+
+std::optional<RequestFingerprint> RequestFingerprint::from_bytes(std::string_view bytes)
+{
+    if (bytes.size() != SIZE)
+        return {};
+    RequestFingerprint fingerprint;
+    std::copy(bytes.begin(), bytes.end(), fingerprint.bytes.begin());
+    return fingerprint;
+}
+
+std::optional<RequestFingerprint> RequestFingerprint::from_hex(std::string_view text)
+{
+    if (text.size() != SIZE * 2 || text.find_first_not_of(DIGITS) != std::string_view::npos)
+        return {};
+    RequestFingerprint fingerprint;
+    for (std::size_t i = 0; i < SIZE; ++i)
+        fingerprint.bytes.at(i) = static_cast<char>(DIGITS.find(text[2 * i]) * DIGITS.size() + DIGITS.find(text[2 * i + 1]));
+    return fingerprint;
+}
+
+std::string RequestFingerprint::to_hex() const
+{
+    std::string text;
+    text.reserve(SIZE * 2);
+    for (auto const byte : this->bytes) {
+        auto const value = static_cast<unsigned char>(byte);
+        text.push_back(DIGITS[value >> 4U]);
+        text.push_back(DIGITS[value & 0xFU]);
+    }
+    return text;
+}
+
+}
--- a/Libraries/LibRouter/PlainFlow.cpp
+++ b/Libraries/LibRouter/PlainFlow.cpp
@@ -129,7 +129,7 @@
     auto acquired = co_await this->state.pool.acquire(*address, freshness);
     if (acquired.is_error()) {
         attempt.reason = to_string(acquired.error());
-        this->state.prober.note_unreachable(upstream);
+        this->state.prober.note_unreachable(upstream, acquired.error());
         this->state.selector.note_end(upstream.identity, UpstreamOutcome::Bad, Duration::zero(), monotonic_now());
         co_return attempt;
     }
@@ -165,6 +165,8 @@
     this->state.selector.note_end(upstream.identity, outcome, took, now);
     if (attempt.end == SendEnd::Lost)
         connection->abort();
+    if (attempt.broke_off)
+        static_cast<void>(co_await this->has_ended(upstream, *attempt.broke_off, sent_at));
     this->state.pool.release(*address, connection);
     co_return attempt;
 }
@@ -177,12 +179,14 @@
         auto head = co_await connection->read_head();
         if (head.is_error()) {
             attempt.reason = to_string(head.error());
+            attempt.broke_off = head.error();
             co_return attempt;
         }
         attempt.head = head.release_value();
         auto answer = co_await connection->read_body(LARGEST_ANSWER);
         if (answer.is_error()) {
             attempt.reason = to_string(answer.error());
+            attempt.broke_off = answer.error();
             co_return attempt;
         }
         attempt.body = answer.release_value();
--- a/Libraries/LibRouter/PlainFlow.h
+++ b/Libraries/LibRouter/PlainFlow.h
@@ -22,6 +22,8 @@
         std::string reason;
         HttpResponseHead head;
         std::string body;
+        /// Set where the connection ended before the answer did.
+        std::optional<HttpError> broke_off;
     };
 
     asio::awaitable<Attempt> send_to(UpstreamRecord upstream);
--- a/Libraries/LibRouter/ReachabilityProber.cpp
+++ b/Libraries/LibRouter/ReachabilityProber.cpp
@@ -19,6 +19,7 @@
 void ReachabilityProber::tick()
 {
     auto const now = monotonic_now();
+    std::erase_if(this->ended_lives, [this](auto const& life) { return !this->upstreams.find(life.first); });
     for (auto const& identity : this->reachability->due_probes(now))
         this->begin_probe(identity, now);
     if (!this->reachability->is_any_cut_off(now))
@@ -44,23 +45,46 @@
 {
     auto connected = co_await HttpConnection::connect(address, this->options.connect_timeout, this->pool.patience());
     if (connected.is_error()) {
-        this->note_unreachable(upstream);
+        this->note_unreachable(upstream, connected.error());
         co_return;
     }
     auto const now = monotonic_now();
+    this->ended_lives.erase(upstream.identity);
     if (!this->reachability->is_reachable(upstream.identity, upstream.data_centre, now))
         LogLine("upstream_reached").with("upstream", upstream.identity).with("upstream_data_centre", upstream.data_centre);
     this->reachability->note_reached(upstream.identity, upstream.data_centre, now);
     this->pool.put_back_unused(address, connected.value());
 }
 
-void ReachabilityProber::note_unreachable(UpstreamRecord const& upstream)
+ReachabilityProber::End ReachabilityProber::known_end(UpstreamRecord const& upstream) const
+{
+    auto const found = this->ended_lives.find(upstream.identity);
+    return found != this->ended_lives.end() && found->second == upstream.started ? End::Ended : End::NotKnown;
+}
+
+asio::awaitable<ReachabilityProber::End> ReachabilityProber::probe_end(UpstreamRecord upstream)
+{
+    auto const address = parse_address(upstream.address);
+    if (!address || this->known_end(upstream) == End::Ended)
+        co_return this->known_end(upstream);
+    auto connected = co_await HttpConnection::connect(*address, this->options.connect_timeout, this->pool.patience());
+    if (connected.is_error()) {
+        this->note_unreachable(upstream, connected.error());
+        co_return this->known_end(upstream);
+    }
+    this->pool.put_back_unused(*address, connected.value());
+    co_return End::NotKnown;
+}
+
+void ReachabilityProber::note_unreachable(UpstreamRecord const& upstream, HttpError error)
 {
     auto const now = monotonic_now();
+    if (error == HttpError::NobodyListens)
+        this->ended_lives.insert_or_assign(upstream.identity, upstream.started);
     bool const is_news = this->reachability->is_reachable(upstream.identity, upstream.data_centre, now);
     this->reachability->note_unreachable(upstream.identity, upstream.data_centre, now);
     if (is_news)
-        LogLine("upstream_unreachable").with("upstream", upstream.identity).with("upstream_data_centre", upstream.data_centre).with("cut_off", this->reachability->is_cut_off(upstream.data_centre, now) ? "yes" : "no");
+        LogLine("upstream_unreachable").with("upstream", upstream.identity).with("upstream_data_centre", upstream.data_centre).with("reason", to_string(error)).with("cut_off", this->reachability->is_cut_off(upstream.data_centre, now) ? "yes" : "no");
     if (auto const address = parse_address(upstream.address))
         this->pool.drop(*address);
     auto const [begin, end] = this->watched_connections->equal_range(upstream.identity);
--- a/Libraries/LibRouter/ReachabilityProber.h
+++ b/Libraries/LibRouter/ReachabilityProber.h
@@ -30,8 +30,18 @@
     std::shared_ptr<Watched> const& watched() const { return this->watched_connections; }
     std::shared_ptr<ReachabilityTracker> const& tracker() const { return this->reachability; }
 
-    /// Nothing could be connected to the upstream just now.
-    void note_unreachable(UpstreamRecord const& upstream);
+    enum class End {
+        /// Something listens at its address, or the path there tells nothing.
+        NotKnown,
+        Ended,
+    };
+    /// Finds out, by a connection where that is not known yet, whether this life of the upstream is over.
+    asio::awaitable<End> probe_end(UpstreamRecord upstream);
+    /// What is known without one.
+    End known_end(UpstreamRecord const& upstream) const;
+
+    /// Nothing could be connected to the upstream just now, for this reason.
+    void note_unreachable(UpstreamRecord const& upstream, HttpError error);
 
 private:
     void begin_probe(std::string const& identity, MonotonicTime now);
@@ -43,6 +53,8 @@
     ConnectionPool& pool;
     UpstreamList const& upstreams;
     std::shared_ptr<Watched> watched_connections = std::make_shared<Watched>();
+    /// Of listed upstreams where nothing listened, the starts of the lives that are over.
+    std::map<std::string, std::int64_t, std::less<>> ended_lives;
 };
 
 }
--- a/Libraries/LibRouter/RequestFlow.cpp
+++ b/Libraries/LibRouter/RequestFlow.cpp
@@ -33,6 +33,17 @@
     return static_cast<double>(request.prompt->prompt_tokens) + static_cast<double>(request.prompt->maximum_output_tokens);
 }
 
+RequestFingerprint fingerprint_of(HttpRequest const& request, ClientAccount const* account)
+{
+    RequestFingerprint::Parts parts;
+    parts.method = request.head.method;
+    parts.host = request.head.headers.find("host").value_or("");
+    parts.target = request.head.target;
+    parts.account = account ? std::string_view(account->name) : std::string_view();
+    parts.body = request.body;
+    return RequestFingerprint::of(parts);
+}
+
 }
 
 RequestFlow::RequestFlow(RouterState& state, HttpExchange& exchange, std::shared_ptr<RouteTable const> routes, Route const& route, ClientAccount const* account, CallerRequest request)
@@ -41,6 +52,7 @@
     , routes(std::move(routes))
     , route(route)
     , request(std::move(request))
+    , fingerprint(fingerprint_of(exchange.request(), account))
     , service(route.target_for(XXH3_64bits(this->request.identifier.data(), this->request.identifier.size())))
     , account(account ? account->name : std::string())
     , body(std::make_shared<std::string const>(exchange.request().body))
@@ -127,6 +139,27 @@
 
 void RequestFlow::note_not_executed() { this->earlier = this->before_send; }
 
+asio::awaitable<bool> RequestFlow::has_ended(UpstreamRecord upstream, HttpError error, MonotonicTime since)
+{
+    auto const ran_for = std::chrono::duration_cast<Duration>(monotonic_now() - since);
+    // What was broken off for the caller or the clock tells nothing, and one that leaves ends as planned.
+    if (this->is_stopped() || !this->state.upstreams.takes_work(upstream.identity))
+        co_return false;
+    auto end = this->state.prober.known_end(upstream);
+    if (end != ReachabilityProber::End::Ended && error == HttpError::Closed)
+        end = co_await this->state.prober.probe_end(upstream);
+    if (end != ReachabilityProber::End::Ended)
+        co_return false;
+    LogLine("upstream_ended")
+        .with("request", this->request.identifier)
+        .with("fingerprint", this->fingerprint.to_hex())
+        .with("upstream", upstream.identity)
+        .with("started", upstream.started)
+        .with("ran_ms", to_milliseconds(ran_for));
+    this->state.metrics.increment("spurtide_upstream_ends_total", "Requests under which an upstream's process ended", { { "service", this->service } });
+    co_return true;
+}
+
 Duration RequestFlow::patience_left() const
 {
     return std::chrono::duration_cast<Duration>(this->exchange.received_at() + this->request.patience - monotonic_now());
@@ -222,6 +255,7 @@
         .with("route", this->route.name)
         .with("service", this->service)
         .with("account", this->account)
+        .with("fingerprint", this->fingerprint.to_hex())
         .with("outcome", outcome)
         .with("reason", reason)
         .with("status", status)
--- a/Libraries/LibRouter/RequestFlow.h
+++ b/Libraries/LibRouter/RequestFlow.h
@@ -6,6 +6,7 @@
 #include <LibAsync/HttpExchange.h>
 #include <LibCore/LogLine.h>
 #include <LibDecision/AnswerVerdict.h>
+#include <LibDecision/RequestFingerprint.h>
 #include <LibDecision/SendLedger.h>
 #include <LibRouter/RouterState.h>
 #include <functional>
@@ -70,11 +71,16 @@
     void note_sent();
     void note_not_executed();
 
+    /// Whether the upstream's process ended under the request: its connection broke off though it was not leaving, and
+    /// nothing listens at its address any more.
+    asio::awaitable<bool> has_ended(UpstreamRecord upstream, HttpError error, MonotonicTime since);
+
     RouterState& state;
     HttpExchange& exchange;
     std::shared_ptr<RouteTable const> routes;
     Route const& route;
     CallerRequest request;
+    RequestFingerprint fingerprint;
     std::string service;
     /// Named to upstreams; empty for callers without one.
     std::string account;
--- a/Libraries/LibRouter/StreamFlow.cpp
+++ b/Libraries/LibRouter/StreamFlow.cpp
@@ -184,6 +184,7 @@
         this->failed_engines.push_back(decode_engine ? grant.prefill_engine : grant.decode_engine);
         co_return co_await this->give_up(SendEnd::NotSent, "unknown_engine");
     }
+    this->last_engine = grant.decode_engine;
     Dispatch dispatch;
     dispatch.expected_identity = grant.decode_engine;
     UpstreamRecord const decoder = *decode_engine;
@@ -197,7 +198,7 @@
     if (this->is_stopped())
         co_return Progress::TryAgain;
     if (reserved.is_error()) {
-        this->state.prober.note_unreachable(decoder);
+        this->state.prober.note_unreachable(decoder, reserved.error());
         this->failed_engine = decoder.identity;
         co_return co_await this->give_up(SendEnd::NotSent, to_string(reserved.error()));
     }
@@ -238,7 +239,7 @@
     auto acquired = co_await this->state.pool.acquire(*address, ConnectionPool::Freshness::Any);
     if (acquired.is_error()) {
         this->failed_engine = engine.identity;
-        this->state.prober.note_unreachable(engine);
+        this->state.prober.note_unreachable(engine, acquired.error());
         LogLine("prefill_failed").with("request", this->request.identifier).with("engine", engine.identity).with("reason", to_string(acquired.error()));
         co_return std::nullopt;
     }
@@ -282,6 +283,8 @@
         // An engine that is full or has begun to leave works as it should.
         works_as_it_should = facts.is_not_executed;
     }
+    if (head.is_error())
+        static_cast<void>(co_await this->has_ended(engine, head.error(), begun));
     this->ledger.note_prefill(cache ? SendLedger::PrefillEnd::TakenUp : SendLedger::PrefillEnd::NotTakenUp, monotonic_now());
     if (!head.is_error())
         use->note_heard();
@@ -313,7 +316,7 @@
         if (!dispatch.cache_handle.empty())
             this->free_cache(dispatch.cache_address, dispatch.cache_handle);
         if (acquired.is_error()) {
-            this->state.prober.note_unreachable(engine);
+            this->state.prober.note_unreachable(engine, acquired.error());
             this->failed_engine = engine.identity;
             co_return co_await this->give_up(SendEnd::NotSent, to_string(acquired.error()));
         }
@@ -328,6 +331,7 @@
     dispatch.after_event = this->events.last_identifier();
     this->set_active(connection);
     this->note_sent();
+    this->decode_sent_at = monotonic_now();
     auto const out_of_reach = this->route.is_resumable ? UpstreamUse::OutOfReach::BreakOff : UpstreamUse::OutOfReach::Wait;
     std::optional<UpstreamUse> use(std::in_place, this->state.prober, engine, connection, out_of_reach);
     connection->send(format_request_head(this->state.dialect.upstream_head(this->exchange.request(), dispatch)), this->body);
@@ -336,6 +340,9 @@
         use.reset();
         this->set_active(nullptr);
         connection->abort();
+        if (this->is_stopped())
+            co_return Progress::TryAgain;
+        static_cast<void>(co_await this->has_ended(engine, head.error(), this->decode_sent_at));
         if (this->is_stopped())
             co_return Progress::TryAgain;
         this->failed_engine = engine.identity;
@@ -346,7 +353,7 @@
     auto const status = head.value().status;
     if (facts.identifier == this->request.identifier && status / 100 == 2 && facts.is_signed && !facts.is_encoded) {
         this->state.placement->progress(this->request.identifier, GrantProgress::Decoding);
-        auto const progress = co_await this->relay(*use, connection, head.release_value());
+        auto const progress = co_await this->relay(engine, *use, connection, head.release_value());
         use.reset();
         this->set_active(nullptr);
         this->state.pool.release(address, connection);
@@ -395,13 +402,16 @@
     this->last_event_at = now;
 }
 
-asio::awaitable<StreamFlow::Progress> StreamFlow::relay(UpstreamUse& use, std::shared_ptr<HttpConnection> connection, HttpResponseHead head)
+asio::awaitable<StreamFlow::Progress> StreamFlow::relay(UpstreamRecord engine, UpstreamUse& use, std::shared_ptr<HttpConnection> connection, HttpResponseHead head)
 {
     while (true) {
         auto piece = co_await connection->read_piece();
         if (piece.is_error()) {
             connection->abort();
             this->events.drop_broken_event();
+            if (this->is_stopped())
+                co_return Progress::TryAgain;
+            static_cast<void>(co_await this->has_ended(engine, piece.error(), this->decode_sent_at));
             if (this->is_stopped())
                 co_return Progress::TryAgain;
             // One answer that broke off says little of the engine, but this request goes on elsewhere.
@@ -448,7 +458,7 @@
     if (may_go_on)
         history.another_send = this->take_another_send(end == SendEnd::NotSent ? 0 : this->sends, LEAST_TIME_FOR_PLACEMENT);
     auto const step = next_step(end, history);
-    LogLine("send_end").with("request", this->request.identifier).with("end", to_string(end)).with("reason", reason).with("next", to_string(step));
+    LogLine("send_end").with("request", this->request.identifier).with("upstream", this->last_engine).with("end", to_string(end)).with("reason", reason).with("next", to_string(step));
     if (step == NextStep::SendElsewhere)
         co_return Progress::TryAgain;
     if (step == NextStep::RefuseNotRun && !this->exchange.has_begun())
