LibRouter: Keep requests that end upstreams from all of them

What callers saw: engines ended one after the other, up to six within half a second, and whoever had answers there lost them. One request came again and again, at all VMs, and was sent to engines 15 and 26 times after three had ended under it. Cause: what a request had done to an upstream was forgotten with the attempt; the second send of the same attempt, the next attempt and other VMs began anew. Proved by the fingerprints and ends of upstreams in the logs: one request at each of 17 engines that ended, never answered, its victims at one to three of them (first hypothesis). Ruled out: ends of their own (no engine ended without it); second sends alone (13 attempts reached 17 engines: without second sends 13 ends are left). Why this holds: VMs report each end under a request to two judges, ask before they send it on, are told at once of what is found, check before each send, and the platform's store keeps it for when all processes start again. Victims are not blamed: the cause explains the ends at which they were, and who ended well is none. Same class, mended with it: calls to plain services, and requests under which an engine ends while it reads the prompt.

--- a/Libraries/LibRouter/PlainFlow.cpp
+++ b/Libraries/LibRouter/PlainFlow.cpp
@@ -102,6 +102,7 @@
         case NextStep::SendElsewhere:
             continue;
         case NextStep::Relay:
+            this->note_good_end();
             co_await this->relay(last);
             co_return;
         case NextStep::RefuseNotRun:
@@ -134,7 +135,7 @@
         co_return attempt;
     }
     auto const connection = acquired.release_value();
-    this->check_key();
+    this->check_may_send();
     // While the connection came up the upstream may have begun to leave, or the caller may have left.
     if (this->is_stopped() || !this->state.upstreams.takes_work(upstream.identity)) {
         this->state.pool.release(*address, connection);
--- /dev/null
+++ b/Libraries/LibRouter/QuarantineKeeper.cpp
@@ -0,0 +1,168 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibCore/Clock.h>
+#include <LibCore/LogLine.h>
+#include <LibRouter/QuarantineKeeper.h>
+#include <algorithm>
+
+namespace Spurtide {
+
+namespace {
+
+constexpr Duration HOUSEKEEPING = seconds(10);
+
+wire::Envelope quarantine_message()
+{
+    wire::Envelope envelope;
+    envelope.set_service(std::string(QUARANTINE_SERVICE));
+    return envelope;
+}
+
+void write_entry(QuarantineEntry const& entry, wire::QuarantineRecord& message)
+{
+    message.set_fingerprint(entry.request.to_bytes());
+    message.set_times(entry.times);
+    message.set_until(entry.until);
+}
+
+}
+
+QuarantineKeeper::QuarantineKeeper(Options options, Kernel& kernel, KeeperRanking const& ranking, QuarantinePort& store, asio::io_context& loop)
+    : options(options)
+    , kernel(kernel)
+    , ranking(ranking)
+    , store(store)
+    , loop(loop)
+    , quarantine(options.quarantine)
+{
+}
+
+void QuarantineKeeper::start()
+{
+    this->kernel.every(HOUSEKEEPING, [this] { this->quarantine.forget_old(unix_milliseconds()); });
+}
+
+std::optional<Duration> QuarantineKeeper::held_for(RequestFingerprint const& request) const { return this->quarantine.held_for(request, unix_milliseconds()); }
+
+bool QuarantineKeeper::is_on_probation(RequestFingerprint const& request) const { return this->quarantine.is_on_probation(request, unix_milliseconds()); }
+
+void QuarantineKeeper::add(RequestFingerprint const& request)
+{
+    auto const entry = this->quarantine.add(request, unix_milliseconds());
+    this->tell_all(entry);
+    this->unwritten.insert_or_assign(request, entry);
+    if (!std::exchange(this->is_writing, true))
+        asio::co_spawn(this->loop, this->write_store(), asio::detached);
+}
+
+void QuarantineKeeper::tell_all(QuarantineEntry const& entry)
+{
+    auto envelope = quarantine_message();
+    write_entry(entry, *envelope.mutable_quarantine_records()->add_records());
+    for (auto const& name : this->kernel.directory().virtual_machines_with(PLACEMENT_SERVICE)) {
+        if (name != this->kernel.virtual_machine())
+            this->kernel.notify(this->ranking.endpoint_of(name), envelope);
+    }
+}
+
+bool QuarantineKeeper::has_asked_store() const { return this->store_asked_at && monotonic_now() - *this->store_asked_at < this->options.store_memory; }
+
+void QuarantineKeeper::ask_store()
+{
+    if (!this->has_asked_store() && !std::exchange(this->is_reading, true))
+        asio::co_spawn(this->loop, this->read_store(), asio::detached);
+}
+
+asio::awaitable<void> QuarantineKeeper::read_store()
+{
+    auto const entries = co_await this->store.read_quarantine();
+    this->is_reading = false;
+    this->store_asked_at = monotonic_now();
+    if (entries.is_error()) {
+        LogLine("quarantine_unread").with("error", to_string(entries.error()));
+        co_return;
+    }
+    this->outdated.clear();
+    for (auto const& entry : entries.value()) {
+        if (this->quarantine.is_outdated(entry, unix_milliseconds()))
+            this->outdated.push_back(entry.request);
+        else
+            this->merge(entry, "store");
+    }
+}
+
+asio::awaitable<void> QuarantineKeeper::write_store()
+{
+    auto pause = this->options.first_write_pause;
+    asio::steady_timer timer(this->loop);
+    while (!this->unwritten.empty()) {
+        auto const entry = this->unwritten.begin()->second;
+        auto const written = co_await this->store.write_quarantine(entry, this->outdated);
+        if (!written.is_error()) {
+            LogLine("quarantine_written").with("fingerprint", entry.request.to_hex()).with("times", entry.times);
+            this->outdated.clear();
+            // A newer entry may have come meanwhile.
+            auto const found = this->unwritten.find(entry.request);
+            if (found != this->unwritten.end() && found->second == entry)
+                this->unwritten.erase(found);
+            pause = this->options.first_write_pause;
+            continue;
+        }
+        LogLine("quarantine_unwritten").with("fingerprint", entry.request.to_hex()).with("error", to_string(written.error()));
+        timer.expires_after(pause);
+        pause = std::min(pause * 2, this->options.longest_write_pause);
+        asio::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        auto const now = unix_milliseconds();
+        std::erase_if(this->unwritten, [&](auto const& waiting) { return this->quarantine.is_outdated(waiting.second, now); });
+    }
+    this->is_writing = false;
+}
+
+void QuarantineKeeper::merge(QuarantineEntry const& entry, std::string_view source)
+{
+    if (this->quarantine.merge(entry, unix_milliseconds()) == Quarantine::Merge::News)
+        LogLine("quarantine_heard").with("fingerprint", entry.request.to_hex()).with("times", entry.times).with("until", entry.until).with("source", source);
+}
+
+void QuarantineKeeper::merge(wire::QuarantineRecords const& records)
+{
+    for (auto const& record : records.records()) {
+        auto const request = RequestFingerprint::from_bytes(record.fingerprint());
+        if (request)
+            this->merge(QuarantineEntry { *request, record.times(), record.until() }, "peer");
+    }
+}
+
+void QuarantineKeeper::hear_of(std::string const& endpoint, std::uint64_t other)
+{
+    // A VM that has none has nothing to tell.
+    if (other == 0 || other == this->digest() || endpoint.empty() || std::exchange(this->is_fetching, true))
+        return;
+    auto envelope = quarantine_message();
+    envelope.mutable_get_quarantine();
+    this->kernel.request(endpoint, std::move(envelope), this->options.fetch_timeout, [this](WireReply const& reply) {
+        this->is_fetching = false;
+        if (!reply.is_error() && reply.value().has_quarantine_records())
+            this->merge(reply.value().quarantine_records());
+    });
+}
+
+bool QuarantineKeeper::handle(wire::Envelope const& request, Kernel::Responder const& respond)
+{
+    if (request.has_quarantine_records()) {
+        this->merge(request.quarantine_records());
+        return true;
+    }
+    if (!request.has_get_quarantine())
+        return false;
+    wire::Envelope reply;
+    auto* records = reply.mutable_quarantine_records();
+    for (auto const& entry : this->quarantine.entries())
+        write_entry(entry, *records->add_records());
+    respond(std::move(reply));
+    return true;
+}
+
+}
--- a/Libraries/LibRouter/RequestFlow.cpp
+++ b/Libraries/LibRouter/RequestFlow.cpp
@@ -3,6 +3,8 @@
 
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
+#include <LibRouter/EndReporter.h>
+#include <LibRouter/QuarantineKeeper.h>
 #include <LibRouter/QuotaClient.h>
 #include <LibRouter/RequestFlow.h>
 #include <algorithm>
@@ -79,7 +81,14 @@
             flow->stop(StopReason::OutOfTime);
     });
     this->state.budget_of(this->service).note_request(monotonic_now());
-    bool const may_go_on = co_await this->is_within_limit();
+    // What ends whatever runs it is not let in, and costs its account nothing.
+    if (this->state.quarantine->held_for(this->fingerprint))
+        this->stop(StopReason::Quarantined);
+    bool may_go_on = !this->is_stopped();
+    if (may_go_on)
+        may_go_on = co_await this->is_within_limit();
+    else
+        co_await this->answer_stopped();
     if (may_go_on) {
         if (this->is_stopped())
             co_await this->answer_stopped();
@@ -107,6 +116,13 @@
     co_return false;
 }
 
+void RequestFlow::check_may_send()
+{
+    this->check_key();
+    if (this->state.quarantine->held_for(this->fingerprint))
+        this->stop(StopReason::Quarantined);
+}
+
 void RequestFlow::check_key()
 {
     auto const newest = this->state.routes;
@@ -139,6 +155,8 @@
 
 void RequestFlow::note_not_executed() { this->earlier = this->before_send; }
 
+void RequestFlow::note_good_end() { this->state.ends->note_good_end(this->service, this->fingerprint); }
+
 asio::awaitable<bool> RequestFlow::has_ended(UpstreamRecord upstream, HttpError error, MonotonicTime since)
 {
     auto const ran_for = std::chrono::duration_cast<Duration>(monotonic_now() - since);
@@ -157,6 +175,10 @@
         .with("started", upstream.started)
         .with("ran_ms", to_milliseconds(ran_for));
     this->state.metrics.increment("spurtide_upstream_ends_total", "Requests under which an upstream's process ended", { { "service", this->service } });
+    UpstreamLife const life { upstream.identity, upstream.started };
+    auto const verdict = co_await this->state.ends->report(this->service, this->fingerprint, life, ran_for);
+    if (verdict == EndVerdict::Quarantined)
+        this->stop(StopReason::Quarantined);
     co_return true;
 }
 
@@ -227,7 +249,11 @@
         co_return;
     }
     bool const has_not_run = this->earlier == SendHistory::Earlier::HasNotRun && !this->exchange.has_begun();
-    if (this->stop_reason == StopReason::KeyRevoked && has_not_run)
+    if (this->stop_reason == StopReason::Quarantined && has_not_run)
+        co_await this->refuse("quarantined", this->state.quarantine->held_for(this->fingerprint).value_or(Duration::zero()));
+    else if (this->stop_reason == StopReason::Quarantined)
+        co_await this->fail(502, "quarantined");
+    else if (this->stop_reason == StopReason::KeyRevoked && has_not_run)
         co_await this->reject(401, "key_revoked", {});
     else if (this->stop_reason == StopReason::KeyRevoked)
         co_await this->fail(502, "key_revoked");
--- a/Libraries/LibRouter/RequestFlow.h
+++ b/Libraries/LibRouter/RequestFlow.h
@@ -34,6 +34,8 @@
         OutOfTime,
         /// The caller's key is no account's any more.
         KeyRevoked,
+        /// Upstreams end under it.
+        Quarantined,
     };
 
     virtual asio::awaitable<void> carry() = 0;
@@ -42,9 +44,9 @@
     /// Called once when the caller left or time is up.
     virtual void on_stop() { }
 
-    /// Looks the caller's key up in the newest configuration, which may have taken it away while the request waited;
-    /// stops the request then. Call right before a send.
-    void check_key();
+    /// Stops the request where it may not be sent any more, though it might when it came: the newest configuration may have
+    /// taken its caller's key away, and upstreams may have ended under it elsewhere. Call right before a send.
+    void check_may_send();
 
     bool is_stopped() const { return this->stop_reason != StopReason::None; }
     /// The connection that ends when the request is stopped.
@@ -58,6 +60,8 @@
     asio::awaitable<void> fail(int status, std::string_view reason);
     /// The final answer after the request was stopped; nothing when the caller left.
     asio::awaitable<void> answer_stopped();
+    /// The request ended and its upstream did not.
+    void note_good_end();
     void log_end(std::string_view outcome, std::string_view reason, int status);
 
     /// Whether attempts, time and the retry budget allow another send; takes it from the budget.
@@ -72,7 +76,7 @@
     void note_not_executed();
 
     /// Whether the upstream's process ended under the request: its connection broke off though it was not leaving, and
-    /// nothing listens at its address any more.
+    /// nothing listens at its address any more. Reports it; stops the request where it is the cause.
     asio::awaitable<bool> has_ended(UpstreamRecord upstream, HttpError error, MonotonicTime since);
 
     RouterState& state;
@@ -92,6 +96,7 @@
 
 private:
     void stop(StopReason reason);
+    void check_key();
     /// Counts the request against its account's limit; answers it where it is over.
     asio::awaitable<bool> is_within_limit();
     asio::awaitable<void> reject(int status, std::string_view reason, std::optional<Duration> retry_after);
--- a/Libraries/LibRouter/RouterState.h
+++ b/Libraries/LibRouter/RouterState.h
@@ -21,7 +21,9 @@
 
 namespace Spurtide {
 
+class EndReporter;
 class PlacementClient;
+class QuarantineKeeper;
 class QuotaClient;
 
 /// What all requests of a VM share. Lives on the one event loop.
@@ -45,6 +47,8 @@
     double length_spread = 0.6;
     PlacementClient* placement = nullptr;
     QuotaClient* quota = nullptr;
+    QuarantineKeeper* quarantine = nullptr;
+    EndReporter* ends = nullptr;
     /// This VM's part of the retry budgets' allowance, which all VMs share.
     std::function<double()> retry_allowance_part = [] { return 1.0; };
 
--- a/Libraries/LibRouter/StreamFlow.cpp
+++ b/Libraries/LibRouter/StreamFlow.cpp
@@ -244,7 +244,7 @@
         co_return std::nullopt;
     }
     auto const connection = acquired.release_value();
-    this->check_key();
+    this->check_may_send();
     if (this->is_stopped() || !this->state.upstreams.takes_work(engine.identity)) {
         this->state.pool.release(*address, connection);
         if (!this->is_stopped())
@@ -311,7 +311,7 @@
 asio::awaitable<StreamFlow::Progress> StreamFlow::decode(UpstreamRecord engine, Address address, Dispatch dispatch)
 {
     auto acquired = co_await this->state.pool.acquire(address, this->freshness());
-    this->check_key();
+    this->check_may_send();
     if (acquired.is_error() || this->is_stopped() || !this->state.upstreams.takes_work(engine.identity)) {
         if (!dispatch.cache_handle.empty())
             this->free_cache(dispatch.cache_address, dispatch.cache_handle);
@@ -382,6 +382,7 @@
         co_return Progress::TryAgain;
     bool const is_own_failure = facts.is_signed && facts.identifier == this->request.identifier && status >= 400 && status != 429 && status != 503 && status != 408 && !answer.is_error();
     if (is_own_failure && !this->exchange.has_begun()) {
+        this->note_good_end();
         auto const sent = co_await this->exchange.respond(this->state.dialect.caller_head(head.value()), answer.value());
         this->log_end(sent.is_error() ? "caller_left" : "answered", reason, status);
         co_return Progress::Over;
@@ -439,6 +440,7 @@
         }
         if (!is_end)
             continue;
+        this->note_good_end();
         this->state.answer_pace.note(this->service, this->relayed_tokens(), std::chrono::duration_cast<Duration>(this->last_event_at - this->first_event_at));
         auto const finished = co_await this->exchange.finish();
         this->log_end(finished.is_error() ? "caller_left" : "answered", "stream", head.status);
--- a/Services/ConfigServer/MembershipService.cpp
+++ b/Services/ConfigServer/MembershipService.cpp
@@ -175,6 +175,7 @@
         write_record(this->table.self(), *heartbeat->add_records());
     if (this->upstreams_version)
         heartbeat->set_upstreams_version(this->upstreams_version());
+    heartbeat->set_quarantine_digest(this->quarantine_digest());
     auto const now = monotonic_now();
     if (this->is_joining() || now - this->last_compared >= this->options.comparing_interval) {
         this->last_compared = now;
@@ -214,6 +215,7 @@
         this->on_newer_generation(endpoint, answer.digests(0).generation());
     if (this->upstreams_version && answer.upstreams_version() > this->upstreams_version())
         this->on_newer_upstreams(endpoint, answer.upstreams_version());
+    this->on_quarantine_digest(endpoint, answer.quarantine_digest());
     if (wanted.empty() && answer.wanted().empty() && answer.wanted_keys().empty())
         return;
     wire::Envelope envelope;
@@ -274,6 +276,8 @@
         if (heartbeat.upstreams_version() > this->upstreams_version() && !endpoint.empty())
             this->on_newer_upstreams(endpoint, heartbeat.upstreams_version());
     }
+    body->set_quarantine_digest(this->quarantine_digest());
+    this->on_quarantine_digest(this->endpoint_of(heartbeat.vm()), heartbeat.quarantine_digest());
     if (!heartbeat.keys().empty())
         this->answer_keys(heartbeat, is_new ? this->options.records_for_new : this->options.records_for_known, *body);
     respond(std::move(reply));
--- a/Services/ConfigServer/MembershipService.h
+++ b/Services/ConfigServer/MembershipService.h
@@ -56,6 +56,13 @@
         this->on_newer_upstreams = std::move(on_newer);
     }
 
+    /// Makes a digest of what all VMs keep alike part of the heartbeats, and says what to do with those of others.
+    void set_quarantine_hooks(std::function<std::uint64_t()> digest, std::function<void(std::string const& endpoint, std::uint64_t digest)> on_other)
+    {
+        this->quarantine_digest = std::move(digest);
+        this->on_quarantine_digest = std::move(on_other);
+    }
+
     /// Machines that the platform's list says are leaving; handed on to this VM's processes.
     void set_leaving_machines(std::vector<std::string> machines);
 
@@ -106,6 +113,8 @@
     std::function<void(std::string const& endpoint, std::int64_t generation)> on_newer_generation;
     std::function<std::int64_t()> upstreams_version;
     std::function<void(std::string const& endpoint, std::int64_t version)> on_newer_upstreams;
+    std::function<std::uint64_t()> quarantine_digest = [] { return std::uint64_t(0); };
+    std::function<void(std::string const& endpoint, std::uint64_t digest)> on_quarantine_digest = [](auto const&, auto) {};
     MembershipTable table;
     MonotonicTime started_at;
     MonotonicTime joining_until;
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -127,6 +127,7 @@
     this->placement = std::make_unique<PlacementClient>(PlacementClient::Options {}, *this->kernel);
     this->placement->ranking().set_hooks(std::move(ranking_hooks));
     this->create_quota();
+    this->create_quarantine();
     this->keeper = std::make_unique<EngineKeeper>(scheduler_options(this->settings), *this->kernel, this->metrics, this->loop);
     CacheReader::Hooks cache_hooks;
     cache_hooks.is_keeper = [this] { return this->state.routes && this->membership->is_settled() && this->placement->is_keeper(); };
@@ -163,6 +164,7 @@
     this->membership->start();
     this->placement->start();
     this->quota->start();
+    this->quarantine->start();
     this->keeper->start();
     if (this->roles)
         this->roles->start();
@@ -233,6 +235,16 @@
     this->state.quota = this->quota.get();
 }
 
+void Node::create_quarantine()
+{
+    this->quarantine = std::make_unique<QuarantineKeeper>(QuarantineKeeper::Options {}, *this->kernel, this->placement->ranking(), this->adapters.quarantine, this->loop);
+    this->end_judge = std::make_unique<EndJudge>(EndJudge::Options {}, *this->quarantine, this->loop);
+    this->ends = std::make_unique<EndReporter>(EndReporter::Options {}, *this->kernel, this->placement->ranking(), *this->quarantine, *this->end_judge);
+    this->membership->set_quarantine_hooks([this] { return this->quarantine->digest(); }, [this](auto const& endpoint, auto digest) { this->quarantine->hear_of(endpoint, digest); });
+    this->state.quarantine = this->quarantine.get();
+    this->state.ends = this->ends.get();
+}
+
 void Node::host_services()
 {
     this->kernel->host("directory", [this](wire::Envelope const& request, Kernel::Responder const& respond) {
@@ -245,6 +257,7 @@
     this->relay->host();
     this->kernel->host(std::string(PLACEMENT_SERVICE), [this](wire::Envelope const& request, Kernel::Responder const& respond) { this->keeper->handle(request, respond); });
     this->quota_counter->host();
+    this->ends->host();
     // A mark in the directory: a VM that is to be asked before others.
     if (this->settings.processor_share >= this->settings.keeper_processor_share)
         this->kernel->host(std::string(STRONG_PLACEMENT_SERVICE), [](wire::Envelope const&, Kernel::Responder const& respond) { respond(error_reply(wire::ERROR_CODE_UNKNOWN_MESSAGE)); });
--- a/Services/NodeServer/Node.h
+++ b/Services/NodeServer/Node.h
@@ -6,9 +6,11 @@
 #include <LibAsync/HttpServer.h>
 #include <LibCore/Metrics.h>
 #include <LibRouter/CacheReader.h>
+#include <LibRouter/EndReporter.h>
 #include <LibRouter/EngineKeeper.h>
 #include <LibRouter/Entry.h>
 #include <LibRouter/PlacementClient.h>
+#include <LibRouter/QuarantineKeeper.h>
 #include <LibRouter/QuotaClient.h>
 #include <LibRouter/RegistryFollower.h>
 #include <LibRouter/RegistryRelay.h>
@@ -36,6 +38,7 @@
     CallerDialect const& dialect;
     RegistryPort& registry;
     LeasePort& leases;
+    QuarantinePort& quarantine;
     /// Path that is asked for readiness.
     std::string readiness_path;
 };
@@ -70,6 +73,7 @@
     double retry_allowance_part() const;
     QuotaCounter::VirtualMachines count_virtual_machines() const;
     void create_quota();
+    void create_quarantine();
     void keep_roles();
     RegistryFollower::Hooks hooks();
     RegistryRelay::Hooks relay_hooks();
@@ -96,6 +100,9 @@
     std::unique_ptr<PlacementClient> placement;
     std::unique_ptr<QuotaCounter> quota_counter;
     std::unique_ptr<QuotaClient> quota;
+    std::unique_ptr<QuarantineKeeper> quarantine;
+    std::unique_ptr<EndJudge> end_judge;
+    std::unique_ptr<EndReporter> ends;
     std::unique_ptr<EngineKeeper> keeper;
     /// Empty where engines keep the roles that they have.
     std::unique_ptr<RoleKeeper> roles;
--- /dev/null
+++ b/Tests/LibRouter/TestEndReporter.cpp
@@ -0,0 +1,237 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibRouter/EndReporter.h>
+#include <Tests/Support/LoopKernel.h>
+#include <catch2/catch.hpp>
+
+using namespace Spurtide;
+using namespace Spurtide::Tests;
+
+namespace {
+
+constexpr auto SERVICE = "engines";
+
+RequestFingerprint request_named(std::string_view body) { return RequestFingerprint::of({ "POST", "h.example", "/x", "", body }); }
+
+/// The rows of the platform's store, in memory.
+class StoredQuarantine final : public QuarantinePort {
+public:
+    asio::awaitable<Result<std::vector<QuarantineEntry>, PlatformError>> read_quarantine() override
+    {
+        ++this->reads;
+        if (this->is_away)
+            co_return Failure { PlatformError::Unavailable };
+        co_return this->rows;
+    }
+    asio::awaitable<Result<Done, PlatformError>> write_quarantine(QuarantineEntry entry, std::vector<RequestFingerprint> outdated) override
+    {
+        if (this->is_away)
+            co_return Failure { PlatformError::Unavailable };
+        std::erase_if(this->rows, [&](auto const& row) { return row.request == entry.request || std::find(outdated.begin(), outdated.end(), row.request) != outdated.end(); });
+        this->rows.push_back(entry);
+        co_return Done {};
+    }
+
+    std::vector<QuarantineEntry> rows;
+    int reads = 0;
+    bool is_away = false;
+};
+
+/// One of several VMs that report and judge.
+struct JudgingVirtualMachine {
+    JudgingVirtualMachine(asio::io_context& loop, std::string const& name, QuarantinePort& store)
+        : kernel(make_loop_kernel(loop, name))
+        , ranking(*this->kernel, milliseconds(200))
+        , quarantine(quarantine_options(), *this->kernel, this->ranking, store, loop)
+        , judge(EndJudge::Options {}, this->quarantine, loop)
+        , reporter(EndReporter::Options {}, *this->kernel, this->ranking, this->quarantine, this->judge)
+    {
+        this->reporter.host();
+        // What the ranking goes by.
+        this->kernel->host(std::string(PLACEMENT_SERVICE), [](wire::Envelope const&, Kernel::Responder const&) {});
+        this->kernel->start();
+    }
+
+    static QuarantineKeeper::Options quarantine_options()
+    {
+        QuarantineKeeper::Options options;
+        options.first_write_pause = milliseconds(20);
+        return options;
+    }
+
+    std::unique_ptr<Kernel> kernel;
+    KeeperRanking ranking;
+    QuarantineKeeper quarantine;
+    EndJudge judge;
+    EndReporter reporter;
+};
+
+class ReporterTest {
+public:
+    explicit ReporterTest(int count)
+    {
+        for (int i = 0; i < count; ++i)
+            this->machines.push_back(std::make_unique<JudgingVirtualMachine>(this->loop, "vm-" + std::to_string(i), this->store));
+        this->meet();
+    }
+    ~ReporterTest() { this->loop.stop(); }
+
+    /// All that are there know of each other.
+    void meet()
+    {
+        std::vector<MemberRecord> members;
+        for (auto const& machine : this->machines)
+            members.push_back(member_of(*machine->kernel));
+        ++this->version;
+        for (auto const& machine : this->machines)
+            machine->kernel->directory().replace(this->version, 0, members, {});
+    }
+
+    EndVerdict report(std::size_t machine, std::string const& body, std::string const& upstream, Duration ran_for = milliseconds(70))
+    {
+        std::optional<EndVerdict> verdict;
+        auto const carry = [&]() -> asio::awaitable<void> {
+            UpstreamLife const life { upstream, 0 };
+            verdict = co_await this->machines.at(machine)->reporter.report(SERVICE, request_named(body), life, ran_for);
+        };
+        asio::co_spawn(this->loop, carry(), asio::detached);
+        REQUIRE(run_loop_until(this->loop, [&] { return verdict.has_value(); }));
+        return *verdict;
+    }
+
+    bool all_hold(std::string const& body)
+    {
+        return run_loop_until(this->loop, [&] {
+            return std::all_of(this->machines.begin(), this->machines.end(), [&](auto const& machine) { return machine->quarantine.held_for(request_named(body)).has_value(); });
+        });
+    }
+
+    std::size_t index_of(std::string const& name) const
+    {
+        for (std::size_t i = 0; i < this->machines.size(); ++i) {
+            if (this->machines[i]->kernel->virtual_machine() == name)
+                return i;
+        }
+        return this->machines.size();
+    }
+
+    asio::io_context loop { 1 };
+    StoredQuarantine store;
+    std::vector<std::unique_ptr<JudgingVirtualMachine>> machines;
+    std::int64_t version = 0;
+};
+
+}
+
+TEST_CASE("Ends that different VMs saw are counted together, and all VMs keep the cause out", "[ends]")
+{
+    ReporterTest test(4);
+    CHECK(test.report(0, "cause", "i-1") == EndVerdict::MayGoOn);
+    CHECK(test.report(1, "cause", "i-2") == EndVerdict::MayGoOn);
+    CHECK(test.report(2, "cause", "i-3") == EndVerdict::Quarantined);
+    CHECK(test.all_hold("cause"));
+    CHECK(run_loop_until(test.loop, [&] { return test.store.rows.size() == 1; }));
+}
+
+TEST_CASE("Who ran beside the cause may go on, whichever VM tells of it first", "[ends]")
+{
+    ReporterTest test(3);
+    for (auto const* upstream : { "i-1", "i-2" }) {
+        test.report(0, "victim", upstream, milliseconds(400));
+        test.report(1, "cause", upstream);
+    }
+    std::optional<EndVerdict> of_victim;
+    std::optional<EndVerdict> of_cause;
+    auto const carry = [&](std::size_t machine, std::string body, Duration ran_for, std::optional<EndVerdict>& verdict) -> asio::awaitable<void> {
+        UpstreamLife const life { "i-3", 0 };
+        verdict = co_await test.machines.at(machine)->reporter.report(SERVICE, request_named(body), life, ran_for);
+    };
+    asio::co_spawn(test.loop, carry(0, "victim", milliseconds(400), of_victim), asio::detached);
+    asio::co_spawn(test.loop, carry(1, "cause", milliseconds(70), of_cause), asio::detached);
+    REQUIRE(run_loop_until(test.loop, [&] { return of_victim && of_cause; }));
+    CHECK(of_victim == EndVerdict::MayGoOn);
+    CHECK(of_cause == EndVerdict::Quarantined);
+    CHECK_FALSE(test.machines[0]->quarantine.held_for(request_named("victim")));
+}
+
+TEST_CASE("What was reported outlasts the VM that judged first", "[ends][kill]")
+{
+    ReporterTest test(4);
+    auto const judges = test.machines[0]->ranking.names(std::string(QUARANTINE_SERVICE) + "/" + SERVICE);
+    auto const first = test.index_of(judges.front());
+    auto const reporter = (first + 1) % 4;
+    test.report(reporter, "cause", "i-1");
+    test.report(reporter, "cause", "i-2");
+    // It is gone, and nobody has heard so yet.
+    test.machines[first]->kernel->stop();
+    CHECK(test.report(reporter, "cause", "i-3") == EndVerdict::Quarantined);
+}
+
+TEST_CASE("A VM whose process starts anew, and one that missed the news, learn of the cause by a heartbeat's digest", "[ends]")
+{
+    ReporterTest test(2);
+    for (auto const* upstream : { "i-1", "i-2", "i-3" })
+        test.report(0, "cause", upstream);
+    REQUIRE(test.all_hold("cause"));
+    test.machines.push_back(std::make_unique<JudgingVirtualMachine>(test.loop, "vm-new", test.store));
+    test.meet();
+    auto& fresh = *test.machines.back();
+    fresh.quarantine.hear_of(test.machines[0]->kernel->endpoint(), test.machines[0]->quarantine.digest());
+    CHECK(test.all_hold("cause"));
+    CHECK(fresh.quarantine.digest() == test.machines[0]->quarantine.digest());
+}
+
+TEST_CASE("After all processes started again one more end is enough, by what the store keeps", "[ends][kill]")
+{
+    ReporterTest before(2);
+    for (auto const* upstream : { "i-1", "i-2", "i-3" })
+        before.report(0, "cause", upstream);
+    REQUIRE(run_loop_until(before.loop, [&] { return !before.store.rows.empty(); }));
+    ReporterTest after(2);
+    after.store.rows = before.store.rows;
+    CHECK(after.report(0, "cause", "i-4") == EndVerdict::Quarantined);
+    CHECK(after.report(0, "another", "i-4") == EndVerdict::MayGoOn);
+}
+
+TEST_CASE("A request whose time is over is tried again, and one end keeps it out for longer", "[ends]")
+{
+    ReporterTest test(2);
+    auto const ended = unix_milliseconds() - 1000;
+    test.store.rows = { { request_named("cause"), 1, ended } };
+    CHECK_FALSE(test.machines[0]->quarantine.held_for(request_named("cause")));
+    CHECK(test.report(0, "cause", "i-1") == EndVerdict::Quarantined);
+    CHECK(test.machines[0]->quarantine.held_for(request_named("cause")) > seconds(3600));
+}
+
+TEST_CASE("While the store is away causes are found, and written once it is back", "[ends][store]")
+{
+    ReporterTest test(2);
+    test.store.is_away = true;
+    for (auto const* upstream : { "i-1", "i-2" })
+        CHECK(test.report(0, "cause", upstream) == EndVerdict::MayGoOn);
+    CHECK(test.report(0, "cause", "i-3") == EndVerdict::Quarantined);
+    CHECK(test.all_hold("cause"));
+    CHECK(test.store.rows.empty());
+    test.store.is_away = false;
+    CHECK(run_loop_until(test.loop, [&] { return test.store.rows.size() == 1; }));
+    // Ends come in series: the store is asked seldom.
+    CHECK(test.store.reads <= 4);
+}
+
+TEST_CASE("A request that many send alike, and that ends well, is no cause", "[ends]")
+{
+    ReporterTest test(2);
+    test.machines[0]->reporter.note_good_end(SERVICE, request_named("shared"));
+    for (auto const* upstream : { "i-1", "i-2", "i-3", "i-4" })
+        CHECK(test.report(0, "shared", upstream) == EndVerdict::MayGoOn);
+}
+
+TEST_CASE("A victim that ended well elsewhere is not blamed for what it met before", "[ends]")
+{
+    ReporterTest test(2);
+    test.report(0, "victim", "i-1");
+    test.report(0, "victim", "i-2");
+    test.machines[0]->reporter.note_good_end(SERVICE, request_named("victim"));
+    CHECK(test.report(0, "victim", "i-3") == EndVerdict::MayGoOn);
+}
--- a/Tests/Platform/StoreStandIn.cpp
+++ b/Tests/Platform/StoreStandIn.cpp
@@ -144,6 +144,8 @@
     }
     if (head.status == 200) {
         ++this->version;
+        for (auto const& row : body["remove"])
+            this->tables[row["table"]].at(row["tls_key"]) = Row { "", this->version, true };
         for (auto const& row : body["set_keys"])
             this->tables[row["table"]][row["tls_key"]] = Row { decode_base64(row["value"]), this->version, false };
         this->notify();
--- a/Tests/Platform/TestCrashingRequest.cpp
+++ b/Tests/Platform/TestCrashingRequest.cpp
@@ -40,6 +40,22 @@
         }
     }
 
+    /// Answers last until their caller leaves or the upstream ends.
+    void answer_slowly()
+    {
+        for (auto const& upstream : this->upstreams) {
+            upstream->events = 400;
+            upstream->event_pause = milliseconds(5);
+        }
+    }
+    int running() const
+    {
+        int sum = 0;
+        for (auto const& upstream : this->upstreams)
+            sum += static_cast<int>(upstream->run.size());
+        return sum;
+    }
+
     /// Upstreams that ended; each took the request once.
     int ended = 0;
 
@@ -78,7 +94,7 @@
         PlatformRegistry::Options options;
         options.address = settings.registry_address;
         this->registry = std::make_unique<PlatformRegistry>(options);
-        this->node = Node::create(this->loop, settings, { this->dialect, *this->registry, *this->registry, "/v1/readyz" }).release_value();
+        this->node = Node::create(this->loop, settings, { this->dialect, *this->registry, *this->registry, *this->registry, "/v1/readyz" }).release_value();
         test.beside = [this] { this->loop.run_for(std::chrono::milliseconds(2)); };
         auto const live = settings.seeds.empty() ? 1 : 2;
         REQUIRE(test.run_until([&] { return this->node->is_ready() && this->sees(live); }));
@@ -134,6 +150,49 @@
     }
 }
 
+TEST_CASE("A caller whose request is kept from upstreams is told at once, truly, and when to come back", "[crashing-request][not-run]")
+{
+    NodeUnderTest test(allow_many_sends);
+    test.configure(1);
+    CrashingUpstreams const upstreams(test, "plain", 5);
+    int answered = 0;
+    for (int i = 0; i < ENDS; ++i)
+        answered += test.call(with_body(test.request("POST", "/once/x", "a" + std::to_string(i)), CRASHING)).head.status == 502 ? 1 : 0;
+    CHECK(answered == ENDS);
+    auto const refused = test.call(with_body(test.request("POST", "/once/x", "b"), CRASHING));
+    CHECK(refused.head.status == 503);
+    CHECK(std::stod(std::string(refused.head.headers.find("Retry-After").value_or("0"))) > 3500);
+    CHECK(upstreams.ended == ENDS);
+    // Another body, another path and another method are other requests.
+    CHECK(test.call(with_body(test.request("POST", "/once/x", "c"), "harmless")).head.status == 200);
+    CHECK(test.call(with_body(test.request("POST", "/safe/x", "d"), "harmless")).head.status == 200);
+    CHECK(test.call(test.request("GET", "/once/x", "e")).head.status == 200);
+}
+
+TEST_CASE("Who ran beside a request that ends upstreams is served, there and when they come again", "[crashing-request]")
+{
+    NodeUnderTest test(allow_many_sends);
+    test.configure(1);
+    UpstreamStandIn prefill(test.loop, "i-p", "prefill");
+    test.list(prefill, "engines");
+    constexpr int UPSTREAMS = 8;
+    CrashingUpstreams upstreams(test, "engines", UPSTREAMS);
+    upstreams.answer_slowly();
+    std::vector<std::shared_ptr<HttpConnection>> victims;
+    constexpr int VICTIMS = 8;
+    for (int i = 0; i < VICTIMS; ++i)
+        victims.push_back(test.begin(with_body(test.model_request("/resumable/x", "v" + std::to_string(i)), "victim " + std::to_string(i))));
+    REQUIRE(test.run_until([&] { return upstreams.running() == VICTIMS; }));
+    for (int i = 0; i < 6; ++i)
+        test.call(with_body(test.model_request("/stream/x", "a" + std::to_string(i)), CRASHING));
+    CHECK(upstreams.ended == ENDS);
+    for (int i = 0; i < VICTIMS; ++i) {
+        victims[static_cast<std::size_t>(i)]->abort();
+        auto const again = test.call(with_body(test.model_request("/resumable/x", "w" + std::to_string(i)), "victim " + std::to_string(i)));
+        CHECK(again.head.status == 200);
+    }
+}
+
 TEST_CASE("What ended upstreams on one VM is known on another", "[crashing-request]")
 {
     NodeUnderTest test(allow_many_sends);
--- a/Tests/Platform/TestDamagedDocuments.cpp
+++ b/Tests/Platform/TestDamagedDocuments.cpp
@@ -85,7 +85,7 @@
     constexpr int ROUNDS = 4000;
     std::mt19937 random(20261203);
     PlatformDialect const dialect;
-    auto const documents = std::array { corpus("server-entry"), corpus("server-report"), corpus("held-cache"), corpus("cached-prompts"), corpus("store-row"), corpus("configuration") };
+    auto const documents = std::array { corpus("server-entry"), corpus("server-report"), corpus("held-cache"), corpus("cached-prompts"), corpus("store-row"), corpus("quarantine-row"), corpus("configuration") };
     int readable = 0;
     for (int round = 0; round < ROUNDS; ++round) {
         for (auto const& document : documents) {
@@ -98,6 +98,11 @@
             if (auto const cache = dialect.read_held_cache(text); !cache.is_error())
                 CHECK(cache.value().handle.find('\r') == std::string::npos);
             static_cast<void>(dialect.read_engine_status(text));
+            if (auto const entry = read_quarantine_row("00112233445566778899aabbccddeeff", text)) {
+                Quarantine quarantine { Quarantine::Options {} };
+                quarantine.merge(*entry, 1'767'225'600'000);
+                CHECK(quarantine.held_for(entry->request, 1'767'225'600'000).value_or(Duration::zero()) < seconds(100 * 3600));
+            }
             static_cast<void>(dialect.read_cached_prompts(text));
             if (auto const read = read_configuration_row(text); !read.is_error()) {
                 RouteTable const table(read.value());
--- a/Tests/Platform/TestPlatformRegistry.cpp
+++ b/Tests/Platform/TestPlatformRegistry.cpp
@@ -95,3 +95,23 @@
     CHECK(test.run(test.registry->read_lease("roles")).error() == PlatformError::Unreachable);
     CHECK(test.run(test.registry->write_lease("roles", "vm-1.7", 0)).error() == PlatformError::Unreachable);
 }
+
+TEST_CASE("The requests that are kept from upstreams come back from the store as they were written, the outdated go", "[quarantine]")
+{
+    RegistryTest test;
+    auto const first = RequestFingerprint::of({ "POST", "h.example", "/x", "", "first" });
+    auto const second = RequestFingerprint::of({ "POST", "h.example", "/x", "", "second" });
+    CHECK(test.run(test.registry->read_quarantine()).value().empty());
+    CHECK_FALSE(test.run(test.registry->write_quarantine({ first, 1, 1000 }, {})).is_error());
+    CHECK_FALSE(test.run(test.registry->write_quarantine({ first, 2, 3000 }, {})).is_error());
+    CHECK(test.run(test.registry->read_quarantine()).value() == std::vector<QuarantineEntry> { { first, 2, 3000 } });
+    CHECK_FALSE(test.run(test.registry->write_quarantine({ second, 1, 5000 }, { first })).is_error());
+    CHECK(test.run(test.registry->read_quarantine()).value() == std::vector<QuarantineEntry> { { second, 1, 5000 } });
+    // A row of another writer names no request, and the others hold.
+    test.store.put("quarantine", "not-a-fingerprint", { { "times", 1 }, { "until", 1 } });
+    test.store.put("quarantine", first.to_hex(), { { "times", "often" } });
+    CHECK(test.run(test.registry->read_quarantine()).value() == std::vector<QuarantineEntry> { { second, 1, 5000 } });
+    test.store.set_fault(StoreStandIn::Fault::Busy);
+    CHECK(test.run(test.registry->read_quarantine()).error() == PlatformError::Unavailable);
+    CHECK(test.run(test.registry->write_quarantine({ first, 1, 1000 }, {})).error() == PlatformError::Unavailable);
+}
