LibRouter: Let a victim wait a tenth of a second at most for who ended its upstream

The answer's own time is now the limit, and of a data centre that counts as cut off nobody reports ends.

--- a/Libraries/LibRouter/EndJudge.h
+++ b/Libraries/LibRouter/EndJudge.h
@@ -38,7 +38,7 @@
     struct Options {
         EndLedger::Options ledger {};
         /// Who reports goes on with the request elsewhere, and callers notice pauses; by then it is told that it may.
-        Duration longest_verdict = milliseconds(100);
+        Duration longest_verdict = milliseconds(80);
         Duration tick = milliseconds(10);
     };
     using Answer = std::function<void(EndVerdict)>;
--- a/Libraries/LibRouter/EndReporter.cpp
+++ b/Libraries/LibRouter/EndReporter.cpp
@@ -131,7 +131,7 @@
 {
     if (judge == this->kernel.virtual_machine())
         return this->own_judge.take(report, std::move(answer));
-    this->kernel.request(this->ranking.endpoint_of(judge), report_message(report), { this->options.answer_time, this->options.silence }, [this, judge, answer](WireReply const& reply) {
+    this->kernel.request(this->ranking.endpoint_of(judge), report_message(report), this->options.answer_time, [this, judge, answer](WireReply const& reply) {
         if (!reply.is_error() && reply.value().has_end_report_answer())
             return answer(reply.value().end_report_answer().is_quarantined() ? EndVerdict::Quarantined : EndVerdict::MayGoOn);
         if (reply.is_error() && reply.error().kind != WireErrorKind::Remote)
--- a/Libraries/LibRouter/EndReporter.h
+++ b/Libraries/LibRouter/EndReporter.h
@@ -14,9 +14,9 @@
 class EndReporter {
 public:
     struct Options {
-        /// Longest wait for a judge's answer, and its silence after which its process is asked whether it is there.
-        Duration answer_time = milliseconds(250);
-        Duration silence = milliseconds(100);
+        /// Longest wait for a judge's answer: what it may take itself, and a path between data centres. Who waits for it is
+        /// mostly a victim, whose caller sees the pause.
+        Duration answer_time = EndJudge::Options {}.longest_verdict + milliseconds(20);
         /// Good ends that are remembered, so that a request that many callers send alike is not blamed for ends. A minute
         /// of what a VM of today carries.
         RecentRequests::Options good_ends { seconds(60), 4096 };
--- a/Libraries/LibRouter/RequestFlow.cpp
+++ b/Libraries/LibRouter/RequestFlow.cpp
@@ -166,7 +166,8 @@
     auto end = this->state.prober.known_end(upstream);
     if (end != ReachabilityProber::End::Ended && error == HttpError::Closed)
         end = co_await this->state.prober.probe_end(upstream);
-    if (end != ReachabilityProber::End::Ended)
+    // Of a data centre that is cut off all connections may be refused.
+    if (end != ReachabilityProber::End::Ended || this->state.reachability->is_cut_off(upstream.data_centre, monotonic_now()))
         co_return false;
     LogLine("upstream_ended")
         .with("request", this->request.identifier)
