LibRouter: Tell the keeper at once of an engine that ended under a stream

What callers saw: other VMs were given places at an engine whose process was gone until its entry lapsed, some seconds later, found nobody there and asked again (169 such sends in the incident's log). Cause: a stream that broke off told the keeper only to place this request elsewhere, since one broken answer says little of an engine; that it was gone was found out by each VM. Now the end is known, and is told with the release. Test: red before (another VM is sent to the dead engine), green after.

--- a/Libraries/LibRouter/StreamFlow.cpp
+++ b/Libraries/LibRouter/StreamFlow.cpp
@@ -412,11 +412,15 @@
             this->events.drop_broken_event();
             if (this->is_stopped())
                 co_return Progress::TryAgain;
-            static_cast<void>(co_await this->has_ended(engine, piece.error(), this->decode_sent_at));
+            bool const has_ended = co_await this->has_ended(engine, piece.error(), this->decode_sent_at);
             if (this->is_stopped())
                 co_return Progress::TryAgain;
-            // One answer that broke off says little of the engine, but this request goes on elsewhere.
-            this->failed_engines.push_back(use.identity());
+            // One answer that broke off says little of the engine, but this request goes on elsewhere. Of one that is gone
+            // the keeper hears at once, which else would give it out until its entry lapses.
+            if (has_ended)
+                this->failed_engine = engine.identity;
+            else
+                this->failed_engines.push_back(engine.identity);
             co_return co_await this->give_up(SendEnd::Lost, to_string(piece.error()));
         }
         this->note_event(monotonic_now());
--- a/Tests/Platform/TestCrashingRequest.cpp
+++ b/Tests/Platform/TestCrashingRequest.cpp
@@ -1,7 +1,9 @@
 // SPDX-FileCopyrightText: 2026 The Spurtide developers
 // SPDX-License-Identifier: BSD-2-Clause
 
+#include <LibCore/LogLine.h>
 #include <Tests/Platform/NodeUnderTest.h>
+#include <algorithm>
 #include <array>
 #include <catch2/catch.hpp>
 
@@ -17,6 +19,9 @@
 constexpr int ENDS = 3;
 constexpr int SENDS_AFTER = 3;
 
+/// Lasts until its caller leaves or its upstream ends, as far as these tests go.
+constexpr int LONG_ANSWER = 400;
+
 constexpr auto CRASHING = "the request that ends whatever runs it";
 
 bool is_prefill(HttpRequest const& request) { return request.head.headers.find("X-Spurtide-Serving-Phase") == "prefill"; }
@@ -40,11 +45,11 @@
         }
     }
 
-    /// Answers last until their caller leaves or the upstream ends.
-    void answer_slowly()
+    /// Answers last so many events of five milliseconds.
+    void answer_with(int events)
     {
         for (auto const& upstream : this->upstreams) {
-            upstream->events = 400;
+            upstream->events = events;
             upstream->event_pause = milliseconds(5);
         }
     }
@@ -56,6 +61,16 @@
         return sum;
     }
 
+    /// Ends the one that began to run a request; false while there is none.
+    bool crash_busy()
+    {
+        auto const busy = std::find_if(this->upstreams.begin(), this->upstreams.end(), [](auto const& upstream) { return !upstream->run.empty(); });
+        if (busy == this->upstreams.end())
+            return false;
+        (*busy)->crash();
+        return true;
+    }
+
     /// Upstreams that ended; each took the request once.
     int ended = 0;
 
@@ -177,7 +192,7 @@
     test.list(prefill, "engines");
     constexpr int UPSTREAMS = 8;
     CrashingUpstreams upstreams(test, "engines", UPSTREAMS);
-    upstreams.answer_slowly();
+    upstreams.answer_with(LONG_ANSWER);
     std::vector<std::shared_ptr<HttpConnection>> victims;
     constexpr int VICTIMS = 8;
     for (int i = 0; i < VICTIMS; ++i)
@@ -218,3 +233,25 @@
     }
     CHECK(upstreams.ended <= ENDS + SENDS_AFTER);
 }
+
+TEST_CASE("Of an engine that ended under a stream no other VM is given places", "[crashing-request][whole]")
+{
+    std::string lines;
+    LogLine::set_observer([&](std::string_view line) { lines.append(line).append("\n"); });
+    NodeUnderTest test(allow_many_sends);
+    test.configure(1);
+    UpstreamStandIn prefill(test.loop, "i-p", "prefill");
+    test.list(prefill, "engines");
+    CrashingUpstreams upstreams(test, "engines", 3);
+    upstreams.answer_with(LONG_ANSWER);
+    OtherVirtualMachine other(test, { test.node->wire_address() });
+    auto const stream = test.begin(test.model_request("/resumable/x", "s"));
+    REQUIRE(test.run_until([&] { return upstreams.running() == 1; }));
+    REQUIRE(upstreams.crash_busy());
+    REQUIRE(test.run_until([&] { return upstreams.running() == 2; }));
+    lines.clear();
+    upstreams.answer_with(2);
+    for (int i = 0; i < 4; ++i)
+        CHECK(other.call(test.model_request("/stream/x", "o" + std::to_string(i))).head.status == 200);
+    CHECK(lines.find("nobody_listens") == std::string::npos);
+}
