Tests: Keep the ports of upstreams that ended, and say who sent what

Suspected: those tests freed ports that their nodes went on connecting to, and another test's stand-in got one. Now a stand-in that ends keeps its port, and the test names what came; the check is as it was.

--- a/Tests/Platform/TestNode.cpp
+++ b/Tests/Platform/TestNode.cpp
@@ -135,7 +135,12 @@
     one.script = script;
     two.script = script;
     auto const answer = test.call(test.request("GET", "/safe/x", "a"));
-    CAPTURE(fault);
+    std::string seen;
+    for (auto const* upstream : { &one, &two }) {
+        for (auto const& request : upstream->requests)
+            seen += upstream->identity + " got " + request.head.method + " " + request.head.target + " of " + std::string(request.head.headers.find("X-Spurtide-Attempt-Id").value_or("nobody")) + "\n";
+    }
+    CAPTURE(fault, seen);
     REQUIRE(answer.head.status == 200);
     REQUIRE(answer.body.starts_with("answer of i-"));
     REQUIRE(one.requests.size() + two.requests.size() == 2);
--- a/Tests/Platform/UpstreamStandIn.cpp
+++ b/Tests/Platform/UpstreamStandIn.cpp
@@ -9,6 +9,7 @@
     : identity(std::move(identity))
     , phase(std::move(phase))
     , loop(loop)
+    , kept_port(loop)
     , server(HttpServer::create(loop, { "127.0.0.1", 0 }, [this](auto& exchange) { return this->take(exchange); }).release_value())
 {
 }
@@ -19,6 +20,10 @@
     this->server->close_idle();
     for (auto* exchange : this->open)
         exchange->abort();
+    asio::ip::tcp::endpoint const endpoint(asio::ip::make_address(this->address().host), static_cast<std::uint16_t>(this->address().port));
+    this->kept_port.open(endpoint.protocol());
+    this->kept_port.set_option(asio::socket_base::reuse_address(true));
+    this->kept_port.bind(endpoint);
 }
 
 asio::awaitable<void> UpstreamStandIn::take(HttpExchange& exchange)
--- a/Tests/Platform/UpstreamStandIn.h
+++ b/Tests/Platform/UpstreamStandIn.h
@@ -61,6 +61,8 @@
 
     asio::io_context& loop;
     std::set<HttpExchange*> open;
+    /// Keeps the port of a process that ended: no other test's process may get it while the node still connects there.
+    asio::ip::tcp::socket kept_port;
     std::unique_ptr<HttpServer> server;
 };
 
