LibRouter: Go through ends only where one is suspect; count what is kept out

A judge went through all ends that it keeps at each report: at 256 ends of 64 requests each some milliseconds, 64 times an end. Now only while somebody waits who was at three ends; the cause does, until its verdict. spurtide_quarantined_requests tells on each VM how many requests are kept out. Tests: those of the judge as before, one more line on the metric.

--- a/Libraries/LibDecision/Quarantine.h
+++ b/Libraries/LibDecision/Quarantine.h
@@ -58,6 +58,7 @@
     Merge merge(QuarantineEntry const& entry, std::int64_t unix_milliseconds);
 
     void forget_old(std::int64_t unix_milliseconds);
+    std::size_t size() const { return this->held.size(); }
     std::vector<QuarantineEntry> entries() const;
     /// The same wherever the same entries are; 0 for none.
     std::uint64_t digest() const;
--- a/Libraries/LibRouter/EndJudge.cpp
+++ b/Libraries/LibRouter/EndJudge.cpp
@@ -4,6 +4,7 @@
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
 #include <LibRouter/EndJudge.h>
+#include <algorithm>
 
 namespace Spurtide {
 
@@ -48,7 +49,9 @@
         this->quarantine.add(who.request);
     }
     auto const is_known = [this](RequestFingerprint const& request) { return this->quarantine.held_for(request).has_value(); };
-    for (auto const& cause : this->ledger.find_causes(is_known, now)) {
+    // Whoever is at its third end waits here for the verdict; without one the ends of a large deployment are not gone through.
+    bool const is_any_suspect = std::any_of(this->waiting.begin(), this->waiting.end(), [this](auto const& who) { return this->ledger.is_suspect(who.request); });
+    for (auto const& cause : is_any_suspect ? this->ledger.find_causes(is_known, now) : std::vector<EndLedger::Cause>()) {
         LogLine("request_quarantined").with("fingerprint", cause.request.to_hex()).with("because", "ended_several").with("ends", static_cast<std::int64_t>(cause.ends));
         this->quarantine.add(cause.request);
     }
--- a/Libraries/LibRouter/QuarantineKeeper.h
+++ b/Libraries/LibRouter/QuarantineKeeper.h
@@ -40,7 +40,8 @@
     std::optional<Duration> held_for(RequestFingerprint const& request) const;
     /// Whether one more end is enough to keep it out again.
     bool is_on_probation(RequestFingerprint const& request) const;
-    std::size_t size() const { return this->quarantine.entries().size(); }
+    /// Those that are kept out, and those on probation.
+    std::size_t size() const { return this->quarantine.size(); }
 
     /// Keeps the request out everywhere from now on.
     void add(RequestFingerprint const& request);
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -420,6 +420,7 @@
     facts.live_virtual_machines = this->live_virtual_machines();
     facts.caller_connections = this->callers->connection_count();
     facts.running_requests = this->callers->exchange_count();
+    facts.quarantined_requests = this->quarantine->size();
     facts.keeping = this->placement->is_keeper() ? NodeFacts::Keeping::This : NodeFacts::Keeping::Others;
     if (!this->relay->watches())
         facts.upstreams_source = NodeFacts::Source::Peers;
--- a/Services/NodeServer/NodeMetrics.h
+++ b/Services/NodeServer/NodeMetrics.h
@@ -23,6 +23,7 @@
     std::size_t live_virtual_machines = 0;
     std::size_t caller_connections = 0;
     std::size_t running_requests = 0;
+    std::size_t quarantined_requests = 0;
     enum class Keeping {
         Others,
         This,
--- a/Tests/Platform/TestCrashingRequest.cpp
+++ b/Tests/Platform/TestCrashingRequest.cpp
@@ -176,6 +176,8 @@
     CHECK(answered == ENDS);
     auto const refused = test.call(with_body(test.request("POST", "/once/x", "b"), CRASHING));
     CHECK(refused.head.status == 503);
+    auto const metrics = test.call(test.node->operations_address(), test.request("GET", "/metrics", "m"));
+    CHECK(metrics.body.find("spurtide_quarantined_requests 1\n") != std::string::npos);
     CHECK(std::stod(std::string(refused.head.headers.find("Retry-After").value_or("0"))) > 3500);
     CHECK(upstreams.ended == ENDS);
     // Another body, another path and another method are other requests.
