--- a/Libraries/LibDecision/Quarantine.h
+++ b/Libraries/LibDecision/Quarantine.h
@@ -30,9 +30,9 @@
     struct Options {
         /// Three upstreams in an hour is what a request may cost that a repair of the upstreams made harmless or not.
         Duration first_hold = seconds(3600);
-        Duration longest_hold = seconds(24 * 3600);
+        Duration longest_hold = seconds(86400);
         /// For so long after it one more end is enough.
-        Duration probation = seconds(24 * 3600);
+        Duration probation = seconds(86400);
         /// Some 100 bytes each; all go to a VM that lacks one. Those that end first go first.
         std::size_t most = 1024;
     };
--- a/Libraries/LibRouter/QuotaClient.cpp
+++ b/Libraries/LibRouter/QuotaClient.cpp
@@ -107,7 +107,7 @@
         ask.used_before = this->credit.use_by_eighths(account, monotonic_now());
         ask.known_use = this->credit.known_use(account, monotonic_now());
     }
-    auto const answer = this->own_counter.take(account, ask, standing);
+    auto answer = this->own_counter.take(account, ask, standing);
     if (answer)
         this->counters[account] = this->kernel.incarnation();
     return answer;
