--- a/Libraries/LibRouter/EndReporter.cpp
+++ b/Libraries/LibRouter/EndReporter.cpp
@@ -16,8 +16,7 @@
 
 wire::Envelope report_message(EndReport const& report)
 {
-    wire::Envelope envelope;
-    envelope.set_service(std::string(QUARANTINE_SERVICE));
+    auto envelope = message_to(QUARANTINE_SERVICE);
     auto* message = envelope.mutable_end_report();
     message->set_service(report.service);
     message->set_fingerprint(report.request.to_bytes());
@@ -147,8 +146,7 @@
     this->good_ends.note(request, now);
     if (!this->reported.contains(request, now))
         return;
-    wire::Envelope envelope;
-    envelope.set_service(std::string(QUARANTINE_SERVICE));
+    auto envelope = message_to(QUARANTINE_SERVICE);
     envelope.mutable_good_end()->set_service(service);
     envelope.mutable_good_end()->set_fingerprint(request.to_bytes());
     for (auto const& judge : this->judges(service)) {
--- a/Libraries/LibRouter/PlacementClient.cpp
+++ b/Libraries/LibRouter/PlacementClient.cpp
@@ -16,13 +16,6 @@
 /// A keeper and the one that follows it; after them this VM decides for itself.
 constexpr std::size_t REMOTE_TRIES = 2;
 
-wire::Envelope placement_message()
-{
-    wire::Envelope envelope;
-    envelope.set_service(std::string(PLACEMENT_SERVICE));
-    return envelope;
-}
-
 CallerVisit read_visit(bool is_return) { return is_return ? CallerVisit::Return : CallerVisit::First; }
 
 /// A caller that turns out to come back is decided about later.
@@ -30,7 +23,7 @@
 
 wire::Envelope release_message(std::string const& request, std::int64_t output_tokens, PlacementClient::EngineFaults const& faults)
 {
-    auto envelope = placement_message();
+    auto envelope = message_to(PLACEMENT_SERVICE);
     envelope.mutable_release()->set_request(request);
     envelope.mutable_release()->set_output_tokens(output_tokens);
     envelope.mutable_release()->set_failed_engine(faults.failed);
@@ -58,7 +51,7 @@
 
 wire::Envelope PlacementClient::ask_message(PlacementAsk const& ask, AskTimes const& times, Duration spent) const
 {
-    auto envelope = placement_message();
+    auto envelope = message_to(PLACEMENT_SERVICE);
     auto* message = envelope.mutable_placement_ask();
     message->set_request(ask.request);
     message->set_account(ask.account);
@@ -145,7 +138,7 @@
         return;
     found->second.phase = progress;
     found->second.since = monotonic_now();
-    auto envelope = placement_message();
+    auto envelope = message_to(PLACEMENT_SERVICE);
     envelope.mutable_progress()->set_request(request);
     envelope.mutable_progress()->set_progress(wire_progress(progress));
     this->send(std::move(envelope));
@@ -182,7 +175,7 @@
     auto const keeper = this->present_keeper();
     if (this->held.empty())
         return;
-    auto envelope = placement_message();
+    auto envelope = message_to(PLACEMENT_SERVICE);
     auto* records = envelope.mutable_grant_records();
     records->set_origin(this->kernel.incarnation());
     auto const now = monotonic_now();
--- a/Libraries/LibRouter/QuarantineKeeper.cpp
+++ b/Libraries/LibRouter/QuarantineKeeper.cpp
@@ -12,13 +12,6 @@
 
 constexpr Duration HOUSEKEEPING = seconds(10);
 
-wire::Envelope quarantine_message()
-{
-    wire::Envelope envelope;
-    envelope.set_service(std::string(QUARANTINE_SERVICE));
-    return envelope;
-}
-
 void write_entry(QuarantineEntry const& entry, wire::QuarantineRecord& message)
 {
     message.set_fingerprint(entry.request.to_bytes());
@@ -58,7 +51,7 @@
 
 void QuarantineKeeper::tell_all(QuarantineEntry const& entry)
 {
-    auto envelope = quarantine_message();
+    auto envelope = message_to(QUARANTINE_SERVICE);
     write_entry(entry, *envelope.mutable_quarantine_records()->add_records());
     for (auto const& name : this->kernel.directory().virtual_machines_with(PLACEMENT_SERVICE)) {
         if (name != this->kernel.virtual_machine())
@@ -140,7 +133,7 @@
     // A VM that has none has nothing to tell.
     if (other == 0 || other == this->digest() || endpoint.empty() || std::exchange(this->is_fetching, true))
         return;
-    auto envelope = quarantine_message();
+    auto envelope = message_to(QUARANTINE_SERVICE);
     envelope.mutable_get_quarantine();
     this->kernel.request(endpoint, std::move(envelope), this->options.fetch_timeout, [this](WireReply const& reply) {
         this->is_fetching = false;
--- a/Libraries/LibRouter/QuotaClient.cpp
+++ b/Libraries/LibRouter/QuotaClient.cpp
@@ -15,13 +15,6 @@
 /// The VM that counts and the one that stands in for it.
 constexpr std::size_t MOST_ASKED = 2;
 
-wire::Envelope quota_message()
-{
-    wire::Envelope envelope;
-    envelope.set_service(std::string(QUOTA_SERVICE));
-    return envelope;
-}
-
 /// A reply on its way to the coroutine that waits for it.
 struct PendingReply {
     explicit PendingReply(asio::any_io_executor const& executor)
@@ -116,7 +109,7 @@
 asio::awaitable<std::optional<QuotaLedger::Answer>> QuotaClient::ask(std::string virtual_machine, std::string account, double cost, Duration patience)
 {
     auto const ask = this->ask_for(account, cost, patience);
-    auto envelope = quota_message();
+    auto envelope = message_to(QUOTA_SERVICE);
     auto* message = envelope.mutable_quota_ask();
     message->set_account(account);
     message->set_needed(ask.needed);
@@ -180,7 +173,7 @@
             this->own_counter.give_back(unused.account, unused.amount);
             continue;
         }
-        auto envelope = quota_message();
+        auto envelope = message_to(QUOTA_SERVICE);
         envelope.mutable_quota_return()->set_account(unused.account);
         envelope.mutable_quota_return()->set_amount(unused.amount);
         this->kernel.notify(endpoint, std::move(envelope));
--- a/Libraries/LibRouter/RegistryRelay.cpp
+++ b/Libraries/LibRouter/RegistryRelay.cpp
@@ -158,8 +158,7 @@
 
 void RegistryRelay::fetch_configuration(std::string const& endpoint)
 {
-    wire::Envelope envelope;
-    envelope.set_service(std::string(CONFIGURATION_SERVICE));
+    auto envelope = message_to(CONFIGURATION_SERVICE);
     envelope.mutable_get_configuration()->set_known_generation(this->hooks.configuration_version());
     this->kernel.request(endpoint, std::move(envelope), FETCH_TIMEOUT, [this, endpoint](WireReply const& reply) {
         if (!reply.is_error() && reply.value().has_configuration_content())
@@ -181,8 +180,7 @@
 
 void RegistryRelay::fetch_upstreams(std::string const& endpoint)
 {
-    wire::Envelope envelope;
-    envelope.set_service(std::string(CONFIGURATION_SERVICE));
+    auto envelope = message_to(CONFIGURATION_SERVICE);
     envelope.mutable_get_upstreams()->set_known_version(this->upstreams.version());
     this->kernel.request(endpoint, std::move(envelope), FETCH_TIMEOUT, [this, endpoint](WireReply const& reply) {
         if (!reply.is_error() && reply.value().has_upstreams_content())
--- a/Libraries/LibWire/Kernel.cpp
+++ b/Libraries/LibWire/Kernel.cpp
@@ -72,6 +72,13 @@
     return NAMES.at(static_cast<std::size_t>(kind));
 }
 
+wire::Envelope message_to(std::string_view service)
+{
+    wire::Envelope envelope;
+    envelope.set_service(std::string(service));
+    return envelope;
+}
+
 wire::Envelope error_reply(wire::ErrorCode code)
 {
     wire::Envelope reply;
@@ -314,8 +321,7 @@
 
     void ask_for_life(std::uint64_t correlation, std::shared_ptr<asio::steady_timer> const& timer, Duration silence)
     {
-        wire::Envelope ping;
-        ping.set_service(std::string(KERNEL_SERVICE));
+        auto ping = message_to(KERNEL_SERVICE);
         ping.mutable_acknowledgement();
         auto const endpoint = this->pending.at(correlation).endpoint;
         this->send_request(endpoint, std::move(ping), { silence, {} }, [this, correlation, timer, silence](WireReply const& reply) {
--- a/Libraries/LibWire/Kernel.h
+++ b/Libraries/LibWire/Kernel.h
@@ -126,6 +126,8 @@
     std::unique_ptr<Core> core;
 };
 
+/// An empty message to a service.
+wire::Envelope message_to(std::string_view service);
 /// An error reply with a code.
 wire::Envelope error_reply(wire::ErrorCode code);
 
--- a/Services/ConfigServer/MembershipService.cpp
+++ b/Services/ConfigServer/MembershipService.cpp
@@ -165,8 +165,7 @@
 {
     if (endpoint.empty())
         return;
-    wire::Envelope envelope;
-    envelope.set_service(std::string(DIRECTORY));
+    auto envelope = message_to(DIRECTORY);
     auto* heartbeat = envelope.mutable_heartbeat();
     heartbeat->set_vm(this->options.virtual_machine);
     for (auto const& digest : this->table.digests_for(virtual_machine))
@@ -218,8 +217,7 @@
     this->on_quarantine_digest(endpoint, answer.quarantine_digest());
     if (wanted.empty() && answer.wanted().empty() && answer.wanted_keys().empty())
         return;
-    wire::Envelope envelope;
-    envelope.set_service(std::string(DIRECTORY));
+    auto envelope = message_to(DIRECTORY);
     this->add_records({ answer.wanted().begin(), answer.wanted().end() }, *envelope.mutable_member_records()->mutable_records());
     for (auto const& record : this->table.records_of({ answer.wanted_keys().data(), static_cast<std::size_t>(answer.wanted_keys_size()) }))
         write_record(record, *envelope.mutable_member_records()->add_records());
