--- a/Libraries/LibAccounts/KeyDigest.cpp
+++ b/Libraries/LibAccounts/KeyDigest.cpp
@@ -2,6 +2,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 
 #include <LibAccounts/KeyDigest.h>
+#include <LibCore/Hex.h>
 #include <cstring>
 #include <openssl/sha.h>
 
@@ -15,17 +16,7 @@
     return digest;
 }
 
-std::string KeyDigest::to_hex() const
-{
-    constexpr std::string_view DIGITS = "0123456789abcdef";
-    std::string text;
-    text.reserve(SIZE * 2);
-    for (auto const byte : this->bytes) {
-        text.push_back(DIGITS[byte >> 4U]);
-        text.push_back(DIGITS[byte & 0xFU]);
-    }
-    return text;
-}
+std::string KeyDigest::to_hex() const { return Spurtide::to_hex(this->bytes); }
 
 std::size_t KeyDigest::hash() const
 {
--- a/Libraries/LibDecision/RequestFingerprint.cpp
+++ b/Libraries/LibDecision/RequestFingerprint.cpp
@@ -1,6 +1,7 @@
 // SPDX-FileCopyrightText: 2026 The Spurtide developers
 // SPDX-License-Identifier: BSD-2-Clause
 
+#include <LibCore/Hex.h>
 #include <LibDecision/RequestFingerprint.h>
 #include <algorithm>
 #include <cstdint>
@@ -8,12 +9,6 @@
 
 namespace Spurtide {
 
-namespace {
-
-constexpr std::string_view DIGITS = "0123456789abcdef";
-
-}
-
 RequestFingerprint RequestFingerprint::of(Parts const& parts)
 {
     // The lengths go first: otherwise parts that are divided in another way would be the same.
@@ -41,24 +36,14 @@
 
 std::optional<RequestFingerprint> RequestFingerprint::from_hex(std::string_view text)
 {
-    if (text.size() != SIZE * 2 || text.find_first_not_of(DIGITS) != std::string_view::npos)
+    if (text.size() != SIZE * 2 || text.find_first_not_of(HEX_DIGITS) != std::string_view::npos)
         return {};
     RequestFingerprint fingerprint;
     for (std::size_t i = 0; i < SIZE; ++i)
-        fingerprint.bytes.at(i) = static_cast<char>(DIGITS.find(text[2 * i]) * DIGITS.size() + DIGITS.find(text[2 * i + 1]));
+        fingerprint.bytes.at(i) = static_cast<unsigned char>(HEX_DIGITS.find(text[2 * i]) * HEX_DIGITS.size() + HEX_DIGITS.find(text[2 * i + 1]));
     return fingerprint;
 }
 
-std::string RequestFingerprint::to_hex() const
-{
-    std::string text;
-    text.reserve(SIZE * 2);
-    for (auto const byte : this->bytes) {
-        auto const value = static_cast<unsigned char>(byte);
-        text.push_back(DIGITS[value >> 4U]);
-        text.push_back(DIGITS[value & 0xFU]);
-    }
-    return text;
-}
+std::string RequestFingerprint::to_hex() const { return Spurtide::to_hex(this->bytes); }
 
 }
--- a/Libraries/LibDecision/RequestFingerprint.h
+++ b/Libraries/LibDecision/RequestFingerprint.h
@@ -39,7 +39,7 @@
 
 private:
     static constexpr std::size_t SIZE = 16;
-    std::array<char, SIZE> bytes {};
+    std::array<unsigned char, SIZE> bytes {};
 };
 
 }
