LibAccounts: Keep windows of use in one class

The ledger and the credit of a VM each kept a ring of slices with the same advance, and the ledger two of them since it assumes what others used, with the same index in nine places.

--- a/Libraries/LibAccounts/QuotaCredit.cpp
+++ b/Libraries/LibAccounts/QuotaCredit.cpp
@@ -21,19 +21,11 @@
 
 QuotaCredit::Entry& QuotaCredit::entry_of(std::string_view account, MonotonicTime now)
 {
-    auto const present = this->slice_at(now);
     auto found = this->entries.find(account);
-    if (found == this->entries.end()) {
+    if (found == this->entries.end())
         found = this->entries.emplace(std::string(account), Entry {}).first;
-        found->second.slice = present;
-    }
-    auto& entry = found->second;
-    // Slices that time has passed over begin empty.
-    auto const passed = std::min<std::int64_t>(static_cast<std::int64_t>(SLICES), present - entry.slice);
-    for (std::int64_t i = 1; i <= passed; ++i)
-        entry.used.at(static_cast<std::size_t>(entry.slice + i) % SLICES) = 0;
-    entry.slice = std::max(entry.slice, present);
-    return entry;
+    found->second.used.advance(this->slice_at(now));
+    return found->second;
 }
 
 QuotaCredit::Outcome QuotaCredit::spend(std::string_view account, double cost, MonotonicTime now)
@@ -42,7 +34,7 @@
     if (now >= entry.keep_until || entry.credit < cost)
         return Outcome::MustAsk;
     entry.credit -= cost;
-    entry.used.at(static_cast<std::size_t>(entry.slice) % SLICES) += cost;
+    entry.used.at(0) += cost;
     return Outcome::Spent;
 }
 
@@ -51,18 +43,9 @@
     auto const found = this->entries.find(account);
     if (found == this->entries.end())
         return {};
-    auto const& entry = found->second;
-    auto const present = this->slice_at(now);
-    std::vector<double> used;
-    used.reserve(SLICES);
-    for (std::int64_t age = 0; age < static_cast<std::int64_t>(SLICES); ++age) {
-        auto const slice = present - age;
-        bool const is_kept = slice >= 0 && slice <= entry.slice && entry.slice - slice < static_cast<std::int64_t>(SLICES);
-        used.push_back(is_kept ? entry.used.at(static_cast<std::size_t>(slice) % SLICES) : 0);
-    }
-    while (!used.empty() && used.back() == 0)
-        used.pop_back();
-    return used;
+    auto used = found->second.used;
+    used.advance(this->slice_at(now));
+    return used.sums_of(1);
 }
 
 double QuotaCredit::used_in_window(std::string_view account, MonotonicTime now) const
@@ -87,8 +70,7 @@
     std::vector<double> use(static_cast<std::size_t>(std::max<std::int64_t>(0, passed)), 0.0);
     use.insert(use.end(), found->second.known_use.begin(), found->second.known_use.end());
     use.resize(std::min(use.size(), SLICES));
-    while (!use.empty() && use.back() == 0)
-        use.pop_back();
+    WindowUse<SLICES>::drop_empty_end(use);
     return use;
 }
 
@@ -108,7 +90,7 @@
 void QuotaCredit::give_back(std::string_view account, double cost, MonotonicTime now)
 {
     auto& entry = this->entry_of(account, now);
-    auto& used = entry.used.at(static_cast<std::size_t>(entry.slice) % SLICES);
+    auto& used = entry.used.at(0);
     used = std::max(0.0, used - cost);
     this->add(account, cost, now);
 }
@@ -130,7 +112,7 @@
             all.push_back({ account, amount });
     }
     auto const oldest = this->slice_at(now) - static_cast<std::int64_t>(SLICES);
-    std::erase_if(this->entries, [&](auto const& entry) { return entry.second.slice <= oldest && entry.second.credit <= 0; });
+    std::erase_if(this->entries, [&](auto const& entry) { return entry.second.used.newest() <= oldest && entry.second.credit <= 0; });
     return all;
 }
 
--- a/Libraries/LibAccounts/QuotaCredit.h
+++ b/Libraries/LibAccounts/QuotaCredit.h
@@ -3,8 +3,8 @@
 
 #pragma once
 
+#include <LibAccounts/WindowUse.h>
 #include <LibCore/Time.h>
-#include <array>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -65,11 +65,9 @@
     struct Entry {
         double credit = 0;
         MonotonicTime keep_until;
-        std::array<double, SLICES> used {};
+        WindowUse<SLICES> used;
         std::vector<double> known_use {};
         MonotonicTime known_at;
-        /// Number of the newest slice.
-        std::int64_t slice = 0;
     };
 
     std::int64_t slice_at(MonotonicTime now) const;
--- a/Libraries/LibAccounts/QuotaLedger.cpp
+++ b/Libraries/LibAccounts/QuotaLedger.cpp
@@ -22,10 +22,6 @@
 
 }
 
-double QuotaLedger::Entry::sum() const { return std::accumulate(this->used.begin(), this->used.end(), 0.0); }
-
-double QuotaLedger::Entry::sum_elsewhere() const { return std::accumulate(this->used_elsewhere.begin(), this->used_elsewhere.end(), 0.0); }
-
 QuotaLedger::QuotaLedger(Options options)
     : options(options)
     , slice_length(std::max(Duration { 1 }, options.window / static_cast<std::int64_t>(SLICES - 1)))
@@ -56,9 +52,10 @@
 {
     Entry entry;
     entry.limit = limit;
-    entry.slice = this->slice_at(now);
+    entry.used.advance(this->slice_at(now));
+    entry.used_elsewhere.advance(this->slice_at(now));
     entry.used.fill(limit.rate * to_seconds(this->options.window) * share.forgotten / static_cast<double>(SLICES));
-    entry.used.at(static_cast<std::size_t>(entry.slice) % SLICES) += limit.burst * share.forgotten;
+    entry.used.at(0) += limit.burst * share.forgotten;
     entry.at_once = this->reserve(limit) * (1 - share.forgotten);
     this->remove_use(entry, this->unknown_start(limit) * share.forgotten);
     entry.filled = now;
@@ -69,13 +66,8 @@
 {
     entry.at_once = std::min(this->reserve(entry.limit), entry.at_once + entry.limit.rate * std::max(0.0, to_seconds(std::chrono::duration_cast<Duration>(now - entry.filled))));
     entry.filled = std::max(entry.filled, now);
-    auto const present = this->slice_at(now);
-    auto const passed = std::min<std::int64_t>(static_cast<std::int64_t>(SLICES), present - entry.slice);
-    for (std::int64_t i = 1; i <= passed; ++i) {
-        entry.used.at(static_cast<std::size_t>(entry.slice + i) % SLICES) = 0;
-        entry.used_elsewhere.at(static_cast<std::size_t>(entry.slice + i) % SLICES) = 0;
-    }
-    entry.slice = std::max(entry.slice, present);
+    entry.used.advance(this->slice_at(now));
+    entry.used_elsewhere.advance(this->slice_at(now));
     while (!entry.bookings.empty() && entry.bookings.front().at <= now)
         entry.bookings.pop_front();
 }
@@ -91,13 +83,9 @@
     // has the new burst at once and the new rate from then on.
     if (this->allowance(limit) < this->allowance(entry.limit)) {
         auto const most = limit.rate * to_seconds(this->options.window);
-        auto const used = entry.sum();
-        for (auto& slice : entry.used)
-            slice *= used > most ? most / used : 1;
-        auto const elsewhere = entry.sum_elsewhere();
-        auto const rest = std::max(0.0, most - used);
-        for (auto& slice : entry.used_elsewhere)
-            slice *= elsewhere > rest ? rest / elsewhere : 1;
+        auto const rest = std::max(0.0, most - entry.used.sum());
+        entry.used.limit_sum(most);
+        entry.used_elsewhere.limit_sum(rest);
     }
     entry.at_once = std::min(this->reserve(limit), entry.at_once + std::max(0.0, this->reserve(limit) - this->reserve(entry.limit)));
     entry.limit = limit;
@@ -109,19 +97,9 @@
 {
     for (std::size_t i = 0; i < used.size() && i * SLICES_IN_EIGHTH < SLICES; ++i) {
         auto const age = i == 0 ? 0 : (i - 1) * SLICES_IN_EIGHTH;
-        entry.used.at(static_cast<std::size_t>(entry.slice + static_cast<std::int64_t>(SLICES - age)) % SLICES) += used[i] / part;
-        remove_use_elsewhere(entry, used[i] / part);
-    }
-}
-
-// From the oldest on: what is left to assume is kept for as long as it may be.
-void QuotaLedger::remove_use_elsewhere(Entry& entry, double amount)
-{
-    for (std::size_t age = SLICES; age-- > 0 && amount > 0;) {
-        auto& slice = entry.used_elsewhere.at(static_cast<std::size_t>(entry.slice + static_cast<std::int64_t>(SLICES - age)) % SLICES);
-        auto const removed = std::min(slice, amount);
-        slice -= removed;
-        amount -= removed;
+        entry.used.at(age) += used[i] / part;
+        // From the oldest on: what is left to assume is kept for as long as it may be.
+        entry.used_elsewhere.remove_from_oldest(used[i] / part);
     }
 }
 
@@ -129,35 +107,25 @@
 void QuotaLedger::add_known_use(Entry& entry, std::vector<double> const& known)
 {
     auto const all = std::accumulate(known.begin(), known.end(), 0.0);
-    auto const missing = all - entry.sum() - entry.sum_elsewhere();
+    auto const missing = all - entry.sum_of_both();
     if (missing <= 0)
         return;
     for (std::size_t i = 0; i < known.size() && i * SLICES_IN_EIGHTH < SLICES; ++i)
-        entry.used_elsewhere.at(static_cast<std::size_t>(entry.slice + static_cast<std::int64_t>(SLICES - i * SLICES_IN_EIGHTH)) % SLICES) += known[i] * missing / all;
+        entry.used_elsewhere.at(i * SLICES_IN_EIGHTH) += known[i] * missing / all;
 }
 
 std::vector<double> QuotaLedger::use_by_eighths(Entry const& entry)
 {
-    std::vector<double> use((SLICES + SLICES_IN_EIGHTH - 1) / SLICES_IN_EIGHTH, 0.0);
-    for (std::size_t age = 0; age < SLICES; ++age) {
-        auto const slice = static_cast<std::size_t>(entry.slice + static_cast<std::int64_t>(SLICES - age)) % SLICES;
-        use.at(age / SLICES_IN_EIGHTH) += entry.used.at(slice) + entry.used_elsewhere.at(slice);
-    }
-    while (!use.empty() && use.back() == 0)
-        use.pop_back();
-    return use;
+    auto both = entry.used;
+    both += entry.used_elsewhere;
+    return both.sums_of(SLICES_IN_EIGHTH);
 }
 
 // From the newest slice back: what was not used was given lately.
 void QuotaLedger::remove_use(Entry& entry, double amount) const
 {
     entry.at_once = std::min(this->reserve(entry.limit), entry.at_once + amount);
-    for (std::size_t age = 0; age < SLICES && amount > 0; ++age) {
-        auto& slice = entry.used.at(static_cast<std::size_t>(entry.slice + static_cast<std::int64_t>(SLICES - age)) % SLICES);
-        auto const removed = std::min(slice, amount);
-        slice -= removed;
-        amount -= removed;
-    }
+    entry.used.remove_from_newest(amount);
 }
 
 // The time when enough use has left the window for this caller and for those who were told to come before it.
@@ -166,17 +134,17 @@
     double booked = 0;
     for (auto const& booking : entry.bookings)
         booked += booking.amount;
-    auto const over_part = entry.sum() - allowed;
-    auto const over_whole = entry.sum() + entry.sum_elsewhere() - this->allowance(entry.limit);
+    auto const over_part = entry.used.sum() - allowed;
+    auto const over_whole = entry.sum_of_both() - this->allowance(entry.limit);
     auto missing = std::max(over_part, over_whole) + booked + needed;
     auto const paced = now + from_seconds(std::max(0.0, booked + needed - entry.at_once) / entry.limit.rate);
     auto at = now;
     for (std::size_t age = SLICES; age-- > 0 && missing > 0;) {
-        auto const slice = entry.slice - static_cast<std::int64_t>(age);
+        auto const slice = entry.used.newest() - static_cast<std::int64_t>(age);
         if (slice < 0)
             continue;
-        missing -= entry.used.at(static_cast<std::size_t>(slice) % SLICES);
-        missing -= over_whole > over_part ? entry.used_elsewhere.at(static_cast<std::size_t>(slice) % SLICES) : 0;
+        missing -= entry.used.at(age);
+        missing -= over_whole > over_part ? entry.used_elsewhere.at(age) : 0;
         at = MonotonicTime(this->slice_length * (slice + static_cast<std::int64_t>(SLICES)));
     }
     at = std::max(paced, at + from_seconds(std::max(0.0, missing) / entry.limit.rate));
@@ -200,9 +168,9 @@
     auto const allowed = this->allowance(limit) * share.most;
     auto const needed = ask.needed / part;
     auto const wanted = std::max(ask.needed, ask.wanted) / part;
-    auto const used = entry.sum();
+    auto const used = entry.used.sum();
     // What is larger than a whole window's passes alone in one.
-    auto const elsewhere = entry.sum_elsewhere();
+    auto const elsewhere = entry.used_elsewhere.sum();
     auto const whole = this->allowance(limit);
     // Beside what others had used before nothing is given beyond the whole, however much of its part is left.
     bool const is_within_window = used + std::min(needed, allowed) <= allowed && used + elsewhere + std::min(needed, whole) <= whole;
@@ -211,7 +179,7 @@
         return { 0, this->book_return(entry, needed, allowed, ask.patience, now), use_by_eighths(entry) };
     bool const is_ample = used + elsewhere + wanted <= (1 - AMPLE_PART) * allowed && wanted <= AMPLE_PART * entry.at_once;
     auto const granted = is_ample ? wanted : needed;
-    entry.used.at(static_cast<std::size_t>(entry.slice) % SLICES) += granted;
+    entry.used.at(0) += granted;
     entry.at_once = std::max(0.0, entry.at_once - granted);
     return { granted * part, {}, use_by_eighths(entry) };
 }
@@ -239,7 +207,7 @@
     if (found == this->entries.end())
         return {};
     this->advance(found->second, now);
-    return std::max(0.0, 1 - (found->second.sum() + found->second.sum_elsewhere()) / this->allowance(found->second.limit));
+    return std::max(0.0, 1 - found->second.sum_of_both() / this->allowance(found->second.limit));
 }
 
 }
--- a/Libraries/LibAccounts/QuotaLedger.h
+++ b/Libraries/LibAccounts/QuotaLedger.h
@@ -4,8 +4,8 @@
 #pragma once
 
 #include <LibAccounts/AccountBook.h>
+#include <LibAccounts/WindowUse.h>
 #include <LibCore/Time.h>
-#include <array>
 #include <deque>
 #include <map>
 #include <string>
@@ -101,19 +101,16 @@
     struct Entry {
         AccountLimit limit;
         double part = 1;
-        /// Number of the newest slice.
-        std::int64_t slice = 0;
-        std::array<double, SLICES> used {};
+        WindowUse<SLICES> used;
         /// What others used beyond that and told no ledger here. What they tell takes its place.
-        std::array<double, SLICES> used_elsewhere {};
+        WindowUse<SLICES> used_elsewhere;
         /// What may be used at once, filled at the rate.
         double at_once = 0;
         MonotonicTime filled;
         /// Callers who were told when to come back.
         std::deque<Booking> bookings;
 
-        double sum() const;
-        double sum_elsewhere() const;
+        double sum_of_both() const { return this->used.sum() + this->used_elsewhere.sum(); }
     };
 
     std::int64_t slice_at(MonotonicTime now) const;
@@ -126,7 +123,6 @@
     void advance(Entry& entry, MonotonicTime now) const;
     static void add_earlier_use(Entry& entry, std::vector<double> const& used, double part);
     static void add_known_use(Entry& entry, std::vector<double> const& known);
-    static void remove_use_elsewhere(Entry& entry, double amount);
     static std::vector<double> use_by_eighths(Entry const& entry);
     Duration book_return(Entry& entry, double needed, double allowed, Duration patience, MonotonicTime now) const;
 
