--- a/Libraries/LibAccounts/QuotaLedger.cpp
+++ b/Libraries/LibAccounts/QuotaLedger.cpp
@@ -53,7 +53,6 @@
     Entry entry;
     entry.limit = limit;
     entry.used.advance(this->slice_at(now));
-    entry.used_elsewhere.advance(this->slice_at(now));
     entry.used.fill(limit.rate * to_seconds(this->options.window) * share.forgotten / static_cast<double>(SLICES));
     entry.used.at(0) += limit.burst * share.forgotten;
     entry.at_once = this->reserve(limit) * (1 - share.forgotten);
--- a/Libraries/LibAccounts/WindowUse.h
+++ b/Libraries/LibAccounts/WindowUse.h
@@ -76,7 +76,7 @@
 private:
     static void remove(double& slice, double& amount)
     {
-        auto const removed = std::min(slice, amount);
+        auto const removed = std::min(slice, std::max(0.0, amount));
         slice -= removed;
         amount -= removed;
     }
