--- a/Libraries/LibRouter/RequestFlow.cpp
+++ b/Libraries/LibRouter/RequestFlow.cpp
@@ -81,15 +81,8 @@
             flow->stop(StopReason::OutOfTime);
     });
     this->state.budget_of(this->service).note_request(monotonic_now());
-    // What ends whatever runs it is not let in, and costs its account nothing.
-    if (this->state.quarantine->held_for(this->fingerprint))
-        this->stop(StopReason::Quarantined);
-    bool may_go_on = !this->is_stopped();
-    if (may_go_on)
-        may_go_on = co_await this->is_within_limit();
-    else
-        co_await this->answer_stopped();
-    if (may_go_on) {
+    bool const is_let_in = co_await this->let_in();
+    if (is_let_in) {
         if (this->is_stopped())
             co_await this->answer_stopped();
         else
@@ -102,8 +95,14 @@
     this->limit.cancel();
 }
 
-asio::awaitable<bool> RequestFlow::is_within_limit()
+asio::awaitable<bool> RequestFlow::let_in()
 {
+    // What ends whatever runs it costs its account nothing.
+    if (this->state.quarantine->held_for(this->fingerprint)) {
+        this->stop(StopReason::Quarantined);
+        co_await this->answer_stopped();
+        co_return false;
+    }
     if (this->cost <= 0)
         co_return true;
     auto const decision = co_await this->state.quota->take(this->account, this->cost, this->patience_left());
--- a/Libraries/LibRouter/RequestFlow.h
+++ b/Libraries/LibRouter/RequestFlow.h
@@ -97,8 +97,9 @@
 private:
     void stop(StopReason reason);
     void check_key();
-    /// Counts the request against its account's limit; answers it where it is over.
-    asio::awaitable<bool> is_within_limit();
+    /// Whether the request may be carried: not where it is kept from upstreams or over its account's limit, against which
+    /// it is counted. Answers it where it may not.
+    asio::awaitable<bool> let_in();
     asio::awaitable<void> reject(int status, std::string_view reason, std::optional<Duration> retry_after);
 
     StopReason stop_reason = StopReason::None;
