LibRouter: Call a crash a crash

Classes, messages, log lines and metrics spoke of ends, judges and good ends, which a reader of this field does not expect: CrashLedger, CrashAnalyzer, CrashReporter, UpstreamIncarnation, report_crash, upstream_crashed. The timers of CrashAnalyzer and EngineKeeper touch nothing where they are cancelled, which only their owner's end does.

--- a/Libraries/LibDecision/Quarantine.cpp
+++ b/Libraries/LibDecision/Quarantine.cpp
@@ -45,7 +45,7 @@
 
 Quarantine::Merge Quarantine::merge(QuarantineEntry const& entry, std::int64_t unix_milliseconds)
 {
-    // One that ends later than any hold is of a clock that is wrong, or of nobody who should write here.
+    // One that lasts longer than any hold is of a clock that is wrong, or of nobody who should write here.
     bool const is_in_range = entry.times > 0 && entry.times <= MOST_TIMES && entry.until <= unix_milliseconds + 2 * to_milliseconds(this->options.longest_hold);
     if (!is_in_range || this->is_outdated(entry, unix_milliseconds))
         return Merge::Known;
@@ -90,8 +90,8 @@
 void Quarantine::make_room()
 {
     while (this->held.size() > this->options.most) {
-        auto const ends_first = [](auto const& left, auto const& right) { return left.second.until < right.second.until; };
-        this->held.erase(std::min_element(this->held.begin(), this->held.end(), ends_first));
+        auto const is_over_first = [](auto const& left, auto const& right) { return left.second.until < right.second.until; };
+        this->held.erase(std::min_element(this->held.begin(), this->held.end(), is_over_first));
     }
 }
 
--- a/Libraries/LibDecision/Quarantine.h
+++ b/Libraries/LibDecision/Quarantine.h
@@ -12,10 +12,10 @@
 
 namespace Spurtide {
 
-/// A request that is kept from upstreams since they ended under it.
+/// A request that is kept from upstreams since it crashed some.
 struct QuarantineEntry {
     RequestFingerprint request;
-    /// How often it was found to end upstreams; each time it is kept out for longer.
+    /// How often it was found to crash upstreams; each time it is kept out for longer.
     std::int64_t times = 1;
     /// Milliseconds since the epoch at which it may be tried again.
     std::int64_t until = 0;
@@ -31,9 +31,9 @@
         /// Three upstreams in an hour is what a request may cost that a repair of the upstreams made harmless or not.
         Duration first_hold = seconds(3600);
         Duration longest_hold = seconds(86400);
-        /// For so long after it one more end is enough.
+        /// For so long after it one more crash is enough.
         Duration probation = seconds(86400);
-        /// Some 100 bytes each; all go to a VM that lacks one. Those that end first go first.
+        /// Some 100 bytes each; all go to a VM that lacks one. Those that are over first go first.
         std::size_t most = 1024;
     };
 
@@ -44,7 +44,7 @@
 
     /// How long the request is still kept out; empty where it may be sent.
     std::optional<Duration> held_for(RequestFingerprint const& request, std::int64_t unix_milliseconds) const;
-    /// Whether it was kept out lately, so that one end is enough to be so again.
+    /// Whether it was kept out lately, so that one crash is enough to be so again.
     bool is_on_probation(RequestFingerprint const& request, std::int64_t unix_milliseconds) const;
 
     /// Keeps the request out from now on; gives the entry for the others.
--- a/Libraries/LibRouter/EndJudge.h
+++ b/Libraries/LibRouter/CrashAnalyzer.h
@@ -3,7 +3,7 @@
 
 #pragma once
 
-#include <LibDecision/EndLedger.h>
+#include <LibDecision/CrashLedger.h>
 #include <LibRouter/QuarantineKeeper.h>
 #include <asio.hpp>
 #include <functional>
@@ -11,43 +11,42 @@
 
 namespace Spurtide {
 
-/// An upstream's process ended under a request.
-struct EndReport {
-    std::string service;
+/// An upstream crashed while it had a request.
+struct CrashReport {
     RequestFingerprint request;
-    UpstreamLife upstream;
+    UpstreamIncarnation upstream;
     /// Since the request was sent there.
     Duration ran_for {};
     enum class Before {
         NotKnown,
-        /// The same request ended well on the reporting VM lately.
-        EndedWell,
+        /// The reporting VM saw the same request completed lately.
+        Completed,
     } before
         = Before::NotKnown;
 };
 
-enum class EndVerdict {
+enum class CrashVerdict {
     MayGoOn,
     Quarantined,
 };
 
-/// Judges of a service's requests which of them end its upstreams, out of what all VMs report. Two VMs do that for each
+/// Decides for a service's requests which of them crash its upstreams, out of what all VMs report. Two VMs do that for each
 /// service, found by ranking, so that what was reported outlasts one of them.
-class EndJudge {
+class CrashAnalyzer {
 public:
     struct Options {
-        EndLedger::Options ledger {};
-        /// Who reports goes on with the request elsewhere, and callers notice pauses; by then it is told that it may.
+        CrashLedger::Options ledger {};
+        /// Whoever reports goes on with the request elsewhere, and callers notice pauses; by then it is told that it may.
         Duration longest_verdict = milliseconds(80);
         Duration tick = milliseconds(10);
     };
-    using Answer = std::function<void(EndVerdict)>;
+    using Answer = std::function<void(CrashVerdict)>;
 
-    EndJudge(Options options, QuarantineKeeper& quarantine, asio::io_context& loop);
+    CrashAnalyzer(Options options, QuarantineKeeper& quarantine, asio::io_context& loop);
 
     /// The answer comes at once where the request cannot be a cause, else when all VMs have told who was there.
-    void take(EndReport const& report, Answer answer);
-    void note_good_end(RequestFingerprint const& request);
+    void take(CrashReport const& report, Answer answer);
+    void note_completed(RequestFingerprint const& request);
 
 private:
     struct Waiting {
@@ -56,14 +55,17 @@
         MonotonicTime until;
     };
 
-    void judge();
+    void decide();
+    void quarantine_causes(MonotonicTime now);
+    bool is_quarantined(RequestFingerprint const& request) const { return this->quarantine.held_for(request).has_value(); }
     bool is_open(Waiting const& waiting, MonotonicTime now) const;
+    void decide_later();
 
     Options options;
     QuarantineKeeper& quarantine;
     asio::steady_timer timer;
     bool is_timer_set = false;
-    EndLedger ledger;
+    CrashLedger ledger;
     std::vector<Waiting> waiting;
 };
 
--- a/Libraries/LibRouter/EngineKeeper.cpp
+++ b/Libraries/LibRouter/EngineKeeper.cpp
@@ -238,9 +238,11 @@
     this->is_timer_set = true;
     this->timer.expires_after(WAITING_TICK);
     this->timer.async_wait([this](asio::error_code error) {
+        // It is cancelled by the end of this alone.
+        if (error)
+            return;
         this->is_timer_set = false;
-        if (!error)
-            this->tick();
+        this->tick();
     });
 }
 
--- a/Libraries/LibRouter/PlainFlow.cpp
+++ b/Libraries/LibRouter/PlainFlow.cpp
@@ -102,7 +102,7 @@
         case NextStep::SendElsewhere:
             continue;
         case NextStep::Relay:
-            this->note_good_end();
+            this->note_completed();
             co_await this->relay(last);
             co_return;
         case NextStep::RefuseNotRun:
@@ -167,7 +167,7 @@
     if (attempt.end == SendEnd::Lost)
         connection->abort();
     if (attempt.broke_off)
-        static_cast<void>(co_await this->has_ended(upstream, *attempt.broke_off, sent_at));
+        static_cast<void>(co_await this->report_crash(upstream, *attempt.broke_off, sent_at));
     this->state.pool.release(*address, connection);
     co_return attempt;
 }
--- a/Libraries/LibRouter/QuarantineKeeper.h
+++ b/Libraries/LibRouter/QuarantineKeeper.h
@@ -24,7 +24,7 @@
 public:
     struct Options {
         Quarantine::Options quarantine {};
-        /// What the store said is good for so long: ends of upstreams come in series, and one read serves them.
+        /// What the store said is good for so long: crashes come in series, and one read serves them.
         Duration store_memory = seconds(2);
         /// Between two tries to write an entry; doubles up to the longest.
         Duration first_write_pause = milliseconds(500);
@@ -38,7 +38,7 @@
 
     /// How long the request is still kept out; empty where it may be sent.
     std::optional<Duration> held_for(RequestFingerprint const& request) const;
-    /// Whether one more end is enough to keep it out again.
+    /// Whether one more crash is enough to keep it out again.
     bool is_on_probation(RequestFingerprint const& request) const;
     /// Those that are kept out, and those on probation.
     std::size_t size() const { return this->quarantine.size(); }
--- a/Libraries/LibRouter/ReachabilityProber.cpp
+++ b/Libraries/LibRouter/ReachabilityProber.cpp
@@ -19,7 +19,7 @@
 void ReachabilityProber::tick()
 {
     auto const now = monotonic_now();
-    std::erase_if(this->ended_lives, [this](auto const& life) { return !this->upstreams.find(life.first); });
+    std::erase_if(this->gone_processes, [this](auto const& process) { return !this->upstreams.find(process.first); });
     for (auto const& identity : this->reachability->due_probes(now))
         this->begin_probe(identity, now);
     if (!this->reachability->is_any_cut_off(now))
@@ -49,38 +49,38 @@
         co_return;
     }
     auto const now = monotonic_now();
-    this->ended_lives.erase(upstream.identity);
+    this->gone_processes.erase(upstream.identity);
     if (!this->reachability->is_reachable(upstream.identity, upstream.data_centre, now))
         LogLine("upstream_reached").with("upstream", upstream.identity).with("upstream_data_centre", upstream.data_centre);
     this->reachability->note_reached(upstream.identity, upstream.data_centre, now);
     this->pool.put_back_unused(address, connected.value());
 }
 
-ReachabilityProber::End ReachabilityProber::known_end(UpstreamRecord const& upstream) const
+ReachabilityProber::Process ReachabilityProber::known_process(UpstreamRecord const& upstream) const
 {
-    auto const found = this->ended_lives.find(upstream.identity);
-    return found != this->ended_lives.end() && found->second == upstream.started ? End::Ended : End::NotKnown;
+    auto const found = this->gone_processes.find(upstream.identity);
+    return found != this->gone_processes.end() && found->second == upstream.started ? Process::Gone : Process::NotKnown;
 }
 
-asio::awaitable<ReachabilityProber::End> ReachabilityProber::probe_end(UpstreamRecord upstream)
+asio::awaitable<ReachabilityProber::Process> ReachabilityProber::probe_process(UpstreamRecord upstream)
 {
     auto const address = parse_address(upstream.address);
-    if (!address || this->known_end(upstream) == End::Ended)
-        co_return this->known_end(upstream);
+    if (!address || this->known_process(upstream) == Process::Gone)
+        co_return this->known_process(upstream);
     auto connected = co_await HttpConnection::connect(*address, this->options.connect_timeout, this->pool.patience());
     if (connected.is_error()) {
         this->note_unreachable(upstream, connected.error());
-        co_return this->known_end(upstream);
+        co_return this->known_process(upstream);
     }
     this->pool.put_back_unused(*address, connected.value());
-    co_return End::NotKnown;
+    co_return Process::NotKnown;
 }
 
 void ReachabilityProber::note_unreachable(UpstreamRecord const& upstream, HttpError error)
 {
     auto const now = monotonic_now();
     if (error == HttpError::NobodyListens)
-        this->ended_lives.insert_or_assign(upstream.identity, upstream.started);
+        this->gone_processes.insert_or_assign(upstream.identity, upstream.started);
     bool const is_news = this->reachability->is_reachable(upstream.identity, upstream.data_centre, now);
     this->reachability->note_unreachable(upstream.identity, upstream.data_centre, now);
     if (is_news)
--- a/Libraries/LibRouter/ReachabilityProber.h
+++ b/Libraries/LibRouter/ReachabilityProber.h
@@ -30,15 +30,15 @@
     std::shared_ptr<Watched> const& watched() const { return this->watched_connections; }
     std::shared_ptr<ReachabilityTracker> const& tracker() const { return this->reachability; }
 
-    enum class End {
+    enum class Process {
         /// Something listens at its address, or the path there tells nothing.
         NotKnown,
-        Ended,
+        Gone,
     };
-    /// Finds out, by a connection where that is not known yet, whether this life of the upstream is over.
-    asio::awaitable<End> probe_end(UpstreamRecord upstream);
+    /// Finds out, by a connection where that is not known yet, whether this incarnation of the upstream is gone.
+    asio::awaitable<Process> probe_process(UpstreamRecord upstream);
     /// What is known without one.
-    End known_end(UpstreamRecord const& upstream) const;
+    Process known_process(UpstreamRecord const& upstream) const;
 
     /// Nothing could be connected to the upstream just now, for this reason.
     void note_unreachable(UpstreamRecord const& upstream, HttpError error);
@@ -53,8 +53,8 @@
     ConnectionPool& pool;
     UpstreamList const& upstreams;
     std::shared_ptr<Watched> watched_connections = std::make_shared<Watched>();
-    /// Of listed upstreams where nothing listened, the starts of the lives that are over.
-    std::map<std::string, std::int64_t, std::less<>> ended_lives;
+    /// Of listed upstreams where nothing listened, the starts of the incarnations that are gone.
+    std::map<std::string, std::int64_t, std::less<>> gone_processes;
 };
 
 }
--- a/Libraries/LibRouter/RequestFlow.cpp
+++ b/Libraries/LibRouter/RequestFlow.cpp
@@ -3,7 +3,7 @@
 
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
-#include <LibRouter/EndReporter.h>
+#include <LibRouter/CrashReporter.h>
 #include <LibRouter/QuarantineKeeper.h>
 #include <LibRouter/QuotaClient.h>
 #include <LibRouter/RequestFlow.h>
@@ -97,7 +97,7 @@
 
 asio::awaitable<bool> RequestFlow::let_in()
 {
-    // What ends whatever runs it costs its account nothing.
+    // What crashes whatever runs it costs its account nothing.
     if (this->state.quarantine->held_for(this->fingerprint)) {
         this->stop(StopReason::Quarantined);
         co_await this->answer_stopped();
@@ -154,30 +154,30 @@
 
 void RequestFlow::note_not_executed() { this->earlier = this->before_send; }
 
-void RequestFlow::note_good_end() { this->state.ends->note_good_end(this->service, this->fingerprint); }
+void RequestFlow::note_completed() { this->state.crashes->note_completed(this->service, this->fingerprint); }
 
-asio::awaitable<bool> RequestFlow::has_ended(UpstreamRecord upstream, HttpError error, MonotonicTime since)
+asio::awaitable<bool> RequestFlow::report_crash(UpstreamRecord upstream, HttpError error, MonotonicTime since)
 {
     auto const ran_for = std::chrono::duration_cast<Duration>(monotonic_now() - since);
-    // What was broken off for the caller or the clock tells nothing, and one that leaves ends as planned.
+    // What was broken off for the caller or the clock tells nothing, and one that leaves stops as planned.
     if (this->is_stopped() || !this->state.upstreams.takes_work(upstream.identity))
         co_return false;
-    auto end = this->state.prober.known_end(upstream);
-    if (end != ReachabilityProber::End::Ended && error == HttpError::Closed)
-        end = co_await this->state.prober.probe_end(upstream);
+    auto process = this->state.prober.known_process(upstream);
+    if (process != ReachabilityProber::Process::Gone && error == HttpError::Closed)
+        process = co_await this->state.prober.probe_process(upstream);
     // Of a data centre that is cut off all connections may be refused.
-    if (end != ReachabilityProber::End::Ended || this->state.reachability->is_cut_off(upstream.data_centre, monotonic_now()))
+    if (process != ReachabilityProber::Process::Gone || this->state.reachability->is_cut_off(upstream.data_centre, monotonic_now()))
         co_return false;
-    LogLine("upstream_ended")
+    LogLine("upstream_crashed")
         .with("request", this->request.identifier)
         .with("fingerprint", this->fingerprint.to_hex())
         .with("upstream", upstream.identity)
         .with("started", upstream.started)
         .with("ran_ms", to_milliseconds(ran_for));
-    this->state.metrics.increment("spurtide_upstream_ends_total", "Requests under which an upstream's process ended", { { "service", this->service } });
-    UpstreamLife const life { upstream.identity, upstream.started };
-    auto const verdict = co_await this->state.ends->report(this->service, this->fingerprint, life, ran_for);
-    if (verdict == EndVerdict::Quarantined)
+    this->state.metrics.increment("spurtide_upstream_crashes_total", "Requests that an upstream had when it crashed", { { "service", this->service } });
+    UpstreamIncarnation const incarnation { upstream.identity, upstream.started };
+    auto const verdict = co_await this->state.crashes->report(this->service, this->fingerprint, incarnation, ran_for);
+    if (verdict == CrashVerdict::Quarantined)
         this->stop(StopReason::Quarantined);
     co_return true;
 }
--- a/Libraries/LibRouter/RequestFlow.h
+++ b/Libraries/LibRouter/RequestFlow.h
@@ -34,7 +34,7 @@
         OutOfTime,
         /// The caller's key is no account's any more.
         KeyRevoked,
-        /// Upstreams end under it.
+        /// It crashes upstreams.
         Quarantined,
     };
 
@@ -45,7 +45,7 @@
     virtual void on_stop() { }
 
     /// Stops the request where it may not be sent any more, though it might when it came: the newest configuration may have
-    /// taken its caller's key away, and upstreams may have ended under it elsewhere. Call right before a send.
+    /// taken its caller's key away, and it may have crashed upstreams elsewhere. Call right before a send.
     void check_may_send();
 
     bool is_stopped() const { return this->stop_reason != StopReason::None; }
@@ -60,8 +60,8 @@
     asio::awaitable<void> fail(int status, std::string_view reason);
     /// The final answer after the request was stopped; nothing when the caller left.
     asio::awaitable<void> answer_stopped();
-    /// The request ended and its upstream did not.
-    void note_good_end();
+    /// The request was completed, and its upstream did not crash.
+    void note_completed();
     void log_end(std::string_view outcome, std::string_view reason, int status);
 
     /// Whether attempts, time and the retry budget allow another send; takes it from the budget.
@@ -75,9 +75,9 @@
     void note_sent();
     void note_not_executed();
 
-    /// Whether the upstream's process ended under the request: its connection broke off though it was not leaving, and
-    /// nothing listens at its address any more. Reports it; stops the request where it is the cause.
-    asio::awaitable<bool> has_ended(UpstreamRecord upstream, HttpError error, MonotonicTime since);
+    /// Reports where the upstream crashed while it had the request: the connection broke off though it was not leaving, and
+    /// nothing listens at its address any more. Stops the request where it is the cause. Gives whether it crashed.
+    asio::awaitable<bool> report_crash(UpstreamRecord upstream, HttpError error, MonotonicTime since);
 
     RouterState& state;
     HttpExchange& exchange;
--- a/Libraries/LibRouter/RouterState.h
+++ b/Libraries/LibRouter/RouterState.h
@@ -21,7 +21,7 @@
 
 namespace Spurtide {
 
-class EndReporter;
+class CrashReporter;
 class PlacementClient;
 class QuarantineKeeper;
 class QuotaClient;
@@ -48,7 +48,7 @@
     PlacementClient* placement = nullptr;
     QuotaClient* quota = nullptr;
     QuarantineKeeper* quarantine = nullptr;
-    EndReporter* ends = nullptr;
+    CrashReporter* crashes = nullptr;
     /// This VM's part of the retry budgets' allowance, which all VMs share.
     std::function<double()> retry_allowance_part = [] { return 1.0; };
 
--- a/Libraries/LibRouter/StreamFlow.cpp
+++ b/Libraries/LibRouter/StreamFlow.cpp
@@ -284,7 +284,7 @@
         works_as_it_should = facts.is_not_executed;
     }
     if (head.is_error())
-        static_cast<void>(co_await this->has_ended(engine, head.error(), begun));
+        static_cast<void>(co_await this->report_crash(engine, head.error(), begun));
     this->ledger.note_prefill(cache ? SendLedger::PrefillEnd::TakenUp : SendLedger::PrefillEnd::NotTakenUp, monotonic_now());
     if (!head.is_error())
         use->note_heard();
@@ -342,7 +342,7 @@
         connection->abort();
         if (this->is_stopped())
             co_return Progress::TryAgain;
-        static_cast<void>(co_await this->has_ended(engine, head.error(), this->decode_sent_at));
+        static_cast<void>(co_await this->report_crash(engine, head.error(), this->decode_sent_at));
         if (this->is_stopped())
             co_return Progress::TryAgain;
         this->failed_engine = engine.identity;
@@ -382,7 +382,7 @@
         co_return Progress::TryAgain;
     bool const is_own_failure = facts.is_signed && facts.identifier == this->request.identifier && status >= 400 && status != 429 && status != 503 && status != 408 && !answer.is_error();
     if (is_own_failure && !this->exchange.has_begun()) {
-        this->note_good_end();
+        this->note_completed();
         auto const sent = co_await this->exchange.respond(this->state.dialect.caller_head(head.value()), answer.value());
         this->log_end(sent.is_error() ? "caller_left" : "answered", reason, status);
         co_return Progress::Over;
@@ -412,12 +412,12 @@
             this->events.drop_broken_event();
             if (this->is_stopped())
                 co_return Progress::TryAgain;
-            bool const has_ended = co_await this->has_ended(engine, piece.error(), this->decode_sent_at);
+            bool const has_crashed = co_await this->report_crash(engine, piece.error(), this->decode_sent_at);
             if (this->is_stopped())
                 co_return Progress::TryAgain;
             // One answer that broke off says little of the engine, but this request goes on elsewhere. Of one that is gone
             // the keeper hears at once, which else would give it out until its entry lapses.
-            if (has_ended)
+            if (has_crashed)
                 this->failed_engine = engine.identity;
             else
                 this->failed_engines.push_back(engine.identity);
@@ -444,7 +444,7 @@
         }
         if (!is_end)
             continue;
-        this->note_good_end();
+        this->note_completed();
         this->state.answer_pace.note(this->service, this->relayed_tokens(), std::chrono::duration_cast<Duration>(this->last_event_at - this->first_event_at));
         auto const finished = co_await this->exchange.finish();
         this->log_end(finished.is_error() ? "caller_left" : "answered", "stream", head.status);
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -238,11 +238,11 @@
 void Node::create_quarantine()
 {
     this->quarantine = std::make_unique<QuarantineKeeper>(QuarantineKeeper::Options {}, *this->kernel, this->placement->ranking(), this->adapters.quarantine, this->loop);
-    this->end_judge = std::make_unique<EndJudge>(EndJudge::Options {}, *this->quarantine, this->loop);
-    this->ends = std::make_unique<EndReporter>(EndReporter::Options {}, *this->kernel, this->placement->ranking(), *this->quarantine, *this->end_judge);
+    this->crash_analyzer = std::make_unique<CrashAnalyzer>(CrashAnalyzer::Options {}, *this->quarantine, this->loop);
+    this->crash_reporter = std::make_unique<CrashReporter>(CrashReporter::Options {}, *this->kernel, this->placement->ranking(), *this->quarantine, *this->crash_analyzer);
     this->membership->set_quarantine_hooks([this] { return this->quarantine->digest(); }, [this](auto const& endpoint, auto digest) { this->quarantine->hear_of(endpoint, digest); });
     this->state.quarantine = this->quarantine.get();
-    this->state.ends = this->ends.get();
+    this->state.crashes = this->crash_reporter.get();
 }
 
 void Node::host_services()
@@ -257,7 +257,7 @@
     this->relay->host();
     this->kernel->host(std::string(PLACEMENT_SERVICE), [this](wire::Envelope const& request, Kernel::Responder const& respond) { this->keeper->handle(request, respond); });
     this->quota_counter->host();
-    this->ends->host();
+    this->crash_reporter->host();
     // A mark in the directory: a VM that is to be asked before others.
     if (this->settings.processor_share >= this->settings.keeper_processor_share)
         this->kernel->host(std::string(STRONG_PLACEMENT_SERVICE), [](wire::Envelope const&, Kernel::Responder const& respond) { respond(error_reply(wire::ERROR_CODE_UNKNOWN_MESSAGE)); });
--- a/Services/NodeServer/Node.h
+++ b/Services/NodeServer/Node.h
@@ -6,7 +6,7 @@
 #include <LibAsync/HttpServer.h>
 #include <LibCore/Metrics.h>
 #include <LibRouter/CacheReader.h>
-#include <LibRouter/EndReporter.h>
+#include <LibRouter/CrashReporter.h>
 #include <LibRouter/EngineKeeper.h>
 #include <LibRouter/Entry.h>
 #include <LibRouter/PlacementClient.h>
@@ -101,8 +101,8 @@
     std::unique_ptr<QuotaCounter> quota_counter;
     std::unique_ptr<QuotaClient> quota;
     std::unique_ptr<QuarantineKeeper> quarantine;
-    std::unique_ptr<EndJudge> end_judge;
-    std::unique_ptr<EndReporter> ends;
+    std::unique_ptr<CrashAnalyzer> crash_analyzer;
+    std::unique_ptr<CrashReporter> crash_reporter;
     std::unique_ptr<EngineKeeper> keeper;
     /// Empty where engines keep the roles that they have.
     std::unique_ptr<RoleKeeper> roles;
--- a/Tests/LibDecision/TestEndLedger.cpp
+++ b/Tests/LibDecision/TestCrashLedger.cpp
@@ -1,7 +1,7 @@
 // SPDX-FileCopyrightText: 2026 The Spurtide developers
 // SPDX-License-Identifier: BSD-2-Clause
 
-#include <LibDecision/EndLedger.h>
+#include <LibDecision/CrashLedger.h>
 #include <Tests/Support/VirtualClock.h>
 #include <catch2/catch.hpp>
 #include <random>
@@ -15,18 +15,18 @@
 
 constexpr auto NOBODY_KNOWN = [](RequestFingerprint const&) { return false; };
 
-constexpr int ENDS = static_cast<int>(EndLedger::Options {}.ends_of_a_cause);
+constexpr int ENDS = static_cast<int>(CrashLedger::Options {}.crashes_of_a_cause);
 
 /// What operators put up with once a request was at so many ends.
 constexpr int SENDS_AFTER = 3;
 
 struct LedgerTest {
-    /// An upstream ends, each request having been there for so long.
-    void end(std::vector<std::pair<std::string, Duration>> const& there)
+    /// An upstream crashes, each request having been there for so long.
+    void crash(std::vector<std::pair<std::string, Duration>> const& there)
     {
-        auto const name = "i-" + std::to_string(this->ends++);
+        auto const name = "i-" + std::to_string(this->crashes++);
         for (auto const& [body, ran_for] : there)
-            this->ledger.note_end(request_named(body), { name, 0 }, ran_for, this->now);
+            this->ledger.note_crash(request_named(body), { name, 0 }, ran_for, this->now);
         this->now += milliseconds(200);
     }
 
@@ -38,74 +38,74 @@
         return found;
     }
 
-    EndLedger ledger { EndLedger::Options {} };
+    CrashLedger ledger { CrashLedger::Options {} };
     MonotonicTime now { seconds(1000) };
-    int ends = 0;
+    int crashes = 0;
 };
 
 using Found = std::vector<RequestFingerprint>;
 
 }
 
-TEST_CASE("Whoever was at three upstreams that ended is the cause", "[end-ledger]")
+TEST_CASE("Whoever was at three upstreams that ended is the cause", "[crash-ledger]")
 {
     LedgerTest test;
-    test.end({ { "cause", milliseconds(70) } });
-    test.end({ { "cause", milliseconds(100) } });
+    test.crash({ { "cause", milliseconds(70) } });
+    test.crash({ { "cause", milliseconds(100) } });
     CHECK(test.causes().empty());
     CHECK_FALSE(test.ledger.is_suspect(request_named("cause")));
-    test.end({ { "cause", milliseconds(30) } });
+    test.crash({ { "cause", milliseconds(30) } });
     CHECK(test.ledger.is_suspect(request_named("cause")));
     CHECK(test.causes() == Found { request_named("cause") });
 }
 
-TEST_CASE("Who ran beside the cause is none, however often", "[end-ledger]")
+TEST_CASE("Who ran beside the cause is none, however often", "[crash-ledger]")
 {
     LedgerTest test;
     SECTION("one that the cause was met by more often")
     {
         for (int i = 0; i < 4; ++i)
-            test.end({ { "cause", milliseconds(70) }, { i == 0 ? "other" : "victim", milliseconds(300) } });
+            test.crash({ { "cause", milliseconds(70) }, { i == 0 ? "other" : "victim", milliseconds(300) } });
     }
     SECTION("one that was at the same ends, and had come there before it")
     {
         for (int i = 0; i < 3; ++i)
-            test.end({ { "victim", milliseconds(300) }, { "cause", milliseconds(100) } });
+            test.crash({ { "victim", milliseconds(300) }, { "cause", milliseconds(100) } });
     }
     SECTION("many")
     {
         for (int i = 0; i < 5; ++i)
-            test.end({ { "cause", milliseconds(70) }, { "a", milliseconds(200) }, { "b", milliseconds(500) }, { "c", seconds(2) } });
+            test.crash({ { "cause", milliseconds(70) }, { "a", milliseconds(200) }, { "b", milliseconds(500) }, { "c", seconds(2) } });
     }
     CHECK(test.causes() == Found { request_named("cause") });
     CHECK_FALSE(test.causes() == Found { request_named("victim") });
 }
 
-TEST_CASE("What a known cause explains blames nobody else", "[end-ledger]")
+TEST_CASE("What a known cause explains blames nobody else", "[crash-ledger]")
 {
     LedgerTest test;
     auto const is_known = [](RequestFingerprint const& request) { return request == request_named("cause"); };
     for (int i = 0; i < 6; ++i)
-        test.end({ { "cause", seconds(3) }, { "victim", milliseconds(50) } });
+        test.crash({ { "cause", seconds(3) }, { "victim", milliseconds(50) } });
     CHECK(test.ledger.find_causes(is_known, test.now).empty());
     for (int i = 0; i < 3; ++i)
-        test.end({ { "another", milliseconds(50) } });
+        test.crash({ { "another", milliseconds(50) } });
     auto const found = test.ledger.find_causes(is_known, test.now);
     REQUIRE(found.size() == 1);
     CHECK(found.front().request == request_named("another"));
 }
 
-TEST_CASE("Two causes at a time are both found", "[end-ledger]")
+TEST_CASE("Two causes at a time are both found", "[crash-ledger]")
 {
     LedgerTest test;
     for (int i = 0; i < 3; ++i) {
-        test.end({ { "first", milliseconds(60) }, { "victim", milliseconds(200) } });
-        test.end({ { "second", milliseconds(90) }, { "victim", milliseconds(400) } });
+        test.crash({ { "first", milliseconds(60) }, { "victim", milliseconds(200) } });
+        test.crash({ { "second", milliseconds(90) }, { "victim", milliseconds(400) } });
     }
     // The victim was at all six: it takes more ends to tell, while both causes go on.
     for (int i = 0; i < 4; ++i) {
-        test.end({ { "first", milliseconds(60) } });
-        test.end({ { "second", milliseconds(90) } });
+        test.crash({ { "first", milliseconds(60) } });
+        test.crash({ { "second", milliseconds(90) } });
     }
     auto const found = test.causes();
     CHECK(std::find(found.begin(), found.end(), request_named("first")) != found.end());
@@ -113,68 +113,68 @@
     CHECK(std::find(found.begin(), found.end(), request_named("victim")) == found.end());
 }
 
-TEST_CASE("A request that ended well is no cause of the ends before and shortly after", "[end-ledger]")
+TEST_CASE("A request that ended well is no cause of the ends before and shortly after", "[crash-ledger]")
 {
     LedgerTest test;
     for (int i = 0; i < 3; ++i)
-        test.end({ { "sound", milliseconds(70) } });
-    test.ledger.note_good_end(request_named("sound"), test.now);
+        test.crash({ { "sound", milliseconds(70) } });
+    test.ledger.note_completed(request_named("sound"), test.now);
     CHECK(test.causes().empty());
     for (int i = 0; i < 3; ++i)
-        test.end({ { "sound", milliseconds(70) } });
+        test.crash({ { "sound", milliseconds(70) } });
     CHECK(test.causes().empty());
     // What changed since, such as the upstreams' software, may have made a cause of it.
-    test.now += EndLedger::Options {}.sound.memory;
+    test.now += CrashLedger::Options {}.completed.memory;
     for (int i = 0; i < 3; ++i)
-        test.end({ { "sound", milliseconds(70) } });
+        test.crash({ { "sound", milliseconds(70) } });
     CHECK(test.causes() == Found { request_named("sound") });
 }
 
-TEST_CASE("An end blames nobody until all VMs had time to tell who was there", "[end-ledger]")
+TEST_CASE("An end blames nobody until all VMs had time to tell who was there", "[crash-ledger]")
 {
     LedgerTest test;
-    test.end({ { "victim", milliseconds(300) }, { "cause", milliseconds(70) } });
-    test.end({ { "victim", milliseconds(300) }, { "cause", milliseconds(70) } });
-    test.ledger.note_end(request_named("victim"), { "i-9", 0 }, milliseconds(300), test.now);
+    test.crash({ { "victim", milliseconds(300) }, { "cause", milliseconds(70) } });
+    test.crash({ { "victim", milliseconds(300) }, { "cause", milliseconds(70) } });
+    test.ledger.note_crash(request_named("victim"), { "i-9", 0 }, milliseconds(300), test.now);
     CHECK(test.causes().empty());
     CHECK_FALSE(test.ledger.is_settled(request_named("victim"), test.now));
     test.now += milliseconds(5);
-    test.ledger.note_end(request_named("cause"), { "i-9", 0 }, milliseconds(70), test.now);
-    test.now += EndLedger::Options {}.settling;
+    test.ledger.note_crash(request_named("cause"), { "i-9", 0 }, milliseconds(70), test.now);
+    test.now += CrashLedger::Options {}.settling;
     CHECK(test.ledger.is_settled(request_named("victim"), test.now));
     CHECK(test.causes() == Found { request_named("cause") });
 }
 
-TEST_CASE("Two attempts at one upstream are one end, two lives under one name are two", "[end-ledger]")
+TEST_CASE("Two attempts at one upstream are one end, two lives under one name are two", "[crash-ledger]")
 {
     LedgerTest test;
     auto const cause = request_named("cause");
     for (int i = 0; i < 3; ++i)
-        test.ledger.note_end(cause, { "i-1", 7 }, milliseconds(70), test.now);
+        test.ledger.note_crash(cause, { "i-1", 7 }, milliseconds(70), test.now);
     test.now += seconds(1);
     CHECK(test.causes().empty());
-    test.ledger.note_end(cause, { "i-1", 8 }, milliseconds(70), test.now);
-    test.ledger.note_end(cause, { "i-1", 9 }, milliseconds(70), test.now);
+    test.ledger.note_crash(cause, { "i-1", 8 }, milliseconds(70), test.now);
+    test.ledger.note_crash(cause, { "i-1", 9 }, milliseconds(70), test.now);
     test.now += seconds(1);
     CHECK(test.causes() == Found { cause });
 }
 
-TEST_CASE("Ends are forgotten in time, and no more than a number is kept", "[end-ledger]")
+TEST_CASE("Ends are forgotten in time, and no more than a number is kept", "[crash-ledger]")
 {
     LedgerTest test;
-    test.end({ { "cause", milliseconds(70) } });
-    test.end({ { "cause", milliseconds(70) } });
-    test.now += EndLedger::Options {}.memory;
-    test.end({ { "cause", milliseconds(70) } });
+    test.crash({ { "cause", milliseconds(70) } });
+    test.crash({ { "cause", milliseconds(70) } });
+    test.now += CrashLedger::Options {}.memory;
+    test.crash({ { "cause", milliseconds(70) } });
     CHECK(test.causes().empty());
     for (int i = 0; i < 2000; ++i)
-        test.end({ { "r" + std::to_string(i), milliseconds(70) } });
-    CHECK(test.ledger.size() <= EndLedger::Options {}.most_ends);
+        test.crash({ { "r" + std::to_string(i), milliseconds(70) } });
+    CHECK(test.ledger.size() <= CrashLedger::Options {}.most_crashes);
 }
 
 // Engines as in the incident: nine of them, three reading prompts, so six to meet at; a request ends one about every third
 // of a second and each takes some seconds to be back. Whoever was there goes on at another engine, three times at most.
-TEST_CASE("Among many that go on elsewhere only the cause is found, and soon", "[end-ledger]")
+TEST_CASE("Among many that go on elsewhere only the cause is found, and soon", "[crash-ledger]")
 {
     constexpr int ENGINES = 6;
     constexpr int RUNS = 400;
@@ -207,7 +207,7 @@
                 ++victim.moves;
             }
             std::erase_if(victims, [](auto const& victim) { return victim.moves > 3; });
-            test.end(there);
+            test.crash(there);
             auto const found = test.causes();
             for (auto const& cause : found)
                 blamed_victims += cause == request_named("cause") ? 0 : 1;
--- a/Tests/LibRouter/TestEndReporter.cpp
+++ b/Tests/LibRouter/TestCrashReporter.cpp
@@ -1,7 +1,7 @@
 // SPDX-FileCopyrightText: 2026 The Spurtide developers
 // SPDX-License-Identifier: BSD-2-Clause
 
-#include <LibRouter/EndReporter.h>
+#include <LibRouter/CrashReporter.h>
 #include <Tests/Support/LoopKernel.h>
 #include <catch2/catch.hpp>
 
@@ -38,14 +38,14 @@
     bool is_away = false;
 };
 
-/// One of several VMs that report and judge.
-struct JudgingVirtualMachine {
-    JudgingVirtualMachine(asio::io_context& loop, std::string const& name, QuarantinePort& store)
+/// One of several VMs that report and analyze.
+struct AnalyzingVirtualMachine {
+    AnalyzingVirtualMachine(asio::io_context& loop, std::string const& name, QuarantinePort& store)
         : kernel(make_loop_kernel(loop, name))
         , ranking(*this->kernel, milliseconds(200))
         , quarantine(quarantine_options(), *this->kernel, this->ranking, store, loop)
-        , judge(EndJudge::Options {}, this->quarantine, loop)
-        , reporter(EndReporter::Options {}, *this->kernel, this->ranking, this->quarantine, this->judge)
+        , analyzer(CrashAnalyzer::Options {}, this->quarantine, loop)
+        , reporter(CrashReporter::Options {}, *this->kernel, this->ranking, this->quarantine, this->analyzer)
     {
         this->reporter.host();
         // What the ranking goes by.
@@ -63,8 +63,8 @@
     std::unique_ptr<Kernel> kernel;
     KeeperRanking ranking;
     QuarantineKeeper quarantine;
-    EndJudge judge;
-    EndReporter reporter;
+    CrashAnalyzer analyzer;
+    CrashReporter reporter;
 };
 
 class ReporterTest {
@@ -72,7 +72,7 @@
     explicit ReporterTest(int count)
     {
         for (int i = 0; i < count; ++i)
-            this->machines.push_back(std::make_unique<JudgingVirtualMachine>(this->loop, "vm-" + std::to_string(i), this->store));
+            this->machines.push_back(std::make_unique<AnalyzingVirtualMachine>(this->loop, "vm-" + std::to_string(i), this->store));
         this->meet();
     }
     ~ReporterTest() { this->loop.stop(); }
@@ -88,12 +88,12 @@
             machine->kernel->directory().replace(this->version, 0, members, {});
     }
 
-    EndVerdict report(std::size_t machine, std::string const& body, std::string const& upstream, Duration ran_for = milliseconds(70))
+    CrashVerdict report(std::size_t machine, std::string const& body, std::string const& upstream, Duration ran_for = milliseconds(70))
     {
-        std::optional<EndVerdict> verdict;
+        std::optional<CrashVerdict> verdict;
         auto const carry = [&]() -> asio::awaitable<void> {
-            UpstreamLife const life { upstream, 0 };
-            verdict = co_await this->machines.at(machine)->reporter.report(SERVICE, request_named(body), life, ran_for);
+            UpstreamIncarnation const incarnation { upstream, 0 };
+            verdict = co_await this->machines.at(machine)->reporter.report(SERVICE, request_named(body), incarnation, ran_for);
         };
         asio::co_spawn(this->loop, carry(), asio::detached);
         REQUIRE(run_loop_until(this->loop, [&] { return verdict.has_value(); }));
@@ -118,63 +118,63 @@
 
     asio::io_context loop { 1 };
     StoredQuarantine store;
-    std::vector<std::unique_ptr<JudgingVirtualMachine>> machines;
+    std::vector<std::unique_ptr<AnalyzingVirtualMachine>> machines;
     std::int64_t version = 0;
 };
 
 }
 
-TEST_CASE("Ends that different VMs saw are counted together, and all VMs keep the cause out", "[ends]")
+TEST_CASE("Ends that different VMs saw are counted together, and all VMs keep the cause out", "[crashes]")
 {
     ReporterTest test(4);
-    CHECK(test.report(0, "cause", "i-1") == EndVerdict::MayGoOn);
-    CHECK(test.report(1, "cause", "i-2") == EndVerdict::MayGoOn);
-    CHECK(test.report(2, "cause", "i-3") == EndVerdict::Quarantined);
+    CHECK(test.report(0, "cause", "i-1") == CrashVerdict::MayGoOn);
+    CHECK(test.report(1, "cause", "i-2") == CrashVerdict::MayGoOn);
+    CHECK(test.report(2, "cause", "i-3") == CrashVerdict::Quarantined);
     CHECK(test.all_hold("cause"));
     CHECK(run_loop_until(test.loop, [&] { return test.store.rows.size() == 1; }));
 }
 
-TEST_CASE("Who ran beside the cause may go on, whichever VM tells of it first", "[ends]")
+TEST_CASE("Who ran beside the cause may go on, whichever VM tells of it first", "[crashes]")
 {
     ReporterTest test(3);
     for (auto const* upstream : { "i-1", "i-2" }) {
         test.report(0, "victim", upstream, milliseconds(400));
         test.report(1, "cause", upstream);
     }
-    std::optional<EndVerdict> of_victim;
-    std::optional<EndVerdict> of_cause;
-    auto const carry = [&](std::size_t machine, std::string body, Duration ran_for, std::optional<EndVerdict>& verdict) -> asio::awaitable<void> {
-        UpstreamLife const life { "i-3", 0 };
-        verdict = co_await test.machines.at(machine)->reporter.report(SERVICE, request_named(body), life, ran_for);
+    std::optional<CrashVerdict> of_victim;
+    std::optional<CrashVerdict> of_cause;
+    auto const carry = [&](std::size_t machine, std::string body, Duration ran_for, std::optional<CrashVerdict>& verdict) -> asio::awaitable<void> {
+        UpstreamIncarnation const incarnation { "i-3", 0 };
+        verdict = co_await test.machines.at(machine)->reporter.report(SERVICE, request_named(body), incarnation, ran_for);
     };
     asio::co_spawn(test.loop, carry(0, "victim", milliseconds(400), of_victim), asio::detached);
     asio::co_spawn(test.loop, carry(1, "cause", milliseconds(70), of_cause), asio::detached);
     REQUIRE(run_loop_until(test.loop, [&] { return of_victim && of_cause; }));
-    CHECK(of_victim == EndVerdict::MayGoOn);
-    CHECK(of_cause == EndVerdict::Quarantined);
+    CHECK(of_victim == CrashVerdict::MayGoOn);
+    CHECK(of_cause == CrashVerdict::Quarantined);
     CHECK_FALSE(test.machines[0]->quarantine.held_for(request_named("victim")));
 }
 
-TEST_CASE("What was reported outlasts the VM that judged first", "[ends][kill]")
+TEST_CASE("What was reported outlasts the VM that judged first", "[crashes][kill]")
 {
     ReporterTest test(4);
-    auto const judges = test.machines[0]->ranking.names(std::string(QUARANTINE_SERVICE) + "/" + SERVICE);
-    auto const first = test.index_of(judges.front());
+    auto const analyzers = test.machines[0]->ranking.names(std::string(QUARANTINE_SERVICE) + "/" + SERVICE);
+    auto const first = test.index_of(analyzers.front());
     auto const reporter = (first + 1) % 4;
     test.report(reporter, "cause", "i-1");
     test.report(reporter, "cause", "i-2");
     // It is gone, and nobody has heard so yet.
     test.machines[first]->kernel->stop();
-    CHECK(test.report(reporter, "cause", "i-3") == EndVerdict::Quarantined);
+    CHECK(test.report(reporter, "cause", "i-3") == CrashVerdict::Quarantined);
 }
 
-TEST_CASE("A VM whose process starts anew, and one that missed the news, learn of the cause by a heartbeat's digest", "[ends]")
+TEST_CASE("A VM whose process starts anew, and one that missed the news, learn of the cause by a heartbeat's digest", "[crashes]")
 {
     ReporterTest test(2);
     for (auto const* upstream : { "i-1", "i-2", "i-3" })
         test.report(0, "cause", upstream);
     REQUIRE(test.all_hold("cause"));
-    test.machines.push_back(std::make_unique<JudgingVirtualMachine>(test.loop, "vm-new", test.store));
+    test.machines.push_back(std::make_unique<AnalyzingVirtualMachine>(test.loop, "vm-new", test.store));
     test.meet();
     auto& fresh = *test.machines.back();
     fresh.quarantine.hear_of(test.machines[0]->kernel->endpoint(), test.machines[0]->quarantine.digest());
@@ -182,7 +182,7 @@
     CHECK(fresh.quarantine.digest() == test.machines[0]->quarantine.digest());
 }
 
-TEST_CASE("After all processes started again one more end is enough, by what the store keeps", "[ends][kill]")
+TEST_CASE("After all processes started again one more end is enough, by what the store keeps", "[crashes][kill]")
 {
     ReporterTest before(2);
     for (auto const* upstream : { "i-1", "i-2", "i-3" })
@@ -190,27 +190,27 @@
     REQUIRE(run_loop_until(before.loop, [&] { return !before.store.rows.empty(); }));
     ReporterTest after(2);
     after.store.rows = before.store.rows;
-    CHECK(after.report(0, "cause", "i-4") == EndVerdict::Quarantined);
-    CHECK(after.report(0, "another", "i-4") == EndVerdict::MayGoOn);
+    CHECK(after.report(0, "cause", "i-4") == CrashVerdict::Quarantined);
+    CHECK(after.report(0, "another", "i-4") == CrashVerdict::MayGoOn);
 }
 
-TEST_CASE("A request whose time is over is tried again, and one end keeps it out for longer", "[ends]")
+TEST_CASE("A request whose time is over is tried again, and one end keeps it out for longer", "[crashes]")
 {
     ReporterTest test(2);
     auto const ended = unix_milliseconds() - 1000;
     test.store.rows = { { request_named("cause"), 1, ended } };
     CHECK_FALSE(test.machines[0]->quarantine.held_for(request_named("cause")));
-    CHECK(test.report(0, "cause", "i-1") == EndVerdict::Quarantined);
+    CHECK(test.report(0, "cause", "i-1") == CrashVerdict::Quarantined);
     CHECK(test.machines[0]->quarantine.held_for(request_named("cause")) > seconds(3600));
 }
 
-TEST_CASE("While the store is away causes are found, and written once it is back", "[ends][store]")
+TEST_CASE("While the store is away causes are found, and written once it is back", "[crashes][store]")
 {
     ReporterTest test(2);
     test.store.is_away = true;
     for (auto const* upstream : { "i-1", "i-2" })
-        CHECK(test.report(0, "cause", upstream) == EndVerdict::MayGoOn);
-    CHECK(test.report(0, "cause", "i-3") == EndVerdict::Quarantined);
+        CHECK(test.report(0, "cause", upstream) == CrashVerdict::MayGoOn);
+    CHECK(test.report(0, "cause", "i-3") == CrashVerdict::Quarantined);
     CHECK(test.all_hold("cause"));
     CHECK(test.store.rows.empty());
     test.store.is_away = false;
@@ -219,19 +219,19 @@
     CHECK(test.store.reads <= 4);
 }
 
-TEST_CASE("A request that many send alike, and that ends well, is no cause", "[ends]")
+TEST_CASE("A request that many send alike, and that ends well, is no cause", "[crashes]")
 {
     ReporterTest test(2);
-    test.machines[0]->reporter.note_good_end(SERVICE, request_named("shared"));
+    test.machines[0]->reporter.note_completed(SERVICE, request_named("shared"));
     for (auto const* upstream : { "i-1", "i-2", "i-3", "i-4" })
-        CHECK(test.report(0, "shared", upstream) == EndVerdict::MayGoOn);
+        CHECK(test.report(0, "shared", upstream) == CrashVerdict::MayGoOn);
 }
 
-TEST_CASE("A victim that ended well elsewhere is not blamed for what it met before", "[ends]")
+TEST_CASE("A victim that ended well elsewhere is not blamed for what it met before", "[crashes]")
 {
     ReporterTest test(2);
     test.report(0, "victim", "i-1");
     test.report(0, "victim", "i-2");
-    test.machines[0]->reporter.note_good_end(SERVICE, request_named("victim"));
-    CHECK(test.report(0, "victim", "i-3") == EndVerdict::MayGoOn);
+    test.machines[0]->reporter.note_completed(SERVICE, request_named("victim"));
+    CHECK(test.report(0, "victim", "i-3") == CrashVerdict::MayGoOn);
 }
