--- a/Libraries/LibRouter/StreamFlow.cpp
+++ b/Libraries/LibRouter/StreamFlow.cpp
@@ -331,18 +331,18 @@
     dispatch.after_event = this->events.last_identifier();
     this->set_active(connection);
     this->note_sent();
-    this->decode_sent_at = monotonic_now();
     auto const out_of_reach = this->route.is_resumable ? UpstreamUse::OutOfReach::BreakOff : UpstreamUse::OutOfReach::Wait;
     std::optional<UpstreamUse> use(std::in_place, this->state.prober, engine, connection, out_of_reach);
     connection->send(format_request_head(this->state.dialect.upstream_head(this->exchange.request(), dispatch)), this->body);
     auto head = co_await connection->read_head();
     if (head.is_error()) {
+        auto const began = use->began_at();
         use.reset();
         this->set_active(nullptr);
         connection->abort();
         if (this->is_stopped())
             co_return Progress::TryAgain;
-        static_cast<void>(co_await this->report_crash(engine, head.error(), this->decode_sent_at));
+        static_cast<void>(co_await this->report_crash(engine, head.error(), began));
         if (this->is_stopped())
             co_return Progress::TryAgain;
         this->failed_engine = engine.identity;
@@ -353,7 +353,7 @@
     auto const status = head.value().status;
     if (facts.identifier == this->request.identifier && status / 100 == 2 && facts.is_signed && !facts.is_encoded) {
         this->state.placement->progress(this->request.identifier, GrantProgress::Decoding);
-        auto const progress = co_await this->relay(engine, *use, connection, head.release_value());
+        auto const progress = co_await this->relay(*use, connection, head.release_value());
         use.reset();
         this->set_active(nullptr);
         this->state.pool.release(address, connection);
@@ -403,7 +403,7 @@
     this->last_event_at = now;
 }
 
-asio::awaitable<StreamFlow::Progress> StreamFlow::relay(UpstreamRecord engine, UpstreamUse& use, std::shared_ptr<HttpConnection> connection, HttpResponseHead head)
+asio::awaitable<StreamFlow::Progress> StreamFlow::relay(UpstreamUse& use, std::shared_ptr<HttpConnection> connection, HttpResponseHead head)
 {
     while (true) {
         auto piece = co_await connection->read_piece();
@@ -412,15 +412,15 @@
             this->events.drop_broken_event();
             if (this->is_stopped())
                 co_return Progress::TryAgain;
-            bool const has_crashed = co_await this->report_crash(engine, piece.error(), this->decode_sent_at);
+            bool const has_crashed = co_await this->report_crash(use.upstream(), piece.error(), use.began_at());
             if (this->is_stopped())
                 co_return Progress::TryAgain;
             // One answer that broke off says little of the engine, but this request goes on elsewhere. Of one that is gone
             // the keeper hears at once, which else would give it out until its entry lapses.
             if (has_crashed)
-                this->failed_engine = engine.identity;
+                this->failed_engine = use.identity();
             else
-                this->failed_engines.push_back(engine.identity);
+                this->failed_engines.push_back(use.identity());
             co_return co_await this->give_up(SendEnd::Lost, to_string(piece.error()));
         }
         this->note_event(monotonic_now());
--- a/Libraries/LibRouter/StreamFlow.h
+++ b/Libraries/LibRouter/StreamFlow.h
@@ -54,7 +54,7 @@
     asio::awaitable<std::optional<HeldCache>> prefill(UpstreamRecord engine);
     asio::awaitable<Progress> decode(UpstreamRecord engine, Address address, Dispatch dispatch);
     void note_event(MonotonicTime now);
-    asio::awaitable<Progress> relay(UpstreamRecord engine, UpstreamUse& use, std::shared_ptr<HttpConnection> connection, HttpResponseHead head);
+    asio::awaitable<Progress> relay(UpstreamUse& use, std::shared_ptr<HttpConnection> connection, HttpResponseHead head);
     void add_unreachable(std::vector<std::string>& engines) const;
     /// Goes on elsewhere where that is wanted and allowed, else answers.
     asio::awaitable<Progress> give_up(SendEnd end, std::string_view reason, SendHistory::AnotherSend wanted = SendHistory::AnotherSend::Allowed);
@@ -67,7 +67,6 @@
     std::shared_ptr<PlacementClient::Ask> wait;
     /// Where the present placement's answer is made.
     std::string last_engine;
-    MonotonicTime decode_sent_at;
     std::vector<std::string> failed_engines;
     std::string failed_engine;
     std::vector<std::string> refusing_engines;
--- a/Libraries/LibRouter/UpstreamUse.cpp
+++ b/Libraries/LibRouter/UpstreamUse.cpp
@@ -7,12 +7,13 @@
 namespace Spurtide {
 
 UpstreamUse::UpstreamUse(ReachabilityProber const& prober, UpstreamRecord const& upstream, std::shared_ptr<HttpConnection> const& connection, OutOfReach out_of_reach)
-    : upstream_identity(upstream.identity)
+    : record(upstream)
+    , began(monotonic_now())
     , tracker(prober.tracker())
     , watched(prober.watched())
     , watch(this->watched->end())
 {
-    this->tracker->note_sent(upstream.identity, upstream.data_centre, monotonic_now());
+    this->tracker->note_sent(upstream.identity, upstream.data_centre, this->began);
     if (out_of_reach == OutOfReach::BreakOff)
         this->watch = this->watched->emplace(upstream.identity, connection);
 }
@@ -21,12 +22,12 @@
 {
     if (this->watch != this->watched->end())
         this->watched->erase(this->watch);
-    this->tracker->note_over(this->upstream_identity);
+    this->tracker->note_over(this->record.identity);
 }
 
 void UpstreamUse::note_heard()
 {
-    this->tracker->note_heard(this->upstream_identity, monotonic_now());
+    this->tracker->note_heard(this->record.identity, monotonic_now());
 }
 
 }
--- a/Libraries/LibRouter/UpstreamUse.h
+++ b/Libraries/LibRouter/UpstreamUse.h
@@ -28,10 +28,13 @@
 
     /// Something came from the upstream.
     void note_heard();
-    std::string const& identity() const { return this->upstream_identity; }
+    UpstreamRecord const& upstream() const { return this->record; }
+    std::string const& identity() const { return this->record.identity; }
+    MonotonicTime began_at() const { return this->began; }
 
 private:
-    std::string upstream_identity;
+    UpstreamRecord record;
+    MonotonicTime began;
     // Both may outlive the process's state at its end, with the request that waits.
     std::shared_ptr<ReachabilityTracker> tracker;
     std::shared_ptr<ReachabilityProber::Watched> watched;
