--- a/Libraries/LibDecision/MembershipTable.cpp
+++ b/Libraries/LibDecision/MembershipTable.cpp
@@ -326,6 +326,14 @@
     return count;
 }
 
+std::size_t MembershipTable::count_started_after(std::int64_t incarnation) const
+{
+    return static_cast<std::size_t>(std::count_if(this->members.begin(), this->members.end(), [&](auto const& member) {
+        auto const& record = member.second.record;
+        return record.life == MemberLife::Alive && record.incarnation > incarnation;
+    }));
+}
+
 std::optional<MemberRecord> MembershipTable::find(std::string_view virtual_machine) const
 {
     auto const found = this->members.find(virtual_machine);
--- a/Libraries/LibDecision/MembershipTable.h
+++ b/Libraries/LibDecision/MembershipTable.h
@@ -135,6 +135,8 @@
     bool has_endpoint(std::string_view endpoint) const;
     std::vector<MemberRecord> all_members() const;
     VirtualMachineCount count() const;
+    /// Members that are alive and whose incarnation is later.
+    std::size_t count_started_after(std::int64_t incarnation) const;
     /// The same on a side that is cut off from all other data centres: their VMs are missing, suspected or not. Suspicion
     /// comes one by one; a second after a cut a side of 27 VMs still counted 49 of the 59 others as answering.
     VirtualMachineCount count_within(std::string_view data_centre, DataCentreOf const& data_centre_of) const;
--- a/Services/ConfigServer/MembershipService.cpp
+++ b/Services/ConfigServer/MembershipService.cpp
@@ -83,7 +83,7 @@
     if (!member || !this->is_elsewhere(*member))
         return;
     auto const live = this->table.live_members();
-    this->cut_detector.note_unanswered(virtual_machine, static_cast<std::size_t>(std::count_if(live.begin(), live.end(), this->is_elsewhere)));
+    this->cut_detector.note_unanswered(virtual_machine, static_cast<std::size_t>(std::count_if(live.begin(), live.end(), [this](auto const& other) { return this->is_elsewhere(other); })));
 }
 
 void MembershipService::note_heard(std::string const& virtual_machine)
--- a/Services/ConfigServer/MembershipService.h
+++ b/Services/ConfigServer/MembershipService.h
@@ -68,8 +68,6 @@
 
     /// Whether another VM was heard lately.
     bool has_company() const;
-    /// Tells which VMs are of other data centres; without it none is.
-    void set_elsewhere(std::function<bool(MemberRecord const&)> is_elsewhere_of) { this->is_elsewhere = std::move(is_elsewhere_of); }
     /// Tells a VM's data centre; without it all are of one.
     void set_data_centre_of(MembershipTable::DataCentreOf tell) { this->data_centre_of = std::move(tell); }
     /// Whether this VM's data centre is cut off from all others, as far as probes tell.
@@ -83,6 +81,8 @@
     /// Members as seen now.
     std::vector<MemberRecord> members() const { return this->table.all_members(); }
     VirtualMachineCount count() const;
+    /// VMs that are alive and whose process started later than that, in milliseconds since the epoch.
+    std::size_t count_started_after(std::int64_t unix_milliseconds) const { return this->table.count_started_after(unix_milliseconds); }
 
 private:
     struct LocalProcess {
@@ -99,6 +99,8 @@
     void take_answer(wire::HeartbeatReply const& answer, std::string const& endpoint);
     void note_heard(std::string const& virtual_machine);
     void note_unanswered(std::string const& virtual_machine);
+    /// Whether the VM is of another data centre.
+    bool is_elsewhere(MemberRecord const& member) const { return this->data_centre_of(member) != this->data_centre_of(this->table.self()); }
     void answer_keys(wire::Heartbeat const& heartbeat, std::size_t most, wire::HeartbeatReply& reply) const;
     std::vector<std::string> take_digests(google::protobuf::RepeatedPtrField<wire::MemberDigest> const& digests);
     void take_records(google::protobuf::RepeatedPtrField<wire::MemberRecord> const& records);
@@ -121,7 +123,6 @@
     MonotonicTime last_compared;
     std::optional<MonotonicTime> last_heard;
     MembershipTable::DataCentreOf data_centre_of = [](auto const&) { return std::string(); };
-    std::function<bool(MemberRecord const&)> is_elsewhere = [](auto const&) { return false; };
     CutDetector cut_detector { CutDetector::Options {} };
     std::map<std::string, LocalProcess> processes;
     std::vector<std::string> leaving_machines;
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -113,10 +113,6 @@
         members, *this->kernel, [this] { return this->state.routes ? this->state.routes->version() : 0; }, [this](auto const& endpoint, auto version) { this->relay->hear_of_configuration(endpoint, version); });
     this->membership->set_upstreams_hooks([this] { return this->state.upstreams.version(); }, [this](auto const& endpoint, auto version) { this->relay->hear_of_upstreams(endpoint, version); });
     this->relay = std::make_unique<RegistryRelay>(RegistryRelay::Options { this->settings.data_centre }, *this->kernel, this->state.upstreams, this->relay_hooks());
-    this->membership->set_elsewhere([this](MemberRecord const& member) {
-        auto const is_news = [&](ServiceEndpoint const& service) { return service.service == this->relay->service(); };
-        return std::none_of(member.services.begin(), member.services.end(), is_news);
-    });
     this->membership->set_data_centre_of([](MemberRecord const& member) { return RegistryRelay::data_centre_of(member); });
     KeeperRanking::Hooks ranking_hooks;
     ranking_hooks.confined_to = [this]() -> std::optional<std::vector<std::string>> {
@@ -211,11 +207,9 @@
     auto const seen = this->membership->count();
     count.live = std::max<std::size_t>(1, seen.live);
     count.lost = seen.missing;
-    bool const may_have_forgotten = this->settings.start == NodeSettings::Start::Again;
-    auto const earliest = unix_milliseconds() - to_milliseconds(this->settings.quota_window);
-    for (auto const& member : this->membership->members()) {
-        count.young += may_have_forgotten && member.life == MemberLife::Alive && member.incarnation > earliest ? 1 : 0;
-    }
+    // Where all start for the first time nobody has forgotten anything.
+    if (this->settings.start == NodeSettings::Start::Again)
+        count.young = this->membership->count_started_after(unix_milliseconds() - to_milliseconds(this->settings.quota_window));
     return count;
 }
 
