LibDecision: Keep new work from a data centre that is evacuated

What callers and operators saw: an order to evacuate a data centre was not read at all.

Ruled out: making the order part of the configuration's document (its version is the operators' own, which an evacuation doesn't change), and of the list's version (the two tables are watched apart, and a list that is at a later position would hide an order or skip changes).

Change: EvacuationBook merges orders and ends by the store's version of each row, in any order. UpstreamList shows upstreams of an evacuated data centre as leaving, so all that holds for those holds here: choice, the check right before the first byte, the keeper, roles, resumes. Watchers tell it with their news and every heartbeat carries it, so that VMs which start, which the store turns away or which were parted hear of it from any other VM.

--- a/Libraries/LibDecision/UpstreamList.cpp
+++ b/Libraries/LibDecision/UpstreamList.cpp
@@ -30,7 +30,7 @@
     if (found == this->entries.end())
         return;
     // One that said that it leaves has left.
-    bool const may_come_back = found->second.record.life == UpstreamRecord::Life::Serving && this->was_away_lately(now);
+    bool const may_come_back = found->second.announced_life == UpstreamRecord::Life::Serving && this->was_away_lately(now);
     if (!may_come_back)
         this->entries.erase(found);
     else if (!found->second.kept_until)
@@ -62,7 +62,9 @@
         return;
     this->current_version = std::max(this->current_version, change.version);
     if (change.record) {
-        this->entries.insert_or_assign(change.identity, Entry { *change.record, change.version, {} });
+        Entry entry { *change.record, change.record->life, change.version, {} };
+        this->judge_life(entry);
+        this->entries.insert_or_assign(change.identity, std::move(entry));
         this->ends.erase(change.identity);
         return;
     }
@@ -100,8 +102,10 @@
     bool const knows_all_ends = known >= this->ends_known_from;
     listing.extent = knows_all_ends ? UpstreamListing::Extent::Changes : UpstreamListing::Extent::Whole;
     for (auto const& [identity, entry] : this->entries) {
-        if (!entry.kept_until && (!knows_all_ends || entry.version > known))
-            listing.records.push_back(entry.record);
+        if (entry.kept_until || (knows_all_ends && entry.version <= known))
+            continue;
+        listing.records.push_back(entry.record);
+        listing.records.back().life = entry.announced_life;
     }
     if (!knows_all_ends)
         return listing;
@@ -129,6 +133,21 @@
     this->current_version = std::max(this->current_version, listing.version);
 }
 
+void UpstreamList::judge_life(Entry& entry) const
+{
+    entry.record.life = this->evacuation_book.is_evacuated(entry.record.data_centre) ? UpstreamRecord::Life::Leaving : entry.announced_life;
+}
+
+std::vector<Evacuation> UpstreamList::take(EvacuationNews const& news)
+{
+    auto changes = this->evacuation_book.take(news);
+    if (!changes.empty()) {
+        for (auto& [identity, entry] : this->entries)
+            this->judge_life(entry);
+    }
+    return changes;
+}
+
 bool UpstreamList::advance(MonotonicTime now)
 {
     if (this->registry == RegistryState::Away)
--- a/Libraries/LibDecision/UpstreamList.h
+++ b/Libraries/LibDecision/UpstreamList.h
@@ -5,6 +5,7 @@
 
 #include <LibCore/Time.h>
 #include <LibDecision/CellScheduler.h>
+#include <LibDecision/EvacuationBook.h>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -62,7 +63,8 @@
 
 /// The upstreams that are known, and which of them get new work. Upstreams whose entries lapsed while their
 /// registry was away are kept for a short time after its return, since those that live announce themselves
-/// again; entries that end while the registry is well are gone at once.
+/// again; entries that end while the registry is well are gone at once. Those of an evacuated data centre are
+/// shown as leaving, so that all that holds for the ones holds for the others; peers are told what they said.
 class UpstreamList {
 public:
     struct Options {
@@ -91,6 +93,9 @@
     UpstreamListing listing_since(std::int64_t known) const;
     /// Takes what a peer told; older news change nothing.
     void take(UpstreamListing const& listing, MonotonicTime now);
+    /// Gives the changes that were news.
+    std::vector<Evacuation> take(EvacuationNews const& news);
+    EvacuationBook const& evacuations() const { return this->evacuation_book; }
     /// Lets time pass; true where a kept entry was dropped.
     bool advance(MonotonicTime now);
 
@@ -105,19 +110,24 @@
 
 private:
     struct Entry {
+        /// Leaving where the data centre is evacuated.
         UpstreamRecord record;
+        /// As the upstream itself says.
+        UpstreamRecord::Life announced_life = UpstreamRecord::Life::Serving;
         std::int64_t version = 0;
         /// Set while the entry lapsed and is kept.
         std::optional<MonotonicTime> kept_until;
     };
 
     bool was_away_lately(MonotonicTime now) const;
+    void judge_life(Entry& entry) const;
     bool is_older(UpstreamChange const& change) const;
     void remember_end(std::string const& identity, std::int64_t version);
     void end(std::string const& identity, MonotonicTime now);
 
     Options options;
     std::map<std::string, Entry, std::less<>> entries;
+    EvacuationBook evacuation_book;
     std::int64_t current_version = 0;
     /// The version with which each of them ended. Those before the next are not all known.
     std::map<std::string, std::int64_t, std::less<>> ends;
--- a/Libraries/LibRouter/RegistryFollower.cpp
+++ b/Libraries/LibRouter/RegistryFollower.cpp
@@ -107,9 +107,10 @@
         position = news.value().position;
         if (news.value().document)
             this->hooks.on_configuration(*news.value().document);
+        this->hooks.on_evacuations(news.value().evacuations);
         if (was_empty_read)
             co_await this->pause(1);
-        else if (news.value().document)
+        else if (news.value().document || !news.value().evacuations.evacuations.empty())
             co_await this->sleep(this->hooks.gathering());
     }
 }
--- a/Libraries/LibRouter/RegistryPort.h
+++ b/Libraries/LibRouter/RegistryPort.h
@@ -5,6 +5,7 @@
 
 #include <LibCore/Result.h>
 #include <LibCore/Time.h>
+#include <LibDecision/EvacuationBook.h>
 #include <LibDecision/RouteTable.h>
 #include <LibDecision/UpstreamList.h>
 #include <LibPlatform/PlatformError.h>
@@ -22,10 +23,11 @@
     std::string text;
 };
 
-/// What was read, and where a watch goes on from.
+/// What operators wrote, and where a watch goes on from.
 struct ConfigurationNews {
     /// Empty where there is none, or none that is new.
     std::optional<ConfigurationDocument> document;
+    EvacuationNews evacuations;
     std::int64_t position = 0;
 };
 
--- a/Libraries/LibRouter/RegistryRelay.cpp
+++ b/Libraries/LibRouter/RegistryRelay.cpp
@@ -85,6 +85,7 @@
     auto* news = envelope.mutable_registry_news();
     news->set_vm(this->kernel.virtual_machine());
     news->set_configuration_version(this->hooks.configuration_version());
+    write_evacuations(this->upstreams.evacuations(), *news->mutable_evacuations());
     auto* content = news->mutable_upstreams();
     if (listing.extent == UpstreamListing::Extent::Changes) {
         write_listing(listing, *content);
@@ -107,6 +108,7 @@
     this->plan.note_told(news.vm(), now);
     this->upstreams.note_registry(UpstreamList::RegistryState::Well, now);
     this->take_upstreams_news(news);
+    this->hooks.on_evacuations(read_evacuations(news.evacuations()));
     auto const endpoint = this->kernel.directory().resolve_on(news.vm(), CONFIGURATION_SERVICE);
     if (!endpoint)
         return;
--- a/Libraries/LibWire/WireUpstreams.cpp
+++ b/Libraries/LibWire/WireUpstreams.cpp
@@ -64,4 +64,22 @@
     return listing;
 }
 
+void write_evacuations(EvacuationBook const& book, google::protobuf::RepeatedPtrField<wire::Evacuation>& messages)
+{
+    for (auto const& evacuation : book.all()) {
+        auto* message = messages.Add();
+        message->set_data_centre(evacuation.data_centre);
+        message->set_version(evacuation.version);
+        message->set_over(evacuation.state == Evacuation::State::Over);
+    }
+}
+
+EvacuationNews read_evacuations(google::protobuf::RepeatedPtrField<wire::Evacuation> const& messages)
+{
+    EvacuationNews news;
+    for (auto const& message : messages)
+        news.evacuations.push_back({ message.data_centre(), message.version(), message.over() ? Evacuation::State::Over : Evacuation::State::Ordered });
+    return news;
+}
+
 }
--- a/Services/ConfigServer/MembershipService.cpp
+++ b/Services/ConfigServer/MembershipService.cpp
@@ -4,6 +4,7 @@
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
 #include <LibWire/WireMembers.h>
+#include <LibWire/WireUpstreams.h>
 #include <Services/ConfigServer/MembershipService.h>
 #include <algorithm>
 
@@ -175,6 +176,7 @@
     if (this->upstreams_version)
         heartbeat->set_upstreams_version(this->upstreams_version());
     heartbeat->set_quarantine_digest(this->quarantine_digest());
+    this->tell_evacuations(*heartbeat->mutable_evacuations());
     auto const now = monotonic_now();
     if (this->is_joining() || now - this->last_compared >= this->options.comparing_interval) {
         this->last_compared = now;
@@ -215,6 +217,7 @@
     if (this->upstreams_version && answer.upstreams_version() > this->upstreams_version())
         this->on_newer_upstreams(endpoint, answer.upstreams_version());
     this->on_quarantine_digest(endpoint, answer.quarantine_digest());
+    this->hear_evacuations(answer.evacuations());
     if (wanted.empty() && answer.wanted().empty() && answer.wanted_keys().empty())
         return;
     auto envelope = message_to(DIRECTORY);
@@ -231,6 +234,18 @@
     });
 }
 
+void MembershipService::tell_evacuations(google::protobuf::RepeatedPtrField<wire::Evacuation>& messages) const
+{
+    if (this->evacuations)
+        write_evacuations(this->evacuations(), messages);
+}
+
+void MembershipService::hear_evacuations(google::protobuf::RepeatedPtrField<wire::Evacuation> const& messages)
+{
+    if (this->on_evacuations && !messages.empty())
+        this->on_evacuations(read_evacuations(messages));
+}
+
 std::vector<std::string> MembershipService::take_digests(google::protobuf::RepeatedPtrField<wire::MemberDigest> const& digests)
 {
     std::vector<MemberDigest> read;
@@ -274,6 +289,8 @@
         if (heartbeat.upstreams_version() > this->upstreams_version() && !endpoint.empty())
             this->on_newer_upstreams(endpoint, heartbeat.upstreams_version());
     }
+    this->hear_evacuations(heartbeat.evacuations());
+    this->tell_evacuations(*body->mutable_evacuations());
     body->set_quarantine_digest(this->quarantine_digest());
     this->on_quarantine_digest(this->endpoint_of(heartbeat.vm()), heartbeat.quarantine_digest());
     if (!heartbeat.keys().empty())
--- a/Services/ConfigServer/MembershipService.h
+++ b/Services/ConfigServer/MembershipService.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <LibDecision/CutDetector.h>
+#include <LibDecision/EvacuationBook.h>
 #include <LibDecision/MembershipTable.h>
 #include <LibWire/Kernel.h>
 #include <functional>
@@ -63,6 +64,13 @@
         this->on_quarantine_digest = std::move(on_other);
     }
 
+    /// Makes evacuations part of the heartbeats, so that a VM hears of them from any other that it reaches.
+    void set_evacuation_hooks(std::function<EvacuationBook const&()> book, std::function<void(EvacuationNews const&)> on_told)
+    {
+        this->evacuations = std::move(book);
+        this->on_evacuations = std::move(on_told);
+    }
+
     /// Machines that the platform's list says are leaving; handed on to this VM's processes.
     void set_leaving_machines(std::vector<std::string> machines);
 
@@ -97,6 +105,8 @@
     /// Probes one member; an empty name stands for a seed whose name is not known.
     void probe(std::string const& virtual_machine, std::string const& endpoint, int tries_left, std::function<void()> const& when_answered = {});
     void take_answer(wire::HeartbeatReply const& answer, std::string const& endpoint);
+    void tell_evacuations(google::protobuf::RepeatedPtrField<wire::Evacuation>& messages) const;
+    void hear_evacuations(google::protobuf::RepeatedPtrField<wire::Evacuation> const& messages);
     void note_heard(std::string const& virtual_machine);
     void note_unanswered(std::string const& virtual_machine);
     /// Whether the VM is of another data centre.
@@ -117,6 +127,9 @@
     std::function<void(std::string const& endpoint, std::int64_t version)> on_newer_upstreams;
     std::function<std::uint64_t()> quarantine_digest = [] { return std::uint64_t(0); };
     std::function<void(std::string const& endpoint, std::uint64_t digest)> on_quarantine_digest = [](auto const&, auto) {};
+    /// Empty where there are none to tell of.
+    std::function<EvacuationBook const&()> evacuations;
+    std::function<void(EvacuationNews const&)> on_evacuations;
     MembershipTable table;
     MonotonicTime started_at;
     MonotonicTime joining_until;
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -6,6 +6,7 @@
 #include <LibWire/WireMetrics.h>
 #include <Services/NodeServer/Node.h>
 #include <Services/NodeServer/NodeMetrics.h>
+#include <algorithm>
 #include <array>
 #include <xxhash.h>
 
@@ -112,6 +113,7 @@
     this->membership = std::make_unique<MembershipService>(
         members, *this->kernel, [this] { return this->state.routes ? this->state.routes->version() : 0; }, [this](auto const& endpoint, auto version) { this->relay->hear_of_configuration(endpoint, version); });
     this->membership->set_upstreams_hooks([this] { return this->state.upstreams.version(); }, [this](auto const& endpoint, auto version) { this->relay->hear_of_upstreams(endpoint, version); });
+    this->membership->set_evacuation_hooks([this]() -> EvacuationBook const& { return this->state.upstreams.evacuations(); }, [this](auto const& news) { this->adopt_evacuations(news, "heartbeat"); });
     this->relay = std::make_unique<RegistryRelay>(RegistryRelay::Options { this->settings.data_centre }, *this->kernel, this->state.upstreams, this->relay_hooks());
     this->membership->set_data_centre_of([](MemberRecord const& member) { return RegistryRelay::data_centre_of(member); });
     KeeperRanking::Hooks ranking_hooks;
@@ -261,6 +263,7 @@
 {
     RegistryFollower::Hooks hooks;
     hooks.on_configuration = [this](auto const& found) { this->adopt(found, "registry"); };
+    hooks.on_evacuations = [this](auto const& news) { this->adopt_evacuations(news, "registry"); };
     hooks.on_upstreams = [this](UpstreamSnapshot const& snapshot) {
         this->state.upstreams.replace(snapshot.listed, snapshot.position, monotonic_now());
         LogLine("upstreams_read").with("count", static_cast<std::int64_t>(snapshot.listed.size())).with("version", this->state.upstreams.version()).with("position", snapshot.position);
@@ -296,6 +299,7 @@
 {
     RegistryRelay::Hooks hooks;
     hooks.on_configuration = [this](auto const& found) { this->adopt(found, "peer"); };
+    hooks.on_evacuations = [this](auto const& news) { this->adopt_evacuations(news, "watcher"); };
     hooks.on_upstreams = [this] { this->engines_changed(); };
     hooks.configuration_version = [this] { return this->configuration_version(); };
     hooks.follows_configuration = [this] { return this->state.routes && this->follower->follows_configuration(); };
@@ -339,6 +343,27 @@
         this->quota_counter->retain(*book);
 }
 
+std::size_t Node::count_upstreams(std::string_view data_centre) const
+{
+    auto const records = this->state.upstreams.records();
+    return static_cast<std::size_t>(std::count_if(records.begin(), records.end(), [&](auto const& record) { return record.data_centre == data_centre; }));
+}
+
+void Node::adopt_evacuations(EvacuationNews const& news, std::string_view source)
+{
+    auto const changes = this->state.upstreams.take(news);
+    if (changes.empty())
+        return;
+    for (auto const& change : changes) {
+        auto const event = change.state == Evacuation::State::Ordered ? "evacuation_in_force" : "evacuation_over";
+        // None where nobody here knows of such a data centre; some may come.
+        LogLine(event).with("evacuated", change.data_centre).with("version", change.version).with("source", source).with("upstreams", static_cast<std::int64_t>(this->count_upstreams(change.data_centre)));
+    }
+    this->engines_changed();
+    this->relay->tell();
+    this->membership->spread_news();
+}
+
 void Node::engines_changed()
 {
     if (this->state.routes)
@@ -415,6 +440,8 @@
     facts.caller_connections = this->callers->connection_count();
     facts.running_requests = this->callers->exchange_count();
     facts.quarantined_requests = this->quarantine->size();
+    for (auto const& evacuation : this->state.upstreams.evacuations().all())
+        facts.evacuations.push_back({ evacuation, this->count_upstreams(evacuation.data_centre) });
     facts.keeping = this->placement->is_keeper() ? NodeFacts::Keeping::This : NodeFacts::Keeping::Others;
     if (!this->relay->watches())
         facts.upstreams_source = NodeFacts::Source::Peers;
--- a/Services/NodeServer/NodeMetrics.cpp
+++ b/Services/NodeServer/NodeMetrics.cpp
@@ -20,6 +20,12 @@
     set("spurtide_keeps_engines", "1 while this VM takes itself for the keeper of the engines", facts.keeping == NodeFacts::Keeping::This ? 1 : 0);
     set("spurtide_upstreams_from_registry", "1 while this VM watches the registry's list of upstreams and is answered", facts.upstreams_source == NodeFacts::Source::Registry ? 1 : 0);
     set("spurtide_upstreams_from_peers", "1 while other VMs tell this one of the list", facts.upstreams_source == NodeFacts::Source::Peers ? 1 : 0);
+    for (auto const& [evacuation, upstreams] : facts.evacuations) {
+        MetricLabels const labels { { "evacuated", evacuation.data_centre } };
+        bool const is_in_force = evacuation.state == Evacuation::State::Ordered;
+        metrics.set("spurtide_evacuation_version", "The registry's version of the last order or end of a data centre's evacuation", static_cast<double>(evacuation.version), labels);
+        metrics.set("spurtide_evacuated_upstreams", "Upstreams that get nothing new since their data centre is evacuated", is_in_force ? static_cast<double>(upstreams) : 0, labels);
+    }
 }
 
 }
--- a/Services/NodeServer/NodeMetrics.h
+++ b/Services/NodeServer/NodeMetrics.h
@@ -4,8 +4,10 @@
 #pragma once
 
 #include <LibCore/Metrics.h>
+#include <LibDecision/EvacuationBook.h>
 #include <cstddef>
 #include <cstdint>
+#include <vector>
 
 namespace Spurtide {
 
@@ -24,6 +26,12 @@
     std::size_t caller_connections = 0;
     std::size_t running_requests = 0;
     std::size_t quarantined_requests = 0;
+    /// What is known of evacuations, ended ones among them, with the upstreams that they concern.
+    struct EvacuationFacts {
+        Evacuation evacuation;
+        std::size_t upstreams = 0;
+    };
+    std::vector<EvacuationFacts> evacuations;
     enum class Keeping {
         Others,
         This,
--- /dev/null
+++ b/Tests/LibDecision/TestEvacuationBook.cpp
@@ -0,0 +1,126 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibDecision/EvacuationBook.h>
+#include <LibDecision/UpstreamList.h>
+#include <Tests/Support/VirtualClock.h>
+#include <algorithm>
+#include <catch2/catch.hpp>
+
+using namespace Spurtide;
+using namespace Spurtide::Tests;
+
+namespace {
+
+using State = Evacuation::State;
+
+EvacuationNews change(std::string data_centre, std::int64_t version, State state = State::Ordered)
+{
+    return { EvacuationNews::Extent::Changes, { { std::move(data_centre), version, state } }, 0 };
+}
+
+EvacuationNews whole(std::int64_t position, std::vector<Evacuation> listed = {})
+{
+    return { EvacuationNews::Extent::Whole, std::move(listed), position };
+}
+
+UpstreamRecord record_in(std::string const& data_centre, UpstreamRecord::Life life = UpstreamRecord::Life::Serving)
+{
+    UpstreamRecord record;
+    record.identity = "at-" + data_centre;
+    record.data_centre = data_centre;
+    record.life = life;
+    return record;
+}
+
+}
+
+TEST_CASE("Late news of an evacuation that is over does not bring it back", "[evacuation]")
+{
+    EvacuationBook book;
+    REQUIRE(book.take(change("a", 5)).size() == 1);
+    REQUIRE(book.take(change("a", 9, State::Over)).size() == 1);
+    CHECK(book.take(change("a", 5)).empty());
+    CHECK_FALSE(book.is_evacuated("a"));
+    // An end that comes before its order.
+    CHECK(book.take(change("b", 8, State::Over)).size() == 1);
+    CHECK(book.take(change("b", 7)).empty());
+    CHECK_FALSE(book.is_evacuated("b"));
+    CHECK(book.take(change("a", 10)).size() == 1);
+    CHECK(book.is_evacuated("a"));
+}
+
+TEST_CASE("A whole reading ends what is not in it, but for what was ordered after it", "[evacuation][platform-down]")
+{
+    EvacuationBook book;
+    book.take(change("a", 5));
+    book.take(change("b", 20));
+    auto const changes = book.take(whole(12, { { "c", 3, State::Ordered } }));
+    CHECK(changes.size() == 2);
+    CHECK_FALSE(book.is_evacuated("a"));
+    CHECK(book.is_evacuated("b"));
+    CHECK(book.is_evacuated("c"));
+    // A reading of the time before.
+    CHECK(book.take(whole(4, { { "c", 3, State::Ordered } })).empty());
+    CHECK_FALSE(book.is_evacuated("a"));
+}
+
+TEST_CASE("VMs that heard of evacuations in any order and from each other agree", "[evacuation][cut]")
+{
+    std::vector<EvacuationNews> news { change("a", 3), change("b", 4), whole(6, { { "b", 4, State::Ordered } }), change("a", 8), change("b", 9, State::Over), change("c", 10) };
+    std::sort(news.begin(), news.end(), [](auto const& one, auto const& other) { return one.evacuations.size() < other.evacuations.size(); });
+    EvacuationBook expected;
+    for (auto const& one : { change("a", 8), change("b", 9, State::Over), change("c", 10) })
+        expected.take(one);
+    std::vector<std::size_t> order { 0, 1, 2, 3, 4, 5 };
+    do {
+        EvacuationBook here;
+        EvacuationBook there;
+        for (std::size_t i = 0; i < order.size(); ++i)
+            (i % 2 == 0 ? here : there).take(news[order[i]]);
+        here.take({ EvacuationNews::Extent::Changes, there.all(), 0 });
+        there.take({ EvacuationNews::Extent::Changes, here.all(), 0 });
+        REQUIRE(here.all() == expected.all());
+        REQUIRE(there.all() == expected.all());
+    } while (std::next_permutation(order.begin(), order.end()));
+}
+
+TEST_CASE("Upstreams of an evacuated data centre get nothing new until it is taken back", "[evacuation][leaving]")
+{
+    UpstreamList list({ milliseconds(1800) });
+    list.apply({ "at-a", record_in("a"), 1 }, at_milliseconds(0));
+    list.apply({ "at-b", record_in("b"), 2 }, at_milliseconds(0));
+    list.take(change("a", 3));
+    CHECK_FALSE(list.takes_work("at-a"));
+    CHECK(list.takes_work("at-b"));
+    SECTION("An entry that changes or comes meanwhile is no exception")
+    {
+        list.apply({ "at-a", record_in("a"), 4 }, at_milliseconds(10));
+        list.replace({ { "at-a", record_in("a"), 4 }, { "at-b", record_in("b"), 2 } }, 6, at_milliseconds(20));
+        CHECK_FALSE(list.takes_work("at-a"));
+    }
+    SECTION("Peers are told what it said itself, and judge on their own")
+    {
+        UpstreamList peer({ milliseconds(1800) });
+        peer.take(list.listing_since(0), at_milliseconds(10));
+        CHECK(peer.takes_work("at-a"));
+        peer.take(change("a", 3));
+        CHECK_FALSE(peer.takes_work("at-a"));
+    }
+    SECTION("Taken back, those take work that did not leave meanwhile")
+    {
+        list.apply({ "at-b", record_in("b", UpstreamRecord::Life::Leaving), 4 }, at_milliseconds(10));
+        list.take(change("b", 5));
+        list.take(change("a", 7, State::Over));
+        list.take(change("b", 8, State::Over));
+        CHECK(list.takes_work("at-a"));
+        CHECK_FALSE(list.takes_work("at-b"));
+    }
+    SECTION("An entry that lapses while the registry is away is kept as any other")
+    {
+        list.note_registry(UpstreamList::RegistryState::Away, at_milliseconds(100));
+        list.replace({}, 9, at_milliseconds(200));
+        list.take(change("a", 10, State::Over));
+        CHECK(list.takes_work("at-a"));
+    }
+}
--- a/Tests/Platform/UpstreamStandIn.h
+++ b/Tests/Platform/UpstreamStandIn.h
@@ -30,6 +30,7 @@
 
     std::string identity;
     std::string phase;
+    std::string data_centre = "dc";
     Script script;
     int events = 5;
     Duration event_pause = milliseconds(2);
