LibDecision: Let a keeper work with as many engines as the load needs

Cause: each VM kept an account of every engine and made it anew at each change of the list, whether it was ever asked for a place or not; the one that is asked looked at all of them with each request. Both grow with the fleet, not with the work.

Ruled out: one account a data centre (CellMap): its size still grows with the engines, and a data centre that is full could not use the next one's.

Change: EngineSubset chooses 32 engines of a model in each data centre by their names alone (the next keeper chooses the same), and doubles as soon as a request waits or a quarter of the places is taken. Engines are taken up when they are needed: VMs that nobody asks keep none. Engines outside the choice get no orders, no connections and are not asked what they have cached. Lists are walked without copies, and ten times a second only where entries are kept.

--- a/Libraries/LibDecision/CellScheduler.cpp
+++ b/Libraries/LibDecision/CellScheduler.cpp
@@ -32,6 +32,8 @@
 constexpr std::int64_t FEWEST_MEASURED_TOKENS = 8;
 /// Whether waiting requests can still be on time is looked at no more often: it takes a look at each engine.
 constexpr Duration HOPELESS_CHECK = milliseconds(50);
+/// Prompts that a prefill engine is given ahead: one that it reads, and the next.
+constexpr std::int64_t PROMPTS_AT_ONCE = 2;
 constexpr Duration SHORTEST_MEASURED_PREFILL = milliseconds(5);
 
 std::size_t earliest(std::span<PlacementCandidate const> candidates)
@@ -578,6 +580,29 @@
     return states;
 }
 
+std::set<std::string> CellScheduler::crowded_models(double share) const
+{
+    std::set<std::string> models;
+    for (auto const& ask : this->waiting)
+        models.insert(ask.model);
+    struct Places {
+        std::int64_t taken = 0;
+        std::int64_t all = 0;
+    };
+    std::map<std::pair<std::string_view, EngineRole>, Places> places;
+    for (auto const& [name, engine] : this->engines) {
+        bool const reads = engine.description.role == EngineRole::Prefill;
+        auto& of_role = places[{ engine.description.model, engine.description.role }];
+        of_role.taken += static_cast<std::int64_t>(reads ? engine.prefills.size() : engine.slots.size());
+        of_role.all += reads ? PROMPTS_AT_ONCE : engine.description.decode_slots;
+    }
+    for (auto const& [model_and_role, counted] : places) {
+        if (static_cast<double>(counted.taken) > share * static_cast<double>(counted.all))
+            models.emplace(model_and_role.first);
+    }
+    return models;
+}
+
 CellScheduler::Summary CellScheduler::summary(MonotonicTime now) const
 {
     Summary summary;
--- a/Libraries/LibDecision/CellScheduler.h
+++ b/Libraries/LibDecision/CellScheduler.h
@@ -320,6 +320,10 @@
     /// The engines by model.
     std::map<std::string, std::vector<EngineState>> engine_states() const;
 
+    /// Models for which a request waits, or of whose engines more than this part is taken: of those that make answers the
+    /// places, of those that read prompts what they are given ahead.
+    std::set<std::string> crowded_models(double share) const;
+
     struct Summary {
         std::size_t waiting = 0;
         std::size_t granted = 0;
--- a/Libraries/LibDecision/ReachabilityTracker.cpp
+++ b/Libraries/LibDecision/ReachabilityTracker.cpp
@@ -140,11 +140,11 @@
     return due;
 }
 
-void ReachabilityTracker::retain(std::set<std::string, std::less<>> const& identities)
+void ReachabilityTracker::retain(std::function<bool(std::string_view)> const& is_listed)
 {
     for (auto position = this->known.begin(); position != this->known.end();) {
         auto& [identity, entry] = *position;
-        if (entry.in_flight > 0 || identities.contains(identity)) {
+        if (entry.in_flight > 0 || is_listed(identity)) {
             ++position;
             continue;
         }
--- a/Libraries/LibDecision/ReachabilityTracker.h
+++ b/Libraries/LibDecision/ReachabilityTracker.h
@@ -5,6 +5,7 @@
 
 #include <LibCore/Time.h>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -68,7 +69,7 @@
     /// Of data centres that count as cut off, others that are to be probed: something has to tell when one is back.
     std::vector<std::string> due_scouts(std::span<UpstreamPlace const> upstreams, MonotonicTime now);
     /// Forgets upstreams that are no more listed and have nothing in flight.
-    void retain(std::set<std::string, std::less<>> const& identities);
+    void retain(std::function<bool(std::string_view)> const& is_listed);
 
 private:
     enum class Mark {
--- a/Libraries/LibDecision/UpstreamList.cpp
+++ b/Libraries/LibDecision/UpstreamList.cpp
@@ -31,10 +31,13 @@
         return;
     // One that said that it leaves has left.
     bool const may_come_back = found->second.announced_life == UpstreamRecord::Life::Serving && this->was_away_lately(now);
-    if (!may_come_back)
+    if (!may_come_back) {
+        this->kept_entries -= found->second.kept_until ? 1 : 0;
         this->entries.erase(found);
-    else if (!found->second.kept_until)
+    } else if (!found->second.kept_until) {
         found->second.kept_until = (this->registry == RegistryState::Away ? now : *this->returned_at) + this->options.lapse_grace;
+        ++this->kept_entries;
+    }
 }
 
 bool UpstreamList::is_older(UpstreamChange const& change) const
@@ -64,6 +67,8 @@
     if (change.record) {
         Entry entry { *change.record, change.record->life, change.version, {} };
         this->judge_life(entry);
+        auto const before = this->entries.find(change.identity);
+        this->kept_entries -= before != this->entries.end() && before->second.kept_until ? 1 : 0;
         this->entries.insert_or_assign(change.identity, std::move(entry));
         this->ends.erase(change.identity);
         return;
@@ -150,9 +155,10 @@
 
 bool UpstreamList::advance(MonotonicTime now)
 {
-    if (this->registry == RegistryState::Away)
+    if (this->registry == RegistryState::Away || this->kept_entries == 0)
         return false;
     auto const dropped = std::erase_if(this->entries, [&](auto const& entry) { return entry.second.kept_until && now >= *entry.second.kept_until; });
+    this->kept_entries -= dropped;
     return dropped > 0;
 }
 
@@ -165,6 +171,12 @@
     return records;
 }
 
+void UpstreamList::for_each(std::function<void(UpstreamRecord const&)> const& visit) const
+{
+    for (auto const& [identity, entry] : this->entries)
+        visit(entry.record);
+}
+
 UpstreamRecord const* UpstreamList::find(std::string_view identity) const
 {
     auto const found = this->entries.find(identity);
--- a/Libraries/LibDecision/UpstreamList.h
+++ b/Libraries/LibDecision/UpstreamList.h
@@ -7,6 +7,7 @@
 #include <LibDecision/CellScheduler.h>
 #include <LibDecision/EvacuationBook.h>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -103,6 +104,8 @@
     std::int64_t version() const { return this->current_version; }
     /// All that are known and not gone.
     std::vector<UpstreamRecord> records() const;
+    /// The same without copies, which at thousands of upstreams cost more than what is done with them.
+    void for_each(std::function<void(UpstreamRecord const&)> const& visit) const;
     /// Whether the upstream of that identity may get new work.
     bool takes_work(std::string_view identity) const;
     UpstreamRecord const* find(std::string_view identity) const;
@@ -134,6 +137,8 @@
     std::int64_t ends_known_from = 0;
     RegistryState registry = RegistryState::Well;
     std::optional<MonotonicTime> returned_at;
+    /// Of the entries, those that lapsed and are kept: mostly none, and then there is nothing to look through.
+    std::size_t kept_entries = 0;
 };
 
 }
--- a/Libraries/LibDecision/UpstreamSelector.cpp
+++ b/Libraries/LibDecision/UpstreamSelector.cpp
@@ -82,10 +82,10 @@
     }
 }
 
-void UpstreamSelector::retain(std::span<std::string const> identities)
+void UpstreamSelector::retain(std::function<bool(std::string_view)> const& is_listed)
 {
     std::erase_if(this->known, [&](auto const& entry) {
-        return entry.second.in_flight == 0 && std::find(identities.begin(), identities.end(), entry.first) == identities.end();
+        return entry.second.in_flight == 0 && !is_listed(entry.first);
     });
 }
 
--- a/Libraries/LibDecision/UpstreamSelector.h
+++ b/Libraries/LibDecision/UpstreamSelector.h
@@ -5,6 +5,7 @@
 
 #include <LibCore/Time.h>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <span>
@@ -62,7 +63,7 @@
     void note_sent(std::string_view identity);
     void note_end(std::string_view identity, UpstreamOutcome outcome, Duration took, MonotonicTime now);
     /// Forgets upstreams that are no more listed.
-    void retain(std::span<std::string const> identities);
+    void retain(std::function<bool(std::string_view)> const& is_listed);
 
     std::int64_t in_flight(std::string_view identity) const;
     bool is_left_out(std::string_view identity, MonotonicTime now) const;
--- a/Libraries/LibRouter/CacheReader.cpp
+++ b/Libraries/LibRouter/CacheReader.cpp
@@ -50,7 +50,7 @@
         auto const records = this->state.upstreams.records();
         for (auto const& record : records) {
             bool const is_decoding = record.role == EngineRole::Decode && record.life == UpstreamRecord::Life::Serving;
-            if (is_decoding && asked.insert(record.identity).second)
+            if (is_decoding && this->hooks.is_used(record.identity) && asked.insert(record.identity).second)
                 co_await this->read(record);
         }
     }
--- a/Libraries/LibRouter/CacheReader.h
+++ b/Libraries/LibRouter/CacheReader.h
@@ -26,6 +26,8 @@
 
     struct Hooks {
         std::function<bool()> is_keeper;
+        /// Whether the keeper gives the engine work: of thousands all others have read none of its callers' prompts.
+        std::function<bool(std::string_view engine)> is_used = [](auto) { return true; };
         std::function<void(std::string_view engine, std::span<std::string const> own_parts)> on_cached;
     };
 
--- a/Libraries/LibRouter/EngineKeeper.cpp
+++ b/Libraries/LibRouter/EngineKeeper.cpp
@@ -5,6 +5,7 @@
 #include <LibCore/LogLine.h>
 #include <LibRouter/EngineKeeper.h>
 #include <LibWire/WirePlacement.h>
+#include <algorithm>
 
 namespace Spurtide {
 
@@ -17,9 +18,31 @@
 constexpr Duration ORIGIN_GRACE = seconds(2);
 /// Limits of accounts are counted before a place is asked for.
 constexpr double UNLIMITED = 1e9;
+/// Tokens a second before anything was measured, in the order of engines of today.
+constexpr double FIRST_PREFILL_RATE = 50'000;
+/// Part of a model's places that are taken before more engines are used. Long prompts fill an engine's memory with half
+/// of its places taken, and a burst of twice the load has to find room at once.
+constexpr double CROWDED_SHARE = 0.25;
 
 std::string_view visit_name(CallerVisit visit) { return visit == CallerVisit::Return ? "return" : "first"; }
 
+EngineDescription describe(UpstreamRecord const& record, EngineTraits const& traits)
+{
+    EngineDescription engine;
+    engine.name = record.identity;
+    engine.model = record.service;
+    engine.role = *record.role;
+    engine.decode_slots = traits.slots;
+    engine.memory_tokens = traits.memory_tokens;
+    engine.cache_bytes_per_token = traits.cache_bytes_per_token;
+    engine.link_rate = traits.link_bytes_per_second;
+    engine.prefill_rate = FIRST_PREFILL_RATE;
+    engine.tokens_per_event = traits.tokens_per_event;
+    engine.data_centre = record.data_centre;
+    engine.started = record.started;
+    return engine;
+}
+
 PlacementAsk read_ask(wire::PlacementAsk const& message, MonotonicTime now)
 {
     PlacementAsk ask;
@@ -90,6 +113,8 @@
 {
     this->kernel.every(HOUSEKEEPING, [this] {
         auto const now = this->begin_turn();
+        if (this->was_used)
+            this->take_up_engines();
         this->forget_gone_origins(now);
         this->scheduler.advance(now);
         this->flush();
@@ -99,32 +124,75 @@
 void EngineKeeper::set_engines(RoutingConfiguration const& configuration, UpstreamList const& upstreams)
 {
     std::vector<EngineDescription> engines;
-    std::vector<std::string> leaving;
-    for (auto const& record : upstreams.records()) {
+    std::set<std::string, std::less<>> leaving;
+    std::vector<std::pair<UpstreamRecord const*, ServiceTraits const*>> known;
+    std::vector<SubsetCandidate> candidates;
+    upstreams.for_each([&](UpstreamRecord const& record) {
         auto const service = std::find_if(configuration.services.begin(), configuration.services.end(), [&](auto const& other) { return other.name == record.service; });
         if (service == configuration.services.end() || !service->engine || !record.role)
-            continue;
-        EngineDescription engine;
-        engine.name = record.identity;
-        engine.model = record.service;
-        engine.role = *record.role;
-        engine.decode_slots = service->engine->slots;
-        engine.memory_tokens = service->engine->memory_tokens;
-        engine.cache_bytes_per_token = service->engine->cache_bytes_per_token;
-        engine.link_rate = service->engine->link_bytes_per_second;
-        engine.prefill_rate = 50'000;
-        engine.tokens_per_event = service->engine->tokens_per_event;
-        engine.data_centre = record.data_centre;
-        engine.started = record.started;
-        engines.push_back(std::move(engine));
-        if (record.life == UpstreamRecord::Life::Leaving || this->hooks.is_changing_role(record.identity))
-            leaving.push_back(record.identity);
+            return;
+        known.emplace_back(&record, &*service);
+        auto const life = record.life == UpstreamRecord::Life::Leaving ? SubsetCandidate::Life::Leaving : SubsetCandidate::Life::Serving;
+        candidates.push_back({ record.identity, record.service, record.data_centre, life });
+    });
+    this->engine_names.clear();
+    for (auto const index : this->subset.choose(candidates)) {
+        auto const& [record, service] = known[index];
+        engines.push_back(describe(*record, *service->engine));
+        this->engine_names.insert(record->identity);
+        if (record->life == UpstreamRecord::Life::Leaving || this->hooks.is_changing_role(record->identity))
+            leaving.insert(record->identity);
     }
     this->scheduler.set_engines(engines);
-    for (auto const& engine : engines) {
-        bool const is_leaving = std::find(leaving.begin(), leaving.end(), engine.name) != leaving.end();
-        this->scheduler.set_leaving(engine.name, is_leaving ? EngineReport::Life::Leaving : EngineReport::Life::Serving);
-    }
+    for (auto const& engine : engines)
+        this->scheduler.set_leaving(engine.name, leaving.contains(engine.name) ? EngineReport::Life::Leaving : EngineReport::Life::Serving);
+}
+
+void EngineKeeper::offer_engines(std::shared_ptr<RouteTable const> routes, UpstreamList const& upstreams)
+{
+    this->offered_routes = std::move(routes);
+    this->offered_upstreams = &upstreams;
+    this->has_newer_offer = true;
+}
+
+void EngineKeeper::refresh_engines()
+{
+    this->has_newer_offer = false;
+    if (this->offered_routes)
+        this->set_engines(this->offered_routes->configuration(), *this->offered_upstreams);
+}
+
+void EngineKeeper::take_up_engines()
+{
+    this->was_used = true;
+    if (this->has_newer_offer)
+        this->refresh_engines();
+}
+
+bool EngineKeeper::works_with(std::string_view engine)
+{
+    this->take_up_engines();
+    return this->engine_names.contains(engine);
+}
+
+// Engines are left out since they are not needed; whoever waits while there are some shows that they are.
+void EngineKeeper::grow_subset(MonotonicTime now)
+{
+    auto needy = this->scheduler.crowded_models(CROWDED_SHARE);
+    std::erase_if(needy, [&](auto const& model) { return !this->subset.has_more(model); });
+    if (!this->offered_routes || needy.empty())
+        return;
+    for (auto const& model : needy)
+        this->subset.grow(model);
+    this->refresh_engines();
+    LogLine("engines_added").with("models", static_cast<std::int64_t>(needy.size())).with("engines", static_cast<std::int64_t>(this->engine_names.size()));
+    this->scheduler.advance(now);
+}
+
+std::map<std::string, std::vector<CellScheduler::EngineState>> EngineKeeper::engine_states()
+{
+    this->take_up_engines();
+    return this->scheduler.engine_states();
 }
 
 MonotonicTime EngineKeeper::begin_turn()
@@ -137,6 +205,7 @@
 void EngineKeeper::handle(wire::Envelope const& request, Kernel::Responder const& respond)
 {
     auto const now = this->begin_turn();
+    this->take_up_engines();
     switch (request.body_case()) {
     case wire::Envelope::kPlacementAsk:
         this->handle_ask(request.placement_ask(), respond);
@@ -185,11 +254,21 @@
     if (ask.relayed_tokens == 0 && ask.excluded_engines.empty())
         this->hooks.on_first_ask(ask);
     this->scheduler.ask(std::move(ask), now);
+    this->grow_subset(now);
 }
 
 void EngineKeeper::handle_records(wire::GrantRecords const& message)
 {
     auto const now = this->hooks.clock();
+    bool has_new = false;
+    for (auto const& record : message.records()) {
+        if (this->works_with(record.decode_engine()) || this->subset.keeps(record.decode_engine()))
+            continue;
+        this->subset.keep(record.decode_engine());
+        has_new = true;
+    }
+    if (has_new)
+        this->refresh_engines();
     for (auto const& record : message.records()) {
         PlacementAsk ask;
         ask.request = record.request();
@@ -248,7 +327,9 @@
 
 void EngineKeeper::tick()
 {
-    this->scheduler.advance(this->begin_turn());
+    auto const now = this->begin_turn();
+    this->take_up_engines();
+    this->scheduler.advance(now);
     this->flush();
 }
 
--- a/Libraries/LibRouter/EngineKeeper.h
+++ b/Libraries/LibRouter/EngineKeeper.h
@@ -6,6 +6,7 @@
 #include <LibCore/Clock.h>
 #include <LibCore/Metrics.h>
 #include <LibDecision/CellScheduler.h>
+#include <LibDecision/EngineSubset.h>
 #include <LibDecision/MissingOrigins.h>
 #include <LibDecision/PauseDetector.h>
 #include <LibDecision/RouteTable.h>
@@ -13,6 +14,8 @@
 #include <LibWire/Kernel.h>
 #include <asio.hpp>
 #include <map>
+#include <memory>
+#include <set>
 #include <string>
 
 namespace Spurtide {
@@ -26,12 +29,21 @@
     void start();
     /// Takes the engines from the configuration and the list of upstreams.
     void set_engines(RoutingConfiguration const& configuration, UpstreamList const& upstreams);
+    /// The same when they are needed next. Most VMs are never asked for a place, and with thousands of engines taking them
+    /// up at each change would be most of what a small VM does. The list has to live as long as this.
+    void offer_engines(std::shared_ptr<RouteTable const> routes, UpstreamList const& upstreams);
+    /// Whether the engine is one of those that this keeper works with.
+    bool works_with(std::string_view engine);
 
     /// The accounts that share the engines.
     void set_accounts(std::span<ClientAccount const> accounts);
 
     /// The engine has the prompts with these parts in memory.
-    void note_cached(std::string_view engine, std::span<std::string const> own_parts) { this->scheduler.note_cached(engine, own_parts, this->hooks.clock()); }
+    void note_cached(std::string_view engine, std::span<std::string const> own_parts)
+    {
+        this->take_up_engines();
+        this->scheduler.note_cached(engine, own_parts, this->hooks.clock());
+    }
     void handle(wire::Envelope const& request, Kernel::Responder const& respond);
 
     struct Hooks {
@@ -42,7 +54,7 @@
         std::function<MonotonicTime()> clock = monotonic_now;
     };
     void set_hooks(Hooks new_hooks) { this->hooks = std::move(new_hooks); }
-    std::map<std::string, std::vector<CellScheduler::EngineState>> engine_states() const { return this->scheduler.engine_states(); }
+    std::map<std::string, std::vector<CellScheduler::EngineState>> engine_states();
 
 private:
     void handle_ask(wire::PlacementAsk const& message, Kernel::Responder const& respond);
@@ -50,11 +62,22 @@
     void know_account(std::string const& account);
     void share_among_accounts();
     MonotonicTime begin_turn();
+    void take_up_engines();
+    void grow_subset(MonotonicTime now);
+    void refresh_engines();
     void flush();
     void tick();
     void forget_gone_origins(MonotonicTime now);
 
     CellScheduler scheduler;
+    EngineSubset subset { EngineSubset::Options {} };
+    /// Of the subset.
+    std::set<std::string, std::less<>> engine_names;
+    /// What the engines are taken from when they are needed; empty where they were set.
+    std::shared_ptr<RouteTable const> offered_routes;
+    UpstreamList const* offered_upstreams = nullptr;
+    bool has_newer_offer = false;
+    bool was_used = false;
     Hooks hooks;
     Kernel& kernel;
     Metrics& metrics;
--- a/Libraries/LibRouter/PlainFlow.cpp
+++ b/Libraries/LibRouter/PlainFlow.cpp
@@ -37,25 +37,25 @@
 
 std::optional<UpstreamRecord> PlainFlow::choose()
 {
-    std::vector<UpstreamRecord> records;
-    for (auto& record : this->state.upstreams.records()) {
+    std::vector<UpstreamRecord const*> records;
+    this->state.upstreams.for_each([&](UpstreamRecord const& record) {
         if (record.service == this->service && record.life == UpstreamRecord::Life::Serving && !this->tried.contains(record.identity))
-            records.push_back(std::move(record));
-    }
+            records.push_back(&record);
+    });
     auto const now = monotonic_now();
-    auto const is_reachable = [&](UpstreamRecord const& record) { return this->state.reachability->is_reachable(record.identity, record.data_centre, now); };
+    auto const is_reachable = [&](UpstreamRecord const* record) { return this->state.reachability->is_reachable(record->identity, record->data_centre, now); };
     // Where none can be reached, one of them may be again.
     if (std::any_of(records.begin(), records.end(), is_reachable))
-        std::erase_if(records, [&](auto const& record) { return !is_reachable(record); });
+        std::erase_if(records, [&](auto const* record) { return !is_reachable(record); });
     std::vector<SelectableUpstream> selectable;
-    for (auto const& record : records) {
-        auto const place = record.data_centre == this->state.data_centre ? SelectableUpstream::Place::SameDataCentre : SelectableUpstream::Place::Elsewhere;
-        selectable.push_back({ record.identity, record.slots, place });
+    for (auto const* record : records) {
+        auto const place = record->data_centre == this->state.data_centre ? SelectableUpstream::Place::SameDataCentre : SelectableUpstream::Place::Elsewhere;
+        selectable.push_back({ record->identity, record->slots, place });
     }
     auto const index = this->state.selector.choose(selectable, now);
     if (!index)
         return {};
-    return records[*index];
+    return *records[*index];
 }
 
 asio::awaitable<void> PlainFlow::carry()
--- a/Libraries/LibRouter/StreamFlow.cpp
+++ b/Libraries/LibRouter/StreamFlow.cpp
@@ -127,10 +127,10 @@
 void StreamFlow::add_unreachable(std::vector<std::string>& engines) const
 {
     auto const now = monotonic_now();
-    for (auto const& record : this->state.upstreams.records()) {
+    this->state.upstreams.for_each([&](UpstreamRecord const& record) {
         if (record.service == this->service && !this->state.reachability->is_reachable(record.identity, record.data_centre, now))
             engines.push_back(record.identity);
-    }
+    });
 }
 
 asio::awaitable<void> StreamFlow::carry()
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -129,6 +129,7 @@
     this->keeper = std::make_unique<EngineKeeper>(scheduler_options(this->settings), *this->kernel, this->metrics, this->loop);
     CacheReader::Hooks cache_hooks;
     cache_hooks.is_keeper = [this] { return this->state.routes && this->membership->is_settled() && this->placement->is_keeper(); };
+    cache_hooks.is_used = [this](auto engine) { return this->keeper->works_with(engine); };
     cache_hooks.on_cached = [this](auto engine, auto own_parts) { this->keeper->note_cached(engine, own_parts); };
     this->cache_reader = std::make_unique<CacheReader>(CacheReader::Options {}, this->state, std::move(cache_hooks));
     this->state.placement = this->placement.get();
@@ -345,8 +346,9 @@
 
 std::size_t Node::count_upstreams(std::string_view data_centre) const
 {
-    auto const records = this->state.upstreams.records();
-    return static_cast<std::size_t>(std::count_if(records.begin(), records.end(), [&](auto const& record) { return record.data_centre == data_centre; }));
+    std::size_t count = 0;
+    this->state.upstreams.for_each([&](auto const& record) { count += record.data_centre == data_centre ? 1 : 0; });
+    return count;
 }
 
 void Node::adopt_evacuations(EvacuationNews const& news, std::string_view source)
@@ -367,12 +369,10 @@
 void Node::engines_changed()
 {
     if (this->state.routes)
-        this->keeper->set_engines(this->state.routes->configuration(), this->state.upstreams);
-    std::vector<std::string> identities;
-    for (auto const& record : this->state.upstreams.records())
-        identities.push_back(record.identity);
-    this->state.selector.retain(identities);
-    this->state.reachability->retain({ identities.begin(), identities.end() });
+        this->keeper->offer_engines(this->state.routes, this->state.upstreams);
+    auto const is_listed = [this](std::string_view identity) { return this->state.upstreams.find(identity) != nullptr; };
+    this->state.selector.retain(is_listed);
+    this->state.reachability->retain(is_listed);
 }
 
 std::string Node::wire_address() const
--- a/Tests/LibDecision/TestReachabilityTracker.cpp
+++ b/Tests/LibDecision/TestReachabilityTracker.cpp
@@ -109,7 +109,7 @@
     ReachabilityTracker tracker({}, "a");
     tracker.note_unreachable("b1", "b", at(0));
     tracker.note_unreachable("b2", "b", at(0));
-    tracker.retain({ "b2", "b3" });
+    tracker.retain([](auto identity) { return identity == "b2" || identity == "b3"; });
     CHECK(tracker.is_reachable("b1", "b", at(1000)));
     CHECK_FALSE(tracker.is_cut_off("b", at(1000)));
     CHECK_FALSE(tracker.is_any_cut_off(at(1000)));
--- a/Tests/LibRouter/TestEngineKeeper.cpp
+++ b/Tests/LibRouter/TestEngineKeeper.cpp
@@ -175,3 +175,44 @@
     if (reply)
         CHECK((reply->has_placement_grant() || reply->has_placement_refusal()));
 }
+
+TEST_CASE("A keeper before thousands of engines works with some, and with more as soon as these are not enough", "[fleet][burst]")
+{
+    CellScheduler::Options options;
+    options.report_need = CellScheduler::Options::ReportNeed::None;
+    KeeperTest test(options);
+    RoutingConfiguration configuration;
+    ServiceTraits service;
+    service.name = "m";
+    service.engine = EngineTraits { 8, 50'000, 1000, 1e9, 1, milliseconds(500) };
+    configuration.services.push_back(service);
+    UpstreamList upstreams { UpstreamList::Options {} };
+    std::vector<UpstreamChange> listed;
+    for (int i = 0; i < 4000; ++i) {
+        UpstreamRecord engine { "e" + std::to_string(i), "m", "127.0.0.1:1", "dc-" + std::to_string(i % 2), 8, UpstreamRecord::Life::Serving, i % 3 == 0 ? EngineRole::Prefill : EngineRole::Decode, 0 };
+        listed.push_back({ engine.identity, engine, 1 });
+    }
+    upstreams.replace(listed, 1, MonotonicTime {});
+    test.keeper->offer_engines(std::make_shared<RouteTable const>(configuration), upstreams);
+    int granted = 0;
+    auto const ask = [&] {
+        auto const reply = test.ask("r" + std::to_string(granted));
+        REQUIRE(reply);
+        REQUIRE(reply->has_placement_grant());
+        // Its prompt is read, and its answer goes on being made.
+        wire::Envelope read;
+        read.mutable_progress()->set_request("r" + std::to_string(granted));
+        read.mutable_progress()->set_progress(wire::GRANT_PROGRESS_CACHE_HELD);
+        test.keeper->handle(read, [](wire::Envelope) {});
+        ++granted;
+    };
+    ask();
+    auto const at_first = test.keeper->engine_states().at("m").size();
+    CHECK(at_first == 64);
+    // Four hundred at once are more than a quarter of what the first engines have places for.
+    while (granted < 400)
+        ask();
+    auto const at_last = test.keeper->engine_states().at("m").size();
+    CHECK(at_last > at_first);
+    CHECK(at_last < 1024);
+}
