LibDecision: Send cold upstreams no more than they bear

What callers saw: nothing yet; what a cold upstream bears a second was not read.

Change: entries' remaining cold time and services' rate are read. Engines get it from their keeper by a bucket of a quarter of a second. Plain upstreams are shared without asking: each VM has a turn at an upstream once in the time in which it bears one request of every VM; a turn lasts a quarter of a second and lapses. A lease of the keeper for plain upstreams was not built: it costs an ask a call. Where no upstream may be used the caller is told at once when this VM's turn comes.

TokenBucket told a wait of zero when a token lacked by an error of calculation alone: a rate of ten a second let 21 through in the first; it rounds up now.

Not read: the cold time in health answers, which are not asked for.

--- a/Libraries/LibDecision/CellScheduler.h
+++ b/Libraries/LibDecision/CellScheduler.h
@@ -45,6 +45,9 @@
     std::int64_t tokens_per_event = 1;
     /// Tells two starts of an engine apart; 0 where its starts have names of their own.
     std::int64_t started = 0;
+    /// Requests a second that it bears until then; 0 where nothing bounds them.
+    double cold_rate = 0;
+    MonotonicTime cold_until {};
 };
 
 /// Work that an engine says it holds.
@@ -361,6 +364,8 @@
         /// Prefills granted and not known to be finished, in the order of their grants. At a decode engine those that
         /// it reads itself.
         std::vector<QueuedPrefill> prefills;
+        /// What it may be given while it is cold.
+        mutable std::optional<TokenBucket> cold_share;
         /// Left out like all others of its role, and used all the same since it failed least.
         bool is_last_resort = false;
         /// Requests that hold or were promised a slot here.
@@ -457,6 +462,8 @@
     void learn_pace(Engine& engine, QueuedPrefill const& prefill, MonotonicTime now);
     Duration reading_time(Engine const& engine, std::int64_t tokens) const;
     bool is_usable(Engine const& engine, MonotonicTime now) const;
+    static bool is_cold(Engine const& engine, MonotonicTime now) { return engine.description.cold_rate > 0 && now < engine.description.cold_until; }
+    static void take_cold_share(Engine& engine, MonotonicTime now);
     std::int64_t usable_slots(Engine const& engine) const;
     std::int64_t releases_before(Engine const& engine, MonotonicTime now, MonotonicTime when) const;
     void hold_slot(Engine& engine, std::string const& request);
--- a/Libraries/LibDecision/CellSchedulerPlacement.cpp
+++ b/Libraries/LibDecision/CellSchedulerPlacement.cpp
@@ -24,6 +24,9 @@
 /// Tokens of a prompt that a decode engine reads at most between two tokens of the others. A quarter of a prefill
 /// engine's piece, which has 1,024 to 2,048 with engines of today.
 constexpr std::int64_t LONGEST_OWN_PIECE = 512;
+/// A cold engine that was idle is given the requests of so long at once, so that with those of the second after it gets a
+/// quarter more than it bears.
+constexpr double COLD_BURST_SECONDS = 0.25;
 /// Part of the longest pause that a reading may fill; the network takes some.
 constexpr double PAUSE_SHARE = 0.95;
 /// Before its time to be decided ends, a request is looked at once more at least: two ticks of a keeper.
@@ -302,9 +305,22 @@
     // An engine that failed gets one request to try it, and no more until that succeeded.
     if (engine.failures_in_a_row > 0 && this->granted.contains(engine.trial))
         return false;
+    if (is_cold(engine, now) && engine.cold_share && engine.cold_share->time_until(1, now) > Duration::zero())
+        return false;
     return is_serving;
 }
 
+// Work that comes faster than a cold engine bears ends its process, and with it all that it was given.
+void CellScheduler::take_cold_share(Engine& engine, MonotonicTime now)
+{
+    if (!is_cold(engine, now))
+        return;
+    auto const rate = engine.description.cold_rate;
+    if (!engine.cold_share)
+        engine.cold_share.emplace(rate, std::max(1.0, rate * COLD_BURST_SECONDS), now);
+    engine.cold_share->try_take(1, now);
+}
+
 // An engine whose steps are slower than the target between tokens is not filled further.
 std::int64_t CellScheduler::usable_slots(Engine const& engine) const
 {
@@ -583,6 +599,8 @@
     reader.prefills.push_back({ ask.request, placement.tokens, now, is_cached || !reader.prefills.empty() });
     this->hold_slot(decode, ask.request);
     for (auto* engine : { prefill != this->engines.end() ? &prefill->second : nullptr, &decode }) {
+        if (engine)
+            take_cold_share(*engine, now);
         if (engine && engine->failures_in_a_row > 0)
             engine->trial = ask.request;
     }
--- a/Libraries/LibDecision/RouteTable.h
+++ b/Libraries/LibDecision/RouteTable.h
@@ -74,6 +74,8 @@
     std::string name;
     /// Connections that one upstream takes from all VMs together.
     std::int64_t maximum_connections = 64;
+    /// Requests a second that one upstream bears from all VMs together while it is cold; 0 where nothing bounds them.
+    double cold_rate = 0;
     /// Set for services whose upstreams are engines.
     std::optional<EngineTraits> engine;
 };
--- a/Libraries/LibDecision/TokenBucket.h
+++ b/Libraries/LibDecision/TokenBucket.h
@@ -5,6 +5,7 @@
 
 #include <LibCore/Time.h>
 #include <algorithm>
+#include <cmath>
 
 namespace Spurtide {
 
@@ -29,13 +30,14 @@
         return true;
     }
 
-    /// How long until that many tokens are there.
+    /// How long until that many tokens are there; never zero before they are.
     Duration time_until(double tokens, MonotonicTime now)
     {
         this->refill(now);
         if (this->level >= tokens)
             return Duration::zero();
-        return from_seconds((tokens - this->level) / this->rate);
+        // Rounded down, a part of a token that is lacking by an error of calculation would be no time at all.
+        return Duration(static_cast<std::int64_t>(std::ceil((tokens - this->level) / this->rate * 1e6)));
     }
 
 private:
--- a/Libraries/LibDecision/UpstreamList.cpp
+++ b/Libraries/LibDecision/UpstreamList.cpp
@@ -67,6 +67,8 @@
     if (change.record) {
         Entry entry { *change.record, change.record->life, change.version, {} };
         this->judge_life(entry);
+        if (entry.record.cold_for > Duration::zero())
+            entry.record.cold_until = now + entry.record.cold_for;
         auto const before = this->entries.find(change.identity);
         this->kept_entries -= before != this->entries.end() && before->second.kept_until ? 1 : 0;
         this->entries.insert_or_assign(change.identity, std::move(entry));
@@ -111,6 +113,7 @@
             continue;
         listing.records.push_back(entry.record);
         listing.records.back().life = entry.announced_life;
+        listing.records.back().cold_until = {};
     }
     if (!knows_all_ends)
         return listing;
--- a/Libraries/LibDecision/UpstreamList.h
+++ b/Libraries/LibDecision/UpstreamList.h
@@ -36,6 +36,10 @@
     std::int64_t orders_taken = 0;
     /// Its start in milliseconds since the epoch, by its own clock; tells two starts apart. 0 where it does not tell.
     std::int64_t started = 0;
+    /// How much longer it is cold, as of its entry: until then it bears a bounded rate of requests.
+    Duration cold_for {};
+    /// The same as a time of this VM's; set by the list.
+    MonotonicTime cold_until {};
 
     bool operator==(UpstreamRecord const&) const = default;
 };
--- a/Libraries/LibRouter/EngineKeeper.cpp
+++ b/Libraries/LibRouter/EngineKeeper.cpp
@@ -26,8 +26,9 @@
 
 std::string_view visit_name(CallerVisit visit) { return visit == CallerVisit::Return ? "return" : "first"; }
 
-EngineDescription describe(UpstreamRecord const& record, EngineTraits const& traits)
+EngineDescription describe(UpstreamRecord const& record, ServiceTraits const& service)
 {
+    auto const& traits = *service.engine;
     EngineDescription engine;
     engine.name = record.identity;
     engine.model = record.service;
@@ -40,6 +41,8 @@
     engine.tokens_per_event = traits.tokens_per_event;
     engine.data_centre = record.data_centre;
     engine.started = record.started;
+    engine.cold_rate = service.cold_rate;
+    engine.cold_until = record.cold_until;
     return engine;
 }
 
@@ -138,7 +141,7 @@
     this->engine_names.clear();
     for (auto const index : this->subset.choose(candidates)) {
         auto const& [record, service] = known[index];
-        engines.push_back(describe(*record, *service->engine));
+        engines.push_back(describe(*record, *service));
         this->engine_names.insert(record->identity);
         if (record->life == UpstreamRecord::Life::Leaving || this->hooks.is_changing_role(record->identity))
             leaving.insert(record->identity);
--- a/Libraries/LibRouter/PlainFlow.cpp
+++ b/Libraries/LibRouter/PlainFlow.cpp
@@ -20,6 +20,8 @@
 /// An answer to another request may come in the place of the one that is due.
 constexpr int SURPLUS_ANSWERS = 3;
 
+Duration time_of_day() { return milliseconds(unix_milliseconds()); }
+
 UpstreamOutcome outcome_of(SendEnd end)
 {
     switch (end) {
@@ -47,6 +49,7 @@
     // Where none can be reached, one of them may be again.
     if (std::any_of(records.begin(), records.end(), is_reachable))
         std::erase_if(records, [&](auto const* record) { return !is_reachable(record); });
+    this->leave_to_others(records, now);
     std::vector<SelectableUpstream> selectable;
     for (auto const* record : records) {
         auto const place = record->data_centre == this->state.data_centre ? SelectableUpstream::Place::SameDataCentre : SelectableUpstream::Place::Elsewhere;
@@ -55,7 +58,36 @@
     auto const index = this->state.selector.choose(selectable, now);
     if (!index)
         return {};
-    return *records[*index];
+    auto const& chosen = *records[*index];
+    if (now < chosen.cold_until)
+        this->state.cold_turns.note_sent(chosen.identity, this->cold_rate(), this->state.sending_machines(), time_of_day());
+    return chosen;
+}
+
+double PlainFlow::cold_rate() const
+{
+    auto const* traits = this->routes->service(this->service);
+    return traits ? traits->cold_rate : 0;
+}
+
+// A cold upstream bears a bounded rate from all VMs together, so this one sends to it in its turn alone.
+void PlainFlow::leave_to_others(std::vector<UpstreamRecord const*>& records, MonotonicTime now)
+{
+    this->next_turn.reset();
+    auto const rate = this->cold_rate();
+    if (rate <= 0)
+        return;
+    std::optional<SendingMachines> machines;
+    std::erase_if(records, [&](auto const* record) {
+        if (now >= record->cold_until)
+            return false;
+        if (!machines)
+            machines = this->state.sending_machines();
+        auto const wait = this->state.cold_turns.time_until_turn(record->identity, rate, *machines, time_of_day());
+        if (wait > Duration::zero())
+            this->next_turn = std::min(wait, this->next_turn.value_or(wait));
+        return wait > Duration::zero();
+    });
 }
 
 asio::awaitable<void> PlainFlow::carry()
@@ -78,8 +110,9 @@
                 co_await this->fail(502, "no_upstream");
             else {
                 // NOTE: GCC 12 destroys a temporary of a conditional expression twice when it spans an await.
-                std::string const reason = last.reason.empty() ? "no_upstream" : last.reason;
-                co_await this->refuse(reason, NO_UPSTREAM_RETRY_AFTER);
+                std::string const without_send = this->next_turn ? "upstreams_cold" : "no_upstream";
+                std::string const reason = last.reason.empty() ? without_send : last.reason;
+                co_await this->refuse(reason, this->next_turn.value_or(NO_UPSTREAM_RETRY_AFTER));
             }
             co_return;
         }
--- a/Libraries/LibRouter/PlainFlow.h
+++ b/Libraries/LibRouter/PlainFlow.h
@@ -29,9 +29,14 @@
     asio::awaitable<Attempt> send_to(UpstreamRecord upstream);
     asio::awaitable<Attempt> read_answer(std::shared_ptr<HttpConnection> connection);
     std::optional<UpstreamRecord> choose();
+    double cold_rate() const;
+    /// Takes out those that are cold and not this VM's turn.
+    void leave_to_others(std::vector<UpstreamRecord const*>& records, MonotonicTime now);
     asio::awaitable<void> relay(Attempt const& attempt);
 
     std::set<std::string> tried;
+    /// Time until this VM may send to one of those that were taken out by the last choice.
+    std::optional<Duration> next_turn;
 };
 
 }
--- a/Libraries/LibRouter/RouterState.h
+++ b/Libraries/LibRouter/RouterState.h
@@ -6,6 +6,7 @@
 #include <LibAsync/ConnectionPool.h>
 #include <LibCore/Metrics.h>
 #include <LibDecision/AnswerPace.h>
+#include <LibDecision/ColdTurns.h>
 #include <LibDecision/RouteTable.h>
 #include <LibDecision/SharedRetryBudget.h>
 #include <LibDecision/StopPolicy.h>
@@ -42,6 +43,10 @@
     ConnectionPool pool { ConnectionPool::Options {} };
     ReachabilityProber prober { ReachabilityProber::Options {}, loop, reachability, pool, upstreams };
     std::map<std::string, SharedRetryBudget> budgets {};
+    /// This VM's part of what cold upstreams bear.
+    ColdTurns cold_turns { ColdTurns::Options {} };
+    /// Those that are alive, or on the other side of a cut.
+    std::function<SendingMachines()> sending_machines = [] { return SendingMachines {}; };
     AnswerPace answer_pace {};
     /// How far answers' lengths are from what callers expect: standard deviation of the logarithm.
     double length_spread = 0.6;
--- a/Libraries/LibWire/WireUpstreams.cpp
+++ b/Libraries/LibWire/WireUpstreams.cpp
@@ -25,6 +25,7 @@
         message.set_role(*record.role == EngineRole::Prefill ? PREFILL : DECODE);
     message.set_orders_taken(record.orders_taken);
     message.set_started(record.started);
+    message.set_cold_for_microseconds(record.cold_for.count());
 }
 
 UpstreamRecord read_upstream(wire::UpstreamEntry const& message)
@@ -40,6 +41,7 @@
         record.role = message.role() == PREFILL ? EngineRole::Prefill : EngineRole::Decode;
     record.orders_taken = message.orders_taken();
     record.started = message.started();
+    record.cold_for = Duration(message.cold_for_microseconds());
     return record;
 }
 
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -133,6 +133,7 @@
     cache_hooks.on_cached = [this](auto engine, auto own_parts) { this->keeper->note_cached(engine, own_parts); };
     this->cache_reader = std::make_unique<CacheReader>(CacheReader::Options {}, this->state, std::move(cache_hooks));
     this->state.placement = this->placement.get();
+    this->state.sending_machines = [this] { return this->membership->sending_machines(); };
     this->state.retry_allowance_part = [this] { return this->retry_allowance_part(); };
     this->state.stop_time = [this]() -> std::optional<StopTime> {
         if (!this->is_stopping)
