LibWire: Close connections that rest; LibDecision: Probe a bounded number of neighbours

Cause: what broke first on the whole fleet was the memory of connections between VMs. Each VM probed all others in turn and never closed a connection, so 986 VMs went towards a million of them, each some 50 KB at both ends and three descriptors: a VM would have needed some 2,900 of its 4,100. Every VM also probed the same first two suspects by name twice a second, 4,000 probes a second on a suspect that has 0.12 of a core to refute.

Change: connections idle for 3 s are closed but for 32. A VM probes the 32 members that score highest with it, each is probed by as many on average; a suspect by 64 VMs a period, and all of fewer. One that stops tells 128 and these the others.

Tests: 16 probers instead of 64 let a lossy tenth declare a VM dead among 40 (an old test), so the bound is 64.

--- a/Libraries/LibDecision/MembershipTable.cpp
+++ b/Libraries/LibDecision/MembershipTable.cpp
@@ -87,6 +87,24 @@
     this->note_change(self, self.since);
 }
 
+std::vector<std::string> MembershipTable::neighbours(std::size_t most) const
+{
+    auto const own_seed = round_score(this->self_name, 0);
+    std::vector<std::pair<std::uint64_t, std::string_view>> ranked;
+    ranked.reserve(this->members.size());
+    for (auto const& [name, member] : this->members) {
+        if (name != this->self_name && member.record.life != MemberLife::Dead)
+            ranked.emplace_back(round_score(name, own_seed), name);
+    }
+    auto const count = std::min(most, ranked.size());
+    std::partial_sort(ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count), ranked.end());
+    std::vector<std::string> names;
+    names.reserve(count);
+    for (std::size_t i = 0; i < count; ++i)
+        names.emplace_back(ranked[i].second);
+    return names;
+}
+
 std::vector<std::string> MembershipTable::next_targets(std::size_t count)
 {
     std::vector<std::string> targets;
@@ -100,8 +118,9 @@
             if (std::exchange(has_new_round, true))
                 break;
             auto const seed = round_score(this->self_name, ++this->round_number);
-            for (auto const& [name, member] : this->members)
-                this->round.push_back(name);
+            this->round = this->neighbours(this->options.neighbours);
+            if (this->round.empty())
+                break;
             std::sort(this->round.begin(), this->round.end(), [&](auto const& a, auto const& b) { return round_score(a, seed) < round_score(b, seed); });
         }
         if (is_target(this->round.back()))
@@ -120,13 +139,18 @@
     for (auto const& [name, member] : this->members) {
         if (added >= this->options.suspects_probed)
             return;
-        if (member.record.life != MemberLife::Suspect || std::find(targets.begin(), targets.end(), name) != targets.end())
+        if (member.record.life != MemberLife::Suspect || !this->is_prober_of(name) || std::find(targets.begin(), targets.end(), name) != targets.end())
             continue;
         targets.push_back(name);
         ++added;
     }
 }
 
+bool MembershipTable::is_prober_of(std::string const& suspect) const
+{
+    return round_score(suspect, round_score(this->self_name, 0)) % this->members.size() < this->options.probers_of_suspect;
+}
+
 std::vector<MemberDigest> MembershipTable::digests_for(std::string_view target)
 {
     std::vector<MemberDigest> digests = { digest_of(this->self()) };
--- a/Libraries/LibDecision/MembershipTable.h
+++ b/Libraries/LibDecision/MembershipTable.h
@@ -74,6 +74,12 @@
         int news_transmissions = 10;
         /// Suspects that are probed beside the usual targets.
         std::size_t suspects_probed = 2;
+        /// Members that one VM probes in turn. Each is among those of as many others on average, and news reach all over
+        /// them in a few intervals; probing all in turn, a thousand VMs would hold a million connections.
+        std::size_t neighbours = 32;
+        /// VMs that probe one suspect in a period, on average. With all of them doing so, a suspect of a thousand VMs got
+        /// 4,000 probes a second, and could not refute for work.
+        std::size_t probers_of_suspect = 64;
     };
 
     MembershipTable(Options options, MemberRecord self);
@@ -84,9 +90,11 @@
     void update_self(std::span<ServiceEndpoint const> services, std::int64_t configuration_generation);
     void leave();
 
-    /// The members to probe next. Each is probed once in a round, in an order that differs by round;
+    /// The members to probe next. Each neighbour is probed once in a round, in an order that differs by round;
     /// suspects are probed beside them.
     std::vector<std::string> next_targets(std::size_t count);
+    /// The members that this VM probes in turn: those that score highest with it, the dead left out. At most so many.
+    std::vector<std::string> neighbours(std::size_t most) const;
 
     /// The digests for a message to a VM: this VM's own, the target's where it has cause to refute, and news.
     std::vector<MemberDigest> digests_for(std::string_view target);
@@ -155,6 +163,7 @@
     };
 
     void add_suspects(std::vector<std::string>& targets) const;
+    bool is_prober_of(std::string const& suspect) const;
     void note_change(Member& member, MonotonicTime now);
     void set_life(Member& member, MemberLife life, MonotonicTime now);
     void refute(std::int64_t incarnation, std::int64_t version);
--- a/Libraries/LibWire/Kernel.cpp
+++ b/Libraries/LibWire/Kernel.cpp
@@ -6,6 +6,7 @@
 #include <LibWire/Kernel.h>
 #include <LibWire/WatchedSocket.h>
 #include <LibWire/WireMembers.h>
+#include <algorithm>
 #include <array>
 #include <asio.hpp>
 #include <atomic>
@@ -119,6 +120,7 @@
             this->announce();
             this->every(this->options.announce_interval, [this] { this->announce(); });
         }
+        this->every(this->options.idle_link_time / 2, [this] { this->close_idle_links(); });
         if (this->own_loop)
             this->thread = std::thread([this] { this->loop.run(); });
     }
@@ -202,6 +204,7 @@
     asio::io_context& loop;
     std::map<std::string, TrafficCount> sent;
     std::map<std::string, TrafficCount> received;
+    std::atomic<std::size_t> link_count = 0;
 
 private:
     struct Pending {
@@ -215,8 +218,30 @@
     struct Link {
         std::unique_ptr<WatchedSocket> socket;
         MonotonicTime heard;
+        MonotonicTime used;
     };
 
+    // Left open, a thousand VMs would have a million connections between them, of which probes use a few at a time.
+    void close_idle_links()
+    {
+        if (this->links.size() <= this->options.idle_links_kept)
+            return;
+        std::set<std::string_view> waited_for;
+        for (auto const& [correlation, request] : this->pending)
+            waited_for.insert(request.endpoint);
+        std::vector<std::pair<MonotonicTime, std::string>> idle;
+        auto const now = monotonic_now();
+        for (auto const& [endpoint, link] : this->links) {
+            if (now - link.used >= this->options.idle_link_time && !waited_for.contains(endpoint))
+                idle.emplace_back(link.used, endpoint);
+        }
+        std::sort(idle.begin(), idle.end());
+        idle.resize(std::min(idle.size(), this->links.size() - this->options.idle_links_kept));
+        for (auto const& [used, endpoint] : idle)
+            this->links.erase(endpoint);
+        this->link_count = this->links.size();
+    }
+
     void arm(std::shared_ptr<asio::steady_timer> const& timer, Duration interval, std::function<void()> const& function)
     {
         timer->expires_after(interval);
@@ -246,7 +271,9 @@
         socket.connect(endpoint);
         auto link = std::make_unique<WatchedSocket>(this->loop, std::move(socket), [this, endpoint](auto frames) { this->receive_reply(endpoint, frames); });
         link->watch();
-        return *this->links.emplace(endpoint, Link { std::move(link), {} }).first->second.socket;
+        auto& socket_of_link = *this->links.emplace(endpoint, Link { std::move(link), {}, {} }).first->second.socket;
+        this->link_count = this->links.size();
+        return socket_of_link;
     }
 
     bool send_on_link(std::string const& endpoint, wire::Envelope const& envelope)
@@ -261,6 +288,7 @@
             // An endpoint that a peer announced and that is no address.
             return false;
         }
+        this->links.at(endpoint).used = monotonic_now();
         this->count(this->sent, envelope, bytes.size());
         return true;
     }
@@ -345,6 +373,7 @@
         auto const link = this->links.find(request.endpoint);
         if (link != this->links.end() && link->second.heard < request.sent)
             this->links.erase(link);
+        this->link_count = this->links.size();
         request.callback(Failure { WireError { WireErrorKind::Timeout } });
     }
 
@@ -510,6 +539,7 @@
 }
 
 void Kernel::notify(std::string const& endpoint, wire::Envelope envelope) { this->core->notify(endpoint, std::move(envelope)); }
+std::size_t Kernel::open_links() const { return this->core->link_count; }
 std::map<std::string, TrafficCount> Kernel::sent_traffic() const { return this->core->traffic(this->core->sent); }
 std::map<std::string, TrafficCount> Kernel::received_traffic() const { return this->core->traffic(this->core->received); }
 
--- a/Libraries/LibWire/Kernel.h
+++ b/Libraries/LibWire/Kernel.h
@@ -60,6 +60,11 @@
         /// The event loop of a process that runs all of its services on one. Without one the kernel runs
         /// a loop and a thread of its own.
         asio::io_context* loop = nullptr;
+        /// Connections to other processes that are kept though nothing was sent on them lately; more are closed once they
+        /// were idle for so long. Each costs some 50 KB and three descriptors at both ends together, and probes go to all VMs
+        /// in turn.
+        std::size_t idle_links_kept = 32;
+        Duration idle_link_time = seconds(3);
     };
 
     /// How long a request waits.
@@ -115,6 +120,9 @@
     /// Sends a message that gets no reply.
     void notify(std::string const& endpoint, wire::Envelope envelope);
 
+    /// Connections to other processes that are open now.
+    std::size_t open_links() const;
+
     /// Traffic so far by message kind, sent and received. Safe from any thread.
     std::map<std::string, TrafficCount> sent_traffic() const;
     std::map<std::string, TrafficCount> received_traffic() const;
--- a/Libraries/LibWire/WireMetrics.cpp
+++ b/Libraries/LibWire/WireMetrics.cpp
@@ -22,6 +22,7 @@
 {
     publish(metrics, kernel.sent_traffic(), "sent");
     publish(metrics, kernel.received_traffic(), "received");
+    metrics.set("spurtide_wire_links", "Connections to other processes that this one opened", static_cast<double>(kernel.open_links()));
 }
 
 void keep_wire_metrics_published(Kernel& kernel, Metrics& metrics)
--- a/Services/ConfigServer/MembershipService.cpp
+++ b/Services/ConfigServer/MembershipService.cpp
@@ -15,6 +15,8 @@
 /// Three announcements that did not come; they cross the VM's loopback alone.
 constexpr Duration LOCAL_PROCESS_SILENCE = milliseconds(1000);
 /// Probes of two intervals that all stayed without an answer.
+/// VMs that one that stops tells of it.
+constexpr std::size_t LEAVE_TOLD = 128;
 constexpr int INTERVALS_ALONE = 2;
 constexpr Duration RECORDS_TIMEOUT = milliseconds(900);
 /// Of the heartbeat interval, so that all tries of a probe fit into about one.
@@ -114,8 +116,9 @@
 void MembershipService::leave(std::function<void()> when_told)
 {
     this->table.leave();
-    // Everybody is told at once; the news alone would take a few intervals.
-    auto const targets = this->table.next_targets(this->table.all_members().size());
+    // Many are told at once, and the others by these: the news alone would take a few intervals, and a connection to each of
+    // a thousand more time than a VM has that stops.
+    auto const targets = this->table.neighbours(LEAVE_TOLD);
     for (auto const& target : targets)
         this->probe(target, this->endpoint_of(target), 1, when_told);
     if (targets.empty())
--- a/Tests/LibDecision/TestMembershipTable.cpp
+++ b/Tests/LibDecision/TestMembershipTable.cpp
@@ -3,8 +3,11 @@
 
 #include <LibDecision/MembershipTable.h>
 #include <Tests/Support/VirtualClock.h>
+#include <algorithm>
 #include <catch2/catch.hpp>
+#include <map>
 #include <random>
+#include <set>
 
 using namespace Spurtide;
 using namespace Spurtide::Tests;
@@ -38,6 +41,15 @@
         }
     }
 
+    void acquaint()
+    {
+        std::vector<MemberRecord> records;
+        for (auto const& name : this->names)
+            records.push_back(record(name));
+        for (auto& table : this->tables)
+            table.merge_records(records, at_milliseconds(0));
+    }
+
     void run_second(MonotonicTime now)
     {
         for (std::size_t i = 0; i < this->tables.size(); ++i) {
@@ -463,3 +475,71 @@
     test.pass(seconds(3600));
     CHECK_FALSE(test.table.find("far-2"));
 }
+
+namespace {
+
+/// VMs that know each other already.
+std::vector<MembershipTable> acquainted(std::size_t count)
+{
+    std::vector<MemberRecord> records;
+    for (std::size_t i = 0; i < count; ++i)
+        records.push_back(record("vm-" + std::to_string(i)));
+    std::vector<MembershipTable> tables;
+    for (auto const& own : records) {
+        tables.emplace_back(MembershipTable::Options {}, own);
+        tables.back().merge_records(records, at_milliseconds(0));
+    }
+    return tables;
+}
+
+}
+
+TEST_CASE("The VMs that one VM probes are as many among a thousand as among a hundred, and each is probed by some", "[fleet]")
+{
+    auto const count = static_cast<std::size_t>(GENERATE(100, 1000));
+    auto tables = acquainted(count);
+    std::map<std::string, std::size_t> probed_by;
+    for (auto& table : tables) {
+        std::set<std::string> probed;
+        for (int period = 0; period < 200; ++period) {
+            for (auto const& target : table.next_targets(2))
+                probed.insert(target);
+        }
+        CHECK(probed.size() == 32);
+        for (auto const& target : probed)
+            ++probed_by[target];
+    }
+    REQUIRE(probed_by.size() == count);
+    auto const least = std::min_element(probed_by.begin(), probed_by.end(), [](auto const& a, auto const& b) { return a.second < b.second; });
+    CHECK(least->second >= 8);
+}
+
+TEST_CASE("A suspect is probed by some VMs in each period, not by all of a thousand", "[fleet][freeze]")
+{
+    auto const count = static_cast<std::size_t>(GENERATE(100, 1000));
+    auto tables = acquainted(count);
+    for (auto& table : tables)
+        table.note_no_answer("vm-7", at_milliseconds(0));
+    for (int period = 0; period < 5; ++period) {
+        std::size_t probes = 0;
+        for (auto& table : tables) {
+            auto const targets = table.next_targets(2);
+            probes += static_cast<std::size_t>(std::count(targets.begin(), targets.end(), "vm-7"));
+        }
+        CHECK(probes >= 16);
+        CHECK(probes <= 128);
+    }
+}
+
+TEST_CASE("Among three hundred a silent VM is dead everywhere as soon as among thirty", "[fleet][kill]")
+{
+    auto const count = GENERATE(30, 300);
+    Gossip gossip(count, 11);
+    gossip.acquaint();
+    // The news that all started have gone round.
+    gossip.run(0, 40);
+    REQUIRE(gossip.everyone_sees("vm-23", MemberLife::Alive));
+    gossip.silent[23] = true;
+    gossip.run(40, 50);
+    CHECK(gossip.everyone_sees("vm-23", MemberLife::Dead));
+}
--- a/Tests/LibWire/TestKernel.cpp
+++ b/Tests/LibWire/TestKernel.cpp
@@ -134,3 +134,37 @@
     }
     CHECK_FALSE(client->call(server->endpoint(), locate("x"), seconds(10)).is_error());
 }
+
+TEST_CASE("Connections that rest are closed but for a few, and opened again when they are needed", "[fleet]")
+{
+    Kernel::Options options { "vm-0", "tcp://127.0.0.1:0", "" };
+    options.idle_links_kept = 3;
+    options.idle_link_time = milliseconds(100);
+    auto const client = Kernel::create(options).release_value();
+    client->start();
+    std::vector<std::unique_ptr<Kernel>> peers;
+    for (int i = 1; i <= 12; ++i) {
+        peers.push_back(make_kernel("vm-" + std::to_string(i)));
+        peers.back()->host("echo", answer_echo);
+        peers.back()->start();
+    }
+    auto const reach_all = [&] {
+        for (auto const& peer : peers)
+            CHECK_FALSE(client->call(peer->endpoint(), locate("r"), seconds(10)).is_error());
+    };
+    reach_all();
+    CHECK(eventually([&] { return client->open_links() == 3; }));
+    reach_all();
+    CHECK(client->open_links() > 3);
+    // One that waits for its reply is not idle.
+    Kernel::Responder kept;
+    auto slow = make_kernel("vm-13");
+    slow->host("echo", [&](auto const&, auto respond) { kept = respond; });
+    slow->start();
+    std::atomic<int> answered = 0;
+    client->request(slow->endpoint(), locate("late"), seconds(10), [&](WireReply const& reply) { answered = reply.is_error() ? -1 : 1; });
+    CHECK(eventually([&] { return client->open_links() == 3; }));
+    slow->post([&] { kept({}); });
+    CHECK(eventually([&] { return answered != 0; }));
+    CHECK(answered == 1);
+}
