LibDecision: Serve requests in their home regions alone

Routes and accounts may name regions that their requests, prompts and what is made of them stay in. These were not read: a prompt went to whatever engine was free.

Change: Residency holds the lists of a request's route and account, both binding. Plain calls look at it in each choice, second sends as well; a stream names the data centres that are out in its ask, and the keeper places neither prompt nor answer there. Where nothing is left the refusal says so at once. The platform's list of data centres and their regions comes with the settings. A list that can't be read is a typed fault, and the configuration before stays.

The ask's list of data centres also takes the place of each engine of a data centre that is cut off: with 1,700 engines in one, an ask would have named each of them.

--- a/Libraries/LibAccounts/ClientAccount.h
+++ b/Libraries/LibAccounts/ClientAccount.h
@@ -34,6 +34,8 @@
     std::int64_t priority = 0;
     /// Empty for accounts without a limit.
     std::optional<AccountLimit> limit;
+    /// Regions that its requests stay in; empty for all.
+    std::vector<std::string> home_regions {};
 
     /// What one request counts against the limit: 1, or the tokens that it names, prompt and longest answer together.
     /// 0 without a limit.
--- a/Libraries/LibDecision/CellScheduler.h
+++ b/Libraries/LibDecision/CellScheduler.h
@@ -107,6 +107,8 @@
     std::optional<MonotonicTime> decide_by {};
     /// Engines that failed this request before.
     std::vector<std::string> excluded_engines {};
+    /// Those whose engines it may not go to, or that its VM does not reach.
+    std::vector<std::string> excluded_data_centres {};
     /// Where its answer will go.
     std::string data_centre {};
     /// Longest pause between two events that is on time; zero where none is set.
--- a/Libraries/LibDecision/CellSchedulerPlacement.cpp
+++ b/Libraries/LibDecision/CellSchedulerPlacement.cpp
@@ -417,7 +417,8 @@
 {
     auto const& description = engine.description;
     bool const is_excluded = std::find(ask.excluded_engines.begin(), ask.excluded_engines.end(), description.name) != ask.excluded_engines.end();
-    return description.role == role && description.model == ask.model && this->is_usable(engine, now) && !is_excluded;
+    bool const is_elsewhere = std::find(ask.excluded_data_centres.begin(), ask.excluded_data_centres.end(), description.data_centre) != ask.excluded_data_centres.end();
+    return description.role == role && description.model == ask.model && this->is_usable(engine, now) && !is_excluded && !is_elsewhere;
 }
 
 double CellScheduler::usable_memory(Engine const& engine) const
--- a/Libraries/LibDecision/RouteTable.h
+++ b/Libraries/LibDecision/RouteTable.h
@@ -52,6 +52,8 @@
     RouteAccess access = RouteAccess::Accounts;
     /// Whether a stream may go on at another upstream behind the last event that came.
     bool is_resumable = false;
+    /// Regions that its requests, their prompts and what is made of them stay in; empty for all.
+    std::vector<std::string> home_regions {};
     std::vector<RouteTarget> targets;
 
     /// Picks a target by a number that is spread evenly, such as a hash of the request's name.
--- a/Libraries/LibRouter/EngineKeeper.cpp
+++ b/Libraries/LibRouter/EngineKeeper.cpp
@@ -67,6 +67,7 @@
     if (message.late_within_microseconds() > 0)
         ask.late_deadline = now + Duration(message.late_within_microseconds());
     ask.excluded_engines.assign(message.excluded_engines().begin(), message.excluded_engines().end());
+    ask.excluded_data_centres.assign(message.excluded_data_centres().begin(), message.excluded_data_centres().end());
     return ask;
 }
 
--- a/Libraries/LibRouter/PlacementClient.cpp
+++ b/Libraries/LibRouter/PlacementClient.cpp
@@ -70,6 +70,8 @@
     message->set_own_part(ask.own_part);
     for (auto const& engine : ask.excluded_engines)
         message->add_excluded_engines(engine);
+    for (auto const& data_centre : ask.excluded_data_centres)
+        message->add_excluded_data_centres(data_centre);
     return envelope;
 }
 
--- a/Libraries/LibRouter/PlainFlow.cpp
+++ b/Libraries/LibRouter/PlainFlow.cpp
@@ -41,7 +41,7 @@
 {
     std::vector<UpstreamRecord const*> records;
     this->state.upstreams.for_each([&](UpstreamRecord const& record) {
-        if (record.service == this->service && record.life == UpstreamRecord::Life::Serving && !this->tried.contains(record.identity))
+        if (record.service == this->service && record.life == UpstreamRecord::Life::Serving && this->may_go_to(record.data_centre) && !this->tried.contains(record.identity))
             records.push_back(&record);
     });
     auto const now = monotonic_now();
@@ -110,7 +110,8 @@
                 co_await this->fail(502, "no_upstream");
             else {
                 // NOTE: GCC 12 destroys a temporary of a conditional expression twice when it spans an await.
-                std::string const without_send = this->next_turn ? "upstreams_cold" : "no_upstream";
+                std::string const nowhere = this->residency.is_bound() ? "no_upstream_in_home_regions" : "no_upstream";
+                std::string const without_send = this->next_turn ? "upstreams_cold" : nowhere;
                 std::string const reason = last.reason.empty() ? without_send : last.reason;
                 co_await this->refuse(reason, this->next_turn.value_or(NO_UPSTREAM_RETRY_AFTER));
             }
--- a/Libraries/LibRouter/RequestFlow.cpp
+++ b/Libraries/LibRouter/RequestFlow.cpp
@@ -58,6 +58,7 @@
     , service(route.target_for(XXH3_64bits(this->request.identifier.data(), this->request.identifier.size())))
     , account(account ? account->name : std::string())
     , body(std::make_shared<std::string const>(exchange.request().body))
+    , residency(route.home_regions, account ? account->home_regions : std::vector<std::string>())
     , ledger(state.budget_of(this->service))
     , until(exchange.received_at() + std::min(route.timeout, this->request.patience))
     , counted_account(this->account)
--- a/Libraries/LibRouter/RequestFlow.h
+++ b/Libraries/LibRouter/RequestFlow.h
@@ -79,6 +79,9 @@
     /// nothing listens at its address any more. Stops the request where it is the cause. Gives whether it crashed.
     asio::awaitable<bool> report_crash(UpstreamRecord upstream, HttpError error, MonotonicTime since);
 
+    /// Whether the request may be served there, and what it brings may be kept there.
+    bool may_go_to(std::string_view data_centre) const { return this->residency.allows(data_centre, this->state.regions); }
+
     RouterState& state;
     HttpExchange& exchange;
     std::shared_ptr<RouteTable const> routes;
@@ -89,6 +92,7 @@
     /// Named to upstreams; empty for callers without one.
     std::string account;
     std::shared_ptr<std::string const> body;
+    Residency residency;
     SendLedger ledger;
     MonotonicTime until;
     SendHistory::Earlier earlier = SendHistory::Earlier::HasNotRun;
--- a/Libraries/LibRouter/RouterState.h
+++ b/Libraries/LibRouter/RouterState.h
@@ -7,6 +7,7 @@
 #include <LibCore/Metrics.h>
 #include <LibDecision/AnswerPace.h>
 #include <LibDecision/ColdTurns.h>
+#include <LibDecision/Residency.h>
 #include <LibDecision/RouteTable.h>
 #include <LibDecision/SharedRetryBudget.h>
 #include <LibDecision/StopPolicy.h>
@@ -33,6 +34,7 @@
     CallerDialect const& dialect;
     Metrics& metrics;
     std::string data_centre;
+    RegionMap regions {};
     SharedRetryBudget::Options retry_options {};
     /// Empty before the first configuration came.
     std::shared_ptr<RouteTable const> routes {};
--- a/Libraries/LibRouter/StreamFlow.cpp
+++ b/Libraries/LibRouter/StreamFlow.cpp
@@ -75,7 +75,7 @@
     ask.relayed_tokens = this->relayed_tokens();
     ask.priority = this->placement_priority();
     ask.excluded_engines = this->failed_engines;
-    this->add_unreachable(ask.excluded_engines);
+    this->add_unreachable(ask);
     ask.data_centre = this->state.data_centre;
     ask.longest_pause = this->route.pause_target;
     ask.own_part = prompt.own_part;
@@ -123,14 +123,25 @@
     return within;
 }
 
-// The keeper may reach engines that this VM does not.
-void StreamFlow::add_unreachable(std::vector<std::string>& engines) const
+// The keeper may reach engines that this VM does not, and does not know where the request has to stay. A data centre that is
+// out of reach is named as a whole: it may have thousands of engines.
+void StreamFlow::add_unreachable(PlacementAsk& ask) const
 {
     auto const now = monotonic_now();
+    std::map<std::string_view, bool> is_out;
     this->state.upstreams.for_each([&](UpstreamRecord const& record) {
-        if (record.service == this->service && !this->state.reachability->is_reachable(record.identity, record.data_centre, now))
-            engines.push_back(record.identity);
+        if (record.service != this->service)
+            return;
+        auto const [known, is_new] = is_out.try_emplace(record.data_centre, false);
+        if (is_new)
+            known->second = !this->may_go_to(record.data_centre) || this->state.reachability->is_cut_off(record.data_centre, now);
+        if (!known->second && !this->state.reachability->is_reachable(record.identity, record.data_centre, now))
+            ask.excluded_engines.push_back(record.identity);
     });
+    for (auto const& [data_centre, out] : is_out) {
+        if (out)
+            ask.excluded_data_centres.emplace_back(data_centre);
+    }
 }
 
 asio::awaitable<void> StreamFlow::carry()
@@ -143,10 +154,12 @@
             co_return;
         }
         if (auto const* refusal = std::get_if<PlacementRefusal>(&*decision)) {
+            bool const is_nowhere = refusal->reason == RefusalReason::NoUpstream && this->residency.is_bound();
+            std::string_view const reason = is_nowhere ? "no_upstream_in_home_regions" : to_string(refusal->reason);
             if (this->earlier == SendHistory::Earlier::MayHaveRun)
-                co_await this->fail(502, to_string(refusal->reason));
+                co_await this->fail(502, reason);
             else
-                co_await this->refuse(to_string(refusal->reason), refusal->retry_after);
+                co_await this->refuse(reason, refusal->retry_after);
             co_return;
         }
         ++this->placements;
--- a/Libraries/LibRouter/StreamFlow.h
+++ b/Libraries/LibRouter/StreamFlow.h
@@ -55,7 +55,7 @@
     asio::awaitable<Progress> decode(UpstreamRecord engine, Address address, Dispatch dispatch);
     void note_event(MonotonicTime now);
     asio::awaitable<Progress> relay(UpstreamUse& use, std::shared_ptr<HttpConnection> connection, HttpResponseHead head);
-    void add_unreachable(std::vector<std::string>& engines) const;
+    void add_unreachable(PlacementAsk& ask) const;
     /// Goes on elsewhere where that is wanted and allowed, else answers.
     asio::awaitable<Progress> give_up(SendEnd end, std::string_view reason, SendHistory::AnotherSend wanted = SendHistory::AnotherSend::Allowed);
     void free_cache(std::string const& address, std::string const& handle);
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -73,7 +73,7 @@
     : loop(loop)
     , settings(std::move(node_settings))
     , adapters(std::move(node_adapters))
-    , state { .loop = loop, .dialect = this->adapters.dialect, .metrics = this->metrics, .data_centre = this->settings.data_centre, .retry_options = this->settings.retry, .length_spread = this->settings.length_spread }
+    , state { .loop = loop, .dialect = this->adapters.dialect, .metrics = this->metrics, .data_centre = this->settings.data_centre, .regions = this->settings.regions, .retry_options = this->settings.retry, .length_spread = this->settings.length_spread }
     , entry(this->state)
     , started_at(monotonic_now())
     , stop_timer(loop)
--- a/Services/NodeServer/NodeSettings.cpp
+++ b/Services/NodeServer/NodeSettings.cpp
@@ -30,6 +30,11 @@
     NodeSettings node;
     node.virtual_machine = reader.text("vm", Presence::Required);
     node.data_centre = reader.text("data_centre", Presence::Required);
+    for (auto& data_centre : reader.objects("data_centres", Presence::Optional)) {
+        auto const name = data_centre.text("name", Presence::Required);
+        node.regions.insert_or_assign(name, data_centre.text("region", Presence::Required));
+        data_centre.finish();
+    }
     node.caller_address = required_address(reader, "caller_address");
     node.operations_address = required_address(reader, "operations_address");
     node.metrics_address = read_address(reader, "metrics_address", Presence::Optional);
--- a/Services/NodeServer/NodeSettings.h
+++ b/Services/NodeServer/NodeSettings.h
@@ -5,6 +5,7 @@
 
 #include <LibCore/Result.h>
 #include <LibCore/SettingsReader.h>
+#include <LibDecision/Residency.h>
 #include <LibDecision/SharedRetryBudget.h>
 #include <LibHttp/Address.h>
 #include <nlohmann/json.hpp>
@@ -17,6 +18,8 @@
 struct NodeSettings {
     std::string virtual_machine;
     std::string data_centre;
+    /// Where it is told; requests that have to stay in some regions are served at those data centres alone.
+    RegionMap regions;
     /// Where callers connect.
     Address caller_address;
     /// Where readiness and metrics are asked for.
