--- a/Tests/Platform/TestEvacuation.cpp
+++ b/Tests/Platform/TestEvacuation.cpp
@@ -2,8 +2,8 @@
 // SPDX-License-Identifier: BSD-2-Clause
 
 #include <LibCore/LogLine.h>
-#include <Tests/Platform/NodeUnderTest.h>
 #include <Tests/Platform/PeerVirtualMachine.h>
+#include <Tests/Platform/TwoDataCentres.h>
 #include <catch2/catch.hpp>
 
 using namespace Spurtide;
@@ -11,17 +11,11 @@
 
 namespace {
 
-/// Two plain upstreams and two pairs of engines, one of each here and elsewhere.
-struct EvacuationTest : NodeUnderTest {
+struct EvacuationTest : TwoDataCentres {
     EvacuationTest()
     {
-        for (auto* upstream : { &this->plain_there, &this->prefill_there, &this->decode_there })
-            upstream->data_centre = "there";
         this->configure(1);
-        this->list(this->plain_here, "plain");
-        this->list(this->plain_there, "plain");
-        for (auto const* engine : { &this->prefill_here, &this->decode_here, &this->prefill_there, &this->decode_there })
-            this->list(*engine, "engines");
+        this->list_all();
     }
 
     void wait_for(std::string const& identity, UpstreamRecord::Life life)
@@ -38,16 +32,6 @@
             CHECK(this->call(this->model_request("/stream/x", "stream" + number)).head.status == status);
         }
     }
-
-    std::size_t sent_there() const { return this->plain_there.requests.size() + this->prefill_there.requests.size() + this->decode_there.requests.size(); }
-    std::size_t sent_here() const { return this->plain_here.requests.size() + this->prefill_here.requests.size() + this->decode_here.requests.size(); }
-
-    UpstreamStandIn plain_here { this->loop, "i-1" };
-    UpstreamStandIn plain_there { this->loop, "i-2" };
-    UpstreamStandIn prefill_here { this->loop, "i-3", "prefill" };
-    UpstreamStandIn decode_here { this->loop, "i-4", "decode" };
-    UpstreamStandIn prefill_there { this->loop, "i-5", "prefill" };
-    UpstreamStandIn decode_there { this->loop, "i-6", "decode" };
 };
 
 }
--- a/Tests/Platform/TestHomeRegions.cpp
+++ b/Tests/Platform/TestHomeRegions.cpp
@@ -2,7 +2,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 
 #include <LibCore/LogLine.h>
-#include <Tests/Platform/NodeUnderTest.h>
+#include <Tests/Platform/TwoDataCentres.h>
 #include <catch2/catch.hpp>
 
 using namespace Spurtide;
@@ -11,31 +11,11 @@
 namespace {
 
 /// A VM in the west, with upstreams of each kind there and in the east.
-struct HomeTest : NodeUnderTest {
+struct HomeTest : TwoDataCentres {
     HomeTest()
-        : NodeUnderTest([](NodeSettings& settings) { settings.regions = { { "dc", "west" }, { "there", "east" } }; })
+        : TwoDataCentres([](NodeSettings& settings) { settings.regions = { { "dc", "west" }, { "there", "east" } }; })
     {
-        for (auto* upstream : { &this->plain_there, &this->prefill_there, &this->decode_there })
-            upstream->data_centre = "there";
     }
-
-    void list_all()
-    {
-        this->list(this->plain_here, "plain");
-        this->list(this->plain_there, "plain");
-        for (auto const* engine : { &this->prefill_here, &this->decode_here, &this->prefill_there, &this->decode_there })
-            this->list(*engine, "engines");
-    }
-
-    std::size_t sent_there() const { return this->plain_there.requests.size() + this->prefill_there.requests.size() + this->decode_there.requests.size(); }
-    std::size_t sent_here() const { return this->plain_here.requests.size() + this->prefill_here.requests.size() + this->decode_here.requests.size(); }
-
-    UpstreamStandIn plain_here { this->loop, "i-1" };
-    UpstreamStandIn plain_there { this->loop, "i-2" };
-    UpstreamStandIn prefill_here { this->loop, "i-3", "prefill" };
-    UpstreamStandIn decode_here { this->loop, "i-4", "decode" };
-    UpstreamStandIn prefill_there { this->loop, "i-5", "prefill" };
-    UpstreamStandIn decode_there { this->loop, "i-6", "decode" };
 };
 
 void keep_all_in(nlohmann::json& configuration, std::vector<std::string> const& regions)
