LibRouter: Take up engines no more where nobody asks

Found by reading the change. A VM that kept the engines once went on taking them up at each change of the list; a grant record of an engine that is gone made the keeper take up the whole list with each record; and each ask counted all places although no engine was left out.

--- a/Libraries/LibDecision/EngineSubset.h
+++ b/Libraries/LibDecision/EngineSubset.h
@@ -46,6 +46,8 @@
     std::vector<std::size_t> choose(std::span<SubsetCandidate const> candidates);
     /// Whether the last choice left some of the model out.
     bool has_more(std::string_view model) const { return this->incomplete.contains(model); }
+    /// The same of any model.
+    bool has_more() const { return !this->incomplete.empty(); }
     /// Makes the next choice twice as large for the model.
     void grow(std::string_view model);
     /// Has the engine in each choice from now on: it was given work by another keeper.
--- a/Libraries/LibRouter/EngineKeeper.cpp
+++ b/Libraries/LibRouter/EngineKeeper.cpp
@@ -6,6 +6,7 @@
 #include <LibRouter/EngineKeeper.h>
 #include <LibWire/WirePlacement.h>
 #include <algorithm>
+#include <utility>
 
 namespace Spurtide {
 
@@ -117,8 +118,9 @@
 {
     this->kernel.every(HOUSEKEEPING, [this] {
         auto const now = this->begin_turn();
-        if (this->was_used)
-            this->take_up_engines();
+        // A VM that nobody asks any more does not follow the list.
+        if (std::exchange(this->was_used, false) && this->has_newer_offer)
+            this->refresh_engines();
         this->forget_gone_origins(now);
         this->scheduler.advance(now);
         this->flush();
@@ -182,9 +184,12 @@
 // Engines are left out since they are not needed; whoever waits while there are some shows that they are.
 void EngineKeeper::grow_subset(MonotonicTime now)
 {
+    // Where all engines are used already there is nothing to look for.
+    if (!this->offered_routes || !this->subset.has_more())
+        return;
     auto needy = this->scheduler.crowded_models(CROWDED_SHARE);
     std::erase_if(needy, [&](auto const& model) { return !this->subset.has_more(model); });
-    if (!this->offered_routes || needy.empty())
+    if (needy.empty())
         return;
     for (auto const& model : needy)
         this->subset.grow(model);
@@ -261,18 +266,26 @@
     this->grow_subset(now);
 }
 
-void EngineKeeper::handle_records(wire::GrantRecords const& message)
+// An earlier keeper may have worked with more engines. One that is gone since is in no choice.
+void EngineKeeper::keep_engines_of(wire::GrantRecords const& message)
 {
-    auto const now = this->hooks.clock();
     bool has_new = false;
     for (auto const& record : message.records()) {
-        if (this->works_with(record.decode_engine()) || this->subset.keeps(record.decode_engine()))
+        auto const& engine = record.decode_engine();
+        bool const is_left_out = !this->engine_names.contains(engine) && this->offered_upstreams && this->offered_upstreams->find(engine);
+        if (!is_left_out)
             continue;
-        this->subset.keep(record.decode_engine());
+        this->subset.keep(engine);
         has_new = true;
     }
     if (has_new)
         this->refresh_engines();
+}
+
+void EngineKeeper::handle_records(wire::GrantRecords const& message)
+{
+    auto const now = this->hooks.clock();
+    this->keep_engines_of(message);
     for (auto const& record : message.records()) {
         PlacementAsk ask;
         ask.request = record.request();
--- a/Libraries/LibRouter/EngineKeeper.h
+++ b/Libraries/LibRouter/EngineKeeper.h
@@ -59,6 +59,7 @@
 private:
     void handle_ask(wire::PlacementAsk const& message, Kernel::Responder const& respond);
     void handle_records(wire::GrantRecords const& message);
+    void keep_engines_of(wire::GrantRecords const& message);
     void know_account(std::string const& account);
     void share_among_accounts();
     MonotonicTime begin_turn();
