LibDecision: Count the VMs that share a cold upstream in the table

Found by reading the change: each choice beside a cold upstream copied all members, and a turn was worked out for upstreams whose service sets no rate. One question says now whether an upstream is cold, and the table counts without copies.

--- a/Libraries/LibDecision/ColdTurns.h
+++ b/Libraries/LibDecision/ColdTurns.h
@@ -4,7 +4,7 @@
 #pragma once
 
 #include <LibCore/Time.h>
-#include <cstddef>
+#include <LibDecision/SendingMachines.h>
 #include <cstdint>
 #include <map>
 #include <string>
@@ -12,13 +12,6 @@
 
 namespace Spurtide {
 
-/// The VMs that may send at the same time, as one of them sees them.
-struct SendingMachines {
-    std::size_t count = 1;
-    /// This VM's place among them, the same in the eyes of all.
-    std::size_t rank = 0;
-};
-
 /// This VM's part of the requests that upstreams bear while they are cold, without asking anybody: each VM has a turn at
 /// each upstream once in the time in which the upstream bears a request of every VM, and sends one request in a turn. Turns
 /// that were not used lapse, so that VMs which were idle do not send all together.
--- a/Libraries/LibDecision/MembershipTable.cpp
+++ b/Libraries/LibDecision/MembershipTable.cpp
@@ -108,9 +108,10 @@
 std::vector<std::string> MembershipTable::next_targets(std::size_t count)
 {
     std::vector<std::string> targets;
+    // A neighbour may have died since the round began.
     auto const is_target = [&](std::string const& name) {
         auto const found = this->members.find(name);
-        return name != this->self_name && found != this->members.end() && found->second.record.life != MemberLife::Dead;
+        return found != this->members.end() && found->second.record.life != MemberLife::Dead;
     };
     bool has_new_round = false;
     while (targets.size() < count) {
@@ -350,6 +351,18 @@
     return count;
 }
 
+SendingMachines MembershipTable::sending_machines() const
+{
+    SendingMachines machines { 0, 0 };
+    for (auto const& [name, member] : this->members) {
+        if (member.record.life == MemberLife::Leaving)
+            continue;
+        ++machines.count;
+        machines.rank += name < this->self_name ? 1 : 0;
+    }
+    return machines;
+}
+
 std::size_t MembershipTable::count_started_after(std::int64_t incarnation) const
 {
     return static_cast<std::size_t>(std::count_if(this->members.begin(), this->members.end(), [&](auto const& member) {
--- a/Libraries/LibDecision/MembershipTable.h
+++ b/Libraries/LibDecision/MembershipTable.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <LibCore/Time.h>
+#include <LibDecision/SendingMachines.h>
 #include <LibDecision/VirtualMachineCount.h>
 #include <cstdint>
 #include <functional>
@@ -143,6 +144,8 @@
     bool has_endpoint(std::string_view endpoint) const;
     std::vector<MemberRecord> all_members() const;
     VirtualMachineCount count() const;
+    /// This VM's place by name among those that are alive or fell silent.
+    SendingMachines sending_machines() const;
     /// Members that are alive and whose incarnation is later.
     std::size_t count_started_after(std::int64_t incarnation) const;
     /// The same on a side that is cut off from all other data centres: their VMs are missing, suspected or not. Suspicion
--- a/Libraries/LibRouter/PlainFlow.cpp
+++ b/Libraries/LibRouter/PlainFlow.cpp
@@ -59,7 +59,7 @@
     if (!index)
         return {};
     auto const& chosen = *records[*index];
-    if (now < chosen.cold_until)
+    if (this->is_cold(chosen, now))
         this->state.cold_turns.note_sent(chosen.identity, this->cold_rate(), this->state.sending_machines(), time_of_day());
     return chosen;
 }
@@ -70,20 +70,20 @@
     return traits ? traits->cold_rate : 0;
 }
 
+bool PlainFlow::is_cold(UpstreamRecord const& upstream, MonotonicTime now) const { return now<upstream.cold_until&& this->cold_rate()> 0; }
+
 // A cold upstream bears a bounded rate from all VMs together, so this one sends to it in its turn alone.
 void PlainFlow::leave_to_others(std::vector<UpstreamRecord const*>& records, MonotonicTime now)
 {
     this->next_turn.reset();
-    auto const rate = this->cold_rate();
-    if (rate <= 0)
+    auto const is_cold_one = [&](auto const* record) { return this->is_cold(*record, now); };
+    if (std::none_of(records.begin(), records.end(), is_cold_one))
         return;
-    std::optional<SendingMachines> machines;
+    auto const machines = this->state.sending_machines();
     std::erase_if(records, [&](auto const* record) {
-        if (now >= record->cold_until)
+        if (!this->is_cold(*record, now))
             return false;
-        if (!machines)
-            machines = this->state.sending_machines();
-        auto const wait = this->state.cold_turns.time_until_turn(record->identity, rate, *machines, time_of_day());
+        auto const wait = this->state.cold_turns.time_until_turn(record->identity, this->cold_rate(), machines, time_of_day());
         if (wait > Duration::zero())
             this->next_turn = std::min(wait, this->next_turn.value_or(wait));
         return wait > Duration::zero();
--- a/Libraries/LibRouter/PlainFlow.h
+++ b/Libraries/LibRouter/PlainFlow.h
@@ -30,6 +30,7 @@
     asio::awaitable<Attempt> read_answer(std::shared_ptr<HttpConnection> connection);
     std::optional<UpstreamRecord> choose();
     double cold_rate() const;
+    bool is_cold(UpstreamRecord const& upstream, MonotonicTime now) const;
     /// Takes out those that are cold and not this VM's turn.
     void leave_to_others(std::vector<UpstreamRecord const*>& records, MonotonicTime now);
     asio::awaitable<void> relay(Attempt const& attempt);
--- a/Services/ConfigServer/MembershipService.cpp
+++ b/Services/ConfigServer/MembershipService.cpp
@@ -80,18 +80,6 @@
     return this->table.count();
 }
 
-SendingMachines MembershipService::sending_machines() const
-{
-    SendingMachines machines { 0, 0 };
-    for (auto const& member : this->table.all_members()) {
-        if (member.life == MemberLife::Leaving)
-            continue;
-        ++machines.count;
-        machines.rank += member.virtual_machine < this->options.virtual_machine ? 1 : 0;
-    }
-    return machines;
-}
-
 void MembershipService::note_unanswered(std::string const& virtual_machine)
 {
     auto const member = this->table.find(virtual_machine);
--- a/Services/ConfigServer/MembershipService.h
+++ b/Services/ConfigServer/MembershipService.h
@@ -3,7 +3,6 @@
 
 #pragma once
 
-#include <LibDecision/ColdTurns.h>
 #include <LibDecision/CutDetector.h>
 #include <LibDecision/EvacuationBook.h>
 #include <LibDecision/MembershipTable.h>
@@ -91,7 +90,7 @@
     std::vector<MemberRecord> members() const { return this->table.all_members(); }
     VirtualMachineCount count() const;
     /// Those that are alive or fell silent, and this VM's place among them by name.
-    SendingMachines sending_machines() const;
+    SendingMachines sending_machines() const { return this->table.sending_machines(); }
     /// VMs that are alive and whose process started later than that, in milliseconds since the epoch.
     std::size_t count_started_after(std::int64_t unix_milliseconds) const { return this->table.count_started_after(unix_milliseconds); }
 
