LibRouter: Look through the list of upstreams without copying it

The keeper copied all upstreams ten times a second to find those whose cached prompts it has not read, and a VM that lost a data centre did at each look for a way back.

--- a/Libraries/LibRouter/CacheReader.cpp
+++ b/Libraries/LibRouter/CacheReader.cpp
@@ -5,6 +5,7 @@
 #include <LibCore/LogLine.h>
 #include <LibRouter/CacheReader.h>
 #include <set>
+#include <vector>
 
 namespace Spurtide {
 
@@ -47,12 +48,14 @@
         if (now - *keeper_since < this->options.keeper_for)
             continue;
         // They enter the list one by one.
-        auto const records = this->state.upstreams.records();
-        for (auto const& record : records) {
+        std::vector<UpstreamRecord> due;
+        this->state.upstreams.for_each([&](UpstreamRecord const& record) {
             bool const is_decoding = record.role == EngineRole::Decode && record.life == UpstreamRecord::Life::Serving;
             if (is_decoding && this->hooks.is_used(record.identity) && asked.insert(record.identity).second)
-                co_await this->read(record);
-        }
+                due.push_back(record);
+        });
+        for (auto const& record : due)
+            co_await this->read(record);
     }
 }
 
--- a/Libraries/LibRouter/ReachabilityProber.cpp
+++ b/Libraries/LibRouter/ReachabilityProber.cpp
@@ -25,8 +25,7 @@
     if (!this->reachability->is_any_cut_off(now))
         return;
     std::vector<UpstreamPlace> places;
-    for (auto const& record : this->upstreams.records())
-        places.push_back({ record.identity, record.data_centre });
+    this->upstreams.for_each([&](auto const& record) { places.push_back({ record.identity, record.data_centre }); });
     for (auto const& identity : this->reachability->due_scouts(places, now))
         this->begin_probe(identity, now);
 }
