--- a/Tests/LibRouter/TestEngineKeeper.cpp
+++ b/Tests/LibRouter/TestEngineKeeper.cpp
@@ -10,6 +10,17 @@
 
 namespace {
 
+/// Whose engines are of model "m".
+RoutingConfiguration engines_of_model()
+{
+    ServiceTraits service;
+    service.name = "m";
+    service.engine = EngineTraits { 8, 50'000, 1000, 1e9, 1, milliseconds(500) };
+    RoutingConfiguration configuration;
+    configuration.services.push_back(service);
+    return configuration;
+}
+
 /// A keeper on a loop of its own, that is asked without the wire.
 struct KeeperTest {
     explicit KeeperTest(CellScheduler::Options scheduler_options = {})
@@ -25,16 +36,11 @@
     /// One engine of each role, of model "m".
     void add_engines()
     {
-        RoutingConfiguration configuration;
-        ServiceTraits service;
-        service.name = "m";
-        service.engine = EngineTraits { 8, 50'000, 1000, 1e9, 1, milliseconds(500) };
-        configuration.services.push_back(service);
         UpstreamList upstreams { UpstreamList::Options {} };
         UpstreamRecord prefill { "p", "m", "127.0.0.1:1", "dc", 8, UpstreamRecord::Life::Serving, EngineRole::Prefill, 0 };
         UpstreamRecord decode { "d", "m", "127.0.0.1:2", "dc", 8, UpstreamRecord::Life::Serving, EngineRole::Decode, 0 };
         upstreams.replace({ { prefill.identity, prefill, 1 }, { decode.identity, decode, 1 } }, 1, MonotonicTime {});
-        this->keeper->set_engines(configuration, upstreams);
+        this->keeper->set_engines(engines_of_model(), upstreams);
     }
 
     std::optional<wire::Envelope> ask(std::string const& request, std::string const& origin = "vm-2.1")
@@ -181,11 +187,6 @@
     CellScheduler::Options options;
     options.report_need = CellScheduler::Options::ReportNeed::None;
     KeeperTest test(options);
-    RoutingConfiguration configuration;
-    ServiceTraits service;
-    service.name = "m";
-    service.engine = EngineTraits { 8, 50'000, 1000, 1e9, 1, milliseconds(500) };
-    configuration.services.push_back(service);
     UpstreamList upstreams { UpstreamList::Options {} };
     std::vector<UpstreamChange> listed;
     for (int i = 0; i < 4000; ++i) {
@@ -193,7 +194,7 @@
         listed.push_back({ engine.identity, engine, 1 });
     }
     upstreams.replace(listed, 1, MonotonicTime {});
-    test.keeper->offer_engines(std::make_shared<RouteTable const>(configuration), upstreams);
+    test.keeper->offer_engines(std::make_shared<RouteTable const>(engines_of_model()), upstreams);
     int granted = 0;
     auto const ask = [&] {
         auto const reply = test.ask("r" + std::to_string(granted));
