LibRouter: Log the limits that upstreams name

An upstream in need names in its answers how many requests a second it takes from all VMs together. The field went on to callers unread, so logs and metrics could not tell which upstream named which limit, nor since when a VM could have known.

Each change of a limit is one line now (upstream_limit_named, upstream_limit_over), a value that is no number another one, and spurtide_limited_upstreams counts them. The newest statement is kept: a limit ends with an answer to a request that was sent after it was heard of, since answers on different connections pass each other. Nothing is decided by it yet.

--- /dev/null
+++ b/Libraries/LibDecision/UpstreamLimitBook.cpp
@@ -0,0 +1,47 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibDecision/UpstreamLimitBook.h>
+#include <algorithm>
+
+namespace Spurtide {
+
+UpstreamLimitBook::Change UpstreamLimitBook::take(std::string_view upstream, UpstreamLimitStatement const& statement)
+{
+    auto const found = this->statements.find(upstream);
+    if (found == this->statements.end()) {
+        if (!statement.rate)
+            return Change::None;
+        this->statements.emplace(std::string(upstream), statement);
+        return Change::InForce;
+    }
+    if (statement.as_of <= found->second.as_of)
+        return Change::None;
+    bool const is_other = statement.rate != found->second.rate;
+    found->second = statement;
+    return is_other ? Change::InForce : Change::None;
+}
+
+std::optional<double> UpstreamLimitBook::rate_of(std::string_view upstream) const
+{
+    auto const found = this->statements.find(upstream);
+    return found == this->statements.end() ? std::optional<double> {} : found->second.rate;
+}
+
+std::optional<UpstreamLimitStatement> UpstreamLimitBook::statement_of(std::string_view upstream) const
+{
+    auto const found = this->statements.find(upstream);
+    return found == this->statements.end() ? std::optional<UpstreamLimitStatement> {} : found->second;
+}
+
+std::size_t UpstreamLimitBook::size() const
+{
+    return static_cast<std::size_t>(std::count_if(this->statements.begin(), this->statements.end(), [](auto const& entry) { return entry.second.rate.has_value(); }));
+}
+
+void UpstreamLimitBook::retain(std::function<bool(std::string_view)> const& is_listed)
+{
+    std::erase_if(this->statements, [&](auto const& entry) { return !is_listed(entry.first); });
+}
+
+}
--- a/Libraries/LibRouter/CallerRequest.h
+++ b/Libraries/LibRouter/CallerRequest.h
@@ -80,6 +80,19 @@
     std::string after_event;
 };
 
+/// What an answer says of the requests a second that its upstream takes from all VMs together.
+struct LimitField {
+    enum class State {
+        Absent,
+        Named,
+        /// It is there, and no number that is zero or more.
+        Unreadable,
+    } state
+        = State::Absent;
+    /// Requests a second, where it is named.
+    double rate = 0;
+};
+
 /// What an upstream's answer says beside its status.
 struct AnswerFacts {
     /// The request that it answers; empty where the answer does not tell.
@@ -90,6 +103,7 @@
     bool is_signed = false;
     /// The body was changed on its way.
     bool is_encoded = false;
+    LimitField limit {};
 };
 
 /// What an engine says of itself when it is asked.
--- a/Libraries/LibRouter/PlainFlow.cpp
+++ b/Libraries/LibRouter/PlainFlow.cpp
@@ -189,8 +189,10 @@
     connection->send(format_request_head(this->state.dialect.upstream_head(this->exchange.request(), dispatch)), this->body, expected_body);
     attempt = co_await this->read_answer(connection);
     // Any answer, even another request's, shows that it is there.
-    if (attempt.head.status != 0)
+    if (attempt.head.status != 0) {
         use->note_heard();
+        this->note_limit(upstream.identity, this->state.dialect.read_answer(attempt.head), attempt.head.status, use->began_at());
+    }
     use.reset();
     this->set_active(nullptr);
     auto const now = monotonic_now();
--- a/Libraries/LibRouter/RequestFlow.cpp
+++ b/Libraries/LibRouter/RequestFlow.cpp
@@ -157,6 +157,32 @@
 
 void RequestFlow::note_completed() { this->state.crashes->note_completed(this->service, this->fingerprint); }
 
+void RequestFlow::note_limit(std::string_view upstream, AnswerFacts const& facts, int status, MonotonicTime sent_at)
+{
+    // An answer to another request tells nothing, and behind 421 is another upstream.
+    if (facts.identifier != this->request.identifier || status == 421)
+        return;
+    if (facts.limit.state == LimitField::State::Unreadable) {
+        LogLine("upstream_limit_unreadable").with("request", this->request.identifier).with("upstream", upstream);
+        return;
+    }
+    // One that only turns requests away may leave out what it names in others.
+    if (facts.limit.state == LimitField::State::Absent && facts.is_not_executed)
+        return;
+    UpstreamLimitStatement statement { {}, sent_at };
+    if (facts.limit.state == LimitField::State::Named)
+        statement = { facts.limit.rate, monotonic_now() };
+    auto const before = this->state.limits.rate_of(upstream);
+    if (this->state.limits.take(upstream, statement) == UpstreamLimitBook::Change::None)
+        return;
+    LogLine line(statement.rate ? "upstream_limit_named" : "upstream_limit_over");
+    line.with("request", this->request.identifier).with("upstream", upstream).with("service", this->service);
+    if (statement.rate)
+        line.with("rate", *statement.rate);
+    if (before)
+        line.with("before", *before);
+}
+
 asio::awaitable<bool> RequestFlow::report_crash(UpstreamRecord upstream, HttpError error, MonotonicTime since)
 {
     auto const ran_for = std::chrono::duration_cast<Duration>(monotonic_now() - since);
--- a/Libraries/LibRouter/RequestFlow.h
+++ b/Libraries/LibRouter/RequestFlow.h
@@ -75,6 +75,9 @@
     void note_sent();
     void note_not_executed();
 
+    /// Keeps what an answer to this request, which was sent at that time, says of its upstream's limit.
+    void note_limit(std::string_view upstream, AnswerFacts const& facts, int status, MonotonicTime sent_at);
+
     /// Reports where the upstream crashed while it had the request: the connection broke off though it was not leaving, and
     /// nothing listens at its address any more. Stops the request where it is the cause. Gives whether it crashed.
     asio::awaitable<bool> report_crash(UpstreamRecord upstream, HttpError error, MonotonicTime since);
--- a/Libraries/LibRouter/RouterState.h
+++ b/Libraries/LibRouter/RouterState.h
@@ -11,6 +11,7 @@
 #include <LibDecision/RouteTable.h>
 #include <LibDecision/SharedRetryBudget.h>
 #include <LibDecision/StopPolicy.h>
+#include <LibDecision/UpstreamLimitBook.h>
 #include <LibDecision/UpstreamList.h>
 #include <LibDecision/UpstreamSelector.h>
 #include <LibRouter/CallerDialect.h>
@@ -45,6 +46,7 @@
     ConnectionPool pool { ConnectionPool::Options {} };
     ReachabilityProber prober { ReachabilityProber::Options {}, loop, reachability, pool, upstreams };
     std::map<std::string, SharedRetryBudget> budgets {};
+    UpstreamLimitBook limits {};
     /// This VM's part of what cold upstreams bear.
     ColdTurns cold_turns { ColdTurns::Options {} };
     /// Those that are alive, or on the other side of a cut.
--- a/Libraries/LibRouter/StreamFlow.cpp
+++ b/Libraries/LibRouter/StreamFlow.cpp
@@ -282,6 +282,7 @@
     if (!head.is_error()) {
         auto answer = co_await connection->read_body(LARGEST_PREFILL_ANSWER);
         auto const facts = this->state.dialect.read_answer(head.value());
+        this->note_limit(engine.identity, facts, head.value().status, use->began_at());
         bool const is_its_answer = facts.identifier.empty() || facts.identifier == this->request.identifier;
         if (answer.is_error() || !is_its_answer) {
             connection->abort();
@@ -364,6 +365,7 @@
     use->note_heard();
     auto const facts = this->state.dialect.read_answer(head.value());
     auto const status = head.value().status;
+    this->note_limit(engine.identity, facts, status, use->began_at());
     if (facts.identifier == this->request.identifier && status / 100 == 2 && facts.is_signed && !facts.is_encoded) {
         this->state.placement->progress(this->request.identifier, GrantProgress::Decoding);
         auto const progress = co_await this->relay(*use, connection, head.release_value());
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -374,6 +374,7 @@
     auto const is_listed = [this](std::string_view identity) { return this->state.upstreams.find(identity) != nullptr; };
     this->state.selector.retain(is_listed);
     this->state.reachability->retain(is_listed);
+    this->state.limits.retain(is_listed);
 }
 
 std::string Node::wire_address() const
@@ -441,6 +442,7 @@
     facts.caller_connections = this->callers->connection_count();
     facts.running_requests = this->callers->exchange_count();
     facts.quarantined_requests = this->quarantine->size();
+    facts.limited_upstreams = this->state.limits.size();
     for (auto const& evacuation : this->state.upstreams.evacuations().all())
         facts.evacuations.push_back({ evacuation, this->count_upstreams(evacuation.data_centre) });
     facts.keeping = this->placement->is_keeper() ? NodeFacts::Keeping::This : NodeFacts::Keeping::Others;
--- a/Services/NodeServer/NodeMetrics.h
+++ b/Services/NodeServer/NodeMetrics.h
@@ -26,6 +26,7 @@
     std::size_t caller_connections = 0;
     std::size_t running_requests = 0;
     std::size_t quarantined_requests = 0;
+    std::size_t limited_upstreams = 0;
     /// What is known of evacuations, ended ones among them, with the upstreams that they concern.
     struct EvacuationFacts {
         Evacuation evacuation;
--- /dev/null
+++ b/Tests/LibDecision/TestUpstreamLimitBook.cpp
@@ -0,0 +1,50 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibDecision/UpstreamLimitBook.h>
+#include <catch2/catch.hpp>
+
+using namespace Spurtide;
+
+namespace {
+
+using Change = UpstreamLimitBook::Change;
+
+MonotonicTime at(std::int64_t milliseconds_since) { return MonotonicTime(milliseconds(milliseconds_since)); }
+
+}
+
+TEST_CASE("A limit holds until an answer to a later request names none", "[upstream-limit]")
+{
+    UpstreamLimitBook book;
+    CHECK(book.take("i-1", { 5.3, at(100) }) == Change::InForce);
+    CHECK(book.rate_of("i-1") == 5.3);
+    // Sent before the limit was heard of: its answer may have been made before.
+    CHECK(book.take("i-1", { {}, at(90) }) == Change::None);
+    CHECK(book.rate_of("i-1") == 5.3);
+    CHECK(book.take("i-1", { {}, at(110) }) == Change::InForce);
+    CHECK_FALSE(book.rate_of("i-1"));
+    CHECK(book.size() == 0);
+}
+
+TEST_CASE("The newest limit is in force, whichever is heard of last", "[upstream-limit]")
+{
+    UpstreamLimitBook book;
+    book.take("i-1", { 5.3, at(100) });
+    CHECK(book.take("i-1", { 2.5, at(200) }) == Change::InForce);
+    CHECK(book.take("i-1", { 5.3, at(150) }) == Change::None);
+    CHECK(book.rate_of("i-1") == 2.5);
+    CHECK(book.take("i-1", { 2.5, at(300) }) == Change::None);
+    CHECK(book.statement_of("i-1")->as_of == at(300));
+}
+
+TEST_CASE("Of upstreams that never named a limit nothing is kept", "[upstream-limit]")
+{
+    UpstreamLimitBook book;
+    CHECK(book.take("i-1", { {}, at(100) }) == Change::None);
+    CHECK_FALSE(book.statement_of("i-1"));
+    book.take("i-2", { 0.0, at(100) });
+    CHECK(book.size() == 1);
+    book.retain([](std::string_view) { return false; });
+    CHECK(book.size() == 0);
+}
--- a/Tests/Platform/TestPlatformDialect.cpp
+++ b/Tests/Platform/TestPlatformDialect.cpp
@@ -157,3 +157,24 @@
             REQUIRE(read.value().routes.size() <= 1);
     }
 }
+
+TEST_CASE("A limit that an answer names is read as a number, or said to be unreadable", "[upstream-limit]")
+{
+    PlatformDialect const dialect;
+    struct Case {
+        std::string text;
+        LimitField::State state;
+        double rate;
+    };
+    auto const given = GENERATE(
+        Case { "4.3", LimitField::State::Named, 4.3 }, Case { "12", LimitField::State::Named, 12 }, Case { "0", LimitField::State::Named, 0 }, Case { "", LimitField::State::Unreadable, 0 },
+        Case { "-1", LimitField::State::Unreadable, 0 }, Case { "many", LimitField::State::Unreadable, 0 }, Case { "4.3/s", LimitField::State::Unreadable, 0 }, Case { "nan", LimitField::State::Unreadable, 0 }, Case { "inf", LimitField::State::Unreadable, 0 }, Case { "1e999", LimitField::State::Unreadable, 0 });
+    HttpResponseHead head;
+    head.status = 200;
+    CHECK(dialect.read_answer(head).limit.state == LimitField::State::Absent);
+    head.headers.add("Server-Limit", given.text);
+    auto const limit = dialect.read_answer(head).limit;
+    CAPTURE(given.text);
+    CHECK(limit.state == given.state);
+    CHECK(limit.rate == given.rate);
+}
