--- a/Tests/Platform/TestCrashingRequest.cpp
+++ b/Tests/Platform/TestCrashingRequest.cpp
@@ -3,6 +3,7 @@
 
 #include <LibCore/LogLine.h>
 #include <Tests/Platform/NodeUnderTest.h>
+#include <Tests/Platform/OtherVirtualMachine.h>
 #include <algorithm>
 #include <array>
 #include <catch2/catch.hpp>
@@ -92,52 +93,6 @@
     settings.retry.window = seconds(600);
 }
 
-/// Another VM with the same store and upstreams, on a loop of its own. Its end is that of a killed process: nobody hears a
-/// word, and nothing is kept.
-class OtherVirtualMachine {
-public:
-    OtherVirtualMachine(NodeUnderTest& test, std::vector<std::string> seeds)
-        : test(test)
-    {
-        NodeSettings settings;
-        settings.virtual_machine = "vm-2";
-        settings.data_centre = "dc";
-        settings.caller_address = settings.operations_address = settings.wire_address = { "127.0.0.1", 0 };
-        settings.registry_address = test.store.address();
-        settings.seeds = std::move(seeds);
-        allow_many_sends(settings);
-        PlatformRegistry::Options options;
-        options.address = settings.registry_address;
-        this->registry = std::make_unique<PlatformRegistry>(options);
-        this->node = Node::create(this->loop, settings, { this->dialect, *this->registry, *this->registry, *this->registry, "/v1/readyz" }).release_value();
-        test.beside = [this] { this->loop.run_for(std::chrono::milliseconds(2)); };
-        auto const live = settings.seeds.empty() ? 1 : 2;
-        REQUIRE(test.run_until([&] { return this->node->is_ready() && this->sees(live); }));
-    }
-    ~OtherVirtualMachine()
-    {
-        this->test.beside = [] {};
-        this->loop.stop();
-    }
-    OtherVirtualMachine(OtherVirtualMachine const&) = delete;
-    OtherVirtualMachine& operator=(OtherVirtualMachine const&) = delete;
-
-    CallerAnswer call(HttpRequest request) { return this->test.call(this->node->caller_address(), std::move(request)); }
-
-private:
-    bool sees(int live)
-    {
-        auto const metrics = this->test.call(this->node->operations_address(), this->test.request("GET", "/metrics", "m"));
-        return metrics.body.find("spurtide_live_vms " + std::to_string(live) + "\n") != std::string::npos;
-    }
-
-    NodeUnderTest& test;
-    asio::io_context loop { 1 };
-    PlatformDialect dialect;
-    std::unique_ptr<Node> node;
-    std::unique_ptr<PlatformRegistry> registry;
-};
-
 }
 
 TEST_CASE("A request under which three upstreams ended reaches hardly any more of them", "[crashing-request]")
@@ -215,7 +170,7 @@
     NodeUnderTest test(allow_many_sends);
     test.configure(1);
     CrashingUpstreams const upstreams(test, "plain", 12);
-    OtherVirtualMachine other(test, { test.node->wire_address() });
+    OtherVirtualMachine other(test, { test.node->wire_address() }, allow_many_sends);
     for (int i = 0; i < 6; ++i) {
         test.call(with_body(test.request("POST", "/once/x", "a" + std::to_string(i)), CRASHING));
         other.call(with_body(test.request("POST", "/once/x", "b" + std::to_string(i)), CRASHING));
@@ -229,7 +184,7 @@
     test.configure(1);
     CrashingUpstreams const upstreams(test, "plain", 16);
     for (int start = 0; start < 4; ++start) {
-        OtherVirtualMachine machine(test, {});
+        OtherVirtualMachine machine(test, {}, allow_many_sends);
         for (int i = 0; i < 4; ++i)
             machine.call(with_body(test.request("POST", "/once/x", "a" + std::to_string(start) + std::to_string(i)), CRASHING));
     }
@@ -246,7 +201,7 @@
     test.list(prefill, "engines");
     CrashingUpstreams upstreams(test, "engines", 3);
     upstreams.answer_with(LONG_ANSWER);
-    OtherVirtualMachine other(test, { test.node->wire_address() });
+    OtherVirtualMachine other(test, { test.node->wire_address() }, allow_many_sends);
     auto const stream = test.begin(test.model_request("/resumable/x", "s"));
     REQUIRE(test.run_until([&] { return upstreams.running() == 1; }));
     REQUIRE(upstreams.crash_busy());
