--- a/Libraries/LibRouter/QuotaClient.cpp
+++ b/Libraries/LibRouter/QuotaClient.cpp
@@ -1,12 +1,11 @@
 // SPDX-FileCopyrightText: 2026 The Spurtide developers
 // SPDX-License-Identifier: BSD-2-Clause
 
-#include <LibAsync/Signal.h>
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
 #include <LibRouter/QuotaClient.h>
+#include <LibRouter/ServiceCall.h>
 #include <algorithm>
-#include <memory>
 
 namespace Spurtide {
 
@@ -15,17 +14,6 @@
 /// The VM that counts and the one that stands in for it.
 constexpr std::size_t MOST_ASKED = 2;
 
-/// A reply on its way to the coroutine that waits for it.
-struct PendingReply {
-    explicit PendingReply(asio::any_io_executor const& executor)
-        : signal(executor)
-    {
-    }
-
-    Signal signal;
-    std::optional<WireReply> reply;
-};
-
 }
 
 QuotaClient::QuotaClient(Options options, Kernel& kernel, KeeperRanking& ranking, QuotaCounter& own_counter)
@@ -121,23 +109,17 @@
         message->add_used_lately(static_cast<float>(used));
     for (auto const used : this->credit.known_use(account, monotonic_now()))
         message->add_known_use(static_cast<float>(used));
-    auto const executor = co_await asio::this_coro::executor;
-    auto const pending = std::make_shared<PendingReply>(executor);
-    this->kernel.request(this->ranking.endpoint_of(virtual_machine), std::move(envelope), { this->options.answer_time, this->options.silence }, [pending](WireReply reply) {
-        pending->reply = std::move(reply);
-        pending->signal.notify();
-    });
-    while (!pending->reply)
-        co_await pending->signal.wait();
-    if (pending->reply->is_error()) {
-        auto const& error = pending->reply->error();
+    Kernel::Patience const answer_patience { this->options.answer_time, this->options.silence };
+    auto const answered = co_await call_service(this->kernel, this->ranking.endpoint_of(virtual_machine), std::move(envelope), answer_patience);
+    if (answered.is_error()) {
+        auto const& error = answered.error();
         // One that says that it is not ready is there; keepers of other things need not avoid it.
         if (error.kind != WireErrorKind::Remote)
             this->ranking.note_silent(virtual_machine);
         LogLine("quota_counter_silent").with("vm", virtual_machine).with("account", account).with("error", to_string(error.kind));
         co_return std::nullopt;
     }
-    auto const& reply = pending->reply->value();
+    auto const& reply = answered.value();
     if (!reply.has_quota_answer())
         co_return std::nullopt;
     this->counters[account] = reply.quota_answer().counter();
