LibRouter: Keep all VMs together within the limits that upstreams name

Callers saw little of it; two of three upstreams of a plain service, which had named limits of 4.3 and 6.5 requests a second, got 79 and 48 requests in four seconds, where 31 and 44 are put up with.

Cause: a bound that an upstream sets for all VMs together was nobody's to keep. Its answers name it, the field went on to callers unread, and each VM chose upstreams by expected time and its own load.

Change: before a request goes to an upstream that named a limit it takes a turn there. Turns are given one after the other by the VM that the ranking names first for that upstream, a message there and back. Without a turn the request goes to another upstream; where there is none it waits for its turn up to half of its target, else it is told at once that it has not run and when to come back. Engines likewise, for the prompt and for the answer. Where VMs do not agree on who counts, turns are given by parts, as for accounts' limits. What an upstream said is kept with its time, so that a VM which holds an old limit hears that it is over.

Why it holds: no VM sends to such an upstream without a turn, and turns are not saved up; in any four seconds there are no more than the limit allows, one more, and a quarter while another VM stands in.

An upstream's own failure is relayed where no upstream has a turn for another send; a 502 of the router's own stood in its place.

--- a/Libraries/LibRouter/PlainFlow.cpp
+++ b/Libraries/LibRouter/PlainFlow.cpp
@@ -4,6 +4,7 @@
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
 #include <LibRouter/PlainFlow.h>
+#include <LibRouter/UpstreamLimiter.h>
 #include <LibRouter/UpstreamUse.h>
 
 namespace Spurtide {
@@ -17,6 +18,8 @@
 constexpr std::size_t LARGEST_ANSWER = 8UL * 1024 * 1024;
 constexpr Duration FULL_RETRY_AFTER = milliseconds(300);
 constexpr Duration NO_UPSTREAM_RETRY_AFTER = milliseconds(500);
+/// Of the latency target, what a request may wait for its turn at an upstream; the rest is left for the answer.
+constexpr double TURN_WAIT_PART = 0.5;
 /// An answer to another request may come in the place of the one that is due.
 constexpr int SURPLUS_ANSWERS = 3;
 
@@ -50,6 +53,8 @@
     if (std::any_of(records.begin(), records.end(), is_reachable))
         std::erase_if(records, [&](auto const* record) { return !is_reachable(record); });
     this->leave_to_others(records, now);
+    this->leave_out_limited(records, now);
+    this->was_only_choice = records.size() == 1;
     std::vector<SelectableUpstream> selectable;
     for (auto const* record : records) {
         auto const place = record->data_centre == this->state.data_centre ? SelectableUpstream::Place::SameDataCentre : SelectableUpstream::Place::Elsewhere;
@@ -75,7 +80,7 @@
 // A cold upstream bears a bounded rate from all VMs together, so this one sends to it in its turn alone.
 void PlainFlow::leave_to_others(std::vector<UpstreamRecord const*>& records, MonotonicTime now)
 {
-    this->next_turn.reset();
+    this->next_cold_turn.reset();
     auto const is_cold_one = [&](auto const* record) { return this->is_cold(*record, now); };
     if (std::none_of(records.begin(), records.end(), is_cold_one))
         return;
@@ -85,11 +90,73 @@
             return false;
         auto const wait = this->state.cold_turns.time_until_turn(record->identity, this->cold_rate(), machines, time_of_day());
         if (wait > Duration::zero())
-            this->next_turn = std::min(wait, this->next_turn.value_or(wait));
+            this->next_cold_turn = std::min(wait, this->next_cold_turn.value_or(wait));
         return wait > Duration::zero();
     });
 }
 
+void PlainFlow::leave_out_limited(std::vector<UpstreamRecord const*>& records, MonotonicTime now) const
+{
+    std::erase_if(records, [&](auto const* record) { return this->without_turn.contains(record->identity); });
+    auto const pause = [&](auto const* record) { return this->state.limiter->pause_left(record->identity, now); };
+    auto const first_free = std::min_element(records.begin(), records.end(), [&](auto const* a, auto const* b) { return pause(a) < pause(b); });
+    if (first_free == records.end())
+        return;
+    auto const* kept = *first_free;
+    std::erase_if(records, [&](auto const* record) { return record != kept && pause(record) > Duration::zero(); });
+}
+
+Duration PlainFlow::longest_wait_for_turn() const
+{
+    auto const age = std::chrono::duration_cast<Duration>(monotonic_now() - this->exchange.received_at());
+    return std::max(Duration::zero(), from_seconds(to_seconds(this->route.latency_target) * TURN_WAIT_PART) - age);
+}
+
+asio::awaitable<std::optional<UpstreamRecord>> PlainFlow::choose_with_turn()
+{
+    this->without_turn.clear();
+    while (!this->is_stopped()) {
+        auto const upstream = this->choose();
+        if (!upstream)
+            co_return std::nullopt;
+        // While there are others it goes to one of them instead of waiting.
+        auto const wait = this->was_only_choice ? this->longest_wait_for_turn() : Duration::zero();
+        auto const turn_patience = this->was_only_choice ? this->patience_left() : Duration::zero();
+        bool const has_turn = co_await this->take_turn(upstream->identity, wait, turn_patience);
+        if (has_turn)
+            co_return upstream;
+        this->without_turn.insert(upstream->identity);
+    }
+    co_return std::nullopt;
+}
+
+asio::awaitable<void> PlainFlow::answer_without_upstream(Attempt const& last)
+{
+    // What an upstream answered is of more use than that no other could be asked.
+    if (last.end == SendEnd::OwnFailure) {
+        this->note_completed();
+        co_await this->relay(last);
+        co_return;
+    }
+    if (this->earlier == SendHistory::Earlier::MayHaveRun) {
+        co_await this->fail(502, "no_upstream");
+        co_return;
+    }
+    std::string reason = this->residency.is_bound() ? "no_upstream_in_home_regions" : "no_upstream";
+    auto retry_after = NO_UPSTREAM_RETRY_AFTER;
+    if (this->next_cold_turn) {
+        reason = "upstreams_cold";
+        retry_after = *this->next_cold_turn;
+    }
+    if (this->next_turn) {
+        reason = "upstreams_limited";
+        retry_after = this->next_cold_turn ? std::min(*this->next_turn, *this->next_cold_turn) : *this->next_turn;
+    }
+    if (!last.reason.empty())
+        reason = last.reason;
+    co_await this->refuse(reason, retry_after);
+}
+
 asio::awaitable<void> PlainFlow::carry()
 {
     Attempt last;
@@ -99,22 +166,18 @@
             co_await this->answer_stopped();
             co_return;
         }
-        auto upstream = this->choose();
+        auto upstream = co_await this->choose_with_turn();
         if (!upstream && this->route.kind == RouteKind::Repeatable && !this->tried.empty() && connect_tries < CONNECT_TRIES) {
             // Where there is no other, the same one may do better the next time.
             this->tried.clear();
-            upstream = this->choose();
+            upstream = co_await this->choose_with_turn();
+        }
+        if (this->is_stopped()) {
+            co_await this->answer_stopped();
+            co_return;
         }
         if (!upstream) {
-            if (this->earlier == SendHistory::Earlier::MayHaveRun)
-                co_await this->fail(502, "no_upstream");
-            else {
-                // NOTE: GCC 12 destroys a temporary of a conditional expression twice when it spans an await.
-                std::string const nowhere = this->residency.is_bound() ? "no_upstream_in_home_regions" : "no_upstream";
-                std::string const without_send = this->next_turn ? "upstreams_cold" : nowhere;
-                std::string const reason = last.reason.empty() ? without_send : last.reason;
-                co_await this->refuse(reason, this->next_turn.value_or(NO_UPSTREAM_RETRY_AFTER));
-            }
+            co_await this->answer_without_upstream(last);
             co_return;
         }
         this->tried.insert(upstream->identity);
@@ -166,6 +229,7 @@
         attempt.reason = to_string(acquired.error());
         this->state.prober.note_unreachable(upstream, acquired.error());
         this->state.selector.note_end(upstream.identity, UpstreamOutcome::Bad, Duration::zero(), monotonic_now());
+        this->state.limiter->give_back(upstream.identity);
         co_return attempt;
     }
     auto const connection = acquired.release_value();
@@ -174,6 +238,7 @@
     if (this->is_stopped() || !this->state.upstreams.takes_work(upstream.identity)) {
         this->state.pool.release(*address, connection);
         this->state.selector.note_end(upstream.identity, UpstreamOutcome::Full, Duration::zero(), monotonic_now());
+        this->state.limiter->give_back(upstream.identity);
         attempt.reason = "upstream_left";
         co_return attempt;
     }
--- a/Libraries/LibRouter/PlainFlow.h
+++ b/Libraries/LibRouter/PlainFlow.h
@@ -29,6 +29,12 @@
     asio::awaitable<Attempt> send_to(UpstreamRecord upstream);
     asio::awaitable<Attempt> read_answer(std::shared_ptr<HttpConnection> connection);
     std::optional<UpstreamRecord> choose();
+    /// The same, with a turn where the upstream named a limit.
+    asio::awaitable<std::optional<UpstreamRecord>> choose_with_turn();
+    /// Takes out those whose next turn is another VM's; where these are all, but the one that is free first.
+    void leave_out_limited(std::vector<UpstreamRecord const*>& records, MonotonicTime now) const;
+    Duration longest_wait_for_turn() const;
+    asio::awaitable<void> answer_without_upstream(Attempt const& last);
     double cold_rate() const;
     bool is_cold(UpstreamRecord const& upstream, MonotonicTime now) const;
     /// Takes out those that are cold and not this VM's turn.
@@ -36,8 +42,12 @@
     asio::awaitable<void> relay(Attempt const& attempt);
 
     std::set<std::string> tried;
-    /// Time until this VM may send to one of those that were taken out by the last choice.
-    std::optional<Duration> next_turn;
+    /// Had no turn for this send.
+    std::set<std::string> without_turn;
+    /// Whether the last choice had only one upstream to choose.
+    bool was_only_choice = false;
+    /// Time until this VM may send to one of those that were taken out by the last choice since they are cold.
+    std::optional<Duration> next_cold_turn;
 };
 
 }
--- a/Libraries/LibRouter/RequestFlow.cpp
+++ b/Libraries/LibRouter/RequestFlow.cpp
@@ -7,6 +7,7 @@
 #include <LibRouter/QuarantineKeeper.h>
 #include <LibRouter/QuotaClient.h>
 #include <LibRouter/RequestFlow.h>
+#include <LibRouter/UpstreamLimiter.h>
 #include <algorithm>
 #include <array>
 #include <cstdio>
@@ -172,8 +173,8 @@
     UpstreamLimitStatement statement { {}, sent_at };
     if (facts.limit.state == LimitField::State::Named)
         statement = { facts.limit.rate, monotonic_now() };
-    auto const before = this->state.limits.rate_of(upstream);
-    if (this->state.limits.take(upstream, statement) == UpstreamLimitBook::Change::None)
+    auto const before = this->state.limiter->rate_of(upstream);
+    if (this->state.limiter->note(upstream, statement) == UpstreamLimitBook::Change::None)
         return;
     LogLine line(statement.rate ? "upstream_limit_named" : "upstream_limit_over");
     line.with("request", this->request.identifier).with("upstream", upstream).with("service", this->service);
@@ -183,6 +184,32 @@
         line.with("before", *before);
 }
 
+asio::awaitable<bool> RequestFlow::take_turn(std::string upstream, Duration longest_wait, Duration turn_patience)
+{
+    auto const rate = this->state.limiter->rate_of(upstream);
+    if (!rate)
+        co_return true;
+    UpstreamLimiter::Ask ask { upstream, longest_wait, turn_patience };
+    auto const turn = co_await this->state.limiter->take(std::move(ask));
+    bool const is_granted = turn.outcome == UpstreamLimiter::Turn::Outcome::Granted;
+    std::string const outcome = is_granted ? "granted" : "denied";
+    LogLine("upstream_turn").with("request", this->request.identifier).with("upstream", upstream).with("rate", *rate).with("outcome", outcome).with("wait_ms", to_milliseconds(turn.wait));
+    this->state.metrics.increment("spurtide_upstream_turns_total", "Turns asked for at upstreams that named a limit", { { "service", this->service }, { "outcome", outcome } });
+    if (!is_granted) {
+        this->next_turn = std::min(turn.wait, this->next_turn.value_or(turn.wait));
+        co_return false;
+    }
+    if (turn.wait > Duration::zero()) {
+        asio::steady_timer timer(this->state.loop, turn.wait);
+        asio::error_code error;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+    }
+    if (!this->is_stopped())
+        co_return true;
+    this->state.limiter->give_back(upstream);
+    co_return false;
+}
+
 asio::awaitable<bool> RequestFlow::report_crash(UpstreamRecord upstream, HttpError error, MonotonicTime since)
 {
     auto const ran_for = std::chrono::duration_cast<Duration>(monotonic_now() - since);
--- a/Libraries/LibRouter/RequestFlow.h
+++ b/Libraries/LibRouter/RequestFlow.h
@@ -78,6 +78,10 @@
     /// Keeps what an answer to this request, which was sent at that time, says of its upstream's limit.
     void note_limit(std::string_view upstream, AnswerFacts const& facts, int status, MonotonicTime sent_at);
 
+    /// Asks for a turn at an upstream, which it takes where that named a limit, and waits for it. False where none comes within
+    /// the wait, or the request was stopped. The patience is how long the caller can wait to come back where it is told to.
+    asio::awaitable<bool> take_turn(std::string upstream, Duration longest_wait, Duration turn_patience);
+
     /// Reports where the upstream crashed while it had the request: the connection broke off though it was not leaving, and
     /// nothing listens at its address any more. Stops the request where it is the cause. Gives whether it crashed.
     asio::awaitable<bool> report_crash(UpstreamRecord upstream, HttpError error, MonotonicTime since);
@@ -100,6 +104,8 @@
     MonotonicTime until;
     SendHistory::Earlier earlier = SendHistory::Earlier::HasNotRun;
     int sends = 0;
+    /// Time until one of the upstreams may have a turn that had none; empty where none was asked for in vain.
+    std::optional<Duration> next_turn;
 
 private:
     void stop(StopReason reason);
--- a/Libraries/LibRouter/RouterState.h
+++ b/Libraries/LibRouter/RouterState.h
@@ -11,7 +11,6 @@
 #include <LibDecision/RouteTable.h>
 #include <LibDecision/SharedRetryBudget.h>
 #include <LibDecision/StopPolicy.h>
-#include <LibDecision/UpstreamLimitBook.h>
 #include <LibDecision/UpstreamList.h>
 #include <LibDecision/UpstreamSelector.h>
 #include <LibRouter/CallerDialect.h>
@@ -28,6 +27,7 @@
 class PlacementClient;
 class QuarantineKeeper;
 class QuotaClient;
+class UpstreamLimiter;
 
 /// What all requests of a VM share. Lives on the one event loop.
 struct RouterState {
@@ -46,7 +46,6 @@
     ConnectionPool pool { ConnectionPool::Options {} };
     ReachabilityProber prober { ReachabilityProber::Options {}, loop, reachability, pool, upstreams };
     std::map<std::string, SharedRetryBudget> budgets {};
-    UpstreamLimitBook limits {};
     /// This VM's part of what cold upstreams bear.
     ColdTurns cold_turns { ColdTurns::Options {} };
     /// Those that are alive, or on the other side of a cut.
@@ -58,6 +57,7 @@
     QuotaClient* quota = nullptr;
     QuarantineKeeper* quarantine = nullptr;
     CrashReporter* crashes = nullptr;
+    UpstreamLimiter* limiter = nullptr;
     /// This VM's part of the retry budgets' allowance, which all VMs share.
     std::function<double()> retry_allowance_part = [] { return 1.0; };
 
--- a/Libraries/LibRouter/StreamFlow.cpp
+++ b/Libraries/LibRouter/StreamFlow.cpp
@@ -4,6 +4,7 @@
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
 #include <LibRouter/StreamFlow.h>
+#include <LibRouter/UpstreamLimiter.h>
 
 namespace Spurtide {
 
@@ -135,7 +136,8 @@
         auto const [known, is_new] = is_out.try_emplace(record.data_centre, false);
         if (is_new)
             known->second = !this->may_go_to(record.data_centre) || this->state.reachability->is_cut_off(record.data_centre, now);
-        if (!known->second && !this->state.reachability->is_reachable(record.identity, record.data_centre, now))
+        bool const is_paused = this->state.limiter->pause_left(record.identity, now) > Duration::zero();
+        if (!known->second && (is_paused || !this->state.reachability->is_reachable(record.identity, record.data_centre, now)))
             ask.excluded_engines.push_back(record.identity);
     });
     for (auto const& [data_centre, out] : is_out) {
@@ -154,16 +156,17 @@
             co_return;
         }
         if (auto const* refusal = std::get_if<PlacementRefusal>(&*decision)) {
-            bool const is_nowhere = refusal->reason == RefusalReason::NoUpstream && this->residency.is_bound();
-            std::string_view const reason = is_nowhere ? "no_upstream_in_home_regions" : to_string(refusal->reason);
-            if (this->earlier == SendHistory::Earlier::MayHaveRun)
-                co_await this->fail(502, reason);
-            else
-                co_await this->refuse(reason, refusal->retry_after);
+            co_await this->answer_refusal(*refusal);
             co_return;
         }
+        auto const& grant = std::get<PlacementGrant>(*decision);
+        bool const has_turns = co_await this->take_turns(grant);
+        if (!has_turns) {
+            this->release();
+            continue;
+        }
         ++this->placements;
-        auto const progress = co_await this->use(std::get<PlacementGrant>(*decision));
+        auto const progress = co_await this->use(grant);
         this->release();
         if (!this->failed_engine.empty())
             this->failed_engines.push_back(std::exchange(this->failed_engine, {}));
@@ -177,6 +180,37 @@
     }
 }
 
+asio::awaitable<bool> StreamFlow::take_turns(PlacementGrant grant)
+{
+    std::vector<std::string> engines { grant.decode_engine };
+    if (!grant.prefill_engine.empty())
+        engines.push_back(grant.prefill_engine);
+    for (std::size_t i = 0; i < engines.size(); ++i) {
+        bool const has_turn = co_await this->take_turn(engines[i], Duration::zero(), Duration::zero());
+        if (has_turn)
+            continue;
+        this->failed_engines.push_back(engines[i]);
+        for (std::size_t taken = 0; taken < i; ++taken)
+            this->state.limiter->give_back(engines[taken]);
+        co_return false;
+    }
+    co_return true;
+}
+
+asio::awaitable<void> StreamFlow::answer_refusal(PlacementRefusal refusal)
+{
+    bool const is_nowhere = refusal.reason == RefusalReason::NoUpstream;
+    std::string reason(to_string(refusal.reason));
+    if (is_nowhere && this->residency.is_bound())
+        reason = "no_upstream_in_home_regions";
+    if (is_nowhere && this->next_turn)
+        reason = "upstreams_limited";
+    if (this->earlier == SendHistory::Earlier::MayHaveRun)
+        co_await this->fail(502, reason);
+    else
+        co_await this->refuse(reason, std::min(refusal.retry_after, this->next_turn.value_or(refusal.retry_after)));
+}
+
 std::int64_t StreamFlow::relayed_tokens() const
 {
     auto const* traits = this->routes->service(this->service);
--- a/Libraries/LibRouter/StreamFlow.h
+++ b/Libraries/LibRouter/StreamFlow.h
@@ -56,6 +56,10 @@
     void note_event(MonotonicTime now);
     asio::awaitable<Progress> relay(UpstreamUse& use, std::shared_ptr<HttpConnection> connection, HttpResponseHead head);
     void add_unreachable(PlacementAsk& ask) const;
+    /// Takes a turn at each engine of the grant that named a limit. False where one has none for now: the request is not placed
+    /// there again.
+    asio::awaitable<bool> take_turns(PlacementGrant grant);
+    asio::awaitable<void> answer_refusal(PlacementRefusal refusal);
     /// Goes on elsewhere where that is wanted and allowed, else answers.
     asio::awaitable<Progress> give_up(SendEnd end, std::string_view reason, SendHistory::AnotherSend wanted = SendHistory::AnotherSend::Allowed);
     void free_cache(std::string const& address, std::string const& handle);
--- /dev/null
+++ b/Libraries/LibRouter/UpstreamLimitCounter.cpp
@@ -0,0 +1,93 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibCore/Clock.h>
+#include <LibRouter/UpstreamLimitCounter.h>
+#include <LibWire/WireUpstreamLimits.h>
+#include <algorithm>
+
+namespace Spurtide {
+
+namespace {
+
+/// Of what the first in the ranking gives. Both may give turns until all have heard which of them is gone.
+constexpr double STAND_IN_PART = 0.25;
+/// Requests a second that go to an upstream whatever it names: without any nobody would hear that its need is over.
+constexpr double SLOWEST_RATE = 0.25;
+
+}
+
+UpstreamLimitCounter::UpstreamLimitCounter(Kernel& kernel, KeeperRanking& ranking, UpstreamLimitBook& book, Hooks hooks)
+    : kernel(kernel)
+    , ranking(ranking)
+    , book(book)
+    , hooks(std::move(hooks))
+{
+}
+
+void UpstreamLimitCounter::host()
+{
+    this->kernel.host(std::string(UPSTREAM_LIMIT_SERVICE), [this](wire::Envelope const& request, Kernel::Responder const& respond) { this->answer(request, respond); });
+}
+
+double UpstreamLimitCounter::part_of_limit(std::string const& upstream, Standing standing) const
+{
+    auto const machines = this->hooks.virtual_machines();
+    if (standing == Standing::Alone)
+        return machines.part_of_each();
+    auto const part = static_cast<double>(std::max<std::size_t>(1, machines.live)) * machines.part_of_each();
+    return this->ranking.is_own(upstream) ? part : part * STAND_IN_PART;
+}
+
+std::optional<UpstreamPacer::Turn> UpstreamLimitCounter::take(Ask const& ask, Standing standing)
+{
+    auto const rate = this->book.rate_of(ask.upstream);
+    if (!rate)
+        return UpstreamPacer::Turn { UpstreamPacer::Turn::Outcome::Granted, {} };
+    if (standing == Standing::Ranked && !this->hooks.is_settled())
+        return {};
+    auto const paced = std::max(*rate, SLOWEST_RATE) * this->part_of_limit(ask.upstream, standing);
+    return this->pacer.take(ask.upstream, { paced, ask.longest_wait, ask.patience }, monotonic_now());
+}
+
+void UpstreamLimitCounter::give_back(std::string_view upstream) { this->pacer.give_back(upstream, monotonic_now()); }
+
+void UpstreamLimitCounter::forget_unlimited()
+{
+    this->pacer.retain([this](std::string_view upstream) { return this->book.rate_of(upstream).has_value(); });
+}
+
+void UpstreamLimitCounter::answer(wire::Envelope const& request, Kernel::Responder const& respond)
+{
+    if (request.has_upstream_limit_statement()) {
+        take_statement(request.upstream_limit_statement(), this->book, monotonic_now());
+        return;
+    }
+    if (request.has_upstream_turn_return()) {
+        this->give_back(request.upstream_turn_return().upstream());
+        return;
+    }
+    if (!request.has_upstream_turn_ask()) {
+        respond(error_reply(wire::ERROR_CODE_UNKNOWN_MESSAGE));
+        return;
+    }
+    auto const& message = request.upstream_turn_ask();
+    take_statement(message.statement(), this->book, monotonic_now());
+    Ask ask;
+    ask.upstream = message.statement().upstream();
+    ask.longest_wait = Duration(message.longest_wait_microseconds());
+    ask.patience = Duration(message.patience_microseconds());
+    auto const turn = this->take(ask, Standing::Ranked);
+    if (!turn) {
+        respond(error_reply(wire::ERROR_CODE_NOT_READY));
+        return;
+    }
+    wire::Envelope reply;
+    auto* answer = reply.mutable_upstream_turn_answer();
+    answer->set_is_granted(turn->outcome == UpstreamPacer::Turn::Outcome::Granted);
+    answer->set_wait_microseconds(turn->wait.count());
+    write_statement(ask.upstream, this->book, monotonic_now(), *answer->mutable_statement());
+    respond(std::move(reply));
+}
+
+}
--- /dev/null
+++ b/Libraries/LibRouter/UpstreamLimiter.cpp
@@ -0,0 +1,127 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibCore/Clock.h>
+#include <LibCore/LogLine.h>
+#include <LibRouter/ServiceCall.h>
+#include <LibRouter/UpstreamLimiter.h>
+#include <LibWire/WireUpstreamLimits.h>
+#include <algorithm>
+
+namespace Spurtide {
+
+namespace {
+
+/// The VM that counts and the one that stands in for it.
+constexpr std::size_t MOST_ASKED = 2;
+
+}
+
+UpstreamLimiter::UpstreamLimiter(Options options, Kernel& kernel, KeeperRanking& ranking, UpstreamLimitBook& book, UpstreamLimitCounter& own_counter)
+    : options(options)
+    , kernel(kernel)
+    , ranking(ranking)
+    , book(book)
+    , own_counter(own_counter)
+{
+}
+
+UpstreamLimitBook::Change UpstreamLimiter::note(std::string_view upstream, UpstreamLimitStatement const& statement)
+{
+    auto const change = this->book.take(upstream, statement);
+    if (change == UpstreamLimitBook::Change::None)
+        return change;
+    auto const endpoint = this->ranking.present_endpoint(upstream);
+    if (endpoint == this->kernel.endpoint())
+        return change;
+    auto envelope = message_to(UPSTREAM_LIMIT_SERVICE);
+    write_statement(upstream, this->book, monotonic_now(), *envelope.mutable_upstream_limit_statement());
+    this->kernel.notify(endpoint, std::move(envelope));
+    return change;
+}
+
+asio::awaitable<UpstreamLimiter::Turn> UpstreamLimiter::take(Ask ask)
+{
+    if (!this->book.rate_of(ask.upstream))
+        co_return Turn { Turn::Outcome::Granted, {} };
+    Turn turn { Turn::Outcome::Denied, this->options.unsettled_pause };
+    if (this->own_counter.is_settled())
+        turn = co_await this->ask_ranked(ask);
+    if (turn.outcome == Turn::Outcome::Denied)
+        this->paused_until.insert_or_assign(ask.upstream, monotonic_now() + std::min(turn.wait, this->options.longest_pause));
+    co_return turn;
+}
+
+asio::awaitable<UpstreamLimiter::Turn> UpstreamLimiter::ask_ranked(Ask ask)
+{
+    auto names = this->ranking.names(ask.upstream);
+    names.resize(std::min(names.size(), MOST_ASKED));
+    for (auto const& name : names) {
+        std::optional<Turn> turn;
+        if (name == this->kernel.virtual_machine())
+            turn = this->own_counter.take(ask, UpstreamLimitCounter::Standing::Ranked);
+        else
+            turn = co_await this->ask_other(name, ask);
+        if (turn)
+            co_return *turn;
+    }
+    LogLine("upstream_limit_counted_alone").with("upstream", ask.upstream);
+    auto const alone = this->own_counter.take(ask, UpstreamLimitCounter::Standing::Alone);
+    co_return alone.value_or(Turn { Turn::Outcome::Denied, this->options.unsettled_pause });
+}
+
+asio::awaitable<std::optional<UpstreamLimiter::Turn>> UpstreamLimiter::ask_other(std::string virtual_machine, Ask ask)
+{
+    auto envelope = message_to(UPSTREAM_LIMIT_SERVICE);
+    auto* message = envelope.mutable_upstream_turn_ask();
+    write_statement(ask.upstream, this->book, monotonic_now(), *message->mutable_statement());
+    message->set_longest_wait_microseconds(ask.longest_wait.count());
+    message->set_patience_microseconds(ask.patience.count());
+    Kernel::Patience const answer_patience { this->options.answer_time, this->options.silence };
+    auto const answered = co_await call_service(this->kernel, this->ranking.endpoint_of(virtual_machine), std::move(envelope), answer_patience);
+    if (answered.is_error()) {
+        auto const& error = answered.error();
+        // One that says that it is not ready is there; keepers of other things need not avoid it.
+        if (error.kind != WireErrorKind::Remote)
+            this->ranking.note_silent(virtual_machine);
+        LogLine("upstream_limit_counter_silent").with("vm", virtual_machine).with("upstream", ask.upstream).with("error", to_string(error.kind));
+        co_return std::nullopt;
+    }
+    auto const& reply = answered.value();
+    if (!reply.has_upstream_turn_answer())
+        co_return std::nullopt;
+    auto const& answer = reply.upstream_turn_answer();
+    if (take_statement(answer.statement(), this->book, monotonic_now()) == UpstreamLimitBook::Change::InForce)
+        LogLine("upstream_limit_heard").with("upstream", ask.upstream).with("vm", virtual_machine).with("rate", this->book.rate_of(ask.upstream).value_or(0));
+    co_return Turn { answer.is_granted() ? Turn::Outcome::Granted : Turn::Outcome::Denied, Duration(answer.wait_microseconds()) };
+}
+
+void UpstreamLimiter::give_back(std::string const& upstream)
+{
+    if (!this->book.rate_of(upstream))
+        return;
+    auto const endpoint = this->ranking.present_endpoint(upstream);
+    if (endpoint == this->kernel.endpoint()) {
+        this->own_counter.give_back(upstream);
+        return;
+    }
+    auto envelope = message_to(UPSTREAM_LIMIT_SERVICE);
+    envelope.mutable_upstream_turn_return()->set_upstream(upstream);
+    this->kernel.notify(endpoint, std::move(envelope));
+}
+
+Duration UpstreamLimiter::pause_left(std::string_view upstream, MonotonicTime now) const
+{
+    auto const found = this->paused_until.find(upstream);
+    if (found == this->paused_until.end() || now >= found->second || !this->book.rate_of(upstream))
+        return {};
+    return std::chrono::duration_cast<Duration>(found->second - now);
+}
+
+void UpstreamLimiter::forget_unlimited()
+{
+    std::erase_if(this->paused_until, [this](auto const& entry) { return !this->book.rate_of(entry.first); });
+    this->own_counter.forget_unlimited();
+}
+
+}
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -126,6 +126,7 @@
     this->placement->ranking().set_hooks(std::move(ranking_hooks));
     this->create_quota();
     this->create_quarantine();
+    this->create_limiter();
     this->keeper = std::make_unique<EngineKeeper>(scheduler_options(this->settings), *this->kernel, this->metrics, this->loop);
     CacheReader::Hooks cache_hooks;
     cache_hooks.is_keeper = [this] { return this->state.routes && this->membership->is_settled() && this->placement->is_keeper(); };
@@ -243,6 +244,17 @@
     this->state.crashes = this->crash_reporter.get();
 }
 
+void Node::create_limiter()
+{
+    UpstreamLimitCounter::Hooks hooks;
+    hooks.is_settled = [this] { return this->membership->is_settled(); };
+    hooks.virtual_machines = [this] { return this->membership->count(); };
+    auto& ranking = this->placement->ranking();
+    this->limit_counter = std::make_unique<UpstreamLimitCounter>(*this->kernel, ranking, this->upstream_limits, std::move(hooks));
+    this->limiter = std::make_unique<UpstreamLimiter>(UpstreamLimiter::Options {}, *this->kernel, ranking, this->upstream_limits, *this->limit_counter);
+    this->state.limiter = this->limiter.get();
+}
+
 void Node::host_services()
 {
     this->kernel->host("directory", [this](wire::Envelope const& request, Kernel::Responder const& respond) {
@@ -255,6 +267,7 @@
     this->relay->host();
     this->kernel->host(std::string(PLACEMENT_SERVICE), [this](wire::Envelope const& request, Kernel::Responder const& respond) { this->keeper->handle(request, respond); });
     this->quota_counter->host();
+    this->limit_counter->host();
     this->crash_reporter->host();
     // A mark in the directory: a VM that is to be asked before others.
     if (this->settings.processor_share >= this->settings.keeper_processor_share)
@@ -374,7 +387,8 @@
     auto const is_listed = [this](std::string_view identity) { return this->state.upstreams.find(identity) != nullptr; };
     this->state.selector.retain(is_listed);
     this->state.reachability->retain(is_listed);
-    this->state.limits.retain(is_listed);
+    this->upstream_limits.retain(is_listed);
+    this->limiter->forget_unlimited();
 }
 
 std::string Node::wire_address() const
@@ -442,7 +456,7 @@
     facts.caller_connections = this->callers->connection_count();
     facts.running_requests = this->callers->exchange_count();
     facts.quarantined_requests = this->quarantine->size();
-    facts.limited_upstreams = this->state.limits.size();
+    facts.limited_upstreams = this->upstream_limits.size();
     for (auto const& evacuation : this->state.upstreams.evacuations().all())
         facts.evacuations.push_back({ evacuation, this->count_upstreams(evacuation.data_centre) });
     facts.keeping = this->placement->is_keeper() ? NodeFacts::Keeping::This : NodeFacts::Keeping::Others;
--- a/Services/NodeServer/Node.h
+++ b/Services/NodeServer/Node.h
@@ -16,6 +16,7 @@
 #include <LibRouter/RegistryRelay.h>
 #include <LibRouter/RoleKeeper.h>
 #include <LibRouter/RouterState.h>
+#include <LibRouter/UpstreamLimiter.h>
 #include <LibWire/Kernel.h>
 #include <Services/ConfigServer/MembershipService.h>
 #include <Services/NodeServer/NodeSettings.h>
@@ -74,6 +75,7 @@
     QuotaCounter::VirtualMachines count_virtual_machines() const;
     void create_quota();
     void create_quarantine();
+    void create_limiter();
     void keep_roles();
     RegistryFollower::Hooks hooks();
     RegistryRelay::Hooks relay_hooks();
@@ -102,6 +104,9 @@
     std::unique_ptr<PlacementClient> placement;
     std::unique_ptr<QuotaCounter> quota_counter;
     std::unique_ptr<QuotaClient> quota;
+    UpstreamLimitBook upstream_limits;
+    std::unique_ptr<UpstreamLimitCounter> limit_counter;
+    std::unique_ptr<UpstreamLimiter> limiter;
     std::unique_ptr<QuarantineKeeper> quarantine;
     std::unique_ptr<CrashAnalyzer> crash_analyzer;
     std::unique_ptr<CrashReporter> crash_reporter;
--- /dev/null
+++ b/Tests/LibRouter/TestUpstreamLimiter.cpp
@@ -0,0 +1,175 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibRouter/UpstreamLimiter.h>
+#include <Tests/Support/LoopKernel.h>
+#include <catch2/catch.hpp>
+
+using namespace Spurtide;
+using namespace Spurtide::Tests;
+
+namespace {
+
+constexpr auto UPSTREAM = "i-1";
+
+/// One of two VMs, each of which may count for both.
+struct LimitingVirtualMachine {
+    LimitingVirtualMachine(asio::io_context& loop, std::string const& name)
+        : kernel(make_loop_kernel(loop, name))
+        , ranking(*this->kernel, milliseconds(200))
+    {
+        UpstreamLimitCounter::Hooks hooks;
+        hooks.is_settled = [this] { return this->is_settled; };
+        hooks.virtual_machines = [this] { return this->seen; };
+        this->counter = std::make_unique<UpstreamLimitCounter>(*this->kernel, this->ranking, this->book, std::move(hooks));
+        this->counter->host();
+        // What the ranking goes by.
+        this->kernel->host(std::string(PLACEMENT_SERVICE), [](wire::Envelope const&, Kernel::Responder const&) {});
+        UpstreamLimiter::Options options;
+        options.silence = milliseconds(20);
+        this->limiter = std::make_unique<UpstreamLimiter>(options, *this->kernel, this->ranking, this->book, *this->counter);
+        this->kernel->start();
+    }
+
+    void hear(std::optional<double> rate) { this->limiter->note(UPSTREAM, { rate, monotonic_now() }); }
+
+    std::unique_ptr<Kernel> kernel;
+    KeeperRanking ranking;
+    UpstreamLimitBook book;
+    std::unique_ptr<UpstreamLimitCounter> counter;
+    std::unique_ptr<UpstreamLimiter> limiter;
+    bool is_settled = true;
+    VirtualMachineCount seen { 2, 0 };
+};
+
+struct LimiterTest {
+    LimiterTest()
+    {
+        std::vector<MemberRecord> members;
+        for (auto const* name : { "vm-1", "vm-2" })
+            this->machines.push_back(std::make_unique<LimitingVirtualMachine>(this->loop, name));
+        for (auto const& machine : this->machines)
+            members.push_back(member_of(*machine->kernel));
+        for (auto const& machine : this->machines) {
+            machine->kernel->directory().replace(1, 0, members, {});
+            (machine->ranking.is_own(UPSTREAM) ? this->counting : this->asking) = machine.get();
+        }
+    }
+    ~LimiterTest() { this->loop.stop(); }
+
+    UpstreamLimiter::Turn take(LimitingVirtualMachine& machine, Duration longest_wait = {})
+    {
+        std::optional<UpstreamLimiter::Turn> turn;
+        auto const take_one = [&]() -> asio::awaitable<void> {
+            UpstreamLimiter::Ask ask { UPSTREAM, longest_wait, {} };
+            turn = co_await machine.limiter->take(std::move(ask));
+        };
+        asio::co_spawn(this->loop, take_one(), asio::detached);
+        REQUIRE(run_loop_until(this->loop, [&] { return turn.has_value(); }));
+        return *turn;
+    }
+
+    asio::io_context loop { 1 };
+    std::vector<std::unique_ptr<LimitingVirtualMachine>> machines;
+    LimitingVirtualMachine* counting = nullptr;
+    LimitingVirtualMachine* asking = nullptr;
+};
+
+/// Turns that are waited for, so that tests see their order without waiting.
+constexpr Duration LONG = seconds(600);
+
+bool is_granted(UpstreamLimiter::Turn const& turn) { return turn.outcome == UpstreamLimiter::Turn::Outcome::Granted; }
+
+/// The time between two turns that are taken one after the other.
+double seconds_between(UpstreamLimiter::Turn const& first, UpstreamLimiter::Turn const& second) { return to_seconds(second.wait - first.wait); }
+
+}
+
+TEST_CASE("Both VMs take their turns at an upstream from the same row of turns", "[upstream-limit]")
+{
+    LimiterTest test;
+    CHECK(is_granted(test.take(*test.asking)));
+    test.asking->hear(0.5);
+    test.counting->hear(0.5);
+    auto const first = test.take(*test.asking, LONG);
+    auto const second = test.take(*test.counting, LONG);
+    auto const third = test.take(*test.asking, LONG);
+    CHECK(seconds_between(first, second) == Approx(2).margin(0.5));
+    CHECK(seconds_between(second, third) == Approx(2).margin(0.5));
+}
+
+TEST_CASE("The VM that counts learns of a limit from those who ask", "[upstream-limit]")
+{
+    LimiterTest test;
+    test.asking->hear(0.5);
+    CHECK_FALSE(is_granted(test.take(*test.asking)));
+    CHECK(test.counting->book.rate_of(UPSTREAM) == 0.5);
+    CHECK(test.asking->limiter->pause_left(UPSTREAM, monotonic_now()) > Duration::zero());
+}
+
+TEST_CASE("That a limit is over is heard of by those who still ask for turns", "[upstream-limit]")
+{
+    LimiterTest test;
+    test.asking->hear(0.5);
+    test.counting->hear(0.5);
+    CHECK_FALSE(is_granted(test.take(*test.asking)));
+    test.counting->hear({});
+    CHECK(is_granted(test.take(*test.asking)));
+    CHECK_FALSE(test.asking->book.rate_of(UPSTREAM));
+    CHECK(test.asking->limiter->pause_left(UPSTREAM, monotonic_now()) == Duration::zero());
+}
+
+TEST_CASE("That a limit is over is told to the VM that counts", "[upstream-limit]")
+{
+    LimiterTest test;
+    test.counting->hear(0.5);
+    test.asking->hear(0.5);
+    test.asking->hear({});
+    CHECK(run_loop_until(test.loop, [&] { return !test.counting->book.rate_of(UPSTREAM); }));
+}
+
+TEST_CASE("Where the VM that counts does not answer the next one counts, with a part of the limit", "[upstream-limit][kill]")
+{
+    LimiterTest test;
+    test.asking->hear(0.5);
+    test.counting->kernel->stop();
+    auto const first = test.take(*test.asking, LONG);
+    CHECK(is_granted(first));
+    auto const second = test.take(*test.asking, LONG);
+    // By its ranking it is the first once the other was silent, and it still counts the other among the VMs.
+    CHECK(seconds_between(first, second) >= 1.9);
+    test.asking->seen = { 1, 1 };
+    auto const third = test.take(*test.asking, LONG);
+    auto const fourth = test.take(*test.asking, LONG);
+    CHECK(seconds_between(third, fourth) == Approx(4).margin(0.5));
+}
+
+TEST_CASE("A VM that has just started takes no turns beside the one that counts", "[upstream-limit][kill]")
+{
+    LimiterTest test;
+    test.asking->hear(0.5);
+    test.asking->is_settled = false;
+    CHECK_FALSE(is_granted(test.take(*test.asking, LONG)));
+    test.asking->is_settled = true;
+    CHECK(is_granted(test.take(*test.asking, LONG)));
+}
+
+TEST_CASE("An upstream that takes nothing gets a request now and then, so that the end of its need is heard of", "[upstream-limit]")
+{
+    LimiterTest test;
+    test.counting->hear(0.0);
+    auto const first = test.take(*test.counting, LONG);
+    auto const second = test.take(*test.counting, LONG);
+    CHECK(is_granted(first));
+    CHECK(seconds_between(first, second) == Approx(4).margin(1));
+}
+
+TEST_CASE("A turn that is given back is the next request's", "[upstream-limit]")
+{
+    LimiterTest test;
+    test.asking->hear(0.5);
+    auto const first = test.take(*test.asking, LONG);
+    test.asking->limiter->give_back(UPSTREAM);
+    auto const second = test.take(*test.asking, LONG);
+    CHECK(std::abs(seconds_between(first, second)) < 1);
+}
--- a/Tests/Platform/NodeUnderTest.h
+++ b/Tests/Platform/NodeUnderTest.h
@@ -39,6 +39,8 @@
     HttpRequest model_request(std::string target, std::string identifier);
     CallerAnswer call(HttpRequest request);
     CallerAnswer call(Address address, HttpRequest request);
+    /// Calls at the same time; gives the answers in the order of the requests.
+    std::vector<CallerAnswer> call_all(Address address, std::vector<HttpRequest> requests);
     /// Sends bytes as they are and gives all that comes back until the other side closes.
     std::string exchange_bytes(std::string bytes);
     /// Sends bytes and closes the connection while the loop does not run.
