LibAsync: Keep no more connections at rest than upstreams take from all VMs

Each VM kept up to 32 at rest to each upstream, seven VMs 224 where 100 are taken; the upstream resets any more, and a request that may not be repeated is then in doubt.

All VMs together keep half of the smallest number of any service at rest, one each at least; the missing VMs count, as they may be beyond a cut.

Connections that carry requests are not bounded by this.

--- a/Libraries/LibAsync/ConnectionPool.cpp
+++ b/Libraries/LibAsync/ConnectionPool.cpp
@@ -80,7 +80,12 @@
     connection->idle_since = monotonic_now();
     auto& list = this->resting[address.to_string()];
     list.push_back(connection);
-    if (list.size() > this->options.resting_limit) {
+    this->trim(list);
+}
+
+void ConnectionPool::trim(std::deque<std::shared_ptr<HttpConnection>>& list) const
+{
+    while (list.size() > this->options.resting_limit) {
         list.front()->abort();
         list.pop_front();
     }
@@ -95,6 +100,7 @@
                 connection->abort();
             return is_over;
         });
+        this->trim(position->second);
         position = position->second.empty() ? this->resting.erase(position) : std::next(position);
     }
 }
--- a/Libraries/LibAsync/ConnectionPool.h
+++ b/Libraries/LibAsync/ConnectionPool.h
@@ -62,9 +62,12 @@
     void sweep(MonotonicTime now);
     /// Closes all that rest.
     void drop(Address const& address) { this->resting.erase(address.to_string()); }
+    /// How many resting connections are kept to one address from now on.
+    void set_resting_limit(std::size_t limit) { this->options.resting_limit = limit; }
     PeerPatience patience() const { return this->options.patience; }
 
 private:
+    void trim(std::deque<std::shared_ptr<HttpConnection>>& list) const;
     void keep(Address const& address, std::shared_ptr<HttpConnection> const& connection);
 
     Options options;
--- a/Libraries/LibDecision/RouteTable.cpp
+++ b/Libraries/LibDecision/RouteTable.cpp
@@ -8,6 +8,25 @@
 
 namespace Spurtide {
 
+namespace {
+
+/// More at rest to one upstream serve no peak of a VM's own.
+constexpr std::int64_t MOST_RESTING_CONNECTIONS = 32;
+/// Of the connections that an upstream takes.
+constexpr double RESTING_PART = 0.5;
+
+}
+
+std::size_t resting_connections_of_each(std::span<ServiceTraits const> services, VirtualMachineCount const& machines)
+{
+    auto least = MOST_RESTING_CONNECTIONS;
+    for (auto const& service : services) {
+        auto const part = static_cast<double>(service.maximum_connections) * RESTING_PART * machines.part_of_each();
+        least = std::min(least, static_cast<std::int64_t>(part));
+    }
+    return static_cast<std::size_t>(std::max<std::int64_t>(1, least));
+}
+
 std::string normal_host(std::string_view host)
 {
     auto const colon = host.rfind(':');
--- a/Libraries/LibDecision/RouteTable.h
+++ b/Libraries/LibDecision/RouteTable.h
@@ -5,10 +5,12 @@
 
 #include <LibAccounts/AccountBook.h>
 #include <LibCore/Time.h>
+#include <LibDecision/VirtualMachineCount.h>
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -91,6 +93,10 @@
 };
 
 /// The configuration that the data path works by. A higher version replaces a lower one.
+/// How many connections each VM may keep at rest to an upstream of any of the services: all VMs together half of what it takes,
+/// or one each where that is more. The rest is for connections that carry requests.
+std::size_t resting_connections_of_each(std::span<ServiceTraits const> services, VirtualMachineCount const& machines);
+
 struct RoutingConfiguration {
     std::int64_t version = 0;
     std::vector<Route> routes;
--- a/Tests/LibDecision/TestRouteTable.cpp
+++ b/Tests/LibDecision/TestRouteTable.cpp
@@ -59,3 +59,16 @@
     REQUIRE(normal_host("[::1]:80") == "[::1]");
     REQUIRE(normal_host("[::1]") == "[::1]");
 }
+
+TEST_CASE("What upstreams take of connections is shared among all VMs, the missing ones too", "[connections]")
+{
+    std::vector<ServiceTraits> services(2);
+    services[0].maximum_connections = 360;
+    services[1].maximum_connections = 100;
+    CHECK(resting_connections_of_each(services, { 7, 0 }) == 7);
+    CHECK(resting_connections_of_each(services, { 4, 3 }) == 7);
+    CHECK(resting_connections_of_each(services, { 1, 0 }) == 32);
+    services[1].maximum_connections = 1800;
+    CHECK(resting_connections_of_each(services, { 986, 0 }) == 1);
+    CHECK(resting_connections_of_each({}, { 7, 0 }) == 32);
+}
--- a/Tests/Platform/UpstreamStandIn.h
+++ b/Tests/Platform/UpstreamStandIn.h
@@ -26,6 +26,8 @@
     void stop_listening() { this->server->stop_listening(); }
     /// Its process ends: all connections break off, and nothing listens at its address any more.
     void crash();
+    /// Open connections of all VMs.
+    std::size_t connection_count() const { return this->server->connection_count(); }
     nlohmann::json entry(std::string const& service, std::string const& state = "ready") const;
 
     std::string identity;
