--- a/Tests/Platform/TestUpstreamLimit.cpp
+++ b/Tests/Platform/TestUpstreamLimit.cpp
@@ -210,3 +210,32 @@
     CHECK(answer.head.status == 500);
     CHECK(answer.body == "its own");
 }
+
+// Guards against turns that are given twice while VMs find out who gives them.
+TEST_CASE("A limit holds while the VM that may give the turns is killed and starts again", "[upstream-limit][kill]")
+{
+    // Which of the VMs gives an upstream's turns goes by its name.
+    for (auto const* identity : { "i-1", "i-2", "i-3", "i-4" }) {
+        NodeUnderTest test;
+        test.configure(1);
+        LimitedUpstream limited(test, identity);
+        UpstreamStandIn other(test.loop, "i-9");
+        test.list(other, "plain");
+        auto second = std::make_unique<OtherVirtualMachine>(test, std::vector<std::string> { test.node->wire_address() });
+        constexpr int ROUNDS = 3;
+        constexpr int CALLS = 40;
+        int calls = 0;
+        for (int round = 0; round < ROUNDS; ++round) {
+            for (int i = 0; i < CALLS; ++i) {
+                auto const& address = i % 2 == 0 || !second ? test.node->caller_address() : second->caller_address();
+                CHECK(test.call(address, test.request("GET", "/safe/x", "a" + std::to_string(++calls))).head.status == 200);
+            }
+            if (second)
+                second.reset();
+            else
+                second = std::make_unique<OtherVirtualMachine>(test, std::vector<std::string> { test.node->wire_address() });
+        }
+        CAPTURE(identity);
+        CHECK(limited.most_in_window() <= tolerated(RATE));
+    }
+}
