LibRouter: Tell all VMs of the limits that upstreams name

A VM learned of a limit by its own sends, or where it gives the turns. On a deployment whose VMs seldom meet the same upstream twice most requests would come from VMs that have not heard yet, and go without turns: an upstream in need would hardly notice.

Heartbeats carry a digest of the names of limited upstreams; VMs that differ ask each other for all they know, and the newest statement of each upstream stays, that a limit is over among them. Nothing is sent while there are none.

A stream whose caller leaves while it asks for a turn is not placed again.

--- a/Libraries/LibDecision/UpstreamLimitBook.cpp
+++ b/Libraries/LibDecision/UpstreamLimitBook.cpp
@@ -3,6 +3,7 @@
 
 #include <LibDecision/UpstreamLimitBook.h>
 #include <algorithm>
+#include <xxhash.h>
 
 namespace Spurtide {
 
@@ -34,6 +35,20 @@
     return found == this->statements.end() ? std::optional<UpstreamLimitStatement> {} : found->second;
 }
 
+std::uint64_t UpstreamLimitBook::digest() const
+{
+    std::uint64_t digest = 0;
+    for (auto const& [upstream, statement] : this->statements)
+        digest ^= statement.rate ? XXH3_64bits(upstream.data(), upstream.size()) : 0;
+    return digest;
+}
+
+void UpstreamLimitBook::for_each(std::function<void(std::string_view)> const& function) const
+{
+    for (auto const& entry : this->statements)
+        function(entry.first);
+}
+
 std::size_t UpstreamLimitBook::size() const
 {
     return static_cast<std::size_t>(std::count_if(this->statements.begin(), this->statements.end(), [](auto const& entry) { return entry.second.rate.has_value(); }));
--- a/Libraries/LibDecision/UpstreamLimitBook.h
+++ b/Libraries/LibDecision/UpstreamLimitBook.h
@@ -5,6 +5,7 @@
 
 #include <LibCore/Time.h>
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
@@ -38,6 +39,10 @@
     std::optional<double> rate_of(std::string_view upstream) const;
     /// Empty where nothing is known.
     std::optional<UpstreamLimitStatement> statement_of(std::string_view upstream) const;
+    /// Differs between two VMs, but for rare chances, where they know of limits of other upstreams; 0 where there are none.
+    std::uint64_t digest() const;
+    /// Calls the function with the name of each upstream of which something is known.
+    void for_each(std::function<void(std::string_view)> const& function) const;
     /// Upstreams with a limit.
     std::size_t size() const;
     /// Forgets upstreams that are no more listed.
--- a/Libraries/LibRouter/StreamFlow.cpp
+++ b/Libraries/LibRouter/StreamFlow.cpp
@@ -163,7 +163,10 @@
         bool const has_turns = co_await this->take_turns(grant);
         if (!has_turns) {
             this->release();
-            continue;
+            if (!this->is_stopped())
+                continue;
+            co_await this->answer_stopped();
+            co_return;
         }
         ++this->placements;
         auto const progress = co_await this->use(grant);
--- a/Libraries/LibRouter/UpstreamLimitCounter.cpp
+++ b/Libraries/LibRouter/UpstreamLimitCounter.cpp
@@ -2,6 +2,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 
 #include <LibCore/Clock.h>
+#include <LibCore/LogLine.h>
 #include <LibRouter/UpstreamLimitCounter.h>
 #include <LibWire/WireUpstreamLimits.h>
 #include <algorithm>
@@ -57,22 +58,37 @@
     this->pacer.retain([this](std::string_view upstream) { return this->book.rate_of(upstream).has_value(); });
 }
 
-void UpstreamLimitCounter::answer(wire::Envelope const& request, Kernel::Responder const& respond)
+void UpstreamLimitCounter::note(wire::UpstreamLimitStatement const& statement)
 {
-    if (request.has_upstream_limit_statement()) {
-        take_statement(request.upstream_limit_statement(), this->book, monotonic_now());
+    if (!this->hooks.is_listed(statement.upstream()))
         return;
-    }
-    if (request.has_upstream_turn_return()) {
+    if (take_statement(statement, this->book, monotonic_now()) == UpstreamLimitBook::Change::InForce)
+        LogLine("upstream_limit_heard").with("upstream", statement.upstream()).with("rate", statement.rate()).with("age_ms", statement.age_microseconds() / 1000);
+}
+
+void UpstreamLimitCounter::note(wire::UpstreamLimitStatements const& statements)
+{
+    for (auto const& statement : statements.statements())
+        this->note(statement);
+}
+
+void UpstreamLimitCounter::answer(wire::Envelope const& request, Kernel::Responder const& respond)
+{
+    if (request.has_upstream_limit_statement())
+        this->note(request.upstream_limit_statement());
+    else if (request.has_upstream_turn_return())
         this->give_back(request.upstream_turn_return().upstream());
-        return;
-    }
-    if (!request.has_upstream_turn_ask()) {
+    else if (request.has_upstream_turn_ask())
+        this->answer_turn(request.upstream_turn_ask(), respond);
+    else if (request.has_get_upstream_limits())
+        this->answer_limits(respond);
+    else
         respond(error_reply(wire::ERROR_CODE_UNKNOWN_MESSAGE));
-        return;
-    }
-    auto const& message = request.upstream_turn_ask();
-    take_statement(message.statement(), this->book, monotonic_now());
+}
+
+void UpstreamLimitCounter::answer_turn(wire::UpstreamTurnAsk const& message, Kernel::Responder const& respond)
+{
+    this->note(message.statement());
     Ask ask;
     ask.upstream = message.statement().upstream();
     ask.longest_wait = Duration(message.longest_wait_microseconds());
@@ -90,4 +106,13 @@
     respond(std::move(reply));
 }
 
+void UpstreamLimitCounter::answer_limits(Kernel::Responder const& respond) const
+{
+    wire::Envelope reply;
+    auto* statements = reply.mutable_upstream_limit_statements();
+    auto const now = monotonic_now();
+    this->book.for_each([&](std::string_view upstream) { write_statement(upstream, this->book, now, *statements->add_statements()); });
+    respond(std::move(reply));
+}
+
 }
--- a/Libraries/LibRouter/UpstreamLimitCounter.h
+++ b/Libraries/LibRouter/UpstreamLimitCounter.h
@@ -30,6 +30,8 @@
         /// Whether this VM has met most of the others since its start.
         std::function<bool()> is_settled = [] { return true; };
         std::function<VirtualMachineCount()> virtual_machines = [] { return VirtualMachineCount { 1, 0 }; };
+        /// Whether this VM knows the upstream; what others tell of one that is gone would be kept and told on for ever.
+        std::function<bool(std::string_view)> is_listed = [](std::string_view) { return true; };
     };
 
     enum class Standing {
@@ -56,12 +58,17 @@
     /// Empty while this VM does not know the others yet: it would give turns beside the one that does.
     std::optional<UpstreamPacer::Turn> take(Ask const& ask, Standing standing);
     void give_back(std::string_view upstream);
+    /// Takes what another VM tells.
+    void note(wire::UpstreamLimitStatement const& statement);
+    void note(wire::UpstreamLimitStatements const& statements);
     /// Forgets upstreams that the book has no limit of.
     void forget_unlimited();
     bool is_settled() const { return this->hooks.is_settled(); }
 
 private:
     void answer(wire::Envelope const& request, Kernel::Responder const& respond);
+    void answer_turn(wire::UpstreamTurnAsk const& message, Kernel::Responder const& respond);
+    void answer_limits(Kernel::Responder const& respond) const;
     double part_of_limit(std::string const& upstream, Standing standing) const;
 
     Kernel& kernel;
--- a/Libraries/LibRouter/UpstreamLimiter.cpp
+++ b/Libraries/LibRouter/UpstreamLimiter.cpp
@@ -91,8 +91,7 @@
     if (!reply.has_upstream_turn_answer())
         co_return std::nullopt;
     auto const& answer = reply.upstream_turn_answer();
-    if (take_statement(answer.statement(), this->book, monotonic_now()) == UpstreamLimitBook::Change::InForce)
-        LogLine("upstream_limit_heard").with("upstream", ask.upstream).with("vm", virtual_machine).with("rate", this->book.rate_of(ask.upstream).value_or(0));
+    this->own_counter.note(answer.statement());
     co_return Turn { answer.is_granted() ? Turn::Outcome::Granted : Turn::Outcome::Denied, Duration(answer.wait_microseconds()) };
 }
 
@@ -118,6 +117,19 @@
     return std::chrono::duration_cast<Duration>(found->second - now);
 }
 
+void UpstreamLimiter::hear_of(std::string const& endpoint, std::uint64_t other)
+{
+    if (other == this->digest() || endpoint.empty() || std::exchange(this->is_fetching, true))
+        return;
+    auto envelope = message_to(UPSTREAM_LIMIT_SERVICE);
+    envelope.mutable_get_upstream_limits();
+    this->kernel.request(endpoint, std::move(envelope), this->options.fetch_timeout, [this](WireReply const& reply) {
+        this->is_fetching = false;
+        if (!reply.is_error() && reply.value().has_upstream_limit_statements())
+            this->own_counter.note(reply.value().upstream_limit_statements());
+    });
+}
+
 void UpstreamLimiter::forget_unlimited()
 {
     std::erase_if(this->paused_until, [this](auto const& entry) { return !this->book.rate_of(entry.first); });
--- a/Libraries/LibRouter/UpstreamLimiter.h
+++ b/Libraries/LibRouter/UpstreamLimiter.h
@@ -26,6 +26,8 @@
         Duration longest_pause = milliseconds(250);
         /// When a VM that does not know the others yet looks again.
         Duration unsettled_pause = milliseconds(100);
+        /// Longest wait for what another VM knows.
+        Duration fetch_timeout = milliseconds(500);
     };
     using Ask = UpstreamLimitCounter::Ask;
     using Turn = UpstreamPacer::Turn;
@@ -44,6 +46,11 @@
 
     /// Time until it makes sense to ask for a turn again; zero where a request may ask now.
     Duration pause_left(std::string_view upstream, MonotonicTime now) const;
+    /// Of the upstreams whose limits are known here.
+    std::uint64_t digest() const { return this->book.digest(); }
+    /// Another VM knows of limits of other upstreams; what it knows is asked for.
+    void hear_of(std::string const& endpoint, std::uint64_t other);
+
     /// Forgets upstreams that have no limit any more.
     void forget_unlimited();
 
@@ -57,6 +64,7 @@
     UpstreamLimitBook& book;
     UpstreamLimitCounter& own_counter;
     std::map<std::string, MonotonicTime, std::less<>> paused_until;
+    bool is_fetching = false;
 };
 
 }
--- a/Services/ConfigServer/MembershipService.cpp
+++ b/Services/ConfigServer/MembershipService.cpp
@@ -179,6 +179,7 @@
     if (this->upstreams_version)
         heartbeat->set_upstreams_version(this->upstreams_version());
     heartbeat->set_quarantine_digest(this->quarantine_digest());
+    heartbeat->set_upstream_limits_digest(this->upstream_limits_digest());
     this->tell_evacuations(*heartbeat->mutable_evacuations());
     auto const now = monotonic_now();
     if (this->is_joining() || now - this->last_compared >= this->options.comparing_interval) {
@@ -220,6 +221,7 @@
     if (this->upstreams_version && answer.upstreams_version() > this->upstreams_version())
         this->on_newer_upstreams(endpoint, answer.upstreams_version());
     this->on_quarantine_digest(endpoint, answer.quarantine_digest());
+    this->on_upstream_limits_digest(endpoint, answer.upstream_limits_digest());
     this->hear_evacuations(answer.evacuations());
     if (wanted.empty() && answer.wanted().empty() && answer.wanted_keys().empty())
         return;
@@ -295,7 +297,9 @@
     this->hear_evacuations(heartbeat.evacuations());
     this->tell_evacuations(*body->mutable_evacuations());
     body->set_quarantine_digest(this->quarantine_digest());
+    body->set_upstream_limits_digest(this->upstream_limits_digest());
     this->on_quarantine_digest(this->endpoint_of(heartbeat.vm()), heartbeat.quarantine_digest());
+    this->on_upstream_limits_digest(this->endpoint_of(heartbeat.vm()), heartbeat.upstream_limits_digest());
     if (!heartbeat.keys().empty())
         this->answer_keys(heartbeat, is_new ? this->options.records_for_new : this->options.records_for_known, *body);
     respond(std::move(reply));
--- a/Services/ConfigServer/MembershipService.h
+++ b/Services/ConfigServer/MembershipService.h
@@ -64,6 +64,13 @@
         this->on_quarantine_digest = std::move(on_other);
     }
 
+    /// The same of the limits that upstreams named.
+    void set_upstream_limits_hooks(std::function<std::uint64_t()> digest, std::function<void(std::string const& endpoint, std::uint64_t digest)> on_other)
+    {
+        this->upstream_limits_digest = std::move(digest);
+        this->on_upstream_limits_digest = std::move(on_other);
+    }
+
     /// Makes evacuations part of the heartbeats, so that a VM hears of them from any other that it reaches.
     void set_evacuation_hooks(std::function<EvacuationBook const&()> book, std::function<void(EvacuationNews const&)> on_told)
     {
@@ -127,6 +134,8 @@
     std::function<void(std::string const& endpoint, std::int64_t generation)> on_newer_generation;
     std::function<std::int64_t()> upstreams_version;
     std::function<void(std::string const& endpoint, std::int64_t version)> on_newer_upstreams;
+    std::function<std::uint64_t()> upstream_limits_digest = [] { return std::uint64_t(0); };
+    std::function<void(std::string const& endpoint, std::uint64_t digest)> on_upstream_limits_digest = [](auto const&, auto) {};
     std::function<std::uint64_t()> quarantine_digest = [] { return std::uint64_t(0); };
     std::function<void(std::string const& endpoint, std::uint64_t digest)> on_quarantine_digest = [](auto const&, auto) {};
     /// Empty where there are none to tell of.
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -249,9 +249,11 @@
     UpstreamLimitCounter::Hooks hooks;
     hooks.is_settled = [this] { return this->membership->is_settled(); };
     hooks.virtual_machines = [this] { return this->membership->count(); };
+    hooks.is_listed = [this](std::string_view upstream) { return this->state.upstreams.find(upstream) != nullptr; };
     auto& ranking = this->placement->ranking();
     this->limit_counter = std::make_unique<UpstreamLimitCounter>(*this->kernel, ranking, this->upstream_limits, std::move(hooks));
     this->limiter = std::make_unique<UpstreamLimiter>(UpstreamLimiter::Options {}, *this->kernel, ranking, this->upstream_limits, *this->limit_counter);
+    this->membership->set_upstream_limits_hooks([this] { return this->limiter->digest(); }, [this](auto const& endpoint, auto digest) { this->limiter->hear_of(endpoint, digest); });
     this->state.limiter = this->limiter.get();
 }
 
--- a/Tests/LibDecision/TestUpstreamLimitBook.cpp
+++ b/Tests/LibDecision/TestUpstreamLimitBook.cpp
@@ -48,3 +48,20 @@
     book.retain([](std::string_view) { return false; });
     CHECK(book.size() == 0);
 }
+
+TEST_CASE("Books that know limits of the same upstreams have the same digest, whatever the limits are", "[upstream-limit]")
+{
+    UpstreamLimitBook one;
+    UpstreamLimitBook other;
+    CHECK(one.digest() == 0);
+    one.take("i-1", { 5.3, at(100) });
+    one.take("i-2", { 1.0, at(100) });
+    other.take("i-2", { 2.0, at(200) });
+    CHECK(one.digest() != other.digest());
+    other.take("i-1", { 5.0, at(300) });
+    CHECK(one.digest() == other.digest());
+    one.take("i-1", { {}, at(400) });
+    CHECK(one.digest() != other.digest());
+    one.take("i-2", { {}, at(400) });
+    CHECK(one.digest() == 0);
+}
--- a/Tests/LibRouter/TestUpstreamLimiter.cpp
+++ b/Tests/LibRouter/TestUpstreamLimiter.cpp
@@ -21,6 +21,7 @@
         UpstreamLimitCounter::Hooks hooks;
         hooks.is_settled = [this] { return this->is_settled; };
         hooks.virtual_machines = [this] { return this->seen; };
+        hooks.is_listed = [this](std::string_view) { return this->knows_upstream; };
         this->counter = std::make_unique<UpstreamLimitCounter>(*this->kernel, this->ranking, this->book, std::move(hooks));
         this->counter->host();
         // What the ranking goes by.
@@ -39,6 +40,7 @@
     std::unique_ptr<UpstreamLimitCounter> counter;
     std::unique_ptr<UpstreamLimiter> limiter;
     bool is_settled = true;
+    bool knows_upstream = true;
     VirtualMachineCount seen { 2, 0 };
 };
 
@@ -173,3 +175,26 @@
     auto const second = test.take(*test.asking, LONG);
     CHECK(std::abs(seconds_between(first, second)) < 1);
 }
+
+TEST_CASE("Of two VMs whose digests differ both end with the newest that either knows", "[upstream-limit]")
+{
+    LimiterTest test;
+    auto& one = *test.asking;
+    auto& other = *test.counting;
+    one.book.take(UPSTREAM, { 0.5, monotonic_now() });
+    other.limiter->hear_of(one.kernel->endpoint(), one.limiter->digest());
+    CHECK(run_loop_until(test.loop, [&] { return other.book.rate_of(UPSTREAM) == 0.5; }));
+    one.book.take(UPSTREAM, { {}, monotonic_now() });
+    // One that has no limit may know that there is none any more.
+    other.limiter->hear_of(one.kernel->endpoint(), one.limiter->digest());
+    CHECK(run_loop_until(test.loop, [&] { return !other.book.rate_of(UPSTREAM); }));
+}
+
+TEST_CASE("What is told of an upstream that is not listed is not kept", "[upstream-limit]")
+{
+    LimiterTest test;
+    test.counting->knows_upstream = false;
+    test.asking->hear(0.5);
+    test.take(*test.asking);
+    CHECK_FALSE(test.counting->book.statement_of(UPSTREAM));
+}
--- a/Tests/Platform/OtherVirtualMachine.h
+++ b/Tests/Platform/OtherVirtualMachine.h
@@ -50,6 +50,7 @@
 
     CallerAnswer call(HttpRequest request) { return this->test.call(this->node->caller_address(), std::move(request)); }
     Address const& caller_address() const { return this->node->caller_address(); }
+    Address const& operations_address() const { return this->node->operations_address(); }
 
 private:
     int live_virtual_machines()
--- a/Tests/Platform/TestUpstreamLimit.cpp
+++ b/Tests/Platform/TestUpstreamLimit.cpp
@@ -239,3 +239,28 @@
         CHECK(limited.most_in_window() <= tolerated(RATE));
     }
 }
+
+// Guards against VMs that each find out for themselves: where many VMs meet an upstream seldom, most requests would go without
+// turns.
+TEST_CASE("A VM that never met an upstream hears of its limit, and of the end of it", "[upstream-limit]")
+{
+    // Which of the VMs gives an upstream's turns goes by its name, and that one is told.
+    for (auto const* identity : { "i-1", "i-2", "i-3", "i-4" }) {
+        NodeUnderTest test;
+        test.configure(1);
+        LimitedUpstream limited(test, identity);
+        OtherVirtualMachine second(test, { test.node->wire_address() });
+        REQUIRE(test.call(test.request("GET", "/safe/x", "a")).head.status == 200);
+        auto const knows = [&](int limits) {
+            auto const metrics = test.call(second.operations_address(), test.request("GET", "/metrics", "m"));
+            return metrics.body.find("spurtide_limited_upstreams " + std::to_string(limits) + "\n") != std::string::npos;
+        };
+        CAPTURE(identity);
+        CHECK(test.run_until([&] { return knows(1); }));
+        limited.end_need();
+        int tries = 0;
+        REQUIRE(test.run_until([&] { return test.call(test.request("GET", "/safe/x", "b" + std::to_string(++tries))).head.status == 200; }));
+        CHECK(test.run_until([&] { return knows(0); }));
+        CHECK(limited.arrivals.size() == 2);
+    }
+}
