LibRouter: Keep one time to come back for each caller that limited upstreams have no turn for

Where all upstreams of a service have limits each refused caller took a time to come back at every one of them, and was told the sooner: with two upstreams times passed twice as fast as they take requests, and half of what they promised was for nobody. Seen in the log of the test "Where all upstreams name limits": of sixty callers three were told to come back within the second in which the two take eight requests; six after. The caller is told the time that is kept for it, and no other upstream is asked on.

--- a/Libraries/LibRouter/PlainFlow.cpp
+++ b/Libraries/LibRouter/PlainFlow.cpp
@@ -125,6 +125,9 @@
         bool const has_turn = co_await this->take_turn(upstream->identity, wait, turn_patience);
         if (has_turn)
             co_return upstream;
+        // Its caller has a time to come back now; asking on would keep another one for it elsewhere.
+        if (turn_patience > Duration::zero())
+            co_return std::nullopt;
         this->without_turn.insert(upstream->identity);
     }
     co_return std::nullopt;
--- a/Libraries/LibRouter/RequestFlow.cpp
+++ b/Libraries/LibRouter/RequestFlow.cpp
@@ -196,7 +196,8 @@
     LogLine("upstream_turn").with("request", this->request.identifier).with("upstream", upstream).with("rate", *rate).with("outcome", outcome).with("wait_ms", to_milliseconds(turn.wait));
     this->state.metrics.increment("spurtide_upstream_turns_total", "Turns asked for at upstreams that named a limit", { { "service", this->service }, { "outcome", outcome } });
     if (!is_granted) {
-        this->next_turn = std::min(turn.wait, this->next_turn.value_or(turn.wait));
+        // The time that is kept for the caller goes before those of others.
+        this->next_turn = turn_patience > Duration::zero() ? turn.wait : std::min(turn.wait, this->next_turn.value_or(turn.wait));
         co_return false;
     }
     if (turn.wait > Duration::zero()) {
--- a/Tests/Platform/TestUpstreamLimit.cpp
+++ b/Tests/Platform/TestUpstreamLimit.cpp
@@ -120,14 +120,20 @@
     // The first answers tell of the limits.
     test.call_all(test.node->caller_address(), { test.request("GET", "/safe/x", "b1"), test.request("GET", "/safe/x", "b2") });
     int answered = 2;
+    int told_within_a_second = 0;
     for (auto const& answer : test.call_all(test.node->caller_address(), requests)) {
         answered += answer.head.status == 200 ? 1 : 0;
         if (answer.head.status == 200)
             continue;
         CHECK(answer.head.status == 503);
-        CHECK(std::stod(std::string(answer.head.headers.find("Retry-After").value_or("0"))) > 0);
+        auto const retry_after = std::stod(std::string(answer.head.headers.find("Retry-After").value_or("0")));
+        CHECK(retry_after > 0);
+        told_within_a_second += retry_after <= 1 ? 1 : 0;
     }
     CHECK(answered < CALLS);
+    // Both together take eight requests in a second, of which some wait here: the rest are the times to come back.
+    CHECK(told_within_a_second >= 5);
+    CHECK(told_within_a_second <= 8);
     // What was not answered has not run.
     CHECK(static_cast<int>(first.upstream.run.size() + second.upstream.run.size()) == answered);
     CHECK(first.most_in_window() <= tolerated(RATE));
