--- a/Tests/Platform/TestUpstreamLimit.cpp
+++ b/Tests/Platform/TestUpstreamLimit.cpp
@@ -10,11 +10,6 @@
 #include <catch2/catch.hpp>
 #include <cmath>
 
-// The incident. Seen: upstreams that had named in their answers how many requests a second they take from all VMs together
-// went on getting three times as many. How it came about: no VM read the field, and each chose upstreams by its own load.
-// The cause: a bound that an upstream sets for all VMs was nobody's to keep. What proved it: all VMs sent as much before as
-// after, 138 of 147 sends in four seconds being the first of their requests.
-
 using namespace Spurtide;
 using namespace Spurtide::Tests;
 
