LibRouter: Give no turns at upstreams that are not listed

Found by reading the change once more. It answers now that it is not ready, and the next VM of the ranking stands in.

--- a/Libraries/LibRouter/UpstreamLimitCounter.cpp
+++ b/Libraries/LibRouter/UpstreamLimitCounter.cpp
@@ -88,6 +88,11 @@
 
 void UpstreamLimitCounter::answer_turn(wire::UpstreamTurnAsk const& message, Kernel::Responder const& respond)
 {
+    // Without the limit that the ask names, turns would be given without end.
+    if (!this->hooks.is_listed(message.statement().upstream())) {
+        respond(error_reply(wire::ERROR_CODE_NOT_READY));
+        return;
+    }
     this->note(message.statement());
     Ask ask;
     ask.upstream = message.statement().upstream();
--- a/Tests/LibRouter/TestUpstreamLimiter.cpp
+++ b/Tests/LibRouter/TestUpstreamLimiter.cpp
@@ -198,3 +198,15 @@
     test.take(*test.asking);
     CHECK_FALSE(test.counting->book.statement_of(UPSTREAM));
 }
+
+// Guards against turns that are given without end by a VM whose list of upstreams is behind.
+TEST_CASE("A VM that does not list an upstream gives no turns there beyond its limit", "[upstream-limit]")
+{
+    LimiterTest test;
+    test.counting->knows_upstream = false;
+    test.asking->hear(0.5);
+    int granted = 0;
+    for (int i = 0; i < 5; ++i)
+        granted += is_granted(test.take(*test.asking)) ? 1 : 0;
+    CHECK(granted <= 1);
+}
