LibRouter: Log what upstreams state of leaving and of pauses, and how long a send took

The logs of the incident could not tell which answers said that an upstream leaves or asked for a pause, and when a send began. Each such answer is a line and counts in spurtide_upstream_statements_total; send_end has its duration. Nothing is decided by it yet.

--- a/Libraries/LibRouter/CallerRequest.h
+++ b/Libraries/LibRouter/CallerRequest.h
@@ -93,6 +93,18 @@
     double rate = 0;
 };
 
+/// How long an upstream that refuses a request asks this VM to send it no others.
+struct RetryAfterHeader {
+    enum class State {
+        Absent,
+        Present,
+        /// Present, but not a non-negative number of seconds.
+        Malformed,
+    } state
+        = State::Absent;
+    Duration delay {};
+};
+
 /// The metadata of an upstream's response, apart from its status.
 struct ResponseInfo {
     /// The request that it responds to; empty if the response does not say.
@@ -104,6 +116,9 @@
     /// The body has a content encoding, so that it was changed in transit.
     bool is_encoded = false;
     RateLimitHeader limit {};
+    RetryAfterHeader retry_after {};
+    /// The upstream states that it is about to stop and takes no new work.
+    bool is_leaving = false;
 };
 
 /// The status that an engine reports when queried.
--- a/Libraries/LibRouter/RequestHandler.cpp
+++ b/Libraries/LibRouter/RequestHandler.cpp
@@ -158,11 +158,41 @@
 
 void RequestHandler::note_completed() { this->state.crashes->note_completed(this->service, this->fingerprint); }
 
-void RequestHandler::record_rate_limit(std::string_view upstream, ResponseInfo const& info, int status, MonotonicTime sent_at)
+void RequestHandler::record_statements(UpstreamRecord const& upstream, ResponseInfo const& info, int status, MonotonicTime sent_at)
 {
     // A response to another request says nothing about this upstream, and 421 comes from another incarnation.
-    if (info.identifier != this->request.identifier || status == 421)
+    bool const is_to_another_request = !info.identifier.empty() && info.identifier != this->request.identifier;
+    if (is_to_another_request || status == 421)
         return;
+    this->record_departure(upstream, info);
+    this->record_pause(upstream, info, status);
+    if (!info.identifier.empty())
+        this->record_rate_limit(upstream.identity, info, sent_at);
+}
+
+void RequestHandler::record_departure(UpstreamRecord const& upstream, ResponseInfo const& info)
+{
+    if (!info.is_leaving)
+        return;
+    LogLine("upstream_states_leaving").with("request", this->request.identifier).with("upstream", upstream.identity).with("started", upstream.started).with("service", this->service);
+    this->state.metrics.increment("spurtide_upstream_statements_total", "Answers in which an upstream stated that it is leaving, or asked for a pause", { { "service", this->service }, { "statement", "leaving" } });
+}
+
+void RequestHandler::record_pause(UpstreamRecord const& upstream, ResponseInfo const& info, int status)
+{
+    constexpr int HTTP_SERVICE_UNAVAILABLE = 503;
+    if (status != HTTP_SERVICE_UNAVAILABLE || info.retry_after.state == RetryAfterHeader::State::Absent)
+        return;
+    if (info.retry_after.state == RetryAfterHeader::State::Malformed) {
+        LogLine("upstream_pause_unreadable").with("request", this->request.identifier).with("upstream", upstream.identity);
+        return;
+    }
+    LogLine("upstream_asks_for_pause").with("request", this->request.identifier).with("upstream", upstream.identity).with("started", upstream.started).with("service", this->service).with("pause_ms", to_milliseconds(info.retry_after.delay));
+    this->state.metrics.increment("spurtide_upstream_statements_total", "Answers in which an upstream stated that it is leaving, or asked for a pause", { { "service", this->service }, { "statement", "pause" } });
+}
+
+void RequestHandler::record_rate_limit(std::string_view upstream, ResponseInfo const& info, MonotonicTime sent_at)
+{
     if (info.limit.state == RateLimitHeader::State::Malformed) {
         LogLine("upstream_limit_unreadable").with("request", this->request.identifier).with("upstream", upstream);
         return;
--- a/Libraries/LibRouter/RequestHandler.h
+++ b/Libraries/LibRouter/RequestHandler.h
@@ -75,8 +75,9 @@
     /// Call when that upstream states that it did not run the request.
     void note_not_executed();
 
-    /// Records the rate limit that the upstream announced, or did not announce, in its response to this request.
-    void record_rate_limit(std::string_view upstream, ResponseInfo const& info, int status, MonotonicTime sent_at);
+    /// Records what the upstream states about itself in its response to this request: that it is leaving, a pause that it asks
+    /// for, its rate limit or the absence of one.
+    void record_statements(UpstreamRecord const& upstream, ResponseInfo const& info, int status, MonotonicTime sent_at);
 
     /// Takes a turn at an upstream that has announced a rate limit, and waits until the turn is due. Returns false if there is
     /// none within the longest wait, or the request was stopped. The turn patience is how long the caller could wait before it
@@ -112,6 +113,9 @@
 private:
     void stop(StopReason reason);
     void check_key();
+    void record_rate_limit(std::string_view upstream, ResponseInfo const& info, MonotonicTime sent_at);
+    void record_departure(UpstreamRecord const& upstream, ResponseInfo const& info);
+    void record_pause(UpstreamRecord const& upstream, ResponseInfo const& info, int status);
     /// Charges the request to its account's quota. Returns false, after sending a response, if the request is quarantined or
     /// exceeds the quota.
     asio::awaitable<bool> admit();
--- a/Libraries/LibRouter/StreamingRequestHandler.cpp
+++ b/Libraries/LibRouter/StreamingRequestHandler.cpp
@@ -320,7 +320,7 @@
     if (!head.is_error()) {
         auto response_body = co_await connection->read_body(MAXIMUM_SHORT_RESPONSE_BYTES);
         auto const info = this->state.dialect.read_response(head.value());
-        this->record_rate_limit(engine.identity, info, head.value().status, in_flight->send_time());
+        this->record_statements(engine, info, head.value().status, in_flight->send_time());
         bool const is_matching_response = info.identifier.empty() || info.identifier == this->request.identifier;
         if (response_body.is_error() || !is_matching_response) {
             connection->abort();
@@ -403,7 +403,7 @@
     in_flight->note_received();
     auto const info = this->state.dialect.read_response(head.value());
     auto const status = head.value().status;
-    this->record_rate_limit(engine.identity, info, status, in_flight->send_time());
+    this->record_statements(engine, info, status, in_flight->send_time());
     if (info.identifier == this->request.identifier && status / 100 == 2 && info.is_signed && !info.is_encoded) {
         this->state.placement->progress(this->request.identifier, GrantProgress::Decoding);
         auto const outcome = co_await this->relay_stream(*in_flight, connection, head.release_value());
--- a/Libraries/LibRouter/UnaryRequestHandler.cpp
+++ b/Libraries/LibRouter/UnaryRequestHandler.cpp
@@ -184,7 +184,9 @@
             co_return;
         }
         this->tried_upstreams.insert(upstream->identity);
+        auto const send_began = monotonic_now();
         last = co_await this->send_to(*upstream);
+        auto const took = std::chrono::duration_cast<Duration>(monotonic_now() - send_began);
         if (last.end == SendOutcome::NotExecuted)
             this->note_not_executed();
         if (this->is_stopped() && last.end != SendOutcome::Success) {
@@ -197,7 +199,7 @@
         else if (last.end != SendOutcome::Success)
             history.another_send = this->take_another_send(this->sends, MINIMUM_TIME_FOR_SEND);
         auto const step = next_step(last.end, history);
-        LogLine("send_end").with("request", this->request.identifier).with("upstream", upstream->identity).with("end", to_string(last.end)).with("reason", last.reason).with("status", last.head.status).with("next", to_string(step));
+        LogLine("send_end").with("request", this->request.identifier).with("upstream", upstream->identity).with("end", to_string(last.end)).with("reason", last.reason).with("status", last.head.status).with("ms", to_milliseconds(took)).with("next", to_string(step));
         switch (step) {
         case NextStep::SendElsewhere:
             continue;
@@ -260,7 +262,7 @@
     // Any response, even to another request, proves that the upstream is reachable.
     if (attempt.head.status != 0) {
         in_flight->note_received();
-        this->record_rate_limit(upstream.identity, this->state.dialect.read_response(attempt.head), attempt.head.status, in_flight->send_time());
+        this->record_statements(upstream, this->state.dialect.read_response(attempt.head), attempt.head.status, in_flight->send_time());
     }
     in_flight.reset();
     this->set_active_connection(nullptr);
--- a/Tests/Platform/TestPlatformDialect.cpp
+++ b/Tests/Platform/TestPlatformDialect.cpp
@@ -178,3 +178,40 @@
     CHECK(limit.state == given.state);
     CHECK(limit.rate == given.rate);
 }
+
+TEST_CASE("The pause that an answer asks for is read as seconds, or said to be unreadable", "[upstream-pause]")
+{
+    PlatformDialect const dialect;
+    struct Case {
+        std::string text;
+        RetryAfterHeader::State state;
+        Duration delay;
+    };
+    auto const given = GENERATE(
+        Case { "3", RetryAfterHeader::State::Present, seconds(3) }, Case { "0.25", RetryAfterHeader::State::Present, milliseconds(250) }, Case { "0", RetryAfterHeader::State::Present, {} }, Case { "1e300", RetryAfterHeader::State::Present, seconds(86400) },
+        Case { "", RetryAfterHeader::State::Malformed, {} }, Case { "-1", RetryAfterHeader::State::Malformed, {} }, Case { "soon", RetryAfterHeader::State::Malformed, {} }, Case { "Wed, 21 Oct 2026 07:28:00 GMT", RetryAfterHeader::State::Malformed, {} }, Case { "nan", RetryAfterHeader::State::Malformed, {} });
+    HttpResponseHead head;
+    head.status = 503;
+    CHECK(dialect.read_response(head).retry_after.state == RetryAfterHeader::State::Absent);
+    head.headers.add("Retry-After", given.text);
+    auto const retry_after = dialect.read_response(head).retry_after;
+    CAPTURE(given.text);
+    CHECK(retry_after.state == given.state);
+    CHECK(retry_after.delay == given.delay);
+}
+
+TEST_CASE("An answer says that its upstream leaves in one way only", "[leaving]")
+{
+    PlatformDialect const dialect;
+    struct Case {
+        std::string text;
+        bool is_leaving;
+    };
+    auto const given = GENERATE(Case { "1", true }, Case { "0", false }, Case { "", false }, Case { "true", false });
+    HttpResponseHead head;
+    head.status = 200;
+    CHECK_FALSE(dialect.read_response(head).is_leaving);
+    head.headers.add("Server-Leaving", given.text);
+    CAPTURE(given.text);
+    CHECK(dialect.read_response(head).is_leaving == given.is_leaving);
+}
