Meta: Read the list of known failures in one place, and escape titles for Catch

The sanitizers' run passed titles to Catch as they are, which takes a comma or a bracket for syntax.

--- a/Meta/sanitize.sh
+++ b/Meta/sanitize.sh
@@ -4,22 +4,17 @@
 # Builds what the data path runs on with the sanitizers and runs its tests: coroutines outlive what they use easily.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+. Meta/known-red.sh
 TESTS=(TestLibAsync TestLibDecision TestLibRouter TestPlatform)
 
 cmake -S . -B Build/Sanitized -G Ninja -DSPURTIDE_SANITIZE=ON -DCMAKE_BUILD_TYPE=Debug -DCMAKE_CXX_FLAGS_DEBUG="-O1 -g1" >/dev/null
 cmake --build Build/Sanitized --target "${TESTS[@]}"
-# Passes over the tests of KNOWN-RED.txt, which Meta/spurtide.sh does too, and prints them.
-exclusions() {
-    [ -f KNOWN-RED.txt ] || return 0
-    sed -n "s/^${1#Test}: *\([^|]*[^| ]\) *|.*/~\1/p" KNOWN-RED.txt
-}
-
 failed=0
 [ ! -s KNOWN-RED.txt ] || { echo "Known to fail, not run:" && cat KNOWN-RED.txt; }
 for test in "${TESTS[@]}"; do
     echo "== $test"
     # What still waits when a test ends is no leak of the program, which ends with its loop.
-    mapfile -t excluded < <(exclusions "$test")
+    mapfile -t excluded < <(known_red_exclusions "$test")
     ASAN_OPTIONS=detect_leaks=0 "Build/Sanitized/bin/$test" "${excluded[@]}" || failed=1
 done
 [ "$failed" = 0 ] && echo "sanitize: clean"
--- a/Meta/spurtide.sh
+++ b/Meta/spurtide.sh
@@ -3,6 +3,7 @@
 # SPDX-License-Identifier: BSD-2-Clause
 set -euo pipefail
 cd "$(dirname "$0")/.."
+. Meta/known-red.sh
 
 usage() {
     cat <<'TXT'
@@ -24,12 +25,6 @@
     cmake --build Build
 }
 
-# The tests of KNOWN-RED.txt, each with what it says of them, and a pattern that matches just them.
-known_red_pattern() {
-    [ -f KNOWN-RED.txt ] || return 0
-    cut -d'|' -f1 KNOWN-RED.txt | sed 's/[[:space:]]*$//; /^$/d; s/[][\.*^$()+?{}]/\\&/g' | paste -sd'|' | sed 's/.*/^(&)$/'
-}
-
 case "${1:-}" in
 run)
     build
