--- a/Tests/Platform/UpstreamStandIn.cpp
+++ b/Tests/Platform/UpstreamStandIn.cpp
@@ -1,6 +1,7 @@
 // SPDX-FileCopyrightText: 2026 The Spurtide developers
 // SPDX-License-Identifier: BSD-2-Clause
 
+#include <LibCore/Clock.h>
 #include <Tests/Platform/UpstreamStandIn.h>
 
 namespace Spurtide::Tests {
@@ -38,6 +39,8 @@
     nlohmann::json json { { "service", service }, { "address", this->address().to_string() }, { "zone", this->data_centre }, { "version", "v1" }, { "slots", 6 }, { "state", state }, { "cold_left_ms", 0 }, { "call_seq", 0 } };
     if (!this->phase.empty())
         json["phase"] = this->phase;
+    if (this->started > 0)
+        json["born"] = this->started;
     return json;
 }
 
@@ -49,11 +52,18 @@
     head.headers.add("X-Spurtide-Server-Stamp", "stamp." + this->identity);
     if (!this->named_limit.empty())
         head.headers.add("Server-Limit", this->named_limit);
+    if (this->is_leaving)
+        head.headers.add("Server-Leaving", "1");
     return head;
 }
 
 asio::awaitable<void> UpstreamStandIn::answer(HttpExchange& exchange)
 {
+    this->arrivals.push_back(monotonic_now());
+    if (!this->requested_pause.empty()) {
+        co_await this->turn_away(exchange);
+        co_return;
+    }
     if (exchange.request().head.target == "/v1/kv-list") {
         co_await this->list_cached(exchange);
         co_return;
@@ -100,6 +110,14 @@
     static_cast<void>(co_await exchange.respond(this->answer_head(exchange, 200), body));
 }
 
+asio::awaitable<void> UpstreamStandIn::turn_away(HttpExchange& exchange)
+{
+    auto head = this->answer_head(exchange, 503);
+    head.headers.add("X-Spurtide-Not-Executed", "1");
+    head.headers.add("Retry-After", this->requested_pause);
+    static_cast<void>(co_await exchange.respond(std::move(head), {}));
+}
+
 asio::awaitable<void> UpstreamStandIn::list_cached(HttpExchange& exchange)
 {
     ++this->cached_asked;
--- a/Tests/Platform/UpstreamStandIn.h
+++ b/Tests/Platform/UpstreamStandIn.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <LibAsync/HttpServer.h>
+#include <LibCore/Time.h>
 #include <functional>
 #include <memory>
 #include <nlohmann/json.hpp>
@@ -36,10 +37,18 @@
     Script script;
     /// Named in its answers; empty for none.
     std::string named_limit;
+    /// Says in its answers that it leaves.
+    bool is_leaving = false;
+    /// Seconds for which it turns requests away and asks their sender for a pause; empty for none.
+    std::string requested_pause;
+    /// When it started, in milliseconds since the epoch; 0 where its entry does not say.
+    std::int64_t started = 0;
     int events = 5;
     Duration event_pause = milliseconds(2);
     /// Requests in the order of their coming.
     std::vector<HttpRequest> requests;
+    /// When requests of any kind came, those that it turned away among them.
+    std::vector<MonotonicTime> arrivals;
     /// Requests that were run, and those whose caller left before the end.
     std::vector<std::string> run;
     std::set<std::string> abandoned;
@@ -58,6 +67,7 @@
 private:
     asio::awaitable<void> take(HttpExchange& exchange);
     asio::awaitable<void> answer(HttpExchange& exchange);
+    asio::awaitable<void> turn_away(HttpExchange& exchange);
     asio::awaitable<void> take_order(HttpExchange& exchange);
     asio::awaitable<void> report(HttpExchange& exchange);
     asio::awaitable<void> list_cached(HttpExchange& exchange);
