LibRouter: Send nothing new to an upstream whose response says that it leaves

What callers saw: an upstream that was about to end went on getting their requests, 2.1 s and more after its answers had said so, while the store could not.

Cause: only the registry could say that an upstream leaves. Its responses say so too, and went on to callers unread.

A departure belongs to an incarnation. UpstreamList presents it as leaving, as it does evacuated upstreams, so calls, retries, prompts, answers, requests that waited, role orders and the keeper's list need no rule of their own; an entry that is renewed, or lapses and comes back, does not end it, the next start does. All VMs hear of it through the exchange of limits. A stream names engines that left as excluded, checks both engines before its prompt is read, and is refused at once where no engine is left.

--- a/Libraries/LibDecision/PoisonRequestDetector.h
+++ b/Libraries/LibDecision/PoisonRequestDetector.h
@@ -5,6 +5,7 @@
 
 #include <LibCore/Time.h>
 #include <LibDecision/RecentRequests.h>
+#include <LibDecision/UpstreamIncarnation.h>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -15,15 +16,6 @@
 
 namespace Spurtide {
 
-/// One incarnation of an upstream. A restart under the same identity is a new incarnation.
-struct UpstreamIncarnation {
-    std::string identity;
-    /// Start time in milliseconds since the epoch; 0 if the upstream does not report it.
-    std::int64_t started = 0;
-
-    auto operator<=>(UpstreamIncarnation const&) const = default;
-};
-
 /// Identifies requests that crash the upstreams which run them, from the sets of requests that were running on each
 /// crashed upstream.
 ///
--- a/Libraries/LibDecision/UpstreamList.cpp
+++ b/Libraries/LibDecision/UpstreamList.cpp
@@ -4,6 +4,7 @@
 #include <LibDecision/UpstreamList.h>
 #include <algorithm>
 #include <set>
+#include <xxhash.h>
 
 namespace Spurtide {
 
@@ -143,7 +144,55 @@
 
 void UpstreamList::update_life(Entry& entry) const
 {
-    entry.record.life = this->evacuation_table.is_evacuated(entry.record.data_centre) ? UpstreamRecord::Life::Leaving : entry.announced_life;
+    bool const must_leave = this->evacuation_table.is_evacuated(entry.record.data_centre) || this->has_departed(entry.record);
+    entry.record.life = must_leave ? UpstreamRecord::Life::Leaving : entry.announced_life;
+}
+
+bool UpstreamList::has_departed(UpstreamRecord const& record) const
+{
+    auto const found = this->departures.find(record.identity);
+    return found != this->departures.end() && found->second == record.started;
+}
+
+bool UpstreamList::note_departure(UpstreamIncarnation const& upstream)
+{
+    auto const listed = this->entries.find(upstream.identity);
+    // A response of the previous incarnation says nothing about the one that is listed now.
+    if (listed != this->entries.end() && listed->second.record.started != upstream.started)
+        return false;
+    this->departures.insert_or_assign(upstream.identity, upstream.started);
+    this->forget_old_departures();
+    if (listed == this->entries.end())
+        return false;
+    auto const before = listed->second.record.life;
+    this->update_life(listed->second);
+    return listed->second.record.life != before;
+}
+
+void UpstreamList::forget_old_departures()
+{
+    if (this->departures.size() <= this->options.remembered_departures)
+        return;
+    std::erase_if(this->departures, [this](auto const& departure) { return !this->entries.contains(departure.first); });
+}
+
+std::vector<UpstreamIncarnation> UpstreamList::unregistered_departures() const
+{
+    std::vector<UpstreamIncarnation> upstreams;
+    for (auto const& [identity, started] : this->departures) {
+        auto const found = this->entries.find(identity);
+        if (found != this->entries.end() && found->second.announced_life == UpstreamRecord::Life::Serving && this->has_departed(found->second.record))
+            upstreams.push_back({ identity, started });
+    }
+    return upstreams;
+}
+
+std::uint64_t UpstreamList::departures_digest() const
+{
+    std::uint64_t digest = 0;
+    for (auto const& [identity, started] : this->unregistered_departures())
+        digest ^= XXH3_64bits_withSeed(identity.data(), identity.size(), ~static_cast<std::uint64_t>(started));
+    return digest;
 }
 
 std::vector<Evacuation> UpstreamList::merge(EvacuationUpdate const& update)
--- a/Libraries/LibDecision/UpstreamList.h
+++ b/Libraries/LibDecision/UpstreamList.h
@@ -6,6 +6,7 @@
 #include <LibCore/Time.h>
 #include <LibDecision/CellScheduler.h>
 #include <LibDecision/EvacuationTable.h>
+#include <LibDecision/UpstreamIncarnation.h>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -69,8 +70,8 @@
 
 /// The known upstreams, and which of them accept new work. Entries that expire during a registry outage are retained
 /// for a short time after it, as live upstreams announce themselves again; entries removed while the registry is
-/// available disappear at once. Upstreams of an evacuated data centre are presented as leaving, so that both are
-/// treated alike; peers receive the announced state.
+/// available disappear at once. Upstreams of an evacuated data centre, and those that announced their departure in a
+/// response, are presented as leaving, so that all are treated alike; peers receive the state that the registry has.
 class UpstreamList {
 public:
     struct Options {
@@ -78,6 +79,8 @@
         Duration lapse_grace = milliseconds(1800);
         /// Removals kept for peers that request a delta. A peer that requests older ones receives a snapshot.
         std::size_t remembered_removals = 1024;
+        /// Departures kept for upstreams that are no longer listed, as their entries may come back.
+        std::size_t remembered_departures = 1024;
     };
 
     explicit UpstreamList(Options options)
@@ -103,6 +106,15 @@
     /// Merges the update and returns the evacuations whose state changed.
     std::vector<Evacuation> merge(EvacuationUpdate const& update);
     EvacuationTable const& evacuations() const { return this->evacuation_table; }
+    /// Records that an upstream announced its departure. It is leaving from then on, even if the registry lists it as
+    /// serving; its next incarnation is not. Returns whether its state changed.
+    bool note_departure(UpstreamIncarnation const& upstream);
+    /// Whether this incarnation announced its departure in a response.
+    bool has_departed(UpstreamRecord const& record) const;
+    /// Returns the upstreams that announced their departure but are listed as serving in the registry.
+    std::vector<UpstreamIncarnation> unregistered_departures() const;
+    /// Hash of the above; 0 if there are none.
+    std::uint64_t departures_digest() const;
     /// Drops retained entries whose time is over. Returns whether there were any.
     bool advance(MonotonicTime now);
 
@@ -119,9 +131,9 @@
 
 private:
     struct Entry {
-        /// Its state is Leaving if the data centre is evacuated.
+        /// Its state is Leaving if the data centre is evacuated or the upstream announced its departure.
         UpstreamRecord record;
-        /// The state announced by the upstream.
+        /// The state in the registry.
         UpstreamRecord::Life announced_life = UpstreamRecord::Life::Serving;
         std::int64_t version = 0;
         /// Set if the entry has expired and is retained.
@@ -133,10 +145,13 @@
     bool is_older(UpstreamChange const& change) const;
     void remember_removal(std::string const& identity, std::int64_t version);
     void remove_or_retain(std::string const& identity, MonotonicTime now);
+    void forget_old_departures();
 
     Options options;
     std::map<std::string, Entry, std::less<>> entries;
     EvacuationTable evacuation_table;
+    /// Start times of the incarnations that announced their departure, by identity.
+    std::map<std::string, std::int64_t, std::less<>> departures;
     std::int64_t current_version = 0;
     /// The version of each removal. Removals before `removals_known_from` are incomplete.
     std::map<std::string, std::int64_t, std::less<>> removals;
--- a/Libraries/LibRouter/RequestHandler.cpp
+++ b/Libraries/LibRouter/RequestHandler.cpp
@@ -176,6 +176,7 @@
         return;
     LogLine("upstream_states_leaving").with("request", this->request.identifier).with("upstream", upstream.identity).with("started", upstream.started).with("service", this->service);
     this->state.metrics.increment("spurtide_upstream_statements_total", "Answers in which an upstream stated that it is leaving, or asked for a pause", { { "service", this->service }, { "statement", "leaving" } });
+    this->state.note_departure({ upstream.identity, upstream.started });
 }
 
 void RequestHandler::record_pause(UpstreamRecord const& upstream, ResponseInfo const& info, int status)
--- a/Libraries/LibRouter/RequestHandler.h
+++ b/Libraries/LibRouter/RequestHandler.h
@@ -38,6 +38,9 @@
         Quarantined,
     };
 
+    /// What a caller is told to wait if the service has no upstream and it is not known when there will be one.
+    static constexpr Duration NO_UPSTREAM_RETRY_AFTER = milliseconds(500);
+
     virtual asio::awaitable<void> forward_request() = 0;
     /// Adds fields to the log line for the end of the request.
     virtual void describe_end(LogLine&) const { }
--- a/Libraries/LibRouter/RouterState.h
+++ b/Libraries/LibRouter/RouterState.h
@@ -58,6 +58,8 @@
     ReplicatedQuarantine* quarantine = nullptr;
     CrashReporter* crashes = nullptr;
     UpstreamLimiter* limiter = nullptr;
+    /// Call when an upstream announces its departure in a response.
+    std::function<void(UpstreamIncarnation const&)> note_departure = [](UpstreamIncarnation const&) {};
     /// This VM's share of the retry budgets' allowance, which is common to all VMs.
     std::function<double()> retry_allowance_part = [] { return 1.0; };
 
--- a/Libraries/LibRouter/StreamingRequestHandler.cpp
+++ b/Libraries/LibRouter/StreamingRequestHandler.cpp
@@ -23,6 +23,14 @@
 constexpr Duration FREE_CACHE_TIMEOUT = milliseconds(500);
 constexpr Duration LOST_ENGINE_RETRY_AFTER = milliseconds(400);
 
+std::vector<std::string> engines_of(PlacementGrant const& grant)
+{
+    std::vector<std::string> engines { grant.decode_engine };
+    if (!grant.prefill_engine.empty())
+        engines.push_back(grant.prefill_engine);
+    return engines;
+}
+
 }
 
 std::string EventStreamSplitter::append(std::string_view bytes)
@@ -76,7 +84,7 @@
     ask.relayed_tokens = this->relayed_tokens();
     ask.priority = this->placement_priority();
     ask.excluded_engines = this->failed_engines;
-    this->exclude_unreachable(ask);
+    this->exclude_unusable(ask);
     ask.data_centre = this->state.data_centre;
     ask.longest_pause = this->route.event_gap_target;
     ask.own_part = prompt.own_part;
@@ -125,9 +133,9 @@
     return times;
 }
 
-// The keeper may reach engines that this VM cannot, and does not know which data centres the request is restricted to. A data
+// The keeper may reach engines that this VM cannot, may not have heard yet that some are leaving, and does not know which data centres the request is restricted to. A data
 // centre is excluded as a whole, since it may have thousands of engines.
-void StreamingRequestHandler::exclude_unreachable(PlacementAsk& ask) const
+void StreamingRequestHandler::exclude_unusable(PlacementAsk& ask) const
 {
     auto const now = monotonic_now();
     std::map<std::string_view, bool> is_excluded;
@@ -137,8 +145,8 @@
         auto const [known, is_new] = is_excluded.try_emplace(record.data_centre, false);
         if (is_new)
             known->second = !this->may_use_data_centre(record.data_centre) || this->state.reachability->is_cut_off(record.data_centre, now);
-        bool const is_paused = this->state.limiter->pause_left(record.identity, now) > Duration::zero();
-        if (!known->second && (is_paused || !this->state.reachability->is_reachable(record.identity, record.data_centre, now)))
+        bool const is_unusable = this->state.upstreams.has_departed(record) || this->state.limiter->pause_left(record.identity, now) > Duration::zero();
+        if (!known->second && (is_unusable || !this->state.reachability->is_reachable(record.identity, record.data_centre, now)))
             ask.excluded_engines.push_back(record.identity);
     });
     for (auto const& [data_centre, excluded] : is_excluded) {
@@ -147,9 +155,28 @@
     }
 }
 
+bool StreamingRequestHandler::have_all_engines_left() const
+{
+    bool is_any_listed = false;
+    bool is_any_serving = false;
+    this->state.upstreams.for_each([&](UpstreamRecord const& record) {
+        if (record.service != this->service || record.role == EngineRole::Prefill || !this->may_use_data_centre(record.data_centre))
+            return;
+        is_any_listed = true;
+        is_any_serving |= record.life == UpstreamRecord::Life::Serving;
+    });
+    return is_any_listed && !is_any_serving;
+}
+
 asio::awaitable<void> StreamingRequestHandler::forward_request()
 {
     while (true) {
+        // The keeper would wait for an engine until the decision time is over.
+        if (this->earlier == SendHistory::Earlier::HasNotRun && this->have_all_engines_left()) {
+            PlacementRefusal refusal { this->request.identifier, RefusalReason::NoUpstream, NO_UPSTREAM_RETRY_AFTER };
+            co_await this->respond_to_refusal(std::move(refusal));
+            co_return;
+        }
         auto const decision = co_await this->request_placement();
         if (this->is_stopped() || !decision) {
             this->release();
@@ -186,9 +213,7 @@
 
 asio::awaitable<bool> StreamingRequestHandler::take_engine_turns(PlacementGrant grant)
 {
-    std::vector<std::string> engines { grant.decode_engine };
-    if (!grant.prefill_engine.empty())
-        engines.push_back(grant.prefill_engine);
+    auto const engines = engines_of(grant);
     for (std::size_t i = 0; i < engines.size(); ++i) {
         bool const has_turn = co_await this->take_turn(engines[i], Duration::zero(), Duration::zero());
         if (has_turn)
@@ -228,17 +253,20 @@
 
 asio::awaitable<StreamingRequestHandler::PlacementOutcome> StreamingRequestHandler::run_placement(PlacementGrant grant)
 {
-    auto const* prefill_engine = this->state.upstreams.find(grant.prefill_engine);
-    auto const* decode_engine = this->state.upstreams.find(grant.decode_engine);
-    if (!decode_engine || (!grant.prefill_engine.empty() && !prefill_engine)) {
+    for (auto const& engine : engines_of(grant)) {
+        if (this->state.upstreams.takes_work(engine))
+            continue;
         // The keeper's upstream list differs from this VM's.
-        this->failed_engines.push_back(decode_engine ? grant.prefill_engine : grant.decode_engine);
-        co_return co_await this->retry_or_fail(SendOutcome::NotSent, "unknown_engine");
+        this->failed_engines.push_back(engine);
+        co_return co_await this->retry_or_fail(SendOutcome::NotSent, this->state.upstreams.find(engine) ? "upstream_left" : "unknown_engine");
     }
+    std::optional<UpstreamRecord> prefiller;
+    if (!grant.prefill_engine.empty())
+        prefiller = *this->state.upstreams.find(grant.prefill_engine);
     this->last_engine = grant.decode_engine;
     Dispatch dispatch;
     dispatch.expected_identity = grant.decode_engine;
-    UpstreamRecord const decoder = *decode_engine;
+    UpstreamRecord const decoder = *this->state.upstreams.find(grant.decode_engine);
     auto const decode_address = parse_address(decoder.address);
     if (!decode_address)
         co_return co_await this->retry_or_fail(SendOutcome::NotSent, "bad_address");
@@ -253,22 +281,21 @@
         this->failed_engine = decoder.identity;
         co_return co_await this->retry_or_fail(SendOutcome::NotSent, to_string(reserved.error()));
     }
-    if (prefill_engine) {
+    if (prefiller) {
         if (!this->try_pay(SendAccounting::Send::Prefill))
             co_return co_await this->retry_or_fail(SendOutcome::NotSent, "retry_budget_spent", SendHistory::AnotherSend::Spent);
-        UpstreamRecord const prefiller = *prefill_engine;
-        auto cache = co_await this->prefill(prefiller);
+        auto cache = co_await this->prefill(*prefiller);
         if (this->is_stopped()) {
             if (cache)
-                this->free_cache(prefiller.address, cache->handle);
+                this->free_cache(prefiller->address, cache->handle);
             co_return PlacementOutcome::Retry;
         }
         if (!cache)
             co_return co_await this->retry_or_fail(SendOutcome::NotSent, "prefill_failed");
         this->state.placement->progress(this->request.identifier, GrantProgress::CacheHeld);
         dispatch.stage = DispatchStage::Decode;
-        dispatch.cache_address = prefiller.address;
-        dispatch.cache_holder = prefiller.identity;
+        dispatch.cache_address = prefiller->address;
+        dispatch.cache_holder = prefiller->identity;
         dispatch.cache_handle = cache->handle;
     }
     co_return co_await this->decode(decoder, *decode_address, std::move(dispatch));
@@ -299,7 +326,7 @@
     if (this->is_stopped() || !this->state.upstreams.takes_work(engine.identity)) {
         this->state.pool.release(*address, connection);
         if (!this->is_stopped())
-            this->failed_engine = engine.identity;
+            this->failed_engines.push_back(engine.identity);
         co_return std::nullopt;
     }
     Dispatch dispatch;
@@ -375,6 +402,7 @@
         this->state.pool.release(address, acquired.value());
         if (this->is_stopped())
             co_return PlacementOutcome::Retry;
+        this->failed_engines.push_back(engine.identity);
         co_return co_await this->retry_or_fail(SendOutcome::NotSent, "upstream_left");
     }
     auto const connection = acquired.release_value();
--- a/Libraries/LibRouter/StreamingRequestHandler.h
+++ b/Libraries/LibRouter/StreamingRequestHandler.h
@@ -55,7 +55,9 @@
     asio::awaitable<PlacementOutcome> decode(UpstreamRecord engine, Address address, Dispatch dispatch);
     void note_event(MonotonicTime now);
     asio::awaitable<PlacementOutcome> relay_stream(InFlightRequest& in_flight, std::shared_ptr<HttpConnection> connection, HttpResponseHead head);
-    void exclude_unreachable(PlacementAsk& ask) const;
+    void exclude_unusable(PlacementAsk& ask) const;
+    /// Whether none of the engines that can generate the response takes new work. False if none is listed: the keeper may know some.
+    bool have_all_engines_left() const;
     /// Takes a turn at each engine of the grant that has announced a rate limit. Returns false if one of them has none for now;
     /// that engine is excluded from further placements.
     asio::awaitable<bool> take_engine_turns(PlacementGrant grant);
--- a/Libraries/LibRouter/UnaryRequestHandler.cpp
+++ b/Libraries/LibRouter/UnaryRequestHandler.cpp
@@ -17,7 +17,6 @@
 constexpr int MAXIMUM_CONNECT_ATTEMPTS = 3;
 constexpr std::size_t MAXIMUM_RESPONSE_BYTES = 8UL * 1024 * 1024;
 constexpr Duration FULL_UPSTREAM_RETRY_AFTER = milliseconds(300);
-constexpr Duration NO_UPSTREAM_RETRY_AFTER = milliseconds(500);
 /// Share of the latency target that a request may wait for its turn at an upstream; the rest is for the response.
 constexpr double TURN_WAIT_SHARE = 0.5;
 /// A response to another request may arrive before the expected one.
--- a/Libraries/LibRouter/UpstreamLimitCounter.cpp
+++ b/Libraries/LibRouter/UpstreamLimitCounter.cpp
@@ -71,6 +71,8 @@
 {
     for (auto const& statement : statements.statements())
         this->note(statement);
+    for (auto const& departure : statements.departures())
+        this->hooks.on_departure({ departure.upstream(), departure.started() });
 }
 
 void UpstreamLimitCounter::answer(wire::Envelope const& request, Kernel::Responder const& respond)
@@ -118,6 +120,11 @@
     auto* statements = reply.mutable_upstream_limit_statements();
     auto const now = monotonic_now();
     this->book.for_each([&](std::string_view upstream) { write_statement(upstream, this->book, now, *statements->add_statements()); });
+    for (auto const& departing : this->hooks.departures()) {
+        auto* departure = statements->add_departures();
+        departure->set_upstream(departing.identity);
+        departure->set_started(departing.started);
+    }
     respond(std::move(reply));
 }
 
--- a/Libraries/LibRouter/UpstreamLimitCounter.h
+++ b/Libraries/LibRouter/UpstreamLimitCounter.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <LibDecision/UpstreamIncarnation.h>
 #include <LibDecision/UpstreamLimitTable.h>
 #include <LibDecision/UpstreamPacer.h>
 #include <LibDecision/VirtualMachineCount.h>
@@ -12,6 +13,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace Spurtide {
 
@@ -33,6 +35,10 @@
         /// Whether this VM lists the upstream. Without this check, the limits of removed upstreams would be exchanged between
         /// VMs forever.
         std::function<bool(std::string_view)> is_listed = [](std::string_view) { return true; };
+        /// The upstreams that announced their departure in a response, to be passed on to other VMs.
+        std::function<std::vector<UpstreamIncarnation>()> departures = [] { return std::vector<UpstreamIncarnation>(); };
+        /// Called for each departure that another VM passes on.
+        std::function<void(UpstreamIncarnation const&)> on_departure = [](UpstreamIncarnation const&) {};
     };
 
     enum class Mode {
@@ -59,7 +65,7 @@
     /// Empty while this VM has not discovered the others: it might grant turns in parallel with another VM.
     std::optional<UpstreamPacer::Turn> grant_turn(TurnRequest const& turn_request, Mode mode);
     void return_turn(std::string_view upstream);
-    /// Adds limits that were received from another VM.
+    /// Adds limits and departures that were received from another VM.
     void note(wire::UpstreamLimitStatement const& statement);
     void note(wire::UpstreamLimitStatements const& statements);
     /// Removes the state of upstreams without a limit in the book.
--- a/Libraries/LibRouter/UpstreamLimiter.cpp
+++ b/Libraries/LibRouter/UpstreamLimiter.cpp
@@ -18,7 +18,7 @@
 }
 
 UpstreamLimiter::UpstreamLimiter(Options options, Kernel& kernel, VirtualMachineRanking& ranking, UpstreamLimitTable& book, UpstreamLimitCounter& own_counter)
-    : options(options)
+    : options(std::move(options))
     , kernel(kernel)
     , ranking(ranking)
     , book(book)
--- a/Libraries/LibRouter/UpstreamLimiter.h
+++ b/Libraries/LibRouter/UpstreamLimiter.h
@@ -5,6 +5,8 @@
 
 #include <LibRouter/UpstreamLimitCounter.h>
 #include <asio.hpp>
+#include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <string>
@@ -29,6 +31,8 @@
         Duration discovery_delay = milliseconds(100);
         /// Timeout for fetching the limits known to another VM.
         Duration fetch_timeout = milliseconds(500);
+        /// Digest of the departures that are passed on together with the limits.
+        std::function<std::uint64_t()> departures_digest = [] { return std::uint64_t { 0 }; };
     };
     using TurnRequest = UpstreamLimitCounter::TurnRequest;
     using Turn = UpstreamPacer::Turn;
@@ -47,9 +51,9 @@
 
     /// Time until a turn should be requested again; zero if it may be requested now.
     Duration pause_left(std::string_view upstream, MonotonicTime now) const;
-    /// Digest of the limits known to this VM.
-    std::uint64_t digest() const { return this->book.digest(); }
-    /// Handles the digest of another VM; fetches that VM's limits if it differs from this one's.
+    /// Digest of the limits and departures known to this VM.
+    std::uint64_t digest() const { return this->book.digest() ^ this->options.departures_digest(); }
+    /// Handles the digest of another VM; fetches that VM's limits and departures if it differs from this one's.
     void handle_digest(std::string const& endpoint, std::uint64_t other);
 
     /// Removes the state of upstreams that no longer have a limit.
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -250,11 +250,16 @@
     hooks.is_settled = [this] { return this->membership->is_settled(); };
     hooks.virtual_machines = [this] { return this->membership->count(); };
     hooks.is_listed = [this](std::string_view upstream) { return this->state.upstreams.find(upstream) != nullptr; };
+    hooks.departures = [this] { return this->state.upstreams.unregistered_departures(); };
+    hooks.on_departure = [this](auto const& upstream) { this->adopt_departure(upstream, "peer"); };
     auto& ranking = this->placement->ranking();
     this->limit_counter = std::make_unique<UpstreamLimitCounter>(*this->kernel, ranking, this->upstream_limits, std::move(hooks));
-    this->limiter = std::make_unique<UpstreamLimiter>(UpstreamLimiter::Options {}, *this->kernel, ranking, this->upstream_limits, *this->limit_counter);
+    UpstreamLimiter::Options options;
+    options.departures_digest = [this] { return this->state.upstreams.departures_digest(); };
+    this->limiter = std::make_unique<UpstreamLimiter>(std::move(options), *this->kernel, ranking, this->upstream_limits, *this->limit_counter);
     this->membership->set_upstream_limits_hooks([this] { return this->limiter->digest(); }, [this](auto const& endpoint, auto digest) { this->limiter->handle_digest(endpoint, digest); });
     this->state.limiter = this->limiter.get();
+    this->state.note_departure = [this](auto const& upstream) { this->adopt_departure(upstream, "response"); };
 }
 
 void Node::host_services()
@@ -382,6 +387,14 @@
     this->membership->spread_news();
 }
 
+void Node::adopt_departure(UpstreamIncarnation const& upstream, std::string_view source)
+{
+    if (!this->state.upstreams.note_departure(upstream))
+        return;
+    LogLine("upstream_departing").with("upstream", upstream.identity).with("started", upstream.started).with("source", source);
+    this->engines_changed();
+}
+
 void Node::engines_changed()
 {
     if (this->state.routes)
@@ -459,6 +472,7 @@
     facts.running_requests = this->callers->exchange_count();
     facts.quarantined_requests = this->quarantine->size();
     facts.limited_upstreams = this->upstream_limits.size();
+    facts.departing_upstreams = this->state.upstreams.unregistered_departures().size();
     for (auto const& evacuation : this->state.upstreams.evacuations().all())
         facts.evacuations.push_back({ evacuation, this->count_upstreams(evacuation.data_centre) });
     facts.keeping = this->placement->is_keeper() ? NodeFacts::Keeping::This : NodeFacts::Keeping::Others;
--- a/Services/NodeServer/Node.h
+++ b/Services/NodeServer/Node.h
@@ -83,6 +83,7 @@
     void adopt_accounts();
     std::size_t count_upstreams(std::string_view data_centre) const;
     void adopt_evacuations(EvacuationUpdate const& news, std::string_view source);
+    void adopt_departure(UpstreamIncarnation const& upstream, std::string_view source);
     void engines_changed();
     asio::awaitable<void> answer_operations(HttpExchange& exchange);
     void serve_metrics();
--- a/Tests/LibDecision/TestUpstreams.cpp
+++ b/Tests/LibDecision/TestUpstreams.cpp
@@ -162,3 +162,71 @@
     REQUIRE(selector.choose(THREE, at_milliseconds(500)) == 2);
     REQUIRE_FALSE(selector.choose({}, at_milliseconds(0)));
 }
+
+namespace {
+
+UpstreamRecord started(std::string identity, std::int64_t at)
+{
+    auto made = record(std::move(identity));
+    made.started = at;
+    return made;
+}
+
+}
+
+// Guards against departures that are forgotten with the entry, or taken back by a renewed one.
+TEST_CASE("An announced departure outlasts changes of the entry until the upstream starts again", "[leaving][platform-down]")
+{
+    UpstreamList list({ milliseconds(1800) });
+    list.apply({ "a", started("a", 1000), 1 }, at_milliseconds(0));
+    CHECK(list.note_departure({ "a", 1000 }));
+    CHECK_FALSE(list.note_departure({ "a", 1000 }));
+    CHECK_FALSE(list.takes_work("a"));
+    list.apply({ "a", started("a", 1000), 2 }, at_milliseconds(10));
+    CHECK_FALSE(list.takes_work("a"));
+    list.apply({ "a", {}, 3 }, at_milliseconds(20));
+    list.replace({ { "a", started("a", 1000), 4 } }, 4, at_milliseconds(30));
+    CHECK_FALSE(list.takes_work("a"));
+    list.apply({ "a", started("a", 2000), 5 }, at_milliseconds(40));
+    CHECK(list.takes_work("a"));
+    // A late response of the earlier incarnation.
+    CHECK_FALSE(list.note_departure({ "a", 1000 }));
+    CHECK(list.takes_work("a"));
+}
+
+TEST_CASE("Peers are told of departures apart from the registry's state", "[leaving]")
+{
+    UpstreamList list({ milliseconds(1800) });
+    list.apply({ "a", started("a", 1000), 1 }, at_milliseconds(0));
+    list.apply({ "b", record("b"), 2 }, at_milliseconds(0));
+    CHECK(list.departures_digest() == 0);
+    list.note_departure({ "a", 1000 });
+    list.note_departure({ "b", 0 });
+    // Not listed here: others may list it.
+    list.note_departure({ "c", 0 });
+    auto const both = list.departures_digest();
+    CHECK(both != 0);
+    CHECK(list.unregistered_departures() == std::vector<UpstreamIncarnation> { { "a", 1000 }, { "b", 0 } });
+    for (auto const& listed : list.listing_since(0).records)
+        CHECK(listed.life == UpstreamRecord::Life::Serving);
+    // The registry tells of this one from here on.
+    list.apply({ "b", record("b", UpstreamRecord::Life::Leaving), 3 }, at_milliseconds(10));
+    CHECK(list.unregistered_departures() == std::vector<UpstreamIncarnation> { { "a", 1000 } });
+    CHECK(list.departures_digest() != both);
+    list.apply({ "c", record("c"), 4 }, at_milliseconds(20));
+    CHECK_FALSE(list.takes_work("c"));
+}
+
+TEST_CASE("Departures of upstreams that are not listed are kept in a bounded number", "[leaving]")
+{
+    UpstreamList::Options options;
+    options.remembered_departures = 3;
+    UpstreamList list(options);
+    list.apply({ "a", record("a"), 1 }, at_milliseconds(0));
+    list.note_departure({ "a", 0 });
+    for (auto const* identity : { "b", "c", "d", "e" })
+        list.note_departure({ identity, 0 });
+    CHECK_FALSE(list.takes_work("a"));
+    list.apply({ "b", record("b"), 2 }, at_milliseconds(0));
+    CHECK(list.takes_work("b"));
+}
--- a/Tests/LibRouter/TestUpstreamLimiter.cpp
+++ b/Tests/LibRouter/TestUpstreamLimiter.cpp
@@ -22,12 +22,15 @@
         hooks.is_settled = [this] { return this->is_settled; };
         hooks.virtual_machines = [this] { return this->seen; };
         hooks.is_listed = [this](std::string_view) { return this->knows_upstream; };
+        hooks.departures = [this] { return this->departures; };
+        hooks.on_departure = [this](auto const& upstream) { this->departures.push_back(upstream); };
         this->counter = std::make_unique<UpstreamLimitCounter>(*this->kernel, this->ranking, this->book, std::move(hooks));
         this->counter->host();
         // The ranking considers only VMs that host this service.
         this->kernel->host(std::string(PLACEMENT_SERVICE), [](wire::Envelope const&, Kernel::Responder const&) {});
         UpstreamLimiter::Options options;
         options.probe_delay = milliseconds(20);
+        options.departures_digest = [this] { return this->departures.size(); };
         this->limiter = std::make_unique<UpstreamLimiter>(options, *this->kernel, this->ranking, this->book, *this->counter);
         this->kernel->start();
     }
@@ -42,6 +45,7 @@
     bool is_settled = true;
     bool knows_upstream = true;
     VirtualMachineCount seen { 2, 0 };
+    std::vector<UpstreamIncarnation> departures;
 };
 
 struct LimiterTest {
@@ -190,6 +194,14 @@
     CHECK(run_loop_until(test.loop, [&] { return !other.book.rate_of(UPSTREAM); }));
 }
 
+TEST_CASE("A VM whose digest differs from another's fetches the departures that the other knows", "[leaving]")
+{
+    LimiterTest test;
+    test.asking->departures = { { UPSTREAM, 1000 } };
+    test.counting->limiter->handle_digest(test.asking->kernel->endpoint(), test.asking->limiter->digest());
+    CHECK(run_loop_until(test.loop, [&] { return test.counting->departures == test.asking->departures; }));
+}
+
 TEST_CASE("The limit of an upstream that is not listed is not stored", "[upstream-limit]")
 {
     LimiterTest test;
