LibRouter: Keep the pauses that upstreams request with Retry-After

What callers saw: an upstream that had asked a VM for a pause of 3 s got up to eight more requests from it in that time; their callers were refused, or served by a second send.

Cause: a 503 counted as a full queue, which the selector avoids for 150 ms as an order of preference. The Retry-After beside it was unread.

UpstreamLimitTable keeps the end of the pause of an incarnation; every send of this VM asks right before its first byte, calls of the router itself included, which now go through one function. After a pause the number of requests doubles each 0.1 s. Where all upstreams have asked for pauses callers are told at once when the first ends.

Five tests of TestRequestedPause failed before (10 requests within a pause, 2 allowed; Retry-After 0.3 to 0.5 s with 1.98 s left; 20 of 20 requests at once after it, now 1) and pass. The test of a cache that is freed within a pause was red without the check (3 requests, 2 expected).

--- a/Libraries/LibDecision/UpstreamLimitTable.cpp
+++ b/Libraries/LibDecision/UpstreamLimitTable.cpp
@@ -59,4 +59,30 @@
     std::erase_if(this->statements, [&](auto const& entry) { return !is_listed(entry.first); });
 }
 
+void UpstreamLimitTable::note_pause(UpstreamIncarnation const& upstream, Duration pause, MonotonicTime now)
+{
+    this->forget_ended_pauses(now);
+    auto& known = this->pauses[upstream.identity];
+    if (known.started != upstream.started)
+        known = { upstream.started, {} };
+    known.pause.extend(now + pause);
+}
+
+UpstreamPause* UpstreamLimitTable::pause_of(std::string_view upstream, std::int64_t started, MonotonicTime now)
+{
+    auto const found = this->pauses.find(upstream);
+    bool const is_in_force = found != this->pauses.end() && found->second.started == started && !found->second.pause.is_over(now);
+    return is_in_force ? &found->second.pause : nullptr;
+}
+
+std::size_t UpstreamLimitTable::paused_upstreams(MonotonicTime now) const
+{
+    return static_cast<std::size_t>(std::count_if(this->pauses.begin(), this->pauses.end(), [&](auto const& entry) { return !entry.second.pause.is_over(now); }));
+}
+
+void UpstreamLimitTable::forget_ended_pauses(MonotonicTime now)
+{
+    std::erase_if(this->pauses, [&](auto const& entry) { return entry.second.pause.is_over(now); });
+}
+
 }
--- a/Libraries/LibDecision/UpstreamLimitTable.h
+++ b/Libraries/LibDecision/UpstreamLimitTable.h
@@ -4,6 +4,8 @@
 #pragma once
 
 #include <LibCore/Time.h>
+#include <LibDecision/UpstreamIncarnation.h>
+#include <LibDecision/UpstreamPause.h>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -23,7 +25,8 @@
     MonotonicTime as_of;
 };
 
-/// The latest rate limit statement of each upstream that this VM has received. Time is passed in.
+/// How much the upstreams are willing to take, as stated in their responses: the latest rate limit statement of each that
+/// this VM has received, and the pauses that they requested from this VM. Time is passed in.
 class UpstreamLimitTable {
 public:
     enum class Change {
@@ -47,11 +50,25 @@
     void for_each(std::function<void(std::string_view)> const& function) const;
     /// Number of upstreams with a limit.
     std::size_t size() const;
-    /// Forgets upstreams that are no longer listed.
+    /// Forgets upstreams that are no longer listed. Pauses are kept, as the entries may come back.
     void retain(std::function<bool(std::string_view)> const& is_listed);
 
+    /// Records that the upstream asked this VM to send it no requests for the given time.
+    void note_pause(UpstreamIncarnation const& upstream, Duration pause, MonotonicTime now);
+    /// Returns the pause of this incarnation; null if it requested none, or it is over.
+    UpstreamPause* pause_of(std::string_view upstream, std::int64_t started, MonotonicTime now);
+    /// Number of upstreams that are paused, or in the slow start after a pause.
+    std::size_t paused_upstreams(MonotonicTime now) const;
+    void forget_ended_pauses(MonotonicTime now);
+
 private:
+    struct IncarnationPause {
+        std::int64_t started = 0;
+        UpstreamPause pause;
+    };
+
     std::map<std::string, UpstreamLimitStatement, std::less<>> statements;
+    std::map<std::string, IncarnationPause, std::less<>> pauses;
 };
 
 }
--- a/Libraries/LibRouter/PromptCacheFetcher.cpp
+++ b/Libraries/LibRouter/PromptCacheFetcher.cpp
@@ -4,6 +4,7 @@
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
 #include <LibRouter/PromptCacheFetcher.h>
+#include <LibRouter/UpstreamCall.h>
 #include <set>
 #include <vector>
 
@@ -51,7 +52,9 @@
         std::vector<UpstreamRecord> due;
         this->state.upstreams.for_each([&](UpstreamRecord const& record) {
             bool const is_decoding = record.role == EngineRole::Decode && record.life == UpstreamRecord::Life::Serving;
-            if (is_decoding && this->hooks.is_used(record.identity) && fetched.insert(record.identity).second)
+            // A paused engine is queried after its pause.
+            bool const may_query = is_decoding && find_send_obstacle(this->state, record) == SendObstacle::None;
+            if (may_query && this->hooks.is_used(record.identity) && fetched.insert(record.identity).second)
                 due.push_back(record);
         });
         for (auto const& record : due)
@@ -61,14 +64,11 @@
 
 asio::awaitable<void> PromptCacheFetcher::fetch(UpstreamRecord engine)
 {
-    auto const address = parse_address(engine.address);
-    if (!address)
-        co_return;
     HttpRequest request { this->state.dialect.cached_prompts_request_head(engine.address), {} };
     ConnectionPool::Call options;
     options.timeout = this->options.timeout;
     options.largest_body = MAXIMUM_LIST_BYTES;
-    auto const response = co_await this->state.pool.call(*address, std::move(request), std::move(options));
+    auto const response = co_await call_upstream(this->state, engine, std::move(request), CallPurpose::NewWork, std::move(options));
     if (response.is_error() || response.value().head.status != 200 || !response.value().body) {
         LogLine("cached_prompts_unread").with("engine", engine.identity).with("reason", response.is_error() ? to_string(response.error()) : "status_or_body");
         co_return;
--- a/Libraries/LibRouter/RequestHandler.cpp
+++ b/Libraries/LibRouter/RequestHandler.cpp
@@ -8,6 +8,7 @@
 #include <LibRouter/ReplicatedQuarantine.h>
 #include <LibRouter/RequestHandler.h>
 #include <LibRouter/UpstreamLimiter.h>
+#include <LibRouter/UpstreamStatements.h>
 #include <algorithm>
 #include <array>
 #include <cstdio>
@@ -164,34 +165,11 @@
     bool const is_to_another_request = !info.identifier.empty() && info.identifier != this->request.identifier;
     if (is_to_another_request || status == 421)
         return;
-    this->record_departure(upstream, info);
-    this->record_pause(upstream, info, status);
+    record_upstream_statements(this->state, upstream, info, status, this->request.identifier);
     if (!info.identifier.empty())
         this->record_rate_limit(upstream.identity, info, sent_at);
 }
 
-void RequestHandler::record_departure(UpstreamRecord const& upstream, ResponseInfo const& info)
-{
-    if (!info.is_leaving)
-        return;
-    LogLine("upstream_states_leaving").with("request", this->request.identifier).with("upstream", upstream.identity).with("started", upstream.started).with("service", this->service);
-    this->state.metrics.increment("spurtide_upstream_statements_total", "Answers in which an upstream stated that it is leaving, or asked for a pause", { { "service", this->service }, { "statement", "leaving" } });
-    this->state.note_departure({ upstream.identity, upstream.started });
-}
-
-void RequestHandler::record_pause(UpstreamRecord const& upstream, ResponseInfo const& info, int status)
-{
-    constexpr int HTTP_SERVICE_UNAVAILABLE = 503;
-    if (status != HTTP_SERVICE_UNAVAILABLE || info.retry_after.state == RetryAfterHeader::State::Absent)
-        return;
-    if (info.retry_after.state == RetryAfterHeader::State::Malformed) {
-        LogLine("upstream_pause_unreadable").with("request", this->request.identifier).with("upstream", upstream.identity);
-        return;
-    }
-    LogLine("upstream_asks_for_pause").with("request", this->request.identifier).with("upstream", upstream.identity).with("started", upstream.started).with("service", this->service).with("pause_ms", to_milliseconds(info.retry_after.delay));
-    this->state.metrics.increment("spurtide_upstream_statements_total", "Answers in which an upstream stated that it is leaving, or asked for a pause", { { "service", this->service }, { "statement", "pause" } });
-}
-
 void RequestHandler::record_rate_limit(std::string_view upstream, ResponseInfo const& info, MonotonicTime sent_at)
 {
     if (info.limit.state == RateLimitHeader::State::Malformed) {
@@ -215,6 +193,28 @@
         line.with("before", *before);
 }
 
+std::optional<Duration> RequestHandler::assign_retry_after_pauses()
+{
+    auto const now = monotonic_now();
+    bool is_any_available = false;
+    std::optional<UpstreamRecord> next;
+    Duration shortest {};
+    this->state.upstreams.for_each([&](UpstreamRecord const& record) {
+        bool const may_respond = record.service == this->service && record.life == UpstreamRecord::Life::Serving && record.role != EngineRole::Prefill && this->may_use_data_centre(record.data_centre);
+        if (!may_respond || is_any_available)
+            return;
+        auto const left = this->state.limiter->requested_pause_left(record, now);
+        is_any_available = left == Duration::zero();
+        if (next && left >= shortest)
+            return;
+        next = record;
+        shortest = left;
+    });
+    if (is_any_available || !next)
+        return {};
+    return this->state.limiter->assign_retry(*next);
+}
+
 asio::awaitable<bool> RequestHandler::take_turn(std::string upstream, Duration longest_wait, Duration turn_patience)
 {
     auto const rate = this->state.limiter->rate_of(upstream);
--- a/Libraries/LibRouter/RequestHandler.h
+++ b/Libraries/LibRouter/RequestHandler.h
@@ -82,6 +82,10 @@
     /// for, its rate limit or the absence of one.
     void record_statements(UpstreamRecord const& upstream, ResponseInfo const& info, int status, MonotonicTime sent_at);
 
+    /// If all upstreams that could respond to the request asked this VM for a pause, returns the delay after which the caller
+    /// should retry.
+    std::optional<Duration> assign_retry_after_pauses();
+
     /// Takes a turn at an upstream that has announced a rate limit, and waits until the turn is due. Returns false if there is
     /// none within the longest wait, or the request was stopped. The turn patience is how long the caller could wait before it
     /// retries at the time that it is told.
@@ -117,8 +121,6 @@
     void stop(StopReason reason);
     void check_key();
     void record_rate_limit(std::string_view upstream, ResponseInfo const& info, MonotonicTime sent_at);
-    void record_departure(UpstreamRecord const& upstream, ResponseInfo const& info);
-    void record_pause(UpstreamRecord const& upstream, ResponseInfo const& info, int status);
     /// Charges the request to its account's quota. Returns false, after sending a response, if the request is quarantined or
     /// exceeds the quota.
     asio::awaitable<bool> admit();
--- a/Libraries/LibRouter/RoleController.cpp
+++ b/Libraries/LibRouter/RoleController.cpp
@@ -4,6 +4,7 @@
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
 #include <LibRouter/RoleController.h>
+#include <LibRouter/UpstreamCall.h>
 #include <array>
 
 namespace Spurtide {
@@ -138,12 +139,12 @@
 {
     auto& balancer = this->balancer_of(due.model);
     auto const* record = this->state.upstreams.find(due.change.engine);
-    auto const address = record ? parse_address(record->address) : std::nullopt;
-    if (!address) {
+    if (!record) {
         balancer.note_refused(due.change.engine, monotonic_now());
         co_return;
     }
-    auto const status = co_await this->fetch_status(*address);
+    UpstreamRecord const engine = *record;
+    auto const status = co_await this->fetch_status(engine);
     bool const may_order = status && !status->is_under_order && status->role != due.change.role;
     if (!may_order) {
         LogLine("role_order_skipped").with("engine", due.change.engine).with("role", role_name(due.change.role)).with("reason", !status ? "no_status" : status->is_under_order ? "under_order"
@@ -161,7 +162,7 @@
     order.expected_orders_taken = status->orders_taken;
     order.expected_identity = due.change.engine;
     balancer.note_ordered(due.change, monotonic_now());
-    auto const answer = co_await this->send_order(*address, order);
+    auto const answer = co_await this->send_order(engine, order);
     LogLine("role_ordered").with("engine", due.change.engine).with("role", role_name(due.change.role)).with("fence", order.fence).with("orders_taken", status->orders_taken).with("status", answer).with("because", due.inputs);
     auto const now = monotonic_now();
     constexpr int HTTP_ACCEPTED = 202;
@@ -172,12 +173,12 @@
     // NOTE: An order without an answer may still be executed, so the balancer keeps counting it.
 }
 
-asio::awaitable<std::optional<EngineStatus>> RoleController::fetch_status(Address address)
+asio::awaitable<std::optional<EngineStatus>> RoleController::fetch_status(UpstreamRecord engine)
 {
-    HttpRequest request { this->state.dialect.engine_status_request_head(address.to_string()), {} };
+    HttpRequest request { this->state.dialect.engine_status_request_head(engine.address), {} };
     ConnectionPool::Call options;
     options.timeout = this->options.order_timeout;
-    auto const answer = co_await this->state.pool.call(address, std::move(request), std::move(options));
+    auto const answer = co_await call_upstream(this->state, engine, std::move(request), CallPurpose::NewWork, std::move(options));
     if (answer.is_error() || answer.value().head.status != 200 || !answer.value().body)
         co_return std::nullopt;
     auto const status = this->state.dialect.read_engine_status(*answer.value().body);
@@ -187,15 +188,15 @@
 }
 
 // Returns the status of the answer; 0 if there was none.
-asio::awaitable<int> RoleController::send_order(Address address, RoleOrder order)
+asio::awaitable<int> RoleController::send_order(UpstreamRecord engine, RoleOrder order)
 {
     ConnectionPool::Call options;
     // On a connection that was idle for long, the order could be delayed until after the lease has expired.
     options.freshness = ConnectionPool::Freshness::Recent;
     options.timeout = this->options.order_timeout;
     options.may_send = [this] { return this->lease.is_held(monotonic_now()); };
-    auto request = this->state.dialect.role_order_request(address.to_string(), order);
-    auto const answer = co_await this->state.pool.call(address, std::move(request), std::move(options));
+    auto request = this->state.dialect.role_order_request(engine.address, order);
+    auto const answer = co_await call_upstream(this->state, engine, std::move(request), CallPurpose::NewWork, std::move(options));
     co_return answer.is_error() ? 0 : answer.value().head.status;
 }
 
--- a/Libraries/LibRouter/RoleController.h
+++ b/Libraries/LibRouter/RoleController.h
@@ -61,8 +61,8 @@
     std::optional<DueChange> find_due(MonotonicTime now);
     asio::awaitable<bool> acquire_lease();
     asio::awaitable<void> order(DueChange due);
-    asio::awaitable<std::optional<EngineStatus>> fetch_status(Address address);
-    asio::awaitable<int> send_order(Address address, RoleOrder order);
+    asio::awaitable<std::optional<EngineStatus>> fetch_status(UpstreamRecord engine);
+    asio::awaitable<int> send_order(UpstreamRecord engine, RoleOrder order);
     asio::awaitable<void> pause(Duration duration);
     void remove_finished_changes(MonotonicTime now);
     RoleBalancer& balancer_of(std::string const& model);
--- a/Libraries/LibRouter/StreamingRequestHandler.cpp
+++ b/Libraries/LibRouter/StreamingRequestHandler.cpp
@@ -4,6 +4,7 @@
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
 #include <LibRouter/StreamingRequestHandler.h>
+#include <LibRouter/UpstreamCall.h>
 #include <LibRouter/UpstreamLimiter.h>
 
 namespace Spurtide {
@@ -145,7 +146,8 @@
         auto const [known, is_new] = is_excluded.try_emplace(record.data_centre, false);
         if (is_new)
             known->second = !this->may_use_data_centre(record.data_centre) || this->state.reachability->is_cut_off(record.data_centre, now);
-        bool const is_unusable = this->state.upstreams.has_departed(record) || this->state.limiter->pause_left(record.identity, now) > Duration::zero();
+        bool const is_paused = std::max(this->state.limiter->pause_left(record.identity, now), this->state.limiter->requested_pause_left(record, now)) > Duration::zero();
+        bool const is_unusable = this->state.upstreams.has_departed(record) || is_paused;
         if (!known->second && (is_unusable || !this->state.reachability->is_reachable(record.identity, record.data_centre, now)))
             ask.excluded_engines.push_back(record.identity);
     });
@@ -172,11 +174,17 @@
 {
     while (true) {
         // The keeper would wait for an engine until the decision time is over.
-        if (this->earlier == SendHistory::Earlier::HasNotRun && this->have_all_engines_left()) {
+        bool const has_not_run = this->earlier == SendHistory::Earlier::HasNotRun;
+        if (has_not_run && this->have_all_engines_left()) {
             PlacementRefusal refusal { this->request.identifier, RefusalReason::NoUpstream, NO_UPSTREAM_RETRY_AFTER };
             co_await this->respond_to_refusal(std::move(refusal));
             co_return;
         }
+        auto const retry_after_pauses = has_not_run ? this->assign_retry_after_pauses() : std::nullopt;
+        if (retry_after_pauses) {
+            co_await this->refuse("upstreams_paused", *retry_after_pauses);
+            co_return;
+        }
         auto const decision = co_await this->request_placement();
         if (this->is_stopped() || !decision) {
             this->release();
@@ -254,11 +262,13 @@
 asio::awaitable<StreamingRequestHandler::PlacementOutcome> StreamingRequestHandler::run_placement(PlacementGrant grant)
 {
     for (auto const& engine : engines_of(grant)) {
-        if (this->state.upstreams.takes_work(engine))
+        auto const* record = this->state.upstreams.find(engine);
+        auto const obstacle = record ? find_send_obstacle(this->state, *record) : SendObstacle::Left;
+        if (obstacle == SendObstacle::None)
             continue;
-        // The keeper's upstream list differs from this VM's.
+        // The keeper knows neither what this VM lists nor the pauses that were requested from it.
         this->failed_engines.push_back(engine);
-        co_return co_await this->retry_or_fail(SendOutcome::NotSent, this->state.upstreams.find(engine) ? "upstream_left" : "unknown_engine");
+        co_return co_await this->retry_or_fail(SendOutcome::NotSent, record ? to_string(obstacle) : "unknown_engine");
     }
     std::optional<UpstreamRecord> prefiller;
     if (!grant.prefill_engine.empty())
@@ -287,7 +297,7 @@
         auto cache = co_await this->prefill(*prefiller);
         if (this->is_stopped()) {
             if (cache)
-                this->free_cache(prefiller->address, cache->handle);
+                this->free_cache(*prefiller, cache->handle);
             co_return PlacementOutcome::Retry;
         }
         if (!cache)
@@ -297,6 +307,7 @@
         dispatch.cache_address = prefiller->address;
         dispatch.cache_holder = prefiller->identity;
         dispatch.cache_handle = cache->handle;
+        this->cache_holder = *prefiller;
     }
     co_return co_await this->decode(decoder, *decode_address, std::move(dispatch));
 }
@@ -323,7 +334,7 @@
     }
     auto const connection = acquired.release_value();
     this->recheck_admission();
-    if (this->is_stopped() || !this->state.upstreams.takes_work(engine.identity)) {
+    if (this->is_stopped() || find_send_obstacle(this->state, engine) != SendObstacle::None) {
         this->state.pool.release(*address, connection);
         if (!this->is_stopped())
             this->failed_engines.push_back(engine.identity);
@@ -337,6 +348,7 @@
     dispatch.after_event = this->events.last_identifier();
     this->set_active_connection(connection);
     connection->set_deadline(monotonic_now() + PREFILL_TIMEOUT);
+    this->state.limiter->note_sent(engine);
     this->state.metrics.increment("spurtide_sends_total", "Requests sent to upstreams", { { "service", this->service }, { "stage", "prefill" } });
     std::optional<InFlightRequest> in_flight(std::in_place, this->state.prober, engine, connection, InFlightRequest::WhenUnreachable::Abort);
     connection->send(format_request_head(this->state.dialect.upstream_request_head(this->exchange.request(), dispatch)), this->body);
@@ -391,9 +403,10 @@
 {
     auto acquired = co_await this->state.pool.acquire(address, this->freshness());
     this->recheck_admission();
-    if (acquired.is_error() || this->is_stopped() || !this->state.upstreams.takes_work(engine.identity)) {
+    auto const obstacle = find_send_obstacle(this->state, engine);
+    if (acquired.is_error() || this->is_stopped() || obstacle != SendObstacle::None) {
         if (!dispatch.cache_handle.empty())
-            this->free_cache(dispatch.cache_address, dispatch.cache_handle);
+            this->free_cache(this->cache_holder, dispatch.cache_handle);
         if (acquired.is_error()) {
             this->state.prober.note_unreachable(engine, acquired.error());
             this->failed_engine = engine.identity;
@@ -403,7 +416,7 @@
         if (this->is_stopped())
             co_return PlacementOutcome::Retry;
         this->failed_engines.push_back(engine.identity);
-        co_return co_await this->retry_or_fail(SendOutcome::NotSent, "upstream_left");
+        co_return co_await this->retry_or_fail(SendOutcome::NotSent, to_string(obstacle));
     }
     auto const connection = acquired.release_value();
     dispatch.account = this->account;
@@ -411,6 +424,7 @@
     dispatch.after_event = this->events.last_identifier();
     this->set_active_connection(connection);
     this->note_sent();
+    this->state.limiter->note_sent(engine);
     auto const when_unreachable = this->route.is_resumable ? InFlightRequest::WhenUnreachable::Abort : InFlightRequest::WhenUnreachable::Wait;
     std::optional<InFlightRequest> in_flight(std::in_place, this->state.prober, engine, connection, when_unreachable);
     connection->send(format_request_head(this->state.dialect.upstream_request_head(this->exchange.request(), dispatch)), this->body);
@@ -450,7 +464,7 @@
     if (info.is_not_executed || status == 421) {
         this->note_not_executed();
         if (!dispatch.cache_handle.empty())
-            this->free_cache(dispatch.cache_address, dispatch.cache_handle);
+            this->free_cache(this->cache_holder, dispatch.cache_handle);
         if (this->is_stopped())
             co_return PlacementOutcome::Retry;
         this->failed_engines.push_back(engine.identity);
@@ -548,26 +562,23 @@
     if (step == NextStep::SendElsewhere)
         co_return PlacementOutcome::Retry;
     if (step == NextStep::RefuseNotRun && !this->exchange.has_begun())
-        co_await this->refuse(reason, LOST_ENGINE_RETRY_AFTER);
+        co_await this->refuse(reason, this->assign_retry_after_pauses().value_or(LOST_ENGINE_RETRY_AFTER));
     else
         co_await this->fail(502, reason);
     co_return PlacementOutcome::Finished;
 }
 
-void StreamingRequestHandler::free_cache(std::string const& engine_address, std::string const& handle)
+void StreamingRequestHandler::free_cache(UpstreamRecord const& holder, std::string const& handle)
 {
-    auto const free = [](RouterState& state, std::string address_text, std::string cache) -> asio::awaitable<void> {
-        auto const address = parse_address(address_text);
-        if (!address)
-            co_return;
-        HttpRequest request { state.dialect.free_cache_request_head(address_text, cache), {} };
+    auto const free = [](RouterState& state, UpstreamRecord engine, std::string cache) -> asio::awaitable<void> {
+        HttpRequest request { state.dialect.free_cache_request_head(engine.address, cache), {} };
         ConnectionPool::Call options;
         options.timeout = FREE_CACHE_TIMEOUT;
         options.largest_body = MAXIMUM_SHORT_RESPONSE_BYTES;
         // NOTE: If this fails, the engine frees the cache itself when its hold time expires.
-        static_cast<void>(co_await state.pool.call(*address, std::move(request), std::move(options)));
+        static_cast<void>(co_await call_upstream(state, std::move(engine), std::move(request), CallPurpose::Release, std::move(options)));
     };
-    asio::co_spawn(this->state.loop, free(this->state, engine_address, handle), asio::detached);
+    asio::co_spawn(this->state.loop, free(this->state, holder, handle), asio::detached);
 }
 
 }
--- a/Libraries/LibRouter/StreamingRequestHandler.h
+++ b/Libraries/LibRouter/StreamingRequestHandler.h
@@ -64,13 +64,16 @@
     asio::awaitable<void> respond_to_refusal(PlacementRefusal refusal);
     /// Returns Retry if another send is allowed. Otherwise sends the final response.
     asio::awaitable<PlacementOutcome> retry_or_fail(SendOutcome end, std::string_view reason, SendHistory::AnotherSend allowed_send = SendHistory::AnotherSend::Allowed);
-    void free_cache(std::string const& address, std::string const& handle);
+    /// Asks the engine that holds a prefilled cache to free it.
+    void free_cache(UpstreamRecord const& holder, std::string const& handle);
     ConnectionPool::Freshness freshness() const;
     void release();
     /// Number of output tokens received so far.
     std::int64_t relayed_tokens() const;
 
     std::shared_ptr<PlacementClient::PendingAsk> pending_ask;
+    /// The engine that prefilled the prompt of the current placement.
+    UpstreamRecord cache_holder;
     /// Decode engine of the current placement.
     std::string last_engine;
     std::vector<std::string> failed_engines;
--- a/Libraries/LibRouter/UnaryRequestHandler.cpp
+++ b/Libraries/LibRouter/UnaryRequestHandler.cpp
@@ -5,6 +5,7 @@
 #include <LibCore/LogLine.h>
 #include <LibRouter/InFlightRequest.h>
 #include <LibRouter/UnaryRequestHandler.h>
+#include <LibRouter/UpstreamCall.h>
 #include <LibRouter/UpstreamLimiter.h>
 
 namespace Spurtide {
@@ -51,6 +52,7 @@
     // If none is known to be reachable, try one anyway: it may be reachable again.
     if (std::any_of(records.begin(), records.end(), is_reachable))
         std::erase_if(records, [&](auto const* record) { return !is_reachable(record); });
+    std::erase_if(records, [&](auto const* record) { return this->state.limiter->requested_pause_left(*record, now) > Duration::zero(); });
     this->exclude_cold_upstreams(records, now);
     this->exclude_limited_upstreams(records, now);
     this->was_only_choice = records.size() == 1;
@@ -154,6 +156,10 @@
         reason = "upstreams_limited";
         retry_after = this->next_cold_turn ? std::min(*this->next_turn, *this->next_cold_turn) : *this->next_turn;
     }
+    if (auto const after_pauses = this->assign_retry_after_pauses()) {
+        reason = "upstreams_paused";
+        retry_after = *after_pauses;
+    }
     if (!last.reason.empty())
         reason = last.reason;
     co_await this->refuse(reason, retry_after);
@@ -207,7 +213,7 @@
             co_await this->relay_response(last);
             co_return;
         case NextStep::RefuseNotRun:
-            co_await this->refuse(last.reason, FULL_UPSTREAM_RETRY_AFTER);
+            co_await this->refuse(last.reason, this->assign_retry_after_pauses().value_or(FULL_UPSTREAM_RETRY_AFTER));
             co_return;
         case NextStep::FailMayHaveRun:
             co_await this->fail(502, last.reason);
@@ -240,11 +246,12 @@
     auto const connection = acquired.release_value();
     this->recheck_admission();
     // The upstream may have begun to leave, or the request may have been stopped, while the connection was established.
-    if (this->is_stopped() || !this->state.upstreams.takes_work(upstream.identity)) {
+    auto const obstacle = find_send_obstacle(this->state, upstream);
+    if (this->is_stopped() || obstacle != SendObstacle::None) {
         this->state.pool.release(*address, connection);
         this->state.selector.note_end(upstream.identity, UpstreamOutcome::Full, Duration::zero(), monotonic_now());
         this->state.limiter->return_turn(upstream.identity);
-        attempt.reason = "upstream_left";
+        attempt.reason = to_string(obstacle);
         co_return attempt;
     }
     Dispatch dispatch;
@@ -253,6 +260,7 @@
     dispatch.account = this->account;
     this->set_active_connection(connection);
     this->note_sent();
+    this->state.limiter->note_sent(upstream);
     auto const when_unreachable = this->route.kind == RouteKind::Repeatable ? InFlightRequest::WhenUnreachable::Abort : InFlightRequest::WhenUnreachable::Wait;
     std::optional<InFlightRequest> in_flight(std::in_place, this->state.prober, upstream, connection, when_unreachable);
     auto const expected_body = this->exchange.request().head.method == "HEAD" ? MessageParser::ExpectedBody::None : MessageParser::ExpectedBody::AsFramed;
--- a/Libraries/LibRouter/UpstreamLimiter.cpp
+++ b/Libraries/LibRouter/UpstreamLimiter.cpp
@@ -117,6 +117,31 @@
     return std::chrono::duration_cast<Duration>(found->second - now);
 }
 
+void UpstreamLimiter::note_pause(UpstreamRecord const& upstream, Duration pause)
+{
+    this->book.note_pause({ upstream.identity, upstream.started }, pause, monotonic_now());
+}
+
+Duration UpstreamLimiter::requested_pause_left(UpstreamRecord const& upstream, MonotonicTime now) const
+{
+    auto const* pause = this->book.pause_of(upstream.identity, upstream.started, now);
+    return pause ? pause->time_left(now) : Duration::zero();
+}
+
+void UpstreamLimiter::note_sent(UpstreamRecord const& upstream)
+{
+    auto const now = monotonic_now();
+    if (auto* pause = this->book.pause_of(upstream.identity, upstream.started, now))
+        pause->note_sent(now);
+}
+
+Duration UpstreamLimiter::assign_retry(UpstreamRecord const& upstream)
+{
+    auto const now = monotonic_now();
+    auto* pause = this->book.pause_of(upstream.identity, upstream.started, now);
+    return pause ? pause->assign_retry(now) : Duration::zero();
+}
+
 void UpstreamLimiter::handle_digest(std::string const& endpoint, std::uint64_t other)
 {
     if (other == this->digest() || endpoint.empty() || std::exchange(this->is_fetching, true))
--- a/Libraries/LibRouter/UpstreamLimiter.h
+++ b/Libraries/LibRouter/UpstreamLimiter.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <LibDecision/UpstreamList.h>
 #include <LibRouter/UpstreamLimitCounter.h>
 #include <asio.hpp>
 #include <cstdint>
@@ -14,7 +15,8 @@
 
 namespace Spurtide {
 
-/// Keeps the requests of this VM within the rate limits that upstreams set for all VMs together. Before a request is sent to
+/// Keeps the requests of this VM within the rate limits that upstreams set for all VMs together, and out of the pauses that they
+/// request from this VM. Before a request is sent to
 /// such an upstream, a turn is requested from the VM that counts for the upstream, which takes one round trip. If that VM does
 /// not answer, the next one in the ranking is asked, and then this VM counts for itself.
 class UpstreamLimiter {
@@ -51,6 +53,16 @@
 
     /// Time until a turn should be requested again; zero if it may be requested now.
     Duration pause_left(std::string_view upstream, MonotonicTime now) const;
+    /// Records that the upstream asked this VM to send it no requests for the given time.
+    void note_pause(UpstreamRecord const& upstream, Duration pause);
+    /// Time until a request may be sent to an upstream that requested a pause, with the slow start after the pause taken into
+    /// account; zero if one may be sent now.
+    Duration requested_pause_left(UpstreamRecord const& upstream, MonotonicTime now) const;
+    /// Call right before a request is sent to the upstream.
+    void note_sent(UpstreamRecord const& upstream);
+    /// Returns the delay after which a caller should retry that is refused because of the upstream's pause.
+    Duration assign_retry(UpstreamRecord const& upstream);
+
     /// Digest of the limits and departures known to this VM.
     std::uint64_t digest() const { return this->book.digest() ^ this->options.departures_digest(); }
     /// Handles the digest of another VM; fetches that VM's limits and departures if it differs from this one's.
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -472,6 +472,7 @@
     facts.running_requests = this->callers->exchange_count();
     facts.quarantined_requests = this->quarantine->size();
     facts.limited_upstreams = this->upstream_limits.size();
+    facts.paused_upstreams = this->upstream_limits.paused_upstreams(monotonic_now());
     facts.departing_upstreams = this->state.upstreams.unregistered_departures().size();
     for (auto const& evacuation : this->state.upstreams.evacuations().all())
         facts.evacuations.push_back({ evacuation, this->count_upstreams(evacuation.data_centre) });
@@ -490,6 +491,7 @@
     if (this->state.routes)
         this->state.pool.set_resting_limit(idle_connections_per_virtual_machine(this->state.routes->configuration().services, this->membership->count()));
     this->state.pool.sweep(now);
+    this->upstream_limits.forget_ended_pauses(now);
 }
 
 void Node::drop_lapsed()
--- a/Services/NodeServer/NodeMetrics.h
+++ b/Services/NodeServer/NodeMetrics.h
@@ -27,6 +27,8 @@
     std::size_t running_requests = 0;
     std::size_t quarantined_requests = 0;
     std::size_t limited_upstreams = 0;
+    /// Upstreams that asked this VM for a pause that is not over, or was so a moment ago.
+    std::size_t paused_upstreams = 0;
     /// Upstreams that announced their departure in a response while the registry lists them as serving.
     std::size_t departing_upstreams = 0;
     /// What is known of evacuations, ended ones among them, with the upstreams that they concern.
--- a/Tests/Platform/TestRequestedPause.cpp
+++ b/Tests/Platform/TestRequestedPause.cpp
@@ -103,6 +103,46 @@
     }
 }
 
+// Guards against calls of the router itself that reach an engine within its pause: to free a cache that nobody takes.
+TEST_CASE("A cache is not freed within a pause that its engine asked for meanwhile", "[upstream-pause]")
+{
+    NodeUnderTest test;
+    test.configure(1);
+    UpstreamStandIn prefill(test.loop, "i-p1", "prefill");
+    UpstreamStandIn decode(test.loop, "i-d1", "decode");
+    test.list(prefill, "engines");
+    test.list(decode, "engines");
+    // The answer is refused after the engine with its cache was asked for another prompt, and turned that one away.
+    bool is_refused = false;
+    bool is_first = true;
+    std::shared_ptr<HttpConnection> other_caller;
+    decode.script = [&](HttpExchange& exchange) -> asio::awaitable<bool> {
+        if (!std::exchange(is_first, false))
+            co_return false;
+        prefill.requested_pause = PAUSE_SECONDS;
+        auto connected = co_await HttpConnection::connect(test.node->caller_address(), seconds(1), {});
+        other_caller = connected.release_value();
+        auto const other_request = test.model_request("/stream/x", "a2");
+        other_caller->send(format_request_head(other_request.head), std::make_shared<std::string const>(other_request.body));
+        asio::steady_timer timer(test.loop, SETTLING_TIME + milliseconds(100));
+        asio::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        auto head = decode.answer_head(exchange, 503);
+        head.headers.add("X-Spurtide-Not-Executed", "1");
+        static_cast<void>(co_await exchange.respond(std::move(head), {}));
+        is_refused = true;
+        co_return true;
+    };
+    CHECK(test.call(test.model_request("/stream/x", "a1")).head.status == 503);
+    REQUIRE(is_refused);
+    auto const refused_at = monotonic_now();
+    REQUIRE(test.run_until([&] { return monotonic_now() >= refused_at + milliseconds(200); }));
+    CHECK(prefill.handles.size() == 1);
+    // The prompt and the one that was turned away.
+    CHECK(prefill.arrivals.size() == 2);
+    CHECK(prefill.freed.empty());
+}
+
 // Guards against callers that are held, or told to come back before any upstream takes them.
 TEST_CASE("Where all upstreams ask for a pause callers are told at once that nothing has run and when it ends", "[upstream-pause][not-run]")
 {
