UpstreamList: Take an entry without a start time for the same incarnation

An entry that another writer renews without its start time brought an upstream that had announced its departure back into use, and ended a requested pause. The checks in TestUpstreams and TestUpstreamPause were red before.

--- a/Libraries/LibDecision/UpstreamLimitTable.cpp
+++ b/Libraries/LibDecision/UpstreamLimitTable.cpp
@@ -71,8 +71,10 @@
 UpstreamPause* UpstreamLimitTable::pause_of(std::string_view upstream, std::int64_t started, MonotonicTime now)
 {
     auto const found = this->pauses.find(upstream);
-    bool const is_in_force = found != this->pauses.end() && found->second.started == started && !found->second.pause.is_over(now);
-    return is_in_force ? &found->second.pause : nullptr;
+    if (found == this->pauses.end() || found->second.pause.is_over(now))
+        return nullptr;
+    // An unknown start time does not prove that the upstream started again.
+    return started == 0 || found->second.started == started ? &found->second.pause : nullptr;
 }
 
 std::size_t UpstreamLimitTable::paused_upstreams(MonotonicTime now) const
--- a/Libraries/LibDecision/UpstreamList.cpp
+++ b/Libraries/LibDecision/UpstreamList.cpp
@@ -151,18 +151,20 @@
 bool UpstreamList::has_departed(UpstreamRecord const& record) const
 {
     auto const found = this->departures.find(record.identity);
-    return found != this->departures.end() && found->second == record.started;
+    // An entry without a start time does not prove that the upstream started again.
+    return found != this->departures.end() && (record.started == 0 || found->second == record.started);
 }
 
 bool UpstreamList::note_departure(UpstreamIncarnation const& upstream)
 {
     auto const listed = this->entries.find(upstream.identity);
     // A response of the previous incarnation says nothing about the one that is listed now.
-    if (listed != this->entries.end() && listed->second.record.started != upstream.started)
+    bool const is_listed = listed != this->entries.end();
+    if (is_listed && listed->second.record.started != 0 && listed->second.record.started != upstream.started)
         return false;
     this->departures.insert_or_assign(upstream.identity, upstream.started);
     this->forget_old_departures();
-    if (listed == this->entries.end())
+    if (!is_listed)
         return false;
     auto const before = listed->second.record.life;
     this->update_life(listed->second);
--- a/Tests/LibDecision/TestUpstreamPause.cpp
+++ b/Tests/LibDecision/TestUpstreamPause.cpp
@@ -89,6 +89,7 @@
     table.note_pause({ "b", 0 }, seconds(1), now);
     CHECK(table.pause_of("a", 1000, now));
     CHECK_FALSE(table.pause_of("a", 2000, now));
+    CHECK(table.pause_of("a", 0, now));
     CHECK(table.paused_upstreams(now) == 2);
     table.note_pause({ "a", 2000 }, seconds(1), now);
     CHECK_FALSE(table.pause_of("a", 1000, now));
--- a/Tests/LibDecision/TestUpstreams.cpp
+++ b/Tests/LibDecision/TestUpstreams.cpp
@@ -184,6 +184,8 @@
     CHECK_FALSE(list.takes_work("a"));
     list.apply({ "a", started("a", 1000), 2 }, at_milliseconds(10));
     CHECK_FALSE(list.takes_work("a"));
+    list.apply({ "a", record("a"), 2 }, at_milliseconds(15));
+    CHECK_FALSE(list.takes_work("a"));
     list.apply({ "a", {}, 3 }, at_milliseconds(20));
     list.replace({ { "a", started("a", 1000), 4 } }, 4, at_milliseconds(30));
     CHECK_FALSE(list.takes_work("a"));
