StreamingRequestHandler: Survey the engines once per placement

Whether any engine is left, whether all are paused, and which to exclude took three passes over the list of upstreams for each request; with thousands listed one is enough. Behaviour is unchanged.

--- a/Libraries/LibRouter/PromptCacheFetcher.cpp
+++ b/Libraries/LibRouter/PromptCacheFetcher.cpp
@@ -52,10 +52,12 @@
         std::vector<UpstreamRecord> due;
         this->state.upstreams.for_each([&](UpstreamRecord const& record) {
             bool const is_decoding = record.role == EngineRole::Decode && record.life == UpstreamRecord::Life::Serving;
+            bool const is_due = is_decoding && this->hooks.is_used(record.identity) && !fetched.contains(record.identity);
             // A paused engine is queried after its pause.
-            bool const may_query = is_decoding && find_send_obstacle(this->state, record) == SendObstacle::None;
-            if (may_query && this->hooks.is_used(record.identity) && fetched.insert(record.identity).second)
-                due.push_back(record);
+            if (!is_due || find_send_obstacle(this->state, record) != SendObstacle::None)
+                return;
+            fetched.insert(record.identity);
+            due.push_back(record);
         });
         for (auto const& record : due)
             co_await this->fetch(record);
--- a/Libraries/LibRouter/StreamingRequestHandler.cpp
+++ b/Libraries/LibRouter/StreamingRequestHandler.cpp
@@ -72,7 +72,7 @@
         line.with("first_event_ms", to_milliseconds(*this->first_event_after)).with("longest_pause_ms", to_milliseconds(this->longest_pause)).with("pause_target_ms", to_milliseconds(this->route.event_gap_target));
 }
 
-asio::awaitable<std::optional<PlacementDecision>> StreamingRequestHandler::request_placement()
+asio::awaitable<std::optional<PlacementDecision>> StreamingRequestHandler::request_placement(EngineSurvey survey)
 {
     auto const& prompt = *this->request.prompt;
     PlacementAsk ask;
@@ -84,8 +84,9 @@
     ask.expected_output_tokens = prompt.expected_output_tokens;
     ask.relayed_tokens = this->relayed_tokens();
     ask.priority = this->placement_priority();
-    ask.excluded_engines = this->failed_engines;
-    this->exclude_unusable(ask);
+    ask.excluded_engines = std::move(survey.excluded_engines);
+    ask.excluded_engines.insert(ask.excluded_engines.end(), this->failed_engines.begin(), this->failed_engines.end());
+    ask.excluded_data_centres = std::move(survey.excluded_data_centres);
     ask.data_centre = this->state.data_centre;
     ask.longest_pause = this->route.event_gap_target;
     ask.own_part = prompt.own_part;
@@ -134,58 +135,63 @@
     return times;
 }
 
-// The keeper may reach engines that this VM cannot, may not have heard yet that some are leaving, and does not know which data centres the request is restricted to. A data
-// centre is excluded as a whole, since it may have thousands of engines.
-void StreamingRequestHandler::exclude_unusable(PlacementAsk& ask) const
+// The keeper may reach engines that this VM cannot, may not have heard yet that some are leaving, and does not know which data
+// centres the request is restricted to. A data centre is excluded as a whole, since it may have thousands of engines.
+StreamingRequestHandler::EngineSurvey StreamingRequestHandler::survey_engines() const
 {
+    struct DataCentre {
+        bool is_allowed = true;
+        bool is_excluded = false;
+    };
+    EngineSurvey survey;
     auto const now = monotonic_now();
-    std::map<std::string_view, bool> is_excluded;
+    std::map<std::string_view, DataCentre> data_centres;
     this->state.upstreams.for_each([&](UpstreamRecord const& record) {
         if (record.service != this->service)
             return;
-        auto const [known, is_new] = is_excluded.try_emplace(record.data_centre, false);
-        if (is_new)
-            known->second = !this->may_use_data_centre(record.data_centre) || this->state.reachability->is_cut_off(record.data_centre, now);
-        bool const is_paused = std::max(this->state.limiter->pause_left(record.identity, now), this->state.limiter->requested_pause_left(record, now)) > Duration::zero();
-        bool const is_unusable = this->state.upstreams.has_departed(record) || is_paused;
-        if (!known->second && (is_unusable || !this->state.reachability->is_reachable(record.identity, record.data_centre, now)))
-            ask.excluded_engines.push_back(record.identity);
+        auto const [known, is_new] = data_centres.try_emplace(record.data_centre);
+        auto& data_centre = known->second;
+        if (is_new) {
+            data_centre.is_allowed = this->may_use_data_centre(record.data_centre);
+            data_centre.is_excluded = !data_centre.is_allowed || this->state.reachability->is_cut_off(record.data_centre, now);
+        }
+        bool const is_paused = this->state.limiter->requested_pause_left(record, now) > Duration::zero();
+        if (data_centre.is_allowed && record.role != EngineRole::Prefill) {
+            auto const serving = is_paused ? EngineSurvey::Availability::AllPaused : EngineSurvey::Availability::Available;
+            survey.availability = std::max(survey.availability, record.life == UpstreamRecord::Life::Serving ? serving : EngineSurvey::Availability::AllLeft);
+        }
+        bool const is_unusable = is_paused || this->state.upstreams.has_departed(record) || this->state.limiter->pause_left(record.identity, now) > Duration::zero();
+        if (!data_centre.is_excluded && (is_unusable || !this->state.reachability->is_reachable(record.identity, record.data_centre, now)))
+            survey.excluded_engines.push_back(record.identity);
     });
-    for (auto const& [data_centre, excluded] : is_excluded) {
-        if (excluded)
-            ask.excluded_data_centres.emplace_back(data_centre);
+    for (auto const& [name, data_centre] : data_centres) {
+        if (data_centre.is_excluded)
+            survey.excluded_data_centres.emplace_back(name);
     }
+    return survey;
 }
 
-bool StreamingRequestHandler::have_all_engines_left() const
+asio::awaitable<void> StreamingRequestHandler::respond_without_engines(EngineSurvey::Availability availability)
 {
-    bool is_any_listed = false;
-    bool is_any_serving = false;
-    this->state.upstreams.for_each([&](UpstreamRecord const& record) {
-        if (record.service != this->service || record.role == EngineRole::Prefill || !this->may_use_data_centre(record.data_centre))
-            return;
-        is_any_listed = true;
-        is_any_serving |= record.life == UpstreamRecord::Life::Serving;
-    });
-    return is_any_listed && !is_any_serving;
+    if (availability == EngineSurvey::Availability::AllPaused) {
+        co_await this->refuse("upstreams_paused", this->assign_retry_after_pauses().value_or(NO_UPSTREAM_RETRY_AFTER));
+        co_return;
+    }
+    PlacementRefusal refusal { this->request.identifier, RefusalReason::NoUpstream, NO_UPSTREAM_RETRY_AFTER };
+    co_await this->respond_to_refusal(std::move(refusal));
 }
 
 asio::awaitable<void> StreamingRequestHandler::forward_request()
 {
     while (true) {
+        auto survey = this->survey_engines();
+        bool const has_engines = survey.availability == EngineSurvey::Availability::Available || survey.availability == EngineSurvey::Availability::Unlisted;
         // The keeper would wait for an engine until the decision time is over.
-        bool const has_not_run = this->earlier == SendHistory::Earlier::HasNotRun;
-        if (has_not_run && this->have_all_engines_left()) {
-            PlacementRefusal refusal { this->request.identifier, RefusalReason::NoUpstream, NO_UPSTREAM_RETRY_AFTER };
-            co_await this->respond_to_refusal(std::move(refusal));
-            co_return;
-        }
-        auto const retry_after_pauses = has_not_run ? this->assign_retry_after_pauses() : std::nullopt;
-        if (retry_after_pauses) {
-            co_await this->refuse("upstreams_paused", *retry_after_pauses);
+        if (!has_engines && this->earlier == SendHistory::Earlier::HasNotRun) {
+            co_await this->respond_without_engines(survey.availability);
             co_return;
         }
-        auto const decision = co_await this->request_placement();
+        auto const decision = co_await this->request_placement(std::move(survey));
         if (this->is_stopped() || !decision) {
             this->release();
             co_await this->send_stopped_response();
--- a/Libraries/LibRouter/StreamingRequestHandler.h
+++ b/Libraries/LibRouter/StreamingRequestHandler.h
@@ -45,19 +45,34 @@
         Retry,
     };
 
+    /// What this VM knows of the engines that may run the request.
+    struct EngineSurvey {
+        /// Of the engines that can generate the response. The values are ordered: one engine decides for all.
+        enum class Availability {
+            /// The keeper may know some.
+            Unlisted,
+            AllLeft,
+            /// Those that have not left asked this VM for a pause.
+            AllPaused,
+            Available,
+        } availability
+            = Availability::Unlisted;
+        std::vector<std::string> excluded_engines;
+        std::vector<std::string> excluded_data_centres;
+    };
+
     PlacementClient::AskTimes placement_times() const;
     std::int64_t placement_priority() const;
     void note_visit(PlacementDecision const& decision);
-    asio::awaitable<std::optional<PlacementDecision>> request_placement();
+    asio::awaitable<std::optional<PlacementDecision>> request_placement(EngineSurvey survey);
     /// Runs the request on the engines of a grant.
     asio::awaitable<PlacementOutcome> run_placement(PlacementGrant grant);
     asio::awaitable<std::optional<PrefillCache>> prefill(UpstreamRecord engine);
     asio::awaitable<PlacementOutcome> decode(UpstreamRecord engine, Address address, Dispatch dispatch);
     void note_event(MonotonicTime now);
     asio::awaitable<PlacementOutcome> relay_stream(InFlightRequest& in_flight, std::shared_ptr<HttpConnection> connection, HttpResponseHead head);
-    void exclude_unusable(PlacementAsk& ask) const;
-    /// Whether none of the engines that can generate the response takes new work. False if none is listed: the keeper may know some.
-    bool have_all_engines_left() const;
+    EngineSurvey survey_engines() const;
+    asio::awaitable<void> respond_without_engines(EngineSurvey::Availability availability);
     /// Takes a turn at each engine of the grant that has announced a rate limit. Returns false if one of them has none for now;
     /// that engine is excluded from further placements.
     asio::awaitable<bool> take_engine_turns(PlacementGrant grant);
