--- a/Tests/Platform/TestLeavingUpstream.cpp
+++ b/Tests/Platform/TestLeavingUpstream.cpp
@@ -231,3 +231,33 @@
     }
     CHECK(work_of(plain) + work_of(prefill) + work_of(decode) == before);
 }
+
+// Guards against a keeper that has not heard of a departure and places the requests of a VM that has.
+TEST_CASE("A stream is not sent to an engine that its own VM knows to leave, whoever places it", "[leaving]")
+{
+    // Either VM may be the keeper of the other one's requests.
+    for (bool const is_second_asked : { false, true }) {
+        NodeUnderTest test;
+        test.configure(1);
+        UpstreamStandIn leaving(test.loop, "i-d1", "decode");
+        UpstreamStandIn other(test.loop, "i-d2", "decode");
+        test.list(leaving, "engines");
+        OtherVirtualMachine second(test, { test.node->wire_address() });
+        auto const& address = is_second_asked ? second.caller_address() : test.node->caller_address();
+        int calls = 0;
+        auto const call = [&] {
+            ++calls;
+            return test.call(address, test.model_request(calls % 2 == 0 ? "/stream/x" : "/resumable/x", "a" + std::to_string(calls))).head.status;
+        };
+        leaving.is_leaving = true;
+        REQUIRE(test.run_until([&] { return call() == 200; }));
+        leaving.is_leaving = false;
+        auto const met = work_of(leaving);
+        test.list(other, "engines");
+        REQUIRE(test.run_until([&] { return call() == 200; }));
+        for (int i = 0; i < CALLS; ++i)
+            CHECK(call() == 200);
+        CAPTURE(is_second_asked);
+        CHECK(work_of(leaving) == met);
+    }
+}
--- a/Tests/Platform/TestRequestedPause.cpp
+++ b/Tests/Platform/TestRequestedPause.cpp
@@ -3,6 +3,7 @@
 
 #include <LibCore/Clock.h>
 #include <Tests/Platform/NodeUnderTest.h>
+#include <Tests/Platform/OtherVirtualMachine.h>
 #include <algorithm>
 #include <catch2/catch.hpp>
 
@@ -241,3 +242,32 @@
     CAPTURE(given.status, given.retry_after);
     CHECK(test.call(test.request("GET", "/once/x", "a2")).head.status == 200);
 }
+
+// Guards against a keeper that knows nothing of the pauses that engines requested from other VMs.
+TEST_CASE("A stream is not sent to an engine that asked its own VM for a pause, whoever places it", "[upstream-pause]")
+{
+    // Either VM may be the keeper of the other one's requests.
+    for (bool const is_second_asked : { false, true }) {
+        NodeUnderTest test;
+        test.configure(1);
+        UpstreamStandIn paused(test.loop, "i-d1", "decode");
+        UpstreamStandIn other(test.loop, "i-d2", "decode");
+        test.list(paused, "engines");
+        OtherVirtualMachine second(test, { test.node->wire_address() });
+        auto const& address = is_second_asked ? second.caller_address() : test.node->caller_address();
+        int calls = 0;
+        auto const call = [&] { return test.call(address, test.model_request("/stream/x", "a" + std::to_string(++calls))).head.status; };
+        REQUIRE(test.run_until([&] { return call() == 200; }));
+        auto const before = paused.arrivals.size();
+        paused.requested_pause = PAUSE_SECONDS;
+        CHECK(call() == 503);
+        REQUIRE(paused.arrivals.size() == before + 1);
+        auto const asked_at = paused.arrivals.back();
+        test.list(other, "engines");
+        REQUIRE(test.run_until([&] { return call() == 200; }));
+        while (monotonic_now() < asked_at + PAUSE)
+            CHECK(call() == 200);
+        CAPTURE(is_second_asked, calls);
+        CHECK(arrivals_within_pause(paused, asked_at) <= TOLERATED);
+    }
+}
