Tests: Make the checks of leaving upstreams and pauses hold on a busy machine

They compared with short real times: 225 ms for a refusal at once, which the keeper's own hold of 198 ms would have met; 20 ms after a pause's end; a quarter of one burst. Each is as strict as before or stricter.

--- a/Tests/Platform/NodeUnderTest.h
+++ b/Tests/Platform/NodeUnderTest.h
@@ -18,6 +18,16 @@
     std::string body;
 };
 
+/// A refusal that takes longer was held back, also on a busy machine.
+constexpr Duration AT_ONCE = seconds(1);
+
+/// Lets streams wait for their engines, and requests for their turns, for seconds.
+inline void set_long_latency_target(nlohmann::json& configuration)
+{
+    for (auto& route : configuration["routes"])
+        route["slo_ms"] = 20000;
+}
+
 /// A node between stand-ins, all on the test's own loop and on loopback addresses with free ports.
 class NodeUnderTest {
 public:
--- a/Tests/Platform/TestLeavingUpstream.cpp
+++ b/Tests/Platform/TestLeavingUpstream.cpp
@@ -189,13 +189,13 @@
 TEST_CASE("A request that waits for its turn is not sent to an upstream that leaves meanwhile", "[leaving][upstream-limit]")
 {
     NodeUnderTest test;
-    test.configure(1);
+    test.configure(1, set_long_latency_target);
     UpstreamStandIn upstream(test.loop, "i-1");
-    upstream.named_limit = "10.0";
+    upstream.named_limit = "2.0";
     test.list(upstream, "plain");
     call_until_met(test, upstream);
     upstream.is_leaving = true;
-    // Both turns come within the time for which requests wait.
+    // They wait for their turns, half a second apart.
     auto const answers = test.call_all(test.node->caller_address(), { test.request("GET", "/safe/x", "a1"), test.request("GET", "/safe/x", "a2") });
     CHECK(answers[0].head.status == 200);
     CHECK(answers[1].head.status == 503);
@@ -207,7 +207,7 @@
 TEST_CASE("Where all upstreams leave callers are told at once that nothing has run and when to come back", "[leaving][not-run]")
 {
     NodeUnderTest test;
-    test.configure(1);
+    test.configure(1, set_long_latency_target);
     UpstreamStandIn plain(test.loop, "i-1");
     UpstreamStandIn prefill(test.loop, "i-p1", "prefill");
     UpstreamStandIn decode(test.loop, "i-d1", "decode");
@@ -224,8 +224,7 @@
     for (auto request : { test.request("GET", "/safe/x", "a1"), test.request("GET", "/once/x", "a2"), test.model_request("/stream/x", "a3"), test.model_request("/resumable/x", "a4") }) {
         auto const begun = monotonic_now();
         auto const answer = test.call(request);
-        // Held no longer than a quarter of the latency target, a caller has time to be served elsewhere.
-        CHECK(monotonic_now() - begun < milliseconds(225));
+        CHECK(monotonic_now() - begun < AT_ONCE);
         CHECK(answer.head.status == 503);
         CHECK(std::stod(std::string(answer.head.headers.find("Retry-After").value_or("0"))) > 0);
     }
--- a/Tests/Platform/TestRequestedPause.cpp
+++ b/Tests/Platform/TestRequestedPause.cpp
@@ -2,9 +2,11 @@
 // SPDX-License-Identifier: BSD-2-Clause
 
 #include <LibCore/Clock.h>
+#include <LibDecision/UpstreamPause.h>
 #include <Tests/Platform/NodeUnderTest.h>
 #include <Tests/Platform/OtherVirtualMachine.h>
 #include <algorithm>
+#include <bit>
 #include <catch2/catch.hpp>
 
 using namespace Spurtide;
@@ -25,10 +27,10 @@
 }
 
 /// Calls until the upstream has turned a request away; returns when it did.
-MonotonicTime call_until_paused(NodeUnderTest& test, UpstreamStandIn& upstream, std::function<HttpRequest(std::string)> const& request)
+MonotonicTime call_until_paused(NodeUnderTest& test, UpstreamStandIn& upstream, std::function<HttpRequest(std::string)> const& request, std::string pause = PAUSE_SECONDS)
 {
     auto const before = upstream.arrivals.size();
-    upstream.requested_pause = PAUSE_SECONDS;
+    upstream.requested_pause = std::move(pause);
     int tries = 0;
     REQUIRE(test.run_until([&] {
         test.call(request("meet" + std::to_string(++tries)));
@@ -148,7 +150,7 @@
 TEST_CASE("Where all upstreams ask for a pause callers are told at once that nothing has run and when it ends", "[upstream-pause][not-run]")
 {
     NodeUnderTest test;
-    test.configure(1);
+    test.configure(1, set_long_latency_target);
     UpstreamStandIn plain(test.loop, "i-1");
     UpstreamStandIn decode(test.loop, "i-d1", "decode");
     test.list(plain, "plain");
@@ -156,12 +158,12 @@
     auto const check_refused = [&](MonotonicTime asked_at, HttpRequest request) {
         auto const begun = monotonic_now();
         auto const answer = test.call(std::move(request));
-        CHECK(monotonic_now() - begun < milliseconds(225));
+        CHECK(monotonic_now() - begun < AT_ONCE);
         CHECK(answer.head.status == 503);
-        auto const left = to_seconds(std::chrono::duration_cast<Duration>(asked_at + PAUSE - begun));
-        // Callers come back one after the other from the end of the pause on.
-        CHECK(retry_after(answer) >= left - 0.02);
-        CHECK(retry_after(answer) <= left + 1);
+        auto const left_at = [&](MonotonicTime time) { return to_seconds(std::chrono::duration_cast<Duration>(asked_at + PAUSE - time)); };
+        // Callers come back one after the other from the end of the pause on. Hundredths are told.
+        CHECK(retry_after(answer) >= left_at(monotonic_now()) - 0.01);
+        CHECK(retry_after(answer) <= left_at(begun) + 1);
     };
     auto const asked_at = call_until_paused(test, plain, [&](auto name) { return test.request("GET", "/safe/x", name); });
     check_refused(asked_at, test.request("GET", "/safe/x", "a1"));
@@ -184,7 +186,7 @@
     test.list(paused, "plain");
     auto const asked_at = call_until_paused(test, paused, [&](auto name) { return test.request("GET", "/safe/x", name); });
     paused.requested_pause.clear();
-    REQUIRE(test.run_until([&] { return monotonic_now() >= asked_at + PAUSE + milliseconds(20); }));
+    auto const before = paused.arrivals.size();
     constexpr int CALLS = 20;
     auto const burst = [&](std::string const& name) {
         std::vector<HttpRequest> requests;
@@ -193,10 +195,14 @@
         auto const answers = test.call_all(test.node->caller_address(), requests);
         return std::count_if(answers.begin(), answers.end(), [](auto const& answer) { return answer.head.status == 200; });
     };
-    auto const first = burst("a");
-    CHECK(first >= 1);
-    CHECK(first <= CALLS / 4);
-    CHECK(test.run_until([&] { return burst("b") == CALLS; }));
+    int bursts = 0;
+    CHECK(test.run_until([&] { return burst("a" + std::to_string(++bursts) + "-") == CALLS; }));
+    // However late they come, no more have come by any time than twice as many with each step.
+    constexpr std::size_t COUNTED = 1 << (UpstreamPause::STEPS - 1);
+    for (std::size_t i = 0; i < std::min(COUNTED, paused.arrivals.size() - before); ++i) {
+        CAPTURE(i);
+        CHECK(paused.arrivals[before + i] >= asked_at + PAUSE + UpstreamPause::STEP * static_cast<int>(std::bit_width(i)));
+    }
 }
 
 // Guards against a pause that outlasts the process that asked for it.
@@ -207,14 +213,15 @@
     UpstreamStandIn upstream(test.loop, "i-1");
     upstream.started = 1000;
     test.list(upstream, "plain");
-    auto const asked_at = call_until_paused(test, upstream, [&](auto name) { return test.request("GET", "/safe/x", name); });
+    auto const asked_at = call_until_paused(
+        test, upstream, [&](auto name) { return test.request("GET", "/safe/x", name); }, "3600");
     CHECK(test.call(test.request("GET", "/safe/x", "a1")).head.status == 503);
     CHECK(upstream.arrivals.size() == 1);
     upstream.requested_pause.clear();
     upstream.started = 2000;
     test.list(upstream, "plain");
     CHECK(test.run_until([&] { return test.call(test.request("GET", "/safe/x", "a2")).head.status == 200; }));
-    CHECK(monotonic_now() < asked_at + PAUSE);
+    CHECK(monotonic_now() < asked_at + seconds(3600));
 }
 
 // Guards against pauses that nobody asked for.
