StreamingRequestHandler: Keep the engine that holds a cache in one place

Its identity stood in the dispatch beside the record that the handler keeps to free the cache. The refusing engines are named from the record. Behaviour is unchanged: both are set together, and used only where there is a handle. 161 of 161 tests of Platform and LibRouter pass.

--- a/Libraries/LibRouter/CallerRequest.h
+++ b/Libraries/LibRouter/CallerRequest.h
@@ -73,8 +73,6 @@
     std::string account;
     /// Address of the engine that holds the cache, for Decode.
     std::string cache_address;
-    /// Identity of that engine.
-    std::string cache_holder;
     std::string cache_handle;
     /// Resume the stream after this event; if empty, the caller's own last event id is passed on.
     std::string after_event;
--- a/Libraries/LibRouter/StreamingRequestHandler.cpp
+++ b/Libraries/LibRouter/StreamingRequestHandler.cpp
@@ -311,7 +311,6 @@
         this->state.placement->progress(this->request.identifier, GrantProgress::CacheHeld);
         dispatch.stage = DispatchStage::Decode;
         dispatch.cache_address = prefiller->address;
-        dispatch.cache_holder = prefiller->identity;
         dispatch.cache_handle = cache->handle;
         this->cache_holder = *prefiller;
     }
@@ -475,8 +474,8 @@
             co_return PlacementOutcome::Retry;
         this->failed_engines.push_back(engine.identity);
         this->refusing_engines = { engine.identity };
-        if (!dispatch.cache_holder.empty())
-            this->refusing_engines.push_back(dispatch.cache_holder);
+        if (!dispatch.cache_handle.empty())
+            this->refusing_engines.push_back(this->cache_holder.identity);
         co_return co_await this->retry_or_fail(SendOutcome::NotExecuted, reason);
     }
     if (this->is_stopped())
