--- a/Libraries/LibDecision/UpstreamList.cpp
+++ b/Libraries/LibDecision/UpstreamList.cpp
@@ -80,10 +80,10 @@
     this->remember_removal(change.identity, change.version);
 }
 
-void UpstreamList::replace(std::vector<UpstreamChange> const& listed, std::int64_t position, MonotonicTime now)
+UpstreamList::SnapshotResult UpstreamList::replace(std::vector<UpstreamChange> const& listed, std::int64_t position, MonotonicTime now)
 {
     if (position < this->current_version)
-        return;
+        return SnapshotResult::Ignored;
     std::set<std::string> identities;
     for (auto const& change : listed) {
         identities.insert(change.identity);
@@ -101,6 +101,7 @@
     // Some upstreams may have been added and removed before this listing was made.
     this->removals.clear();
     this->removals_known_from = position;
+    return SnapshotResult::Adopted;
 }
 
 UpstreamListing UpstreamList::listing_since(std::int64_t known_version) const
--- a/Libraries/LibDecision/UpstreamList.h
+++ b/Libraries/LibDecision/UpstreamList.h
@@ -96,9 +96,14 @@
     void note_registry(RegistryState state, MonotonicTime now);
 
     void apply(UpstreamChange const& change, MonotonicTime now);
+    enum class SnapshotResult {
+        Adopted,
+        /// The snapshot is older than the list.
+        Ignored,
+    };
     /// Replaces the list with a snapshot as of a position; entries not contained in it are removed. Each entry has the
     /// version of its last change.
-    void replace(std::vector<UpstreamChange> const& listed, std::int64_t position, MonotonicTime now);
+    SnapshotResult replace(std::vector<UpstreamChange> const& listed, std::int64_t position, MonotonicTime now);
     /// Returns what a peer with the given version is missing.
     UpstreamListing listing_since(std::int64_t known_version) const;
     /// Merges an update from a peer; outdated changes are ignored.
--- a/Libraries/LibRouter/RegistryFollower.cpp
+++ b/Libraries/LibRouter/RegistryFollower.cpp
@@ -92,7 +92,7 @@
         this->hooks.on_call("configuration", news.is_error() ? to_string(news.error()) : ANSWERED);
         if (news.is_error()) {
             if (news.error() == PlatformError::HistoryGone) {
-                LogLine("registry_history_gone").with("what", "configuration");
+                LogLine("registry_history_gone").with("what", "configuration").with("position", position.value_or(0));
                 position.reset();
                 continue;
             }
@@ -159,7 +159,7 @@
             continue;
         }
         if (error == PlatformError::HistoryGone) {
-            LogLine("registry_history_gone").with("what", "upstreams");
+            LogLine("registry_history_gone").with("what", "upstreams").with("position", position.value_or(0));
             position.reset();
             continue;
         }
--- a/Meta/check.sh
+++ b/Meta/check.sh
@@ -24,7 +24,7 @@
 
 echo "== the platform's names stand in its folder alone"
 # Header prefix, paths (but for two that the product has of its own), tables and field names of the platform's wire; its folder and its contract tests know them.
-names='X-Spurtide-|Kv-Fetch|Server-Limit|Server-Leaving|/v1/rows-|/v1/kv-|/v1/readyz|/v1/blob|tls_key|route_kind|slo_ms|path_prefix"|kv_capacity|token_kv_bytes|platform_terms|call_seq|cold_left_ms|fencing_token|X-Api-Key|api_keys|plain_tokens|rate_per_s|no_auth|tenant'
+names='X-Spurtide-|Kv-Fetch|Server-Limit|Store-Era|Server-Leaving|/v1/rows-|/v1/kv-|/v1/readyz|/v1/blob|tls_key|route_kind|slo_ms|path_prefix"|kv_capacity|token_kv_bytes|platform_terms|call_seq|cold_left_ms|fencing_token|X-Api-Key|api_keys|plain_tokens|rate_per_s|no_auth|tenant'
 if git grep -nE "$names" -- Libraries Services Utilities StandIns Benchmarks Tests ':!Tests/Platform'; then
     echo "the platform's names belong into platform/"
     failed=1
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -287,8 +287,8 @@
     hooks.on_configuration = [this](auto const& found) { this->adopt(found, "registry"); };
     hooks.on_evacuations = [this](auto const& news) { this->adopt_evacuations(news, "registry"); };
     hooks.on_upstreams = [this](UpstreamSnapshot const& snapshot) {
-        this->state.upstreams.replace(snapshot.listed, snapshot.position, monotonic_now());
-        LogLine("upstreams_read").with("count", static_cast<std::int64_t>(snapshot.listed.size())).with("version", this->state.upstreams.version()).with("position", snapshot.position);
+        auto const result = this->state.upstreams.replace(snapshot.listed, snapshot.position, monotonic_now());
+        LogLine("upstreams_read").with("result", result == UpstreamList::SnapshotResult::Adopted ? "adopted" : "ignored").with("count", static_cast<std::int64_t>(snapshot.listed.size())).with("version", this->state.upstreams.version()).with("position", snapshot.position);
         this->engines_changed();
         this->relay->publish();
     };
