--- a/Tests/Platform/StoreStandIn.cpp
+++ b/Tests/Platform/StoreStandIn.cpp
@@ -80,6 +80,23 @@
     this->notify();
 }
 
+void StoreStandIn::return_from(Copy const& older)
+{
+    this->tables = older.tables;
+    this->version = older.version;
+    this->era = std::to_string(std::stoll(this->era.value_or("0")) + 1);
+    this->notify();
+}
+
+HttpResponseHead StoreStandIn::answer_head() const
+{
+    HttpResponseHead head;
+    head.status = 200;
+    if (this->era)
+        head.headers.add("Store-Era", *this->era);
+    return head;
+}
+
 void StoreStandIn::notify()
 {
     for (auto* signal : this->waiting)
@@ -105,7 +122,8 @@
         auto const& rows = this->tables[table];
         return std::any_of(rows.begin(), rows.end(), [&](auto const& row) { return row.second.version > after; });
     };
-    while (this->fault == Fault::None && !has_news()) {
+    auto const era_before = this->era;
+    while (this->fault == Fault::None && this->era == era_before && !has_news()) {
         auto const end = co_await signal.wait_until(until);
         if (end == WaitEnd::TimedOut)
             break;
@@ -128,8 +146,7 @@
 asio::awaitable<void> StoreStandIn::write(HttpExchange& exchange)
 {
     ++this->writes;
-    HttpResponseHead head;
-    head.status = 200;
+    auto head = this->answer_head();
     if (this->fault == Fault::Busy || this->fault == Fault::TooMany)
         head.status = this->fault == Fault::Busy ? 503 : 429;
     auto const body = nlohmann::json::parse(exchange.request().body, nullptr, false);
@@ -145,7 +162,7 @@
     if (head.status == 200) {
         ++this->version;
         for (auto const& row : body["remove"])
-            this->tables[row["table"]].at(row["tls_key"]) = Row { "", this->version, true };
+            this->tables[row["table"]][row["tls_key"]] = Row { "", this->version, true };
         for (auto const& row : body["set_keys"])
             this->tables[row["table"]][row["tls_key"]] = Row { decode_base64(row["value"]), this->version, false };
         this->notify();
@@ -173,21 +190,26 @@
     auto query = read_query(target);
     bool const is_feed = target.starts_with("/v1/rows-feed");
     ++(is_feed ? this->feeds : this->reads);
-    if (is_feed)
-        co_await this->wait_for_change(query["table"], std::stoll(query["after"]), milliseconds(std::stoll(query["wait_ms"])));
-    HttpResponseHead head;
-    head.status = 200;
+    auto const era_before = this->era;
+    auto const after = is_feed ? std::stoll(query["after"]) : 0;
+    if (is_feed && after <= this->version)
+        co_await this->wait_for_change(query["table"], after, milliseconds(std::stoll(query["wait_ms"])));
+    if (this->era != era_before) {
+        exchange.abort();
+        co_return;
+    }
+    auto head = this->answer_head();
     if (this->fault == Fault::Silent) {
         Signal never(this->loop.get_executor());
         static_cast<void>(co_await never.wait_until(monotonic_now() + seconds(20)));
     }
     if (this->fault == Fault::Busy || this->fault == Fault::TooMany)
         head.status = this->fault == Fault::Busy ? 503 : 429;
-    if (this->fault == Fault::HistoryGone && is_feed)
+    if (is_feed && (this->fault == Fault::HistoryGone || after > this->version))
         head.status = 410;
     nlohmann::json body { { "rows", nlohmann::json::array() }, { "ver", this->version }, { "now_ms", 1 } };
     for (auto const& [key, row] : this->tables[query["table"]]) {
-        bool const is_wanted = is_feed ? row.version > std::stoll(query["after"]) : !row.removed && key >= query["from"];
+        bool const is_wanted = is_feed ? row.version > after : !row.removed && key >= query["from"];
         if (!is_wanted)
             continue;
         if (!is_feed && body["rows"].size() >= this->page_size) {
--- a/Tests/Platform/StoreStandIn.h
+++ b/Tests/Platform/StoreStandIn.h
@@ -32,6 +32,18 @@
         LostWrites,
     };
 
+    struct Row {
+        std::string value;
+        std::int64_t version = 0;
+        bool removed = false;
+    };
+
+    /// The contents at one moment.
+    struct Copy {
+        std::map<std::string, std::map<std::string, Row>> tables;
+        std::int64_t version = 0;
+    };
+
     explicit StoreStandIn(asio::io_context& loop);
 
     Address const& address() const { return this->server->address(); }
@@ -39,6 +51,13 @@
     void remove(std::string const& table, std::string const& key);
     void set_fault(Fault fault);
     void stop_listening() { this->server->stop_listening(); }
+    Copy copy() const { return { this->tables, this->version }; }
+    /// Comes back with older contents, in a new era: what was written since is gone, and its versions are given out again.
+    /// The connections of waiting feeds end without an answer.
+    void return_from(Copy const& older);
+    std::int64_t current_version() const { return this->version; }
+    /// What answers state as their era; nothing is stated where it is empty.
+    std::optional<std::string> era = "1";
     /// Rows on one page of a read.
     std::size_t page_size = 500;
     int reads = 0;
@@ -48,15 +67,10 @@
     std::optional<std::string> value(std::string const& table, std::string const& key) const;
 
 private:
-    struct Row {
-        std::string value;
-        std::int64_t version = 0;
-        bool removed = false;
-    };
-
     asio::awaitable<void> answer(HttpExchange& exchange);
     asio::awaitable<void> write(HttpExchange& exchange);
     asio::awaitable<void> wait_for_change(std::string const& table, std::int64_t after, Duration wait);
+    HttpResponseHead answer_head() const;
     nlohmann::json row_json(std::string const& table, std::string const& key, Row const& row) const;
     void notify();
 
