LeaseTerm: Count an unanswered write's term from the first that may have begun it

Two processes could both hold the lease of role orders. A holder's write that got no answer may be done seconds later; if the holder sent another one meanwhile, which was rejected, and then read its own row, it counted the term from the rejected write.

The term is now counted from the first of the writes whose outcome is not known; that is too early at worst. The new test failed before (the lease was held at 12.1 s on a write of 6.8 s).

--- a/Libraries/LibDecision/LeaseTerm.cpp
+++ b/Libraries/LibDecision/LeaseTerm.cpp
@@ -33,14 +33,18 @@
         this->unchanged_since = now;
     this->last_row = row;
     bool const is_own = row && row->holder == this->holder_name;
-    // A write whose answer was lost took effect. Its term is counted from when it was sent.
+    // A write whose answer was lost took effect. Which of several it was is not known, so its term is counted from the first.
     if (is_own && row->version != this->token)
-        this->note_written(row->version, now);
+        this->begin_term(row->version, this->first_write_in_doubt_at.value_or(this->write_sent_at));
+    // Earlier writes required another version.
+    if (!is_unchanged && row)
+        this->first_write_in_doubt_at.reset();
 }
 
 void LeaseTerm::note_write_sent(MonotonicTime now)
 {
     this->write_sent_at = now;
+    this->first_write_in_doubt_at = this->first_write_in_doubt_at.value_or(now);
 }
 
 void LeaseTerm::note_written(std::int64_t version, MonotonicTime now)
@@ -48,8 +52,14 @@
     this->is_row_known = true;
     this->last_row = LeaseRow { this->holder_name, version };
     this->unchanged_since = now;
+    this->first_write_in_doubt_at.reset();
+    this->begin_term(version, this->write_sent_at);
+}
+
+void LeaseTerm::begin_term(std::int64_t version, MonotonicTime sent_at)
+{
     this->token = version;
-    this->held_until = this->write_sent_at + this->options.length - this->options.margin;
+    this->held_until = sent_at + this->options.length - this->options.margin;
 }
 
 }
--- a/Libraries/LibDecision/LeaseTerm.h
+++ b/Libraries/LibDecision/LeaseTerm.h
@@ -64,12 +64,16 @@
     std::int64_t fence() const { return this->token; }
 
 private:
+    void begin_term(std::int64_t version, MonotonicTime sent_at);
+
     Options options;
     std::string holder_name;
     bool is_row_known = false;
     std::optional<LeaseRow> last_row;
     MonotonicTime unchanged_since;
     MonotonicTime write_sent_at;
+    /// When the first write was sent of those that may have produced a row that was not read yet.
+    std::optional<MonotonicTime> first_write_in_doubt_at;
     std::optional<MonotonicTime> held_until;
     std::int64_t token = 0;
 };
--- a/Tests/LibDecision/TestLeaseTerm.cpp
+++ b/Tests/LibDecision/TestLeaseTerm.cpp
@@ -100,6 +100,26 @@
     CHECK(term.next_step(at(2200), NEEDED) == Step::Write);
 }
 
+// Guards against a term that is counted from a later write, which was rejected, when an earlier one took effect.
+TEST_CASE("A term whose write was not answered is counted from the first write that may have begun it", "[lapsed-lease][answer-lost]")
+{
+    auto term = make_term("a");
+    term.note_read(LeaseRow { "b", 3 }, at(0));
+    REQUIRE(term.next_step(at(6800), NEEDED) == Step::Write);
+    term.note_write_sent(at(6800));
+    term.note_write_failed();
+    // Not done yet.
+    term.note_read(LeaseRow { "b", 3 }, at(7000));
+    // The first takes effect before the second arrives.
+    term.note_write_sent(at(12'000));
+    term.note_write_failed();
+    term.note_read(LeaseRow { "a", 5 }, at(12'100));
+    CHECK_FALSE(term.is_held(at(12'100)));
+    term.note_write_sent(at(12'200));
+    term.note_written(6, at(12'210));
+    CHECK(term.is_held(at(14'399)));
+}
+
 // Simulates three processes with lost answers, delayed writes and pauses in virtual time. Orders of different holders
 // have to be at least one term apart, and fencing tokens must never decrease.
 TEST_CASE("Holders never overlap despite lost answers, delayed writes and pauses", "[lapsed-lease][freeze][answer-lost]")
