--- a/Libraries/LibDecision/EvacuationTable.cpp
+++ b/Libraries/LibDecision/EvacuationTable.cpp
@@ -3,29 +3,67 @@
 
 #include <LibDecision/EvacuationTable.h>
 #include <algorithm>
+#include <utility>
 
 namespace Spurtide {
 
-std::vector<Evacuation> EvacuationTable::merge(EvacuationUpdate const& update)
+void EvacuationTable::enter_era(StorePosition position, MonotonicTime now)
 {
-    auto received = update.evacuations;
-    if (update.extent == EvacuationUpdate::Extent::Snapshot) {
-        auto const is_listed = [&](std::string const& data_centre) { return std::any_of(update.evacuations.begin(), update.evacuations.end(), [&](auto const& other) { return other.data_centre == data_centre; }); };
-        for (auto const& [data_centre, evacuation] : this->known) {
-            if (evacuation.state == Evacuation::State::Ordered && !is_listed(data_centre))
-                received.push_back({ data_centre, update.position, Evacuation::State::Over });
-        }
+    if (position.era <= this->era_entered.era)
+        return;
+    this->era_entered = position;
+    this->settled_at = now + this->options.settle_time;
+    this->doubtful.clear();
+}
+
+std::vector<Evacuation> EvacuationTable::merge(EvacuationUpdate const& update, MonotonicTime now)
+{
+    bool const is_snapshot = update.extent == EvacuationUpdate::Extent::Snapshot;
+    if (is_snapshot)
+        this->enter_era(update.position, now);
+    std::vector<std::string> absent;
+    auto const is_listed = [&](std::string const& data_centre) { return std::any_of(update.evacuations.begin(), update.evacuations.end(), [&](auto const& other) { return other.data_centre == data_centre; }); };
+    for (auto const& [data_centre, evacuation] : this->known) {
+        if (is_snapshot && evacuation.state == Evacuation::State::Ordered && !is_listed(data_centre))
+            absent.push_back(data_centre);
     }
     std::vector<Evacuation> changes;
-    for (auto const& evacuation : received) {
-        auto const found = this->known.find(evacuation.data_centre);
-        if (found != this->known.end() && found->second.version >= evacuation.version)
-            continue;
-        bool const is_changed = found == this->known.end() || found->second.state != evacuation.state;
-        this->known.insert_or_assign(evacuation.data_centre, evacuation);
-        if (is_changed)
-            changes.push_back(evacuation);
+    for (auto const& evacuation : update.evacuations)
+        this->merge_one(evacuation, Origin::Row, now, changes);
+    for (auto const& data_centre : absent)
+        this->merge_one({ data_centre, update.position, Evacuation::State::Over }, Origin::Absence, now, changes);
+    return changes;
+}
+
+bool EvacuationTable::is_doubtful(Evacuation const& known_state, Evacuation const& received, Origin origin, MonotonicTime now) const
+{
+    bool const may_come_from_copy = origin == Origin::Absence || received.version <= this->era_entered;
+    return now < this->settled_at && known_state.version.era < this->era_entered.era && known_state.state != received.state && may_come_from_copy;
+}
+
+void EvacuationTable::merge_one(Evacuation const& received, Origin origin, MonotonicTime now, std::vector<Evacuation>& changes)
+{
+    auto const found = this->known.find(received.data_centre);
+    bool const is_known = found != this->known.end();
+    if (received.version.era < this->era_entered.era || (is_known && found->second.version >= received.version))
+        return;
+    if (is_known && this->is_doubtful(found->second, received, origin, now)) {
+        this->doubtful.insert_or_assign(received.data_centre, received);
+        return;
     }
+    this->doubtful.erase(received.data_centre);
+    if (!is_known || found->second.state != received.state)
+        changes.push_back(received);
+    this->known.insert_or_assign(received.data_centre, received);
+}
+
+std::vector<Evacuation> EvacuationTable::advance(MonotonicTime now)
+{
+    if (this->doubtful.empty() || now < this->settled_at)
+        return {};
+    std::vector<Evacuation> changes;
+    for (auto const& [data_centre, evacuation] : std::exchange(this->doubtful, {}))
+        this->merge_one(evacuation, Origin::Row, now, changes);
     return changes;
 }
 
--- a/Libraries/LibDecision/EvacuationTable.h
+++ b/Libraries/LibDecision/EvacuationTable.h
@@ -3,7 +3,8 @@
 
 #pragma once
 
-#include <cstdint>
+#include <LibCore/Time.h>
+#include <LibDecision/StorePosition.h>
 #include <functional>
 #include <map>
 #include <string>
@@ -16,7 +17,7 @@
 struct Evacuation {
     std::string data_centre;
     /// The registry's version of the change; the highest version wins.
-    std::int64_t version = 0;
+    StorePosition version;
     enum class State {
         Ordered,
         Over,
@@ -35,22 +36,51 @@
         = Extent::Delta;
     std::vector<Evacuation> evacuations;
     /// Set for snapshots only: the registry version that the snapshot reflects.
-    std::int64_t position = 0;
+    StorePosition position;
 };
 
 /// The evacuated data centres. Updates can be merged in any order: the latest change per data centre wins, and ended
-/// evacuations are kept as tombstones so that a delayed update does not revive them.
+/// evacuations are kept as tombstones so that a delayed update does not revive them. When the registry begins a new era, a
+/// state that its older copy contradicts is kept until the operators had the time to write it again.
 class EvacuationTable {
 public:
-    /// Merges the update and returns the data centres whose state changed.
-    std::vector<Evacuation> merge(EvacuationUpdate const& update);
+    struct Options {
+        /// How long operators may take to write again what a new era lacks.
+        Duration settle_time = seconds(3);
+    };
+
+    explicit EvacuationTable(Options options)
+        : options(options)
+    {
+    }
+
+    /// Merges the update and returns the data centres whose state changed. What an earlier era said is ignored.
+    std::vector<Evacuation> merge(EvacuationUpdate const& update, MonotonicTime now);
+    /// Begins a new era; changes up to the position may come from the older copy. Ignored if the era is not later.
+    void enter_era(StorePosition position, MonotonicTime now);
+    /// Adopts the states that the new era still has once the time to contradict them is over; returns those that changed.
+    std::vector<Evacuation> advance(MonotonicTime now);
 
     bool is_evacuated(std::string_view data_centre) const;
     /// Returns orders and tombstones, as they are sent to peers.
     std::vector<Evacuation> all() const;
 
 private:
+    enum class Origin {
+        Row,
+        /// A snapshot lacks the row.
+        Absence,
+    };
+
+    bool is_doubtful(Evacuation const& known_state, Evacuation const& received, Origin origin, MonotonicTime now) const;
+    void merge_one(Evacuation const& received, Origin origin, MonotonicTime now, std::vector<Evacuation>& changes);
+
+    Options options;
     std::map<std::string, Evacuation, std::less<>> known;
+    /// States of the new era that contradict known ones.
+    std::map<std::string, Evacuation, std::less<>> doubtful;
+    StorePosition era_entered;
+    MonotonicTime settled_at;
 };
 
 }
--- a/Libraries/LibDecision/PeerFetchPolicy.cpp
+++ b/Libraries/LibDecision/PeerFetchPolicy.cpp
@@ -5,7 +5,8 @@
 
 namespace Spurtide {
 
-bool PeerFetchPolicy::should_fetch(std::int64_t peers_version, std::int64_t own_version, LocalSource source, MonotonicTime now)
+template<typename Version>
+bool PeerFetchPolicy<Version>::should_fetch(Version peers_version, Version own_version, LocalSource source, MonotonicTime now)
 {
     if (this->pending && own_version >= this->pending->version)
         this->pending.reset();
@@ -23,4 +24,7 @@
     return true;
 }
 
+template class PeerFetchPolicy<std::int64_t>;
+template class PeerFetchPolicy<StorePosition>;
+
 }
--- a/Libraries/LibDecision/UpstreamList.cpp
+++ b/Libraries/LibDecision/UpstreamList.cpp
@@ -11,18 +11,79 @@
 void UpstreamList::note_registry(RegistryState state, MonotonicTime now)
 {
     if (this->registry == RegistryState::Unreachable && state == RegistryState::Available) {
-        this->returned_at = now;
+        this->extend_grace(now + this->options.lapse_grace);
         for (auto& [identity, entry] : this->entries) {
             if (entry.retained_until)
-                entry.retained_until = now + this->options.lapse_grace;
+                entry.retained_until = this->grace_until;
         }
     }
     this->registry = state;
 }
 
-bool UpstreamList::was_recently_unreachable(MonotonicTime now) const
+void UpstreamList::extend_grace(MonotonicTime until)
 {
-    return this->registry == RegistryState::Unreachable || (this->returned_at && now - *this->returned_at < this->options.lapse_grace);
+    this->grace_until = std::max(until, this->grace_until.value_or(until));
+}
+
+bool UpstreamList::may_entries_come_back(MonotonicTime now) const
+{
+    return this->registry == RegistryState::Unreachable || (this->grace_until && now < *this->grace_until);
+}
+
+// Until they had the time to be written again, changes that the older copy lacks stay in force: entries are retained,
+// departures and removals hold for their incarnations.
+void UpstreamList::enter_era(StorePosition position, MonotonicTime now)
+{
+    if (position.era <= this->current_version.era)
+        return;
+    bool const has_earlier_state = !this->entries.empty() || !this->removals.empty();
+    for (auto const& [identity, entry] : this->entries) {
+        if (entry.announced_life == UpstreamRecord::Life::Leaving)
+            this->departures.insert_or_assign(identity, entry.record.started);
+    }
+    for (auto const& [identity, removal] : this->removals)
+        this->lost_removals.insert_or_assign(identity, LostRemoval { removal.started, now + this->options.lost_removal_hold });
+    this->removals.clear();
+    this->removals_known_from = position;
+    this->current_version = StorePosition(position.era, 0);
+    this->era_entered = position;
+    if (has_earlier_state)
+        this->extend_grace(now + this->options.rewrite_grace);
+    this->evacuation_table.enter_era(position, now);
+}
+
+bool UpstreamList::is_removal_lost(UpstreamRecord const& record) const
+{
+    auto const found = this->lost_removals.find(record.identity);
+    if (found == this->lost_removals.end())
+        return false;
+    // An entry without a start time does not prove that the upstream started again.
+    return found->second.started == 0 || record.started == 0 || found->second.started == record.started;
+}
+
+bool UpstreamList::end_lost_removals(MonotonicTime now)
+{
+    bool is_changed = false;
+    for (auto removal = this->lost_removals.begin(); removal != this->lost_removals.end();) {
+        if (now < removal->second.until) {
+            ++removal;
+            continue;
+        }
+        auto const listed = this->entries.find(removal->first);
+        removal = this->lost_removals.erase(removal);
+        if (listed == this->entries.end())
+            continue;
+        auto const before = listed->second.record.life;
+        this->update_life(listed->second);
+        is_changed |= listed->second.record.life != before;
+    }
+    return is_changed;
+}
+
+std::int64_t UpstreamList::start_of(std::string const& identity) const
+{
+    auto const found = this->entries.find(identity);
+    return found == this->entries.end() ? 0 : found->second.record.started;
 }
 
 void UpstreamList::remove_or_retain(std::string const& identity, MonotonicTime now)
@@ -31,12 +92,12 @@
     if (found == this->entries.end())
         return;
     // An upstream that announced its departure does not come back.
-    bool const may_come_back = found->second.announced_life == UpstreamRecord::Life::Serving && this->was_recently_unreachable(now);
+    bool const may_come_back = found->second.announced_life == UpstreamRecord::Life::Serving && this->may_entries_come_back(now);
     if (!may_come_back) {
         this->retained_entries -= found->second.retained_until ? 1 : 0;
         this->entries.erase(found);
     } else if (!found->second.retained_until) {
-        found->second.retained_until = (this->registry == RegistryState::Unreachable ? now : *this->returned_at) + this->options.lapse_grace;
+        found->second.retained_until = this->registry == RegistryState::Unreachable ? now + this->options.lapse_grace : *this->grace_until;
         ++this->retained_entries;
     }
 }
@@ -47,16 +108,16 @@
     if (found != this->entries.end() && found->second.version > change.version)
         return true;
     auto const removed_at = this->removals.find(change.identity);
-    return removed_at != this->removals.end() && removed_at->second > change.version;
+    return removed_at != this->removals.end() && removed_at->second.version > change.version;
 }
 
-void UpstreamList::remember_removal(std::string const& identity, std::int64_t version)
+void UpstreamList::remember_removal(std::string const& identity, Removal removal)
 {
-    this->removals.insert_or_assign(identity, version);
+    this->removals.insert_or_assign(identity, removal);
     if (this->removals.size() <= this->options.remembered_removals)
         return;
-    auto const oldest = std::min_element(this->removals.begin(), this->removals.end(), [](auto const& one, auto const& other) { return one.second < other.second; });
-    this->removals_known_from = std::max(this->removals_known_from, oldest->second);
+    auto const oldest = std::min_element(this->removals.begin(), this->removals.end(), [](auto const& one, auto const& other) { return one.second.version < other.second.version; });
+    this->removals_known_from = std::max(this->removals_known_from, oldest->second.version);
     this->removals.erase(oldest);
 }
 
@@ -64,7 +125,11 @@
 {
     if (this->is_older(change))
         return;
+    this->enter_era(change.version, now);
     this->current_version = std::max(this->current_version, change.version);
+    // Written after the restoration.
+    if (change.version > this->era_entered)
+        this->lost_removals.erase(change.identity);
     if (change.record) {
         Entry entry { *change.record, change.record->life, change.version, {} };
         this->update_life(entry);
@@ -76,14 +141,16 @@
         this->removals.erase(change.identity);
         return;
     }
+    Removal const removal { change.version, this->start_of(change.identity) };
     this->remove_or_retain(change.identity, now);
-    this->remember_removal(change.identity, change.version);
+    this->remember_removal(change.identity, removal);
 }
 
-UpstreamList::SnapshotResult UpstreamList::replace(std::vector<UpstreamChange> const& listed, std::int64_t position, MonotonicTime now)
+UpstreamList::SnapshotResult UpstreamList::replace(std::vector<UpstreamChange> const& listed, StorePosition position, MonotonicTime now)
 {
     if (position < this->current_version)
         return SnapshotResult::Ignored;
+    this->enter_era(position, now);
     std::set<std::string> identities;
     for (auto const& change : listed) {
         identities.insert(change.identity);
@@ -96,15 +163,18 @@
         if (!identities.contains(identity))
             missing.push_back(identity);
     }
-    for (auto const& identity : missing)
-        this->remove_or_retain(identity, now);
     // Some upstreams may have been added and removed before this listing was made.
     this->removals.clear();
     this->removals_known_from = position;
+    for (auto const& identity : missing) {
+        Removal const removal { position, this->start_of(identity) };
+        this->remove_or_retain(identity, now);
+        this->remember_removal(identity, removal);
+    }
     return SnapshotResult::Adopted;
 }
 
-UpstreamListing UpstreamList::listing_since(std::int64_t known_version) const
+UpstreamListing UpstreamList::listing_since(StorePosition known_version) const
 {
     UpstreamListing listing;
     listing.version = this->current_version;
@@ -119,8 +189,8 @@
     }
     if (!knows_all_removals)
         return listing;
-    for (auto const& [identity, version] : this->removals) {
-        if (version > known_version)
+    for (auto const& [identity, removal] : this->removals) {
+        if (removal.version > known_version)
             listing.removed.push_back(identity);
     }
     return listing;
@@ -128,13 +198,16 @@
 
 void UpstreamList::merge(UpstreamListing const& listing, MonotonicTime now)
 {
+    bool const is_delta = listing.extent == UpstreamListing::Extent::Delta;
+    if (is_delta && listing.version.era != this->current_version.era)
+        return;
     std::vector<UpstreamChange> changes;
     changes.reserve(listing.records.size() + listing.removed.size());
     for (auto const& record : listing.records)
         changes.push_back({ record.identity, record, listing.version });
     for (auto const& identity : listing.removed)
         changes.push_back({ identity, {}, listing.version });
-    if (listing.extent == UpstreamListing::Extent::Snapshot)
+    if (!is_delta)
         this->replace(changes, listing.version, now);
     else {
         for (auto const& change : changes)
@@ -145,7 +218,7 @@
 
 void UpstreamList::update_life(Entry& entry) const
 {
-    bool const must_leave = this->evacuation_table.is_evacuated(entry.record.data_centre) || this->has_departed(entry.record);
+    bool const must_leave = this->evacuation_table.is_evacuated(entry.record.data_centre) || this->has_departed(entry.record) || this->is_removal_lost(entry.record);
     entry.record.life = must_leave ? UpstreamRecord::Life::Leaving : entry.announced_life;
 }
 
@@ -198,23 +271,36 @@
     return digest;
 }
 
-std::vector<Evacuation> UpstreamList::merge(EvacuationUpdate const& update)
+std::vector<Evacuation> UpstreamList::merge(EvacuationUpdate const& update, MonotonicTime now)
 {
-    auto changes = this->evacuation_table.merge(update);
-    if (!changes.empty()) {
-        for (auto& [identity, entry] : this->entries)
-            this->update_life(entry);
-    }
+    auto changes = this->evacuation_table.merge(update, now);
+    this->update_lives(changes);
+    return changes;
+}
+
+std::vector<Evacuation> UpstreamList::advance_evacuations(MonotonicTime now)
+{
+    auto changes = this->evacuation_table.advance(now);
+    this->update_lives(changes);
     return changes;
 }
 
+void UpstreamList::update_lives(std::span<Evacuation const> changes)
+{
+    if (changes.empty())
+        return;
+    for (auto& [identity, entry] : this->entries)
+        this->update_life(entry);
+}
+
 bool UpstreamList::advance(MonotonicTime now)
 {
-    if (this->registry == RegistryState::Unreachable || this->retained_entries == 0)
+    if (this->registry == RegistryState::Unreachable || (this->retained_entries == 0 && this->lost_removals.empty()))
         return false;
+    bool const has_ended_holds = this->end_lost_removals(now);
     auto const dropped = std::erase_if(this->entries, [&](auto const& entry) { return entry.second.retained_until && now >= *entry.second.retained_until; });
     this->retained_entries -= dropped;
-    return dropped > 0;
+    return has_ended_holds || dropped > 0;
 }
 
 std::vector<UpstreamRecord> UpstreamList::records() const
--- a/Libraries/LibDecision/UpstreamList.h
+++ b/Libraries/LibDecision/UpstreamList.h
@@ -6,11 +6,13 @@
 #include <LibCore/Time.h>
 #include <LibDecision/CellScheduler.h>
 #include <LibDecision/EvacuationTable.h>
+#include <LibDecision/StorePosition.h>
 #include <LibDecision/UpstreamIncarnation.h>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -52,7 +54,7 @@
     /// Empty if the upstream was removed.
     std::optional<UpstreamRecord> record;
     /// The version of the list with this change.
-    std::int64_t version = 0;
+    StorePosition version;
 };
 
 /// The update that one VM sends to another: a snapshot, or the changes since the version that the other VM has.
@@ -62,7 +64,7 @@
         Delta,
     } extent
         = Extent::Snapshot;
-    std::int64_t version = 0;
+    StorePosition version;
     std::vector<UpstreamRecord> records;
     /// Identities of removed upstreams; set for deltas only.
     std::vector<std::string> removed;
@@ -70,13 +72,19 @@
 
 /// The known upstreams, and which of them accept new work. Entries that expire during a registry outage are retained
 /// for a short time after it, as live upstreams announce themselves again; entries removed while the registry is
-/// available disappear at once. Upstreams of an evacuated data centre, and those that announced their departure in a
+/// available disappear at once. When the registry begins a new era, what the list knows and the older copy contradicts is
+/// believed until it had the time to be written again. Upstreams of an evacuated data centre, and those that announced their departure in a
 /// response, are presented as leaving, so that all are treated alike; peers receive the state that the registry has.
 class UpstreamList {
 public:
     struct Options {
         /// How long expired entries are retained after the registry has recovered.
         Duration lapse_grace = milliseconds(1800);
+        /// How long upstreams and operators may take to write again what a new era lacks. Upstreams need about two seconds.
+        Duration rewrite_grace = seconds(3);
+        /// How long an upstream whose removal a new era lacks stays out of use. Longer than the registry needs to remove the
+        /// entry of a silent upstream once more.
+        Duration lost_removal_hold = seconds(10);
         /// Removals kept for peers that request a delta. A peer that requests older ones receives a snapshot.
         std::size_t remembered_removals = 1024;
         /// Departures kept for upstreams that are no longer listed, as their entries may come back.
@@ -85,6 +93,7 @@
 
     explicit UpstreamList(Options options)
         : options(options)
+        , evacuation_table({ options.rewrite_grace })
     {
     }
 
@@ -103,13 +112,15 @@
     };
     /// Replaces the list with a snapshot as of a position; entries not contained in it are removed. Each entry has the
     /// version of its last change.
-    SnapshotResult replace(std::vector<UpstreamChange> const& listed, std::int64_t position, MonotonicTime now);
-    /// Returns what a peer with the given version is missing.
-    UpstreamListing listing_since(std::int64_t known_version) const;
-    /// Merges an update from a peer; outdated changes are ignored.
+    SnapshotResult replace(std::vector<UpstreamChange> const& listed, StorePosition position, MonotonicTime now);
+    /// Returns what a peer with the given version is missing; a snapshot if that version is of an earlier era.
+    UpstreamListing listing_since(StorePosition known_version) const;
+    /// Merges an update from a peer; outdated changes are ignored, and so are changes relative to a list of another era.
     void merge(UpstreamListing const& listing, MonotonicTime now);
     /// Merges the update and returns the evacuations whose state changed.
-    std::vector<Evacuation> merge(EvacuationUpdate const& update);
+    std::vector<Evacuation> merge(EvacuationUpdate const& update, MonotonicTime now);
+    /// Adopts what a new era says of evacuations once there was time to write them again; returns those that changed.
+    std::vector<Evacuation> advance_evacuations(MonotonicTime now);
     EvacuationTable const& evacuations() const { return this->evacuation_table; }
     /// Records that an upstream announced its departure. It is leaving from then on, even if the registry lists it as
     /// serving; its next incarnation is not. Returns whether its state changed.
@@ -120,11 +131,11 @@
     std::vector<UpstreamIncarnation> unregistered_departures() const;
     /// Hash of the above; 0 if there are none.
     std::uint64_t departures_digest() const;
-    /// Drops retained entries whose time is over. Returns whether there were any.
+    /// Drops retained entries whose time is over, and ends the holds of lost removals. Returns whether any upstream changed.
     bool advance(MonotonicTime now);
 
     /// The version of the latest known change. Equal lists may have been read at different registry positions.
-    std::int64_t version() const { return this->current_version; }
+    StorePosition version() const { return this->current_version; }
     /// Returns all entries, including retained ones.
     std::vector<UpstreamRecord> records() const;
     /// Visits all entries without copying them, which is expensive with thousands of upstreams.
@@ -136,19 +147,37 @@
 
 private:
     struct Entry {
-        /// Its state is Leaving if the data centre is evacuated or the upstream announced its departure.
+        /// Its state is Leaving if the data centre is evacuated, the upstream announced its departure or its removal was lost.
         UpstreamRecord record;
         /// The state in the registry.
         UpstreamRecord::Life announced_life = UpstreamRecord::Life::Serving;
-        std::int64_t version = 0;
+        StorePosition version;
         /// Set if the entry has expired and is retained.
         std::optional<MonotonicTime> retained_until;
     };
 
-    bool was_recently_unreachable(MonotonicTime now) const;
+    struct Removal {
+        StorePosition version;
+        /// Start time of the incarnation that was removed; 0 if not reported.
+        std::int64_t started = 0;
+    };
+
+    /// A removal that happened before the current era and that the registry may have lost.
+    struct LostRemoval {
+        std::int64_t started = 0;
+        MonotonicTime until;
+    };
+
+    void enter_era(StorePosition position, MonotonicTime now);
+    bool is_removal_lost(UpstreamRecord const& record) const;
+    bool end_lost_removals(MonotonicTime now);
+    void extend_grace(MonotonicTime until);
+    bool may_entries_come_back(MonotonicTime now) const;
     void update_life(Entry& entry) const;
+    void update_lives(std::span<Evacuation const> changes);
     bool is_older(UpstreamChange const& change) const;
-    void remember_removal(std::string const& identity, std::int64_t version);
+    void remember_removal(std::string const& identity, Removal removal);
+    std::int64_t start_of(std::string const& identity) const;
     void remove_or_retain(std::string const& identity, MonotonicTime now);
     void forget_old_departures();
 
@@ -157,12 +186,16 @@
     EvacuationTable evacuation_table;
     /// Start times of the incarnations that announced their departure, by identity.
     std::map<std::string, std::int64_t, std::less<>> departures;
-    std::int64_t current_version = 0;
-    /// The version of each removal. Removals before `removals_known_from` are incomplete.
-    std::map<std::string, std::int64_t, std::less<>> removals;
-    std::int64_t removals_known_from = 0;
+    StorePosition current_version;
+    /// Removals of the current era. Those before `removals_known_from` are incomplete.
+    std::map<std::string, Removal, std::less<>> removals;
+    StorePosition removals_known_from;
+    /// The position at which this list entered the current era. Entries up to it may come from the older copy.
+    StorePosition era_entered;
+    std::map<std::string, LostRemoval, std::less<>> lost_removals;
     RegistryState registry = RegistryState::Available;
-    std::optional<MonotonicTime> returned_at;
+    /// Entries that disappear until then may come back.
+    std::optional<MonotonicTime> grace_until;
     /// Number of retained entries. Usually zero, which makes advance() cheap.
     std::size_t retained_entries = 0;
 };
--- a/Libraries/LibRouter/LeasePort.h
+++ b/Libraries/LibRouter/LeasePort.h
@@ -7,7 +7,6 @@
 #include <LibDecision/LeaseTerm.h>
 #include <LibPlatform/PlatformError.h>
 #include <asio.hpp>
-#include <optional>
 #include <string>
 
 namespace Spurtide {
@@ -17,12 +16,13 @@
 public:
     virtual ~LeasePort() = default;
 
-    /// Reads the current row; empty if there is none. Errors: Unreachable, Unavailable, InDoubt, Malformed.
-    virtual asio::awaitable<Result<std::optional<LeaseRow>, PlatformError>> read_lease(std::string name) = 0;
-    /// Writes the row if it still has the expected version (0: if it does not exist) and returns its new version.
+    /// Reads the current row. Errors: Unreachable, Unavailable, InDoubt, Malformed, HistoryGone (restored meanwhile).
+    virtual asio::awaitable<Result<LeaseReading, PlatformError>> read_lease(std::string name) = 0;
+    /// Writes the row if it still has the expected version (0: if it does not exist) and returns its new version. The
+    /// condition is on the version alone; a result of another era than the expected one has matched some other row.
     /// Errors: those of read_lease(), and Conflict. After InDoubt the write may have taken effect, or may do so
     /// seconds later.
-    virtual asio::awaitable<Result<std::int64_t, PlatformError>> write_lease(std::string name, std::string holder, std::int64_t expected_version) = 0;
+    virtual asio::awaitable<Result<StorePosition, PlatformError>> write_lease(std::string name, std::string holder, StorePosition expected_version) = 0;
 };
 
 }
--- a/Libraries/LibRouter/RegistryFollower.cpp
+++ b/Libraries/LibRouter/RegistryFollower.cpp
@@ -4,6 +4,7 @@
 #include <LibCore/LogLine.h>
 #include <LibRouter/RegistryFollower.h>
 #include <algorithm>
+#include <memory>
 #include <optional>
 #include <xxhash.h>
 
@@ -21,6 +22,25 @@
         LogLine("registry_failed").with("what", what).with("error", to_string(error)).with("failures", failures);
 }
 
+template<typename News>
+struct PendingWatch {
+    explicit PendingWatch(asio::any_io_executor const& executor)
+        : signal(executor)
+    {
+    }
+
+    Signal signal;
+    std::optional<Result<News, PlatformError>> result;
+};
+
+template<typename News>
+asio::awaitable<void> finish_watch(std::shared_ptr<PendingWatch<News>> pending, asio::awaitable<Result<News, PlatformError>> watch)
+{
+    auto result = co_await std::move(watch);
+    pending->result.emplace(std::move(result));
+    pending->signal.notify();
+}
+
 // After a failure the watch must return at once: one that waits would show that the registry is available again only with
 // the next update.
 Duration wait_after(int failures, Duration watch) { return failures > 0 ? Duration::zero() : watch; }
@@ -53,6 +73,13 @@
     co_await this->sleep(from_seconds(to_seconds(usual) * shared * static_cast<double>(percent) / 100));
 }
 
+// Usually one read is enough. If the watch that follows it fails as well, reading again at once would do no better.
+asio::awaitable<void> RegistryFollower::wait_before_read(int reads_in_a_row)
+{
+    if (reads_in_a_row > 0)
+        co_await this->wait_before_retry(reads_in_a_row);
+}
+
 asio::awaitable<void> RegistryFollower::sleep(Duration duration)
 {
     asio::steady_timer timer(this->loop, duration);
@@ -76,24 +103,50 @@
         co_await this->sleep(this->options.idle_check_interval);
 }
 
+void RegistryFollower::note_era(std::int64_t new_era)
+{
+    if (new_era <= this->era)
+        return;
+    this->era = new_era;
+    for (auto* signal : this->waiting)
+        signal->notify();
+}
+
+template<typename News>
+asio::awaitable<Result<News, PlatformError>> RegistryFollower::watch_in_era(asio::awaitable<Result<News, PlatformError>> watch, StorePosition position)
+{
+    // A watch that is given up goes on by itself until its timeout.
+    auto const pending = std::make_shared<PendingWatch<News>>(this->loop.get_executor());
+    asio::co_spawn(this->loop, finish_watch(pending, std::move(watch)), asio::detached);
+    auto const place = this->waiting.insert(this->waiting.end(), &pending->signal);
+    while (!pending->result && this->era <= position.era)
+        co_await pending->signal.wait();
+    this->waiting.erase(place);
+    if (!pending->result)
+        co_return Failure { PlatformError::HistoryGone };
+    co_return std::move(*pending->result);
+}
+
 asio::awaitable<void> RegistryFollower::follow_configuration()
 {
-    std::optional<std::int64_t> position;
+    std::optional<StorePosition> position;
     int failures = 0;
+    int reads_in_a_row = 0;
     while (true) {
         Result<ConfigurationNews, PlatformError> news = Failure { PlatformError::Unavailable };
         if (position)
             co_await this->wait_until_watching("configuration");
         if (position)
-            news = co_await this->registry.watch_configuration(*position, wait_after(failures, this->options.configuration_watch_timeout));
+            news = co_await this->watch_in_era(this->registry.watch_configuration(*position, wait_after(failures, this->options.configuration_watch_timeout)), *position);
         else
             news = co_await this->registry.read_configuration();
         this->configuration_followed = !news.is_error();
         this->hooks.on_call("configuration", news.is_error() ? to_string(news.error()) : ANSWERED);
         if (news.is_error()) {
             if (news.error() == PlatformError::HistoryGone) {
-                LogLine("registry_history_gone").with("what", "configuration").with("position", position.value_or(0));
+                LogLine("registry_history_gone").with("what", "configuration").with("position", position.value_or(StorePosition()).version).with("era", position.value_or(StorePosition()).era);
                 position.reset();
+                co_await this->wait_before_read(reads_in_a_row++);
                 continue;
             }
             log_failure("configuration", news.error(), ++failures);
@@ -103,8 +156,11 @@
         }
         if (failures > 0)
             LogLine("registry_recovered").with("what", "configuration").with("failures", std::exchange(failures, 0));
+        if (position)
+            reads_in_a_row = 0;
         bool const was_empty_read = !position && !news.value().document;
         position = news.value().position;
+        this->note_era(position->era);
         if (news.value().document)
             this->hooks.on_configuration(*news.value().document);
         this->hooks.on_evacuations(news.value().evacuations);
@@ -117,8 +173,9 @@
 
 asio::awaitable<void> RegistryFollower::follow_upstreams()
 {
-    std::optional<std::int64_t> position;
+    std::optional<StorePosition> position;
     int failures = 0;
+    int reads_in_a_row = 0;
     while (true) {
         PlatformError error {};
         bool has_failed = false;
@@ -126,13 +183,14 @@
         if (position) {
             co_await this->wait_until_watching("upstreams");
             position = std::max(*position, this->hooks.upstreams_version());
-            auto const news = co_await this->registry.watch_upstreams(*position, wait_after(failures, this->options.upstreams_watch_timeout));
+            auto const news = co_await this->watch_in_era(this->registry.watch_upstreams(*position, wait_after(failures, this->options.upstreams_watch_timeout)), *position);
             has_failed = news.is_error();
             if (has_failed)
                 error = news.error();
             else {
                 this->hooks.on_upstreams_state(UpstreamList::RegistryState::Available);
                 position = news.value().position;
+                reads_in_a_row = 0;
                 has_news = !news.value().changes.empty();
                 if (has_news)
                     this->hooks.on_upstream_news(news.value());
@@ -145,6 +203,7 @@
             else {
                 this->hooks.on_upstreams_state(UpstreamList::RegistryState::Available);
                 position = snapshot.value().position;
+                this->note_era(position->era);
                 this->upstreams_read = true;
                 this->hooks.on_upstreams(snapshot.value());
             }
@@ -159,8 +218,9 @@
             continue;
         }
         if (error == PlatformError::HistoryGone) {
-            LogLine("registry_history_gone").with("what", "upstreams").with("position", position.value_or(0));
+            LogLine("registry_history_gone").with("what", "upstreams").with("position", position.value_or(StorePosition()).version).with("era", position.value_or(StorePosition()).era);
             position.reset();
+            co_await this->wait_before_read(reads_in_a_row++);
             continue;
         }
         log_failure("upstreams", error, ++failures);
--- a/Libraries/LibRouter/RegistryFollower.h
+++ b/Libraries/LibRouter/RegistryFollower.h
@@ -3,8 +3,10 @@
 
 #pragma once
 
+#include <LibAsync/Signal.h>
 #include <LibRouter/RegistryPort.h>
 #include <functional>
+#include <list>
 
 namespace Spurtide {
 
@@ -43,12 +45,15 @@
         /// Adjusts the longest pause between retries.
         std::function<Duration(Duration usual)> maximum_retry_interval = [](Duration usual) { return usual; };
         /// The version of the list of upstreams, including updates from other VMs.
-        std::function<std::int64_t()> upstreams_version = [] { return std::int64_t { 0 }; };
+        std::function<StorePosition()> upstreams_version = [] { return StorePosition(); };
     };
 
     RegistryFollower(Options options, asio::io_context& loop, RegistryPort& registry, Hooks hooks);
 
     void start();
+    /// The registry is known to be in an era, from this VM's own calls or from peers. Watches of earlier eras are given up, since they
+    /// wait for versions that may have been given out before.
+    void note_era(std::int64_t new_era);
     /// Whether the list of upstreams was read at least once.
     bool has_upstreams() const { return this->upstreams_read; }
     /// Whether the last call to the registry succeeded.
@@ -56,9 +61,13 @@
     bool follows_upstreams() const { return this->upstreams_followed; }
 
 private:
+    /// Waits for a watch; HistoryGone if the registry turns out to be in a later era than the position meanwhile.
+    template<typename News>
+    asio::awaitable<Result<News, PlatformError>> watch_in_era(asio::awaitable<Result<News, PlatformError>> watch, StorePosition position);
     asio::awaitable<void> follow_configuration();
     asio::awaitable<void> follow_upstreams();
     asio::awaitable<void> wait_before_retry(int failures);
+    asio::awaitable<void> wait_before_read(int reads_in_a_row);
     asio::awaitable<void> sleep(Duration duration);
     asio::awaitable<void> wait_until_watching(std::string_view what);
     asio::awaitable<void> wait_until_upstreams_followed();
@@ -67,6 +76,9 @@
     asio::io_context& loop;
     RegistryPort& registry;
     Hooks hooks;
+    std::int64_t era = 0;
+    /// Those that wait for a watch.
+    std::list<Signal*> waiting;
     bool upstreams_read = false;
     bool configuration_followed = false;
     bool upstreams_followed = false;
--- a/Libraries/LibRouter/RegistryPort.h
+++ b/Libraries/LibRouter/RegistryPort.h
@@ -28,7 +28,7 @@
     /// Empty if there is no configuration, or if it has not changed.
     std::optional<ConfigurationDocument> document;
     EvacuationUpdate evacuations;
-    std::int64_t position = 0;
+    StorePosition position;
 };
 
 /// Why a configuration is rejected; the previous one stays in force.
@@ -52,25 +52,25 @@
 struct UpstreamSnapshot {
     /// All listed upstreams, each with the version of its last change.
     std::vector<UpstreamChange> listed;
-    std::int64_t position = 0;
+    StorePosition position;
 };
 
 struct UpstreamNews {
     std::vector<UpstreamChange> changes;
-    std::int64_t position = 0;
+    StorePosition position;
 };
 
 /// Interface to the registry, which holds the configuration and the entries of the upstreams.
-/// Errors: Unreachable, Unavailable, InDoubt (no answer), Malformed; a watch can also fail with HistoryGone, after which the
-/// caller has to read everything again.
+/// Errors: Unreachable, Unavailable, InDoubt (no answer, or one of an earlier era), Malformed, and HistoryGone: there is no
+/// history since the position, or it is of another era. The caller then has to read everything again.
 class RegistryPort {
 public:
     virtual ~RegistryPort() = default;
 
     virtual asio::awaitable<Result<ConfigurationNews, PlatformError>> read_configuration() = 0;
-    virtual asio::awaitable<Result<ConfigurationNews, PlatformError>> watch_configuration(std::int64_t position, Duration wait) = 0;
+    virtual asio::awaitable<Result<ConfigurationNews, PlatformError>> watch_configuration(StorePosition position, Duration wait) = 0;
     virtual asio::awaitable<Result<UpstreamSnapshot, PlatformError>> read_upstreams() = 0;
-    virtual asio::awaitable<Result<UpstreamNews, PlatformError>> watch_upstreams(std::int64_t position, Duration wait) = 0;
+    virtual asio::awaitable<Result<UpstreamNews, PlatformError>> watch_upstreams(StorePosition position, Duration wait) = 0;
     virtual Result<RoutingConfiguration, ConfigurationFault> decode(ConfigurationDocument const& document) const = 0;
 };
 
--- a/Libraries/LibRouter/RegistryRelay.cpp
+++ b/Libraries/LibRouter/RegistryRelay.cpp
@@ -17,9 +17,9 @@
 /// The same limit as for the registry's answers.
 constexpr std::size_t MAXIMUM_CONFIGURATION_BYTES = 4UL * 1024 * 1024;
 
-PeerFetchPolicy::LocalSource source_of(bool follows)
+LocalSource source_of(bool follows)
 {
-    return follows ? PeerFetchPolicy::LocalSource::Available : PeerFetchPolicy::LocalSource::Unavailable;
+    return follows ? LocalSource::Available : LocalSource::Unavailable;
 }
 
 }
@@ -89,12 +89,13 @@
     auto* content = news->mutable_upstreams();
     if (listing.extent == UpstreamListing::Extent::Delta) {
         write_listing(listing, *content);
-        content->set_since(since);
+        content->set_since(since.version);
     } else {
         // Announces the version only; a VM with an older list fetches the difference.
-        content->set_version(listing.version);
+        content->set_era(listing.version.era);
+        content->set_version(listing.version.version);
         content->set_only_changes(true);
-        content->set_since(listing.version);
+        content->set_since(listing.version.version);
     }
     for (auto const& listener : this->plan.listeners()) {
         if (auto const endpoint = this->kernel.directory().resolve_on(listener, this->news_service))
@@ -114,7 +115,7 @@
         return;
     // A new version announced by the assigned watcher is fetched at once, from another watcher only if the assigned one is
     // late.
-    auto const source = news.vm() == this->plan.assigned_watcher() && !this->watches() ? PeerFetchPolicy::LocalSource::Unavailable : this->configuration_source();
+    auto const source = news.vm() == this->plan.assigned_watcher() && !this->watches() ? LocalSource::Unavailable : this->configuration_source();
     if (this->configuration_news.should_fetch(news.configuration_version(), this->hooks.configuration_version(), source, now))
         this->fetch_configuration(*endpoint);
 }
@@ -122,12 +123,14 @@
 void RegistryRelay::handle_upstreams_news(wire::RegistryNews const& news)
 {
     auto const& content = news.upstreams();
-    if (content.version() <= this->upstreams.version())
+    StorePosition const version(content.era(), content.version());
+    if (version <= this->upstreams.version())
         return;
-    if (content.since() <= this->upstreams.version())
+    // Changes are relative to a version of the same era.
+    if (StorePosition(content.era(), content.since()) <= this->upstreams.version())
         return this->adopt_listing(read_listing(content), news.vm());
     if (auto const endpoint = this->kernel.directory().resolve_on(news.vm(), CONFIGURATION_SERVICE))
-        this->handle_upstreams_version(*endpoint, content.version());
+        this->handle_upstreams_version(*endpoint, version);
 }
 
 void RegistryRelay::adopt_listing(UpstreamListing const& listing, std::string_view source)
@@ -135,15 +138,15 @@
     auto const before = this->upstreams.version();
     if (listing.version <= before)
         return;
-    LogLine("upstreams_from_peer").with("peer", source).with("version", listing.version).with("before", before).with("extent", listing.extent == UpstreamListing::Extent::Snapshot ? "whole" : "changes").with("count", static_cast<std::int64_t>(listing.records.size())).with("gone", static_cast<std::int64_t>(listing.removed.size()));
+    LogLine("upstreams_from_peer").with("peer", source).with("version", listing.version.version).with("era", listing.version.era).with("before", before.version).with("era_before", before.era).with("extent", listing.extent == UpstreamListing::Extent::Snapshot ? "whole" : "changes").with("count", static_cast<std::int64_t>(listing.records.size())).with("gone", static_cast<std::int64_t>(listing.removed.size()));
     this->upstreams.merge(listing, monotonic_now());
     this->hooks.on_upstreams();
 }
 
-PeerFetchPolicy::LocalSource RegistryRelay::configuration_source() const
+LocalSource RegistryRelay::configuration_source() const
 {
     if (!this->watches() && this->hooks.configuration_version() > 0)
-        return PeerFetchPolicy::LocalSource::Watchers;
+        return LocalSource::Watchers;
     return source_of(this->hooks.follows_configuration());
 }
 
@@ -153,7 +156,7 @@
         this->fetch_configuration(endpoint);
 }
 
-void RegistryRelay::handle_upstreams_version(std::string const& endpoint, std::int64_t version)
+void RegistryRelay::handle_upstreams_version(std::string const& endpoint, StorePosition version)
 {
     if (this->upstreams_news.should_fetch(version, this->upstreams.version(), source_of(this->hooks.follows_upstreams()), monotonic_now()))
         this->fetch_upstreams(endpoint);
@@ -184,7 +187,9 @@
 void RegistryRelay::fetch_upstreams(std::string const& endpoint)
 {
     auto envelope = message_to(CONFIGURATION_SERVICE);
-    envelope.mutable_get_upstreams()->set_known_version(this->upstreams.version());
+    auto const known = this->upstreams.version();
+    envelope.mutable_get_upstreams()->set_known_version(known.version);
+    envelope.mutable_get_upstreams()->set_known_era(known.era);
     this->kernel.request(endpoint, std::move(envelope), FETCH_TIMEOUT, [this, endpoint](WireReply const& reply) {
         if (!reply.is_error() && reply.value().has_upstreams_content())
             this->adopt_listing(read_listing(reply.value().upstreams_content()), endpoint);
@@ -196,7 +201,7 @@
     if (request.has_get_configuration())
         return respond(this->configuration_reply(request.get_configuration().known_generation()));
     if (request.has_get_upstreams())
-        return respond(this->upstreams_reply(request.get_upstreams().known_version()));
+        return respond(this->upstreams_reply({ request.get_upstreams().known_era(), request.get_upstreams().known_version() }));
     respond(error_reply(wire::ERROR_CODE_UNKNOWN_MESSAGE));
 }
 
@@ -219,7 +224,7 @@
     return reply;
 }
 
-wire::Envelope RegistryRelay::upstreams_reply(std::int64_t known) const
+wire::Envelope RegistryRelay::upstreams_reply(StorePosition known) const
 {
     wire::Envelope reply;
     write_listing(this->upstreams.listing_since(known), *reply.mutable_upstreams_content());
--- a/Libraries/LibRouter/RegistryRelay.h
+++ b/Libraries/LibRouter/RegistryRelay.h
@@ -49,7 +49,7 @@
 
     /// A peer announced its version of the configuration or of the list; a newer one may be fetched from it.
     void handle_configuration_version(std::string const& endpoint, std::int64_t version);
-    void handle_upstreams_version(std::string const& endpoint, std::int64_t version);
+    void handle_upstreams_version(std::string const& endpoint, StorePosition version);
 
     /// The service by which the VMs of this data centre discover each other.
     std::string const& service() const { return this->news_service; }
@@ -73,13 +73,13 @@
     void handle_news(wire::RegistryNews const& news);
     void handle_upstreams_news(wire::RegistryNews const& news);
     void adopt_configuration(wire::ConfigurationContent const& content, std::string_view source);
-    PeerFetchPolicy::LocalSource configuration_source() const;
+    LocalSource configuration_source() const;
     std::string const& compressed_document();
     void adopt_listing(UpstreamListing const& listing, std::string_view source);
     void fetch_configuration(std::string const& endpoint);
     void fetch_upstreams(std::string const& endpoint);
     wire::Envelope configuration_reply(std::int64_t known);
-    wire::Envelope upstreams_reply(std::int64_t known) const;
+    wire::Envelope upstreams_reply(StorePosition known) const;
 
     Kernel& kernel;
     UpstreamList& upstreams;
@@ -87,12 +87,12 @@
     /// The VMs of one data centre discover each other by this name.
     std::string news_service;
     WatchPlan plan;
-    PeerFetchPolicy configuration_news { PeerFetchPolicy::Options {} };
-    PeerFetchPolicy upstreams_news { PeerFetchPolicy::Options {} };
+    PeerFetchPolicy<std::int64_t> configuration_news { PeerFetchOptions {} };
+    PeerFetchPolicy<StorePosition> upstreams_news { PeerFetchOptions {} };
     ConfigurationDocument document;
     /// The compressed document for peers; empty until the first request.
     std::string compressed;
-    std::int64_t published_version = 0;
+    StorePosition published_version;
 };
 
 }
--- a/Libraries/LibRouter/RoleController.cpp
+++ b/Libraries/LibRouter/RoleController.cpp
@@ -56,6 +56,8 @@
         co_await this->pause(this->options.evaluation_interval);
         auto const now = monotonic_now();
         this->remove_finished_changes(now);
+        if (auto const known = this->state.upstreams.version(); known != StorePosition())
+            this->lease.note_era(known.era, now);
         if (!this->hooks.is_keeper()) {
             this->keeper_since.reset();
             continue;
@@ -113,26 +115,27 @@
     }
     std::string const name(LEASE_NAME);
     if (step == LeaseTerm::Step::Read) {
-        auto const row = co_await this->port.read_lease(name);
-        if (row.is_error()) {
-            LogLine("lease_read_failed").with("error", to_string(row.error()));
+        auto const reading = co_await this->port.read_lease(name);
+        if (reading.is_error()) {
+            LogLine("lease_read_failed").with("error", to_string(reading.error()));
             co_await this->pause(this->options.failure_delay);
             co_return false;
         }
-        this->lease.note_read(row.value(), monotonic_now());
+        this->lease.note_read(reading.value(), monotonic_now());
         co_return this->lease.is_held(monotonic_now() + this->options.order_timeout);
     }
     this->lease.note_write_sent(monotonic_now());
     auto const written = co_await this->port.write_lease(name, this->lease.holder(), this->lease.expected_version());
     if (written.is_error()) {
-        LogLine("lease_write_failed").with("error", to_string(written.error())).with("expected_version", this->lease.expected_version());
+        LogLine("lease_write_failed").with("error", to_string(written.error())).with("expected_version", this->lease.expected_version().version).with("era", this->lease.expected_version().era);
         this->lease.note_write_failed();
         co_await this->pause(this->options.failure_delay);
         co_return false;
     }
     this->lease.note_written(written.value(), monotonic_now());
-    LogLine("lease_acquired").with("holder", this->lease.holder()).with("fence", this->lease.fence());
-    co_return this->lease.is_held(monotonic_now() + this->options.order_timeout);
+    bool const is_held = this->lease.is_held(monotonic_now() + this->options.order_timeout);
+    LogLine(is_held ? "lease_acquired" : "lease_written_in_new_era").with("holder", this->lease.holder()).with("fence", this->lease.fence()).with("version", written.value().version).with("era", written.value().era);
+    co_return is_held;
 }
 
 asio::awaitable<void> RoleController::order(DueChange due)
--- a/Libraries/LibWire/WireUpstreams.cpp
+++ b/Libraries/LibWire/WireUpstreams.cpp
@@ -47,7 +47,8 @@
 
 void write_listing(UpstreamListing const& listing, wire::UpstreamsContent& message)
 {
-    message.set_version(listing.version);
+    message.set_version(listing.version.version);
+    message.set_era(listing.version.era);
     message.set_only_changes(listing.extent == UpstreamListing::Extent::Delta);
     for (auto const& record : listing.records)
         write_upstream(record, *message.add_upstreams());
@@ -59,7 +60,7 @@
 {
     UpstreamListing listing;
     listing.extent = message.only_changes() ? UpstreamListing::Extent::Delta : UpstreamListing::Extent::Snapshot;
-    listing.version = message.version();
+    listing.version = StorePosition(message.era(), message.version());
     for (auto const& entry : message.upstreams())
         listing.records.push_back(read_upstream(entry));
     listing.removed.assign(message.gone().begin(), message.gone().end());
@@ -71,7 +72,8 @@
     for (auto const& evacuation : book.all()) {
         auto* message = messages.Add();
         message->set_data_centre(evacuation.data_centre);
-        message->set_version(evacuation.version);
+        message->set_version(evacuation.version.version);
+        message->set_era(evacuation.version.era);
         message->set_over(evacuation.state == Evacuation::State::Over);
     }
 }
@@ -80,7 +82,7 @@
 {
     EvacuationUpdate news;
     for (auto const& message : messages)
-        news.evacuations.push_back({ message.data_centre(), message.version(), message.over() ? Evacuation::State::Over : Evacuation::State::Ordered });
+        news.evacuations.push_back({ message.data_centre(), { message.era(), message.version() }, message.over() ? Evacuation::State::Over : Evacuation::State::Ordered });
     return news;
 }
 
--- a/Services/ConfigServer/MembershipService.cpp
+++ b/Services/ConfigServer/MembershipService.cpp
@@ -176,8 +176,11 @@
         write_digest(digest, *heartbeat->add_digests());
     if (virtual_machine.empty())
         write_record(this->table.self(), *heartbeat->add_records());
-    if (this->upstreams_version)
-        heartbeat->set_upstreams_version(this->upstreams_version());
+    if (this->upstreams_version) {
+        auto const version = this->upstreams_version();
+        heartbeat->set_upstreams_version(version.version);
+        heartbeat->set_upstreams_era(version.era);
+    }
     heartbeat->set_quarantine_digest(this->quarantine_digest());
     heartbeat->set_upstream_limits_digest(this->upstream_limits_digest());
     this->tell_evacuations(*heartbeat->mutable_evacuations());
@@ -218,8 +221,9 @@
     this->refresh_directory();
     if (!answer.digests().empty() && answer.digests(0).generation() > this->generation())
         this->on_newer_generation(endpoint, answer.digests(0).generation());
-    if (this->upstreams_version && answer.upstreams_version() > this->upstreams_version())
-        this->on_newer_upstreams(endpoint, answer.upstreams_version());
+    StorePosition const upstreams(answer.upstreams_era(), answer.upstreams_version());
+    if (this->upstreams_version && upstreams > this->upstreams_version())
+        this->on_newer_upstreams(endpoint, upstreams);
     this->on_quarantine_digest(endpoint, answer.quarantine_digest());
     this->on_upstream_limits_digest(endpoint, answer.upstream_limits_digest());
     this->hear_evacuations(answer.evacuations());
@@ -289,10 +293,13 @@
     for (auto const& digest : this->table.digests_for(heartbeat.vm()))
         write_digest(digest, *body->add_digests());
     if (this->upstreams_version) {
-        body->set_upstreams_version(this->upstreams_version());
+        auto const version = this->upstreams_version();
+        body->set_upstreams_version(version.version);
+        body->set_upstreams_era(version.era);
         auto const endpoint = this->endpoint_of(heartbeat.vm());
-        if (heartbeat.upstreams_version() > this->upstreams_version() && !endpoint.empty())
-            this->on_newer_upstreams(endpoint, heartbeat.upstreams_version());
+        StorePosition const senders(heartbeat.upstreams_era(), heartbeat.upstreams_version());
+        if (senders > version && !endpoint.empty())
+            this->on_newer_upstreams(endpoint, senders);
     }
     this->hear_evacuations(heartbeat.evacuations());
     this->tell_evacuations(*body->mutable_evacuations());
--- a/Services/ConfigServer/MembershipService.h
+++ b/Services/ConfigServer/MembershipService.h
@@ -51,7 +51,7 @@
     void handle_records(wire::MemberRecords const& records, Kernel::Responder const& respond);
 
     /// Makes the list of upstreams part of the news: its version here, and what to do when a peer's is newer.
-    void set_upstreams_hooks(std::function<std::int64_t()> version, std::function<void(std::string const& endpoint, std::int64_t version)> on_newer)
+    void set_upstreams_hooks(std::function<StorePosition()> version, std::function<void(std::string const& endpoint, StorePosition version)> on_newer)
     {
         this->upstreams_version = std::move(version);
         this->on_newer_upstreams = std::move(on_newer);
@@ -132,8 +132,8 @@
     Kernel& kernel;
     std::function<std::int64_t()> generation;
     std::function<void(std::string const& endpoint, std::int64_t generation)> on_newer_generation;
-    std::function<std::int64_t()> upstreams_version;
-    std::function<void(std::string const& endpoint, std::int64_t version)> on_newer_upstreams;
+    std::function<StorePosition()> upstreams_version;
+    std::function<void(std::string const& endpoint, StorePosition version)> on_newer_upstreams;
     std::function<std::uint64_t()> upstream_limits_digest = [] { return std::uint64_t(0); };
     std::function<void(std::string const& endpoint, std::uint64_t digest)> on_upstream_limits_digest = [](auto const&, auto) {};
     std::function<std::uint64_t()> quarantine_digest = [] { return std::uint64_t(0); };
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -180,6 +180,8 @@
 {
     RoleController::Options options;
     options.lease.length = std::max(this->settings.lease_time, SHORTEST_LEASE);
+    if (this->settings.start == NodeSettings::Start::First)
+        options.lease.missing_row = LeaseTerm::MissingRow::NeverWritten;
     RoleController::Hooks hooks;
     hooks.is_keeper = [this] { return !this->is_stopping && this->state.routes && this->membership->is_settled() && this->placement->is_keeper(); };
     hooks.engine_states = [this] { return this->placement_service->engine_states(); };
@@ -288,7 +290,7 @@
     hooks.on_evacuations = [this](auto const& news) { this->adopt_evacuations(news, "registry"); };
     hooks.on_upstreams = [this](UpstreamSnapshot const& snapshot) {
         auto const result = this->state.upstreams.replace(snapshot.listed, snapshot.position, monotonic_now());
-        LogLine("upstreams_read").with("result", result == UpstreamList::SnapshotResult::Adopted ? "adopted" : "ignored").with("count", static_cast<std::int64_t>(snapshot.listed.size())).with("version", this->state.upstreams.version()).with("position", snapshot.position);
+        LogLine("upstreams_read").with("result", result == UpstreamList::SnapshotResult::Adopted ? "adopted" : "ignored").with("count", static_cast<std::int64_t>(snapshot.listed.size())).with("version", this->state.upstreams.version().version).with("position", snapshot.position.version).with("era", snapshot.position.era);
         this->engines_changed();
         this->relay->publish();
     };
@@ -296,7 +298,7 @@
         for (auto const& change : news.changes) {
             auto const state_name = !change.record ? "gone" : change.record->life == UpstreamRecord::Life::Leaving ? "leaving"
                                                                                                                    : "serving";
-            LogLine("upstream_changed").with("upstream", change.identity).with("state", state_name).with("version", change.version);
+            LogLine("upstream_changed").with("upstream", change.identity).with("state", state_name).with("version", change.version.version).with("era", change.version.era);
             this->state.upstreams.apply(change, monotonic_now());
         }
         this->engines_changed();
@@ -322,7 +324,10 @@
     RegistryRelay::Hooks hooks;
     hooks.on_configuration = [this](auto const& found) { this->adopt(found, "peer"); };
     hooks.on_evacuations = [this](auto const& news) { this->adopt_evacuations(news, "watcher"); };
-    hooks.on_upstreams = [this] { this->engines_changed(); };
+    hooks.on_upstreams = [this] {
+        this->follower->note_era(this->state.upstreams.version().era);
+        this->engines_changed();
+    };
     hooks.configuration_version = [this] { return this->configuration_version(); };
     hooks.follows_configuration = [this] { return this->state.routes && this->follower->follows_configuration(); };
     hooks.follows_upstreams = [this] { return this->follower->follows_upstreams(); };
@@ -374,13 +379,18 @@
 
 void Node::adopt_evacuations(EvacuationUpdate const& news, std::string_view source)
 {
-    auto const changes = this->state.upstreams.merge(news);
+    auto const changes = this->state.upstreams.merge(news, monotonic_now());
+    this->announce_evacuations(changes, source);
+}
+
+void Node::announce_evacuations(std::span<Evacuation const> changes, std::string_view source)
+{
     if (changes.empty())
         return;
     for (auto const& change : changes) {
         auto const event = change.state == Evacuation::State::Ordered ? "evacuation_in_force" : "evacuation_over";
         // None where nobody here knows of such a data centre; some may come.
-        LogLine(event).with("evacuated", change.data_centre).with("version", change.version).with("source", source).with("upstreams", static_cast<std::int64_t>(this->count_upstreams(change.data_centre)));
+        LogLine(event).with("evacuated", change.data_centre).with("version", change.version.version).with("era", change.version.era).with("source", source).with("upstreams", static_cast<std::int64_t>(this->count_upstreams(change.data_centre)));
     }
     this->engines_changed();
     this->relay->publish();
@@ -502,6 +512,7 @@
     this->last_lapse_check = now;
     this->note_cut(now);
     this->state.prober.tick();
+    this->announce_evacuations(this->state.upstreams.advance_evacuations(now), "new_era");
     if (this->state.upstreams.advance(now)) {
         LogLine("lapsed_upstreams_dropped").with("left", static_cast<std::int64_t>(this->state.upstreams.size()));
         this->engines_changed();
--- a/Services/NodeServer/Node.h
+++ b/Services/NodeServer/Node.h
@@ -22,6 +22,7 @@
 #include <Services/NodeServer/NodeSettings.h>
 #include <functional>
 #include <memory>
+#include <span>
 
 namespace Spurtide {
 
@@ -83,6 +84,7 @@
     void adopt_accounts();
     std::size_t count_upstreams(std::string_view data_centre) const;
     void adopt_evacuations(EvacuationUpdate const& news, std::string_view source);
+    void announce_evacuations(std::span<Evacuation const> changes, std::string_view source);
     void adopt_departure(UpstreamIncarnation const& upstream, std::string_view source);
     void engines_changed();
     asio::awaitable<void> answer_operations(HttpExchange& exchange);
--- a/Services/NodeServer/NodeMetrics.cpp
+++ b/Services/NodeServer/NodeMetrics.cpp
@@ -11,7 +11,8 @@
     set("spurtide_ready", "1 while this VM calls itself ready", facts.state == NodeFacts::State::Ready ? 1 : 0);
     set("spurtide_stopping", "1 from the signal to stop", facts.state == NodeFacts::State::Stopping ? 1 : 0);
     set("spurtide_configuration_version", "Version of the configuration in force; 0 before the first", facts.configuration_version);
-    set("spurtide_upstreams_version", "Version of the newest change of the upstreams that is known", facts.upstreams_version);
+    set("spurtide_upstreams_version", "Version of the newest change of the upstreams that is known", facts.upstreams_version.version);
+    set("spurtide_registry_era", "Era of the registry that the list of upstreams is of; rises when the registry was restored", facts.upstreams_version.era);
     set("spurtide_upstreams", "Upstreams that are known", facts.upstreams);
     set("spurtide_live_vms", "VMs that are alive, this one among them", facts.live_virtual_machines);
     set("spurtide_caller_connections", "Open connections of callers", facts.caller_connections);
@@ -26,7 +27,7 @@
     for (auto const& [evacuation, upstreams] : facts.evacuations) {
         MetricLabels const labels { { "evacuated", evacuation.data_centre } };
         bool const is_in_force = evacuation.state == Evacuation::State::Ordered;
-        metrics.set("spurtide_evacuation_version", "The registry's version of the last order or end of a data centre's evacuation", static_cast<double>(evacuation.version), labels);
+        metrics.set("spurtide_evacuation_version", "The registry's version of the last order or end of a data centre's evacuation", static_cast<double>(evacuation.version.version), labels);
         metrics.set("spurtide_evacuated_upstreams", "Upstreams that get nothing new since their data centre is evacuated", is_in_force ? static_cast<double>(upstreams) : 0, labels);
     }
 }
--- a/Services/NodeServer/NodeMetrics.h
+++ b/Services/NodeServer/NodeMetrics.h
@@ -20,7 +20,7 @@
     } state
         = State::NotReady;
     std::int64_t configuration_version = 0;
-    std::int64_t upstreams_version = 0;
+    StorePosition upstreams_version;
     std::size_t upstreams = 0;
     std::size_t live_virtual_machines = 0;
     std::size_t caller_connections = 0;
--- a/Tests/LibDecision/TestRegistryNews.cpp
+++ b/Tests/LibDecision/TestRegistryNews.cpp
@@ -4,6 +4,7 @@
 #include <LibDecision/PeerFetchPolicy.h>
 #include <LibDecision/UpstreamList.h>
 #include <LibDecision/WatchPlan.h>
+#include <Tests/Support/StorePositions.h>
 #include <Tests/Support/VirtualClock.h>
 #include <algorithm>
 #include <catch2/catch.hpp>
@@ -45,12 +46,12 @@
 TEST_CASE("A peer that is missing some changes receives only these", "[leaving]")
 {
     UpstreamList list({});
-    list.replace({ { "a", record("a"), 3 }, { "b", record("b"), 5 } }, 7, at_milliseconds(0));
-    list.apply({ "c", record("c"), 8 }, at_milliseconds(1));
-    list.apply({ "a", {}, 9 }, at_milliseconds(2));
-    auto const listing = list.listing_since(7);
+    list.replace({ { "a", record("a"), 3_v }, { "b", record("b"), 5_v } }, 7_v, at_milliseconds(0));
+    list.apply({ "c", record("c"), 8_v }, at_milliseconds(1));
+    list.apply({ "a", {}, 9_v }, at_milliseconds(2));
+    auto const listing = list.listing_since(7_v);
     REQUIRE(listing.extent == UpstreamListing::Extent::Delta);
-    CHECK(listing.version == 9);
+    CHECK(listing.version == 9_v);
     REQUIRE(listing.records.size() == 1);
     CHECK(listing.records[0].identity == "c");
     CHECK(listing.removed == std::vector<std::string> { "a" });
@@ -61,14 +62,14 @@
     UpstreamList::Options options;
     options.remembered_removals = 2;
     UpstreamList list(options);
-    list.replace({ { "a", record("a"), 3 } }, 7, at_milliseconds(0));
+    list.replace({ { "a", record("a"), 3_v } }, 7_v, at_milliseconds(0));
     // Upstreams that were added and removed before the list was read are unknown.
-    CHECK(list.listing_since(6).extent == UpstreamListing::Extent::Snapshot);
+    CHECK(list.listing_since(6_v).extent == UpstreamListing::Extent::Snapshot);
     for (std::int64_t version = 8; version < 11; ++version)
-        list.apply({ "x" + std::to_string(version), {}, version }, at_milliseconds(version));
-    CHECK(list.listing_since(7).extent == UpstreamListing::Extent::Snapshot);
-    CHECK(list.listing_since(8).extent == UpstreamListing::Extent::Delta);
-    CHECK(list.listing_since(0).records.size() == 1);
+        list.apply({ "x" + std::to_string(version), {}, { 0, version } }, at_milliseconds(version));
+    CHECK(list.listing_since(7_v).extent == UpstreamListing::Extent::Snapshot);
+    CHECK(list.listing_since(8_v).extent == UpstreamListing::Extent::Delta);
+    CHECK(list.listing_since(0_v).records.size() == 1);
 }
 
 TEST_CASE("Equal lists that were read at different positions have the same version", "[leaving]")
@@ -76,49 +77,49 @@
     // Otherwise each VM would request what it already has from the one that read the list last.
     UpstreamList one({});
     UpstreamList other({});
-    one.replace({ { "a", record("a"), 3 } }, 7, at_milliseconds(0));
-    other.replace({ { "a", record("a"), 3 } }, 90, at_milliseconds(0));
+    one.replace({ { "a", record("a"), 3_v } }, 7_v, at_milliseconds(0));
+    other.replace({ { "a", record("a"), 3_v } }, 90_v, at_milliseconds(0));
     CHECK(one.version() == other.version());
-    CHECK(one.version() == 3);
+    CHECK(one.version() == 3_v);
 }
 
 TEST_CASE("An empty snapshot is merged like any other", "[leaving]")
 {
     // Otherwise the listing would be requested again with each heartbeat.
     UpstreamList list({});
-    list.apply({ "a", record("a"), 3 }, at_milliseconds(0));
-    list.merge({ UpstreamListing::Extent::Snapshot, 8, {}, {} }, at_milliseconds(1));
+    list.apply({ "a", record("a"), 3_v }, at_milliseconds(0));
+    list.merge({ UpstreamListing::Extent::Snapshot, 8_v, {}, {} }, at_milliseconds(1));
     CHECK_FALSE(list.takes_work("a"));
-    CHECK(list.version() == 8);
+    CHECK(list.version() == 8_v);
 }
 
 TEST_CASE("A delayed update does not revive a removed upstream", "[leaving]")
 {
     UpstreamList list({});
-    list.apply({ "a", record("a"), 3 }, at_milliseconds(0));
-    list.apply({ "a", {}, 6 }, at_milliseconds(1));
+    list.apply({ "a", record("a"), 3_v }, at_milliseconds(0));
+    list.apply({ "a", {}, 6_v }, at_milliseconds(1));
     UpstreamListing late;
     late.extent = UpstreamListing::Extent::Delta;
-    late.version = 5;
+    late.version = 5_v;
     late.records.push_back(record("a"));
     list.merge(late, at_milliseconds(2));
     CHECK_FALSE(list.takes_work("a"));
-    CHECK(list.version() == 6);
+    CHECK(list.version() == 6_v);
 }
 
 TEST_CASE("An upstream that was added again stays", "[leaving]")
 {
     UpstreamList list({});
-    list.apply({ "a", record("a"), 3 }, at_milliseconds(0));
-    list.apply({ "a", {}, 6 }, at_milliseconds(1));
+    list.apply({ "a", record("a"), 3_v }, at_milliseconds(0));
+    list.apply({ "a", {}, 6_v }, at_milliseconds(1));
     SECTION("received from a peer")
     {
-        UpstreamListing listing { UpstreamListing::Extent::Delta, 8, { record("a") }, {} };
+        UpstreamListing listing { UpstreamListing::Extent::Delta, 8_v, { record("a") }, {} };
         list.merge(listing, at_milliseconds(2));
     }
     SECTION("read with a snapshot")
     {
-        list.replace({ { "a", record("a"), 4 } }, 9, at_milliseconds(2));
+        list.replace({ { "a", record("a"), 4_v } }, 9_v, at_milliseconds(2));
     }
     CHECK(list.takes_work("a"));
 }
@@ -143,7 +144,7 @@
         case 0:
         case 1: {
             auto const identity = "u" + std::to_string(below(8));
-            UpstreamChange change { identity, {}, ++version };
+            UpstreamChange change { identity, {}, { 0, ++version } };
             if (below(3) != 0)
                 change.record = record(identity, static_cast<std::int64_t>(below(50)) + 1);
             history.push_back(change);
@@ -171,15 +172,165 @@
     }
     for (std::size_t i = 0; i < vms.size(); ++i) {
         vms[i].merge(expected.listing_since(vms[i].version()), at_milliseconds(1000));
-        CAPTURE(seed, i, vms[i].version());
+        CAPTURE(seed, i, vms[i].version().version);
         CHECK(vms[i].version() == expected.version());
         CHECK(vms[i].records() == expected.records());
     }
 }
 
+namespace {
+
+/// A registry that may be restored from an older copy, with what a client of it sees.
+class RestorableRegistry {
+public:
+    struct Row {
+        std::int64_t version = 0;
+        /// Empty for a removed row.
+        std::optional<UpstreamRecord> record;
+    };
+
+    void write(std::string const& identity, std::optional<UpstreamRecord> record)
+    {
+        this->copies.push_back(this->contents);
+        this->contents.rows.insert_or_assign(identity, Row { ++this->contents.version, std::move(record) });
+    }
+    void restore(std::size_t writes_lost)
+    {
+        this->copies.resize(this->copies.size() - std::min(writes_lost, this->copies.size() - 1));
+        this->contents = this->copies.back();
+        ++this->era;
+    }
+    StorePosition position() const { return { this->era, this->contents.version }; }
+    std::vector<UpstreamChange> snapshot() const
+    {
+        std::vector<UpstreamChange> listed;
+        for (auto const& [identity, row] : this->contents.rows) {
+            if (row.record)
+                listed.push_back({ identity, row.record, { this->era, row.version } });
+        }
+        return listed;
+    }
+    /// Empty if there is no history since the position.
+    std::optional<std::vector<UpstreamChange>> changes_since(StorePosition position) const
+    {
+        if (position.era != this->era || position.version > this->contents.version)
+            return {};
+        std::vector<UpstreamChange> changes;
+        for (auto const& [identity, row] : this->contents.rows) {
+            if (row.version > position.version)
+                changes.push_back({ identity, row.record, { this->era, row.version } });
+        }
+        std::sort(changes.begin(), changes.end(), [](auto const& one, auto const& other) { return one.version < other.version; });
+        return changes;
+    }
+
+private:
+    struct Contents {
+        std::map<std::string, Row> rows;
+        std::int64_t version = 0;
+    };
+    Contents contents;
+    std::vector<Contents> copies { {} };
+    std::int64_t era = 1;
+};
+
+/// A VM that follows the registry as RegistryFollower does.
+struct FollowingVirtualMachine {
+    void follow(RestorableRegistry const& registry, MonotonicTime now)
+    {
+        if (this->position)
+            this->position = std::max(*this->position, this->list.version());
+        auto const changes = this->position ? registry.changes_since(*this->position) : std::nullopt;
+        if (changes) {
+            for (auto const& change : *changes)
+                this->list.apply(change, now);
+        } else {
+            static_cast<void>(this->list.replace(registry.snapshot(), registry.position(), now));
+        }
+        this->position = registry.position();
+    }
+
+    UpstreamList list { UpstreamList::Options {} };
+    std::optional<StorePosition> position;
+};
+
+}
+
+// Guards against lists that differ for good after VMs heard of a restored registry in different orders, from it and from each other.
+TEST_CASE("VMs that hear of restorations in any order converge to the registry's list", "[leaving][platform-down][cut]")
+{
+    auto const seed = GENERATE(range(1U, 61U));
+    CAPTURE(seed);
+    std::mt19937 random(seed);
+    auto const below = [&](std::size_t count) { return std::uniform_int_distribution<std::size_t>(0, count - 1)(random); };
+    RestorableRegistry registry;
+    // The last one never hears of the registry itself.
+    std::vector<FollowingVirtualMachine> vms(4);
+    std::vector<UpstreamListing> in_flight;
+    std::int64_t starts = 0;
+    int now = 0;
+    for (int step = 0; step < 400; ++step) {
+        now += static_cast<int>(below(200));
+        auto const time = at_milliseconds(now);
+        auto const index = below(vms.size());
+        auto& vm = vms[index];
+        switch (below(8)) {
+        case 0:
+        case 1: {
+            auto const identity = "u" + std::to_string(below(8));
+            std::optional<UpstreamRecord> written;
+            if (below(3) != 0) {
+                written = record(identity);
+                written->started = ++starts;
+            }
+            registry.write(identity, written);
+            break;
+        }
+        case 2:
+        case 3:
+            if (index + 1 < vms.size())
+                vm.follow(registry, time);
+            break;
+        case 4:
+            in_flight.push_back(vms[below(vms.size())].list.listing_since(vm.list.version()));
+            if (below(2) == 0)
+                vm.list.merge(in_flight.back(), time);
+            break;
+        case 5:
+            // A delayed response to a request of this VM. A delta requested by another VM would not apply.
+            if (!in_flight.empty() && in_flight.back().version <= vm.list.version())
+                vm.list.merge(in_flight.back(), time);
+            break;
+        case 6:
+            static_cast<void>(vm.list.advance(time));
+            break;
+        default:
+            if (below(4) == 0)
+                registry.restore(below(6));
+            break;
+        }
+    }
+    now += 1000;
+    for (std::size_t i = 0; i + 1 < vms.size(); ++i)
+        vms[i].follow(registry, at_milliseconds(now));
+    vms.back().list.merge(vms.front().list.listing_since(vms.back().list.version()), at_milliseconds(now));
+    now += 15'000;
+    std::map<std::string, UpstreamRecord> expected;
+    for (auto const& change : registry.snapshot())
+        expected.insert_or_assign(change.identity, *change.record);
+    for (std::size_t i = 0; i < vms.size(); ++i) {
+        static_cast<void>(vms[i].list.advance(at_milliseconds(now)));
+        std::map<std::string, UpstreamRecord> listed;
+        for (auto const& known : vms[i].list.records())
+            listed.insert_or_assign(known.identity, known);
+        CAPTURE(i);
+        CHECK(listed == expected);
+    }
+}
+
 TEST_CASE("Newer state of a peer is fetched only if it does not arrive otherwise", "[platform-down][config]")
 {
-    using Source = PeerFetchPolicy::LocalSource;
+    using Source = LocalSource;
     struct Step {
         int at;
         std::int64_t peers;
@@ -202,7 +353,7 @@
         { "watchers may take longer than the registry", { { 0, 6, 5, Source::Watchers, false }, { 599, 6, 5, Source::Watchers, false }, { 600, 6, 5, Source::Watchers, true } } },
         { "what its own watcher tells is asked for at once", { { 0, 6, 5, Source::Watchers, false }, { 50, 6, 5, Source::Unavailable, true } } },
     }));
-    PeerFetchPolicy tracker({ milliseconds(300), milliseconds(600), milliseconds(250) });
+    PeerFetchPolicy<std::int64_t> tracker({ milliseconds(300), milliseconds(600), milliseconds(250) });
     for (auto const& step : row.steps) {
         CAPTURE(row.name, step.at);
         CHECK(tracker.should_fetch(step.peers, step.own, step.source, at_milliseconds(step.at)) == step.fetches);
--- a/Tests/LibDecision/TestUpstreams.cpp
+++ b/Tests/LibDecision/TestUpstreams.cpp
@@ -4,6 +4,7 @@
 #include <LibDecision/SharedRetryBudget.h>
 #include <LibDecision/UpstreamList.h>
 #include <LibDecision/UpstreamSelector.h>
+#include <Tests/Support/StorePositions.h>
 #include <Tests/Support/VirtualClock.h>
 #include <catch2/catch.hpp>
 
@@ -29,9 +30,9 @@
 TEST_CASE("An entry that ends while the registry is available is removed at once", "[leaving]")
 {
     UpstreamList list({ milliseconds(1800) });
-    list.apply({ "a", record("a"), 1 }, at_milliseconds(0));
+    list.apply({ "a", record("a"), 1_v }, at_milliseconds(0));
     REQUIRE(list.takes_work("a"));
-    list.apply({ "a", {}, 2 }, at_milliseconds(5000));
+    list.apply({ "a", {}, 2_v }, at_milliseconds(5000));
     REQUIRE_FALSE(list.takes_work("a"));
     REQUIRE(list.size() == 0);
 }
@@ -39,28 +40,28 @@
 TEST_CASE("An upstream that leaves receives no new work", "[leaving]")
 {
     UpstreamList list({ milliseconds(1800) });
-    list.apply({ "a", record("a"), 1 }, at_milliseconds(0));
-    list.apply({ "a", record("a", UpstreamRecord::Life::Leaving), 2 }, at_milliseconds(10));
+    list.apply({ "a", record("a"), 1_v }, at_milliseconds(0));
+    list.apply({ "a", record("a", UpstreamRecord::Life::Leaving), 2_v }, at_milliseconds(10));
     REQUIRE_FALSE(list.takes_work("a"));
     // A delayed earlier change is ignored.
-    list.apply({ "a", record("a"), 1 }, at_milliseconds(20));
+    list.apply({ "a", record("a"), 1_v }, at_milliseconds(20));
     REQUIRE_FALSE(list.takes_work("a"));
 }
 
 TEST_CASE("Entries that expired during a registry outage are retained until shortly after it", "[leaving][platform-down]")
 {
     UpstreamList list({ milliseconds(1800) });
-    list.apply({ "a", record("a"), 1 }, at_milliseconds(0));
-    list.apply({ "b", record("b"), 1 }, at_milliseconds(0));
-    list.apply({ "c", record("c", UpstreamRecord::Life::Leaving), 1 }, at_milliseconds(0));
+    list.apply({ "a", record("a"), 1_v }, at_milliseconds(0));
+    list.apply({ "b", record("b"), 1_v }, at_milliseconds(0));
+    list.apply({ "c", record("c", UpstreamRecord::Life::Leaving), 1_v }, at_milliseconds(0));
     list.note_registry(UpstreamList::RegistryState::Unreachable, at_milliseconds(1000));
     list.note_registry(UpstreamList::RegistryState::Available, at_milliseconds(6000));
-    list.replace({}, 9, at_milliseconds(6000));
+    list.replace({}, 9_v, at_milliseconds(6000));
     REQUIRE(list.takes_work("a"));
-    REQUIRE(list.listing_since(0).records.empty());
+    REQUIRE(list.listing_since(0_v).records.empty());
     // The upstream had announced its departure.
     REQUIRE_FALSE(list.find("c"));
-    list.apply({ "a", record("a"), 10 }, at_milliseconds(7000));
+    list.apply({ "a", record("a"), 10_v }, at_milliseconds(7000));
     REQUIRE_FALSE(list.advance(at_milliseconds(7700)));
     REQUIRE(list.advance(at_milliseconds(7800)));
     REQUIRE(list.takes_work("a"));
@@ -70,12 +71,12 @@
 TEST_CASE("Entries that expire during a second outage are not dropped by the grace period of the first", "[leaving][platform-down]")
 {
     UpstreamList list({ milliseconds(1800) });
-    list.apply({ "a", record("a"), 1 }, at_milliseconds(0));
+    list.apply({ "a", record("a"), 1_v }, at_milliseconds(0));
     list.note_registry(UpstreamList::RegistryState::Unreachable, at_milliseconds(1000));
     list.note_registry(UpstreamList::RegistryState::Available, at_milliseconds(2000));
     list.note_registry(UpstreamList::RegistryState::Unreachable, at_milliseconds(9000));
     // From a peer whose registry has just recovered without any entries.
-    list.replace({}, 5, at_milliseconds(9500));
+    list.replace({}, 5_v, at_milliseconds(9500));
     REQUIRE_FALSE(list.advance(at_milliseconds(20'000)));
     REQUIRE(list.takes_work("a"));
     list.note_registry(UpstreamList::RegistryState::Available, at_milliseconds(21'000));
@@ -86,10 +87,10 @@
 TEST_CASE("A snapshot that is older than the known version is ignored")
 {
     UpstreamList list({ milliseconds(1800) });
-    list.replace({ { "a", record("a"), 7 } }, 7, at_milliseconds(0));
-    list.replace({}, 6, at_milliseconds(10));
+    list.replace({ { "a", record("a"), 7_v } }, 7_v, at_milliseconds(0));
+    list.replace({}, 6_v, at_milliseconds(10));
     REQUIRE(list.takes_work("a"));
-    REQUIRE(list.version() == 7);
+    REQUIRE(list.version() == 7_v);
 }
 
 TEST_CASE("Extra sends stay within the share of a VM", "[not-run]")
@@ -178,18 +179,18 @@
 TEST_CASE("An announced departure outlasts changes of the entry until the upstream starts again", "[leaving][platform-down]")
 {
     UpstreamList list({ milliseconds(1800) });
-    list.apply({ "a", started("a", 1000), 1 }, at_milliseconds(0));
+    list.apply({ "a", started("a", 1000), 1_v }, at_milliseconds(0));
     CHECK(list.note_departure({ "a", 1000 }));
     CHECK_FALSE(list.note_departure({ "a", 1000 }));
     CHECK_FALSE(list.takes_work("a"));
-    list.apply({ "a", started("a", 1000), 2 }, at_milliseconds(10));
+    list.apply({ "a", started("a", 1000), 2_v }, at_milliseconds(10));
     CHECK_FALSE(list.takes_work("a"));
-    list.apply({ "a", record("a"), 2 }, at_milliseconds(15));
+    list.apply({ "a", record("a"), 2_v }, at_milliseconds(15));
     CHECK_FALSE(list.takes_work("a"));
-    list.apply({ "a", {}, 3 }, at_milliseconds(20));
-    list.replace({ { "a", started("a", 1000), 4 } }, 4, at_milliseconds(30));
+    list.apply({ "a", {}, 3_v }, at_milliseconds(20));
+    list.replace({ { "a", started("a", 1000), 4_v } }, 4_v, at_milliseconds(30));
     CHECK_FALSE(list.takes_work("a"));
-    list.apply({ "a", started("a", 2000), 5 }, at_milliseconds(40));
+    list.apply({ "a", started("a", 2000), 5_v }, at_milliseconds(40));
     CHECK(list.takes_work("a"));
     // A late response of the earlier incarnation.
     CHECK_FALSE(list.note_departure({ "a", 1000 }));
@@ -199,8 +200,8 @@
 TEST_CASE("Peers are told of departures apart from the registry's state", "[leaving]")
 {
     UpstreamList list({ milliseconds(1800) });
-    list.apply({ "a", started("a", 1000), 1 }, at_milliseconds(0));
-    list.apply({ "b", record("b"), 2 }, at_milliseconds(0));
+    list.apply({ "a", started("a", 1000), 1_v }, at_milliseconds(0));
+    list.apply({ "b", record("b"), 2_v }, at_milliseconds(0));
     CHECK(list.departures_digest() == 0);
     list.note_departure({ "a", 1000 });
     list.note_departure({ "b", 0 });
@@ -209,13 +210,13 @@
     auto const both = list.departures_digest();
     CHECK(both != 0);
     CHECK(list.unregistered_departures() == std::vector<UpstreamIncarnation> { { "a", 1000 }, { "b", 0 } });
-    for (auto const& listed : list.listing_since(0).records)
+    for (auto const& listed : list.listing_since(0_v).records)
         CHECK(listed.life == UpstreamRecord::Life::Serving);
     // The registry tells of this one from here on.
-    list.apply({ "b", record("b", UpstreamRecord::Life::Leaving), 3 }, at_milliseconds(10));
+    list.apply({ "b", record("b", UpstreamRecord::Life::Leaving), 3_v }, at_milliseconds(10));
     CHECK(list.unregistered_departures() == std::vector<UpstreamIncarnation> { { "a", 1000 } });
     CHECK(list.departures_digest() != both);
-    list.apply({ "c", record("c"), 4 }, at_milliseconds(20));
+    list.apply({ "c", record("c"), 4_v }, at_milliseconds(20));
     CHECK_FALSE(list.takes_work("c"));
 }
 
@@ -224,11 +225,135 @@
     UpstreamList::Options options;
     options.remembered_departures = 3;
     UpstreamList list(options);
-    list.apply({ "a", record("a"), 1 }, at_milliseconds(0));
+    list.apply({ "a", record("a"), 1_v }, at_milliseconds(0));
     list.note_departure({ "a", 0 });
     for (auto const* identity : { "b", "c", "d", "e" })
         list.note_departure({ identity, 0 });
     CHECK_FALSE(list.takes_work("a"));
-    list.apply({ "b", record("b"), 2 }, at_milliseconds(0));
+    list.apply({ "b", record("b"), 2_v }, at_milliseconds(0));
     CHECK(list.takes_work("b"));
 }
+
+namespace {
+
+/// A list that read an older copy's position 90 and followed the first era to 120.
+UpstreamList list_before_restoration()
+{
+    UpstreamList list({});
+    list.replace({ { "kept", started("kept", 1000), { 1, 10 } }, { "left", started("left", 1000), { 1, 11 } }, { "gone", started("gone", 1000), { 1, 12 } } }, { 1, 90 }, at_milliseconds(0));
+    list.apply({ "left", [] {
+                    auto record = started("left", 1000);
+                    record.life = UpstreamRecord::Life::Leaving;
+                    return record;
+                }(),
+                   { 1, 100 } },
+        at_milliseconds(10));
+    list.apply({ "gone", {}, { 1, 110 } }, at_milliseconds(20));
+    list.apply({ "new", started("new", 1000), { 1, 120 } }, at_milliseconds(30));
+    return list;
+}
+
+std::vector<UpstreamChange> older_copy()
+{
+    return { { "kept", started("kept", 1000), { 2, 10 } }, { "left", started("left", 1000), { 2, 11 } }, { "gone", started("gone", 1000), { 2, 12 } } };
+}
+
+}
+
+// Guards against a restored registry that is ignored until its versions have caught up.
+TEST_CASE("A snapshot of a later era is adopted, whatever its versions", "[leaving][platform-down]")
+{
+    auto list = list_before_restoration();
+    REQUIRE(list.replace(older_copy(), { 2, 95 }, at_milliseconds(1000)) == UpstreamList::SnapshotResult::Adopted);
+    CHECK(list.version() == StorePosition(2, 12));
+    CHECK(list.takes_work("kept"));
+    auto leaving = started("kept", 1000);
+    leaving.life = UpstreamRecord::Life::Leaving;
+    list.apply({ "kept", leaving, { 2, 96 } }, at_milliseconds(1100));
+    CHECK_FALSE(list.takes_work("kept"));
+    CHECK(list.replace({}, { 1, 200 }, at_milliseconds(1200)) == UpstreamList::SnapshotResult::Ignored);
+    CHECK(list.size() == 4);
+}
+
+// Guards against an older copy whose contents are believed before they could be written again.
+TEST_CASE("What an older copy contradicts holds until there was time to write it again", "[leaving][platform-down]")
+{
+    auto list = list_before_restoration();
+    list.replace(older_copy(), { 2, 95 }, at_milliseconds(1000));
+    CHECK_FALSE(list.takes_work("left"));
+    CHECK_FALSE(list.takes_work("gone"));
+    CHECK(list.takes_work("new"));
+    SECTION("written again")
+    {
+        list.apply({ "new", started("new", 1000), { 2, 96 } }, at_milliseconds(1500));
+        list.apply({ "gone", {}, { 2, 97 } }, at_milliseconds(1500));
+        static_cast<void>(list.advance(at_milliseconds(12'000)));
+        CHECK(list.takes_work("new"));
+        CHECK_FALSE(list.takes_work("gone"));
+        CHECK_FALSE(list.takes_work("left"));
+    }
+    SECTION("never written again")
+    {
+        CHECK_FALSE(list.advance(at_milliseconds(3999)));
+        CHECK(list.advance(at_milliseconds(4000)));
+        CHECK(list.find("new") == nullptr);
+        CHECK_FALSE(list.takes_work("gone"));
+        CHECK(list.advance(at_milliseconds(11'000)));
+        CHECK(list.takes_work("gone"));
+        CHECK_FALSE(list.takes_work("left"));
+    }
+    SECTION("announced anew, which no copy can hold")
+    {
+        list.apply({ "gone", started("gone", 1000), { 2, 96 } }, at_milliseconds(1500));
+        CHECK(list.takes_work("gone"));
+    }
+    SECTION("the next incarnations")
+    {
+        list.apply({ "gone", started("gone", 2000), { 2, 96 } }, at_milliseconds(1500));
+        list.apply({ "left", started("left", 2000), { 2, 97 } }, at_milliseconds(1500));
+        CHECK(list.takes_work("gone"));
+        CHECK(list.takes_work("left"));
+    }
+    SECTION("a second restoration")
+    {
+        list.replace(older_copy(), { 3, 94 }, at_milliseconds(2000));
+        CHECK(list.takes_work("new"));
+        CHECK_FALSE(list.takes_work("gone"));
+        CHECK_FALSE(list.takes_work("left"));
+    }
+}
+
+// Guards against peers that still have the earlier era and bring its contents back.
+TEST_CASE("A peer of an earlier era changes nothing, and receives a snapshot", "[leaving][platform-down][cut]")
+{
+    auto const behind = list_before_restoration();
+    auto list = list_before_restoration();
+    list.replace(older_copy(), { 2, 95 }, at_milliseconds(1000));
+    static_cast<void>(list.advance(at_milliseconds(4000)));
+    REQUIRE(list.find("new") == nullptr);
+    for (auto const known : { StorePosition(), StorePosition(1, 100), StorePosition(2, 1) })
+        list.merge(behind.listing_since(known), at_milliseconds(4100));
+    CHECK(list.find("new") == nullptr);
+    CHECK(list.version() == StorePosition(2, 12));
+
+    auto peer = behind;
+    auto const listing = list.listing_since(peer.version());
+    REQUIRE(listing.extent == UpstreamListing::Extent::Snapshot);
+    peer.merge(listing, at_milliseconds(5000));
+    CHECK(peer.version() == list.version());
+    CHECK(peer.takes_work("kept"));
+    CHECK_FALSE(peer.takes_work("left"));
+    CHECK_FALSE(peer.takes_work("gone"));
+    // It has heard of the new era only now.
+    CHECK(peer.takes_work("new"));
+    static_cast<void>(peer.advance(at_milliseconds(8000)));
+    CHECK(peer.find("new") == nullptr);
+}
+
+TEST_CASE("Changes relative to a list of another era are ignored", "[leaving][platform-down]")
+{
+    auto list = list_before_restoration();
+    list.merge({ UpstreamListing::Extent::Delta, { 2, 130 }, { record("other") }, { "kept" } }, at_milliseconds(1000));
+    CHECK(list.takes_work("kept"));
+    CHECK(list.version() == StorePosition(1, 120));
+}
--- a/Tests/LibRouter/TestPlacementService.cpp
+++ b/Tests/LibRouter/TestPlacementService.cpp
@@ -2,11 +2,13 @@
 // SPDX-License-Identifier: BSD-2-Clause
 
 #include <LibRouter/PlacementService.h>
+#include <Tests/Support/StorePositions.h>
 #include <catch2/catch.hpp>
 #include <google/protobuf/stubs/logging.h>
 #include <random>
 
 using namespace Spurtide;
+using namespace Spurtide::Tests;
 
 namespace {
 
@@ -39,7 +41,7 @@
         UpstreamList upstreams { UpstreamList::Options {} };
         UpstreamRecord prefill { "p", "m", "127.0.0.1:1", "dc", 8, UpstreamRecord::Life::Serving, EngineRole::Prefill, 0 };
         UpstreamRecord decode { "d", "m", "127.0.0.1:2", "dc", 8, UpstreamRecord::Life::Serving, EngineRole::Decode, 0 };
-        upstreams.replace({ { prefill.identity, prefill, 1 }, { decode.identity, decode, 1 } }, 1, MonotonicTime {});
+        upstreams.replace({ { prefill.identity, prefill, 1_v }, { decode.identity, decode, 1_v } }, 1_v, MonotonicTime {});
         this->placement_service->set_engines(engines_of_model(), upstreams);
     }
 
@@ -89,7 +91,7 @@
     record.service = "other";
     record.address = "127.0.0.1:1";
     record.role = EngineRole::Decode;
-    upstreams.replace({ { record.identity, record, 1 } }, 1, MonotonicTime {});
+    upstreams.replace({ { record.identity, record, 1_v } }, 1_v, MonotonicTime {});
     test.placement_service->set_engines(configuration, upstreams);
     auto const reply = test.ask("r1");
     REQUIRE(reply);
@@ -191,9 +193,9 @@
     std::vector<UpstreamChange> listed;
     for (int i = 0; i < 4000; ++i) {
         UpstreamRecord engine { "e" + std::to_string(i), "m", "127.0.0.1:1", "dc-" + std::to_string(i % 2), 8, UpstreamRecord::Life::Serving, i % 3 == 0 ? EngineRole::Prefill : EngineRole::Decode, 0 };
-        listed.push_back({ engine.identity, engine, 1 });
+        listed.push_back({ engine.identity, engine, 1_v });
     }
-    upstreams.replace(listed, 1, MonotonicTime {});
+    upstreams.replace(listed, 1_v, MonotonicTime {});
     test.placement_service->offer_engines(std::make_shared<RouteTable const>(engines_of_model()), upstreams);
     int granted = 0;
     auto const ask = [&] {
--- a/Tests/LibRouter/TestRegistryRelay.cpp
+++ b/Tests/LibRouter/TestRegistryRelay.cpp
@@ -4,6 +4,7 @@
 #include <LibCore/Clock.h>
 #include <LibRouter/RegistryRelay.h>
 #include <Tests/Support/LoopKernel.h>
+#include <Tests/Support/StorePositions.h>
 #include <asio.hpp>
 #include <catch2/catch.hpp>
 
@@ -39,7 +40,7 @@
         UpstreamRecord record;
         record.identity = identity;
         record.address = "127.0.0.1:1";
-        this->upstreams.apply({ identity, record, version }, monotonic_now());
+        this->upstreams.apply({ identity, record, { 0, version } }, monotonic_now());
     }
 
     std::unique_ptr<Kernel> kernel;
@@ -100,9 +101,9 @@
     for (auto const* listener : test.listeners)
         CHECK(listener->upstreams.takes_work("a"));
     test.watcher[0]->change("b", 5);
-    test.watcher[0]->upstreams.apply({ "a", {}, 6 }, monotonic_now());
+    test.watcher[0]->upstreams.apply({ "a", {}, 6_v }, monotonic_now());
     test.watcher[0]->relay->publish();
-    REQUIRE(test.run_until([&] { return test.listeners[0]->upstreams.version() == 6 && test.listeners[1]->upstreams.version() == 6; }));
+    REQUIRE(test.run_until([&] { return test.listeners[0]->upstreams.version() == 6_v && test.listeners[1]->upstreams.version() == 6_v; }));
     for (auto const* listener : test.listeners) {
         CHECK(listener->upstreams.takes_work("b"));
         CHECK_FALSE(listener->upstreams.takes_work("a"));
@@ -128,7 +129,7 @@
     knows.configuration = 7;
     knows.relay->set_document({ "the configuration" });
     lacks.follows = false;
-    lacks.relay->handle_upstreams_version(knows.kernel->endpoint(), 3);
+    lacks.relay->handle_upstreams_version(knows.kernel->endpoint(), 3_v);
     lacks.relay->handle_configuration_version(knows.kernel->endpoint(), 7);
     REQUIRE(test.run_until([&] { return lacks.upstreams.takes_work("a") && !lacks.configurations.empty(); }));
     CHECK(lacks.configurations == std::vector<std::string> { "the configuration" });
@@ -140,11 +141,11 @@
     auto& knows = *test.watcher[0];
     auto& lacks = *test.listeners[0];
     knows.change("a", 3);
-    lacks.relay->handle_upstreams_version(knows.kernel->endpoint(), 3);
+    lacks.relay->handle_upstreams_version(knows.kernel->endpoint(), 3_v);
     CHECK_FALSE(lacks.kernel->sent_traffic().contains("get_upstreams"));
     // The following heartbeats announce the version again.
     REQUIRE(test.run_until([&] {
-        lacks.relay->handle_upstreams_version(knows.kernel->endpoint(), 3);
+        lacks.relay->handle_upstreams_version(knows.kernel->endpoint(), 3_v);
         return lacks.upstreams.takes_work("a");
     }));
     CHECK(lacks.kernel->sent_traffic().contains("get_upstreams"));
@@ -192,3 +193,45 @@
     REQUIRE(test.run_until([&] { return test.listeners[0]->relay->watches() && test.listeners[1]->relay->watches(); }));
     CHECK(test.watcher[0]->kernel->sent_traffic().at("registry_news").messages == told);
 }
+
+// Guards against a VM that still has the earlier era and tells others of it.
+TEST_CASE("VMs that hear of a restored registry at different times agree on the later era", "[leaving][platform-down][cut]")
+{
+    RelayTest test;
+    auto const keep = [&](RelayVirtualMachine& machine, std::vector<std::string> const& identities, StorePosition position) {
+        std::vector<UpstreamChange> listed;
+        for (auto const& identity : identities) {
+            UpstreamRecord record;
+            record.identity = identity;
+            record.address = "127.0.0.1:1";
+            listed.push_back({ identity, record, position });
+        }
+        machine.upstreams.replace(listed, position, monotonic_now());
+    };
+    for (auto const& machine : test.machines)
+        keep(*machine, { "a", "lost" }, { 1, 120 });
+    auto& informed = *test.machines[0];
+    auto& late = *test.machines[1];
+    auto& cut_off = *test.machines[2];
+    informed.follows = late.follows = cut_off.follows = false;
+    keep(informed, { "a" }, { 2, 95 });
+    REQUIRE(informed.upstreams.version() == StorePosition(2, 95));
+
+    // The version of the earlier era is higher, and neither announced nor fetched in the place of the later one.
+    informed.relay->handle_upstreams_version(cut_off.kernel->endpoint(), cut_off.upstreams.version());
+    late.relay->handle_upstreams_version(informed.kernel->endpoint(), informed.upstreams.version());
+    REQUIRE(test.run_until([&] { return late.upstreams.version() == StorePosition(2, 95); }));
+    late.relay->handle_upstreams_version(cut_off.kernel->endpoint(), cut_off.upstreams.version());
+    CHECK(late.upstreams.takes_work("a"));
+    CHECK(late.upstreams.takes_work("lost"));
+    REQUIRE(test.run_until([&] {
+        static_cast<void>(informed.upstreams.advance(monotonic_now()));
+        static_cast<void>(late.upstreams.advance(monotonic_now()));
+        return informed.upstreams.find("lost") == nullptr && late.upstreams.find("lost") == nullptr;
+    }));
+    CHECK(informed.changes == 0);
+    CHECK(late.changes == 1);
+    CHECK(cut_off.upstreams.version() == StorePosition(1, 120));
+    cut_off.relay->handle_upstreams_version(late.kernel->endpoint(), late.upstreams.version());
+    REQUIRE(test.run_until([&] { return cut_off.upstreams.version() == StorePosition(2, 95); }));
+}
--- a/Tests/LibWire/TestWireUpstreams.cpp
+++ b/Tests/LibWire/TestWireUpstreams.cpp
@@ -20,7 +20,7 @@
 {
     UpstreamListing listing;
     listing.extent = GENERATE(UpstreamListing::Extent::Snapshot, UpstreamListing::Extent::Delta);
-    listing.version = 9;
+    listing.version = StorePosition(2, 9);
     listing.records.push_back({ "i-1", "engines", "127.0.0.1:80", "dc", 64, UpstreamRecord::Life::Leaving, EngineRole::Decode, 3, 0 });
     listing.removed = { "i-2", "i-3" };
     wire::UpstreamsContent message;
@@ -31,3 +31,12 @@
     CHECK(read.records == listing.records);
     CHECK(read.removed == listing.removed);
 }
+
+TEST_CASE("Evacuations come back from the wire as they were")
+{
+    EvacuationTable table(EvacuationTable::Options {});
+    table.merge({ EvacuationUpdate::Extent::Delta, { { "a", { 1, 7 }, Evacuation::State::Ordered }, { "b", { 2, 3 }, Evacuation::State::Over } }, {} }, MonotonicTime {});
+    wire::Heartbeat message;
+    write_evacuations(table, *message.mutable_evacuations());
+    CHECK(read_evacuations(message.evacuations()).evacuations == table.all());
+}
--- a/Tests/Platform/PeerVirtualMachine.h
+++ b/Tests/Platform/PeerVirtualMachine.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <LibCore/Clock.h>
 #include <Services/ConfigServer/MembershipService.h>
 #include <Tests/Platform/NodeUnderTest.h>
 #include <Tests/Support/LoopKernel.h>
@@ -23,7 +24,7 @@
         options.heartbeat_interval = milliseconds(500);
         this->membership = std::make_unique<MembershipService>(
             options, *this->kernel, [] { return 0; }, [](auto const&, auto) {});
-        this->membership->set_evacuation_hooks([this]() -> EvacuationTable const& { return this->evacuations; }, [this](auto const& news) { this->evacuations.merge(news); });
+        this->membership->set_evacuation_hooks([this]() -> EvacuationTable const& { return this->evacuations; }, [this](auto const& news) { this->evacuations.merge(news, monotonic_now()); });
         this->kernel->host("directory", [this](wire::Envelope const& request, Kernel::Responder const& respond) {
             if (request.has_heartbeat())
                 this->membership->handle_heartbeat(request.heartbeat(), respond);
@@ -41,7 +42,7 @@
     PeerVirtualMachine& operator=(PeerVirtualMachine const&) = delete;
 
     /// What this VM tells with its heartbeats, and has heard.
-    EvacuationTable evacuations;
+    EvacuationTable evacuations { EvacuationTable::Options {} };
     void run() { this->loop.run_for(std::chrono::milliseconds(2)); }
 
     /// Runs both until the node counts this one as alive.
--- a/Tests/Platform/TestEvacuation.cpp
+++ b/Tests/Platform/TestEvacuation.cpp
@@ -1,6 +1,7 @@
 // SPDX-FileCopyrightText: 2026 The Spurtide developers
 // SPDX-License-Identifier: BSD-2-Clause
 
+#include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
 #include <Tests/Platform/PeerVirtualMachine.h>
 #include <Tests/Platform/TwoDataCentres.h>
@@ -85,7 +86,7 @@
     test.beside = [&] { peer.run(); };
     REQUIRE(peer.is_seen_by(test));
     test.store.set_fault(StoreStandIn::Fault::Busy);
-    peer.evacuations.merge({ EvacuationUpdate::Extent::Delta, { { "there", 900, Evacuation::State::Ordered } }, 0 });
+    peer.evacuations.merge({ EvacuationUpdate::Extent::Delta, { { "there", { 1, 900 }, Evacuation::State::Ordered } }, {} }, monotonic_now());
     test.wait_for("i-6", UpstreamRecord::Life::Leaving);
     PeerVirtualMachine other(test, "vm-3");
     test.beside = [&] { other.run(); };
--- a/Tests/Platform/TestRestoredStore.cpp
+++ b/Tests/Platform/TestRestoredStore.cpp
@@ -42,7 +42,9 @@
     /// Waits until the node has heard of all changes of the registry so far.
     void hear_registry()
     {
-        UpstreamStandIn const last(this->loop, "marker-" + std::to_string(++this->markers));
+        UpstreamStandIn last(this->loop, "marker-" + std::to_string(++this->markers));
+        // Where nothing is evacuated.
+        last.data_centre = "elsewhere";
         this->list(last, "other");
     }
 
@@ -162,7 +164,7 @@
         test.hear_registry();
         CHECK(test.node->knows_upstream("i-1", Life::Leaving));
         test.store.put("op", "evacuate/dc", nlohmann::json::object());
-        test.run_for(seconds(3));
+        test.run_for(seconds(4));
         CHECK(test.node->knows_upstream("i-1", Life::Leaving));
         test.store.remove("op", "evacuate/dc");
         CHECK(test.becomes("i-1", Life::Serving));
@@ -180,7 +182,7 @@
         test.hear_registry();
         CHECK(test.node->knows_upstream("i-1", Life::Serving));
         test.store.remove("op", "evacuate/dc");
-        test.run_for(seconds(3));
+        test.run_for(seconds(4));
         CHECK(test.node->knows_upstream("i-1", Life::Serving));
         test.store.put("op", "evacuate/dc", nlohmann::json::object());
         CHECK(test.becomes("i-1", Life::Leaving));
