ReplicatedQuarantine: Write again what a restored store lacks

Requests that are kept from upstreams since they crash them have a row in the store, for a start of all VMs. A store that was restored from an older copy has lost the rows of its last seconds, and nobody wrote them again: after a start of all VMs such a request would crash upstreams anew.

The VM that keeps the engines compares the store's rows with what all VMs know, once an era and only where there is something to keep, and writes what is missing. The new test fails without it (one row of two); the other shows that nothing is read where nothing is quarantined.

--- a/Libraries/LibRouter/ReplicatedQuarantine.cpp
+++ b/Libraries/LibRouter/ReplicatedQuarantine.cpp
@@ -45,6 +45,11 @@
     auto const entry = this->quarantine.add(request, unix_milliseconds());
     this->broadcast(entry);
     this->pending_writes.insert_or_assign(request, entry);
+    this->start_writing();
+}
+
+void ReplicatedQuarantine::start_writing()
+{
     if (!std::exchange(this->is_writing, true))
         asio::co_spawn(this->loop, this->write_store(), asio::detached);
 }
@@ -85,6 +90,40 @@
     }
 }
 
+void ReplicatedQuarantine::verify_store(std::int64_t era)
+{
+    bool const is_due = this->quarantine.size() > 0 && this->verified_era != era;
+    if (is_due && !std::exchange(this->is_verifying, true))
+        asio::co_spawn(this->loop, this->verify_rows(era), asio::detached);
+}
+
+asio::awaitable<void> ReplicatedQuarantine::verify_rows(std::int64_t era)
+{
+    auto const stored = co_await this->store.read_quarantine();
+    this->is_verifying = false;
+    if (stored.is_error()) {
+        LogLine("quarantine_verification_failed").with("error", to_string(stored.error())).with("era", era);
+        co_return;
+    }
+    this->verified_era = era;
+    auto const now = unix_milliseconds();
+    auto const& rows = stored.value();
+    for (auto const& row : rows) {
+        if (!this->quarantine.is_expired(row, now))
+            this->merge(row, "store");
+    }
+    std::int64_t lost = 0;
+    for (auto const& entry : this->quarantine.entries()) {
+        if (this->quarantine.is_expired(entry, now) || std::find(rows.begin(), rows.end(), entry) != rows.end())
+            continue;
+        this->pending_writes.insert_or_assign(entry.request, entry);
+        ++lost;
+    }
+    LogLine("quarantine_verified").with("era", era).with("rows", static_cast<std::int64_t>(rows.size())).with("lost", lost);
+    if (lost > 0)
+        this->start_writing();
+}
+
 asio::awaitable<void> ReplicatedQuarantine::write_store()
 {
     auto retry_delay = this->options.initial_write_retry_delay;
--- a/Libraries/LibRouter/ReplicatedQuarantine.h
+++ b/Libraries/LibRouter/ReplicatedQuarantine.h
@@ -51,6 +51,10 @@
     /// Starts a read of the store unless there was a recent one.
     void refresh_from_store();
 
+    /// Writes again what a restored store lacks. For the VM that does so for all, repeatedly with the era that the store is
+    /// known to be in; each era is compared once.
+    void verify_store(std::int64_t era);
+
     std::uint64_t digest() const { return this->quarantine.digest(); }
     /// Handles the digest of another VM; fetches that VM's entries if it differs from this one's.
     void handle_digest(std::string const& endpoint, std::uint64_t digest);
@@ -62,6 +66,8 @@
     void merge(wire::QuarantineRecords const& records);
     void broadcast(QuarantineEntry const& entry);
     asio::awaitable<void> read_store();
+    asio::awaitable<void> verify_rows(std::int64_t era);
+    void start_writing();
     asio::awaitable<void> write_store();
 
     Options options;
@@ -72,6 +78,8 @@
     Quarantine quarantine;
     std::optional<MonotonicTime> store_read_at;
     bool is_reading = false;
+    bool is_verifying = false;
+    std::optional<std::int64_t> verified_era;
     bool is_writing = false;
     bool is_fetching = false;
     std::map<RequestFingerprint, QuarantineEntry> pending_writes;
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -502,6 +502,8 @@
         this->state.pool.set_resting_limit(idle_connections_per_virtual_machine(this->state.routes->configuration().services, this->membership->count()));
     this->state.pool.sweep(now);
     this->upstream_limits.forget_ended_pauses(now);
+    if (this->membership->is_settled() && this->placement->is_keeper())
+        this->quarantine->verify_store(this->state.upstreams.version().era);
 }
 
 void Node::drop_lapsed()
--- a/Tests/LibRouter/TestCrashReporter.cpp
+++ b/Tests/LibRouter/TestCrashReporter.cpp
@@ -235,3 +235,39 @@
     test.machines[0]->reporter.note_completed(SERVICE, request_named("victim"));
     CHECK(test.report(0, "victim", "i-3") == CrashVerdict::MayRetry);
 }
+
+// Guards against requests that a restored store no longer keeps from upstreams after a restart of all VMs.
+TEST_CASE("Quarantined requests that a restored store lacks are written again, once", "[quarantine][platform-down]")
+{
+    ReporterTest test(2);
+    auto const crashing = request_named("crashing");
+    auto const kept = request_named("kept");
+    auto& keeper = test.machines[0]->quarantine;
+    keeper.add(kept);
+    REQUIRE(run_loop_until(test.loop, [&] { return test.store.rows.size() == 1; }));
+    keeper.verify_store(1);
+    REQUIRE(run_loop_until(test.loop, [&] { return test.store.reads == 1; }));
+    auto const copy = test.store.rows;
+    keeper.add(crashing);
+    REQUIRE(run_loop_until(test.loop, [&] { return test.store.rows.size() == 2; }));
+    auto const rows = test.store.rows;
+    test.store.rows = copy;
+    test.store.is_away = true;
+    keeper.verify_store(2);
+    REQUIRE(run_loop_until(test.loop, [&] { return test.store.reads == 2; }));
+    test.store.is_away = false;
+    for (int i = 0; i < 3; ++i) {
+        keeper.verify_store(2);
+        REQUIRE(run_loop_until(test.loop, [&] { return test.store.rows.size() == 2; }));
+    }
+    CHECK(test.store.reads == 3);
+    CHECK(std::is_permutation(test.store.rows.begin(), test.store.rows.end(), rows.begin(), rows.end()));
+}
+
+TEST_CASE("Without quarantined requests a restored store is not read for them", "[quarantine][platform-down]")
+{
+    ReporterTest test(1);
+    test.machines[0]->quarantine.verify_store(2);
+    test.loop.run_for(std::chrono::milliseconds(50));
+    CHECK(test.store.reads == 0);
+}
