UpstreamLimitTable: Recognise statements that are told again

A VM that asks for a turn repeats what it knows of the upstream's limit, with its age. An age leaves out how long the message was on its way, so a limit that was told again after its end could look newer than the end, and came back at the counting VM until the upstream's next answer: requests were refused below what the upstream takes.

A statement now names the process that received it from the upstream and its order there. What was merged once is not merged again, and two statements of one process are compared by their order; ages decide only between processes. Messages of older VMs have neither and are compared by age, as before.

--- a/Libraries/LibDecision/UpstreamLimitTable.cpp
+++ b/Libraries/LibDecision/UpstreamLimitTable.cpp
@@ -9,37 +9,46 @@
 
 UpstreamLimitTable::Change UpstreamLimitTable::merge(std::string_view upstream, UpstreamLimitStatement const& statement)
 {
-    auto const found = this->statements.find(upstream);
+    auto found = this->statements.find(upstream);
     if (found == this->statements.end()) {
         if (!statement.rate)
             return Change::None;
-        this->statements.emplace(std::string(upstream), statement);
+        found = this->statements.emplace(std::string(upstream), Known { statement, {} }).first;
+        found->second.merged.emplace(statement.origin, statement.sequence);
         return Change::InForce;
     }
-    if (statement.as_of <= found->second.as_of)
+    auto& known = found->second;
+    if (statement.origin != 0) {
+        auto const [latest, is_first] = known.merged.try_emplace(statement.origin, statement.sequence);
+        if (!is_first && statement.sequence <= latest->second)
+            return Change::None;
+        latest->second = statement.sequence;
+    }
+    bool const is_same_origin = statement.origin != 0 && statement.origin == known.statement.origin;
+    if (!is_same_origin && statement.as_of <= known.statement.as_of)
         return Change::None;
-    bool const is_other = statement.rate != found->second.rate;
-    found->second = statement;
+    bool const is_other = statement.rate != known.statement.rate;
+    known.statement = statement;
     return is_other ? Change::InForce : Change::None;
 }
 
 std::optional<double> UpstreamLimitTable::rate_of(std::string_view upstream) const
 {
     auto const found = this->statements.find(upstream);
-    return found == this->statements.end() ? std::optional<double> {} : found->second.rate;
+    return found == this->statements.end() ? std::optional<double> {} : found->second.statement.rate;
 }
 
 std::optional<UpstreamLimitStatement> UpstreamLimitTable::statement_of(std::string_view upstream) const
 {
     auto const found = this->statements.find(upstream);
-    return found == this->statements.end() ? std::optional<UpstreamLimitStatement> {} : found->second;
+    return found == this->statements.end() ? std::optional<UpstreamLimitStatement> {} : found->second.statement;
 }
 
 std::uint64_t UpstreamLimitTable::digest() const
 {
     std::uint64_t digest = 0;
-    for (auto const& [upstream, statement] : this->statements)
-        digest ^= statement.rate ? XXH3_64bits(upstream.data(), upstream.size()) : 0;
+    for (auto const& [upstream, known] : this->statements)
+        digest ^= known.statement.rate ? XXH3_64bits(upstream.data(), upstream.size()) : 0;
     return digest;
 }
 
@@ -51,7 +60,7 @@
 
 std::size_t UpstreamLimitTable::size() const
 {
-    return static_cast<std::size_t>(std::count_if(this->statements.begin(), this->statements.end(), [](auto const& entry) { return entry.second.rate.has_value(); }));
+    return static_cast<std::size_t>(std::count_if(this->statements.begin(), this->statements.end(), [](auto const& entry) { return entry.second.statement.rate.has_value(); }));
 }
 
 void UpstreamLimitTable::retain(std::function<bool(std::string_view)> const& is_listed)
--- a/Libraries/LibDecision/UpstreamLimitTable.h
+++ b/Libraries/LibDecision/UpstreamLimitTable.h
@@ -23,6 +23,11 @@
     /// For a limit, when it was received. Otherwise, when the request was sent whose response stated none, since
     /// responses to earlier requests may predate the limit.
     MonotonicTime as_of;
+    /// Identifies the process that received the statement from the upstream; 0 if unknown.
+    std::uint64_t origin = 0;
+    /// Orders the statements of one origin, by `as_of` on its clock. Unlike a time that was derived from an age, it does not
+    /// depend on how long a message took.
+    std::int64_t sequence = 0;
 };
 
 /// How much the upstreams are willing to take, as stated in their responses: the latest rate limit statement of each that
@@ -35,8 +40,8 @@
         InForce,
     };
 
-    /// Stores the statement unless a newer one is known. An upstream without a known limit that states none is not
-    /// stored.
+    /// Stores the statement unless a newer one is known, or it was merged before. An upstream without a known limit that
+    /// states none is not stored.
     Change merge(std::string_view upstream, UpstreamLimitStatement const& statement);
 
     /// Returns the limit in force in requests per second, if there is one.
@@ -62,12 +67,18 @@
     void forget_ended_pauses(MonotonicTime now);
 
 private:
+    struct Known {
+        UpstreamLimitStatement statement;
+        /// The latest sequence of each origin.
+        std::map<std::uint64_t, std::int64_t> merged;
+    };
+
     struct IncarnationPause {
         std::int64_t started = 0;
         UpstreamPause pause;
     };
 
-    std::map<std::string, UpstreamLimitStatement, std::less<>> statements;
+    std::map<std::string, Known, std::less<>> statements;
     std::map<std::string, IncarnationPause, std::less<>> pauses;
 };
 
--- a/Libraries/LibRouter/UpstreamLimiter.cpp
+++ b/Libraries/LibRouter/UpstreamLimiter.cpp
@@ -7,6 +7,7 @@
 #include <LibRouter/UpstreamLimiter.h>
 #include <LibWire/WireUpstreamLimits.h>
 #include <algorithm>
+#include <xxhash.h>
 
 namespace Spurtide {
 
@@ -23,12 +24,16 @@
     , ranking(ranking)
     , book(book)
     , own_counter(own_counter)
+    , origin(XXH3_64bits(kernel.incarnation().data(), kernel.incarnation().size()))
 {
 }
 
 UpstreamLimitTable::Change UpstreamLimiter::note(std::string_view upstream, UpstreamLimitStatement const& statement)
 {
-    auto const change = this->book.merge(upstream, statement);
+    auto own = statement;
+    own.origin = this->origin;
+    own.sequence = statement.as_of.time_since_epoch().count();
+    auto const change = this->book.merge(upstream, own);
     if (change == UpstreamLimitTable::Change::None)
         return change;
     auto const endpoint = this->ranking.first_endpoint(upstream);
--- a/Libraries/LibRouter/UpstreamLimiter.h
+++ b/Libraries/LibRouter/UpstreamLimiter.h
@@ -80,6 +80,8 @@
     VirtualMachineRanking& ranking;
     UpstreamLimitTable& book;
     UpstreamLimitCounter& own_counter;
+    /// Identifies this process in statements.
+    std::uint64_t origin;
     std::map<std::string, MonotonicTime, std::less<>> paused_until;
     bool is_fetching = false;
 };
--- a/Libraries/LibWire/WireUpstreamLimits.cpp
+++ b/Libraries/LibWire/WireUpstreamLimits.cpp
@@ -16,12 +16,14 @@
     message.set_kind(statement->rate ? wire::UPSTREAM_LIMIT_NAMED : wire::UPSTREAM_LIMIT_OVER);
     message.set_rate(statement->rate.value_or(0));
     message.set_age_microseconds(std::chrono::duration_cast<Duration>(now - statement->as_of).count());
+    message.set_origin(statement->origin);
+    message.set_sequence(statement->sequence);
 }
 
 UpstreamLimitTable::Change take_statement(wire::UpstreamLimitStatement const& message, UpstreamLimitTable& book, MonotonicTime now)
 {
     auto const age = Duration(std::max<std::int64_t>(0, message.age_microseconds()));
-    UpstreamLimitStatement statement { {}, now - age };
+    UpstreamLimitStatement statement { {}, now - age, message.origin(), message.sequence() };
     switch (message.kind()) {
     case wire::UPSTREAM_LIMIT_OVER:
         return book.merge(message.upstream(), statement);
--- a/Tests/LibDecision/TestUpstreamLimitTable.cpp
+++ b/Tests/LibDecision/TestUpstreamLimitTable.cpp
@@ -38,6 +38,37 @@
     CHECK(table.statement_of("i-1")->as_of == at(300));
 }
 
+// Guards against a limit that a message repeats, and that looks newer than its end because the message took long.
+TEST_CASE("A limit that is told again after its end does not come back, however long it was on the way", "[upstream-limit]")
+{
+    constexpr std::uint64_t ONE = 1;
+    constexpr std::uint64_t OTHER = 2;
+    UpstreamLimitTable table;
+    table.merge("i-1", { 5.3, at(100), ONE, 7 });
+    SECTION("its end was stated to another VM")
+    {
+        CHECK(table.merge("i-1", { {}, at(120), OTHER, 3 }) == Change::InForce);
+        CHECK(table.merge("i-1", { 5.3, at(150), ONE, 7 }) == Change::None);
+        CHECK_FALSE(table.rate_of("i-1"));
+        // Its next statement is another one.
+        CHECK(table.merge("i-1", { 5.3, at(160), ONE, 8 }) == Change::InForce);
+    }
+    SECTION("its end was stated to the same VM, and arrives sooner")
+    {
+        CHECK(table.merge("i-1", { {}, at(90), ONE, 8 }) == Change::InForce);
+        CHECK(table.merge("i-1", { 5.3, at(150), ONE, 7 }) == Change::None);
+        CHECK_FALSE(table.rate_of("i-1"));
+    }
+    SECTION("it was older than another VM's from the start")
+    {
+        table.merge("i-1", { 2.5, at(200), OTHER, 3 });
+        CHECK(table.merge("i-1", { 5.3, at(190), ONE, 8 }) == Change::None);
+        CHECK(table.merge("i-1", { {}, at(210), OTHER, 4 }) == Change::InForce);
+        CHECK(table.merge("i-1", { 5.3, at(230), ONE, 8 }) == Change::None);
+        CHECK_FALSE(table.rate_of("i-1"));
+    }
+}
+
 TEST_CASE("Nothing is stored for upstreams that never stated a limit", "[upstream-limit]")
 {
     UpstreamLimitTable table;
--- a/Tests/LibWire/TestWireUpstreamLimits.cpp
+++ b/Tests/LibWire/TestWireUpstreamLimits.cpp
@@ -29,6 +29,19 @@
     CHECK_FALSE(there.rate_of("i-1"));
 }
 
+// Guards against a statement that cannot be recognised when it is told again.
+TEST_CASE("Another VM hears who received a statement, and in which order", "[upstream-limit]")
+{
+    UpstreamLimitTable here;
+    UpstreamLimitTable there;
+    here.merge("i-1", { 5.3, at(1000), ~0ULL, 9 });
+    wire::UpstreamLimitStatement message;
+    write_statement("i-1", here, at(1500), message);
+    take_statement(message, there, at(70'000));
+    CHECK(there.statement_of("i-1")->origin == ~0ULL);
+    CHECK(there.statement_of("i-1")->sequence == 9);
+}
+
 TEST_CASE("A statement about a limit that makes no sense changes nothing", "[upstream-limit]")
 {
     UpstreamLimitTable book;
