Tests: Wait for the counting VM in the test of lifted limits

The process was preempted for longer than the 150 ms after which a VM counts for itself, by the limit that it knows, as it has to. The test is about what the counting VM answers, so it waits for that answer; its checks are unchanged.

--- a/Tests/LibRouter/TestUpstreamLimiter.cpp
+++ b/Tests/LibRouter/TestUpstreamLimiter.cpp
@@ -14,7 +14,7 @@
 
 /// One of two VMs, either of which can count for both.
 struct LimitingVirtualMachine {
-    LimitingVirtualMachine(asio::io_context& loop, std::string const& name)
+    LimitingVirtualMachine(asio::io_context& loop, std::string const& name, Duration answer_timeout)
         : kernel(make_loop_kernel(loop, name))
         , ranking(*this->kernel, milliseconds(200))
     {
@@ -30,6 +30,7 @@
         this->kernel->host(std::string(PLACEMENT_SERVICE), [](wire::Envelope const&, Kernel::Responder const&) {});
         UpstreamLimiter::Options options;
         options.probe_delay = milliseconds(20);
+        options.answer_timeout = answer_timeout;
         options.departures_digest = [this] { return this->departures.size(); };
         this->limiter = std::make_unique<UpstreamLimiter>(options, *this->kernel, this->ranking, this->book, *this->counter);
         this->kernel->start();
@@ -49,11 +50,11 @@
 };
 
 struct LimiterTest {
-    LimiterTest()
+    explicit LimiterTest(Duration answer_timeout = UpstreamLimiter::Options {}.answer_timeout)
     {
         std::vector<MemberRecord> members;
         for (auto const* name : { "vm-1", "vm-2" })
-            this->machines.push_back(std::make_unique<LimitingVirtualMachine>(this->loop, name));
+            this->machines.push_back(std::make_unique<LimitingVirtualMachine>(this->loop, name, answer_timeout));
         for (auto const& machine : this->machines)
             members.push_back(member_of(*machine->kernel));
         for (auto const& machine : this->machines) {
@@ -115,7 +116,8 @@
 
 TEST_CASE("A VM that still requests turns learns that the limit was lifted", "[upstream-limit]")
 {
-    LimiterTest test;
+    // A VM whose request for a turn times out counts for itself, by the limit that it knows.
+    LimiterTest test(seconds(10));
     test.asking->set_limit(0.5);
     test.counting->set_limit(0.5);
     CHECK_FALSE(is_granted(test.take(*test.asking)));
