--- a/Libraries/LibDecision/LeaseTerm.cpp
+++ b/Libraries/LibDecision/LeaseTerm.cpp
@@ -53,8 +53,8 @@
     if (!is_unchanged)
         this->unchanged_since = now;
     this->last_row = row;
-    // A write whose answer was lost took effect. Which of several it was is not known, so its term is counted from the first. After a restoration, the row may be
-    // that of the older copy, or of a write that replaced the row of another holder.
+    // A write whose answer was lost took effect. Which of several it was is not known, so its term is counted from the first.
+    // After a restoration, the row may be that of the older copy, or of a write that replaced the row of another holder.
     if (row && row->holder == this->holder_name && row->version != this->token && !this->is_restored)
         this->begin_term(row->version, this->first_write_in_doubt_at.value_or(this->write_sent_at));
     // Earlier writes required another version.
--- a/Libraries/LibDecision/LeaseTerm.h
+++ b/Libraries/LibDecision/LeaseTerm.h
@@ -97,6 +97,7 @@
     std::string holder_name;
     /// Empty before the first answer.
     std::optional<std::int64_t> era;
+    /// Whether the row was read at least once.
     bool has_read = false;
     /// Whether the store was restored since the first answer.
     bool is_restored = false;
@@ -108,6 +109,7 @@
     MonotonicTime write_sent_at;
     /// When the first write was sent of those that may have produced a row that was not read yet.
     std::optional<MonotonicTime> first_write_in_doubt_at;
+    /// The era that was known when the last write was sent.
     std::optional<std::int64_t> era_of_write;
     std::optional<MonotonicTime> held_until;
     StorePosition token;
--- a/Libraries/LibDecision/UpstreamList.cpp
+++ b/Libraries/LibDecision/UpstreamList.cpp
@@ -30,7 +30,7 @@
     return this->registry == RegistryState::Unreachable || (this->grace_until && now < *this->grace_until);
 }
 
-// Until they had the time to be written again, changes that the older copy lacks stay in force: entries are retained,
+// Changes that the older copy lacks stay in force until there was time to write them again: entries are retained, and
 // departures and removals hold for their incarnations.
 void UpstreamList::enter_era(StorePosition position, MonotonicTime now)
 {
--- a/Libraries/LibDecision/UpstreamList.h
+++ b/Libraries/LibDecision/UpstreamList.h
@@ -72,8 +72,8 @@
 
 /// The known upstreams, and which of them accept new work. Entries that expire during a registry outage are retained
 /// for a short time after it, as live upstreams announce themselves again; entries removed while the registry is
-/// available disappear at once. When the registry begins a new era, what the list knows and the older copy contradicts is
-/// believed until it had the time to be written again. Upstreams of an evacuated data centre, and those that announced their departure in a
+/// available disappear at once. When the registry begins a new era, what is known and its older copy contradicts holds until
+/// there was time to write it again. Upstreams of an evacuated data centre, and those that announced their departure in a
 /// response, are presented as leaving, so that all are treated alike; peers receive the state that the registry has.
 class UpstreamList {
 public:
--- a/Libraries/LibRouter/RegistryFollower.cpp
+++ b/Libraries/LibRouter/RegistryFollower.cpp
@@ -22,6 +22,7 @@
         LogLine("registry_failed").with("what", what).with("error", to_string(error)).with("failures", failures);
 }
 
+/// A watch that may be given up before it ends.
 template<typename News>
 struct PendingWatch {
     explicit PendingWatch(asio::any_io_executor const& executor)
