RegistryRelay: Rely on no watcher of an earlier era

A listener stops watching the store while a watcher tells it regularly. A watcher that has not heard of a restoration, or runs a build that knows no eras, tells versions of an earlier era, which the listener ignores: it would have heard of no change while it took itself for informed, for as long as an upgrade takes.

News of an earlier era no longer count as an update; the configuration, which has a version of its own, is still taken from them. The new test failed before (the listeners stopped watching within the first updates).

--- a/Libraries/LibRouter/RegistryRelay.cpp
+++ b/Libraries/LibRouter/RegistryRelay.cpp
@@ -106,9 +106,12 @@
 void RegistryRelay::handle_news(wire::RegistryNews const& news)
 {
     auto const now = monotonic_now();
-    this->plan.note_update(news.vm(), now);
-    this->upstreams.note_registry(UpstreamList::RegistryState::Available, now);
-    this->handle_upstreams_news(news);
+    // Of a watcher that has not heard of a later era only the configuration is of use, which has a version of its own.
+    if (news.upstreams().era() >= this->upstreams.version().era) {
+        this->plan.note_update(news.vm(), now);
+        this->upstreams.note_registry(UpstreamList::RegistryState::Available, now);
+        this->handle_upstreams_news(news);
+    }
     this->hooks.on_evacuations(read_evacuations(news.evacuations()));
     auto const endpoint = this->kernel.directory().resolve_on(news.vm(), CONFIGURATION_SERVICE);
     if (!endpoint)
--- a/Tests/LibRouter/TestRegistryRelay.cpp
+++ b/Tests/LibRouter/TestRegistryRelay.cpp
@@ -194,6 +194,28 @@
     CHECK(test.watcher[0]->kernel->sent_traffic().at("registry_news").messages == told);
 }
 
+// Guards against listeners that stop watching for a watcher which has not heard of a restoration, and whose updates they cannot use.
+TEST_CASE("A watcher of an earlier era is not relied on", "[leaving][platform-down]")
+{
+    RelayTest test;
+    test.watcher[0]->upstreams.replace({}, { 1, 120 }, monotonic_now());
+    for (auto* listener : test.listeners)
+        listener->upstreams.replace({}, { 2, 95 }, monotonic_now());
+    test.start();
+    // Each version of the configuration takes one more update.
+    for (std::int64_t version = 1; version <= 8; ++version) {
+        test.watcher[0]->relay->set_document({ std::to_string(version) });
+        test.watcher[0]->configuration = version;
+        for (auto* listener : test.listeners) {
+            listener->takes_configuration = version;
+            REQUIRE(test.run_until([&] { return listener->configuration == version; }));
+            CHECK(listener->relay->watches());
+        }
+    }
+    test.watcher[0]->upstreams.replace({}, { 2, 96 }, monotonic_now());
+    CHECK(test.run_until([&] { return !test.listeners[0]->relay->watches() && !test.listeners[1]->relay->watches(); }));
+}
+
 // Guards against a VM that still has the earlier era and tells others of it.
 TEST_CASE("VMs that hear of a restored registry at different times agree on the later era", "[leaving][platform-down][cut]")
 {
