Tests: Keep the late watcher late in the test of watchers of an earlier era

As it was committed, the test failed with the fix as well (13 checks of 33): the listeners watched, published, and so told the watcher of the later era, after which they relied on it rightly. What it said before the fix was no evidence either. The listeners are now turned away by the store and publish nothing, so the watcher stays behind.

The checks are the same. With the fix taken out 11 checks fail (the listeners stop watching); with it all pass.

--- a/Tests/LibRouter/TestRegistryRelay.cpp
+++ b/Tests/LibRouter/TestRegistryRelay.cpp
@@ -199,8 +199,11 @@
 {
     RelayTest test;
     test.watcher[0]->upstreams.replace({}, { 1, 120 }, monotonic_now());
-    for (auto* listener : test.listeners)
+    for (auto* listener : test.listeners) {
         listener->upstreams.replace({}, { 2, 95 }, monotonic_now());
+        // The watcher would hear of the later era from them.
+        listener->follows = false;
+    }
     test.start();
     // Each version of the configuration takes one more update.
     for (std::int64_t version = 1; version <= 8; ++version) {
