--- a/Libraries/LibRouter/RegistryFollower.cpp
+++ b/Libraries/LibRouter/RegistryFollower.cpp
@@ -147,7 +147,8 @@
             if (news.error() == PlatformError::HistoryGone) {
                 LogLine("registry_history_gone").with("what", "configuration").with("position", position.value_or(StorePosition()).version).with("era", position.value_or(StorePosition()).era);
                 position.reset();
-                co_await this->wait_before_read(reads_in_a_row++);
+                co_await this->wait_before_read(reads_in_a_row);
+                ++reads_in_a_row;
                 continue;
             }
             log_failure("configuration", news.error(), ++failures);
@@ -221,7 +222,8 @@
         if (error == PlatformError::HistoryGone) {
             LogLine("registry_history_gone").with("what", "upstreams").with("position", position.value_or(StorePosition()).version).with("era", position.value_or(StorePosition()).era);
             position.reset();
-            co_await this->wait_before_read(reads_in_a_row++);
+            co_await this->wait_before_read(reads_in_a_row);
+            ++reads_in_a_row;
             continue;
         }
         log_failure("upstreams", error, ++failures);
