ReachabilityProber: Count unreachable upstreams in the log and the metrics

The hypotheses of the incident of partitioned VMs differ in how many upstreams one VM cannot reach at a time. upstream_unreachable now says so, and spurtide_unreachable_upstreams is scraped, so that VMs can be compared.

--- a/Libraries/LibDecision/ReachabilityTracker.cpp
+++ b/Libraries/LibDecision/ReachabilityTracker.cpp
@@ -99,6 +99,14 @@
     return std::any_of(this->data_centres.begin(), this->data_centres.end(), [&](auto const& entry) { return this->is_cut_off(entry.first, now); });
 }
 
+std::size_t ReachabilityTracker::unreachable_count() const
+{
+    std::size_t count = 0;
+    for (auto const& [name, data_centre] : this->data_centres)
+        count += data_centre.unreachable;
+    return count;
+}
+
 bool ReachabilityTracker::is_reachable(std::string_view identity, std::string_view data_centre, MonotonicTime now) const
 {
     auto const found = this->entries.find(identity);
--- a/Libraries/LibDecision/ReachabilityTracker.h
+++ b/Libraries/LibDecision/ReachabilityTracker.h
@@ -67,6 +67,8 @@
     bool is_reachable(std::string_view identity, std::string_view data_centre, MonotonicTime now) const;
     bool is_cut_off(std::string_view data_centre, MonotonicTime now) const;
     bool is_any_cut_off(MonotonicTime now) const;
+    /// Number of upstreams to which the last connection attempt failed.
+    std::size_t unreachable_count() const;
     /// Returns the upstreams to probe now because they are silent or unreachable.
     std::vector<std::string> due_probes(MonotonicTime now) const;
     /// Returns further upstreams to probe in data centres that count as cut off, in order to detect when the partition
--- a/Libraries/LibRouter/ReachabilityProber.cpp
+++ b/Libraries/LibRouter/ReachabilityProber.cpp
@@ -83,7 +83,7 @@
     bool const was_reachable = this->reachability->is_reachable(upstream.identity, upstream.data_centre, now);
     this->reachability->note_unreachable(upstream.identity, upstream.data_centre, now);
     if (was_reachable)
-        LogLine("upstream_unreachable").with("upstream", upstream.identity).with("upstream_data_centre", upstream.data_centre).with("reason", to_string(error)).with("cut_off", this->reachability->is_cut_off(upstream.data_centre, now) ? "yes" : "no");
+        LogLine("upstream_unreachable").with("upstream", upstream.identity).with("upstream_data_centre", upstream.data_centre).with("reason", to_string(error)).with("cut_off", this->reachability->is_cut_off(upstream.data_centre, now) ? "yes" : "no").with("unreachable", static_cast<std::int64_t>(this->reachability->unreachable_count())).with("upstreams", static_cast<std::int64_t>(this->upstreams.size()));
     if (auto const address = parse_address(upstream.address))
         this->pool.drop(*address);
     auto const [begin, end] = this->watched_connections->equal_range(upstream.identity);
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -477,6 +477,7 @@
     facts.configuration_version = this->configuration_version();
     facts.upstreams_version = this->state.upstreams.version();
     facts.upstreams = this->state.upstreams.size();
+    facts.unreachable_upstreams = this->state.reachability->unreachable_count();
     facts.live_virtual_machines = this->live_virtual_machines();
     facts.caller_connections = this->callers->connection_count();
     facts.running_requests = this->callers->exchange_count();
--- a/Services/NodeServer/NodeMetrics.h
+++ b/Services/NodeServer/NodeMetrics.h
@@ -22,6 +22,8 @@
     std::int64_t configuration_version = 0;
     StorePosition upstreams_version;
     std::size_t upstreams = 0;
+    /// Upstreams to which the last connection attempt failed.
+    std::size_t unreachable_upstreams = 0;
     std::size_t live_virtual_machines = 0;
     std::size_t caller_connections = 0;
     std::size_t running_requests = 0;
