--- a/Tests/Platform/OtherVirtualMachine.h
+++ b/Tests/Platform/OtherVirtualMachine.h
@@ -12,14 +12,21 @@
 
 namespace Spurtide::Tests {
 
+/// Called around each turn of a VM's loop.
+struct VirtualMachineTurns {
+    std::function<void()> before = [] {};
+    std::function<void()> after = [] {};
+};
+
 /// Another VM with the same store and upstreams, on a loop of its own. Its end is that of a killed process: nobody hears a
 /// word, and nothing is kept.
 class OtherVirtualMachine {
 public:
     /// Waits until it is ready and sees those that it was told of and is to meet.
-    OtherVirtualMachine(NodeUnderTest& test, std::vector<std::string> seeds, std::function<void(NodeSettings&)> const& change = {}, std::string name = "vm-2")
+    OtherVirtualMachine(NodeUnderTest& test, std::vector<std::string> seeds, std::function<void(NodeSettings&)> const& change = {}, std::string name = "vm-2", VirtualMachineTurns turns = {})
         : test(test)
         , before(test.beside)
+        , turns(std::move(turns))
     {
         NodeSettings settings;
         settings.virtual_machine = std::move(name);
@@ -35,7 +42,9 @@
         this->node = Node::create(this->loop, settings, { this->dialect, *this->registry, *this->registry, *this->registry, "/v1/readyz" }).release_value();
         test.beside = [this] {
             this->before();
+            this->turns.before();
             this->loop.run_for(std::chrono::milliseconds(2));
+            this->turns.after();
         };
         auto const live = settings.seeds.empty() ? 1 : 2;
         REQUIRE(test.run_until([&] { return this->node->is_ready() && this->live_virtual_machines() >= live; }));
@@ -63,6 +72,7 @@
 
     NodeUnderTest& test;
     std::function<void()> before;
+    VirtualMachineTurns turns;
     asio::io_context loop { 1 };
     PlatformDialect dialect;
     std::unique_ptr<Node> node;
--- a/Tests/Platform/UpstreamStandIn.h
+++ b/Tests/Platform/UpstreamStandIn.h
@@ -8,6 +8,7 @@
 #include <functional>
 #include <memory>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -34,6 +35,8 @@
     std::string identity;
     std::string phase;
     std::string data_centre = "dc";
+    /// The address in its entry; its own if empty.
+    std::optional<Address> listed_address;
     Script script;
     /// Named in its answers; empty for none.
     std::string named_limit;
