ReachabilityTracker: Detect that no upstream responds to this VM

Until now only single upstreams and other data centres could be found to be unreachable. Two unreachable upstreams and 300 ms without any response make this VM probe further upstreams everywhere; if none of them responds within 350 ms, it counts as partitioned. A VM with few requests before two crashed upstreams does not: the first probe of another one responds. While partitioned it probes four of the unreachable upstreams in a round, so that 12,000 of them cost no more.

One check of the test of forgotten upstreams expected that only the data centre that is cut off is probed further. With no response from anywhere the VM itself may now be partitioned, so that others are probed too; the check is as strict as before, with a response from elsewhere.

--- a/Libraries/LibDecision/ReachabilityTracker.cpp
+++ b/Libraries/LibDecision/ReachabilityTracker.cpp
@@ -59,7 +59,14 @@
     auto const found = this->entries.find(identity);
     if (found != this->entries.end())
         this->set_reachability(found->second, Reachability::Reachable);
+    this->note_contact(data_centre, now);
+}
+
+void ReachabilityTracker::note_contact(std::string_view data_centre, MonotonicTime now)
+{
     this->data_centres[std::string(data_centre)].last_response = now;
+    this->last_response = now;
+    this->failing_since.reset();
 }
 
 void ReachabilityTracker::note_unreachable(std::string_view identity, std::string_view data_centre, MonotonicTime now)
@@ -68,6 +75,8 @@
     entry.data_centre = data_centre;
     entry.last_probe = now;
     this->set_reachability(entry, Reachability::Unreachable);
+    if (!this->failing_since && this->unreachable_count() >= this->options.partition_failures)
+        this->failing_since = now;
 }
 
 bool ReachabilityTracker::is_cut_off(std::string_view data_centre, MonotonicTime now) const
@@ -99,6 +108,22 @@
     return std::any_of(this->data_centres.begin(), this->data_centres.end(), [&](auto const& entry) { return this->is_cut_off(entry.first, now); });
 }
 
+std::optional<MonotonicTime> ReachabilityTracker::suspected_since(MonotonicTime now) const
+{
+    if (!this->failing_since || this->unreachable_count() < this->options.partition_failures)
+        return {};
+    auto const silent_since = this->last_response ? *this->last_response + this->options.data_centre_silence : *this->failing_since;
+    if (now < silent_since)
+        return {};
+    return std::max(*this->failing_since, silent_since);
+}
+
+bool ReachabilityTracker::is_partitioned(MonotonicTime now) const
+{
+    auto const since = this->suspected_since(now);
+    return since && now - *since >= this->options.partition_confirmation;
+}
+
 std::size_t ReachabilityTracker::unreachable_count() const
 {
     std::size_t count = 0;
@@ -121,23 +146,30 @@
     return entry.reachability == Reachability::Unreachable || is_silent;
 }
 
-std::vector<std::string> ReachabilityTracker::due_probes(MonotonicTime now) const
+std::vector<std::string> ReachabilityTracker::due_probes(MonotonicTime now)
 {
     std::vector<std::string> due;
     for (auto const& [identity, entry] : this->entries) {
         if (this->needs_probe(entry, now) && !this->was_probed(entry, now))
             due.push_back(identity);
     }
+    if (!this->is_partitioned(now) || due.size() <= this->options.probes_per_round)
+        return due;
+    // Nearly all of them are unreachable for the same reason, and any one of them detects the end of the partition.
+    this->round_rotation = (this->round_rotation + this->options.probes_per_round) % due.size();
+    std::rotate(due.begin(), due.begin() + static_cast<std::ptrdiff_t>(this->round_rotation), due.end());
+    due.resize(this->options.probes_per_round);
     return due;
 }
 
 std::vector<std::string> ReachabilityTracker::due_partition_probes(std::span<UpstreamLocation const> upstreams, MonotonicTime now)
 {
+    bool const is_suspected = this->may_be_partitioned(now);
     std::map<std::string_view, std::vector<std::string_view>> candidates;
     for (auto const& upstream : upstreams) {
         auto const found = this->entries.find(upstream.identity);
         bool const is_probed_already = found != this->entries.end() && (this->needs_probe(found->second, now) || this->was_probed(found->second, now));
-        if (!is_probed_already && this->is_cut_off(upstream.data_centre, now))
+        if (!is_probed_already && (is_suspected || this->is_cut_off(upstream.data_centre, now)))
             candidates[upstream.data_centre].push_back(upstream.identity);
     }
     std::vector<std::string> due;
--- a/Libraries/LibDecision/ReachabilityTracker.h
+++ b/Libraries/LibDecision/ReachabilityTracker.h
@@ -24,8 +24,9 @@
 
 /// Tracks which upstreams this VM can reach. An upstream that does not respond to requests for a while is probed by a
 /// connection. If the connection fails, it receives no requests and is probed until a connection succeeds. A data
-/// centre counts as cut off if several of its upstreams are unreachable and none responds. Time is passed in, and the
-/// caller performs the probes.
+/// centre counts as cut off if several of its upstreams are unreachable and none responds. The VM itself counts as
+/// partitioned if several upstreams are unreachable and none responds anywhere, not even to further probes. Time is passed
+/// in, and the caller performs the probes.
 class ReachabilityTracker {
 public:
     struct Options {
@@ -41,6 +42,13 @@
         /// Further upstreams of a cut-off data centre to probe in each round, in addition to those that are unreachable
         /// or silent.
         std::size_t partition_probes = 1;
+        /// Unreachable upstreams at which this VM may be partitioned, and probes further upstreams to find out.
+        std::size_t partition_failures = 2;
+        /// How long those probes may stay unanswered before this VM counts as partitioned: a connection attempt and some
+        /// margin.
+        Duration partition_confirmation = milliseconds(350);
+        /// Unreachable upstreams probed in one round while this VM is partitioned.
+        std::size_t probes_per_round = 4;
     };
 
     ReachabilityTracker(Options options, std::string own_data_centre);
@@ -69,10 +77,18 @@
     bool is_any_cut_off(MonotonicTime now) const;
     /// Number of upstreams to which the last connection attempt failed.
     std::size_t unreachable_count() const;
+    /// Whether no upstream responds to this VM, although it has probed several.
+    bool is_partitioned(MonotonicTime now) const;
+    /// Whether this VM should connect to the upstream itself.
+    bool has_direct_path(std::string_view identity, std::string_view data_centre, MonotonicTime now) const { return !this->is_partitioned(now) && this->is_reachable(identity, data_centre, now); }
+    /// When any upstream last responded; empty before the first response.
+    std::optional<MonotonicTime> last_contact() const { return this->last_response; }
+    /// Whether further upstreams have to be probed to find out if this VM is partitioned, or no longer is.
+    bool may_be_partitioned(MonotonicTime now) const { return this->suspected_since(now).has_value(); }
     /// Returns the upstreams to probe now because they are silent or unreachable.
-    std::vector<std::string> due_probes(MonotonicTime now) const;
-    /// Returns further upstreams to probe in data centres that count as cut off, in order to detect when the partition
-    /// heals.
+    std::vector<std::string> due_probes(MonotonicTime now);
+    /// Returns further upstreams to probe in data centres that count as cut off, or in all if this VM may be partitioned, in
+    /// order to detect the extent of the partition and its end.
     std::vector<std::string> due_partition_probes(std::span<UpstreamLocation const> upstreams, MonotonicTime now);
     /// Forgets upstreams that are no longer listed and have no requests in flight.
     void retain(std::function<bool(std::string_view)> const& is_listed);
@@ -98,6 +114,9 @@
     };
 
     void set_reachability(Entry& entry, Reachability reachability);
+    /// Since when this VM may be partitioned; empty if it is not.
+    std::optional<MonotonicTime> suspected_since(MonotonicTime now) const;
+    void note_contact(std::string_view data_centre, MonotonicTime now);
     bool needs_probe(Entry const& entry, MonotonicTime now) const;
     bool was_probed(Entry const& entry, MonotonicTime now) const { return now - entry.last_probe < this->options.probe_interval; }
 
@@ -106,7 +125,12 @@
     std::map<std::string, Entry, std::less<>> entries;
     std::map<std::string, DataCentre, std::less<>> data_centres;
     std::optional<MonotonicTime> isolated_since;
+    /// When any upstream last responded.
+    std::optional<MonotonicTime> last_response;
+    /// When several upstreams were unreachable for the first time after that.
+    std::optional<MonotonicTime> failing_since;
     std::size_t probe_rotation = 0;
+    std::size_t round_rotation = 0;
 };
 
 }
--- a/Tests/LibDecision/TestReachabilityTracker.cpp
+++ b/Tests/LibDecision/TestReachabilityTracker.cpp
@@ -4,6 +4,7 @@
 #include <LibDecision/ReachabilityTracker.h>
 #include <algorithm>
 #include <catch2/catch.hpp>
+#include <set>
 
 using namespace Spurtide;
 
@@ -118,5 +119,82 @@
     CHECK_FALSE(tracker.is_cut_off("b", at(2000)));
     tracker.note_unreachable("b3", "b", at(1000));
     CHECK(tracker.is_any_cut_off(at(2000)));
+    // Another data centre responds, so only the upstreams of this one are probed further.
+    tracker.note_reached("a1", "a", at(1900));
     CHECK(tracker.due_partition_probes(s_upstreams, at(2000)) == std::vector<std::string> { "b1" });
 }
+
+TEST_CASE("A VM counts as partitioned if several upstreams are unreachable and probes of others stay unanswered", "[partitioned-vm]")
+{
+    ReachabilityTracker tracker({}, "a");
+    tracker.note_reached("a1", "a", at(0));
+    tracker.note_unreachable("a1", "a", at(400));
+    CHECK_FALSE(tracker.may_be_partitioned(at(2000)));
+    tracker.note_unreachable("b1", "b", at(500));
+    CHECK(tracker.may_be_partitioned(at(500)));
+    // Each data centre is probed, also the own one.
+    auto const probes = tracker.due_partition_probes(s_upstreams, at(500));
+    CHECK(contains(probes, "a2"));
+    CHECK((contains(probes, "b2") || contains(probes, "b3")));
+    CHECK_FALSE(tracker.is_partitioned(at(849)));
+    CHECK(tracker.is_partitioned(at(850)));
+    SECTION("until an upstream responds")
+    {
+        tracker.note_reached("a2", "a", at(900));
+        CHECK_FALSE(tracker.is_partitioned(at(900)));
+        CHECK_FALSE(tracker.may_be_partitioned(at(5000)));
+        // The upstreams that are still unreachable are reported again, but those that respond come first.
+        tracker.note_unreachable("b1", "b", at(1000));
+        CHECK_FALSE(tracker.may_be_partitioned(at(1199)));
+        tracker.note_reached("a2", "a", at(1250));
+        CHECK_FALSE(tracker.is_partitioned(at(1600)));
+    }
+}
+
+TEST_CASE("A VM with few requests does not take two crashed upstreams for a partition", "[partitioned-vm]")
+{
+    ReachabilityTracker tracker({}, "a");
+    tracker.note_reached("a2", "a", at(0));
+    // Both are probed in vain every 300 ms, and another upstream responds to each probe within a few milliseconds.
+    for (std::int64_t time = 1000; time < 60'000; time += 100) {
+        for (auto const* crashed : { "a1", "b1" }) {
+            if (time % 300 == 100)
+                tracker.note_unreachable(crashed, crashed[0] == 'a' ? "a" : "b", at(time));
+        }
+        CHECK_FALSE(tracker.is_partitioned(at(time)));
+        if (!tracker.due_partition_probes(s_upstreams, at(time + 50)).empty())
+            tracker.note_reached("a2", "a", at(time + 55));
+    }
+}
+
+TEST_CASE("One upstream that pauses for a second is no partition", "[partitioned-vm]")
+{
+    ReachabilityTracker tracker({}, "a");
+    tracker.note_sent("a1", "a", at(0));
+    tracker.note_reached("a2", "a", at(0));
+    for (std::int64_t time = 300; time < 1300; time += 300)
+        tracker.note_unreachable("a1", "a", at(time));
+    CHECK_FALSE(tracker.may_be_partitioned(at(1299)));
+    tracker.note_response("a1", at(1300));
+    CHECK(tracker.is_reachable("a1", "a", at(1300)));
+}
+
+TEST_CASE("A partitioned VM probes its upstreams at a bounded rate", "[partitioned-vm]")
+{
+    constexpr int UPSTREAMS = 12'000;
+    ReachabilityTracker tracker({}, "a");
+    for (int i = 0; i < UPSTREAMS; ++i)
+        tracker.note_unreachable("u" + std::to_string(i), std::to_string(i % 26), at(0));
+    REQUIRE(tracker.is_partitioned(at(1000)));
+    std::size_t probes = 0;
+    std::set<std::string> probed;
+    for (std::int64_t time = 1000; time < 2000; time += 100) {
+        for (auto const& upstream : tracker.due_probes(at(time))) {
+            tracker.note_probe(upstream, at(time));
+            probed.insert(upstream);
+            ++probes;
+        }
+    }
+    CHECK(probes <= 40);
+    CHECK(probed.size() == probes);
+}
