--- a/Libraries/LibDecision/SendAccounting.cpp
+++ b/Libraries/LibDecision/SendAccounting.cpp
@@ -42,6 +42,13 @@
     this->unused.pop_back();
 }
 
+void SendAccounting::note_not_delivered(MonotonicTime now)
+{
+    VERIFY(this->arrivals > 0);
+    if (--this->arrivals > 0)
+        this->unused.push_back(now);
+}
+
 void SendAccounting::refund_unused()
 {
     for (auto const taken_at : this->unused)
--- a/Libraries/LibDecision/SendAccounting.h
+++ b/Libraries/LibDecision/SendAccounting.h
@@ -41,6 +41,8 @@
     /// Records that a run is sent or that a prefill ended. Both have to be charged first.
     void note_run(MonotonicTime now) { this->note_arrival(now); }
     void note_prefill(PrefillOutcome end, MonotonicTime now);
+    /// Records that the run noted last did not arrive after all; its charge may be used for another.
+    void note_not_delivered(MonotonicTime now);
 
     /// Refunds charges that were not used. Has to be called at the end of the request.
     void refund_unused();
--- a/Libraries/LibRouter/ReachabilityProber.cpp
+++ b/Libraries/LibRouter/ReachabilityProber.cpp
@@ -22,7 +22,7 @@
     std::erase_if(this->gone_processes, [this](auto const& process) { return !this->upstreams.find(process.first); });
     for (auto const& identity : this->reachability->due_probes(now))
         this->start_probe(identity, now);
-    if (!this->reachability->is_any_cut_off(now))
+    if (!this->reachability->is_any_cut_off(now) && !this->reachability->may_be_partitioned(now))
         return;
     std::vector<UpstreamLocation> places;
     this->upstreams.for_each([&](auto const& record) { places.push_back({ record.identity, record.data_centre }); });
--- a/Libraries/LibRouter/RequestHandler.cpp
+++ b/Libraries/LibRouter/RequestHandler.cpp
@@ -5,6 +5,7 @@
 #include <LibCore/LogLine.h>
 #include <LibRouter/CrashReporter.h>
 #include <LibRouter/QuotaClient.h>
+#include <LibRouter/RelayClient.h>
 #include <LibRouter/ReplicatedQuarantine.h>
 #include <LibRouter/RequestHandler.h>
 #include <LibRouter/UpstreamLimiter.h>
@@ -157,6 +158,30 @@
 
 void RequestHandler::note_not_executed() { this->earlier = this->earlier_before_send; }
 
+void RequestHandler::note_not_delivered()
+{
+    --this->sends;
+    this->ledger.note_not_delivered(monotonic_now());
+    this->earlier = this->earlier_before_send;
+}
+
+UpstreamLink::Options RequestHandler::link_options(RouteKind kind) const
+{
+    UpstreamLink::Options options;
+    options.request = this->request.identifier;
+    if (kind != RouteKind::Repeatable)
+        options.freshness = ConnectionPool::Freshness::Recent;
+    else
+        options.when_unreachable = InFlightRequest::WhenUnreachable::Abort;
+    // The request's data must not be passed to other regions than those of its homes and its caller.
+    options.may_relay = [this](RelayCandidate const& relay) {
+        auto const own = this->state.regions.find(this->state.data_centre);
+        bool const is_own_region = relay.data_centre == this->state.data_centre || (own != this->state.regions.end() && relay.region == own->second);
+        return is_own_region || this->may_use_data_centre(relay.data_centre);
+    };
+    return options;
+}
+
 void RequestHandler::note_completed() { this->state.crashes->note_completed(this->service, this->fingerprint); }
 
 void RequestHandler::record_statements(UpstreamRecord const& upstream, ResponseInfo const& info, int status, MonotonicTime sent_at)
@@ -242,15 +267,32 @@
     co_return false;
 }
 
-asio::awaitable<bool> RequestHandler::report_crash(UpstreamRecord upstream, HttpError error, MonotonicTime since)
+asio::awaitable<ReachabilityProber::ProcessState> RequestHandler::determine_process_state(UpstreamRecord upstream, HttpError error, UpstreamRoute route)
+{
+    using ProcessState = ReachabilityProber::ProcessState;
+    auto state = ProcessState::Unknown;
+    if (route == UpstreamRoute::Direct) {
+        if (this->state.prober.known_process_state(upstream) != ProcessState::Gone && error != HttpError::Closed)
+            co_return ProcessState::Unknown;
+        state = co_await this->state.prober.probe_process(upstream);
+        if (state != ProcessState::Gone)
+            co_return state;
+    }
+    // Only this VM's path to the upstream may be cut, so another VM has to confirm it.
+    if (this->state.relays && this->state.relays->is_available(monotonic_now())) {
+        auto const outcome = co_await this->state.relays->probe(this->state.pool, upstream.identity);
+        co_return outcome == RelayOutcome::NobodyListens ? ProcessState::Gone : ProcessState::Unknown;
+    }
+    co_return state;
+}
+
+asio::awaitable<bool> RequestHandler::report_crash(UpstreamRecord upstream, HttpError error, MonotonicTime since, UpstreamRoute route)
 {
     auto const ran_for = std::chrono::duration_cast<Duration>(monotonic_now() - since);
     // A connection that we aborted ourselves does not indicate a crash, and an upstream that is leaving stops as planned.
     if (this->is_stopped() || !this->state.upstreams.takes_work(upstream.identity))
         co_return false;
-    auto process = this->state.prober.known_process_state(upstream);
-    if (process != ReachabilityProber::ProcessState::Gone && error == HttpError::Closed)
-        process = co_await this->state.prober.probe_process(upstream);
+    auto const process = co_await this->determine_process_state(upstream, error, route);
     // All connections to a data centre that is cut off may be refused.
     if (process != ReachabilityProber::ProcessState::Gone || this->state.reachability->is_cut_off(upstream.data_centre, monotonic_now()))
         co_return false;
--- a/Libraries/LibRouter/RequestHandler.h
+++ b/Libraries/LibRouter/RequestHandler.h
@@ -9,6 +9,7 @@
 #include <LibDecision/RetryPolicy.h>
 #include <LibDecision/SendAccounting.h>
 #include <LibRouter/RouterState.h>
+#include <LibRouter/UpstreamLink.h>
 #include <functional>
 #include <memory>
 #include <string>
@@ -77,6 +78,11 @@
     void note_sent();
     /// Call when that upstream states that it did not run the request.
     void note_not_executed();
+    /// Call when the upstream did not receive the request after all.
+    void note_not_delivered();
+    /// How to open a link for this request. Requests that must not be repeated need a recently used connection: if the other side
+    /// is about to close an idle one, it is unclear whether the request ran.
+    UpstreamLink::Options link_options(RouteKind kind) const;
 
     /// Records what the upstream states about itself in its response to this request: that it is leaving, a pause that it asks
     /// for, its rate limit or the absence of one.
@@ -94,7 +100,7 @@
     /// Checks whether the upstream crashed while it had the request, and reports it if so: the connection was lost although the
     /// upstream was not leaving, and nothing listens at its address any more. Stops the request if it is found to be the cause.
     /// Returns whether the upstream crashed.
-    asio::awaitable<bool> report_crash(UpstreamRecord upstream, HttpError error, MonotonicTime since);
+    asio::awaitable<bool> report_crash(UpstreamRecord upstream, HttpError error, MonotonicTime since, UpstreamRoute route);
 
     /// Whether the request may be served, and its data stored, in the data centre.
     bool may_use_data_centre(std::string_view data_centre) const { return this->residency.allows(data_centre, this->state.regions); }
@@ -124,6 +130,8 @@
     /// Charges the request to its account's quota. Returns false, after sending a response, if the request is quarantined or
     /// exceeds the quota.
     asio::awaitable<bool> admit();
+    /// Whether the upstream's process is gone, by this VM's own connections and those of another VM.
+    asio::awaitable<ReachabilityProber::ProcessState> determine_process_state(UpstreamRecord upstream, HttpError error, UpstreamRoute route);
     asio::awaitable<void> reject(int status, std::string_view reason, std::optional<Duration> retry_after);
 
     StopReason stop_reason = StopReason::None;
--- a/Libraries/LibRouter/RouterState.h
+++ b/Libraries/LibRouter/RouterState.h
@@ -26,6 +26,7 @@
 class CrashReporter;
 class PlacementClient;
 class ReplicatedQuarantine;
+class RelayClient;
 class QuotaClient;
 class UpstreamLimiter;
 
@@ -58,6 +59,8 @@
     ReplicatedQuarantine* quarantine = nullptr;
     CrashReporter* crashes = nullptr;
     UpstreamLimiter* limiter = nullptr;
+    /// Null where no VM relays requests of others.
+    RelayClient* relays = nullptr;
     /// Call when an upstream announces its departure in a response.
     std::function<void(UpstreamIncarnation const&)> note_departure = [](UpstreamIncarnation const&) {};
     /// This VM's share of the retry budgets' allowance, which is common to all VMs.
--- a/Libraries/LibRouter/StreamingRequestHandler.cpp
+++ b/Libraries/LibRouter/StreamingRequestHandler.cpp
@@ -23,6 +23,8 @@
 constexpr std::size_t MAXIMUM_SHORT_RESPONSE_BYTES = 64UL * 1024;
 constexpr Duration FREE_CACHE_TIMEOUT = milliseconds(500);
 constexpr Duration LOST_ENGINE_RETRY_AFTER = milliseconds(400);
+/// With more engines unreachable, this VM's own paths are the likely cause, and other VMs may go on using the engines.
+constexpr std::size_t UNREACHABLE_REPORTED = 1;
 
 std::vector<std::string> engines_of(PlacementGrant const& grant)
 {
@@ -135,6 +137,16 @@
     return times;
 }
 
+bool StreamingRequestHandler::has_direct_engine(RouteFinder& routes_to) const
+{
+    bool has_direct = false;
+    this->state.upstreams.for_each([&](UpstreamRecord const& record) {
+        bool const may_generate = record.service == this->service && record.life == UpstreamRecord::Life::Serving && record.role != EngineRole::Prefill;
+        has_direct = has_direct || (may_generate && this->may_use_data_centre(record.data_centre) && routes_to.find(record) == UpstreamRoute::Direct);
+    });
+    return has_direct;
+}
+
 // The keeper may reach engines that this VM cannot, may not have heard yet that some are leaving, and does not know which data
 // centres the request is restricted to. A data centre is excluded as a whole, since it may have thousands of engines.
 StreamingRequestHandler::EngineSurvey StreamingRequestHandler::survey_engines() const
@@ -146,6 +158,9 @@
     EngineSurvey survey;
     auto const now = monotonic_now();
     std::map<std::string_view, DataCentre> data_centres;
+    RouteFinder routes_to(this->state, now);
+    bool const has_direct_engine = this->has_direct_engine(routes_to);
+    bool const is_partitioned = this->state.reachability->is_partitioned(now);
     this->state.upstreams.for_each([&](UpstreamRecord const& record) {
         if (record.service != this->service)
             return;
@@ -153,15 +168,20 @@
         auto& data_centre = known->second;
         if (is_new) {
             data_centre.is_allowed = this->may_use_data_centre(record.data_centre);
-            data_centre.is_excluded = !data_centre.is_allowed || this->state.reachability->is_cut_off(record.data_centre, now);
+            bool const is_relayed_to = !has_direct_engine && routes_to.has_relay();
+            data_centre.is_excluded = !data_centre.is_allowed || (this->state.reachability->is_cut_off(record.data_centre, now) && !is_relayed_to);
         }
+        auto const route_to_engine = routes_to.find(record);
+        // Engines that another VM reaches are only used if this VM reaches none.
+        bool const is_reached = route_to_engine == UpstreamRoute::Direct || (route_to_engine == UpstreamRoute::Relayed && !has_direct_engine);
         bool const is_paused = this->state.limiter->requested_pause_left(record, now) > Duration::zero();
         if (data_centre.is_allowed && record.role != EngineRole::Prefill) {
-            auto const serving = is_paused ? EngineSurvey::Availability::AllPaused : EngineSurvey::Availability::Available;
+            auto const reached = is_paused ? EngineSurvey::Availability::AllPaused : EngineSurvey::Availability::Available;
+            auto const serving = is_partitioned && !is_reached ? EngineSurvey::Availability::AllUnreachable : reached;
             survey.availability = std::max(survey.availability, record.life == UpstreamRecord::Life::Serving ? serving : EngineSurvey::Availability::AllLeft);
         }
         bool const is_unusable = is_paused || this->state.upstreams.has_departed(record) || this->state.limiter->pause_left(record.identity, now) > Duration::zero();
-        if (!data_centre.is_excluded && (is_unusable || !this->state.reachability->is_reachable(record.identity, record.data_centre, now)))
+        if (!data_centre.is_excluded && (is_unusable || !is_reached))
             survey.excluded_engines.push_back(record.identity);
     });
     for (auto const& [name, data_centre] : data_centres) {
@@ -177,6 +197,10 @@
         co_await this->refuse("upstreams_paused", this->assign_retry_after_pauses().value_or(NO_UPSTREAM_RETRY_AFTER));
         co_return;
     }
+    if (availability == EngineSurvey::Availability::AllUnreachable) {
+        co_await this->refuse("upstreams_unreachable", NO_UPSTREAM_RETRY_AFTER);
+        co_return;
+    }
     PlacementRefusal refusal { this->request.identifier, RefusalReason::NoUpstream, NO_UPSTREAM_RETRY_AFTER };
     co_await this->respond_to_refusal(std::move(refusal));
 }
@@ -283,19 +307,15 @@
     Dispatch dispatch;
     dispatch.expected_identity = grant.decode_engine;
     UpstreamRecord const decoder = *this->state.upstreams.find(grant.decode_engine);
-    auto const decode_address = parse_address(decoder.address);
-    if (!decode_address)
-        co_return co_await this->retry_or_fail(SendOutcome::NotSent, "bad_address");
     // Check that the decode engine accepts connections before the prefill, which would be wasted otherwise.
-    auto reserved = co_await this->state.pool.acquire(*decode_address, this->freshness());
+    auto reserved = co_await UpstreamLink::open(this->state, decoder, this->decode_link_options());
     if (!reserved.is_error())
-        this->state.pool.put_back_unused(*decode_address, reserved.value());
+        reserved.value()->release_unused();
     if (this->is_stopped())
         co_return PlacementOutcome::Retry;
     if (reserved.is_error()) {
-        this->state.prober.note_unreachable(decoder, reserved.error());
-        this->failed_engine = decoder.identity;
-        co_return co_await this->retry_or_fail(SendOutcome::NotSent, to_string(reserved.error()));
+        this->note_unreached(decoder, reserved.error());
+        co_return co_await this->retry_or_fail(SendOutcome::NotSent, reserved.error().reason());
     }
     if (prefiller) {
         if (!this->try_pay(SendAccounting::Send::Prefill))
@@ -314,33 +334,46 @@
         dispatch.cache_handle = cache->handle;
         this->cache_holder = *prefiller;
     }
-    co_return co_await this->decode(decoder, *decode_address, std::move(dispatch));
+    co_return co_await this->decode(decoder, std::move(dispatch));
 }
 
-ConnectionPool::Freshness StreamingRequestHandler::freshness() const
+void StreamingRequestHandler::note_unreached(UpstreamRecord const& engine, LinkError const& error)
 {
-    return this->route.is_resumable ? ConnectionPool::Freshness::Any : ConnectionPool::Freshness::Recent;
+    if (error.location == LinkError::Location::Relay)
+        return;
+    bool const is_reported = error.relay_outcome || this->state.reachability->unreachable_count() <= UNREACHABLE_REPORTED;
+    if (is_reported)
+        this->failed_engine = engine.identity;
+    else
+        this->failed_engines.push_back(engine.identity);
+}
+
+// A response that is lost through another VM may have been lost by that VM.
+void StreamingRequestHandler::note_lost(UpstreamLink const& link, LinkError const& error)
+{
+    if (error.delivery == LinkError::Delivery::NotDelivered)
+        this->note_unreached(link.upstream(), error);
+    else if (link.route() == UpstreamRoute::Relayed)
+        this->failed_engines.push_back(link.identity());
+    else
+        this->failed_engine = link.identity();
 }
 
 asio::awaitable<std::optional<PrefillCache>> StreamingRequestHandler::prefill(UpstreamRecord engine)
 {
     auto const begun = monotonic_now();
-    auto const address = parse_address(engine.address);
-    if (!address) {
-        this->failed_engine = engine.identity;
-        co_return std::nullopt;
-    }
-    auto acquired = co_await this->state.pool.acquire(*address, ConnectionPool::Freshness::Any);
-    if (acquired.is_error()) {
-        this->failed_engine = engine.identity;
-        this->state.prober.note_unreachable(engine, acquired.error());
-        LogLine("prefill_failed").with("request", this->request.identifier).with("engine", engine.identity).with("reason", to_string(acquired.error()));
+    // A prefill may always be repeated.
+    auto opened = co_await UpstreamLink::open(this->state, engine, this->link_options(RouteKind::Repeatable));
+    if (opened.is_error()) {
+        this->note_unreached(engine, opened.error());
+        LogLine("prefill_failed").with("request", this->request.identifier).with("engine", engine.identity).with("reason", opened.error().reason());
         co_return std::nullopt;
     }
-    auto const connection = acquired.release_value();
+    auto const link = opened.release_value();
+    auto const& connection = link->connection();
     this->recheck_admission();
     if (this->is_stopped() || find_send_obstacle(this->state, engine) != SendObstacle::None) {
-        this->state.pool.release(*address, connection);
+        link->release_unused();
         if (!this->is_stopped())
             this->failed_engines.push_back(engine.identity);
         co_return std::nullopt;
@@ -355,16 +388,15 @@
     connection->set_deadline(monotonic_now() + PREFILL_TIMEOUT);
     this->state.limiter->note_sent(engine);
     this->state.metrics.increment("spurtide_sends_total", "Requests sent to upstreams", { { "service", this->service }, { "stage", "prefill" } });
-    std::optional<InFlightRequest> in_flight(std::in_place, this->state.prober, engine, connection, InFlightRequest::WhenUnreachable::Abort);
-    connection->send(format_request_head(this->state.dialect.upstream_request_head(this->exchange.request(), dispatch)), this->body);
-    auto head = co_await connection->read_head();
-    std::string reason = head.is_error() ? std::string(to_string(head.error())) : "status_" + std::to_string(head.value().status);
+    link->send(format_request_head(this->state.dialect.upstream_request_head(this->exchange.request(), dispatch)), this->body, dispatch.remaining_time);
+    auto head = co_await link->read_head();
+    std::string reason = head.is_error() ? std::string(head.error().reason()) : "status_" + std::to_string(head.value().status);
     std::optional<PrefillCache> cache;
     bool is_engine_healthy = false;
     if (!head.is_error()) {
         auto response_body = co_await connection->read_body(MAXIMUM_SHORT_RESPONSE_BYTES);
         auto const info = this->state.dialect.read_response(head.value());
-        this->record_statements(engine, info, head.value().status, in_flight->send_time());
+        this->record_statements(engine, info, head.value().status, link->send_time());
         bool const is_matching_response = info.identifier.empty() || info.identifier == this->request.identifier;
         if (response_body.is_error() || !is_matching_response) {
             connection->abort();
@@ -379,21 +411,24 @@
         // An engine that refuses because it is full or leaving is healthy.
         is_engine_healthy = info.is_not_executed;
     }
-    if (head.is_error())
-        static_cast<void>(co_await this->report_crash(engine, head.error(), begun));
-    this->ledger.note_prefill(cache ? SendAccounting::PrefillOutcome::Accepted : SendAccounting::PrefillOutcome::NotAccepted, monotonic_now());
+    bool const was_delivered = !head.is_error() || head.error().delivery == LinkError::Delivery::Unknown;
+    if (head.is_error() && was_delivered)
+        static_cast<void>(co_await this->report_crash(engine, head.error().error, begun, link->route()));
+    if (was_delivered)
+        this->ledger.note_prefill(cache ? SendAccounting::PrefillOutcome::Accepted : SendAccounting::PrefillOutcome::NotAccepted, monotonic_now());
     if (!head.is_error())
-        in_flight->note_received();
-    in_flight.reset();
+        link->note_received();
     this->set_active_connection(nullptr);
-    this->state.pool.release(*address, connection);
+    link->release();
     // A request that was stopped on our side says nothing about the engine's health.
     if (!cache && !this->is_stopped()) {
         if (is_engine_healthy) {
             // It is full, leaving or changing its role. If it looks idle, the keeper would choose it again and again.
             this->failed_engines.push_back(engine.identity);
             this->refusing_engines = { engine.identity };
-        } else
+        } else if (head.is_error())
+            this->note_lost(*link, head.error());
+        else
             this->failed_engine = engine.identity;
     }
     auto const took = to_milliseconds(std::chrono::duration_cast<Duration>(monotonic_now() - begun));
@@ -404,67 +439,73 @@
     co_return cache;
 }
 
-asio::awaitable<StreamingRequestHandler::PlacementOutcome> StreamingRequestHandler::decode(UpstreamRecord engine, Address address, Dispatch dispatch)
+asio::awaitable<StreamingRequestHandler::PlacementOutcome> StreamingRequestHandler::decode(UpstreamRecord engine, Dispatch dispatch)
 {
-    auto acquired = co_await this->state.pool.acquire(address, this->freshness());
+    auto opened = co_await UpstreamLink::open(this->state, engine, this->decode_link_options());
     this->recheck_admission();
     auto const obstacle = find_send_obstacle(this->state, engine);
-    if (acquired.is_error() || this->is_stopped() || obstacle != SendObstacle::None) {
+    if (opened.is_error() || this->is_stopped() || obstacle != SendObstacle::None) {
         if (!dispatch.cache_handle.empty())
             this->free_cache(this->cache_holder, dispatch.cache_handle);
-        if (acquired.is_error()) {
-            this->state.prober.note_unreachable(engine, acquired.error());
-            this->failed_engine = engine.identity;
-            co_return co_await this->retry_or_fail(SendOutcome::NotSent, to_string(acquired.error()));
+        if (opened.is_error()) {
+            this->note_unreached(engine, opened.error());
+            co_return co_await this->retry_or_fail(SendOutcome::NotSent, opened.error().reason());
         }
-        this->state.pool.release(address, acquired.value());
+        opened.value()->release_unused();
         if (this->is_stopped())
             co_return PlacementOutcome::Retry;
         this->failed_engines.push_back(engine.identity);
         co_return co_await this->retry_or_fail(SendOutcome::NotSent, to_string(obstacle));
     }
-    auto const connection = acquired.release_value();
+    auto const link = opened.release_value();
+    auto const& connection = link->connection();
     dispatch.account = this->account;
     dispatch.remaining_time = std::min(this->caller_time_left(), this->time_left());
     dispatch.after_event = this->events.last_identifier();
     this->set_active_connection(connection);
     this->note_sent();
     this->state.limiter->note_sent(engine);
-    auto const when_unreachable = this->route.is_resumable ? InFlightRequest::WhenUnreachable::Abort : InFlightRequest::WhenUnreachable::Wait;
-    std::optional<InFlightRequest> in_flight(std::in_place, this->state.prober, engine, connection, when_unreachable);
-    connection->send(format_request_head(this->state.dialect.upstream_request_head(this->exchange.request(), dispatch)), this->body);
-    auto head = co_await connection->read_head();
+    link->send(format_request_head(this->state.dialect.upstream_request_head(this->exchange.request(), dispatch)), this->body, dispatch.remaining_time);
+    auto head = co_await link->read_head();
+    if (head.is_error() && head.error().delivery == LinkError::Delivery::NotDelivered) {
+        this->set_active_connection(nullptr);
+        this->note_not_delivered();
+        link->release();
+        if (!dispatch.cache_handle.empty())
+            this->free_cache(this->cache_holder, dispatch.cache_handle);
+        if (this->is_stopped())
+            co_return PlacementOutcome::Retry;
+        this->note_unreached(engine, head.error());
+        co_return co_await this->retry_or_fail(SendOutcome::NotSent, head.error().reason());
+    }
     if (head.is_error()) {
-        auto const sent_at = in_flight->send_time();
-        in_flight.reset();
         this->set_active_connection(nullptr);
         connection->abort();
+        link->release();
         if (this->is_stopped())
             co_return PlacementOutcome::Retry;
-        static_cast<void>(co_await this->report_crash(engine, head.error(), sent_at));
+        static_cast<void>(co_await this->report_crash(engine, head.error().error, link->send_time(), link->route()));
         if (this->is_stopped())
             co_return PlacementOutcome::Retry;
-        this->failed_engine = engine.identity;
-        co_return co_await this->retry_or_fail(SendOutcome::Lost, to_string(head.error()));
+        this->note_lost(*link, head.error());
+        co_return co_await this->retry_or_fail(SendOutcome::Lost, head.error().reason());
     }
-    in_flight->note_received();
+    link->note_received();
     auto const info = this->state.dialect.read_response(head.value());
     auto const status = head.value().status;
-    this->record_statements(engine, info, status, in_flight->send_time());
+    this->record_statements(engine, info, status, link->send_time());
     if (info.identifier == this->request.identifier && status / 100 == 2 && info.is_signed && !info.is_encoded) {
         this->state.placement->progress(this->request.identifier, GrantProgress::Decoding);
-        auto const outcome = co_await this->relay_stream(*in_flight, connection, head.release_value());
-        in_flight.reset();
+        auto const outcome = co_await this->relay_stream(*link, head.release_value());
         this->set_active_connection(nullptr);
-        this->state.pool.release(address, connection);
+        link->release();
         co_return outcome;
     }
     auto response_body = co_await connection->read_body(MAXIMUM_SHORT_RESPONSE_BYTES);
-    in_flight.reset();
     this->set_active_connection(nullptr);
     if (response_body.is_error())
         connection->abort();
-    this->state.pool.release(address, connection);
+    link->release();
     auto const reason = "decode_status_" + std::to_string(status);
     if (info.is_not_executed || status == 421) {
         this->note_not_executed();
@@ -503,8 +544,9 @@
     this->last_event_at = now;
 }
 
-asio::awaitable<StreamingRequestHandler::PlacementOutcome> StreamingRequestHandler::relay_stream(InFlightRequest& in_flight, std::shared_ptr<HttpConnection> connection, HttpResponseHead head)
+asio::awaitable<StreamingRequestHandler::PlacementOutcome> StreamingRequestHandler::relay_stream(UpstreamLink& link, HttpResponseHead head)
 {
+    auto const connection = link.connection();
     while (true) {
         auto piece = co_await connection->read_piece();
         if (piece.is_error()) {
@@ -512,19 +554,19 @@
             this->events.discard_partial_event();
             if (this->is_stopped())
                 co_return PlacementOutcome::Retry;
-            bool const has_crashed = co_await this->report_crash(in_flight.upstream(), piece.error(), in_flight.send_time());
+            bool const has_crashed = co_await this->report_crash(link.upstream(), piece.error(), link.send_time(), link.route());
             if (this->is_stopped())
                 co_return PlacementOutcome::Retry;
             // A single interrupted stream says little about the engine's health, so it is only excluded for this request. A
             // crashed engine is reported to the keeper, which otherwise would assign it until its list entry expires.
             if (has_crashed)
-                this->failed_engine = in_flight.identity();
-            else
-                this->failed_engines.push_back(in_flight.identity());
+                this->failed_engine = link.identity();
+            else if (link.route() == UpstreamRoute::Direct)
+                this->failed_engines.push_back(link.identity());
             co_return co_await this->retry_or_fail(SendOutcome::Lost, to_string(piece.error()));
         }
         this->note_event(monotonic_now());
-        in_flight.note_received();
+        link.note_received();
         bool const is_end = piece.value().empty();
         auto bytes = this->events.append(piece.value());
         // Partial events only have to be withheld from streams that can be resumed on another engine.
--- a/Libraries/LibRouter/StreamingRequestHandler.h
+++ b/Libraries/LibRouter/StreamingRequestHandler.h
@@ -3,7 +3,6 @@
 
 #pragma once
 
-#include <LibRouter/InFlightRequest.h>
 #include <LibRouter/PlacementClient.h>
 #include <LibRouter/RequestHandler.h>
 
@@ -52,7 +51,9 @@
             /// The keeper may know some.
             Unlisted,
             AllLeft,
-            /// Those that have not left asked this VM for a pause.
+            /// Neither this VM nor another one reaches those that have not left.
+            AllUnreachable,
+            /// Those that can be reached asked this VM for a pause.
             AllPaused,
             Available,
         } availability
@@ -68,10 +69,12 @@
     /// Runs the request on the engines of a grant.
     asio::awaitable<PlacementOutcome> run_placement(PlacementGrant grant);
     asio::awaitable<std::optional<PrefillCache>> prefill(UpstreamRecord engine);
-    asio::awaitable<PlacementOutcome> decode(UpstreamRecord engine, Address address, Dispatch dispatch);
+    asio::awaitable<PlacementOutcome> decode(UpstreamRecord engine, Dispatch dispatch);
     void note_event(MonotonicTime now);
-    asio::awaitable<PlacementOutcome> relay_stream(InFlightRequest& in_flight, std::shared_ptr<HttpConnection> connection, HttpResponseHead head);
+    asio::awaitable<PlacementOutcome> relay_stream(UpstreamLink& link, HttpResponseHead head);
     EngineSurvey survey_engines() const;
+    /// Whether this VM itself reaches an engine that can generate the response.
+    bool has_direct_engine(RouteFinder& routes_to) const;
     asio::awaitable<void> respond_without_engines(EngineSurvey::Availability availability);
     /// Takes a turn at each engine of the grant that has announced a rate limit. Returns false if one of them has none for now;
     /// that engine is excluded from further placements.
@@ -81,7 +84,10 @@
     asio::awaitable<PlacementOutcome> retry_or_fail(SendOutcome end, std::string_view reason, SendHistory::AnotherSend allowed_send = SendHistory::AnotherSend::Allowed);
     /// Asks the engine that holds a prefilled cache to free it.
     void free_cache(UpstreamRecord const& holder, std::string const& handle);
-    ConnectionPool::Freshness freshness() const;
+    UpstreamLink::Options decode_link_options() const { return this->link_options(this->route.is_resumable ? RouteKind::Repeatable : RouteKind::NotRepeatable); }
+    /// Excludes an engine that was not reached from further placements, and reports it to the keeper if the engine is at fault.
+    void note_lost(UpstreamLink const& link, LinkError const& error);
+    void note_unreached(UpstreamRecord const& engine, LinkError const& error);
     void release();
     /// Number of output tokens received so far.
     std::int64_t relayed_tokens() const;
--- a/Libraries/LibRouter/UnaryRequestHandler.cpp
+++ b/Libraries/LibRouter/UnaryRequestHandler.cpp
@@ -16,6 +16,8 @@
 constexpr Duration MINIMUM_TIME_FOR_SEND = milliseconds(50);
 /// Failed connection attempts are retried without charging the retry budget, since they put no load on upstreams.
 constexpr int MAXIMUM_CONNECT_ATTEMPTS = 3;
+/// The same for VMs that were asked to relay the request and did not send it.
+constexpr int MAXIMUM_RELAY_ATTEMPTS = 4;
 constexpr std::size_t MAXIMUM_RESPONSE_BYTES = 8UL * 1024 * 1024;
 constexpr Duration FULL_UPSTREAM_RETRY_AFTER = milliseconds(300);
 /// Share of the latency target that a request may wait for its turn at an upstream; the rest is for the response.
@@ -48,10 +50,7 @@
             records.push_back(&record);
     });
     auto const now = monotonic_now();
-    auto const is_reachable = [&](UpstreamRecord const* record) { return this->state.reachability->is_reachable(record->identity, record->data_centre, now); };
-    // If none is known to be reachable, try one anyway: it may be reachable again.
-    if (std::any_of(records.begin(), records.end(), is_reachable))
-        std::erase_if(records, [&](auto const* record) { return !is_reachable(record); });
+    this->keep_best_route(records, now);
     std::erase_if(records, [&](auto const* record) { return this->state.limiter->requested_pause_left(*record, now) > Duration::zero(); });
     this->exclude_cold_upstreams(records, now);
     this->exclude_limited_upstreams(records, now);
@@ -70,6 +69,35 @@
     return chosen;
 }
 
+void UnaryRequestHandler::keep_best_route(std::vector<UpstreamRecord const*>& records, MonotonicTime now)
+{
+    RouteFinder finder(this->state, now);
+    std::map<UpstreamRoute, std::vector<UpstreamRecord const*>> by_route;
+    for (auto const* record : records) {
+        auto const route = finder.find(*record);
+        auto const& unreached = route == UpstreamRoute::Relayed ? this->unreached_by_relay : this->unreached_upstreams;
+        if (!unreached.contains(record->identity))
+            by_route[route].push_back(record);
+    }
+    auto& unreachable = by_route[UpstreamRoute::None];
+    this->was_without_route = !unreachable.empty();
+    // If none is known to be reachable, try one anyway: it may be reachable again. A partitioned VM would try in vain.
+    if (this->state.reachability->is_partitioned(now))
+        unreachable.clear();
+    for (auto const route : { UpstreamRoute::Direct, UpstreamRoute::Relayed, UpstreamRoute::None }) {
+        records = std::move(by_route[route]);
+        if (!records.empty())
+            break;
+    }
+}
+
+bool UnaryRequestHandler::may_retry_connection(Attempt const& attempt)
+{
+    if (attempt.route == UpstreamRoute::Relayed)
+        return ++this->relay_attempts < MAXIMUM_RELAY_ATTEMPTS && this->time_left() >= MINIMUM_TIME_FOR_SEND;
+    return ++this->connect_attempts < MAXIMUM_CONNECT_ATTEMPTS;
+}
+
 double UnaryRequestHandler::cold_rate() const
 {
     auto const* traits = this->routes->service(this->service);
@@ -162,22 +190,25 @@
     }
     if (!last.reason.empty())
         reason = last.reason;
+    else if (this->was_without_route)
+        reason = "upstreams_unreachable";
     co_await this->refuse(reason, retry_after);
 }
 
 asio::awaitable<void> UnaryRequestHandler::forward_request()
 {
     Attempt last;
-    int connect_attempts = 0;
     while (true) {
         if (this->is_stopped()) {
             co_await this->send_stopped_response();
             co_return;
         }
         auto upstream = co_await this->choose_upstream_with_turn();
-        if (!upstream && this->route.kind == RouteKind::Repeatable && !this->tried_upstreams.empty() && connect_attempts < MAXIMUM_CONNECT_ATTEMPTS) {
+        if (!upstream && this->route.kind == RouteKind::Repeatable && (!this->tried_upstreams.empty() || this->connect_attempts > 0) && this->connect_attempts < MAXIMUM_CONNECT_ATTEMPTS) {
             // Without another upstream, retry those that failed before.
             this->tried_upstreams.clear();
+            this->unreached_upstreams.clear();
+            this->unreached_by_relay.clear();
             upstream = co_await this->choose_upstream_with_turn();
         }
         if (this->is_stopped()) {
@@ -188,10 +219,13 @@
             co_await this->respond_without_upstream(last);
             co_return;
         }
-        this->tried_upstreams.insert(upstream->identity);
         auto const send_began = monotonic_now();
         last = co_await this->send_to(*upstream);
         auto const took = std::chrono::duration_cast<Duration>(monotonic_now() - send_began);
+        if (last.end != SendOutcome::NotSent)
+            this->tried_upstreams.insert(upstream->identity);
+        else if (last.failed_at == LinkError::Location::Upstream)
+            (last.route == UpstreamRoute::Relayed ? this->unreached_by_relay : this->unreached_upstreams).insert(upstream->identity);
         if (last.end == SendOutcome::NotExecuted)
             this->note_not_executed();
         if (this->is_stopped() && last.end != SendOutcome::Success) {
@@ -200,11 +234,11 @@
         }
         SendHistory history { this->route.kind, this->earlier, SendHistory::AnotherSend::Spent };
         if (last.end == SendOutcome::NotSent)
-            history.another_send = ++connect_attempts < MAXIMUM_CONNECT_ATTEMPTS ? SendHistory::AnotherSend::Allowed : SendHistory::AnotherSend::Spent;
+            history.another_send = this->may_retry_connection(last) ? SendHistory::AnotherSend::Allowed : SendHistory::AnotherSend::Spent;
         else if (last.end != SendOutcome::Success)
             history.another_send = this->take_another_send(this->sends, MINIMUM_TIME_FOR_SEND);
         auto const step = next_step(last.end, history);
-        LogLine("send_end").with("request", this->request.identifier).with("upstream", upstream->identity).with("end", to_string(last.end)).with("reason", last.reason).with("status", last.head.status).with("ms", to_milliseconds(took)).with("next", to_string(step));
+        LogLine("send_end").with("request", this->request.identifier).with("upstream", upstream->identity).with("end", to_string(last.end)).with("reason", last.reason).with("status", last.head.status).with("route", to_string(last.route)).with("ms", to_milliseconds(took)).with("next", to_string(step));
         switch (step) {
         case NextStep::SendElsewhere:
             continue;
@@ -225,30 +259,20 @@
 asio::awaitable<UnaryRequestHandler::Attempt> UnaryRequestHandler::send_to(UpstreamRecord upstream)
 {
     Attempt attempt;
-    auto const address = parse_address(upstream.address);
-    if (!address) {
-        attempt.reason = "bad_address";
-        co_return attempt;
-    }
-    // If the upstream is about to close an idle connection, it is unclear whether the request ran. One that must not be
-    // repeated therefore needs a recently used connection.
-    auto const freshness = this->route.kind == RouteKind::Repeatable ? ConnectionPool::Freshness::Any : ConnectionPool::Freshness::Recent;
     auto const sent_at = monotonic_now();
     this->state.selector.note_sent(upstream.identity);
-    auto acquired = co_await this->state.pool.acquire(*address, freshness);
-    if (acquired.is_error()) {
-        attempt.reason = to_string(acquired.error());
-        this->state.prober.note_unreachable(upstream, acquired.error());
-        this->state.selector.note_end(upstream.identity, UpstreamOutcome::Failed, Duration::zero(), monotonic_now());
-        this->state.limiter->return_turn(upstream.identity);
+    auto opened = co_await UpstreamLink::open(this->state, upstream, this->link_options(this->route.kind));
+    if (opened.is_error()) {
+        this->note_not_sent(upstream, opened.error(), attempt);
         co_return attempt;
     }
-    auto const connection = acquired.release_value();
+    auto const link = opened.release_value();
+    attempt.route = link->route();
     this->recheck_admission();
     // The upstream may have begun to leave, or the request may have been stopped, while the connection was established.
     auto const obstacle = find_send_obstacle(this->state, upstream);
     if (this->is_stopped() || obstacle != SendObstacle::None) {
-        this->state.pool.release(*address, connection);
+        link->release_unused();
         this->state.selector.note_end(upstream.identity, UpstreamOutcome::Full, Duration::zero(), monotonic_now());
         this->state.limiter->return_turn(upstream.identity);
         attempt.reason = to_string(obstacle);
@@ -258,43 +282,66 @@
     dispatch.remaining_time = std::min(this->caller_time_left(), this->time_left());
     dispatch.expected_identity = upstream.identity;
     dispatch.account = this->account;
-    this->set_active_connection(connection);
+    this->set_active_connection(link->connection());
     this->note_sent();
     this->state.limiter->note_sent(upstream);
-    auto const when_unreachable = this->route.kind == RouteKind::Repeatable ? InFlightRequest::WhenUnreachable::Abort : InFlightRequest::WhenUnreachable::Wait;
-    std::optional<InFlightRequest> in_flight(std::in_place, this->state.prober, upstream, connection, when_unreachable);
     auto const expected_body = this->exchange.request().head.method == "HEAD" ? MessageParser::ExpectedBody::None : MessageParser::ExpectedBody::AsFramed;
-    connection->send(format_request_head(this->state.dialect.upstream_request_head(this->exchange.request(), dispatch)), this->body, expected_body);
-    attempt = co_await this->read_response(connection);
+    link->send(format_request_head(this->state.dialect.upstream_request_head(this->exchange.request(), dispatch)), this->body, dispatch.remaining_time, expected_body);
+    attempt = co_await this->read_response(*link);
     // Any response, even to another request, proves that the upstream is reachable.
     if (attempt.head.status != 0) {
-        in_flight->note_received();
-        this->record_statements(upstream, this->state.dialect.read_response(attempt.head), attempt.head.status, in_flight->send_time());
+        link->note_received();
+        this->record_statements(upstream, this->state.dialect.read_response(attempt.head), attempt.head.status, link->send_time());
     }
-    in_flight.reset();
     this->set_active_connection(nullptr);
     auto const now = monotonic_now();
     auto const took = std::chrono::duration_cast<Duration>(now - sent_at);
+    if (attempt.end == SendOutcome::NotSent) {
+        this->note_not_delivered();
+        link->release();
+        this->state.selector.note_end(upstream.identity, UpstreamOutcome::Full, Duration::zero(), now);
+        this->state.limiter->return_turn(upstream.identity);
+        co_return attempt;
+    }
     // A request that was stopped on our side says nothing about the upstream's health.
     auto const outcome = this->is_stopped() && attempt.end == SendOutcome::Lost ? UpstreamOutcome::Full : outcome_of(attempt.end);
     this->state.selector.note_end(upstream.identity, outcome, took, now);
     if (attempt.end == SendOutcome::Lost)
-        connection->abort();
+        link->connection()->abort();
     if (attempt.connection_error)
-        static_cast<void>(co_await this->report_crash(upstream, *attempt.connection_error, sent_at));
-    this->state.pool.release(*address, connection);
+        static_cast<void>(co_await this->report_crash(upstream, *attempt.connection_error, sent_at, link->route()));
+    link->release();
     co_return attempt;
 }
 
-asio::awaitable<UnaryRequestHandler::Attempt> UnaryRequestHandler::read_response(std::shared_ptr<HttpConnection> connection)
+void UnaryRequestHandler::note_not_sent(UpstreamRecord const& upstream, LinkError const& error, Attempt& attempt)
+{
+    attempt.reason = error.reason();
+    attempt.failed_at = error.location;
+    if (error.location == LinkError::Location::Relay)
+        attempt.route = UpstreamRoute::Relayed;
+    // A path that failed elsewhere says nothing about the upstream's health.
+    auto const outcome = error.location == LinkError::Location::Relay ? UpstreamOutcome::Full : UpstreamOutcome::Failed;
+    this->state.selector.note_end(upstream.identity, outcome, Duration::zero(), monotonic_now());
+    this->state.limiter->return_turn(upstream.identity);
+}
+
+asio::awaitable<UnaryRequestHandler::Attempt> UnaryRequestHandler::read_response(UpstreamLink& link)
 {
+    auto const connection = link.connection();
     Attempt attempt;
+    attempt.route = link.route();
     attempt.end = SendOutcome::Lost;
     for (int mismatched = 0; mismatched <= MAXIMUM_MISMATCHED_RESPONSES; ++mismatched) {
-        auto head = co_await connection->read_head();
+        auto head = co_await link.read_head();
         if (head.is_error()) {
-            attempt.reason = to_string(head.error());
-            attempt.connection_error = head.error();
+            auto const& error = head.error();
+            attempt.reason = error.reason();
+            attempt.failed_at = error.location;
+            if (error.delivery == LinkError::Delivery::NotDelivered)
+                attempt.end = SendOutcome::NotSent;
+            else
+                attempt.connection_error = error.error;
             co_return attempt;
         }
         attempt.head = head.release_value();
--- a/Libraries/LibRouter/UnaryRequestHandler.h
+++ b/Libraries/LibRouter/UnaryRequestHandler.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <LibRouter/RequestHandler.h>
+#include <map>
 #include <set>
 
 namespace Spurtide {
@@ -24,11 +25,17 @@
         std::string body;
         /// Set if the connection failed before the response was complete.
         std::optional<HttpError> connection_error;
+        UpstreamRoute route = UpstreamRoute::Direct;
+        LinkError::Location failed_at = LinkError::Location::Upstream;
     };
 
     asio::awaitable<Attempt> send_to(UpstreamRecord upstream);
-    asio::awaitable<Attempt> read_response(std::shared_ptr<HttpConnection> connection);
+    void note_not_sent(UpstreamRecord const& upstream, LinkError const& error, Attempt& attempt);
+    asio::awaitable<Attempt> read_response(UpstreamLink& link);
     std::optional<UpstreamRecord> choose_upstream();
+    /// Keeps the upstreams that can be reached by the best of the routes, without those that have been tried by it.
+    void keep_best_route(std::vector<UpstreamRecord const*>& records, MonotonicTime now);
+    bool may_retry_connection(Attempt const& attempt);
     /// Also takes a turn if the upstream has announced a rate limit.
     asio::awaitable<std::optional<UpstreamRecord>> choose_upstream_with_turn();
     /// Removes the upstreams at which this VM was denied a turn. If that would leave none, keeps the one that can be asked first.
@@ -41,7 +48,15 @@
     void exclude_cold_upstreams(std::vector<UpstreamRecord const*>& records, MonotonicTime now);
     asio::awaitable<void> relay_response(Attempt const& attempt);
 
+    /// Upstreams that the request was sent to.
     std::set<std::string> tried_upstreams;
+    /// Upstreams to which this VM could not connect, and those that a relaying VM did not send the request to.
+    std::set<std::string> unreached_upstreams;
+    std::set<std::string> unreached_by_relay;
+    int connect_attempts = 0;
+    int relay_attempts = 0;
+    /// Whether no VM is known to reach any upstream that the last choice considered.
+    bool was_without_route = false;
     /// Upstreams that denied a turn for the current send.
     std::set<std::string> upstreams_without_turn;
     /// Whether the last choice had a single candidate.
--- a/Services/ConfigServer/MembershipService.cpp
+++ b/Services/ConfigServer/MembershipService.cpp
@@ -121,6 +121,8 @@
     auto services = this->kernel.hosted_services();
     for (auto const& [endpoint, process] : this->processes)
         services.insert(services.end(), process.services.begin(), process.services.end());
+    auto further = this->further_endpoints();
+    services.insert(services.end(), std::make_move_iterator(further.begin()), std::make_move_iterator(further.end()));
     return services;
 }
 
--- a/Services/ConfigServer/MembershipService.h
+++ b/Services/ConfigServer/MembershipService.h
@@ -78,6 +78,9 @@
         this->on_evacuations = std::move(on_told);
     }
 
+    /// Announces further endpoints of this VM besides the services of its kernel; asked before each heartbeat.
+    void set_endpoints_hook(std::function<std::vector<ServiceEndpoint>()> hook) { this->further_endpoints = std::move(hook); }
+
     /// Machines that the platform's list says are leaving; handed on to this VM's processes.
     void set_leaving_machines(std::vector<std::string> machines);
 
@@ -141,6 +144,7 @@
     /// Empty where there are none to tell of.
     std::function<EvacuationTable const&()> evacuations;
     std::function<void(EvacuationUpdate const&)> on_evacuations;
+    std::function<std::vector<ServiceEndpoint>()> further_endpoints = [] { return std::vector<ServiceEndpoint> {}; };
     MembershipTable table;
     MonotonicTime started_at;
     MonotonicTime joining_until;
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -26,6 +26,8 @@
 constexpr Duration SHORTEST_LEASE = milliseconds(3000);
 /// The rest is for connections to upstreams, other VMs and the registry.
 constexpr std::int64_t CALLERS_PART_OF_DESCRIPTORS = 2;
+/// Each relayed request needs another one to an upstream.
+constexpr std::int64_t RELAY_PART_OF_DESCRIPTORS = 8;
 /// Steps get longer as engines fill up, and are measured as means of whole answers: with 5.09 ms and 0.0303 ms a request
 /// a full batch of 64 takes 16 % longer than a half one, worked out and rounded up.
 constexpr double PACE_ERROR = 0.2;
@@ -65,7 +67,7 @@
 
 std::string_view to_string(NodeStartError error)
 {
-    constexpr std::array<std::string_view, 3> NAMES = { "cannot_listen_for_callers", "cannot_listen_for_operations", "cannot_listen_for_peers" };
+    constexpr std::array<std::string_view, 4> NAMES = { "cannot_listen_for_callers", "cannot_listen_for_operations", "cannot_listen_for_peers", "cannot_listen_for_relay" };
     return NAMES.at(static_cast<std::size_t>(error));
 }
 
@@ -154,6 +156,7 @@
         return Failure { NodeStartError::CannotListenForOperations };
     this->operations = operations_server.release_value();
     this->serve_metrics();
+    TRY(this->create_relay());
 
     RegistryFollower::Options follow;
     follow.retry_seed = spread_of(this->settings.virtual_machine);
@@ -176,6 +179,48 @@
     return Done {};
 }
 
+Result<Done, NodeStartError> Node::create_relay()
+{
+    RelayClient::Hooks client_hooks;
+    client_hooks.data_centre_of = [](MemberRecord const& member) { return RegistryRelay::data_centre_of(member); };
+    client_hooks.region_of = [this](std::string_view data_centre) {
+        auto const found = this->settings.regions.find(data_centre);
+        return found == this->settings.regions.end() ? std::string() : found->second;
+    };
+    this->relay_client = std::make_unique<RelayClient>(RelayClient::Options {}, *this->kernel, this->settings.data_centre, std::move(client_hooks));
+    this->state.relays = this->relay_client.get();
+    if (!this->settings.relay_address)
+        return Done {};
+    this->relay_service = std::make_unique<RelayService>(this->state, RelayService::Hooks { [this] { return this->is_stopping; } });
+    auto server = HttpServer::create(this->loop, *this->settings.relay_address, [this](auto& exchange) { return this->relay_service->handle(exchange); });
+    if (server.is_error())
+        return Failure { NodeStartError::CannotListenForRelay };
+    this->relay_server = server.release_value();
+    this->relay_server->set_most_connections(static_cast<std::size_t>(this->settings.descriptors / RELAY_PART_OF_DESCRIPTORS));
+    this->membership->set_endpoints_hook([this] {
+        std::vector<ServiceEndpoint> endpoints;
+        if (this->offers_relay())
+            endpoints.push_back(RelayClient::announcement(this->relay_server->address(), this->kernel->incarnation()));
+        return endpoints;
+    });
+    return Done {};
+}
+
+// The body of a relayed request holds the head as well, which has a few fields more than the caller's.
+void Node::limit_relayed_requests()
+{
+    if (!this->relay_server)
+        return;
+    HttpLimits limits;
+    limits.maximum_body = this->callers->limits().maximum_body + 2 * this->callers->limits().maximum_head;
+    this->relay_server->set_limits(limits);
+}
+
+bool Node::offers_relay() const
+{
+    return this->relay_server && this->state.routes && !this->is_stopping && !this->state.reachability->is_partitioned(monotonic_now());
+}
+
 void Node::create_role_controller()
 {
     RoleController::Options options;
@@ -183,7 +228,10 @@
     if (this->settings.start == NodeSettings::Start::First)
         options.lease.missing_row = LeaseTerm::MissingRow::NeverWritten;
     RoleController::Hooks hooks;
-    hooks.is_keeper = [this] { return !this->is_stopping && this->state.routes && this->membership->is_settled() && this->placement->is_keeper(); };
+    hooks.is_keeper = [this] {
+        bool const reaches_engines = !this->state.reachability->is_partitioned(monotonic_now());
+        return !this->is_stopping && this->state.routes && reaches_engines && this->membership->is_settled() && this->placement->is_keeper();
+    };
     hooks.engine_states = [this] { return this->placement_service->engine_states(); };
     hooks.on_change = [this] { this->engines_changed(); };
     this->role_controller = std::make_unique<RoleController>(options, this->state, this->adapters.leases, this->kernel->incarnation(), std::move(hooks));
@@ -353,6 +401,7 @@
     http.head_timeout = limits.head_timeout;
     http.idle_timeout = limits.idle_timeout;
     this->callers->set_limits(http);
+    this->limit_relayed_requests();
     this->state.routes = std::make_shared<RouteTable const>(decoded.release_value());
     this->relay->set_document(found);
     this->adopt_accounts();
@@ -477,6 +526,7 @@
     facts.configuration_version = this->configuration_version();
     facts.upstreams_version = this->state.upstreams.version();
     facts.upstreams = this->state.upstreams.size();
+    facts.reach = this->state.reachability->is_partitioned(monotonic_now()) ? NodeFacts::Reach::None : NodeFacts::Reach::Some;
     facts.unreachable_upstreams = this->state.reachability->unreachable_count();
     facts.live_virtual_machines = this->live_virtual_machines();
     facts.caller_connections = this->callers->connection_count();
@@ -515,6 +565,7 @@
     this->last_lapse_check = now;
     this->note_cut(now);
     this->state.prober.tick();
+    this->note_partition(now);
     this->announce_evacuations(this->state.upstreams.advance_evacuations(now), "new_era");
     if (this->state.upstreams.advance(now)) {
         LogLine("lapsed_upstreams_dropped").with("left", static_cast<std::int64_t>(this->state.upstreams.size()));
@@ -532,6 +583,21 @@
     this->state.reachability->set_isolation(is_cut_off ? ReachabilityTracker::Isolation::OwnDataCentre : ReachabilityTracker::Isolation::None, now);
 }
 
+// Other VMs learn at once whether this one can relay.
+void Node::note_partition(MonotonicTime now)
+{
+    bool const is_partitioned = this->state.reachability->is_partitioned(now);
+    if (is_partitioned == this->was_partitioned)
+        return;
+    this->was_partitioned = is_partitioned;
+    LogLine line(is_partitioned ? "partitioned_from_upstreams" : "upstreams_reached_again");
+    line.with("unreachable", static_cast<std::int64_t>(this->state.reachability->unreachable_count())).with("upstreams", static_cast<std::int64_t>(this->state.upstreams.size()));
+    if (auto const last = this->state.reachability->last_contact())
+        line.with("last_response_ms", to_milliseconds(std::chrono::duration_cast<Duration>(now - *last)));
+    line.with("relay_available", this->relay_client->is_available(now) ? "yes" : "no");
+    this->membership->spread_news();
+}
+
 void Node::stop(std::function<void()> when_done)
 {
     if (this->is_stopping)
@@ -541,6 +607,8 @@
     this->when_stopped = std::move(when_done);
     LogLine("stopping").with("requests", static_cast<std::int64_t>(this->callers->exchange_count())).with("connections", static_cast<std::int64_t>(this->callers->connection_count()));
     this->callers->close_after_answers();
+    if (this->relay_server)
+        this->relay_server->close_after_answers();
     this->membership->leave([] {});
     this->poll_stop();
 }
@@ -549,11 +617,12 @@
 {
     auto const spent = monotonic_now() - this->stop_began;
     bool const is_late = spent >= this->settings.stop_grace - STOP_MARGIN;
+    auto const relayed = this->relay_server ? this->relay_server->exchange_count() : 0;
     if (spent >= BALANCER_NOTICE)
         this->callers->close_idle();
-    bool const is_idle = spent >= BALANCER_NOTICE && this->callers->exchange_count() == 0 && this->callers->connection_count() == 0;
+    bool const is_idle = spent >= BALANCER_NOTICE && relayed == 0 && this->callers->exchange_count() == 0 && this->callers->connection_count() == 0;
     if (is_idle || is_late) {
-        LogLine("stopped").with("requests_cut", static_cast<std::int64_t>(this->callers->exchange_count()));
+        LogLine("stopped").with("requests_cut", static_cast<std::int64_t>(this->callers->exchange_count() + relayed));
         this->when_stopped();
         return;
     }
--- a/Services/NodeServer/Node.h
+++ b/Services/NodeServer/Node.h
@@ -12,6 +12,8 @@
 #include <LibRouter/QuotaClient.h>
 #include <LibRouter/RegistryFollower.h>
 #include <LibRouter/RegistryRelay.h>
+#include <LibRouter/RelayClient.h>
+#include <LibRouter/RelayService.h>
 #include <LibRouter/ReplicatedQuarantine.h>
 #include <LibRouter/RequestRouter.h>
 #include <LibRouter/RoleController.h>
@@ -31,6 +33,7 @@
     CannotListenForCallers,
     CannotListenForOperations,
     CannotListenForPeers,
+    CannotListenForRelay,
 };
 
 std::string_view to_string(NodeStartError error);
@@ -62,6 +65,8 @@
     bool knows_upstream(std::string_view identity, UpstreamRecord::Life life) const;
     Address const& caller_address() const { return this->callers->address(); }
     Address const& operations_address() const { return this->operations->address(); }
+    /// Where other VMs send requests to relay; empty if this VM relays none.
+    std::optional<Address> relay_address() const { return this->relay_server ? std::optional(this->relay_server->address()) : std::nullopt; }
     /// Where other VMs reach this one, as ADDRESS:PORT.
     std::string wire_address() const;
 
@@ -77,6 +82,10 @@
     void create_quota();
     void create_quarantine();
     void create_limiter();
+    Result<Done, NodeStartError> create_relay();
+    void limit_relayed_requests();
+    /// Whether this VM offers to relay requests of VMs that are partitioned from the upstreams.
+    bool offers_relay() const;
     void create_role_controller();
     RegistryFollower::Hooks hooks();
     RegistryRelay::Hooks relay_hooks();
@@ -93,6 +102,7 @@
     void every_second();
     void drop_lapsed();
     void note_cut(MonotonicTime now);
+    void note_partition(MonotonicTime now);
     void poll_stop();
 
     asio::io_context& loop;
@@ -110,6 +120,8 @@
     UpstreamLimitTable upstream_limits;
     std::unique_ptr<UpstreamLimitCounter> limit_counter;
     std::unique_ptr<UpstreamLimiter> limiter;
+    std::unique_ptr<RelayClient> relay_client;
+    std::unique_ptr<RelayService> relay_service;
     std::unique_ptr<ReplicatedQuarantine> quarantine;
     std::unique_ptr<CrashAnalyzer> crash_analyzer;
     std::unique_ptr<CrashReporter> crash_reporter;
@@ -120,11 +132,14 @@
     std::unique_ptr<RegistryFollower> follower;
     std::unique_ptr<HttpServer> callers;
     std::unique_ptr<HttpServer> operations;
+    /// Empty where this VM relays no requests.
+    std::unique_ptr<HttpServer> relay_server;
     /// Empty where metrics have no address of their own, or it cannot be used.
     std::unique_ptr<HttpServer> metrics_server;
     std::optional<MonotonicTime> last_lapse_check;
     MonotonicTime started_at;
     bool was_cut_off = false;
+    bool was_partitioned = false;
     bool is_stopping = false;
     MonotonicTime stop_began;
     std::function<void()> when_stopped;
--- a/Services/NodeServer/NodeMetrics.h
+++ b/Services/NodeServer/NodeMetrics.h
@@ -24,6 +24,12 @@
     std::size_t upstreams = 0;
     /// Upstreams to which the last connection attempt failed.
     std::size_t unreachable_upstreams = 0;
+    /// Whether any upstream responds to this VM.
+    enum class Reach {
+        None,
+        Some,
+    } reach
+        = Reach::Some;
     std::size_t live_virtual_machines = 0;
     std::size_t caller_connections = 0;
     std::size_t running_requests = 0;
--- a/Services/NodeServer/NodeSettings.cpp
+++ b/Services/NodeServer/NodeSettings.cpp
@@ -39,6 +39,7 @@
     node.operations_address = required_address(reader, "operations_address");
     node.metrics_address = read_address(reader, "metrics_address", Presence::Optional);
     node.wire_address = required_address(reader, "wire_address");
+    node.relay_address = read_address(reader, "relay_address", Presence::Optional);
     node.registry_address = required_address(reader, "registry_address");
     node.seeds = reader.texts("seeds", Presence::Optional);
     node.retry.ratio = reader.number("retry_ratio", Presence::Optional, 0, 10, node.retry.ratio);
--- a/Services/NodeServer/NodeSettings.h
+++ b/Services/NodeServer/NodeSettings.h
@@ -28,6 +28,8 @@
     std::optional<Address> metrics_address;
     /// Where the other VMs connect.
     Address wire_address;
+    /// Where other VMs send requests that this one is to relay; without it, it relays none.
+    std::optional<Address> relay_address;
     /// Wire addresses of VMs to meet first; some may be stale.
     std::vector<std::string> seeds;
     Address registry_address;
--- a/Tests/Platform/NodeUnderTest.cpp
+++ b/Tests/Platform/NodeUnderTest.cpp
@@ -38,6 +38,7 @@
     settings.caller_address = { "127.0.0.1", 0 };
     settings.operations_address = { "127.0.0.1", 0 };
     settings.wire_address = { "127.0.0.1", 0 };
+    settings.relay_address = { "127.0.0.1", 0 };
     settings.registry_address = this->store.address();
     if (change)
         change(settings);
--- a/Tests/Platform/OtherVirtualMachine.h
+++ b/Tests/Platform/OtherVirtualMachine.h
@@ -32,6 +32,7 @@
         settings.virtual_machine = std::move(name);
         settings.data_centre = "dc";
         settings.caller_address = settings.operations_address = settings.wire_address = { "127.0.0.1", 0 };
+        settings.relay_address = Address { "127.0.0.1", 0 };
         settings.registry_address = test.store.address();
         settings.seeds = std::move(seeds);
         if (change)
--- a/Tests/Platform/TestPartitionedVirtualMachine.cpp
+++ b/Tests/Platform/TestPartitionedVirtualMachine.cpp
@@ -1,6 +1,7 @@
 // SPDX-FileCopyrightText: 2026 The Spurtide developers
 // SPDX-License-Identifier: BSD-2-Clause
 
+#include <LibCore/LogLine.h>
 #include <Tests/Platform/PartitionedDeployment.h>
 #include <array>
 #include <catch2/catch.hpp>
@@ -209,3 +210,48 @@
     CHECK(count_served(test, partitioned.caller_address(), "/once/x") == REQUESTS);
     CHECK(test.most_runs() == 1);
 }
+
+// Guards against quarantining harmless requests: while a VM's paths are cut, each upstream refuses its connections as if it had ended.
+TEST_CASE("Requests in flight at a VM whose paths are cut are not taken for the cause of crashes", "[partitioned-vm][crashing-request]")
+{
+    constexpr int IN_FLIGHT = 6;
+    std::string lines;
+    LogLine::set_observer([&](std::string_view line) { lines.append(line).append("\n"); });
+    PartitionedDeployment test;
+    test.configure(1);
+    add_plain_upstreams(test);
+    bool is_slow = true;
+    for (auto const& upstream : test.upstreams) {
+        upstream->script = [&](HttpExchange& exchange) -> asio::awaitable<bool> {
+            if (!is_slow)
+                co_return false;
+            asio::steady_timer timer(test.loop, seconds(20));
+            asio::error_code ignored;
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+            exchange.abort();
+            co_return true;
+        };
+    }
+    auto const& partitioned = test.add_virtual_machine("vm-2");
+    std::vector<HttpRequest> requests;
+    for (int i = 0; i < IN_FLIGHT; ++i)
+        requests.push_back(test.request("POST", "/once/x", "c" + std::to_string(i)));
+    auto const received = [&] {
+        std::size_t count = 0;
+        for (auto const& upstream : test.upstreams)
+            count += upstream->requests.size();
+        return count;
+    };
+    auto const before = test.beside;
+    test.beside = [&] {
+        before();
+        if (received() == IN_FLIGHT)
+            test.set_condition("vm-2", UpstreamPath::Condition::Reset);
+    };
+    for (auto const& answer : test.call_all(partitioned.caller_address(), std::move(requests)))
+        CHECK(answer.head.status == 502);
+    test.beside = before;
+    CHECK(lines.find("event=upstream_crashed") == std::string::npos);
+    is_slow = false;
+    CHECK(test.call_once(test.node->caller_address(), "/once/x").head.status == 200);
+}
--- a/Tests/Platform/UpstreamPath.cpp
+++ b/Tests/Platform/UpstreamPath.cpp
@@ -26,6 +26,7 @@
     VERIFY(descriptor >= 0);
     int const on = 1;
     ::setsockopt(descriptor, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    ::setsockopt(descriptor, SOL_SOCKET, SO_REUSEPORT, &on, sizeof(on));
     ::setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
     return descriptor;
 }
@@ -53,6 +54,7 @@
 UpstreamPath::UpstreamPath(Address upstream)
     : upstream(std::move(upstream))
     , bound({ "127.0.0.1", 0 })
+    , port_holder(this->bind())
 {
     this->listen(BACKLOG);
 }
@@ -60,6 +62,7 @@
 UpstreamPath::~UpstreamPath()
 {
     this->stop_listening();
+    ::close(this->port_holder);
     for (auto& connection : this->connections)
         reset(connection);
 }
@@ -76,15 +79,21 @@
     return found == this->opened.end() ? 0 : found->second;
 }
 
-void UpstreamPath::listen(int backlog)
+int UpstreamPath::bind()
 {
-    this->listener = make_socket();
+    int const descriptor = make_socket();
     auto address = socket_address(this->bound);
-    VERIFY(::bind(this->listener, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
-    VERIFY(::listen(this->listener, backlog) == 0);
+    VERIFY(::bind(descriptor, reinterpret_cast<sockaddr*>(&address), sizeof(address)) == 0);
     socklen_t size = sizeof(address);
-    ::getsockname(this->listener, reinterpret_cast<sockaddr*>(&address), &size);
+    ::getsockname(descriptor, reinterpret_cast<sockaddr*>(&address), &size);
     this->bound.port = ntohs(address.sin_port);
+    return descriptor;
+}
+
+void UpstreamPath::listen(int backlog)
+{
+    this->listener = this->bind();
+    VERIFY(::listen(this->listener, backlog) == 0);
 }
 
 void UpstreamPath::stop_listening()
--- a/Tests/Platform/UpstreamPath.h
+++ b/Tests/Platform/UpstreamPath.h
@@ -58,6 +58,7 @@
     };
 
     Condition condition_of(std::string const& virtual_machine) const;
+    int bind();
     void listen(int backlog);
     void stop_listening();
     void fill_backlog();
@@ -68,6 +69,8 @@
 
     Address upstream;
     Address bound;
+    /// Bound and never listening: no other process may get the port while the path refuses connections.
+    int port_holder = -1;
     std::string current;
     Condition listening_as = Condition::Working;
     int listener = -1;
