ReachabilityProber: Tell refused connections of a partitioned VM from crashes

A VM whose paths refuse connections took every upstream for ended: its requests in flight counted as crashed with them, and connections that still worked were aborted. A refused connection now counts as an upstream's end only while this VM connects to another upstream, and open connections to an address that refuses new ones are left alone: the host responds, so it resets them itself if the process has ended.

TcpOptions: The comments say what ends a silent connection.

--- a/Libraries/LibAsync/TcpOptions.cpp
+++ b/Libraries/LibAsync/TcpOptions.cpp
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr int PROBE_INTERVAL_SECONDS = 1;
+/// Only counts where TCP_USER_TIMEOUT is not available: otherwise that decides, whatever the number of probes.
 constexpr int PROBES_UNANSWERED = 2;
 
 void set_option(int descriptor, int level, int option, int value)
--- a/Libraries/LibAsync/TcpOptions.h
+++ b/Libraries/LibAsync/TcpOptions.h
@@ -10,9 +10,9 @@
 
 /// How soon a silent peer is taken for gone.
 struct PeerPatience {
-    /// Bytes that stay unacknowledged for so long end the connection. Three losses in a row take 1.4 s to mend.
+    /// Unacknowledged bytes or probes end the connection after this time. Three losses in a row take 1.4 s to mend.
     Duration unacknowledged = milliseconds(1800);
-    /// Silence after which the peer is asked whether it is there, in whole seconds.
+    /// Silence after which the peer is probed, in whole seconds. The next probe, a second later, ends the connection.
     Duration idle = seconds(1);
 };
 
--- a/Libraries/LibRouter/ReachabilityProber.cpp
+++ b/Libraries/LibRouter/ReachabilityProber.cpp
@@ -7,6 +7,13 @@
 
 namespace Spurtide {
 
+namespace {
+
+/// Upstreams that are tried to find out whether this VM reaches any: some may have ended too.
+constexpr std::size_t OTHERS_TRIED = 3;
+
+}
+
 ReachabilityProber::ReachabilityProber(Options options, asio::io_context& loop, std::shared_ptr<ReachabilityTracker> reachability, ConnectionPool& pool, UpstreamList const& upstreams)
     : options(options)
     , loop(loop)
@@ -33,26 +40,34 @@
 void ReachabilityProber::start_probe(std::string const& identity, MonotonicTime now)
 {
     auto const* record = this->upstreams.find(identity);
-    auto const address = record ? parse_address(record->address) : std::nullopt;
-    if (!address)
+    if (!record)
         return;
     this->reachability->note_probe(identity, now);
-    asio::co_spawn(this->loop, this->probe(*record, *address), asio::detached);
+    asio::co_spawn(this->loop, this->probe(*record), asio::detached);
+}
+
+asio::awaitable<void> ReachabilityProber::probe(UpstreamRecord upstream)
+{
+    static_cast<void>(co_await this->connect_to(std::move(upstream)));
 }
 
-asio::awaitable<void> ReachabilityProber::probe(UpstreamRecord upstream, Address address)
+asio::awaitable<ReachabilityProber::Connection> ReachabilityProber::connect_to(UpstreamRecord upstream)
 {
-    auto connected = co_await HttpConnection::connect(address, this->options.connect_timeout, this->pool.patience());
+    auto const address = parse_address(upstream.address);
+    if (!address)
+        co_return Connection::Failed;
+    auto connected = co_await HttpConnection::connect(*address, this->options.connect_timeout, this->pool.patience());
     if (connected.is_error()) {
         this->note_unreachable(upstream, connected.error());
-        co_return;
+        co_return Connection::Failed;
     }
     auto const now = monotonic_now();
     this->gone_processes.erase(upstream.identity);
     if (!this->reachability->is_reachable(upstream.identity, upstream.data_centre, now))
         LogLine("upstream_reached").with("upstream", upstream.identity).with("upstream_data_centre", upstream.data_centre);
     this->reachability->note_reached(upstream.identity, upstream.data_centre, now);
-    this->pool.put_back_unused(address, connected.value());
+    this->pool.put_back_unused(*address, connected.value());
+    co_return Connection::Established;
 }
 
 ReachabilityProber::ProcessState ReachabilityProber::known_process_state(UpstreamRecord const& upstream) const
@@ -61,18 +76,37 @@
     return found != this->gone_processes.end() && found->second == upstream.started ? ProcessState::Gone : ProcessState::Unknown;
 }
 
-asio::awaitable<ReachabilityProber::ProcessState> ReachabilityProber::probe_process(UpstreamRecord upstream)
+std::vector<UpstreamRecord> ReachabilityProber::reachable_upstreams(std::string_view excluded, std::size_t most) const
 {
-    auto const address = parse_address(upstream.address);
-    if (!address || this->known_process_state(upstream) == ProcessState::Gone)
-        co_return this->known_process_state(upstream);
-    auto connected = co_await HttpConnection::connect(*address, this->options.connect_timeout, this->pool.patience());
-    if (connected.is_error()) {
-        this->note_unreachable(upstream, connected.error());
-        co_return this->known_process_state(upstream);
+    std::vector<UpstreamRecord> found;
+    auto const now = monotonic_now();
+    this->upstreams.for_each([&](UpstreamRecord const& record) {
+        if (found.size() < most && record.identity != excluded && this->reachability->is_reachable(record.identity, record.data_centre, now))
+            found.push_back(record);
+    });
+    return found;
+}
+
+asio::awaitable<ReachabilityProber::Connection> ReachabilityProber::connect_to_another(std::string_view excluded)
+{
+    for (auto const& other : this->reachable_upstreams(excluded, OTHERS_TRIED)) {
+        auto const result = co_await this->connect_to(other);
+        if (result == Connection::Established)
+            co_return result;
     }
-    this->pool.put_back_unused(*address, connected.value());
-    co_return ProcessState::Unknown;
+    co_return Connection::Failed;
+}
+
+asio::awaitable<ReachabilityProber::ProcessState> ReachabilityProber::probe_process(UpstreamRecord upstream)
+{
+    if (this->known_process_state(upstream) != ProcessState::Gone)
+        static_cast<void>(co_await this->connect_to(upstream));
+    if (this->known_process_state(upstream) != ProcessState::Gone)
+        co_return ProcessState::Unknown;
+    if (this->upstreams.size() == 1)
+        co_return ProcessState::Gone;
+    auto const another = co_await this->connect_to_another(upstream.identity);
+    co_return another == Connection::Established ? ProcessState::Gone : ProcessState::Unknown;
 }
 
 void ReachabilityProber::note_unreachable(UpstreamRecord const& upstream, HttpError error)
@@ -84,6 +118,9 @@
     this->reachability->note_unreachable(upstream.identity, upstream.data_centre, now);
     if (was_reachable)
         LogLine("upstream_unreachable").with("upstream", upstream.identity).with("upstream_data_centre", upstream.data_centre).with("reason", to_string(error)).with("cut_off", this->reachability->is_cut_off(upstream.data_centre, now) ? "yes" : "no").with("unreachable", static_cast<std::int64_t>(this->reachability->unreachable_count())).with("upstreams", static_cast<std::int64_t>(this->upstreams.size()));
+    // The host responds, so connections that are still open work, or are reset without our help.
+    if (error == HttpError::NobodyListens)
+        return;
     if (auto const address = parse_address(upstream.address))
         this->pool.drop(*address);
     auto const [begin, end] = this->watched_connections->equal_range(upstream.identity);
--- a/Libraries/LibRouter/ReachabilityProber.h
+++ b/Libraries/LibRouter/ReachabilityProber.h
@@ -12,7 +12,7 @@
 
 namespace Spurtide {
 
-/// Sends the probes that the reachability tracker requests, and aborts connections to unreachable upstreams.
+/// Sends the probes that the reachability tracker requests, and aborts connections to upstreams that do not respond.
 class ReachabilityProber {
 public:
     struct Options {
@@ -35,7 +35,8 @@
         Unknown,
         Gone,
     };
-    /// Determines whether this incarnation of the upstream is gone; connects to it if that is not known yet.
+    /// Determines whether this incarnation of the upstream is gone; connects to it if that is not known yet. A refused connection
+    /// only counts while this VM can connect to another upstream: a partitioned VM may be refused by all of them.
     asio::awaitable<ProcessState> probe_process(UpstreamRecord upstream);
     /// Like probe_process(), but never connects.
     ProcessState known_process_state(UpstreamRecord const& upstream) const;
@@ -44,8 +45,16 @@
     void note_unreachable(UpstreamRecord const& upstream, HttpError error);
 
 private:
+    /// Whether a connection to the upstream is established; records the result.
+    enum class Connection {
+        Established,
+        Failed,
+    };
+    asio::awaitable<Connection> connect_to(UpstreamRecord upstream);
+    asio::awaitable<Connection> connect_to_another(std::string_view excluded);
+    std::vector<UpstreamRecord> reachable_upstreams(std::string_view excluded, std::size_t most) const;
     void start_probe(std::string const& identity, MonotonicTime now);
-    asio::awaitable<void> probe(UpstreamRecord upstream, Address address);
+    asio::awaitable<void> probe(UpstreamRecord upstream);
 
     Options options;
     asio::io_context& loop;
