LibRouter: Relay only while other VMs are heard, and report no engine for a relay's failure

What a relaying VM finds of an engine is no reason for the entry VM to keep others from that engine.

--- a/Libraries/LibRouter/RelayClient.cpp
+++ b/Libraries/LibRouter/RelayClient.cpp
@@ -48,12 +48,14 @@
 bool RelayClient::is_available(MonotonicTime now)
 {
     this->update_candidates();
-    return this->relays->choose(now).has_value();
+    return this->hooks.has_company() && this->relays->choose(now).has_value();
 }
 
 std::optional<RelayCandidate> RelayClient::choose(MonotonicTime now, RelaySelector::Filter const& may_use)
 {
     this->update_candidates();
+    if (!this->hooks.has_company())
+        return {};
     return this->relays->choose(now, may_use);
 }
 
--- a/Libraries/LibRouter/RelayClient.h
+++ b/Libraries/LibRouter/RelayClient.h
@@ -27,6 +27,8 @@
         std::function<std::string(MemberRecord const&)> data_centre_of;
         /// A data centre's region; empty if unknown.
         std::function<std::string(std::string_view data_centre)> region_of;
+        /// Whether any other VM was heard recently. Without it, a VM that is cut off from everything would try each of them in vain.
+        std::function<bool()> has_company;
     };
 
     RelayClient(Options options, Kernel& kernel, std::string own_data_centre, Hooks hooks);
--- a/Libraries/LibRouter/RelayProtocol.cpp
+++ b/Libraries/LibRouter/RelayProtocol.cpp
@@ -21,6 +21,8 @@
 
 constexpr std::array<std::string_view, 10> OUTCOMES = { "forwarded", "connected", "partitioned", "stopping", "unknown_upstream", "not_available", "nobody_listens", "cannot_connect", "expired", "malformed" };
 
+constexpr Duration LONGEST_TIME_LEFT = seconds(86'400);
+
 constexpr int HTTP_OK = 200;
 constexpr int HTTP_BAD_REQUEST = 400;
 constexpr int HTTP_SERVICE_UNAVAILABLE = 503;
@@ -63,7 +65,7 @@
     if (head.method != "POST" || head.target != PATH || !upstream || !time_left)
         return Failure { RelayRequestError::MissingField };
     auto const time = parse_whole_number(*time_left);
-    if (!time || *time > to_milliseconds(seconds(24 * 3600)))
+    if (!time || *time > to_milliseconds(LONGEST_TIME_LEFT))
         return Failure { RelayRequestError::BadField };
     send.request = head.headers.find(REQUEST).value_or("");
     send.upstream = *upstream;
--- a/Libraries/LibRouter/RelayService.cpp
+++ b/Libraries/LibRouter/RelayService.cpp
@@ -117,11 +117,11 @@
         in_flight.note_received();
         bool const is_end = piece.value().empty();
         if (is_end && !exchange.has_begun()) {
-            static_cast<void>(co_await exchange.respond(std::move(head), {}));
+            static_cast<void>(co_await exchange.respond(head, {}));
             co_return;
         }
         if (!exchange.has_begun()) {
-            auto const begun = co_await exchange.begin(std::move(head), BodyFraming::Chunked);
+            auto const begun = co_await exchange.begin(head, BodyFraming::Chunked);
             if (begun.is_error())
                 break;
         }
--- a/Libraries/LibRouter/StreamingRequestHandler.cpp
+++ b/Libraries/LibRouter/StreamingRequestHandler.cpp
@@ -341,7 +341,8 @@
 {
     if (error.location == LinkError::Location::Relay)
         return;
-    bool const is_reported = error.relay_outcome || this->state.reachability->unreachable_count() <= UNREACHABLE_REPORTED;
+    // What a relaying VM finds, it reports itself when its own requests meet the engine.
+    bool const is_reported = !error.relay_outcome && this->state.reachability->unreachable_count() <= UNREACHABLE_REPORTED;
     if (is_reported)
         this->failed_engine = engine.identity;
     else
--- a/Libraries/LibRouter/UnaryRequestHandler.cpp
+++ b/Libraries/LibRouter/UnaryRequestHandler.cpp
@@ -17,7 +17,7 @@
 /// Failed connection attempts are retried without charging the retry budget, since they put no load on upstreams.
 constexpr int MAXIMUM_CONNECT_ATTEMPTS = 3;
 /// The same for VMs that were asked to relay the request and did not send it.
-constexpr int MAXIMUM_RELAY_ATTEMPTS = 4;
+constexpr int MAXIMUM_RELAY_ATTEMPTS = 3;
 constexpr std::size_t MAXIMUM_RESPONSE_BYTES = 8UL * 1024 * 1024;
 constexpr Duration FULL_UPSTREAM_RETRY_AFTER = milliseconds(300);
 /// Share of the latency target that a request may wait for its turn at an upstream; the rest is for the response.
@@ -91,11 +91,11 @@
     }
 }
 
-bool UnaryRequestHandler::may_retry_connection(Attempt const& attempt)
+SendHistory::AnotherSend UnaryRequestHandler::count_connection_failure(UpstreamRoute route)
 {
-    if (attempt.route == UpstreamRoute::Relayed)
-        return ++this->relay_attempts < MAXIMUM_RELAY_ATTEMPTS && this->time_left() >= MINIMUM_TIME_FOR_SEND;
-    return ++this->connect_attempts < MAXIMUM_CONNECT_ATTEMPTS;
+    auto& attempts = route == UpstreamRoute::Relayed ? this->relay_attempts : this->connect_attempts;
+    auto const maximum = route == UpstreamRoute::Relayed ? MAXIMUM_RELAY_ATTEMPTS : MAXIMUM_CONNECT_ATTEMPTS;
+    return ++attempts < maximum ? SendHistory::AnotherSend::Allowed : SendHistory::AnotherSend::Spent;
 }
 
 double UnaryRequestHandler::cold_rate() const
@@ -234,7 +234,7 @@
         }
         SendHistory history { this->route.kind, this->earlier, SendHistory::AnotherSend::Spent };
         if (last.end == SendOutcome::NotSent)
-            history.another_send = this->may_retry_connection(last) ? SendHistory::AnotherSend::Allowed : SendHistory::AnotherSend::Spent;
+            history.another_send = this->count_connection_failure(last.route);
         else if (last.end != SendOutcome::Success)
             history.another_send = this->take_another_send(this->sends, MINIMUM_TIME_FOR_SEND);
         auto const step = next_step(last.end, history);
--- a/Libraries/LibRouter/UnaryRequestHandler.h
+++ b/Libraries/LibRouter/UnaryRequestHandler.h
@@ -35,7 +35,8 @@
     std::optional<UpstreamRecord> choose_upstream();
     /// Keeps the upstreams that can be reached by the best of the routes, without those that have been tried by it.
     void keep_best_route(std::vector<UpstreamRecord const*>& records, MonotonicTime now);
-    bool may_retry_connection(Attempt const& attempt);
+    /// Records that a request was not sent. Returns whether it may be tried again.
+    SendHistory::AnotherSend count_connection_failure(UpstreamRoute route);
     /// Also takes a turn if the upstream has announced a rate limit.
     asio::awaitable<std::optional<UpstreamRecord>> choose_upstream_with_turn();
     /// Removes the upstreams at which this VM was denied a turn. If that would leave none, keeps the one that can be asked first.
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -187,6 +187,7 @@
         auto const found = this->settings.regions.find(data_centre);
         return found == this->settings.regions.end() ? std::string() : found->second;
     };
+    client_hooks.has_company = [this] { return this->membership->has_company(); };
     this->relay_client = std::make_unique<RelayClient>(RelayClient::Options {}, *this->kernel, this->settings.data_centre, std::move(client_hooks));
     this->state.relays = this->relay_client.get();
     if (!this->settings.relay_address)
--- a/Tests/LibDecision/TestPartitionSimulation.cpp
+++ b/Tests/LibDecision/TestPartitionSimulation.cpp
@@ -33,7 +33,7 @@
 /// A refusal within a quarter of the latency target is at once.
 constexpr Duration REFUSAL_TIME = milliseconds(75);
 constexpr int MAXIMUM_CONNECT_ATTEMPTS = 3;
-constexpr int MAXIMUM_RELAY_ATTEMPTS = 4;
+constexpr int MAXIMUM_RELAY_ATTEMPTS = 3;
 
 enum class Path {
     Working,
