--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -67,7 +67,7 @@
 
 std::string_view to_string(NodeStartError error)
 {
-    constexpr std::array<std::string_view, 4> NAMES = { "cannot_listen_for_callers", "cannot_listen_for_operations", "cannot_listen_for_peers", "cannot_listen_for_relay" };
+    constexpr std::array<std::string_view, 3> NAMES = { "cannot_listen_for_callers", "cannot_listen_for_operations", "cannot_listen_for_peers" };
     return NAMES.at(static_cast<std::size_t>(error));
 }
 
@@ -156,7 +156,7 @@
         return Failure { NodeStartError::CannotListenForOperations };
     this->operations = operations_server.release_value();
     this->serve_metrics();
-    TRY(this->create_relay());
+    this->create_relay();
 
     RegistryFollower::Options follow;
     follow.retry_seed = spread_of(this->settings.virtual_machine);
@@ -179,7 +179,7 @@
     return Done {};
 }
 
-Result<Done, NodeStartError> Node::create_relay()
+void Node::create_relay()
 {
     RelayClient::Hooks client_hooks;
     client_hooks.data_centre_of = [](MemberRecord const& member) { return RegistryRelay::data_centre_of(member); };
@@ -191,11 +191,14 @@
     this->relay_client = std::make_unique<RelayClient>(RelayClient::Options {}, *this->kernel, this->settings.data_centre, std::move(client_hooks));
     this->state.relays = this->relay_client.get();
     if (!this->settings.relay_address)
-        return Done {};
+        return;
     this->relay_service = std::make_unique<RelayService>(this->state, RelayService::Hooks { [this] { return this->is_stopping; } });
     auto server = HttpServer::create(this->loop, *this->settings.relay_address, [this](auto& exchange) { return this->relay_service->handle(exchange); });
-    if (server.is_error())
-        return Failure { NodeStartError::CannotListenForRelay };
+    if (server.is_error()) {
+        // Only VMs that are partitioned miss it.
+        LogLine("relay_not_served").with("address", this->settings.relay_address->to_string());
+        return;
+    }
     this->relay_server = server.release_value();
     this->relay_server->set_most_connections(static_cast<std::size_t>(this->settings.descriptors / RELAY_PART_OF_DESCRIPTORS));
     this->membership->set_endpoints_hook([this] {
@@ -204,7 +207,6 @@
             endpoints.push_back(RelayClient::announcement(this->relay_server->address(), this->kernel->incarnation()));
         return endpoints;
     });
-    return Done {};
 }
 
 // The body of a relayed request holds the head as well, which has a few fields more than the caller's.
--- a/Services/NodeServer/Node.h
+++ b/Services/NodeServer/Node.h
@@ -33,7 +33,6 @@
     CannotListenForCallers,
     CannotListenForOperations,
     CannotListenForPeers,
-    CannotListenForRelay,
 };
 
 std::string_view to_string(NodeStartError error);
@@ -82,7 +81,7 @@
     void create_quota();
     void create_quarantine();
     void create_limiter();
-    Result<Done, NodeStartError> create_relay();
+    void create_relay();
     void limit_relayed_requests();
     /// Whether this VM offers to relay requests of VMs that are partitioned from the upstreams.
     bool offers_relay() const;
