Tests: Show that VMs whose open connections go on relay nothing and are asked again and again

All VMs of a data centre have a stream on an open connection, and their new connections are refused.

--- a/Tests/Platform/NodeUnderTest.cpp
+++ b/Tests/Platform/NodeUnderTest.cpp
@@ -154,11 +154,13 @@
     socket.close();
 }
 
-std::shared_ptr<HttpConnection> NodeUnderTest::begin(HttpRequest made)
+std::shared_ptr<HttpConnection> NodeUnderTest::begin(HttpRequest made) { return this->begin(this->node->caller_address(), std::move(made)); }
+
+std::shared_ptr<HttpConnection> NodeUnderTest::begin(Address address, HttpRequest made)
 {
     std::shared_ptr<HttpConnection> connection;
     auto const carry = [&]() -> asio::awaitable<void> {
-        auto connected = co_await HttpConnection::connect(this->node->caller_address(), seconds(1), {});
+        auto connected = co_await HttpConnection::connect(address, seconds(1), {});
         connection = connected.release_value();
         connection->send(format_request_head(made.head), std::make_shared<std::string const>(made.body));
     };
--- a/Tests/Platform/NodeUnderTest.h
+++ b/Tests/Platform/NodeUnderTest.h
@@ -57,6 +57,7 @@
     void send_and_leave(std::string const& bytes);
     /// Begins a call that may be left before its end.
     std::shared_ptr<HttpConnection> begin(HttpRequest request);
+    std::shared_ptr<HttpConnection> begin(Address address, HttpRequest request);
 
     asio::io_context loop { 1 };
     StoreStandIn store { loop };
--- a/Tests/Platform/TestPartitionedVirtualMachine.cpp
+++ b/Tests/Platform/TestPartitionedVirtualMachine.cpp
@@ -96,6 +96,44 @@
     }
 }
 
+// Guards against VMs that relay for others though only their open connections work: they are the nearest, and decline each request.
+TEST_CASE("A data centre whose new connections are refused is served through VMs elsewhere while its streams go on", "[partitioned-vm]")
+{
+    for (std::string const target : { "/safe/x", "/once/x" }) {
+        PartitionedDeployment test;
+        test.configure(1, [](auto& configuration) {
+            for (auto& route : configuration["routes"])
+                route["timeout_ms"] = 60'000;
+        });
+        add_plain_upstreams(test);
+        test.add_upstream("i-p", "engines", "prefill");
+        auto& engine = test.add_upstream("i-d", "engines", "decode");
+        engine.events = 100'000;
+        std::vector<Address> partitioned;
+        std::vector<std::shared_ptr<HttpConnection>> streams;
+        for (std::string const name : { "vm-2", "vm-3", "vm-4" }) {
+            partitioned.push_back(test.add_virtual_machine(name, "there").caller_address());
+            auto stream = test.model_request("/stream/x", "s-" + name);
+            std::erase_if(stream.head.headers.all(), [](auto const& field) { return field.name == "X-Spurtide-Deadline-Ms"; });
+            stream.head.headers.add("X-Spurtide-Deadline-Ms", "60000");
+            streams.push_back(test.begin(partitioned.back(), std::move(stream)));
+        }
+        REQUIRE(test.run_until([&] { return engine.run.size() == partitioned.size(); }));
+        for (auto const* name : { "vm-2", "vm-3", "vm-4" })
+            test.set_condition(name, UpstreamPath::Condition::NewRefused);
+        for (auto const& address : partitioned)
+            test.serve_for(PartitionedDeployment::DETECTION_TIME / 3, address, target);
+        CAPTURE(target);
+        for (auto const& address : partitioned)
+            CHECK(count_served(test, address, target) == REQUESTS);
+        CHECK(engine.abandoned.empty());
+        if (target == "/once/x")
+            CHECK(test.most_runs() == 1);
+        for (auto const& stream : streams)
+            stream->abort();
+    }
+}
+
 TEST_CASE("Requests are refused at once while all VMs are partitioned from the upstreams", "[partitioned-vm][not-run]")
 {
     // A caller that is refused within a quarter of its latency target can still be served in time elsewhere.
@@ -215,6 +253,9 @@
 TEST_CASE("Requests in flight at a VM whose paths are cut are not taken for the cause of crashes", "[partitioned-vm][crashing-request]")
 {
     constexpr int IN_FLIGHT = 6;
+    // With both, no VM is left that can tell.
+    auto const partitioned_machines = GENERATE(values<std::vector<std::string>>({ { "vm-2" }, { "vm-1", "vm-2" } }));
+    CAPTURE(partitioned_machines);
     std::string lines;
     LogLine::set_observer([&](std::string_view line) { lines.append(line).append("\n"); });
     PartitionedDeployment test;
@@ -245,13 +286,17 @@
     auto const before = test.beside;
     test.beside = [&] {
         before();
-        if (received() == IN_FLIGHT)
-            test.set_condition("vm-2", UpstreamPath::Condition::Reset);
+        for (auto const& machine : partitioned_machines) {
+            if (received() == IN_FLIGHT)
+                test.set_condition(machine, UpstreamPath::Condition::Reset);
+        }
     };
     for (auto const& answer : test.call_all(partitioned.caller_address(), std::move(requests)))
         CHECK(answer.head.status == 502);
     test.beside = before;
     CHECK(lines.find("event=upstream_crashed") == std::string::npos);
     is_slow = false;
-    CHECK(test.call_once(test.node->caller_address(), "/once/x").head.status == 200);
+    for (auto const& machine : partitioned_machines)
+        test.set_condition(machine, UpstreamPath::Condition::Working);
+    CHECK(test.run_until([&] { return test.call_once(test.node->caller_address(), "/once/x").head.status == 200; }));
 }
