ReachabilityTracker: Take a VM that cannot connect for partitioned though open connections go on

Cause: any response ended the belief, so VMs with streams on open connections never took themselves for partitioned. They went on offering to relay, were the nearest to each other, and declined each request; the entry VM took what a relay could not reach for the upstream's failure and asked the same relay for the next upstream.

Change: two upstreams that became unreachable since a connection was last established make a VM probe further ones, and only an established connection ends the belief. A VM that did not relay a request is not asked again for that request, whatever its reason.

--- a/Libraries/LibDecision/ReachabilityTracker.cpp
+++ b/Libraries/LibDecision/ReachabilityTracker.cpp
@@ -39,7 +39,8 @@
     if (found == this->entries.end())
         return;
     found->second.waiting_since = now;
-    this->note_reached(identity, found->second.data_centre, now);
+    this->set_reachability(found->second, Reachability::Reachable);
+    this->note_contact(found->second.data_centre, now);
 }
 
 void ReachabilityTracker::note_finished(std::string_view identity)
@@ -60,13 +61,14 @@
     if (found != this->entries.end())
         this->set_reachability(found->second, Reachability::Reachable);
     this->note_contact(data_centre, now);
+    this->failing_since.reset();
+    this->new_failures = 0;
 }
 
 void ReachabilityTracker::note_contact(std::string_view data_centre, MonotonicTime now)
 {
     this->data_centres[std::string(data_centre)].last_response = now;
     this->last_response = now;
-    this->failing_since.reset();
 }
 
 void ReachabilityTracker::note_unreachable(std::string_view identity, std::string_view data_centre, MonotonicTime now)
@@ -74,8 +76,11 @@
     auto& entry = this->entries[std::string(identity)];
     entry.data_centre = data_centre;
     entry.last_probe = now;
+    if (entry.reachability == Reachability::Reachable)
+        ++this->new_failures;
     this->set_reachability(entry, Reachability::Unreachable);
-    if (!this->failing_since && this->unreachable_count() >= this->options.partition_failures)
+    auto const failures = std::max(this->new_failures, this->unreachable_count());
+    if (!this->failing_since && failures >= this->options.partition_failures)
         this->failing_since = now;
 }
 
@@ -110,7 +115,12 @@
 
 std::optional<MonotonicTime> ReachabilityTracker::suspected_since(MonotonicTime now) const
 {
-    if (!this->failing_since || this->unreachable_count() < this->options.partition_failures)
+    if (!this->failing_since)
+        return {};
+    // Open connections may go on while new ones fail.
+    if (this->new_failures >= this->options.partition_failures)
+        return this->failing_since;
+    if (this->unreachable_count() < this->options.partition_failures)
         return {};
     auto const silent_since = this->last_response ? *this->last_response + this->options.data_centre_silence : *this->failing_since;
     if (now < silent_since)
--- a/Libraries/LibDecision/ReachabilityTracker.h
+++ b/Libraries/LibDecision/ReachabilityTracker.h
@@ -25,8 +25,8 @@
 /// Tracks which upstreams this VM can reach. An upstream that does not respond to requests for a while is probed by a
 /// connection. If the connection fails, it receives no requests and is probed until a connection succeeds. A data
 /// centre counts as cut off if several of its upstreams are unreachable and none responds. The VM itself counts as
-/// partitioned if several upstreams are unreachable and none responds anywhere, not even to further probes. Time is passed
-/// in, and the caller performs the probes.
+/// partitioned if connections to several upstreams fail and none is established, also not to further ones; connections that
+/// were open before may go on. Time is passed in, and the caller performs the probes.
 class ReachabilityTracker {
 public:
     struct Options {
@@ -42,7 +42,8 @@
         /// Further upstreams of a cut-off data centre to probe in each round, in addition to those that are unreachable
         /// or silent.
         std::size_t partition_probes = 1;
-        /// Unreachable upstreams at which this VM may be partitioned, and probes further upstreams to find out.
+        /// Unreachable upstreams at which this VM may be partitioned, and probes further upstreams to find out: those that became
+        /// unreachable since a connection was last established, or any while no upstream responds.
         std::size_t partition_failures = 2;
         /// How long those probes may stay unanswered before this VM counts as partitioned: a connection attempt and some
         /// margin.
@@ -77,7 +78,7 @@
     bool is_any_cut_off(MonotonicTime now) const;
     /// Number of upstreams to which the last connection attempt failed.
     std::size_t unreachable_count() const;
-    /// Whether no upstream responds to this VM, although it has probed several.
+    /// Whether this VM cannot connect to any upstream, although it has tried several.
     bool is_partitioned(MonotonicTime now) const;
     /// Whether this VM should connect to the upstream itself.
     bool has_direct_path(std::string_view identity, std::string_view data_centre, MonotonicTime now) const { return !this->is_partitioned(now) && this->is_reachable(identity, data_centre, now); }
@@ -127,8 +128,10 @@
     std::optional<MonotonicTime> isolated_since;
     /// When any upstream last responded.
     std::optional<MonotonicTime> last_response;
-    /// When several upstreams were unreachable for the first time after that.
+    /// When several upstreams were unreachable for the first time since a connection was last established.
     std::optional<MonotonicTime> failing_since;
+    /// Upstreams that became unreachable since then.
+    std::size_t new_failures = 0;
     std::size_t probe_rotation = 0;
     std::size_t round_rotation = 0;
 };
--- a/Libraries/LibRouter/RequestHandler.cpp
+++ b/Libraries/LibRouter/RequestHandler.cpp
@@ -165,6 +165,12 @@
     this->earlier = this->earlier_before_send;
 }
 
+void RequestHandler::note_link_error(LinkError const& error)
+{
+    if (!error.relay.empty())
+        this->declining_relays.insert(error.relay);
+}
+
 UpstreamLink::Options RequestHandler::link_options(RouteKind kind) const
 {
     UpstreamLink::Options options;
@@ -177,7 +183,7 @@
     options.may_relay = [this](RelayCandidate const& relay) {
         auto const own = this->state.regions.find(this->state.data_centre);
         bool const is_own_region = relay.data_centre == this->state.data_centre || (own != this->state.regions.end() && relay.region == own->second);
-        return is_own_region || this->may_use_data_centre(relay.data_centre);
+        return !this->declining_relays.contains(relay.virtual_machine) && (is_own_region || this->may_use_data_centre(relay.data_centre));
     };
     return options;
 }
--- a/Libraries/LibRouter/RequestHandler.h
+++ b/Libraries/LibRouter/RequestHandler.h
@@ -12,6 +12,7 @@
 #include <LibRouter/UpstreamLink.h>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace Spurtide {
@@ -80,6 +81,8 @@
     void note_not_executed();
     /// Call when the upstream did not receive the request after all.
     void note_not_delivered();
+    /// Call with each error of a link: a VM that did not relay the request is not asked again.
+    void note_link_error(LinkError const& error);
     /// How to open a link for this request. Requests that must not be repeated need a recently used connection: if the other side
     /// is about to close an idle one, it is unclear whether the request ran.
     UpstreamLink::Options link_options(RouteKind kind) const;
@@ -134,6 +137,8 @@
     asio::awaitable<ReachabilityProber::ProcessState> determine_process_state(UpstreamRecord upstream, HttpError error, UpstreamRoute route);
     asio::awaitable<void> reject(int status, std::string_view reason, std::optional<Duration> retry_after);
 
+    /// VMs that did not relay this request.
+    std::set<std::string, std::less<>> declining_relays;
     StopReason stop_reason = StopReason::None;
     SendHistory::Earlier earlier_before_send = SendHistory::Earlier::HasNotRun;
     /// The account whose quota was charged. The key may belong to another account by the time that the request is sent.
--- a/Libraries/LibRouter/StreamingRequestHandler.cpp
+++ b/Libraries/LibRouter/StreamingRequestHandler.cpp
@@ -339,6 +339,7 @@
 
 void StreamingRequestHandler::note_unreached(UpstreamRecord const& engine, LinkError const& error)
 {
+    this->note_link_error(error);
     if (error.location == LinkError::Location::Relay)
         return;
     // What a relaying VM finds, it reports itself when its own requests meet the engine.
--- a/Libraries/LibRouter/UnaryRequestHandler.cpp
+++ b/Libraries/LibRouter/UnaryRequestHandler.cpp
@@ -17,7 +17,7 @@
 /// Failed connection attempts are retried without charging the retry budget, since they put no load on upstreams.
 constexpr int MAXIMUM_CONNECT_ATTEMPTS = 3;
 /// The same for VMs that were asked to relay the request and did not send it.
-constexpr int MAXIMUM_RELAY_ATTEMPTS = 3;
+constexpr int MAXIMUM_RELAY_ATTEMPTS = 6;
 constexpr std::size_t MAXIMUM_RESPONSE_BYTES = 8UL * 1024 * 1024;
 constexpr Duration FULL_UPSTREAM_RETRY_AFTER = milliseconds(300);
 /// Share of the latency target that a request may wait for its turn at an upstream; the rest is for the response.
@@ -75,8 +75,8 @@
     std::map<UpstreamRoute, std::vector<UpstreamRecord const*>> by_route;
     for (auto const* record : records) {
         auto const route = finder.find(*record);
-        auto const& unreached = route == UpstreamRoute::Relayed ? this->unreached_by_relay : this->unreached_upstreams;
-        if (!unreached.contains(record->identity))
+        // What one VM did not relay, another one may.
+        if (route == UpstreamRoute::Relayed || !this->unreached_upstreams.contains(record->identity))
             by_route[route].push_back(record);
     }
     auto& unreachable = by_route[UpstreamRoute::None];
@@ -208,7 +208,6 @@
             // Without another upstream, retry those that failed before.
             this->tried_upstreams.clear();
             this->unreached_upstreams.clear();
-            this->unreached_by_relay.clear();
             upstream = co_await this->choose_upstream_with_turn();
         }
         if (this->is_stopped()) {
@@ -224,8 +223,8 @@
         auto const took = std::chrono::duration_cast<Duration>(monotonic_now() - send_began);
         if (last.end != SendOutcome::NotSent)
             this->tried_upstreams.insert(upstream->identity);
-        else if (last.failed_at == LinkError::Location::Upstream)
-            (last.route == UpstreamRoute::Relayed ? this->unreached_by_relay : this->unreached_upstreams).insert(upstream->identity);
+        else if (last.route == UpstreamRoute::Direct)
+            this->unreached_upstreams.insert(upstream->identity);
         if (last.end == SendOutcome::NotExecuted)
             this->note_not_executed();
         if (this->is_stopped() && last.end != SendOutcome::Success) {
@@ -317,7 +316,6 @@
 void UnaryRequestHandler::note_not_sent(UpstreamRecord const& upstream, LinkError const& error, Attempt& attempt)
 {
     attempt.reason = error.reason();
-    attempt.failed_at = error.location;
     if (error.location == LinkError::Location::Relay)
         attempt.route = UpstreamRoute::Relayed;
     // A path that failed elsewhere says nothing about the upstream's health.
@@ -337,7 +335,7 @@
         if (head.is_error()) {
             auto const& error = head.error();
             attempt.reason = error.reason();
-            attempt.failed_at = error.location;
+            this->note_link_error(error);
             if (error.delivery == LinkError::Delivery::NotDelivered)
                 attempt.end = SendOutcome::NotSent;
             else
--- a/Libraries/LibRouter/UnaryRequestHandler.h
+++ b/Libraries/LibRouter/UnaryRequestHandler.h
@@ -26,7 +26,6 @@
         /// Set if the connection failed before the response was complete.
         std::optional<HttpError> connection_error;
         UpstreamRoute route = UpstreamRoute::Direct;
-        LinkError::Location failed_at = LinkError::Location::Upstream;
     };
 
     asio::awaitable<Attempt> send_to(UpstreamRecord upstream);
@@ -51,9 +50,8 @@
 
     /// Upstreams that the request was sent to.
     std::set<std::string> tried_upstreams;
-    /// Upstreams to which this VM could not connect, and those that a relaying VM did not send the request to.
+    /// Upstreams to which this VM could not connect.
     std::set<std::string> unreached_upstreams;
-    std::set<std::string> unreached_by_relay;
     int connect_attempts = 0;
     int relay_attempts = 0;
     /// Whether no VM is known to reach any upstream that the last choice considered.
--- a/Libraries/LibRouter/UpstreamLink.cpp
+++ b/Libraries/LibRouter/UpstreamLink.cpp
@@ -155,7 +155,7 @@
     // Reads what is left of the response, so that the connection can be used again.
     static_cast<void>(co_await this->connected->read_body(0));
     auto const location = is_relays_failure(outcome) ? LinkError::Location::Relay : LinkError::Location::Upstream;
-    co_return Failure { LinkError { HttpError::Aborted, LinkError::Delivery::NotDelivered, location, outcome } };
+    co_return Failure { LinkError { HttpError::Aborted, LinkError::Delivery::NotDelivered, location, outcome, this->relay->virtual_machine } };
 }
 
 void UpstreamLink::count_relayed(std::string_view outcome)
--- a/Libraries/LibRouter/UpstreamLink.h
+++ b/Libraries/LibRouter/UpstreamLink.h
@@ -56,6 +56,8 @@
         = Location::Upstream;
     /// Set if a relaying VM says that it did not send the request.
     std::optional<RelayOutcome> relay_outcome {};
+    /// That VM.
+    std::string relay {};
 
     std::string_view reason() const { return this->relay_outcome ? to_string(*this->relay_outcome) : to_string(this->error); }
 };
--- a/Services/NodeServer/NodeMetrics.cpp
+++ b/Services/NodeServer/NodeMetrics.cpp
@@ -15,7 +15,7 @@
     set("spurtide_registry_era", "Era of the registry that the list of upstreams is of; rises when the registry was restored", facts.upstreams_version.era);
     set("spurtide_upstreams", "Upstreams that are known", facts.upstreams);
     set("spurtide_unreachable_upstreams", "Upstreams to which the last connection attempt of this VM failed", facts.unreachable_upstreams);
-    set("spurtide_partitioned", "1 while no upstream responds to this VM", facts.reach == NodeFacts::Reach::None ? 1 : 0);
+    set("spurtide_partitioned", "1 while this VM cannot connect to any upstream", facts.reach == NodeFacts::Reach::None ? 1 : 0);
     set("spurtide_live_vms", "VMs that are alive, this one among them", facts.live_virtual_machines);
     set("spurtide_caller_connections", "Open connections of callers", facts.caller_connections);
     set("spurtide_running_requests", "Requests that were read and are not answered", facts.running_requests);
--- a/Services/NodeServer/NodeMetrics.h
+++ b/Services/NodeServer/NodeMetrics.h
@@ -24,7 +24,7 @@
     std::size_t upstreams = 0;
     /// Upstreams to which the last connection attempt failed.
     std::size_t unreachable_upstreams = 0;
-    /// Whether any upstream responds to this VM.
+    /// Whether this VM can connect to any upstream.
     enum class Reach {
         None,
         Some,
--- a/Tests/LibDecision/TestReachabilityTracker.cpp
+++ b/Tests/LibDecision/TestReachabilityTracker.cpp
@@ -198,3 +198,29 @@
     CHECK(probes <= 40);
     CHECK(probed.size() == probes);
 }
+
+TEST_CASE("A VM whose new connections fail counts as partitioned though open ones go on", "[partitioned-vm]")
+{
+    ReachabilityTracker tracker({}, "a");
+    tracker.note_reached("a1", "a", at(0));
+    tracker.note_sent("a2", "a", at(0));
+    for (std::int64_t time = 1000; time <= 3000; time += 100) {
+        tracker.note_response("a2", at(time));
+        if (time == 1000) {
+            tracker.note_unreachable("a1", "a", at(time));
+            tracker.note_unreachable("b1", "b", at(time));
+        }
+        CHECK(tracker.may_be_partitioned(at(time)));
+        CHECK(tracker.is_partitioned(at(time)) == (time >= 1350));
+    }
+    SECTION("until one is established")
+    {
+        tracker.note_reached("b2", "b", at(3050));
+        CHECK_FALSE(tracker.is_partitioned(at(3050)));
+        // Those that stay unreachable are no new failures.
+        tracker.note_unreachable("a1", "a", at(3300));
+        tracker.note_unreachable("b1", "b", at(3300));
+        tracker.note_response("a2", at(3300));
+        CHECK_FALSE(tracker.may_be_partitioned(at(3301)));
+    }
+}
