--- a/Tests/LibDecision/TestPartitionSimulation.cpp
+++ b/Tests/LibDecision/TestPartitionSimulation.cpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <queue>
 #include <random>
+#include <set>
 
 // A simulation of many VMs whose paths to the upstreams fail at random, while other VMs are killed and restarted. The VMs decide
 // with the router's own classes, and the network is a model in virtual time.
@@ -33,12 +34,14 @@
 /// A refusal within a quarter of the latency target is at once.
 constexpr Duration REFUSAL_TIME = milliseconds(75);
 constexpr int MAXIMUM_CONNECT_ATTEMPTS = 3;
-constexpr int MAXIMUM_RELAY_ATTEMPTS = 3;
+constexpr int MAXIMUM_RELAY_ATTEMPTS = 6;
 
 enum class Path {
     Working,
     Refused,
     Silent,
+    /// New connections are refused, and responses still come on open ones.
+    NewRefused,
 };
 
 struct Machine {
@@ -66,6 +69,8 @@
     int connect_attempts = 0;
     int relay_attempts = 0;
     int runs = 0;
+    /// VMs that did not relay it.
+    std::set<std::string> declining_relays;
     SendHistory::Earlier earlier = SendHistory::Earlier::HasNotRun;
     /// How a partition of its VM, and of all VMs, stood when it began.
     bool is_late_in_cut = false;
@@ -155,7 +160,7 @@
     void change_paths()
     {
         auto const affected = this->pick(0, 3);
-        auto const failure = this->pick(0, 1) == 0 ? Path::Refused : Path::Silent;
+        auto const failure = std::array { Path::Refused, Path::Silent, Path::NewRefused }.at(static_cast<std::size_t>(this->pick(0, 2)));
         auto const data_centre = "dc" + std::to_string(this->pick(0, DATA_CENTRES - 1));
         for (auto& machine : this->machines) {
             bool const is_some = affected == 0 && this->pick(0, 2) == 0;
@@ -196,6 +201,10 @@
         auto& machine = this->machines[static_cast<std::size_t>(index)];
         if (!machine.is_alive)
             return;
+        if (machine.path == Path::NewRefused) {
+            for (auto const& upstream : this->upstreams)
+                machine.tracker->note_response(upstream.identity, this->now);
+        }
         auto due = machine.tracker->due_probes(this->now);
         if (machine.tracker->may_be_partitioned(this->now) || machine.tracker->is_any_cut_off(this->now)) {
             auto const further = machine.tracker->due_partition_probes(this->upstreams, this->now);
@@ -268,6 +277,12 @@
         return this->upstreams[static_cast<std::size_t>(this->pick(0, UPSTREAMS - 1))].identity;
     }
 
+    std::optional<RelayCandidate> choose_relay(Request const& request) const
+    {
+        auto const& selector = *this->machines[static_cast<std::size_t>(request.machine)].selector;
+        return selector.choose(this->now, [&](auto const& relay) { return !request.declining_relays.contains(relay.virtual_machine); });
+    }
+
     void attempt(std::shared_ptr<Request> const& request)
     {
         auto& machine = this->machines[static_cast<std::size_t>(request->machine)];
@@ -282,7 +297,7 @@
             if (is_connected)
                 return this->execute(request, request->machine, upstream);
             constexpr std::size_t UNREACHABLE_BEFORE_RELAY = 2;
-            if (sender.tracker->unreachable_count() >= UNREACHABLE_BEFORE_RELAY && sender.selector->choose(this->now))
+            if (sender.tracker->unreachable_count() >= UNREACHABLE_BEFORE_RELAY && this->choose_relay(*request))
                 return this->relay(request, upstream);
             this->end_attempt(request, SendOutcome::NotSent, ++request->connect_attempts < MAXIMUM_CONNECT_ATTEMPTS);
         });
@@ -291,13 +306,16 @@
     void relay(std::shared_ptr<Request> const& request, std::string const& upstream)
     {
         auto& sender = this->machines[static_cast<std::size_t>(request->machine)];
-        auto const chosen = sender.selector->choose(this->now);
+        auto const chosen = this->choose_relay(*request);
+        if (!chosen)
+            return this->end_attempt(request, SendOutcome::NotSent, ++request->relay_attempts < MAXIMUM_RELAY_ATTEMPTS);
         auto const relay_name = chosen->virtual_machine;
         auto const index = std::stoi(chosen->address);
         sender.selector->note_sent(relay_name);
         auto const declined = [this, request, relay_name](bool is_relays_failure) {
             auto& selector = *this->machines[static_cast<std::size_t>(request->machine)].selector;
             selector.note_end(relay_name);
+            request->declining_relays.insert(relay_name);
             if (is_relays_failure)
                 selector.note_failure(relay_name, this->now);
             this->end_attempt(request, SendOutcome::NotSent, ++request->relay_attempts < MAXIMUM_RELAY_ATTEMPTS);
