ReachabilityProber: Abort requests at an upstream that refuses connections and stays silent

A refusal for want of a route keeps the reason and the time of a pause or limit, where there is one.

--- a/Libraries/LibDecision/ReachabilityTracker.cpp
+++ b/Libraries/LibDecision/ReachabilityTracker.cpp
@@ -150,6 +150,14 @@
     return !this->is_cut_off(data_centre, now);
 }
 
+bool ReachabilityTracker::is_unresponsive(std::string_view identity, MonotonicTime now) const
+{
+    auto const found = this->entries.find(identity);
+    if (found == this->entries.end() || found->second.reachability == Reachability::Reachable)
+        return false;
+    return found->second.in_flight > 0 && now - found->second.waiting_since >= this->options.silence_while_refusing;
+}
+
 bool ReachabilityTracker::needs_probe(Entry const& entry, MonotonicTime now) const
 {
     bool const is_silent = entry.in_flight > 0 && now - entry.waiting_since >= this->options.silence;
--- a/Libraries/LibDecision/ReachabilityTracker.h
+++ b/Libraries/LibDecision/ReachabilityTracker.h
@@ -33,6 +33,8 @@
         /// How long an upstream may be silent with requests in flight before it is probed. Longer than most responses
         /// take.
         Duration silence = milliseconds(300);
+        /// How long an upstream that refuses new connections may be silent on its open ones with requests in flight.
+        Duration silence_while_refusing = milliseconds(1000);
         /// Minimum time between two probes of an upstream.
         Duration probe_interval = milliseconds(300);
         /// A data centre is not cut off if any of its upstreams responded this recently.
@@ -74,6 +76,8 @@
     void set_isolation(Isolation isolation, MonotonicTime now);
 
     bool is_reachable(std::string_view identity, std::string_view data_centre, MonotonicTime now) const;
+    /// Whether requests in flight at an unreachable upstream wait in vain, as far as can be told.
+    bool is_unresponsive(std::string_view identity, MonotonicTime now) const;
     bool is_cut_off(std::string_view data_centre, MonotonicTime now) const;
     bool is_any_cut_off(MonotonicTime now) const;
     /// Number of upstreams to which the last connection attempt failed.
--- a/Libraries/LibRouter/ReachabilityProber.cpp
+++ b/Libraries/LibRouter/ReachabilityProber.cpp
@@ -4,6 +4,7 @@
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
 #include <LibRouter/ReachabilityProber.h>
+#include <set>
 
 namespace Spurtide {
 
@@ -27,6 +28,7 @@
 {
     auto const now = monotonic_now();
     std::erase_if(this->gone_processes, [this](auto const& process) { return !this->upstreams.find(process.first); });
+    this->abort_unresponsive(now);
     for (auto const& identity : this->reachability->due_probes(now))
         this->start_probe(identity, now);
     if (!this->reachability->is_any_cut_off(now) && !this->reachability->may_be_partitioned(now))
@@ -118,12 +120,28 @@
     this->reachability->note_unreachable(upstream.identity, upstream.data_centre, now);
     if (was_reachable)
         LogLine("upstream_unreachable").with("upstream", upstream.identity).with("upstream_data_centre", upstream.data_centre).with("reason", to_string(error)).with("cut_off", this->reachability->is_cut_off(upstream.data_centre, now) ? "yes" : "no").with("unreachable", static_cast<std::int64_t>(this->reachability->unreachable_count())).with("upstreams", static_cast<std::int64_t>(this->upstreams.size()));
-    // The host responds, so connections that are still open work, or are reset without our help.
+    // The host responds, so connections that are still open may work. If they do not respond either, tick() aborts them.
     if (error == HttpError::NobodyListens)
         return;
     if (auto const address = parse_address(upstream.address))
         this->pool.drop(*address);
-    auto const [begin, end] = this->watched_connections->equal_range(upstream.identity);
+    this->abort_connections(upstream.identity);
+}
+
+void ReachabilityProber::abort_unresponsive(MonotonicTime now)
+{
+    std::set<std::string> unresponsive;
+    for (auto const& [identity, connection] : *this->watched_connections) {
+        if (this->reachability->is_unresponsive(identity, now))
+            unresponsive.insert(identity);
+    }
+    for (auto const& identity : unresponsive)
+        this->abort_connections(identity);
+}
+
+void ReachabilityProber::abort_connections(std::string const& identity)
+{
+    auto const [begin, end] = this->watched_connections->equal_range(identity);
     for (auto position = begin; position != end; ++position) {
         if (auto const connection = position->second.lock())
             connection->abort();
--- a/Libraries/LibRouter/UnaryRequestHandler.cpp
+++ b/Libraries/LibRouter/UnaryRequestHandler.cpp
@@ -175,6 +175,8 @@
         co_return;
     }
     std::string reason = this->residency.is_restricted() ? "no_upstream_in_home_regions" : "no_upstream";
+    if (this->was_without_route)
+        reason = "upstreams_unreachable";
     auto retry_after = NO_UPSTREAM_RETRY_AFTER;
     if (this->next_cold_turn) {
         reason = "upstreams_cold";
@@ -190,8 +192,6 @@
     }
     if (!last.reason.empty())
         reason = last.reason;
-    else if (this->was_without_route)
-        reason = "upstreams_unreachable";
     co_await this->refuse(reason, retry_after);
 }
 
--- a/Tests/LibDecision/TestReachabilityTracker.cpp
+++ b/Tests/LibDecision/TestReachabilityTracker.cpp
@@ -167,6 +167,22 @@
     }
 }
 
+TEST_CASE("Requests at an upstream that refuses new connections wait while open ones respond, and not for long if none does", "[cut][partitioned-vm]")
+{
+    ReachabilityTracker tracker({}, "a");
+    tracker.note_sent("a1", "a", at(0));
+    CHECK_FALSE(tracker.is_unresponsive("a1", at(5000)));
+    tracker.note_unreachable("a1", "a", at(300));
+    CHECK_FALSE(tracker.is_unresponsive("a1", at(999)));
+    CHECK(tracker.is_unresponsive("a1", at(1000)));
+    tracker.note_response("a1", at(1000));
+    tracker.note_unreachable("a1", "a", at(1300));
+    CHECK_FALSE(tracker.is_unresponsive("a1", at(1999)));
+    CHECK(tracker.is_unresponsive("a1", at(2000)));
+    tracker.note_finished("a1");
+    CHECK_FALSE(tracker.is_unresponsive("a1", at(3000)));
+}
+
 TEST_CASE("One upstream that pauses for a second is no partition", "[partitioned-vm]")
 {
     ReachabilityTracker tracker({}, "a");
