--- a/Libraries/LibDecision/ReachabilityTracker.cpp
+++ b/Libraries/LibDecision/ReachabilityTracker.cpp
@@ -20,17 +20,20 @@
         entry.waiting_since = now;
 }
 
-// Keeps the unreachable count of the data centre in step with the upstream's state.
+// Keeps the unreachable counts in step with the upstream's state.
 void ReachabilityTracker::set_reachability(Entry& entry, Reachability reachability)
 {
     if (entry.reachability == reachability)
         return;
     entry.reachability = reachability;
-    auto& unreachable = this->data_centres[entry.data_centre].unreachable;
-    if (reachability == Reachability::Unreachable)
-        ++unreachable;
-    else
-        --unreachable;
+    auto& data_centre = this->data_centres[entry.data_centre];
+    if (reachability == Reachability::Unreachable) {
+        ++data_centre.unreachable;
+        ++this->unreachable;
+    } else {
+        --data_centre.unreachable;
+        --this->unreachable;
+    }
 }
 
 void ReachabilityTracker::note_response(std::string_view identity, MonotonicTime now)
@@ -134,14 +137,6 @@
     return since && now - *since >= this->options.partition_confirmation;
 }
 
-std::size_t ReachabilityTracker::unreachable_count() const
-{
-    std::size_t count = 0;
-    for (auto const& [name, data_centre] : this->data_centres)
-        count += data_centre.unreachable;
-    return count;
-}
-
 bool ReachabilityTracker::is_reachable(std::string_view identity, std::string_view data_centre, MonotonicTime now) const
 {
     auto const found = this->entries.find(identity);
--- a/Libraries/LibDecision/ReachabilityTracker.h
+++ b/Libraries/LibDecision/ReachabilityTracker.h
@@ -81,7 +81,7 @@
     bool is_cut_off(std::string_view data_centre, MonotonicTime now) const;
     bool is_any_cut_off(MonotonicTime now) const;
     /// Number of upstreams to which the last connection attempt failed.
-    std::size_t unreachable_count() const;
+    std::size_t unreachable_count() const { return this->unreachable; }
     /// Whether this VM cannot connect to any upstream, although it has tried several.
     bool is_partitioned(MonotonicTime now) const;
     /// Whether this VM should connect to the upstream itself.
@@ -129,6 +129,8 @@
     std::string own_data_centre;
     std::map<std::string, Entry, std::less<>> entries;
     std::map<std::string, DataCentre, std::less<>> data_centres;
+    /// In all data centres.
+    std::size_t unreachable = 0;
     std::optional<MonotonicTime> isolated_since;
     /// When any upstream last responded.
     std::optional<MonotonicTime> last_response;
