--- a/Tests/Platform/TestPartitionedVirtualMachine.cpp
+++ b/Tests/Platform/TestPartitionedVirtualMachine.cpp
@@ -134,6 +134,30 @@
     }
 }
 
+// Guards against streams that are refused since the nearest VMs, which are partitioned and do not know it, decline one engine each.
+TEST_CASE("Streams of a data centre whose new connections are refused are served through VMs elsewhere", "[partitioned-vm]")
+{
+    for (std::string const target : { "/stream/x", "/resumable/x" }) {
+        PartitionedDeployment test;
+        test.configure(1);
+        test.add_upstream("i-p", "engines", "prefill");
+        test.add_upstream("i-d", "engines", "decode");
+        add_plain_upstreams(test);
+        std::vector<Address> partitioned;
+        for (std::string const name : { "vm-2", "vm-3", "vm-4" })
+            partitioned.push_back(test.add_virtual_machine(name, "there").caller_address());
+        for (auto const* name : { "vm-2", "vm-3", "vm-4" })
+            test.set_condition(name, UpstreamPath::Condition::NewRefused);
+        for (auto const& address : partitioned)
+            test.serve_for(PartitionedDeployment::DETECTION_TIME / 3, address, target);
+        CAPTURE(target);
+        for (auto const& address : partitioned)
+            CHECK(count_served(test, address, target) == REQUESTS);
+        if (target == "/stream/x")
+            CHECK(test.most_runs() == 1);
+    }
+}
+
 TEST_CASE("Requests are refused at once while all VMs are partitioned from the upstreams", "[partitioned-vm][not-run]")
 {
     // A caller that is refused within a quarter of its latency target can still be served in time elsewhere.
