ReachabilityProber: Abort unresponsive requests without collecting their upstreams first

Connections are aborted where they are found, and none are looked at while every upstream is reachable. Probes need no function of their own. No behaviour changes.

--- a/Libraries/LibRouter/ReachabilityProber.cpp
+++ b/Libraries/LibRouter/ReachabilityProber.cpp
@@ -4,7 +4,6 @@
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
 #include <LibRouter/ReachabilityProber.h>
-#include <set>
 
 namespace Spurtide {
 
@@ -13,6 +12,12 @@
 /// Upstreams that are tried to find out whether this VM reaches any: some may have ended too.
 constexpr std::size_t OTHERS_TRIED = 3;
 
+void abort_if_open(std::weak_ptr<HttpConnection> const& connection)
+{
+    if (auto const open = connection.lock())
+        open->abort();
+}
+
 }
 
 ReachabilityProber::ReachabilityProber(Options options, asio::io_context& loop, std::shared_ptr<ReachabilityTracker> reachability, ConnectionPool& pool, UpstreamList const& upstreams)
@@ -45,12 +50,7 @@
     if (!record)
         return;
     this->reachability->note_probe(identity, now);
-    asio::co_spawn(this->loop, this->probe(*record), asio::detached);
-}
-
-asio::awaitable<void> ReachabilityProber::probe(UpstreamRecord upstream)
-{
-    static_cast<void>(co_await this->connect_to(std::move(upstream)));
+    asio::co_spawn(this->loop, this->connect_to(*record), asio::detached);
 }
 
 asio::awaitable<ReachabilityProber::Connection> ReachabilityProber::connect_to(UpstreamRecord upstream)
@@ -125,26 +125,18 @@
         return;
     if (auto const address = parse_address(upstream.address))
         this->pool.drop(*address);
-    this->abort_connections(upstream.identity);
+    auto const [begin, end] = this->watched_connections->equal_range(upstream.identity);
+    for (auto position = begin; position != end; ++position)
+        abort_if_open(position->second);
 }
 
 void ReachabilityProber::abort_unresponsive(MonotonicTime now)
 {
-    std::set<std::string> unresponsive;
+    if (this->reachability->unreachable_count() == 0)
+        return;
     for (auto const& [identity, connection] : *this->watched_connections) {
         if (this->reachability->is_unresponsive(identity, now))
-            unresponsive.insert(identity);
-    }
-    for (auto const& identity : unresponsive)
-        this->abort_connections(identity);
-}
-
-void ReachabilityProber::abort_connections(std::string const& identity)
-{
-    auto const [begin, end] = this->watched_connections->equal_range(identity);
-    for (auto position = begin; position != end; ++position) {
-        if (auto const connection = position->second.lock())
-            connection->abort();
+            abort_if_open(connection);
     }
 }
 
--- a/Libraries/LibRouter/ReachabilityProber.h
+++ b/Libraries/LibRouter/ReachabilityProber.h
@@ -52,11 +52,9 @@
     };
     asio::awaitable<Connection> connect_to(UpstreamRecord upstream);
     asio::awaitable<Connection> connect_to_another(std::string_view excluded);
-    void abort_connections(std::string const& identity);
     void abort_unresponsive(MonotonicTime now);
     std::vector<UpstreamRecord> reachable_upstreams(std::string_view excluded, std::size_t most) const;
     void start_probe(std::string const& identity, MonotonicTime now);
-    asio::awaitable<void> probe(UpstreamRecord upstream);
 
     Options options;
     asio::io_context& loop;
