--- a/Libraries/LibRouter/UnaryRequestHandler.cpp
+++ b/Libraries/LibRouter/UnaryRequestHandler.cpp
@@ -7,6 +7,7 @@
 #include <LibRouter/UnaryRequestHandler.h>
 #include <LibRouter/UpstreamCall.h>
 #include <LibRouter/UpstreamLimiter.h>
+#include <map>
 
 namespace Spurtide {
 
@@ -262,7 +263,13 @@
     this->state.selector.note_sent(upstream.identity);
     auto opened = co_await UpstreamLink::open(this->state, upstream, this->link_options(this->route.kind));
     if (opened.is_error()) {
-        this->note_not_sent(upstream, opened.error(), attempt);
+        auto const& error = opened.error();
+        bool const is_relays = error.location == LinkError::Location::Relay;
+        attempt.reason = error.reason();
+        if (is_relays)
+            attempt.route = UpstreamRoute::Relayed;
+        // A path that failed elsewhere says nothing about the upstream's health.
+        this->take_back_send(upstream.identity, is_relays ? UpstreamOutcome::Full : UpstreamOutcome::Failed);
         co_return attempt;
     }
     auto const link = opened.release_value();
@@ -272,8 +279,7 @@
     auto const obstacle = find_send_obstacle(this->state, upstream);
     if (this->is_stopped() || obstacle != SendObstacle::None) {
         link->release_unused();
-        this->state.selector.note_end(upstream.identity, UpstreamOutcome::Full, Duration::zero(), monotonic_now());
-        this->state.limiter->return_turn(upstream.identity);
+        this->take_back_send(upstream.identity, UpstreamOutcome::Full);
         attempt.reason = to_string(obstacle);
         co_return attempt;
     }
@@ -293,15 +299,14 @@
         this->record_statements(upstream, this->state.dialect.read_response(attempt.head), attempt.head.status, link->send_time());
     }
     this->set_active_connection(nullptr);
-    auto const now = monotonic_now();
-    auto const took = std::chrono::duration_cast<Duration>(now - sent_at);
     if (attempt.end == SendOutcome::NotSent) {
         this->note_not_delivered();
         link->release();
-        this->state.selector.note_end(upstream.identity, UpstreamOutcome::Full, Duration::zero(), now);
-        this->state.limiter->return_turn(upstream.identity);
+        this->take_back_send(upstream.identity, UpstreamOutcome::Full);
         co_return attempt;
     }
+    auto const now = monotonic_now();
+    auto const took = std::chrono::duration_cast<Duration>(now - sent_at);
     // A request that was stopped on our side says nothing about the upstream's health.
     auto const outcome = this->is_stopped() && attempt.end == SendOutcome::Lost ? UpstreamOutcome::Full : outcome_of(attempt.end);
     this->state.selector.note_end(upstream.identity, outcome, took, now);
@@ -313,15 +318,10 @@
     co_return attempt;
 }
 
-void UnaryRequestHandler::note_not_sent(UpstreamRecord const& upstream, LinkError const& error, Attempt& attempt)
+void UnaryRequestHandler::take_back_send(std::string const& upstream, UpstreamOutcome outcome)
 {
-    attempt.reason = error.reason();
-    if (error.location == LinkError::Location::Relay)
-        attempt.route = UpstreamRoute::Relayed;
-    // A path that failed elsewhere says nothing about the upstream's health.
-    auto const outcome = error.location == LinkError::Location::Relay ? UpstreamOutcome::Full : UpstreamOutcome::Failed;
-    this->state.selector.note_end(upstream.identity, outcome, Duration::zero(), monotonic_now());
-    this->state.limiter->return_turn(upstream.identity);
+    this->state.selector.note_end(upstream, outcome, Duration::zero(), monotonic_now());
+    this->state.limiter->return_turn(upstream);
 }
 
 asio::awaitable<UnaryRequestHandler::Attempt> UnaryRequestHandler::read_response(UpstreamLink& link)
--- a/Libraries/LibRouter/UnaryRequestHandler.h
+++ b/Libraries/LibRouter/UnaryRequestHandler.h
@@ -4,7 +4,6 @@
 #pragma once
 
 #include <LibRouter/RequestHandler.h>
-#include <map>
 #include <set>
 
 namespace Spurtide {
@@ -29,7 +28,8 @@
     };
 
     asio::awaitable<Attempt> send_to(UpstreamRecord upstream);
-    void note_not_sent(UpstreamRecord const& upstream, LinkError const& error, Attempt& attempt);
+    /// Ends a send that did not reach the upstream, and returns its turn.
+    void take_back_send(std::string const& upstream, UpstreamOutcome outcome);
     asio::awaitable<Attempt> read_response(UpstreamLink& link);
     std::optional<UpstreamRecord> choose_upstream();
     /// Keeps the upstreams that can be reached by the best of the routes, without those that have been tried by it.
