--- a/Libraries/LibDecision/Residency.h
+++ b/Libraries/LibDecision/Residency.h
@@ -13,6 +13,9 @@
 /// Maps data centres to regions.
 using RegionMap = std::map<std::string, std::string, std::less<>>;
 
+/// Returns the region of a data centre, as long as the map lives; empty if it is unknown.
+std::string_view region_of(std::string_view data_centre, RegionMap const& regions);
+
 /// The regions in which a request may be served, as restricted by its route and its account.
 class Residency {
 public:
--- a/Libraries/LibRouter/RequestHandler.cpp
+++ b/Libraries/LibRouter/RequestHandler.cpp
@@ -181,8 +181,8 @@
         options.when_unreachable = InFlightRequest::WhenUnreachable::Abort;
     // The request's data must not be passed to other regions than those of its homes and its caller.
     options.may_relay = [this](RelayCandidate const& relay) {
-        auto const own = this->state.regions.find(this->state.data_centre);
-        bool const is_own_region = relay.data_centre == this->state.data_centre || (own != this->state.regions.end() && relay.region == own->second);
+        auto const own_region = region_of(this->state.data_centre, this->state.regions);
+        bool const is_own_region = relay.data_centre == this->state.data_centre || (!own_region.empty() && relay.region == own_region);
         return !this->declining_relays.contains(relay.virtual_machine) && (is_own_region || this->may_use_data_centre(relay.data_centre));
     };
     return options;
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -183,10 +183,7 @@
 {
     RelayClient::Hooks client_hooks;
     client_hooks.data_centre_of = [](MemberRecord const& member) { return RegistryRelay::data_centre_of(member); };
-    client_hooks.region_of = [this](std::string_view data_centre) {
-        auto const found = this->settings.regions.find(data_centre);
-        return found == this->settings.regions.end() ? std::string() : found->second;
-    };
+    client_hooks.region_of = [this](std::string_view data_centre) { return std::string(region_of(data_centre, this->settings.regions)); };
     client_hooks.has_company = [this] { return this->membership->has_company(); };
     this->relay_client = std::make_unique<RelayClient>(RelayClient::Options {}, *this->kernel, this->settings.data_centre, std::move(client_hooks));
     this->state.relays = this->relay_client.get();
