--- a/Libraries/LibRouter/StreamingRequestHandler.cpp
+++ b/Libraries/LibRouter/StreamingRequestHandler.cpp
@@ -447,8 +447,7 @@
     this->recheck_admission();
     auto const obstacle = find_send_obstacle(this->state, engine);
     if (opened.is_error() || this->is_stopped() || obstacle != SendObstacle::None) {
-        if (!dispatch.cache_handle.empty())
-            this->free_cache(this->cache_holder, dispatch.cache_handle);
+        this->free_cache(this->cache_holder, dispatch.cache_handle);
         if (opened.is_error()) {
             this->note_unreached(engine, opened.error());
             co_return co_await this->retry_or_fail(SendOutcome::NotSent, opened.error().reason());
@@ -473,8 +472,7 @@
         this->set_active_connection(nullptr);
         this->note_not_delivered();
         link->release();
-        if (!dispatch.cache_handle.empty())
-            this->free_cache(this->cache_holder, dispatch.cache_handle);
+        this->free_cache(this->cache_holder, dispatch.cache_handle);
         if (this->is_stopped())
             co_return PlacementOutcome::Retry;
         this->note_unreached(engine, head.error());
@@ -511,8 +509,7 @@
     auto const reason = "decode_status_" + std::to_string(status);
     if (info.is_not_executed || status == 421) {
         this->note_not_executed();
-        if (!dispatch.cache_handle.empty())
-            this->free_cache(this->cache_holder, dispatch.cache_handle);
+        this->free_cache(this->cache_holder, dispatch.cache_handle);
         if (this->is_stopped())
             co_return PlacementOutcome::Retry;
         this->failed_engines.push_back(engine.identity);
@@ -619,6 +616,8 @@
 
 void StreamingRequestHandler::free_cache(UpstreamRecord const& holder, std::string const& handle)
 {
+    if (handle.empty())
+        return;
     auto const free = [](RouterState& state, UpstreamRecord engine, std::string cache) -> asio::awaitable<void> {
         HttpRequest request { state.dialect.free_cache_request_head(engine.address, cache), {} };
         ConnectionPool::Call options;
--- a/Libraries/LibRouter/StreamingRequestHandler.h
+++ b/Libraries/LibRouter/StreamingRequestHandler.h
@@ -82,7 +82,7 @@
     asio::awaitable<void> respond_to_refusal(PlacementRefusal refusal);
     /// Returns Retry if another send is allowed. Otherwise sends the final response.
     asio::awaitable<PlacementOutcome> retry_or_fail(SendOutcome end, std::string_view reason, SendHistory::AnotherSend allowed_send = SendHistory::AnotherSend::Allowed);
-    /// Asks the engine that holds a prefilled cache to free it.
+    /// Asks the engine that holds a prefilled cache to free it. Does nothing if there is none.
     void free_cache(UpstreamRecord const& holder, std::string const& handle);
     UpstreamLink::Options decode_link_options() const { return this->link_options(this->route.is_resumable ? RouteKind::Repeatable : RouteKind::NotRepeatable); }
     /// Excludes an engine that was not reached from further placements, and reports it to the keeper if the engine is at fault.
