Tests: Share one call of a caller and the check of a partitioned VM

The call stood twice, in NodeUnderTest and in the test of a killed relay; the check of plain requests and of streams differed in the upstreams alone. Their assertions are unchanged.

--- a/Tests/Platform/NodeUnderTest.cpp
+++ b/Tests/Platform/NodeUnderTest.cpp
@@ -110,32 +110,38 @@
 
 CallerAnswer NodeUnderTest::call(Address address, HttpRequest made) { return this->call_all(address, { std::move(made) }).front(); }
 
+asio::awaitable<CallerAnswer> NodeUnderTest::exchange(Address address, HttpRequest made)
+{
+    CallerAnswer answer;
+    auto connected = co_await HttpConnection::connect(address, seconds(1), {});
+    if (connected.is_error()) {
+        answer.error = connected.error();
+        co_return answer;
+    }
+    auto const connection = connected.release_value();
+    connection->set_deadline(monotonic_now() + seconds(10));
+    connection->send(format_request_head(made.head), std::make_shared<std::string const>(made.body));
+    auto head = co_await connection->read_head();
+    if (head.is_error()) {
+        answer.error = head.error();
+    } else {
+        answer.head = head.release_value();
+        auto body = co_await connection->read_body(1'000'000);
+        if (body.is_error())
+            answer.error = body.error();
+        else
+            answer.body = body.release_value();
+    }
+    connection->abort();
+    co_return answer;
+}
+
 std::vector<CallerAnswer> NodeUnderTest::call_all(Address address, std::vector<HttpRequest> requests)
 {
     std::vector<CallerAnswer> answers(requests.size());
     std::size_t done = 0;
     auto const carry = [&](HttpRequest const& made, CallerAnswer& answer) -> asio::awaitable<void> {
-        auto connected = co_await HttpConnection::connect(address, seconds(1), {});
-        if (connected.is_error()) {
-            answer.error = connected.error();
-            ++done;
-            co_return;
-        }
-        auto const connection = connected.release_value();
-        connection->set_deadline(monotonic_now() + seconds(10));
-        connection->send(format_request_head(made.head), std::make_shared<std::string const>(made.body));
-        auto head = co_await connection->read_head();
-        if (head.is_error()) {
-            answer.error = head.error();
-        } else {
-            answer.head = head.release_value();
-            auto body = co_await connection->read_body(1'000'000);
-            if (body.is_error())
-                answer.error = body.error();
-            else
-                answer.body = body.release_value();
-        }
-        connection->abort();
+        answer = co_await exchange(address, made);
         ++done;
     };
     for (std::size_t i = 0; i < requests.size(); ++i)
--- a/Tests/Platform/NodeUnderTest.h
+++ b/Tests/Platform/NodeUnderTest.h
@@ -51,6 +51,8 @@
     CallerAnswer call(Address address, HttpRequest request);
     /// Calls at the same time; gives the answers in the order of the requests.
     std::vector<CallerAnswer> call_all(Address address, std::vector<HttpRequest> requests);
+    /// Makes one call; to be run on the test's loop.
+    static asio::awaitable<CallerAnswer> exchange(Address address, HttpRequest request);
     /// Sends bytes as they are and gives all that comes back until the other side closes.
     std::string exchange_bytes(std::string bytes);
     /// Sends bytes and closes the connection while the loop does not run.
--- a/Tests/Platform/PartitionedDeployment.h
+++ b/Tests/Platform/PartitionedDeployment.h
@@ -78,9 +78,14 @@
 
     CallerAnswer call_once(Address const& address, std::string const& target)
     {
-        auto const identifier = "r" + std::to_string(++this->calls);
+        return this->call(address, this->request_for(target, "r" + std::to_string(++this->calls)));
+    }
+
+    /// A request of the kind that the target's route takes.
+    HttpRequest request_for(std::string const& target, std::string const& identifier)
+    {
         bool const is_model_request = target.starts_with("/stream/") || target.starts_with("/resumable/");
-        return this->call(address, is_model_request ? this->model_request(target, identifier) : this->request("POST", target, identifier));
+        return is_model_request ? this->model_request(target, identifier) : this->request("POST", target, identifier);
     }
 
     void wait(Duration duration)
--- a/Tests/Platform/TestPartitionedVirtualMachine.cpp
+++ b/Tests/Platform/TestPartitionedVirtualMachine.cpp
@@ -5,6 +5,7 @@
 #include <Tests/Platform/PartitionedDeployment.h>
 #include <array>
 #include <catch2/catch.hpp>
+#include <functional>
 
 // Guards against VMs that refuse or fail their callers' requests while only their own paths to the upstreams are cut.
 
@@ -24,6 +25,13 @@
         test.add_upstream("i-" + std::to_string(i), "plain");
 }
 
+void add_engines(PartitionedDeployment& test)
+{
+    test.add_upstream("i-p", "engines", "prefill");
+    test.add_upstream("i-d1", "engines", "decode");
+    test.add_upstream("i-d2", "engines", "decode");
+}
+
 /// Counts the first attempts that are served.
 int count_served(PartitionedDeployment& test, Address const& address, std::string const& target)
 {
@@ -33,46 +41,37 @@
     return served;
 }
 
+/// Cuts one of two VMs off the upstreams in each way, and checks that it serves as soon as callers may expect.
+void check_served_while_partitioned(std::string const& target, std::function<void(PartitionedDeployment&)> const& add_upstreams)
+{
+    bool const is_run_once = target == "/once/x" || target == "/stream/x";
+    for (auto const cut : CUTS) {
+        PartitionedDeployment test;
+        test.configure(1);
+        add_upstreams(test);
+        auto const& partitioned = test.add_virtual_machine("vm-2");
+        REQUIRE(test.call_once(partitioned.caller_address(), target).head.status == 200);
+        test.set_condition("vm-2", cut);
+        test.serve_for(PartitionedDeployment::DETECTION_TIME, partitioned.caller_address(), target);
+        CAPTURE(target, static_cast<int>(cut));
+        CHECK(count_served(test, partitioned.caller_address(), target) == REQUESTS);
+        if (is_run_once)
+            CHECK(test.most_runs() == 1);
+    }
+}
+
 }
 
 TEST_CASE("Plain requests at a VM that is partitioned from all upstreams are served through another VM", "[partitioned-vm]")
 {
-    for (std::string const target : { "/safe/x", "/once/x" }) {
-        for (auto const cut : CUTS) {
-            PartitionedDeployment test;
-            test.configure(1);
-            add_plain_upstreams(test);
-            auto const& partitioned = test.add_virtual_machine("vm-2");
-            REQUIRE(test.call_once(partitioned.caller_address(), target).head.status == 200);
-            test.set_condition("vm-2", cut);
-            test.serve_for(PartitionedDeployment::DETECTION_TIME, partitioned.caller_address(), target);
-            CAPTURE(target, static_cast<int>(cut));
-            CHECK(count_served(test, partitioned.caller_address(), target) == REQUESTS);
-            if (target == "/once/x")
-                CHECK(test.most_runs() == 1);
-        }
-    }
+    for (std::string const target : { "/safe/x", "/once/x" })
+        check_served_while_partitioned(target, add_plain_upstreams);
 }
 
 TEST_CASE("Streams at a VM that is partitioned from all upstreams are served through another VM", "[partitioned-vm]")
 {
-    for (std::string const target : { "/stream/x", "/resumable/x" }) {
-        for (auto const cut : CUTS) {
-            PartitionedDeployment test;
-            test.configure(1);
-            test.add_upstream("i-p", "engines", "prefill");
-            test.add_upstream("i-d1", "engines", "decode");
-            test.add_upstream("i-d2", "engines", "decode");
-            auto const& partitioned = test.add_virtual_machine("vm-2");
-            REQUIRE(test.call_once(partitioned.caller_address(), target).head.status == 200);
-            test.set_condition("vm-2", cut);
-            test.serve_for(PartitionedDeployment::DETECTION_TIME, partitioned.caller_address(), target);
-            CAPTURE(target, static_cast<int>(cut));
-            CHECK(count_served(test, partitioned.caller_address(), target) == REQUESTS);
-            if (target == "/stream/x")
-                CHECK(test.most_runs() == 1);
-        }
-    }
+    for (std::string const target : { "/stream/x", "/resumable/x" })
+        check_served_while_partitioned(target, add_engines);
 }
 
 TEST_CASE("The VMs of a data centre that all are partitioned from the upstreams serve through VMs elsewhere", "[partitioned-vm]")
@@ -220,22 +219,7 @@
         // The caller retries while the partition has not been noticed.
         auto const carry = [&]() -> asio::awaitable<void> {
             for (int i = 0; !is_running(); ++i) {
-                auto const identifier = "k" + std::to_string(i);
-                auto const made = target == "/stream/x" ? test.model_request(target, identifier) : test.request("POST", target, identifier);
-                auto connected = co_await HttpConnection::connect(partitioned.caller_address(), seconds(1), {});
-                auto const connection = connected.release_value();
-                connection->set_deadline(monotonic_now() + seconds(10));
-                connection->send(format_request_head(made.head), std::make_shared<std::string const>(made.body));
-                CallerAnswer received;
-                auto head = co_await connection->read_head();
-                if (head.is_error())
-                    received.error = head.error();
-                else {
-                    received.head = head.release_value();
-                    auto body = co_await connection->read_body(1'000'000);
-                    if (body.is_error())
-                        received.error = body.error();
-                }
+                auto received = co_await NodeUnderTest::exchange(partitioned.caller_address(), test.request_for(target, "k" + std::to_string(i)));
                 answer = std::move(received);
             }
         };
