LibRouter: Log the software version that streams come from, and what takes up a stream

The collected lines name neither the version of an engine's software nor that a request takes up a stream, so they can't tell streams that were mixed in one answer from those that were mixed over a caller's tries.

The version is read from an upstream's entry, kept in the list of upstreams and told to other VMs. Logged: upstream_changed says software, stream_began and stream_continued say which engine and version a stream's events come from, stream_taken_up says which attempt a request names. Counted: spurtide_continued_streams_total by comparison of the versions, spurtide_resumptions_total. No decision uses any of it.

--- a/Libraries/LibDecision/UpstreamList.h
+++ b/Libraries/LibDecision/UpstreamList.h
@@ -40,6 +40,8 @@
     /// Start time in milliseconds since the epoch by the upstream's clock, which distinguishes two incarnations; 0 if
     /// not reported.
     std::int64_t started = 0;
+    /// Version of the upstream's software, which differs from that of an engine's weights; empty if unknown.
+    std::string software_version {};
     /// Remaining warm-up time as of the registry entry. During warm-up the upstream handles a limited request rate.
     Duration cold_for {};
     /// End of the warm-up on this VM's clock; set by the list.
--- a/Libraries/LibRouter/CallerRequest.h
+++ b/Libraries/LibRouter/CallerRequest.h
@@ -36,6 +36,11 @@
     std::optional<PromptInfo> prompt;
     /// Id of the last event of this stream that the caller received; empty if there is none.
     std::string last_event;
+    /// The request in whose response the caller received the first event of this stream; empty if the caller names none.
+    std::string resumed_request {};
+
+    /// Whether the request continues a stream of which the caller has received events.
+    bool is_resumption() const { return !this->last_event.empty() || !this->resumed_request.empty(); }
 };
 
 /// Why a request cannot be parsed.
--- a/Libraries/LibRouter/RequestRouter.cpp
+++ b/Libraries/LibRouter/RequestRouter.cpp
@@ -41,6 +41,10 @@
         co_return;
     }
     auto request = parsed.release_value();
+    if (route->kind == RouteKind::Stream && request.is_resumption()) {
+        LogLine("stream_taken_up").with("request", request.identifier).with("resumes", request.resumed_request).with("last_event", request.last_event);
+        this->state.metrics.increment("spurtide_resumptions_total", "Requests that take up a stream whose caller has received events of it", { { "names", request.resumed_request.empty() ? "nothing" : "request" } });
+    }
     auto const caller = identify_caller(routes->configuration().accounts.get(), route->access, request.key);
     if (caller.standing == CallerIdentity::Standing::Refused) {
         co_await this->reject(exchange, 401, request.key ? "unknown_key" : "no_key", identifier);
--- a/Libraries/LibRouter/StreamingRequestHandler.cpp
+++ b/Libraries/LibRouter/StreamingRequestHandler.cpp
@@ -543,9 +543,26 @@
     this->last_event_at = now;
 }
 
+void StreamingRequestHandler::note_event_source(UpstreamRecord const& engine)
+{
+    bool const is_first = !this->first_software_version;
+    if (is_first)
+        this->first_software_version = engine.software_version;
+    auto const& before = *this->first_software_version;
+    std::string const comparison = before.empty() || engine.software_version.empty() ? "unknown" : before == engine.software_version ? "same"
+                                                                                                                                     : "other";
+    LogLine line(is_first ? "stream_began" : "stream_continued");
+    line.with("request", this->request.identifier).with("engine", engine.identity).with("software", engine.software_version);
+    if (is_first)
+        return;
+    line.with("began_at_software", before).with("after_event", this->events.last_identifier());
+    this->state.metrics.increment("spurtide_continued_streams_total", "Streams that continued at another engine within a response, by how its software version compares to the first engine's", { { "software", comparison } });
+}
+
 asio::awaitable<StreamingRequestHandler::PlacementOutcome> StreamingRequestHandler::relay_stream(UpstreamLink& link, HttpResponseHead head)
 {
     auto const connection = link.connection();
+    bool has_events = false;
     while (true) {
         auto piece = co_await connection->read_piece();
         if (piece.is_error()) {
@@ -571,6 +588,8 @@
         // Partial events only have to be withheld from streams that can be resumed on another engine.
         if (!this->route.is_resumable || is_end)
             bytes += this->events.take_remainder();
+        if (!bytes.empty() && !std::exchange(has_events, true))
+            this->note_event_source(link.upstream());
         if (!this->exchange.has_begun()) {
             auto const framing = connection->framing() == BodyFraming::UntilClose ? BodyFraming::UntilClose : BodyFraming::Chunked;
             auto const begun = co_await this->exchange.begin(this->state.dialect.caller_response_head(head), framing);
--- a/Libraries/LibRouter/StreamingRequestHandler.h
+++ b/Libraries/LibRouter/StreamingRequestHandler.h
@@ -71,6 +71,8 @@
     asio::awaitable<std::optional<PrefillCache>> prefill(UpstreamRecord engine);
     asio::awaitable<PlacementOutcome> decode(UpstreamRecord engine, Dispatch dispatch);
     void note_event(MonotonicTime now);
+    /// Call with the first events from each engine.
+    void note_event_source(UpstreamRecord const& engine);
     asio::awaitable<PlacementOutcome> relay_stream(UpstreamLink& link, HttpResponseHead head);
     EngineSurvey survey_engines() const;
     /// Whether this VM itself reaches an engine that can generate the response.
@@ -101,6 +103,8 @@
     std::string failed_engine;
     std::vector<std::string> refusing_engines;
     EventStreamSplitter events;
+    /// Software version of the engine that the first events of this response came from.
+    std::optional<std::string> first_software_version;
     CallerAttempt visit = CallerAttempt::First;
     std::optional<Duration> first_event_after;
     MonotonicTime first_event_at;
--- a/Libraries/LibWire/WireUpstreams.cpp
+++ b/Libraries/LibWire/WireUpstreams.cpp
@@ -26,6 +26,7 @@
     message.set_orders_taken(record.orders_taken);
     message.set_started(record.started);
     message.set_cold_for_microseconds(record.cold_for.count());
+    message.set_software_version(record.software_version);
 }
 
 UpstreamRecord read_upstream(wire::UpstreamEntry const& message)
@@ -42,6 +43,7 @@
     record.orders_taken = message.orders_taken();
     record.started = message.started();
     record.cold_for = Duration(message.cold_for_microseconds());
+    record.software_version = message.software_version();
     return record;
 }
 
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -346,7 +346,10 @@
         for (auto const& change : news.changes) {
             auto const state_name = !change.record ? "gone" : change.record->life == UpstreamRecord::Life::Leaving ? "leaving"
                                                                                                                    : "serving";
-            LogLine("upstream_changed").with("upstream", change.identity).with("state", state_name).with("version", change.version.version).with("era", change.version.era);
+            LogLine line("upstream_changed");
+            line.with("upstream", change.identity).with("state", state_name).with("version", change.version.version).with("era", change.version.era);
+            if (change.record)
+                line.with("software", change.record->software_version);
             this->state.upstreams.apply(change, monotonic_now());
         }
         this->engines_changed();
--- a/Tests/LibWire/TestWireUpstreams.cpp
+++ b/Tests/LibWire/TestWireUpstreams.cpp
@@ -10,7 +10,7 @@
 {
     auto const life = GENERATE(UpstreamRecord::Life::Serving, UpstreamRecord::Life::Leaving);
     auto const role = GENERATE(std::optional<EngineRole> {}, std::optional<EngineRole> { EngineRole::Prefill }, std::optional<EngineRole> { EngineRole::Decode });
-    UpstreamRecord const record { "i-1", "engines", "127.0.0.1:80", "dc", 64, life, role, 3, 1'767'225'600'000 };
+    UpstreamRecord const record { "i-1", "engines", "127.0.0.1:80", "dc", 64, life, role, 3, 1'767'225'600'000, "v1.1" };
     wire::UpstreamEntry message;
     write_upstream(record, message);
     CHECK(read_upstream(message) == record);
