--- a/Tests/Platform/UpstreamStandIn.cpp
+++ b/Tests/Platform/UpstreamStandIn.cpp
@@ -36,7 +36,7 @@
 
 nlohmann::json UpstreamStandIn::entry(std::string const& service, std::string const& state) const
 {
-    nlohmann::json json { { "service", service }, { "address", this->listed_address.value_or(this->address()).to_string() }, { "zone", this->data_centre }, { "version", "v1" }, { "slots", 6 }, { "state", state }, { "cold_left_ms", 0 }, { "call_seq", 0 } };
+    nlohmann::json json { { "service", service }, { "address", this->listed_address.value_or(this->address()).to_string() }, { "zone", this->data_centre }, { "version", this->software_version }, { "slots", 6 }, { "state", state }, { "cold_left_ms", 0 }, { "call_seq", 0 } };
     if (!this->phase.empty())
         json["phase"] = this->phase;
     if (this->started > 0)
@@ -178,7 +178,7 @@
         asio::steady_timer timer(this->loop, this->event_pause);
         asio::error_code ignored;
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
-        std::string const event = "id: " + std::to_string(i) + "\ndata: piece " + std::to_string(i) + "\n\n";
+        std::string const event = "id: " + std::to_string(i) + "\ndata: " + this->event_text + " " + std::to_string(i) + "\n\n";
         auto const sent = co_await exchange.write(event);
         is_gone = sent.is_error() || exchange.is_caller_gone();
     }
--- a/Tests/Platform/UpstreamStandIn.h
+++ b/Tests/Platform/UpstreamStandIn.h
@@ -46,6 +46,10 @@
     std::string requested_pause;
     /// When it started, in milliseconds since the epoch; 0 where its entry does not say.
     std::int64_t started = 0;
+    /// Version of its software.
+    std::string software_version = "v1";
+    /// Names the engine in the events of its streams.
+    std::string event_text = "piece";
     int events = 5;
     Duration event_pause = milliseconds(2);
     /// Requests in the order of their coming.
