CellScheduler: Keep a prefill and its decode engine to one software version

What two software versions write does not fit together, and a prefill's cache is read by the decode engine. Engines are paired within a version; of several pairs the one with more decode memory is taken as long as the first token comes in time. An ask may name the one version that it takes: the engines of a stream that continues. Such asks are placed before new ones of the same priority. The subset of engines has its number of engines for each version. An entry of an incarnation older than the known one names no version.

--- a/Libraries/LibDecision/CellScheduler.h
+++ b/Libraries/LibDecision/CellScheduler.h
@@ -48,6 +48,8 @@
     /// Requests per second that the engine accepts until cold_until; 0 if unlimited.
     double cold_rate = 0;
     MonotonicTime cold_until {};
+    /// Version of the engine's software; empty if unknown. A cache that one version has written is not read by another.
+    std::string software_version {};
 };
 
 /// A request that an engine reports as held.
@@ -118,6 +120,9 @@
     /// Latest time at which a late first token is still useful to the caller. A retry of a refused request is served
     /// late rather than refused again.
     std::optional<MonotonicTime> late_deadline {};
+    /// The caller has received events of the stream, which only continues at engines with this software version. Placed before
+    /// new streams of the same priority, which have more engines to choose from. Empty for a new stream.
+    std::string software_version {};
     /// Set by the scheduler.
     CallerAttempt caller_attempt = CallerAttempt::First;
     /// Late requests can no longer meet their deadline and are scheduled after all on-time requests of the same
@@ -407,6 +412,8 @@
     struct Placement {
         std::string prefill;
         std::string decode;
+        /// Capacity score of the decode engine.
+        std::int64_t score = 0;
         MonotonicTime first_token;
         MonotonicTime prefill_end;
         /// Prompt and relayed tokens that have to be prefilled.
@@ -422,7 +429,10 @@
 
     void schedule(MonotonicTime now);
     void mark_last_resorts(MonotonicTime now);
-    bool has_usable_prefill(PlacementAsk const& ask, MonotonicTime now) const;
+    /// Software versions of the decode engines that are eligible for the request.
+    std::set<std::string_view> decode_versions(PlacementAsk const& ask, MonotonicTime now) const;
+    /// Prefill engines that are eligible for the request together with a decode engine of their software version.
+    std::vector<Engine const*> paired_prefill_engines(PlacementAsk const& ask, MonotonicTime now) const;
     /// Why a decode engine runs a prefill.
     enum class DecodePrefillCause {
         NoPrefillEngine,
@@ -445,7 +455,8 @@
     void refuse_overdue(std::string const& model, MonotonicTime now);
     std::optional<std::size_t> next_waiting(std::string_view model, std::set<std::string> const& skipped) const;
     std::optional<Placement> find_placement(PlacementAsk const& ask, MonotonicTime now);
-    std::optional<Placement> find_decode(PlacementAsk const& ask, Placement placement, MonotonicTime now) const;
+    std::optional<Placement> find_decode(PlacementAsk const& ask, Placement placement, std::string_view software_version, MonotonicTime now) const;
+    std::optional<Placement> better_of(std::optional<Placement> a, std::optional<Placement> b, PlacementAsk const& ask) const;
     std::int64_t capacity_score(Engine const& engine, PlacementAsk const& ask, MonotonicTime now, MonotonicTime when) const;
     std::vector<PlacementCandidate> prefill_candidates(PlacementAsk const& ask, MonotonicTime now) const;
     std::optional<MonotonicTime> best_first_token(PlacementAsk const& ask, MonotonicTime now) const;
--- a/Libraries/LibDecision/CellSchedulerPlacement.cpp
+++ b/Libraries/LibDecision/CellSchedulerPlacement.cpp
@@ -72,11 +72,25 @@
     }
 }
 
-bool CellScheduler::has_usable_prefill(PlacementAsk const& ask, MonotonicTime now) const
+std::set<std::string_view> CellScheduler::decode_versions(PlacementAsk const& ask, MonotonicTime now) const
 {
-    return std::any_of(this->engines.begin(), this->engines.end(), [&](auto const& entry) {
-        return this->is_eligible(entry.second, EngineRole::Prefill, ask, now);
-    });
+    std::set<std::string_view> versions;
+    for (auto const& [name, engine] : this->engines) {
+        if (this->is_eligible(engine, EngineRole::Decode, ask, now))
+            versions.insert(engine.description.software_version);
+    }
+    return versions;
+}
+
+std::vector<CellScheduler::Engine const*> CellScheduler::paired_prefill_engines(PlacementAsk const& ask, MonotonicTime now) const
+{
+    auto const versions = this->decode_versions(ask, now);
+    std::vector<Engine const*> paired;
+    for (auto const& [name, engine] : this->engines) {
+        if (this->is_eligible(engine, EngineRole::Prefill, ask, now) && versions.contains(engine.description.software_version))
+            paired.push_back(&engine);
+    }
+    return paired;
 }
 
 // While a decode engine runs a prefill, its other answers progress by only one step per chunk. If the resulting pause
@@ -274,6 +288,8 @@
     };
     if (a.priority != b.priority)
         return a.priority > b.priority;
+    if (a.software_version.empty() != b.software_version.empty())
+        return b.software_version.empty();
     if (a.timeliness != b.timeliness)
         return a.timeliness == PlacementAsk::Timeliness::OnTime;
     if (a.account != b.account && served(a) != served(b))
@@ -344,14 +360,12 @@
 std::vector<PlacementCandidate> CellScheduler::prefill_candidates(PlacementAsk const& ask, MonotonicTime now) const
 {
     std::vector<PlacementCandidate> candidates;
-    for (auto const& [name, engine] : this->engines) {
-        if (!this->is_eligible(engine, EngineRole::Prefill, ask, now))
-            continue;
-        auto const start = this->busy_until(engine, now);
+    for (auto const* engine : this->paired_prefill_engines(ask, now)) {
+        auto const start = this->busy_until(*engine, now);
         if (start - now > this->options.prefill_ahead)
             continue;
-        bool const is_local = !ask.data_centre.empty() && engine.description.data_centre == ask.data_centre;
-        candidates.push_back({ name, 0, start + this->prefill_time(engine, ask), is_local ? Duration::zero() : this->options.local_prefill_preference });
+        bool const is_local = !ask.data_centre.empty() && engine->description.data_centre == ask.data_centre;
+        candidates.push_back({ engine->description.name, 0, start + this->prefill_time(*engine, ask), is_local ? Duration::zero() : this->options.local_prefill_preference });
     }
     return candidates;
 }
@@ -359,10 +373,8 @@
 std::optional<MonotonicTime> CellScheduler::best_disaggregated(PlacementAsk const& ask, MonotonicTime now) const
 {
     std::optional<MonotonicTime> best;
-    for (auto const& [name, engine] : this->engines) {
-        if (!this->is_eligible(engine, EngineRole::Prefill, ask, now))
-            continue;
-        auto const first = this->busy_until(engine, now) + this->prefill_time(engine, ask) + this->transfer_time(engine, ask) + engine.step_time + this->expected_lateness();
+    for (auto const* engine : this->paired_prefill_engines(ask, now)) {
+        auto const first = this->busy_until(*engine, now) + this->prefill_time(*engine, ask) + this->transfer_time(*engine, ask) + engine->step_time + this->expected_lateness();
         best = best ? std::min(*best, first) : first;
     }
     return best;
@@ -419,7 +431,8 @@
     auto const& description = engine.description;
     bool const is_excluded = std::find(ask.excluded_engines.begin(), ask.excluded_engines.end(), description.name) != ask.excluded_engines.end();
     bool const is_elsewhere = std::find(ask.excluded_data_centres.begin(), ask.excluded_data_centres.end(), description.data_centre) != ask.excluded_data_centres.end();
-    return description.role == role && description.model == ask.model && this->is_usable(engine, now) && !is_excluded && !is_elsewhere;
+    bool const is_other_version = !ask.software_version.empty() && description.software_version != ask.software_version;
+    return description.role == role && description.model == ask.model && this->is_usable(engine, now) && !is_excluded && !is_elsewhere && !is_other_version;
 }
 
 double CellScheduler::usable_memory(Engine const& engine) const
@@ -506,17 +519,35 @@
 std::optional<CellScheduler::Placement> CellScheduler::find_placement(PlacementAsk const& ask, MonotonicTime now)
 {
     auto const candidates = this->prefill_candidates(ask, now);
-    if (candidates.empty() && this->options.policy.decode_prefill != SchedulerPolicy::DecodePrefill::Off && !this->has_usable_prefill(ask, now))
+    if (candidates.empty() && this->options.policy.decode_prefill != SchedulerPolicy::DecodePrefill::Off && this->paired_prefill_engines(ask, now).empty())
         return this->find_decode_prefill(ask, DecodePrefillCause::NoPrefillEngine, now);
-    if (candidates.empty())
-        return {};
-    auto const& chosen = candidates[this->options.policy.choose_prefill(candidates)];
-    Placement placement;
-    placement.prefill = chosen.engine;
-    placement.tokens = ask.prompt_tokens + ask.relayed_tokens;
-    placement.prefill_end = chosen.ready;
-    placement.candidates = candidates.size();
-    return this->find_decode(ask, std::move(placement), now);
+    std::map<std::string_view, std::vector<PlacementCandidate>> by_version;
+    for (auto const& candidate : candidates)
+        by_version[this->engines.find(candidate.engine)->second.description.software_version].push_back(candidate);
+    std::optional<Placement> best;
+    for (auto const& [version, of_version] : by_version) {
+        auto const& chosen = of_version[this->options.policy.choose_prefill(of_version)];
+        Placement placement;
+        placement.prefill = chosen.engine;
+        placement.tokens = ask.prompt_tokens + ask.relayed_tokens;
+        placement.prefill_end = chosen.ready;
+        placement.candidates = candidates.size();
+        best = this->better_of(std::move(best), this->find_decode(ask, std::move(placement), version, now), ask);
+    }
+    return best;
+}
+
+// Memory of decode engines is the scarcer resource, as long as the first token comes in time.
+std::optional<CellScheduler::Placement> CellScheduler::better_of(std::optional<Placement> a, std::optional<Placement> b, PlacementAsk const& ask) const
+{
+    if (!a || !b)
+        return a ? a : b;
+    bool const is_a_on_time = this->is_on_time(*a, ask);
+    if (is_a_on_time != this->is_on_time(*b, ask))
+        return is_a_on_time ? a : b;
+    if (is_a_on_time)
+        return a->score >= b->score ? a : b;
+    return a->first_token <= b->first_token ? a : b;
 }
 
 // Engines with known memory are ranked by free memory, with a preference for the data centre of the requesting VM.
@@ -529,11 +560,11 @@
     return static_cast<std::int64_t>(this->usable_memory(engine) - this->forecast_of(engine, now).peak() + (is_local ? this->options.local_memory_preference * memory : 0));
 }
 
-std::optional<CellScheduler::Placement> CellScheduler::find_decode(PlacementAsk const& ask, Placement placement, MonotonicTime now) const
+std::optional<CellScheduler::Placement> CellScheduler::find_decode(PlacementAsk const& ask, Placement placement, std::string_view software_version, MonotonicTime now) const
 {
     std::vector<PlacementCandidate> candidates;
     for (auto const& [name, engine] : this->engines) {
-        if (!this->is_eligible(engine, EngineRole::Decode, ask, now))
+        if (engine.description.software_version != software_version || !this->is_eligible(engine, EngineRole::Decode, ask, now))
             continue;
         auto const ready = placement.prefill_end + this->transfer_time(engine, ask);
         auto const promised = ready - this->options.safety_margin;
@@ -545,6 +576,7 @@
         return {};
     auto const& chosen = candidates[this->options.policy.choose_decode(candidates)];
     placement.decode = chosen.engine;
+    placement.score = chosen.free_slots;
     placement.first_token = chosen.ready + this->engines.find(chosen.engine)->second.step_time;
     placement.candidates += candidates.size();
     return placement;
--- a/Libraries/LibDecision/EngineSubset.cpp
+++ b/Libraries/LibDecision/EngineSubset.cpp
@@ -28,12 +28,18 @@
 
 std::vector<std::size_t> EngineSubset::choose(std::span<SubsetCandidate const> candidates)
 {
-    std::map<std::pair<std::string_view, std::string_view>, std::vector<Ranked>> groups;
+    struct Group {
+        std::string_view model;
+        std::string_view data_centre;
+        std::string_view software_version;
+        auto operator<=>(Group const&) const = default;
+    };
+    std::map<Group, std::vector<Ranked>> groups;
     std::vector<std::size_t> chosen;
     std::set<std::string, std::less<>> still_pinned;
     for (std::size_t i = 0; i < candidates.size(); ++i) {
         auto const& candidate = candidates[i];
-        groups[{ candidate.model, candidate.data_centre }].push_back({ XXH3_64bits(candidate.identity.data(), candidate.identity.size()), i });
+        groups[{ candidate.model, candidate.data_centre, candidate.software_version }].push_back({ XXH3_64bits(candidate.identity.data(), candidate.identity.size()), i });
         if (this->is_pinned(candidate.identity)) {
             still_pinned.emplace(candidate.identity);
             chosen.push_back(i);
@@ -42,7 +48,7 @@
     this->pinned = std::move(still_pinned);
     this->partial_models.clear();
     for (auto& [key, group] : groups) {
-        auto const found = this->doublings.find(key.first);
+        auto const found = this->doublings.find(key.model);
         auto const wanted = this->options.engines_per_data_centre << (found == this->doublings.end() ? 0 : found->second);
         std::sort(group.begin(), group.end(), [](auto const& a, auto const& b) { return std::pair(a.rank, a.index) < std::pair(b.rank, b.index); });
         std::size_t serving = 0;
--- a/Libraries/LibDecision/EngineSubset.h
+++ b/Libraries/LibDecision/EngineSubset.h
@@ -24,9 +24,11 @@
         Leaving,
     } life
         = Life::Serving;
+    std::string_view software_version {};
 };
 
-/// The subset of engines that a keeper uses: a number of each model in each data centre, which grows on demand. Other
+/// The subset of engines that a keeper uses: a number of each model and software version in each data centre, which grows on
+/// demand. Streams that resume have no other engines than those of the version that began them. Other
 /// engines cause no load, since they are not considered for requests, hold no connections and receive no orders. The
 /// selection depends only on the engines' identities, so a new keeper selects the same engines as its predecessor.
 class EngineSubset {
--- a/Libraries/LibDecision/UpstreamList.cpp
+++ b/Libraries/LibDecision/UpstreamList.cpp
@@ -132,6 +132,9 @@
         this->lost_removals.erase(change.identity);
     if (change.record) {
         Entry entry { *change.record, change.record->life, change.version, {} };
+        // An older copy of the registry may list an incarnation that has been replaced, with the software that it had.
+        if (entry.record.started < this->start_of(change.identity))
+            entry.record.software_version.clear();
         this->update_life(entry);
         if (entry.record.cold_for > Duration::zero())
             entry.record.cold_until = now + entry.record.cold_for;
