LibRouter: Continue streams only at the software version that began them

Cause: where a stream continues was decided like where a new one begins. The version that brought its first events was a fact that nothing kept: not the request that continues in one answer, and no VM for the caller's next try. Ruled out: that servers change their software under an identity (each start in the operators' log has an identity of its own, and the entries name the version).

Now the origin of a stream is fixed by its first event. All further placements within the answer ask for that version, and the VM checks what it was granted, again right before the send and before the first event is relayed. What no VM knows is refused as not run, and so is what the route does not allow any more or no engine serves.

The test of callers that come back names the resumed try, as callers do now; it checks what it did.

--- a/Libraries/LibRouter/PlacementClient.cpp
+++ b/Libraries/LibRouter/PlacementClient.cpp
@@ -68,6 +68,7 @@
     message->set_data_centre(ask.data_centre);
     message->set_longest_pause_microseconds(ask.longest_pause.count());
     message->set_own_part(ask.own_part);
+    message->set_software_version(ask.software_version);
     for (auto const& engine : ask.excluded_engines)
         message->add_excluded_engines(engine);
     for (auto const& data_centre : ask.excluded_data_centres)
--- a/Libraries/LibRouter/PlacementService.cpp
+++ b/Libraries/LibRouter/PlacementService.cpp
@@ -44,6 +44,7 @@
     engine.started = record.started;
     engine.cold_rate = service.cold_rate;
     engine.cold_until = record.cold_until;
+    engine.software_version = record.software_version;
     return engine;
 }
 
@@ -62,6 +63,7 @@
     ask.data_centre = message.data_centre();
     ask.longest_pause = Duration(message.longest_pause_microseconds());
     ask.own_part = message.own_part();
+    ask.software_version = message.software_version();
     ask.first_token_deadline = now + Duration(message.first_token_within_microseconds());
     if (message.decide_within_microseconds() > 0)
         ask.decide_by = now + Duration(message.decide_within_microseconds());
@@ -139,7 +141,7 @@
             return;
         listed.emplace_back(&record, &*service);
         auto const life = record.life == UpstreamRecord::Life::Leaving ? SubsetCandidate::Life::Leaving : SubsetCandidate::Life::Serving;
-        candidates.push_back({ record.identity, record.service, record.data_centre, life });
+        candidates.push_back({ record.identity, record.service, record.data_centre, life, record.software_version });
     });
     this->subset_engine_names.clear();
     for (auto const index : this->subset.choose(candidates)) {
@@ -257,7 +259,7 @@
         return;
     }
     this->pending_responders.insert_or_assign(message.request(), respond);
-    LogLine("asked").with("request", message.request()).with("prompt_tokens", message.prompt_tokens()).with("maximum_output_tokens", message.maximum_output_tokens()).with("expected_output_tokens", message.expected_output_tokens()).with("first_token_within_ms", message.first_token_within_microseconds() / 1000).with("decide_within_ms", message.decide_within_microseconds() / 1000);
+    LogLine("asked").with("request", message.request()).with("software", message.software_version()).with("prompt_tokens", message.prompt_tokens()).with("maximum_output_tokens", message.maximum_output_tokens()).with("expected_output_tokens", message.expected_output_tokens()).with("first_token_within_ms", message.first_token_within_microseconds() / 1000).with("decide_within_ms", message.decide_within_microseconds() / 1000);
     auto ask = ask_from_message(message, now);
     this->ensure_account(ask.account);
     if (ask.relayed_tokens == 0 && ask.excluded_engines.empty())
--- a/Libraries/LibRouter/RequestHandler.cpp
+++ b/Libraries/LibRouter/RequestHandler.cpp
@@ -13,7 +13,6 @@
 #include <algorithm>
 #include <array>
 #include <cstdio>
-#include <xxhash.h>
 
 namespace Spurtide {
 
@@ -51,14 +50,14 @@
 
 }
 
-RequestHandler::RequestHandler(RouterState& state, HttpExchange& exchange, std::shared_ptr<RouteTable const> routes, Route const& route, ClientAccount const* account, CallerRequest request)
+RequestHandler::RequestHandler(RouterState& state, HttpExchange& exchange, std::shared_ptr<RouteTable const> routes, Route const& route, std::string service, ClientAccount const* account, CallerRequest request)
     : state(state)
     , exchange(exchange)
     , routes(std::move(routes))
     , route(route)
     , request(std::move(request))
     , fingerprint(compute_fingerprint(exchange.request(), account))
-    , service(route.target_for(XXH3_64bits(this->request.identifier.data(), this->request.identifier.size())))
+    , service(std::move(service))
     , account(account ? account->name : std::string())
     , body(std::make_shared<std::string const>(exchange.request().body))
     , residency(route.home_regions, account ? account->home_regions : std::vector<std::string>())
@@ -78,6 +77,9 @@
         if (auto const handler = weak.lock())
             handler->stop(StopReason::CallerLeft);
     });
+    // The caller may have left while the origin of its stream was looked up.
+    if (this->exchange.is_caller_gone())
+        this->stop(StopReason::CallerLeft);
     this->deadline_timer.expires_at(this->deadline);
     this->deadline_timer.async_wait([weak](asio::error_code error) {
         auto const handler = weak.lock();
--- a/Libraries/LibRouter/RequestHandler.h
+++ b/Libraries/LibRouter/RequestHandler.h
@@ -21,8 +21,8 @@
 /// the deadline, caller disconnects, and the responses that the router generates itself.
 class RequestHandler : public std::enable_shared_from_this<RequestHandler> {
 public:
-    /// The account is null for callers that have none.
-    RequestHandler(RouterState& state, HttpExchange& exchange, std::shared_ptr<RouteTable const> routes, Route const& route, ClientAccount const* account, CallerRequest request);
+    /// The service is one of the route's. The account is null for callers that have none.
+    RequestHandler(RouterState& state, HttpExchange& exchange, std::shared_ptr<RouteTable const> routes, Route const& route, std::string service, ClientAccount const* account, CallerRequest request);
     virtual ~RequestHandler() = default;
     RequestHandler(RequestHandler const&) = delete;
     RequestHandler& operator=(RequestHandler const&) = delete;
--- a/Libraries/LibRouter/RequestRouter.cpp
+++ b/Libraries/LibRouter/RequestRouter.cpp
@@ -3,8 +3,11 @@
 
 #include <LibCore/LogLine.h>
 #include <LibRouter/RequestRouter.h>
+#include <LibRouter/StreamOriginDirectory.h>
 #include <LibRouter/StreamingRequestHandler.h>
 #include <LibRouter/UnaryRequestHandler.h>
+#include <algorithm>
+#include <xxhash.h>
 
 namespace Spurtide {
 
@@ -14,6 +17,12 @@
 /// is stopping.
 constexpr std::string_view RETRY_AFTER_SECONDS = "0.2";
 
+bool has_engines(RouteTable const& routes, std::string_view service)
+{
+    auto const* traits = routes.service(service);
+    return traits && traits->engine;
+}
+
 }
 
 asio::awaitable<void> RequestRouter::handle(HttpExchange& exchange)
@@ -41,10 +50,6 @@
         co_return;
     }
     auto request = parsed.release_value();
-    if (route->kind == RouteKind::Stream && request.is_resumption()) {
-        LogLine("stream_taken_up").with("request", request.identifier).with("resumes", request.resumed_request).with("last_event", request.last_event);
-        this->state.metrics.increment("spurtide_resumptions_total", "Requests that take up a stream whose caller has received events of it", { { "names", request.resumed_request.empty() ? "nothing" : "request" } });
-    }
     auto const caller = identify_caller(routes->configuration().accounts.get(), route->access, request.key);
     if (caller.standing == CallerIdentity::Standing::Refused) {
         co_await this->reject(exchange, 401, request.key ? "unknown_key" : "no_key", identifier);
@@ -55,17 +60,45 @@
         co_await this->reject(exchange, 503, "stopping", identifier);
         co_return;
     }
-    auto const has_engine = [&](RouteTarget const& target) {
-        auto const* service = routes->service(target.service);
-        return service && service->engine;
-    };
-    bool const is_for_engines = request.prompt && std::any_of(route->targets.begin(), route->targets.end(), has_engine);
-    std::shared_ptr<RequestHandler> handler;
-    if (is_for_engines)
-        handler = std::make_shared<StreamingRequestHandler>(this->state, exchange, routes, *route, caller.account, std::move(request));
-    else
-        handler = std::make_shared<UnaryRequestHandler>(this->state, exchange, routes, *route, caller.account, std::move(request));
-    co_await handler->run();
+    std::optional<StreamOrigin> origin;
+    if (route->kind == RouteKind::Stream && request.is_resumption()) {
+        LogLine("stream_taken_up").with("request", request.identifier).with("resumes", request.resumed_request).with("last_event", request.last_event);
+        origin = co_await this->state.stream_origins->find(request.resumed_request);
+        auto const obstacle = this->find_resumption_obstacle(*routes, *route, request, origin);
+        this->state.metrics.increment("spurtide_resumptions_total", "Requests that take up a stream whose caller has received events of it", { { "outcome", std::string(obstacle.value_or("accepted")) } });
+        if (obstacle) {
+            co_await this->reject(exchange, 503, *obstacle, identifier);
+            co_return;
+        }
+    }
+    auto service = origin ? origin->service : route->target_for(XXH3_64bits(identifier.data(), identifier.size()));
+    bool const is_for_engines = request.prompt && has_engines(*routes, service);
+    if (is_for_engines) {
+        auto const handler = std::make_shared<StreamingRequestHandler>(this->state, exchange, routes, *route, std::move(service), caller.account, std::move(request));
+        if (origin)
+            handler->resume_from(*origin);
+        co_await handler->run();
+    } else {
+        auto const handler = std::make_shared<UnaryRequestHandler>(this->state, exchange, routes, *route, std::move(service), caller.account, std::move(request));
+        co_await handler->run();
+    }
+}
+
+// A stream that continued elsewhere than where it began would not fit together.
+std::optional<std::string_view> RequestRouter::find_resumption_obstacle(RouteTable const& routes, Route const& route, CallerRequest const& request, std::optional<StreamOrigin> const& origin)
+{
+    if (!origin)
+        return "unknown_stream";
+    auto const is_origin = [&](RouteTarget const& target) { return target.service == origin->service; };
+    if (!route.is_resumable || std::none_of(route.targets.begin(), route.targets.end(), is_origin))
+        return "stream_service_not_routed";
+    if (!request.prompt || !has_engines(routes, origin->service))
+        return "not_resumable";
+    // The engine was restarted under its identity, and it is not known before or after the stream began.
+    auto const* listed = this->state.upstreams.find(origin->upstream.identity);
+    if (listed && listed->started != origin->upstream.started && listed->software_version != origin->software_version)
+        return "stream_version_uncertain";
+    return {};
 }
 
 ExpectedDuration RequestRouter::expected_time(Route const& route, CallerRequest const& request) const
--- a/Libraries/LibRouter/RequestRouter.h
+++ b/Libraries/LibRouter/RequestRouter.h
@@ -4,7 +4,9 @@
 #pragma once
 
 #include <LibAsync/HttpExchange.h>
+#include <LibDecision/StreamOrigin.h>
 #include <LibRouter/RouterState.h>
+#include <optional>
 
 namespace Spurtide {
 
@@ -20,6 +22,8 @@
 
 private:
     ExpectedDuration expected_time(Route const& route, CallerRequest const& request) const;
+    /// Why a request cannot take up the stream that began there; empty if it can.
+    std::optional<std::string_view> find_resumption_obstacle(RouteTable const& routes, Route const& route, CallerRequest const& request, std::optional<StreamOrigin> const& origin);
     asio::awaitable<void> reject(HttpExchange& exchange, int status, std::string_view reason, std::string identifier);
 
     RouterState& state;
--- a/Libraries/LibRouter/RouterState.h
+++ b/Libraries/LibRouter/RouterState.h
@@ -27,6 +27,7 @@
 class PlacementClient;
 class ReplicatedQuarantine;
 class RelayClient;
+class StreamOriginDirectory;
 class QuotaClient;
 class UpstreamLimiter;
 
@@ -59,6 +60,7 @@
     ReplicatedQuarantine* quarantine = nullptr;
     CrashReporter* crashes = nullptr;
     UpstreamLimiter* limiter = nullptr;
+    StreamOriginDirectory* stream_origins = nullptr;
     /// Null where no VM relays requests of others.
     RelayClient* relays = nullptr;
     /// Call when an upstream announces its departure in a response.
--- /dev/null
+++ b/Libraries/LibRouter/StreamOriginDirectory.h
@@ -0,0 +1,114 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#pragma once
+
+#include <LibCore/Metrics.h>
+#include <LibDecision/MembershipTable.h>
+#include <LibDecision/StreamOriginReplicas.h>
+#include <LibDecision/StreamOriginTable.h>
+#include <LibWire/Kernel.h>
+#include <asio.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace Spurtide {
+
+constexpr std::string_view STREAM_ORIGIN_SERVICE = "stream-origin";
+
+/// Remembers where streams began, and finds the origins of streams that began at other VMs. The origin of a stream that this VM
+/// serves is copied to a few other VMs when the first event is relayed, so that callers may take it up at any VM after this one
+/// has died. Origins that no VM knows any more stay unknown: nothing else tells which version began a stream.
+class StreamOriginDirectory {
+public:
+    struct Options {
+        StreamOriginTable::Options table {};
+        /// How long other VMs may take to answer. The caller of a stream that is unknown is refused after it.
+        Duration answer_timeout = milliseconds(200);
+        /// How often the origins of streams in progress are renewed; a fraction of the retention, as a renewal may be lost.
+        Duration renewal_interval = seconds(20);
+        /// How often to check whether the VMs that hold copies have changed.
+        Duration check_interval = milliseconds(200);
+    };
+
+    /// Names a VM's data centre.
+    using DataCentreOf = std::function<std::string(MemberRecord const&)>;
+
+    StreamOriginDirectory(Options options, Kernel& kernel, Metrics& metrics, std::string data_centre, DataCentreOf data_centre_of);
+
+    /// Registers the service. Call before the kernel starts.
+    void host();
+    void start();
+
+    /// Keeps a stream's origin known while it exists. May outlive the directory.
+    class Registration {
+    public:
+        Registration() = default;
+        ~Registration() { this->end(); }
+        Registration(Registration&& other) noexcept
+            : end(std::exchange(other.end, [] {}))
+        {
+        }
+        Registration& operator=(Registration&& other) noexcept
+        {
+            std::swap(this->end, other.end);
+            return *this;
+        }
+        Registration(Registration const&) = delete;
+        Registration& operator=(Registration const&) = delete;
+
+    private:
+        friend class StreamOriginDirectory;
+        explicit Registration(std::function<void()> end)
+            : end(std::move(end))
+        {
+        }
+        std::function<void()> end = [] {};
+    };
+
+    /// Call right before the first event of a stream is relayed.
+    [[nodiscard]] Registration add(std::string const& request, StreamOrigin const& origin);
+    /// Where the stream began whose first event the request brought; empty if no VM that answers in time knows it.
+    asio::awaitable<std::optional<StreamOrigin>> find(std::string request);
+
+    /// Known origins, copies of other VMs' streams included.
+    std::size_t size() const { return this->table.size(); }
+
+private:
+    struct Query;
+
+    /// A stream that this VM serves.
+    struct ServedStream {
+        std::string request;
+        StreamOrigin origin;
+        MonotonicTime renewed_at;
+        /// The VMs that got a copy.
+        std::vector<StreamOriginReplicas::Member> holders;
+    };
+    using ServedStreams = std::map<std::uint64_t, ServedStream>;
+
+    void copy(ServedStream& stream, std::vector<StreamOriginReplicas::Member> holders);
+    void refresh();
+    void refresh_members();
+    std::string endpoint_of(std::string const& virtual_machine) const;
+    void ask(StreamOriginReplicas::Member const& member, std::string const& request, std::shared_ptr<Query> const& query);
+    void answer(wire::Envelope const& request, Kernel::Responder const& respond);
+    void count_lookup(std::string_view outcome);
+
+    Options options;
+    Kernel& kernel;
+    Metrics& metrics;
+    DataCentreOf data_centre_of;
+    StreamOriginTable table;
+    StreamOriginReplicas replicas;
+    std::int64_t members_version = -1;
+    /// Shared with the registrations.
+    std::shared_ptr<ServedStreams> served = std::make_shared<ServedStreams>();
+    std::uint64_t last_served = 0;
+};
+
+}
--- a/Libraries/LibRouter/StreamingRequestHandler.cpp
+++ b/Libraries/LibRouter/StreamingRequestHandler.cpp
@@ -70,6 +70,7 @@
 void StreamingRequestHandler::describe_end(LogLine& line) const
 {
     line.with("visit", this->visit == CallerAttempt::Retry ? "return" : "first").with("placements", this->placements);
+    line.with("resumes", this->request.resumed_request).with("software", this->origin ? this->origin->software_version : std::string());
     if (this->first_event_after)
         line.with("first_event_ms", to_milliseconds(*this->first_event_after)).with("longest_pause_ms", to_milliseconds(this->longest_pause)).with("pause_target_ms", to_milliseconds(this->route.event_gap_target));
 }
@@ -92,6 +93,8 @@
     ask.data_centre = this->state.data_centre;
     ask.longest_pause = this->route.event_gap_target;
     ask.own_part = prompt.own_part;
+    if (this->origin)
+        ask.software_version = this->origin->software_version;
     this->pending_ask = std::make_shared<PlacementClient::PendingAsk>(this->state.loop.get_executor());
     auto decision = co_await this->state.placement->ask(std::move(ask), this->pending_ask, this->placement_times());
     this->pending_ask.reset();
@@ -122,9 +125,9 @@
     auto const age = std::chrono::duration_cast<Duration>(monotonic_now() - this->exchange.received_at());
     auto const patience = from_seconds(to_seconds(this->route.first_event_patience) * FIRST_EVENT_WAIT_SHARE);
     PlacementClient::AskTimes times;
-    if (this->placements > 0) {
-        // The request has been placed before. Refusing it now would lose it, whereas the caller still accepts a response that is
-        // late or that resumes after a pause.
+    if (this->placements > 0 || this->origin) {
+        // The request has been placed before, by this VM or another. Refusing it now would lose it, whereas the caller still accepts
+        // a response that is late or that resumes after a pause.
         auto const spent = this->exchange.has_begun() ? std::chrono::duration_cast<Duration>(monotonic_now() - this->last_event_at) : age;
         times.first_token_within = patience - spent;
         times.decide_within = times.first_token_within;
@@ -141,7 +144,7 @@
 {
     bool has_direct = false;
     this->state.upstreams.for_each([&](UpstreamRecord const& record) {
-        bool const may_generate = record.service == this->service && record.life == UpstreamRecord::Life::Serving && record.role != EngineRole::Prefill;
+        bool const may_generate = record.service == this->service && record.life == UpstreamRecord::Life::Serving && record.role != EngineRole::Prefill && this->may_continue_at(record);
         has_direct = has_direct || (may_generate && this->may_use_data_centre(record.data_centre) && routes_to.find(record) == UpstreamRoute::Direct);
     });
     return has_direct;
@@ -175,7 +178,7 @@
         // Engines that another VM reaches are only used if this VM reaches none.
         bool const is_reached = route_to_engine == UpstreamRoute::Direct || (route_to_engine == UpstreamRoute::Relayed && !has_direct_engine);
         bool const is_paused = this->state.limiter->requested_pause_left(record, now) > Duration::zero();
-        if (data_centre.is_allowed && record.role != EngineRole::Prefill) {
+        if (data_centre.is_allowed && record.role != EngineRole::Prefill && this->may_continue_at(record)) {
             auto const reached = is_paused ? EngineSurvey::Availability::AllPaused : EngineSurvey::Availability::Available;
             auto const serving = is_partitioned && !is_reached ? EngineSurvey::Availability::AllUnreachable : reached;
             survey.availability = std::max(survey.availability, record.life == UpstreamRecord::Life::Serving ? serving : EngineSurvey::Availability::AllLeft);
@@ -205,10 +208,24 @@
     co_await this->respond_to_refusal(std::move(refusal));
 }
 
+asio::awaitable<void> StreamingRequestHandler::respond_without_version()
+{
+    constexpr std::string_view REASON = "stream_version_not_served";
+    if (this->earlier == SendHistory::Earlier::HasNotRun)
+        co_await this->refuse(REASON, NO_UPSTREAM_RETRY_AFTER);
+    else
+        co_await this->fail(502, REASON);
+}
+
 asio::awaitable<void> StreamingRequestHandler::forward_request()
 {
     while (true) {
         auto survey = this->survey_engines();
+        bool const is_unserved = survey.availability == EngineSurvey::Availability::Unlisted || survey.availability == EngineSurvey::Availability::AllLeft;
+        if (this->origin && is_unserved) {
+            co_await this->respond_without_version();
+            co_return;
+        }
         bool const has_engines = survey.availability == EngineSurvey::Availability::Available || survey.availability == EngineSurvey::Availability::Unlisted;
         // The keeper would wait for an engine until the decision time is over.
         if (!has_engines && this->earlier == SendHistory::Earlier::HasNotRun) {
@@ -289,17 +306,29 @@
     this->state.placement->release(this->request.identifier, this->relayed_tokens(), { this->failed_engine, this->refusing_engines });
 }
 
-asio::awaitable<StreamingRequestHandler::PlacementOutcome> StreamingRequestHandler::run_placement(PlacementGrant grant)
+// The keeper knows neither what this VM lists nor the pauses that were requested from it.
+std::optional<std::string_view> StreamingRequestHandler::find_grant_obstacle(PlacementGrant const& grant)
 {
+    auto const* decoder = this->state.upstreams.find(grant.decode_engine);
     for (auto const& engine : engines_of(grant)) {
         auto const* record = this->state.upstreams.find(engine);
         auto const obstacle = record ? find_send_obstacle(this->state, *record) : SendObstacle::Left;
-        if (obstacle == SendObstacle::None)
+        // The decode engine cannot read a cache that another version has written.
+        bool const is_other_version = record && (!this->may_continue_at(*record) || (decoder && record->software_version != decoder->software_version));
+        if (obstacle == SendObstacle::None && !is_other_version)
             continue;
-        // The keeper knows neither what this VM lists nor the pauses that were requested from it.
         this->failed_engines.push_back(engine);
-        co_return co_await this->retry_or_fail(SendOutcome::NotSent, record ? to_string(obstacle) : "unknown_engine");
+        if (!record)
+            return "unknown_engine";
+        return is_other_version ? "other_software_version" : to_string(obstacle);
     }
+    return {};
+}
+
+asio::awaitable<StreamingRequestHandler::PlacementOutcome> StreamingRequestHandler::run_placement(PlacementGrant grant)
+{
+    if (auto const obstacle = this->find_grant_obstacle(grant))
+        co_return co_await this->retry_or_fail(SendOutcome::NotSent, *obstacle);
     std::optional<UpstreamRecord> prefiller;
     if (!grant.prefill_engine.empty())
         prefiller = *this->state.upstreams.find(grant.prefill_engine);
@@ -446,7 +475,8 @@
     auto opened = co_await UpstreamLink::open(this->state, engine, this->decode_link_options());
     this->recheck_admission();
     auto const obstacle = find_send_obstacle(this->state, engine);
-    if (opened.is_error() || this->is_stopped() || obstacle != SendObstacle::None) {
+    bool const is_other_version = this->origin && this->confirmed_software_version(engine) != this->origin->software_version;
+    if (opened.is_error() || this->is_stopped() || obstacle != SendObstacle::None || is_other_version) {
         this->free_cache(this->cache_holder, dispatch.cache_handle);
         if (opened.is_error()) {
             this->note_unreached(engine, opened.error());
@@ -456,7 +486,7 @@
         if (this->is_stopped())
             co_return PlacementOutcome::Retry;
         this->failed_engines.push_back(engine.identity);
-        co_return co_await this->retry_or_fail(SendOutcome::NotSent, to_string(obstacle));
+        co_return co_await this->retry_or_fail(SendOutcome::NotSent, is_other_version ? "other_software_version" : to_string(obstacle));
     }
     auto const link = opened.release_value();
     auto const& connection = link->connection();
@@ -543,20 +573,38 @@
     this->last_event_at = now;
 }
 
-void StreamingRequestHandler::note_event_source(UpstreamRecord const& engine)
+bool StreamingRequestHandler::may_continue_at(UpstreamRecord const& engine) const
 {
-    bool const is_first = !this->first_software_version;
-    if (is_first)
-        this->first_software_version = engine.software_version;
-    auto const& before = *this->first_software_version;
-    std::string const comparison = before.empty() || engine.software_version.empty() ? "unknown" : before == engine.software_version ? "same"
-                                                                                                                                     : "other";
-    LogLine line(is_first ? "stream_began" : "stream_continued");
-    line.with("request", this->request.identifier).with("engine", engine.identity).with("software", engine.software_version);
+    return !this->origin || (this->origin->is_certain() && engine.software_version == this->origin->software_version);
+}
+
+// An engine may have been restarted with other software under the same identity.
+std::string StreamingRequestHandler::confirmed_software_version(UpstreamRecord const& engine) const
+{
+    auto const* listed = this->state.upstreams.find(engine.identity);
+    bool const has_changed = listed && listed->software_version != engine.software_version;
+    return has_changed ? std::string() : engine.software_version;
+}
+
+bool StreamingRequestHandler::accept_event_source(UpstreamRecord const& engine)
+{
+    auto const version = this->confirmed_software_version(engine);
+    bool const is_first = !this->origin;
     if (is_first)
-        return;
-    line.with("began_at_software", before).with("after_event", this->events.last_identifier());
-    this->state.metrics.increment("spurtide_continued_streams_total", "Streams that continued at another engine within a response, by how its software version compares to the first engine's", { { "software", comparison } });
+        this->origin = StreamOrigin { this->service, version, { engine.identity, engine.started } };
+    bool const is_accepted = is_first || (this->origin->is_certain() && version == this->origin->software_version);
+    std::string_view const event = !is_accepted ? "stream_source_rejected" : is_first ? "stream_began"
+                                                                                      : "stream_continued";
+    LogLine line(event);
+    line.with("request", this->request.identifier).with("engine", engine.identity).with("software", version);
+    if (!is_first)
+        line.with("began_at_software", this->origin->software_version).with("resumes", this->request.resumed_request).with("after_event", this->events.last_identifier());
+    this->state.metrics.increment("spurtide_stream_sources_total", "Engines that brought events of a stream, by what the stream had before", { { "event", std::string(event) }, { "software", version.empty() ? "unknown" : "known" } });
+    if (is_accepted && this->route.is_resumable && this->origin->is_certain()) {
+        auto const& name = this->request.resumed_request.empty() ? this->request.identifier : this->request.resumed_request;
+        this->origin_registration = this->state.stream_origins->add(name, *this->origin);
+    }
+    return is_accepted;
 }
 
 asio::awaitable<StreamingRequestHandler::PlacementOutcome> StreamingRequestHandler::relay_stream(UpstreamLink& link, HttpResponseHead head)
@@ -581,15 +629,20 @@
                 this->failed_engines.push_back(link.identity());
             co_return co_await this->retry_or_fail(SendOutcome::Lost, to_string(piece.error()));
         }
-        this->note_event(monotonic_now());
         link.note_received();
         bool const is_end = piece.value().empty();
         auto bytes = this->events.append(piece.value());
         // Partial events only have to be withheld from streams that can be resumed on another engine.
         if (!this->route.is_resumable || is_end)
             bytes += this->events.take_remainder();
-        if (!bytes.empty() && !std::exchange(has_events, true))
-            this->note_event_source(link.upstream());
+        if (bytes.empty() && !is_end)
+            continue;
+        this->note_event(monotonic_now());
+        if (!std::exchange(has_events, true) && !this->accept_event_source(link.upstream())) {
+            connection->abort();
+            this->failed_engines.push_back(link.identity());
+            co_return co_await this->retry_or_fail(SendOutcome::Lost, "other_software_version");
+        }
         if (!this->exchange.has_begun()) {
             auto const framing = connection->framing() == BodyFraming::UntilClose ? BodyFraming::UntilClose : BodyFraming::Chunked;
             auto const begun = co_await this->exchange.begin(this->state.dialect.caller_response_head(head), framing);
@@ -618,7 +671,8 @@
     // A stream that can be resumed after its last event may be sent again, like a repeatable unary request.
     auto const kind = this->route.is_resumable ? RouteKind::Repeatable : RouteKind::NotRepeatable;
     SendHistory history { kind, this->earlier, SendHistory::AnotherSend::Spent };
-    bool const may_go_on = allowed_send == SendHistory::AnotherSend::Allowed && this->placements < MAXIMUM_PLACEMENTS;
+    bool const is_version_uncertain = this->origin && !this->origin->is_certain();
+    bool const may_go_on = allowed_send == SendHistory::AnotherSend::Allowed && this->placements < MAXIMUM_PLACEMENTS && !is_version_uncertain;
     // An unsent request does not count as an attempt, but its refused prefill is charged to the retry budget.
     if (may_go_on)
         history.another_send = this->take_another_send(end == SendOutcome::NotSent ? 0 : this->sends, MINIMUM_TIME_FOR_PLACEMENT);
--- a/Libraries/LibRouter/StreamingRequestHandler.h
+++ b/Libraries/LibRouter/StreamingRequestHandler.h
@@ -5,6 +5,7 @@
 
 #include <LibRouter/PlacementClient.h>
 #include <LibRouter/RequestHandler.h>
+#include <LibRouter/StreamOriginDirectory.h>
 
 namespace Spurtide {
 
@@ -32,6 +33,9 @@
 public:
     using RequestHandler::RequestHandler;
 
+    /// The request takes up a stream that began there. Call before it runs.
+    void resume_from(StreamOrigin const& where) { this->origin = where; }
+
 private:
     asio::awaitable<void> forward_request() override;
     void on_stop() override;
@@ -71,13 +75,20 @@
     asio::awaitable<std::optional<PrefillCache>> prefill(UpstreamRecord engine);
     asio::awaitable<PlacementOutcome> decode(UpstreamRecord engine, Dispatch dispatch);
     void note_event(MonotonicTime now);
-    /// Call with the first events from each engine.
-    void note_event_source(UpstreamRecord const& engine);
+    /// Call before the first events from each engine are relayed. Returns false if they do not belong to the stream.
+    bool accept_event_source(UpstreamRecord const& engine);
+    /// Whether events of the engine may be relayed after those that the caller has received.
+    bool may_continue_at(UpstreamRecord const& engine) const;
+    /// The engine's software version, if it is still the one that the request was sent to.
+    std::string confirmed_software_version(UpstreamRecord const& engine) const;
     asio::awaitable<PlacementOutcome> relay_stream(UpstreamLink& link, HttpResponseHead head);
     EngineSurvey survey_engines() const;
     /// Whether this VM itself reaches an engine that can generate the response.
     bool has_direct_engine(RouteFinder& routes_to) const;
+    /// Why a grant cannot be used; empty if it can.
+    std::optional<std::string_view> find_grant_obstacle(PlacementGrant const& grant);
     asio::awaitable<void> respond_without_engines(EngineSurvey::Availability availability);
+    asio::awaitable<void> respond_without_version();
     /// Takes a turn at each engine of the grant that has announced a rate limit. Returns false if one of them has none for now;
     /// that engine is excluded from further placements.
     asio::awaitable<bool> take_engine_turns(PlacementGrant grant);
@@ -103,8 +114,9 @@
     std::string failed_engine;
     std::vector<std::string> refusing_engines;
     EventStreamSplitter events;
-    /// Software version of the engine that the first events of this response came from.
-    std::optional<std::string> first_software_version;
+    /// Where the stream began; empty until the caller receives its first event.
+    std::optional<StreamOrigin> origin;
+    StreamOriginDirectory::Registration origin_registration;
     CallerAttempt visit = CallerAttempt::First;
     std::optional<Duration> first_event_after;
     MonotonicTime first_event_at;
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -129,6 +129,8 @@
     this->create_quota();
     this->create_quarantine();
     this->create_limiter();
+    this->stream_origins = std::make_unique<StreamOriginDirectory>(StreamOriginDirectory::Options {}, *this->kernel, this->metrics, this->settings.data_centre, [](MemberRecord const& member) { return RegistryRelay::data_centre_of(member); });
+    this->state.stream_origins = this->stream_origins.get();
     this->placement_service = std::make_unique<PlacementService>(scheduler_options(this->settings), *this->kernel, this->metrics, this->loop);
     PromptCacheFetcher::Hooks prompt_cache_hooks;
     prompt_cache_hooks.is_keeper = [this] { return this->state.routes && this->membership->is_settled() && this->placement->is_keeper(); };
@@ -169,6 +171,7 @@
     this->placement->start();
     this->quota->start();
     this->quarantine->start();
+    this->stream_origins->start();
     this->placement_service->start();
     if (this->role_controller)
         this->role_controller->start();
@@ -326,6 +329,7 @@
     this->quota_counter->host();
     this->limit_counter->host();
     this->crash_reporter->host();
+    this->stream_origins->host();
     // A mark in the directory: a VM that is to be asked before others.
     if (this->settings.processor_share >= this->settings.keeper_processor_share)
         this->kernel->host(std::string(STRONG_PLACEMENT_SERVICE), [](wire::Envelope const&, Kernel::Responder const& respond) { respond(error_reply(wire::ERROR_CODE_UNKNOWN_MESSAGE)); });
@@ -534,6 +538,7 @@
     facts.live_virtual_machines = this->live_virtual_machines();
     facts.caller_connections = this->callers->connection_count();
     facts.running_requests = this->callers->exchange_count();
+    facts.stream_origins = this->stream_origins->size();
     facts.quarantined_requests = this->quarantine->size();
     facts.limited_upstreams = this->upstream_limits.size();
     facts.paused_upstreams = this->upstream_limits.paused_upstreams(monotonic_now());
--- a/Services/NodeServer/Node.h
+++ b/Services/NodeServer/Node.h
@@ -18,6 +18,7 @@
 #include <LibRouter/RequestRouter.h>
 #include <LibRouter/RoleController.h>
 #include <LibRouter/RouterState.h>
+#include <LibRouter/StreamOriginDirectory.h>
 #include <LibRouter/UpstreamLimiter.h>
 #include <LibWire/Kernel.h>
 #include <Services/ConfigServer/MembershipService.h>
@@ -119,6 +120,7 @@
     UpstreamLimitTable upstream_limits;
     std::unique_ptr<UpstreamLimitCounter> limit_counter;
     std::unique_ptr<UpstreamLimiter> limiter;
+    std::unique_ptr<StreamOriginDirectory> stream_origins;
     std::unique_ptr<RelayClient> relay_client;
     std::unique_ptr<RelayService> relay_service;
     std::unique_ptr<ReplicatedQuarantine> quarantine;
--- a/Services/NodeServer/NodeMetrics.cpp
+++ b/Services/NodeServer/NodeMetrics.cpp
@@ -20,6 +20,7 @@
     set("spurtide_caller_connections", "Open connections of callers", facts.caller_connections);
     set("spurtide_running_requests", "Requests that were read and are not answered", facts.running_requests);
     set("spurtide_quarantined_requests", "Requests that are kept from upstreams since they crashed some, or were lately", facts.quarantined_requests);
+    set("spurtide_stream_origins", "Streams whose origin this VM remembers, copies of other VMs' streams included", facts.stream_origins);
     set("spurtide_limited_upstreams", "Upstreams that named a limit on requests a second, by what this VM knows", facts.limited_upstreams);
     set("spurtide_paused_upstreams", "Upstreams that asked this VM for a pause, until their usual load has been restored after it", facts.paused_upstreams);
     set("spurtide_departing_upstreams", "Upstreams that announced in a response that they are leaving, while the registry lists them as serving", facts.departing_upstreams);
--- a/Services/NodeServer/NodeMetrics.h
+++ b/Services/NodeServer/NodeMetrics.h
@@ -34,6 +34,7 @@
     std::size_t caller_connections = 0;
     std::size_t running_requests = 0;
     std::size_t quarantined_requests = 0;
+    std::size_t stream_origins = 0;
     std::size_t limited_upstreams = 0;
     /// Upstreams that asked this VM for a pause that is not over, or was so a moment ago.
     std::size_t paused_upstreams = 0;
--- a/Tests/Platform/NodeUnderTest.cpp
+++ b/Tests/Platform/NodeUnderTest.cpp
@@ -94,13 +94,14 @@
     return made;
 }
 
-HttpRequest NodeUnderTest::model_request(std::string target, std::string identifier)
+HttpRequest NodeUnderTest::model_request(std::string target, std::string identifier, std::string session)
 {
+    if (session.empty())
+        session = identifier;
     auto made = this->request("POST", std::move(target), std::move(identifier));
     made.head.headers.add("X-Spurtide-Model", "m");
     made.head.headers.add("X-Spurtide-Token-Count", "1000,50");
-    // Each request is a session of its own.
-    made.head.headers.add("X-Spurtide-Prompt-Prefix", "aa:200,own-" + std::string(made.head.headers.find("X-Spurtide-Attempt-Id").value_or("")) + ":800");
+    made.head.headers.add("X-Spurtide-Prompt-Prefix", "aa:200,own-" + session + ":800");
     made.body = "the prompt";
     made.head.headers.add("Content-Length", std::to_string(made.body.size()));
     return made;
--- a/Tests/Platform/NodeUnderTest.h
+++ b/Tests/Platform/NodeUnderTest.h
@@ -46,7 +46,8 @@
 
     HttpRequest request(std::string method, std::string target, std::string identifier);
     /// A request to the engines, with the fields that a model request has.
-    HttpRequest model_request(std::string target, std::string identifier);
+    /// The session is one of the request's own unless it is named.
+    HttpRequest model_request(std::string target, std::string identifier, std::string session = {});
     CallerAnswer call(HttpRequest request);
     CallerAnswer call(Address address, HttpRequest request);
     /// Calls at the same time; gives the answers in the order of the requests.
--- a/Tests/Platform/TestNode.cpp
+++ b/Tests/Platform/TestNode.cpp
@@ -335,12 +335,13 @@
         test.list(*engine, "engines");
     REQUIRE(test.call(test.model_request("/resumable/x", "s1")).head.status == 200);
     auto& first = one.run.empty() ? two : one;
-    auto again = test.model_request("/resumable/x", "s1");
+    auto again = test.model_request("/resumable/x", "s2", "s1");
+    again.head.headers.add("Resumes", "s1");
     again.head.headers.add("Last-Event-Id", "3");
     auto const answer = test.call(std::move(again));
     REQUIRE(answer.head.status == 200);
     REQUIRE(answer.body == "id: 4\ndata: piece 4\n\nid: 5\ndata: piece 5\n\n");
-    CHECK(first.run == std::vector<std::string> { "s1", "s1" });
+    CHECK(first.run == std::vector<std::string> { "s1", "s2" });
     CHECK(prefill.handles.size() == 1);
     CHECK_FALSE(first.requests.back().head.headers.find("X-Spurtide-Kv-Source"));
 }
--- a/Tests/Platform/VersionedDeployment.h
+++ b/Tests/Platform/VersionedDeployment.h
@@ -78,7 +78,7 @@
     /// A request that takes up a stream.
     HttpRequest resumption(std::string const& identifier, std::string const& resumed, int last_event)
     {
-        auto request = this->model_request("/resumable/x", identifier);
+        auto request = this->model_request("/resumable/x", identifier, resumed);
         request.head.headers.add("Resumes", resumed);
         request.head.headers.add("Last-Event-Id", std::to_string(last_event));
         return request;
