LibRouter: Serve resumptions of unknown streams where only one software version can have begun them

Where all upstreams of the service had one version for as long as a stream and its next try can take, it began at that version. The list of upstreams knows since when it is complete and which versions ended lately, the configuration's routes must not have moved, and a read of the registry that begins after the request confirms that the list is current: another VM may have used an upstream that this one has not heard of. Without it, or with a second version in that time, the resumption is refused as before.

Many resumed streams that wait for a full version no longer use up the requests that a scheduling pass may skip.

--- a/Libraries/LibDecision/CellScheduler.h
+++ b/Libraries/LibDecision/CellScheduler.h
@@ -447,6 +447,7 @@
     bool is_on_time(Placement const& placement, PlacementAsk const& ask) const;
     void schedule_model(std::string const& model, MonotonicTime now);
     ScheduleStep schedule_one(std::size_t index, MonotonicTime now);
+    void skip_resumed(std::string_view model, std::set<std::string>& skipped) const;
     Duration expected_lateness() const;
     bool precedes(PlacementAsk const& a, PlacementAsk const& b) const;
     Duration queueing_delay(PlacementAsk const& ask, MonotonicTime now) const;
--- a/Libraries/LibDecision/CellSchedulerPlacement.cpp
+++ b/Libraries/LibDecision/CellSchedulerPlacement.cpp
@@ -178,13 +178,29 @@
 {
     this->refuse_overdue(model, now);
     std::set<std::string> skipped;
+    std::size_t skipped_new = 0;
+    std::size_t skipped_resumed = 0;
     while (auto const index = this->next_waiting(model, skipped)) {
         auto const request = this->waiting[*index].request;
+        bool const is_resumed = !this->waiting[*index].software_version.empty();
         if (this->schedule_one(*index, now) != ScheduleStep::MustWait)
             continue;
-        if (this->options.policy.backfill == SchedulerPolicy::Backfill::Off || skipped.size() >= MAXIMUM_SKIPPED_REQUESTS)
+        auto& count = is_resumed ? skipped_resumed : skipped_new;
+        bool const may_skip = ++count <= MAXIMUM_SKIPPED_REQUESTS;
+        if (this->options.policy.backfill == SchedulerPolicy::Backfill::Off || (!may_skip && !is_resumed))
             return;
         skipped.insert(request);
+        // The engines of one version may be full while those of others have room for new streams.
+        if (!may_skip)
+            this->skip_resumed(model, skipped);
+    }
+}
+
+void CellScheduler::skip_resumed(std::string_view model, std::set<std::string>& skipped) const
+{
+    for (auto const& ask : this->waiting) {
+        if (ask.model == model && !ask.software_version.empty())
+            skipped.insert(ask.request);
     }
 }
 
--- a/Libraries/LibDecision/RouteTable.cpp
+++ b/Libraries/LibDecision/RouteTable.cpp
@@ -76,6 +76,14 @@
     return nullptr;
 }
 
+bool RouteTable::has_same_targets_in(RouteTable const& other) const
+{
+    return std::all_of(this->current.routes.begin(), this->current.routes.end(), [&](auto const& route) {
+        auto const* same = other.find(route.host, route.path_prefix);
+        return same && same->path_prefix == route.path_prefix && same->targets == route.targets;
+    });
+}
+
 ServiceTraits const* RouteTable::service(std::string_view name) const
 {
     auto const found = std::find_if(this->current.services.begin(), this->current.services.end(), [&](auto const& service) { return service.name == name; });
--- a/Libraries/LibDecision/RouteTable.h
+++ b/Libraries/LibDecision/RouteTable.h
@@ -31,6 +31,8 @@
     std::string service;
     /// Weight relative to the other targets of the route.
     std::int64_t weight = 1;
+
+    bool operator==(RouteTarget const&) const = default;
 };
 
 struct Route {
@@ -114,6 +116,8 @@
 
     Route const* find(std::string_view host, std::string_view target) const;
     ServiceTraits const* service(std::string_view name) const;
+    /// Whether each route of this table has the same targets in the other one.
+    bool has_same_targets_in(RouteTable const& other) const;
     RoutingConfiguration const& configuration() const { return this->current; }
     std::int64_t version() const { return this->current.version; }
 
--- a/Libraries/LibDecision/UpstreamList.cpp
+++ b/Libraries/LibDecision/UpstreamList.cpp
@@ -47,6 +47,8 @@
     this->removals_known_from = position;
     this->current_version = StorePosition(position.era, 0);
     this->era_entered = position;
+    if (this->complete_since)
+        this->complete_since = now;
     if (has_earlier_state)
         this->extend_grace(now + this->options.rewrite_grace);
     this->evacuation_table.enter_era(position, now);
@@ -95,6 +97,7 @@
     bool const may_come_back = found->second.announced_life == UpstreamRecord::Life::Serving && this->may_entries_come_back(now);
     if (!may_come_back) {
         this->retained_entries -= found->second.retained_until ? 1 : 0;
+        this->note_ended(found->second.record, now);
         this->entries.erase(found);
     } else if (!found->second.retained_until) {
         found->second.retained_until = this->registry == RegistryState::Unreachable ? now + this->options.lapse_grace : *this->grace_until;
@@ -140,10 +143,16 @@
             entry.record.cold_until = now + entry.record.cold_for;
         auto const before = this->entries.find(change.identity);
         this->retained_entries -= before != this->entries.end() && before->second.retained_until ? 1 : 0;
+        if (before != this->entries.end() && before->second.record.software_version != entry.record.software_version)
+            this->note_ended(before->second.record, now);
         this->entries.insert_or_assign(change.identity, std::move(entry));
         this->removals.erase(change.identity);
         return;
     }
+    // An upstream that was never listed here came and went between two updates.
+    bool const is_unseen = !this->entries.contains(change.identity) && !this->removals.contains(change.identity);
+    if (this->complete_since && is_unseen)
+        this->complete_since = now;
     Removal const removal { change.version, this->start_of(change.identity) };
     this->remove_or_retain(change.identity, now);
     this->remember_removal(change.identity, removal);
@@ -169,6 +178,7 @@
     // Some upstreams may have been added and removed before this listing was made.
     this->removals.clear();
     this->removals_known_from = position;
+    this->complete_since = now;
     for (auto const& identity : missing) {
         Removal const removal { position, this->start_of(identity) };
         this->remove_or_retain(identity, now);
@@ -301,11 +311,42 @@
     if (this->registry == RegistryState::Unreachable || (this->retained_entries == 0 && this->lost_removals.empty()))
         return false;
     bool const has_ended_holds = this->end_lost_removals(now);
-    auto const dropped = std::erase_if(this->entries, [&](auto const& entry) { return entry.second.retained_until && now >= *entry.second.retained_until; });
+    auto const dropped = std::erase_if(this->entries, [&](auto const& entry) {
+        bool const is_over = entry.second.retained_until && now >= *entry.second.retained_until;
+        if (is_over)
+            this->note_ended(entry.second.record, now);
+        return is_over;
+    });
     this->retained_entries -= dropped;
     return has_ended_holds || dropped > 0;
 }
 
+void UpstreamList::note_ended(UpstreamRecord const& record, MonotonicTime now)
+{
+    if (this->ended_versions.size() >= this->options.remembered_removals)
+        std::erase_if(this->ended_versions, [&](auto const& ended) { return now - ended.second >= this->options.remembered_versions; });
+    this->ended_versions.insert_or_assign({ record.service, record.software_version }, now);
+}
+
+std::optional<std::string> UpstreamList::only_software_version(std::string_view service, Duration lookback, MonotonicTime now) const
+{
+    bool const is_complete = this->complete_since && now - *this->complete_since >= lookback && lookback <= this->options.remembered_versions;
+    if (!is_complete)
+        return {};
+    std::set<std::string_view> versions;
+    for (auto const& [identity, entry] : this->entries) {
+        if (entry.record.service == service)
+            versions.insert(entry.record.software_version);
+    }
+    for (auto const& [ended, at] : this->ended_versions) {
+        if (ended.first == service && now - at < lookback)
+            versions.insert(ended.second);
+    }
+    if (versions.size() != 1 || versions.begin()->empty())
+        return {};
+    return std::string(*versions.begin());
+}
+
 std::vector<UpstreamRecord> UpstreamList::records() const
 {
     std::vector<UpstreamRecord> records;
--- a/Libraries/LibDecision/UpstreamList.h
+++ b/Libraries/LibDecision/UpstreamList.h
@@ -89,6 +89,8 @@
         Duration lost_removal_hold = seconds(10);
         /// Removals kept for peers that request a delta. A peer that requests older ones receives a snapshot.
         std::size_t remembered_removals = 1024;
+        /// How long the software versions of upstreams that are no longer listed are remembered.
+        Duration remembered_versions = seconds(600);
         /// Departures kept for upstreams that are no longer listed, as their entries may come back.
         std::size_t remembered_departures = 1024;
     };
@@ -145,6 +147,9 @@
     /// Whether the upstream accepts new work.
     bool takes_work(std::string_view identity) const;
     UpstreamRecord const* find(std::string_view identity) const;
+    /// The software version that all upstreams of the service had during the given time up to the last update, listed or not any
+    /// more. Empty if there were several, or if this list may have missed some.
+    std::optional<std::string> only_software_version(std::string_view service, Duration lookback, MonotonicTime now) const;
     std::size_t size() const { return this->entries.size(); }
 
 private:
@@ -182,6 +187,7 @@
     std::int64_t start_of(std::string const& identity) const;
     void remove_or_retain(std::string const& identity, MonotonicTime now);
     void forget_old_departures();
+    void note_ended(UpstreamRecord const& record, MonotonicTime now);
 
     Options options;
     std::map<std::string, Entry, std::less<>> entries;
@@ -198,6 +204,10 @@
     RegistryState registry = RegistryState::Available;
     /// Entries that disappear until then may come back.
     std::optional<MonotonicTime> grace_until;
+    /// Since when no entry can have come and gone without this list's knowledge; empty before the first listing.
+    std::optional<MonotonicTime> complete_since;
+    /// When an upstream with this service and software version last disappeared or changed its version.
+    std::map<std::pair<std::string, std::string>, MonotonicTime> ended_versions;
     /// Number of retained entries. Usually zero, which makes advance() cheap.
     std::size_t retained_entries = 0;
 };
--- a/Libraries/LibRouter/RegistryFollower.cpp
+++ b/Libraries/LibRouter/RegistryFollower.cpp
@@ -1,6 +1,7 @@
 // SPDX-FileCopyrightText: 2026 The Spurtide developers
 // SPDX-License-Identifier: BSD-2-Clause
 
+#include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
 #include <LibRouter/RegistryFollower.h>
 #include <algorithm>
@@ -113,6 +114,40 @@
         signal->notify();
 }
 
+asio::awaitable<bool> RegistryFollower::confirm_upstreams(Duration timeout)
+{
+    auto const until = monotonic_now() + timeout;
+    if (!this->next_confirmation)
+        this->next_confirmation = std::make_shared<Confirmation>();
+    auto const confirmation = this->next_confirmation;
+    if (!this->is_confirming)
+        asio::co_spawn(this->loop, this->run_confirmations(), asio::detached);
+    Signal signal(this->loop.get_executor());
+    auto const place = confirmation->waiting.insert(confirmation->waiting.end(), &signal);
+    auto end = WaitEnd::Notified;
+    while (confirmation->state == Confirmation::State::Pending && end != WaitEnd::TimedOut)
+        end = co_await signal.wait_until(until);
+    confirmation->waiting.erase(place);
+    co_return confirmation->state == Confirmation::State::Confirmed;
+}
+
+asio::awaitable<void> RegistryFollower::run_confirmations()
+{
+    this->is_confirming = true;
+    while (this->next_confirmation) {
+        auto const confirmation = std::exchange(this->next_confirmation, nullptr);
+        auto const position = this->hooks.upstreams_version();
+        auto const news = co_await this->registry.watch_upstreams(position, Duration::zero());
+        this->hooks.on_call("confirm_upstreams", news.is_error() ? to_string(news.error()) : ANSWERED);
+        if (!news.is_error() && !news.value().changes.empty())
+            this->hooks.on_upstream_news(news.value());
+        confirmation->state = news.is_error() ? Confirmation::State::Failed : Confirmation::State::Confirmed;
+        for (auto* signal : confirmation->waiting)
+            signal->notify();
+    }
+    this->is_confirming = false;
+}
+
 template<typename News>
 asio::awaitable<Result<News, PlatformError>> RegistryFollower::watch_in_era(asio::awaitable<Result<News, PlatformError>> watch, StorePosition position)
 {
--- a/Libraries/LibRouter/RegistryFollower.h
+++ b/Libraries/LibRouter/RegistryFollower.h
@@ -7,6 +7,7 @@
 #include <LibRouter/RegistryPort.h>
 #include <functional>
 #include <list>
+#include <memory>
 
 namespace Spurtide {
 
@@ -54,6 +55,9 @@
     /// The registry is known to be in an era, from this VM's own calls or from peers. Watches of earlier eras are given up, since they
     /// wait for versions that may have been given out before.
     void note_era(std::int64_t new_era);
+    /// Reads what has changed in the list of upstreams up to now, also on a VM that relies on others. Returns whether the list is
+    /// known to be current as of the call. Calls that come while a read is in progress share the next one.
+    asio::awaitable<bool> confirm_upstreams(Duration timeout);
     /// Whether the list of upstreams was read at least once.
     bool has_upstreams() const { return this->upstreams_read; }
     /// Whether the last call to the registry succeeded.
@@ -64,6 +68,18 @@
     /// Waits for a watch; HistoryGone if the registry turns out to be in a later era than the position meanwhile.
     template<typename News>
     asio::awaitable<Result<News, PlatformError>> watch_in_era(asio::awaitable<Result<News, PlatformError>> watch, StorePosition position);
+    /// A read that several calls wait for.
+    struct Confirmation {
+        enum class State {
+            Pending,
+            Confirmed,
+            Failed,
+        } state
+            = State::Pending;
+        std::list<Signal*> waiting;
+    };
+
+    asio::awaitable<void> run_confirmations();
     asio::awaitable<void> follow_configuration();
     asio::awaitable<void> follow_upstreams();
     asio::awaitable<void> wait_before_retry(int failures);
@@ -79,6 +95,9 @@
     std::int64_t era = 0;
     /// Those that wait for a watch.
     std::list<Signal*> waiting;
+    /// The read that has not begun; null if none was asked for.
+    std::shared_ptr<Confirmation> next_confirmation;
+    bool is_confirming = false;
     bool upstreams_read = false;
     bool configuration_followed = false;
     bool upstreams_followed = false;
--- a/Libraries/LibRouter/RequestRouter.cpp
+++ b/Libraries/LibRouter/RequestRouter.cpp
@@ -1,6 +1,7 @@
 // SPDX-FileCopyrightText: 2026 The Spurtide developers
 // SPDX-License-Identifier: BSD-2-Clause
 
+#include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
 #include <LibRouter/RequestRouter.h>
 #include <LibRouter/StreamOriginDirectory.h>
@@ -17,6 +18,9 @@
 /// is stopping.
 constexpr std::string_view RETRY_AFTER_SECONDS = "0.2";
 
+/// A stream may break at its route's timeout, and its next try take as long.
+constexpr int LONGEST_STREAM_IN_TIMEOUTS = 2;
+
 bool has_engines(RouteTable const& routes, std::string_view service)
 {
     auto const* traits = routes.service(service);
@@ -63,7 +67,10 @@
     std::optional<StreamOrigin> origin;
     if (route->kind == RouteKind::Stream && request.is_resumption()) {
         LogLine("stream_taken_up").with("request", request.identifier).with("resumes", request.resumed_request).with("last_event", request.last_event);
-        origin = co_await this->state.stream_origins->find(request.resumed_request);
+        if (!request.resumed_request.empty())
+            origin = co_await this->state.stream_origins->find(request.resumed_request);
+        if (!origin)
+            origin = co_await this->derive_origin(*route);
         auto const obstacle = this->find_resumption_obstacle(*routes, *route, request, origin);
         this->state.metrics.increment("spurtide_resumptions_total", "Requests that take up a stream whose caller has received events of it", { { "outcome", std::string(obstacle.value_or("accepted")) } });
         if (obstacle) {
@@ -84,6 +91,26 @@
     }
 }
 
+// If all upstreams have been of one version for as long as a stream and its next try can take, it began at that version.
+asio::awaitable<std::optional<StreamOrigin>> RequestRouter::derive_origin(Route const& route)
+{
+    auto const lookback = route.timeout * LONGEST_STREAM_IN_TIMEOUTS;
+    auto const service = route.targets.front().service;
+    bool const has_one_target = route.targets.size() == 1 && monotonic_now() - this->state.targets_since >= lookback;
+    if (!has_one_target || !this->state.upstreams.only_software_version(service, lookback, monotonic_now()))
+        co_return std::nullopt;
+    // Another VM may have used an upstream that this one has not heard of.
+    bool const is_current = co_await this->state.confirm_upstreams();
+    auto const version = this->state.upstreams.only_software_version(service, lookback, monotonic_now());
+    LogLine("stream_origin_derived").with("service", service).with("software", version.value_or("")).with("list", is_current ? "current" : "unconfirmed");
+    if (!is_current || !version)
+        co_return std::nullopt;
+    StreamOrigin origin;
+    origin.service = service;
+    origin.software_version = *version;
+    co_return origin;
+}
+
 // A stream that continued elsewhere than where it began would not fit together.
 std::optional<std::string_view> RequestRouter::find_resumption_obstacle(RouteTable const& routes, Route const& route, CallerRequest const& request, std::optional<StreamOrigin> const& origin)
 {
--- a/Libraries/LibRouter/RouterState.h
+++ b/Libraries/LibRouter/RouterState.h
@@ -41,6 +41,8 @@
     SharedRetryBudget::Options retry_options {};
     /// Null until the first configuration has arrived.
     std::shared_ptr<RouteTable const> routes {};
+    /// Since when each route has had its targets, as far as this VM knows.
+    MonotonicTime targets_since {};
     UpstreamList upstreams { UpstreamList::Options {} };
     /// Shared with the requests in flight.
     std::shared_ptr<ReachabilityTracker> reachability = std::make_shared<ReachabilityTracker>(ReachabilityTracker::Options {}, data_centre);
@@ -63,6 +65,8 @@
     StreamOriginDirectory* stream_origins = nullptr;
     /// Null where no VM relays requests of others.
     RelayClient* relays = nullptr;
+    /// Reads what has changed in the list of upstreams. Returns whether the list is current as of the call.
+    std::function<asio::awaitable<bool>()> confirm_upstreams = []() -> asio::awaitable<bool> { co_return false; };
     /// Call when an upstream announces its departure in a response.
     std::function<void(UpstreamIncarnation const&)> note_departure = [](UpstreamIncarnation const&) {};
     /// This VM's share of the retry budgets' allowance, which is common to all VMs.
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -24,6 +24,8 @@
 constexpr Duration STOP_POLL = milliseconds(50);
 /// A shorter lease would be over before an order is answered.
 constexpr Duration SHORTEST_LEASE = milliseconds(3000);
+/// A caller waits for it, and is refused if it takes longer.
+constexpr Duration UPSTREAMS_CONFIRMATION_TIMEOUT = milliseconds(200);
 /// The rest is for connections to upstreams, other VMs and the registry.
 constexpr std::int64_t CALLERS_PART_OF_DESCRIPTORS = 2;
 /// Each relayed request needs another one to an upstream.
@@ -163,6 +165,7 @@
     RegistryFollower::Options follow;
     follow.retry_seed = spread_of(this->settings.virtual_machine);
     this->follower = std::make_unique<RegistryFollower>(follow, this->loop, this->adapters.registry, this->hooks());
+    this->state.confirm_upstreams = [this] { return this->follower->confirm_upstreams(UPSTREAMS_CONFIRMATION_TIMEOUT); };
     if (this->settings.role_changes == NodeSettings::RoleChanges::On)
         this->create_role_controller();
     this->kernel->start();
@@ -409,7 +412,9 @@
     http.idle_timeout = limits.idle_timeout;
     this->callers->set_limits(http);
     this->limit_relayed_requests();
-    this->state.routes = std::make_shared<RouteTable const>(decoded.release_value());
+    auto const before = std::exchange(this->state.routes, std::make_shared<RouteTable const>(decoded.release_value()));
+    if (!before || !before->has_same_targets_in(*this->state.routes))
+        this->state.targets_since = monotonic_now();
     this->relay->set_document(found);
     this->adopt_accounts();
     LogLine("configuration_in_force").with("version", this->state.routes->version()).with("before", known).with("source", source).with("routes", static_cast<std::int64_t>(this->state.routes->configuration().routes.size()));
--- a/Tests/Platform/PeerVirtualMachine.h
+++ b/Tests/Platform/PeerVirtualMachine.h
@@ -15,7 +15,8 @@
 /// Another VM beside the node, as far as membership goes. It has a loop of its own, and is silent while that is not run.
 class PeerVirtualMachine {
 public:
-    PeerVirtualMachine(NodeUnderTest& test, std::string const& name)
+    /// With a handler, it may be the keeper of the engines, and answers with it those that ask for placements.
+    PeerVirtualMachine(NodeUnderTest& test, std::string const& name, Kernel::Handler placement = {})
         : kernel(make_loop_kernel(this->loop, name))
     {
         MembershipService::Options options;
@@ -31,7 +32,10 @@
             else if (request.has_member_records())
                 this->membership->handle_records(request.member_records(), respond);
         });
-        this->kernel->host("placement", [](wire::Envelope const&, Kernel::Responder const&) {});
+        if (placement)
+            this->kernel->host("placement-strong", placement);
+        Kernel::Handler const silent = [](wire::Envelope const&, Kernel::Responder const&) {};
+        this->kernel->host("placement", placement ? placement : silent);
         this->kernel->start();
         this->membership->start();
     }
--- a/Tests/Platform/TestPlatformDialect.cpp
+++ b/Tests/Platform/TestPlatformDialect.cpp
@@ -37,6 +37,18 @@
     REQUIRE(read.value().prompt->expected_output_tokens == 40);
 }
 
+// Guards against streams that continue where another one began since two names were given.
+TEST_CASE("A request names the try that it resumes, and several names are none of a request", "[stream-versions]")
+{
+    PlatformDialect const dialect;
+    auto request = model_request();
+    CHECK(dialect.read_request(request.head).value().resumed_request.empty());
+    request.head.headers.add("Resumes", "id-0");
+    CHECK(dialect.read_request(request.head).value().resumed_request == "id-0");
+    request.head.headers.add("resumes", "id-9");
+    CHECK(dialect.read_request(request.head).value().resumed_request == "id-0, id-9");
+}
+
 TEST_CASE("What makes no sense in a caller's fields is a typed fault")
 {
     PlatformDialect const dialect;
