--- a/Tests/Platform/TestStreamVersions.cpp
+++ b/Tests/Platform/TestStreamVersions.cpp
@@ -160,6 +160,46 @@
     }
 }
 
+// Guards against origins that are lost with one VM after the other while their streams last.
+TEST_CASE("Origins are copied again when the VM that holds them dies, and outlive the VM that serves their streams", "[stream-versions]")
+{
+    VersionedDeployment test;
+    test.configure(1);
+    test.add_version("v1", 2);
+    test.add_version("v2", 2);
+    for (auto const& engine : test.engines) {
+        engine->events = 1000;
+        engine->event_pause = milliseconds(20);
+    }
+    auto& serving = test.add_virtual_machine("vm-2");
+    test.add_virtual_machine("vm-3");
+    auto const names = stream_names();
+    std::vector<std::shared_ptr<HttpConnection>> open;
+    for (auto const& name : names)
+        open.push_back(test.begin(serving.caller_address(), test.model_request("/resumable/x", name)));
+    auto const origins_at = [&](Address const& operations) {
+        auto const metrics = test.call(operations, test.request("GET", "/metrics", "m")).body;
+        constexpr std::string_view NAME = "\nspurtide_stream_origins ";
+        auto const line = metrics.find(NAME);
+        return line == std::string::npos ? 0 : std::stoi(metrics.substr(line + NAME.size()));
+    };
+    REQUIRE(test.run_until([&] { return origins_at(serving.operations_address()) == STREAMS; }));
+    // Both of the others hold some.
+    CHECK(origins_at(test.node->operations_address()) < STREAMS);
+    test.kill_last();
+    REQUIRE(test.run_until([&] { return origins_at(test.node->operations_address()) == STREAMS; }));
+    test.kill_last();
+    for (auto const& name : names) {
+        std::string version;
+        for (auto const& engine : test.engines)
+            version = std::count(engine->run.begin(), engine->run.end(), name) > 0 ? engine->software_version : version;
+        auto const next = test.call_and_leave(test.node->caller_address(), test.resumption(name + "-2", name, 2), 3);
+        CAPTURE(name, next.body);
+        CHECK(next.head.status == 200);
+        CHECK(VersionedDeployment::versions_in(next.body) == std::set<std::string> { version });
+    }
+}
+
 // Guards against streams that continue although no VM knows the software version that began them.
 TEST_CASE("A resumption of a stream that no VM knows is refused at once as not run", "[stream-versions]")
 {
