--- a/Libraries/LibDecision/CellScheduler.h
+++ b/Libraries/LibDecision/CellScheduler.h
@@ -430,7 +430,7 @@
     void schedule(MonotonicTime now);
     void mark_last_resorts(MonotonicTime now);
     /// Software versions of the decode engines that are eligible for the request.
-    std::set<std::string_view> decode_versions(PlacementAsk const& ask, MonotonicTime now) const;
+    std::vector<std::string_view> decode_versions(PlacementAsk const& ask, MonotonicTime now) const;
     /// Prefill engines that are eligible for the request together with a decode engine of their software version.
     std::vector<Engine const*> paired_prefill_engines(PlacementAsk const& ask, MonotonicTime now) const;
     /// Why a decode engine runs a prefill.
--- a/Libraries/LibDecision/CellSchedulerPlacement.cpp
+++ b/Libraries/LibDecision/CellSchedulerPlacement.cpp
@@ -72,12 +72,15 @@
     }
 }
 
-std::set<std::string_view> CellScheduler::decode_versions(PlacementAsk const& ask, MonotonicTime now) const
+std::vector<std::string_view> CellScheduler::decode_versions(PlacementAsk const& ask, MonotonicTime now) const
 {
-    std::set<std::string_view> versions;
+    // There are few versions, so most engines need no further check.
+    std::vector<std::string_view> versions;
     for (auto const& [name, engine] : this->engines) {
-        if (this->is_eligible(engine, EngineRole::Decode, ask, now))
-            versions.insert(engine.description.software_version);
+        auto const& version = engine.description.software_version;
+        bool const is_new = std::find(versions.begin(), versions.end(), version) == versions.end();
+        if (is_new && this->is_eligible(engine, EngineRole::Decode, ask, now))
+            versions.push_back(version);
     }
     return versions;
 }
@@ -87,7 +90,8 @@
     auto const versions = this->decode_versions(ask, now);
     std::vector<Engine const*> paired;
     for (auto const& [name, engine] : this->engines) {
-        if (this->is_eligible(engine, EngineRole::Prefill, ask, now) && versions.contains(engine.description.software_version))
+        bool const has_partner = std::find(versions.begin(), versions.end(), engine.description.software_version) != versions.end();
+        if (has_partner && this->is_eligible(engine, EngineRole::Prefill, ask, now))
             paired.push_back(&engine);
     }
     return paired;
--- a/Libraries/LibRouter/StreamOriginDirectory.cpp
+++ b/Libraries/LibRouter/StreamOriginDirectory.cpp
@@ -141,6 +141,19 @@
         LogLine("stream_origin_found").with("resumes", request).with("at", this->kernel.virtual_machine()).with("service", own->origin.service).with("software", own->origin.software_version).with("age_ms", to_milliseconds(own->age));
         co_return own->origin;
     }
+    if (this->lookups >= this->options.maximum_lookups) {
+        this->count_lookup("not_asked");
+        LogLine("stream_origin_unknown").with("resumes", request).with("asked", 0).with("lookups", this->lookups);
+        co_return std::nullopt;
+    }
+    ++this->lookups;
+    auto found = co_await this->find_at_peers(std::move(request));
+    --this->lookups;
+    co_return found;
+}
+
+asio::awaitable<std::optional<StreamOrigin>> StreamOriginDirectory::find_at_peers(std::string request)
+{
     this->refresh_members();
     auto const candidates = this->replicas.candidates(request);
     auto const executor = co_await asio::this_coro::executor;
--- a/Libraries/LibRouter/StreamOriginDirectory.h
+++ b/Libraries/LibRouter/StreamOriginDirectory.h
@@ -29,6 +29,8 @@
         StreamOriginTable::Options table {};
         /// How long other VMs may take to answer. The caller of a stream that is unknown is refused after it.
         Duration answer_timeout = milliseconds(200);
+        /// Lookups at other VMs at a time. Callers choose the names, and each lookup asks several VMs.
+        int maximum_lookups = 128;
         /// How often the origins of streams in progress are renewed; a fraction of the retention, as a renewal may be lost.
         Duration renewal_interval = seconds(20);
         /// How often to check whether the VMs that hold copies have changed.
@@ -91,6 +93,7 @@
     };
     using ServedStreams = std::map<std::uint64_t, ServedStream>;
 
+    asio::awaitable<std::optional<StreamOrigin>> find_at_peers(std::string request);
     void copy(ServedStream& stream, std::vector<StreamOriginReplicas::Member> holders);
     void refresh();
     void refresh_members();
@@ -109,6 +112,7 @@
     /// Shared with the registrations.
     std::shared_ptr<ServedStreams> served = std::make_shared<ServedStreams>();
     std::uint64_t last_served = 0;
+    int lookups = 0;
 };
 
 }
