StreamOriginDirectory: Copy origins to new holders whoever noticed them first

Two faults found by reading the diff, each with a test that failed first: - A stream that began between a change of the members and the check for it kept the origins of other streams from being copied to the VMs that hold them now, until their renewal up to 20 s later. - The list of upstreams was confirmed from its last change on, which the registry's history may not reach back to after a quiet time, so that resumptions of unknown streams were refused. The position of the last answer is used. Besides, an origin that conflicts with what this VM knows is not used either.

--- a/Libraries/LibRouter/RegistryFollower.cpp
+++ b/Libraries/LibRouter/RegistryFollower.cpp
@@ -136,11 +136,13 @@
     this->is_confirming = true;
     while (this->next_confirmation) {
         auto const confirmation = std::exchange(this->next_confirmation, nullptr);
-        auto const position = this->hooks.upstreams_version();
+        auto const position = std::max(this->upstreams_position, this->hooks.upstreams_version());
         auto const news = co_await this->registry.watch_upstreams(position, Duration::zero());
         this->hooks.on_call("confirm_upstreams", news.is_error() ? to_string(news.error()) : ANSWERED);
         if (!news.is_error() && !news.value().changes.empty())
             this->hooks.on_upstream_news(news.value());
+        if (!news.is_error())
+            this->upstreams_position = std::max(this->upstreams_position, news.value().position);
         confirmation->state = news.is_error() ? Confirmation::State::Failed : Confirmation::State::Confirmed;
         for (auto* signal : confirmation->waiting)
             signal->notify();
@@ -231,6 +233,7 @@
                 has_news = !news.value().changes.empty();
                 if (has_news)
                     this->hooks.on_upstream_news(news.value());
+                this->upstreams_position = *position;
             }
         } else {
             auto const snapshot = co_await this->registry.read_upstreams();
@@ -243,6 +246,7 @@
                 this->note_era(position->era);
                 this->upstreams_read = true;
                 this->hooks.on_upstreams(snapshot.value());
+                this->upstreams_position = *position;
             }
         }
         this->upstreams_followed = !has_failed;
--- a/Libraries/LibRouter/RegistryFollower.h
+++ b/Libraries/LibRouter/RegistryFollower.h
@@ -95,6 +95,9 @@
     std::int64_t era = 0;
     /// Those that wait for a watch.
     std::list<Signal*> waiting;
+    /// Position of the last answer about the upstreams. Later than the list's version if nothing has changed lately, when the registry
+    /// may not have the history since that version any more.
+    StorePosition upstreams_position;
     /// The read that has not begun; null if none was asked for.
     std::shared_ptr<Confirmation> next_confirmation;
     bool is_confirming = false;
--- a/Libraries/LibRouter/StreamOriginDirectory.cpp
+++ b/Libraries/LibRouter/StreamOriginDirectory.cpp
@@ -5,7 +5,7 @@
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
 #include <LibRouter/StreamOriginDirectory.h>
-#include <algorithm>
+#include <utility>
 
 namespace Spurtide {
 
@@ -121,12 +121,12 @@
 // VMs that died or were restarted have lost their copies, and callers look for them at VMs that joined.
 void StreamOriginDirectory::refresh()
 {
-    auto const before = this->members_version;
     this->refresh_members();
+    bool const are_members_new = std::exchange(this->holders_version, this->members_version) != this->members_version;
     auto const now = monotonic_now();
     for (auto& [identifier, stream] : *this->served) {
         bool const is_due = now - stream.renewed_at >= this->options.renewal_interval;
-        if (before == this->members_version && !is_due)
+        if (!are_members_new && !is_due)
             continue;
         auto holders = this->replicas.holders(stream.request);
         if (is_due || holders != stream.holders)
@@ -169,7 +169,8 @@
     }
     LogLine("stream_origin_found").with("resumes", request).with("at", query->found_at).with("service", query->found->service).with("software", query->found->software_version).with("age_ms", to_milliseconds(query->age));
     // The caller may come back again after that VM died.
-    static_cast<void>(this->table.note(request, *query->found, monotonic_now()));
+    if (this->table.note(request, *query->found, monotonic_now()) == StreamOriginTable::NoteResult::Conflicting)
+        co_return std::nullopt;
     co_return query->found;
 }
 
--- a/Libraries/LibRouter/StreamOriginDirectory.h
+++ b/Libraries/LibRouter/StreamOriginDirectory.h
@@ -109,6 +109,8 @@
     StreamOriginTable table;
     StreamOriginReplicas replicas;
     std::int64_t members_version = -1;
+    /// The members' version for which the holders of all served streams were last selected.
+    std::int64_t holders_version = -1;
     /// Shared with the registrations.
     std::shared_ptr<ServedStreams> served = std::make_shared<ServedStreams>();
     std::uint64_t last_served = 0;
--- a/Tests/LibRouter/TestStreamOriginDirectory.cpp
+++ b/Tests/LibRouter/TestStreamOriginDirectory.cpp
@@ -4,6 +4,7 @@
 #include <LibRouter/StreamOriginDirectory.h>
 #include <Tests/Support/LoopKernel.h>
 #include <catch2/catch.hpp>
+#include <set>
 
 using namespace Spurtide;
 using namespace Spurtide::Tests;
@@ -109,6 +110,23 @@
     CHECK(exchange.find("s1") == origin);
 }
 
+// Guards against streams whose origin is copied to no VM that joined since, because another stream began meanwhile.
+TEST_CASE("Origins are copied to a VM that joins, also if another stream begins before they are", "[stream-versions]")
+{
+    Exchange exchange;
+    std::set<std::string> copied;
+    auto const joining = make_loop_kernel(exchange.loop, "vm-3");
+    joining->host(std::string(STREAM_ORIGIN_SERVICE), [&](wire::Envelope const& message, Kernel::Responder const&) { copied.insert(message.stream_origin().request()); });
+    joining->start();
+    exchange.directory.start();
+    StreamOrigin const origin { "engines", "v1", { "i-1", 0 } };
+    auto const first = exchange.directory.add("s1", origin);
+    exchange.kernel->directory().replace(2, 0, { member_of(*exchange.kernel), member_of(*joining) }, {});
+    auto const second = exchange.directory.add("s2", origin);
+    CHECK(run_loop_until(exchange.loop, [&] { return copied.contains("s1") && copied.contains("s2"); }));
+    joining->stop();
+}
+
 // Guards against callers that wait for VMs that are not there.
 TEST_CASE("A stream that nobody knows is unknown at once", "[stream-versions]")
 {
--- a/Tests/Platform/StoreStandIn.cpp
+++ b/Tests/Platform/StoreStandIn.cpp
@@ -205,7 +205,7 @@
     }
     if (this->fault == Fault::Busy || this->fault == Fault::TooMany)
         head.status = this->fault == Fault::Busy ? 503 : 429;
-    if (is_feed && (this->fault == Fault::HistoryGone || after > this->version))
+    if (is_feed && (this->fault == Fault::HistoryGone || after > this->version || after < this->history_from))
         head.status = 410;
     nlohmann::json body { { "rows", nlohmann::json::array() }, { "ver", this->version }, { "now_ms", 1 } };
     for (auto const& [key, row] : this->tables[query["table"]]) {
--- a/Tests/Platform/StoreStandIn.h
+++ b/Tests/Platform/StoreStandIn.h
@@ -58,6 +58,8 @@
     std::int64_t current_version() const { return this->version; }
     /// What answers state as their era; nothing is stated where it is empty.
     std::optional<std::string> era = "1";
+    /// Feeds that go on from an earlier version answer that their history is gone.
+    std::int64_t history_from = 0;
     /// Rows on one page of a read.
     std::size_t page_size = 500;
     int reads = 0;
--- a/Tests/Platform/TestStreamVersions.cpp
+++ b/Tests/Platform/TestStreamVersions.cpp
@@ -248,6 +248,26 @@
     CHECK(other.run.empty());
 }
 
+// Guards against refusals where the last change of the upstreams is older than the registry's history.
+TEST_CASE("A resumption that names no try goes on long after the last change of the upstreams", "[stream-versions]")
+{
+    VersionedDeployment test;
+    test.configure(1, [](auto& json) {
+        for (auto& route : json["routes"])
+            route["timeout_ms"] = 500;
+    });
+    test.add_version("v1", 2);
+    for (int i = 0; i < 5; ++i)
+        test.store.put("others", "key", i);
+    // A watch that began after these changes has ended without any.
+    auto const feeds = test.store.feeds;
+    REQUIRE(test.run_until([&] { return test.store.feeds >= feeds + 4; }));
+    test.store.history_from = test.store.current_version();
+    auto request = test.model_request("/resumable/x", "r1");
+    request.head.headers.add("Last-Event-Id", "2");
+    CHECK(test.call(std::move(request)).head.status == 200);
+}
+
 // Guards against streams that continue at another service of their route, or at one that the route has lost.
 TEST_CASE("A stream that its caller takes up continues at the service that began it, while its route has it", "[stream-versions]")
 {
