--- a/Tests/Platform/TestStreamVersions.cpp
+++ b/Tests/Platform/TestStreamVersions.cpp
@@ -93,10 +93,22 @@
     test.add_version("v2", 1);
     stream_slowly(test);
     auto& crashing = test.engine(VersionedDeployment::decode_name(1, "v1"));
+    auto const& other = test.engine(VersionedDeployment::decode_name(1, "v2"));
     for (auto const& engine : test.engines)
-        engine->events = 100;
-    asio::steady_timer timer(test.loop, milliseconds(600));
-    timer.async_wait([&](asio::error_code) { crashing.crash(); });
+        engine->events = 200;
+    auto const crash_while_streaming = [&]() -> asio::awaitable<void> {
+        asio::steady_timer timer(test.loop);
+        asio::error_code ignored;
+        while (crashing.run.size() + other.run.size() < STREAMS) {
+            timer.expires_after(milliseconds(2));
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        }
+        // Some events of each.
+        timer.expires_after(milliseconds(300));
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        crashing.crash();
+    };
+    asio::co_spawn(test.loop, crash_while_streaming(), asio::detached);
     std::vector<HttpRequest> requests;
     for (int i = 0; i < STREAMS; ++i)
         requests.push_back(test.model_request("/resumable/x", "s" + std::to_string(i)));
