RequestHandler: Log the shared parts of prompts at crashes and ends

An upstream's crash was logged with a fingerprint of each whole request only, so the lines could not tell whether requests of which no two are alike share what crashed the upstream. No decision changes.

--- a/Libraries/LibRouter/CallerRequest.h
+++ b/Libraries/LibRouter/CallerRequest.h
@@ -6,6 +6,7 @@
 #include <LibAccounts/KeyDigest.h>
 #include <LibCore/Time.h>
 #include <LibDecision/CellScheduler.h>
+#include <LibDecision/PromptPart.h>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -22,6 +23,8 @@
     std::int64_t expected_output_tokens = 0;
     /// Name of the prompt part that is unique to this session; empty if the caller names none.
     std::string own_part {};
+    /// The parts before it, which other requests may share. Of a prompt of very many parts only the first ones.
+    PromptParts shared_parts {};
 };
 
 /// The fields of a caller's request that routing depends on.
--- a/Libraries/LibRouter/RequestHandler.cpp
+++ b/Libraries/LibRouter/RequestHandler.cpp
@@ -307,6 +307,7 @@
     LogLine("upstream_crashed")
         .with("request", this->request.identifier)
         .with("fingerprint", this->fingerprint.to_hex())
+        .with("parts", this->request.prompt ? describe(this->request.prompt->shared_parts) : std::string())
         .with("upstream", upstream.identity)
         .with("started", upstream.started)
         .with("ran_ms", to_milliseconds(ran_for));
@@ -426,6 +427,8 @@
         .with("patience_ms", to_milliseconds(this->request.caller_timeout))
         .with("ms", to_milliseconds(took));
     this->describe_end(line);
+    if (this->request.prompt)
+        line.with("parts", describe(this->request.prompt->shared_parts));
     std::string const kind = this->request.prompt ? "stream" : "call";
     this->state.metrics.increment("spurtide_requests_total", "Requests by kind, outcome and reason", { { "outcome", std::string(outcome) }, { "kind", kind }, { "reason", std::string(reason) } });
     this->state.metrics.observe_seconds("spurtide_request_seconds", "From a request's last byte to its end", to_seconds(took), { { "outcome", std::string(outcome) }, { "kind", kind } });
--- a/Tests/Platform/TestPlatformDialect.cpp
+++ b/Tests/Platform/TestPlatformDialect.cpp
@@ -37,6 +37,45 @@
     REQUIRE(read.value().prompt->expected_output_tokens == 40);
 }
 
+TEST_CASE("A prompt's shared parts are read whatever their form, and its last part is its own", "[prompt-parts]")
+{
+    struct Case {
+        std::string field;
+        std::vector<std::string> shared;
+        std::string own;
+    };
+    auto const given = GENERATE(
+        Case { "5c:800,91:660", { "5c" }, "91" }, Case { "5c:800", {}, "5c" }, Case { "", {}, "" }, Case { "5c:800, 91 :410 ,e4:250", { "5c", "91" }, "e4" },
+        Case { "5c:800,5c:800,91:660", { "5c" }, "91" }, Case { ",,:,5c", {}, "5c" }, Case { "5c,91,", { "5c", "91" }, "" });
+    PlatformDialect const dialect;
+    auto request = model_request();
+    std::erase_if(request.head.headers.all(), [](auto const& field) { return equal_names(field.name, "X-Spurtide-Prompt-Prefix"); });
+    request.head.headers.add("X-Spurtide-Prompt-Prefix", given.field);
+    std::vector<PromptPart> shared;
+    for (auto const& name : given.shared)
+        shared.push_back(PromptPart::of("m", name));
+    CAPTURE(given.field);
+    auto const read = dialect.read_request(request.head);
+    REQUIRE_FALSE(read.is_error());
+    CHECK(read.value().prompt->shared_parts == make_prompt_parts(shared));
+    CHECK(read.value().prompt->own_part == given.own);
+}
+
+TEST_CASE("Of a prompt with very many parts a bounded number is kept", "[prompt-parts]")
+{
+    PlatformDialect const dialect;
+    auto request = model_request();
+    std::string parts;
+    for (int i = 0; i < 5000; ++i)
+        parts += "p" + std::to_string(i) + ":1,";
+    std::erase_if(request.head.headers.all(), [](auto const& field) { return equal_names(field.name, "X-Spurtide-Prompt-Prefix"); });
+    request.head.headers.add("X-Spurtide-Prompt-Prefix", parts + "own:1");
+    auto const read = dialect.read_request(request.head);
+    REQUIRE_FALSE(read.is_error());
+    CHECK(read.value().prompt->shared_parts.size() == 64);
+    CHECK(read.value().prompt->own_part == "own");
+}
+
 // Guards against streams that continue where another one began since two names were given.
 TEST_CASE("A request names the try that it resumes, and several names are none of a request", "[stream-versions]")
 {
