Tests: Show that prompts which share a crashing part crash one engine after another

Requests, no two alike, whose prompts share one part reach all 14 engines of two VMs, where five crashes are allowed. The engines that crash for a predicate move to a header of their own.

--- /dev/null
+++ b/Tests/Platform/TestCrashingPromptPart.cpp
@@ -0,0 +1,73 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <Tests/Platform/CrashingUpstreams.h>
+#include <Tests/Platform/NodeUnderTest.h>
+#include <Tests/Platform/OtherVirtualMachine.h>
+#include <array>
+#include <catch2/catch.hpp>
+
+using namespace Spurtide;
+using namespace Spurtide::Tests;
+
+namespace {
+
+constexpr auto PARTS_FIELD = "X-Spurtide-Prompt-Prefix";
+
+/// Crashes by which a part is known to crash engines.
+constexpr int CRASHES = 5;
+
+CrashingUpstreams::Predicate const HAS_BAD_PART = [](HttpRequest const& request) { return request.head.headers.find(PARTS_FIELD).value_or("").find("bad:") != std::string_view::npos; };
+
+/// A request whose prompt has these shared parts, and whose body and own part no other has.
+HttpRequest prompt_of(NodeUnderTest& test, std::string const& target, std::string const& identifier, std::string const& shared_parts)
+{
+    auto made = test.model_request(target, identifier);
+    std::erase_if(made.head.headers.all(), [](auto const& field) { return equal_names(field.name, PARTS_FIELD) || equal_names(field.name, "Content-Length"); });
+    made.head.headers.add(PARTS_FIELD, shared_parts + ",own-" + identifier + ":700");
+    made.body = "the prompt of " + identifier;
+    made.head.headers.add("Content-Length", std::to_string(made.body.size()));
+    return made;
+}
+
+}
+
+// Guards against requests, no two alike, that go on crashing engines with one part of their prompts.
+TEST_CASE("Prompts that share a part under which five engines crashed reach no more of them, at any VM", "[crashing-part]")
+{
+    struct Case {
+        char const* target;
+        char const* crashing;
+        char const* sound;
+    };
+    auto const cases = std::array {
+        Case { "/stream/x", "aa:200,bb:100,bad:50", "aa:200,bb:100" },
+        Case { "/resumable/x", "aa:200,bb:100,bad:50", "aa:200,bb:100" },
+        Case { "/resumable/x", "bad:50,aa:200", "aa:200" },
+        Case { "/stream/x", "bad:50", "aa:200" },
+    };
+    constexpr int ENGINES = 14;
+    constexpr int ATTEMPTS = 7;
+    for (auto const& given : cases) {
+        CAPTURE(given.target, given.crashing);
+        NodeUnderTest test(allow_many_sends);
+        test.configure(1);
+        UpstreamStandIn prefill(test.loop, "i-p", "prefill");
+        test.list(prefill, "engines");
+        CrashingUpstreams const engines(test, "engines", ENGINES, HAS_BAD_PART);
+        OtherVirtualMachine other(test, { test.node->wire_address() }, allow_many_sends);
+        auto const serves_sound = [&](std::string const& name) {
+            auto const here = test.call(prompt_of(test, given.target, "s1" + name, given.sound));
+            auto const there = other.call(prompt_of(test, given.target, "s2" + name, given.sound));
+            return here.head.status == 200 && there.head.status == 200;
+        };
+        for (int i = 0; i < 4; ++i)
+            CHECK(serves_sound("before" + std::to_string(i)));
+        for (int i = 0; i < ATTEMPTS; ++i) {
+            test.call(prompt_of(test, given.target, "c1" + std::to_string(i), given.crashing));
+            other.call(prompt_of(test, given.target, "c2" + std::to_string(i), given.crashing));
+            CHECK(serves_sound("beside" + std::to_string(i)));
+        }
+        CHECK(engines.ended <= CRASHES);
+    }
+}
--- a/Tests/Platform/TestCrashingRequest.cpp
+++ b/Tests/Platform/TestCrashingRequest.cpp
@@ -2,6 +2,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 
 #include <LibCore/LogLine.h>
+#include <Tests/Platform/CrashingUpstreams.h>
 #include <Tests/Platform/NodeUnderTest.h>
 #include <Tests/Platform/OtherVirtualMachine.h>
 #include <algorithm>
@@ -25,59 +26,7 @@
 
 constexpr auto CRASHING = "the request that ends whatever runs it";
 
-bool is_prefill(HttpRequest const& request) { return request.head.headers.find("X-Spurtide-Serving-Phase") == "prefill"; }
-
-/// Upstreams that end as soon as they begin to run one certain request.
-class CrashingUpstreams {
-public:
-    CrashingUpstreams(NodeUnderTest& test, std::string const& service, int count)
-    {
-        bool const are_engines = service == "engines";
-        for (int i = 0; i < count; ++i) {
-            auto& upstream = *this->upstreams.emplace_back(std::make_unique<UpstreamStandIn>(test.loop, "i-" + std::to_string(i), are_engines ? "decode" : ""));
-            upstream.script = [this, &upstream](HttpExchange& exchange) -> asio::awaitable<bool> {
-                if (exchange.request().body != CRASHING || is_prefill(exchange.request()))
-                    co_return false;
-                ++this->ended;
-                upstream.crash();
-                co_return true;
-            };
-            test.list(upstream, service);
-        }
-    }
-
-    /// Answers last so many events of five milliseconds.
-    void answer_with(int events)
-    {
-        for (auto const& upstream : this->upstreams) {
-            upstream->events = events;
-            upstream->event_pause = milliseconds(5);
-        }
-    }
-    int running() const
-    {
-        int sum = 0;
-        for (auto const& upstream : this->upstreams)
-            sum += static_cast<int>(upstream->run.size());
-        return sum;
-    }
-
-    /// Ends the one that began to run a request; false while there is none.
-    bool crash_busy()
-    {
-        auto const busy = std::find_if(this->upstreams.begin(), this->upstreams.end(), [](auto const& upstream) { return !upstream->run.empty(); });
-        if (busy == this->upstreams.end())
-            return false;
-        (*busy)->crash();
-        return true;
-    }
-
-    /// Upstreams that ended; each took the request once.
-    int ended = 0;
-
-private:
-    std::vector<std::unique_ptr<UpstreamStandIn>> upstreams;
-};
+CrashingUpstreams::Predicate const IS_CRASHING = [](HttpRequest const& request) { return request.body == CRASHING; };
 
 HttpRequest with_body(HttpRequest made, std::string body)
 {
@@ -87,12 +36,6 @@
     return made;
 }
 
-void allow_many_sends(NodeSettings& settings)
-{
-    settings.retry.allowance = 1000;
-    settings.retry.window = seconds(600);
-}
-
 }
 
 TEST_CASE("A request under which three upstreams ended reaches hardly any more of them", "[crashing-request]")
@@ -109,7 +52,7 @@
         test.configure(1);
         UpstreamStandIn prefill(test.loop, "i-p", "prefill");
         test.list(prefill, "engines");
-        CrashingUpstreams const upstreams(test, crashing.service, UPSTREAMS);
+        CrashingUpstreams const upstreams(test, crashing.service, UPSTREAMS, IS_CRASHING);
         for (int i = 0; i < ATTEMPTS; ++i) {
             auto const identifier = "a" + std::to_string(i);
             auto const made = std::string_view(crashing.service) == "engines" ? test.model_request(crashing.target, identifier) : test.request("POST", crashing.target, identifier);
@@ -124,7 +67,7 @@
 {
     NodeUnderTest test(allow_many_sends);
     test.configure(1);
-    CrashingUpstreams const upstreams(test, "plain", 5);
+    CrashingUpstreams const upstreams(test, "plain", 5, IS_CRASHING);
     int answered = 0;
     for (int i = 0; i < ENDS; ++i)
         answered += test.call(with_body(test.request("POST", "/once/x", "a" + std::to_string(i)), CRASHING)).head.status == 502 ? 1 : 0;
@@ -148,7 +91,7 @@
     UpstreamStandIn prefill(test.loop, "i-p", "prefill");
     test.list(prefill, "engines");
     constexpr int UPSTREAMS = 8;
-    CrashingUpstreams upstreams(test, "engines", UPSTREAMS);
+    CrashingUpstreams upstreams(test, "engines", UPSTREAMS, IS_CRASHING);
     upstreams.answer_with(LONG_ANSWER);
     std::vector<std::shared_ptr<HttpConnection>> victims;
     constexpr int VICTIMS = 8;
@@ -169,7 +112,7 @@
 {
     NodeUnderTest test(allow_many_sends);
     test.configure(1);
-    CrashingUpstreams const upstreams(test, "plain", 12);
+    CrashingUpstreams const upstreams(test, "plain", 12, IS_CRASHING);
     OtherVirtualMachine other(test, { test.node->wire_address() }, allow_many_sends);
     for (int i = 0; i < 6; ++i) {
         test.call(with_body(test.request("POST", "/once/x", "a" + std::to_string(i)), CRASHING));
@@ -182,7 +125,7 @@
 {
     NodeUnderTest test(allow_many_sends);
     test.configure(1);
-    CrashingUpstreams const upstreams(test, "plain", 16);
+    CrashingUpstreams const upstreams(test, "plain", 16, IS_CRASHING);
     for (int start = 0; start < 4; ++start) {
         OtherVirtualMachine machine(test, {}, allow_many_sends);
         for (int i = 0; i < 4; ++i)
@@ -199,7 +142,7 @@
     test.configure(1);
     UpstreamStandIn prefill(test.loop, "i-p", "prefill");
     test.list(prefill, "engines");
-    CrashingUpstreams upstreams(test, "engines", 3);
+    CrashingUpstreams upstreams(test, "engines", 3, IS_CRASHING);
     upstreams.answer_with(LONG_ANSWER);
     OtherVirtualMachine other(test, { test.node->wire_address() }, allow_many_sends);
     auto const stream = test.begin(test.model_request("/resumable/x", "s"));
