LibRouter: Quarantine prompt parts that crash engines

Callers saw one route hardly served and streams interrupted while requests of one kind, no two alike, crashed one engine after another. Cause: the quarantine remembers whole requests, and each of these was at its own first crash.

Crash reports now name the shared parts of the prompt. The analyzers ask all VMs once which of the suspected parts they served, and quarantine those that nobody did; entries hold the parts and are replicated like those of requests. A prompt that has all parts of an entry is refused as not run, and checked again before each send. An answer that is served all the same lifts the entry.

--- a/Libraries/LibDecision/PromptPart.cpp
+++ b/Libraries/LibDecision/PromptPart.cpp
@@ -4,6 +4,7 @@
 #include <LibDecision/PromptPart.h>
 #include <algorithm>
 #include <array>
+#include <charconv>
 #include <cstdio>
 #include <xxhash.h>
 
@@ -28,6 +29,17 @@
     return text.data();
 }
 
+std::optional<PromptPart> PromptPart::from_hex(std::string_view text)
+{
+    constexpr std::size_t DIGITS = 16;
+    constexpr int BASE = 16;
+    PromptPart part;
+    auto const [end, error] = std::from_chars(text.data(), text.data() + text.size(), part.hash, BASE);
+    if (text.size() != DIGITS || error != std::errc {} || end != text.data() + text.size())
+        return {};
+    return part;
+}
+
 PromptParts make_prompt_parts(std::vector<PromptPart> parts)
 {
     std::sort(parts.begin(), parts.end());
--- a/Libraries/LibDecision/PromptPart.h
+++ b/Libraries/LibDecision/PromptPart.h
@@ -5,6 +5,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -21,6 +22,7 @@
 
     /// Lower-case hexadecimal, for logs and the platform's store.
     std::string to_hex() const;
+    static std::optional<PromptPart> from_hex(std::string_view text);
 
     auto operator<=>(PromptPart const&) const = default;
 };
--- a/Libraries/LibDecision/Quarantine.h
+++ b/Libraries/LibDecision/Quarantine.h
@@ -4,26 +4,33 @@
 #pragma once
 
 #include <LibCore/Time.h>
+#include <LibDecision/PromptPart.h>
 #include <LibDecision/RequestFingerprint.h>
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace Spurtide {
 
-/// A request that is not sent to upstreams because it crashed some of them.
+/// A request that is not sent to upstreams because it crashed some of them, or all requests whose prompts have certain parts.
 struct QuarantineEntry {
+    /// For parts of prompts: the fingerprint of these.
     RequestFingerprint request;
     /// How often the request was found to crash upstreams; each time doubles the hold.
     std::int64_t times = 1;
     /// End of the hold in milliseconds since the epoch.
     std::int64_t until = 0;
+    /// A prompt is held if it has all of these parts. Empty for an entry that holds a single request.
+    PromptParts parts {};
+    /// How often it had been found when it was last lifted; found more often, it is held again.
+    std::int64_t lifted = 0;
 
     bool operator==(QuarantineEntry const&) const = default;
 };
 
-/// The requests that are withheld from all upstreams. Merging keeps the larger numbers of two entries for a request, so
+/// The requests and prompt parts that are withheld from all upstreams. Merging keeps the larger numbers of two entries for the same, so
 /// that all VMs converge. Times are wall clock times, as VMs exchange them.
 class Quarantine {
 public:
@@ -46,11 +53,18 @@
 
     /// Returns the remaining hold, or nothing if the request may be sent.
     std::optional<Duration> held_for(RequestFingerprint const& request, std::int64_t unix_milliseconds) const;
-    /// Whether the request was held recently, so that a single crash is sufficient to hold it again.
+    /// Whether the single request was held recently, so that a single crash is sufficient to hold it again.
     bool is_on_probation(RequestFingerprint const& request, std::int64_t unix_milliseconds) const;
 
+    /// Returns the longest remaining hold of the parts that a prompt has, or nothing if it may be sent.
+    std::optional<Duration> held_for(PromptParts const& parts, std::int64_t unix_milliseconds) const;
+
     /// Holds the request from now on. Returns the entry to replicate to the other VMs.
     QuarantineEntry add(RequestFingerprint const& request, std::int64_t unix_milliseconds);
+    /// Holds all prompts with these parts from now on.
+    QuarantineEntry add(PromptParts const& parts, std::int64_t unix_milliseconds);
+    /// Ends the holds of parts that a prompt has. Returns the entries to replicate to the other VMs.
+    std::vector<QuarantineEntry> lift(PromptParts const& parts, std::int64_t unix_milliseconds);
 
     enum class MergeResult {
         Unchanged,
@@ -67,10 +81,13 @@
     bool is_expired(QuarantineEntry const& entry, std::int64_t unix_milliseconds) const;
 
 private:
+    QuarantineEntry hold(QuarantineEntry const& initial, std::int64_t unix_milliseconds);
     void evict_to_capacity();
 
     Options options;
     std::map<RequestFingerprint, QuarantineEntry> holds;
+    /// Of these, the ones that hold parts of prompts.
+    std::set<RequestFingerprint> holds_of_parts;
 };
 
 }
--- a/Libraries/LibDecision/RequestFingerprint.cpp
+++ b/Libraries/LibDecision/RequestFingerprint.cpp
@@ -18,8 +18,21 @@
     std::array<unsigned char, SHA256_DIGEST_LENGTH> of_body {};
     SHA256(reinterpret_cast<unsigned char const*>(parts.body.data()), parts.body.size(), of_body.data());
     head.append(of_body.begin(), of_body.end());
+    return of_bytes(head);
+}
+
+RequestFingerprint RequestFingerprint::of_parts(std::span<PromptPart const> parts)
+{
+    std::string text = "parts";
+    for (auto const& part : parts)
+        text += ' ' + part.to_hex();
+    return of_bytes(text);
+}
+
+RequestFingerprint RequestFingerprint::of_bytes(std::string_view bytes)
+{
     std::array<unsigned char, SHA256_DIGEST_LENGTH> whole {};
-    SHA256(reinterpret_cast<unsigned char const*>(head.data()), head.size(), whole.data());
+    SHA256(reinterpret_cast<unsigned char const*>(bytes.data()), bytes.size(), whole.data());
     RequestFingerprint fingerprint;
     std::copy_n(whole.begin(), SIZE, fingerprint.bytes.begin());
     return fingerprint;
--- a/Libraries/LibDecision/RequestFingerprint.h
+++ b/Libraries/LibDecision/RequestFingerprint.h
@@ -3,10 +3,12 @@
 
 #pragma once
 
+#include <LibDecision/PromptPart.h>
 #include <array>
 #include <compare>
 #include <cstddef>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 
@@ -27,6 +29,8 @@
     };
 
     static RequestFingerprint of(Parts const& parts);
+    /// Stands for all requests whose prompts have these parts.
+    static RequestFingerprint of_parts(std::span<PromptPart const> parts);
 
     /// Raw bytes, for messages. Parsing fails unless the size matches.
     static std::optional<RequestFingerprint> from_bytes(std::string_view bytes);
@@ -38,6 +42,8 @@
     auto operator<=>(RequestFingerprint const&) const = default;
 
 private:
+    static RequestFingerprint of_bytes(std::string_view bytes);
+
     static constexpr std::size_t SIZE = 16;
     std::array<unsigned char, SIZE> bytes {};
 };
--- a/Libraries/LibRouter/CrashAnalyzer.cpp
+++ b/Libraries/LibRouter/CrashAnalyzer.cpp
@@ -13,6 +13,7 @@
     , quarantine(quarantine)
     , timer(loop)
     , ledger(options.ledger)
+    , part_ledger(options.parts)
 {
 }
 
@@ -23,9 +24,15 @@
         this->ledger.note_completed(report.request, now);
     else
         this->ledger.note_crash(report.request, report.upstream, report.ran_for, now);
+    this->part_ledger.note_crash(report.request, report.parts, report.upstream, report.ran_for, now);
+    if (!report.parts.empty()) {
+        ++this->part_reports;
+        if (this->parts_examination == PartsExamination::Done)
+            this->parts_examination = PartsExamination::Due;
+    }
     // Entries from before a restart of all processes, or from beyond a network partition, are in the store only.
     this->quarantine.refresh_from_store();
-    this->pending_reports.push_back({ report.request, std::move(callback), now + this->options.verdict_timeout });
+    this->pending_reports.push_back({ report.request, report.parts, std::move(callback), now + this->options.verdict_timeout });
     this->decide_pending();
 }
 
@@ -33,10 +40,11 @@
 
 bool CrashAnalyzer::is_undecided(PendingReport const& pending, MonotonicTime now) const
 {
-    if (now >= pending.deadline || this->is_quarantined(pending.request))
+    if (now >= pending.deadline || this->is_quarantined(pending))
         return false;
-    bool const may_be_cause = this->ledger.is_suspect(pending.request) && !this->ledger.is_fully_reported(pending.request, now);
-    return may_be_cause || !this->quarantine.has_recent_store_read();
+    bool const has_suspect_part = this->parts_examination != PartsExamination::Done && std::any_of(pending.parts.begin(), pending.parts.end(), [this](auto const& part) { return std::binary_search(this->suspects.parts.begin(), this->suspects.parts.end(), part); });
+    bool const is_suspect = this->ledger.is_suspect(pending.request) && !this->ledger.is_fully_reported(pending.request, now);
+    return has_suspect_part || is_suspect || !this->quarantine.has_recent_store_read();
 }
 
 void CrashAnalyzer::quarantine_causes(MonotonicTime now)
@@ -57,21 +65,64 @@
     }
 }
 
+// Parts that were served since the crashes began are not the cause, and any VM may have served them.
+void CrashAnalyzer::examine_parts(MonotonicTime now)
+{
+    if (this->parts_examination != PartsExamination::Due)
+        return;
+    this->suspects = this->part_ledger.suspects([this](auto const& parts) { return this->quarantine.held_for(parts).has_value(); });
+    if (this->suspects.parts.empty()) {
+        this->parts_examination = PartsExamination::Done;
+        return;
+    }
+    if (!this->part_ledger.is_fully_reported(now))
+        return;
+    this->parts_examination = PartsExamination::Asked;
+    this->ask_served(this->suspects, [this, reports = this->part_reports](ServedAnswers const& served) {
+        this->parts_examination = this->part_reports == reports ? PartsExamination::Done : PartsExamination::Due;
+        this->quarantine_parts(served, monotonic_now());
+        this->decide_pending();
+    });
+}
+
+void CrashAnalyzer::quarantine_parts(ServedAnswers const& served, MonotonicTime now)
+{
+    PoisonPartDetector::Evidence evidence;
+    evidence.last_served = [&](PromptPart part) {
+        auto const found = served.last_served.find(part);
+        return found == served.last_served.end() ? std::optional<MonotonicTime>() : found->second;
+    };
+    evidence.answers_since = [&](MonotonicTime since) { return since == MonotonicTime {} ? served.answers : served.recent_answers; };
+    auto const is_held = [this](auto const& parts) { return this->quarantine.held_for(parts).has_value(); };
+    for (auto const& cause : this->part_ledger.find_poison_parts(is_held, evidence, now)) {
+        LogLine("parts_quarantined")
+            .with("fingerprint", RequestFingerprint::of_parts(cause.parts).to_hex())
+            .with("parts", describe(cause.parts))
+            .with("crashes", static_cast<std::int64_t>(cause.crashes))
+            .with("requests", static_cast<std::int64_t>(cause.requests))
+            .with("served_answers", static_cast<std::int64_t>(served.answers))
+            .with("served_since", static_cast<std::int64_t>(served.recent_answers));
+        this->quarantine.add(cause.parts);
+    }
+}
+
 void CrashAnalyzer::decide_pending()
 {
     auto const now = monotonic_now();
     this->quarantine_causes(now);
+    this->examine_parts(now);
     auto const first_decided = std::stable_partition(this->pending_reports.begin(), this->pending_reports.end(), [&](auto const& pending) { return this->is_undecided(pending, now); });
     std::vector<PendingReport> const decided(std::make_move_iterator(first_decided), std::make_move_iterator(this->pending_reports.end()));
     this->pending_reports.erase(first_decided, this->pending_reports.end());
     for (auto const& pending : decided)
-        pending.callback(this->is_quarantined(pending.request) ? CrashVerdict::Quarantined : CrashVerdict::MayRetry);
+        pending.callback(this->is_quarantined(pending) ? CrashVerdict::Quarantined : CrashVerdict::MayRetry);
     this->schedule_decision();
 }
 
 void CrashAnalyzer::schedule_decision()
 {
-    if (this->pending_reports.empty() || this->is_timer_set)
+    bool const is_idle = this->pending_reports.empty() && this->parts_examination != PartsExamination::Due;
+    if (is_idle || this->is_timer_set)
         return;
     this->is_timer_set = true;
     this->timer.expires_after(this->options.check_interval);
--- a/Libraries/LibRouter/ReplicatedQuarantine.cpp
+++ b/Libraries/LibRouter/ReplicatedQuarantine.cpp
@@ -17,6 +17,9 @@
     message.set_fingerprint(entry.request.to_bytes());
     message.set_times(entry.times);
     message.set_until(entry.until);
+    message.set_lifted(entry.lifted);
+    for (auto const& part : entry.parts)
+        message.add_parts(part.hash);
 }
 
 }
@@ -38,13 +41,26 @@
 
 std::optional<Duration> ReplicatedQuarantine::held_for(RequestFingerprint const& request) const { return this->quarantine.held_for(request, unix_milliseconds()); }
 
+std::optional<Duration> ReplicatedQuarantine::held_for(PromptParts const& parts) const { return this->quarantine.held_for(parts, unix_milliseconds()); }
+
 bool ReplicatedQuarantine::is_on_probation(RequestFingerprint const& request) const { return this->quarantine.is_on_probation(request, unix_milliseconds()); }
 
-void ReplicatedQuarantine::add(RequestFingerprint const& request)
+void ReplicatedQuarantine::add(RequestFingerprint const& request) { this->replicate(this->quarantine.add(request, unix_milliseconds())); }
+
+void ReplicatedQuarantine::add(PromptParts const& parts) { this->replicate(this->quarantine.add(parts, unix_milliseconds())); }
+
+void ReplicatedQuarantine::note_served(PromptParts const& parts)
+{
+    for (auto const& entry : this->quarantine.lift(parts, unix_milliseconds())) {
+        LogLine("quarantine_lifted").with("fingerprint", entry.request.to_hex()).with("parts", describe(entry.parts)).with("because", "served");
+        this->replicate(entry);
+    }
+}
+
+void ReplicatedQuarantine::replicate(QuarantineEntry const& entry)
 {
-    auto const entry = this->quarantine.add(request, unix_milliseconds());
     this->broadcast(entry);
-    this->pending_writes.insert_or_assign(request, entry);
+    this->pending_writes.insert_or_assign(entry.request, entry);
     this->start_writing();
 }
 
@@ -155,15 +171,21 @@
 void ReplicatedQuarantine::merge(QuarantineEntry const& entry, std::string_view source)
 {
     if (this->quarantine.merge(entry, unix_milliseconds()) == Quarantine::MergeResult::Changed)
-        LogLine("quarantine_received").with("fingerprint", entry.request.to_hex()).with("times", entry.times).with("until", entry.until).with("source", source);
+        LogLine("quarantine_received").with("fingerprint", entry.request.to_hex()).with("parts", describe(entry.parts)).with("times", entry.times).with("until", entry.until).with("lifted", entry.lifted).with("source", source);
 }
 
 void ReplicatedQuarantine::merge(wire::QuarantineRecords const& records)
 {
     for (auto const& record : records.records()) {
         auto const request = RequestFingerprint::from_bytes(record.fingerprint());
-        if (request)
-            this->merge(QuarantineEntry { *request, record.times(), record.until() }, "peer");
+        if (!request)
+            continue;
+        QuarantineEntry entry { *request, record.times(), record.until() };
+        entry.lifted = record.lifted();
+        for (auto const hash : record.parts())
+            entry.parts.push_back({ hash });
+        entry.parts = make_prompt_parts(std::move(entry.parts));
+        this->merge(entry, "peer");
     }
 }
 
--- a/Libraries/LibRouter/ReplicatedQuarantine.h
+++ b/Libraries/LibRouter/ReplicatedQuarantine.h
@@ -17,7 +17,7 @@
 
 constexpr std::string_view QUARANTINE_SERVICE = "quarantine";
 
-/// Replicates the list of quarantined requests to all VMs. The VM that adds an entry broadcasts it; a VM that misses the
+/// Replicates the list of quarantined requests and prompt parts to all VMs. The VM that adds an entry broadcasts it; a VM that misses the
 /// broadcast detects the difference by the digest in the next heartbeat and fetches the whole list. Entries are also written
 /// to the platform's store, for restarts of all processes and for data centres that are partitioned from each other.
 class ReplicatedQuarantine {
@@ -38,6 +38,8 @@
 
     /// The remaining quarantine time of the request; empty if it may be sent.
     std::optional<Duration> held_for(RequestFingerprint const& request) const;
+    /// The remaining quarantine time of a prompt with these shared parts; empty if it may be sent.
+    std::optional<Duration> held_for(PromptParts const& parts) const;
     /// Whether a single further crash quarantines the request again.
     bool is_on_probation(RequestFingerprint const& request) const;
     /// The number of requests in quarantine and on probation.
@@ -45,6 +47,10 @@
 
     /// Quarantines the request on all VMs.
     void add(RequestFingerprint const& request);
+    /// Quarantines all prompts with these parts on all VMs.
+    void add(PromptParts const& parts);
+    /// Call when an answer to a prompt with these parts was served. A quarantine that it contradicts ends on all VMs.
+    void note_served(PromptParts const& parts);
 
     /// Whether a recent read of the store has finished, successfully or not.
     bool has_recent_store_read() const;
@@ -64,6 +70,7 @@
 private:
     void merge(QuarantineEntry const& entry, std::string_view source);
     void merge(wire::QuarantineRecords const& records);
+    void replicate(QuarantineEntry const& entry);
     void broadcast(QuarantineEntry const& entry);
     asio::awaitable<void> read_store();
     asio::awaitable<void> verify_rows(std::int64_t era);
--- a/Libraries/LibRouter/RequestHandler.cpp
+++ b/Libraries/LibRouter/RequestHandler.cpp
@@ -104,7 +104,7 @@
 asio::awaitable<bool> RequestHandler::admit()
 {
     // Checked before the quota: quarantined requests are not charged to the account.
-    if (this->state.quarantine->held_for(this->fingerprint)) {
+    if (this->quarantine_left()) {
         this->stop(StopReason::Quarantined);
         co_await this->send_stopped_response();
         co_return false;
@@ -124,10 +124,17 @@
 void RequestHandler::recheck_admission()
 {
     this->check_key();
-    if (this->state.quarantine->held_for(this->fingerprint))
+    if (this->quarantine_left())
         this->stop(StopReason::Quarantined);
 }
 
+std::optional<Duration> RequestHandler::quarantine_left() const
+{
+    auto const of_request = this->state.quarantine->held_for(this->fingerprint);
+    auto const of_parts = this->request.prompt ? this->state.quarantine->held_for(this->request.prompt->shared_parts) : std::nullopt;
+    return std::max(of_request, of_parts);
+}
+
 void RequestHandler::check_key()
 {
     auto const newest = this->state.routes;
@@ -192,6 +199,12 @@
 
 void RequestHandler::note_completed() { this->state.crashes->note_completed(this->service, this->fingerprint); }
 
+void RequestHandler::note_served()
+{
+    if (this->request.prompt)
+        this->state.crashes->note_served(this->request.prompt->shared_parts);
+}
+
 void RequestHandler::record_statements(UpstreamRecord const& upstream, ResponseInfo const& info, int status, MonotonicTime sent_at)
 {
     // A response to another request says nothing about this upstream, and 421 comes from another incarnation.
@@ -307,13 +320,13 @@
     LogLine("upstream_crashed")
         .with("request", this->request.identifier)
         .with("fingerprint", this->fingerprint.to_hex())
-        .with("parts", this->request.prompt ? describe(this->request.prompt->shared_parts) : std::string())
+        .with("parts", describe(this->shared_parts()))
         .with("upstream", upstream.identity)
         .with("started", upstream.started)
         .with("ran_ms", to_milliseconds(ran_for));
     this->state.metrics.increment("spurtide_upstream_crashes_total", "Requests that an upstream had when it crashed", { { "service", this->service } });
     UpstreamIncarnation const incarnation { upstream.identity, upstream.started };
-    auto const verdict = co_await this->state.crashes->report(this->service, this->fingerprint, incarnation, ran_for);
+    auto const verdict = co_await this->state.crashes->report(this->service, this->fingerprint, this->shared_parts(), incarnation, ran_for);
     if (verdict == CrashVerdict::Quarantined)
         this->stop(StopReason::Quarantined);
     co_return true;
@@ -387,7 +400,7 @@
     }
     bool const has_not_run = this->earlier == SendHistory::Earlier::HasNotRun && !this->exchange.has_begun();
     if (this->stop_reason == StopReason::Quarantined && has_not_run)
-        co_await this->refuse("quarantined", this->state.quarantine->held_for(this->fingerprint).value_or(Duration::zero()));
+        co_await this->refuse("quarantined", this->quarantine_left().value_or(Duration::zero()));
     else if (this->stop_reason == StopReason::Quarantined)
         co_await this->fail(502, "quarantined");
     else if (this->stop_reason == StopReason::KeyRevoked && has_not_run)
--- a/Libraries/LibRouter/RequestHandler.h
+++ b/Libraries/LibRouter/RequestHandler.h
@@ -36,7 +36,7 @@
         OutOfTime,
         /// The caller's key no longer belongs to an account.
         KeyRevoked,
-        /// The request crashes upstreams.
+        /// The request, or a part of its prompt, crashes upstreams.
         Quarantined,
     };
 
@@ -67,6 +67,8 @@
     asio::awaitable<void> send_stopped_response();
     /// Call when the request was completed without crashing its upstream.
     void note_completed();
+    /// Call when the upstream has been answering for so long that the request evidently does not crash it.
+    void note_served();
     void log_end(std::string_view outcome, std::string_view reason, int status);
 
     /// Whether the attempt limit, the deadline and the retry budget allow another send. If so, charges it to the budget.
@@ -128,6 +130,9 @@
 
 private:
     void stop(StopReason reason);
+    /// The remaining quarantine time of the request or of parts of its prompt; empty if it may be sent.
+    std::optional<Duration> quarantine_left() const;
+    PromptParts shared_parts() const { return this->request.prompt ? this->request.prompt->shared_parts : PromptParts {}; }
     void check_key();
     void record_rate_limit(std::string_view upstream, ResponseInfo const& info, MonotonicTime sent_at);
     /// Charges the request to its account's quota. Returns false, after sending a response, if the request is quarantined or
--- a/Libraries/LibRouter/StreamingRequestHandler.cpp
+++ b/Libraries/LibRouter/StreamingRequestHandler.cpp
@@ -23,6 +23,9 @@
 constexpr std::size_t MAXIMUM_SHORT_RESPONSE_BYTES = 64UL * 1024;
 constexpr Duration FREE_CACHE_TIMEOUT = milliseconds(500);
 constexpr Duration LOST_ENGINE_RETRY_AFTER = milliseconds(400);
+/// A prompt that crashes engines does so as they begin to answer it. Long streams of sound prompts may all be interrupted by
+/// crashes before their end.
+constexpr Duration SERVED_AFTER = seconds(1);
 /// With more engines unreachable, this VM's own paths are the likely cause, and other VMs may go on using the engines.
 constexpr std::size_t UNREACHABLE_REPORTED = 1;
 
@@ -611,6 +614,8 @@
 {
     auto const connection = link.connection();
     bool has_events = false;
+    bool is_served = false;
+    MonotonicTime begun_at;
     while (true) {
         auto piece = co_await connection->read_piece();
         if (piece.is_error()) {
@@ -638,6 +643,12 @@
         if (bytes.empty() && !is_end)
             continue;
         this->note_event(monotonic_now());
+        if (!has_events)
+            begun_at = this->last_event_at;
+        if (!is_served && this->last_event_at - begun_at >= SERVED_AFTER) {
+            is_served = true;
+            this->note_served();
+        }
         if (!std::exchange(has_events, true) && !this->accept_event_source(link.upstream())) {
             connection->abort();
             this->failed_engines.push_back(link.identity());
@@ -658,6 +669,7 @@
         if (!is_end)
             continue;
         this->note_completed();
+        this->note_served();
         this->state.answer_pace.add_sample(this->service, this->relayed_tokens(), std::chrono::duration_cast<Duration>(this->last_event_at - this->first_event_at));
         auto const finished = co_await this->exchange.finish();
         this->log_end(finished.is_error() ? "caller_left" : "answered", "stream", head.status);
--- a/Libraries/LibRouter/UnaryRequestHandler.cpp
+++ b/Libraries/LibRouter/UnaryRequestHandler.cpp
@@ -244,6 +244,8 @@
             continue;
         case NextStep::Relay:
             this->note_completed();
+            if (last.end == SendOutcome::Success)
+                this->note_served();
             co_await this->relay_response(last);
             co_return;
         case NextStep::RefuseNotRun:
--- a/Tests/LibRouter/TestCrashReporter.cpp
+++ b/Tests/LibRouter/TestCrashReporter.cpp
@@ -93,7 +93,7 @@
         std::optional<CrashVerdict> verdict;
         auto const carry = [&]() -> asio::awaitable<void> {
             UpstreamIncarnation const incarnation { upstream, 0 };
-            verdict = co_await this->machines.at(machine)->reporter.report(SERVICE, request_named(body), incarnation, ran_for);
+            verdict = co_await this->machines.at(machine)->reporter.report(SERVICE, request_named(body), {}, incarnation, ran_for);
         };
         asio::co_spawn(this->loop, carry(), asio::detached);
         REQUIRE(run_loop_until(this->loop, [&] { return verdict.has_value(); }));
@@ -145,7 +145,7 @@
     std::optional<CrashVerdict> of_cause;
     auto const carry = [&](std::size_t machine, std::string body, Duration ran_for, std::optional<CrashVerdict>& verdict) -> asio::awaitable<void> {
         UpstreamIncarnation const incarnation { "i-3", 0 };
-        verdict = co_await test.machines.at(machine)->reporter.report(SERVICE, request_named(body), incarnation, ran_for);
+        verdict = co_await test.machines.at(machine)->reporter.report(SERVICE, request_named(body), {}, incarnation, ran_for);
     };
     asio::co_spawn(test.loop, carry(0, "victim", milliseconds(400), of_victim), asio::detached);
     asio::co_spawn(test.loop, carry(1, "cause", milliseconds(70), of_cause), asio::detached);
