--- a/Libraries/LibDecision/PromptPart.cpp
+++ b/Libraries/LibDecision/PromptPart.cpp
@@ -55,8 +55,11 @@
 std::string describe(std::span<PromptPart const> parts)
 {
     std::string text;
-    for (auto const& part : parts.first(std::min(parts.size(), MAXIMUM_DESCRIBED_PARTS)))
-        text += (text.empty() ? "" : ",") + part.to_hex();
+    for (auto const& part : parts.first(std::min(parts.size(), MAXIMUM_DESCRIBED_PARTS))) {
+        if (!text.empty())
+            text += ',';
+        text += part.to_hex();
+    }
     return text;
 }
 
--- a/Libraries/LibDecision/RequestFingerprint.cpp
+++ b/Libraries/LibDecision/RequestFingerprint.cpp
@@ -24,8 +24,10 @@
 RequestFingerprint RequestFingerprint::of_parts(std::span<PromptPart const> parts)
 {
     std::string text = "parts";
-    for (auto const& part : parts)
-        text += ' ' + part.to_hex();
+    for (auto const& part : parts) {
+        text += ' ';
+        text += part.to_hex();
+    }
     return of_bytes(text);
 }
 
