StreamingRequestHandler: Recognize streams that end inside an event as broken off

A stream without length or chunks ends with its connection. One that broke off in the middle of an event was passed on as whole, with its partial event, and counted as completed: it cleared the request that had crashed its engine, so that prompts whose engine closes its connection crashed all 14 engines of the test.

Such a stream now counts as lost when the connection is closed inside an event: it goes on elsewhere where it may be resumed, and otherwise breaks off at its caller, too. Partial events of these streams are withheld. A VM that relays for another one keeps the framing, by which the other one can tell.

--- a/Libraries/LibRouter/RelayService.cpp
+++ b/Libraries/LibRouter/RelayService.cpp
@@ -121,7 +121,9 @@
             co_return;
         }
         if (!exchange.has_begun()) {
-            auto const begun = co_await exchange.begin(head, BodyFraming::Chunked);
+            // The requesting VM has to know whether a response can be told from one that was broken off.
+            auto const framing = connection->framing() == BodyFraming::UntilClose ? BodyFraming::UntilClose : BodyFraming::Chunked;
+            auto const begun = co_await exchange.begin(head, framing);
             if (begun.is_error())
                 break;
         }
--- a/Libraries/LibRouter/StreamingRequestHandler.cpp
+++ b/Libraries/LibRouter/StreamingRequestHandler.cpp
@@ -20,6 +20,7 @@
 /// Longer than the prefill of the longest prompts, including the queue ahead of them.
 constexpr Duration PREFILL_TIMEOUT = milliseconds(1200);
 constexpr int MAXIMUM_PLACEMENTS = 3;
+constexpr std::string_view EVENT_STREAM_TYPE = "text/event-stream";
 constexpr std::size_t MAXIMUM_SHORT_RESPONSE_BYTES = 64UL * 1024;
 constexpr Duration FREE_CACHE_TIMEOUT = milliseconds(500);
 constexpr Duration LOST_ENGINE_RETRY_AFTER = milliseconds(400);
@@ -64,6 +65,11 @@
     return whole;
 }
 
+bool EventStreamSplitter::is_inside_event() const
+{
+    return this->pending.find_first_not_of("\r\n") != std::string::npos && !this->pending.ends_with("\r\n\r\n");
+}
+
 void StreamingRequestHandler::on_stop()
 {
     if (this->pending_ask)
@@ -613,11 +619,19 @@
 asio::awaitable<StreamingRequestHandler::PlacementOutcome> StreamingRequestHandler::relay_stream(UpstreamLink& link, HttpResponseHead head)
 {
     auto const connection = link.connection();
+    bool const ends_with_connection = connection->framing() == BodyFraming::UntilClose;
+    bool const is_event_stream = head.headers.find("content-type").value_or("").starts_with(EVENT_STREAM_TYPE);
+    // Partial events have to be withheld from streams that can be resumed on another engine, and where only a complete event
+    // tells the end of the stream from a lost connection.
+    bool const withholds_partial_events = this->route.is_resumable || (ends_with_connection && is_event_stream);
     bool has_events = false;
     bool is_served = false;
     MonotonicTime begun_at;
     while (true) {
         auto piece = co_await connection->read_piece();
+        bool const is_broken_off = !piece.is_error() && piece.value().empty() && ends_with_connection && is_event_stream && this->events.is_inside_event();
+        if (is_broken_off)
+            piece = Failure { HttpError::Closed };
         if (piece.is_error()) {
             connection->abort();
             this->events.discard_partial_event();
@@ -637,8 +651,7 @@
         link.note_received();
         bool const is_end = piece.value().empty();
         auto bytes = this->events.append(piece.value());
-        // Partial events only have to be withheld from streams that can be resumed on another engine.
-        if (!this->route.is_resumable || is_end)
+        if (!withholds_partial_events || is_end)
             bytes += this->events.take_remainder();
         if (bytes.empty() && !is_end)
             continue;
@@ -655,7 +668,7 @@
             co_return co_await this->retry_or_fail(SendOutcome::Lost, "other_software_version");
         }
         if (!this->exchange.has_begun()) {
-            auto const framing = connection->framing() == BodyFraming::UntilClose ? BodyFraming::UntilClose : BodyFraming::Chunked;
+            auto const framing = ends_with_connection ? BodyFraming::UntilClose : BodyFraming::Chunked;
             auto const begun = co_await this->exchange.begin(this->state.dialect.caller_response_head(head), framing);
             if (begun.is_error())
                 co_return PlacementOutcome::Retry;
--- a/Libraries/LibRouter/StreamingRequestHandler.h
+++ b/Libraries/LibRouter/StreamingRequestHandler.h
@@ -18,6 +18,8 @@
     std::string take_remainder() { return std::exchange(this->pending, {}); }
     /// Drops the bytes of an incomplete event after its connection was lost; the resumed stream sends the event again.
     void discard_partial_event() { this->pending.clear(); }
+    /// Whether bytes of an incomplete event were received.
+    bool is_inside_event() const;
     std::int64_t event_count() const { return this->events; }
     std::string const& last_identifier() const { return this->last_id; }
 
--- a/Tests/Platform/CrashingUpstreams.h
+++ b/Tests/Platform/CrashingUpstreams.h
@@ -17,16 +17,26 @@
 public:
     using Predicate = std::function<bool(HttpRequest const&)>;
 
-    CrashingUpstreams(NodeUnderTest& test, std::string const& service, int count, Predicate const& is_crashing)
+    /// How the connection of a request that crashes its upstream ends.
+    enum class Ending {
+        Reset,
+        /// It is closed within the first event of an answer that has no length.
+        ClosedInsideEvent,
+    };
+
+    CrashingUpstreams(NodeUnderTest& test, std::string const& service, int count, Predicate const& is_crashing, Ending ending = Ending::Reset)
     {
         bool const are_engines = service == "engines";
         for (int i = 0; i < count; ++i) {
             auto& upstream = *this->upstreams.emplace_back(std::make_unique<UpstreamStandIn>(test.loop, "i-" + std::to_string(i), are_engines ? "decode" : ""));
-            upstream.script = [this, &upstream, is_crashing](HttpExchange& exchange) -> asio::awaitable<bool> {
+            upstream.script = [this, &upstream, is_crashing, ending](HttpExchange& exchange) -> asio::awaitable<bool> {
                 if (!is_crashing(exchange.request()) || is_prefill(exchange.request()))
                     co_return false;
                 ++this->ended;
-                upstream.crash();
+                if (ending == Ending::ClosedInsideEvent)
+                    co_await close_inside_event(upstream, exchange);
+                else
+                    upstream.crash();
                 co_return true;
             };
             test.list(upstream, service);
@@ -61,6 +71,16 @@
         return true;
     }
 
+    static asio::awaitable<void> close_inside_event(UpstreamStandIn& upstream, HttpExchange& exchange)
+    {
+        upstream.stop_listening();
+        auto head = upstream.answer_head(exchange, 200);
+        head.headers.add("Content-Type", "text/event-stream");
+        static_cast<void>(co_await exchange.begin(std::move(head), BodyFraming::UntilClose));
+        static_cast<void>(co_await exchange.write("id: 1\nda"));
+        static_cast<void>(co_await exchange.finish());
+    }
+
     /// Upstreams that ended; each took one of the requests once.
     int ended = 0;
 
--- a/Tests/Platform/TestCrashingPromptPart.cpp
+++ b/Tests/Platform/TestCrashingPromptPart.cpp
@@ -39,12 +39,15 @@
         char const* target;
         char const* crashing;
         char const* sound;
+        CrashingUpstreams::Ending ending = CrashingUpstreams::Ending::Reset;
     };
     auto const cases = std::array {
         Case { "/stream/x", "aa:200,bb:100,bad:50", "aa:200,bb:100" },
         Case { "/resumable/x", "aa:200,bb:100,bad:50", "aa:200,bb:100" },
         Case { "/resumable/x", "bad:50,aa:200", "aa:200" },
         Case { "/stream/x", "bad:50", "aa:200" },
+        Case { "/stream/x", "aa:200,bad:50", "aa:200", CrashingUpstreams::Ending::ClosedInsideEvent },
+        Case { "/resumable/x", "aa:200,bad:50", "aa:200", CrashingUpstreams::Ending::ClosedInsideEvent },
     };
     constexpr int ENGINES = 14;
     constexpr int ATTEMPTS = 7;
@@ -54,7 +57,7 @@
         test.configure(1);
         UpstreamStandIn prefill(test.loop, "i-p", "prefill");
         test.list(prefill, "engines");
-        CrashingUpstreams const engines(test, "engines", ENGINES, HAS_BAD_PART);
+        CrashingUpstreams const engines(test, "engines", ENGINES, HAS_BAD_PART, given.ending);
         OtherVirtualMachine other(test, { test.node->wire_address() }, allow_many_sends);
         auto const serves_sound = [&](std::string const& name) {
             auto const here = test.call(prompt_of(test, given.target, "s1" + name, given.sound));
