NodeServer: Close new connections unread while the event loop does not keep up

Where most new connections of a data centre go to one VM, it read all of their requests, whatever it could still answer in time; connections were refused only beyond half of its descriptors. Its callers waited while other VMs were idle.

The lateness of a timer tells whether the event loop keeps up. While it has been above 50 ms for 0.4 s, new connections are reset unread, so that their callers try another VM, but for one in 250 ms: a VM that takes none at all serves no one where the balancer knows no other.

--- a/Libraries/LibAsync/HttpServer.cpp
+++ b/Libraries/LibAsync/HttpServer.cpp
@@ -61,6 +61,11 @@
             co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
             continue;
         }
+        if (this->admission() == Admission::Close) {
+            // A reset tells the caller at once that nothing of its request was read.
+            socket.set_option(asio::socket_base::linger(true, 0), error);
+            continue;
+        }
         if (this->connections.size() >= this->most_connections && !this->make_room()) {
             LogLine("connection_refused").with("reason", "too_many").with("connections", static_cast<std::int64_t>(this->connections.size()));
             continue;
--- a/Libraries/LibAsync/HttpServer.h
+++ b/Libraries/LibAsync/HttpServer.h
@@ -50,6 +50,13 @@
     /// one is closed before anything is read of it.
     void set_most_connections(std::size_t count) { this->most_connections = count; }
 
+    enum class Admission {
+        Accept,
+        Close,
+    };
+    /// Decides on each new connection. Others are closed before anything is read of them.
+    void set_admission(std::function<Admission()> hook) { this->admission = std::move(hook); }
+
     /// From now on each answer closes its connection.
     void close_after_answers() { this->closing = true; }
     /// Closes the connections that carry no request.
@@ -73,6 +80,7 @@
     bool closing = false;
     std::size_t exchanges = 0;
     std::size_t most_connections = DEFAULT_MOST_CONNECTIONS;
+    std::function<Admission()> admission = [] { return Admission::Accept; };
     std::set<ServerConnection*> connections;
 };
 
--- /dev/null
+++ b/Libraries/LibDecision/ConnectionAdmission.cpp
@@ -0,0 +1,30 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibDecision/ConnectionAdmission.h>
+
+namespace Spurtide {
+
+void ConnectionAdmission::note_loop_delay(Duration delay, MonotonicTime now)
+{
+    if (delay <= this->options.delay_limit)
+        this->delayed_since.reset();
+    else if (!this->delayed_since)
+        this->delayed_since = now;
+}
+
+bool ConnectionAdmission::is_overloaded(MonotonicTime now) const
+{
+    return this->delayed_since && now - *this->delayed_since >= this->options.overloaded_after;
+}
+
+ConnectionAdmission::Decision ConnectionAdmission::decide(MonotonicTime now)
+{
+    bool const is_due = !this->last_accepted || now - *this->last_accepted >= this->options.accept_interval;
+    if (this->is_overloaded(now) && !is_due)
+        return Decision::Close;
+    this->last_accepted = now;
+    return Decision::Accept;
+}
+
+}
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -155,6 +155,7 @@
         return Failure { NodeStartError::CannotListenForCallers };
     this->callers = callers_server.release_value();
     this->callers->set_most_connections(static_cast<std::size_t>(this->settings.descriptors / CALLERS_PART_OF_DESCRIPTORS));
+    this->callers->set_admission([this] { return this->admit_connection(); });
     auto operations_server = HttpServer::create(this->loop, this->settings.operations_address, [this](auto& exchange) { return this->answer_operations(exchange); });
     if (operations_server.is_error())
         return Failure { NodeStartError::CannotListenForOperations };
@@ -570,12 +571,35 @@
         this->quarantine->verify_store(this->state.upstreams.version().era);
 }
 
+HttpServer::Admission Node::admit_connection()
+{
+    if (this->connection_admission.decide(monotonic_now()) == ConnectionAdmission::Decision::Accept)
+        return HttpServer::Admission::Accept;
+    ++this->closed_connections;
+    this->metrics.increment("spurtide_connections_closed_unread_total", "New connections of callers that were closed since the event loop did not keep up", {});
+    return HttpServer::Admission::Close;
+}
+
+void Node::note_loop_delay(MonotonicTime now)
+{
+    if (!this->last_lapse_check) {
+        this->last_lapse_check = now;
+        return;
+    }
+    auto const delay = std::max(Duration::zero(), std::chrono::duration_cast<Duration>(now - *this->last_lapse_check - LAPSE_CHECK));
+    this->last_lapse_check = now;
+    this->metrics.observe_seconds("spurtide_loop_delay_seconds", "How late a timer of the event loop ran", to_seconds(delay));
+    bool const was_overloaded = this->connection_admission.is_overloaded(now);
+    this->connection_admission.note_loop_delay(delay, now);
+    bool const is_overloaded = this->connection_admission.is_overloaded(now);
+    if (is_overloaded != was_overloaded)
+        LogLine(is_overloaded ? "overload_began" : "overload_ended").with("loop_delay_ms", to_milliseconds(delay)).with("closed_connections", std::exchange(this->closed_connections, 0)).with("requests", static_cast<std::int64_t>(this->callers->exchange_count()));
+}
+
 void Node::drop_lapsed()
 {
     auto const now = monotonic_now();
-    if (this->last_lapse_check)
-        this->metrics.observe_seconds("spurtide_loop_delay_seconds", "How late a timer of the event loop ran", to_seconds(std::max(Duration::zero(), std::chrono::duration_cast<Duration>(now - *this->last_lapse_check - LAPSE_CHECK))));
-    this->last_lapse_check = now;
+    this->note_loop_delay(now);
     this->note_cut(now);
     this->state.prober.tick();
     this->note_partition(now);
--- a/Services/NodeServer/Node.h
+++ b/Services/NodeServer/Node.h
@@ -5,6 +5,7 @@
 
 #include <LibAsync/HttpServer.h>
 #include <LibCore/Metrics.h>
+#include <LibDecision/ConnectionAdmission.h>
 #include <LibRouter/CrashReporter.h>
 #include <LibRouter/PlacementClient.h>
 #include <LibRouter/PlacementService.h>
@@ -78,6 +79,8 @@
     /// This VM's part of the retry budgets' allowance; nothing while it may have used it before a start, or does not know
     /// yet how many share it.
     double retry_allowance_part() const;
+    HttpServer::Admission admit_connection();
+    void note_loop_delay(MonotonicTime now);
     QuotaCounter::MembershipCounts count_virtual_machines() const;
     void create_quota();
     void create_quarantine();
@@ -123,6 +126,9 @@
     std::unique_ptr<StreamOriginDirectory> stream_origins;
     std::unique_ptr<RelayClient> relay_client;
     std::unique_ptr<RelayService> relay_service;
+    ConnectionAdmission connection_admission { ConnectionAdmission::Options {} };
+    /// New connections closed since the last log line about them.
+    std::int64_t closed_connections = 0;
     std::unique_ptr<ReplicatedQuarantine> quarantine;
     std::unique_ptr<CrashAnalyzer> crash_analyzer;
     std::unique_ptr<CrashReporter> crash_reporter;
