--- a/Tests/LibDecision/TestQuarantine.cpp
+++ b/Tests/LibDecision/TestQuarantine.cpp
@@ -82,3 +82,53 @@
     CHECK(quarantine.merge({ request, 1, NOW + HOUR }, NOW) == Quarantine::MergeResult::Changed);
     CHECK(quarantine.merge({ request, 1, NOW + HOUR }, NOW) == Quarantine::MergeResult::Unchanged);
 }
+
+// Guards against refusing prompts that share only some of the parts of those that crash engines.
+TEST_CASE("Parts hold the prompts that have all of them, until they are lifted", "[quarantine][crashing-part]")
+{
+    auto const part = [](std::string_view name) { return PromptPart::of("m", name); };
+    auto const held = make_prompt_parts({ part("system"), part("bad") });
+    auto const longer = make_prompt_parts({ part("system"), part("tools"), part("bad") });
+    Quarantine quarantine { Quarantine::Options {} };
+    auto const entry = quarantine.add(held, NOW);
+    CHECK(quarantine.held_for(held, NOW) == seconds(3600));
+    CHECK(quarantine.held_for(longer, NOW) == seconds(3600));
+    CHECK_FALSE(quarantine.held_for(make_prompt_parts({ part("system") }), NOW));
+    CHECK_FALSE(quarantine.held_for(PromptParts {}, NOW));
+
+    Quarantine other { Quarantine::Options {} };
+    // A VM of an older version passes it on without the parts.
+    auto without_parts = entry;
+    without_parts.parts.clear();
+    other.merge(without_parts, NOW);
+    CHECK_FALSE(other.held_for(held, NOW));
+    CHECK(other.merge(entry, NOW) == Quarantine::MergeResult::Changed);
+    CHECK(other.held_for(held, NOW));
+    CHECK(other.digest() == quarantine.digest());
+
+    auto const lifted = quarantine.lift(longer, NOW);
+    REQUIRE(lifted.size() == 1);
+    CHECK_FALSE(quarantine.held_for(held, NOW));
+    other.merge(lifted.front(), NOW);
+    other.merge(entry, NOW);
+    CHECK_FALSE(other.held_for(held, NOW));
+    CHECK(other.digest() == quarantine.digest());
+    quarantine.add(held, NOW);
+    CHECK(quarantine.held_for(held, NOW));
+}
+
+TEST_CASE("An entry whose parts do not match its fingerprint is rejected", "[quarantine][crashing-part]")
+{
+    Quarantine quarantine { Quarantine::Options {} };
+    auto const parts = make_prompt_parts({ PromptPart::of("m", "system") });
+    QuarantineEntry forged { request_number(1), 1, NOW + HOUR };
+    forged.parts = parts;
+    CHECK(quarantine.merge(forged, NOW) == Quarantine::MergeResult::Unchanged);
+    QuarantineEntry too_many { request_number(1), 1, NOW + HOUR };
+    for (std::uint64_t i = 0; i < 1000; ++i)
+        too_many.parts.push_back({ i });
+    too_many.request = RequestFingerprint::of_parts(too_many.parts);
+    CHECK(quarantine.merge(too_many, NOW) == Quarantine::MergeResult::Unchanged);
+    CHECK_FALSE(quarantine.held_for(parts, NOW));
+    CHECK(quarantine.size() == 0);
+}
--- a/Tests/LibRouter/TestCrashReporter.cpp
+++ b/Tests/LibRouter/TestCrashReporter.cpp
@@ -4,6 +4,7 @@
 #include <LibRouter/CrashReporter.h>
 #include <Tests/Support/LoopKernel.h>
 #include <catch2/catch.hpp>
+#include <limits>
 
 using namespace Spurtide;
 using namespace Spurtide::Tests;
@@ -12,6 +13,14 @@
 
 constexpr auto SERVICE = "engines";
 
+PromptParts parts_named(std::vector<std::string> const& names)
+{
+    std::vector<PromptPart> parts;
+    for (auto const& name : names)
+        parts.push_back(PromptPart::of("m", name));
+    return make_prompt_parts(std::move(parts));
+}
+
 RequestFingerprint request_named(std::string_view body) { return RequestFingerprint::of({ "POST", "h.example", "/x", "", body }); }
 
 /// An in-memory platform store.
@@ -44,7 +53,7 @@
         : kernel(make_loop_kernel(loop, name))
         , ranking(*this->kernel, milliseconds(200))
         , quarantine(quarantine_options(), *this->kernel, this->ranking, store, loop)
-        , analyzer(CrashAnalyzer::Options {}, this->quarantine, loop)
+        , analyzer(analyzer_options(), this->quarantine, loop)
         , reporter(CrashReporter::Options {}, *this->kernel, this->ranking, this->quarantine, this->analyzer)
     {
         this->reporter.host();
@@ -53,6 +62,13 @@
         this->kernel->start();
     }
 
+    static CrashAnalyzer::Options analyzer_options()
+    {
+        CrashAnalyzer::Options options;
+        // The crashes of these tests follow each other at once.
+        options.parts.separate_after = Duration::zero();
+        return options;
+    }
     static ReplicatedQuarantine::Options quarantine_options()
     {
         ReplicatedQuarantine::Options options;
@@ -88,12 +104,12 @@
             machine->kernel->directory().replace(this->version, 0, members, {});
     }
 
-    CrashVerdict report(std::size_t machine, std::string const& body, std::string const& upstream, Duration ran_for = milliseconds(70))
+    CrashVerdict report(std::size_t machine, std::string const& body, std::string const& upstream, Duration ran_for = milliseconds(70), PromptParts const& parts = {})
     {
         std::optional<CrashVerdict> verdict;
         auto const carry = [&]() -> asio::awaitable<void> {
             UpstreamIncarnation const incarnation { upstream, 0 };
-            verdict = co_await this->machines.at(machine)->reporter.report(SERVICE, request_named(body), {}, incarnation, ran_for);
+            verdict = co_await this->machines.at(machine)->reporter.report(SERVICE, request_named(body), parts, incarnation, ran_for);
         };
         asio::co_spawn(this->loop, carry(), asio::detached);
         REQUIRE(run_loop_until(this->loop, [&] { return verdict.has_value(); }));
@@ -107,6 +123,22 @@
         });
     }
 
+    /// Crashes engines under different requests with these parts, reported by the VMs in turn.
+    CrashVerdict crash_engines(PromptParts const& parts, int count)
+    {
+        auto verdict = CrashVerdict::MayRetry;
+        for (int i = 0; i < count; ++i)
+            verdict = this->report(static_cast<std::size_t>(i) % this->machines.size(), "request " + std::to_string(i), "i-" + std::to_string(i), milliseconds(70), parts);
+        return verdict;
+    }
+
+    bool all_hold(PromptParts const& parts)
+    {
+        return run_loop_until(this->loop, [&] {
+            return std::all_of(this->machines.begin(), this->machines.end(), [&](auto const& machine) { return machine->quarantine.held_for(parts).has_value(); });
+        });
+    }
+
     std::size_t index_of(std::string const& name) const
     {
         for (std::size_t i = 0; i < this->machines.size(); ++i) {
@@ -271,3 +303,83 @@
     test.loop.run_for(std::chrono::milliseconds(50));
     CHECK(test.store.reads == 0);
 }
+
+// Guards against a part that crashes engines in requests of which no two are alike, reported by different VMs.
+TEST_CASE("A part at the crashes that different VMs report is held by all, and what else its prompts share is not", "[crashes][crashing-part]")
+{
+    ReporterTest test(4);
+    for (int i = 0; i < 3; ++i)
+        test.machines[3]->reporter.note_served(parts_named({ "system" }));
+    auto const verdict = test.crash_engines(parts_named({ "system", "bad" }), 3);
+    CHECK(verdict == CrashVerdict::Quarantined);
+    CHECK(test.all_hold(parts_named({ "other", "bad" })));
+    for (auto const& machine : test.machines)
+        CHECK_FALSE(machine->quarantine.held_for(parts_named({ "system", "other" })));
+}
+
+TEST_CASE("A part that another VM served is not blamed for crashes", "[crashes][crashing-part]")
+{
+    ReporterTest test(3);
+    auto const parts = parts_named({ "system", "tools" });
+    for (int i = 0; i < 3; ++i)
+        test.machines[2]->reporter.note_served(parts);
+    CHECK(test.crash_engines(parts, 8) == CrashVerdict::MayRetry);
+    CHECK_FALSE(test.machines[0]->quarantine.held_for(parts));
+}
+
+TEST_CASE("A VM that joins learns of held parts from a digest, and one that starts alone from the store", "[crashes][crashing-part][kill]")
+{
+    ReporterTest test(2);
+    auto const parts = parts_named({ "system", "bad" });
+    for (int i = 0; i < 3; ++i)
+        test.machines[0]->reporter.note_served(parts_named({ "system" }));
+    test.crash_engines(parts, 4);
+    REQUIRE(test.all_hold(parts));
+    test.machines.push_back(std::make_unique<AnalyzingVirtualMachine>(test.loop, "vm-new", test.store));
+    test.meet();
+    test.machines.back()->quarantine.handle_digest(test.machines[0]->kernel->endpoint(), test.machines[0]->quarantine.digest());
+    CHECK(test.all_hold(parts));
+    CHECK(test.machines.back()->quarantine.digest() == test.machines[0]->quarantine.digest());
+    REQUIRE(run_loop_until(test.loop, [&] { return !test.store.rows.empty(); }));
+
+    ReporterTest restarted(1);
+    restarted.store.rows = test.store.rows;
+    CHECK(restarted.report(0, "another", "i-9", milliseconds(70), parts) == CrashVerdict::Quarantined);
+}
+
+TEST_CASE("An answer that is served all the same ends the hold of its parts on all VMs", "[crashes][crashing-part][lost]")
+{
+    ReporterTest test(2);
+    auto const parts = parts_named({ "tools" });
+    for (int i = 0; i < 3; ++i)
+        test.machines[0]->reporter.note_served(parts_named({ "system" }));
+    test.crash_engines(parts, 4);
+    REQUIRE(test.all_hold(parts));
+    test.machines[1]->reporter.note_served(parts_named({ "system", "tools" }));
+    CHECK(run_loop_until(test.loop, [&] { return !test.machines[0]->quarantine.held_for(parts) && !test.machines[1]->quarantine.held_for(parts); }));
+    CHECK(run_loop_until(test.loop, [&] { return !test.store.rows.empty() && test.store.rows.back().lifted == test.store.rows.back().times; }));
+    CHECK(test.machines[0]->quarantine.digest() == test.machines[1]->quarantine.digest());
+}
+
+TEST_CASE("Questions and reports with very many parts and senseless ages are answered within bounds", "[crashes][crashing-part][bounds]")
+{
+    ReporterTest test(2);
+    test.machines[1]->reporter.note_served(parts_named({ "system" }));
+    auto question = message_to(QUARANTINE_SERVICE);
+    for (std::uint64_t i = 0; i < 50'000; ++i)
+        question.mutable_get_served_parts()->add_parts(i);
+    question.mutable_get_served_parts()->set_age_microseconds(std::numeric_limits<std::int64_t>::min());
+    auto report = message_to(QUARANTINE_SERVICE);
+    report.mutable_crash_report()->set_fingerprint(request_named("x").to_bytes());
+    report.mutable_crash_report()->set_upstream("i-1");
+    for (std::uint64_t i = 0; i < 50'000; ++i)
+        report.mutable_crash_report()->add_parts(i);
+    int answered = 0;
+    for (auto const& message : { question, report }) {
+        test.machines[0]->kernel->request(test.machines[1]->kernel->endpoint(), message, seconds(5), [&](WireReply const& reply) {
+            CHECK_FALSE(reply.is_error());
+            ++answered;
+        });
+    }
+    CHECK(run_loop_until(test.loop, [&] { return answered == 2; }));
+}
--- a/Tests/Platform/TestPlatformRegistry.cpp
+++ b/Tests/Platform/TestPlatformRegistry.cpp
@@ -111,6 +111,16 @@
     test.store.put("quarantine", "not-a-fingerprint", { { "times", 1 }, { "until", 1 } });
     test.store.put("quarantine", first.to_hex(), { { "times", "often" } });
     CHECK(test.run(test.registry->read_quarantine()).value() == std::vector<QuarantineEntry> { { second, 1, 5000 } });
+    auto const parts = make_prompt_parts({ PromptPart::of("m", "system"), PromptPart::of("m", "bad") });
+    QuarantineEntry of_parts { RequestFingerprint::of_parts(parts), 3, 7000 };
+    of_parts.parts = parts;
+    of_parts.lifted = 2;
+    CHECK_FALSE(test.run(test.registry->write_quarantine(of_parts, { second })).is_error());
+    CHECK(test.run(test.registry->read_quarantine()).value() == std::vector<QuarantineEntry> { of_parts });
+    for (auto const& damaged : { nlohmann::json("a"), nlohmann::json({ 1, 2 }), nlohmann::json({ "xyz" }), nlohmann::json({ "00112233445566778" }) }) {
+        test.store.put("quarantine", second.to_hex(), { { "times", 1 }, { "until", 1 }, { "parts", damaged } });
+        CHECK(test.run(test.registry->read_quarantine()).value() == std::vector<QuarantineEntry> { of_parts });
+    }
     test.store.set_fault(StoreStandIn::Fault::Busy);
     CHECK(test.run(test.registry->read_quarantine()).error() == PlatformError::Unavailable);
     CHECK(test.run(test.registry->write_quarantine({ first, 1, 1000 }, {})).error() == PlatformError::Unavailable);
