--- a/Libraries/LibDecision/PoisonPartDetector.cpp
+++ b/Libraries/LibDecision/PoisonPartDetector.cpp
@@ -54,6 +54,7 @@
 PoisonPartDetector::Candidates PoisonPartDetector::find_candidates(std::function<bool(PromptParts const&)> const& is_explained) const
 {
     std::vector<Crash const*> ordered;
+    ordered.reserve(this->crashes.size());
     for (auto const& [upstream, crash] : this->crashes)
         ordered.push_back(&crash);
     std::stable_sort(ordered.begin(), ordered.end(), [](auto const* left, auto const* right) { return left->first_report < right->first_report; });
--- a/Libraries/LibDecision/Quarantine.cpp
+++ b/Libraries/LibDecision/Quarantine.cpp
@@ -70,7 +70,7 @@
     auto const doublings = std::min(found.times++, MAXIMUM_DOUBLINGS);
     auto const hold = std::min(this->options.maximum_hold, this->options.first_hold * (1 << doublings));
     found.until = unix_milliseconds + to_milliseconds(hold);
-    auto const added = found;
+    auto added = found;
     this->evict_to_capacity();
     return added;
 }
