CrashAnalyzer: Bound what crash reports of parts cost, and decide while crashes go on

They are looked at every 10 ms at most, and all VMs asked every 200 ms at most; - a wrong hold of a part refuses many callers, and lasted an hour: now ten minutes at first, after which one more crash is enough while the analyzers know the earlier ones.

--- a/Libraries/LibDecision/PoisonPartDetector.cpp
+++ b/Libraries/LibDecision/PoisonPartDetector.cpp
@@ -51,12 +51,14 @@
     candidate.common = std::move(common);
 }
 
-PoisonPartDetector::Candidates PoisonPartDetector::find_candidates(std::function<bool(PromptParts const&)> const& is_explained) const
+PoisonPartDetector::Candidates PoisonPartDetector::find_candidates(std::function<bool(PromptParts const&)> const& is_explained, Crashes which, MonotonicTime now) const
 {
     std::vector<Crash const*> ordered;
     ordered.reserve(this->crashes.size());
-    for (auto const& [upstream, crash] : this->crashes)
-        ordered.push_back(&crash);
+    for (auto const& [upstream, crash] : this->crashes) {
+        if (which == Crashes::All || now - crash.first_report >= this->options.report_delay)
+            ordered.push_back(&crash);
+    }
     std::stable_sort(ordered.begin(), ordered.end(), [](auto const* left, auto const* right) { return left->first_report < right->first_report; });
     Candidates candidates;
     std::size_t unexplained = 0;
@@ -113,11 +115,11 @@
     return candidate.separate_crashes > 1 && (is_repeated || is_certain);
 }
 
-PoisonPartDetector::Suspects PoisonPartDetector::suspects(std::function<bool(PromptParts const&)> const& is_held) const
+PoisonPartDetector::Suspects PoisonPartDetector::suspects(std::function<bool(PromptParts const&)> const& is_held, Crashes which, MonotonicTime now) const
 {
     Suspects suspects;
     std::vector<PromptPart> parts;
-    for (auto const& [part, candidate] : this->find_candidates(is_held)) {
+    for (auto const& [part, candidate] : this->find_candidates(is_held, which, now)) {
         if (!this->has_enough_crashes(candidate))
             continue;
         suspects.since = parts.empty() ? candidate.first_crash : std::min(suspects.since, candidate.first_crash);
@@ -138,9 +140,9 @@
     return found;
 }
 
-std::optional<PoisonPartDetector::PoisonParts> PoisonPartDetector::find_next(std::function<bool(PromptParts const&)> const& is_explained, Evidence const& evidence, MonotonicTime) const
+std::optional<PoisonPartDetector::PoisonParts> PoisonPartDetector::find_next(std::function<bool(PromptParts const&)> const& is_explained, Evidence const& evidence, MonotonicTime now) const
 {
-    auto const candidates = this->find_candidates(is_explained);
+    auto const candidates = this->find_candidates(is_explained, Crashes::FullyReported, now);
     auto const is_ruled_out = [&](PromptPart part) {
         auto const served = evidence.last_served(part);
         return served && *served + this->options.exonerated_for >= candidates.at(part).first_crash;
@@ -212,11 +214,6 @@
     return found;
 }
 
-bool PoisonPartDetector::is_fully_reported(MonotonicTime now) const
-{
-    return std::all_of(this->crashes.begin(), this->crashes.end(), [&](auto const& crash) { return now - crash.second.first_report >= this->options.report_delay; });
-}
-
 void PoisonPartDetector::forget_old(MonotonicTime now)
 {
     std::erase_if(this->crashes, [&](auto const& crash) { return now - crash.second.first_report > this->options.retention; });
--- a/Libraries/LibDecision/PoisonPartDetector.h
+++ b/Libraries/LibDecision/PoisonPartDetector.h
@@ -51,10 +51,10 @@
         /// Time from the first report of a crash until all VMs have reported their requests.
         Duration report_delay = milliseconds(60);
         Duration retention = seconds(3600);
-        /// Maximum number of crashes kept; the oldest are evicted first.
-        std::size_t maximum_crashes = 256;
-        /// Maximum number of requests kept per crash; an engine has fewer slots.
-        std::size_t maximum_requests = 256;
+        /// Maximum number of crashes kept; the oldest are evicted first. Each report looks at all of them.
+        std::size_t maximum_crashes = 64;
+        /// Maximum number of requests kept per crash.
+        std::size_t maximum_requests = 64;
     };
 
     /// What is known of served answers.
@@ -71,13 +71,19 @@
     /// Records that the upstream crashed while it had the request, which had been sent there `ran_for` earlier.
     void note_crash(RequestFingerprint const& request, PromptParts const& parts, UpstreamIncarnation const& upstream, Duration ran_for, MonotonicTime now);
 
+    /// Which crashes to take into account.
+    enum class Crashes {
+        All,
+        /// Those at which all VMs have reported their requests.
+        FullyReported,
+    };
     struct Suspects {
         PromptParts parts;
         /// The first crash at which one of the parts was.
         MonotonicTime since {};
     };
     /// The parts at enough crashes to be a cause unless they were served; empty if there are none.
-    Suspects suspects(std::function<bool(PromptParts const&)> const& is_held) const;
+    Suspects suspects(std::function<bool(PromptParts const&)> const& is_held, Crashes which, MonotonicTime now) const;
 
     struct PoisonParts {
         /// The cause is among these parts, which have always occurred together.
@@ -85,11 +91,9 @@
         std::size_t crashes = 0;
         std::size_t requests = 0;
     };
-    /// Returns the causes identified so far, except for those that `is_held` accepts; crashes of these count as explained.
+    /// Returns the causes identified by the fully reported crashes, except for those that `is_held` accepts; crashes of these count as explained.
     std::vector<PoisonParts> find_poison_parts(std::function<bool(PromptParts const&)> const& is_held, Evidence const& evidence, MonotonicTime now) const;
 
-    /// Whether all VMs have reported their requests at the crashes so far.
-    bool is_fully_reported(MonotonicTime now) const;
     std::size_t size() const { return this->crashes.size(); }
 
 private:
@@ -136,7 +140,7 @@
 
     static void add(Candidate& candidate, Request const& request);
     static void add_recency(Candidate& candidate, Crash const& crash, Duration ran_for);
-    Candidates find_candidates(std::function<bool(PromptParts const&)> const& is_explained) const;
+    Candidates find_candidates(std::function<bool(PromptParts const&)> const& is_explained, Crashes which, MonotonicTime now) const;
     bool has_enough_crashes(Candidate const& candidate) const;
     bool is_certain(Candidate const& candidate) const { return candidate.crashes >= this->options.certain_crashes; }
     bool may_be_explained_by(Candidate const& candidate, Candidate const& companion) const;
--- a/Libraries/LibDecision/Quarantine.cpp
+++ b/Libraries/LibDecision/Quarantine.cpp
@@ -68,7 +68,8 @@
     if (!initial.parts.empty())
         this->holds_of_parts.insert(initial.request);
     auto const doublings = std::min(found.times++, MAXIMUM_DOUBLINGS);
-    auto const hold = std::min(this->options.maximum_hold, this->options.first_hold * (1 << doublings));
+    auto const first_hold = initial.parts.empty() ? this->options.first_hold : this->options.first_hold_of_parts;
+    auto const hold = std::min(this->options.maximum_hold, first_hold * (1 << doublings));
     found.until = unix_milliseconds + to_milliseconds(hold);
     auto added = found;
     this->evict_to_capacity();
--- a/Libraries/LibDecision/Quarantine.h
+++ b/Libraries/LibDecision/Quarantine.h
@@ -38,6 +38,8 @@
         /// After the hold the request is tried again, in case the upstreams were fixed meanwhile. Three upstreams an hour
         /// are an acceptable cost if they were not.
         Duration first_hold = seconds(3600);
+        /// The same for parts of prompts: a wrong hold of these refuses many callers, and the analyzers still know their crashes.
+        Duration first_hold_of_parts = seconds(600);
         Duration maximum_hold = seconds(86400);
         /// Time after a hold during which a single further crash is sufficient.
         Duration probation = seconds(86400);
--- a/Libraries/LibRouter/CrashAnalyzer.cpp
+++ b/Libraries/LibRouter/CrashAnalyzer.cpp
@@ -38,13 +38,21 @@
 
 void CrashAnalyzer::note_completed(RequestFingerprint const& request) { this->ledger.note_completed(request, monotonic_now()); }
 
+bool CrashAnalyzer::may_have_suspect_part(PendingReport const& pending) const
+{
+    if (pending.parts.empty() || this->parts_examination == PartsExamination::Done)
+        return false;
+    bool const is_examined = this->examined_reports == this->part_reports;
+    auto const is_suspect = [this](PromptPart part) { return std::binary_search(this->suspects.parts.begin(), this->suspects.parts.end(), part); };
+    return !is_examined || std::any_of(pending.parts.begin(), pending.parts.end(), is_suspect);
+}
+
 bool CrashAnalyzer::is_undecided(PendingReport const& pending, MonotonicTime now) const
 {
     if (now >= pending.deadline || this->is_quarantined(pending))
         return false;
-    bool const has_suspect_part = this->parts_examination != PartsExamination::Done && std::any_of(pending.parts.begin(), pending.parts.end(), [this](auto const& part) { return std::binary_search(this->suspects.parts.begin(), this->suspects.parts.end(), part); });
     bool const is_suspect = this->ledger.is_suspect(pending.request) && !this->ledger.is_fully_reported(pending.request, now);
-    return has_suspect_part || is_suspect || !this->quarantine.has_recent_store_read();
+    return is_suspect || this->may_have_suspect_part(pending) || !this->quarantine.has_recent_store_read();
 }
 
 void CrashAnalyzer::quarantine_causes(MonotonicTime now)
@@ -70,15 +78,30 @@
 {
     if (this->parts_examination != PartsExamination::Due)
         return;
-    this->suspects = this->part_ledger.suspects([this](auto const& parts) { return this->quarantine.held_for(parts).has_value(); });
+    // A crash is reported by each of its requests. Looking at all crashes for each of these would take long.
+    if (now - this->examined_at < this->options.check_interval)
+        return;
+    this->examined_at = now;
+    auto const is_held = [this](auto const& parts) { return this->quarantine.held_for(parts).has_value(); };
+    if (this->examined_reports != this->part_reports) {
+        this->suspects = this->part_ledger.suspects(is_held, PoisonPartDetector::Crashes::All, now);
+        this->examined_reports = this->part_reports;
+    }
     if (this->suspects.parts.empty()) {
         this->parts_examination = PartsExamination::Done;
         return;
     }
-    if (!this->part_ledger.is_fully_reported(now))
+    if (this->asked_at && now - *this->asked_at < this->options.ask_interval)
         return;
+    auto const reported_suspects = this->part_ledger.suspects(is_held, PoisonPartDetector::Crashes::FullyReported, now);
+    if (reported_suspects.parts.empty()) {
+        // Another analyzer may have found the cause in the meantime.
+        this->suspects = this->part_ledger.suspects(is_held, PoisonPartDetector::Crashes::All, now);
+        return;
+    }
+    this->asked_at = now;
     this->parts_examination = PartsExamination::Asked;
-    this->ask_served(this->suspects, [this, reports = this->part_reports](ServedAnswers const& served) {
+    this->ask_served(reported_suspects, [this, reports = this->part_reports](ServedAnswers const& served) {
         this->parts_examination = this->part_reports == reports ? PartsExamination::Done : PartsExamination::Due;
         this->quarantine_parts(served, monotonic_now());
         this->decide_pending();
--- a/Libraries/LibRouter/CrashAnalyzer.h
+++ b/Libraries/LibRouter/CrashAnalyzer.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <vector>
 
 namespace Spurtide {
@@ -55,6 +56,8 @@
         /// request may be retried elsewhere.
         Duration verdict_timeout = milliseconds(80);
         Duration check_interval = milliseconds(10);
+        /// Least time between two questions to all VMs.
+        Duration ask_interval = milliseconds(200);
     };
     using VerdictCallback = std::function<void(CrashVerdict)>;
     using ServedCallback = std::function<void(ServedAnswers)>;
@@ -83,6 +86,7 @@
     void quarantine_parts(ServedAnswers const& served, MonotonicTime now);
     bool is_quarantined(RequestFingerprint const& request) const { return this->quarantine.held_for(request).has_value(); }
     bool is_quarantined(PendingReport const& pending) const { return this->is_quarantined(pending.request) || this->quarantine.held_for(pending.parts).has_value(); }
+    bool may_have_suspect_part(PendingReport const& pending) const;
     bool is_undecided(PendingReport const& pending, MonotonicTime now) const;
     void schedule_decision();
 
@@ -103,7 +107,10 @@
         = PartsExamination::Done;
     /// The number of reports that name parts.
     std::uint64_t part_reports = 0;
-    /// Of the reports so far, unless the examination is done.
+    /// The reports that the suspects are derived from.
+    std::uint64_t examined_reports = 0;
+    MonotonicTime examined_at {};
+    std::optional<MonotonicTime> asked_at;
     PoisonPartDetector::Suspects suspects;
     std::vector<PendingReport> pending_reports;
 };
--- a/Tests/LibDecision/TestPoisonPartDetector.cpp
+++ b/Tests/LibDecision/TestPoisonPartDetector.cpp
@@ -129,6 +129,16 @@
     CHECK(test.holds(parts({ "bad", "new" })));
 }
 
+// Guards against waiting for reports of ever newer crashes.
+TEST_CASE("A cause is found while crashes go on faster than all VMs report them", "[poison-part]")
+{
+    PartTest test;
+    test.serve({ "system" }, 5);
+    for (int i = 0; i < 8; ++i)
+        test.crash({ { "r" + std::to_string(i), { "system", "bad" } } }, milliseconds(20));
+    CHECK(test.causes() == Found { parts({ "bad" }) });
+}
+
 TEST_CASE("Two parts that crash engines at the same time are both found by their fifth crash", "[poison-part]")
 {
     PartTest test;
--- a/Tests/LibDecision/TestQuarantine.cpp
+++ b/Tests/LibDecision/TestQuarantine.cpp
@@ -91,8 +91,8 @@
     auto const longer = make_prompt_parts({ part("system"), part("tools"), part("bad") });
     Quarantine quarantine { Quarantine::Options {} };
     auto const entry = quarantine.add(held, NOW);
-    CHECK(quarantine.held_for(held, NOW) == seconds(3600));
-    CHECK(quarantine.held_for(longer, NOW) == seconds(3600));
+    CHECK(quarantine.held_for(held, NOW) == Quarantine::Options {}.first_hold_of_parts);
+    CHECK(quarantine.held_for(longer, NOW) == Quarantine::Options {}.first_hold_of_parts);
     CHECK_FALSE(quarantine.held_for(make_prompt_parts({ part("system") }), NOW));
     CHECK_FALSE(quarantine.held_for(PromptParts {}, NOW));
 
