PoisonPartDetector: Count close crashes of successive requests as separate

Crashes within 50 ms of each other counted as one, so that the loss of a rack blames no part. Requests that are sent one after the other, each after the crash before, crashed six engines at one VM before their part was held (found by the test of log lines, 502 where 503 was expected). Three crashes of which each was of a request sent after the one before have no common external cause.

--- a/Libraries/LibDecision/PoisonPartDetector.cpp
+++ b/Libraries/LibDecision/PoisonPartDetector.cpp
@@ -81,20 +81,30 @@
                 candidate.first_crash = crash->first_report;
                 candidate.unexplained_before = unexplained - (is_crash_explained ? 0 : 1);
             }
-            if (candidate.crashes == 0 || crash->first_report - candidate.last_separate_crash >= this->options.separate_after) {
-                ++candidate.separate_crashes;
-                candidate.last_separate_crash = crash->first_report;
-            }
-            ++candidate.crashes;
+            this->count_crash(candidate, *crash, ran_for);
             candidate.unexplained += is_crash_explained ? 0 : 1;
             candidate.unexplained_meanwhile = unexplained - candidate.unexplained_before;
-            candidate.ran_for += ran_for;
-            add_recency(candidate, *crash, ran_for);
         }
     }
     return candidates;
 }
 
+void PoisonPartDetector::count_crash(Candidate& candidate, Crash const& crash, Duration ran_for) const
+{
+    bool const is_first = candidate.crashes == 0;
+    if (is_first || crash.first_report - candidate.last_separate_crash >= this->options.separate_after) {
+        ++candidate.separate_crashes;
+        candidate.last_separate_crash = crash.first_report;
+    }
+    if (is_first || crash.first_report - ran_for >= candidate.last_successive_crash) {
+        ++candidate.successive_crashes;
+        candidate.last_successive_crash = crash.first_report;
+    }
+    ++candidate.crashes;
+    candidate.ran_for += ran_for;
+    add_recency(candidate, crash, ran_for);
+}
+
 void PoisonPartDetector::add_recency(Candidate& candidate, Crash const& crash, Duration ran_for)
 {
     auto const is_not_earlier = [&](auto const& request) { return request.second.ran_for <= ran_for; };
@@ -112,7 +122,8 @@
         && candidate.recency() >= this->options.minimum_recency && candidate.is_at_share(this->options.minimum_share);
     bool const is_certain = this->is_certain(candidate) && candidate.unexplained > 0 && of_others > 0
         && candidate.recency() >= this->options.minimum_certain_recency && candidate.is_at_share(this->options.minimum_certain_share);
-    return candidate.separate_crashes > 1 && (is_repeated || is_certain);
+    bool const is_separate = candidate.separate_crashes > 1 || candidate.successive_crashes >= this->options.successive_crashes;
+    return is_separate && (is_repeated || is_certain);
 }
 
 PoisonPartDetector::Suspects PoisonPartDetector::suspects(std::function<bool(PromptParts const&)> const& is_held, Crashes which, MonotonicTime now) const
--- a/Libraries/LibDecision/PoisonPartDetector.h
+++ b/Libraries/LibDecision/PoisonPartDetector.h
@@ -48,6 +48,8 @@
         Duration exonerated_for = seconds(60);
         /// Crashes closer than this may have one external cause, such as the loss of a rack.
         Duration separate_after = milliseconds(50);
+        /// Crashes, each of a request sent after the one before, that have no common external cause however close they are.
+        std::size_t successive_crashes = 3;
         /// Time from the first report of a crash until all VMs have reported their requests.
         Duration report_delay = milliseconds(60);
         Duration retention = seconds(3600);
@@ -121,6 +123,8 @@
         std::map<RequestFingerprint, std::size_t> crashes_by_request {};
         /// Its crashes without those that followed another one at once.
         std::size_t separate_crashes = 0;
+        /// Its crashes of which each was of a request that was sent after the one before.
+        std::size_t successive_crashes = 0;
         /// Sum over the crashes of the time that its latest request had run.
         Duration ran_for {};
         /// Sum over the crashes of how unlikely it is by chance that its latest request was sent so shortly before, relative to the others
@@ -130,6 +134,7 @@
         MonotonicTime first_crash {};
         std::size_t unexplained_before = 0;
         MonotonicTime last_separate_crash {};
+        MonotonicTime last_successive_crash {};
 
         Duration average_run() const { return this->ran_for / static_cast<std::int64_t>(this->crashes); }
         bool is_at_share(double share) const { return static_cast<double>(this->unexplained) >= share * static_cast<double>(this->unexplained_meanwhile); }
@@ -139,6 +144,7 @@
     using Candidates = std::map<PromptPart, Candidate>;
 
     static void add(Candidate& candidate, Request const& request);
+    void count_crash(Candidate& candidate, Crash const& crash, Duration ran_for) const;
     static void add_recency(Candidate& candidate, Crash const& crash, Duration ran_for);
     Candidates find_candidates(std::function<bool(PromptParts const&)> const& is_explained, Crashes which, MonotonicTime now) const;
     bool has_enough_crashes(Candidate const& candidate) const;
--- a/Tests/LibDecision/TestPoisonPartDetector.cpp
+++ b/Tests/LibDecision/TestPoisonPartDetector.cpp
@@ -139,6 +139,16 @@
     CHECK(test.causes() == Found { parts({ "bad" }) });
 }
 
+TEST_CASE("A cause is found by the fifth crash also if each request is sent right after the crash before", "[poison-part]")
+{
+    PartTest test;
+    test.serve({ "system" }, 5);
+    for (int i = 0; i < 5; ++i)
+        test.crash({ { "r" + std::to_string(i), { "system", "bad" }, milliseconds(1) } }, milliseconds(2));
+    test.now += milliseconds(60);
+    CHECK(test.causes() == Found { parts({ "bad" }) });
+}
+
 TEST_CASE("Two parts that crash engines at the same time are both found by their fifth crash", "[poison-part]")
 {
     PartTest test;
--- a/Tests/Platform/TestCrashingPromptPart.cpp
+++ b/Tests/Platform/TestCrashingPromptPart.cpp
@@ -1,6 +1,7 @@
 // SPDX-FileCopyrightText: 2026 The Spurtide developers
 // SPDX-License-Identifier: BSD-2-Clause
 
+#include <LibCore/LogLine.h>
 #include <Tests/Platform/CrashingUpstreams.h>
 #include <Tests/Platform/NodeUnderTest.h>
 #include <Tests/Platform/OtherVirtualMachine.h>
@@ -74,3 +75,27 @@
         CHECK(engines.ended <= CRASHES);
     }
 }
+
+// Guards against a refusal that the log does not explain.
+TEST_CASE("From a refused prompt the log leads to its held part and to what spoke for and against it", "[crashing-part]")
+{
+    std::string lines;
+    LogLine::set_observer([&](std::string_view line) { lines.append(line).append("\n"); });
+    NodeUnderTest test(allow_many_sends);
+    test.configure(1);
+    UpstreamStandIn prefill(test.loop, "i-p", "prefill");
+    test.list(prefill, "engines");
+    CrashingUpstreams const engines(test, "engines", 8, HAS_BAD_PART);
+    for (int i = 0; i < 4; ++i)
+        CHECK(test.call(prompt_of(test, "/stream/x", "s" + std::to_string(i), "aa:200")).head.status == 200);
+    for (int i = 0; i < CRASHES; ++i)
+        test.call(prompt_of(test, "/stream/x", "c" + std::to_string(i), "aa:200,bad:50"));
+    CHECK(lines.find("event=parts_quarantined") != std::string::npos);
+    CHECK(lines.find(" parts=" + PromptPart::of("m", "bad").to_hex() + " crashes=") != std::string::npos);
+    auto const refused = test.call(prompt_of(test, "/stream/x", "refused", "aa:200,bad:50"));
+    CHECK(refused.head.status == 503);
+    CHECK(std::stod(std::string(refused.head.headers.find("Retry-After").value_or("0"))) > 500);
+    auto const of_end = "parts=" + describe(make_prompt_parts({ PromptPart::of("m", "aa"), PromptPart::of("m", "bad") }));
+    CHECK(lines.find(of_end) != std::string::npos);
+    CHECK(lines.find("outcome=refused_not_run reason=quarantined status=503 sends=0") != std::string::npos);
+}
