StreamingRequestHandler: Take a stream without any event that ends with its connection as broken off

An engine that crashes as it begins to answer may close its connection before the first event. That looked like an empty answer, served whole, and would have cleared the part that crashed the engine. Found by reading the change again; the test failed before by reading (200 and an empty body), but was not run on the code before.

--- a/Libraries/LibRouter/StreamingRequestHandler.cpp
+++ b/Libraries/LibRouter/StreamingRequestHandler.cpp
@@ -629,8 +629,10 @@
     MonotonicTime begun_at;
     while (true) {
         auto piece = co_await connection->read_piece();
-        bool const is_broken_off = !piece.is_error() && piece.value().empty() && ends_with_connection && is_event_stream && this->events.is_inside_event();
-        if (is_broken_off)
+        bool const is_closed = !piece.is_error() && piece.value().empty() && ends_with_connection && is_event_stream;
+        // A stream that is resumed after its last event has no further ones.
+        bool const is_incomplete = this->events.is_inside_event() || (!has_events && !this->exchange.has_begun() && !this->request.is_resumption());
+        if (is_closed && is_incomplete)
             piece = Failure { HttpError::Closed };
         if (piece.is_error()) {
             connection->abort();
--- a/Tests/Platform/TestUnframedStreams.cpp
+++ b/Tests/Platform/TestUnframedStreams.cpp
@@ -83,6 +83,10 @@
         CHECK(whole.head.status == 200);
         CHECK(whole.body == event(1) + event(2));
     }
+    // A crash may close the connection before the first event.
+    answer_unframed(test.first, "", test.is_reset);
+    CHECK(test.call(test.model_request("/stream/x", "empty")).head.status == 502);
+    answer_unframed(test.first, event(1) + event(2), test.is_reset);
     test.is_reset = true;
     auto const reset = test.call(test.model_request("/stream/x", "r"));
     CHECK(reset.error);
