--- a/Tests/LibRouter/TestEventStreamSplitter.cpp
+++ b/Tests/LibRouter/TestEventStreamSplitter.cpp
@@ -1,7 +1,7 @@
 // SPDX-FileCopyrightText: 2026 The Spurtide developers
 // SPDX-License-Identifier: BSD-2-Clause
 
-#include <LibRouter/StreamingRequestHandler.h>
+#include <LibRouter/EventStreamSplitter.h>
 #include <catch2/catch.hpp>
 
 using namespace Spurtide;
