--- a/Libraries/LibDecision/PoisonPartDetector.cpp
+++ b/Libraries/LibDecision/PoisonPartDetector.cpp
@@ -28,18 +28,11 @@
 
 void PoisonPartDetector::note_crash(RequestFingerprint const& request, PromptParts const& parts, UpstreamIncarnation const& upstream, Duration ran_for, MonotonicTime now)
 {
-    if (parts.empty())
-        return;
-    auto& crash = this->crashes.try_emplace(upstream, Crash { now, {} }).first->second;
-    if (crash.requests.size() >= this->options.maximum_requests && !crash.requests.contains(request))
-        return;
-    auto const [place, is_first] = crash.requests.try_emplace(request, Request { parts, ran_for });
-    if (!is_first)
-        place->second.ran_for = std::min(place->second.ran_for, ran_for);
-    this->forget_old(now);
+    if (!parts.empty())
+        this->log.note(request, parts, upstream, ran_for, now);
 }
 
-void PoisonPartDetector::add(Candidate& candidate, Request const& request)
+void PoisonPartDetector::add(Candidate& candidate, CrashLog::Request const& request)
 {
     candidate.companions.insert(request.parts.begin(), request.parts.end());
     if (candidate.common.empty()) {
@@ -53,10 +46,10 @@
 
 PoisonPartDetector::Candidates PoisonPartDetector::find_candidates(std::function<bool(PromptParts const&)> const& is_explained, Crashes which, MonotonicTime now) const
 {
-    std::vector<Crash const*> ordered;
-    ordered.reserve(this->crashes.size());
-    for (auto const& [upstream, crash] : this->crashes) {
-        if (which == Crashes::All || now - crash.first_report >= this->options.report_delay)
+    std::vector<CrashLog::Crash const*> ordered;
+    ordered.reserve(this->log.crashes().size());
+    for (auto const& [upstream, crash] : this->log.crashes()) {
+        if (which == Crashes::All || this->log.is_fully_reported(crash, now))
             ordered.push_back(&crash);
     }
     std::stable_sort(ordered.begin(), ordered.end(), [](auto const* left, auto const* right) { return left->first_report < right->first_report; });
@@ -89,7 +82,7 @@
     return candidates;
 }
 
-void PoisonPartDetector::count_crash(Candidate& candidate, Crash const& crash, Duration ran_for) const
+void PoisonPartDetector::count_crash(Candidate& candidate, CrashLog::Crash const& crash, Duration ran_for) const
 {
     bool const is_first = candidate.crashes == 0;
     if (is_first || crash.first_report - candidate.last_separate_crash >= this->options.separate_after) {
@@ -105,7 +98,7 @@
     add_recency(candidate, crash, ran_for);
 }
 
-void PoisonPartDetector::add_recency(Candidate& candidate, Crash const& crash, Duration ran_for)
+void PoisonPartDetector::add_recency(Candidate& candidate, CrashLog::Crash const& crash, Duration ran_for)
 {
     auto const is_not_earlier = [&](auto const& request) { return request.second.ran_for <= ran_for; };
     auto const not_earlier = std::count_if(crash.requests.begin(), crash.requests.end(), is_not_earlier);
@@ -225,13 +218,4 @@
     return found;
 }
 
-void PoisonPartDetector::forget_old(MonotonicTime now)
-{
-    std::erase_if(this->crashes, [&](auto const& crash) { return now - crash.second.first_report > this->options.retention; });
-    while (this->crashes.size() > this->options.maximum_crashes) {
-        auto const is_older = [](auto const& left, auto const& right) { return left.second.first_report < right.second.first_report; };
-        this->crashes.erase(std::min_element(this->crashes.begin(), this->crashes.end(), is_older));
-    }
-}
-
 }
--- a/Libraries/LibDecision/PoisonPartDetector.h
+++ b/Libraries/LibDecision/PoisonPartDetector.h
@@ -4,9 +4,7 @@
 #pragma once
 
 #include <LibCore/Time.h>
-#include <LibDecision/PromptPart.h>
-#include <LibDecision/RequestFingerprint.h>
-#include <LibDecision/UpstreamIncarnation.h>
+#include <LibDecision/CrashLog.h>
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -67,6 +65,7 @@
 
     explicit PoisonPartDetector(Options options)
         : options(options)
+        , log({ options.report_delay, options.retention, options.maximum_crashes, options.maximum_requests })
     {
     }
 
@@ -96,18 +95,9 @@
     /// Returns the causes identified by the fully reported crashes, except for those that `is_held` accepts; crashes of these count as explained.
     std::vector<PoisonParts> find_poison_parts(std::function<bool(PromptParts const&)> const& is_held, Evidence const& evidence, MonotonicTime now) const;
 
-    std::size_t size() const { return this->crashes.size(); }
+    std::size_t size() const { return this->log.crashes().size(); }
 
 private:
-    struct Request {
-        PromptParts parts;
-        Duration ran_for {};
-    };
-    struct Crash {
-        MonotonicTime first_report;
-        std::map<RequestFingerprint, Request> requests;
-    };
-
     /// A part that may be the cause.
     struct Candidate {
         PromptPart part;
@@ -143,9 +133,9 @@
     };
     using Candidates = std::map<PromptPart, Candidate>;
 
-    static void add(Candidate& candidate, Request const& request);
-    void count_crash(Candidate& candidate, Crash const& crash, Duration ran_for) const;
-    static void add_recency(Candidate& candidate, Crash const& crash, Duration ran_for);
+    static void add(Candidate& candidate, CrashLog::Request const& request);
+    void count_crash(Candidate& candidate, CrashLog::Crash const& crash, Duration ran_for) const;
+    static void add_recency(Candidate& candidate, CrashLog::Crash const& crash, Duration ran_for);
     Candidates find_candidates(std::function<bool(PromptParts const&)> const& is_explained, Crashes which, MonotonicTime now) const;
     bool has_enough_crashes(Candidate const& candidate) const;
     bool is_certain(Candidate const& candidate) const { return candidate.crashes >= this->options.certain_crashes; }
@@ -153,10 +143,9 @@
     bool is_displaced(Candidate const& candidate, Candidate const& other) const;
     std::optional<Candidate> most_likely(std::vector<Candidate> const& candidates) const;
     std::optional<PoisonParts> find_next(std::function<bool(PromptParts const&)> const& is_explained, Evidence const& evidence, MonotonicTime now) const;
-    void forget_old(MonotonicTime now);
 
     Options options;
-    std::map<UpstreamIncarnation, Crash> crashes;
+    CrashLog log;
 };
 
 }
--- a/Libraries/LibDecision/PoisonRequestDetector.cpp
+++ b/Libraries/LibDecision/PoisonRequestDetector.cpp
@@ -17,38 +17,32 @@
 {
     if (this->completed.contains(request, now))
         return;
-    auto& crash = this->crashes.try_emplace(upstream, Crash { now, {} }).first->second;
-    // Several attempts of a request on one upstream count once; the latest attempt is closest to the crash.
-    auto const [place, is_first] = crash.requests.try_emplace(request, ran_for);
-    if (!is_first)
-        place->second = std::min(place->second, ran_for);
-    this->forget_old(now);
+    this->log.note(request, {}, upstream, ran_for, now);
 }
 
 void PoisonRequestDetector::note_completed(RequestFingerprint const& request, MonotonicTime now)
 {
     this->completed.note(request, now);
-    for (auto& [upstream, crash] : this->crashes)
-        crash.requests.erase(request);
+    this->log.forget(request);
 }
 
 bool PoisonRequestDetector::is_suspect(RequestFingerprint const& request) const
 {
     auto const was_there = [&](auto const& crash) { return crash.second.requests.contains(request); };
-    return static_cast<std::size_t>(std::count_if(this->crashes.begin(), this->crashes.end(), was_there)) >= this->options.crash_threshold;
+    return static_cast<std::size_t>(std::count_if(this->log.crashes().begin(), this->log.crashes().end(), was_there)) >= this->options.crash_threshold;
 }
 
 bool PoisonRequestDetector::is_fully_reported(RequestFingerprint const& request, MonotonicTime now) const
 {
-    return std::all_of(this->crashes.begin(), this->crashes.end(), [&](auto const& crash) { return !crash.second.requests.contains(request) || this->has_all_reports(crash.second, now); });
+    return std::all_of(this->log.crashes().begin(), this->log.crashes().end(), [&](auto const& crash) { return !crash.second.requests.contains(request) || this->log.is_fully_reported(crash.second, now); });
 }
 
 std::vector<PoisonRequestDetector::PoisonRequest> PoisonRequestDetector::find_poison_requests(std::function<bool(RequestFingerprint const&)> const& is_known, MonotonicTime now) const
 {
-    std::vector<Crash const*> unexplained;
-    for (auto const& [upstream, crash] : this->crashes) {
+    std::vector<CrashLog::Crash const*> unexplained;
+    for (auto const& [upstream, crash] : this->log.crashes()) {
         bool const is_explained = std::any_of(crash.requests.begin(), crash.requests.end(), [&](auto const& request) { return is_known(request.first); });
-        if (!is_explained && this->has_all_reports(crash, now))
+        if (!is_explained && this->log.is_fully_reported(crash, now))
             unexplained.push_back(&crash);
     }
     std::vector<PoisonRequest> causes;
@@ -62,14 +56,14 @@
     return causes;
 }
 
-std::optional<PoisonRequestDetector::PoisonRequest> PoisonRequestDetector::most_likely(std::span<Crash const* const> unexplained) const
+std::optional<PoisonRequestDetector::PoisonRequest> PoisonRequestDetector::most_likely(std::span<CrashLog::Crash const* const> unexplained) const
 {
     std::map<RequestFingerprint, Evidence> evidence_by_request;
     for (auto const* crash : unexplained) {
-        for (auto const& [request, ran_for] : crash->requests) {
-            auto& evidence = evidence_by_request[request];
+        for (auto const& [fingerprint, request] : crash->requests) {
+            auto& evidence = evidence_by_request[fingerprint];
             ++evidence.crashes;
-            evidence.ran_for += ran_for;
+            evidence.ran_for += request.ran_for;
         }
     }
     // Among requests with equally many crashes, the one that arrived most recently before them is the likeliest.
@@ -88,13 +82,4 @@
     return PoisonRequest { likeliest->first, likeliest->second.crashes };
 }
 
-void PoisonRequestDetector::forget_old(MonotonicTime now)
-{
-    std::erase_if(this->crashes, [&](auto const& crash) { return now - crash.second.first_report > this->options.retention; });
-    while (this->crashes.size() > this->options.maximum_crashes) {
-        auto const is_older = [](auto const& left, auto const& right) { return left.second.first_report < right.second.first_report; };
-        this->crashes.erase(std::min_element(this->crashes.begin(), this->crashes.end(), is_older));
-    }
-}
-
 }
--- a/Libraries/LibDecision/PoisonRequestDetector.h
+++ b/Libraries/LibDecision/PoisonRequestDetector.h
@@ -4,10 +4,11 @@
 #pragma once
 
 #include <LibCore/Time.h>
+#include <LibDecision/CrashLog.h>
 #include <LibDecision/RecentRequests.h>
-#include <LibDecision/UpstreamIncarnation.h>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <optional>
 #include <span>
@@ -50,6 +51,7 @@
 
     explicit PoisonRequestDetector(Options options)
         : options(options)
+        , log({ options.report_delay, options.retention, options.maximum_crashes, std::numeric_limits<std::size_t>::max() })
         , completed(options.completed)
     {
     }
@@ -71,27 +73,19 @@
     /// explain their crashes.
     std::vector<PoisonRequest> find_poison_requests(std::function<bool(RequestFingerprint const&)> const& is_known, MonotonicTime now) const;
 
-    std::size_t size() const { return this->crashes.size(); }
+    std::size_t size() const { return this->log.crashes().size(); }
 
 private:
-    struct Crash {
-        MonotonicTime first_report;
-        /// The requests that were running, and for how long.
-        std::map<RequestFingerprint, Duration> requests;
-    };
-
     struct Evidence {
         std::size_t crashes = 0;
         Duration ran_for {};
     };
 
     /// Returns nothing if no request was present at enough of the crashes, or if two candidates cannot be told apart.
-    std::optional<PoisonRequest> most_likely(std::span<Crash const* const> unexplained) const;
-    bool has_all_reports(Crash const& crash, MonotonicTime now) const { return now - crash.first_report >= this->options.report_delay; }
-    void forget_old(MonotonicTime now);
+    std::optional<PoisonRequest> most_likely(std::span<CrashLog::Crash const* const> unexplained) const;
 
     Options options;
-    std::map<UpstreamIncarnation, Crash> crashes;
+    CrashLog log;
     RecentRequests completed;
 };
 
