--- a/Libraries/LibDecision/PromptPart.h
+++ b/Libraries/LibDecision/PromptPart.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <optional>
 #include <span>
@@ -27,6 +28,9 @@
     auto operator<=>(PromptPart const&) const = default;
 };
 
+/// Upper bound for what is kept of a prompt, whoever names its parts. Callers' prompts have a few.
+constexpr std::size_t MAXIMUM_PROMPT_PARTS = 64;
+
 /// Sorted, without duplicates.
 using PromptParts = std::vector<PromptPart>;
 
--- a/Libraries/LibDecision/Quarantine.cpp
+++ b/Libraries/LibDecision/Quarantine.cpp
@@ -14,14 +14,12 @@
 constexpr std::int64_t MAXIMUM_DOUBLINGS = 10;
 /// Upper bound for plausible entries; no request is identified this often within the retention time.
 constexpr std::int64_t MAXIMUM_TIMES = 1'000'000;
-/// Upper bound for the parts of an entry; callers' prompts have fewer that are kept.
-constexpr std::size_t MAXIMUM_PARTS = 64;
 
 bool is_held(QuarantineEntry const& entry, std::int64_t unix_milliseconds) { return entry.until > unix_milliseconds && entry.lifted < entry.times; }
 
 bool has_valid_parts(QuarantineEntry const& entry)
 {
-    return entry.parts.empty() || (entry.parts.size() <= MAXIMUM_PARTS && entry.request == RequestFingerprint::of_parts(entry.parts));
+    return entry.parts.empty() || (entry.parts.size() <= MAXIMUM_PROMPT_PARTS && entry.request == RequestFingerprint::of_parts(entry.parts));
 }
 
 }
--- a/Libraries/LibRouter/CrashReporter.cpp
+++ b/Libraries/LibRouter/CrashReporter.cpp
@@ -13,8 +13,6 @@
 
 /// Two, so that the reports survive the loss of one analyzer.
 constexpr std::size_t ANALYZER_COUNT = 2;
-/// Of one prompt; more than callers' prompts have.
-constexpr int MAXIMUM_PARTS = 64;
 /// Of one question. Parts at enough crashes to be suspects are few.
 constexpr std::size_t MAXIMUM_ASKED_PARTS = 1024;
 
@@ -47,7 +45,7 @@
     CrashReport report;
     report.request = request;
     // Bounds what a damaged message can make the analyzer keep.
-    auto const count = std::min(message.parts_size(), MAXIMUM_PARTS);
+    auto const count = std::min(message.parts_size(), static_cast<int>(MAXIMUM_PROMPT_PARTS));
     for (int i = 0; i < count; ++i)
         report.parts.push_back({ message.parts(i) });
     report.parts = make_prompt_parts(std::move(report.parts));
