--- a/Libraries/LibRouter/RequestHandler.cpp
+++ b/Libraries/LibRouter/RequestHandler.cpp
@@ -131,8 +131,7 @@
 std::optional<Duration> RequestHandler::quarantine_left() const
 {
     auto const of_request = this->state.quarantine->held_for(this->fingerprint);
-    auto const of_parts = this->request.prompt ? this->state.quarantine->held_for(this->request.prompt->shared_parts) : std::nullopt;
-    return std::max(of_request, of_parts);
+    return std::max(of_request, this->state.quarantine->held_for(this->shared_parts()));
 }
 
 void RequestHandler::check_key()
@@ -199,10 +198,16 @@
 
 void RequestHandler::note_completed() { this->state.crashes->note_completed(this->service, this->fingerprint); }
 
+PromptParts const& RequestHandler::shared_parts() const
+{
+    static PromptParts const s_none;
+    return this->request.prompt ? this->request.prompt->shared_parts : s_none;
+}
+
 void RequestHandler::note_served()
 {
     if (this->request.prompt)
-        this->state.crashes->note_served(this->request.prompt->shared_parts);
+        this->state.crashes->note_served(this->shared_parts());
 }
 
 void RequestHandler::record_statements(UpstreamRecord const& upstream, ResponseInfo const& info, int status, MonotonicTime sent_at)
@@ -441,7 +446,7 @@
         .with("ms", to_milliseconds(took));
     this->describe_end(line);
     if (this->request.prompt)
-        line.with("parts", describe(this->request.prompt->shared_parts));
+        line.with("parts", describe(this->shared_parts()));
     std::string const kind = this->request.prompt ? "stream" : "call";
     this->state.metrics.increment("spurtide_requests_total", "Requests by kind, outcome and reason", { { "outcome", std::string(outcome) }, { "kind", kind }, { "reason", std::string(reason) } });
     this->state.metrics.observe_seconds("spurtide_request_seconds", "From a request's last byte to its end", to_seconds(took), { { "outcome", std::string(outcome) }, { "kind", kind } });
--- a/Libraries/LibRouter/RequestHandler.h
+++ b/Libraries/LibRouter/RequestHandler.h
@@ -132,7 +132,8 @@
     void stop(StopReason reason);
     /// The remaining quarantine time of the request or of parts of its prompt; empty if it may be sent.
     std::optional<Duration> quarantine_left() const;
-    PromptParts shared_parts() const { return this->request.prompt ? this->request.prompt->shared_parts : PromptParts {}; }
+    /// The parts of its prompt that other requests may share; none for a request without a prompt.
+    PromptParts const& shared_parts() const;
     void check_key();
     void record_rate_limit(std::string_view upstream, ResponseInfo const& info, MonotonicTime sent_at);
     /// Charges the request to its account's quota. Returns false, after sending a response, if the request is quarantined or
