--- a/Libraries/LibRouter/CrashAnalyzer.cpp
+++ b/Libraries/LibRouter/CrashAnalyzer.cpp
@@ -5,6 +5,7 @@
 #include <LibCore/LogLine.h>
 #include <LibRouter/CrashAnalyzer.h>
 #include <algorithm>
+#include <utility>
 
 namespace Spurtide {
 
@@ -26,7 +27,7 @@
         this->ledger.note_crash(report.request, report.upstream, report.ran_for, now);
     this->part_ledger.note_crash(report.request, report.parts, report.upstream, report.ran_for, now);
     if (!report.parts.empty()) {
-        ++this->part_reports;
+        this->has_new_part_reports = true;
         if (this->parts_examination == PartsExamination::Done)
             this->parts_examination = PartsExamination::Due;
     }
@@ -42,9 +43,8 @@
 {
     if (pending.parts.empty() || this->parts_examination == PartsExamination::Done)
         return false;
-    bool const is_examined = this->examined_reports == this->part_reports;
     auto const is_suspect = [this](PromptPart part) { return std::binary_search(this->suspects.parts.begin(), this->suspects.parts.end(), part); };
-    return !is_examined || std::any_of(pending.parts.begin(), pending.parts.end(), is_suspect);
+    return this->has_new_part_reports || std::any_of(pending.parts.begin(), pending.parts.end(), is_suspect);
 }
 
 bool CrashAnalyzer::is_undecided(PendingReport const& pending, MonotonicTime now) const
@@ -82,32 +82,34 @@
     if (now - this->examined_at < this->options.check_interval)
         return;
     this->examined_at = now;
-    auto const is_held = [this](auto const& parts) { return this->quarantine.held_for(parts).has_value(); };
-    if (this->examined_reports != this->part_reports) {
-        this->suspects = this->part_ledger.suspects(is_held, PoisonPartDetector::Crashes::All, now);
-        this->examined_reports = this->part_reports;
-    }
+    if (std::exchange(this->has_new_part_reports, false))
+        this->suspects = this->find_suspects(PoisonPartDetector::Crashes::All, now);
     if (this->suspects.parts.empty()) {
         this->parts_examination = PartsExamination::Done;
         return;
     }
     if (this->asked_at && now - *this->asked_at < this->options.ask_interval)
         return;
-    auto const reported_suspects = this->part_ledger.suspects(is_held, PoisonPartDetector::Crashes::FullyReported, now);
+    auto const reported_suspects = this->find_suspects(PoisonPartDetector::Crashes::FullyReported, now);
     if (reported_suspects.parts.empty()) {
         // Another analyzer may have found the cause in the meantime.
-        this->suspects = this->part_ledger.suspects(is_held, PoisonPartDetector::Crashes::All, now);
+        this->suspects = this->find_suspects(PoisonPartDetector::Crashes::All, now);
         return;
     }
     this->asked_at = now;
     this->parts_examination = PartsExamination::Asked;
-    this->ask_served(reported_suspects, [this, reports = this->part_reports](ServedAnswers const& served) {
-        this->parts_examination = this->part_reports == reports ? PartsExamination::Done : PartsExamination::Due;
+    this->ask_served(reported_suspects, [this](ServedAnswers const& served) {
+        this->parts_examination = this->has_new_part_reports ? PartsExamination::Due : PartsExamination::Done;
         this->quarantine_parts(served, monotonic_now());
         this->decide_pending();
     });
 }
 
+PoisonPartDetector::Suspects CrashAnalyzer::find_suspects(PoisonPartDetector::Crashes which, MonotonicTime now) const
+{
+    return this->part_ledger.suspects([this](auto const& parts) { return this->is_held(parts); }, which, now);
+}
+
 void CrashAnalyzer::quarantine_parts(ServedAnswers const& served, MonotonicTime now)
 {
     PoisonPartDetector::Evidence evidence;
@@ -116,8 +118,7 @@
         return found == served.last_served.end() ? std::optional<MonotonicTime>() : found->second;
     };
     evidence.answers_since = [&](MonotonicTime since) { return since == MonotonicTime {} ? served.answers : served.recent_answers; };
-    auto const is_held = [this](auto const& parts) { return this->quarantine.held_for(parts).has_value(); };
-    for (auto const& cause : this->part_ledger.find_poison_parts(is_held, evidence, now)) {
+    for (auto const& cause : this->part_ledger.find_poison_parts([this](auto const& parts) { return this->is_held(parts); }, evidence, now)) {
         LogLine("parts_quarantined")
             .with("fingerprint", RequestFingerprint::of_parts(cause.parts).to_hex())
             .with("parts", describe(cause.parts))
--- a/Libraries/LibRouter/CrashAnalyzer.h
+++ b/Libraries/LibRouter/CrashAnalyzer.h
@@ -7,7 +7,6 @@
 #include <LibDecision/PoisonRequestDetector.h>
 #include <LibRouter/ReplicatedQuarantine.h>
 #include <asio.hpp>
-#include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
@@ -83,9 +82,11 @@
     void decide_pending();
     void quarantine_causes(MonotonicTime now);
     void examine_parts(MonotonicTime now);
+    PoisonPartDetector::Suspects find_suspects(PoisonPartDetector::Crashes which, MonotonicTime now) const;
     void quarantine_parts(ServedAnswers const& served, MonotonicTime now);
     bool is_quarantined(RequestFingerprint const& request) const { return this->quarantine.held_for(request).has_value(); }
-    bool is_quarantined(PendingReport const& pending) const { return this->is_quarantined(pending.request) || this->quarantine.held_for(pending.parts).has_value(); }
+    bool is_held(PromptParts const& parts) const { return this->quarantine.held_for(parts).has_value(); }
+    bool is_quarantined(PendingReport const& pending) const { return this->is_quarantined(pending.request) || this->is_held(pending.parts); }
     bool may_have_suspect_part(PendingReport const& pending) const;
     bool is_undecided(PendingReport const& pending, MonotonicTime now) const;
     void schedule_decision();
@@ -99,19 +100,17 @@
     AskServed ask_served = [](auto const&, auto const& callback) { callback({}); };
     enum class PartsExamination {
         Done,
-        /// There are reports that have not been taken into account.
+        /// Waiting until all VMs have reported the crashes.
         Due,
         /// Waiting for the other VMs' answers.
         Asked,
     } parts_examination
         = PartsExamination::Done;
-    /// The number of reports that name parts.
-    std::uint64_t part_reports = 0;
-    /// The reports that the suspects are derived from.
-    std::uint64_t examined_reports = 0;
+    /// Whether there are reports that the suspects do not take into account.
+    bool has_new_part_reports = false;
+    PoisonPartDetector::Suspects suspects;
     MonotonicTime examined_at {};
     std::optional<MonotonicTime> asked_at;
-    PoisonPartDetector::Suspects suspects;
     std::vector<PendingReport> pending_reports;
 };
 
