--- a/Libraries/LibAsync/HttpServer.cpp
+++ b/Libraries/LibAsync/HttpServer.cpp
@@ -61,7 +61,7 @@
             co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
             continue;
         }
-        if (this->admission() == Admission::Close) {
+        if (!this->accepts_connection()) {
             // A reset tells the caller at once that nothing of its request was read.
             socket.set_option(asio::socket_base::linger(true, 0), error);
             continue;
--- a/Libraries/LibAsync/HttpServer.h
+++ b/Libraries/LibAsync/HttpServer.h
@@ -50,12 +50,8 @@
     /// one is closed before anything is read of it.
     void set_most_connections(std::size_t count) { this->most_connections = count; }
 
-    enum class Admission {
-        Accept,
-        Close,
-    };
-    /// Decides on each new connection. Others are closed before anything is read of them.
-    void set_admission(std::function<Admission()> hook) { this->admission = std::move(hook); }
+    /// Asked for each new connection. Those that it does not accept are reset before anything is read of them.
+    void set_admission(std::function<bool()> hook) { this->accepts_connection = std::move(hook); }
 
     /// From now on each answer closes its connection.
     void close_after_answers() { this->closing = true; }
@@ -80,7 +76,7 @@
     bool closing = false;
     std::size_t exchanges = 0;
     std::size_t most_connections = DEFAULT_MOST_CONNECTIONS;
-    std::function<Admission()> admission = [] { return Admission::Accept; };
+    std::function<bool()> accepts_connection = [] { return true; };
     std::set<ServerConnection*> connections;
 };
 
--- a/Libraries/LibDecision/ConnectionAdmission.cpp
+++ b/Libraries/LibDecision/ConnectionAdmission.cpp
@@ -18,13 +18,13 @@
     return this->delayed_since && now - *this->delayed_since >= this->options.overloaded_after;
 }
 
-ConnectionAdmission::Decision ConnectionAdmission::decide(MonotonicTime now)
+bool ConnectionAdmission::try_accept(MonotonicTime now)
 {
     bool const is_due = !this->last_accepted || now - *this->last_accepted >= this->options.accept_interval;
     if (this->is_overloaded(now) && !is_due)
-        return Decision::Close;
+        return false;
     this->last_accepted = now;
-    return Decision::Accept;
+    return true;
 }
 
 }
--- a/Libraries/LibDecision/ConnectionAdmission.h
+++ b/Libraries/LibDecision/ConnectionAdmission.h
@@ -27,16 +27,11 @@
     {
     }
 
-    enum class Decision {
-        Accept,
-        Close,
-    };
-
     /// Call regularly with the time by which a timer of the event loop was late.
     void note_loop_delay(Duration delay, MonotonicTime now);
     bool is_overloaded(MonotonicTime now) const;
-    /// Decides on one new connection.
-    Decision decide(MonotonicTime now);
+    /// Whether to accept one new connection.
+    bool try_accept(MonotonicTime now);
 
 private:
     Options options;
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -155,7 +155,7 @@
         return Failure { NodeStartError::CannotListenForCallers };
     this->callers = callers_server.release_value();
     this->callers->set_most_connections(static_cast<std::size_t>(this->settings.descriptors / CALLERS_PART_OF_DESCRIPTORS));
-    this->callers->set_admission([this] { return this->admit_connection(); });
+    this->callers->set_admission([this] { return this->accepts_connection(); });
     auto operations_server = HttpServer::create(this->loop, this->settings.operations_address, [this](auto& exchange) { return this->answer_operations(exchange); });
     if (operations_server.is_error())
         return Failure { NodeStartError::CannotListenForOperations };
@@ -571,13 +571,13 @@
         this->quarantine->verify_store(this->state.upstreams.version().era);
 }
 
-HttpServer::Admission Node::admit_connection()
+bool Node::accepts_connection()
 {
-    if (this->connection_admission.decide(monotonic_now()) == ConnectionAdmission::Decision::Accept)
-        return HttpServer::Admission::Accept;
+    if (this->connection_admission.try_accept(monotonic_now()))
+        return true;
     ++this->closed_connections;
     this->metrics.increment("spurtide_connections_closed_unread_total", "New connections of callers that were closed since the event loop did not keep up", {});
-    return HttpServer::Admission::Close;
+    return false;
 }
 
 void Node::note_loop_delay(MonotonicTime now)
--- a/Services/NodeServer/Node.h
+++ b/Services/NodeServer/Node.h
@@ -79,7 +79,7 @@
     /// This VM's part of the retry budgets' allowance; nothing while it may have used it before a start, or does not know
     /// yet how many share it.
     double retry_allowance_part() const;
-    HttpServer::Admission admit_connection();
+    bool accepts_connection();
     void note_loop_delay(MonotonicTime now);
     QuotaCounter::MembershipCounts count_virtual_machines() const;
     void create_quota();
--- a/Tests/LibDecision/TestConnectionAdmission.cpp
+++ b/Tests/LibDecision/TestConnectionAdmission.cpp
@@ -20,7 +20,7 @@
             this->now += TIMER_INTERVAL + delay;
             this->admission.note_loop_delay(delay, this->now);
             for (int i = 0; i < CONNECTIONS_PER_TIMER; ++i)
-                accepted += this->admission.decide(this->now) == ConnectionAdmission::Decision::Accept ? 1 : 0;
+                accepted += this->admission.try_accept(this->now) ? 1 : 0;
             this->offered += CONNECTIONS_PER_TIMER;
         }
         return accepted;
