--- a/Tests/LibDecision/TestPoisonPartDetector.cpp
+++ b/Tests/LibDecision/TestPoisonPartDetector.cpp
@@ -3,25 +3,18 @@
 
 #include <LibDecision/PoisonPartDetector.h>
 #include <LibDecision/ServedPartHistory.h>
+#include <Tests/Support/PromptParts.h>
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <random>
 
 using namespace Spurtide;
+using namespace Spurtide::Tests;
 
 namespace {
 
 PromptPart part(std::string_view name) { return PromptPart::of("m", name); }
 
-PromptParts parts(std::vector<std::string> const& names)
-{
-    std::vector<PromptPart> made;
-    made.reserve(names.size());
-    for (auto const& name : names)
-        made.push_back(part(name));
-    return make_prompt_parts(std::move(made));
-}
-
 /// A request that was running on an upstream when it crashed.
 struct Running {
     std::string request;
@@ -34,13 +27,13 @@
     {
         auto const name = "i-" + std::to_string(this->crashes++);
         for (auto const& request : running)
-            this->detector.note_crash(RequestFingerprint::of({ "POST", "h.example", "/x", "", request.request }), parts(request.parts), { name, 0 }, request.ran_for, this->now);
+            this->detector.note_crash(RequestFingerprint::of({ "POST", "h.example", "/x", "", request.request }), parts_named(request.parts), { name, 0 }, request.ran_for, this->now);
         this->now += pause;
     }
     void serve(std::vector<std::string> const& names, int times = 1)
     {
         for (int i = 0; i < times; ++i)
-            this->history.note_served(parts(names), this->now);
+            this->history.note_served(parts_named(names), this->now);
         this->now += milliseconds(10);
     }
 
@@ -86,7 +79,7 @@
     test.crash({ { "r2", { "system", "bad" } } });
     CHECK(test.causes().empty());
     test.crash({ { "r3", { "system", "bad" } } });
-    CHECK(test.causes() == Found { parts({ "bad" }) });
+    CHECK(test.causes() == Found { parts_named({ "bad" }) });
 }
 
 // Guards against refusing a whole route for the part that all of its prompts share.
@@ -104,9 +97,9 @@
         test.crash({ { "r" + number, { "system", "bad" } }, { "v" + number, { "system" }, seconds(2) } });
         test.hold_causes();
     }
-    CHECK(test.holds(parts({ "system", "bad", "more" })));
-    CHECK_FALSE(test.holds(parts({ "system" })));
-    CHECK_FALSE(test.holds(parts({ "system", "more" })));
+    CHECK(test.holds(parts_named({ "system", "bad", "more" })));
+    CHECK_FALSE(test.holds(parts_named({ "system" })));
+    CHECK_FALSE(test.holds(parts_named({ "system", "more" })));
 }
 
 TEST_CASE("Parts that always occur together are withheld together only", "[poison-part][lost]")
@@ -115,7 +108,7 @@
     test.serve({ "other" }, 5);
     for (int i = 0; i < 5; ++i)
         test.crash({ { "r" + std::to_string(i), { "system", "tools", "bad" } } });
-    CHECK(test.causes() == Found { parts({ "system", "tools", "bad" }) });
+    CHECK(test.causes() == Found { parts_named({ "system", "tools", "bad" }) });
 }
 
 TEST_CASE("A first part that crashes engines is found below different second parts", "[poison-part]")
@@ -126,7 +119,7 @@
         test.crash({ { "r" + std::to_string(i), { "bad", "tools" + std::to_string(i % 2) } } });
         test.hold_causes();
     }
-    CHECK(test.holds(parts({ "bad", "new" })));
+    CHECK(test.holds(parts_named({ "bad", "new" })));
 }
 
 // Guards against waiting for reports of ever newer crashes.
@@ -136,7 +129,7 @@
     test.serve({ "system" }, 5);
     for (int i = 0; i < 8; ++i)
         test.crash({ { "r" + std::to_string(i), { "system", "bad" } } }, milliseconds(20));
-    CHECK(test.causes() == Found { parts({ "bad" }) });
+    CHECK(test.causes() == Found { parts_named({ "bad" }) });
 }
 
 TEST_CASE("A cause is found by the fifth crash also if each request is sent right after the crash before", "[poison-part]")
@@ -146,7 +139,7 @@
     for (int i = 0; i < 5; ++i)
         test.crash({ { "r" + std::to_string(i), { "system", "bad" }, milliseconds(1) } }, milliseconds(2));
     test.now += milliseconds(60);
-    CHECK(test.causes() == Found { parts({ "bad" }) });
+    CHECK(test.causes() == Found { parts_named({ "bad" }) });
 }
 
 TEST_CASE("Two parts that crash engines at the same time are both found by their fifth crash", "[poison-part]")
@@ -159,9 +152,9 @@
         test.serve({ "system" });
         test.hold_causes();
     }
-    CHECK(test.holds(parts({ "system", "bad" })));
-    CHECK(test.holds(parts({ "system", "worse" })));
-    CHECK_FALSE(test.holds(parts({ "system" })));
+    CHECK(test.holds(parts_named({ "system", "bad" })));
+    CHECK(test.holds(parts_named({ "system", "worse" })));
+    CHECK_FALSE(test.holds(parts_named({ "system" })));
 }
 
 TEST_CASE("Requests that come again are no evidence against their parts", "[poison-part][lost]")
@@ -225,7 +218,7 @@
         CHECK(test.causes().empty());
     }
     test.crash({ { "r5", { "system", "bad" } } });
-    CHECK(test.causes() == Found { parts({ "bad" }) });
+    CHECK(test.causes() == Found { parts_named({ "bad" }) });
 }
 
 TEST_CASE("What is kept of served parts and of crashes is bounded", "[poison-part][bounds]")
@@ -297,7 +290,7 @@
             }
             for (auto const& served : sound) {
                 if (served.ends <= test.now || test.now - served.sent >= EVIDENTLY_SOUND_AFTER)
-                    test.history.note_served(parts(served.request.parts), test.now);
+                    test.history.note_served(parts_named(served.request.parts), test.now);
             }
             std::erase_if(sound, [&](auto const& served) { return served.ends <= test.now; });
             if (test.now < next_crash)
@@ -305,7 +298,7 @@
             next_crash = test.now + milliseconds(50 + draw(900));
             auto const bad_part = "bad" + std::to_string(draw(bad_parts));
             auto const bad = draw_bad(bad_part);
-            if (!is_series && test.holds(parts(bad)))
+            if (!is_series && test.holds(parts_named(bad)))
                 continue;
             int const engine = draw(ENGINES);
             std::vector<Running> running;
@@ -330,9 +323,9 @@
         CAPTURE(run, systems, tools, is_bad_first, is_series, series_crashes, bad_parts);
         for (int system = 0; system < systems; ++system) {
             auto const name = "system" + std::to_string(system);
-            CHECK_FALSE(test.holds(parts({ name })));
+            CHECK_FALSE(test.holds(parts_named({ name })));
             for (int tool = 0; tool < tools; ++tool)
-                CHECK_FALSE(test.holds(parts({ name, name + "tools" + std::to_string(tool) })));
+                CHECK_FALSE(test.holds(parts_named({ name, name + "tools" + std::to_string(tool) })));
         }
         for (auto const& [bad_part, count] : crashes) {
             CAPTURE(bad_part);
--- a/Tests/LibRouter/TestCrashReporter.cpp
+++ b/Tests/LibRouter/TestCrashReporter.cpp
@@ -3,6 +3,7 @@
 
 #include <LibRouter/CrashReporter.h>
 #include <Tests/Support/LoopKernel.h>
+#include <Tests/Support/PromptParts.h>
 #include <catch2/catch.hpp>
 #include <limits>
 
@@ -13,14 +14,6 @@
 
 constexpr auto SERVICE = "engines";
 
-PromptParts parts_named(std::vector<std::string> const& names)
-{
-    std::vector<PromptPart> parts;
-    for (auto const& name : names)
-        parts.push_back(PromptPart::of("m", name));
-    return make_prompt_parts(std::move(parts));
-}
-
 RequestFingerprint request_named(std::string_view body) { return RequestFingerprint::of({ "POST", "h.example", "/x", "", body }); }
 
 /// An in-memory platform store.
