ConnectionAdmission: Log when an overload begins

Found by the test of a busy VM, which waited two seconds by the clock until now and slept to occupy the loop: it now works there, and waits for the lines of the log.

--- a/Libraries/LibDecision/ConnectionAdmission.cpp
+++ b/Libraries/LibDecision/ConnectionAdmission.cpp
@@ -11,17 +11,13 @@
         this->delayed_since.reset();
     else if (!this->delayed_since)
         this->delayed_since = now;
-}
-
-bool ConnectionAdmission::is_overloaded(MonotonicTime now) const
-{
-    return this->delayed_since && now - *this->delayed_since >= this->options.overloaded_after;
+    this->overloaded = this->delayed_since && now - *this->delayed_since >= this->options.overloaded_after;
 }
 
 bool ConnectionAdmission::try_accept(MonotonicTime now)
 {
     bool const is_due = !this->last_accepted || now - *this->last_accepted >= this->options.accept_interval;
-    if (this->is_overloaded(now) && !is_due)
+    if (this->overloaded && !is_due)
         return false;
     this->last_accepted = now;
     return true;
--- a/Libraries/LibDecision/ConnectionAdmission.h
+++ b/Libraries/LibDecision/ConnectionAdmission.h
@@ -29,7 +29,8 @@
 
     /// Call regularly with the time by which a timer of the event loop was late.
     void note_loop_delay(Duration delay, MonotonicTime now);
-    bool is_overloaded(MonotonicTime now) const;
+    /// By the delays noted so far.
+    bool is_overloaded() const { return this->overloaded; }
     /// Whether to accept one new connection.
     bool try_accept(MonotonicTime now);
 
@@ -37,6 +38,7 @@
     Options options;
     /// Since when each delay has been above the limit; empty if the last one was not.
     std::optional<MonotonicTime> delayed_since;
+    bool overloaded = false;
     std::optional<MonotonicTime> last_accepted;
 };
 
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -589,9 +589,9 @@
     auto const delay = std::max(Duration::zero(), std::chrono::duration_cast<Duration>(now - *this->last_lapse_check - LAPSE_CHECK));
     this->last_lapse_check = now;
     this->metrics.observe_seconds("spurtide_loop_delay_seconds", "How late a timer of the event loop ran", to_seconds(delay));
-    bool const was_overloaded = this->connection_admission.is_overloaded(now);
+    bool const was_overloaded = this->connection_admission.is_overloaded();
     this->connection_admission.note_loop_delay(delay, now);
-    bool const is_overloaded = this->connection_admission.is_overloaded(now);
+    bool const is_overloaded = this->connection_admission.is_overloaded();
     if (is_overloaded != was_overloaded)
         LogLine(is_overloaded ? "overload_began" : "overload_ended").with("loop_delay_ms", to_milliseconds(delay)).with("closed_connections", std::exchange(this->closed_connections, 0)).with("requests", static_cast<std::int64_t>(this->callers->exchange_count()));
 }
--- a/Tests/LibDecision/TestConnectionAdmission.cpp
+++ b/Tests/LibDecision/TestConnectionAdmission.cpp
@@ -48,13 +48,13 @@
 {
     AdmissionTest test;
     test.run(milliseconds(150), seconds(1));
-    CHECK(test.admission.is_overloaded(test.now));
+    CHECK(test.admission.is_overloaded());
     test.offered = 0;
     auto const accepted = test.run(milliseconds(150), seconds(10));
     CHECK(accepted * 4 <= test.offered);
     CHECK(accepted >= 10);
     test.run(milliseconds(1), milliseconds(100));
-    CHECK_FALSE(test.admission.is_overloaded(test.now));
+    CHECK_FALSE(test.admission.is_overloaded());
     test.offered = 0;
     CHECK(test.run(milliseconds(1), seconds(2)) == test.offered);
 }
--- a/Tests/Platform/TestBusyVirtualMachine.cpp
+++ b/Tests/Platform/TestBusyVirtualMachine.cpp
@@ -2,10 +2,11 @@
 // SPDX-License-Identifier: BSD-2-Clause
 
 #include <LibCore/Clock.h>
+#include <LibCore/LogLine.h>
 #include <Tests/Platform/NodeUnderTest.h>
 #include <algorithm>
 #include <catch2/catch.hpp>
-#include <thread>
+#include <string>
 
 using namespace Spurtide;
 using namespace Spurtide::Tests;
@@ -14,6 +15,34 @@
 
 constexpr std::size_t CALLERS = 16;
 
+/// Occupies an event loop with work that takes 160 ms of each turn.
+class BusyLoop {
+public:
+    explicit BusyLoop(asio::io_context& loop)
+        : loop(loop)
+    {
+    }
+
+    void start()
+    {
+        this->is_busy = true;
+        asio::post(this->loop, [this] { this->work(); });
+    }
+    void stop() { this->is_busy = false; }
+
+private:
+    void work()
+    {
+        auto const until = monotonic_now() + milliseconds(160);
+        while (monotonic_now() < until) { }
+        if (this->is_busy)
+            asio::post(this->loop, [this] { this->work(); });
+    }
+
+    asio::io_context& loop;
+    bool is_busy = false;
+};
+
 std::vector<HttpRequest> requests_of(NodeUnderTest& test, std::string const& name)
 {
     std::vector<HttpRequest> made;
@@ -39,19 +68,11 @@
     auto const address = test.node->caller_address();
     CHECK(count_served(test.call_all(address, requests_of(test, "calm"))) == CALLERS);
 
-    bool is_busy = true;
-    auto const occupy = [&test, &is_busy] {
-        auto const again = [](auto const& self, asio::io_context& loop, bool const& goes_on) -> void {
-            if (!goes_on)
-                return;
-            std::this_thread::sleep_for(std::chrono::milliseconds(160));
-            asio::post(loop, [self, &loop, &goes_on] { self(self, loop, goes_on); });
-        };
-        asio::post(test.loop, [again, &test, &is_busy] { again(again, test.loop, is_busy); });
-    };
-    occupy();
-    auto const busy_since = monotonic_now();
-    REQUIRE(test.run_until([&] { return monotonic_now() - busy_since > seconds(2); }));
+    std::string lines;
+    LogLine::set_observer([&](std::string_view line) { lines.append(line).append("\n"); });
+    BusyLoop busy(test.loop);
+    busy.start();
+    REQUIRE(test.run_until([&] { return lines.find("event=overload_began") != std::string::npos; }));
     auto const answers = test.call_all(address, requests_of(test, "busy"));
     auto const served = count_served(answers);
     auto const closed = static_cast<std::size_t>(std::count_if(answers.begin(), answers.end(), [](auto const& answer) { return answer.error.has_value(); }));
@@ -61,8 +82,7 @@
     CHECK(served + closed == CALLERS);
     CHECK(upstream.run.size() == CALLERS + served);
 
-    is_busy = false;
-    auto const calm_since = monotonic_now();
-    REQUIRE(test.run_until([&] { return monotonic_now() - calm_since > milliseconds(500); }));
+    busy.stop();
+    REQUIRE(test.run_until([&] { return lines.find("event=overload_ended") != std::string::npos; }));
     CHECK(count_served(test.call_all(address, requests_of(test, "after"))) == CALLERS);
 }
