--- a/Libraries/LibRouter/VirtualMachineRanking.cpp
+++ b/Libraries/LibRouter/VirtualMachineRanking.cpp
@@ -5,6 +5,7 @@
 #include <LibDecision/CellMap.h>
 #include <LibRouter/VirtualMachineRanking.h>
 #include <algorithm>
+#include <utility>
 
 namespace Spurtide {
 
@@ -32,7 +33,15 @@
     auto found = responsive(STRONG_PLACEMENT_SERVICE);
     if (found.empty())
         found = responsive(PLACEMENT_SERVICE);
-    std::sort(found.begin(), found.end(), [&](auto const& a, auto const& b) { return rendezvous_score(key, a) > rendezvous_score(key, b); });
+    // Requests of hundreds of VMs ask for rankings, and most of the time would go into scores that are computed for each comparison.
+    std::vector<std::pair<std::uint64_t, std::string>> scored;
+    scored.reserve(found.size());
+    for (auto& name : found) {
+        auto const score = rendezvous_score(key, name);
+        scored.emplace_back(score, std::move(name));
+    }
+    std::sort(scored.begin(), scored.end(), [](auto const& a, auto const& b) { return a.first > b.first; });
+    std::transform(scored.begin(), scored.end(), found.begin(), [](auto& entry) { return std::move(entry.second); });
     return found;
 }
 
