UnaryRequestHandler: Ask for a permit before each send

The ask excludes the upstreams that this VM would not choose itself. A refused request is answered at once that it has not run, unless an earlier send may have run. Without an answer of a controller, the upstream is chosen as before.

--- a/Libraries/LibRouter/RouterState.h
+++ b/Libraries/LibRouter/RouterState.h
@@ -23,6 +23,7 @@
 
 namespace Spurtide {
 
+class CallAdmissionClient;
 class CrashReporter;
 class PlacementClient;
 class ReplicatedQuarantine;
@@ -62,6 +63,8 @@
     ReplicatedQuarantine* quarantine = nullptr;
     CrashReporter* crashes = nullptr;
     UpstreamLimiter* limiter = nullptr;
+    /// Null if plain calls are sent without asking for a permit.
+    CallAdmissionClient* call_admission = nullptr;
     StreamOriginDirectory* stream_origins = nullptr;
     /// Null where no VM relays requests of others.
     RelayClient* relays = nullptr;
--- a/Libraries/LibRouter/UnaryRequestHandler.cpp
+++ b/Libraries/LibRouter/UnaryRequestHandler.cpp
@@ -7,6 +7,7 @@
 #include <LibRouter/UnaryRequestHandler.h>
 #include <LibRouter/UpstreamCall.h>
 #include <LibRouter/UpstreamLimiter.h>
+#include <algorithm>
 #include <map>
 
 namespace Spurtide {
@@ -23,6 +24,11 @@
 constexpr Duration FULL_UPSTREAM_RETRY_AFTER = milliseconds(300);
 /// Share of the latency target that a request may wait for its turn at an upstream; the rest is for the response.
 constexpr double TURN_WAIT_SHARE = 0.5;
+/// Permits that name an upstream which this VM does not list as serving, after which it chooses one itself. Lists differ for
+/// the time that news of the registry take.
+constexpr int MAXIMUM_UNUSABLE_PERMITS = 3;
+/// Accounts' priorities are multiplied by it, as they take precedence over those of routes.
+constexpr std::int64_t LARGEST_PRIORITY = 1000;
 /// A response to another request may arrive before the expected one.
 constexpr int MAXIMUM_MISMATCHED_RESPONSES = 3;
 
@@ -43,18 +49,24 @@
 
 }
 
-std::optional<UpstreamRecord> UnaryRequestHandler::choose_upstream()
+std::vector<UpstreamRecord const*> UnaryRequestHandler::find_candidates(MonotonicTime now)
 {
     std::vector<UpstreamRecord const*> records;
     this->state.upstreams.for_each([&](UpstreamRecord const& record) {
         if (record.service == this->service && record.life == UpstreamRecord::Life::Serving && this->may_use_data_centre(record.data_centre) && !this->tried_upstreams.contains(record.identity))
             records.push_back(&record);
     });
-    auto const now = monotonic_now();
     this->keep_best_route(records, now);
     std::erase_if(records, [&](auto const* record) { return this->state.limiter->requested_pause_left(*record, now) > Duration::zero(); });
     this->exclude_cold_upstreams(records, now);
     this->exclude_limited_upstreams(records, now);
+    return records;
+}
+
+std::optional<UpstreamRecord> UnaryRequestHandler::choose_upstream()
+{
+    auto const now = monotonic_now();
+    auto const records = this->find_candidates(now);
     this->was_only_choice = records.size() == 1;
     std::vector<SelectableUpstream> selectable;
     for (auto const* record : records) {
@@ -65,9 +77,14 @@
     if (!index)
         return {};
     auto const& chosen = *records[*index];
+    this->note_chosen(chosen, now);
+    return chosen;
+}
+
+void UnaryRequestHandler::note_chosen(UpstreamRecord const& chosen, MonotonicTime now)
+{
     if (this->is_cold(chosen, now))
         this->state.cold_turns.note_sent(chosen.identity, this->cold_rate(), this->state.sending_machines(), unix_time());
-    return chosen;
 }
 
 void UnaryRequestHandler::keep_best_route(std::vector<UpstreamRecord const*>& records, MonotonicTime now)
@@ -149,20 +166,180 @@
         auto const upstream = this->choose_upstream();
         if (!upstream)
             co_return std::nullopt;
-        // Only wait for a turn if there is no other upstream to try.
-        auto const wait = this->was_only_choice ? this->longest_wait_for_turn() : Duration::zero();
-        auto const turn_patience = this->was_only_choice ? this->caller_time_left() : Duration::zero();
-        bool const has_turn = co_await this->take_turn(upstream->identity, wait, turn_patience);
-        if (has_turn)
+        auto const turn = co_await this->take_turn_at(upstream->identity);
+        if (turn == Turn::Taken)
+            co_return upstream;
+        if (turn == Turn::Reserved)
+            co_return std::nullopt;
+    }
+    co_return std::nullopt;
+}
+
+asio::awaitable<UnaryRequestHandler::Turn> UnaryRequestHandler::take_turn_at(std::string upstream)
+{
+    // Only wait for a turn if there is no other upstream to try.
+    auto const wait = this->was_only_choice ? this->longest_wait_for_turn() : Duration::zero();
+    auto const turn_patience = this->was_only_choice ? this->caller_time_left() : Duration::zero();
+    bool const has_turn = co_await this->take_turn(upstream, wait, turn_patience);
+    if (has_turn)
+        co_return Turn::Taken;
+    // The caller has been assigned a time to retry. Asking another upstream would reserve a second one.
+    if (turn_patience > Duration::zero())
+        co_return Turn::Reserved;
+    this->upstreams_without_turn.insert(std::move(upstream));
+    co_return Turn::Denied;
+}
+
+void UnaryRequestHandler::on_stop()
+{
+    if (this->pending_permit)
+        this->pending_permit->give_up();
+}
+
+std::int64_t UnaryRequestHandler::permit_priority() const
+{
+    auto const* book = this->routes->configuration().accounts.get();
+    auto const* found = book ? book->find_by_name(this->account) : nullptr;
+    auto const of_account = found ? std::clamp<std::int64_t>(found->priority, 0, LARGEST_PRIORITY) : 0;
+    return of_account * LARGEST_PRIORITY + std::clamp<std::int64_t>(this->route.priority, 0, LARGEST_PRIORITY - 1);
+}
+
+// Excludes all upstreams of the service that are no candidates for this request.
+CallAdmissionClient::Ask UnaryRequestHandler::permit_ask(MonotonicTime now)
+{
+    auto candidates = this->find_candidates(now);
+    this->was_only_choice = candidates.size() == 1;
+    auto const is_ejected = [&](auto const* record) { return this->state.selector.is_ejected(record->identity, now); };
+    // Like the selector, trust the ejections only if they leave half of the upstreams.
+    if (static_cast<std::size_t>(std::count_if(candidates.begin(), candidates.end(), is_ejected)) * 2 <= candidates.size())
+        std::erase_if(candidates, is_ejected);
+    std::set<std::string_view> usable;
+    for (auto const* record : candidates)
+        usable.insert(record->identity);
+    CallAdmissionClient::Ask ask;
+    this->state.upstreams.for_each([&](UpstreamRecord const& record) {
+        if (record.service != this->service || record.life != UpstreamRecord::Life::Serving)
+            return;
+        ++ask.upstreams;
+        if (!usable.contains(record.identity))
+            ask.excluded_upstreams.push_back(record.identity);
+    });
+    ask.excluded_upstreams.insert(ask.excluded_upstreams.end(), this->unusable_upstreams.begin(), this->unusable_upstreams.end());
+    ask.service = this->service;
+    ask.request = this->request.identifier;
+    ask.account = this->account;
+    ask.priority = this->permit_priority();
+    ask.target_time = this->exchange.received_at() + this->route.latency_target;
+    ask.timeout = this->deadline;
+    // A request that may have run is not refused with a time to retry. A retry needs time for its response, too.
+    if (this->earlier == SendHistory::Earlier::HasNotRun)
+        ask.retry_patience = std::max(Duration::zero(), this->caller_time_left() - this->route.latency_target);
+    if (usable.empty())
+        ask.upstreams = 0;
+    return ask;
+}
+
+asio::awaitable<CallAdmissionClient::Answer> UnaryRequestHandler::ask_for_permit(CallAdmissionClient::Ask ask)
+{
+    auto const pending = std::make_shared<CallAdmissionClient::PendingAsk>(this->state.loop.get_executor());
+    this->pending_permit = pending;
+    auto answer = co_await this->state.call_admission->ask(std::move(ask), pending);
+    this->pending_permit.reset();
+    co_return answer;
+}
+
+std::optional<UpstreamRecord> UnaryRequestHandler::find_granted(std::string const& upstream) const
+{
+    auto const* record = this->state.upstreams.find(upstream);
+    if (!record || record->service != this->service || record->life != UpstreamRecord::Life::Serving || !this->may_use_data_centre(record->data_centre))
+        return {};
+    return *record;
+}
+
+asio::awaitable<std::optional<UpstreamRecord>> UnaryRequestHandler::choose_upstream_without_permit(CallAdmissionClient::Ask ask)
+{
+    auto upstream = co_await this->choose_upstream_with_turn();
+    if (upstream)
+        this->permit = this->state.call_admission->note_unpermitted(ask, upstream->identity);
+    co_return upstream;
+}
+
+asio::awaitable<std::optional<UpstreamRecord>> UnaryRequestHandler::choose_admitted_upstream()
+{
+    this->permit_refusal.reset();
+    if (!this->state.call_admission) {
+        auto upstream = co_await this->choose_upstream_with_turn();
+        co_return upstream;
+    }
+    this->upstreams_without_turn.clear();
+    this->unusable_upstreams.clear();
+    while (!this->is_stopped()) {
+        auto const ask = this->permit_ask(monotonic_now());
+        if (ask.upstreams == 0)
+            co_return std::nullopt;
+        auto answer = co_await this->ask_for_permit(ask);
+        if (auto const* refusal = std::get_if<CallAdmissionClient::Refusal>(&answer)) {
+            this->permit_refusal = *refusal;
+            co_return std::nullopt;
+        }
+        if (auto const* missing = std::get_if<CallAdmissionClient::NoAnswer>(&answer)) {
+            if (*missing == CallAdmissionClient::NoAnswer::Withdrawn)
+                co_return std::nullopt;
+            auto upstream = co_await this->choose_upstream_without_permit(ask);
+            co_return upstream;
+        }
+        auto& grant = std::get<CallAdmissionClient::Grant>(answer);
+        auto const upstream = this->find_granted(grant.upstream);
+        if (!upstream) {
+            LogLine("call_permit_unusable").with("request", this->request.identifier).with("service", this->service).with("upstream", grant.upstream);
+            this->unusable_upstreams.insert(grant.upstream);
+            if (this->unusable_upstreams.size() < MAXIMUM_UNUSABLE_PERMITS)
+                continue;
+            grant.permit.end(CallOutcome::Unused, {});
+            auto chosen = co_await this->choose_upstream_without_permit(ask);
+            co_return chosen;
+        }
+        this->note_chosen(*upstream, monotonic_now());
+        auto const turn = co_await this->take_turn_at(upstream->identity);
+        if (turn == Turn::Taken) {
+            this->permit = std::move(grant.permit);
             co_return upstream;
-        // The caller has been assigned a time to retry. Asking another upstream would reserve a second one.
-        if (turn_patience > Duration::zero())
+        }
+        if (turn == Turn::Reserved)
             co_return std::nullopt;
-        this->upstreams_without_turn.insert(upstream->identity);
     }
     co_return std::nullopt;
 }
 
+void UnaryRequestHandler::end_permit(Attempt const& attempt)
+{
+    auto outcome = CallOutcome::Unused;
+    switch (attempt.end) {
+    case SendOutcome::Success:
+    case SendOutcome::OwnFailure:
+        outcome = CallOutcome::Answered;
+        break;
+    case SendOutcome::NotExecuted:
+        outcome = CallOutcome::Shed;
+        break;
+    case SendOutcome::NotSent:
+        break;
+    case SendOutcome::Lost:
+        // A request whose caller left says nothing about the upstream's health.
+        outcome = this->exchange.is_caller_gone() ? CallOutcome::Unused : CallOutcome::Failed;
+        break;
+    }
+    this->permit.end(outcome, attempt.service_time);
+}
+
+bool UnaryRequestHandler::may_retry_tried() const
+{
+    // A refused request is not sent anywhere if it can be said that it has not run.
+    bool const is_refused = this->permit_refusal && this->permit_refusal->reason != CallRefusalReason::NoUpstream && this->earlier == SendHistory::Earlier::HasNotRun;
+    bool const has_tried = !this->tried_upstreams.empty() || this->connect_attempts > 0;
+    return !is_refused && has_tried && this->route.kind == RouteKind::Repeatable && this->connect_attempts < MAXIMUM_CONNECT_ATTEMPTS;
+}
+
 asio::awaitable<void> UnaryRequestHandler::respond_without_upstream(Attempt const& last)
 {
     // An upstream's error response tells the caller more than the lack of another upstream.
@@ -175,6 +352,11 @@
         co_await this->fail(502, "no_upstream");
         co_return;
     }
+    if (this->permit_refusal && this->permit_refusal->reason != CallRefusalReason::NoUpstream) {
+        auto const permit_reason = "call_" + std::string(to_string(this->permit_refusal->reason));
+        co_await this->refuse(permit_reason, this->permit_refusal->retry_after);
+        co_return;
+    }
     std::string reason = this->residency.is_restricted() ? "no_upstream_in_home_regions" : "no_upstream";
     if (this->was_without_route)
         reason = "upstreams_unreachable";
@@ -204,12 +386,12 @@
             co_await this->send_stopped_response();
             co_return;
         }
-        auto upstream = co_await this->choose_upstream_with_turn();
-        if (!upstream && this->route.kind == RouteKind::Repeatable && (!this->tried_upstreams.empty() || this->connect_attempts > 0) && this->connect_attempts < MAXIMUM_CONNECT_ATTEMPTS) {
+        auto upstream = co_await this->choose_admitted_upstream();
+        if (!upstream && this->may_retry_tried()) {
             // Without another upstream, retry those that failed before.
             this->tried_upstreams.clear();
             this->unreached_upstreams.clear();
-            upstream = co_await this->choose_upstream_with_turn();
+            upstream = co_await this->choose_admitted_upstream();
         }
         if (this->is_stopped()) {
             co_await this->send_stopped_response();
@@ -221,6 +403,7 @@
         }
         auto const send_began = monotonic_now();
         last = co_await this->send_to(*upstream);
+        this->end_permit(last);
         auto const took = std::chrono::duration_cast<Duration>(monotonic_now() - send_began);
         if (last.end != SendOutcome::NotSent)
             this->tried_upstreams.insert(upstream->identity);
@@ -309,6 +492,7 @@
     }
     auto const now = monotonic_now();
     auto const took = std::chrono::duration_cast<Duration>(now - sent_at);
+    attempt.service_time = std::chrono::duration_cast<Duration>(now - link->send_time());
     // A request that was stopped on our side says nothing about the upstream's health.
     auto const outcome = this->is_stopped() && attempt.end == SendOutcome::Lost ? UpstreamOutcome::Full : outcome_of(attempt.end);
     this->state.selector.note_end(upstream.identity, outcome, took, now);
