--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -131,6 +131,7 @@
     this->create_quota();
     this->create_quarantine();
     this->create_limiter();
+    this->create_call_admission();
     this->stream_origins = std::make_unique<StreamOriginDirectory>(StreamOriginDirectory::Options {}, *this->kernel, this->metrics, this->settings.data_centre, [](MemberRecord const& member) { return RegistryRelay::data_centre_of(member); });
     this->state.stream_origins = this->stream_origins.get();
     this->placement_service = std::make_unique<PlacementService>(scheduler_options(this->settings), *this->kernel, this->metrics, this->loop);
@@ -176,6 +177,7 @@
     this->quota->start();
     this->quarantine->start();
     this->stream_origins->start();
+    this->call_admission_service->start();
     this->placement_service->start();
     if (this->role_controller)
         this->role_controller->start();
@@ -319,6 +321,15 @@
     this->state.note_departure = [this](auto const& upstream) { this->adopt_departure(upstream, "response"); };
 }
 
+void Node::create_call_admission()
+{
+    this->call_admission_service = std::make_unique<CallAdmissionService>(CallAdmissionService::Options {}, *this->kernel, this->state.upstreams, this->metrics, this->loop);
+    this->call_admission = std::make_unique<CallAdmissionClient>(CallAdmissionClient::Options {}, *this->kernel, this->placement->ranking(), this->metrics, this->settings.data_centre);
+    // Every VM hosts the service, so that the setting can be switched on at one VM after the other.
+    if (this->settings.call_admission == NodeSettings::CallAdmission::On)
+        this->state.call_admission = this->call_admission.get();
+}
+
 void Node::host_services()
 {
     this->kernel->host("directory", [this](wire::Envelope const& request, Kernel::Responder const& respond) {
@@ -332,6 +343,7 @@
     this->kernel->host(std::string(PLACEMENT_SERVICE), [this](wire::Envelope const& request, Kernel::Responder const& respond) { this->placement_service->handle(request, respond); });
     this->quota_counter->host();
     this->limit_counter->host();
+    this->call_admission_service->host();
     this->crash_reporter->host();
     this->stream_origins->host();
     // A mark in the directory: a VM that is to be asked before others.
@@ -430,6 +442,7 @@
     this->placement_service->set_accounts(book ? std::span<ClientAccount const>(book->accounts()) : std::span<ClientAccount const>());
     if (book)
         this->quota_counter->retain(*book);
+    this->call_admission->set_accounts(book ? std::span<ClientAccount const>(book->accounts()) : std::span<ClientAccount const>());
 }
 
 std::size_t Node::count_upstreams(std::string_view data_centre) const
@@ -476,6 +489,7 @@
     this->state.reachability->retain(is_listed);
     this->upstream_limits.retain(is_listed);
     this->limiter->forget_unlimited();
+    this->call_admission_service->note_upstreams_changed();
 }
 
 std::string Node::wire_address() const
--- a/Services/NodeServer/Node.h
+++ b/Services/NodeServer/Node.h
@@ -6,6 +6,8 @@
 #include <LibAsync/HttpServer.h>
 #include <LibCore/Metrics.h>
 #include <LibDecision/ConnectionAdmission.h>
+#include <LibRouter/CallAdmissionClient.h>
+#include <LibRouter/CallAdmissionService.h>
 #include <LibRouter/CrashReporter.h>
 #include <LibRouter/PlacementClient.h>
 #include <LibRouter/PlacementService.h>
@@ -85,6 +87,7 @@
     void create_quota();
     void create_quarantine();
     void create_limiter();
+    void create_call_admission();
     void create_relay();
     void limit_relayed_requests();
     /// Whether this VM offers to relay requests of VMs that are partitioned from the upstreams.
@@ -123,6 +126,8 @@
     UpstreamLimitTable upstream_limits;
     std::unique_ptr<UpstreamLimitCounter> limit_counter;
     std::unique_ptr<UpstreamLimiter> limiter;
+    std::unique_ptr<CallAdmissionService> call_admission_service;
+    std::unique_ptr<CallAdmissionClient> call_admission;
     std::unique_ptr<StreamOriginDirectory> stream_origins;
     std::unique_ptr<RelayClient> relay_client;
     std::unique_ptr<RelayService> relay_service;
--- a/Services/NodeServer/NodeSettings.h
+++ b/Services/NodeServer/NodeSettings.h
@@ -58,6 +58,12 @@
         On,
     } role_changes
         = RoleChanges::Off;
+    /// Whether plain calls ask the admission controller of their service for a place at an upstream before each send.
+    enum class CallAdmission {
+        Off,
+        On,
+    } call_admission
+        = CallAdmission::Off;
     /// How long one write to the lease of those orders is good for.
     Duration lease_time = seconds(3);
     /// Within what time news of the registry have to be in force.
--- a/Tests/Platform/PeerVirtualMachine.h
+++ b/Tests/Platform/PeerVirtualMachine.h
@@ -15,8 +15,9 @@
 /// Another VM beside the node, as far as membership goes. It has a loop of its own, and is silent while that is not run.
 class PeerVirtualMachine {
 public:
-    /// With a handler, it may be the keeper of the engines, and answers with it those that ask for placements.
-    PeerVirtualMachine(NodeUnderTest& test, std::string const& name, Kernel::Handler placement = {})
+    /// With a handler, it may be the keeper of the engines, and answers with it those that ask for placements. With a second
+    /// one it answers those that ask for permits for plain calls.
+    PeerVirtualMachine(NodeUnderTest& test, std::string const& name, Kernel::Handler placement = {}, Kernel::Handler const& call_admission = {})
         : kernel(make_loop_kernel(this->loop, name))
     {
         MembershipService::Options options;
@@ -34,6 +35,8 @@
         });
         if (placement)
             this->kernel->host("placement-strong", placement);
+        if (call_admission)
+            this->kernel->host("call-admission", call_admission);
         Kernel::Handler const silent = [](wire::Envelope const&, Kernel::Responder const&) {};
         this->kernel->host("placement", placement ? placement : silent);
         this->kernel->start();
--- a/Tests/Platform/UpstreamStandIn.cpp
+++ b/Tests/Platform/UpstreamStandIn.cpp
@@ -36,7 +36,7 @@
 
 nlohmann::json UpstreamStandIn::entry(std::string const& service, std::string const& state) const
 {
-    nlohmann::json json { { "service", service }, { "address", this->listed_address.value_or(this->address()).to_string() }, { "zone", this->data_centre }, { "version", this->software_version }, { "slots", 6 }, { "state", state }, { "cold_left_ms", 0 }, { "call_seq", 0 } };
+    nlohmann::json json { { "service", service }, { "address", this->listed_address.value_or(this->address()).to_string() }, { "zone", this->data_centre }, { "version", this->software_version }, { "slots", this->slots }, { "state", state }, { "cold_left_ms", 0 }, { "call_seq", 0 } };
     if (!this->phase.empty())
         json["phase"] = this->phase;
     if (this->started > 0)
--- a/Tests/Platform/UpstreamStandIn.h
+++ b/Tests/Platform/UpstreamStandIn.h
@@ -35,6 +35,7 @@
     std::string identity;
     std::string phase;
     std::string data_centre = "dc";
+    int slots = 6;
     /// The address in its entry; its own if empty.
     std::optional<Address> listed_address;
     Script script;
