--- a/Libraries/LibRouter/CallAdmissionService.cpp
+++ b/Libraries/LibRouter/CallAdmissionService.cpp
@@ -35,7 +35,7 @@
 }
 
 CallAdmissionService::CallAdmissionService(Options options, Kernel& kernel, UpstreamList const& upstreams, Metrics& metrics, asio::io_context& loop)
-    : options(std::move(options))
+    : options(options)
     , kernel(kernel)
     , upstreams(upstreams)
     , metrics(metrics)
