--- a/Libraries/LibDecision/AccountShares.h
+++ b/Libraries/LibDecision/AccountShares.h
@@ -39,6 +39,7 @@
     /// (Held amount + decayed consumption) / weight; 0 for unknown accounts.
     double usage(std::string_view account, MonotonicTime now) const;
     double held(std::string_view account) const;
+    double weight(std::string_view account) const;
     /// Whether another account has been active lately.
     bool has_other_active(std::string_view account, MonotonicTime now) const;
     /// Forgets inactive accounts that hold nothing and have the default weight.
@@ -53,6 +54,12 @@
         MonotonicTime active_at;
     };
 
+    Account& find_or_add(std::string_view account, MonotonicTime now);
+    double consumed(Account const& account, MonotonicTime now) const;
+    double usage(Account const& account, MonotonicTime now) const;
+    bool is_active(Account const& account, MonotonicTime now) const;
+    static void set_consumed(Account& account, double amount, MonotonicTime now);
+
     Options options;
     std::map<std::string, Account, std::less<>> accounts;
 };
