UpstreamSelector: Tell whether an upstream is suspended or full

The admission queue of plain calls counts places itself, and uses the selector for what it knows of failures: ejections that double, then one trial request at a time. A place that was granted and not used must end neither as success nor as failure, hence NotSent.

--- a/Libraries/LibDecision/UpstreamSelector.cpp
+++ b/Libraries/LibDecision/UpstreamSelector.cpp
@@ -60,6 +60,8 @@
         return;
     auto& state = found->second;
     state.in_flight = std::max<std::int64_t>(0, state.in_flight - 1);
+    if (outcome == UpstreamOutcome::NotSent)
+        return;
     if (outcome == UpstreamOutcome::Full) {
         state.full_until = now + this->options.full_backoff;
         return;
@@ -101,4 +103,16 @@
     return found != this->states.end() && now < found->second.ejected_until;
 }
 
+bool UpstreamSelector::is_suspended(std::string_view identity, MonotonicTime now) const
+{
+    auto const found = this->states.find(identity);
+    return found != this->states.end() && (now < found->second.ejected_until || (found->second.needs_trial && found->second.in_flight > 0));
+}
+
+bool UpstreamSelector::is_full(std::string_view identity, MonotonicTime now) const
+{
+    auto const found = this->states.find(identity);
+    return found != this->states.end() && now < found->second.full_until;
+}
+
 }
--- a/Libraries/LibDecision/UpstreamSelector.h
+++ b/Libraries/LibDecision/UpstreamSelector.h
@@ -33,6 +33,8 @@
     Full,
     /// The upstream sent no response or an incomplete one.
     Failed,
+    /// The request was not sent after all.
+    NotSent,
 };
 
 /// Selects upstreams of plain services by observed response times and requests in flight. Upstreams that fail are
@@ -67,6 +69,10 @@
 
     std::int64_t in_flight(std::string_view identity) const;
     bool is_ejected(std::string_view identity, MonotonicTime now) const;
+    /// Whether the upstream is ejected, or has a trial request in flight.
+    bool is_suspended(std::string_view identity, MonotonicTime now) const;
+    /// Whether the upstream has just reported that it is full.
+    bool is_full(std::string_view identity, MonotonicTime now) const;
 
 private:
     struct UpstreamState {
--- a/Tests/LibDecision/TestUpstreams.cpp
+++ b/Tests/LibDecision/TestUpstreams.cpp
@@ -150,6 +150,30 @@
     REQUIRE(chosen.size() == 3);
 }
 
+TEST_CASE("An upstream on trial is suspended while its request is in flight, and requests that were not sent are no trial")
+{
+    UpstreamSelector selector({ 3, milliseconds(1000), seconds(8) });
+    for (int i = 0; i < 3; ++i) {
+        selector.note_sent("a");
+        selector.note_end("a", UpstreamOutcome::Failed, Duration::zero(), at_milliseconds(0));
+    }
+    REQUIRE(selector.is_suspended("a", at_milliseconds(999)));
+    REQUIRE_FALSE(selector.is_suspended("a", at_milliseconds(1000)));
+    selector.note_sent("a");
+    REQUIRE(selector.is_suspended("a", at_milliseconds(1001)));
+    selector.note_end("a", UpstreamOutcome::NotSent, Duration::zero(), at_milliseconds(1002));
+    REQUIRE(selector.in_flight("a") == 0);
+    REQUIRE_FALSE(selector.is_ejected("a", at_milliseconds(1003)));
+    REQUIRE_FALSE(selector.is_suspended("a", at_milliseconds(1003)));
+    // It is still on trial.
+    selector.note_sent("a");
+    REQUIRE(selector.is_suspended("a", at_milliseconds(1004)));
+    selector.note_end("a", UpstreamOutcome::Full, Duration::zero(), at_milliseconds(1005));
+    REQUIRE(selector.is_full("a", at_milliseconds(1100)));
+    REQUIRE_FALSE(selector.is_full("a", at_milliseconds(1200)));
+    REQUIRE_FALSE(selector.is_full("unknown", at_milliseconds(0)));
+}
+
 TEST_CASE("The least loaded upstream is selected, and a full one only if all are full")
 {
     UpstreamSelector selector({});
