UnaryRequestHandler: Exclude upstreams under trial, test what permits lead to

The selector sends one trial call at a time to an upstream that it has ejected; a permit would have sent others beside it. The tests answer the asks of a node by a script: a permit for an unlisted upstream, one that turns the call away, and refusals before and after a send that may have run.

--- a/Libraries/LibRouter/UnaryRequestHandler.cpp
+++ b/Libraries/LibRouter/UnaryRequestHandler.cpp
@@ -209,10 +209,10 @@
 {
     auto candidates = this->find_candidates(now);
     this->was_only_choice = candidates.size() == 1;
-    auto const is_ejected = [&](auto const* record) { return this->state.selector.is_ejected(record->identity, now); };
+    auto const is_suspended = [&](auto const* record) { return this->state.selector.is_suspended(record->identity, now); };
     // Like the selector, trust the ejections only if they leave half of the upstreams.
-    if (static_cast<std::size_t>(std::count_if(candidates.begin(), candidates.end(), is_ejected)) * 2 <= candidates.size())
-        std::erase_if(candidates, is_ejected);
+    if (static_cast<std::size_t>(std::count_if(candidates.begin(), candidates.end(), is_suspended)) * 2 <= candidates.size())
+        std::erase_if(candidates, is_suspended);
     std::set<std::string_view> usable;
     for (auto const* record : candidates)
         usable.insert(record->identity);
--- a/Tests/Platform/TestCallAdmission.cpp
+++ b/Tests/Platform/TestCallAdmission.cpp
@@ -98,6 +98,55 @@
     std::vector<CallerAnswer> answers;
 };
 
+/// Another VM that decides about the calls of the node by a list of upstreams; an empty one is a refusal.
+class ScriptedController {
+public:
+    ScriptedController(NodeUnderTest& test, std::vector<std::string> answers)
+        : test(test)
+        , answers(std::move(answers))
+        , peer(
+              test, name_of_controller({ "vm-1" }), [](wire::Envelope const&, Kernel::Responder const&) {}, [this](wire::Envelope const& request, Kernel::Responder const& respond) { this->answer(request, respond); })
+    {
+        REQUIRE(this->peer.is_seen_by(test));
+        test.beside = [this] { this->peer.run(); };
+    }
+    ~ScriptedController()
+    {
+        this->test.beside = [] {};
+    }
+    ScriptedController(ScriptedController const&) = delete;
+    ScriptedController& operator=(ScriptedController const&) = delete;
+
+    std::vector<wire::CallPermitAsk> asks;
+    std::vector<wire::CallPermitReturn> returns;
+
+private:
+    void answer(wire::Envelope const& request, Kernel::Responder const& respond)
+    {
+        if (request.has_call_permit_return())
+            this->returns.push_back(request.call_permit_return());
+        if (!request.has_call_permit_ask() || this->asks.size() >= this->answers.size())
+            return;
+        auto const& upstream = this->answers[this->asks.size()];
+        this->asks.push_back(request.call_permit_ask());
+        wire::Envelope reply;
+        auto* message = reply.mutable_call_permit_answer();
+        message->set_upstream(upstream);
+        message->set_controller("peer");
+        if (upstream.empty()) {
+            message->set_reason(wire::CALL_REFUSAL_REASON_CANNOT_MEET_TARGET);
+            message->set_retry_after_microseconds(Duration(milliseconds(700)).count());
+        }
+        respond(std::move(reply));
+    }
+
+    NodeUnderTest& test;
+    std::vector<std::string> answers;
+    PeerVirtualMachine peer;
+};
+
+std::vector<std::string> excluded(wire::CallPermitAsk const& ask) { return { ask.excluded_upstreams().begin(), ask.excluded_upstreams().end() }; }
+
 std::string metrics_of(NodeUnderTest& test, Address const& address) { return test.call(address, test.request("GET", "/metrics", "m")).body; }
 
 bool sees(NodeUnderTest& test, Address const& address, int machines)
@@ -213,34 +262,66 @@
     test.configure(1);
     UpstreamStandIn upstream(test.loop, "i-1");
     test.list(upstream, "plain");
-    std::vector<wire::CallPermitAsk> asks;
-    std::vector<wire::CallPermitReturn> returns;
-    Kernel::Handler const placement = [](wire::Envelope const&, Kernel::Responder const&) {};
-    Kernel::Handler const admission = [&](wire::Envelope const& request, Kernel::Responder const& respond) {
-        if (request.has_call_permit_return())
-            returns.push_back(request.call_permit_return());
-        if (!request.has_call_permit_ask())
-            return;
-        asks.push_back(request.call_permit_ask());
-        wire::Envelope reply;
-        reply.mutable_call_permit_answer()->set_upstream(asks.size() == 1 ? "i-unknown" : "i-1");
-        reply.mutable_call_permit_answer()->set_controller("peer");
-        respond(std::move(reply));
+    ScriptedController controller(test, { "i-unknown", "i-1" });
+    CHECK(test.call(test.request("GET", "/once/x", "c")).head.status == 200);
+    REQUIRE(test.run_until([&] { return controller.returns.size() == 2; }));
+    REQUIRE(controller.asks.size() == 2);
+    CHECK(excluded(controller.asks[0]).empty());
+    CHECK(excluded(controller.asks[1]) == std::vector<std::string> { "i-unknown" });
+    CHECK(controller.returns[0].upstream() == "i-unknown");
+    CHECK(controller.returns[0].outcome() == wire::CALL_OUTCOME_UNUSED);
+    CHECK(controller.returns[1].upstream() == "i-1");
+    CHECK(controller.returns[1].outcome() == wire::CALL_OUTCOME_ANSWERED);
+}
+
+// Guards against a call that is sent again to an upstream that turned it away, and against a controller that does not hear of it.
+TEST_CASE("An upstream that turned a call away is excluded from its next ask", "[call-admission]")
+{
+    NodeUnderTest test(switch_on);
+    test.configure(1);
+    UpstreamStandIn full(test.loop, "i-1");
+    UpstreamStandIn free(test.loop, "i-2");
+    full.script = [](HttpExchange& exchange) -> asio::awaitable<bool> {
+        auto head = HttpResponseHead { 503, "", {} };
+        head.headers.add("X-Spurtide-Not-Executed", "1");
+        static_cast<void>(co_await exchange.respond(std::move(head), {}));
+        co_return true;
     };
-    PeerVirtualMachine peer(test, name_of_controller({ "vm-1" }), placement, admission);
-    REQUIRE(peer.is_seen_by(test));
-    test.beside = [&] { peer.run(); };
+    test.list(full, "plain");
+    test.list(free, "plain");
+    ScriptedController controller(test, { "i-1", "i-2" });
     CHECK(test.call(test.request("GET", "/once/x", "c")).head.status == 200);
-    REQUIRE(test.run_until([&] { return returns.size() == 2; }));
-    REQUIRE(asks.size() == 2);
-    CHECK(asks[0].excluded_upstreams_size() == 0);
-    REQUIRE(asks[1].excluded_upstreams_size() == 1);
-    CHECK(asks[1].excluded_upstreams(0) == "i-unknown");
-    CHECK(returns[0].upstream() == "i-unknown");
-    CHECK(returns[0].outcome() == wire::CALL_OUTCOME_UNUSED);
-    CHECK(returns[1].upstream() == "i-1");
-    CHECK(returns[1].outcome() == wire::CALL_OUTCOME_ANSWERED);
-    test.beside = [] {};
+    REQUIRE(test.run_until([&] { return controller.returns.size() == 2; }));
+    REQUIRE(controller.asks.size() == 2);
+    CHECK(excluded(controller.asks[1]) == std::vector<std::string> { "i-1" });
+    CHECK(controller.returns[0].outcome() == wire::CALL_OUTCOME_SHED);
+    CHECK(controller.returns[1].outcome() == wire::CALL_OUTCOME_ANSWERED);
+}
+
+// Guards against an answer that says that a call has not run after an upstream may have run it.
+TEST_CASE("A refused permit is told as not run unless an earlier send may have run", "[call-admission][not-run]")
+{
+    NodeUnderTest test(switch_on);
+    test.configure(1);
+    UpstreamStandIn failing(test.loop, "i-1");
+    UpstreamStandIn other(test.loop, "i-2");
+    failing.script = [](HttpExchange& exchange) -> asio::awaitable<bool> {
+        exchange.abort();
+        co_return true;
+    };
+    test.list(failing, "plain");
+    test.list(other, "plain");
+    ScriptedController controller(test, { "", "i-1", "", "" });
+    auto const refused = test.call(test.request("GET", "/safe/x", "c1"));
+    CHECK(refused.head.status == 503);
+    CHECK(refused.head.headers.find("Retry-After") == "0.70");
+    CHECK(failing.requests.empty());
+    auto const failed = test.call(test.request("GET", "/safe/x", "c2"));
+    CHECK(failed.head.status == 502);
+    CHECK(failing.requests.size() == 1);
+    CHECK(other.requests.empty());
+    REQUIRE(test.run_until([&] { return controller.returns.size() == 1; }));
+    CHECK(controller.returns[0].outcome() == wire::CALL_OUTCOME_FAILED);
 }
 
 // Guards against a change of behaviour, and messages between VMs, where nobody switched call admission on.
