Tests: End the pause of an engine when it said that it ends

"A stream is not sent to an engine that asked its own VM for a pause, whoever places it" failed now and then: 503 where 200 was expected. The fault is the test's. It calls while its clock is within the pause, but the last call may be placed after it. The VM then rightly uses the engine again, and the stand-in, which went on asking for pauses, turned the stream away; a stream that must not be repeated has no second attempt and is refused. The log of a failed run shows this: the pause was stated at 20.653 s, and the request that failed was placed at 22.654 s on the engine whose pause of 2 s was over.

The stand-in now takes requests from the end of the pause on that it stated. A request that arrives before is turned away as before, and both the status and the count of arrivals fail the test. "An engine that asks for a pause gets no prompts, answers or calls of the router within it" has the same calls and is changed likewise.

A keeper that is slow or silent was ruled out: each other request of the failed run was placed within a few milliseconds.

--- a/Tests/Platform/TestRequestedPause.cpp
+++ b/Tests/Platform/TestRequestedPause.cpp
@@ -96,6 +96,8 @@
         for (auto const* engine : { &paused, &prefill, &decode })
             test.list(*engine, "engines");
         auto const asked_at = call_until_paused(test, paused, [&](auto name) { return test.model_request("/resumable/x", name); });
+        // The last call may be placed after the pause has ended, and would be turned away by an engine that goes on asking.
+        paused.pause_end = asked_at + PAUSE;
         int calls = 0;
         while (monotonic_now() < asked_at + PAUSE) {
             ++calls;
@@ -270,6 +272,8 @@
         CHECK(call() == 503);
         REQUIRE(paused.arrivals.size() == before + 1);
         auto const asked_at = paused.arrivals.back();
+        // The last call may be placed after the pause has ended, and would be turned away by an engine that goes on asking.
+        paused.pause_end = asked_at + PAUSE;
         test.list(other, "engines");
         REQUIRE(test.run_until([&] { return call() == 200; }));
         while (monotonic_now() < asked_at + PAUSE)
--- a/Tests/Platform/UpstreamStandIn.cpp
+++ b/Tests/Platform/UpstreamStandIn.cpp
@@ -59,8 +59,10 @@
 
 asio::awaitable<void> UpstreamStandIn::answer(HttpExchange& exchange)
 {
-    this->arrivals.push_back(monotonic_now());
-    if (!this->requested_pause.empty()) {
+    auto const arrived_at = monotonic_now();
+    this->arrivals.push_back(arrived_at);
+    bool const is_pause_over = this->pause_end && arrived_at >= *this->pause_end;
+    if (!this->requested_pause.empty() && !is_pause_over) {
         co_await this->turn_away(exchange);
         co_return;
     }
--- a/Tests/Platform/UpstreamStandIn.h
+++ b/Tests/Platform/UpstreamStandIn.h
@@ -44,6 +44,8 @@
     bool is_leaving = false;
     /// Seconds for which it turns requests away and asks their sender for a pause; empty for none.
     std::string requested_pause;
+    /// When it takes requests again although a pause is set; empty for not before the pause is cleared.
+    std::optional<MonotonicTime> pause_end;
     /// When it started, in milliseconds since the epoch; 0 where its entry does not say.
     std::int64_t started = 0;
     /// Version of its software.
