LibRouter: Check a VM's own paths when one upstream is unreachable

Streams at the VMs of a data centre whose new connections were refused got 503, the first ones after 2.5 s, for as long as each of the VMs had not failed to reach a second upstream. That could last: a stream is placed on a decode engine, and a VM that fails to reach its only one sends nothing to any other upstream. One unreachable upstream proves nothing, so the VM went on offering to relay, and when the VMs beside it asked it for an engine it answered that nobody listens there. The requesting VM then left out that engine. The log of the failing test shows it: after three VMs had refused one stream each (unreachable=1, no_upstream after 2.5 s), the fourth stream was declined the prefill engine by one of them and the decode engine by the other.

- ReachabilityTracker: after one upstream became unreachable, others are probed, one in a round, until a connection is established.
If one fails as well, the VM may be partitioned, as before with two.
- RelayService: a VM that fails to reach an upstream for another VM tries another upstream before it blames this one, and answers that it is partitioned if it may be.
The engine is then not left out, and the relay is not asked for a second.
- UpstreamLink: a connection that is refused as the first one has others of the VM tried at once, so that the request goes on through a relay rather than being refused.
Where connections hang this is left out, since each takes as long as the one before.

Ruled out: the retry budget and the limit of placements, which no refused stream of the logged run before had met. Left: within the first half second a stream whose decode engine is declined by a relay after its prefill is placed anew, and may then be refused as retry_budget_spent.

New ones: "The first stream at a VM whose new connections are refused is served through another VM", and for the tracker "After one upstream became unreachable others are probed until one of them is reached". The partition simulation asks the tracker as the prober does.

--- a/Libraries/LibDecision/ReachabilityTracker.cpp
+++ b/Libraries/LibDecision/ReachabilityTracker.cpp
@@ -179,17 +179,24 @@
 {
     bool const is_suspected = this->may_be_partitioned(now);
     std::map<std::string_view, std::vector<std::string_view>> candidates;
+    std::vector<std::string_view> others;
     for (auto const& upstream : upstreams) {
         auto const found = this->entries.find(upstream.identity);
         bool const is_probed_already = found != this->entries.end() && (this->needs_probe(found->second, now) || this->was_probed(found->second, now));
-        if (!is_probed_already && (is_suspected || this->is_cut_off(upstream.data_centre, now)))
+        if (is_probed_already)
+            continue;
+        if (is_suspected || this->is_cut_off(upstream.data_centre, now))
             candidates[upstream.data_centre].push_back(upstream.identity);
+        else
+            others.push_back(upstream.identity);
     }
     std::vector<std::string> due;
     for (auto const& [data_centre, identities] : candidates) {
         for (std::size_t i = 0; i < std::min(this->options.partition_probes, identities.size()); ++i)
             due.emplace_back(identities[this->probe_rotation++ % identities.size()]);
     }
+    if (due.empty() && this->new_failures > 0 && !others.empty())
+        due.emplace_back(others[this->probe_rotation++ % others.size()]);
     return due;
 }
 
--- a/Libraries/LibDecision/ReachabilityTracker.h
+++ b/Libraries/LibDecision/ReachabilityTracker.h
@@ -88,12 +88,16 @@
     bool has_direct_path(std::string_view identity, std::string_view data_centre, MonotonicTime now) const { return !this->is_partitioned(now) && this->is_reachable(identity, data_centre, now); }
     /// When any upstream last responded; empty before the first response.
     std::optional<MonotonicTime> last_contact() const { return this->last_response; }
-    /// Whether further upstreams have to be probed to find out if this VM is partitioned, or no longer is.
+    /// Whether enough connections failed for this VM to be partitioned.
     bool may_be_partitioned(MonotonicTime now) const { return this->suspected_since(now).has_value(); }
+    /// Whether further upstreams have to be probed to find out if this VM, or a data centre, is cut off, or no longer is.
+    bool needs_partition_probes(MonotonicTime now) const { return this->new_failures > 0 || this->may_be_partitioned(now) || this->is_any_cut_off(now); }
     /// Returns the upstreams to probe now because they are silent or unreachable.
     std::vector<std::string> due_probes(MonotonicTime now);
     /// Returns further upstreams to probe in data centres that count as cut off, or in all if this VM may be partitioned, in
-    /// order to detect the extent of the partition and its end.
+    /// order to detect the extent of the partition and its end. If an upstream became unreachable and no connection has been
+    /// established since, returns at least one, in any data centre: only its connection tells a crashed upstream from a
+    /// partition while requests go to no other upstream.
     std::vector<std::string> due_partition_probes(std::span<UpstreamLocation const> upstreams, MonotonicTime now);
     /// Forgets upstreams that are no longer listed and have no requests in flight.
     void retain(std::function<bool(std::string_view)> const& is_listed);
--- a/Libraries/LibRouter/ReachabilityProber.cpp
+++ b/Libraries/LibRouter/ReachabilityProber.cpp
@@ -36,7 +36,7 @@
     this->abort_unresponsive(now);
     for (auto const& identity : this->reachability->due_probes(now))
         this->start_probe(identity, now);
-    if (!this->reachability->is_any_cut_off(now) && !this->reachability->may_be_partitioned(now))
+    if (!this->reachability->needs_partition_probes(now))
         return;
     std::vector<UpstreamLocation> places;
     this->upstreams.for_each([&](auto const& record) { places.push_back({ record.identity, record.data_centre }); });
--- a/Libraries/LibRouter/ReachabilityProber.h
+++ b/Libraries/LibRouter/ReachabilityProber.h
@@ -44,14 +44,16 @@
     /// Handles a failed connection attempt to the upstream.
     void note_unreachable(UpstreamRecord const& upstream, HttpError error);
 
-private:
-    /// Whether a connection to the upstream is established; records the result.
+    /// Whether a connection is established.
     enum class Connection {
         Established,
         Failed,
     };
-    asio::awaitable<Connection> connect_to(UpstreamRecord upstream);
+    /// Connects to a few other upstreams, one after the other, until a connection is established; records the results.
     asio::awaitable<Connection> connect_to_another(std::string_view excluded);
+
+private:
+    asio::awaitable<Connection> connect_to(UpstreamRecord upstream);
     void abort_unresponsive(MonotonicTime now);
     std::vector<UpstreamRecord> reachable_upstreams(std::string_view excluded, std::size_t most) const;
     void start_probe(std::string const& identity, MonotonicTime now);
--- a/Libraries/LibRouter/RelayService.cpp
+++ b/Libraries/LibRouter/RelayService.cpp
@@ -26,9 +26,10 @@
     if (find_send_obstacle(this->state, *upstream) != SendObstacle::None)
         return RelayOutcome::NotAvailable;
     auto const now = monotonic_now();
-    if (this->state.reachability->is_partitioned(now))
+    bool const is_reachable = this->state.reachability->is_reachable(upstream->identity, upstream->data_centre, now);
+    if (this->state.reachability->is_partitioned(now) || (!is_reachable && this->state.reachability->may_be_partitioned(now)))
         return RelayOutcome::Partitioned;
-    if (!this->state.reachability->is_reachable(upstream->identity, upstream->data_centre, now))
+    if (!is_reachable)
         return this->state.prober.known_process_state(*upstream) == ReachabilityProber::ProcessState::Gone ? RelayOutcome::NobodyListens : RelayOutcome::CannotConnect;
     return {};
 }
@@ -58,8 +59,8 @@
     }
     auto acquired = co_await this->state.pool.acquire(*address, send.freshness);
     if (acquired.is_error()) {
-        this->state.prober.note_unreachable(upstream, acquired.error());
-        co_await this->respond(exchange, send, acquired.error() == HttpError::NobodyListens ? RelayOutcome::NobodyListens : RelayOutcome::CannotConnect);
+        auto const outcome = co_await this->explain_failure(upstream, acquired.error());
+        co_await this->respond(exchange, send, outcome);
         co_return;
     }
     auto const connection = acquired.release_value();
@@ -75,6 +76,17 @@
     this->state.pool.release(*address, connection);
 }
 
+// A VM that is partitioned itself must not blame the upstream: the request would leave it out, although another VM may reach it.
+asio::awaitable<RelayOutcome> RelayService::explain_failure(UpstreamRecord upstream, HttpError error)
+{
+    this->state.prober.note_unreachable(upstream, error);
+    if (!this->state.reachability->may_be_partitioned(monotonic_now()))
+        static_cast<void>(co_await this->state.prober.connect_to_another(upstream.identity));
+    if (this->state.reachability->may_be_partitioned(monotonic_now()))
+        co_return RelayOutcome::Partitioned;
+    co_return error == HttpError::NobodyListens ? RelayOutcome::NobodyListens : RelayOutcome::CannotConnect;
+}
+
 asio::awaitable<void> RelayService::probe(HttpExchange& exchange, RelayedSend send, UpstreamRecord upstream)
 {
     auto const process = co_await this->state.prober.probe_process(upstream);
--- a/Libraries/LibRouter/RelayService.h
+++ b/Libraries/LibRouter/RelayService.h
@@ -25,6 +25,8 @@
 private:
     /// Why the request must not be sent now; empty if it may be.
     std::optional<RelayOutcome> find_obstacle(RelayedSend const& send) const;
+    /// Whether the upstream or this VM's own paths are at fault for a failed connection attempt.
+    asio::awaitable<RelayOutcome> explain_failure(UpstreamRecord upstream, HttpError error);
     asio::awaitable<void> send_on(HttpExchange& exchange, RelayedSend send, UpstreamRecord upstream, std::shared_ptr<HttpConnection> connection);
     asio::awaitable<void> pass_on(HttpExchange& exchange, InFlightRequest& in_flight, std::shared_ptr<HttpConnection> connection, HttpResponseHead head);
     asio::awaitable<void> probe(HttpExchange& exchange, RelayedSend send, UpstreamRecord upstream);
--- a/Libraries/LibRouter/UpstreamLink.cpp
+++ b/Libraries/LibRouter/UpstreamLink.cpp
@@ -75,8 +75,14 @@
     if (RouteFinder(state, monotonic_now()).find(upstream) == UpstreamRoute::Relayed)
         co_return co_await open_relayed(state, std::move(upstream), std::move(options));
     auto direct = co_await open_direct(state, upstream, options);
-    bool const may_be_partitioned = direct.is_error() && state.reachability->unreachable_count() >= UNREACHABLE_BEFORE_RELAY;
-    if (!may_be_partitioned || !state.relays || !state.relays->is_available(monotonic_now()))
+    if (!direct.is_error() || !state.relays || !state.relays->is_available(monotonic_now()))
+        co_return direct;
+    // The service may have no other upstream to try. Others of the VM tell at once where connections are refused; where they hang,
+    // each would take as long as this one did.
+    bool const is_refused = direct.error().error == HttpError::NobodyListens;
+    if (is_refused && state.reachability->unreachable_count() < UNREACHABLE_BEFORE_RELAY && state.reachability->needs_partition_probes(monotonic_now()))
+        static_cast<void>(co_await state.prober.connect_to_another(upstream.identity));
+    if (state.reachability->unreachable_count() < UNREACHABLE_BEFORE_RELAY)
         co_return direct;
     co_return co_await open_relayed(state, std::move(upstream), std::move(options));
 }
--- a/Tests/LibDecision/TestPartitionSimulation.cpp
+++ b/Tests/LibDecision/TestPartitionSimulation.cpp
@@ -206,7 +206,7 @@
                 machine.tracker->note_response(upstream.identity, this->now);
         }
         auto due = machine.tracker->due_probes(this->now);
-        if (machine.tracker->may_be_partitioned(this->now) || machine.tracker->is_any_cut_off(this->now)) {
+        if (machine.tracker->needs_partition_probes(this->now)) {
             auto const further = machine.tracker->due_partition_probes(this->upstreams, this->now);
             due.insert(due.end(), further.begin(), further.end());
         }
--- a/Tests/LibDecision/TestReachabilityTracker.cpp
+++ b/Tests/LibDecision/TestReachabilityTracker.cpp
@@ -151,6 +151,39 @@
     }
 }
 
+// Guards against partitioned VMs that do not notice since their requests go to a single upstream.
+TEST_CASE("After one upstream became unreachable others are probed until one of them is reached", "[partitioned-vm]")
+{
+    ReachabilityTracker tracker({}, "a");
+    tracker.note_reached("a2", "a", at(0));
+    CHECK_FALSE(tracker.needs_partition_probes(at(900)));
+    CHECK(tracker.due_partition_probes(s_upstreams, at(900)).empty());
+    tracker.note_unreachable("a1", "a", at(1000));
+    CHECK(tracker.needs_partition_probes(at(1000)));
+    auto const probes = tracker.due_partition_probes(s_upstreams, at(1000));
+    REQUIRE(probes.size() == 1);
+    CHECK_FALSE(contains(probes, "a1"));
+    CHECK_FALSE(tracker.may_be_partitioned(at(1000)));
+    tracker.note_probe(probes.front(), at(1000));
+    auto const data_centre = probes.front().substr(0, 1);
+    SECTION("the upstream is at fault if one is reached")
+    {
+        tracker.note_reached(probes.front(), data_centre, at(1005));
+        // The upstream that stays unreachable is no new failure.
+        for (std::int64_t time = 1300; time < 5000; time += 300) {
+            tracker.note_unreachable("a1", "a", at(time));
+            CHECK_FALSE(tracker.needs_partition_probes(at(time)));
+            CHECK(tracker.due_partition_probes(s_upstreams, at(time)).empty());
+        }
+    }
+    SECTION("the VM may be partitioned if another one is not")
+    {
+        tracker.note_unreachable(probes.front(), data_centre, at(1005));
+        CHECK(tracker.may_be_partitioned(at(1005)));
+        CHECK(tracker.is_partitioned(at(1355)));
+    }
+}
+
 TEST_CASE("A VM with few requests does not take two crashed upstreams for a partition", "[partitioned-vm]")
 {
     ReachabilityTracker tracker({}, "a");
--- a/Tests/Platform/TestPartitionedVirtualMachine.cpp
+++ b/Tests/Platform/TestPartitionedVirtualMachine.cpp
@@ -157,6 +157,25 @@
     }
 }
 
+// Guards against the refusal of a stream since its only decode engine is the first upstream that a partitioned VM fails to reach.
+TEST_CASE("The first stream at a VM whose new connections are refused is served through another VM", "[partitioned-vm]")
+{
+    for (std::string const target : { "/stream/x", "/resumable/x" }) {
+        for (auto const cut : { UpstreamPath::Condition::Reset, UpstreamPath::Condition::NewRefused }) {
+            PartitionedDeployment test;
+            test.configure(1);
+            test.add_upstream("i-p", "engines", "prefill");
+            test.add_upstream("i-d", "engines", "decode");
+            add_plain_upstreams(test);
+            auto const& partitioned = test.add_virtual_machine("vm-2");
+            test.set_condition("vm-2", cut);
+            CAPTURE(target, static_cast<int>(cut));
+            CHECK(test.call_once(partitioned.caller_address(), target).head.status == 200);
+            CHECK(test.most_runs() == 1);
+        }
+    }
+}
+
 TEST_CASE("Requests are refused at once while all VMs are partitioned from the upstreams", "[partitioned-vm][not-run]")
 {
     // A caller that is refused within a quarter of its latency target can still be served in time elsewhere.
