Meta: Key the linter's cache by what a file includes

A change of any header made the linter check all files again, which takes most of the check's time. Each file's key is now made of its own text and of the headers that the compiler recorded for it. Results are shared by all clones on a machine, since keys are hashes of contents. Not timed yet.

--- a/Meta/check.sh
+++ b/Meta/check.sh
@@ -41,21 +41,44 @@
 fi
 
 echo "== clang-tidy"
-# Files that did not change since they were last found clean are passed over; their headers count too.
-mkdir -p Build/Tidy
-export TIDY_VERSION
+# A file is passed over if neither it nor a header that it includes has changed since it was last found clean.
+# All clones on a machine share the results, whose names are hashes of contents.
+export TIDY_CACHE="${XDG_CACHE_HOME:-$HOME/.cache}/spurtide/tidy"
+mkdir -p "$TIDY_CACHE"
 # Debian's usual version knows no standard coroutines; Asio takes any clang for one of those.
 export TIDY="clang-tidy-16 --extra-arg=-DASIO_HAS_CO_AWAIT=1 --extra-arg=-DASIO_HAS_STD_COROUTINE=1 --extra-arg=-Wno-unknown-warning-option"
-TIDY_VERSION=$(cat .clang-tidy <($TIDY --version) | sha256sum)
-headers=$(printf '%s\n' "${sources[@]}" | grep '\.h$' | xargs cat | sha256sum)
-export TIDY_HEADERS=$headers
+TIDY_VERSION=$(cat .clang-tidy <($TIDY --version) | sha256sum | cut -d' ' -f1)
+export TIDY_VERSION
+# "SOURCE HEADERS...", a line each, from the dependencies that the compiler recorded for the build.
+included_files() {
+    ninja -C Build -t deps | awk -v root="$PWD/" '
+        function flush() { if (source != "") print source headers; source = ""; headers = "" }
+        /^[^ ]/ { flush(); next }
+        NF == 1 {
+            file = $1
+            sub("^" root, "", file)
+            sub("^\\.\\./", "", file)
+            if (file ~ /^\//) next
+            if (source == "") source = file
+            else headers = headers " " file
+        }
+        END { flush() }'
+}
+TIDY_INCLUDES=$(mktemp)
+export TIDY_INCLUDES
+included_files | sort -u >"$TIDY_INCLUDES"
+# Without recorded dependencies, all headers count.
+TIDY_ALL_HEADERS=$(printf '%s ' $(printf '%s\n' "${sources[@]}" | grep '\.h$'))
+export TIDY_ALL_HEADERS
 tidy_one() {
-    local file=$1 key log
-    key=$({ echo "$TIDY_VERSION $TIDY_HEADERS"; cat "$file"; } | sha256sum | cut -d' ' -f1)
-    [ -e "Build/Tidy/$key" ] && return 0
+    local file=$1 key log headers
+    headers=$(awk -v file="$file" '$1 == file { $1 = ""; print; exit }' "$TIDY_INCLUDES")
+    # shellcheck disable=SC2086
+    key=$({ echo "$TIDY_VERSION"; cat "$file" ${headers:-$TIDY_ALL_HEADERS}; } | sha256sum | cut -d' ' -f1)
+    [ -e "$TIDY_CACHE/$key" ] && return 0
     log=$(mktemp)
     if $TIDY --quiet -p Build "$file" >"$log" 2>/dev/null; then
-        touch "Build/Tidy/$key"
+        touch "$TIDY_CACHE/$key"
     else
         cat "$log"
         rm -f "$log"
@@ -65,6 +88,7 @@
 }
 export -f tidy_one
 printf '%s\n' "${sources[@]}" | grep '\.cpp$' | grep -v '^Tests/' | xargs -P "$(nproc)" -I{} bash -c 'tidy_one {}' || failed=1
+rm -f "$TIDY_INCLUDES"
 
 echo "== scripts"
 for script in Meta/*.sh .ci/run; do bash -n "$script" || failed=1; done
