CellScheduler: Place running requests that move to another decode engine

An ask with migrates_from gets a second decode engine beside the grant that the request holds, without a prefill. Slot and memory are counted at both engines until the origin reports the end of the move (Progress.move_end), and grant records name the target, so that a new keeper counts both as well. If that report is lost, the next renewed grant tells where the request is.

Asks and grant records carry finish_by, the time by which an answer has to be complete; the placement does not use it yet.

--- a/Libraries/LibDecision/CellScheduler.cpp
+++ b/Libraries/LibDecision/CellScheduler.cpp
@@ -58,7 +58,7 @@
 
 std::string_view to_string(RefusalReason reason)
 {
-    constexpr std::array<std::string_view, 7> NAMES = { "unknown_model", "unknown_account", "rate_limited", "no_upstream", "cannot_meet_first_token", "queue_full", "duplicate" };
+    constexpr std::array<std::string_view, 8> NAMES = { "unknown_model", "unknown_account", "rate_limited", "no_upstream", "cannot_meet_first_token", "queue_full", "duplicate", "cannot_finish_in_time" };
     return NAMES.at(static_cast<std::size_t>(reason));
 }
 
@@ -338,6 +338,10 @@
         this->refuse(ask, RefusalReason::UnknownAccount, MAXIMUM_RETRY_AFTER, now);
         return;
     }
+    if (!ask.migrates_from.empty()) {
+        this->ask_for_move(std::move(ask), now);
+        return;
+    }
     auto const same_request = [&](auto const& other) { return other.request == ask.request; };
     if (this->granted.contains(ask.request) || std::any_of(this->waiting.begin(), this->waiting.end(), same_request)) {
         this->refuse(ask, RefusalReason::Duplicate, MINIMUM_RETRY_AFTER, now);
@@ -458,7 +462,7 @@
     this->end_prefill(granted.decode_engine, granted.ask.request, now);
 }
 
-void CellScheduler::restore(PlacementAsk ask, std::string_view prefill_engine, std::string_view decode_engine, GrantProgress progress, Duration age, MonotonicTime now)
+void CellScheduler::restore(PlacementAsk ask, std::string_view prefill_engine, std::string_view decode_engine, GrantProgress progress, Duration age, MonotonicTime now, std::string_view moves_to)
 {
     auto const decode = this->engines.find(decode_engine);
     auto const known = this->granted.find(ask.request);
@@ -466,6 +470,7 @@
     if (is_known) {
         known->second.last_seen = now;
         known->second.is_confirmed = true;
+        this->reconcile_move(known->second, decode_engine, moves_to, now);
     }
     if (decode == this->engines.end() || is_known || this->released.contains(ask.request))
         return;
@@ -487,7 +492,8 @@
         prefill->second.prefills.push_back({ ask.request, ask.prompt_tokens, now, true });
     auto const request = ask.request;
     granted.ask = std::move(ask);
-    this->granted.emplace(request, std::move(granted));
+    auto& restored = this->granted.emplace(request, std::move(granted)).first->second;
+    this->start_move(restored, moves_to, now);
 }
 
 void CellScheduler::note_cached(std::string_view engine, std::span<std::string const> own_parts, MonotonicTime now)
@@ -518,6 +524,7 @@
     this->end_prefill(found->second.prefilling_engine(), request, now);
     this->released.insert_or_assign(request, now);
     this->free_slot(found->second.decode_engine, request);
+    this->free_slot(found->second.moves_to, request);
     this->granted.erase(found);
 }
 
--- a/Libraries/LibDecision/CellScheduler.h
+++ b/Libraries/LibDecision/CellScheduler.h
@@ -123,6 +123,12 @@
     /// The caller has received events of the stream, which only continues at engines with this software version. Placed before
     /// new streams of the same priority, which have more engines to choose from. Empty for a new stream.
     std::string software_version {};
+    /// Time by which the answer has to be complete: the earlier of the caller's deadline and the route's timeout.
+    std::optional<MonotonicTime> finish_by {};
+    /// The engine that runs the request now, for a request that asks for another decode engine to move to. Empty for a
+    /// request that is not running. If excluded_engines names this engine too, the answer is not expected to end there
+    /// (the engine is leaving or does not send), and any other engine is accepted; otherwise only one that ends earlier.
+    std::string migrates_from {};
     /// Set by the scheduler.
     CallerAttempt caller_attempt = CallerAttempt::First;
     /// Late requests can no longer meet their deadline and are scheduled after all on-time requests of the same
@@ -151,6 +157,7 @@
     CannotMeetFirstToken,
     QueueFull,
     Duplicate,
+    CannotFinishInTime,
 };
 
 std::string_view to_string(RefusalReason reason);
@@ -172,6 +179,12 @@
     Decoding,
 };
 
+/// How the move of a running request to another engine ended, as reported by its origin.
+enum class MoveEnd {
+    Moved,
+    Abandoned,
+};
+
 /// A prefill or decode engine that is eligible for a request.
 struct PlacementCandidate {
     std::string_view engine;
@@ -283,11 +296,14 @@
     void set_leaving(std::string_view engine, EngineReport::Life life);
 
     void ask(PlacementAsk ask, MonotonicTime now);
+    /// Ends the move of a running request. The grant stays in force at the engine that it names afterwards: the given
+    /// target if it moved, the source if the move was abandoned.
+    void end_move(std::string_view request, MoveEnd end, std::string_view target, MonotonicTime now);
     void progress(std::string_view request, GrantProgress progress, MonotonicTime now);
     /// Restores a grant of an earlier keeper as reported by its origin, replacing a grant adopted from an engine
     /// report. For a known grant this only confirms that it is still in use. The age is the time since the last
-    /// progress.
-    void restore(PlacementAsk ask, std::string_view prefill_engine, std::string_view decode_engine, GrantProgress progress, Duration age, MonotonicTime now);
+    /// progress. Names the engine that the request is moving to, if any.
+    void restore(PlacementAsk ask, std::string_view prefill_engine, std::string_view decode_engine, GrantProgress progress, Duration age, MonotonicTime now, std::string_view moves_to = {});
     /// Records that the engine has cached the prompts with these session parts.
     void note_cached(std::string_view engine, std::span<std::string const> own_parts, MonotonicTime now);
     /// Releases everything held by a request that ended or whose caller disconnected.
@@ -398,6 +414,11 @@
         MonotonicTime last_seen;
         MonotonicTime predicted_first_token;
         MonotonicTime decode_from;
+        /// Output tokens generated before decode_from, at another engine.
+        double tokens_before = 0;
+        /// The engine that the request is moving to, which holds a slot and memory for it; empty if none.
+        std::string moves_to;
+        MonotonicTime move_granted_at;
 
         /// The engine that runs the prefill: the decode engine if there is no prefill engine.
         std::string const& prefilling_engine() const { return this->prefill_engine.empty() ? this->decode_engine : this->prefill_engine; }
@@ -463,6 +484,12 @@
     std::optional<MonotonicTime> best_first_token(PlacementAsk const& ask, MonotonicTime now) const;
     void grant(PlacementAsk ask, Placement const& placement, MonotonicTime now);
     void refuse(PlacementAsk const& ask, RefusalReason reason, Duration retry_after, MonotonicTime now);
+    void ask_for_move(PlacementAsk ask, MonotonicTime now);
+    std::optional<PlacementCandidate> find_move_target(PlacementAsk const& ask, MonotonicTime now) const;
+    /// Time from now until the rest of the answer is complete at the engine, from the expected length.
+    Duration remaining_time(Engine const& engine, PlacementAsk const& ask) const;
+    void start_move(Granted& granted, std::string_view target, MonotonicTime now);
+    void reconcile_move(Granted& granted, std::string_view decode_engine, std::string_view moves_to, MonotonicTime now);
     void detect_caller_retry(PlacementAsk& ask, MonotonicTime now);
     void remove_granted(std::string request, MonotonicTime now);
     void adopt(Engine& engine, HeldWork const& held, MonotonicTime now);
--- a/Libraries/LibDecision/CellSchedulerPlacement.cpp
+++ b/Libraries/LibDecision/CellSchedulerPlacement.cpp
@@ -467,6 +467,11 @@
     AnswerForecast answer;
     answer.prompt_tokens = static_cast<double>(ask.prompt_tokens + ask.relayed_tokens);
     answer.generated_tokens = generated_tokens;
+    // The output that a moving request has produced takes memory at the target and counts towards its length.
+    if (!ask.migrates_from.empty()) {
+        answer.prompt_tokens = static_cast<double>(ask.prompt_tokens);
+        answer.generated_tokens = std::max(generated_tokens, static_cast<double>(ask.relayed_tokens));
+    }
     answer.expected_tokens = ask.expected_output_tokens > 0 ? static_cast<double>(ask.expected_output_tokens) : estimated_tokens;
     answer.maximum_tokens = ask.maximum_output_tokens > 0 ? static_cast<double>(ask.maximum_output_tokens) : 4 * estimated_tokens;
     return answer;
@@ -510,7 +515,7 @@
             continue;
         auto const& running = found->second;
         bool const is_decoding = running.phase == GrantProgress::Decoding;
-        double const generated = is_decoding ? to_seconds(now - running.decode_from) / std::max(1e-6, to_seconds(engine.step_time)) : 0;
+        double const generated = is_decoding ? running.tokens_before + to_seconds(now - running.decode_from) / std::max(1e-6, to_seconds(engine.step_time)) : 0;
         auto answer = this->answer_forecast(running.ask, generated);
         // An answer that has exceeded its limit by this estimate is about to end.
         answer.generated_tokens = std::min(answer.generated_tokens, answer.maximum_tokens - 1);
@@ -625,6 +630,7 @@
         tokens = static_cast<double>(granted.ask.expected_output_tokens);
     if (granted.ask.maximum_output_tokens > 0)
         tokens = std::min(tokens, static_cast<double>(granted.ask.maximum_output_tokens));
+    tokens = std::max(0.0, tokens - granted.tokens_before);
     auto const engine = this->engines.find(granted.decode_engine);
     auto const step = engine == this->engines.end() ? milliseconds(25) : engine->second.step_time;
     return granted.decode_from + from_seconds(tokens * to_seconds(step));
--- a/Libraries/LibRouter/PlacementClient.cpp
+++ b/Libraries/LibRouter/PlacementClient.cpp
@@ -6,6 +6,7 @@
 #include <LibRouter/PlacementClient.h>
 #include <LibWire/WirePlacement.h>
 #include <algorithm>
+#include <utility>
 
 namespace Spurtide {
 
@@ -32,6 +33,22 @@
     return envelope;
 }
 
+wire::Envelope move_end_message(std::string const& request, MoveEnd end, std::string const& target)
+{
+    auto envelope = message_to(PLACEMENT_SERVICE);
+    envelope.mutable_progress()->set_request(request);
+    envelope.mutable_progress()->set_progress(wire::GRANT_PROGRESS_DECODING);
+    envelope.mutable_progress()->set_move_end(wire_move_end(end));
+    envelope.mutable_progress()->set_moved_to(target);
+    return envelope;
+}
+
+/// 0 if there is no limit.
+std::int64_t microseconds_until(std::optional<MonotonicTime> time, MonotonicTime now)
+{
+    return time ? std::max<std::int64_t>(1, std::chrono::duration_cast<Duration>(*time - now).count()) : 0;
+}
+
 }
 
 PlacementClient::PlacementClient(Options options, Kernel& kernel)
@@ -69,6 +86,8 @@
     message->set_longest_pause_microseconds(ask.longest_pause.count());
     message->set_own_part(ask.own_part);
     message->set_software_version(ask.software_version);
+    message->set_finish_within_microseconds(microseconds_until(ask.finish_by, monotonic_now()));
+    message->set_migrates_from(ask.migrates_from);
     for (auto const& engine : ask.excluded_engines)
         message->add_excluded_engines(engine);
     for (auto const& data_centre : ask.excluded_data_centres)
@@ -99,8 +118,8 @@
         while (!pending->reply && !pending->is_given_up)
             co_await pending->signal.wait();
         if (pending->is_given_up || pending->reply->is_error()) {
-            // Release a grant that is still to come, or whose reply was lost.
-            this->kernel.notify(endpoint, release_message(ask.request, 0, {}));
+            // Release a grant that is still to come, or whose reply was lost. A request that runs keeps its first one.
+            this->kernel.notify(endpoint, ask.migrates_from.empty() ? release_message(ask.request, 0, {}) : move_end_message(ask.request, MoveEnd::Abandoned, {}));
         }
         if (pending->is_given_up)
             co_return std::nullopt;
@@ -116,7 +135,13 @@
             grant.prefill_engine = reply.placement_grant().prefill_engine();
             grant.decode_engine = reply.placement_grant().decode_engine();
             grant.caller_attempt = visit_from_message(reply.placement_grant().is_return());
-            this->held_grants.insert_or_assign(ask.request, HeldGrant { ask, grant, endpoint, GrantProgress::Prefilling, monotonic_now() });
+            if (!ask.migrates_from.empty()) {
+                auto const held = this->held_grants.find(ask.request);
+                if (held != this->held_grants.end())
+                    held->second.moves_to = grant.decode_engine;
+                co_return PlacementDecision { grant };
+            }
+            this->held_grants.insert_or_assign(ask.request, HeldGrant { ask, grant, endpoint, GrantProgress::Prefilling, monotonic_now(), {} });
             co_return PlacementDecision { grant };
         }
         PlacementRefusal refusal;
@@ -147,6 +172,19 @@
     this->send(std::move(envelope));
 }
 
+void PlacementClient::end_move(std::string const& request, MoveEnd end)
+{
+    auto const found = this->held_grants.find(request);
+    if (found == this->held_grants.end() || found->second.moves_to.empty())
+        return;
+    auto const target = std::exchange(found->second.moves_to, {});
+    if (end == MoveEnd::Moved) {
+        found->second.grant.decode_engine = target;
+        found->second.grant.prefill_engine.clear();
+    }
+    this->send(move_end_message(request, end, target));
+}
+
 void PlacementClient::release(std::string const& request, std::int64_t output_tokens, EngineFaults const& faults)
 {
     auto const found = this->held_grants.find(request);
@@ -193,6 +231,8 @@
         record->set_maximum_output_tokens(held_grant.ask.maximum_output_tokens);
         record->set_expected_output_tokens(held_grant.ask.expected_output_tokens);
         record->set_own_part(held_grant.ask.own_part);
+        record->set_finish_within_microseconds(microseconds_until(held_grant.ask.finish_by, now));
+        record->set_moves_to(held_grant.moves_to);
         record->set_progress(wire_progress(held_grant.phase));
         record->set_age_microseconds(std::chrono::duration_cast<Duration>(now - held_grant.since).count());
     }
--- a/Libraries/LibRouter/PlacementClient.h
+++ b/Libraries/LibRouter/PlacementClient.h
@@ -76,9 +76,12 @@
 
     void start();
 
-    /// Returns nothing if the ask was given up; whatever was granted to it is released.
+    /// Returns nothing if the ask was given up; whatever was granted to it is released. The grant of an ask of a running
+    /// request (PlacementAsk::migrates_from) adds a second decode engine to the grant that the request holds.
     asio::awaitable<std::optional<PlacementDecision>> ask(PlacementAsk ask, std::shared_ptr<PendingAsk> pending, AskTimes const& times);
     void progress(std::string const& request, GrantProgress progress);
+    /// Reports the end of a move that was granted to a running request. Until then the request holds a place at both engines.
+    void end_move(std::string const& request, MoveEnd end);
     /// Releases the request's grant.
     void release(std::string const& request, std::int64_t output_tokens, EngineFaults const& faults);
 
@@ -94,6 +97,8 @@
         std::string keeper;
         GrantProgress phase = GrantProgress::Prefilling;
         MonotonicTime since;
+        /// The engine that the request is moving to; empty if none.
+        std::string moves_to;
     };
 
     std::string current_keeper() const;
--- a/Libraries/LibRouter/PlacementService.cpp
+++ b/Libraries/LibRouter/PlacementService.cpp
@@ -64,6 +64,9 @@
     ask.longest_pause = Duration(message.longest_pause_microseconds());
     ask.own_part = message.own_part();
     ask.software_version = message.software_version();
+    ask.migrates_from = message.migrates_from();
+    if (message.finish_within_microseconds() > 0)
+        ask.finish_by = now + Duration(message.finish_within_microseconds());
     ask.first_token_deadline = now + Duration(message.first_token_within_microseconds());
     if (message.decide_within_microseconds() > 0)
         ask.decide_by = now + Duration(message.decide_within_microseconds());
@@ -222,7 +225,11 @@
         this->handle_placement_ask(request.placement_ask(), respond);
         break;
     case wire::Envelope::kProgress:
-        this->scheduler.progress(request.progress().request(), read_progress(request.progress().progress()), now);
+        if (auto const move_end = read_move_end(request.progress().move_end())) {
+            LogLine("move_ended").with("request", request.progress().request()).with("outcome", *move_end == MoveEnd::Moved ? "moved" : "abandoned").with("decode", request.progress().moved_to());
+            this->scheduler.end_move(request.progress().request(), *move_end, request.progress().moved_to(), now);
+        } else
+            this->scheduler.progress(request.progress().request(), read_progress(request.progress().progress()), now);
         break;
     case wire::Envelope::kRelease: {
         auto const& release = request.release();
@@ -259,10 +266,10 @@
         return;
     }
     this->pending_responders.insert_or_assign(message.request(), respond);
-    LogLine("asked").with("request", message.request()).with("software", message.software_version()).with("prompt_tokens", message.prompt_tokens()).with("maximum_output_tokens", message.maximum_output_tokens()).with("expected_output_tokens", message.expected_output_tokens()).with("first_token_within_ms", message.first_token_within_microseconds() / 1000).with("decide_within_ms", message.decide_within_microseconds() / 1000);
+    LogLine("asked").with("request", message.request()).with("software", message.software_version()).with("prompt_tokens", message.prompt_tokens()).with("maximum_output_tokens", message.maximum_output_tokens()).with("expected_output_tokens", message.expected_output_tokens()).with("first_token_within_ms", message.first_token_within_microseconds() / 1000).with("decide_within_ms", message.decide_within_microseconds() / 1000).with("finish_within_ms", message.finish_within_microseconds() / 1000).with("migrates_from", message.migrates_from());
     auto ask = ask_from_message(message, now);
     this->ensure_account(ask.account);
-    if (ask.relayed_tokens == 0 && ask.excluded_engines.empty())
+    if (ask.relayed_tokens == 0 && ask.excluded_engines.empty() && ask.migrates_from.empty())
         this->hooks.on_first_ask(ask);
     this->scheduler.ask(std::move(ask), now);
     this->grow_subset(now);
@@ -272,13 +279,16 @@
 void PlacementService::keep_granted_engines(wire::GrantRecords const& message)
 {
     bool has_new = false;
-    for (auto const& record : message.records()) {
-        auto const& engine = record.decode_engine();
-        bool const is_left_out = !this->subset_engine_names.contains(engine) && this->offered_upstreams && this->offered_upstreams->find(engine);
+    auto const keep = [&](std::string const& engine) {
+        bool const is_left_out = !engine.empty() && !this->subset_engine_names.contains(engine) && this->offered_upstreams && this->offered_upstreams->find(engine);
         if (!is_left_out)
-            continue;
+            return;
         this->subset.pin(engine);
         has_new = true;
+    };
+    for (auto const& record : message.records()) {
+        keep(record.decode_engine());
+        keep(record.moves_to());
     }
     if (has_new)
         this->refresh_engines();
@@ -298,7 +308,9 @@
         ask.maximum_output_tokens = record.maximum_output_tokens();
         ask.expected_output_tokens = record.expected_output_tokens();
         ask.own_part = record.own_part();
-        this->scheduler.restore(std::move(ask), record.prefill_engine(), record.decode_engine(), read_progress(record.progress()), Duration(record.age_microseconds()), now);
+        if (record.finish_within_microseconds() > 0)
+            ask.finish_by = now + Duration(record.finish_within_microseconds());
+        this->scheduler.restore(std::move(ask), record.prefill_engine(), record.decode_engine(), read_progress(record.progress()), Duration(record.age_microseconds()), now, record.moves_to());
     }
 }
 
--- a/Libraries/LibRouter/StreamingRequestHandler.cpp
+++ b/Libraries/LibRouter/StreamingRequestHandler.cpp
@@ -72,6 +72,7 @@
     ask.data_centre = this->state.data_centre;
     ask.longest_pause = this->route.event_gap_target;
     ask.own_part = prompt.own_part;
+    ask.finish_by = this->deadline;
     if (this->origin)
         ask.software_version = this->origin->software_version;
     this->pending_ask = std::make_shared<PlacementClient::PendingAsk>(this->state.loop.get_executor());
--- a/Libraries/LibWire/WirePlacement.cpp
+++ b/Libraries/LibWire/WirePlacement.cpp
@@ -23,6 +23,8 @@
         return wire::REFUSAL_REASON_QUEUE_FULL;
     case RefusalReason::Duplicate:
         return wire::REFUSAL_REASON_DUPLICATE;
+    case RefusalReason::CannotFinishInTime:
+        return wire::REFUSAL_REASON_CANNOT_FINISH_IN_TIME;
     }
     VERIFY_NOT_REACHED();
 }
@@ -42,6 +44,8 @@
         return RefusalReason::QueueFull;
     case wire::REFUSAL_REASON_DUPLICATE:
         return RefusalReason::Duplicate;
+    case wire::REFUSAL_REASON_CANNOT_FINISH_IN_TIME:
+        return RefusalReason::CannotFinishInTime;
     default:
         return RefusalReason::UnknownModel;
     }
@@ -72,4 +76,21 @@
     }
 }
 
+wire::MoveEnd wire_move_end(MoveEnd end)
+{
+    return end == MoveEnd::Moved ? wire::MOVE_END_MOVED : wire::MOVE_END_ABANDONED;
+}
+
+std::optional<MoveEnd> read_move_end(wire::MoveEnd end)
+{
+    switch (end) {
+    case wire::MOVE_END_MOVED:
+        return MoveEnd::Moved;
+    case wire::MOVE_END_ABANDONED:
+        return MoveEnd::Abandoned;
+    default:
+        return {};
+    }
+}
+
 }
--- a/Libraries/LibWire/WirePlacement.h
+++ b/Libraries/LibWire/WirePlacement.h
@@ -5,6 +5,7 @@
 
 #include <LibDecision/CellScheduler.h>
 #include <LibWire/Spurtide.pb.h>
+#include <optional>
 
 namespace Spurtide {
 
@@ -14,5 +15,8 @@
 RefusalReason read_reason(wire::RefusalReason reason);
 wire::GrantProgress wire_progress(GrantProgress progress);
 GrantProgress read_progress(wire::GrantProgress progress);
+wire::MoveEnd wire_move_end(MoveEnd end);
+/// Empty for a message that does not report the end of a move.
+std::optional<MoveEnd> read_move_end(wire::MoveEnd end);
 
 }
