RoleBalancer: Let slow engines prefill and fast ones decode

The slowest decode engine becomes a prefill engine, and the fastest prefill engine a decode engine; engines whose times differ by less than a fifth count as equal and are chosen as before. No data centre loses its last engine of a role because of its speed.

Engines can also exchange roles in pairs, at most every two minutes and never above a third of the slots in use.

--- a/Libraries/LibDecision/CellScheduler.cpp
+++ b/Libraries/LibDecision/CellScheduler.cpp
@@ -227,6 +227,7 @@
         return;
     auto const expected_time = to_seconds(estimator.compute_time(prefill.tokens) + estimator.latency());
     engine.slowness += RATE_SMOOTHING * (to_seconds(taken) / expected_time - engine.slowness);
+    ++engine.slowness_samples;
     engine.slowness = std::clamp(engine.slowness, MINIMUM_SLOWNESS, MAXIMUM_SLOWNESS);
 }
 
@@ -588,6 +589,9 @@
         state.memory_tokens = static_cast<double>(engine.description.memory_tokens);
         state.decode_slots = engine.description.decode_slots;
         state.is_failing = engine.consecutive_failures > 0;
+        auto const relative_time = this->relative_time_of(engine);
+        state.relative_time = relative_time.value_or(1);
+        state.is_speed_measured = relative_time.has_value();
         states[engine.description.model].push_back(std::move(state));
     }
     return states;
--- a/Libraries/LibDecision/CellScheduler.h
+++ b/Libraries/LibDecision/CellScheduler.h
@@ -356,6 +356,9 @@
         /// Whether the last request sent to the engine failed. The engine may only be unreachable from this VM.
         bool is_failing = false;
         bool is_leaving = false;
+        /// Time for the same work relative to a typical engine of the model; 1 until it has been measured.
+        double relative_time = 1;
+        bool is_speed_measured = false;
     };
     /// Engine states by model.
     std::map<std::string, std::vector<EngineState>> engine_states() const;
@@ -401,6 +404,8 @@
         Duration step_time = milliseconds(25);
         /// Ratio of prefill times on this engine to the average of the model.
         double slowness = 1;
+        /// Number of prefills that the slowness was measured with.
+        int slowness_samples = 0;
         /// Unfinished prefills in the order of their grants. On a decode engine, those that it runs itself.
         std::vector<QueuedPrefill> prefills;
         /// Limits the request rate while the engine is cold.
@@ -502,6 +507,8 @@
     /// Time per output token; empty if no engine of the model has been measured.
     std::optional<Duration> pace_of(Engine const& engine) const;
     void forget_missing_paces(MonotonicTime now);
+    /// Time for the same work relative to a typical engine of the model; empty until it has been measured.
+    std::optional<double> relative_time_of(Engine const& engine) const;
     RemainingLength remaining_length_of(PlacementAsk const& ask) const;
     static bool may_wait_for_completion(PlacementAsk const& ask);
     DecodeChoice choose_decode(std::vector<PlacementCandidate> candidates, PlacementAsk const& ask) const;
--- a/Libraries/LibDecision/CellSchedulerCompletion.cpp
+++ b/Libraries/LibDecision/CellSchedulerCompletion.cpp
@@ -16,6 +16,20 @@
     return measured ? measured : this->paces.of_model(engine.description.model);
 }
 
+// The pace of decoding is the better measure, as one answer takes much longer than a prefill. An engine that has only run
+// prefills is compared with other prefill engines.
+std::optional<double> CellScheduler::relative_time_of(Engine const& engine) const
+{
+    constexpr int MINIMUM_PREFILLS = 10;
+    auto const pace = this->paces.of_engine(engine.description.name);
+    auto const typical = this->paces.of_model(engine.description.model);
+    if (pace && typical)
+        return to_seconds(*pace) / to_seconds(*typical);
+    if (engine.description.role == EngineRole::Prefill && engine.slowness_samples >= MINIMUM_PREFILLS)
+        return engine.slowness;
+    return {};
+}
+
 void CellScheduler::forget_missing_paces(MonotonicTime now)
 {
     constexpr Duration INTERVAL = seconds(30);
--- a/Libraries/LibDecision/RoleBalancer.cpp
+++ b/Libraries/LibDecision/RoleBalancer.cpp
@@ -12,6 +12,13 @@
 /// Smaller pools keep only one engine of each role, without spares.
 constexpr std::size_t MINIMUM_POOL_WITH_SPARES = 5;
 constexpr Duration REFUSED_ORDER_BACKOFF = seconds(3);
+/// Engines whose times differ by less count as equally fast, since measurements vary with the load.
+constexpr double SPEED_CLASS_RATIO = 1.2;
+
+int speed_class(RoleCandidate const& engine)
+{
+    return static_cast<int>(std::lround(std::log(std::max(1e-3, engine.relative_time)) / std::log(SPEED_CLASS_RATIO)));
+}
 
 }
 
@@ -165,14 +172,21 @@
     return is_persistent && this->transitions.empty() && since_last >= this->options.change_interval;
 }
 
-// Takes the engine with the least work from the data centre with the most engines of the role, so that each data centre
-// keeps engines of both roles.
+// Prefill engines are the slow ones, since a prefill takes a tenth of the time that its first token may take, whereas a long answer takes most
+// of its time even at a fast engine. Among engines of the same speed, takes the one with the least work from the data centre
+// with the most engines of the role. No data centre loses its last engine of the role as long as others have more.
 RoleCandidate const* RoleBalancer::select_engine(std::span<RoleCandidate const> engines, EngineRole from) const
 {
     std::map<std::string_view, int> count_by_data_centre;
     for (auto const& engine : engines)
         count_by_data_centre[engine.data_centre] += this->role_of(engine) == from ? 1 : 0;
     auto const is_preferred = [&](RoleCandidate const& a, RoleCandidate const& b) {
+        bool const is_a_last = count_by_data_centre[a.data_centre] <= 1;
+        bool const is_b_last = count_by_data_centre[b.data_centre] <= 1;
+        if (is_a_last != is_b_last)
+            return is_b_last;
+        if (speed_class(a) != speed_class(b))
+            return (speed_class(a) > speed_class(b)) == (from == EngineRole::Decode);
         if (count_by_data_centre[a.data_centre] != count_by_data_centre[b.data_centre])
             return count_by_data_centre[a.data_centre] > count_by_data_centre[b.data_centre];
         return a.work < b.work;
@@ -193,10 +207,12 @@
         return {};
     auto const division = this->division_of(engines);
     this->had_enough_data = this->had_enough_data || this->has_enough_data(capacity);
+    if (auto const second = this->finish_exchange(engines, now))
+        return second;
     auto const to = this->role_lacking_engines(division, capacity, now);
     if (!to) {
         this->shortage.reset();
-        return {};
+        return this->next_exchange(engines, capacity, now);
     }
     if (!this->shortage || this->shortage->role != *to)
         this->shortage = RoleTransition { *to, now };
@@ -209,6 +225,54 @@
     return RoleChange { engine->name, *to };
 }
 
+std::optional<RoleChange> RoleBalancer::next_exchange(std::span<RoleCandidate const> engines, EngineCapacity const& capacity, MonotonicTime now)
+{
+    bool const is_due = !this->last_exchange || now - *this->last_exchange >= this->options.exchange_interval;
+    bool const is_allowed = this->options.exchange == Options::Exchange::On && !this->exchange && is_due && this->transitions.empty() && this->has_enough_data(capacity);
+    if (!is_allowed)
+        return {};
+    RoleCandidate const* slow = nullptr;
+    RoleCandidate const* fast = nullptr;
+    std::int64_t answers = 0;
+    std::int64_t slots = 0;
+    for (auto const& engine : engines) {
+        answers += engine.role == EngineRole::Decode ? engine.work : 0;
+        slots += engine.role == EngineRole::Decode ? capacity.decode_slots : 0;
+        if (!engine.is_speed_measured || engine.is_failing || this->backoff_until.contains(engine.name))
+            continue;
+        if (engine.role == EngineRole::Decode && (!slow || engine.relative_time > slow->relative_time))
+            slow = &engine;
+        if (engine.role == EngineRole::Prefill && (!fast || engine.relative_time < fast->relative_time))
+            fast = &engine;
+    }
+    bool const is_busy = static_cast<double>(answers) > this->options.maximum_exchange_load * static_cast<double>(slots);
+    if (!slow || !fast || is_busy || slow->relative_time < this->options.minimum_exchange_ratio * fast->relative_time)
+        return {};
+    this->exchange = RoleExchange { slow->name, fast->name, now };
+    this->last_exchange = now;
+    return RoleChange { slow->name, EngineRole::Prefill };
+}
+
+// Only one of the two engines is out at any time.
+std::optional<RoleChange> RoleBalancer::finish_exchange(std::span<RoleCandidate const> engines, MonotonicTime now)
+{
+    if (!this->exchange)
+        return {};
+    auto const is_in_role = [&](std::string const& name, EngineRole role) {
+        return std::any_of(engines.begin(), engines.end(), [&](auto const& engine) { return engine.name == name && engine.role == role; });
+    };
+    bool const is_over = now - this->exchange->since >= this->options.change_timeout || !is_in_role(this->exchange->fast, EngineRole::Prefill);
+    if (is_over) {
+        this->exchange.reset();
+        return {};
+    }
+    if (!is_in_role(this->exchange->slow, EngineRole::Prefill) || !this->transitions.empty())
+        return {};
+    auto const fast = std::move(this->exchange->fast);
+    this->exchange.reset();
+    return RoleChange { fast, EngineRole::Decode };
+}
+
 void RoleBalancer::note_ordered(RoleChange const& change, MonotonicTime now)
 {
     this->transitions.insert_or_assign(change.engine, RoleTransition { change.role, now });
--- a/Libraries/LibDecision/RoleBalancer.h
+++ b/Libraries/LibDecision/RoleBalancer.h
@@ -22,6 +22,9 @@
     std::string data_centre;
     /// Counts towards its role but gets no orders, since its actual state is unknown.
     bool is_failing = false;
+    /// Time that the engine takes for the same work, relative to a typical engine of its model; 1 until it has been measured.
+    double relative_time = 1;
+    bool is_speed_measured = false;
 };
 
 /// The capacity of each engine of a model.
@@ -91,6 +94,18 @@
         Duration pool_settling_time = milliseconds(1400);
         /// If there were no requests for this long, any number of engines may change at once.
         Duration idle_after = seconds(2);
+        /// Whether the slowest decode engine and the fastest prefill engine exchange their roles where that has no effect on the
+        /// division. Each exchange takes both engines out for some 6 s, one after the other.
+        enum class Exchange {
+            Off,
+            On,
+        } exchange
+            = Exchange::Off;
+        /// Least ratio of the engines' times, and least interval between two exchanges.
+        double minimum_exchange_ratio = 1.5;
+        Duration exchange_interval = seconds(120);
+        /// Share of the decode slots in use above which nothing is exchanged.
+        double maximum_exchange_load = 0.33;
     };
 
     explicit RoleBalancer(Options options);
@@ -127,6 +142,8 @@
     std::optional<EngineRole> role_lacking_engines(Division division, EngineCapacity const& capacity, MonotonicTime now) const;
     bool is_idle(MonotonicTime now) const;
     bool can_change_now(EngineRole to, Division division, MonotonicTime now) const;
+    std::optional<RoleChange> next_exchange(std::span<RoleCandidate const> engines, EngineCapacity const& capacity, MonotonicTime now);
+    std::optional<RoleChange> finish_exchange(std::span<RoleCandidate const> engines, MonotonicTime now);
     RoleCandidate const* select_engine(std::span<RoleCandidate const> engines, EngineRole from) const;
     void expire_transitions(std::span<RoleCandidate const> engines, MonotonicTime now);
     /// Requests per second served with the given number of prefill engines.
@@ -156,6 +173,14 @@
     MonotonicTime pool_since;
     /// The role that needs engines, and since when.
     std::optional<RoleTransition> shortage;
+    /// An exchange whose slow engine has been chosen to become a prefill engine. The fast one follows once that is done.
+    struct RoleExchange {
+        std::string slow;
+        std::string fast;
+        MonotonicTime since;
+    };
+    std::optional<RoleExchange> exchange;
+    std::optional<MonotonicTime> last_exchange;
 };
 
 }
--- a/Libraries/LibRouter/RoleController.cpp
+++ b/Libraries/LibRouter/RoleController.cpp
@@ -84,7 +84,7 @@
             // Engines that change their role are reported as leaving by this process itself.
             if (engine.is_leaving && !this->is_changing(engine.name))
                 continue;
-            candidates.push_back({ engine.name, engine.role, engine.work, engine.data_centre, engine.is_failing });
+            candidates.push_back({ engine.name, engine.role, engine.work, engine.data_centre, engine.is_failing, engine.relative_time, engine.is_speed_measured });
             capacity.prefill_rate = std::max(capacity.prefill_rate, engine.prefill_rate);
             capacity.memory_tokens = std::max(capacity.memory_tokens, engine.memory_tokens);
             capacity.decode_slots = std::max(capacity.decode_slots, engine.decode_slots);
--- a/Tests/LibDecision/TestCompletionPlacement.cpp
+++ b/Tests/LibDecision/TestCompletionPlacement.cpp
@@ -234,3 +234,36 @@
         }
     }
 }
+
+// Divisions that exchanges of roles would lead to, compared with a division regardless of speed. Each exchange takes two engines out
+// for 6 s, once.
+TEST_CASE("Figures of divisions by speed", "[.figures-roles]")
+{
+    struct Row {
+        int prefill_engines;
+        int slow_prefill_engines;
+    };
+    for (std::int64_t const deadline : { 14'000, 9000, 7000 }) {
+        for (auto const& row : { Row { 8, 3 }, Row { 8, 8 }, Row { 10, 3 }, Row { 10, 10 }, Row { 12, 4 }, Row { 12, 12 } }) {
+            StreamFleet::Tally sum;
+            for (std::uint64_t seed = 1; seed <= 3; ++seed) {
+                StreamFleet::Options options;
+                options.seed = seed;
+                options.deadline_milliseconds = deadline;
+                options.batch_slope = 0.1;
+                options.prefill_engines = row.prefill_engines;
+                options.decode_engines = 44 - row.prefill_engines;
+                options.factors.assign(44, 0.7);
+                for (int i = 0; i < 14; ++i)
+                    options.factors[static_cast<std::size_t>(i < row.slow_prefill_engines ? i : row.prefill_engines + i - row.slow_prefill_engines)] = 1.7;
+                auto const tally = run_fleet(options, SchedulerPolicy::Completion::Considered);
+                sum.asked += tally.asked;
+                sum.on_time += tally.on_time;
+                sum.late += tally.late;
+                sum.cut += tally.cut;
+                sum.refused += tally.refused;
+            }
+            std::printf("deadline %lld ms, %d prefill engines, %d of them slow: asked %d on_time %.4f late %.4f cut %.4f refused %.4f\n", static_cast<long long>(deadline), row.prefill_engines, row.slow_prefill_engines, sum.asked, sum.share(sum.on_time), sum.share(sum.late), sum.share(sum.cut), sum.share(sum.refused));
+        }
+    }
+}
--- a/Tests/LibDecision/TestRoleBalancer.cpp
+++ b/Tests/LibDecision/TestRoleBalancer.cpp
@@ -318,3 +318,110 @@
     static_cast<void>(balancer.next_change(all_failing, s_capacity, at(60'000)));
     CHECK_FALSE(balancer.next_change(all_failing, s_capacity, at(62'000)));
 }
+
+// With the slow engines decoding, long answers were cut at the deadline while fast engines ran prefills of 90 ms.
+TEST_CASE("The slowest decode engine becomes a prefill engine, and the fastest prefill engine a decode engine")
+{
+    // 36 engines of one data centre; every third takes 2.4 times as long.
+    auto const uneven = [](std::size_t prefill) {
+        auto engines = pool(prefill, 36 - prefill);
+        for (std::size_t i = 0; i < engines.size(); ++i) {
+            engines[i].data_centre = "dc";
+            engines[i].relative_time = i % 3 == 2 ? 1.7 : 0.7;
+            engines[i].is_speed_measured = true;
+            // The slow ones have more work, which would otherwise decide.
+            engines[i].work = i % 3 == 2 ? 5 : 2;
+        }
+        return engines;
+    };
+    auto const first_change = [&](std::vector<RoleCandidate> const& engines) {
+        RoleBalancer balancer({});
+        std::optional<RoleChange> wanted;
+        for (std::int64_t now = 0; now < 20'000 && !wanted; now += 100) {
+            balancer.note_request(5000, 4400, at(now));
+            wanted = balancer.next_change(engines, s_capacity, at(now));
+        }
+        return wanted;
+    };
+    auto const find = [](std::vector<RoleCandidate> const& engines, std::string const& name) {
+        return *std::find_if(engines.begin(), engines.end(), [&](auto const& engine) { return engine.name == name; });
+    };
+    auto const few = uneven(3);
+    auto const to_prefill = first_change(few);
+    REQUIRE(to_prefill);
+    CHECK(to_prefill->role == EngineRole::Prefill);
+    CHECK(find(few, to_prefill->engine).relative_time == 1.7);
+    auto const many = uneven(15);
+    auto const to_decode = first_change(many);
+    REQUIRE(to_decode);
+    CHECK(to_decode->role == EngineRole::Decode);
+    CHECK(find(many, to_decode->engine).relative_time == 0.7);
+}
+
+TEST_CASE("A data centre does not lose its last engine of a role because that is the slowest")
+{
+    RoleBalancer balancer({});
+    auto engines = pool(3, 33);
+    for (auto& engine : engines)
+        engine.data_centre = "dc1";
+    engines[20].data_centre = "dc2";
+    engines[20].relative_time = 3;
+    std::optional<RoleChange> wanted;
+    for (std::int64_t now = 0; now < 20'000 && !wanted; now += 100) {
+        balancer.note_request(5000, 4400, at(now));
+        wanted = balancer.next_change(engines, s_capacity, at(now));
+    }
+    REQUIRE(wanted);
+    CHECK(wanted->engine != "e20");
+}
+
+namespace {
+
+/// Runs a balancer for ten minutes with the division that it wants; orders take effect after 6 s. Returns the orders.
+std::vector<RoleChange> run_exchanges(RoleBalancer::Options const& options, std::int64_t work, double slow_time)
+{
+    RoleBalancer balancer(options);
+    teach(balancer, 5000, 4400, at(0));
+    auto engines = pool(7, 29);
+    for (std::size_t i = 0; i < engines.size(); ++i) {
+        engines[i].relative_time = i % 3 == 2 ? slow_time : 0.7;
+        engines[i].is_speed_measured = true;
+        engines[i].work = engines[i].role == EngineRole::Decode ? work : 0;
+    }
+    std::vector<RoleChange> orders;
+    std::vector<std::pair<std::int64_t, RoleChange>> pending;
+    for (std::int64_t now = 0; now < 600'000; now += 100) {
+        balancer.note_request(5000, 4400, at(now));
+        std::erase_if(pending, [&](auto const& entry) {
+            bool const is_done = now - entry.first >= 6000;
+            if (is_done)
+                change(engines, entry.second);
+            return is_done;
+        });
+        auto const wanted = balancer.next_change(engines, s_capacity, at(now));
+        if (!wanted)
+            continue;
+        CHECK(pending.empty());
+        balancer.note_ordered(*wanted, at(now));
+        orders.push_back(*wanted);
+        pending.emplace_back(now, *wanted);
+    }
+    return orders;
+}
+
+}
+
+// Guards against exchanges that cost more than they gain: each takes two engines out for 6 s.
+TEST_CASE("Engines of uneven speed exchange roles in pairs, rarely, and only if it is enabled and there is room")
+{
+    RoleBalancer::Options options;
+    CHECK(run_exchanges(options, 3, 1.7).empty());
+    options.exchange = RoleBalancer::Options::Exchange::On;
+    CHECK(run_exchanges(options, 40, 1.7).empty());
+    CHECK(run_exchanges(options, 3, 0.9).empty());
+    auto const orders = run_exchanges(options, 3, 1.7);
+    // Five of the seven prefill engines are fast, and an exchange is due every two minutes.
+    REQUIRE(orders.size() == 10);
+    for (std::size_t i = 0; i < orders.size(); ++i)
+        CHECK(orders[i].role == (i % 2 == 0 ? EngineRole::Prefill : EngineRole::Decode));
+}
