CellScheduler: Share decode memory fairly among accounts

Shares are max-min fair; an account over its share does not get memory that active accounts of at least its priority below theirs need by what they asked for lately, and does not fill gaps while one of them waits. Where the active accounts need less than there is, or no other is active, nothing is held back. Grant records restore what accounts hold. The grant's log line names the account's usage.

An account that becomes active starts level with the lowest past use of the others, without what they hold now: after the first of their answers ended it would otherwise be behind them for ten seconds.

--- a/Libraries/LibDecision/CellScheduler.cpp
+++ b/Libraries/LibDecision/CellScheduler.cpp
@@ -106,10 +106,13 @@
             && found->second.description.burst == description.burst;
         // Changing the weight must not refill the bucket, otherwise frequent changes would bypass the rate limit.
         auto bucket = same_limit ? found->second.bucket : TokenBucket(description.requests_per_second, description.burst, now);
-        double const served = found != this->accounts.end() ? found->second.served : 0;
-        remaining.emplace(description.name, Account { description, bucket, served });
+        remaining.emplace(description.name, Account { description, bucket });
     }
     this->accounts = std::move(remaining);
+    for (auto& [model, shares] : this->memory_shares) {
+        for (auto const& [name, account] : this->accounts)
+            shares.set_weight(name, account.description.weight);
+    }
 }
 
 void CellScheduler::report(std::string_view name, EngineReport const& report, MonotonicTime now)
@@ -265,6 +268,7 @@
     granted.last_seen = now;
     granted.decode_from = now;
     this->hold_slot(engine, held.request);
+    this->hold_memory(granted, now);
     this->granted.emplace(held.request, std::move(granted));
 }
 
@@ -366,18 +370,7 @@
         this->refuse(ask, RefusalReason::RateLimited, account->second.bucket.time_until(1, now), now);
         return;
     }
-    // An idle account starts at the lowest usage of the waiting accounts, so that it cannot accumulate credit.
-    double lowest_served = account->second.served;
-    bool have_others_waiting = false;
-    for (auto const& other : this->waiting) {
-        auto const served = this->accounts.find(other.account);
-        if (served == this->accounts.end())
-            continue;
-        lowest_served = have_others_waiting ? std::min(lowest_served, served->second.served) : served->second.served;
-        have_others_waiting = true;
-    }
-    if (have_others_waiting)
-        account->second.served = std::max(account->second.served, lowest_served);
+    this->note_memory_ask(ask, now);
     this->ask_forecasts.erase(ask.request);
     this->detect_caller_retry(ask, now);
     if (this->refuse_if_infeasible(ask, now))
@@ -481,6 +474,7 @@
         return;
     if (known != this->granted.end()) {
         this->free_slot(known->second.decode_engine, ask.request);
+        this->release_memory(known->second, now);
         this->granted.erase(known);
     }
     Granted granted;
@@ -497,6 +491,7 @@
         prefill->second.prefills.push_back({ ask.request, ask.prompt_tokens, now, true });
     auto const request = ask.request;
     granted.ask = std::move(ask);
+    this->hold_memory(granted, now);
     auto& restored = this->granted.emplace(request, std::move(granted)).first->second;
     this->start_move(restored, moves_to, now);
 }
@@ -530,6 +525,7 @@
     this->released.insert_or_assign(request, now);
     this->free_slot(found->second.decode_engine, request);
     this->free_slot(found->second.moves_to, request);
+    this->release_memory(found->second, now);
     this->granted.erase(found);
 }
 
--- a/Libraries/LibDecision/CellScheduler.h
+++ b/Libraries/LibDecision/CellScheduler.h
@@ -5,6 +5,7 @@
 
 #include <LibCore/Time.h>
 #include <LibDecision/CompletionForecast.h>
+#include <LibDecision/DecodeMemoryShares.h>
 #include <LibDecision/EnginePaceTable.h>
 #include <LibDecision/MemoryForecast.h>
 #include <LibDecision/PrefillRateEstimator.h>
@@ -149,6 +150,8 @@
     MonotonicTime predicted_first_token;
     std::size_t candidates = 0;
     CallerAttempt caller_attempt = CallerAttempt::First;
+    /// Weighted usage of the account before the grant, in tokens of memory.
+    double account_usage = 0;
 };
 
 enum class RefusalReason {
@@ -435,6 +438,8 @@
         MonotonicTime decode_from;
         /// Output tokens generated before decode_from, at another engine.
         double tokens_before = 0;
+        /// Memory that counts towards the account's share, in tokens.
+        double memory_claim = 0;
         /// The engine that the request is moving to, which holds a slot and memory for it; empty if none.
         std::string moves_to;
         MonotonicTime move_granted_at;
@@ -446,7 +451,6 @@
     struct Account {
         AccountDescription description;
         TokenBucket bucket;
-        double served = 0;
     };
 
     struct Placement {
@@ -495,12 +499,26 @@
     ScheduleStep schedule_one(std::size_t index, MonotonicTime now);
     void skip_resumed(std::string_view model, std::set<std::string>& skipped) const;
     Duration expected_lateness() const;
-    bool precedes(PlacementAsk const& a, PlacementAsk const& b) const;
+    bool precedes(PlacementAsk const& a, PlacementAsk const& b, MonotonicTime now) const;
+    DecodeMemoryShares& memory_shares_of(std::string const& model);
+    double usage_of(PlacementAsk const& ask, MonotonicTime now) const;
+    double memory_claim(PlacementAsk const& ask) const;
+    void note_memory_ask(PlacementAsk const& ask, MonotonicTime now);
+    void hold_memory(Granted& granted, MonotonicTime now);
+    void release_memory(Granted const& granted, MonotonicTime now);
+    /// Whether the request's account is over its share of decode memory, and whether others need the memory that is free.
+    enum class ShareStatus {
+        Within,
+        Over,
+        Bounded,
+    };
+    ShareStatus share_status(PlacementAsk const& ask, MonotonicTime now) const;
+    void skip_account(PlacementAsk const& held_up, std::set<std::string>& skipped) const;
     Duration queueing_delay(PlacementAsk const& ask, MonotonicTime now) const;
     bool refuse_if_infeasible(PlacementAsk const& ask, MonotonicTime now);
     void refuse_infeasible(MonotonicTime now);
     void refuse_overdue(std::string const& model, MonotonicTime now);
-    std::optional<std::size_t> next_waiting(std::string_view model, std::set<std::string> const& skipped) const;
+    std::optional<std::size_t> next_waiting(std::string_view model, std::set<std::string> const& skipped, MonotonicTime now) const;
     std::optional<Placement> find_placement(PlacementAsk const& ask, MonotonicTime now);
     std::optional<Placement> find_decode(PlacementAsk const& ask, Placement placement, std::string_view software_version, MonotonicTime now) const;
     std::optional<Placement> better_of(std::optional<Placement> a, std::optional<Placement> b, PlacementAsk const& ask) const;
@@ -560,7 +578,6 @@
     Duration transfer_time(Engine const& engine, PlacementAsk const& ask) const;
     Duration expected_wait(std::string const& model, MonotonicTime now) const;
     QuantileEstimator& output_estimate(std::string const& model);
-    double cost_of(PlacementAsk const& ask) const;
 
     Options options;
     std::map<std::string, Engine, std::less<>> engines;
@@ -574,6 +591,10 @@
     /// Recently measured time per output token by model; the initial value for new engines.
     std::map<std::string, Duration, std::less<>> model_step_times;
     EnginePaceTable paces;
+    /// By model.
+    std::map<std::string, DecodeMemoryShares, std::less<>> memory_shares;
+    /// Memory that is not committed at each usable decode engine with a free slot, by model. Computed once per scheduling pass.
+    mutable std::map<std::string, std::vector<double>, std::less<>> free_decode_memory;
     MonotonicTime paces_checked;
     /// How much later than predicted first tokens arrived, as a high quantile in milliseconds.
     QuantileEstimator lateness;
--- a/Libraries/LibDecision/CellSchedulerMigration.cpp
+++ b/Libraries/LibDecision/CellSchedulerMigration.cpp
@@ -36,7 +36,7 @@
         return;
     }
     this->start_move(granted, target->engine, now);
-    this->decisions.emplace_back(PlacementGrant { ask.request, {}, std::string(target->engine), target->ready, 1, CallerAttempt::First });
+    this->decisions.emplace_back(PlacementGrant { ask.request, {}, std::string(target->engine), target->ready, 1, CallerAttempt::First, this->usage_of(ask, now) });
 }
 
 // Among the engines that complete the answer before its present engine would, the one with the most capacity of those
--- a/Libraries/LibDecision/CellSchedulerPlacement.cpp
+++ b/Libraries/LibDecision/CellSchedulerPlacement.cpp
@@ -38,6 +38,7 @@
 void CellScheduler::schedule(MonotonicTime now)
 {
     this->mark_last_resorts(now);
+    this->free_decode_memory.clear();
     if (this->ask_forecasts.size() > MAXIMUM_UNUSED_FORECASTS + 2 * this->waiting.size())
         this->ask_forecasts.clear();
     std::set<std::string> models;
@@ -186,11 +187,19 @@
     std::set<std::string> skipped;
     std::size_t skipped_new = 0;
     std::size_t skipped_resumed = 0;
-    while (auto const index = this->next_waiting(model, skipped)) {
+    bool is_account_waiting = false;
+    while (auto const index = this->next_waiting(model, skipped, now)) {
         auto const request = this->waiting[*index].request;
         bool const is_resumed = !this->waiting[*index].software_version.empty();
+        auto const share = this->share_status(this->waiting[*index], now);
+        // Accounts over their share do not fill the gaps that are too small for a waiting request of one within its share.
+        if (share == ShareStatus::Bounded || (share == ShareStatus::Over && is_account_waiting)) {
+            this->skip_account(this->waiting[*index], skipped);
+            continue;
+        }
         if (this->schedule_one(*index, now) != ScheduleStep::MustWait)
             continue;
+        is_account_waiting = is_account_waiting || share == ShareStatus::Within;
         auto& count = is_resumed ? skipped_resumed : skipped_new;
         bool const may_skip = ++count <= MAXIMUM_SKIPPED_REQUESTS;
         if (this->options.policy.backfill == SchedulerPolicy::Backfill::Off || (!may_skip && !is_resumed))
@@ -270,7 +279,7 @@
             is_before = false;
             continue;
         }
-        bool const is_ahead = this->precedes(other, ask) || (is_before && !this->precedes(ask, other));
+        bool const is_ahead = this->precedes(other, ask, now) || (is_before && !this->precedes(ask, other, now));
         if (other.model == ask.model && is_ahead)
             tokens += static_cast<double>(other.prompt_tokens + other.relayed_tokens);
     }
@@ -309,31 +318,13 @@
     });
 }
 
-// Orders by priority, timeliness, weighted usage of the account, and deadline.
-bool CellScheduler::precedes(PlacementAsk const& a, PlacementAsk const& b) const
-{
-    auto const served = [&](PlacementAsk const& ask) {
-        auto const found = this->accounts.find(ask.account);
-        return found == this->accounts.end() ? 0.0 : found->second.served;
-    };
-    if (a.priority != b.priority)
-        return a.priority > b.priority;
-    if (a.software_version.empty() != b.software_version.empty())
-        return b.software_version.empty();
-    if (a.timeliness != b.timeliness)
-        return a.timeliness == PlacementAsk::Timeliness::OnTime;
-    if (a.account != b.account && served(a) != served(b))
-        return served(a) < served(b);
-    return a.first_token_deadline < b.first_token_deadline;
-}
-
-std::optional<std::size_t> CellScheduler::next_waiting(std::string_view model, std::set<std::string> const& skipped) const
+std::optional<std::size_t> CellScheduler::next_waiting(std::string_view model, std::set<std::string> const& skipped, MonotonicTime now) const
 {
     std::optional<std::size_t> best;
     for (std::size_t i = 0; i < this->waiting.size(); ++i) {
         if (this->waiting[i].model != model || skipped.contains(this->waiting[i].request))
             continue;
-        if (!best || this->precedes(this->waiting[i], this->waiting[*best]))
+        if (!best || this->precedes(this->waiting[i], this->waiting[*best], now))
             best = i;
     }
     return best;
@@ -649,14 +640,6 @@
     return granted.decode_from + from_seconds(tokens * to_seconds(step));
 }
 
-double CellScheduler::cost_of(PlacementAsk const& ask) const
-{
-    constexpr double PREFILL_TOKENS_PER_OUTPUT_TOKEN = 40;
-    auto const estimate = this->output_estimates.find(ask.model);
-    double const output = estimate == this->output_estimates.end() ? INITIAL_OUTPUT_ESTIMATE_TOKENS : estimate->second.estimate();
-    return static_cast<double>(ask.prompt_tokens) + PREFILL_TOKENS_PER_OUTPUT_TOKEN * output;
-}
-
 void CellScheduler::grant(PlacementAsk ask, Placement const& placement, MonotonicTime now)
 {
     auto const prefill = this->engines.find(placement.prefill);
@@ -678,12 +661,11 @@
         if (engine && engine->consecutive_failures > 0)
             engine->probe_request = ask.request;
     }
-    auto const account = this->accounts.find(ask.account);
-    if (account != this->accounts.end())
-        account->second.served += this->cost_of(ask) / account->second.description.weight;
-    this->decisions.emplace_back(PlacementGrant { ask.request, placement.prefill, placement.decode, placement.first_token, placement.candidates, ask.caller_attempt });
+    auto const usage = this->usage_of(ask, now);
+    this->decisions.emplace_back(PlacementGrant { ask.request, placement.prefill, placement.decode, placement.first_token, placement.candidates, ask.caller_attempt, usage });
     auto const request = ask.request;
     granted.ask = std::move(ask);
+    this->hold_memory(granted, now);
     this->granted.emplace(request, std::move(granted));
 }
 
--- a/Libraries/LibDecision/MemoryForecast.cpp
+++ b/Libraries/LibDecision/MemoryForecast.cpp
@@ -50,13 +50,25 @@
     }
 }
 
+double MemoryForecast::committed(double expected, double variance_sum, double answers) const
+{
+    return expected + this->options.progress_error * answers + this->options.deviations * std::sqrt(variance_sum);
+}
+
+double MemoryForecast::committed_peak() const
+{
+    double peak = 0;
+    for (std::size_t i = 0; i < STEPS; ++i)
+        peak = std::max(peak, this->committed(this->tokens[i], this->variance[i], this->answer_tokens[i]));
+    return peak;
+}
+
 bool MemoryForecast::fits(MemoryForecast const& other, std::size_t delay_steps, double memory_tokens, double count) const
 {
     for (std::size_t i = 0; i + delay_steps < STEPS; ++i) {
         auto const expected = this->tokens[i + delay_steps] + count * other.tokens[i];
-        auto const deviation = std::sqrt(this->variance[i + delay_steps] + count * other.variance[i]);
-        auto const error = this->options.progress_error * (this->answer_tokens[i + delay_steps] + count * other.answer_tokens[i]);
-        if (expected + error + this->options.deviations * deviation > memory_tokens)
+        auto const variance_sum = this->variance[i + delay_steps] + count * other.variance[i];
+        if (this->committed(expected, variance_sum, this->answer_tokens[i + delay_steps] + count * other.answer_tokens[i]) > memory_tokens)
             return false;
     }
     return true;
--- a/Libraries/LibDecision/MemoryForecast.h
+++ b/Libraries/LibDecision/MemoryForecast.h
@@ -56,8 +56,11 @@
     double tokens_at(std::size_t step) const { return this->tokens.at(step); }
     /// Maximum expected use within the horizon.
     double peak() const;
+    /// Like peak(), with the memory reserved for deviations from what is expected.
+    double committed_peak() const;
 
 private:
+    double committed(double expected, double variance, double answers) const;
     bool fits(MemoryForecast const& other, std::size_t delay_steps, double memory_tokens, double count) const;
 
     Options options {};
--- a/Libraries/LibRouter/PlacementService.cpp
+++ b/Libraries/LibRouter/PlacementService.cpp
@@ -325,7 +325,7 @@
             reply.mutable_placement_grant()->set_decode_engine(grant->decode_engine);
             reply.mutable_placement_grant()->set_is_return(grant->caller_attempt == CallerAttempt::Retry);
             this->metrics.increment("spurtide_placements_total", "Decisions of this keeper", { { "outcome", "granted" } });
-            LogLine("placed").with("request", request).with("visit", visit_name(grant->caller_attempt)).with("prefill", grant->prefill_engine).with("decode", grant->decode_engine).with("candidates", static_cast<std::int64_t>(grant->candidates));
+            LogLine("placed").with("request", request).with("visit", visit_name(grant->caller_attempt)).with("prefill", grant->prefill_engine).with("decode", grant->decode_engine).with("candidates", static_cast<std::int64_t>(grant->candidates)).with("account_usage", static_cast<std::int64_t>(grant->account_usage));
         } else {
             auto const& refusal = std::get<PlacementRefusal>(decision);
             request = refusal.request;
