--- a/Tests/LibRouter/TestPlacementClient.cpp
+++ b/Tests/LibRouter/TestPlacementClient.cpp
@@ -20,6 +20,8 @@
         this->kernel->host(std::string(PLACEMENT_SERVICE), [this](wire::Envelope const& message, Kernel::Responder const& respond) {
             if (message.has_release())
                 this->released.push_back(message.release().request());
+            if (message.has_progress() && message.progress().move_end() != wire::MOVE_END_NONE)
+                this->move_ends.emplace_back(message.progress().move_end(), message.progress().moved_to());
             if (!message.has_placement_ask() || !this->replies)
                 return;
             ++this->ask_count;
@@ -35,6 +37,7 @@
     bool replies = true;
     int ask_count = 0;
     std::vector<std::string> released;
+    std::vector<std::pair<wire::MoveEnd, std::string>> move_ends;
 };
 
 /// A client on one of three VMs with placement services.
@@ -74,17 +77,18 @@
     bool run_until(std::function<bool()> const& condition) { return run_loop_until(this->loop, condition); }
 
     /// Returns whether the request was granted a placement.
-    bool place(std::string const& request)
+    bool place(std::string const& request, std::string migrates_from = {})
     {
         std::optional<bool> granted;
-        asio::co_spawn(this->loop, this->ask(request, granted), asio::detached);
+        asio::co_spawn(this->loop, this->ask(request, std::move(migrates_from), granted), asio::detached);
         return this->run_until([&] { return granted.has_value(); }) && *granted;
     }
 
-    asio::awaitable<void> ask(std::string request, std::optional<bool>& granted)
+    asio::awaitable<void> ask(std::string request, std::string migrates_from, std::optional<bool>& granted)
     {
         PlacementAsk ask;
         ask.request = std::move(request);
+        ask.migrates_from = std::move(migrates_from);
         auto const wait = std::make_shared<PlacementClient::PendingAsk>(this->loop.get_executor());
         auto const decision = co_await this->client->ask(ask, wait, { milliseconds(60), milliseconds(900), {} });
         granted = decision && std::holds_alternative<PlacementGrant>(*decision);
@@ -151,3 +155,36 @@
     CHECK(others[0]->released.size() + others[1]->released.size() == 2);
     CHECK(test.own->released.empty());
 }
+
+// A release sent for the sake of a move would free the memory of the stream that still runs at its first engine.
+TEST_CASE("A move that is granted or not answered leaves the grant of the running request in force", "[held]")
+{
+    PlacementTest test;
+    REQUIRE(test.place("request-1"));
+    std::vector<KeeperVirtualMachine*> const keepers { test.machines[0].get(), test.machines[1].get(), test.machines[2].get() };
+    auto const move_ends = [&] {
+        std::vector<std::pair<wire::MoveEnd, std::string>> all;
+        for (auto const* keeper : keepers)
+            all.insert(all.end(), keeper->move_ends.begin(), keeper->move_ends.end());
+        return all;
+    };
+    SECTION("granted and moved")
+    {
+        REQUIRE(test.place("request-1", "first"));
+        CHECK(test.client->held_count() == 1);
+        test.client->end_move("request-1", MoveEnd::Moved);
+        REQUIRE(test.run_until([&] { return !move_ends().empty(); }));
+        CHECK(move_ends().front() == std::pair<wire::MoveEnd, std::string>(wire::MOVE_END_MOVED, "maker"));
+    }
+    SECTION("the keeper does not answer")
+    {
+        for (auto* keeper : test.others())
+            keeper->replies = false;
+        REQUIRE(test.place("request-1", "first"));
+        REQUIRE(test.run_until([&] { return !move_ends().empty(); }));
+        CHECK(move_ends().front().first == wire::MOVE_END_ABANDONED);
+    }
+    for (auto const* keeper : keepers)
+        CHECK(keeper->released.empty());
+    CHECK(test.client->held_count() == 1);
+}
