--- a/Libraries/LibDecision/CellScheduler.cpp
+++ b/Libraries/LibDecision/CellScheduler.cpp
@@ -58,7 +58,7 @@
 
 std::string_view to_string(RefusalReason reason)
 {
-    constexpr std::array<std::string_view, 7> NAMES = { "unknown_model", "unknown_account", "rate_limited", "no_upstream", "cannot_meet_first_token", "queue_full", "duplicate" };
+    constexpr std::array<std::string_view, 8> NAMES = { "unknown_model", "unknown_account", "rate_limited", "no_upstream", "cannot_meet_first_token", "queue_full", "duplicate", "cannot_finish_in_time" };
     return NAMES.at(static_cast<std::size_t>(reason));
 }
 
@@ -106,10 +106,13 @@
             && found->second.description.burst == description.burst;
         // Changing the weight must not refill the bucket, otherwise frequent changes would bypass the rate limit.
         auto bucket = same_limit ? found->second.bucket : TokenBucket(description.requests_per_second, description.burst, now);
-        double const served = found != this->accounts.end() ? found->second.served : 0;
-        remaining.emplace(description.name, Account { description, bucket, served });
+        remaining.emplace(description.name, Account { description, bucket });
     }
     this->accounts = std::move(remaining);
+    for (auto& [model, shares] : this->memory_shares) {
+        for (auto const& [name, account] : this->accounts)
+            shares.set_weight(name, account.description.weight);
+    }
 }
 
 void CellScheduler::report(std::string_view name, EngineReport const& report, MonotonicTime now)
@@ -227,6 +230,7 @@
         return;
     auto const expected_time = to_seconds(estimator.compute_time(prefill.tokens) + estimator.latency());
     engine.slowness += RATE_SMOOTHING * (to_seconds(taken) / expected_time - engine.slowness);
+    ++engine.slowness_samples;
     engine.slowness = std::clamp(engine.slowness, MINIMUM_SLOWNESS, MAXIMUM_SLOWNESS);
 }
 
@@ -264,6 +268,7 @@
     granted.last_seen = now;
     granted.decode_from = now;
     this->hold_slot(engine, held.request);
+    this->hold_memory(granted, now);
     this->granted.emplace(held.request, std::move(granted));
 }
 
@@ -318,6 +323,10 @@
     auto const engine = this->engines.find(granted.decode_engine);
     if (this->options.report_need == Options::ReportNeed::Required || granted.phase != GrantProgress::Decoding || output_tokens < MINIMUM_STEP_TIME_TOKENS || engine == this->engines.end())
         return;
+    // Tokens that another engine has produced say nothing about the pace of this one.
+    auto const tokens_here = output_tokens - granted.ask.relayed_tokens - static_cast<std::int64_t>(granted.tokens_before);
+    if (tokens_here >= MINIMUM_STEP_TIME_TOKENS)
+        this->paces.add(granted.decode_engine, granted.ask.model, tokens_here, std::chrono::duration_cast<Duration>(now - granted.decode_from), now);
     auto const sample = (now - granted.decode_from) / output_tokens;
     auto& step = engine->second.step_time;
     step += std::chrono::duration_cast<Duration>((sample - step) * RATE_SMOOTHING);
@@ -338,6 +347,10 @@
         this->refuse(ask, RefusalReason::UnknownAccount, MAXIMUM_RETRY_AFTER, now);
         return;
     }
+    if (!ask.migrates_from.empty()) {
+        this->ask_for_move(std::move(ask), now);
+        return;
+    }
     auto const same_request = [&](auto const& other) { return other.request == ask.request; };
     if (this->granted.contains(ask.request) || std::any_of(this->waiting.begin(), this->waiting.end(), same_request)) {
         this->refuse(ask, RefusalReason::Duplicate, MINIMUM_RETRY_AFTER, now);
@@ -357,18 +370,7 @@
         this->refuse(ask, RefusalReason::RateLimited, account->second.bucket.time_until(1, now), now);
         return;
     }
-    // An idle account starts at the lowest usage of the waiting accounts, so that it cannot accumulate credit.
-    double lowest_served = account->second.served;
-    bool have_others_waiting = false;
-    for (auto const& other : this->waiting) {
-        auto const served = this->accounts.find(other.account);
-        if (served == this->accounts.end())
-            continue;
-        lowest_served = have_others_waiting ? std::min(lowest_served, served->second.served) : served->second.served;
-        have_others_waiting = true;
-    }
-    if (have_others_waiting)
-        account->second.served = std::max(account->second.served, lowest_served);
+    this->note_memory_ask(ask, now);
     this->ask_forecasts.erase(ask.request);
     this->detect_caller_retry(ask, now);
     if (this->refuse_if_infeasible(ask, now))
@@ -458,7 +460,7 @@
     this->end_prefill(granted.decode_engine, granted.ask.request, now);
 }
 
-void CellScheduler::restore(PlacementAsk ask, std::string_view prefill_engine, std::string_view decode_engine, GrantProgress progress, Duration age, MonotonicTime now)
+void CellScheduler::restore(PlacementAsk ask, std::string_view prefill_engine, std::string_view decode_engine, GrantProgress progress, Duration age, MonotonicTime now, std::string_view moves_to)
 {
     auto const decode = this->engines.find(decode_engine);
     auto const known = this->granted.find(ask.request);
@@ -466,11 +468,13 @@
     if (is_known) {
         known->second.last_seen = now;
         known->second.is_confirmed = true;
+        this->reconcile_move(known->second, decode_engine, moves_to, now);
     }
     if (decode == this->engines.end() || is_known || this->released.contains(ask.request))
         return;
     if (known != this->granted.end()) {
         this->free_slot(known->second.decode_engine, ask.request);
+        this->release_memory(known->second, now);
         this->granted.erase(known);
     }
     Granted granted;
@@ -487,7 +491,9 @@
         prefill->second.prefills.push_back({ ask.request, ask.prompt_tokens, now, true });
     auto const request = ask.request;
     granted.ask = std::move(ask);
-    this->granted.emplace(request, std::move(granted));
+    this->hold_memory(granted, now);
+    auto& restored = this->granted.emplace(request, std::move(granted)).first->second;
+    this->start_move(restored, moves_to, now);
 }
 
 void CellScheduler::note_cached(std::string_view engine, std::span<std::string const> own_parts, MonotonicTime now)
@@ -518,6 +524,8 @@
     this->end_prefill(found->second.prefilling_engine(), request, now);
     this->released.insert_or_assign(request, now);
     this->free_slot(found->second.decode_engine, request);
+    this->free_slot(found->second.moves_to, request);
+    this->release_memory(found->second, now);
     this->granted.erase(found);
 }
 
@@ -533,6 +541,7 @@
         this->remove_granted(request, now);
     std::erase_if(this->cached, [&](auto const& entry) { return now - entry.second.since > CACHED_PROMPT_RETENTION; });
     this->refusal_history.remove_expired(now);
+    this->forget_missing_paces(now);
     std::erase_if(this->released, [&](auto const& entry) { return now - entry.second > RELEASED_RETENTION; });
     if (now - this->last_feasibility_check >= FEASIBILITY_CHECK_INTERVAL) {
         this->last_feasibility_check = now;
@@ -576,6 +585,9 @@
         state.memory_tokens = static_cast<double>(engine.description.memory_tokens);
         state.decode_slots = engine.description.decode_slots;
         state.is_failing = engine.consecutive_failures > 0;
+        auto const relative_time = this->relative_time_of(engine);
+        state.relative_time = relative_time.value_or(1);
+        state.is_speed_measured = relative_time.has_value();
         states[engine.description.model].push_back(std::move(state));
     }
     return states;
--- a/Libraries/LibDecision/CellScheduler.h
+++ b/Libraries/LibDecision/CellScheduler.h
@@ -4,6 +4,9 @@
 #pragma once
 
 #include <LibCore/Time.h>
+#include <LibDecision/CompletionForecast.h>
+#include <LibDecision/DecodeMemoryShares.h>
+#include <LibDecision/EnginePaceTable.h>
 #include <LibDecision/MemoryForecast.h>
 #include <LibDecision/PrefillRateEstimator.h>
 #include <LibDecision/QuantileEstimator.h>
@@ -123,6 +126,12 @@
     /// The caller has received events of the stream, which only continues at engines with this software version. Placed before
     /// new streams of the same priority, which have more engines to choose from. Empty for a new stream.
     std::string software_version {};
+    /// Time by which the answer has to be complete: the earlier of the caller's deadline and the route's timeout.
+    std::optional<MonotonicTime> finish_by {};
+    /// The engine that runs the request now, for a request that asks for another decode engine to move to. Empty for a
+    /// request that is not running. If excluded_engines names this engine too, the answer is not expected to end there
+    /// (the engine is leaving or does not send), and any other engine is accepted; otherwise only one that ends earlier.
+    std::string migrates_from {};
     /// Set by the scheduler.
     CallerAttempt caller_attempt = CallerAttempt::First;
     /// Late requests can no longer meet their deadline and are scheduled after all on-time requests of the same
@@ -141,6 +150,8 @@
     MonotonicTime predicted_first_token;
     std::size_t candidates = 0;
     CallerAttempt caller_attempt = CallerAttempt::First;
+    /// Weighted usage of the account before the grant, in tokens of memory.
+    double account_usage = 0;
 };
 
 enum class RefusalReason {
@@ -151,6 +162,7 @@
     CannotMeetFirstToken,
     QueueFull,
     Duplicate,
+    CannotFinishInTime,
 };
 
 std::string_view to_string(RefusalReason reason);
@@ -172,6 +184,12 @@
     Decoding,
 };
 
+/// How the move of a running request to another engine ended, as reported by its origin.
+enum class MoveEnd {
+    Moved,
+    Abandoned,
+};
+
 /// A prefill or decode engine that is eligible for a request.
 struct PlacementCandidate {
     std::string_view engine;
@@ -215,6 +233,12 @@
         Overflow,
     } decode_prefill
         = DecodePrefill::Off;
+    /// Whether the time by which an answer has to be complete determines the choice of its decode engine.
+    enum class Completion {
+        Considered,
+        Ignored,
+    } completion
+        = Completion::Considered;
     /// Selects one of the candidates; the default policy applies if unset.
     std::function<std::size_t(std::span<PlacementCandidate const>)> choose_prefill;
     std::function<std::size_t(std::span<PlacementCandidate const>)> choose_decode;
@@ -261,6 +285,9 @@
         /// preferred. Decode engines are chosen there too, so the KV cache stays in one data centre, which halves link
         /// time and cost. 30 ms is a third of a typical prefill and small compared with the first token target.
         Duration local_prefill_preference = milliseconds(30);
+        /// Weight of an engine's pace against its free memory, as a fraction of its memory, among the engines that complete an
+        /// answer in time. Simulations gave no clear difference between 0.1 and 0.4, so free memory keeps most of its weight.
+        double pace_weight = 0.1;
         /// Decode step time assumed until it has been measured.
         Duration initial_step_time = milliseconds(25);
         /// Decode engines whose time between tokens exceeds this get no further requests.
@@ -283,11 +310,14 @@
     void set_leaving(std::string_view engine, EngineReport::Life life);
 
     void ask(PlacementAsk ask, MonotonicTime now);
+    /// Ends the move of a running request. The grant stays in force at the engine that it names afterwards: the given
+    /// target if it moved, the source if the move was abandoned.
+    void end_move(std::string_view request, MoveEnd end, std::string_view target, MonotonicTime now);
     void progress(std::string_view request, GrantProgress progress, MonotonicTime now);
     /// Restores a grant of an earlier keeper as reported by its origin, replacing a grant adopted from an engine
     /// report. For a known grant this only confirms that it is still in use. The age is the time since the last
-    /// progress.
-    void restore(PlacementAsk ask, std::string_view prefill_engine, std::string_view decode_engine, GrantProgress progress, Duration age, MonotonicTime now);
+    /// progress. Names the engine that the request is moving to, if any.
+    void restore(PlacementAsk ask, std::string_view prefill_engine, std::string_view decode_engine, GrantProgress progress, Duration age, MonotonicTime now, std::string_view moves_to = {});
     /// Records that the engine has cached the prompts with these session parts.
     void note_cached(std::string_view engine, std::span<std::string const> own_parts, MonotonicTime now);
     /// Releases everything held by a request that ended or whose caller disconnected.
@@ -329,6 +359,9 @@
         /// Whether the last request sent to the engine failed. The engine may only be unreachable from this VM.
         bool is_failing = false;
         bool is_leaving = false;
+        /// Time for the same work relative to a typical engine of the model; 1 until it has been measured.
+        double relative_time = 1;
+        bool is_speed_measured = false;
     };
     /// Engine states by model.
     std::map<std::string, std::vector<EngineState>> engine_states() const;
@@ -350,6 +383,9 @@
     /// Bounds of the retry delay of refused callers.
     static constexpr Duration MINIMUM_RETRY_AFTER = milliseconds(100);
     static constexpr Duration MAXIMUM_RETRY_AFTER = seconds(30);
+    /// Quantile of lengths that the learned output estimate follows, and its distance from the median in standard deviations.
+    static constexpr double OUTPUT_QUANTILE = 0.8;
+    static constexpr double DEVIATIONS_OF_OUTPUT_QUANTILE = 0.8416;
 
     struct QueuedPrefill {
         std::string request;
@@ -371,6 +407,8 @@
         Duration step_time = milliseconds(25);
         /// Ratio of prefill times on this engine to the average of the model.
         double slowness = 1;
+        /// Number of prefills that the slowness was measured with.
+        int slowness_samples = 0;
         /// Unfinished prefills in the order of their grants. On a decode engine, those that it runs itself.
         std::vector<QueuedPrefill> prefills;
         /// Limits the request rate while the engine is cold.
@@ -398,6 +436,13 @@
         MonotonicTime last_seen;
         MonotonicTime predicted_first_token;
         MonotonicTime decode_from;
+        /// Output tokens generated before decode_from, at another engine.
+        double tokens_before = 0;
+        /// Memory that counts towards the account's share, in tokens.
+        double memory_claim = 0;
+        /// The engine that the request is moving to, which holds a slot and memory for it; empty if none.
+        std::string moves_to;
+        MonotonicTime move_granted_at;
 
         /// The engine that runs the prefill: the decode engine if there is no prefill engine.
         std::string const& prefilling_engine() const { return this->prefill_engine.empty() ? this->decode_engine : this->prefill_engine; }
@@ -406,7 +451,6 @@
     struct Account {
         AccountDescription description;
         TokenBucket bucket;
-        double served = 0;
     };
 
     struct Placement {
@@ -414,6 +458,7 @@
         std::string decode;
         /// Capacity score of the decode engine.
         std::int64_t score = 0;
+        CompletionOutlook outlook = CompletionOutlook::Likely;
         MonotonicTime first_token;
         MonotonicTime prefill_end;
         /// Prompt and relayed tokens that have to be prefilled.
@@ -421,6 +466,11 @@
         std::size_t candidates = 0;
     };
 
+    struct DecodeChoice {
+        PlacementCandidate candidate;
+        CompletionOutlook outlook = CompletionOutlook::Likely;
+    };
+
     enum class ScheduleStep {
         Placed,
         Refused,
@@ -449,20 +499,49 @@
     ScheduleStep schedule_one(std::size_t index, MonotonicTime now);
     void skip_resumed(std::string_view model, std::set<std::string>& skipped) const;
     Duration expected_lateness() const;
-    bool precedes(PlacementAsk const& a, PlacementAsk const& b) const;
+    bool precedes(PlacementAsk const& a, PlacementAsk const& b, MonotonicTime now) const;
+    DecodeMemoryShares& memory_shares_of(std::string const& model);
+    double usage_of(PlacementAsk const& ask, MonotonicTime now) const;
+    double memory_claim(PlacementAsk const& ask) const;
+    void note_memory_ask(PlacementAsk const& ask, MonotonicTime now);
+    void hold_memory(Granted& granted, MonotonicTime now);
+    void release_memory(Granted const& granted, MonotonicTime now);
+    /// Whether the request's account is over its share of decode memory, and whether others need the memory that is free.
+    enum class ShareStatus {
+        Within,
+        Over,
+        Bounded,
+    };
+    ShareStatus share_status(PlacementAsk const& ask, MonotonicTime now) const;
+    void skip_account(PlacementAsk const& held_up, std::set<std::string>& skipped) const;
     Duration queueing_delay(PlacementAsk const& ask, MonotonicTime now) const;
     bool refuse_if_infeasible(PlacementAsk const& ask, MonotonicTime now);
     void refuse_infeasible(MonotonicTime now);
     void refuse_overdue(std::string const& model, MonotonicTime now);
-    std::optional<std::size_t> next_waiting(std::string_view model, std::set<std::string> const& skipped) const;
+    std::optional<std::size_t> next_waiting(std::string_view model, std::set<std::string> const& skipped, MonotonicTime now) const;
     std::optional<Placement> find_placement(PlacementAsk const& ask, MonotonicTime now);
     std::optional<Placement> find_decode(PlacementAsk const& ask, Placement placement, std::string_view software_version, MonotonicTime now) const;
     std::optional<Placement> better_of(std::optional<Placement> a, std::optional<Placement> b, PlacementAsk const& ask) const;
+    /// Time per output token; empty if no engine of the model has been measured.
+    std::optional<Duration> pace_of(Engine const& engine) const;
+    void forget_missing_paces(MonotonicTime now);
+    /// Time for the same work relative to a typical engine of the model; empty until it has been measured.
+    std::optional<double> relative_time_of(Engine const& engine) const;
+    RemainingLength remaining_length_of(PlacementAsk const& ask) const;
+    static bool may_wait_for_completion(PlacementAsk const& ask);
+    DecodeChoice choose_decode(std::vector<PlacementCandidate> candidates, PlacementAsk const& ask) const;
+    bool is_too_long(PlacementAsk const& ask, MonotonicTime first_token) const;
     std::int64_t capacity_score(Engine const& engine, PlacementAsk const& ask, MonotonicTime now, MonotonicTime when) const;
     std::vector<PlacementCandidate> prefill_candidates(PlacementAsk const& ask, MonotonicTime now) const;
     std::optional<MonotonicTime> best_first_token(PlacementAsk const& ask, MonotonicTime now) const;
     void grant(PlacementAsk ask, Placement const& placement, MonotonicTime now);
     void refuse(PlacementAsk const& ask, RefusalReason reason, Duration retry_after, MonotonicTime now);
+    void ask_for_move(PlacementAsk ask, MonotonicTime now);
+    std::optional<PlacementCandidate> find_move_target(PlacementAsk const& ask, MonotonicTime now) const;
+    /// Time from now until the rest of the answer is complete at the engine, from the expected length.
+    Duration remaining_time(Engine const& engine, PlacementAsk const& ask) const;
+    void start_move(Granted& granted, std::string_view target, MonotonicTime now);
+    void reconcile_move(Granted& granted, std::string_view decode_engine, std::string_view moves_to, MonotonicTime now);
     void detect_caller_retry(PlacementAsk& ask, MonotonicTime now);
     void remove_granted(std::string request, MonotonicTime now);
     void adopt(Engine& engine, HeldWork const& held, MonotonicTime now);
@@ -499,7 +578,6 @@
     Duration transfer_time(Engine const& engine, PlacementAsk const& ask) const;
     Duration expected_wait(std::string const& model, MonotonicTime now) const;
     QuantileEstimator& output_estimate(std::string const& model);
-    double cost_of(PlacementAsk const& ask) const;
 
     Options options;
     std::map<std::string, Engine, std::less<>> engines;
@@ -512,6 +590,12 @@
     std::map<std::string, double, std::less<>> decode_prefill_stretch;
     /// Recently measured time per output token by model; the initial value for new engines.
     std::map<std::string, Duration, std::less<>> model_step_times;
+    EnginePaceTable paces;
+    /// By model.
+    std::map<std::string, DecodeMemoryShares, std::less<>> memory_shares;
+    /// Memory that is not committed at each usable decode engine with a free slot, by model. Computed once per scheduling pass.
+    mutable std::map<std::string, std::vector<double>, std::less<>> free_decode_memory;
+    MonotonicTime paces_checked;
     /// How much later than predicted first tokens arrived, as a high quantile in milliseconds.
     QuantileEstimator lateness;
     std::vector<PlacementAsk> waiting;
--- a/Libraries/LibDecision/CellSchedulerPlacement.cpp
+++ b/Libraries/LibDecision/CellSchedulerPlacement.cpp
@@ -18,7 +18,6 @@
 constexpr Duration MAXIMUM_EXPECTED_LATENESS = milliseconds(400);
 /// Limits how many waiting requests a backfill pass skips, which bounds the work per pass.
 constexpr std::size_t MAXIMUM_SKIPPED_REQUESTS = 8;
-constexpr double OUTPUT_QUANTILE = 0.8;
 /// Prompt length used to convert the compute time of an engine into a rate.
 constexpr std::int64_t RATE_REFERENCE_TOKENS = 1000;
 /// Maximum prompt tokens that a decode engine processes between two decode steps. A quarter of the chunk size of
@@ -39,6 +38,7 @@
 void CellScheduler::schedule(MonotonicTime now)
 {
     this->mark_last_resorts(now);
+    this->free_decode_memory.clear();
     if (this->ask_forecasts.size() > MAXIMUM_UNUSED_FORECASTS + 2 * this->waiting.size())
         this->ask_forecasts.clear();
     std::set<std::string> models;
@@ -135,6 +135,7 @@
     placement.candidates = 1;
     if (!this->has_capacity(engine, ask, now, placement.prefill_end))
         return {};
+    placement.outlook = this->choose_decode({ { found->first, 0, placement.prefill_end } }, ask).outlook;
     return placement;
 }
 
@@ -152,13 +153,15 @@
     }
     if (candidates.empty())
         return {};
-    auto const& chosen = candidates[this->options.policy.choose_decode(candidates)];
+    auto const candidate_count = candidates.size();
+    auto const [chosen, outlook] = this->choose_decode(std::move(candidates), ask);
     Placement placement;
+    placement.outlook = outlook;
     placement.decode = chosen.engine;
     placement.prefill_end = chosen.ready;
     placement.tokens = ask.prompt_tokens + ask.relayed_tokens;
     placement.first_token = chosen.ready + this->engines.find(chosen.engine)->second.step_time;
-    placement.candidates = candidates.size();
+    placement.candidates = candidate_count;
     return placement;
 }
 
@@ -184,11 +187,19 @@
     std::set<std::string> skipped;
     std::size_t skipped_new = 0;
     std::size_t skipped_resumed = 0;
-    while (auto const index = this->next_waiting(model, skipped)) {
+    bool is_account_waiting = false;
+    while (auto const index = this->next_waiting(model, skipped, now)) {
         auto const request = this->waiting[*index].request;
         bool const is_resumed = !this->waiting[*index].software_version.empty();
+        auto const share = this->share_status(this->waiting[*index], now);
+        // Accounts over their share do not fill the gaps that are too small for a waiting request of one within its share.
+        if (share == ShareStatus::Bounded || (share == ShareStatus::Over && is_account_waiting)) {
+            this->skip_account(this->waiting[*index], skipped);
+            continue;
+        }
         if (this->schedule_one(*index, now) != ScheduleStep::MustWait)
             continue;
+        is_account_waiting = is_account_waiting || share == ShareStatus::Within;
         auto& count = is_resumed ? skipped_resumed : skipped_new;
         bool const may_skip = ++count <= MAXIMUM_SKIPPED_REQUESTS;
         if (this->options.policy.backfill == SchedulerPolicy::Backfill::Off || (!may_skip && !is_resumed))
@@ -211,15 +222,19 @@
 CellScheduler::ScheduleStep CellScheduler::schedule_one(std::size_t index, MonotonicTime now)
 {
     auto placement = this->find_cached(this->waiting[index], now);
-    if (!placement || !this->is_on_time(*placement, this->waiting[index]))
-        placement = this->find_placement(this->waiting[index], now);
+    if (!placement || !this->is_on_time(*placement, this->waiting[index]) || placement->outlook != CompletionOutlook::Likely) {
+        auto other = this->find_placement(this->waiting[index], now);
+        bool const is_cached_better = placement && this->is_on_time(*placement, this->waiting[index]) && (!other || placement->outlook >= other->outlook);
+        if (!is_cached_better)
+            placement = std::move(other);
+    }
     bool const is_disaggregated_on_time = placement && this->is_on_time(*placement, this->waiting[index]);
     if (!is_disaggregated_on_time && this->is_overflow_due(this->waiting[index], now)) {
         auto const overflow = this->find_decode_prefill(this->waiting[index], DecodePrefillCause::Overflow, now);
         if (overflow && this->is_on_time(*overflow, this->waiting[index]))
             placement = overflow;
     }
-    if (!placement)
+    if (!placement || (placement->outlook == CompletionOutlook::Missed && may_wait_for_completion(this->waiting[index])))
         return ScheduleStep::MustWait;
     auto ask = std::move(this->waiting[index]);
     this->waiting.erase(this->waiting.begin() + static_cast<std::ptrdiff_t>(index));
@@ -242,6 +257,10 @@
     if (this->options.policy.early_refusal == SchedulerPolicy::EarlyRefusal::Off)
         return false;
     auto const best = this->best_first_token(ask, now);
+    if (best && this->is_too_long(ask, *best)) {
+        this->refuse(ask, RefusalReason::CannotFinishInTime, this->expected_wait(ask.model, now), now);
+        return true;
+    }
     // If no engine has reported yet, as after a change of keeper, requests wait for reports until their deadline.
     if (!best || *best + this->queueing_delay(ask, now) <= ask.first_token_deadline)
         return false;
@@ -260,7 +279,7 @@
             is_before = false;
             continue;
         }
-        bool const is_ahead = this->precedes(other, ask) || (is_before && !this->precedes(ask, other));
+        bool const is_ahead = this->precedes(other, ask, now) || (is_before && !this->precedes(ask, other, now));
         if (other.model == ask.model && is_ahead)
             tokens += static_cast<double>(other.prompt_tokens + other.relayed_tokens);
     }
@@ -299,31 +318,13 @@
     });
 }
 
-// Orders by priority, timeliness, weighted usage of the account, and deadline.
-bool CellScheduler::precedes(PlacementAsk const& a, PlacementAsk const& b) const
-{
-    auto const served = [&](PlacementAsk const& ask) {
-        auto const found = this->accounts.find(ask.account);
-        return found == this->accounts.end() ? 0.0 : found->second.served;
-    };
-    if (a.priority != b.priority)
-        return a.priority > b.priority;
-    if (a.software_version.empty() != b.software_version.empty())
-        return b.software_version.empty();
-    if (a.timeliness != b.timeliness)
-        return a.timeliness == PlacementAsk::Timeliness::OnTime;
-    if (a.account != b.account && served(a) != served(b))
-        return served(a) < served(b);
-    return a.first_token_deadline < b.first_token_deadline;
-}
-
-std::optional<std::size_t> CellScheduler::next_waiting(std::string_view model, std::set<std::string> const& skipped) const
+std::optional<std::size_t> CellScheduler::next_waiting(std::string_view model, std::set<std::string> const& skipped, MonotonicTime now) const
 {
     std::optional<std::size_t> best;
     for (std::size_t i = 0; i < this->waiting.size(); ++i) {
         if (this->waiting[i].model != model || skipped.contains(this->waiting[i].request))
             continue;
-        if (!best || this->precedes(this->waiting[i], this->waiting[*best]))
+        if (!best || this->precedes(this->waiting[i], this->waiting[*best], now))
             best = i;
     }
     return best;
@@ -467,6 +468,11 @@
     AnswerForecast answer;
     answer.prompt_tokens = static_cast<double>(ask.prompt_tokens + ask.relayed_tokens);
     answer.generated_tokens = generated_tokens;
+    // The output that a moving request has produced takes memory at the target and counts towards its length.
+    if (!ask.migrates_from.empty()) {
+        answer.prompt_tokens = static_cast<double>(ask.prompt_tokens);
+        answer.generated_tokens = std::max(generated_tokens, static_cast<double>(ask.relayed_tokens));
+    }
     answer.expected_tokens = ask.expected_output_tokens > 0 ? static_cast<double>(ask.expected_output_tokens) : estimated_tokens;
     answer.maximum_tokens = ask.maximum_output_tokens > 0 ? static_cast<double>(ask.maximum_output_tokens) : 4 * estimated_tokens;
     return answer;
@@ -510,7 +516,7 @@
             continue;
         auto const& running = found->second;
         bool const is_decoding = running.phase == GrantProgress::Decoding;
-        double const generated = is_decoding ? to_seconds(now - running.decode_from) / std::max(1e-6, to_seconds(engine.step_time)) : 0;
+        double const generated = is_decoding ? running.tokens_before + to_seconds(now - running.decode_from) / std::max(1e-6, to_seconds(engine.step_time)) : 0;
         auto answer = this->answer_forecast(running.ask, generated);
         // An answer that has exceeded its limit by this estimate is about to end.
         answer.generated_tokens = std::min(answer.generated_tokens, answer.maximum_tokens - 1);
@@ -565,6 +571,8 @@
     bool const is_a_on_time = this->is_on_time(*a, ask);
     if (is_a_on_time != this->is_on_time(*b, ask))
         return is_a_on_time ? a : b;
+    if (a->outlook != b->outlook)
+        return a->outlook > b->outlook ? a : b;
     if (is_a_on_time)
         return a->score >= b->score ? a : b;
     return a->first_token <= b->first_token ? a : b;
@@ -594,11 +602,12 @@
     }
     if (candidates.empty())
         return {};
-    auto const& chosen = candidates[this->options.policy.choose_decode(candidates)];
+    placement.candidates += candidates.size();
+    auto const [chosen, outlook] = this->choose_decode(std::move(candidates), ask);
+    placement.outlook = outlook;
     placement.decode = chosen.engine;
     placement.score = chosen.free_slots;
     placement.first_token = chosen.ready + this->engines.find(chosen.engine)->second.step_time;
-    placement.candidates += candidates.size();
     return placement;
 }
 
@@ -625,19 +634,12 @@
         tokens = static_cast<double>(granted.ask.expected_output_tokens);
     if (granted.ask.maximum_output_tokens > 0)
         tokens = std::min(tokens, static_cast<double>(granted.ask.maximum_output_tokens));
+    tokens = std::max(0.0, tokens - granted.tokens_before);
     auto const engine = this->engines.find(granted.decode_engine);
     auto const step = engine == this->engines.end() ? milliseconds(25) : engine->second.step_time;
     return granted.decode_from + from_seconds(tokens * to_seconds(step));
 }
 
-double CellScheduler::cost_of(PlacementAsk const& ask) const
-{
-    constexpr double PREFILL_TOKENS_PER_OUTPUT_TOKEN = 40;
-    auto const estimate = this->output_estimates.find(ask.model);
-    double const output = estimate == this->output_estimates.end() ? INITIAL_OUTPUT_ESTIMATE_TOKENS : estimate->second.estimate();
-    return static_cast<double>(ask.prompt_tokens) + PREFILL_TOKENS_PER_OUTPUT_TOKEN * output;
-}
-
 void CellScheduler::grant(PlacementAsk ask, Placement const& placement, MonotonicTime now)
 {
     auto const prefill = this->engines.find(placement.prefill);
@@ -659,12 +661,11 @@
         if (engine && engine->consecutive_failures > 0)
             engine->probe_request = ask.request;
     }
-    auto const account = this->accounts.find(ask.account);
-    if (account != this->accounts.end())
-        account->second.served += this->cost_of(ask) / account->second.description.weight;
-    this->decisions.emplace_back(PlacementGrant { ask.request, placement.prefill, placement.decode, placement.first_token, placement.candidates, ask.caller_attempt });
+    auto const usage = this->usage_of(ask, now);
+    this->decisions.emplace_back(PlacementGrant { ask.request, placement.prefill, placement.decode, placement.first_token, placement.candidates, ask.caller_attempt, usage });
     auto const request = ask.request;
     granted.ask = std::move(ask);
+    this->hold_memory(granted, now);
     this->granted.emplace(request, std::move(granted));
 }
 
