StreamingRequestHandler: Move out the survey of engines and the relay of a stream

The survey of engines and the release of a cache depend on the router's state alone, and are functions of their own files now. The part that sends to the decode engine and relays its events is in StreamingRequestHandlerRelay.cpp. No change of behaviour: the code was moved as it was.

--- a/Libraries/LibRouter/StreamingRequestHandler.h
+++ b/Libraries/LibRouter/StreamingRequestHandler.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <LibRouter/EngineSurvey.h>
 #include <LibRouter/EventStreamSplitter.h>
 #include <LibRouter/PlacementClient.h>
 #include <LibRouter/RequestHandler.h>
@@ -31,23 +32,8 @@
         Retry,
     };
 
-    /// What this VM knows of the engines that may run the request.
-    struct EngineSurvey {
-        /// Of the engines that can generate the response. The values are ordered: one engine decides for all.
-        enum class Availability {
-            /// The keeper may know some.
-            Unlisted,
-            AllLeft,
-            /// Neither this VM nor another one reaches those that have not left.
-            AllUnreachable,
-            /// Those that can be reached asked this VM for a pause.
-            AllPaused,
-            Available,
-        } availability
-            = Availability::Unlisted;
-        std::vector<std::string> excluded_engines;
-        std::vector<std::string> excluded_data_centres;
-    };
+    /// Responses that are not relayed are read up to this size.
+    static constexpr std::size_t MAXIMUM_SHORT_RESPONSE_BYTES = 64UL * 1024;
 
     PlacementClient::AskTimes placement_times() const;
     std::int64_t placement_priority() const;
@@ -65,9 +51,7 @@
     /// The engine's software version, if it is still the one that the request was sent to.
     std::string confirmed_software_version(UpstreamRecord const& engine) const;
     asio::awaitable<PlacementOutcome> relay_stream(UpstreamLink& link, HttpResponseHead head);
-    EngineSurvey survey_engines() const;
-    /// Whether this VM itself reaches an engine that can generate the response.
-    bool has_direct_engine(RouteFinder& routes_to) const;
+    EngineSurvey survey() const;
     /// Why a grant cannot be used; empty if it can.
     std::optional<std::string_view> find_grant_obstacle(PlacementGrant const& grant);
     asio::awaitable<void> respond_without_engines(EngineSurvey::Availability availability);
@@ -78,8 +62,6 @@
     asio::awaitable<void> respond_to_refusal(PlacementRefusal refusal);
     /// Returns Retry if another send is allowed. Otherwise sends the final response.
     asio::awaitable<PlacementOutcome> retry_or_fail(SendOutcome end, std::string_view reason, SendHistory::AnotherSend allowed_send = SendHistory::AnotherSend::Allowed);
-    /// Asks the engine that holds a prefilled cache to free it. Does nothing if there is none.
-    void free_cache(UpstreamRecord const& holder, std::string const& handle);
     UpstreamLink::Options decode_link_options() const { return this->link_options(this->route.is_resumable ? RouteKind::Repeatable : RouteKind::NotRepeatable); }
     /// Excludes an engine that was not reached from further placements, and reports it to the keeper if the engine is at fault.
     void note_lost(UpstreamLink const& link, LinkError const& error);
