CallerDialect: Add the call that copies the memory of a running request

An engine can pass a run on to another engine without processing the prompt again. The result distinguishes a run that continues from one that was stopped, since only the latter may continue elsewhere.

--- a/Libraries/LibRouter/CallerDialect.h
+++ b/Libraries/LibRouter/CallerDialect.h
@@ -31,6 +31,9 @@
     /// Asks an engine for the names of the prompt parts in its cache.
     virtual HttpRequestHead cached_prompts_request_head(std::string_view engine_address) const = 0;
     virtual Result<std::vector<std::string>, UpstreamResponseError> read_cached_prompts(std::string_view body) const = 0;
+    /// Asks an engine to copy the memory of a running request to another engine.
+    virtual HttpRequest run_transfer_request(std::string_view engine_address, RunTransfer const& transfer) const = 0;
+    virtual Result<RunTransferResult, UpstreamResponseError> read_run_transfer(int status, std::string_view body) const = 0;
     virtual HttpRequest role_order_request(std::string_view engine_address, RoleOrder const& order) const = 0;
 };
 
--- a/Libraries/LibRouter/CallerRequest.cpp
+++ b/Libraries/LibRouter/CallerRequest.cpp
@@ -12,4 +12,10 @@
     return NAMES.at(static_cast<std::size_t>(error));
 }
 
+std::string_view to_string(RunTransferResult::Outcome outcome)
+{
+    constexpr std::array<std::string_view, 4> NAMES = { "copied", "not_running", "already_in_progress", "target_unavailable" };
+    return NAMES.at(static_cast<std::size_t>(outcome));
+}
+
 }
--- a/Libraries/LibRouter/CallerRequest.h
+++ b/Libraries/LibRouter/CallerRequest.h
@@ -58,6 +58,7 @@
 /// Why a response to one of the router's own requests cannot be parsed.
 enum class UpstreamResponseError {
     MalformedBody,
+    UnknownStatus,
 };
 
 /// The part of a request that an upstream executes.
@@ -148,6 +149,38 @@
     std::string expected_identity;
 };
 
+/// Asks an engine to copy the memory of a request that it runs to another engine. A further call copies only what is new.
+struct RunTransfer {
+    std::string request;
+    /// HOST:PORT of the other engine.
+    std::string target_address;
+    enum class Source {
+        KeepsRunning,
+        /// The run stops first. Its stream is closed without an end marker, and the engine keeps the memory.
+        Stops,
+    } source
+        = Source::KeepsRunning;
+};
+
+/// An engine's answer to a RunTransfer.
+struct RunTransferResult {
+    enum class Outcome {
+        Copied,
+        NotRunning,
+        /// Another call for the same request has not ended.
+        AlreadyInProgress,
+        /// The target has no capacity or is unreachable.
+        TargetUnavailable,
+    } outcome
+        = Outcome::Copied;
+    /// Names the copy, and the memory that a stopped run left at its engine. Empty if there is neither.
+    std::string handle;
+    /// Events that the run had generated.
+    std::int64_t events = 0;
+};
+
+std::string_view to_string(RunTransferResult::Outcome outcome);
+
 /// The result of a prefill, which its engine holds for a short time.
 struct PrefillCache {
     std::string handle;
--- a/Tests/Platform/TestPlatformDialect.cpp
+++ b/Tests/Platform/TestPlatformDialect.cpp
@@ -266,3 +266,42 @@
     CAPTURE(given.text);
     CHECK(dialect.read_response(head).is_leaving == given.is_leaving);
 }
+
+// Guards against calls that an engine does not understand, and against ids that break out of their field.
+TEST_CASE("A call to copy a run names the request, the other engine and whether the run stops", "[stream-migration]")
+{
+    PlatformDialect const dialect;
+    for (auto const source : { RunTransfer::Source::KeepsRunning, RunTransfer::Source::Stops }) {
+        auto const request = dialect.run_transfer_request("127.0.0.1:1", { "id \"1\"", "127.0.0.1:2", source });
+        CHECK(request.head.method == "POST");
+        CHECK(request.head.target == "/v1/kv-move");
+        auto const body = nlohmann::json::parse(request.body);
+        CHECK(body.at("id") == "id \"1\"");
+        CHECK(body.at("target_version") == "127.0.0.1:2");
+        CHECK(body.at("last") == (source == RunTransfer::Source::Stops));
+    }
+}
+
+// Guards against answers that pass for a stopped or copied run although they name no handle that can be used.
+TEST_CASE("An answer to a call to copy a run is read by its status and handle", "[stream-migration]")
+{
+    using Outcome = RunTransferResult::Outcome;
+    PlatformDialect const dialect;
+    struct Case {
+        int status;
+        std::string body;
+        std::optional<Outcome> outcome;
+        std::string handle;
+    };
+    auto const given = GENERATE(
+        Case { 200, R"({"kv_handle": "h", "created": 7})", Outcome::Copied, "h" }, Case { 404, "", Outcome::NotRunning, "" }, Case { 409, "{}", Outcome::AlreadyInProgress, "" },
+        Case { 503, "", Outcome::TargetUnavailable, "" }, Case { 503, R"({"kv_handle": "h"})", Outcome::TargetUnavailable, "h" },
+        Case { 200, "{}", {}, "" }, Case { 200, "no json", {}, "" }, Case { 200, R"({"kv_handle": 7})", {}, "" }, Case { 200, R"({"kv_handle": "two words"})", {}, "" }, Case { 503, R"({"kv_handle": "a\r\nb: c"})", {}, "" }, Case { 500, R"({"kv_handle": "h"})", {}, "" });
+    CAPTURE(given.status, given.body);
+    auto const result = dialect.read_run_transfer(given.status, given.body);
+    REQUIRE(result.has_value() == given.outcome.has_value());
+    if (result.is_error())
+        return;
+    CHECK(result.value().outcome == *given.outcome);
+    CHECK(result.value().handle == given.handle);
+}
