StreamMigrator: Move running streams to other engines

The VM that relays a stream asks the keeper for another decode engine when the policy says so, has the memory of the run copied while it goes on, has the run stopped and the rest copied, and continues the response with the target's stream. Whatever fails before the stop leaves the stream where it is. After it, the run returns to its engine if the target refuses; a run whose stop was not answered with a handle counts as broken off, as it may still be running.

A continuation is charged to the retry budget like a repeated send, but is no further attempt of the route, as it is the same run.

Node setting stream_migration, off unless set.

--- a/Libraries/LibRouter/RequestHandler.cpp
+++ b/Libraries/LibRouter/RequestHandler.cpp
@@ -164,6 +164,14 @@
     this->earlier_before_send = std::exchange(this->earlier, SendHistory::Earlier::MayHaveRun);
 }
 
+void RequestHandler::note_continuation_sent()
+{
+    this->ledger.note_run(monotonic_now());
+    this->state.metrics.increment("spurtide_sends_total", "Requests sent to upstreams", { { "service", this->service }, { "stage", "continuation" } });
+}
+
+void RequestHandler::note_continuation_not_delivered() { this->ledger.note_not_delivered(monotonic_now()); }
+
 void RequestHandler::note_not_executed() { this->earlier = this->earlier_before_send; }
 
 void RequestHandler::note_not_delivered()
--- a/Libraries/LibRouter/RequestHandler.h
+++ b/Libraries/LibRouter/RequestHandler.h
@@ -79,6 +79,10 @@
 
     /// Call before any bytes of the request may be sent to an upstream; from then on it may have run.
     void note_sent();
+    /// Call before the request is sent to an upstream that continues its run. This is no further attempt.
+    void note_continuation_sent();
+    /// Call when the upstream did not receive it after all.
+    void note_continuation_not_delivered();
     /// Call when that upstream states that it did not run the request.
     void note_not_executed();
     /// Call when the upstream did not receive the request after all.
--- a/Libraries/LibRouter/RouterState.h
+++ b/Libraries/LibRouter/RouterState.h
@@ -27,6 +27,7 @@
 class PlacementClient;
 class ReplicatedQuarantine;
 class RelayClient;
+struct StreamMoves;
 class StreamOriginDirectory;
 class QuotaClient;
 class UpstreamLimiter;
@@ -63,6 +64,8 @@
     CrashReporter* crashes = nullptr;
     UpstreamLimiter* limiter = nullptr;
     StreamOriginDirectory* stream_origins = nullptr;
+    /// Null where running streams are not moved to other engines. Shared with the moves, which may outlive this state at shutdown.
+    std::shared_ptr<StreamMoves> stream_moves {};
     /// Null where no VM relays requests of others.
     RelayClient* relays = nullptr;
     /// Reads what has changed in the list of upstreams. Returns whether the list is current as of the call.
--- a/Libraries/LibRouter/StreamingRequestHandler.cpp
+++ b/Libraries/LibRouter/StreamingRequestHandler.cpp
@@ -49,7 +49,7 @@
         line.with("first_event_ms", to_milliseconds(*this->first_event_after)).with("longest_pause_ms", to_milliseconds(this->longest_pause)).with("pause_target_ms", to_milliseconds(this->route.event_gap_target));
 }
 
-asio::awaitable<std::optional<PlacementDecision>> StreamingRequestHandler::request_placement(EngineSurvey survey)
+PlacementAsk StreamingRequestHandler::make_ask(EngineSurvey survey) const
 {
     auto const& prompt = *this->request.prompt;
     PlacementAsk ask;
@@ -70,6 +70,12 @@
     ask.finish_by = this->deadline;
     if (this->origin)
         ask.software_version = this->origin->software_version;
+    return ask;
+}
+
+asio::awaitable<std::optional<PlacementDecision>> StreamingRequestHandler::request_placement(EngineSurvey survey)
+{
+    auto ask = this->make_ask(std::move(survey));
     this->pending_ask = std::make_shared<PlacementClient::PendingAsk>(this->state.loop.get_executor());
     auto decision = co_await this->state.placement->ask(std::move(ask), this->pending_ask, this->placement_times());
     this->pending_ask.reset();
@@ -230,12 +236,14 @@
         co_await this->refuse(reason, std::min(refusal.retry_after, this->next_turn.value_or(refusal.retry_after)));
 }
 
-std::int64_t StreamingRequestHandler::relayed_tokens() const
+std::int64_t StreamingRequestHandler::tokens_per_event() const
 {
     auto const* traits = this->routes->service(this->service);
-    return this->events.event_count() * (traits && traits->engine ? traits->engine->tokens_per_event : 1);
+    return traits && traits->engine ? traits->engine->tokens_per_event : 1;
 }
 
+std::int64_t StreamingRequestHandler::relayed_tokens() const { return this->events.event_count() * this->tokens_per_event(); }
+
 void StreamingRequestHandler::release()
 {
     this->state.placement->release(this->request.identifier, this->relayed_tokens(), { this->failed_engine, this->refusing_engines });
--- a/Libraries/LibRouter/StreamingRequestHandler.h
+++ b/Libraries/LibRouter/StreamingRequestHandler.h
@@ -7,6 +7,7 @@
 #include <LibRouter/EventStreamSplitter.h>
 #include <LibRouter/PlacementClient.h>
 #include <LibRouter/RequestHandler.h>
+#include <LibRouter/StreamMigrator.h>
 #include <LibRouter/StreamOriginDirectory.h>
 
 namespace Spurtide {
@@ -38,6 +39,7 @@
     PlacementClient::AskTimes placement_times() const;
     std::int64_t placement_priority() const;
     void note_visit(PlacementDecision const& decision);
+    PlacementAsk make_ask(EngineSurvey survey) const;
     asio::awaitable<std::optional<PlacementDecision>> request_placement(EngineSurvey survey);
     /// Runs the request on the engines of a grant.
     asio::awaitable<PlacementOutcome> run_placement(PlacementGrant grant);
@@ -50,7 +52,27 @@
     bool may_continue_at(UpstreamRecord const& engine) const;
     /// The engine's software version, if it is still the one that the request was sent to.
     std::string confirmed_software_version(UpstreamRecord const& engine) const;
-    asio::awaitable<PlacementOutcome> relay_stream(UpstreamLink& link, HttpResponseHead head);
+    /// Relays the stream to its end. It may move to other engines meanwhile, whose links replace the first one.
+    asio::awaitable<PlacementOutcome> relay_stream(std::unique_ptr<UpstreamLink>& link, HttpResponseHead head);
+    asio::awaitable<PlacementOutcome> relay_events(std::unique_ptr<UpstreamLink>& link, HttpResponseHead head, StreamMigrator* migrator);
+    /// Null if the stream stays at its engine.
+    std::shared_ptr<StreamMigrator> make_migrator(HttpResponseHead const& head);
+    /// What a migration policy needs to know of the stream; empty while it cannot be moved.
+    std::optional<RunningStream> describe_stream() const;
+    /// Why the engine cannot take over the stream; empty if it can.
+    std::optional<std::string_view> find_continuation_obstacle(UpstreamRecord const& engine) const;
+    /// Takes a turn for a move, which may outlive the relaying of the stream.
+    static asio::awaitable<bool> take_continuation_turn(std::shared_ptr<StreamingRequestHandler> handler, std::string engine);
+    enum class ContinuationOutcome {
+        Running,
+        NotRun,
+        /// The engine may run the request, but its response is lost.
+        MayRun,
+    };
+    /// Continues a stopped run at the target, or else at the source. Replaces the link if an engine runs it.
+    asio::awaitable<ContinuationOutcome> continue_run(StoppedRun run, std::unique_ptr<UpstreamLink>& link, StreamMigrator& migrator);
+    /// Sends the request to an engine that fetches the memory of the stopped run.
+    asio::awaitable<ContinuationOutcome> continue_at(UpstreamRecord engine, StoppedRun run, std::unique_ptr<UpstreamLink>& link);
     EngineSurvey survey() const;
     /// Why a grant cannot be used; empty if it can.
     std::optional<std::string_view> find_grant_obstacle(PlacementGrant const& grant);
@@ -67,6 +89,7 @@
     void note_lost(UpstreamLink const& link, LinkError const& error);
     void note_unreached(UpstreamRecord const& engine, LinkError const& error);
     void release();
+    std::int64_t tokens_per_event() const;
     /// Number of output tokens received so far.
     std::int64_t relayed_tokens() const;
 
@@ -87,6 +110,11 @@
     MonotonicTime first_event_at;
     MonotonicTime last_event_at;
     Duration longest_pause {};
+    /// When the present engine's first events arrived, and how many events the stream had then.
+    MonotonicTime first_event_here_at;
+    std::int64_t events_before_here = 0;
+    /// Moves of the stream that were begun.
+    int moves = 0;
     int placements = 0;
 };
 
--- a/Libraries/LibRouter/StreamingRequestHandlerRelay.cpp
+++ b/Libraries/LibRouter/StreamingRequestHandlerRelay.cpp
@@ -38,8 +38,8 @@
         this->failed_engines.push_back(engine.identity);
         co_return co_await this->retry_or_fail(SendOutcome::NotSent, is_other_version ? "other_software_version" : to_string(obstacle));
     }
-    auto const link = opened.release_value();
-    auto const& connection = link->connection();
+    auto link = opened.release_value();
+    auto const connection = link->connection();
     dispatch.account = this->account;
     dispatch.remaining_time = std::min(this->caller_time_left(), this->time_left());
     dispatch.after_event = this->events.last_identifier();
@@ -76,7 +76,7 @@
     this->record_statements(engine, info, status, link->send_time());
     if (info.identifier == this->request.identifier && status / 100 == 2 && info.is_signed && !info.is_encoded) {
         this->state.placement->progress(this->request.identifier, GrantProgress::Decoding);
-        auto const outcome = co_await this->relay_stream(*link, head.release_value());
+        auto const outcome = co_await this->relay_stream(link, head.release_value());
         this->set_active_connection(nullptr);
         link->release();
         co_return outcome;
@@ -152,17 +152,29 @@
     return is_accepted;
 }
 
-asio::awaitable<StreamingRequestHandler::PlacementOutcome> StreamingRequestHandler::relay_stream(UpstreamLink& link, HttpResponseHead head)
+asio::awaitable<StreamingRequestHandler::PlacementOutcome> StreamingRequestHandler::relay_stream(std::unique_ptr<UpstreamLink>& link, HttpResponseHead head)
 {
-    auto const connection = link.connection();
-    bool const ends_with_connection = connection->framing() == BodyFraming::UntilClose;
+    auto const migrator = this->make_migrator(head);
+    if (!migrator)
+        co_return co_await this->relay_events(link, std::move(head), nullptr);
+    migrator->follow(link->upstream(), link->connection());
+    auto const outcome = co_await this->relay_events(link, std::move(head), migrator.get());
+    co_await migrator->end();
+    this->moves = migrator->move_count();
+    co_return outcome;
+}
+
+asio::awaitable<StreamingRequestHandler::PlacementOutcome> StreamingRequestHandler::relay_events(std::unique_ptr<UpstreamLink>& link, HttpResponseHead head, StreamMigrator* migrator)
+{
+    auto connection = link->connection();
+    bool ends_with_connection = connection->framing() == BodyFraming::UntilClose;
     bool const is_event_stream = head.headers.find("content-type").value_or("").starts_with(EVENT_STREAM_TYPE);
     // Partial events have to be withheld from streams that can be resumed on another engine, and where only a complete event
-    // tells the end of the stream from a lost connection.
-    bool const withholds_partial_events = this->route.is_resumable || (ends_with_connection && is_event_stream);
+    // tells the end of the stream from a lost connection. A stream that is moved continues after a complete event as well.
+    bool const withholds_partial_events = this->route.is_resumable || (ends_with_connection && is_event_stream) || migrator;
     bool has_events = false;
     bool is_served = false;
-    MonotonicTime begun_at;
+    bool is_watched = false;
     while (true) {
         auto piece = co_await connection->read_piece();
         bool const is_closed = !piece.is_error() && piece.value().empty() && ends_with_connection && is_event_stream;
@@ -170,23 +182,42 @@
         bool const is_incomplete = this->events.is_inside_event() || (!has_events && !this->exchange.has_begun() && !this->request.is_resumption());
         if (is_closed && is_incomplete)
             piece = Failure { HttpError::Closed };
+        // A source that stopped the run closes its stream, which looks like the end where only the connection tells it.
+        bool const may_have_stopped = migrator && migrator->has_asked_to_stop() && (piece.is_error() || (piece.value().empty() && ends_with_connection));
+        if (may_have_stopped && !this->is_stopped()) {
+            auto const end = co_await migrator->await_source_end();
+            if (end.run && !this->is_stopped()) {
+                this->events.discard_partial_event();
+                auto const continued = co_await this->continue_run(*end.run, link, *migrator);
+                if (this->is_stopped())
+                    co_return PlacementOutcome::Retry;
+                if (continued != ContinuationOutcome::Running)
+                    co_return co_await this->retry_or_fail(SendOutcome::Lost, "move_failed");
+                connection = link->connection();
+                ends_with_connection = connection->framing() == BodyFraming::UntilClose;
+                has_events = false;
+                continue;
+            }
+            if (end.reason != StreamMigrator::SourceEnd::Reason::Other && !piece.is_error())
+                piece = Failure { HttpError::Closed };
+        }
         if (piece.is_error()) {
             connection->abort();
             this->events.discard_partial_event();
             if (this->is_stopped())
                 co_return PlacementOutcome::Retry;
-            bool const has_crashed = co_await this->report_crash(link.upstream(), piece.error(), link.send_time(), link.route());
+            bool const has_crashed = co_await this->report_crash(link->upstream(), piece.error(), link->send_time(), link->route());
             if (this->is_stopped())
                 co_return PlacementOutcome::Retry;
             // A single interrupted stream says little about the engine's health, so it is only excluded for this request. A
             // crashed engine is reported to the keeper, which otherwise would assign it until its list entry expires.
             if (has_crashed)
-                this->failed_engine = link.identity();
-            else if (link.route() == UpstreamRoute::Direct)
-                this->failed_engines.push_back(link.identity());
+                this->failed_engine = link->identity();
+            else if (link->route() == UpstreamRoute::Direct)
+                this->failed_engines.push_back(link->identity());
             co_return co_await this->retry_or_fail(SendOutcome::Lost, to_string(piece.error()));
         }
-        link.note_received();
+        link->note_received();
         bool const is_end = piece.value().empty();
         auto bytes = this->events.append(piece.value());
         if (!withholds_partial_events || is_end)
@@ -194,15 +225,18 @@
         if (bytes.empty() && !is_end)
             continue;
         this->note_event(monotonic_now());
-        if (!has_events)
-            begun_at = this->last_event_at;
-        if (!is_served && this->last_event_at - begun_at >= SERVED_AFTER) {
+        bool const is_first_here = !std::exchange(has_events, true);
+        if (is_first_here) {
+            this->first_event_here_at = this->last_event_at;
+            this->events_before_here = this->events.event_count();
+        }
+        if (!is_served && this->last_event_at - this->first_event_here_at >= SERVED_AFTER) {
             is_served = true;
             this->note_served();
         }
-        if (!std::exchange(has_events, true) && !this->accept_event_source(link.upstream())) {
+        if (is_first_here && !this->accept_event_source(link->upstream())) {
             connection->abort();
-            this->failed_engines.push_back(link.identity());
+            this->failed_engines.push_back(link->identity());
             co_return co_await this->retry_or_fail(SendOutcome::Lost, "other_software_version");
         }
         if (!this->exchange.has_begun()) {
@@ -217,8 +251,13 @@
             this->log_end("caller_left", "write_failed", 0);
             co_return PlacementOutcome::Finished;
         }
-        if (!is_end)
+        if (migrator && is_first_here && !std::exchange(is_watched, true))
+            migrator->start();
+        if (!is_end) {
+            if (migrator)
+                migrator->note_event();
             continue;
+        }
         this->note_completed();
         this->note_served();
         this->state.answer_pace.add_sample(this->service, this->relayed_tokens(), std::chrono::duration_cast<Duration>(this->last_event_at - this->first_event_at));
@@ -229,4 +268,146 @@
     }
 }
 
+std::shared_ptr<StreamMigrator> StreamingRequestHandler::make_migrator(HttpResponseHead const& head)
+{
+    bool const is_event_stream = head.headers.find("content-type").value_or("").starts_with(EVENT_STREAM_TYPE);
+    if (!this->state.stream_moves || !is_event_stream)
+        return {};
+    // The migrator may outlive the relaying of the stream, but not this object.
+    auto const handler = std::static_pointer_cast<StreamingRequestHandler>(this->shared_from_this());
+    StreamMigrator::Hooks hooks;
+    hooks.stream = [handler] { return handler->describe_stream(); };
+    hooks.ask = [handler] { return handler->make_ask(handler->survey()); };
+    hooks.find_obstacle = [handler](auto const& engine) { return handler->find_continuation_obstacle(engine); };
+    hooks.take_turn = [handler](std::string engine) { return take_continuation_turn(handler, std::move(engine)); };
+    hooks.pay = [handler] { return handler->try_pay(SendAccounting::Send::Run); };
+    hooks.link_options = [handler] { return handler->decode_link_options(); };
+    return std::make_shared<StreamMigrator>(this->state, this->request.identifier, std::move(hooks), this->moves);
+}
+
+std::optional<RunningStream> StreamingRequestHandler::describe_stream() const
+{
+    // The target continues after the last event that the caller received, and cannot read the memory of another version.
+    if (this->events.last_identifier().empty() || !this->origin || !this->origin->is_certain() || this->is_stopped())
+        return {};
+    auto const& prompt = *this->request.prompt;
+    RunningStream stream;
+    stream.tokens = this->relayed_tokens();
+    stream.later_events_here = this->events.event_count() - this->events_before_here;
+    stream.later_tokens_here = stream.later_events_here * this->tokens_per_event();
+    stream.first_event_here = this->first_event_here_at;
+    stream.last_event = this->last_event_at;
+    stream.expected_tokens = prompt.expected_output_tokens;
+    stream.maximum_tokens = prompt.maximum_output_tokens;
+    stream.finish_by = this->deadline;
+    stream.longest_pause = this->route.event_gap_target;
+    return stream;
+}
+
+std::optional<std::string_view> StreamingRequestHandler::find_continuation_obstacle(UpstreamRecord const& engine) const
+{
+    auto const obstacle = find_send_obstacle(this->state, engine);
+    if (obstacle != SendObstacle::None)
+        return to_string(obstacle);
+    if (!this->may_use_data_centre(engine.data_centre))
+        return "other_region";
+    if (!this->may_continue_at(engine) || this->confirmed_software_version(engine) != this->origin->software_version)
+        return "other_software_version";
+    return {};
+}
+
+asio::awaitable<bool> StreamingRequestHandler::take_continuation_turn(std::shared_ptr<StreamingRequestHandler> handler, std::string engine)
+{
+    co_return co_await handler->take_turn(std::move(engine), Duration::zero(), Duration::zero());
+}
+
+asio::awaitable<StreamingRequestHandler::ContinuationOutcome> StreamingRequestHandler::continue_run(StoppedRun run, std::unique_ptr<UpstreamLink>& link, StreamMigrator& migrator)
+{
+    this->set_active_connection(nullptr);
+    link->connection()->abort();
+    auto outcome = ContinuationOutcome::NotRun;
+    bool const is_at_target = run.copy == StoppedRun::Copy::AtTarget && !this->find_continuation_obstacle(run.target);
+    if (is_at_target)
+        outcome = co_await this->continue_at(run.target, run, link);
+    if (outcome == ContinuationOutcome::Running) {
+        this->last_engine = run.target.identity;
+        migrator.complete(MoveOutcome::Moved, {});
+        migrator.follow(link->upstream(), link->connection());
+        co_return outcome;
+    }
+    // An engine that is leaving still completes what it runs for a while, and this is the same run.
+    if (outcome == ContinuationOutcome::NotRun && !this->is_stopped())
+        outcome = co_await this->continue_at(run.source, run, link);
+    if (outcome == ContinuationOutcome::Running) {
+        migrator.complete(MoveOutcome::Returned, "target_refused");
+        migrator.follow(link->upstream(), link->connection());
+        co_return outcome;
+    }
+    migrator.complete(MoveOutcome::Lost, outcome == ContinuationOutcome::NotRun ? "refused_by_both" : "response_lost");
+    this->failed_engines.push_back(run.target.identity);
+    this->failed_engines.push_back(run.source.identity);
+    co_return outcome;
+}
+
+asio::awaitable<StreamingRequestHandler::ContinuationOutcome> StreamingRequestHandler::continue_at(UpstreamRecord engine, StoppedRun run, std::unique_ptr<UpstreamLink>& link)
+{
+    auto opened = co_await UpstreamLink::open(this->state, engine, this->decode_link_options());
+    if (opened.is_error()) {
+        this->note_link_error(opened.error());
+        co_return ContinuationOutcome::NotRun;
+    }
+    auto next = opened.release_value();
+    this->recheck_admission();
+    if (this->is_stopped() || !this->try_pay(SendAccounting::Send::Run)) {
+        next->release_unused();
+        co_return ContinuationOutcome::NotRun;
+    }
+    Dispatch dispatch;
+    dispatch.stage = DispatchStage::Decode;
+    dispatch.expected_identity = engine.identity;
+    dispatch.account = this->account;
+    dispatch.remaining_time = std::min(this->caller_time_left(), this->time_left());
+    dispatch.cache_address = run.source.address;
+    dispatch.cache_handle = run.handle;
+    dispatch.after_event = this->events.last_identifier();
+    this->set_active_connection(next->connection());
+    this->note_continuation_sent();
+    this->state.limiter->note_sent(engine);
+    next->send(format_request_head(this->state.dialect.upstream_request_head(this->exchange.request(), dispatch)), this->body, dispatch.remaining_time);
+    auto head = co_await next->read_head();
+    if (head.is_error()) {
+        this->set_active_connection(nullptr);
+        bool const was_delivered = head.error().delivery == LinkError::Delivery::Unknown;
+        if (was_delivered)
+            next->connection()->abort();
+        else
+            this->note_continuation_not_delivered();
+        this->note_link_error(head.error());
+        next->release();
+        if (!was_delivered || this->is_stopped())
+            co_return was_delivered ? ContinuationOutcome::MayRun : ContinuationOutcome::NotRun;
+        static_cast<void>(co_await this->report_crash(engine, head.error().error, next->send_time(), next->route()));
+        co_return ContinuationOutcome::MayRun;
+    }
+    next->note_received();
+    auto const info = this->state.dialect.read_response(head.value());
+    auto const status = head.value().status;
+    this->record_statements(engine, info, status, next->send_time());
+    bool const is_of_request = info.identifier == this->request.identifier && info.is_signed;
+    if (is_of_request && status / 100 == 2 && !info.is_encoded) {
+        link->release();
+        link = std::move(next);
+        co_return ContinuationOutcome::Running;
+    }
+    auto const response_body = co_await next->connection()->read_body(MAXIMUM_SHORT_RESPONSE_BYTES);
+    this->set_active_connection(nullptr);
+    if (response_body.is_error())
+        next->connection()->abort();
+    next->release();
+    LogLine("continuation_refused").with("request", this->request.identifier).with("engine", engine.identity).with("status", status);
+    // An engine that does not have the memory answers 503, and another incarnation 421.
+    bool const has_not_run = info.is_not_executed || status == 421 || (is_of_request && status == 503);
+    co_return has_not_run ? ContinuationOutcome::NotRun : ContinuationOutcome::MayRun;
+}
+
 }
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -3,6 +3,7 @@
 
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
+#include <LibRouter/StreamMigrator.h>
 #include <LibWire/WireMetrics.h>
 #include <Services/NodeServer/Node.h>
 #include <Services/NodeServer/NodeMetrics.h>
@@ -140,6 +141,13 @@
     prompt_cache_hooks.on_cached = [this](auto engine, auto own_parts) { this->placement_service->note_cached(engine, own_parts); };
     this->prompt_cache_fetcher = std::make_unique<PromptCacheFetcher>(PromptCacheFetcher::Options {}, this->state, std::move(prompt_cache_hooks));
     this->state.placement = this->placement.get();
+    if (this->settings.stream_migration == NodeSettings::StreamMigration::On) {
+        StreamMigrationPolicy::Options migration;
+        migration.length_spread = this->settings.length_spread;
+        // A leaving engine serves until all VMs have heard of it, and aborts what runs soon after.
+        migration.service_after_announcement = this->settings.news_time;
+        this->state.stream_moves = std::make_shared<StreamMoves>(StreamMigrationPolicy(migration));
+    }
     this->state.sending_machines = [this] { return this->membership->sending_machines(); };
     this->state.retry_allowance_part = [this] { return this->retry_allowance_part(); };
     this->state.stop_time = [this]() -> std::optional<StopProgress> {
--- a/Services/NodeServer/NodeSettings.cpp
+++ b/Services/NodeServer/NodeSettings.cpp
@@ -53,6 +53,7 @@
     node.length_spread = reader.number("length_spread", Presence::Optional, 0.05, 3, node.length_spread);
     node.return_spread = milliseconds(reader.integer("return_spread_milliseconds", Presence::Optional, 0, 60'000, to_milliseconds(node.return_spread)));
     node.role_changes = reader.choice("role_changes", Presence::Optional, { "on", "off" }, "off") == "on" ? RoleChanges::On : RoleChanges::Off;
+    node.stream_migration = reader.choice("stream_migration", Presence::Optional, { "on", "off" }, "off") == "on" ? NodeSettings::StreamMigration::On : NodeSettings::StreamMigration::Off;
     node.news_time = reader.milliseconds("news_milliseconds", 500, 60'000, to_milliseconds(node.news_time));
     node.lease_time = reader.milliseconds("lease_milliseconds", 1000, 60'000, to_milliseconds(node.lease_time));
     node.processor_share = reader.number("processor_share", Presence::Optional, 0.001, 1024, node.processor_share);
--- a/Services/NodeServer/NodeSettings.h
+++ b/Services/NodeServer/NodeSettings.h
@@ -58,6 +58,12 @@
         On,
     } role_changes
         = RoleChanges::Off;
+    /// Whether streams that run are moved to other engines where their own one does not complete them.
+    enum class StreamMigration {
+        Off,
+        On,
+    } stream_migration
+        = StreamMigration::Off;
     /// How long one write to the lease of those orders is good for.
     Duration lease_time = seconds(3);
     /// Within what time news of the registry have to be in force.
--- a/Tests/Platform/TestNodeSettings.cpp
+++ b/Tests/Platform/TestNodeSettings.cpp
@@ -15,7 +15,7 @@
     "caller_address": "127.0.0.1:1", "operations_address": "127.0.0.1:2", "wire_address": "127.0.0.1:3",
     "registry_address": "127.0.0.1:4", "seeds": ["127.0.0.1:3"],
     "memory_headroom": 0.2, "length_spread": 0.6, "role_changes": "on", "lease_milliseconds": 3000, "news_milliseconds": 4000,
-    "memory_deviations": 1.5, "processor_share": 0.25, "keeper_processor_share": 0.4,
+    "stream_migration": "on", "memory_deviations": 1.5, "processor_share": 0.25, "keeper_processor_share": 0.4,
     "retry_ratio": 0.2, "retry_allowance": 56, "retry_window_seconds": 10, "stop_grace_seconds": 8, "descriptors": 4100, "metrics_address": "127.0.0.1:5"
 })";
 
@@ -32,6 +32,7 @@
     auto const settings = read(WHOLE);
     REQUIRE_FALSE(settings.is_error());
     CHECK(settings.value().role_changes == NodeSettings::RoleChanges::On);
+    CHECK(settings.value().stream_migration == NodeSettings::StreamMigration::On);
     CHECK(settings.value().lease_time == seconds(3));
     CHECK(settings.value().news_time == seconds(4));
     CHECK(settings.value().memory_deviations == 1.5);
@@ -39,6 +40,17 @@
     CHECK(settings.value().descriptors == 4100);
 }
 
+// Guards against streams that are moved in deployments which did not ask for it.
+TEST_CASE("Streams are not moved unless the settings say so")
+{
+    std::string text(WHOLE);
+    std::string const field = "\"stream_migration\": \"on\", ";
+    text.erase(text.find(field), field.size());
+    auto const settings = read(text);
+    REQUIRE_FALSE(settings.is_error());
+    CHECK(settings.value().stream_migration == NodeSettings::StreamMigration::Off);
+}
+
 TEST_CASE("What makes no sense in a node's settings is a fault that names its key")
 {
     struct Row {
@@ -48,6 +60,7 @@
     };
     auto const row = GENERATE(values<Row>({
         { "\"on\"", "\"maybe\"", "role_changes" },
+        { "\"stream_migration\": \"on\"", "\"stream_migration\": \"sometimes\"", "stream_migration" },
         { "\"lease_milliseconds\": 3000", "\"lease_milliseconds\": 1", "lease_milliseconds" },
         { "\"news_milliseconds\": 4000", "\"news_milliseconds\": 10", "news_milliseconds" },
         { "\"memory_deviations\": 1.5", "\"memory_deviations\": -1", "memory_deviations" },
