StreamMigrationPolicy: Double the interval between failed attempts

Where no engine is fast enough, each slow stream asked the keeper for one about every half second until its end; with a few slow streams on each of 71 VMs that is some hundred asks a second. A leaving engine leaves no time for longer intervals. Log lines name the events that were relayed, and attempts without a target are counted apart from moves that were begun.

--- a/Libraries/LibDecision/StreamMigrationPolicy.cpp
+++ b/Libraries/LibDecision/StreamMigrationPolicy.cpp
@@ -67,15 +67,26 @@
 {
     if (stream.moves >= this->options.maximum_moves || moves_on_machine >= this->options.maximum_moves_per_machine)
         return {};
-    if (stream.last_attempt && now - *stream.last_attempt < this->options.retry_interval)
+    if (stream.last_attempt && now - *stream.last_attempt < this->retry_interval(stream))
         return {};
     if (between(now, stream.finish_by) < this->options.minimum_time_left || this->is_about_to_end(stream))
         return {};
-    if (auto const decision = this->decide_leaving(stream, now))
-        return decision;
-    if (auto const decision = this->decide_stalled(stream, now))
-        return decision;
-    return this->decide_deadline(stream, now);
+    auto decision = this->decide_leaving(stream, now);
+    if (!decision)
+        decision = this->decide_stalled(stream, now);
+    if (!decision)
+        decision = this->decide_deadline(stream, now);
+    if (decision)
+        decision->events = stream.events;
+    return decision;
+}
+
+Duration StreamMigrationPolicy::retry_interval(RunningStream const& stream) const
+{
+    auto interval = this->options.retry_interval;
+    for (int i = 1; i < stream.failed_attempts && !stream.leaving_since && interval < this->options.longest_retry_interval; ++i)
+        interval *= 2;
+    return std::min(interval, this->options.longest_retry_interval);
 }
 
 std::optional<MigrationDecision> StreamMigrationPolicy::decide_leaving(RunningStream const& stream, MonotonicTime now) const
--- a/Libraries/LibDecision/StreamMigrationPolicy.h
+++ b/Libraries/LibDecision/StreamMigrationPolicy.h
@@ -25,7 +25,8 @@
 
 /// What a VM knows of a stream that it relays.
 struct RunningStream {
-    /// Output tokens relayed so far, from all engines that ran the stream.
+    /// Events and output tokens relayed so far, from all engines that ran the stream.
+    std::int64_t events = 0;
     std::int64_t tokens = 0;
     /// Events and output tokens that the present engine sent after its first piece.
     std::int64_t later_events_here = 0;
@@ -45,8 +46,10 @@
     std::optional<MonotonicTime> leaving_since {};
     /// When a leaving engine stops, if that is known.
     std::optional<MonotonicTime> serves_until {};
-    /// Moves that were begun, and when the last attempt at one was made.
+    /// Moves that were begun.
     int moves = 0;
+    /// Attempts since the last successful move that found no target or failed, and when the last one ended.
+    int failed_attempts = 0;
     std::optional<MonotonicTime> last_attempt {};
 };
 
@@ -57,6 +60,8 @@
     Duration time_limit {};
     /// Expected time until the response is complete at the present engine; empty if unknown.
     std::optional<Duration> remaining {};
+    /// Events relayed so far.
+    std::int64_t events = 0;
 };
 
 /// Decides whether a running stream is moved to another engine. Lengths are modelled as log-normally distributed around their
@@ -87,8 +92,10 @@
         Duration shortest_move = milliseconds(600);
         /// A stream stalls if its pause is this many times the engine's time between events.
         double stalled_paces = 5;
-        /// Time between two attempts of a stream.
+        /// Time between two attempts of a stream. Doubles with each failed attempt up to the longest one: where no engine is fast enough,
+        /// each slow stream would go on asking the keeper. A leaving engine leaves no time for that.
         Duration retry_interval = milliseconds(400);
+        Duration longest_retry_interval = milliseconds(3200);
     };
 
     explicit StreamMigrationPolicy(Options options)
@@ -105,6 +112,7 @@
     std::optional<MigrationDecision> decide_leaving(RunningStream const& stream, MonotonicTime now) const;
     std::optional<MigrationDecision> decide_stalled(RunningStream const& stream, MonotonicTime now) const;
     std::optional<MigrationDecision> decide_deadline(RunningStream const& stream, MonotonicTime now) const;
+    Duration retry_interval(RunningStream const& stream) const;
     /// Output tokens still to come with the given probability at most; empty if the length is not known.
     std::optional<double> remaining_tokens(RunningStream const& stream, double quantile) const;
 
--- a/Libraries/LibRouter/StreamMigrator.cpp
+++ b/Libraries/LibRouter/StreamMigrator.cpp
@@ -100,6 +100,7 @@
     stream->leaving_since = this->leaving_since;
     stream->moves = this->moves;
     stream->last_attempt = this->last_attempt;
+    stream->failed_attempts = this->failed_attempts;
     this->decision = this->shared->policy.decide(*stream, this->shared->running, now);
 }
 
@@ -194,6 +195,7 @@
     if (!reason.empty())
         co_return reason;
     ++this->moves;
+    this->move->has_begun = true;
     this->log_move("stream_move_started", {});
     auto const time_left = std::chrono::duration_cast<Duration>(this->move->deadline - monotonic_now());
     auto const answer = co_await this->call_source(RunTransfer::Source::KeepsRunning, std::max(time_left, milliseconds(1)));
@@ -203,7 +205,7 @@
         this->refused_targets.push_back(this->move->target.identity);
     if (answer.value().outcome != RunTransferResult::Outcome::Copied)
         co_return std::string(to_string(answer.value().outcome));
-    this->move->events = answer.value().events;
+    this->move->decision.events = answer.value().events;
     co_return std::string(this->is_over ? "stream_ended" : "");
 }
 
@@ -287,9 +289,11 @@
         this->refused_targets.push_back(this->move->target.identity);
     this->end_grant(outcome == MoveOutcome::Moved ? MoveEnd::Moved : MoveEnd::Abandoned);
     if (outcome == MoveOutcome::Moved) {
+        this->failed_attempts = 0;
         this->log_move("stream_moved", reason);
         this->count_move("moved");
     } else {
+        ++this->failed_attempts;
         this->log_move("stream_move_failed", reason);
         this->count_move(outcome == MoveOutcome::Returned ? "returned" : "lost");
     }
@@ -305,7 +309,9 @@
     this->free_handles();
     this->end_grant(MoveEnd::Abandoned);
     this->log_move("stream_move_failed", reason);
-    this->count_move(this->is_over ? "stream_ended" : "stayed");
+    std::string_view const stayed = this->move->has_begun ? "stayed" : "not_begun";
+    this->count_move(this->is_over ? "stream_ended" : stayed);
+    ++this->failed_attempts;
     this->move.reset();
     this->last_attempt = monotonic_now();
 }
@@ -341,7 +347,7 @@
 void StreamMigrator::log_move(std::string_view event, std::string_view reason) const
 {
     LogLine line(event);
-    line.with("request", this->request).with("from", this->move->source.identity).with("to", this->move->target.identity).with("cause", to_string(this->move->decision.cause)).with("events", this->move->events);
+    line.with("request", this->request).with("from", this->move->source.identity).with("to", this->move->target.identity).with("cause", to_string(this->move->decision.cause)).with("events", this->move->decision.events);
     if (this->move->decision.remaining)
         line.with("remaining_ms", to_milliseconds(*this->move->decision.remaining));
     line.with("limit_ms", to_milliseconds(this->move->decision.time_limit)).with("took_ms", to_milliseconds(std::chrono::duration_cast<Duration>(monotonic_now() - this->move->begun))).with("moves", this->moves);
--- a/Libraries/LibRouter/StreamMigrator.h
+++ b/Libraries/LibRouter/StreamMigrator.h
@@ -123,7 +123,8 @@
         MonotonicTime deadline;
         UpstreamRecord source;
         UpstreamRecord target {};
-        std::int64_t events = 0;
+        /// Whether the source was asked for a copy.
+        bool has_begun = false;
         std::set<std::string> handles {};
         std::optional<StoppedRun> stopped {};
     };
@@ -152,6 +153,7 @@
     std::shared_ptr<HttpConnection> connection;
     std::optional<MonotonicTime> leaving_since;
     std::optional<MonotonicTime> last_attempt;
+    int failed_attempts = 0;
     std::vector<std::string> refused_targets;
     std::optional<MigrationDecision> decision;
     std::optional<Move> move;
--- a/Libraries/LibRouter/StreamingRequestHandlerRelay.cpp
+++ b/Libraries/LibRouter/StreamingRequestHandlerRelay.cpp
@@ -292,6 +292,7 @@
         return {};
     auto const& prompt = *this->request.prompt;
     RunningStream stream;
+    stream.events = this->events.event_count();
     stream.tokens = this->relayed_tokens();
     stream.later_events_here = this->events.event_count() - this->events_before_here;
     stream.later_tokens_here = stream.later_events_here * this->tokens_per_event();
@@ -339,7 +340,7 @@
     if (outcome == ContinuationOutcome::NotRun && !this->is_stopped())
         outcome = co_await this->continue_at(run.source, run, link);
     if (outcome == ContinuationOutcome::Running) {
-        migrator.complete(MoveOutcome::Returned, "target_refused");
+        migrator.complete(MoveOutcome::Returned, run.copy == StoppedRun::Copy::AtTarget ? "target_refused" : "target_unavailable");
         migrator.follow(link->upstream(), link->connection());
         co_return outcome;
     }
--- a/Tests/LibDecision/TestStreamMigrationPolicy.cpp
+++ b/Tests/LibDecision/TestStreamMigrationPolicy.cpp
@@ -35,8 +35,7 @@
         std::int64_t events = 0;
     };
 
-    /// Asks the policy at each event and every 100 ms, until it decides on a move
-    /// or the stream is over.
+    /// Asks the policy at each event and every 100 ms, until it decides on a move or the stream is over.
     Result run()
     {
         constexpr Duration STEP = milliseconds(10);
@@ -82,16 +81,11 @@
 MonotonicTime at(Duration time) { return MonotonicTime {} + time; }
 
 /// A random number of the range.
-std::int64_t pick(std::mt19937_64& random, std::int64_t least,
-    std::int64_t most)
-{
-    return std::uniform_int_distribution<std::int64_t>(least, most)(random);
-}
+std::int64_t pick(std::mt19937_64& random, std::int64_t least, std::int64_t most) { return std::uniform_int_distribution<std::int64_t>(least, most)(random); }
 
-} // namespace
+}
 
-// Guards against streams that are cut off at their deadline although they could
-// have been moved in time.
+// Guards against streams that are cut off at their deadline although they could have been moved in time.
 TEST_CASE("A stream that is too slow for its deadline is moved early enough to "
           "meet it at a fast engine",
     "[stream-migration]")
@@ -105,8 +99,7 @@
         simulation.stream.expected_tokens = simulation.stream.maximum_tokens = simulation.length;
         // The response takes 1.15 to 1.5 times as long as there is time; 130 events were seen to take 9 to 12 s.
         auto const needed = simulation.pace * simulation.length;
-        simulation.stream.finish_by = at(from_seconds(
-            to_seconds(needed) / (1.15 + 0.35 * static_cast<double>(seed) / SEEDS)));
+        simulation.stream.finish_by = at(from_seconds(to_seconds(needed) / (1.15 + 0.35 * static_cast<double>(seed) / SEEDS)));
         auto const result = simulation.run();
         REQUIRE(result.decision);
         CHECK(result.decision->cause == MigrationCause::MissesDeadline);
@@ -119,8 +112,7 @@
     }
 }
 
-// Guards against moves that a short delay starts. Engines that slow down by 2.5
-// times for 600 ms lose 360 ms.
+// Guards against moves that a short delay starts. Engines that slow down by 2.5 times for 600 ms lose 360 ms.
 TEST_CASE("Noise of half a second starts no move", "[stream-migration]")
 {
     for (int seed = 0; seed < SEEDS; ++seed) {
@@ -169,11 +161,8 @@
     }
 }
 
-// Guards against callers that leave after a long pause while another engine
-// could go on.
-TEST_CASE(
-    "A stream that stalls is moved before the route's longest pause is over",
-    "[stream-migration]")
+// Guards against callers that leave after a long pause while another engine could go on.
+TEST_CASE("A stream that stalls is moved before the route's longest pause is over", "[stream-migration]")
 {
     for (int seed = 0; seed < SEEDS; ++seed) {
         CAPTURE(seed);
@@ -202,10 +191,8 @@
     CHECK_FALSE(simulation.run().decision);
 }
 
-// Guards against moves that cost more than they gain, and against load that a
-// VM's moves put on the engines.
-TEST_CASE("Moves are limited for each stream and each VM",
-    "[stream-migration]")
+// Guards against moves that cost more than they gain, and against load that a VM's moves put on the engines.
+TEST_CASE("Moves are limited for each stream and each VM", "[stream-migration]")
 {
     StreamMigrationPolicy::Options const options;
     StreamMigrationPolicy const policy(options);
@@ -224,6 +211,10 @@
     stream.last_attempt = now - options.retry_interval / 2;
     CHECK_FALSE(policy.decide(stream, 0, now));
     CHECK(policy.decide(stream, 0, now + options.retry_interval / 2));
+    // A leaving engine leaves no time for longer intervals.
+    stream.failed_attempts = 3;
+    CHECK(policy.decide(stream, 0, now + options.retry_interval / 2));
+    stream.failed_attempts = 0;
     stream.last_attempt.reset();
     stream.moves = options.maximum_moves - 1;
     CHECK(policy.decide(stream, 0, now));
@@ -238,9 +229,32 @@
     CHECK_FALSE(policy.decide(stream, 0, now));
 }
 
+// Guards against slow streams that each go on asking the keeper for a faster engine where there is none.
+TEST_CASE("A stream asks less and less often for an engine that is not found", "[stream-migration]")
+{
+    StreamMigrationPolicy::Options const options;
+    StreamMigrationPolicy const policy(options);
+    RunningStream stream;
+    stream.tokens = stream.expected_tokens = 100;
+    stream.maximum_tokens = 500;
+    stream.later_events_here = stream.later_tokens_here = 99;
+    stream.first_event_here = at(seconds(0));
+    stream.last_event = at(seconds(30));
+    stream.finish_by = at(seconds(35));
+    auto const now = at(seconds(30));
+    for (int failed = 1; failed < 10; ++failed) {
+        CAPTURE(failed);
+        auto const interval = std::min(options.longest_retry_interval, options.retry_interval * (1 << (failed - 1)));
+        stream.failed_attempts = failed;
+        stream.last_attempt = now - interval;
+        CHECK(policy.decide(stream, 0, now));
+        stream.last_attempt = now - interval + milliseconds(1);
+        CHECK_FALSE(policy.decide(stream, 0, now));
+    }
+}
+
 // Guards against moves of streams that are complete before the move is.
-TEST_CASE("A stream that is about to end is not moved for any cause",
-    "[stream-migration]")
+TEST_CASE("A stream that is about to end is not moved for any cause", "[stream-migration]")
 {
     Simulation simulation;
     simulation.pace = milliseconds(50);
