Tests: Move streams without an end marker, and move a stream twice

A stream whose end only the connection tells could pass a stopped run for a complete response. The engine stand-in tells the end of its streams in either way and stops runs between events or within one.

--- a/Tests/Platform/TestStreamMigration.cpp
+++ b/Tests/Platform/TestStreamMigration.cpp
@@ -12,8 +12,7 @@
 
 namespace {
 
-/// Streams of 100 events take longer than the shortest news time, after which a
-/// leaving engine is expected to stop.
+/// Streams of 100 events take longer than the shortest news time, after which a leaving engine is expected to stop.
 constexpr int EVENTS = 100;
 constexpr Duration EVENT_PAUSE = milliseconds(15);
 /// Enough events for a stream to be under way.
@@ -27,12 +26,10 @@
     }
 }
 
-/// A node that moves streams, before a prefill engine and two decode engines
-/// that can copy the memory of runs.
+/// A node that moves streams, before a prefill engine and two decode engines that can copy the memory of runs.
 class MigratingDeployment : public NodeUnderTest {
 public:
-    explicit MigratingDeployment(
-        std::function<void(NodeSettings&)> const& change = {})
+    explicit MigratingDeployment(std::function<void(NodeSettings&)> const& change = {})
         : NodeUnderTest([&](NodeSettings& settings) {
             settings.stream_migration = NodeSettings::StreamMigration::On;
             settings.news_time = milliseconds(500);
@@ -41,9 +38,7 @@
                 change(settings);
         })
     {
-        LogLine::set_observer([this](std::string_view line) {
-            this->log += std::string(line) + "\n";
-        });
+        LogLine::set_observer([this](std::string_view line) { this->log += std::string(line) + "\n"; });
         this->configure(1, [](auto& json) {
             for (auto& route : json["routes"]) {
                 route["timeout_ms"] = 12000;
@@ -63,8 +58,7 @@
     MigratingDeployment& operator=(MigratingDeployment const&) = delete;
 
     /// A request whose response has the usual length at most.
-    HttpRequest stream_request(std::string const& target,
-        std::string const& identifier)
+    HttpRequest stream_request(std::string const& target, std::string const& identifier)
     {
         auto made = this->model_request(target, identifier);
         set_field(made, "X-Spurtide-Token-Count", "1000," + std::to_string(EVENTS));
@@ -75,18 +69,13 @@
     /// Begins a stream and waits until some events were sent.
     void begin_stream(HttpRequest request)
     {
-        std::string const identifier(
-            request.head.headers.find("X-Spurtide-Attempt-Id").value_or(""));
-        auto const carry = [](MigratingDeployment& test,
-                               HttpRequest made) -> asio::awaitable<void> {
+        std::string const identifier(request.head.headers.find("X-Spurtide-Attempt-Id").value_or(""));
+        auto const carry = [](MigratingDeployment& test, HttpRequest made) -> asio::awaitable<void> {
             auto answer = co_await exchange(test.node->caller_address(), std::move(made));
             test.answer = std::move(answer);
         };
-        asio::co_spawn(this->loop, carry(*this, std::move(request)),
-            asio::detached);
-        REQUIRE(this->run_until([&] {
-            return this->events_sent(identifier) >= EVENTS_BEFORE_TROUBLE;
-        }));
+        asio::co_spawn(this->loop, carry(*this, std::move(request)), asio::detached);
+        REQUIRE(this->run_until([&] { return this->events_sent(identifier) >= EVENTS_BEFORE_TROUBLE; }));
         bool const is_first = this->first.streaming.contains(identifier);
         this->source = is_first ? &this->first : &this->second;
         this->target = is_first ? &this->second : &this->first;
@@ -103,29 +92,20 @@
     }
 
     /// The registry lists the source as leaving.
-    void leave_source()
-    {
-        this->store.put("servers", this->source->identity,
-            this->source->entry("engines", "draining"));
-    }
+    void leave_source() { this->store.put("servers", this->source->identity, this->source->entry("engines", "draining")); }
 
     void finish_stream()
     {
         REQUIRE(this->run_until([&] { return this->answer.has_value(); }));
     }
 
-    bool has_logged(std::string_view event) const
-    {
-        return this->log.find(event) != std::string::npos;
-    }
+    bool has_logged(std::string_view event) const { return this->log.find(event) != std::string::npos; }
 
     /// Each event once and in order, up to the last one that the caller received.
     std::int64_t check_order() const
     {
         std::int64_t last = 0;
-        for (auto found = this->answer->body.find("id: ");
-             found != std::string::npos;
-             found = this->answer->body.find("id: ", found + 1)) {
+        for (auto found = this->answer->body.find("id: "); found != std::string::npos; found = this->answer->body.find("id: ", found + 1)) {
             auto const number = std::stoll(this->answer->body.substr(found + 4));
             CHECK(number == last + 1);
             last = number;
@@ -133,8 +113,7 @@
         return last;
     }
 
-    /// The caller received the whole stream, with the head of the engine that
-    /// began it.
+    /// The caller received the whole stream, with the head of the engine that began it.
     void check_whole()
     {
         this->finish_stream();
@@ -156,32 +135,20 @@
         this->check_nothing_left();
     }
 
-    /// No engine ran a request beside another one, and none holds memory of a
-    /// run.
+    /// No engine ran a request beside another one, and none holds memory of a run.
     void check_nothing_left()
     {
         CHECK(this->first.run_twice.empty());
         CHECK(this->second.run_twice.empty());
-        auto const holds_nothing = [&] {
-            return this->first.copies.empty() && this->second.copies.empty() && this->first.stopped.empty() && this->second.stopped.empty();
-        };
+        auto const holds_nothing = [&] { return this->first.copies.empty() && this->second.copies.empty() && this->first.stopped.empty() && this->second.stopped.empty(); };
         CHECK(this->run_until(holds_nothing, seconds(5)));
-        CHECK(this->run_until(
-            [&] {
-                return this->first.streaming.empty() && this->second.streaming.empty();
-            },
-            seconds(5)));
+        CHECK(this->run_until([&] { return this->first.streaming.empty() && this->second.streaming.empty(); }, seconds(5)));
     }
 
-    /// Replaces the source's answer to the calls that copy its run, for those
-    /// that stop it or those that do not.
-    void answer_copy_calls(
-        bool is_last,
-        std::function<asio::awaitable<bool>(HttpExchange&)> behaviour)
+    /// Replaces the source's answer to the calls that copy its run, for those that stop it or those that do not.
+    void answer_copy_calls(bool is_last, std::function<asio::awaitable<bool>(HttpExchange&)> behaviour)
     {
-        this->source->script =
-            [is_last, behaviour = std::move(behaviour)](
-                HttpExchange& exchange) -> asio::awaitable<bool> {
+        this->source->script = [is_last, behaviour = std::move(behaviour)](HttpExchange& exchange) -> asio::awaitable<bool> {
             if (exchange.request().head.target != "/v1/kv-move")
                 co_return false;
             auto const call = nlohmann::json::parse(exchange.request().body);
@@ -202,12 +169,10 @@
     std::string log;
 };
 
-} // namespace
+}
 
-// Guards against streams that are lost when their engine leaves, as it aborts
-// what still runs.
-TEST_CASE("A stream moves from an engine that leaves to another one",
-    "[stream-migration]")
+// Guards against streams that are lost when their engine leaves, as it aborts what still runs.
+TEST_CASE("A stream moves from an engine that leaves to another one", "[stream-migration]")
 {
     for (auto const* route : { "/stream/x", "/resumable/x" }) {
         CAPTURE(route);
@@ -227,13 +192,49 @@
     }
 }
 
-// Guards against moves that nobody has asked for.
-TEST_CASE("A stream stays at an engine that leaves where migration is off",
-    "[stream-migration]")
+// Guards against stopped runs that are taken for complete responses, as their connection ends like that of a whole stream.
+TEST_CASE("A stream whose end only the connection tells moves without a gap", "[stream-migration]")
 {
-    MigratingDeployment test([](NodeSettings& settings) {
-        settings.stream_migration = NodeSettings::StreamMigration::Off;
+    for (bool const is_cut_within_event : { false, true }) {
+        CAPTURE(is_cut_within_event);
+        MigratingDeployment test;
+        for (auto* engine : { &test.first, &test.second }) {
+            engine->framing = BodyFraming::UntilClose;
+            engine->stops_within_event = is_cut_within_event;
+        }
+        test.begin_stream(test.stream_request("/stream/x", "s1"));
+        test.leave_source();
+        test.check_whole();
+        CHECK(test.has_logged("stream_moved"));
+    }
+}
+
+// Guards against streams whose end only the connection tells, and which end as if they were whole although nobody knows whether
+// their run was stopped.
+TEST_CASE("A stream without an end marker counts as broken off if the call that stops its run is not answered", "[stream-migration]")
+{
+    MigratingDeployment test;
+    test.first.framing = test.second.framing = BodyFraming::UntilClose;
+    test.first.stops_within_event = test.second.stops_within_event = false;
+    test.begin_stream(test.stream_request("/stream/x", "s1"));
+    test.answer_copy_calls(true, [&](HttpExchange& exchange) -> asio::awaitable<bool> {
+        co_await test.source->stop_run("s1");
+        exchange.abort();
+        co_return true;
     });
+    test.leave_source();
+    test.finish_stream();
+    CAPTURE(test.log);
+    // The caller's connection is reset, as its end alone would say that the stream is whole.
+    CHECK(test.answer->error);
+    CHECK(test.has_logged("outcome=broken_off"));
+    CHECK(test.check_order() < EVENTS);
+}
+
+// Guards against moves that nobody has asked for.
+TEST_CASE("A stream stays at an engine that leaves where migration is off", "[stream-migration]")
+{
+    MigratingDeployment test([](NodeSettings& settings) { settings.stream_migration = NodeSettings::StreamMigration::Off; });
     test.begin_stream(test.stream_request("/stream/x", "s1"));
     test.leave_source();
     test.check_whole();
@@ -242,11 +243,9 @@
 }
 
 // Guards against moves of streams that end before their engine does.
-TEST_CASE("A stream that ends before its engine stops is not moved",
-    "[stream-migration]")
+TEST_CASE("A stream that ends before its engine stops is not moved", "[stream-migration]")
 {
-    MigratingDeployment test(
-        [](NodeSettings& settings) { settings.news_time = seconds(8); });
+    MigratingDeployment test([](NodeSettings& settings) { settings.news_time = seconds(8); });
     test.begin_stream(test.stream_request("/stream/x", "s1"));
     test.leave_source();
     test.check_whole();
@@ -254,8 +253,7 @@
 }
 
 // Guards against moves that load the engines beyond the retry budget.
-TEST_CASE("No move begins without a retry budget for the send to the target",
-    "[stream-migration]")
+TEST_CASE("No move begins without a retry budget for the send to the target", "[stream-migration]")
 {
     MigratingDeployment test([](NodeSettings& settings) {
         settings.retry.allowance = 0;
@@ -268,24 +266,19 @@
     CHECK(test.source->copy_calls.empty());
 }
 
-// Guards against responses that are cut off at the caller's deadline since
-// their engine is slow.
-TEST_CASE("A stream that would miss its deadline moves to a faster engine",
-    "[stream-migration]")
+// Guards against responses that are cut off at the caller's deadline since their engine is slow.
+TEST_CASE("A stream that would miss its deadline moves to a faster engine", "[stream-migration]")
 {
     MigratingDeployment test;
     test.first.event_pause = milliseconds(80);
     test.second.event_pause = milliseconds(4);
-    // The keeper measures the pace of engines by the responses that they
-    // complete.
+    // The keeper measures the pace of engines by the responses that they complete.
     for (auto* engine : { &test.first, &test.second }) {
         engine->events = 20;
         auto const* other = engine == &test.first ? &test.second : &test.first;
         test.list(*other, "engines", "draining");
         for (int i = 0; i < 3; ++i)
-            REQUIRE(test.call(test.stream_request("/stream/x", "warm-" + engine->identity + std::to_string(i)))
-                        .head.status
-                == 200);
+            REQUIRE(test.call(test.stream_request("/stream/x", "warm-" + engine->identity + std::to_string(i))).head.status == 200);
         test.list(*other, "engines");
     }
     test.first.events = test.second.events = EVENTS;
@@ -319,9 +312,32 @@
     }
 }
 
+// Guards against streams that are passed on between engines without end, and against a second move that repeats or omits events.
+TEST_CASE("A stream moves twice at most", "[stream-migration]")
+{
+    MigratingDeployment test;
+    // Long enough for two moves and for the stream to go on after the time in which the second engine could have been left.
+    test.first.events = test.second.events = 2 * EVENTS;
+    auto request = test.stream_request("/stream/x", "s1");
+    set_field(request, "X-Spurtide-Token-Count", "1000," + std::to_string(2 * EVENTS));
+    test.begin_stream(std::move(request));
+    test.leave_source();
+    REQUIRE(test.run_until([&] { return test.target->streaming.contains("s1"); }));
+    test.list(*test.source, "engines");
+    test.store.put("servers", test.target->identity, test.target->entry("engines", "draining"));
+    REQUIRE(test.run_until([&] { return test.source->run.size() == 2; }));
+    test.leave_source();
+    test.list(*test.target, "engines");
+    test.finish_stream();
+    CAPTURE(test.log);
+    CHECK_FALSE(test.answer->error);
+    CHECK(test.check_order() == 2 * EVENTS);
+    test.check_nothing_left();
+    CHECK(test.source->copy_calls.size() + test.target->copy_calls.size() == 4);
+}
+
 // Guards against streams that are stopped for a target that has no capacity.
-TEST_CASE("A stream stays where it is if the target takes no copy",
-    "[stream-migration]")
+TEST_CASE("A stream stays where it is if the target takes no copy", "[stream-migration]")
 {
     MigratingDeployment test;
     test.begin_stream(test.stream_request("/stream/x", "s1"));
@@ -330,15 +346,11 @@
     test.check_whole();
     CHECK(test.has_logged("reason=target_unavailable"));
     CHECK(test.target->run.empty());
-    CHECK(std::none_of(test.source->copy_calls.begin(),
-        test.source->copy_calls.end(),
-        [](auto const& call) { return call.at("last") == true; }));
+    CHECK(std::none_of(test.source->copy_calls.begin(), test.source->copy_calls.end(), [](auto const& call) { return call.at("last") == true; }));
 }
 
-// Guards against streams that are lost since the target refuses them after they
-// were stopped.
-TEST_CASE("A stopped run returns to its engine if the target refuses it",
-    "[stream-migration]")
+// Guards against streams that are lost since the target refuses them after they were stopped.
+TEST_CASE("A stopped run returns to its engine if the target refuses it", "[stream-migration]")
 {
     MigratingDeployment test;
     test.begin_stream(test.stream_request("/stream/x", "s1"));
@@ -350,10 +362,8 @@
     CHECK(test.source->run.size() >= 2);
 }
 
-// Guards against streams that are lost since the target ends while they are
-// stopped.
-TEST_CASE("A stopped run returns to its engine if the target is gone",
-    "[stream-migration]")
+// Guards against streams that are lost since the target ends while they are stopped.
+TEST_CASE("A stopped run returns to its engine if the target is gone", "[stream-migration]")
 {
     MigratingDeployment test;
     test.begin_stream(test.stream_request("/stream/x", "s1"));
@@ -384,8 +394,7 @@
     CHECK(test.source->run.size() == 1);
 }
 
-// Guards against a second run while the first one may go on, and against
-// streams that end as if they were whole.
+// Guards against a second run while the first one may go on, and against streams that end as if they were whole.
 TEST_CASE("A stream whose engine crashes during the move is resumed only where "
           "its route allows it",
     "[stream-migration]")
@@ -393,8 +402,7 @@
     for (bool const is_resumable : { false, true }) {
         CAPTURE(is_resumable);
         MigratingDeployment test;
-        test.begin_stream(
-            test.stream_request(is_resumable ? "/resumable/x" : "/stream/x", "s1"));
+        test.begin_stream(test.stream_request(is_resumable ? "/resumable/x" : "/stream/x", "s1"));
         test.answer_copy_calls(false, [&](HttpExchange&) -> asio::awaitable<bool> {
             test.source->crash();
             co_return true;
@@ -411,19 +419,17 @@
     }
 }
 
-// Guards against a run that continues elsewhere although its engine may not
-// have stopped it.
+// Guards against a run that continues elsewhere although its engine may not have stopped it.
 TEST_CASE("A stream stays if the call that stops its run is not answered and "
           "the run goes on",
     "[stream-migration]")
 {
     MigratingDeployment test;
     test.begin_stream(test.stream_request("/stream/x", "s1"));
-    test.answer_copy_calls(true,
-        [&](HttpExchange& exchange) -> asio::awaitable<bool> {
-            exchange.abort();
-            co_return true;
-        });
+    test.answer_copy_calls(true, [&](HttpExchange& exchange) -> asio::awaitable<bool> {
+        exchange.abort();
+        co_return true;
+    });
     test.leave_source();
     test.check_whole();
     CHECK(test.has_logged("stream_move_failed"));
@@ -431,8 +437,7 @@
     CHECK(test.source->run.size() == 1);
 }
 
-// Guards against streams that end as if they were whole, or run twice, when
-// nobody knows the handle of a stopped run.
+// Guards against streams that end as if they were whole, or run twice, when nobody knows the handle of a stopped run.
 TEST_CASE("A stream that closes without an answer to the call that stops its "
           "run counts as broken off",
     "[stream-migration]")
@@ -440,14 +445,12 @@
     for (bool const is_resumable : { false, true }) {
         CAPTURE(is_resumable);
         MigratingDeployment test;
-        test.begin_stream(
-            test.stream_request(is_resumable ? "/resumable/x" : "/stream/x", "s1"));
-        test.answer_copy_calls(
-            true, [&](HttpExchange& exchange) -> asio::awaitable<bool> {
-                co_await test.source->stop_run("s1");
-                exchange.abort();
-                co_return true;
-            });
+        test.begin_stream(test.stream_request(is_resumable ? "/resumable/x" : "/stream/x", "s1"));
+        test.answer_copy_calls(true, [&](HttpExchange& exchange) -> asio::awaitable<bool> {
+            co_await test.source->stop_run("s1");
+            exchange.abort();
+            co_return true;
+        });
         test.leave_source();
         if (is_resumable)
             test.check_whole();
@@ -456,46 +459,40 @@
     }
 }
 
-// Guards against copies that take an engine's memory for a caller that has
-// left.
-TEST_CASE("Copies are freed if the caller leaves during the move",
-    "[stream-migration]")
+// Guards against copies that take an engine's memory for a caller that has left.
+TEST_CASE("Copies are freed if the caller leaves during the move", "[stream-migration]")
 {
     for (bool const is_last : { false, true }) {
         CAPTURE(is_last);
         MigratingDeployment test;
         auto const caller = test.begin(test.stream_request("/stream/x", "s1"));
-        REQUIRE(test.run_until(
-            [&] { return test.events_sent("s1") >= EVENTS_BEFORE_TROUBLE; }));
+        REQUIRE(test.run_until([&] { return test.events_sent("s1") >= EVENTS_BEFORE_TROUBLE; }));
         test.source = test.first.streaming.contains("s1") ? &test.first : &test.second;
         test.target = test.source == &test.first ? &test.second : &test.first;
         bool has_left = false;
-        test.answer_copy_calls(
-            is_last, [&](HttpExchange& exchange) -> asio::awaitable<bool> {
+        test.answer_copy_calls(is_last, [&](HttpExchange& exchange) -> asio::awaitable<bool> {
+            if (is_last)
+                co_await test.source->stop_run("s1");
+            test.target->copies.insert("run-s1");
+            caller->abort();
+            while (!test.has_logged("outcome=caller_left")) {
+                asio::steady_timer timer(test.loop, milliseconds(2));
+                asio::error_code ignored;
+                co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
                 if (is_last)
-                    co_await test.source->stop_run("s1");
-                test.target->copies.insert("run-s1");
-                caller->abort();
-                while (!test.has_logged("outcome=caller_left")) {
-                    asio::steady_timer timer(test.loop, milliseconds(2));
-                    asio::error_code ignored;
-                    co_await timer.async_wait(
-                        asio::redirect_error(asio::use_awaitable, ignored));
-                    if (is_last)
-                        break;
-                }
-                has_left = true;
-                HttpResponseHead head;
-                head.status = 200;
-                nlohmann::json const body { { "kv_handle", "run-s1" }, { "created", 10 } };
-                auto const text = body.dump();
-                static_cast<void>(co_await exchange.respond(std::move(head), text));
-                co_return true;
-            });
+                    break;
+            }
+            has_left = true;
+            HttpResponseHead head;
+            head.status = 200;
+            nlohmann::json const body { { "kv_handle", "run-s1" }, { "created", 10 } };
+            auto const text = body.dump();
+            static_cast<void>(co_await exchange.respond(std::move(head), text));
+            co_return true;
+        });
         test.leave_source();
         REQUIRE(test.run_until([&] { return has_left; }));
-        REQUIRE(
-            test.run_until([&] { return test.has_logged("outcome=caller_left"); }));
+        REQUIRE(test.run_until([&] { return test.has_logged("outcome=caller_left"); }));
         test.check_nothing_left();
         CHECK(test.source->freed == std::vector<std::string> { "run-s1" });
         CHECK(test.target->run.empty());
--- a/Tests/Platform/UpstreamStandIn.cpp
+++ b/Tests/Platform/UpstreamStandIn.cpp
@@ -12,17 +12,14 @@
 /// Begins the handles that name the memory of runs.
 constexpr std::string_view RUN_HANDLE = "run-";
 
-} // namespace
+}
 
-UpstreamStandIn::UpstreamStandIn(asio::io_context& loop, std::string identity,
-    std::string phase)
+UpstreamStandIn::UpstreamStandIn(asio::io_context& loop, std::string identity, std::string phase)
     : identity(std::move(identity))
     , phase(std::move(phase))
     , loop(loop)
     , kept_port(loop)
-    , server(HttpServer::create(loop, { "127.0.0.1", 0 }, [this](auto& exchange) {
-        return this->take(exchange);
-    }).release_value())
+    , server(HttpServer::create(loop, { "127.0.0.1", 0 }, [this](auto& exchange) { return this->take(exchange); }).release_value())
 {
 }
 
@@ -33,9 +30,7 @@
     for (auto* exchange : this->open)
         exchange->abort();
     this->streaming.clear();
-    asio::ip::tcp::endpoint const endpoint(
-        asio::ip::make_address(this->address().host),
-        static_cast<std::uint16_t>(this->address().port));
+    asio::ip::tcp::endpoint const endpoint(asio::ip::make_address(this->address().host), static_cast<std::uint16_t>(this->address().port));
     this->kept_port.open(endpoint.protocol());
     this->kept_port.set_option(asio::socket_base::reuse_address(true));
     this->kept_port.bind(endpoint);
@@ -48,19 +43,9 @@
     this->open.erase(&exchange);
 }
 
-nlohmann::json UpstreamStandIn::entry(std::string const& service,
-    std::string const& state) const
+nlohmann::json UpstreamStandIn::entry(std::string const& service, std::string const& state) const
 {
-    nlohmann::json json {
-        { "service", service },
-        { "address", this->listed_address.value_or(this->address()).to_string() },
-        { "zone", this->data_centre },
-        { "version", this->software_version },
-        { "slots", 6 },
-        { "state", state },
-        { "cold_left_ms", 0 },
-        { "call_seq", 0 }
-    };
+    nlohmann::json json { { "service", service }, { "address", this->listed_address.value_or(this->address()).to_string() }, { "zone", this->data_centre }, { "version", this->software_version }, { "slots", 6 }, { "state", state }, { "cold_left_ms", 0 }, { "call_seq", 0 } };
     if (!this->phase.empty())
         json["phase"] = this->phase;
     if (this->started > 0)
@@ -68,15 +53,11 @@
     return json;
 }
 
-HttpResponseHead UpstreamStandIn::answer_head(HttpExchange const& exchange,
-    int status) const
+HttpResponseHead UpstreamStandIn::answer_head(HttpExchange const& exchange, int status) const
 {
     HttpResponseHead head;
     head.status = status;
-    head.headers.add("X-Spurtide-Attempt-Id",
-        exchange.request()
-            .head.headers.find("X-Spurtide-Attempt-Id")
-            .value_or(""));
+    head.headers.add("X-Spurtide-Attempt-Id", exchange.request().head.headers.find("X-Spurtide-Attempt-Id").value_or(""));
     head.headers.add("X-Spurtide-Server-Stamp", "stamp." + this->identity);
     if (!this->named_limit.empty())
         head.headers.add("Server-Limit", this->named_limit);
@@ -98,8 +79,7 @@
     }
     this->requests.push_back(exchange.request());
     auto const& head = exchange.request().head;
-    std::string const request(
-        head.headers.find("X-Spurtide-Attempt-Id").value_or(""));
+    std::string const request(head.headers.find("X-Spurtide-Attempt-Id").value_or(""));
     if (this->script) {
         bool const is_done = co_await this->script(exchange);
         if (is_done)
@@ -135,8 +115,7 @@
         co_await this->prefill(exchange, request);
         co_return;
     }
-    std::string const source(
-        head.headers.find("X-Spurtide-Kv-Source").value_or(""));
+    std::string const source(head.headers.find("X-Spurtide-Kv-Source").value_or(""));
     auto const handle = source.substr(source.rfind('/') + 1);
     if (handle.starts_with(RUN_HANDLE) && !this->take_memory(handle)) {
         auto refusal = this->answer_head(exchange, 503);
@@ -150,8 +129,7 @@
         co_return;
     }
     std::string const body = "answer of " + this->identity + " to " + request;
-    static_cast<void>(
-        co_await exchange.respond(this->answer_head(exchange, 200), body));
+    static_cast<void>(co_await exchange.respond(this->answer_head(exchange, 200), body));
 }
 
 asio::awaitable<void> UpstreamStandIn::turn_away(HttpExchange& exchange)
@@ -180,15 +158,12 @@
     ++this->statuses_asked;
     HttpResponseHead head;
     head.status = 200;
-    nlohmann::json const body { { "phase", this->phase },
-        { "busy_slots", false },
-        { "call_seq", this->orders.size() } };
+    nlohmann::json const body { { "phase", this->phase }, { "busy_slots", false }, { "call_seq", this->orders.size() } };
     std::string const text = body.dump();
     static_cast<void>(co_await exchange.respond(std::move(head), text));
 }
 
-// 202 where the order is of the agreed form and names the count of those before
-// it.
+// 202 where the order is of the agreed form and names the count of those before it.
 asio::awaitable<void> UpstreamStandIn::take_order(HttpExchange& exchange)
 {
     auto const order = nlohmann::json::parse(exchange.request().body, nullptr, false);
@@ -204,41 +179,33 @@
     static_cast<void>(co_await exchange.respond(std::move(head), {}));
 }
 
-asio::awaitable<void> UpstreamStandIn::prefill(HttpExchange& exchange,
-    std::string const& request)
+asio::awaitable<void> UpstreamStandIn::prefill(HttpExchange& exchange, std::string const& request)
 {
     auto const handle = "handle-" + request;
     this->handles.insert(handle);
-    nlohmann::json const body {
-        { "kv_handle", handle }, { "tokens", 100 }, { "version", 1 }
-    };
+    nlohmann::json const body { { "kv_handle", handle }, { "tokens", 100 }, { "version", 1 } };
     auto head = this->answer_head(exchange, 200);
     auto const text = body.dump();
     static_cast<void>(co_await exchange.respond(std::move(head), text));
 }
 
-asio::awaitable<void> UpstreamStandIn::stream(HttpExchange& exchange,
-    std::string const& request)
+asio::awaitable<void> UpstreamStandIn::stream(HttpExchange& exchange, std::string const& request)
 {
     auto head = this->answer_head(exchange, 200);
     head.headers.add("Content-Type", "text/event-stream");
-    auto const begun = co_await exchange.begin(std::move(head), BodyFraming::Chunked);
+    auto const begun = co_await exchange.begin(std::move(head), this->framing);
     bool is_gone = begun.is_error();
-    if (std::any_of(
-            this->peers.begin(), this->peers.end(),
-            [&](auto const* peer) { return peer->streaming.contains(request); }))
+    if (std::any_of(this->peers.begin(), this->peers.end(), [&](auto const* peer) { return peer->streaming.contains(request); }))
         this->run_twice.push_back(request);
-    auto const after = parse_whole_number(
-        exchange.request().head.headers.find("Last-Event-Id").value_or("0"))
-                           .value_or(0);
+    auto const after = parse_whole_number(exchange.request().head.headers.find("Last-Event-Id").value_or("0")).value_or(0);
     this->streaming.insert_or_assign(request, after);
     for (auto i = after + 1; i <= this->events && !is_gone; ++i) {
         co_await this->pause(this->event_pause);
         while (this->stalls_after && i > *this->stalls_after && !this->stopping.contains(request) && !exchange.is_caller_gone())
             co_await this->pause(milliseconds(2));
         if (this->stopping.erase(request) > 0) {
-            static_cast<void>(
-                co_await exchange.write("id: " + std::to_string(i) + "\nda"));
+            if (this->stops_within_event)
+                static_cast<void>(co_await exchange.write("id: " + std::to_string(i) + "\nda"));
             this->streaming.erase(request);
             exchange.abort();
             co_return;
@@ -278,10 +245,7 @@
     auto const call = nlohmann::json::parse(exchange.request().body);
     this->copy_calls.push_back(call);
     std::string const request = call.at("id");
-    auto const target = std::find_if(
-        this->peers.begin(), this->peers.end(), [&](auto const* peer) {
-            return peer->address().to_string() == call.at("target_version");
-        });
+    auto const target = std::find_if(this->peers.begin(), this->peers.end(), [&](auto const* peer) { return peer->address().to_string() == call.at("target_version"); });
     auto const handle = std::string(RUN_HANDLE) + request;
     nlohmann::json body = nlohmann::json::object();
     int status = 404;
@@ -320,4 +284,4 @@
     }
 }
 
-} // namespace Spurtide::Tests
+}
