StreamMigrationPolicy: Take no slow caller for a slow engine

While the caller has not taken the last events, the engine's further ones are not read, which looked like a stall. Only a leaving engine is a reason to move such a stream. A stopped run that returns to an engine with a rate limit takes a turn there as well.

--- a/Libraries/LibDecision/StreamMigrationPolicy.cpp
+++ b/Libraries/LibDecision/StreamMigrationPolicy.cpp
@@ -72,9 +72,10 @@
     if (between(now, stream.finish_by) < this->options.minimum_time_left || this->is_about_to_end(stream))
         return {};
     auto decision = this->decide_leaving(stream, now);
-    if (!decision)
+    // A caller that reads slowly says nothing about the engine.
+    if (!decision && !stream.is_waiting_for_caller)
         decision = this->decide_stalled(stream, now);
-    if (!decision)
+    if (!decision && !stream.is_waiting_for_caller)
         decision = this->decide_deadline(stream, now);
     if (decision)
         decision->events = stream.events;
--- a/Libraries/LibDecision/StreamMigrationPolicy.h
+++ b/Libraries/LibDecision/StreamMigrationPolicy.h
@@ -31,9 +31,11 @@
     /// Events and output tokens that the present engine sent after its first piece.
     std::int64_t later_events_here = 0;
     std::int64_t later_tokens_here = 0;
-    /// When the present engine's first piece arrived, and the stream's last event.
+    /// When the present engine's first piece arrived, and when the stream's last event had been passed on.
     MonotonicTime first_event_here;
     MonotonicTime last_event;
+    /// The caller has not taken the last event yet, so that the engine's further ones are not read.
+    bool is_waiting_for_caller = false;
     /// Median of the expected length in output tokens; 0 if unknown.
     std::int64_t expected_tokens = 0;
     /// Upper bound of the length; 0 if there is none.
--- a/Libraries/LibRouter/StreamingRequestHandler.h
+++ b/Libraries/LibRouter/StreamingRequestHandler.h
@@ -109,6 +109,9 @@
     std::optional<Duration> first_event_after;
     MonotonicTime first_event_at;
     MonotonicTime last_event_at;
+    /// When the caller had taken the last events, and whether it still has to.
+    MonotonicTime last_write_end;
+    bool is_writing = false;
     Duration longest_pause {};
     /// When the present engine's first events arrived, and how many events the stream had then.
     MonotonicTime first_event_here_at;
--- a/Libraries/LibRouter/StreamingRequestHandlerRelay.cpp
+++ b/Libraries/LibRouter/StreamingRequestHandlerRelay.cpp
@@ -17,6 +17,8 @@
 /// A prompt that crashes engines does so as they begin to answer it. Long streams of sound prompts may all be interrupted by
 /// crashes before their end.
 constexpr Duration SERVED_AFTER = seconds(1);
+/// The memory of a stopped run is freed about half a second after the stop.
+constexpr Duration RETURN_TURN_WAIT = milliseconds(300);
 
 }
 
@@ -245,7 +247,10 @@
             if (begun.is_error())
                 co_return PlacementOutcome::Retry;
         }
+        this->is_writing = true;
         auto const written = co_await this->exchange.write(bytes);
+        this->is_writing = false;
+        this->last_write_end = monotonic_now();
         if (written.is_error()) {
             connection->abort();
             this->log_end("caller_left", "write_failed", 0);
@@ -297,7 +302,8 @@
     stream.later_events_here = this->events.event_count() - this->events_before_here;
     stream.later_tokens_here = stream.later_events_here * this->tokens_per_event();
     stream.first_event_here = this->first_event_here_at;
-    stream.last_event = this->last_event_at;
+    stream.last_event = std::max(this->last_event_at, this->last_write_end);
+    stream.is_waiting_for_caller = this->is_writing;
     stream.expected_tokens = prompt.expected_output_tokens;
     stream.maximum_tokens = prompt.maximum_output_tokens;
     stream.finish_by = this->deadline;
@@ -337,14 +343,18 @@
         co_return outcome;
     }
     // An engine that is leaving still completes what it runs for a while, and this is the same run.
-    if (outcome == ContinuationOutcome::NotRun && !this->is_stopped())
-        outcome = co_await this->continue_at(run.source, run, link);
+    if (outcome == ContinuationOutcome::NotRun && !this->is_stopped()) {
+        bool const has_turn = co_await this->take_turn(run.source.identity, RETURN_TURN_WAIT, Duration::zero());
+        if (has_turn)
+            outcome = co_await this->continue_at(run.source, run, link);
+    }
     if (outcome == ContinuationOutcome::Running) {
         migrator.complete(MoveOutcome::Returned, run.copy == StoppedRun::Copy::AtTarget ? "target_refused" : "target_unavailable");
         migrator.follow(link->upstream(), link->connection());
         co_return outcome;
     }
-    migrator.complete(MoveOutcome::Lost, outcome == ContinuationOutcome::NotRun ? "refused_by_both" : "response_lost");
+    std::string_view const reason = outcome == ContinuationOutcome::NotRun ? "refused_by_both" : "response_lost";
+    migrator.complete(MoveOutcome::Lost, this->is_stopped() ? "stream_ended" : reason);
     this->failed_engines.push_back(run.target.identity);
     this->failed_engines.push_back(run.source.identity);
     co_return outcome;
--- a/Tests/LibDecision/TestStreamMigrationPolicy.cpp
+++ b/Tests/LibDecision/TestStreamMigrationPolicy.cpp
@@ -180,6 +180,25 @@
     }
 }
 
+// Guards against streams that are moved since their callers read slowly.
+TEST_CASE("A stream that waits for its caller is moved only from an engine that leaves", "[stream-migration]")
+{
+    StreamMigrationPolicy const policy { StreamMigrationPolicy::Options {} };
+    RunningStream stream;
+    stream.tokens = stream.later_events_here = stream.later_tokens_here = 50;
+    stream.expected_tokens = stream.maximum_tokens = 500;
+    stream.first_event_here = at(seconds(0));
+    stream.last_event = at(seconds(5));
+    stream.longest_pause = seconds(1);
+    stream.finish_by = at(seconds(20));
+    auto const now = at(seconds(6));
+    REQUIRE(policy.decide(stream, 0, now));
+    stream.is_waiting_for_caller = true;
+    CHECK_FALSE(policy.decide(stream, 0, now));
+    stream.leaving_since = now;
+    CHECK(policy.decide(stream, 0, now));
+}
+
 // Guards against stalls that are seen at engines whose events are far apart.
 TEST_CASE("Pauses of a slow engine are no stall", "[stream-migration]")
 {
