StreamMigrator: Return the turn at the target if the move does not send

Otherwise an engine with a rate limit lost a turn with each move that failed. A further test stops the VM during a move.

--- a/Libraries/LibRouter/StreamMigrator.cpp
+++ b/Libraries/LibRouter/StreamMigrator.cpp
@@ -121,11 +121,7 @@
     auto const now = monotonic_now();
     this->last_attempt = now;
     auto const chosen = *std::exchange(this->decision, {});
-    this->move.emplace();
-    this->move->decision = chosen;
-    this->move->begun = now;
-    this->move->deadline = now + chosen.time_limit;
-    this->move->source = this->engine;
+    this->move = Move { chosen, now, now + chosen.time_limit, this->engine };
     auto reason = co_await this->find_target();
     if (reason.empty())
         reason = co_await this->copy();
@@ -170,11 +166,10 @@
     bool const has_turn = co_await this->hooks.take_turn(this->move->target.identity);
     if (!has_turn)
         co_return "upstreams_limited";
-    if (this->is_over || !this->hooks.pay()) {
-        this->state.limiter->return_turn(this->move->target.identity);
-        co_return this->is_over ? "stream_ended" : "retry_budget_spent";
-    }
-    co_return std::string();
+    this->move->has_turn = true;
+    if (this->is_over)
+        co_return "stream_ended";
+    co_return std::string(this->hooks.pay() ? "" : "retry_budget_spent");
 }
 
 // The target may refuse connections or have begun to leave, which is better found out while the run goes on.
@@ -307,6 +302,8 @@
     if (!this->move)
         return;
     this->free_handles();
+    if (this->move->has_turn)
+        this->state.limiter->return_turn(this->move->target.identity);
     this->end_grant(MoveEnd::Abandoned);
     this->log_move("stream_move_failed", reason);
     std::string_view const stayed = this->move->has_begun ? "stayed" : "not_begun";
--- a/Libraries/LibRouter/StreamMigrator.h
+++ b/Libraries/LibRouter/StreamMigrator.h
@@ -123,6 +123,8 @@
         MonotonicTime deadline;
         UpstreamRecord source;
         UpstreamRecord target {};
+        /// Whether a turn at the target was taken for the send.
+        bool has_turn = false;
         /// Whether the source was asked for a copy.
         bool has_begun = false;
         std::set<std::string> handles {};
--- a/Tests/Platform/TestStreamMigration.cpp
+++ b/Tests/Platform/TestStreamMigration.cpp
@@ -459,6 +459,22 @@
     }
 }
 
+// Guards against streams that a stopping VM cuts off since they are on the way to another engine.
+TEST_CASE("A move that is in progress when the VM begins to stop is completed", "[stream-migration]")
+{
+    MigratingDeployment test;
+    test.begin_stream(test.stream_request("/stream/x", "s1"));
+    bool has_stopped = false;
+    test.answer_copy_calls(false, [&](HttpExchange&) -> asio::awaitable<bool> {
+        test.node->stop([&] { has_stopped = true; });
+        co_return false;
+    });
+    test.leave_source();
+    test.check_whole();
+    CHECK(test.has_logged("stream_moved"));
+    CHECK(test.run_until([&] { return has_stopped; }));
+}
+
 // Guards against copies that take an engine's memory for a caller that has left.
 TEST_CASE("Copies are freed if the caller leaves during the move", "[stream-migration]")
 {
