--- a/Tests/Platform/TestStreamMigration.cpp
+++ b/Tests/Platform/TestStreamMigration.cpp
@@ -209,6 +209,38 @@
     }
 }
 
+// Guards against moves that take each other's targets or handles, and against streams that are left behind as a VM makes only a few
+// moves at a time.
+TEST_CASE("All streams of an engine that leaves move although only a few do at a time", "[stream-migration]")
+{
+    constexpr int STREAMS = 7;
+    MigratingDeployment test;
+    test.list(test.second, "engines", "draining");
+    std::vector<CallerAnswer> answers(STREAMS);
+    int done = 0;
+    auto const carry = [&](HttpRequest made, CallerAnswer& answer) -> asio::awaitable<void> {
+        auto received = co_await MigratingDeployment::exchange(test.node->caller_address(), std::move(made));
+        answer = std::move(received);
+        ++done;
+    };
+    for (int i = 0; i < STREAMS; ++i)
+        asio::co_spawn(test.loop, carry(test.stream_request("/stream/x", "s" + std::to_string(i)), answers[static_cast<std::size_t>(i)]), asio::detached);
+    auto const is_under_way = [](auto const& stream) { return stream.second >= EVENTS_BEFORE_TROUBLE; };
+    REQUIRE(test.run_until([&] { return test.first.streaming.size() == STREAMS && std::all_of(test.first.streaming.begin(), test.first.streaming.end(), is_under_way); }));
+    test.list(test.second, "engines");
+    test.source = &test.first;
+    test.leave_source();
+    REQUIRE(test.run_until([&] { return done == STREAMS; }));
+    CAPTURE(test.log);
+    for (auto const& answer : answers) {
+        CHECK_FALSE(answer.error);
+        test.answer = answer;
+        CHECK(test.check_order() == EVENTS);
+    }
+    CHECK(test.second.run.size() == STREAMS);
+    test.check_nothing_left();
+}
+
 // Guards against streams whose end only the connection tells, and which end as if they were whole although nobody knows whether
 // their run was stopped.
 TEST_CASE("A stream without an end marker counts as broken off if the call that stops its run is not answered", "[stream-migration]")
