--- a/Libraries/LibRouter/RouterState.h
+++ b/Libraries/LibRouter/RouterState.h
@@ -28,6 +28,7 @@
 class PlacementClient;
 class ReplicatedQuarantine;
 class RelayClient;
+struct StreamMoves;
 class StreamOriginDirectory;
 class QuotaClient;
 class UpstreamLimiter;
@@ -66,6 +67,8 @@
     /// Null if plain calls are sent without asking for a permit.
     CallAdmissionClient* call_admission = nullptr;
     StreamOriginDirectory* stream_origins = nullptr;
+    /// Null where running streams are not moved to other engines. Shared with the moves, which may outlive this state at shutdown.
+    std::shared_ptr<StreamMoves> stream_moves {};
     /// Null where no VM relays requests of others.
     RelayClient* relays = nullptr;
     /// Reads what has changed in the list of upstreams. Returns whether the list is current as of the call.
--- a/Tests/Platform/TestNodeSettings.cpp
+++ b/Tests/Platform/TestNodeSettings.cpp
@@ -15,7 +15,7 @@
     "caller_address": "127.0.0.1:1", "operations_address": "127.0.0.1:2", "wire_address": "127.0.0.1:3",
     "registry_address": "127.0.0.1:4", "seeds": ["127.0.0.1:3"],
     "memory_headroom": 0.2, "length_spread": 0.6, "role_changes": "on", "call_admission": "on", "lease_milliseconds": 3000, "news_milliseconds": 4000,
-    "memory_deviations": 1.5, "processor_share": 0.25, "keeper_processor_share": 0.4,
+    "stream_migration": "on", "memory_deviations": 1.5, "processor_share": 0.25, "keeper_processor_share": 0.4,
     "retry_ratio": 0.2, "retry_allowance": 56, "retry_window_seconds": 10, "stop_grace_seconds": 8, "descriptors": 4100, "metrics_address": "127.0.0.1:5"
 })";
 
@@ -33,6 +33,7 @@
     REQUIRE_FALSE(settings.is_error());
     CHECK(settings.value().role_changes == NodeSettings::RoleChanges::On);
     CHECK(settings.value().call_admission == NodeSettings::CallAdmission::On);
+    CHECK(settings.value().stream_migration == NodeSettings::StreamMigration::On);
     CHECK(settings.value().lease_time == seconds(3));
     CHECK(settings.value().news_time == seconds(4));
     CHECK(settings.value().memory_deviations == 1.5);
@@ -51,6 +52,17 @@
     CHECK(settings.value().call_admission == NodeSettings::CallAdmission::Off);
 }
 
+// Guards against streams that are moved in deployments which did not ask for it.
+TEST_CASE("Streams are not moved unless the settings say so")
+{
+    std::string text(WHOLE);
+    std::string const field = "\"stream_migration\": \"on\", ";
+    text.erase(text.find(field), field.size());
+    auto const settings = read(text);
+    REQUIRE_FALSE(settings.is_error());
+    CHECK(settings.value().stream_migration == NodeSettings::StreamMigration::Off);
+}
+
 TEST_CASE("What makes no sense in a node's settings is a fault that names its key")
 {
     struct Row {
@@ -62,6 +74,7 @@
         { "\"on\"", "\"maybe\"", "role_changes" },
         { "\"call_admission\": \"on\"", "\"call_admission\": true", "call_admission" },
         { "\"call_admission\": \"on\"", "\"call_admission\": \"auto\"", "call_admission" },
+        { "\"stream_migration\": \"on\"", "\"stream_migration\": \"sometimes\"", "stream_migration" },
         { "\"lease_milliseconds\": 3000", "\"lease_milliseconds\": 1", "lease_milliseconds" },
         { "\"news_milliseconds\": 4000", "\"news_milliseconds\": 10", "news_milliseconds" },
         { "\"memory_deviations\": 1.5", "\"memory_deviations\": -1", "memory_deviations" },
--- a/Tests/Platform/UpstreamStandIn.h
+++ b/Tests/Platform/UpstreamStandIn.h
@@ -6,6 +6,7 @@
 #include <LibAsync/HttpServer.h>
 #include <LibCore/Time.h>
 #include <functional>
+#include <map>
 #include <memory>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -71,6 +72,27 @@
     std::vector<std::string> cached;
     int cached_asked = 0;
 
+    /// The engines to which it can copy the memory of what it runs; each knows all others.
+    std::vector<UpstreamStandIn*> peers;
+    /// Calls to copy the memory of a run, as they came.
+    std::vector<nlohmann::json> copy_calls;
+    /// Has no capacity for copies, or for requests that continue a run.
+    bool refuses_copies = false;
+    bool refuses_continuations = false;
+    /// Handles of copies that it holds of other engines' runs, and of the runs that it stopped.
+    std::set<std::string> copies;
+    std::set<std::string> stopped;
+    /// Sends no events beyond this one.
+    std::optional<int> stalls_after;
+    /// Requests that it streams now, with the last event that was sent, and those that another engine streamed as well.
+    std::map<std::string, std::int64_t> streaming;
+    std::vector<std::string> run_twice;
+    /// How it tells the end of its streams, and whether it stops a run in the middle of an event.
+    BodyFraming framing = BodyFraming::Chunked;
+    bool stops_within_event = true;
+    /// Ends the stream of a run without its end marker and keeps its memory.
+    asio::awaitable<void> stop_run(std::string request);
+
     /// The head of an answer to the exchange's request.
     HttpResponseHead answer_head(HttpExchange const& exchange, int status) const;
 
@@ -83,9 +105,16 @@
     asio::awaitable<void> list_cached(HttpExchange& exchange);
     asio::awaitable<void> prefill(HttpExchange& exchange, std::string const& request);
     asio::awaitable<void> stream(HttpExchange& exchange, std::string const& request);
+    asio::awaitable<void> copy_run(HttpExchange& exchange);
+    /// Whether it has the memory of a run; each handle can be used once.
+    bool take_memory(std::string const& handle);
+    void free_memory(std::string const& handle);
+    asio::awaitable<void> pause(Duration duration);
 
     asio::io_context& loop;
     std::set<HttpExchange*> open;
+    /// Requests whose run ends without its end marker.
+    std::set<std::string> stopping;
     /// Keeps the port of a process that ended: no other test's process may get it while the node still connects there.
     asio::ip::tcp::socket kept_port;
     std::unique_ptr<HttpServer> server;
