NodeServer: Add settings for placement by completion and for the bound on accounts

Both parts of the stream scheduler were in force on every deployment. They are off now unless the settings of a node say otherwise, so that deployments which do not ask for them are served as before. A bad value is a typed error that names the field.

--- a/Libraries/LibDecision/CellScheduler.h
+++ b/Libraries/LibDecision/CellScheduler.h
@@ -239,6 +239,12 @@
         Ignored,
     } completion
         = Completion::Considered;
+    /// Whether an account above its share of scarce decode memory leaves the rest to the accounts below theirs.
+    enum class AccountBound {
+        On,
+        Off,
+    } account_bound
+        = AccountBound::On;
     /// Selects one of the candidates; the default policy applies if unset.
     std::function<std::size_t(std::span<PlacementCandidate const>)> choose_prefill;
     std::function<std::size_t(std::span<PlacementCandidate const>)> choose_decode;
--- a/Libraries/LibDecision/CellSchedulerAccounts.cpp
+++ b/Libraries/LibDecision/CellSchedulerAccounts.cpp
@@ -56,6 +56,8 @@
 // Streams that have begun are not held up, since they have a place in their account's share already.
 CellScheduler::ShareStatus CellScheduler::share_status(PlacementAsk const& ask, MonotonicTime now) const
 {
+    if (this->options.policy.account_bound == SchedulerPolicy::AccountBound::Off)
+        return ShareStatus::Within;
     auto const found = this->memory_shares.find(ask.model);
     if (this->accounts.size() < 2 || found == this->memory_shares.end() || ask.relayed_tokens > 0 || !ask.software_version.empty())
         return ShareStatus::Within;
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -56,6 +56,10 @@
     options.policy.decode_prefill = SchedulerPolicy::DecodePrefill::Overflow;
     options.policy.last_resort = SchedulerPolicy::LastResort::On;
     options.policy.backfill = SchedulerPolicy::Backfill::On;
+    if (settings.completion_placement == NodeSettings::CompletionPlacement::Off)
+        options.policy.completion = SchedulerPolicy::Completion::Ignored;
+    if (settings.account_share_bound == NodeSettings::AccountShareBound::Off)
+        options.policy.account_bound = SchedulerPolicy::AccountBound::Off;
     options.report_need = CellScheduler::Options::ReportNeed::None;
     options.stale_grant_timeout = PlacementClient::Options {}.renewal_interval * RENEWALS_MISSED + RENEWAL_MARGIN;
     options.cache_hold = milliseconds(500);
--- a/Services/NodeServer/NodeSettings.cpp
+++ b/Services/NodeServer/NodeSettings.cpp
@@ -55,6 +55,8 @@
     node.role_changes = reader.choice("role_changes", Presence::Optional, { "on", "off" }, "off") == "on" ? RoleChanges::On : RoleChanges::Off;
     node.call_admission = reader.choice("call_admission", Presence::Optional, { "on", "off" }, "off") == "on" ? CallAdmission::On : CallAdmission::Off;
     node.stream_migration = reader.choice("stream_migration", Presence::Optional, { "on", "off" }, "off") == "on" ? StreamMigration::On : StreamMigration::Off;
+    node.completion_placement = reader.choice("completion_placement", Presence::Optional, { "on", "off" }, "off") == "on" ? CompletionPlacement::On : CompletionPlacement::Off;
+    node.account_share_bound = reader.choice("account_share_bound", Presence::Optional, { "on", "off" }, "off") == "on" ? AccountShareBound::On : AccountShareBound::Off;
     node.news_time = reader.milliseconds("news_milliseconds", 500, 60'000, to_milliseconds(node.news_time));
     node.lease_time = reader.milliseconds("lease_milliseconds", 1000, 60'000, to_milliseconds(node.lease_time));
     node.processor_share = reader.number("processor_share", Presence::Optional, 0.001, 1024, node.processor_share);
--- a/Services/NodeServer/NodeSettings.h
+++ b/Services/NodeServer/NodeSettings.h
@@ -70,6 +70,18 @@
         On,
     } stream_migration
         = StreamMigration::Off;
+    /// Whether streams are placed by the time at which their whole answer has to be complete.
+    enum class CompletionPlacement {
+        Off,
+        On,
+    } completion_placement
+        = CompletionPlacement::Off;
+    /// Whether an account above its share of scarce decode memory leaves the rest to the accounts below theirs.
+    enum class AccountShareBound {
+        Off,
+        On,
+    } account_share_bound
+        = AccountShareBound::Off;
     /// How long one write to the lease of those orders is good for.
     Duration lease_time = seconds(3);
     /// Within what time news of the registry have to be in force.
--- a/Tests/Platform/TestNodeSettings.cpp
+++ b/Tests/Platform/TestNodeSettings.cpp
@@ -15,7 +15,7 @@
     "caller_address": "127.0.0.1:1", "operations_address": "127.0.0.1:2", "wire_address": "127.0.0.1:3",
     "registry_address": "127.0.0.1:4", "seeds": ["127.0.0.1:3"],
     "memory_headroom": 0.2, "length_spread": 0.6, "role_changes": "on", "call_admission": "on", "lease_milliseconds": 3000, "news_milliseconds": 4000,
-    "stream_migration": "on", "memory_deviations": 1.5, "processor_share": 0.25, "keeper_processor_share": 0.4,
+    "stream_migration": "on", "completion_placement": "on", "account_share_bound": "on", "memory_deviations": 1.5, "processor_share": 0.25, "keeper_processor_share": 0.4,
     "retry_ratio": 0.2, "retry_allowance": 56, "retry_window_seconds": 10, "stop_grace_seconds": 8, "descriptors": 4100, "metrics_address": "127.0.0.1:5"
 })";
 
@@ -34,6 +34,8 @@
     CHECK(settings.value().role_changes == NodeSettings::RoleChanges::On);
     CHECK(settings.value().call_admission == NodeSettings::CallAdmission::On);
     CHECK(settings.value().stream_migration == NodeSettings::StreamMigration::On);
+    CHECK(settings.value().completion_placement == NodeSettings::CompletionPlacement::On);
+    CHECK(settings.value().account_share_bound == NodeSettings::AccountShareBound::On);
     CHECK(settings.value().lease_time == seconds(3));
     CHECK(settings.value().news_time == seconds(4));
     CHECK(settings.value().memory_deviations == 1.5);
@@ -63,6 +65,18 @@
     CHECK(settings.value().stream_migration == NodeSettings::StreamMigration::Off);
 }
 
+// Guards against streams that wait or are refused by rules which the deployment did not ask for.
+TEST_CASE("Completion times and account shares bind no placement unless the settings say so")
+{
+    std::string text(WHOLE);
+    std::string const fields = "\"completion_placement\": \"on\", \"account_share_bound\": \"on\", ";
+    text.erase(text.find(fields), fields.size());
+    auto const settings = read(text);
+    REQUIRE_FALSE(settings.is_error());
+    CHECK(settings.value().completion_placement == NodeSettings::CompletionPlacement::Off);
+    CHECK(settings.value().account_share_bound == NodeSettings::AccountShareBound::Off);
+}
+
 TEST_CASE("What makes no sense in a node's settings is a fault that names its key")
 {
     struct Row {
@@ -75,6 +89,8 @@
         { "\"call_admission\": \"on\"", "\"call_admission\": true", "call_admission" },
         { "\"call_admission\": \"on\"", "\"call_admission\": \"auto\"", "call_admission" },
         { "\"stream_migration\": \"on\"", "\"stream_migration\": \"sometimes\"", "stream_migration" },
+        { "\"completion_placement\": \"on\"", "\"completion_placement\": 1", "completion_placement" },
+        { "\"account_share_bound\": \"on\"", "\"account_share_bound\": \"both\"", "account_share_bound" },
         { "\"lease_milliseconds\": 3000", "\"lease_milliseconds\": 1", "lease_milliseconds" },
         { "\"news_milliseconds\": 4000", "\"news_milliseconds\": 10", "news_milliseconds" },
         { "\"memory_deviations\": 1.5", "\"memory_deviations\": -1", "memory_deviations" },
