CrashReporter: Stop the kernels of its tests before what they call back

The fixture destroyed the analyzer and the reporter of a VM before its kernel, whose destructor fails the requests that still wait for a reply. A question about served parts that was open at the end of a test then called the destroyed analyzer, which walked the freed crash log: Kernel::stop, CrashAnalyzer::quarantine_parts, PoisonPartDetector::find_candidates. That is the stack of a run that hung at full CPU on a busy machine. A new test ends with such a question open; without the fix the address sanitizer reports a heap use after free on the same stack. The fixture now stops the kernel first. Node does so in its destructor, so that it is not affected.

The test of a part that different VMs report failed on a busy machine since the question about served parts starts 60 ms after the crash and the default limit of a verdict passes at 80 ms. With a pause of the loop of 25 ms in this time the verdict is MayRetry, as documented. That the default limits leave time for the question is checked by a test of its own.

--- a/Tests/LibRouter/TestCrashReporter.cpp
+++ b/Tests/LibRouter/TestCrashReporter.cpp
@@ -40,28 +40,50 @@
     bool is_away = false;
 };
 
+enum class TimeLimits {
+    Default,
+    /// For tests of what is found, not of when. On a busy machine, a pause of 20 ms lets the default limit of a verdict pass while the
+    /// question about served parts is open, and the verdict is then that the request may be retried.
+    Long,
+};
+
 /// One of several VMs that report and analyze crashes.
 struct AnalyzingVirtualMachine {
-    AnalyzingVirtualMachine(asio::io_context& loop, std::string const& name, QuarantinePort& store)
+    AnalyzingVirtualMachine(asio::io_context& loop, std::string const& name, QuarantinePort& store, TimeLimits limits)
         : kernel(make_loop_kernel(loop, name))
         , ranking(*this->kernel, milliseconds(200))
         , quarantine(quarantine_options(), *this->kernel, this->ranking, store, loop)
-        , analyzer(analyzer_options(), this->quarantine, loop)
-        , reporter(CrashReporter::Options {}, *this->kernel, this->ranking, this->quarantine, this->analyzer)
+        , analyzer(analyzer_options(limits), this->quarantine, loop)
+        , reporter(reporter_options(limits), *this->kernel, this->ranking, this->quarantine, this->analyzer)
     {
         this->reporter.host();
         // The ranking considers only VMs that host this service.
         this->kernel->host(std::string(PLACEMENT_SERVICE), [](wire::Envelope const&, Kernel::Responder const&) {});
         this->kernel->start();
     }
+    // The kernel fails the requests that wait for a reply when it stops, and their callbacks use the members declared after it.
+    ~AnalyzingVirtualMachine() { this->kernel->stop(); }
+    AnalyzingVirtualMachine(AnalyzingVirtualMachine const&) = delete;
+    AnalyzingVirtualMachine& operator=(AnalyzingVirtualMachine const&) = delete;
 
-    static CrashAnalyzer::Options analyzer_options()
+    static CrashAnalyzer::Options analyzer_options(TimeLimits limits)
     {
         CrashAnalyzer::Options options;
+        if (limits == TimeLimits::Long)
+            options.verdict_timeout = seconds(5);
         // The crashes of these tests follow each other at once.
         options.parts.separate_after = Duration::zero();
         return options;
     }
+    static CrashReporter::Options reporter_options(TimeLimits limits)
+    {
+        CrashReporter::Options options;
+        if (limits == TimeLimits::Long) {
+            options.answer_timeout = seconds(6);
+            options.served_timeout = seconds(4);
+        }
+        return options;
+    }
     static ReplicatedQuarantine::Options quarantine_options()
     {
         ReplicatedQuarantine::Options options;
@@ -78,10 +100,10 @@
 
 class ReporterTest {
 public:
-    explicit ReporterTest(int count)
+    explicit ReporterTest(int count, TimeLimits limits = TimeLimits::Default)
     {
         for (int i = 0; i < count; ++i)
-            this->machines.push_back(std::make_unique<AnalyzingVirtualMachine>(this->loop, "vm-" + std::to_string(i), this->store));
+            this->machines.push_back(std::make_unique<AnalyzingVirtualMachine>(this->loop, "vm-" + std::to_string(i), this->store, limits));
         this->meet();
     }
     ~ReporterTest() { this->loop.stop(); }
@@ -199,7 +221,7 @@
     for (auto const* upstream : { "i-1", "i-2", "i-3" })
         test.report(0, "cause", upstream);
     REQUIRE(test.all_hold("cause"));
-    test.machines.push_back(std::make_unique<AnalyzingVirtualMachine>(test.loop, "vm-new", test.store));
+    test.machines.push_back(std::make_unique<AnalyzingVirtualMachine>(test.loop, "vm-new", test.store, TimeLimits::Default));
     test.meet();
     auto& fresh = *test.machines.back();
     fresh.quarantine.handle_digest(test.machines[0]->kernel->endpoint(), test.machines[0]->quarantine.digest());
@@ -300,7 +322,7 @@
 // Guards against a part that crashes engines in requests of which no two are alike, reported by different VMs.
 TEST_CASE("A part at the crashes that different VMs report is held by all, and what else its prompts share is not", "[crashes][crashing-part]")
 {
-    ReporterTest test(4);
+    ReporterTest test(4, TimeLimits::Long);
     for (int i = 0; i < 3; ++i)
         test.machines[3]->reporter.note_served(parts_named({ "system" }));
     auto const verdict = test.crash_engines(parts_named({ "system", "bad" }), 3);
@@ -310,6 +332,34 @@
         CHECK_FALSE(machine->quarantine.held_for(parts_named({ "system", "other" })));
 }
 
+// Guards against default limits under which no verdict can name a part: the crash must be fully reported and all VMs asked before it.
+TEST_CASE("The default limit of a verdict leaves time to ask the VMs for served parts after a crash is fully reported", "[crashes][crashing-part]")
+{
+    CrashAnalyzer::Options const options;
+    CHECK(options.verdict_timeout >= options.parts.report_delay + options.check_interval + milliseconds(10));
+    CHECK(CrashReporter::Options {}.answer_timeout > options.verdict_timeout);
+}
+
+// Guards against an analyzer that is called back after its destruction, by the question that its kernel fails when it stops.
+TEST_CASE("VMs may stop while their questions about served parts are unanswered", "[crashes][crashing-part][kill]")
+{
+    ReporterTest test(2);
+    auto const parts = parts_named({ "system", "bad" });
+    CHECK(test.crash_engines(parts, 2) == CrashVerdict::MayRetry);
+    auto const carry = [&]() -> asio::awaitable<void> {
+        UpstreamIncarnation const incarnation { "i-2", 0 };
+        static_cast<void>(co_await test.machines[0]->reporter.report(SERVICE, request_named("request 2"), parts, incarnation, milliseconds(70)));
+    };
+    asio::co_spawn(test.loop, carry(), asio::detached);
+    auto const has_asked = [&] {
+        return std::any_of(test.machines.begin(), test.machines.end(), [](auto const& machine) { return machine->kernel->sent_traffic().contains("get_served_parts"); });
+    };
+    auto const until = monotonic_now() + seconds(20);
+    while (!has_asked() && monotonic_now() < until)
+        test.loop.run_one_for(std::chrono::milliseconds(2));
+    REQUIRE(has_asked());
+}
+
 TEST_CASE("A part that another VM served is not blamed for crashes", "[crashes][crashing-part]")
 {
     ReporterTest test(3);
@@ -328,7 +378,7 @@
         test.machines[0]->reporter.note_served(parts_named({ "system" }));
     test.crash_engines(parts, 4);
     REQUIRE(test.all_hold(parts));
-    test.machines.push_back(std::make_unique<AnalyzingVirtualMachine>(test.loop, "vm-new", test.store));
+    test.machines.push_back(std::make_unique<AnalyzingVirtualMachine>(test.loop, "vm-new", test.store, TimeLimits::Default));
     test.meet();
     test.machines.back()->quarantine.handle_digest(test.machines[0]->kernel->endpoint(), test.machines[0]->quarantine.digest());
     CHECK(test.all_hold(parts));
