CellScheduler: Refuse a move for a deadline that its target would miss as well

The keeper granted any target that ended before the present engine. A target that ends after finish_by brings nothing: the move costs a copy and a repeated send, and uses up one of the two moves of the stream.

--- a/Libraries/LibDecision/CellSchedulerMigration.cpp
+++ b/Libraries/LibDecision/CellSchedulerMigration.cpp
@@ -39,8 +39,8 @@
     this->decisions.emplace_back(PlacementGrant { ask.request, {}, std::string(target->engine), target->ready, 1, CallerAttempt::First, this->usage_of(ask, now) });
 }
 
-// Among the engines that complete the answer before its present engine would, the one with the most capacity of those
-// that complete it in time, otherwise the earliest.
+// The engine with the most capacity of those that complete the answer in time. If the answer does not end at its present
+// engine, otherwise the one that completes it earliest.
 std::optional<PlacementCandidate> CellScheduler::find_move_target(PlacementAsk const& ask, MonotonicTime now) const
 {
     bool const ends_at_source = std::find(ask.excluded_engines.begin(), ask.excluded_engines.end(), ask.migrates_from) == ask.excluded_engines.end();
@@ -55,10 +55,11 @@
             continue;
         auto const ready = now + this->transfer_time(engine, ask);
         auto const end = ready + this->remaining_time(engine, ask);
-        if (limit && end >= *limit)
+        bool const is_in_time = !ask.finish_by || end <= *ask.finish_by;
+        // A move to an engine that ends late as well costs a copy and a repeated send, and brings nothing.
+        if (limit && (end >= *limit || !is_in_time))
             continue;
         PlacementCandidate const candidate { name, this->capacity_score(engine, ask, now, now), ready };
-        bool const is_in_time = !ask.finish_by || end <= *ask.finish_by;
         bool const is_best_in_time = best && (!ask.finish_by || *best_end <= *ask.finish_by);
         bool const is_better = !best || (is_in_time != is_best_in_time ? is_in_time : is_in_time ? candidate.free_slots > best->free_slots
                                                                                                  : end < *best_end);
--- a/Tests/LibDecision/TestMovePlacement.cpp
+++ b/Tests/LibDecision/TestMovePlacement.cpp
@@ -207,3 +207,35 @@
     CHECK(cell.scheduler.locate("r1")->decode_engine == "d0");
     CHECK(cell.work_of("d0") == 1);
 }
+
+// Guards against moves that cost a copy and a send, although the response misses its deadline at the target as well.
+TEST_CASE("A request that would miss its deadline moves only to an engine that meets it")
+{
+    MoveCell cell;
+    // d0 takes 3 ms per token or more, d1 takes 1 ms.
+    for (int i = 0; i < 20; ++i) {
+        auto const request = "m" + std::to_string(i);
+        cell.scheduler.restore(MoveCell::make_ask(request), "", "d0", GrantProgress::Decoding, milliseconds(4000), at_milliseconds(500));
+        cell.scheduler.release(request, 1000, at_milliseconds(500));
+    }
+    // 1500 tokens are left: 1.5 s at d1, over 4 s at d0.
+    auto ask = MoveCell::move_ask();
+    SECTION("the target ends before the present engine, but late")
+    {
+        ask.excluded_engines.clear();
+        ask.finish_by = at_milliseconds(600 + 1200);
+        CHECK(cell.decide(ask, 600) == "cannot_finish_in_time");
+        CHECK(cell.work_of("d1") == 0);
+    }
+    SECTION("the target ends in time")
+    {
+        ask.excluded_engines.clear();
+        ask.finish_by = at_milliseconds(600 + 2500);
+        CHECK(cell.decide(ask, 600) == "d1/");
+    }
+    SECTION("the present engine is leaving, so that a late end is better than none")
+    {
+        ask.finish_by = at_milliseconds(600 + 1200);
+        CHECK(cell.decide(ask, 600) == "d1/");
+    }
+}
