CellScheduler: Measure the pace of a target by its own tokens

The time per token of an engine was the time of the last placement divided by all tokens of the response, including those that another engine had produced, so that targets of moves seemed too fast and were promised more answers than they have memory for. The tokens of the source were estimated from its pace, which counts tokens that a stalled engine never sent.

--- a/Libraries/LibDecision/CellScheduler.cpp
+++ b/Libraries/LibDecision/CellScheduler.cpp
@@ -321,13 +321,14 @@
 void CellScheduler::update_step_time(Granted const& granted, std::int64_t output_tokens, MonotonicTime now)
 {
     auto const engine = this->engines.find(granted.decode_engine);
-    if (this->options.report_need == Options::ReportNeed::Required || granted.phase != GrantProgress::Decoding || output_tokens < MINIMUM_STEP_TIME_TOKENS || engine == this->engines.end())
+    if (this->options.report_need == Options::ReportNeed::Required || granted.phase != GrantProgress::Decoding || engine == this->engines.end())
         return;
     // Tokens that another engine has produced say nothing about the pace of this one.
     auto const tokens_here = output_tokens - granted.ask.relayed_tokens - static_cast<std::int64_t>(granted.tokens_before);
-    if (tokens_here >= MINIMUM_STEP_TIME_TOKENS)
-        this->paces.add(granted.decode_engine, granted.ask.model, tokens_here, std::chrono::duration_cast<Duration>(now - granted.decode_from), now);
-    auto const sample = (now - granted.decode_from) / output_tokens;
+    if (tokens_here < MINIMUM_STEP_TIME_TOKENS)
+        return;
+    this->paces.add(granted.decode_engine, granted.ask.model, tokens_here, std::chrono::duration_cast<Duration>(now - granted.decode_from), now);
+    auto const sample = (now - granted.decode_from) / tokens_here;
     auto& step = engine->second.step_time;
     step += std::chrono::duration_cast<Duration>((sample - step) * RATE_SMOOTHING);
     this->model_step_times.insert_or_assign(engine->second.description.model, step);
--- a/Libraries/LibDecision/CellSchedulerMigration.cpp
+++ b/Libraries/LibDecision/CellSchedulerMigration.cpp
@@ -35,6 +35,9 @@
         this->ask_forecasts.erase(ask.request);
         return;
     }
+    // The number of relayed tokens is exact, whereas the pace of an engine says nothing about one that has stopped sending.
+    granted.tokens_before = static_cast<double>(std::max<std::int64_t>(0, ask.relayed_tokens - granted.ask.relayed_tokens));
+    granted.decode_from = now;
     this->start_move(granted, target->engine, now);
     this->decisions.emplace_back(PlacementGrant { ask.request, {}, std::string(target->engine), target->ready, 1, CallerAttempt::First, this->usage_of(ask, now) });
 }
--- a/Tests/LibDecision/TestMovePlacement.cpp
+++ b/Tests/LibDecision/TestMovePlacement.cpp
@@ -239,3 +239,20 @@
         CHECK(cell.decide(ask, 600) == "d1/");
     }
 }
+
+// An engine that counts tokens of another one as its own seems faster than it is, and is promised more answers than it has
+// memory for.
+TEST_CASE("Tokens that were produced before a move do not count for the pace of the target")
+{
+    MoveCell cell;
+    auto const step_time = [&] { return cell.scheduler.engine_states().at("llm").front().step_time; };
+    REQUIRE(step_time() == milliseconds(1));
+    // d0 has stopped after 500 tokens, long before the move. d1 then takes 2 ms per token.
+    auto const is_stalled = GENERATE(false, true);
+    auto const moved_at = is_stalled ? 5000 : 600;
+    REQUIRE(cell.decide(MoveCell::move_ask(), moved_at) == "d1/");
+    cell.scheduler.end_move("r1", MoveEnd::Moved, "d1", at_milliseconds(moved_at));
+    cell.scheduler.release("r1", 1000, at_milliseconds(moved_at + 1000));
+    // The sample has a weight of a fifth at one of the two engines.
+    CHECK(step_time() == Duration(1100));
+}
