DecodeMemoryShares: Let no rounding error keep an account active

Sums and differences of fractional amounts leave a rest, with which an account without any request stayed active for good. Its usage is the lowest, so every account that joined got credit for the past instead of starting level.

--- a/Libraries/LibDecision/DecodeMemoryShares.cpp
+++ b/Libraries/LibDecision/DecodeMemoryShares.cpp
@@ -9,6 +9,13 @@
 
 namespace Spurtide {
 
+namespace {
+
+/// Sums and differences of fractions leave a rest, which must not keep an account active.
+constexpr double SMALLEST_HELD_TOKENS = 1e-3;
+
+}
+
 DecodeMemoryShares::DecodeMemoryShares()
     : DecodeMemoryShares(Options {})
 {
@@ -67,7 +74,9 @@
 void DecodeMemoryShares::release(std::string_view account, double tokens, Duration held_for, MonotonicTime now)
 {
     auto& holder = this->accounts[std::string(account)];
-    holder.held = std::max(0.0, holder.held - tokens);
+    holder.held -= tokens;
+    if (holder.held < SMALLEST_HELD_TOKENS)
+        holder.held = 0;
     this->shares.release(account, tokens, now);
     this->shares.consume(account, tokens * to_seconds(held_for) / to_seconds(this->options.decay_time), now);
 }
--- a/Tests/LibDecision/TestDecodeMemoryShares.cpp
+++ b/Tests/LibDecision/TestDecodeMemoryShares.cpp
@@ -189,3 +189,19 @@
     }
     CHECK(granted == std::vector<std::string> { "u1" });
 }
+
+// Guards against an account that stays active for good, which gives every account that joins credit for the past.
+TEST_CASE("An account that released all its memory is not active")
+{
+    DecodeMemoryShares shares;
+    auto const now = at_milliseconds(0);
+    shares.hold("busy", 70'000, now);
+    shares.release("busy", 70'000, seconds(10), now);
+    shares.hold("busy", 7000, now);
+    for (double const tokens : { 0.1, 0.2 })
+        shares.hold("ended", tokens, now);
+    for (double const tokens : { 0.1, 0.2 })
+        shares.release("ended", tokens, {}, now);
+    shares.note_ask("joining", 0, 7000, seconds(1), now);
+    CHECK(shares.usage("joining", now) == Approx(70'000));
+}
