CellScheduler: Count what a scheduling pass grants as held memory

The free memory that shares are computed from was that of the start of the pass, while grants of the pass already counted as held, so the memory in use counted twice and an account over its share took what others need.

--- a/Libraries/LibDecision/CellScheduler.h
+++ b/Libraries/LibDecision/CellScheduler.h
@@ -593,7 +593,7 @@
     EnginePaceTable paces;
     /// By model.
     std::map<std::string, DecodeMemoryShares, std::less<>> memory_shares;
-    /// Memory that is not committed at each usable decode engine with a free slot, by model. Computed once per scheduling pass.
+    /// Memory that is not committed at each usable decode engine with a free slot, by model. Cleared by each scheduling pass and grant.
     mutable std::map<std::string, std::vector<double>, std::less<>> free_decode_memory;
     MonotonicTime paces_checked;
     /// How much later than predicted first tokens arrived, as a high quantile in milliseconds.
--- a/Libraries/LibDecision/CellSchedulerPlacement.cpp
+++ b/Libraries/LibDecision/CellSchedulerPlacement.cpp
@@ -666,6 +666,7 @@
     auto const request = ask.request;
     granted.ask = std::move(ask);
     this->hold_memory(granted, now);
+    this->free_decode_memory.erase(granted.ask.model);
     this->granted.emplace(request, std::move(granted));
 }
 
--- a/Tests/LibDecision/TestDecodeMemoryShares.cpp
+++ b/Tests/LibDecision/TestDecodeMemoryShares.cpp
@@ -205,3 +205,54 @@
     shares.note_ask("joining", 0, 7000, seconds(1), now);
     CHECK(shares.usage("joining", now) == Approx(70'000));
 }
+
+// With the free memory of the start of a scheduling pass, an account over its share takes the memory that others need as
+// soon as several of its requests are placed in one pass.
+TEST_CASE("Requests that are placed in the same scheduling pass count as held memory")
+{
+    CellScheduler scheduler(StreamFleet::scheduler_options());
+    std::vector<EngineDescription> engines;
+    for (auto const* name : { "p", "d" }) {
+        EngineDescription engine;
+        engine.name = name;
+        engine.model = "llm";
+        engine.role = engine.name == "p" ? EngineRole::Prefill : EngineRole::Decode;
+        engine.prefill_rate = 1e6;
+        engine.decode_slots = 20;
+        engine.memory_tokens = 75'000;
+        engines.push_back(engine);
+    }
+    scheduler.set_engines(engines);
+    scheduler.set_accounts(std::vector<AccountDescription> { { "hot", 1, 1e9, 1e9 }, { "usual", 1, 1e9, 1e9 } }, at_milliseconds(0));
+    auto const make_ask = [](std::string request, std::string account) {
+        PlacementAsk ask;
+        ask.request = std::move(request);
+        ask.account = std::move(account);
+        ask.model = "llm";
+        ask.prompt_tokens = 6000;
+        ask.expected_output_tokens = 1000;
+        ask.maximum_output_tokens = 1000;
+        ask.first_token_deadline = at_milliseconds(900);
+        ask.decide_by = at_milliseconds(400);
+        return ask;
+    };
+    for (int i = 0; i < 4; ++i)
+        scheduler.restore(make_ask("old" + std::to_string(i), "hot"), "", "d", GrantProgress::Decoding, milliseconds(100), at_milliseconds(0));
+    // While the decode engine is unavailable, the usual account asks for three places on average, and the hot one for more than all.
+    scheduler.set_leaving("d", EngineReport::Life::Leaving);
+    for (int i = 0; i < 84; ++i) {
+        auto const request = "w" + std::to_string(i);
+        scheduler.ask(make_ask(request, i < 24 ? "usual" : "hot"), at_milliseconds(1));
+        scheduler.release(request, 0, at_milliseconds(1));
+    }
+    for (int i = 0; i < 6; ++i)
+        scheduler.ask(make_ask("h" + std::to_string(i), "hot"), at_milliseconds(2));
+    REQUIRE(scheduler.take_decisions().empty());
+    scheduler.set_leaving("d", EngineReport::Life::Serving);
+    scheduler.advance(at_milliseconds(3));
+    std::int64_t granted = 0;
+    for (auto const& decision : scheduler.take_decisions())
+        granted += std::holds_alternative<PlacementGrant>(decision) ? 1 : 0;
+    // Of the six places that are free, three are kept for the usual account.
+    CHECK(granted == 3);
+}
