CallAdmissionService: Answer the waiting calls of a VM that is gone

A process that the directory does not list for two seconds may be alive. Its waiting calls were dropped without an answer, so they waited until their timeout although another controller could have been asked.

--- a/Libraries/LibRouter/CallAdmissionService.cpp
+++ b/Libraries/LibRouter/CallAdmissionService.cpp
@@ -288,7 +288,13 @@
         for (auto& [key, queue] : this->queues) {
             if (queue.origins.erase(origin) > 0)
                 queue.calls.remove_origin(origin, now);
-            std::erase_if(queue.pending, [&](auto const& entry) { return entry.first.starts_with(origin + "/"); });
+            // It may be alive and only unknown here. Without an answer, its calls would wait until their timeout.
+            std::erase_if(queue.pending, [&](auto const& entry) {
+                bool const is_dropped = entry.first.starts_with(origin + "/");
+                if (is_dropped)
+                    entry.second.respond(error_reply(wire::ERROR_CODE_NOT_READY));
+                return is_dropped;
+            });
         }
     }
 }
--- a/Tests/LibRouter/TestCallAdmission.cpp
+++ b/Tests/LibRouter/TestCallAdmission.cpp
@@ -370,6 +370,22 @@
     CHECK(test.first->service->calls_in_flight(SERVICE) == 1);
 }
 
+// Guards against calls that wait until their timeout for a controller that dropped them, since it does not know their VM.
+TEST_CASE("The waiting calls of a VM that the controller does not know are told to ask elsewhere", "[call-admission]")
+{
+    CallAdmissionService::Options options;
+    options.dead_origin_grace = milliseconds(100);
+    options.housekeeping_interval = milliseconds(20);
+    AdmissionTest test(options);
+    auto const holders = test.take_all_places(*test.second);
+    auto const waiting = test.begin(*test.asking, "waiting");
+    REQUIRE(test.reaches([&] { return test.first->service->waiting_calls(SERVICE) == 1; }));
+    test.share_members(test.asking);
+    REQUIRE(test.reaches([&] { return waiting->answer.has_value(); }));
+    CHECK_FALSE(waiting->refusal());
+    CHECK(test.first->service->waiting_calls(SERVICE) == 0);
+}
+
 // Guards against a VM that has just started and refuses calls since it does not know the upstreams yet.
 TEST_CASE("A VM without upstreams of the service lets the next one decide", "[call-admission]")
 {
