CallAdmissionClient: Ask again if the controller was started again

The process that was started at the endpoint answers probes, but does not know the asks that wait. They got no answer until their timeout. An answer of another incarnation shows it to all of them.

--- a/Libraries/LibRouter/CallAdmissionClient.cpp
+++ b/Libraries/LibRouter/CallAdmissionClient.cpp
@@ -88,20 +88,28 @@
     auto const permit = ++this->last_permit;
     pending->permit = permit;
     pending->reply.reset();
+    pending->is_lost = false;
     auto message = this->ask_message(ask, group, permit, endpoint);
     auto const timeout = std::max(Duration::zero(), time_until(ask.timeout, monotonic_now())) + this->options.reply_slack;
     this->send_ask(endpoint, std::move(message), timeout, group, pending);
-    while (!pending->reply && !pending->is_given_up)
+    this->sent_asks.emplace(permit, SentAsk { endpoint, pending });
+    while (!pending->reply && !pending->is_given_up && !pending->is_lost)
         co_await pending->signal.wait();
+    this->sent_asks.erase(permit);
     pending->permit = 0;
     bool const is_error = pending->reply && pending->reply->is_error();
-    if (pending->is_given_up || is_error) {
+    bool const is_lost = pending->is_lost && !pending->reply;
+    if (pending->is_given_up || is_error || is_lost) {
         // Withdraws an ask that waits, and returns a grant that is still to come or whose reply was lost.
         auto withdrawal = this->return_message(group, permit);
         this->kernel.notify(endpoint, std::move(withdrawal));
     }
     if (pending->is_given_up)
         co_return NoAnswer::Withdrawn;
+    if (is_lost) {
+        auto answer = co_await this->ask_controller(std::move(ask), std::move(group), std::move(virtual_machine), pending);
+        co_return answer;
+    }
     if (is_error) {
         this->note_failure(virtual_machine, group, endpoint, ask, pending->reply->error().kind);
         co_return NoAnswer::Unavailable;
@@ -153,9 +161,22 @@
         return;
     if (last->second.incarnation.empty())
         last->second.incarnation = incarnation;
-    else if (last->second.incarnation != incarnation)
+    else if (last->second.incarnation != incarnation) {
         // It was started again since it was told of the calls in flight. The next ask tells it.
         this->last_controllers.erase(last);
+        this->repeat_asks(endpoint);
+    }
+}
+
+void CallAdmissionClient::repeat_asks(std::string const& endpoint)
+{
+    for (auto const& [permit, sent] : this->sent_asks) {
+        auto const pending = sent.pending.lock();
+        if (!pending || sent.endpoint != endpoint)
+            continue;
+        pending->is_lost = true;
+        pending->signal.notify();
+    }
 }
 
 wire::Envelope CallAdmissionClient::ask_message(Ask const& ask, CallGroup const& group, std::uint64_t permit, std::string const& endpoint)
--- a/Libraries/LibRouter/CallAdmissionClient.h
+++ b/Libraries/LibRouter/CallAdmissionClient.h
@@ -72,6 +72,8 @@
         std::uint64_t permit = 0;
         std::optional<WireReply> reply;
         bool is_given_up = false;
+        /// The process that was asked has been started again since, so it may not know the ask.
+        bool is_lost = false;
     };
 
     struct Grant {
@@ -124,6 +126,11 @@
         /// Empty until it has answered.
         std::string incarnation;
     };
+    /// An ask whose answer is awaited.
+    struct SentAsk {
+        std::string endpoint;
+        std::weak_ptr<PendingAsk> pending;
+    };
     using GroupKey = std::pair<std::string, std::uint32_t>;
 
     asio::awaitable<Answer> ask_group(Ask ask, CallGroup group, std::shared_ptr<PendingAsk> pending);
@@ -133,6 +140,8 @@
     void send_ask(std::string const& endpoint, wire::Envelope envelope, Duration timeout, CallGroup const& group, std::shared_ptr<PendingAsk> const& pending);
     void note_failure(std::string const& virtual_machine, CallGroup const& group, std::string const& endpoint, Ask const& ask, WireErrorKind error);
     void note_answered(CallGroup const& group, std::string const& endpoint, std::string const& incarnation);
+    /// Lets the calls that wait for an answer of the endpoint ask again.
+    void repeat_asks(std::string const& endpoint);
     CallPermit hold(std::uint64_t permit, HeldPlace place);
     void return_place(std::uint64_t permit, CallOutcome outcome, Duration service_time);
     wire::Envelope return_message(CallGroup const& group, std::uint64_t permit) const;
@@ -146,6 +155,8 @@
     std::map<std::string, double> account_weights;
     std::uint64_t last_permit = 0;
     std::map<std::uint64_t, HeldPlace> held_places;
+    /// By permit.
+    std::map<std::uint64_t, SentAsk> sent_asks;
     std::map<GroupKey, LastController> last_controllers;
     /// Expires with this object, which permits and late replies may outlive at shutdown.
     std::shared_ptr<CallAdmissionClient*> self = std::make_shared<CallAdmissionClient*>(this);
--- a/Tests/LibRouter/TestCallAdmission.cpp
+++ b/Tests/LibRouter/TestCallAdmission.cpp
@@ -324,6 +324,54 @@
     controller->stop();
 }
 
+// Guards against calls that wait until their timeout for an answer of a process that is gone: the one that was started at its
+// endpoint answers probes, but does not know them.
+TEST_CASE("Calls that wait ask again when their controller was started again", "[call-admission][kill]")
+{
+    asio::io_context loop { 1 };
+    auto const controller = make_loop_kernel(loop, "vm-1");
+    std::string incarnation = "before";
+    std::map<std::string, int> asks;
+    controller->host(std::string(PLACEMENT_SERVICE), [](wire::Envelope const&, Kernel::Responder const&) {});
+    controller->host(std::string(CALL_ADMISSION_SERVICE), [&](wire::Envelope const& request, Kernel::Responder const& respond) {
+        // The first process is gone before it answers the ask that waits.
+        if (!request.has_call_permit_ask() || (++asks[request.call_permit_ask().request()] == 1 && request.call_permit_ask().request() == "waiting"))
+            return;
+        wire::Envelope reply;
+        reply.mutable_call_permit_answer()->set_upstream(UPSTREAM);
+        reply.mutable_call_permit_answer()->set_controller(incarnation);
+        respond(std::move(reply));
+    });
+    controller->start();
+    auto const asking = make_loop_kernel(loop, "vm-2");
+    asking->start();
+    asking->directory().replace(1, 0, { member_of(*controller) }, {});
+    VirtualMachineRanking ranking(*asking, seconds(600));
+    Metrics metrics;
+    CallAdmissionClient client({}, *asking, ranking, metrics, "dc");
+    std::map<std::string, CallAdmissionClient::Answer> answers;
+    auto const ask = [&](std::string request) -> asio::awaitable<void> {
+        CallAdmissionClient::Ask made;
+        made.service = SERVICE;
+        made.upstreams = 1;
+        made.request = request;
+        made.timeout = monotonic_now() + seconds(60);
+        auto answer = co_await client.ask(std::move(made), std::make_shared<CallAdmissionClient::PendingAsk>(loop.get_executor()));
+        answers.emplace(request, std::move(answer));
+    };
+    asio::co_spawn(loop, ask("first"), asio::detached);
+    REQUIRE(run_loop_until(loop, [&] { return answers.contains("first"); }));
+    asio::co_spawn(loop, ask("waiting"), asio::detached);
+    REQUIRE(run_loop_until(loop, [&] { return asks["waiting"] == 1; }));
+    incarnation = "after";
+    asio::co_spawn(loop, ask("other"), asio::detached);
+    REQUIRE(run_loop_until(loop, [&] { return answers.contains("waiting"); }));
+    CHECK(std::holds_alternative<CallAdmissionClient::Grant>(answers.at("waiting")));
+    CHECK(asks["waiting"] == 2);
+    asking->stop();
+    controller->stop();
+}
+
 // Guards against places that are held for callers that have left.
 TEST_CASE("A caller that leaves while it waits withdraws its ask at once", "[call-admission]")
 {
