CallQueue: Take the time waited off the delay before a retry

The delay that a caller can accept is stated when it asks. A call that is refused after it waited was given a time to retry at which its caller had no time left. It waits as late now.

--- a/Libraries/LibDecision/CallQueue.cpp
+++ b/Libraries/LibDecision/CallQueue.cpp
@@ -24,6 +24,12 @@
     return { options.ahead_share, options.initial_service_time, options.smoothing, options.remote_penalty, options.shed_backoff };
 }
 
+/// What is left of the delay after which the caller could retry when it asked.
+Duration patience_left(WaitingCall const& call, MonotonicTime now)
+{
+    return std::max(Duration {}, call.ask.retry_patience - (now - call.asked_at));
+}
+
 }
 
 CallQueue::CallQueue(Options options)
@@ -277,7 +283,7 @@
 
 void CallQueue::handle_late(std::string_view request, CallRefusalReason reason, MonotonicTime now)
 {
-    auto const patience = this->waiting.find(request)->ask.retry_patience;
+    auto const patience = patience_left(*this->waiting.find(request), now);
     bool const can_retry = patience > Duration {} && this->retry_delay(patience, now) <= patience;
     bool const is_refused = this->options.late_calls == LateCalls::Refuse || (this->options.late_calls == LateCalls::RefuseIfRetryHelps && can_retry);
     if (is_refused)
@@ -333,9 +339,10 @@
 
 void CallQueue::refuse(WaitingCall const& call, CallRefusalReason reason, Duration predicted, MonotonicTime now)
 {
-    auto const delay = this->retry_delay(call.ask.retry_patience, now);
+    auto const patience = patience_left(call, now);
+    auto const delay = this->retry_delay(patience, now);
     // A caller that cannot wait for so long does not retry, so that time remains available.
-    if (delay <= call.ask.retry_patience) {
+    if (delay <= patience) {
         auto const rate = this->places.capacity(nullptr, now).rate;
         this->retries.reserve(delay, from_seconds(rate > 0 ? 1 / rate : 1), now);
     }
--- a/Tests/LibDecision/TestCallQueue.cpp
+++ b/Tests/LibDecision/TestCallQueue.cpp
@@ -266,6 +266,24 @@
     CHECK_FALSE(test.grants.front().is_late);
 }
 
+// Guards against refusals with a time to retry at which the caller, having waited, has no time left for the response.
+TEST_CASE("The time that a call waited is taken off the delay after which its caller can retry", "[call-queue]")
+{
+    QueueTest test({ { "u-1", 1, "dc" } });
+    test.ask("running-1");
+    test.ask("running-2");
+    auto ask = test.make("waiting");
+    ask.retry_patience = milliseconds(250);
+    test.ask(ask);
+    REQUIRE(test.queue.waiting_calls() == 1);
+    test.now += milliseconds(280);
+    test.complete("running-1", milliseconds(280));
+    CHECK(test.refusals.empty());
+    REQUIRE(test.grants.size() == 3);
+    CHECK(test.grants.back().request == "waiting");
+    CHECK(test.grants.back().is_late);
+}
+
 // Guards against calls that were admitted in time and lose their places to later calls of the same rank.
 TEST_CASE("A call that waits as on time keeps its place", "[call-queue]")
 {
