--- a/Meta/sanitize.sh
+++ b/Meta/sanitize.sh
@@ -11,11 +11,24 @@
 cmake --build Build/Sanitized --target "${TESTS[@]}"
 failed=0
 [ ! -s KNOWN-RED.txt ] || { echo "Known to fail, not run:" && cat KNOWN-RED.txt; }
-for test in "${TESTS[@]}"; do
-    echo "== $test"
+run_test() {
+    local test=$1 excluded
     # What still waits when a test ends is no leak of the program, which ends with its loop.
     mapfile -t excluded < <(known_red_exclusions "$test")
-    ASAN_OPTIONS=detect_leaks=0 "Build/Sanitized/bin/$test" "${excluded[@]}" || failed=1
+    ASAN_OPTIONS=detect_leaks=0 "Build/Sanitized/bin/$test" "${excluded[@]}"
+}
+logs=$(mktemp -d)
+# Side by side, as each uses one core.
+declare -A running
+for test in "${TESTS[@]}"; do
+    run_test "$test" >"$logs/$test" 2>&1 &
+    running[$test]=$!
+done
+for test in "${TESTS[@]}"; do
+    echo "== $test"
+    wait "${running[$test]}" || failed=1
+    cat "$logs/$test"
 done
+rm -rf "$logs"
 [ "$failed" = 0 ] && echo "sanitize: clean"
 exit "$failed"
