HttpServer: Take all waiting connections in one turn of the loop

The acceptor completed one wait per turn of the event loop, so that a VM with long turns looked at one new connection per turn. The other callers waited in the backlog and could not try another VM.

The server now empties the backlog in each turn, up to a bound.

--- a/Libraries/LibAsync/HttpServer.cpp
+++ b/Libraries/LibAsync/HttpServer.cpp
@@ -11,6 +11,8 @@
 
 /// After accept failed for want of descriptors or memory.
 constexpr Duration ACCEPT_PAUSE = milliseconds(20);
+/// Bounds the time that waiting connections take from the other work of the loop.
+constexpr std::size_t MAXIMUM_ACCEPTED_PER_TURN = 256;
 
 }
 
@@ -41,6 +43,9 @@
     if (error)
         return Failure { ListenError::CannotBind };
     server->acceptor.listen(asio::socket_base::max_listen_connections, error);
+    if (error)
+        return Failure { ListenError::CannotBind };
+    server->acceptor.non_blocking(true, error);
     if (error)
         return Failure { ListenError::CannotBind };
     server->bound = { address.host, server->acceptor.local_endpoint().port() };
@@ -61,21 +66,37 @@
             co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
             continue;
         }
-        if (!this->accepts_connection()) {
-            // A reset tells the caller at once that nothing of its request was read.
-            socket.set_option(asio::socket_base::linger(true, 0), error);
-            continue;
-        }
-        if (this->connections.size() >= this->most_connections && !this->make_room()) {
-            LogLine("connection_refused").with("reason", "too_many").with("connections", static_cast<std::int64_t>(this->connections.size()));
-            continue;
+        this->admit(std::move(socket));
+        // The wait above completes once per turn of the loop. On a loop with long turns, callers that wait in the backlog could
+        // neither be served nor try another VM.
+        for (std::size_t i = 1; i < MAXIMUM_ACCEPTED_PER_TURN; ++i) {
+            asio::ip::tcp::socket waiting(this->loop);
+            this->acceptor.accept(waiting, error);
+            // Errors other than an empty backlog recur in the next wait.
+            if (error)
+                break;
+            this->admit(std::move(waiting));
         }
-        auto const connection = std::make_shared<ServerConnection>(*this, std::move(socket));
-        this->connections.insert(connection.get());
-        connection->start();
     }
 }
 
+void HttpServer::admit(asio::ip::tcp::socket socket)
+{
+    if (!this->accepts_connection()) {
+        // A reset tells the caller at once that nothing of its request was read.
+        asio::error_code ignored;
+        socket.set_option(asio::socket_base::linger(true, 0), ignored);
+        return;
+    }
+    if (this->connections.size() >= this->most_connections && !this->make_room()) {
+        LogLine("connection_refused").with("reason", "too_many").with("connections", static_cast<std::int64_t>(this->connections.size()));
+        return;
+    }
+    auto const connection = std::make_shared<ServerConnection>(*this, std::move(socket));
+    this->connections.insert(connection.get());
+    connection->start();
+}
+
 bool HttpServer::make_room()
 {
     ServerConnection* longest = nullptr;
--- a/Libraries/LibAsync/HttpServer.h
+++ b/Libraries/LibAsync/HttpServer.h
@@ -66,6 +66,8 @@
     friend class ServerConnection;
     HttpServer(asio::io_context& loop, Handler handler);
     asio::awaitable<void> accept();
+    /// Serves a new connection, or closes it if the admission or the number of connections does not allow it.
+    void admit(asio::ip::tcp::socket socket);
     bool make_room();
 
     asio::io_context& loop;
--- a/Tests/LibAsync/TestHttpServer.cpp
+++ b/Tests/LibAsync/TestHttpServer.cpp
@@ -5,6 +5,7 @@
 #include <LibAsync/HttpServer.h>
 #include <LibCore/Clock.h>
 #include <catch2/catch.hpp>
+#include <functional>
 #include <netinet/tcp.h>
 #include <optional>
 
@@ -125,6 +126,44 @@
     CHECK(test.taken == 2);
 }
 
+// Guards against a busy loop that looks at one new connection in each of its turns: the callers behind it wait in the backlog, and
+// with turns longer than the interval of the admission none of them is refused.
+TEST_CASE("Connections that wait to be accepted are refused in the same turn of the loop", "[busy]")
+{
+    ServerUnderTest test;
+    constexpr int CALLERS = 16;
+    int accepted = 0;
+    int refused = 0;
+    int turns = 0;
+    int turn_of_last_accepted = -1;
+    // Accepts one connection in each turn, like an admission whose interval is shorter than a turn.
+    test.server->set_admission([&] {
+        if (turn_of_last_accepted == turns) {
+            ++refused;
+            return false;
+        }
+        turn_of_last_accepted = turns;
+        ++accepted;
+        return true;
+    });
+    asio::io_context callers;
+    std::vector<asio::ip::tcp::socket> sockets;
+    for (int i = 0; i < CALLERS; ++i) {
+        sockets.emplace_back(callers);
+        sockets.back().connect({ asio::ip::make_address(test.server->address().host), static_cast<std::uint16_t>(test.server->address().port) });
+    }
+    std::function<void()> const turn = [&] {
+        ++turns;
+        asio::post(test.loop, turn);
+    };
+    asio::post(test.loop, turn);
+    while (accepted + refused < CALLERS && turns < 10 * CALLERS)
+        test.loop.run_one();
+    CHECK(accepted + refused == CALLERS);
+    CHECK(accepted <= 2);
+    CHECK(turns <= 4);
+}
+
 TEST_CASE("A connection that falls silent is found out by TCP's own probes and time-out", "[cut]")
 {
     asio::io_context loop;
