CallAdmissionClient: Ask only groups with upstreams that the call may use

A call of a large service that may use few upstreams, such as those of its home region, was refused as without an upstream if the two groups that its name led to had none of them, while others had free places.

--- a/Libraries/LibRouter/CallAdmissionClient.cpp
+++ b/Libraries/LibRouter/CallAdmissionClient.cpp
@@ -51,8 +51,12 @@
     auto const groups = CallGroup::count_for(ask.upstreams);
     auto const first = CallGroup::index_for(ask.request, groups);
     std::optional<Refusal> refusal;
-    for (std::uint32_t i = 0; i < std::min(groups, MAXIMUM_GROUPS_ASKED); ++i) {
+    std::uint32_t asked = 0;
+    for (std::uint32_t i = 0; i < groups && asked < MAXIMUM_GROUPS_ASKED; ++i) {
         CallGroup group { ask.service, (first + i) % groups, groups };
+        if (!ask.usable_groups.empty() && !ask.usable_groups.contains(group.index))
+            continue;
+        ++asked;
         auto answer = co_await this->ask_group(ask, std::move(group), pending);
         auto const* refused = std::get_if<Refusal>(&answer);
         if (!refused)
--- a/Libraries/LibRouter/CallAdmissionClient.h
+++ b/Libraries/LibRouter/CallAdmissionClient.h
@@ -16,6 +16,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <utility>
@@ -41,6 +42,8 @@
         std::string service;
         /// Upstreams of the service that serve, by this VM's list; determines the number of groups.
         std::size_t upstreams = 0;
+        /// Groups with upstreams that the call may be sent to; empty if it may be sent to any.
+        std::set<std::uint32_t> usable_groups {};
         std::string request;
         std::string account;
         /// 0 is the highest priority.
--- a/Libraries/LibRouter/UnaryRequestHandler.cpp
+++ b/Libraries/LibRouter/UnaryRequestHandler.cpp
@@ -224,6 +224,11 @@
         if (!usable.contains(record.identity))
             ask.excluded_upstreams.push_back(record.identity);
     });
+    auto const groups = CallGroup::count_for(ask.upstreams);
+    if (groups > 1 && !ask.excluded_upstreams.empty()) {
+        for (auto const identity : usable)
+            ask.usable_groups.insert(CallGroup::index_for(identity, groups));
+    }
     ask.excluded_upstreams.insert(ask.excluded_upstreams.end(), this->unusable_upstreams.begin(), this->unusable_upstreams.end());
     ask.service = this->service;
     ask.request = this->request.identifier;
--- a/Tests/LibRouter/TestCallAdmission.cpp
+++ b/Tests/LibRouter/TestCallAdmission.cpp
@@ -483,6 +483,28 @@
         CHECK(machine->service->calls_in_flight(SERVICE) > 0);
 }
 
+// Guards against refusals of calls that may use few upstreams of a large service, such as those of their home region, while
+// these have free places: the groups that the hash of the request names may have none of them.
+TEST_CASE("A call asks the groups that have upstreams it may be sent to", "[call-admission]")
+{
+    AdmissionTest test;
+    constexpr int UPSTREAMS = 200;
+    std::vector<std::string> excluded;
+    for (int i = 2; i <= UPSTREAMS; ++i) {
+        excluded.push_back("i-" + std::to_string(i));
+        for (auto const& machine : test.machines)
+            machine->list(excluded.back());
+    }
+    for (int i = 0; i < 20; ++i) {
+        auto const call = test.ask(*test.asking, "call-" + std::to_string(i), [&](auto& ask) {
+            ask.excluded_upstreams = excluded;
+            ask.usable_groups = { CallGroup::index_for(UPSTREAM, CallGroup::count_for(UPSTREAMS)) };
+        });
+        REQUIRE(call->grant());
+        CHECK(call->grant()->upstream == UPSTREAM);
+    }
+}
+
 // Not a check of time: reports what one ask, grant and return cost, as stated for the load of control.
 TEST_CASE("Cost of one ask with its grant and return", "[.][call-admission-cost]")
 {
