CellScheduler: Let short requests pass those that wait for a faster engine

Requests that no engine with capacity would complete in time counted as skipped ones, of which a scheduling pass allows eight. With more of them, shorter requests waited as well, although the slow engines had room for these, and were refused at their decision time.

--- a/Libraries/LibDecision/CellScheduler.h
+++ b/Libraries/LibDecision/CellScheduler.h
@@ -475,6 +475,8 @@
         Placed,
         Refused,
         MustWait,
+        /// The engines that have capacity would not complete the answer in time.
+        MustWaitForFasterEngine,
     };
 
     void schedule(MonotonicTime now);
--- a/Libraries/LibDecision/CellSchedulerPlacement.cpp
+++ b/Libraries/LibDecision/CellSchedulerPlacement.cpp
@@ -18,6 +18,9 @@
 constexpr Duration MAXIMUM_EXPECTED_LATENESS = milliseconds(400);
 /// Limits how many waiting requests a backfill pass skips, which bounds the work per pass.
 constexpr std::size_t MAXIMUM_SKIPPED_REQUESTS = 8;
+/// The same for requests that wait for a faster engine although others have capacity. There may be many of them, and they leave that
+/// capacity to shorter ones.
+constexpr std::size_t MAXIMUM_SKIPPED_LONG_REQUESTS = 32;
 /// Prompt length used to convert the compute time of an engine into a rate.
 constexpr std::int64_t RATE_REFERENCE_TOKENS = 1000;
 /// Maximum prompt tokens that a decode engine processes between two decode steps. A quarter of the chunk size of
@@ -187,6 +190,7 @@
     std::set<std::string> skipped;
     std::size_t skipped_new = 0;
     std::size_t skipped_resumed = 0;
+    std::size_t skipped_long = 0;
     bool is_account_waiting = false;
     while (auto const index = this->next_waiting(model, skipped, now)) {
         auto const request = this->waiting[*index].request;
@@ -197,9 +201,16 @@
             this->skip_account(this->waiting[*index], skipped);
             continue;
         }
-        if (this->schedule_one(*index, now) != ScheduleStep::MustWait)
+        auto const step = this->schedule_one(*index, now);
+        if (step == ScheduleStep::Placed || step == ScheduleStep::Refused)
             continue;
         is_account_waiting = is_account_waiting || share == ShareStatus::Within;
+        bool const may_skip_long = this->options.policy.backfill == SchedulerPolicy::Backfill::On && skipped_long < MAXIMUM_SKIPPED_LONG_REQUESTS;
+        if (may_skip_long && step == ScheduleStep::MustWaitForFasterEngine) {
+            ++skipped_long;
+            skipped.insert(request);
+            continue;
+        }
         auto& count = is_resumed ? skipped_resumed : skipped_new;
         bool const may_skip = ++count <= MAXIMUM_SKIPPED_REQUESTS;
         if (this->options.policy.backfill == SchedulerPolicy::Backfill::Off || (!may_skip && !is_resumed))
@@ -234,8 +245,10 @@
         if (overflow && this->is_on_time(*overflow, this->waiting[index]))
             placement = overflow;
     }
-    if (!placement || (placement->outlook == CompletionOutlook::Missed && may_wait_for_completion(this->waiting[index])))
+    if (!placement)
         return ScheduleStep::MustWait;
+    if (placement->outlook == CompletionOutlook::Missed && may_wait_for_completion(this->waiting[index]))
+        return ScheduleStep::MustWaitForFasterEngine;
     auto ask = std::move(this->waiting[index]);
     this->waiting.erase(this->waiting.begin() + static_cast<std::ptrdiff_t>(index));
     // Waiting cannot improve on the best placement available now.
--- a/Tests/LibDecision/TestCompletionPlacement.cpp
+++ b/Tests/LibDecision/TestCompletionPlacement.cpp
@@ -171,6 +171,24 @@
     }
 }
 
+// Long answers that wait for a fast engine must not keep a slow engine from those that it completes in time.
+TEST_CASE("Requests that wait for a faster engine do not hold up shorter ones")
+{
+    UnevenCell cell(20'000);
+    auto running = UnevenCell::make_ask("running", NOW, 9000);
+    running.prompt_tokens = 14'000;
+    cell.scheduler.restore(running, "", "d0", GrantProgress::Decoding, {}, at_milliseconds(NOW));
+    for (int i = 0; i < 12; ++i) {
+        auto ask = UnevenCell::make_ask("long" + std::to_string(i), NOW, 2000);
+        ask.finish_by = at_milliseconds(NOW + 3000);
+        REQUIRE(cell.decide(ask, NOW) == "waits");
+    }
+    auto ask = UnevenCell::make_ask("short", NOW, 500);
+    ask.finish_by = at_milliseconds(NOW + 3000);
+    ask.first_token_deadline = at_milliseconds(NOW + 1200);
+    CHECK(cell.decide(ask, NOW) == "d1");
+}
+
 namespace {
 
 StreamFleet::Tally run_fleet(StreamFleet::Options const& options, SchedulerPolicy::Completion completion, double pace_weight = 0.1)
