--- a/Libraries/LibDecision/CellScheduler.h
+++ b/Libraries/LibDecision/CellScheduler.h
@@ -481,6 +481,8 @@
         Placed,
         Refused,
         MustWait,
+        /// The engines that have capacity would not complete the answer in time.
+        MustWaitForFasterEngine,
     };
 
     void schedule(MonotonicTime now);
