--- a/Libraries/LibRouter/CallGroup.cpp
+++ b/Libraries/LibRouter/CallGroup.cpp
@@ -27,8 +27,10 @@
 std::string CallGroup::key() const
 {
     auto key = "calls/" + this->service;
-    if (this->count > 1)
-        key += "/" + std::to_string(this->index);
+    if (this->count > 1) {
+        key += '/';
+        key += std::to_string(this->index);
+    }
     return key;
 }
 
