--- a/Libraries/LibDecision/RoleBalancer.cpp
+++ b/Libraries/LibDecision/RoleBalancer.cpp
@@ -207,7 +207,7 @@
         return {};
     auto const division = this->division_of(engines);
     this->had_enough_data = this->had_enough_data || this->has_enough_data(capacity);
-    if (auto const second = this->finish_exchange(engines, now))
+    if (auto second = this->finish_exchange(engines, now))
         return second;
     auto const to = this->role_lacking_engines(division, capacity, now);
     if (!to) {
