--- a/Libraries/LibRouter/StreamMigrator.cpp
+++ b/Libraries/LibRouter/StreamMigrator.cpp
@@ -53,6 +53,13 @@
 
 }
 
+std::string TransferCallError::reason() const
+{
+    if (this->connection_error)
+        return std::string(to_string(*this->connection_error));
+    return this->status == 0 ? std::string("answer_broken_off") : "status_" + std::to_string(this->status);
+}
+
 StreamMigrator::StreamMigrator(RouterState& state, std::string request, Hooks hooks, int earlier_moves)
     : state(state)
     , request(std::move(request))
@@ -195,7 +202,7 @@
     auto const time_left = std::chrono::duration_cast<Duration>(this->move->deadline - monotonic_now());
     auto const answer = co_await this->call_source(RunTransfer::Source::KeepsRunning, std::max(time_left, milliseconds(1)));
     if (answer.is_error())
-        co_return answer.error();
+        co_return answer.error().reason();
     if (answer.value().outcome == RunTransferResult::Outcome::TargetUnavailable)
         this->refused_targets.push_back(this->move->target.identity);
     if (answer.value().outcome != RunTransferResult::Outcome::Copied)
@@ -229,7 +236,7 @@
         // Without a handle, only these two answers say that the call did not stop the run.
         bool const is_declined = !answer.is_error() && (answer.value().outcome == Outcome::NotRunning || answer.value().outcome == Outcome::AlreadyInProgress);
         this->stop_request = is_declined ? StopRequest::Declined : StopRequest::Unknown;
-        reason = answer.is_error() ? answer.error() : std::string(to_string(answer.value().outcome));
+        reason = answer.is_error() ? answer.error().reason() : std::string(to_string(answer.value().outcome));
     }
     this->changed.notify();
     if (this->is_over)
@@ -237,7 +244,7 @@
     co_return reason;
 }
 
-asio::awaitable<Result<RunTransferResult, std::string>> StreamMigrator::call_source(RunTransfer::Source source, Duration timeout)
+asio::awaitable<Result<RunTransferResult, TransferCallError>> StreamMigrator::call_source(RunTransfer::Source source, Duration timeout)
 {
     RunTransfer const transfer { this->request, this->move->target.address, source };
     ConnectionPool::Call options;
@@ -249,12 +256,12 @@
     // Leaving engines take these calls too.
     auto const answer = co_await call_upstream(this->state, this->move->source, std::move(call), CallPurpose::Release, std::move(options));
     if (answer.is_error())
-        co_return Failure { std::string(to_string(answer.error())) };
+        co_return Failure { TransferCallError { answer.error() } };
     if (!answer.value().body)
-        co_return Failure { std::string("answer_broken_off") };
+        co_return Failure { TransferCallError {} };
     auto const result = this->state.dialect.read_run_transfer(answer.value().head.status, *answer.value().body);
     if (result.is_error())
-        co_return Failure { "status_" + std::to_string(answer.value().head.status) };
+        co_return Failure { TransferCallError { .connection_error = {}, .status = answer.value().head.status } };
     if (!result.value().handle.empty())
         this->move->handles.insert(result.value().handle);
     co_return result.value();
--- a/Libraries/LibRouter/StreamMigrator.h
+++ b/Libraries/LibRouter/StreamMigrator.h
@@ -52,6 +52,17 @@
     Lost,
 };
 
+/// Why a call that transfers a run brought no result.
+struct TransferCallError {
+    /// Set if the connection failed before the response was complete.
+    std::optional<HttpError> connection_error;
+    /// The status of a response that could not be read as a result; 0 if there was none.
+    int status = 0;
+
+    /// For logs.
+    std::string reason() const;
+};
+
 /// Watches one stream that is relayed, and moves its run to another engine when the policy says so: obtains a target from the
 /// keeper, has the memory copied while the run goes on, and then has the run stopped and the rest copied. The handler relays the
 /// source's stream to its end, sends the request to the target, and reports the outcome. Whatever fails before the run is stopped
@@ -139,7 +150,7 @@
     asio::awaitable<std::string> copy();
     asio::awaitable<std::string> stop_source();
     asio::awaitable<std::string> check_target();
-    asio::awaitable<Result<RunTransferResult, std::string>> call_source(RunTransfer::Source source, Duration timeout);
+    asio::awaitable<Result<RunTransferResult, TransferCallError>> call_source(RunTransfer::Source source, Duration timeout);
     void free_handles();
     void end_grant(MoveEnd end);
     void give_up(std::string_view reason);
