LibDecision: Begin only requests that end before the exit at their greatest length

Cause: a stopping VM accepted a stream if the 90th percentile of its expected duration fitted into the rest of the grace time. The expectation is the caller's guess of the length, which is right in the median only, times the mean pace of recent answers: one in ten of the streams that just fitted, and each one whose guess was far off, was interrupted by the exit. Where the VM knew no pace, it accepted every stream for the first third of the stop. The check ran once, when the request arrived, and not when it was sent, which may be much later.

Change: a request begins only if it fits by a bound instead of an estimate: the greatest length that its caller allows, at the slowest recent pace, or its timeout. What has no known pace is bounded by its timeout. The request handlers check it, for streams and plain requests alike, on arrival and again right before each send: after a wait for an engine, after a refusal by an engine that changes its role, and for streams that are taken up again. What is refused has not run and is told so.

A stream whose engine becomes slower after it was accepted than any recent answer can still be interrupted.

--- a/Libraries/LibDecision/StopPolicy.h
+++ b/Libraries/LibDecision/StopPolicy.h
@@ -4,39 +4,26 @@
 #pragma once
 
 #include <LibCore/Time.h>
-#include <LibDecision/RouteTable.h>
+#include <algorithm>
 #include <optional>
 
 namespace Spurtide {
 
-/// The progress of a planned stop.
-struct StopProgress {
-    /// Time until this process exits.
-    Duration remaining {};
-    /// Time from the beginning of the stop to the exit.
-    Duration total {};
-};
+/// Upper bounds of the time that a request takes from now on.
+struct DurationBounds {
+    /// Time until its timeout.
+    Duration timeout {};
+    /// The longest answer that the caller allows, at the slowest recent pace; empty if that is not known.
+    std::optional<Duration> longest_answer {};
 
-/// The expected duration of a request, as far as it is known in advance.
-struct ExpectedDuration {
-    /// The timeout of the request.
-    Duration maximum {};
-    /// The 90th percentile of similar requests; empty if there is no data.
-    std::optional<Duration> percentile_90 {};
+    Duration shortest() const { return this->longest_answer ? std::min(*this->longest_answer, this->timeout) : this->timeout; }
 };
 
-/// Whether a request that begins now is expected to end before the process exits. A stopping VM still receives clients
-/// for two seconds, and longer while few other VMs of its data centre are ready. A stream is accepted if it will
-/// probably end in time: one that is interrupted is lost, while one that is refused at once is served elsewhere. If no
-/// durations are known, streams are accepted during the first third of the stop. Other requests have to end within
-/// their timeout.
-inline bool may_begin_before_stop(RouteKind kind, ExpectedDuration expected, StopProgress stop)
+/// Whether a request that is not running yet may begin before the process exits. Only one that ends in time whatever its
+/// length may: one that is interrupted is lost, while one that is refused at once is served by another VM.
+inline bool may_begin_before_exit(DurationBounds bounds, Duration time_until_exit)
 {
-    if (kind != RouteKind::Stream)
-        return stop.remaining >= expected.maximum;
-    if (expected.percentile_90)
-        return stop.remaining >= *expected.percentile_90;
-    return stop.remaining * 3 >= stop.total * 2;
+    return time_until_exit >= bounds.shortest();
 }
 
 }
--- a/Libraries/LibRouter/RequestHandler.cpp
+++ b/Libraries/LibRouter/RequestHandler.cpp
@@ -3,6 +3,7 @@
 
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
+#include <LibDecision/StopPolicy.h>
 #include <LibRouter/CrashReporter.h>
 #include <LibRouter/QuotaClient.h>
 #include <LibRouter/RelayClient.h>
@@ -20,6 +21,8 @@
 
 /// A caller that retries sooner fails for the same reason.
 constexpr Duration MINIMUM_RETRY_AFTER = milliseconds(100);
+/// Another VM serves the retry.
+constexpr Duration STOPPING_RETRY_AFTER = milliseconds(200);
 
 std::string format_seconds(Duration duration)
 {
@@ -103,9 +106,11 @@
 
 asio::awaitable<bool> RequestHandler::admit()
 {
-    // Checked before the quota: quarantined requests are not charged to the account.
-    if (this->quarantine_left()) {
+    // Checked before the quota: requests that are refused are not charged to the account.
+    if (this->quarantine_left())
         this->stop(StopReason::Quarantined);
+    this->recheck_exit();
+    if (this->is_stopped()) {
         co_await this->send_stopped_response();
         co_return false;
     }
@@ -126,6 +131,25 @@
     this->check_key();
     if (this->quarantine_left())
         this->stop(StopReason::Quarantined);
+    this->recheck_exit();
+}
+
+void RequestHandler::recheck_exit()
+{
+    auto const until_exit = this->state.time_until_exit();
+    // What may have run already could not be refused.
+    bool const may_be_refused = this->earlier == SendHistory::Earlier::HasNotRun && !this->exchange.has_begun() && !this->is_stopped();
+    if (!until_exit || !may_be_refused)
+        return;
+    DurationBounds const bounds { this->time_left(), this->longest_response() };
+    if (may_begin_before_exit(bounds, *until_exit))
+        return;
+    LogLine("not_begun_before_exit")
+        .with("request", this->request.identifier)
+        .with("exit_in_ms", to_milliseconds(*until_exit))
+        .with("longest_ms", to_milliseconds(bounds.shortest()))
+        .with("bound", bounds.longest_answer && *bounds.longest_answer < bounds.timeout ? "longest_answer" : "timeout");
+    this->stop(StopReason::ProcessExits);
 }
 
 std::optional<Duration> RequestHandler::quarantine_left() const
@@ -420,6 +444,10 @@
         co_await this->reject(401, "key_revoked", {});
     else if (this->stop_reason == StopReason::KeyRevoked)
         co_await this->fail(502, "key_revoked");
+    else if (this->stop_reason == StopReason::ProcessExits && has_not_run)
+        co_await this->refuse("stopping", STOPPING_RETRY_AFTER);
+    else if (this->stop_reason == StopReason::ProcessExits)
+        co_await this->fail(502, "stopping");
     else if (has_not_run)
         co_await this->refuse("out_of_time", MINIMUM_RETRY_AFTER);
     else
--- a/Libraries/LibRouter/RequestHandler.h
+++ b/Libraries/LibRouter/RequestHandler.h
@@ -38,6 +38,8 @@
         KeyRevoked,
         /// The request, or a part of its prompt, crashes upstreams.
         Quarantined,
+        /// This process is stopping, and the request would not end in time.
+        ProcessExits,
     };
 
     /// What a caller is told to wait if the service has no upstream and it is not known when there will be one.
@@ -48,10 +50,15 @@
     virtual void describe_end(LogLine&) const { }
     /// Called once, when the request is stopped.
     virtual void on_stop() { }
+    /// How long the response takes at most if the request is sent now; empty if only its timeout bounds it.
+    virtual std::optional<Duration> longest_response() const { return {}; }
 
     /// Stops the request if it may no longer be sent: since it was admitted, a new configuration may have revoked the caller's
-    /// key, or the request may have been quarantined for crashing upstreams of other VMs. Call right before a send.
+    /// key, the request may have been quarantined for crashing upstreams of other VMs, or the process may have begun to stop.
+    /// Call right before a send.
     void recheck_admission();
+    /// Stops the request if it is not running yet and might be interrupted by the exit of this process.
+    void recheck_exit();
 
     bool is_stopped() const { return this->stop_reason != StopReason::None; }
     /// The connection to abort when the request is stopped.
--- a/Libraries/LibRouter/RequestRouter.cpp
+++ b/Libraries/LibRouter/RequestRouter.cpp
@@ -14,8 +14,7 @@
 
 namespace {
 
-/// A VM that has just started receives its configuration well within this time, and another VM serves the retry if this one
-/// is stopping.
+/// A VM that has just started receives its configuration well within this time.
 constexpr std::string_view RETRY_AFTER_SECONDS = "0.2";
 
 /// A stream may break at its route's timeout, and its next try take as long.
@@ -59,11 +58,6 @@
         co_await this->reject(exchange, 401, request.key ? "unknown_key" : "no_key", identifier);
         co_return;
     }
-    auto const stop = this->state.stop_time();
-    if (stop && !may_begin_before_stop(route->kind, this->expected_time(*route, request), *stop)) {
-        co_await this->reject(exchange, 503, "stopping", identifier);
-        co_return;
-    }
     std::optional<StreamOrigin> origin;
     if (route->kind == RouteKind::Stream && request.is_resumption()) {
         LogLine("stream_taken_up").with("request", request.identifier).with("resumes", request.resumed_request).with("last_event", request.last_event);
@@ -128,19 +122,6 @@
     return {};
 }
 
-ExpectedDuration RequestRouter::expected_time(Route const& route, CallerRequest const& request) const
-{
-    ExpectedDuration expected;
-    expected.maximum = std::min(route.timeout, request.caller_timeout);
-    if (!request.prompt || route.targets.empty())
-        return expected;
-    auto const& prompt = *request.prompt;
-    auto const response_time = this->state.answer_pace.percentile_90(route.targets.front().service, prompt.expected_output_tokens, prompt.maximum_output_tokens, this->state.length_spread);
-    if (response_time)
-        expected.percentile_90 = route.latency_target + *response_time;
-    return expected;
-}
-
 asio::awaitable<void> RequestRouter::reject(HttpExchange& exchange, int status, std::string_view reason, std::string identifier)
 {
     LogLine("request_rejected").with("request", identifier).with("status", status).with("reason", reason).with("target", exchange.request().head.target);
--- a/Libraries/LibRouter/RequestRouter.h
+++ b/Libraries/LibRouter/RequestRouter.h
@@ -21,7 +21,6 @@
     asio::awaitable<void> handle(HttpExchange& exchange);
 
 private:
-    ExpectedDuration expected_time(Route const& route, CallerRequest const& request) const;
     /// Where a stream of the route began, if it can have begun at one software version only.
     asio::awaitable<std::optional<StreamOrigin>> derive_origin(Route const& route);
     /// Why a request cannot take up the stream that began there; empty if it can.
--- a/Libraries/LibRouter/RouterState.h
+++ b/Libraries/LibRouter/RouterState.h
@@ -10,7 +10,6 @@
 #include <LibDecision/Residency.h>
 #include <LibDecision/RouteTable.h>
 #include <LibDecision/SharedRetryBudget.h>
-#include <LibDecision/StopPolicy.h>
 #include <LibDecision/UpstreamList.h>
 #include <LibDecision/UpstreamSelector.h>
 #include <LibRouter/CallerDialect.h>
@@ -57,8 +56,6 @@
     /// The VMs that may send requests: those that are alive, and those beyond a network partition.
     std::function<SendingMachines()> sending_machines = [] { return SendingMachines {}; };
     AnswerDurationEstimator answer_pace {};
-    /// Standard deviation of the logarithm of the actual output length over the caller's estimate.
-    double length_spread = 0.6;
     PlacementClient* placement = nullptr;
     QuotaClient* quota = nullptr;
     ReplicatedQuarantine* quarantine = nullptr;
@@ -79,7 +76,7 @@
     std::function<double()> retry_allowance_part = [] { return 1.0; };
 
     /// Empty unless this process is stopping.
-    std::function<std::optional<StopProgress>()> stop_time = [] { return std::optional<StopProgress> {}; };
+    std::function<std::optional<Duration>()> time_until_exit = [] { return std::optional<Duration> {}; };
 
     SharedRetryBudget& retry_budget_for(std::string const& service) { return this->retry_budgets.try_emplace(service, this->retry_options).first->second; }
 };
--- a/Libraries/LibRouter/StreamingRequestHandler.cpp
+++ b/Libraries/LibRouter/StreamingRequestHandler.cpp
@@ -16,6 +16,8 @@
 constexpr double DECISION_TIME_SHARE = 0.22;
 /// Share of the time that callers wait for an event before they disconnect.
 constexpr double FIRST_EVENT_WAIT_SHARE = 0.7;
+/// Part of the latency target that the first event takes once a request is sent.
+constexpr int FIRST_EVENT_SHARE_OF_TARGET = 4;
 /// With less time left, a placement has little chance to succeed.
 constexpr Duration MINIMUM_TIME_FOR_PLACEMENT = milliseconds(200);
 /// Longer than the prefill of the longest prompts, including the queue ahead of them.
@@ -41,6 +43,17 @@
         this->pending_ask->give_up();
 }
 
+// The latency target bounds the time to the first event of a request that has just arrived. Of a request that waited for its
+// engines, little of the target is left, but they still have to begin it.
+std::optional<Duration> StreamingRequestHandler::longest_response() const
+{
+    auto const answer = this->state.answer_pace.longest(this->service, this->request.prompt->maximum_output_tokens);
+    if (!answer)
+        return {};
+    auto const age = std::chrono::duration_cast<Duration>(monotonic_now() - this->exchange.received_at());
+    return std::max(this->route.latency_target - age, this->route.latency_target / FIRST_EVENT_SHARE_OF_TARGET) + *answer;
+}
+
 void StreamingRequestHandler::describe_end(LogLine& line) const
 {
     line.with("visit", this->visit == CallerAttempt::Retry ? "return" : "first").with("placements", this->placements);
--- a/Libraries/LibRouter/StreamingRequestHandler.h
+++ b/Libraries/LibRouter/StreamingRequestHandler.h
@@ -24,6 +24,7 @@
 private:
     asio::awaitable<void> forward_request() override;
     void on_stop() override;
+    std::optional<Duration> longest_response() const override;
     void describe_end(LogLine& line) const override;
 
     enum class PlacementOutcome {
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -82,7 +82,7 @@
     : loop(loop)
     , settings(std::move(node_settings))
     , adapters(std::move(node_adapters))
-    , state { .loop = loop, .dialect = this->adapters.dialect, .metrics = this->metrics, .data_centre = this->settings.data_centre, .regions = this->settings.regions, .retry_options = this->settings.retry, .length_spread = this->settings.length_spread }
+    , state { .loop = loop, .dialect = this->adapters.dialect, .metrics = this->metrics, .data_centre = this->settings.data_centre, .regions = this->settings.regions, .retry_options = this->settings.retry }
     , request_router(this->state)
     , started_at(monotonic_now())
     , stop_timer(loop)
@@ -155,11 +155,10 @@
     }
     this->state.sending_machines = [this] { return this->membership->sending_machines(); };
     this->state.retry_allowance_part = [this] { return this->retry_allowance_part(); };
-    this->state.stop_time = [this]() -> std::optional<StopProgress> {
+    this->state.time_until_exit = [this]() -> std::optional<Duration> {
         if (!this->is_stopping)
             return {};
-        auto const whole = this->settings.stop_grace - STOP_MARGIN;
-        return StopProgress { std::chrono::duration_cast<Duration>(this->stop_began + whole - monotonic_now()), whole };
+        return std::chrono::duration_cast<Duration>(this->stop_began + this->settings.stop_grace - STOP_MARGIN - monotonic_now());
     };
     this->host_services();
 
--- /dev/null
+++ b/Tests/Platform/TestPlannedStop.cpp
@@ -0,0 +1,122 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <Tests/Platform/NodeUnderTest.h>
+#include <catch2/catch.hpp>
+
+using namespace Spurtide;
+using namespace Spurtide::Tests;
+
+namespace {
+
+constexpr Duration EVENT_PAUSE = milliseconds(10);
+
+/// A VM that has seen the pace of its engines, with a short grace period.
+struct StoppingVirtualMachine : NodeUnderTest {
+    StoppingVirtualMachine()
+        : NodeUnderTest([](NodeSettings& settings) { settings.stop_grace = milliseconds(3000); })
+    {
+        this->configure(1);
+        this->list(this->prefill, "engines");
+        for (auto* engine : { &this->first, &this->second }) {
+            engine->event_pause = EVENT_PAUSE;
+            engine->events = 20;
+            this->list(*engine, "engines");
+        }
+        REQUIRE(this->run_until([&] { return this->node->is_ready(); }));
+        REQUIRE(this->call(this->model_request("/stream/x", "pace")).head.status == 200);
+    }
+
+    void stop()
+    {
+        this->node->stop([this] { this->is_stopped = true; });
+    }
+
+    /// A stream that its caller expects to be short, and allows to be this long.
+    HttpRequest stream_of(std::string target, std::string identifier, int greatest_length)
+    {
+        auto made = this->model_request(std::move(target), std::move(identifier));
+        for (auto& field : made.head.headers.all()) {
+            if (field.name == "X-Spurtide-Token-Count")
+                field.value = "1000," + std::to_string(greatest_length);
+        }
+        made.head.headers.add("X-Spurtide-Length-Hint", "10");
+        return made;
+    }
+
+    void set_answer_length(int events)
+    {
+        this->first.events = events;
+        this->second.events = events;
+    }
+
+    /// Until the VM has stopped, or its caller has an answer.
+    CallerAnswer call_until_exit(HttpRequest made)
+    {
+        std::optional<CallerAnswer> answer;
+        auto const ask = [&]() -> asio::awaitable<void> {
+            auto got = co_await exchange(this->node->caller_address(), std::move(made));
+            answer = std::move(got);
+        };
+        asio::co_spawn(this->loop, ask(), asio::detached);
+        REQUIRE(this->run_until([&] { return answer || this->is_stopped; }));
+        return answer.value_or(CallerAnswer { HttpError::Closed, {}, {} });
+    }
+
+    bool is_stopped = false;
+    UpstreamStandIn prefill { this->loop, "i-p", "prefill" };
+    UpstreamStandIn first { this->loop, "i-1", "decode" };
+    UpstreamStandIn second { this->loop, "i-2", "decode" };
+};
+
+}
+
+// Guards against streams that a stopping VM accepted by the length that their callers expected, and interrupted at its exit.
+TEST_CASE("A stopping VM refuses at once a stream whose longest answer would be interrupted", "[planned-stop]")
+{
+    StoppingVirtualMachine test;
+    test.set_answer_length(400);
+    auto const runs = test.first.run.size() + test.second.run.size();
+    test.stop();
+    for (auto const* target : { "/stream/x", "/resumable/x" }) {
+        CAPTURE(target);
+        auto const answer = test.call_until_exit(test.stream_of(target, std::string("long") + target[1], 400));
+        CHECK_FALSE(answer.error);
+        CHECK(answer.head.status == 503);
+        CHECK(answer.head.headers.contains("Retry-After"));
+    }
+    CHECK(test.first.run.size() + test.second.run.size() == runs);
+    // One that ends in time at its greatest length is served whole.
+    test.set_answer_length(100);
+    auto const served = test.call_until_exit(test.stream_of("/stream/x", "short", 100));
+    CHECK_FALSE(served.error);
+    CHECK(served.body.ends_with("piece 100\n\n"));
+}
+
+// Guards against streams that were accepted in time, waited for an engine, and began when they could not end any more. An
+// engine that changes its role refuses what it has not begun.
+TEST_CASE("A stream that an engine refuses late in a planned stop is not sent again if it could not end", "[planned-stop][roles]")
+{
+    StoppingVirtualMachine test;
+    test.set_answer_length(100);
+    int refusals = 0;
+    for (auto* engine : { &test.first, &test.second }) {
+        engine->script = [&, engine](HttpExchange& exchange) -> asio::awaitable<bool> {
+            if (refusals++ > 0)
+                co_return false;
+            asio::steady_timer timer(test.loop, milliseconds(2000));
+            asio::error_code ignored;
+            co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+            auto head = engine->answer_head(exchange, 503);
+            head.headers.add("X-Spurtide-Not-Executed", "1");
+            static_cast<void>(co_await exchange.respond(std::move(head), {}));
+            co_return true;
+        };
+    }
+    test.stop();
+    auto const runs = test.first.run.size() + test.second.run.size();
+    auto const answer = test.call_until_exit(test.stream_of("/resumable/x", "late", 100));
+    CHECK_FALSE(answer.error);
+    CHECK(answer.head.status == 503);
+    CHECK(test.first.run.size() + test.second.run.size() == runs);
+}
