RequestHandler: Refuse requests that wait when the stop begins and cannot end in time

What callers saw: a request that waited for its turn at an upstream, or for an engine, when its VM began to stop was held until it was to be sent, and only then refused, up to seconds after the VM could know that it would not serve it.

Cause: the check against the exit runs on arrival and before a send. Nothing looked at what was waiting in between, and the wait for a turn did not end when the request was stopped, whatever for.

Change: while the VM is stopping, each poll of the stop checks the requests that have not been sent, and a request that is stopped leaves its wait for a turn. A request that may have run goes on: a refusal of it would be false.

--- a/Libraries/LibRouter/RequestHandler.cpp
+++ b/Libraries/LibRouter/RequestHandler.cpp
@@ -66,9 +66,11 @@
     , residency(route.home_regions, account ? account->home_regions : std::vector<std::string>())
     , ledger(state.retry_budget_for(this->service))
     , deadline(exchange.received_at() + std::min(route.timeout, this->request.caller_timeout))
+    , running_requests(state.running_requests)
     , counted_account(this->account)
     , quota_cost(account ? account->cost_of(total_tokens(this->request)) : 0)
     , deadline_timer(state.loop)
+    , turn_timer(state.loop)
 {
 }
 
@@ -90,6 +92,7 @@
             handler->stop(StopReason::OutOfTime);
     });
     this->state.retry_budget_for(this->service).note_request(monotonic_now());
+    this->running_requests->insert(this);
     bool const is_admitted = co_await this->admit();
     if (is_admitted) {
         if (this->is_stopped())
@@ -100,6 +103,7 @@
         if (this->quota_cost > 0 && this->earlier == SendHistory::Earlier::HasNotRun)
             this->state.quota->refund(this->counted_account, this->quota_cost);
     }
+    this->running_requests->erase(this);
     this->ledger.refund_unused();
     this->deadline_timer.cancel();
 }
@@ -177,6 +181,7 @@
     this->stop_reason = reason;
     if (this->active_connection)
         this->active_connection->abort();
+    this->turn_timer.cancel();
     this->on_stop();
 }
 
@@ -315,9 +320,9 @@
         co_return false;
     }
     if (turn.wait > Duration::zero()) {
-        asio::steady_timer timer(this->state.loop, turn.wait);
+        this->turn_timer.expires_after(turn.wait);
         asio::error_code error;
-        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
+        co_await this->turn_timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
     }
     if (!this->is_stopped())
         co_return true;
--- a/Libraries/LibRouter/RequestHandler.h
+++ b/Libraries/LibRouter/RequestHandler.h
@@ -23,12 +23,15 @@
 public:
     /// The service is one of the route's. The account is null for callers that have none.
     RequestHandler(RouterState& state, HttpExchange& exchange, std::shared_ptr<RouteTable const> routes, Route const& route, std::string service, ClientAccount const* account, CallerRequest request);
-    virtual ~RequestHandler() = default;
+    virtual ~RequestHandler() { this->running_requests->erase(this); }
     RequestHandler(RequestHandler const&) = delete;
     RequestHandler& operator=(RequestHandler const&) = delete;
 
     asio::awaitable<void> run();
 
+    /// Stops the request if it is not running yet and might be interrupted by the exit of this process.
+    void recheck_exit();
+
 protected:
     enum class StopReason {
         None,
@@ -57,8 +60,6 @@
     /// key, the request may have been quarantined for crashing upstreams of other VMs, or the process may have begun to stop.
     /// Call right before a send.
     void recheck_admission();
-    /// Stops the request if it is not running yet and might be interrupted by the exit of this process.
-    void recheck_exit();
 
     bool is_stopped() const { return this->stop_reason != StopReason::None; }
     /// The connection to abort when the request is stopped.
@@ -156,6 +157,8 @@
 
     /// VMs that did not relay this request.
     std::set<std::string, std::less<>> declining_relays;
+    // Shared, since a request may outlive the router's state at shutdown.
+    std::shared_ptr<std::set<RequestHandler*>> running_requests;
     StopReason stop_reason = StopReason::None;
     SendHistory::Earlier earlier_before_send = SendHistory::Earlier::HasNotRun;
     /// The account whose quota was charged. The key may belong to another account by the time that the request is sent.
@@ -164,6 +167,7 @@
     double quota_cost = 0;
     std::shared_ptr<HttpConnection> active_connection;
     asio::steady_timer deadline_timer;
+    asio::steady_timer turn_timer;
 };
 
 }
--- a/Libraries/LibRouter/RequestRouter.cpp
+++ b/Libraries/LibRouter/RequestRouter.cpp
@@ -122,6 +122,14 @@
     return {};
 }
 
+void RequestRouter::recheck_waiting_requests()
+{
+    // A request that is stopped may leave the set.
+    auto const requests = *this->state.running_requests;
+    for (auto* request : requests)
+        request->recheck_exit();
+}
+
 asio::awaitable<void> RequestRouter::reject(HttpExchange& exchange, int status, std::string_view reason, std::string identifier)
 {
     LogLine("request_rejected").with("request", identifier).with("status", status).with("reason", reason).with("target", exchange.request().head.target);
--- a/Libraries/LibRouter/RequestRouter.h
+++ b/Libraries/LibRouter/RequestRouter.h
@@ -20,6 +20,9 @@
 
     asio::awaitable<void> handle(HttpExchange& exchange);
 
+    /// Call regularly while the process is stopping: refuses the requests that wait to be sent and could not end in time any more.
+    void recheck_waiting_requests();
+
 private:
     /// Where a stream of the route began, if it can have begun at one software version only.
     asio::awaitable<std::optional<StreamOrigin>> derive_origin(Route const& route);
--- a/Libraries/LibRouter/RouterState.h
+++ b/Libraries/LibRouter/RouterState.h
@@ -18,6 +18,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace Spurtide {
@@ -27,6 +28,7 @@
 class PlacementClient;
 class ReplicatedQuarantine;
 class RelayClient;
+class RequestHandler;
 struct StreamMoves;
 class StreamOriginDirectory;
 class QuotaClient;
@@ -75,6 +77,9 @@
     /// This VM's share of the retry budgets' allowance, which is common to all VMs.
     std::function<double()> retry_allowance_part = [] { return 1.0; };
 
+    /// The requests without a final response.
+    std::shared_ptr<std::set<RequestHandler*>> running_requests = std::make_shared<std::set<RequestHandler*>>();
+
     /// Empty unless this process is stopping.
     std::function<std::optional<Duration>()> time_until_exit = [] { return std::optional<Duration> {}; };
 
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -688,6 +688,7 @@
         this->when_stopped();
         return;
     }
+    this->request_router.recheck_waiting_requests();
     this->stop_timer.expires_after(STOP_POLL);
     this->stop_timer.async_wait([this](asio::error_code error) {
         if (!error)
--- a/Tests/Platform/TestPlannedStop.cpp
+++ b/Tests/Platform/TestPlannedStop.cpp
@@ -1,6 +1,8 @@
 // SPDX-FileCopyrightText: 2026 The Spurtide developers
 // SPDX-License-Identifier: BSD-2-Clause
 
+#include <LibCore/Clock.h>
+#include <LibCore/LogLine.h>
 #include <Tests/Platform/NodeUnderTest.h>
 #include <catch2/catch.hpp>
 
@@ -120,3 +122,34 @@
     CHECK(answer.head.status == 503);
     CHECK(test.first.run.size() + test.second.run.size() == runs);
 }
+
+// Guards against requests that wait here when the stop begins and are interrupted by the exit without a response.
+TEST_CASE("A request that waits for its turn when its VM begins to stop is refused at once if it could not end", "[planned-stop]")
+{
+    NodeUnderTest test([](NodeSettings& settings) { settings.stop_grace = milliseconds(2900); });
+    test.configure(1, set_long_latency_target);
+    UpstreamStandIn upstream(test.loop, "i-1");
+    upstream.named_limit = "0.5";
+    test.list(upstream, "plain");
+    REQUIRE(test.call(test.request("GET", "/safe/x", "first")).head.status == 200);
+    auto const is_waiting = std::make_shared<bool>(false);
+    LogLine::set_observer([is_waiting](std::string_view line) {
+        bool const has_turn = line.starts_with("event=upstream_turn request=waiting") && line.find("outcome=granted") != std::string_view::npos;
+        *is_waiting = *is_waiting || has_turn;
+    });
+    auto const waiting = test.begin(test.request("GET", "/safe/x", "waiting"));
+    REQUIRE(test.run_until([&] { return *is_waiting; }));
+    std::optional<int> status;
+    auto const read = [&]() -> asio::awaitable<void> {
+        auto const head = co_await waiting->read_head();
+        status = head.is_error() ? 0 : head.value().status;
+    };
+    asio::co_spawn(test.loop, read(), asio::detached);
+    auto const begun = monotonic_now();
+    bool is_stopped = false;
+    test.node->stop([&] { is_stopped = true; });
+    REQUIRE(test.run_until([&] { return status || is_stopped; }));
+    CHECK(status == 503);
+    CHECK(monotonic_now() - begun < AT_ONCE);
+    CHECK(upstream.run == std::vector<std::string> { "first" });
+}
