NodeServer: Answer or reset what still runs at the end of the grace time

What callers saw: requests that outlast the grace time of a planned stop ended without a response and without a line in the log, and a response without a length ended like a complete one, in the middle of the stream.

Cause: the process exits with whatever still runs, and the kernel closes the open connections in good order. For a response that lasts until its connection closes, that is the end of the whole response.

Change: 0.4 s before the end of the grace time all requests are stopped the usual way: a request that may have run gets 502, a response that has begun is reset, each with its `request_end` line (`reason=stopping`), and upstreams see their connections closed. 0.1 s later connections with incomplete responses, to callers and to VMs whose requests this one relays, are reset, and the process exits.

Test: "What still runs at the end of the grace time is answered, or broken off so that it does not look complete" fails without the change (no response until the test's end) and passes with it.

--- a/Libraries/LibAsync/HttpServer.cpp
+++ b/Libraries/LibAsync/HttpServer.cpp
@@ -117,6 +117,13 @@
         connection->close_if_idle();
 }
 
+void HttpServer::abort_exchanges()
+{
+    auto const all = this->connections;
+    for (auto* connection : all)
+        connection->abort_exchange();
+}
+
 void HttpServer::stop_listening()
 {
     asio::error_code ignored;
--- a/Libraries/LibAsync/HttpServer.h
+++ b/Libraries/LibAsync/HttpServer.h
@@ -57,6 +57,8 @@
     void close_after_answers() { this->closing = true; }
     /// Closes the connections that carry no request.
     void close_idle();
+    /// Resets the connections whose response is not complete, so that none looks complete at the exit of the process.
+    void abort_exchanges();
     void stop_listening();
 
     std::size_t connection_count() const { return this->connections.size(); }
--- a/Libraries/LibAsync/ServerConnection.cpp
+++ b/Libraries/LibAsync/ServerConnection.cpp
@@ -308,6 +308,12 @@
     return !this->is_over && !this->in_exchange && !this->parser.has_begun() && this->unread.empty();
 }
 
+void ServerConnection::abort_exchange()
+{
+    if (this->in_exchange && !this->answer_whole)
+        this->abort();
+}
+
 void ServerConnection::close_if_idle()
 {
     if (!this->is_idle())
--- a/Libraries/LibAsync/ServerConnection.h
+++ b/Libraries/LibAsync/ServerConnection.h
@@ -26,6 +26,8 @@
     bool is_idle() const;
     MonotonicTime idle_since() const { return this->resting_since; }
     void close_if_idle();
+    /// Resets the connection if a response on it is not complete.
+    void abort_exchange();
     /// The server goes away before this connection.
     void detach() { this->server = nullptr; }
 
--- a/Libraries/LibRouter/RequestHandler.h
+++ b/Libraries/LibRouter/RequestHandler.h
@@ -31,6 +31,8 @@
 
     /// Stops the request if it is not running yet and might be interrupted by the exit of this process.
     void recheck_exit();
+    /// Stops the request, running or not, since the process exits.
+    void interrupt() { this->stop(StopReason::ProcessExits); }
 
 protected:
     enum class StopReason {
--- a/Libraries/LibRouter/RequestRouter.cpp
+++ b/Libraries/LibRouter/RequestRouter.cpp
@@ -130,6 +130,13 @@
         request->recheck_exit();
 }
 
+void RequestRouter::interrupt_requests()
+{
+    auto const requests = *this->state.running_requests;
+    for (auto* request : requests)
+        request->interrupt();
+}
+
 asio::awaitable<void> RequestRouter::reject(HttpExchange& exchange, int status, std::string_view reason, std::string identifier)
 {
     LogLine("request_rejected").with("request", identifier).with("status", status).with("reason", reason).with("target", exchange.request().head.target);
--- a/Libraries/LibRouter/RequestRouter.h
+++ b/Libraries/LibRouter/RequestRouter.h
@@ -22,6 +22,8 @@
 
     /// Call regularly while the process is stopping: refuses the requests that wait to be sent and could not end in time any more.
     void recheck_waiting_requests();
+    /// Ends all requests shortly before the process exits, with a response where none has begun.
+    void interrupt_requests();
 
 private:
     /// Where a stream of the route began, if it can have begun at one software version only.
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -36,6 +36,8 @@
 constexpr double PACE_ERROR = 0.2;
 /// Left of the grace time when the rest is cut off.
 constexpr Duration STOP_MARGIN = milliseconds(400);
+/// Between the interruption of what still runs and the exit, for the responses to it.
+constexpr Duration INTERRUPTION_TIME = milliseconds(100);
 /// Renewals of a grant that may fail to come before it counts as over, and what a VM that is busy may be late with one.
 /// Where a slow VM's grants are taken for over its next renewal brings them back.
 constexpr int RENEWALS_MISSED = 2;
@@ -683,9 +685,12 @@
     if (spent >= BALANCER_NOTICE)
         this->callers->close_idle();
     bool const is_idle = spent >= BALANCER_NOTICE && relayed == 0 && this->callers->exchange_count() == 0 && this->callers->connection_count() == 0;
-    if (is_idle || is_late) {
-        LogLine("stopped").with("requests_cut", static_cast<std::int64_t>(this->callers->exchange_count() + relayed));
-        this->when_stopped();
+    if (is_idle) {
+        this->exit_process(0);
+        return;
+    }
+    if (is_late) {
+        this->interrupt_requests();
         return;
     }
     this->request_router.recheck_waiting_requests();
@@ -696,4 +701,27 @@
     });
 }
 
+void Node::interrupt_requests()
+{
+    auto const relayed = this->relay_server ? this->relay_server->exchange_count() : 0;
+    auto const interrupted = this->callers->exchange_count() + relayed;
+    this->request_router.interrupt_requests();
+    if (this->relay_server)
+        this->relay_server->abort_exchanges();
+    this->stop_timer.expires_after(INTERRUPTION_TIME);
+    this->stop_timer.async_wait([this, interrupted](asio::error_code error) {
+        if (error)
+            return;
+        // The kernel closes what is open at the exit in good order, which looks like the end of a response without a length.
+        this->callers->abort_exchanges();
+        this->exit_process(interrupted);
+    });
+}
+
+void Node::exit_process(std::size_t interrupted)
+{
+    LogLine("stopped").with("requests_cut", static_cast<std::int64_t>(interrupted));
+    this->when_stopped();
+}
+
 }
--- a/Services/NodeServer/Node.h
+++ b/Services/NodeServer/Node.h
@@ -110,6 +110,9 @@
     void note_cut(MonotonicTime now);
     void note_partition(MonotonicTime now);
     void poll_stop();
+    /// Ends what still runs at the end of the grace time.
+    void interrupt_requests();
+    void exit_process(std::size_t interrupted);
 
     asio::io_context& loop;
     NodeSettings settings;
--- a/Tests/Platform/TestPlannedStop.cpp
+++ b/Tests/Platform/TestPlannedStop.cpp
@@ -153,3 +153,53 @@
     CHECK(monotonic_now() - begun < AT_ONCE);
     CHECK(upstream.run == std::vector<std::string> { "first" });
 }
+
+// Guards against callers that learn nothing of the exit, and against half a response that looks complete: the kernel closes
+// what is open at the exit in good order.
+TEST_CASE("What still runs at the end of the grace time is answered, or broken off so that it does not look complete", "[planned-stop]")
+{
+    NodeUnderTest test([](NodeSettings& settings) { settings.stop_grace = milliseconds(1000); });
+    test.configure(1);
+    UpstreamStandIn plain(test.loop, "i-1");
+    UpstreamStandIn prefill(test.loop, "i-p", "prefill");
+    UpstreamStandIn decode(test.loop, "i-d", "decode");
+    test.list(plain, "plain");
+    test.list(prefill, "engines");
+    test.list(decode, "engines");
+    plain.script = [&](HttpExchange&) -> asio::awaitable<bool> {
+        Signal never(test.loop.get_executor());
+        static_cast<void>(co_await never.wait_until(monotonic_now() + seconds(20)));
+        co_return true;
+    };
+    decode.framing = BodyFraming::UntilClose;
+    decode.events = 1000;
+    decode.event_pause = milliseconds(10);
+    auto const call = test.begin(test.request("POST", "/once/x", "call"));
+    auto const stream = test.begin(test.model_request("/stream/x", "stream"));
+    int call_status = 0;
+    std::optional<HttpError> stream_error;
+    bool is_read = false;
+    auto const read = [&]() -> asio::awaitable<void> {
+        auto const begun = co_await stream->read_head();
+        if (begun.is_error()) {
+            stream_error = begun.error();
+        } else {
+            auto const body = co_await stream->read_body(1'000'000);
+            if (body.is_error())
+                stream_error = body.error();
+        }
+        auto const head = co_await call->read_head();
+        call_status = head.is_error() ? 0 : head.value().status;
+        is_read = true;
+    };
+    REQUIRE(test.run_until([&] { return !plain.requests.empty() && !decode.run.empty(); }));
+    asio::co_spawn(test.loop, read(), asio::detached);
+    bool is_stopped = false;
+    test.node->stop([&] { is_stopped = true; });
+    REQUIRE(test.run_until([&] { return is_stopped; }));
+    REQUIRE(test.run_until([&] { return is_read; }, seconds(2)));
+    CHECK(stream_error == HttpError::Closed);
+    // It may have run.
+    CHECK(call_status == 502);
+    REQUIRE(test.run_until([&] { return decode.abandoned.contains("stream"); }));
+}
