StreamingRequestHandler: Break off streams whose event has no end

What callers saw: a stream whose engine sent bytes without an event's end stayed open without an event until its deadline, and one that may be resumed did not go on elsewhere. Other requests of the VM waited: each piece was appended to all that had come, and all of it was searched again.

Cause: EventStreamSplitter keeps a partial event of any size and searches it from its begin for each piece that is added.

Change: a partial event of more than 256 KiB ends the engine's response with a type of its own (event_too_large): the stream goes on at another engine where it may be resumed, else it gets 502 or is broken off. It counts for streams whose partial events are passed on as well. What has been searched is not searched again.

--- a/Libraries/LibAsync/HttpError.h
+++ b/Libraries/LibAsync/HttpError.h
@@ -20,6 +20,8 @@
     Malformed,
     HeadTooLarge,
     BodyTooLarge,
+    /// An event of a stream has no end.
+    EventTooLarge,
     /// This side gave the exchange up.
     Aborted,
 };
--- a/Libraries/LibRouter/EventStreamSplitter.cpp
+++ b/Libraries/LibRouter/EventStreamSplitter.cpp
@@ -7,10 +7,16 @@
 
 std::string EventStreamSplitter::append(std::string_view bytes)
 {
+    // What was received before has been searched, but for a boundary that begins with its last byte.
+    auto const unsearched = this->pending.empty() ? 0 : this->pending.size() - 1;
     this->pending += bytes;
-    auto const end = this->pending.rfind("\n\n");
-    if (end == std::string::npos)
+    auto const found = std::string_view(this->pending).substr(unsearched).rfind("\n\n");
+    if (found == std::string_view::npos) {
+        this->partial_event_bytes += bytes.size();
         return {};
+    }
+    auto const end = unsearched + found;
+    this->partial_event_bytes = this->pending.size() - end - 2;
     std::string whole = this->pending.substr(0, end + 2);
     this->pending.erase(0, end + 2);
     for (auto position = whole.find("\n\n"); position != std::string::npos; position = whole.find("\n\n", position + 2))
--- a/Libraries/LibRouter/StreamingRequestHandlerRelay.cpp
+++ b/Libraries/LibRouter/StreamingRequestHandlerRelay.cpp
@@ -14,6 +14,8 @@
 namespace {
 
 constexpr std::string_view EVENT_STREAM_TYPE = "text/event-stream";
+/// An event holds a few tokens and what an engine says about them. One that goes on beyond this has no end.
+constexpr std::size_t MAXIMUM_EVENT_BYTES = 256UL * 1024;
 /// A prompt that crashes engines does so as they begin to answer it. Long streams of sound prompts may all be interrupted by
 /// crashes before their end.
 constexpr Duration SERVED_AFTER = seconds(1);
@@ -203,6 +205,12 @@
             if (end.reason != StreamMigrator::SourceEnd::Reason::Other && !piece.is_error())
                 piece = Failure { HttpError::Closed };
         }
+        std::string bytes;
+        if (!piece.is_error()) {
+            bytes = this->events.append(piece.value());
+            if (is_event_stream && bytes.empty() && this->events.partial_event_size() > MAXIMUM_EVENT_BYTES)
+                piece = Failure { HttpError::EventTooLarge };
+        }
         if (piece.is_error()) {
             connection->abort();
             this->events.discard_partial_event();
@@ -221,7 +229,6 @@
         }
         link->note_received();
         bool const is_end = piece.value().empty();
-        auto bytes = this->events.append(piece.value());
         if (!withholds_partial_events || is_end)
             bytes += this->events.take_remainder();
         if (bytes.empty() && !is_end)
--- a/Tests/LibRouter/TestEventStreamSplitter.cpp
+++ b/Tests/LibRouter/TestEventStreamSplitter.cpp
@@ -39,3 +39,27 @@
     REQUIRE_FALSE(splitter.append("id: 7\ndata: paid: 9\n\n").empty());
     REQUIRE(splitter.last_identifier() == "7");
 }
+
+// Guards against an event without end: all bytes received before were searched again for each piece.
+TEST_CASE("The size of a partial event is known, and no byte of it is searched twice", "[endless]")
+{
+    EventStreamSplitter splitter;
+    REQUIRE(splitter.append("id: 1\ndata: a\n\nid: 2\n") == "id: 1\ndata: a\n\n");
+    REQUIRE(splitter.partial_event_size() == 6);
+    REQUIRE(splitter.append("data: b\n").empty());
+    REQUIRE(splitter.partial_event_size() == 14);
+    // The boundary begins with the last byte of the piece before.
+    REQUIRE(splitter.append("\nid: 3") == "id: 2\ndata: b\n\n");
+    REQUIRE(splitter.partial_event_size() == 5);
+    // Bytes that were passed on belong to the event all the same.
+    REQUIRE(splitter.take_remainder() == "id: 3");
+    REQUIRE(splitter.append("\ndata").empty());
+    REQUIRE(splitter.partial_event_size() == 10);
+    splitter.discard_partial_event();
+    REQUIRE(splitter.partial_event_size() == 0);
+    // 64 MiB in pieces of 1 KiB; a second search of what came before would take minutes.
+    std::string const piece(1024, 'x');
+    for (int i = 0; i < 64 * 1024; ++i)
+        REQUIRE(splitter.append(piece).empty());
+    REQUIRE(splitter.partial_event_size() == 64UL * 1024 * 1024);
+}
