HttpConnection: Bound interim responses and the memory of bodies

What callers saw: while an upstream sent interim responses without end, its request waited for its deadline, whatever its kind, and the event loop did little else. Several long bodies at a time, each within its limit of 8 MiB, could take more than the memory of a VM, which ends all of its requests.

Cause: each interim response was read as the first one, with no count of those before it. The limit of a body holds for one body; a length beyond the limit was found out only after as many bytes had come.

Change: interim responses of one request have 16 KiB together, as a head has. The bodies that are being read share 24 MiB, and one whose announced length exceeds its limit fails before it is read. Each fails with the type that it had (head_too_large, body_too_large), and the connection is closed.

Ruled out: other heads without end (bytes that are no HTTP, empty lines, a status line, fields), the size and the extension of a chunk, and trailers fail at once as they are.

--- a/Libraries/LibAsync/HttpConnection.cpp
+++ b/Libraries/LibAsync/HttpConnection.cpp
@@ -13,11 +13,41 @@
 /// All reads of the one loop go through this; what is kept is copied out at once.
 std::array<char, 64UL * 1024> s_read_buffer;
 
+/// Peers in trouble may send interim answers without end.
+constexpr std::size_t MAXIMUM_INTERIM_BYTES = 16UL * 1024;
+/// A small part of the memory of a VM. Usual bodies take some kilobytes.
+constexpr std::size_t MAXIMUM_BUFFERED_BYTES = 24UL * 1024 * 1024;
+/// Of all bodies that are being read by the one loop.
+std::size_t s_buffered_bytes = 0;
+
 /// Connections whose other side does not tell how long it keeps them rest no longer than this.
 constexpr Duration DEFAULT_IDLE_LIMIT = milliseconds(1500);
 
 }
 
+class HttpConnection::BufferedBody {
+public:
+    BufferedBody() = default;
+    ~BufferedBody() { s_buffered_bytes -= this->body.size(); }
+    BufferedBody(BufferedBody const&) = delete;
+    BufferedBody& operator=(BufferedBody const&) = delete;
+
+    void append(std::string_view piece)
+    {
+        this->body += piece;
+        s_buffered_bytes += piece.size();
+    }
+    std::size_t size() const { return this->body.size(); }
+    std::string take()
+    {
+        s_buffered_bytes -= this->body.size();
+        return std::exchange(this->body, {});
+    }
+
+private:
+    std::string body;
+};
+
 HttpConnection::HttpConnection(asio::any_io_executor const& executor)
     : socket(executor)
     , deadline(executor)
@@ -134,6 +164,7 @@
 
 asio::awaitable<Result<HttpResponseHead, HttpError>> HttpConnection::read_head()
 {
+    std::size_t interim_bytes = 0;
     while (true) {
         auto const parsed = this->parse_unread();
         if (parsed.is_error())
@@ -145,6 +176,9 @@
         }
         if (this->parser.response_head().status / 100 != 1)
             break;
+        interim_bytes += this->parser.head_size();
+        if (interim_bytes > MAXIMUM_INTERIM_BYTES)
+            co_return Failure { HttpError::HeadTooLarge };
         this->parser.start();
     }
     this->note_idle_limit(this->parser.response_head());
@@ -163,15 +197,17 @@
 
 asio::awaitable<Result<std::string, HttpError>> HttpConnection::read_body(std::size_t limit)
 {
-    std::string body;
+    if (this->parser.announced_body_size().value_or(0) > limit)
+        co_return Failure { HttpError::BodyTooLarge };
+    BufferedBody body;
     while (true) {
         auto piece = co_await this->read_piece();
         if (piece.is_error())
             co_return Failure { piece.error() };
         if (piece.value().empty())
-            co_return body;
-        body += piece.value();
-        if (body.size() > limit)
+            co_return body.take();
+        body.append(piece.value());
+        if (body.size() > limit || s_buffered_bytes > MAXIMUM_BUFFERED_BYTES)
             co_return Failure { HttpError::BodyTooLarge };
     }
 }
--- a/Libraries/LibAsync/HttpConnection.h
+++ b/Libraries/LibAsync/HttpConnection.h
@@ -30,11 +30,12 @@
 
     /// Begins to send a request. The bytes go out while the answer is awaited, since it may come early.
     void send(std::string head, std::shared_ptr<std::string const> body, MessageParser::ExpectedBody expected_body = MessageParser::ExpectedBody::AsFramed);
-    /// Waits for the next answer's head; interim answers are passed over.
+    /// Waits for the next answer's head; interim answers are passed over. Too many of them fail with HeadTooLarge.
     asio::awaitable<Result<HttpResponseHead, HttpError>> read_head();
     /// Waits for more of the body. An empty piece stands for its whole end.
     asio::awaitable<Result<std::string, HttpError>> read_piece();
-    /// Reads what is left of the body, up to a limit.
+    /// Reads what is left of the body, up to a limit. The bodies that are read at the same time share a limit as well, so that
+    /// peers which send without end do not exhaust the memory of the process. What exceeds a limit fails with BodyTooLarge.
     asio::awaitable<Result<std::string, HttpError>> read_body(std::size_t limit);
     /// Goes on to another answer on this connection, after one that belongs to no request.
     void expect_another_answer();
@@ -55,6 +56,9 @@
     Duration idle_limit {};
 
 private:
+    /// Counts the bytes of a body that is being read towards those of all connections.
+    class BufferedBody;
+
     asio::awaitable<Result<Done, HttpError>> read_more();
     Result<Done, HttpError> parse_unread();
     HttpError failure(HttpError otherwise) const;
--- a/Libraries/LibAsync/MessageParser.cpp
+++ b/Libraries/LibAsync/MessageParser.cpp
@@ -50,6 +50,7 @@
     this->message_complete = false;
     this->keep_alive = false;
     this->head_bytes = 0;
+    this->announced_size.reset();
     this->body.clear();
 }
 
@@ -118,6 +119,9 @@
     } else if (this->headers.count("content-length") > 1 || this->headers.count("host") > 1 || this->parser.http_major != 1) {
         return STOP;
     }
+    // The library counts the length down as the body comes in.
+    if (this->framing() == BodyFraming::Length)
+        this->announced_size = this->parser.content_length;
     return this->expected_body == ExpectedBody::None ? SKIP_BODY : 0;
 }
 
--- a/Libraries/LibAsync/MessageParser.h
+++ b/Libraries/LibAsync/MessageParser.h
@@ -6,8 +6,10 @@
 #include <LibAsync/HttpError.h>
 #include <LibAsync/HttpMessage.h>
 #include <LibCore/Result.h>
+#include <cstdint>
 #include <http_parser.h>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -42,6 +44,8 @@
     bool is_complete() const { return this->message_complete; }
     bool keeps_alive() const { return this->keep_alive; }
     BodyFraming framing() const;
+    /// The length that the head gives for a body of the Length framing.
+    std::optional<std::uint64_t> announced_body_size() const { return this->announced_size; }
 
     HttpRequestHead take_request_head();
     HttpResponseHead const& response_head() const { return this->response; }
@@ -71,6 +75,7 @@
     bool message_complete = false;
     bool keep_alive = false;
     std::size_t head_bytes = 0;
+    std::optional<std::uint64_t> announced_size;
     std::size_t maximum_head = 16UL * 1024;
     std::string body;
 };
