LibRouter: Match each response with its request before its status counts

The server had sent a refusal of an earlier request a second time, late, on the same connection.

Cause: the handlers looked at the request that a response names each in their own way. Plain requests passed over what names another request; streams and continuations took its refusal for their own, prefills gave up, relaying VMs passed it on and kept the connection with the due response outstanding, and the router's own calls never looked.

Change: HttpConnection::read_matching_head passes over responses that its filter does not accept, and closes the connection afterwards. The one filter (ResponseInfo::is_response_to) is used by UpstreamLink, for all requests of callers, by RelayService and by call_upstream. A response that names no request is taken for the one that is due, as before.

Tests: "A refusal of another request says nothing about a stream" (503 instead of 200 before the change) and "... about a plain request or a prefill" (no cache at the decode engine before) fail without the change. Plain requests passed before as well.

--- a/Libraries/LibAsync/ConnectionPool.cpp
+++ b/Libraries/LibAsync/ConnectionPool.cpp
@@ -40,7 +40,7 @@
     connection->set_deadline(monotonic_now() + options.timeout);
     auto const body = request.body.empty() ? nullptr : std::make_shared<std::string const>(std::move(request.body));
     connection->send(format_request_head(request.head), body);
-    auto head = co_await connection->read_head();
+    auto head = co_await connection->read_matching_head(std::move(options.accepts_response));
     if (head.is_error()) {
         connection->abort();
         co_return Failure { head.error() };
--- a/Libraries/LibAsync/ConnectionPool.h
+++ b/Libraries/LibAsync/ConnectionPool.h
@@ -41,6 +41,8 @@
         std::size_t largest_body = 64UL * 1024;
         /// Asked when the connection is there; where it says no, nothing is sent.
         std::function<bool()> may_send = [] { return true; };
+        /// Whether a response may belong to this call, and not to a request that was sent before on the connection.
+        HttpConnection::ResponseFilter accepts_response = [](auto const&) { return true; };
     };
 
     struct Answer {
--- a/Libraries/LibAsync/HttpConnection.cpp
+++ b/Libraries/LibAsync/HttpConnection.cpp
@@ -17,6 +17,9 @@
 constexpr std::size_t MAXIMUM_INTERIM_BYTES = 16UL * 1024;
 /// A small part of the memory of a VM. Usual bodies take some kilobytes.
 constexpr std::size_t MAXIMUM_BUFFERED_BYTES = 24UL * 1024 * 1024;
+/// A response that was due before may come late, in the place of the one that is due now.
+constexpr int MAXIMUM_OTHER_RESPONSES = 3;
+constexpr std::size_t MAXIMUM_OTHER_RESPONSE_BYTES = 1024UL * 1024;
 /// Of all bodies that are being read by the one loop.
 std::size_t s_buffered_bytes = 0;
 
@@ -212,10 +215,20 @@
     }
 }
 
-void HttpConnection::expect_another_answer()
+asio::awaitable<Result<HttpResponseHead, HttpError>> HttpConnection::read_matching_head(ResponseFilter accepts)
 {
-    this->parser.start();
-    this->must_close = true;
+    auto const expected_body = this->parser.expectation();
+    for (int passed_over = 0; passed_over <= MAXIMUM_OTHER_RESPONSES; ++passed_over) {
+        auto head = co_await this->read_head();
+        if (head.is_error() || accepts(head.value()))
+            co_return head;
+        auto const body = co_await this->read_body(MAXIMUM_OTHER_RESPONSE_BYTES);
+        if (body.is_error())
+            co_return Failure { body.error() };
+        this->parser.start(expected_body);
+        this->must_close = true;
+    }
+    co_return Failure { HttpError::OtherResponses };
 }
 
 void HttpConnection::note_idle_limit(HttpResponseHead const& head)
--- a/Libraries/LibAsync/HttpConnection.h
+++ b/Libraries/LibAsync/HttpConnection.h
@@ -12,6 +12,7 @@
 #include <LibCore/Time.h>
 #include <LibHttp/Address.h>
 #include <asio.hpp>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -32,13 +33,16 @@
     void send(std::string head, std::shared_ptr<std::string const> body, MessageParser::ExpectedBody expected_body = MessageParser::ExpectedBody::AsFramed);
     /// Waits for the next answer's head; interim answers are passed over. Too many of them fail with HeadTooLarge.
     asio::awaitable<Result<HttpResponseHead, HttpError>> read_head();
+    using ResponseFilter = std::function<bool(HttpResponseHead const&)>;
+    /// Waits for the head of the first response that the filter accepts. The others belong to requests that were sent before on
+    /// this connection; they are passed over with their bodies, and the connection is not used again. Too many of them fail with
+    /// OtherResponses.
+    asio::awaitable<Result<HttpResponseHead, HttpError>> read_matching_head(ResponseFilter accepts);
     /// Waits for more of the body. An empty piece stands for its whole end.
     asio::awaitable<Result<std::string, HttpError>> read_piece();
     /// Reads what is left of the body, up to a limit. The bodies that are read at the same time share a limit as well, so that
     /// peers which send without end do not exhaust the memory of the process. What exceeds a limit fails with BodyTooLarge.
     asio::awaitable<Result<std::string, HttpError>> read_body(std::size_t limit);
-    /// Goes on to another answer on this connection, after one that belongs to no request.
-    void expect_another_answer();
 
     /// After this time the exchange ends with TimedOut.
     void set_deadline(MonotonicTime time);
--- a/Libraries/LibAsync/HttpError.h
+++ b/Libraries/LibAsync/HttpError.h
@@ -22,6 +22,8 @@
     BodyTooLarge,
     /// An event of a stream has no end.
     EventTooLarge,
+    /// Responses to other requests came in place of the one that was due.
+    OtherResponses,
     /// This side gave the exchange up.
     Aborted,
 };
--- a/Libraries/LibAsync/MessageParser.h
+++ b/Libraries/LibAsync/MessageParser.h
@@ -39,6 +39,7 @@
     /// The other side closed in good order. Ends a body that lasts until then; else Closed.
     Result<Done, HttpError> feed_end();
 
+    ExpectedBody expectation() const { return this->expected_body; }
     bool has_begun() const { return this->begun; }
     bool has_head() const { return this->head_complete; }
     bool is_complete() const { return this->message_complete; }
--- a/Libraries/LibRouter/StreamingRequestHandler.cpp
+++ b/Libraries/LibRouter/StreamingRequestHandler.cpp
@@ -384,10 +384,9 @@
         auto response_body = co_await connection->read_body(MAXIMUM_SHORT_RESPONSE_BYTES);
         auto const info = this->state.dialect.read_response(head.value());
         this->record_statements(engine, info, head.value().status, link->send_time());
-        bool const is_matching_response = info.identifier.empty() || info.identifier == this->request.identifier;
-        if (response_body.is_error() || !is_matching_response) {
+        if (response_body.is_error()) {
             connection->abort();
-            reason = response_body.is_error() ? std::string(to_string(response_body.error())) : "answer_of_another_request";
+            reason = to_string(response_body.error());
         } else if (head.value().status == 200) {
             auto parsed_cache = this->state.dialect.read_prefill_cache(response_body.value());
             if (parsed_cache.is_error())
--- a/Libraries/LibRouter/UnaryRequestHandler.cpp
+++ b/Libraries/LibRouter/UnaryRequestHandler.cpp
@@ -29,8 +29,6 @@
 constexpr int MAXIMUM_UNUSABLE_PERMITS = 3;
 /// Accounts' priorities are multiplied by it, as they take precedence over those of routes.
 constexpr std::int64_t LARGEST_PRIORITY = 1000;
-/// A response to another request may arrive before the expected one.
-constexpr int MAXIMUM_MISMATCHED_RESPONSES = 3;
 
 Duration unix_time() { return milliseconds(unix_milliseconds()); }
 
@@ -521,45 +519,37 @@
     Attempt attempt;
     attempt.route = link.route();
     attempt.end = SendOutcome::Lost;
-    for (int mismatched = 0; mismatched <= MAXIMUM_MISMATCHED_RESPONSES; ++mismatched) {
-        auto head = co_await link.read_head();
-        if (head.is_error()) {
-            auto const& error = head.error();
-            attempt.reason = error.reason();
-            this->note_link_error(error);
-            if (error.delivery == LinkError::Delivery::NotDelivered)
-                attempt.end = SendOutcome::NotSent;
-            else
-                attempt.connection_error = error.error;
-            co_return attempt;
-        }
-        attempt.head = head.release_value();
-        auto body_result = co_await connection->read_body(MAXIMUM_RESPONSE_BYTES);
-        if (body_result.is_error()) {
-            attempt.reason = to_string(body_result.error());
-            attempt.connection_error = body_result.error();
-            co_return attempt;
-        }
-        attempt.body = body_result.release_value();
-        auto const info = this->state.dialect.read_response(attempt.head);
-        if (!info.identifier.empty() && info.identifier != this->request.identifier) {
-            attempt.reason = "answer_of_another_request";
-            connection->expect_another_answer();
-            continue;
-        }
-        bool const is_success = attempt.head.status / 100 == 2;
-        attempt.reason = "answered";
-        if (info.is_not_executed || attempt.head.status == 421) {
-            attempt.end = SendOutcome::NotExecuted;
-            attempt.reason = attempt.head.status == 421 ? "other_identity" : "upstream_full";
-        } else if (is_success && info.is_signed && !info.is_encoded && !info.identifier.empty())
-            attempt.end = SendOutcome::Success;
-        else if (!is_success && info.is_signed && !info.is_encoded && attempt.head.status >= 300 && attempt.head.status != 429 && attempt.head.status != 503 && attempt.head.status != 408)
-            attempt.end = SendOutcome::OwnFailure;
+    auto head = co_await link.read_head();
+    if (head.is_error()) {
+        auto const& error = head.error();
+        attempt.reason = error.reason();
+        this->note_link_error(error);
+        if (error.delivery == LinkError::Delivery::NotDelivered)
+            attempt.end = SendOutcome::NotSent;
         else
-            attempt.reason = "not_its_answer";
+            attempt.connection_error = error.error;
+        co_return attempt;
+    }
+    attempt.head = head.release_value();
+    auto body_result = co_await connection->read_body(MAXIMUM_RESPONSE_BYTES);
+    if (body_result.is_error()) {
+        attempt.reason = to_string(body_result.error());
+        attempt.connection_error = body_result.error();
         co_return attempt;
     }
+    attempt.body = body_result.release_value();
+    auto const info = this->state.dialect.read_response(attempt.head);
+    bool const is_success = attempt.head.status / 100 == 2;
+    attempt.reason = "answered";
+    if (info.is_not_executed || attempt.head.status == 421) {
+        attempt.end = SendOutcome::NotExecuted;
+        attempt.reason = attempt.head.status == 421 ? "other_identity" : "upstream_full";
+    } else if (is_success && info.is_signed && !info.is_encoded && !info.identifier.empty())
+        attempt.end = SendOutcome::Success;
+    else if (!is_success && info.is_signed && !info.is_encoded && attempt.head.status >= 300 && attempt.head.status != 429 && attempt.head.status != 503 && attempt.head.status != 408)
+        attempt.end = SendOutcome::OwnFailure;
+    else
+        attempt.reason = "not_its_answer";
     co_return attempt;
 }
 
--- a/Libraries/LibRouter/UpstreamCall.cpp
+++ b/Libraries/LibRouter/UpstreamCall.cpp
@@ -33,6 +33,11 @@
     return state.upstreams.takes_work(upstream.identity) ? SendObstacle::None : SendObstacle::Left;
 }
 
+HttpConnection::ResponseFilter responses_to(CallerDialect const& dialect, std::string request)
+{
+    return [&dialect, request = std::move(request)](auto const& head) { return dialect.read_response(head).is_response_to(request); };
+}
+
 asio::awaitable<Result<ConnectionPool::Answer, HttpError>> call_upstream(RouterState& state, UpstreamRecord upstream, HttpRequest request, CallPurpose purpose, ConnectionPool::Call options)
 {
     auto const address = parse_address(upstream.address);
@@ -46,6 +51,7 @@
         state.limiter->note_sent(upstream);
         return true;
     };
+    options.accepts_response = responses_to(state.dialect, {});
     auto answer = co_await state.pool.call(*address, std::move(request), std::move(options));
     if (!answer.is_error())
         record_upstream_statements(state, upstream, state.dialect.read_response(answer.value().head), answer.value().head.status, {});
--- a/Libraries/LibRouter/UpstreamLink.cpp
+++ b/Libraries/LibRouter/UpstreamLink.cpp
@@ -4,6 +4,7 @@
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
 #include <LibRouter/RelayClient.h>
+#include <LibRouter/UpstreamCall.h>
 #include <LibRouter/UpstreamLink.h>
 #include <array>
 
@@ -140,7 +141,11 @@
 
 asio::awaitable<Result<HttpResponseHead, LinkError>> UpstreamLink::read_head()
 {
-    auto head = co_await this->connected->read_head();
+    // A relaying VM passes over the responses to other requests itself.
+    HttpConnection::ResponseFilter accepts = [](auto const&) { return true; };
+    if (!this->relay)
+        accepts = responses_to(this->state.dialect, this->options.request);
+    auto head = co_await this->connected->read_matching_head(std::move(accepts));
     if (head.is_error()) {
         if (this->relay)
             this->count_relayed(to_string(head.error()));
@@ -153,7 +158,10 @@
     this->count_relayed(to_string(outcome));
     if (outcome == RelayOutcome::Forwarded) {
         remove_relay_outcome(response);
-        co_return response;
+        if (this->state.dialect.read_response(response).is_response_to(this->options.request))
+            co_return response;
+        this->connected->abort();
+        co_return Failure { LinkError { HttpError::OtherResponses, LinkError::Delivery::Unknown } };
     }
     if (is_relays_failure(outcome))
         this->relays->note_failure(this->relay->virtual_machine, monotonic_now());
--- /dev/null
+++ b/Tests/Platform/TestLateResponses.cpp
@@ -0,0 +1,171 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <Tests/Platform/NodeUnderTest.h>
+#include <algorithm>
+#include <catch2/catch.hpp>
+#include <map>
+
+using namespace Spurtide;
+using namespace Spurtide::Tests;
+
+namespace {
+
+/// A server that refuses the first request of each stage, and sends that refusal again before its response to the next request on the
+/// same connection.
+class RepeatingUpstream {
+public:
+    explicit RepeatingUpstream(asio::io_context& loop)
+        : acceptor(loop, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0))
+        , address { "127.0.0.1", this->acceptor.local_endpoint().port() }
+    {
+        asio::co_spawn(loop, this->accept(), asio::detached);
+    }
+
+    /// Refuses this many requests of the stage, "prefill" or "run", from the first one on.
+    std::map<std::string, int> refusals;
+    std::vector<std::string> run;
+    int repeated = 0;
+
+private:
+    asio::ip::tcp::acceptor acceptor;
+
+public:
+    Address const address;
+
+private:
+    static std::string field(std::string const& head, std::string const& name)
+    {
+        auto const at = head.find("\r\n" + name + ": ");
+        if (at == std::string::npos)
+            return {};
+        auto const from = at + name.size() + 4;
+        return head.substr(from, head.find("\r\n", from) - from);
+    }
+
+    static std::string response(std::string const& status, std::string const& identifier, std::string const& fields, std::string const& body)
+    {
+        auto const named = identifier.empty() ? std::string() : "X-Spurtide-Attempt-Id: " + identifier + "\r\n";
+        return "HTTP/1.1 " + status + "\r\n" + named + fields + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    }
+
+    /// The response to a request; sets whether it is a refusal.
+    std::string respond(std::string const& head, bool& is_refusal)
+    {
+        auto const identifier = field(head, "X-Spurtide-Attempt-Id");
+        bool const is_prefill = field(head, "X-Spurtide-Serving-Phase") == "prefill";
+        is_refusal = !identifier.empty() && this->refusals[is_prefill ? "prefill" : "run"]-- > 0;
+        if (is_refusal)
+            return response("503 Service Unavailable", identifier, "X-Spurtide-Not-Executed: 1\r\n", {});
+        if (identifier.empty())
+            return response("404 Not Found", {}, {}, {});
+        if (is_prefill)
+            return response("200 OK", identifier, "X-Spurtide-Server-Stamp: s\r\n", R"({"kv_handle":"h","tokens":1000,"version":1})");
+        this->run.push_back(identifier);
+        return response("200 OK", identifier, "X-Spurtide-Server-Stamp: s\r\nContent-Type: text/event-stream\r\n", "id: 1\ndata: " + identifier + "\n\n");
+    }
+
+    asio::awaitable<void> accept()
+    {
+        asio::error_code error;
+        while (!error) {
+            auto socket = co_await this->acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
+            if (!error)
+                asio::co_spawn(this->acceptor.get_executor(), this->serve(std::move(socket)), asio::detached);
+        }
+    }
+
+    asio::awaitable<void> serve(asio::ip::tcp::socket socket)
+    {
+        asio::error_code error;
+        std::string unread;
+        std::string late;
+        while (true) {
+            auto const size = co_await asio::async_read_until(socket, asio::dynamic_buffer(unread), "\r\n\r\n", asio::redirect_error(asio::use_awaitable, error));
+            if (error)
+                co_return;
+            auto const head = unread.substr(0, size);
+            unread.erase(0, size);
+            auto const length = field(head, "Content-Length");
+            auto const body_size = length.empty() ? 0 : std::stoul(length);
+            if (unread.size() < body_size)
+                co_await asio::async_read(socket, asio::dynamic_buffer(unread), asio::transfer_exactly(body_size - unread.size()), asio::redirect_error(asio::use_awaitable, error));
+            if (error)
+                co_return;
+            unread.erase(0, body_size);
+            bool is_refusal = false;
+            auto const answer = this->respond(head, is_refusal);
+            this->repeated += late.empty() ? 0 : 1;
+            auto const bytes = late + answer;
+            late = is_refusal ? answer : std::string();
+            co_await asio::async_write(socket, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
+            if (error)
+                co_return;
+        }
+    }
+};
+
+struct LateTest : NodeUnderTest {
+    LateTest() { this->configure(1); }
+
+    void list_late(UpstreamStandIn& upstream, std::string const& service)
+    {
+        upstream.listed_address = this->late.address;
+        this->list(upstream, service);
+    }
+
+    RepeatingUpstream late { this->loop };
+    UpstreamStandIn prefill { this->loop, "i-p", "prefill" };
+    UpstreamStandIn decode { this->loop, "i-d", "decode" };
+    UpstreamStandIn plain { this->loop, "i-1" };
+};
+
+}
+
+// Guards against a late second refusal of one stream that was taken for the refusal of the next one on its connection: that one ran,
+// and its caller was told that it had not.
+TEST_CASE("A refusal of another request says nothing about a stream", "[not-run][late]")
+{
+    LateTest test;
+    test.list(test.prefill, "engines");
+    test.list_late(test.decode, "engines");
+    for (auto const* target : { "/stream/x", "/resumable/x" }) {
+        CAPTURE(target);
+        auto const name = std::string(target).substr(1, 3);
+        test.late.refusals["run"] = 1;
+        auto const repeated = test.late.repeated;
+        // The only engine refuses it.
+        CHECK(test.call(test.model_request(target, name + "1")).head.status == 503);
+        auto const answer = test.call(test.model_request(target, name + "2"));
+        CHECK(test.late.repeated == repeated + 1);
+        CHECK(answer.head.status == 200);
+        CHECK(answer.body == "id: 1\ndata: " + name + "2\n\n");
+        CHECK(std::count(test.late.run.begin(), test.late.run.end(), name + "2") == 1);
+    }
+}
+
+// Guards against the same on the paths of plain requests and prefills.
+TEST_CASE("A refusal of another request says nothing about a plain request or a prefill", "[not-run][late]")
+{
+    LateTest test;
+    SECTION("plain requests")
+    {
+        test.list_late(test.plain, "plain");
+        test.late.refusals["run"] = 1;
+        CHECK(test.call(test.request("POST", "/once/x", "p1")).head.status == 503);
+        CHECK(test.call(test.request("POST", "/once/x", "p2")).head.status == 200);
+    }
+    SECTION("prefills")
+    {
+        test.list_late(test.prefill, "engines");
+        test.list(test.decode, "engines");
+        test.late.refusals["prefill"] = 1;
+        // The decode engine prefills what the other one refuses.
+        CHECK(test.call(test.model_request("/stream/x", "r1")).head.status == 200);
+        CHECK(test.call(test.model_request("/stream/x", "r2")).head.status == 200);
+        auto const cache = test.decode.requests.back().head.headers.find("X-Spurtide-Kv-Source");
+        REQUIRE(cache);
+        CHECK(cache->ends_with("/h"));
+    }
+    CHECK(test.late.repeated == 1);
+}
