ServerConnection: Let no response without a length look whole when its VM is gone

Cause: the VM passed such a response on as it came, without a length, so that it lasted until the connection closed. The kernel closes the connections of a killed process in good order, which is what the end of such a response looks like.

Change: streams reach callers of HTTP/1.1 in chunks, whatever the engine's framing. What is still sent without a length, to callers of HTTP/1.0 and to a VM whose request is relayed, has its connection reset by the kernel until the response is finished.

Tests: "A stream that ends with its engine's connection reaches its caller in chunks" and "The end of a process resets a response that lasts until its connection closes, and no other" fail without the change and pass with it.

--- a/Libraries/LibAsync/MessageParser.h
+++ b/Libraries/LibAsync/MessageParser.h
@@ -45,6 +45,8 @@
     bool is_complete() const { return this->message_complete; }
     bool keeps_alive() const { return this->keep_alive; }
     BodyFraming framing() const;
+    /// Whether the sender of the request reads chunks, which HTTP/1.0 does not know.
+    bool may_receive_chunks() const { return this->parser.http_major == 1 && this->parser.http_minor >= 1; }
     /// The length that the head gives for a body of the Length framing.
     std::optional<std::uint64_t> announced_body_size() const { return this->announced_size; }
 
--- a/Libraries/LibAsync/ServerConnection.cpp
+++ b/Libraries/LibAsync/ServerConnection.cpp
@@ -239,11 +239,14 @@
 asio::awaitable<Result<Done, HttpError>> ServerConnection::begin(HttpResponseHead head, BodyFraming framing)
 {
     this->answer_begun = true;
-    this->answer_framing = framing;
-    if (framing == BodyFraming::Chunked)
+    bool const has_no_chunks = framing == BodyFraming::Chunked && !this->parser.may_receive_chunks();
+    this->answer_framing = has_no_chunks ? BodyFraming::UntilClose : framing;
+    if (this->answer_framing == BodyFraming::Chunked)
         head.headers.add("Transfer-Encoding", "chunked");
-    if (framing == BodyFraming::UntilClose)
+    if (this->answer_framing == BodyFraming::UntilClose) {
         this->closes = true;
+        this->set_reset_on_close(ResetOnClose::Yes);
+    }
     head.headers.add("Connection", this->connection_field());
     co_return co_await this->send(format_response_head(head), {});
 }
@@ -268,17 +271,26 @@
     Result<Done, HttpError> sent = Done {};
     if (this->answer_framing == BodyFraming::Chunked)
         sent = co_await this->send("0\r\n\r\n", {});
+    if (this->answer_framing == BodyFraming::UntilClose)
+        this->set_reset_on_close(ResetOnClose::No);
     this->answer_whole = !sent.is_error();
     co_return sent;
 }
 
+// A reset cannot be taken for the end of an answer that lasts until the connection closes, also where the kernel closes it because
+// the process was killed.
+void ServerConnection::set_reset_on_close(ResetOnClose reset)
+{
+    asio::error_code ignored;
+    this->socket.set_option(asio::socket_base::linger(reset == ResetOnClose::Yes, 0), ignored);
+}
+
 void ServerConnection::abort()
 {
     this->closes = true;
     this->is_over = true;
     asio::error_code ignored;
-    // A reset cannot be taken for the end of an answer that lasts until the connection closes.
-    this->socket.set_option(asio::socket_base::linger(true, 0), ignored);
+    this->set_reset_on_close(ResetOnClose::Yes);
     this->socket.close(ignored);
     this->arrived.notify();
     this->room.notify();
--- a/Libraries/LibAsync/ServerConnection.h
+++ b/Libraries/LibAsync/ServerConnection.h
@@ -67,6 +67,11 @@
     asio::awaitable<void> answer_bad_request(ReadEnd end);
     asio::awaitable<void> close_gently();
     asio::awaitable<Result<Done, HttpError>> send(std::string head, std::string_view body);
+    enum class ResetOnClose {
+        No,
+        Yes,
+    };
+    void set_reset_on_close(ResetOnClose reset);
     void note_caller_gone();
     std::string connection_field();
 
--- a/Libraries/LibRouter/StreamingRequestHandlerRelay.cpp
+++ b/Libraries/LibRouter/StreamingRequestHandlerRelay.cpp
@@ -249,8 +249,8 @@
             co_return co_await this->retry_or_fail(SendOutcome::Lost, "other_software_version");
         }
         if (!this->exchange.has_begun()) {
-            auto const framing = ends_with_connection ? BodyFraming::UntilClose : BodyFraming::Chunked;
-            auto const begun = co_await this->exchange.begin(this->state.dialect.caller_response_head(head), framing);
+            // The caller can tell the end of chunks from a lost connection, whatever the engine's framing.
+            auto const begun = co_await this->exchange.begin(this->state.dialect.caller_response_head(head), BodyFraming::Chunked);
             if (begun.is_error())
                 co_return PlacementOutcome::Retry;
         }
--- a/Tests/LibAsync/TestHttpServer.cpp
+++ b/Tests/LibAsync/TestHttpServer.cpp
@@ -3,11 +3,13 @@
 
 #include <LibAsync/ConnectionPool.h>
 #include <LibAsync/HttpServer.h>
+#include <LibAsync/Signal.h>
 #include <LibCore/Clock.h>
 #include <catch2/catch.hpp>
 #include <functional>
 #include <netinet/tcp.h>
 #include <optional>
+#include <sys/socket.h>
 
 using namespace Spurtide;
 
@@ -180,3 +182,69 @@
     // Silence is found out within the idle time and all probes: sooner than an upstream's leaving has to be known.
     CHECK(option(IPPROTO_TCP, TCP_KEEPIDLE) + option(IPPROTO_TCP, TCP_KEEPCNT) * option(IPPROTO_TCP, TCP_KEEPINTVL) <= 3);
 }
+
+namespace {
+
+/// Whether the kernel resets the accepted connection of a caller when its process ends.
+bool is_reset_at_exit(asio::ip::tcp::socket const& caller)
+{
+    auto const address = caller.local_endpoint();
+    constexpr int MAXIMUM_DESCRIPTORS = 1024;
+    for (int descriptor = 0; descriptor < MAXIMUM_DESCRIPTORS; ++descriptor) {
+        asio::ip::tcp::endpoint peer;
+        socklen_t size = static_cast<socklen_t>(peer.capacity());
+        if (::getpeername(descriptor, peer.data(), &size) != 0 || peer != address)
+            continue;
+        linger option {};
+        size = sizeof(option);
+        REQUIRE(::getsockopt(descriptor, SOL_SOCKET, SO_LINGER, &option, &size) == 0);
+        return option.l_onoff != 0 && option.l_linger == 0;
+    }
+    FAIL("no such connection");
+    return false;
+}
+
+}
+
+// Guards against half a response without a length that looks whole when its process is killed: the kernel closes the connection then.
+TEST_CASE("The end of a process resets a response that lasts until its connection closes, and no other", "[kill][whole]")
+{
+    auto const framing = GENERATE(BodyFraming::UntilClose, BodyFraming::Chunked);
+    CAPTURE(static_cast<int>(framing));
+    asio::io_context loop;
+    Signal finish(loop.get_executor());
+    bool has_written = false;
+    auto const handle = [&](HttpExchange& exchange) -> asio::awaitable<void> {
+        HttpResponseHead head;
+        head.status = 200;
+        static_cast<void>(co_await exchange.begin(std::move(head), framing));
+        std::string_view const piece = "a piece";
+        static_cast<void>(co_await exchange.write(piece));
+        has_written = true;
+        co_await finish.wait();
+        static_cast<void>(co_await exchange.finish());
+    };
+    auto const server = HttpServer::create(loop, { "127.0.0.1", 0 }, handle).release_value();
+    asio::ip::tcp::socket caller(loop);
+    caller.connect({ asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(server->address().port) });
+    asio::write(caller, asio::buffer(std::string_view("GET / HTTP/1.1\r\nHost: h\r\n\r\n")));
+    auto const until = monotonic_now() + seconds(15);
+    while (!has_written && monotonic_now() < until)
+        loop.run_for(std::chrono::milliseconds(2));
+    REQUIRE(has_written);
+    CHECK(is_reset_at_exit(caller) == (framing == BodyFraming::UntilClose));
+    finish.notify();
+    // A whole response ends in good order.
+    std::string received;
+    std::optional<asio::error_code> end;
+    auto const note_end = [&](asio::error_code error, std::size_t) { end = error; };
+    if (framing == BodyFraming::UntilClose)
+        asio::async_read(caller, asio::dynamic_buffer(received), note_end);
+    else
+        asio::async_read_until(caller, asio::dynamic_buffer(received), "\r\n0\r\n\r\n", note_end);
+    while (!end && monotonic_now() < until)
+        loop.run_for(std::chrono::milliseconds(2));
+    REQUIRE(end);
+    CHECK(*end == (framing == BodyFraming::UntilClose ? asio::error_code(asio::error::eof) : asio::error_code()));
+    loop.stop();
+}
--- a/Tests/Platform/TestUnframedStreams.cpp
+++ b/Tests/Platform/TestUnframedStreams.cpp
@@ -91,3 +91,24 @@
     auto const reset = test.call(test.model_request("/stream/x", "r"));
     CHECK(reset.error);
 }
+
+// Guards against half a stream that looks whole at its caller when this VM is killed: the kernel closes the connection in good order.
+TEST_CASE("A stream that ends with its engine's connection reaches its caller in chunks", "[unframed]")
+{
+    UnframedTest test;
+    answer_unframed(test.first, event(1) + event(2), test.is_reset);
+    for (auto const* target : { "/stream/x", "/resumable/x" }) {
+        CAPTURE(target);
+        auto const answer = test.call(test.model_request(target, std::string("c") + target[1]));
+        CHECK(answer.head.headers.find("Transfer-Encoding") == "chunked");
+        CHECK(answer.body == event(1) + event(2));
+    }
+    // HTTP/1.0 knows no chunks.
+    auto request = test.model_request("/stream/x", "old");
+    auto bytes = format_request_head(request.head) + request.body;
+    bytes.replace(bytes.find("HTTP/1.1"), 8, "HTTP/1.0");
+    auto const old = test.exchange_bytes(bytes);
+    CHECK(old.find("chunked") == std::string::npos);
+    CHECK(old.find("Connection: close\r\n") != std::string::npos);
+    CHECK(old.ends_with("\r\n\r\n" + event(1) + event(2)));
+}
