EventStreamSplitter: Find the ends of events by lines

The limit of 256 KiB for an event without end counted from the last "\n\n" within one piece of the response. Streams with the other line ends that the format allows ("\r\n") have none, and where pieces are passed on as they come, an end that lies across two pieces was not seen. A sound stream of either kind broke off after 256 KiB. The number of its events, from which its tokens and the pace of answers are worked out, was wrong before as well.

Change: an event ends at an empty line. Whether the current line is empty, and whether the event has lines before it, is kept between pieces, also those that are passed on; no byte is searched twice. Empty lines between events belong to the next one, so that they alone are neither an event nor a reason to begin a response.

--- a/Libraries/LibRouter/EventStreamSplitter.cpp
+++ b/Libraries/LibRouter/EventStreamSplitter.cpp
@@ -5,22 +5,37 @@
 
 namespace Spurtide {
 
+std::size_t EventStreamSplitter::find_complete_events(std::string_view bytes)
+{
+    std::size_t complete = 0;
+    std::size_t line = 0;
+    for (auto end = bytes.find('\n'); end != std::string_view::npos; end = bytes.find('\n', line)) {
+        this->note_line_part(bytes.substr(line, end - line));
+        line = end + 1;
+        bool const was_empty = std::exchange(this->is_line_empty, true);
+        if (!was_empty) {
+            this->has_lines = true;
+        } else if (std::exchange(this->has_lines, false)) {
+            ++this->events;
+            complete = line;
+        }
+    }
+    this->note_line_part(bytes.substr(line));
+    return complete;
+}
+
 std::string EventStreamSplitter::append(std::string_view bytes)
 {
-    // What was received before has been searched, but for a boundary that begins with its last byte.
-    auto const unsearched = this->pending.empty() ? 0 : this->pending.size() - 1;
-    this->pending += bytes;
-    auto const found = std::string_view(this->pending).substr(unsearched).rfind("\n\n");
-    if (found == std::string_view::npos) {
+    auto const complete = this->find_complete_events(bytes);
+    if (complete == 0) {
+        this->pending += bytes;
         this->partial_event_bytes += bytes.size();
         return {};
     }
-    auto const end = unsearched + found;
-    this->partial_event_bytes = this->pending.size() - end - 2;
-    std::string whole = this->pending.substr(0, end + 2);
-    this->pending.erase(0, end + 2);
-    for (auto position = whole.find("\n\n"); position != std::string::npos; position = whole.find("\n\n", position + 2))
-        ++this->events;
+    std::string whole = std::exchange(this->pending, {});
+    whole += bytes.substr(0, complete);
+    this->pending = bytes.substr(complete);
+    this->partial_event_bytes = this->pending.size();
     constexpr std::string_view ID = "id:";
     for (auto line = whole.rfind(ID); line != std::string::npos; line = whole.rfind(ID, line - 1)) {
         if (line == 0 || whole[line - 1] == '\n') {
@@ -38,7 +53,7 @@
 
 bool EventStreamSplitter::is_inside_event() const
 {
-    return this->pending.find_first_not_of("\r\n") != std::string::npos && !this->pending.ends_with("\r\n\r\n");
+    return this->pending.find_first_not_of("\r\n") != std::string::npos;
 }
 
 }
--- a/Libraries/LibRouter/EventStreamSplitter.h
+++ b/Libraries/LibRouter/EventStreamSplitter.h
@@ -11,7 +11,7 @@
 
 namespace Spurtide {
 
-/// Splits an event stream at event boundaries, counts the events and tracks the last event id.
+/// Splits an event stream at event boundaries, which are empty lines, counts the events and tracks the last event id.
 class EventStreamSplitter {
 public:
     /// Appends received bytes and returns all bytes up to the end of the last complete event.
@@ -23,6 +23,8 @@
     {
         this->pending.clear();
         this->partial_event_bytes = 0;
+        this->has_lines = false;
+        this->is_line_empty = true;
     }
     /// Whether bytes of an incomplete event were received.
     bool is_inside_event() const;
@@ -32,8 +34,15 @@
     std::string const& last_identifier() const { return this->last_id; }
 
 private:
+    /// Number of bytes up to the end of the last event that these complete; 0 if they complete none.
+    std::size_t find_complete_events(std::string_view bytes);
+    void note_line_part(std::string_view part) { this->is_line_empty = this->is_line_empty && (part.empty() || part == "\r"); }
+
     std::string pending;
     std::size_t partial_event_bytes = 0;
+    /// Whether the partial event has lines before the current one, which may itself be incomplete.
+    bool has_lines = false;
+    bool is_line_empty = true;
     std::int64_t events = 0;
     std::string last_id;
 };
--- a/Tests/LibRouter/TestEventStreamSplitter.cpp
+++ b/Tests/LibRouter/TestEventStreamSplitter.cpp
@@ -63,3 +63,34 @@
         REQUIRE(splitter.append(piece).empty());
     REQUIRE(splitter.partial_event_size() == 64UL * 1024 * 1024);
 }
+
+// Guards against sound streams that were taken for an event without end: those with the other line ends, and those whose pieces
+// end between the two line ends and are passed on as they come.
+TEST_CASE("Events end at an empty line, whatever its line ends and the pieces it comes in", "[whole][endless]")
+{
+    std::string const line_end = GENERATE("\n", "\r\n");
+    bool const passes_on = GENERATE(false, true);
+    auto const piece = GENERATE(std::size_t { 1 }, std::size_t { 2 }, std::size_t { 3 }, std::size_t { 100 });
+    CAPTURE(line_end, passes_on, piece);
+    std::string const one = "id: 7" + line_end + "data: a" + line_end + line_end;
+    std::string stream;
+    for (int i = 0; i < 10; ++i)
+        stream += one;
+    EventStreamSplitter splitter;
+    std::string relayed;
+    for (std::size_t at = 0; at < stream.size(); at += piece) {
+        relayed += splitter.append(std::string_view(stream).substr(at, piece));
+        if (passes_on)
+            relayed += splitter.take_remainder();
+        REQUIRE(splitter.partial_event_size() < one.size());
+    }
+    CHECK(relayed == stream);
+    CHECK(splitter.event_count() == 10);
+    CHECK(splitter.partial_event_size() == 0);
+    CHECK_FALSE(splitter.is_inside_event());
+    // Empty lines between events belong to the next one.
+    CHECK(splitter.append("\n\n").empty());
+    CHECK_FALSE(splitter.is_inside_event());
+    CHECK(splitter.append(one) == "\n\n" + one);
+    CHECK(splitter.event_count() == 11);
+}
