HttpConnection: Expect no body of the response to HEAD after an interim one

Found by reading the change again: read_matching_head keeps what the parser expects when it goes on to the next response, while read_head, which does the same after an interim response, went back to the default. The body of a response to HEAD was then waited for until the request's deadline. Both now go on by the same function.

Test: "The response to HEAD has no body after an interim response either" fails without the change and passes with it.

--- a/Libraries/LibAsync/HttpConnection.cpp
+++ b/Libraries/LibAsync/HttpConnection.cpp
@@ -13,7 +13,7 @@
 /// All reads of the one loop go through this; what is kept is copied out at once.
 std::array<char, 64UL * 1024> s_read_buffer;
 
-/// Peers in trouble may send interim answers without end.
+/// A faulty peer may never stop sending interim responses.
 constexpr std::size_t MAXIMUM_INTERIM_BYTES = 16UL * 1024;
 /// A small part of the memory of a VM. Usual bodies take some kilobytes.
 constexpr std::size_t MAXIMUM_BUFFERED_BYTES = 24UL * 1024 * 1024;
@@ -182,7 +182,7 @@
         interim_bytes += this->parser.head_size();
         if (interim_bytes > MAXIMUM_INTERIM_BYTES)
             co_return Failure { HttpError::HeadTooLarge };
-        this->parser.start();
+        this->expect_next_response();
     }
     this->note_idle_limit(this->parser.response_head());
     co_return this->parser.response_head();
@@ -217,7 +217,6 @@
 
 asio::awaitable<Result<HttpResponseHead, HttpError>> HttpConnection::read_matching_head(ResponseFilter accepts)
 {
-    auto const expected_body = this->parser.expectation();
     for (int passed_over = 0; passed_over <= MAXIMUM_OTHER_RESPONSES; ++passed_over) {
         auto head = co_await this->read_head();
         if (head.is_error() || accepts(head.value()))
@@ -225,7 +224,7 @@
         auto const body = co_await this->read_body(MAXIMUM_OTHER_RESPONSE_BYTES);
         if (body.is_error())
             co_return Failure { body.error() };
-        this->parser.start(expected_body);
+        this->expect_next_response();
         this->must_close = true;
     }
     co_return Failure { HttpError::OtherResponses };
--- a/Libraries/LibAsync/HttpConnection.h
+++ b/Libraries/LibAsync/HttpConnection.h
@@ -41,7 +41,7 @@
     /// Waits for more of the body. An empty piece stands for its whole end.
     asio::awaitable<Result<std::string, HttpError>> read_piece();
     /// Reads what is left of the body, up to a limit. The bodies that are read at the same time share a limit as well, so that
-    /// peers which send without end do not exhaust the memory of the process. What exceeds a limit fails with BodyTooLarge.
+    /// faulty peers which never stop sending do not exhaust the memory of the process. What exceeds a limit fails with BodyTooLarge.
     asio::awaitable<Result<std::string, HttpError>> read_body(std::size_t limit);
 
     /// After this time the exchange ends with TimedOut.
@@ -65,6 +65,8 @@
 
     asio::awaitable<Result<Done, HttpError>> read_more();
     Result<Done, HttpError> parse_unread();
+    /// Goes on to another response to the same request.
+    void expect_next_response() { this->parser.start(this->parser.expectation()); }
     HttpError failure(HttpError otherwise) const;
     void note_idle_limit(HttpResponseHead const& head);
 
--- a/Tests/LibAsync/TestHttpServer.cpp
+++ b/Tests/LibAsync/TestHttpServer.cpp
@@ -248,3 +248,33 @@
     CHECK(*end == (framing == BodyFraming::UntilClose ? asio::error_code(asio::error::eof) : asio::error_code()));
     loop.stop();
 }
+
+// Guards against a response to HEAD whose body was waited for, since an interim response came before it.
+TEST_CASE("The response to HEAD has no body after an interim response either", "[whole]")
+{
+    asio::io_context loop;
+    asio::ip::tcp::acceptor acceptor(loop, { asio::ip::address_v4::loopback(), 0 });
+    std::optional<std::string> body;
+    auto const call = [&]() -> asio::awaitable<void> {
+        Address const address { "127.0.0.1", acceptor.local_endpoint().port() };
+        auto connected = co_await HttpConnection::connect(address, seconds(5), {});
+        auto const connection = connected.release_value();
+        connection->set_deadline(monotonic_now() + seconds(5));
+        HttpRequestHead head { "HEAD", "/", {} };
+        head.headers.add("Host", "h");
+        connection->send(format_request_head(head), nullptr, MessageParser::ExpectedBody::None);
+        auto const response = co_await connection->read_head();
+        auto const read = co_await connection->read_body(100);
+        body = response.is_error() || read.is_error() ? "failed" : read.value();
+    };
+    asio::co_spawn(loop, call(), asio::detached);
+    // Begins to connect; the kernel accepts for the acceptor.
+    loop.run_for(std::chrono::milliseconds(2));
+    asio::ip::tcp::socket peer(loop);
+    acceptor.accept(peer);
+    asio::write(peer, asio::buffer(std::string_view("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n")));
+    auto const until = monotonic_now() + seconds(15);
+    while (!body && monotonic_now() < until)
+        loop.run_for(std::chrono::milliseconds(2));
+    CHECK(body == "");
+}
