Tests: Let the two servers that do not speak HTTP share one

EndlessUpstream and RepeatingUpstream each had the same acceptor and read the fields of a request in the same way. RawUpstream accepts and reads requests for both; they keep only what they write. The tests and their checks stay as they were.

--- a/Tests/Platform/TestEndlessResponses.cpp
+++ b/Tests/Platform/TestEndlessResponses.cpp
@@ -2,8 +2,8 @@
 // SPDX-License-Identifier: BSD-2-Clause
 
 #include <LibCore/Clock.h>
-#include <Tests/Platform/EndlessUpstream.h>
 #include <Tests/Platform/NodeUnderTest.h>
+#include <Tests/Platform/RawUpstream.h>
 #include <catch2/catch.hpp>
 
 using namespace Spurtide;
@@ -15,6 +15,58 @@
 std::string const STREAM_HEAD = PLAIN_HEAD + "Content-Type: text/event-stream\r\n";
 std::string const CHUNK = "1000\r\n" + std::string(0x1000, 'x') + "\r\n";
 
+/// A faulty server that never stops responding until its connection is closed.
+class EndlessUpstream {
+public:
+    struct Response {
+        /// What comes first; IDENTIFIER stands for the request's identifier.
+        std::string begin;
+        /// What comes again and again after it.
+        std::string repeated;
+    };
+
+    EndlessUpstream(asio::io_context& loop, Response response)
+        : response(std::move(response))
+        , server(loop, [this](auto& socket) { return this->serve(socket); })
+    {
+    }
+
+    Address const& address() const { return this->server.address(); }
+    /// Requests that are being responded to.
+    std::size_t open_responses() const { return this->open; }
+    std::size_t responses_begun() const { return this->begun; }
+
+private:
+    asio::awaitable<void> serve(asio::ip::tcp::socket& socket)
+    {
+        constexpr std::string_view IDENTIFIER = "{id}";
+        constexpr std::size_t PIECE_BYTES = 64UL * 1024;
+        std::string buffer;
+        auto const head = co_await RawUpstream::read_request(socket, buffer);
+        if (head.empty())
+            co_return;
+        auto bytes = this->response.begin;
+        if (auto const at = bytes.find(IDENTIFIER); at != std::string::npos)
+            bytes.replace(at, IDENTIFIER.size(), RawUpstream::identifier_of(head));
+        std::string piece;
+        while (piece.size() < PIECE_BYTES)
+            piece += this->response.repeated;
+        ++this->open;
+        ++this->begun;
+        asio::error_code error;
+        while (!error) {
+            co_await asio::async_write(socket, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
+            bytes = piece;
+        }
+        --this->open;
+    }
+
+    Response response;
+    std::size_t open = 0;
+    std::size_t begun = 0;
+    RawUpstream server;
+};
+
 struct Case {
     std::string name;
     EndlessUpstream::Response response;
@@ -52,7 +104,7 @@
     return cases;
 }
 
-/// A VM with one upstream in trouble. The callers' deadline of three seconds is far beyond AT_ONCE.
+/// A VM with one faulty upstream. The callers' deadline of three seconds is far beyond AT_ONCE.
 struct EndlessTest : NodeUnderTest {
     EndlessTest(EndlessUpstream::Response response, std::string const& phase, std::string const& service)
         : endless(this->loop, std::move(response))
--- a/Tests/Platform/TestLateResponses.cpp
+++ b/Tests/Platform/TestLateResponses.cpp
@@ -2,6 +2,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 
 #include <Tests/Platform/NodeUnderTest.h>
+#include <Tests/Platform/RawUpstream.h>
 #include <algorithm>
 #include <catch2/catch.hpp>
 #include <map>
@@ -11,38 +12,22 @@
 
 namespace {
 
-/// A server that refuses the first request of each stage, and sends that refusal again before its response to the next request on the
-/// same connection.
+/// A server that refuses requests, and sends a refusal again before its response to the next request on the same connection.
 class RepeatingUpstream {
 public:
     explicit RepeatingUpstream(asio::io_context& loop)
-        : acceptor(loop, asio::ip::tcp::endpoint(asio::ip::address_v4::loopback(), 0))
-        , address { "127.0.0.1", this->acceptor.local_endpoint().port() }
+        : server(loop, [this](auto& socket) { return this->serve(socket); })
     {
-        asio::co_spawn(loop, this->accept(), asio::detached);
     }
 
-    /// Refuses this many requests of the stage, "prefill" or "run", from the first one on.
+    Address const& address() const { return this->server.address(); }
+
+    /// How many further requests of the stage it refuses, "prefill" or "run".
     std::map<std::string, int> refusals;
     std::vector<std::string> run;
     int repeated = 0;
 
 private:
-    asio::ip::tcp::acceptor acceptor;
-
-public:
-    Address const address;
-
-private:
-    static std::string field(std::string const& head, std::string const& name)
-    {
-        auto const at = head.find("\r\n" + name + ": ");
-        if (at == std::string::npos)
-            return {};
-        auto const from = at + name.size() + 4;
-        return head.substr(from, head.find("\r\n", from) - from);
-    }
-
     static std::string response(std::string const& status, std::string const& identifier, std::string const& fields, std::string const& body)
     {
         auto const named = identifier.empty() ? std::string() : "X-Spurtide-Attempt-Id: " + identifier + "\r\n";
@@ -52,8 +37,8 @@
     /// The response to a request; sets whether it is a refusal.
     std::string respond(std::string const& head, bool& is_refusal)
     {
-        auto const identifier = field(head, "X-Spurtide-Attempt-Id");
-        bool const is_prefill = field(head, "X-Spurtide-Serving-Phase") == "prefill";
+        auto const identifier = RawUpstream::identifier_of(head);
+        bool const is_prefill = RawUpstream::field(head, "X-Spurtide-Serving-Phase") == "prefill";
         is_refusal = !identifier.empty() && this->refusals[is_prefill ? "prefill" : "run"]-- > 0;
         if (is_refusal)
             return response("503 Service Unavailable", identifier, "X-Spurtide-Not-Executed: 1\r\n", {});
@@ -65,44 +50,25 @@
         return response("200 OK", identifier, "X-Spurtide-Server-Stamp: s\r\nContent-Type: text/event-stream\r\n", "id: 1\ndata: " + identifier + "\n\n");
     }
 
-    asio::awaitable<void> accept()
+    asio::awaitable<void> serve(asio::ip::tcp::socket& socket)
     {
+        std::string buffer;
+        std::string late;
         asio::error_code error;
         while (!error) {
-            auto socket = co_await this->acceptor.async_accept(asio::redirect_error(asio::use_awaitable, error));
-            if (!error)
-                asio::co_spawn(this->acceptor.get_executor(), this->serve(std::move(socket)), asio::detached);
-        }
-    }
-
-    asio::awaitable<void> serve(asio::ip::tcp::socket socket)
-    {
-        asio::error_code error;
-        std::string unread;
-        std::string late;
-        while (true) {
-            auto const size = co_await asio::async_read_until(socket, asio::dynamic_buffer(unread), "\r\n\r\n", asio::redirect_error(asio::use_awaitable, error));
-            if (error)
-                co_return;
-            auto const head = unread.substr(0, size);
-            unread.erase(0, size);
-            auto const length = field(head, "Content-Length");
-            auto const body_size = length.empty() ? 0 : std::stoul(length);
-            if (unread.size() < body_size)
-                co_await asio::async_read(socket, asio::dynamic_buffer(unread), asio::transfer_exactly(body_size - unread.size()), asio::redirect_error(asio::use_awaitable, error));
-            if (error)
+            auto const head = co_await RawUpstream::read_request(socket, buffer);
+            if (head.empty())
                 co_return;
-            unread.erase(0, body_size);
             bool is_refusal = false;
             auto const answer = this->respond(head, is_refusal);
             this->repeated += late.empty() ? 0 : 1;
             auto const bytes = late + answer;
             late = is_refusal ? answer : std::string();
             co_await asio::async_write(socket, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
-            if (error)
-                co_return;
         }
     }
+
+    RawUpstream server;
 };
 
 struct LateTest : NodeUnderTest {
@@ -110,7 +76,7 @@
 
     void list_late(UpstreamStandIn& upstream, std::string const& service)
     {
-        upstream.listed_address = this->late.address;
+        upstream.listed_address = this->late.address();
         this->list(upstream, service);
     }
 
