LibRouter: Log responses that name another request than the one that is due, or none

Responses to other requests were passed over without a line, and one that named no request was taken for the one that was due without a line either. The hypotheses of the incident of refused requests that ran could not be told apart.

Change: response_mismatched names the request that was due, the one that the response names, its status and what was done with it; spurtide_mismatched_responses_total counts them by service.

--- a/Libraries/LibRouter/RelayService.cpp
+++ b/Libraries/LibRouter/RelayService.cpp
@@ -107,7 +107,7 @@
     this->state.limiter->note_sent(upstream);
     InFlightRequest in_flight(this->state.prober, upstream, connection, send.when_unreachable);
     connection->send(exchange.request().body, nullptr, send.expected_body);
-    auto head = co_await connection->read_matching_head(responses_to(this->state.dialect, send.request));
+    auto head = co_await connection->read_matching_head(responses_to(this->state, upstream, send.request));
     if (head.is_error()) {
         connection->abort();
         this->note_end(send, to_string(head.error()), in_flight.send_time());
--- a/Libraries/LibRouter/UpstreamCall.cpp
+++ b/Libraries/LibRouter/UpstreamCall.cpp
@@ -2,6 +2,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 
 #include <LibCore/Clock.h>
+#include <LibCore/LogLine.h>
 #include <LibRouter/UpstreamCall.h>
 #include <LibRouter/UpstreamLimiter.h>
 #include <LibRouter/UpstreamStatements.h>
@@ -17,6 +18,20 @@
     return obstacle == SendObstacle::None || (obstacle == SendObstacle::Left && purpose == CallPurpose::Release);
 }
 
+void record_mismatch(RouterState& state, UpstreamRecord const& upstream, ResponseInfo const& info, int status, std::string_view request, bool is_accepted)
+{
+    std::string const action = is_accepted ? "accepted" : "passed_over";
+    std::string const names = info.identifier.empty() ? "none" : "other";
+    LogLine("response_mismatched")
+        .with("request", request)
+        .with("upstream", upstream.identity)
+        .with("names", info.identifier)
+        .with("status", status)
+        .with("not_executed", info.is_not_executed ? "yes" : "no")
+        .with("action", action);
+    state.metrics.increment("spurtide_mismatched_responses_total", "Responses of upstreams that named another request than the one that was due, or none", { { "service", upstream.service }, { "names", names }, { "action", action } });
+}
+
 }
 
 std::string_view to_string(SendObstacle obstacle)
@@ -33,9 +48,15 @@
     return state.upstreams.takes_work(upstream.identity) ? SendObstacle::None : SendObstacle::Left;
 }
 
-HttpConnection::ResponseFilter responses_to(CallerDialect const& dialect, std::string request)
+HttpConnection::ResponseFilter responses_to(RouterState& state, UpstreamRecord upstream, std::string request)
 {
-    return [&dialect, request = std::move(request)](auto const& head) { return dialect.read_response(head).is_response_to(request); };
+    return [&state, upstream = std::move(upstream), request = std::move(request)](auto const& head) {
+        auto const info = state.dialect.read_response(head);
+        bool const is_accepted = info.is_response_to(request);
+        if (info.identifier != request)
+            record_mismatch(state, upstream, info, head.status, request, is_accepted);
+        return is_accepted;
+    };
 }
 
 asio::awaitable<Result<ConnectionPool::Answer, HttpError>> call_upstream(RouterState& state, UpstreamRecord upstream, HttpRequest request, CallPurpose purpose, ConnectionPool::Call options)
@@ -51,7 +72,7 @@
         state.limiter->note_sent(upstream);
         return true;
     };
-    options.accepts_response = responses_to(state.dialect, {});
+    options.accepts_response = responses_to(state, upstream, {});
     auto answer = co_await state.pool.call(*address, std::move(request), std::move(options));
     if (!answer.is_error())
         record_upstream_statements(state, upstream, state.dialect.read_response(answer.value().head), answer.value().head.status, {});
--- a/Libraries/LibRouter/UpstreamCall.h
+++ b/Libraries/LibRouter/UpstreamCall.h
@@ -23,8 +23,8 @@
 SendObstacle find_send_obstacle(RouterState const& state, UpstreamRecord const& upstream);
 
 /// Accepts the responses to a request and those that name none. Calls of the router itself have no identifier, which is empty then.
-/// The dialect has to exist as long as the filter.
-HttpConnection::ResponseFilter responses_to(CallerDialect const& dialect, std::string request);
+/// Responses that name another request, or none, are logged and counted. The state has to exist as long as the filter.
+HttpConnection::ResponseFilter responses_to(RouterState& state, UpstreamRecord upstream, std::string request);
 
 /// What a call of the router itself means for its upstream.
 enum class CallPurpose {
--- a/Libraries/LibRouter/UpstreamLink.cpp
+++ b/Libraries/LibRouter/UpstreamLink.cpp
@@ -144,7 +144,7 @@
     // A relaying VM passes over the responses to other requests itself.
     HttpConnection::ResponseFilter accepts = [](auto const&) { return true; };
     if (!this->relay)
-        accepts = responses_to(this->state.dialect, this->options.request);
+        accepts = responses_to(this->state, this->record, this->options.request);
     auto head = co_await this->connected->read_matching_head(std::move(accepts));
     if (head.is_error()) {
         if (this->relay)
