LibRouter: Take no response that names no request for that to a caller's request

What callers saw: a stream, or a plain request that may run once, ran and was answered 503, which says that it had not and never would.

Cause: matches responses with requests by the identifier that they name, but a response that named none still counted by its place on the connection. The router's own calls (role orders, releases of caches, status queries) have no identifier, share their connections with callers' requests, and an upstream may send a response to one of them a second time, late. A late 421 or 503 was then the refusal of the next request, which ran.

Ruled out: that upstreams leave the identifier out of refusals.

Change: a response belongs to a caller's request only if it names it; one that names none is passed over like one that names another.

--- a/Libraries/LibRouter/CallerRequest.h
+++ b/Libraries/LibRouter/CallerRequest.h
@@ -114,10 +114,10 @@
 
 /// The metadata of an upstream's response, apart from its status.
 struct ResponseInfo {
-    /// The request that it responds to; empty if the response does not say.
+    /// The request that it responds to; empty if the response names none.
     std::string identifier;
-    /// Whether it is the response to this request. One that names no request is taken for the response that is due.
-    bool is_response_to(std::string_view request) const { return this->identifier.empty() || this->identifier == request; }
+    /// Whether it is the response to this request. Responses to the router's own calls, whose identifier is empty, name none.
+    bool is_response_to(std::string_view request) const { return this->identifier == request; }
     /// The upstream states that it did not execute the request.
     bool is_not_executed = false;
     /// The response carries the upstream's signature, which callers verify.
--- a/Libraries/LibRouter/UpstreamCall.cpp
+++ b/Libraries/LibRouter/UpstreamCall.cpp
@@ -18,18 +18,16 @@
     return obstacle == SendObstacle::None || (obstacle == SendObstacle::Left && purpose == CallPurpose::Release);
 }
 
-void record_mismatch(RouterState& state, UpstreamRecord const& upstream, ResponseInfo const& info, int status, std::string_view request, bool is_accepted)
+void record_mismatch(RouterState& state, UpstreamRecord const& upstream, ResponseInfo const& info, int status, std::string_view request)
 {
-    std::string const action = is_accepted ? "accepted" : "passed_over";
     std::string const names = info.identifier.empty() ? "none" : "other";
     LogLine("response_mismatched")
         .with("request", request)
         .with("upstream", upstream.identity)
         .with("names", info.identifier)
         .with("status", status)
-        .with("not_executed", info.is_not_executed ? "yes" : "no")
-        .with("action", action);
-    state.metrics.increment("spurtide_mismatched_responses_total", "Responses of upstreams that named another request than the one that was due, or none", { { "service", upstream.service }, { "names", names }, { "action", action } });
+        .with("not_executed", info.is_not_executed ? "yes" : "no");
+    state.metrics.increment("spurtide_mismatched_responses_total", "Responses of upstreams that were passed over, as they named another request than the one that was due, or none", { { "service", upstream.service }, { "names", names } });
 }
 
 }
@@ -52,10 +50,10 @@
 {
     return [&state, upstream = std::move(upstream), request = std::move(request)](auto const& head) {
         auto const info = state.dialect.read_response(head);
-        bool const is_accepted = info.is_response_to(request);
-        if (info.identifier != request)
-            record_mismatch(state, upstream, info, head.status, request, is_accepted);
-        return is_accepted;
+        if (info.is_response_to(request))
+            return true;
+        record_mismatch(state, upstream, info, head.status, request);
+        return false;
     };
 }
 
--- a/Libraries/LibRouter/UpstreamCall.h
+++ b/Libraries/LibRouter/UpstreamCall.h
@@ -22,8 +22,8 @@
 /// Call right before a send: the state of the upstream may have changed since it was chosen.
 SendObstacle find_send_obstacle(RouterState const& state, UpstreamRecord const& upstream);
 
-/// Accepts the responses to a request and those that name none. Calls of the router itself have no identifier, which is empty then.
-/// Responses that name another request, or none, are logged and counted. The state has to exist as long as the filter.
+/// Accepts the responses to a request. Calls of the router itself have no identifier, which is empty then, and are answered by
+/// responses that name no request. Other responses are logged and counted. The state has to exist as long as the filter.
 HttpConnection::ResponseFilter responses_to(RouterState& state, UpstreamRecord upstream, std::string request);
 
 /// What a call of the router itself means for its upstream.
--- a/Tests/Platform/TestCallAdmission.cpp
+++ b/Tests/Platform/TestCallAdmission.cpp
@@ -282,8 +282,7 @@
     UpstreamStandIn full(test.loop, "i-1");
     UpstreamStandIn free(test.loop, "i-2");
     full.script = [](HttpExchange& exchange) -> asio::awaitable<bool> {
-        auto head = HttpResponseHead { 503, "", {} };
-        head.headers.add("X-Spurtide-Not-Executed", "1");
+        auto head = UpstreamStandIn::refusal_head(exchange);
         static_cast<void>(co_await exchange.respond(std::move(head), {}));
         co_return true;
     };
--- a/Tests/Platform/TestLateResponses.cpp
+++ b/Tests/Platform/TestLateResponses.cpp
@@ -4,6 +4,7 @@
 #include <Tests/Platform/NodeUnderTest.h>
 #include <Tests/Platform/RawUpstream.h>
 #include <algorithm>
+#include <array>
 #include <catch2/catch.hpp>
 #include <map>
 
@@ -24,6 +25,8 @@
 
     /// How many further requests of the stage it refuses, "prefill" or "run".
     std::map<std::string, int> refusals;
+    /// Sent late in place of the refusal, if set.
+    std::string late_response;
     std::vector<std::string> run;
     int repeated = 0;
 
@@ -63,7 +66,9 @@
             auto const answer = this->respond(head, is_refusal);
             this->repeated += late.empty() ? 0 : 1;
             auto const bytes = late + answer;
-            late = is_refusal ? answer : std::string();
+            late.clear();
+            if (is_refusal)
+                late = this->late_response.empty() ? answer : this->late_response;
             co_await asio::async_write(socket, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
         }
     }
@@ -71,6 +76,12 @@
     RawUpstream server;
 };
 
+/// Refusals as upstreams send them to the router's own calls, which have no identifier.
+constexpr std::array UNNAMED_REFUSALS {
+    "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n",
+    "HTTP/1.1 503 Service Unavailable\r\nX-Spurtide-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+};
+
 struct LateTest : NodeUnderTest {
     LateTest() { this->configure(1); }
 
@@ -135,3 +146,52 @@
     }
     CHECK(test.late.repeated == 1);
 }
+
+// Guards against a late response to one of the router's own calls (a role order, the release of a cache) that was taken for the refusal
+// of the next stream on its connection: that one ran, and its caller was told that it had not.
+TEST_CASE("A refusal that names no request says nothing about a stream", "[not-run][late]")
+{
+    LateTest test;
+    test.list(test.prefill, "engines");
+    test.list_late(test.decode, "engines");
+    auto const* target = GENERATE("/stream/x", "/resumable/x");
+    auto const* refusal = GENERATE(from_range(UNNAMED_REFUSALS));
+    CAPTURE(target, refusal);
+    test.late.late_response = refusal;
+    test.late.refusals["run"] = 1;
+    // The only engine refuses it.
+    CHECK(test.call(test.model_request(target, "u1")).head.status == 503);
+    auto const answer = test.call(test.model_request(target, "u2"));
+    CHECK(test.late.repeated == 1);
+    CHECK(answer.head.status == 200);
+    CHECK(answer.body == "id: 1\ndata: u2\n\n");
+    CHECK(std::count(test.late.run.begin(), test.late.run.end(), "u2") == 1);
+}
+
+// Guards against the same on the paths of plain requests and prefills.
+TEST_CASE("A refusal that names no request says nothing about a plain request or a prefill", "[not-run][late]")
+{
+    LateTest test;
+    auto const* refusal = GENERATE(from_range(UNNAMED_REFUSALS));
+    CAPTURE(refusal);
+    test.late.late_response = refusal;
+    SECTION("plain requests")
+    {
+        test.list_late(test.plain, "plain");
+        test.late.refusals["run"] = 1;
+        CHECK(test.call(test.request("POST", "/once/x", "p1")).head.status == 503);
+        CHECK(test.call(test.request("POST", "/once/x", "p2")).head.status == 200);
+    }
+    SECTION("prefills")
+    {
+        test.list_late(test.prefill, "engines");
+        test.list(test.decode, "engines");
+        test.late.refusals["prefill"] = 1;
+        CHECK(test.call(test.model_request("/stream/x", "r1")).head.status == 200);
+        CHECK(test.call(test.model_request("/stream/x", "r2")).head.status == 200);
+        auto const cache = test.decode.requests.back().head.headers.find("X-Spurtide-Kv-Source");
+        REQUIRE(cache);
+        CHECK(cache->ends_with("/h"));
+    }
+    CHECK(test.late.repeated == 1);
+}
--- a/Tests/Platform/TestNode.cpp
+++ b/Tests/Platform/TestNode.cpp
@@ -118,8 +118,7 @@
         if (fault == 1)
             head.status = 500;
         if (fault == 2) {
-            head = HttpResponseHead { 503, "", {} };
-            head.headers.add("X-Spurtide-Not-Executed", "1");
+            head = UpstreamStandIn::refusal_head(exchange);
         }
         if (fault == 3)
             head.headers.add("Content-Encoding", "gzip");
@@ -268,8 +267,7 @@
     UpstreamStandIn prefill(test.loop, "i-p", "prefill");
     UpstreamStandIn decode(test.loop, "i-d", "decode");
     decode.script = times(1, [&](HttpExchange& exchange) -> asio::awaitable<void> {
-        HttpResponseHead head { 503, "", {} };
-        head.headers.add("X-Spurtide-Not-Executed", "1");
+        auto head = UpstreamStandIn::refusal_head(exchange);
         static_cast<void>(co_await exchange.respond(head, {}));
     });
     test.configure(1);
@@ -617,8 +615,7 @@
     UpstreamStandIn full(test.loop, "i-d1", "decode");
     UpstreamStandIn decode(test.loop, "i-d2", "decode");
     full.script = [&](HttpExchange& exchange) -> asio::awaitable<bool> {
-        auto head = HttpResponseHead { 503, "", {} };
-        head.headers.add("X-Spurtide-Not-Executed", "1");
+        auto head = UpstreamStandIn::refusal_head(exchange);
         static_cast<void>(co_await exchange.respond(std::move(head), {}));
         co_return true;
     };
@@ -640,8 +637,7 @@
     UpstreamStandIn prefill(test.loop, "i-p", "prefill");
     UpstreamStandIn decode(test.loop, "i-d", "decode");
     refusing.script = [&](HttpExchange& exchange) -> asio::awaitable<bool> {
-        auto head = HttpResponseHead { 503, "", {} };
-        head.headers.add("X-Spurtide-Not-Executed", "1");
+        auto head = UpstreamStandIn::refusal_head(exchange);
         static_cast<void>(co_await exchange.respond(std::move(head), {}));
         co_return true;
     };
--- a/Tests/Platform/TestRetryBudget.cpp
+++ b/Tests/Platform/TestRetryBudget.cpp
@@ -30,8 +30,7 @@
 
 asio::awaitable<bool> refuse(HttpExchange& exchange)
 {
-    auto head = HttpResponseHead { 503, "", {} };
-    head.headers.add("X-Spurtide-Not-Executed", "1");
+    auto head = UpstreamStandIn::refusal_head(exchange);
     static_cast<void>(co_await exchange.respond(std::move(head), {}));
     co_return true;
 }
--- a/Tests/Platform/UpstreamStandIn.cpp
+++ b/Tests/Platform/UpstreamStandIn.cpp
@@ -66,6 +66,15 @@
     return head;
 }
 
+HttpResponseHead UpstreamStandIn::refusal_head(HttpExchange const& exchange)
+{
+    HttpResponseHead head;
+    head.status = 503;
+    head.headers.add("X-Spurtide-Attempt-Id", exchange.request().head.headers.find("X-Spurtide-Attempt-Id").value_or(""));
+    head.headers.add("X-Spurtide-Not-Executed", "1");
+    return head;
+}
+
 asio::awaitable<void> UpstreamStandIn::answer(HttpExchange& exchange)
 {
     auto const arrived_at = monotonic_now();
@@ -106,6 +115,8 @@
     if (head.headers.find("X-Spurtide-Expect-Instance") != this->identity) {
         HttpResponseHead other;
         other.status = 421;
+        if (!request.empty())
+            other.headers.add("X-Spurtide-Attempt-Id", request);
         static_cast<void>(co_await exchange.respond(std::move(other), {}));
         co_return;
     }
--- a/Tests/Platform/UpstreamStandIn.h
+++ b/Tests/Platform/UpstreamStandIn.h
@@ -95,6 +95,8 @@
 
     /// The head of an answer to the exchange's request.
     HttpResponseHead answer_head(HttpExchange const& exchange, int status) const;
+    /// The head of a refusal of the exchange's request, which has not run.
+    static HttpResponseHead refusal_head(HttpExchange const& exchange);
 
 private:
     asio::awaitable<void> take(HttpExchange& exchange);
