Tests: Hold that a caller which closes its sending side counts as gone

Cause: ServerConnection takes the end of what it reads for the caller's leaving. That end is a FIN, and a caller that closes its connection sends nothing else until bytes reach it.

Ruled out: telling the two apart by "Connection: close" (callers that give up say it too), by the socket's state (CLOSE_WAIT either way), by keep-alive probes (a closed peer acknowledges them) or urgent data (callers may read it in line). These ways were weighed, not measured.

Evidence: the tests passed before, as nothing changes; a trial on a scratch state without the call of note_caller_gone at the end of read_all fails the test of TestServerConnection for both ways to close.

--- a/Tests/Platform/TestNode.cpp
+++ b/Tests/Platform/TestNode.cpp
@@ -1,6 +1,7 @@
 // SPDX-FileCopyrightText: 2026 The Spurtide developers
 // SPDX-License-Identifier: BSD-2-Clause
 
+#include <LibAsync/Signal.h>
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
 #include <Tests/Platform/NodeUnderTest.h>
@@ -218,6 +219,43 @@
     REQUIRE(test.run_until([&] { return decode.abandoned.contains("s1"); }));
 }
 
+// Guards against upstreams that work on for callers that are gone: the end of a half-closed connection looks the same as that of a
+// closed one.
+TEST_CASE("A caller that closes its connection or its sending side ends its request at the upstream within half a second", "[held][caller-cancel]")
+{
+    NodeUnderTest test;
+    UpstreamStandIn plain(test.loop, "i-1");
+    UpstreamStandIn engine(test.loop, "i-d", "decode");
+    engine.events = 100'000;
+    Signal left(test.loop.get_executor());
+    plain.script = [&](HttpExchange& exchange) -> asio::awaitable<bool> {
+        exchange.when_caller_leaves([&] { left.notify(); });
+        co_await left.wait();
+        plain.abandoned.insert("a");
+        exchange.abort();
+        co_return true;
+    };
+    test.configure(1);
+    test.list(plain, "plain");
+    test.list(engine, "engines");
+    bool const is_stream = GENERATE(false, true);
+    bool const closes_sending_side_only = GENERATE(false, true);
+    CAPTURE(is_stream, closes_sending_side_only);
+    auto& upstream = is_stream ? engine : plain;
+    auto request = is_stream ? test.model_request("/stream/x", "a") : test.request("GET", "/safe/x", "a");
+    request.head.headers.add("Connection", "close");
+    asio::ip::tcp::socket caller(test.loop);
+    auto const& address = test.node->caller_address();
+    caller.connect({ asio::ip::make_address(address.host), static_cast<std::uint16_t>(address.port) });
+    asio::write(caller, asio::buffer(format_request_head(request.head) + request.body));
+    REQUIRE(test.run_until([&] { return is_stream ? !engine.run.empty() : !plain.requests.empty(); }));
+    if (closes_sending_side_only)
+        caller.shutdown(asio::ip::tcp::socket::shutdown_send);
+    else
+        caller.close();
+    CHECK(test.run_until([&] { return upstream.abandoned.contains("a"); }, milliseconds(500)));
+}
+
 TEST_CASE("A request whose caller left before it was read reaches no upstream", "[held][caller-cancel][freeze]")
 {
     NodeUnderTest test;
--- a/Tests/Platform/TestRelay.cpp
+++ b/Tests/Platform/TestRelay.cpp
@@ -222,3 +222,20 @@
     connection->abort();
     CHECK(test.run_until([&] { return engine.abandoned.contains("a1"); }, milliseconds(500)));
 }
+
+// Guards against a relaying VM that goes on for a VM which closed its sending side: that looks the same as a closed connection.
+TEST_CASE("A relayed stream ends at its engine when the requesting VM closes its sending side", "[partitioned-vm][caller-cancel]")
+{
+    RelayTest test;
+    UpstreamStandIn engine(test.loop, "i-d", "decode");
+    engine.events = 10'000;
+    test.list(engine, "engines");
+    auto const request = relay_request(send_to("i-d"), upstream_request("POST", "i-d", "the prompt"));
+    asio::ip::tcp::socket requesting(test.loop);
+    auto const address = test.node->relay_address().value();
+    requesting.connect({ asio::ip::make_address(address.host), static_cast<std::uint16_t>(address.port) });
+    asio::write(requesting, asio::buffer(format_request_head(request.head) + request.body));
+    REQUIRE(test.run_until([&] { return !engine.run.empty(); }));
+    requesting.shutdown(asio::ip::tcp::socket::shutdown_send);
+    CHECK(test.run_until([&] { return engine.abandoned.contains("a1"); }, milliseconds(500)));
+}
