LibRouter: Pass the upstream's Content-Length on in the response to HEAD

What callers saw (review): the response to HEAD says "Content-Length: 0", whatever the upstream announces.

Cause: Content-Length is dropped where a response is passed on, with the other fields that frame a message, and HttpExchange::respond then adds the size of the body that it is given, which a response to HEAD lacks. A relaying VM does the same, since its own response is one to POST.

Ruled out: the parsers. They read the head of a response to HEAD as it is, and no body.

Change: the response to HEAD is sent with BodyFraming::None and the upstream's Content-Length, if it has one. A relaying VM passes the length on in Spurtide-Relay-Content-Length, which the VM that asked puts in the place of the relayed response's own.

Evidence: TestHeadRequests before the change, at the VM itself and through a relaying one: 4 of 134 checks fail, those of the length where the upstream announces 11 and where it announces chunks (an empty body's 0 was right by chance). After it all pass. Runs at the time of the commit: TestLibRouter passes (82 cases), and so does TestHeadRequests with the relay test beside it (3 cases, 176 assertions). The whole of TestPlatform was still running.

Conclusion: lengths reach callers. A HEAD on a streaming route has not been looked at.

--- a/Libraries/LibRouter/RelayProtocol.cpp
+++ b/Libraries/LibRouter/RelayProtocol.cpp
@@ -18,6 +18,8 @@
 constexpr std::string_view WHEN_UNREACHABLE = "Spurtide-Relay-When-Unreachable";
 constexpr std::string_view OPERATION = "Spurtide-Relay-Operation";
 constexpr std::string_view OUTCOME = "Spurtide-Relay-Outcome";
+constexpr std::string_view UPSTREAM_LENGTH = "Spurtide-Relay-Content-Length";
+constexpr std::string_view CONTENT_LENGTH = "Content-Length";
 
 constexpr std::array<std::string_view, 10> OUTCOMES = { "forwarded", "connected", "partitioned", "stopping", "unknown_upstream", "not_available", "nobody_listens", "cannot_connect", "expired", "malformed" };
 
@@ -85,10 +87,12 @@
 {
     HttpResponseHead relayed { head.status, head.reason, {} };
     for (auto const& field : head.headers.all()) {
-        if (!is_connection_field(field.name) && !equal_names(field.name, OUTCOME))
+        if (!is_connection_field(field.name) && !equal_names(field.name, OUTCOME) && !equal_names(field.name, UPSTREAM_LENGTH))
             relayed.headers.add(field.name, field.value);
     }
     relayed.headers.add(OUTCOME, to_string(RelayOutcome::Forwarded));
+    if (auto const length = head.headers.find(CONTENT_LENGTH))
+        relayed.headers.add(UPSTREAM_LENGTH, *length);
     return relayed;
 }
 
@@ -117,7 +121,12 @@
 
 void remove_relay_outcome(HttpResponseHead& head)
 {
-    std::erase_if(head.headers.all(), [](auto const& field) { return equal_names(field.name, OUTCOME); });
+    auto& fields = head.headers.all();
+    // The relayed response's own Content-Length says nothing about the upstream's.
+    std::erase_if(fields, [](auto const& field) { return equal_names(field.name, OUTCOME) || equal_names(field.name, CONTENT_LENGTH); });
+    auto const length = std::find_if(fields.begin(), fields.end(), [](auto const& field) { return equal_names(field.name, UPSTREAM_LENGTH); });
+    if (length != fields.end())
+        length->name = CONTENT_LENGTH;
 }
 
 }
--- a/Libraries/LibRouter/RelayProtocol.h
+++ b/Libraries/LibRouter/RelayProtocol.h
@@ -73,13 +73,14 @@
 
 Result<RelayedSend, RelayRequestError> read_relay_request(HttpRequestHead const& head);
 
-/// The upstream's response head as the relaying VM passes it on: without the fields of its connection, and marked.
+/// The upstream's response head as the relaying VM passes it on: without the fields of its connection, and marked. Its Content-Length
+/// goes along in a field of its own, since the relayed response is framed anew.
 HttpResponseHead relayed_response_head(HttpResponseHead const& head);
 /// The relaying VM's own response.
 HttpResponseHead relay_outcome_head(RelayOutcome outcome);
 /// Empty if the response does not come from a relaying VM.
 std::optional<RelayOutcome> read_relay_outcome(HttpResponseHead const& head);
-/// Removes the mark.
+/// Removes the mark, and puts the upstream's Content-Length in the place of the relayed response's own.
 void remove_relay_outcome(HttpResponseHead& head);
 
 }
--- a/Libraries/LibRouter/UnaryRequestHandler.cpp
+++ b/Libraries/LibRouter/UnaryRequestHandler.cpp
@@ -555,7 +555,18 @@
 
 asio::awaitable<void> UnaryRequestHandler::relay_response(Attempt const& attempt)
 {
-    auto const result = co_await this->exchange.respond(this->state.dialect.caller_response_head(attempt.head), attempt.body);
+    auto head = this->state.dialect.caller_response_head(attempt.head);
+    Result<Done, HttpError> result = Done {};
+    if (this->exchange.request().head.method == "HEAD") {
+        // Tells the length of the body that a GET would have.
+        if (auto const length = attempt.head.headers.find("Content-Length"))
+            head.headers.add("Content-Length", *length);
+        result = co_await this->exchange.begin(std::move(head), BodyFraming::None);
+        if (!result.is_error())
+            result = co_await this->exchange.finish();
+    } else {
+        result = co_await this->exchange.respond(std::move(head), attempt.body);
+    }
     this->log_end(result.is_error() ? "caller_left" : "answered", to_string(attempt.end), attempt.head.status);
 }
 
