--- a/Libraries/LibRouter/RelayProtocol.cpp
+++ b/Libraries/LibRouter/RelayProtocol.cpp
@@ -119,7 +119,7 @@
     return static_cast<RelayOutcome>(found - OUTCOMES.begin());
 }
 
-void remove_relay_outcome(HttpResponseHead& head)
+void restore_upstream_head(HttpResponseHead& head)
 {
     auto& fields = head.headers.all();
     // The relayed response's own Content-Length says nothing about the upstream's.
--- a/Libraries/LibRouter/RelayProtocol.h
+++ b/Libraries/LibRouter/RelayProtocol.h
@@ -80,7 +80,8 @@
 HttpResponseHead relay_outcome_head(RelayOutcome outcome);
 /// Empty if the response does not come from a relaying VM.
 std::optional<RelayOutcome> read_relay_outcome(HttpResponseHead const& head);
-/// Removes the mark, and puts the upstream's Content-Length in the place of the relayed response's own.
-void remove_relay_outcome(HttpResponseHead& head);
+/// Turns a relayed response head back into the upstream's: without the mark, and with its Content-Length in the place of the relayed
+/// response's own.
+void restore_upstream_head(HttpResponseHead& head);
 
 }
--- a/Libraries/LibRouter/UpstreamLink.cpp
+++ b/Libraries/LibRouter/UpstreamLink.cpp
@@ -157,7 +157,7 @@
     auto const outcome = read_relay_outcome(response).value_or(RelayOutcome::Malformed);
     this->count_relayed(to_string(outcome));
     if (outcome == RelayOutcome::Forwarded) {
-        remove_relay_outcome(response);
+        restore_upstream_head(response);
         if (this->state.dialect.read_response(response).is_response_to(this->options.request))
             co_return response;
         this->connected->abort();
