LibRouter: Match responses with requests in one place alone

Since a response belongs to a request only if it names it, UpstreamLink::read_head hands out no other one, and the handlers' own comparisons of the identifiers could never fail: those of streams, continued runs, plain requests and of what upstreams state in responses. They are gone. A response that came through a relaying VM was compared by a second piece of code that logged nothing; it goes through the same filter now, so that response_mismatched tells of it as well. The filter refers to the upstream's record, which lives as long, in place of a copy for each request.

Behaviour is as before but for that line. Without the filter the four tests of late responses fail, and with one that lets responses without a name pass two of them.

--- a/Libraries/LibRouter/RequestHandler.cpp
+++ b/Libraries/LibRouter/RequestHandler.cpp
@@ -249,13 +249,11 @@
 
 void RequestHandler::record_statements(UpstreamRecord const& upstream, ResponseInfo const& info, int status, MonotonicTime sent_at)
 {
-    // A response to another request says nothing about this upstream, and 421 comes from another incarnation.
-    bool const is_to_another_request = !info.identifier.empty() && info.identifier != this->request.identifier;
-    if (is_to_another_request || status == 421)
+    // Another incarnation answered.
+    if (status == 421)
         return;
     record_upstream_statements(this->state, upstream, info, status, this->request.identifier);
-    if (!info.identifier.empty())
-        this->record_rate_limit(upstream.identity, info, sent_at);
+    this->record_rate_limit(upstream.identity, info, sent_at);
 }
 
 void RequestHandler::record_rate_limit(std::string_view upstream, ResponseInfo const& info, MonotonicTime sent_at)
--- a/Libraries/LibRouter/StreamingRequestHandlerRelay.cpp
+++ b/Libraries/LibRouter/StreamingRequestHandlerRelay.cpp
@@ -78,7 +78,7 @@
     auto const info = this->state.dialect.read_response(head.value());
     auto const status = head.value().status;
     this->record_statements(engine, info, status, link->send_time());
-    if (info.identifier == this->request.identifier && status / 100 == 2 && info.is_signed && !info.is_encoded) {
+    if (status / 100 == 2 && info.is_signed && !info.is_encoded) {
         this->state.placement->progress(this->request.identifier, GrantProgress::Decoding);
         auto const outcome = co_await this->relay_stream(link, head.release_value());
         this->set_active_connection(nullptr);
@@ -104,7 +104,7 @@
     }
     if (this->is_stopped())
         co_return PlacementOutcome::Retry;
-    bool const is_own_failure = info.is_signed && info.identifier == this->request.identifier && status >= 400 && status != 429 && status != 503 && status != 408 && !response_body.is_error();
+    bool const is_own_failure = info.is_signed && status >= 400 && status != 429 && status != 503 && status != 408 && !response_body.is_error();
     if (is_own_failure && !this->exchange.has_begun()) {
         this->note_completed();
         auto const sent = co_await this->exchange.respond(this->state.dialect.caller_response_head(head.value()), response_body.value());
@@ -411,8 +411,7 @@
     auto const info = this->state.dialect.read_response(head.value());
     auto const status = head.value().status;
     this->record_statements(engine, info, status, next->send_time());
-    bool const is_of_request = info.identifier == this->request.identifier && info.is_signed;
-    if (is_of_request && status / 100 == 2 && !info.is_encoded) {
+    if (status / 100 == 2 && info.is_signed && !info.is_encoded) {
         link->release();
         link = std::move(next);
         co_return ContinuationOutcome::Running;
@@ -424,7 +423,7 @@
     next->release();
     LogLine("continuation_refused").with("request", this->request.identifier).with("engine", engine.identity).with("status", status);
     // An engine that does not have the memory answers 503, and another incarnation 421.
-    bool const has_not_run = info.is_not_executed || status == 421 || (is_of_request && status == 503);
+    bool const has_not_run = info.is_not_executed || status == 421 || (info.is_signed && status == 503);
     co_return has_not_run ? ContinuationOutcome::NotRun : ContinuationOutcome::MayRun;
 }
 
--- a/Libraries/LibRouter/UnaryRequestHandler.cpp
+++ b/Libraries/LibRouter/UnaryRequestHandler.cpp
@@ -481,7 +481,6 @@
     auto const expected_body = this->exchange.request().head.method == "HEAD" ? MessageParser::ExpectedBody::None : MessageParser::ExpectedBody::AsFramed;
     link->send(format_request_head(this->state.dialect.upstream_request_head(this->exchange.request(), dispatch)), this->body, dispatch.remaining_time, expected_body);
     attempt = co_await this->read_response(*link);
-    // Any response, even to another request, proves that the upstream is reachable.
     if (attempt.head.status != 0) {
         link->note_received();
         this->record_statements(upstream, this->state.dialect.read_response(attempt.head), attempt.head.status, link->send_time());
@@ -544,7 +543,7 @@
     if (info.is_not_executed || attempt.head.status == 421) {
         attempt.end = SendOutcome::NotExecuted;
         attempt.reason = attempt.head.status == 421 ? "other_identity" : "upstream_full";
-    } else if (is_success && info.is_signed && !info.is_encoded && !info.identifier.empty())
+    } else if (is_success && info.is_signed && !info.is_encoded)
         attempt.end = SendOutcome::Success;
     else if (!is_success && info.is_signed && !info.is_encoded && attempt.head.status >= 300 && attempt.head.status != 429 && attempt.head.status != 503 && attempt.head.status != 408)
         attempt.end = SendOutcome::OwnFailure;
--- a/Libraries/LibRouter/UpstreamCall.cpp
+++ b/Libraries/LibRouter/UpstreamCall.cpp
@@ -46,9 +46,9 @@
     return state.upstreams.takes_work(upstream.identity) ? SendObstacle::None : SendObstacle::Left;
 }
 
-HttpConnection::ResponseFilter responses_to(RouterState& state, UpstreamRecord upstream, std::string request)
+HttpConnection::ResponseFilter responses_to(RouterState& state, UpstreamRecord const& upstream, std::string request)
 {
-    return [&state, upstream = std::move(upstream), request = std::move(request)](auto const& head) {
+    return [&state, &upstream, request = std::move(request)](auto const& head) {
         auto const info = state.dialect.read_response(head);
         if (info.is_response_to(request))
             return true;
--- a/Libraries/LibRouter/UpstreamCall.h
+++ b/Libraries/LibRouter/UpstreamCall.h
@@ -23,8 +23,9 @@
 SendObstacle find_send_obstacle(RouterState const& state, UpstreamRecord const& upstream);
 
 /// Accepts the responses to a request. Calls of the router itself have no identifier, which is empty then, and are answered by
-/// responses that name no request. Other responses are logged and counted. The state has to exist as long as the filter.
-HttpConnection::ResponseFilter responses_to(RouterState& state, UpstreamRecord upstream, std::string request);
+/// responses that name no request. Other responses are logged and counted. The state and the upstream
+/// have to exist as long as the filter.
+HttpConnection::ResponseFilter responses_to(RouterState& state, UpstreamRecord const& upstream, std::string request);
 
 /// What a call of the router itself means for its upstream.
 enum class CallPurpose {
--- a/Libraries/LibRouter/UpstreamLink.cpp
+++ b/Libraries/LibRouter/UpstreamLink.cpp
@@ -141,11 +141,10 @@
 
 asio::awaitable<Result<HttpResponseHead, LinkError>> UpstreamLink::read_head()
 {
-    // A relaying VM passes over the responses to other requests itself.
-    HttpConnection::ResponseFilter accepts = [](auto const&) { return true; };
-    if (!this->relay)
-        accepts = responses_to(this->state, this->record, this->options.request);
-    auto head = co_await this->connected->read_matching_head(std::move(accepts));
+    auto const is_due = responses_to(this->state, this->record, this->options.request);
+    // A relaying VM passes over the responses to other requests itself, and its own responses name none.
+    auto const is_accepted = this->relay ? HttpConnection::ResponseFilter([](auto const&) { return true; }) : is_due;
+    auto head = co_await this->connected->read_matching_head(is_accepted);
     if (head.is_error()) {
         if (this->relay)
             this->count_relayed(to_string(head.error()));
@@ -158,7 +157,7 @@
     this->count_relayed(to_string(outcome));
     if (outcome == RelayOutcome::Forwarded) {
         restore_upstream_head(response);
-        if (this->state.dialect.read_response(response).is_response_to(this->options.request))
+        if (is_due(response))
             co_return response;
         this->connected->abort();
         co_return Failure { LinkError { HttpError::OtherResponses, LinkError::Delivery::Unknown } };
