Tests: Share the checks of late responses and the reading of a response

Each fault of a late response was checked by two copies of the same steps, and TestHeadRequests read responses as NodeUnderTest does. The checks are the same. Each kind of stream has a deployment of its own now: a draft of the test that went through four kinds on one deployment once saw three late responses in place of four, as the last stream went over another connection (not traced).

--- a/Tests/Platform/NodeUnderTest.cpp
+++ b/Tests/Platform/NodeUnderTest.cpp
@@ -111,6 +111,23 @@
 
 CallerAnswer NodeUnderTest::call(Address address, HttpRequest made) { return this->call_all(address, { std::move(made) }).front(); }
 
+asio::awaitable<CallerAnswer> NodeUnderTest::read_answer(std::shared_ptr<HttpConnection> connection)
+{
+    CallerAnswer answer;
+    auto head = co_await connection->read_head();
+    if (head.is_error()) {
+        answer.error = head.error();
+        co_return answer;
+    }
+    answer.head = head.release_value();
+    auto body = co_await connection->read_body(1'000'000);
+    if (body.is_error())
+        answer.error = body.error();
+    else
+        answer.body = body.release_value();
+    co_return answer;
+}
+
 asio::awaitable<CallerAnswer> NodeUnderTest::exchange(Address address, HttpRequest made)
 {
     CallerAnswer answer;
@@ -122,17 +139,7 @@
     auto const connection = connected.release_value();
     connection->set_deadline(monotonic_now() + seconds(10));
     connection->send(format_request_head(made.head), std::make_shared<std::string const>(made.body));
-    auto head = co_await connection->read_head();
-    if (head.is_error()) {
-        answer.error = head.error();
-    } else {
-        answer.head = head.release_value();
-        auto body = co_await connection->read_body(1'000'000);
-        if (body.is_error())
-            answer.error = body.error();
-        else
-            answer.body = body.release_value();
-    }
+    answer = co_await read_answer(connection);
     connection->abort();
     co_return answer;
 }
--- a/Tests/Platform/NodeUnderTest.h
+++ b/Tests/Platform/NodeUnderTest.h
@@ -54,6 +54,8 @@
     std::vector<CallerAnswer> call_all(Address address, std::vector<HttpRequest> requests);
     /// Makes one call; to be run on the test's loop.
     static asio::awaitable<CallerAnswer> exchange(Address address, HttpRequest request);
+    /// Reads the response to what was sent on the connection.
+    static asio::awaitable<CallerAnswer> read_answer(std::shared_ptr<HttpConnection> connection);
     /// Sends bytes as they are and gives all that comes back until the other side closes.
     std::string exchange_bytes(std::string bytes);
     /// Sends bytes and closes the connection while the loop does not run.
--- a/Tests/Platform/TestHeadRequests.cpp
+++ b/Tests/Platform/TestHeadRequests.cpp
@@ -65,18 +65,7 @@
         for (std::string const method : { "HEAD", "GET" }) {
             auto const request = test.request(method, "/safe/x", identifier + method);
             connection->send(format_request_head(request.head), nullptr, method == "HEAD" ? MessageParser::ExpectedBody::None : MessageParser::ExpectedBody::AsFramed);
-            CallerAnswer answer;
-            auto head = co_await connection->read_head();
-            if (head.is_error()) {
-                answer.error = head.error();
-            } else {
-                answer.head = head.release_value();
-                auto body = co_await connection->read_body(1'000);
-                if (body.is_error())
-                    answer.error = body.error();
-                else
-                    answer.body = body.release_value();
-            }
+            auto answer = co_await NodeUnderTest::read_answer(connection);
             answers.push_back(std::move(answer));
         }
         is_over = true;
--- a/Tests/Platform/TestLateResponses.cpp
+++ b/Tests/Platform/TestLateResponses.cpp
@@ -97,6 +97,41 @@
     UpstreamStandIn plain { this->loop, "i-1" };
 };
 
+void check_stream(LateTest& test, std::string const& target)
+{
+    test.list(test.prefill, "engines");
+    test.list_late(test.decode, "engines");
+    test.late.refusals["run"] = 1;
+    // The only engine refuses it.
+    CHECK(test.call(test.model_request(target, "s1")).head.status == 503);
+    auto const answer = test.call(test.model_request(target, "s2"));
+    CHECK(test.late.repeated == 1);
+    CHECK(answer.head.status == 200);
+    CHECK(answer.body == "id: 1\ndata: s2\n\n");
+    CHECK(std::count(test.late.run.begin(), test.late.run.end(), "s2") == 1);
+}
+
+void check_plain_requests(LateTest& test)
+{
+    test.list_late(test.plain, "plain");
+    test.late.refusals["run"] = 1;
+    CHECK(test.call(test.request("POST", "/once/x", "p1")).head.status == 503);
+    CHECK(test.call(test.request("POST", "/once/x", "p2")).head.status == 200);
+}
+
+void check_prefills(LateTest& test)
+{
+    test.list_late(test.prefill, "engines");
+    test.list(test.decode, "engines");
+    test.late.refusals["prefill"] = 1;
+    // The decode engine prefills what the other one refuses.
+    CHECK(test.call(test.model_request("/stream/x", "r1")).head.status == 200);
+    CHECK(test.call(test.model_request("/stream/x", "r2")).head.status == 200);
+    auto const cache = test.decode.requests.back().head.headers.find("X-Spurtide-Kv-Source");
+    REQUIRE(cache);
+    CHECK(cache->ends_with("/h"));
+}
+
 }
 
 // Guards against a late second refusal of one stream that was taken for the refusal of the next one on its connection: that one ran,
@@ -104,21 +139,9 @@
 TEST_CASE("A refusal of another request says nothing about a stream", "[not-run][late]")
 {
     LateTest test;
-    test.list(test.prefill, "engines");
-    test.list_late(test.decode, "engines");
-    for (auto const* target : { "/stream/x", "/resumable/x" }) {
-        CAPTURE(target);
-        auto const name = std::string(target).substr(1, 3);
-        test.late.refusals["run"] = 1;
-        auto const repeated = test.late.repeated;
-        // The only engine refuses it.
-        CHECK(test.call(test.model_request(target, name + "1")).head.status == 503);
-        auto const answer = test.call(test.model_request(target, name + "2"));
-        CHECK(test.late.repeated == repeated + 1);
-        CHECK(answer.head.status == 200);
-        CHECK(answer.body == "id: 1\ndata: " + name + "2\n\n");
-        CHECK(std::count(test.late.run.begin(), test.late.run.end(), name + "2") == 1);
-    }
+    auto const* target = GENERATE("/stream/x", "/resumable/x");
+    CAPTURE(target);
+    check_stream(test, target);
 }
 
 // Guards against the same on the paths of plain requests and prefills.
@@ -127,22 +150,11 @@
     LateTest test;
     SECTION("plain requests")
     {
-        test.list_late(test.plain, "plain");
-        test.late.refusals["run"] = 1;
-        CHECK(test.call(test.request("POST", "/once/x", "p1")).head.status == 503);
-        CHECK(test.call(test.request("POST", "/once/x", "p2")).head.status == 200);
+        check_plain_requests(test);
     }
     SECTION("prefills")
     {
-        test.list_late(test.prefill, "engines");
-        test.list(test.decode, "engines");
-        test.late.refusals["prefill"] = 1;
-        // The decode engine prefills what the other one refuses.
-        CHECK(test.call(test.model_request("/stream/x", "r1")).head.status == 200);
-        CHECK(test.call(test.model_request("/stream/x", "r2")).head.status == 200);
-        auto const cache = test.decode.requests.back().head.headers.find("X-Spurtide-Kv-Source");
-        REQUIRE(cache);
-        CHECK(cache->ends_with("/h"));
+        check_prefills(test);
     }
     CHECK(test.late.repeated == 1);
 }
@@ -152,20 +164,11 @@
 TEST_CASE("A refusal that names no request says nothing about a stream", "[not-run][late]")
 {
     LateTest test;
-    test.list(test.prefill, "engines");
-    test.list_late(test.decode, "engines");
     auto const* target = GENERATE("/stream/x", "/resumable/x");
     auto const* refusal = GENERATE(from_range(UNNAMED_REFUSALS));
     CAPTURE(target, refusal);
     test.late.late_response = refusal;
-    test.late.refusals["run"] = 1;
-    // The only engine refuses it.
-    CHECK(test.call(test.model_request(target, "u1")).head.status == 503);
-    auto const answer = test.call(test.model_request(target, "u2"));
-    CHECK(test.late.repeated == 1);
-    CHECK(answer.head.status == 200);
-    CHECK(answer.body == "id: 1\ndata: u2\n\n");
-    CHECK(std::count(test.late.run.begin(), test.late.run.end(), "u2") == 1);
+    check_stream(test, target);
 }
 
 // Guards against the same on the paths of plain requests and prefills.
@@ -177,21 +180,11 @@
     test.late.late_response = refusal;
     SECTION("plain requests")
     {
-        test.list_late(test.plain, "plain");
-        test.late.refusals["run"] = 1;
-        CHECK(test.call(test.request("POST", "/once/x", "p1")).head.status == 503);
-        CHECK(test.call(test.request("POST", "/once/x", "p2")).head.status == 200);
+        check_plain_requests(test);
     }
     SECTION("prefills")
     {
-        test.list_late(test.prefill, "engines");
-        test.list(test.decode, "engines");
-        test.late.refusals["prefill"] = 1;
-        CHECK(test.call(test.model_request("/stream/x", "r1")).head.status == 200);
-        CHECK(test.call(test.model_request("/stream/x", "r2")).head.status == 200);
-        auto const cache = test.decode.requests.back().head.headers.find("X-Spurtide-Kv-Source");
-        REQUIRE(cache);
-        CHECK(cache->ends_with("/h"));
+        check_prefills(test);
     }
     CHECK(test.late.repeated == 1);
 }
--- a/Tests/Platform/TestNode.cpp
+++ b/Tests/Platform/TestNode.cpp
@@ -118,9 +118,8 @@
         }
         if (fault == 1)
             head.status = 500;
-        if (fault == 2) {
+        if (fault == 2)
             head = UpstreamStandIn::refusal_head(exchange);
-        }
         if (fault == 3)
             head.headers.add("Content-Encoding", "gzip");
         if (fault == 4) {
