LibRouter: Keep the origins of streams in the registry, beyond the death of all VMs

What callers saw: after all VMs were killed at once, each stream that its caller took up was refused as unknown. A caller that came later than twice its route's timeout was answered, and its stream joined two software versions if the first one had been replaced while no VM ran.

Cause: where a stream began was kept by VMs alone. What no VM knew was derived from the list of upstreams, on the assumption that no caller comes back later than twice the route's timeout. Nothing bounds when callers come.

Ruled out: see docs/design/stream-versions.md.

Change: one VM of each data centre writes the origins of its streams to the registry, batched (StreamOriginJournal, StreamOriginRecorder). A VM that is asked for a stream that neither it nor its peers know reads them (StreamOriginArchive). An origin is derived only if one version served for ten minutes (longest_absence_seconds), whatever the route's timeout.

Tests: TestStreamOriginJournal, TestStreamsAfterRestart. The two older tests of callers that name no try set the absence in place of the route's timeout, with the same checks.

--- a/Libraries/LibDecision/StreamOriginReplicas.cpp
+++ b/Libraries/LibDecision/StreamOriginReplicas.cpp
@@ -15,6 +15,7 @@
 constexpr std::uint64_t SHARDS = 16;
 constexpr std::size_t CANDIDATES_IN_OWN_DATA_CENTRE = 6;
 constexpr std::size_t CANDIDATES_IN_OTHER_DATA_CENTRES = 2;
+constexpr std::string_view RECORDER = "stream-origin-recorder";
 
 std::string shard_of(std::string_view request) { return "stream-origin/" + std::to_string(XXH3_64bits(request.data(), request.size()) % SHARDS); }
 
@@ -91,4 +92,14 @@
     return selected;
 }
 
+std::string StreamOriginReplicas::recorder() const
+{
+    std::vector<Member> first;
+    auto const own = this->members.find(this->data_centre);
+    if (own != this->members.end())
+        add_first_ranked(own->second, RECORDER, 1, LeavingMembers::Excluded, first);
+    bool const is_other = !first.empty() && rendezvous_score(RECORDER, first.front().virtual_machine) > rendezvous_score(RECORDER, this->virtual_machine);
+    return is_other ? first.front().virtual_machine : this->virtual_machine;
+}
+
 }
--- a/Libraries/LibRouter/RequestRouter.cpp
+++ b/Libraries/LibRouter/RequestRouter.cpp
@@ -17,9 +17,6 @@
 /// A VM that has just started receives its configuration well within this time.
 constexpr std::string_view RETRY_AFTER_SECONDS = "0.2";
 
-/// A stream may break at its route's timeout, and its next try take as long.
-constexpr int LONGEST_STREAM_IN_TIMEOUTS = 2;
-
 bool has_engines(RouteTable const& routes, std::string_view service)
 {
     auto const* traits = routes.service(service);
@@ -64,7 +61,7 @@
         if (!request.resumed_request.empty())
             origin = co_await this->state.stream_origins->find(request.resumed_request);
         if (!origin)
-            origin = co_await this->derive_origin(*route);
+            origin = co_await this->derive_origin(*route, request);
         auto const obstacle = this->find_resumption_obstacle(*routes, *route, request, origin);
         this->state.metrics.increment("spurtide_resumptions_total", "Requests that take up a stream whose caller has received events of it", { { "outcome", std::string(obstacle.value_or("accepted")) } });
         if (obstacle) {
@@ -85,10 +82,13 @@
     }
 }
 
-// If all upstreams have been of one version for as long as a stream and its next try can take, it began at that version.
-asio::awaitable<std::optional<StreamOrigin>> RequestRouter::derive_origin(Route const& route)
+// If all upstreams have been of one version for as long as callers may come back for a stream, it began at that version.
+asio::awaitable<std::optional<StreamOrigin>> RequestRouter::derive_origin(Route const& route, CallerRequest const& request)
 {
-    auto const lookback = route.timeout * LONGEST_STREAM_IN_TIMEOUTS;
+    auto const lookback = this->state.longest_absence;
+    // Such a caller may have been away for longer.
+    if (request.caller_timeout > lookback)
+        co_return std::nullopt;
     auto const service = route.targets.front().service;
     bool const has_one_target = route.targets.size() == 1 && monotonic_now() - this->state.targets_since >= lookback;
     if (!has_one_target || !this->state.upstreams.only_software_version(service, lookback, monotonic_now()))
--- a/Libraries/LibRouter/RequestRouter.h
+++ b/Libraries/LibRouter/RequestRouter.h
@@ -27,7 +27,7 @@
 
 private:
     /// Where a stream of the route began, if it can have begun at one software version only.
-    asio::awaitable<std::optional<StreamOrigin>> derive_origin(Route const& route);
+    asio::awaitable<std::optional<StreamOrigin>> derive_origin(Route const& route, CallerRequest const& request);
     /// Why a request cannot take up the stream that began there; empty if it can.
     std::optional<std::string_view> find_resumption_obstacle(RouteTable const& routes, Route const& route, CallerRequest const& request, std::optional<StreamOrigin> const& origin);
     asio::awaitable<void> reject(HttpExchange& exchange, int status, std::string_view reason, std::string identifier);
--- a/Libraries/LibRouter/RouterState.h
+++ b/Libraries/LibRouter/RouterState.h
@@ -46,6 +46,8 @@
     std::shared_ptr<RouteTable const> routes {};
     /// Since when each route has had its targets, as far as this VM knows.
     MonotonicTime targets_since {};
+    /// A stream that neither a VM nor the registry knows is taken up only if one software version can have begun it in this time.
+    Duration longest_absence = seconds(600);
     UpstreamList upstreams { UpstreamList::Options {} };
     /// Shared with the requests in flight.
     std::shared_ptr<ReachabilityTracker> reachability = std::make_shared<ReachabilityTracker>(ReachabilityTracker::Options {}, data_centre);
--- a/Libraries/LibRouter/StreamOriginDirectory.cpp
+++ b/Libraries/LibRouter/StreamOriginDirectory.cpp
@@ -94,7 +94,7 @@
 {
     this->refresh_members();
     auto const identifier = ++this->last_served;
-    auto& stream = this->served->emplace(identifier, ServedStream { request, origin, {}, {} }).first->second;
+    auto& stream = this->served->emplace(identifier, ServedStream { request, origin, {}, {}, {} }).first->second;
     this->copy(stream, this->replicas.holders(request));
     return Registration([weak = std::weak_ptr<ServedStreams>(this->served), identifier] {
         if (auto const streams = weak.lock())
@@ -116,6 +116,20 @@
     auto const message = origin_message(stream.request, stream.origin);
     for (auto const& holder : stream.holders)
         this->kernel.notify(this->endpoint_of(holder.virtual_machine), message);
+    this->record(stream, message);
+}
+
+void StreamOriginDirectory::record(ServedStream& stream, wire::Envelope message)
+{
+    if (!this->recorder)
+        return;
+    stream.recorder = this->replicas.recorder();
+    if (stream.recorder == this->kernel.virtual_machine()) {
+        this->recorder->add(stream.request, stream.origin);
+        return;
+    }
+    message.mutable_stream_origin()->set_record(true);
+    this->kernel.notify(this->endpoint_of(stream.recorder), std::move(message));
 }
 
 // VMs that died or were restarted have lost their copies, and callers look for them at VMs that joined.
@@ -129,7 +143,8 @@
         if (!are_members_new && !is_due)
             continue;
         auto holders = this->replicas.holders(stream.request);
-        if (is_due || holders != stream.holders)
+        bool const has_new_recorder = this->recorder && this->replicas.recorder() != stream.recorder;
+        if (is_due || holders != stream.holders || has_new_recorder)
             this->copy(stream, std::move(holders));
     }
 }
@@ -141,17 +156,37 @@
         LogLine("stream_origin_found").with("resumes", request).with("at", this->kernel.virtual_machine()).with("service", own->origin.service).with("software", own->origin.software_version).with("age_ms", to_milliseconds(own->age));
         co_return own->origin;
     }
+    if (this->archive) {
+        if (auto known = this->archive->find_known(request)) {
+            this->count_lookup("registry");
+            co_return known;
+        }
+    }
     if (this->lookups >= this->options.maximum_lookups) {
         this->count_lookup("not_asked");
         LogLine("stream_origin_unknown").with("resumes", request).with("asked", 0).with("lookups", this->lookups);
         co_return std::nullopt;
     }
     ++this->lookups;
-    auto found = co_await this->find_at_peers(std::move(request));
+    auto found = co_await this->find_elsewhere(std::move(request));
     --this->lookups;
     co_return found;
 }
 
+// The registry is asked last: it is needed only for streams all of whose VMs have died.
+asio::awaitable<std::optional<StreamOrigin>> StreamOriginDirectory::find_elsewhere(std::string request)
+{
+    auto found = co_await this->find_at_peers(request);
+    if (!found && this->archive)
+        found = co_await this->archive->find(request);
+    else if (found)
+        co_return found;
+    this->count_lookup(found ? "registry" : "unknown");
+    if (found)
+        LogLine("stream_origin_found").with("resumes", request).with("at", "registry").with("service", found->service).with("software", found->software_version);
+    co_return found;
+}
+
 asio::awaitable<std::optional<StreamOrigin>> StreamOriginDirectory::find_at_peers(std::string request)
 {
     this->refresh_members();
@@ -162,11 +197,11 @@
         this->ask(candidate, request, query);
     while (!query->found && query->pending > 0)
         co_await query->signal.wait();
-    this->count_lookup(query->found ? "peer" : "unknown");
     if (!query->found) {
         LogLine("stream_origin_unknown").with("resumes", request).with("asked", static_cast<std::int64_t>(candidates.size())).with("silent", static_cast<std::int64_t>(query->silent));
         co_return std::nullopt;
     }
+    this->count_lookup("peer");
     LogLine("stream_origin_found").with("resumes", request).with("at", query->found_at).with("service", query->found->service).with("software", query->found->software_version).with("age_ms", to_milliseconds(query->age));
     // The caller may come back again after that VM died.
     if (this->table.note(request, *query->found, monotonic_now()) == StreamOriginTable::NoteResult::Conflicting)
@@ -198,8 +233,11 @@
     auto const now = monotonic_now();
     if (request.has_stream_origin()) {
         auto const& message = request.stream_origin();
-        if (this->table.note(message.request(), read_origin(message), now) == StreamOriginTable::NoteResult::Conflicting)
+        auto const origin = read_origin(message);
+        if (this->table.note(message.request(), origin, now) == StreamOriginTable::NoteResult::Conflicting)
             LogLine("stream_origin_not_noted").with("request", message.request()).with("reason", "conflicting");
+        if (message.record() && this->recorder)
+            this->recorder->add(message.request(), origin);
         return;
     }
     if (!request.has_get_stream_origin()) {
--- a/Libraries/LibRouter/StreamOriginDirectory.h
+++ b/Libraries/LibRouter/StreamOriginDirectory.h
@@ -7,6 +7,8 @@
 #include <LibDecision/MembershipTable.h>
 #include <LibDecision/StreamOriginReplicas.h>
 #include <LibDecision/StreamOriginTable.h>
+#include <LibRouter/StreamOriginArchive.h>
+#include <LibRouter/StreamOriginRecorder.h>
 #include <LibWire/Kernel.h>
 #include <asio.hpp>
 #include <functional>
@@ -22,7 +24,8 @@
 
 /// Remembers where streams began, and finds the origins of streams that began at other VMs. The origin of a stream that this VM
 /// serves is copied to a few other VMs when the first event is relayed, so that callers may take it up at any VM after this one
-/// has died. Origins that no VM knows any more stay unknown: nothing else tells which version began a stream.
+/// has died. One VM of each data centre writes them to the registry, in case that all VMs die. Origins that neither the VMs nor the
+/// registry know stay unknown: nothing else tells which version began a stream.
 class StreamOriginDirectory {
 public:
     struct Options {
@@ -42,6 +45,13 @@
 
     StreamOriginDirectory(Options options, Kernel& kernel, Metrics& metrics, std::string data_centre, DataCentreOf data_centre_of);
 
+    /// Without it, origins are kept by VMs alone. Both have to outlive the directory.
+    void set_registry(StreamOriginRecorder& origin_recorder, StreamOriginArchive& origin_archive)
+    {
+        this->recorder = &origin_recorder;
+        this->archive = &origin_archive;
+    }
+
     /// Registers the service. Call before the kernel starts.
     void host();
     void start();
@@ -90,11 +100,15 @@
         MonotonicTime renewed_at;
         /// The VMs that got a copy.
         std::vector<StreamOriginReplicas::Member> holders;
+        /// The VM that was asked to write it to the registry.
+        std::string recorder;
     };
     using ServedStreams = std::map<std::uint64_t, ServedStream>;
 
     asio::awaitable<std::optional<StreamOrigin>> find_at_peers(std::string request);
+    asio::awaitable<std::optional<StreamOrigin>> find_elsewhere(std::string request);
     void copy(ServedStream& stream, std::vector<StreamOriginReplicas::Member> holders);
+    void record(ServedStream& stream, wire::Envelope message);
     void refresh();
     void refresh_members();
     std::string endpoint_of(std::string const& virtual_machine) const;
@@ -106,6 +120,9 @@
     Kernel& kernel;
     Metrics& metrics;
     DataCentreOf data_centre_of;
+    /// Both null where the registry keeps no origins.
+    StreamOriginRecorder* recorder = nullptr;
+    StreamOriginArchive* archive = nullptr;
     StreamOriginTable table;
     StreamOriginReplicas replicas;
     std::int64_t members_version = -1;
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -9,6 +9,7 @@
 #include <Services/NodeServer/NodeMetrics.h>
 #include <algorithm>
 #include <array>
+#include <set>
 #include <xxhash.h>
 
 namespace Spurtide {
@@ -139,8 +140,7 @@
     this->create_quarantine();
     this->create_limiter();
     this->create_call_admission();
-    this->stream_origins = std::make_unique<StreamOriginDirectory>(StreamOriginDirectory::Options {}, *this->kernel, this->metrics, this->settings.data_centre, [](MemberRecord const& member) { return RegistryRelay::data_centre_of(member); });
-    this->state.stream_origins = this->stream_origins.get();
+    this->create_stream_origins();
     this->placement_service = std::make_unique<PlacementService>(scheduler_options(this->settings), *this->kernel, this->metrics, this->loop);
     PromptCacheFetcher::Hooks prompt_cache_hooks;
     prompt_cache_hooks.is_keeper = [this] { return this->state.routes && this->membership->is_settled() && this->placement->is_keeper(); };
@@ -190,6 +190,7 @@
     this->quota->start();
     this->quarantine->start();
     this->stream_origins->start();
+    this->stream_origin_recorder->start();
     this->call_admission_service->start();
     this->placement_service->start();
     if (this->role_controller)
@@ -343,6 +344,26 @@
         this->state.call_admission = this->call_admission.get();
 }
 
+void Node::create_stream_origins()
+{
+    auto const data_centre_of = [](MemberRecord const& member) { return RegistryRelay::data_centre_of(member); };
+    StreamOriginRecorder::Hooks hooks;
+    hooks.era = [this] { return this->state.upstreams.version().era; };
+    hooks.data_centre_count = [this, data_centre_of] {
+        std::set<std::string> data_centres;
+        for (auto const& member : this->kernel->directory().members())
+            data_centres.insert(data_centre_of(member));
+        return std::max<std::size_t>(1, data_centres.size());
+    };
+    auto& port = this->adapters.stream_origins;
+    this->stream_origin_recorder = std::make_unique<StreamOriginRecorder>(StreamOriginRecorder::Options {}, this->loop, port, this->metrics, this->kernel->incarnation(), std::move(hooks));
+    this->stream_origin_archive = std::make_unique<StreamOriginArchive>(StreamOriginArchive::Options {}, this->loop, port, this->metrics);
+    this->stream_origins = std::make_unique<StreamOriginDirectory>(StreamOriginDirectory::Options {}, *this->kernel, this->metrics, this->settings.data_centre, data_centre_of);
+    this->stream_origins->set_registry(*this->stream_origin_recorder, *this->stream_origin_archive);
+    this->state.stream_origins = this->stream_origins.get();
+    this->state.longest_absence = this->settings.longest_absence;
+}
+
 void Node::host_services()
 {
     this->kernel->host("directory", [this](wire::Envelope const& request, Kernel::Responder const& respond) {
@@ -594,6 +615,7 @@
         this->state.pool.set_resting_limit(idle_connections_per_virtual_machine(this->state.routes->configuration().services, this->membership->count()));
     this->state.pool.sweep(now);
     this->upstream_limits.forget_ended_pauses(now);
+    this->stream_origin_archive->forget_old(now);
     if (this->membership->is_settled() && this->placement->is_keeper())
         this->quarantine->verify_store(this->state.upstreams.version().era);
 }
--- a/Services/NodeServer/Node.h
+++ b/Services/NodeServer/Node.h
@@ -47,6 +47,7 @@
     RegistryPort& registry;
     LeasePort& leases;
     QuarantinePort& quarantine;
+    StreamOriginPort& stream_origins;
     /// Path that is asked for readiness.
     std::string readiness_path;
 };
@@ -88,6 +89,7 @@
     void create_quarantine();
     void create_limiter();
     void create_call_admission();
+    void create_stream_origins();
     void create_relay();
     void limit_relayed_requests();
     /// Whether this VM offers to relay requests of VMs that are partitioned from the upstreams.
@@ -131,6 +133,8 @@
     std::unique_ptr<UpstreamLimiter> limiter;
     std::unique_ptr<CallAdmissionService> call_admission_service;
     std::unique_ptr<CallAdmissionClient> call_admission;
+    std::unique_ptr<StreamOriginRecorder> stream_origin_recorder;
+    std::unique_ptr<StreamOriginArchive> stream_origin_archive;
     std::unique_ptr<StreamOriginDirectory> stream_origins;
     std::unique_ptr<RelayClient> relay_client;
     std::unique_ptr<RelayService> relay_service;
--- a/Services/NodeServer/NodeSettings.cpp
+++ b/Services/NodeServer/NodeSettings.cpp
@@ -58,6 +58,7 @@
     node.completion_placement = reader.choice("completion_placement", Presence::Optional, { "on", "off" }, "off") == "on" ? CompletionPlacement::On : CompletionPlacement::Off;
     node.account_share_bound = reader.choice("account_share_bound", Presence::Optional, { "on", "off" }, "off") == "on" ? AccountShareBound::On : AccountShareBound::Off;
     node.news_time = reader.milliseconds("news_milliseconds", 500, 60'000, to_milliseconds(node.news_time));
+    node.longest_absence = from_seconds(reader.number("longest_absence_seconds", Presence::Optional, 0.1, 600, to_seconds(node.longest_absence)));
     node.lease_time = reader.milliseconds("lease_milliseconds", 1000, 60'000, to_milliseconds(node.lease_time));
     node.processor_share = reader.number("processor_share", Presence::Optional, 0.001, 1024, node.processor_share);
     node.keeper_processor_share = reader.number("keeper_processor_share", Presence::Optional, 0, 1024, node.keeper_processor_share);
--- a/Services/NodeServer/NodeSettings.h
+++ b/Services/NodeServer/NodeSettings.h
@@ -82,6 +82,8 @@
         On,
     } account_share_bound
         = AccountShareBound::Off;
+    /// How long callers may come back for a stream that neither a VM nor the registry knows.
+    Duration longest_absence = seconds(600);
     /// How long one write to the lease of those orders is good for.
     Duration lease_time = seconds(3);
     /// Within what time news of the registry have to be in force.
--- a/Tests/Platform/NodeUnderTest.cpp
+++ b/Tests/Platform/NodeUnderTest.cpp
@@ -45,7 +45,7 @@
     PlatformRegistry::Options options;
     options.address = settings.registry_address;
     this->registry = std::make_unique<PlatformRegistry>(options);
-    auto created = Node::create(this->loop, settings, { this->dialect, *this->registry, *this->registry, *this->registry, "/v1/readyz" });
+    auto created = Node::create(this->loop, settings, { this->dialect, *this->registry, *this->registry, *this->registry, *this->registry, "/v1/readyz" });
     REQUIRE_FALSE(created.is_error());
     this->node = created.release_value();
 }
--- a/Tests/Platform/OtherVirtualMachine.h
+++ b/Tests/Platform/OtherVirtualMachine.h
@@ -40,7 +40,7 @@
         PlatformRegistry::Options options;
         options.address = settings.registry_address;
         this->registry = std::make_unique<PlatformRegistry>(options);
-        this->node = Node::create(this->loop, settings, { this->dialect, *this->registry, *this->registry, *this->registry, "/v1/readyz" }).release_value();
+        this->node = Node::create(this->loop, settings, { this->dialect, *this->registry, *this->registry, *this->registry, *this->registry, "/v1/readyz" }).release_value();
         test.beside = [this] {
             this->before();
             this->turns.before();
@@ -61,6 +61,7 @@
     CallerAnswer call(HttpRequest request) { return this->test.call(this->node->caller_address(), std::move(request)); }
     Address const& caller_address() const { return this->node->caller_address(); }
     Address const& operations_address() const { return this->node->operations_address(); }
+    std::string wire_address() const { return this->node->wire_address(); }
 
 private:
     int live_virtual_machines()
--- a/Tests/Platform/VersionedDeployment.h
+++ b/Tests/Platform/VersionedDeployment.h
@@ -14,11 +14,17 @@
 
 namespace Spurtide::Tests {
 
+/// Of callers whose streams no VM knows; no shorter than the time that the tests' callers wait.
+constexpr Duration LONGEST_ABSENCE = seconds(3);
+
 /// VMs before engines of several software versions. Each event names the version of the engine that made it.
 class VersionedDeployment : public NodeUnderTest {
 public:
     VersionedDeployment()
-        : NodeUnderTest([](NodeSettings& settings) { settings.retry.allowance = 1000; })
+        : NodeUnderTest([](NodeSettings& settings) {
+            settings.retry.allowance = 1000;
+            settings.longest_absence = LONGEST_ABSENCE;
+        })
     {
     }
     ~VersionedDeployment()
@@ -58,8 +64,34 @@
 
     OtherVirtualMachine& add_virtual_machine(std::string const& name, std::string const& data_centre = "dc")
     {
-        auto const change = [data_centre](NodeSettings& settings) { settings.data_centre = data_centre; };
-        return *this->others.emplace_back(std::make_unique<OtherVirtualMachine>(*this, std::vector<std::string> { this->node->wire_address() }, change, name));
+        return this->add_virtual_machine(name, { this->node->wire_address() }, data_centre);
+    }
+    /// A VM that meets only those that are named.
+    OtherVirtualMachine& add_virtual_machine(std::string const& name, std::vector<std::string> seeds, std::string const& data_centre = "dc", Duration longest_absence = LONGEST_ABSENCE)
+    {
+        auto const change = [data_centre, longest_absence](NodeSettings& settings) {
+            settings.data_centre = data_centre;
+            settings.longest_absence = longest_absence;
+        };
+        return *this->others.emplace_back(std::make_unique<OtherVirtualMachine>(*this, std::move(seeds), change, name));
+    }
+
+    /// Streams whose origins the store holds.
+    std::size_t recorded_streams() const
+    {
+        std::size_t streams = 0;
+        for (auto const& [key, row] : this->recorded_rows()) {
+            auto const json = nlohmann::json::parse(row.value);
+            for (auto const& origin : json["origins"])
+                streams += origin["streams"].size();
+        }
+        return streams;
+    }
+    std::map<std::string, StoreStandIn::Row> recorded_rows() const
+    {
+        auto rows = this->store.copy().tables["stream-origins"];
+        std::erase_if(rows, [](auto const& row) { return row.second.removed; });
+        return rows;
     }
 
     /// Ends the VM that was added last, like a killed process.
