LibCore: Write log lines without waiting for their reader

A node whose standard error is a pipe that nobody reads stood still, its readiness answer too (found by the review).

Cause: glog writes each line in the thread of the event loop, and the write waits while the pipe is full.

Ruled out: a writer thread (wake-ups, and a wait at the exit), O_NONBLOCK on standard error (it concerns all processes that share it).

The node flushes each second.

--- a/Libraries/LibCore/LogLine.cpp
+++ b/Libraries/LibCore/LogLine.cpp
@@ -62,15 +62,19 @@
 LogLine::~LogLine()
 {
     std::shared_ptr<Observer const> observer;
-    std::string fields;
     {
         std::scoped_lock const lock(s_mutex);
         observer = s_observer;
-        fields = s_process_fields;
     }
     if (observer)
         (*observer)(this->text);
-    LOG(INFO) << "time=" << wall_time() << ' ' << this->text << fields;
+    LOG(INFO) << format(this->text);
+}
+
+std::string LogLine::format(std::string_view pairs)
+{
+    std::scoped_lock const lock(s_mutex);
+    return "time=" + wall_time() + ' ' + std::string(pairs) + s_process_fields;
 }
 
 LogLine& LogLine::with(std::string_view key, std::string_view value)
--- a/Libraries/LibCore/LogLine.h
+++ b/Libraries/LibCore/LogLine.h
@@ -31,6 +31,9 @@
     /// Fields put on every line of this process, such as its VM and data centre.
     static void set_process_fields(std::string_view program, std::string_view virtual_machine, std::string_view data_centre);
 
+    /// The whole line for key=value pairs: the time before them, the fields of the process after them.
+    static std::string format(std::string_view pairs);
+
     /// Adds an observer beside glog, for tests. An empty one removes it.
     static void set_observer(Observer observer);
 
--- a/Libraries/LibCore/ProgramOptions.cpp
+++ b/Libraries/LibCore/ProgramOptions.cpp
@@ -1,12 +1,14 @@
 // SPDX-FileCopyrightText: 2026 The Spurtide developers
 // SPDX-License-Identifier: BSD-2-Clause
 
+#include <LibCore/ProcessLog.h>
 #include <LibCore/ProgramOptions.h>
 #include <array>
 #include <csignal>
 #include <getopt.h>
 #include <glog/logging.h>
 #include <iostream>
+#include <unistd.h>
 
 namespace Spurtide {
 
@@ -55,7 +57,10 @@
     }
     if (program.stop_signals == ServerProgram::StopSignals::WaitedFor)
         block_stop_signals();
-    return exit_with(program.run(settings.value(), options.settings_path));
+    ProcessLog::start(STDERR_FILENO);
+    auto const code = program.run(settings.value(), options.settings_path);
+    ProcessLog::stop();
+    return exit_with(code);
 }
 
 }
@@ -125,8 +130,10 @@
 void wait_for_stop_signal()
 {
     auto const signals = stop_signals();
-    int received = 0;
-    sigwait(&signals, &received);
+    // A line that nobody read in time is written as soon as somebody reads, also if no other line follows.
+    timespec const flush_interval { 1, 0 };
+    while (sigtimedwait(&signals, nullptr, &flush_interval) < 0)
+        ProcessLog::flush();
 }
 
 }
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -3,6 +3,7 @@
 
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
+#include <LibCore/ProcessLog.h>
 #include <LibRouter/StreamMigrator.h>
 #include <LibWire/WireMetrics.h>
 #include <Services/NodeServer/Node.h>
@@ -604,6 +605,7 @@
         facts.upstreams_source = NodeFacts::Source::Peers;
     else if (this->follower->follows_upstreams())
         facts.upstreams_source = NodeFacts::Source::Registry;
+    facts.dropped_log_lines = ProcessLog::dropped_lines();
     publish_node_metrics(facts, this->metrics);
     publish_wire_metrics(*this->kernel, this->metrics);
 }
@@ -611,6 +613,7 @@
 void Node::every_second()
 {
     auto const now = monotonic_now();
+    ProcessLog::flush();
     if (this->state.routes)
         this->state.pool.set_resting_limit(idle_connections_per_virtual_machine(this->state.routes->configuration().services, this->membership->count()));
     this->state.pool.sweep(now);
--- a/Services/NodeServer/NodeMain.cpp
+++ b/Services/NodeServer/NodeMain.cpp
@@ -3,6 +3,7 @@
 
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
+#include <LibCore/ProcessLog.h>
 #include <LibCore/ProgramOptions.h>
 #include <Services/NodeServer/NodeMain.h>
 #include <csignal>
@@ -55,6 +56,7 @@
     watch_signals(signals, path, *node.value(), loop);
     LogLine("started").with("callers", node.value()->caller_address().to_string()).with("operations", node.value()->operations_address().to_string());
     loop.run();
+    ProcessLog::flush();
     // Whatever still runs is cut off with the process; taking it apart first would only take time.
     std::_Exit(static_cast<int>(ExitCode::Success));
 }
--- a/Services/NodeServer/NodeMetrics.cpp
+++ b/Services/NodeServer/NodeMetrics.cpp
@@ -24,6 +24,7 @@
     set("spurtide_limited_upstreams", "Upstreams that named a limit on requests a second, by what this VM knows", facts.limited_upstreams);
     set("spurtide_paused_upstreams", "Upstreams that asked this VM for a pause, until their usual load has been restored after it", facts.paused_upstreams);
     set("spurtide_departing_upstreams", "Upstreams that announced in a response that they are leaving, while the registry lists them as serving", facts.departing_upstreams);
+    set("spurtide_log_lines_dropped", "Lines of the log that were dropped since the start, since nobody read them", facts.dropped_log_lines);
     set("spurtide_keeps_engines", "1 while this VM takes itself for the keeper of the engines", facts.keeping == NodeFacts::Keeping::This ? 1 : 0);
     set("spurtide_upstreams_from_registry", "1 while this VM watches the registry's list of upstreams and is answered", facts.upstreams_source == NodeFacts::Source::Registry ? 1 : 0);
     set("spurtide_upstreams_from_peers", "1 while other VMs tell this one of the list", facts.upstreams_source == NodeFacts::Source::Peers ? 1 : 0);
--- a/Services/NodeServer/NodeMetrics.h
+++ b/Services/NodeServer/NodeMetrics.h
@@ -40,6 +40,7 @@
     std::size_t paused_upstreams = 0;
     /// Upstreams that announced their departure in a response while the registry lists them as serving.
     std::size_t departing_upstreams = 0;
+    std::uint64_t dropped_log_lines = 0;
     /// What is known of evacuations, ended ones among them, with the upstreams that they concern.
     struct EvacuationFacts {
         Evacuation evacuation;
