LibCore: Let leases, deadlines and timers run on one clock

What callers saw: nothing yet; found in review. On a machine that was ever suspended, a request's deadline, the deadline of an exchange with an upstream and each wait with a time limit came late by all its suspensions, until the next boot.

Cause: monotonic_now() reads CLOCK_BOOTTIME, since leases count pauses. Its times had the type of std::chrono::steady_clock and were given to Asio's steady timers, which compare them with CLOCK_MONOTONIC.

Ruled out: CLOCK_MONOTONIC for timeouts and CLOCK_BOOTTIME for leases. One time is passed into the decisions for both, and a caller's deadline passes while this machine is suspended (docs/design/clocks.md).

Change: MonotonicTime is a time of a clock type of its own, MonotonicClock, which reads CLOCK_BOOTTIME, and all timers of the event loops are MonotonicTimer on it. A time given to a timer of another clock does not compile. Asio's kernel timer is of CLOCK_MONOTONIC, so an event loop sleeps for at most a second at a time and a suspension during a wait makes it late by no more. Tests move the clock by an offset.

--- a/Libraries/LibAsync/HttpConnection.h
+++ b/Libraries/LibAsync/HttpConnection.h
@@ -8,6 +8,7 @@
 #include <LibAsync/MessageParser.h>
 #include <LibAsync/Signal.h>
 #include <LibAsync/TcpOptions.h>
+#include <LibCore/MonotonicTimer.h>
 #include <LibCore/Result.h>
 #include <LibCore/Time.h>
 #include <LibHttp/Address.h>
@@ -71,7 +72,7 @@
     void note_idle_limit(HttpResponseHead const& head);
 
     asio::ip::tcp::socket socket;
-    asio::steady_timer deadline;
+    MonotonicTimer deadline;
     MessageParser parser { MessageParser::Kind::Response };
     std::string unread;
     std::string head_bytes;
--- a/Libraries/LibAsync/HttpServer.cpp
+++ b/Libraries/LibAsync/HttpServer.cpp
@@ -4,6 +4,7 @@
 #include <LibAsync/HttpServer.h>
 #include <LibAsync/ServerConnection.h>
 #include <LibCore/LogLine.h>
+#include <LibCore/MonotonicTimer.h>
 
 namespace Spurtide {
 
@@ -62,7 +63,7 @@
         if (error == asio::error::operation_aborted)
             break;
         if (error) {
-            asio::steady_timer pause(this->loop, ACCEPT_PAUSE);
+            MonotonicTimer pause(this->loop, ACCEPT_PAUSE);
             co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
             continue;
         }
--- a/Libraries/LibAsync/Signal.h
+++ b/Libraries/LibAsync/Signal.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <LibCore/MonotonicTimer.h>
 #include <LibCore/Time.h>
 #include <asio.hpp>
 
@@ -27,7 +28,7 @@
 
     asio::awaitable<void> wait()
     {
-        this->timer.expires_at(asio::steady_timer::time_point::max());
+        this->timer.expires_at(MonotonicTime::max());
         asio::error_code error;
         co_await this->timer.async_wait(asio::redirect_error(asio::use_awaitable, error));
     }
@@ -41,7 +42,7 @@
     }
 
 private:
-    asio::steady_timer timer;
+    MonotonicTimer timer;
 };
 
 }
--- a/Libraries/LibCore/Clock.h
+++ b/Libraries/LibCore/Clock.h
@@ -7,8 +7,7 @@
 
 namespace Spurtide {
 
-/// Reads the clock that counts pauses (CLOCK_BOOTTIME).
-MonotonicTime monotonic_now();
+inline MonotonicTime monotonic_now() { return MonotonicClock::now(); }
 
 /// Milliseconds since the Unix epoch by the wall clock.
 std::int64_t unix_milliseconds();
--- a/Libraries/LibCore/Time.h
+++ b/Libraries/LibCore/Time.h
@@ -11,9 +11,21 @@
 /// All durations of the system, in whole microseconds.
 using Duration = std::chrono::microseconds;
 
-/// A point on a clock that never steps back and counts the time a process was paused or the machine slept.
+/// Never steps back, and counts the time that the process was paused or the machine suspended (CLOCK_BOOTTIME). The one clock of
+/// leases, deadlines and timers. A type of its own, so that its times cannot be given to a timer of another clock.
+class MonotonicClock {
+public:
+    using duration = Duration;
+    using rep = duration::rep;
+    using period = duration::period;
+    using time_point = std::chrono::time_point<MonotonicClock>;
+    static constexpr bool is_steady = true; // NOLINT(readability-identifier-naming): the standard library's name of it
+
+    static time_point now();
+};
+
 /// Passed into the decision logic, which reads no clock of its own.
-using MonotonicTime = std::chrono::time_point<std::chrono::steady_clock, Duration>;
+using MonotonicTime = MonotonicClock::time_point;
 
 constexpr Duration milliseconds(std::int64_t count) { return std::chrono::milliseconds(count); }
 constexpr Duration seconds(std::int64_t count) { return std::chrono::seconds(count); }
--- a/Libraries/LibRouter/CallAdmissionService.h
+++ b/Libraries/LibRouter/CallAdmissionService.h
@@ -5,6 +5,7 @@
 
 #include <LibCore/Clock.h>
 #include <LibCore/Metrics.h>
+#include <LibCore/MonotonicTimer.h>
 #include <LibDecision/CallQueue.h>
 #include <LibDecision/DeadOriginTracker.h>
 #include <LibDecision/PauseDetector.h>
@@ -91,7 +92,7 @@
     Kernel& kernel;
     UpstreamList const& upstreams;
     Metrics& metrics;
-    asio::steady_timer timer;
+    MonotonicTimer timer;
     /// When the timer expires; empty if it is not set.
     std::optional<MonotonicTime> timer_due;
     std::map<QueueKey, ServiceQueue> queues;
--- a/Libraries/LibRouter/CrashAnalyzer.h
+++ b/Libraries/LibRouter/CrashAnalyzer.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <LibCore/MonotonicTimer.h>
 #include <LibDecision/PoisonPartDetector.h>
 #include <LibDecision/PoisonRequestDetector.h>
 #include <LibRouter/ReplicatedQuarantine.h>
@@ -93,7 +94,7 @@
 
     Options options;
     ReplicatedQuarantine& quarantine;
-    asio::steady_timer timer;
+    MonotonicTimer timer;
     bool is_timer_set = false;
     PoisonRequestDetector ledger;
     PoisonPartDetector part_ledger;
--- a/Libraries/LibRouter/PlacementService.h
+++ b/Libraries/LibRouter/PlacementService.h
@@ -5,6 +5,7 @@
 
 #include <LibCore/Clock.h>
 #include <LibCore/Metrics.h>
+#include <LibCore/MonotonicTimer.h>
 #include <LibDecision/CellScheduler.h>
 #include <LibDecision/DeadOriginTracker.h>
 #include <LibDecision/EngineSubset.h>
@@ -82,7 +83,7 @@
     Hooks hooks;
     Kernel& kernel;
     Metrics& metrics;
-    asio::steady_timer timer;
+    MonotonicTimer timer;
     bool is_timer_set = false;
     std::map<std::string, Kernel::Responder> pending_responders;
     std::map<std::string, double> account_weights;
--- a/Libraries/LibRouter/PromptCacheFetcher.cpp
+++ b/Libraries/LibRouter/PromptCacheFetcher.cpp
@@ -3,6 +3,7 @@
 
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
+#include <LibCore/MonotonicTimer.h>
 #include <LibRouter/PromptCacheFetcher.h>
 #include <LibRouter/UpstreamCall.h>
 #include <set>
@@ -33,7 +34,7 @@
 {
     std::optional<MonotonicTime> keeper_since;
     std::set<std::string> fetched;
-    asio::steady_timer timer(this->state.loop);
+    MonotonicTimer timer(this->state.loop);
     while (true) {
         timer.expires_after(this->options.check_interval);
         asio::error_code ignored;
--- a/Libraries/LibRouter/QuotaClient.cpp
+++ b/Libraries/LibRouter/QuotaClient.cpp
@@ -3,6 +3,7 @@
 
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
+#include <LibCore/MonotonicTimer.h>
 #include <LibRouter/QuotaClient.h>
 #include <LibRouter/ServiceCall.h>
 #include <algorithm>
@@ -47,7 +48,7 @@
     if (cost <= 0 || this->credit.spend(account, cost, monotonic_now()) == QuotaCredit::Outcome::Spent)
         co_return Decision {};
     auto const executor = co_await asio::this_coro::executor;
-    asio::steady_timer timer(executor);
+    MonotonicTimer timer(executor);
     for (int polls = 0; polls < this->options.maximum_polls; ++polls) {
         if (this->own_counter.is_settled()) {
             auto const decision = co_await this->ask_ranked(account, cost, patience);
--- a/Libraries/LibRouter/RegistryFollower.cpp
+++ b/Libraries/LibRouter/RegistryFollower.cpp
@@ -3,6 +3,7 @@
 
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
+#include <LibCore/MonotonicTimer.h>
 #include <LibRouter/RegistryFollower.h>
 #include <algorithm>
 #include <memory>
@@ -84,7 +85,7 @@
 
 asio::awaitable<void> RegistryFollower::sleep(Duration duration)
 {
-    asio::steady_timer timer(this->loop, duration);
+    MonotonicTimer timer(this->loop, duration);
     asio::error_code ignored;
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
--- a/Libraries/LibRouter/ReplicatedQuarantine.cpp
+++ b/Libraries/LibRouter/ReplicatedQuarantine.cpp
@@ -3,6 +3,7 @@
 
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
+#include <LibCore/MonotonicTimer.h>
 #include <LibRouter/ReplicatedQuarantine.h>
 #include <algorithm>
 
@@ -143,7 +144,7 @@
 asio::awaitable<void> ReplicatedQuarantine::write_store()
 {
     auto retry_delay = this->options.initial_write_retry_delay;
-    asio::steady_timer timer(this->loop);
+    MonotonicTimer timer(this->loop);
     while (!this->pending_writes.empty()) {
         auto const entry = this->pending_writes.begin()->second;
         auto const written = co_await this->store.write_quarantine(entry, this->outdated);
--- a/Libraries/LibRouter/RequestHandler.h
+++ b/Libraries/LibRouter/RequestHandler.h
@@ -5,6 +5,7 @@
 
 #include <LibAsync/HttpExchange.h>
 #include <LibCore/LogLine.h>
+#include <LibCore/MonotonicTimer.h>
 #include <LibDecision/RequestFingerprint.h>
 #include <LibDecision/RetryPolicy.h>
 #include <LibDecision/SendAccounting.h>
@@ -168,8 +169,8 @@
     /// The amount to charge to the account's quota.
     double quota_cost = 0;
     std::shared_ptr<HttpConnection> active_connection;
-    asio::steady_timer deadline_timer;
-    asio::steady_timer turn_timer;
+    MonotonicTimer deadline_timer;
+    MonotonicTimer turn_timer;
 };
 
 }
--- a/Libraries/LibRouter/RoleController.cpp
+++ b/Libraries/LibRouter/RoleController.cpp
@@ -3,6 +3,7 @@
 
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
+#include <LibCore/MonotonicTimer.h>
 #include <LibRouter/RoleController.h>
 #include <LibRouter/UpstreamCall.h>
 #include <array>
@@ -45,7 +46,7 @@
 
 asio::awaitable<void> RoleController::pause(Duration duration)
 {
-    asio::steady_timer timer(this->state.loop, duration);
+    MonotonicTimer timer(this->state.loop, duration);
     asio::error_code ignored;
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
--- a/Libraries/LibWire/Kernel.cpp
+++ b/Libraries/LibWire/Kernel.cpp
@@ -3,6 +3,7 @@
 
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
+#include <LibCore/MonotonicTimer.h>
 #include <LibWire/Kernel.h>
 #include <LibWire/WatchedSocket.h>
 #include <LibWire/WireMembers.h>
@@ -144,7 +145,7 @@
 
     void every(Duration interval, std::function<void()> function)
     {
-        auto timer = std::make_shared<asio::steady_timer>(this->loop);
+        auto timer = std::make_shared<MonotonicTimer>(this->loop);
         asio::post(this->loop, [this, interval, function = std::move(function), timer] { this->arm(timer, interval, function); });
     }
 
@@ -210,8 +211,8 @@
     struct Pending {
         std::string endpoint;
         ReplyCallback callback;
-        std::shared_ptr<asio::steady_timer> timer;
-        std::shared_ptr<asio::steady_timer> silence_timer;
+        std::shared_ptr<MonotonicTimer> timer;
+        std::shared_ptr<MonotonicTimer> silence_timer;
         MonotonicTime sent;
     };
 
@@ -242,7 +243,7 @@
         this->link_count = this->links.size();
     }
 
-    void arm(std::shared_ptr<asio::steady_timer> const& timer, Duration interval, std::function<void()> const& function)
+    void arm(std::shared_ptr<MonotonicTimer> const& timer, Duration interval, std::function<void()> const& function)
     {
         timer->expires_after(interval);
         timer->async_wait([this, timer, interval, function](asio::error_code error) {
@@ -303,13 +304,13 @@
             callback(Failure { WireError { WireErrorKind::NoEndpoint } });
             return;
         }
-        Pending request { endpoint, std::move(callback), std::make_shared<asio::steady_timer>(this->loop, patience.timeout), nullptr, monotonic_now() };
+        Pending request { endpoint, std::move(callback), std::make_shared<MonotonicTimer>(this->loop, patience.timeout), nullptr, monotonic_now() };
         request.timer->async_wait([this, correlation](asio::error_code error) {
             if (!error)
                 this->time_out(correlation);
         });
         if (patience.silence > Duration::zero()) {
-            request.silence_timer = std::make_shared<asio::steady_timer>(this->loop);
+            request.silence_timer = std::make_shared<MonotonicTimer>(this->loop);
             this->watch_silence(correlation, request.silence_timer, patience.silence);
         }
         this->pending.emplace(correlation, std::move(request));
@@ -333,7 +334,7 @@
         });
     }
 
-    void watch_silence(std::uint64_t correlation, std::shared_ptr<asio::steady_timer> const& timer, Duration silence)
+    void watch_silence(std::uint64_t correlation, std::shared_ptr<MonotonicTimer> const& timer, Duration silence)
     {
         timer->expires_after(silence);
         timer->async_wait([this, correlation, timer, silence](asio::error_code error) {
@@ -347,7 +348,7 @@
         });
     }
 
-    void ask_for_life(std::uint64_t correlation, std::shared_ptr<asio::steady_timer> const& timer, Duration silence)
+    void ask_for_life(std::uint64_t correlation, std::shared_ptr<MonotonicTimer> const& timer, Duration silence)
     {
         auto ping = message_to(KERNEL_SERVICE);
         ping.mutable_acknowledgement();
--- a/Services/NodeServer/Node.h
+++ b/Services/NodeServer/Node.h
@@ -5,6 +5,7 @@
 
 #include <LibAsync/HttpServer.h>
 #include <LibCore/Metrics.h>
+#include <LibCore/MonotonicTimer.h>
 #include <LibDecision/ConnectionAdmission.h>
 #include <LibRouter/CallAdmissionClient.h>
 #include <LibRouter/CallAdmissionService.h>
@@ -162,7 +163,7 @@
     bool is_stopping = false;
     MonotonicTime stop_began;
     std::function<void()> when_stopped;
-    asio::steady_timer stop_timer;
+    MonotonicTimer stop_timer;
 };
 
 }
