LibAsync: Let no exception end a coroutine unseen, or the process

What callers saw: by reading, a request that never ends, or a VM that stays ready and follows nothing, after a library or the allocator threw.

Cause: coroutines were started detached, which drops exceptions, and those of handlers left io_context::run() and ended the process.

A connection whose request throws is reset. Periodic functions are armed before they run. A failed accept leaves a line.

--- a/Libraries/LibAsync/HttpServer.cpp
+++ b/Libraries/LibAsync/HttpServer.cpp
@@ -3,6 +3,7 @@
 
 #include <LibAsync/HttpServer.h>
 #include <LibAsync/ServerConnection.h>
+#include <LibAsync/Spawn.h>
 #include <LibCore/LogLine.h>
 #include <LibCore/MonotonicTimer.h>
 
@@ -12,6 +13,7 @@
 
 /// After accept failed for want of descriptors or memory.
 constexpr Duration ACCEPT_PAUSE = milliseconds(20);
+constexpr std::int64_t ACCEPT_FAILURES_PER_LINE = 100;
 /// Bounds the time that waiting connections take from the other work of the loop.
 constexpr std::size_t MAXIMUM_ACCEPTED_PER_TURN = 256;
 
@@ -50,7 +52,7 @@
     if (error)
         return Failure { ListenError::CannotBind };
     server->bound = { address.host, server->acceptor.local_endpoint().port() };
-    asio::co_spawn(loop, server->accept(), asio::detached);
+    spawn_lasting(loop.get_executor(), "accept", [accepting = server.get()] { return accepting->accept(); });
     return server;
 }
 
@@ -63,6 +65,7 @@
         if (error == asio::error::operation_aborted)
             break;
         if (error) {
+            this->note_accept_failure(error);
             MonotonicTimer pause(this->loop, ACCEPT_PAUSE);
             co_await pause.async_wait(asio::redirect_error(asio::use_awaitable, error));
             continue;
@@ -81,6 +84,13 @@
     }
 }
 
+// New callers wait in the backlog meanwhile.
+void HttpServer::note_accept_failure(asio::error_code error)
+{
+    if (this->accept_failures++ % ACCEPT_FAILURES_PER_LINE == 0)
+        LogLine("accept_failed").with("address", this->bound.to_string()).with("error", error.message()).with("failures", this->accept_failures).with("connections", static_cast<std::int64_t>(this->connections.size()));
+}
+
 void HttpServer::admit(asio::ip::tcp::socket socket)
 {
     if (!this->accepts_connection()) {
--- a/Libraries/LibAsync/HttpServer.h
+++ b/Libraries/LibAsync/HttpServer.h
@@ -70,6 +70,7 @@
     asio::awaitable<void> accept();
     /// Serves a new connection, or closes it if the admission or the number of connections does not allow it.
     void admit(asio::ip::tcp::socket socket);
+    void note_accept_failure(asio::error_code error);
     bool make_room();
 
     asio::io_context& loop;
@@ -79,6 +80,7 @@
     Address bound;
     bool closing = false;
     std::size_t exchanges = 0;
+    std::int64_t accept_failures = 0;
     std::size_t most_connections = DEFAULT_MOST_CONNECTIONS;
     std::function<bool()> accepts_connection = [] { return true; };
     std::set<ServerConnection*> connections;
--- a/Libraries/LibAsync/ServerConnection.cpp
+++ b/Libraries/LibAsync/ServerConnection.cpp
@@ -2,6 +2,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 
 #include <LibAsync/ServerConnection.h>
+#include <LibAsync/Spawn.h>
 #include <LibAsync/TcpOptions.h>
 #include <LibCore/Clock.h>
 #include <array>
@@ -43,10 +44,25 @@
     asio::error_code ignored;
     this->socket.non_blocking(true, ignored);
     set_tcp_options(this->socket, CALLER_PATIENCE);
-    auto const run = [](std::shared_ptr<ServerConnection> self) -> asio::awaitable<void> { co_await self->serve(); };
-    auto const read = [](std::shared_ptr<ServerConnection> self) -> asio::awaitable<void> { co_await self->read_all(); };
-    asio::co_spawn(this->socket.get_executor(), read(this->shared_from_this()), asio::detached);
-    asio::co_spawn(this->socket.get_executor(), run(this->shared_from_this()), asio::detached);
+    // A caller whose request ended with an exception would wait in vain.
+    auto const run = [](std::shared_ptr<ServerConnection> self) -> asio::awaitable<void> {
+        try {
+            co_await self->serve();
+        } catch (...) {
+            self->abort();
+            throw;
+        }
+    };
+    auto const read = [](std::shared_ptr<ServerConnection> self) -> asio::awaitable<void> {
+        try {
+            co_await self->read_all();
+        } catch (...) {
+            self->abort();
+            throw;
+        }
+    };
+    spawn(this->socket.get_executor(), "read_requests", read(this->shared_from_this()));
+    spawn(this->socket.get_executor(), "serve_requests", run(this->shared_from_this()));
 }
 
 void ServerConnection::note_caller_gone()
--- a/Libraries/LibRouter/CacheRelease.cpp
+++ b/Libraries/LibRouter/CacheRelease.cpp
@@ -1,6 +1,7 @@
 // SPDX-FileCopyrightText: 2026 The Spurtide developers
 // SPDX-License-Identifier: BSD-2-Clause
 
+#include <LibAsync/Spawn.h>
 #include <LibRouter/CacheRelease.h>
 #include <LibRouter/UpstreamCall.h>
 
@@ -25,7 +26,7 @@
         // NOTE: If this fails, the engine frees the cache itself when its hold time expires.
         static_cast<void>(co_await call_upstream(state, std::move(engine), std::move(request), CallPurpose::Release, std::move(options)));
     };
-    asio::co_spawn(state.loop, free(state, holder, handle), asio::detached);
+    spawn(state.loop.get_executor(), "free_cache", free(state, holder, handle));
 }
 
 }
--- a/Libraries/LibRouter/PromptCacheFetcher.cpp
+++ b/Libraries/LibRouter/PromptCacheFetcher.cpp
@@ -1,6 +1,7 @@
 // SPDX-FileCopyrightText: 2026 The Spurtide developers
 // SPDX-License-Identifier: BSD-2-Clause
 
+#include <LibAsync/Spawn.h>
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
 #include <LibCore/MonotonicTimer.h>
@@ -27,7 +28,7 @@
 
 void PromptCacheFetcher::start()
 {
-    asio::co_spawn(this->state.loop, this->run(), asio::detached);
+    spawn_lasting(this->state.loop.get_executor(), "fetch_prompt_caches", [this] { return this->run(); });
 }
 
 asio::awaitable<void> PromptCacheFetcher::run()
--- a/Libraries/LibRouter/ReachabilityProber.cpp
+++ b/Libraries/LibRouter/ReachabilityProber.cpp
@@ -1,6 +1,7 @@
 // SPDX-FileCopyrightText: 2026 The Spurtide developers
 // SPDX-License-Identifier: BSD-2-Clause
 
+#include <LibAsync/Spawn.h>
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
 #include <LibRouter/ReachabilityProber.h>
@@ -50,7 +51,10 @@
     if (!record)
         return;
     this->reachability->note_probe(identity, now);
-    asio::co_spawn(this->loop, this->connect_to(*record), asio::detached);
+    auto const connect = [](ReachabilityProber& prober, UpstreamRecord upstream) -> asio::awaitable<void> {
+        static_cast<void>(co_await prober.connect_to(std::move(upstream)));
+    };
+    spawn(this->loop.get_executor(), "probe_upstream", connect(*this, *record));
 }
 
 asio::awaitable<ReachabilityProber::Connection> ReachabilityProber::connect_to(UpstreamRecord upstream)
--- a/Libraries/LibRouter/RegistryFollower.cpp
+++ b/Libraries/LibRouter/RegistryFollower.cpp
@@ -1,6 +1,7 @@
 // SPDX-FileCopyrightText: 2026 The Spurtide developers
 // SPDX-License-Identifier: BSD-2-Clause
 
+#include <LibAsync/Spawn.h>
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
 #include <LibCore/MonotonicTimer.h>
@@ -60,8 +61,8 @@
 
 void RegistryFollower::start()
 {
-    asio::co_spawn(this->loop, this->follow_configuration(), asio::detached);
-    asio::co_spawn(this->loop, this->follow_upstreams(), asio::detached);
+    spawn_lasting(this->loop.get_executor(), "follow_configuration", [this] { return this->follow_configuration(); });
+    spawn_lasting(this->loop.get_executor(), "follow_upstreams", [this] { return this->follow_upstreams(); });
 }
 
 // Exponential backoff with jitter that differs by VM and attempt. The hook lengthens all pauses in proportion, so that VMs
@@ -122,7 +123,7 @@
         this->next_confirmation = std::make_shared<Confirmation>();
     auto const confirmation = this->next_confirmation;
     if (!this->is_confirming)
-        asio::co_spawn(this->loop, this->run_confirmations(), asio::detached);
+        spawn_lasting(this->loop.get_executor(), "confirm_upstreams", [this] { return this->run_confirmations(); });
     Signal signal(this->loop.get_executor());
     auto const place = confirmation->waiting.insert(confirmation->waiting.end(), &signal);
     auto end = WaitEnd::Notified;
@@ -156,7 +157,7 @@
 {
     // A watch that is given up goes on by itself until its timeout.
     auto const pending = std::make_shared<PendingWatch<News>>(this->loop.get_executor());
-    asio::co_spawn(this->loop, finish_watch(pending, std::move(watch)), asio::detached);
+    spawn(this->loop.get_executor(), "watch", finish_watch(pending, std::move(watch)));
     auto const place = this->waiting.insert(this->waiting.end(), &pending->signal);
     while (!pending->result && this->era <= position.era)
         co_await pending->signal.wait();
--- a/Libraries/LibRouter/ReplicatedQuarantine.cpp
+++ b/Libraries/LibRouter/ReplicatedQuarantine.cpp
@@ -1,6 +1,7 @@
 // SPDX-FileCopyrightText: 2026 The Spurtide developers
 // SPDX-License-Identifier: BSD-2-Clause
 
+#include <LibAsync/Spawn.h>
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
 #include <LibCore/MonotonicTimer.h>
@@ -68,7 +69,7 @@
 void ReplicatedQuarantine::start_writing()
 {
     if (!std::exchange(this->is_writing, true))
-        asio::co_spawn(this->loop, this->write_store(), asio::detached);
+        spawn_lasting(this->loop.get_executor(), "write_quarantine", [this] { return this->write_store(); });
 }
 
 void ReplicatedQuarantine::broadcast(QuarantineEntry const& entry)
@@ -86,7 +87,7 @@
 void ReplicatedQuarantine::refresh_from_store()
 {
     if (!this->has_recent_store_read() && !std::exchange(this->is_reading, true))
-        asio::co_spawn(this->loop, this->read_store(), asio::detached);
+        spawn_lasting(this->loop.get_executor(), "read_quarantine", [this] { return this->read_store(); });
 }
 
 asio::awaitable<void> ReplicatedQuarantine::read_store()
@@ -111,7 +112,7 @@
 {
     bool const is_due = this->quarantine.size() > 0 && this->verified_era != era;
     if (is_due && !std::exchange(this->is_verifying, true))
-        asio::co_spawn(this->loop, this->verify_rows(era), asio::detached);
+        spawn_lasting(this->loop.get_executor(), "verify_quarantine", [this, era] { return this->verify_rows(era); });
 }
 
 asio::awaitable<void> ReplicatedQuarantine::verify_rows(std::int64_t era)
--- a/Libraries/LibRouter/RoleController.cpp
+++ b/Libraries/LibRouter/RoleController.cpp
@@ -1,6 +1,7 @@
 // SPDX-FileCopyrightText: 2026 The Spurtide developers
 // SPDX-License-Identifier: BSD-2-Clause
 
+#include <LibAsync/Spawn.h>
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
 #include <LibCore/MonotonicTimer.h>
@@ -31,7 +32,7 @@
 
 void RoleController::start()
 {
-    asio::co_spawn(this->state.loop, this->run(), asio::detached);
+    spawn_lasting(this->state.loop.get_executor(), "control_roles", [this] { return this->run(); });
 }
 
 RoleBalancer& RoleController::balancer_of(std::string const& model)
--- a/Libraries/LibRouter/StreamMigrator.cpp
+++ b/Libraries/LibRouter/StreamMigrator.cpp
@@ -1,6 +1,7 @@
 // SPDX-FileCopyrightText: 2026 The Spurtide developers
 // SPDX-License-Identifier: BSD-2-Clause
 
+#include <LibAsync/Spawn.h>
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
 #include <LibRouter/CacheRelease.h>
@@ -81,7 +82,7 @@
 
 void StreamMigrator::start()
 {
-    asio::co_spawn(this->state.loop, watch(this->shared_from_this()), asio::detached);
+    spawn(this->state.loop.get_executor(), "migrate_stream", watch(this->shared_from_this()));
 }
 
 void StreamMigrator::note_event()
--- a/Libraries/LibRouter/StreamOriginArchive.cpp
+++ b/Libraries/LibRouter/StreamOriginArchive.cpp
@@ -1,8 +1,10 @@
 // SPDX-FileCopyrightText: 2026 The Spurtide developers
 // SPDX-License-Identifier: BSD-2-Clause
 
+#include <LibAsync/Spawn.h>
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
+#include <LibCore/MonotonicTimer.h>
 #include <LibRouter/StreamOriginArchive.h>
 #include <algorithm>
 #include <utility>
@@ -55,7 +57,7 @@
         this->next_read = std::make_shared<Read>();
     auto const read = this->next_read;
     if (!std::exchange(this->is_reading, true))
-        asio::co_spawn(this->loop, this->run_reads(), asio::detached);
+        spawn_lasting(this->loop.get_executor(), "read_stream_origins", [this] { return this->run_reads(); });
     Signal signal(this->loop.get_executor());
     auto const place = read->waiting.insert(read->waiting.end(), &signal);
     auto end = WaitEnd::Notified;
@@ -67,7 +69,7 @@
 
 asio::awaitable<void> StreamOriginArchive::run_reads()
 {
-    asio::steady_timer timer(this->loop);
+    MonotonicTimer timer(this->loop);
     while (this->next_read) {
         auto const current = std::exchange(this->next_read, nullptr);
         auto const began = monotonic_now();
--- a/Libraries/LibRouter/StreamOriginRecorder.cpp
+++ b/Libraries/LibRouter/StreamOriginRecorder.cpp
@@ -1,8 +1,10 @@
 // SPDX-FileCopyrightText: 2026 The Spurtide developers
 // SPDX-License-Identifier: BSD-2-Clause
 
+#include <LibAsync/Spawn.h>
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
+#include <LibCore/MonotonicTimer.h>
 #include <LibRouter/StreamOriginRecorder.h>
 #include <algorithm>
 
@@ -26,7 +28,7 @@
 
 void StreamOriginRecorder::start()
 {
-    asio::co_spawn(this->loop, this->run(), asio::detached);
+    spawn_lasting(this->loop.get_executor(), "record_stream_origins", [this] { return this->run(); });
 }
 
 void StreamOriginRecorder::add(std::string_view request, StreamOrigin const& origin)
@@ -46,7 +48,7 @@
 
 asio::awaitable<void> StreamOriginRecorder::run()
 {
-    asio::steady_timer timer(this->loop);
+    MonotonicTimer timer(this->loop);
     while (true) {
         timer.expires_after(this->pause());
         asio::error_code ignored;
--- a/Libraries/LibWire/Kernel.cpp
+++ b/Libraries/LibWire/Kernel.cpp
@@ -249,8 +249,9 @@
         timer->async_wait([this, timer, interval, function](asio::error_code error) {
             if (error)
                 return;
-            function();
+            // An exception must not end the series.
             this->arm(timer, interval, function);
+            function();
         });
     }
 
