NodeServer: Outlive signals and held addresses during the start

What the platform saw: a process that ended by itself.

Cause: signals had their default action until the node was created, and Node::create() was tried once.

Change: SIGHUP, SIGTERM and SIGINT are blocked from main() on and delivered once they have handlers. The start is tried again for ten seconds, with a line for each try.

Evidence: Tests/Programs/starts.sh fails on ("Hangup", no line of event=started after 20 s) and passes.

--- a/Libraries/LibCore/ProgramOptions.cpp
+++ b/Libraries/LibCore/ProgramOptions.cpp
@@ -37,6 +37,22 @@
               << "Exit codes: 0 success, 1 failed, 2 bad usage, 3 bad settings.\n";
 }
 
+sigset_t stop_signals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    sigaddset(&signals, SIGTERM);
+    sigaddset(&signals, SIGINT);
+    return signals;
+}
+
+sigset_t handled_signals()
+{
+    auto signals = stop_signals();
+    sigaddset(&signals, SIGHUP);
+    return signals;
+}
+
 int exit_with(ExitCode code) { return static_cast<int>(code); }
 
 int run_with_settings(ServerProgram const& program, ServerOptions const& options)
@@ -67,6 +83,11 @@
 
 int server_main(int argument_count, char** arguments, ServerProgram const& program)
 {
+    // A signal without a handler ends the process, also one that only announces new settings.
+    if (program.stop_signals == ServerProgram::StopSignals::Handled) {
+        auto const signals = handled_signals();
+        pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+    }
     std::array<option, 5> const long_options { {
         { "settings", required_argument, nullptr, static_cast<int>(OptionCode::Settings) },
         { "check", no_argument, nullptr, static_cast<int>(OptionCode::Check) },
@@ -106,19 +127,6 @@
     return run_with_settings(program, options);
 }
 
-namespace {
-
-sigset_t stop_signals()
-{
-    sigset_t signals;
-    sigemptyset(&signals);
-    sigaddset(&signals, SIGTERM);
-    sigaddset(&signals, SIGINT);
-    return signals;
-}
-
-}
-
 void block_stop_signals()
 {
     auto const signals = stop_signals();
@@ -136,4 +144,19 @@
         ProcessLog::flush();
 }
 
+bool is_told_to_stop_within(Duration duration)
+{
+    auto const signals = stop_signals();
+    auto const whole = std::chrono::duration_cast<std::chrono::seconds>(duration);
+    auto const rest = std::chrono::duration_cast<std::chrono::nanoseconds>(duration - whole);
+    timespec const time { whole.count(), rest.count() };
+    return sigtimedwait(&signals, nullptr, &time) >= 0;
+}
+
+void unblock_handled_signals()
+{
+    auto const signals = handled_signals();
+    pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
+}
+
 }
--- a/Libraries/LibCore/ProgramOptions.h
+++ b/Libraries/LibCore/ProgramOptions.h
@@ -5,6 +5,7 @@
 
 #include <LibCore/Result.h>
 #include <LibCore/SettingsReader.h>
+#include <LibCore/Time.h>
 #include <functional>
 #include <span>
 #include <string>
@@ -37,7 +38,7 @@
     enum class StopSignals {
         /// They are blocked in every thread, and one waits for them.
         WaitedFor,
-        /// The program's event loop handles them.
+        /// The program's event loop handles them, and SIGHUP. They are blocked until it calls unblock_handled_signals().
         Handled,
     } stop_signals
         = StopSignals::WaitedFor;
@@ -51,5 +52,10 @@
 
 /// Waits until this process is told to stop.
 void wait_for_stop_signal();
+/// Waits for the given time; returns whether this process was told to stop meanwhile. The signals have to be blocked.
+bool is_told_to_stop_within(Duration duration);
+
+/// Call once SIGTERM, SIGINT and SIGHUP have handlers. Those that came before are delivered then.
+void unblock_handled_signals();
 
 }
--- a/Services/NodeServer/NodeMain.cpp
+++ b/Services/NodeServer/NodeMain.cpp
@@ -1,18 +1,22 @@
 // SPDX-FileCopyrightText: 2026 The Spurtide developers
 // SPDX-License-Identifier: BSD-2-Clause
 
+#include <LibAsync/Spawn.h>
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
 #include <LibCore/ProcessLog.h>
 #include <LibCore/ProgramOptions.h>
 #include <Services/NodeServer/NodeMain.h>
 #include <csignal>
+#include <memory>
 
 namespace Spurtide {
 
 namespace {
 
 constexpr std::string_view PROGRAM = "spurtide-node";
+constexpr int START_ATTEMPTS = 50;
+constexpr Duration START_RETRY_INTERVAL = milliseconds(200);
 
 /// Reads the settings again and says what a restart would change; addresses and names stay as they are.
 void reload(std::string const& path)
@@ -42,20 +46,45 @@
     });
 }
 
+/// A node and the event loop that it runs on. A node that could not be created leaves coroutines on its loop.
+struct RunningNode {
+    asio::io_context loop { 1 };
+    std::unique_ptr<Node> node;
+};
+
+/// An address may be held for a moment by the process that used it before, or not be there yet. Empty if the node cannot start, or is
+/// told to stop before it has.
+std::unique_ptr<RunningNode> create_node(NodeSettings const& settings, std::function<NodeAdapters(NodeSettings const&)> const& make_adapters)
+{
+    for (int attempt = 1; attempt <= START_ATTEMPTS; ++attempt) {
+        auto running = std::make_unique<RunningNode>();
+        auto created = Node::create(running->loop, settings, make_adapters(settings));
+        if (!created.is_error()) {
+            running->node = created.release_value();
+            return running;
+        }
+        LogLine("start_failed").with("reason", to_string(created.error())).with("attempt", attempt).with("of", START_ATTEMPTS);
+        if (is_told_to_stop_within(START_RETRY_INTERVAL))
+            return {};
+    }
+    return {};
+}
+
 ExitCode run(NodeSettings const& settings, std::string const& path, std::function<NodeAdapters(NodeSettings const&)> const& make_adapters)
 {
     LogLine::set_process_fields(PROGRAM, settings.virtual_machine, settings.data_centre);
     std::signal(SIGPIPE, SIG_IGN);
-    asio::io_context loop(1);
-    auto node = Node::create(loop, settings, make_adapters(settings));
-    if (node.is_error()) {
-        LogLine("cannot_start").with("reason", to_string(node.error()));
+    auto const running = create_node(settings, make_adapters);
+    if (!running) {
+        LogLine("cannot_start");
         return ExitCode::Failed;
     }
-    asio::signal_set signals(loop, SIGTERM, SIGINT, SIGHUP);
-    watch_signals(signals, path, *node.value(), loop);
-    LogLine("started").with("callers", node.value()->caller_address().to_string()).with("operations", node.value()->operations_address().to_string());
-    loop.run();
+    auto& node = *running->node;
+    asio::signal_set signals(running->loop, SIGTERM, SIGINT, SIGHUP);
+    watch_signals(signals, path, node, running->loop);
+    unblock_handled_signals();
+    LogLine("started").with("callers", node.caller_address().to_string()).with("operations", node.operations_address().to_string());
+    run_loop(running->loop);
     ProcessLog::flush();
     // Whatever still runs is cut off with the process; taking it apart first would only take time.
     std::_Exit(static_cast<int>(ExitCode::Success));
--- /dev/null
+++ b/Tests/Programs/starts.sh
@@ -0,0 +1,70 @@
+#!/usr/bin/env bash
+# SPDX-FileCopyrightText: 2026 The Spurtide developers
+# SPDX-License-Identifier: BSD-2-Clause
+# A node outlives signals that come while it starts, and waits for an address that another process still holds.
+# Usage: starts.sh FOLDER-OF-PROGRAMS
+set -uo pipefail
+BIN=$1
+STATE=$(mktemp -d)
+NODES=()
+# Only a failing test waits as long as this.
+LIMIT_SECONDS=20
+trap 'for id in "${NODES[@]}"; do kill -KILL "$id" 2>/dev/null; done; rm -rf "$STATE"' EXIT
+
+fail() {
+    echo "FAILED: $1"
+    exit 1
+}
+
+# settings CALLER-ADDRESS
+settings() {
+    local any='"127.0.0.1:0"'
+    echo "{ \"vm\": \"vm-1\", \"data_centre\": \"dc\", \"caller_address\": \"$1\", \"operations_address\": $any, \"wire_address\": $any, \"registry_address\": \"127.0.0.1:1\" }"
+}
+
+# wait_for DESCRIPTOR EVENT: reads a log until the line of that event, which is then in LINE.
+wait_for() {
+    while IFS= read -r -t "$LIMIT_SECONDS" -u "$1" LINE; do
+        [[ $LINE == *" event=$2 "* ]] && return 0
+    done
+    fail "no line of event=$2"
+}
+
+# Guards against processes that end by themselves since new settings were announced while they started.
+# The node waits for its settings in a named pipe: it has begun to start, and has not installed its handlers.
+mkfifo "$STATE/settings" "$STATE/log"
+exec 3<>"$STATE/log"
+"$BIN/spurtide-node" --settings "$STATE/settings" 2>&3 &
+NODES+=("$!")
+exec 4>"$STATE/settings"
+kill -HUP "${NODES[0]}"
+settings 127.0.0.1:0 >&4
+exec 4>&-
+wait_for 3 started
+# It reads its settings again, as the signal says.
+settings 127.0.0.1:0 >"$STATE/settings"
+wait_for 3 settings_read_again
+kill -TERM "${NODES[0]}"
+wait_for 3 stopped
+wait "${NODES[0]}" || fail "the node did not end in order"
+echo "started after an early signal"
+
+# Guards against processes that end since their address is still held for a moment.
+settings 127.0.0.1:0 >"$STATE/first.json"
+"$BIN/spurtide-node" --settings "$STATE/first.json" 2>&3 &
+NODES+=("$!")
+wait_for 3 started
+address=$(sed -E 's/.* callers=(127\.0\.0\.1:[0-9]+).*/\1/' <<<"$LINE")
+settings "$address" >"$STATE/second.json"
+mkfifo "$STATE/second-log"
+exec 5<>"$STATE/second-log"
+"$BIN/spurtide-node" --settings "$STATE/second.json" 2>&5 &
+NODES+=("$!")
+wait_for 5 start_failed
+kill -KILL "${NODES[1]}"
+wait_for 5 started
+kill -TERM "${NODES[2]}"
+wait_for 5 stopped
+wait "${NODES[2]}" || fail "the node did not end in order"
+NODES=()
+echo "started once its address was free"
