--- a/Libraries/LibRouter/StreamOriginRecorder.h
+++ b/Libraries/LibRouter/StreamOriginRecorder.h
@@ -24,8 +24,8 @@
         /// Each data centre has a recorder. With more of them than this, each writes less often.
         int data_centres_at_full_rate = 10;
         Duration maximum_retry_interval = seconds(4);
-        /// How often to look for rows that others left behind.
-        Duration cleanup_interval = seconds(30);
+        /// How often to look for rows that others left behind, which takes a read of all.
+        Duration cleanup_interval = seconds(300);
     };
 
     struct Hooks {
