--- a/Libraries/LibDecision/StreamOriginJournal.cpp
+++ b/Libraries/LibDecision/StreamOriginJournal.cpp
@@ -91,6 +91,11 @@
     return keys;
 }
 
+std::size_t StreamOriginJournal::unstored_records() const
+{
+    return static_cast<std::size_t>(std::count_if(this->records.begin(), this->records.end(), [](auto const& record) { return record.revision != record.stored_revision; }));
+}
+
 std::optional<StreamOriginJournal::Write> StreamOriginJournal::next_write(MonotonicTime now)
 {
     this->remove_expired(now);
--- a/Libraries/LibDecision/StreamOriginJournal.h
+++ b/Libraries/LibDecision/StreamOriginJournal.h
@@ -33,7 +33,7 @@
         Duration record_time = seconds(5);
         std::size_t maximum_record_size = 512;
         /// Origins in all records together. Later ones are not kept while the registry takes no writes.
-        std::size_t maximum_size = 16384;
+        std::size_t maximum_size = 65536;
         /// Rows removed by one write.
         std::size_t maximum_removals = 64;
     };
@@ -57,7 +57,9 @@
         /// Identifies the state of the record that is written.
         std::uint64_t revision = 0;
     };
-    /// The oldest record that is not stored as it is, if there is one.
+    /// Records that are not stored as they are.
+    std::size_t unstored_records() const;
+    /// The oldest of those, if there is one.
     std::optional<Write> next_write(MonotonicTime now);
     void note_written(Write const& write);
     /// The write may still be executed, and would then replace what a later one stored under its key. The record moves to another key.
--- a/Libraries/LibDecision/StreamOriginReplicas.cpp
+++ b/Libraries/LibDecision/StreamOriginReplicas.cpp
@@ -92,14 +92,14 @@
     return selected;
 }
 
-std::string StreamOriginReplicas::recorder() const
+std::optional<Member> StreamOriginReplicas::recorder() const
 {
     std::vector<Member> first;
     auto const own = this->members.find(this->data_centre);
     if (own != this->members.end())
         add_first_ranked(own->second, RECORDER, 1, LeavingMembers::Excluded, first);
     bool const is_other = !first.empty() && rendezvous_score(RECORDER, first.front().virtual_machine) > rendezvous_score(RECORDER, this->virtual_machine);
-    return is_other ? first.front().virtual_machine : this->virtual_machine;
+    return is_other ? std::optional(first.front()) : std::nullopt;
 }
 
 }
--- a/Libraries/LibDecision/StreamOriginReplicas.h
+++ b/Libraries/LibDecision/StreamOriginReplicas.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -47,8 +48,8 @@
     /// The VMs that may hold a stream's origin: those of all data centres, as it may have been served in any, and more of each than
     /// hold it, since VMs may have joined or left since it was copied.
     std::vector<Member> candidates(std::string_view request) const;
-    /// The VM that writes the origins of this data centre's streams to the registry; may be this one.
-    std::string recorder() const;
+    /// The VM that writes the origins of this data centre's streams to the registry; empty if it is this one.
+    std::optional<Member> recorder() const;
 
 private:
     using DataCentre = std::vector<Member>;
--- a/Libraries/LibDecision/StreamOriginTable.cpp
+++ b/Libraries/LibDecision/StreamOriginTable.cpp
@@ -34,6 +34,12 @@
     return Found { found->second.origin, std::chrono::duration_cast<Duration>(now - found->second.noted_at) };
 }
 
+bool StreamOriginTable::is_conflicting(std::string_view request, MonotonicTime now) const
+{
+    auto const found = this->entries.find(request);
+    return found != this->entries.end() && found->second.is_conflicting && !this->is_expired(found->second, now);
+}
+
 void StreamOriginTable::remove_expired(MonotonicTime now)
 {
     std::erase_if(this->entries, [&](auto const& entry) { return this->is_expired(entry.second, now); });
--- a/Libraries/LibDecision/StreamOriginTable.h
+++ b/Libraries/LibDecision/StreamOriginTable.h
@@ -46,6 +46,8 @@
         Duration age {};
     };
     std::optional<Found> find(std::string_view request, MonotonicTime now) const;
+    /// Whether two streams were noted by this name.
+    bool is_conflicting(std::string_view request, MonotonicTime now) const;
 
     void remove_expired(MonotonicTime now);
     std::size_t size() const { return this->entries.size(); }
--- a/Libraries/LibRouter/RequestRouter.cpp
+++ b/Libraries/LibRouter/RequestRouter.cpp
@@ -60,7 +60,8 @@
         LogLine("stream_taken_up").with("request", request.identifier).with("resumes", request.resumed_request).with("last_event", request.last_event);
         if (!request.resumed_request.empty())
             origin = co_await this->state.stream_origins->find(request.resumed_request);
-        if (!origin)
+        // One of two streams by the same name began at another version.
+        if (!origin && !this->state.stream_origins->is_conflicting(request.resumed_request))
             origin = co_await this->derive_origin(*route, request);
         auto const obstacle = this->find_resumption_obstacle(*routes, *route, request, origin);
         this->state.metrics.increment("spurtide_resumptions_total", "Requests that take up a stream whose caller has received events of it", { { "outcome", std::string(obstacle.value_or("accepted")) } });
--- a/Libraries/LibRouter/StreamOriginArchive.cpp
+++ b/Libraries/LibRouter/StreamOriginArchive.cpp
@@ -27,6 +27,12 @@
     return this->origins.at(found->second);
 }
 
+bool StreamOriginArchive::is_conflicting(std::string_view request) const
+{
+    auto const found = this->streams.find(stream_key(request));
+    return found != this->streams.end() && found->second == CONFLICTING;
+}
+
 void StreamOriginArchive::forget_old(MonotonicTime now)
 {
     if (this->streams.empty() || now - this->read_at < this->options.retention)
@@ -78,7 +84,7 @@
         for (auto* signal : current->waiting)
             signal->notify();
         auto const took = std::chrono::duration_cast<Duration>(monotonic_now() - began);
-        timer.expires_after(std::max(this->options.minimum_pause, took * this->options.pause_per_read_time));
+        timer.expires_after(std::clamp(Duration(took * this->options.pause_per_read_time), this->options.minimum_pause, this->options.maximum_pause));
         asio::error_code ignored;
         co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
     }
--- a/Libraries/LibRouter/StreamOriginArchive.h
+++ b/Libraries/LibRouter/StreamOriginArchive.h
@@ -29,6 +29,7 @@
         /// Callers choose the names that they ask for, so reads take only a part of the time.
         int pause_per_read_time = 4;
         Duration minimum_pause = milliseconds(50);
+        Duration maximum_pause = milliseconds(500);
         /// How long what was read is kept. Most callers come back within seconds.
         Duration retention = seconds(60);
     };
@@ -37,6 +38,8 @@
 
     /// The origin as of the last read; empty if that did not have it, or had two of them.
     std::optional<StreamOrigin> find_known(std::string_view request) const;
+    /// Whether the last read had two origins by this name.
+    bool is_conflicting(std::string_view request) const;
     /// Frees what was read if it was not needed lately.
     void forget_old(MonotonicTime now);
     /// Reads the registry if the last read did not have the origin.
--- a/Libraries/LibRouter/StreamOriginDirectory.cpp
+++ b/Libraries/LibRouter/StreamOriginDirectory.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+/// Callers choose the names of their requests.
+constexpr std::size_t MAXIMUM_CONFLICTS = 1024;
+
 wire::Envelope origin_message(std::string_view request, StreamOrigin const& origin)
 {
     auto envelope = message_to(STREAM_ORIGIN_SERVICE);
@@ -42,6 +45,7 @@
     std::size_t pending;
     std::size_t silent = 0;
     std::optional<StreamOrigin> found;
+    bool is_conflicting = false;
     std::string found_at;
     Duration age {};
 };
@@ -124,12 +128,12 @@
     if (!this->recorder)
         return;
     stream.recorder = this->replicas.recorder();
-    if (stream.recorder == this->kernel.virtual_machine()) {
+    if (!stream.recorder) {
         this->recorder->add(stream.request, stream.origin);
         return;
     }
     message.mutable_stream_origin()->set_record(true);
-    this->kernel.notify(this->endpoint_of(stream.recorder), std::move(message));
+    this->kernel.notify(this->endpoint_of(stream.recorder->virtual_machine), std::move(message));
 }
 
 // VMs that died or were restarted have lost their copies, and callers look for them at VMs that joined.
@@ -156,11 +160,9 @@
         LogLine("stream_origin_found").with("resumes", request).with("at", this->kernel.virtual_machine()).with("service", own->origin.service).with("software", own->origin.software_version).with("age_ms", to_milliseconds(own->age));
         co_return own->origin;
     }
-    if (this->archive) {
-        if (auto known = this->archive->find_known(request)) {
-            this->count_lookup("registry");
-            co_return known;
-        }
+    if (this->is_conflicting(request)) {
+        this->count_lookup("conflicting");
+        co_return std::nullopt;
     }
     if (this->lookups >= this->options.maximum_lookups) {
         this->count_lookup("not_asked");
@@ -168,19 +170,24 @@
         co_return std::nullopt;
     }
     ++this->lookups;
-    auto found = co_await this->find_elsewhere(std::move(request));
-    --this->lookups;
-    co_return found;
+    try {
+        auto found = co_await this->find_elsewhere(std::move(request));
+        --this->lookups;
+        co_return found;
+    } catch (...) {
+        --this->lookups;
+        throw;
+    }
 }
 
 // The registry is asked last: it is needed only for streams all of whose VMs have died.
 asio::awaitable<std::optional<StreamOrigin>> StreamOriginDirectory::find_elsewhere(std::string request)
 {
     auto found = co_await this->find_at_peers(request);
-    if (!found && this->archive)
-        found = co_await this->archive->find(request);
-    else if (found)
+    if (found)
         co_return found;
+    if (this->archive && !this->is_conflicting(request))
+        found = co_await this->archive->find(request);
     this->count_lookup(found ? "registry" : "unknown");
     if (found)
         LogLine("stream_origin_found").with("resumes", request).with("at", "registry").with("service", found->service).with("software", found->software_version);
@@ -195,8 +202,12 @@
     auto const query = std::make_shared<Query>(executor, candidates.size());
     for (auto const& candidate : candidates)
         this->ask(candidate, request, query);
-    while (!query->found && query->pending > 0)
+    while (!query->found && !query->is_conflicting && query->pending > 0)
         co_await query->signal.wait();
+    if (query->is_conflicting) {
+        this->note_conflict(request);
+        co_return std::nullopt;
+    }
     if (!query->found) {
         LogLine("stream_origin_unknown").with("resumes", request).with("asked", static_cast<std::int64_t>(candidates.size())).with("silent", static_cast<std::int64_t>(query->silent));
         co_return std::nullopt;
@@ -209,6 +220,22 @@
     co_return query->found;
 }
 
+bool StreamOriginDirectory::is_conflicting(std::string_view request) const
+{
+    auto const now = monotonic_now();
+    auto const told = this->conflicts.find(request);
+    bool const is_told = told != this->conflicts.end() && now - told->second < this->options.table.retention;
+    return is_told || this->table.is_conflicting(request, now) || (this->archive && this->archive->is_conflicting(request));
+}
+
+void StreamOriginDirectory::note_conflict(std::string_view request)
+{
+    auto const now = monotonic_now();
+    std::erase_if(this->conflicts, [&](auto const& told) { return now - told.second >= this->options.table.retention; });
+    if (this->conflicts.size() < MAXIMUM_CONFLICTS)
+        this->conflicts.insert_or_assign(std::string(request), now);
+}
+
 void StreamOriginDirectory::ask(StreamOriginReplicas::Member const& member, std::string const& request, std::shared_ptr<Query> const& query)
 {
     auto envelope = message_to(STREAM_ORIGIN_SERVICE);
@@ -221,6 +248,7 @@
             auto const origin = read_origin(message);
             if (origin.is_certain())
                 query->found = origin;
+            query->is_conflicting |= !origin.is_certain() && !message.request().empty();
             query->found_at = name;
             query->age = Duration(message.age_microseconds());
         }
@@ -249,6 +277,9 @@
     if (auto const found = this->table.find(name, now)) {
         reply = origin_message(name, found->origin);
         reply.mutable_stream_origin()->set_age_microseconds(found->age.count());
+    } else if (this->is_conflicting(name)) {
+        // A name without a version.
+        reply.mutable_stream_origin()->set_request(name);
     } else {
         reply.mutable_stream_origin();
     }
--- a/Libraries/LibRouter/StreamOriginDirectory.h
+++ b/Libraries/LibRouter/StreamOriginDirectory.h
@@ -86,6 +86,8 @@
     [[nodiscard]] Registration add(std::string const& request, StreamOrigin const& origin);
     /// Where the stream began whose first event the request brought; empty if no VM that answers in time knows it.
     asio::awaitable<std::optional<StreamOrigin>> find(std::string request);
+    /// Whether two streams are known by this name, so that neither can be taken up. Complete after find().
+    bool is_conflicting(std::string_view request) const;
 
     /// Known origins, copies of other VMs' streams included.
     std::size_t size() const { return this->table.size(); }
@@ -100,13 +102,14 @@
         MonotonicTime renewed_at;
         /// The VMs that got a copy.
         std::vector<StreamOriginReplicas::Member> holders;
-        /// The VM that was asked to write it to the registry.
-        std::string recorder;
+        /// The VM that was asked to write it to the registry; empty if this one does.
+        std::optional<StreamOriginReplicas::Member> recorder;
     };
     using ServedStreams = std::map<std::uint64_t, ServedStream>;
 
     asio::awaitable<std::optional<StreamOrigin>> find_at_peers(std::string request);
     asio::awaitable<std::optional<StreamOrigin>> find_elsewhere(std::string request);
+    void note_conflict(std::string_view request);
     void copy(ServedStream& stream, std::vector<StreamOriginReplicas::Member> holders);
     void record(ServedStream& stream, wire::Envelope message);
     void refresh();
@@ -132,6 +135,8 @@
     std::shared_ptr<ServedStreams> served = std::make_shared<ServedStreams>();
     std::uint64_t last_served = 0;
     int lookups = 0;
+    /// Names that other VMs know two streams by, and when they said so.
+    std::map<std::string, MonotonicTime, std::less<>> conflicts;
 };
 
 }
--- a/Libraries/LibRouter/StreamOriginRecorder.cpp
+++ b/Libraries/LibRouter/StreamOriginRecorder.cpp
@@ -29,12 +29,16 @@
 void StreamOriginRecorder::start()
 {
     spawn_lasting(this->loop.get_executor(), "record_stream_origins", [this] { return this->run(); });
+    spawn_lasting(this->loop.get_executor(), "clean_up_stream_origins", [this] { return this->run_cleanup(); });
 }
 
 void StreamOriginRecorder::add(std::string_view request, StreamOrigin const& origin)
 {
-    if (this->journal.add(request, origin, monotonic_now()) == StreamOriginJournal::AddResult::NotAdded)
-        ++this->dropped;
+    if (this->journal.add(request, origin, monotonic_now()) != StreamOriginJournal::AddResult::NotAdded)
+        return;
+    this->metrics.increment("spurtide_stream_origins_dropped_total", "Origins of streams that were not recorded for want of room", {});
+    if (this->dropped++ == 0)
+        LogLine("stream_origin_dropped").with("request", request).with("known", static_cast<std::int64_t>(this->journal.size()));
 }
 
 Duration StreamOriginRecorder::pause() const
@@ -58,13 +62,28 @@
             this->journal.rewrite_all();
         this->era = known_era;
         co_await this->write_pending();
-        co_await this->find_abandoned_rows();
+    }
+}
+
+asio::awaitable<void> StreamOriginRecorder::run_cleanup()
+{
+    MonotonicTimer timer(this->loop);
+    while (true) {
+        timer.expires_after(this->options.cleanup_interval);
+        asio::error_code ignored;
+        co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+        if (this->journal.size() > 0 && this->failures == 0)
+            co_await this->find_abandoned_rows();
     }
 }
 
 asio::awaitable<void> StreamOriginRecorder::write_pending()
 {
-    while (auto const write = this->journal.next_write(monotonic_now())) {
+    // A record that grows while it is written waits for the next turn.
+    for (auto due = this->journal.unstored_records(); due > 0; --due) {
+        auto const write = this->journal.next_write(monotonic_now());
+        if (!write)
+            co_return;
         auto const written = co_await this->port.write_stream_origins(write->key, write->record, write->removed_keys);
         if (!written.is_error()) {
             this->journal.note_written(*write);
@@ -82,6 +101,8 @@
 {
     this->metrics.increment("spurtide_stream_origin_writes_total", "Writes of stream origins to the registry, by how they ended", { { "result", error ? std::string(to_string(*error)) : "written" } });
     if (!error) {
+        if (this->failures == 0)
+            this->dropped = 0;
         if (this->failures > 0)
             LogLine("stream_origins_recorded_again").with("failures", std::exchange(this->failures, 0)).with("dropped", std::exchange(this->dropped, 0));
         return;
@@ -93,11 +114,6 @@
 
 asio::awaitable<void> StreamOriginRecorder::find_abandoned_rows()
 {
-    auto const now = monotonic_now();
-    bool const is_due = this->journal.size() > 0 && this->failures == 0 && (!this->last_cleanup || now - *this->last_cleanup >= this->options.cleanup_interval);
-    if (!is_due)
-        co_return;
-    this->last_cleanup = now;
     auto const stored = co_await this->port.read_stream_origins();
     if (stored.is_error()) {
         LogLine("stream_origins_not_read").with("error", to_string(stored.error()));
--- a/Libraries/LibRouter/StreamOriginRecorder.h
+++ b/Libraries/LibRouter/StreamOriginRecorder.h
@@ -45,6 +45,7 @@
 private:
     asio::awaitable<void> run();
     asio::awaitable<void> write_pending();
+    asio::awaitable<void> run_cleanup();
     asio::awaitable<void> find_abandoned_rows();
     void note_result(std::optional<PlatformError> error);
     Duration pause() const;
@@ -56,9 +57,8 @@
     Hooks hooks;
     StreamOriginJournal journal;
     std::optional<std::int64_t> era;
-    std::optional<MonotonicTime> last_cleanup;
     int failures = 0;
-    /// Origins that were dropped since the last log line about them.
+    /// Origins that were dropped since the last write.
     std::int64_t dropped = 0;
 };
 
