LibWire, LibAsync, NodeServer: Leave nothing disarmed behind an exception

Found by the reviewer, by reading: with exceptions that no longer end the process, a handler that throws once left its VM deaf to its peers (the watch of the socket was armed after it), SIGTERM without effect (the wait for signals), a stop that never ends (its poll), and a request counted as running for ever.

Change: watches, waits and polls are armed before what may throw runs; periodic functions also after it has thrown, so that their interval stays; the count of exchanges is undone.

--- a/Libraries/LibAsync/ServerConnection.cpp
+++ b/Libraries/LibAsync/ServerConnection.cpp
@@ -57,6 +57,7 @@
         try {
             co_await self->read_all();
         } catch (...) {
+            self->note_caller_gone();
             self->abort();
             throw;
         }
@@ -187,8 +188,18 @@
     this->closes = !this->parser.keeps_alive();
     this->caller_gone = this->is_over;
     ++this->server->exchanges;
-    if (!this->caller_gone)
-        co_await this->server->handler(*this);
+    try {
+        if (!this->caller_gone)
+            co_await this->server->handler(*this);
+    } catch (...) {
+        this->end_exchange();
+        throw;
+    }
+    this->end_exchange();
+}
+
+void ServerConnection::end_exchange()
+{
     this->in_exchange = false;
     this->on_caller_left = {};
     if (this->server)
--- a/Libraries/LibAsync/ServerConnection.h
+++ b/Libraries/LibAsync/ServerConnection.h
@@ -64,6 +64,7 @@
     asio::awaitable<void> serve();
     asio::awaitable<ReadEnd> read_request();
     asio::awaitable<void> answer_request();
+    void end_exchange();
     asio::awaitable<void> answer_bad_request(ReadEnd end);
     asio::awaitable<void> close_gently();
     asio::awaitable<Result<Done, HttpError>> send(std::string head, std::string_view body);
--- a/Libraries/LibWire/Kernel.cpp
+++ b/Libraries/LibWire/Kernel.cpp
@@ -250,8 +250,13 @@
             if (error)
                 return;
             // An exception must not end the series.
+            try {
+                function();
+            } catch (...) {
+                this->arm(timer, interval, function);
+                throw;
+            }
             this->arm(timer, interval, function);
-            function();
         });
     }
 
--- a/Libraries/LibWire/WatchedSocket.h
+++ b/Libraries/LibWire/WatchedSocket.h
@@ -40,9 +40,9 @@
         this->descriptor.async_wait(asio::posix::stream_descriptor::wait_read, [this, alive = this->alive](asio::error_code error) {
             if (error || !*alive)
                 return;
+            // An exception of a handler must not end the watch.
+            this->watch();
             this->drain();
-            if (*alive)
-                this->watch();
         });
         // The descriptor tells only of changes, so what came before the wait is looked for here.
         this->drain_later();
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -718,12 +718,12 @@
         this->interrupt_requests();
         return;
     }
-    this->request_router.recheck_waiting_requests();
     this->stop_timer.expires_after(STOP_POLL);
     this->stop_timer.async_wait([this](asio::error_code error) {
         if (!error)
             this->poll_stop();
     });
+    this->request_router.recheck_waiting_requests();
 }
 
 void Node::interrupt_requests()
--- a/Services/NodeServer/NodeMain.cpp
+++ b/Services/NodeServer/NodeMain.cpp
@@ -38,11 +38,11 @@
     signals.async_wait([&signals, path, &node, &loop](asio::error_code error, int signal) {
         if (error)
             return;
+        watch_signals(signals, path, node, loop);
         if (signal == SIGHUP)
             reload(path);
         else
             node.stop([&loop] { loop.stop(); });
-        watch_signals(signals, path, node, loop);
     });
 }
 
@@ -52,9 +52,9 @@
     std::unique_ptr<Node> node;
 };
 
-/// An address may be held for a moment by the process that used it before, or not be there yet. Empty if the node cannot start, or is
-/// told to stop before it has.
-std::unique_ptr<RunningNode> create_node(NodeSettings const& settings, std::function<NodeAdapters(NodeSettings const&)> const& make_adapters)
+/// An address may be held for a moment by the process that used it before, or not be there yet. The error is the exit code: Success if
+/// the process is told to stop before the node has started.
+Result<std::unique_ptr<RunningNode>, ExitCode> create_node(NodeSettings const& settings, std::function<NodeAdapters(NodeSettings const&)> const& make_adapters)
 {
     for (int attempt = 1; attempt <= START_ATTEMPTS; ++attempt) {
         auto running = std::make_unique<RunningNode>();
@@ -65,20 +65,21 @@
         }
         LogLine("start_failed").with("reason", to_string(created.error())).with("attempt", attempt).with("of", START_ATTEMPTS);
         if (is_told_to_stop_within(START_RETRY_INTERVAL))
-            return {};
+            return Failure { ExitCode::Success };
     }
-    return {};
+    return Failure { ExitCode::Failed };
 }
 
 ExitCode run(NodeSettings const& settings, std::string const& path, std::function<NodeAdapters(NodeSettings const&)> const& make_adapters)
 {
     LogLine::set_process_fields(PROGRAM, settings.virtual_machine, settings.data_centre);
     std::signal(SIGPIPE, SIG_IGN);
-    auto const running = create_node(settings, make_adapters);
-    if (!running) {
-        LogLine("cannot_start");
-        return ExitCode::Failed;
+    auto created = create_node(settings, make_adapters);
+    if (created.is_error()) {
+        LogLine("cannot_start").with("reason", created.error() == ExitCode::Success ? "told_to_stop" : "no_address");
+        return created.error();
     }
+    auto const running = created.release_value();
     auto& node = *running->node;
     asio::signal_set signals(running->loop, SIGTERM, SIGINT, SIGHUP);
     watch_signals(signals, path, node, running->loop);
--- a/Tests/LibAsync/TestSpawn.cpp
+++ b/Tests/LibAsync/TestSpawn.cpp
@@ -108,4 +108,6 @@
     REQUIRE_FALSE(answers[1].is_error());
     CHECK(answers[1].value().status == 204);
     CHECK(lines.count == 1);
+    // A stop would wait for it otherwise.
+    CHECK(server->exchange_count() == 0);
 }
