Tests: Leave odd entries in the store's tables

Other operators saw machines end, or stop following the list, by one odd entry among those of the servers.

--- a/Tests/Platform/StoreStandIn.cpp
+++ b/Tests/Platform/StoreStandIn.cpp
@@ -64,7 +64,12 @@
 
 void StoreStandIn::put(std::string const& table, std::string const& key, nlohmann::json const& value)
 {
-    this->tables[table][key] = Row { value.dump(), ++this->version, false };
+    this->put_bytes(table, key, value.dump());
+}
+
+void StoreStandIn::put_bytes(std::string const& table, std::string const& key, std::string bytes)
+{
+    this->tables[table][key] = Row { std::move(bytes), ++this->version, false };
     this->notify();
 }
 
--- a/Tests/Platform/StoreStandIn.h
+++ b/Tests/Platform/StoreStandIn.h
@@ -48,6 +48,8 @@
 
     Address const& address() const { return this->server->address(); }
     void put(std::string const& table, std::string const& key, nlohmann::json const& value);
+    /// A row of bytes that need not be JSON.
+    void put_bytes(std::string const& table, std::string const& key, std::string bytes);
     void remove(std::string const& table, std::string const& key);
     void set_fault(Fault fault);
     void stop_listening() { this->server->stop_listening(); }
