LibDecision: Take a list for complete only since no state of an entry can have been missed

Cause: the registry's feed tells the last state of an entry. An engine that was v1, v2 and v1 again, or v2 before its removal, left no trace of v2 in the list of a VM that saw the last state alone, and the origin of a stream that nobody knew was derived from that list.

Change: any removal, a start that differs and a return after a removal make the list incomplete from then on; before, only the removal of an entry that was never listed did.

Test changed: "another of the version came and left" expected that only one version can have served.

--- a/Libraries/LibDecision/UpstreamList.cpp
+++ b/Libraries/LibDecision/UpstreamList.cpp
@@ -145,13 +145,16 @@
         this->retained_entries -= before != this->entries.end() && before->second.retained_until ? 1 : 0;
         if (before != this->entries.end() && before->second.record.software_version != entry.record.software_version)
             this->note_ended(before->second.record, now);
+        bool const is_other_start = before != this->entries.end() && before->second.record.started != entry.record.started;
+        if (this->complete_since && (is_other_start || this->removals.contains(change.identity)))
+            this->complete_since = now;
         this->entries.insert_or_assign(change.identity, std::move(entry));
         this->removals.erase(change.identity);
         return;
     }
-    // An upstream that was never listed here came and went between two updates.
-    bool const is_unseen = !this->entries.contains(change.identity) && !this->removals.contains(change.identity);
-    if (this->complete_since && is_unseen)
+    // An update tells only the last state of an entry. Before its removal, or before another start, the upstream may have had a version
+    // that this list has not heard of.
+    if (this->complete_since)
         this->complete_since = now;
     Removal const removal { change.version, this->start_of(change.identity) };
     this->remove_or_retain(change.identity, now);
--- a/Tests/LibDecision/TestSoftwareVersions.cpp
+++ b/Tests/LibDecision/TestSoftwareVersions.cpp
@@ -112,10 +112,24 @@
     };
     auto const given = GENERATE(values<Case>({
         { "unchanged", [](auto&) {}, true },
-        { "another of the version came and left", [](auto& list) {
+        { "another of the version came", [](auto& list) { list.apply({ "c", record("c", "v1"), 3_v }, at_milliseconds(20'000)); }, true },
+        { "another of the version came and left, perhaps as another", [](auto& list) {
              list.apply({ "c", record("c", "v1"), 3_v }, at_milliseconds(20'000));
              list.apply({ "c", {}, 4_v }, at_milliseconds(30'000)); },
+            false },
+        { "another of the version came and left long ago", [](auto& list) {
+             list.apply({ "c", record("c", "v1"), 3_v }, at_milliseconds(5'000));
+             list.apply({ "c", {}, 4_v }, at_milliseconds(9'000)); },
             true },
+        { "one that had left long ago came back", [](auto& list) {
+             list.apply({ "c", {}, 3_v }, at_milliseconds(5'000));
+             list.apply({ "c", record("c", "v1"), 4_v }, at_milliseconds(12'000)); },
+            false },
+        { "one was restarted, perhaps twice", [](auto& list) {
+             auto restarted = record("a", "v1");
+             restarted.started = 2000;
+             list.apply({ "a", restarted, 3_v }, at_milliseconds(12'000)); },
+            false },
         { "another version is listed", [](auto& list) { list.apply({ "c", record("c", "v2"), 3_v }, at_milliseconds(39'000)); }, false },
         { "another version left lately", [](auto& list) {
              list.apply({ "c", record("c", "v2"), 3_v }, at_milliseconds(5'000));
