Tests: Run real node processes under faults that a seed chooses

NodeSoak hosts the stand-ins of the store and the upstreams, starts 3 (up to 12) spurtide-node processes, keeps 8 plain and 10 stream callers on them, and injects, in series and overlapping: SIGKILL of one, two or all processes, SIGTERM, SIGHUP (also right after a start), SIGSTOP for 0.1 to 4 s, configuration versions, engines of new software versions, engines that break off streams, odd rows among the servers, and store faults. It fails where

- a process ends other than by a SIGKILL or SIGTERM that was sent, or not within its grace time,
- a process that was not killed gives no whole response to a request, except one that it need not have read before it was told to stop and that its log does not name,
- a response belongs to another request, or a request that may not be repeated ran twice,
- a stream has events of two software versions, or a gap, a repetition or an end before its last event,
- a node serves nothing 10 s after all were killed, or after the last fault,
- of the streams taken up whose version is still listed fewer than half go on.

--- /dev/null
+++ b/Tests/Platform/Soak/NodeSoak.cpp
@@ -0,0 +1,699 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+// Real node processes between stand-ins and callers, under faults that a seed chooses; what they meet depends on the machine's speed as
+// well. Exits with 1 where a request, stream or process did not end as it has to.
+
+#include <LibAsync/HttpConnection.h>
+#include <LibCore/Clock.h>
+#include <Tests/Platform/Soak/SoakDeployment.h>
+#include <algorithm>
+#include <array>
+#include <csignal>
+#include <fstream>
+#include <getopt.h>
+#include <iostream>
+
+using namespace Spurtide;
+using namespace Spurtide::Tests;
+
+namespace {
+
+constexpr int CALLERS = 8;
+constexpr int STREAM_CALLERS = 10;
+constexpr std::size_t SHOWN_VIOLATIONS = 20;
+/// Longer than any request may take, with the times for which processes stand still.
+constexpr Duration ANSWER_LIMIT = seconds(30);
+/// For all that follows the last fault.
+constexpr Duration END_LIMIT = seconds(60);
+constexpr Duration RECOVERY_LIMIT = seconds(10);
+/// A request that was sent so long before a signal to stop had been read when that came.
+constexpr Duration READING_TIME = seconds(1);
+constexpr Duration TAKE_UP_TIME = seconds(12);
+/// Share of the streams taken up whose version is still there that have to go on.
+constexpr double MOST = 0.5;
+
+struct CallerConnection {
+    std::shared_ptr<NodeProcess> process;
+    std::shared_ptr<HttpConnection> connection;
+};
+
+struct Stream {
+    /// The attempt that brought its first event.
+    std::string first;
+    std::string version;
+    int last = 0;
+};
+
+enum class StreamEnd {
+    Whole,
+    Left,
+    Refused,
+    Broken,
+    Unanswered,
+};
+
+/// In the order of the ends.
+constexpr std::array STREAM_END_NAMES { "whole", "left", "refused", "broken", "unanswered" };
+
+class Soak : public SoakDeployment {
+public:
+    using SoakDeployment::SoakDeployment;
+    int run();
+
+private:
+    using Task = asio::awaitable<void>;
+
+    void spawn(Task task);
+    void violate(std::string const& what);
+    bool run_until(std::function<bool()> const& condition, Duration limit);
+    void watch();
+
+    // The callers.
+    asio::awaitable<bool> connect(CallerConnection& caller);
+    asio::awaitable<bool> connect(CallerConnection& caller, NodeSlot const& node);
+    Task probe(NodeSlot& node);
+    HttpRequestHead head(std::string method, std::string target, std::string const& identifier);
+    Task send_plain(int caller);
+    asio::awaitable<bool> exchange_plain(CallerConnection& caller);
+    Task send_streams();
+    Task take_up(Stream& stream);
+    asio::awaitable<StreamEnd> carry(CallerConnection& caller, Stream& stream, int leave_after);
+    void read_events(Stream& stream, std::string const& identifier, std::string& unread);
+    void judge_failure(NodeProcess const& process, std::string const& identifier, HttpError error, MonotonicTime sent_at);
+
+    // The faults.
+    Task inject_in_series();
+    Task inject_beside();
+    Task replace(NodeSlot& node, Duration pause);
+    Task stop_and_replace(NodeSlot& node);
+    Task kill_all();
+    Task suspend(NodeSlot& node);
+    Task hang_up(std::shared_ptr<NodeProcess> process);
+    Task replace_version();
+    Task fail_store();
+    Task put_odd_row();
+    void find_unread_in_logs();
+    void finish();
+
+    int rows = 0;
+    std::int64_t last_request = 0;
+    /// Faults come until the first, requests until the second.
+    bool is_quiet = false;
+    bool is_over = false;
+    bool is_recovering = false;
+    bool is_store_faulty = false;
+    bool is_version_changing = false;
+    int running = 0;
+    /// No process outlives this program, which a test's time limit would end.
+    MonotonicTime ends_at;
+    /// Requests without a response that their process need not have read.
+    std::set<std::string> unread;
+    std::map<std::string, int> faults;
+    std::map<std::string, int> counts;
+    Duration longest_recovery {};
+    std::vector<std::string> violations;
+};
+
+void Soak::spawn(Task task)
+{
+    ++this->running;
+    asio::co_spawn(this->loop, std::move(task), [this](std::exception_ptr const& error) {
+        --this->running;
+        if (error)
+            std::rethrow_exception(error);
+    });
+}
+
+void Soak::violate(std::string const& what)
+{
+    this->violations.push_back("[" + std::to_string(unix_milliseconds()) + " ms] " + what);
+}
+
+bool Soak::run_until(std::function<bool()> const& condition, Duration limit)
+{
+    auto const until = monotonic_now() + limit;
+    while (!condition()) {
+        if (monotonic_now() >= std::min(until, this->ends_at))
+            return false;
+        this->loop.run_for(std::chrono::milliseconds(10));
+        this->watch();
+    }
+    return true;
+}
+
+void Soak::watch()
+{
+    for (auto const& process : this->processes) {
+        if (!process->is_running())
+            continue;
+        process->watch();
+        auto const end = process->unexplained_end();
+        if (end)
+            this->violate("process " + std::to_string(process->id) + " at " + process->callers.to_string() + " ended by itself: " + *end);
+        bool const is_late = process->told_to_stop_at && !process->killed_at && monotonic_now() > *process->told_to_stop_at + STOP_GRACE + seconds(6);
+        if (process->is_running() && is_late) {
+            this->violate("process " + std::to_string(process->id) + " did not end within its grace time");
+            process->send(SIGKILL);
+        }
+    }
+}
+
+asio::awaitable<bool> Soak::connect(CallerConnection& caller)
+{
+    if (caller.connection && caller.connection->is_reusable() && caller.connection->is_quiet() && !this->chance(0.05))
+        co_return true;
+    if (caller.connection)
+        caller.connection->abort();
+    co_return co_await this->connect(caller, this->nodes[static_cast<std::size_t>(this->number(0, this->options.nodes - 1))]);
+}
+
+asio::awaitable<bool> Soak::connect(CallerConnection& caller, NodeSlot const& node)
+{
+    caller = {};
+    auto const process = node.process;
+    if (process->is_running() && !process->killed_at) {
+        auto connected = co_await HttpConnection::connect(process->callers, seconds(1), {});
+        if (!connected.is_error())
+            caller = { process, connected.release_value() };
+    }
+    if (!caller.connection)
+        co_await this->pause(milliseconds(30));
+    co_return caller.connection != nullptr;
+}
+
+HttpRequestHead Soak::head(std::string method, std::string target, std::string const& identifier)
+{
+    HttpRequestHead head { std::move(method), std::move(target), {} };
+    head.headers.add("Host", "h.example");
+    head.headers.add("X-Spurtide-Attempt-Id", identifier);
+    head.headers.add("X-Spurtide-Deadline-Ms", std::to_string(to_milliseconds(LONGEST_REQUEST)));
+    return head;
+}
+
+/// No response, or no whole one: allowed only where the process was killed, or told to stop before it read the request.
+void Soak::judge_failure(NodeProcess const& process, std::string const& identifier, HttpError error, MonotonicTime sent_at)
+{
+    if (process.killed_at) {
+        ++this->counts["killed"];
+        return;
+    }
+    bool const is_suspended = process.suspended_at && process.told_to_stop_at && *process.suspended_at + seconds(5) > sent_at;
+    bool const may_be_unread = process.told_to_stop_at && !this->arrived.contains(identifier) && (is_suspended || sent_at + READING_TIME > *process.told_to_stop_at);
+    if (error == HttpError::Closed && may_be_unread) {
+        this->unread.insert(identifier);
+        return;
+    }
+    auto const sent_ago = to_milliseconds(monotonic_now() - sent_at);
+    auto const told = process.told_to_stop_at ? ", told to stop " + std::to_string(to_milliseconds(monotonic_now() - *process.told_to_stop_at)) + " ms ago" : std::string();
+    this->violate("request " + identifier + " of process " + std::to_string(process.id) + " at " + process.callers.to_string() + " got no whole response: " + std::string(to_string(error)) + ", sent " + std::to_string(sent_ago) + " ms ago" + told + (this->arrived.contains(identifier) ? ", an upstream got it" : ", no upstream got it"));
+}
+
+Soak::Task Soak::send_plain(int caller_number)
+{
+    CallerConnection caller;
+    co_await this->pause(milliseconds(caller_number * 3));
+    while (!this->is_over) {
+        bool const is_connected = co_await this->connect(caller);
+        if (!is_connected)
+            continue;
+        bool const is_served = co_await this->exchange_plain(caller);
+        // A process that stops answers that at once; others serve.
+        if (!is_served) {
+            caller.connection->abort();
+            caller = {};
+        }
+        co_await this->pause(is_served ? this->duration(0, 30) : milliseconds(100));
+    }
+    if (caller.connection)
+        caller.connection->abort();
+}
+
+asio::awaitable<bool> Soak::exchange_plain(CallerConnection& caller)
+{
+    bool const is_repeatable = this->chance(0.5);
+    auto const identifier = (is_repeatable ? "safe-" : "once-") + std::to_string(++this->last_request);
+    auto head = this->head(is_repeatable ? "GET" : "POST", is_repeatable ? "/safe/x" : "/once/x", identifier);
+    if (!is_repeatable)
+        head.headers.add("Content-Length", "4");
+    ++this->counts["requests"];
+    auto const sent_at = monotonic_now();
+    caller.connection->set_deadline(sent_at + ANSWER_LIMIT);
+    caller.connection->send(format_request_head(head), std::make_shared<std::string const>(is_repeatable ? "" : "body"));
+    auto answer = co_await caller.connection->read_head();
+    if (answer.is_error()) {
+        this->judge_failure(*caller.process, identifier, answer.error(), sent_at);
+        co_return false;
+    }
+    auto const body = co_await caller.connection->read_body(100'000);
+    if (body.is_error()) {
+        this->judge_failure(*caller.process, identifier, body.error(), sent_at);
+        co_return false;
+    }
+    caller.connection->clear_deadline();
+    auto const named = answer.value().headers.find("X-Spurtide-Attempt-Id");
+    bool const is_served = answer.value().status == 200;
+    bool const is_own = (!named || *named == identifier) && (!is_served || body.value().ends_with(" to " + identifier));
+    if (!is_own)
+        this->violate("request " + identifier + " got another one's response: " + std::string(named.value_or("")) + ", " + body.value());
+    auto const* const suffix = caller.process->told_to_stop_at ? "_stopping" : "";
+    ++this->counts[is_served ? "served" : "status_" + std::to_string(answer.value().status) + suffix];
+    if (is_served && !caller.process->served_at)
+        caller.process->served_at = monotonic_now();
+    co_return is_served;
+}
+
+/// Sends requests to a node until it serves one.
+Soak::Task Soak::probe(NodeSlot& node)
+{
+    auto const until = monotonic_now() + RECOVERY_LIMIT;
+    while (!node.process->served_at && monotonic_now() < until) {
+        CallerConnection caller;
+        bool const is_connected = co_await this->connect(caller, node);
+        if (!is_connected)
+            continue;
+        static_cast<void>(co_await this->exchange_plain(caller));
+        caller.connection->abort();
+        co_await this->pause(milliseconds(50));
+    }
+}
+
+Soak::Task Soak::send_streams()
+{
+    CallerConnection caller;
+    co_await this->pause(this->duration(0, 500));
+    while (!this->is_over) {
+        bool const is_connected = co_await this->connect(caller);
+        if (!is_connected)
+            continue;
+        bool const is_resumable = this->chance(0.7);
+        Stream stream;
+        ++this->counts["streams"];
+        auto const leave_after = is_resumable && this->chance(0.2) ? this->number(1, EVENTS - 2) : EVENTS;
+        stream.first = (is_resumable ? "resumable-" : "stream-") + std::to_string(++this->last_request);
+        auto const end = co_await this->carry(caller, stream, leave_after);
+        if (end != StreamEnd::Whole) {
+            caller.connection->abort();
+            caller = {};
+        }
+        ++this->counts["streams_" + std::string(STREAM_END_NAMES[static_cast<std::size_t>(end)])];
+        bool const has_rest = stream.last > 0 && stream.last < EVENTS;
+        if (is_resumable && has_rest && (end == StreamEnd::Broken || end == StreamEnd::Left))
+            co_await this->take_up(stream);
+        co_await this->pause(end == StreamEnd::Whole ? this->duration(0, 60) : milliseconds(100));
+    }
+    if (caller.connection)
+        caller.connection->abort();
+}
+
+/// Tries at any node until the stream goes on, its version is gone, or the time is over.
+Soak::Task Soak::take_up(Stream& stream)
+{
+    auto const until = monotonic_now() + TAKE_UP_TIME;
+    auto const begin = stream.last;
+    ++this->counts["taken_up"];
+    while (stream.last < EVENTS && monotonic_now() < until) {
+        bool const is_listed = this->is_listed(stream.version);
+        CallerConnection caller;
+        bool const is_connected = co_await this->connect(caller);
+        if (!is_connected)
+            continue;
+        auto const end = co_await this->carry(caller, stream, EVENTS);
+        caller.connection->abort();
+        ++this->counts[end == StreamEnd::Refused ? "tries_refused" : "tries"];
+        if (end == StreamEnd::Refused && !is_listed)
+            break;
+        if (end != StreamEnd::Whole)
+            co_await this->pause(milliseconds(200));
+    }
+    ++this->counts[stream.last > begin ? "went_on" : this->is_listed(stream.version) ? "stayed_refused"
+                                                                                     : "version_gone"];
+}
+
+asio::awaitable<StreamEnd> Soak::carry(CallerConnection& caller, Stream& stream, int leave_after)
+{
+    bool const is_first = stream.last == 0;
+    bool const is_resumable = stream.first.starts_with("resumable");
+    auto const identifier = is_first ? stream.first : stream.first + "-" + std::to_string(++this->last_request);
+    auto head = this->head("POST", is_resumable ? "/resumable/x" : "/stream/x", identifier);
+    head.headers.add("X-Spurtide-Model", "m");
+    head.headers.add("X-Spurtide-Token-Count", "1000,50");
+    head.headers.add("X-Spurtide-Prompt-Prefix", "aa:200,own-" + stream.first + ":800");
+    head.headers.add("Content-Length", "6");
+    if (!is_first) {
+        head.headers.add("Resumes", stream.first);
+        head.headers.add("Last-Event-Id", std::to_string(stream.last));
+    }
+    auto const sent_at = monotonic_now();
+    caller.connection->set_deadline(sent_at + ANSWER_LIMIT);
+    caller.connection->send(format_request_head(head), std::make_shared<std::string const>("prompt"));
+    auto answer = co_await caller.connection->read_head();
+    if (answer.is_error()) {
+        this->judge_failure(*caller.process, identifier, answer.error(), sent_at);
+        co_return StreamEnd::Unanswered;
+    }
+    if (answer.value().status != 200) {
+        ++this->counts["stream_status_" + std::to_string(answer.value().status)];
+        auto const body = co_await caller.connection->read_body(100'000);
+        if (body.is_error())
+            this->judge_failure(*caller.process, identifier, body.error(), sent_at);
+        co_return StreamEnd::Refused;
+    }
+    std::string unread;
+    while (stream.last < leave_after) {
+        auto const piece = co_await caller.connection->read_piece();
+        if (piece.is_error()) {
+            if (!this->broken_off.contains(identifier))
+                this->judge_failure(*caller.process, identifier, piece.error(), sent_at);
+            co_return StreamEnd::Broken;
+        }
+        if (piece.value().empty()) {
+            this->violate("stream " + identifier + " ended after event " + std::to_string(stream.last) + " as if it was whole");
+            co_return StreamEnd::Refused;
+        }
+        unread += piece.value();
+        this->read_events(stream, identifier, unread);
+    }
+    if (leave_after < EVENTS)
+        co_return StreamEnd::Left;
+    auto const rest = co_await caller.connection->read_body(100'000);
+    if (rest.is_error() && !this->broken_off.contains(identifier))
+        this->judge_failure(*caller.process, identifier, rest.error(), sent_at);
+    if (!rest.is_error() && !rest.value().empty())
+        this->violate("stream " + identifier + " went on after its last event: " + rest.value());
+    caller.connection->clear_deadline();
+    co_return rest.is_error() ? StreamEnd::Unanswered : StreamEnd::Whole;
+}
+
+void Soak::read_events(Stream& stream, std::string const& identifier, std::string& unread)
+{
+    for (auto end = unread.find("\n\n"); end != std::string::npos; end = unread.find("\n\n")) {
+        auto const event = unread.substr(0, end);
+        unread.erase(0, end + 2);
+        auto const begin = "id: " + std::to_string(stream.last + 1) + "\ndata: ";
+        auto const version = event.starts_with(begin) ? event.substr(begin.size(), event.find(' ', begin.size()) - begin.size()) : "";
+        if (version.empty())
+            this->violate("stream " + identifier + " got after event " + std::to_string(stream.last) + ": " + event);
+        else if (!stream.version.empty() && version != stream.version)
+            this->violate("stream " + identifier + " got events of " + stream.version + " and, from event " + std::to_string(stream.last + 1) + ", of " + version);
+        stream.version = version;
+        ++stream.last;
+    }
+}
+
+Soak::Task Soak::replace(NodeSlot& node, Duration pause)
+{
+    node.is_being_replaced = true;
+    while (node.process->is_running())
+        co_await this->pause(milliseconds(10));
+    co_await this->pause(pause);
+    this->start(node);
+    node.is_being_replaced = false;
+    if (this->chance(0.3))
+        co_await this->hang_up(node.process);
+}
+
+/// The stop signal stays pending while the process stands still.
+Soak::Task Soak::stop_and_replace(NodeSlot& node)
+{
+    node.process->send(SIGTERM);
+    co_await this->replace(node, this->duration(0, 1500));
+}
+
+Soak::Task Soak::kill_all()
+{
+    this->is_recovering = true;
+    this->store.set_fault(StoreStandIn::Fault::None);
+    for (auto& node : this->nodes) {
+        node.process->send(SIGKILL);
+        if (!node.is_being_replaced)
+            this->spawn(this->replace(node, this->duration(0, 1500)));
+    }
+    co_await this->pause(milliseconds(20));
+    auto const is_replaced = [&] { return std::none_of(this->nodes.begin(), this->nodes.end(), [](auto const& node) { return node.is_being_replaced; }); };
+    while (!is_replaced())
+        co_await this->pause(milliseconds(10));
+    auto const started_at = monotonic_now();
+    for (auto& node : this->nodes)
+        this->spawn(this->probe(node));
+    auto const is_back = [&] { return std::all_of(this->nodes.begin(), this->nodes.end(), [](auto const& node) { return node.process->served_at.has_value(); }); };
+    while (!is_back() && monotonic_now() < started_at + RECOVERY_LIMIT)
+        co_await this->pause(milliseconds(10));
+    this->longest_recovery = std::max(this->longest_recovery, monotonic_now() - started_at);
+    for (auto const& node : this->nodes) {
+        if (!node.process->served_at)
+            this->violate(node.name + " serves nothing " + std::to_string(to_milliseconds(RECOVERY_LIMIT)) + " ms after all were killed and started again");
+    }
+    this->is_recovering = false;
+}
+
+Soak::Task Soak::inject_in_series()
+{
+    co_await this->pause(seconds(2));
+    while (!this->is_quiet) {
+        auto const kind = this->number(0, 9);
+        if (kind == 0) {
+            ++this->faults["kill_all"];
+            co_await this->kill_all();
+        } else if (kind <= 5) {
+            auto const several = kind == 1 ? 2 : 1;
+            for (int i = 0; i < several; ++i) {
+                auto* const node = this->pick();
+                if (!node)
+                    continue;
+                ++this->faults["kill"];
+                node->process->send(SIGKILL);
+                this->spawn(this->replace(*node, this->duration(0, 1500)));
+                co_await this->pause(milliseconds(1));
+            }
+        } else if (auto* const node = this->pick()) {
+            ++this->faults["term"];
+            this->spawn(this->stop_and_replace(*node));
+        }
+        co_await this->pause(this->duration(100, 1200));
+    }
+}
+
+Soak::Task Soak::suspend(NodeSlot& node)
+{
+    auto const process = node.process;
+    process->send(SIGSTOP);
+    co_await this->pause(this->duration(100, 4000));
+    // What came until now need not have been read before a signal to stop.
+    process->suspended_at = monotonic_now();
+    process->send(SIGCONT);
+}
+
+Soak::Task Soak::hang_up(std::shared_ptr<NodeProcess> process)
+{
+    while (process->is_running() && !process->handles_hangup())
+        co_await this->pause(milliseconds(1));
+    ++this->faults["hangup"];
+    process->send(SIGHUP);
+}
+
+Soak::Task Soak::replace_version()
+{
+    this->is_version_changing = true;
+    auto const old = this->versions.front();
+    this->add_version();
+    co_await this->pause(this->duration(500, 3000));
+    for (auto const& state : { std::string("draining"), std::string() }) {
+        for (auto const& engine : this->engines) {
+            if (engine->software_version != old)
+                continue;
+            if (state.empty())
+                this->store.remove("servers", engine->identity);
+            else
+                this->store.put("servers", engine->identity, engine->entry("engines", state));
+        }
+        std::erase(this->versions, old);
+        co_await this->pause(this->duration(1000, 3000));
+    }
+    this->is_version_changing = false;
+}
+
+Soak::Task Soak::fail_store()
+{
+    using Fault = StoreStandIn::Fault;
+    constexpr std::array FAULTS { Fault::Busy, Fault::TooMany, Fault::Silent, Fault::HistoryGone, Fault::Garbage, Fault::LostWrites };
+    this->is_store_faulty = true;
+    this->store.set_fault(FAULTS[static_cast<std::size_t>(this->number(0, FAULTS.size() - 1))]);
+    co_await this->pause(this->duration(200, 3000));
+    this->store.set_fault(Fault::None);
+    this->is_store_faulty = false;
+}
+
+Soak::Task Soak::put_odd_row()
+{
+    auto const deep = nlohmann::json::parse(std::string(5000, '[') + std::string(5000, ']'));
+    std::vector<nlohmann::json> const odd { nlohmann::json::parse("no JSON", nullptr, false), deep, nlohmann::json::array(), nullptr, true, -1, 1e308, -1e308, 18446744073709551615ULL, "", "127.0.0.1:99999", "127.0.0.1:-1", "[::1", std::string(100'000, 'x'), std::string("\0\n\r", 3) };
+    auto const value = [&] { return odd[static_cast<std::size_t>(this->number(0, static_cast<int>(odd.size()) - 1))]; };
+    auto const key = "odd-" + std::to_string(++this->rows);
+    auto row = this->chance(0.5) ? this->plain.front()->entry("plain") : this->engines.back()->entry("engines");
+    auto field = row.begin();
+    std::advance(field, this->number(0, static_cast<int>(row.size()) - 1));
+    *field = value();
+    if (this->chance(0.3))
+        row = value();
+    this->store.put("servers", key, row);
+    co_await this->pause(this->duration(500, 3000));
+    this->store.remove("servers", key);
+}
+
+Soak::Task Soak::inject_beside()
+{
+    co_await this->pause(seconds(2));
+    while (!this->is_quiet) {
+        co_await this->pause(this->duration(100, 1000));
+        auto* const node = this->pick();
+        if (this->is_recovering || this->is_quiet || !node)
+            continue;
+        auto const kind = this->number(0, 6);
+        if (kind == 0) {
+            ++this->faults["suspend"];
+            co_await this->suspend(*node);
+        } else if (kind == 1) {
+            co_await this->hang_up(node->process);
+        } else if (kind == 2) {
+            ++this->faults["configuration"];
+            this->configure();
+        } else if (kind == 3 && !this->is_version_changing) {
+            ++this->faults["version"];
+            co_await this->replace_version();
+        } else if (kind == 4) {
+            ++this->faults["break_off"];
+            this->break_share = 0.3;
+            co_await this->pause(this->duration(200, 2000));
+            this->break_share = 0;
+        } else if (kind == 5) {
+            ++this->faults["odd_row"];
+            co_await this->put_odd_row();
+        } else if (kind == 6 && !this->is_store_faulty) {
+            ++this->faults["store"];
+            co_await this->fail_store();
+        }
+    }
+}
+
+/// A process that names a request in its log has read it.
+void Soak::find_unread_in_logs()
+{
+    this->counts["unread"] = static_cast<int>(this->unread.size());
+    for (auto const& node : this->nodes) {
+        std::ifstream file(node.log_path);
+        for (std::string line; std::getline(file, line);) {
+            constexpr std::string_view FIELD = " request=";
+            auto const field = line.find(FIELD);
+            if (field == std::string::npos)
+                continue;
+            auto const from = field + FIELD.size();
+            auto const identifier = line.substr(from, line.find(' ', from) - from);
+            if (this->unread.erase(identifier) > 0)
+                this->violate("request " + identifier + " was read by " + node.name + " and got no response: " + line);
+        }
+    }
+}
+
+/// After the last fault: everything that was begun ends, each node serves, and ends when it is told to.
+void Soak::finish()
+{
+    this->is_quiet = true;
+    if (!this->run_until([&] { return this->running <= CALLERS + STREAM_CALLERS; }, RECOVERY_LIMIT + STOP_GRACE * 2))
+        this->violate("the faults did not end");
+    this->is_over = true;
+    if (!this->run_until([&] { return this->running == 0; }, ANSWER_LIMIT + TAKE_UP_TIME + STOP_GRACE))
+        this->violate(std::to_string(this->running) + " callers or faults did not end");
+    for (auto& node : this->nodes) {
+        node.process->served_at.reset();
+        this->spawn(this->probe(node));
+    }
+    this->run_until([&] { return this->running == 0; }, RECOVERY_LIMIT + ANSWER_LIMIT);
+    for (auto& node : this->nodes) {
+        if (!node.process->served_at)
+            this->violate(node.name + " does not serve after the last fault");
+    }
+    for (auto& node : this->nodes)
+        node.process->send(SIGTERM);
+    auto const have_ended = [&] { return std::none_of(this->processes.begin(), this->processes.end(), [](auto const& process) { return process->is_running(); }); };
+    if (!this->run_until(have_ended, STOP_GRACE + seconds(10)))
+        this->violate("not all processes ended in time");
+    for (auto const& process : this->processes)
+        process->send(SIGKILL);
+    std::map<std::string, int> runs;
+    for (auto const& upstream : this->plain) {
+        for (auto const& request : upstream->run)
+            ++runs[request];
+    }
+    for (auto const& [request, times] : runs) {
+        if (request.starts_with("once-") && times > 1)
+            this->violate("request " + request + ", which may not be repeated, ran " + std::to_string(times) + " times");
+    }
+    this->find_unread_in_logs();
+    auto const went_on = this->counts["went_on"];
+    auto const refused = this->counts["stayed_refused"];
+    if (went_on + refused >= 10 && went_on < MOST * (went_on + refused))
+        this->violate("of the streams taken up whose version was there, " + std::to_string(went_on) + " went on and " + std::to_string(refused) + " did not");
+}
+
+int Soak::run()
+{
+    this->ends_at = monotonic_now() + seconds(this->options.seconds) + END_LIMIT;
+    asio::signal_set signals(this->loop, SIGINT, SIGTERM);
+    signals.async_wait([this](asio::error_code, int) { this->ends_at = monotonic_now(); });
+    for (int i = 1; i <= 3; ++i)
+        this->add_plain("plain-" + std::to_string(i));
+    this->add_version();
+    this->add_version();
+    this->configure();
+    this->create_nodes();
+    for (int i = 0; i < CALLERS; ++i)
+        this->spawn(this->send_plain(i));
+    for (int i = 0; i < STREAM_CALLERS; ++i)
+        this->spawn(this->send_streams());
+    this->spawn(this->inject_in_series());
+    this->spawn(this->inject_beside());
+    this->spawn(this->inject_beside());
+    this->run_until([] { return false; }, seconds(this->options.seconds));
+    this->finish();
+    std::cout << "seed=" << this->options.seed;
+    for (auto const& [name, count] : this->counts)
+        std::cout << " " << name << "=" << count;
+    for (auto const& [name, count] : this->faults)
+        std::cout << " fault_" << name << "=" << count;
+    std::cout << " longest_recovery_ms=" << to_milliseconds(this->longest_recovery) << " violations=" << this->violations.size() << std::endl;
+    for (std::size_t i = 0; i < std::min(this->violations.size(), SHOWN_VIOLATIONS); ++i)
+        std::cout << "VIOLATION: " << this->violations[i] << std::endl;
+    if (!this->violations.empty())
+        std::cout << "The logs are in " << this->folder.string() << std::endl;
+    else
+        std::filesystem::remove_all(this->folder);
+    return this->violations.empty() ? 0 : 1;
+}
+
+}
+
+int main(int argument_count, char** arguments)
+{
+    SoakOptions options;
+    option const known[] = { { "seed", required_argument, nullptr, 's' }, { "seconds", required_argument, nullptr, 't' }, { "nodes", required_argument, nullptr, 'n' }, { "binary", required_argument, nullptr, 'b' }, { nullptr, 0, nullptr, 0 } };
+    for (int found = 0; (found = getopt_long(argument_count, arguments, "", known, nullptr)) != -1;) {
+        if (found == 's')
+            options.seed = static_cast<unsigned>(std::atoi(optarg));
+        else if (found == 't')
+            options.seconds = std::atoi(optarg);
+        else if (found == 'n')
+            options.nodes = std::atoi(optarg);
+        else if (found == 'b')
+            options.binary = optarg;
+        else
+            return 2;
+    }
+    if (options.binary.empty() || options.nodes < 1 || options.nodes > 12 || options.seconds < 1) {
+        std::cerr << "Usage: NodeSoak --binary PROGRAM [--seed NUMBER] [--seconds NUMBER] [--nodes 1..12]\n";
+        return 2;
+    }
+    auto const result = std::make_unique<Soak>(options).release()->run();
+    // What still waits on the loop ends with the process.
+    std::_Exit(result);
+}
--- /dev/null
+++ b/Tests/Platform/Soak/SoakDeployment.h
@@ -0,0 +1,79 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#pragma once
+
+#include <Tests/Platform/Soak/NodeProcess.h>
+#include <Tests/Platform/StoreStandIn.h>
+#include <Tests/Platform/UpstreamStandIn.h>
+#include <algorithm>
+#include <filesystem>
+#include <random>
+
+namespace Spurtide::Tests {
+
+constexpr int EVENTS = 30;
+constexpr Duration EVENT_PAUSE = milliseconds(20);
+/// Requests can end within the grace time, also of a process that stands still in between.
+constexpr Duration LONGEST_REQUEST = seconds(7);
+constexpr Duration STOP_GRACE = seconds(12);
+
+struct SoakOptions {
+    unsigned seed = 1;
+    int seconds = 20;
+    int nodes = 3;
+    std::string binary;
+};
+
+struct NodeSlot {
+    std::string name;
+    Address callers;
+    std::string settings_path;
+    std::string log_path;
+    std::shared_ptr<NodeProcess> process;
+    bool is_being_replaced = false;
+};
+
+/// Node processes before plain upstreams and engines of several software versions. Each event names the version of its engine.
+class SoakDeployment {
+public:
+    explicit SoakDeployment(SoakOptions const& options);
+
+    int number(int from, int to) { return std::uniform_int_distribution<int>(from, to)(this->random); }
+    bool chance(double share) { return std::uniform_real_distribution<double>(0, 1)(this->random) < share; }
+    Duration duration(int from, int to) { return milliseconds(this->number(from, to)); }
+    asio::awaitable<void> pause(Duration duration);
+
+    void create_nodes();
+    void start(NodeSlot& node);
+    void add_plain(std::string const& identity);
+    void add_version();
+    void configure();
+    /// A node that runs; none if all are being replaced.
+    NodeSlot* pick();
+    bool is_listed(std::string const& version) const { return std::find(this->versions.begin(), this->versions.end(), version) != this->versions.end(); }
+
+    SoakOptions options;
+    std::mt19937 random;
+    /// Settings and logs.
+    std::filesystem::path folder;
+    asio::io_context loop { 1 };
+    StoreStandIn store { this->loop };
+    std::vector<std::unique_ptr<UpstreamStandIn>> plain;
+    std::vector<std::unique_ptr<UpstreamStandIn>> engines;
+    std::vector<NodeSlot> nodes;
+    std::vector<std::shared_ptr<NodeProcess>> processes;
+    std::vector<std::string> versions;
+    /// Requests that an upstream got, and streams that an engine broke off.
+    std::set<std::string> arrived;
+    std::set<std::string> broken_off;
+    double break_share = 0;
+
+private:
+    UpstreamStandIn& add_engine(std::string const& identity, std::string const& phase, std::string const& version);
+
+    int last_version = 0;
+    int configuration = 0;
+};
+
+}
