--- a/Tests/Platform/TestStreamsAfterRestart.cpp
+++ b/Tests/Platform/TestStreamsAfterRestart.cpp
@@ -92,7 +92,7 @@
 }
 
 // Guards against streams that continue at a version that came while no VM ran.
-TEST_CASE("A stream whose version was replaced while no VM ran is refused, however late its caller comes", "[stream-versions][restart]")
+TEST_CASE("A stream whose version was replaced while no VM ran is refused, also after several times its route's timeout", "[stream-versions][restart]")
 {
     bool const is_recorded = GENERATE(true, false);
     RestartedDeployment test;
