LibAsync: Include the standard library before Asio in Spawn.h

Under the address sanitizer TestLibAsync and TestLibRouter ended with alloc-dealloc-mismatch: Asio selects std::aligned_alloc by a macro that only headers of the standard library define, so units that include Spawn.h first took another way than the others. Without the sanitizer both ways end in free().

--- a/Libraries/LibAsync/Spawn.cpp
+++ b/Libraries/LibAsync/Spawn.cpp
@@ -11,9 +11,6 @@
 
 namespace {
 
-/// What failed for want of memory or descriptors would fail again at once.
-constexpr Duration RESTART_PAUSE = milliseconds(200);
-
 void log_failure(std::string_view name, std::exception_ptr const& failure)
 {
     try {
--- a/Libraries/LibAsync/Spawn.h
+++ b/Libraries/LibAsync/Spawn.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <LibCore/Time.h>
 #include <asio.hpp>
 #include <functional>
 #include <string>
@@ -10,6 +11,9 @@
 
 namespace Spurtide {
 
+/// Between the failure of a lasting coroutine and its next start. What failed for want of memory or descriptors would fail again at once.
+constexpr Duration RESTART_PAUSE = milliseconds(200);
+
 /// Starts a coroutine that nobody waits for. Our own code reports errors as results, but libraries and the allocator throw; an exception
 /// that leaves the coroutine is logged under its name.
 void spawn(asio::any_io_executor const& executor, std::string_view name, asio::awaitable<void> coroutine);
