ReachabilityProber: Tell which request is abandoned, where and on what observation

A connection that was aborted since its upstream became unreachable left `send_end ... reason=aborted`, as does any other abort. Neither the upstream of a plain request nor the observation could be told from it, so the hypotheses on streams that are cut at silent upstreams could not be told apart.

Each abandoned request now has a line (`request_abandoned`: upstream, what was observed of it, for how long, and the silence of the connection itself) and is counted by observation (`spurtide_abandoned_requests_total`); its error is `unresponsive`. What is abandoned is as before.

--- a/Libraries/LibAsync/HttpConnection.cpp
+++ b/Libraries/LibAsync/HttpConnection.cpp
@@ -98,9 +98,10 @@
     this->deadline.cancel();
 }
 
-void HttpConnection::abort()
+void HttpConnection::abort(HttpError error)
 {
-    this->is_aborted = true;
+    if (!this->abort_error)
+        this->abort_error = error;
     asio::error_code ignored;
     this->socket.close(ignored);
 }
@@ -109,7 +110,7 @@
 {
     if (this->is_timed_out)
         return HttpError::TimedOut;
-    return this->is_aborted ? HttpError::Aborted : otherwise;
+    return this->abort_error.value_or(otherwise);
 }
 
 void HttpConnection::send(std::string head, std::shared_ptr<std::string const> body, MessageParser::ExpectedBody expected_body)
@@ -118,6 +119,7 @@
     this->head_bytes = std::move(head);
     this->body_bytes = std::move(body);
     this->is_writing = true;
+    this->active_at = monotonic_now();
     std::array<asio::const_buffer, 2> const buffers { asio::buffer(this->head_bytes), this->body_bytes ? asio::buffer(*this->body_bytes) : asio::const_buffer() };
     asio::async_write(this->socket, buffers, [self = this->shared_from_this()](asio::error_code error, std::size_t) {
         // NOTE: A failed write is told by the read, which may still find an early answer.
@@ -145,8 +147,8 @@
     auto size = this->socket.read_some(asio::buffer(s_read_buffer), error);
     if (error == asio::error::would_block || error == asio::error::try_again) {
         co_await this->socket.async_wait(asio::ip::tcp::socket::wait_read, asio::redirect_error(asio::use_awaitable, error));
-        if (this->is_aborted)
-            co_return Failure { this->failure(HttpError::Aborted) };
+        if (this->abort_error)
+            co_return Failure { this->failure(*this->abort_error) };
         size = 0;
         if (!error)
             size = this->socket.read_some(asio::buffer(s_read_buffer), error);
@@ -161,6 +163,7 @@
         this->has_failed = true;
         co_return Failure { this->failure(HttpError::Closed) };
     }
+    this->active_at = monotonic_now();
     this->unread.append(s_read_buffer.data(), size);
     co_return this->parse_unread();
 }
@@ -247,7 +250,7 @@
 
 bool HttpConnection::is_reusable() const
 {
-    return this->parser.is_complete() && this->parser.keeps_alive() && !this->must_close && !this->is_writing && !this->has_failed && !this->is_aborted && this->unread.empty() && this->socket.is_open();
+    return this->parser.is_complete() && this->parser.keeps_alive() && !this->must_close && !this->is_writing && !this->has_failed && !this->abort_error && this->unread.empty() && this->socket.is_open();
 }
 
 bool HttpConnection::is_quiet()
--- a/Libraries/LibAsync/HttpConnection.h
+++ b/Libraries/LibAsync/HttpConnection.h
@@ -15,6 +15,7 @@
 #include <asio.hpp>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -48,9 +49,12 @@
     /// After this time the exchange ends with TimedOut.
     void set_deadline(MonotonicTime time);
     void clear_deadline();
-    /// Ends the exchange; what waits on it gets Aborted.
-    void abort();
+    /// Ends the exchange; what waits on it gets the error.
+    void abort(HttpError error = HttpError::Aborted);
+    /// When bytes last arrived, or the request was sent if that was later.
+    MonotonicTime last_activity() const { return this->active_at; }
 
+    bool is_open() const { return this->socket.is_open(); }
     BodyFraming framing() const { return this->parser.framing(); }
     /// Whether the answer was whole and another request may follow.
     bool is_reusable() const;
@@ -79,7 +83,9 @@
     std::shared_ptr<std::string const> body_bytes;
     bool is_writing = false;
     bool has_failed = false;
-    bool is_aborted = false;
+    /// Set once this side gave the exchange up.
+    std::optional<HttpError> abort_error;
+    MonotonicTime active_at;
     bool is_timed_out = false;
     bool must_close = false;
     std::uint64_t deadline_number = 0;
--- a/Libraries/LibAsync/HttpError.h
+++ b/Libraries/LibAsync/HttpError.h
@@ -26,6 +26,8 @@
     OtherResponses,
     /// This side gave the exchange up.
     Aborted,
+    /// The same, since nothing came and no further connection to the other side could be established.
+    Unresponsive,
 };
 
 std::string_view to_string(HttpError error);
--- a/Libraries/LibAsync/HttpMessage.cpp
+++ b/Libraries/LibAsync/HttpMessage.cpp
@@ -31,7 +31,7 @@
 
 std::string_view to_string(HttpError error)
 {
-    constexpr std::array<std::string_view, 10> NAMES = { "cannot_connect", "nobody_listens", "closed", "timed_out", "malformed", "head_too_large", "body_too_large", "event_too_large", "answer_of_another_request", "aborted" };
+    constexpr std::array<std::string_view, 11> NAMES = { "cannot_connect", "nobody_listens", "closed", "timed_out", "malformed", "head_too_large", "body_too_large", "event_too_large", "answer_of_another_request", "aborted", "unresponsive" };
     return NAMES.at(static_cast<std::size_t>(error));
 }
 
--- a/Libraries/LibDecision/ReachabilityTracker.cpp
+++ b/Libraries/LibDecision/ReachabilityTracker.cpp
@@ -79,8 +79,10 @@
     auto& entry = this->entries[std::string(identity)];
     entry.data_centre = data_centre;
     entry.last_probe = now;
-    if (entry.reachability == Reachability::Reachable)
+    if (entry.reachability == Reachability::Reachable) {
         ++this->new_failures;
+        entry.unreachable_since = now;
+    }
     this->set_reachability(entry, Reachability::Unreachable);
     auto const failures = std::max(this->new_failures, this->unreachable_count());
     if (!this->failing_since && failures >= this->options.partition_failures)
@@ -153,6 +155,14 @@
     return found->second.in_flight > 0 && now - found->second.waiting_since >= this->options.silence_while_refusing;
 }
 
+std::optional<MonotonicTime> ReachabilityTracker::unreachable_since(std::string_view identity) const
+{
+    auto const found = this->entries.find(identity);
+    if (found == this->entries.end() || found->second.reachability == Reachability::Reachable)
+        return {};
+    return found->second.unreachable_since;
+}
+
 bool ReachabilityTracker::needs_probe(Entry const& entry, MonotonicTime now) const
 {
     bool const is_silent = entry.in_flight > 0 && now - entry.waiting_since >= this->options.silence;
--- a/Libraries/LibDecision/ReachabilityTracker.h
+++ b/Libraries/LibDecision/ReachabilityTracker.h
@@ -78,6 +78,8 @@
     bool is_reachable(std::string_view identity, std::string_view data_centre, MonotonicTime now) const;
     /// Whether requests in flight at an unreachable upstream wait in vain, as far as can be told.
     bool is_unresponsive(std::string_view identity, MonotonicTime now) const;
+    /// Since when connections to the upstream have failed; empty if it counts as reachable.
+    std::optional<MonotonicTime> unreachable_since(std::string_view identity) const;
     bool is_cut_off(std::string_view data_centre, MonotonicTime now) const;
     bool is_any_cut_off(MonotonicTime now) const;
     /// Number of upstreams to which the last connection attempt failed.
@@ -115,6 +117,7 @@
         MonotonicTime waiting_since;
         MonotonicTime last_probe;
         Reachability reachability = Reachability::Reachable;
+        MonotonicTime unreachable_since;
     };
 
     struct DataCentre {
--- a/Libraries/LibRouter/InFlightRequest.cpp
+++ b/Libraries/LibRouter/InFlightRequest.cpp
@@ -6,7 +6,7 @@
 
 namespace Spurtide {
 
-InFlightRequest::InFlightRequest(ReachabilityProber const& prober, UpstreamRecord const& upstream, std::shared_ptr<HttpConnection> const& connection, WhenUnreachable when_unreachable)
+InFlightRequest::InFlightRequest(ReachabilityProber const& prober, UpstreamRecord const& upstream, std::string request, std::shared_ptr<HttpConnection> const& connection, WhenUnreachable when_unreachable)
     : record(upstream)
     , sent_at(monotonic_now())
     , tracker(prober.tracker())
@@ -15,7 +15,7 @@
 {
     this->tracker->note_sent(upstream.identity, upstream.data_centre, this->sent_at);
     if (when_unreachable == WhenUnreachable::Abort)
-        this->watch_position = this->watched->emplace(upstream.identity, connection);
+        this->watch_position = this->watched->emplace(upstream.identity, ReachabilityProber::WatchedRequest { std::move(request), connection });
 }
 
 InFlightRequest::~InFlightRequest()
--- a/Libraries/LibRouter/InFlightRequest.h
+++ b/Libraries/LibRouter/InFlightRequest.h
@@ -21,7 +21,7 @@
         Abort,
     };
 
-    InFlightRequest(ReachabilityProber const& prober, UpstreamRecord const& upstream, std::shared_ptr<HttpConnection> const& connection, WhenUnreachable when_unreachable);
+    InFlightRequest(ReachabilityProber const& prober, UpstreamRecord const& upstream, std::string request, std::shared_ptr<HttpConnection> const& connection, WhenUnreachable when_unreachable);
     ~InFlightRequest();
     InFlightRequest(InFlightRequest const&) = delete;
     InFlightRequest& operator=(InFlightRequest const&) = delete;
--- a/Libraries/LibRouter/ReachabilityProber.cpp
+++ b/Libraries/LibRouter/ReachabilityProber.cpp
@@ -13,20 +13,15 @@
 /// Upstreams that are tried to find out whether this VM reaches any: some may have ended too.
 constexpr std::size_t OTHERS_TRIED = 3;
 
-void abort_if_open(std::weak_ptr<HttpConnection> const& connection)
-{
-    if (auto const open = connection.lock())
-        open->abort();
-}
-
 }
 
-ReachabilityProber::ReachabilityProber(Options options, asio::io_context& loop, std::shared_ptr<ReachabilityTracker> reachability, ConnectionPool& pool, UpstreamList const& upstreams)
+ReachabilityProber::ReachabilityProber(Options options, asio::io_context& loop, std::shared_ptr<ReachabilityTracker> reachability, ConnectionPool& pool, UpstreamList const& upstreams, Metrics& metrics)
     : options(options)
     , loop(loop)
     , reachability(std::move(reachability))
     , pool(pool)
     , upstreams(upstreams)
+    , metrics(metrics)
 {
 }
 
@@ -34,7 +29,7 @@
 {
     auto const now = monotonic_now();
     std::erase_if(this->gone_processes, [this](auto const& process) { return !this->upstreams.find(process.first); });
-    this->abort_unresponsive(now);
+    this->abandon_unresponsive(now);
     for (auto const& identity : this->reachability->due_probes(now))
         this->start_probe(identity, now);
     if (!this->reachability->needs_partition_probes(now))
@@ -124,24 +119,41 @@
     this->reachability->note_unreachable(upstream.identity, upstream.data_centre, now);
     if (was_reachable)
         LogLine("upstream_unreachable").with("upstream", upstream.identity).with("upstream_data_centre", upstream.data_centre).with("reason", to_string(error)).with("cut_off", this->reachability->is_cut_off(upstream.data_centre, now) ? "yes" : "no").with("unreachable", static_cast<std::int64_t>(this->reachability->unreachable_count())).with("upstreams", static_cast<std::int64_t>(this->upstreams.size()));
-    // The host responds, so connections that are still open may work. If they do not respond either, tick() aborts them.
+    // The host responds, so connections that are still open may work. If they do not respond either, tick() abandons them.
     if (error == HttpError::NobodyListens)
         return;
     if (auto const address = parse_address(upstream.address))
         this->pool.drop(*address);
     auto const [begin, end] = this->watched_connections->equal_range(upstream.identity);
     for (auto position = begin; position != end; ++position)
-        abort_if_open(position->second);
+        this->abandon(upstream.identity, position->second, now);
 }
 
-void ReachabilityProber::abort_unresponsive(MonotonicTime now)
+void ReachabilityProber::abandon_unresponsive(MonotonicTime now)
 {
     if (this->reachability->unreachable_count() == 0)
         return;
-    for (auto const& [identity, connection] : *this->watched_connections) {
+    for (auto const& [identity, watched] : *this->watched_connections) {
         if (this->reachability->is_unresponsive(identity, now))
-            abort_if_open(connection);
+            this->abandon(identity, watched, now);
     }
 }
 
+void ReachabilityProber::abandon(std::string_view identity, WatchedRequest const& watched, MonotonicTime now)
+{
+    auto const connection = watched.connection.lock();
+    if (!connection || !connection->is_open())
+        return;
+    auto const* const observed = this->gone_processes.contains(identity) ? "connection_refused" : "connection_failed";
+    auto const unreachable_since = this->reachability->unreachable_since(identity).value_or(now);
+    LogLine("request_abandoned")
+        .with("request", watched.request)
+        .with("upstream", identity)
+        .with("observed", observed)
+        .with("unreachable_ms", to_milliseconds(std::chrono::duration_cast<Duration>(now - unreachable_since)))
+        .with("silent_ms", to_milliseconds(std::chrono::duration_cast<Duration>(now - connection->last_activity())));
+    this->metrics.increment("spurtide_abandoned_requests_total", "Requests in flight that were given up at an unreachable upstream, by what was observed of it", { { "observed", observed } });
+    connection->abort(HttpError::Unresponsive);
+}
+
 }
--- a/Libraries/LibRouter/ReachabilityProber.h
+++ b/Libraries/LibRouter/ReachabilityProber.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <LibAsync/ConnectionPool.h>
+#include <LibCore/Metrics.h>
 #include <LibDecision/ReachabilityTracker.h>
 #include <LibDecision/UpstreamList.h>
 #include <map>
@@ -12,7 +13,7 @@
 
 namespace Spurtide {
 
-/// Sends the probes that the reachability tracker requests, and aborts connections to upstreams that do not respond.
+/// Sends the probes that the reachability tracker requests, and abandons requests at upstreams that do not respond.
 class ReachabilityProber {
 public:
     struct Options {
@@ -20,13 +21,18 @@
         Duration connect_timeout = milliseconds(250);
     };
 
-    ReachabilityProber(Options options, asio::io_context& loop, std::shared_ptr<ReachabilityTracker> reachability, ConnectionPool& pool, UpstreamList const& upstreams);
+    ReachabilityProber(Options options, asio::io_context& loop, std::shared_ptr<ReachabilityTracker> reachability, ConnectionPool& pool, UpstreamList const& upstreams, Metrics& metrics);
 
     /// Call several times per second.
     void tick();
 
-    /// Connections to abort when their upstream becomes unreachable, by upstream identity.
-    using Watched = std::multimap<std::string, std::weak_ptr<HttpConnection>>;
+    /// A request in flight that may be sent to another upstream.
+    struct WatchedRequest {
+        std::string request;
+        std::weak_ptr<HttpConnection> connection;
+    };
+    /// Requests to abandon when their upstream becomes unreachable, by its identity.
+    using Watched = std::multimap<std::string, WatchedRequest>;
     std::shared_ptr<Watched> const& watched() const { return this->watched_connections; }
     std::shared_ptr<ReachabilityTracker> const& tracker() const { return this->reachability; }
 
@@ -54,7 +60,8 @@
 
 private:
     asio::awaitable<Connection> connect_to(UpstreamRecord upstream);
-    void abort_unresponsive(MonotonicTime now);
+    void abandon_unresponsive(MonotonicTime now);
+    void abandon(std::string_view identity, WatchedRequest const& watched, MonotonicTime now);
     std::vector<UpstreamRecord> reachable_upstreams(std::string_view excluded, std::size_t most) const;
     void start_probe(std::string const& identity, MonotonicTime now);
 
@@ -63,6 +70,7 @@
     std::shared_ptr<ReachabilityTracker> reachability;
     ConnectionPool& pool;
     UpstreamList const& upstreams;
+    Metrics& metrics;
     std::shared_ptr<Watched> watched_connections = std::make_shared<Watched>();
     /// Start times of terminated incarnations, by the identity of a listed upstream whose address refused a connection.
     std::map<std::string, std::int64_t, std::less<>> gone_processes;
--- a/Libraries/LibRouter/RelayService.cpp
+++ b/Libraries/LibRouter/RelayService.cpp
@@ -105,7 +105,7 @@
             open->abort();
     });
     this->state.limiter->note_sent(upstream);
-    InFlightRequest in_flight(this->state.prober, upstream, connection, send.when_unreachable);
+    InFlightRequest in_flight(this->state.prober, upstream, send.request, connection, send.when_unreachable);
     connection->send(exchange.request().body, nullptr, send.expected_body);
     auto head = co_await connection->read_matching_head(responses_to(this->state, upstream, send.request));
     if (head.is_error()) {
--- a/Libraries/LibRouter/RouterState.h
+++ b/Libraries/LibRouter/RouterState.h
@@ -53,7 +53,7 @@
     std::shared_ptr<ReachabilityTracker> reachability = std::make_shared<ReachabilityTracker>(ReachabilityTracker::Options {}, data_centre);
     UpstreamSelector selector { UpstreamSelector::Options {} };
     ConnectionPool pool { ConnectionPool::Options {} };
-    ReachabilityProber prober { ReachabilityProber::Options {}, loop, reachability, pool, upstreams };
+    ReachabilityProber prober { ReachabilityProber::Options {}, loop, reachability, pool, upstreams, metrics };
     std::map<std::string, SharedRetryBudget> retry_budgets {};
     /// Schedules this VM's share of the requests to cold upstreams.
     ColdUpstreamSchedule cold_turns { ColdUpstreamSchedule::Options {} };
--- a/Libraries/LibRouter/UpstreamLink.cpp
+++ b/Libraries/LibRouter/UpstreamLink.cpp
@@ -123,7 +123,7 @@
 {
     this->sent_at = monotonic_now();
     if (!this->relay) {
-        this->in_flight.emplace(this->state.prober, this->record, this->connected, this->options.when_unreachable);
+        this->in_flight.emplace(this->state.prober, this->record, this->options.request, this->connected, this->options.when_unreachable);
         this->connected->send(std::move(head), std::move(body), expected_body);
         return;
     }
--- a/Tests/LibRouter/TestInFlightRequest.cpp
+++ b/Tests/LibRouter/TestInFlightRequest.cpp
@@ -15,7 +15,8 @@
     std::shared_ptr<ReachabilityTracker> tracker = std::make_shared<ReachabilityTracker>(ReachabilityTracker::Options {}, "dc");
     ConnectionPool pool { ConnectionPool::Options {} };
     UpstreamList upstreams { UpstreamList::Options {} };
-    ReachabilityProber prober { ReachabilityProber::Options {}, loop, tracker, pool, upstreams };
+    Metrics metrics;
+    ReachabilityProber prober { ReachabilityProber::Options {}, loop, tracker, pool, upstreams, metrics };
     std::shared_ptr<HttpConnection> connection = std::make_shared<HttpConnection>(loop.get_executor());
     UpstreamRecord upstream { "u1", "s", "127.0.0.1:1", "dc", 1, UpstreamRecord::Life::Serving, {}, 0 };
 
@@ -28,7 +29,7 @@
 {
     InFlightRequestTest test;
     {
-        InFlightRequest const in_flight(test.prober, test.upstream, test.connection, InFlightRequest::WhenUnreachable::Abort);
+        InFlightRequest const in_flight(test.prober, test.upstream, "r1", test.connection, InFlightRequest::WhenUnreachable::Abort);
         CHECK(in_flight.identity() == "u1");
         CHECK(test.prober.watched()->count("u1") == 1);
         CHECK(test.is_waiting());
@@ -40,7 +41,7 @@
 TEST_CASE("A request that must not be retried elsewhere is not aborted", "[cut][at-most-once]")
 {
     InFlightRequestTest test;
-    InFlightRequest const in_flight(test.prober, test.upstream, test.connection, InFlightRequest::WhenUnreachable::Wait);
+    InFlightRequest const in_flight(test.prober, test.upstream, "r1", test.connection, InFlightRequest::WhenUnreachable::Wait);
     CHECK(test.prober.watched()->empty());
     CHECK(test.is_waiting());
 }
@@ -48,7 +49,7 @@
 TEST_CASE("A waiting request may outlive the prober that it was registered with", "[cut]")
 {
     auto test = std::make_unique<InFlightRequestTest>();
-    auto in_flight = std::make_unique<InFlightRequest>(test->prober, test->upstream, test->connection, InFlightRequest::WhenUnreachable::Abort);
+    auto in_flight = std::make_unique<InFlightRequest>(test->prober, test->upstream, "r1", test->connection, InFlightRequest::WhenUnreachable::Abort);
     auto const watched = test->prober.watched();
     test.reset();
     in_flight.reset();
