LibRouter: Let requests in flight wait at silent upstreams that have no substitute

Callers saw resumable streams break off about half a second into a silence of one second of sound engines, and plain requests that may be repeated fail with 502, each time their upstreams' backlogs were full as well.

Cause: one failed connection attempt to an upstream aborted every request in flight there that may be repeated. A failed attempt says that new work should go elsewhere. It says nothing of the open connections: a process that stands still for a moment and whose backlog is full goes on with what it runs. In most cases there was nowhere to go either, since the other upstreams were as silent.

Ruled out: changes of the configuration (the tests have none), and silence alone (nothing is cut where new connections are still accepted).

Change: a request is given up only on what its own connection shows, and only for a place that is known to be better. SilencePolicy decides: nothing arrived on this connection for 300 ms (1 s where only another VM may reach upstreams), another send is allowed by attempts, time and retry budget, and another upstream has sent something or accepted a connection during the silence; those of which nothing is known are probed. A stream that has begun waits until its caller could just be served elsewhere in time. A process that refuses connections is still given a second, as it may complete what it runs. Dead connections end by the probes of TCP, as before. A relaying VM is told the silence that it waits for.

--- a/Libraries/LibDecision/ReachabilityTracker.cpp
+++ b/Libraries/LibDecision/ReachabilityTracker.cpp
@@ -42,6 +42,7 @@
     if (found == this->entries.end())
         return;
     found->second.waiting_since = now;
+    found->second.last_response = now;
     this->set_reachability(found->second, Reachability::Reachable);
     this->note_contact(found->second.data_centre, now);
 }
@@ -61,8 +62,10 @@
 void ReachabilityTracker::note_reached(std::string_view identity, std::string_view data_centre, MonotonicTime now)
 {
     auto const found = this->entries.find(identity);
-    if (found != this->entries.end())
+    if (found != this->entries.end()) {
+        found->second.last_response = now;
         this->set_reachability(found->second, Reachability::Reachable);
+    }
     this->note_contact(data_centre, now);
     this->failing_since.reset();
     this->new_failures = 0;
@@ -155,6 +158,18 @@
     return found->second.in_flight > 0 && now - found->second.waiting_since >= this->options.silence_while_refusing;
 }
 
+bool ReachabilityTracker::has_responded_since(std::string_view identity, MonotonicTime since) const
+{
+    auto const found = this->entries.find(identity);
+    return found != this->entries.end() && found->second.last_response && *found->second.last_response >= since;
+}
+
+bool ReachabilityTracker::may_probe(std::string_view identity, MonotonicTime now) const
+{
+    auto const found = this->entries.find(identity);
+    return found == this->entries.end() || !this->was_probed(found->second, now);
+}
+
 std::optional<MonotonicTime> ReachabilityTracker::unreachable_since(std::string_view identity) const
 {
     auto const found = this->entries.find(identity);
--- a/Libraries/LibDecision/ReachabilityTracker.h
+++ b/Libraries/LibDecision/ReachabilityTracker.h
@@ -78,6 +78,10 @@
     bool is_reachable(std::string_view identity, std::string_view data_centre, MonotonicTime now) const;
     /// Whether requests in flight at an unreachable upstream wait in vain, as far as can be told.
     bool is_unresponsive(std::string_view identity, MonotonicTime now) const;
+    /// Whether the upstream sent something, or accepted a connection, at that time or later.
+    bool has_responded_since(std::string_view identity, MonotonicTime since) const;
+    /// Whether a probe of the upstream may be sent now.
+    bool may_probe(std::string_view identity, MonotonicTime now) const;
     /// Since when connections to the upstream have failed; empty if it counts as reachable.
     std::optional<MonotonicTime> unreachable_since(std::string_view identity) const;
     bool is_cut_off(std::string_view data_centre, MonotonicTime now) const;
@@ -118,6 +122,7 @@
         MonotonicTime last_probe;
         Reachability reachability = Reachability::Reachable;
         MonotonicTime unreachable_since;
+        std::optional<MonotonicTime> last_response;
     };
 
     struct DataCentre {
--- a/Libraries/LibRouter/InFlightRequest.cpp
+++ b/Libraries/LibRouter/InFlightRequest.cpp
@@ -6,7 +6,7 @@
 
 namespace Spurtide {
 
-InFlightRequest::InFlightRequest(ReachabilityProber const& prober, UpstreamRecord const& upstream, std::string request, std::shared_ptr<HttpConnection> const& connection, WhenUnreachable when_unreachable)
+InFlightRequest::InFlightRequest(ReachabilityProber const& prober, UpstreamRecord const& upstream, std::string request, std::shared_ptr<HttpConnection> const& connection, MayAbandon may_abandon)
     : record(upstream)
     , sent_at(monotonic_now())
     , tracker(prober.tracker())
@@ -14,8 +14,8 @@
     , watch_position(this->watched->end())
 {
     this->tracker->note_sent(upstream.identity, upstream.data_centre, this->sent_at);
-    if (when_unreachable == WhenUnreachable::Abort)
-        this->watch_position = this->watched->emplace(upstream.identity, ReachabilityProber::WatchedRequest { std::move(request), connection });
+    if (may_abandon)
+        this->watch_position = this->watched->emplace(upstream.identity, ReachabilityProber::WatchedRequest { std::move(request), connection, std::move(may_abandon) });
 }
 
 InFlightRequest::~InFlightRequest()
--- a/Libraries/LibRouter/InFlightRequest.h
+++ b/Libraries/LibRouter/InFlightRequest.h
@@ -5,6 +5,7 @@
 
 #include <LibDecision/UpstreamList.h>
 #include <LibRouter/ReachabilityProber.h>
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -14,14 +15,11 @@
 /// to the pool, where another request may acquire it.
 class InFlightRequest {
 public:
-    /// What to do with the connection when the upstream becomes unreachable.
-    enum class WhenUnreachable {
-        Wait,
-        /// For requests that may be retried on another upstream.
-        Abort,
-    };
-
-    InFlightRequest(ReachabilityProber const& prober, UpstreamRecord const& upstream, std::string request, std::shared_ptr<HttpConnection> const& connection, WhenUnreachable when_unreachable);
+    /// Whether to give up the response, of which nothing has arrived since then, while new connections to the upstream fail. Null
+    /// for requests that must not be sent to another upstream.
+    using MayAbandon = std::function<bool(MonotonicTime silent_since)>;
+
+    InFlightRequest(ReachabilityProber const& prober, UpstreamRecord const& upstream, std::string request, std::shared_ptr<HttpConnection> const& connection, MayAbandon may_abandon);
     ~InFlightRequest();
     InFlightRequest(InFlightRequest const&) = delete;
     InFlightRequest& operator=(InFlightRequest const&) = delete;
--- a/Libraries/LibRouter/ReachabilityProber.cpp
+++ b/Libraries/LibRouter/ReachabilityProber.cpp
@@ -40,6 +40,13 @@
         this->start_probe(identity, now);
 }
 
+void ReachabilityProber::probe(std::string const& identity)
+{
+    auto const now = monotonic_now();
+    if (this->reachability->may_probe(identity, now))
+        this->start_probe(identity, now);
+}
+
 void ReachabilityProber::start_probe(std::string const& identity, MonotonicTime now)
 {
     auto const* record = this->upstreams.find(identity);
@@ -119,14 +126,11 @@
     this->reachability->note_unreachable(upstream.identity, upstream.data_centre, now);
     if (was_reachable)
         LogLine("upstream_unreachable").with("upstream", upstream.identity).with("upstream_data_centre", upstream.data_centre).with("reason", to_string(error)).with("cut_off", this->reachability->is_cut_off(upstream.data_centre, now) ? "yes" : "no").with("unreachable", static_cast<std::int64_t>(this->reachability->unreachable_count())).with("upstreams", static_cast<std::int64_t>(this->upstreams.size()));
-    // The host responds, so connections that are still open may work. If they do not respond either, tick() abandons them.
-    if (error == HttpError::NobodyListens)
-        return;
-    if (auto const address = parse_address(upstream.address))
+    // Requests in flight may go on: their connections show whether they do. Resting connections show nothing; if the host
+    // responds, they may work.
+    auto const address = parse_address(upstream.address);
+    if (address && error != HttpError::NobodyListens)
         this->pool.drop(*address);
-    auto const [begin, end] = this->watched_connections->equal_range(upstream.identity);
-    for (auto position = begin; position != end; ++position)
-        this->abandon(upstream.identity, position->second, now);
 }
 
 void ReachabilityProber::abandon_unresponsive(MonotonicTime now)
@@ -134,15 +138,19 @@
     if (this->reachability->unreachable_count() == 0)
         return;
     for (auto const& [identity, watched] : *this->watched_connections) {
-        if (this->reachability->is_unresponsive(identity, now))
-            this->abandon(identity, watched, now);
+        if (!this->reachability->unreachable_since(identity))
+            continue;
+        // A process that is stopping accepts no connections and completes what it runs.
+        bool const may_be_stopping = this->gone_processes.contains(identity) && !this->reachability->is_unresponsive(identity, now);
+        if (!may_be_stopping)
+            this->abandon_if_silent(identity, watched, now);
     }
 }
 
-void ReachabilityProber::abandon(std::string_view identity, WatchedRequest const& watched, MonotonicTime now)
+void ReachabilityProber::abandon_if_silent(std::string_view identity, WatchedRequest const& watched, MonotonicTime now)
 {
     auto const connection = watched.connection.lock();
-    if (!connection || !connection->is_open())
+    if (!connection || !connection->is_open() || !watched.may_abandon(connection->last_activity()))
         return;
     auto const* const observed = this->gone_processes.contains(identity) ? "connection_refused" : "connection_failed";
     auto const unreachable_since = this->reachability->unreachable_since(identity).value_or(now);
--- a/Libraries/LibRouter/ReachabilityProber.h
+++ b/Libraries/LibRouter/ReachabilityProber.h
@@ -7,6 +7,7 @@
 #include <LibCore/Metrics.h>
 #include <LibDecision/ReachabilityTracker.h>
 #include <LibDecision/UpstreamList.h>
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -30,8 +31,10 @@
     struct WatchedRequest {
         std::string request;
         std::weak_ptr<HttpConnection> connection;
+        /// Whether to give up the response, of which nothing has arrived since then, for that of another upstream.
+        std::function<bool(MonotonicTime silent_since)> may_abandon;
     };
-    /// Requests to abandon when their upstream becomes unreachable, by its identity.
+    /// By the identity of the upstream.
     using Watched = std::multimap<std::string, WatchedRequest>;
     std::shared_ptr<Watched> const& watched() const { return this->watched_connections; }
     std::shared_ptr<ReachabilityTracker> const& tracker() const { return this->reachability; }
@@ -41,6 +44,8 @@
         Unknown,
         Gone,
     };
+    /// Connects to the upstream to find out whether it responds, unless that was tried a moment ago.
+    void probe(std::string const& identity);
     /// Determines whether this incarnation of the upstream is gone; connects to it if that is not known yet. A refused connection
     /// only counts while this VM can connect to another upstream: a partitioned VM may be refused by all of them.
     asio::awaitable<ProcessState> probe_process(UpstreamRecord upstream);
@@ -61,7 +66,7 @@
 private:
     asio::awaitable<Connection> connect_to(UpstreamRecord upstream);
     void abandon_unresponsive(MonotonicTime now);
-    void abandon(std::string_view identity, WatchedRequest const& watched, MonotonicTime now);
+    void abandon_if_silent(std::string_view identity, WatchedRequest const& watched, MonotonicTime now);
     std::vector<UpstreamRecord> reachable_upstreams(std::string_view excluded, std::size_t most) const;
     void start_probe(std::string const& identity, MonotonicTime now);
 
--- a/Libraries/LibRouter/RelayProtocol.cpp
+++ b/Libraries/LibRouter/RelayProtocol.cpp
@@ -16,6 +16,7 @@
 constexpr std::string_view FRESHNESS = "Spurtide-Relay-Connection";
 constexpr std::string_view EXPECTED_BODY = "Spurtide-Relay-Response-Body";
 constexpr std::string_view WHEN_UNREACHABLE = "Spurtide-Relay-When-Unreachable";
+constexpr std::string_view ABANDON_AFTER = "Spurtide-Relay-Abandon-After-Ms";
 constexpr std::string_view OPERATION = "Spurtide-Relay-Operation";
 constexpr std::string_view OUTCOME = "Spurtide-Relay-Outcome";
 constexpr std::string_view UPSTREAM_LENGTH = "Spurtide-Relay-Content-Length";
@@ -24,6 +25,8 @@
 constexpr std::array<std::string_view, 10> OUTCOMES = { "forwarded", "connected", "partitioned", "stopping", "unknown_upstream", "not_available", "nobody_listens", "cannot_connect", "expired", "malformed" };
 
 constexpr Duration LONGEST_TIME_LEFT = seconds(86'400);
+/// VMs of earlier versions do not say it.
+constexpr Duration DEFAULT_ABANDON_AFTER = seconds(1);
 
 constexpr int HTTP_OK = 200;
 constexpr int HTTP_BAD_REQUEST = 400;
@@ -40,6 +43,17 @@
     return *value == first;
 }
 
+Result<Duration, RelayRequestError> read_abandon_after(HttpRequestHead const& head)
+{
+    auto const value = head.headers.find(ABANDON_AFTER);
+    if (!value)
+        return DEFAULT_ABANDON_AFTER;
+    auto const time = parse_whole_number(*value);
+    if (!time || *time > to_milliseconds(LONGEST_TIME_LEFT))
+        return Failure { RelayRequestError::BadField };
+    return Duration(milliseconds(*time));
+}
+
 }
 
 std::string_view to_string(RelayOutcome outcome) { return OUTCOMES.at(static_cast<std::size_t>(outcome)); }
@@ -53,7 +67,9 @@
     head.headers.add(TIME_LEFT, std::to_string(std::max<std::int64_t>(0, to_milliseconds(send.time_left))));
     head.headers.add(FRESHNESS, send.freshness == ConnectionPool::Freshness::Recent ? "recent" : "any");
     head.headers.add(EXPECTED_BODY, send.expected_body == MessageParser::ExpectedBody::None ? "none" : "as-framed");
-    head.headers.add(WHEN_UNREACHABLE, send.when_unreachable == InFlightRequest::WhenUnreachable::Abort ? "abort" : "wait");
+    head.headers.add(WHEN_UNREACHABLE, send.abandon_after ? "abort" : "wait");
+    if (send.abandon_after)
+        head.headers.add(ABANDON_AFTER, std::to_string(std::max<std::int64_t>(0, to_milliseconds(*send.abandon_after))));
     head.headers.add(OPERATION, send.operation == RelayedSend::Operation::Probe ? "probe" : "send");
     head.headers.add("Content-Length", std::to_string(body_size));
     return head;
@@ -77,7 +93,7 @@
     if (TRY(read_choice(head, EXPECTED_BODY, "none", "as-framed")))
         send.expected_body = MessageParser::ExpectedBody::None;
     if (TRY(read_choice(head, WHEN_UNREACHABLE, "abort", "wait")))
-        send.when_unreachable = InFlightRequest::WhenUnreachable::Abort;
+        send.abandon_after = TRY(read_abandon_after(head));
     if (TRY(read_choice(head, OPERATION, "probe", "send")))
         send.operation = RelayedSend::Operation::Probe;
     return send;
--- a/Libraries/LibRouter/RelayProtocol.h
+++ b/Libraries/LibRouter/RelayProtocol.h
@@ -8,7 +8,6 @@
 #include <LibAsync/MessageParser.h>
 #include <LibCore/Result.h>
 #include <LibCore/Time.h>
-#include <LibRouter/InFlightRequest.h>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -27,8 +26,9 @@
     Duration time_left {};
     ConnectionPool::Freshness freshness = ConnectionPool::Freshness::Any;
     MessageParser::ExpectedBody expected_body = MessageParser::ExpectedBody::AsFramed;
-    /// What the relaying VM does with the request when it can no longer reach the upstream.
-    InFlightRequest::WhenUnreachable when_unreachable = InFlightRequest::WhenUnreachable::Wait;
+    /// The silence after which the relaying VM gives up the response while new connections to the upstream fail; empty for requests
+    /// that must not be sent to another upstream.
+    std::optional<Duration> abandon_after {};
     enum class Operation {
         Send,
         /// Only connects, to find out whether the upstream can be reached.
--- a/Libraries/LibRouter/RelayService.cpp
+++ b/Libraries/LibRouter/RelayService.cpp
@@ -105,7 +105,10 @@
             open->abort();
     });
     this->state.limiter->note_sent(upstream);
-    InFlightRequest in_flight(this->state.prober, upstream, send.request, connection, send.when_unreachable);
+    InFlightRequest::MayAbandon may_abandon;
+    if (send.abandon_after)
+        may_abandon = [abandon_after = *send.abandon_after](MonotonicTime silent_since) { return monotonic_now() - silent_since >= abandon_after; };
+    InFlightRequest in_flight(this->state.prober, upstream, send.request, connection, std::move(may_abandon));
     connection->send(exchange.request().body, nullptr, send.expected_body);
     auto head = co_await connection->read_matching_head(responses_to(this->state, upstream, send.request));
     if (head.is_error()) {
--- a/Libraries/LibRouter/RelayService.h
+++ b/Libraries/LibRouter/RelayService.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include <LibAsync/HttpExchange.h>
+#include <LibRouter/InFlightRequest.h>
 #include <LibRouter/RelayProtocol.h>
 #include <LibRouter/RouterState.h>
 #include <functional>
--- a/Libraries/LibRouter/RequestHandler.cpp
+++ b/Libraries/LibRouter/RequestHandler.cpp
@@ -23,6 +23,10 @@
 constexpr Duration MINIMUM_RETRY_AFTER = milliseconds(100);
 /// Another VM serves the retry.
 constexpr Duration STOPPING_RETRY_AFTER = milliseconds(200);
+/// A service may have thousands of upstreams to search.
+constexpr Duration ALTERNATIVE_SEARCH_INTERVAL = milliseconds(100);
+/// Upstreams probed in one search.
+constexpr int MAXIMUM_PROBED = 2;
 
 std::string format_seconds(Duration duration)
 {
@@ -216,14 +220,58 @@
         this->declining_relays.insert(error.relay);
 }
 
-UpstreamLink::Options RequestHandler::link_options(RouteKind kind) const
+bool RequestHandler::may_abandon(UpstreamRecord const& upstream, MonotonicTime silent_since)
+{
+    static SilencePolicy const s_policy { SilencePolicy::Options {} };
+    auto const now = monotonic_now();
+    SilentRequest silent;
+    silent.silent_for = std::chrono::duration_cast<Duration>(now - silent_since);
+    silent.caller_patience = this->part_patience();
+    silent.time_elsewhere = this->route.latency_target;
+    bool const is_due = silent.silent_for >= s_policy.shortest_silence(silent) && now >= this->next_search;
+    if (!is_due || this->is_stopped() || !this->would_allow_another_send())
+        return false;
+    this->next_search = now + ALTERNATIVE_SEARCH_INTERVAL;
+    silent.alternative = this->find_alternative(upstream, silent_since);
+    return s_policy.may_abandon(silent);
+}
+
+SilentRequest::Alternative RequestHandler::find_responsive(std::span<UpstreamRecord const* const> candidates, MonotonicTime since)
+{
+    auto const now = monotonic_now();
+    bool const is_partitioned = this->state.reachability->is_partitioned(now);
+    RouteFinder finder(this->state, now);
+    auto found = SilentRequest::Alternative::None;
+    std::vector<UpstreamRecord const*> unknown;
+    for (auto const* candidate : candidates) {
+        if (this->state.limiter->requested_pause_left(*candidate, now) > Duration::zero())
+            continue;
+        auto const route_to_candidate = finder.find(*candidate);
+        if (route_to_candidate == UpstreamRoute::Direct && this->state.reachability->has_responded_since(candidate->identity, since))
+            return SilentRequest::Alternative::Direct;
+        if (route_to_candidate == UpstreamRoute::Direct)
+            unknown.push_back(candidate);
+        // An upstream that only this VM fails to reach is silent itself.
+        else if (route_to_candidate == UpstreamRoute::Relayed && is_partitioned)
+            found = SilentRequest::Alternative::ThroughRelay;
+    }
+    for (std::size_t i = 0; i < std::min<std::size_t>(MAXIMUM_PROBED, unknown.size()); ++i)
+        this->state.prober.probe(unknown[i]->identity);
+    return found;
+}
+
+UpstreamLink::Options RequestHandler::link_options(RouteKind kind)
 {
     UpstreamLink::Options options;
     options.request = this->request.identifier;
     if (kind != RouteKind::Repeatable)
         options.freshness = ConnectionPool::Freshness::Recent;
     else
-        options.when_unreachable = InFlightRequest::WhenUnreachable::Abort;
+        options.may_abandon = [weak = this->weak_from_this()](UpstreamRecord const& upstream, MonotonicTime silent_since) {
+            auto const handler = weak.lock();
+            return handler && handler->may_abandon(upstream, silent_since);
+        };
+    options.relayed_silence = SilencePolicy::Options {}.silence_before_relay;
     // The request's data must not be passed to other regions than those of its homes and its caller.
     options.may_relay = [this](RelayCandidate const& relay) {
         auto const own_region = region_of(this->state.data_centre, this->state.regions);
@@ -412,6 +460,15 @@
     return is_taken;
 }
 
+bool RequestHandler::could_pay(SendAccounting::Send send) const
+{
+    auto const count = static_cast<double>(this->ledger.uncharged(send));
+    if (count == 0)
+        return true;
+    auto const level = this->state.retry_budget_for(this->service).level(this->state.retry_allowance_part(), monotonic_now());
+    return static_cast<double>(level.extra_sends) + count <= level.limit;
+}
+
 asio::awaitable<void> RequestHandler::refuse(std::string_view reason, Duration retry_after)
 {
     if (this->is_stopped() && this->stop_reason == StopReason::CallerLeft) {
--- a/Libraries/LibRouter/RequestHandler.h
+++ b/Libraries/LibRouter/RequestHandler.h
@@ -9,11 +9,13 @@
 #include <LibDecision/RequestFingerprint.h>
 #include <LibDecision/RetryPolicy.h>
 #include <LibDecision/SendAccounting.h>
+#include <LibDecision/SilencePolicy.h>
 #include <LibRouter/RouterState.h>
 #include <LibRouter/UpstreamLink.h>
 #include <functional>
 #include <memory>
 #include <set>
+#include <span>
 #include <string>
 
 namespace Spurtide {
@@ -56,6 +58,12 @@
     virtual void describe_end(LogLine&) const { }
     /// Called once, when the request is stopped.
     virtual void on_stop() { }
+    /// How long the caller waits for the next part of a response that has begun; empty before.
+    virtual std::optional<Duration> part_patience() const { return {}; }
+    /// Whether the attempt limit, the time left and the retry budget would allow another send now.
+    virtual bool would_allow_another_send() const = 0;
+    /// Where else the request could be sent, away from an upstream that has been silent since then.
+    virtual SilentRequest::Alternative find_alternative(UpstreamRecord const& silent, MonotonicTime since) = 0;
     /// How long the response takes at most if the request is sent now; empty if only its timeout bounds it.
     virtual std::optional<Duration> longest_response() const { return {}; }
 
@@ -87,6 +95,12 @@
 
     /// Whether the service's retry budget allows the send. If so, charges it.
     bool try_pay(SendAccounting::Send send);
+    /// Whether the service's retry budget would allow the send now.
+    bool could_pay(SendAccounting::Send send) const;
+
+    /// Searches upstreams to which a request could be sent that waits at a silent one. Those of which nothing was heard since are
+    /// probed, so that a later search knows more.
+    SilentRequest::Alternative find_responsive(std::span<UpstreamRecord const* const> candidates, MonotonicTime since);
 
     /// Call before any bytes of the request may be sent to an upstream; from then on it may have run.
     void note_sent();
@@ -102,7 +116,7 @@
     void note_link_error(LinkError const& error);
     /// How to open a link for this request. Requests that must not be repeated need a recently used connection: if the other side
     /// is about to close an idle one, it is unclear whether the request ran.
-    UpstreamLink::Options link_options(RouteKind kind) const;
+    UpstreamLink::Options link_options(RouteKind kind);
 
     /// Records what the upstream states about itself in its response to this request: that it is leaving, a pause that it asks
     /// for, its rate limit or the absence of one.
@@ -145,6 +159,8 @@
 
 private:
     void stop(StopReason reason);
+    /// Whether to give up the response of an upstream to which new connections fail, for that of another.
+    bool may_abandon(UpstreamRecord const& upstream, MonotonicTime silent_since);
     /// The remaining quarantine time of the request or of parts of its prompt; empty if it may be sent.
     std::optional<Duration> quarantine_left() const;
     /// The parts of its prompt that other requests may share; none for a request without a prompt.
@@ -169,6 +185,8 @@
     /// The amount to charge to the account's quota.
     double quota_cost = 0;
     std::shared_ptr<HttpConnection> active_connection;
+    /// When alternatives to a silent upstream may be searched again.
+    MonotonicTime next_search;
     MonotonicTimer deadline_timer;
     MonotonicTimer turn_timer;
 };
--- a/Libraries/LibRouter/StreamingRequestHandler.cpp
+++ b/Libraries/LibRouter/StreamingRequestHandler.cpp
@@ -117,7 +117,7 @@
 PlacementClient::AskTimes StreamingRequestHandler::placement_times() const
 {
     auto const age = std::chrono::duration_cast<Duration>(monotonic_now() - this->exchange.received_at());
-    auto const patience = from_seconds(to_seconds(this->route.first_event_patience) * FIRST_EVENT_WAIT_SHARE);
+    auto const patience = this->event_patience();
     PlacementClient::AskTimes times;
     if (this->placements > 0 || this->origin) {
         // The request has been placed before, by this VM or another. Refusing it now would lose it, whereas the caller still accepts
@@ -134,6 +134,48 @@
     return times;
 }
 
+Duration StreamingRequestHandler::event_patience() const { return from_seconds(to_seconds(this->route.first_event_patience) * FIRST_EVENT_WAIT_SHARE); }
+
+std::optional<Duration> StreamingRequestHandler::part_patience() const
+{
+    return this->exchange.has_begun() ? std::optional(this->event_patience()) : std::nullopt;
+}
+
+UpstreamLink::Options StreamingRequestHandler::decode_link_options()
+{
+    auto options = this->link_options(this->route.is_resumable ? RouteKind::Repeatable : RouteKind::NotRepeatable);
+    options.relayed_silence = std::max(options.relayed_silence, this->event_patience() - this->route.latency_target);
+    return options;
+}
+
+bool StreamingRequestHandler::would_allow_another_send() const
+{
+    bool const is_version_uncertain = this->origin && !this->origin->is_certain();
+    bool const may_place = this->placements < MAXIMUM_PLACEMENTS && !is_version_uncertain;
+    return may_place && this->sends < this->route.maximum_attempts && this->time_left() >= MINIMUM_TIME_FOR_PLACEMENT && this->could_pay(SendAccounting::Send::Prefill);
+}
+
+// A placement needs an engine of each kind, of one version.
+SilentRequest::Alternative StreamingRequestHandler::find_alternative(UpstreamRecord const& silent, MonotonicTime since)
+{
+    std::vector<UpstreamRecord const*> decoders;
+    std::vector<UpstreamRecord const*> prefillers;
+    bool has_prefillers = false;
+    this->state.upstreams.for_each([&](UpstreamRecord const& record) {
+        bool const may_serve = record.service == this->service && record.life == UpstreamRecord::Life::Serving && this->may_use_data_centre(record.data_centre) && this->may_continue_at(record);
+        if (!may_serve)
+            return;
+        bool const is_prefiller = record.role == EngineRole::Prefill;
+        has_prefillers = has_prefillers || is_prefiller;
+        if (record.identity != silent.identity)
+            (is_prefiller ? prefillers : decoders).push_back(&record);
+    });
+    auto const decoder = this->find_responsive(decoders, since);
+    if (!has_prefillers)
+        return decoder;
+    return std::min(decoder, this->find_responsive(prefillers, since));
+}
+
 bool StreamingRequestHandler::may_continue_at(UpstreamRecord const& engine) const
 {
     return !this->origin || (this->origin->is_certain() && engine.software_version == this->origin->software_version);
--- a/Libraries/LibRouter/StreamingRequestHandler.h
+++ b/Libraries/LibRouter/StreamingRequestHandler.h
@@ -26,6 +26,9 @@
     void on_stop() override;
     std::optional<Duration> longest_response() const override;
     void describe_end(LogLine& line) const override;
+    std::optional<Duration> part_patience() const override;
+    bool would_allow_another_send() const override;
+    SilentRequest::Alternative find_alternative(UpstreamRecord const& silent, MonotonicTime since) override;
 
     enum class PlacementOutcome {
         /// The response has ended, complete or not.
@@ -85,7 +88,9 @@
     asio::awaitable<void> respond_to_refusal(PlacementRefusal refusal);
     /// Returns Retry if another send is allowed. Otherwise sends the final response.
     asio::awaitable<PlacementOutcome> retry_or_fail(SendOutcome end, std::string_view reason, SendHistory::AnotherSend allowed_send = SendHistory::AnotherSend::Allowed);
-    UpstreamLink::Options decode_link_options() const { return this->link_options(this->route.is_resumable ? RouteKind::Repeatable : RouteKind::NotRepeatable); }
+    UpstreamLink::Options decode_link_options();
+    /// How long the caller waits for an event, with the time for the next placement taken off.
+    Duration event_patience() const;
     /// Excludes an engine that was not reached from further placements, and reports it to the keeper if the engine is at fault.
     void note_lost(UpstreamLink const& link, LinkError const& error);
     void note_unreached(UpstreamRecord const& engine, LinkError const& error);
--- a/Libraries/LibRouter/UnaryRequestHandler.cpp
+++ b/Libraries/LibRouter/UnaryRequestHandler.cpp
@@ -61,6 +61,22 @@
     return records;
 }
 
+bool UnaryRequestHandler::would_allow_another_send() const
+{
+    return this->sends < this->route.maximum_attempts && this->time_left() >= MINIMUM_TIME_FOR_SEND && this->could_pay(SendAccounting::Send::Run);
+}
+
+SilentRequest::Alternative UnaryRequestHandler::find_alternative(UpstreamRecord const& silent, MonotonicTime since)
+{
+    std::vector<UpstreamRecord const*> candidates;
+    this->state.upstreams.for_each([&](UpstreamRecord const& record) {
+        bool const may_serve = record.service == this->service && record.life == UpstreamRecord::Life::Serving && this->may_use_data_centre(record.data_centre);
+        if (may_serve && record.identity != silent.identity && !this->tried_upstreams.contains(record.identity))
+            candidates.push_back(&record);
+    });
+    return this->find_responsive(candidates, since);
+}
+
 std::optional<UpstreamRecord> UnaryRequestHandler::choose_upstream()
 {
     auto const now = monotonic_now();
--- a/Libraries/LibRouter/UpstreamLink.cpp
+++ b/Libraries/LibRouter/UpstreamLink.cpp
@@ -123,7 +123,10 @@
 {
     this->sent_at = monotonic_now();
     if (!this->relay) {
-        this->in_flight.emplace(this->state.prober, this->record, this->options.request, this->connected, this->options.when_unreachable);
+        InFlightRequest::MayAbandon may_abandon;
+        if (this->options.may_abandon)
+            may_abandon = [may_abandon = this->options.may_abandon, upstream = this->record](MonotonicTime silent_since) { return may_abandon(upstream, silent_since); };
+        this->in_flight.emplace(this->state.prober, this->record, this->options.request, this->connected, std::move(may_abandon));
         this->connected->send(std::move(head), std::move(body), expected_body);
         return;
     }
@@ -134,7 +137,8 @@
     send.time_left = time_left;
     send.freshness = this->options.freshness;
     send.expected_body = expected_body;
-    send.when_unreachable = this->options.when_unreachable;
+    if (this->options.may_abandon)
+        send.abandon_after = this->options.relayed_silence;
     auto const size = head.size() + (body ? body->size() : 0);
     this->connected->send(format_request_head(relay_request_head(this->relay->address, send, size)) + head, std::move(body));
 }
--- a/Libraries/LibRouter/UpstreamLink.h
+++ b/Libraries/LibRouter/UpstreamLink.h
@@ -68,8 +68,11 @@
     struct Options {
         std::string request;
         ConnectionPool::Freshness freshness = ConnectionPool::Freshness::Any;
-        /// What to do with the request when the upstream becomes unreachable after the send.
-        InFlightRequest::WhenUnreachable when_unreachable = InFlightRequest::WhenUnreachable::Wait;
+        /// Whether to give up the response, of which nothing has arrived since then, while new connections to the upstream fail. Null
+        /// for requests that must not be sent to another upstream.
+        std::function<bool(UpstreamRecord const& upstream, MonotonicTime silent_since)> may_abandon;
+        /// The same where another VM relays the request, which only knows the silence.
+        Duration relayed_silence {};
         /// VMs that may see the request.
         RelaySelector::Filter may_relay = [](auto const&) { return true; };
     };
--- a/Tests/LibDecision/TestReachabilityTracker.cpp
+++ b/Tests/LibDecision/TestReachabilityTracker.cpp
@@ -273,3 +273,25 @@
         CHECK_FALSE(tracker.may_be_partitioned(at(3301)));
     }
 }
+
+// Guards against requests that leave a silent upstream for one that is silent as well.
+TEST_CASE("An upstream has responded during a silence only if it sent something or accepted a connection since", "[silent-upstream]")
+{
+    ReachabilityTracker tracker({}, "a");
+    CHECK_FALSE(tracker.has_responded_since("a1", at(0)));
+    tracker.note_sent("a1", "a", at(100));
+    CHECK_FALSE(tracker.has_responded_since("a1", at(0)));
+    tracker.note_response("a1", at(200));
+    CHECK(tracker.has_responded_since("a1", at(200)));
+    CHECK_FALSE(tracker.has_responded_since("a1", at(201)));
+    tracker.note_unreachable("a1", "a", at(300));
+    CHECK(tracker.unreachable_since("a1") == at(300));
+    tracker.note_unreachable("a1", "a", at(600));
+    CHECK(tracker.unreachable_since("a1") == at(300));
+    CHECK_FALSE(tracker.has_responded_since("a1", at(300)));
+    CHECK_FALSE(tracker.may_probe("a1", at(899)));
+    CHECK(tracker.may_probe("a1", at(900)));
+    tracker.note_reached("a1", "a", at(700));
+    CHECK(tracker.has_responded_since("a1", at(700)));
+    CHECK_FALSE(tracker.unreachable_since("a1"));
+}
--- a/Tests/LibRouter/TestInFlightRequest.cpp
+++ b/Tests/LibRouter/TestInFlightRequest.cpp
@@ -29,7 +29,7 @@
 {
     InFlightRequestTest test;
     {
-        InFlightRequest const in_flight(test.prober, test.upstream, "r1", test.connection, InFlightRequest::WhenUnreachable::Abort);
+        InFlightRequest const in_flight(test.prober, test.upstream, "r1", test.connection, [](auto) { return true; });
         CHECK(in_flight.identity() == "u1");
         CHECK(test.prober.watched()->count("u1") == 1);
         CHECK(test.is_waiting());
@@ -41,7 +41,7 @@
 TEST_CASE("A request that must not be retried elsewhere is not aborted", "[cut][at-most-once]")
 {
     InFlightRequestTest test;
-    InFlightRequest const in_flight(test.prober, test.upstream, "r1", test.connection, InFlightRequest::WhenUnreachable::Wait);
+    InFlightRequest const in_flight(test.prober, test.upstream, "r1", test.connection, {});
     CHECK(test.prober.watched()->empty());
     CHECK(test.is_waiting());
 }
@@ -49,7 +49,7 @@
 TEST_CASE("A waiting request may outlive the prober that it was registered with", "[cut]")
 {
     auto test = std::make_unique<InFlightRequestTest>();
-    auto in_flight = std::make_unique<InFlightRequest>(test->prober, test->upstream, "r1", test->connection, InFlightRequest::WhenUnreachable::Abort);
+    auto in_flight = std::make_unique<InFlightRequest>(test->prober, test->upstream, "r1", test->connection, [](auto) { return true; });
     auto const watched = test->prober.watched();
     test.reset();
     in_flight.reset();
