NodeServer: Keep trying to start while an address is in use

A node whose callers', operations or wire address was in use for longer than ten seconds ended with exit code 1, and nobody starts it again: its VM was gone for good. Free ports and the source ports of outgoing connections come from one range on a real machine, so a node that was killed can find its port taken for as long as another process's connection lasts, and for a minute after it (TIME_WAIT). With the metrics or relay address it served without them for good, after one line at its start.

Cause: the start was tried a fixed number of times, and the two optional servers once.

Change: the start is tried again without end, 0.2 s to 2 s apart, with a line that names the address; SIGTERM ends it. A node that lacks an address serves nothing until then: its balancer and its peers could not tell what it serves. Metrics and relays are tried again each second, and `spurtide_listening` and `metrics_served` or `relay_served` tell of them. Outgoing connections set SO_REUSEADDR, so that a listener of another process of ours can have their port.

--- a/Libraries/LibAsync/HttpConnection.cpp
+++ b/Libraries/LibAsync/HttpConnection.cpp
@@ -66,6 +66,11 @@
     if (error)
         co_return Failure { HttpError::CannotConnect };
     asio::ip::tcp::endpoint const endpoint(host, static_cast<std::uint16_t>(address.port));
+    connection->socket.open(endpoint.protocol(), error);
+    if (error)
+        co_return Failure { HttpError::CannotConnect };
+    // The source port may be one that another process of this host is about to listen on, and it would fail to.
+    connection->socket.set_option(asio::socket_base::reuse_address(true), error);
     connection->set_deadline(monotonic_now() + timeout);
     co_await connection->socket.async_connect(endpoint, asio::redirect_error(asio::use_awaitable, error));
     connection->clear_deadline();
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -214,20 +214,24 @@
     if (!this->settings.relay_address)
         return;
     this->relay_service = std::make_unique<RelayService>(this->state, RelayService::Hooks { [this] { return this->is_stopping; } });
-    auto server = HttpServer::create(this->loop, *this->settings.relay_address, [this](auto& exchange) { return this->relay_service->handle(exchange); });
-    if (server.is_error()) {
-        // Only VMs that are partitioned miss it.
-        LogLine("relay_not_served").with("address", this->settings.relay_address->to_string());
-        return;
-    }
-    this->relay_server = server.release_value();
-    this->relay_server->set_most_connections(static_cast<std::size_t>(this->settings.descriptors / RELAY_PART_OF_DESCRIPTORS));
     this->membership->set_endpoints_hook([this] {
         std::vector<ServiceEndpoint> endpoints;
         if (this->offers_relay())
             endpoints.push_back(RelayClient::announcement(this->relay_server->address(), this->kernel->incarnation()));
         return endpoints;
     });
+    this->serve_relay();
+}
+
+void Node::serve_relay()
+{
+    if (this->relay_server || !this->relay_service)
+        return;
+    this->relay_server = this->listen_if_possible("relay", *this->settings.relay_address, [this](auto& exchange) { return this->relay_service->handle(exchange); });
+    if (!this->relay_server)
+        return;
+    this->relay_server->set_most_connections(static_cast<std::size_t>(this->settings.descriptors / RELAY_PART_OF_DESCRIPTORS));
+    this->limit_relayed_requests();
 }
 
 // The body of a relayed request holds the head as well, which has a few fields more than the caller's.
@@ -566,16 +570,28 @@
     static_cast<void>(co_await exchange.respond(std::move(head), body));
 }
 
-// Requests go on without them.
 void Node::serve_metrics()
 {
-    if (!this->settings.metrics_address)
+    if (this->metrics_server || !this->settings.metrics_address)
         return;
-    auto created = HttpServer::create(this->loop, *this->settings.metrics_address, [this](auto& exchange) { return this->answer_operations(exchange); });
-    if (created.is_error())
-        LogLine("metrics_not_served").with("address", this->settings.metrics_address->to_string());
-    else
-        this->metrics_server = created.release_value();
+    this->metrics_server = this->listen_if_possible("metrics", *this->settings.metrics_address, [this](auto& exchange) { return this->answer_operations(exchange); });
+}
+
+std::unique_ptr<HttpServer> Node::listen_if_possible(std::string_view server, Address const& address, HttpServer::Handler handler)
+{
+    auto created = HttpServer::create(this->loop, address, std::move(handler));
+    auto const failed = this->failed_listens.find(server);
+    bool const has_failed_before = failed != this->failed_listens.end();
+    this->metrics.set("spurtide_listening", "1 while an optional server listens at its address", created.is_error() ? 0 : 1, { { "server", std::string(server) } });
+    if (created.is_error()) {
+        if (!has_failed_before)
+            LogLine(std::string(server) + "_not_served").with("address", address.to_string());
+        ++this->failed_listens[std::string(server)];
+        return {};
+    }
+    if (has_failed_before)
+        LogLine(std::string(server) + "_served").with("address", address.to_string()).with("failed_attempts", failed->second);
+    return created.release_value();
 }
 
 void Node::publish_metrics()
@@ -619,6 +635,10 @@
     this->state.pool.sweep(now);
     this->upstream_limits.forget_ended_pauses(now);
     this->stream_origin_archive->forget_old(now);
+    if (!this->is_stopping) {
+        this->serve_metrics();
+        this->serve_relay();
+    }
     if (this->membership->is_settled() && this->placement->is_keeper())
         this->quarantine->verify_store(this->state.upstreams.version().era);
 }
--- a/Services/NodeServer/Node.h
+++ b/Services/NodeServer/Node.h
@@ -28,6 +28,7 @@
 #include <Services/ConfigServer/MembershipService.h>
 #include <Services/NodeServer/NodeSettings.h>
 #include <functional>
+#include <map>
 #include <memory>
 #include <span>
 
@@ -92,6 +93,7 @@
     void create_call_admission();
     void create_stream_origins();
     void create_relay();
+    void serve_relay();
     void limit_relayed_requests();
     /// Whether this VM offers to relay requests of VMs that are partitioned from the upstreams.
     bool offers_relay() const;
@@ -107,6 +109,8 @@
     void engines_changed();
     asio::awaitable<void> answer_operations(HttpExchange& exchange);
     void serve_metrics();
+    /// Listens on an address that requests can do without. Returns null, and logs it once, while the address cannot be used.
+    std::unique_ptr<HttpServer> listen_if_possible(std::string_view server, Address const& address, HttpServer::Handler handler);
     void publish_metrics();
     void every_second();
     void drop_lapsed();
@@ -152,10 +156,12 @@
     std::unique_ptr<RegistryFollower> follower;
     std::unique_ptr<HttpServer> callers;
     std::unique_ptr<HttpServer> operations;
-    /// Empty where this VM relays no requests.
+    /// Empty where this VM relays no requests, or its address cannot be used yet.
     std::unique_ptr<HttpServer> relay_server;
-    /// Empty where metrics have no address of their own, or it cannot be used.
+    /// Empty where metrics have no address of their own, or it cannot be used yet.
     std::unique_ptr<HttpServer> metrics_server;
+    /// Attempts to listen that failed so far, by server.
+    std::map<std::string, std::int64_t, std::less<>> failed_listens;
     std::optional<MonotonicTime> last_lapse_check;
     MonotonicTime started_at;
     bool was_cut_off = false;
--- a/Services/NodeServer/NodeMain.cpp
+++ b/Services/NodeServer/NodeMain.cpp
@@ -6,7 +6,9 @@
 #include <LibCore/LogLine.h>
 #include <LibCore/ProcessLog.h>
 #include <LibCore/ProgramOptions.h>
+#include <LibCore/Verify.h>
 #include <Services/NodeServer/NodeMain.h>
+#include <algorithm>
 #include <csignal>
 #include <memory>
 
@@ -15,8 +17,8 @@
 namespace {
 
 constexpr std::string_view PROGRAM = "spurtide-node";
-constexpr int START_ATTEMPTS = 50;
-constexpr Duration START_RETRY_INTERVAL = milliseconds(200);
+constexpr Duration SHORTEST_START_RETRY_INTERVAL = milliseconds(200);
+constexpr Duration LONGEST_START_RETRY_INTERVAL = seconds(2);
 
 /// Reads the settings again and says what a restart would change; addresses and names stay as they are.
 void reload(std::string const& path)
@@ -52,34 +54,51 @@
     std::unique_ptr<Node> node;
 };
 
-/// An address may be held for a moment by the process that used it before, or not be there yet. The error is the exit code: Success if
-/// the process is told to stop before the node has started.
-Result<std::unique_ptr<RunningNode>, ExitCode> create_node(NodeSettings const& settings, std::function<NodeAdapters(NodeSettings const&)> const& make_adapters)
+Address const& address_of(NodeStartError error, NodeSettings const& settings)
 {
-    for (int attempt = 1; attempt <= START_ATTEMPTS; ++attempt) {
+    switch (error) {
+    case NodeStartError::CannotListenForCallers:
+        return settings.caller_address;
+    case NodeStartError::CannotListenForOperations:
+        return settings.operations_address;
+    case NodeStartError::CannotListenForPeers:
+        return settings.wire_address;
+    }
+    VERIFY_NOT_REACHED();
+}
+
+/// Retries until the addresses can be used: the process that used one before may still hold it, or an outgoing connection of another
+/// process may have its port. Returns null if the process is told to stop before the node has started.
+std::unique_ptr<RunningNode> create_node(NodeSettings const& settings, std::function<NodeAdapters(NodeSettings const&)> const& make_adapters)
+{
+    auto retry_interval = SHORTEST_START_RETRY_INTERVAL;
+    for (std::int64_t attempt = 1;; ++attempt) {
         auto running = std::make_unique<RunningNode>();
         auto created = Node::create(running->loop, settings, make_adapters(settings));
         if (!created.is_error()) {
             running->node = created.release_value();
             return running;
         }
-        LogLine("start_failed").with("reason", to_string(created.error())).with("attempt", attempt).with("of", START_ATTEMPTS);
-        if (is_told_to_stop_within(START_RETRY_INTERVAL))
-            return Failure { ExitCode::Success };
+        LogLine("start_failed")
+            .with("reason", to_string(created.error()))
+            .with("address", address_of(created.error(), settings).to_string())
+            .with("attempt", attempt)
+            .with("retry_in_ms", to_milliseconds(retry_interval));
+        if (is_told_to_stop_within(retry_interval))
+            return {};
+        retry_interval = std::min(retry_interval * 2, LONGEST_START_RETRY_INTERVAL);
     }
-    return Failure { ExitCode::Failed };
 }
 
 ExitCode run(NodeSettings const& settings, std::string const& path, std::function<NodeAdapters(NodeSettings const&)> const& make_adapters)
 {
     LogLine::set_process_fields(PROGRAM, settings.virtual_machine, settings.data_centre);
     std::signal(SIGPIPE, SIG_IGN);
-    auto created = create_node(settings, make_adapters);
-    if (created.is_error()) {
-        LogLine("cannot_start").with("reason", created.error() == ExitCode::Success ? "told_to_stop" : "no_address");
-        return created.error();
+    auto const running = create_node(settings, make_adapters);
+    if (!running) {
+        LogLine("cannot_start").with("reason", "told_to_stop");
+        return ExitCode::Success;
     }
-    auto const running = created.release_value();
     auto& node = *running->node;
     asio::signal_set signals(running->loop, SIGTERM, SIGINT, SIGHUP);
     watch_signals(signals, path, node, running->loop);
--- a/Tests/Programs/starts.sh
+++ b/Tests/Programs/starts.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # SPDX-FileCopyrightText: 2026 The Spurtide developers
 # SPDX-License-Identifier: BSD-2-Clause
-# A node outlives signals that come while it starts, and waits for an address that another process still holds.
+# A node outlives signals that come while it starts, and waits for addresses that other processes hold.
 # Usage: starts.sh FOLDER-OF-PROGRAMS
 set -uo pipefail
 BIN=$1
@@ -68,3 +68,65 @@
 wait "${NODES[2]}" || fail "the node did not end in order"
 NODES=()
 echo "started once its address was free"
+
+# start NAME SETTINGS: starts a node whose log is read from the descriptor that LOG names.
+start() {
+    mkfifo "$STATE/$1-log"
+    echo "$2" >"$STATE/$1.json"
+    exec {LOG}<>"$STATE/$1-log"
+    "$BIN/spurtide-node" --settings "$STATE/$1.json" 2>&"$LOG" &
+    NODES+=("$!")
+}
+
+# with FIELD ADDRESS
+with() { settings 127.0.0.1:0 | sed "s/\"$1\": \"[^\"]*\"/\"$1\": \"$2\"/"; }
+
+# field NAME: its value in LINE.
+field() { sed -E "s/.* $1=([^ ]+).*/\1/" <<<"$LINE"; }
+
+# Guards against VMs that are gone for good since a port was in use for longer than some seconds when they started.
+HELD_SECONDS=12
+start holder "$(settings 127.0.0.1:0)"
+wait_for "$LOG" started
+callers=$(field callers)
+operations=$(field operations)
+start other-holder "$(settings 127.0.0.1:0)"
+wait_for "$LOG" started
+peers=$(field callers)
+SECONDS=0
+start without-callers "$(with caller_address "$callers")"
+waiting=("$LOG")
+start without-operations "$(with operations_address "$operations")"
+waiting+=("$LOG")
+start without-peers "$(with wire_address "$peers")"
+waiting+=("$LOG")
+for log in "${waiting[@]}"; do
+    wait_for "$log" start_failed
+    while [ "$SECONDS" -lt "$HELD_SECONDS" ]; do
+        wait_for "$log" start_failed
+    done
+done
+kill -KILL "${NODES[@]:0:2}"
+for log in "${waiting[@]}"; do wait_for "$log" started; done
+kill -TERM "${NODES[@]:2}"
+for i in 2 3 4; do wait "${NODES[$i]}" || fail "a node did not end in order"; done
+NODES=()
+echo "started after a long wait for each of its addresses"
+
+# Guards against nodes that stay without metrics or relays since the port was in use when they started.
+start holder-again "$(settings 127.0.0.1:0)"
+wait_for "$LOG" started
+callers=$(field callers)
+operations=$(field operations)
+start without-metrics "$(settings 127.0.0.1:0 | sed "s/^{/{ \"metrics_address\": \"$callers\", \"relay_address\": \"$operations\",/")"
+wait_for "$LOG" metrics_not_served
+wait_for "$LOG" relay_not_served
+wait_for "$LOG" started
+kill -KILL "${NODES[0]}"
+wait_for "$LOG" metrics_served
+wait_for "$LOG" relay_served
+curl --silent --fail "http://$callers/metrics" | grep -q '^spurtide_listening{server="relay"} 1' || fail "the metrics do not tell that relays are served"
+kill -TERM "${NODES[1]}"
+wait "${NODES[1]}" || fail "the node did not end in order"
+NODES=()
+echo "served metrics and relays once their addresses were free"
