UnaryRequestHandler: Send a request again on a new connection after a refusal

A plain request that may be repeated, and that its only upstream refused, went to that upstream again on the same connection.

The second send now uses a new connection, on which no late copy can arrive. Through a relaying VM it still uses one of that VM's resting connections.

Before: the new case of TestLateResponses failed (503). After: it passes.

--- a/Libraries/LibAsync/ConnectionPool.cpp
+++ b/Libraries/LibAsync/ConnectionPool.cpp
@@ -14,7 +14,7 @@
 
 asio::awaitable<HttpConnection::Connected> ConnectionPool::acquire(Address address, Freshness freshness)
 {
-    auto const found = this->resting.find(address.to_string());
+    auto const found = freshness == Freshness::New ? this->resting.end() : this->resting.find(address.to_string());
     while (found != this->resting.end() && !found->second.empty()) {
         auto connection = std::move(found->second.back());
         found->second.pop_back();
--- a/Libraries/LibAsync/ConnectionPool.h
+++ b/Libraries/LibAsync/ConnectionPool.h
@@ -31,6 +31,8 @@
         Any,
         /// Only one that rested so briefly that the other side cannot be about to close it.
         Recent,
+        /// Only a new one, on which no late response to an earlier request can arrive.
+        New,
     };
 
     /// How one call of the router's own is made.
--- a/Libraries/LibRouter/RelayProtocol.cpp
+++ b/Libraries/LibRouter/RelayProtocol.cpp
@@ -65,7 +65,7 @@
     head.headers.add(REQUEST, send.request);
     head.headers.add(UPSTREAM, send.upstream);
     head.headers.add(TIME_LEFT, std::to_string(std::max<std::int64_t>(0, to_milliseconds(send.time_left))));
-    head.headers.add(FRESHNESS, send.freshness == ConnectionPool::Freshness::Recent ? "recent" : "any");
+    head.headers.add(FRESHNESS, send.freshness == ConnectionPool::Freshness::Any ? "any" : "recent");
     head.headers.add(EXPECTED_BODY, send.expected_body == MessageParser::ExpectedBody::None ? "none" : "as-framed");
     head.headers.add(WHEN_UNREACHABLE, send.abandon_after ? "abort" : "wait");
     if (send.abandon_after)
--- a/Libraries/LibRouter/UnaryRequestHandler.cpp
+++ b/Libraries/LibRouter/UnaryRequestHandler.cpp
@@ -428,8 +428,10 @@
             this->tried_upstreams.insert(upstream->identity);
         else if (last.route == UpstreamRoute::Direct)
             this->unreached_upstreams.insert(upstream->identity);
-        if (last.end == SendOutcome::NotExecuted)
+        if (last.end == SendOutcome::NotExecuted) {
+            this->refused_by.insert(upstream->identity);
             this->note_not_executed();
+        }
         if (this->is_stopped() && last.end != SendOutcome::Success) {
             co_await this->send_stopped_response();
             co_return;
@@ -465,7 +467,10 @@
     Attempt attempt;
     auto const sent_at = monotonic_now();
     this->state.selector.note_sent(upstream.identity);
-    auto opened = co_await UpstreamLink::open(this->state, upstream, this->link_options(this->route.kind));
+    auto options = this->link_options(this->route.kind);
+    if (this->refused_by.contains(upstream.identity))
+        options.freshness = ConnectionPool::Freshness::New;
+    auto opened = co_await UpstreamLink::open(this->state, upstream, std::move(options));
     if (opened.is_error()) {
         auto const& error = opened.error();
         bool const is_relays = error.location == LinkError::Location::Relay;
--- a/Libraries/LibRouter/UnaryRequestHandler.h
+++ b/Libraries/LibRouter/UnaryRequestHandler.h
@@ -79,6 +79,8 @@
 
     /// Upstreams that the request was sent to.
     std::set<std::string> tried_upstreams;
+    /// Upstreams that refused the request. A late copy of the refusal would be taken for the response to another send.
+    std::set<std::string> refused_by;
     /// Upstreams to which this VM could not connect.
     std::set<std::string> unreached_upstreams;
     int connect_attempts = 0;
--- a/Libraries/LibRouter/UpstreamLink.cpp
+++ b/Libraries/LibRouter/UpstreamLink.cpp
@@ -109,7 +109,9 @@
         auto const address = relay ? parse_address(relay->address) : std::nullopt;
         if (!address)
             break;
-        auto acquired = co_await state.pool.acquire(*address, options.freshness);
+        // The relaying VM opens the upstream's connection.
+        auto const freshness = options.freshness == ConnectionPool::Freshness::New ? ConnectionPool::Freshness::Any : options.freshness;
+        auto acquired = co_await state.pool.acquire(*address, freshness);
         if (!acquired.is_error())
             co_return std::unique_ptr<UpstreamLink>(new UpstreamLink(state, std::move(upstream), std::move(options), *address, acquired.release_value(), std::move(relay)));
         last = acquired.error();
--- a/Tests/Platform/TestLateResponses.cpp
+++ b/Tests/Platform/TestLateResponses.cpp
@@ -188,3 +188,15 @@
     }
     CHECK(test.late.repeated == 1);
 }
+
+// Guards against a late second refusal of a request that was taken for the refusal of its next send to the same upstream: that one ran,
+// and its caller was told that it had not.
+TEST_CASE("A late copy of a refusal says nothing about another send of the same request", "[not-run][late]")
+{
+    LateTest test;
+    test.list_late(test.plain, "plain");
+    test.late.refusals["run"] = 1;
+    auto const answer = test.call(test.request("GET", "/safe/x", "p1"));
+    CHECK(answer.head.status == 200);
+    CHECK(test.late.run == std::vector<std::string> { "p1" });
+}
