Tests: Stop upstreams within the heads of their responses

Operators of similar systems reported servers that stop within the head of a response and close, whose clients got a 200 with an empty or short body. The reader of responses, which serves the registry and the router's own calls too, takes no prefix of a head for a response, after an interim one either.

--- a/Tests/LibAsync/TestMessageParser.cpp
+++ b/Tests/LibAsync/TestMessageParser.cpp
@@ -99,6 +99,36 @@
     REQUIRE(parser.feed_end().is_error() == !given.whole);
 }
 
+// Guards against responses that are taken for whole although their server stopped within the head.
+TEST_CASE("The end of the connection within a head is never the end of a response", "[whole]")
+{
+    std::string const fields = "X-A: b\r\nContent-Type: text/event-stream\r\n";
+    auto const head = GENERATE_COPY(values<std::string>({
+        "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 12\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n",
+        "HTTP/1.1 200 OK\r\n" + fields + "Connection: close\r\n\r\n",
+        "HTTP/1.0 200 OK\r\n" + fields + "\r\n",
+        "HTTP/1.1 204 No Content\r\n" + fields + "\r\n",
+        "HTTP/1.1 200 OK\n"
+        "X-A: b\n\n",
+    }));
+    auto const expected_body = GENERATE(MessageParser::ExpectedBody::AsFramed, MessageParser::ExpectedBody::None);
+    for (bool const has_interim_response : { false, true }) {
+        for (std::size_t size = 0; size < head.size(); ++size) {
+            CAPTURE(head, size, has_interim_response);
+            MessageParser parser(MessageParser::Kind::Response);
+            parser.start(expected_body);
+            if (has_interim_response) {
+                REQUIRE_FALSE(parser.feed("HTTP/1.1 100 Continue\r\n\r\n").is_error());
+                parser.start(expected_body);
+            }
+            REQUIRE_FALSE(parser.feed(std::string_view(head).substr(0, size)).is_error());
+            CHECK(parser.feed_end().is_error());
+            CHECK_FALSE(parser.is_complete());
+        }
+    }
+}
+
 TEST_CASE("Damaged requests never crash the reader and never read beyond their bytes")
 {
     std::string const whole = "POST /x HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n";
