Tests: Silence upstreams and take ports in the soak

The soak had no upstreams that fall silent, and its ports came from a range that outgoing connections do not use. Its upstreams are now reached through paths that stand still for about a second, with new connections that wait or get no answer, for all upstreams or six in ten, of one service or of all. A node that starts again may find one of its ports in use by an outgoing connection of another process for up to 14 s.

--- a/Tests/Platform/Soak/NodeSoak.cpp
+++ b/Tests/Platform/Soak/NodeSoak.cpp
@@ -93,6 +93,8 @@
     Task replace_version();
     Task fail_store();
     Task put_odd_row();
+    Task silence_upstreams();
+    Task take_port(NodeSlot const& node);
     void find_unread_in_logs();
     void finish();
 
@@ -104,6 +106,7 @@
     bool is_recovering = false;
     bool is_store_faulty = false;
     bool is_version_changing = false;
+    bool is_silent = false;
     int running = 0;
     /// No process outlives this program, which a test's time limit would end.
     MonotonicTime ends_at;
@@ -406,6 +409,9 @@
     node.is_being_replaced = true;
     while (node.process->is_running())
         co_await this->pause(milliseconds(10));
+    // A node that waits for its port serves nothing, which a start after the death of all must not do.
+    if (!this->is_recovering && this->chance(0.2))
+        this->spawn(this->take_port(node));
     co_await this->pause(pause);
     this->start(node);
     node.is_being_replaced = false;
@@ -541,6 +547,42 @@
     this->store.remove("servers", key);
 }
 
+/// Sound upstreams send nothing for about a second. New connections wait, or get no answer.
+Soak::Task Soak::silence_upstreams()
+{
+    auto const condition = this->chance(0.5) ? UpstreamPath::Condition::Silent : UpstreamPath::Condition::Paused;
+    auto const silent = this->pick_paths();
+    for (auto* path : silent)
+        path->set_condition(ANY_NODE, condition);
+    co_await this->pause(this->duration(900, 1300));
+    for (auto* path : silent)
+        path->set_condition(ANY_NODE, UpstreamPath::Condition::Working);
+}
+
+/// A port of the node becomes the source port of an outgoing connection of another process.
+Soak::Task Soak::take_port(NodeSlot const& node)
+{
+    auto const& taken = node.addresses[static_cast<std::size_t>(this->number(0, static_cast<int>(node.addresses.size()) - 1))];
+    auto const to_endpoint = [](Address const& address) { return asio::ip::tcp::endpoint(asio::ip::make_address(address.host), static_cast<std::uint16_t>(address.port)); };
+    asio::ip::tcp::socket socket(this->loop);
+    asio::error_code error;
+    socket.open(asio::ip::tcp::v4());
+    socket.set_option(asio::socket_base::reuse_address(true));
+    socket.bind(to_endpoint(taken), error);
+    socket.set_option(asio::socket_base::reuse_address(false));
+    if (!error)
+        co_await socket.async_connect(to_endpoint(this->store.address()), asio::redirect_error(asio::use_awaitable, error));
+    if (error)
+        co_return;
+    ++this->faults["port_taken"];
+    auto const until = monotonic_now() + this->duration(1000, 14000);
+    while (monotonic_now() < until && !this->is_recovering && !this->is_quiet)
+        co_await this->pause(milliseconds(20));
+    // No wait for the last packets, which would hold the port. Asio lingers in the background where a socket is destroyed.
+    socket.set_option(asio::socket_base::linger(true, 0));
+    socket.close(error);
+}
+
 Soak::Task Soak::inject_beside()
 {
     co_await this->pause(seconds(2));
@@ -549,7 +591,7 @@
         auto* const node = this->pick();
         if (this->is_recovering || this->is_quiet || !node)
             continue;
-        auto const kind = this->number(0, 6);
+        auto const kind = this->number(0, 8);
         if (kind == 0) {
             ++this->faults["suspend"];
             co_await this->suspend(*node);
@@ -572,6 +614,11 @@
         } else if (kind == 6 && !this->is_store_faulty) {
             ++this->faults["store"];
             co_await this->fail_store();
+        } else if (kind >= 7 && !this->is_silent) {
+            ++this->faults["silence"];
+            this->is_silent = true;
+            co_await this->silence_upstreams();
+            this->is_silent = false;
         }
     }
 }
@@ -647,6 +694,7 @@
     this->add_version();
     this->configure();
     this->create_nodes();
+    asio::co_spawn(this->loop, this->forward(), asio::detached);
     for (int i = 0; i < CALLERS; ++i)
         this->spawn(this->send_plain(i));
     for (int i = 0; i < STREAM_CALLERS; ++i)
--- a/Tests/Platform/Soak/SoakDeployment.cpp
+++ b/Tests/Platform/Soak/SoakDeployment.cpp
@@ -3,6 +3,7 @@
 
 #include <LibCore/Clock.h>
 #include <Tests/Platform/Soak/SoakDeployment.h>
+#include <array>
 #include <fstream>
 #include <iostream>
 
@@ -48,6 +49,35 @@
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
+asio::awaitable<void> SoakDeployment::forward()
+{
+    while (true) {
+        for (auto const& [service, path] : this->paths)
+            path->poll();
+        co_await this->pause(milliseconds(1));
+    }
+}
+
+std::vector<UpstreamPath*> SoakDeployment::pick_paths()
+{
+    constexpr std::array SERVICES { "", "plain", "engines" };
+    std::string const service = SERVICES[static_cast<std::size_t>(this->number(0, SERVICES.size() - 1))];
+    auto const share = this->chance(0.5) ? 1.0 : 0.6;
+    std::vector<UpstreamPath*> picked;
+    for (auto const& path : this->paths) {
+        if ((service.empty() || path.service == service) && this->chance(share))
+            picked.push_back(path.path.get());
+    }
+    return picked;
+}
+
+void SoakDeployment::add_path(UpstreamStandIn& upstream, std::string const& service)
+{
+    auto& path = *this->paths.emplace_back(Path { service, std::make_unique<UpstreamPath>(upstream.address()) }).path;
+    path.begin_turn(ANY_NODE);
+    upstream.listed_address = path.address();
+}
+
 void SoakDeployment::create_nodes()
 {
     std::vector<std::string> wires;
@@ -61,7 +91,9 @@
         node.log_path = this->folder / (node.name + ".log");
         auto seeds = wires;
         seeds.erase(seeds.begin() + i);
-        nlohmann::json const settings { { "vm", node.name }, { "data_centre", "dc" }, { "caller_address", node.callers.to_string() }, { "operations_address", free_address().to_string() }, { "wire_address", wires[static_cast<std::size_t>(i)] }, { "registry_address", this->store.address().to_string() }, { "seeds", seeds }, { "retry_allowance", 1000 }, { "stop_grace_seconds", to_seconds(STOP_GRACE) } };
+        auto const wire = parse_address(wires[static_cast<std::size_t>(i)]).value();
+        node.addresses = { node.callers, free_address(), wire, free_address(), free_address() };
+        nlohmann::json const settings { { "vm", node.name }, { "data_centre", "dc" }, { "caller_address", node.callers.to_string() }, { "operations_address", node.addresses[1].to_string() }, { "wire_address", wire.to_string() }, { "metrics_address", node.addresses[3].to_string() }, { "relay_address", node.addresses[4].to_string() }, { "registry_address", this->store.address().to_string() }, { "seeds", seeds }, { "retry_allowance", 1000 }, { "stop_grace_seconds", to_seconds(STOP_GRACE) } };
         std::ofstream(node.settings_path) << settings.dump();
         this->nodes.push_back(std::move(node));
     }
@@ -83,6 +115,7 @@
         co_await this->pause(this->duration(0, 200));
         co_return false;
     };
+    this->add_path(upstream, "plain");
     this->store.put("servers", identity, upstream.entry("plain"));
 }
 
@@ -114,6 +147,7 @@
         exchange.abort();
         co_return true;
     };
+    this->add_path(engine, "engines");
     this->store.put("servers", identity, engine.entry("engines"));
     return engine;
 }
--- a/Tests/Platform/Soak/SoakDeployment.h
+++ b/Tests/Platform/Soak/SoakDeployment.h
@@ -5,6 +5,7 @@
 
 #include <Tests/Platform/Soak/NodeProcess.h>
 #include <Tests/Platform/StoreStandIn.h>
+#include <Tests/Platform/UpstreamPath.h>
 #include <Tests/Platform/UpstreamStandIn.h>
 #include <algorithm>
 #include <filesystem>
@@ -17,6 +18,8 @@
 /// Requests can end within the grace time, also of a process that stands still in between.
 constexpr Duration LONGEST_REQUEST = seconds(7);
 constexpr Duration STOP_GRACE = seconds(12);
+/// The paths to the upstreams do not tell the nodes apart.
+constexpr auto ANY_NODE = "any";
 
 struct SoakOptions {
     unsigned seed = 1;
@@ -30,6 +33,8 @@
     Address callers;
     std::string settings_path;
     std::string log_path;
+    /// Where it listens, the callers' address among them.
+    std::vector<Address> addresses;
     std::shared_ptr<NodeProcess> process;
     bool is_being_replaced = false;
 };
@@ -43,6 +48,10 @@
     bool chance(double share) { return std::uniform_real_distribution<double>(0, 1)(this->random) < share; }
     Duration duration(int from, int to) { return milliseconds(this->number(from, to)); }
     asio::awaitable<void> pause(Duration duration);
+    /// Carries what the nodes and the upstreams send to each other.
+    asio::awaitable<void> forward();
+    /// The paths to some upstreams of all services or one: all of them, or six in ten.
+    std::vector<UpstreamPath*> pick_paths();
 
     void create_nodes();
     void start(NodeSlot& node);
@@ -61,6 +70,11 @@
     StoreStandIn store { this->loop };
     std::vector<std::unique_ptr<UpstreamStandIn>> plain;
     std::vector<std::unique_ptr<UpstreamStandIn>> engines;
+    struct Path {
+        std::string service;
+        std::unique_ptr<UpstreamPath> path;
+    };
+    std::vector<Path> paths;
     std::vector<NodeSlot> nodes;
     std::vector<std::shared_ptr<NodeProcess>> processes;
     std::vector<std::string> versions;
@@ -70,6 +84,7 @@
     double break_share = 0;
 
 private:
+    void add_path(UpstreamStandIn& upstream, std::string const& service);
     UpstreamStandIn& add_engine(std::string const& identity, std::string const& phase, std::string const& version);
 
     int last_version = 0;
--- a/Tests/Platform/UpstreamPath.cpp
+++ b/Tests/Platform/UpstreamPath.cpp
@@ -9,6 +9,7 @@
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -139,10 +140,14 @@
     auto condition = this->condition_of(virtual_machine);
     if (condition == Condition::NewRefused)
         condition = Condition::Reset;
+    if (condition == Condition::Paused && this->listening_as == Condition::Working)
+        this->listening_as = condition;
+    if (condition == Condition::Working && this->listening_as == Condition::Paused)
+        this->listening_as = condition;
     if (condition == this->listening_as)
         return;
     this->stop_listening();
-    if (condition == Condition::Working)
+    if (condition == Condition::Working || condition == Condition::Paused)
         this->listen(BACKLOG);
     if (condition == Condition::Silent) {
         this->listen(0);
@@ -196,12 +201,34 @@
     close_with_reset(connection.server);
 }
 
+std::vector<bool> UpstreamPath::find_active() const
+{
+    std::vector<pollfd> descriptors;
+    for (auto const& connection : this->connections) {
+        descriptors.push_back({ connection.client, POLLIN, 0 });
+        descriptors.push_back({ connection.server, POLLIN, 0 });
+    }
+    VERIFY(::poll(descriptors.data(), descriptors.size(), 0) >= 0);
+    std::vector<bool> active;
+    auto descriptor = descriptors.begin();
+    for (auto const& connection : this->connections) {
+        bool const has_rest = !connection.request.buffer.empty() || !connection.response.buffer.empty();
+        bool const is_readable = descriptor->revents != 0 || (descriptor + 1)->revents != 0;
+        active.push_back(has_rest || is_readable);
+        descriptor += 2;
+    }
+    return active;
+}
+
 void UpstreamPath::poll()
 {
     if (this->listening_as == Condition::Working)
         this->accept_pending();
+    auto const active = this->find_active();
+    auto is_active = active.begin();
     for (auto position = this->connections.begin(); position != this->connections.end();) {
-        if (this->condition_of(position->virtual_machine) == Condition::Silent) {
+        auto const condition = this->condition_of(position->virtual_machine);
+        if (!*is_active++ || condition == Condition::Silent || condition == Condition::Paused) {
             ++position;
             continue;
         }
--- a/Tests/Platform/UpstreamPath.h
+++ b/Tests/Platform/UpstreamPath.h
@@ -23,6 +23,8 @@
         NewRefused,
         /// Packets are lost: connections neither open nor end.
         Silent,
+        /// The upstream's process stands still: new connections wait in its backlog, and nothing comes from those that are open.
+        Paused,
     };
 
     explicit UpstreamPath(Address upstream);
@@ -63,6 +65,8 @@
     void stop_listening();
     void fill_backlog();
     void accept_pending();
+    /// The connections of which something can be read, or the rest of it has to be written.
+    std::vector<bool> find_active() const;
     /// Returns false if the connection was reset.
     static bool forward(Direction& direction);
     static void reset(Connection& connection);
