NodeServer: Retry a start that an exception ended

Found by the reviewer, by reading: ZeroMQ throws where a node that starts gets no descriptor or memory, and nothing caught it, so the process ended although its start is now tried without end. The exception is logged (`start_threw`) and the start tried again. No run of ours had such an exception.

--- a/Services/NodeServer/NodeMain.cpp
+++ b/Services/NodeServer/NodeMain.cpp
@@ -10,7 +10,9 @@
 #include <Services/NodeServer/NodeMain.h>
 #include <algorithm>
 #include <csignal>
+#include <exception>
 #include <memory>
+#include <optional>
 
 namespace Spurtide {
 
@@ -54,6 +56,17 @@
     std::unique_ptr<Node> node;
 };
 
+/// Libraries throw where descriptors or memory are short.
+std::optional<Result<std::unique_ptr<Node>, NodeStartError>> try_create_node(asio::io_context& loop, NodeSettings const& settings, NodeAdapters const& adapters)
+{
+    try {
+        return Node::create(loop, settings, adapters);
+    } catch (std::exception const& error) {
+        LogLine("start_threw").with("error", error.what());
+        return {};
+    }
+}
+
 Address const& address_of(NodeStartError error, NodeSettings const& settings)
 {
     switch (error) {
@@ -74,14 +87,14 @@
     auto retry_interval = SHORTEST_START_RETRY_INTERVAL;
     for (std::int64_t attempt = 1;; ++attempt) {
         auto running = std::make_unique<RunningNode>();
-        auto created = Node::create(running->loop, settings, make_adapters(settings));
-        if (!created.is_error()) {
-            running->node = created.release_value();
+        auto created = try_create_node(running->loop, settings, make_adapters(settings));
+        if (created && !created->is_error()) {
+            running->node = created->release_value();
             return running;
         }
         LogLine("start_failed")
-            .with("reason", to_string(created.error()))
-            .with("address", address_of(created.error(), settings).to_string())
+            .with("reason", created ? to_string(created->error()) : "exception")
+            .with("address", created ? address_of(created->error(), settings).to_string() : std::string())
             .with("attempt", attempt)
             .with("retry_in_ms", to_milliseconds(retry_interval));
         if (is_told_to_stop_within(retry_interval))
