LibRouter: Reserve a substitute before a silent upstream's response is given up

A reviewer who had not seen the work read and found, by reading, cases in which a response was still given up for nothing:

- The retry budget was looked at, and not charged, when a response was given up.
All that waited at one upstream saw the same budget at the same time, and all but the first few were cut.
- An upstream counted as responsive if its last byte came a moment after that of the silent one, though both fell silent together.
It has to respond after connections to the silent one began to fail.
- An engine that had failed the request before counted as a substitute, though it is excluded from its placements.
- While all upstreams are silent the VM takes itself for partitioned and handed requests to other VMs after one second.
It waits for two, by when the probes of TCP have ended a dead connection.
- A request counted as silent while its upstream worked on it for as long as it usually does, and while its response waited to be read or its caller did not.
- A response that was given up could be reported as a crash, or its engine to the keeper although several were unreachable.

Before: "Only as many streams leave a silent engine as the retry budget allows to go on" failed, three of four streams cut. The other cases were not run on the code before. After: the seven cases of TestSilentUpstreams pass, and those of partitions, cuts, crashing requests, late responses and the retry budget.

--- a/Libraries/LibAsync/HttpConnection.h
+++ b/Libraries/LibAsync/HttpConnection.h
@@ -54,11 +54,10 @@
     /// When bytes last arrived, or the request was sent if that was later.
     MonotonicTime last_activity() const { return this->active_at; }
 
-    bool is_open() const { return this->socket.is_open(); }
     BodyFraming framing() const { return this->parser.framing(); }
     /// Whether the answer was whole and another request may follow.
     bool is_reusable() const;
-    /// Whether a resting connection is still open and nothing came in on it.
+    /// Whether the connection is still open and nothing has come in that was not read.
     bool is_quiet();
     /// When it became idle, and how long the other side keeps it then.
     MonotonicTime idle_since;
--- a/Libraries/LibDecision/SilencePolicy.cpp
+++ b/Libraries/LibDecision/SilencePolicy.cpp
@@ -9,9 +9,8 @@
 Duration SilencePolicy::shortest_silence(SilentRequest const& request) const
 {
     auto const shortest = request.alternative == SilentRequest::Alternative::ThroughRelay ? this->options.silence_before_relay : this->options.silence;
-    if (!request.caller_patience)
-        return shortest;
-    return std::max(shortest, *request.caller_patience - request.time_elsewhere);
+    auto const worth_waiting = request.caller_patience ? *request.caller_patience - request.time_elsewhere : request.usual_wait;
+    return std::max(shortest, worth_waiting);
 }
 
 }
--- a/Libraries/LibDecision/SilencePolicy.h
+++ b/Libraries/LibDecision/SilencePolicy.h
@@ -11,6 +11,8 @@
 /// A request in flight of which nothing arrives, at an upstream to which new connections fail.
 struct SilentRequest {
     Duration silent_for {};
+    /// How long a sound upstream may take until the response begins.
+    Duration usual_wait {};
     /// How long its caller waits for the next part of a response that has begun; empty before.
     std::optional<Duration> caller_patience {};
     /// How long it takes until the caller receives something from another upstream.
@@ -20,7 +22,7 @@
         None,
         /// Only another VM may reach an upstream for it.
         ThroughRelay,
-        /// An upstream that has responded to this VM during the silence.
+        /// An upstream that has responded to this VM since new connections to the silent one fail.
         Direct,
     } alternative
         = Alternative::None;
@@ -32,10 +34,10 @@
 class SilencePolicy {
 public:
     struct Options {
-        /// Longer than most responses take to begin.
+        /// A shorter silence is not worth another send.
         Duration silence = milliseconds(300);
-        /// Whether another VM reaches the upstreams is known only by asking it.
-        Duration silence_before_relay = milliseconds(1000);
+        /// Whether another VM reaches the upstreams is known only by asking it. By then the probes of TCP have ended a dead connection.
+        Duration silence_before_relay = milliseconds(2000);
     };
 
     explicit SilencePolicy(Options options)
--- a/Libraries/LibRouter/ReachabilityProber.cpp
+++ b/Libraries/LibRouter/ReachabilityProber.cpp
@@ -150,7 +150,8 @@
 void ReachabilityProber::abandon_if_silent(std::string_view identity, WatchedRequest const& watched, MonotonicTime now)
 {
     auto const connection = watched.connection.lock();
-    if (!connection || !connection->is_open() || !watched.may_abandon(connection->last_activity()))
+    // What has arrived and is not read yet was held up on this side.
+    if (!connection || !connection->is_quiet() || !watched.may_abandon(connection->last_activity()))
         return;
     auto const* const observed = this->gone_processes.contains(identity) ? "connection_refused" : "connection_failed";
     auto const unreachable_since = this->reachability->unreachable_since(identity).value_or(now);
--- a/Libraries/LibRouter/RequestHandler.cpp
+++ b/Libraries/LibRouter/RequestHandler.cpp
@@ -24,7 +24,7 @@
 /// Another VM serves the retry.
 constexpr Duration STOPPING_RETRY_AFTER = milliseconds(200);
 /// A service may have thousands of upstreams to search.
-constexpr Duration ALTERNATIVE_SEARCH_INTERVAL = milliseconds(100);
+constexpr Duration ALTERNATIVE_SEARCH_INTERVAL = milliseconds(200);
 /// Upstreams probed in one search.
 constexpr int MAXIMUM_PROBED = 2;
 
@@ -226,14 +226,17 @@
     auto const now = monotonic_now();
     SilentRequest silent;
     silent.silent_for = std::chrono::duration_cast<Duration>(now - silent_since);
+    silent.usual_wait = this->usual_wait();
     silent.caller_patience = this->part_patience();
     silent.time_elsewhere = this->route.latency_target;
     bool const is_due = silent.silent_for >= s_policy.shortest_silence(silent) && now >= this->next_search;
-    if (!is_due || this->is_stopped() || !this->would_allow_another_send())
+    if (!is_due || this->is_stopped() || !this->is_another_send_possible() || !this->could_pay(this->next_send()))
         return false;
     this->next_search = now + ALTERNATIVE_SEARCH_INTERVAL;
-    silent.alternative = this->find_alternative(upstream, silent_since);
-    return s_policy.may_abandon(silent);
+    auto const failing_since = this->state.reachability->unreachable_since(upstream.identity).value_or(now);
+    silent.alternative = this->find_alternative(upstream, std::max(silent_since, failing_since));
+    // Charged before the response is given up: others that wait as long may need the same budget.
+    return s_policy.may_abandon(silent) && this->try_pay(this->next_send());
 }
 
 SilentRequest::Alternative RequestHandler::find_responsive(std::span<UpstreamRecord const* const> candidates, MonotonicTime since)
@@ -399,7 +402,7 @@
 {
     auto const ran_for = std::chrono::duration_cast<Duration>(monotonic_now() - since);
     // A connection that we aborted ourselves does not indicate a crash, and an upstream that is leaving stops as planned.
-    if (this->is_stopped() || !this->state.upstreams.takes_work(upstream.identity))
+    if (this->is_stopped() || error == HttpError::Unresponsive || !this->state.upstreams.takes_work(upstream.identity))
         co_return false;
     auto const process = co_await this->determine_process_state(upstream, error, route);
     // All connections to a data centre that is cut off may be refused.
--- a/Libraries/LibRouter/RequestHandler.h
+++ b/Libraries/LibRouter/RequestHandler.h
@@ -60,9 +60,13 @@
     virtual void on_stop() { }
     /// How long the caller waits for the next part of a response that has begun; empty before.
     virtual std::optional<Duration> part_patience() const { return {}; }
-    /// Whether the attempt limit, the time left and the retry budget would allow another send now.
-    virtual bool would_allow_another_send() const = 0;
-    /// Where else the request could be sent, away from an upstream that has been silent since then.
+    /// How long a sound upstream may take until the response begins.
+    virtual Duration usual_wait() const { return this->route.latency_target; }
+    /// Whether the attempt limit and the time left allow another send now.
+    virtual bool is_another_send_possible() const = 0;
+    /// The first send that leaves the silent upstream, for the retry budget.
+    virtual SendAccounting::Send next_send() const { return SendAccounting::Send::Run; }
+    /// Where else the request could be sent, away from a silent upstream to which connections have failed since then.
     virtual SilentRequest::Alternative find_alternative(UpstreamRecord const& silent, MonotonicTime since) = 0;
     /// How long the response takes at most if the request is sent now; empty if only its timeout bounds it.
     virtual std::optional<Duration> longest_response() const { return {}; }
--- a/Libraries/LibRouter/StreamingRequestHandler.cpp
+++ b/Libraries/LibRouter/StreamingRequestHandler.cpp
@@ -7,6 +7,7 @@
 #include <LibRouter/StreamingRequestHandler.h>
 #include <LibRouter/UpstreamCall.h>
 #include <LibRouter/UpstreamLimiter.h>
+#include <algorithm>
 
 namespace Spurtide {
 
@@ -148,11 +149,15 @@
     return options;
 }
 
-bool StreamingRequestHandler::would_allow_another_send() const
+Duration StreamingRequestHandler::usual_wait() const { return this->route.latency_target / FIRST_EVENT_SHARE_OF_TARGET; }
+
+bool StreamingRequestHandler::is_another_send_possible() const
 {
+    // A caller that does not read holds up the reading of the upstream's response.
+    bool const is_held_up = this->is_writing;
     bool const is_version_uncertain = this->origin && !this->origin->is_certain();
     bool const may_place = this->placements < MAXIMUM_PLACEMENTS && !is_version_uncertain;
-    return may_place && this->sends < this->route.maximum_attempts && this->time_left() >= MINIMUM_TIME_FOR_PLACEMENT && this->could_pay(SendAccounting::Send::Prefill);
+    return !is_held_up && may_place && this->sends < this->route.maximum_attempts && this->time_left() >= MINIMUM_TIME_FOR_PLACEMENT;
 }
 
 // A placement needs an engine of each kind, of one version.
@@ -167,7 +172,8 @@
             return;
         bool const is_prefiller = record.role == EngineRole::Prefill;
         has_prefillers = has_prefillers || is_prefiller;
-        if (record.identity != silent.identity)
+        bool const has_failed = std::find(this->failed_engines.begin(), this->failed_engines.end(), record.identity) != this->failed_engines.end();
+        if (record.identity != silent.identity && !has_failed)
             (is_prefiller ? prefillers : decoders).push_back(&record);
     });
     auto const decoder = this->find_responsive(decoders, since);
@@ -377,12 +383,12 @@
         this->failed_engines.push_back(engine.identity);
 }
 
-// A response that is lost through another VM may have been lost by that VM.
+// A response that is lost through another VM may have been lost by that VM, and several silent engines by the paths of this one.
 void StreamingRequestHandler::note_lost(UpstreamLink const& link, LinkError const& error)
 {
     if (error.delivery == LinkError::Delivery::NotDelivered)
         this->note_unreached(link.upstream(), error);
-    else if (link.route() == UpstreamRoute::Relayed)
+    else if (link.route() == UpstreamRoute::Relayed || (error.error == HttpError::Unresponsive && this->state.reachability->unreachable_count() > UNREACHABLE_REPORTED))
         this->failed_engines.push_back(link.identity());
     else
         this->failed_engine = link.identity();
--- a/Libraries/LibRouter/StreamingRequestHandler.h
+++ b/Libraries/LibRouter/StreamingRequestHandler.h
@@ -27,7 +27,9 @@
     std::optional<Duration> longest_response() const override;
     void describe_end(LogLine& line) const override;
     std::optional<Duration> part_patience() const override;
-    bool would_allow_another_send() const override;
+    Duration usual_wait() const override;
+    bool is_another_send_possible() const override;
+    SendAccounting::Send next_send() const override { return SendAccounting::Send::Prefill; }
     SilentRequest::Alternative find_alternative(UpstreamRecord const& silent, MonotonicTime since) override;
 
     enum class PlacementOutcome {
--- a/Libraries/LibRouter/UnaryRequestHandler.cpp
+++ b/Libraries/LibRouter/UnaryRequestHandler.cpp
@@ -61,9 +61,9 @@
     return records;
 }
 
-bool UnaryRequestHandler::would_allow_another_send() const
+bool UnaryRequestHandler::is_another_send_possible() const
 {
-    return this->sends < this->route.maximum_attempts && this->time_left() >= MINIMUM_TIME_FOR_SEND && this->could_pay(SendAccounting::Send::Run);
+    return this->sends < this->route.maximum_attempts && this->time_left() >= MINIMUM_TIME_FOR_SEND;
 }
 
 SilentRequest::Alternative UnaryRequestHandler::find_alternative(UpstreamRecord const& silent, MonotonicTime since)
--- a/Libraries/LibRouter/UnaryRequestHandler.h
+++ b/Libraries/LibRouter/UnaryRequestHandler.h
@@ -17,7 +17,7 @@
 private:
     asio::awaitable<void> forward_request() override;
     void on_stop() override;
-    bool would_allow_another_send() const override;
+    bool is_another_send_possible() const override;
     SilentRequest::Alternative find_alternative(UpstreamRecord const& silent, MonotonicTime since) override;
 
     /// The result of one send.
