LibRouter: Say once what may_abandon means, and why a relay is no alternative

Two comments that a newcomer could not follow. The text of InFlightRequest's hook stood in UpstreamLink a second time, and the reason why a relay counts as an alternative only in a partition was hard to read. No code is changed: the stripped program is the same, byte by byte, as before.

--- a/Libraries/LibRouter/RequestHandler.cpp
+++ b/Libraries/LibRouter/RequestHandler.cpp
@@ -254,7 +254,7 @@
             return SilentRequest::Alternative::Direct;
         if (route_to_candidate == UpstreamRoute::Direct)
             unknown.push_back(candidate);
-        // An upstream that only this VM fails to reach is silent itself.
+        // Without a partition, an upstream that does not accept connections is silent, and a relay would not help.
         else if (route_to_candidate == UpstreamRoute::Relayed && is_partitioned)
             found = SilentRequest::Alternative::ThroughRelay;
     }
--- a/Libraries/LibRouter/UpstreamLink.h
+++ b/Libraries/LibRouter/UpstreamLink.h
@@ -68,10 +68,9 @@
     struct Options {
         std::string request;
         ConnectionPool::Freshness freshness = ConnectionPool::Freshness::Any;
-        /// Whether to give up the response, of which nothing has arrived since then, while new connections to the upstream fail. Null
-        /// for requests that must not be sent to another upstream.
+        /// See InFlightRequest::MayAbandon.
         std::function<bool(UpstreamRecord const& upstream, MonotonicTime silent_since)> may_abandon;
-        /// The same where another VM relays the request, which only knows the silence.
+        /// How long the upstream may be silent where another VM relays the request. Only used with may_abandon.
         Duration relayed_silence {};
         /// VMs that may see the request.
         RelaySelector::Filter may_relay = [](auto const&) { return true; };
