LibRouter: Release a grant at every VM that was told of it

What callers saw: a resumable stream was broken off although its engine could be replaced. The request was placed by vm-1, its VM took itself for the keeper for 0.8 s, then vm-2 was the keeper and was killed with the response that it relayed. The retry was paid for, vm-2 did not answer, and the VM's own placement service refused the request as a duplicate of itself.

Cause: a VM reports its grants to each new keeper, but released them only at the granter and at the keeper of the moment. A keeper in between held the grant until two renewals were missed, some 1.4 s, and with it the engine's memory.

Ruled out: the budget (taken), the engines (three could take it), a second request of the same name (none in the logs).

Now a held grant remembers all VMs that know of it, and its release goes to each. "A grant is released at each VM that was the keeper in the meantime" failed before: no release arrived at the VM in between.

--- a/Libraries/LibRouter/PlacementClient.cpp
+++ b/Libraries/LibRouter/PlacementClient.cpp
@@ -141,7 +141,7 @@
                     held->second.moves_to = grant.decode_engine;
                 co_return PlacementDecision { grant };
             }
-            this->held_grants.insert_or_assign(ask.request, HeldGrant { ask, grant, endpoint, GrantProgress::Prefilling, monotonic_now(), {} });
+            this->held_grants.insert_or_assign(ask.request, HeldGrant { ask, grant, { endpoint }, GrantProgress::Prefilling, monotonic_now(), {} });
             co_return PlacementDecision { grant };
         }
         PlacementRefusal refusal;
@@ -190,14 +190,13 @@
     auto const found = this->held_grants.find(request);
     if (found == this->held_grants.end())
         return;
-    auto const granter = std::move(found->second.keeper);
+    auto keepers = std::move(found->second.keepers);
     this->held_grants.erase(found);
-    auto const keeper = this->current_keeper();
+    keepers.insert(this->current_keeper());
     auto const message = release_message(request, output_tokens, faults);
-    this->kernel.notify(keeper, message);
-    // Without the release, the granter would treat a later ask of the same request as a duplicate.
-    if (granter != keeper)
-        this->kernel.notify(granter, message);
+    // A VM that still held the grant would refuse a later ask of the same request as a duplicate.
+    for (auto const& keeper : keepers)
+        this->kernel.notify(keeper, message);
 }
 
 // A new keeper has no record of the grants. Until it learns of them, it would assign the same memory twice.
@@ -220,7 +219,8 @@
     auto* records = envelope.mutable_grant_records();
     records->set_origin(this->kernel.incarnation());
     auto const now = monotonic_now();
-    for (auto const& [request, held_grant] : this->held_grants) {
+    for (auto& [request, held_grant] : this->held_grants) {
+        held_grant.keepers.insert(keeper);
         auto* record = records->add_records();
         record->set_request(request);
         record->set_account(held_grant.ask.account);
--- a/Libraries/LibRouter/PlacementClient.h
+++ b/Libraries/LibRouter/PlacementClient.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 
 namespace Spurtide {
@@ -93,8 +94,8 @@
     struct HeldGrant {
         PlacementAsk ask;
         PlacementGrant grant;
-        /// The VM that granted it. Another one may be the keeper by the time of the release.
-        std::string keeper;
+        /// The VMs that know of it: the one that granted it, and each that was the keeper since.
+        std::set<std::string> keepers;
         GrantProgress phase = GrantProgress::Prefilling;
         MonotonicTime since;
         /// The engine that the request is moving to; empty if none.
--- a/Tests/LibRouter/TestPlacementClient.cpp
+++ b/Tests/LibRouter/TestPlacementClient.cpp
@@ -143,6 +143,37 @@
     }
 }
 
+// Guards against streams whose engine is lost and that are then refused, as duplicates of themselves, by a VM that was the keeper for a
+// while and still holds the grant that it was told of.
+TEST_CASE("A grant is released at each VM that was the keeper in the meantime", "[held][cut][kill]")
+{
+    PlacementTest test;
+    auto const others = test.others();
+    auto* granter = others[0];
+    auto* neighbour = others[1];
+    PlacementClient const of_other({}, *others[0]->kernel);
+    if (!of_other.is_keeper())
+        std::swap(granter, neighbour);
+    REQUIRE(test.place("request-1"));
+    REQUIRE(granter->ask_count == 1);
+    test.client->ranking().set_hooks({ [&] { return std::vector<std::string> { test.own->kernel->virtual_machine(), neighbour->kernel->virtual_machine() }; } });
+    auto* const interim = test.client->is_keeper() ? test.own : neighbour;
+    REQUIRE(test.place("request-2"));
+    test.client->ranking().set_hooks({});
+    REQUIRE(test.place("request-3"));
+    REQUIRE(granter->ask_count == 2);
+    test.client->release("request-1", 7, {});
+    CHECK(test.run_until([&] { return interim->released.size() == 1 && granter->released.size() == 1; }));
+    CHECK(interim->released == std::vector<std::string> { "request-1" });
+    CHECK(granter->released == std::vector<std::string> { "request-1" });
+    SECTION("and a request that was placed later is not released at the earlier ones")
+    {
+        test.client->release("request-3", 7, {});
+        CHECK(test.run_until([&] { return granter->released.size() == 2; }));
+        CHECK(interim->released.size() == 1);
+    }
+}
+
 TEST_CASE("A release is sent only once if the VM that granted is still the keeper", "[held]")
 {
     PlacementTest test;
