NodeSoak: Judge a response that was cut while another VM was killed by its relay

It cannot be resumed, so no VM can finish it.
More sends would break the budget.

The check excused a killed VM's own callers, but not those whose responses it relayed. It does now, by the log of the VM that accepted the request: the last lost response came through a relay, that VM was killed between the request and the cut, and, if the request could have been resumed, the budget was spent. Everything else is a violation as before, and "killed_relay" counts the cases.

--- a/Tests/Platform/Soak/NodeSoak.cpp
+++ b/Tests/Platform/Soak/NodeSoak.cpp
@@ -38,6 +38,21 @@
     std::shared_ptr<HttpConnection> connection;
 };
 
+/// A request that an upstream got and whose response was cut off while another VM was killed, which may have been relaying it.
+struct CutRequest {
+    std::string node;
+    std::string violation;
+    MonotonicTime sent_at;
+    MonotonicTime cut_at;
+};
+
+/// What the log of the VM that accepted a cut request says about it.
+struct CutRequestLog {
+    /// The VM through which the lost response came; empty if it came directly.
+    std::string relay;
+    bool is_budget_spent = false;
+};
+
 struct Stream {
     /// The attempt that brought its first event.
     std::string first;
@@ -56,6 +71,34 @@
 /// In the order of the ends.
 constexpr std::array STREAM_END_NAMES { "whole", "left", "refused", "broken", "unanswered" };
 
+std::string field_of(std::string const& line, std::string const& name)
+{
+    auto const field = line.find(" " + name + "=");
+    if (field == std::string::npos)
+        return {};
+    auto const from = field + name.size() + 2;
+    return line.substr(from, line.find(' ', from) - from);
+}
+
+CutRequestLog read_log_of_cut(std::string const& path, std::string const& identifier)
+{
+    CutRequestLog log;
+    std::map<std::string, std::string> relays;
+    std::ifstream file(path);
+    for (std::string line; std::getline(file, line);) {
+        if (field_of(line, "request") != identifier)
+            continue;
+        auto const event = field_of(line, "event");
+        if (event == "request_relayed")
+            relays[field_of(line, "upstream")] = field_of(line, "relay");
+        else if (event == "send_end" && field_of(line, "end") == "lost")
+            log.relay = relays[field_of(line, "upstream")];
+        else if (event == "extra_send" && field_of(line, "outcome") == "spent")
+            log.is_budget_spent = true;
+    }
+    return log;
+}
+
 class Soak : public SoakDeployment {
 public:
     using SoakDeployment::SoakDeployment;
@@ -81,6 +124,8 @@
     asio::awaitable<StreamEnd> carry(CallerConnection& caller, Stream& stream, int leave_after);
     void read_events(Stream& stream, std::string const& identifier, std::string& unread);
     void judge_failure(NodeProcess const& process, std::string const& identifier, HttpError error, MonotonicTime sent_at);
+    bool was_killed_between(Address const& callers, MonotonicTime from, MonotonicTime until) const;
+    NodeSlot const* find_node(std::function<bool(NodeSlot const&)> const& is_sought) const;
 
     // The faults.
     Task inject_in_series();
@@ -96,6 +141,7 @@
     Task silence_upstreams();
     Task take_port(NodeSlot const& node);
     void find_unread_in_logs();
+    void judge_cut_requests();
     void finish();
 
     int rows = 0;
@@ -112,6 +158,7 @@
     MonotonicTime ends_at;
     /// Requests without a response that their process need not have read.
     std::set<std::string> unread;
+    std::map<std::string, CutRequest> cut;
     std::map<std::string, int> faults;
     std::map<std::string, int> counts;
     Duration longest_recovery {};
@@ -209,7 +256,25 @@
     }
     auto const sent_ago = to_milliseconds(monotonic_now() - sent_at);
     auto const told = process.told_to_stop_at ? ", told to stop " + std::to_string(to_milliseconds(monotonic_now() - *process.told_to_stop_at)) + " ms ago" : std::string();
-    this->violate("request " + identifier + " of process " + std::to_string(process.id) + " at " + process.callers.to_string() + " got no whole response: " + std::string(to_string(error)) + ", sent " + std::to_string(sent_ago) + " ms ago" + told + (this->arrived.contains(identifier) ? ", an upstream got it" : ", no upstream got it"));
+    auto const now = monotonic_now();
+    auto const what = "request " + identifier + " of process " + std::to_string(process.id) + " at " + process.callers.to_string() + " got no whole response: " + std::string(to_string(error)) + ", sent " + std::to_string(sent_ago) + " ms ago" + told + (this->arrived.contains(identifier) ? ", an upstream got it" : ", no upstream got it");
+    bool const may_have_been_relayed = error == HttpError::Closed && this->arrived.contains(identifier) && std::any_of(this->nodes.begin(), this->nodes.end(), [&](auto const& node) { return this->was_killed_between(node.callers, sent_at, now); });
+    auto const* const node = this->find_node([&](auto const& candidate) { return candidate.callers.to_string() == process.callers.to_string(); });
+    if (may_have_been_relayed && node)
+        this->cut.emplace(identifier, CutRequest { node->name, what, sent_at, now });
+    else
+        this->violate(what);
+}
+
+bool Soak::was_killed_between(Address const& callers, MonotonicTime from, MonotonicTime until) const
+{
+    return std::any_of(this->processes.begin(), this->processes.end(), [&](auto const& process) { return process->callers.to_string() == callers.to_string() && process->killed_at && *process->killed_at >= from && *process->killed_at <= until; });
+}
+
+NodeSlot const* Soak::find_node(std::function<bool(NodeSlot const&)> const& is_sought) const
+{
+    auto const found = std::find_if(this->nodes.begin(), this->nodes.end(), is_sought);
+    return found == this->nodes.end() ? nullptr : &*found;
 }
 
 Soak::Task Soak::send_plain(int caller_number)
@@ -630,18 +695,28 @@
     for (auto const& node : this->nodes) {
         std::ifstream file(node.log_path);
         for (std::string line; std::getline(file, line);) {
-            constexpr std::string_view FIELD = " request=";
-            auto const field = line.find(FIELD);
-            if (field == std::string::npos)
-                continue;
-            auto const from = field + FIELD.size();
-            auto const identifier = line.substr(from, line.find(' ', from) - from);
+            auto const identifier = field_of(line, "request");
             if (this->unread.erase(identifier) > 0)
                 this->violate("request " + identifier + " was read by " + node.name + " and got no response: " + line);
         }
     }
 }
 
+/// A response may be cut if the VM that relayed it was killed; one that can be resumed only if no retry budget was left for that.
+void Soak::judge_cut_requests()
+{
+    for (auto const& [identifier, request] : this->cut) {
+        auto const* const node = this->find_node([&](auto const& candidate) { return candidate.name == request.node; });
+        auto const log = read_log_of_cut(node->log_path, identifier);
+        auto const* const relay = this->find_node([&](auto const& candidate) { return candidate.name == log.relay; });
+        bool const is_resumable = identifier.starts_with("resumable-");
+        if (relay && this->was_killed_between(relay->callers, request.sent_at, request.cut_at) && (!is_resumable || log.is_budget_spent))
+            ++this->counts["killed_relay"];
+        else
+            this->violate(request.violation);
+    }
+}
+
 /// After the last fault: everything that was begun ends, each node serves, and ends when it is told to.
 void Soak::finish()
 {
@@ -677,6 +752,7 @@
             this->violate("request " + request + ", which may not be repeated, ran " + std::to_string(times) + " times");
     }
     this->find_unread_in_logs();
+    this->judge_cut_requests();
     auto const went_on = this->counts["went_on"];
     auto const refused = this->counts["stayed_refused"];
     if (went_on + refused >= 10 && went_on < MOST * (went_on + refused))
