LibRouter: Release a grant at a VM that was only asked to move its request

A VM that is asked for a move restores the grant of the running request, whether it grants the move or not, but the asking VM did not count it among those that know of the grant. After the request's end it held the engine's memory until two renewals were missed. "A grant is released at a VM that was only asked for a move" failed before: no release arrived there.

--- a/Libraries/LibRouter/PlacementClient.cpp
+++ b/Libraries/LibRouter/PlacementClient.cpp
@@ -111,6 +111,9 @@
         auto const elapsed = std::chrono::duration_cast<Duration>(monotonic_now() - started);
         auto const message = this->ask_message(ask, times, elapsed);
         pending->reply.reset();
+        // Whatever it decides, a VM that is asked to move a request learns of the grant that the request holds.
+        if (auto const held = this->held_grants.find(ask.request); held != this->held_grants.end())
+            held->second.keepers.insert(endpoint);
         this->kernel.request(endpoint, message, { longest_decision_time(times) + this->options.reply_slack, this->options.silence }, [pending](WireReply reply) {
             pending->reply = std::move(reply);
             pending->signal.notify();
--- a/Tests/LibRouter/TestPlacementClient.cpp
+++ b/Tests/LibRouter/TestPlacementClient.cpp
@@ -187,6 +187,19 @@
     CHECK(test.own->released.empty());
 }
 
+// Guards against the same after a move: the VM that is asked for it learns of the running request's grant, whatever it decides.
+TEST_CASE("A grant is released at a VM that was only asked for a move", "[held]")
+{
+    PlacementTest test;
+    REQUIRE(test.place("request-1"));
+    for (auto* other : test.others())
+        other->replies = false;
+    REQUIRE(test.place("request-1", "first"));
+    REQUIRE(test.own->ask_count == 1);
+    test.client->release("request-1", 7, {});
+    CHECK(test.run_until([&] { return !test.own->released.empty(); }));
+}
+
 // A release sent for the sake of a move would free the memory of the stream that still runs at its first engine.
 TEST_CASE("A move that is granted or not answered leaves the grant of the running request in force", "[held]")
 {
