LibDecision: Count a renewed grant that is younger than the request's release

A record tells how long its phase has lasted, so one that began after the release is of another grant. A delayed record of the released grant is still ignored. "A renewed grant is counted if its request was placed elsewhere after its release here" failed before; its second section passed before and after.

--- a/Libraries/LibDecision/CellScheduler.cpp
+++ b/Libraries/LibDecision/CellScheduler.cpp
@@ -471,7 +471,10 @@
         known->second.is_confirmed = true;
         this->reconcile_move(known->second, decode_engine, moves_to, now);
     }
-    if (decode == this->engines.end() || is_known || this->released.contains(ask.request))
+    auto const released = this->released.find(ask.request);
+    // The request may have been placed again by another keeper since it was released here.
+    bool const is_over = released != this->released.end() && now - age <= released->second;
+    if (decode == this->engines.end() || is_known || is_over)
         return;
     if (known != this->granted.end()) {
         this->free_slot(known->second.decode_engine, ask.request);
--- a/Libraries/LibDecision/CellSchedulerMigration.cpp
+++ b/Libraries/LibDecision/CellSchedulerMigration.cpp
@@ -13,7 +13,7 @@
 void CellScheduler::ask_for_move(PlacementAsk ask, MonotonicTime now)
 {
     // A keeper that is new, or that was asked because the first did not reply, may not know the grant yet.
-    if (!this->granted.contains(ask.request)) {
+    if (!this->granted.contains(ask.request) && !this->released.contains(ask.request)) {
         auto running_ask = ask;
         running_ask.migrates_from.clear();
         this->restore(std::move(running_ask), {}, ask.migrates_from, GrantProgress::Decoding, Duration::zero(), now);
--- a/Tests/LibDecision/TestCellScheduler.cpp
+++ b/Tests/LibDecision/TestCellScheduler.cpp
@@ -65,6 +65,19 @@
         this->scheduler.progress(request, GrantProgress::Decoding, at_milliseconds(now_milliseconds));
     }
 
+    /// The request's VM reports the grant that it holds at d0, whose phase began so long ago.
+    void renew(std::string request, std::int64_t now_milliseconds, Duration age)
+    {
+        PlacementAsk ask;
+        ask.request = std::move(request);
+        ask.account = "a";
+        ask.model = "llm";
+        ask.origin = "entry-1";
+        ask.prompt_tokens = 100;
+        ask.maximum_output_tokens = 100;
+        this->scheduler.restore(std::move(ask), "p0", "d0", GrantProgress::Decoding, age, at_milliseconds(now_milliseconds));
+    }
+
     CellScheduler scheduler;
     std::vector<EngineDescription> engines;
     std::map<std::string, EngineReport> reports;
@@ -373,6 +386,28 @@
     CHECK(cell.decisions() == Texts { "grant r2 p0 d0" });
 }
 
+// Guards against a keeper that assigns an engine's memory twice, since it ignores the renewed grant of a request that it released before.
+TEST_CASE("A renewed grant is counted if its request was placed elsewhere after its release here", "[held]")
+{
+    Cell cell(1, 1, 1);
+    cell.ask("r1", 0, 100);
+    cell.decode("r1", 10);
+    cell.scheduler.release("r1", 5, at_milliseconds(100));
+    cell.decisions();
+    SECTION("placed elsewhere")
+    {
+        cell.renew("r1", 300, milliseconds(50));
+        cell.ask("r2", 310, 100);
+        CHECK(cell.decisions().empty());
+    }
+    SECTION("a delayed record of the released grant")
+    {
+        cell.renew("r1", 110, milliseconds(90));
+        cell.ask("r2", 120, 100);
+        CHECK(cell.decisions() == Texts { "grant r2 p0 d0" });
+    }
+}
+
 TEST_CASE("An unconfirmed grant is withdrawn after its lease", "[held][lapsed-lease]")
 {
     Cell cell(1, 1, 1);
