LibDecision: Count a renewed grant after it expired for want of renewals

A scheduler that missed the renewals of a grant, because another VM was taken for the keeper, removed it like a released one, and ignored it for five seconds when it was the keeper again: it could assign the memory of a running stream twice. Now it is counted from the next renewal on, as after the loss of its VM. "A grant that expired for want of renewals is counted once it is renewed" failed before.

--- a/Libraries/LibDecision/CellScheduler.cpp
+++ b/Libraries/LibDecision/CellScheduler.cpp
@@ -541,8 +541,11 @@
         if (is_unconfirmed || now - granted.last_seen > this->options.stale_grant_timeout)
             expired.push_back(request);
     }
-    for (auto const& request : expired)
+    for (auto const& request : expired) {
         this->remove_granted(request, now);
+        // Unlike after a release, the VM that holds the grant may renew it: another one was taken for the keeper for a while.
+        this->released.erase(request);
+    }
     std::erase_if(this->cached, [&](auto const& entry) { return now - entry.second.since > CACHED_PROMPT_RETENTION; });
     this->refusal_history.remove_expired(now);
     this->forget_missing_paces(now);
--- a/Tests/LibDecision/TestCellScheduler.cpp
+++ b/Tests/LibDecision/TestCellScheduler.cpp
@@ -408,6 +408,21 @@
     }
 }
 
+// Guards against the same after a keeper that missed some renewals, because another VM was taken for the keeper, becomes the keeper again.
+TEST_CASE("A grant that expired for want of renewals is counted once it is renewed", "[held][slow]")
+{
+    CellScheduler::Options options;
+    options.stale_grant_timeout = milliseconds(1000);
+    Cell cell(1, 1, 1, options);
+    cell.ask("r1", 0, 100);
+    cell.decode("r1", 10);
+    cell.decisions();
+    cell.scheduler.advance(at_milliseconds(1500));
+    cell.renew("r1", 1600, milliseconds(1590));
+    cell.ask("r2", 1610, 100);
+    CHECK(cell.decisions().empty());
+}
+
 TEST_CASE("An unconfirmed grant is withdrawn after its lease", "[held][lapsed-lease]")
 {
     Cell cell(1, 1, 1);
