NodeSoak: Excuse fewer responses that were cut with a killed relay

Now only streams that had begun are looked at, the last send that was asked of the budget has to be the one that was refused, and the kill has to lie between "request_relayed" and the loss in the log of the VM that accepted the request.

--- a/Tests/Platform/Soak/NodeSoak.cpp
+++ b/Tests/Platform/Soak/NodeSoak.cpp
@@ -12,7 +12,10 @@
 #include <csignal>
 #include <fstream>
 #include <getopt.h>
+#include <iomanip>
 #include <iostream>
+#include <sstream>
+#include <tuple>
 
 using namespace Spurtide;
 using namespace Spurtide::Tests;
@@ -38,21 +41,29 @@
     std::shared_ptr<HttpConnection> connection;
 };
 
-/// A request that an upstream got and whose response was cut off while another VM was killed, which may have been relaying it.
+/// A stream that was cut off. The VM that relayed it may have been killed.
 struct CutRequest {
     std::string node;
     std::string violation;
-    MonotonicTime sent_at;
-    MonotonicTime cut_at;
 };
 
 /// What the log of the VM that accepted a cut request says about it.
 struct CutRequestLog {
     /// The VM through which the lost response came; empty if it came directly.
     std::string relay;
+    /// Unix time in milliseconds.
+    std::int64_t relayed_at = 0;
+    std::int64_t lost_at = 0;
+    /// Of the last send that was asked of the budget.
     bool is_budget_spent = false;
 };
 
+/// Whether the response's head had come.
+enum class ResponseStage {
+    Awaited,
+    Begun,
+};
+
 struct Stream {
     /// The attempt that brought its first event.
     std::string first;
@@ -80,21 +91,33 @@
     return line.substr(from, line.find(' ', from) - from);
 }
 
+/// Unix time in milliseconds.
+std::int64_t time_of(std::string const& line)
+{
+    std::istringstream text(field_of(" " + line, "time"));
+    tm date {};
+    char point = 0;
+    std::int64_t fraction = 0;
+    text >> std::get_time(&date, "%Y-%m-%dT%H:%M:%S") >> point >> fraction;
+    return static_cast<std::int64_t>(timegm(&date)) * 1000 + fraction;
+}
+
 CutRequestLog read_log_of_cut(std::string const& path, std::string const& identifier)
 {
     CutRequestLog log;
-    std::map<std::string, std::string> relays;
+    std::map<std::string, std::pair<std::string, std::int64_t>> relays;
     std::ifstream file(path);
     for (std::string line; std::getline(file, line);) {
         if (field_of(line, "request") != identifier)
             continue;
         auto const event = field_of(line, "event");
         if (event == "request_relayed")
-            relays[field_of(line, "upstream")] = field_of(line, "relay");
-        else if (event == "send_end" && field_of(line, "end") == "lost")
-            log.relay = relays[field_of(line, "upstream")];
-        else if (event == "extra_send" && field_of(line, "outcome") == "spent")
-            log.is_budget_spent = true;
+            relays[field_of(line, "upstream")] = { field_of(line, "relay"), time_of(line) };
+        else if (event == "send_end" && field_of(line, "end") == "lost") {
+            std::tie(log.relay, log.relayed_at) = relays[field_of(line, "upstream")];
+            log.lost_at = time_of(line);
+        } else if (event == "extra_send")
+            log.is_budget_spent = field_of(line, "outcome") == "spent";
     }
     return log;
 }
@@ -123,8 +146,8 @@
     Task take_up(Stream& stream);
     asio::awaitable<StreamEnd> carry(CallerConnection& caller, Stream& stream, int leave_after);
     void read_events(Stream& stream, std::string const& identifier, std::string& unread);
-    void judge_failure(NodeProcess const& process, std::string const& identifier, HttpError error, MonotonicTime sent_at);
-    bool was_killed_between(Address const& callers, MonotonicTime from, MonotonicTime until) const;
+    void judge_failure(NodeProcess const& process, std::string const& identifier, HttpError error, MonotonicTime sent_at, ResponseStage stage);
+    bool was_killed_between(Address const& callers, std::int64_t from, std::int64_t until) const;
     NodeSlot const* find_node(std::function<bool(NodeSlot const&)> const& is_sought) const;
 
     // The faults.
@@ -242,7 +265,7 @@
 }
 
 /// No response, or no whole one: allowed only where the process was killed, or told to stop before it read the request.
-void Soak::judge_failure(NodeProcess const& process, std::string const& identifier, HttpError error, MonotonicTime sent_at)
+void Soak::judge_failure(NodeProcess const& process, std::string const& identifier, HttpError error, MonotonicTime sent_at, ResponseStage stage)
 {
     if (process.killed_at) {
         ++this->counts["killed"];
@@ -256,19 +279,23 @@
     }
     auto const sent_ago = to_milliseconds(monotonic_now() - sent_at);
     auto const told = process.told_to_stop_at ? ", told to stop " + std::to_string(to_milliseconds(monotonic_now() - *process.told_to_stop_at)) + " ms ago" : std::string();
-    auto const now = monotonic_now();
     auto const what = "request " + identifier + " of process " + std::to_string(process.id) + " at " + process.callers.to_string() + " got no whole response: " + std::string(to_string(error)) + ", sent " + std::to_string(sent_ago) + " ms ago" + told + (this->arrived.contains(identifier) ? ", an upstream got it" : ", no upstream got it");
-    bool const may_have_been_relayed = error == HttpError::Closed && this->arrived.contains(identifier) && std::any_of(this->nodes.begin(), this->nodes.end(), [&](auto const& node) { return this->was_killed_between(node.callers, sent_at, now); });
     auto const* const node = this->find_node([&](auto const& candidate) { return candidate.callers.to_string() == process.callers.to_string(); });
-    if (may_have_been_relayed && node)
-        this->cut.emplace(identifier, CutRequest { node->name, what, sent_at, now });
+    bool const is_stream = identifier.starts_with("stream-") || identifier.starts_with("resumable-");
+    if (node && is_stream && stage == ResponseStage::Begun && error == HttpError::Closed)
+        this->cut.emplace(identifier, CutRequest { node->name, what });
     else
         this->violate(what);
 }
 
-bool Soak::was_killed_between(Address const& callers, MonotonicTime from, MonotonicTime until) const
+bool Soak::was_killed_between(Address const& callers, std::int64_t from, std::int64_t until) const
 {
-    return std::any_of(this->processes.begin(), this->processes.end(), [&](auto const& process) { return process->callers.to_string() == callers.to_string() && process->killed_at && *process->killed_at >= from && *process->killed_at <= until; });
+    return std::any_of(this->processes.begin(), this->processes.end(), [&](auto const& process) {
+        if (process->callers.to_string() != callers.to_string() || !process->killed_at)
+            return false;
+        auto const killed_at = unix_milliseconds() - to_milliseconds(monotonic_now() - *process->killed_at);
+        return killed_at >= from - 1 && killed_at <= until + 1;
+    });
 }
 
 NodeSlot const* Soak::find_node(std::function<bool(NodeSlot const&)> const& is_sought) const
@@ -310,12 +337,12 @@
     caller.connection->send(format_request_head(head), std::make_shared<std::string const>(is_repeatable ? "" : "body"));
     auto answer = co_await caller.connection->read_head();
     if (answer.is_error()) {
-        this->judge_failure(*caller.process, identifier, answer.error(), sent_at);
+        this->judge_failure(*caller.process, identifier, answer.error(), sent_at, ResponseStage::Awaited);
         co_return false;
     }
     auto const body = co_await caller.connection->read_body(100'000);
     if (body.is_error()) {
-        this->judge_failure(*caller.process, identifier, body.error(), sent_at);
+        this->judge_failure(*caller.process, identifier, body.error(), sent_at, ResponseStage::Awaited);
         co_return false;
     }
     caller.connection->clear_deadline();
@@ -417,14 +444,14 @@
     caller.connection->send(format_request_head(head), std::make_shared<std::string const>("prompt"));
     auto answer = co_await caller.connection->read_head();
     if (answer.is_error()) {
-        this->judge_failure(*caller.process, identifier, answer.error(), sent_at);
+        this->judge_failure(*caller.process, identifier, answer.error(), sent_at, ResponseStage::Awaited);
         co_return StreamEnd::Unanswered;
     }
     if (answer.value().status != 200) {
         ++this->counts["stream_status_" + std::to_string(answer.value().status)];
         auto const body = co_await caller.connection->read_body(100'000);
         if (body.is_error())
-            this->judge_failure(*caller.process, identifier, body.error(), sent_at);
+            this->judge_failure(*caller.process, identifier, body.error(), sent_at, ResponseStage::Awaited);
         co_return StreamEnd::Refused;
     }
     std::string unread;
@@ -432,7 +459,7 @@
         auto const piece = co_await caller.connection->read_piece();
         if (piece.is_error()) {
             if (!this->broken_off.contains(identifier))
-                this->judge_failure(*caller.process, identifier, piece.error(), sent_at);
+                this->judge_failure(*caller.process, identifier, piece.error(), sent_at, ResponseStage::Begun);
             co_return StreamEnd::Broken;
         }
         if (piece.value().empty()) {
@@ -446,7 +473,7 @@
         co_return StreamEnd::Left;
     auto const rest = co_await caller.connection->read_body(100'000);
     if (rest.is_error() && !this->broken_off.contains(identifier))
-        this->judge_failure(*caller.process, identifier, rest.error(), sent_at);
+        this->judge_failure(*caller.process, identifier, rest.error(), sent_at, ResponseStage::Begun);
     if (!rest.is_error() && !rest.value().empty())
         this->violate("stream " + identifier + " went on after its last event: " + rest.value());
     caller.connection->clear_deadline();
@@ -710,7 +737,7 @@
         auto const log = read_log_of_cut(node->log_path, identifier);
         auto const* const relay = this->find_node([&](auto const& candidate) { return candidate.name == log.relay; });
         bool const is_resumable = identifier.starts_with("resumable-");
-        if (relay && this->was_killed_between(relay->callers, request.sent_at, request.cut_at) && (!is_resumable || log.is_budget_spent))
+        if (relay && this->was_killed_between(relay->callers, log.relayed_at, log.lost_at) && (!is_resumable || log.is_budget_spent))
             ++this->counts["killed_relay"];
         else
             this->violate(request.violation);
