Tests: Make an ask, and find the keeper's neighbour, in one place each

Two tests that were added lately wrote again what their files had: the ask of a request in TestCellScheduler, and in TestPlacementClient the VM that is the keeper and the restriction to two VMs.

--- a/Tests/LibDecision/TestCellScheduler.cpp
+++ b/Tests/LibDecision/TestCellScheduler.cpp
@@ -33,13 +33,7 @@
 
     void ask(std::string request, std::int64_t now_milliseconds, std::int64_t tokens = 1000, std::string account = "a", std::int64_t priority = 0)
     {
-        PlacementAsk ask;
-        ask.request = std::move(request);
-        ask.account = std::move(account);
-        ask.model = "llm";
-        ask.origin = "entry-1";
-        ask.prompt_tokens = tokens;
-        ask.maximum_output_tokens = 100;
+        auto ask = make_ask(std::move(request), tokens, std::move(account));
         ask.first_token_deadline = at_milliseconds(now_milliseconds + 950);
         ask.priority = priority;
         this->scheduler.ask(std::move(ask), at_milliseconds(now_milliseconds));
@@ -67,20 +61,26 @@
 
     /// The request's VM reports the grant that it holds at d0, whose phase began so long ago.
     void renew(std::string request, std::int64_t now_milliseconds, Duration age)
+    {
+        this->scheduler.restore(make_ask(std::move(request), 100, "a"), "p0", "d0", GrantProgress::Decoding, age, at_milliseconds(now_milliseconds));
+    }
+
+    CellScheduler scheduler;
+    std::vector<EngineDescription> engines;
+    std::map<std::string, EngineReport> reports;
+
+private:
+    static PlacementAsk make_ask(std::string request, std::int64_t tokens, std::string account)
     {
         PlacementAsk ask;
         ask.request = std::move(request);
-        ask.account = "a";
+        ask.account = std::move(account);
         ask.model = "llm";
         ask.origin = "entry-1";
-        ask.prompt_tokens = 100;
+        ask.prompt_tokens = tokens;
         ask.maximum_output_tokens = 100;
-        this->scheduler.restore(std::move(ask), "p0", "d0", GrantProgress::Decoding, age, at_milliseconds(now_milliseconds));
+        return ask;
     }
-
-    CellScheduler scheduler;
-    std::vector<EngineDescription> engines;
-    std::map<std::string, EngineReport> reports;
 };
 
 using Texts = std::vector<std::string>;
--- a/Tests/LibRouter/TestPlacementClient.cpp
+++ b/Tests/LibRouter/TestPlacementClient.cpp
@@ -7,6 +7,7 @@
 #include <algorithm>
 #include <asio.hpp>
 #include <catch2/catch.hpp>
+#include <utility>
 
 using namespace Spurtide;
 using namespace Spurtide::Tests;
@@ -79,6 +80,20 @@
         return found;
     }
 
+    /// The VM that is the keeper while all are there, and the one that is neither it nor the client's.
+    std::pair<KeeperVirtualMachine*, KeeperVirtualMachine*> keeper_and_neighbour() const
+    {
+        auto const found = this->others();
+        PlacementClient const of_first({}, *found[0]->kernel);
+        return of_first.is_keeper() ? std::pair(found[0], found[1]) : std::pair(found[1], found[0]);
+    }
+
+    /// As where the data centre of these two VMs is cut off.
+    void confine_to_own_and(KeeperVirtualMachine const& neighbour)
+    {
+        this->client->ranking().set_hooks({ [names = std::vector<std::string> { this->own->kernel->virtual_machine(), neighbour.kernel->virtual_machine() }] { return names; } });
+    }
+
     bool run_until(std::function<bool()> const& condition) { return run_loop_until(this->loop, condition); }
 
     /// Returns whether the request was granted a placement.
@@ -128,15 +143,10 @@
 TEST_CASE("In a data centre that is cut off, only its own VMs are asked", "[cut]")
 {
     PlacementTest test(LONG_SILENCE);
-    auto const others = test.others();
     // The VM that would be the keeper is in another data centre and does not respond.
-    auto* keeper = others[0];
-    auto* neighbour = others[1];
-    PlacementClient const of_other({}, *others[0]->kernel);
-    if (!of_other.is_keeper())
-        std::swap(keeper, neighbour);
+    auto const [keeper, neighbour] = test.keeper_and_neighbour();
     keeper->replies = false;
-    test.client->ranking().set_hooks({ [&] { return std::vector<std::string> { test.own->kernel->virtual_machine(), neighbour->kernel->virtual_machine() }; } });
+    test.confine_to_own_and(*neighbour);
     REQUIRE(test.place("request-1"));
     CHECK(keeper->released.empty());
     CHECK(neighbour->ask_count + test.own->ask_count == 1);
@@ -154,28 +164,23 @@
 TEST_CASE("A grant is released at each VM that was the keeper in the meantime", "[held][cut][kill]")
 {
     PlacementTest test(LONG_SILENCE);
-    auto const others = test.others();
-    auto* granter = others[0];
-    auto* neighbour = others[1];
-    PlacementClient const of_other({}, *others[0]->kernel);
-    if (!of_other.is_keeper())
-        std::swap(granter, neighbour);
+    auto const [granter, neighbour] = test.keeper_and_neighbour();
     REQUIRE(test.place("request-1"));
     REQUIRE(granter->ask_count == 1);
-    test.client->ranking().set_hooks({ [&] { return std::vector<std::string> { test.own->kernel->virtual_machine(), neighbour->kernel->virtual_machine() }; } });
+    test.confine_to_own_and(*neighbour);
     auto* const interim = test.client->is_keeper() ? test.own : neighbour;
     REQUIRE(test.place("request-2"));
     test.client->ranking().set_hooks({});
     REQUIRE(test.place("request-3"));
     REQUIRE(granter->ask_count == 2);
     test.client->release("request-1", 7, {});
-    CHECK(test.run_until([&] { return interim->released.size() == 1 && granter->released.size() == 1; }));
+    CHECK(test.run_until([interim, granter = granter] { return interim->released.size() == 1 && granter->released.size() == 1; }));
     CHECK(interim->released == std::vector<std::string> { "request-1" });
     CHECK(granter->released == std::vector<std::string> { "request-1" });
     SECTION("and a request that was placed later is not released at the earlier ones")
     {
         test.client->release("request-3", 7, {});
-        CHECK(test.run_until([&] { return granter->released.size() == 2; }));
+        CHECK(test.run_until([granter = granter] { return granter->released.size() == 2; }));
         CHECK(interim->released.size() == 1);
     }
 }
