Tests: Read the metrics whole before they are searched

The test piped curl into grep -q with pipefail: grep leaves at its match, and curl, if it still has to write, fails with code 23. The metric itself was found.

Ruled out: a metric that is set late.

Change: the metrics are read into a variable, then searched. The check is the same, and a failed read is now told apart from a missing metric.

--- a/Tests/Programs/starts.sh
+++ b/Tests/Programs/starts.sh
@@ -125,7 +125,9 @@
 kill -KILL "${NODES[0]}"
 wait_for "$LOG" metrics_served
 wait_for "$LOG" relay_served
-curl --silent --fail "http://$callers/metrics" | grep -q '^spurtide_listening{server="relay"} 1' || fail "the metrics do not tell that relays are served"
+# Read whole before it is searched: curl fails if its reader leaves early.
+metrics=$(curl --silent --show-error --fail "http://$callers/metrics") || fail "the metrics are not read"
+grep -q '^spurtide_listening{server="relay"} 1' <<<"$metrics" || fail "the metrics do not tell that relays are served"
 kill -TERM "${NODES[1]}"
 wait "${NODES[1]}" || fail "the node did not end in order"
 NODES=()
