TestCrashReporter: Let tests of held parts wait for late answers between VMs

"A VM that joins learns of held parts from a digest..." failed once in a run of all tests beside load 25: no VM held the parts.

Cause: the tests ran with the default limits. Where the kernel's I/O threads pause for 60 to 100 ms, the answers about served parts and the answer of the analyzer are late at the same time. The link of a request that timed out is dropped with the messages that wait on it, so each VM analyzes its own crashes alone: the one has too few, the other does not know of the answers that the first served. Nothing is wrong in the product: the digest in heartbeats and the next crash repair it, and the default limits have a test of their own.

Both tests use the long limits now, as their siblings do.

--- a/Tests/LibRouter/TestCrashReporter.cpp
+++ b/Tests/LibRouter/TestCrashReporter.cpp
@@ -44,6 +44,7 @@
     Default,
     /// For tests of what is found, not of when. On a busy machine, a pause of 20 ms lets the default limit of a verdict pass while the
     /// question about served parts is open, and the verdict is then that the request may be retried.
+    /// Where the kernel's I/O threads pause, reports and the answers about served parts are lost as well.
     Long,
 };
 
@@ -372,7 +373,7 @@
 
 TEST_CASE("A VM that joins learns of held parts from a digest, and one that starts alone from the store", "[crashes][crashing-part][kill]")
 {
-    ReporterTest test(2);
+    ReporterTest test(2, TimeLimits::Long);
     auto const parts = parts_named({ "system", "bad" });
     for (int i = 0; i < 3; ++i)
         test.machines[0]->reporter.note_served(parts_named({ "system" }));
@@ -385,14 +386,14 @@
     CHECK(test.machines.back()->quarantine.digest() == test.machines[0]->quarantine.digest());
     REQUIRE(run_loop_until(test.loop, [&] { return !test.store.rows.empty(); }));
 
-    ReporterTest restarted(1);
+    ReporterTest restarted(1, TimeLimits::Long);
     restarted.store.rows = test.store.rows;
     CHECK(restarted.report(0, "another", "i-9", milliseconds(70), parts) == CrashVerdict::Quarantined);
 }
 
 TEST_CASE("An answer that is served all the same ends the hold of its parts on all VMs", "[crashes][crashing-part][lost]")
 {
-    ReporterTest test(2);
+    ReporterTest test(2, TimeLimits::Long);
     auto const parts = parts_named({ "tools" });
     for (int i = 0; i < 3; ++i)
         test.machines[0]->reporter.note_served(parts_named({ "system" }));
