TestStreamVersions: Begin streams once their VM knows of both others

Cause: the test waited until the third VM saw another one, not until the VM that serves the streams saw the third. Until then that VM copies all origins to the only other one it knows, which keeps them.

The test waits for that now, and also checks that the third VM holds some origins before it is killed.

--- a/Tests/Platform/TestStreamVersions.cpp
+++ b/Tests/Platform/TestStreamVersions.cpp
@@ -184,20 +184,24 @@
         engine->event_pause = milliseconds(20);
     }
     auto& serving = test.add_virtual_machine("vm-2");
-    test.add_virtual_machine("vm-3");
+    auto const& other = test.add_virtual_machine("vm-3");
+    auto const metric_at = [&](Address const& operations, std::string const& name) {
+        auto const metrics = test.call(operations, test.request("GET", "/metrics", "m")).body;
+        auto const begin = "\n" + name + " ";
+        auto const line = metrics.find(begin);
+        return line == std::string::npos ? 0 : std::stoi(metrics.substr(line + begin.size()));
+    };
+    auto const origins_at = [&](Address const& operations) { return metric_at(operations, "spurtide_stream_origins"); };
+    // Before it knows of both it copies all origins to one.
+    REQUIRE(test.run_until([&] { return metric_at(serving.operations_address(), "spurtide_live_vms") == 3; }));
     auto const names = stream_names();
     std::vector<std::shared_ptr<HttpConnection>> open;
     for (auto const& name : names)
         open.push_back(test.begin(serving.caller_address(), test.model_request("/resumable/x", name)));
-    auto const origins_at = [&](Address const& operations) {
-        auto const metrics = test.call(operations, test.request("GET", "/metrics", "m")).body;
-        constexpr std::string_view NAME = "\nspurtide_stream_origins ";
-        auto const line = metrics.find(NAME);
-        return line == std::string::npos ? 0 : std::stoi(metrics.substr(line + NAME.size()));
-    };
     REQUIRE(test.run_until([&] { return origins_at(serving.operations_address()) == STREAMS; }));
     // Both of the others hold some.
     CHECK(origins_at(test.node->operations_address()) < STREAMS);
+    CHECK(test.run_until([&] { return origins_at(other.operations_address()) > 0; }));
     test.kill_last();
     REQUIRE(test.run_until([&] { return origins_at(test.node->operations_address()) == STREAMS; }));
     test.kill_last();
