NodeSoak: Run several data centres, slow VMs, endless upstreams and uploads

The soak now also has, several at a time:

- data centres (--data-centres), with upstreams in each
- VMs that run for a tenth of the time (SIGSTOP and SIGCONT in turn)
- faulty upstreams of each role that send heads or bodies without end
- uploads in pieces, and callers that keep their connection after a refusal until it ends

--- a/Tests/Platform/Soak/NodeProcess.cpp
+++ b/Tests/Platform/Soak/NodeProcess.cpp
@@ -9,6 +9,7 @@
 #include <fstream>
 #include <iostream>
 #include <spawn.h>
+#include <string_view>
 #include <sys/wait.h>
 
 namespace Spurtide::Tests {
@@ -82,6 +83,17 @@
     return has(caught, SIGHUP) || (has(blocked, SIGHUP) && !has(blocked, SIGUSR1));
 }
 
+std::size_t NodeProcess::peak_memory_bytes() const
+{
+    constexpr std::string_view NAME = "VmHWM:";
+    std::ifstream file("/proc/" + std::to_string(this->id) + "/status");
+    for (std::string line; std::getline(file, line);) {
+        if (line.starts_with(NAME))
+            return std::stoul(line.substr(NAME.size())) * 1024;
+    }
+    return 0;
+}
+
 std::optional<std::string> NodeProcess::unexplained_end() const
 {
     if (!this->status)
--- a/Tests/Platform/Soak/NodeProcess.h
+++ b/Tests/Platform/Soak/NodeProcess.h
@@ -5,6 +5,7 @@
 
 #include <LibCore/Time.h>
 #include <LibHttp/Address.h>
+#include <cstddef>
 #include <optional>
 #include <string>
 #include <sys/types.h>
@@ -27,6 +28,8 @@
     bool is_running() const { return !this->status; }
     /// Whether its program has taken over what a hangup signal does.
     bool handles_hangup() const;
+    /// The most memory that was resident at once so far; 0 if that is unknown.
+    std::size_t peak_memory_bytes() const;
     /// How it ended, if no signal that was sent explains that.
     std::optional<std::string> unexplained_end() const;
 
@@ -37,6 +40,9 @@
     std::optional<MonotonicTime> suspended_at;
     std::optional<MonotonicTime> served_at;
     pid_t id = 0;
+    /// Stands still again and again.
+    bool is_slowed = false;
+    std::size_t peak_memory_seen = 0;
 
 private:
     std::optional<int> status;
--- a/Tests/Platform/Soak/NodeSoak.cpp
+++ b/Tests/Platform/Soak/NodeSoak.cpp
@@ -24,6 +24,9 @@
 
 constexpr int CALLERS = 8;
 constexpr int STREAM_CALLERS = 10;
+constexpr int UPLOAD_CALLERS = 3;
+/// Of a stream that never ends.
+constexpr std::size_t MOST_UNREAD_BYTES = 1'000'000;
 constexpr std::size_t SHOWN_VIOLATIONS = 20;
 /// Longer than any request may take, with the times for which processes stand still.
 constexpr Duration ANSWER_LIMIT = seconds(30);
@@ -36,7 +39,14 @@
 /// Share of the streams taken up whose version is still there that have to go on.
 constexpr double MOST = 0.5;
 
+/// What a caller does with a connection on which it was refused.
+enum class KeepConnection {
+    Never,
+    UntilItEnds,
+};
+
 struct CallerConnection {
+    KeepConnection keep = KeepConnection::Never;
     std::shared_ptr<NodeProcess> process;
     std::shared_ptr<HttpConnection> connection;
 };
@@ -146,6 +156,9 @@
     Task take_up(Stream& stream);
     asio::awaitable<StreamEnd> carry(CallerConnection& caller, Stream& stream, int leave_after);
     void read_events(Stream& stream, std::string const& identifier, std::string& unread);
+    Task send_uploads();
+    asio::awaitable<void> upload(NodeProcess& process);
+    void note_refusal(int status, std::string const& identifier);
     void judge_failure(NodeProcess const& process, std::string const& identifier, HttpError error, MonotonicTime sent_at, ResponseStage stage);
     bool was_killed_between(Address const& callers, std::int64_t from, std::int64_t until) const;
     NodeSlot const* find_node(std::function<bool(NodeSlot const&)> const& is_sought) const;
@@ -157,12 +170,16 @@
     Task stop_and_replace(NodeSlot& node);
     Task kill_all();
     Task suspend(NodeSlot& node);
+    Task slow_down(std::shared_ptr<NodeProcess> process);
     Task hang_up(std::shared_ptr<NodeProcess> process);
+    Task list_endless();
     Task replace_version();
     Task fail_store();
     Task put_odd_row();
     Task silence_upstreams();
     Task take_port(NodeSlot const& node);
+    void check_memory(NodeProcess& process);
+    void judge_runs();
     void find_unread_in_logs();
     void judge_cut_requests();
     void finish();
@@ -181,7 +198,11 @@
     MonotonicTime ends_at;
     /// Requests without a response that their process need not have read.
     std::set<std::string> unread;
+    /// Requests that were answered as not run and may not be repeated.
+    std::set<std::string> refused;
     std::map<std::string, CutRequest> cut;
+    std::size_t peak_memory = 0;
+    MonotonicTime memory_checked_at {};
     std::map<std::string, int> faults;
     std::map<std::string, int> counts;
     Duration longest_recovery {};
@@ -217,9 +238,14 @@
 
 void Soak::watch()
 {
+    bool const is_memory_due = monotonic_now() > this->memory_checked_at + milliseconds(200);
+    if (is_memory_due)
+        this->memory_checked_at = monotonic_now();
     for (auto const& process : this->processes) {
         if (!process->is_running())
             continue;
+        if (is_memory_due)
+            this->check_memory(*process);
         process->watch();
         auto const end = process->unexplained_end();
         if (end)
@@ -232,9 +258,19 @@
     }
 }
 
+void Soak::check_memory(NodeProcess& process)
+{
+    auto const peak = process.peak_memory_bytes();
+    auto const limit = this->options.memory_bytes;
+    if (limit > 0 && peak > limit && process.peak_memory_seen <= limit)
+        this->violate("process " + std::to_string(process.id) + " at " + process.callers.to_string() + " exceeded its memory: " + std::to_string(peak / 1'000'000) + " MB");
+    process.peak_memory_seen = peak;
+    this->peak_memory = std::max(this->peak_memory, peak);
+}
+
 asio::awaitable<bool> Soak::connect(CallerConnection& caller)
 {
-    if (caller.connection && caller.connection->is_reusable() && caller.connection->is_quiet() && !this->chance(0.05))
+    if (caller.connection && caller.connection->is_reusable() && caller.connection->is_quiet() && (caller.keep == KeepConnection::UntilItEnds || !this->chance(0.05)))
         co_return true;
     if (caller.connection)
         caller.connection->abort();
@@ -243,12 +279,12 @@
 
 asio::awaitable<bool> Soak::connect(CallerConnection& caller, NodeSlot const& node)
 {
-    caller = {};
+    caller = { caller.keep, nullptr, nullptr };
     auto const process = node.process;
     if (process->is_running() && !process->killed_at) {
         auto connected = co_await HttpConnection::connect(process->callers, seconds(1), {});
         if (!connected.is_error())
-            caller = { process, connected.release_value() };
+            caller = { caller.keep, process, connected.release_value() };
     }
     if (!caller.connection)
         co_await this->pause(milliseconds(30));
@@ -307,6 +343,7 @@
 Soak::Task Soak::send_plain(int caller_number)
 {
     CallerConnection caller;
+    caller.keep = caller_number % 2 == 0 ? KeepConnection::UntilItEnds : KeepConnection::Never;
     co_await this->pause(milliseconds(caller_number * 3));
     while (!this->is_over) {
         bool const is_connected = co_await this->connect(caller);
@@ -314,7 +351,7 @@
             continue;
         bool const is_served = co_await this->exchange_plain(caller);
         // A process that stops answers that at once; others serve.
-        if (!is_served) {
+        if (!is_served && caller.keep == KeepConnection::Never) {
             caller.connection->abort();
             caller = {};
         }
@@ -348,6 +385,7 @@
     caller.connection->clear_deadline();
     auto const named = answer.value().headers.find("X-Spurtide-Attempt-Id");
     bool const is_served = answer.value().status == 200;
+    this->note_refusal(answer.value().status, identifier);
     bool const is_own = (!named || *named == identifier) && (!is_served || body.value().ends_with(" to " + identifier));
     if (!is_own)
         this->violate("request " + identifier + " got another one's response: " + std::string(named.value_or("")) + ", " + body.value());
@@ -376,6 +414,7 @@
 Soak::Task Soak::send_streams()
 {
     CallerConnection caller;
+    caller.keep = this->chance(0.5) ? KeepConnection::UntilItEnds : KeepConnection::Never;
     co_await this->pause(this->duration(0, 500));
     while (!this->is_over) {
         bool const is_connected = co_await this->connect(caller);
@@ -387,9 +426,10 @@
         auto const leave_after = is_resumable && this->chance(0.2) ? this->number(1, EVENTS - 2) : EVENTS;
         stream.first = (is_resumable ? "resumable-" : "stream-") + std::to_string(++this->last_request);
         auto const end = co_await this->carry(caller, stream, leave_after);
-        if (end != StreamEnd::Whole) {
+        bool const is_kept = end == StreamEnd::Whole || (end == StreamEnd::Refused && caller.keep == KeepConnection::UntilItEnds);
+        if (!is_kept) {
             caller.connection->abort();
-            caller = {};
+            caller = { caller.keep, nullptr, nullptr };
         }
         ++this->counts["streams_" + std::string(STREAM_END_NAMES[static_cast<std::size_t>(end)])];
         bool const has_rest = stream.last > 0 && stream.last < EVENTS;
@@ -449,9 +489,12 @@
     }
     if (answer.value().status != 200) {
         ++this->counts["stream_status_" + std::to_string(answer.value().status)];
+        this->note_refusal(answer.value().status, identifier);
         auto const body = co_await caller.connection->read_body(100'000);
         if (body.is_error())
             this->judge_failure(*caller.process, identifier, body.error(), sent_at, ResponseStage::Awaited);
+        else
+            caller.connection->clear_deadline();
         co_return StreamEnd::Refused;
     }
     std::string unread;
@@ -462,6 +505,8 @@
                 this->judge_failure(*caller.process, identifier, piece.error(), sent_at, ResponseStage::Begun);
             co_return StreamEnd::Broken;
         }
+        if (this->broken_off.contains(identifier) && (piece.value().empty() || unread.size() > MOST_UNREAD_BYTES))
+            co_return StreamEnd::Broken;
         if (piece.value().empty()) {
             this->violate("stream " + identifier + " ended after event " + std::to_string(stream.last) + " as if it was whole");
             co_return StreamEnd::Refused;
@@ -496,6 +541,74 @@
     }
 }
 
+/// Statuses that say of a request that it has not run.
+void Soak::note_refusal(int status, std::string const& identifier)
+{
+    constexpr std::array NOT_RUN { 408, 421, 429, 503 };
+    bool const may_be_repeated = identifier.starts_with("safe-") || identifier.starts_with("resumable-");
+    if (!may_be_repeated && std::find(NOT_RUN.begin(), NOT_RUN.end(), status) != NOT_RUN.end())
+        this->refused.insert(identifier);
+}
+
+Soak::Task Soak::send_uploads()
+{
+    while (!this->is_over) {
+        auto const& node = this->nodes[static_cast<std::size_t>(this->number(0, this->options.nodes - 1))];
+        auto const process = node.process;
+        if (process->is_running() && !process->killed_at)
+            co_await this->upload(*process);
+        co_await this->pause(this->duration(0, 300));
+    }
+}
+
+/// Sends a request with a body in pieces, and reads the response.
+asio::awaitable<void> Soak::upload(NodeProcess& process)
+{
+    constexpr int PIECES = 20;
+    auto const identifier = "once-" + std::to_string(++this->last_request);
+    std::string const piece(static_cast<std::size_t>(this->number(10, 20'000)), 'x');
+    auto const longest_pause = this->number(0, 150);
+    auto head = this->head("POST", "/once/x", identifier);
+    head.headers.add("Content-Length", std::to_string(piece.size() * PIECES));
+    asio::ip::tcp::socket socket(this->loop);
+    asio::steady_timer limit(this->loop, ANSWER_LIMIT);
+    limit.async_wait([&socket](asio::error_code error) {
+        if (!error)
+            socket.close();
+    });
+    asio::error_code error;
+    asio::ip::tcp::endpoint const endpoint(asio::ip::make_address(process.callers.host), static_cast<std::uint16_t>(process.callers.port));
+    co_await socket.async_connect(endpoint, asio::redirect_error(asio::use_awaitable, error));
+    if (error)
+        co_return;
+    ++this->counts["uploads"];
+    auto bytes = format_request_head(head);
+    int sent = -1;
+    while (sent < PIECES && !error && socket.available(error) == 0) {
+        co_await asio::async_write(socket, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
+        bytes = piece;
+        ++sent;
+        co_await this->pause(this->duration(0, longest_pause));
+    }
+    auto const sent_at = monotonic_now();
+    std::string response;
+    error = {};
+    co_await asio::async_read_until(socket, asio::dynamic_buffer(response), "\r\n\r\n", asio::redirect_error(asio::use_awaitable, error));
+    if (!error) {
+        auto const status = static_cast<int>(parse_whole_number(response.substr(response.find(' ') + 1, 3)).value_or(0));
+        ++this->counts["uploads_" + std::to_string(status)];
+        this->note_refusal(status, identifier);
+        co_return;
+    }
+    if (sent == PIECES) {
+        this->judge_failure(process, identifier, socket.is_open() ? HttpError::Closed : HttpError::TimedOut, sent_at, ResponseStage::Awaited);
+        co_return;
+    }
+    ++this->counts["uploads_cut"];
+    if (!process.killed_at && !process.told_to_stop_at)
+        this->violate("upload " + identifier + " at " + process.callers.to_string() + " was cut after " + std::to_string(sent) + " pieces");
+}
+
 Soak::Task Soak::replace(NodeSlot& node, Duration pause)
 {
     node.is_being_replaced = true;
@@ -582,12 +695,39 @@
     process->send(SIGCONT);
 }
 
+/// Runs for a small part of the time, like a VM with a small share of a processor.
+Soak::Task Soak::slow_down(std::shared_ptr<NodeProcess> process)
+{
+    process->is_slowed = true;
+    auto const until = monotonic_now() + this->duration(500, 5000);
+    while (process->is_running() && !this->is_recovering && monotonic_now() < until) {
+        process->send(SIGSTOP);
+        co_await this->pause(this->duration(20, 90));
+        process->suspended_at = monotonic_now();
+        process->send(SIGCONT);
+        co_await this->pause(this->duration(2, 15));
+    }
+    process->is_slowed = false;
+}
+
+Soak::Task Soak::list_endless()
+{
+    auto const identity = this->add_endless();
+    co_await this->pause(this->duration(300, 2500));
+    this->store.remove("servers", identity);
+}
+
 Soak::Task Soak::hang_up(std::shared_ptr<NodeProcess> process)
 {
-    while (process->is_running() && !process->handles_hangup())
+    bool const waits = this->options.hangups == SoakOptions::Hangups::OnceHandled;
+    while (waits && process->is_running() && !process->handles_hangup())
         co_await this->pause(milliseconds(1));
-    ++this->faults["hangup"];
-    process->send(SIGHUP);
+    auto const series = this->chance(0.3) ? this->number(2, 6) : 1;
+    for (int i = 0; i < series; ++i) {
+        ++this->faults["hangup"];
+        process->send(SIGHUP);
+        co_await this->pause(this->duration(0, 30));
+    }
 }
 
 Soak::Task Soak::replace_version()
@@ -683,7 +823,7 @@
         auto* const node = this->pick();
         if (this->is_recovering || this->is_quiet || !node)
             continue;
-        auto const kind = this->number(0, 8);
+        auto const kind = this->number(0, 10);
         if (kind == 0) {
             ++this->faults["suspend"];
             co_await this->suspend(*node);
@@ -706,7 +846,13 @@
         } else if (kind == 6 && !this->is_store_faulty) {
             ++this->faults["store"];
             co_await this->fail_store();
-        } else if (kind >= 7 && !this->is_silent) {
+        } else if (kind == 7 && !node->process->is_slowed) {
+            ++this->faults["slow"];
+            co_await this->slow_down(node->process);
+        } else if (kind == 8) {
+            ++this->faults["endless"];
+            co_await this->list_endless();
+        } else if (kind >= 9 && !this->is_silent) {
             ++this->faults["silence"];
             this->is_silent = true;
             co_await this->silence_upstreams();
@@ -744,11 +890,29 @@
     }
 }
 
+void Soak::judge_runs()
+{
+    auto runs = this->unlisted_runs;
+    for (auto const* upstreams : { &this->plain, &this->engines }) {
+        for (auto const& upstream : *upstreams) {
+            for (auto const& request : upstream->run)
+                ++runs[request];
+        }
+    }
+    for (auto const& [request, times] : runs) {
+        bool const may_be_repeated = request.starts_with("safe-") || request.starts_with("resumable-");
+        if (!may_be_repeated && times > 1)
+            this->violate("request " + request + ", which may not be repeated, ran " + std::to_string(times) + " times");
+        if (this->refused.contains(request))
+            this->violate("request " + request + " was answered as not run, and has run");
+    }
+}
+
 /// After the last fault: everything that was begun ends, each node serves, and ends when it is told to.
 void Soak::finish()
 {
     this->is_quiet = true;
-    if (!this->run_until([&] { return this->running <= CALLERS + STREAM_CALLERS; }, RECOVERY_LIMIT + STOP_GRACE * 2))
+    if (!this->run_until([&] { return this->running <= CALLERS + STREAM_CALLERS + UPLOAD_CALLERS; }, RECOVERY_LIMIT + STOP_GRACE * 2))
         this->violate("the faults did not end");
     this->is_over = true;
     if (!this->run_until([&] { return this->running == 0; }, ANSWER_LIMIT + TAKE_UP_TIME + STOP_GRACE))
@@ -769,15 +933,7 @@
         this->violate("not all processes ended in time");
     for (auto const& process : this->processes)
         process->send(SIGKILL);
-    std::map<std::string, int> runs;
-    for (auto const& upstream : this->plain) {
-        for (auto const& request : upstream->run)
-            ++runs[request];
-    }
-    for (auto const& [request, times] : runs) {
-        if (request.starts_with("once-") && times > 1)
-            this->violate("request " + request + ", which may not be repeated, ran " + std::to_string(times) + " times");
-    }
+    this->judge_runs();
     this->find_unread_in_logs();
     this->judge_cut_requests();
     auto const went_on = this->counts["went_on"];
@@ -802,9 +958,11 @@
         this->spawn(this->send_plain(i));
     for (int i = 0; i < STREAM_CALLERS; ++i)
         this->spawn(this->send_streams());
+    for (int i = 0; i < UPLOAD_CALLERS; ++i)
+        this->spawn(this->send_uploads());
     this->spawn(this->inject_in_series());
-    this->spawn(this->inject_beside());
-    this->spawn(this->inject_beside());
+    for (int i = 0; i < 2 + this->options.nodes / 4; ++i)
+        this->spawn(this->inject_beside());
     this->run_until([] { return false; }, seconds(this->options.seconds));
     this->finish();
     std::cout << "seed=" << this->options.seed;
@@ -812,7 +970,7 @@
         std::cout << " " << name << "=" << count;
     for (auto const& [name, count] : this->faults)
         std::cout << " fault_" << name << "=" << count;
-    std::cout << " longest_recovery_ms=" << to_milliseconds(this->longest_recovery) << " violations=" << this->violations.size() << std::endl;
+    std::cout << " longest_recovery_ms=" << to_milliseconds(this->longest_recovery) << " peak_memory_mb=" << this->peak_memory / 1'000'000 << " violations=" << this->violations.size() << std::endl;
     for (std::size_t i = 0; i < std::min(this->violations.size(), SHOWN_VIOLATIONS); ++i)
         std::cout << "VIOLATION: " << this->violations[i] << std::endl;
     if (!this->violations.empty())
@@ -827,7 +985,7 @@
 int main(int argument_count, char** arguments)
 {
     SoakOptions options;
-    option const known[] = { { "seed", required_argument, nullptr, 's' }, { "seconds", required_argument, nullptr, 't' }, { "nodes", required_argument, nullptr, 'n' }, { "binary", required_argument, nullptr, 'b' }, { nullptr, 0, nullptr, 0 } };
+    option const known[] = { { "seed", required_argument, nullptr, 's' }, { "seconds", required_argument, nullptr, 't' }, { "nodes", required_argument, nullptr, 'n' }, { "data-centres", required_argument, nullptr, 'd' }, { "memory-megabytes", required_argument, nullptr, 'm' }, { "hangups-from-the-start", no_argument, nullptr, 'h' }, { "binary", required_argument, nullptr, 'b' }, { nullptr, 0, nullptr, 0 } };
     for (int found = 0; (found = getopt_long(argument_count, arguments, "", known, nullptr)) != -1;) {
         if (found == 's')
             options.seed = static_cast<unsigned>(std::atoi(optarg));
@@ -835,13 +993,19 @@
             options.seconds = std::atoi(optarg);
         else if (found == 'n')
             options.nodes = std::atoi(optarg);
+        else if (found == 'd')
+            options.data_centres = std::atoi(optarg);
+        else if (found == 'm')
+            options.memory_bytes = static_cast<std::size_t>(std::atoi(optarg)) * 1'000'000;
+        else if (found == 'h')
+            options.hangups = SoakOptions::Hangups::FromTheStart;
         else if (found == 'b')
             options.binary = optarg;
         else
             return 2;
     }
-    if (options.binary.empty() || options.nodes < 1 || options.nodes > 12 || options.seconds < 1) {
-        std::cerr << "Usage: NodeSoak --binary PROGRAM [--seed NUMBER] [--seconds NUMBER] [--nodes 1..12]\n";
+    if (options.binary.empty() || options.nodes < 1 || options.nodes > 12 || options.data_centres < 1 || options.data_centres > options.nodes || options.seconds < 1) {
+        std::cerr << "Usage: NodeSoak --binary PROGRAM [--seed NUMBER] [--seconds NUMBER] [--nodes 1..12] [--data-centres NUMBER] [--memory-megabytes NUMBER] [--hangups-from-the-start]\n";
         return 2;
     }
     auto const result = std::make_unique<Soak>(options).release()->run();
--- a/Tests/Platform/Soak/SoakDeployment.h
+++ b/Tests/Platform/Soak/SoakDeployment.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <Tests/Platform/RawUpstream.h>
 #include <Tests/Platform/Soak/NodeProcess.h>
 #include <Tests/Platform/StoreStandIn.h>
 #include <Tests/Platform/UpstreamPath.h>
@@ -25,6 +26,15 @@
     unsigned seed = 1;
     int seconds = 20;
     int nodes = 3;
+    int data_centres = 1;
+    /// Most memory that a node may have resident; 0 for no limit.
+    std::size_t memory_bytes = 0;
+    enum class Hangups {
+        OnceHandled,
+        /// Also before the program has taken over what the signal does.
+        FromTheStart,
+    } hangups
+        = Hangups::OnceHandled;
     std::string binary;
 };
 
@@ -57,6 +67,8 @@
     void start(NodeSlot& node);
     void add_plain(std::string const& identity);
     void add_version();
+    /// Lists a faulty upstream that never stops responding. Returns its identity.
+    std::string add_endless();
     void configure();
     /// A node that runs; none if all are being replaced.
     NodeSlot* pick();
@@ -81,12 +93,21 @@
     /// Requests that an upstream got, and streams that an engine broke off.
     std::set<std::string> arrived;
     std::set<std::string> broken_off;
+    /// Runs that the upstreams do not list themselves, by request.
+    std::map<std::string, int> unlisted_runs;
     double break_share = 0;
 
 private:
     void add_path(UpstreamStandIn& upstream, std::string const& service);
-    UpstreamStandIn& add_engine(std::string const& identity, std::string const& phase, std::string const& version);
+    UpstreamStandIn& add_engine(std::string const& identity, std::string const& phase, std::string const& version, int data_centre);
+    std::string data_centre_name(int number) const { return "dc-" + std::to_string(number % this->options.data_centres); }
+    asio::awaitable<void> respond_without_end(asio::ip::tcp::socket& socket, std::string begin, std::string repeated);
 
+    struct EndlessUpstream {
+        std::unique_ptr<RawUpstream> server;
+        std::unique_ptr<UpstreamStandIn> listed;
+    };
+    std::vector<EndlessUpstream> endless;
     int last_version = 0;
     int configuration = 0;
 };
