LibAsync: Account for all bytes that are buffered for peers in one place

What a process holds for its peers had one bound for responses that are read (a counter in HttpConnection.cpp, 24 MiB) and none for anything else: 120 callers a VM that sent 4 MB each but for the last byte took 643 MB where VMs have 88 to 260 MB.

BufferMemory counts the bytes by kind under one limit; a BufferReservation grows and shrinks and gives back what it has.

HttpConnection::read_body uses it in place of its own counter. A piece is now charged before it is appended.

--- a/Libraries/LibAsync/HttpConnection.cpp
+++ b/Libraries/LibAsync/HttpConnection.cpp
@@ -1,6 +1,7 @@
 // SPDX-FileCopyrightText: 2026 The Spurtide developers
 // SPDX-License-Identifier: BSD-2-Clause
 
+#include <LibAsync/BufferReservation.h>
 #include <LibAsync/HttpConnection.h>
 #include <LibCore/Clock.h>
 #include <array>
@@ -15,42 +16,15 @@
 
 /// A faulty peer may never stop sending interim responses.
 constexpr std::size_t MAXIMUM_INTERIM_BYTES = 16UL * 1024;
-/// A small part of the memory of a VM. Usual bodies take some kilobytes.
-constexpr std::size_t MAXIMUM_BUFFERED_BYTES = 24UL * 1024 * 1024;
 /// A response that was due before may come late, in the place of the one that is due now.
 constexpr int MAXIMUM_OTHER_RESPONSES = 3;
 constexpr std::size_t MAXIMUM_OTHER_RESPONSE_BYTES = 1024UL * 1024;
-/// Of all bodies that are being read by the one loop.
-std::size_t s_buffered_bytes = 0;
 
 /// Connections whose other side does not tell how long it keeps them rest no longer than this.
 constexpr Duration DEFAULT_IDLE_LIMIT = milliseconds(1500);
 
 }
 
-class HttpConnection::BufferedBody {
-public:
-    BufferedBody() = default;
-    ~BufferedBody() { s_buffered_bytes -= this->body.size(); }
-    BufferedBody(BufferedBody const&) = delete;
-    BufferedBody& operator=(BufferedBody const&) = delete;
-
-    void append(std::string_view piece)
-    {
-        this->body += piece;
-        s_buffered_bytes += piece.size();
-    }
-    std::size_t size() const { return this->body.size(); }
-    std::string take()
-    {
-        s_buffered_bytes -= this->body.size();
-        return std::exchange(this->body, {});
-    }
-
-private:
-    std::string body;
-};
-
 HttpConnection::HttpConnection(asio::any_io_executor const& executor)
     : socket(executor)
     , deadline(executor)
@@ -210,16 +184,18 @@
 {
     if (this->parser.announced_body_size().value_or(0) > limit)
         co_return Failure { HttpError::BodyTooLarge };
-    BufferedBody body;
+    std::string body;
+    BufferReservation reservation(BufferMemory::Kind::ResponseBodies);
     while (true) {
         auto piece = co_await this->read_piece();
         if (piece.is_error())
             co_return Failure { piece.error() };
         if (piece.value().empty())
-            co_return body.take();
-        body.append(piece.value());
-        if (body.size() > limit || s_buffered_bytes > MAXIMUM_BUFFERED_BYTES)
+            co_return std::move(body);
+        auto const size = body.size() + piece.value().size();
+        if (size > limit || reservation.try_set_size(size) == BufferReservation::Outcome::OutOfMemory)
             co_return Failure { HttpError::BodyTooLarge };
+        body += piece.value();
     }
 }
 
--- a/Libraries/LibAsync/HttpConnection.h
+++ b/Libraries/LibAsync/HttpConnection.h
@@ -42,8 +42,7 @@
     asio::awaitable<Result<HttpResponseHead, HttpError>> read_matching_head(ResponseFilter accepts);
     /// Waits for more of the body. An empty piece stands for its whole end.
     asio::awaitable<Result<std::string, HttpError>> read_piece();
-    /// Reads what is left of the body, up to a limit. The bodies that are read at the same time share a limit as well, so that
-    /// faulty peers which never stop sending do not exhaust the memory of the process. What exceeds a limit fails with BodyTooLarge.
+    /// Reads what is left of the body, up to a limit and to what the BufferMemory has left. What exceeds one fails with BodyTooLarge.
     asio::awaitable<Result<std::string, HttpError>> read_body(std::size_t limit);
 
     /// After this time the exchange ends with TimedOut.
@@ -64,9 +63,6 @@
     Duration idle_limit {};
 
 private:
-    /// Counts the bytes of a body that is being read towards those of all connections.
-    class BufferedBody;
-
     asio::awaitable<Result<Done, HttpError>> read_more();
     Result<Done, HttpError> parse_unread();
     /// Goes on to another response to the same request.
