--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -4,6 +4,7 @@
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
 #include <LibCore/ProcessLog.h>
+#include <LibCore/ProcessMemory.h>
 #include <LibRouter/StreamMigrator.h>
 #include <LibWire/WireMetrics.h>
 #include <Services/NodeServer/Node.h>
@@ -31,6 +32,8 @@
 constexpr Duration UPSTREAMS_CONFIRMATION_TIMEOUT = milliseconds(200);
 /// The rest is for connections to upstreams, other VMs and the registry.
 constexpr std::int64_t CALLERS_PART_OF_DESCRIPTORS = 2;
+/// The rest is for the program itself, its connections, what it knows of upstreams, and what the allocator cannot reuse.
+constexpr std::size_t BUFFERS_PART_OF_MEMORY = 4;
 /// Each relayed request needs another one to an upstream.
 constexpr std::int64_t RELAY_PART_OF_DESCRIPTORS = 8;
 /// Steps get longer as engines fill up, and are measured as means of whole answers: with 5.09 ms and 0.0303 ms a request
@@ -102,6 +105,8 @@
 
 Result<std::unique_ptr<Node>, NodeStartError> Node::create(asio::io_context& loop, NodeSettings settings, NodeAdapters adapters)
 {
+    if (settings.memory_bytes)
+        BufferMemory::the().set_limit(*settings.memory_bytes / BUFFERS_PART_OF_MEMORY);
     std::unique_ptr<Node> node(new Node(loop, std::move(settings), std::move(adapters)));
     TRY(node->start());
     return node;
@@ -171,6 +176,7 @@
     this->callers = callers_server.release_value();
     this->callers->set_most_connections(static_cast<std::size_t>(this->settings.descriptors / CALLERS_PART_OF_DESCRIPTORS));
     this->callers->set_admission([this] { return this->accepts_connection(); });
+    this->callers->set_out_of_memory_head([this](auto const& head) { return this->request_router.reject_unread(head); });
     auto operations_server = HttpServer::create(this->loop, this->settings.operations_address, [this](auto& exchange) { return this->answer_operations(exchange); });
     if (operations_server.is_error())
         return Failure { NodeStartError::CannotListenForOperations };
@@ -231,6 +237,8 @@
     if (!this->relay_server)
         return;
     this->relay_server->set_most_connections(static_cast<std::size_t>(this->settings.descriptors / RELAY_PART_OF_DESCRIPTORS));
+    this->relay_server->set_body_kind(BufferMemory::Kind::RelayedBodies);
+    this->relay_server->set_out_of_memory_head([](auto const&) { return relay_outcome_head(RelayOutcome::OutOfMemory); });
     this->limit_relayed_requests();
 }
 
@@ -622,6 +630,11 @@
     else if (this->follower->follows_upstreams())
         facts.upstreams_source = NodeFacts::Source::Registry;
     facts.dropped_log_lines = ProcessLog::dropped_lines();
+    auto const& memory = BufferMemory::the();
+    facts.buffer_limit_bytes = memory.limit();
+    for (auto const kind : BufferMemory::KINDS)
+        facts.buffers.push_back({ to_string(kind), memory.used(kind), memory.refusals(kind) });
+    facts.memory = read_process_memory();
     publish_node_metrics(facts, this->metrics);
     publish_wire_metrics(*this->kernel, this->metrics);
 }
