LibRouter: Let a stream that broke go on after placements that reached no engine

It had one of two sends, time and engines left, and its caller had to come back.

Cause: a request has three placements. The first two had been spent on engines that accepted no connections, before the stream began, so that none was left for the one that lost its response. What the log shows: two send_end end=not_sent, then end=lost next=fail_may_have_run without extra_send, and placements=3.

The limit is meant for placements in a row that bring nothing: sends are limited by the route's attempts and the retry budget. It starts anew with each event that is relayed. No placement becomes possible that is not paid for.

Ruled out: the retry budget (not asked), the deadline (5.4 s left), engines of the version (the caller's next try was served at once).

The test failed before: the stream ended after two events, no run at the last engine. [stream-versions], [retry-budget] and [endless] pass.

--- a/Libraries/LibRouter/StreamingRequestHandler.cpp
+++ b/Libraries/LibRouter/StreamingRequestHandler.cpp
@@ -23,7 +23,8 @@
 constexpr Duration MINIMUM_TIME_FOR_PLACEMENT = milliseconds(200);
 /// Longer than the prefill of the longest prompts, including the queue ahead of them.
 constexpr Duration PREFILL_TIMEOUT = milliseconds(1200);
-constexpr int MAXIMUM_PLACEMENTS = 3;
+/// Sends are limited by the route; this limits placements at engines that are not reached.
+constexpr int MAXIMUM_FRUITLESS_PLACEMENTS = 3;
 constexpr Duration LOST_ENGINE_RETRY_AFTER = milliseconds(400);
 /// With more engines unreachable, this VM's own paths are the likely cause, and other VMs may go on using the engines.
 constexpr std::size_t UNREACHABLE_REPORTED = 1;
@@ -156,7 +157,7 @@
     // A caller that does not read holds up the reading of the upstream's response.
     bool const is_held_up = this->is_writing;
     bool const is_version_uncertain = this->origin && !this->origin->is_certain();
-    bool const may_place = this->placements < MAXIMUM_PLACEMENTS && !is_version_uncertain;
+    bool const may_place = this->fruitless_placements < MAXIMUM_FRUITLESS_PLACEMENTS && !is_version_uncertain;
     return !is_held_up && may_place && this->sends < this->route.maximum_attempts && this->time_left() >= MINIMUM_TIME_FOR_PLACEMENT;
 }
 
@@ -254,6 +255,7 @@
             co_return;
         }
         ++this->placements;
+        ++this->fruitless_placements;
         auto const outcome = co_await this->run_placement(grant);
         this->release();
         if (!this->failed_engine.empty())
@@ -479,7 +481,7 @@
     auto const kind = this->route.is_resumable ? RouteKind::Repeatable : RouteKind::NotRepeatable;
     SendHistory history { kind, this->earlier, SendHistory::AnotherSend::Spent };
     bool const is_version_uncertain = this->origin && !this->origin->is_certain();
-    bool const may_go_on = allowed_send == SendHistory::AnotherSend::Allowed && this->placements < MAXIMUM_PLACEMENTS && !is_version_uncertain;
+    bool const may_go_on = allowed_send == SendHistory::AnotherSend::Allowed && this->fruitless_placements < MAXIMUM_FRUITLESS_PLACEMENTS && !is_version_uncertain;
     // An unsent request does not count as an attempt, but its refused prefill is charged to the retry budget.
     if (may_go_on)
         history.another_send = this->take_another_send(end == SendOutcome::NotSent ? 0 : this->sends, MINIMUM_TIME_FOR_PLACEMENT);
--- a/Libraries/LibRouter/StreamingRequestHandler.h
+++ b/Libraries/LibRouter/StreamingRequestHandler.h
@@ -127,6 +127,8 @@
     /// Moves of the stream that were begun.
     int moves = 0;
     int placements = 0;
+    /// Since the last event was relayed.
+    int fruitless_placements = 0;
 };
 
 }
--- a/Libraries/LibRouter/StreamingRequestHandlerRelay.cpp
+++ b/Libraries/LibRouter/StreamingRequestHandlerRelay.cpp
@@ -125,6 +125,7 @@
         this->state.metrics.observe_seconds("spurtide_first_event_seconds", "From a stream's request to its first event", to_seconds(*this->first_event_after));
     }
     this->last_event_at = now;
+    this->fruitless_placements = 0;
 }
 
 // An engine may have been restarted with other software under the same identity.
