LibDecision: Bound answers by what streams brought, not by the announced tokens per event

In a planned stop, streams that a stopping VM accepted late were cut at the end of the grace time. The longest answer was worked out as the maximum output in tokens times the slowest seconds per token, and the tokens of past answers as their events times the configuration's tokens per event. Engines whose events hold fewer tokens send more events than that, each at the same pace, so the bound was too short by the same factor.

Three more gaps of the same bound, found by reading: - The slowest pace was forgotten within some ten faster answers, so the pace of one slow engine of many was not known when it mattered. It is now the slowest of the last 30 to 60 s. - A stream's duration from its first event to its last was divided by its events in place of the pauses between them: with three events an answer, a third too short. - The first event was taken to come within the latency target, or a quarter of it after a wait. The slowest recent wait counts now as well.

An event is known to hold one token only. The announced number is used after 50 streams that do not contradict it, and no more once a stream has more events than its maximum length allows. A stream that breaks the bound is itself such a contradiction, and is noticed while it runs. Without any known pace the timeout remains the bound.

Evidence: "A stopping VM does not take the configuration's tokens per event for what its engines send" failed before: 200 in place of 503 for the first stream, which an engine ran. Ruled out: engines that are slower than any recent answer remain, as before.

--- a/Libraries/LibRouter/StreamingRequestHandler.cpp
+++ b/Libraries/LibRouter/StreamingRequestHandler.cpp
@@ -48,11 +48,17 @@
 // engines, little of the target is left, but they still have to begin it.
 std::optional<Duration> StreamingRequestHandler::longest_response() const
 {
-    auto const answer = this->state.answer_pace.longest(this->service, this->request.prompt->maximum_output_tokens);
+    auto const answer = this->state.answer_pace.longest(this->service, this->request.prompt->maximum_output_tokens, this->tokens_per_event());
     if (!answer)
         return {};
     auto const age = std::chrono::duration_cast<Duration>(monotonic_now() - this->exchange.received_at());
-    return std::max(this->route.latency_target - age, this->route.latency_target / FIRST_EVENT_SHARE_OF_TARGET) + *answer;
+    auto const shortest_begin = std::max(this->route.latency_target / FIRST_EVENT_SHARE_OF_TARGET, this->state.answer_pace.slowest_begin(this->service));
+    return std::max(this->route.latency_target - age, shortest_begin) + *answer;
+}
+
+AnswerDurationEstimator::Stream StreamingRequestHandler::paced_stream() const
+{
+    return { this->service, this->events.event_count(), this->request.prompt->maximum_output_tokens, this->tokens_per_event(), this->event_sources };
 }
 
 void StreamingRequestHandler::describe_end(LogLine& line) const
--- a/Libraries/LibRouter/StreamingRequestHandler.h
+++ b/Libraries/LibRouter/StreamingRequestHandler.h
@@ -97,8 +97,10 @@
     void note_lost(UpstreamLink const& link, LinkError const& error);
     void note_unreached(UpstreamRecord const& engine, LinkError const& error);
     void release();
+    /// Number of tokens that the configuration announces.
     std::int64_t tokens_per_event() const;
-    /// Number of output tokens received so far.
+    AnswerDurationEstimator::Stream paced_stream() const;
+    /// Number of output tokens received so far, by the announced number.
     std::int64_t relayed_tokens() const;
 
     std::shared_ptr<PlacementClient::PendingAsk> pending_ask;
@@ -124,6 +126,8 @@
     /// When the present engine's first events arrived, and how many events the stream had then.
     MonotonicTime first_event_here_at;
     std::int64_t events_before_here = 0;
+    /// Engines that have sent events, each time that the stream moved counted.
+    std::int64_t event_sources = 0;
     /// Moves of the stream that were begun.
     int moves = 0;
     int placements = 0;
--- a/Tests/Platform/TestPlannedStop.cpp
+++ b/Tests/Platform/TestPlannedStop.cpp
@@ -15,10 +15,10 @@
 
 /// A VM that has seen the pace of its engines, with a short grace period.
 struct StoppingVirtualMachine : NodeUnderTest {
-    StoppingVirtualMachine()
+    explicit StoppingVirtualMachine(std::function<void(nlohmann::json&)> const& change = {})
         : NodeUnderTest([](NodeSettings& settings) { settings.stop_grace = milliseconds(3000); })
     {
-        this->configure(1);
+        this->configure(1, change);
         this->list(this->prefill, "engines");
         for (auto* engine : { &this->first, &this->second }) {
             engine->event_pause = EVENT_PAUSE;
@@ -95,6 +95,24 @@
     CHECK(served.body.ends_with("piece 100\n\n"));
 }
 
+// Guards against streams that a stopping VM accepted by the configuration's tokens per event, and interrupted since events of
+// their engines hold fewer.
+TEST_CASE("A stopping VM does not take the configuration's tokens per event for what its engines send", "[planned-stop]")
+{
+    StoppingVirtualMachine test([](auto& configuration) { configuration["services"][1]["engine"]["stride"] = 8; });
+    test.set_answer_length(400);
+    auto const runs = test.first.run.size() + test.second.run.size();
+    test.stop();
+    for (auto const* target : { "/stream/x", "/resumable/x" }) {
+        CAPTURE(target);
+        auto const answer = test.call_until_exit(test.stream_of(target, std::string("long") + target[1], 400));
+        CHECK_FALSE(answer.error);
+        CHECK(answer.head.status == 503);
+        CHECK(answer.head.headers.contains("Retry-After"));
+    }
+    CHECK(test.first.run.size() + test.second.run.size() == runs);
+}
+
 // Guards against streams that were accepted in time, waited for an engine, and began when they could not end any more. An
 // engine that changes its role refuses what it has not begun.
 TEST_CASE("A stream that an engine refuses late in a planned stop is not sent again if it could not end", "[planned-stop][roles]")
