LibAsync, NodeServer: Refuse requests that have not arrived whole before a planned exit

Callers that were still sending their request when the grace time of a planned stop ended had their connection reset without an answer, and could not know that the request had not run.

Nothing ended the wait for the rest of a request: the exit closed the connection with bytes unread. One second before what still runs is interrupted, the server now answers such requests with 503, Retry-After and "Connection: close", shuts down its side and reads on for up to a second, so that no reset destroys the answer. From then on a request that has to wait for the rest of it is refused in the same way; one that is there whole is handled as before. Each is logged as request_rejected reason=stopping_before_whole and counted in spurtide_incomplete_requests_refused_total.

--- a/Libraries/LibAsync/HttpServer.cpp
+++ b/Libraries/LibAsync/HttpServer.cpp
@@ -121,6 +121,13 @@
     return true;
 }
 
+void HttpServer::refuse_incomplete(Refusal hook)
+{
+    this->refusal = std::move(hook);
+    for (auto* connection : this->connections)
+        connection->recheck_request();
+}
+
 void HttpServer::close_idle()
 {
     auto const all = this->connections;
--- a/Libraries/LibAsync/HttpServer.h
+++ b/Libraries/LibAsync/HttpServer.h
@@ -37,6 +37,8 @@
 class HttpServer {
 public:
     using Handler = std::function<asio::awaitable<void>(HttpExchange& exchange)>;
+    /// Makes the response to a request that has not arrived whole. The head is empty if it has not arrived either.
+    using Refusal = std::function<HttpResponseHead(HttpRequestHead const& head)>;
 
     static Result<std::unique_ptr<HttpServer>, ListenError> create(asio::io_context& loop, Address const& address, Handler handler);
     ~HttpServer();
@@ -55,6 +57,8 @@
 
     /// From now on each answer closes its connection.
     void close_after_answers() { this->closing = true; }
+    /// From now on a request is refused as soon as it has to wait for the rest of it, and its connection is closed.
+    void refuse_incomplete(Refusal refusal);
     /// Closes the connections that carry no request.
     void close_idle();
     /// Resets the connections whose response is not complete, so that none looks complete at the exit of the process.
@@ -83,6 +87,8 @@
     std::int64_t accept_failures = 0;
     std::size_t most_connections = DEFAULT_MOST_CONNECTIONS;
     std::function<bool()> accepts_connection = [] { return true; };
+    /// Empty as long as incomplete requests are waited for.
+    Refusal refusal;
     std::set<ServerConnection*> connections;
 };
 
--- a/Libraries/LibAsync/ServerConnection.cpp
+++ b/Libraries/LibAsync/ServerConnection.cpp
@@ -153,6 +153,8 @@
             co_return ReadEnd::Request;
         if (this->is_over)
             co_return ReadEnd::Over;
+        if (this->server->refusal && this->parser.has_begun())
+            co_return ReadEnd::Refused;
         auto const end = co_await this->arrived.wait_until(until);
         if (!this->server)
             co_return ReadEnd::Over;
@@ -222,6 +224,9 @@
     case ReadEnd::TookTooLong:
         head.status = 408;
         break;
+    case ReadEnd::Refused:
+        head = this->server->refusal(this->current.head);
+        break;
     default:
         head.status = 400;
         break;
--- a/Libraries/LibAsync/ServerConnection.h
+++ b/Libraries/LibAsync/ServerConnection.h
@@ -26,6 +26,8 @@
     bool is_idle() const;
     MonotonicTime idle_since() const { return this->resting_since; }
     void close_if_idle();
+    /// Call when the server no longer waits for incomplete requests.
+    void recheck_request() { this->arrived.notify(); }
     /// Resets the connection if a response on it is not complete.
     void abort_exchange();
     /// The server goes away before this connection.
@@ -51,6 +53,8 @@
         HeadTooLarge,
         BodyTooLarge,
         TookTooLong,
+        /// The server does not wait for the rest.
+        Refused,
     };
 
     enum class Reading {
--- a/Libraries/LibRouter/RequestRouter.cpp
+++ b/Libraries/LibRouter/RequestRouter.cpp
@@ -131,6 +131,14 @@
         request->recheck_exit();
 }
 
+HttpResponseHead RequestRouter::refuse_incomplete(HttpRequestHead const& head)
+{
+    auto const parsed = this->state.dialect.read_request(head);
+    auto const identifier = parsed.is_error() ? std::string() : parsed.value().identifier;
+    this->state.metrics.increment("spurtide_incomplete_requests_refused_total", "Requests refused before they had arrived whole, since the process exits", {});
+    return this->make_rejection(503, "stopping_before_whole", identifier, head.target);
+}
+
 void RequestRouter::interrupt_requests()
 {
     auto const requests = *this->state.running_requests;
@@ -140,11 +148,17 @@
 
 asio::awaitable<void> RequestRouter::reject(HttpExchange& exchange, int status, std::string_view reason, std::string identifier)
 {
-    LogLine("request_rejected").with("request", identifier).with("status", status).with("reason", reason).with("target", exchange.request().head.target);
+    auto head = this->make_rejection(status, reason, identifier, exchange.request().head.target);
+    static_cast<void>(co_await exchange.respond(std::move(head), {}));
+}
+
+HttpResponseHead RequestRouter::make_rejection(int status, std::string_view reason, std::string const& identifier, std::string_view target)
+{
+    LogLine("request_rejected").with("request", identifier).with("status", status).with("reason", reason).with("target", target);
     auto head = this->state.dialect.router_response_head(status, identifier);
     if (status == 503)
         head.headers.add("Retry-After", RETRY_AFTER_SECONDS);
-    static_cast<void>(co_await exchange.respond(std::move(head), {}));
+    return head;
 }
 
 }
--- a/Libraries/LibRouter/RequestRouter.h
+++ b/Libraries/LibRouter/RequestRouter.h
@@ -22,6 +22,8 @@
 
     /// Call regularly while the process is stopping: refuses the requests that wait to be sent and could not end in time any more.
     void recheck_waiting_requests();
+    /// The response to a request of which this process cannot wait for the rest, since it exits.
+    HttpResponseHead refuse_incomplete(HttpRequestHead const& head);
     /// Ends all requests shortly before the process exits, with a response where none has begun.
     void interrupt_requests();
 
@@ -30,6 +32,7 @@
     asio::awaitable<std::optional<StreamOrigin>> derive_origin(Route const& route, CallerRequest const& request);
     /// Why a request cannot take up the stream that began there; empty if it can.
     std::optional<std::string_view> find_resumption_obstacle(RouteTable const& routes, Route const& route, CallerRequest const& request, std::optional<StreamOrigin> const& origin);
+    HttpResponseHead make_rejection(int status, std::string_view reason, std::string const& identifier, std::string_view target);
     asio::awaitable<void> reject(HttpExchange& exchange, int status, std::string_view reason, std::string identifier);
 
     RouterState& state;
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -40,6 +40,8 @@
 constexpr Duration STOP_MARGIN = milliseconds(400);
 /// Between the interruption of what still runs and the exit, for the responses to it.
 constexpr Duration INTERRUPTION_TIME = milliseconds(100);
+/// Before that interruption, for callers that are still sending: they have to stop and read their refusal before the exit.
+constexpr Duration REFUSAL_TIME = milliseconds(1000);
 /// Renewals of a grant that may fail to come before it counts as over, and what a VM that is busy may be late with one.
 /// Where a slow VM's grants are taken for over its next renewal brings them back.
 constexpr int RENEWALS_MISSED = 2;
@@ -738,6 +740,8 @@
         this->interrupt_requests();
         return;
     }
+    if (spent >= this->settings.stop_grace - STOP_MARGIN - REFUSAL_TIME)
+        this->refuse_incomplete_requests();
     this->stop_timer.expires_after(STOP_POLL);
     this->stop_timer.async_wait([this](asio::error_code error) {
         if (!error)
@@ -746,6 +750,13 @@
     this->request_router.recheck_waiting_requests();
 }
 
+void Node::refuse_incomplete_requests()
+{
+    if (std::exchange(this->refuses_incomplete, true))
+        return;
+    this->callers->refuse_incomplete([this](auto const& head) { return this->request_router.refuse_incomplete(head); });
+}
+
 void Node::interrupt_requests()
 {
     auto const relayed = this->relay_server ? this->relay_server->exchange_count() : 0;
--- a/Services/NodeServer/Node.h
+++ b/Services/NodeServer/Node.h
@@ -118,6 +118,8 @@
     void note_partition(MonotonicTime now);
     void poll_stop();
     /// Ends what still runs at the end of the grace time.
+    /// Refuses the requests whose rest would come too late to be answered before the exit.
+    void refuse_incomplete_requests();
     void interrupt_requests();
     void exit_process(std::size_t interrupted);
 
@@ -167,6 +169,7 @@
     bool was_cut_off = false;
     bool was_partitioned = false;
     bool is_stopping = false;
+    bool refuses_incomplete = false;
     MonotonicTime stop_began;
     std::function<void()> when_stopped;
     MonotonicTimer stop_timer;
--- a/Tests/LibAsync/TestHttpServer.cpp
+++ b/Tests/LibAsync/TestHttpServer.cpp
@@ -166,6 +166,82 @@
     CHECK(turns <= 4);
 }
 
+namespace {
+
+struct UploadingCaller {
+    explicit UploadingCaller(ServerUnderTest& server)
+        : test(server)
+        , socket(server.loop)
+    {
+        this->socket.connect({ asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(server.server->address().port) });
+    }
+
+    /// Whether the kernel took the bytes.
+    bool send(std::string_view bytes)
+    {
+        asio::error_code error;
+        asio::write(this->socket, asio::buffer(bytes), error);
+        return !error;
+    }
+
+    /// Reads until the server closes the connection, in good order or not.
+    asio::error_code read_to_end()
+    {
+        std::optional<asio::error_code> end;
+        asio::async_read(this->socket, asio::dynamic_buffer(this->received), [&](asio::error_code error, std::size_t) { end = error; });
+        REQUIRE(this->test.run_until([&] { return end.has_value(); }));
+        return *end;
+    }
+
+    ServerUnderTest& test;
+    asio::ip::tcp::socket socket;
+    std::string received;
+};
+
+}
+
+// Guards against callers whose upload is cut without a response by the exit of the process.
+TEST_CASE("A server that no longer waits for incomplete requests answers them, and reads on so that the answer arrives", "[planned-stop][not-run]")
+{
+    ServerUnderTest test;
+    std::string_view const begun = GENERATE("POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 400000\r\n\r\nbody", "POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nbo", "POST /a HTT");
+    CAPTURE(begun);
+    bool const has_head = begun.find("\r\n\r\n") != std::string_view::npos;
+    UploadingCaller uploading(test);
+    UploadingCaller idle(test);
+    UploadingCaller served(test);
+    REQUIRE(uploading.send(begun));
+    test.holds = true;
+    REQUIRE(served.send("POST /b HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nConnection: close\r\n\r\nbody"));
+    REQUIRE(test.run_until([&] { return test.taken == 1 && test.server->connection_count() == 3; }));
+    test.loop.run_for(milliseconds(20));
+    std::vector<std::string> refused;
+    test.server->refuse_incomplete([&](HttpRequestHead const& head) {
+        refused.push_back(head.target);
+        HttpResponseHead response;
+        response.status = 503;
+        return response;
+    });
+    REQUIRE(test.run_until([&] { return !refused.empty(); }));
+    // The kernel would reset a connection that is closed with these bytes unread, and drop the response.
+    std::string const rest(300'000, 'x');
+    CHECK(uploading.send(rest.substr(0, 50'000)));
+    test.loop.run_for(milliseconds(20));
+    CHECK(uploading.send(rest.substr(0, 50'000)));
+    CHECK(uploading.read_to_end() == asio::error::eof);
+    CHECK(uploading.received.starts_with("HTTP/1.1 503 "));
+    CHECK(uploading.received.find("Connection: close\r\n") != std::string::npos);
+    CHECK(refused == std::vector<std::string> { has_head ? "/a" : "" });
+    // What has arrived whole is not affected, and neither are connections without a request.
+    test.holds = false;
+    CHECK(served.read_to_end() == asio::error::eof);
+    CHECK(served.received.starts_with("HTTP/1.1 200 "));
+    REQUIRE(idle.send("GET /c HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"));
+    CHECK(idle.read_to_end() == asio::error::eof);
+    CHECK(idle.received.starts_with("HTTP/1.1 200 "));
+    CHECK(test.taken == 2);
+}
+
 TEST_CASE("A connection that falls silent is found out by TCP's own probes and time-out", "[cut]")
 {
     asio::io_context loop;
--- a/Tests/Platform/TestPlannedStop.cpp
+++ b/Tests/Platform/TestPlannedStop.cpp
@@ -221,3 +221,42 @@
     CHECK(call_status == 502);
     REQUIRE(test.run_until([&] { return decode.abandoned.contains("stream"); }));
 }
+
+// Guards against callers whose upload is cut without a response by the exit: they do not learn that the request has not run.
+TEST_CASE("Callers that are still sending their request when their VM exits are told that it has not run", "[planned-stop][not-run]")
+{
+    NodeUnderTest test([](NodeSettings& settings) { settings.stop_grace = milliseconds(2900); });
+    test.configure(1);
+    UpstreamStandIn upstream(test.loop, "i-1");
+    test.list(upstream, "plain");
+    asio::ip::tcp::socket caller(test.loop);
+    auto const& address = test.node->caller_address();
+    caller.connect({ asio::ip::make_address(address.host), static_cast<std::uint16_t>(address.port) });
+    asio::write(caller, asio::buffer(std::string_view("POST /once/x HTTP/1.1\r\nHost: h.example\r\nX-Spurtide-Attempt-Id: upload\r\nX-Spurtide-Deadline-Ms: 9000\r\nContent-Length: 90000\r\n\r\n")));
+    // Sends on until it has a response.
+    std::string received;
+    std::optional<asio::error_code> end;
+    asio::async_read(caller, asio::dynamic_buffer(received), [&](asio::error_code error, std::size_t) { end = error; });
+    bool is_broken = false;
+    auto next = monotonic_now();
+    test.beside = [&] {
+        if (!received.empty() || is_broken || monotonic_now() < next)
+            return;
+        next += milliseconds(50);
+        asio::error_code error;
+        asio::write(caller, asio::buffer(std::string_view("some of the body")), error);
+        is_broken = error.operator bool();
+    };
+    bool is_stopped = false;
+    test.node->stop([&] { is_stopped = true; });
+    REQUIRE(test.run_until([&] { return end || is_stopped; }));
+    CHECK_FALSE(is_stopped);
+    CHECK_FALSE(is_broken);
+    CHECK(end == asio::error::eof);
+    CHECK(received.starts_with("HTTP/1.1 503 "));
+    CHECK(received.find("Retry-After: ") != std::string::npos);
+    CHECK(received.find("Connection: close\r\n") != std::string::npos);
+    CHECK(received.find("X-Spurtide-Attempt-Id: upload\r\n") != std::string::npos);
+    CHECK(upstream.requests.empty());
+    REQUIRE(test.run_until([&] { return is_stopped; }));
+}
