--- a/Libraries/LibAsync/ServerConnection.cpp
+++ b/Libraries/LibAsync/ServerConnection.cpp
@@ -245,6 +245,8 @@
         // More may have come while the interim answer was sent.
         if (!this->unread.empty())
             continue;
+        if (this->server->refusal && this->parser.has_begun())
+            co_return ReadEnd::Refused;
         auto const wake_up = has_head ? std::min(until, monotonic_now() + BODY_STALL_TIMEOUT) : until;
         auto const end = co_await this->arrived.wait_until(wake_up);
         if (!this->server)
@@ -337,6 +339,9 @@
     case ReadEnd::OutOfMemory:
         head = this->server->out_of_memory_head(this->current->request.head);
         break;
+    case ReadEnd::Refused:
+        head = this->server->refusal(this->current->request.head);
+        break;
     default:
         head.status = 400;
         break;
--- a/Libraries/LibAsync/ServerConnection.h
+++ b/Libraries/LibAsync/ServerConnection.h
@@ -28,6 +28,8 @@
     bool is_idle() const;
     MonotonicTime idle_since() const { return this->resting_since; }
     void close_if_idle();
+    /// Call when the server no longer waits for incomplete requests.
+    void recheck_request() { this->arrived.notify(); }
     /// Resets the connection if a response on it is not complete.
     void abort_exchange();
     /// The server goes away before this connection.
@@ -56,6 +58,8 @@
         TookTooLong,
         /// The body does not fit into what the BufferMemory has left.
         OutOfMemory,
+        /// The server does not wait for the rest.
+        Refused,
     };
 
     /// A request and what it is charged, for as long as anybody holds its body.
--- a/Libraries/LibRouter/RequestRouter.cpp
+++ b/Libraries/LibRouter/RequestRouter.cpp
@@ -133,6 +133,12 @@
         request->recheck_exit();
 }
 
+HttpResponseHead RequestRouter::refuse_incomplete(HttpRequestHead const& head)
+{
+    this->state.metrics.increment("spurtide_incomplete_requests_refused_total", "Requests refused before they had arrived whole, since the process exits", {});
+    return this->begin_unread_rejection(head, "stopping_before_whole", RETRY_AFTER_SECONDS);
+}
+
 void RequestRouter::interrupt_requests()
 {
     auto const requests = *this->state.running_requests;
@@ -147,10 +153,15 @@
 }
 
 HttpResponseHead RequestRouter::reject_unread(HttpRequestHead const& head)
+{
+    return this->begin_unread_rejection(head, "out_of_memory", RETRY_UNREAD_AFTER_SECONDS);
+}
+
+HttpResponseHead RequestRouter::begin_unread_rejection(HttpRequestHead const& head, std::string_view reason, std::string_view retry_after)
 {
     auto const parsed = this->state.dialect.read_request(head);
     auto const identifier = parsed.is_error() ? std::string() : parsed.value().identifier;
-    return this->begin_rejection(head, 503, "out_of_memory", identifier, RETRY_UNREAD_AFTER_SECONDS);
+    return this->begin_rejection(head, 503, reason, identifier, retry_after);
 }
 
 HttpResponseHead RequestRouter::begin_rejection(HttpRequestHead const& head, int status, std::string_view reason, std::string const& identifier, std::string_view retry_after)
--- a/Libraries/LibRouter/RequestRouter.h
+++ b/Libraries/LibRouter/RequestRouter.h
@@ -24,6 +24,8 @@
 
     /// Call regularly while the process is stopping: refuses the requests that wait to be sent and could not end in time any more.
     void recheck_waiting_requests();
+    /// The response to a request of which this process cannot wait for the rest, since it exits.
+    HttpResponseHead refuse_incomplete(HttpRequestHead const& head);
     /// Ends all requests shortly before the process exits, with a response where none has begun.
     void interrupt_requests();
 
@@ -34,6 +36,8 @@
     std::optional<std::string_view> find_resumption_obstacle(RouteTable const& routes, Route const& route, CallerRequest const& request, std::optional<StreamOrigin> const& origin);
     asio::awaitable<void> reject(HttpExchange& exchange, int status, std::string_view reason, std::string identifier);
     HttpResponseHead begin_rejection(HttpRequestHead const& head, int status, std::string_view reason, std::string const& identifier, std::string_view retry_after);
+    /// The same with 503, for a request that was not read whole.
+    HttpResponseHead begin_unread_rejection(HttpRequestHead const& head, std::string_view reason, std::string_view retry_after);
 
     RouterState& state;
 };
