NodeServer: Block signals before the program's libraries are loaded

A node that got SIGHUP (new settings) while it started was ended by the signal, without a line in its log: its callers lost the VM until it was started again.

Cause: main() blocked the signals first, but the dynamic linker loads and relocates the C library and 25 others before it calls main(). spurtide-node now links to the C library alone, blocks SIGHUP, SIGTERM and SIGINT, and then loads libspurtide-node.so, which is the program, from its own folder. A signal that comes from then on waits, and takes effect once the node has handlers, as before. How many libraries there are, and how slow the processor is while they are loaded, no longer matters.

Test: Programs/starts.sh puts a named pipe in the place of each library in turn, so the process is held up exactly there, whatever the speed of the machine.

What remains is the time from exec() until main() of a program that links to the C library alone, in which no code of the program runs.

Debian has no static prometheus-cpp, gssapi_krb5 and libunwind, which libzmq and glog need; with all else static, they and what they need would still be loaded first.

--- a/Libraries/LibCore/ProgramOptions.cpp
+++ b/Libraries/LibCore/ProgramOptions.cpp
@@ -46,13 +46,6 @@
     return signals;
 }
 
-sigset_t handled_signals()
-{
-    auto signals = stop_signals();
-    sigaddset(&signals, SIGHUP);
-    return signals;
-}
-
 int exit_with(ExitCode code) { return static_cast<int>(code); }
 
 int run_with_settings(ServerProgram const& program, ServerOptions const& options)
@@ -83,11 +76,6 @@
 
 int server_main(int argument_count, char** arguments, ServerProgram const& program)
 {
-    // A signal without a handler ends the process, also one that only announces new settings.
-    if (program.stop_signals == ServerProgram::StopSignals::Handled) {
-        auto const signals = handled_signals();
-        pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-    }
     std::array<option, 5> const long_options { {
         { "settings", required_argument, nullptr, static_cast<int>(OptionCode::Settings) },
         { "check", no_argument, nullptr, static_cast<int>(OptionCode::Check) },
@@ -153,10 +141,4 @@
     return sigtimedwait(&signals, nullptr, &time) >= 0;
 }
 
-void unblock_handled_signals()
-{
-    auto const signals = handled_signals();
-    pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
-}
-
 }
--- a/Libraries/LibCore/ProgramOptions.h
+++ b/Libraries/LibCore/ProgramOptions.h
@@ -38,7 +38,7 @@
     enum class StopSignals {
         /// They are blocked in every thread, and one waits for them.
         WaitedFor,
-        /// The program's event loop handles them, and SIGHUP. They are blocked until it calls unblock_handled_signals().
+        /// The program's event loop handles them, and SIGHUP. The main function has blocked them (HandledSignals.h).
         Handled,
     } stop_signals
         = StopSignals::WaitedFor;
@@ -55,7 +55,4 @@
 /// Waits for the given time; returns whether this process was told to stop meanwhile. The signals have to be blocked.
 bool is_told_to_stop_within(Duration duration);
 
-/// Call once SIGTERM, SIGINT and SIGHUP have handlers. Those that came before are delivered then.
-void unblock_handled_signals();
-
 }
--- a/Services/NodeServer/NodeMain.cpp
+++ b/Services/NodeServer/NodeMain.cpp
@@ -3,6 +3,7 @@
 
 #include <LibAsync/Spawn.h>
 #include <LibCore/Clock.h>
+#include <LibCore/HandledSignals.h>
 #include <LibCore/LogLine.h>
 #include <LibCore/ProcessLog.h>
 #include <LibCore/ProgramOptions.h>
--- a/Tests/Programs/starts.sh
+++ b/Tests/Programs/starts.sh
@@ -30,6 +30,31 @@
     fail "no line of event=$2"
 }
 
+# Guards against processes that end by themselves since new settings were announced while their libraries were loaded.
+# A named pipe in a library's place holds the process up there, and makes it fail once the signal has been sent.
+libraries_of() { ldd "$@" 2>/dev/null | awk '$2 == "=>" && $3 ~ /^\// { print $1 }' | sort -u; }
+sanitizers=$(ldd "$BIN/spurtide-node" | awk '$1 ~ /^lib(a|ub)san/ { print $3 }')
+# shellcheck disable=SC2086
+exempt=$(echo libc.so.6; [ -z "$sanitizers" ] || { libraries_of $sanitizers; xargs -n1 basename <<<"$sanitizers"; echo libstdc++.so.6; })
+mkdir "$STATE/libraries"
+settings 127.0.0.1:0 >"$STATE/loading.json"
+tried=0
+ended=()
+for library in $(libraries_of "$BIN/spurtide-node" "$BIN/libspurtide-node.so" | grep -vxF "$exempt"); do
+    mkfifo "$STATE/libraries/$library"
+    LD_LIBRARY_PATH=$STATE/libraries "$BIN/spurtide-node" --settings "$STATE/loading.json" 2>/dev/null &
+    NODES=("$!")
+    timeout "$LIMIT_SECONDS" bash -c 'exec 3>"$0"; kill -HUP "$1"' "$STATE/libraries/$library" "${NODES[0]}" || fail "$library is not loaded"
+    wait "${NODES[0]}"
+    [ "$?" = "$((128 + $(kill -l HUP)))" ] && ended+=("$library")
+    rm "$STATE/libraries/$library"
+    tried=$((tried + 1))
+done
+NODES=()
+[ "$tried" -gt 0 ] || fail "no library to load"
+[ "${#ended[@]}" = 0 ] || fail "SIGHUP ended ${#ended[@]} of $tried processes that were loading a library: ${ended[*]}"
+echo "outlived signals while loading each of $tried libraries"
+
 # Guards against processes that end by themselves since new settings were announced while they started.
 # The node waits for its settings in a named pipe: it has begun to start, and has not installed its handlers.
 mkfifo "$STATE/settings" "$STATE/log"
