NodeServer: Bound the connections to the operations and metrics addresses

A VM whose readiness or metrics address got many connections answered nobody: they took all of its file descriptors, so that callers, probes and readers of the metrics waited in the backlogs.

Cause: the servers of these two addresses kept the default of 10,000 connections, whatever the descriptors of the process; callers and relays have their part of them. Each of the two now has a sixteenth; beyond that, the connection that is idle longest makes room.

Evidence: a node with 256 descriptors and 300 connections to each of the two. Without the fix Programs/descriptors.sh failed: the callers' address "does not answer beside 600 connections" (curl waited 5 s). With it, all three addresses answer.

--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -33,6 +33,8 @@
 constexpr std::int64_t CALLERS_PART_OF_DESCRIPTORS = 2;
 /// Each relayed request needs another one to an upstream.
 constexpr std::int64_t RELAY_PART_OF_DESCRIPTORS = 8;
+/// At each of the addresses that probes and metrics are read from.
+constexpr std::int64_t OPERATIONS_PART_OF_DESCRIPTORS = 16;
 /// Steps get longer as engines fill up, and are measured as means of whole answers: with 5.09 ms and 0.0303 ms a request
 /// a full batch of 64 takes 16 % longer than a half one, worked out and rounded up.
 constexpr double PACE_ERROR = 0.2;
@@ -175,6 +177,7 @@
     if (operations_server.is_error())
         return Failure { NodeStartError::CannotListenForOperations };
     this->operations = operations_server.release_value();
+    this->operations->set_most_connections(static_cast<std::size_t>(this->settings.descriptors / OPERATIONS_PART_OF_DESCRIPTORS));
     this->serve_metrics();
     this->create_relay();
 
@@ -575,6 +578,8 @@
     if (this->metrics_server || !this->settings.metrics_address)
         return;
     this->metrics_server = this->listen_if_possible("metrics", *this->settings.metrics_address, [this](auto& exchange) { return this->answer_operations(exchange); });
+    if (this->metrics_server)
+        this->metrics_server->set_most_connections(static_cast<std::size_t>(this->settings.descriptors / OPERATIONS_PART_OF_DESCRIPTORS));
 }
 
 std::unique_ptr<HttpServer> Node::listen_if_possible(std::string_view server, Address const& address, HttpServer::Handler handler)
