LibDecision: Ask the retry budget whether it covers a send

RequestHandler::could_pay compared the extra sends with the budget's limit itself, beside the same comparison in SharedRetryBudget::try_take. The two could drift apart, and a response would be given up for a send that the budget then refuses. SharedRetryBudget::can_take is now the only comparison, and SendAccounting::can_charge counts what a send needs.

No fault was seen, and the comparison is the same as before. The test of all orders of sends now also checks that a send is charged exactly if it can be.

--- a/Libraries/LibDecision/SendAccounting.cpp
+++ b/Libraries/LibDecision/SendAccounting.cpp
@@ -17,6 +17,12 @@
     return beyond_first - std::min(beyond_first, this->unused.size());
 }
 
+bool SendAccounting::can_charge(Send send, double part, MonotonicTime now) const
+{
+    auto const count = this->uncharged(send);
+    return count == 0 || this->budget.can_take(count, part, now);
+}
+
 bool SendAccounting::try_charge(Send send, double part, MonotonicTime now)
 {
     auto const count = this->uncharged(send);
--- a/Libraries/LibDecision/SendAccounting.h
+++ b/Libraries/LibDecision/SendAccounting.h
@@ -35,6 +35,8 @@
     /// Returns the extra sends that have to be charged before this one. For a prefill this includes the run that
     /// follows it, so that no prompt is processed for a run that the budget does not cover.
     std::size_t uncharged(Send send) const;
+    /// Whether the budget covers all of them now.
+    bool can_charge(Send send, double part, MonotonicTime now) const;
     /// Charges them to the budget; returns false if the budget does not cover all of them.
     bool try_charge(Send send, double part, MonotonicTime now);
 
--- a/Libraries/LibDecision/SharedRetryBudget.cpp
+++ b/Libraries/LibDecision/SharedRetryBudget.cpp
@@ -12,10 +12,15 @@
     this->expire(now);
 }
 
-bool SharedRetryBudget::try_take(std::size_t count, double share, MonotonicTime now)
+bool SharedRetryBudget::can_take(std::size_t count, double share, MonotonicTime now)
 {
     this->expire(now);
-    if (static_cast<double>(this->extra_sends.size() + count) > this->limit(share))
+    return static_cast<double>(this->extra_sends.size() + count) <= this->limit(share);
+}
+
+bool SharedRetryBudget::try_take(std::size_t count, double share, MonotonicTime now)
+{
+    if (!this->can_take(count, share, now))
         return false;
     this->extra_sends.insert(this->extra_sends.end(), count, now);
     return true;
--- a/Libraries/LibDecision/SharedRetryBudget.h
+++ b/Libraries/LibDecision/SharedRetryBudget.h
@@ -30,7 +30,9 @@
 
     void note_request(MonotonicTime now);
 
-    /// Charges either all of `count` extra sends or none. `share` is this VM's share of the allowance.
+    /// Whether the budget covers `count` extra sends now. `share` is this VM's share of the allowance.
+    bool can_take(std::size_t count, double share, MonotonicTime now);
+    /// Charges either all of `count` extra sends or none.
     bool try_take(std::size_t count, double share, MonotonicTime now);
     /// Refunds an extra send that was not made.
     void refund(MonotonicTime taken_at);
--- a/Libraries/LibRouter/RequestHandler.cpp
+++ b/Libraries/LibRouter/RequestHandler.cpp
@@ -465,11 +465,7 @@
 
 bool RequestHandler::could_pay(SendAccounting::Send send) const
 {
-    auto const count = static_cast<double>(this->ledger.uncharged(send));
-    if (count == 0)
-        return true;
-    auto const level = this->state.retry_budget_for(this->service).level(this->state.retry_allowance_part(), monotonic_now());
-    return static_cast<double>(level.extra_sends) + count <= level.limit;
+    return this->ledger.can_charge(send, this->state.retry_allowance_part(), monotonic_now());
 }
 
 asio::awaitable<void> RequestHandler::refuse(std::string_view reason, Duration retry_after)
--- a/Tests/LibDecision/TestSendAccounting.cpp
+++ b/Tests/LibDecision/TestSendAccounting.cpp
@@ -28,7 +28,9 @@
 /// Makes one send if the budget covers it, and returns whether it did.
 bool send(SendAccounting& ledger, Step step, std::int64_t now)
 {
-    if (!ledger.try_charge(send_of(step), 1, at_milliseconds(now)))
+    bool const is_covered = ledger.can_charge(send_of(step), 1, at_milliseconds(now));
+    REQUIRE(ledger.try_charge(send_of(step), 1, at_milliseconds(now)) == is_covered);
+    if (!is_covered)
         return false;
     if (step == Step::Run)
         ledger.note_run(at_milliseconds(now));
