LibRouter: Name the grant in its release, progress and renewal

A release named the request alone.

Each ask that a VM sends now has a number, new for each VM that is asked, and messages about its grant carry origin and number: releases, progress, the end of a move and renewals. A message that names another ask is ignored. A renewal with a later number replaces an earlier grant of the same origin. VMs of the version before send no number; their messages count by the name as before, and they pass over the new fields.

Origin and number, since callers choose the names of requests and numbers start anew with each process. The age of a record was ruled out as the criterion: a release has none, and the clocks of two VMs are not compared.

--- a/Libraries/LibDecision/CellScheduler.cpp
+++ b/Libraries/LibDecision/CellScheduler.cpp
@@ -412,10 +412,10 @@
     ask.decide_by = ask.late_deadline;
 }
 
-void CellScheduler::progress(std::string_view request, GrantProgress progress, MonotonicTime now)
+void CellScheduler::progress(std::string_view request, GrantProgress progress, MonotonicTime now, AskIdentity const& identity)
 {
     auto const found = this->granted.find(request);
-    if (found == this->granted.end())
+    if (found == this->granted.end() || !found->second.ask.identity().matches(identity))
         return;
     auto& granted = found->second;
     granted.is_confirmed = true;
@@ -464,7 +464,17 @@
 void CellScheduler::restore(PlacementAsk ask, std::string_view prefill_engine, std::string_view decode_engine, GrantProgress progress, Duration age, MonotonicTime now, std::string_view moves_to)
 {
     auto const decode = this->engines.find(decode_engine);
-    auto const known = this->granted.find(ask.request);
+    auto known = this->granted.find(ask.request);
+    bool const is_other_grant = known != this->granted.end() && known->second.ask.origin == ask.origin && !known->second.ask.identity().matches(ask.identity());
+    if (is_other_grant) {
+        bool const is_delayed_record = ask.number < known->second.ask.number;
+        if (is_delayed_record)
+            return;
+        // The release of the earlier grant was lost.
+        this->remove_granted(ask.request, now);
+        this->released.erase(ask.request);
+        known = this->granted.end();
+    }
     bool const is_known = known != this->granted.end() && !known->second.adopted;
     if (is_known) {
         known->second.last_seen = now;
@@ -506,12 +516,11 @@
         this->cached.insert_or_assign(part, CachedPrompt { std::string(engine), now });
 }
 
-void CellScheduler::release(std::string_view request, std::int64_t output_tokens, MonotonicTime now)
+void CellScheduler::release(std::string_view request, std::int64_t output_tokens, MonotonicTime now, AskIdentity const& identity)
 {
-    auto const same_request = [&](auto const& ask) { return ask.request == request; };
-    this->waiting.erase(std::remove_if(this->waiting.begin(), this->waiting.end(), same_request), this->waiting.end());
+    std::erase_if(this->waiting, [&](auto const& ask) { return ask.request == request && ask.identity().matches(identity); });
     auto const found = this->granted.find(request);
-    if (found != this->granted.end()) {
+    if (found != this->granted.end() && found->second.ask.identity().matches(identity)) {
         if (output_tokens > 0)
             this->output_estimate(found->second.ask.model).add(static_cast<double>(output_tokens));
         this->update_step_time(found->second, output_tokens, now);
--- a/Libraries/LibDecision/CellScheduler.h
+++ b/Libraries/LibDecision/CellScheduler.h
@@ -93,6 +93,19 @@
     Retry,
 };
 
+/// Identifies an ask, and the grant that it leads to. Callers choose the names of requests, and a request is placed again after
+/// a failure, so that several asks may have the same one.
+struct AskIdentity {
+    std::string origin {};
+    /// Among the asks of the origin; 0 for those of an earlier version, whose messages name the request only.
+    std::uint64_t number = 0;
+
+    bool matches(AskIdentity const& other) const
+    {
+        return this->number == 0 || other.number == 0 || (this->number == other.number && this->origin == other.origin);
+    }
+};
+
 /// A request for a prefill engine and a decode slot.
 struct PlacementAsk {
     std::string request;
@@ -132,6 +145,8 @@
     /// request that is not running. If excluded_engines names this engine too, the answer is not expected to end there
     /// (the engine is leaving or does not send), and any other engine is accepted; otherwise only one that ends earlier.
     std::string migrates_from {};
+    /// See AskIdentity.
+    std::uint64_t number = 0;
     /// Set by the scheduler.
     CallerAttempt caller_attempt = CallerAttempt::First;
     /// Late requests can no longer meet their deadline and are scheduled after all on-time requests of the same
@@ -141,6 +156,8 @@
         Late,
     } timeliness
         = Timeliness::OnTime;
+
+    AskIdentity identity() const { return { this->origin, this->number }; }
 };
 
 struct PlacementGrant {
@@ -318,16 +335,18 @@
     void ask(PlacementAsk ask, MonotonicTime now);
     /// Ends the move of a running request. The grant stays in force at the engine that it names afterwards: the given
     /// target if it moved, the source if the move was abandoned.
-    void end_move(std::string_view request, MoveEnd end, std::string_view target, MonotonicTime now);
-    void progress(std::string_view request, GrantProgress progress, MonotonicTime now);
+    void end_move(std::string_view request, MoveEnd end, std::string_view target, MonotonicTime now, AskIdentity const& identity = {});
+    void progress(std::string_view request, GrantProgress progress, MonotonicTime now, AskIdentity const& identity = {});
     /// Restores a grant of an earlier keeper as reported by its origin, replacing a grant adopted from an engine
-    /// report. For a known grant this only confirms that it is still in use. The age is the time since the last
-    /// progress. Names the engine that the request is moving to, if any.
+    /// report, or an earlier grant of the same origin whose release was lost. For a known grant this only
+    /// confirms that it is still in use. The age is the time since the last progress. Names the engine that the request is
+    /// moving to, if any.
     void restore(PlacementAsk ask, std::string_view prefill_engine, std::string_view decode_engine, GrantProgress progress, Duration age, MonotonicTime now, std::string_view moves_to = {});
     /// Records that the engine has cached the prompts with these session parts.
     void note_cached(std::string_view engine, std::span<std::string const> own_parts, MonotonicTime now);
-    /// Releases everything held by a request that ended or whose caller disconnected.
-    void release(std::string_view request, std::int64_t output_tokens, MonotonicTime now);
+    /// Releases what the ask holds, for a request that ended or whose caller disconnected. A message that is delayed leaves a
+    /// later grant of the same request in force.
+    void release(std::string_view request, std::int64_t output_tokens, MonotonicTime now, AskIdentity const& identity = {});
 
     /// Releases the grants of an origin whose process is dead. Slots that engines still report as held stay occupied.
     void remove_origin(std::string_view origin, MonotonicTime now);
--- a/Libraries/LibDecision/CellSchedulerMigration.cpp
+++ b/Libraries/LibDecision/CellSchedulerMigration.cpp
@@ -13,7 +13,9 @@
 void CellScheduler::ask_for_move(PlacementAsk ask, MonotonicTime now)
 {
     // A keeper that is new, or that was asked because the first did not reply, may not know the grant yet.
-    if (!this->granted.contains(ask.request) && !this->released.contains(ask.request)) {
+    auto const known = this->granted.find(ask.request);
+    bool const is_known = known != this->granted.end() && known->second.ask.identity().matches(ask.identity());
+    if (!is_known && !this->released.contains(ask.request)) {
         auto running_ask = ask;
         running_ask.migrates_from.clear();
         this->restore(std::move(running_ask), {}, ask.migrates_from, GrantProgress::Decoding, Duration::zero(), now);
@@ -94,10 +96,10 @@
     this->hold_slot(engine->second, granted.ask.request);
 }
 
-void CellScheduler::end_move(std::string_view request, MoveEnd end, std::string_view target, MonotonicTime now)
+void CellScheduler::end_move(std::string_view request, MoveEnd end, std::string_view target, MonotonicTime now, AskIdentity const& identity)
 {
     auto const found = this->granted.find(request);
-    if (found == this->granted.end())
+    if (found == this->granted.end() || !found->second.ask.identity().matches(identity))
         return;
     auto& granted = found->second;
     granted.last_seen = now;
--- a/Libraries/LibRouter/PlacementClient.cpp
+++ b/Libraries/LibRouter/PlacementClient.cpp
@@ -22,10 +22,12 @@
 /// If the caller turns out to be returning, the decision may take until the deadline for a late first token.
 Duration longest_decision_time(PlacementClient::AskTimes const& times) { return std::max(times.decide_within, times.late_within); }
 
-wire::Envelope release_message(std::string const& request, std::int64_t output_tokens, PlacementClient::EngineFaults const& faults)
+wire::Envelope release_message(std::string const& request, AskIdentity const& identity, std::int64_t output_tokens, PlacementClient::EngineFaults const& faults)
 {
     auto envelope = message_to(PLACEMENT_SERVICE);
     envelope.mutable_release()->set_request(request);
+    envelope.mutable_release()->set_origin(identity.origin);
+    envelope.mutable_release()->set_number(identity.number);
     envelope.mutable_release()->set_output_tokens(output_tokens);
     envelope.mutable_release()->set_failed_engine(faults.failed_engine);
     for (auto const& engine : faults.refusing_engines)
@@ -33,11 +35,19 @@
     return envelope;
 }
 
-wire::Envelope move_end_message(std::string const& request, MoveEnd end, std::string const& target)
+wire::Envelope progress_message(std::string const& request, AskIdentity const& identity, GrantProgress progress)
 {
     auto envelope = message_to(PLACEMENT_SERVICE);
     envelope.mutable_progress()->set_request(request);
-    envelope.mutable_progress()->set_progress(wire::GRANT_PROGRESS_DECODING);
+    envelope.mutable_progress()->set_origin(identity.origin);
+    envelope.mutable_progress()->set_number(identity.number);
+    envelope.mutable_progress()->set_progress(wire_progress(progress));
+    return envelope;
+}
+
+wire::Envelope move_end_message(std::string const& request, AskIdentity const& identity, MoveEnd end, std::string const& target)
+{
+    auto envelope = progress_message(request, identity, GrantProgress::Decoding);
     envelope.mutable_progress()->set_move_end(wire_move_end(end));
     envelope.mutable_progress()->set_moved_to(target);
     return envelope;
@@ -88,6 +98,7 @@
     message->set_software_version(ask.software_version);
     message->set_finish_within_microseconds(microseconds_until(ask.finish_by, monotonic_now()));
     message->set_migrates_from(ask.migrates_from);
+    message->set_number(ask.number);
     for (auto const& engine : ask.excluded_engines)
         message->add_excluded_engines(engine);
     for (auto const& data_centre : ask.excluded_data_centres)
@@ -98,6 +109,7 @@
 asio::awaitable<std::optional<PlacementDecision>> PlacementClient::ask(PlacementAsk ask, std::shared_ptr<PendingAsk> pending, AskTimes const& times)
 {
     auto const started = monotonic_now();
+    bool const is_move = !ask.migrates_from.empty();
     this->check_for_keeper_change();
     auto names = this->keepers.ranked_names(CELL);
     names.resize(std::min(names.size(), MAXIMUM_REMOTE_KEEPERS));
@@ -109,11 +121,15 @@
     for (auto const& name : names) {
         auto const endpoint = this->keepers.endpoint_of(name);
         auto const elapsed = std::chrono::duration_cast<Duration>(monotonic_now() - started);
+        auto const held_before = this->held_grants.find(ask.request);
+        // A move extends the grant that the request holds. A VM that did not reply may grant its ask later, beside that of the next one.
+        ask.number = is_move && held_before != this->held_grants.end() ? held_before->second.ask.number : ++this->last_number;
+        auto const identity = this->identity_of(ask);
         auto const message = this->ask_message(ask, times, elapsed);
         pending->reply.reset();
         // Whatever it decides, a VM that is asked to move a request learns of the grant that the request holds.
-        if (auto const held = this->held_grants.find(ask.request); held != this->held_grants.end())
-            held->second.keepers.insert(endpoint);
+        if (held_before != this->held_grants.end())
+            held_before->second.keepers.insert(endpoint);
         this->kernel.request(endpoint, message, { longest_decision_time(times) + this->options.reply_slack, this->options.silence }, [pending](WireReply reply) {
             pending->reply = std::move(reply);
             pending->signal.notify();
@@ -122,7 +138,7 @@
             co_await pending->signal.wait();
         if (pending->is_given_up || pending->reply->is_error()) {
             // Release a grant that is still to come, or whose reply was lost. A request that runs keeps its first one.
-            this->kernel.notify(endpoint, ask.migrates_from.empty() ? release_message(ask.request, 0, {}) : move_end_message(ask.request, MoveEnd::Abandoned, {}));
+            this->kernel.notify(endpoint, is_move ? move_end_message(ask.request, identity, MoveEnd::Abandoned, {}) : release_message(ask.request, identity, 0, {}));
         }
         if (pending->is_given_up)
             co_return std::nullopt;
@@ -138,7 +154,7 @@
             grant.prefill_engine = reply.placement_grant().prefill_engine();
             grant.decode_engine = reply.placement_grant().decode_engine();
             grant.caller_attempt = visit_from_message(reply.placement_grant().is_return());
-            if (!ask.migrates_from.empty()) {
+            if (is_move) {
                 auto const held = this->held_grants.find(ask.request);
                 if (held != this->held_grants.end())
                     held->second.moves_to = grant.decode_engine;
@@ -169,10 +185,7 @@
         return;
     found->second.phase = progress;
     found->second.since = monotonic_now();
-    auto envelope = message_to(PLACEMENT_SERVICE);
-    envelope.mutable_progress()->set_request(request);
-    envelope.mutable_progress()->set_progress(wire_progress(progress));
-    this->send(std::move(envelope));
+    this->send(progress_message(request, this->identity_of(found->second.ask), progress));
 }
 
 void PlacementClient::end_move(std::string const& request, MoveEnd end)
@@ -185,7 +198,7 @@
         found->second.grant.decode_engine = target;
         found->second.grant.prefill_engine.clear();
     }
-    this->send(move_end_message(request, end, target));
+    this->send(move_end_message(request, this->identity_of(found->second.ask), end, target));
 }
 
 void PlacementClient::release(std::string const& request, std::int64_t output_tokens, EngineFaults const& faults)
@@ -194,9 +207,9 @@
     if (found == this->held_grants.end())
         return;
     auto keepers = std::move(found->second.keepers);
+    auto const message = release_message(request, this->identity_of(found->second.ask), output_tokens, faults);
     this->held_grants.erase(found);
     keepers.insert(this->current_keeper());
-    auto const message = release_message(request, output_tokens, faults);
     // A VM that still held the grant would refuse a later ask of the same request as a duplicate.
     for (auto const& keeper : keepers)
         this->kernel.notify(keeper, message);
@@ -236,6 +249,7 @@
         record->set_own_part(held_grant.ask.own_part);
         record->set_finish_within_microseconds(microseconds_until(held_grant.ask.finish_by, now));
         record->set_moves_to(held_grant.moves_to);
+        record->set_number(held_grant.ask.number);
         record->set_progress(wire_progress(held_grant.phase));
         record->set_age_microseconds(std::chrono::duration_cast<Duration>(now - held_grant.since).count());
     }
--- a/Libraries/LibRouter/PlacementClient.h
+++ b/Libraries/LibRouter/PlacementClient.h
@@ -103,6 +103,7 @@
     };
 
     std::string current_keeper() const;
+    AskIdentity identity_of(PlacementAsk const& ask) const { return { this->kernel.incarnation(), ask.number }; }
     void send(wire::Envelope envelope);
     void check_for_keeper_change();
     void renew_grants();
@@ -113,6 +114,8 @@
     VirtualMachineRanking keepers;
     std::map<std::string, HeldGrant> held_grants;
     std::string last_keeper;
+    /// Of the last ask.
+    std::uint64_t last_number = 0;
 };
 
 }
--- a/Libraries/LibRouter/PlacementService.cpp
+++ b/Libraries/LibRouter/PlacementService.cpp
@@ -48,6 +48,13 @@
     return engine;
 }
 
+/// The ask that a release or a report of progress refers to.
+template<typename Message>
+AskIdentity identity_of(Message const& message)
+{
+    return { message.origin(), message.number() };
+}
+
 PlacementAsk ask_from_message(wire::PlacementAsk const& message, MonotonicTime now)
 {
     PlacementAsk ask;
@@ -65,6 +72,7 @@
     ask.own_part = message.own_part();
     ask.software_version = message.software_version();
     ask.migrates_from = message.migrates_from();
+    ask.number = message.number();
     if (message.finish_within_microseconds() > 0)
         ask.finish_by = now + Duration(message.finish_within_microseconds());
     ask.first_token_deadline = now + Duration(message.first_token_within_microseconds());
@@ -227,9 +235,9 @@
     case wire::Envelope::kProgress:
         if (auto const move_end = read_move_end(request.progress().move_end())) {
             LogLine("move_ended").with("request", request.progress().request()).with("outcome", *move_end == MoveEnd::Moved ? "moved" : "abandoned").with("decode", request.progress().moved_to());
-            this->scheduler.end_move(request.progress().request(), *move_end, request.progress().moved_to(), now);
+            this->scheduler.end_move(request.progress().request(), *move_end, request.progress().moved_to(), now, identity_of(request.progress()));
         } else
-            this->scheduler.progress(request.progress().request(), read_progress(request.progress().progress()), now);
+            this->scheduler.progress(request.progress().request(), read_progress(request.progress().progress()), now, identity_of(request.progress()));
         break;
     case wire::Envelope::kRelease: {
         auto const& release = request.release();
@@ -238,8 +246,11 @@
         // Every prefill for a refused placement is wasted, so both engines get no requests until a single one has tried them.
         for (auto const& engine : release.refusing_engines())
             this->scheduler.note_failure(engine, now);
-        this->pending_responders.erase(release.request());
-        this->scheduler.release(release.request(), release.output_tokens(), now);
+        auto const identity = identity_of(release);
+        auto const pending = this->pending_replies.find(release.request());
+        if (pending != this->pending_replies.end() && pending->second.identity.matches(identity))
+            this->pending_replies.erase(pending);
+        this->scheduler.release(release.request(), release.output_tokens(), now, identity);
         break;
     }
     case wire::Envelope::kGrantRecords:
@@ -265,7 +276,7 @@
         respond(error_reply(wire::ERROR_CODE_NOT_READY));
         return;
     }
-    this->pending_responders.insert_or_assign(message.request(), respond);
+    this->pending_replies.insert_or_assign(message.request(), PendingReply { { message.origin(), message.number() }, respond });
     LogLine("asked").with("request", message.request()).with("software", message.software_version()).with("prompt_tokens", message.prompt_tokens()).with("maximum_output_tokens", message.maximum_output_tokens()).with("expected_output_tokens", message.expected_output_tokens()).with("first_token_within_ms", message.first_token_within_microseconds() / 1000).with("decide_within_ms", message.decide_within_microseconds() / 1000).with("finish_within_ms", message.finish_within_microseconds() / 1000).with("migrates_from", message.migrates_from());
     auto ask = ask_from_message(message, now);
     this->ensure_account(ask.account);
@@ -304,6 +315,7 @@
         ask.account = record.account();
         ask.model = record.model();
         ask.origin = message.origin();
+        ask.number = record.number();
         ask.prompt_tokens = record.prompt_tokens();
         ask.maximum_output_tokens = record.maximum_output_tokens();
         ask.expected_output_tokens = record.expected_output_tokens();
@@ -336,14 +348,14 @@
             auto const summary = this->scheduler.summary(this->hooks.clock());
             LogLine("not_placed").with("request", request).with("visit", visit_name(refusal.caller_attempt)).with("reason", to_string(refusal.reason)).with("retry_after_ms", to_milliseconds(refusal.retry_after)).with("waiting", static_cast<std::int64_t>(summary.waiting)).with("granted", static_cast<std::int64_t>(summary.granted)).with("engines", static_cast<std::int64_t>(summary.engines_heard));
         }
-        auto const responder = this->pending_responders.find(request);
-        if (responder == this->pending_responders.end())
+        auto const pending = this->pending_replies.find(request);
+        if (pending == this->pending_replies.end())
             continue;
-        auto const respond = std::move(responder->second);
-        this->pending_responders.erase(responder);
+        auto const respond = std::move(pending->second.respond);
+        this->pending_replies.erase(pending);
         respond(std::move(reply));
     }
-    if (this->pending_responders.empty() || this->is_timer_set)
+    if (this->pending_replies.empty() || this->is_timer_set)
         return;
     this->is_timer_set = true;
     this->timer.expires_after(PENDING_TICK_INTERVAL);
--- a/Libraries/LibRouter/PlacementService.h
+++ b/Libraries/LibRouter/PlacementService.h
@@ -59,6 +59,11 @@
     std::map<std::string, std::vector<CellScheduler::EngineState>> engine_states();
 
 private:
+    struct PendingReply {
+        AskIdentity identity;
+        Kernel::Responder respond;
+    };
+
     void handle_placement_ask(wire::PlacementAsk const& message, Kernel::Responder const& respond);
     void handle_grant_records(wire::GrantRecords const& message);
     void keep_granted_engines(wire::GrantRecords const& message);
@@ -85,7 +90,8 @@
     Metrics& metrics;
     MonotonicTimer timer;
     bool is_timer_set = false;
-    std::map<std::string, Kernel::Responder> pending_responders;
+    /// By request.
+    std::map<std::string, PendingReply> pending_replies;
     std::map<std::string, double> account_weights;
     DeadOriginTracker missing_origins;
     PauseDetector pauses { PauseDetector::Options {} };
--- a/Tests/LibDecision/TestCellScheduler.cpp
+++ b/Tests/LibDecision/TestCellScheduler.cpp
@@ -59,10 +59,21 @@
         this->scheduler.progress(request, GrantProgress::Decoding, at_milliseconds(now_milliseconds));
     }
 
+    /// An ask that has a number.
+    void ask_numbered(std::string request, std::int64_t now_milliseconds, std::uint64_t number)
+    {
+        auto ask = make_ask(std::move(request), 100, "a");
+        ask.first_token_deadline = at_milliseconds(now_milliseconds + 950);
+        ask.number = number;
+        this->scheduler.ask(std::move(ask), at_milliseconds(now_milliseconds));
+    }
+
     /// The request's VM reports the grant that it holds at d0, whose phase began so long ago.
-    void renew(std::string request, std::int64_t now_milliseconds, Duration age)
+    void renew(std::string request, std::int64_t now_milliseconds, Duration age, std::uint64_t number = 0)
     {
-        this->scheduler.restore(make_ask(std::move(request), 100, "a"), "p0", "d0", GrantProgress::Decoding, age, at_milliseconds(now_milliseconds));
+        auto ask = make_ask(std::move(request), 100, "a");
+        ask.number = number;
+        this->scheduler.restore(std::move(ask), "p0", "d0", GrantProgress::Decoding, age, at_milliseconds(now_milliseconds));
     }
 
     CellScheduler scheduler;
@@ -423,6 +434,24 @@
     CHECK(cell.decisions().empty());
 }
 
+TEST_CASE("The renewal of a later grant replaces the earlier one whose release was lost", "[held][cut]")
+{
+    Cell cell(1, 2, 1);
+    cell.ask_numbered("r1", 0, 1);
+    cell.ask_numbered("r2", 0, 2);
+    REQUIRE(cell.decisions() == Texts { "grant r1 p0 d0", "grant r2 p0 d1" });
+    // The second request was placed again by another VM, at d0.
+    cell.scheduler.release("r1", 0, at_milliseconds(100));
+    cell.renew("r2", 150, milliseconds(20), 3);
+    CHECK(cell.scheduler.locate("r2")->decode_engine == "d0");
+    cell.ask("r3", 160, 100);
+    CHECK(cell.decisions() == Texts { "grant r3 p0 d1" });
+    // A record of the earlier grant is delayed.
+    cell.renew("r2", 170, milliseconds(160), 2);
+    cell.scheduler.release("r2", 0, at_milliseconds(180), { "entry-1", 3 });
+    CHECK_FALSE(cell.scheduler.knows("r2"));
+}
+
 TEST_CASE("An unconfirmed grant is withdrawn after its lease", "[held][lapsed-lease]")
 {
     Cell cell(1, 1, 1);
--- a/Tests/LibRouter/TestPlacementClient.cpp
+++ b/Tests/LibRouter/TestPlacementClient.cpp
@@ -20,13 +20,18 @@
     {
         this->kernel = make_loop_kernel(loop, name);
         this->kernel->host(std::string(PLACEMENT_SERVICE), [this](wire::Envelope const& message, Kernel::Responder const& respond) {
-            if (message.has_release())
+            if (message.has_release()) {
                 this->released.push_back(message.release().request());
+                this->released_asks.emplace_back(message.release().origin(), message.release().number());
+            }
+            if (message.has_progress())
+                this->progressed_asks.emplace_back(message.progress().origin(), message.progress().number());
             if (message.has_progress() && message.progress().move_end() != wire::MOVE_END_NONE)
                 this->move_ends.emplace_back(message.progress().move_end(), message.progress().moved_to());
             if (!message.has_placement_ask() || !this->replies)
                 return;
             ++this->ask_count;
+            this->asks.emplace_back(message.placement_ask().origin(), message.placement_ask().number());
             wire::Envelope reply;
             reply.mutable_placement_grant()->set_prefill_engine("reader");
             reply.mutable_placement_grant()->set_decode_engine("maker");
@@ -39,6 +44,10 @@
     bool replies = true;
     int ask_count = 0;
     std::vector<std::string> released;
+    /// Origin and number of what was granted, reported and released.
+    std::vector<std::pair<std::string, std::uint64_t>> asks;
+    std::vector<std::pair<std::string, std::uint64_t>> progressed_asks;
+    std::vector<std::pair<std::string, std::uint64_t>> released_asks;
     std::vector<std::pair<wire::MoveEnd, std::string>> move_ends;
 };
 
@@ -140,6 +149,23 @@
     REQUIRE(test.run_until([&] { return std::count(others[0]->released.begin(), others[0]->released.end(), "request-1") + std::count(others[1]->released.begin(), others[1]->released.end(), "request-1") > 2; }));
 }
 
+// Guards against the release to a VM that did not reply. If it is delayed until that VM is the keeper again, it must not free the grant
+// that another VM gave.
+TEST_CASE("A release to a VM that did not reply does not name the grant of the next one", "[held][cut]")
+{
+    PlacementTest test;
+    for (auto* other : test.others())
+        other->replies = false;
+    REQUIRE(test.place("request-1"));
+    REQUIRE(test.own->asks.size() == 1);
+    auto const others = test.others();
+    REQUIRE(test.run_until([&] { return others[0]->released_asks.size() + others[1]->released_asks.size() >= 2; }));
+    for (auto const* other : others) {
+        for (auto const& ask : other->released_asks)
+            CHECK(ask != test.own->asks.front());
+    }
+}
+
 TEST_CASE("In a data centre that is cut off, only its own VMs are asked", "[cut]")
 {
     PlacementTest test(LONG_SILENCE);
@@ -198,6 +224,32 @@
     CHECK(test.own->released.empty());
 }
 
+// Guards against a release that is delayed and frees the request's next grant.
+TEST_CASE("Reports of a grant name the ask that led to it", "[held]")
+{
+    PlacementTest test(LONG_SILENCE);
+    auto* const keeper = test.keeper_and_neighbour().first;
+    for (std::size_t placements = 1; placements <= 2; ++placements) {
+        REQUIRE(test.place("request-1"));
+        test.client->progress("request-1", GrantProgress::CacheHeld);
+        test.client->release("request-1", 7, {});
+        REQUIRE(test.run_until([&] { return keeper->released_asks.size() == placements; }));
+    }
+    REQUIRE(keeper->asks.size() == 2);
+    CHECK(keeper->asks[0].first == test.own->kernel->incarnation());
+    CHECK(keeper->asks[0].second != 0);
+    CHECK(keeper->asks[0] != keeper->asks[1]);
+    CHECK(keeper->progressed_asks == keeper->asks);
+    CHECK(keeper->released_asks == keeper->asks);
+    SECTION("and a move extends the same grant")
+    {
+        REQUIRE(test.place("request-2"));
+        REQUIRE(test.place("request-2", "first"));
+        REQUIRE(keeper->asks.size() == 4);
+        CHECK(keeper->asks[2] == keeper->asks[3]);
+    }
+}
+
 // Guards against the same after a move: the VM that is asked for it learns of the running request's grant, whatever it decides.
 TEST_CASE("A grant is released at a VM that was only asked for a move", "[held]")
 {
--- a/Tests/LibRouter/TestPlacementService.cpp
+++ b/Tests/LibRouter/TestPlacementService.cpp
@@ -12,12 +12,14 @@
 
 namespace {
 
+constexpr int DECODE_SLOTS = 8;
+
 /// A configuration whose engines serve model "m".
 RoutingConfiguration engines_of_model()
 {
     ServiceTraits service;
     service.name = "m";
-    service.engine = EngineTraits { 8, 50'000, 1000, 1e9, 1, milliseconds(500) };
+    service.engine = EngineTraits { DECODE_SLOTS, 50'000, 1000, 1e9, 1, milliseconds(500) };
     RoutingConfiguration configuration;
     configuration.services.push_back(service);
     return configuration;
@@ -45,19 +47,42 @@
         this->placement_service->set_engines(engines_of_model(), upstreams);
     }
 
-    std::optional<wire::Envelope> ask(std::string const& request, std::string const& origin = "vm-2.1")
+    std::optional<wire::Envelope> ask(std::string const& request, std::string const& origin = "vm-2.1", std::uint64_t number = 0)
+    {
+        auto const reply = std::make_shared<std::optional<wire::Envelope>>();
+        this->ask(request, origin, number, [reply](wire::Envelope message) { *reply = std::move(message); });
+        return *reply;
+    }
+
+    void ask(std::string const& request, std::string const& origin, std::uint64_t number, Kernel::Responder const& respond)
     {
         wire::Envelope envelope;
         auto* message = envelope.mutable_placement_ask();
         message->set_request(request);
         message->set_model("m");
         message->set_origin(origin);
+        message->set_number(number);
         message->set_prompt_tokens(100);
         message->set_maximum_output_tokens(100);
         message->set_first_token_within_microseconds(900'000);
-        std::optional<wire::Envelope> reply;
-        this->placement_service->handle(envelope, [&](wire::Envelope message_back) { reply = std::move(message_back); });
-        return reply;
+        this->placement_service->handle(envelope, respond);
+    }
+
+    void progress(std::string const& request, wire::GrantProgress progress)
+    {
+        wire::Envelope envelope;
+        envelope.mutable_progress()->set_request(request);
+        envelope.mutable_progress()->set_progress(progress);
+        this->placement_service->handle(envelope, [](wire::Envelope const&) {});
+    }
+
+    void release(std::string const& request, std::string const& origin, std::uint64_t number)
+    {
+        wire::Envelope envelope;
+        envelope.mutable_release()->set_request(request);
+        envelope.mutable_release()->set_origin(origin);
+        envelope.mutable_release()->set_number(number);
+        this->placement_service->handle(envelope, [](wire::Envelope const&) {});
     }
 
     asio::io_context loop { 1 };
@@ -123,6 +148,54 @@
     CHECK(reply->has_placement_grant());
 }
 
+// Guards against engine memory that is assigned twice: a release that arrives after the request was placed again, as over a new
+// connection, would free the later grant while its stream runs.
+TEST_CASE("A delayed release of an earlier grant leaves the later grant of the request in force", "[held]")
+{
+    CellScheduler::Options options;
+    options.report_need = CellScheduler::Options::ReportNeed::None;
+    PlacementServiceTest test(options);
+    test.add_engines();
+    REQUIRE(test.ask("r1", "vm-2.1", 7));
+    struct Row {
+        std::string origin;
+        std::uint64_t number;
+        bool frees;
+    };
+    auto const row = GENERATE(values<Row>({
+        { "vm-2.1", 6, false },
+        { "vm-3.1", 7, false },
+        { "vm-2.1", 7, true },
+        { "", 0, true },
+    }));
+    CAPTURE(row.origin, row.number);
+    test.release("r1", row.origin, row.number);
+    auto const reply = test.ask("r1", "vm-2.1", 8);
+    REQUIRE(reply);
+    CHECK(reply->has_placement_grant() == row.frees);
+}
+
+TEST_CASE("A delayed release of an earlier ask leaves a waiting one its reply", "[held]")
+{
+    CellScheduler::Options options;
+    options.report_need = CellScheduler::Options::ReportNeed::None;
+    PlacementServiceTest test(options);
+    test.add_engines();
+    for (int i = 0; i < DECODE_SLOTS; ++i) {
+        auto const name = "running-" + std::to_string(i);
+        test.ask(name, "vm-2.1", 100 + static_cast<std::uint64_t>(i));
+        test.progress(name, wire::GRANT_PROGRESS_CACHE_HELD);
+        test.progress(name, wire::GRANT_PROGRESS_DECODING);
+    }
+    std::optional<wire::Envelope> reply;
+    test.ask("r1", "vm-2.1", 7, [&](wire::Envelope const& message) { reply = message; });
+    REQUIRE_FALSE(reply);
+    test.release("r1", "vm-2.1", 6);
+    test.release("running-0", "vm-2.1", 100);
+    REQUIRE(reply);
+    CHECK(reply->has_placement_grant());
+}
+
 // Messages may come from peers that run another version, or from processes that are not peers.
 TEST_CASE("Malformed messages from peers never crash the keeper, and it continues to decide asks", "[whole]")
 {
