LibDecision: Free a grant whose release was lost when its request is placed again

A release that was lost with its connection left the grant at the keeper until two renewals were missed (1.6 s and more).

An ask now names the earlier asks of its request that its VM released or gave up in the last five seconds, and the keeper frees what they still hold before it decides. Exact numbers, and not "all earlier ones": callers may use a name twice, and the other request of the same VM may still run. An ask of another VM frees nothing.

--- a/Libraries/LibDecision/CellScheduler.cpp
+++ b/Libraries/LibDecision/CellScheduler.cpp
@@ -352,6 +352,7 @@
         this->ask_for_move(std::move(ask), now);
         return;
     }
+    this->remove_superseded(ask, now);
     auto const same_request = [&](auto const& other) { return other.request == ask.request; };
     if (this->granted.contains(ask.request) || std::any_of(this->waiting.begin(), this->waiting.end(), same_request)) {
         this->refuse(ask, RefusalReason::Duplicate, MINIMUM_RETRY_AFTER, now);
@@ -529,6 +530,18 @@
     this->schedule(now);
 }
 
+void CellScheduler::remove_superseded(PlacementAsk const& ask, MonotonicTime now)
+{
+    auto const is_superseded = [&](PlacementAsk const& earlier) {
+        auto const& numbers = ask.released_numbers;
+        return earlier.request == ask.request && earlier.origin == ask.origin && std::find(numbers.begin(), numbers.end(), earlier.number) != numbers.end();
+    };
+    std::erase_if(this->waiting, is_superseded);
+    auto const found = this->granted.find(ask.request);
+    if (found != this->granted.end() && is_superseded(found->second.ask))
+        this->remove_granted(ask.request, now);
+}
+
 void CellScheduler::remove_granted(std::string request, MonotonicTime now)
 {
     // NOTE: The name is copied because the caller's reference may point into the node that is erased.
--- a/Libraries/LibDecision/CellScheduler.h
+++ b/Libraries/LibDecision/CellScheduler.h
@@ -147,6 +147,8 @@
     std::string migrates_from {};
     /// See AskIdentity.
     std::uint64_t number = 0;
+    /// Numbers of the origin's earlier asks of the request that hold nothing any more. Their releases may be lost or delayed.
+    std::vector<std::uint64_t> released_numbers {};
     /// Set by the scheduler.
     CallerAttempt caller_attempt = CallerAttempt::First;
     /// Late requests can no longer meet their deadline and are scheduled after all on-time requests of the same
@@ -571,6 +573,8 @@
     void reconcile_move(Granted& granted, std::string_view decode_engine, std::string_view moves_to, MonotonicTime now);
     void detect_caller_retry(PlacementAsk& ask, MonotonicTime now);
     void remove_granted(std::string request, MonotonicTime now);
+    /// Removes the grant of an earlier ask if the origin says that it holds nothing any more.
+    void remove_superseded(PlacementAsk const& ask, MonotonicTime now);
     void adopt(Engine& engine, HeldWork const& held, MonotonicTime now);
     void remove_unreported(Engine const& engine, EngineReport const& report, MonotonicTime now);
     /// Whether the engine failed and has not served a request successfully since.
--- a/Libraries/LibRouter/PlacementClient.cpp
+++ b/Libraries/LibRouter/PlacementClient.cpp
@@ -16,6 +16,8 @@
 constexpr std::string_view CELL = "engines";
 /// The keeper and its successor in the ranking; after them, this VM decides for itself.
 constexpr std::size_t MAXIMUM_REMOTE_KEEPERS = 2;
+/// Longer than a keeper holds a grant that is not renewed.
+constexpr Duration UNRENEWED_GRANT_RETENTION = seconds(5);
 
 CallerAttempt visit_from_message(bool is_return) { return is_return ? CallerAttempt::Retry : CallerAttempt::First; }
 
@@ -70,7 +72,10 @@
 
 void PlacementClient::start()
 {
-    this->kernel.every(this->options.renewal_interval, [this] { this->renew_grants(); });
+    this->kernel.every(this->options.renewal_interval, [this] {
+        this->renew_grants();
+        this->forget_old_releases(monotonic_now());
+    });
     this->kernel.every(this->options.keeper_check_interval, [this] { this->check_for_keeper_change(); });
 }
 
@@ -99,6 +104,8 @@
     message->set_finish_within_microseconds(microseconds_until(ask.finish_by, monotonic_now()));
     message->set_migrates_from(ask.migrates_from);
     message->set_number(ask.number);
+    for (auto const number : ask.released_numbers)
+        message->add_released_numbers(number);
     for (auto const& engine : ask.excluded_engines)
         message->add_excluded_engines(engine);
     for (auto const& data_centre : ask.excluded_data_centres)
@@ -110,6 +117,10 @@
 {
     auto const started = monotonic_now();
     bool const is_move = !ask.migrates_from.empty();
+    if (auto const released = this->released_asks.find(ask.request); released != this->released_asks.end()) {
+        for (auto const& earlier : released->second)
+            ask.released_numbers.push_back(earlier.number);
+    }
     this->check_for_keeper_change();
     auto names = this->keepers.ranked_names(CELL);
     names.resize(std::min(names.size(), MAXIMUM_REMOTE_KEEPERS));
@@ -139,6 +150,8 @@
         if (pending->is_given_up || pending->reply->is_error()) {
             // Release a grant that is still to come, or whose reply was lost. A request that runs keeps its first one.
             this->kernel.notify(endpoint, is_move ? move_end_message(ask.request, identity, MoveEnd::Abandoned, {}) : release_message(ask.request, identity, 0, {}));
+            if (!is_move)
+                this->note_released(ask.request, ask.number);
         }
         if (pending->is_given_up)
             co_return std::nullopt;
@@ -208,6 +221,7 @@
         return;
     auto keepers = std::move(found->second.keepers);
     auto const message = release_message(request, this->identity_of(found->second.ask), output_tokens, faults);
+    this->note_released(request, found->second.ask.number);
     this->held_grants.erase(found);
     keepers.insert(this->current_keeper());
     // A VM that still held the grant would refuse a later ask of the same request as a duplicate.
@@ -215,6 +229,18 @@
         this->kernel.notify(keeper, message);
 }
 
+void PlacementClient::note_released(std::string const& request, std::uint64_t number)
+{
+    this->released_asks[request].push_back({ number, monotonic_now() });
+}
+
+void PlacementClient::forget_old_releases(MonotonicTime now)
+{
+    for (auto& [request, asks] : this->released_asks)
+        std::erase_if(asks, [&](auto const& ask) { return now - ask.when > UNRENEWED_GRANT_RETENTION; });
+    std::erase_if(this->released_asks, [](auto const& entry) { return entry.second.empty(); });
+}
+
 // A new keeper has no record of the grants. Until it learns of them, it would assign the same memory twice.
 void PlacementClient::check_for_keeper_change()
 {
--- a/Libraries/LibRouter/PlacementClient.h
+++ b/Libraries/LibRouter/PlacementClient.h
@@ -14,6 +14,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace Spurtide {
 
@@ -107,6 +108,8 @@
     void send(wire::Envelope envelope);
     void check_for_keeper_change();
     void renew_grants();
+    void note_released(std::string const& request, std::uint64_t number);
+    void forget_old_releases(MonotonicTime now);
     wire::Envelope ask_message(PlacementAsk const& ask, AskTimes const& times, Duration elapsed) const;
 
     Options options;
@@ -116,6 +119,12 @@
     std::string last_keeper;
     /// Of the last ask.
     std::uint64_t last_number = 0;
+    struct ReleasedAsk {
+        std::uint64_t number = 0;
+        MonotonicTime when;
+    };
+    /// The asks that were recently released or given up, by request.
+    std::map<std::string, std::vector<ReleasedAsk>> released_asks;
 };
 
 }
--- a/Libraries/LibRouter/PlacementService.cpp
+++ b/Libraries/LibRouter/PlacementService.cpp
@@ -73,6 +73,7 @@
     ask.software_version = message.software_version();
     ask.migrates_from = message.migrates_from();
     ask.number = message.number();
+    ask.released_numbers.assign(message.released_numbers().begin(), message.released_numbers().end());
     if (message.finish_within_microseconds() > 0)
         ask.finish_by = now + Duration(message.finish_within_microseconds());
     ask.first_token_deadline = now + Duration(message.first_token_within_microseconds());
--- a/Tests/LibDecision/TestCellScheduler.cpp
+++ b/Tests/LibDecision/TestCellScheduler.cpp
@@ -59,12 +59,14 @@
         this->scheduler.progress(request, GrantProgress::Decoding, at_milliseconds(now_milliseconds));
     }
 
-    /// An ask that has a number.
-    void ask_numbered(std::string request, std::int64_t now_milliseconds, std::uint64_t number)
+    /// An ask that has a number, after others of the same request that were released.
+    void ask_numbered(std::string request, std::int64_t now_milliseconds, std::uint64_t number, std::vector<std::uint64_t> released = {}, std::string origin = "entry-1")
     {
         auto ask = make_ask(std::move(request), 100, "a");
         ask.first_token_deadline = at_milliseconds(now_milliseconds + 950);
+        ask.origin = std::move(origin);
         ask.number = number;
+        ask.released_numbers = std::move(released);
         this->scheduler.ask(std::move(ask), at_milliseconds(now_milliseconds));
     }
 
@@ -434,6 +436,37 @@
     CHECK(cell.decisions().empty());
 }
 
+// Guards against a request that is refused as a duplicate of itself when it is placed again.
+TEST_CASE("The next ask of a request frees the grant whose release was lost", "[held][cut]")
+{
+    Cell cell(1, 1, 1);
+    cell.ask_numbered("r1", 0, 1);
+    REQUIRE(cell.decisions() == Texts { "grant r1 p0 d0" });
+    SECTION("granted")
+    {
+        cell.ask_numbered("r1", 100, 2, { 1 });
+        CHECK(cell.decisions() == Texts { "grant r1 p0 d0" });
+    }
+    SECTION("waiting")
+    {
+        cell.ask_numbered("r2", 50, 2);
+        REQUIRE(cell.decisions().empty());
+        cell.ask_numbered("r2", 100, 3, { 2 });
+        REQUIRE(cell.decisions().empty());
+        cell.scheduler.release("r1", 0, at_milliseconds(110));
+        CHECK(cell.decisions() == Texts { "grant r2 p0 d0" });
+    }
+    SECTION("another request of the same name keeps its grant")
+    {
+        cell.ask_numbered("r1", 100, 2);
+        CHECK(cell.decisions() == Texts { "refuse r1 duplicate" });
+        cell.ask_numbered("r1", 110, 2, { 1 }, "entry-2");
+        CHECK(cell.decisions() == Texts { "refuse r1 duplicate" });
+        cell.ask_numbered("r1", 120, 4, { 3 });
+        CHECK(cell.decisions() == Texts { "refuse r1 duplicate" });
+    }
+}
+
 TEST_CASE("The renewal of a later grant replaces the earlier one whose release was lost", "[held][cut]")
 {
     Cell cell(1, 2, 1);
--- a/Tests/LibRouter/TestPlacementClient.cpp
+++ b/Tests/LibRouter/TestPlacementClient.cpp
@@ -32,6 +32,8 @@
                 return;
             ++this->ask_count;
             this->asks.emplace_back(message.placement_ask().origin(), message.placement_ask().number());
+            auto const& earlier = message.placement_ask().released_numbers();
+            this->released_before.emplace_back(earlier.begin(), earlier.end());
             wire::Envelope reply;
             reply.mutable_placement_grant()->set_prefill_engine("reader");
             reply.mutable_placement_grant()->set_decode_engine("maker");
@@ -46,6 +48,8 @@
     std::vector<std::string> released;
     /// Origin and number of what was granted, reported and released.
     std::vector<std::pair<std::string, std::uint64_t>> asks;
+    /// By ask, the numbers of earlier ones that it says were released.
+    std::vector<std::vector<std::uint64_t>> released_before;
     std::vector<std::pair<std::string, std::uint64_t>> progressed_asks;
     std::vector<std::pair<std::string, std::uint64_t>> released_asks;
     std::vector<std::pair<wire::MoveEnd, std::string>> move_ends;
@@ -160,10 +164,22 @@
     REQUIRE(test.own->asks.size() == 1);
     auto const others = test.others();
     REQUIRE(test.run_until([&] { return others[0]->released_asks.size() + others[1]->released_asks.size() >= 2; }));
+    std::vector<std::uint64_t> expected;
     for (auto const* other : others) {
-        for (auto const& ask : other->released_asks)
+        for (auto const& ask : other->released_asks) {
             CHECK(ask != test.own->asks.front());
+            expected.push_back(ask.second);
+        }
     }
+    test.client->release("request-1", 7, {});
+    expected.push_back(test.own->asks.front().second);
+    std::sort(expected.begin(), expected.end());
+    // The next ask names them all, in case the releases are lost.
+    REQUIRE(test.place("request-1"));
+    REQUIRE(test.own->asks.size() == 2);
+    auto named = test.own->released_before.back();
+    std::sort(named.begin(), named.end());
+    CHECK(std::includes(named.begin(), named.end(), expected.begin(), expected.end()));
 }
 
 TEST_CASE("In a data centre that is cut off, only its own VMs are asked", "[cut]")
@@ -250,6 +266,24 @@
     }
 }
 
+// Guards against a request that is refused as a duplicate of itself because the release of its earlier grant was lost.
+TEST_CASE("An ask names the earlier asks of its request that were released", "[held][cut]")
+{
+    PlacementTest test(LONG_SILENCE);
+    auto* const keeper = test.keeper_and_neighbour().first;
+    REQUIRE(test.place("request-1"));
+    REQUIRE(test.place("request-2"));
+    test.client->release("request-1", 7, {});
+    REQUIRE(test.place("request-1"));
+    REQUIRE(test.place("request-1", "first"));
+    using Numbers = std::vector<std::uint64_t>;
+    REQUIRE(keeper->asks.size() == 4);
+    CHECK(keeper->released_before[0] == Numbers {});
+    CHECK(keeper->released_before[1] == Numbers {});
+    CHECK(keeper->released_before[2] == Numbers { keeper->asks[0].second });
+    CHECK(keeper->asks[3] == keeper->asks[2]);
+}
+
 // Guards against the same after a move: the VM that is asked for it learns of the running request's grant, whatever it decides.
 TEST_CASE("A grant is released at a VM that was only asked for a move", "[held]")
 {
