LibDecision: Learn the progress and the moves of a known grant from its renewal

A VM reports the progress of a grant, and the end of a move, to the keeper of the moment only.

A renewal now brings a known grant forward: the prefill ends, the stream counts as decoding since the time that the record states, the place at the target of a move is held, and a move from an unknown state is completed. It never goes back, as a renewal may be delayed. How long the phase took is not measured, as the renewal is late. To report to all VMs that know the grant was ruled out: a report that is lost would still not be mended.

--- a/Libraries/LibDecision/CellScheduler.cpp
+++ b/Libraries/LibDecision/CellScheduler.cpp
@@ -480,6 +480,7 @@
     if (is_known) {
         known->second.last_seen = now;
         known->second.is_confirmed = true;
+        this->reconcile_progress(known->second, progress, age, now);
         this->reconcile_move(known->second, decode_engine, moves_to, now);
     }
     auto const released = this->released.find(ask.request);
@@ -542,6 +543,27 @@
         this->remove_granted(ask.request, now);
 }
 
+// Renewals repeat what this keeper was not told, as another VM was the keeper at the time, or the report was lost. How long the
+// phase took is not measured, as the renewal is late.
+void CellScheduler::reconcile_progress(Granted& granted, GrantProgress progress, Duration age, MonotonicTime now)
+{
+    if (progress <= granted.phase)
+        return;
+    bool const has_prefilled = progress == GrantProgress::Decoding || !granted.prefill_engine.empty();
+    if (has_prefilled) {
+        this->end_prefill(granted.prefilling_engine(), granted.ask.request, now);
+        this->note_success(granted.prefilling_engine());
+    }
+    if (progress == GrantProgress::Decoding) {
+        granted.decode_from = now - age;
+        this->note_success(granted.decode_engine);
+    }
+    granted.phase = progress;
+    auto const decode = this->engines.find(granted.decode_engine);
+    if (decode != this->engines.end())
+        decode->second.forecast.reset();
+}
+
 void CellScheduler::remove_granted(std::string request, MonotonicTime now)
 {
     // NOTE: The name is copied because the caller's reference may point into the node that is erased.
--- a/Libraries/LibDecision/CellScheduler.h
+++ b/Libraries/LibDecision/CellScheduler.h
@@ -340,9 +340,9 @@
     void end_move(std::string_view request, MoveEnd end, std::string_view target, MonotonicTime now, AskIdentity const& identity = {});
     void progress(std::string_view request, GrantProgress progress, MonotonicTime now, AskIdentity const& identity = {});
     /// Restores a grant of an earlier keeper as reported by its origin, replacing a grant adopted from an engine
-    /// report, or an earlier grant of the same origin whose release was lost. For a known grant this only
-    /// confirms that it is still in use. The age is the time since the last progress. Names the engine that the request is
-    /// moving to, if any.
+    /// report, or an earlier grant of the same origin whose release was lost. For a known grant this confirms that it is still
+    /// in use, and brings it up to the reported progress. The age is the time since the last progress. Names the engine that
+    /// the request is moving to, if any.
     void restore(PlacementAsk ask, std::string_view prefill_engine, std::string_view decode_engine, GrantProgress progress, Duration age, MonotonicTime now, std::string_view moves_to = {});
     /// Records that the engine has cached the prompts with these session parts.
     void note_cached(std::string_view engine, std::span<std::string const> own_parts, MonotonicTime now);
@@ -575,6 +575,8 @@
     void remove_granted(std::string request, MonotonicTime now);
     /// Removes the grant of an earlier ask if the origin says that it holds nothing any more.
     void remove_superseded(PlacementAsk const& ask, MonotonicTime now);
+    /// Brings a known grant up to the progress that its origin reports with a renewal.
+    void reconcile_progress(Granted& granted, GrantProgress progress, Duration age, MonotonicTime now);
     void adopt(Engine& engine, HeldWork const& held, MonotonicTime now);
     void remove_unreported(Engine const& engine, EngineReport const& report, MonotonicTime now);
     /// Whether the engine failed and has not served a request successfully since.
--- a/Libraries/LibDecision/CellSchedulerMigration.cpp
+++ b/Libraries/LibDecision/CellSchedulerMigration.cpp
@@ -137,8 +137,12 @@
         this->end_move(request, MoveEnd::Moved, decode_engine, now);
         return;
     }
-    if (!granted.moves_to.empty() && moves_to.empty() && now - granted.move_granted_at > this->options.grant_lease)
-        this->end_move(request, MoveEnd::Abandoned, {}, now);
+    bool const is_outdated = granted.moves_to.empty() || now - granted.move_granted_at > this->options.grant_lease;
+    if (granted.moves_to == moves_to || !is_outdated)
+        return;
+    this->free_slot(std::exchange(granted.moves_to, {}), request);
+    this->start_move(granted, moves_to, now);
+    this->schedule(now);
 }
 
 }
--- a/Tests/LibDecision/TestCellScheduler.cpp
+++ b/Tests/LibDecision/TestCellScheduler.cpp
@@ -71,11 +71,11 @@
     }
 
     /// The request's VM reports the grant that it holds at d0, whose phase began so long ago.
-    void renew(std::string request, std::int64_t now_milliseconds, Duration age, std::uint64_t number = 0)
+    void renew(std::string request, std::int64_t now_milliseconds, Duration age, std::uint64_t number = 0, GrantProgress progress = GrantProgress::Decoding)
     {
         auto ask = make_ask(std::move(request), 100, "a");
         ask.number = number;
-        this->scheduler.restore(std::move(ask), "p0", "d0", GrantProgress::Decoding, age, at_milliseconds(now_milliseconds));
+        this->scheduler.restore(std::move(ask), "p0", "d0", progress, age, at_milliseconds(now_milliseconds));
     }
 
     CellScheduler scheduler;
@@ -436,6 +436,27 @@
     CHECK(cell.decisions().empty());
 }
 
+// Guards against a prefill engine that is taken for busy, and requests that are refused for it: another VM was the keeper while the
+// origin reported the progress.
+TEST_CASE("A keeper learns from a renewal how far a grant has come in the meantime", "[held]")
+{
+    Cell cell(1, 1, 2);
+    cell.ask("r1", 0, 9000);
+    cell.scheduler.progress("r1", GrantProgress::Prefilling, at_milliseconds(10));
+    cell.decisions();
+    cell.renew("r1", 300, milliseconds(50));
+    cell.ask("r2", 310, 3000);
+    CHECK(cell.decisions() == Texts { "grant r2 p0 d0" });
+    SECTION("and not from a renewal that is delayed")
+    {
+        cell.scheduler.progress("r2", GrantProgress::CacheHeld, at_milliseconds(600));
+        cell.renew("r2", 610, milliseconds(100), 0, GrantProgress::Prefilling);
+        cell.scheduler.release("r1", 100, at_milliseconds(620));
+        cell.ask("r3", 630, 3000);
+        CHECK(cell.decisions() == Texts { "grant r3 p0 d0" });
+    }
+}
+
 // Guards against a request that is refused as a duplicate of itself when it is placed again.
 TEST_CASE("The next ask of a request frees the grant whose release was lost", "[held][cut]")
 {
--- a/Tests/LibDecision/TestMovePlacement.cpp
+++ b/Tests/LibDecision/TestMovePlacement.cpp
@@ -181,6 +181,26 @@
     }
 }
 
+// Guards against memory that is promised twice at the target of a move that another VM granted while it was the keeper.
+TEST_CASE("A keeper learns from the renewal of a grant that it knows where the request is moving to")
+{
+    MoveCell cell;
+    cell.scheduler.restore(MoveCell::make_ask("r1"), "", "d0", GrantProgress::Decoding, milliseconds(100), at_milliseconds(600), "d1");
+    CHECK(cell.work_of("d0") == 1);
+    CHECK(cell.work_of("d1") == 1);
+    cell.scheduler.restore(MoveCell::make_ask("r1"), "", "d1", GrantProgress::Decoding, milliseconds(100), at_milliseconds(700));
+    CHECK(cell.work_of("d0") == 0);
+    CHECK(cell.work_of("d1") == 1);
+    SECTION("a request that it knows as not begun")
+    {
+        REQUIRE(cell.decide(MoveCell::make_ask("r2"), 800) == "d0/p");
+        cell.scheduler.restore(MoveCell::make_ask("r2"), "", "d1", GrantProgress::Decoding, milliseconds(100), at_milliseconds(1600));
+        CHECK(cell.work_of("p") == 0);
+        CHECK(cell.work_of("d0") == 0);
+        CHECK(cell.work_of("d1") == 2);
+    }
+}
+
 TEST_CASE("A move is refused at once if no engine has capacity or none would finish earlier")
 {
     MoveCell cell;
