RelayProtocol: Ask a relaying VM for a new connection where one is needed

A plain request that was refused goes to the same upstream again on a new connection, on which no late copy of the refusal can arrive. Through a relaying VM it still got one that had rested there: the request to relay can only say "any" or "recent".

A field of its own asks for the new connection. VMs of the version before refuse a third value of the present field, and pass over one that they do not know; they use a connection that rested briefly, as before.

The way through two VMs was not played.

--- a/Libraries/LibRouter/RelayProtocol.cpp
+++ b/Libraries/LibRouter/RelayProtocol.cpp
@@ -14,6 +14,8 @@
 constexpr std::string_view UPSTREAM = "Spurtide-Relay-Upstream";
 constexpr std::string_view TIME_LEFT = "Spurtide-Relay-Time-Left-Ms";
 constexpr std::string_view FRESHNESS = "Spurtide-Relay-Connection";
+/// VMs of earlier versions do not read it, and refuse a third value of the field above.
+constexpr std::string_view NEW_CONNECTION = "Spurtide-Relay-New-Connection";
 constexpr std::string_view EXPECTED_BODY = "Spurtide-Relay-Response-Body";
 constexpr std::string_view WHEN_UNREACHABLE = "Spurtide-Relay-When-Unreachable";
 constexpr std::string_view ABANDON_AFTER = "Spurtide-Relay-Abandon-After-Ms";
@@ -66,6 +68,8 @@
     head.headers.add(UPSTREAM, send.upstream);
     head.headers.add(TIME_LEFT, std::to_string(std::max<std::int64_t>(0, to_milliseconds(send.time_left))));
     head.headers.add(FRESHNESS, send.freshness == ConnectionPool::Freshness::Any ? "any" : "recent");
+    if (send.freshness == ConnectionPool::Freshness::New)
+        head.headers.add(NEW_CONNECTION, "yes");
     head.headers.add(EXPECTED_BODY, send.expected_body == MessageParser::ExpectedBody::None ? "none" : "as-framed");
     head.headers.add(WHEN_UNREACHABLE, send.abandon_after ? "abort" : "wait");
     if (send.abandon_after)
@@ -90,6 +94,8 @@
     send.time_left = milliseconds(*time);
     if (TRY(read_choice(head, FRESHNESS, "recent", "any")))
         send.freshness = ConnectionPool::Freshness::Recent;
+    if (head.headers.find(NEW_CONNECTION) == "yes")
+        send.freshness = ConnectionPool::Freshness::New;
     if (TRY(read_choice(head, EXPECTED_BODY, "none", "as-framed")))
         send.expected_body = MessageParser::ExpectedBody::None;
     if (TRY(read_choice(head, WHEN_UNREACHABLE, "abort", "wait")))
