--- a/Libraries/LibDecision/CellScheduler.cpp
+++ b/Libraries/LibDecision/CellScheduler.cpp
@@ -352,6 +352,7 @@
         this->ask_for_move(std::move(ask), now);
         return;
     }
+    this->remove_superseded(ask, now);
     auto const same_request = [&](auto const& other) { return other.request == ask.request; };
     if (this->granted.contains(ask.request) || std::any_of(this->waiting.begin(), this->waiting.end(), same_request)) {
         this->refuse(ask, RefusalReason::Duplicate, MINIMUM_RETRY_AFTER, now);
@@ -412,10 +413,10 @@
     ask.decide_by = ask.late_deadline;
 }
 
-void CellScheduler::progress(std::string_view request, GrantProgress progress, MonotonicTime now)
+void CellScheduler::progress(std::string_view request, GrantProgress progress, MonotonicTime now, AskIdentity const& identity)
 {
     auto const found = this->granted.find(request);
-    if (found == this->granted.end())
+    if (found == this->granted.end() || !found->second.ask.identity().matches(identity))
         return;
     auto& granted = found->second;
     granted.is_confirmed = true;
@@ -464,11 +465,22 @@
 void CellScheduler::restore(PlacementAsk ask, std::string_view prefill_engine, std::string_view decode_engine, GrantProgress progress, Duration age, MonotonicTime now, std::string_view moves_to)
 {
     auto const decode = this->engines.find(decode_engine);
-    auto const known = this->granted.find(ask.request);
+    auto known = this->granted.find(ask.request);
+    bool const is_other_grant = known != this->granted.end() && known->second.ask.origin == ask.origin && !known->second.ask.identity().matches(ask.identity());
+    if (is_other_grant) {
+        bool const is_delayed_record = ask.number < known->second.ask.number;
+        if (is_delayed_record)
+            return;
+        // The release of the earlier grant was lost.
+        this->remove_granted(ask.request, now);
+        this->released.erase(ask.request);
+        known = this->granted.end();
+    }
     bool const is_known = known != this->granted.end() && !known->second.adopted;
     if (is_known) {
         known->second.last_seen = now;
         known->second.is_confirmed = true;
+        this->reconcile_progress(known->second, progress, age, now);
         this->reconcile_move(known->second, decode_engine, moves_to, now);
     }
     auto const released = this->released.find(ask.request);
@@ -506,12 +518,11 @@
         this->cached.insert_or_assign(part, CachedPrompt { std::string(engine), now });
 }
 
-void CellScheduler::release(std::string_view request, std::int64_t output_tokens, MonotonicTime now)
+void CellScheduler::release(std::string_view request, std::int64_t output_tokens, MonotonicTime now, AskIdentity const& identity)
 {
-    auto const same_request = [&](auto const& ask) { return ask.request == request; };
-    this->waiting.erase(std::remove_if(this->waiting.begin(), this->waiting.end(), same_request), this->waiting.end());
+    std::erase_if(this->waiting, [&](auto const& ask) { return ask.request == request && ask.identity().matches(identity); });
     auto const found = this->granted.find(request);
-    if (found != this->granted.end()) {
+    if (found != this->granted.end() && found->second.ask.identity().matches(identity)) {
         if (output_tokens > 0)
             this->output_estimate(found->second.ask.model).add(static_cast<double>(output_tokens));
         this->update_step_time(found->second, output_tokens, now);
@@ -520,6 +531,39 @@
     this->schedule(now);
 }
 
+void CellScheduler::remove_superseded(PlacementAsk const& ask, MonotonicTime now)
+{
+    auto const is_superseded = [&](PlacementAsk const& earlier) {
+        auto const& numbers = ask.released_numbers;
+        return earlier.request == ask.request && earlier.origin == ask.origin && std::find(numbers.begin(), numbers.end(), earlier.number) != numbers.end();
+    };
+    std::erase_if(this->waiting, is_superseded);
+    auto const found = this->granted.find(ask.request);
+    if (found != this->granted.end() && is_superseded(found->second.ask))
+        this->remove_granted(ask.request, now);
+}
+
+// Renewals repeat what this keeper was not told, as another VM was the keeper at the time, or the report was lost. How long the
+// phase took is not measured, as the renewal is late.
+void CellScheduler::reconcile_progress(Granted& granted, GrantProgress progress, Duration age, MonotonicTime now)
+{
+    if (progress <= granted.phase)
+        return;
+    bool const has_prefilled = progress == GrantProgress::Decoding || !granted.prefill_engine.empty();
+    if (has_prefilled) {
+        this->end_prefill(granted.prefilling_engine(), granted.ask.request, now);
+        this->note_success(granted.prefilling_engine());
+    }
+    if (progress == GrantProgress::Decoding) {
+        granted.decode_from = now - age;
+        this->note_success(granted.decode_engine);
+    }
+    granted.phase = progress;
+    auto const decode = this->engines.find(granted.decode_engine);
+    if (decode != this->engines.end())
+        decode->second.forecast.reset();
+}
+
 void CellScheduler::remove_granted(std::string request, MonotonicTime now)
 {
     // NOTE: The name is copied because the caller's reference may point into the node that is erased.
--- a/Libraries/LibDecision/CellSchedulerMigration.cpp
+++ b/Libraries/LibDecision/CellSchedulerMigration.cpp
@@ -13,7 +13,9 @@
 void CellScheduler::ask_for_move(PlacementAsk ask, MonotonicTime now)
 {
     // A keeper that is new, or that was asked because the first did not reply, may not know the grant yet.
-    if (!this->granted.contains(ask.request) && !this->released.contains(ask.request)) {
+    auto const known = this->granted.find(ask.request);
+    bool const is_known = known != this->granted.end() && known->second.ask.identity().matches(ask.identity());
+    if (!is_known && !this->released.contains(ask.request)) {
         auto running_ask = ask;
         running_ask.migrates_from.clear();
         this->restore(std::move(running_ask), {}, ask.migrates_from, GrantProgress::Decoding, Duration::zero(), now);
@@ -94,10 +96,10 @@
     this->hold_slot(engine->second, granted.ask.request);
 }
 
-void CellScheduler::end_move(std::string_view request, MoveEnd end, std::string_view target, MonotonicTime now)
+void CellScheduler::end_move(std::string_view request, MoveEnd end, std::string_view target, MonotonicTime now, AskIdentity const& identity)
 {
     auto const found = this->granted.find(request);
-    if (found == this->granted.end())
+    if (found == this->granted.end() || !found->second.ask.identity().matches(identity))
         return;
     auto& granted = found->second;
     granted.last_seen = now;
@@ -135,8 +137,12 @@
         this->end_move(request, MoveEnd::Moved, decode_engine, now);
         return;
     }
-    if (!granted.moves_to.empty() && moves_to.empty() && now - granted.move_granted_at > this->options.grant_lease)
-        this->end_move(request, MoveEnd::Abandoned, {}, now);
+    bool const is_outdated = granted.moves_to.empty() || now - granted.move_granted_at > this->options.grant_lease;
+    if (granted.moves_to == moves_to || !is_outdated)
+        return;
+    this->free_slot(std::exchange(granted.moves_to, {}), request);
+    this->start_move(granted, moves_to, now);
+    this->schedule(now);
 }
 
 }
--- a/Libraries/LibRouter/PlacementClient.cpp
+++ b/Libraries/LibRouter/PlacementClient.cpp
@@ -16,16 +16,20 @@
 constexpr std::string_view CELL = "engines";
 /// The keeper and its successor in the ranking; after them, this VM decides for itself.
 constexpr std::size_t MAXIMUM_REMOTE_KEEPERS = 2;
+/// Longer than a keeper holds a grant that is not renewed.
+constexpr Duration UNRENEWED_GRANT_RETENTION = seconds(5);
 
 CallerAttempt visit_from_message(bool is_return) { return is_return ? CallerAttempt::Retry : CallerAttempt::First; }
 
 /// If the caller turns out to be returning, the decision may take until the deadline for a late first token.
 Duration longest_decision_time(PlacementClient::AskTimes const& times) { return std::max(times.decide_within, times.late_within); }
 
-wire::Envelope release_message(std::string const& request, std::int64_t output_tokens, PlacementClient::EngineFaults const& faults)
+wire::Envelope release_message(std::string const& request, AskIdentity const& identity, std::int64_t output_tokens, PlacementClient::EngineFaults const& faults)
 {
     auto envelope = message_to(PLACEMENT_SERVICE);
     envelope.mutable_release()->set_request(request);
+    envelope.mutable_release()->set_origin(identity.origin);
+    envelope.mutable_release()->set_number(identity.number);
     envelope.mutable_release()->set_output_tokens(output_tokens);
     envelope.mutable_release()->set_failed_engine(faults.failed_engine);
     for (auto const& engine : faults.refusing_engines)
@@ -33,11 +37,19 @@
     return envelope;
 }
 
-wire::Envelope move_end_message(std::string const& request, MoveEnd end, std::string const& target)
+wire::Envelope progress_message(std::string const& request, AskIdentity const& identity, GrantProgress progress)
 {
     auto envelope = message_to(PLACEMENT_SERVICE);
     envelope.mutable_progress()->set_request(request);
-    envelope.mutable_progress()->set_progress(wire::GRANT_PROGRESS_DECODING);
+    envelope.mutable_progress()->set_origin(identity.origin);
+    envelope.mutable_progress()->set_number(identity.number);
+    envelope.mutable_progress()->set_progress(wire_progress(progress));
+    return envelope;
+}
+
+wire::Envelope move_end_message(std::string const& request, AskIdentity const& identity, MoveEnd end, std::string const& target)
+{
+    auto envelope = progress_message(request, identity, GrantProgress::Decoding);
     envelope.mutable_progress()->set_move_end(wire_move_end(end));
     envelope.mutable_progress()->set_moved_to(target);
     return envelope;
@@ -60,7 +72,10 @@
 
 void PlacementClient::start()
 {
-    this->kernel.every(this->options.renewal_interval, [this] { this->renew_grants(); });
+    this->kernel.every(this->options.renewal_interval, [this] {
+        this->renew_grants();
+        this->forget_old_releases(monotonic_now());
+    });
     this->kernel.every(this->options.keeper_check_interval, [this] { this->check_for_keeper_change(); });
 }
 
@@ -88,6 +103,9 @@
     message->set_software_version(ask.software_version);
     message->set_finish_within_microseconds(microseconds_until(ask.finish_by, monotonic_now()));
     message->set_migrates_from(ask.migrates_from);
+    message->set_number(ask.number);
+    for (auto const number : ask.released_numbers)
+        message->add_released_numbers(number);
     for (auto const& engine : ask.excluded_engines)
         message->add_excluded_engines(engine);
     for (auto const& data_centre : ask.excluded_data_centres)
@@ -98,6 +116,11 @@
 asio::awaitable<std::optional<PlacementDecision>> PlacementClient::ask(PlacementAsk ask, std::shared_ptr<PendingAsk> pending, AskTimes const& times)
 {
     auto const started = monotonic_now();
+    bool const is_move = !ask.migrates_from.empty();
+    if (auto const released = this->released_asks.find(ask.request); released != this->released_asks.end()) {
+        for (auto const& earlier : released->second)
+            ask.released_numbers.push_back(earlier.number);
+    }
     this->check_for_keeper_change();
     auto names = this->keepers.ranked_names(CELL);
     names.resize(std::min(names.size(), MAXIMUM_REMOTE_KEEPERS));
@@ -109,11 +132,15 @@
     for (auto const& name : names) {
         auto const endpoint = this->keepers.endpoint_of(name);
         auto const elapsed = std::chrono::duration_cast<Duration>(monotonic_now() - started);
+        auto const held_before = this->held_grants.find(ask.request);
+        // A move extends the grant that the request holds. A VM that did not reply may grant its ask later, beside that of the next one.
+        ask.number = is_move && held_before != this->held_grants.end() ? held_before->second.ask.number : ++this->last_number;
+        auto const identity = this->identity_of(ask);
         auto const message = this->ask_message(ask, times, elapsed);
         pending->reply.reset();
         // Whatever it decides, a VM that is asked to move a request learns of the grant that the request holds.
-        if (auto const held = this->held_grants.find(ask.request); held != this->held_grants.end())
-            held->second.keepers.insert(endpoint);
+        if (held_before != this->held_grants.end())
+            held_before->second.keepers.insert(endpoint);
         this->kernel.request(endpoint, message, { longest_decision_time(times) + this->options.reply_slack, this->options.silence }, [pending](WireReply reply) {
             pending->reply = std::move(reply);
             pending->signal.notify();
@@ -122,7 +149,9 @@
             co_await pending->signal.wait();
         if (pending->is_given_up || pending->reply->is_error()) {
             // Release a grant that is still to come, or whose reply was lost. A request that runs keeps its first one.
-            this->kernel.notify(endpoint, ask.migrates_from.empty() ? release_message(ask.request, 0, {}) : move_end_message(ask.request, MoveEnd::Abandoned, {}));
+            this->kernel.notify(endpoint, is_move ? move_end_message(ask.request, identity, MoveEnd::Abandoned, {}) : release_message(ask.request, identity, 0, {}));
+            if (!is_move)
+                this->note_released(ask.request, ask.number);
         }
         if (pending->is_given_up)
             co_return std::nullopt;
@@ -138,7 +167,7 @@
             grant.prefill_engine = reply.placement_grant().prefill_engine();
             grant.decode_engine = reply.placement_grant().decode_engine();
             grant.caller_attempt = visit_from_message(reply.placement_grant().is_return());
-            if (!ask.migrates_from.empty()) {
+            if (is_move) {
                 auto const held = this->held_grants.find(ask.request);
                 if (held != this->held_grants.end())
                     held->second.moves_to = grant.decode_engine;
@@ -169,10 +198,7 @@
         return;
     found->second.phase = progress;
     found->second.since = monotonic_now();
-    auto envelope = message_to(PLACEMENT_SERVICE);
-    envelope.mutable_progress()->set_request(request);
-    envelope.mutable_progress()->set_progress(wire_progress(progress));
-    this->send(std::move(envelope));
+    this->send(progress_message(request, this->identity_of(found->second.ask), progress));
 }
 
 void PlacementClient::end_move(std::string const& request, MoveEnd end)
@@ -185,7 +211,7 @@
         found->second.grant.decode_engine = target;
         found->second.grant.prefill_engine.clear();
     }
-    this->send(move_end_message(request, end, target));
+    this->send(move_end_message(request, this->identity_of(found->second.ask), end, target));
 }
 
 void PlacementClient::release(std::string const& request, std::int64_t output_tokens, EngineFaults const& faults)
@@ -194,14 +220,27 @@
     if (found == this->held_grants.end())
         return;
     auto keepers = std::move(found->second.keepers);
+    auto const message = release_message(request, this->identity_of(found->second.ask), output_tokens, faults);
+    this->note_released(request, found->second.ask.number);
     this->held_grants.erase(found);
     keepers.insert(this->current_keeper());
-    auto const message = release_message(request, output_tokens, faults);
     // A VM that still held the grant would refuse a later ask of the same request as a duplicate.
     for (auto const& keeper : keepers)
         this->kernel.notify(keeper, message);
 }
 
+void PlacementClient::note_released(std::string const& request, std::uint64_t number)
+{
+    this->released_asks[request].push_back({ number, monotonic_now() });
+}
+
+void PlacementClient::forget_old_releases(MonotonicTime now)
+{
+    for (auto& [request, asks] : this->released_asks)
+        std::erase_if(asks, [&](auto const& ask) { return now - ask.when > UNRENEWED_GRANT_RETENTION; });
+    std::erase_if(this->released_asks, [](auto const& entry) { return entry.second.empty(); });
+}
+
 // A new keeper has no record of the grants. Until it learns of them, it would assign the same memory twice.
 void PlacementClient::check_for_keeper_change()
 {
@@ -236,6 +275,7 @@
         record->set_own_part(held_grant.ask.own_part);
         record->set_finish_within_microseconds(microseconds_until(held_grant.ask.finish_by, now));
         record->set_moves_to(held_grant.moves_to);
+        record->set_number(held_grant.ask.number);
         record->set_progress(wire_progress(held_grant.phase));
         record->set_age_microseconds(std::chrono::duration_cast<Duration>(now - held_grant.since).count());
     }
--- a/Tests/LibDecision/TestCellScheduler.cpp
+++ b/Tests/LibDecision/TestCellScheduler.cpp
@@ -59,10 +59,23 @@
         this->scheduler.progress(request, GrantProgress::Decoding, at_milliseconds(now_milliseconds));
     }
 
+    /// An ask that has a number, after others of the same request that were released.
+    void ask_numbered(std::string request, std::int64_t now_milliseconds, std::uint64_t number, std::vector<std::uint64_t> released = {}, std::string origin = "entry-1")
+    {
+        auto ask = make_ask(std::move(request), 100, "a");
+        ask.first_token_deadline = at_milliseconds(now_milliseconds + 950);
+        ask.origin = std::move(origin);
+        ask.number = number;
+        ask.released_numbers = std::move(released);
+        this->scheduler.ask(std::move(ask), at_milliseconds(now_milliseconds));
+    }
+
     /// The request's VM reports the grant that it holds at d0, whose phase began so long ago.
-    void renew(std::string request, std::int64_t now_milliseconds, Duration age)
+    void renew(std::string request, std::int64_t now_milliseconds, Duration age, std::uint64_t number = 0, GrantProgress progress = GrantProgress::Decoding)
     {
-        this->scheduler.restore(make_ask(std::move(request), 100, "a"), "p0", "d0", GrantProgress::Decoding, age, at_milliseconds(now_milliseconds));
+        auto ask = make_ask(std::move(request), 100, "a");
+        ask.number = number;
+        this->scheduler.restore(std::move(ask), "p0", "d0", progress, age, at_milliseconds(now_milliseconds));
     }
 
     CellScheduler scheduler;
@@ -423,6 +436,76 @@
     CHECK(cell.decisions().empty());
 }
 
+// Guards against a prefill engine that is taken for busy, and requests that are refused for it: another VM was the keeper while the
+// origin reported the progress.
+TEST_CASE("A keeper learns from a renewal how far a grant has come in the meantime", "[held]")
+{
+    Cell cell(1, 1, 2);
+    cell.ask("r1", 0, 9000);
+    cell.scheduler.progress("r1", GrantProgress::Prefilling, at_milliseconds(10));
+    cell.decisions();
+    cell.renew("r1", 300, milliseconds(50));
+    cell.ask("r2", 310, 3000);
+    CHECK(cell.decisions() == Texts { "grant r2 p0 d0" });
+    SECTION("and not from a renewal that is delayed")
+    {
+        cell.scheduler.progress("r2", GrantProgress::CacheHeld, at_milliseconds(600));
+        cell.renew("r2", 610, milliseconds(100), 0, GrantProgress::Prefilling);
+        cell.scheduler.release("r1", 100, at_milliseconds(620));
+        cell.ask("r3", 630, 3000);
+        CHECK(cell.decisions() == Texts { "grant r3 p0 d0" });
+    }
+}
+
+// Guards against a request that is refused as a duplicate of itself when it is placed again.
+TEST_CASE("The next ask of a request frees the grant whose release was lost", "[held][cut]")
+{
+    Cell cell(1, 1, 1);
+    cell.ask_numbered("r1", 0, 1);
+    REQUIRE(cell.decisions() == Texts { "grant r1 p0 d0" });
+    SECTION("granted")
+    {
+        cell.ask_numbered("r1", 100, 2, { 1 });
+        CHECK(cell.decisions() == Texts { "grant r1 p0 d0" });
+    }
+    SECTION("waiting")
+    {
+        cell.ask_numbered("r2", 50, 2);
+        REQUIRE(cell.decisions().empty());
+        cell.ask_numbered("r2", 100, 3, { 2 });
+        REQUIRE(cell.decisions().empty());
+        cell.scheduler.release("r1", 0, at_milliseconds(110));
+        CHECK(cell.decisions() == Texts { "grant r2 p0 d0" });
+    }
+    SECTION("another request of the same name keeps its grant")
+    {
+        cell.ask_numbered("r1", 100, 2);
+        CHECK(cell.decisions() == Texts { "refuse r1 duplicate" });
+        cell.ask_numbered("r1", 110, 2, { 1 }, "entry-2");
+        CHECK(cell.decisions() == Texts { "refuse r1 duplicate" });
+        cell.ask_numbered("r1", 120, 4, { 3 });
+        CHECK(cell.decisions() == Texts { "refuse r1 duplicate" });
+    }
+}
+
+TEST_CASE("The renewal of a later grant replaces the earlier one whose release was lost", "[held][cut]")
+{
+    Cell cell(1, 2, 1);
+    cell.ask_numbered("r1", 0, 1);
+    cell.ask_numbered("r2", 0, 2);
+    REQUIRE(cell.decisions() == Texts { "grant r1 p0 d0", "grant r2 p0 d1" });
+    // The second request was placed again by another VM, at d0.
+    cell.scheduler.release("r1", 0, at_milliseconds(100));
+    cell.renew("r2", 150, milliseconds(20), 3);
+    CHECK(cell.scheduler.locate("r2")->decode_engine == "d0");
+    cell.ask("r3", 160, 100);
+    CHECK(cell.decisions() == Texts { "grant r3 p0 d1" });
+    // A record of the earlier grant is delayed.
+    cell.renew("r2", 170, milliseconds(160), 2);
+    cell.scheduler.release("r2", 0, at_milliseconds(180), { "entry-1", 3 });
+    CHECK_FALSE(cell.scheduler.knows("r2"));
+}
+
 TEST_CASE("An unconfirmed grant is withdrawn after its lease", "[held][lapsed-lease]")
 {
     Cell cell(1, 1, 1);
