--- a/Tests/Platform/TestRequestMemory.cpp
+++ b/Tests/Platform/TestRequestMemory.cpp
@@ -29,8 +29,13 @@
     test.configure(1);
     UpstreamStandIn upstream(test.loop, "i-1");
     test.list(upstream, "plain");
-    auto large = test.request("POST", "/once/x", "large");
-    large.body = std::string(LARGE_BODY_BYTES, 'x');
+    auto const request_with_body = [&](std::string const& identifier, std::size_t size) {
+        auto request = test.request("POST", "/once/x", identifier);
+        request.head.headers.add("Content-Length", std::to_string(size));
+        request.body = std::string(size, 'x');
+        return request;
+    };
+    auto const large = request_with_body("large", LARGE_BODY_BYTES);
     {
         auto const held = reserve_half();
         auto const refused = test.call(large);
@@ -38,9 +43,7 @@
         CHECK(refused.head.status == 503);
         CHECK(refused.head.headers.find("Retry-After") == "1");
         CHECK(refused.head.headers.find("X-Spurtide-Attempt-Id") == "large");
-        auto small = test.request("POST", "/once/x", "small");
-        small.body = std::string(10'000, 'x');
-        CHECK(test.call(small).head.status == 200);
+        CHECK(test.call(request_with_body("small", 10'000)).head.status == 200);
     }
     CHECK(upstream.run == std::vector<std::string> { "small" });
     CHECK(test.call(large).head.status == 200);
