--- a/Libraries/LibAsync/MessageParser.cpp
+++ b/Libraries/LibAsync/MessageParser.cpp
@@ -11,6 +11,9 @@
 constexpr int SKIP_BODY = 1;
 constexpr int STOP = -1;
 
+/// A field takes more memory than the few bytes that announce it.
+constexpr std::size_t MAXIMUM_FIELDS = 128;
+
 /// The library lets blanks in a field's name pass, and what comes behind could then read the name otherwise.
 bool is_token(std::string_view text)
 {
@@ -50,6 +53,7 @@
     this->message_complete = false;
     this->keep_alive = false;
     this->head_bytes = 0;
+    this->has_too_many_fields = false;
     this->announced_size.reset();
     this->body.clear();
 }
@@ -92,7 +96,12 @@
     // Fields behind a chunked body are trailers, which nobody here uses.
     if (this->head_complete)
         return 0;
-    if (this->value_follows || this->headers.all().empty())
+    bool const begins = this->value_follows || this->headers.all().empty();
+    if (begins && this->headers.all().size() >= MAXIMUM_FIELDS) {
+        this->has_too_many_fields = true;
+        return STOP;
+    }
+    if (begins)
         this->headers.add("", "");
     this->value_follows = false;
     this->headers.all().back().name += bytes;
@@ -135,7 +144,7 @@
     auto const error = HTTP_PARSER_ERRNO(&this->parser);
     if (!had_head) {
         this->head_bytes += consumed - std::min(consumed, this->body.size());
-        if (this->head_bytes > this->maximum_head || error == HPE_HEADER_OVERFLOW)
+        if (this->head_bytes > this->maximum_head || error == HPE_HEADER_OVERFLOW || this->has_too_many_fields)
             return Failure { HttpError::HeadTooLarge };
     }
     if (this->message_complete)
--- a/Libraries/LibAsync/MessageParser.h
+++ b/Libraries/LibAsync/MessageParser.h
@@ -78,6 +78,7 @@
     bool message_complete = false;
     bool keep_alive = false;
     std::size_t head_bytes = 0;
+    bool has_too_many_fields = false;
     std::optional<std::uint64_t> announced_size;
     std::size_t maximum_head = 16UL * 1024;
     std::string body;
--- a/Tests/LibAsync/TestMessageParser.cpp
+++ b/Tests/LibAsync/TestMessageParser.cpp
@@ -84,6 +84,21 @@
     REQUIRE(parse_request("POST / HTTP/1.1\r\nContent-Length: 20000\r\n\r\n" + std::string(20'000, 'x'), 50'000).complete);
 }
 
+// Guards against heads of thousands of short fields, which take twenty times the memory of their bytes.
+TEST_CASE("A head of more fields than any sound peer sends is refused")
+{
+    auto const head_of = [](int fields) {
+        std::string head = "GET / HTTP/1.1\r\nHost: h\r\n";
+        for (int i = 1; i < fields; ++i)
+            head += "a:b\r\n";
+        return head + "\r\n";
+    };
+    CHECK(parse_request(head_of(128), 64).complete);
+    auto const parsed = parse_request(head_of(129), 64);
+    REQUIRE(parsed.error);
+    CHECK(*parsed.error == HttpError::HeadTooLarge);
+}
+
 TEST_CASE("The end of the connection ends only an answer that is framed by it", "[whole]")
 {
     struct Case {
