BufferMemory: Leave read-ahead a quarter of the memory, and control responses all of it

Bytes that callers send ahead counted as small reservations and could take the whole limit: bodies were then refused, and responses of requests that had run failed.

--- a/Libraries/LibAsync/BufferMemory.cpp
+++ b/Libraries/LibAsync/BufferMemory.cpp
@@ -16,6 +16,10 @@
 {
     bool const is_new_work = kind == Kind::RequestBodies || kind == Kind::RelayedBodies;
     auto const eighth = this->limit_bytes / 8;
+    if (kind == Kind::ReadAhead)
+        return 2 * eighth;
+    if (kind == Kind::ControlResponses)
+        return this->limit_bytes;
     if (size <= SMALL_BYTES)
         return is_new_work ? 7 * eighth : this->limit_bytes;
     return is_new_work ? 4 * eighth : 6 * eighth;
@@ -37,7 +41,7 @@
 
 std::string_view to_string(BufferMemory::Kind kind)
 {
-    constexpr std::array<std::string_view, BufferMemory::KIND_COUNT> NAMES = { "request_bodies", "relayed_bodies", "response_bodies", "withheld_events", "read_ahead" };
+    constexpr std::array<std::string_view, BufferMemory::KIND_COUNT> NAMES = { "request_bodies", "relayed_bodies", "response_bodies", "control_responses", "withheld_events", "read_ahead" };
     return NAMES.at(static_cast<std::size_t>(kind));
 }
 
--- a/Libraries/LibAsync/BufferMemory.h
+++ b/Libraries/LibAsync/BufferMemory.h
@@ -21,13 +21,15 @@
         RelayedBodies,
         /// Of responses that are read whole.
         ResponseBodies,
+        /// Responses to this process's own calls, such as those of the registry. Few run at a time, and each has a limit of its own.
+        ControlResponses,
         /// Events of streams that are not complete or must not be sent yet.
         WithheldEvents,
         /// What callers sent before the request that it belongs to is read.
         ReadAhead,
     };
-    static constexpr std::size_t KIND_COUNT = 5;
-    static constexpr std::array<Kind, KIND_COUNT> KINDS = { Kind::RequestBodies, Kind::RelayedBodies, Kind::ResponseBodies, Kind::WithheldEvents, Kind::ReadAhead };
+    static constexpr std::size_t KIND_COUNT = 6;
+    static constexpr std::array<Kind, KIND_COUNT> KINDS = { Kind::RequestBodies, Kind::RelayedBodies, Kind::ResponseBodies, Kind::ControlResponses, Kind::WithheldEvents, Kind::ReadAhead };
 
     static constexpr std::size_t DEFAULT_LIMIT_BYTES = 32UL * 1024 * 1024;
     /// A part of the limit is kept for reservations of this size or less, so that usual requests go on beside large ones.
--- a/Libraries/LibAsync/ConnectionPool.cpp
+++ b/Libraries/LibAsync/ConnectionPool.cpp
@@ -47,7 +47,7 @@
     }
     Answer answer;
     answer.head = head.release_value();
-    auto rest = co_await connection->read_body(options.largest_body);
+    auto rest = co_await connection->read_body(options.largest_body, BufferMemory::Kind::ControlResponses);
     if (rest.is_error())
         connection->abort();
     else
--- a/Libraries/LibAsync/HttpConnection.cpp
+++ b/Libraries/LibAsync/HttpConnection.cpp
@@ -14,6 +14,7 @@
 /// All reads of the one loop go through this; what is kept is copied out at once.
 std::array<char, 64UL * 1024> s_read_buffer;
 
+constexpr std::size_t KEPT_BUFFER_BYTES = 4UL * 1024;
 /// A faulty peer may never stop sending interim responses.
 constexpr std::size_t MAXIMUM_INTERIM_BYTES = 16UL * 1024;
 /// A response that was due before may come late, in the place of the one that is due now.
@@ -115,6 +116,9 @@
         return Done {};
     auto const consumed = TRY(this->parser.feed(this->unread));
     this->unread.erase(0, consumed);
+    // Connections that rest would keep what the largest response took.
+    if (this->unread.empty() && this->unread.capacity() > KEPT_BUFFER_BYTES)
+        this->unread = std::string();
     return Done {};
 }
 
@@ -180,12 +184,12 @@
     co_return this->parser.take_body();
 }
 
-asio::awaitable<Result<std::string, HttpError>> HttpConnection::read_body(std::size_t limit)
+asio::awaitable<Result<std::string, HttpError>> HttpConnection::read_body(std::size_t limit, BufferMemory::Kind kind)
 {
     if (this->parser.announced_body_size().value_or(0) > limit)
         co_return Failure { HttpError::BodyTooLarge };
     std::string body;
-    BufferReservation reservation(BufferMemory::Kind::ResponseBodies);
+    BufferReservation reservation(kind);
     while (true) {
         auto piece = co_await this->read_piece();
         if (piece.is_error())
--- a/Libraries/LibAsync/HttpConnection.h
+++ b/Libraries/LibAsync/HttpConnection.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <LibAsync/BufferMemory.h>
 #include <LibAsync/HttpError.h>
 #include <LibAsync/HttpMessage.h>
 #include <LibAsync/MessageParser.h>
@@ -43,7 +44,7 @@
     /// Waits for more of the body. An empty piece stands for its whole end.
     asio::awaitable<Result<std::string, HttpError>> read_piece();
     /// Reads what is left of the body, up to a limit and to what the BufferMemory has left. What exceeds one fails with BodyTooLarge.
-    asio::awaitable<Result<std::string, HttpError>> read_body(std::size_t limit);
+    asio::awaitable<Result<std::string, HttpError>> read_body(std::size_t limit, BufferMemory::Kind kind = BufferMemory::Kind::ResponseBodies);
 
     /// After this time the exchange ends with TimedOut.
     void set_deadline(MonotonicTime time);
--- a/Tests/LibAsync/TestBufferMemory.cpp
+++ b/Tests/LibAsync/TestBufferMemory.cpp
@@ -57,6 +57,20 @@
     CHECK(memory.used() == memory.limit());
 }
 
+// Guards against callers that send ahead and thereby take the memory of responses, and against a registry that can no longer be
+// read while the VM is under attack.
+TEST_CASE("Bytes sent ahead take a part of the memory only, and control responses may use all of it", "[buffer-memory]")
+{
+    LimitUnderTest const limit(16 * MEBIBYTE);
+    auto const& memory = BufferMemory::the();
+    auto const read_ahead = take_all(Kind::ReadAhead, BufferMemory::SMALL_BYTES);
+    CHECK(memory.used() == 4 * MEBIBYTE);
+    auto const responses = take_all(Kind::ResponseBodies, MEBIBYTE);
+    CHECK(responses.size() == 8);
+    CHECK(take_all(Kind::ResponseBodies, MEBIBYTE).empty());
+    CHECK(take_all(Kind::ControlResponses, MEBIBYTE).size() == 4);
+}
+
 // Guards against memory that stays charged after what it was for has gone, or is given back twice.
 TEST_CASE("A reservation counts what it holds and gives it back once", "[buffer-memory]")
 {
