--- a/Libraries/LibAsync/ServerConnection.cpp
+++ b/Libraries/LibAsync/ServerConnection.cpp
@@ -245,8 +245,13 @@
         // More may have come while the interim answer was sent.
         if (!this->unread.empty())
             continue;
-        if (this->server->refusal && this->parser.has_begun())
+        if (this->server->refusal && this->parser.has_begun()) {
+            // The rest may have arrived already.
+            static_cast<void>(this->read_what_is_there());
+            if (!this->unread.empty())
+                continue;
             co_return ReadEnd::Refused;
+        }
         auto const wake_up = has_head ? std::min(until, monotonic_now() + BODY_STALL_TIMEOUT) : until;
         auto const end = co_await this->arrived.wait_until(wake_up);
         if (!this->server)
