--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -775,6 +775,9 @@
     if (std::exchange(this->refuses_incomplete, true))
         return;
     this->callers->refuse_incomplete([this](auto const& head) { return this->request_router.refuse_incomplete(head); });
+    // The VM that asked for a relay learns that the request was not sent.
+    if (this->relay_server)
+        this->relay_server->refuse_incomplete([](auto const&) { return relay_outcome_head(RelayOutcome::Stopping); });
 }
 
 void Node::interrupt_requests()
--- a/Services/NodeServer/Node.h
+++ b/Services/NodeServer/Node.h
@@ -117,9 +117,9 @@
     void note_cut(MonotonicTime now);
     void note_partition(MonotonicTime now);
     void poll_stop();
-    /// Ends what still runs at the end of the grace time.
     /// Refuses the requests whose rest would come too late to be answered before the exit.
     void refuse_incomplete_requests();
+    /// Ends what still runs at the end of the grace time.
     void interrupt_requests();
     void exit_process(std::size_t interrupted);
 
