--- a/Libraries/LibRouter/PlacementClient.cpp
+++ b/Libraries/LibRouter/PlacementClient.cpp
@@ -18,6 +18,8 @@
 constexpr std::size_t MAXIMUM_REMOTE_KEEPERS = 2;
 /// Longer than a keeper holds a grant that is not renewed.
 constexpr Duration UNRENEWED_GRANT_RETENTION = seconds(5);
+/// Named in the next ask of a request.
+constexpr std::size_t MAXIMUM_RELEASED_ASKS = 16;
 
 CallerAttempt visit_from_message(bool is_return) { return is_return ? CallerAttempt::Retry : CallerAttempt::First; }
 
@@ -231,7 +233,11 @@
 
 void PlacementClient::note_released(std::string const& request, std::uint64_t number)
 {
-    this->released_asks[request].push_back({ number, monotonic_now() });
+    auto& released = this->released_asks[request];
+    // Callers choose the names of requests, and may use one again and again.
+    if (released.size() >= MAXIMUM_RELEASED_ASKS)
+        released.erase(released.begin());
+    released.push_back({ number, monotonic_now() });
 }
 
 void PlacementClient::forget_old_releases(MonotonicTime now)
