RoleController: Read an engine's status and send its order on new connections

Responses to the router's own calls name no request and are matched by place.

Both calls now take a new connection, on which no late response to an earlier call can arrive. A connection whose call was given up, or that brought a surplus response, is closed already (ConnectionPool::call, is_reusable, is_quiet). Orders are rare, so that the connections cost little; a new one is also not idle, which the order asked for before.

Calls that move a stream, and those that list cached prompts, still take connections that rested.

--- a/Libraries/LibRouter/RoleController.cpp
+++ b/Libraries/LibRouter/RoleController.cpp
@@ -182,6 +182,7 @@
 {
     HttpRequest request { this->state.dialect.engine_status_request_head(engine.address), {} };
     ConnectionPool::Call options;
+    options.freshness = ConnectionPool::Freshness::New;
     options.timeout = this->options.order_timeout;
     auto const answer = co_await call_upstream(this->state, engine, std::move(request), CallPurpose::NewWork, std::move(options));
     if (answer.is_error() || answer.value().head.status != 200 || !answer.value().body)
@@ -196,8 +197,7 @@
 asio::awaitable<int> RoleController::send_order(UpstreamRecord engine, RoleOrder order)
 {
     ConnectionPool::Call options;
-    // On a connection that was idle for long, the order could be delayed until after the lease has expired.
-    options.freshness = ConnectionPool::Freshness::Recent;
+    options.freshness = ConnectionPool::Freshness::New;
     options.timeout = this->options.order_timeout;
     options.may_send = [this] { return this->lease.is_held(monotonic_now()); };
     auto request = this->state.dialect.role_order_request(engine.address, order);
--- a/Libraries/LibRouter/UpstreamCall.h
+++ b/Libraries/LibRouter/UpstreamCall.h
@@ -35,7 +35,8 @@
 };
 
 /// Sends a request of the router itself to an upstream, unless there is an obstacle; the error is then HttpError::Aborted.
-/// Records what the upstream states about itself in the response.
+/// Records what the upstream states about itself in the response. Responses to these calls name no request, so that one whose response
+/// decides something has to take a new connection, on which no late response to another one can arrive.
 asio::awaitable<Result<ConnectionPool::Answer, HttpError>> call_upstream(RouterState& state, UpstreamRecord upstream, HttpRequest request, CallPurpose purpose, ConnectionPool::Call options);
 
 }
