LibAsync, NodeServer: Close idle connections of a stopping VM after an idle time

Callers that connected to a VM in a planned stop had their connection closed without an answer, though other callers of the same time got 503 with Retry-After. Nothing of their requests was passed on.

From 2.5 s after the SIGTERM on, each poll of the stop (50 ms) closed all connections without a request, new ones among them whose request was still on its way. They are now closed after 250 ms without a request; the process still exits as soon as none is left.

Evidence: "A new connection is not closed as idle before its request may have come" failed before: the connection ended without a byte.

--- a/Libraries/LibAsync/HttpServer.cpp
+++ b/Libraries/LibAsync/HttpServer.cpp
@@ -4,6 +4,7 @@
 #include <LibAsync/HttpServer.h>
 #include <LibAsync/ServerConnection.h>
 #include <LibAsync/Spawn.h>
+#include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
 #include <LibCore/MonotonicTimer.h>
 
@@ -128,11 +129,14 @@
         connection->recheck_request();
 }
 
-void HttpServer::close_idle()
+void HttpServer::close_idle(Duration idle_time)
 {
     auto const all = this->connections;
-    for (auto* connection : all)
-        connection->close_if_idle();
+    auto const now = monotonic_now();
+    for (auto* connection : all) {
+        if (now - connection->idle_since() >= idle_time)
+            connection->close_if_idle();
+    }
 }
 
 void HttpServer::abort_exchanges()
--- a/Libraries/LibAsync/HttpServer.h
+++ b/Libraries/LibAsync/HttpServer.h
@@ -59,8 +59,8 @@
     void close_after_answers() { this->closing = true; }
     /// From now on a request is refused as soon as it has to wait for the rest of it, and its connection is closed.
     void refuse_incomplete(Refusal refusal);
-    /// Closes the connections that carry no request.
-    void close_idle();
+    /// Closes the connections that have carried no request for so long.
+    void close_idle(Duration idle_time);
     /// Resets the connections whose response is not complete, so that none looks complete at the exit of the process.
     void abort_exchanges();
     void stop_listening();
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -25,6 +25,8 @@
 /// The balancer asks once a second and takes a VM out after two misses.
 constexpr Duration BALANCER_NOTICE = milliseconds(2500);
 constexpr Duration STOP_POLL = milliseconds(50);
+/// A connection without a request is closed after it; the first request of a new one may still be on its way.
+constexpr Duration LONGEST_IDLE = milliseconds(250);
 /// A shorter lease would be over before an order is answered.
 constexpr Duration SHORTEST_LEASE = milliseconds(3000);
 /// A caller waits for it, and is refused if it takes longer.
@@ -730,7 +732,7 @@
     bool const is_late = spent >= this->settings.stop_grace - STOP_MARGIN;
     auto const relayed = this->relay_server ? this->relay_server->exchange_count() : 0;
     if (spent >= BALANCER_NOTICE)
-        this->callers->close_idle();
+        this->callers->close_idle(LONGEST_IDLE);
     bool const is_idle = spent >= BALANCER_NOTICE && relayed == 0 && this->callers->exchange_count() == 0 && this->callers->connection_count() == 0;
     if (is_idle) {
         this->exit_process(0);
--- a/Tests/LibAsync/TestHttpServer.cpp
+++ b/Tests/LibAsync/TestHttpServer.cpp
@@ -242,6 +242,30 @@
     CHECK(test.taken == 2);
 }
 
+// Guards against callers that connect to a VM which stops, and are closed before their request has come: they learn neither
+// that it has not run nor when to retry.
+TEST_CASE("A new connection is not closed as idle before its request may have come", "[planned-stop][not-run]")
+{
+    ServerUnderTest test;
+    UploadingCaller idle(test);
+    REQUIRE(test.run_until([&] { return test.server->connection_count() == 1; }));
+    UploadingCaller caller(test);
+    REQUIRE(test.run_until([&] { return test.server->connection_count() == 2; }));
+    constexpr Duration IDLE_TIME = milliseconds(250);
+    test.server->close_idle(IDLE_TIME);
+    test.loop.run_for(milliseconds(20));
+    REQUIRE(caller.send("GET /a HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"));
+    CHECK(caller.read_to_end() == asio::error::eof);
+    CHECK(caller.received.starts_with("HTTP/1.1 200 "));
+    // One that stays idle does not keep the process from its exit.
+    REQUIRE(test.run_until([&] {
+        test.server->close_idle(IDLE_TIME);
+        return test.server->connection_count() <= 1;
+    }));
+    CHECK(idle.read_to_end() == asio::error::eof);
+    CHECK(idle.received.empty());
+}
+
 TEST_CASE("A connection that falls silent is found out by TCP's own probes and time-out", "[cut]")
 {
     asio::io_context loop;
--- a/Tests/Platform/UpstreamStandIn.cpp
+++ b/Tests/Platform/UpstreamStandIn.cpp
@@ -26,7 +26,7 @@
 void UpstreamStandIn::crash()
 {
     this->server->stop_listening();
-    this->server->close_idle();
+    this->server->close_idle(Duration::zero());
     for (auto* exchange : this->open)
         exchange->abort();
     this->streaming.clear();
