LibAsync: Refuse requests whose bodies do not fit beside what is buffered

120 callers a VM that sent 4 MB each but for the last byte took 643 MB where VMs have 88 to 260 MB; a process over its memory is killed, and the requests of all others end without an answer.

Cause: read_request appended without a bound for all bodies together, and RequestHandler copied each body, so that it was held twice.

A body is now charged to the BufferMemory from its announced length, before a byte of it is read or 100 Continue is sent, and as it grows where no length is announced; capacity is charged, and reserved exactly where the length is known. What does not fit gets a 503 with Retry-After (it has not run); a length beyond the configured maximum gets its 413 at once too. The rest of such a body is read and dropped for up to 10 s while bytes come, since closing with unread bytes resets the connection and destroys the response on its way. Handlers and the upstream's connection share the one body, which stays charged for as long as anybody holds it. Small request bodies may use seven eighths of the limit and large ones half, so that responses of requests that have run find room. Bodies that stand still for 2 s give way (408) if no other would fit. Plain responses stay charged until their callers have taken them. Relaying VMs decline with the new outcome out_of_memory; VMs of earlier versions read it like malformed, which is not sent either.

Bytes that callers send ahead are charged; they are read up to 4 KB a connection where a quarter of the limit is in use, and the buffer is freed once it is empty (its capacity of up to 128 KB stayed with each connection). While no long body is admitted 16 KB are read at a time: many callers may send in one turn of the loop. No allocation is added to the ordinary path: that of the shared body takes the place of the copy's.

A read that was answered late found a request's bytes only after its whole time where they came during the interim response; it looks at them at once.

--- a/Libraries/LibAsync/BufferMemory.cpp
+++ b/Libraries/LibAsync/BufferMemory.cpp
@@ -14,10 +14,11 @@
 // New requests are refused before responses of requests that have run are lost, and large ones before small ones.
 std::size_t BufferMemory::limit_for(Kind kind, std::size_t size) const
 {
-    if (size <= SMALL_BYTES)
-        return this->limit_bytes;
     bool const is_new_work = kind == Kind::RequestBodies || kind == Kind::RelayedBodies;
-    return is_new_work ? this->limit_bytes / 2 : this->limit_bytes / 4 * 3;
+    auto const eighth = this->limit_bytes / 8;
+    if (size <= SMALL_BYTES)
+        return is_new_work ? 7 * eighth : this->limit_bytes;
+    return is_new_work ? 4 * eighth : 6 * eighth;
 }
 
 bool BufferMemory::can_grow(Kind kind, std::size_t from, std::size_t to) const
--- a/Libraries/LibAsync/BufferMemory.h
+++ b/Libraries/LibAsync/BufferMemory.h
@@ -30,7 +30,7 @@
     static constexpr std::array<Kind, KIND_COUNT> KINDS = { Kind::RequestBodies, Kind::RelayedBodies, Kind::ResponseBodies, Kind::WithheldEvents, Kind::ReadAhead };
 
     static constexpr std::size_t DEFAULT_LIMIT_BYTES = 32UL * 1024 * 1024;
-    /// Reservations of this size or less may use the whole limit, so that usual requests go on beside large ones.
+    /// A part of the limit is kept for reservations of this size or less, so that usual requests go on beside large ones.
     static constexpr std::size_t SMALL_BYTES = 64UL * 1024;
 
     static BufferMemory& the();
--- a/Libraries/LibAsync/HttpExchange.h
+++ b/Libraries/LibAsync/HttpExchange.h
@@ -9,6 +9,7 @@
 #include <LibCore/Time.h>
 #include <asio.hpp>
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -20,6 +21,8 @@
     virtual ~HttpExchange() = default;
 
     virtual HttpRequest const& request() const = 0;
+    /// The body of the request, for those that may hold it longer than the exchange lasts.
+    virtual std::shared_ptr<std::string const> shared_body() const = 0;
     virtual MonotonicTime received_at() const = 0;
 
     /// Sends a whole answer.
--- a/Libraries/LibAsync/HttpServer.h
+++ b/Libraries/LibAsync/HttpServer.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <LibAsync/BufferMemory.h>
 #include <LibAsync/HttpExchange.h>
 #include <LibCore/Result.h>
 #include <LibHttp/Address.h>
@@ -53,6 +54,11 @@
     /// Asked for each new connection. Those that it does not accept are reset before anything is read of them.
     void set_admission(std::function<bool()> hook) { this->accepts_connection = std::move(hook); }
 
+    /// What the bodies of requests are charged as.
+    void set_body_kind(BufferMemory::Kind kind) { this->body_kind = kind; }
+    /// The head of the response to a request whose body does not fit into the memory for buffers; a 503 by default.
+    void set_out_of_memory_head(std::function<HttpResponseHead(HttpRequestHead const&)> hook) { this->out_of_memory_head = std::move(hook); }
+
     /// From now on each answer closes its connection.
     void close_after_answers() { this->closing = true; }
     /// Closes the connections that carry no request.
@@ -83,6 +89,13 @@
     std::int64_t accept_failures = 0;
     std::size_t most_connections = DEFAULT_MOST_CONNECTIONS;
     std::function<bool()> accepts_connection = [] { return true; };
+    BufferMemory::Kind body_kind = BufferMemory::Kind::RequestBodies;
+    std::function<HttpResponseHead(HttpRequestHead const&)> out_of_memory_head = [](auto const&) {
+        HttpResponseHead head;
+        head.status = 503;
+        head.headers.add("Retry-After", "1");
+        return head;
+    };
     std::set<ServerConnection*> connections;
 };
 
--- a/Libraries/LibAsync/ServerConnection.h
+++ b/Libraries/LibAsync/ServerConnection.h
@@ -3,10 +3,12 @@
 
 #pragma once
 
+#include <LibAsync/BufferReservation.h>
 #include <LibAsync/HttpServer.h>
 #include <LibAsync/MessageParser.h>
 #include <LibAsync/Signal.h>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace Spurtide {
@@ -31,7 +33,8 @@
     /// The server goes away before this connection.
     void detach() { this->server = nullptr; }
 
-    HttpRequest const& request() const override { return this->current; }
+    HttpRequest const& request() const override { return this->current->request; }
+    std::shared_ptr<std::string const> shared_body() const override { return { this->current, &this->current->request.body }; }
     MonotonicTime received_at() const override { return this->received; }
     asio::awaitable<Result<Done, HttpError>> respond(HttpResponseHead head, std::string_view body) override;
     asio::awaitable<Result<Done, HttpError>> begin(HttpResponseHead head, BodyFraming framing) override;
@@ -51,6 +54,14 @@
         HeadTooLarge,
         BodyTooLarge,
         TookTooLong,
+        /// The body does not fit into what the BufferMemory has left.
+        OutOfMemory,
+    };
+
+    /// A request and what it is charged, for as long as anybody holds its body.
+    struct Received {
+        HttpRequest request;
+        BufferReservation memory;
     };
 
     enum class Reading {
@@ -61,8 +72,26 @@
 
     asio::awaitable<void> read_all();
     Reading read_what_is_there();
+    std::size_t read_ahead_limit() const;
+    /// Charges what is held unread, and frees what was held for bytes that have been read.
+    void settle_read_ahead();
     asio::awaitable<void> serve();
     asio::awaitable<ReadEnd> read_request();
+    /// Takes the request's head. An announced body that could not be held is refused before it is read.
+    std::optional<ReadEnd> take_head();
+    std::optional<ReadEnd> take_body_piece();
+    enum class Growth {
+        /// To the size that was announced.
+        Exact,
+        /// Beyond it, as more is likely to come.
+        Ahead,
+    };
+    std::optional<ReadEnd> reserve_body(std::size_t size, Growth growth);
+    /// Whether a body has been standing still while others need its memory.
+    bool is_stalled(MonotonicTime now) const;
+    void drop_body();
+    /// From now on, what comes in is read and dropped.
+    void discard_unread();
     asio::awaitable<void> answer_request();
     void end_exchange();
     asio::awaitable<void> answer_bad_request(ReadEnd end);
@@ -82,9 +111,13 @@
     Signal room;
     MessageParser parser { MessageParser::Kind::Request };
     std::string unread;
-    HttpRequest current;
+    BufferReservation read_ahead { BufferMemory::Kind::ReadAhead };
+    std::shared_ptr<Received> current;
+    MonotonicTime body_active_at;
     MonotonicTime received;
     MonotonicTime resting_since;
+    /// How long bytes are read and dropped at the end of the connection.
+    Duration discard_time;
     std::function<void()> on_caller_left;
     BodyFraming answer_framing = BodyFraming::None;
     bool in_exchange = false;
@@ -93,6 +126,7 @@
     bool caller_gone = false;
     bool is_over = false;
     bool closes = false;
+    bool is_discarding = false;
 };
 
 }
--- a/Libraries/LibRouter/RelayProtocol.cpp
+++ b/Libraries/LibRouter/RelayProtocol.cpp
@@ -22,7 +22,7 @@
 constexpr std::string_view UPSTREAM_LENGTH = "Spurtide-Relay-Content-Length";
 constexpr std::string_view CONTENT_LENGTH = "Content-Length";
 
-constexpr std::array<std::string_view, 10> OUTCOMES = { "forwarded", "connected", "partitioned", "stopping", "unknown_upstream", "not_available", "nobody_listens", "cannot_connect", "expired", "malformed" };
+constexpr std::array<std::string_view, 11> OUTCOMES = { "forwarded", "connected", "partitioned", "stopping", "unknown_upstream", "not_available", "nobody_listens", "cannot_connect", "expired", "malformed", "out_of_memory" };
 
 constexpr Duration LONGEST_TIME_LEFT = seconds(86'400);
 /// VMs of earlier versions do not say it.
--- a/Libraries/LibRouter/RelayProtocol.h
+++ b/Libraries/LibRouter/RelayProtocol.h
@@ -59,6 +59,8 @@
     Expired,
     /// Not sent: the request could not be read.
     Malformed,
+    /// Not sent: the relaying VM has no memory left for the body.
+    OutOfMemory,
 };
 
 std::string_view to_string(RelayOutcome outcome);
--- a/Libraries/LibRouter/RelayService.cpp
+++ b/Libraries/LibRouter/RelayService.cpp
@@ -109,7 +109,7 @@
     if (send.abandon_after)
         may_abandon = [abandon_after = *send.abandon_after](MonotonicTime silent_since) { return monotonic_now() - silent_since >= abandon_after; };
     InFlightRequest in_flight(this->state.prober, upstream, send.request, connection, std::move(may_abandon));
-    connection->send(exchange.request().body, nullptr, send.expected_body);
+    connection->send({}, exchange.shared_body(), send.expected_body);
     auto head = co_await connection->read_matching_head(responses_to(this->state, upstream, send.request));
     if (head.is_error()) {
         connection->abort();
--- a/Libraries/LibRouter/RequestHandler.cpp
+++ b/Libraries/LibRouter/RequestHandler.cpp
@@ -66,7 +66,7 @@
     , fingerprint(compute_fingerprint(exchange.request(), account))
     , service(std::move(service))
     , account(account ? account->name : std::string())
-    , body(std::make_shared<std::string const>(exchange.request().body))
+    , body(exchange.shared_body())
     , residency(route.home_regions, account ? account->home_regions : std::vector<std::string>())
     , ledger(state.retry_budget_for(this->service))
     , deadline(exchange.received_at() + std::min(route.timeout, this->request.caller_timeout))
--- a/Libraries/LibRouter/RequestRouter.cpp
+++ b/Libraries/LibRouter/RequestRouter.cpp
@@ -16,6 +16,8 @@
 
 /// A VM that has just started receives its configuration well within this time.
 constexpr std::string_view RETRY_AFTER_SECONDS = "0.2";
+/// Other bodies have been sent, or have been given up, within about this time.
+constexpr std::string_view RETRY_UNREAD_AFTER_SECONDS = "1";
 
 bool has_engines(RouteTable const& routes, std::string_view service)
 {
@@ -140,11 +142,24 @@
 
 asio::awaitable<void> RequestRouter::reject(HttpExchange& exchange, int status, std::string_view reason, std::string identifier)
 {
-    LogLine("request_rejected").with("request", identifier).with("status", status).with("reason", reason).with("target", exchange.request().head.target);
-    auto head = this->state.dialect.router_response_head(status, identifier);
-    if (status == 503)
-        head.headers.add("Retry-After", RETRY_AFTER_SECONDS);
+    auto head = this->begin_rejection(exchange.request().head, status, reason, identifier, RETRY_AFTER_SECONDS);
     static_cast<void>(co_await exchange.respond(std::move(head), {}));
 }
 
+HttpResponseHead RequestRouter::reject_unread(HttpRequestHead const& head)
+{
+    auto const parsed = this->state.dialect.read_request(head);
+    auto const identifier = parsed.is_error() ? std::string() : parsed.value().identifier;
+    return this->begin_rejection(head, 503, "out_of_memory", identifier, RETRY_UNREAD_AFTER_SECONDS);
+}
+
+HttpResponseHead RequestRouter::begin_rejection(HttpRequestHead const& head, int status, std::string_view reason, std::string const& identifier, std::string_view retry_after)
+{
+    LogLine("request_rejected").with("request", identifier).with("status", status).with("reason", reason).with("target", head.target);
+    auto response = this->state.dialect.router_response_head(status, identifier);
+    if (status == 503)
+        response.headers.add("Retry-After", retry_after);
+    return response;
+}
+
 }
--- a/Libraries/LibRouter/RequestRouter.h
+++ b/Libraries/LibRouter/RequestRouter.h
@@ -19,6 +19,8 @@
     }
 
     asio::awaitable<void> handle(HttpExchange& exchange);
+    /// The head of the response to a request whose body was not read, as no memory is left for it.
+    HttpResponseHead reject_unread(HttpRequestHead const& head);
 
     /// Call regularly while the process is stopping: refuses the requests that wait to be sent and could not end in time any more.
     void recheck_waiting_requests();
@@ -31,6 +33,7 @@
     /// Why a request cannot take up the stream that began there; empty if it can.
     std::optional<std::string_view> find_resumption_obstacle(RouteTable const& routes, Route const& route, CallerRequest const& request, std::optional<StreamOrigin> const& origin);
     asio::awaitable<void> reject(HttpExchange& exchange, int status, std::string_view reason, std::string identifier);
+    HttpResponseHead begin_rejection(HttpRequestHead const& head, int status, std::string_view reason, std::string const& identifier, std::string_view retry_after);
 
     RouterState& state;
 };
--- a/Libraries/LibRouter/UnaryRequestHandler.cpp
+++ b/Libraries/LibRouter/UnaryRequestHandler.cpp
@@ -558,6 +558,8 @@
         co_return attempt;
     }
     attempt.body = body_result.release_value();
+    // Held until the caller has taken it.
+    attempt.body_memory.set_size(attempt.body.size());
     auto const info = this->state.dialect.read_response(attempt.head);
     bool const is_success = attempt.head.status / 100 == 2;
     attempt.reason = "answered";
--- a/Libraries/LibRouter/UnaryRequestHandler.h
+++ b/Libraries/LibRouter/UnaryRequestHandler.h
@@ -3,6 +3,7 @@
 
 #pragma once
 
+#include <LibAsync/BufferReservation.h>
 #include <LibRouter/CallAdmissionClient.h>
 #include <LibRouter/RequestHandler.h>
 #include <set>
@@ -26,6 +27,7 @@
         std::string reason;
         HttpResponseHead head;
         std::string body;
+        BufferReservation body_memory { BufferMemory::Kind::ResponseBodies };
         /// Set if the connection failed before the response was complete.
         std::optional<HttpError> connection_error;
         UpstreamRoute route = UpstreamRoute::Direct;
--- a/Libraries/LibRouter/UpstreamLink.cpp
+++ b/Libraries/LibRouter/UpstreamLink.cpp
@@ -19,7 +19,7 @@
 /// Whether another relaying VM may reach the upstream.
 bool is_relays_failure(RelayOutcome outcome)
 {
-    return outcome == RelayOutcome::Partitioned || outcome == RelayOutcome::Stopping || outcome == RelayOutcome::UnknownUpstream || outcome == RelayOutcome::Malformed;
+    return outcome == RelayOutcome::Partitioned || outcome == RelayOutcome::Stopping || outcome == RelayOutcome::UnknownUpstream || outcome == RelayOutcome::Malformed || outcome == RelayOutcome::OutOfMemory;
 }
 
 }
--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -171,6 +171,7 @@
     this->callers = callers_server.release_value();
     this->callers->set_most_connections(static_cast<std::size_t>(this->settings.descriptors / CALLERS_PART_OF_DESCRIPTORS));
     this->callers->set_admission([this] { return this->accepts_connection(); });
+    this->callers->set_out_of_memory_head([this](auto const& head) { return this->request_router.reject_unread(head); });
     auto operations_server = HttpServer::create(this->loop, this->settings.operations_address, [this](auto& exchange) { return this->answer_operations(exchange); });
     if (operations_server.is_error())
         return Failure { NodeStartError::CannotListenForOperations };
@@ -231,6 +232,8 @@
     if (!this->relay_server)
         return;
     this->relay_server->set_most_connections(static_cast<std::size_t>(this->settings.descriptors / RELAY_PART_OF_DESCRIPTORS));
+    this->relay_server->set_body_kind(BufferMemory::Kind::RelayedBodies);
+    this->relay_server->set_out_of_memory_head([](auto const&) { return relay_outcome_head(RelayOutcome::OutOfMemory); });
     this->limit_relayed_requests();
 }
 
--- a/Tests/Platform/TestRelay.cpp
+++ b/Tests/Platform/TestRelay.cpp
@@ -1,6 +1,7 @@
 // SPDX-FileCopyrightText: 2026 The Spurtide developers
 // SPDX-License-Identifier: BSD-2-Clause
 
+#include <LibAsync/BufferReservation.h>
 #include <LibRouter/RelayProtocol.h>
 #include <Tests/Platform/NodeUnderTest.h>
 #include <array>
@@ -184,6 +185,18 @@
     CHECK(test.plain.requests.empty());
 }
 
+// Guards against relayed bodies without a common bound, and against a request that is lost since its relaying VM has no memory.
+TEST_CASE("A relayed request whose body does not fit is declined as not sent", "[partitioned-vm][request-memory]")
+{
+    RelayTest test;
+    BufferReservation held(BufferMemory::Kind::ResponseBodies);
+    held.set_size(BufferMemory::the().limit() / 2);
+    auto const answer = test.relay(relay_request(send_to("i-1"), upstream_request("POST", "i-1") + std::string(80'000, 'x')));
+    CHECK(answer.head.status == 503);
+    CHECK(read_relay_outcome(answer.head) == RelayOutcome::OutOfMemory);
+    CHECK(test.plain.requests.empty());
+}
+
 TEST_CASE("Callers cannot have requests relayed", "[partitioned-vm]")
 {
     RelayTest test;
