NodeServer: Derive the limit of buffers from the memory of the VM

The deployment tells what a process may hold in memory and the node never read it. memory_megabytes (0 or absent: no limit) sets the limit of the buffers to a quarter of it.

The resident size follows the C library's allocator: once it has seen large blocks freed it takes later ones from the heap, where holes stay resident. A fixed threshold for such blocks gives them back when they are freed.

--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -31,6 +31,8 @@
 constexpr Duration UPSTREAMS_CONFIRMATION_TIMEOUT = milliseconds(200);
 /// The rest is for connections to upstreams, other VMs and the registry.
 constexpr std::int64_t CALLERS_PART_OF_DESCRIPTORS = 2;
+/// The rest is for the program itself, its connections, what it knows of upstreams, and what the allocator cannot reuse.
+constexpr std::size_t BUFFERS_PART_OF_MEMORY = 4;
 /// Each relayed request needs another one to an upstream.
 constexpr std::int64_t RELAY_PART_OF_DESCRIPTORS = 8;
 /// Steps get longer as engines fill up, and are measured as means of whole answers: with 5.09 ms and 0.0303 ms a request
@@ -102,6 +104,8 @@
 
 Result<std::unique_ptr<Node>, NodeStartError> Node::create(asio::io_context& loop, NodeSettings settings, NodeAdapters adapters)
 {
+    if (settings.memory_bytes)
+        BufferMemory::the().set_limit(*settings.memory_bytes / BUFFERS_PART_OF_MEMORY);
     std::unique_ptr<Node> node(new Node(loop, std::move(settings), std::move(adapters)));
     TRY(node->start());
     return node;
--- a/Services/NodeServer/NodeMain.cpp
+++ b/Services/NodeServer/NodeMain.cpp
@@ -11,6 +11,7 @@
 #include <algorithm>
 #include <csignal>
 #include <exception>
+#include <malloc.h>
 #include <memory>
 #include <optional>
 
@@ -19,6 +20,7 @@
 namespace {
 
 constexpr std::string_view PROGRAM = "spurtide-node";
+constexpr int LARGE_ALLOCATION_BYTES = 48 * 1024;
 constexpr Duration SHORTEST_START_RETRY_INTERVAL = milliseconds(200);
 constexpr Duration LONGEST_START_RETRY_INTERVAL = seconds(2);
 
@@ -37,6 +39,15 @@
         LogLine("settings_read_again").with("vm", checked.value().virtual_machine);
 }
 
+/// Memory of long bodies goes back to the system when they are freed. The C library would take such blocks from the heap after it has
+/// seen some, where blocks that are freed between others stay resident.
+void set_allocator_options()
+{
+#ifdef __GLIBC__
+    static_cast<void>(::mallopt(M_MMAP_THRESHOLD, LARGE_ALLOCATION_BYTES));
+#endif
+}
+
 void watch_signals(asio::signal_set& signals, std::string const& path, Node& node, asio::io_context& loop)
 {
     signals.async_wait([&signals, path, &node, &loop](asio::error_code error, int signal) {
@@ -107,6 +118,7 @@
 {
     LogLine::set_process_fields(PROGRAM, settings.virtual_machine, settings.data_centre);
     std::signal(SIGPIPE, SIG_IGN);
+    set_allocator_options();
     auto const running = create_node(settings, make_adapters);
     if (!running) {
         LogLine("cannot_start").with("reason", "told_to_stop");
--- a/Services/NodeServer/NodeSettings.cpp
+++ b/Services/NodeServer/NodeSettings.cpp
@@ -7,6 +7,8 @@
 
 namespace {
 
+constexpr double BYTES_PER_MEGABYTE = 1024 * 1024;
+
 std::optional<Address> read_address(SettingsReader& reader, std::string_view key, Presence presence)
 {
     auto const text = reader.text(key, presence);
@@ -63,6 +65,8 @@
     node.processor_share = reader.number("processor_share", Presence::Optional, 0.001, 1024, node.processor_share);
     node.keeper_processor_share = reader.number("keeper_processor_share", Presence::Optional, 0, 1024, node.keeper_processor_share);
     node.descriptors = reader.integer("descriptors", Presence::Optional, 64, 10'000'000, node.descriptors);
+    if (auto const megabytes = reader.number("memory_megabytes", Presence::Optional, 0, 16e6, 0); megabytes > 0)
+        node.memory_bytes = static_cast<std::size_t>(megabytes * BYTES_PER_MEGABYTE);
     node.stop_grace = from_seconds(reader.number("stop_grace_seconds", Presence::Optional, 0.5, 3600, to_seconds(node.stop_grace)));
     reader.finish();
     if (!faults.empty())
--- a/Services/NodeServer/NodeSettings.h
+++ b/Services/NodeServer/NodeSettings.h
@@ -8,7 +8,9 @@
 #include <LibDecision/Residency.h>
 #include <LibDecision/SharedRetryBudget.h>
 #include <LibHttp/Address.h>
+#include <cstddef>
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -94,6 +96,8 @@
     /// File descriptors that this process may have; callers' connections take half of them at most, since each request
     /// may need another one to an upstream.
     std::int64_t descriptors = 20'000;
+    /// What this process may hold in memory, if that is limited.
+    std::optional<std::size_t> memory_bytes;
     /// From the signal to stop until the platform ends the process.
     Duration stop_grace = seconds(8);
 
--- a/Tests/Platform/TestNodeSettings.cpp
+++ b/Tests/Platform/TestNodeSettings.cpp
@@ -16,7 +16,7 @@
     "registry_address": "127.0.0.1:4", "seeds": ["127.0.0.1:3"],
     "memory_headroom": 0.2, "length_spread": 0.6, "role_changes": "on", "call_admission": "on", "lease_milliseconds": 3000, "news_milliseconds": 4000,
     "stream_migration": "on", "completion_placement": "on", "account_share_bound": "on", "memory_deviations": 1.5, "processor_share": 0.25, "keeper_processor_share": 0.4,
-    "retry_ratio": 0.2, "retry_allowance": 56, "retry_window_seconds": 10, "stop_grace_seconds": 8, "descriptors": 4100, "metrics_address": "127.0.0.1:5"
+    "retry_ratio": 0.2, "retry_allowance": 56, "retry_window_seconds": 10, "stop_grace_seconds": 8, "descriptors": 4100, "memory_megabytes": 88, "metrics_address": "127.0.0.1:5"
 })";
 
 Result<NodeSettings, SettingsError> read(std::string_view text)
@@ -41,6 +41,7 @@
     CHECK(settings.value().memory_deviations == 1.5);
     CHECK(settings.value().processor_share == 0.25);
     CHECK(settings.value().descriptors == 4100);
+    CHECK(settings.value().memory_bytes == 88UL * 1024 * 1024);
 }
 
 // Guards against a node that asks other VMs for permits although nobody switched that on.
@@ -54,6 +55,18 @@
     CHECK(settings.value().call_admission == NodeSettings::CallAdmission::Off);
 }
 
+// Guards against a node that takes an unknown limit for one of zero bytes and refuses all.
+TEST_CASE("A node whose settings give no memory has no limit of its own")
+{
+    auto const given = GENERATE(as<std::string>(), "", "\"memory_megabytes\": 0, ");
+    std::string text(WHOLE);
+    std::string const field = "\"memory_megabytes\": 88, ";
+    text.replace(text.find(field), field.size(), given);
+    auto const settings = read(text);
+    REQUIRE_FALSE(settings.is_error());
+    CHECK_FALSE(settings.value().memory_bytes);
+}
+
 // Guards against streams that are moved in deployments which did not ask for it.
 TEST_CASE("Streams are not moved unless the settings say so")
 {
@@ -96,6 +109,8 @@
         { "\"memory_deviations\": 1.5", "\"memory_deviations\": -1", "memory_deviations" },
         { "\"processor_share\": 0.25", "\"processor_share\": -1", "processor_share" },
         { "\"descriptors\": 4100", "\"descriptors\": 3", "descriptors" },
+        { "\"memory_megabytes\": 88", "\"memory_megabytes\": -1", "memory_megabytes" },
+        { "\"memory_megabytes\": 88", "\"memory_megabytes\": \"88\"", "memory_megabytes" },
         { "\"127.0.0.1:5\"", "\"5\"", "metrics_address" },
         { "127.0.0.1:4", "nowhere", "registry_address" },
         { "\"vm\"", "\"machine\"", "vm" },
