--- a/Services/NodeServer/Node.cpp
+++ b/Services/NodeServer/Node.cpp
@@ -4,6 +4,7 @@
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
 #include <LibCore/ProcessLog.h>
+#include <LibCore/ProcessMemory.h>
 #include <LibRouter/StreamMigrator.h>
 #include <LibWire/WireMetrics.h>
 #include <Services/NodeServer/Node.h>
@@ -629,6 +630,11 @@
     else if (this->follower->follows_upstreams())
         facts.upstreams_source = NodeFacts::Source::Registry;
     facts.dropped_log_lines = ProcessLog::dropped_lines();
+    auto const& memory = BufferMemory::the();
+    facts.buffer_limit_bytes = memory.limit();
+    for (auto const kind : BufferMemory::KINDS)
+        facts.buffers.push_back({ to_string(kind), memory.used(kind), memory.refusals(kind) });
+    facts.memory = read_process_memory();
     publish_node_metrics(facts, this->metrics);
     publish_wire_metrics(*this->kernel, this->metrics);
 }
--- a/Services/NodeServer/NodeMetrics.cpp
+++ b/Services/NodeServer/NodeMetrics.cpp
@@ -28,6 +28,16 @@
     set("spurtide_keeps_engines", "1 while this VM takes itself for the keeper of the engines", facts.keeping == NodeFacts::Keeping::This ? 1 : 0);
     set("spurtide_upstreams_from_registry", "1 while this VM watches the registry's list of upstreams and is answered", facts.upstreams_source == NodeFacts::Source::Registry ? 1 : 0);
     set("spurtide_upstreams_from_peers", "1 while other VMs tell this one of the list", facts.upstreams_source == NodeFacts::Source::Peers ? 1 : 0);
+    set("spurtide_buffer_limit_bytes", "What may be buffered for callers, upstreams and other VMs together", facts.buffer_limit_bytes);
+    for (auto const& buffers : facts.buffers) {
+        MetricLabels const labels { { "kind", std::string(buffers.kind) } };
+        metrics.set("spurtide_buffered_bytes", "What is buffered for callers, upstreams and other VMs", static_cast<double>(buffers.bytes), labels);
+        metrics.set("spurtide_buffer_refusals", "Bodies, responses or events that did not fit into the buffers, since the start", static_cast<double>(buffers.refusals), labels);
+    }
+    if (facts.memory) {
+        set("spurtide_resident_bytes", "Resident memory of the process", facts.memory->resident_bytes);
+        set("spurtide_peak_resident_bytes", "The most resident memory that the process has had", facts.memory->peak_resident_bytes);
+    }
     for (auto const& [evacuation, upstreams] : facts.evacuations) {
         MetricLabels const labels { { "evacuated", evacuation.data_centre } };
         bool const is_in_force = evacuation.state == Evacuation::State::Ordered;
--- a/Services/NodeServer/NodeMetrics.h
+++ b/Services/NodeServer/NodeMetrics.h
@@ -4,9 +4,12 @@
 #pragma once
 
 #include <LibCore/Metrics.h>
+#include <LibCore/ProcessMemory.h>
 #include <LibDecision/EvacuationTable.h>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
+#include <string_view>
 #include <vector>
 
 namespace Spurtide {
@@ -41,6 +44,15 @@
     /// Upstreams that announced their departure in a response while the registry lists them as serving.
     std::size_t departing_upstreams = 0;
     std::uint64_t dropped_log_lines = 0;
+    std::size_t buffer_limit_bytes = 0;
+    struct BufferFacts {
+        std::string_view kind;
+        std::size_t bytes = 0;
+        /// Since the start of the process.
+        std::uint64_t refusals = 0;
+    };
+    std::vector<BufferFacts> buffers;
+    std::optional<ProcessMemory> memory;
     /// What is known of evacuations, ended ones among them, with the upstreams that they concern.
     struct EvacuationFacts {
         Evacuation evacuation;
--- a/Tests/Platform/TestRequestMemory.cpp
+++ b/Tests/Platform/TestRequestMemory.cpp
@@ -70,3 +70,20 @@
     caller->abort();
     CHECK(test.run_until([&] { return held() == 0; }));
 }
+
+// Guards against a process that is killed for its memory without a trace of what it held.
+TEST_CASE("The metrics tell what is buffered, what did not fit, and the memory of the process", "[request-memory]")
+{
+    NodeUnderTest test;
+    test.configure(1);
+    BufferReservation withheld(BufferMemory::Kind::WithheldEvents);
+    withheld.set_size(123'456);
+    auto const limit = BufferMemory::the().limit();
+    CHECK(withheld.try_set_size(2 * limit) == BufferReservation::Outcome::OutOfMemory);
+    auto const metrics = test.call(test.node->operations_address(), test.request("GET", "/metrics", "m")).body;
+    CHECK(metrics.find("spurtide_buffered_bytes{kind=\"withheld_events\"} 123456\n") != std::string::npos);
+    CHECK(metrics.find("spurtide_buffer_refusals{kind=\"withheld_events\"} 0\n") == std::string::npos);
+    CHECK(metrics.find("spurtide_buffer_limit_bytes " + std::to_string(limit)) != std::string::npos);
+    CHECK(metrics.find("\nspurtide_resident_bytes ") != std::string::npos);
+    CHECK(metrics.find("\nspurtide_peak_resident_bytes ") != std::string::npos);
+}
