LibRouter: Bound withheld events whatever the type of the response

A VM over its memory is killed, and the requests of its other callers end without an answer.

Cause: relay_events withholds partial events of streams that can be resumed, and bounded them only where the type was that of an event stream. The bound holds now wherever events are withheld, and what all streams withhold is charged to the BufferMemory. Ruled out: streams that cannot be resumed, which go on at the pace of their callers.

--- a/Libraries/LibRouter/EventStreamSplitter.h
+++ b/Libraries/LibRouter/EventStreamSplitter.h
@@ -30,6 +30,8 @@
     bool is_inside_event() const;
     /// Bytes after the last complete event, whether they were taken or not.
     std::size_t partial_event_size() const { return this->partial_event_bytes; }
+    /// Bytes that are held since they belong to an incomplete event.
+    std::size_t withheld_size() const { return this->pending.size(); }
     std::int64_t event_count() const { return this->events; }
     std::string const& last_identifier() const { return this->last_id; }
 
--- a/Libraries/LibRouter/StreamingRequestHandlerRelay.cpp
+++ b/Libraries/LibRouter/StreamingRequestHandlerRelay.cpp
@@ -1,6 +1,7 @@
 // SPDX-FileCopyrightText: 2026 The Spurtide developers
 // SPDX-License-Identifier: BSD-2-Clause
 
+#include <LibAsync/BufferReservation.h>
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
 #include <LibRouter/CacheRelease.h>
@@ -177,6 +178,7 @@
     // Partial events have to be withheld from streams that can be resumed on another engine, and where only a complete event
     // tells the end of the stream from a lost connection. A stream that is moved continues after a complete event as well.
     bool const withholds_partial_events = this->route.is_resumable || (ends_with_connection && is_event_stream) || migrator;
+    BufferReservation withheld(BufferMemory::Kind::WithheldEvents);
     bool has_events = false;
     bool is_served = false;
     bool is_watched = false;
@@ -209,12 +211,16 @@
         std::string bytes;
         if (!piece.is_error()) {
             bytes = this->events.append(piece.value());
-            if (is_event_stream && bytes.empty() && this->events.partial_event_size() > MAXIMUM_EVENT_BYTES)
+            bool const has_end = withholds_partial_events || is_event_stream;
+            bool const is_too_large = has_end && bytes.empty() && this->events.partial_event_size() > MAXIMUM_EVENT_BYTES;
+            bool const is_refused = withholds_partial_events && withheld.try_set_size(this->events.withheld_size()) == BufferReservation::Outcome::OutOfMemory;
+            if (is_too_large || is_refused)
                 piece = Failure { HttpError::EventTooLarge };
         }
         if (piece.is_error()) {
             connection->abort();
             this->events.discard_partial_event();
+            withheld.set_size(0);
             if (this->is_stopped())
                 co_return PlacementOutcome::Retry;
             bool const has_crashed = co_await this->report_crash(link->upstream(), piece.error(), link->send_time(), link->route());
--- a/Tests/Platform/TestEndlessResponses.cpp
+++ b/Tests/Platform/TestEndlessResponses.cpp
@@ -1,6 +1,7 @@
 // SPDX-FileCopyrightText: 2026 The Spurtide developers
 // SPDX-License-Identifier: BSD-2-Clause
 
+#include <LibAsync/BufferMemory.h>
 #include <LibCore/Clock.h>
 #include <Tests/Platform/NodeUnderTest.h>
 #include <Tests/Platform/RawUpstream.h>
@@ -176,6 +177,70 @@
     CHECK(test.run_until([&] { return test.endless.open_responses() == 0; }));
 }
 
+// Guards against VMs that run out of memory: partial events of streams that can be resumed were withheld without a bound where the
+// engine's response had another type than an event stream.
+TEST_CASE("A resumable stream is served elsewhere if its engine sends another type of body without end", "[endless]")
+{
+    auto const given = GENERATE(from_range(endless_bodies(PLAIN_HEAD)), from_range(endless_bodies(PLAIN_HEAD + "Content-Type: application/json\r\n")));
+    CAPTURE(given.name);
+    EndlessTest test(given.response, "decode", "engines");
+    // Waits for another engine.
+    auto const alone = test.call(test.model_request("/resumable/x", "a"));
+    CHECK((alone.error || alone.head.status == 502));
+    CHECK(test.run_until([&] { return test.endless.open_responses() == 0; }));
+    UpstreamStandIn other(test.loop, "i-2", "decode");
+    test.list(other, "engines");
+    for (int i = 0; i < 3; ++i) {
+        auto const begun = monotonic_now();
+        auto const resumed = test.call(test.model_request("/resumable/x", "r" + std::to_string(i)));
+        CHECK(monotonic_now() - begun < AT_ONCE);
+        CHECK_FALSE(resumed.error);
+        CHECK(resumed.body.ends_with("piece 5\n\n"));
+    }
+    CHECK(test.run_until([&] { return test.endless.open_responses() == 0; }));
+}
+
+// Guards against many engines at a time that each send a part of an event and stand still, which together exhaust the VM's memory.
+TEST_CASE("Withheld events of all streams share a limit of memory", "[endless]")
+{
+    constexpr std::size_t LIMIT_BYTES = 4UL * 1024 * 1024;
+    constexpr int STREAMS = 40;
+    auto& memory = BufferMemory::the();
+    auto const limit = memory.limit();
+    memory.set_limit(LIMIT_BYTES);
+    NodeUnderTest test;
+    test.configure(1, set_long_latency_target);
+    UpstreamStandIn prefill(test.loop, "i-p", "prefill");
+    UpstreamStandIn stalling(test.loop, "i-1", "decode");
+    bool is_stalling = true;
+    stalling.slots = STREAMS;
+    std::size_t most = 0;
+    stalling.script = [&](HttpExchange& exchange) -> asio::awaitable<bool> {
+        if (!is_stalling)
+            co_return false;
+        static_cast<void>(co_await exchange.begin(stalling.answer_head(exchange, 200), BodyFraming::Chunked));
+        std::string const part = "data: " + std::string(200UL * 1024, 'x');
+        static_cast<void>(co_await exchange.write(part));
+        Signal never(test.loop.get_executor());
+        static_cast<void>(co_await never.wait_until(monotonic_now() + seconds(20)));
+        co_return true;
+    };
+    test.list(prefill, "engines");
+    test.list(stalling, "engines");
+    test.beside = [&] { most = std::max(most, memory.used(BufferMemory::Kind::WithheldEvents)); };
+    std::vector<HttpRequest> requests;
+    for (int i = 0; i < STREAMS; ++i)
+        requests.push_back(test.model_request("/resumable/x", "stalled" + std::to_string(i)));
+    for (auto const& answer : test.call_all(test.node->caller_address(), requests))
+        CHECK_FALSE(answer.error);
+    CHECK(most > 0);
+    CHECK(most <= LIMIT_BYTES);
+    is_stalling = false;
+    CHECK(test.call(test.model_request("/resumable/x", "after")).head.status == 200);
+    CHECK(memory.used(BufferMemory::Kind::WithheldEvents) == 0);
+    memory.set_limit(limit);
+}
+
 // Guards against prompts that are read without end: the caller was not told before its deadline.
 TEST_CASE("A prefill without end is given up at once", "[endless]")
 {
