--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,3 +1,6 @@
+#!/usr/bin/env python3
+# SPDX-FileCopyrightText: 2026 The Spurtide developers
+# SPDX-License-Identifier: BSD-2-Clause
 import asyncio
 import os
 import signal
@@ -82,7 +85,7 @@
     tasks = [asyncio.create_task(client.run(stop, 0.2)) for client in light]
     await asyncio.sleep(WARM_UP_S)
     # Drafts that begin just before the SIGTERM and end about three seconds after it; the next ones follow on the same channels.
-    lengths = lambda: 66 if term.done() else 75
+    lengths = lambda: 58 if term.done() else 75
     drafts = [Client(record, callers, f"b{i}", lengths) for i in range(8)]
     for client in drafts:
         tasks.append(asyncio.create_task(client.run(stop)))
@@ -95,7 +98,7 @@
     # Planned work too: an empty server is added, which stays slow for a time, as its entry says.
     await asyncio.sleep(1.5)
     added = ModelServer(record, "llm", "i-decode-3", phase="decode")
-    added.cold_factor, added.cold_until = 1.6, asyncio.get_running_loop().time() + 30
+    added.cold_factor, added.cold_until = 2.4, asyncio.get_running_loop().time() + 30
     await added.start()
     servers.append(added)
     await store.put("servers", added.identity, added.entry())
--- a/review/standins2.py
+++ b/review/standins2.py
@@ -1,3 +1,6 @@
+#!/usr/bin/env python3
+# SPDX-FileCopyrightText: 2026 The Spurtide developers
+# SPDX-License-Identifier: BSD-2-Clause
 """Stand-ins for the script cases 4 to 8: the platform's store, servers, model servers, clients, and nodes that are started
 with the command of the deploy file. Standard library only. All addresses are loopback addresses."""
 
