LibRouter: Log what a stopping VM sends, and what its exit interrupts

A refusal had a line with the bound that did not fit; a send had none, so that the logs could not tell whether the pace, the number of events or the time to the first event had been estimated too short, nor whether the VM had chosen to begin the stream at all.

sent_before_exit now names the time until the exit and each bound with its source and age, interrupted_by_exit what the exit cuts, and spurtide_stop_decisions_total counts sends, refusals and interruptions.

Behaviour is unchanged: the tests of planned stops pass (7 cases).

--- a/Libraries/LibDecision/AnswerDurationEstimator.h
+++ b/Libraries/LibDecision/AnswerDurationEstimator.h
@@ -39,8 +39,19 @@
     {
         auto& seen = this->service(stream.service);
         seen.size.note_complete(stream.announced_tokens_per_event);
-        if (stream.events >= MINIMUM_EVENTS && stream.events * stream.announced_tokens_per_event >= MINIMUM_TOKENS && duration > Duration::zero())
+        if (stream.events >= MINIMUM_EVENTS && stream.events * stream.announced_tokens_per_event >= MINIMUM_TOKENS && duration > Duration::zero()) {
             seen.slowest_pause.add(to_seconds(duration) / static_cast<double>(stream.events - 1), now);
+            seen.pace_measured_at = now;
+        }
+    }
+
+    /// How long ago the last answer ended that counts for the slowest pace; empty if none does.
+    std::optional<Duration> pace_age(std::string_view service, MonotonicTime now) const
+    {
+        auto const found = this->services.find(service);
+        if (found == this->services.end() || !found->second.slowest_pause.value())
+            return {};
+        return std::chrono::duration_cast<Duration>(now - found->second.pace_measured_at);
     }
 
     /// The slowest recent time from a send to the first event; zero if none is known.
@@ -71,6 +82,7 @@
         RecentMaximum slowest_begin;
         /// Mean time between the events of a stream, in seconds.
         RecentMaximum slowest_pause;
+        MonotonicTime pace_measured_at {};
     };
 
     Service& service(std::string_view name)
--- a/Libraries/LibRouter/RequestHandler.cpp
+++ b/Libraries/LibRouter/RequestHandler.cpp
@@ -140,6 +140,8 @@
     if (this->quarantine_left())
         this->stop(StopReason::Quarantined);
     this->recheck_exit();
+    if (!this->is_stopped())
+        this->log_send_before_exit();
 }
 
 void RequestHandler::recheck_exit()
@@ -157,9 +159,43 @@
         .with("exit_in_ms", to_milliseconds(*until_exit))
         .with("longest_ms", to_milliseconds(bounds.shortest()))
         .with("bound", bounds.longest_answer && *bounds.longest_answer < bounds.timeout ? "longest_answer" : "timeout");
+    this->count_exit_decision("refused");
+    this->stop(StopReason::ProcessExits);
+}
+
+void RequestHandler::interrupt()
+{
+    if (this->is_stopped())
+        return;
+    LogLine line("interrupted_by_exit");
+    line.with("request", this->request.identifier).with("time_left_ms", to_milliseconds(this->time_left())).with("sends", this->sends);
+    this->describe_progress(line);
+    this->count_exit_decision("interrupted");
     this->stop(StopReason::ProcessExits);
 }
 
+void RequestHandler::log_send_before_exit() const
+{
+    auto const until_exit = this->state.time_until_exit();
+    if (!until_exit)
+        return;
+    DurationBounds const bounds { this->time_left(), this->longest_response() };
+    LogLine line("sent_before_exit");
+    line.with("request", this->request.identifier)
+        .with("exit_in_ms", to_milliseconds(*until_exit))
+        .with("timeout_ms", to_milliseconds(bounds.timeout));
+    if (bounds.longest_answer)
+        line.with("longest_answer_ms", to_milliseconds(*bounds.longest_answer));
+    this->describe_bounds(line);
+    this->count_exit_decision("sent");
+}
+
+void RequestHandler::count_exit_decision(std::string_view decision) const
+{
+    std::string const kind = this->request.prompt ? "stream" : "call";
+    this->state.metrics.increment("spurtide_stop_decisions_total", "Requests of a stopping process: sends, refusals, and what its exit interrupted", { { "decision", std::string(decision) }, { "kind", kind } });
+}
+
 std::optional<Duration> RequestHandler::quarantine_left() const
 {
     auto const of_request = this->state.quarantine->held_for(this->fingerprint);
--- a/Libraries/LibRouter/RequestHandler.h
+++ b/Libraries/LibRouter/RequestHandler.h
@@ -35,7 +35,7 @@
     /// Stops the request if it is not running yet and might be interrupted by the exit of this process.
     void recheck_exit();
     /// Stops the request, running or not, since the process exits.
-    void interrupt() { this->stop(StopReason::ProcessExits); }
+    void interrupt();
 
 protected:
     enum class StopReason {
@@ -56,6 +56,10 @@
     virtual asio::awaitable<void> forward_request() = 0;
     /// Adds fields to the log line for the end of the request.
     virtual void describe_end(LogLine&) const { }
+    /// Adds how far the response has come to the log line for its interruption.
+    virtual void describe_progress(LogLine&) const { }
+    /// Adds what longest_response() is worked out from to the log line for a send.
+    virtual void describe_bounds(LogLine&) const { }
     /// Called once, when the request is stopped.
     virtual void on_stop() { }
     /// How long the caller waits for the next part of a response that has begun; empty before.
@@ -163,6 +167,9 @@
 
 private:
     void stop(StopReason reason);
+    /// While the process is stopping, logs and counts a send with the bounds that allowed it.
+    void log_send_before_exit() const;
+    void count_exit_decision(std::string_view decision) const;
     /// Whether to give up the response of an upstream to which new connections fail, for that of another.
     bool may_abandon(UpstreamRecord const& upstream, MonotonicTime silent_since);
     /// The remaining quarantine time of the request or of parts of its prompt; empty if it may be sent.
--- a/Libraries/LibRouter/StreamingRequestHandler.cpp
+++ b/Libraries/LibRouter/StreamingRequestHandler.cpp
@@ -70,6 +70,18 @@
         line.with("first_event_ms", to_milliseconds(*this->first_event_after)).with("longest_pause_ms", to_milliseconds(this->longest_pause)).with("pause_target_ms", to_milliseconds(this->route.event_gap_target));
 }
 
+void StreamingRequestHandler::describe_progress(LogLine& line) const
+{
+    line.with("engine", this->last_engine).with("events", this->events.event_count()).with("maximum_output_tokens", this->request.prompt->maximum_output_tokens);
+}
+
+void StreamingRequestHandler::describe_bounds(LogLine& line) const
+{
+    line.with("engine", this->last_engine).with("pace_source", "slowest_answer_of_service");
+    if (auto const age = this->state.answer_pace.pace_age(this->service, monotonic_now()))
+        line.with("pace_age_ms", to_milliseconds(*age));
+}
+
 PlacementAsk StreamingRequestHandler::make_ask(EngineSurvey survey) const
 {
     auto const& prompt = *this->request.prompt;
--- a/Libraries/LibRouter/StreamingRequestHandler.h
+++ b/Libraries/LibRouter/StreamingRequestHandler.h
@@ -26,6 +26,8 @@
     void on_stop() override;
     std::optional<Duration> longest_response() const override;
     void describe_end(LogLine& line) const override;
+    void describe_progress(LogLine& line) const override;
+    void describe_bounds(LogLine& line) const override;
     std::optional<Duration> part_patience() const override;
     Duration usual_wait() const override;
     bool is_another_send_possible() const override;
