NodeSoak: Stop nodes within their routes' time-outs, with uneven engines

The soak's grace time was longer than any request, and its engines had one pace, so that a stopping node could end whatever it began.

A cut stream is excused by its node's log alone: it came before the signal to stop, or its time-out was over. Both could not happen before.

--- a/Tests/Platform/Soak/NodeSoak.cpp
+++ b/Tests/Platform/Soak/NodeSoak.cpp
@@ -36,6 +36,8 @@
 /// A request that was sent so long before a signal to stop had been read when that came.
 constexpr Duration READING_TIME = seconds(1);
 constexpr Duration TAKE_UP_TIME = seconds(12);
+/// The slowest streams end within their time-out.
+constexpr int MOST_SLOWDOWN = 7;
 /// Share of the streams taken up whose version is still there that have to go on.
 constexpr double MOST = 0.5;
 
@@ -66,6 +68,12 @@
     std::int64_t lost_at = 0;
     /// Of the last send that was asked of the budget.
     bool is_budget_spent = false;
+    /// Why the VM ended it, and how long it had it.
+    std::string end_reason;
+    Duration ran {};
+    std::int64_t arrived_at = 0;
+    /// When the VM had last been told to stop.
+    std::int64_t told_to_stop_at = 0;
 };
 
 /// Whether the response's head had come.
@@ -117,11 +125,18 @@
     CutRequestLog log;
     std::map<std::string, std::pair<std::string, std::int64_t>> relays;
     std::ifstream file(path);
-    for (std::string line; std::getline(file, line);) {
+    for (std::string line; log.end_reason.empty() && std::getline(file, line);) {
+        auto const event = field_of(line, "event");
+        if (event == "stopping")
+            log.told_to_stop_at = time_of(line);
         if (field_of(line, "request") != identifier)
             continue;
-        auto const event = field_of(line, "event");
-        if (event == "request_relayed")
+        if (event == "request_end") {
+            auto const ran = parse_whole_number(field_of(line, "ms")).value_or(0);
+            log.end_reason = field_of(line, "reason");
+            log.ran = milliseconds(ran);
+            log.arrived_at = time_of(line) - ran;
+        } else if (event == "request_relayed")
             relays[field_of(line, "upstream")] = { field_of(line, "relay"), time_of(line) };
         else if (event == "send_end" && field_of(line, "end") == "lost") {
             std::tie(log.relay, log.relayed_at) = relays[field_of(line, "upstream")];
@@ -173,6 +188,9 @@
     Task slow_down(std::shared_ptr<NodeProcess> process);
     Task hang_up(std::shared_ptr<NodeProcess> process);
     Task list_endless();
+    Task vary_engines();
+    Task slow_down_engine();
+    Task list_slow_engine();
     Task replace_version();
     Task fail_store();
     Task put_odd_row();
@@ -250,7 +268,7 @@
         auto const end = process->unexplained_end();
         if (end)
             this->violate("process " + std::to_string(process->id) + " at " + process->callers.to_string() + " ended by itself: " + *end);
-        bool const is_late = process->told_to_stop_at && !process->killed_at && monotonic_now() > *process->told_to_stop_at + STOP_GRACE + seconds(6);
+        bool const is_late = process->told_to_stop_at && !process->killed_at && monotonic_now() > *process->told_to_stop_at + this->options.stop_grace + seconds(6);
         if (process->is_running() && is_late) {
             this->violate("process " + std::to_string(process->id) + " did not end within its grace time");
             process->send(SIGKILL);
@@ -725,6 +743,38 @@
     this->store.remove("servers", identity);
 }
 
+Soak::Task Soak::vary_engines()
+{
+    while (!this->is_quiet) {
+        co_await this->pause(this->duration(100, 1000));
+        if (this->chance(0.5))
+            this->spawn(this->slow_down_engine());
+        else
+            this->spawn(this->list_slow_engine());
+    }
+}
+
+Soak::Task Soak::slow_down_engine()
+{
+    ++this->faults["slow_engine"];
+    auto& engine = *this->engines[static_cast<std::size_t>(this->number(0, static_cast<int>(this->engines.size()) - 1))];
+    engine.event_pause = EVENT_PAUSE * this->number(2, MOST_SLOWDOWN);
+    co_await this->pause(this->duration(500, 6000));
+    engine.event_pause = EVENT_PAUSE;
+}
+
+Soak::Task Soak::list_slow_engine()
+{
+    ++this->faults["added_engine"];
+    auto& engine = this->add_decode_engine();
+    engine.event_pause = EVENT_PAUSE * this->number(2, MOST_SLOWDOWN);
+    co_await this->pause(this->duration(1000, 6000));
+    if (this->is_listed(engine.software_version))
+        this->store.put("servers", engine.identity, engine.entry("engines", "draining"));
+    co_await this->pause(seconds(3));
+    this->store.remove("servers", engine.identity);
+}
+
 Soak::Task Soak::hang_up(std::shared_ptr<NodeProcess> process)
 {
     bool const waits = this->options.hangups == SoakOptions::Hangups::OnceHandled;
@@ -891,7 +941,12 @@
         auto const log = read_log_of_cut(node->log_path, identifier);
         auto const* const relay = this->find_node([&](auto const& candidate) { return candidate.name == log.relay; });
         bool const is_resumable = identifier.starts_with("resumable-");
-        if (relay && this->was_killed_between(relay->callers, log.relayed_at, log.lost_at) && (!is_resumable || log.is_budget_spent))
+        bool const is_out_of_time = log.end_reason == "out_of_time" && log.ran >= SHORTEST_TIMEOUT;
+        // What came before the signal may outlast the grace time.
+        bool const is_interrupted = log.end_reason == "stopping" && log.arrived_at < log.told_to_stop_at;
+        if (is_out_of_time || is_interrupted)
+            ++this->counts[is_interrupted ? "interrupted" : "out_of_time"];
+        else if (relay && this->was_killed_between(relay->callers, log.relayed_at, log.lost_at) && (!is_resumable || log.is_budget_spent))
             ++this->counts["killed_relay"];
         else
             this->violate(request.violation);
@@ -920,10 +975,10 @@
 void Soak::finish()
 {
     this->is_quiet = true;
-    if (!this->run_until([&] { return this->running <= CALLERS + STREAM_CALLERS + UPLOAD_CALLERS; }, RECOVERY_LIMIT + STOP_GRACE * 2))
+    if (!this->run_until([&] { return this->running <= CALLERS + STREAM_CALLERS + UPLOAD_CALLERS; }, RECOVERY_LIMIT + this->options.stop_grace * 2))
         this->violate("the faults did not end");
     this->is_over = true;
-    if (!this->run_until([&] { return this->running == 0; }, ANSWER_LIMIT + TAKE_UP_TIME + STOP_GRACE))
+    if (!this->run_until([&] { return this->running == 0; }, ANSWER_LIMIT + TAKE_UP_TIME + this->options.stop_grace))
         this->violate(std::to_string(this->running) + " callers or faults did not end");
     for (auto& node : this->nodes) {
         node.process->served_at.reset();
@@ -937,7 +992,7 @@
     for (auto& node : this->nodes)
         node.process->send(SIGTERM);
     auto const have_ended = [&] { return std::none_of(this->processes.begin(), this->processes.end(), [](auto const& process) { return process->is_running(); }); };
-    if (!this->run_until(have_ended, STOP_GRACE + seconds(10)))
+    if (!this->run_until(have_ended, this->options.stop_grace + seconds(10)))
         this->violate("not all processes ended in time");
     for (auto const& process : this->processes)
         process->send(SIGKILL);
@@ -969,6 +1024,8 @@
     for (int i = 0; i < UPLOAD_CALLERS; ++i)
         this->spawn(this->send_uploads());
     this->spawn(this->inject_in_series());
+    if (this->options.engines == SoakOptions::Engines::Uneven)
+        this->spawn(this->vary_engines());
     for (int i = 0; i < 2 + this->options.nodes / 4; ++i)
         this->spawn(this->inject_beside());
     this->run_until([] { return false; }, seconds(this->options.seconds));
@@ -993,7 +1050,7 @@
 int main(int argument_count, char** arguments)
 {
     SoakOptions options;
-    option const known[] = { { "seed", required_argument, nullptr, 's' }, { "seconds", required_argument, nullptr, 't' }, { "nodes", required_argument, nullptr, 'n' }, { "data-centres", required_argument, nullptr, 'd' }, { "memory-megabytes", required_argument, nullptr, 'm' }, { "hangups-from-the-start", no_argument, nullptr, 'h' }, { "binary", required_argument, nullptr, 'b' }, { nullptr, 0, nullptr, 0 } };
+    option const known[] = { { "seed", required_argument, nullptr, 's' }, { "seconds", required_argument, nullptr, 't' }, { "nodes", required_argument, nullptr, 'n' }, { "data-centres", required_argument, nullptr, 'd' }, { "memory-megabytes", required_argument, nullptr, 'm' }, { "hangups-from-the-start", no_argument, nullptr, 'h' }, { "stop-grace-seconds", required_argument, nullptr, 'g' }, { "uneven-engines", no_argument, nullptr, 'u' }, { "binary", required_argument, nullptr, 'b' }, { nullptr, 0, nullptr, 0 } };
     for (int found = 0; (found = getopt_long(argument_count, arguments, "", known, nullptr)) != -1;) {
         if (found == 's')
             options.seed = static_cast<unsigned>(std::atoi(optarg));
@@ -1007,13 +1064,17 @@
             options.memory_bytes = static_cast<std::size_t>(std::atoi(optarg)) * 1'000'000;
         else if (found == 'h')
             options.hangups = SoakOptions::Hangups::FromTheStart;
+        else if (found == 'g')
+            options.stop_grace = seconds(std::atoi(optarg));
+        else if (found == 'u')
+            options.engines = SoakOptions::Engines::Uneven;
         else if (found == 'b')
             options.binary = optarg;
         else
             return 2;
     }
     if (options.binary.empty() || options.nodes < 1 || options.nodes > 12 || options.data_centres < 1 || options.data_centres > options.nodes || options.seconds < 1) {
-        std::cerr << "Usage: NodeSoak --binary PROGRAM [--seed NUMBER] [--seconds NUMBER] [--nodes 1..12] [--data-centres NUMBER] [--memory-megabytes NUMBER] [--hangups-from-the-start]\n";
+        std::cerr << "Usage: NodeSoak --binary PROGRAM [--seed NUMBER] [--seconds NUMBER] [--nodes 1..12] [--data-centres NUMBER] [--memory-megabytes NUMBER] [--hangups-from-the-start] [--stop-grace-seconds NUMBER] [--uneven-engines]\n";
         return 2;
     }
     auto const result = std::make_unique<Soak>(options).release()->run();
--- a/Tests/Platform/Soak/SoakDeployment.cpp
+++ b/Tests/Platform/Soak/SoakDeployment.cpp
@@ -96,7 +96,7 @@
         seeds.erase(seeds.begin() + i);
         auto const wire = parse_address(wires[static_cast<std::size_t>(i)]).value();
         node.addresses = { node.callers, free_address(), wire, free_address(), free_address() };
-        nlohmann::json const settings { { "vm", node.name }, { "data_centre", this->data_centre_name(i) }, { "data_centres", data_centres }, { "caller_address", node.callers.to_string() }, { "operations_address", node.addresses[1].to_string() }, { "wire_address", wire.to_string() }, { "metrics_address", node.addresses[3].to_string() }, { "relay_address", node.addresses[4].to_string() }, { "registry_address", this->store.address().to_string() }, { "seeds", seeds }, { "retry_allowance", 1000 }, { "stop_grace_seconds", to_seconds(STOP_GRACE) } };
+        nlohmann::json const settings { { "vm", node.name }, { "data_centre", this->data_centre_name(i) }, { "data_centres", data_centres }, { "caller_address", node.callers.to_string() }, { "operations_address", node.addresses[1].to_string() }, { "wire_address", wire.to_string() }, { "metrics_address", node.addresses[3].to_string() }, { "relay_address", node.addresses[4].to_string() }, { "registry_address", this->store.address().to_string() }, { "seeds", seeds }, { "retry_allowance", 1000 }, { "stop_grace_seconds", to_seconds(this->options.stop_grace) } };
         std::ofstream(node.settings_path) << settings.dump();
         this->nodes.push_back(std::move(node));
     }
@@ -168,6 +168,12 @@
     this->versions.push_back(version);
 }
 
+UpstreamStandIn& SoakDeployment::add_decode_engine()
+{
+    auto const number = ++this->added_engines;
+    return this->add_engine("added-" + std::to_string(number), "decode", this->versions.back(), number);
+}
+
 std::string SoakDeployment::add_endless()
 {
     constexpr std::string_view PLAIN = "HTTP/1.1 200 OK\r\nX-Spurtide-Attempt-Id: {id}\r\nX-Spurtide-Server-Stamp: s\r\n";
@@ -231,9 +237,9 @@
 
 void SoakDeployment::configure()
 {
-    auto const longest = to_milliseconds(LONGEST_REQUEST);
+    auto const timeout = [&] { return this->number(static_cast<int>(to_milliseconds(SHORTEST_TIMEOUT)), static_cast<int>(to_milliseconds(LONGEST_REQUEST))); };
     auto const route = [&](std::string const& name, std::string const& kind, std::string const& service, int attempts) {
-        return nlohmann::json { { "name", name }, { "hostname", "h.example" }, { "path_prefix", "/" + name + "/" }, { "route_kind", kind }, { "timeout_ms", this->number(static_cast<int>(longest) - 2000, static_cast<int>(longest)) }, { "slo_ms", 5000 }, { "priority", 1 }, { "service", service }, { "max_attempts", attempts } };
+        return nlohmann::json { { "name", name }, { "hostname", "h.example" }, { "path_prefix", "/" + name + "/" }, { "route_kind", kind }, { "timeout_ms", timeout() }, { "slo_ms", 5000 }, { "priority", 1 }, { "service", service }, { "max_attempts", attempts } };
     };
     auto resumable = route("resumable", "streaming", "engines", 2);
     resumable["resumable"] = true;
--- a/Tests/Platform/Soak/SoakDeployment.h
+++ b/Tests/Platform/Soak/SoakDeployment.h
@@ -16,9 +16,9 @@
 
 constexpr int EVENTS = 30;
 constexpr Duration EVENT_PAUSE = milliseconds(20);
-/// Requests can end within the grace time, also of a process that stands still in between.
 constexpr Duration LONGEST_REQUEST = seconds(7);
-constexpr Duration STOP_GRACE = seconds(12);
+/// The time-outs of the routes lie between this and the longest request.
+constexpr Duration SHORTEST_TIMEOUT = seconds(5);
 /// The paths to the upstreams do not tell the nodes apart.
 constexpr auto ANY_NODE = "any";
 
@@ -35,6 +35,14 @@
         FromTheStart,
     } hangups
         = Hangups::OnceHandled;
+    /// Requests can end within this grace time, also of a process that stands still in between.
+    Duration stop_grace = milliseconds(12'000);
+    enum class Engines {
+        Alike,
+        /// Some slow down for a while, and slow ones are added.
+        Uneven,
+    } engines
+        = Engines::Alike;
     std::string binary;
 };
 
@@ -67,6 +75,8 @@
     void start(NodeSlot& node);
     void add_plain(std::string const& identity);
     void add_version();
+    /// Lists another decode engine of the newest version.
+    UpstreamStandIn& add_decode_engine();
     /// Lists a faulty upstream that never stops responding. Returns its identity.
     std::string add_endless();
     void configure();
@@ -109,6 +119,7 @@
     };
     std::vector<EndlessUpstream> endless;
     int last_version = 0;
+    int added_engines = 0;
     int configuration = 0;
 };
 
