LibRouter: Refuse streams that are taken up late before the lookup

Cause: the origin of a stream that no VM knows is looked up at peers and in the registry, for up to 0.8 s, before a handler exists. Neither the check on arrival nor the one with each poll of the stop sees such a request, and nothing answers it at the exit. Ruled out: a full loop (6 ms before, another take-up was answered at once), a kill (the process ended in order, requests_cut=0).

The router now compares deadline and exit before the lookup, with the same function as the handlers. The test (registry silent, unknown stream) failed on: the lookup was begun.

--- a/Libraries/LibRouter/RequestHandler.cpp
+++ b/Libraries/LibRouter/RequestHandler.cpp
@@ -9,6 +9,7 @@
 #include <LibRouter/RelayClient.h>
 #include <LibRouter/ReplicatedQuarantine.h>
 #include <LibRouter/RequestHandler.h>
+#include <LibRouter/StopDecision.h>
 #include <LibRouter/UpstreamLimiter.h>
 #include <LibRouter/UpstreamStatements.h>
 #include <algorithm>
@@ -154,7 +155,7 @@
     if (may_begin_before_exit(this->time_left(), *until_exit))
         return;
     LogLine("not_begun_before_exit").with("request", this->request.identifier).with("exit_in_ms", to_milliseconds(*until_exit)).with("deadline_in_ms", to_milliseconds(this->time_left()));
-    this->count_exit_decision("refused");
+    count_stop_decision(this->state, StopDecision::Refused, this->request);
     this->stop(StopReason::ProcessExits);
 }
 
@@ -165,7 +166,7 @@
     LogLine line("interrupted_by_exit");
     line.with("request", this->request.identifier).with("deadline_in_ms", to_milliseconds(this->time_left())).with("sends", this->sends);
     this->describe_progress(line);
-    this->count_exit_decision("interrupted");
+    count_stop_decision(this->state, StopDecision::Interrupted, this->request);
     this->stop(StopReason::ProcessExits);
 }
 
@@ -179,13 +180,7 @@
         .with("exit_in_ms", to_milliseconds(*until_exit))
         .with("deadline_in_ms", to_milliseconds(this->time_left()))
         .with("may_have_run", this->earlier == SendHistory::Earlier::HasNotRun ? "no" : "yes");
-    this->count_exit_decision("sent");
-}
-
-void RequestHandler::count_exit_decision(std::string_view decision) const
-{
-    std::string const kind = this->request.prompt ? "stream" : "call";
-    this->state.metrics.increment("spurtide_stop_decisions_total", "Requests of a stopping process: sends, refusals, and what its exit interrupted", { { "decision", std::string(decision) }, { "kind", kind } });
+    count_stop_decision(this->state, StopDecision::Sent, this->request);
 }
 
 std::optional<Duration> RequestHandler::quarantine_left() const
--- a/Libraries/LibRouter/RequestHandler.h
+++ b/Libraries/LibRouter/RequestHandler.h
@@ -165,7 +165,6 @@
     void stop(StopReason reason);
     /// While the process is stopping, logs and counts a send.
     void log_send_before_exit() const;
-    void count_exit_decision(std::string_view decision) const;
     /// Whether to give up the response of an upstream to which new connections fail, for that of another.
     bool may_abandon(UpstreamRecord const& upstream, MonotonicTime silent_since);
     /// The remaining quarantine time of the request or of parts of its prompt; empty if it may be sent.
--- a/Libraries/LibRouter/RequestRouter.cpp
+++ b/Libraries/LibRouter/RequestRouter.cpp
@@ -3,7 +3,9 @@
 
 #include <LibCore/Clock.h>
 #include <LibCore/LogLine.h>
+#include <LibDecision/StopPolicy.h>
 #include <LibRouter/RequestRouter.h>
+#include <LibRouter/StopDecision.h>
 #include <LibRouter/StreamOriginDirectory.h>
 #include <LibRouter/StreamingRequestHandler.h>
 #include <LibRouter/UnaryRequestHandler.h>
@@ -60,6 +62,12 @@
     std::optional<StreamOrigin> origin;
     if (route->kind == RouteKind::Stream && request.is_resumption()) {
         LogLine("stream_taken_up").with("request", request.identifier).with("resumes", request.resumed_request).with("last_event", request.last_event);
+        // The process might exit during the lookup.
+        if (this->exits_before_deadline(exchange, *route, request)) {
+            count_stop_decision(this->state, StopDecision::Refused, request);
+            co_await this->reject(exchange, 503, "stopping", identifier);
+            co_return;
+        }
         if (!request.resumed_request.empty())
             origin = co_await this->state.stream_origins->find(request.resumed_request);
         // One of two streams by the same name began at another version.
@@ -85,6 +93,13 @@
     }
 }
 
+bool RequestRouter::exits_before_deadline(HttpExchange const& exchange, Route const& route, CallerRequest const& request) const
+{
+    auto const until_exit = this->state.time_until_exit();
+    auto const age = std::chrono::duration_cast<Duration>(monotonic_now() - exchange.received_at());
+    return until_exit && !may_begin_before_exit(std::min(route.timeout, request.caller_timeout) - age, *until_exit);
+}
+
 // If all upstreams have been of one version for as long as callers may come back for a stream, it began at that version.
 asio::awaitable<std::optional<StreamOrigin>> RequestRouter::derive_origin(Route const& route, CallerRequest const& request)
 {
--- a/Libraries/LibRouter/RequestRouter.h
+++ b/Libraries/LibRouter/RequestRouter.h
@@ -30,6 +30,8 @@
     void interrupt_requests();
 
 private:
+    /// Whether this process exits before the request's deadline.
+    bool exits_before_deadline(HttpExchange const& exchange, Route const& route, CallerRequest const& request) const;
     /// Where a stream of the route began, if it can have begun at one software version only.
     asio::awaitable<std::optional<StreamOrigin>> derive_origin(Route const& route, CallerRequest const& request);
     /// Why a request cannot take up the stream that began there; empty if it can.
--- a/Tests/Platform/TestPlannedStop.cpp
+++ b/Tests/Platform/TestPlannedStop.cpp
@@ -185,6 +185,21 @@
     }
 }
 
+// Guards against streams that are cut without a response, as their VM exits while it looks up where they began.
+TEST_CASE("A stopping VM refuses a stream that is taken up without a lookup of its origin", "[planned-stop]")
+{
+    StoppingVirtualMachine test;
+    auto const has_looked_up = std::make_shared<bool>(false);
+    LogLine::set_observer([has_looked_up](std::string_view line) { *has_looked_up = *has_looked_up || line.starts_with("event=stream_origin"); });
+    test.store.set_fault(StoreStandIn::Fault::Silent);
+    test.stop();
+    auto late = test.stream_of("/resumable/x", "late", 100);
+    late.head.headers.add("Resumes", "began-elsewhere");
+    late.head.headers.add("Last-Event-Id", "10");
+    test.check_refused(std::move(late));
+    CHECK_FALSE(*has_looked_up);
+}
+
 // Guards against streams that were waiting for an engine when the stop began, and began when it was too late to end.
 TEST_CASE("A stream that waits for its engines when its VM begins to stop is refused at once", "[planned-stop]")
 {
