TestPlannedStop: Name what its tests cover, and count requests in one place

The comment of the slow engines named a case that has no section and left out the restarted engine, and the sum of the engines' requests stood twice.

--- a/Tests/Platform/TestPlannedStop.cpp
+++ b/Tests/Platform/TestPlannedStop.cpp
@@ -25,7 +25,7 @@
     return made;
 }
 
-/// What the VM relayed before its stop. Its pace is that of the engines when it is called.
+/// Streams that the VM has relayed when its stop begins.
 constexpr int STREAMS_BEFORE_STOP = 3;
 
 /// A VM that has seen the pace of its engines, with a short grace period.
@@ -69,17 +69,18 @@
     }
 
     std::size_t run_count() const { return this->first.run.size() + this->second.run.size(); }
+    std::size_t request_count() const { return this->first.requests.size() + this->second.requests.size() + this->prefill.requests.size(); }
 
     /// Expects that the VM refuses the stream, says when to come back and ends the connection, and that no engine sees it.
     void check_refused(HttpRequest made)
     {
-        auto const requests = this->first.requests.size() + this->second.requests.size() + this->prefill.requests.size();
+        auto const requests = this->request_count();
         auto const answer = this->call_until_exit(std::move(made));
         CHECK_FALSE(answer.error);
         CHECK(answer.head.status == 503);
         CHECK(answer.head.headers.contains("Retry-After"));
         CHECK(answer.head.headers.find("Connection") == "close");
-        CHECK(this->first.requests.size() + this->second.requests.size() + this->prefill.requests.size() == requests);
+        CHECK(this->request_count() == requests);
     }
 
     /// Until the VM has stopped, or its caller has an answer.
@@ -138,7 +139,7 @@
 }
 
 // Guards against streams that a stopping VM accepted by the pace of answers that had ended, and interrupted since their engine was
-// slower: one that was just added, one that has slowed down, one that nobody used lately.
+// slower: one that was just added, one that was started again, one that has slowed down.
 TEST_CASE("A stopping VM does not take the pace of earlier answers for that of the next one", "[planned-stop]")
 {
     enum class Kind {
