HttpConnection: Refuse bodies that end with a lost connection

What callers saw: an upstream answered a long upload early with a 200 without a length, sent a part of its body and reset the connection. The caller got the part as a complete response; streams ended as complete after one or two events, and those that can be resumed were not continued.

Cause: Linux reports a pending error of a socket once, to whichever call comes first. While a request is written, that may be the write. The read that follows returns 0, as it does after an orderly end, and a body that lasts until its connection closes was declared whole. The same happens without any reset: if the upstream stops reading the upload, the kernel gives the connection up after TCP_USER_TIMEOUT (1.8 s here), and the write gets that error too.

Ruled out: lengths and chunks, which an end of the data never completes; the parser, which is told of an orderly end; the relay and the streams' own code, which pass on what the connection says. Waiting for the result of the write would not do: with an upstream that shuts down sending and reads on slowly, it comes long after the response.

Change: at the end of the data, the connection asks whether the socket still has a peer. It has one after an orderly end (CLOSE_WAIT), and none after a reset or a timeout. All readers of responses go through this place: plain requests, streams, repeats, resumed and moved streams, relays, and the calls to engines and to the registry. One system call at the end of a response of this framing, none for its pieces. A reset that arrives behind an orderly end before that was read counts as a loss as well (RFC 9112, 8: complete unless an error was indicated by the connection).

Early responses that end in good order are whole before and after.

--- a/Libraries/LibAsync/HttpConnection.cpp
+++ b/Libraries/LibAsync/HttpConnection.cpp
@@ -24,6 +24,14 @@
 /// Connections whose other side does not tell how long it keeps them rest no longer than this.
 constexpr Duration DEFAULT_IDLE_LIMIT = milliseconds(1500);
 
+/// Whether the socket is still connected. It is after the other side has shut down sending, and is not after a reset or a timeout.
+bool has_peer(asio::ip::tcp::socket const& socket)
+{
+    asio::error_code error;
+    static_cast<void>(socket.remote_endpoint(error));
+    return !error;
+}
+
 }
 
 HttpConnection::HttpConnection(asio::any_io_executor const& executor)
@@ -140,7 +148,10 @@
     }
     if (error == asio::error::eof) {
         this->has_failed = true;
-        co_return this->parser.feed_end();
+        // NOTE: The kernel reports a lost connection once. If the write of the request got the error, the read only gets the end of the data.
+        if (has_peer(this->socket))
+            co_return this->parser.feed_end();
+        co_return Failure { this->failure(HttpError::Closed) };
     }
     if (error) {
         this->has_failed = true;
--- /dev/null
+++ b/Tests/Platform/TestBrokenResponses.cpp
@@ -0,0 +1,241 @@
+// SPDX-FileCopyrightText: 2026 The Spurtide developers
+// SPDX-License-Identifier: BSD-2-Clause
+
+#include <LibAsync/Signal.h>
+#include <LibCore/Clock.h>
+#include <LibRouter/RelayProtocol.h>
+#include <Tests/Platform/NodeUnderTest.h>
+#include <Tests/Platform/RawUpstream.h>
+#include <catch2/catch.hpp>
+
+// Guards against responses that are broken at their upstream and look whole at their caller.
+
+using namespace Spurtide;
+using namespace Spurtide::Tests;
+
+namespace {
+
+/// More than the socket buffers of both sides hold together, so that the request is still being written when its response ends.
+constexpr std::size_t LONG_REQUEST_BYTES = 12UL * 1024 * 1024;
+/// The same for a response that ends at once, and within the limit of the engines that stand beside the broken one.
+constexpr std::size_t LONG_PROMPT_BYTES = 3'500'000;
+
+std::string const FIELDS = "X-Spurtide-Attempt-Id: {id}\r\nX-Spurtide-Server-Stamp: stamp\r\n";
+std::string const STREAM_FIELDS = FIELDS + "Content-Type: text/event-stream\r\n";
+
+std::string event(int number) { return "id: " + std::to_string(number) + "\ndata: piece " + std::to_string(number) + "\n\n"; }
+std::string const ALL_EVENTS = event(1) + event(2) + event(3) + event(4) + event(5);
+
+/// The bytes of a response, of which {id} stands for the request's identifier.
+struct RawResponse {
+    enum class End {
+        /// Reads on, and leaves it to the other side to close.
+        KeepOpen,
+        Reset,
+        CloseWithUnreadBytes,
+        ShutDownSending,
+    };
+
+    std::string bytes;
+    End end = End::KeepOpen;
+    /// Lets the bytes arrive before the connection ends.
+    Duration pause {};
+};
+
+/// Responds as soon as it has the head of a request, and reads the body only if the response ends in good order.
+class RawResponder {
+public:
+    explicit RawResponder(asio::io_context& loop)
+        : server(loop, [this](auto& socket) { return this->serve(socket); })
+    {
+    }
+
+    Address const& address() const { return this->server.address(); }
+
+    RawResponse response;
+    int requests = 0;
+
+private:
+    std::string response_to(std::string const& request) const
+    {
+        constexpr std::string_view IDENTIFIER = "{id}";
+        auto bytes = this->response.bytes;
+        for (auto at = bytes.find(IDENTIFIER); at != std::string::npos; at = bytes.find(IDENTIFIER))
+            bytes.replace(at, IDENTIFIER.size(), RawUpstream::identifier_of(request));
+        return bytes;
+    }
+
+    asio::awaitable<void> serve(asio::ip::tcp::socket& socket)
+    {
+        std::string request;
+        asio::error_code error;
+        co_await asio::async_read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n", asio::redirect_error(asio::use_awaitable, error));
+        if (error)
+            co_return;
+        ++this->requests;
+        auto const bytes = this->response_to(request);
+        co_await asio::async_write(socket, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
+        if (this->response.pause > Duration::zero()) {
+            Signal never(socket.get_executor());
+            static_cast<void>(co_await never.wait_until(monotonic_now() + this->response.pause));
+        }
+        switch (this->response.end) {
+        case RawResponse::End::Reset:
+            socket.set_option(asio::socket_base::linger(true, 0), error);
+            break;
+        case RawResponse::End::CloseWithUnreadBytes:
+            break;
+        case RawResponse::End::ShutDownSending:
+            socket.shutdown(asio::ip::tcp::socket::shutdown_send, error);
+            co_await read_to_end(socket);
+            break;
+        case RawResponse::End::KeepOpen:
+            co_await read_to_end(socket);
+            break;
+        }
+        socket.close(error);
+    }
+
+    static asio::awaitable<void> read_to_end(asio::ip::tcp::socket& socket)
+    {
+        std::array<char, 4096> buffer {};
+        asio::error_code error;
+        while (!error)
+            static_cast<void>(co_await socket.async_read_some(asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, error)));
+    }
+
+    RawUpstream server;
+};
+
+/// A VM with one upstream that sends broken responses.
+struct BrokenResponseTest : NodeUnderTest {
+    explicit BrokenResponseTest(std::string const& service, std::string const& phase = {})
+        : listed(this->loop, "i-1", phase)
+    {
+        this->configure(1, [](nlohmann::json& configuration) { configuration["limits"]["max_body_bytes"] = 2 * LONG_REQUEST_BYTES; });
+        if (phase == "decode")
+            this->list(this->prefill, "engines");
+        if (phase == "prefill")
+            this->list(this->decode, "engines");
+        this->listed.listed_address = this->broken.address();
+        this->list(this->listed, service);
+    }
+
+    HttpRequest request_for(std::string const& target, std::string const& identifier)
+    {
+        bool const is_model_request = target.starts_with("/stream/") || target.starts_with("/resumable/");
+        return is_model_request ? this->model_request(target, identifier) : this->request("POST", target, identifier);
+    }
+
+    HttpRequest long_request_for(std::string const& target, std::string const& identifier)
+    {
+        auto request = this->request_for(target, identifier);
+        std::erase_if(request.head.headers.all(), [](auto const& field) { return field.name == "Content-Length"; });
+        bool const is_model_request = request.head.headers.contains("X-Spurtide-Model");
+        request.body.assign(is_model_request ? LONG_PROMPT_BYTES : LONG_REQUEST_BYTES, 'x');
+        request.head.headers.add("Content-Length", std::to_string(request.body.size()));
+        return request;
+    }
+
+    RawResponder broken { this->loop };
+    UpstreamStandIn listed;
+    UpstreamStandIn prefill { this->loop, "i-p", "prefill" };
+    UpstreamStandIn decode { this->loop, "i-d", "decode" };
+};
+
+}
+
+// Guards against a part of a body that its caller got as the whole, since the upstream reset the connection while it was being sent a
+// long request.
+TEST_CASE("A part of an early response is not the whole if its connection was reset", "[broken-response][whole]")
+{
+    auto const end = GENERATE(RawResponse::End::Reset, RawResponse::End::CloseWithUnreadBytes);
+    auto const pause = GENERATE(Duration::zero(), Duration(milliseconds(20)));
+    CAPTURE(static_cast<int>(end), to_milliseconds(pause));
+    SECTION("a plain request that may run only once fails")
+    {
+        BrokenResponseTest test("plain");
+        test.broken.response = { "HTTP/1.1 200 OK\r\n" + FIELDS + "\r\npart", end, pause };
+        for (int i = 0; i < 3; ++i)
+            CHECK(test.call(test.long_request_for("/once/x", "r" + std::to_string(i))).head.status == 502);
+        CHECK(test.broken.requests == 3);
+    }
+    SECTION("a plain request that may be repeated is served elsewhere")
+    {
+        BrokenResponseTest test("plain");
+        test.broken.response = { "HTTP/1.1 200 OK\r\n" + FIELDS + "\r\npart", end, pause };
+        RawResponder sound(test.loop);
+        sound.response.bytes = "HTTP/1.1 200 OK\r\n" + FIELDS + "Content-Length: 5\r\n\r\nwhole";
+        UpstreamStandIn other(test.loop, "i-2");
+        other.listed_address = sound.address();
+        test.list(other, "plain");
+        for (int i = 0; i < 4; ++i) {
+            auto const answer = test.call(test.long_request_for("/safe/x", "r" + std::to_string(i)));
+            CHECK(answer.head.status == 200);
+            CHECK(answer.body == "whole");
+        }
+        CHECK(test.broken.requests > 0);
+    }
+    SECTION("a stream is broken off")
+    {
+        BrokenResponseTest test("engines", "decode");
+        test.broken.response = { "HTTP/1.1 200 OK\r\n" + STREAM_FIELDS + "\r\n" + event(1) + event(2), end, pause };
+        for (int i = 0; i < 3; ++i) {
+            auto const answer = test.call(test.long_request_for("/stream/x", "r" + std::to_string(i)));
+            CHECK((answer.error || answer.head.status == 502));
+        }
+        CHECK(test.broken.requests > 0);
+    }
+    SECTION("a stream that may be resumed goes on elsewhere")
+    {
+        BrokenResponseTest test("engines", "decode");
+        test.broken.response = { "HTTP/1.1 200 OK\r\n" + STREAM_FIELDS + "\r\n" + event(1) + event(2), end, pause };
+        UpstreamStandIn other(test.loop, "i-2", "decode");
+        test.list(other, "engines");
+        for (int i = 0; i < 4; ++i) {
+            auto const answer = test.call(test.long_request_for("/resumable/x", "r" + std::to_string(i)));
+            CHECK_FALSE(answer.error);
+            CHECK(answer.body == ALL_EVENTS);
+        }
+        CHECK(test.broken.requests > 0);
+    }
+    SECTION("a request that is relayed for another VM is broken off")
+    {
+        BrokenResponseTest test("plain");
+        test.broken.response = { "HTTP/1.1 200 OK\r\n" + FIELDS + "\r\npart", end, pause };
+        for (int i = 0; i < 3; ++i) {
+            auto const upstream_request = test.long_request_for("/once/x", "r" + std::to_string(i));
+            RelayedSend send;
+            send.request = "r" + std::to_string(i);
+            send.upstream = "i-1";
+            send.time_left = seconds(3);
+            auto const bytes = format_request_head(upstream_request.head) + upstream_request.body;
+            HttpRequest relayed { relay_request_head("127.0.0.1", send, bytes.size()), bytes };
+            CHECK(test.call(*test.node->relay_address(), std::move(relayed)).error == HttpError::Closed);
+        }
+        CHECK(test.broken.requests == 3);
+    }
+}
+
+// Guards against early responses that are thrown away although the upstream ended them in good order.
+TEST_CASE("An early response that ends in good order is whole", "[broken-response][whole]")
+{
+    auto const pause = GENERATE(Duration::zero(), Duration(milliseconds(20)));
+    CAPTURE(to_milliseconds(pause));
+    for (auto const* target : { "/once/x", "/safe/x" }) {
+        BrokenResponseTest test("plain");
+        test.broken.response = { "HTTP/1.1 200 OK\r\n" + FIELDS + "\r\nwhole", RawResponse::End::ShutDownSending, pause };
+        auto const answer = test.call(test.long_request_for(target, "a"));
+        CAPTURE(target);
+        CHECK(answer.head.status == 200);
+        CHECK(answer.body == "whole");
+    }
+    for (auto const* target : { "/stream/x", "/resumable/x" }) {
+        BrokenResponseTest test("engines", "decode");
+        test.broken.response = { "HTTP/1.1 200 OK\r\n" + STREAM_FIELDS + "\r\n" + ALL_EVENTS, RawResponse::End::ShutDownSending, pause };
+        auto const answer = test.call(test.long_request_for(target, "a"));
+        CAPTURE(target);
+        CHECK_FALSE(answer.error);
+        CHECK(answer.body == ALL_EVENTS);
+    }
+}
