MessageParser: Reject unusable statuses at the status line

What callers saw: a status above 599 reached them as a response, also where the request could have been repeated. One below 100 reached no caller, but without a length, on a connection that stays open, it held the caller until its deadline or time-out, and so did a 101 that nobody asked for. A response of such a status that bore the mark of a request that has not run was believed. The reader also took 0200 for 200, and "2 00" for 2.

Cause: the library takes any number up to 999, of any number of digits, and nothing behind it asked whether the status means anything before the body was awaited.

Ruled out: a check at each reader. Plain requests, both phases of engines, repeats, resumed and moved streams, relays, and the calls to engines and to the registry all read heads through this parser.

Change: the parser fails as soon as the status is known. A final status is 200 to 599, an interim one 100 to 199 but for 101, each of three digits. Callers get a 502, or are served elsewhere where the request may be repeated, at once; nothing is read from such a response, so that it cannot say that the request has not run.

Interim responses and all usable statuses are read before and after.

--- a/Libraries/LibAsync/HttpConnection.cpp
+++ b/Libraries/LibAsync/HttpConnection.cpp
@@ -4,6 +4,7 @@
 #include <LibAsync/BufferReservation.h>
 #include <LibAsync/HttpConnection.h>
 #include <LibCore/Clock.h>
+#include <LibHttp/ResponseStatus.h>
 #include <array>
 #include <sys/socket.h>
 
@@ -174,7 +175,7 @@
             if (read.is_error())
                 co_return Failure { read.error() };
         }
-        if (this->parser.response_head().status / 100 != 1)
+        if (is_final_status(this->parser.response_head().status))
             break;
         interim_bytes += this->parser.head_size();
         if (interim_bytes > MAXIMUM_INTERIM_BYTES)
--- a/Libraries/LibAsync/MessageParser.cpp
+++ b/Libraries/LibAsync/MessageParser.cpp
@@ -2,6 +2,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 
 #include <LibAsync/MessageParser.h>
+#include <LibHttp/ResponseStatus.h>
 #include <algorithm>
 
 namespace Spurtide {
@@ -14,6 +15,17 @@
 /// A field takes more memory than the few bytes that announce it.
 constexpr std::size_t MAXIMUM_FIELDS = 128;
 
+/// Holds the version, the status and what follows it.
+constexpr std::size_t STATUS_LINE_BEGIN_BYTES = 15;
+
+/// The library takes a status of any number of digits.
+bool has_status_of_three_digits(std::string_view status_line)
+{
+    auto const begin = status_line.find_first_not_of(' ', status_line.find(' '));
+    auto const end = status_line.find_first_not_of("0123456789", begin);
+    return end != std::string_view::npos && end - begin == 3;
+}
+
 /// The library lets blanks in a field's name pass, and what comes behind could then read the name otherwise.
 bool is_token(std::string_view text)
 {
@@ -45,6 +57,7 @@
     this->parser.data = this;
     this->expected_body = body_expectation;
     this->target.clear();
+    this->status_line_begin.clear();
     this->response = {};
     this->headers = {};
     this->value_follows = false;
@@ -67,10 +80,7 @@
             self(parser).target.append(bytes, size);
             return 0;
         };
-        settings.on_status = [](http_parser* parser, char const* bytes, std::size_t size) {
-            self(parser).response.reason.append(bytes, size);
-            return 0;
-        };
+        settings.on_status = [](http_parser* parser, char const* bytes, std::size_t size) { return self(parser).on_reason({ bytes, size }); };
         settings.on_header_field = [](http_parser* parser, char const* bytes, std::size_t size) { return self(parser).on_field({ bytes, size }); };
         settings.on_header_value = [](http_parser* parser, char const* bytes, std::size_t size) { return self(parser).on_value({ bytes, size }); };
         settings.on_headers_complete = [](http_parser* parser) { return self(parser).on_head_complete(); };
@@ -91,6 +101,24 @@
     return s_settings;
 }
 
+void MessageParser::note_status_line(std::string_view bytes)
+{
+    if (this->status_line_begin.empty())
+        bytes.remove_prefix(std::min(bytes.find_first_not_of("\r\n"), bytes.size()));
+    this->status_line_begin += bytes.substr(0, STATUS_LINE_BEGIN_BYTES - this->status_line_begin.size());
+}
+
+int MessageParser::on_reason(std::string_view bytes)
+{
+    // Here rather than at the end of the head: a faulty peer may never end it, or the body that follows.
+    auto const status = static_cast<int>(this->parser.status_code);
+    bool const is_usable = is_final_status(status) || is_interim_status(status);
+    if (!is_usable || !has_status_of_three_digits(this->status_line_begin))
+        return STOP;
+    this->response.reason += bytes;
+    return 0;
+}
+
 int MessageParser::on_field(std::string_view bytes)
 {
     // Fields behind a chunked body are trailers, which nobody here uses.
@@ -140,6 +168,8 @@
         return std::size_t { 0 };
     this->begun = true;
     bool const had_head = this->head_complete;
+    if (this->kind == Kind::Response && !had_head)
+        this->note_status_line(bytes);
     auto const consumed = http_parser_execute(&this->parser, &callbacks(), bytes.data(), bytes.size());
     auto const error = HTTP_PARSER_ERRNO(&this->parser);
     if (!had_head) {
--- a/Libraries/LibAsync/MessageParser.h
+++ b/Libraries/LibAsync/MessageParser.h
@@ -34,7 +34,8 @@
     };
     void start(ExpectedBody expected_body = ExpectedBody::AsFramed);
 
-    /// Takes bytes and tells how many belonged to this message; stops at its end.
+    /// Takes bytes and tells how many belonged to this message; stops at its end. A response whose status is neither a final one nor
+    /// that of an interim response is Malformed as soon as the status is known.
     Result<std::size_t, HttpError> feed(std::string_view bytes);
     /// The other side closed in good order. Ends a body that lasts until then; else Closed.
     Result<Done, HttpError> feed_end();
@@ -62,6 +63,9 @@
 private:
     static http_parser_settings const& callbacks();
     static MessageParser& self(http_parser* parser) { return *static_cast<MessageParser*>(parser->data); }
+    void note_status_line(std::string_view bytes);
+    /// Called when the status is known, also where no reason follows it.
+    int on_reason(std::string_view bytes);
     int on_field(std::string_view bytes);
     int on_value(std::string_view bytes);
     int on_head_complete();
@@ -70,6 +74,7 @@
     http_parser parser {};
     ExpectedBody expected_body = ExpectedBody::AsFramed;
     std::string target;
+    std::string status_line_begin;
     HttpResponseHead response;
     HeaderFields headers;
     bool value_follows = false;
--- a/Tests/LibAsync/TestMessageParser.cpp
+++ b/Tests/LibAsync/TestMessageParser.cpp
@@ -157,3 +157,40 @@
         REQUIRE(parsed.consumed <= bytes.size());
     }
 }
+
+namespace {
+
+/// The bytes that a response's reader takes before it fails; nothing if it takes them all.
+std::optional<std::size_t> bytes_to_failure(std::string_view bytes)
+{
+    MessageParser parser(MessageParser::Kind::Response);
+    for (std::size_t size = 1; size <= bytes.size(); ++size) {
+        if (parser.feed(bytes.substr(size - 1, 1)).is_error())
+            return size;
+    }
+    return {};
+}
+
+}
+
+// Guards against callers that get a status that no HTTP server means, or wait for a body that cannot be used.
+TEST_CASE("A response of an unusable status fails at its status line", "[broken-response]")
+{
+    auto const status = GENERATE(values<std::string>({ "000", "001", "099", "0", "00", "7", "42", "600", "700", "999", "101", "0200", "1000", "2000", "-200", "2 00", "x00", "" }));
+    auto const rest = GENERATE(values<std::string>({ " Trouble\r\n", " \r\n", "\r\n", "\n" }));
+    CAPTURE(status, rest);
+    std::string const status_line = "HTTP/1.1 " + status + rest;
+    auto const failed_at = bytes_to_failure(status_line + "Content-Length: 0\r\n\r\n");
+    REQUIRE(failed_at);
+    CHECK(*failed_at <= status_line.size());
+    MessageParser parser(MessageParser::Kind::Response);
+    CHECK(parser.feed(status_line).is_error());
+}
+
+TEST_CASE("A response of a usable status is read", "[broken-response]")
+{
+    auto const status = GENERATE(values<std::string>({ "100", "102", "103", "199", "200", "204", "299", "304", "404", "500", "599" }));
+    auto const rest = GENERATE(values<std::string>({ " Fine\r\n", " \r\n", "\r\n", "\n" }));
+    CAPTURE(status, rest);
+    CHECK_FALSE(bytes_to_failure("HTTP/1.1 " + status + rest + "Content-Length: 0\r\n\r\n"));
+}
--- a/Tests/Platform/TestBrokenResponses.cpp
+++ b/Tests/Platform/TestBrokenResponses.cpp
@@ -22,6 +22,7 @@
 
 std::string const FIELDS = "X-Spurtide-Attempt-Id: {id}\r\nX-Spurtide-Server-Stamp: stamp\r\n";
 std::string const STREAM_FIELDS = FIELDS + "Content-Type: text/event-stream\r\n";
+std::string const CACHE = R"({"kv_handle":"h","tokens":1000,"version":1})";
 
 std::string event(int number) { return "id: " + std::to_string(number) + "\ndata: piece " + std::to_string(number) + "\n\n"; }
 std::string const ALL_EVENTS = event(1) + event(2) + event(3) + event(4) + event(5);
@@ -239,3 +240,125 @@
         CHECK(answer.body == ALL_EVENTS);
     }
 }
+
+namespace {
+
+std::vector<std::string> unusable_statuses()
+{
+    return { "000", "001", "099", "0", "7", "42", "600", "700", "999", "101", "0200" };
+}
+
+/// A body that would be taken for a whole response under a usable status, or nothing more on a connection that stays open.
+struct BodyCase {
+    std::string fields;
+    std::string body;
+};
+
+std::vector<BodyCase> plain_bodies()
+{
+    return { { "Content-Length: 11\r\n", "wrong body." }, { "Transfer-Encoding: chunked\r\n", "b\r\nwrong body.\r\n0\r\n\r\n" }, { "", "" }, { "Content-Length: 0\r\nX-Spurtide-Not-Executed: 1\r\n", "" } };
+}
+
+}
+
+// Guards against statuses that no HTTP server means, which reached callers or held them until their deadline.
+TEST_CASE("A plain response of an unusable status is a failure of its upstream at once", "[broken-response]")
+{
+    auto const status = GENERATE(from_range(unusable_statuses()));
+    auto const body = GENERATE(from_range(plain_bodies()));
+    CAPTURE(status, body.fields);
+    BrokenResponseTest test("plain");
+    test.broken.response.bytes = "HTTP/1.1 " + status + " Trouble\r\n" + FIELDS + body.fields + "\r\n" + body.body;
+    auto begun = monotonic_now();
+    for (auto const* method : { "POST", "HEAD" }) {
+        auto request = test.request_for("/once/x", std::string("once-") + method);
+        request.head.method = method;
+        auto const answer = test.call(std::move(request));
+        CHECK_FALSE(answer.error);
+        // It may have run.
+        CHECK(answer.head.status == 502);
+    }
+    CHECK(monotonic_now() - begun < AT_ONCE);
+    CHECK(test.broken.requests == 2);
+    UpstreamStandIn other(test.loop, "i-2");
+    test.list(other, "plain");
+    begun = monotonic_now();
+    for (int i = 0; i < 3; ++i) {
+        auto const identifier = "safe" + std::to_string(i);
+        auto const answer = test.call(test.request_for("/safe/x", identifier));
+        CHECK(answer.head.status == 200);
+        CHECK(answer.body == "answer of i-2 to " + identifier);
+    }
+    CHECK(monotonic_now() - begun < AT_ONCE);
+}
+
+TEST_CASE("A decode engine's response of an unusable status is a failure of the engine at once", "[broken-response]")
+{
+    auto const status = GENERATE(from_range(unusable_statuses()));
+    auto const body = GENERATE(values<BodyCase>({ { "Content-Length: 24\r\n", "id: 1\ndata: wrong body\n\n" }, { "", "" }, { "X-Spurtide-Not-Executed: 1\r\nContent-Length: 0\r\n", "" } }));
+    CAPTURE(status, body.fields);
+    BrokenResponseTest test("engines", "decode");
+    test.broken.response.bytes = "HTTP/1.1 " + status + " Trouble\r\n" + STREAM_FIELDS + body.fields + "\r\n" + body.body;
+    auto begun = monotonic_now();
+    auto const answer = test.call(test.model_request("/stream/x", "a"));
+    CHECK_FALSE(answer.error);
+    CHECK(answer.head.status == 502);
+    CHECK(monotonic_now() - begun < AT_ONCE);
+    UpstreamStandIn other(test.loop, "i-2", "decode");
+    test.list(other, "engines");
+    begun = monotonic_now();
+    auto const resumed = test.call(test.model_request("/resumable/x", "r"));
+    CHECK_FALSE(resumed.error);
+    CHECK(resumed.body == ALL_EVENTS);
+    CHECK(monotonic_now() - begun < AT_ONCE);
+}
+
+TEST_CASE("A prefill engine's response of an unusable status is a failure of the engine at once", "[broken-response]")
+{
+    auto const status = GENERATE(from_range(unusable_statuses()));
+    auto const body = GENERATE(values<BodyCase>({ { "Content-Length: 43\r\n", CACHE }, { "", "" } }));
+    CAPTURE(status, body.fields);
+    BrokenResponseTest test("engines", "prefill");
+    test.broken.response.bytes = "HTTP/1.1 " + status + " Trouble\r\n" + FIELDS + body.fields + "\r\n" + body.body;
+    UpstreamStandIn other(test.loop, "i-q", "prefill");
+    test.list(other, "engines");
+    auto const begun = monotonic_now();
+    for (int i = 0; i < 2; ++i) {
+        auto const answer = test.call(test.model_request("/stream/x", "s" + std::to_string(i)));
+        CHECK_FALSE(answer.error);
+        CHECK(answer.body == ALL_EVENTS);
+    }
+    CHECK(monotonic_now() - begun < AT_ONCE);
+}
+
+TEST_CASE("A relayed response of an unusable status is broken off at once", "[broken-response]")
+{
+    auto const status = GENERATE(from_range(unusable_statuses()));
+    auto const body = GENERATE(from_range(plain_bodies()));
+    CAPTURE(status, body.fields);
+    BrokenResponseTest test("plain");
+    test.broken.response.bytes = "HTTP/1.1 " + status + " Trouble\r\n" + FIELDS + body.fields + "\r\n" + body.body;
+    RelayedSend send;
+    send.request = "a";
+    send.upstream = "i-1";
+    send.time_left = seconds(3);
+    auto const bytes = format_request_head(test.request_for("/once/x", "a").head);
+    auto const begun = monotonic_now();
+    CHECK(test.call(*test.node->relay_address(), { relay_request_head("127.0.0.1", send, bytes.size()), bytes }).error == HttpError::Closed);
+    CHECK(monotonic_now() - begun < AT_ONCE);
+    CHECK(test.broken.requests == 1);
+}
+
+// Guards against interim responses that end a request: only the final one that follows is the response.
+TEST_CASE("A usable response behind interim ones reaches its caller", "[broken-response]")
+{
+    auto const status = GENERATE(values<std::string>({ "100", "102", "103", "199" }));
+    CAPTURE(status);
+    BrokenResponseTest test("plain");
+    auto const final_status = GENERATE(200, 204, 299, 404, 599);
+    test.broken.response.bytes = "HTTP/1.1 " + status + " Wait\r\n\r\nHTTP/1.1 " + std::to_string(final_status) + " Final\r\n" + FIELDS + (final_status == 204 ? "\r\n" : "Content-Length: 11\r\n\r\nright body.");
+    auto const answer = test.call(test.request_for("/once/x", "a"));
+    CHECK_FALSE(answer.error);
+    CHECK(answer.head.status == final_status);
+    CHECK(answer.body == (final_status == 204 ? "" : "right body."));
+}
