TestBrokenResponses: Refuse malformed field names for each kind of request

A response in whose head the name of a field holds a blank or a control byte, or that has a line without a name, reaches no caller on: the parser refuses it, as it stands. These tests keep that so, 38 forms in each of four places and three more in the first (first, between others, last, in an interim response), for plain requests and for engines of both phases. A line that begins with a blank behind another field is no name but a continuation of that field's value.

--- a/Tests/Platform/TestBrokenResponses.cpp
+++ b/Tests/Platform/TestBrokenResponses.cpp
@@ -362,3 +362,98 @@
     CHECK(answer.head.status == final_status);
     CHECK(answer.body == (final_status == 204 ? "" : "right body."));
 }
+
+namespace {
+
+enum class Place {
+    First,
+    Between,
+    Last,
+    InterimResponse,
+};
+
+std::vector<std::string> malformed_field_lines(Place place)
+{
+    std::vector<std::string> lines { "Bad Name: x", "Bad : x", ": x", "Bad\tName: x", "Bad\t: x", "Transfer-Encoding : chunked", "Content-Length : 5", "Content Length: 5", "X-Spurtide-Attempt-Id : other", "No-Colon", "Bad Line" };
+    for (char const control : { '\0', '\x01', '\x07', '\b', '\x0b', '\x0c', '\x1b', '\x1f', '\x7f' }) {
+        lines.push_back(std::string("Bad") + control + "Name: x");
+        lines.push_back(std::string("Bad") + control + ": x");
+        lines.push_back(control + std::string("Bad: x"));
+    }
+    // Behind another field, a line that begins with a blank continues that field's value.
+    if (place == Place::First)
+        lines.insert(lines.end(), { " Bad: x", "\tBad: x", " : x" });
+    return lines;
+}
+
+std::string head_with(std::string const& line, Place place, std::string const& fields)
+{
+    auto const end_of_first = fields.find("\r\n") + 2;
+    std::string const status_line = "HTTP/1.1 200 OK\r\n";
+    switch (place) {
+    case Place::First:
+        return status_line + line + "\r\n" + fields + "\r\n";
+    case Place::Between:
+        return status_line + fields.substr(0, end_of_first) + line + "\r\n" + fields.substr(end_of_first) + "\r\n";
+    case Place::Last:
+        return status_line + fields + line + "\r\n\r\n";
+    case Place::InterimResponse:
+        return "HTTP/1.1 103 Early Hints\r\nX-A: b\r\n" + line + "\r\n\r\n" + status_line + fields + "\r\n";
+    }
+    return {};
+}
+
+}
+
+// Guards against lines of a head that the caller could read in another way than this VM does.
+TEST_CASE("A plain response with a malformed field name is a failure of its upstream at once", "[broken-response]")
+{
+    auto const place = GENERATE(Place::First, Place::Between, Place::Last, Place::InterimResponse);
+    BrokenResponseTest test("plain");
+    for (auto const& line : malformed_field_lines(place)) {
+        CAPTURE(static_cast<int>(place), line);
+        test.broken.response.bytes = head_with(line, place, FIELDS + "Content-Length: 11\r\n") + "wrong body.";
+        auto const before = test.broken.requests;
+        auto const begun = monotonic_now();
+        auto const answer = test.call(test.request_for("/once/x", "r" + std::to_string(before)));
+        CHECK_FALSE(answer.error);
+        CHECK(answer.head.status == 502);
+        CHECK(monotonic_now() - begun < AT_ONCE);
+        CHECK(test.broken.requests == before + 1);
+    }
+}
+
+TEST_CASE("A decode engine's response with a malformed field name is a failure of the engine at once", "[broken-response]")
+{
+    auto const place = GENERATE(Place::First, Place::Between, Place::Last, Place::InterimResponse);
+    BrokenResponseTest test("engines", "decode");
+    for (auto const& line : malformed_field_lines(place)) {
+        CAPTURE(static_cast<int>(place), line);
+        test.broken.response.bytes = head_with(line, place, STREAM_FIELDS + "Content-Length: 24\r\n") + "id: 1\ndata: wrong body\n\n";
+        auto const before = test.broken.requests;
+        auto const begun = monotonic_now();
+        auto const answer = test.call(test.model_request("/stream/x", "r" + std::to_string(before)));
+        CHECK_FALSE(answer.error);
+        CHECK(answer.head.status == 502);
+        CHECK(monotonic_now() - begun < AT_ONCE);
+        CHECK(test.broken.requests > before);
+    }
+}
+
+TEST_CASE("A prefill engine's response with a malformed field name is a failure of the engine at once", "[broken-response]")
+{
+    auto const place = GENERATE(Place::First, Place::Between, Place::Last, Place::InterimResponse);
+    BrokenResponseTest test("engines", "prefill");
+    for (auto const& line : malformed_field_lines(place)) {
+        CAPTURE(static_cast<int>(place), line);
+        test.broken.response.bytes = head_with(line, place, FIELDS + "Content-Length: 43\r\n") + CACHE;
+        auto const before = test.broken.requests;
+        auto const begun = monotonic_now();
+        auto const answer = test.call(test.model_request("/stream/x", "r" + std::to_string(before)));
+        CHECK_FALSE(answer.error);
+        // Without a prefill, the request has not run, or the decode engine has read the prompt itself.
+        CHECK((answer.head.status == 503 || answer.body == ALL_EVENTS));
+        CHECK(monotonic_now() - begun < AT_ONCE);
+        CHECK(test.broken.requests > before);
+    }
+}
