HttpService: Lose responses of an unusable status

EntryServer, which the users' platform does not run, calls plain services through cpp-httplib. That takes any status of three digits, and callers got 000 or 600 as the service's response. Such a call is lost now, as after a response that breaks off: it may have run. The adapters of engines and of the platform use 200 alone and make a typed error of every other status.

An early response that is reset while a long request is written was lost before, since the library reads no response then; a test keeps that so.

--- a/Libraries/LibUpstream/HttpService.cpp
+++ b/Libraries/LibUpstream/HttpService.cpp
@@ -2,6 +2,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 
 #include <LibHttp/HttpClient.h>
+#include <LibHttp/ResponseStatus.h>
 #include <LibUpstream/HttpService.h>
 #include <algorithm>
 
@@ -28,6 +29,8 @@
         bool const nothing_sent = result.error() == httplib::Error::Connection;
         return Failure { ServiceError { nothing_sent ? ServiceErrorKind::Unreachable : ServiceErrorKind::Lost } };
     }
+    if (!is_final_status(result->status))
+        return Failure { ServiceError { ServiceErrorKind::Lost } };
     ServiceAnswer answer;
     answer.status = result->status;
     answer.content_type = result->get_header_value("Content-Type");
--- a/Tests/LibUpstream/TestServiceContract.cpp
+++ b/Tests/LibUpstream/TestServiceContract.cpp
@@ -3,7 +3,11 @@
 
 #include <LibUpstream/HttpService.h>
 #include <StandIns/ServiceStandIn/ServiceStandIn.h>
+#include <array>
+#include <asio.hpp>
 #include <catch2/catch.hpp>
+#include <future>
+#include <string>
 
 using namespace Spurtide;
 
@@ -15,6 +19,29 @@
     ServiceCall call { "POST", "/orders", "application/json", "{}", "r1" };
 };
 
+/// Whether a server closes its connection in good order when it has responded, or resets it.
+enum class End {
+    Close,
+    Reset,
+};
+
+/// Calls a server that reads a part of the request, sends these bytes and ends the connection.
+Result<ServiceAnswer, ServiceError> call_raw_server(std::string const& response, std::string const& body = "{}", End end = End::Close)
+{
+    asio::io_context context;
+    asio::ip::tcp::acceptor acceptor(context, { asio::ip::address_v4::loopback(), 0 });
+    HttpService port { { "127.0.0.1", acceptor.local_endpoint().port() }, milliseconds(300), milliseconds(1000) };
+    auto call = std::async(std::launch::async, [&] { return port.call({ "POST", "/orders", "application/json", body, "r1" }); });
+    auto socket = acceptor.accept();
+    std::array<char, 1024> buffer {};
+    socket.read_some(asio::buffer(buffer));
+    asio::write(socket, asio::buffer(response));
+    if (end == End::Reset)
+        socket.set_option(asio::socket_base::linger(true, 0));
+    socket.close();
+    return call.get();
+}
+
 }
 
 TEST_CASE("A call reaches the service once and its answer comes back whole")
@@ -46,3 +73,23 @@
     service.stand_in->stop();
     CHECK(service.port.call(service.call).error().kind == ServiceErrorKind::Unreachable);
 }
+
+// Guards against statuses that no HTTP server means, which reached callers as responses.
+TEST_CASE("A response of an unusable status is lost", "[broken-response]")
+{
+    auto const status = GENERATE(values<std::string>({ "000", "001", "099", "101", "600", "700", "999" }));
+    CAPTURE(status);
+    auto const answer = call_raw_server("HTTP/1.1 " + status + " Trouble\r\nContent-Length: 5\r\nConnection: close\r\n\r\nwrong");
+    REQUIRE(answer.is_error());
+    CHECK(answer.error().kind == ServiceErrorKind::Lost);
+}
+
+// Guards against a part of a body that is taken for the whole, since the server reset the connection while it was sent a long request.
+TEST_CASE("A part of an early response is lost if its connection was reset", "[broken-response]")
+{
+    for (int i = 0; i < 10; ++i) {
+        auto const answer = call_raw_server("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\npart", std::string(12UL * 1024 * 1024, 'x'), End::Reset);
+        REQUIRE(answer.is_error());
+        CHECK(answer.error().kind == ServiceErrorKind::Lost);
+    }
+}
