HttpService: Lose responses with a malformed field name

EntryServer's callers got a body that was not the service's: cpp-httplib keeps a name such as "Transfer-Encoding " with its blank, so that the field does not count and the body comes with the sizes of its chunks. Such a call is lost now.

--- a/Libraries/LibAsync/MessageParser.cpp
+++ b/Libraries/LibAsync/MessageParser.cpp
@@ -2,6 +2,7 @@
 // SPDX-License-Identifier: BSD-2-Clause
 
 #include <LibAsync/MessageParser.h>
+#include <LibHttp/FieldName.h>
 #include <LibHttp/ResponseStatus.h>
 #include <algorithm>
 
@@ -27,19 +28,10 @@
 }
 
 /// The library lets blanks in a field's name pass, and what comes behind could then read the name otherwise.
-bool is_token(std::string_view text)
-{
-    constexpr std::string_view MARKS = "!#$%&'*+-.^_`|~";
-    return !text.empty() && std::all_of(text.begin(), text.end(), [&](char character) {
-        bool const is_letter = (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z');
-        return is_letter || (character >= '0' && character <= '9') || MARKS.find(character) != std::string_view::npos;
-    });
-}
-
 bool are_well_formed(HeaderFields const& headers)
 {
     return std::all_of(headers.all().begin(), headers.all().end(), [](auto const& field) {
-        return is_token(field.name) && field.value.find_first_of(std::string_view("\0\r\n", 3)) == std::string::npos;
+        return is_field_name(field.name) && field.value.find_first_of(std::string_view("\0\r\n", 3)) == std::string::npos;
     });
 }
 
--- a/Libraries/LibUpstream/HttpService.cpp
+++ b/Libraries/LibUpstream/HttpService.cpp
@@ -1,6 +1,7 @@
 // SPDX-FileCopyrightText: 2026 The Spurtide developers
 // SPDX-License-Identifier: BSD-2-Clause
 
+#include <LibHttp/FieldName.h>
 #include <LibHttp/HttpClient.h>
 #include <LibHttp/ResponseStatus.h>
 #include <LibUpstream/HttpService.h>
@@ -12,6 +13,12 @@
 
 constexpr std::int64_t LONGEST_RETRY_AFTER_SECONDS = 600;
 
+/// The library takes any status of three digits, and names with blanks, which may hide how the body is framed.
+bool is_usable(httplib::Response const& response)
+{
+    return is_final_status(response.status) && std::all_of(response.headers.begin(), response.headers.end(), [](auto const& field) { return is_field_name(field.first); });
+}
+
 }
 
 Result<ServiceAnswer, ServiceError> HttpService::call(ServiceCall const& call)
@@ -29,7 +36,7 @@
         bool const nothing_sent = result.error() == httplib::Error::Connection;
         return Failure { ServiceError { nothing_sent ? ServiceErrorKind::Unreachable : ServiceErrorKind::Lost } };
     }
-    if (!is_final_status(result->status))
+    if (!is_usable(*result))
         return Failure { ServiceError { ServiceErrorKind::Lost } };
     ServiceAnswer answer;
     answer.status = result->status;
--- a/Tests/LibUpstream/TestServiceContract.cpp
+++ b/Tests/LibUpstream/TestServiceContract.cpp
@@ -84,6 +84,16 @@
     CHECK(answer.error().kind == ServiceErrorKind::Lost);
 }
 
+// Guards against fields that this side reads otherwise than the server, so that its body comes with its chunks' sizes.
+TEST_CASE("A response with a malformed field name is lost", "[broken-response]")
+{
+    auto const line = GENERATE(values<std::string>({ "Transfer-Encoding : chunked", "Transfer-Encoding\t: chunked", "Bad Name: x", "Bad\x01Name: x", "Bad\x7f: x", " Bad: x", ": x" }));
+    CAPTURE(line);
+    auto const answer = call_raw_server("HTTP/1.1 200 OK\r\n" + line + "\r\nConnection: close\r\n\r\n5\r\nwrong\r\n0\r\n\r\n");
+    REQUIRE(answer.is_error());
+    CHECK(answer.error().kind == ServiceErrorKind::Lost);
+}
+
 // Guards against a part of a body that is taken for the whole, since the server reset the connection while it was sent a long request.
 TEST_CASE("A part of an early response is lost if its connection was reset", "[broken-response]")
 {
