HttpConnection: Refuse early bodies whose upstream closed before the request

What callers saw: with an upstream that closes its connection while a long upload is written, and has read at that moment all that had arrived, a part of a body was still a complete response. Its kernel sends an orderly end first and resets the connection when more of the upload arrives, and the end was read before the reset.

Cause: at an orderly end, an upstream that has shut down sending and takes the rest of the request looks the same as one whose socket is gone.

Ruled out: to await the write. It can take as long as the upstream likes, and an upload that fits into the socket's buffer is written before the reset comes. To refuse every end that comes before the request is taken: an upstream may shut down sending and read on.

Change: if the end of the data comes while bytes of the request are unsent or unacknowledged, the end is decided when they are acknowledged (whole), when the connection is lost (broken off), or after 300 ms, as a reset comes a round trip after what is sent. Events of a stream are handed on as they come; only the end waits. A response to a request that its upstream has taken, which is the usual one, waits for nothing and costs two system calls at its end.

An upstream that shuts down sending and reads on, or no more, is whole before and after.

--- a/Libraries/LibAsync/HttpConnection.cpp
+++ b/Libraries/LibAsync/HttpConnection.cpp
@@ -6,6 +6,7 @@
 #include <LibCore/Clock.h>
 #include <LibHttp/ResponseStatus.h>
 #include <array>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace Spurtide {
@@ -25,6 +26,10 @@
 /// Connections whose other side does not tell how long it keeps them rest no longer than this.
 constexpr Duration DEFAULT_IDLE_LIMIT = milliseconds(1500);
 
+/// A peer that has closed resets the connection a round trip after more of the request was sent to it; that may be lost once.
+constexpr Duration RESET_WAIT = milliseconds(300);
+constexpr Duration RESET_CHECK_INTERVAL = milliseconds(5);
+
 /// Whether the socket is still connected. It is after the other side has shut down sending, and is not after a reset or a timeout.
 bool has_peer(asio::ip::tcp::socket const& socket)
 {
@@ -33,6 +38,13 @@
     return !error;
 }
 
+/// Whether the other side has not acknowledged all that was written to the socket.
+bool has_unacknowledged_bytes(asio::ip::tcp::socket& socket)
+{
+    int bytes = 0;
+    return ::ioctl(socket.native_handle(), TIOCOUTQ, &bytes) == 0 && bytes > 0;
+}
+
 }
 
 HttpConnection::HttpConnection(asio::any_io_executor const& executor)
@@ -147,13 +159,8 @@
         if (error == asio::error::would_block || error == asio::error::try_again)
             co_return Done {};
     }
-    if (error == asio::error::eof) {
-        this->has_failed = true;
-        // NOTE: The kernel reports a lost connection once. If the write of the request got the error, the read only gets the end of the data.
-        if (has_peer(this->socket))
-            co_return this->parser.feed_end();
-        co_return Failure { this->failure(HttpError::Closed) };
-    }
+    if (error == asio::error::eof)
+        co_return co_await this->end_data();
     if (error) {
         this->has_failed = true;
         co_return Failure { this->failure(HttpError::Closed) };
@@ -163,6 +170,23 @@
     co_return this->parse_unread();
 }
 
+asio::awaitable<Result<Done, HttpError>> HttpConnection::end_data()
+{
+    this->has_failed = true;
+    bool const may_be_whole = this->parser.has_head() && this->framing() == BodyFraming::UntilClose;
+    auto const until = monotonic_now() + RESET_WAIT;
+    Signal pause(this->socket.get_executor());
+    // An upstream that has shut down sending goes on taking the request, and one that has closed did not mean to end its response here.
+    while (may_be_whole && has_peer(this->socket) && this->is_sending() && monotonic_now() < until)
+        static_cast<void>(co_await pause.wait_until(monotonic_now() + RESET_CHECK_INTERVAL));
+    // NOTE: The kernel reports a lost connection once. If the write of the request got the error, the read only gets the end of the data.
+    if (!has_peer(this->socket))
+        co_return Failure { this->failure(HttpError::Closed) };
+    co_return this->parser.feed_end();
+}
+
+bool HttpConnection::is_sending() { return this->is_writing || has_unacknowledged_bytes(this->socket); }
+
 asio::awaitable<Result<HttpResponseHead, HttpError>> HttpConnection::read_head()
 {
     std::size_t interim_bytes = 0;
--- a/Libraries/LibAsync/HttpConnection.h
+++ b/Libraries/LibAsync/HttpConnection.h
@@ -65,6 +65,10 @@
 
 private:
     asio::awaitable<Result<Done, HttpError>> read_more();
+    /// The other side sends no more. Decides whether a body that lasts until then is whole: not if the connection was lost.
+    asio::awaitable<Result<Done, HttpError>> end_data();
+    /// Whether the other side has not taken the whole request yet.
+    bool is_sending();
     Result<Done, HttpError> parse_unread();
     /// Goes on to another response to the same request.
     void expect_next_response() { this->parser.start(this->parser.expectation()); }
--- a/Tests/LibAsync/TestBrokenResponses.cpp
+++ b/Tests/LibAsync/TestBrokenResponses.cpp
@@ -68,6 +68,15 @@
         static_cast<void>(co_await socket.async_read_some(asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, error)));
 }
 
+void read_available(asio::ip::tcp::socket& socket)
+{
+    std::array<char, 64UL * 1024> buffer {};
+    asio::error_code error;
+    socket.non_blocking(true, error);
+    while (!error)
+        socket.read_some(asio::buffer(buffer), error);
+}
+
 asio::awaitable<void> read_some(asio::ip::tcp::socket& socket)
 {
     std::array<char, 1024> buffer {};
@@ -79,9 +88,12 @@
 enum class Ending {
     Reset,
     CloseWithUnreadBytes,
+    /// Its kernel closes in good order, and resets the connection when more of the request arrives.
+    CloseWithoutUnreadBytes,
     /// Reads no more, until the client's kernel gives the connection up.
     Silence,
     ShutDownSending,
+    ShutDownSendingAndStopReading,
 };
 
 /// Whether the client has taken the part that was sent when the response ends.
@@ -104,6 +116,9 @@
             break;
         case Ending::CloseWithUnreadBytes:
             break;
+        case Ending::CloseWithoutUnreadBytes:
+            read_available(socket);
+            break;
         case Ending::Silence: {
             // Ends with the test's loop.
             Signal never(socket.get_executor());
@@ -114,6 +129,12 @@
             socket.shutdown(asio::ip::tcp::socket::shutdown_send, error);
             co_await read_to_end(socket);
             break;
+        case Ending::ShutDownSendingAndStopReading: {
+            socket.shutdown(asio::ip::tcp::socket::shutdown_send, error);
+            Signal never(socket.get_executor());
+            co_await never.wait();
+            break;
+        }
         }
         socket.close(error);
     };
@@ -132,9 +153,9 @@
     return patience;
 }
 
-asio::awaitable<void> upload(RawPeer& peer, Part part, Received& received)
+asio::awaitable<void> upload(RawPeer& peer, Part part, PeerPatience patience, Received& received)
 {
-    auto connected = co_await HttpConnection::connect(peer.address(), seconds(5), short_patience());
+    auto connected = co_await HttpConnection::connect(peer.address(), seconds(5), patience);
     auto const connection = connected.release_value();
     connection->set_deadline(monotonic_now() + TEST_LIMIT);
     connection->send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(LONG_REQUEST_BYTES) + "\r\n\r\n", std::make_shared<std::string const>(LONG_REQUEST_BYTES, 'x'));
@@ -165,12 +186,12 @@
     REQUIRE(is_over);
 }
 
-Received upload_to(RawPeer::Script script, Part part)
+Received upload_to(RawPeer::Script script, Part part, PeerPatience patience = short_patience())
 {
     asio::io_context loop { 1 };
     RawPeer peer(loop, std::move(script));
     Received received;
-    asio::co_spawn(loop, upload(peer, part, received), asio::detached);
+    asio::co_spawn(loop, upload(peer, part, patience, received), asio::detached);
     run_until(loop, received.is_over);
     return received;
 }
@@ -181,7 +202,7 @@
 // be told instead of the read, which then ends as if the peer had closed in good order.
 TEST_CASE("A body that ends with its connection is not whole if the connection was lost while the request was written", "[broken-response][whole]")
 {
-    auto const ending = GENERATE(Ending::Reset, Ending::CloseWithUnreadBytes, Ending::Silence);
+    auto const ending = GENERATE(Ending::Reset, Ending::CloseWithUnreadBytes, Ending::CloseWithoutUnreadBytes, Ending::Silence);
     auto const part = GENERATE(Part::Unread, Part::HandedOn);
     CAPTURE(static_cast<int>(ending), static_cast<int>(part));
     for (int i = 0; i < 5; ++i) {
@@ -194,10 +215,12 @@
 
 TEST_CASE("A body that ends with its connection in good order is whole while the request is still written", "[broken-response][whole]")
 {
+    // Also where the peer leaves the rest of the request unread.
+    auto const ending = GENERATE(Ending::ShutDownSending, Ending::ShutDownSendingAndStopReading);
     auto const part = GENERATE(Part::Unread, Part::HandedOn);
-    CAPTURE(static_cast<int>(part));
+    CAPTURE(static_cast<int>(ending), static_cast<int>(part));
     for (int i = 0; i < 5; ++i) {
-        auto const received = upload_to(respond_early(UNFRAMED_HEAD + "whole", Ending::ShutDownSending, part), part);
+        auto const received = upload_to(respond_early(UNFRAMED_HEAD + "whole", ending, part), part, PeerPatience {});
         CHECK_FALSE(received.error);
         CHECK(received.body == "whole");
     }
@@ -206,7 +229,7 @@
 // Guards against the same in the responses to the router's own calls, such as those to the registry and of the moves of streams.
 TEST_CASE("A call of the router's own has no body if its connection was lost", "[broken-response][whole]")
 {
-    auto const ending = GENERATE(Ending::Reset, Ending::CloseWithUnreadBytes, Ending::Silence);
+    auto const ending = GENERATE(Ending::Reset, Ending::CloseWithUnreadBytes, Ending::CloseWithoutUnreadBytes, Ending::Silence);
     CAPTURE(static_cast<int>(ending));
     asio::io_context loop { 1 };
     RawPeer peer(loop, respond_early(UNFRAMED_HEAD + "part", ending, Part::Unread));
--- a/Tests/Platform/TestBrokenResponses.cpp
+++ b/Tests/Platform/TestBrokenResponses.cpp
@@ -34,6 +34,8 @@
         KeepOpen,
         Reset,
         CloseWithUnreadBytes,
+        /// The kernel closes in good order, and resets the connection when more of the request arrives.
+        CloseWithoutUnreadBytes,
         ShutDownSending,
     };
 
@@ -86,6 +88,9 @@
             break;
         case RawResponse::End::CloseWithUnreadBytes:
             break;
+        case RawResponse::End::CloseWithoutUnreadBytes:
+            read_available(socket);
+            break;
         case RawResponse::End::ShutDownSending:
             socket.shutdown(asio::ip::tcp::socket::shutdown_send, error);
             co_await read_to_end(socket);
@@ -97,6 +102,15 @@
         socket.close(error);
     }
 
+    static void read_available(asio::ip::tcp::socket& socket)
+    {
+        std::array<char, 4096> buffer {};
+        asio::error_code error;
+        socket.non_blocking(true, error);
+        while (!error)
+            socket.read_some(asio::buffer(buffer), error);
+    }
+
     static asio::awaitable<void> read_to_end(asio::ip::tcp::socket& socket)
     {
         std::array<char, 4096> buffer {};
@@ -150,8 +164,9 @@
 // long request.
 TEST_CASE("A part of an early response is not the whole if its connection was reset", "[broken-response][whole]")
 {
-    auto const end = GENERATE(RawResponse::End::Reset, RawResponse::End::CloseWithUnreadBytes);
-    auto const pause = GENERATE(Duration::zero(), Duration(milliseconds(20)));
+    using End = RawResponse::End;
+    // After a pause, the upstream could read all of a prompt of this length before it closes, and the response would be whole.
+    auto const [end, pause] = GENERATE(table<End, Duration>({ { End::Reset, Duration::zero() }, { End::Reset, milliseconds(20) }, { End::CloseWithUnreadBytes, Duration::zero() }, { End::CloseWithUnreadBytes, milliseconds(20) }, { End::CloseWithoutUnreadBytes, Duration::zero() } }));
     CAPTURE(static_cast<int>(end), to_milliseconds(pause));
     SECTION("a plain request that may run only once fails")
     {
