--- a/Libraries/LibAsync/HttpConnection.cpp
+++ b/Libraries/LibAsync/HttpConnection.cpp
@@ -26,7 +26,7 @@
 /// Connections whose other side does not tell how long it keeps them rest no longer than this.
 constexpr Duration DEFAULT_IDLE_LIMIT = milliseconds(1500);
 
-/// A peer that has closed resets the connection a round trip after more of the request was sent to it; that may be lost once.
+/// A peer that has closed its socket resets the connection one round trip after more is sent to it. Allows for one retransmission.
 constexpr Duration RESET_WAIT = milliseconds(300);
 constexpr Duration RESET_CHECK_INTERVAL = milliseconds(5);
 
@@ -176,7 +176,7 @@
     bool const may_be_whole = this->parser.has_head() && this->framing() == BodyFraming::UntilClose;
     auto const until = monotonic_now() + RESET_WAIT;
     Signal pause(this->socket.get_executor());
-    // An upstream that has shut down sending goes on taking the request, and one that has closed did not mean to end its response here.
+    // The end is orderly if the upstream has only shut down sending. If it has closed its socket, a reset follows.
     while (may_be_whole && has_peer(this->socket) && this->is_sending() && monotonic_now() < until)
         static_cast<void>(co_await pause.wait_until(monotonic_now() + RESET_CHECK_INTERVAL));
     // NOTE: The kernel reports a lost connection once. If the write of the request got the error, the read only gets the end of the data.
--- a/Libraries/LibAsync/MessageParser.cpp
+++ b/Libraries/LibAsync/MessageParser.cpp
@@ -102,7 +102,7 @@
 
 int MessageParser::on_reason(std::string_view bytes)
 {
-    // Here rather than at the end of the head: a faulty peer may never end it, or the body that follows.
+    // Not only at the end of the head: a faulty peer may never end its head, or the body that follows.
     auto const status = static_cast<int>(this->parser.status_code);
     bool const is_usable = is_final_status(status) || is_interim_status(status);
     if (!is_usable || !has_status_of_three_digits(this->status_line_begin))
--- a/Tests/LibAsync/TestBrokenResponses.cpp
+++ b/Tests/LibAsync/TestBrokenResponses.cpp
@@ -208,7 +208,7 @@
     for (int i = 0; i < 5; ++i) {
         auto const received = upload_to(respond_early(UNFRAMED_HEAD + "part", ending, part), part);
         CHECK(received.error == HttpError::Closed);
-        // One that announced no more is empty, not whole.
+        // Nor is an empty body whole.
         CHECK(upload_to(respond_early(UNFRAMED_HEAD, ending, Part::Unread), Part::Unread).error == HttpError::Closed);
     }
 }
